--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements of savoryrudder."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/agent/events.py
@@ -0,0 +1,72 @@
+"""Define the events of the agent reducer."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TypeAlias
+
+from savoryrudder.protocol.messages import Message
+from savoryrudder.protocol.messages import TaskKey
+
+
+class LinkUp(NamedTuple):
+    """A new session with an entry is open."""
+
+    now: float
+    entry: str
+    session: str
+
+
+class LinkDown(NamedTuple):
+    """A session with an entry has ended."""
+
+    now: float
+    entry: str
+    session: str
+
+
+class MessageReceived(NamedTuple):
+    """A message arrived on a session, with the sender's revision."""
+
+    now: float
+    entry: str
+    session: str
+    revision: int
+    message: Message
+
+
+class UpstreamFinished(NamedTuple):
+    """An upstream call ended.
+
+    `outcome` is complete, failed, unknown or not-run; not-run only when the
+    request provably never reached the upstream.
+    """
+
+    now: float
+    task: TaskKey
+    outcome: str
+    result: bytes
+    reason: str
+
+
+class Tick(NamedTuple):
+    """Time has passed; sent about ten times a second."""
+
+    now: float
+
+
+class DrainRequested(NamedTuple):
+    """The agent has to stop gracefully within `timeout_s`."""
+
+    now: float
+    timeout_s: float
+
+
+AgentEvent: TypeAlias = (
+    LinkUp
+    | LinkDown
+    | MessageReceived
+    | UpstreamFinished
+    | Tick
+    | DrainRequested
+)
--- /dev/null
+++ b/src/savoryrudder/console/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command-line tool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module for each command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry role as a reducer."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/entry/effects.py
@@ -0,0 +1,43 @@
+"""Define the effects of the entry reducer."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TypeAlias
+
+from savoryrudder.protocol.messages import Answer
+from savoryrudder.store.interface import StoreOperation
+from savoryrudder.utils import effects
+
+
+class Reply(NamedTuple):
+    """Answer a caller's request."""
+
+    request: int
+    answer: Answer
+
+
+class CallStore(NamedTuple):
+    """Call the store; the outcome returns as `StoreAnswered`."""
+
+    call: int
+    operation: StoreOperation
+
+
+class ConnectPeer(NamedTuple):
+    """Keep a link to the entry that listens at this join address."""
+
+    address: str
+
+
+EntryEffect: TypeAlias = (
+    effects.Send
+    | effects.CloseLink
+    | effects.Count
+    | effects.Observe
+    | effects.StateChanged
+    | effects.Exit
+    | Reply
+    | CallStore
+    | ConnectPeer
+)
--- /dev/null
+++ b/src/savoryrudder/policy/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' text: its model, checks and differences."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/protocol/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between the processes of savoryrudder."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/protocol/codec.py
@@ -0,0 +1,100 @@
+"""Encode and decode the frames that links carry."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import cast
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from savoryrudder.protocol import messages
+
+PROTOCOL_VERSION: Final = 1
+
+# A kind keeps its number for as long as any release speaks this version.
+_KINDS: Final[dict[int, type[Any]]] = {
+    1: messages.Hello,
+    2: messages.PeerHello,
+    3: messages.Welcome,
+    4: messages.Claim,
+    5: messages.Records,
+    6: messages.Grant,
+    7: messages.Recall,
+    8: messages.Return,
+    9: messages.Demand,
+    10: messages.Start,
+    11: messages.Rejected,
+    12: messages.Finished,
+    13: messages.Acknowledge,
+    14: messages.Withdraw,
+    15: messages.Withdrawn,
+    16: messages.Heartbeat,
+    17: messages.Leaving,
+    18: messages.Roster,
+    19: messages.RosterHeld,
+    20: messages.Promise,
+    21: messages.Forward,
+    22: messages.ForwardAnswer,
+    23: messages.FetchConfig,
+    24: messages.Config,
+}
+_NUMBERS: Final = {kind: number for number, kind in _KINDS.items()}
+_encoder: Final = msgspec.msgpack.Encoder()
+_decoder: Final = msgspec.msgpack.Decoder(list)
+
+
+class Frame(NamedTuple):
+    """Hold the messages of one event-loop turn on one session."""
+
+    session: str
+    sequence: int
+    revision: int
+    messages: tuple[messages.Message, ...]
+
+
+class FrameError(NamedTuple):
+    """Say why a received frame cannot be used."""
+
+    detail: str
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame as MessagePack."""
+    body = [(_NUMBERS[type(message)], message) for message in frame.messages]
+    return _encoder.encode(
+        (PROTOCOL_VERSION, frame.session, frame.sequence, frame.revision, body),
+    )
+
+
+def decode_frame(raw: bytes) -> Result[Frame, FrameError]:
+    """Decode a frame; unknown kinds and surplus fields are skipped."""
+    try:
+        version, session, sequence, revision, body = _decoder.decode(raw)[:5]
+    except (msgspec.DecodeError, ValueError) as error:
+        return Error(FrameError(f'malformed frame: {error}'))
+    if version != PROTOCOL_VERSION:
+        return Error(
+            FrameError(
+                f'protocol version {version} is not supported; '
+                f'this process speaks version {PROTOCOL_VERSION}',
+            ),
+        )
+    try:
+        decoded = tuple(
+            _decode_message(_KINDS[number], fields)
+            for number, fields in body
+            if number in _KINDS
+        )
+    except (msgspec.ValidationError, TypeError, ValueError) as error:
+        return Error(FrameError(f'malformed message: {error}'))
+    return Ok(Frame(session, sequence, revision, decoded))
+
+
+def _decode_message(kind: type[Any], fields: list[Any]) -> messages.Message:
+    known = fields[: len(kind._fields)]
+    return cast('messages.Message', msgspec.convert(known, kind))
--- /dev/null
+++ b/src/savoryrudder/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of the daemon."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/store/interface.py
@@ -0,0 +1,122 @@
+"""Define the operations and outcomes of the platform's key-value service."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import Protocol
+from typing import TypeAlias
+
+
+class ReadKey(NamedTuple):
+    """Read one key."""
+
+    key: str
+
+
+class SwapKey(NamedTuple):
+    """Write a key if its version is still the expected one (0: absent).
+
+    A `value` of None deletes the key. `lease` ties the key to a lease; an
+    empty text ties it to none.
+    """
+
+    key: str
+    expected: int
+    value: str | None
+    lease: str
+
+
+class GrantLease(NamedTuple):
+    """Ask for a lease with a time to live in seconds."""
+
+    ttl_s: float
+
+
+class RenewLease(NamedTuple):
+    """Extend a lease by its time to live."""
+
+    lease: str
+
+
+class RevokeLease(NamedTuple):
+    """End a lease and delete its keys."""
+
+    lease: str
+
+
+class WatchPrefix(NamedTuple):
+    """Wait for a change below a prefix later than a store version.
+
+    Returns all keys below the prefix, at once when `after` is 0.
+    """
+
+    prefix: str
+    after: int
+    wait_s: float
+
+
+StoreOperation: TypeAlias = (
+    ReadKey | SwapKey | GrantLease | RenewLease | RevokeLease | WatchPrefix
+)
+
+
+class KeyValue(NamedTuple):
+    """Hold a key with its version (0: absent)."""
+
+    key: str
+    version: int
+    value: str | None
+
+
+class Swapped(NamedTuple):
+    """Report a successful write and the key's new version."""
+
+    version: int
+
+
+class SwapConflict(NamedTuple):
+    """Report a refused write and what the key holds."""
+
+    current: KeyValue
+
+
+class LeaseHeld(NamedTuple):
+    """Report a granted or renewed lease."""
+
+    lease: str
+    ttl_s: float
+
+
+class LeaseLost(NamedTuple):
+    """Report that a lease does not exist any more."""
+
+
+class Snapshot(NamedTuple):
+    """Report all keys below a watched prefix at a store version."""
+
+    version: int
+    entries: tuple[KeyValue, ...]
+
+
+class StoreUnavailable(NamedTuple):
+    """Report that no answer arrived; a write may have taken effect."""
+
+    reason: str
+
+
+StoreOutcome: TypeAlias = (
+    KeyValue
+    | Swapped
+    | SwapConflict
+    | LeaseHeld
+    | LeaseLost
+    | Snapshot
+    | StoreUnavailable
+)
+
+
+class KeyValueStore(Protocol):
+    """Reach the platform's key-value service."""
+
+    async def call(self, operation: StoreOperation) -> StoreOutcome:
+        """Carry out one operation."""
--- /dev/null
+++ b/src/savoryrudder/utils/__init__.py
@@ -0,0 +1,3 @@
+"""Small helpers without state."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/utils/effects.py
@@ -0,0 +1,46 @@
+"""Define the effects that both reducers return."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savoryrudder.protocol.messages import Message
+
+
+class Send(NamedTuple):
+    """Send a message to a peer on its open session."""
+
+    peer: str
+    message: Message
+
+
+class CloseLink(NamedTuple):
+    """Close the session with a peer; the shell dials anew."""
+
+    peer: str
+    reason: str
+
+
+class Count(NamedTuple):
+    """Add to a counter."""
+
+    name: str
+    amount: int
+
+
+class Observe(NamedTuple):
+    """Record a duration in a histogram."""
+
+    name: str
+    seconds: float
+
+
+class StateChanged(NamedTuple):
+    """Write one log line about a change of state."""
+
+    name: str
+    fields: tuple[tuple[str, str], ...]
+
+
+class Exit(NamedTuple):
+    """End the process: all work is done or the stop timeout has passed."""
