--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -17,33 +18,37 @@
 PROTOCOL_VERSION: Final = 1
 
 # A kind keeps its number for as long as any release speaks this version.
-_KINDS: Final[dict[int, type[Any]]] = {
-    1: messages.Hello,
-    2: messages.PeerHello,
-    3: messages.Welcome,
-    4: messages.Claim,
-    5: messages.Records,
-    6: messages.Grant,
-    7: messages.Recall,
-    8: messages.Return,
-    9: messages.Demand,
-    10: messages.Start,
-    11: messages.Rejected,
-    12: messages.Finished,
-    13: messages.Acknowledge,
-    14: messages.Withdraw,
-    15: messages.Withdrawn,
-    16: messages.Heartbeat,
-    17: messages.Leaving,
-    18: messages.Roster,
-    19: messages.RosterHeld,
-    20: messages.Promise,
-    21: messages.Forward,
-    22: messages.ForwardAnswer,
-    23: messages.FetchConfig,
-    24: messages.Config,
-}
-_NUMBERS: Final = {kind: number for number, kind in _KINDS.items()}
+_KINDS: Final = MappingProxyType[int, type[Any]](
+    {
+        1: messages.Hello,
+        2: messages.PeerHello,
+        3: messages.Welcome,
+        4: messages.Claim,
+        5: messages.Records,
+        6: messages.Grant,
+        7: messages.Recall,
+        8: messages.Return,
+        9: messages.Demand,
+        10: messages.Start,
+        11: messages.Rejected,
+        12: messages.Finished,
+        13: messages.Acknowledge,
+        14: messages.Withdraw,
+        15: messages.Withdrawn,
+        16: messages.Heartbeat,
+        17: messages.Leaving,
+        18: messages.Roster,
+        19: messages.RosterHeld,
+        20: messages.Promise,
+        21: messages.Forward,
+        22: messages.ForwardAnswer,
+        23: messages.FetchConfig,
+        24: messages.Config,
+    }
+)
+_NUMBERS: Final = MappingProxyType(
+    {kind: number for number, kind in _KINDS.items()},
+)
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(list)
 
@@ -74,7 +79,7 @@
 def decode_frame(raw: bytes) -> Result[Frame, FrameError]:
     """Decode a frame; unknown kinds and surplus fields are skipped."""
     try:
-        version, session, sequence, revision, body = _decoder.decode(raw)[:5]
+        version, *fields = _decoder.decode(raw)
     except (msgspec.DecodeError, ValueError) as error:
         return Error(FrameError(f'malformed frame: {error}'))
     if version != PROTOCOL_VERSION:
@@ -85,14 +90,19 @@
             ),
         )
     try:
-        decoded = tuple(
-            _decode_message(_KINDS[number], fields)
-            for number, fields in body
-            if number in _KINDS
-        )
+        return Ok(_decode_fields(fields))
     except (msgspec.ValidationError, TypeError, ValueError) as error:
         return Error(FrameError(f'malformed message: {error}'))
-    return Ok(Frame(session, sequence, revision, decoded))
+
+
+def _decode_fields(fields: list[Any]) -> Frame:
+    session, sequence, revision, body = fields[:4]
+    decoded = tuple(
+        _decode_message(_KINDS[number], body_fields)
+        for number, body_fields in body
+        if number in _KINDS
+    )
+    return Frame(session, sequence, revision, decoded)
 
 
 def _decode_message(kind: type[Any], fields: list[Any]) -> messages.Message:
--- /dev/null
+++ b/tests/protocol/test_codec.py
@@ -0,0 +1,39 @@
+"""Check that frames survive the wire and bad frames are refused."""
+
+from __future__ import annotations
+
+import msgspec
+
+from savoryrudder.protocol import messages
+from savoryrudder.protocol.codec import Frame
+from savoryrudder.protocol.codec import decode_frame
+from savoryrudder.protocol.codec import encode_frame
+
+
+def test_frame_survives_the_wire() -> None:
+    """Guard against fields that change type or order on the wire."""
+    frame = Frame(
+        's1',
+        7,
+        3,
+        (
+            messages.Heartbeat(),
+            messages.Claim(1, ((0, 4), (5, 2))),
+            messages.Start(b'x' * 16, 0, 1, 4, 'cut', b'{}', 500, False, ''),
+        ),
+    )
+    assert decode_frame(encode_frame(frame)).ok == frame
+
+
+def test_unknown_kinds_and_surplus_fields_are_skipped() -> None:
+    """Guard against breaking older processes by a newer peer."""
+    raw = msgspec.msgpack.encode(
+        (1, 's1', 1, 0, [(6, [3, 'new field']), (999, [1])], 'new part'),
+    )
+    assert decode_frame(raw).ok.messages == (messages.Grant(3),)
+
+
+def test_unknown_version_is_refused_by_name() -> None:
+    """Guard against reading a frame of another protocol version."""
+    raw = msgspec.msgpack.encode((2, 's1', 1, 0, []))
+    assert 'version 2' in decode_frame(raw).error.detail
