--- /dev/null
+++ b/src/savoryrudder/entry/configuration.py
@@ -0,0 +1,174 @@
+"""Follow and change the operators' text."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+from savoryrudder.entry import documents
+from savoryrudder.entry.state import PendingCall
+from savoryrudder.policy.checks import check_text
+from savoryrudder.protocol.messages import Config
+from savoryrudder.protocol.messages import FetchConfig
+from savoryrudder.store import interface
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.events import ConfigSubmitted
+    from savoryrudder.entry.turn import Turn
+
+
+def adopt_config(turn: Turn, version: int, value: str) -> None:
+    """Put a configuration from the store in force unless it is older."""
+    document = documents.decode_config(value)
+    state = turn.state
+    if version <= state.revision:
+        return
+    state.author = document['author']
+    state.applied_at = document['applied_at']
+    _put_in_force(turn, version, document['text'])
+
+
+def handle_config(turn: Turn, message: Config) -> None:
+    """Put a configuration from a peer in force unless it is older."""
+    if message.revision > turn.state.revision and message.text:
+        _put_in_force(turn, message.revision, message.text)
+
+
+def send_config(turn: Turn, peer: str) -> None:
+    """Send the configuration to a process that is behind."""
+    turn.send(peer, Config(turn.state.revision, turn.state.text))
+
+
+def note_revision(turn: Turn, peer: str, revision: int) -> None:
+    """Ask a peer that is ahead for its configuration."""
+    state = turn.state
+    link = state.agents.get(peer) or state.peers.get(peer)
+    if link is None or link.revision == revision:
+        return
+    link.revision = revision
+    if revision > state.revision:
+        turn.send(peer, FetchConfig())
+
+
+def handle_config_submitted(turn: Turn, event: ConfigSubmitted) -> None:
+    """Check a text and write it if nobody changed it in between."""
+    found = check_text(event.text)
+    if found.is_error():
+        turn.reply_data(
+            event.request,
+            422,
+            {'findings': [finding._asdict() for finding in found.error]},
+        )
+        return
+    applied_at = datetime.datetime.fromtimestamp(event.wall, datetime.UTC)
+    turn.call_store(
+        interface.SwapKey(
+            documents.CONFIG_KEY,
+            event.expected_revision,
+            documents.encode(
+                {
+                    'text': event.text,
+                    'author': event.author,
+                    'applied_at': applied_at.isoformat(timespec='seconds'),
+                    'token': event.token,
+                },
+            ),
+            '',
+        ),
+        PendingCall('swap-config', event),
+    )
+
+
+def handle_swapped_config(
+    turn: Turn,
+    event: ConfigSubmitted,
+    outcome: interface.StoreOutcome,
+) -> None:
+    """Report the outcome of a configuration change to its operator."""
+    if isinstance(outcome, interface.Swapped):
+        turn.reply_data(event.request, 200, {'revision': outcome.version})
+    elif isinstance(outcome, interface.SwapConflict):
+        _report_conflict(turn, event, outcome.current)
+    else:
+        # The write may have taken effect: only reading tells.
+        turn.call_store(
+            interface.ReadKey(documents.CONFIG_KEY),
+            PendingCall('read-config', event),
+        )
+
+
+def handle_read_config(
+    turn: Turn,
+    event: ConfigSubmitted,
+    outcome: interface.StoreOutcome,
+) -> None:
+    """Settle a configuration change whose answer was lost."""
+    if not isinstance(outcome, interface.KeyValue):
+        turn.reply_data(
+            event.request,
+            503,
+            {
+                'reason': 'store-unavailable',
+                'outcome': 'unknown',
+                'detail': 'the store gave no answer; the change may be made',
+            },
+        )
+        return
+    if outcome.value and _token_of(outcome.value) == event.token:
+        turn.reply_data(event.request, 200, {'revision': outcome.version})
+    elif outcome.version == event.expected_revision:
+        turn.reply_data(
+            event.request,
+            503,
+            {
+                'reason': 'store-unavailable',
+                'outcome': 'not-run',
+                'detail': 'the store did not take the change',
+            },
+        )
+    else:
+        _report_conflict(turn, event, outcome)
+
+
+def _token_of(value: str) -> str:
+    return documents.decode_config(value)['token']
+
+
+def _report_conflict(
+    turn: Turn,
+    event: ConfigSubmitted,
+    current: interface.KeyValue,
+) -> None:
+    if current.value and _token_of(current.value) == event.token:
+        # A resent write meets its own first copy.
+        turn.reply_data(event.request, 200, {'revision': current.version})
+        return
+    author = ''
+    text = ''
+    if current.value:
+        document = documents.decode_config(current.value)
+        author = document['author']
+        text = document['text']
+    turn.reply_data(
+        event.request,
+        409,
+        {'revision': current.version, 'author': author, 'text': text},
+    )
+
+
+def _put_in_force(turn: Turn, revision: int, text: str) -> None:
+    state = turn.state
+    checked = check_text(text)
+    if checked.is_error():
+        turn.log_change('configuration_rejected', revision=str(revision))
+        return
+    policy = checked.ok
+    state.revision = revision
+    state.text = text
+    state.policy = policy
+    weights = {
+        client.name: client.weight for client in policy.clients.values()
+    }
+    for queue in state.queues.values():
+        queue.configure(policy.shares, weights)
+    turn.log_change('configuration_in_force', revision=str(revision))
--- /dev/null
+++ b/src/savoryrudder/entry/dispatching.py
@@ -0,0 +1,103 @@
+"""Start queued tasks on agents that have granted credits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savoryrudder.entry import reasons
+from savoryrudder.entry import submissions
+from savoryrudder.entry.leases import may_act
+from savoryrudder.entry.state import QUEUED
+from savoryrudder.entry.state import SENT
+from savoryrudder.protocol.messages import Demand
+from savoryrudder.protocol.messages import Start
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.queueing import QueuedTask
+    from savoryrudder.entry.state import Submission
+    from savoryrudder.entry.turn import Turn
+
+
+def dispatch(turn: Turn) -> None:
+    """Start as many tasks as credits and the ownership allow."""
+    state = turn.state
+    for service, queue in state.queues.items():
+        if not queue or not state.fleet.has_credit(service):
+            continue
+        if not may_act(state, turn.now):
+            return
+        while queue and state.fleet.has_credit(service):
+            queued = queue.pop(turn.now)
+            if queued is None:
+                break
+            _start(turn, service, queued)
+
+
+def report_demand(turn: Turn) -> None:
+    """Tell agents how many tasks wait for their service, if it changed."""
+    state = turn.state
+    for name, link in state.agents.items():
+        queue = state.queues.get(link.service)
+        queued = len(queue) if queue else 0
+        if queued != link.demand and link.usable:
+            link.demand = queued
+            turn.send(name, Demand(queued))
+
+
+def _start(turn: Turn, service: str, queued: QueuedTask) -> None:
+    state = turn.state
+    submission = state.submissions.get(queued.submission)
+    if submission is None:
+        return
+    if submission.tasks[queued.task].status != QUEUED:
+        return
+    if submission.deadline <= turn.now:
+        submissions.settle_task(
+            turn,
+            submission,
+            queued.task,
+            reasons.NOT_RUN,
+            reasons.DEADLINE_PASSED,
+        )
+        return
+    agent = state.fleet.take(service, queued.operation, turn.now)
+    if agent is None:
+        return
+    turn.observe('queue_seconds', turn.now - queued.enqueued)
+    _send_start(turn, submission, queued, agent)
+
+
+def _send_start(
+    turn: Turn,
+    submission: Submission,
+    queued: QueuedTask,
+    agent: str,
+) -> None:
+    state = turn.state
+    task = submission.tasks[queued.task]
+    task.status = SENT
+    task.agent = agent
+    task.incarnation = state.agents[agent].incarnation
+    task.attempts += 1
+    key = (submission.identifier, queued.task)
+    state.outstanding.setdefault(agent, {})[key] = None
+    spec = submission.job.tasks[queued.task]
+    service = state.policy.services.get(submission.job.service) if (
+        state.policy
+    ) else None
+    operation = service.operations.get(spec.operation) if service else None
+    turn.count('tasks_started')
+    turn.send(
+        agent,
+        Start(
+            submission.identifier,
+            queued.task,
+            submission.partition,
+            state.owned[submission.partition].epoch,
+            spec.operation,
+            spec.payload,
+            max(1, int((submission.deadline - turn.now) * 1000)),
+            bool(operation and operation.idempotent),
+            submission.job.trace,
+        ),
+    )
--- /dev/null
+++ b/src/savoryrudder/entry/documents.py
@@ -0,0 +1,71 @@
+"""Encode the values that entries keep in the platform's store."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TypedDict
+
+import msgspec
+
+from savoryrudder.entry.state import EntryDocument
+from savoryrudder.entry.state import PartitionOwner
+from savoryrudder.utils.identifiers import PARTITION_COUNT
+
+CLUSTER_PREFIX: Final = 'cluster/'
+CONFIG_KEY: Final = 'cluster/config'
+PARTITIONS_KEY: Final = 'cluster/partitions'
+ENTRY_PREFIX: Final = 'cluster/entries/'
+TERMS_PREFIX: Final = 'terms/'
+
+
+class ConfigDocument(TypedDict):
+    """Hold the operators' text; `applied_at` is a UTC time."""
+
+    text: str
+    author: str
+    applied_at: str
+    token: str
+
+
+class PartitionsDocument(TypedDict):
+    """Hold owner, epoch and former owner of each partition."""
+
+    partitions: list[tuple[str, int, str]]
+
+
+def encode(
+    document: ConfigDocument | PartitionsDocument | EntryDocument,
+) -> str:
+    """Encode a document as JSON."""
+    return msgspec.json.encode(document).decode()
+
+
+def decode_config(value: str) -> ConfigDocument:
+    """Decode the operators' text."""
+    return msgspec.json.decode(value, type=ConfigDocument)
+
+
+def decode_entry(value: str) -> EntryDocument:
+    """Decode the entry document."""
+    return msgspec.json.decode(value, type=EntryDocument)
+
+
+def decode_owners(value: str | None) -> dict[int, PartitionOwner]:
+    """Decode the partition map; an absent map has no owners at epoch 0."""
+    if value is None:
+        return {
+            partition: PartitionOwner('', 0, '')
+            for partition in range(PARTITION_COUNT)
+        }
+    document = msgspec.json.decode(value, type=PartitionsDocument)
+    return {
+        partition: PartitionOwner(*parts)
+        for partition, parts in enumerate(document['partitions'])
+    }
+
+
+def encode_owners(owners: dict[int, PartitionOwner]) -> str:
+    """Encode the partition map."""
+    return encode(
+        {'partitions': [owners[number] for number in sorted(owners)]},
+    )
--- a/src/savoryrudder/entry/effects.py
+++ b/src/savoryrudder/entry/effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import NamedTuple
 from typing import TypeAlias
 
@@ -17,6 +18,14 @@
     answer: Answer
 
 
+class ReplyData(NamedTuple):
+    """Answer an operator's request with an HTTP status and a JSON object."""
+
+    request: int
+    status: int
+    body: dict[str, Any]
+
+
 class CallStore(NamedTuple):
     """Call the store; the outcome returns as `StoreAnswered`."""
 
@@ -38,6 +47,7 @@
     | effects.StateChanged
     | effects.Exit
     | Reply
+    | ReplyData
     | CallStore
     | ConnectPeer
 )
--- a/src/savoryrudder/entry/events.py
+++ b/src/savoryrudder/entry/events.py
@@ -60,6 +60,7 @@
     """A session with an agent or entry has ended."""
 
     now: float
+    wall: float
     peer: str
     session: str
 
@@ -91,6 +92,36 @@
     wall: float
 
 
+class ConfigSubmitted(NamedTuple):
+    """An operator applies a text against the revision it was diffed from."""
+
+    now: float
+    wall: float
+    request: int
+    text: str
+    expected_revision: int
+    author: str
+    token: str
+
+
+class DataRequested(NamedTuple):
+    """An operator asks for `kind`: status, config or terms (of `name`)."""
+
+    now: float
+    wall: float
+    request: int
+    kind: str
+    name: str
+
+
+class AgentDrainRequested(NamedTuple):
+    """An operator asks for the graceful stop of an agent."""
+
+    now: float
+    request: int
+    agent: str
+
+
 class DrainRequested(NamedTuple):
     """The entry has to stop gracefully within `timeout_s`."""
 
@@ -108,5 +139,8 @@
     | MessageReceived
     | StoreAnswered
     | Tick
+    | ConfigSubmitted
+    | DataRequested
+    | AgentDrainRequested
     | DrainRequested
 )
--- /dev/null
+++ b/src/savoryrudder/entry/partitions.py
@@ -0,0 +1,135 @@
+"""Gain and lose partitions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.entry import answers
+from savoryrudder.entry import reasons
+from savoryrudder.entry import submissions
+from savoryrudder.entry.state import OwnedPartition
+from savoryrudder.entry.state import ParkedRequest
+from savoryrudder.entry.state import PeerRoster
+from savoryrudder.entry.state import Waiter
+from savoryrudder.entry.routing import PARK_S
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.state import PartitionOwner
+    from savoryrudder.entry.state import Submission
+    from savoryrudder.entry.turn import Turn
+    from savoryrudder.protocol.messages import RosterAgent
+
+# A roster older than this may lack agents: its owner stops waiting for
+# confirmations after 60 s of silence.
+ROSTER_VALIDITY_S: Final = 45
+
+_NO_ROSTER: Final = PeerRoster((), 0, 0)
+
+
+def gain_partition(
+    turn: Turn,
+    partition: int,
+    owner: PartitionOwner,
+) -> None:
+    """Take charge of a partition; requests wait until agents reported."""
+    state = turn.state
+    awaited: dict[tuple[str, str], RosterAgent] = {}
+    roster = state.rosters.get(owner.former)
+    known = (
+        roster is not None
+        and roster.heard_at + ROSTER_VALIDITY_S > turn.now
+    )
+    if owner.former:
+        for agent in (*state.roster.values(), *(roster or _NO_ROSTER).agents):
+            _await_agent(awaited, agent)
+    blind = bool(owner.former) and not known
+    if roster is not None and roster.blind_until > turn.wall:
+        blind = True
+    # A successor of this entry has to ask these agents too.
+    for key, awaited_agent in awaited.items():
+        state.roster.setdefault(key, awaited_agent)
+    state.roster_sequence += 1
+    state.roster_changed = True
+    state.owned[partition] = OwnedPartition(
+        owner.epoch,
+        turn.now,
+        turn.wall,
+        awaited,
+        blind=blind,
+    )
+
+
+def lose_partition(turn: Turn, partition: int, *, stale: bool) -> None:
+    """Give up a partition and pass its live jobs to the new owner.
+
+    `stale` marks a partition that an agent knows at a higher epoch; it stays
+    listed until the map shows its owner.
+    """
+    state = turn.state
+    owned = state.owned.get(partition)
+    if owned is None:
+        return
+    if stale:
+        owned.stale = True
+        turn.log_change('partition_stale', partition=str(partition))
+    else:
+        del state.owned[partition]
+    mine = [
+        submission
+        for submission in state.submissions.values()
+        if submission.partition == partition
+    ]
+    for submission in mine:
+        _pass_on(turn, submission)
+
+
+def _await_agent(
+    awaited: dict[tuple[str, str], RosterAgent],
+    agent: RosterAgent,
+) -> None:
+    key = (agent.agent, agent.incarnation)
+    other = awaited.get(key)
+    # Linked for one entry means linked; else the later end counts.
+    if other is None or (
+        other.gone_ms and not 0 < agent.gone_ms <= other.gone_ms
+    ):
+        awaited[key] = agent
+
+
+def _pass_on(turn: Turn, submission: Submission) -> None:
+    submissions.drop_submission(turn, submission)
+    job = submission.job
+    if submission.answer is not None:
+        return
+    left_ms = int((submission.deadline - turn.now) * 1000)
+    waiters = submission.waiters
+    if not waiters:
+        # A job without a caller is passed on under a number of its own.
+        turn.state.next_request += 1
+        waiters = {Waiter('', -turn.state.next_request): turn.now}
+    for waiter, wait_until in waiters.items():
+        turn.state.waiting.pop(waiter, None)
+        if left_ms <= 0 or submission.failing:
+            answers.reply(
+                turn,
+                waiter,
+                answers.refusal(
+                    reasons.TAKEOVER,
+                    'the job has passed to another entry; fetch its answer',
+                    reasons.UNKNOWN,
+                    1000,
+                ),
+            )
+            continue
+        turn.state.parked[waiter] = ParkedRequest(
+            waiter,
+            'submit',
+            job.client,
+            job.key,
+            job._replace(deadline_ms=left_ms),
+            turn.now,
+            wait_until,
+            turn.now + PARK_S,
+            handed_over=True,
+        )
--- /dev/null
+++ b/src/savoryrudder/entry/peers.py
@@ -0,0 +1,159 @@
+"""Handle the sessions with other entries and their messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.entry.routing import reroute_forwards
+from savoryrudder.entry.state import PeerLink
+from savoryrudder.entry.state import PeerRoster
+from savoryrudder.protocol.messages import Promise
+from savoryrudder.protocol.messages import Roster
+from savoryrudder.protocol.messages import RosterHeld
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.turn import Turn
+    from savoryrudder.protocol.messages import PeerHello
+
+PROMISE_VALIDITY_MS: Final = 3000
+PROMISE_INTERVAL_S: Final = 1
+# A roster change waits this long so that a wave of agents makes one message.
+ROSTER_INTERVAL_S: Final = 0.2
+# Peers not heard from for longer are forgotten once their lease is gone.
+FORGET_PEER_S: Final = 120
+
+
+def handle_peer_hello(turn: Turn, session: str, hello: PeerHello) -> None:
+    """Start a session with another entry."""
+    state = turn.state
+    peer = state.peers.get(hello.entry)
+    if peer is None:
+        peer = PeerLink(hello.entry, hello.address)
+        state.peers[hello.entry] = peer
+    peer.session = session
+    peer.heard_at = turn.now
+    peer.roster_held = 0
+    turn.log_change('peer_up', entry=hello.entry)
+    _send_roster(turn, peer)
+    _send_promise(turn, peer)
+
+
+def handle_peer_down(turn: Turn, name: str) -> None:
+    """End the session with another entry."""
+    peer = turn.state.peers[name]
+    peer.session = ''
+    peer.promise_until = 0
+    turn.log_change('peer_down', entry=name)
+    reroute_forwards(turn, name)
+
+
+def handle_roster(turn: Turn, name: str, message: Roster) -> None:
+    """Keep a peer's roster and confirm it."""
+    turn.state.rosters[name] = PeerRoster(
+        message.agents,
+        turn.now,
+        message.blind_until_ms / 1000,
+    )
+    turn.send(name, RosterHeld(message.sequence))
+
+
+def handle_roster_held(turn: Turn, name: str, sequence: int) -> None:
+    """Note which roster a peer holds."""
+    peer = turn.state.peers[name]
+    peer.roster_held = max(peer.roster_held, sequence)
+
+
+def handle_promise(turn: Turn, name: str, message: Promise) -> None:
+    """Note a peer's promise not to take over."""
+    peer = turn.state.peers[name]
+    peer.echo_ms = message.sent_ms
+    until = (message.echo_ms + message.validity_ms) / 1000
+    if message.validity_ms:
+        peer.promise_until = max(peer.promise_until, until)
+
+
+def note_heard(turn: Turn, name: str) -> None:
+    """Note that a peer is alive; its roster stays valid."""
+    state = turn.state
+    state.peers[name].heard_at = turn.now
+    roster = state.rosters.get(name)
+    if roster is not None:
+        state.rosters[name] = roster._replace(heard_at=turn.now)
+
+
+def keep_peers_informed(turn: Turn) -> None:
+    """Send promises every second and rosters after a change."""
+    state = turn.state
+    if state.promised_at + PROMISE_INTERVAL_S <= turn.now:
+        state.promised_at = turn.now
+        for peer in state.peers.values():
+            if peer.session:
+                _send_promise(turn, peer)
+    due = state.roster_sent_at + ROSTER_INTERVAL_S <= turn.now
+    if state.roster_changed and due:
+        state.roster_changed = False
+        state.roster_sent_at = turn.now
+        _prune_roster(turn)
+        for peer in state.peers.values():
+            if peer.session:
+                _send_roster(turn, peer)
+
+
+def forget_peers(turn: Turn) -> None:
+    """Forget entries that are gone for good."""
+    state = turn.state
+    gone = [
+        name
+        for name, peer in state.peers.items()
+        if not peer.session
+        and name not in state.live
+        and peer.heard_at + FORGET_PEER_S < turn.now
+    ]
+    for name in gone:
+        del state.peers[name]
+        state.rosters.pop(name, None)
+
+
+def _send_roster(turn: Turn, peer: PeerLink) -> None:
+    state = turn.state
+    blind_until = max(
+        (
+            owned.gained_wall + state.identity.retention_s
+            for owned in state.owned.values()
+            if owned.blind
+        ),
+        default=0,
+    )
+    turn.send(
+        peer.name,
+        Roster(
+            state.roster_sequence,
+            int(blind_until * 1000),
+            tuple(state.roster.values()),
+        ),
+    )
+
+
+def _send_promise(turn: Turn, peer: PeerLink) -> None:
+    state = turn.state
+    validity_ms = 0
+    # Without the store this entry cannot take over anyway; with it, a peer
+    # that lost its lease has to stop.
+    if not state.store.available:
+        validity_ms = PROMISE_VALIDITY_MS
+        peer.promised_until = turn.now + PROMISE_VALIDITY_MS / 1000
+    turn.send(
+        peer.name,
+        Promise(validity_ms, int(turn.now * 1000), peer.echo_ms),
+    )
+
+
+def _prune_roster(turn: Turn) -> None:
+    """Forget agents whose tasks no caller can resubmit any more."""
+    limit_ms = (turn.wall - 2 * turn.state.identity.retention_s) * 1000
+    turn.state.roster = {
+        key: agent
+        for key, agent in turn.state.roster.items()
+        if not 0 < agent.gone_ms < limit_ms
+    }
--- /dev/null
+++ b/src/savoryrudder/entry/reducer.py
@@ -0,0 +1,188 @@
+"""Reduce the events of an entry to effects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.entry import agents
+from savoryrudder.entry import answers
+from savoryrudder.entry import configuration
+from savoryrudder.entry import dispatching
+from savoryrudder.entry import draining
+from savoryrudder.entry import events
+from savoryrudder.entry import membership
+from savoryrudder.entry import peers
+from savoryrudder.entry import reports
+from savoryrudder.entry import routing
+from savoryrudder.entry import submissions
+from savoryrudder.entry.turn import Turn
+from savoryrudder.protocol import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savoryrudder.entry.effects import EntryEffect
+    from savoryrudder.entry.state import EntryState
+
+
+def reduce(state: EntryState, event: events.EntryEvent) -> list[EntryEffect]:
+    """Apply one event to the state and return the effects.
+
+    The state is changed in place. Effects have to be executed in order.
+    """
+    turn = Turn(state, event.now, getattr(event, 'wall', 0))
+    _HANDLERS[type(event)](turn, event)
+    if not state.exited:
+        dispatching.dispatch(turn)
+    return turn.effects
+
+
+def _handle_link_up(turn: Turn, event: events.LinkUp) -> None:
+    """Wait for the peer's hello, which tells what it is."""
+    turn.count('links_up')
+
+
+def _handle_link_down(turn: Turn, event: events.LinkDown) -> None:
+    state = turn.state
+    link = state.agents.get(event.peer)
+    if link is not None and link.session == event.session:
+        turn.wall = event.wall
+        agents.handle_link_down(turn, event.peer)
+    peer = state.peers.get(event.peer)
+    if peer is not None and peer.session == event.session:
+        peers.handle_peer_down(turn, event.peer)
+
+
+def _handle_message(turn: Turn, event: events.MessageReceived) -> None:
+    message = event.message
+    if isinstance(message, messages.Hello):
+        agents.handle_hello(turn, event.session, message)
+    elif isinstance(message, messages.PeerHello):
+        peers.handle_peer_hello(turn, event.session, message)
+    elif not _is_current(turn, event):
+        turn.count('stale_session_messages')
+        return
+    else:
+        _MESSAGES[type(message)](turn, event.peer, message)
+    configuration.note_revision(turn, event.peer, event.revision)
+
+
+def _is_current(turn: Turn, event: events.MessageReceived) -> bool:
+    state = turn.state
+    if event.peer in state.agents:
+        return state.agents[event.peer].session == event.session
+    peer = state.peers.get(event.peer)
+    if peer is None or peer.session != event.session:
+        return False
+    peers.note_heard(turn, event.peer)
+    return True
+
+
+def _handle_store(turn: Turn, event: events.StoreAnswered) -> None:
+    pending = turn.state.calls.pop(event.call, None)
+    if pending is None:
+        turn.count('late_store_answers')
+        return
+    outcome = event.outcome
+    if pending.kind == 'lease':
+        membership.handle_lease(turn, outcome)
+    elif pending.kind == 'watch':
+        membership.handle_snapshot(turn, outcome)
+    elif pending.kind == 'register':
+        membership.handle_registered(turn, outcome)
+    elif pending.kind == 'read-map':
+        membership.handle_read_map(turn, outcome)
+    elif isinstance(pending.context, str):
+        membership.handle_swapped_map(turn, pending.context, outcome)
+    elif isinstance(pending.context, events.ConfigSubmitted):
+        _handle_config_call(turn, pending.kind, pending.context, event)
+
+
+def _handle_config_call(
+    turn: Turn,
+    kind: str,
+    submitted: events.ConfigSubmitted,
+    event: events.StoreAnswered,
+) -> None:
+    if kind == 'swap-config':
+        configuration.handle_swapped_config(turn, submitted, event.outcome)
+    else:
+        configuration.handle_read_config(turn, submitted, event.outcome)
+
+
+def _handle_tick(turn: Turn, event: events.Tick) -> None:
+    state = turn.state
+    membership.keep_lease(turn)
+    membership.balance(turn)
+    peers.keep_peers_informed(turn)
+    peers.forget_peers(turn)
+    agents.expire_lost_agents(turn)
+    submissions.expire_deadlines(turn)
+    submissions.expire_retention(turn)
+    answers.expire_waits(turn)
+    routing.forget_refusals(turn)
+    routing.retry_parked(turn)
+    for link in state.agents.values():
+        agents.update_usable(turn, link)
+    dispatching.report_demand(turn)
+    if state.acknowledged_at + agents.ACKNOWLEDGE_INTERVAL_S <= turn.now:
+        state.acknowledged_at = turn.now
+        agents.send_acknowledgements(turn)
+    draining.proceed(turn)
+
+
+_HANDLERS: Final[dict[type, Callable[[Turn, events.EntryEvent], None]]] = {
+    events.JobSubmitted: routing.handle_submit,
+    events.AnswerRequested: routing.handle_fetch,
+    events.JobCancelled: routing.handle_cancel,
+    events.CallerGone: routing.handle_caller_gone,
+    events.LinkUp: _handle_link_up,
+    events.LinkDown: _handle_link_down,
+    events.MessageReceived: _handle_message,
+    events.StoreAnswered: _handle_store,
+    events.Tick: _handle_tick,
+    events.ConfigSubmitted: configuration.handle_config_submitted,
+    events.DataRequested: reports.handle_data_requested,
+    events.AgentDrainRequested: reports.handle_agent_drain,
+    events.DrainRequested: draining.handle_drain,
+}
+
+_MESSAGES: Final[dict[type, Callable[[Turn, str, messages.Message], None]]] = {
+    messages.Records: agents.handle_records,
+    messages.Finished: agents.handle_finished,
+    messages.Rejected: agents.handle_rejected,
+    messages.Withdrawn: agents.handle_withdrawn,
+    messages.Grant: lambda turn, agent, message: turn.state.fleet.grant(
+        agent,
+        message.credits,
+    ),
+    messages.Recall: lambda turn, agent, message: agents.handle_recall(
+        turn,
+        agent,
+        message.credits,
+    ),
+    messages.Leaving: lambda turn, agent, _: turn.state.fleet.set_leaving(
+        agent,
+    ),
+    messages.Heartbeat: lambda turn, peer, _: None,
+    messages.Roster: peers.handle_roster,
+    messages.RosterHeld: lambda turn, peer, message: peers.handle_roster_held(
+        turn,
+        peer,
+        message.sequence,
+    ),
+    messages.Promise: peers.handle_promise,
+    messages.Forward: routing.handle_forward,
+    messages.ForwardAnswer: lambda turn, _, message: (
+        routing.handle_forward_answer(turn, message.request, message.answer)
+    ),
+    messages.FetchConfig: lambda turn, peer, _: configuration.send_config(
+        turn,
+        peer,
+    ),
+    messages.Config: lambda turn, _, message: configuration.handle_config(
+        turn,
+        message,
+    ),
+}
--- /dev/null
+++ b/src/savoryrudder/entry/reports.py
@@ -0,0 +1,98 @@
+"""Answer operators' questions about this entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from savoryrudder.entry.leases import may_act
+from savoryrudder.protocol.messages import Leaving
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.events import AgentDrainRequested
+    from savoryrudder.entry.events import DataRequested
+    from savoryrudder.entry.turn import Turn
+
+
+def handle_data_requested(turn: Turn, event: DataRequested) -> None:
+    """Report status, configuration or terms."""
+    state = turn.state
+    if event.kind == 'status':
+        turn.reply_data(event.request, 200, _status(turn))
+    elif event.kind == 'config':
+        turn.reply_data(
+            event.request,
+            200,
+            {
+                'revision': state.revision,
+                'author': state.author,
+                'applied_at': state.applied_at,
+                'text': state.text,
+            },
+        )
+    else:
+        turn.reply_data(
+            event.request,
+            404,
+            {
+                'reason': 'not-found',
+                'detail': f'no {event.kind} named {event.name!r}',
+            },
+        )
+
+
+def handle_agent_drain(turn: Turn, event: AgentDrainRequested) -> None:
+    """Pass an operator's request for a graceful stop to an agent."""
+    if event.agent in turn.state.agents:
+        turn.send(event.agent, Leaving())
+        turn.reply_data(event.request, 202, {'agent': event.agent})
+        return
+    turn.reply_data(
+        event.request,
+        404,
+        {
+            'reason': 'not-found',
+            'detail': f'no agent named {event.agent!r} is linked',
+        },
+    )
+
+
+def _status(turn: Turn) -> dict[str, Any]:
+    state = turn.state
+    unopened = [
+        owned
+        for owned in state.owned.values()
+        if owned.awaited or owned.blind or owned.stale
+    ]
+    return {
+        'entry': state.identity.name,
+        'revision': state.revision,
+        'live_entries': [
+            {
+                'entry': name,
+                'address': document['address'],
+                'revision': (
+                    state.revision
+                    if name == state.identity.name
+                    else state.peers[name].revision
+                ),
+            }
+            for name, document in state.live.items()
+        ],
+        'agents': [
+            report._asdict()
+            | {'revision': state.agents[report.agent].revision}
+            for report in state.fleet.reports()
+        ],
+        'partitions': {
+            'owned': len(state.owned),
+            'open': len(state.owned) - len(unopened),
+            'in_doubt': len(unopened),
+        },
+        'queued': {
+            service: len(queue) for service, queue in state.queues.items()
+        },
+        'store': 'up' if state.store.available else 'down',
+        'may_act': may_act(state, turn.now),
+        'draining': state.drain_started is not None,
+    }
--- /dev/null
+++ b/src/savoryrudder/entry/routing.py
@@ -0,0 +1,409 @@
+"""Route callers' requests to the owner of their partition."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+from uuid import UUID
+
+from savoryrudder.entry import answers
+from savoryrudder.entry import reasons
+from savoryrudder.entry import submissions
+from savoryrudder.entry.leases import may_act
+from savoryrudder.entry.state import ParkedRequest
+from savoryrudder.entry.state import PastRefusal
+from savoryrudder.entry.state import Waiter
+from savoryrudder.protocol.messages import Forward
+from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.identifiers import submission_id
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savoryrudder.entry import events
+    from savoryrudder.entry.state import OwnedPartition
+    from savoryrudder.entry.state import Submission
+    from savoryrudder.entry.turn import Turn
+    from savoryrudder.protocol.messages import Answer
+    from savoryrudder.protocol.messages import Job
+
+# Longer than a lease plus the collection of records, so that a call which
+# arrives right after the loss of an entry is served by its successor.
+PARK_S: Final = 12
+# Agents answer a claim within a round trip; silence this long means that an
+# agent is dead, frozen or cut off.
+TAKEOVER_WAIT_S: Final = 5
+# The longest time that a frame can spend on a link before the link is closed.
+TRANSIT_S: Final = 3
+# Copies older than parking plus transit cannot arrive any more.
+REFUSAL_MEMORY_S: Final = PARK_S + TRANSIT_S
+CLOCK_SKEW_S: Final = 2
+MIN_RETRY_AFTER_MS: Final = 1000
+MAX_SUBMISSIONS: Final = 200_000
+MAX_PAYLOAD_BYTES: Final = 256 * 1024 * 1024
+
+_UUID7_VERSION: Final = 7
+_UUID7_TIME_SHIFT: Final = 80
+
+
+def handle_submit(turn: Turn, event: events.JobSubmitted) -> None:
+    """Accept, refuse, forward or park a caller's job."""
+    job = event.job
+    request = _local_request(turn, event.request, 'submit', event.wait_s)
+    route(turn, request(job.client, job.key, job))
+
+
+def handle_fetch(turn: Turn, event: events.AnswerRequested) -> None:
+    """Look up the answer to an earlier submission."""
+    request = _local_request(turn, event.request, 'fetch', event.wait_s)
+    route(turn, request(event.client, event.key, None))
+
+
+def handle_cancel(turn: Turn, event: events.JobCancelled) -> None:
+    """Cancel a submission."""
+    request = _local_request(turn, event.request, 'cancel', 0)
+    route(turn, request(event.client, event.key, None))
+
+
+def handle_caller_gone(turn: Turn, event: events.CallerGone) -> None:
+    """Forget a caller that disconnected; its job goes on."""
+    waiter = Waiter('', event.request)
+    answers.detach(turn, waiter)
+    turn.state.parked.pop(waiter, None)
+
+
+def handle_forward(turn: Turn, peer: str, message: Forward) -> None:
+    """Serve a request that another entry passed on."""
+    now = turn.now
+    request = ParkedRequest(
+        Waiter(peer, message.request),
+        message.kind,
+        message.client,
+        message.key,
+        message.job,
+        now - message.age_ms / 1000 - TRANSIT_S,
+        now + message.wait_ms / 1000,
+        now + TAKEOVER_WAIT_S + 1,
+    )
+    route(turn, request)
+
+
+def handle_forward_answer(turn: Turn, request: int, answer: Answer) -> None:
+    """Pass the owner's answer to the caller, or route the request again."""
+    forwarded = turn.state.forwards.pop(request, None)
+    if forwarded is None:
+        turn.count('late_answers')
+        return
+    if answer.reason == reasons.NOT_OWNER and forwarded.give_up > turn.now:
+        _park(turn, forwarded)
+        return
+    answers.reply(turn, forwarded.waiter, answer)
+
+
+def reroute_forwards(turn: Turn, peer: str) -> None:
+    """Route the requests again that a lost peer had to answer."""
+    lost = [
+        (number, request)
+        for number, request in turn.state.forwards.items()
+        if request.forwarded_to == peer
+    ]
+    for number, request in lost:
+        del turn.state.forwards[number]
+        request.give_up = max(request.give_up, turn.now + PARK_S)
+        _park(turn, request)
+
+
+def route(turn: Turn, request: ParkedRequest) -> None:
+    """Serve a request here, pass it to its owner, or park it."""
+    state = turn.state
+    partition = partition_of(submission_id(request.client, request.key))
+    owned = state.owned.get(partition)
+    if owned is not None and not owned.stale:
+        _serve(turn, request, owned)
+        return
+    owner = state.owners.get(partition)
+    peer = state.peers.get(owner.owner) if owner else None
+    local = request.handed_over or not request.waiter.peer
+    if peer is not None and peer.session and local:
+        forward(turn, request, peer.name)
+    else:
+        _park(turn, request)
+
+
+def forward(turn: Turn, request: ParkedRequest, peer: str) -> None:
+    """Pass a request to the owner of its partition."""
+    state = turn.state
+    number = state.next_request
+    state.next_request += 1
+    request.forwarded_to = peer
+    state.forwards[number] = request
+    turn.count('requests_forwarded')
+    turn.send(
+        peer,
+        Forward(
+            number,
+            request.kind,
+            request.client,
+            request.key,
+            request.job,
+            max(0, int((request.wait_until - turn.now) * 1000)),
+            int((turn.now - request.received) * 1000),
+        ),
+    )
+
+
+def retry_parked(turn: Turn) -> None:
+    """Route parked requests again; answer those whose time is up."""
+    parked = turn.state.parked
+    turn.state.parked = {}
+    for request in parked.values():
+        route(turn, request)
+
+
+def forget_refusals(turn: Turn) -> None:
+    """Forget refusals whose delayed copies cannot arrive any more."""
+    refusals = turn.state.refusals
+    expired = []
+    for identifier, past in refusals.items():
+        if past.at + REFUSAL_MEMORY_S > turn.now:
+            break
+        expired.append(identifier)
+    for identifier in expired:
+        del refusals[identifier]
+
+
+def _local_request(
+    turn: Turn,
+    number: int,
+    kind: str,
+    wait_s: float,
+) -> Callable[[str, str, Job | None], ParkedRequest]:
+    def create(client: str, key: str, job: Job | None) -> ParkedRequest:
+        return ParkedRequest(
+            Waiter('', number),
+            kind,
+            client,
+            key,
+            job,
+            turn.now,
+            turn.now + wait_s,
+            turn.now + PARK_S,
+        )
+
+    return create
+
+
+def _serve(
+    turn: Turn,
+    request: ParkedRequest,
+    partition: OwnedPartition,
+) -> None:
+    identifier = submission_id(request.client, request.key)
+    known = turn.state.submissions.get(identifier)
+    if known is not None and known.answer is None:
+        _serve_known(turn, request, known)
+        return
+    # Another entry may own the key by now and may have run it, so that even
+    # an answer given earlier could be wrong.
+    if not may_act(turn.state, turn.now):
+        _park(turn, request)
+        return
+    if known is not None:
+        _serve_known(turn, request, known)
+        return
+    past = turn.state.refusals.get(identifier)
+    if past is not None and request.received < past.at:
+        answers.reply(turn, request.waiter, past.answer)
+        return
+    if _in_doubt(turn, request, partition):
+        if turn.now < partition.gained_at + TAKEOVER_WAIT_S:
+            _park(turn, request)
+        else:
+            _refuse(turn, request, identifier, _doubt())
+        return
+    _serve_new(turn, request, identifier)
+
+
+def _serve_known(
+    turn: Turn,
+    request: ParkedRequest,
+    submission: Submission,
+) -> None:
+    job = request.job
+    if job is not None and job.digest != submission.job.digest:
+        answers.reply(
+            turn,
+            request.waiter,
+            answers.refusal(
+                reasons.KEY_CONFLICT,
+                f'idempotency key {job.key!r} belongs to a different job',
+            ),
+        )
+        return
+    if request.kind == 'cancel':
+        submissions.cancel(turn, submission)
+    elif request.kind == 'submit':
+        turn.count('resubmissions')
+    answers.attach(turn, submission, request.waiter, request.wait_until)
+
+
+def _serve_new(
+    turn: Turn,
+    request: ParkedRequest,
+    identifier: bytes,
+) -> None:
+    recovered = identifier in turn.state.recovered
+    if request.job is None:
+        answer = (
+            answers.refusal(
+                reasons.TAKEOVER,
+                'submit the job again to obtain its answer',
+                reasons.UNKNOWN,
+                MIN_RETRY_AFTER_MS,
+            )
+            if recovered
+            else _absent(request)
+        )
+    elif recovered:
+        answer = None
+    else:
+        answer = _check(turn, request, request.job)
+    if answer is None and request.job is not None:
+        submission = submissions.create_submission(
+            turn,
+            identifier,
+            request.job,
+        )
+        turn.count('jobs_accepted')
+        answers.attach(turn, submission, request.waiter, request.wait_until)
+    elif answer is not None:
+        _refuse(turn, request, identifier, answer)
+
+
+def _refuse(
+    turn: Turn,
+    request: ParkedRequest,
+    identifier: bytes,
+    answer: Answer,
+) -> None:
+    if answer.outcome == reasons.NOT_RUN and request.kind != 'fetch':
+        turn.state.refusals.pop(identifier, None)
+        turn.state.refusals[identifier] = PastRefusal(turn.now, answer)
+    turn.count('requests_refused')
+    answers.reply(turn, request.waiter, answer)
+
+
+def _absent(request: ParkedRequest) -> Answer:
+    if request.kind == 'cancel':
+        return answers.refusal(
+            reasons.CANCELLED,
+            'no such job had arrived; a delayed copy of it will not run',
+        )
+    return answers.refusal(
+        reasons.NOT_FOUND,
+        f'no job with idempotency key {request.key!r} is known',
+    )
+
+
+def _check(turn: Turn, request: ParkedRequest, job: Job) -> Answer | None:
+    state = turn.state
+    if state.policy is None:
+        return answers.refusal(
+            reasons.NO_CONFIGURATION,
+            'no configuration has been received yet',
+            retry_after_ms=MIN_RETRY_AFTER_MS,
+        )
+    issued = issue_time(job.key)
+    if issued and issued + state.identity.retention_s < turn.wall:
+        return answers.refusal(
+            reasons.KEY_EXPIRED,
+            f'the key was issued over {state.identity.retention_s:.0f} s ago',
+            reasons.UNKNOWN,
+        )
+    if (
+        len(state.submissions) >= MAX_SUBMISSIONS
+        or state.payload_bytes >= MAX_PAYLOAD_BYTES
+    ):
+        return answers.refusal(
+            reasons.OVERLOADED,
+            'the entry holds as many submissions as it may',
+            retry_after_ms=MIN_RETRY_AFTER_MS,
+        )
+    found = state.admission.check(
+        job,
+        state.policy,
+        state.queues,
+        state.fleet,
+        turn.now,
+    )
+    if found is None:
+        return None
+    turn.count(f'refused_{found.reason}')
+    return answers.refusal(
+        found.reason,
+        found.detail,
+        retry_after_ms=found.retry_after_ms,
+    )
+
+
+def issue_time(key: str) -> float:
+    """Return the issue time of a UUIDv7 key in UTC seconds, else 0."""
+    try:
+        parsed = UUID(key)
+    except ValueError:
+        return 0
+    if parsed.version != _UUID7_VERSION:
+        return 0
+    return (parsed.int >> _UUID7_TIME_SHIFT) / 1000
+
+
+def _in_doubt(
+    turn: Turn,
+    request: ParkedRequest,
+    partition: OwnedPartition,
+) -> bool:
+    """Tell whether an agent that has not reported may have run the job."""
+    if not partition.awaited and not partition.blind:
+        return False
+    if turn.now > partition.gained_at + turn.state.identity.retention_s:
+        return False
+    issued = issue_time(request.key) - CLOCK_SKEW_S
+    identifier = submission_id(request.client, request.key)
+    fresh = (
+        issued > partition.gained_wall
+        and identifier not in turn.state.recovered
+    )
+    if partition.blind and not fresh:
+        return True
+    service = request.job.service if request.job else ''
+    return any(
+        agent.service == service or not service
+        for agent in partition.awaited.values()
+        if not fresh and not 0 < agent.gone_ms / 1000 < issued
+    )
+
+
+def _doubt() -> Answer:
+    return answers.refusal(
+        reasons.IN_DOUBT,
+        'an agent that may have run this job cannot be reached',
+        reasons.UNKNOWN,
+        MIN_RETRY_AFTER_MS,
+    )
+
+
+def _park(turn: Turn, request: ParkedRequest) -> None:
+    if request.give_up > turn.now:
+        turn.state.parked[request.waiter] = request
+        return
+    turn.count('requests_unowned')
+    answers.reply(
+        turn,
+        request.waiter,
+        answers.refusal(
+            reasons.NOT_OWNER,
+            'no entry could take charge of this key in time',
+            reasons.UNKNOWN,
+            MIN_RETRY_AFTER_MS,
+        ),
+    )
--- /dev/null
+++ b/src/savoryrudder/entry/submissions.py
@@ -0,0 +1,344 @@
+"""Track submissions from their acceptance to their answer."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.entry import reasons
+from savoryrudder.entry.answers import job_answer
+from savoryrudder.entry.answers import reply
+from savoryrudder.entry.leases import may_act
+from savoryrudder.entry.queueing import QueuedTask
+from savoryrudder.entry.queueing import ServiceQueue
+from savoryrudder.entry.state import QUEUED
+from savoryrudder.entry.state import SENT
+from savoryrudder.entry.state import Submission
+from savoryrudder.entry.state import TaskState
+from savoryrudder.protocol.messages import Withdraw
+from savoryrudder.utils.identifiers import digest_of
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.turn import Turn
+    from savoryrudder.protocol.messages import Job
+    from savoryrudder.protocol.messages import TaskKey
+    from savoryrudder.protocol.messages import TaskRecord
+
+# Time beyond the deadline for the agent's own report to arrive.
+SETTLE_GRACE_S: Final = 2
+# A task rejected this often by agents has no upstream that can run it.
+MAX_ATTEMPTS: Final = 5
+
+_ENDED: Final = frozenset((
+    reasons.COMPLETE,
+    reasons.FAILED,
+    reasons.UNKNOWN,
+    'released',
+))
+
+
+def create_submission(turn: Turn, identifier: bytes, job: Job) -> Submission:
+    """Accept a job; tasks that agents already know keep their state."""
+    state = turn.state
+    submission = Submission(
+        identifier=identifier,
+        partition=int.from_bytes(identifier[:4], 'big') % 64,
+        job=job,
+        deadline=turn.now + job.deadline_ms / 1000,
+        tasks=[TaskState(QUEUED) for _ in job.tasks],
+        unsettled=len(job.tasks),
+        waiters={},
+    )
+    state.submissions[identifier] = submission
+    state.payload_bytes += _size_of(job)
+    heapq.heappush(state.deadlines, (submission.deadline, identifier))
+    for index in range(len(job.tasks)):
+        _enqueue(turn, submission, index)
+    for task, found in state.recovered.pop(identifier, {}).items():
+        if task < len(job.tasks):
+            absorb_record(turn, *found)
+    return submission
+
+
+def queue_for(turn: Turn, service: str) -> ServiceQueue:
+    """Return the queue of a service, created on first use."""
+    state = turn.state
+    queue = state.queues.get(service)
+    if queue is None:
+        policy = state.policy
+        queue = ServiceQueue(
+            policy.shares if policy else {},
+            {
+                client.name: client.weight
+                for client in (policy.clients.values() if policy else ())
+            },
+        )
+        state.queues[service] = queue
+    return queue
+
+
+def absorb_record(
+    turn: Turn,
+    agent: str,
+    incarnation: str,
+    record: TaskRecord,
+) -> bool:
+    """Apply what an agent knows about a task; tell whether it was new."""
+    submission = turn.state.submissions.get(record.submission)
+    if submission is None or record.task >= len(submission.tasks):
+        return False
+    task = submission.tasks[record.task]
+    if task.status == QUEUED:
+        queue_for(turn, submission.job.service).remove(
+            _queued_task(submission, record.task),
+        )
+        _mark_sent(turn, submission, record.task, agent, incarnation)
+    if task.status != SENT or task.agent != agent:
+        return False
+    if record.state in _ENDED:
+        _settle_from_record(turn, submission, record)
+    return True
+
+
+def settle_task(
+    turn: Turn,
+    submission: Submission,
+    index: int,
+    status: str,
+    reason: str,
+) -> None:
+    """Record the end of one task and answer the job if it was the last."""
+    task = submission.tasks[index]
+    if task.status == SENT:
+        _forget_outstanding(turn, task.agent, (submission.identifier, index))
+    task.status = status
+    task.reason = reason
+    submission.unsettled -= 1
+    if status != reasons.COMPLETE and not submission.failing:
+        fail_rest(turn, submission, reasons.JOB_FAILED)
+    if not submission.unsettled and submission.answer is None:
+        _finish(turn, submission)
+
+
+def fail_rest(turn: Turn, submission: Submission, reason: str) -> None:
+    """Drop the queued tasks of a job and withdraw those sent."""
+    submission.failing = True
+    for index, task in enumerate(submission.tasks):
+        if task.status == QUEUED:
+            queue_for(turn, submission.job.service).remove(
+                _queued_task(submission, index),
+            )
+            task.status = reasons.NOT_RUN
+            task.reason = reason
+            submission.unsettled -= 1
+    _withdraw_sent(turn, submission)
+
+
+def cancel(turn: Turn, submission: Submission) -> None:
+    """Cancel a job: nothing more of it starts."""
+    if submission.answer is not None:
+        return
+    fail_rest(turn, submission, reasons.CANCELLED)
+    if not submission.unsettled:
+        _finish(turn, submission)
+
+
+def requeue(
+    turn: Turn,
+    submission: Submission,
+    index: int,
+    reason: str,
+) -> None:
+    """Queue a task again that provably did not start."""
+    task = submission.tasks[index]
+    key = (submission.identifier, index)
+    if submission.failing or task.attempts >= MAX_ATTEMPTS:
+        settle_task(turn, submission, index, reasons.NOT_RUN, reason)
+        return
+    _forget_outstanding(turn, task.agent, key)
+    turn.count('tasks_requeued')
+    _enqueue(turn, submission, index)
+
+
+def expire_deadlines(turn: Turn) -> None:
+    """End tasks whose deadline has passed."""
+    deadlines = turn.state.deadlines
+    while deadlines and deadlines[0][0] <= turn.now:
+        _, identifier = heapq.heappop(deadlines)
+        submission = turn.state.submissions.get(identifier)
+        if submission is None or submission.answer is not None:
+            continue
+        _expire(turn, submission)
+
+
+def expire_retention(turn: Turn) -> None:
+    """Forget answers and records after the retention window."""
+    state = turn.state
+    while state.retention and state.retention[0][0] <= turn.now:
+        _, identifier = heapq.heappop(state.retention)
+        state.recovered.pop(identifier, None)
+        submission = state.submissions.get(identifier)
+        if submission is not None and submission.answer is not None:
+            drop_submission(turn, submission)
+
+
+def drop_submission(turn: Turn, submission: Submission) -> None:
+    """Remove a submission from the state."""
+    state = turn.state
+    state.submissions.pop(submission.identifier, None)
+    state.payload_bytes -= _size_of(submission.job)
+    queue = queue_for(turn, submission.job.service)
+    for index, task in enumerate(submission.tasks):
+        if task.status == QUEUED:
+            queue.remove(_queued_task(submission, index))
+        elif task.status == SENT:
+            _forget_outstanding(
+                turn,
+                task.agent,
+                (submission.identifier, index),
+            )
+    if submission.answer is None:
+        state.admission.job_ended(
+            submission.job.client,
+            len(submission.tasks),
+            turn.now,
+        )
+
+
+def _settle_from_record(
+    turn: Turn,
+    submission: Submission,
+    record: TaskRecord,
+) -> None:
+    task = submission.tasks[record.task]
+    status = record.state
+    reason = record.reason
+    if status == 'released':
+        status, reason = reasons.UNKNOWN, reasons.RESULT_RELEASED
+    if status == reasons.COMPLETE:
+        if digest_of(record.result) == record.digest:
+            task.result = record.result
+        else:
+            status, reason = reasons.UNKNOWN, reasons.DAMAGED_RESULT
+    operation = submission.job.tasks[record.task].operation
+    turn.state.fleet.observe(
+        task.agent,
+        operation,
+        status,
+        record.duration_ms / 1000,
+        turn.now,
+    )
+    turn.count(f'tasks_{status}')
+    settle_task(turn, submission, record.task, status, reason)
+
+
+def _expire(turn: Turn, submission: Submission) -> None:
+    waiting = submission.deadline + SETTLE_GRACE_S > turn.now
+    if not submission.failing:
+        fail_rest(turn, submission, reasons.DEADLINE_PASSED)
+    for index, task in enumerate(submission.tasks):
+        if task.status == SENT and not waiting:
+            settle_task(
+                turn,
+                submission,
+                index,
+                reasons.UNKNOWN,
+                reasons.DEADLINE_PASSED,
+            )
+    if submission.unsettled:
+        heapq.heappush(
+            turn.state.deadlines,
+            (submission.deadline + SETTLE_GRACE_S, submission.identifier),
+        )
+    elif submission.answer is None:
+        _finish(turn, submission)
+
+
+def _finish(turn: Turn, submission: Submission) -> None:
+    state = turn.state
+    answer = job_answer(submission, certain=may_act(state, turn.now))
+    submission.answer = answer
+    job = submission.job
+    state.payload_bytes -= _size_of(job)
+    submission.job = job._replace(tasks=())
+    for task in submission.tasks:
+        task.result = b''
+    state.payload_bytes += _size_of(submission.job)
+    state.admission.job_ended(job.client, len(submission.tasks), turn.now)
+    heapq.heappush(
+        state.retention,
+        (turn.now + state.identity.retention_s, submission.identifier),
+    )
+    turn.count(f'jobs_{answer.status}')
+    waiters = submission.waiters
+    submission.waiters = {}
+    for waiter in waiters:
+        reply(turn, waiter, answer)
+
+
+def _enqueue(turn: Turn, submission: Submission, index: int) -> None:
+    submission.tasks[index].status = QUEUED
+    queue_for(turn, submission.job.service).push(
+        _queued_task(submission, index, turn.now),
+    )
+
+
+def _queued_task(
+    submission: Submission,
+    index: int,
+    now: float = 0,
+) -> QueuedTask:
+    job = submission.job
+    return QueuedTask(
+        submission.identifier,
+        index,
+        job.client,
+        job.urgency,
+        job.tasks[index].operation,
+        submission.deadline,
+        now,
+    )
+
+
+def _mark_sent(
+    turn: Turn,
+    submission: Submission,
+    index: int,
+    agent: str,
+    incarnation: str,
+) -> None:
+    task = submission.tasks[index]
+    task.status = SENT
+    task.agent = agent
+    task.incarnation = incarnation
+    key = (submission.identifier, index)
+    turn.state.outstanding.setdefault(agent, {})[key] = None
+
+
+def _withdraw_sent(turn: Turn, submission: Submission) -> None:
+    if submission.withdrawn:
+        return
+    submission.withdrawn = True
+    batches: dict[str, list[TaskKey]] = {}
+    for index, task in enumerate(submission.tasks):
+        if task.status == SENT:
+            batches.setdefault(task.agent, []).append(
+                (submission.identifier, index),
+            )
+    for agent, keys in batches.items():
+        if agent in turn.state.agents:
+            turn.send(agent, Withdraw(tuple(keys)))
+
+
+def _forget_outstanding(turn: Turn, agent: str, key: TaskKey) -> None:
+    outstanding = turn.state.outstanding.get(agent)
+    if outstanding is None:
+        return
+    outstanding.pop(key, None)
+    if not outstanding:
+        turn.state.outstanding.pop(agent)
+
+
+def _size_of(job: Job) -> int:
+    return sum(len(task.payload) for task in job.tasks)
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -202,17 +202,26 @@
 
 
 class RosterAgent(NamedTuple):
-    """Name an agent that an entry may use."""
+    """Name an agent that an entry may have used.
+
+    `gone_ms` is the UTC time at which its last session ended, 0 while linked.
+    """
 
     agent: str
     incarnation: str
     service: str
+    gone_ms: int
 
 
 class Roster(NamedTuple):
-    """Tell a peer entry all agents that the sender may use."""
+    """Tell a peer entry all agents that the sender may have used.
+
+    Until `blind_until_ms` (UTC) the list may lack agents, since the sender
+    took over from an entry whose roster it did not have.
+    """
 
     sequence: int
+    blind_until_ms: int
     agents: tuple[RosterAgent, ...]
 
 
@@ -223,9 +232,16 @@
 
 
 class Promise(NamedTuple):
-    """Promise not to take over the receiver's partitions for a while."""
+    """Promise not to take over the receiver's partitions for a while.
+
+    The validity counts from `echo_ms`, the receiver's own clock as of the last
+    promise it sent, so that a promise read late is not taken for a fresh one.
+    A validity of 0 promises nothing. `sent_ms` is the sender's clock.
+    """
 
     validity_ms: int
+    sent_ms: int
+    echo_ms: int
 
 
 class Forward(NamedTuple):
