Check the operators' text and report all findings in place

Each table is validated by itself: one model for the whole text was ruled out, because a single type fault would hide all cross checks. A fault in the syntax is still reported alone.

--- /dev/null
+++ b/src/savoryrudder/policy/checks.py
@@ -0,0 +1,287 @@
+"""Check the operators' text as a whole."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from graphlib import CycleError
+from graphlib import TopologicalSorter
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from savoryrudder.policy import schema
+from savoryrudder.policy.findings import Fault
+from savoryrudder.policy.findings import Finding
+from savoryrudder.policy.findings import KeyPath
+from savoryrudder.policy.findings import ModelT
+from savoryrudder.policy.findings import locate_faults
+from savoryrudder.policy.findings import validate
+from savoryrudder.policy.model import URGENCY_BANDS
+from savoryrudder.policy.model import Client
+from savoryrudder.policy.model import Limits
+from savoryrudder.policy.model import Operation
+from savoryrudder.policy.model import Policy
+from savoryrudder.policy.model import Service
+from savoryrudder.policy.model import Terms
+from savoryrudder.policy.text import parse_text
+
+# Names travel in HTTP headers and store keys.
+_NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_NAME_MESSAGE: Final = (
+    'a name has 1 to 64 letters, digits, dots, dashes or underscores '
+    'and starts with a letter or digit'
+)
+# Decimal shares such as 0.7 + 0.2 + 0.1 do not add up exactly in binary.
+_SHARE_TOLERANCE: Final = 1e-9
+_BOUNDED_TERMS: Final = ('rate', 'burst', 'concurrent', 'lifetime_s')
+
+
+class _Tables(NamedTuple):
+    """Hold the tables that are valid by themselves."""
+
+    services: dict[str, schema.ServiceTable]
+    clients: dict[str, schema.ClientTable]
+    bands: dict[str, schema.BandTable]
+    limits: schema.LimitsTable | None
+    service_names: frozenset[str]
+
+
+def check_text(text: str) -> Result[Policy, tuple[Finding, ...]]:
+    """Return the policy of a TOML text, or every finding in its order.
+
+    A fault in the syntax hides all other findings, because no values exist.
+    Lines and columns count from 1.
+    """
+    parsed = parse_text(text)
+    if parsed.is_error():
+        return Error(parsed.error)
+    document = parsed.ok
+    tables, faults = _read_tables(document.values)
+    faults.extend(_cross_faults(tables))
+    if faults:
+        return Error(locate_faults(faults, document.locate))
+    return Ok(_to_policy(tables))
+
+
+def _read_tables(raw: dict[str, Any]) -> tuple[_Tables, list[Fault]]:
+    _, faults = validate(schema.DocumentTable, raw)
+    services = _read_named(raw, 'services', schema.ServiceTable, faults)
+    clients = _read_named(raw, 'clients', schema.ClientTable, faults)
+    bands = _read_named(raw, 'urgency', schema.BandTable, faults)
+    limits, limit_faults = validate(
+        schema.LimitsTable,
+        raw.get('limits', {}),
+        ('limits',),
+    )
+    faults.extend(limit_faults)
+    names = frozenset(_table(raw, 'services'))
+    return _Tables(services, clients, bands, limits, names), faults
+
+
+def _read_named(
+    raw: dict[str, Any],
+    section: str,
+    model: type[ModelT],
+    faults: list[Fault],
+) -> dict[str, ModelT]:
+    valid: dict[str, ModelT] = {}
+    for name, table in _table(raw, section).items():
+        path = (section, name)
+        checked, table_faults = validate(model, table, path)
+        faults.extend(table_faults)
+        faults.extend(_name_faults(name, path))
+        if checked is not None:
+            valid[name] = checked
+    return valid
+
+
+def _table(raw: dict[str, Any], section: str) -> dict[str, Any]:
+    table = raw.get(section)
+    return table if isinstance(table, dict) else {}
+
+
+def _name_faults(name: str, path: KeyPath) -> Iterator[Fault]:
+    if _NAME.fullmatch(name) is None:
+        yield Fault(path, _NAME_MESSAGE)
+
+
+def _cross_faults(tables: _Tables) -> Iterator[Fault]:
+    if not tables.service_names:
+        yield Fault(('services',), 'no service is declared')
+    for service, service_table in tables.services.items():
+        yield from _service_faults(service, service_table, tables)
+    yield from _cycle_faults(tables.services)
+    for client, client_table in tables.clients.items():
+        yield from _client_faults(('clients', client), client_table)
+    yield from _share_faults(tables.bands)
+
+
+def _service_faults(
+    name: str,
+    table: schema.ServiceTable,
+    tables: _Tables,
+) -> Iterator[Fault]:
+    path = ('services', name)
+    for index, dependency in enumerate(table.depends_on):
+        if dependency not in tables.service_names:
+            yield Fault(
+                (*path, 'depends_on', index),
+                f'unknown service "{dependency}"',
+            )
+    for operation in table.operations:
+        yield from _name_faults(operation, (*path, 'operations', operation))
+    limits = tables.limits
+    if limits and table.default_deadline_ms > limits.max_deadline_ms:
+        yield Fault(
+            (*path, 'default_deadline_ms'),
+            f'exceeds limits.max_deadline_ms ({limits.max_deadline_ms})',
+        )
+
+
+def _cycle_faults(services: dict[str, schema.ServiceTable]) -> Iterator[Fault]:
+    # The search below is quadratic; most texts have no cycle.
+    if not _has_cycle(services):
+        return
+    reported: set[frozenset[str]] = set()
+    for name in services:
+        cycle = _find_cycle(name, services)
+        members = frozenset(cycle)
+        if cycle and members not in reported:
+            reported.add(members)
+            yield Fault(
+                ('services', name, 'depends_on'),
+                'dependency cycle: {0}'.format(' -> '.join((*cycle, name))),
+            )
+
+
+def _has_cycle(services: dict[str, schema.ServiceTable]) -> bool:
+    sorter = TopologicalSorter(
+        {name: table.depends_on for name, table in services.items()},
+    )
+    try:
+        sorter.prepare()
+    except CycleError:
+        return True
+    return False
+
+
+def _find_cycle(
+    start: str,
+    services: dict[str, schema.ServiceTable],
+) -> tuple[str, ...]:
+    """Return the shortest path from a service back to itself."""
+    paths: list[tuple[str, ...]] = [(start,)]
+    seen = {start}
+    for path in paths:
+        table = services.get(path[-1])
+        for dependency in table.depends_on if table else ():
+            if dependency == start:
+                return path
+            if dependency not in seen:
+                seen.add(dependency)
+                paths.append((*path, dependency))
+    return ()
+
+
+def _client_faults(
+    path: KeyPath,
+    table: schema.ClientTable,
+) -> Iterator[Fault]:
+    for key in _BOUNDED_TERMS:
+        bound = getattr(table.ceiling, key)
+        term = getattr(table, key)
+        if bound is not None and term > bound:
+            yield Fault((*path, key), f'{term} exceeds its ceiling {bound}')
+    yield from _urgency_faults(path, table)
+
+
+def _urgency_faults(
+    path: KeyPath,
+    table: schema.ClientTable,
+) -> Iterator[Fault]:
+    highest = table.highest_urgency
+    ceiling = table.ceiling.highest_urgency
+    if highest not in URGENCY_BANDS:
+        yield _unknown_urgency((*path, 'highest_urgency'), highest)
+    if ceiling is None:
+        return
+    if ceiling not in URGENCY_BANDS:
+        yield _unknown_urgency((*path, 'ceiling', 'highest_urgency'), ceiling)
+    elif highest in URGENCY_BANDS and _rank(highest) < _rank(ceiling):
+        yield Fault(
+            (*path, 'highest_urgency'),
+            f'{highest} exceeds its ceiling {ceiling}',
+        )
+
+
+def _share_faults(bands: dict[str, schema.BandTable]) -> Iterator[Fault]:
+    for name in bands:
+        if name not in URGENCY_BANDS:
+            yield _unknown_urgency(('urgency', name), name)
+    total = sum(table.share for table in bands.values())
+    if total > 1 + _SHARE_TOLERANCE:
+        yield Fault(('urgency',), f'the shares add up to {total:g}, above 1')
+
+
+def _unknown_urgency(path: KeyPath, name: str) -> Fault:
+    known = ', '.join(URGENCY_BANDS)
+    return Fault(path, f'unknown urgency "{name}", known are {known}')
+
+
+def _rank(urgency: str) -> int:
+    return URGENCY_BANDS.index(urgency)
+
+
+def _to_policy(tables: _Tables) -> Policy:
+    limits = tables.limits or schema.LimitsTable()
+    return Policy(
+        {
+            name: _to_service(name, table)
+            for name, table in tables.services.items()
+        },
+        {
+            name: _to_client(name, table)
+            for name, table in tables.clients.items()
+        },
+        {
+            band: tables.bands[band].share if band in tables.bands else 0
+            for band in URGENCY_BANDS
+        },
+        Limits(
+            limits.max_tasks,
+            limits.max_payload_bytes,
+            limits.max_deadline_ms,
+        ),
+    )
+
+
+def _to_service(name: str, table: schema.ServiceTable) -> Service:
+    operations = {
+        operation: Operation(operation, row.idempotent, row.expected_ms)
+        for operation, row in table.operations.items()
+    }
+    return Service(
+        name,
+        operations,
+        table.default_deadline_ms,
+        table.slots,
+        table.memory_mb,
+        tuple(table.depends_on),
+    )
+
+
+def _to_client(name: str, table: schema.ClientTable) -> Client:
+    terms = Terms(
+        table.rate,
+        table.burst,
+        table.concurrent,
+        table.highest_urgency,
+        table.lifetime_s,
+    )
+    bounds = table.ceiling.model_dump(exclude_none=True)
+    return Client(name, terms, terms._replace(**bounds), table.weight)
