--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from types import MappingProxyType
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -15,6 +16,9 @@
 
 from savoryrudder.protocol import messages
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 PROTOCOL_VERSION: Final = 1
 
 # A kind keeps its number for as long as any release speaks this version.
@@ -62,6 +66,21 @@
     messages: tuple[messages.Message, ...]
 
 
+class FrameHead(NamedTuple):
+    """Hold the fields of a frame that precede its messages."""
+
+    session: str
+    sequence: int
+    revision: int
+
+
+class EncodedMessage(NamedTuple):
+    """Hold the number of a message kind and the message as MessagePack."""
+
+    number: int
+    content: msgspec.Raw
+
+
 class FrameError(NamedTuple):
     """Say why a received frame cannot be used."""
 
@@ -76,11 +95,22 @@
     )
 
 
+def encode_message(message: messages.Message) -> EncodedMessage:
+    """Encode one message for `encode_batch`, so that its size is known."""
+    content = msgspec.Raw(_encoder.encode(message))
+    return EncodedMessage(_NUMBERS[type(message)], content)
+
+
+def encode_batch(head: FrameHead, batch: Sequence[EncodedMessage]) -> bytes:
+    """Encode a frame of messages that are encoded already."""
+    return _encoder.encode((PROTOCOL_VERSION, *head, batch))
+
+
 def decode_frame(raw: bytes) -> Result[Frame, FrameError]:
     """Decode a frame; unknown kinds and surplus fields are skipped."""
     try:
         version, *fields = _decoder.decode(raw)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Error(FrameError(f'malformed frame: {error}'))
     if version != PROTOCOL_VERSION:
         return Error(
