--- /dev/null
+++ b/src/savoryrudder/agent/reducer.py
@@ -0,0 +1,281 @@
+"""Turn the events of the agent role into effects."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+from typing import TypeAlias
+
+from savoryrudder.agent import credits as credit_rules
+from savoryrudder.agent import events
+from savoryrudder.agent import tasks
+from savoryrudder.agent.state import Link
+from savoryrudder.agent.turn import Turn
+from savoryrudder.protocol import messages
+from savoryrudder.utils.effects import Exit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from savoryrudder.agent.effects import AgentEffect
+    from savoryrudder.agent.state import AgentState
+
+_Handlers: TypeAlias = 'Mapping[type[Any], Callable[..., None]]'
+
+_WASTED: Final = 'wasted_messages'
+
+
+def reduce(state: AgentState, event: events.AgentEvent) -> list[AgentEffect]:
+    """Apply an event to the state in place and return its effects."""
+    turn = Turn(event.now)
+    _EVENT_HANDLERS[type(event)](state, event, turn)
+    if turn.unbalanced:
+        tasks.fill_slots(state, turn)
+        _hand_out_credits(state, turn)
+    else:
+        _send_reports(turn, {})
+    if state.leaving:
+        _exit_when_done(state, turn)
+    return turn.effects
+
+
+def _hand_out_credits(state: AgentState, turn: Turn) -> None:
+    granted = credit_rules.grant(state)
+    _send_reports(turn, granted)
+    for entry, amount in granted.items():
+        turn.send(entry, messages.Grant(amount))
+    _send_recalls(turn, credit_rules.recall(state, turn.now))
+
+
+def _send_reports(turn: Turn, granted: dict[str, int]) -> None:
+    for entry, record in turn.reports:
+        amount = granted.pop(entry, 0)
+        turn.send(entry, messages.Finished(record.export(), amount))
+
+
+def _send_recalls(turn: Turn, recalls: dict[str, int]) -> None:
+    for entry, amount in recalls.items():
+        turn.send(entry, messages.Recall(amount))
+
+
+def _exit_when_done(state: AgentState, turn: Turn) -> None:
+    if state.exited:
+        return
+    open_work = len(state.calls) + state.book.undelivered
+    # A start may be on its way for as long as a credit is out.
+    if open_work + state.granted and turn.now < state.exit_at:
+        return
+    if open_work:
+        turn.log(
+            'stop-timeout',
+            running=len(state.calls),
+            undelivered=state.book.undelivered,
+        )
+    state.exited = True
+    turn.effects.append(Exit())
+
+
+def _open_session(
+    state: AgentState,
+    event: events.LinkUp,
+    turn: Turn,
+) -> None:
+    state.links[event.entry] = Link(event.session)
+    turn.send(event.entry, state.hello)
+    turn.log('link-up', entry=event.entry, session=event.session)
+    turn.unbalanced = True
+
+
+def _end_session(
+    state: AgentState,
+    event: events.LinkDown,
+    turn: Turn,
+) -> None:
+    link = state.links.get(event.entry)
+    if link is None or link.session != event.session:
+        return
+    state.links.pop(event.entry)
+    turn.log('link-down', entry=event.entry, session=event.session)
+    turn.unbalanced = True
+
+
+def _receive(
+    state: AgentState,
+    event: events.MessageReceived,
+    turn: Turn,
+) -> None:
+    link = state.links.get(event.entry)
+    if link is None or link.session != event.session:
+        turn.count(_WASTED)
+        return
+    if event.revision > state.revision:
+        _request_config(state, turn, event)
+    handler = _MESSAGE_HANDLERS.get(type(event.message))
+    if handler is None:
+        turn.count(_WASTED)
+        return
+    handler(state, turn, event.entry, event.message)
+
+
+def _request_config(
+    state: AgentState,
+    turn: Turn,
+    event: events.MessageReceived,
+) -> None:
+    if isinstance(event.message, messages.Config):
+        return
+    link = state.links[event.entry]
+    if link.fetching or link.requested >= event.revision:
+        return
+    open_elsewhere = any(
+        other.fetching and other.requested >= event.revision
+        for other in state.links.values()
+    )
+    if not open_elsewhere:
+        link.fetching = True
+        link.requested = event.revision
+        turn.send(event.entry, messages.FetchConfig())
+
+
+def _claim(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Claim,
+) -> None:
+    link = state.links[entry]
+    accepted: list[int] = []
+    stale: list[int] = []
+    for partition, epoch in message.partitions:
+        if state.accept_epoch(entry, partition, epoch):
+            accepted.append(partition)
+        else:
+            stale.append(partition)
+    link.claimed.update(accepted)
+    records = state.book.select(accepted)
+    turn.send(entry, messages.Records(message.request, records, tuple(stale)))
+    if link.ready:
+        return
+    link.ready = True
+    _hand_out_credits(state, turn)
+    _send_recalls(turn, credit_rules.spread(state, turn.now, link))
+
+
+def _take_back_credits(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Return,
+) -> None:
+    link = state.links[entry]
+    if not credit_rules.take_back(link, message.credits, turn.now):
+        turn.count(_WASTED)
+    turn.unbalanced = True
+
+
+def _note_demand(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Demand,
+) -> None:
+    link = state.links[entry]
+    if link.demand == message.queued:
+        turn.count(_WASTED)
+        return
+    link.demand = message.queued
+    turn.unbalanced = True
+
+
+def _answer_config(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.FetchConfig,
+) -> None:
+    turn.send(entry, messages.Config(state.revision, state.config_text))
+
+
+def _adopt_config(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Config,
+) -> None:
+    state.links[entry].fetching = False
+    if message.revision <= state.revision:
+        turn.count(_WASTED)
+        return
+    state.revision = message.revision
+    state.config_text = message.text
+
+
+def _ignore(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Message,
+) -> None:
+    """Accept a message that concerns only the shell."""
+
+
+def _tick(state: AgentState, event: events.Tick, turn: Turn) -> None:
+    tasks.check_deadlines(state, turn)
+    dropped = state.book.expire(turn.now)
+    if dropped:
+        turn.count('results_dropped', dropped)
+    if state.at_limit != state.limit_reached:
+        state.limit_reached = state.at_limit
+        name = 'reached' if state.at_limit else 'cleared'
+        turn.log(
+            f'record-limit-{name}',
+            records=len(state.book),
+            result_bytes=state.book.result_bytes,
+        )
+    turn.unbalanced = True
+
+
+def _drain(
+    state: AgentState,
+    event: events.DrainRequested,
+    turn: Turn,
+) -> None:
+    if state.leaving:
+        return
+    state.leaving = True
+    state.exit_at = turn.now + event.timeout_s
+    turn.log('leaving', running=len(state.calls), timeout_s=event.timeout_s)
+    for entry in state.links:
+        turn.send(entry, messages.Leaving())
+    for record in tuple(state.waiting.values()):
+        tasks.drop_waiting(state, turn, record, 'leaving')
+    turn.unbalanced = True
+
+
+_EVENT_HANDLERS: Final[_Handlers] = MappingProxyType(
+    {
+        events.LinkUp: _open_session,
+        events.LinkDown: _end_session,
+        events.MessageReceived: _receive,
+        events.UpstreamFinished: tasks.finish,
+        events.Tick: _tick,
+        events.DrainRequested: _drain,
+    },
+)
+_MESSAGE_HANDLERS: Final[_Handlers] = MappingProxyType(
+    {
+        messages.Acknowledge: tasks.acknowledge,
+        messages.Claim: _claim,
+        messages.Config: _adopt_config,
+        messages.Demand: _note_demand,
+        messages.FetchConfig: _answer_config,
+        messages.Heartbeat: _ignore,
+        messages.Return: _take_back_credits,
+        messages.Start: tasks.start,
+        messages.Welcome: _ignore,
+        messages.Withdraw: tasks.withdraw,
+    },
+)
--- /dev/null
+++ b/src/savoryrudder/agent/tasks.py
@@ -0,0 +1,327 @@
+"""Accept, run, withdraw and end tasks."""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.agent.effects import CallUpstream
+from savoryrudder.agent.effects import StopUpstreamCall
+from savoryrudder.agent.records import ENDED
+from savoryrudder.agent.records import RUNNING
+from savoryrudder.agent.records import UNKNOWN
+from savoryrudder.agent.records import UNSTARTED
+from savoryrudder.agent.records import WAITING
+from savoryrudder.agent.records import Call
+from savoryrudder.agent.records import Record
+from savoryrudder.protocol import messages
+from savoryrudder.utils.effects import CloseLink
+from savoryrudder.utils.effects import Observe
+from savoryrudder.utils.identifiers import partition_of
+
+if TYPE_CHECKING:
+    from savoryrudder.agent.events import UpstreamFinished
+    from savoryrudder.agent.state import AgentState
+    from savoryrudder.agent.turn import Turn
+
+# Time for the upstream client to report the deadline itself before the agent
+# declares the outcome unknown.
+_DEADLINE_GRACE_S: Final = 1.0
+_MS_PER_S: Final = 1000
+_DEADLINE_PASSED: Final = 'deadline-passed'
+
+
+def start(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Start,
+) -> None:
+    """Accept a start unless it is repeated, fenced or cannot be served."""
+    link = state.links[entry]
+    key = (message.submission, message.task)
+    if message.partition != partition_of(message.submission):
+        _break_off(state, turn, entry, 'wrong-partition')
+        return
+    had_credit = link.credits > 0
+    link.credits -= had_credit
+    if not _pass_fence(state, turn, entry, message):
+        _decline(turn, entry, key, 'stale-epoch')
+        return
+    record = state.book.find(key)
+    if record:
+        _answer_repeated(turn, entry, record)
+        return
+    if not had_credit:
+        # The two sides disagree about credits; a new session starts afresh.
+        _break_off(state, turn, entry, 'start-without-credit')
+        return
+    reason = _refusal(state, message)
+    if reason:
+        state.book.refuse(key, turn.now, reason)
+        _decline(turn, entry, key, reason)
+        return
+    _accept(state, turn, entry, message)
+
+
+def fill_slots(state: AgentState, turn: Turn) -> None:
+    """Start waiting tasks in free slots, earliest deadline first."""
+    while state.waiting and len(state.calls) < state.identity.slots:
+        record = min(state.waiting.values(), key=_deadline_of)
+        if _deadline_of(record) <= turn.now:
+            drop_waiting(state, turn, record, _DEADLINE_PASSED)
+            continue
+        state.waiting.pop(record.key)
+        _run(state, turn, record)
+
+
+def drop_waiting(
+    state: AgentState,
+    turn: Turn,
+    record: Record,
+    reason: str,
+) -> None:
+    """End a waiting task unstarted and tell its owner."""
+    _forget_waiting(state, turn, record, reason)
+    _reject(state, turn, record.key, reason)
+
+
+def check_deadlines(state: AgentState, turn: Turn) -> None:
+    """End waiting tasks and give up on calls that are past the deadline."""
+    for waiting in tuple(state.waiting.values()):
+        if _deadline_of(waiting) <= turn.now:
+            drop_waiting(state, turn, waiting, _DEADLINE_PASSED)
+    limit = turn.now - _DEADLINE_GRACE_S
+    for running in state.calls.values():
+        if running.state == RUNNING and _deadline_of(running) <= limit:
+            # The slot stays occupied: the upstream may still be working.
+            _end(state, turn, running, UNKNOWN, b'', _DEADLINE_PASSED)
+
+
+def finish(state: AgentState, event: UpstreamFinished, turn: Turn) -> None:
+    """Record the end of an upstream call and report it."""
+    record = state.calls.pop(event.task, None)
+    if record is None:
+        turn.count('late_upstream_results')
+        return
+    state.vacate(record.entry)
+    turn.unbalanced = True
+    if record.state != RUNNING:
+        record.call = None
+        turn.count('late_upstream_results')
+        return
+    if event.outcome == 'not-run':
+        state.book.refuse(record.key, turn.now, event.outcome)
+        _reject(state, turn, record.key, event.outcome)
+        return
+    outcome = event.outcome if event.outcome in ENDED else UNKNOWN
+    _end(state, turn, record, outcome, event.result, event.reason)
+    record.call = None
+
+
+def acknowledge(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Acknowledge,
+) -> None:
+    """Note which results the owner holds."""
+    held = sum(
+        state.book.acknowledge(key, turn.now)
+        for key in message.tasks
+        if state.owns(entry, partition_of(key[0]))
+    )
+    if not held:
+        turn.count('wasted_messages')
+
+
+def withdraw(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Withdraw,
+) -> None:
+    """Drop unstarted tasks, stop idempotent ones, and report which started."""
+    unstarted: list[messages.TaskKey] = []
+    started: list[messages.TaskKey] = []
+    for key in message.tasks:
+        if _withdraw_task(state, turn, entry, key):
+            unstarted.append(key)
+        else:
+            started.append(key)
+    turn.send(entry, messages.Withdrawn(tuple(unstarted), tuple(started)))
+
+
+def _withdraw_task(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    key: messages.TaskKey,
+) -> bool:
+    """Return whether a task has not started and never will."""
+    if not state.owns(entry, partition_of(key[0])):
+        # A former owner must not stop work that its successor relies on.
+        return False
+    record = state.book.find(key)
+    if record is None:
+        state.book.refuse(key, turn.now, 'withdrawn')
+        return True
+    if record.state == WAITING:
+        _forget_waiting(state, turn, record, 'withdrawn')
+        return True
+    call = record.call
+    if record.state == RUNNING and call:
+        if call.idempotent and not call.stopping:
+            call.stopping = True
+            turn.effects.append(StopUpstreamCall(key))
+    return record.state == UNSTARTED
+
+
+def _pass_fence(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Start,
+) -> bool:
+    partition = partition_of(message.submission)
+    if state.accept_epoch(entry, partition, message.epoch):
+        state.links[entry].claimed.add(partition)
+        return True
+    turn.log(
+        'start-fenced',
+        entry=entry,
+        partition=partition,
+        epoch=message.epoch,
+        owner=state.ownership[partition].entry,
+    )
+    return False
+
+
+def _break_off(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    reason: str,
+) -> None:
+    """End the session of an entry that violates the protocol."""
+    state.links.pop(entry)
+    turn.effects.append(CloseLink(entry, reason))
+    turn.count('protocol_violations')
+    turn.log('link-broken-off', entry=entry, reason=reason)
+    turn.unbalanced = True
+
+
+def _refusal(state: AgentState, message: messages.Start) -> str:
+    if state.leaving:
+        return 'leaving'
+    if message.deadline_ms <= 0:
+        return _DEADLINE_PASSED
+    if state.at_limit:
+        return 'overloaded'
+    return ''
+
+
+def _answer_repeated(turn: Turn, entry: str, record: Record) -> None:
+    turn.count('duplicates')
+    turn.unbalanced = True
+    if record.state == UNSTARTED:
+        turn.send(entry, messages.Rejected(*record.key, record.reason))
+    elif record.state in ENDED:
+        turn.reports.append((entry, record))
+
+
+def _accept(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Start,
+) -> None:
+    call = Call(
+        message.operation,
+        message.payload,
+        turn.now + message.deadline_ms / _MS_PER_S,
+        message.idempotent,
+        message.trace,
+    )
+    key = (message.submission, message.task)
+    record = Record(key, entry, WAITING, call)
+    state.book.add(record)
+    state.occupy(entry)
+    if len(state.calls) < state.identity.slots:
+        _run(state, turn, record)
+    else:
+        state.waiting[key] = record
+
+
+def _run(state: AgentState, turn: Turn, record: Record) -> None:
+    call = record.call
+    assert call
+    record.state = RUNNING
+    call.started_at = turn.now
+    state.calls[record.key] = record
+    turn.count('starts')
+    turn.effects.append(
+        CallUpstream(
+            record.key,
+            call.operation,
+            call.payload,
+            ceil((call.deadline - turn.now) * _MS_PER_S),
+            call.trace,
+        ),
+    )
+    call.payload = b''
+
+
+def _end(
+    state: AgentState,
+    turn: Turn,
+    record: Record,
+    outcome: str,
+    result: bytes,
+    reason: str,
+) -> None:
+    call = record.call
+    assert call
+    duration = turn.now - call.started_at
+    record.duration_ms = round(duration * _MS_PER_S)
+    state.book.end(record, turn.now, outcome, result, reason)
+    turn.count(f'finished_{outcome}')
+    turn.effects.append(Observe('upstream_call', duration))
+    owner = state.receiver(partition_of(record.key[0]))
+    if owner:
+        turn.reports.append((owner, record))
+
+
+def _forget_waiting(
+    state: AgentState,
+    turn: Turn,
+    record: Record,
+    reason: str,
+) -> None:
+    state.waiting.pop(record.key)
+    state.vacate(record.entry)
+    state.book.refuse(record.key, turn.now, reason)
+    turn.unbalanced = True
+
+
+def _reject(
+    state: AgentState, turn: Turn, key: messages.TaskKey, reason: str
+) -> None:
+    owner = state.receiver(partition_of(key[0]))
+    if owner:
+        _decline(turn, owner, key, reason)
+
+
+def _decline(
+    turn: Turn, entry: str, key: messages.TaskKey, reason: str
+) -> None:
+    turn.send(entry, messages.Rejected(*key, reason))
+    name = reason.replace('-', '_')
+    turn.count(f'rejected_{name}')
+    turn.unbalanced = True
+
+
+def _deadline_of(record: Record) -> float:
+    assert record.call
+    return record.call.deadline
