--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -11,7 +11,9 @@
 from savoryrudder.entry.partitions import lose_partition
 from savoryrudder.entry.state import SENT
 from savoryrudder.entry.state import AgentLink
+from savoryrudder.entry.state import FoundRecord
 from savoryrudder.entry.state import LostAgent
+from savoryrudder.entry.state import OpenClaim
 from savoryrudder.protocol.messages import Acknowledge
 from savoryrudder.protocol.messages import Claim
 from savoryrudder.protocol.messages import Return
@@ -59,7 +61,10 @@
     turn.log_change('agent_up', agent=name, service=hello.service)
     turn.send(
         name,
-        Welcome(state.identity.name, tuple(document['address'] for document in state.live.values())),
+        Welcome(
+            state.identity.name,
+            tuple(document['address'] for document in state.live.values()),
+        ),
     )
     send_claim(turn, name, state.owned)
 
@@ -92,7 +97,7 @@
     claimed = tuple(
         (partition, state.owned[partition].epoch) for partition in partitions
     )
-    state.claims[number] = (
+    state.claims[number] = OpenClaim(
         agent,
         state.agents[agent].session,
         tuple(partition for partition, _ in claimed),
@@ -109,7 +114,7 @@
     state.claims = {
         number: claim
         for number, claim in state.claims.items()
-        if claim[0] != agent
+        if claim.agent != agent
     }
     turn.log_change('agent_down', agent=agent, service=link.service)
     if state.outstanding.get(agent):
@@ -121,7 +126,7 @@
     state = turn.state
     claim = state.claims.pop(message.request, None)
     link = state.agents[agent]
-    if claim is None or claim[1] != link.session:
+    if claim is None or claim.session != link.session:
         turn.count('late_records')
         return
     for partition in message.stale:
@@ -133,7 +138,7 @@
     if not link.claimed:
         link.claimed = True
         _requeue_absent(turn, agent, keys)
-    for partition in claim[2]:
+    for partition in claim.partitions:
         owned = state.owned.get(partition)
         if owned is not None and partition not in message.stale:
             owned.awaited.pop((agent, link.incarnation), None)
@@ -205,12 +210,18 @@
         if not held and peer.heard_at > patience:
             return
     link.usable = True
-    turn.state.fleet.set_usable(link.name)
+    turn.state.fleet.mark_usable(link.name)
 
 
-def send_acknowledgements(turn: Turn) -> None:
-    """Confirm results in one message per agent and second."""
-    for name, link in turn.state.agents.items():
+def keep_agents_informed(turn: Turn) -> None:
+    """Use new agents as soon as peers know them; confirm results."""
+    state = turn.state
+    for link in state.agents.values():
+        update_usable(turn, link)
+    if state.acknowledged_at + ACKNOWLEDGE_INTERVAL_S > turn.now:
+        return
+    state.acknowledged_at = turn.now
+    for name, link in state.agents.items():
         if link.acknowledgements:
             turn.send(name, Acknowledge(tuple(link.acknowledgements)))
             link.acknowledgements = []
@@ -225,7 +236,7 @@
         if lost.since + AGENT_RETURN_S <= turn.now
     ]
     for agent in gone:
-        del state.lost_agents[agent]
+        state.lost_agents.pop(agent)
         _fail_outstanding(turn, agent)
 
 
@@ -246,7 +257,11 @@
                 state.retention,
                 (turn.now + state.identity.retention_s, record.submission),
             )
-        found[record.task] = (link.name, link.incarnation, record)
+        found[record.task] = FoundRecord(
+            link.name,
+            link.incarnation,
+            record,
+        )
         held = True
         useful = True
     if held and record.state not in {'waiting', 'running'}:
--- a/src/savoryrudder/entry/answers.py
+++ b/src/savoryrudder/entry/answers.py
@@ -81,7 +81,7 @@
     turn.state.waiting.pop(waiter, None)
     if waiter.request <= 0:
         return
-    if not waiter.peer:
+    if waiter.peer == '':
         turn.emit(Reply(waiter.request, answer))
     elif waiter.peer in turn.state.peers:
         turn.send(waiter.peer, ForwardAnswer(waiter.request, answer))
@@ -94,14 +94,13 @@
     wait_until: float,
 ) -> None:
     """Answer a request now if possible, else when the job ends."""
-    if submission.answer is not None:
-        reply(turn, waiter, submission.answer)
-    elif wait_until <= turn.now:
-        reply(turn, waiter, RUNNING_ANSWER)
-    else:
-        submission.waiters[waiter] = wait_until
-        turn.state.waiting[waiter] = submission.identifier
-        heapq.heappush(turn.state.wait_limits, (wait_until, waiter))
+    answer = submission.answer or RUNNING_ANSWER
+    if answer.status != reasons.RUNNING or wait_until <= turn.now:
+        reply(turn, waiter, answer)
+        return
+    submission.waiters[waiter] = wait_until
+    turn.state.waiting[waiter] = submission.identifier
+    heapq.heappush(turn.state.wait_limits, (wait_until, waiter))
 
 
 def detach(turn: Turn, waiter: Waiter) -> None:
--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -7,6 +7,7 @@
 
 from savoryrudder.entry import documents
 from savoryrudder.entry.state import PendingCall
+from savoryrudder.entry.submissions import queue_settings
 from savoryrudder.policy.checks import check_text
 from savoryrudder.protocol.messages import Config
 from savoryrudder.protocol.messages import FetchConfig
@@ -166,9 +167,6 @@
     state.revision = revision
     state.text = text
     state.policy = policy
-    weights = {
-        client.name: client.weight for client in policy.clients.values()
-    }
     for queue in state.queues.values():
-        queue.configure(policy.shares, weights)
+        queue.configure(*queue_settings(policy))
     turn.log_change('configuration_in_force', revision=str(revision))
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -14,6 +14,8 @@
 
 if TYPE_CHECKING:
     from savoryrudder.entry.queueing import QueuedTask
+    from savoryrudder.entry.queueing import ServiceQueue
+    from savoryrudder.entry.state import EntryState
     from savoryrudder.entry.state import Submission
     from savoryrudder.entry.turn import Turn
 
@@ -26,11 +28,7 @@
             continue
         if not may_act(state, turn.now):
             return
-        while queue and state.fleet.has_credit(service):
-            queued = queue.pop(turn.now)
-            if queued is None:
-                break
-            _start(turn, service, queued)
+        _dispatch_service(turn, service, queue)
 
 
 def report_demand(turn: Turn) -> None:
@@ -44,6 +42,14 @@
             turn.send(name, Demand(queued))
 
 
+def _dispatch_service(turn: Turn, service: str, queue: ServiceQueue) -> None:
+    while queue and turn.state.fleet.has_credit(service):
+        queued = queue.pop(turn.now)
+        if queued is None:
+            break
+        _start(turn, service, queued)
+
+
 def _start(turn: Turn, service: str, queued: QueuedTask) -> None:
     state = turn.state
     submission = state.submissions.get(queued.submission)
@@ -82,10 +88,6 @@
     key = (submission.identifier, queued.task)
     state.outstanding.setdefault(agent, {})[key] = None
     spec = submission.job.tasks[queued.task]
-    service = state.policy.services.get(submission.job.service) if (
-        state.policy
-    ) else None
-    operation = service.operations.get(spec.operation) if service else None
     turn.count('tasks_started')
     turn.send(
         agent,
@@ -97,7 +99,14 @@
             spec.operation,
             spec.payload,
             max(1, int((submission.deadline - turn.now) * 1000)),
-            bool(operation and operation.idempotent),
+            _is_idempotent(state, submission.job.service, spec.operation),
             submission.job.trace,
         ),
     )
+
+
+def _is_idempotent(state: EntryState, service: str, operation: str) -> bool:
+    if state.policy is None or service not in state.policy.services:
+        return False
+    known = state.policy.services[service].operations.get(operation)
+    return known is not None and known.idempotent
--- a/src/savoryrudder/entry/documents.py
+++ b/src/savoryrudder/entry/documents.py
@@ -9,6 +9,7 @@
 
 from savoryrudder.entry.state import EntryDocument
 from savoryrudder.entry.state import PartitionOwner
+from savoryrudder.store.interface import KeyValue
 from savoryrudder.utils.identifiers import PARTITION_COUNT
 
 CLUSTER_PREFIX: Final = 'cluster/'
@@ -45,9 +46,9 @@
     return msgspec.json.decode(value, type=ConfigDocument)
 
 
-def decode_entry(value: str) -> EntryDocument:
-    """Decode the entry document."""
-    return msgspec.json.decode(value, type=EntryDocument)
+def decode_entry(found: KeyValue) -> EntryDocument:
+    """Decode what an entry registered."""
+    return msgspec.json.decode(found.value or '', type=EntryDocument)
 
 
 def decode_owners(value: str | None) -> dict[int, PartitionOwner]:
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -18,7 +18,6 @@
 from savoryrudder.store import interface
 
 if TYPE_CHECKING:
-    from savoryrudder.entry.state import EntryDocument
     from savoryrudder.entry.turn import Turn
 
 LEASE_TTL_S: Final = 6
@@ -32,6 +31,8 @@
 # After an outage all leases have lapsed at once; owners register again first.
 RESTORED_GRACE_S: Final = 5
 
+_NO_PARTITIONS: Final = interface.KeyValue(documents.PARTITIONS_KEY, 0, None)
+
 
 def keep_lease(turn: Turn) -> None:
     """Renew the lease, register, and keep a watch waiting."""
@@ -88,7 +89,6 @@
     store.register_pending = False
     if isinstance(outcome, interface.Swapped):
         store.own_version = outcome.version
-        store.registered = True
     elif isinstance(outcome, interface.SwapConflict):
         store.own_version = outcome.current.version
     elif isinstance(outcome, interface.LeaseLost):
@@ -103,7 +103,7 @@
     store = state.store
     store.watch_pending = False
     if not isinstance(outcome, interface.Snapshot):
-        store.watch_at = turn.now + RETRY_S * (1 + state.random.random())
+        store.watch_at = turn.now + RETRY_S * (1 + state.randomness.random())
         return
     _note_availability(turn, outcome)
     store.watch_at = turn.now
@@ -111,25 +111,17 @@
         turn.log_change('store_version_went_back')
     store.watch_version = outcome.version
     store.seen_at = turn.now
-    entries = {}
-    owners = documents.decode_owners(None)
-    map_version = 0
-    for item in outcome.entries:
-        if item.value is None:
-            continue
-        if item.key == documents.CONFIG_KEY:
-            adopt_config(turn, item.version, item.value)
-        elif item.key == documents.PARTITIONS_KEY:
-            owners = documents.decode_owners(item.value)
-            map_version = item.version
-        elif item.key.startswith(documents.ENTRY_PREFIX):
-            name = item.key.removeprefix(documents.ENTRY_PREFIX)
-            entries[name] = documents.decode_entry(item.value)
-            if name == state.identity.name:
-                store.own_version = item.version
-    _adopt_live(turn, entries)
-    if map_version >= state.map_version:
-        adopt_owners(turn, map_version, owners)
+    found = {item.key: item for item in outcome.entries if item.value}
+    config = found.get(documents.CONFIG_KEY)
+    if config is not None:
+        adopt_config(turn, config.version, config.value or '')
+    _adopt_live(turn, found)
+    partitions = found.get(documents.PARTITIONS_KEY, _NO_PARTITIONS)
+    adopt_owners(
+        turn,
+        partitions.version,
+        documents.decode_owners(partitions.value),
+    )
 
 
 def handle_swapped_map(
@@ -178,26 +170,21 @@
     if version < state.map_version:
         return
     state.map_version = version
-    name = state.identity.name
-    gained = []
-    for partition, owner in owners.items():
-        owned = state.owned.get(partition)
-        if owner.owner == name and (
-            owned is None or owned.epoch < owner.epoch
-        ):
-            gain_partition(turn, partition, owner)
-            gained.append(partition)
-        elif owner.owner != name and owned is not None:
-            lose_partition(turn, partition, stale=False)
     state.owners = owners
-    if gained:
-        turn.log_change(
-            'partitions_gained',
-            count=str(len(gained)),
-            owned=str(len(state.owned)),
-        )
-        for agent in state.agents:
-            send_claim(turn, agent, gained)
+    gained = [
+        partition
+        for partition, owner in owners.items()
+        if _follow_owner(turn, partition, owner)
+    ]
+    if not gained:
+        return
+    turn.log_change(
+        'partitions_gained',
+        count=str(len(gained)),
+        owned=str(len(state.owned)),
+    )
+    for agent in state.agents:
+        send_claim(turn, agent, gained)
 
 
 def balance(turn: Turn) -> None:
@@ -233,6 +220,22 @@
     )
 
 
+def _follow_owner(
+    turn: Turn,
+    partition: int,
+    owner: PartitionOwner,
+) -> bool:
+    """Gain or lose a partition as the map says; tell whether it was gained."""
+    owned = turn.state.owned.get(partition)
+    if owner.owner != turn.state.identity.name:
+        lose_partition(turn, partition, stale=False)
+        return False
+    if owned is not None and owned.epoch >= owner.epoch:
+        return False
+    gain_partition(turn, partition, owner)
+    return True
+
+
 def _register(turn: Turn) -> None:
     state = turn.state
     store = state.store
@@ -268,30 +271,33 @@
     turn.log_change('store_available' if available else 'store_unavailable')
 
 
-def _adopt_live(turn: Turn, entries: dict[str, EntryDocument]) -> None:
+def _adopt_live(turn: Turn, found: dict[str, interface.KeyValue]) -> None:
     state = turn.state
     own = state.identity.name
-    state.live = entries
-    if own in entries:
-        draining = state.drain_started is not None
-        state.store.registered = entries[own]['draining'] == draining
-    else:
-        state.store.own_version = 0
-        state.store.registered = False
-    for name, document in entries.items():
+    state.live = {
+        key.removeprefix(documents.ENTRY_PREFIX): documents.decode_entry(item)
+        for key, item in found.items()
+        if key.startswith(documents.ENTRY_PREFIX)
+    }
+    own_item = found.get(f'{documents.ENTRY_PREFIX}{own}')
+    state.store.own_version = own_item.version if own_item else 0
+    state.store.registered = own in state.live and (
+        state.live[own]['draining'] == (state.drain_started is not None)
+    )
+    for name, document in state.live.items():
         state.absent_since.pop(name, None)
         if name != own and name not in state.peers:
-            state.peers[name] = PeerLink(
-                name,
-                document['address'],
-                heard_at=turn.now,
-            )
-            turn.log_change('entry_joined', entry=name)
-            if own < name:
-                turn.emit(ConnectPeer(document['address']))
-    for name in list(state.peers):
-        if name not in entries:
-            state.absent_since.setdefault(name, turn.now)
+            _add_peer(turn, name, document['address'])
+    for absent in state.peers.keys() - state.live.keys():
+        state.absent_since.setdefault(absent, turn.now)
+
+
+def _add_peer(turn: Turn, name: str, address: str) -> None:
+    turn.state.peers[name] = PeerLink(name, address, heard_at=turn.now)
+    turn.log_change('entry_joined', entry=name)
+    # Of two entries the one with the smaller name dials.
+    if turn.state.identity.name < name:
+        turn.emit(ConnectPeer(address))
 
 
 def _candidates(turn: Turn) -> list[str]:
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -8,11 +8,11 @@
 from savoryrudder.entry import answers
 from savoryrudder.entry import reasons
 from savoryrudder.entry import submissions
+from savoryrudder.entry.routing import PARK_S
 from savoryrudder.entry.state import OwnedPartition
 from savoryrudder.entry.state import ParkedRequest
 from savoryrudder.entry.state import PeerRoster
 from savoryrudder.entry.state import Waiter
-from savoryrudder.entry.routing import PARK_S
 
 if TYPE_CHECKING:
     from savoryrudder.entry.state import PartitionOwner
@@ -37,8 +37,7 @@
     awaited: dict[tuple[str, str], RosterAgent] = {}
     roster = state.rosters.get(owner.former)
     known = (
-        roster is not None
-        and roster.heard_at + ROSTER_VALIDITY_S > turn.now
+        roster is not None and roster.heard_at + ROSTER_VALIDITY_S > turn.now
     )
     if owner.former:
         for agent in (*state.roster.values(), *(roster or _NO_ROSTER).agents):
@@ -74,7 +73,7 @@
         owned.stale = True
         turn.log_change('partition_stale', partition=str(partition))
     else:
-        del state.owned[partition]
+        state.owned.pop(partition)
     mine = [
         submission
         for submission in state.submissions.values()
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -111,7 +111,7 @@
         and peer.heard_at + FORGET_PEER_S < turn.now
     ]
     for name in gone:
-        del state.peers[name]
+        state.peers.pop(name)
         state.rosters.pop(name, None)
 
 
--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -42,11 +42,11 @@
         self._credits.pop(agent, None)
         self._usable.discard(agent)
 
-    def set_usable(self, agent: str) -> None:
+    def mark_usable(self, agent: str) -> None:
         """Allow starts on an agent."""
         self._usable.add(agent)
 
-    def set_leaving(self, agent: str) -> None:
+    def mark_leaving(self, agent: str) -> None:
         """Stop starts on an agent for good."""
         self._hellos[agent] = self._hellos[agent]._replace(leaving=True)
 
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from types import MappingProxyType
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Final
+from typing import TypeAlias
 
 from savoryrudder.entry import agents
 from savoryrudder.entry import answers
@@ -20,12 +24,14 @@
 from savoryrudder.protocol import messages
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from savoryrudder.entry.effects import EntryEffect
     from savoryrudder.entry.state import EntryState
 
 
+_EventHandler: TypeAlias = Callable[[Turn, Any], None]
+_MessageHandler: TypeAlias = Callable[[Turn, str, Any], None]
+
+
 def reduce(state: EntryState, event: events.EntryEvent) -> list[EntryEffect]:
     """Apply one event to the state and return the effects.
 
@@ -60,18 +66,19 @@
         agents.handle_hello(turn, event.session, message)
     elif isinstance(message, messages.PeerHello):
         peers.handle_peer_hello(turn, event.session, message)
-    elif not _is_current(turn, event):
+    elif _is_current(turn, event):
+        _MESSAGES[type(message)](turn, event.peer, message)
+    else:
         turn.count('stale_session_messages')
         return
-    else:
-        _MESSAGES[type(message)](turn, event.peer, message)
     configuration.note_revision(turn, event.peer, event.revision)
 
 
 def _is_current(turn: Turn, event: events.MessageReceived) -> bool:
     state = turn.state
-    if event.peer in state.agents:
-        return state.agents[event.peer].session == event.session
+    agent = state.agents.get(event.peer)
+    if agent is not None:
+        return agent.session == event.session
     peer = state.peers.get(event.peer)
     if peer is None or peer.session != event.session:
         return False
@@ -84,105 +91,110 @@
     if pending is None:
         turn.count('late_store_answers')
         return
-    outcome = event.outcome
-    if pending.kind == 'lease':
-        membership.handle_lease(turn, outcome)
-    elif pending.kind == 'watch':
-        membership.handle_snapshot(turn, outcome)
-    elif pending.kind == 'register':
-        membership.handle_registered(turn, outcome)
-    elif pending.kind == 'read-map':
-        membership.handle_read_map(turn, outcome)
-    elif isinstance(pending.context, str):
-        membership.handle_swapped_map(turn, pending.context, outcome)
-    elif isinstance(pending.context, events.ConfigSubmitted):
-        _handle_config_call(turn, pending.kind, pending.context, event)
-
-
-def _handle_config_call(
-    turn: Turn,
-    kind: str,
-    submitted: events.ConfigSubmitted,
-    event: events.StoreAnswered,
-) -> None:
-    if kind == 'swap-config':
-        configuration.handle_swapped_config(turn, submitted, event.outcome)
-    else:
-        configuration.handle_read_config(turn, submitted, event.outcome)
+    _STORE_CALLS[pending.kind](turn, pending.context, event.outcome)
 
 
 def _handle_tick(turn: Turn, event: events.Tick) -> None:
-    state = turn.state
     membership.keep_lease(turn)
     membership.balance(turn)
     peers.keep_peers_informed(turn)
     peers.forget_peers(turn)
+    _expire(turn)
+    routing.retry_parked(turn)
+    agents.keep_agents_informed(turn)
+    dispatching.report_demand(turn)
+    draining.proceed(turn)
+
+
+def _expire(turn: Turn) -> None:
     agents.expire_lost_agents(turn)
     submissions.expire_deadlines(turn)
     submissions.expire_retention(turn)
     answers.expire_waits(turn)
     routing.forget_refusals(turn)
-    routing.retry_parked(turn)
-    for link in state.agents.values():
-        agents.update_usable(turn, link)
-    dispatching.report_demand(turn)
-    if state.acknowledged_at + agents.ACKNOWLEDGE_INTERVAL_S <= turn.now:
-        state.acknowledged_at = turn.now
-        agents.send_acknowledgements(turn)
-    draining.proceed(turn)
 
 
-_HANDLERS: Final[dict[type, Callable[[Turn, events.EntryEvent], None]]] = {
-    events.JobSubmitted: routing.handle_submit,
-    events.AnswerRequested: routing.handle_fetch,
-    events.JobCancelled: routing.handle_cancel,
-    events.CallerGone: routing.handle_caller_gone,
-    events.LinkUp: _handle_link_up,
-    events.LinkDown: _handle_link_down,
-    events.MessageReceived: _handle_message,
-    events.StoreAnswered: _handle_store,
-    events.Tick: _handle_tick,
-    events.ConfigSubmitted: configuration.handle_config_submitted,
-    events.DataRequested: reports.handle_data_requested,
-    events.AgentDrainRequested: reports.handle_agent_drain,
-    events.DrainRequested: draining.handle_drain,
-}
-
-_MESSAGES: Final[dict[type, Callable[[Turn, str, messages.Message], None]]] = {
-    messages.Records: agents.handle_records,
-    messages.Finished: agents.handle_finished,
-    messages.Rejected: agents.handle_rejected,
-    messages.Withdrawn: agents.handle_withdrawn,
-    messages.Grant: lambda turn, agent, message: turn.state.fleet.grant(
-        agent,
-        message.credits,
-    ),
-    messages.Recall: lambda turn, agent, message: agents.handle_recall(
-        turn,
-        agent,
-        message.credits,
-    ),
-    messages.Leaving: lambda turn, agent, _: turn.state.fleet.set_leaving(
-        agent,
-    ),
-    messages.Heartbeat: lambda turn, peer, _: None,
-    messages.Roster: peers.handle_roster,
-    messages.RosterHeld: lambda turn, peer, message: peers.handle_roster_held(
-        turn,
-        peer,
-        message.sequence,
-    ),
-    messages.Promise: peers.handle_promise,
-    messages.Forward: routing.handle_forward,
-    messages.ForwardAnswer: lambda turn, _, message: (
-        routing.handle_forward_answer(turn, message.request, message.answer)
-    ),
-    messages.FetchConfig: lambda turn, peer, _: configuration.send_config(
-        turn,
-        peer,
-    ),
-    messages.Config: lambda turn, _, message: configuration.handle_config(
-        turn,
-        message,
-    ),
-}
+_HANDLERS: Final = MappingProxyType[type, _EventHandler](
+    {
+        events.JobSubmitted: routing.handle_submit,
+        events.AnswerRequested: routing.handle_fetch,
+        events.JobCancelled: routing.handle_cancel,
+        events.CallerGone: routing.handle_caller_gone,
+        events.LinkUp: _handle_link_up,
+        events.LinkDown: _handle_link_down,
+        events.MessageReceived: _handle_message,
+        events.StoreAnswered: _handle_store,
+        events.Tick: _handle_tick,
+        events.ConfigSubmitted: configuration.handle_config_submitted,
+        events.DataRequested: reports.handle_data_requested,
+        events.AgentDrainRequested: reports.handle_agent_drain,
+        events.DrainRequested: draining.handle_drain,
+    }
+)
+
+_MESSAGES: Final = MappingProxyType[type, _MessageHandler](
+    {
+        messages.Records: agents.handle_records,
+        messages.Finished: agents.handle_finished,
+        messages.Rejected: agents.handle_rejected,
+        messages.Withdrawn: agents.handle_withdrawn,
+        messages.Grant: lambda turn, agent, message: turn.state.fleet.grant(
+            agent,
+            message.credits,
+        ),
+        messages.Recall: lambda turn, agent, message: agents.handle_recall(
+            turn,
+            agent,
+            message.credits,
+        ),
+        messages.Leaving: lambda turn, agent, _: turn.state.fleet.mark_leaving(
+            agent,
+        ),
+        messages.Heartbeat: lambda turn, peer, _: None,
+        messages.Roster: peers.handle_roster,
+        messages.RosterHeld: lambda turn, peer, message: (
+            peers.handle_roster_held(
+                turn,
+                peer,
+                message.sequence,
+            )
+        ),
+        messages.Promise: peers.handle_promise,
+        messages.Forward: routing.handle_forward,
+        messages.ForwardAnswer: lambda turn, _, message: (
+            routing.handle_forward_answer(turn, message.request, message.answer)
+        ),
+        messages.FetchConfig: lambda turn, peer, _: configuration.send_config(
+            turn,
+            peer,
+        ),
+        messages.Config: lambda turn, _, message: configuration.handle_config(
+            turn,
+            message,
+        ),
+    }
+)
+
+_STORE_CALLS: Final = MappingProxyType[str, Callable[[Turn, Any, Any], None]](
+    {
+        'lease': lambda turn, _, outcome: membership.handle_lease(
+            turn, outcome
+        ),
+        'watch': lambda turn, _, outcome: membership.handle_snapshot(
+            turn,
+            outcome,
+        ),
+        'register': lambda turn, _, outcome: membership.handle_registered(
+            turn,
+            outcome,
+        ),
+        'revoke': lambda turn, _, outcome: None,
+        'read-map': lambda turn, _, outcome: membership.handle_read_map(
+            turn,
+            outcome,
+        ),
+        'swap-map': membership.handle_swapped_map,
+        'swap-config': configuration.handle_swapped_config,
+        'read-config': configuration.handle_read_config,
+    }
+)
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -80,8 +80,7 @@
             for name, document in state.live.items()
         ],
         'agents': [
-            report._asdict()
-            | {'revision': state.agents[report.agent].revision}
+            report._asdict() | {'revision': state.agents[report.agent].revision}
             for report in state.fleet.reports()
         ],
         'partitions': {
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -14,18 +14,16 @@
 from savoryrudder.entry.state import PastRefusal
 from savoryrudder.entry.state import Waiter
 from savoryrudder.protocol.messages import Forward
+from savoryrudder.protocol.messages import Job
 from savoryrudder.utils.identifiers import partition_of
 from savoryrudder.utils.identifiers import submission_id
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from savoryrudder.entry import events
     from savoryrudder.entry.state import OwnedPartition
     from savoryrudder.entry.state import Submission
     from savoryrudder.entry.turn import Turn
     from savoryrudder.protocol.messages import Answer
-    from savoryrudder.protocol.messages import Job
 
 # Longer than a lease plus the collection of records, so that a call which
 # arrives right after the loss of an entry is served by its successor.
@@ -48,21 +46,22 @@
 
 def handle_submit(turn: Turn, event: events.JobSubmitted) -> None:
     """Accept, refuse, forward or park a caller's job."""
-    job = event.job
-    request = _local_request(turn, event.request, 'submit', event.wait_s)
-    route(turn, request(job.client, job.key, job))
+    route(
+        turn,
+        _local_request(turn, event.request, 'submit', event.job, event.wait_s),
+    )
 
 
 def handle_fetch(turn: Turn, event: events.AnswerRequested) -> None:
     """Look up the answer to an earlier submission."""
-    request = _local_request(turn, event.request, 'fetch', event.wait_s)
-    route(turn, request(event.client, event.key, None))
+    route(
+        turn, _local_request(turn, event.request, 'fetch', event, event.wait_s)
+    )
 
 
 def handle_cancel(turn: Turn, event: events.JobCancelled) -> None:
     """Cancel a submission."""
-    request = _local_request(turn, event.request, 'cancel', 0)
-    route(turn, request(event.client, event.key, None))
+    route(turn, _local_request(turn, event.request, 'cancel', event, 0))
 
 
 def handle_caller_gone(turn: Turn, event: events.CallerGone) -> None:
@@ -108,7 +107,7 @@
         if request.forwarded_to == peer
     ]
     for number, request in lost:
-        del turn.state.forwards[number]
+        turn.state.forwards.pop(number)
         request.give_up = max(request.give_up, turn.now + PARK_S)
         _park(turn, request)
 
@@ -169,28 +168,26 @@
             break
         expired.append(identifier)
     for identifier in expired:
-        del refusals[identifier]
+        refusals.pop(identifier)
 
 
 def _local_request(
     turn: Turn,
     number: int,
     kind: str,
+    named: Job | events.AnswerRequested | events.JobCancelled,
     wait_s: float,
-) -> Callable[[str, str, Job | None], ParkedRequest]:
-    def create(client: str, key: str, job: Job | None) -> ParkedRequest:
-        return ParkedRequest(
-            Waiter('', number),
-            kind,
-            client,
-            key,
-            job,
-            turn.now,
-            turn.now + wait_s,
-            turn.now + PARK_S,
-        )
-
-    return create
+) -> ParkedRequest:
+    return ParkedRequest(
+        Waiter('', number),
+        kind,
+        named.client,
+        named.key,
+        named if isinstance(named, Job) else None,
+        turn.now,
+        turn.now + wait_s,
+        turn.now + PARK_S,
+    )
 
 
 def _serve(
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -6,6 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 from typing import NamedTuple
+from typing import TypeAlias
 from typing import TypedDict
 
 from savoryrudder.entry.admission import Admission
@@ -95,7 +96,8 @@
     """Track a partition that this entry owns.
 
     `awaited` holds the agents (name, incarnation) whose records are missing,
-    as their rosters show them. `blind` means that further agents may be missing.
+    as their rosters show them. `blind` means that further agents may be
+    missing.
     """
 
     epoch: int
@@ -200,6 +202,22 @@
     former: str
 
 
+class OpenClaim(NamedTuple):
+    """Remember a claim that an agent has not answered."""
+
+    agent: str
+    session: str
+    partitions: tuple[int, ...]
+
+
+class FoundRecord(NamedTuple):
+    """Keep an agent's record of a task whose job is not known here."""
+
+    agent: str
+    incarnation: str
+    record: TaskRecord
+
+
 class PastRefusal(NamedTuple):
     """Remember a refusal and when it was given."""
 
@@ -207,12 +225,15 @@
     answer: Answer
 
 
+FoundTasks: TypeAlias = dict[int, FoundRecord]
+
+
 @dataclasses.dataclass
 class EntryState:
     """Hold everything that the entry reducer knows."""
 
     identity: EntryIdentity
-    random: random.Random
+    randomness: random.Random
     admission: Admission = dataclasses.field(default_factory=Admission)
     fleet: Fleet = dataclasses.field(default_factory=Fleet)
     policy: Policy | None = None
@@ -238,17 +259,15 @@
     roster_changed: bool = False
     agents: dict[str, AgentLink] = dataclasses.field(default_factory=dict)
     lost_agents: dict[str, LostAgent] = dataclasses.field(default_factory=dict)
-    claims: dict[int, tuple[str, str, tuple[int, ...]]] = dataclasses.field(
-        default_factory=dict,
-    )
+    claims: dict[int, OpenClaim] = dataclasses.field(default_factory=dict)
     outstanding: dict[str, dict[TaskKey, None]] = dataclasses.field(
         default_factory=dict,
     )
     submissions: dict[bytes, Submission] = dataclasses.field(
         default_factory=dict,
     )
-    recovered: dict[bytes, dict[int, tuple[str, str, TaskRecord]]] = (
-        dataclasses.field(default_factory=dict)
+    recovered: dict[bytes, FoundTasks] = dataclasses.field(
+        default_factory=dict,
     )
     refusals: dict[bytes, PastRefusal] = dataclasses.field(
         default_factory=dict,
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -18,9 +18,11 @@
 from savoryrudder.entry.state import TaskState
 from savoryrudder.protocol.messages import Withdraw
 from savoryrudder.utils.identifiers import digest_of
+from savoryrudder.utils.identifiers import partition_of
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
+    from savoryrudder.policy.model import Policy
     from savoryrudder.protocol.messages import Job
     from savoryrudder.protocol.messages import TaskKey
     from savoryrudder.protocol.messages import TaskRecord
@@ -30,12 +32,14 @@
 # A task rejected this often by agents has no upstream that can run it.
 MAX_ATTEMPTS: Final = 5
 
-_ENDED: Final = frozenset((
-    reasons.COMPLETE,
-    reasons.FAILED,
-    reasons.UNKNOWN,
-    'released',
-))
+_ENDED: Final = frozenset(
+    (
+        reasons.COMPLETE,
+        reasons.FAILED,
+        reasons.UNKNOWN,
+        'released',
+    )
+)
 
 
 def create_submission(turn: Turn, identifier: bytes, job: Job) -> Submission:
@@ -43,7 +47,7 @@
     state = turn.state
     submission = Submission(
         identifier=identifier,
-        partition=int.from_bytes(identifier[:4], 'big') % 64,
+        partition=partition_of(identifier),
         job=job,
         deadline=turn.now + job.deadline_ms / 1000,
         tasks=[TaskState(QUEUED) for _ in job.tasks],
@@ -53,7 +57,7 @@
     state.submissions[identifier] = submission
     state.payload_bytes += _size_of(job)
     heapq.heappush(state.deadlines, (submission.deadline, identifier))
-    for index in range(len(job.tasks)):
+    for index, _ in enumerate(job.tasks):
         _enqueue(turn, submission, index)
     for task, found in state.recovered.pop(identifier, {}).items():
         if task < len(job.tasks):
@@ -66,18 +70,21 @@
     state = turn.state
     queue = state.queues.get(service)
     if queue is None:
-        policy = state.policy
-        queue = ServiceQueue(
-            policy.shares if policy else {},
-            {
-                client.name: client.weight
-                for client in (policy.clients.values() if policy else ())
-            },
-        )
+        queue = ServiceQueue(*queue_settings(state.policy))
         state.queues[service] = queue
     return queue
 
 
+def queue_settings(
+    policy: Policy | None,
+) -> tuple[dict[str, float], dict[str, float]]:
+    """Return band shares and client weights, empty without a policy."""
+    if policy is None:
+        return {}, {}
+    weights = {client.name: client.weight for client in policy.clients.values()}
+    return policy.shares, weights
+
+
 def absorb_record(
     turn: Turn,
     agent: str,
