--- /dev/null
+++ b/src/savoryrudder/daemon/telemetry.py
@@ -0,0 +1,277 @@
+"""Count, log and trace what the daemons do."""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import eliot
+import msgspec
+from hdrh.histogram import HdrHistogram
+from opentelemetry import trace
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor
+from opentelemetry.sdk.trace.export import SpanExporter
+from opentelemetry.sdk.trace.export import SpanExportResult
+from opentelemetry.sdk.trace.sampling import ParentBased
+from opentelemetry.sdk.trace.sampling import TraceIdRatioBased
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import generate_latest
+from prometheus_client.core import Metric
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from opentelemetry.sdk.trace import ReadableSpan
+
+_US: Final = 1_000_000
+_LONGEST_US: Final = 3600 * _US
+_SIGNIFICANT_DIGITS: Final = 2
+_QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
+_PERCENT: Final = 100
+_NAMESPACE: Final = 'savoryrudder'
+_SPAN_QUEUE: Final = 8192
+_SPAN_BATCH: Final = 512
+_SPAN_DELAY_MS: Final = 1000
+_CARRIER_FIELD: Final = 'traceparent'
+
+
+class _Latency:
+    """Hold the durations of one name in microseconds."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(1, _LONGEST_US, _SIGNIFICANT_DIGITS)
+        self._sum_s = float(0)
+
+    def record(self, seconds: float) -> None:
+        """Add a duration; out-of-range ones count as the nearest bound."""
+        bounded = min(max(int(seconds * _US), 1), _LONGEST_US)
+        self._histogram.record_value(bounded)
+        self._sum_s += seconds
+
+    def export(self, name: str) -> Metric:
+        """Return a summary of the durations in seconds."""
+        metric = Metric(name, name.replace('_', ' '), 'summary')
+        for quantile in _QUANTILES:
+            micros = self._histogram.get_value_at_percentile(
+                quantile * _PERCENT,
+            )
+            labels = {'quantile': str(quantile)}
+            metric.add_sample(name, labels, micros / _US)
+        total = self._histogram.get_total_count()
+        metric.add_sample(f'{name}_count', {}, total)
+        metric.add_sample(f'{name}_sum', {}, self._sum_s)
+        return metric
+
+
+class _LatencyCollector:
+    """Export all latencies to a Prometheus registry."""
+
+    def __init__(self, latencies: Mapping[str, _Latency]) -> None:
+        self._latencies = latencies
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield one summary for each latency."""
+        for name, latency in self._latencies.items():
+            yield latency.export(f'{_NAMESPACE}_{name}_seconds')
+
+
+class Counters:
+    """Count events and record durations under names."""
+
+    def __init__(self) -> None:
+        """Start with an empty registry of its own."""
+        self._registry = CollectorRegistry()
+        self._counters: dict[str, Counter] = {}
+        self._latencies: dict[str, _Latency] = {}
+        self._registry.register(_LatencyCollector(self._latencies))
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        counter = self._counters.get(name)
+        if counter is None:
+            described = name.replace('_', ' ')
+            counter = Counter(
+                f'{_NAMESPACE}_{name}',
+                described,
+                registry=self._registry,
+            )
+            self._counters[name] = counter
+        counter.inc(amount)
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Record a duration."""
+        latency = self._latencies.get(name)
+        if latency is None:
+            latency = _Latency()
+            self._latencies[name] = latency
+        latency.record(seconds)
+
+    def export(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+
+@contextlib.contextmanager
+def log_to(path: str) -> Iterator[None]:
+    """Write log lines as JSON to a file, or to stderr if it is empty."""
+    with contextlib.ExitStack() as cleanup:
+        output = sys.stderr
+        if path:
+            output = cleanup.enter_context(
+                Path(path).open('a', encoding='utf-8'),
+            )
+        destination = eliot.FileDestination(file=output)
+        eliot.add_destinations(destination)
+        cleanup.callback(eliot.remove_destination, destination)
+        yield
+
+
+def log_change(name: str, fields: Sequence[tuple[str, str]]) -> None:
+    """Write one log line about a change of state."""
+    eliot.log_message(message_type=name, **dict(fields))
+
+
+class SpanLine(NamedTuple):
+    """Hold one exported span; times are nanoseconds since the epoch."""
+
+    trace_id: str
+    span_id: str
+    parent_id: str
+    name: str
+    start_ns: int
+    end_ns: int
+    attributes: dict[str, Any]
+    resource: dict[str, Any]
+
+
+class _FileExporter(SpanExporter):
+    """Append spans to a file; called in the thread of the batches."""
+
+    def __init__(self, path: str) -> None:
+        self._output = Path(path).open('ab')
+        self._encoder = msgspec.json.Encoder()
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write a batch with one flush."""
+        lines = [_line_of(span)._asdict() for span in spans]
+        try:
+            self._append(self._encoder.encode_lines(lines))
+        except OSError:
+            return SpanExportResult.FAILURE
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self._output.close()
+
+    def _append(self, content: bytes) -> None:
+        self._output.write(content)
+        self._output.flush()
+
+
+class Tracer:
+    """Record spans of sampled traces without blocking the event loop.
+
+    A span belongs to the trace of a W3C `traceparent` text. Without one it
+    begins a trace, sampled with the given ratio. Spans are queued and a
+    thread writes them in batches; when the queue is full, the oldest are
+    dropped.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        ratio: float,
+        resource: Mapping[str, str],
+    ) -> None:
+        """Write sampled spans to a file; an empty path writes none."""
+        self._provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(ratio)),
+            resource=Resource(dict(resource)),
+            shutdown_on_exit=False,
+        )
+        if path:
+            self._provider.add_span_processor(
+                BatchSpanProcessor(
+                    _FileExporter(path),
+                    max_queue_size=_SPAN_QUEUE,
+                    schedule_delay_millis=_SPAN_DELAY_MS,
+                    max_export_batch_size=_SPAN_BATCH,
+                ),
+            )
+        self._tracer = self._provider.get_tracer(_NAMESPACE)
+        self._propagator = TraceContextTextMapPropagator()
+
+    def start(self, name: str, traceparent: str) -> Span:
+        """Start a span; the caller ends it."""
+        parent = self._parent_of(traceparent)
+        return Span(
+            self._tracer.start_span(name, context=parent),
+            self._propagator,
+        )
+
+    def close(self) -> None:
+        """Write what is queued and close the file."""
+        self._provider.shutdown()
+
+    def _parent_of(self, traceparent: str) -> Context:
+        carrier = {_CARRIER_FIELD: traceparent}
+        return self._propagator.extract(carrier, Context())
+
+
+class Span:
+    """Measure one step of a trace."""
+
+    def __init__(
+        self,
+        span: trace.Span,
+        propagator: TraceContextTextMapPropagator,
+    ) -> None:
+        """Wrap a started span."""
+        self._span = span
+        self._propagator = propagator
+
+    @property
+    def traceparent(self) -> str:
+        """Return the context to carry in messages."""
+        carrier: dict[str, str] = {}
+        context = trace.set_span_in_context(self._span)
+        self._propagator.inject(carrier, context)
+        return carrier.get(_CARRIER_FIELD, '')
+
+    def note(self, name: str, content: str | int | float) -> None:
+        """Set an attribute."""
+        self._span.set_attribute(name, content)
+
+    def end(self) -> None:
+        """End the span."""
+        self._span.end()
+
+
+def _line_of(span: ReadableSpan) -> SpanLine:
+    context = span.get_span_context() or trace.INVALID_SPAN_CONTEXT
+    parent = span.parent
+    return SpanLine(
+        trace.format_trace_id(context.trace_id),
+        trace.format_span_id(context.span_id),
+        trace.format_span_id(parent.span_id) if parent else '',
+        span.name,
+        span.start_time or 0,
+        span.end_time or 0,
+        dict(span.attributes or {}),
+        dict(span.resource.attributes),
+    )
--- /dev/null
+++ b/tests/daemon/test_telemetry.py
@@ -0,0 +1,72 @@
+"""Check metrics, log lines and traces."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from savoryrudder.daemon import telemetry
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+PARENT = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
+SAMPLED_FLAG = 1
+UNSAMPLED = f'{PARENT[:-1]}0'
+
+
+def test_counters_and_latencies_are_exported() -> None:
+    """Guard against metrics that a scraper cannot read."""
+    counters = telemetry.Counters()
+    counters.count('starts', 3)
+    counters.observe('wait', 0.25)
+    counters.observe('wait', -1)
+    text = counters.export().decode()
+    assert 'savoryrudder_starts_total 3.0' in text
+    assert 'savoryrudder_wait_seconds{quantile="0.999"} 0.25' in text
+    assert 'savoryrudder_wait_seconds_count 2.0' in text
+
+
+def test_a_change_is_one_json_line(tmp_path: Path) -> None:
+    """Guard against log lines that lose their fields."""
+    path = tmp_path / 'log'
+    with telemetry.log_to(str(path)):
+        telemetry.log_change('owner-changed', (('partition', '3'),))
+    line = json.loads(path.read_text())
+    assert (line['message_type'], line['partition']) == ('owner-changed', '3')
+
+
+def test_spans_of_one_trace_are_joined(tmp_path: Path) -> None:
+    """Guard against traces that break where a message crosses a link."""
+    path = tmp_path / 'spans'
+    tracer = telemetry.Tracer(str(path), 1, {'service.name': 'entry'})
+    outer = tracer.start('job', PARENT)
+    inner = tracer.start('start', outer.traceparent)
+    inner.note('task', 1)
+    inner.end()
+    outer.end()
+    tracer.close()
+    first, second = map(json.loads, path.read_text().splitlines())
+    assert first['parent_id'] == second['span_id']
+    assert second['parent_id'] == PARENT.split('-')[2]
+    assert first['trace_id'] == PARENT.split('-')[1]
+    assert first['attributes'] == {'task': 1}
+
+
+@pytest.mark.parametrize(('parent', 'ratio'), [(UNSAMPLED, 1), ('', 0)])
+def test_unsampled_traces_are_not_written(
+    tmp_path: Path,
+    parent: str,
+    ratio: int,
+) -> None:
+    """Guard against sampling again what the caller left out."""
+    path = tmp_path / 'spans'
+    tracer = telemetry.Tracer(str(path), ratio, {})
+    span = tracer.start('job', parent)
+    span.end()
+    tracer.close()
+    flags = int(span.traceparent.split('-')[3], 16)
+    assert not flags & SAMPLED_FLAG
+    assert not path.read_text()
--- /dev/null
+++ b/tests/store/test_http_store.py
@@ -0,0 +1,111 @@
+"""Check the store adapter against the stand-in store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import anyio
+import pytest
+
+from savoryrudder.store import interface
+from savoryrudder.store.http import HttpStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+pytestmark = pytest.mark.anyio
+KEY = 'entries/e 1'
+
+
+async def test_a_swap_succeeds_only_at_the_expected_version(
+    open_store: Callable[..., Any],
+) -> None:
+    """Guard against overwriting what another writer wrote."""
+    async with open_store() as (client, _):
+        swapped = await client.call(interface.SwapKey(KEY, 0, 'first', ''))
+        again = await client.call(interface.SwapKey(KEY, 0, 'second', ''))
+        held = interface.KeyValue(KEY, swapped.version, 'first')
+        assert again == interface.SwapConflict(held)
+        assert await client.call(interface.ReadKey(KEY)) == held
+        gone = interface.SwapKey(KEY, held.version, None, '')
+        await client.call(gone)
+        absent = await client.call(interface.ReadKey(KEY))
+        assert absent == interface.KeyValue(KEY, 0, None)
+
+
+async def test_a_lost_answer_is_found_by_reading_back(
+    open_store: Callable[..., Any],
+) -> None:
+    """Guard against taking a write for failed when only its answer was."""
+    async with open_store() as (client, stand_in):
+        stand_in.faults.lose_answers = 1
+        outcome = await client.call(interface.SwapKey(KEY, 0, 'token', ''))
+        assert isinstance(outcome, interface.StoreUnavailable)
+        assert (await client.call(interface.ReadKey(KEY))).value == 'token'
+        assert stand_in.calls['write'] == 1
+
+
+async def test_a_watch_wakes_for_changes_below_its_prefix(
+    open_store: Callable[..., Any],
+) -> None:
+    """Guard against missed changes, deletions among them."""
+    async with open_store() as (client, stand_in):
+        start = await client.call(interface.WatchPrefix('entries/', 0, 10))
+        assert start == interface.Snapshot(0, ())
+        version = stand_in.content.put(KEY, 'here', '')
+        stand_in.content.put('terms/x', '', '')
+        watch = interface.WatchPrefix('entries/', version, 10)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_delete_when_watched, stand_in)
+            seen = await client.call(watch)
+        assert seen == interface.Snapshot(stand_in.content.version, ())
+
+
+async def _delete_when_watched(stand_in: Any) -> None:
+    while stand_in.calls['watch'] < 2:
+        await anyio.sleep(0)
+    stand_in.content.delete(KEY)
+
+
+async def test_an_expired_lease_is_lost(
+    open_store: Callable[..., Any],
+) -> None:
+    """Guard against an owner that believes in a lease that has ended."""
+    async with open_store() as (client, _):
+        lease = (await client.call(interface.GrantLease(0))).lease
+        renewed = await client.call(interface.RenewLease(lease))
+        assert renewed == interface.LeaseLost()
+        tied = interface.SwapKey(KEY, 0, 'x', lease)
+        assert await client.call(tied) == interface.LeaseLost()
+
+
+async def test_a_lease_ends_with_its_keys(
+    open_store: Callable[..., Any],
+) -> None:
+    """Guard against entries that stay listed after their lease."""
+    async with open_store() as (client, _):
+        lease = (await client.call(interface.GrantLease(60))).lease
+        await client.call(interface.SwapKey(KEY, 0, 'x', lease))
+        await client.call(interface.RevokeLease(lease))
+        assert (await client.call(interface.ReadKey(KEY))).version == 0
+
+
+@pytest.mark.parametrize('fault', ['down_s', 'slow_ms'])
+async def test_an_outage_is_unavailable(
+    open_store: Callable[..., Any],
+    fault: str,
+) -> None:
+    """Guard against errors that escape or calls that never end."""
+    async with open_store(timeout_s=0.2) as (client, stand_in):
+        stand_in.faults.set_from({fault: 60_000})
+        outcome = await client.call(interface.ReadKey(KEY))
+        assert isinstance(outcome, interface.StoreUnavailable)
+
+
+async def test_a_refused_connection_is_unavailable() -> None:
+    """Guard against errors that escape when nothing listens."""
+    client = HttpStore('http://127.0.0.1:1', 1)
+    outcome = await client.call(interface.ReadKey(KEY))
+    assert isinstance(outcome, interface.StoreUnavailable)
+    await client.close()
