--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import ceil
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -266,7 +265,7 @@
             record.key,
             call.operation,
             call.payload,
-            ceil((call.deadline - turn.now) * _MS_PER_S),
+            max(1, round((call.deadline - turn.now) * _MS_PER_S)),
             call.trace,
         ),
     )
