--- /dev/null
+++ b/src/savoryrudder/daemon/api.py
@@ -0,0 +1,312 @@
+"""Offer callers and operators the HTTP interface of an entry."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+from typing import NotRequired
+from typing import TypedDict
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from savoryrudder.daemon import requests
+from savoryrudder.entry import effects
+from savoryrudder.entry import events
+from savoryrudder.protocol.messages import Answer
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+    from savoryrudder.daemon.entry import EntryRuntime
+
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+MAX_WAIT_S: Final = 300
+_JSON: Final = 'application/json'
+_PROBLEM: Final = 'application/problem+json'
+_OK: Final = 200
+_BAD_REQUEST: Final = 400
+_TOO_LARGE: Final = 413
+_UNAVAILABLE: Final = 503
+
+
+class ConfigBody(TypedDict):
+    """Read a configuration change."""
+
+    text: str
+    expected_revision: int
+    author: str
+    token: str
+
+
+class DrainBody(TypedDict):
+    """Read which agent has to stop; none means this entry."""
+
+    agent: NotRequired[str]
+
+
+class EntryApi:
+    """Turn HTTP requests into events and responses back into HTTP."""
+
+    def __init__(self, runtime: EntryRuntime, stop_timeout_s: float) -> None:
+        """Serve the requests of one entry."""
+        self._runtime = runtime
+        self._stop_timeout_s = stop_timeout_s
+
+    async def submit(self, request: Request) -> Response:
+        """Accept a job and wait for its answer as long as asked to."""
+        began = anyio.current_time()
+        body = await request.body()
+        if len(body) > MAX_BODY_BYTES:
+            return _problem(
+                _TOO_LARGE,
+                'too-large',
+                f'the body exceeds {MAX_BODY_BYTES} bytes',
+            )
+        read = requests.read_job(
+            request.headers,
+            body,
+            self._runtime.default_deadlines(),
+        )
+        if read.is_error():
+            return _invalid(read.error)
+        job = read.ok
+        span = self._runtime.tracer.start('receive-job', job.trace)
+        span.note('client', job.client)
+        span.note('service', job.service)
+        span.note('tasks', len(job.tasks))
+        number, pending = self._runtime.begin_request()
+        self._runtime.handle(
+            events.JobSubmitted(
+                anyio.current_time(),
+                time.time(),
+                number,
+                job._replace(trace=span.traceparent),
+                _wait_of(request, job.deadline_ms / 1000 + 1),
+            ),
+        )
+        response = await self._respond(request, number, pending)
+        span.end()
+        self._runtime.counters.observe(
+            'request',
+            anyio.current_time() - began,
+        )
+        return response
+
+    async def fetch(self, request: Request) -> Response:
+        """Return the answer to an earlier submission."""
+        headers = _identity(request)
+        findings = requests.check_identity(headers)
+        if findings:
+            return _invalid(findings)
+        number, pending = self._runtime.begin_request()
+        self._runtime.handle(
+            events.AnswerRequested(
+                anyio.current_time(),
+                time.time(),
+                number,
+                headers['client'],
+                headers['idempotency-key'],
+                _wait_of(request, 0),
+            ),
+        )
+        return await self._respond(request, number, pending)
+
+    async def cancel(self, request: Request) -> Response:
+        """Cancel a submission."""
+        headers = _identity(request)
+        findings = requests.check_identity(headers)
+        if findings:
+            return _invalid(findings)
+        number, pending = self._runtime.begin_request()
+        self._runtime.handle(
+            events.JobCancelled(
+                anyio.current_time(),
+                time.time(),
+                number,
+                headers['client'],
+                headers['idempotency-key'],
+            ),
+        )
+        return await self._respond(request, number, pending)
+
+    async def apply_config(self, request: Request) -> Response:
+        """Change the operators' text."""
+        try:
+            body = msgspec.json.decode(await request.body(), type=ConfigBody)
+        except msgspec.DecodeError as error:
+            return _invalid([f'body: {error}'])
+        number, pending = self._runtime.begin_request()
+        self._runtime.handle(
+            events.ConfigSubmitted(
+                anyio.current_time(),
+                time.time(),
+                number,
+                body['text'],
+                body['expected_revision'],
+                body['author'],
+                body['token'],
+            ),
+        )
+        return await self._respond(request, number, pending)
+
+    async def report(self, request: Request) -> Response:
+        """Report status, configuration or terms."""
+        kind = request.url.path.rpartition('/')[2]
+        number, pending = self._runtime.begin_request()
+        self._runtime.handle(
+            events.DataRequested(
+                anyio.current_time(),
+                time.time(),
+                number,
+                kind,
+                request.query_params.get('client', ''),
+            ),
+        )
+        return await self._respond(request, number, pending)
+
+    async def drain(self, request: Request) -> Response:
+        """Begin the graceful stop of this entry or of an agent."""
+        try:
+            body = msgspec.json.decode(
+                await request.body() or b'{}',
+                type=DrainBody,
+            )
+        except msgspec.DecodeError as error:
+            return _invalid([f'body: {error}'])
+        agent = body.get('agent', '')
+        if not agent:
+            self._runtime.drain(self._stop_timeout_s)
+            name = self._runtime.state.identity.name
+            return _json(202, {'entry': name})
+        number, pending = self._runtime.begin_request()
+        self._runtime.handle(
+            events.AgentDrainRequested(anyio.current_time(), number, agent),
+        )
+        return await self._respond(request, number, pending)
+
+    async def health(self, request: Request) -> Response:
+        """Tell that the process runs."""
+        return _json(_OK, {'status': 'alive'})
+
+    async def ready(self, request: Request) -> Response:
+        """Tell the balancer whether to send callers here."""
+        if self._runtime.ready:
+            return _json(_OK, {'status': 'ready'})
+        return _json(_UNAVAILABLE, {'status': 'not ready'})
+
+    async def metrics(self, request: Request) -> Response:
+        """Return all metrics in the Prometheus text format."""
+        return Response(
+            self._runtime.counters.export(),
+            media_type='text/plain; version=0.0.4',
+        )
+
+    async def _respond(
+        self,
+        request: Request,
+        number: int,
+        pending: Any,
+    ) -> Response:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_caller, request, number, pending)
+            response = await pending.wait()
+            group.cancel_scope.cancel()
+        if response is None:
+            return Response(status_code=_UNAVAILABLE)
+        if isinstance(response, effects.ReplyData):
+            return _json(response.status, response.body)
+        return _answer(response)
+
+    async def _watch_caller(
+        self,
+        request: Request,
+        number: int,
+        pending: Any,
+    ) -> None:
+        while not await request.is_disconnected():
+            message = await request.receive()
+            if message['type'] == 'http.disconnect':
+                break
+        self._runtime.forget_request(number)
+        pending.set(None)
+
+
+def create_api(runtime: EntryRuntime, stop_timeout_s: float) -> Starlette:
+    """Create the application that serves an entry's HTTP interface."""
+    api = EntryApi(runtime, stop_timeout_s)
+    return Starlette(
+        routes=[
+            Route('/v1/jobs', api.submit, methods=['POST']),
+            Route('/v1/jobs/{key}', api.fetch, methods=['GET']),
+            Route('/v1/jobs/{key}', api.cancel, methods=['DELETE']),
+            Route('/v1/config', api.apply_config, methods=['POST']),
+            Route('/v1/config', api.report, methods=['GET']),
+            Route('/v1/status', api.report, methods=['GET']),
+            Route('/v1/terms', api.report, methods=['GET']),
+            Route('/v1/drain', api.drain, methods=['POST']),
+            Route('/health', api.health),
+            Route('/ready', api.ready),
+            Route('/metrics', api.metrics),
+        ],
+    )
+
+
+def _identity(request: Request) -> dict[str, str]:
+    return {
+        'client': request.headers.get('client', ''),
+        'idempotency-key': request.path_params['key'],
+    }
+
+
+def _wait_of(request: Request, default_s: float) -> float:
+    try:
+        asked = float(request.query_params.get('wait', default_s))
+    except ValueError:
+        return default_s
+    return min(max(asked, 0), MAX_WAIT_S)
+
+
+def _answer(answer: Answer) -> Response:
+    status = requests.status_of(answer)
+    response = _json(status, requests.write_answer(answer))
+    if answer.reason and answer.status == 'refused':
+        response.headers['content-type'] = _PROBLEM
+    retry_after_s = requests.retry_after_s(answer)
+    if retry_after_s:
+        response.headers['retry-after'] = str(retry_after_s)
+    return response
+
+
+def _invalid(findings: list[str]) -> Response:
+    response = _problem(_BAD_REQUEST, 'invalid-request', '; '.join(findings))
+    return response
+
+
+def _problem(status: int, reason: str, detail: str) -> Response:
+    response = _json(
+        status,
+        {
+            'type': f'urn:savoryrudder:{reason}',
+            'title': 'request refused',
+            'status': status,
+            'reason': reason,
+            'outcome': 'not-run',
+            'detail': detail,
+        },
+    )
+    response.headers['content-type'] = _PROBLEM
+    return response
+
+
+def _json(status: int, body: dict[str, Any]) -> Response:
+    return Response(
+        msgspec.json.encode(body),
+        status_code=status,
+        media_type=_JSON,
+    )
--- /dev/null
+++ b/src/savoryrudder/daemon/entry.py
@@ -0,0 +1,347 @@
+"""Run an entry: turn I/O into events and carry out effects."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import Protocol
+from typing import TypeAlias
+
+import anyio
+
+from savoryrudder.daemon.api import create_api
+from savoryrudder.daemon.http import serve_http
+from savoryrudder.daemon.join import JoinRequest
+from savoryrudder.daemon.links import LinkDialler
+from savoryrudder.daemon.links import LinkListener
+from savoryrudder.daemon.signals import watch_signals
+from savoryrudder.daemon.telemetry import Counters
+from savoryrudder.daemon.telemetry import Span
+from savoryrudder.daemon.telemetry import Tracer
+from savoryrudder.daemon.telemetry import log_change
+from savoryrudder.entry import effects as entry_effects
+from savoryrudder.entry import events
+from savoryrudder.entry.draining import is_ready
+from savoryrudder.entry.reducer import reduce
+from savoryrudder.entry.state import EntryIdentity
+from savoryrudder.entry.state import EntryState
+from savoryrudder.protocol.codec import PROTOCOL_VERSION
+from savoryrudder.protocol.messages import Answer
+from savoryrudder.protocol.messages import Forward
+from savoryrudder.protocol.messages import ForwardAnswer
+from savoryrudder.store.http import HttpStore
+from savoryrudder.utils import effects
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from savoryrudder.protocol.messages import Message
+
+TICK_S: Final = 0.05
+# The store answers in milliseconds; a lease has to be renewed within seconds.
+STORE_TIMEOUT_S: Final = 1.5
+# Answers that were just given are still on their way to callers.
+LINGER_S: Final = 0.5
+_INCARNATION_BYTES: Final = 4
+
+Response: TypeAlias = Answer | entry_effects.ReplyData
+
+
+class EntrySettings(Protocol):
+    """Name the settings that the entry reads."""
+
+    entry: str
+    zone: str
+    http_address: str
+    link_address: str
+    store_url: str
+    stop_timeout_s: float
+    balancer_delay_s: float
+    retention_s: float
+    trace_file: str
+    trace_ratio: float
+    seed: int
+
+
+class PendingResponse:
+    """Hold the place where a caller waits for its response."""
+
+    def __init__(self) -> None:
+        """Wait for a response."""
+        self._event = anyio.Event()
+        self._response: Response | None = None
+
+    def set(self, response: Response) -> None:
+        """Wake the caller."""
+        self._response = response
+        self._event.set()
+
+    async def wait(self) -> Response | None:
+        """Return the response; None if the entry stops without one."""
+        await self._event.wait()
+        return self._response
+
+
+class EntryRuntime:
+    """Feed the reducer and carry out its effects, one event at a time."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        counters: Counters,
+        tracer: Tracer,
+    ) -> None:
+        """Create a runtime; `start` connects it to the outside."""
+        self.state = state
+        self.counters = counters
+        self.tracer = tracer
+        self.stopped = anyio.Event()
+        self._events: deque[events.EntryEvent] = deque()
+        self._reducing = False
+        self._pending: dict[int, PendingResponse] = {}
+        self._diallers: dict[str, LinkDialler] = {}
+        self._forwarded: dict[tuple[str, int], Span] = {}
+        self._next_request = 1
+
+    @property
+    def revision(self) -> int:
+        """Return the configuration revision in force."""
+        return self.state.revision
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return is_ready(self.state)
+
+    def default_deadlines(self) -> dict[str, int]:
+        """Return the default deadline of each service in milliseconds."""
+        policy = self.state.policy
+        if policy is None:
+            return {}
+        return {
+            service.name: service.default_deadline_ms
+            for service in policy.services.values()
+        }
+
+    def start(
+        self,
+        group: TaskGroup,
+        store: HttpStore,
+        listener: LinkListener,
+    ) -> None:
+        """Connect the runtime to store and links."""
+        self._group = group
+        self._store = store
+        self._listener = listener
+
+    def begin_request(self) -> tuple[int, PendingResponse]:
+        """Return a number and a place to wait for a new request."""
+        number = self._next_request
+        self._next_request += 1
+        pending = PendingResponse()
+        self._pending[number] = pending
+        return number, pending
+
+    def forget_request(self, number: int) -> None:
+        """Forget a request whose caller has disconnected."""
+        if self._pending.pop(number, None) is not None:
+            self.handle(events.CallerGone(anyio.current_time(), number))
+
+    def handle(self, event: events.EntryEvent) -> None:
+        """Reduce an event now, or after the one being reduced."""
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            self._reduce_all()
+        finally:
+            self._reducing = False
+
+    def on_up(self, peer: str, session: str) -> None:
+        """Report a new session."""
+        self.handle(events.LinkUp(anyio.current_time(), peer, session))
+
+    def on_down(self, peer: str, session: str, reason: str) -> None:
+        """Report the end of a session."""
+        log_change('link_down', (('peer', peer), ('reason', reason)))
+        self.handle(
+            events.LinkDown(anyio.current_time(), time.time(), peer, session),
+        )
+
+    def on_frame(
+        self,
+        peer: str,
+        session: str,
+        revision: int,
+        messages: tuple[Message, ...],
+    ) -> None:
+        """Report the messages of a frame."""
+        for message in messages:
+            received = message
+            if isinstance(message, Forward) and message.job is not None:
+                received = self._trace_forward(peer, message)
+            self.handle(
+                events.MessageReceived(
+                    anyio.current_time(),
+                    time.time(),
+                    peer,
+                    session,
+                    revision,
+                    received,
+                ),
+            )
+
+    def drain(self, timeout_s: float) -> None:
+        """Begin a planned stop."""
+        self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
+
+    async def tick(self) -> None:
+        """Send ticks until cancelled."""
+        while True:
+            self.handle(events.Tick(anyio.current_time(), time.time()))
+            await anyio.sleep(TICK_S)
+
+    def _reduce_all(self) -> None:
+        while self._events:
+            for effect in reduce(self.state, self._events.popleft()):
+                self._carry_out(effect)
+
+    def _carry_out(self, effect: entry_effects.EntryEffect) -> None:
+        match effect:
+            case effects.Send():
+                self._send(effect.peer, effect.message)
+            case effects.Count():
+                self.counters.count(effect.name, effect.amount)
+            case effects.Observe():
+                self.counters.observe(effect.name, effect.seconds)
+            case effects.StateChanged():
+                log_change(effect.name, effect.fields)
+            case entry_effects.Reply():
+                self._respond(effect.request, effect.answer)
+            case entry_effects.ReplyData():
+                self._respond(effect.request, effect)
+            case entry_effects.CallStore():
+                self._group.start_soon(self._call_store, effect)
+            case entry_effects.ConnectPeer():
+                self._connect(effect.address)
+            case effects.CloseLink():
+                self._close(effect.peer, effect.reason)
+            case effects.Exit():
+                self.stopped.set()
+
+    def _send(self, peer: str, message: Message) -> None:
+        if isinstance(message, ForwardAnswer):
+            span = self._forwarded.pop((peer, message.request), None)
+            if span is not None:
+                span.end()
+        if self._listener.send(peer, message):
+            return
+        if not any(
+            dialler.send(peer, message) for dialler in self._diallers.values()
+        ):
+            self.counters.count('messages_without_link')
+
+    def _close(self, peer: str, reason: str) -> None:
+        self._listener.close(peer, reason)
+        for dialler in self._diallers.values():
+            dialler.close(peer, reason)
+
+    def _respond(self, number: int, response: Response) -> None:
+        pending = self._pending.pop(number, None)
+        if pending is not None:
+            pending.set(response)
+
+    def _connect(self, address: str) -> None:
+        if address in self._diallers:
+            return
+        dialler = LinkDialler(
+            address,
+            JoinRequest(PROTOCOL_VERSION, self.state.identity.name, 'entry'),
+            self,
+            lambda: self.revision,
+        )
+        self._diallers[address] = dialler
+        self._group.start_soon(dialler.run)
+
+    async def _call_store(self, effect: entry_effects.CallStore) -> None:
+        self.counters.count('store_calls')
+        outcome = await self._store.call(effect.operation)
+        self.handle(
+            events.StoreAnswered(
+                anyio.current_time(),
+                time.time(),
+                effect.call,
+                outcome,
+            ),
+        )
+
+    def _trace_forward(self, peer: str, message: Forward) -> Forward:
+        if message.job is None:
+            return message
+        span = self.tracer.start('serve-forwarded', message.job.trace)
+        self._forwarded[peer, message.request] = span
+        job = message.job._replace(trace=span.traceparent)
+        return message._replace(job=job)
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until it has stopped gracefully."""
+    runtime = _create_runtime(settings)
+    store = HttpStore(settings.store_url, STORE_TIMEOUT_S)
+    listener = LinkListener(
+        settings.link_address,
+        runtime.state.identity.name,
+        runtime,
+        lambda: runtime.revision,
+    )
+    async with anyio.create_task_group() as group:
+        runtime.start(group, store, listener)
+        await group.start(listener.run)
+        runtime.state.identity = runtime.state.identity._replace(
+            address=listener.address,
+        )
+        group.start_soon(runtime.tick)
+        await group.start(
+            serve_http,
+            create_api(runtime, settings.stop_timeout_s),
+            settings,
+        )
+        group.start_soon(
+            watch_signals,
+            lambda: runtime.drain(settings.stop_timeout_s),
+        )
+        await runtime.stopped.wait()
+        await anyio.sleep(LINGER_S)
+        group.cancel_scope.cancel()
+    await store.close()
+    runtime.tracer.close()
+
+
+def _create_runtime(settings: EntrySettings) -> EntryRuntime:
+    incarnation = secrets.token_hex(_INCARNATION_BYTES)
+    name = f'{settings.entry}#{incarnation}'
+    state = EntryState(
+        EntryIdentity(
+            name,
+            settings.link_address,
+            settings.zone,
+            settings.retention_s,
+            settings.balancer_delay_s,
+        ),
+        random.Random(f'{settings.seed}/{name}'),
+    )
+    tracer = Tracer(
+        settings.trace_file,
+        settings.trace_ratio,
+        {
+            'service.name': 'savoryrudder-entry',
+            'service.instance.id': name,
+            'zone': settings.zone,
+        },
+    )
+    return EntryRuntime(state, Counters(), tracer)
--- /dev/null
+++ b/src/savoryrudder/daemon/http.py
@@ -0,0 +1,68 @@
+"""Serve HTTP on the address of a daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+from typing import cast
+
+import anyio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+    from starlette.applications import Starlette
+
+
+class HttpSettings(Protocol):
+    """Name the settings of the HTTP server."""
+
+    @property
+    def http_address(self) -> str:
+        """Return the `ip:port` to listen at."""
+
+    @property
+    def tls_certificate(self) -> str:
+        """Return the path of the certificate; empty without TLS."""
+
+    @property
+    def tls_key(self) -> str:
+        """Return the path of the private key; empty without TLS."""
+
+
+async def serve_http(
+    app: Starlette,
+    settings: HttpSettings,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until cancelled; reports the bound address."""
+    config = Config()
+    config.bind = [settings.http_address]
+    config.accesslog = None
+    config.errorlog = None
+    # Callers keep connections open; a graceful stop answers them first.
+    config.graceful_timeout = 1
+    config.keep_alive_timeout = 60
+    if settings.tls_certificate:
+        config.certfile = settings.tls_certificate
+        config.keyfile = settings.tls_key
+    async with anyio.create_task_group() as group:
+        bound = await group.start(_serve, app, config)
+        task_status.started(str(bound[0]))
+
+
+async def _serve(
+    app: Starlette,
+    config: Config,
+    *,
+    task_status: TaskStatus[list[str]],
+) -> None:
+    await serve(
+        cast('Any', app),
+        config,
+        shutdown_trigger=anyio.sleep_forever,
+        task_status=cast('Any', task_status),
+    )
--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -12,12 +12,12 @@
 
 if TYPE_CHECKING:
     from savoryrudder.entry.events import DrainRequested
+    from savoryrudder.entry.state import EntryState
     from savoryrudder.entry.turn import Turn
 
 
-def is_ready(turn: Turn) -> bool:
+def is_ready(state: EntryState) -> bool:
     """Tell whether the balancer should send callers here."""
-    state = turn.state
     return state.drain_started is None and state.policy is not None
 
 
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -22,7 +22,9 @@
 
 LEASE_TTL_S: Final = 6
 RENEW_INTERVAL_S: Final = 2
-WATCH_WAIT_S: Final = 30
+# A watch whose connection has gone silent is found out soon enough for a
+# change to be in force everywhere within 12 s.
+WATCH_WAIT_S: Final = 5
 RETRY_S: Final = 0.5
 # An entry that is gone from the store but still linked is about to register
 # again, as after a store outage.
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -8,13 +8,13 @@
 from savoryrudder.entry.routing import reroute_forwards
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PeerRoster
+from savoryrudder.protocol.messages import PeerHello
 from savoryrudder.protocol.messages import Promise
 from savoryrudder.protocol.messages import Roster
 from savoryrudder.protocol.messages import RosterHeld
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
-    from savoryrudder.protocol.messages import PeerHello
 
 PROMISE_VALIDITY_MS: Final = 3000
 PROMISE_INTERVAL_S: Final = 1
@@ -24,6 +24,16 @@
 FORGET_PEER_S: Final = 120
 
 
+def greet(turn: Turn, name: str, session: str) -> None:
+    """Introduce this entry once on each session with another entry."""
+    peer = turn.state.peers[name]
+    if peer.greeted == session:
+        return
+    peer.greeted = session
+    identity = turn.state.identity
+    turn.send(name, PeerHello(identity.name, identity.address))
+
+
 def handle_peer_hello(turn: Turn, session: str, hello: PeerHello) -> None:
     """Start a session with another entry."""
     state = turn.state
@@ -35,6 +45,7 @@
     peer.heard_at = turn.now
     peer.roster_held = 0
     turn.log_change('peer_up', entry=hello.entry)
+    greet(turn, hello.entry, session)
     _send_roster(turn, peer)
     _send_promise(turn, peer)
 
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -45,8 +45,11 @@
 
 
 def _handle_link_up(turn: Turn, event: events.LinkUp) -> None:
-    """Wait for the peer's hello, which tells what it is."""
     turn.count('links_up')
+    # An agent introduces itself; of an entry the name is known already on the
+    # side that dialled.
+    if event.peer in turn.state.peers:
+        peers.greet(turn, event.peer, event.session)
 
 
 def _handle_link_down(turn: Turn, event: events.LinkDown) -> None:
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -140,6 +140,7 @@
     name: str
     address: str
     session: str = ''
+    greeted: str = ''
     heard_at: float = 0
     revision: int = 0
     roster_held: int = 0
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -86,10 +86,9 @@
 
 
 class PeerHello(NamedTuple):
-    """Announce an entry to another entry."""
+    """Announce an entry, by its name and join address, to another entry."""
 
     entry: str
-    incarnation: str
     address: str
 
 
