--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -306,11 +306,15 @@
             address=listener.address,
         )
         group.start_soon(runtime.tick)
-        await group.start(
+        address = await group.start(
             serve_http,
             create_api(runtime, settings.stop_timeout_s),
             settings,
         )
+        log_change(
+            'listening',
+            (('http', address), ('link', listener.address)),
+        )
         group.start_soon(
             watch_signals,
             lambda: runtime.drain(settings.stop_timeout_s),
