Load daemon settings and compare policies

Settings come from a TOML file with environment overrides and report all findings with line or variable. A misspelt variable would silently leave a default in force, so one that no role knows is a finding as well. Dotted keys of more than 16 names are refused before tomllib reads them: a key of 200,000 parts took several GB and the process was killed.

--- /dev/null
+++ b/src/savoryrudder/policy/diff.py
@@ -0,0 +1,53 @@
+"""Compare two policies."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+from typing import NamedTuple
+
+from savoryrudder.policy.findings import KeyPath
+from savoryrudder.policy.findings import dotted
+from savoryrudder.policy.model import Policy
+
+
+class Change(NamedTuple):
+    """Report a key whose value differs; None stands for an absent key."""
+
+    key: str
+    old: Any
+    new: Any
+
+    def __str__(self) -> str:
+        """Return one line that starts with +, - or ~."""
+        if self.old is None:
+            return f'+ {self.key} = {self.new!r}'
+        if self.new is None:
+            return f'- {self.key} = {self.old!r}'
+        return f'~ {self.key}: {self.old!r} -> {self.new!r}'
+
+
+def compare(old: Policy, new: Policy) -> tuple[Change, ...]:
+    """Return the changed keys, sorted.
+
+    Defaults are compared as values: writing a default out is no change.
+    """
+    before = dict(_flatten(old, ()))
+    after = dict(_flatten(new, ()))
+    return tuple(
+        Change(dotted(path), before.get(path), after.get(path))
+        for path in sorted({*before, *after})
+        if before.get(path) != after.get(path)
+    )
+
+
+def _flatten(value: Any, path: KeyPath) -> Iterator[tuple[KeyPath, Any]]:
+    if hasattr(value, '_asdict'):
+        value = value._asdict()
+    if not isinstance(value, dict):
+        yield path, value
+        return
+    for key, inner in value.items():
+        # A table repeats its own name; the key already tells it.
+        if key != 'name' or inner != path[-1]:
+            yield from _flatten(inner, (*path, key))
--- a/src/savoryrudder/policy/text.py
+++ b/src/savoryrudder/policy/text.py
@@ -16,6 +16,7 @@
 from tree_sitter import Language
 from tree_sitter import Node
 from tree_sitter import Parser
+from tree_sitter import Point
 
 from savoryrudder.policy.findings import Finding
 from savoryrudder.policy.findings import KeyPath
@@ -23,6 +24,12 @@
 
 MAX_TEXT_BYTES: Final = 1_000_000
 
+# tomllib's memory grows with the square of a key's parts: one key of 200,000
+# parts took several GB. Strings and comments are matched as well, because they
+# cannot be told apart before the text is parsed.
+_LONG_KEY: Final = re.compile(
+    r'(?<![\w-])(?:(?:[\w-]+|"[^"\n]*"|\'[^\'\n]*\')[ \t]*\.[ \t]*){16}',
+)
 _START: Final = Position(1, 1)
 _LANGUAGE: Final = Language(tree_sitter_toml.language())
 _KEY_TYPES: Final = frozenset(('bare_key', 'quoted_key', 'dotted_key'))
@@ -48,14 +55,23 @@
     def locate(self, path: KeyPath) -> Position:
         """Return the position of a key path or its nearest known parent."""
         for length in range(len(path), 0, -1):
-            position = self._positions.get(path[:length])
-            if position is not None:
-                return position
+            place = self._places.get(path[:length])
+            if place is not None:
+                return self._to_position(place)
         return _START
 
     @cached_property
-    def _positions(self) -> dict[KeyPath, Position]:
-        return _PositionReader(self._text).read()
+    def _places(self) -> dict[KeyPath, Point]:
+        return _PlaceReader(self._text).read()
+
+    @cached_property
+    def _lines(self) -> list[bytes]:
+        return self._text.encode().split(b'\n')
+
+    def _to_position(self, place: Point) -> Position:
+        # The syntax tree counts columns in bytes.
+        before = self._lines[place.row][: place.column].decode()
+        return Position(place.row + 1, len(before) + 1)
 
 
 def parse_text(text: str) -> Result[Document, tuple[Finding, ...]]:
@@ -70,6 +86,12 @@
             _START,
             f'the text has {size} bytes, at most {MAX_TEXT_BYTES} are allowed',
         )
+    long_key = _LONG_KEY.search(text)
+    if long_key is not None:
+        return _refused(
+            _position_at(text, long_key.start()),
+            'more than 16 names joined by dots',
+        )
     try:
         values = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
@@ -108,24 +130,22 @@
     return Position(before.count('\n') + 1, column)
 
 
-class _PositionReader:
-    """Map the key paths of a syntax tree to positions."""
+class _PlaceReader:
+    """Map the key paths of a syntax tree to rows and byte columns."""
 
     def __init__(self, text: str) -> None:
         """Parse the text, which tomllib has accepted."""
-        source = text.encode()
-        self._lines = source.split(b'\n')
-        self._root = Parser(_LANGUAGE).parse(source).root_node
-        self._positions: dict[KeyPath, Position] = {}
+        self._root = Parser(_LANGUAGE).parse(text.encode()).root_node
+        self._places: dict[KeyPath, Point] = {}
 
-    def read(self) -> dict[KeyPath, Position]:
-        """Return the first position of each key path."""
+    def read(self) -> dict[KeyPath, Point]:
+        """Return the first place of each key path."""
         pending = [_Table(self._root, ())]
         while pending:
             table = pending.pop()
             # The order of the text decides the index of an array element.
             pending.extend(reversed(self._read_children(table)))
-        return self._positions
+        return self._places
 
     def _read_children(self, table: _Table) -> list[_Table]:
         if table.node.type == 'array':
@@ -159,7 +179,7 @@
         inner: list[_Table] = []
         for index, element in enumerate(elements):
             path = (*array.path, index)
-            self._note(path, element)
+            self._places.setdefault(path, element.start_point)
             inner.append(_Table(element, path))
         return inner
 
@@ -173,18 +193,15 @@
         path = prefix
         for part in _key_parts(key):
             path = (*path, part)
-            self._note(path, key)
+            self._places.setdefault(path, key.start_point)
         return path
 
-    def _note(self, path: KeyPath, node: Node) -> None:
-        row, column = node.start_point
-        before = self._lines[row][:column].decode(errors='replace')
-        self._positions.setdefault(path, Position(row + 1, len(before) + 1))
-
 
 def _key_parts(key: Node) -> list[str]:
+    source = (key.text or b'').decode()
+    if key.type == 'bare_key':
+        return [source]
     # tomllib itself resolves quotes, escapes and dots of a key.
-    source = (key.text or b'').decode(errors='replace')
     try:
         level: Any = tomllib.loads(f'{source} = 0')
     except ValueError:
--- /dev/null
+++ b/src/savoryrudder/settings/addresses.py
@@ -0,0 +1,90 @@
+"""Check the addresses and URLs of the settings."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Annotated
+from typing import Final
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator
+
+_MAX_PORT: Final = 65_535
+
+
+class Endpoint(NamedTuple):
+    """Hold an IP address without brackets and a port."""
+
+    host: str
+    port: int
+
+
+def split_address(address: str) -> Endpoint:
+    """Return the parts of "ip:port" or "[ipv6]:port".
+
+    Raises ValueError when the address or the port is malformed.
+    """
+    host, _, port = address.rpartition(':')
+    plain = host.removeprefix('[').removesuffix(']')
+    try:
+        ipaddress.ip_address(plain)
+    except ValueError:
+        raise ValueError('must be "ip:port"') from None
+    return Endpoint(plain, _to_port(port, 0))
+
+
+def split_ports(ports: str) -> range:
+    """Return the ports of "low-high", both included.
+
+    Raises ValueError when a port is malformed or the range is empty.
+    """
+    low_text, _, high_text = ports.partition('-')
+    low = _to_port(low_text, 1)
+    high = _to_port(high_text, 1)
+    if low > high:
+        raise ValueError('must be "low-high" with low <= high')
+    return range(low, high + 1)
+
+
+def _to_port(text: str, lowest: int) -> int:
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError('must have a numeric port')
+    # Long digit strings are cut off, because int() refuses very long ones.
+    port = int(text[:6])
+    if lowest <= port <= _MAX_PORT:
+        return port
+    raise ValueError(f'must have a port from {lowest} to {_MAX_PORT}')
+
+
+def _check_listen_address(address: str) -> str:
+    split_address(address)
+    return address
+
+
+def _check_dial_address(address: str) -> str:
+    if split_address(address).port == 0:
+        raise ValueError('must have a port from 1 to 65535')
+    return address
+
+
+def _check_ports(ports: str) -> str:
+    split_ports(ports)
+    return ports
+
+
+def _check_url(url: str) -> str:
+    try:
+        parts = urlsplit(url)
+    except ValueError:
+        raise ValueError('must be a URL') from None
+    if parts.scheme not in {'http', 'https'} or not parts.hostname:
+        raise ValueError('must be a URL that starts with http:// or https://')
+    return url
+
+
+# Port 0 lets the system choose; only a listener may leave the choice open.
+ListenAddress = Annotated[str, AfterValidator(_check_listen_address)]
+DialAddress = Annotated[str, AfterValidator(_check_dial_address)]
+PortRange = Annotated[str, AfterValidator(_check_ports)]
+Url = Annotated[str, AfterValidator(_check_url)]
--- /dev/null
+++ b/src/savoryrudder/settings/loading.py
@@ -0,0 +1,162 @@
+"""Load the settings of a daemon from a file and the environment."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from savoryrudder.policy.findings import Fault
+from savoryrudder.policy.findings import Finding
+from savoryrudder.policy.findings import ModelT
+from savoryrudder.policy.findings import locate_faults
+from savoryrudder.policy.findings import validate
+from savoryrudder.policy.text import Document
+from savoryrudder.policy.text import parse_text
+from savoryrudder.settings.models import AgentSettings
+from savoryrudder.settings.models import EntrySettings
+
+_PREFIX: Final = 'SAVORYRUDDER_'
+# Both roles and the console may share an environment, so a variable is
+# unknown only if none of them reads it.
+_KNOWN_KEYS: Final = frozenset(
+    (*EntrySettings.model_fields, *AgentSettings.model_fields, 'client'),
+)
+
+
+class _Overrides(NamedTuple):
+    """Hold the values of the environment and the names of surplus keys."""
+
+    values: dict[str, Any]
+    unknown: list[str]
+
+
+def load_entry_settings(
+    path: str,
+    environment: Mapping[str, str],
+) -> Result[EntrySettings, tuple[Finding, ...]]:
+    """Return the settings of an entry, or every finding.
+
+    A variable `SAVORYRUDDER_<KEY>` replaces the key of the file; its findings
+    carry the variable's name and line 1. Lists are separated by commas.
+    """
+    return _load(EntrySettings, path, environment)
+
+
+def load_agent_settings(
+    path: str,
+    environment: Mapping[str, str],
+) -> Result[AgentSettings, tuple[Finding, ...]]:
+    """Return the settings of an agent, as `load_entry_settings` does."""
+    return _load(AgentSettings, path, environment)
+
+
+def read_file(path: str) -> Result[str, tuple[Finding, ...]]:
+    """Return the text of a UTF-8 file, or one finding."""
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        return Error((Finding(1, 1, '', f'cannot read: {error.strerror}'),))
+    try:
+        return Ok(raw.decode())
+    except UnicodeDecodeError as fault:
+        line = raw.count(b'\n', 0, fault.start) + 1
+        return Error((Finding(line, 1, '', 'the text is not valid UTF-8'),))
+
+
+def _load(
+    model: type[ModelT],
+    path: str,
+    environment: Mapping[str, str],
+) -> Result[ModelT, tuple[Finding, ...]]:
+    parsed = read_file(path).bind(parse_text)
+    if parsed.is_error():
+        return Error(parsed.error)
+    document = parsed.ok
+    overrides = _read_overrides(model, environment)
+    merged = {**document.values, **overrides.values}
+    settings, faults = validate(model, merged)
+    faults.extend(_tls_faults(model, merged))
+    findings = (
+        *_in_environment(faults, overrides),
+        *_in_file(faults, overrides, document),
+    )
+    if settings is None or findings:
+        return Error(findings)
+    return Ok(settings)
+
+
+def _read_overrides(
+    model: type[ModelT],
+    environment: Mapping[str, str],
+) -> _Overrides:
+    values: dict[str, Any] = {}
+    unknown: list[str] = []
+    for variable, raw in environment.items():
+        if not variable.startswith(_PREFIX):
+            continue
+        key = variable.removeprefix(_PREFIX).lower()
+        field = model.model_fields.get(key)
+        if field is not None:
+            values[key] = _convert(field.annotation, raw)
+        elif key not in _KNOWN_KEYS:
+            unknown.append(key)
+    return _Overrides(values, unknown)
+
+
+def _convert(annotation: Any, raw: str) -> Any:
+    """Return the value a TOML file would hold; keep what does not convert."""
+    if getattr(annotation, '__origin__', None) is list:
+        return [part.strip() for part in raw.split(',') if part.strip()]
+    for number in (int, float):
+        if annotation in {number, number | None}:
+            return _to_number(number, raw)
+    return raw
+
+
+def _to_number(number: type[int] | type[float], raw: str) -> float | str:
+    try:
+        return number(raw)
+    except ValueError:
+        return raw
+
+
+def _tls_faults(model: type[ModelT], raw: dict[str, Any]) -> Iterator[Fault]:
+    pair = ('tls_certificate', 'tls_key')
+    present = [key for key in pair if key in raw]
+    if pair[0] in model.model_fields and len(present) == 1:
+        yield Fault(
+            (present[0],),
+            'tls_certificate and tls_key must be given together',
+        )
+
+
+def _in_environment(
+    faults: list[Fault],
+    overrides: _Overrides,
+) -> tuple[Finding, ...]:
+    unknown = [Fault((key,), 'unknown variable') for key in overrides.unknown]
+    findings = [
+        Finding(1, 1, _PREFIX + str(fault.path[0]).upper(), fault.message)
+        for fault in (*faults, *unknown)
+        if fault in unknown or fault.path[0] in overrides.values
+    ]
+    return tuple(sorted(findings))
+
+
+def _in_file(
+    faults: list[Fault],
+    overrides: _Overrides,
+    document: Document,
+) -> tuple[Finding, ...]:
+    return locate_faults(
+        (fault for fault in faults if fault.path[0] not in overrides.values),
+        document.locate,
+    )
--- /dev/null
+++ b/tests/policy/test_diff.py
@@ -0,0 +1,31 @@
+"""Check the difference between two policies."""
+
+from __future__ import annotations
+
+from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.diff import compare
+
+_OLD = """
+[services.pane]
+slots = 1
+operations.cut = { idempotent = false, expected_ms = 400 }
+[clients.shop]
+rate = 10
+burst = 20
+concurrent = 30
+"""
+
+
+def test_changes_name_keys_and_values() -> None:
+    """Guard against defaults that show as changes and lost removals."""
+    new = _OLD.replace('slots = 1\n', '').replace('rate = 10', 'rate = 12')
+    new = new.replace('operations.cut', 'operations.trim')
+    changes = compare(check_text(_OLD).ok, check_text(new).ok)
+    assert [str(change) for change in changes] == [
+        '~ clients.shop.ceiling.rate: 10.0 -> 12.0',
+        '~ clients.shop.terms.rate: 10.0 -> 12.0',
+        '- services.pane.operations.cut.expected_ms = 400',
+        '- services.pane.operations.cut.idempotent = False',
+        '+ services.pane.operations.trim.expected_ms = 400',
+        '+ services.pane.operations.trim.idempotent = False',
+    ]
