--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -35,14 +35,70 @@
 _SESSION_BYTES: Final = 8
 _ANY_PORT: Final = (0,)
 _MS: Final = 1000
-_BACKOFF_FACTOR: Final = 2
+_BACKOFF_FACTOR: Final = 3
+# Bounds the sockets that peers can hold by joining without connecting.
+_MAX_PENDING: Final = 4096
+
+
+class _SessionTable:
+    """Hold the open session of each peer, and those that are not up yet.
+
+    A session replaces an earlier one of its peer when it is up, not when it
+    is asked for: a join request that was delayed must not end a healthy
+    session.
+    """
+
+    def __init__(self, events: LinkEvents) -> None:
+        self._events = events
+        self._pending: dict[str, Session] = {}
+        self._open: dict[str, Session] = {}
+
+    @property
+    def pending_count(self) -> int:
+        """Return how many sessions are not up yet."""
+        return len(self._pending)
+
+    def find(self, peer: str) -> Session | None:
+        """Return the open session of a peer."""
+        return self._open.get(peer)
+
+    def add(self, session: Session) -> None:
+        """Take in a session that is not up yet."""
+        self._pending[session.name.session] = session
+
+    def discard(self, session: Session) -> None:
+        """Forget a session that ended before it was up."""
+        self._pending.pop(session.name.session, None)
+
+    def on_up(self, peer: str, session: str) -> None:
+        """Replace the earlier session of the peer."""
+        earlier = self._open.get(peer)
+        if earlier is not None:
+            earlier.end('replaced by a new session')
+        self._open[peer] = self._pending.pop(session)
+        self._events.on_up(peer, session)
+
+    def on_frame(
+        self,
+        peer: str,
+        session: str,
+        revision: int,
+        messages: tuple[Message, ...],
+    ) -> None:
+        """Pass on the messages."""
+        self._events.on_frame(peer, session, revision, messages)
+
+    def on_down(self, peer: str, session: str, reason: str) -> None:
+        """Forget the session."""
+        self._open.pop(peer, None)
+        self._events.on_down(peer, session, reason)
 
 
 class LinkListener:
     """Accept one session per peer at a join address.
 
-    Each session has a listening socket of its own. A further join of a peer
-    replaces its earlier session.
+    Each session has a listening socket of its own. A later session of a peer
+    replaces its earlier one.
     """
 
     def __init__(
@@ -57,25 +113,24 @@
         """Prepare to listen at `ip:port`; `ports` are for the sessions."""
         self._address = address
         self._identity = identity
-        self._events = events
+        self._table = _SessionTable(events)
         self._revision = revision
         self._timing = timing
         self._ports = ports
-        self._sessions: dict[str, Session] = {}
 
     @property
     def address(self) -> str:
-        """Return the bound join address once `run` has started."""
+        """Return the join address, with the bound port once `run` started."""
         return self._address
 
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; return False if the peer has no open session."""
-        session = self._sessions.get(peer)
+        session = self._table.find(peer)
         return session is not None and session.send(message)
 
     def close(self, peer: str, reason: str) -> None:
         """End the session of a peer, if it has one."""
-        session = self._sessions.get(peer)
+        session = self._table.find(peer)
         if session is not None:
             session.close(reason)
 
@@ -98,70 +153,69 @@
         group: TaskGroup,
     ) -> None:
         raw = await socket.receive()
-        answer = self._answer(raw, group)
+        granted = join.decode_request(raw).bind(self._open_session)
+        if granted.is_ok():
+            session, address = granted.ok
+            group.start_soon(self._serve, session)
+            answer = self._answer(session.name.session, address, '')
+        else:
+            answer = self._answer('', '', granted.error)
         with contextlib.suppress(pynng.NNGException):
             await socket.send(join.encode_join(answer))
 
     def _answer(
         self,
-        raw: bytes,
-        group: TaskGroup,
+        session: str,
+        address: str,
+        refusal: str,
     ) -> join.JoinAnswer:
-        request = join.decode_request(raw)
-        if request.is_error():
-            return self._refuse(request.error)
+        return join.JoinAnswer(
+            PROTOCOL_VERSION,
+            self._identity,
+            session,
+            address,
+            refusal,
+        )
+
+    def _open_session(
+        self,
+        request: join.JoinRequest,
+    ) -> Result[tuple[Session, str], str]:
+        if self._table.pending_count >= _MAX_PENDING:
+            return Error('too many sessions are being opened')
         bound = self._bind()
         if bound.is_error():
-            return self._refuse(bound.error)
+            return Error(bound.error)
         socket, address = bound.ok
-        name = SessionName(request.ok.peer, secrets.token_hex(_SESSION_BYTES))
         session = Session(
             socket,
-            name,
-            self._events,
+            SessionName(request.peer, secrets.token_hex(_SESSION_BYTES)),
+            self._table,
             self._revision,
             self._timing,
         )
-        self._replace(session)
-        group.start_soon(self._serve, session)
-        return join.JoinAnswer(
-            PROTOCOL_VERSION,
-            self._identity,
-            name.session,
-            address,
-            '',
-        )
-
-    def _refuse(self, reason: str) -> join.JoinAnswer:
-        return join.JoinAnswer(
-            PROTOCOL_VERSION,
-            self._identity,
-            '',
-            '',
-            reason,
-        )
+        self._table.add(session)
+        return Ok((session, address))
 
     def _bind(self) -> Result[tuple[PairSocket, str], str]:
         host = self._address.rpartition(':')[0]
         for port in self._ports:
-            socket = PairSocket()
-            try:
-                return Ok((socket, socket.listen(f'{host}:{port}')))
-            except pynng.NNGException:
-                socket.close()
+            with contextlib.suppress(pynng.NNGException):
+                return Ok(_listen_pair(f'{host}:{port}'))
         return Error('no free port for a session')
 
-    def _replace(self, session: Session) -> None:
-        peer = session.name.peer
-        earlier = self._sessions.get(peer)
-        self._sessions[peer] = session
-        if earlier is not None:
-            earlier.end('replaced by a new session')
-
     async def _serve(self, session: Session) -> None:
         await session.run()
-        if self._sessions.get(session.name.peer) is session:
-            self._sessions.pop(session.name.peer)
+        self._table.discard(session)
+
+
+def _listen_pair(address: str) -> tuple[PairSocket, str]:
+    socket = PairSocket()
+    with contextlib.ExitStack() as cleanup:
+        cleanup.callback(socket.close)
+        bound = socket.listen(address)
+        cleanup.pop_all()
+    return socket, bound
 
 
 class LinkDialler:
@@ -209,19 +263,22 @@
 
     async def run(self) -> None:
         """Join and serve sessions until cancelled."""
-        longest_s = self._timing.backoff_min_s
+        pause_s = self._timing.backoff_min_s
         while True:
             was_up = await self._attempt()
             if was_up:
-                longest_s = self._timing.backoff_min_s
-            await anyio.sleep(self._pause_s(longest_s))
-            longest_s = min(
-                longest_s * _BACKOFF_FACTOR,
-                self._timing.backoff_max_s,
-            )
-
-    def _pause_s(self, longest_s: float) -> float:
-        return self._random.uniform(self._timing.backoff_min_s, longest_s)
+                pause_s = self._timing.backoff_min_s
+            pause_s = self._next_pause_s(pause_s)
+            await anyio.sleep(pause_s)
+
+    def _next_pause_s(self, pause_s: float) -> float:
+        # Decorrelated jitter: peers that lost a listener together come back
+        # spread over time.
+        drawn = self._random.uniform(
+            self._timing.backoff_min_s,
+            pause_s * _BACKOFF_FACTOR,
+        )
+        return min(drawn, self._timing.backoff_max_s)
 
     async def _attempt(self) -> bool:
         joined = await self._join()
@@ -229,8 +286,18 @@
             self._fault = joined.error
             return False
         answer = joined.ok
-        socket = PairSocket()
-        socket.dial_once(answer.address)
+        try:
+            socket = _dial_pair(answer.address)
+        except pynng.NNGException as error:
+            self._fault = f'cannot dial {answer.address}: {error}'
+            return False
+        return await self._serve(socket, answer)
+
+    async def _serve(
+        self,
+        socket: PairSocket,
+        answer: join.JoinAnswer,
+    ) -> bool:
         self._session = Session(
             socket,
             SessionName(answer.listener, answer.session),
@@ -260,3 +327,12 @@
         socket.dial(self._join_address, redial_ms=(shortest_ms, longest_ms))
         await socket.send(join.encode_join(self._request))
         return await socket.receive()
+
+
+def _dial_pair(address: str) -> PairSocket:
+    socket = PairSocket()
+    with contextlib.ExitStack() as cleanup:
+        cleanup.callback(socket.close)
+        socket.dial_once(address)
+        cleanup.pop_all()
+    return socket
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -228,6 +228,8 @@
         if not self._is_up:
             self._is_up = True
             self._events.on_up(*self._name)
+        if self._reason:
+            return
         self._events.on_frame(*self._name, frame.revision, frame.messages)
 
     def _fault_of(self, frame: codec.Frame) -> str:
--- a/src/savoryrudder/daemon/upstream.py
+++ b/src/savoryrudder/daemon/upstream.py
@@ -62,6 +62,7 @@
         max_result_bytes: int = _MAX_RESULT_BYTES,
     ) -> None:
         """Prepare to call the upstream at `url`."""
+        self._url = url
         self._max_result_bytes = max_result_bytes
         self._calls: dict[TaskKey, _Call] = {}
         self._client = httpx.AsyncClient(
@@ -75,6 +76,11 @@
             ),
         )
 
+    @property
+    def url(self) -> str:
+        """Return the address of the upstream."""
+        return self._url
+
     async def close(self) -> None:
         """Close all connections."""
         await self._client.aclose()
@@ -94,7 +100,12 @@
         deadline_ms: int,
         trace: str,
     ) -> UpstreamResult:
-        """Run one task within its deadline and report the outcome."""
+        """Run one task within its deadline and report the outcome.
+
+        A task whose call is still running is not sent again.
+        """
+        if task in self._calls:
+            return UpstreamResult('unknown', b'', 'already running')
         submission, position = task
         headers = {
             'accept-encoding': 'identity',
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -156,14 +156,29 @@
         if operation is None:
             return Response(status_code=HTTPStatus.NOT_FOUND)
         order = _parse(await request.body())
-        async with self._free:
-            self._start(request.headers.get('idempotency-key', ''))
-            await anyio.sleep(self._run_ms(order) / _MS)
-            if self.faults.hang:
-                await anyio.sleep_forever()
-            if self.faults.fail_all:
-                return Response(status_code=HTTPStatus.INTERNAL_SERVER_ERROR)
-            return JSONResponse(operation(order))
+        answer: Response = Response(status_code=HTTPStatus.BAD_REQUEST)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_when_gone, request, group.cancel_scope)
+            async with self._free:
+                self._start(request.headers.get('idempotency-key', ''))
+                await self._work(order)
+                answer = self._finish(operation, order)
+            group.cancel_scope.cancel()
+        return answer
+
+    async def _work(self, order: dict[str, Any]) -> None:
+        await anyio.sleep(self._run_ms(order) / _MS)
+        if self.faults.hang:
+            await anyio.sleep_forever()
+
+    def _finish(
+        self,
+        operation: Callable[[dict[str, Any]], dict[str, Any]],
+        order: dict[str, Any],
+    ) -> Response:
+        if self.faults.fail_all:
+            return Response(status_code=HTTPStatus.INTERNAL_SERVER_ERROR)
+        return JSONResponse(operation(order))
 
     def _start(self, key: str) -> None:
         self.starts.append(key)
@@ -190,6 +205,18 @@
     return order if isinstance(order, dict) else {}
 
 
+async def _cancel_when_gone(
+    request: Request,
+    scope: anyio.CancelScope,
+) -> None:
+    # `Request.is_disconnected` never sees the message on trio: it receives in
+    # a cancelled scope, and trio's channels raise before they look.
+    message = await request.receive()
+    while message['type'] != 'http.disconnect':
+        message = await request.receive()
+    scope.cancel()
+
+
 async def serve(
     upstream: StandInUpstream,
     listening: socket.socket,
