--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -78,7 +78,7 @@
   for number in 1 2; do
     listening=$(wait_line "$dir/entry-$number.log" '"listening"')
     links+="\"$(field link <<< "$listening")\", "
-    urls+="http://$(field http <<< "$listening"),"
+    urls+="$(field http <<< "$listening"),"
   done
   for number in 1 2 3; do
     local zone=$3; [ "$number" = 2 ] && zone=$4
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -64,7 +64,13 @@
     retention_s: float
     trace_file: str
     trace_ratio: float
-    seed: int
+    tls_certificate: str | None
+    tls_key: str | None
+    seed: int | None
+    peers: list[str]
+
+    def session_ports(self) -> range | None:
+        """Return the ports for sessions, or None for ephemeral ports."""
 
 
 class PendingResponse:
@@ -200,6 +206,19 @@
         """Begin a planned stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
+    def connect(self, address: str) -> None:
+        """Keep a link to the entry at a join address."""
+        if address in self._diallers:
+            return
+        dialler = LinkDialler(
+            address,
+            JoinRequest(PROTOCOL_VERSION, self.state.identity.name, 'entry'),
+            self,
+            lambda: self.revision,
+        )
+        self._diallers[address] = dialler
+        self._group.start_soon(dialler.run)
+
     async def tick(self) -> None:
         """Send ticks until cancelled."""
         while True:
@@ -228,7 +247,7 @@
             case entry_effects.CallStore():
                 self._group.start_soon(self._call_store, effect)
             case entry_effects.ConnectPeer():
-                self._connect(effect.address)
+                self.connect(effect.address)
             case effects.CloseLink():
                 self._close(effect.peer, effect.reason)
             case effects.Exit():
@@ -256,18 +275,6 @@
         if pending is not None:
             pending.set(response)
 
-    def _connect(self, address: str) -> None:
-        if address in self._diallers:
-            return
-        dialler = LinkDialler(
-            address,
-            JoinRequest(PROTOCOL_VERSION, self.state.identity.name, 'entry'),
-            self,
-            lambda: self.revision,
-        )
-        self._diallers[address] = dialler
-        self._group.start_soon(dialler.run)
-
     async def _call_store(self, effect: entry_effects.CallStore) -> None:
         self.counters.count('store_calls')
         outcome = await self._store.call(effect.operation)
@@ -298,6 +305,7 @@
         runtime.state.identity.name,
         runtime,
         lambda: runtime.revision,
+        ports=settings.session_ports() or (0,),
     )
     async with anyio.create_task_group() as group:
         runtime.start(group, store, listener)
@@ -305,6 +313,9 @@
         runtime.state.identity = runtime.state.identity._replace(
             address=listener.address,
         )
+        # With the store down, peers from the settings have the configuration.
+        for peer in settings.peers:
+            runtime.connect(peer)
         group.start_soon(runtime.tick)
         address = await group.start(
             serve_http,
--- a/src/savoryrudder/daemon/http.py
+++ b/src/savoryrudder/daemon/http.py
@@ -24,12 +24,12 @@
         """Return the `ip:port` to listen at."""
 
     @property
-    def tls_certificate(self) -> str:
-        """Return the path of the certificate; empty without TLS."""
+    def tls_certificate(self) -> str | None:
+        """Return the path of the certificate, None without TLS."""
 
     @property
-    def tls_key(self) -> str:
-        """Return the path of the private key; empty without TLS."""
+    def tls_key(self) -> str | None:
+        """Return the path of the private key, None without TLS."""
 
 
 async def serve_http(
