Hand over answers whose agents are gone

Cause: a new owner asks agents what ran. An agent that was replaced within the retention window cannot answer, so that after a planned hand-over every job with an opaque key of its service was in doubt, and a resubmission of a job that had run there could not be answered. Ruled out: forgetting such agents (a resubmission would start the work again). The former owner now sends those answers itself.

--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -8,7 +8,7 @@
 
 from savoryrudder.entry import reasons
 from savoryrudder.entry import submissions
-from savoryrudder.entry.partitions import lose_partition
+from savoryrudder.entry.partitions import lose_partitions
 from savoryrudder.entry.state import SENT
 from savoryrudder.entry.state import AgentLink
 from savoryrudder.entry.state import FoundRecord
@@ -129,8 +129,7 @@
     if claim is None or claim.session != link.session:
         turn.count('late_records')
         return
-    for partition in message.stale:
-        lose_partition(turn, partition, stale=True)
+    lose_partitions(turn, message.stale, stale=True)
     keys = set()
     for record in message.records:
         keys.add((record.submission, record.task))
--- /dev/null
+++ b/src/savoryrudder/entry/handover.py
@@ -0,0 +1,106 @@
+"""Hand over to a new owner what agents cannot tell it."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from savoryrudder.entry.state import OwnedPartition
+from savoryrudder.entry.state import Submission
+from savoryrudder.entry.state import TaskState
+from savoryrudder.protocol.messages import HandOver
+from savoryrudder.protocol.messages import HeldAnswer
+from savoryrudder.protocol.messages import Job
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.turn import Turn
+
+
+def hand_over(
+    turn: Turn,
+    partition: int,
+    owned: OwnedPartition,
+    submissions: list[Submission],
+) -> None:
+    """Send the new owner the answers that no agent holds any more."""
+    state = turn.state
+    owner = state.owners[partition]
+    peer = state.peers.get(owner.owner)
+    if peer is None or not peer.session or owned.stale:
+        return
+    gone = {key for key, agent in state.roster.items() if agent.gone_ms}
+    # Tasks may still run at agents that could yet return.
+    lost = [
+        agent
+        for (name, incarnation), agent in state.roster.items()
+        if name in state.lost_agents
+        and state.lost_agents[name].incarnation == incarnation
+    ]
+    turn.send(
+        peer.name,
+        HandOver(
+            partition,
+            owner.epoch,
+            owned.blind,
+            (*owned.awaited.values(), *lost),
+            tuple(
+                HeldAnswer(
+                    submission.identifier,
+                    submission.job.digest,
+                    submission.answer,
+                )
+                for submission in submissions
+                if submission.answer is not None and _ran_on(submission, gone)
+            ),
+        ),
+    )
+
+
+def handle_hand_over(turn: Turn, message: HandOver) -> None:
+    """Keep a hand-over and use it as soon as the partition is owned."""
+    turn.state.hand_overs[message.partition] = message
+    apply_hand_over(turn, message.partition)
+
+
+def apply_hand_over(turn: Turn, partition: int) -> None:
+    """Stop waiting for agents whose tasks the former owner accounted for."""
+    state = turn.state
+    owned = state.owned.get(partition)
+    message = state.hand_overs.get(partition)
+    if owned is None or message is None or message.epoch != owned.epoch:
+        return
+    state.hand_overs.pop(partition)
+    unknown = {
+        (agent.agent, agent.incarnation): agent for agent in message.awaited
+    }
+    owned.blind = message.blind
+    owned.awaited = {
+        key: agent for key, agent in owned.awaited.items() if not agent.gone_ms
+    } | unknown
+    for held in message.answers:
+        if held.submission not in state.submissions:
+            _keep_answer(turn, partition, held)
+
+
+def _ran_on(submission: Submission, gone: set[tuple[str, str]]) -> bool:
+    return any(
+        (task.agent, task.incarnation) in gone for task in submission.tasks
+    )
+
+
+def _keep_answer(turn: Turn, partition: int, held: HeldAnswer) -> None:
+    state = turn.state
+    state.submissions[held.submission] = Submission(
+        identifier=held.submission,
+        partition=partition,
+        job=Job('', '', '', '', 0, (), held.digest, ''),
+        deadline=turn.now,
+        tasks=[TaskState(task.outcome) for task in held.answer.tasks],
+        unsettled=0,
+        waiters={},
+        answer=held.answer,
+    )
+    heapq.heappush(
+        state.retention,
+        (turn.now + state.identity.retention_s, held.submission),
+    )
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -11,7 +11,7 @@
 from savoryrudder.entry.configuration import adopt_config
 from savoryrudder.entry.effects import ConnectPeer
 from savoryrudder.entry.partitions import gain_partition
-from savoryrudder.entry.partitions import lose_partition
+from savoryrudder.entry.partitions import lose_partitions
 from savoryrudder.entry.state import PartitionOwner
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
@@ -173,6 +173,11 @@
         return
     state.map_version = version
     state.owners = owners
+    name = state.identity.name
+    lose_partitions(
+        turn,
+        [number for number in state.owned if owners[number].owner != name],
+    )
     gained = [
         partition
         for partition, owner in owners.items()
@@ -227,10 +232,9 @@
     partition: int,
     owner: PartitionOwner,
 ) -> bool:
-    """Gain or lose a partition as the map says; tell whether it was gained."""
+    """Gain a partition if the map says so; tell whether it was gained."""
     owned = turn.state.owned.get(partition)
     if owner.owner != turn.state.identity.name:
-        lose_partition(turn, partition, stale=False)
         return False
     if owned is not None and owned.epoch >= owner.epoch:
         return False
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -8,6 +8,8 @@
 from savoryrudder.entry import answers
 from savoryrudder.entry import reasons
 from savoryrudder.entry import submissions
+from savoryrudder.entry.handover import apply_hand_over
+from savoryrudder.entry.handover import hand_over
 from savoryrudder.entry.routing import PARK_S
 from savoryrudder.entry.state import OwnedPartition
 from savoryrudder.entry.state import ParkedRequest
@@ -15,6 +17,8 @@
 from savoryrudder.entry.state import Waiter
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from savoryrudder.entry.state import PartitionOwner
     from savoryrudder.entry.state import Submission
     from savoryrudder.entry.turn import Turn
@@ -57,30 +61,46 @@
         awaited,
         blind=blind,
     )
+    apply_hand_over(turn, partition)
 
 
-def lose_partition(turn: Turn, partition: int, *, stale: bool) -> None:
-    """Give up a partition and pass its live jobs to the new owner.
+def lose_partitions(
+    turn: Turn,
+    partitions: Iterable[int],
+    *,
+    stale: bool = False,
+) -> None:
+    """Give up partitions and pass their live jobs to the new owners.
 
-    `stale` marks a partition that an agent knows at a higher epoch; it stays
-    listed until the map shows its owner.
+    `stale` marks partitions that an agent knows at a higher epoch; they stay
+    listed until the map shows their owner.
     """
     state = turn.state
-    owned = state.owned.get(partition)
-    if owned is None:
+    lost = {
+        partition: state.owned[partition]
+        for partition in partitions
+        if partition in state.owned
+    }
+    if not lost:
         return
-    if stale:
-        owned.stale = True
-        turn.log_change('partition_stale', partition=str(partition))
-    else:
-        state.owned.pop(partition)
-    mine = [
-        submission
-        for submission in state.submissions.values()
-        if submission.partition == partition
-    ]
-    for submission in mine:
-        _pass_on(turn, submission)
+    mine: dict[int, list[Submission]] = {partition: [] for partition in lost}
+    for submission in state.submissions.values():
+        if submission.partition in lost:
+            mine[submission.partition].append(submission)
+    for partition, owned in lost.items():
+        if stale:
+            owned.stale = True
+        else:
+            state.owned.pop(partition)
+            hand_over(turn, partition, owned, mine[partition])
+        for submission in mine[partition]:
+            _pass_on(turn, submission)
+    turn.log_change(
+        'partitions_lost',
+        count=str(len(lost)),
+        owned=str(len(state.owned)),
+        stale=str(stale),
+    )
 
 
 def _await_agent(
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -15,6 +15,7 @@
 from savoryrudder.entry import dispatching
 from savoryrudder.entry import draining
 from savoryrudder.entry import events
+from savoryrudder.entry import handover
 from savoryrudder.entry import membership
 from savoryrudder.entry import peers
 from savoryrudder.entry import reports
@@ -163,6 +164,10 @@
             )
         ),
         messages.Promise: peers.handle_promise,
+        messages.HandOver: lambda turn, _, message: handover.handle_hand_over(
+            turn,
+            message,
+        ),
         messages.Forward: routing.handle_forward,
         messages.ForwardAnswer: lambda turn, _, message: (
             routing.handle_forward_answer(turn, message.request, message.answer)
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -17,6 +17,7 @@
     from savoryrudder.entry.queueing import ServiceQueue
     from savoryrudder.policy.model import Policy
     from savoryrudder.protocol.messages import Answer
+    from savoryrudder.protocol.messages import HandOver
     from savoryrudder.protocol.messages import Job
     from savoryrudder.protocol.messages import RosterAgent
     from savoryrudder.protocol.messages import TaskKey
@@ -281,6 +282,7 @@
     )
     payload_bytes: int = 0
     queues: dict[str, ServiceQueue] = dataclasses.field(default_factory=dict)
+    hand_overs: dict[int, HandOver] = dataclasses.field(default_factory=dict)
     parked: dict[Waiter, ParkedRequest] = dataclasses.field(
         default_factory=dict,
     )
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -195,10 +195,11 @@
     state = turn.state
     state.submissions.pop(submission.identifier, None)
     state.payload_bytes -= _size_of(submission.job)
-    queue = queue_for(turn, submission.job.service)
     for index, task in enumerate(submission.tasks):
         if task.status == QUEUED:
-            queue.remove(_queued_task(submission, index))
+            queue_for(turn, submission.job.service).remove(
+                _queued_task(submission, index),
+            )
         elif task.status == SENT:
             _forget_outstanding(
                 turn,
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -48,6 +48,7 @@
         22: messages.ForwardAnswer,
         23: messages.FetchConfig,
         24: messages.Config,
+        25: messages.HandOver,
     }
 )
 _NUMBERS: Final = MappingProxyType(
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -243,6 +243,28 @@
     echo_ms: int
 
 
+class HeldAnswer(NamedTuple):
+    """Carry the answer to an ended job that agents could not report."""
+
+    submission: bytes
+    digest: bytes
+    answer: Answer
+
+
+class HandOver(NamedTuple):
+    """Tell a partition's new owner what it cannot learn from agents.
+
+    `awaited` lists the agents whose records the former owner lacks; of all
+    other agents that are gone, `answers` holds what ran there.
+    """
+
+    partition: int
+    epoch: int
+    blind: bool
+    awaited: tuple[RosterAgent, ...]
+    answers: tuple[HeldAnswer, ...]
+
+
 class Forward(NamedTuple):
     """Pass a caller's request to the owner of its partition.
 
@@ -299,6 +321,7 @@
     | Roster
     | RosterHeld
     | Promise
+    | HandOver
     | Forward
     | ForwardAnswer
     | FetchConfig
