Add the operators' console

Commands reach entries over HTTP. Only requests that are safe to repeat go to the next entry: a submission keeps its key, and a configuration write whose answer was lost is read back by its write token. Repeating that write blindly was ruled out: the first write may take effect late and the repetition would look like a lost race.

--- /dev/null
+++ b/src/savoryrudder/console/client.py
@@ -0,0 +1,161 @@
+"""Call the HTTP API of entries."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TypeVar
+
+import httpx
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+_CONNECT_TIMEOUT_S: Final = 2
+_READ_TIMEOUT_S: Final = 5
+# A proxy answers with these when the entry behind it did not.
+_PROXY_FAILURES: Final = frozenset((502, 504))
+
+BodyT = TypeVar('BodyT')
+
+
+class Request(NamedTuple):
+    """Describe a call; `wait_s` is how long the entry may hold the answer."""
+
+    method: str
+    path: str
+    headers: dict[str, str] = {}
+    query: dict[str, str] = {}
+    body: bytes | None = None
+    wait_s: float = 0
+
+
+class Answer(NamedTuple):
+    """Hold an entry's answer; `body` is empty unless it is a JSON object."""
+
+    entry: str
+    status: int
+    body: dict[str, Any]
+    retry_after: str = ''
+
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the entry accepted the request."""
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+
+    def read(self, kind: type[BodyT]) -> Result[BodyT, str]:
+        """Return the body as a structure."""
+        try:
+            return Ok(msgspec.convert(self.body, kind))
+        except msgspec.ValidationError as error:
+            return Error(f'{self.entry}: malformed answer: {error}')
+
+    @property
+    def problem(self) -> str:
+        """Return one line about a refusal."""
+        reason = self.body.get('reason') or f'HTTP status {self.status}'
+        outcome = self.body.get('outcome')
+        detail = self.body.get('detail')
+        parts = [str(reason)]
+        if outcome:
+            parts.append(f' ({outcome})')
+        if detail:
+            parts.append(f': {detail}')
+        return ''.join(parts)
+
+    def describe(self) -> Iterator[str]:
+        """Return the lines that describe the answer to a job."""
+        status = self.body.get('status')
+        yield str(status) if self.succeeded and status else self.problem
+        if self.retry_after:
+            yield f'retry after {self.retry_after} s'
+        for number, task in enumerate(self.body.get('tasks') or ()):
+            yield f'task {number}: {_describe_task(task)}'
+
+
+class EntryClient:
+    """Call one of several entries."""
+
+    def __init__(
+        self,
+        entries: tuple[str, ...],
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Take the base URLs in the order they are tried."""
+        self.entries = entries
+        self._transport = transport
+
+    async def call(self, request: Request) -> Result[Answer, str]:
+        """Try the entries in turn until one answers.
+
+        The same request may reach several entries, so it must be safe to
+        repeat. The error names every entry and why it did not answer.
+        """
+        failures: list[str] = []
+        remaining = deque(self.entries)
+        while remaining:
+            entry = remaining.popleft()
+            answer = await self.call_one(entry, request)
+            if answer.is_ok():
+                return answer
+            failures.append(f'{entry}: {answer.error}')
+        return Error('; '.join(failures))
+
+    async def call_one(
+        self,
+        entry: str,
+        request: Request,
+    ) -> Result[Answer, str]:
+        """Send a request once; after an error it may have taken effect."""
+        timeout = httpx.Timeout(
+            request.wait_s + _READ_TIMEOUT_S,
+            connect=_CONNECT_TIMEOUT_S,
+        )
+        headers = {**request.headers}
+        if request.body is not None:
+            headers['Content-Type'] = 'application/json'
+        try:
+            async with httpx.AsyncClient(
+                transport=self._transport,
+                timeout=timeout,
+                trust_env=False,
+            ) as client:
+                response = await client.request(
+                    request.method,
+                    f'{entry}{request.path}',
+                    headers=headers,
+                    params=request.query or None,
+                    content=request.body,
+                )
+        except httpx.RequestError as error:
+            return Error(str(error) or type(error).__name__)
+        return _read_answer(entry, response)
+
+
+def _describe_task(task: Any) -> str:
+    if not isinstance(task, dict):
+        return json.dumps(task)
+    parts = [str(task.get('outcome', '')), str(task.get('reason') or '')]
+    # A complete task may have the result null.
+    if 'result' in task:
+        parts.append(json.dumps(task.get('result')))
+    return ' '.join(part for part in parts if part)
+
+
+def _read_answer(entry: str, response: httpx.Response) -> Result[Answer, str]:
+    if response.status_code in _PROXY_FAILURES:
+        return Error(f'HTTP status {response.status_code}')
+    try:
+        body = json.loads(response.content or b'{}')
+    except ValueError:
+        return Error(f'HTTP status {response.status_code} without JSON')
+    if isinstance(body, dict):
+        retry_after = response.headers.get('Retry-After', '')
+        return Ok(Answer(entry, response.status_code, body, retry_after))
+    return Error('the answer is not a JSON object')
--- /dev/null
+++ b/src/savoryrudder/console/commands/cancel.py
@@ -0,0 +1,38 @@
+"""Cancel a job."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+from pydantic import Field
+
+from savoryrudder.console.client import Request
+from savoryrudder.console.options import EntryOptions
+from savoryrudder.console.options import Key
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+from savoryrudder.settings.models import Name
+
+
+class CancelOptions(EntryOptions):
+    """Hold the arguments of the command."""
+
+    key: Key = Field(description='the idempotency key of the job')
+    client: Name = Field(description='the client that submitted the job')
+
+
+async def cancel(session: Session, options: CancelOptions) -> ExitCode:
+    """Cancel a job; tasks that are not idempotent run to their end."""
+    path = '/v1/jobs/{0}'.format(quote(options.key, safe=''))
+    request = Request('DELETE', path, {'Client': options.client})
+    answer = await session.connect(options.entry).call(request)
+    if answer.is_error():
+        return session.unreachable(answer.error)
+    if options.as_json:
+        session.dump({'key': options.key, 'answer': answer.ok.body})
+    cancelled = answer.ok.body.get('reason') == 'cancelled'
+    if not (answer.ok.succeeded or cancelled):
+        return session.refused(answer.ok)
+    if not options.as_json:
+        session.say(f'key {options.key}', *answer.ok.describe())
+    return ExitCode.done
--- /dev/null
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -0,0 +1,137 @@
+"""Apply a configuration file."""
+
+from __future__ import annotations
+
+import getpass
+from typing import Any
+
+import uuid6
+from pydantic import Field
+
+from savoryrudder.console import configuration
+from savoryrudder.console.options import EntryOptions
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.findings import Finding
+from savoryrudder.settings.loading import read_file
+
+
+class ConfigApplyOptions(EntryOptions):
+    """Hold the arguments of the command."""
+
+    file: str = Field(description='the configuration text')
+    revision: int | None = Field(
+        default=None,
+        description='revision of an earlier diff; the current one by default',
+    )
+    author: str = Field(
+        default='',
+        description='name shown to other operators; the user name by default',
+    )
+
+
+async def config_apply(
+    session: Session, options: ConfigApplyOptions
+) -> ExitCode:
+    """Apply a configuration file by compare-and-swap."""
+    text = read_file(options.file)
+    checked = text.bind(check_text)
+    if checked.is_error():
+        return session.report(options.file, checked.error, options.as_json)
+    client = session.connect(options.entry)
+    fetched = await configuration.fetch_configuration(client)
+    if fetched.is_error():
+        return session.unreachable(fetched.error)
+    report = _Report(session, options.file, fetched.ok, options.as_json)
+    if options.revision not in {None, fetched.ok.revision}:
+        return report.race(_race_before_write(fetched.ok), text.ok)
+    if fetched.ok.text == text.ok:
+        return report.applied(fetched.ok.revision)
+    report.changes(text.ok)
+    change = configuration.NewText(
+        text.ok,
+        fetched.ok.revision,
+        options.author or getpass.getuser(),
+        str(uuid6.uuid7()),
+    )
+    return report.outcome(await configuration.apply_text(client, change))
+
+
+def _race_before_write(
+    current: configuration.Configuration,
+) -> configuration.RaceLost:
+    return configuration.RaceLost(
+        current.revision,
+        current.author,
+        current.text,
+    )
+
+
+class _Report:
+    """Write the outcome of a write against a base configuration."""
+
+    def __init__(
+        self,
+        session: Session,
+        file: str,
+        base: configuration.Configuration,
+        as_json: bool,
+    ) -> None:
+        self._session = session
+        self._file = file
+        self._base = base
+        self._as_json = as_json
+
+    def outcome(self, outcome: configuration.ApplyOutcome) -> ExitCode:
+        if isinstance(outcome, configuration.Applied):
+            return self.applied(outcome.revision)
+        if isinstance(outcome, configuration.RaceLost):
+            return self.race(outcome, self._base.text)
+        if isinstance(outcome, configuration.FindingsReported):
+            findings = [
+                Finding(row.line, row.column, row.key, row.message)
+                for row in outcome.findings
+            ]
+            return self._session.report(self._file, findings, self._as_json)
+        if isinstance(outcome, configuration.Refused):
+            self._write({'outcome': 'refused', 'detail': outcome.detail})
+            return ExitCode.refused
+        self._write({'outcome': 'unknown', 'detail': outcome.detail})
+        self._session.warn(
+            'the text may be in force or not; see "savoryrudder config show"',
+        )
+        return ExitCode.unreachable
+
+    def changes(self, text: str) -> None:
+        lines = configuration.describe_difference(self._base.text, text)
+        if not self._as_json:
+            self._session.say(*(lines or ['no changed values']))
+
+    def applied(self, revision: int) -> ExitCode:
+        self._write({'outcome': 'applied', 'revision': revision})
+        return ExitCode.done
+
+    def race(self, lost: configuration.RaceLost, before: str) -> ExitCode:
+        """Write the other operator's revision, author and changes."""
+        self._write(
+            {
+                'outcome': 'race-lost',
+                'revision': lost.revision,
+                'author': lost.author,
+            },
+        )
+        if not lost.certain:
+            self._session.warn('the text may have been in force before')
+        lines = configuration.describe_difference(before, lost.text)
+        if not self._as_json:
+            self._session.say('changed by the other operator:', *lines)
+        return ExitCode.race_lost
+
+    def _write(self, fields: dict[str, Any]) -> None:
+        if self._as_json:
+            self._session.dump(fields)
+        else:
+            self._session.say(
+                ', '.join(f'{key} {item}' for key, item in fields.items()),
+            )
--- /dev/null
+++ b/src/savoryrudder/console/commands/config_check.py
@@ -0,0 +1,31 @@
+"""Check a configuration file."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from savoryrudder.console.options import Options
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+from savoryrudder.policy.checks import check_text
+from savoryrudder.settings.loading import read_file
+
+
+class ConfigCheckOptions(Options):
+    """Hold the arguments of the command."""
+
+    file: str = Field(description='the configuration text')
+
+
+async def config_check(
+    session: Session, options: ConfigCheckOptions
+) -> ExitCode:
+    """Check a configuration file without an entry."""
+    checked = read_file(options.file).bind(check_text)
+    if checked.is_error():
+        return session.report(options.file, checked.error, options.as_json)
+    if options.as_json:
+        session.dump({'file': options.file, 'findings': []})
+    else:
+        session.say(f'{options.file}: no findings')
+    return ExitCode.done
--- /dev/null
+++ b/src/savoryrudder/console/commands/config_diff.py
@@ -0,0 +1,38 @@
+"""Compare a configuration file with the configuration in force."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from savoryrudder.console.configuration import describe_difference
+from savoryrudder.console.configuration import fetch_configuration
+from savoryrudder.console.options import EntryOptions
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+from savoryrudder.policy.checks import check_text
+from savoryrudder.settings.loading import read_file
+
+
+class ConfigDiffOptions(EntryOptions):
+    """Hold the arguments of the command."""
+
+    file: str = Field(description='the configuration text')
+
+
+async def config_diff(session: Session, options: ConfigDiffOptions) -> ExitCode:
+    """Show what applying a configuration file would change."""
+    text = read_file(options.file)
+    checked = text.bind(check_text)
+    if checked.is_error():
+        return session.report(options.file, checked.error, options.as_json)
+    fetched = await fetch_configuration(session.connect(options.entry))
+    if fetched.is_error():
+        return session.unreachable(fetched.error)
+    current = fetched.ok
+    lines = describe_difference(current.text, text.ok)
+    if options.as_json:
+        session.dump({'revision': current.revision, 'changes': lines})
+        return ExitCode.done
+    session.say(f'against revision {current.revision} by {current.author}:')
+    session.say(*(lines or ('no changes',)))
+    return ExitCode.done
--- /dev/null
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -0,0 +1,62 @@
+"""Wait until a revision is in force everywhere."""
+
+from __future__ import annotations
+
+import anyio
+from pydantic import Field
+
+from savoryrudder.console.client import EntryClient
+from savoryrudder.console.fleet import FleetRevisions
+from savoryrudder.console.fleet import read_fleet
+from savoryrudder.console.options import EntryOptions
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+
+_POLL_S = 0.5
+
+
+class ConfigWaitOptions(EntryOptions):
+    """Hold the arguments of the command."""
+
+    revision: int = Field(description='the lowest revision to wait for')
+    timeout: float = Field(
+        default=30,
+        ge=0,
+        description='the time to wait in seconds',
+    )
+
+
+async def config_wait(session: Session, options: ConfigWaitOptions) -> ExitCode:
+    """Wait until all live entries and agents report a revision."""
+    client = session.connect(options.entry)
+    fleet = await _poll(client, options.revision, options.timeout)
+    if fleet is None:
+        return session.unreachable('no status within the timeout')
+    behind = fleet.behind(options.revision)
+    if options.as_json:
+        session.dump({'revision': options.revision, 'behind': behind})
+    elif behind:
+        session.say(
+            *(
+                f'{name}: revision {held}, not {options.revision}'
+                for name, held in behind.items()
+            ),
+        )
+    else:
+        session.say(f'revision {options.revision} is in force everywhere')
+    return ExitCode.pending if behind else ExitCode.done
+
+
+async def _poll(
+    client: EntryClient,
+    revision: int,
+    timeout: float,
+) -> FleetRevisions | None:
+    end = anyio.current_time() + timeout
+    fleet = await read_fleet(client)
+    while fleet is None or fleet.behind(revision):
+        if anyio.current_time() >= end:
+            break
+        await anyio.sleep(_POLL_S)
+        fleet = await read_fleet(client)
+    return fleet
--- /dev/null
+++ b/src/savoryrudder/console/commands/drain.py
@@ -0,0 +1,45 @@
+"""Drain an agent or an entry."""
+
+from __future__ import annotations
+
+import msgspec
+from pydantic import Field
+
+from savoryrudder.console.client import Request
+from savoryrudder.console.options import EntryOptions
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+from savoryrudder.console.session import UsageError
+
+
+class DrainOptions(EntryOptions):
+    """Hold the arguments of the command."""
+
+    agent: str = Field(default='', description='the agent to drain')
+    itself: bool = Field(
+        default=False,
+        description='drain the entry named by --entry',
+    )
+
+
+async def drain(session: Session, options: DrainOptions) -> ExitCode:
+    """Let an agent, or the entry itself, finish its work and stop."""
+    client = session.connect(options.entry)
+    if bool(options.agent) == options.itself:
+        raise UsageError('give either --agent or --itself')
+    if options.itself and len(client.entries) > 1:
+        # The next entry in turn would drain, though it was not meant.
+        raise UsageError('--itself needs exactly one entry')
+    body = {'agent': options.agent} if options.agent else {}
+    answer = await client.call(
+        Request('POST', '/v1/drain', body=msgspec.json.encode(body)),
+    )
+    if answer.is_error():
+        return session.unreachable(answer.error)
+    if not answer.ok.succeeded:
+        return session.refused(answer.ok)
+    if options.as_json:
+        session.dump(answer.ok.body)
+    else:
+        session.say(f'draining {options.agent or answer.ok.entry}')
+    return ExitCode.done
--- /dev/null
+++ b/src/savoryrudder/console/commands/submit.py
@@ -0,0 +1,116 @@
+"""Submit a job."""
+
+from __future__ import annotations
+
+import sys
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uuid6
+from pydantic import Field
+
+from savoryrudder.console.client import Answer
+from savoryrudder.console.client import Request
+from savoryrudder.console.options import EntryOptions
+from savoryrudder.console.options import Key
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+from savoryrudder.console.session import UsageError
+from savoryrudder.settings.models import Name
+
+
+class _Task(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold one task of the file; the payload keeps its bytes."""
+
+    operation: str
+    payload: msgspec.Raw
+
+
+class SubmitOptions(EntryOptions):
+    """Hold the arguments of the command."""
+
+    client: Name = Field(description='the client that submits')
+    service: str = Field(description='the service that runs the tasks')
+    tasks: str = Field(
+        description='JSON list of {"operation", "payload"}: a file or "-"',
+    )
+    urgency: str = Field(
+        default='normal',
+        description='critical, urgent, normal or background',
+    )
+    deadline_ms: int | None = Field(
+        default=None,
+        description='the time until the answer is useless',
+    )
+    wait: float = Field(
+        default=10,
+        ge=0,
+        description='the time to wait for the answer in seconds',
+    )
+    key: Key = Field(
+        default='',
+        description='the idempotency key; a new UUIDv7 by default',
+    )
+
+
+async def submit(session: Session, options: SubmitOptions) -> ExitCode:
+    """Submit a job and wait for its answer.
+
+    When an entry does not answer, the next one gets the same key, so that no
+    task starts twice.
+    """
+    body: dict[str, Any] = {
+        'service': options.service,
+        'urgency': options.urgency,
+        'tasks': _read_tasks(options.tasks),
+    }
+    if options.deadline_ms is not None:
+        body['deadline_ms'] = options.deadline_ms
+    key = options.key or str(uuid6.uuid7())
+    request = Request(
+        'POST',
+        '/v1/jobs',
+        {'Idempotency-Key': key, 'Client': options.client},
+        {'wait': f'{options.wait:g}'},
+        msgspec.json.encode(body),
+        options.wait,
+    )
+    answer = await session.connect(options.entry).call(request)
+    if answer.is_error():
+        session.warn(
+            f'the job may have been accepted; submit it again with --key {key}',
+        )
+        return session.unreachable(answer.error)
+    if options.as_json:
+        session.dump({'key': key, 'answer': answer.ok.body})
+    else:
+        session.say(f'key {key}', *answer.ok.describe())
+    return _exit_code(answer.ok)
+
+
+def _read_tasks(file: str) -> list[_Task]:
+    try:
+        raw = _read_bytes(file)
+    except OSError as error:
+        raise UsageError(f'{file}: cannot read: {error.strerror}') from None
+    try:
+        return msgspec.json.decode(raw, type=list[_Task])
+    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise UsageError(f'{file}: {fault}') from None
+
+
+def _read_bytes(file: str) -> bytes:
+    if file == '-':
+        return sys.stdin.buffer.read()
+    return Path(file).read_bytes()
+
+
+def _exit_code(answer: Answer) -> ExitCode:
+    status = answer.body.get('status')
+    if answer.status == HTTPStatus.ACCEPTED or status == 'running':
+        return ExitCode.pending
+    if answer.succeeded and status == 'complete':
+        return ExitCode.done
+    return ExitCode.refused
--- /dev/null
+++ b/src/savoryrudder/console/commands/traces.py
@@ -0,0 +1,45 @@
+"""Show a trace from span files."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from savoryrudder.console.options import Options
+from savoryrudder.console.session import ExitCode
+from savoryrudder.console.session import Session
+from savoryrudder.console.session import UsageError
+from savoryrudder.console.spans import SpanTree
+from savoryrudder.console.spans import read_spans
+
+
+class TracesOptions(Options):
+    """Hold the arguments of the command."""
+
+    files: str = Field(description='span files, separated by commas')
+    trace: str = Field(
+        default='',
+        description='the trace to show, or the start of its identifier',
+    )
+
+
+async def traces(session: Session, options: TracesOptions) -> ExitCode:
+    """Show one trace as a tree, or list the traces of the files."""
+    names = [name.strip() for name in options.files.split(',') if name.strip()]
+    try:
+        spans, faults = read_spans(names)
+    except OSError as error:
+        raise UsageError(f'{error.filename}: {error.strerror}') from None
+    session.warn(*faults)
+    found = sorted({span.trace_id for span in spans})
+    chosen = [name for name in found if name.startswith(options.trace)]
+    if not chosen:
+        session.warn(f'no trace starts with "{options.trace}"')
+        return ExitCode.refused
+    trees = [SpanTree(spans, name) for name in chosen]
+    if options.as_json:
+        session.dump([tree.as_rows() for tree in trees])
+    elif len(trees) == 1:
+        session.say(*trees[0].as_lines())
+    else:
+        session.say(*(tree.summary() for tree in trees))
+    return ExitCode.done
--- a/src/savoryrudder/settings/addresses.py
+++ b/src/savoryrudder/settings/addresses.py
@@ -73,7 +73,8 @@
     return ports
 
 
-def _check_url(url: str) -> str:
+def check_url(url: str) -> str:
+    """Return an HTTP URL; raises ValueError for any other text."""
     try:
         parts = urlsplit(url)
     except ValueError:
@@ -87,4 +88,4 @@
 ListenAddress = Annotated[str, AfterValidator(_check_listen_address)]
 DialAddress = Annotated[str, AfterValidator(_check_dial_address)]
 PortRange = Annotated[str, AfterValidator(_check_ports)]
-Url = Annotated[str, AfterValidator(_check_url)]
+Url = Annotated[str, AfterValidator(check_url)]
--- /dev/null
+++ b/tests/console/conftest.py
@@ -0,0 +1,58 @@
+"""Provide a console whose entries are functions."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Callable
+from typing import Any
+
+import httpx
+import pytest
+from trio.testing import MockClock
+
+from savoryrudder.console.application import run
+from savoryrudder.console.session import Session
+
+Handler = Callable[[httpx.Request], httpx.Response]
+
+
+class Console:
+    """Run commands against a handler; keep what they wrote."""
+
+    def __init__(self) -> None:
+        """Start without any entry that answers."""
+        self.handler: Handler = refuse_connection
+        self.requests: list[httpx.Request] = []
+        self.output = ''
+        self.errors = ''
+
+    def run(self, *arguments: Any) -> int:
+        """Run one command line on a clock that skips waiting."""
+        output = io.StringIO()
+        errors = io.StringIO()
+        session = Session(
+            {'SAVORYRUDDER_ENTRY': 'http://e1:80,http://e2:80'},
+            httpx.MockTransport(self._answer),
+            output,
+            errors,
+        )
+        clock = MockClock(autojump_threshold=0)
+        code = run([str(part) for part in arguments], session, clock=clock)
+        self.output = output.getvalue()
+        self.errors = errors.getvalue()
+        return code
+
+    def _answer(self, request: httpx.Request) -> httpx.Response:
+        self.requests.append(request)
+        return self.handler(request)
+
+
+def refuse_connection(request: httpx.Request) -> httpx.Response:
+    """Fail as an entry that is down."""
+    raise httpx.ConnectError('connection refused', request=request)
+
+
+@pytest.fixture
+def console() -> Console:
+    """Return a console without entries."""
+    return Console()
