Describe configuration, settings and commands for operators

The examples declare no dependency of pane and rounds, because a dependency without an upstream makes an entry refuse its dependents.

--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -84,6 +84,7 @@
         self._as_json = as_json
 
     def outcome(self, outcome: configuration.ApplyOutcome) -> ExitCode:
+        """Write how the write ended."""
         if isinstance(outcome, configuration.Applied):
             return self.applied(outcome.revision)
         if isinstance(outcome, configuration.RaceLost):
@@ -104,11 +105,13 @@
         return ExitCode.unreachable
 
     def changes(self, text: str) -> None:
+        """Write what the new text changes."""
         lines = configuration.describe_difference(self._base.text, text)
         if not self._as_json:
             self._session.say(*(lines or ['no changed values']))
 
     def applied(self, revision: int) -> ExitCode:
+        """Write the revision of the text in force."""
         self._write({'outcome': 'applied', 'revision': revision})
         return ExitCode.done
 
--- a/src/savoryrudder/settings/loading.py
+++ b/src/savoryrudder/settings/loading.py
@@ -24,10 +24,10 @@
 from savoryrudder.settings.models import EntrySettings
 
 _PREFIX: Final = 'SAVORYRUDDER_'
-# Both roles and the console may share an environment, so a variable is
-# unknown only if none of them reads it.
+# Both roles may share an environment, so a variable is unknown only if neither
+# reads it.
 _KNOWN_KEYS: Final = frozenset(
-    (*EntrySettings.model_fields, *AgentSettings.model_fields, 'client'),
+    (*EntrySettings.model_fields, *AgentSettings.model_fields),
 )
 
 
--- a/tests/policy/test_checks.py
+++ b/tests/policy/test_checks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 from hypothesis import example
 from hypothesis import given
@@ -10,6 +12,7 @@
 from savoryrudder.policy.checks import check_text
 from savoryrudder.policy.text import MAX_TEXT_BYTES
 
+_EXAMPLES = Path(__file__).parents[2] / 'examples'
 _GOOD = """
 [services.pane]
 depends_on = ['stock']
@@ -132,3 +135,10 @@
     lines = text.count('\n') + 1
     assert all(1 <= finding.line <= lines for finding in findings)
     assert all(finding.column >= 1 for finding in findings)
+
+
+@pytest.mark.parametrize('name', ['kaca-potong.toml', 'cvetna-pot.toml'])
+def test_examples_have_no_findings(name: str) -> None:
+    """Guard against examples that an entry would refuse."""
+    text = (_EXAMPLES / name).read_text(encoding='utf-8')
+    assert check_text(text).is_ok()
