--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -87,14 +87,14 @@
   done
   export SAVORYRUDDER_ENTRY="${urls%,}"
   savoryrudder config check "examples/$1.toml"
-  savoryrudder config apply "examples/$1.toml" --author demo --wait 10
+  savoryrudder config apply "examples/$1.toml" --author demo --wait 10 | tail -2
   wait_ready
   savoryrudder submit --client "$5" --service "$2" --urgency urgent \
     --deadline_ms 10000 --wait 10 --key "demo-$1" --json \
     --tasks "examples/jobs/$2.json" > "$dir/answer.json"
   python - "$dir/answer.json" <<'CHECK'
 import json, sys
-answer = json.load(open(sys.argv[1]))
+answer = json.load(open(sys.argv[1]))['answer']
 assert answer['status'] == 'complete', answer
 assert len(answer['tasks']) == 3, answer
 for task in answer['tasks']:
@@ -116,14 +116,24 @@
     --deadline_ms 20000 --json --tasks "$dir/large.json" |
     python -c "
 import json, sys
-answer = json.load(sys.stdin)
+answer = json.load(sys.stdin)['answer']
 assert answer['status'] == 'complete' and len(answer['tasks']) == 170, answer
 print('   170 tasks complete')"
   savoryrudder status
   stop_all "${agent_pids[@]}"
   stop_all "${entry_pids[@]}"
   stop_all "${stand_in_pids[@]}"
-  savoryrudder traces --files "$dir/*.spans" --last
+  # The trace of the first job.
+  local trace
+  trace=$(grep -h '"receive-job"' "$dir"/entry-*.spans | python -c "
+import json, sys
+print(next(
+    span['trace_id']
+    for span in map(json.loads, sys.stdin)
+    if span['attributes']['tasks'] == 3
+))")
+  savoryrudder traces --trace "$trace" \
+    --files "$(printf '%s,' "$dir"/*.spans)"
 }
 
 wait_ready() {
--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -9,6 +9,8 @@
 from pydantic import Field
 
 from savoryrudder.console import configuration
+from savoryrudder.console.commands.config_wait import ConfigWaitOptions
+from savoryrudder.console.commands.config_wait import wait_for_revision
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
@@ -29,6 +31,11 @@
         default='',
         description='name shown to other operators; the user name by default',
     )
+    wait: float = Field(
+        default=0,
+        ge=0,
+        description='seconds to wait until the text is in force everywhere',
+    )
 
 
 async def config_apply(
@@ -47,7 +54,8 @@
     if options.revision not in {None, fetched.ok.revision}:
         return report.race(_race_before_write(fetched.ok), text.ok)
     if fetched.ok.text == text.ok:
-        return report.applied(fetched.ok.revision)
+        report.applied(fetched.ok.revision)
+        return await _wait(session, options, fetched.ok.revision)
     report.changes(text.ok)
     change = configuration.NewText(
         text.ok,
@@ -55,7 +63,27 @@
         options.author or getpass.getuser(),
         str(uuid6.uuid7()),
     )
-    return report.outcome(await configuration.apply_text(client, change))
+    outcome = await configuration.apply_text(client, change)
+    code = report.outcome(outcome)
+    if not isinstance(outcome, configuration.Applied):
+        return code
+    return await _wait(session, options, outcome.revision)
+
+
+async def _wait(
+    session: Session,
+    options: ConfigApplyOptions,
+    revision: int,
+) -> ExitCode:
+    if not options.wait:
+        return ExitCode.done
+    waiting = ConfigWaitOptions(
+        entry=options.entry,
+        json=options.as_json,
+        revision=revision,
+        timeout=options.wait,
+    )
+    return await wait_for_revision(session, waiting)
 
 
 def _race_before_write(
--- a/src/savoryrudder/console/commands/config_wait.py
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -28,6 +28,14 @@
 
 async def config_wait(session: Session, options: ConfigWaitOptions) -> ExitCode:
     """Wait until all live entries and agents report a revision."""
+    return await wait_for_revision(session, options)
+
+
+async def wait_for_revision(
+    session: Session,
+    options: ConfigWaitOptions,
+) -> ExitCode:
+    """Wait for a revision and name the processes that are behind."""
     client = session.connect(options.entry)
     fleet = await _poll(client, options.revision, options.timeout)
     if fleet is None:
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -310,13 +310,6 @@
     async with anyio.create_task_group() as group:
         runtime.start(group, store, listener)
         await group.start(listener.run)
-        runtime.state.identity = runtime.state.identity._replace(
-            address=listener.address,
-        )
-        # With the store down, peers from the settings have the configuration.
-        for peer in settings.peers:
-            runtime.connect(peer)
-        group.start_soon(runtime.tick)
         address = await group.start(
             serve_http,
             create_api(runtime, settings.stop_timeout_s),
@@ -326,6 +319,14 @@
             'listening',
             (('http', address), ('link', listener.address)),
         )
+        runtime.state.identity = runtime.state.identity._replace(
+            address=listener.address,
+            http=address.rpartition('/')[2],
+        )
+        # With the store down, peers from the settings have the configuration.
+        for peer in settings.peers:
+            runtime.connect(peer)
+        group.start_soon(runtime.tick)
         group.start_soon(
             watch_signals,
             lambda: runtime.drain(settings.stop_timeout_s),
@@ -344,6 +345,7 @@
         EntryIdentity(
             name,
             settings.link_address,
+            settings.http_address,
             settings.zone,
             settings.retention_s,
             settings.balancer_delay_s,
--- a/src/savoryrudder/daemon/telemetry.py
+++ b/src/savoryrudder/daemon/telemetry.py
@@ -146,7 +146,10 @@
 
 
 class SpanLine(NamedTuple):
-    """Hold one exported span; times are nanoseconds since the epoch."""
+    """Hold one exported span; times are nanoseconds since the epoch.
+
+    `resource` names the process that recorded it.
+    """
 
     trace_id: str
     span_id: str
@@ -155,7 +158,7 @@
     start_ns: int
     end_ns: int
     attributes: dict[str, Any]
-    resource: dict[str, Any]
+    resource: str
 
 
 class _FileExporter(SpanExporter):
@@ -273,5 +276,5 @@
         span.start_time or 0,
         span.end_time or 0,
         dict(span.attributes or {}),
-        dict(span.resource.attributes),
+        str(span.resource.attributes.get('service.instance.id', '')),
     )
--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -25,6 +25,7 @@
     if version <= state.revision:
         return
     state.author = document['author']
+    state.token = document['token']
     state.applied_at = document['applied_at']
     _put_in_force(turn, version, document['text'])
 
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -258,6 +258,7 @@
             documents.encode(
                 {
                     'address': state.identity.address,
+                    'http': state.identity.http,
                     'draining': state.drain_started is not None,
                 },
             ),
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -26,6 +26,7 @@
             {
                 'revision': state.revision,
                 'author': state.author,
+                'token': state.token,
                 'applied_at': state.applied_at,
                 'text': state.text,
             },
@@ -70,7 +71,7 @@
         'live_entries': [
             {
                 'entry': name,
-                'address': document['address'],
+                'address': document['http'],
                 'revision': (
                     state.revision
                     if name == state.identity.name
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -31,11 +31,13 @@
     """Identify an entry process.
 
     `name` is unique for each run of an entry: its configured identifier, a
-    hash sign and its incarnation. `address` is its join address.
+    hash sign and its incarnation. `address` is its join address, `http` the
+    address for callers and operators.
     """
 
     name: str
     address: str
+    http: str
     zone: str
     retention_s: float
     balancer_delay_s: float
@@ -183,9 +185,10 @@
 
 
 class EntryDocument(TypedDict):
-    """Hold what an entry registers: its join address and its intent."""
+    """Hold what an entry registers: its addresses and its intent."""
 
     address: str
+    http: str
     draining: bool
 
 
@@ -242,6 +245,7 @@
     revision: int = 0
     text: str = ''
     author: str = ''
+    token: str = ''
     applied_at: str = ''
     store: StoreView = dataclasses.field(default_factory=StoreView)
     calls: dict[int, PendingCall] = dataclasses.field(default_factory=dict)
--- a/src/savoryrudder/settings/loading.py
+++ b/src/savoryrudder/settings/loading.py
@@ -23,7 +23,7 @@
 from savoryrudder.settings.models import AgentSettings
 from savoryrudder.settings.models import EntrySettings
 
-_PREFIX: Final = 'SAVORYRUDDER_'
+_PREFIX: Final = 'SAVORYRUDDERD_'
 # Both roles may share an environment, so a variable is unknown only if neither
 # reads it.
 _KNOWN_KEYS: Final = frozenset(
@@ -44,7 +44,7 @@
 ) -> Result[EntrySettings, tuple[Finding, ...]]:
     """Return the settings of an entry, or every finding.
 
-    A variable `SAVORYRUDDER_<KEY>` replaces the key of the file; its findings
+    A variable `SAVORYRUDDERD_<KEY>` replaces the key of the file; its findings
     carry the variable's name and line 1. Lists are separated by commas.
     """
     return _load(EntrySettings, path, environment)
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -28,11 +28,11 @@
 def test_environment_replaces_the_file(entry_file: Path) -> None:
     """Guard against overrides that stay text, and against lost defaults."""
     environment = {
-        'SAVORYRUDDER_PEERS': '127.0.0.1:1, 127.0.0.1:2',
-        'SAVORYRUDDER_SEED': '7',
-        'SAVORYRUDDER_TRACE_RATIO': '0.5',
-        'SAVORYRUDDER_LINK_PORTS': '7100-7102',
-        'SAVORYRUDDER_SLOTS': '3',
+        'SAVORYRUDDERD_PEERS': '127.0.0.1:1, 127.0.0.1:2',
+        'SAVORYRUDDERD_SEED': '7',
+        'SAVORYRUDDERD_TRACE_RATIO': '0.5',
+        'SAVORYRUDDERD_LINK_PORTS': '7100-7102',
+        'SAVORYRUDDERD_SLOTS': '3',
     }
     settings = load_entry_settings(str(entry_file), environment).ok
     assert settings.peers == ['127.0.0.1:1', '127.0.0.1:2']
@@ -48,15 +48,15 @@
     text = f"{text}tls_key = 'k'\nlink_ports = '9-1'\npeers = ['1.1.1.1:0']"
     entry_file.write_text(text, encoding='utf-8')
     environment = {
-        'SAVORYRUDDER_SEED': 'x',
-        'SAVORYRUDDER_ENTRY': 'http://127.0.0.1:80',
-        'SAVORYRUDDER_SLOTZ': '1',
+        'SAVORYRUDDERD_SEED': 'x',
+        'SAVORYRUDDERD_ENTRY': 'http://127.0.0.1:80',
+        'SAVORYRUDDERD_SLOTZ': '1',
     }
     findings = load_entry_settings(str(entry_file), environment).error
     assert [(finding.line, finding.key) for finding in findings] == [
-        (1, 'SAVORYRUDDER_ENTRY'),
-        (1, 'SAVORYRUDDER_SEED'),
-        (1, 'SAVORYRUDDER_SLOTZ'),
+        (1, 'SAVORYRUDDERD_ENTRY'),
+        (1, 'SAVORYRUDDERD_SEED'),
+        (1, 'SAVORYRUDDERD_SLOTZ'),
         (5, 'link_address'),
         (7, 'tls_key'),
         (8, 'link_ports'),
