--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -157,6 +157,6 @@
 
 run_deployment kaca-potong pane "Shah Alam" Petaling shop-ipoh \
   '"cutting-plan", "sheet-quote", "offcut-check"' sheet-quote
-run_deployment cvetna-pot rounds Zale Vič family-novak \
+run_deployment cvetna-pot rounds Zale Vič family-portal \
   '"wreath-order", "route", "quote"' quote
 echo "demo: all answers were right"
