Test the agent reducer under arbitrary interleavings

A stateful test with two entries, takeover, late and doubled messages checks at-most-once calls, credits and delivery against a separate oracle. A fenced start of a task that has run is no longer answered with Rejected, because that message states that the task never started; the unit test of the fence now covers both cases.

--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -48,17 +48,15 @@
 
 def recall(state: AgentState, now: float) -> dict[str, int]:
     """Open recalls for credits that other entries need more."""
+    needed = 0
     if state.leaving:
         needed = state.granted
-    elif free_credits(state) or state.at_limit:
-        return {}
-    else:
-        needed = sum(
-            max(0, link.demand - link.credits)
-            for link in state.links.values()
-            if link.ready
-        )
-    return _open_recalls(state, now, needed, spare=0)
+    elif not state.at_limit:
+        for link in state.links.values():
+            if link.ready and link.demand > link.credits:
+                needed += link.demand - link.credits
+    # Free credits are granted before, so unmet demand means there are none.
+    return _open_recalls(state, now, needed, spare=0) if needed else {}
 
 
 def spread(state: AgentState, now: float, newcomer: Link) -> dict[str, int]:
@@ -87,7 +85,9 @@
     by largest remainder. Every entry with demand is due at least one slot;
     otherwise a long queue elsewhere starves a short one.
     """
-    total = sum(link.demand for link in state.links.values())
+    total = sum([link.demand for link in state.links.values()])
+    if not total:
+        return None
     capacity = state.identity.slots + state.limits.prefetch
     best: tuple[int, int] | None = None
     neediest = None
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -99,7 +99,7 @@
     @property
     def granted(self) -> int:
         """Return the number of granted and unused credits."""
-        return sum(link.credits for link in self.links.values())
+        return sum([link.credits for link in self.links.values()])
 
     @property
     def at_limit(self) -> bool:
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -45,10 +45,13 @@
         return
     had_credit = link.credits > 0
     link.credits -= had_credit
+    record = state.book.find(key)
     if not _pass_fence(state, turn, entry, message):
-        _decline(turn, entry, key, 'stale-epoch')
+        turn.unbalanced = True
+        # A rejection means "never started", which a record may contradict.
+        if record is None or record.state == UNSTARTED:
+            _decline(turn, entry, key, 'stale-epoch')
         return
-    record = state.book.find(key)
     if record:
         _answer_repeated(turn, entry, record)
         return
--- /dev/null
+++ b/tests/agent/agent_oracle.py
@@ -0,0 +1,168 @@
+"""Track what an agent promised, apart from the agent's own state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savoryrudder.agent.effects import CallUpstream
+from savoryrudder.agent.effects import StopUpstreamCall
+from savoryrudder.protocol import messages
+from savoryrudder.utils import effects
+from savoryrudder.utils.identifiers import partition_of
+
+if TYPE_CHECKING:
+    from agent_driver import Agent
+
+
+class Oracle:
+    """Check every effect against what was promised before."""
+
+    def __init__(self, agent: Agent) -> None:
+        """Start with nothing promised."""
+        self._agent = agent
+        self.seen: dict[int, tuple[int, str]] = {}
+        self.claimed: dict[str, set[int]] = {}
+        # Claims whose records the entry holds, on its present session.
+        self.answered: set[tuple[str, int, int]] = set()
+        self.credits: dict[str, int] = {}
+        self.recalled: set[str] = set()
+        # Starts that an entry knows no end of, on its present session.
+        self.outstanding: set[tuple[str, messages.TaskKey]] = set()
+        self.accepted: set[messages.TaskKey] = set()
+        self.occupying: set[messages.TaskKey] = set()
+        self.running: set[messages.TaskKey] = set()
+        self.called: set[messages.TaskKey] = set()
+        self.barred: set[messages.TaskKey] = set()
+        self.reported: dict[messages.TaskKey, str] = {}
+
+    def open_session(self, entry: str, session: str) -> None:
+        """Open a session in place of any earlier one."""
+        self.end_session(entry)
+        self.credits[entry] = 0
+        self.claimed[entry] = set()
+        self._agent.connect(entry, session)
+        self.observe()
+
+    def end_session(self, entry: str) -> None:
+        """Forget what was promised on a session."""
+        self.credits.pop(entry, None)
+        self.claimed.pop(entry, None)
+        self.recalled.discard(entry)
+        self.outstanding = {
+            pair for pair in self.outstanding if pair[0] != entry
+        }
+        self.answered = {claim for claim in self.answered if claim[0] != entry}
+
+    def deliver(
+        self,
+        entry: str,
+        session: str,
+        message: messages.Message,
+    ) -> None:
+        """Deliver a message and check the agent's answer."""
+        valid = entry in self.credits and session == self._agent.sessions[entry]
+        if valid and isinstance(message, messages.Return):
+            self.credits[entry] -= message.credits
+            self.recalled.discard(entry)
+        self._agent.receive(entry, message, session=session)
+        if not valid:
+            assert not self._agent.emitted(effects.Send)
+        elif isinstance(message, messages.Claim):
+            self._note_claim(entry, message)
+        elif isinstance(message, messages.Start):
+            self._note_start(entry, message)
+        self.observe()
+
+    def finish(self, key: messages.TaskKey, outcome: str) -> None:
+        """End an upstream call and check that the owner hears of it."""
+        first = key in self.running
+        self.running.discard(key)
+        self.occupying.discard(key)
+        if first and outcome == 'not-run':
+            self.accepted.discard(key)
+        self._agent.finish(int.from_bytes(key[0][:4], 'big'), outcome)
+        partition = partition_of(key[0])
+        owner = self.seen[partition][1]
+        kind = messages.Rejected if outcome == 'not-run' else messages.Finished
+        if first and key not in self.reported:
+            present = partition in self.claimed.get(owner, ())
+            assert bool(self._agent.sent(kind, owner)) == present
+        self.observe()
+
+    def observe(self) -> None:
+        """Check and note every effect of the last event."""
+        for effect in self._agent.effects:
+            match effect:
+                case CallUpstream(task=key):
+                    assert key not in self.called | self.barred
+                    self.called.add(key)
+                    self.running.add(key)
+                case StopUpstreamCall(task=key):
+                    assert key in self.running
+                case effects.CloseLink(peer=entry):
+                    self.end_session(entry)
+                case effects.Send(peer=entry, message=message):
+                    self._observe_message(entry, message)
+
+    def _note_claim(self, entry: str, message: messages.Claim) -> None:
+        answer = self._agent.sent(messages.Records)[0]
+        for partition, epoch in message.partitions:
+            stale = epoch < self.seen.get(partition, (0, ''))[0]
+            assert stale == (partition in answer.stale)
+            if not stale:
+                self.seen[partition] = (epoch, entry)
+                self.claimed[entry].add(partition)
+                self.answered.add((entry, partition, epoch))
+        for record in answer.records:
+            assert partition_of(record.submission) not in answer.stale
+            if record.state not in {'waiting', 'running'}:
+                self.reported[(record.submission, record.task)] = entry
+
+    def _note_start(self, entry: str, message: messages.Start) -> None:
+        key = (message.submission, message.task)
+        highest = self.seen.get(message.partition, (0, ''))[0]
+        if message.epoch > highest:
+            self.seen[message.partition] = (message.epoch, entry)
+            self.claimed[entry].add(message.partition)
+        if self._agent.emitted(effects.CloseLink):
+            return
+        if self.credits[entry]:
+            self.credits[entry] -= 1
+        rejected = self._agent.sent(messages.Rejected)
+        if message.epoch < highest or rejected or key in self.accepted:
+            assert not self._agent.emitted(CallUpstream)
+            return
+        self.accepted.add(key)
+        self.occupying.add(key)
+
+    def _observe_message(self, entry: str, message: messages.Message) -> None:
+        match message:
+            case messages.Grant(credits=amount):
+                assert amount > 0
+                self.credits[entry] += amount
+            case messages.Recall():
+                assert entry not in self.recalled
+                self.recalled.add(entry)
+            case messages.Finished(record=record, credits=amount):
+                self.credits[entry] += amount
+                self.reported[(record.submission, record.task)] = entry
+            case messages.Rejected(submission=submission, task=task):
+                key = (submission, task)
+                self._note_unstarted(entry, key, message.reason)
+            case messages.Withdrawn(unstarted=keys):
+                for withdrawn in keys:
+                    self._note_unstarted(entry, withdrawn, 'withdrawn')
+
+    def _note_unstarted(
+        self,
+        entry: str,
+        key: messages.TaskKey,
+        reason: str,
+    ) -> None:
+        assert key not in self.accepted & self.called
+        self.outstanding.discard((entry, key))
+        # A fenced start says nothing about starts by the present owner.
+        if reason != 'stale-epoch':
+            self.barred.add(key)
+            self.accepted.discard(key)
+            self.occupying.discard(key)
--- /dev/null
+++ b/tests/agent/test_agent_properties.py
@@ -0,0 +1,250 @@
+"""Check the agent under arbitrary interleavings of two entries.
+
+The model has a store that hands partitions over, two entries that believe
+what the store and the agent told them, and a second agent that runs tasks
+which this agent provably has not started.
+"""
+
+from __future__ import annotations
+
+from agent_driver import Agent
+from agent_driver import key_of
+from agent_oracle import Oracle
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from savoryrudder.protocol import messages
+from savoryrudder.utils.identifiers import partition_of
+
+SLOTS = 2
+CAPACITY = 3
+NAMES = ('e1', 'e2')
+# Tasks alternate between the partitions 1 and 2.
+NUMBERS = tuple(64 * (each // 2) + each % 2 + 1 for each in range(50))
+PARTITIONS = (1, 2)
+entries = strategies.sampled_from(NAMES)
+# How many tasks ago a task was first named; 0 names a new one.
+ages = strategies.sampled_from((0, 0, 1, 1, 2, 3))
+positions = strategies.integers(0, 3)
+
+
+class AgentMachine(RuleBasedStateMachine):
+    """Drive the reducer and check each effect against the model."""
+
+    def __init__(self) -> None:
+        """Start with one partition for each entry."""
+        super().__init__()
+        self.agent = Agent(slots=SLOTS, prefetch=CAPACITY - SLOTS)
+        self.oracle = Oracle(self.agent)
+        self.owner = {1: (1, 'e1'), 2: (1, 'e2')}
+        # The epoch of each partition that an entry believes to hold, or 0.
+        self.belief = {'e1': {1: 1, 2: 0}, 'e2': {1: 0, 2: 1}}
+        self.late: list[tuple[str, str, messages.Message]] = []
+        self.sessions = 0
+        self.newest = 0
+
+    @initialize(first=entries)
+    def connect_both(self, first: str) -> None:
+        """Open the first sessions."""
+        self.connect(first)
+        self.connect('e2' if first == 'e1' else 'e1')
+
+    def connect(self, entry: str) -> None:
+        """Open a session, or replace the open one, and claim."""
+        self.sessions += 1
+        self.oracle.open_session(entry, f's{self.sessions}')
+        claims = tuple(pair for pair in self.belief[entry].items() if pair[1])
+        self._send(entry, messages.Claim(1, claims))
+
+    @rule(entry=entries, down=strategies.booleans())
+    def interrupt(self, entry: str, down: bool) -> None:
+        """End a session, or replace it."""
+        if down and entry in self.oracle.credits:
+            self.oracle.end_session(entry)
+            self.agent.down(entry)
+            self.oracle.observe()
+        else:
+            self.connect(entry)
+
+    @rule(
+        entry=entries,
+        partition=strategies.sampled_from(PARTITIONS),
+        late=strategies.booleans(),
+    )
+    def take_over(self, entry: str, partition: int, late: bool) -> None:
+        """Swap the owner in the store; the old owner does not notice."""
+        if self.owner[partition][1] == entry:
+            return
+        epoch = self.owner[partition][0] + 1
+        self.owner[partition] = (epoch, entry)
+        self.belief[entry][partition] = epoch
+        self._send(entry, messages.Claim(2, ((partition, epoch),)), late)
+
+    @precondition(lambda machine: any(machine.oracle.credits.values()))
+    @rule(
+        tasks=strategies.lists(ages, min_size=1, max_size=CAPACITY),
+        deadline_ms=strategies.sampled_from((9000, 9000, 400, 0)),
+        idempotent=strategies.booleans(),
+        late=strategies.sampled_from((False, False, True)),
+        copies=strategies.sampled_from((1, 2)),
+    )
+    def start(
+        self,
+        tasks: list[int],
+        deadline_ms: int,
+        idempotent: bool,
+        late: bool,
+        copies: int,
+    ) -> None:
+        """Send starts, at once or late, once or twice."""
+        for age in tasks:
+            key = self._key(age)
+            entry = self._starter(key)
+            if entry is None:
+                continue
+            partition = partition_of(key[0])
+            self.oracle.outstanding.add((entry, key))
+            message = messages.Start(
+                *key,
+                partition,
+                self.belief[entry][partition],
+                'cut',
+                b'',
+                deadline_ms,
+                idempotent,
+                '',
+            )
+            for _ in range(copies):
+                self._send(entry, message, late)
+
+    @rule(entry=entries, age=ages, late=strategies.booleans())
+    def withdraw(self, entry: str, age: int, late: bool) -> None:
+        """Cancel a task that may be unknown, waiting, running or ended."""
+        self._send(entry, messages.Withdraw((self._key(age),)), late)
+
+    @rule(entry=entries, age=ages)
+    def acknowledge(self, entry: str, age: int) -> None:
+        """Acknowledge a task, whether or not it has ended."""
+        self._send(entry, messages.Acknowledge((self._key(age),)))
+
+    @rule(entry=entries, queued=strategies.integers(0, 5))
+    def demand(self, entry: str, queued: int) -> None:
+        """Report queued tasks."""
+        self._send(entry, messages.Demand(queued))
+
+    @precondition(lambda machine: machine.oracle.recalled)
+    @rule(entry=entries, amount=strategies.integers(0, CAPACITY))
+    def give_back(self, entry: str, amount: int) -> None:
+        """Return credits, as an answer to a recall or unasked."""
+        returned = min(amount, self.oracle.credits.get(entry, 0))
+        if entry in self.oracle.credits:
+            self._send(entry, messages.Return(returned))
+
+    @precondition(lambda machine: machine.late)
+    @rule(position=positions, keep=strategies.booleans())
+    def deliver_late(self, position: int, keep: bool) -> None:
+        """Deliver any delayed message, possibly again later."""
+        position = min(position, len(self.late) - 1)
+        late = self.late[position]
+        if not keep:
+            self.late.pop(position)
+        self.oracle.deliver(*late)
+
+    @precondition(lambda machine: machine.oracle.running)
+    @rule(
+        position=strategies.integers(0, SLOTS - 1),
+        outcome=strategies.sampled_from(('complete', 'unknown', 'not-run')),
+        copies=strategies.sampled_from((1, 2)),
+    )
+    def finish(self, position: int, outcome: str, copies: int) -> None:
+        """End a running call; the event may be doubled."""
+        running = sorted(self.oracle.running)
+        for _ in range(copies):
+            self.oracle.finish(running[position % len(running)], outcome)
+
+    @rule(entry=entries, age=ages)
+    def run_elsewhere(self, entry: str, age: int) -> None:
+        """Start a task at another agent if it has provably not started."""
+        key = self._key(age)
+        partition = partition_of(key[0])
+        epoch = self.belief[entry][partition]
+        if self.owner[partition] != (epoch, entry):
+            return
+        if (entry, partition, epoch) not in self.oracle.answered:
+            return
+        known = self.oracle.accepted | self.oracle.called
+        if key not in known and (entry, key) not in self.oracle.outstanding:
+            self.oracle.called.add(key)
+
+    @rule(seconds=strategies.sampled_from((0.1, 0.5, 2)))
+    def pass_time(self, seconds: float) -> None:
+        """Let deadlines pass, but no record expire."""
+        self.agent.wait(seconds)
+        self.oracle.observe()
+
+    @invariant()
+    def credits_fit_the_slots(self) -> None:
+        """Guard against promising more slots than there are."""
+        promised = sum(self.oracle.credits.values())
+        assert promised + len(self.oracle.occupying) <= CAPACITY
+        assert len(self.oracle.running) <= SLOTS
+
+    def teardown(self) -> None:
+        """Guard against an accepted task that its owner never hears of."""
+        while self.oracle.running:
+            self.oracle.finish(min(self.oracle.running), 'complete')
+        self.oracle.reported.clear()
+        for entry in NAMES:
+            self.connect(entry)
+        for key in self.oracle.accepted:
+            owner = self.owner[partition_of(key[0])][1]
+            assert self.oracle.reported[key] == owner
+        self.agent.drain()
+        for each in NAMES:
+            keys = tuple(map(key_of, NUMBERS))
+            self._send(each, messages.Acknowledge(keys))
+            self.give_back(each, CAPACITY)
+        assert self.agent.state.exited
+
+    def _key(self, age: int) -> messages.TaskKey:
+        self.newest += age == 0
+        return key_of(NUMBERS[max(0, self.newest - age) % len(NUMBERS)])
+
+    def _starter(self, key: messages.TaskKey) -> str | None:
+        """Return an entry that may start a task as far as it knows."""
+        partition = partition_of(key[0])
+        known = self.oracle.called - self.oracle.accepted
+        for entry in NAMES:
+            epoch = self.belief[entry][partition]
+            if self.owner[partition] == (epoch, entry) and key in known:
+                continue
+            if epoch and self.oracle.credits.get(entry):
+                return entry
+        return None
+
+    def _send(
+        self,
+        entry: str,
+        message: messages.Message,
+        late: bool = False,
+    ) -> None:
+        if entry not in self.oracle.credits:
+            return
+        delivery = (entry, self.agent.sessions[entry], message)
+        if late:
+            self.late.append(delivery)
+        else:
+            self.oracle.deliver(*delivery)
+
+
+AgentMachine.TestCase.settings = settings(
+    max_examples=300,
+    stateful_step_count=50,
+)
+TestAgentMachine = seed(1)(AgentMachine.TestCase)
--- a/tests/agent/test_agent_tasks.py
+++ b/tests/agent/test_agent_tasks.py
@@ -87,9 +87,13 @@
     agent.receive('e1', messages.Return(1))
     agent.start('e2', 3, epoch=4)
     assert agent.emitted(CallUpstream)
-    agent.start('e1', 3, epoch=3)
+    agent.start('e1', 67, epoch=3)
     assert agent.sent(messages.Rejected, 'e1')
     assert agent.emitted(effects.StateChanged)[0].name == 'start-fenced'
+    agent.up('e1', (3, 3), session='e1-2')
+    agent.start('e1', 3, epoch=3)
+    assert not agent.emitted(CallUpstream)
+    assert not agent.sent(messages.Rejected)
 
 
 def test_two_owners_of_one_epoch_are_not_both_accepted(agent: Agent) -> None:
