Harden links and calls against repeated faults

A message is sized by estimate and encoded once in its frame, which takes less time than encoding each message when it is queued. Idle connections expire after a settable time. A dialler offers its session only once it is up, as the listener does.

--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -242,8 +242,11 @@
 
     @property
     def peer(self) -> str:
-        """Return the peer id at the other end; empty without a session."""
-        return self._session.name.peer if self._session else ''
+        """Return the peer id at the other end; empty while not up."""
+        session = self._session
+        if session is None or not session.was_up:
+            return ''
+        return session.name.peer
 
     @property
     def fault(self) -> str:
@@ -252,14 +255,14 @@
 
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; return False if the peer has no open session."""
-        if self._session is None or self.peer != peer:
-            return False
-        return self._session.send(message)
+        session = self._find(peer)
+        return session is not None and session.send(message)
 
     def close(self, peer: str, reason: str) -> None:
         """End the session with a peer; a new one is dialled."""
-        if self._session is not None and self.peer == peer:
-            self._session.close(reason)
+        session = self._find(peer)
+        if session is not None:
+            session.close(reason)
 
     async def run(self) -> None:
         """Join and serve sessions until cancelled."""
@@ -271,6 +274,12 @@
             pause_s = self._next_pause_s(pause_s)
             await anyio.sleep(pause_s)
 
+    def _find(self, peer: str) -> Session | None:
+        session = self._session
+        if session is None or session.name.peer != peer:
+            return None
+        return session if session.was_up else None
+
     def _next_pause_s(self, pause_s: float) -> float:
         # Decorrelated jitter: peers that lost a listener together come back
         # spread over time.
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-from collections import deque
+from itertools import accumulate
+from itertools import takewhile
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import NamedTuple
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from savoryrudder.daemon.sockets import PairSocket
 
@@ -68,42 +70,43 @@
 
 
 class OutgoingQueue:
-    """Hold encoded messages up to a number of bytes."""
+    """Hold messages up to a number of bytes."""
 
     def __init__(self, limit: int) -> None:
         """Start empty."""
         self._limit = limit
         self._bytes = 0
-        self._messages: deque[codec.EncodedMessage] = deque()
+        self._messages: list[Message] = []
         self._filled = anyio.Event()
 
-    def put(self, message: codec.EncodedMessage) -> bool:
+    def put(self, message: Message, size: int) -> bool:
         """Append a message; return False if the queue is full."""
-        size = len(message.content)
         if self._bytes + size > self._limit:
             return False
+        if not self._messages:
+            self._filled.set()
         self._bytes += size
         self._messages.append(message)
-        self._filled.set()
         return True
 
-    async def take(self, limit: int) -> list[codec.EncodedMessage]:
+    async def take(self, limit: int) -> tuple[Message, ...]:
         """Wait for messages and take up to `limit` bytes, at least one."""
         await self._filled.wait()
-        taken = [self._pop()]
-        size = len(taken[0].content)
-        while self._messages:
-            size += len(self._messages[0].content)
-            if size > limit:
-                return taken
-            taken.append(self._pop())
-        self._filled = anyio.Event()
+        taken = tuple(self._messages)
+        if self._bytes > limit:
+            taken = taken[: _count_within(taken, limit)]
+        self._messages = self._messages[len(taken) :]
+        if self._messages:
+            self._bytes -= sum(map(codec.message_size, taken))
+        else:
+            self._bytes = 0
+            self._filled = anyio.Event()
         return taken
 
-    def _pop(self) -> codec.EncodedMessage:
-        message = self._messages.popleft()
-        self._bytes -= len(message.content)
-        return message
+
+def _count_within(messages: Sequence[Message], limit: int) -> int:
+    totals = accumulate(map(codec.message_size, messages))
+    return max(1, sum(1 for _ in takewhile(limit.__ge__, totals)))
 
 
 class Session:
@@ -156,11 +159,11 @@
         """Queue a message; return False if the session is closed."""
         if self._reason:
             return False
-        encoded = codec.encode_message(message)
-        if len(encoded.content) > _MAX_MESSAGE_BYTES:
+        size = codec.message_size(message)
+        if size > _MAX_MESSAGE_BYTES:
             self.close('message larger than a frame may be')
             return False
-        if not self._queue.put(encoded):
+        if not self._queue.put(message, size):
             self.close('outgoing queue is full')
             return False
         return True
@@ -244,18 +247,23 @@
     async def _write(self) -> None:
         while True:
             batch = await self._queue.take(self._timing.frame_bytes)
-            head = codec.FrameHead(
+            frame = codec.Frame(
                 self._name.session,
                 self._sent,
                 self._revision(),
+                batch,
             )
-            raw = codec.encode_batch(head, batch)
+            raw = codec.encode_frame(frame)
             self._sent += 1
-            try:
-                with anyio.fail_after(self._silence_s):
-                    await self._socket.send(raw)
-            except TimeoutError:
-                self.close('peer does not read')
+            if not self._socket.send_now(raw):
+                await self._send_patiently(raw)
+
+    async def _send_patiently(self, raw: bytes) -> None:
+        try:
+            with anyio.fail_after(self._silence_s):
+                await self._socket.send(raw)
+        except TimeoutError:
+            self.close('peer does not read')
 
     async def _watch_connection(self) -> None:
         await self._socket.wait_removed()
--- a/src/savoryrudder/daemon/sockets.py
+++ b/src/savoryrudder/daemon/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 from typing import Any
 from typing import Final
 from typing import cast
@@ -37,6 +38,14 @@
         self._socket.tcp_nodelay = True
         self._received = 0
 
+    @functools.cached_property
+    def _receivable(self) -> int:
+        return cast('int', self._socket.recv_fd)
+
+    @functools.cached_property
+    def _sendable(self) -> int:
+        return cast('int', self._socket.send_fd)
+
     async def receive(self) -> bytes:
         """Return the next message."""
         self._received += 1
@@ -45,15 +54,20 @@
         while True:
             with contextlib.suppress(pynng.TryAgain):
                 return cast('bytes', self._socket.recv(block=False))
-            await anyio.wait_readable(self._socket.recv_fd)
+            await anyio.wait_readable(self._receivable)
+
+    def send_now(self, content: bytes) -> bool:
+        """Send a message if the socket has room for it."""
+        try:
+            self._socket.send(content, block=False)
+        except pynng.TryAgain:
+            return False
+        return True
 
     async def send(self, content: bytes) -> None:
         """Send a message as soon as the socket has room for it."""
-        while True:
-            with contextlib.suppress(pynng.TryAgain):
-                self._socket.send(content, block=False)
-                return
-            await anyio.wait_readable(self._socket.send_fd)
+        while not self.send_now(content):
+            await anyio.wait_readable(self._sendable)
 
     def dial(self, address: str, *, redial_ms: tuple[int, int]) -> None:
         """Start to dial `ip:port` in the background."""
--- a/src/savoryrudder/daemon/upstream.py
+++ b/src/savoryrudder/daemon/upstream.py
@@ -60,8 +60,12 @@
         url: str,
         connections: int,
         max_result_bytes: int = _MAX_RESULT_BYTES,
+        keepalive_s: float = _KEEPALIVE_S,
     ) -> None:
-        """Prepare to call the upstream at `url`."""
+        """Prepare to call the upstream at `url`.
+
+        A connection idle longer than `keepalive_s` is not used again.
+        """
         self._url = url
         self._max_result_bytes = max_result_bytes
         self._calls: dict[TaskKey, _Call] = {}
@@ -72,7 +76,7 @@
             limits=httpx.Limits(
                 max_connections=connections,
                 max_keepalive_connections=connections,
-                keepalive_expiry=_KEEPALIVE_S,
+                keepalive_expiry=keepalive_s,
             ),
         )
 
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from types import MappingProxyType
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -16,9 +15,6 @@
 
 from savoryrudder.protocol import messages
 
-if TYPE_CHECKING:
-    from collections.abc import Sequence
-
 PROTOCOL_VERSION: Final = 1
 
 # A kind keeps its number for as long as any release speaks this version.
@@ -53,6 +49,8 @@
 _NUMBERS: Final = MappingProxyType(
     {kind: number for number, kind in _KINDS.items()},
 )
+# About the size of a start or result without its payload.
+_FIXED_BYTES: Final = 128
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(list)
 
@@ -66,21 +64,6 @@
     messages: tuple[messages.Message, ...]
 
 
-class FrameHead(NamedTuple):
-    """Hold the fields of a frame that precede its messages."""
-
-    session: str
-    sequence: int
-    revision: int
-
-
-class EncodedMessage(NamedTuple):
-    """Hold the number of a message kind and the message as MessagePack."""
-
-    number: int
-    content: msgspec.Raw
-
-
 class FrameError(NamedTuple):
     """Say why a received frame cannot be used."""
 
@@ -95,15 +78,16 @@
     )
 
 
-def encode_message(message: messages.Message) -> EncodedMessage:
-    """Encode one message for `encode_batch`, so that its size is known."""
-    content = msgspec.Raw(_encoder.encode(message))
-    return EncodedMessage(_NUMBERS[type(message)], content)
-
+def message_size(message: messages.Message) -> int:
+    """Return about how many bytes a message takes in a frame.
 
-def encode_batch(head: FrameHead, batch: Sequence[EncodedMessage]) -> bytes:
-    """Encode a frame of messages that are encoded already."""
-    return _encoder.encode((PROTOCOL_VERSION, *head, batch))
+    The frequent kinds are not encoded for this.
+    """
+    if isinstance(message, messages.Start):
+        return _FIXED_BYTES + len(message.payload) + len(message.trace)
+    if isinstance(message, messages.Finished):
+        return _FIXED_BYTES + len(message.record.result)
+    return len(_encoder.encode(message))
 
 
 def decode_frame(raw: bytes) -> Result[Frame, FrameError]:
--- a/src/savoryrudder/store/http.py
+++ b/src/savoryrudder/store/http.py
@@ -65,8 +65,16 @@
     Watches: `GET /v1/watch` with `prefix`, `after` and `wait`.
     """
 
-    def __init__(self, base_url: str, timeout_s: float) -> None:
-        """Prepare to call the service at `base_url`."""
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float,
+        keepalive_s: float = _KEEPALIVE_S,
+    ) -> None:
+        """Prepare to call the service at `base_url`.
+
+        A connection idle longer than `keepalive_s` is not used again.
+        """
         self._timeout_s = timeout_s
         self._client = httpx.AsyncClient(
             base_url=base_url,
@@ -74,7 +82,7 @@
             trust_env=False,
             limits=httpx.Limits(
                 max_connections=_CONNECTIONS,
-                keepalive_expiry=_KEEPALIVE_S,
+                keepalive_expiry=keepalive_s,
             ),
         )
 
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 from typing import TYPE_CHECKING
 
 import anyio
@@ -21,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from anyio.abc import TaskGroup
+    from anyio.abc import TaskStatus
     from conftest import Recorder
 
     from savoryrudder.daemon.session import LinkTiming
@@ -28,6 +31,7 @@
 pytestmark = pytest.mark.anyio
 REQUEST = join.JoinRequest(codec.PROTOCOL_VERSION, 'a1', 'agent')
 MEGABYTE = 1 << 20
+TURNS_BETWEEN_FAULTS = 20
 
 
 @contextlib.asynccontextmanager
@@ -267,6 +271,94 @@
     assert down.detail == 'connection lost'
 
 
+async def test_a_dialler_finds_a_restarted_listener(
+    timing: LinkTiming,
+    at_entry: Recorder,
+    at_agent: Recorder,
+) -> None:
+    """Guard against agents that stay away after an entry restarts."""
+    first = LinkListener('127.0.0.1:0', 'e1', at_entry, lambda: 3, timing)
+    async with anyio.create_task_group() as group:
+        await group.start(run_until_up, first, at_entry, group, timing)
+        second = LinkListener(
+            first.address,
+            'e1',
+            at_agent,
+            lambda: 3,
+            timing,
+        )
+        group.start_soon(second.run)
+        await at_agent.wait_for('up')
+        assert second.send('a1', messages.Demand(1))
+        group.cancel_scope.cancel()
+    down = at_entry.of_kind('down')
+    assert [one.detail for one in down] == ['process is stopping']
+
+
+async def run_until_up(
+    listener: LinkListener,
+    events: Recorder,
+    outer: TaskGroup,
+    timing: LinkTiming,
+    *,
+    task_status: TaskStatus[None],
+) -> None:
+    """Run a listener until a session is up; the dialler goes on."""
+    async with anyio.create_task_group() as group:
+        address = await group.start(listener.run)
+        dialler = LinkDialler(
+            address,
+            REQUEST,
+            type(events)(),
+            lambda: 2,
+            timing,
+        )
+        outer.start_soon(dialler.run)
+        await events.wait_for('up')
+        group.cancel_scope.cancel()
+    task_status.started()
+
+
+@pytest.mark.parametrize('seed', range(3))
+async def test_sessions_deliver_prefixes_under_repeated_faults(
+    timing: LinkTiming,
+    at_entry: Recorder,
+    at_agent: Recorder,
+    seed: int,
+) -> None:
+    """Guard against gaps, repeats and overlaps when links keep failing."""
+    draw = random.Random(seed)
+    async with (
+        listening(at_entry, timing) as listener,
+        dialling(listener, at_agent, timing) as dialler,
+    ):
+        sent = 0
+        while len(at_entry.of_kind('down')) < 10:
+            sent += dialler.send('e1', messages.Grant(sent))
+            if not draw.randrange(TURNS_BETWEEN_FAULTS):
+                listener.close('a1', 'fault')
+            if not draw.randrange(TURNS_BETWEEN_FAULTS):
+                dialler.close('e1', 'fault')
+            await anyio.sleep(0.001)
+    assert_alternating(at_entry)
+    assert_alternating(at_agent)
+    numbers = [
+        one.detail.credits
+        for one in at_entry.of_kind('message')
+        if isinstance(one.detail, messages.Grant)
+    ]
+    assert numbers == sorted(set(numbers))
+
+
+def assert_alternating(events: Recorder) -> None:
+    """Check that each session ends before the next one begins."""
+    changes = [one for one in events.seen if one.kind != 'message']
+    ups, downs = changes[::2], changes[1::2]
+    assert {one.kind for one in ups} == {'up'}
+    assert {one.kind for one in downs} == {'down'}
+    assert [one.session for one in ups] == [one.session for one in downs]
+
+
 @pytest.mark.parametrize(
     ('request_bytes', 'refusal'),
     [
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -28,6 +28,7 @@
 
 pytestmark = pytest.mark.anyio
 TASK = (b'\xab', 3)
+PAYLOAD: Final = b'{}'
 DEADLINE_MS: Final = 30_000
 SHORT_MS: Final = 200
 HOST: Final = '127.0.0.1'
@@ -52,10 +53,18 @@
     async def handle(self, stream: SocketStream) -> None:
         """Serve one connection."""
         async with stream:
-            self.seen.append(await stream.receive())
+            await self._read_request(stream)
             await stream.send(self._answer)
             if self._reads_again:
-                self.seen.append(await stream.receive())
+                with contextlib.suppress(anyio.EndOfStream):
+                    await self._read_request(stream)
+
+    async def _read_request(self, stream: SocketStream) -> None:
+        # The head and the body may arrive one after the other.
+        request = b''
+        while not request.endswith(PAYLOAD):
+            request += await stream.receive()
+        self.seen.append(request)
 
 
 @contextlib.asynccontextmanager
@@ -81,7 +90,7 @@
     task: TaskKey = TASK,
 ) -> UpstreamResult:
     """Call with a small payload."""
-    return await client.call(task, 'cut', b'{}', deadline_ms, '')
+    return await client.call(task, 'cut', PAYLOAD, deadline_ms, '')
 
 
 async def hold(stream: SocketStream) -> None:
@@ -132,7 +141,7 @@
     """Guard against an upstream that cannot tell tasks apart."""
     upstream = ScriptedUpstream(WHOLE)
     async with client_of(upstream.handle) as client:
-        await client.call(TASK, 'cut', b'{}', DEADLINE_MS, 'trace')
+        await client.call(TASK, 'cut', PAYLOAD, DEADLINE_MS, 'trace')
     request = upstream.seen[0].lower()
     assert request.startswith(b'post /run/cut ')
     assert b'idempotency-key: ab/3\r\n' in request
@@ -198,6 +207,16 @@
     assert not upstream.seen
 
 
+async def test_an_idle_connection_is_not_used_again() -> None:
+    """Guard against requests on connections that went silent while idle."""
+    upstream = ScriptedUpstream(WHOLE, reads_again=True)
+    async with client_of(upstream.handle) as client:
+        fresh = UpstreamClient(client.url, 1, keepalive_s=0)
+        assert (await call(fresh)).outcome == 'complete'
+        assert (await call(fresh)).outcome == 'complete'
+        await fresh.close()
+
+
 async def test_a_result_beyond_the_limit_is_failed() -> None:
     """Guard against results that no frame can carry."""
     upstream = ScriptedUpstream(WHOLE)
