Keep callers' text from breaking metrics and upstream requests

A trace text that no header can hold is left out, operations are quoted in the path, and characters that Prometheus refuses are replaced in names.

--- a/src/savoryrudder/daemon/telemetry.py
+++ b/src/savoryrudder/daemon/telemetry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -43,6 +44,8 @@
 _QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
 _PERCENT: Final = 100
 _NAMESPACE: Final = 'savoryrudder'
+# Prometheus refuses other characters, such as the hyphens of reasons.
+_NOT_IN_METRICS: Final = re.compile('[^a-zA-Z0-9_]')
 _SPAN_QUEUE: Final = 8192
 _SPAN_BATCH: Final = 512
 _SPAN_DELAY_MS: Final = 1000
@@ -86,7 +89,7 @@
     def collect(self) -> Iterator[Metric]:
         """Yield one summary for each latency."""
         for name, latency in self._latencies.items():
-            yield latency.export(f'{_NAMESPACE}_{name}_seconds')
+            yield latency.export(f'{_metric_name(name)}_seconds')
 
 
 class Counters:
@@ -105,7 +108,7 @@
         if counter is None:
             described = name.replace('_', ' ')
             counter = Counter(
-                f'{_NAMESPACE}_{name}',
+                _metric_name(name),
                 described,
                 registry=self._registry,
             )
@@ -262,6 +265,10 @@
         self._span.end()
 
 
+def _metric_name(name: str) -> str:
+    return f'{_NAMESPACE}_{_NOT_IN_METRICS.sub("_", name)}'
+
+
 def _line_of(span: ReadableSpan) -> SpanLine:
     context = span.get_span_context() or trace.INVALID_SPAN_CONTEXT
     parent = span.parent
--- a/src/savoryrudder/daemon/upstream.py
+++ b/src/savoryrudder/daemon/upstream.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import Final
 from typing import NamedTuple
+from urllib.parse import quote
 
 import anyio
 import httpx
@@ -117,7 +118,8 @@
             'idempotency-key': f'{submission.hex()}/{position}',
             'deadline-ms': str(deadline_ms),
         }
-        if trace:
+        # The text comes from callers; httpx raises on what no header can hold.
+        if trace and trace.isascii() and trace.isprintable():
             headers['traceparent'] = trace
         call = _Call(deadline_ms)
         with contextlib.ExitStack() as cleanup:
@@ -134,7 +136,7 @@
     ) -> UpstreamResult:
         request = self._client.build_request(
             'POST',
-            f'/run/{operation}',
+            f'/run/{quote(operation, safe="")}',
             content=payload,
             headers=headers,
             extensions={'trace': call.note},
--- a/tests/daemon/test_telemetry.py
+++ b/tests/daemon/test_telemetry.py
@@ -21,10 +21,12 @@
     """Guard against metrics that a scraper cannot read."""
     counters = telemetry.Counters()
     counters.count('starts', 3)
+    counters.count('refused-key.expired')
     counters.observe('wait', 0.25)
     counters.observe('wait', -1)
     text = counters.export().decode()
     assert 'savoryrudder_starts_total 3.0' in text
+    assert 'savoryrudder_refused_key_expired_total 1.0' in text
     assert 'savoryrudder_wait_seconds{quantile="0.999"} 0.25' in text
     assert 'savoryrudder_wait_seconds_count 2.0' in text
 
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -149,6 +149,17 @@
     assert b'traceparent: trace\r\n' in request
 
 
+@pytest.mark.parametrize('trace', ['é', 'a\r\nx: y'])
+async def test_text_from_callers_cannot_break_the_request(trace: str) -> None:
+    """Guard against an agent that fails on a caller's header."""
+    upstream = ScriptedUpstream(WHOLE)
+    async with client_of(upstream.handle) as client:
+        result = await client.call(TASK, 'a/é?b', PAYLOAD, DEADLINE_MS, trace)
+    assert result.outcome == 'complete'
+    assert upstream.seen[0].startswith(b'POST /run/a%2F%C3%A9%3Fb ')
+    assert b'traceparent' not in upstream.seen[0]
+
+
 async def test_a_connection_lost_when_reused_is_unknown() -> None:
     """Guard against a second start by a retry on a new connection."""
     upstream = ScriptedUpstream(WHOLE, reads_again=True)
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -10,9 +10,11 @@
 
 from savoryrudder.store import interface
 from savoryrudder.store.http import HttpStore
+from stand_ins.store import StandInStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from pathlib import Path
 
 pytestmark = pytest.mark.anyio
 KEY = 'entries/e 1'
@@ -103,6 +105,19 @@
         assert isinstance(outcome, interface.StoreUnavailable)
 
 
+async def test_content_survives_a_restart(tmp_path: Path) -> None:
+    """Guard against a store stand-in that forgets what it confirmed."""
+    path = tmp_path / 'snapshot'
+    before = StandInStore(path).content
+    version = before.put(KEY, 'here', before.grant(5))
+    after = StandInStore(path).content
+    assert after.describe(KEY) == before.describe(KEY)
+    assert after.version == version
+    assert after.leases.keys() == before.leases.keys()
+    # Deletions before the restart are forgotten.
+    assert after.has_changed('', version - 1)
+
+
 async def test_a_refused_connection_is_unavailable() -> None:
     """Guard against errors that escape when nothing listens."""
     client = HttpStore('http://127.0.0.1:1', 1)
