--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -16,6 +16,7 @@
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
 from savoryrudder.store import interface
+from savoryrudder.utils.identifiers import PARTITION_COUNT
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
@@ -202,16 +203,16 @@
         return
     if turn.now >= store.lease_deadline or not state.live:
         return
-    candidates = _candidates(turn)
-    changed = {}
-    for partition, owner in state.owners.items():
-        desired = _preferred(candidates, partition)
-        if desired and _may_assign(turn, owner, desired):
-            changed[partition] = PartitionOwner(
-                desired,
-                owner.epoch + 1,
-                owner.owner,
-            )
+    preferred = _preferences(turn)
+    changed = {
+        partition: PartitionOwner(
+            preferred[partition],
+            owner.epoch + 1,
+            owner.owner,
+        )
+        for partition, owner in state.owners.items()
+        if preferred and _may_assign(turn, owner, preferred[partition])
+    }
     if not changed:
         return
     store.swap_pending = True
@@ -353,7 +354,24 @@
     return absent_since + patience <= turn.now
 
 
-def _preferred(candidates: list[str], partition: int) -> str:
+def _preferences(turn: Turn) -> dict[int, str]:
+    """Return the preferred owner of each partition, kept until they change."""
+    state = turn.state
+    candidates = tuple(_candidates(turn))
+    if candidates != state.candidates:
+        state.candidates = candidates
+        state.preferred = (
+            {
+                partition: _preferred(candidates, partition)
+                for partition in range(PARTITION_COUNT)
+            }
+            if candidates
+            else {}
+        )
+    return state.preferred
+
+
+def _preferred(candidates: tuple[str, ...], partition: int) -> str:
     """Choose the owner by rendezvous hashing."""
     return max(
         candidates,
@@ -361,5 +379,4 @@
             f'{name.partition("#")[0]}/{partition}'.encode(),
             digest_size=8,
         ).digest(),
-        default='',
     )
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -252,6 +252,8 @@
     next_call: int = 1
     next_request: int = 1
     map_version: int = 0
+    candidates: tuple[str, ...] = ()
+    preferred: dict[int, str] = dataclasses.field(default_factory=dict)
     owners: dict[int, PartitionOwner] = dataclasses.field(default_factory=dict)
     owned: dict[int, OwnedPartition] = dataclasses.field(default_factory=dict)
     absent_since: dict[str, float] = dataclasses.field(default_factory=dict)
