Add the measurement of the policy under load

bench/policy.py drives the entry and agent reducers on a virtual clock and compares them with pushed queues, one FIFO queue and an omniscient scheduler.

--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,440 @@
+"""Measure the policy under load against the goals of the design page."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from collections.abc import Iterable
+from itertools import chain
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from typing import TypeAlias
+
+from bench import baselines
+from bench.simulation import Behaviour
+from bench.simulation import Figures
+from bench.simulation import Simulation
+from bench.workload import AGENTS
+from bench.workload import LATENCY_S
+from bench.workload import SLOTS
+from bench.workload import SMALL_JOB
+from bench.workload import BenchJob
+from bench.workload import Stream
+from bench.workload import client_names
+from bench.workload import generate
+from bench.workload import policy_text
+from savoryrudder.entry.placement import Fleet
+from savoryrudder.protocol.messages import Hello
+
+START_S: Final = 5
+END_S: Final = 125
+OVERLOAD_END_S: Final = 35
+SETTLE_S: Final = 40
+# Counted part of an overload, after the queues have filled.
+WINDOW: Final = (START_S + 3, OVERLOAD_END_S)
+SLOW, FAILING = 0, 1
+SETTINGS: Final = ((1, 'pane'), (1, 'rounds'), (2, 'pane'))
+FIRST_STARTS: Final = 20
+PLACEMENTS: Final = 20_000
+ROUNDS: Final = 5
+
+
+class Row(NamedTuple):
+    """Hold one line of the table; without a bound it is information."""
+
+    quantity: str
+    figure: float
+    bound: float | None = None
+    at_least: bool = False
+
+    def __str__(self) -> str:
+        """Format the line."""
+        if self.bound is None:
+            return f'{self.quantity:68}{self.figure:10.4g}'
+        met = self.figure <= self.bound
+        sign = '<='
+        if self.at_least:
+            met = self.figure >= self.bound
+            sign = '>='
+        verdict = 'met' if met else 'MISSED'
+        return (
+            f'{self.quantity:68}{self.figure:10.4g}'
+            f'  {sign} {self.bound:<7.4g}{verdict}'
+        )
+
+
+def quantile(samples: Iterable[float], fraction: float) -> float:
+    """Return a quantile by nearest rank; NaN without samples."""
+    ordered = sorted(samples)
+    if not ordered:
+        return float('nan')
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+def simulate(
+    jobs: list[BenchJob],
+    end: float,
+    **options: Any,
+) -> Figures:
+    """Run jobs through the reducers."""
+    names = tuple(sorted({job.client for job in jobs}))
+    run = Simulation(policy_text(names), **options)
+    run.offer(jobs)
+    return run.run(end + SETTLE_S)
+
+
+def completed(
+    jobs: Iterable[BenchJob],
+    figures: Figures,
+) -> list[tuple[BenchJob, float]]:
+    """Return the completed jobs with their response times."""
+    return [
+        (job, figures.outcomes[job.key].response_s)
+        for job in jobs
+        if job.key in figures.outcomes
+        and figures.outcomes[job.key].answer.status == 'complete'
+    ]
+
+
+def ratios(
+    jobs: Iterable[BenchJob],
+    times: dict[str, float],
+    *,
+    small: bool = True,
+) -> list[float]:
+    """Return response time over ideal of the small or the large jobs."""
+    return [
+        times[job.key] / job.ideal_s
+        for job in jobs
+        if (len(job.tasks) <= SMALL_JOB) == small and job.key in times
+    ]
+
+
+def _times(jobs: list[BenchJob], figures: Figures) -> dict[str, float]:
+    return {job.key: took for job, took in completed(jobs, figures)}
+
+
+def steady() -> list[Row]:
+    """Measure the response time at 80 % load."""
+    jobs = generate(11, Stream(0.8, client_names()), START_S, END_S)
+    others = {
+        name: baselines.run_pushed(jobs, chooser)
+        for name, chooser in baselines.PUSHED.items()
+    }
+    others['one FIFO queue'] = baselines.run_fifo(jobs)
+    others['omniscient'] = baselines.run_omniscient(jobs)
+    return [
+        *chain.from_iterable(
+            _baseline_rows(name, jobs, times) for name, times in others.items()
+        ),
+        *chain.from_iterable(
+            _deployment_rows(jobs, others, *setting) for setting in SETTINGS
+        ),
+    ]
+
+
+def _baseline_rows(
+    name: str,
+    jobs: list[BenchJob],
+    times: dict[str, float],
+) -> list[Row]:
+    small = ratios(jobs, times)
+    large = ratios(jobs, times, small=False)
+    return [
+        Row(f'  {name}, small p50', quantile(small, 0.5)),
+        Row(f'  {name}, small p99', quantile(small, 0.99)),
+        Row(f'  {name}, large p50', quantile(large, 0.5)),
+        Row(f'  {name}, large p99', quantile(large, 0.99)),
+    ]
+
+
+def _deployment_rows(
+    jobs: list[BenchJob],
+    others: dict[str, dict[str, float]],
+    entries: int,
+    deployment: str,
+) -> list[Row]:
+    figures = simulate(
+        jobs,
+        END_S,
+        entries=entries,
+        latency_s=LATENCY_S[deployment],
+    )
+    times = _times(jobs, figures)
+    label = f'{deployment}, {entries} entries'
+    return [
+        *_steady_rows(label, jobs, times, others),
+        *_message_rows(label, figures, len(jobs) - len(times)),
+    ]
+
+
+def _steady_rows(
+    label: str,
+    jobs: list[BenchJob],
+    times: dict[str, float],
+    others: dict[str, dict[str, float]],
+) -> list[Row]:
+    found = ratios(jobs, times)
+    large = ratios(jobs, times, small=False)
+    best = ratios(jobs, others['omniscient'], small=False)
+    random_p99 = quantile(ratios(jobs, others['random']), 0.99)
+    p99 = quantile(found, 0.99)
+    rows = [
+        Row(f'{label}: small jobs p50 / ideal', quantile(found, 0.5), 1.1),
+        Row(f'{label}: small jobs p99 / ideal', p99, 2),
+        Row(f'{label}: small jobs p99 / random p99', p99 / random_p99, 0.5),
+    ]
+    for name, fraction in (('p50', 0.5), ('p99', 0.99)):
+        figure = quantile(large, fraction) / quantile(best, fraction)
+        rows.append(
+            Row(f'{label}: large jobs {name} / omniscient', figure, 1.1)
+        )
+    return rows
+
+
+def _message_rows(label: str, figures: Figures, lost: int) -> list[Row]:
+    frames = sum(figures.frames.values())
+    wasted = figures.counts['wasted_messages']
+    return [
+        Row(f'{label}: wasted / all messages', wasted / frames, 0.02),
+        Row(f'  {label}: jobs not completed', lost),
+        Row(f'  {label}: frames per start', frames / len(figures.starts)),
+    ]
+
+
+def degraded(load: float, label: str) -> list[Row]:
+    """Measure with one slow and one failing executor."""
+    jobs = generate(12, Stream(load, client_names()), START_S, END_S)
+    behaviours = {
+        SLOW: Behaviour(slowness=10),
+        FAILING: Behaviour(failing=True),
+    }
+    figures = simulate(jobs, END_S, behaviours=behaviours)
+    done = _times(jobs, figures)
+    found = ratios(jobs, done)
+    first = [start for start in figures.starts if start[1] == FAILING]
+    later = {start[2] for start in first[FIRST_STARTS:]}
+    return [
+        Row(f'degraded, {label}: small p99', quantile(found, 0.99), 2.5),
+        Row(
+            f'degraded, {label}: jobs affected after 20 starts',
+            len(later) / len(jobs),
+            0.01,
+        ),
+        Row(f'  degraded, {label}: small p50', quantile(found, 0.5)),
+        Row(f'  degraded, {label}: jobs not completed', len(jobs) - len(done)),
+    ]
+
+
+def messages() -> list[Row]:
+    """Measure internal messages per started task."""
+    rows = []
+    for tasks, bound in ((1, 3.0), (170, 0.5)):
+        stream = Stream(0.8, client_names(), tasks=tasks)
+        jobs = generate(13, stream, START_S, START_S + 30)
+        figures = simulate(jobs, START_S + 30)
+        frames = sum(figures.frames.values())
+        figure = frames / len(figures.starts)
+        rows.append(
+            Row(f'messages per start, {tasks}-task jobs', figure, bound)
+        )
+        rows += [
+            Row(f'  frames opened by {kind}, {tasks}-task jobs', count)
+            for kind, count in figures.frames.most_common(6)
+        ]
+    return rows
+
+
+def overload(kind: str) -> list[Row]:
+    """Measure an overload by the least or the most urgent work."""
+    stream = Stream(0.5, client_names(), (0.1, 0.4, 0.5, 0))
+    rest = generate(14, stream, START_S, OVERLOAD_END_S)
+    bands = (0, 0, 0, 1) if kind == 'background' else (1, 0, 0, 0)
+    flood = Stream(10, ('flood',), bands)
+    jobs = sorted(rest + generate(15, flood, START_S, OVERLOAD_END_S))
+    figures = simulate(jobs, OVERLOAD_END_S)
+    rows = _overload_rows(kind, jobs, figures)
+    rows += _refusal_rows(kind, jobs, figures)
+    if kind == 'background':
+        return _rest_rows(kind, rest, figures) + rows
+    urgent = [job for job in rest if job.urgency in {'critical', 'urgent'}]
+    goodput = len(_times(urgent, figures)) / len(urgent)
+    return [
+        Row(f"{kind}: others' urgent goodput", goodput, 0.95, at_least=True),
+        *_share_rows(kind, rest, figures),
+        *rows,
+    ]
+
+
+def _rest_rows(
+    kind: str,
+    rest: list[BenchJob],
+    figures: Figures,
+) -> list[Row]:
+    calm = _times(rest, simulate(rest, OVERLOAD_END_S))
+    done = _times(rest, figures)
+    goodput = len(done) / len(rest)
+    before = quantile(calm.values(), 0.99)
+    p99 = quantile(done.values(), 0.99)
+    return [
+        Row(f'{kind}: goodput of the rest', goodput, 0.98, at_least=True),
+        Row(f'{kind}: p99 of the rest / without', p99 / before, 1.25),
+    ]
+
+
+def _share_rows(
+    kind: str,
+    rest: list[BenchJob],
+    figures: Figures,
+) -> list[Row]:
+    """Compare each band's starts with its share or its lesser demand."""
+    shares = {'urgent': 0.3, 'normal': 0.2}
+    capacity = AGENTS * SLOTS * (WINDOW[1] - WINDOW[0])
+    rows = []
+    for band, share in shares.items():
+        offered = sum(
+            job.work_s
+            for job in rest
+            if job.urgency == band and WINDOW[0] <= job.arrival < WINDOW[1]
+        )
+        started = sum(
+            start[4]
+            for start in figures.starts
+            if start[3] == band and WINDOW[0] <= start[0] < WINDOW[1]
+        )
+        due = min(offered, share * capacity)
+        rows.append(
+            Row(
+                f'{kind}: {band} started / min(demand, share)',
+                started / due,
+                0.95,
+                at_least=True,
+            ),
+        )
+    return rows
+
+
+def _overload_rows(
+    kind: str,
+    jobs: list[BenchJob],
+    figures: Figures,
+) -> list[Row]:
+    done = {job.key for job, took in completed(jobs, figures)}
+    useful: float = 0
+    for at, _, key, _, service_s in figures.starts:
+        if key in done:
+            inside = min(at + service_s, WINDOW[1]) - max(at, WINDOW[0])
+            useful += max(0, inside)
+    capacity = AGENTS * SLOTS * (WINDOW[1] - WINDOW[0])
+    return [
+        Row(
+            f'{kind}: useful work / capacity',
+            useful / capacity,
+            0.95,
+            at_least=True,
+        ),
+        Row(f'{kind}: starts after the deadline', figures.late_starts, 0),
+    ]
+
+
+def _refusal_rows(
+    kind: str,
+    jobs: list[BenchJob],
+    figures: Figures,
+) -> list[Row]:
+    refused = [
+        (job, figures.outcomes[job.key])
+        for job in jobs
+        if job.key in figures.outcomes
+        and figures.outcomes[job.key].answer.status == 'refused'
+    ]
+    started = {start[2] for start in figures.starts}
+    ran = sum(job.key in started for job, _ in refused)
+    virtual = statistics.median(
+        [outcome.response_s for _, outcome in refused] or [float('nan')],
+    )
+    cpu = statistics.median(figures.refusal_cpu_s or [float('nan')])
+    frames = sum(figures.frames.values())
+    wasted = figures.counts['wasted_messages']
+    per_task = 1000 * (virtual + cpu)
+    return [
+        Row(f'{kind}: refusals, median ms with network and CPU', per_task, 5),
+        Row(f'{kind}: refused jobs that ran', ran, 0),
+        Row(
+            f'{kind}: wasted messages per refused call',
+            wasted / max(1, len(refused)),
+            0.05,
+        ),
+        Row(f'  {kind}: refused', len(refused)),
+        Row(f'  {kind}: frames', frames),
+    ]
+
+
+def placement() -> list[Row]:
+    """Measure the cost of a placement by the number of upstreams."""
+    costs = {count: _placement_cost(count) for count in (10, 6300)}
+    rows = [
+        Row(f'  placement cost with {count} upstreams, us', cost * 1e6)
+        for count, cost in costs.items()
+    ]
+    ratio = costs[6300] / costs[10]
+    return [Row('placement cost, 6,300 / 10 upstreams', ratio, 2), *rows]
+
+
+def _placement_cost(count: int) -> float:
+    fleet = Fleet()
+    for number in range(count):
+        name = f'agent{number}'
+        fleet.agent_up(
+            Hello(name, 'i', 'pane', 'zone', SLOTS, 1000, ('plan',), False),
+            0,
+        )
+        fleet.mark_usable(name)
+        fleet.grant(name, SLOTS)
+    target = int(count * SLOTS * 0.8)
+    busy = [fleet.take('pane', 'plan', 0) or '' for _ in range(target)]
+    rng = random.Random(5)
+    return min(_timed_round(fleet, busy, rng) for _ in range(ROUNDS))
+
+
+def _timed_round(fleet: Fleet, busy: list[str], rng: random.Random) -> float:
+    started = time.perf_counter()
+    for turn in range(PLACEMENTS):
+        index = rng.randrange(len(busy))
+        now = turn / 1000
+        fleet.observe(busy[index], 'plan', 'complete', 0.5, now)
+        fleet.grant(busy[index], 1)
+        busy[index] = fleet.take('pane', 'plan', now) or ''
+    return (time.perf_counter() - started) / PLACEMENTS
+
+
+_Scenario: TypeAlias = tuple[str, Callable[[], list[Row]]]
+
+SCENARIOS: Final[tuple[_Scenario, ...]] = (
+    ('80 % load', steady),
+    ('degraded', lambda: degraded(0.8, '80 % of all slots')),
+    ('degraded', lambda: degraded(0.64, '80 % of the healthy slots')),
+    ('messages', messages),
+    ('overload, least urgent', lambda: overload('background')),
+    ('overload, most urgent', lambda: overload('critical')),
+    ('placement', placement),
+)
+
+
+def main() -> None:
+    """Run all scenarios and print the table."""
+    for name, scenario in SCENARIOS:
+        started = time.perf_counter()
+        rows = scenario()
+        took = time.perf_counter() - started
+        sys.stdout.write(f'-- {name} ({took:.0f} s)\n')
+        sys.stdout.writelines(f'{row}\n' for row in rows)
+        sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
