--- a/bench/workload.py
+++ b/bench/workload.py
@@ -13,6 +13,7 @@
 
 SLOTS: Final = 10
 AGENTS: Final = 10
+CAPACITY: Final = AGENTS * SLOTS
 CLIENTS: Final = 12
 # Mean of the service times below in seconds.
 MEAN_SERVICE_S: Final = 0.42
@@ -101,7 +102,7 @@
     stream: Stream,
     start: float,
     end: float,
-    capacity: int = AGENTS * SLOTS,
+    capacity: int = CAPACITY,
 ) -> list[BenchJob]:
     """Return the jobs of a stream with Poisson arrivals."""
     rng = random.Random(seed)
--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -3,16 +3,32 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Final
 from typing import NamedTuple
 
 from savoryrudder.entry import reasons
+from savoryrudder.entry.limits import ClientLimits
+from savoryrudder.policy.model import URGENCY_BANDS
 
 if TYPE_CHECKING:
+    from savoryrudder.entry.limits import ClientAccount
     from savoryrudder.entry.placement import Fleet
     from savoryrudder.entry.queueing import ServiceQueue
     from savoryrudder.policy.model import Policy
+    from savoryrudder.policy.model import Service
     from savoryrudder.protocol.messages import Job
 
+MAX_QUEUED: Final = 100_000
+MIN_RETRY_MS: Final = 1000
+MAX_RETRY_MS: Final = 60_000
+# A service counts as shedding for this long after it refused a job.
+SHEDDING_S: Final = 1
+# Part of the deadline that the expected time may take up. The rest covers
+# more urgent work that arrives later.
+USABLE_DEADLINE: Final = 0.8
+
+_MS: Final = 1000
+
 
 class Refusal(NamedTuple):
     """Say why a job is refused and when to try again (0: never)."""
@@ -22,12 +38,22 @@
     retry_after_ms: int
 
 
+class Surroundings(NamedTuple):
+    """Hold what a decision depends on besides the job."""
+
+    policy: Policy
+    queues: dict[str, ServiceQueue]
+    fleet: Fleet
+    now: float
+
+
 class Admission:
     """Check jobs against the policy, the terms and the expected wait."""
 
     def __init__(self) -> None:
         """Create an admission control without history."""
-        self._running: dict[str, int] = {}
+        self.limits = ClientLimits()
+        self._shed: dict[tuple[str, str], float] = {}
 
     def check(
         self,
@@ -38,27 +64,244 @@
         now: float,
     ) -> Refusal | None:
         """Return the refusal of a job, or None and count its tasks."""
-        service = policy.services.get(job.service)
-        if service is None:
-            return Refusal(
-                reasons.UNKNOWN_SERVICE,
-                f'no service is named {job.service!r}',
-                0,
-            )
-        if job.client not in policy.clients:
-            return Refusal(
+        client = policy.clients.get(job.client)
+        if client is None:
+            return _final(
                 reasons.UNKNOWN_CLIENT,
                 f'no client is named {job.client!r}',
-                0,
             )
-        for task in job.tasks:
-            if task.operation not in service.operations:
+        around = Surroundings(policy, queues, fleet, now)
+        account = self.limits.account(job.client, client.terms, now)
+        refusal = _check_body(job, policy) or _check_needs(job, around)
+        if refusal is not None:
+            account.usage.faulty += 1
+            return refusal
+        refusal = _check_terms(job, account, now)
+        if refusal is not None:
+            account.usage.exceeded += len(job.tasks)
+            return refusal
+        refusal = (
+            _check_upstreams(job, around)
+            or self._check_dependencies(job, around)
+            or self._check_wait(job, around)
+        )
+        if refusal is None:
+            account.bucket.take(len(job.tasks), now)
+            account.usage.accepted += len(job.tasks)
+            account.running += len(job.tasks)
+        return refusal
+
+    def adopt(self, job: Job, policy: Policy | None, now: float) -> None:
+        """Count the tasks of a job that is accepted without a check."""
+        client = policy.clients.get(job.client) if policy else None
+        if client is not None:
+            account = self.limits.account(job.client, client.terms, now)
+            account.running += len(job.tasks)
+
+    def job_ended(self, client: str, tasks: int, now: float) -> None:
+        """Forget the tasks of an ended job."""
+        self.limits.end(client, tasks)
+
+    def _check_dependencies(
+        self,
+        job: Job,
+        around: Surroundings,
+    ) -> Refusal | None:
+        for name in _dependencies(job.service, around.policy):
+            cause = ''
+            if self._is_shedding(name, job.urgency, around.now):
+                cause = 'overloaded'
+            if around.fleet.capacity(name) <= 0:
+                cause = 'no usable upstream'
+            if cause:
                 return Refusal(
-                    reasons.UNKNOWN_OPERATION,
-                    f'{job.service} has no operation {task.operation!r}',
-                    0,
+                    reasons.DEPENDENCY_UNAVAILABLE,
+                    f'{job.service} depends on {name}: {cause}',
+                    MIN_RETRY_MS,
                 )
         return None
 
-    def job_ended(self, client: str, tasks: int, now: float) -> None:
-        """Forget the tasks of an ended job."""
+    def _is_shedding(self, service: str, urgency: str, now: float) -> bool:
+        place = URGENCY_BANDS.index(urgency)
+        return any(
+            self._shed.get((service, band), -SHEDDING_S) + SHEDDING_S > now
+            for band in URGENCY_BANDS[: place + 1]
+        )
+
+    def _check_wait(self, job: Job, around: Surroundings) -> Refusal | None:
+        queue = around.queues.get(job.service)
+        if queue is not None and len(queue) + len(job.tasks) > MAX_QUEUED:
+            self._shed[job.service, job.urgency] = around.now
+            return Refusal(
+                reasons.OVERLOADED,
+                f'{len(queue)} tasks wait for {job.service}',
+                MIN_RETRY_MS,
+            )
+        expected_s = _expected_s(job, around)
+        usable_s = job.deadline_ms / _MS * USABLE_DEADLINE
+        if expected_s <= usable_s:
+            return None
+        self._shed[job.service, job.urgency] = around.now
+        return Refusal(
+            reasons.DEADLINE_UNREACHABLE,
+            f'the job is expected to take {expected_s:.1f} s',
+            _retry_ms(expected_s - usable_s),
+        )
+
+
+def _check_body(job: Job, policy: Policy) -> Refusal | None:
+    service = policy.services.get(job.service)
+    if service is None:
+        return _final(
+            reasons.UNKNOWN_SERVICE,
+            f'no service is named {job.service!r}',
+        )
+    if job.urgency not in URGENCY_BANDS:
+        return _final(
+            reasons.INVALID_REQUEST,
+            f'urgency: no band is named {job.urgency!r}',
+        )
+    if not job.tasks:
+        return _final(reasons.INVALID_REQUEST, 'tasks: the job has none')
+    for index, task in enumerate(job.tasks):
+        if task.operation not in service.operations:
+            return _final(
+                reasons.UNKNOWN_OPERATION,
+                f'tasks[{index}].operation: {job.service} has no operation '
+                f'{task.operation!r}',
+            )
+    return _check_limits(job, policy)
+
+
+def _check_limits(job: Job, policy: Policy) -> Refusal | None:
+    limits = policy.limits
+    payload = sum(len(task.payload) for task in job.tasks)
+    for place, found, limit in (
+        ('tasks', len(job.tasks), limits.max_tasks),
+        ('deadline_ms', job.deadline_ms, limits.max_deadline_ms),
+        ('tasks[*].payload, bytes in total', payload, limits.max_payload_bytes),
+    ):
+        if found > limit:
+            return _final(
+                reasons.TOO_LARGE,
+                f'{place}: {found} is above the limit of {limit}',
+            )
+    return None
+
+
+def _check_needs(job: Job, around: Surroundings) -> Refusal | None:
+    service = around.policy.services[job.service]
+    slots, memory_mb = around.fleet.largest(job.service)
+    if not slots:
+        return None
+    for unit, needed, most in (
+        ('slots', service.slots, slots),
+        ('MB of memory', service.memory_mb, memory_mb),
+    ):
+        if needed > most:
+            return _final(
+                reasons.TOO_LARGE,
+                f'service: a task of {job.service} needs {needed} {unit}, '
+                f'the largest worker announces {most}',
+            )
+    return None
+
+
+def _check_terms(
+    job: Job,
+    account: ClientAccount,
+    now: float,
+) -> Refusal | None:
+    terms = account.terms
+    highest = URGENCY_BANDS.index(terms.highest_urgency)
+    if URGENCY_BANDS.index(job.urgency) < highest:
+        return _final(
+            reasons.URGENCY_NOT_ALLOWED,
+            f'urgency: the terms of {job.client} allow at most '
+            f'{terms.highest_urgency}',
+        )
+    count = len(job.tasks)
+    for limit, name in (
+        (terms.burst, 'burst'),
+        (terms.concurrent, 'concurrent tasks'),
+    ):
+        if count > limit:
+            return _final(
+                reasons.TOO_LARGE,
+                f'tasks: {count} is above the {name} of {limit} in the terms '
+                f'of {job.client}',
+            )
+    if account.running + count > terms.concurrent:
+        return Refusal(
+            reasons.RATE_LIMITED,
+            f'{job.client} has {account.running} of {terms.concurrent} '
+            'concurrent tasks',
+            MIN_RETRY_MS,
+        )
+    wait_s = account.bucket.wait_s(count, now)
+    if wait_s > 0:
+        return Refusal(
+            reasons.RATE_LIMITED,
+            f'{job.client} is above its rate of {terms.rate:g} tasks/s',
+            _retry_ms(wait_s),
+        )
+    return None
+
+
+def _check_upstreams(job: Job, around: Surroundings) -> Refusal | None:
+    if around.fleet.is_linked(job.service):
+        return None
+    return Refusal(
+        reasons.NO_UPSTREAM,
+        f'no upstream of {job.service} is linked',
+        MIN_RETRY_MS,
+    )
+
+
+def _dependencies(service: str, policy: Policy) -> list[str]:
+    """Return what a service depends on, directly or not."""
+    found: list[str] = []
+    opened = [service]
+    while opened:
+        known = policy.services.get(opened.pop())
+        for name in known.depends_on if known else ():
+            if name not in found:
+                found.append(name)
+                opened.append(name)
+    return found
+
+
+def _expected_s(job: Job, around: Surroundings) -> float:
+    """Estimate how long a job takes; 0 when nothing is known of the fleet."""
+    service = around.policy.services[job.service]
+    capacity = around.fleet.capacity(job.service)
+    if not capacity:
+        return 0
+    times = around.fleet.times
+    longest_s = max(_high_s(job, service, around))
+    work = sum(times.mean_s(service, task.operation) for task in job.tasks)
+    queue = around.queues.get(job.service)
+    if queue is None:
+        return work / capacity + longest_s
+    wait_s = queue.wait_s(
+        job.urgency,
+        job.client,
+        work,
+        capacity,
+        around.now,
+    )
+    return wait_s + longest_s
+
+
+def _high_s(job: Job, service: Service, around: Surroundings) -> list[float]:
+    operations = {task.operation for task in job.tasks}
+    times = around.fleet.times
+    return [times.high_s(service, operation) for operation in operations]
+
+
+def _final(reason: str, detail: str) -> Refusal:
+    return Refusal(reason, detail, 0)
+
+
+def _retry_ms(wait_s: float) -> int:
+    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_s * _MS)))
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Final
 
 from savoryrudder.entry import reasons
 from savoryrudder.entry import submissions
@@ -15,16 +16,21 @@
 if TYPE_CHECKING:
     from savoryrudder.entry.queueing import QueuedTask
     from savoryrudder.entry.queueing import ServiceQueue
+    from savoryrudder.entry.state import AgentLink
     from savoryrudder.entry.state import EntryState
     from savoryrudder.entry.state import Submission
     from savoryrudder.entry.turn import Turn
 
+# A queue that grows or shrinks by less leaves the split of credits as it is.
+DEMAND_FACTOR: Final = 2
+DEMAND_INTERVAL_S: Final = 0.5
+
 
 def dispatch(turn: Turn) -> None:
     """Start as many tasks as credits and the ownership allow."""
     state = turn.state
     for service, queue in state.queues.items():
-        if not queue or not state.fleet.has_credit(service):
+        if not queue or not _may_start(turn, service, queue):
             continue
         if not may_act(state, turn.now):
             return
@@ -32,32 +38,62 @@
 
 
 def report_demand(turn: Turn) -> None:
-    """Tell agents how many tasks wait for their service, if it changed."""
+    """Tell agents how many tasks wait for their service, if it matters.
+
+    An agent needs to know only when it has to choose between entries, and
+    then roughly.
+    """
     state = turn.state
+    state.fleet.entries = max(1, len(state.live))
+    if len(state.live) <= 1:
+        return
     for name, link in state.agents.items():
         queue = state.queues.get(link.service)
         queued = len(queue) if queue else 0
-        if queued != link.demand and link.usable:
+        if link.usable and _has_changed(link, queued, turn.now):
             link.demand = queued
+            link.demand_at = turn.now
             turn.send(name, Demand(queued))
 
 
+def _has_changed(link: AgentLink, queued: int, now: float) -> bool:
+    if not link.demand:
+        return queued > 0
+    if link.demand_at + DEMAND_INTERVAL_S > now:
+        return False
+    return (
+        not link.demand
+        < DEMAND_FACTOR * queued
+        < (DEMAND_FACTOR * DEMAND_FACTOR * link.demand)
+    )
+
+
 def _dispatch_service(turn: Turn, service: str, queue: ServiceQueue) -> None:
-    while queue and turn.state.fleet.has_credit(service):
+    while queue and _may_start(turn, service, queue):
+        backlog_s = queue.work
         queued = queue.pop(turn.now)
         if queued is None:
             break
-        _start(turn, service, queued)
+        _start(turn, service, queued, backlog_s)
 
 
-def _start(turn: Turn, service: str, queued: QueuedTask) -> None:
+def _may_start(turn: Turn, service: str, queue: ServiceQueue) -> bool:
+    return turn.state.fleet.has_credit(service, turn.now, queue.work)
+
+
+def _start(
+    turn: Turn,
+    service: str,
+    queued: QueuedTask,
+    backlog_s: float,
+) -> None:
     state = turn.state
     submission = state.submissions.get(queued.submission)
     if submission is None:
         return
     if submission.tasks[queued.task].status != QUEUED:
         return
-    if submission.deadline <= turn.now:
+    if submission.deadline <= turn.now + _least_s(state, service, queued):
         submissions.settle_task(
             turn,
             submission,
@@ -66,13 +102,19 @@
             reasons.DEADLINE_PASSED,
         )
         return
-    agent = state.fleet.take(service, queued.operation, turn.now)
+    agent = state.fleet.take(service, queued.operation, turn.now, backlog_s)
     if agent is None:
         return
     turn.observe('queue_seconds', turn.now - queued.enqueued)
     _send_start(turn, submission, queued, agent)
 
 
+def _least_s(state: EntryState, service: str, queued: QueuedTask) -> float:
+    """Return the time that nearly every run of the operation exceeds."""
+    known = state.policy.services.get(service) if state.policy else None
+    return state.fleet.times.low_s(known, queued.operation)
+
+
 def _send_start(
     turn: Turn,
     submission: Submission,
--- /dev/null
+++ b/src/savoryrudder/entry/limits.py
@@ -0,0 +1,121 @@
+"""Limit what each client may submit."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from savoryrudder.policy.model import Terms
+
+
+class TokenBucket:
+    """Bound a rate with a burst; starts full."""
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        """Create a bucket that refills `rate` tokens a second."""
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._at = now
+
+    def configure(self, rate: float, burst: float, now: float) -> None:
+        """Change rate and burst without granting tokens."""
+        if (rate, burst) == (self._rate, self._burst):
+            return
+        self._refill(now)
+        self._rate = rate
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
+    def wait_s(self, tokens: float, now: float) -> float:
+        """Return the time until so many tokens are there."""
+        self._refill(now)
+        return max(0, tokens - self._tokens) / self._rate
+
+    def take(self, tokens: float, now: float) -> bool:
+        """Take tokens if they are all there."""
+        self._refill(now)
+        if tokens > self._tokens:
+            return False
+        self._tokens -= tokens
+        return True
+
+    def _refill(self, now: float) -> None:
+        if now <= self._at:
+            return
+        gained = (now - self._at) * self._rate
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._at = now
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """Count what a client did since the last renewal of its terms, in tasks.
+
+    `exceeded` counts tasks refused for its limits, `faulty` jobs that no
+    terms would let pass.
+    """
+
+    accepted: int = 0
+    exceeded: int = 0
+    faulty: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ClientAccount:
+    """Track one client's tokens, running tasks and use of its terms."""
+
+    terms: Terms
+    bucket: TokenBucket
+    running: int = 0
+    usage: Usage = dataclasses.field(default_factory=Usage)
+
+
+class ClientLimits:
+    """Hold an account for each client that was seen."""
+
+    def __init__(self) -> None:
+        """Create limits without accounts."""
+        self._accounts: dict[str, ClientAccount] = {}
+        self._granted: dict[str, Terms] = {}
+
+    def grant(self, client: str, terms: Terms, now: float) -> None:
+        """Put standing terms of a client in force."""
+        self._granted[client] = terms
+        account = self._accounts.get(client)
+        if account is not None:
+            account.terms = terms
+            account.bucket.configure(terms.rate, terms.burst, now)
+
+    def account(self, client: str, first: Terms, now: float) -> ClientAccount:
+        """Return the account; `first` applies until terms are granted."""
+        terms = self._granted.get(client, first)
+        account = self._accounts.get(client)
+        if account is None:
+            bucket = TokenBucket(terms.rate, terms.burst, now)
+            account = ClientAccount(terms, bucket)
+            self._accounts[client] = account
+        elif account.terms != terms:
+            account.terms = terms
+            account.bucket.configure(terms.rate, terms.burst, now)
+        return account
+
+    def end(self, client: str, tasks: int) -> None:
+        """Count tasks of a client as no longer running."""
+        account = self._accounts.get(client)
+        if account is not None:
+            account.running = max(0, account.running - tasks)
+
+    def take_usage(self, client: str) -> Usage:
+        """Return what a client did since the last call and start anew."""
+        account = self._accounts.get(client)
+        if account is None:
+            return Usage()
+        usage = account.usage
+        account.usage = Usage()
+        return usage
+
+    def seen(self) -> list[str]:
+        """Return the clients with an account."""
+        return list(self._accounts)
--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -2,12 +2,43 @@
 
 from __future__ import annotations
 
+import dataclasses
+import heapq
+import math
+from collections import Counter
 from typing import TYPE_CHECKING
+from typing import Final
 from typing import NamedTuple
+from typing import TypeAlias
+
+from savoryrudder.entry import reasons
+from savoryrudder.entry.health import ServiceHealth
+from savoryrudder.entry.health import Verdict
+from savoryrudder.entry.times import ServiceTimes
 
 if TYPE_CHECKING:
     from savoryrudder.protocol.messages import Hello
 
+# Steps of the measured slowness within which agents count as equally fast;
+# two to a factor of 2, since service times scatter.
+SPEED_STEPS: Final = 2
+# Outdated heap items for each agent before a heap is rebuilt.
+MAX_OUTDATED: Final = 4
+SMALL_HEAP: Final = 64
+
+# Speed class, negative credits, version, agent.
+_Rank: TypeAlias = tuple[int, int, int, str]
+
+_FAILURES: Final = frozenset(
+    (reasons.FAILED, reasons.UNKNOWN, reasons.NOT_RUN),
+)
+_UNKNOWN_HEALTH: Final = Verdict(
+    ejected=False,
+    slow=False,
+    slowness=1,
+    probe_at=0,
+)
+
 
 class AgentReport(NamedTuple):
     """Describe an agent for the operators' status."""
@@ -21,66 +52,217 @@
     ejected: bool
 
 
+@dataclasses.dataclass(slots=True)
+class _Agent:
+    """Track one linked agent; `capacity` is what its pool counts of it."""
+
+    hello: Hello
+    credits: int = 0
+    usable: bool = False
+    version: int = 0
+    capacity: float = 0
+    free: int = 0
+    verdict: Verdict = _UNKNOWN_HEALTH
+
+    @property
+    def startable(self) -> bool:
+        """Tell whether tasks may be started."""
+        return self.usable and not self.hello.leaving
+
+
+class _Pool:
+    """Hold the agents of one service in the order of their use."""
+
+    def __init__(self) -> None:
+        self.agents: dict[str, _Agent] = {}
+        self.health = ServiceHealth()
+        self.capacity: float = 0
+        self.free = 0
+        self.shapes: Counter[tuple[int, int]] = Counter()
+        self._usual: list[_Rank] = []
+        self._slow: list[_Rank] = []
+        self._probes: list[tuple[float, str]] = []
+
+    def refresh(self, name: str, agent: _Agent) -> None:
+        """Rank an agent anew after any change."""
+        verdict = agent.verdict
+        agent.version += 1
+        restricted = verdict.ejected or verdict.slow
+        active = agent.startable and not verdict.ejected
+        capacity = agent.hello.slots / verdict.slowness if active else 0
+        free = agent.credits if agent.startable and not restricted else 0
+        self.capacity += capacity - agent.capacity
+        self.free += free - agent.free
+        agent.capacity = capacity
+        agent.free = free
+        if not agent.startable or not agent.credits:
+            return
+        if restricted:
+            heapq.heappush(self._probes, (verdict.probe_at, name))
+        if not verdict.ejected:
+            self._push(self._slow if verdict.slow else self._usual, name)
+
+    def choose(
+        self,
+        now: float,
+        backlog_s: float,
+        mean_s: float,
+    ) -> tuple[str, bool] | None:
+        """Return the agent for the next start and whether it is a probe."""
+        probe = self._due_probe(now)
+        if probe is not None:
+            return probe, True
+        if self.free:
+            return self._best(self._usual), False
+        return self._choose_slow(backlog_s, mean_s)
+
+    def _choose_slow(
+        self,
+        backlog_s: float,
+        mean_s: float,
+    ) -> tuple[str, bool] | None:
+        """Use a slow agent if the queue makes tasks wait even longer."""
+        name = self._best(self._slow)
+        if not name:
+            return None
+        extra_s = (self.agents[name].verdict.slowness - 1) * mean_s
+        if backlog_s <= extra_s * self.capacity:
+            return None
+        return name, False
+
+    def _push(self, heap: list[_Rank], name: str) -> None:
+        heapq.heappush(heap, self._rank(name))
+        if len(heap) > MAX_OUTDATED * len(self.agents) + SMALL_HEAP:
+            current = [rank for rank in heap if self._is_current(rank)]
+            heapq.heapify(current)
+            heap.clear()
+            heap.extend(current)
+
+    def _rank(self, name: str) -> _Rank:
+        agent = self.agents[name]
+        speed = round(SPEED_STEPS * math.log2(agent.verdict.slowness))
+        return speed, -agent.credits, agent.version, name
+
+    def _best(self, heap: list[_Rank]) -> str:
+        while heap and not self._is_current(heap[0]):
+            heapq.heappop(heap)
+        return heap[0][3] if heap else ''
+
+    def _is_current(self, rank: _Rank) -> bool:
+        agent = self.agents.get(rank[3])
+        return agent is not None and agent.version == rank[2]
+
+    def _due_probe(self, now: float) -> str | None:
+        while self._probes and self._probes[0][0] <= now:
+            at, name = self._probes[0]
+            agent = self.agents.get(name)
+            if agent and agent.credits and agent.startable:
+                verdict = agent.verdict
+                restricted = verdict.ejected or verdict.slow
+                if restricted and verdict.probe_at == at:
+                    return name
+            heapq.heappop(self._probes)
+        return None
+
+
 class Fleet:
     """Hold the linked agents with their unused credits."""
 
     def __init__(self) -> None:
         """Create a fleet without agents."""
-        self._hellos: dict[str, Hello] = {}
-        self._credits: dict[str, int] = {}
-        self._usable: set[str] = set()
+        self.times = ServiceTimes()
+        self.entries = 1
+        self._agents: dict[str, _Agent] = {}
+        self._pools: dict[str, _Pool] = {}
 
     def agent_up(self, hello: Hello, now: float) -> None:
         """Add an agent with a new session and no credits."""
-        self._hellos[hello.agent] = hello
-        self._credits[hello.agent] = 0
-        self._usable.discard(hello.agent)
+        self.agent_down(hello.agent)
+        pool = self._pools.setdefault(hello.service, _Pool())
+        agent = _Agent(hello)
+        self._agents[hello.agent] = agent
+        pool.agents[hello.agent] = agent
+        pool.shapes[hello.slots, hello.memory_mb] += 1
+        pool.health.add(hello.agent)
 
     def agent_down(self, agent: str) -> None:
         """Remove an agent and its credits."""
-        self._hellos.pop(agent, None)
-        self._credits.pop(agent, None)
-        self._usable.discard(agent)
+        known = self._agents.pop(agent, None)
+        if known is None:
+            return
+        pool = self._pools[known.hello.service]
+        known.usable = False
+        known.credits = 0
+        pool.refresh(agent, known)
+        pool.agents.pop(agent)
+        pool.shapes[known.hello.slots, known.hello.memory_mb] -= 1
+        for restored in pool.health.remove(agent):
+            self._judge(restored)
 
     def mark_usable(self, agent: str) -> None:
         """Allow starts on an agent."""
-        self._usable.add(agent)
+        self._agents[agent].usable = True
+        self._refresh(agent)
 
     def mark_leaving(self, agent: str) -> None:
         """Stop starts on an agent for good."""
-        self._hellos[agent] = self._hellos[agent]._replace(leaving=True)
+        known = self._agents[agent]
+        known.hello = known.hello._replace(leaving=True)
+        self._refresh(agent)
 
     def grant(self, agent: str, count: int) -> None:
         """Add credits of an agent."""
-        self._credits[agent] += count
+        self._agents[agent].credits += count
+        self._refresh(agent)
 
     def give_back(self, agent: str, wanted: int) -> int:
         """Remove up to `wanted` unused credits and return how many."""
-        returned = min(wanted, self._credits[agent])
-        self._credits[agent] -= returned
+        known = self._agents[agent]
+        returned = min(wanted, known.credits)
+        known.credits -= returned
+        self._refresh(agent)
         return returned
 
-    def has_credit(self, service: str) -> bool:
-        """Tell whether a start of the service is possible now."""
-        return any(
-            credit and self._may_start(agent, service)
-            for agent, credit in self._credits.items()
-        )
+    def has_credit(
+        self,
+        service: str,
+        now: float = 0,
+        backlog_s: float = 0,
+    ) -> bool:
+        """Tell whether a start of the service is sensible now.
+
+        `backlog_s` is the expected service time of all queued tasks; only a
+        long queue makes slow agents worth while.
+        """
+        pool = self._pools.get(service)
+        if pool is None:
+            return False
+        mean_s = self.times.service_mean_s(service)
+        return pool.choose(now, backlog_s, mean_s) is not None
 
-    def take(self, service: str, operation: str, now: float) -> str | None:
+    def take(
+        self,
+        service: str,
+        operation: str,
+        now: float,
+        backlog_s: float = 0,
+    ) -> str | None:
         """Use one credit of the best agent; None if there is no credit."""
-        best = max(
-            (
-                (credit, agent)
-                for agent, credit in self._credits.items()
-                if credit and self._may_start(agent, service)
-            ),
-            default=None,
-        )
-        if best is None:
+        pool = self._pools.get(service)
+        if pool is None:
+            return None
+        mean_s = self.times.service_mean_s(service)
+        chosen = pool.choose(now, backlog_s, mean_s)
+        if chosen is None:
             return None
-        self._credits[best[1]] -= 1
-        return best[1]
+        name, probe = chosen
+        agent = self._agents[name]
+        agent.credits -= 1
+        if probe:
+            pool.health.note_probe(name, now)
+            agent.verdict = pool.health.verdict(name)
+        pool.refresh(name, agent)
+        return name
 
     def observe(
         self,
@@ -91,34 +273,84 @@
         now: float,
     ) -> None:
         """Learn from the end of a task."""
+        known = self._agents.get(agent)
+        if known is None:
+            return
+        service = known.hello.service
+        health = self._pools[service].health
+        if outcome == reasons.COMPLETE and duration_s > 0:
+            mean_s = self.times.measured_mean_s(service, operation)
+            if mean_s:
+                health.note_time(agent, duration_s / mean_s, now)
+            if not health.verdict(agent).slow:
+                self.times.record(service, operation, duration_s)
+        health.note_end(
+            agent,
+            operation,
+            now,
+            failed=outcome in _FAILURES,
+            not_run=outcome == reasons.NOT_RUN,
+        )
+        self._judge(agent)
 
     def agents_of(self, service: str) -> list[str]:
         """Return the linked agents of a service that are not leaving."""
+        pool = self._pools.get(service)
+        if pool is None:
+            return []
         return [
-            agent
-            for agent, hello in self._hellos.items()
-            if hello.service == service and not hello.leaving
+            name
+            for name, agent in pool.agents.items()
+            if not agent.hello.leaving
         ]
 
+    def is_linked(self, service: str) -> bool:
+        """Tell whether any agent of a service is linked."""
+        pool = self._pools.get(service)
+        return pool is not None and any(
+            not agent.hello.leaving for agent in pool.agents.values()
+        )
+
+    def capacity(self, service: str) -> float:
+        """Return the slots that serve this entry, in usual speed."""
+        pool = self._pools.get(service)
+        return pool.capacity / self.entries if pool else 0
+
+    def largest(self, service: str) -> tuple[int, int]:
+        """Return the most slots and the most memory any worker announces."""
+        pool = self._pools.get(service)
+        shapes = (
+            [shape for shape, count in pool.shapes.items() if count]
+            if pool
+            else []
+        )
+        return (
+            max((slots for slots, _ in shapes), default=0),
+            max((memory_mb for _, memory_mb in shapes), default=0),
+        )
+
     def reports(self) -> list[AgentReport]:
         """Describe all linked agents."""
         return [
             AgentReport(
-                agent,
-                hello.service,
-                hello.zone,
-                hello.slots,
-                self._credits[agent],
-                hello.leaving,
-                ejected=False,
+                name,
+                agent.hello.service,
+                agent.hello.zone,
+                agent.hello.slots,
+                agent.credits,
+                agent.hello.leaving,
+                agent.verdict.ejected,
             )
-            for agent, hello in self._hellos.items()
+            for name, agent in self._agents.items()
         ]
 
-    def _may_start(self, agent: str, service: str) -> bool:
-        hello = self._hellos[agent]
-        return (
-            hello.service == service
-            and not hello.leaving
-            and agent in self._usable
-        )
+    def _judge(self, name: str) -> None:
+        agent = self._agents[name]
+        verdict = self._pools[agent.hello.service].health.verdict(name)
+        if verdict != agent.verdict:
+            agent.verdict = verdict
+            self._refresh(name)
+
+    def _refresh(self, name: str) -> None:
+        agent = self._agents[name]
+        self._pools[agent.hello.service].refresh(name, agent)
--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -2,18 +2,34 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
+import math
 from typing import TYPE_CHECKING
+from typing import Final
 from typing import NamedTuple
+from typing import TypeAlias
+
+from savoryrudder.policy.model import URGENCY_BANDS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from savoryrudder.protocol.messages import TaskKey
+
+# A heap may hold this many removed tasks, or as many as waiting ones, before
+# it is rebuilt.
+MAX_REMOVED: Final = 64
+# Long enough to smooth jobs of 170 tasks, short enough to follow a burst.
+LOAD_WINDOW_S: Final = 5
+
+_Items: TypeAlias = 'list[tuple[float, float, int, QueuedTask]]'
+
 
 class QueuedTask(NamedTuple):
     """Identify a queued task and what its order depends on.
 
-    `deadline` and `enqueued` are monotonic seconds.
+    `deadline` and `enqueued` are monotonic seconds; `work` is the expected
+    service time in seconds.
     """
 
     submission: bytes
@@ -23,10 +39,139 @@
     operation: str
     deadline: float
     enqueued: float
+    work: float = 1
+
+
+class _ClientQueue:
+    """Hold the tasks of one client in one band, earliest deadline first."""
+
+    def __init__(self, live: dict[TaskKey, QueuedTask]) -> None:
+        self.waiting = 0
+        self.work: float = 0
+        self.finish: float = 0
+        self.active = False
+        self._live = live
+        self._items: _Items = []
+
+    def push(self, task: QueuedTask, sequence: int) -> None:
+        # Of one job, the longest task first shortens the job.
+        item = (task.deadline, -task.work, sequence, task)
+        heapq.heappush(self._items, item)
+        self._add(1, task.work)
+
+    def pop(self) -> QueuedTask:
+        self._drop_removed()
+        task = heapq.heappop(self._items)[3]
+        self._live.pop((task.submission, task.task))
+        self._add(-1, -task.work)
+        return task
+
+    def head_work(self) -> float:
+        self._drop_removed()
+        return self._items[0][3].work
+
+    def forget(self, work: float) -> None:
+        """Account for a task that was removed from the live ones."""
+        self._add(-1, -work)
+        if len(self._items) > 2 * self.waiting + MAX_REMOVED:
+            self._items = [item for item in self._items if self._is_live(item)]
+            heapq.heapify(self._items)
+
+    def _add(self, count: int, work: float) -> None:
+        self.waiting += count
+        # Sums of floats do not return to zero exactly.
+        self.work = self.work + work if self.waiting else 0
+
+    def _drop_removed(self) -> None:
+        while not self._is_live(self._items[0]):
+            heapq.heappop(self._items)
+
+    def _is_live(self, item: tuple[float, float, int, QueuedTask]) -> bool:
+        task = item[3]
+        return self._live.get((task.submission, task.task)) is task
+
+
+class _Band:
+    """Share the starts of a band among its clients by virtual time."""
+
+    def __init__(self, live: dict[TaskKey, QueuedTask]) -> None:
+        self.waiting = 0
+        self.work: float = 0
+        self.credit: float = 0
+        self.clients: dict[str, _ClientQueue] = {}
+        self._live = live
+        self._virtual_time: float = 0
+        self._started: float = 0
+        self._started_at: float = 0
+        self._order: list[tuple[float, int, str]] = []
+
+    def push(self, task: QueuedTask, sequence: int) -> None:
+        client = self.clients.get(task.client)
+        if client is None:
+            client = _ClientQueue(self._live)
+            self.clients[task.client] = client
+        client.push(task, sequence)
+        self._add(1, task.work)
+        if not client.active:
+            client.active = True
+            start = max(self._virtual_time, client.finish)
+            heapq.heappush(self._order, (start, sequence, task.client))
+
+    def head_work(self) -> float:
+        self._drop_idle()
+        return self.clients[self._order[0][2]].head_work()
+
+    def pop(self, weights: Mapping[str, float]) -> QueuedTask:
+        self._drop_idle()
+        start, sequence, name = self._order[0]
+        client = self.clients[name]
+        task = client.pop()
+        self._add(-1, -task.work)
+        self._virtual_time = start
+        client.finish = start + task.work / weights.get(name, 1)
+        heapq.heapreplace(self._order, (client.finish, sequence, name))
+        if not self.waiting:
+            self._end_busy_period()
+        return task
+
+    def remove(self, client: str, work: float) -> None:
+        self.clients[client].forget(work)
+        self._add(-1, -work)
+        if not self.waiting:
+            self._end_busy_period()
+
+    def note_start(self, work: float, now: float) -> None:
+        self._started = self.load(now) * LOAD_WINDOW_S + work
+        self._started_at = now
+
+    def load(self, now: float) -> float:
+        """Return the work started in a second, averaged exponentially."""
+        age = (now - self._started_at) / LOAD_WINDOW_S
+        return self._started * math.exp(-age) / LOAD_WINDOW_S
+
+    def _drop_idle(self) -> None:
+        while not self.clients[self._order[0][2]].waiting:
+            _, _, name = heapq.heappop(self._order)
+            self.clients[name].active = False
+
+    def _end_busy_period(self) -> None:
+        """Forget past use: nobody waited for it."""
+        self._order.clear()
+        self._virtual_time = 0
+        self.credit = 0
+        self.clients.clear()
+
+    def _add(self, count: int, work: float) -> None:
+        self.waiting += count
+        self.work = self.work + work if self.waiting else 0
 
 
 class ServiceQueue:
-    """Hold the queued tasks of one service in the order of their start."""
+    """Hold the queued tasks of one service in the order of their start.
+
+    Each band is guaranteed its share of the started work while it waits;
+    what is left goes to the most urgent band. Clients share a band by weight.
+    """
 
     def __init__(
         self,
@@ -34,13 +179,19 @@
         weights: Mapping[str, float],
     ) -> None:
         """Create a queue with band shares and client weights."""
-        self._tasks: deque[QueuedTask] = deque()
-        self._removed: set[tuple[bytes, int]] = set()
+        self._live: dict[TaskKey, QueuedTask] = {}
+        self._bands = {name: _Band(self._live) for name in URGENCY_BANDS}
+        self._sequence = 0
         self.configure(shares, weights)
 
     def __len__(self) -> int:
         """Return the number of tasks that wait."""
-        return len(self._tasks) - len(self._removed)
+        return len(self._live)
+
+    @property
+    def work(self) -> float:
+        """Return the expected service time of all waiting tasks."""
+        return sum(band.work for band in self._bands.values())
 
     def configure(
         self,
@@ -53,18 +204,88 @@
 
     def push(self, task: QueuedTask) -> None:
         """Add a task."""
-        self._tasks.append(task)
+        self._sequence += 1
+        self._live[task.submission, task.task] = task
+        self._bands[task.urgency].push(task, self._sequence)
 
     def pop(self, now: float) -> QueuedTask | None:
         """Remove and return the task to start next."""
-        while self._tasks:
-            task = self._tasks.popleft()
-            identity = (task.submission, task.task)
-            if identity not in self._removed:
-                return task
-            self._removed.discard(identity)
-        return None
+        name = self._next_band()
+        if name is None:
+            return None
+        task = self._bands[name].pop(self._weights)
+        self._charge(name, task.work, now)
+        return task
 
     def remove(self, task: QueuedTask) -> None:
-        """Remove a task that waits, in constant time."""
-        self._removed.add((task.submission, task.task))
+        """Remove a task that waits, in constant amortized time."""
+        known = self._live.pop((task.submission, task.task), None)
+        if known is not None:
+            self._bands[task.urgency].remove(task.client, known.work)
+
+    def wait_s(
+        self,
+        urgency: str,
+        client: str,
+        work: float,
+        slots: float,
+        now: float,
+    ) -> float:
+        """Estimate when the last of a client's new work starts.
+
+        The band has at least its share of the slots, else what more urgent
+        bands and the shares of waiting less urgent bands leave.
+        """
+        place = URGENCY_BANDS.index(urgency)
+        left = slots
+        before = self._work_before(urgency, client, work)
+        wait_s = float('inf')
+        if self._shares.get(urgency):
+            wait_s = before / (slots * self._shares[urgency])
+        for name, band in self._bands.items():
+            if URGENCY_BANDS.index(name) < place:
+                left -= band.load(now)
+                before += band.work
+            elif band.waiting and name != urgency:
+                left -= slots * self._shares.get(name, 0)
+        if left <= 0:
+            return wait_s
+        return min(wait_s, before / left)
+
+    def _work_before(self, urgency: str, client: str, work: float) -> float:
+        """Return the work that a band starts up to a client's new work."""
+        clients = self._bands[urgency].clients
+        own = clients.get(client)
+        before = work + (own.work if own else 0)
+        rounds = before / self._weights.get(client, 1)
+        for name, other in clients.items():
+            if name != client:
+                due = rounds * self._weights.get(name, 1)
+                before += min(other.work, due)
+        return before
+
+    def _next_band(self) -> str | None:
+        first: str | None = None
+        due: str | None = None
+        most: float = 0
+        for name, band in self._bands.items():
+            if not band.waiting:
+                continue
+            first = first or name
+            if band.credit > most and band.credit >= band.head_work():
+                due = name
+                most = band.credit
+        return due or first
+
+    def _charge(self, started: str, work: float, now: float) -> None:
+        """Give waiting bands their shares of a start and charge its band.
+
+        A band pays at most what it has: use of a share that nobody claimed is
+        free. An idle band saves nothing up.
+        """
+        for name, band in self._bands.items():
+            if band.waiting:
+                band.credit += self._shares.get(name, 0) * work
+        charged = self._bands[started]
+        charged.credit = max(0, charged.credit - work)
+        charged.note_start(work, now)
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -263,6 +263,7 @@
         )
     elif recovered:
         answer = None
+        turn.state.admission.adopt(request.job, turn.state.policy, turn.now)
     else:
         answer = _check(turn, request, request.job)
     if answer is None and request.job is not None:
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -228,14 +228,15 @@
             task.result = record.result
         else:
             status, reason = reasons.UNKNOWN, reasons.DAMAGED_RESULT
-    operation = submission.job.tasks[record.task].operation
-    turn.state.fleet.observe(
-        task.agent,
-        operation,
-        status,
-        record.duration_ms / 1000,
-        turn.now,
-    )
+    # A task that was stopped on request says nothing about its upstream.
+    if status == reasons.COMPLETE or not submission.withdrawn:
+        turn.state.fleet.observe(
+            task.agent,
+            submission.job.tasks[record.task].operation,
+            status,
+            record.duration_ms / 1000,
+            turn.now,
+        )
     turn.count(f'tasks_{status}')
     settle_task(turn, submission, record.task, status, reason)
 
@@ -287,10 +288,18 @@
 def _enqueue(turn: Turn, submission: Submission, index: int) -> None:
     submission.tasks[index].status = QUEUED
     queue_for(turn, submission.job.service).push(
-        _queued_task(submission, index, turn.now),
+        _queued_task(submission, index, turn.now)._replace(
+            work=_expected_work(turn, submission.job, index),
+        ),
     )
 
 
+def _expected_work(turn: Turn, job: Job, index: int) -> float:
+    state = turn.state
+    service = state.policy.services.get(job.service) if state.policy else None
+    return state.fleet.times.mean_s(service, job.tasks[index].operation)
+
+
 def _queued_task(
     submission: Submission,
     index: int,
--- /dev/null
+++ b/src/savoryrudder/entry/times.py
@@ -0,0 +1,119 @@
+"""Measure the service times of operations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from savoryrudder.policy.model import Service
+
+# Fewer samples say less than the declared time.
+MIN_SAMPLES: Final = 10
+# Samples in a histogram before a new one starts and the older is dropped.
+GENERATION: Final = 1000
+# Reading a quantile walks the whole histogram.
+READ_INTERVAL: Final = 50
+SHARE_OF_NEWEST: Final = 0.02
+UNDECLARED_S: Final = 1
+
+_LONGEST_MS: Final = 86_400_000
+_DIGITS: Final = 2
+_MS: Final = 1000
+_HIGH: Final = 90
+_LOW: Final = 10
+
+
+class OperationTimes:
+    """Hold mean, 10th and 90th percentile of one operation in seconds."""
+
+    def __init__(self) -> None:
+        """Create times without samples."""
+        self.mean_s: float = 0
+        self.low_s: float = 0
+        self.high_s: float = 0
+        self._samples = 0
+        self._newest = HdrHistogram(1, _LONGEST_MS, _DIGITS)
+        self._older: HdrHistogram | None = None
+
+    @property
+    def known(self) -> bool:
+        """Tell whether there are enough samples."""
+        return self._samples >= MIN_SAMPLES
+
+    def record(self, seconds: float) -> None:
+        """Add a sample."""
+        self._samples += 1
+        weight = max(1 / self._samples, SHARE_OF_NEWEST)
+        self.mean_s += weight * (seconds - self.mean_s)
+        self._newest.record_value(max(1, int(seconds * _MS)))
+        if self._newest.total_count >= GENERATION:
+            self._older = self._newest
+            self._newest = HdrHistogram(1, _LONGEST_MS, _DIGITS)
+        if self._samples % READ_INTERVAL == 0 or self._samples == MIN_SAMPLES:
+            histogram = self._older or self._newest
+            self.low_s = histogram.get_value_at_percentile(_LOW) / _MS
+            self.high_s = histogram.get_value_at_percentile(_HIGH) / _MS
+
+
+class ServiceTimes:
+    """Hold measured service times by service and operation."""
+
+    def __init__(self) -> None:
+        """Create times without samples."""
+        self._operations: dict[tuple[str, str], OperationTimes] = {}
+        self._service_means: dict[str, float] = {}
+
+    def record(self, service: str, operation: str, seconds: float) -> None:
+        """Add a sample."""
+        key = (service, operation)
+        times = self._operations.get(key)
+        if times is None:
+            times = OperationTimes()
+            self._operations[key] = times
+        times.record(seconds)
+        mean_s = self._service_means.setdefault(service, seconds)
+        mean_s += SHARE_OF_NEWEST * (seconds - mean_s)
+        self._service_means[service] = mean_s
+
+    def measured_mean_s(self, service: str, operation: str) -> float:
+        """Return the mean so far, 0 without samples."""
+        times = self._operations.get((service, operation))
+        return times.mean_s if times else 0
+
+    def mean_s(self, service: Service | None, operation: str) -> float:
+        """Return the mean, the declared time until there are samples."""
+        times = self._find(service, operation)
+        return times.mean_s if times else _declared_s(service, operation)
+
+    def service_mean_s(self, service: str) -> float:
+        """Return the mean over all operations, 0 without samples."""
+        return self._service_means.get(service, 0)
+
+    def low_s(self, service: Service | None, operation: str) -> float:
+        """Return the 10th percentile, 0 without enough samples."""
+        times = self._find(service, operation)
+        return times.low_s if times else 0
+
+    def high_s(self, service: Service | None, operation: str) -> float:
+        """Return the 90th percentile or the declared time."""
+        times = self._find(service, operation)
+        return times.high_s if times else _declared_s(service, operation)
+
+    def _find(
+        self,
+        service: Service | None,
+        operation: str,
+    ) -> OperationTimes | None:
+        if service is None:
+            return None
+        times = self._operations.get((service.name, operation))
+        return times if times and times.known else None
+
+
+def _declared_s(service: Service | None, operation: str) -> float:
+    if service is None or operation not in service.operations:
+        return UNDECLARED_S
+    return service.operations[operation].expected_ms / _MS
