Admit jobs by expected wait, terms and needs; test the policy

Deadlines decide among clients within a bound, and a job is refused that would make accepted work late.

--- a/bench/workload.py
+++ b/bench/workload.py
@@ -68,7 +68,7 @@
     client: str
     urgency: str
     deadline_s: float
-    ideal_s: float
+    alone_s: float
     tasks: tuple[BenchTask, ...]
 
     @property
@@ -114,15 +114,15 @@
         tasks = tuple(
             _task(rng) for _ in range(stream.tasks or _task_count(rng))
         )
-        ideal = alone(tasks) + 2 * CLIENT_LATENCY_S + 2 * LATENCY_S['pane']
+        alone_s = alone(tasks)
         jobs.append(
             BenchJob(
                 now,
                 f'{seed}-{len(jobs)}',
                 rng.choice(stream.clients),
                 rng.choices(URGENCY_BANDS, stream.bands or USUAL_BANDS)[0],
-                2 + 10 * ideal,
-                ideal,
+                2 + 10 * alone_s,
+                alone_s,
                 tasks,
             ),
         )
--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -21,8 +21,6 @@
 MAX_QUEUED: Final = 100_000
 MIN_RETRY_MS: Final = 1000
 MAX_RETRY_MS: Final = 60_000
-# A service counts as shedding for this long after it refused a job.
-SHEDDING_S: Final = 1
 # Part of the deadline that the expected time may take up. The rest covers
 # more urgent work that arrives later.
 USABLE_DEADLINE: Final = 0.8
@@ -38,6 +36,13 @@
     retry_after_ms: int
 
 
+class Forecast(NamedTuple):
+    """Say how long a job takes and by how much it makes others late."""
+
+    expected_s: float
+    late_s: float
+
+
 class Surroundings(NamedTuple):
     """Hold what a decision depends on besides the job."""
 
@@ -53,7 +58,6 @@
     def __init__(self) -> None:
         """Create an admission control without history."""
         self.limits = ClientLimits()
-        self._shed: dict[tuple[str, str], float] = {}
 
     def check(
         self,
@@ -82,8 +86,8 @@
             return refusal
         refusal = (
             _check_upstreams(job, around)
-            or self._check_dependencies(job, around)
-            or self._check_wait(job, around)
+            or _check_dependencies(job, around)
+            or _check_wait(job, around)
         )
         if refusal is None:
             account.bucket.take(len(job.tasks), now)
@@ -102,52 +106,6 @@
         """Forget the tasks of an ended job."""
         self.limits.end(client, tasks)
 
-    def _check_dependencies(
-        self,
-        job: Job,
-        around: Surroundings,
-    ) -> Refusal | None:
-        for name in _dependencies(job.service, around.policy):
-            cause = ''
-            if self._is_shedding(name, job.urgency, around.now):
-                cause = 'overloaded'
-            if around.fleet.capacity(name) <= 0:
-                cause = 'no usable upstream'
-            if cause:
-                return Refusal(
-                    reasons.DEPENDENCY_UNAVAILABLE,
-                    f'{job.service} depends on {name}: {cause}',
-                    MIN_RETRY_MS,
-                )
-        return None
-
-    def _is_shedding(self, service: str, urgency: str, now: float) -> bool:
-        place = URGENCY_BANDS.index(urgency)
-        return any(
-            self._shed.get((service, band), -SHEDDING_S) + SHEDDING_S > now
-            for band in URGENCY_BANDS[: place + 1]
-        )
-
-    def _check_wait(self, job: Job, around: Surroundings) -> Refusal | None:
-        queue = around.queues.get(job.service)
-        if queue is not None and len(queue) + len(job.tasks) > MAX_QUEUED:
-            self._shed[job.service, job.urgency] = around.now
-            return Refusal(
-                reasons.OVERLOADED,
-                f'{len(queue)} tasks wait for {job.service}',
-                MIN_RETRY_MS,
-            )
-        expected_s = _expected_s(job, around)
-        usable_s = job.deadline_ms / _MS * USABLE_DEADLINE
-        if expected_s <= usable_s:
-            return None
-        self._shed[job.service, job.urgency] = around.now
-        return Refusal(
-            reasons.DEADLINE_UNREACHABLE,
-            f'the job is expected to take {expected_s:.1f} s',
-            _retry_ms(expected_s - usable_s),
-        )
-
 
 def _check_body(job: Job, policy: Policy) -> Refusal | None:
     service = policy.services.get(job.service)
@@ -271,26 +229,104 @@
     return found
 
 
-def _expected_s(job: Job, around: Surroundings) -> float:
-    """Estimate how long a job takes; 0 when nothing is known of the fleet."""
+def _check_dependencies(job: Job, around: Surroundings) -> Refusal | None:
+    for name in _dependencies(job.service, around.policy):
+        cause = ''
+        if _is_shedding(name, job.urgency, around):
+            cause = 'overloaded'
+        if around.fleet.capacity(name) <= 0:
+            cause = 'no usable upstream'
+        if cause:
+            return Refusal(
+                reasons.DEPENDENCY_UNAVAILABLE,
+                f'{job.service} depends on {name}: {cause}',
+                MIN_RETRY_MS,
+            )
+    return None
+
+
+def _is_shedding(name: str, urgency: str, around: Surroundings) -> bool:
+    """Tell whether a service has more to do than its deadline allows."""
+    queue = around.queues.get(name)
+    service = around.policy.services.get(name)
+    if queue is None or service is None:
+        return False
+    usable_s = service.default_deadline_ms / _MS * USABLE_DEADLINE
+    backlog_s = queue.work_up_to(urgency)
+    return backlog_s > usable_s * around.fleet.capacity(name)
+
+
+def _check_wait(job: Job, around: Surroundings) -> Refusal | None:
+    queue = around.queues.get(job.service)
+    if queue is not None and len(queue) + len(job.tasks) > MAX_QUEUED:
+        return Refusal(
+            reasons.OVERLOADED,
+            f'{len(queue)} tasks wait for {job.service}',
+            MIN_RETRY_MS,
+        )
+    forecast = _forecast(job, around)
+    usable_s = job.deadline_ms / _MS * USABLE_DEADLINE
+    if forecast.expected_s > usable_s:
+        detail = f'the job is expected to take {forecast.expected_s:.1f} s'
+    elif forecast.late_s > 0:
+        detail = f'accepted jobs of {job.client} would miss their deadlines'
+    else:
+        return None
+    return Refusal(
+        reasons.DEADLINE_UNREACHABLE,
+        detail,
+        _retry_ms(max(forecast.expected_s - usable_s, forecast.late_s)),
+    )
+
+
+def _forecast(job: Job, around: Surroundings) -> Forecast:
+    """Forecast the order by deadline; 0 when nothing is known of the fleet."""
     service = around.policy.services[job.service]
     capacity = around.fleet.capacity(job.service)
-    if not capacity:
-        return 0
+    if capacity <= 0:
+        return Forecast(0, 0)
     times = around.fleet.times
     longest_s = max(_high_s(job, service, around))
     work = sum(times.mean_s(service, task.operation) for task in job.tasks)
     queue = around.queues.get(job.service)
     if queue is None:
-        return work / capacity + longest_s
-    wait_s = queue.wait_s(
+        return Forecast(work / capacity + longest_s, 0)
+    drain_s = queue.drain_s(
         job.urgency,
         job.client,
         work,
         capacity,
         around.now,
     )
-    return wait_s + longest_s
+    due = queue.work_due(job.urgency, job.client)
+    pace = drain_s / (work + sum(due.values()))
+    return _forecast_order(job, due, (work, pace, longest_s), around.now)
+
+
+def _forecast_order(
+    job: Job,
+    due: dict[int, float],
+    own: tuple[float, float, float],
+    now: float,
+) -> Forecast:
+    """Forecast a job among the work that its client has waiting by deadline.
+
+    A deadline that is out of reach already is no reason to refuse more.
+    """
+    work, pace, longest_s = own
+    deadline = now + job.deadline_ms / _MS
+    before: float = 0
+    expected_s = work * pace + longest_s
+    late_s: float = 0
+    for bucket, waiting in sorted(due.items()):
+        before += waiting
+        if bucket <= deadline:
+            expected_s = (before + work) * pace + longest_s
+            continue
+        left_s = bucket - now
+        if before * pace <= left_s:
+            late_s = max(late_s, (before + work) * pace - left_s)
+    return Forecast(expected_s, late_s)
 
 
 def _high_s(job: Job, service: Service, around: Surroundings) -> list[float]:
--- a/src/savoryrudder/entry/health.py
+++ b/src/savoryrudder/entry/health.py
@@ -66,13 +66,6 @@
     times: int = 0
     operations: dict[str, _Outcomes] = dataclasses.field(default_factory=dict)
 
-    @property
-    def slow(self) -> bool:
-        """Tell whether the measured slowness is too high for usual work."""
-        return self.times >= MIN_TIMES and self.slowness > math.log2(
-            SLOW_FACTOR
-        )
-
 
 class ServiceHealth:
     """Judge the upstreams of one service."""
@@ -82,6 +75,8 @@
         self._upstreams: dict[str, _Upstream] = {}
         self._operations: dict[str, _Outcomes] = {}
         self._total_score: float = 0
+        self._total_slowness: float = 0
+        self._timed = 0
         self._ejected: set[str] = set()
 
     @property
@@ -100,6 +95,8 @@
         if upstream is None:
             return []
         self._total_score -= upstream.score
+        self._total_slowness -= upstream.slowness
+        self._timed -= upstream.times > 0
         self._ejected.discard(name)
         restored = []
         while len(self._ejected) * MAX_EJECTED > len(self._upstreams):
@@ -113,8 +110,8 @@
         upstream = self._upstreams[name]
         return Verdict(
             upstream.ejected,
-            upstream.slow,
-            2 ** max(0, upstream.slowness),
+            self._is_slow(upstream),
+            2 ** max(0, self._excess_slowness(upstream)),
             upstream.probe_at,
         )
 
@@ -151,16 +148,32 @@
     def note_time(self, name: str, ratio: float, now: float) -> None:
         """Learn from a service time relative to the operation's mean."""
         upstream = self._upstreams[name]
-        was_slow = upstream.slow
+        was_slow = self._is_slow(upstream)
         upstream.times += 1
+        self._timed += upstream.times == 1
         weight = max(1 / upstream.times, SLOWNESS_WEIGHT)
-        upstream.slowness += weight * (math.log2(ratio) - upstream.slowness)
-        if upstream.slow:
+        change = weight * (math.log2(ratio) - upstream.slowness)
+        upstream.slowness += change
+        self._total_slowness += change
+        if self._is_slow(upstream):
             if not was_slow or ratio < SLOW_FACTOR:
                 upstream.interval_s = FIRST_PROBE_S
             if not was_slow or upstream.probing:
                 self._schedule_probe(upstream, now)
 
+    def _is_slow(self, upstream: _Upstream) -> bool:
+        return upstream.times >= MIN_TIMES and self._excess_slowness(
+            upstream
+        ) > math.log2(SLOW_FACTOR)
+
+    def _excess_slowness(self, upstream: _Upstream) -> float:
+        """Compare with the others: a slow upstream raises the mean itself."""
+        others = self._timed - 1
+        if others < 1 or not upstream.times:
+            return 0
+        rest = (self._total_slowness - upstream.slowness) / others
+        return upstream.slowness - rest
+
     def _score_of(self, name: str) -> tuple[float, str]:
         return self._upstreams[name].score, name
 
--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -21,8 +21,12 @@
 MAX_REMOVED: Final = 64
 # Long enough to smooth jobs of 170 tasks, short enough to follow a burst.
 LOAD_WINDOW_S: Final = 5
+# Work, by weight, that a client with near deadlines gets ahead of others.
+MAX_PATIENCE_S: Final = 30
+LEAST_WORK_S: Final = 1e-6
 
-_Items: TypeAlias = 'list[tuple[float, float, int, QueuedTask]]'
+_Item: TypeAlias = 'tuple[float, float, int, QueuedTask]'
+_Items: TypeAlias = list[_Item]
 
 
 class QueuedTask(NamedTuple):
@@ -43,13 +47,18 @@
 
 
 class _ClientQueue:
-    """Hold the tasks of one client in one band, earliest deadline first."""
+    """Hold the tasks of one client in one band, earliest deadline first.
+
+    `start` is the client's virtual start time, `due` the expected work by
+    deadline in whole seconds.
+    """
 
     def __init__(self, live: dict[TaskKey, QueuedTask]) -> None:
         self.waiting = 0
         self.work: float = 0
-        self.finish: float = 0
-        self.active = False
+        self.due: dict[int, float] = {}
+        self.start: float = 0
+        self.rank: float = 0
         self._live = live
         self._items: _Items = []
 
@@ -57,42 +66,53 @@
         # Of one job, the longest task first shortens the job.
         item = (task.deadline, -task.work, sequence, task)
         heapq.heappush(self._items, item)
-        self._add(1, task.work)
+        self._add(1, task, task.work)
 
     def pop(self) -> QueuedTask:
-        self._drop_removed()
+        self.head()
         task = heapq.heappop(self._items)[3]
         self._live.pop((task.submission, task.task))
-        self._add(-1, -task.work)
+        self._add(-1, task, -task.work)
         return task
 
-    def head_work(self) -> float:
-        self._drop_removed()
-        return self._items[0][3].work
+    def head(self) -> QueuedTask:
+        while not self._is_live(self._items[0]):
+            heapq.heappop(self._items)
+        return self._items[0][3]
 
-    def forget(self, work: float) -> None:
+    def forget(self, task: QueuedTask) -> None:
         """Account for a task that was removed from the live ones."""
-        self._add(-1, -work)
+        self._add(-1, task, -task.work)
         if len(self._items) > 2 * self.waiting + MAX_REMOVED:
             self._items = [item for item in self._items if self._is_live(item)]
             heapq.heapify(self._items)
 
-    def _add(self, count: int, work: float) -> None:
+    def _add(self, count: int, task: QueuedTask, work: float) -> None:
         self.waiting += count
-        # Sums of floats do not return to zero exactly.
-        self.work = self.work + work if self.waiting else 0
-
-    def _drop_removed(self) -> None:
-        while not self._is_live(self._items[0]):
-            heapq.heappop(self._items)
-
-    def _is_live(self, item: tuple[float, float, int, QueuedTask]) -> bool:
+        if not self.waiting:
+            # Sums of floats do not return to zero exactly.
+            self.work = 0
+            self.due.clear()
+            return
+        self.work += work
+        bucket = math.ceil(task.deadline)
+        due = self.due.get(bucket, 0) + work
+        self.due[bucket] = due
+        if due < LEAST_WORK_S:
+            self.due.pop(bucket)
+
+    def _is_live(self, item: _Item) -> bool:
         task = item[3]
         return self._live.get((task.submission, task.task)) is task
 
 
 class _Band:
-    """Share the starts of a band among its clients by virtual time."""
+    """Share the starts of a band among its clients by virtual time.
+
+    A client's rank is its virtual start time plus the time to the deadline of
+    its first task, within a bound: deadlines decide in the short run, weights
+    in the long run.
+    """
 
     def __init__(self, live: dict[TaskKey, QueuedTask]) -> None:
         self.waiting = 0
@@ -110,33 +130,37 @@
         if client is None:
             client = _ClientQueue(self._live)
             self.clients[task.client] = client
+        if not client.waiting:
+            client.start = max(self._virtual_time, client.start)
+            client.rank = float('inf')
         client.push(task, sequence)
         self._add(1, task.work)
-        if not client.active:
-            client.active = True
-            start = max(self._virtual_time, client.finish)
-            heapq.heappush(self._order, (start, sequence, task.client))
+        rank = client.start + _patience(task)
+        if rank < client.rank:
+            client.rank = rank
+            heapq.heappush(self._order, (rank, sequence, task.client))
 
     def head_work(self) -> float:
-        self._drop_idle()
-        return self.clients[self._order[0][2]].head_work()
+        return self.clients[self._first()].head().work
 
     def pop(self, weights: Mapping[str, float]) -> QueuedTask:
-        self._drop_idle()
-        start, sequence, name = self._order[0]
+        name = self._first()
         client = self.clients[name]
         task = client.pop()
         self._add(-1, -task.work)
-        self._virtual_time = start
-        client.finish = start + task.work / weights.get(name, 1)
-        heapq.heapreplace(self._order, (client.finish, sequence, name))
+        self._virtual_time = max(self._virtual_time, client.start)
+        client.start += task.work / weights.get(name, 1)
+        sequence = heapq.heappop(self._order)[1]
+        if client.waiting:
+            client.rank = client.start + _patience(client.head())
+            heapq.heappush(self._order, (client.rank, sequence, name))
         if not self.waiting:
             self._end_busy_period()
         return task
 
-    def remove(self, client: str, work: float) -> None:
-        self.clients[client].forget(work)
-        self._add(-1, -work)
+    def remove(self, task: QueuedTask) -> None:
+        self.clients[task.client].forget(task)
+        self._add(-1, -task.work)
         if not self.waiting:
             self._end_busy_period()
 
@@ -149,10 +173,13 @@
         age = (now - self._started_at) / LOAD_WINDOW_S
         return self._started * math.exp(-age) / LOAD_WINDOW_S
 
-    def _drop_idle(self) -> None:
-        while not self.clients[self._order[0][2]].waiting:
-            _, _, name = heapq.heappop(self._order)
-            self.clients[name].active = False
+    def _first(self) -> str:
+        while True:
+            rank, _, name = self._order[0]
+            client = self.clients[name]
+            if client.waiting and client.rank == rank:
+                return name
+            heapq.heappop(self._order)
 
     def _end_busy_period(self) -> None:
         """Forget past use: nobody waited for it."""
@@ -163,7 +190,9 @@
 
     def _add(self, count: int, work: float) -> None:
         self.waiting += count
-        self.work = self.work + work if self.waiting else 0
+        self.work += work
+        if not self.waiting:
+            self.work = 0
 
 
 class ServiceQueue:
@@ -221,9 +250,21 @@
         """Remove a task that waits, in constant amortized time."""
         known = self._live.pop((task.submission, task.task), None)
         if known is not None:
-            self._bands[task.urgency].remove(task.client, known.work)
+            self._bands[task.urgency].remove(known)
 
-    def wait_s(
+    def work_due(self, urgency: str, client: str) -> dict[int, float]:
+        """Return a client's expected work by deadline in whole seconds."""
+        own = self._bands[urgency].clients.get(client)
+        return own.due if own else {}
+
+    def work_up_to(self, urgency: str) -> float:
+        """Return the expected work of a band and of more urgent ones."""
+        place = URGENCY_BANDS.index(urgency)
+        return sum(
+            self._bands[name].work for name in URGENCY_BANDS[: place + 1]
+        )
+
+    def drain_s(
         self,
         urgency: str,
         client: str,
@@ -231,7 +272,7 @@
         slots: float,
         now: float,
     ) -> float:
-        """Estimate when the last of a client's new work starts.
+        """Estimate when the last of a client's work starts with the new work.
 
         The band has at least its share of the slots, else what more urgent
         bands and the shares of waiting less urgent bands leave.
@@ -256,7 +297,9 @@
         """Return the work that a band starts up to a client's new work."""
         clients = self._bands[urgency].clients
         own = clients.get(client)
-        before = work + (own.work if own else 0)
+        before = work
+        if own is not None:
+            before += own.work
         rounds = before / self._weights.get(client, 1)
         for name, other in clients.items():
             if name != client:
@@ -289,3 +332,7 @@
         charged = self._bands[started]
         charged.credit = max(0, charged.credit - work)
         charged.note_start(work, now)
+
+
+def _patience(task: QueuedTask) -> float:
+    return min(MAX_PATIENCE_S, task.deadline - task.enqueued)
--- a/src/savoryrudder/entry/times.py
+++ b/src/savoryrudder/entry/times.py
@@ -64,7 +64,7 @@
     def __init__(self) -> None:
         """Create times without samples."""
         self._operations: dict[tuple[str, str], OperationTimes] = {}
-        self._service_means: dict[str, float] = {}
+        self._services: dict[str, tuple[int, float]] = {}
 
     def record(self, service: str, operation: str, seconds: float) -> None:
         """Add a sample."""
@@ -74,9 +74,10 @@
             times = OperationTimes()
             self._operations[key] = times
         times.record(seconds)
-        mean_s = self._service_means.setdefault(service, seconds)
-        mean_s += SHARE_OF_NEWEST * (seconds - mean_s)
-        self._service_means[service] = mean_s
+        count, mean_s = self._services.get(service, (0, 0))
+        weight = max(1 / (count + 1), SHARE_OF_NEWEST)
+        mean_s += weight * (seconds - mean_s)
+        self._services[service] = (count + 1, mean_s)
 
     def measured_mean_s(self, service: str, operation: str) -> float:
         """Return the mean so far, 0 without samples."""
@@ -90,7 +91,7 @@
 
     def service_mean_s(self, service: str) -> float:
         """Return the mean over all operations, 0 without samples."""
-        return self._service_means.get(service, 0)
+        return self._services.get(service, (0, 0))[1]
 
     def low_s(self, service: Service | None, operation: str) -> float:
         """Return the 10th percentile, 0 without enough samples."""
--- /dev/null
+++ b/tests/entry/test_queueing.py
@@ -0,0 +1,172 @@
+"""Check the order in which queued tasks start."""
+
+from __future__ import annotations
+
+from collections import Counter
+from types import MappingProxyType
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savoryrudder.entry.queueing import MAX_REMOVED
+from savoryrudder.entry.queueing import QueuedTask
+from savoryrudder.entry.queueing import ServiceQueue
+from savoryrudder.policy.model import URGENCY_BANDS
+
+_SHARES = MappingProxyType(
+    {'critical': 0.4, 'urgent': 0.3, 'normal': 0.2, 'background': 0.1},
+)
+_WORK = st.sampled_from((0.05, 0.3, 1, 4))
+
+
+def _task(number: int, **fields: object) -> QueuedTask:
+    task = QueuedTask(number.to_bytes(16, 'big'), 0, 'a', 'normal', 'cut', 9, 0)
+    return task._replace(**fields)
+
+
+@pytest.fixture
+def queue() -> ServiceQueue:
+    """Create an empty queue."""
+    return ServiceQueue(_SHARES, {'a': 1, 'b': 1, 'heavy': 3})
+
+
+@given(st.lists(_WORK, min_size=4, max_size=4))
+def test_busy_bands_get_their_shares(works: list[float]) -> None:
+    """Guard against an urgent band that starves a less urgent one."""
+    queue = ServiceQueue(_SHARES, {})
+    started = Counter[str]()
+    for number in range(4 * 400):
+        band = URGENCY_BANDS[number % 4]
+        queue.push(_task(number, urgency=band, work=works[number % 4]))
+    for following in range(1500):
+        task = queue.pop(0)
+        assert task
+        started[task.urgency] += task.work
+        queue.push(task._replace(submission=following.to_bytes(12, 'big')))
+    total = sum(started.values())
+    for band, share in _SHARES.items():
+        # A band is behind by at most one task of each band.
+        assert started[band] >= share * total - sum(works)
+
+
+def test_unused_shares_go_to_the_most_urgent(queue: ServiceQueue) -> None:
+    """Guard against reserved slots that stay idle."""
+    for number in range(100):
+        band = ('urgent', 'background')[number % 2]
+        queue.push(_task(number, urgency=band))
+    first = Counter(queue.pop(0).urgency for _ in range(40))
+    assert first['background'] == pytest.approx(4, abs=1)
+
+
+def test_clients_share_a_band_by_weighted_work(queue: ServiceQueue) -> None:
+    """Guard against counting tasks, which favours clients of long ones."""
+    for number in range(900):
+        client = ('a', 'b', 'heavy')[number % 3]
+        work = {'a': 0.1, 'b': 1}.get(client, 1)
+        queue.push(_task(number, client=client, work=work))
+    done = Counter[str]()
+    while sum(done.values()) < 100:
+        task = queue.pop(0)
+        done[task.client] += task.work
+    assert done['heavy'] == pytest.approx(3 * done['b'], rel=0.15)
+    assert done['a'] == pytest.approx(done['b'], abs=1.5)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 40), st.integers(1, 60), _WORK),
+        min_size=50,
+        max_size=150,
+    ),
+)
+def test_no_client_starves(
+    flood: list[tuple[int, int, float]],
+) -> None:
+    """Guard against near deadlines that hold a client back for good."""
+    queue = ServiceQueue({}, {})
+    queue.push(_task(0, client='patient', deadline=1000, work=1))
+    number = 1
+    ahead: float = 0
+    while True:
+        for client, deadline, work in flood[number % 40 : number % 40 + 5]:
+            name = str(client % 3)
+            queue.push(
+                _task(number, client=name, deadline=deadline, work=work),
+            )
+            number += 1
+        task = queue.pop(0)
+        if task.client == 'patient':
+            break
+        ahead += task.work
+        # Three clients, each ahead by the bound and one task.
+        assert ahead <= 3 * (30 + 4)
+
+
+def _step(
+    queue: ServiceQueue,
+    model: dict[bytes, QueuedTask],
+    action: str,
+    task: QueuedTask,
+) -> None:
+    known = model.get(task.submission)
+    if action == 'push' and known is None:
+        model[task.submission] = task
+        queue.push(task)
+    elif action == 'remove':
+        model.pop(task.submission, None)
+        queue.remove(known or task)
+    elif action == 'pop' and model:
+        popped = queue.pop(0)
+        assert model.pop(popped.submission) == popped
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(('push', 'pop', 'remove')),
+            st.integers(0, 30),
+            st.sampled_from(URGENCY_BANDS),
+            st.sampled_from(('a', 'b', 'c')),
+            st.integers(1, 40),
+            _WORK,
+        ),
+        max_size=150,
+    ),
+)
+def test_removed_tasks_never_start(
+    steps: list[tuple[str, int, str, str, int, float]],
+) -> None:
+    """Guard against lost, repeated and removed tasks."""
+    queue = ServiceQueue(_SHARES, {'a': 2})
+    model: dict[bytes, QueuedTask] = {}
+    for action, number, *fields in steps:
+        names = ('urgency', 'client', 'deadline', 'work')
+        task = _task(number, **dict(zip(names, fields, strict=True)))
+        _step(queue, model, action, task)
+        assert len(queue) == len(model)
+        work = sum(task.work for task in model.values())
+        assert queue.work == pytest.approx(work)
+    assert model or queue.pop(0) is None
+
+
+def test_removed_tasks_are_given_up(queue: ServiceQueue) -> None:
+    """Guard against memory that cancelled tasks keep."""
+    keep = _task(0, deadline=1)
+    queue.push(keep)
+    for number in range(1, 10_000):
+        queue.push(_task(number))
+        queue.remove(_task(number))
+    held = queue._bands['normal'].clients['a']._items
+    assert len(held) <= 2 + MAX_REMOVED
+    assert queue.pop(0) == keep
+
+
+def test_drain_time_follows_the_order(queue: ServiceQueue) -> None:
+    """Guard against refusals for work that would run later anyway."""
+    for number in range(100):
+        queue.push(_task(number, client='b', urgency='background'))
+    assert queue.drain_s('normal', 'a', 1, 10, 0) == pytest.approx(1 / 9)
+    # Client b's share is the only work ahead of an equal.
+    assert queue.drain_s('background', 'a', 1, 10, 0) == pytest.approx(0.2)
+    assert queue.drain_s('background', 'b', 1, 10, 0) == pytest.approx(10.1)
