--- a/src/savoryrudder/daemon/upstream.py
+++ b/src/savoryrudder/daemon/upstream.py
@@ -60,8 +60,13 @@
         url: str,
         connections: int,
         max_result_bytes: int = _MAX_RESULT_BYTES,
+        keepalive_s: float = _KEEPALIVE_S,
     ) -> None:
-        """Prepare to call the upstream at `url`."""
+        """Prepare to call the upstream at `url`.
+
+        A connection idle longer than `keepalive_s` is not used again.
+        """
+        self._url = url
         self._max_result_bytes = max_result_bytes
         self._calls: dict[TaskKey, _Call] = {}
         self._client = httpx.AsyncClient(
@@ -71,10 +76,15 @@
             limits=httpx.Limits(
                 max_connections=connections,
                 max_keepalive_connections=connections,
-                keepalive_expiry=_KEEPALIVE_S,
+                keepalive_expiry=keepalive_s,
             ),
         )
 
+    @property
+    def url(self) -> str:
+        """Return the address of the upstream."""
+        return self._url
+
     async def close(self) -> None:
         """Close all connections."""
         await self._client.aclose()
@@ -94,7 +104,12 @@
         deadline_ms: int,
         trace: str,
     ) -> UpstreamResult:
-        """Run one task within its deadline and report the outcome."""
+        """Run one task within its deadline and report the outcome.
+
+        A task whose call is still running is not sent again.
+        """
+        if task in self._calls:
+            return UpstreamResult('unknown', b'', 'already running')
         submission, position = task
         headers = {
             'accept-encoding': 'identity',
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -17,6 +17,7 @@
     from savoryrudder.entry.queueing import ServiceQueue
     from savoryrudder.policy.model import Policy
     from savoryrudder.protocol.messages import Answer
+    from savoryrudder.protocol.messages import HandOver
     from savoryrudder.protocol.messages import Job
     from savoryrudder.protocol.messages import RosterAgent
     from savoryrudder.protocol.messages import TaskKey
@@ -30,11 +31,13 @@
     """Identify an entry process.
 
     `name` is unique for each run of an entry: its configured identifier, a
-    hash sign and its incarnation. `address` is its join address.
+    hash sign and its incarnation. `address` is its join address, `http` the
+    address for callers and operators.
     """
 
     name: str
     address: str
+    http: str
     zone: str
     retention_s: float
     balancer_delay_s: float
@@ -140,6 +143,7 @@
     name: str
     address: str
     session: str = ''
+    greeted: str = ''
     heard_at: float = 0
     revision: int = 0
     roster_held: int = 0
@@ -181,9 +185,10 @@
 
 
 class EntryDocument(TypedDict):
-    """Hold what an entry registers: its join address and its intent."""
+    """Hold what an entry registers: its addresses and its intent."""
 
     address: str
+    http: str
     draining: bool
 
 
@@ -240,6 +245,7 @@
     revision: int = 0
     text: str = ''
     author: str = ''
+    token: str = ''
     applied_at: str = ''
     store: StoreView = dataclasses.field(default_factory=StoreView)
     calls: dict[int, PendingCall] = dataclasses.field(default_factory=dict)
@@ -280,6 +286,7 @@
     )
     payload_bytes: int = 0
     queues: dict[str, ServiceQueue] = dataclasses.field(default_factory=dict)
+    hand_overs: dict[int, HandOver] = dataclasses.field(default_factory=dict)
     parked: dict[Waiter, ParkedRequest] = dataclasses.field(
         default_factory=dict,
     )
