Add an in-memory world that joins the real reducers

The fakes of links, store, upstreams and callers run on a virtual clock with a seeded random source; the oracle counts starts and answers outside the code under test.

--- /dev/null
+++ b/tests/fakes/callers.py
@@ -0,0 +1,145 @@
+"""Stand in for callers, who may submit a job again elsewhere."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import Any
+
+from savoryrudder.protocol.messages import Answer
+from savoryrudder.protocol.messages import Job
+from savoryrudder.protocol.messages import TaskSpec
+from savoryrudder.utils.identifiers import digest_of
+
+if TYPE_CHECKING:
+    from fakes.processes import Process
+    from fakes.world import World
+
+CLIENT = 'shop'
+# Reasons that ask the caller to submit its job again under the same key.
+_RETRIED = frozenset(('takeover', 'not-owner', 'in-doubt', 'stopping'))
+_RETRIES = 15
+
+
+@dataclasses.dataclass
+class Call:
+    """Hold one request of a caller; `persistent` ones are sent again."""
+
+    kind: str
+    key: str
+    entry: Process
+    sent_at: float
+    payloads: tuple[bytes, ...]
+    job: Job | None
+    persistent: bool
+    retries: int = 0
+    answer: Answer | None = None
+    answered_at: float = 0
+    lost: bool = False
+
+    @property
+    def status(self) -> str:
+        """Return status and reason, empty while there is no answer."""
+        if self.answer is None:
+            return ''
+        return f'{self.answer.status}/{self.answer.reason}'
+
+
+def make_job(key: str, variant: str, operation: str, tasks: int) -> Job:
+    """Create a job whose payloads name key, variant and task."""
+    payloads = [f'{key}/{variant}/{index}'.encode() for index in range(tasks)]
+    specs = tuple(TaskSpec(operation, payload) for payload in payloads)
+    digest = digest_of(b'|'.join(payloads))
+    return Job(CLIENT, key, 'pane', 'normal', 8000, specs, digest, '')
+
+
+class Callers:
+    """Send requests to entries and hand their answers to the oracle."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.calls: dict[int, Call] = {}
+        self.delay_s = 0.002
+
+    def submit(
+        self, entry: Process, key: str, tasks: int = 2, **options: Any
+    ) -> Call:
+        """Submit a job or a copy; options are fields of the job too."""
+        variant = options.pop('variant', '')
+        operation = options.pop('operation', 'cutting-plan')
+        persistent = options.pop('persistent', False)
+        job = make_job(key, variant, operation, tasks)._replace(**options)
+        return self._send('submit', entry, key, job, persistent=persistent)
+
+    def fetch(self, entry: Process, key: str) -> Call:
+        """Ask for the answer to an earlier submission."""
+        return self._send('fetch', entry, key, None)
+
+    def cancel(self, entry: Process, job: Job) -> Call:
+        """Cancel a submission."""
+        return self._send('cancel', entry, job.key, job)
+
+    def carry(self, request: int, answer: Answer) -> None:
+        """Carry an answer to its caller unless the connection is gone."""
+        self._world.clock.soon(self.delay_s, self._receive, request, answer)
+
+    def lose(self, entry: Process) -> None:
+        """Break the connections of an entry that has ended."""
+        for call in self.open_calls():
+            if call.entry is entry:
+                call.lost = True
+                self._retry(call)
+
+    def open_calls(self) -> list[Call]:
+        """Return the requests whose callers still wait."""
+        calls = self.calls.values()
+        return [one for one in calls if one.answer is None and not one.lost]
+
+    def _send(
+        self, kind: str, entry: Process, key: str, job: Any, **more: Any
+    ) -> Call:
+        payloads = tuple(task.payload for task in job.tasks) if job else ()
+        more.setdefault('persistent', False)
+        now = self._world.clock.now
+        call = Call(kind, key, entry, now, payloads, job, **more)
+        number = len(self.calls) + 1
+        self.calls[number] = call
+        if kind == 'submit':
+            self._world.oracle.note_copy(call)
+        self._world.clock.soon(self.delay_s, self._deliver, number, call)
+        return call
+
+    def _deliver(self, number: int, call: Call) -> None:
+        if call.entry.alive:
+            self._request(number, call)
+        else:
+            call.lost = True
+            self._retry(call)
+
+    def _request(self, number: int, call: Call) -> None:
+        if call.kind == 'submit':
+            call.entry.post('JobSubmitted', number, call.job, 10)
+        elif call.kind == 'fetch':
+            call.entry.post('AnswerRequested', number, CLIENT, call.key, 0)
+        else:
+            call.entry.post('JobCancelled', number, CLIENT, call.key)
+
+    def _receive(self, request: int, answer: Answer) -> None:
+        call = self.calls[request]
+        if call.lost:
+            return
+        self._world.oracle.note_answer(call, answer, self._world.clock.now)
+        if answer.status == 'running' or answer.reason in _RETRIED:
+            self._retry(call)
+
+    def _retry(self, call: Call) -> None:
+        if call.persistent and call.retries < _RETRIES:
+            self._world.clock.after(0.5, self._send_again, call)
+
+    def _send_again(self, call: Call) -> None:
+        entry = self._world.some_entry()
+        if entry is None:
+            self._world.clock.after(1, self._send_again, call)
+            return
+        more = {'persistent': True, 'retries': call.retries + 1}
+        self._send('submit', entry, call.key, call.job, **more)
--- /dev/null
+++ b/tests/fakes/upstream.py
@@ -0,0 +1,47 @@
+"""Stand in for the upstreams beside the agents."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from fakes.processes import Process
+    from fakes.world import World
+
+
+def result_of(payload: bytes) -> bytes:
+    """Return the result that every upstream computes for a payload."""
+    return bytes(reversed(payload))
+
+
+class Upstreams:
+    """Run tasks; `modes` holds how an agent's upstream misbehaves."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.modes: dict[str, str] = {}
+        self.duration_s = (0.05, 0.6)
+
+    def call(self, agent: Process, call: Any) -> None:
+        """Start a task, whatever its agent learns of it."""
+        self._world.oracle.note_start(agent, call, self._world.clock.now)
+        mode = self.modes.get(agent.name, '')
+        delay = self._world.clock.randomness.uniform(*self.duration_s)
+        result = result_of(call.payload)
+        if mode == 'hang':
+            return
+        if mode == 'late':
+            delay += call.deadline_ms / 1000
+        if mode in {'failed', 'unknown'}:
+            self.finish(delay / 10, agent, call.task, mode)
+            return
+        self.finish(delay, agent, call.task, 'complete', result)
+        if mode == 'twice':
+            self.finish(delay + 0.2, agent, call.task, 'complete', result)
+
+    def finish(self, delay: float, agent: Process, *what: Any) -> None:
+        """Report the end of a task: its key, outcome and result."""
+        result = what[2] if len(what) > 2 else b''
+        end = ('UpstreamFinished', *what[:2], result, '')
+        self._world.clock.after(delay, agent.post, *end)
--- /dev/null
+++ b/tests/fakes/world.py
@@ -0,0 +1,149 @@
+"""Join real reducers by fakes of everything around them."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from fakes.callers import CLIENT
+from fakes.callers import Callers
+from fakes.clock import Clock
+from fakes.links import SILENCE_S
+from fakes.links import Links
+from fakes.processes import Process
+from fakes.store import StoreFake
+from fakes.upstream import Upstreams
+
+from savoryrudder.agent import state as agent_state
+from savoryrudder.entry import documents
+from savoryrudder.entry import state as entry_state
+from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.identifiers import submission_id
+
+OPERATIONS = ('cutting-plan', 'sheet-quote')
+TEXT = """
+[services.pane.operations]
+cutting-plan = { idempotent = false, expected_ms = 400 }
+sheet-quote = { idempotent = true, expected_ms = 100 }
+[clients.shop]
+rate = 100000
+burst = 100000
+concurrent = 100000
+"""
+
+
+def config_value(text: str, token: str) -> str:
+    """Return the store's value for an operators' text."""
+    fields = {'text': text, 'author': 'op', 'applied_at': '', 'token': token}
+    return documents.encode(fields)
+
+
+class World:
+    """Hold the processes `e1`, `e2`, ... and `a1`, `a2`, ... by place.
+
+    A restarted process takes the place of its predecessor with a new
+    incarnation; an entry's name contains it, an agent's does not.
+    """
+
+    def __init__(self, oracle: Any, seed: int, **sizes: int) -> None:
+        """Start all processes and let them settle."""
+        self.oracle = oracle
+        self.clock = Clock(seed)
+        self.links = Links(self.clock)
+        self.store = StoreFake(self.clock)
+        self.upstreams = Upstreams(self)
+        self.callers = Callers(self)
+        self.observers: list[Any] = []
+        self.places: dict[str, Process] = {}
+        self.operator_answers: dict[int, Any] = {}
+        self._incarnations = 0
+        self.store.write(documents.CONFIG_KEY, config_value(TEXT, 'first'))
+        for number in range(sizes.get('entries', 3)):
+            self.start(f'e{number + 1}')
+        for number in range(sizes.get('agents', 3)):
+            self.start(f'a{number + 1}')
+        self._connect()
+        self.clock.run(sizes.get('settle_s', 3))
+
+    def start(self, place: str) -> None:
+        """Start a process with an empty state and a new incarnation."""
+        self._incarnations += 1
+        name = place
+        if place.startswith('e'):
+            name = f'{place}#{self._incarnations}'
+            entry = (name, f'tcp://{place}', 'zale', 600, 2)
+            state: Any = entry_state.EntryState(
+                entry_state.EntryIdentity(*entry),
+                random.Random(self._incarnations),
+            )
+        else:
+            agent = (place, f'i{self._incarnations}', 'pane', 'zale', 4, 512)
+            state = agent_state.new_state(
+                agent_state.Identity(*agent, OPERATIONS),
+                agent_state.Limits(),
+            )
+        self.places[place] = Process(self, name, state)
+
+    def some_entry(self) -> Process | None:
+        """Return an entry that a balancer would choose."""
+        entries = [
+            process
+            for process in self.places.values()
+            if process.is_entry and process.alive and not process.frozen
+        ]
+        return self.clock.randomness.choice(entries) if entries else None
+
+    def owner_of(self, key: str) -> str:
+        """Return the place that owns a key by the map in the store."""
+        found = self.store.read(documents.PARTITIONS_KEY)
+        partition = partition_of(submission_id(CLIENT, key))
+        owner = documents.decode_owners(found.value)[partition].owner
+        return owner.partition('#')[0]
+
+    def kill(self, place: str, back_after: float | None = None) -> None:
+        """Kill a process and start it again unless told otherwise."""
+        self.places[place].kill()
+        if back_after is not None:
+            self.clock.after(back_after, self.start_missing, place)
+
+    def start_missing(self, place: str) -> None:
+        """Start a process unless it lives."""
+        if not self.places[place].alive:
+            self.start(place)
+
+    def freeze(self, place: str, seconds: float) -> None:
+        """Stop a process for a time; its peers notice after 3 s."""
+        process = self.places[place]
+        if process.alive and not process.frozen:
+            process.frozen = True
+            self.clock.after(SILENCE_S, self._notice_frozen, process)
+            self.clock.after(seconds, process.thaw)
+
+    def end_faults(self) -> None:
+        """Thaw, restart and heal everything."""
+        self.store.down = False
+        self.store.delay_s = 0.005
+        self.store.lose_answers.clear()
+        self.links.blocked.clear()
+        self.links.delay_s = 0.002
+        self.upstreams.modes.clear()
+        for place in list(self.places):
+            if self.places[place].frozen:
+                self.places[place].thaw()
+            self.start_missing(place)
+
+    def note(self, process: Process, event: Any, produced: Any) -> None:
+        """Show one step to the observers."""
+        for observer in self.observers:
+            observer(process, event, produced)
+
+    def _notice_frozen(self, process: Process) -> None:
+        if process.frozen:
+            self.links.drop(process.name)
+
+    def _connect(self) -> None:
+        places = self.places.values()
+        self.links.connect(
+            [one for one in places if one.alive and not one.frozen]
+        )
+        self.clock.after(0.5, self._connect)
--- /dev/null
+++ b/tests/proofs/conftest.py
@@ -0,0 +1,3 @@
+"""Provide worlds that an oracle watches."""
+
+from __future__ import annotations
