Repeat refusals, follow registrations and drop replaced sessions

Every copy within the retry-after time, at least 4 s, now gets the refusal, and so do those that waited inside.

An agent that joined or linked anew stayed unused for 60 s when any peer entry had died, since its confirmation was awaited. An unlinked peer is no longer awaited once the store shows that it is not registered. Skipping peers that are merely absent from the watch is not safe: the view may be older than the peer's last session. In return an entry forgets the rosters of its peers when it registers anew and opens new sessions.

A hello on a new session replaced the old session without routing the requests again that had been forwarded on it; their callers never got an answer. The same holds for the claims of an agent's old session.

--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -35,7 +35,7 @@
 
 # An agent that stays away longer is taken for dead; its tasks are unknown.
 AGENT_RETURN_S: Final = 10
-# Peers older than this are not waited for before a new agent is used.
+# Peers silent for longer are not waited for before a new agent is used.
 ROSTER_PATIENCE_S: Final = 60
 ACKNOWLEDGE_INTERVAL_S: Final = 1
 
@@ -47,6 +47,8 @@
     state = turn.state
     name = hello.agent
     _fail_older_incarnation(turn, hello)
+    if name in state.agents:
+        handle_link_down(turn, name)
     state.lost_agents.pop(name, None)
     note_roster(turn, name, hello.incarnation, hello.service, linked=True)
     state.agents[name] = AgentLink(
@@ -207,7 +209,7 @@
     patience = turn.now - ROSTER_PATIENCE_S
     for peer in turn.state.peers.values():
         held = peer.roster_held >= link.roster_sequence
-        if not held and peer.heard_at > patience:
+        if not held and not peer.gone and peer.heard_at > patience:
             return
     link.usable = True
     turn.state.fleet.mark_usable(link.name)
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -12,6 +12,7 @@
 from savoryrudder.entry.effects import ConnectPeer
 from savoryrudder.entry.partitions import gain_partition
 from savoryrudder.entry.partitions import lose_partition
+from savoryrudder.entry.peers import forget_rosters
 from savoryrudder.entry.state import PartitionOwner
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
@@ -83,15 +84,23 @@
         store.renew_at = turn.now
 
 
-def handle_registered(turn: Turn, outcome: interface.StoreOutcome) -> None:
+def handle_registered(
+    turn: Turn,
+    lease: str,
+    outcome: interface.StoreOutcome,
+) -> None:
     """Take over the outcome of the registration."""
     store = turn.state.store
     store.register_pending = False
     if isinstance(outcome, interface.Swapped):
         store.own_version = outcome.version
+        store.registered = lease == store.lease
+        if store.registered_lease != lease:
+            store.registered_lease = lease
+            forget_rosters(turn)
     elif isinstance(outcome, interface.SwapConflict):
         store.own_version = outcome.current.version
-    elif isinstance(outcome, interface.LeaseLost):
+    elif isinstance(outcome, interface.LeaseLost) and lease == store.lease:
         store.lease = ''
         store.lease_deadline = 0
         store.renew_at = turn.now
@@ -257,7 +266,7 @@
             ),
             store.lease,
         ),
-        PendingCall('register', None),
+        PendingCall('register', store.lease),
     )
 
 
@@ -281,9 +290,10 @@
     }
     own_item = found.get(f'{documents.ENTRY_PREFIX}{own}')
     state.store.own_version = own_item.version if own_item else 0
-    state.store.registered = own in state.live and (
-        state.live[own]['draining'] == (state.drain_started is not None)
-    )
+    if own not in state.live or (
+        state.live[own]['draining'] != (state.drain_started is not None)
+    ):
+        state.store.registered = False
     for name, document in state.live.items():
         state.absent_since.pop(name, None)
         if name != own and name not in state.peers:
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -5,12 +5,16 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from savoryrudder.entry import documents
 from savoryrudder.entry.routing import reroute_forwards
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PeerRoster
+from savoryrudder.entry.state import PendingCall
 from savoryrudder.protocol.messages import Promise
 from savoryrudder.protocol.messages import Roster
 from savoryrudder.protocol.messages import RosterHeld
+from savoryrudder.store import interface
+from savoryrudder.utils.effects import CloseLink
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
@@ -20,6 +24,7 @@
 PROMISE_INTERVAL_S: Final = 1
 # A roster change waits this long so that a wave of agents makes one message.
 ROSTER_INTERVAL_S: Final = 0.2
+RETRY_S: Final = 0.5
 # Peers not heard from for longer are forgotten once their lease is gone.
 FORGET_PEER_S: Final = 120
 
@@ -31,9 +36,14 @@
     if peer is None:
         peer = PeerLink(hello.entry, hello.address)
         state.peers[hello.entry] = peer
+    if peer.session:
+        # What was on the old session is lost; its end is reported later.
+        handle_peer_down(turn, hello.entry)
     peer.session = session
     peer.heard_at = turn.now
     peer.roster_held = 0
+    peer.gone = False
+    peer.links += 1
     turn.log_change('peer_up', entry=hello.entry)
     _send_roster(turn, peer)
     _send_promise(turn, peer)
@@ -73,6 +83,40 @@
         peer.promise_until = max(peer.promise_until, until)
 
 
+def forget_rosters(turn: Turn) -> None:
+    """Drop the rosters received before this entry registered.
+
+    While an entry is not registered its peers use agents without waiting for
+    its confirmation, so that what it received earlier may lack agents. New
+    sessions keep out rosters that are still on their way.
+    """
+    turn.state.rosters.clear()
+    for name, peer in turn.state.peers.items():
+        if peer.session:
+            turn.emit(CloseLink(name, 'registered anew'))
+            handle_peer_down(turn, name)
+
+
+def handle_read_peer(
+    turn: Turn,
+    context: str,
+    outcome: interface.StoreOutcome,
+) -> None:
+    """Note that an unlinked peer is not registered any more.
+
+    It cannot take over before it has registered again, and then it starts
+    without rosters. The read was sent after the end of the last session, so
+    that no roster reached the peer later.
+    """
+    name, _, links = context.rpartition(' ')
+    peer = turn.state.peers.get(name)
+    if peer is None:
+        return
+    absent = isinstance(outcome, interface.KeyValue) and outcome.value is None
+    if absent and int(links) == peer.links:
+        peer.gone = True
+
+
 def note_heard(turn: Turn, name: str) -> None:
     """Note that a peer is alive; its roster stays valid."""
     state = turn.state
@@ -98,6 +142,7 @@
         for peer in state.peers.values():
             if peer.session:
                 _send_roster(turn, peer)
+    _ask_for_gone_peers(turn)
 
 
 def forget_peers(turn: Turn) -> None:
@@ -115,6 +160,20 @@
         state.rosters.pop(name, None)
 
 
+def _ask_for_gone_peers(turn: Turn) -> None:
+    """Ask the store whether unlinked peers are still registered."""
+    if all(link.usable for link in turn.state.agents.values()):
+        return
+    for peer in turn.state.peers.values():
+        if peer.session or peer.gone or turn.now < peer.asked_at + RETRY_S:
+            continue
+        peer.asked_at = turn.now
+        turn.call_store(
+            interface.ReadKey(f'{documents.ENTRY_PREFIX}{peer.name}'),
+            PendingCall('read-peer', f'{peer.name} {peer.links}'),
+        )
+
+
 def _send_roster(turn: Turn, peer: PeerLink) -> None:
     state = turn.state
     blind_until = max(
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -184,11 +184,9 @@
             turn,
             outcome,
         ),
-        'register': lambda turn, _, outcome: membership.handle_registered(
-            turn,
-            outcome,
-        ),
+        'register': membership.handle_registered,
         'revoke': lambda turn, _, outcome: None,
+        'read-peer': peers.handle_read_peer,
         'read-map': lambda turn, _, outcome: membership.handle_read_map(
             turn,
             outcome,
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING
 from typing import Final
 from uuid import UUID
@@ -33,9 +34,13 @@
 TAKEOVER_WAIT_S: Final = 5
 # The longest time that a frame can spend on a link before the link is closed.
 TRANSIT_S: Final = 3
-# Copies older than parking plus transit cannot arrive any more.
+# Copies received before the end of a refusal's repetition and older than
+# parking plus transit cannot arrive any more.
 REFUSAL_MEMORY_S: Final = PARK_S + TRANSIT_S
 CLOCK_SKEW_S: Final = 2
+# A refusal is repeated for at least this long, so that copies that were on
+# their way while it was given (up to `TRANSIT_S`) do not run after it.
+REFUSAL_REPEAT_MS: Final = 4000
 MIN_RETRY_AFTER_MS: Final = 1000
 MAX_SUBMISSIONS: Final = 200_000
 MAX_PAYLOAD_BYTES: Final = 256 * 1024 * 1024
@@ -162,13 +167,12 @@
 def forget_refusals(turn: Turn) -> None:
     """Forget refusals whose delayed copies cannot arrive any more."""
     refusals = turn.state.refusals
-    expired = []
-    for identifier, past in refusals.items():
-        if past.at + REFUSAL_MEMORY_S > turn.now:
-            break
-        expired.append(identifier)
-    for identifier in expired:
-        refusals.pop(identifier)
+    expiry = turn.state.refusal_expiry
+    while expiry and expiry[0][0] <= turn.now:
+        _, identifier = heapq.heappop(expiry)
+        past = refusals.get(identifier)
+        if past and past.repeat_until + REFUSAL_MEMORY_S <= turn.now:
+            refusals.pop(identifier)
 
 
 def _local_request(
@@ -209,8 +213,8 @@
         _serve_known(turn, request, known)
         return
     past = turn.state.refusals.get(identifier)
-    if past is not None and request.received < past.at:
-        answers.reply(turn, request.waiter, past.answer)
+    if past is not None and request.received < past.repeat_until:
+        _repeat_refusal(turn, request, past)
         return
     if _in_doubt(turn, request, partition):
         if turn.now < partition.gained_at + TAKEOVER_WAIT_S:
@@ -284,12 +288,32 @@
     answer: Answer,
 ) -> None:
     if answer.outcome == reasons.NOT_RUN and request.kind != 'fetch':
-        turn.state.refusals.pop(identifier, None)
-        turn.state.refusals[identifier] = PastRefusal(turn.now, answer)
+        retry_ms = max(answer.retry_after_ms, REFUSAL_REPEAT_MS)
+        if answer.retry_after_ms:
+            answer = answer._replace(retry_after_ms=retry_ms)
+        until = turn.now + retry_ms / 1000
+        turn.state.refusals[identifier] = PastRefusal(until, answer)
+        heapq.heappush(
+            turn.state.refusal_expiry,
+            (until + REFUSAL_MEMORY_S, identifier),
+        )
     turn.count('requests_refused')
     answers.reply(turn, request.waiter, answer)
 
 
+def _repeat_refusal(
+    turn: Turn,
+    request: ParkedRequest,
+    past: PastRefusal,
+) -> None:
+    turn.count('refusals_repeated')
+    answer = past.answer
+    if answer.retry_after_ms:
+        left_ms = max(0, int((past.repeat_until - turn.now) * 1000))
+        answer = answer._replace(retry_after_ms=left_ms + 1)
+    answers.reply(turn, request.waiter, answer)
+
+
 def _absent(request: ParkedRequest) -> Answer:
     if request.kind == 'cancel':
         return answers.refusal(
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -143,7 +143,9 @@
     heard_at: float = 0
     revision: int = 0
     roster_held: int = 0
-    roster_sent: int = 0
+    links: int = 0
+    gone: bool = False
+    asked_at: float = 0
     promise_until: float = 0
     promised_until: float = 0
     echo_ms: int = 0
@@ -171,6 +173,7 @@
     watch_version: int = 0
     own_version: int = 0
     registered: bool = False
+    registered_lease: str = ''
     register_pending: bool = False
     register_at: float = 0
     swap_pending: bool = False
@@ -219,9 +222,9 @@
 
 
 class PastRefusal(NamedTuple):
-    """Remember a refusal and when it was given."""
+    """Remember a refusal; copies received before `repeat_until` get it."""
 
-    at: float
+    repeat_until: float
     answer: Answer
 
 
@@ -272,6 +275,9 @@
     refusals: dict[bytes, PastRefusal] = dataclasses.field(
         default_factory=dict,
     )
+    refusal_expiry: list[tuple[float, bytes]] = dataclasses.field(
+        default_factory=list,
+    )
     deadlines: list[tuple[float, bytes]] = dataclasses.field(
         default_factory=list,
     )
--- a/tests/fakes/upstream.py
+++ b/tests/fakes/upstream.py
@@ -30,6 +30,8 @@
         delay = self._world.clock.randomness.uniform(*self.duration_s)
         result = result_of(call.payload)
         if mode == 'hang':
+            # The shell gives up on the call, some time after its deadline.
+            self.finish(call.deadline_ms / 500, agent, call.task, 'unknown')
             return
         if mode == 'late':
             delay += call.deadline_ms / 1000
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -100,6 +100,14 @@
         owner = documents.decode_owners(found.value)[partition].owner
         return owner.partition('#')[0]
 
+    def config_revision(self) -> int:
+        """Return the revision of the configuration in the store."""
+        return self.store.read(documents.CONFIG_KEY).version
+
+    def drain(self, place: str, timeout_s: float = 30) -> None:
+        """Ask a process to stop gracefully."""
+        self.places[place].post('DrainRequested', timeout_s)
+
     def kill(self, place: str, back_after: float | None = None) -> None:
         """Kill a process and start it again unless told otherwise."""
         self.places[place].kill()
--- /dev/null
+++ b/tests/proofs/scenario.py
@@ -0,0 +1,112 @@
+"""Steps that the proofs share."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+from uuid import UUID
+
+from fakes.processes import WALL_OFFSET_S
+
+from savoryrudder.entry.admission import Refusal
+
+if TYPE_CHECKING:
+    from fakes.callers import Call
+    from fakes.world import World
+
+# A call is answered within its deadline of 8 s, the grace for the agent's
+# report and the way there.
+ANSWER_S = 14
+# Lease, takeover and the return of a lost agent, one after the other.
+RECOVERY_S = 20
+
+
+class Reluctant:
+    """Refuse some jobs by chance, as an overload does."""
+
+    def __init__(self, admission: Any, seed: int, ratio: float) -> None:
+        """Wrap an admission control."""
+        self._admission = admission
+        self._randomness = random.Random(seed)
+        self.ratio = ratio
+
+    def check(self, job: Any, *others: Any) -> Refusal | None:
+        """Refuse at random, else as the wrapped control does."""
+        if self._randomness.random() < self.ratio:
+            return Refusal('overloaded', 'refused by chance', 1000)
+        return self._admission.check(job, *others)
+
+    def job_ended(self, *ended: Any) -> None:
+        """Pass on the end of a job."""
+        self._admission.job_ended(*ended)
+
+
+def refuse_some(world: World, ratio: float, seed: int) -> None:
+    """Let every live entry refuse a ratio of the jobs."""
+    for place in entries_of(world):
+        state = world.places[place].state
+        state.admission = Reluctant(state.admission, seed, ratio)
+
+
+def key_owned_by(world: World, place: str, name: str = 'k') -> str:
+    """Return an opaque key whose partition an entry owns."""
+    keys = (f'{name}-{number}' for number in range(10_000))
+    return next(key for key in keys if world.owner_of(key) == place)
+
+
+def fresh_key(world: World) -> str:
+    """Return a UUIDv7 key that is issued now."""
+    issued_ms = int((world.clock.now + WALL_OFFSET_S) * 1000)
+    chance = world.clock.randomness.getrandbits(62)
+    return str(UUID(int=(issued_ms << 80) | (7 << 76) | (2 << 62) | chance))
+
+
+def start_counts(world: World, call: Call) -> set[int]:
+    """Return how often the tasks of a job were started."""
+    return {len(world.oracle.starts[payload]) for payload in call.payloads}
+
+
+def faults_end(world: World) -> list[str]:
+    """End all faults and return the violations, of liveness too."""
+    world.end_faults()
+    for entry in entries_of(world):
+        state = world.places[entry].state
+        if isinstance(state.admission, Reluctant):
+            state.admission.ratio = 0
+    world.clock.run(RECOVERY_S)
+    fresh = [
+        world.callers.submit(world.places[place], fresh_key(world))
+        for place in entries_of(world)
+    ]
+    world.clock.run(ANSWER_S)
+    return [
+        *world.oracle.judge(),
+        *(f'fresh: {one.status}' for one in fresh if not _complete(one)),
+        *_unanswered(world),
+        *_behind(world),
+    ]
+
+
+def entries_of(world: World) -> list[str]:
+    """Return the places of all entries."""
+    return [place for place in world.places if place.startswith('e')]
+
+
+def _complete(call: Call) -> bool:
+    return call.status == 'complete/'
+
+
+def _unanswered(world: World) -> list[str]:
+    limit = world.clock.now - ANSWER_S
+    return [
+        f'{call.kind} {call.key} of {call.sent_at:.2f} is not answered'
+        for call in world.callers.open_calls()
+        if call.sent_at < limit
+    ]
+
+
+def _behind(world: World) -> list[str]:
+    stored = world.config_revision()
+    found = {one.name: one.revision for one in world.places.values()}
+    return [f'P8: {name}' for name in found if found[name] != stored]
--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -2,17 +2,423 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import pytest
+from fakes.world import TEXT
 from fakes.world import World
-from oracle import Oracle
+from scenario import faults_end
+from scenario import fresh_key
+from scenario import key_owned_by
+from scenario import refuse_some
+from scenario import start_counts
+
+from savoryrudder.entry import documents
+from savoryrudder.protocol import messages
+
+MakeWorld = Callable[..., World]
 
 
-def test_job_completes_without_faults() -> None:
+def test_job_completes_without_faults(make_world: MakeWorld) -> None:
     """Guard against a world that proves nothing because nothing runs."""
-    world = World(Oracle(), seed=1)
+    world = make_world(1)
     calls = [
         world.callers.submit(world.places[place], f'k-{place}', 5)
         for place in ('e1', 'e2', 'e3')
     ]
     world.clock.run(5)
     assert {call.status for call in calls} == {'complete/'}
-    assert world.oracle.judge() == []
+    assert not faults_end(world)
+
+
+def test_killed_entry_mid_job(make_world: MakeWorld) -> None:
+    """Guard against a second start after a resubmission elsewhere."""
+    world = make_world(2)
+    key = key_owned_by(world, 'e1')
+    call = world.callers.submit(world.places['e1'], key, 20, persistent=True)
+    world.clock.run(0.3)
+    world.kill('e1')
+    world.clock.run(25)
+    last = list(world.callers.calls.values())[-1]
+    assert last.status == 'complete/'
+    assert start_counts(world, call) == {1}
+    assert not faults_end(world)
+
+
+def test_killed_entry_and_agent(make_world: MakeWorld) -> None:
+    """Guard against starts whose record died with its agent."""
+    world = make_world(3)
+    key = key_owned_by(world, 'e1')
+    world.callers.submit(world.places['e1'], key, 12, persistent=True)
+    world.clock.run(0.1)
+    world.kill('e1')
+    world.kill('a1', 1)
+    world.clock.run(20)
+    copy = world.callers.submit(world.places['e2'], key, 12)
+    late = world.callers.submit(world.places['e2'], fresh_key(world))
+    world.clock.run(8)
+    assert copy.status == 'refused/in-doubt'
+    assert late.status == 'complete/'
+    assert not faults_end(world)
+
+
+@pytest.mark.parametrize('seconds', [4, 9, 15])
+def test_frozen_entry(make_world: MakeWorld, seconds: float) -> None:
+    """Guard against starts of an entry that thaws after a takeover."""
+    world = make_world(4)
+    key = key_owned_by(world, 'e1')
+    calls = [world.callers.submit(world.places['e1'], key, 40)]
+    world.clock.run(0.2)
+    world.freeze('e1', seconds)
+    calls.append(world.callers.submit(world.places['e1'], key, 40))
+    world.clock.run(1)
+    calls.append(world.callers.submit(world.places['e2'], key, 40))
+    world.clock.run(seconds + 12)
+    assert start_counts(world, calls[0]) == {1}
+    assert not faults_end(world)
+
+
+def test_cut_link_with_starts_in_flight(make_world: MakeWorld) -> None:
+    """Guard against lost starts and against those that arrive late."""
+    world = make_world(5)
+    key = key_owned_by(world, 'e2')
+    world.links.delay_s = 0.3
+    call = world.callers.submit(world.places['e2'], key, 12)
+    for _ in range(6):
+        world.clock.run(0.15)
+        for agent in ('a1', 'a2', 'a3'):
+            world.links.cut(world.places['e2'].name, agent)
+    world.clock.run(10)
+    assert call.status == 'complete/'
+    assert start_counts(world, call) == {1}
+    assert not faults_end(world)
+
+
+def test_silent_link(make_world: MakeWorld) -> None:
+    """Guard against a job that waits for a link that says nothing."""
+    world = make_world(6)
+    key = key_owned_by(world, 'e2')
+    call = world.callers.submit(world.places['e2'], key, 12)
+    world.clock.run(0.1)
+    world.links.silence(world.places['e2'].name, 'a1', 5)
+    world.clock.run(10)
+    assert call.status == 'complete/'
+    assert start_counts(world, call) == {1}
+    assert not faults_end(world)
+
+
+def test_frozen_agent(make_world: MakeWorld) -> None:
+    """Guard against starts that a thawed agent still finds queued."""
+    world = make_world(7)
+    calls = [
+        world.callers.submit(world.places['e1'], f'k{number}', 6)
+        for number in range(4)
+    ]
+    world.clock.run(0.1)
+    world.freeze('a1', 13)
+    world.clock.run(20)
+    assert all(call.answer for call in calls)
+    assert not faults_end(world)
+
+
+def test_store_outage_of_an_hour(make_world: MakeWorld) -> None:
+    """Guard against owners that stop or double while the store is down."""
+    world = make_world(8)
+    world.store.down = True
+    calls = []
+    for hour_part in range(6):
+        world.clock.run(600)
+        entry = world.places[f'e{hour_part % 3 + 1}']
+        calls.append(world.callers.submit(entry, f'k{hour_part}'))
+    world.clock.run(8)
+    assert {call.status for call in calls} == {'complete/'}
+    assert not faults_end(world)
+
+
+def test_entry_dies_during_store_outage(make_world: MakeWorld) -> None:
+    """Guard against acting without the promise of every peer."""
+    world = make_world(9)
+    world.store.down = True
+    world.clock.run(30)
+    world.kill('e1', 40)
+    calls = []
+    for second in range(20):
+        entry = world.places[f'e{second % 2 + 2}']
+        calls.append(world.callers.submit(entry, f'k{second}', persistent=True))
+        world.clock.run(1)
+    assert not faults_end(world)
+
+
+def test_lost_answer_of_a_takeover(make_world: MakeWorld) -> None:
+    """Guard against a blind retry of a swap that took effect."""
+    world = make_world(10)
+    key = key_owned_by(world, 'e1')
+    call = world.callers.submit(world.places['e1'], key, 12, persistent=True)
+    world.clock.run(0.2)
+    world.kill('e1')
+    world.store.lose_answers += ('SwapKey', 'SwapKey')
+    world.clock.run(25)
+    last = list(world.callers.calls.values())[-1]
+    assert last.status == 'complete/'
+    assert start_counts(world, call) == {1}
+    assert not faults_end(world)
+
+
+def test_lost_answers_of_lease_renewals(make_world: MakeWorld) -> None:
+    """Guard against an entry that gives up over one lost renewal."""
+    world = make_world(11)
+    lost = ('RenewLease' for _ in range(6))
+    world.store.lose_answers += lost
+    calls = []
+    for second in range(12):
+        calls.append(world.callers.submit(world.places['e1'], f'k{second}'))
+        world.clock.run(1)
+    world.clock.run(6)
+    assert {call.status for call in calls} == {'complete/'}
+    assert not faults_end(world)
+
+
+def test_slow_store(make_world: MakeWorld) -> None:
+    """Guard against leases that end while their renewal is on its way."""
+    world = make_world(12)
+    world.store.delay_s = 5
+    for second in range(30):
+        world.callers.submit(world.places['e1'], f'k{second}')
+        world.clock.run(1)
+    assert not faults_end(world)
+
+
+@pytest.mark.parametrize('place', ['e1', 'e2', 'a1', 'a2'])
+def test_drain_under_traffic(make_world: MakeWorld, place: str) -> None:
+    """Guard against a request that a planned stop interrupts."""
+    world = make_world(13)
+    calls = []
+    for step in range(60):
+        if step == 20:
+            world.drain(place)
+        # The balancer sends callers until it has seen the drain, for 2 s.
+        number = step % 3 + 1 if step < 30 else 3
+        entry = world.places[f'e{number}']
+        calls.append(world.callers.submit(entry, f'k{step}', 3))
+        world.clock.run(0.1)
+    world.clock.run(12)
+    assert {call.status for call in calls} == {'complete/'}
+    assert not world.places[place].alive
+    assert not faults_end(world)
+
+
+def test_restarted_agent(make_world: MakeWorld) -> None:
+    """Guard against a second start of tasks that an agent took with it."""
+    world = make_world(14)
+    calls = [
+        world.callers.submit(world.places['e1'], f'k{number}', 4)
+        for number in range(4)
+    ]
+    world.clock.run(0.1)
+    world.kill('a1', 0.5)
+    world.clock.run(12)
+    assert {call.status for call in calls} <= {
+        'complete/',
+        'failed/agent-lost',
+    }
+    assert 'failed/agent-lost' in {call.status for call in calls}
+    assert not faults_end(world)
+
+
+@pytest.mark.parametrize('mode', ['late', 'twice', 'hang', 'failed'])
+def test_misbehaving_upstream(make_world: MakeWorld, mode: str) -> None:
+    """Guard against answers made of late, doubled or missing results."""
+    world = make_world(15)
+    world.upstreams.modes['a1'] = mode
+    calls = [
+        world.callers.submit(world.places['e1'], f'k{number}', 3)
+        for number in range(6)
+    ]
+    world.clock.run(14)
+    assert all(call.answer for call in calls)
+    if mode == 'twice':
+        assert {call.status for call in calls} == {'complete/'}
+    assert not faults_end(world)
+
+
+def test_crossed_resubmissions(make_world: MakeWorld) -> None:
+    """Guard against a copy that runs after another one was refused."""
+    world = make_world(16)
+    refuse_some(world, 0.5, 16)
+    world.callers.delay_s = 1.4
+    for number in range(30):
+        for place in ('e1', 'e2', 'e3'):
+            world.callers.submit(world.places[place], f'k{number}', 1)
+        world.clock.run(0.2)
+    world.clock.run(6)
+    statuses = {call.status for call in world.callers.calls.values()}
+    assert statuses == {'complete/', 'refused/overloaded'}
+    assert not faults_end(world)
+
+
+def test_conflicting_bodies(make_world: MakeWorld) -> None:
+    """Guard against results of another body under the same key."""
+    world = make_world(17)
+    calls = [
+        world.callers.submit(world.places[place], 'k', variant=place)
+        for place in ('e1', 'e2', 'e3')
+    ]
+    world.clock.run(5)
+    statuses = sorted(call.status for call in calls)
+    assert statuses == [
+        'complete/',
+        'refused/key-conflict',
+        'refused/key-conflict',
+    ]
+    assert not faults_end(world)
+
+
+def test_cancel_that_overtakes_its_job(make_world: MakeWorld) -> None:
+    """Guard against a job that runs although its caller was told not."""
+    world = make_world(18)
+    for number in range(20):
+        world.callers.delay_s = 1.4
+        place = f'e{number % 3 + 1}'
+        job = world.callers.submit(world.places[place], f'k{number}', 1)
+        world.callers.delay_s = 0.4
+        place = f'e{(number + 1) % 3 + 1}'
+        world.callers.cancel(world.places[place], job.job)
+        world.clock.run(0.1)
+    world.clock.run(8)
+    assert not faults_end(world)
+
+
+def test_wave_of_cancellations(make_world: MakeWorld) -> None:
+    """Guard against cancelled jobs that run, and against a lost answer."""
+    world = make_world(19)
+    jobs = [
+        world.callers.submit(world.places['e1'], f'k{number}', 1)
+        for number in range(10_000)
+    ]
+    world.clock.run(0.3)
+    waves = [world.callers.cancel(world.places['e1'], job.job) for job in jobs]
+    world.clock.run(5)
+    assert all(call.answer for call in jobs + waves)
+    started = len(world.oracle.starts)
+    assert started < 100
+    assert not faults_end(world)
+
+
+def test_operators_race(make_world: MakeWorld) -> None:
+    """Guard against a change that overwrites another unseen."""
+    world = make_world(20)
+    for number in (1, 2):
+        text = TEXT.replace('400', f'40{number}')
+        change = (number, text, 1, f'op{number}', f'token{number}')
+        world.places[f'e{number}'].post('ConfigSubmitted', *change)
+    world.clock.run(12)
+    answers = world.operator_answers
+    assert sorted(answer.status for answer in answers.values()) == [200, 409]
+    loser = next(one for one in answers.values() if one.status == 409)
+    assert loser.body['author'] in {'op1', 'op2'}
+    stored = world.config_revision()
+    assert {one.revision for one in world.places.values()} == {stored}
+    assert not faults_end(world)
+
+
+def test_lost_answer_of_a_configuration(make_world: MakeWorld) -> None:
+    """Guard against reporting a change as refused that is in force."""
+    world = make_world(21)
+    world.store.lose_answers.append('SwapKey')
+    change = (1, TEXT.replace('400', '401'), 1, 'op', 'token')
+    world.places['e1'].post('ConfigSubmitted', *change)
+    world.clock.run(12)
+    assert world.operator_answers[1].status == 200
+    assert not faults_end(world)
+
+
+def test_agent_cut_off_from_a_change(make_world: MakeWorld) -> None:
+    """Guard against an agent that never hears of a configuration."""
+    world = make_world(22)
+    for entry in ('e1', 'e2', 'e3'):
+        world.links.silence(world.places[entry].name, 'a1', 8)
+    for number in range(3):
+        text = TEXT.replace('400', f'50{number}')
+        previous = world.config_revision()
+        change = (number, text, previous, 'op', f'token{number}')
+        world.places['e1'].post('ConfigSubmitted', *change)
+        world.clock.run(2)
+    world.clock.run(2 + 12)
+    stored = world.config_revision()
+    assert {one.revision for one in world.places.values()} == {stored}
+    assert not faults_end(world)
+
+
+def test_all_entries_replaced(make_world: MakeWorld) -> None:
+    """Guard against starts that no surviving entry knows of."""
+    world = make_world(23)
+    jobs = [
+        world.callers.submit(world.places['e1'], f'k{number}', 4)
+        for number in range(6)
+    ]
+    world.clock.run(0.2)
+    for place in ('e1', 'e2', 'e3'):
+        world.kill(place, 1)
+    world.clock.run(20)
+    copies = [
+        world.callers.submit(world.places['e2'], job.key, 4) for job in jobs
+    ]
+    world.clock.run(12)
+    assert all(call.answer for call in copies)
+    assert not faults_end(world)
+
+
+def test_rosters_are_confirmed_without_a_dead_peer(
+    make_world: MakeWorld,
+) -> None:
+    """Guard against new agents that wait a minute for a dead entry."""
+    world = make_world(24)
+    world.kill('e3')
+    world.clock.run(12)
+    world.kill('a1', 0)
+    world.kill('a2', 0)
+    world.kill('a3', 0)
+    world.clock.run(3)
+    call = world.callers.submit(world.places['e1'], fresh_key(world))
+    world.clock.run(5)
+    assert call.status == 'complete/'
+
+
+def test_forwarded_request_survives_a_new_session(
+    make_world: MakeWorld,
+) -> None:
+    """Guard against a forward lost with a session that was replaced."""
+    world = make_world(25)
+    key = key_owned_by(world, 'e1')
+    world.links.delay_s = 0.3
+    calls = []
+    for _ in range(20):
+        calls.append(world.callers.submit(world.places['e2'], key))
+        world.clock.run(0.3)
+        one, other = world.places['e1'].name, world.places['e2'].name
+        world.links.cut(one, other)
+    world.links.delay_s = 0.002
+    world.clock.run(12)
+    assert {call.status for call in calls} == {'complete/'}
+    assert not faults_end(world)
+
+
+def test_stored_configuration_outlives_a_lower_one(
+    make_world: MakeWorld,
+) -> None:
+    """Guard against a late copy of an older configuration."""
+    world = make_world(26)
+    agent = world.places['a1']
+    world.store.write(
+        documents.CONFIG_KEY,
+        documents.encode(
+            {'text': TEXT, 'author': '', 'applied_at': '', 'token': 't2'}
+        ),
+    )
+    world.clock.run(12)
+    session = agent.sessions[world.places['e1'].name]
+    older = messages.Config(1, TEXT)
+    sender = world.places['e1'].name
+    agent.post('MessageReceived', sender, session.name, 1, older)
+    assert agent.revision == world.config_revision()
+    assert not faults_end(world)
