--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -85,7 +85,7 @@
     by largest remainder. Every entry with demand is due at least one slot;
     otherwise a long queue elsewhere starves a short one.
     """
-    total = sum([link.demand for link in state.links.values()])
+    total = sum([link.demand for link in state.links.values() if link.ready])
     if not total:
         return None
     capacity = state.identity.slots + state.limits.prefetch
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -183,10 +183,11 @@
     message: messages.Demand,
 ) -> None:
     link = state.links[entry]
-    if link.demand == message.queued:
+    queued = max(0, message.queued)
+    if link.demand == queued:
         turn.count(_WASTED)
         return
-    link.demand = message.queued
+    link.demand = queued
     turn.unbalanced = True
 
 
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -16,7 +16,6 @@
 from savoryrudder.agent.records import Record
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import CloseLink
-from savoryrudder.utils.effects import Observe
 from savoryrudder.utils.identifiers import partition_of
 
 if TYPE_CHECKING:
@@ -173,10 +172,9 @@
         _forget_waiting(state, turn, record, 'withdrawn')
         return True
     call = record.call
-    if record.state == RUNNING and call:
-        if call.idempotent and not call.stopping:
-            call.stopping = True
-            turn.effects.append(StopUpstreamCall(key))
+    if call and call.idempotent and not call.stopping:
+        call.stopping = True
+        turn.effects.append(StopUpstreamCall(key))
     return record.state == UNSTARTED
 
 
@@ -289,7 +287,6 @@
     record.duration_ms = round(duration * _MS_PER_S)
     state.book.end(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
-    turn.effects.append(Observe('upstream_call', duration))
     owner = state.receiver(partition_of(record.key[0]))
     if owner:
         turn.reports.append((owner, record))
--- a/tests/agent/test_agent_tasks.py
+++ b/tests/agent/test_agent_tasks.py
@@ -201,6 +201,8 @@
     assert agent.emitted(StopUpstreamCall) == [StopUpstreamCall(keys[0])]
     agent.receive('e1', messages.Withdraw(keys))
     assert not agent.emitted(StopUpstreamCall)
+    agent.finish(1, 'unknown')
+    assert agent.sent(messages.Finished)[0].record.state == 'unknown'
     for number in (3, 4):
         agent.start('e1', number)
         assert not agent.emitted(CallUpstream)
