Bound the results in one answer to a claim

An agent keeps up to 64 MB of results, while a link queues 32 MB and takes messages of 48 MB: the answer to a claim ended each new session as soon as the kept results exceeded that. The answer now holds 2 MB of results, unacknowledged and then latest ones first. Other ended tasks appear as running, and their ends follow page by page with each tick. Sending them as released was ruled out, because the new owner answers those as unknown.

--- a/src/savoryrudder/agent/records.py
+++ b/src/savoryrudder/agent/records.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections import deque
+from itertools import accumulate
 from math import inf
 from typing import TYPE_CHECKING
 from typing import Final
@@ -55,9 +56,14 @@
     acknowledged: bool = False
     expires_at: float = inf
 
-    def export(self) -> TaskRecord:
-        """Return the record as entries receive it."""
+    def export(self, *, withheld: bool = False) -> TaskRecord:
+        """Return the record as entries receive it.
+
+        A withheld record appears as running; its end is sent later.
+        """
         submission, task = self.key
+        if withheld:
+            return TaskRecord(submission, task, RUNNING, b'', b'', '', 0)
         return TaskRecord(
             submission,
             task,
@@ -69,6 +75,27 @@
         )
 
 
+def split_by_size(
+    records: list[Record],
+    limit: int,
+) -> tuple[list[Record], deque[Record]]:
+    """Split records into those whose results fit a limit, and the others.
+
+    Unacknowledged results come first, then the latest ones: callers resubmit
+    soon or never.
+    """
+    if sum(len(record.result) for record in records) <= limit:
+        return records, deque()
+    records = sorted(records, key=_urgency)
+    sizes = accumulate(len(record.result) for record in records)
+    fitting = sum(1 for size in sizes if size <= limit)
+    return records[:fitting], deque(records[fitting:])
+
+
+def _urgency(record: Record) -> tuple[bool, bool, float]:
+    return bool(record.result), record.acknowledged, -record.expires_at
+
+
 class RecordBook:
     """Hold all records by partition and bound their age and size."""
 
@@ -102,14 +129,14 @@
         records = self._partitions.get(partition_of(key[0]))
         return records.get(key) if records else None
 
-    def select(self, partitions: Iterable[int]) -> tuple[TaskRecord, ...]:
+    def select(self, partitions: Iterable[int]) -> list[Record]:
         """Return the records of tasks that were accepted in partitions."""
-        return tuple(
-            record.export()
+        return [
+            record
             for partition in partitions
             for record in self._partitions.get(partition, {}).values()
             if record.state != UNSTARTED
-        )
+        ]
 
     def add(self, record: Record) -> None:
         """Add the record of a task that has none."""
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -11,10 +11,12 @@
 from savoryrudder.agent import credits as credit_rules
 from savoryrudder.agent import events
 from savoryrudder.agent import tasks
+from savoryrudder.agent.records import split_by_size
 from savoryrudder.agent.state import Link
 from savoryrudder.agent.turn import Turn
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import Exit
+from savoryrudder.utils.identifiers import partition_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -155,8 +157,7 @@
         else:
             stale.append(partition)
     link.claimed.update(accepted)
-    records = state.book.select(accepted)
-    turn.send(entry, messages.Records(message.request, records, tuple(stale)))
+    _send_records(state, turn, entry, message.request, accepted, stale)
     if link.ready:
         return
     link.ready = True
@@ -164,6 +165,36 @@
     _send_recalls(turn, credit_rules.spread(state, turn.now, link))
 
 
+def _send_records(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    request: int,
+    accepted: list[int],
+    stale: list[int],
+) -> None:
+    link = state.links[entry]
+    sent, withheld = split_by_size(
+        state.book.select(accepted),
+        state.limits.page_bytes,
+    )
+    exported = [record.export() for record in sent]
+    exported += [record.export(withheld=True) for record in withheld]
+    turn.send(entry, messages.Records(request, tuple(exported), tuple(stale)))
+    link.withheld.extend(withheld)
+
+
+def _send_withheld(state: AgentState, turn: Turn) -> None:
+    """Send one page of withheld records on each link."""
+    for entry, link in state.links.items():
+        size = 0
+        while link.withheld and size < state.limits.page_bytes:
+            record = link.withheld.popleft()
+            size += len(record.result)
+            if state.receiver(partition_of(record.key[0])) == entry:
+                turn.reports.append((entry, record))
+
+
 def _take_back_credits(
     state: AgentState,
     turn: Turn,
@@ -225,6 +256,7 @@
 
 def _tick(state: AgentState, event: events.Tick, turn: Turn) -> None:
     tasks.check_deadlines(state, turn)
+    _send_withheld(state, turn)
     dropped = state.book.expire(turn.now)
     if dropped:
         turn.count('results_dropped', dropped)
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Final
@@ -15,6 +16,7 @@
 _RETENTION_S: Final = 600.0
 _MAX_RECORDS: Final = 100_000
 _MAX_RESULT_BYTES: Final = 64 * 1024 * 1024
+_PAGE_BYTES: Final = 2 * 1024 * 1024
 
 
 class Identity(NamedTuple):
@@ -30,12 +32,17 @@
 
 
 class Limits(NamedTuple):
-    """Bound what the agent accepts and keeps; `prefetch` is in tasks."""
+    """Bound what the agent accepts, keeps and sends.
+
+    `prefetch` is in tasks. `page_bytes` bounds the results in one answer to a
+    claim: all results kept exceed what a link takes at once.
+    """
 
     prefetch: int = 0
     retention_s: float = _RETENTION_S
     max_records: int = _MAX_RECORDS
     max_result_bytes: int = _MAX_RESULT_BYTES
+    page_bytes: int = _PAGE_BYTES
 
 
 class Ownership(NamedTuple):
@@ -52,7 +59,8 @@
     `credits` are granted and unused; `recalled` is the size of the open
     recall. `requested` is the highest revision asked for; it stays after the
     answer so that an entry that sends less than it announces is not asked in
-    a loop.
+    a loop. `withheld` are ended tasks that did not fit into the answer to a
+    claim.
     """
 
     session: str
@@ -65,6 +73,7 @@
     recall_after: float = 0
     fetching: bool = False
     requested: int = 0
+    withheld: deque[Record] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -25,7 +25,7 @@
     agent.receive('e1', messages.Withdraw((key_of(5 + 64),)))
     agent.sessions['e2'] = 'e2-1'
     agent.up('e2', (3, 2), (4, 6), (5, 2))
-    answer = agent.state.book.select((3, 5))
+    answer = tuple(each.export() for each in agent.state.book.select((3, 5)))
     assert [(each.submission, each.state) for each in answer] == [
         (KEY[0], 'complete'),
         (key_of(67)[0], 'running'),
@@ -93,7 +93,7 @@
         if number != 2:
             agent.receive('e1', messages.Acknowledge((key_of(number),)))
     states = {
-        each.submission[3]: each for each in agent.state.book.select(range(9))
+        each.key[0][3]: each for each in agent.state.book.select(range(9))
     }
     assert [states[number].state for number in (1, 2, 3)] == [
         'released',
@@ -140,3 +140,30 @@
     assert book.result_bytes == sum(len(each.result) for each in held)
     agent.wait(2)
     assert (len(book), book.result_bytes) == (0, 0)
+
+
+def test_results_beyond_one_page_follow_the_answer_to_a_claim() -> None:
+    """Guard against an answer that no link takes, and so ends each session."""
+    agent = Agent(page_bytes=10)
+    agent.up('e1')
+    for number in range(1, 6):
+        agent.start('e1', number)
+        agent.finish(number, result=b'1234')
+        if number < 5:
+            agent.receive('e1', messages.Acknowledge((key_of(number),)))
+        agent.wait(1)
+    agent.up('e1', session='e1-2')
+    answer = agent.sent(messages.Records)[0].records
+    assert [(each.submission[3], each.state) for each in answer] == [
+        (5, 'complete'),
+        (4, 'complete'),
+        (3, 'running'),
+        (2, 'running'),
+        (1, 'running'),
+    ]
+    pages = []
+    for _ in range(3):
+        agent.wait(0.1)
+        finished = agent.sent(messages.Finished, 'e1')
+        pages.append([each.record.submission[3] for each in finished])
+    assert pages == [[3, 2, 1], [], []]
