Show that the oracle notices a missing mechanism

Each case switches one mechanism off and expects the violation at a committed seed; the same scenario with the mechanism shows none.

--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from savoryrudder.protocol.messages import Finished
 from savoryrudder.protocol.messages import Heartbeat
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
     ends: tuple[Process, Process]
     arrivals: dict[str, float] = dataclasses.field(default_factory=dict)
     broken: bool = False
+    # Frames in flight at the break are lost, or read this much later.
+    late_s: float | None = None
 
 
 class Links:
@@ -35,6 +38,8 @@
         self.sessions: dict[frozenset[str], Session] = {}
         self.blocked: dict[frozenset[str], float] = {}
         self.delay_s = 0.002
+        self.late_ratio = 0.3
+        self.damaged = False
 
     def connect(self, processes: list[Process]) -> None:
         """Open the missing sessions and send heartbeats on the others."""
@@ -56,6 +61,9 @@
         at = self._clock.now + self._clock.randomness.uniform(0, self.delay_s)
         at = max(at, session.arrivals[peer])
         session.arrivals[peer] = at
+        if self.damaged and isinstance(message, Finished):
+            record = message.record._replace(result=b'damaged')
+            message = message._replace(record=record)
         frame = (sender.name, session.name, sender.revision, message)
         receiver = next(end for end in session.ends if end.name == peer)
         delay = at - self._clock.now
@@ -68,6 +76,8 @@
         if session is None or session.broken:
             return
         session.broken = True
+        if self._clock.randomness.random() < self.late_ratio:
+            session.late_s = self._clock.randomness.uniform(0, 2)
         forget = (self.sessions.pop, pair)
         self._clock.after(notice_s, self._clock.soon, 0.4, *forget)
         for end in session.ends:
@@ -95,5 +105,6 @@
             self._clock.after(delay, end.session_opened, session)
 
     def _arrive(self, session: Session, receiver: Any, frame: Any) -> None:
-        if not session.broken:
-            receiver.post('MessageReceived', *frame)
+        late_s = session.late_s if session.broken else 0
+        if late_s is not None:
+            self._clock.after(late_s, receiver.post, 'MessageReceived', *frame)
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -30,6 +30,7 @@
         self.is_entry = name.startswith('e')
         self.alive = True
         self.frozen = False
+        self.clock_rate = 1.0
         self.sessions: dict[str, Session] = {}
         self._inbox: list[Any] = []
         self._tick()
@@ -84,6 +85,8 @@
         events = entry_events if self.is_entry else agent_events
         event_type = getattr(events, kind)
         now = self.world.clock.now
+        # A clock that runs slow from 100 s on, when all worlds begin.
+        now = 100 + (now - 100) * self.clock_rate
         wall = (now + WALL_OFFSET_S,) if 'wall' in event_type._fields else ()
         event = event_type(now, *wall, *fields)
         reducer = entry_reducer if self.is_entry else agent_reducer
@@ -125,7 +128,7 @@
 
     def _on_callstore(self, effect: Any) -> None:
         answered = partial(self.post, 'StoreAnswered', effect.call)
-        self.world.store.call(effect.operation, answered)
+        self.world.store.call(self.name, effect.operation, answered)
 
     def _on_reply(self, effect: Any) -> None:
         self.world.callers.carry(effect.request, effect.answer)
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -27,10 +27,14 @@
         self.version = 0
         self.down = False
         self.delay_s = 0.005
+        self.cut_off: set[str] = set()
         self.lose_answers: list[str] = []
 
-    def call(self, operation: Any, answer: Any) -> None:
-        """Carry out an operation after the way there."""
+    def call(self, caller: str, operation: Any, answer: Any) -> None:
+        """Carry out an operation unless the caller cannot reach the store."""
+        if caller in self.cut_off:
+            self._clock.after(1, answer, _LOST)
+            return
         self._clock.soon(self.delay_s, self._execute, operation, answer)
 
     def read(self, key: str) -> store.KeyValue:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -130,10 +130,12 @@
     def end_faults(self) -> None:
         """Thaw, restart and heal everything."""
         self.store.down = False
+        self.store.cut_off.clear()
         self.store.delay_s = 0.005
         self.store.lose_answers.clear()
         self.links.blocked.clear()
         self.links.delay_s = 0.002
+        self.links.damaged = False
         self.upstreams.modes.clear()
         for place in list(self.places):
             if self.places[place].frozen:
--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -82,6 +82,11 @@
     world.store.down = down
 
 
+def cut_off(world: World, entry: str) -> None:
+    """Keep an entry from reaching the store until all faults end."""
+    world.store.cut_off.add(world.places[entry].name)
+
+
 def lose_answer(world: World, kind: str) -> None:
     """Lose the answer to the next write of a kind."""
     world.store.lose_answers.append(kind)
@@ -124,6 +129,7 @@
     step(silence, ENTRY, PLACE, SECONDS),
     step(slow, st.sampled_from(('links', 'callers', 'store')), DELAY),
     step(switch_store, st.booleans()),
+    step(cut_off, ENTRY),
     step(lose_answer, st.sampled_from(WRITES)),
     step(misbehave, AGENT, st.sampled_from(MODES)),
     step(refuse, st.sampled_from((0, 0.5))),
--- /dev/null
+++ b/tests/proofs/test_mechanisms.py
@@ -0,0 +1,232 @@
+"""Show that the oracle notices when one mechanism is switched off."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any
+
+import pytest
+from fakes.world import TEXT
+from fakes.world import World
+from scenario import key_owned_by
+from scenario import refuse_some
+
+from savoryrudder.agent import state as agent_state
+from savoryrudder.agent.records import RecordBook
+from savoryrudder.entry import agents
+from savoryrudder.entry import answers
+from savoryrudder.entry import configuration
+from savoryrudder.entry import dispatching
+from savoryrudder.entry import leases
+from savoryrudder.entry import routing
+from savoryrudder.entry import submissions
+from savoryrudder.entry.placement import Fleet
+from savoryrudder.protocol import messages
+
+MakeWorld = Callable[..., World]
+Patch = pytest.MonkeyPatch
+
+
+def _resubmit_after_loss(world: World) -> None:
+    """Kill an entry in the middle of a job; its caller tries elsewhere."""
+    world.links.delay_s = 0.3
+    key = key_owned_by(world, 'e1')
+    entry = world.places['e1']
+    world.callers.submit(entry, key, 12, persistent=True)
+    world.clock.run(0.8)
+    world.kill('e1')
+    world.clock.run(20)
+
+
+def _lose_entry_and_agent(world: World) -> None:
+    """Kill an entry and an agent that holds records of its job."""
+    key = key_owned_by(world, 'e1')
+    entry = world.places['e1']
+    world.callers.submit(entry, key, 12, persistent=True)
+    world.clock.run(0.3)
+    world.kill('e1')
+    world.kill('a1', 1)
+    world.clock.run(20)
+
+
+def _cut_off_owner(world: World) -> None:
+    """Cut an owner off from the store; others take over and run a job."""
+    key = key_owned_by(world, 'e1')
+    world.store.cut_off.add(world.places['e1'].name)
+    world.clock.run(18)
+    call = world.callers.submit(world.places['e2'], key)
+    world.clock.run(3)
+    world.callers.cancel(world.places['e1'], call.job)
+    world.clock.run(3)
+
+
+def _slow_clock(world: World) -> None:
+    """Slow an owner's clock, so that its lease seems valid for long."""
+    key = key_owned_by(world, 'e1')
+    world.places['e1'].clock_rate = 0.3
+    world.clock.run(1)
+    world.store.cut_off.add(world.places['e1'].name)
+    world.clock.run(17.5)
+    for place in ('e2', 'e1'):
+        world.callers.submit(world.places[place], key, 12)
+    world.clock.run(5)
+
+
+def _new_agent_unknown_to_peers(world: World) -> None:
+    """Use an agent that no peer knows, then lose the entry."""
+    key = key_owned_by(world, 'e1')
+    entry = world.places['e1']
+    for peer in ('e2', 'e3'):
+        world.links.silence(entry.name, world.places[peer].name, 60)
+        world.links.silence('a4', world.places[peer].name, 60)
+    for agent in ('a1', 'a2', 'a3'):
+        world.links.silence(entry.name, agent, 60)
+    world.clock.run(4)
+    world.start('a4')
+    world.clock.run(2)
+    world.callers.submit(entry, key, 4)
+    world.clock.run(2)
+    world.kill('e1')
+    world.clock.run(12)
+    world.callers.submit(world.places['e2'], key, 4)
+    world.clock.run(8)
+
+
+def _crossed_copies(world: World) -> None:
+    """Send copies of jobs, of which some are refused."""
+    refuse_some(world, 0.5, 7)
+    world.callers.delay_s = 1.4
+    for number in range(20):
+        for place in ('e1', 'e2', 'e3'):
+            world.callers.submit(world.places[place], f'k{number}', 1)
+    world.clock.run(6)
+
+
+def _damaged_results(world: World) -> None:
+    """Damage results on their way."""
+    world.links.damaged = True
+    world.callers.submit(world.places['e1'], 'k')
+    world.clock.run(4)
+
+
+def _leaving_agent(world: World) -> None:
+    """Submit jobs long after an agent announced that it leaves."""
+    world.drain('a1')
+    world.clock.run(4)
+    for number in range(9):
+        world.callers.submit(world.places['e1'], f'k{number}', 4)
+    world.clock.run(3)
+
+
+def _older_configuration(world: World) -> None:
+    """Deliver an older configuration to an agent and an entry."""
+    older = messages.Config(0, TEXT)
+    sender = world.places['e1'].name
+    for place in ('a1', 'e2'):
+        process = world.places[place]
+        session = process.sessions[sender].name
+        process.post('MessageReceived', sender, session, 1, older)
+
+
+def _always(*checked: Any) -> bool:
+    return True
+
+
+def _never(*checked: Any) -> bool:
+    return False
+
+
+def _may_act_unpromised(state: Any, now: float) -> bool:
+    return leases.may_act(state, now) or not state.store.available
+
+
+def _refuse_and_forget(turn: Any, request: Any, _: bytes, answer: Any) -> None:
+    answers.reply(turn, request.waiter, answer)
+
+
+def _adopt_any(turn: Any, message: messages.Config) -> None:
+    configuration._put_in_force(turn, message.revision, message.text)
+
+
+def _without_epochs(patch: Patch) -> None:
+    patch.setattr(agent_state.AgentState, 'accept_epoch', _always)
+
+
+def _without_records(patch: Patch) -> None:
+    patch.setattr(RecordBook, 'select', lambda *_: ())
+
+
+def _without_lease_deadline(patch: Patch) -> None:
+    for module in (dispatching, routing, submissions):
+        patch.setattr(module, 'may_act', _always)
+
+
+def _without_doubt(patch: Patch) -> None:
+    patch.setattr(routing, '_in_doubt', _never)
+
+
+def _without_promises(patch: Patch) -> None:
+    for module in (dispatching, routing, submissions):
+        patch.setattr(module, 'may_act', _may_act_unpromised)
+
+
+def _without_roster(patch: Patch) -> None:
+    patch.setattr(agents, 'ROSTER_PATIENCE_S', -1)
+
+
+def _without_refusals(patch: Patch) -> None:
+    patch.setattr(routing, '_refuse', _refuse_and_forget)
+
+
+def _without_digests(patch: Patch) -> None:
+    patch.setattr(
+        submissions,
+        'digest_of',
+        lambda _: type('Any', (), {'__eq__': _always})(),
+    )
+
+
+def _without_leaving(patch: Patch) -> None:
+    patch.setattr(Fleet, 'mark_leaving', _never)
+    stays = property(_never, lambda *_: None)
+    patch.setattr(agent_state.AgentState, 'leaving', stays)
+
+
+def _without_revisions(patch: Patch) -> None:
+    patch.setattr(configuration, 'handle_config', _adopt_any)
+
+
+CASES = MappingProxyType(
+    {
+        'epochs': (_without_epochs, _slow_clock, 1, 'P1'),
+        'records': (_without_records, _resubmit_after_loss, 2, 'P1'),
+        'lease': (_without_lease_deadline, _cut_off_owner, 3, 'P4'),
+        'promise': (_without_promises, _cut_off_owner, 4, 'P4'),
+        'doubt': (_without_doubt, _lose_entry_and_agent, 5, 'P1'),
+        'takeover-wait': (_without_doubt, _resubmit_after_loss, 6, 'P1'),
+        'roster': (_without_roster, _new_agent_unknown_to_peers, 7, 'P1'),
+        'refusals': (_without_refusals, _crossed_copies, 8, 'P4'),
+        'digests': (_without_digests, _damaged_results, 9, 'P3'),
+        'leaving': (_without_leaving, _leaving_agent, 10, 'P6'),
+        'revisions': (_without_revisions, _older_configuration, 11, 'P8'),
+    }
+)
+
+
+@pytest.mark.parametrize('name', CASES)
+def test_oracle_notices_a_missing_mechanism(
+    make_world: MakeWorld,
+    monkeypatch: Patch,
+    name: str,
+) -> None:
+    """Guard against a proof that holds whatever the code does."""
+    switch_off, scenario, seed, violated = CASES[name]
+    intact = make_world(seed)
+    scenario(intact)
+    switch_off(monkeypatch)
+    broken = make_world(seed)
+    scenario(broken)
+    found = {violation[:2] for violation in broken.oracle.judge()}
+    assert violated not in {one[:2] for one in intact.oracle.judge()}
+    assert violated in found
