--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -56,6 +56,8 @@
         turn.wall,
         awaited,
         blind=blind,
+        # Only the owner itself gives away a live owner's partition.
+        refusals_lost=owner.former not in {'', *state.live},
     )
 
 
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -222,9 +222,40 @@
         else:
             _refuse(turn, request, identifier, _doubt())
         return
+    if _may_be_refused(turn, request, partition):
+        _refuse(turn, request, identifier, _resubmit())
+        return
     _serve_new(turn, request, identifier)
 
 
+def _may_be_refused(
+    turn: Turn,
+    request: ParkedRequest,
+    partition: OwnedPartition,
+) -> bool:
+    """Tell whether a lost owner may have refused a copy of the job.
+
+    Refusals are lost with their entry. The former owner acted for the last
+    time before this one took over, so that later requests are not concerned.
+    """
+    if request.kind != 'submit' or not partition.refusals_lost:
+        return False
+    identifier = submission_id(request.client, request.key)
+    return (
+        request.received < partition.gained_at
+        and identifier not in turn.state.recovered
+    )
+
+
+def _resubmit() -> Answer:
+    return answers.refusal(
+        reasons.TAKEOVER,
+        'the entry in charge was lost; submit the job again',
+        reasons.UNKNOWN,
+        MIN_RETRY_AFTER_MS,
+    )
+
+
 def _serve_known(
     turn: Turn,
     request: ParkedRequest,
@@ -323,6 +354,8 @@
     return answers.refusal(
         reasons.NOT_FOUND,
         f'no job with idempotency key {request.key!r} is known',
+        # A copy may be on its way; only a cancellation keeps it from running.
+        reasons.UNKNOWN,
     )
 
 
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -97,7 +97,7 @@
 
     `awaited` holds the agents (name, incarnation) whose records are missing,
     as their rosters show them. `blind` means that further agents may be
-    missing.
+    missing. `refusals_lost` is set after the loss of the former owner.
     """
 
     epoch: int
@@ -105,6 +105,7 @@
     gained_wall: float
     awaited: dict[tuple[str, str], RosterAgent]
     blind: bool = False
+    refusals_lost: bool = False
     stale: bool = False
 
 
--- a/tests/fakes/callers.py
+++ b/tests/fakes/callers.py
@@ -71,9 +71,9 @@
         job = make_job(key, variant, operation, tasks)._replace(**options)
         return self._send('submit', entry, key, job, persistent=persistent)
 
-    def fetch(self, entry: Process, key: str) -> Call:
+    def fetch(self, entry: Process, job: Job) -> Call:
         """Ask for the answer to an earlier submission."""
-        return self._send('fetch', entry, key, None)
+        return self._send('fetch', entry, job.key, job)
 
     def cancel(self, entry: Process, job: Job) -> Call:
         """Cancel a submission."""
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -45,6 +45,10 @@
     incarnation; an entry's name contains it, an agent's does not.
     """
 
+    text = TEXT
+    service = 'pane'
+    operations = OPERATIONS
+
     def __init__(self, oracle: Any, seed: int, **sizes: int) -> None:
         """Start all processes and let them settle."""
         self.oracle = oracle
@@ -57,7 +61,7 @@
         self.places: dict[str, Process] = {}
         self.operator_answers: dict[int, Any] = {}
         self._incarnations = 0
-        self.store.write(documents.CONFIG_KEY, config_value(TEXT, 'first'))
+        self.store.write(documents.CONFIG_KEY, config_value(self.text, 'first'))
         for number in range(sizes.get('entries', 3)):
             self.start(f'e{number + 1}')
         for number in range(sizes.get('agents', 3)):
@@ -77,9 +81,9 @@
                 random.Random(self._incarnations),
             )
         else:
-            agent = (place, f'i{self._incarnations}', 'pane', 'zale', 4, 512)
+            agent = (place, f'i{self._incarnations}', self.service, 'zale')
             state = agent_state.new_state(
-                agent_state.Identity(*agent, OPERATIONS),
+                agent_state.Identity(*agent, 4, 512, self.operations),
                 agent_state.Limits(),
             )
         self.places[place] = Process(self, name, state)
--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -288,6 +288,60 @@
     assert not faults_end(world)
 
 
+def test_fetch_that_overtakes_its_job(make_world: MakeWorld) -> None:
+    """Guard against a not-run for a job that is still on its way."""
+    world = make_world(27)
+    world.callers.delay_s = 1.4
+    submitted = [
+        world.callers.submit(world.places['e1'], f'k{number}', 1)
+        for number in range(10)
+    ]
+    world.callers.delay_s = 0.1
+    for call in submitted:
+        world.callers.fetch(world.places['e2'], call.job)
+    world.clock.run(4)
+    assert {call.status for call in submitted} == {'complete/'}
+    assert not faults_end(world)
+
+
+def test_refusal_before_a_takeover(make_world: MakeWorld) -> None:
+    """Guard against a parked copy that runs after its key was refused."""
+    world = make_world(28)
+    key = key_owned_by(world, 'e1')
+    refuse_some(world, 1, 28)
+    owner, peer = world.places['e1'].name, world.places['e2'].name
+    world.links.silence(owner, peer, 60)
+    world.clock.run(4)
+    copy = world.callers.submit(world.places['e2'], key, 1)
+    world.clock.run(0.2)
+    refused = world.callers.submit(world.places['e1'], key, 1)
+    world.clock.run(0.2)
+    refuse_some(world, 0, 28)
+    world.kill('e1')
+    world.clock.run(14)
+    assert refused.status == 'refused/overloaded'
+    assert copy.answer
+    assert not faults_end(world)
+
+
+def test_refusal_before_a_handover(make_world: MakeWorld) -> None:
+    """Guard against a copy that its new owner runs after a refusal."""
+    world = make_world(29)
+    keys = [key_owned_by(world, 'e1', f'k{number}') for number in range(20)]
+    refuse_some(world, 1, 29)
+    for place in ('e2', 'e3'):
+        world.places[place].state.admission.ratio = 0
+    world.drain('e1')
+    for key in keys:
+        world.callers.delay_s = 0.002
+        world.callers.submit(world.places['e1'], key, 1)
+        world.callers.delay_s = 1
+        world.callers.submit(world.places['e2'], key, 1)
+        world.clock.run(0.02)
+    world.clock.run(8)
+    assert not faults_end(world)
+
+
 def test_wave_of_cancellations(make_world: MakeWorld) -> None:
     """Guard against cancelled jobs that run, and against a lost answer."""
     world = make_world(19)
--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from fakes.callers import make_job
 from fakes.world import World
 from hypothesis import Phase
 from hypothesis import given
@@ -28,12 +29,17 @@
 NUMBER = st.integers(0, 5)
 
 
+def job_fields(number: int) -> tuple[str, str, str, int]:
+    """Return key, variant, operation and size of a job."""
+    operation = ('cutting-plan', 'sheet-quote')[number % 2]
+    return f'k{number}', '', operation, number + 1
+
+
 def submit(world: World, entry: str, number: int, persistent: bool) -> None:
     """Submit a job or a copy of it."""
-    operation = ('cutting-plan', 'sheet-quote')[number % 2]
+    key, _, operation, tasks = job_fields(number)
     options = {'operation': operation, 'persistent': persistent}
-    process = world.places[entry]
-    world.callers.submit(process, f'k{number}', number + 1, **options)
+    world.callers.submit(world.places[entry], key, tasks, **options)
 
 
 def burst(world: World, number: int) -> None:
@@ -43,16 +49,13 @@
 
 
 def cancel(world: World, entry: str, number: int) -> None:
-    """Cancel a job that was submitted."""
-    for call in tuple(world.callers.calls.values()):
-        if call.job and call.key == f'k{number}':
-            world.callers.cancel(world.places[entry], call.job)
-            return
+    """Cancel a job, whether or not it was submitted."""
+    world.callers.cancel(world.places[entry], make_job(*job_fields(number)))
 
 
 def fetch(world: World, entry: str, number: int) -> None:
-    """Ask for the answer to a job."""
-    world.callers.fetch(world.places[entry], f'k{number}')
+    """Ask for the answer to a job, whether or not it was submitted."""
+    world.callers.fetch(world.places[entry], make_job(*job_fields(number)))
 
 
 def drain(world: World, place: str) -> None:
