Introduce an entry on each new session with another entry

Ruled out: the forward itself. An entry's name now tells it from an agent (#, which settings allow in no name), so each side greets on every new session.

--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -29,12 +29,8 @@
 FORGET_PEER_S: Final = 120
 
 
-def greet(turn: Turn, name: str, session: str) -> None:
-    """Introduce this entry once on each session with another entry."""
-    peer = turn.state.peers[name]
-    if peer.greeted == session:
-        return
-    peer.greeted = session
+def greet(turn: Turn, name: str) -> None:
+    """Introduce this entry on a new session with another entry."""
     identity = turn.state.identity
     turn.send(name, PeerHello(identity.name, identity.address))
 
@@ -55,7 +51,6 @@
     peer.gone = False
     peer.links += 1
     turn.log_change('peer_up', entry=hello.entry)
-    greet(turn, hello.entry, session)
     _send_roster(turn, peer)
     _send_promise(turn, peer)
 
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -23,6 +23,7 @@
 from savoryrudder.entry import submissions
 from savoryrudder.entry.turn import Turn
 from savoryrudder.protocol import messages
+from savoryrudder.utils.identifiers import is_entry_name
 
 if TYPE_CHECKING:
     from savoryrudder.entry.effects import EntryEffect
@@ -47,10 +48,8 @@
 
 def _handle_link_up(turn: Turn, event: events.LinkUp) -> None:
     turn.count('links_up')
-    # An agent introduces itself; of an entry the name is known already on the
-    # side that dialled.
-    if event.peer in turn.state.peers:
-        peers.greet(turn, event.peer, event.session)
+    if is_entry_name(event.peer):
+        peers.greet(turn, event.peer)
 
 
 def _handle_link_down(turn: Turn, event: events.LinkDown) -> None:
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -144,7 +144,6 @@
     name: str
     address: str
     session: str = ''
-    greeted: str = ''
     heard_at: float = 0
     revision: int = 0
     roster_held: int = 0
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -189,12 +190,7 @@
 async def test_the_deadline_of_an_unsent_request_is_not_run() -> None:
     """Guard against a false "unknown" while all connections are busy."""
     held = anyio.Event()
-
-    async def hold_and_tell(stream: SocketStream) -> None:
-        held.set()
-        await hold(stream)
-
-    async with client_of(hold_and_tell) as client:
+    async with client_of(partial(hold_and_tell, held)) as client:
         async with anyio.create_task_group() as group:
             group.start_soon(call, client)
             await held.wait()
@@ -204,6 +200,21 @@
     assert result.reason == 'deadline passed'
 
 
+async def hold_and_tell(held: anyio.Event, stream: SocketStream) -> None:
+    """Tell that a request has come, then hold it."""
+    held.set()
+    await hold(stream)
+
+
+async def call_shortly(
+    client: UpstreamClient,
+    task: TaskKey,
+    results: list[UpstreamResult],
+) -> None:
+    """Call with a short deadline."""
+    results.append(await call(client, SHORT_MS, task))
+
+
 async def test_a_running_task_is_not_sent_again() -> None:
     """Guard against a second start of one task."""
     results: list[UpstreamResult] = []
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -100,11 +100,6 @@
     def _follow_session(self, kind: str, peer: str, session: Session) -> Any:
         if kind == 'LinkUp':
             self.sessions[peer] = session
-            if self.is_entry and peer.startswith('e'):
-                # The shell announces an entry; an agent's reducer does so.
-                address = self.state.identity.address
-                hello = messages.PeerHello(self.name, '', address)
-                self.world.links.send(self, peer, hello)
         elif self.sessions.get(peer) is session:
             self.sessions.pop(peer)
         return peer, session.name
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -75,7 +75,7 @@
         name = place
         if place.startswith('e'):
             name = f'{place}#{self._incarnations}'
-            entry = (name, f'tcp://{place}', 'zale', 600, 2)
+            entry = (name, f'tcp://{place}', place, 'zale', 600, 2)
             state: Any = entry_state.EntryState(
                 entry_state.EntryIdentity(*entry),
                 random.Random(self._incarnations),
