Keep standing terms in the store and renew them by use

One compare-and-swap per earned renewal, by the owner of the partition of the client's terms; an answer that was lost is settled by the write token. At most one store call a second for all clients of an entry. Tested with a store that loses answers, is down, or serves two entries that renew at once.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -158,6 +158,7 @@
                 EntryIdentity(
                     f'entry{number}#1',
                     f'entry{number}',
+                    '',
                     f'zone{number % _ZONES}',
                     600,
                     2,
@@ -297,7 +298,7 @@
     def _link_peers(self, one: str, other: str) -> None:
         for name, peer in ((one, other), (other, one)):
             address = self.entries[peer].identity.address
-            hello = messages.PeerHello(peer, '1', address)
+            hello = messages.PeerHello(peer, address)
             self._at(
                 self.now + TICK_S,
                 partial(self._receive, name, peer, hello),
--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -76,6 +76,7 @@
             )
         around = Surroundings(policy, queues, fleet, now)
         account = self.limits.account(job.client, client.terms, now)
+        account.usage.jobs += 1
         refusal = _check_body(job, policy) or _check_needs(job, around)
         if refusal is not None:
             account.usage.faulty += 1
--- a/src/savoryrudder/entry/documents.py
+++ b/src/savoryrudder/entry/documents.py
@@ -34,6 +34,14 @@
     partitions: list[tuple[str, int, str]]
 
 
+class TermsDocument(TypedDict):
+    """Hold a client's step of its standing terms; `expires` is UTC seconds."""
+
+    step: int
+    expires: float
+    token: str
+
+
 def encode(
     document: ConfigDocument | PartitionsDocument | EntryDocument,
 ) -> str:
@@ -41,6 +49,16 @@
     return msgspec.json.encode(document).decode()
 
 
+def encode_terms(document: TermsDocument) -> str:
+    """Encode standing terms as JSON."""
+    return msgspec.json.encode(document).decode()
+
+
+def decode_terms(value: str) -> TermsDocument:
+    """Decode standing terms."""
+    return msgspec.json.decode(value, type=TermsDocument)
+
+
 def decode_config(value: str) -> ConfigDocument:
     """Decode the operators' text."""
     return msgspec.json.decode(value, type=ConfigDocument)
--- a/src/savoryrudder/entry/limits.py
+++ b/src/savoryrudder/entry/limits.py
@@ -54,12 +54,13 @@
     """Count what a client did since the last renewal of its terms, in tasks.
 
     `exceeded` counts tasks refused for its limits, `faulty` jobs that no
-    terms would let pass.
+    terms would let pass, `jobs` all jobs.
     """
 
     accepted: int = 0
     exceeded: int = 0
     faulty: int = 0
+    jobs: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,14 +108,16 @@
         if account is not None:
             account.running = max(0, account.running - tasks)
 
-    def take_usage(self, client: str) -> Usage:
-        """Return what a client did since the last call and start anew."""
+    def usage(self, client: str) -> Usage:
+        """Return what a client did since its usage was last forgotten."""
         account = self._accounts.get(client)
-        if account is None:
-            return Usage()
-        usage = account.usage
-        account.usage = Usage()
-        return usage
+        return account.usage if account else Usage()
+
+    def forget_usage(self, client: str) -> None:
+        """Start the count of a client anew."""
+        account = self._accounts.get(client)
+        if account is not None:
+            account.usage = Usage()
 
     def seen(self) -> list[str]:
         """Return the clients with an account."""
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -21,6 +21,7 @@
 from savoryrudder.entry import reports
 from savoryrudder.entry import routing
 from savoryrudder.entry import submissions
+from savoryrudder.entry import terms
 from savoryrudder.entry.turn import Turn
 from savoryrudder.protocol import messages
 
@@ -106,6 +107,7 @@
     _expire(turn)
     routing.retry_parked(turn)
     agents.keep_agents_informed(turn)
+    terms.keep_terms(turn)
     dispatching.report_demand(turn)
     draining.proceed(turn)
 
@@ -204,5 +206,7 @@
         'swap-map': membership.handle_swapped_map,
         'swap-config': configuration.handle_swapped_config,
         'read-config': configuration.handle_read_config,
+        'read-terms': terms.handle_read,
+        'swap-terms': terms.handle_swapped,
     }
 )
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from savoryrudder.entry import terms
 from savoryrudder.entry.leases import may_act
 from savoryrudder.protocol.messages import Leaving
 
@@ -32,14 +33,24 @@
             },
         )
     else:
-        turn.reply_data(
-            event.request,
-            404,
-            {
-                'reason': 'not-found',
-                'detail': f'no {event.kind} named {event.name!r}',
-            },
-        )
+        _report_terms(turn, event)
+
+
+def _report_terms(turn: Turn, event: DataRequested) -> None:
+    found = None
+    if event.kind == 'terms':
+        found = terms.report(turn, event.name)
+    if found is not None:
+        turn.reply_data(event.request, 200, found)
+        return
+    turn.reply_data(
+        event.request,
+        404,
+        {
+            'reason': 'not-found',
+            'detail': f'no {event.kind} named {event.name!r}',
+        },
+    )
 
 
 def handle_agent_drain(turn: Turn, event: AgentDrainRequested) -> None:
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -230,6 +230,24 @@
     answer: Answer
 
 
+@dataclasses.dataclass(slots=True)
+class ClientTerms:
+    """Track the stored terms of one client; `expires` is UTC seconds.
+
+    `token` marks a renewal whose outcome is not known yet.
+    """
+
+    step: int = 0
+    expires: float = 0
+    version: int = 0
+    known: bool = False
+    pending: str = ''
+    token: str = ''
+    proposed: str = ''
+    read_at: float = 0
+    renew_at: float = 0
+
+
 FoundTasks: TypeAlias = dict[int, FoundRecord]
 
 
@@ -285,6 +303,9 @@
         default_factory=list,
     )
     payload_bytes: int = 0
+    terms: dict[str, ClientTerms] = dataclasses.field(default_factory=dict)
+    terms_revision: int = 0
+    terms_call_at: float = 0
     queues: dict[str, ServiceQueue] = dataclasses.field(default_factory=dict)
     hand_overs: dict[int, HandOver] = dataclasses.field(default_factory=dict)
     parked: dict[Waiter, ParkedRequest] = dataclasses.field(
--- /dev/null
+++ b/src/savoryrudder/entry/terms.py
@@ -0,0 +1,263 @@
+"""Read and renew the standing terms of clients."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+
+from savoryrudder.entry import documents
+from savoryrudder.entry.state import ClientTerms
+from savoryrudder.entry.state import PendingCall
+from savoryrudder.policy.model import URGENCY_BANDS
+from savoryrudder.policy.model import Terms
+from savoryrudder.store import interface
+from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.identifiers import submission_id
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.limits import Usage
+    from savoryrudder.entry.turn import Turn
+    from savoryrudder.policy.model import Client
+
+# Steps from a client's first terms to their ceiling.
+STEPS: Final = 10
+# All clients together cause at most one store call in this time.
+CALL_INTERVAL_S: Final = 1
+READS_A_LIFETIME: Final = 4
+# A renewal falls into this part of the lifetime, counted from its end.
+RENEWAL_WINDOW: Final = (0.1, 0.3)
+RETRY_S: Final = 5
+# Fractions of a client's own faults up to which a renewal is earned.
+MAX_EXCEEDED: Final = 0.01
+MAX_FAULTY: Final = 0.05
+
+
+def keep_terms(turn: Turn) -> None:
+    """Read or renew the terms of the client that is most overdue."""
+    state = turn.state
+    if state.policy is None:
+        return
+    if state.terms_revision != state.revision:
+        _follow_policy(turn)
+    if turn.now < state.terms_call_at:
+        return
+    due = [
+        (_due_at(turn, client), client)
+        for client in state.admission.limits.seen()
+        if client in state.policy.clients and not _record(turn, client).pending
+    ]
+    at, client = min(due, default=(float('inf'), ''))
+    if at > turn.now:
+        return
+    state.terms_call_at = turn.now + CALL_INTERVAL_S
+    record = _record(turn, client)
+    if _may_renew(turn, client, record):
+        _renew(turn, client, record)
+    else:
+        _read(turn, client, record)
+
+
+def handle_read(
+    turn: Turn,
+    client: str,
+    outcome: interface.StoreOutcome,
+) -> None:
+    """Take over terms that were read; settle a write without an answer."""
+    record = _record(turn, client)
+    record.pending = ''
+    if not isinstance(outcome, interface.KeyValue):
+        # The last grant stays in force.
+        record.read_at = turn.now + _jittered(turn, RETRY_S)
+        return
+    written = record.token
+    record.token = ''
+    document = _adopt(turn, client, outcome)
+    if written and document and document['token'] == written:
+        turn.state.admission.limits.forget_usage(client)
+
+
+def handle_swapped(
+    turn: Turn,
+    client: str,
+    outcome: interface.StoreOutcome,
+) -> None:
+    """Take over the outcome of a renewal."""
+    record = _record(turn, client)
+    record.pending = ''
+    if isinstance(outcome, interface.Swapped):
+        record.token = ''
+        turn.count('terms_renewed')
+        turn.state.admission.limits.forget_usage(client)
+        written = interface.KeyValue('', outcome.version, record.proposed)
+        _adopt(turn, client, written)
+    elif isinstance(outcome, interface.SwapConflict):
+        # The other entry's renewal is the one step.
+        record.token = ''
+        turn.state.admission.limits.forget_usage(client)
+        _adopt(turn, client, outcome.current)
+    else:
+        # The write may have taken effect: only reading tells.
+        record.read_at = turn.now + _jittered(turn, RETRY_S)
+
+
+def report(turn: Turn, client: str) -> dict[str, Any] | None:
+    """Describe the terms in force; None for an unknown client."""
+    policy = turn.state.policy
+    known = policy.clients.get(client) if policy else None
+    if known is None:
+        return None
+    record = _record(turn, client)
+    terms = terms_at(known, record.step)
+    return {
+        'client': client,
+        'rate': terms.rate,
+        'burst': terms.burst,
+        'concurrent': terms.concurrent,
+        'highest_urgency': terms.highest_urgency,
+        'expires_in_s': max(0, round(record.expires - turn.wall)),
+        'step': record.step,
+    }
+
+
+def terms_at(client: Client, step: int) -> Terms:
+    """Return the terms at a step between the first ones and the ceiling."""
+    first = client.terms
+    ceiling = client.ceiling
+    progress = min(max(step, 0), STEPS) / STEPS
+    lowest = URGENCY_BANDS.index(first.highest_urgency)
+    highest = URGENCY_BANDS.index(ceiling.highest_urgency)
+    return Terms(
+        _grow(first.rate, ceiling.rate, progress),
+        int(_grow(first.burst, ceiling.burst, progress)),
+        int(_grow(first.concurrent, ceiling.concurrent, progress)),
+        URGENCY_BANDS[lowest - int((lowest - highest) * progress)],
+        int(_grow(first.lifetime_s, ceiling.lifetime_s, progress)),
+    )
+
+
+def next_step(step: int, usage: Usage) -> int:
+    """Return the step of the next grant after the use of the last one."""
+    offered = usage.accepted + usage.exceeded
+    if usage.exceeded > MAX_EXCEEDED * offered:
+        return max(0, step - 1)
+    if usage.accepted and usage.faulty <= MAX_FAULTY * usage.jobs:
+        return min(STEPS, step + 1)
+    return step
+
+
+def _due_at(turn: Turn, client: str) -> float:
+    record = _record(turn, client)
+    if _may_renew(turn, client, record):
+        return min(record.renew_at, record.read_at)
+    return record.read_at
+
+
+def _may_renew(turn: Turn, client: str, record: ClientTerms) -> bool:
+    """Tell whether a renewal is due here and the stored terms are known."""
+    if not record.known or record.token or record.renew_at > turn.now:
+        return False
+    usage = turn.state.admission.limits.usage(client)
+    partition = partition_of(submission_id(client, 'terms'))
+    return usage.jobs > 0 and partition in turn.state.owned
+
+
+def _read(turn: Turn, client: str, record: ClientTerms) -> None:
+    record.pending = 'read'
+    turn.call_store(
+        interface.ReadKey(f'{documents.TERMS_PREFIX}{client}'),
+        PendingCall('read-terms', client),
+    )
+
+
+def _renew(turn: Turn, client: str, record: ClientTerms) -> None:
+    state = turn.state
+    usage = state.admission.limits.usage(client)
+    step = record.step
+    if record.version:
+        step = next_step(step, usage)
+    lifetime_s = _terms(turn, client, step).lifetime_s
+    record.token = f'{state.identity.name}/{state.randomness.getrandbits(64):x}'
+    record.proposed = documents.encode_terms(
+        {
+            'step': step,
+            'expires': turn.wall + lifetime_s,
+            'token': record.token,
+        },
+    )
+    record.pending = 'swap'
+    turn.call_store(
+        interface.SwapKey(
+            f'{documents.TERMS_PREFIX}{client}',
+            record.version,
+            record.proposed,
+            '',
+        ),
+        PendingCall('swap-terms', client),
+    )
+
+
+def _adopt(
+    turn: Turn,
+    client: str,
+    found: interface.KeyValue,
+) -> documents.TermsDocument | None:
+    """Put stored terms in force and plan the next read and renewal."""
+    record = _record(turn, client)
+    record.known = True
+    record.version = found.version
+    document = documents.decode_terms(found.value) if found.value else None
+    record.step = 0
+    record.expires = 0
+    if document is not None:
+        record.step = document['step']
+        record.expires = document['expires']
+        lifetime_s = _terms(turn, client, record.step).lifetime_s
+        if turn.wall > record.expires + lifetime_s:
+            # Nobody used the terms for a whole lifetime.
+            record.step = 0
+    lifetime_s = _put_in_force(turn, client).lifetime_s
+    record.read_at = turn.now + _jittered(turn, lifetime_s / READS_A_LIFETIME)
+    early = turn.state.randomness.uniform(*RENEWAL_WINDOW) * lifetime_s
+    record.renew_at = turn.now + record.expires - turn.wall - early
+    return document
+
+
+def _follow_policy(turn: Turn) -> None:
+    state = turn.state
+    state.terms_revision = state.revision
+    clients = state.policy.clients if state.policy else {}
+    for client in tuple(state.terms):
+        if client in clients:
+            _put_in_force(turn, client)
+        else:
+            state.terms.pop(client)
+
+
+def _put_in_force(turn: Turn, client: str) -> Terms:
+    terms = _terms(turn, client, _record(turn, client).step)
+    turn.state.admission.limits.grant(client, terms, turn.now)
+    return terms
+
+
+def _terms(turn: Turn, client: str, step: int) -> Terms:
+    policy = turn.state.policy
+    assert policy
+    return terms_at(policy.clients[client], step)
+
+
+def _record(turn: Turn, client: str) -> ClientTerms:
+    record = turn.state.terms.get(client)
+    if record is None:
+        record = ClientTerms()
+        turn.state.terms[client] = record
+    return record
+
+
+def _grow(first: float, ceiling: float, progress: float) -> float:
+    return first * math.pow(ceiling / first, progress)
+
+
+def _jittered(turn: Turn, seconds: float) -> float:
+    return seconds * turn.state.randomness.uniform(0.8, 1)
--- /dev/null
+++ b/tests/entry/test_terms.py
@@ -0,0 +1,231 @@
+"""Check how standing terms are read, renewed and settled."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from savoryrudder.entry import terms
+from savoryrudder.entry.effects import CallStore
+from savoryrudder.entry.limits import Usage
+from savoryrudder.entry.state import EntryIdentity
+from savoryrudder.entry.state import EntryState
+from savoryrudder.entry.state import OwnedPartition
+from savoryrudder.entry.turn import Turn
+from savoryrudder.policy.checks import check_text
+from savoryrudder.store import interface
+
+_WALL = 1_800_000_000
+_LIFETIME_S = 100
+_SERVICE = """
+[services.pane.operations]
+cut = { idempotent = false, expected_ms = 1000 }
+"""
+_CLIENT = """
+[clients.{name}]
+rate = 10
+burst = 20
+concurrent = 30
+highest_urgency = 'normal'
+lifetime_s = 100
+ceiling = {{ rate = 1000, highest_urgency = 'critical' }}
+"""
+
+
+class Store:
+    """Keep keys in memory; loses answers or is down on request."""
+
+    def __init__(self) -> None:
+        """Create an empty store that works."""
+        self.found: dict[str, interface.KeyValue] = {}
+        self.down = False
+        self.lose_answers = False
+        self.calls = Counter[str]()
+
+    def call(self, operation: interface.StoreOperation) -> object:
+        """Carry out a read or a swap."""
+        self.calls[type(operation).__name__] += 1
+        lost = interface.StoreUnavailable('timeout')
+        if self.down:
+            return lost
+        absent = interface.KeyValue(operation.key, 0, None)
+        current = self.found.get(operation.key, absent)
+        if isinstance(operation, interface.ReadKey):
+            return current
+        if current.version != operation.expected:
+            return interface.SwapConflict(current)
+        version = current.version + 1
+        written = interface.KeyValue(operation.key, version, operation.value)
+        self.found[operation.key] = written
+        return lost if self.lose_answers else interface.Swapped(version)
+
+
+class Entry:
+    """Drive the terms of one entry that owns all partitions."""
+
+    def __init__(
+        self, store: Store, name: str = 'e1', clients: int = 1
+    ) -> None:
+        """Create an entry with a policy for some clients."""
+        identity = EntryIdentity(name, '', '', 'z', 600, 2)
+        self.state = EntryState(identity, random.Random(name))
+        text = _SERVICE + ''.join(
+            _CLIENT.format(name=f'shop{number}') for number in range(clients)
+        )
+        self.state.policy = check_text(text).ok
+        self.state.revision = 1
+        for partition in range(64):
+            self.state.owned[partition] = OwnedPartition(1, 0, 0, {})
+        self.store = store
+        self.now: float = 0
+        self.held: list[CallStore] = []
+
+    def use(self, client: str = 'shop0', **counts: int) -> None:
+        """Record the use of a client's terms."""
+        known = self.state.policy.clients[client]
+        limits = self.state.admission.limits
+        account = limits.account(client, known.terms, self.now)
+        account.usage = Usage(**({'accepted': 100, 'jobs': 10} | counts))
+
+    def wait(self, seconds: float, **counts: int) -> None:
+        """Let time pass while all clients use their terms."""
+        for _ in range(int(seconds * 4)):
+            self.now += 0.25
+            for client in self.state.policy.clients:
+                self.use(client, **counts)
+            self.tick()
+            self.deliver()
+
+    def tick(self) -> None:
+        """Tick and hold back the store calls."""
+        turn = Turn(self.state, self.now, _WALL + self.now)
+        terms.keep_terms(turn)
+        self.held += [
+            effect for effect in turn.effects if isinstance(effect, CallStore)
+        ]
+
+    def deliver(self) -> None:
+        """Let the store answer the calls that were held back."""
+        for call in self.held:
+            pending = self.state.calls.pop(call.call)
+            handler = {
+                'read-terms': terms.handle_read,
+                'swap-terms': terms.handle_swapped,
+            }[pending.kind]
+            turn = Turn(self.state, self.now, _WALL + self.now)
+            handler(turn, pending.context, self.store.call(call.operation))
+        self.held = []
+
+    def report(self, client: str = 'shop0') -> dict[str, object]:
+        """Return the operators' view."""
+        turn = Turn(self.state, self.now, _WALL + self.now)
+        return terms.report(turn, client)
+
+
+@pytest.fixture
+def store() -> Store:
+    """Create a store that works."""
+    return Store()
+
+
+def test_earned_renewals_reach_the_ceiling(store: Store) -> None:
+    """Guard against terms that grow without a bound or not at all."""
+    entry = Entry(store)
+    entry.wait(5)
+    assert entry.report() == {
+        'client': 'shop0',
+        'rate': 10,
+        'burst': 20,
+        'concurrent': 30,
+        'highest_urgency': 'normal',
+        'expires_in_s': pytest.approx(_LIFETIME_S, abs=5),
+        'step': 0,
+    }
+    entry.wait(_LIFETIME_S)
+    assert entry.report()['step'] == 1
+    entry.wait(20 * _LIFETIME_S)
+    assert entry.report()['step'] == terms.STEPS
+    assert entry.report()['rate'] == pytest.approx(1000)
+    assert entry.report()['highest_urgency'] == 'critical'
+    account = entry.state.admission.limits.account('shop0', None, entry.now)
+    assert account.terms.rate == pytest.approx(1000)
+
+
+@pytest.mark.parametrize(
+    ('counts', 'step'),
+    [
+        ({'accepted': 100, 'jobs': 10}, 6),
+        ({'accepted': 100, 'jobs': 10, 'exceeded': 5}, 4),
+        ({'accepted': 100, 'jobs': 10, 'faulty': 2}, 5),
+        ({'jobs': 3}, 5),
+    ],
+)
+def test_step_follows_use(counts: dict[str, int], step: int) -> None:
+    """Guard against rewards for unused, exceeded or abused terms."""
+    assert terms.next_step(5, Usage(**counts)) == step
+
+
+def test_two_renewals_at_once_grant_one_step(store: Store) -> None:
+    """Guard against two entries that add up their steps."""
+    entries = [Entry(store, 'e1'), Entry(store, 'e2')]
+    for entry in entries:
+        entry.wait(5)
+    for later in entries:
+        later.now += 0.95 * _LIFETIME_S
+        later.use()
+        later.tick()
+    for last in entries:
+        last.deliver()
+        assert last.report()['step'] == 1
+
+
+@pytest.mark.parametrize('took_effect', [True, False])
+def test_lost_answer_is_settled_by_reading(
+    store: Store,
+    took_effect: bool,
+) -> None:
+    """Guard against a blind retry that grants two steps."""
+    entry = Entry(store)
+    entry.wait(5)
+    entry.now += 0.95 * _LIFETIME_S
+    entry.use()
+    entry.tick()
+    store.lose_answers = took_effect
+    store.down = not took_effect
+    entry.deliver()
+    assert entry.report()['step'] == 0
+    store.lose_answers = False
+    store.down = False
+    swaps = store.calls['SwapKey']
+    entry.wait(2 * terms.RETRY_S)
+    assert entry.report()['step'] == 1
+    assert store.calls['SwapKey'] == swaps + (not took_effect)
+
+
+def test_last_grant_stays_in_an_outage(store: Store) -> None:
+    """Guard against terms that lapse because the store is down."""
+    entry = Entry(store)
+    entry.wait(2.5 * _LIFETIME_S)
+    step = entry.report()['step']
+    store.down = True
+    swaps = store.calls['SwapKey']
+    entry.wait(5 * _LIFETIME_S)
+    assert step > 0
+    assert entry.report()['step'] == step
+    assert store.calls['SwapKey'] <= swaps + 1
+    store.down = False
+    entry.wait(_LIFETIME_S)
+    assert entry.report()['step'] >= 1
+
+
+def test_store_calls_are_bounded(store: Store) -> None:
+    """Guard against calls that grow with the number of clients."""
+    entry = Entry(store, clients=68)
+    entry.wait(4 * _LIFETIME_S)
+    assert sum(store.calls.values()) <= 4 * _LIFETIME_S + 1
+    quiet = Store()
+    Entry(quiet).wait(10 * _LIFETIME_S)
+    assert quiet.calls['SwapKey'] <= 14
+    assert quiet.calls['ReadKey'] <= 60
