Save messages for large jobs and bound re-placement

Entries ask for credits beyond the slots while only jobs of more than 10 tasks arrive; agents then hold results of a job that waits for other tasks there anyway.

Unstarted tasks are placed again after a jittered pause, for at most 10 % of the starts of the last 10 s plus 10; beyond that they end as not run.

--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -22,8 +22,7 @@
     granted = state.granted
     in_use = granted + len(state.calls) + len(state.waiting)
     room = state.limits.max_records - len(state.book) - granted
-    capacity = state.identity.slots + state.limits.prefetch
-    return max(0, min(capacity - in_use, room))
+    return max(0, min(state.capacity - in_use, room))
 
 
 def grant(state: AgentState) -> Counter[str]:
@@ -88,7 +87,7 @@
     total = sum([link.demand for link in state.links.values()])
     if not total:
         return None
-    capacity = state.identity.slots + state.limits.prefetch
+    capacity = state.capacity
     best: tuple[int, int] | None = None
     neediest = None
     for entry, link in state.links.items():
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -11,6 +11,7 @@
 from savoryrudder.agent import credits as credit_rules
 from savoryrudder.agent import events
 from savoryrudder.agent import tasks
+from savoryrudder.agent.holding import hold_reports
 from savoryrudder.agent.state import Link
 from savoryrudder.agent.turn import Turn
 from savoryrudder.protocol import messages
@@ -34,7 +35,8 @@
     _EVENT_HANDLERS[type(event)](state, event, turn)
     if turn.unbalanced:
         tasks.fill_slots(state, turn)
-        _hand_out_credits(state, turn)
+        if not hold_reports(state, turn):
+            _hand_out_credits(state, turn)
     else:
         _send_reports(turn, {})
     if state.leaving:
@@ -183,10 +185,11 @@
     message: messages.Demand,
 ) -> None:
     link = state.links[entry]
-    if link.demand == message.queued:
+    if (link.demand, link.prefetch) == message:
         turn.count(_WASTED)
         return
     link.demand = message.queued
+    link.prefetch = message.prefetch
     turn.unbalanced = True
 
 
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -30,12 +30,17 @@
 
 
 class Limits(NamedTuple):
-    """Bound what the agent accepts and keeps; `prefetch` is in tasks."""
+    """Bound what the agent accepts and keeps.
+
+    `prefetch` is the number of credits beyond the slots at all times,
+    `max_prefetch` what entries may ask for besides.
+    """
 
     prefetch: int = 0
     retention_s: float = _RETENTION_S
     max_records: int = _MAX_RECORDS
     max_result_bytes: int = _MAX_RESULT_BYTES
+    max_prefetch: int = 10
 
 
 class Ownership(NamedTuple):
@@ -60,6 +65,7 @@
     claimed: set[int] = field(default_factory=set)
     credits: int = 0
     demand: int = 0
+    prefetch: int = 0
     granted_at: int = 0
     recalled: int = 0
     recall_after: float = 0
@@ -83,6 +89,8 @@
     calls: dict[TaskKey, Record] = field(default_factory=dict)
     waiting: dict[TaskKey, Record] = field(default_factory=dict)
     occupied: dict[str, int] = field(default_factory=dict)
+    held: list[tuple[str, Record]] = field(default_factory=list)
+    held_until: float = 0
     grants: int = 0
     limit_reached: bool = False
     revision: int = 0
@@ -96,6 +104,19 @@
         """Return the announcement that opens a session."""
         return Hello(*self.identity, leaving=self.leaving)
 
+    @property
+    def capacity(self) -> int:
+        """Return the number of tasks that all entries together may place.
+
+        Prefetching needs the consent of every entry: it makes others wait.
+        """
+        asked = min(
+            (link.prefetch for link in self.links.values() if link.ready),
+            default=0,
+        )
+        usual = self.identity.slots + self.limits.prefetch
+        return usual + min(asked, self.limits.max_prefetch)
+
     @property
     def granted(self) -> int:
         """Return the number of granted and unused credits."""
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -24,6 +24,9 @@
 # A queue that grows or shrinks by less leaves the split of credits as it is.
 DEMAND_FACTOR: Final = 2
 DEMAND_INTERVAL_S: Final = 0.5
+# Credits beyond the slots pay off when no small job came for this long.
+LARGE_ONLY_S: Final = 2
+PREFETCH: Final = 10
 
 
 def dispatch(turn: Turn) -> None:
@@ -45,15 +48,31 @@
     """
     state = turn.state
     state.fleet.entries = max(1, len(state.live))
-    if len(state.live) <= 1:
-        return
+    prefetch = _wanted_prefetch(turn)
     for name, link in state.agents.items():
         queue = state.queues.get(link.service)
         queued = len(queue) if queue else 0
-        if link.usable and _has_changed(link, queued, turn.now):
+        # A single entry gets all credits in any case.
+        changed = len(state.live) > 1 and _has_changed(link, queued, turn.now)
+        if link.usable and (changed or prefetch != link.prefetch):
             link.demand = queued
             link.demand_at = turn.now
-            turn.send(name, Demand(queued))
+            link.prefetch = prefetch
+            turn.send(name, Demand(queued, prefetch))
+
+
+def _wanted_prefetch(turn: Turn) -> int:
+    """Return the credits beyond the slots; none while small jobs arrive.
+
+    Tasks that wait at an agent cannot be overtaken by those at the entry:
+    with 2 credits, the p99 of small jobs at 80 % load rose from 1.5 to 2.4.
+    """
+    state = turn.state
+    if turn.now < state.small_job_at + LARGE_ONLY_S:
+        state.prefetching = False
+    elif any(state.queues.values()):
+        state.prefetching = True
+    return PREFETCH if state.prefetching else 0
 
 
 def _has_changed(link: AgentLink, queued: int, now: float) -> bool:
@@ -131,6 +150,7 @@
     state.outstanding.setdefault(agent, {})[key] = None
     spec = submission.job.tasks[queued.task]
     turn.count('tasks_started')
+    state.retries.note_start(turn.now)
     turn.send(
         agent,
         Start(
--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -232,9 +232,12 @@
         self._weights = weights
 
     def push(self, task: QueuedTask) -> None:
-        """Add a task."""
+        """Add a task unless it waits already."""
+        key = (task.submission, task.task)
+        if key in self._live:
+            return
         self._sequence += 1
-        self._live[task.submission, task.task] = task
+        self._live[key] = task
         self._bands[task.urgency].push(task, self._sequence)
 
     def pop(self, now: float) -> QueuedTask | None:
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -11,6 +11,7 @@
 
 from savoryrudder.entry.admission import Admission
 from savoryrudder.entry.placement import Fleet
+from savoryrudder.entry.retries import RetryBudget
 
 if TYPE_CHECKING:
     from savoryrudder.entry.events import ConfigSubmitted
@@ -126,6 +127,7 @@
     usable: bool = False
     demand: int = 0
     demand_at: float = 0
+    prefetch: int = 0
     acknowledgements: list[TaskKey] = dataclasses.field(default_factory=list)
 
 
@@ -303,6 +305,12 @@
         default_factory=list,
     )
     payload_bytes: int = 0
+    small_job_at: float = 0
+    prefetching: bool = False
+    retries: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    delayed: list[tuple[float, TaskKey]] = dataclasses.field(
+        default_factory=list,
+    )
     terms: dict[str, ClientTerms] = dataclasses.field(default_factory=dict)
     terms_revision: int = 0
     terms_call_at: float = 0
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -12,6 +12,7 @@
 from savoryrudder.entry.leases import may_act
 from savoryrudder.entry.queueing import QueuedTask
 from savoryrudder.entry.queueing import ServiceQueue
+from savoryrudder.entry.retries import backoff_s
 from savoryrudder.entry.state import QUEUED
 from savoryrudder.entry.state import SENT
 from savoryrudder.entry.state import Submission
@@ -32,6 +33,9 @@
 # A task rejected this often by agents has no upstream that can run it.
 MAX_ATTEMPTS: Final = 5
 
+# Jobs up to this size are not made to wait for a saving of messages.
+SMALL_JOB_TASKS: Final = 10
+
 _ENDED: Final = frozenset(
     (
         reasons.COMPLETE,
@@ -56,6 +60,8 @@
     )
     state.submissions[identifier] = submission
     state.payload_bytes += _size_of(job)
+    if len(job.tasks) <= SMALL_JOB_TASKS:
+        state.small_job_at = turn.now
     heapq.heappush(state.deadlines, (submission.deadline, identifier))
     for index, _ in enumerate(job.tasks):
         _enqueue(turn, submission, index)
@@ -163,9 +169,25 @@
     if submission.failing or task.attempts >= MAX_ATTEMPTS:
         settle_task(turn, submission, index, reasons.NOT_RUN, reason)
         return
+    if not turn.state.retries.take(turn.now):
+        turn.count('retries_refused')
+        settle_task(turn, submission, index, reasons.NOT_RUN, reason)
+        return
     _forget_outstanding(turn, task.agent, key)
     turn.count('tasks_requeued')
-    _enqueue(turn, submission, index)
+    task.status = QUEUED
+    pause_s = backoff_s(task.attempts, turn.state.randomness.random())
+    heapq.heappush(turn.state.delayed, (turn.now + pause_s, key))
+
+
+def release_delayed(turn: Turn) -> None:
+    """Queue the tasks whose pause before a retry is over."""
+    delayed = turn.state.delayed
+    while delayed and delayed[0][0] <= turn.now:
+        identifier, index = heapq.heappop(delayed)[1]
+        submission = turn.state.submissions.get(identifier)
+        if submission and submission.tasks[index].status == QUEUED:
+            _enqueue(turn, submission, index)
 
 
 def expire_deadlines(turn: Turn) -> None:
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -136,9 +136,14 @@
 
 
 class Demand(NamedTuple):
-    """Report how many tasks an entry has queued for the agent's service."""
+    """Report how many tasks an entry has queued for the agent's service.
+
+    `prefetch` asks for so many credits beyond the slots; results may be held
+    back meanwhile, since only large jobs wait.
+    """
 
     queued: int
+    prefetch: int = 0
 
 
 class Start(NamedTuple):
