Order tasks by a target that follows the size of their job

Clients often give all jobs the same deadline.

Agents hold results only while every linked entry agrees, so that the small jobs of another entry do not wait for credits.

--- a/src/savoryrudder/agent/holding.py
+++ b/src/savoryrudder/agent/holding.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 if TYPE_CHECKING:
-    from savoryrudder.agent.records import Record
     from savoryrudder.agent.state import AgentState
     from savoryrudder.agent.turn import Turn
 
@@ -21,10 +20,12 @@
 
     Return whether credits have to wait, too: each would need a frame.
     """
-    urgent = state.leaving or any(
-        not _may_wait(state, entry, record) for entry, record in turn.reports
-    )
-    if urgent or (state.held and turn.now >= state.held_until):
+    urgent = state.leaving or not state.prefetched
+    if (
+        urgent
+        or not _may_wait(state, turn)
+        or (state.held and turn.now >= state.held_until)
+    ):
         held = [report for report in state.held if report[0] in state.links]
         turn.reports = held + turn.reports
         state.held = []
@@ -36,10 +37,10 @@
     return bool(state.held)
 
 
-def _may_wait(state: AgentState, entry: str, record: Record) -> bool:
-    """Tell whether the job waits for other tasks here in any case."""
-    link = state.links.get(entry)
-    if link is None or not link.prefetch or record.state != _COMPLETE:
-        return False
-    submission = record.key[0]
-    return any(key[0] == submission for key in (*state.calls, *state.waiting))
+def _may_wait(state: AgentState, turn: Turn) -> bool:
+    """Tell whether all jobs reported on wait for other tasks here anyway."""
+    open_here = {key[0] for key in (*state.calls, *state.waiting)}
+    return all(
+        record.state == _COMPLETE and record.key[0] in open_here
+        for _, record in turn.reports
+    )
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -105,17 +105,19 @@
         return Hello(*self.identity, leaving=self.leaving)
 
     @property
-    def capacity(self) -> int:
-        """Return the number of tasks that all entries together may place.
+    def prefetched(self) -> int:
+        """Return the credits beyond the usual ones that every entry wants.
 
-        Prefetching needs the consent of every entry: it makes others wait.
+        One entry alone may not ask: prefetching makes the others wait.
         """
-        asked = min(
-            (link.prefetch for link in self.links.values() if link.ready),
-            default=0,
-        )
+        asked = [link.prefetch for link in self.links.values() if link.ready]
+        return min(*asked, self.limits.max_prefetch) if asked else 0
+
+    @property
+    def capacity(self) -> int:
+        """Return the number of tasks that all entries together may place."""
         usual = self.identity.slots + self.limits.prefetch
-        return usual + min(asked, self.limits.max_prefetch)
+        return usual + self.prefetched
 
     @property
     def granted(self) -> int:
--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -21,7 +21,7 @@
 MAX_REMOVED: Final = 64
 # Long enough to smooth jobs of 170 tasks, short enough to follow a burst.
 LOAD_WINDOW_S: Final = 5
-# Work, by weight, that a client with near deadlines gets ahead of others.
+# Work, by weight, that a client with near targets gets ahead of others.
 MAX_PATIENCE_S: Final = 30
 LEAST_WORK_S: Final = 1e-6
 
@@ -33,7 +33,7 @@
     """Identify a queued task and what its order depends on.
 
     `deadline` and `enqueued` are monotonic seconds; `work` is the expected
-    service time in seconds.
+    service time in seconds, `job_work` that of all tasks of the job.
     """
 
     submission: bytes
@@ -44,10 +44,20 @@
     deadline: float
     enqueued: float
     work: float = 1
+    job_work: float = float('inf')
+
+    @property
+    def target(self) -> float:
+        """Return the time that the order aims at, at most the deadline.
+
+        Jobs of all sizes often have the same deadline. Ordered by it alone,
+        the p99 of small jobs at 80 % load was 11.5 times the ideal.
+        """
+        return min(self.deadline, self.enqueued + self.job_work)
 
 
 class _ClientQueue:
-    """Hold the tasks of one client in one band, earliest deadline first.
+    """Hold the tasks of one client in one band, earliest target first.
 
     `start` is the client's virtual start time, `due` the expected work by
     deadline in whole seconds.
@@ -64,7 +74,7 @@
 
     def push(self, task: QueuedTask, sequence: int) -> None:
         # Of one job, the longest task first shortens the job.
-        item = (task.deadline, -task.work, sequence, task)
+        item = (task.target, -task.work, sequence, task)
         heapq.heappush(self._items, item)
         self._add(1, task, task.work)
 
@@ -109,8 +119,8 @@
 class _Band:
     """Share the starts of a band among its clients by virtual time.
 
-    A client's rank is its virtual start time plus the time to the deadline of
-    its first task, within a bound: deadlines decide in the short run, weights
+    A client's rank is its virtual start time plus the time to the target of
+    its first task, within a bound: targets decide in the short run, weights
     in the long run.
     """
 
@@ -338,4 +348,4 @@
 
 
 def _patience(task: QueuedTask) -> float:
-    return min(MAX_PATIENCE_S, task.deadline - task.enqueued)
+    return min(MAX_PATIENCE_S, task.target - task.enqueued)
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -77,6 +77,7 @@
     answer: Answer | None = None
     failing: bool = False
     withdrawn: bool = False
+    work: float = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -63,6 +63,9 @@
     if len(job.tasks) <= SMALL_JOB_TASKS:
         state.small_job_at = turn.now
     heapq.heappush(state.deadlines, (submission.deadline, identifier))
+    submission.work = sum(
+        _expected_work(turn, job, index) for index, _ in enumerate(job.tasks)
+    )
     for index, _ in enumerate(job.tasks):
         _enqueue(turn, submission, index)
     for task, found in state.recovered.pop(identifier, {}).items():
@@ -313,6 +316,7 @@
     queue_for(turn, submission.job.service).push(
         _queued_task(submission, index, turn.now)._replace(
             work=_expected_work(turn, submission.job, index),
+            job_work=submission.work,
         ),
     )
 
--- a/tests/agent/agent_driver.py
+++ b/tests/agent/agent_driver.py
@@ -104,15 +104,18 @@
         outcome: str = 'complete',
         result: bytes = b'plan',
     ) -> list[AgentEffect]:
-        """End an upstream call."""
+        """End the upstream call of a single-task job."""
+        return self.finish_task(key_of(number), outcome, result)
+
+    def finish_task(
+        self,
+        key: messages.TaskKey,
+        outcome: str = 'complete',
+        result: bytes = b'plan',
+    ) -> list[AgentEffect]:
+        """End the upstream call of any task."""
         return self._apply(
-            events.UpstreamFinished(
-                self.now,
-                key_of(number),
-                outcome,
-                result,
-                '',
-            ),
+            events.UpstreamFinished(self.now, key, outcome, result, ''),
         )
 
     def wait(self, seconds: float) -> list[AgentEffect]:
--- /dev/null
+++ b/tests/agent/test_agent_holding.py
@@ -0,0 +1,84 @@
+"""Check when the agent holds results of large jobs back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from agent_driver import Agent
+from agent_driver import key_of
+
+from savoryrudder.agent.holding import HOLD_S
+from savoryrudder.protocol import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_PREFETCH = 2
+
+
+@pytest.fixture
+def busy() -> Agent:
+    """Create an agent with two running and two waiting tasks of one job."""
+    agent = Agent()
+    agent.up('e1')
+    agent.receive('e1', messages.Demand(9, _PREFETCH))
+    submission = key_of(1)[0]
+    for task in range(4):
+        agent.receive(
+            'e1',
+            messages.Start(submission, task, 1, 1, 'cut', b'', 9000, True, ''),
+        )
+    return agent
+
+
+def _finish(agent: Agent, tasks: Iterable[int], outcome: str) -> list[int]:
+    """Finish tasks of the job and return those that the agent reports."""
+    reported: list[int] = []
+    submission = key_of(1)[0]
+    for task in tasks:
+        agent.finish_task((submission, task), outcome)
+        reported += [
+            message.record.task for message in agent.sent(messages.Finished)
+        ]
+    return reported
+
+
+def test_results_leave_together(busy: Agent) -> None:
+    """Guard against a frame for each result of a large job."""
+    assert _finish(busy, (0, 1, 2), 'complete') == []
+    assert _finish(busy, (3,), 'complete') == [0, 1, 2, 3]
+    assert sum(sent.credits for sent in busy.sent(messages.Finished)) == 4
+
+
+def test_holding_ends_in_time(busy: Agent) -> None:
+    """Guard against credits that stay away while work waits."""
+    assert _finish(busy, (0,), 'complete') == []
+    busy.wait(HOLD_S)
+    assert len(busy.sent(messages.Finished)) == 1
+
+
+def test_failures_leave_at_once(busy: Agent) -> None:
+    """Guard against running the rest of a job that has failed."""
+    assert _finish(busy, (0,), 'complete') == []
+    assert _finish(busy, (1,), 'failed') == [0, 1]
+
+
+def test_other_entries_can_refuse_prefetching(busy: Agent) -> None:
+    """Guard against small jobs that wait for another entry's large ones."""
+    assert busy.state.capacity == 2 + _PREFETCH
+    assert _finish(busy, (0,), 'complete') == []
+    busy.up('e2')
+    assert busy.state.capacity == 2
+    busy.receive('e2', messages.Demand(1))
+    assert len(busy.sent(messages.Finished, 'e1')) == 1
+
+
+def test_held_results_survive_the_link(busy: Agent) -> None:
+    """Guard against results that are lost with the session."""
+    _finish(busy, (0,), 'complete')
+    busy.down('e1')
+    busy.up('e1', session='e1-2')
+    busy.wait(HOLD_S)
+    records = busy.state.book.select(range(64))
+    assert [record.state for record in records].count('complete') == 1
--- a/tests/entry/test_queueing.py
+++ b/tests/entry/test_queueing.py
@@ -170,3 +170,16 @@
     # Client b's share is the only work ahead of an equal.
     assert queue.drain_s('background', 'a', 1, 10, 0) == pytest.approx(0.2)
     assert queue.drain_s('background', 'b', 1, 10, 0) == pytest.approx(10.1)
+
+
+def test_small_job_passes_a_large_one_of_the_same_client(
+    queue: ServiceQueue,
+) -> None:
+    """Guard against equal deadlines that leave all jobs in arrival order."""
+    for number in range(20):
+        queue.push(_task(number, job_work=20))
+    queue.push(_task(20, enqueued=1, job_work=1))
+    assert queue.pop(1) == _task(20, enqueued=1, job_work=1)
+    # A small job that comes when the large one is due goes behind it.
+    queue.push(_task(21, enqueued=8.5, job_work=1))
+    assert queue.pop(8.5).submission == _task(0).submission
--- /dev/null
+++ b/tests/entry/test_retries.py
@@ -0,0 +1,32 @@
+"""Check the bound on work that is placed again."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savoryrudder.entry.retries import LONGEST_BACKOFF_S
+from savoryrudder.entry.retries import RETRY_ALLOWANCE
+from savoryrudder.entry.retries import RETRY_RATIO
+from savoryrudder.entry.retries import RetryBudget
+from savoryrudder.entry.retries import backoff_s
+
+
+@given(st.integers(0, 500), st.integers(0, 200))
+def test_retries_stay_within_the_budget(starts: int, wanted: int) -> None:
+    """Guard against retries that multiply the load of a failing fleet."""
+    budget = RetryBudget()
+    for _ in range(starts):
+        budget.note_start(1)
+    taken = sum([budget.take(1) for _ in range(wanted)])
+    limit = int(RETRY_RATIO * starts + RETRY_ALLOWANCE + 1e-9)
+    assert abs(taken - min(wanted, limit)) <= 1
+    assert taken <= limit
+
+
+def test_pauses_grow_within_a_bound() -> None:
+    """Guard against retries in step and against pauses without end."""
+    pauses = [backoff_s(attempts, 1) for attempts in range(1, 8)]
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == LONGEST_BACKOFF_S
+    assert backoff_s(1, 0) < backoff_s(1, 0.5) < backoff_s(1, 1)
