--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -12,10 +12,12 @@
 from savoryrudder.agent import events
 from savoryrudder.agent import tasks
 from savoryrudder.agent.holding import hold_reports
+from savoryrudder.agent.records import split_by_size
 from savoryrudder.agent.state import Link
 from savoryrudder.agent.turn import Turn
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import Exit
+from savoryrudder.utils.identifiers import partition_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -157,8 +159,7 @@
         else:
             stale.append(partition)
     link.claimed.update(accepted)
-    records = state.book.select(accepted)
-    turn.send(entry, messages.Records(message.request, records, tuple(stale)))
+    _send_records(state, turn, entry, message.request, accepted, stale)
     if link.ready:
         return
     link.ready = True
@@ -166,6 +167,36 @@
     _send_recalls(turn, credit_rules.spread(state, turn.now, link))
 
 
+def _send_records(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    request: int,
+    accepted: list[int],
+    stale: list[int],
+) -> None:
+    link = state.links[entry]
+    sent, withheld = split_by_size(
+        state.book.select(accepted),
+        state.limits.page_bytes,
+    )
+    exported = [record.export() for record in sent]
+    exported += [record.export(withheld=True) for record in withheld]
+    turn.send(entry, messages.Records(request, tuple(exported), tuple(stale)))
+    link.withheld.extend(withheld)
+
+
+def _send_withheld(state: AgentState, turn: Turn) -> None:
+    """Send one page of withheld records on each link."""
+    for entry, link in state.links.items():
+        size = 0
+        while link.withheld and size < state.limits.page_bytes:
+            record = link.withheld.popleft()
+            size += len(record.result)
+            if state.receiver(partition_of(record.key[0])) == entry:
+                turn.reports.append((entry, record))
+
+
 def _take_back_credits(
     state: AgentState,
     turn: Turn,
@@ -185,11 +216,13 @@
     message: messages.Demand,
 ) -> None:
     link = state.links[entry]
-    if (link.demand, link.prefetch) == message:
+    queued = max(0, message.queued)
+    prefetch = max(0, message.prefetch)
+    if (link.demand, link.prefetch) == (queued, prefetch):
         turn.count(_WASTED)
         return
-    link.demand = message.queued
-    link.prefetch = message.prefetch
+    link.demand = queued
+    link.prefetch = prefetch
     turn.unbalanced = True
 
 
@@ -227,6 +260,7 @@
 
 def _tick(state: AgentState, event: events.Tick, turn: Turn) -> None:
     tasks.check_deadlines(state, turn)
+    _send_withheld(state, turn)
     dropped = state.book.expire(turn.now)
     if dropped:
         turn.count('results_dropped', dropped)
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from typing import TYPE_CHECKING
 from typing import Final
@@ -12,10 +13,12 @@
 from savoryrudder.entry.effects import ConnectPeer
 from savoryrudder.entry.partitions import gain_partition
 from savoryrudder.entry.partitions import lose_partitions
+from savoryrudder.entry.peers import forget_rosters
 from savoryrudder.entry.state import PartitionOwner
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
 from savoryrudder.store import interface
+from savoryrudder.utils.identifiers import PARTITION_COUNT
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
@@ -32,6 +35,8 @@
 ABSENCE_S: Final = 0.5
 # After an outage all leases have lapsed at once; owners register again first.
 RESTORED_GRACE_S: Final = 5
+# Scores of 64 partitions for some hundred entries.
+_SCORES: Final = 16_384
 
 _NO_PARTITIONS: Final = interface.KeyValue(documents.PARTITIONS_KEY, 0, None)
 
@@ -85,15 +90,23 @@
         store.renew_at = turn.now
 
 
-def handle_registered(turn: Turn, outcome: interface.StoreOutcome) -> None:
+def handle_registered(
+    turn: Turn,
+    lease: str,
+    outcome: interface.StoreOutcome,
+) -> None:
     """Take over the outcome of the registration."""
     store = turn.state.store
     store.register_pending = False
     if isinstance(outcome, interface.Swapped):
         store.own_version = outcome.version
+        store.registered = lease == store.lease
+        if store.registered_lease != lease:
+            store.registered_lease = lease
+            forget_rosters(turn)
     elif isinstance(outcome, interface.SwapConflict):
         store.own_version = outcome.current.version
-    elif isinstance(outcome, interface.LeaseLost):
+    elif isinstance(outcome, interface.LeaseLost) and lease == store.lease:
         store.lease = ''
         store.lease_deadline = 0
         store.renew_at = turn.now
@@ -202,16 +215,16 @@
         return
     if turn.now >= store.lease_deadline or not state.live:
         return
-    candidates = _candidates(turn)
-    changed = {}
-    for partition, owner in state.owners.items():
-        desired = _preferred(candidates, partition)
-        if desired and _may_assign(turn, owner, desired):
-            changed[partition] = PartitionOwner(
-                desired,
-                owner.epoch + 1,
-                owner.owner,
-            )
+    preferred = _preferences(turn)
+    changed = {
+        partition: PartitionOwner(
+            preferred[partition],
+            owner.epoch + 1,
+            owner.owner,
+        )
+        for partition, owner in state.owners.items()
+        if preferred and _may_assign(turn, owner, preferred[partition])
+    }
     if not changed:
         return
     store.swap_pending = True
@@ -264,7 +277,7 @@
             ),
             store.lease,
         ),
-        PendingCall('register', None),
+        PendingCall('register', store.lease),
     )
 
 
@@ -288,9 +301,10 @@
     }
     own_item = found.get(f'{documents.ENTRY_PREFIX}{own}')
     state.store.own_version = own_item.version if own_item else 0
-    state.store.registered = own in state.live and (
-        state.live[own]['draining'] == (state.drain_started is not None)
-    )
+    if own not in state.live or (
+        state.live[own]['draining'] != (state.drain_started is not None)
+    ):
+        state.store.registered = False
     for name, document in state.live.items():
         state.absent_since.pop(name, None)
         if name != own and name not in state.peers:
@@ -353,13 +367,35 @@
     return absent_since + patience <= turn.now
 
 
-def _preferred(candidates: list[str], partition: int) -> str:
+def _preferences(turn: Turn) -> dict[int, str]:
+    """Return the preferred owner of each partition, kept until they change."""
+    state = turn.state
+    candidates = tuple(_candidates(turn))
+    if candidates != state.candidates:
+        state.candidates = candidates
+        state.preferred = (
+            {
+                partition: _preferred(candidates, partition)
+                for partition in range(PARTITION_COUNT)
+            }
+            if candidates
+            else {}
+        )
+    return state.preferred
+
+
+def _preferred(candidates: tuple[str, ...], partition: int) -> str:
     """Choose the owner by rendezvous hashing."""
     return max(
         candidates,
-        key=lambda name: hashlib.blake2b(
-            f'{name.partition("#")[0]}/{partition}'.encode(),
-            digest_size=8,
-        ).digest(),
-        default='',
+        key=lambda name: _score(name, partition),
     )
+
+
+@functools.lru_cache(maxsize=_SCORES)
+def _score(name: str, partition: int) -> bytes:
+    place = name.partition('#')[0]
+    return hashlib.blake2b(
+        f'{place}/{partition}'.encode(),
+        digest_size=8,
+    ).digest()
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -102,7 +102,7 @@
 
     `awaited` holds the agents (name, incarnation) whose records are missing,
     as their rosters show them. `blind` means that further agents may be
-    missing.
+    missing. `refusals_lost` is set after the loss of the former owner.
     """
 
     epoch: int
@@ -110,6 +110,7 @@
     gained_wall: float
     awaited: dict[tuple[str, str], RosterAgent]
     blind: bool = False
+    refusals_lost: bool = False
     stale: bool = False
 
 
@@ -150,7 +151,9 @@
     heard_at: float = 0
     revision: int = 0
     roster_held: int = 0
-    roster_sent: int = 0
+    links: int = 0
+    gone: bool = False
+    asked_at: float = 0
     promise_until: float = 0
     promised_until: float = 0
     echo_ms: int = 0
@@ -178,6 +181,7 @@
     watch_version: int = 0
     own_version: int = 0
     registered: bool = False
+    registered_lease: str = ''
     register_pending: bool = False
     register_at: float = 0
     swap_pending: bool = False
@@ -227,9 +231,9 @@
 
 
 class PastRefusal(NamedTuple):
-    """Remember a refusal and when it was given."""
+    """Remember a refusal; copies received before `repeat_until` get it."""
 
-    at: float
+    repeat_until: float
     answer: Answer
 
 
@@ -273,6 +277,8 @@
     next_call: int = 1
     next_request: int = 1
     map_version: int = 0
+    candidates: tuple[str, ...] = ()
+    preferred: dict[int, str] = dataclasses.field(default_factory=dict)
     owners: dict[int, PartitionOwner] = dataclasses.field(default_factory=dict)
     owned: dict[int, OwnedPartition] = dataclasses.field(default_factory=dict)
     absent_since: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -299,6 +305,9 @@
     refusals: dict[bytes, PastRefusal] = dataclasses.field(
         default_factory=dict,
     )
+    refusal_expiry: list[tuple[float, bytes]] = dataclasses.field(
+        default_factory=list,
+    )
     deadlines: list[tuple[float, bytes]] = dataclasses.field(
         default_factory=list,
     )
