--- /dev/null
+++ b/src/savoryrudder/agent/holding.py
@@ -0,0 +1,46 @@
+"""Hold results back so that several of a large job share a frame."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+if TYPE_CHECKING:
+    from savoryrudder.agent.state import AgentState
+    from savoryrudder.agent.turn import Turn
+
+# Shorter than the work of the prefetched tasks, so that no slot runs dry.
+HOLD_S: Final = 0.25
+
+_COMPLETE: Final = 'complete'
+
+
+def hold_reports(state: AgentState, turn: Turn) -> bool:
+    """Hold this turn's reports, or release those held before.
+
+    Return whether credits have to wait, too: each would need a frame.
+    """
+    urgent = state.leaving or not state.prefetched
+    if (
+        urgent
+        or not _may_wait(state, turn)
+        or (state.held and turn.now >= state.held_until)
+    ):
+        held = [report for report in state.held if report[0] in state.links]
+        turn.reports = held + turn.reports
+        state.held = []
+        return False
+    if turn.reports and not state.held:
+        state.held_until = turn.now + HOLD_S
+    state.held += turn.reports
+    turn.reports = []
+    return bool(state.held)
+
+
+def _may_wait(state: AgentState, turn: Turn) -> bool:
+    """Tell whether all jobs reported on wait for other tasks here anyway."""
+    open_here = {key[0] for key in (*state.calls, *state.waiting)}
+    return all(
+        record.state == _COMPLETE and record.key[0] in open_here
+        for _, record in turn.reports
+    )
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -11,6 +11,7 @@
 from savoryrudder.agent import credits as credit_rules
 from savoryrudder.agent import events
 from savoryrudder.agent import tasks
+from savoryrudder.agent.holding import hold_reports
 from savoryrudder.agent.records import split_by_size
 from savoryrudder.agent.state import Link
 from savoryrudder.agent.turn import Turn
@@ -36,7 +37,8 @@
     _EVENT_HANDLERS[type(event)](state, event, turn)
     if turn.unbalanced:
         tasks.fill_slots(state, turn)
-        _hand_out_credits(state, turn)
+        if not hold_reports(state, turn):
+            _hand_out_credits(state, turn)
     else:
         _send_reports(turn, {})
     if state.leaving:
@@ -215,10 +217,12 @@
 ) -> None:
     link = state.links[entry]
     queued = max(0, message.queued)
-    if link.demand == queued:
+    prefetch = max(0, message.prefetch)
+    if (link.demand, link.prefetch) == (queued, prefetch):
         turn.count(_WASTED)
         return
     link.demand = queued
+    link.prefetch = prefetch
     turn.unbalanced = True
 
 
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -34,8 +34,10 @@
 class Limits(NamedTuple):
     """Bound what the agent accepts, keeps and sends.
 
-    `prefetch` is in tasks. `page_bytes` bounds the results in one answer to a
-    claim: all results kept exceed what a link takes at once.
+    `prefetch` is the number of credits beyond the slots at all times,
+    `max_prefetch` what entries may ask for besides. `page_bytes` bounds the
+    results in one answer to a claim: all results kept exceed what a link takes
+    at once.
     """
 
     prefetch: int = 0
@@ -43,6 +45,7 @@
     max_records: int = _MAX_RECORDS
     max_result_bytes: int = _MAX_RESULT_BYTES
     page_bytes: int = _PAGE_BYTES
+    max_prefetch: int = 10
 
 
 class Ownership(NamedTuple):
@@ -68,6 +71,7 @@
     claimed: set[int] = field(default_factory=set)
     credits: int = 0
     demand: int = 0
+    prefetch: int = 0
     granted_at: int = 0
     recalled: int = 0
     recall_after: float = 0
@@ -92,6 +96,8 @@
     calls: dict[TaskKey, Record] = field(default_factory=dict)
     waiting: dict[TaskKey, Record] = field(default_factory=dict)
     occupied: dict[str, int] = field(default_factory=dict)
+    held: list[tuple[str, Record]] = field(default_factory=list)
+    held_until: float = 0
     grants: int = 0
     limit_reached: bool = False
     revision: int = 0
@@ -105,6 +111,21 @@
         """Return the announcement that opens a session."""
         return Hello(*self.identity, leaving=self.leaving)
 
+    @property
+    def prefetched(self) -> int:
+        """Return the credits beyond the usual ones that every entry wants.
+
+        One entry alone may not ask: prefetching makes the others wait.
+        """
+        asked = [link.prefetch for link in self.links.values() if link.ready]
+        return min(*asked, self.limits.max_prefetch) if asked else 0
+
+    @property
+    def capacity(self) -> int:
+        """Return the number of tasks that all entries together may place."""
+        usual = self.identity.slots + self.limits.prefetch
+        return usual + self.prefetched
+
     @property
     def granted(self) -> int:
         """Return the number of granted and unused credits."""
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -11,6 +11,7 @@
 
 from savoryrudder.entry.admission import Admission
 from savoryrudder.entry.placement import Fleet
+from savoryrudder.entry.retries import RetryBudget
 
 if TYPE_CHECKING:
     from savoryrudder.entry.events import ConfigSubmitted
@@ -76,6 +77,7 @@
     answer: Answer | None = None
     failing: bool = False
     withdrawn: bool = False
+    work: float = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,6 +129,7 @@
     usable: bool = False
     demand: int = 0
     demand_at: float = 0
+    prefetch: int = 0
     acknowledgements: list[TaskKey] = dataclasses.field(default_factory=list)
 
 
@@ -233,6 +236,24 @@
     answer: Answer
 
 
+@dataclasses.dataclass(slots=True)
+class ClientTerms:
+    """Track the stored terms of one client; `expires` is UTC seconds.
+
+    `token` marks a renewal whose outcome is not known yet.
+    """
+
+    step: int = 0
+    expires: float = 0
+    version: int = 0
+    known: bool = False
+    pending: str = ''
+    token: str = ''
+    proposed: str = ''
+    read_at: float = 0
+    renew_at: float = 0
+
+
 FoundTasks: TypeAlias = dict[int, FoundRecord]
 
 
@@ -293,6 +314,15 @@
         default_factory=list,
     )
     payload_bytes: int = 0
+    small_job_at: float = 0
+    prefetching: bool = False
+    retries: RetryBudget = dataclasses.field(default_factory=RetryBudget)
+    delayed: list[tuple[float, TaskKey]] = dataclasses.field(
+        default_factory=list,
+    )
+    terms: dict[str, ClientTerms] = dataclasses.field(default_factory=dict)
+    terms_revision: int = 0
+    terms_call_at: float = 0
     queues: dict[str, ServiceQueue] = dataclasses.field(default_factory=dict)
     hand_overs: dict[int, HandOver] = dataclasses.field(default_factory=dict)
     parked: dict[Waiter, ParkedRequest] = dataclasses.field(
