Hand refusals over with their partitions

The former owner now names its recent refusals to the successor, as forwards of kind refused. A copy that reaches the new owner in the round trip between its takeover and the arrival of these forwards is not covered.

--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -14,6 +14,7 @@
 from savoryrudder.entry.partitions import gain_partition
 from savoryrudder.entry.partitions import lose_partition
 from savoryrudder.entry.peers import forget_rosters
+from savoryrudder.entry.routing import pass_on_refusals
 from savoryrudder.entry.state import PartitionOwner
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
@@ -183,6 +184,14 @@
         return
     state.map_version = version
     state.owners = owners
+    pass_on_refusals(
+        turn,
+        {
+            partition: owners[partition].owner
+            for partition in state.owned
+            if owners[partition].owner != state.identity.name
+        },
+    )
     gained = [
         partition
         for partition, owner in owners.items()
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -79,6 +79,9 @@
 def handle_forward(turn: Turn, peer: str, message: Forward) -> None:
     """Serve a request that another entry passed on."""
     now = turn.now
+    if message.kind == 'refused':
+        _take_over_refusal(turn, message)
+        return
     request = ParkedRequest(
         Waiter(peer, message.request),
         message.kind,
@@ -92,6 +95,19 @@
     route(turn, request)
 
 
+def pass_on_refusals(turn: Turn, lost: dict[int, str]) -> None:
+    """Tell the new owners of partitions which jobs were refused here."""
+    if not lost:
+        return
+    for identifier, past in turn.state.refusals.items():
+        left_ms = int((past.repeat_until - turn.now) * 1000)
+        owner = turn.state.peers.get(lost.get(partition_of(identifier), ''))
+        if left_ms <= 0 or owner is None or not owner.session:
+            continue
+        named = (past.client, past.key)
+        turn.send(owner.name, Forward(0, 'refused', *named, None, left_ms, 0))
+
+
 def handle_forward_answer(turn: Turn, request: int, answer: Answer) -> None:
     """Pass the owner's answer to the caller, or route the request again."""
     forwarded = turn.state.forwards.pop(request, None)
@@ -323,15 +339,26 @@
         if answer.retry_after_ms:
             answer = answer._replace(retry_after_ms=retry_ms)
         until = turn.now + retry_ms / 1000
-        turn.state.refusals[identifier] = PastRefusal(until, answer)
-        heapq.heappush(
-            turn.state.refusal_expiry,
-            (until + REFUSAL_MEMORY_S, identifier),
-        )
+        named = (request.client, request.key)
+        _remember(turn, identifier, PastRefusal(until, *named, answer))
     turn.count('requests_refused')
     answers.reply(turn, request.waiter, answer)
 
 
+def _take_over_refusal(turn: Turn, message: Forward) -> None:
+    identifier = submission_id(message.client, message.key)
+    if identifier in turn.state.submissions:
+        return
+    until = turn.now + message.wait_ms / 1000
+    answer = answers.refusal(
+        reasons.OVERLOADED,
+        'the entry formerly in charge refused the job',
+        retry_after_ms=message.wait_ms,
+    )
+    named = (message.client, message.key)
+    _remember(turn, identifier, PastRefusal(until, *named, answer))
+
+
 def _repeat_refusal(
     turn: Turn,
     request: ParkedRequest,
@@ -345,6 +372,14 @@
     answers.reply(turn, request.waiter, answer)
 
 
+def _remember(turn: Turn, identifier: bytes, past: PastRefusal) -> None:
+    turn.state.refusals[identifier] = past
+    heapq.heappush(
+        turn.state.refusal_expiry,
+        (past.repeat_until + REFUSAL_MEMORY_S, identifier),
+    )
+
+
 def _absent(request: ParkedRequest) -> Answer:
     if request.kind == 'cancel':
         return answers.refusal(
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -226,6 +226,8 @@
     """Remember a refusal; copies received before `repeat_until` get it."""
 
     repeat_until: float
+    client: str
+    key: str
     answer: Answer
 
 
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -247,9 +247,10 @@
 class Forward(NamedTuple):
     """Pass a caller's request to the owner of its partition.
 
-    `kind` is submit, fetch or cancel; `job` is set for submit only. A request
-    of 0 expects no answer. `age_ms` is the time since the caller's request
-    was read.
+    `kind` is submit, fetch, cancel or refused; `job` is set for submit only. A
+    request of 0 expects no answer. `age_ms` is the time since the caller's
+    request was read. With refused, a former owner tells its successor to
+    refuse copies of a job for `wait_ms`.
     """
 
     request: int
