--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import ceil
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -17,7 +16,6 @@
 from savoryrudder.agent.records import Record
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import CloseLink
-from savoryrudder.utils.effects import Observe
 from savoryrudder.utils.identifiers import partition_of
 
 if TYPE_CHECKING:
@@ -46,10 +44,13 @@
         return
     had_credit = link.credits > 0
     link.credits -= had_credit
+    record = state.book.find(key)
     if not _pass_fence(state, turn, entry, message):
-        _decline(turn, entry, key, 'stale-epoch')
+        turn.unbalanced = True
+        # A rejection means "never started", which a record may contradict.
+        if record is None or record.state == UNSTARTED:
+            _decline(turn, entry, key, 'stale-epoch')
         return
-    record = state.book.find(key)
     if record:
         _answer_repeated(turn, entry, record)
         return
@@ -171,10 +172,9 @@
         _forget_waiting(state, turn, record, 'withdrawn')
         return True
     call = record.call
-    if record.state == RUNNING and call:
-        if call.idempotent and not call.stopping:
-            call.stopping = True
-            turn.effects.append(StopUpstreamCall(key))
+    if call and call.idempotent and not call.stopping:
+        call.stopping = True
+        turn.effects.append(StopUpstreamCall(key))
     return record.state == UNSTARTED
 
 
@@ -266,7 +266,7 @@
             record.key,
             call.operation,
             call.payload,
-            ceil((call.deadline - turn.now) * _MS_PER_S),
+            max(1, round((call.deadline - turn.now) * _MS_PER_S)),
             call.trace,
         ),
     )
@@ -287,7 +287,6 @@
     record.duration_ms = round(duration * _MS_PER_S)
     state.book.end(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
-    turn.effects.append(Observe('upstream_call', duration))
     owner = state.receiver(partition_of(record.key[0]))
     if owner:
         turn.reports.append((owner, record))
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import hashlib
 from typing import TYPE_CHECKING
 from typing import Final
@@ -12,20 +11,24 @@
 from savoryrudder.entry.configuration import adopt_config
 from savoryrudder.entry.effects import ConnectPeer
 from savoryrudder.entry.partitions import gain_partition
-from savoryrudder.entry.partitions import lose_partition
+from savoryrudder.entry.partitions import lose_partitions
 from savoryrudder.entry.peers import forget_rosters
+from savoryrudder.entry.peers import greet
 from savoryrudder.entry.routing import pass_on_refusals
 from savoryrudder.entry.state import PartitionOwner
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
 from savoryrudder.store import interface
+from savoryrudder.utils.identifiers import PARTITION_COUNT
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
 
 LEASE_TTL_S: Final = 6
 RENEW_INTERVAL_S: Final = 2
-WATCH_WAIT_S: Final = 30
+# A watch whose connection has gone silent is found out soon enough for a
+# change to be in force everywhere within 12 s.
+WATCH_WAIT_S: Final = 5
 RETRY_S: Final = 0.5
 # An entry that is gone from the store but still linked is about to register
 # again, as after a store outage.
@@ -33,8 +36,6 @@
 ABSENCE_S: Final = 0.5
 # After an outage all leases have lapsed at once; owners register again first.
 RESTORED_GRACE_S: Final = 5
-# Scores of 64 partitions for some hundred entries.
-_SCORES: Final = 16_384
 
 _NO_PARTITIONS: Final = interface.KeyValue(documents.PARTITIONS_KEY, 0, None)
 
@@ -184,14 +185,10 @@
         return
     state.map_version = version
     state.owners = owners
-    pass_on_refusals(
-        turn,
-        {
-            partition: owners[partition].owner
-            for partition in state.owned
-            if owners[partition].owner != state.identity.name
-        },
-    )
+    name = state.identity.name
+    lost = [number for number in state.owned if owners[number].owner != name]
+    pass_on_refusals(turn, {number: owners[number].owner for number in lost})
+    lose_partitions(turn, lost)
     gained = [
         partition
         for partition, owner in owners.items()
@@ -216,16 +213,16 @@
         return
     if turn.now >= store.lease_deadline or not state.live:
         return
-    candidates = _candidates(turn)
-    changed = {}
-    for partition, owner in state.owners.items():
-        desired = _preferred(candidates, partition)
-        if desired and _may_assign(turn, owner, desired):
-            changed[partition] = PartitionOwner(
-                desired,
-                owner.epoch + 1,
-                owner.owner,
-            )
+    preferred = _preferences(turn)
+    changed = {
+        partition: PartitionOwner(
+            preferred[partition],
+            owner.epoch + 1,
+            owner.owner,
+        )
+        for partition, owner in state.owners.items()
+        if preferred and _may_assign(turn, owner, preferred[partition])
+    }
     if not changed:
         return
     store.swap_pending = True
@@ -246,10 +243,9 @@
     partition: int,
     owner: PartitionOwner,
 ) -> bool:
-    """Gain or lose a partition as the map says; tell whether it was gained."""
+    """Gain a partition if the map says so; tell whether it was gained."""
     owned = turn.state.owned.get(partition)
     if owner.owner != turn.state.identity.name:
-        lose_partition(turn, partition, stale=False)
         return False
     if owned is not None and owned.epoch >= owner.epoch:
         return False
@@ -273,6 +269,7 @@
             documents.encode(
                 {
                     'address': state.identity.address,
+                    'http': state.identity.http,
                     'draining': state.drain_started is not None,
                 },
             ),
@@ -317,6 +314,10 @@
 def _add_peer(turn: Turn, name: str, address: str) -> None:
     turn.state.peers[name] = PeerLink(name, address, heard_at=turn.now)
     turn.log_change('entry_joined', entry=name)
+    # A restarted entry may be linked before the store shows its new name.
+    session = turn.state.strangers.pop(name, None)
+    if session is not None:
+        greet(turn, name, session)
     # Of two entries the one with the smaller name dials.
     if turn.state.identity.name < name:
         turn.emit(ConnectPeer(address))
@@ -368,19 +369,29 @@
     return absent_since + patience <= turn.now
 
 
-def _preferred(candidates: list[str], partition: int) -> str:
+def _preferences(turn: Turn) -> dict[int, str]:
+    """Return the preferred owner of each partition, kept until they change."""
+    state = turn.state
+    candidates = tuple(_candidates(turn))
+    if candidates != state.candidates:
+        state.candidates = candidates
+        state.preferred = (
+            {
+                partition: _preferred(candidates, partition)
+                for partition in range(PARTITION_COUNT)
+            }
+            if candidates
+            else {}
+        )
+    return state.preferred
+
+
+def _preferred(candidates: tuple[str, ...], partition: int) -> str:
     """Choose the owner by rendezvous hashing."""
     return max(
         candidates,
-        key=lambda name: _score(name, partition),
-        default='',
+        key=lambda name: hashlib.blake2b(
+            f'{name.partition("#")[0]}/{partition}'.encode(),
+            digest_size=8,
+        ).digest(),
     )
-
-
-@functools.lru_cache(maxsize=_SCORES)
-def _score(name: str, partition: int) -> bytes:
-    place = name.partition('#')[0]
-    return hashlib.blake2b(
-        f'{place}/{partition}'.encode(),
-        digest_size=8,
-    ).digest()
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -15,6 +15,7 @@
 from savoryrudder.entry import dispatching
 from savoryrudder.entry import draining
 from savoryrudder.entry import events
+from savoryrudder.entry import handover
 from savoryrudder.entry import membership
 from savoryrudder.entry import peers
 from savoryrudder.entry import reports
@@ -45,12 +46,19 @@
 
 
 def _handle_link_up(turn: Turn, event: events.LinkUp) -> None:
-    """Wait for the peer's hello, which tells what it is."""
     turn.count('links_up')
+    # An agent introduces itself; of an entry the name is known already on the
+    # side that dialled.
+    if event.peer in turn.state.peers:
+        peers.greet(turn, event.peer, event.session)
+    else:
+        turn.state.strangers[event.peer] = event.session
 
 
 def _handle_link_down(turn: Turn, event: events.LinkDown) -> None:
     state = turn.state
+    if state.strangers.get(event.peer) == event.session:
+        state.strangers.pop(event.peer)
     link = state.agents.get(event.peer)
     if link is not None and link.session == event.session:
         turn.wall = event.wall
@@ -63,6 +71,7 @@
 def _handle_message(turn: Turn, event: events.MessageReceived) -> None:
     message = event.message
     if isinstance(message, messages.Hello):
+        turn.state.strangers.pop(event.peer, None)
         agents.handle_hello(turn, event.session, message)
     elif isinstance(message, messages.PeerHello):
         peers.handle_peer_hello(turn, event.session, message)
@@ -160,6 +169,10 @@
             )
         ),
         messages.Promise: peers.handle_promise,
+        messages.HandOver: lambda turn, _, message: handover.handle_hand_over(
+            turn,
+            message,
+        ),
         messages.Forward: routing.handle_forward,
         messages.ForwardAnswer: lambda turn, _, message: (
             routing.handle_forward_answer(turn, message.request, message.answer)
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -17,6 +17,7 @@
     from savoryrudder.entry.queueing import ServiceQueue
     from savoryrudder.policy.model import Policy
     from savoryrudder.protocol.messages import Answer
+    from savoryrudder.protocol.messages import HandOver
     from savoryrudder.protocol.messages import Job
     from savoryrudder.protocol.messages import RosterAgent
     from savoryrudder.protocol.messages import TaskKey
@@ -30,11 +31,13 @@
     """Identify an entry process.
 
     `name` is unique for each run of an entry: its configured identifier, a
-    hash sign and its incarnation. `address` is its join address.
+    hash sign and its incarnation. `address` is its join address, `http` the
+    address for callers and operators.
     """
 
     name: str
     address: str
+    http: str
     zone: str
     retention_s: float
     balancer_delay_s: float
@@ -141,6 +144,7 @@
     name: str
     address: str
     session: str = ''
+    greeted: str = ''
     heard_at: float = 0
     revision: int = 0
     roster_held: int = 0
@@ -185,9 +189,10 @@
 
 
 class EntryDocument(TypedDict):
-    """Hold what an entry registers: its join address and its intent."""
+    """Hold what an entry registers: its addresses and its intent."""
 
     address: str
+    http: str
     draining: bool
 
 
@@ -246,17 +251,22 @@
     revision: int = 0
     text: str = ''
     author: str = ''
+    token: str = ''
     applied_at: str = ''
     store: StoreView = dataclasses.field(default_factory=StoreView)
     calls: dict[int, PendingCall] = dataclasses.field(default_factory=dict)
     next_call: int = 1
     next_request: int = 1
     map_version: int = 0
+    candidates: tuple[str, ...] = ()
+    preferred: dict[int, str] = dataclasses.field(default_factory=dict)
     owners: dict[int, PartitionOwner] = dataclasses.field(default_factory=dict)
     owned: dict[int, OwnedPartition] = dataclasses.field(default_factory=dict)
     absent_since: dict[str, float] = dataclasses.field(default_factory=dict)
     live: dict[str, EntryDocument] = dataclasses.field(default_factory=dict)
     peers: dict[str, PeerLink] = dataclasses.field(default_factory=dict)
+    # Open sessions whose other end is not known yet, by its name.
+    strangers: dict[str, str] = dataclasses.field(default_factory=dict)
     rosters: dict[str, PeerRoster] = dataclasses.field(default_factory=dict)
     roster: dict[tuple[str, str], RosterAgent] = dataclasses.field(
         default_factory=dict,
@@ -289,6 +299,7 @@
     )
     payload_bytes: int = 0
     queues: dict[str, ServiceQueue] = dataclasses.field(default_factory=dict)
+    hand_overs: dict[int, HandOver] = dataclasses.field(default_factory=dict)
     parked: dict[Waiter, ParkedRequest] = dataclasses.field(
         default_factory=dict,
     )
