--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -285,6 +285,7 @@
     absent_since: dict[str, float] = dataclasses.field(default_factory=dict)
     live: dict[str, EntryDocument] = dataclasses.field(default_factory=dict)
     peers: dict[str, PeerLink] = dataclasses.field(default_factory=dict)
+    # Open sessions whose other end is not known yet, by its name.
     rosters: dict[str, PeerRoster] = dataclasses.field(default_factory=dict)
     roster: dict[tuple[str, str], RosterAgent] = dataclasses.field(
         default_factory=dict,
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -31,6 +31,7 @@
         self.alive = True
         self.frozen = False
         self.clock_rate = 1.0
+        self.dials: set[str] = set()
         self.sessions: dict[str, Session] = {}
         self._inbox: list[Any] = []
         self._tick()
@@ -125,6 +126,9 @@
         answered = partial(self.post, 'StoreAnswered', effect.call)
         self.world.store.call(self.name, effect.operation, answered)
 
+    def _on_connectpeer(self, effect: Any) -> None:
+        self.dials.add(effect.address)
+
     def _on_reply(self, effect: Any) -> None:
         self.world.callers.carry(effect.request, effect.answer)
 
