--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -31,6 +31,15 @@
         self._randomness = random.Random(seed)
         self.ratio: float = 0
 
+    @property
+    def limits(self) -> Any:
+        """Return the limits of the wrapped control."""
+        return self._admission.limits
+
+    def adopt(self, *named: Any) -> None:
+        """Pass on a job that is accepted without a check."""
+        self._admission.adopt(*named)
+
     def check(self, job: Any, *others: Any) -> Refusal | None:
         """Refuse at random, else as the wrapped control does."""
         if self._randomness.random() < self.ratio:
