--- a/tests/agent/test_agent_properties.py
+++ b/tests/agent/test_agent_properties.py
@@ -48,6 +48,8 @@
         self.late: list[tuple[str, str, messages.Message]] = []
         self.sessions = 0
         self.newest = 0
+        # Tasks that an entry has started at another agent.
+        self.placed: set[tuple[str, messages.TaskKey]] = set()
 
     @initialize(first=entries)
     def connect_both(self, first: str) -> None:
@@ -181,6 +183,7 @@
         known = self.oracle.accepted | self.oracle.called
         if key not in known and (entry, key) not in self.oracle.outstanding:
             self.oracle.called.add(key)
+            self.placed.add((entry, key))
 
     @rule(seconds=strategies.sampled_from((0.1, 0.5, 2)))
     def pass_time(self, seconds: float) -> None:
@@ -224,6 +227,9 @@
             epoch = self.belief[entry][partition]
             if self.owner[partition] == (epoch, entry) and key in known:
                 continue
+            # An entry never starts a task again that it has started itself.
+            if (entry, key) in self.placed:
+                continue
             if epoch and self.oracle.credits.get(entry):
                 return entry
         return None
