--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -275,6 +275,17 @@
     turn.unbalanced = True
 
 
+def _drain_on_request(
+    state: AgentState,
+    turn: Turn,
+    entry: str,
+    message: messages.Leaving,
+) -> None:
+    """Stop gracefully because an operator asked an entry for it."""
+    request = events.DrainRequested(turn.now, state.limits.stop_timeout_s)
+    _drain(state, request, turn)
+
+
 def _drain(
     state: AgentState,
     event: events.DrainRequested,
@@ -310,6 +321,7 @@
         messages.Demand: _note_demand,
         messages.FetchConfig: _answer_config,
         messages.Heartbeat: _ignore,
+        messages.Leaving: _drain_on_request,
         messages.Return: _take_back_credits,
         messages.Start: tasks.start,
         messages.Welcome: _ignore,
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -14,6 +14,7 @@
 from savoryrudder.protocol.messages import TaskKey
 
 _RETENTION_S: Final = 600.0
+_STOP_TIMEOUT_S: Final = 30.0
 _MAX_RECORDS: Final = 100_000
 _MAX_RESULT_BYTES: Final = 64 * 1024 * 1024
 _PAGE_BYTES: Final = 2 * 1024 * 1024
@@ -42,6 +43,7 @@
 
     prefetch: int = 0
     retention_s: float = _RETENTION_S
+    stop_timeout_s: float = _STOP_TIMEOUT_S
     max_records: int = _MAX_RECORDS
     max_result_bytes: int = _MAX_RESULT_BYTES
     page_bytes: int = _PAGE_BYTES
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -249,7 +249,11 @@
 
 def _create_runtime(settings: AgentSettings) -> AgentRuntime:
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
-    limits = Limits(settings.prefetch, settings.retention_s)
+    limits = Limits(
+        settings.prefetch,
+        settings.retention_s,
+        settings.stop_timeout_s,
+    )
     state = AgentState(
         Identity(
             settings.agent,
--- a/src/savoryrudder/daemon/requests.py
+++ b/src/savoryrudder/daemon/requests.py
@@ -35,6 +35,7 @@
 
 _STATUS_BY_REASON: Final = MappingProxyType(
     {
+        reasons.INVALID_REQUEST: 400,
         reasons.KEY_CONFLICT: 409,
         reasons.KEY_EXPIRED: 410,
         reasons.NOT_FOUND: 404,
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -128,7 +128,7 @@
     agent = state.fleet.take(service, queued.operation, turn.now, backlog_s)
     if agent is None:
         return
-    turn.observe('queue_seconds', turn.now - queued.enqueued)
+    turn.observe('queue', turn.now - queued.enqueued)
     _send_start(turn, submission, queued, agent)
 
 
--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -18,7 +18,10 @@
 
 def is_ready(state: EntryState) -> bool:
     """Tell whether the balancer should send callers here."""
-    return state.drain_started is None and state.policy is not None
+    if state.drain_started is not None:
+        return False
+    # Without the partition map, requests could only wait in vain.
+    return state.policy is not None and bool(state.owners)
 
 
 def handle_drain(turn: Turn, event: DrainRequested) -> None:
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -66,6 +66,15 @@
     apply_hand_over(turn, partition)
 
 
+def expire_doubt(turn: Turn) -> None:
+    """Stop waiting for agents whose tasks no caller can resubmit any more."""
+    limit = turn.now - turn.state.identity.retention_s
+    for owned in turn.state.owned.values():
+        if owned.gained_at < limit and (owned.awaited or owned.blind):
+            owned.awaited = {}
+            owned.blind = False
+
+
 def lose_partitions(
     turn: Turn,
     partitions: Iterable[int],
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -17,6 +17,7 @@
 from savoryrudder.entry import events
 from savoryrudder.entry import handover
 from savoryrudder.entry import membership
+from savoryrudder.entry import partitions
 from savoryrudder.entry import peers
 from savoryrudder.entry import reports
 from savoryrudder.entry import routing
@@ -118,6 +119,7 @@
     submissions.expire_retention(turn)
     answers.expire_waits(turn)
     routing.forget_refusals(turn)
+    partitions.expire_doubt(turn)
 
 
 _HANDLERS: Final = MappingProxyType[type, _EventHandler](
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -77,6 +77,7 @@
     answer: Answer | None = None
     failing: bool = False
     withdrawn: bool = False
+    held_bytes: int = 0
     work: float = 0
 
 
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -59,7 +59,8 @@
         waiters={},
     )
     state.submissions[identifier] = submission
-    state.payload_bytes += _size_of(job)
+    submission.held_bytes = sum(len(task.payload) for task in job.tasks)
+    state.payload_bytes += submission.held_bytes
     if len(job.tasks) <= SMALL_JOB_TASKS:
         state.small_job_at = turn.now
     heapq.heappush(state.deadlines, (submission.deadline, identifier))
@@ -219,7 +220,7 @@
     """Remove a submission from the state."""
     state = turn.state
     state.submissions.pop(submission.identifier, None)
-    state.payload_bytes -= _size_of(submission.job)
+    state.payload_bytes -= submission.held_bytes
     for index, task in enumerate(submission.tasks):
         if task.status == QUEUED:
             queue_for(turn, submission.job.service).remove(
@@ -294,11 +295,12 @@
     answer = job_answer(submission, certain=may_act(state, turn.now))
     submission.answer = answer
     job = submission.job
-    state.payload_bytes -= _size_of(job)
     submission.job = job._replace(tasks=())
     for task in submission.tasks:
         task.result = b''
-    state.payload_bytes += _size_of(submission.job)
+    held = sum(len(outcome.result) for outcome in answer.tasks)
+    state.payload_bytes += held - submission.held_bytes
+    submission.held_bytes = held
     state.admission.job_ended(job.client, len(submission.tasks), turn.now)
     heapq.heappush(
         state.retention,
@@ -381,7 +383,3 @@
     outstanding.pop(key, None)
     if not outstanding:
         turn.state.outstanding.pop(agent)
-
-
-def _size_of(job: Job) -> int:
-    return sum(len(task.payload) for task in job.tasks)
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -202,7 +202,7 @@
 
 
 class Leaving(NamedTuple):
-    """Announce that an agent takes no new work."""
+    """Announce that an agent takes no new work, or ask it to stop."""
 
 
 class RosterAgent(NamedTuple):
--- a/tests/agent/test_agent_sessions.py
+++ b/tests/agent/test_agent_sessions.py
@@ -130,3 +130,11 @@
             (('running', '1'), ('undelivered', '1')),
         ),
     ]
+
+
+def test_an_entry_can_ask_for_the_stop(agent: Agent) -> None:
+    """Guard against an operator's drain that an agent ignores."""
+    agent.up('e1')
+    agent.receive('e1', messages.Leaving())
+    assert agent.sent(messages.Leaving, 'e1')
+    assert agent.state.leaving
--- /dev/null
+++ b/tests/entry/test_bounds.py
@@ -0,0 +1,69 @@
+"""Check what an entry keeps, and for how long."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from savoryrudder.entry.draining import is_ready
+from savoryrudder.entry.partitions import expire_doubt
+from savoryrudder.entry.state import EntryIdentity
+from savoryrudder.entry.state import EntryState
+from savoryrudder.entry.state import OwnedPartition
+from savoryrudder.entry.submissions import create_submission
+from savoryrudder.entry.submissions import drop_submission
+from savoryrudder.entry.submissions import settle_task
+from savoryrudder.entry.turn import Turn
+from savoryrudder.policy.model import Limits
+from savoryrudder.policy.model import Policy
+from savoryrudder.protocol.messages import Job
+from savoryrudder.protocol.messages import TaskSpec
+
+RETENTION_S = 600
+
+
+@pytest.fixture
+def state() -> EntryState:
+    """Return the state of a new entry."""
+    identity = EntryIdentity('e1#a', 'link', 'http', 'zale', RETENTION_S, 2)
+    return EntryState(identity, random.Random(1))
+
+
+def test_kept_results_count_as_held_bytes(state: EntryState) -> None:
+    """Guard against answers that grow past the memory bound unnoticed."""
+    turn = Turn(state, 100, 100)
+    job = Job(
+        'shop',
+        'key',
+        'pane',
+        'normal',
+        1000,
+        (TaskSpec('cut', b'12345'),),
+        b'digest',
+        '',
+    )
+    submission = create_submission(turn, bytes(16), job)
+    assert state.payload_bytes == 5
+    submission.tasks[0].result = b'123456789'
+    settle_task(turn, submission, 0, 'complete', '')
+    assert state.payload_bytes == 9
+    drop_submission(turn, submission)
+    assert state.payload_bytes == 0
+
+
+def test_doubt_ends_with_the_retention_window(state: EntryState) -> None:
+    """Guard against a partition that stays in doubt for good."""
+    state.owned[0] = OwnedPartition(1, 100, 100, {}, blind=True)
+    expire_doubt(Turn(state, 100 + RETENTION_S, 0))
+    assert state.owned[0].blind
+    expire_doubt(Turn(state, 101 + RETENTION_S, 0))
+    assert not state.owned[0].blind
+
+
+def test_an_entry_without_the_partition_map_is_not_ready(
+    state: EntryState,
+) -> None:
+    """Guard against callers sent to an entry that can only refuse them."""
+    state.policy = Policy({}, {}, {}, Limits(1, 1, 1))
+    assert not is_ready(state)
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from tests.processes.deployment import CONFIG
+from tests.processes.deployment import PATIENCE_S
 
 if TYPE_CHECKING:
     import httpx
@@ -242,3 +243,15 @@
     winner = min(outcomes, key=lambda outcome: outcome.status_code).json()
     for entry in ('entry-0', 'entry-1'):
         deployment.wait_revision(entry, winner['revision'])
+
+
+def test_an_operator_drains_an_agent(deployment: Deployment) -> None:
+    """Guard against a drain that is accepted and never carried out."""
+    deployment.start(entries=1, agents=2)
+    answer = deployment.http.post(
+        f'{deployment.urls["entry-0"]}/v1/drain',
+        json={'agent': 'agent-0'},
+    )
+    assert answer.status_code == 202
+    assert deployment.processes.pop('agent-0').wait(PATIENCE_S) == 0
+    assert deployment.submit('entry-0', 'after').json()['status'] == 'complete'
