--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,4 @@
 	PATH="$(CURDIR)/$(BIN):$$PATH" bash examples/demo.sh
 
 bench: $(VENV)/.ready
-	$(BIN)/python -m bench
+	PYTHONPATH=src:tests:tests/proofs $(BIN)/python -m bench
