--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -19,6 +19,7 @@
 from savoryrudder.entry import configuration
 from savoryrudder.entry import dispatching
 from savoryrudder.entry import leases
+from savoryrudder.entry import partitions
 from savoryrudder.entry import routing
 from savoryrudder.entry import submissions
 from savoryrudder.entry.placement import Fleet
@@ -130,6 +131,13 @@
         process.post('MessageReceived', sender, session, 1, older)
 
 
+def _failing_upstream(world: World) -> None:
+    """Run a job whose tasks partly fail."""
+    world.upstreams.modes['a1'] = 'failed'
+    world.callers.submit(world.places['e1'], 'partly', 12)
+    world.clock.run(5)
+
+
 def _always(*checked: Any) -> bool:
     return True
 
@@ -198,6 +206,18 @@
     patch.setattr(configuration, 'handle_config', _adopt_any)
 
 
+def _complete_anyhow(submission: Any, *, certain: bool) -> messages.Answer:
+    outcomes = tuple(
+        messages.TaskOutcome(task.status, task.result, task.reason)
+        for task in submission.tasks
+    )
+    return messages.Answer('complete', '', '', '', 0, outcomes)
+
+
+def _without_whole_answers(patch: Patch) -> None:
+    patch.setattr(submissions, 'job_answer', _complete_anyhow)
+
+
 CASES = MappingProxyType(
     {
         'epochs': (_without_epochs, _slow_clock, 1, 'P1'),
@@ -208,6 +228,7 @@
         'takeover-wait': (_without_doubt, _resubmit_after_loss, 4, 'P1'),
         'roster': (_without_roster, _new_agent_unknown_to_peers, 7, 'P1'),
         'refusals': (_without_refusals, _crossed_copies, 8, 'P4'),
+        'whole-answers': (_without_whole_answers, _failing_upstream, 15, 'P2'),
         'digests': (_without_digests, _damaged_results, 9, 'P3'),
         'leaving': (_without_leaving, _leaving_agent, 10, 'P6'),
         'revisions': (_without_revisions, _older_configuration, 11, 'P8'),
@@ -231,3 +252,18 @@
     found = {violation[:2] for violation in broken.oracle.judge()}
     assert violated not in {one[:2] for one in intact.oracle.judge()}
     assert violated in found
+
+
+def test_a_drain_without_a_handover_loses_requests(
+    make_world: MakeWorld,
+    monkeypatch: Patch,
+) -> None:
+    """Guard against a proof of P7 that holds without passing jobs on."""
+    monkeypatch.setattr(partitions, '_pass_on', submissions.drop_submission)
+    world = make_world(13)
+    key = key_owned_by(world, 'e1')
+    call = world.callers.submit(world.places['e1'], key, 20)
+    world.clock.run(0.1)
+    world.drain('e1')
+    world.clock.run(12)
+    assert call.status != 'complete/'
