Share the runtime loop of entry and agent

Both daemons held their own copy of the event queue, the common effects and the diallers. The copies move to daemon/runtime.py; each daemon keeps its state, its events and the effects that only its role has.

--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-from collections import deque
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import Protocol
@@ -23,7 +22,7 @@
 from savoryrudder.agent.state import Limits
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
-from savoryrudder.daemon.links import LinkDialler
+from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
 from savoryrudder.daemon.telemetry import Counters
 from savoryrudder.daemon.telemetry import Tracer
@@ -31,9 +30,10 @@
 from savoryrudder.daemon.upstream import UpstreamClient
 from savoryrudder.protocol.codec import PROTOCOL_VERSION
 from savoryrudder.protocol.messages import Welcome
-from savoryrudder.utils import effects
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from anyio.abc import TaskGroup
     from starlette.requests import Request
 
@@ -67,8 +67,8 @@
     tls_key: str | None
 
 
-class AgentRuntime:
-    """Feed the reducer and carry out its effects, one event at a time."""
+class AgentRuntime(Runtime[events.AgentEvent, agent_effects.AgentEffect]):
+    """Run the agent role and call the upstream."""
 
     def __init__(
         self,
@@ -78,14 +78,13 @@
         tracer: Tracer,
     ) -> None:
         """Create a runtime; `start` connects it to entries."""
+        super().__init__(
+            JoinRequest(PROTOCOL_VERSION, state.identity.agent, 'agent'),
+            counters,
+            tracer,
+        )
         self.state = state
-        self.counters = counters
-        self.tracer = tracer
-        self.stopped = anyio.Event()
         self._upstream = upstream
-        self._events: deque[events.AgentEvent] = deque()
-        self._reducing = False
-        self._diallers: dict[str, LinkDialler] = {}
 
     @property
     def revision(self) -> int:
@@ -99,34 +98,10 @@
 
     def start(self, group: TaskGroup, entries: list[str]) -> None:
         """Dial the entries."""
-        self._group = group
+        self._attach(group)
         for address in entries:
             self.connect(address)
 
-    def connect(self, address: str) -> None:
-        """Keep a link to the entry at a join address."""
-        if address in self._diallers:
-            return
-        dialler = LinkDialler(
-            address,
-            JoinRequest(PROTOCOL_VERSION, self.state.identity.agent, 'agent'),
-            self,
-            lambda: self.revision,
-        )
-        self._diallers[address] = dialler
-        self._group.start_soon(dialler.run)
-
-    def handle(self, event: events.AgentEvent) -> None:
-        """Reduce an event now, or after the one being reduced."""
-        self._events.append(event)
-        if self._reducing:
-            return
-        self._reducing = True
-        try:
-            self._reduce_all()
-        finally:
-            self._reducing = False
-
     def on_up(self, peer: str, session: str) -> None:
         """Report a new session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
@@ -168,36 +143,18 @@
             self.handle(events.Tick(anyio.current_time()))
             await anyio.sleep(TICK_S)
 
-    def _reduce_all(self) -> None:
-        while self._events:
-            for effect in reduce(self.state, self._events.popleft()):
-                self._carry_out(effect)
+    def _reduce(
+        self,
+        event: events.AgentEvent,
+    ) -> Sequence[agent_effects.AgentEffect]:
+        return reduce(self.state, event)
 
-    def _carry_out(self, effect: agent_effects.AgentEffect) -> None:
+    def _carry_out_own(self, effect: agent_effects.AgentEffect) -> None:
         match effect:
-            case effects.Send():
-                self._send(effect.peer, effect.message)
-            case effects.Count():
-                self.counters.count(effect.name, effect.amount)
-            case effects.Observe():
-                self.counters.observe(effect.name, effect.seconds)
-            case effects.StateChanged():
-                log_change(effect.name, effect.fields)
             case agent_effects.CallUpstream():
                 self._group.start_soon(self._call_upstream, effect)
             case agent_effects.StopUpstreamCall():
                 self._upstream.stop(effect.task)
-            case effects.CloseLink():
-                for dialler in self._diallers.values():
-                    dialler.close(effect.peer, effect.reason)
-            case effects.Exit():
-                self.stopped.set()
-
-    def _send(self, peer: str, message: Message) -> None:
-        if not any(
-            dialler.send(peer, message) for dialler in self._diallers.values()
-        ):
-            self.counters.count('messages_without_link')
 
     async def _call_upstream(self, effect: agent_effects.CallUpstream) -> None:
         task_span = self.tracer.start('run-task', effect.trace)
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import time
-from collections import deque
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import Protocol
@@ -16,8 +15,8 @@
 from savoryrudder.daemon.api import create_api
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
-from savoryrudder.daemon.links import LinkDialler
 from savoryrudder.daemon.links import LinkListener
+from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
 from savoryrudder.daemon.telemetry import Counters
 from savoryrudder.daemon.telemetry import Span
@@ -34,9 +33,10 @@
 from savoryrudder.protocol.messages import Forward
 from savoryrudder.protocol.messages import ForwardAnswer
 from savoryrudder.store.http import HttpStore
-from savoryrudder.utils import effects
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from anyio.abc import TaskGroup
 
     from savoryrudder.protocol.messages import Message
@@ -92,8 +92,8 @@
         return self._response
 
 
-class EntryRuntime:
-    """Feed the reducer and carry out its effects, one event at a time."""
+class EntryRuntime(Runtime[events.EntryEvent, entry_effects.EntryEffect]):
+    """Run the entry role and keep the requests of waiting callers."""
 
     def __init__(
         self,
@@ -102,14 +102,13 @@
         tracer: Tracer,
     ) -> None:
         """Create a runtime; `start` connects it to the outside."""
+        super().__init__(
+            JoinRequest(PROTOCOL_VERSION, state.identity.name, 'entry'),
+            counters,
+            tracer,
+        )
         self.state = state
-        self.counters = counters
-        self.tracer = tracer
-        self.stopped = anyio.Event()
-        self._events: deque[events.EntryEvent] = deque()
-        self._reducing = False
         self._pending: dict[int, PendingResponse] = {}
-        self._diallers: dict[str, LinkDialler] = {}
         self._forwarded: dict[tuple[str, int], Span] = {}
         self._next_request = 1
 
@@ -140,7 +139,7 @@
         listener: LinkListener,
     ) -> None:
         """Connect the runtime to store and links."""
-        self._group = group
+        self._attach(group)
         self._store = store
         self._listener = listener
 
@@ -157,17 +156,6 @@
         if self._pending.pop(number, None) is not None:
             self.handle(events.CallerGone(anyio.current_time(), number))
 
-    def handle(self, event: events.EntryEvent) -> None:
-        """Reduce an event now, or after the one being reduced."""
-        self._events.append(event)
-        if self._reducing:
-            return
-        self._reducing = True
-        try:
-            self._reduce_all()
-        finally:
-            self._reducing = False
-
     def on_up(self, peer: str, session: str) -> None:
         """Report a new session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
@@ -206,40 +194,20 @@
         """Begin a planned stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
-    def connect(self, address: str) -> None:
-        """Keep a link to the entry at a join address."""
-        if address in self._diallers:
-            return
-        dialler = LinkDialler(
-            address,
-            JoinRequest(PROTOCOL_VERSION, self.state.identity.name, 'entry'),
-            self,
-            lambda: self.revision,
-        )
-        self._diallers[address] = dialler
-        self._group.start_soon(dialler.run)
-
     async def tick(self) -> None:
         """Send ticks until cancelled."""
         while True:
             self.handle(events.Tick(anyio.current_time(), time.time()))
             await anyio.sleep(TICK_S)
 
-    def _reduce_all(self) -> None:
-        while self._events:
-            for effect in reduce(self.state, self._events.popleft()):
-                self._carry_out(effect)
+    def _reduce(
+        self,
+        event: events.EntryEvent,
+    ) -> Sequence[entry_effects.EntryEffect]:
+        return reduce(self.state, event)
 
-    def _carry_out(self, effect: entry_effects.EntryEffect) -> None:
+    def _carry_out_own(self, effect: entry_effects.EntryEffect) -> None:
         match effect:
-            case effects.Send():
-                self._send(effect.peer, effect.message)
-            case effects.Count():
-                self.counters.count(effect.name, effect.amount)
-            case effects.Observe():
-                self.counters.observe(effect.name, effect.seconds)
-            case effects.StateChanged():
-                log_change(effect.name, effect.fields)
             case entry_effects.Reply():
                 self._respond(effect.request, effect.answer)
             case entry_effects.ReplyData():
@@ -248,27 +216,18 @@
                 self._group.start_soon(self._call_store, effect)
             case entry_effects.ConnectPeer():
                 self.connect(effect.address)
-            case effects.CloseLink():
-                self._close(effect.peer, effect.reason)
-            case effects.Exit():
-                self.stopped.set()
 
     def _send(self, peer: str, message: Message) -> None:
         if isinstance(message, ForwardAnswer):
             span = self._forwarded.pop((peer, message.request), None)
             if span is not None:
                 span.end()
-        if self._listener.send(peer, message):
-            return
-        if not any(
-            dialler.send(peer, message) for dialler in self._diallers.values()
-        ):
-            self.counters.count('messages_without_link')
+        if not self._listener.send(peer, message):
+            super()._send(peer, message)
 
     def _close(self, peer: str, reason: str) -> None:
         self._listener.close(peer, reason)
-        for dialler in self._diallers.values():
-            dialler.close(peer, reason)
+        super()._close(peer, reason)
 
     def _respond(self, number: int, response: Response) -> None:
         pending = self._pending.pop(number, None)
