Forget learned entry addresses that are no longer used

An agent dials every address that a Welcome names and kept each dialler for its whole life, so that replaced entries were dialled forever. A learned address is now forgotten 60 s after it was last named on an open session or had a session itself. Addresses from the settings stay.

A limit on the age of a Welcome was ruled out: entries send it only once a session, and a live entry that is unreachable for a minute would be lost.

--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -20,6 +20,7 @@
 from savoryrudder.agent.state import AgentState
 from savoryrudder.agent.state import Identity
 from savoryrudder.agent.state import Limits
+from savoryrudder.daemon.addresses import LearnedAddresses
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
 from savoryrudder.daemon.runtime import Runtime
@@ -99,6 +100,7 @@
     def start(self, group: TaskGroup, entries: list[str]) -> None:
         """Dial the entries."""
         self._attach(group)
+        self._learned = LearnedAddresses(entries)
         for address in entries:
             self.connect(address)
 
@@ -109,6 +111,7 @@
     def on_down(self, peer: str, session: str, reason: str) -> None:
         """Report the end of a session."""
         log_change('link_down', (('peer', peer), ('reason', reason)))
+        self._learned.end_session(session)
         self.handle(events.LinkDown(anyio.current_time(), peer, session))
 
     def on_frame(
@@ -121,8 +124,7 @@
         """Report the messages of a frame."""
         for message in messages:
             if isinstance(message, Welcome):
-                for address in message.entries:
-                    self.connect(address)
+                self._learn_entries(session, message.entries)
             self.handle(
                 events.MessageReceived(
                     anyio.current_time(),
@@ -140,9 +142,20 @@
     async def tick(self) -> None:
         """Send ticks until cancelled."""
         while True:
+            self._forget_entries()
             self.handle(events.Tick(anyio.current_time()))
             await anyio.sleep(TICK_S)
 
+    def _learn_entries(self, session: str, addresses: Sequence[str]) -> None:
+        self._learned.learn(session, addresses, anyio.current_time())
+        for address in addresses:
+            self.connect(address)
+
+    def _forget_entries(self) -> None:
+        now = anyio.current_time()
+        for address in self._learned.forget_unused(self.linked, now):
+            self.disconnect(address)
+
     def _reduce(
         self,
         event: events.AgentEvent,
--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -238,6 +238,7 @@
         self._timing = timing
         self._random = randomness or random.Random()
         self._session: Session | None = None
+        self._scope = anyio.CancelScope()
         self._fault = ''
 
     @property
@@ -264,8 +265,18 @@
         if session is not None:
             session.close(reason)
 
+    def stop(self) -> None:
+        """End the open session, if any, and do not dial again."""
+        if self._session is not None:
+            self._session.close('address is no longer dialled')
+        self._scope.cancel()
+
     async def run(self) -> None:
-        """Join and serve sessions until cancelled."""
+        """Join and serve sessions until stopped or cancelled."""
+        with self._scope:
+            await self._dial_repeatedly()
+
+    async def _dial_repeatedly(self) -> None:
         pause_s = self._timing.backoff_min_s
         while True:
             was_up = await self._attempt()
--- a/src/savoryrudder/daemon/runtime.py
+++ b/src/savoryrudder/daemon/runtime.py
@@ -52,6 +52,15 @@
     def revision(self) -> int:
         """Return the configuration revision that frames carry."""
 
+    @property
+    def linked(self) -> list[str]:
+        """Return the dialled join addresses that have an open session."""
+        return [
+            address
+            for address, dialler in self._diallers.items()
+            if dialler.peer
+        ]
+
     @abstractmethod
     def on_up(self, peer: str, session: str) -> None:
         """Report a new session."""
@@ -83,6 +92,12 @@
         self._diallers[address] = dialler
         self._group.start_soon(dialler.run)
 
+    def disconnect(self, address: str) -> None:
+        """Stop dialling a join address."""
+        dialler = self._diallers.pop(address, None)
+        if dialler is not None:
+            dialler.stop()
+
     def handle(self, event: EventT) -> None:
         """Reduce an event now, or after the one being reduced."""
         self._events.append(event)
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -137,6 +137,30 @@
     assert (down.session, down.detail) == (first.session, 'asked to')
 
 
+async def test_a_stopped_dialler_ends_and_does_not_dial_again(
+    timing: LinkTiming,
+    at_entry: Recorder,
+    at_agent: Recorder,
+) -> None:
+    """Guard against a dialler that keeps a forgotten address alive."""
+    async with listening(at_entry, timing) as listener:
+        async with anyio.create_task_group() as group:
+            dialler = LinkDialler(
+                listener.address,
+                REQUEST,
+                at_agent,
+                lambda: 2,
+                timing,
+            )
+            group.start_soon(dialler.run)
+            await at_agent.wait_for('up')
+            dialler.stop()
+        down = await at_entry.wait_for('down')
+    assert down.detail == 'connection lost'
+    ended = at_agent.of_kind('down')
+    assert [one.detail for one in ended] == ['address is no longer dialled']
+
+
 async def test_a_second_join_replaces_the_session(
     timing: LinkTiming,
     at_entry: Recorder,
