Log the end of a link once, with its reason

The shell logged link_down with the reason and the reducer logged the same end without it. LinkDown now carries the reason (default empty) and only the reducers log it. Ends of sessions that a newer one has replaced, or that never sent a hello, are no longer logged; link ends that the reducer causes itself name their own reason. Golden files do not change.

--- a/src/savoryrudder/agent/events.py
+++ b/src/savoryrudder/agent/events.py
@@ -18,11 +18,12 @@
 
 
 class LinkDown(NamedTuple):
-    """A session with an entry has ended."""
+    """A session with an entry has ended; `reason` is for the log."""
 
     now: float
     entry: str
     session: str
+    reason: str = ''
 
 
 class MessageReceived(NamedTuple):
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -102,7 +102,12 @@
     if link is None or link.session != event.session:
         return
     state.links.pop(event.entry)
-    turn.log('link-down', entry=event.entry, session=event.session)
+    turn.log(
+        'link-down',
+        entry=event.entry,
+        session=event.session,
+        reason=event.reason,
+    )
     turn.unbalanced = True
 
 
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -110,9 +110,10 @@
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
         """Report the end of a session."""
-        log_change('link_down', (('peer', peer), ('reason', reason)))
         self._learned.end_session(session)
-        self.handle(events.LinkDown(anyio.current_time(), peer, session))
+        self.handle(
+            events.LinkDown(anyio.current_time(), peer, session, reason)
+        )
 
     def on_frame(
         self,
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -162,9 +162,10 @@
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
         """Report the end of a session."""
-        log_change('link_down', (('peer', peer), ('reason', reason)))
         self.handle(
-            events.LinkDown(anyio.current_time(), time.time(), peer, session),
+            events.LinkDown(
+                anyio.current_time(), time.time(), peer, session, reason
+            ),
         )
 
     def on_frame(
--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -38,6 +38,7 @@
 # Peers silent for longer are not waited for before a new agent is used.
 ROSTER_PATIENCE_S: Final = 60
 ACKNOWLEDGE_INTERVAL_S: Final = 1
+_REPLACED: Final = 'replaced by a new session'
 
 _FINAL_REJECTIONS: Final = frozenset((reasons.DEADLINE_PASSED,))
 
@@ -48,7 +49,7 @@
     name = hello.agent
     _fail_older_incarnation(turn, hello)
     if name in state.agents:
-        handle_link_down(turn, name)
+        handle_link_down(turn, name, _REPLACED)
     state.lost_agents.pop(name, None)
     note_roster(turn, name, hello.incarnation, hello.service, linked=True)
     state.agents[name] = AgentLink(
@@ -107,7 +108,7 @@
     turn.send(agent, Claim(number, claimed))
 
 
-def handle_link_down(turn: Turn, agent: str) -> None:
+def handle_link_down(turn: Turn, agent: str, reason: str) -> None:
     """End the session with an agent; its tasks stay outstanding."""
     state = turn.state
     link = state.agents.pop(agent)
@@ -118,7 +119,12 @@
         for number, claim in state.claims.items()
         if claim.agent != agent
     }
-    turn.log_change('agent_down', agent=agent, service=link.service)
+    turn.log_change(
+        'agent_down',
+        agent=agent,
+        service=link.service,
+        reason=reason,
+    )
     if state.outstanding.get(agent):
         state.lost_agents[agent] = LostAgent(link.incarnation, turn.now)
 
--- a/src/savoryrudder/entry/events.py
+++ b/src/savoryrudder/entry/events.py
@@ -57,12 +57,13 @@
 
 
 class LinkDown(NamedTuple):
-    """A session with an agent or entry has ended."""
+    """A session with an agent or entry has ended; `reason` is for the log."""
 
     now: float
     wall: float
     peer: str
     session: str
+    reason: str = ''
 
 
 class MessageReceived(NamedTuple):
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -27,6 +27,8 @@
 RETRY_S: Final = 0.5
 # Peers not heard from for longer are forgotten once their lease is gone.
 FORGET_PEER_S: Final = 120
+_REPLACED: Final = 'replaced by a new session'
+_REGISTERED_ANEW: Final = 'registered anew'
 
 
 def greet(turn: Turn, name: str) -> None:
@@ -44,7 +46,7 @@
         state.peers[hello.entry] = peer
     if peer.session:
         # What was on the old session is lost; its end is reported later.
-        handle_peer_down(turn, hello.entry)
+        handle_peer_down(turn, hello.entry, _REPLACED)
     peer.session = session
     peer.heard_at = turn.now
     peer.roster_held = 0
@@ -55,12 +57,12 @@
     _send_promise(turn, peer)
 
 
-def handle_peer_down(turn: Turn, name: str) -> None:
+def handle_peer_down(turn: Turn, name: str, reason: str) -> None:
     """End the session with another entry."""
     peer = turn.state.peers[name]
     peer.session = ''
     peer.promise_until = 0
-    turn.log_change('peer_down', entry=name)
+    turn.log_change('peer_down', entry=name, reason=reason)
     reroute_forwards(turn, name)
 
 
@@ -99,8 +101,8 @@
     turn.state.rosters.clear()
     for name, peer in turn.state.peers.items():
         if peer.session:
-            turn.emit(CloseLink(name, 'registered anew'))
-            handle_peer_down(turn, name)
+            turn.emit(CloseLink(name, _REGISTERED_ANEW))
+            handle_peer_down(turn, name, _REGISTERED_ANEW)
 
 
 def handle_read_peer(
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -58,10 +58,10 @@
     link = state.agents.get(event.peer)
     if link is not None and link.session == event.session:
         turn.wall = event.wall
-        agents.handle_link_down(turn, event.peer)
+        agents.handle_link_down(turn, event.peer, event.reason)
     peer = state.peers.get(event.peer)
     if peer is not None and peer.session == event.session:
-        peers.handle_peer_down(turn, event.peer)
+        peers.handle_peer_down(turn, event.peer, event.reason)
 
 
 def _handle_message(turn: Turn, event: events.MessageReceived) -> None:
