--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -15,11 +15,10 @@
 
 from savoryrudder.agent import effects as agent_effects
 from savoryrudder.agent import events
-from savoryrudder.agent.records import RecordBook
 from savoryrudder.agent.reducer import reduce
-from savoryrudder.agent.state import AgentState
 from savoryrudder.agent.state import Identity
 from savoryrudder.agent.state import Limits
+from savoryrudder.agent.state import new_state
 from savoryrudder.daemon.addresses import LearnedAddresses
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
@@ -38,6 +37,7 @@
     from anyio.abc import TaskGroup
     from starlette.requests import Request
 
+    from savoryrudder.agent.state import AgentState
     from savoryrudder.protocol.messages import Message
 
 TICK_S: Final = 0.1
@@ -220,8 +220,7 @@
 
 def _create_runtime(settings: AgentSettings) -> AgentRuntime:
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
-    limits = Limits(settings.prefetch, settings.retention_s)
-    state = AgentState(
+    state = new_state(
         Identity(
             settings.agent,
             incarnation,
@@ -231,8 +230,7 @@
             settings.memory_mb,
             tuple(settings.operations),
         ),
-        limits,
-        RecordBook(settings.retention_s, limits.max_result_bytes),
+        Limits(settings.prefetch, settings.retention_s),
     )
     tracer = Tracer(
         settings.trace_file,
--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -103,7 +103,7 @@
             account = self.limits.account(job.client, client.terms, now)
             account.running += len(job.tasks)
 
-    def job_ended(self, client: str, tasks: int, now: float) -> None:
+    def job_ended(self, client: str, tasks: int) -> None:
         """Forget the tasks of an ended job."""
         self.limits.end(client, tasks)
 
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -316,7 +316,7 @@
         answer = None
         turn.state.admission.adopt(request.job, turn.state.policy, turn.now)
     else:
-        answer = _check(turn, request, request.job)
+        answer = _check(turn, request.job)
     if answer is None and request.job is not None:
         submission = submissions.create_submission(
             turn,
@@ -395,7 +395,7 @@
     )
 
 
-def _check(turn: Turn, request: ParkedRequest, job: Job) -> Answer | None:
+def _check(turn: Turn, job: Job) -> Answer | None:
     state = turn.state
     if state.policy is None:
         return answers.refusal(
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -187,7 +187,6 @@
     seen_at: float = 0
     available: bool = True
     restored_at: float = 0
-    config_version: int = 0
 
 
 class EntryDocument(TypedDict):
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -235,7 +235,6 @@
         state.admission.job_ended(
             submission.job.client,
             len(submission.tasks),
-            turn.now,
         )
 
 
@@ -299,7 +298,7 @@
     for task in submission.tasks:
         task.result = b''
     state.payload_bytes += _size_of(submission.job)
-    state.admission.job_ended(job.client, len(submission.tasks), turn.now)
+    state.admission.job_ended(job.client, len(submission.tasks))
     heapq.heappush(
         state.retention,
         (turn.now + state.identity.retention_s, submission.identifier),
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -149,7 +149,7 @@
     assert refusal.retry_after_ms == 1000
     assert arrivals.offer(10, now=1) is None
     assert arrivals.offer(1, now=9).reason == 'rate-limited'
-    arrivals.admission.job_ended('shop', 20, 9)
+    arrivals.admission.job_ended('shop', 20)
     assert arrivals.offer(1, now=9) is None
 
 
