Name the agent's handlers like the entry's

Handlers of events and messages were named after verbs in agent/ and handle_<event or message> in entry/. Both now use the latter, and event handlers take their arguments in the order of message handlers.

--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -34,7 +34,7 @@
 def reduce(state: AgentState, event: events.AgentEvent) -> list[AgentEffect]:
     """Apply an event to the state in place and return its effects."""
     turn = Turn(event.now)
-    _EVENT_HANDLERS[type(event)](state, event, turn)
+    _EVENT_HANDLERS[type(event)](state, turn, event)
     if turn.unbalanced:
         tasks.fill_slots(state, turn)
         if not hold_reports(state, turn):
@@ -82,10 +82,10 @@
     turn.effects.append(Exit())
 
 
-def _open_session(
+def _handle_link_up(
     state: AgentState,
-    event: events.LinkUp,
     turn: Turn,
+    event: events.LinkUp,
 ) -> None:
     state.links[event.entry] = Link(event.session)
     turn.send(event.entry, state.hello)
@@ -93,10 +93,10 @@
     turn.unbalanced = True
 
 
-def _end_session(
+def _handle_link_down(
     state: AgentState,
-    event: events.LinkDown,
     turn: Turn,
+    event: events.LinkDown,
 ) -> None:
     link = state.links.get(event.entry)
     if link is None or link.session != event.session:
@@ -111,10 +111,10 @@
     turn.unbalanced = True
 
 
-def _receive(
+def _handle_message(
     state: AgentState,
-    event: events.MessageReceived,
     turn: Turn,
+    event: events.MessageReceived,
 ) -> None:
     link = state.links.get(event.entry)
     if link is None or link.session != event.session:
@@ -149,7 +149,7 @@
         turn.send(event.entry, messages.FetchConfig())
 
 
-def _claim(
+def _handle_claim(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -202,7 +202,7 @@
                 turn.reports.append((entry, record))
 
 
-def _take_back_credits(
+def _handle_return(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -214,7 +214,7 @@
     turn.unbalanced = True
 
 
-def _note_demand(
+def _handle_demand(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -231,7 +231,7 @@
     turn.unbalanced = True
 
 
-def _answer_config(
+def _handle_fetch_config(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -240,7 +240,7 @@
     turn.send(entry, messages.Config(state.revision, state.config_text))
 
 
-def _adopt_config(
+def _handle_config(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -263,7 +263,7 @@
     """Accept a message that concerns only the shell."""
 
 
-def _tick(state: AgentState, event: events.Tick, turn: Turn) -> None:
+def _handle_tick(state: AgentState, turn: Turn, event: events.Tick) -> None:
     tasks.check_deadlines(state, turn)
     _send_withheld(state, turn)
     dropped = state.book.expire(turn.now)
@@ -280,10 +280,10 @@
     turn.unbalanced = True
 
 
-def _drain(
+def _handle_drain(
     state: AgentState,
-    event: events.DrainRequested,
     turn: Turn,
+    event: events.DrainRequested,
 ) -> None:
     if state.leaving:
         return
@@ -299,25 +299,25 @@
 
 _EVENT_HANDLERS: Final[_Handlers] = MappingProxyType(
     {
-        events.LinkUp: _open_session,
-        events.LinkDown: _end_session,
-        events.MessageReceived: _receive,
-        events.UpstreamFinished: tasks.finish,
-        events.Tick: _tick,
-        events.DrainRequested: _drain,
+        events.LinkUp: _handle_link_up,
+        events.LinkDown: _handle_link_down,
+        events.MessageReceived: _handle_message,
+        events.UpstreamFinished: tasks.handle_upstream_finished,
+        events.Tick: _handle_tick,
+        events.DrainRequested: _handle_drain,
     },
 )
 _MESSAGE_HANDLERS: Final[_Handlers] = MappingProxyType(
     {
-        messages.Acknowledge: tasks.acknowledge,
-        messages.Claim: _claim,
-        messages.Config: _adopt_config,
-        messages.Demand: _note_demand,
-        messages.FetchConfig: _answer_config,
+        messages.Acknowledge: tasks.handle_acknowledge,
+        messages.Claim: _handle_claim,
+        messages.Config: _handle_config,
+        messages.Demand: _handle_demand,
+        messages.FetchConfig: _handle_fetch_config,
         messages.Heartbeat: _ignore,
-        messages.Return: _take_back_credits,
-        messages.Start: tasks.start,
+        messages.Return: _handle_return,
+        messages.Start: tasks.handle_start,
         messages.Welcome: _ignore,
-        messages.Withdraw: tasks.withdraw,
+        messages.Withdraw: tasks.handle_withdraw,
     },
 )
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -30,7 +30,7 @@
 _DEADLINE_PASSED: Final = 'deadline-passed'
 
 
-def start(
+def handle_start(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -100,7 +100,9 @@
             _end(state, turn, running, UNKNOWN, b'', _DEADLINE_PASSED)
 
 
-def finish(state: AgentState, event: UpstreamFinished, turn: Turn) -> None:
+def handle_upstream_finished(
+    state: AgentState, turn: Turn, event: UpstreamFinished
+) -> None:
     """Record the end of an upstream call and report it."""
     record = state.calls.pop(event.task, None)
     if record is None:
@@ -121,7 +123,7 @@
     record.call = None
 
 
-def acknowledge(
+def handle_acknowledge(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -137,7 +139,7 @@
         turn.count('wasted_messages')
 
 
-def withdraw(
+def handle_withdraw(
     state: AgentState,
     turn: Turn,
     entry: str,
