Name the factor of milliseconds and the shortest retry-after

The factor 1000 stood under three names and as a bare number in thirteen modules; it is utils.units.MS_PER_S now. Two answers repeated the shortest retry-after as a number; the constant moves from routing to answers.

--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -17,6 +17,7 @@
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.agent.events import UpstreamFinished
@@ -26,7 +27,6 @@
 # Time for the upstream client to report the deadline itself before the agent
 # declares the outcome unknown.
 _DEADLINE_GRACE_S: Final = 1.0
-_MS_PER_S: Final = 1000
 _DEADLINE_PASSED: Final = 'deadline-passed'
 
 
@@ -242,7 +242,7 @@
     call = Call(
         message.operation,
         message.payload,
-        turn.now + message.deadline_ms / _MS_PER_S,
+        turn.now + message.deadline_ms / MS_PER_S,
         message.idempotent,
         message.trace,
     )
@@ -268,7 +268,7 @@
             record.key,
             call.operation,
             call.payload,
-            max(1, round((call.deadline - turn.now) * _MS_PER_S)),
+            max(1, round((call.deadline - turn.now) * MS_PER_S)),
             call.trace,
         ),
     )
@@ -286,7 +286,7 @@
     call = record.call
     assert call
     duration = turn.now - call.started_at
-    record.duration_ms = round(duration * _MS_PER_S)
+    record.duration_ms = round(duration * MS_PER_S)
     state.book.end(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
     owner = state.receiver(partition_of(record.key[0]))
--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -19,6 +19,7 @@
 from savoryrudder.entry import effects
 from savoryrudder.entry import events
 from savoryrudder.protocol.messages import Answer
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -87,7 +88,7 @@
                 time.time(),
                 number,
                 job._replace(trace=span.traceparent),
-                _wait_of(request, job.deadline_ms / 1000 + 1),
+                _wait_of(request, job.deadline_ms / MS_PER_S + 1),
             ),
         )
         response = await self._respond(request, number, pending)
--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -25,6 +25,7 @@
 from savoryrudder.daemon.sockets import MessageSocket
 from savoryrudder.daemon.sockets import PairSocket
 from savoryrudder.protocol.codec import PROTOCOL_VERSION
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,7 +35,6 @@
 
 _SESSION_BYTES: Final = 8
 _ANY_PORT: Final = (0,)
-_MS: Final = 1000
 _BACKOFF_FACTOR: Final = 3
 # Bounds the sockets that peers can hold by joining without connecting.
 _MAX_PENDING: Final = 4096
@@ -342,8 +342,8 @@
                 return Error(f'join failed: {error}')
 
     async def _ask(self, socket: MessageSocket) -> bytes:
-        shortest_ms = int(self._timing.backoff_min_s * _MS)
-        longest_ms = int(self._timing.backoff_max_s * _MS)
+        shortest_ms = int(self._timing.backoff_min_s * MS_PER_S)
+        longest_ms = int(self._timing.backoff_max_s * MS_PER_S)
         socket.dial(self._join_address, redial_ms=(shortest_ms, longest_ms))
         await socket.send(join.encode_join(self._request))
         return await socket.receive()
--- a/src/savoryrudder/daemon/requests.py
+++ b/src/savoryrudder/daemon/requests.py
@@ -23,6 +23,7 @@
 from savoryrudder.protocol.messages import Job
 from savoryrudder.protocol.messages import TaskOutcome
 from savoryrudder.protocol.messages import TaskSpec
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -30,7 +31,6 @@
 MAX_TASKS: Final = 170
 MAX_KEY_LENGTH: Final = 200
 _DIGEST_BYTES: Final = 16
-_MS: Final = 1000
 _UNSET_DEADLINE_MS: Final = 10_000
 
 _STATUS_BY_REASON: Final = MappingProxyType(
@@ -155,7 +155,7 @@
 
 def retry_after_s(answer: Answer) -> int:
     """Return the whole seconds for the Retry-After header, 0 for none."""
-    return -(-answer.retry_after_ms // _MS)
+    return -(-answer.retry_after_ms // MS_PER_S)
 
 
 def _check(headers: Mapping[str, str], content: JobBody) -> list[str]:
--- a/src/savoryrudder/daemon/upstream.py
+++ b/src/savoryrudder/daemon/upstream.py
@@ -13,13 +13,14 @@
 import anyio
 import httpx
 
+from savoryrudder.utils.units import MS_PER_S
+
 if TYPE_CHECKING:
     from savoryrudder.protocol.messages import TaskKey
 
 _KEEPALIVE_S: Final = 5
 _CONNECT_TIMEOUT_S: Final = 1
 _MAX_RESULT_BYTES: Final = 16 * 1024 * 1024
-_MS: Final = 1000
 # httpcore reports this event before it writes the first byte of a request.
 _SENDING: Final = 'send_request_headers.started'
 
@@ -39,7 +40,7 @@
         self.is_sent = False
         self.is_stopped = False
         self.scope = anyio.CancelScope(
-            deadline=anyio.current_time() + deadline_ms / _MS,
+            deadline=anyio.current_time() + deadline_ms / MS_PER_S,
         )
 
     async def note(self, event: str, details: dict[str, Any]) -> None:
--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -9,6 +9,7 @@
 from savoryrudder.entry import reasons
 from savoryrudder.entry.limits import ClientLimits
 from savoryrudder.policy.model import URGENCY_BANDS
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.entry.limits import ClientAccount
@@ -25,8 +26,6 @@
 # more urgent work that arrives later.
 USABLE_DEADLINE: Final = 0.8
 
-_MS: Final = 1000
-
 
 class Refusal(NamedTuple):
     """Say why a job is refused and when to try again (0: never)."""
@@ -252,7 +251,7 @@
     service = around.policy.services.get(name)
     if queue is None or service is None:
         return False
-    usable_s = service.default_deadline_ms / _MS * USABLE_DEADLINE
+    usable_s = service.default_deadline_ms / MS_PER_S * USABLE_DEADLINE
     backlog_s = queue.work_up_to(urgency)
     return backlog_s > usable_s * around.fleet.capacity(name)
 
@@ -266,7 +265,7 @@
             MIN_RETRY_MS,
         )
     forecast = _forecast(job, around)
-    usable_s = job.deadline_ms / _MS * USABLE_DEADLINE
+    usable_s = job.deadline_ms / MS_PER_S * USABLE_DEADLINE
     if forecast.expected_s > usable_s:
         detail = f'the job is expected to take {forecast.expected_s:.1f} s'
     elif forecast.late_s > 0:
@@ -315,7 +314,7 @@
     A deadline that is out of reach already is no reason to refuse more.
     """
     work, pace, longest_s = own
-    deadline = now + job.deadline_ms / _MS
+    deadline = now + job.deadline_ms / MS_PER_S
     before: float = 0
     expected_s = work * pace + longest_s
     late_s: float = 0
@@ -341,4 +340,4 @@
 
 
 def _retry_ms(wait_s: float) -> int:
-    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_s * _MS)))
+    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_s * MS_PER_S)))
--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -20,6 +20,7 @@
 from savoryrudder.protocol.messages import RosterAgent
 from savoryrudder.protocol.messages import Welcome
 from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -86,7 +87,7 @@
         agent,
         incarnation,
         service,
-        0 if linked else int(turn.wall * 1000),
+        0 if linked else int(turn.wall * MS_PER_S),
     )
     state.roster_sequence += 1
     state.roster_changed = True
--- a/src/savoryrudder/entry/answers.py
+++ b/src/savoryrudder/entry/answers.py
@@ -17,6 +17,7 @@
     from savoryrudder.entry.state import Submission
     from savoryrudder.entry.turn import Turn
 
+MIN_RETRY_AFTER_MS: Final = 1000
 RUNNING_ANSWER: Final = Answer(reasons.RUNNING, '', '', '', 0, ())
 
 
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -12,6 +12,7 @@
 from savoryrudder.entry.state import SENT
 from savoryrudder.protocol.messages import Demand
 from savoryrudder.protocol.messages import Start
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.entry.queueing import QueuedTask
@@ -164,7 +165,7 @@
             state.owned[submission.partition].epoch,
             spec.operation,
             spec.payload,
-            max(1, int((submission.deadline - turn.now) * 1000)),
+            max(1, int((submission.deadline - turn.now) * MS_PER_S)),
             _is_idempotent(state, submission.job.service, spec.operation),
             submission.job.trace,
         ),
--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -79,7 +79,7 @@
                 reasons.STOPPING,
                 'this entry had to stop; submit the job again with its key',
                 reasons.UNKNOWN,
-                1000,
+                answers.MIN_RETRY_AFTER_MS,
             ),
         )
 
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -15,6 +15,7 @@
 from savoryrudder.entry.state import ParkedRequest
 from savoryrudder.entry.state import PeerRoster
 from savoryrudder.entry.state import Waiter
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -123,7 +124,7 @@
     job = submission.job
     if submission.answer is not None:
         return
-    left_ms = int((submission.deadline - turn.now) * 1000)
+    left_ms = int((submission.deadline - turn.now) * MS_PER_S)
     waiters = submission.waiters
     if not waiters:
         # A job without a caller is passed on under a number of its own.
@@ -139,7 +140,7 @@
                     reasons.TAKEOVER,
                     'the job has passed to another entry; fetch its answer',
                     reasons.UNKNOWN,
-                    1000,
+                    answers.MIN_RETRY_AFTER_MS,
                 ),
             )
             continue
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -16,6 +16,7 @@
 from savoryrudder.protocol.messages import RosterHeld
 from savoryrudder.store import interface
 from savoryrudder.utils.effects import CloseLink
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
@@ -71,7 +72,7 @@
     turn.state.rosters[name] = PeerRoster(
         message.agents,
         turn.now,
-        message.blind_until_ms / 1000,
+        message.blind_until_ms / MS_PER_S,
     )
     turn.send(name, RosterHeld(message.sequence))
 
@@ -86,7 +87,7 @@
     """Note a peer's promise not to take over."""
     peer = turn.state.peers[name]
     peer.echo_ms = message.sent_ms
-    until = (message.echo_ms + message.validity_ms) / 1000
+    until = (message.echo_ms + message.validity_ms) / MS_PER_S
     if message.validity_ms:
         peer.promise_until = max(peer.promise_until, until)
 
@@ -196,7 +197,7 @@
         peer.name,
         Roster(
             state.roster_sequence,
-            int(blind_until * 1000),
+            int(blind_until * MS_PER_S),
             tuple(state.roster.values()),
         ),
     )
@@ -209,16 +210,16 @@
     # that lost its lease has to stop.
     if not state.store.available:
         validity_ms = PROMISE_VALIDITY_MS
-        peer.promised_until = turn.now + PROMISE_VALIDITY_MS / 1000
+        peer.promised_until = turn.now + PROMISE_VALIDITY_MS / MS_PER_S
     turn.send(
         peer.name,
-        Promise(validity_ms, int(turn.now * 1000), peer.echo_ms),
+        Promise(validity_ms, int(turn.now * MS_PER_S), peer.echo_ms),
     )
 
 
 def _prune_roster(turn: Turn) -> None:
     """Forget agents whose tasks no caller can resubmit any more."""
-    limit_ms = (turn.wall - 2 * turn.state.identity.retention_s) * 1000
+    limit_ms = (turn.wall - 2 * turn.state.identity.retention_s) * MS_PER_S
     turn.state.roster = {
         key: agent
         for key, agent in turn.state.roster.items()
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -18,6 +18,7 @@
 from savoryrudder.protocol.messages import Job
 from savoryrudder.utils.identifiers import partition_of
 from savoryrudder.utils.identifiers import submission_id
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.entry import events
@@ -41,7 +42,6 @@
 # A refusal is repeated for at least this long, so that copies that were on
 # their way while it was given (up to `TRANSIT_S`) do not run after it.
 REFUSAL_REPEAT_MS: Final = 4000
-MIN_RETRY_AFTER_MS: Final = 1000
 MAX_SUBMISSIONS: Final = 200_000
 MAX_PAYLOAD_BYTES: Final = 256 * 1024 * 1024
 
@@ -88,8 +88,8 @@
         message.client,
         message.key,
         message.job,
-        now - message.age_ms / 1000 - TRANSIT_S,
-        now + message.wait_ms / 1000,
+        now - message.age_ms / MS_PER_S - TRANSIT_S,
+        now + message.wait_ms / MS_PER_S,
         now + TAKEOVER_WAIT_S + 1,
     )
     route(turn, request)
@@ -100,7 +100,7 @@
     if not lost:
         return
     for identifier, past in turn.state.refusals.items():
-        left_ms = int((past.repeat_until - turn.now) * 1000)
+        left_ms = int((past.repeat_until - turn.now) * MS_PER_S)
         owner = turn.state.peers.get(lost.get(partition_of(identifier), ''))
         if left_ms <= 0 or owner is None or not owner.session:
             continue
@@ -166,8 +166,8 @@
             request.client,
             request.key,
             request.job,
-            max(0, int((request.wait_until - turn.now) * 1000)),
-            int((turn.now - request.received) * 1000),
+            max(0, int((request.wait_until - turn.now) * MS_PER_S)),
+            int((turn.now - request.received) * MS_PER_S),
         ),
     )
 
@@ -268,7 +268,7 @@
         reasons.TAKEOVER,
         'the entry in charge was lost; submit the job again',
         reasons.UNKNOWN,
-        MIN_RETRY_AFTER_MS,
+        answers.MIN_RETRY_AFTER_MS,
     )
 
 
@@ -307,7 +307,7 @@
                 reasons.TAKEOVER,
                 'submit the job again to obtain its answer',
                 reasons.UNKNOWN,
-                MIN_RETRY_AFTER_MS,
+                answers.MIN_RETRY_AFTER_MS,
             )
             if recovered
             else _absent(request)
@@ -339,7 +339,7 @@
         retry_ms = max(answer.retry_after_ms, REFUSAL_REPEAT_MS)
         if answer.retry_after_ms:
             answer = answer._replace(retry_after_ms=retry_ms)
-        until = turn.now + retry_ms / 1000
+        until = turn.now + retry_ms / MS_PER_S
         named = (request.client, request.key)
         _remember(turn, identifier, PastRefusal(until, *named, answer))
     turn.count('requests_refused')
@@ -350,7 +350,7 @@
     identifier = submission_id(message.client, message.key)
     if identifier in turn.state.submissions:
         return
-    until = turn.now + message.wait_ms / 1000
+    until = turn.now + message.wait_ms / MS_PER_S
     answer = answers.refusal(
         reasons.OVERLOADED,
         'the entry formerly in charge refused the job',
@@ -368,7 +368,7 @@
     turn.count('refusals_repeated')
     answer = past.answer
     if answer.retry_after_ms:
-        left_ms = max(0, int((past.repeat_until - turn.now) * 1000))
+        left_ms = max(0, int((past.repeat_until - turn.now) * MS_PER_S))
         answer = answer._replace(retry_after_ms=left_ms + 1)
     answers.reply(turn, request.waiter, answer)
 
@@ -401,7 +401,7 @@
         return answers.refusal(
             reasons.NO_CONFIGURATION,
             'no configuration has been received yet',
-            retry_after_ms=MIN_RETRY_AFTER_MS,
+            retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
     issued = issue_time(job.key)
     if issued and issued + state.identity.retention_s < turn.wall:
@@ -417,7 +417,7 @@
         return answers.refusal(
             reasons.OVERLOADED,
             'the entry holds as many submissions as it may',
-            retry_after_ms=MIN_RETRY_AFTER_MS,
+            retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
     found = state.admission.check(
         job,
@@ -444,7 +444,7 @@
         return 0
     if parsed.version != _UUID7_VERSION:
         return 0
-    return (parsed.int >> _UUID7_TIME_SHIFT) / 1000
+    return (parsed.int >> _UUID7_TIME_SHIFT) / MS_PER_S
 
 
 def _in_doubt(
@@ -469,7 +469,7 @@
     return any(
         agent.service == service or not service
         for agent in partition.awaited.values()
-        if not fresh and not 0 < agent.gone_ms / 1000 < issued
+        if not fresh and not 0 < agent.gone_ms / MS_PER_S < issued
     )
 
 
@@ -478,7 +478,7 @@
         reasons.IN_DOUBT,
         'an agent that may have run this job cannot be reached',
         reasons.UNKNOWN,
-        MIN_RETRY_AFTER_MS,
+        answers.MIN_RETRY_AFTER_MS,
     )
 
 
@@ -494,6 +494,6 @@
             reasons.NOT_OWNER,
             'no entry could take charge of this key in time',
             reasons.UNKNOWN,
-            MIN_RETRY_AFTER_MS,
+            answers.MIN_RETRY_AFTER_MS,
         ),
     )
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -20,6 +20,7 @@
 from savoryrudder.protocol.messages import Withdraw
 from savoryrudder.utils.identifiers import digest_of
 from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
@@ -53,7 +54,7 @@
         identifier=identifier,
         partition=partition_of(identifier),
         job=job,
-        deadline=turn.now + job.deadline_ms / 1000,
+        deadline=turn.now + job.deadline_ms / MS_PER_S,
         tasks=[TaskState(QUEUED) for _ in job.tasks],
         unsettled=len(job.tasks),
         waiters={},
@@ -259,7 +260,7 @@
             task.agent,
             submission.job.tasks[record.task].operation,
             status,
-            record.duration_ms / 1000,
+            record.duration_ms / MS_PER_S,
             turn.now,
         )
     turn.count(f'tasks_{status}')
--- a/src/savoryrudder/entry/times.py
+++ b/src/savoryrudder/entry/times.py
@@ -7,6 +7,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from savoryrudder.utils.units import MS_PER_S
+
 if TYPE_CHECKING:
     from savoryrudder.policy.model import Service
 
@@ -21,7 +23,6 @@
 
 _LONGEST_MS: Final = 86_400_000
 _DIGITS: Final = 2
-_MS: Final = 1000
 _HIGH: Final = 90
 _LOW: Final = 10
 
@@ -48,14 +49,14 @@
         self._samples += 1
         weight = max(1 / self._samples, SHARE_OF_NEWEST)
         self.mean_s += weight * (seconds - self.mean_s)
-        self._newest.record_value(max(1, int(seconds * _MS)))
+        self._newest.record_value(max(1, int(seconds * MS_PER_S)))
         if self._newest.total_count >= GENERATION:
             self._older = self._newest
             self._newest = HdrHistogram(1, _LONGEST_MS, _DIGITS)
         if self._samples % READ_INTERVAL == 0 or self._samples == MIN_SAMPLES:
             histogram = self._older or self._newest
-            self.low_s = histogram.get_value_at_percentile(_LOW) / _MS
-            self.high_s = histogram.get_value_at_percentile(_HIGH) / _MS
+            self.low_s = histogram.get_value_at_percentile(_LOW) / MS_PER_S
+            self.high_s = histogram.get_value_at_percentile(_HIGH) / MS_PER_S
 
 
 class ServiceTimes:
@@ -117,4 +118,4 @@
 def _declared_s(service: Service | None, operation: str) -> float:
     if service is None or operation not in service.operations:
         return UNDECLARED_S
-    return service.operations[operation].expected_ms / _MS
+    return service.operations[operation].expected_ms / MS_PER_S
