--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -9,9 +9,6 @@
 
 import anyio
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse
-from starlette.responses import Response
-from starlette.routing import Route
 
 from savoryrudder.agent import effects as agent_effects
 from savoryrudder.agent import events
@@ -22,6 +19,7 @@
 from savoryrudder.daemon.addresses import LearnedAddresses
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
+from savoryrudder.daemon.probes import probe_routes
 from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
 from savoryrudder.daemon.telemetry import Counters
@@ -35,7 +33,6 @@
     from collections.abc import Sequence
 
     from anyio.abc import TaskGroup
-    from starlette.requests import Request
 
     from savoryrudder.agent.state import AgentState
     from savoryrudder.protocol.messages import Message
@@ -44,7 +41,6 @@
 # A slot whose call was given up may still be busy at the upstream.
 SPARE_CONNECTIONS: Final = 4
 _INCARNATION_BYTES: Final = 4
-_UNAVAILABLE: Final = 503
 
 
 class AgentSettings(Protocol):
@@ -204,7 +200,7 @@
         runtime.start(group, settings.entries)
         address = await group.start(
             serve_http,
-            _create_api(runtime),
+            Starlette(routes=probe_routes(runtime)),
             settings,
         )
         log_change('listening', (('http', address),))
@@ -246,39 +242,3 @@
         settings.slots + SPARE_CONNECTIONS,
     )
     return AgentRuntime(state, upstream, Counters(), tracer)
-
-
-class AgentApi:
-    """Serve health and metrics."""
-
-    def __init__(self, runtime: AgentRuntime) -> None:
-        """Serve the requests about one agent."""
-        self._runtime = runtime
-
-    async def health(self, request: Request) -> Response:
-        """Tell that the process runs."""
-        return JSONResponse({'status': 'alive'})
-
-    async def ready(self, request: Request) -> Response:
-        """Tell whether the agent can get work."""
-        if self._runtime.ready:
-            return JSONResponse({'status': 'ready'})
-        return JSONResponse({'status': 'not ready'}, _UNAVAILABLE)
-
-    async def metrics(self, request: Request) -> Response:
-        """Return all metrics in the Prometheus text format."""
-        return Response(
-            self._runtime.counters.export(),
-            media_type='text/plain; version=0.0.4',
-        )
-
-
-def _create_api(runtime: AgentRuntime) -> Starlette:
-    api = AgentApi(runtime)
-    return Starlette(
-        routes=[
-            Route('/health', api.health),
-            Route('/ready', api.ready),
-            Route('/metrics', api.metrics),
-        ],
-    )
--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -16,6 +16,7 @@
 from starlette.routing import Route
 
 from savoryrudder.daemon import requests
+from savoryrudder.daemon.probes import probe_routes
 from savoryrudder.entry import effects
 from savoryrudder.entry import events
 from savoryrudder.protocol.messages import Answer
@@ -25,12 +26,13 @@
     from starlette.requests import Request
 
     from savoryrudder.daemon.entry import EntryRuntime
+    from savoryrudder.daemon.entry import PendingResponse
 
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_WAIT_S: Final = 300
 _JSON: Final = 'application/json'
 _PROBLEM: Final = 'application/problem+json'
-_OK: Final = 200
+_ACCEPTED: Final = 202
 _BAD_REQUEST: Final = 400
 _TOO_LARGE: Final = 413
 _UNAVAILABLE: Final = 503
@@ -184,35 +186,18 @@
         if not agent:
             self._runtime.drain(self._stop_timeout_s)
             name = self._runtime.state.identity.name
-            return _json(202, {'entry': name})
+            return _json(_ACCEPTED, {'entry': name})
         number, pending = self._runtime.begin_request()
         self._runtime.handle(
             events.AgentDrainRequested(anyio.current_time(), number, agent),
         )
         return await self._respond(request, number, pending)
 
-    async def health(self, request: Request) -> Response:
-        """Tell that the process runs."""
-        return _json(_OK, {'status': 'alive'})
-
-    async def ready(self, request: Request) -> Response:
-        """Tell the balancer whether to send callers here."""
-        if self._runtime.ready:
-            return _json(_OK, {'status': 'ready'})
-        return _json(_UNAVAILABLE, {'status': 'not ready'})
-
-    async def metrics(self, request: Request) -> Response:
-        """Return all metrics in the Prometheus text format."""
-        return Response(
-            self._runtime.counters.export(),
-            media_type='text/plain; version=0.0.4',
-        )
-
     async def _respond(
         self,
         request: Request,
         number: int,
-        pending: Any,
+        pending: PendingResponse,
     ) -> Response:
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_caller, request, number, pending)
@@ -228,7 +213,7 @@
         self,
         request: Request,
         number: int,
-        pending: Any,
+        pending: PendingResponse,
     ) -> None:
         while not await request.is_disconnected():
             message = await request.receive()
@@ -251,9 +236,7 @@
             Route('/v1/status', api.report, methods=['GET']),
             Route('/v1/terms', api.report, methods=['GET']),
             Route('/v1/drain', api.drain, methods=['POST']),
-            Route('/health', api.health),
-            Route('/ready', api.ready),
-            Route('/metrics', api.metrics),
+            *probe_routes(runtime),
         ],
     )
 
@@ -285,8 +268,7 @@
 
 
 def _invalid(findings: list[str]) -> Response:
-    response = _problem(_BAD_REQUEST, 'invalid-request', '; '.join(findings))
-    return response
+    return _problem(_BAD_REQUEST, 'invalid-request', '; '.join(findings))
 
 
 def _problem(status: int, reason: str, detail: str) -> Response:
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -81,8 +81,8 @@
         self._event = anyio.Event()
         self._response: Response | None = None
 
-    def set(self, response: Response) -> None:
-        """Wake the caller."""
+    def set(self, response: Response | None) -> None:
+        """Wake the caller; None means that there is no response."""
         self._response = response
         self._event.set()
 
--- a/src/savoryrudder/daemon/runtime.py
+++ b/src/savoryrudder/daemon/runtime.py
@@ -52,6 +52,11 @@
     def revision(self) -> int:
         """Return the configuration revision that frames carry."""
 
+    @property
+    @abstractmethod
+    def ready(self) -> bool:
+        """Tell whether the daemon can take work."""
+
     @property
     def linked(self) -> list[str]:
         """Return the dialled join addresses that have an open session."""
