Move the memory of refusals out of routing

entry/routing.py held two jobs: finding the owner of a request, and remembering refusals, repeating them and passing them to new owners.

--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -13,7 +13,7 @@
 from savoryrudder.entry.partitions import gain_partition
 from savoryrudder.entry.partitions import lose_partitions
 from savoryrudder.entry.peers import forget_rosters
-from savoryrudder.entry.routing import pass_on_refusals
+from savoryrudder.entry.refusals import pass_on_refusals
 from savoryrudder.entry.state import PartitionOwner
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -10,7 +10,7 @@
 from savoryrudder.entry import submissions
 from savoryrudder.entry.handover import apply_hand_over
 from savoryrudder.entry.handover import hand_over
-from savoryrudder.entry.routing import PARK_S
+from savoryrudder.entry.refusals import PARK_S
 from savoryrudder.entry.state import OwnedPartition
 from savoryrudder.entry.state import ParkedRequest
 from savoryrudder.entry.state import PeerRoster
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -18,6 +18,7 @@
 from savoryrudder.entry import handover
 from savoryrudder.entry import membership
 from savoryrudder.entry import peers
+from savoryrudder.entry import refusals
 from savoryrudder.entry import reports
 from savoryrudder.entry import routing
 from savoryrudder.entry import submissions
@@ -117,7 +118,7 @@
     submissions.release_delayed(turn)
     submissions.expire_retention(turn)
     answers.expire_waits(turn)
-    routing.forget_refusals(turn)
+    refusals.forget_refusals(turn)
 
 
 _HANDLERS: Final = MappingProxyType[type, _EventHandler](
--- /dev/null
+++ b/src/savoryrudder/entry/refusals.py
@@ -0,0 +1,109 @@
+"""Remember refusals and repeat them to copies of the same request."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.entry import answers
+from savoryrudder.entry import reasons
+from savoryrudder.entry.state import PastRefusal
+from savoryrudder.protocol.messages import Forward
+from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.identifiers import submission_id
+from savoryrudder.utils.units import MS_PER_S
+
+if TYPE_CHECKING:
+    from savoryrudder.entry.state import ParkedRequest
+    from savoryrudder.entry.turn import Turn
+    from savoryrudder.protocol.messages import Answer
+
+# Longer than a lease plus the collection of records, so that a call which
+# arrives right after the loss of an entry is served by its successor.
+PARK_S: Final = 12
+# The longest time that a frame can spend on a link before the link is closed.
+TRANSIT_S: Final = 3
+# Copies received before the end of a refusal's repetition and older than
+# parking plus transit cannot arrive any more.
+REFUSAL_MEMORY_S: Final = PARK_S + TRANSIT_S
+# A refusal is repeated for at least this long, so that copies that were on
+# their way while it was given (up to `TRANSIT_S`) do not run after it.
+REFUSAL_REPEAT_MS: Final = 4000
+
+
+def remember_refusal(
+    turn: Turn,
+    request: ParkedRequest,
+    identifier: bytes,
+    answer: Answer,
+) -> Answer:
+    """Remember a refusal; return it with the retry-after in force."""
+    retry_ms = max(answer.retry_after_ms, REFUSAL_REPEAT_MS)
+    if answer.retry_after_ms:
+        answer = answer._replace(retry_after_ms=retry_ms)
+    until = turn.now + retry_ms / MS_PER_S
+    named = (request.client, request.key)
+    _remember(turn, identifier, PastRefusal(until, *named, answer))
+    return answer
+
+
+def repeat_refusal(
+    turn: Turn,
+    request: ParkedRequest,
+    past: PastRefusal,
+) -> None:
+    """Answer a copy of a refused request with the time that is left."""
+    turn.count('refusals_repeated')
+    answer = past.answer
+    if answer.retry_after_ms:
+        left_ms = max(0, int((past.repeat_until - turn.now) * MS_PER_S))
+        answer = answer._replace(retry_after_ms=left_ms + 1)
+    answers.reply(turn, request.waiter, answer)
+
+
+def take_over_refusal(turn: Turn, message: Forward) -> None:
+    """Remember a refusal that the former owner of a partition gave."""
+    identifier = submission_id(message.client, message.key)
+    if identifier in turn.state.submissions:
+        return
+    until = turn.now + message.wait_ms / MS_PER_S
+    answer = answers.refusal(
+        reasons.OVERLOADED,
+        'the entry formerly in charge refused the job',
+        retry_after_ms=message.wait_ms,
+    )
+    named = (message.client, message.key)
+    _remember(turn, identifier, PastRefusal(until, *named, answer))
+
+
+def pass_on_refusals(turn: Turn, lost: dict[int, str]) -> None:
+    """Tell the new owners of partitions which jobs were refused here."""
+    if not lost:
+        return
+    for identifier, past in turn.state.refusals.items():
+        left_ms = int((past.repeat_until - turn.now) * MS_PER_S)
+        owner = turn.state.peers.get(lost.get(partition_of(identifier), ''))
+        if left_ms <= 0 or owner is None or not owner.session:
+            continue
+        named = (past.client, past.key)
+        turn.send(owner.name, Forward(0, 'refused', *named, None, left_ms, 0))
+
+
+def forget_refusals(turn: Turn) -> None:
+    """Forget refusals whose delayed copies cannot arrive any more."""
+    refusals = turn.state.refusals
+    expiry = turn.state.refusal_expiry
+    while expiry and expiry[0][0] <= turn.now:
+        _, identifier = heapq.heappop(expiry)
+        past = refusals.get(identifier)
+        if past and past.repeat_until + REFUSAL_MEMORY_S <= turn.now:
+            refusals.pop(identifier)
+
+
+def _remember(turn: Turn, identifier: bytes, past: PastRefusal) -> None:
+    turn.state.refusals[identifier] = past
+    heapq.heappush(
+        turn.state.refusal_expiry,
+        (past.repeat_until + REFUSAL_MEMORY_S, identifier),
+    )
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import heapq
 from typing import TYPE_CHECKING
 from typing import Final
 from uuid import UUID
 
 from savoryrudder.entry import answers
 from savoryrudder.entry import reasons
+from savoryrudder.entry import refusals
 from savoryrudder.entry import submissions
 from savoryrudder.entry.leases import may_act
 from savoryrudder.entry.state import ParkedRequest
-from savoryrudder.entry.state import PastRefusal
 from savoryrudder.entry.state import Waiter
 from savoryrudder.protocol.messages import Forward
 from savoryrudder.protocol.messages import Job
@@ -27,21 +26,10 @@
     from savoryrudder.entry.turn import Turn
     from savoryrudder.protocol.messages import Answer
 
-# Longer than a lease plus the collection of records, so that a call which
-# arrives right after the loss of an entry is served by its successor.
-PARK_S: Final = 12
 # Agents answer a claim within a round trip; silence this long means that an
 # agent is dead, frozen or cut off.
 TAKEOVER_WAIT_S: Final = 5
-# The longest time that a frame can spend on a link before the link is closed.
-TRANSIT_S: Final = 3
-# Copies received before the end of a refusal's repetition and older than
-# parking plus transit cannot arrive any more.
-REFUSAL_MEMORY_S: Final = PARK_S + TRANSIT_S
 CLOCK_SKEW_S: Final = 2
-# A refusal is repeated for at least this long, so that copies that were on
-# their way while it was given (up to `TRANSIT_S`) do not run after it.
-REFUSAL_REPEAT_MS: Final = 4000
 MAX_SUBMISSIONS: Final = 200_000
 MAX_PAYLOAD_BYTES: Final = 256 * 1024 * 1024
 
@@ -80,7 +68,7 @@
     """Serve a request that another entry passed on."""
     now = turn.now
     if message.kind == 'refused':
-        _take_over_refusal(turn, message)
+        refusals.take_over_refusal(turn, message)
         return
     request = ParkedRequest(
         Waiter(peer, message.request),
@@ -88,26 +76,13 @@
         message.client,
         message.key,
         message.job,
-        now - message.age_ms / MS_PER_S - TRANSIT_S,
+        now - message.age_ms / MS_PER_S - refusals.TRANSIT_S,
         now + message.wait_ms / MS_PER_S,
         now + TAKEOVER_WAIT_S + 1,
     )
     route(turn, request)
 
 
-def pass_on_refusals(turn: Turn, lost: dict[int, str]) -> None:
-    """Tell the new owners of partitions which jobs were refused here."""
-    if not lost:
-        return
-    for identifier, past in turn.state.refusals.items():
-        left_ms = int((past.repeat_until - turn.now) * MS_PER_S)
-        owner = turn.state.peers.get(lost.get(partition_of(identifier), ''))
-        if left_ms <= 0 or owner is None or not owner.session:
-            continue
-        named = (past.client, past.key)
-        turn.send(owner.name, Forward(0, 'refused', *named, None, left_ms, 0))
-
-
 def handle_forward_answer(turn: Turn, request: int, answer: Answer) -> None:
     """Pass the owner's answer to the caller, or route the request again."""
     forwarded = turn.state.forwards.pop(request, None)
@@ -129,7 +104,7 @@
     ]
     for number, request in lost:
         turn.state.forwards.pop(number)
-        request.give_up = max(request.give_up, turn.now + PARK_S)
+        request.give_up = max(request.give_up, turn.now + refusals.PARK_S)
         _park(turn, request)
 
 
@@ -180,17 +155,6 @@
         route(turn, request)
 
 
-def forget_refusals(turn: Turn) -> None:
-    """Forget refusals whose delayed copies cannot arrive any more."""
-    refusals = turn.state.refusals
-    expiry = turn.state.refusal_expiry
-    while expiry and expiry[0][0] <= turn.now:
-        _, identifier = heapq.heappop(expiry)
-        past = refusals.get(identifier)
-        if past and past.repeat_until + REFUSAL_MEMORY_S <= turn.now:
-            refusals.pop(identifier)
-
-
 def _local_request(
     turn: Turn,
     number: int,
@@ -206,7 +170,7 @@
         named if isinstance(named, Job) else None,
         turn.now,
         turn.now + wait_s,
-        turn.now + PARK_S,
+        turn.now + refusals.PARK_S,
     )
 
 
@@ -230,7 +194,7 @@
         return
     past = turn.state.refusals.get(identifier)
     if past is not None and request.received < past.repeat_until:
-        _repeat_refusal(turn, request, past)
+        refusals.repeat_refusal(turn, request, past)
         return
     if _in_doubt(turn, request, partition):
         if turn.now < partition.gained_at + TAKEOVER_WAIT_S:
@@ -336,51 +300,11 @@
     answer: Answer,
 ) -> None:
     if answer.outcome == reasons.NOT_RUN and request.kind != 'fetch':
-        retry_ms = max(answer.retry_after_ms, REFUSAL_REPEAT_MS)
-        if answer.retry_after_ms:
-            answer = answer._replace(retry_after_ms=retry_ms)
-        until = turn.now + retry_ms / MS_PER_S
-        named = (request.client, request.key)
-        _remember(turn, identifier, PastRefusal(until, *named, answer))
+        answer = refusals.remember_refusal(turn, request, identifier, answer)
     turn.count('requests_refused')
     answers.reply(turn, request.waiter, answer)
 
 
-def _take_over_refusal(turn: Turn, message: Forward) -> None:
-    identifier = submission_id(message.client, message.key)
-    if identifier in turn.state.submissions:
-        return
-    until = turn.now + message.wait_ms / MS_PER_S
-    answer = answers.refusal(
-        reasons.OVERLOADED,
-        'the entry formerly in charge refused the job',
-        retry_after_ms=message.wait_ms,
-    )
-    named = (message.client, message.key)
-    _remember(turn, identifier, PastRefusal(until, *named, answer))
-
-
-def _repeat_refusal(
-    turn: Turn,
-    request: ParkedRequest,
-    past: PastRefusal,
-) -> None:
-    turn.count('refusals_repeated')
-    answer = past.answer
-    if answer.retry_after_ms:
-        left_ms = max(0, int((past.repeat_until - turn.now) * MS_PER_S))
-        answer = answer._replace(retry_after_ms=left_ms + 1)
-    answers.reply(turn, request.waiter, answer)
-
-
-def _remember(turn: Turn, identifier: bytes, past: PastRefusal) -> None:
-    turn.state.refusals[identifier] = past
-    heapq.heappush(
-        turn.state.refusal_expiry,
-        (past.repeat_until + REFUSAL_MEMORY_S, identifier),
-    )
-
-
 def _absent(request: ParkedRequest) -> Answer:
     if request.kind == 'cancel':
         return answers.refusal(
