Document the entry's state and shorten run_entry

A comment in EntryState described a field that no longer exists; the fields whose meaning their names do not tell are explained. The check that a forward carries a job stood twice.

--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -39,6 +39,7 @@
 
     from anyio.abc import TaskGroup
 
+    from savoryrudder.protocol.messages import Job
     from savoryrudder.protocol.messages import Message
 
 TICK_S: Final = 0.05
@@ -143,6 +144,14 @@
         self._store = store
         self._listener = listener
 
+    def note_addresses(self, url: str, link: str) -> None:
+        """Announce the bound addresses instead of those in the settings."""
+        log_change('listening', (('http', url), ('link', link)))
+        self.state.identity = self.state.identity._replace(
+            address=link,
+            http=url.rpartition('/')[2],
+        )
+
     def begin_request(self) -> tuple[int, PendingResponse]:
         """Return a number and a place to wait for a new request."""
         number = self._next_request
@@ -179,7 +188,7 @@
         for message in messages:
             received = message
             if isinstance(message, Forward) and message.job is not None:
-                received = self._trace_forward(peer, message)
+                received = self._trace_forward(peer, message, message.job)
             self.handle(
                 events.MessageReceived(
                     anyio.current_time(),
@@ -247,13 +256,10 @@
             ),
         )
 
-    def _trace_forward(self, peer: str, message: Forward) -> Forward:
-        if message.job is None:
-            return message
-        span = self.tracer.start('serve-forwarded', message.job.trace)
+    def _trace_forward(self, peer: str, message: Forward, job: Job) -> Forward:
+        span = self.tracer.start('serve-forwarded', job.trace)
         self._forwarded[peer, message.request] = span
-        job = message.job._replace(trace=span.traceparent)
-        return message._replace(job=job)
+        return message._replace(job=job._replace(trace=span.traceparent))
 
 
 async def run_entry(settings: EntrySettings) -> None:
@@ -275,14 +281,7 @@
             create_api(runtime, settings.stop_timeout_s),
             settings,
         )
-        log_change(
-            'listening',
-            (('http', address), ('link', listener.address)),
-        )
-        runtime.state.identity = runtime.state.identity._replace(
-            address=listener.address,
-            http=address.rpartition('/')[2],
-        )
+        runtime.note_addresses(address, listener.address)
         # With the store down, peers from the settings have the configuration.
         for peer in settings.peers:
             runtime.connect(peer)
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -82,7 +82,11 @@
 
 @dataclasses.dataclass(slots=True)
 class ParkedRequest:
-    """Hold a request until its partition is open or its time is up."""
+    """Hold a request until its partition is open or its time is up.
+
+    `received` is the earliest time at which the first entry may have received
+    it. The caller waits until `wait_until`, routing is tried until `give_up`.
+    """
 
     waiter: Waiter
     kind: str
@@ -116,7 +120,11 @@
 
 @dataclasses.dataclass(slots=True)
 class AgentLink:
-    """Track the session with an agent."""
+    """Track the session with an agent.
+
+    `claimed` is set by its first answer to a claim, `usable` once the peers
+    hold it in their rosters. `demand` and `prefetch` are what it was told last.
+    """
 
     name: str
     incarnation: str
@@ -142,7 +150,13 @@
 
 @dataclasses.dataclass(slots=True)
 class PeerLink:
-    """Track another live entry, linked or not."""
+    """Track another entry, linked or not; `session` is empty without a link.
+
+    `roster_held` is the sequence of this entry's roster that the peer has
+    confirmed. `gone` means that it is not registered any more. The peer's
+    promise not to take over holds until `promise_until`, the own one until
+    `promised_until`; `echo_ms` is the time in the peer's last promise.
+    """
 
     name: str
     address: str
@@ -260,7 +274,15 @@
 
 @dataclasses.dataclass
 class EntryState:
-    """Hold everything that the entry reducer knows."""
+    """Hold everything that the entry reducer knows.
+
+    `roster` lists the agents (name, incarnation) that this entry may have
+    used, `rosters` what peers sent of theirs. `parked` requests wait to be
+    routed again, `forwards` wait for another entry's answer. `waiting` names
+    the submission whose answer a request waits for. The lists `deadlines`,
+    `retention`, `refusal_expiry`, `delayed` and `wait_limits` are heaps by
+    monotonic seconds.
+    """
 
     identity: EntryIdentity
     randomness: random.Random
@@ -284,7 +306,6 @@
     absent_since: dict[str, float] = dataclasses.field(default_factory=dict)
     live: dict[str, EntryDocument] = dataclasses.field(default_factory=dict)
     peers: dict[str, PeerLink] = dataclasses.field(default_factory=dict)
-    # Open sessions whose other end is not known yet, by its name.
     rosters: dict[str, PeerRoster] = dataclasses.field(default_factory=dict)
     roster: dict[tuple[str, str], RosterAgent] = dataclasses.field(
         default_factory=dict,
