--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -205,7 +205,7 @@
         'swap-map': membership.handle_swapped_map,
         'swap-config': configuration.handle_swapped_config,
         'read-config': configuration.handle_read_config,
-        'read-terms': terms.handle_read,
-        'swap-terms': terms.handle_swapped,
+        'read-terms': terms.handle_read_terms,
+        'swap-terms': terms.handle_swapped_terms,
     }
 )
--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -59,7 +59,7 @@
         _read(turn, client, record)
 
 
-def handle_read(
+def handle_read_terms(
     turn: Turn,
     client: str,
     outcome: interface.StoreOutcome,
@@ -78,7 +78,7 @@
         turn.state.admission.limits.forget_usage(client)
 
 
-def handle_swapped(
+def handle_swapped_terms(
     turn: Turn,
     client: str,
     outcome: interface.StoreOutcome,
--- a/tests/entry/test_terms.py
+++ b/tests/entry/test_terms.py
@@ -111,8 +111,8 @@
         for call in self.held:
             pending = self.state.calls.pop(call.call)
             handler = {
-                'read-terms': terms.handle_read,
-                'swap-terms': terms.handle_swapped,
+                'read-terms': terms.handle_read_terms,
+                'swap-terms': terms.handle_swapped_terms,
             }[pending.kind]
             turn = Turn(self.state, self.now, _WALL + self.now)
             handler(turn, pending.context, self.store.call(call.operation))
