--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -17,6 +17,7 @@
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.identifiers import partition_of
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.agent.events import UpstreamFinished
@@ -26,11 +27,10 @@
 # Time for the upstream client to report the deadline itself before the agent
 # declares the outcome unknown.
 _DEADLINE_GRACE_S: Final = 1.0
-_MS_PER_S: Final = 1000
 _DEADLINE_PASSED: Final = 'deadline-passed'
 
 
-def start(
+def handle_start(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -100,7 +100,9 @@
             _end(state, turn, running, UNKNOWN, b'', _DEADLINE_PASSED)
 
 
-def finish(state: AgentState, event: UpstreamFinished, turn: Turn) -> None:
+def handle_upstream_finished(
+    state: AgentState, turn: Turn, event: UpstreamFinished
+) -> None:
     """Record the end of an upstream call and report it."""
     record = state.calls.pop(event.task, None)
     if record is None:
@@ -121,7 +123,7 @@
     record.call = None
 
 
-def acknowledge(
+def handle_acknowledge(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -137,7 +139,7 @@
         turn.count('wasted_messages')
 
 
-def withdraw(
+def handle_withdraw(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -240,7 +242,7 @@
     call = Call(
         message.operation,
         message.payload,
-        turn.now + message.deadline_ms / _MS_PER_S,
+        turn.now + message.deadline_ms / MS_PER_S,
         message.idempotent,
         message.trace,
     )
@@ -266,7 +268,7 @@
             record.key,
             call.operation,
             call.payload,
-            max(1, round((call.deadline - turn.now) * _MS_PER_S)),
+            max(1, round((call.deadline - turn.now) * MS_PER_S)),
             call.trace,
         ),
     )
@@ -284,7 +286,7 @@
     call = record.call
     assert call
     duration = turn.now - call.started_at
-    record.duration_ms = round(duration * _MS_PER_S)
+    record.duration_ms = round(duration * MS_PER_S)
     state.book.end(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
     owner = state.receiver(partition_of(record.key[0]))
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -3,27 +3,24 @@
 from __future__ import annotations
 
 import secrets
-from collections import deque
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import Protocol
 
 import anyio
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse
-from starlette.responses import Response
-from starlette.routing import Route
 
 from savoryrudder.agent import effects as agent_effects
 from savoryrudder.agent import events
-from savoryrudder.agent.records import RecordBook
 from savoryrudder.agent.reducer import reduce
-from savoryrudder.agent.state import AgentState
 from savoryrudder.agent.state import Identity
 from savoryrudder.agent.state import Limits
+from savoryrudder.agent.state import new_state
+from savoryrudder.daemon.addresses import LearnedAddresses
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
-from savoryrudder.daemon.links import LinkDialler
+from savoryrudder.daemon.probes import probe_routes
+from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
 from savoryrudder.daemon.telemetry import Counters
 from savoryrudder.daemon.telemetry import Tracer
@@ -31,19 +28,19 @@
 from savoryrudder.daemon.upstream import UpstreamClient
 from savoryrudder.protocol.codec import PROTOCOL_VERSION
 from savoryrudder.protocol.messages import Welcome
-from savoryrudder.utils import effects
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from anyio.abc import TaskGroup
-    from starlette.requests import Request
 
+    from savoryrudder.agent.state import AgentState
     from savoryrudder.protocol.messages import Message
 
 TICK_S: Final = 0.1
 # A slot whose call was given up may still be busy at the upstream.
 SPARE_CONNECTIONS: Final = 4
 _INCARNATION_BYTES: Final = 4
-_UNAVAILABLE: Final = 503
 
 
 class AgentSettings(Protocol):
@@ -67,8 +64,8 @@
     tls_key: str | None
 
 
-class AgentRuntime:
-    """Feed the reducer and carry out its effects, one event at a time."""
+class AgentRuntime(Runtime[events.AgentEvent, agent_effects.AgentEffect]):
+    """Run the agent role and call the upstream."""
 
     def __init__(
         self,
@@ -78,14 +75,13 @@
         tracer: Tracer,
     ) -> None:
         """Create a runtime; `start` connects it to entries."""
+        super().__init__(
+            JoinRequest(PROTOCOL_VERSION, state.identity.agent, 'agent'),
+            counters,
+            tracer,
+        )
         self.state = state
-        self.counters = counters
-        self.tracer = tracer
-        self.stopped = anyio.Event()
         self._upstream = upstream
-        self._events: deque[events.AgentEvent] = deque()
-        self._reducing = False
-        self._diallers: dict[str, LinkDialler] = {}
 
     @property
     def revision(self) -> int:
@@ -99,42 +95,21 @@
 
     def start(self, group: TaskGroup, entries: list[str]) -> None:
         """Dial the entries."""
-        self._group = group
+        self._attach(group)
+        self._learned = LearnedAddresses(entries)
         for address in entries:
             self.connect(address)
 
-    def connect(self, address: str) -> None:
-        """Keep a link to the entry at a join address."""
-        if address in self._diallers:
-            return
-        dialler = LinkDialler(
-            address,
-            JoinRequest(PROTOCOL_VERSION, self.state.identity.agent, 'agent'),
-            self,
-            lambda: self.revision,
-        )
-        self._diallers[address] = dialler
-        self._group.start_soon(dialler.run)
-
-    def handle(self, event: events.AgentEvent) -> None:
-        """Reduce an event now, or after the one being reduced."""
-        self._events.append(event)
-        if self._reducing:
-            return
-        self._reducing = True
-        try:
-            self._reduce_all()
-        finally:
-            self._reducing = False
-
     def on_up(self, peer: str, session: str) -> None:
         """Report a new session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
         """Report the end of a session."""
-        log_change('link_down', (('peer', peer), ('reason', reason)))
-        self.handle(events.LinkDown(anyio.current_time(), peer, session))
+        self._learned.end_session(session)
+        self.handle(
+            events.LinkDown(anyio.current_time(), peer, session, reason)
+        )
 
     def on_frame(
         self,
@@ -146,8 +121,7 @@
         """Report the messages of a frame."""
         for message in messages:
             if isinstance(message, Welcome):
-                for address in message.entries:
-                    self.connect(address)
+                self._learn_entries(session, message.entries)
             self.handle(
                 events.MessageReceived(
                     anyio.current_time(),
@@ -165,39 +139,32 @@
     async def tick(self) -> None:
         """Send ticks until cancelled."""
         while True:
+            self._forget_entries()
             self.handle(events.Tick(anyio.current_time()))
             await anyio.sleep(TICK_S)
 
-    def _reduce_all(self) -> None:
-        while self._events:
-            for effect in reduce(self.state, self._events.popleft()):
-                self._carry_out(effect)
+    def _learn_entries(self, session: str, addresses: Sequence[str]) -> None:
+        self._learned.learn(session, addresses, anyio.current_time())
+        for address in addresses:
+            self.connect(address)
+
+    def _forget_entries(self) -> None:
+        now = anyio.current_time()
+        for address in self._learned.forget_unused(self.linked, now):
+            self.disconnect(address)
+
+    def _reduce(
+        self,
+        event: events.AgentEvent,
+    ) -> Sequence[agent_effects.AgentEffect]:
+        return reduce(self.state, event)
 
-    def _carry_out(self, effect: agent_effects.AgentEffect) -> None:
+    def _carry_out_own(self, effect: agent_effects.AgentEffect) -> None:
         match effect:
-            case effects.Send():
-                self._send(effect.peer, effect.message)
-            case effects.Count():
-                self.counters.count(effect.name, effect.amount)
-            case effects.Observe():
-                self.counters.observe(effect.name, effect.seconds)
-            case effects.StateChanged():
-                log_change(effect.name, effect.fields)
             case agent_effects.CallUpstream():
                 self._group.start_soon(self._call_upstream, effect)
             case agent_effects.StopUpstreamCall():
                 self._upstream.stop(effect.task)
-            case effects.CloseLink():
-                for dialler in self._diallers.values():
-                    dialler.close(effect.peer, effect.reason)
-            case effects.Exit():
-                self.stopped.set()
-
-    def _send(self, peer: str, message: Message) -> None:
-        if not any(
-            dialler.send(peer, message) for dialler in self._diallers.values()
-        ):
-            self.counters.count('messages_without_link')
 
     async def _call_upstream(self, effect: agent_effects.CallUpstream) -> None:
         task_span = self.tracer.start('run-task', effect.trace)
@@ -233,7 +200,7 @@
         runtime.start(group, settings.entries)
         address = await group.start(
             serve_http,
-            _create_api(runtime),
+            Starlette(routes=probe_routes(runtime)),
             settings,
         )
         log_change('listening', (('http', address),))
@@ -254,7 +221,7 @@
         settings.retention_s,
         settings.stop_timeout_s,
     )
-    state = AgentState(
+    state = new_state(
         Identity(
             settings.agent,
             incarnation,
@@ -265,7 +232,6 @@
             tuple(settings.operations),
         ),
         limits,
-        RecordBook(settings.retention_s, limits.max_result_bytes),
     )
     tracer = Tracer(
         settings.trace_file,
@@ -281,39 +247,3 @@
         settings.slots + SPARE_CONNECTIONS,
     )
     return AgentRuntime(state, upstream, Counters(), tracer)
-
-
-class AgentApi:
-    """Serve health and metrics."""
-
-    def __init__(self, runtime: AgentRuntime) -> None:
-        """Serve the requests about one agent."""
-        self._runtime = runtime
-
-    async def health(self, request: Request) -> Response:
-        """Tell that the process runs."""
-        return JSONResponse({'status': 'alive'})
-
-    async def ready(self, request: Request) -> Response:
-        """Tell whether the agent can get work."""
-        if self._runtime.ready:
-            return JSONResponse({'status': 'ready'})
-        return JSONResponse({'status': 'not ready'}, _UNAVAILABLE)
-
-    async def metrics(self, request: Request) -> Response:
-        """Return all metrics in the Prometheus text format."""
-        return Response(
-            self._runtime.counters.export(),
-            media_type='text/plain; version=0.0.4',
-        )
-
-
-def _create_api(runtime: AgentRuntime) -> Starlette:
-    api = AgentApi(runtime)
-    return Starlette(
-        routes=[
-            Route('/health', api.health),
-            Route('/ready', api.ready),
-            Route('/metrics', api.metrics),
-        ],
-    )
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import time
-from collections import deque
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import Protocol
@@ -16,8 +15,8 @@
 from savoryrudder.daemon.api import create_api
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
-from savoryrudder.daemon.links import LinkDialler
 from savoryrudder.daemon.links import LinkListener
+from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
 from savoryrudder.daemon.telemetry import Counters
 from savoryrudder.daemon.telemetry import Span
@@ -34,11 +33,13 @@
 from savoryrudder.protocol.messages import Forward
 from savoryrudder.protocol.messages import ForwardAnswer
 from savoryrudder.store.http import HttpStore
-from savoryrudder.utils import effects
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from anyio.abc import TaskGroup
 
+    from savoryrudder.protocol.messages import Job
     from savoryrudder.protocol.messages import Message
 
 TICK_S: Final = 0.05
@@ -81,8 +82,8 @@
         self._event = anyio.Event()
         self._response: Response | None = None
 
-    def set(self, response: Response) -> None:
-        """Wake the caller."""
+    def set(self, response: Response | None) -> None:
+        """Wake the caller; None means that there is no response."""
         self._response = response
         self._event.set()
 
@@ -92,8 +93,8 @@
         return self._response
 
 
-class EntryRuntime:
-    """Feed the reducer and carry out its effects, one event at a time."""
+class EntryRuntime(Runtime[events.EntryEvent, entry_effects.EntryEffect]):
+    """Run the entry role and keep the requests of waiting callers."""
 
     def __init__(
         self,
@@ -102,14 +103,13 @@
         tracer: Tracer,
     ) -> None:
         """Create a runtime; `start` connects it to the outside."""
+        super().__init__(
+            JoinRequest(PROTOCOL_VERSION, state.identity.name, 'entry'),
+            counters,
+            tracer,
+        )
         self.state = state
-        self.counters = counters
-        self.tracer = tracer
-        self.stopped = anyio.Event()
-        self._events: deque[events.EntryEvent] = deque()
-        self._reducing = False
         self._pending: dict[int, PendingResponse] = {}
-        self._diallers: dict[str, LinkDialler] = {}
         self._forwarded: dict[tuple[str, int], Span] = {}
         self._next_request = 1
 
@@ -140,10 +140,18 @@
         listener: LinkListener,
     ) -> None:
         """Connect the runtime to store and links."""
-        self._group = group
+        self._attach(group)
         self._store = store
         self._listener = listener
 
+    def note_addresses(self, url: str, link: str) -> None:
+        """Announce the bound addresses instead of those in the settings."""
+        log_change('listening', (('http', url), ('link', link)))
+        self.state.identity = self.state.identity._replace(
+            address=link,
+            http=url.rpartition('/')[2],
+        )
+
     def begin_request(self) -> tuple[int, PendingResponse]:
         """Return a number and a place to wait for a new request."""
         number = self._next_request
@@ -157,26 +165,16 @@
         if self._pending.pop(number, None) is not None:
             self.handle(events.CallerGone(anyio.current_time(), number))
 
-    def handle(self, event: events.EntryEvent) -> None:
-        """Reduce an event now, or after the one being reduced."""
-        self._events.append(event)
-        if self._reducing:
-            return
-        self._reducing = True
-        try:
-            self._reduce_all()
-        finally:
-            self._reducing = False
-
     def on_up(self, peer: str, session: str) -> None:
         """Report a new session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
         """Report the end of a session."""
-        log_change('link_down', (('peer', peer), ('reason', reason)))
         self.handle(
-            events.LinkDown(anyio.current_time(), time.time(), peer, session),
+            events.LinkDown(
+                anyio.current_time(), time.time(), peer, session, reason
+            ),
         )
 
     def on_frame(
@@ -190,7 +188,7 @@
         for message in messages:
             received = message
             if isinstance(message, Forward) and message.job is not None:
-                received = self._trace_forward(peer, message)
+                received = self._trace_forward(peer, message, message.job)
             self.handle(
                 events.MessageReceived(
                     anyio.current_time(),
@@ -206,40 +204,20 @@
         """Begin a planned stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
-    def connect(self, address: str) -> None:
-        """Keep a link to the entry at a join address."""
-        if address in self._diallers:
-            return
-        dialler = LinkDialler(
-            address,
-            JoinRequest(PROTOCOL_VERSION, self.state.identity.name, 'entry'),
-            self,
-            lambda: self.revision,
-        )
-        self._diallers[address] = dialler
-        self._group.start_soon(dialler.run)
-
     async def tick(self) -> None:
         """Send ticks until cancelled."""
         while True:
             self.handle(events.Tick(anyio.current_time(), time.time()))
             await anyio.sleep(TICK_S)
 
-    def _reduce_all(self) -> None:
-        while self._events:
-            for effect in reduce(self.state, self._events.popleft()):
-                self._carry_out(effect)
+    def _reduce(
+        self,
+        event: events.EntryEvent,
+    ) -> Sequence[entry_effects.EntryEffect]:
+        return reduce(self.state, event)
 
-    def _carry_out(self, effect: entry_effects.EntryEffect) -> None:
+    def _carry_out_own(self, effect: entry_effects.EntryEffect) -> None:
         match effect:
-            case effects.Send():
-                self._send(effect.peer, effect.message)
-            case effects.Count():
-                self.counters.count(effect.name, effect.amount)
-            case effects.Observe():
-                self.counters.observe(effect.name, effect.seconds)
-            case effects.StateChanged():
-                log_change(effect.name, effect.fields)
             case entry_effects.Reply():
                 self._respond(effect.request, effect.answer)
             case entry_effects.ReplyData():
@@ -248,27 +226,18 @@
                 self._group.start_soon(self._call_store, effect)
             case entry_effects.ConnectPeer():
                 self.connect(effect.address)
-            case effects.CloseLink():
-                self._close(effect.peer, effect.reason)
-            case effects.Exit():
-                self.stopped.set()
 
     def _send(self, peer: str, message: Message) -> None:
         if isinstance(message, ForwardAnswer):
             span = self._forwarded.pop((peer, message.request), None)
             if span is not None:
                 span.end()
-        if self._listener.send(peer, message):
-            return
-        if not any(
-            dialler.send(peer, message) for dialler in self._diallers.values()
-        ):
-            self.counters.count('messages_without_link')
+        if not self._listener.send(peer, message):
+            super()._send(peer, message)
 
     def _close(self, peer: str, reason: str) -> None:
         self._listener.close(peer, reason)
-        for dialler in self._diallers.values():
-            dialler.close(peer, reason)
+        super()._close(peer, reason)
 
     def _respond(self, number: int, response: Response) -> None:
         pending = self._pending.pop(number, None)
@@ -287,13 +256,10 @@
             ),
         )
 
-    def _trace_forward(self, peer: str, message: Forward) -> Forward:
-        if message.job is None:
-            return message
-        span = self.tracer.start('serve-forwarded', message.job.trace)
+    def _trace_forward(self, peer: str, message: Forward, job: Job) -> Forward:
+        span = self.tracer.start('serve-forwarded', job.trace)
         self._forwarded[peer, message.request] = span
-        job = message.job._replace(trace=span.traceparent)
-        return message._replace(job=job)
+        return message._replace(job=job._replace(trace=span.traceparent))
 
 
 async def run_entry(settings: EntrySettings) -> None:
@@ -315,14 +281,7 @@
             create_api(runtime, settings.stop_timeout_s),
             settings,
         )
-        log_change(
-            'listening',
-            (('http', address), ('link', listener.address)),
-        )
-        runtime.state.identity = runtime.state.identity._replace(
-            address=listener.address,
-            http=address.rpartition('/')[2],
-        )
+        runtime.note_addresses(address, listener.address)
         # With the store down, peers from the settings have the configuration.
         for peer in settings.peers:
             runtime.connect(peer)
--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -25,6 +25,7 @@
 from savoryrudder.daemon.sockets import MessageSocket
 from savoryrudder.daemon.sockets import PairSocket
 from savoryrudder.protocol.codec import PROTOCOL_VERSION
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,7 +35,6 @@
 
 _SESSION_BYTES: Final = 8
 _ANY_PORT: Final = (0,)
-_MS: Final = 1000
 _BACKOFF_FACTOR: Final = 3
 # Bounds the sockets that peers can hold by joining without connecting.
 _MAX_PENDING: Final = 4096
@@ -238,6 +238,7 @@
         self._timing = timing
         self._random = randomness or random.Random()
         self._session: Session | None = None
+        self._scope = anyio.CancelScope()
         self._fault = ''
 
     @property
@@ -264,8 +265,18 @@
         if session is not None:
             session.close(reason)
 
+    def stop(self) -> None:
+        """End the open session, if any, and do not dial again."""
+        if self._session is not None:
+            self._session.close('address is no longer dialled')
+        self._scope.cancel()
+
     async def run(self) -> None:
-        """Join and serve sessions until cancelled."""
+        """Join and serve sessions until stopped or cancelled."""
+        with self._scope:
+            await self._dial_repeatedly()
+
+    async def _dial_repeatedly(self) -> None:
         pause_s = self._timing.backoff_min_s
         while True:
             was_up = await self._attempt()
@@ -331,8 +342,8 @@
                 return Error(f'join failed: {error}')
 
     async def _ask(self, socket: MessageSocket) -> bytes:
-        shortest_ms = int(self._timing.backoff_min_s * _MS)
-        longest_ms = int(self._timing.backoff_max_s * _MS)
+        shortest_ms = int(self._timing.backoff_min_s * MS_PER_S)
+        longest_ms = int(self._timing.backoff_max_s * MS_PER_S)
         socket.dial(self._join_address, redial_ms=(shortest_ms, longest_ms))
         await socket.send(join.encode_join(self._request))
         return await socket.receive()
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -10,11 +10,12 @@
 from savoryrudder.entry import submissions
 from savoryrudder.entry.handover import apply_hand_over
 from savoryrudder.entry.handover import hand_over
-from savoryrudder.entry.routing import PARK_S
+from savoryrudder.entry.refusals import PARK_S
 from savoryrudder.entry.state import OwnedPartition
 from savoryrudder.entry.state import ParkedRequest
 from savoryrudder.entry.state import PeerRoster
 from savoryrudder.entry.state import Waiter
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -132,7 +133,7 @@
     job = submission.job
     if submission.answer is not None:
         return
-    left_ms = int((submission.deadline - turn.now) * 1000)
+    left_ms = int((submission.deadline - turn.now) * MS_PER_S)
     waiters = submission.waiters
     if not waiters:
         # A job without a caller is passed on under a number of its own.
@@ -148,7 +149,7 @@
                     reasons.TAKEOVER,
                     'the job has passed to another entry; fetch its answer',
                     reasons.UNKNOWN,
-                    1000,
+                    answers.MIN_RETRY_AFTER_MS,
                 ),
             )
             continue
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -16,6 +16,7 @@
 from savoryrudder.protocol.messages import RosterHeld
 from savoryrudder.store import interface
 from savoryrudder.utils.effects import CloseLink
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
@@ -27,6 +28,8 @@
 RETRY_S: Final = 0.5
 # Peers not heard from for longer are forgotten once their lease is gone.
 FORGET_PEER_S: Final = 120
+_REPLACED: Final = 'replaced by a new session'
+_REGISTERED_ANEW: Final = 'registered anew'
 
 
 def greet(turn: Turn, name: str) -> None:
@@ -44,7 +47,7 @@
         state.peers[hello.entry] = peer
     if peer.session:
         # What was on the old session is lost; its end is reported later.
-        handle_peer_down(turn, hello.entry)
+        handle_peer_down(turn, hello.entry, _REPLACED)
     peer.session = session
     peer.heard_at = turn.now
     peer.roster_held = 0
@@ -55,12 +58,12 @@
     _send_promise(turn, peer)
 
 
-def handle_peer_down(turn: Turn, name: str) -> None:
+def handle_peer_down(turn: Turn, name: str, reason: str) -> None:
     """End the session with another entry."""
     peer = turn.state.peers[name]
     peer.session = ''
     peer.promise_until = 0
-    turn.log_change('peer_down', entry=name)
+    turn.log_change('peer_down', entry=name, reason=reason)
     reroute_forwards(turn, name)
 
 
@@ -69,7 +72,7 @@
     turn.state.rosters[name] = PeerRoster(
         message.agents,
         turn.now,
-        message.blind_until_ms / 1000,
+        message.blind_until_ms / MS_PER_S,
     )
     turn.send(name, RosterHeld(message.sequence))
 
@@ -84,7 +87,7 @@
     """Note a peer's promise not to take over."""
     peer = turn.state.peers[name]
     peer.echo_ms = message.sent_ms
-    until = (message.echo_ms + message.validity_ms) / 1000
+    until = (message.echo_ms + message.validity_ms) / MS_PER_S
     if message.validity_ms:
         peer.promise_until = max(peer.promise_until, until)
 
@@ -99,8 +102,8 @@
     turn.state.rosters.clear()
     for name, peer in turn.state.peers.items():
         if peer.session:
-            turn.emit(CloseLink(name, 'registered anew'))
-            handle_peer_down(turn, name)
+            turn.emit(CloseLink(name, _REGISTERED_ANEW))
+            handle_peer_down(turn, name, _REGISTERED_ANEW)
 
 
 def handle_read_peer(
@@ -194,7 +197,7 @@
         peer.name,
         Roster(
             state.roster_sequence,
-            int(blind_until * 1000),
+            int(blind_until * MS_PER_S),
             tuple(state.roster.values()),
         ),
     )
@@ -207,16 +210,16 @@
     # that lost its lease has to stop.
     if not state.store.available:
         validity_ms = PROMISE_VALIDITY_MS
-        peer.promised_until = turn.now + PROMISE_VALIDITY_MS / 1000
+        peer.promised_until = turn.now + PROMISE_VALIDITY_MS / MS_PER_S
     turn.send(
         peer.name,
-        Promise(validity_ms, int(turn.now * 1000), peer.echo_ms),
+        Promise(validity_ms, int(turn.now * MS_PER_S), peer.echo_ms),
     )
 
 
 def _prune_roster(turn: Turn) -> None:
     """Forget agents whose tasks no caller can resubmit any more."""
-    limit_ms = (turn.wall - 2 * turn.state.identity.retention_s) * 1000
+    limit_ms = (turn.wall - 2 * turn.state.identity.retention_s) * MS_PER_S
     turn.state.roster = {
         key: agent
         for key, agent in turn.state.roster.items()
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -19,6 +19,7 @@
 from savoryrudder.entry import membership
 from savoryrudder.entry import partitions
 from savoryrudder.entry import peers
+from savoryrudder.entry import refusals
 from savoryrudder.entry import reports
 from savoryrudder.entry import routing
 from savoryrudder.entry import submissions
@@ -59,10 +60,10 @@
     link = state.agents.get(event.peer)
     if link is not None and link.session == event.session:
         turn.wall = event.wall
-        agents.handle_link_down(turn, event.peer)
+        agents.handle_link_down(turn, event.peer, event.reason)
     peer = state.peers.get(event.peer)
     if peer is not None and peer.session == event.session:
-        peers.handle_peer_down(turn, event.peer)
+        peers.handle_peer_down(turn, event.peer, event.reason)
 
 
 def _handle_message(turn: Turn, event: events.MessageReceived) -> None:
@@ -118,7 +119,7 @@
     submissions.release_delayed(turn)
     submissions.expire_retention(turn)
     answers.expire_waits(turn)
-    routing.forget_refusals(turn)
+    refusals.forget_refusals(turn)
     partitions.expire_doubt(turn)
 
 
@@ -206,7 +207,7 @@
         'swap-map': membership.handle_swapped_map,
         'swap-config': configuration.handle_swapped_config,
         'read-config': configuration.handle_read_config,
-        'read-terms': terms.handle_read,
-        'swap-terms': terms.handle_swapped,
+        'read-terms': terms.handle_read_terms,
+        'swap-terms': terms.handle_swapped_terms,
     }
 )
