Stop dialling entries that are gone for good

Ruled out: forgetting on link end, since a cut link has to be dialled again. A peer that is forgotten (120 s without lease or session) is not dialled any more, unless another peer or the settings name its address.

--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -112,6 +112,7 @@
         self._pending: dict[int, PendingResponse] = {}
         self._forwarded: dict[tuple[str, int], Span] = {}
         self._next_request = 1
+        self._configured_peers: frozenset[str] = frozenset()
 
     @property
     def revision(self) -> int:
@@ -123,6 +124,15 @@
         """Tell whether the balancer should send callers here."""
         return is_ready(self.state)
 
+    def connect_configured(self, addresses: list[str]) -> None:
+        """Keep links to the peers from the settings.
+
+        With the store down, they have the configuration.
+        """
+        self._configured_peers = frozenset(addresses)
+        for address in addresses:
+            self.connect(address)
+
     def default_deadlines(self) -> dict[str, int]:
         """Return the default deadline of each service in milliseconds."""
         policy = self.state.policy
@@ -226,6 +236,9 @@
                 self._group.start_soon(self._call_store, effect)
             case entry_effects.ConnectPeer():
                 self.connect(effect.address)
+            case entry_effects.DisconnectPeer():
+                if effect.address not in self._configured_peers:
+                    self.disconnect(effect.address)
 
     def _send(self, peer: str, message: Message) -> None:
         if isinstance(message, ForwardAnswer):
@@ -282,9 +295,7 @@
             settings,
         )
         runtime.note_addresses(address, listener.address)
-        # With the store down, peers from the settings have the configuration.
-        for peer in settings.peers:
-            runtime.connect(peer)
+        runtime.connect_configured(settings.peers)
         group.start_soon(runtime.tick)
         group.start_soon(
             watch_signals,
--- a/src/savoryrudder/entry/effects.py
+++ b/src/savoryrudder/entry/effects.py
@@ -39,6 +39,12 @@
     address: str
 
 
+class DisconnectPeer(NamedTuple):
+    """Stop dialling a join address at which no entry is expected any more."""
+
+    address: str
+
+
 EntryEffect: TypeAlias = (
     effects.Send
     | effects.CloseLink
@@ -50,4 +56,5 @@
     | ReplyData
     | CallStore
     | ConnectPeer
+    | DisconnectPeer
 )
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from savoryrudder.entry import documents
+from savoryrudder.entry.effects import DisconnectPeer
 from savoryrudder.entry.routing import reroute_forwards
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PeerRoster
@@ -165,8 +166,11 @@
         and peer.heard_at + FORGET_PEER_S < turn.now
     ]
     for name in gone:
-        state.peers.pop(name)
+        address = state.peers.pop(name).address
         state.rosters.pop(name, None)
+        # A restarted entry may have a new name at the same address.
+        if all(peer.address != address for peer in state.peers.values()):
+            turn.emit(DisconnectPeer(address))
 
 
 def _ask_for_gone_peers(turn: Turn) -> None:
--- a/tests/entry/test_bounds.py
+++ b/tests/entry/test_bounds.py
@@ -7,10 +7,13 @@
 import pytest
 
 from savoryrudder.entry.draining import is_ready
+from savoryrudder.entry.effects import DisconnectPeer
 from savoryrudder.entry.partitions import expire_doubt
+from savoryrudder.entry.peers import forget_peers
 from savoryrudder.entry.state import EntryIdentity
 from savoryrudder.entry.state import EntryState
 from savoryrudder.entry.state import OwnedPartition
+from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.submissions import create_submission
 from savoryrudder.entry.submissions import drop_submission
 from savoryrudder.entry.submissions import settle_task
@@ -67,3 +70,14 @@
     """Guard against callers sent to an entry that can only refuse them."""
     state.policy = Policy({}, {}, {}, Limits(1, 1, 1))
     assert not is_ready(state)
+
+
+def test_a_replaced_peer_is_not_dialled_forever(state: EntryState) -> None:
+    """Guard against one more dialler for every replaced entry."""
+    state.peers['e2#a'] = PeerLink('e2#a', 'left', heard_at=0)
+    state.peers['e3#a'] = PeerLink('e3#a', 'same', heard_at=0)
+    state.peers['e3#b'] = PeerLink('e3#b', 'same', 's1', heard_at=200)
+    turn = Turn(state, 200, 0)
+    forget_peers(turn)
+    assert turn.effects == [DisconnectPeer('left')]
+    assert list(state.peers) == ['e3#b']
