--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -16,7 +16,7 @@
 from fakes.world import World
 from oracle import Oracle
 
-from savoryrudder.entry import membership
+from savoryrudder.entry import partition_map
 
 if TYPE_CHECKING:
     from fakes.callers import Call
@@ -46,7 +46,7 @@
 def _print_takeover() -> None:
     _row('takeover', 'median s to first answer', 'worst s', 'complete share')
     _row('on', *_summary([_lose_entry(seed) for seed in _SEEDS]))
-    with mock.patch.object(membership, '_is_gone', lambda *_: False):
+    with mock.patch.object(partition_map, '_is_gone', lambda *_: False):
         _row('off', *_summary([_lose_entry(seed) for seed in _SEEDS]))
 
 
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -17,6 +17,7 @@
 from savoryrudder.entry import events
 from savoryrudder.entry import handover
 from savoryrudder.entry import membership
+from savoryrudder.entry import partition_map
 from savoryrudder.entry import partitions
 from savoryrudder.entry import peers
 from savoryrudder.entry import refusals
@@ -102,7 +103,7 @@
 
 def _handle_tick(turn: Turn, event: events.Tick) -> None:
     membership.keep_lease(turn)
-    membership.balance(turn)
+    partition_map.balance(turn)
     peers.keep_peers_informed(turn)
     peers.forget_peers(turn)
     _expire(turn)
@@ -200,11 +201,11 @@
         'register': membership.handle_registered,
         'revoke': lambda turn, _, outcome: None,
         'read-peer': peers.handle_read_peer,
-        'read-map': lambda turn, _, outcome: membership.handle_read_map(
+        'read-map': lambda turn, _, outcome: partition_map.handle_read_map(
             turn,
             outcome,
         ),
-        'swap-map': membership.handle_swapped_map,
+        'swap-map': partition_map.handle_swapped_map,
         'swap-config': configuration.handle_swapped_config,
         'read-config': configuration.handle_read_config,
         'read-terms': terms.handle_read_terms,
