--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -62,7 +62,7 @@
   savoryrudderd agent "$dir/$1.toml" & pids+=($!); agent_pids+=($!)
 }
 
-run_deployment() { # name service zone1 zone2 client operations
+run_deployment() { # name service zone1 zone2 client operations operation client
   dir="$work/$1"; mkdir "$dir"
   entry_pids=(); agent_pids=(); stand_in_pids=()
   echo "== $1"
@@ -112,7 +112,7 @@
 import json
 print(json.dumps([{'operation': '$7', 'payload': {'run_ms': 60}}] * 170))
 " > "$dir/large.json"
-  savoryrudder submit --client "$5" --service "$2" --wait 20 \
+  savoryrudder submit --client "$8" --service "$2" --wait 20 \
     --deadline_ms 20000 --json --tasks "$dir/large.json" |
     python -c "
 import json, sys
@@ -156,7 +156,7 @@
 }
 
 run_deployment kaca-potong pane "Shah Alam" Petaling shop-ipoh \
-  '"cutting-plan", "sheet-quote", "offcut-check"' sheet-quote
+  '"cutting-plan", "sheet-quote", "offcut-check"' sheet-quote head-office
 run_deployment cvetna-pot rounds Zale Vič family-portal \
-  '"wreath-order", "route", "quote"' quote
+  '"wreath-order", "route", "quote"' route florist-vic
 echo "demo: all answers were right"
--- a/tests/policy/test_checks.py
+++ b/tests/policy/test_checks.py
@@ -142,3 +142,14 @@
     """Guard against examples that an entry would refuse."""
     text = (_EXAMPLES / name).read_text(encoding='utf-8')
     assert check_text(text).is_ok()
+
+
+@pytest.mark.parametrize(
+    ('name', 'client'),
+    [('kaca-potong.toml', 'head-office'), ('cvetna-pot.toml', 'florist-vic')],
+)
+def test_examples_admit_the_largest_job(name: str, client: str) -> None:
+    """Guard against a demo whose job of 170 tasks is refused by its terms."""
+    text = (_EXAMPLES / name).read_text(encoding='utf-8')
+    terms = check_text(text).ok.clients[client].terms
+    assert min(terms.burst, terms.concurrent) >= 170
