--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -103,40 +103,12 @@
 
     async def fetch(self, request: Request) -> Response:
         """Return the answer to an earlier submission."""
-        headers = _identity(request)
-        findings = requests.check_identity(headers)
-        if findings:
-            return _invalid(findings)
-        number, pending = self._runtime.begin_request()
-        self._runtime.handle(
-            events.AnswerRequested(
-                anyio.current_time(),
-                time.time(),
-                number,
-                headers['client'],
-                headers['idempotency-key'],
-                _wait_of(request, 0),
-            ),
-        )
-        return await self._respond(request, number, pending)
+        wait_s = _wait_of(request, 0)
+        return await self._ask(request, events.AnswerRequested, wait_s)
 
     async def cancel(self, request: Request) -> Response:
         """Cancel a submission."""
-        headers = _identity(request)
-        findings = requests.check_identity(headers)
-        if findings:
-            return _invalid(findings)
-        number, pending = self._runtime.begin_request()
-        self._runtime.handle(
-            events.JobCancelled(
-                anyio.current_time(),
-                time.time(),
-                number,
-                headers['client'],
-                headers['idempotency-key'],
-            ),
-        )
-        return await self._respond(request, number, pending)
+        return await self._ask(request, events.JobCancelled)
 
     async def apply_config(self, request: Request) -> Response:
         """Change the operators' text."""
@@ -193,6 +165,30 @@
         )
         return await self._respond(request, number, pending)
 
+    async def _ask(
+        self,
+        request: Request,
+        event_type: type[events.AnswerRequested | events.JobCancelled],
+        *more: float,
+    ) -> Response:
+        """Pass on a request about the submission that the path names."""
+        headers = _identity(request)
+        findings = requests.check_identity(headers)
+        if findings:
+            return _invalid(findings)
+        number, pending = self._runtime.begin_request()
+        self._runtime.handle(
+            event_type(
+                anyio.current_time(),
+                time.time(),
+                number,
+                headers['client'],
+                headers['idempotency-key'],
+                *more,
+            ),
+        )
+        return await self._respond(request, number, pending)
+
     async def _respond(
         self,
         request: Request,
