--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -19,12 +19,12 @@
 from savoryrudder.daemon.addresses import LearnedAddresses
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
+from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.probes import probe_routes
 from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
-from savoryrudder.daemon.telemetry import Counters
-from savoryrudder.daemon.telemetry import Tracer
-from savoryrudder.daemon.telemetry import log_change
+from savoryrudder.daemon.tracing import Tracer
 from savoryrudder.daemon.upstream import UpstreamClient
 from savoryrudder.protocol.codec import PROTOCOL_VERSION
 from savoryrudder.protocol.messages import Welcome
--- /dev/null
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -0,0 +1,171 @@
+"""Run an entry that dispatches jobs: links, callers' requests and ticks."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+from typing import Final
+
+import anyio
+
+from savoryrudder.daemon.hub import DialledLinks
+from savoryrudder.daemon.hub import HubListener
+from savoryrudder.daemon.loop import ReducerLoop
+from savoryrudder.dispatch import effects
+from savoryrudder.dispatch import events
+from savoryrudder.dispatch.reducer import reduce
+from savoryrudder.protocol.messages import Heartbeat
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from anyio.abc import TaskGroup
+
+    from savoryrudder.daemon.metrics import Counters
+    from savoryrudder.dispatch.answers import Answer
+    from savoryrudder.dispatch.answers import QueueLength
+    from savoryrudder.dispatch.state import DispatchState
+    from savoryrudder.jobs.model import Configuration
+    from savoryrudder.protocol.messages import Message
+
+_TICK_S: Final = 0.02
+
+
+class _OpenRequest:
+    """Hold the answer to a request once it is known."""
+
+    def __init__(self) -> None:
+        self.answered = anyio.Event()
+        self.answer: Answer | QueueLength | None = None
+
+
+class Dispatcher(
+    ReducerLoop[events.DispatchEvent, effects.DispatchEffect],
+):
+    """Feed the reducer of an entry and carry out its effects."""
+
+    def __init__(self, state: DispatchState, counters: Counters) -> None:
+        """Create a dispatcher; `run` serves its links."""
+        super().__init__(counters)
+        self.state = state
+        self._requests: dict[int, _OpenRequest] = {}
+        self._numbers = itertools.count(1)
+        self._listener = HubListener(
+            state.identity.address,
+            self,
+            self._revision,
+        )
+        self._peers = DialledLinks(self, self._revision)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the entry takes jobs."""
+        return self.state.ready
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve links and ticks until cancelled; reports the address."""
+        async with anyio.create_task_group() as group:
+            self._group: TaskGroup = group
+            address = await group.start(self._listener.run)
+            task_status.started(address)
+            await self._tick()
+
+    async def ask(
+        self,
+        describe: Callable[[float, int], events.DispatchEvent],
+    ) -> Answer | QueueLength:
+        """Handle a caller's request and return its answer.
+
+        `describe` makes the event from the time and the request's number.
+        When the caller is gone, cancel the call.
+        """
+        number = next(self._numbers)
+        request = _OpenRequest()
+        self._requests[number] = request
+        self.handle(describe(anyio.current_time(), number))
+        try:
+            await request.answered.wait()
+        finally:
+            self._requests.pop(number, None)
+            if request.answer is None:
+                self.handle(events.CallerGone(anyio.current_time(), number))
+        if request.answer is None:
+            raise RuntimeError('a request was answered without an answer')
+        return request.answer
+
+    def follow_entries(self, addresses: Iterable[str]) -> None:
+        """Link with other entries; the lower address dials the higher."""
+        own = self.state.identity.address
+        self._peers.follow(
+            self._group,
+            [address for address in addresses if address > own],
+        )
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a configuration that the store holds."""
+        self.handle(
+            events.ConfigurationRead(anyio.current_time(), configuration),
+        )
+
+    def drain(self, timeout_s: float) -> None:
+        """Begin a planned stop."""
+        self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
+
+    def on_up(self, peer: str, session: str) -> None:
+        """Report a new session."""
+        dialled = self._peers.has(session)
+        self.handle(events.LinkUp(anyio.current_time(), session, dialled))
+
+    def on_down(self, peer: str, session: str, reason: str) -> None:
+        """Report the end of a session."""
+        self.handle(events.LinkDown(anyio.current_time(), session, reason))
+
+    def on_frame(
+        self,
+        peer: str,
+        session: str,
+        revision: int,
+        messages: tuple[Message, ...],
+    ) -> None:
+        """Report the messages of a frame."""
+        now = anyio.current_time()
+        for message in messages:
+            if not isinstance(message, Heartbeat):
+                self.handle(events.MessageReceived(now, session, message))
+
+    def _revision(self) -> int:
+        return self.state.configuration.version
+
+    async def _tick(self) -> None:
+        while True:
+            self.handle(events.Tick(anyio.current_time()))
+            await anyio.sleep(_TICK_S)
+
+    def _reduce(
+        self,
+        event: events.DispatchEvent,
+    ) -> Sequence[effects.DispatchEffect]:
+        return reduce(self.state, event)
+
+    def _carry_out_own(self, effect: effects.DispatchEffect) -> None:
+        if not isinstance(effect, effects.Reply):
+            raise TypeError(f'unknown effect {effect}')
+        request = self._requests.get(effect.request)
+        if request is not None:
+            request.answer = effect.answer
+            request.answered.set()
+
+    def _send(self, peer: str, message: Message) -> None:
+        is_sent = self._listener.send(peer, message)
+        if not is_sent and not self._peers.send(peer, message):
+            self.counters.count('messages_without_link')
+
+    def _close(self, peer: str, reason: str) -> None:
+        self._listener.close(peer, reason)
+        self._peers.close(peer, reason)
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -16,12 +16,12 @@
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
 from savoryrudder.daemon.links import LinkListener
+from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
-from savoryrudder.daemon.telemetry import Counters
-from savoryrudder.daemon.telemetry import Span
-from savoryrudder.daemon.telemetry import Tracer
-from savoryrudder.daemon.telemetry import log_change
+from savoryrudder.daemon.tracing import Span
+from savoryrudder.daemon.tracing import Tracer
 from savoryrudder.entry import effects as entry_effects
 from savoryrudder.entry import events
 from savoryrudder.entry.draining import is_ready
--- /dev/null
+++ b/src/savoryrudder/daemon/loop.py
@@ -0,0 +1,89 @@
+"""Feed a reducer with events and carry out its effects."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+import anyio
+
+from savoryrudder.daemon.logs import log_change
+from savoryrudder.utils import effects
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savoryrudder.daemon.metrics import Counters
+    from savoryrudder.protocol.messages import Message
+
+EventT = TypeVar('EventT')
+EffectT = TypeVar('EffectT')
+
+
+class ReducerLoop(ABC, Generic[EventT, EffectT]):
+    """Reduce one event at a time, in order."""
+
+    def __init__(self, counters: Counters) -> None:
+        """Start without events."""
+        self.counters = counters
+        self.stopped = anyio.Event()
+        self._events: deque[EventT] = deque()
+        self._reducing = False
+
+    @property
+    @abstractmethod
+    def ready(self) -> bool:
+        """Tell whether the daemon can take work."""
+
+    def handle(self, event: EventT) -> None:
+        """Reduce an event now, or after the one being reduced."""
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            self._reduce_all()
+        finally:
+            self._reducing = False
+
+    @abstractmethod
+    def _reduce(self, event: EventT) -> Sequence[EffectT]:
+        """Apply one event to the state."""
+
+    @abstractmethod
+    def _carry_out_own(self, effect: EffectT) -> None:
+        """Carry out an effect that only this role has."""
+
+    @abstractmethod
+    def _send(self, peer: str, message: Message) -> None:
+        """Send a message to a peer, if it has an open session."""
+
+    @abstractmethod
+    def _close(self, peer: str, reason: str) -> None:
+        """End the session with a peer, if it has one."""
+
+    def _reduce_all(self) -> None:
+        while self._events:
+            for effect in self._reduce(self._events.popleft()):
+                self._carry_out(effect)
+
+    def _carry_out(self, effect: EffectT) -> None:
+        match effect:
+            case effects.Send():
+                self._send(effect.peer, effect.message)
+            case effects.Count():
+                self.counters.count(effect.name, effect.amount)
+            case effects.Observe():
+                self.counters.observe(effect.name, effect.seconds)
+            case effects.StateChanged():
+                log_change(effect.name, effect.fields)
+            case effects.CloseLink():
+                self._close(effect.peer, effect.reason)
+            case effects.Exit():
+                self.stopped.set()
+            case _:
+                self._carry_out_own(effect)
--- a/src/savoryrudder/daemon/main.py
+++ b/src/savoryrudder/daemon/main.py
@@ -15,7 +15,7 @@
 
 from savoryrudder.daemon.agent import run_agent
 from savoryrudder.daemon.entry import run_entry
-from savoryrudder.daemon.telemetry import log_to
+from savoryrudder.daemon.logs import log_to
 from savoryrudder.settings.loading import load_agent_settings
 from savoryrudder.settings.loading import load_entry_settings
 
--- a/src/savoryrudder/daemon/runtime.py
+++ b/src/savoryrudder/daemon/runtime.py
@@ -1,35 +1,25 @@
-"""Run a reducer: queue events, carry out effects and hold the links."""
+"""Run a reducer and hold its links to entries."""
 
 from __future__ import annotations
 
-from abc import ABC
 from abc import abstractmethod
-from collections import deque
 from typing import TYPE_CHECKING
-from typing import Generic
-from typing import TypeVar
-
-import anyio
 
 from savoryrudder.daemon.links import LinkDialler
-from savoryrudder.daemon.telemetry import log_change
-from savoryrudder.utils import effects
+from savoryrudder.daemon.loop import EffectT
+from savoryrudder.daemon.loop import EventT
+from savoryrudder.daemon.loop import ReducerLoop
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from anyio.abc import TaskGroup
 
     from savoryrudder.daemon.join import JoinRequest
-    from savoryrudder.daemon.telemetry import Counters
-    from savoryrudder.daemon.telemetry import Tracer
+    from savoryrudder.daemon.metrics import Counters
+    from savoryrudder.daemon.tracing import Tracer
     from savoryrudder.protocol.messages import Message
 
-EventT = TypeVar('EventT')
-EffectT = TypeVar('EffectT')
 
-
-class Runtime(ABC, Generic[EventT, EffectT]):
+class Runtime(ReducerLoop[EventT, EffectT]):
     """Feed the reducer and carry out its effects, one event at a time."""
 
     def __init__(
@@ -39,12 +29,9 @@
         tracer: Tracer,
     ) -> None:
         """Create a runtime that dials with the given join request."""
-        self.counters = counters
+        super().__init__(counters)
         self.tracer = tracer
-        self.stopped = anyio.Event()
         self._join_request = join_request
-        self._events: deque[EventT] = deque()
-        self._reducing = False
         self._diallers: dict[str, LinkDialler] = {}
 
     @property
@@ -52,11 +39,6 @@
     def revision(self) -> int:
         """Return the configuration revision that frames carry."""
 
-    @property
-    @abstractmethod
-    def ready(self) -> bool:
-        """Tell whether the daemon can take work."""
-
     @property
     def linked(self) -> list[str]:
         """Return the dialled join addresses that have an open session."""
@@ -103,50 +85,9 @@
         if dialler is not None:
             dialler.stop()
 
-    def handle(self, event: EventT) -> None:
-        """Reduce an event now, or after the one being reduced."""
-        self._events.append(event)
-        if self._reducing:
-            return
-        self._reducing = True
-        try:
-            self._reduce_all()
-        finally:
-            self._reducing = False
-
-    @abstractmethod
-    def _reduce(self, event: EventT) -> Sequence[EffectT]:
-        """Apply one event to the state."""
-
-    @abstractmethod
-    def _carry_out_own(self, effect: EffectT) -> None:
-        """Carry out an effect that only this role has."""
-
     def _attach(self, group: TaskGroup) -> None:
         self._group = group
 
-    def _reduce_all(self) -> None:
-        while self._events:
-            for effect in self._reduce(self._events.popleft()):
-                self._carry_out(effect)
-
-    def _carry_out(self, effect: EffectT) -> None:
-        match effect:
-            case effects.Send():
-                self._send(effect.peer, effect.message)
-            case effects.Count():
-                self.counters.count(effect.name, effect.amount)
-            case effects.Observe():
-                self.counters.observe(effect.name, effect.seconds)
-            case effects.StateChanged():
-                log_change(effect.name, effect.fields)
-            case effects.CloseLink():
-                self._close(effect.peer, effect.reason)
-            case effects.Exit():
-                self.stopped.set()
-            case _:
-                self._carry_out_own(effect)
-
     def _send(self, peer: str, message: Message) -> None:
         if not any(
             dialler.send(peer, message) for dialler in self._diallers.values()
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -23,8 +23,6 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from savoryrudder.daemon.sockets import PairSocket
-
 _MAX_MESSAGE_BYTES: Final = 48 * 1024 * 1024
 
 
@@ -62,6 +60,28 @@
         """A session that was up has ended; nothing more arrives on it."""
 
 
+class FrameSocket(Protocol):
+    """Send and receive whole frames on one connection."""
+
+    async def receive(self) -> bytes:
+        """Return the next frame."""
+
+    def send_now(self, content: bytes) -> bool:
+        """Send a frame if there is room for it."""
+
+    async def send(self, content: bytes) -> None:
+        """Send a frame as soon as there is room for it."""
+
+    async def wait_attached(self) -> None:
+        """Wait until the connection is open."""
+
+    async def wait_removed(self) -> None:
+        """Wait until the connection is gone."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 class SessionName(NamedTuple):
     """Name a session and the peer at its other end."""
 
@@ -118,7 +138,7 @@
 
     def __init__(
         self,
-        socket: PairSocket,
+        socket: FrameSocket,
         name: SessionName,
         events: LinkEvents,
         revision: Callable[[], int],
--- a/src/savoryrudder/daemon/signals.py
+++ b/src/savoryrudder/daemon/signals.py
@@ -11,8 +11,20 @@
     from collections.abc import Callable
 
 
-async def watch_signals(on_stop: Callable[[], None]) -> None:
-    """Call `on_stop` on SIGTERM and SIGINT until cancelled."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            on_stop()
+async def watch_signals(
+    on_stop: Callable[[], None],
+    on_reload: Callable[[], None] | None = None,
+) -> None:
+    """Call `on_stop` on SIGTERM and SIGINT, `on_reload` on SIGHUP.
+
+    Without `on_reload`, SIGHUP ends the process, as it does by default.
+    """
+    watched = [signal.SIGTERM, signal.SIGINT]
+    if on_reload is not None:
+        watched.append(signal.SIGHUP)
+    with anyio.open_signal_receiver(*watched) as received:
+        async for number in received:
+            if number == signal.SIGHUP and on_reload is not None:
+                on_reload()
+            else:
+                on_stop()
--- a/src/savoryrudder/daemon/sockets.py
+++ b/src/savoryrudder/daemon/sockets.py
@@ -87,11 +87,11 @@
 
 
 class PairSocket(MessageSocket):
-    """Send and receive on a Pair0 socket bound to its first connection."""
+    """Send and receive on a pair socket bound to its first connection."""
 
-    def __init__(self) -> None:
-        """Open a socket that is not connected yet."""
-        super().__init__(pynng.Pair0())
+    def __init__(self, socket: Any = None) -> None:
+        """Open a socket that is not connected yet, by default a Pair0."""
+        super().__init__(pynng.Pair0() if socket is None else socket)
         self._attached = anyio.Event()
         self._removed = anyio.Event()
         self._taken = False
--- /dev/null
+++ b/src/savoryrudder/daemon/worker.py
@@ -0,0 +1,184 @@
+"""Run an agent beside an executor: links to entries and executor calls."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import Protocol
+
+import anyio
+
+from savoryrudder.daemon.hub import DialledLinks
+from savoryrudder.daemon.loop import ReducerLoop
+from savoryrudder.protocol.messages import Heartbeat
+from savoryrudder.worker import effects
+from savoryrudder.worker import events
+from savoryrudder.worker.reducer import reduce
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from anyio.abc import TaskGroup
+
+    from savoryrudder.daemon.metrics import Counters
+    from savoryrudder.protocol.messages import Message
+    from savoryrudder.worker.state import WorkerState
+
+_TICK_S: Final = 0.05
+_SHORTEST_TICK_S: Final = 0.005
+# A process that did not run for this long drops the messages that wait.
+_STALL_S: Final = 0.5
+
+
+class ExecutorCalls(Protocol):
+    """Call the executor; each call is sent once and ends in bounded time."""
+
+    async def start(self, call: effects.CallStart) -> tuple[str, int]:
+        """Return the verdict and the executor's clock (ms, 0: unknown)."""
+
+    async def stop(self, call: effects.CallStop) -> bool:
+        """Return whether the executor confirmed the stop."""
+
+    async def renew(
+        self,
+        call: effects.CallRenew,
+        sent_at: float,
+    ) -> events.LeaseAnswered | events.LeaseUnanswered:
+        """Return the executor's runs and ends."""
+
+
+class Worker(ReducerLoop[events.WorkerEvent, effects.WorkerEffect]):
+    """Feed the reducer of an agent and carry out its effects."""
+
+    def __init__(
+        self,
+        state: WorkerState,
+        executor: ExecutorCalls,
+        counters: Counters,
+    ) -> None:
+        """Create a worker; `run` serves its links."""
+        super().__init__(counters)
+        self.state = state
+        self._executor = executor
+        self._entries = DialledLinks(self, _no_revision)
+        self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the executor takes tasks."""
+        return self.state.accepting
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve links and ticks until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group: TaskGroup = group
+            task_status.started()
+            while True:
+                self._notice_stall()
+                self.handle(events.Tick(anyio.current_time()))
+                await anyio.sleep(self._pause_s())
+
+    def follow_entries(self, addresses: Iterable[str]) -> None:
+        """Dial these entries, and no others that are not linked."""
+        self._entries.follow(self._group, addresses)
+
+    def drain(self, timeout_s: float) -> None:
+        """Begin a planned stop."""
+        self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
+
+    def on_up(self, peer: str, session: str) -> None:
+        """Report a new session."""
+        self.handle(events.LinkUp(anyio.current_time(), session))
+
+    def on_down(self, peer: str, session: str, reason: str) -> None:
+        """Report the end of a session."""
+        self.handle(events.LinkDown(anyio.current_time(), session, reason))
+
+    def on_frame(
+        self,
+        peer: str,
+        session: str,
+        revision: int,
+        messages: tuple[Message, ...],
+    ) -> None:
+        """Report the messages of a frame, unless they may be stale."""
+        if self._notice_stall():
+            return
+        now = anyio.current_time()
+        for message in messages:
+            if not isinstance(message, Heartbeat):
+                self.handle(events.MessageReceived(now, session, message))
+
+    def _pause_s(self) -> float:
+        due_s = self.state.lease.renew_at - anyio.current_time()
+        if 0 < due_s < _TICK_S:
+            return max(due_s, _SHORTEST_TICK_S)
+        return _TICK_S
+
+    def _notice_stall(self) -> bool:
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        stall_s = now - self._ran_at
+        self._ran_at = now
+        if stall_s < _STALL_S:
+            return False
+        self.handle(events.Stalled(anyio.current_time(), stall_s))
+        return True
+
+    def _reduce(
+        self,
+        event: events.WorkerEvent,
+    ) -> Sequence[effects.WorkerEffect]:
+        return reduce(self.state, event)
+
+    def _carry_out_own(self, effect: effects.WorkerEffect) -> None:
+        match effect:
+            case effects.CallStart():
+                self._group.start_soon(self._start, effect)
+            case effects.CallStop():
+                self._group.start_soon(self._stop, effect)
+            case effects.CallRenew():
+                self._group.start_soon(self._renew, effect)
+
+    async def _start(self, call: effects.CallStart) -> None:
+        verdict, clock_ms = await self._executor.start(call)
+        self.handle(
+            events.StartAnswered(
+                anyio.current_time(),
+                call.task,
+                call.run,
+                verdict,
+                clock_ms,
+            ),
+        )
+
+    async def _stop(self, call: effects.CallStop) -> None:
+        confirmed = await self._executor.stop(call)
+        self.handle(
+            events.StopAnswered(
+                anyio.current_time(),
+                call.task,
+                call.run,
+                confirmed,
+            ),
+        )
+
+    async def _renew(self, call: effects.CallRenew) -> None:
+        self.handle(await self._executor.renew(call, anyio.current_time()))
+
+    def _send(self, peer: str, message: Message) -> None:
+        if not self._entries.send(peer, message):
+            self.counters.count('messages_without_link')
+
+    def _close(self, peer: str, reason: str) -> None:
+        self._entries.close(peer, reason)
+
+
+def _no_revision() -> int:
+    # Agents hold no configuration.
+    return 0
--- /dev/null
+++ b/src/savoryrudder/dispatch/effects.py
@@ -0,0 +1,27 @@
+"""Define the effects of an entry beyond those of every role."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TypeAlias
+
+from savoryrudder.dispatch.answers import Answer
+from savoryrudder.dispatch.answers import QueueLength
+from savoryrudder.utils.effects import CloseLink
+from savoryrudder.utils.effects import Count
+from savoryrudder.utils.effects import Exit
+from savoryrudder.utils.effects import Observe
+from savoryrudder.utils.effects import Send
+from savoryrudder.utils.effects import StateChanged
+
+
+class Reply(NamedTuple):
+    """Answer a caller's request."""
+
+    request: int
+    answer: Answer | QueueLength
+
+
+DispatchEffect: TypeAlias = (
+    Send | CloseLink | Count | Observe | StateChanged | Exit | Reply
+)
--- /dev/null
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -0,0 +1,254 @@
+"""Follow agents, the room of their executors, and the tasks sent there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import health
+from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch.claims import send_hello
+from savoryrudder.dispatch.state import AgentView
+from savoryrudder.dispatch.state import TaskState
+from savoryrudder.protocol import work
+from savoryrudder.worker import outcomes
+from savoryrudder.worker import verdicts
+
+if TYPE_CHECKING:
+    from savoryrudder.dispatch.placement import Placement
+    from savoryrudder.dispatch.state import DispatchState
+    from savoryrudder.dispatch.state import Job
+    from savoryrudder.dispatch.state import Task
+    from savoryrudder.dispatch.turn import Turn
+
+# A run number above those of earlier runs of the task at the executor.
+_RUN_STEP: Final = 8
+
+
+def send_task(state: DispatchState, turn: Turn, placed: Placement) -> None:
+    """Send a placed task to its agent."""
+    job, task, link = placed
+    agent = state.agents[link]
+    progress = job.steps[task.step]
+    progress.waiting.remove(task)
+    task.state = TaskState.placed
+    task.agent = agent.agent
+    task.run += 1
+    job.out += 1
+    if job.started_at is None:
+        job.started_at = turn.now
+        turn.observe('job_wait', turn.now - job.arrived_at)
+    if not job.has_waiting:
+        jobs.dequeue(state, job)
+    agent.starts_sent += 1
+    agent.in_flight += 1
+    need = progress.step.need
+    agent.pending[agent.starts_sent] = (task.name, need)
+    agent.free = agent.free.minus(need)
+    turn.send(
+        link,
+        work.StartTask(
+            agent.starts_sent,
+            task.name,
+            task.run,
+            job.request.spec,
+            need,
+            progress.step.estimate_ms,
+            durable=False,
+        ),
+    )
+
+
+def greet(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    hello: work.AgentHello,
+) -> None:
+    """Take in an agent that has linked."""
+    for other, view in tuple(state.agents.items()):
+        if view.agent == hello.agent:
+            lose(state, turn, other, 'replaced by a new link')
+    state.links.pop(link, None)
+    state.agents[link] = AgentView(
+        hello.agent,
+        hello.incarnation,
+        hello.zone,
+    )
+    turn.log('agent-linked', agent=hello.agent, link=link)
+    send_hello(state, turn, link)
+
+
+def lose(state: DispatchState, turn: Turn, link: str, reason: str) -> None:
+    """Note the loss of a link; tasks there may go on for a while."""
+    state.links.pop(link, None)
+    agent = state.agents.pop(link, None)
+    if agent is None:
+        return
+    tasks = [
+        task
+        for _, task in _tasks_at(state, agent.agent)
+        if task.state is TaskState.placed
+    ]
+    for task in tasks:
+        task.state = TaskState.unsettled
+        task.settled_at = turn.now + state.timing.settle_s
+    turn.log(
+        'agent-lost',
+        agent=agent.agent,
+        reason=reason,
+        tasks=len(tasks),
+    )
+
+
+def take_list(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    message: work.RunningTasks,
+) -> None:
+    """Match our tasks with those that an agent lists."""
+    agent = state.agents[link]
+    listed = dict(message.tasks)
+    for job, task in _tasks_at(state, agent.agent):
+        if task.state is not TaskState.unsettled:
+            continue
+        if listed.get(task.name) == task.run:
+            task.state = TaskState.placed
+            if job.ended:
+                turn.send(link, work.StopTask(task.name, task.run))
+    agent.listed = True
+
+
+def take_report(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    report: work.ExecutorReport,
+) -> None:
+    """Take the report of an executor and its free room."""
+    agent = state.agents[link]
+    agent.report = report
+    for number in tuple(agent.pending):
+        if number <= report.starts_seen:
+            agent.pending.pop(number)
+    _recount(agent)
+    if report.accepting:
+        # Every run that the agent did not list is gone by now.
+        _settle(state, turn, agent.agent)
+
+
+def take_end(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    ended: work.TaskEnded,
+) -> None:
+    """Take the end of a run."""
+    agent = state.agents[link]
+    if ended.outcome == outcomes.NOT_STARTED:
+        _return_room(agent, ended.task)
+    turn.confirm(link, ended)
+    agent.in_flight = max(agent.in_flight - 1, 0)
+    job = state.jobs.get(ended.task.partition('.')[0])
+    task = job.tasks.get(ended.task) if job else None
+    if job is None or task is None or task.run != ended.run:
+        return
+    if task.state not in {TaskState.placed, TaskState.unsettled}:
+        return
+    health.note_end(turn, agent, job, task, ended)
+    if ended.outcome == outcomes.DONE:
+        _complete(state, turn, job, task)
+    elif ended.outcome == outcomes.FAILED:
+        _fail(state, turn, job, task)
+    else:
+        if ended.reason == verdicts.OUTDATED:
+            task.run += _RUN_STEP
+        if ended.outcome == outcomes.LOST:
+            task.avoided = {agent.agent}
+        _requeue(state, job, task)
+    jobs.forget_if_settled(state, job)
+
+
+def settle_overdue(state: DispatchState, turn: Turn) -> None:
+    """Requeue tasks whose runs on lost agents have surely ended."""
+    for job in tuple(state.jobs.values()):
+        if not job.out:
+            continue
+        for task in job.tasks.values():
+            is_unsettled = task.state is TaskState.unsettled
+            if is_unsettled and task.settled_at <= turn.now:
+                turn.log('task-settled', task=task.name, agent=task.agent)
+                _requeue(state, job, task)
+        jobs.forget_if_settled(state, job)
+
+
+def _settle(state: DispatchState, turn: Turn, agent: str) -> None:
+    for job, task in _tasks_at(state, agent):
+        if task.state is TaskState.unsettled:
+            turn.log('task-settled', task=task.name, agent=agent)
+            _requeue(state, job, task)
+            jobs.forget_if_settled(state, job)
+
+
+def _tasks_at(state: DispatchState, agent: str) -> list[tuple[Job, Task]]:
+    return [
+        (job, task)
+        for job in state.jobs.values()
+        if job.out
+        for task in job.tasks.values()
+        if task.agent == agent
+    ]
+
+
+def _complete(state: DispatchState, turn: Turn, job: Job, task: Task) -> None:
+    task.state = TaskState.done
+    task.agent = ''
+    job.out -= 1
+    progress = job.steps[task.step]
+    progress.remaining -= 1
+    if job.ended:
+        return
+    if any(step.remaining for step in job.steps):
+        if progress.remaining == 0:
+            jobs.unlock_steps(job)
+            jobs.enqueue(state, job)
+        return
+    jobs.answer(state, turn, job, answers.Answer(answers.COMPLETED))
+
+
+def _fail(state: DispatchState, turn: Turn, job: Job, task: Task) -> None:
+    task.failures += 1
+    task.avoided = task.avoided | {task.agent}
+    _requeue(state, job, task)
+    if task.failures >= job.queue.attempts and not job.ended:
+        found = answers.Answer(
+            answers.FAILED,
+            f'a task failed {task.failures} times',
+        )
+        jobs.answer(state, turn, job, found)
+
+
+def _requeue(state: DispatchState, job: Job, task: Task) -> None:
+    task.state = TaskState.waiting
+    task.agent = ''
+    job.out -= 1
+    job.steps[task.step].waiting.append(task)
+    if not job.ended:
+        jobs.enqueue(state, job)
+
+
+def _return_room(agent: AgentView, task: str) -> None:
+    for number, (name, _) in tuple(agent.pending.items()):
+        if name == task:
+            agent.pending.pop(number)
+    _recount(agent)
+
+
+def _recount(agent: AgentView) -> None:
+    if agent.report is None:
+        return
+    agent.free = agent.report.free
+    for _, need in agent.pending.values():
+        agent.free = agent.free.minus(need)
--- /dev/null
+++ b/src/savoryrudder/dispatch/placement.py
@@ -0,0 +1,159 @@
+"""Choose executors for waiting tasks.
+
+Jobs go in the order in which they have to start to meet their objectives.
+When the first waiting task finds no room, the executor with the most free
+room is kept for it, so that a stream of smaller tasks does not starve it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import NamedTuple
+
+from savoryrudder.dispatch.health import is_avoided
+from savoryrudder.dispatch.health import slowness_of
+from savoryrudder.dispatch.room import may_run
+from savoryrudder.dispatch.room import may_start
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from savoryrudder.dispatch.state import AgentView
+    from savoryrudder.dispatch.state import DispatchState
+    from savoryrudder.dispatch.state import Job
+    from savoryrudder.dispatch.state import StepProgress
+    from savoryrudder.dispatch.state import Task
+
+# How many jobs behind the first one that waits may overtake it.
+_OVERTAKING_JOBS: Final = 24
+# Weighs a way to another zone against the duration of a task.
+_OTHER_ZONE_MS: Final = 6
+_FAR_FACTOR: Final = 1.5
+# Puts an executor that had trouble with a task behind all others.
+_AVOIDED_PENALTY_MS: Final = 100_000
+
+
+class Placement(NamedTuple):
+    """Send a task to the agent at a link."""
+
+    job: Job
+    task: Task
+    link: str
+
+
+def place(state: DispatchState, now: float) -> Iterator[Placement]:
+    """Yield placements; the caller applies each before taking the next."""
+    reserved: set[str] = set()
+    blocked = 0
+    for _, _, name in tuple(state.waiting):
+        job = state.jobs[name]
+        for progress in job.steps:
+            if progress.unlocked:
+                yield from _place_step(state, job, progress, reserved, now)
+        if job.has_waiting:
+            blocked += 1
+            if blocked > _OVERTAKING_JOBS:
+                return
+
+
+def _place_step(
+    state: DispatchState,
+    job: Job,
+    progress: StepProgress,
+    reserved: set[str],
+    now: float,
+) -> Iterator[Placement]:
+    while progress.waiting:
+        task = progress.waiting[-1]
+        link = _choose(state, job, progress, task, reserved, now)
+        if not link:
+            if not reserved:
+                reserved.update(_roomiest(state, job, progress))
+            return
+        yield Placement(job, task, link)
+
+
+def _choose(
+    state: DispatchState,
+    job: Job,
+    progress: StepProgress,
+    task: Task,
+    reserved: set[str],
+    now: float,
+) -> str:
+    best = ''
+    best_cost = (float('inf'), 0)
+    for link, agent in _fitting(state.agents, job, progress):
+        if link in reserved:
+            continue
+        if is_avoided(agent, now):
+            continue
+        penalty_ms = _AVOIDED_PENALTY_MS * (agent.agent in task.avoided)
+        cost = (
+            penalty_ms + _cost_ms(state, progress, agent, now),
+            -agent.free.cpu,
+        )
+        if cost < best_cost:
+            best = link
+            best_cost = cost
+    return best
+
+
+def _cost_ms(
+    state: DispatchState,
+    progress: StepProgress,
+    agent: AgentView,
+    now: float,
+) -> float:
+    step = progress.step
+    slowness = max(agent.usual_slowness, slowness_of(agent, now))
+    cost = step.estimate_ms * slowness
+    report = agent.report
+    if step.data_rack and report and step.data_rack not in report.labels:
+        cost *= _FAR_FACTOR
+    if agent.zone != state.identity.zone:
+        cost += _OTHER_ZONE_MS
+    return cost
+
+
+def _fitting(
+    agents: Mapping[str, AgentView],
+    job: Job,
+    progress: StepProgress,
+) -> Iterator[tuple[str, AgentView]]:
+    step = progress.step
+    for link, agent in agents.items():
+        if not may_start(agent, job.queue.service, step):
+            continue
+        if step.max_per_executor and _is_full(job, progress, agent):
+            continue
+        yield link, agent
+
+
+def _is_full(job: Job, progress: StepProgress, agent: AgentView) -> bool:
+    index = job.steps.index(progress)
+    there = sum(
+        1
+        for task in job.tasks.values()
+        if task.step == index and task.agent == agent.agent
+    )
+    return there >= progress.step.max_per_executor
+
+
+def _roomiest(
+    state: DispatchState,
+    job: Job,
+    progress: StepProgress,
+) -> Iterable[str]:
+    step = progress.step
+    suitable = [
+        (agent.free.cpu, link)
+        for link, agent in state.agents.items()
+        if may_run(agent, job.queue.service, step)
+        and agent.report
+        and agent.report.capacity.holds(step.need)
+    ]
+    return [max(suitable)[1]] if suitable else []
--- /dev/null
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -0,0 +1,361 @@
+"""Turn the events of an entry into effects."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+from typing import TypeAlias
+
+from savoryrudder.dispatch import admission
+from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import claims
+from savoryrudder.dispatch import events
+from savoryrudder.dispatch import fleet
+from savoryrudder.dispatch import health
+from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch.placement import place
+from savoryrudder.dispatch.turn import Turn
+from savoryrudder.protocol import work
+from savoryrudder.utils.effects import Exit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from savoryrudder.dispatch.effects import DispatchEffect
+    from savoryrudder.dispatch.state import DispatchState
+    from savoryrudder.dispatch.state import Job
+    from savoryrudder.jobs.model import Queue
+
+_Handlers: TypeAlias = 'Mapping[type[Any], Callable[..., None]]'
+
+_RETRY_SOON_S: Final = 1
+
+
+def reduce(
+    state: DispatchState,
+    event: events.DispatchEvent,
+) -> list[DispatchEffect]:
+    """Apply an event to the state in place and return its effects."""
+    turn = Turn(event.now)
+    _EVENT_HANDLERS[type(event)](state, turn, event)
+    for placed in place(state, turn.now):
+        fleet.send_task(state, turn, placed)
+    claims.announce(state, turn)
+    _exit_when_done(state, turn)
+    return turn.effects
+
+
+def _handle_configuration(
+    state: DispatchState,
+    turn: Turn,
+    event: events.ConfigurationRead,
+) -> None:
+    configuration = event.configuration
+    if configuration.version <= state.configuration.version:
+        return
+    turn.log(
+        'configuration',
+        version=configuration.version,
+        former=state.configuration.version,
+        queues=len(configuration.queues),
+    )
+    state.configuration = configuration
+
+
+def _handle_job_submitted(
+    state: DispatchState,
+    turn: Turn,
+    event: events.JobSubmitted,
+) -> None:
+    found = _early_answer(state, event)
+    if found is not None:
+        turn.count(f'jobs_{found.verdict}')
+        turn.log(
+            'job-refused',
+            job=event.job.job,
+            verdict=found.verdict,
+            reason=found.reason,
+            version=state.configuration.version,
+        )
+        turn.reply(event.request, found)
+        return
+    is_known = event.job.job in state.jobs
+    if not is_known and claims.contest(state, turn, event):
+        return
+    job = state.jobs.get(event.job.job) or _accept(state, turn, event)
+    if job.ended:
+        _revive(state, turn, job, event)
+    job.callers.add(event.request)
+    state.callers[event.request] = event.job.job
+
+
+def _early_answer(
+    state: DispatchState,
+    event: events.JobSubmitted,
+) -> answers.Answer | None:
+    if state.configuration.version < 0:
+        return answers.Answer(
+            answers.UNAVAILABLE,
+            'no configuration yet',
+            _RETRY_SOON_S,
+        )
+    queue = state.configuration.find_queue(event.host, event.path)
+    if queue is None:
+        return answers.Answer(answers.UNKNOWN_QUEUE)
+    if event.unsupported:
+        return answers.Answer(answers.UNSUPPORTED, event.unsupported)
+    known = state.jobs.get(event.job.job)
+    if known is not None:
+        is_same = known.request == event.job
+        return None if is_same else answers.Answer(answers.CONFLICT)
+    earlier = state.answered.get(event.job.job)
+    if earlier is not None:
+        return earlier[1]
+    return admission.refusal_of(state, queue, event.job, event.now)
+
+
+def _accept(
+    state: DispatchState,
+    turn: Turn,
+    event: events.JobSubmitted,
+) -> Job:
+    queue = _queue_of(state, event.host, event.path)
+    job = jobs.create(state, event, queue)
+    turn.count('jobs_accepted')
+    turn.log(
+        'job-accepted',
+        job=event.job.job,
+        queue=queue.name,
+        tasks=len(job.tasks),
+        version=state.configuration.version,
+        queued=len(state.waiting),
+    )
+    return job
+
+
+def _queue_of(state: DispatchState, host: str, path: str) -> Queue:
+    queue = state.configuration.find_queue(host, path)
+    if queue is None:
+        raise LookupError(f'no queue at {host}{path}')
+    return queue
+
+
+def _revive(
+    state: DispatchState,
+    turn: Turn,
+    job: Job,
+    event: events.JobSubmitted,
+) -> None:
+    # Its caller had left; the runs that were stopped start again as they end.
+    jobs.dequeue(state, job)
+    job.latest_start += event.now - job.arrived_at
+    job.arrived_at = event.now
+    job.started_at = None
+    job.ended = False
+    jobs.enqueue(state, job)
+    turn.log('job-revived', job=event.job.job, unsettled=job.out)
+
+
+def _handle_job_asked(
+    state: DispatchState,
+    turn: Turn,
+    event: events.JobAsked,
+) -> None:
+    found = _locate(state, event.host, event.path)
+    if isinstance(found, answers.Answer):
+        turn.reply(event.request, found)
+        return
+    queue, name = found
+    if not name:
+        waiting = sum(
+            1
+            for job in state.jobs.values()
+            if job.queue.name == queue.name and job.started_at is None
+        )
+        turn.reply(event.request, answers.QueueLength(waiting))
+        return
+    turn.reply(event.request, _state_of(state, name))
+
+
+def _handle_job_cancelled(
+    state: DispatchState,
+    turn: Turn,
+    event: events.JobCancelled,
+) -> None:
+    found = _locate(state, event.host, event.path)
+    if isinstance(found, answers.Answer):
+        turn.reply(event.request, found)
+        return
+    _, name = found
+    job = state.jobs.get(name)
+    if job is None or job.ended:
+        turn.reply(event.request, answers.Answer(answers.UNKNOWN_JOB))
+        return
+    jobs.answer(state, turn, job, answers.Answer(answers.CANCELLED))
+    turn.reply(event.request, answers.Answer(answers.CANCELLED))
+
+
+def _locate(
+    state: DispatchState,
+    host: str,
+    path: str,
+) -> tuple[Queue, str] | answers.Answer:
+    if state.configuration.version < 0:
+        return answers.Answer(
+            answers.UNAVAILABLE,
+            'no configuration yet',
+            _RETRY_SOON_S,
+        )
+    queue = state.configuration.find_queue(host, path)
+    if queue is None:
+        return answers.Answer(answers.UNKNOWN_QUEUE)
+    return queue, path[len(queue.prefix) :]
+
+
+def _state_of(state: DispatchState, name: str) -> answers.Answer:
+    job = state.jobs.get(name)
+    if job is None or job.ended:
+        earlier = state.answered.get(name)
+        return earlier[1] if earlier else answers.Answer(answers.UNKNOWN_JOB)
+    is_running = job.started_at is not None
+    return answers.Answer(answers.RUNNING if is_running else answers.PENDING)
+
+
+def _handle_caller_gone(
+    state: DispatchState,
+    turn: Turn,
+    event: events.CallerGone,
+) -> None:
+    name = state.callers.pop(event.request, '')
+    job = state.jobs.get(name)
+    if job is None:
+        claims.withdraw(state, event.request)
+        return
+    job.callers.discard(event.request)
+    if job.callers or job.ended:
+        return
+    job.ended = True
+    jobs.dequeue(state, job)
+    turn.count('jobs_abandoned')
+    turn.log('job-abandoned', job=name, unsettled=job.out)
+    jobs.stop_runs(state, turn, job)
+    jobs.forget_if_settled(state, job)
+
+
+def _handle_link_up(
+    state: DispatchState,
+    turn: Turn,
+    event: events.LinkUp,
+) -> None:
+    state.links[event.link] = event.dialled
+    if event.dialled:
+        claims.send_hello(state, turn, event.link)
+
+
+def _handle_link_down(
+    state: DispatchState,
+    turn: Turn,
+    event: events.LinkDown,
+) -> None:
+    fleet.lose(state, turn, event.link, event.reason)
+    claims.lose_peer(state, turn, event.link)
+
+
+def _handle_message(
+    state: DispatchState,
+    turn: Turn,
+    event: events.MessageReceived,
+) -> None:
+    if event.link in state.agents:
+        _handle_agent_message(state, turn, event)
+    elif event.link in state.peers:
+        for submission in claims.take_message(
+            state,
+            turn,
+            event.link,
+            event.message,
+        ):
+            _handle_job_submitted(state, turn, submission)
+    elif event.link in state.links:
+        _handle_hello(state, turn, event)
+    else:
+        turn.count('wasted_messages')
+
+
+def _handle_hello(
+    state: DispatchState,
+    turn: Turn,
+    event: events.MessageReceived,
+) -> None:
+    match event.message:
+        case work.AgentHello():
+            fleet.greet(state, turn, event.link, event.message)
+        case work.EntryHello():
+            claims.greet_peer(state, turn, event.link, event.message)
+
+
+def _handle_agent_message(
+    state: DispatchState,
+    turn: Turn,
+    event: events.MessageReceived,
+) -> None:
+    match event.message:
+        case work.ExecutorReport():
+            fleet.take_report(state, turn, event.link, event.message)
+        case work.RunningTasks():
+            fleet.take_list(state, turn, event.link, event.message)
+        case work.TaskEnded():
+            fleet.take_end(state, turn, event.link, event.message)
+        case work.SlowRun():
+            health.take_slow_run(state, turn, event.link, event.message)
+
+
+def _handle_tick(
+    state: DispatchState,
+    turn: Turn,
+    event: events.Tick,
+) -> None:
+    fleet.settle_overdue(state, turn)
+    jobs.refuse_overdue(state, turn)
+    for submission in claims.settled_submissions(state, turn.now):
+        _handle_job_submitted(state, turn, submission)
+    jobs.forget_answers(state, turn.now)
+
+
+def _handle_drain(
+    state: DispatchState,
+    turn: Turn,
+    event: events.DrainRequested,
+) -> None:
+    if not state.leaving:
+        turn.log('draining', jobs=len(state.jobs))
+        state.leaving = True
+        state.exit_at = turn.now + event.timeout_s
+
+
+def _exit_when_done(state: DispatchState, turn: Turn) -> None:
+    if not state.leaving or state.exited or turn.now < state.exit_at:
+        return
+    if state.callers:
+        turn.log('stop-timeout', callers=len(state.callers))
+    state.exited = True
+    turn.effects.append(Exit())
+
+
+_EVENT_HANDLERS: Final[_Handlers] = MappingProxyType(
+    {
+        events.ConfigurationRead: _handle_configuration,
+        events.JobSubmitted: _handle_job_submitted,
+        events.JobAsked: _handle_job_asked,
+        events.JobCancelled: _handle_job_cancelled,
+        events.CallerGone: _handle_caller_gone,
+        events.LinkUp: _handle_link_up,
+        events.LinkDown: _handle_link_down,
+        events.MessageReceived: _handle_message,
+        events.Tick: _handle_tick,
+        events.DrainRequested: _handle_drain,
+    }
+)
--- /dev/null
+++ b/src/savoryrudder/platform/__init__.py
@@ -0,0 +1,6 @@
+"""Translate between the users' platform and the product.
+
+Nothing outside this package knows the names that the platform uses.
+"""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/savoryrudder/platform/executor.py
@@ -0,0 +1,192 @@
+"""Call the executor beside an agent."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+from typing import Final
+
+import anyio
+import msgspec
+
+from savoryrudder.platform.http_client import PlatformClient
+from savoryrudder.platform.http_client import Response
+from savoryrudder.platform.http_client import Unanswered
+from savoryrudder.utils.units import MS_PER_S
+from savoryrudder.worker import effects
+from savoryrudder.worker import events
+from savoryrudder.worker import outcomes
+from savoryrudder.worker import verdicts
+
+_TIMEOUT_S: Final = 0.3
+_JSON: Final = msgspec.json.Encoder()
+_VERDICT_BY_REASON: Final = MappingProxyType(
+    {
+        'fence': verdicts.FENCED,
+        'old': verdicts.OUTDATED,
+        'late': verdicts.REFUSED,
+        'room': verdicts.REFUSED,
+        'ticket': verdicts.REFUSED,
+    }
+)
+_OUTCOME_BY_END: Final = MappingProxyType(
+    {
+        'done': outcomes.DONE,
+        'failed': outcomes.FAILED,
+        'stopped': outcomes.STOPPED,
+        'lapsed': outcomes.LOST,
+        'broken': outcomes.LOST,
+        'alone': outcomes.LOST,
+    }
+)
+_REFUSING_STATUSES: Final = frozenset(
+    (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
+
+
+class _StartBody(msgspec.Struct):
+    clock_ms: int = 0
+    reason: str = ''
+
+
+class _ListsBody(msgspec.Struct):
+    clock_ms: int
+    # Rows of task, run, saved state, percent, load.
+    running: list[list[Any]] = msgspec.field(default_factory=list)
+    # Rows of number, task, run, how it ended, saved state.
+    ended: list[list[Any]] = msgspec.field(default_factory=list)
+
+
+_start_decoder: Final = msgspec.json.Decoder(_StartBody)
+_lists_decoder: Final = msgspec.json.Decoder(_ListsBody)
+
+
+class ExecutorClient:
+    """Call the executor at whatever address it has reported last."""
+
+    def __init__(self) -> None:
+        """Start without an address."""
+        self._client = PlatformClient('')
+
+    async def start(self, call: effects.CallStart) -> tuple[str, int]:
+        """Return the verdict and the executor's clock (ms, 0: unknown)."""
+        body = {
+            'task': call.task,
+            'run': call.run,
+            'spec': call.spec,
+            'deadline_ms': call.lease_until_ms,
+            'fence': call.fence,
+        }
+        answer = await self._send(
+            call.executor,
+            '/api/run-start',
+            body,
+            _TIMEOUT_S,
+        )
+        if isinstance(answer, Unanswered):
+            verdict = verdicts.UNKNOWN if answer.sent else verdicts.REFUSED
+            return verdict, 0
+        return _verdict_of(answer)
+
+    async def stop(self, call: effects.CallStop) -> bool:
+        """Return whether the executor confirmed the stop."""
+        body = {'task': call.task, 'run': call.run, 'fence': call.fence}
+        answer = await self._send(
+            call.executor,
+            '/api/run-stop',
+            body,
+            _TIMEOUT_S,
+        )
+        return isinstance(answer, Response) and answer.status == HTTPStatus.OK
+
+    async def renew(
+        self,
+        call: effects.CallRenew,
+        sent_at: float,
+    ) -> events.LeaseAnswered | events.LeaseUnanswered:
+        """Return the executor's runs and ends."""
+        body = {
+            'fence': call.fence,
+            'acked_upto': call.noted_upto,
+        }
+        if call.lease_until_ms:
+            body['deadline_ms'] = call.lease_until_ms
+        if call.wait_ms:
+            body['wait_ms'] = call.wait_ms
+        answer = await self._send(
+            call.executor,
+            '/api/hold',
+            body,
+            _TIMEOUT_S + call.wait_ms / MS_PER_S,
+        )
+        now = anyio.current_time()
+        if isinstance(answer, Unanswered):
+            return events.LeaseUnanswered(now, answer.reason)
+        if answer.status != HTTPStatus.OK:
+            reason = f'the executor answered {answer.status}'
+            return events.LeaseUnanswered(now, reason)
+        try:
+            return _lists_of(answer.content, now, sent_at)
+        except (msgspec.MsgspecError, ValueError, TypeError) as error:
+            return events.LeaseUnanswered(now, f'unusable answer: {error}')
+
+    async def _send(
+        self,
+        executor: effects.Executor,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
+    ) -> Response | Unanswered:
+        if self._client.address != executor.address:
+            self._client = PlatformClient(executor.address)
+        return await self._client.call(
+            'POST',
+            path,
+            _JSON.encode(body),
+            timeout_s,
+            ((b'expect-instance', executor.executor.encode()),),
+        )
+
+
+def _verdict_of(answer: Response) -> tuple[str, int]:
+    if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return verdicts.OTHER_LIFE, 0
+    if answer.status in _REFUSING_STATUSES:
+        return verdicts.REFUSED, 0
+    try:
+        body = _start_decoder.decode(answer.content)
+    except msgspec.MsgspecError:
+        return verdicts.UNKNOWN, 0
+    if answer.status == HTTPStatus.OK:
+        return verdicts.STARTED, body.clock_ms
+    if answer.status == HTTPStatus.CONFLICT:
+        verdict = _VERDICT_BY_REASON.get(body.reason, verdicts.REFUSED)
+        return verdict, body.clock_ms
+    return verdicts.UNKNOWN, 0
+
+
+def _lists_of(
+    content: bytes,
+    now: float,
+    sent_at: float,
+) -> events.LeaseAnswered:
+    body = _lists_decoder.decode(content)
+    running = tuple(
+        events.RunListed(str(row[0]), int(row[1]), int(row[3]))
+        for row in body.running
+    )
+    ended = tuple(
+        events.EndListed(
+            int(row[0]),
+            str(row[1]),
+            int(row[2]),
+            _OUTCOME_BY_END.get(row[3], outcomes.LOST),
+        )
+        for row in body.ended
+    )
+    return events.LeaseAnswered(now, sent_at, body.clock_ms, running, ended)
--- /dev/null
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -0,0 +1,149 @@
+"""Decode the jobs that callers submit and encode the answers to them."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import Final
+from typing import NamedTuple
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from savoryrudder.dispatch import answers
+from savoryrudder.jobs.model import JobRequest
+from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Step
+
+_MOST_TASKS: Final = 10_000
+# 410 says that no such job exists.
+_STATUS_BY_VERDICT: Final = MappingProxyType(
+    {
+        answers.UNKNOWN_QUEUE: 404,
+        answers.UNKNOWN_JOB: 410,
+        answers.OVERLOADED: 429,
+        answers.UNAVAILABLE: 503,
+        answers.UNSUPPORTED: 503,
+        answers.CONFLICT: 409,
+        answers.SUPERSEDED: 502,
+    }
+)
+_OK: Final = 200
+
+
+class _StepBody(msgspec.Struct):
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    after: list[int] = msgspec.field(default_factory=list)
+    required_label: str = ''
+    data_rack: str = ''
+    # The most tasks of the step on one executor, in spite of its name.
+    max_per_server: int = 0
+    gang: bool = False
+    long_running: bool = False
+    fills: bool = False
+
+
+class _JobBody(msgspec.Struct):
+    spec: str
+    steps: list[_StepBody]
+    # The job need not be stored; its answer comes when it has ended.
+    best_effort: bool = False
+    # How many times the steps run.
+    repeats: int = 0
+    long_running: bool = False
+
+
+class SubmittedJob(NamedTuple):
+    """Hold a decoded job and what it asks for that we do not offer."""
+
+    request: JobRequest
+    unsupported: str
+
+
+class EncodedAnswer(NamedTuple):
+    """Hold the parts of an HTTP response."""
+
+    status: int
+    body: bytes
+    retry_after_s: float
+
+
+_decoder: Final = msgspec.json.Decoder(_JobBody)
+
+
+def decode_job(name: str, content: bytes) -> Result[SubmittedJob, str]:
+    """Decode a submitted job, or say what is wrong with it."""
+    try:
+        body = _decoder.decode(content)
+    except msgspec.MsgspecError as error:
+        return Error(str(error))
+    fault = _fault_of(body)
+    if fault:
+        return Error(fault)
+    steps = tuple(_step_of(step) for step in body.steps)
+    request = JobRequest(name, body.spec, steps)
+    return Ok(SubmittedJob(request, _unsupported(body)))
+
+
+def encode_answer(
+    answer: answers.Answer | answers.QueueLength,
+) -> EncodedAnswer:
+    """Encode an answer for a caller."""
+    if isinstance(answer, answers.QueueLength):
+        waiting = msgspec.json.encode({'waiting': answer.waiting})
+        return EncodedAnswer(_OK, waiting, 0)
+    status = _STATUS_BY_VERDICT.get(answer.verdict, _OK)
+    content = (
+        {'state': answer.verdict}
+        if status == _OK
+        else {'error': answer.reason or answer.verdict}
+    )
+    return EncodedAnswer(
+        status,
+        msgspec.json.encode(content),
+        answer.retry_after_s,
+    )
+
+
+def _fault_of(body: _JobBody) -> str:
+    if not body.steps:
+        return 'steps: a job needs at least one step'
+    for index, step in enumerate(body.steps):
+        if not 1 <= step.count <= _MOST_TASKS:
+            return f'steps[{index}].count: must be 1 to {_MOST_TASKS}'
+        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
+            return f'steps[{index}]: amounts must not be negative'
+        if any(not 0 <= earlier < index for earlier in step.after):
+            return f'steps[{index}].after: must name earlier steps'
+    return ''
+
+
+def _step_of(body: _StepBody) -> Step:
+    return Step(
+        body.count,
+        Room(body.cpu, body.mem_mb, body.gpu),
+        body.estimate_ms,
+        tuple(body.after),
+        body.required_label,
+        body.data_rack,
+        body.max_per_server,
+    )
+
+
+def _unsupported(body: _JobBody) -> str:
+    if not body.best_effort:
+        return 'jobs that must be stored'
+    if body.repeats:
+        return 'jobs that repeat'
+    if body.long_running or any(step.long_running for step in body.steps):
+        return 'tasks without an end'
+    if any(step.gang for step in body.steps):
+        return 'gangs'
+    if any(step.fills for step in body.steps):
+        return 'tasks that fill unused capacity'
+    return ''
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -14,6 +14,7 @@
 from expression import Result
 
 from savoryrudder.protocol import messages
+from savoryrudder.protocol import work
 
 PROTOCOL_VERSION: Final = 1
 
@@ -45,6 +46,19 @@
         23: messages.FetchConfig,
         24: messages.Config,
         25: messages.HandOver,
+        26: work.EntryHello,
+        27: work.AgentHello,
+        28: work.ExecutorReport,
+        29: work.RunningTasks,
+        30: work.StartTask,
+        31: work.StopTask,
+        32: work.TaskEnded,
+        33: work.EndsNoted,
+        34: work.JobsClaimed,
+        35: work.JobsReleased,
+        36: work.RelinquishJob,
+        37: work.JobRelinquished,
+        38: work.SlowRun,
     }
 )
 _NUMBERS: Final = MappingProxyType(
@@ -88,6 +102,8 @@
         return _FIXED_BYTES + len(message.payload) + len(message.trace)
     if isinstance(message, messages.Finished):
         return _FIXED_BYTES + len(message.record.result)
+    if isinstance(message, work.StartTask):
+        return _FIXED_BYTES + len(message.spec)
     return len(_encoder.encode(message))
 
 
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 from typing import TypeAlias
 
+from savoryrudder.protocol import work
+
 # A submission identifier (16 bytes) and the task's position in its job.
 TaskKey: TypeAlias = tuple[bytes, int]
 
@@ -332,4 +334,17 @@
     | ForwardAnswer
     | FetchConfig
     | Config
+    | work.EntryHello
+    | work.JobsClaimed
+    | work.JobsReleased
+    | work.RelinquishJob
+    | work.JobRelinquished
+    | work.AgentHello
+    | work.ExecutorReport
+    | work.RunningTasks
+    | work.StartTask
+    | work.StopTask
+    | work.TaskEnded
+    | work.EndsNoted
+    | work.SlowRun
 )
--- /dev/null
+++ b/src/savoryrudder/protocol/work.py
@@ -0,0 +1,133 @@
+"""Define the messages between entries and the agents beside executors."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savoryrudder.jobs.model import Room
+
+
+class EntryHello(NamedTuple):
+    """Announce an entry to an agent or to another entry.
+
+    `incarnation` differs for each start of the process.
+    """
+
+    entry: str
+    incarnation: str
+    address: str
+
+
+class JobsClaimed(NamedTuple):
+    """Tell another entry which jobs the sender has taken in."""
+
+    jobs: tuple[str, ...]
+
+
+class JobsReleased(NamedTuple):
+    """Tell another entry that nothing of these jobs runs any more."""
+
+    jobs: tuple[str, ...]
+
+
+class RelinquishJob(NamedTuple):
+    """Ask an entry to stop a job whose caller has come to the sender."""
+
+    job: str
+
+
+class JobRelinquished(NamedTuple):
+    """Confirm that nothing of a job runs, with its verdict if it ended."""
+
+    job: str
+    verdict: str
+
+
+class AgentHello(NamedTuple):
+    """Announce an agent to an entry."""
+
+    agent: str
+    incarnation: str
+    zone: str
+
+
+class ExecutorReport(NamedTuple):
+    """Report the executor beside an agent and its free room.
+
+    `starts_seen` is the number of the receiver's last `StartTask` that the
+    free room already accounts for.
+    """
+
+    executor: str
+    service: str
+    labels: tuple[str, ...]
+    capacity: Room
+    free: Room
+    accepting: bool
+    starts_seen: int
+
+
+class RunningTasks(NamedTuple):
+    """List the receiver's tasks at the agent: names with run numbers.
+
+    Any other task that the receiver had sent before is not running and will
+    not start.
+    """
+
+    tasks: tuple[tuple[str, int], ...]
+
+
+class StartTask(NamedTuple):
+    """Start a task; `number` counts the starts sent on this session.
+
+    `durable` holds back the acknowledgement of the task's end until the entry
+    has stored it.
+    """
+
+    number: int
+    task: str
+    run: int
+    spec: str
+    need: Room
+    estimate_ms: int
+    durable: bool
+
+
+class StopTask(NamedTuple):
+    """Stop a run of a task, whether it has started or not."""
+
+    task: str
+    run: int
+
+
+class TaskEnded(NamedTuple):
+    """Report the end of a run.
+
+    `outcome` is one of `savoryrudder.worker.outcomes`; `duration_ms` counts
+    from the start of the run.
+    """
+
+    task: str
+    run: int
+    outcome: str
+    reason: str
+    duration_ms: int
+
+
+class SlowRun(NamedTuple):
+    """Report a run that takes far longer than estimated.
+
+    `slowness` is the projected duration relative to the estimate;
+    `remaining_ms` is -1 for a run that makes no progress.
+    """
+
+    task: str
+    run: int
+    slowness: float
+    remaining_ms: int
+
+
+class EndsNoted(NamedTuple):
+    """Confirm ends, as names with run numbers; the agent may forget them."""
+
+    ends: tuple[tuple[str, int], ...]
--- /dev/null
+++ b/src/savoryrudder/worker/reducer.py
@@ -0,0 +1,301 @@
+"""Turn the events of an agent into effects."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Final
+from typing import TypeAlias
+
+from savoryrudder.protocol import work
+from savoryrudder.utils.effects import CloseLink
+from savoryrudder.utils.effects import Exit
+from savoryrudder.worker import events
+from savoryrudder.worker import renewal
+from savoryrudder.worker import runs
+from savoryrudder.worker.state import EntryLink
+from savoryrudder.worker.state import Lease
+from savoryrudder.worker.state import Phase
+from savoryrudder.worker.turn import Turn
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from savoryrudder.protocol.messages import Message
+    from savoryrudder.worker.effects import WorkerEffect
+    from savoryrudder.worker.state import WorkerState
+
+_Handlers: TypeAlias = 'Mapping[type[Any], Callable[..., None]]'
+
+
+def reduce(
+    state: WorkerState,
+    event: events.WorkerEvent,
+) -> list[WorkerEffect]:
+    """Apply an event to the state in place and return its effects."""
+    turn = Turn(event.now)
+    _EVENT_HANDLERS[type(event)](state, turn, event)
+    renewal.renew_if_due(state, turn)
+    _send_reports(state, turn)
+    _exit_when_done(state, turn)
+    return turn.effects
+
+
+def _handle_link_up(
+    state: WorkerState,
+    turn: Turn,
+    event: events.LinkUp,
+) -> None:
+    state.links[event.link] = EntryLink()
+    identity = state.identity
+    turn.send(
+        event.link,
+        work.AgentHello(identity.agent, identity.incarnation, identity.zone),
+    )
+
+
+def _handle_link_down(
+    state: WorkerState,
+    turn: Turn,
+    event: events.LinkDown,
+) -> None:
+    link = state.links.pop(event.link, None)
+    if link is None:
+        return
+    turn.log('entry-lost', entry=link.incarnation, reason=event.reason)
+    if link.incarnation and not state.find_link(link.incarnation):
+        state.lost_owners[link.incarnation] = turn.now
+
+
+def _handle_message(
+    state: WorkerState,
+    turn: Turn,
+    event: events.MessageReceived,
+) -> None:
+    link = state.links.get(event.link)
+    message = event.message
+    if link is None:
+        turn.count('wasted_messages')
+    elif isinstance(message, work.EntryHello):
+        _greet_entry(state, turn, event.link, message)
+    elif link.incarnation:
+        _handle_order(state, turn, event.link, message)
+
+
+def _handle_order(
+    state: WorkerState,
+    turn: Turn,
+    link: str,
+    message: Message,
+) -> None:
+    match message:
+        case work.StartTask():
+            runs.start(state, turn, link, message)
+        case work.StopTask():
+            runs.stop_on_request(state, turn, message)
+        case work.EndsNoted(ends):
+            renewal.note_ends(state, ends)
+
+
+def _greet_entry(
+    state: WorkerState,
+    turn: Turn,
+    name: str,
+    hello: work.EntryHello,
+) -> None:
+    replaced = state.find_link(hello.incarnation)
+    if replaced:
+        # The entry has given up the former link; this end has not noticed.
+        state.links[replaced].incarnation = ''
+    state.links[name].incarnation = hello.incarnation
+    state.lost_owners.pop(hello.incarnation, None)
+    turn.log('entry-linked', entry=hello.entry, incarnation=hello.incarnation)
+    for end in state.ends.values():
+        if end.owner == hello.incarnation:
+            turn.send(name, end.message)
+    listed = tuple(
+        run.key
+        for run in state.runs.values()
+        if run.owner == hello.incarnation and not run.reported
+    )
+    turn.send(name, work.RunningTasks(listed))
+
+
+def _handle_executor_seen(
+    state: WorkerState,
+    turn: Turn,
+    event: events.ExecutorSeen,
+) -> None:
+    known = state.report
+    if known is not None:
+        if event.born_ms < known.born_ms:
+            turn.count('outdated_heartbeats')
+            return
+        is_same = (
+            event.executor == known.executor and event.born_ms == known.born_ms
+        )
+        if is_same and event.sequence < known.sequence:
+            return
+        if not is_same:
+            runs.lose_all(state, turn, 'executor restarted')
+            known = None
+    state.report = event
+    if known is None:
+        state.lease = Lease()
+        turn.log(
+            'executor-seen',
+            executor=event.executor,
+            address=event.address,
+            born_ms=event.born_ms,
+        )
+    elif known.draining != event.draining:
+        turn.log('executor-drains', executor=event.executor)
+    if state.lease.clock_ms == 0:
+        state.lease.note_clock(turn.now, event.clock_ms)
+
+
+def _handle_executor_left(
+    state: WorkerState,
+    turn: Turn,
+    event: events.ExecutorLeft,
+) -> None:
+    if state.report is None or state.report.executor != event.executor:
+        return
+    runs.lose_all(state, turn, 'executor left')
+    state.report = None
+    state.lease = Lease()
+    turn.log('executor-left', executor=event.executor)
+
+
+def _handle_start_answered(
+    state: WorkerState,
+    turn: Turn,
+    event: events.StartAnswered,
+) -> None:
+    runs.settle_start(state, turn, event)
+
+
+def _handle_stop_answered(
+    state: WorkerState,
+    turn: Turn,
+    event: events.StopAnswered,
+) -> None:
+    runs.settle_stop(state, turn, event)
+
+
+def _handle_lease_answered(
+    state: WorkerState,
+    turn: Turn,
+    event: events.LeaseAnswered,
+) -> None:
+    renewal.take_answer(state, turn, event)
+
+
+def _handle_lease_unanswered(
+    state: WorkerState,
+    turn: Turn,
+    event: events.LeaseUnanswered,
+) -> None:
+    renewal.take_silence(state, turn, event)
+
+
+def _handle_tick(
+    state: WorkerState,
+    turn: Turn,
+    event: events.Tick,
+) -> None:
+    _stop_orphans(state, turn)
+    renewal.report_lapsed(state, turn)
+    renewal.retry_stops(state, turn)
+    forgotten = turn.now - state.timing.retention_s
+    for key, end in tuple(state.ends.items()):
+        if end.ended_at < forgotten:
+            state.ends.pop(key)
+
+
+def _stop_orphans(state: WorkerState, turn: Turn) -> None:
+    due = turn.now - state.timing.owner_grace_s
+    for owner, lost_at in tuple(state.lost_owners.items()):
+        if lost_at > due:
+            continue
+        state.lost_owners.pop(owner)
+        for run in state.runs.values():
+            if run.owner == owner and run.phase is not Phase.stopping:
+                turn.log('owner-lost', task=run.task, run=run.number)
+                runs.send_stop(state, turn, run)
+
+
+def _handle_stalled(
+    state: WorkerState,
+    turn: Turn,
+    event: events.Stalled,
+) -> None:
+    turn.log('stalled', stall_s=event.stall_s)
+    for link in state.links:
+        turn.effects.append(CloseLink(link, 'process was stalled'))
+
+
+def _handle_drain(
+    state: WorkerState,
+    turn: Turn,
+    event: events.DrainRequested,
+) -> None:
+    if not state.leaving:
+        turn.log('draining', runs=len(state.runs))
+        state.leaving = True
+        state.exit_at = turn.now + event.timeout_s
+
+
+def _send_reports(state: WorkerState, turn: Turn) -> None:
+    if state.report is None:
+        return
+    accepting = state.accepting
+    free = state.free
+    current = (free, accepting, state.report.executor)
+    for name, link in state.links.items():
+        if not link.incarnation or link.reported == current:
+            continue
+        link.reported = current
+        turn.send(
+            name,
+            work.ExecutorReport(
+                state.report.executor,
+                state.report.service,
+                state.report.labels,
+                state.report.capacity,
+                free,
+                accepting,
+                link.starts_seen,
+            ),
+        )
+
+
+def _exit_when_done(state: WorkerState, turn: Turn) -> None:
+    if not state.leaving or state.exited:
+        return
+    if state.runs and turn.now < state.exit_at:
+        return
+    if state.runs:
+        turn.log('stop-timeout', running=len(state.runs))
+    state.exited = True
+    turn.effects.append(Exit())
+
+
+_EVENT_HANDLERS: Final[_Handlers] = MappingProxyType(
+    {
+        events.LinkUp: _handle_link_up,
+        events.LinkDown: _handle_link_down,
+        events.MessageReceived: _handle_message,
+        events.ExecutorSeen: _handle_executor_seen,
+        events.ExecutorLeft: _handle_executor_left,
+        events.StartAnswered: _handle_start_answered,
+        events.StopAnswered: _handle_stop_answered,
+        events.LeaseAnswered: _handle_lease_answered,
+        events.LeaseUnanswered: _handle_lease_unanswered,
+        events.Tick: _handle_tick,
+        events.Stalled: _handle_stalled,
+        events.DrainRequested: _handle_drain,
+    }
+)
--- /dev/null
+++ b/src/savoryrudder/worker/renewal.py
@@ -0,0 +1,206 @@
+"""Renew the executor's lease and read its runs and ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.utils.units import MS_PER_S
+from savoryrudder.worker import events
+from savoryrudder.worker import outcomes
+from savoryrudder.worker import progress
+from savoryrudder.worker import runs
+from savoryrudder.worker.effects import CallRenew
+from savoryrudder.worker.state import Phase
+
+if TYPE_CHECKING:
+    from savoryrudder.worker.state import Run
+    from savoryrudder.worker.state import RunKey
+    from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
+
+# Ends that wait for their owner are listed again with each renewal.
+_UNNOTED_PAUSE_S: Final = 0.1
+# Tasks of a job often end together; one answer then lists them all.
+_GATHERING_S: Final = 0.02
+_RETRY_PAUSE_S: Final = 0.05
+_IDLE_ACKNOWLEDGEMENT_S: Final = 0.5
+
+
+def renew_if_due(state: WorkerState, turn: Turn) -> None:
+    """Send the next renewal when there is something to renew or read."""
+    lease = state.lease
+    executor = state.executor
+    if executor is None or lease.renewing or turn.now < lease.renew_at:
+        return
+    if not _has_reason(state):
+        return
+    lease.renewing = True
+    is_renewed = _deserves_renewal(state, turn.now)
+    lease.ends_acknowledged = lease.noted_upto
+    turn.effects.append(
+        CallRenew(
+            executor,
+            runs.extend_lease(state, turn.now) if is_renewed else 0,
+            state.fence,
+            lease.noted_upto,
+            _wait_ms(state),
+        ),
+    )
+
+
+def take_answer(
+    state: WorkerState,
+    turn: Turn,
+    answer: events.LeaseAnswered,
+) -> None:
+    """Take the executor's lists of runs and ends."""
+    lease = state.lease
+    lease.renewing = False
+    lease.note_clock(turn.now, answer.clock_ms)
+    if lease.silent_since is not None:
+        turn.log('executor-answers', silent_s=turn.now - lease.silent_since)
+        lease.silent_since = None
+    _take_ends(state, turn, answer.ended)
+    progress.report_slow_runs(state, turn, answer.running)
+    listed = {(one.task, one.run) for one in answer.running}
+    _settle_runs(state, turn, answer.sent_at, listed)
+    _stop_strays(state, turn, listed)
+    lease.surveyed = True
+    lease.renew_at = turn.now + _pause_s(state, answer)
+
+
+def _pause_s(state: WorkerState, answer: events.LeaseAnswered) -> float:
+    if state.lease.unnoted_ends:
+        return _UNNOTED_PAUSE_S
+    if not state.runs and not state.strays:
+        return _IDLE_ACKNOWLEDGEMENT_S
+    return _GATHERING_S if answer.ended else 0
+
+
+def take_silence(
+    state: WorkerState,
+    turn: Turn,
+    failure: events.LeaseUnanswered,
+) -> None:
+    """Note a renewal without an answer."""
+    lease = state.lease
+    lease.renewing = False
+    lease.renew_at = turn.now + _RETRY_PAUSE_S
+    if lease.silent_since is None:
+        lease.silent_since = turn.now
+        turn.log('executor-silent', reason=failure.reason)
+
+
+def report_lapsed(state: WorkerState, turn: Turn) -> None:
+    """Report the runs of a silent executor whose lease is over as lost."""
+    if state.lease.silent_since is None or turn.now < state.lease.over_at:
+        return
+    for run in state.runs.values():
+        if not run.reported:
+            runs.report_end(state, turn, run, outcomes.LOST, 'lease expired')
+            runs.send_stop(state, turn, run)
+
+
+def retry_stops(state: WorkerState, turn: Turn) -> None:
+    """Send stops again that got no answer."""
+    due = turn.now - state.timing.stop_retry_s
+    for run in state.runs.values():
+        is_open = run.phase is Phase.stopping and run.stopped_at < 0
+        if is_open and run.stop_sent_at <= due:
+            runs.send_stop(state, turn, run)
+
+
+def note_ends(state: WorkerState, keys: tuple[RunKey, ...]) -> None:
+    """Forget ends that their owner has noted."""
+    for noted in keys:
+        state.ends.pop(noted, None)
+    lease = state.lease
+    lease.unnoted_ends = {
+        number: key
+        for number, key in lease.unnoted_ends.items()
+        if key in state.ends
+    }
+    if not lease.unnoted_ends:
+        lease.hasten(0)
+
+
+def _has_reason(state: WorkerState) -> bool:
+    lease = state.lease
+    if state.runs or state.strays or not lease.surveyed:
+        return True
+    if lease.silent_since is not None:
+        return True
+    return lease.noted_upto > lease.ends_acknowledged
+
+
+def _deserves_renewal(state: WorkerState, now: float) -> bool:
+    if not state.lease.surveyed or not state.runs:
+        return False
+    silent_since = state.lease.silent_since
+    return silent_since is None or now - silent_since < state.timing.silence_s
+
+
+def _wait_ms(state: WorkerState) -> int:
+    if not state.runs or state.strays or not state.lease.surveyed:
+        return 0
+    if any(run.stopped_at > 0 for run in state.runs.values()):
+        return 0
+    return int(state.timing.renewal_wait_s * MS_PER_S)
+
+
+def _take_ends(
+    state: WorkerState,
+    turn: Turn,
+    ended: tuple[events.EndListed, ...],
+) -> None:
+    lease = state.lease
+    for end in ended:
+        if end.number <= lease.ends_seen:
+            continue
+        lease.ends_seen = end.number
+        run = state.runs.get(end.task)
+        if run is None or run.number != end.run:
+            continue
+        runs.finish(state, turn, run, end.outcome, 'executor')
+        if run.durable:
+            lease.unnoted_ends[end.number] = run.key
+
+
+def _settle_runs(
+    state: WorkerState,
+    turn: Turn,
+    sent_at: float,
+    listed: set[RunKey],
+) -> None:
+    for run in tuple(state.runs.values()):
+        if run.key in listed:
+            continue
+        outcome = _outcome_of_missing(run, sent_at)
+        if outcome:
+            runs.finish(state, turn, run, outcome, 'not listed')
+
+
+def _outcome_of_missing(run: Run, sent_at: float) -> str:
+    if run.phase is Phase.stopping:
+        is_gone = 0 < run.stopped_at < sent_at
+        return outcomes.NOT_STARTED if is_gone else ''
+    is_started = run.phase is Phase.running and run.answered_at < sent_at
+    return outcomes.LOST if is_started else ''
+
+
+def _stop_strays(
+    state: WorkerState,
+    turn: Turn,
+    listed: set[RunKey],
+) -> None:
+    known = {run.key for run in state.runs.values()}
+    unknown = listed - known
+    for key in tuple(state.strays):
+        if key not in unknown:
+            state.strays.pop(key)
+    due = turn.now - state.timing.stop_retry_s
+    for key in unknown:
+        if state.strays.get(key, due) <= due:
+            turn.log('stray-run', task=key[0], run=key[1])
+            runs.stop_stray(state, turn, key)
--- /dev/null
+++ b/src/savoryrudder/worker/runs.py
@@ -0,0 +1,233 @@
+"""Start and stop runs and report their ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.protocol import work
+from savoryrudder.utils.units import MS_PER_S
+from savoryrudder.worker import events
+from savoryrudder.worker import outcomes
+from savoryrudder.worker import verdicts
+from savoryrudder.worker.effects import CallStart
+from savoryrudder.worker.effects import CallStop
+from savoryrudder.worker.state import CLOCK_SLOWNESS
+from savoryrudder.worker.state import Phase
+from savoryrudder.worker.state import Run
+from savoryrudder.worker.state import UnnotedEnd
+
+if TYPE_CHECKING:
+    from savoryrudder.worker.state import RunKey
+    from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
+
+# How far the fencing token is raised when the executor has seen a higher one.
+_FENCE_STEP: Final = 60_000
+# Covers timers and the way to the executor.
+_LAPSE_MARGIN_S: Final = 0.05
+
+_REFUSALS: Final = frozenset(
+    (
+        verdicts.REFUSED,
+        verdicts.OUTDATED,
+        verdicts.FENCED,
+        verdicts.OTHER_LIFE,
+    ),
+)
+
+
+def start(
+    state: WorkerState,
+    turn: Turn,
+    link: str,
+    message: work.StartTask,
+) -> None:
+    """Start a task if there is room, else report that it has not started."""
+    known = state.links[link]
+    known.starts_seen = message.number
+    reason = _refusal_of(state, message)
+    executor = state.executor
+    if reason or executor is None:
+        turn.count('starts_refused')
+        turn.log(
+            'start-refused',
+            task=message.task,
+            run=message.run,
+            reason=reason,
+            free_cpu=state.free.cpu,
+        )
+        turn.send(link, _not_started(message.task, message.run, reason))
+        return
+    state.runs[message.task] = Run(
+        message.task,
+        message.run,
+        known.incarnation,
+        message.need,
+        message.durable,
+        message.estimate_ms / MS_PER_S,
+        turn.now,
+    )
+    state.lease.hasten(turn.now)
+    turn.effects.append(
+        CallStart(
+            executor,
+            message.task,
+            message.run,
+            message.spec,
+            extend_lease(state, turn.now),
+            state.fence,
+        ),
+    )
+
+
+def extend_lease(state: WorkerState, now: float) -> int:
+    """Return the new end of the lease on the executor's clock (ms)."""
+    lease_s = state.timing.lease_s
+    lapse_s = lease_s / (1 - CLOCK_SLOWNESS) + _LAPSE_MARGIN_S
+    state.lease.over_at = max(state.lease.over_at, now + lapse_s)
+    return state.lease.clock_now_ms(now) + int(lease_s * MS_PER_S)
+
+
+def settle_start(
+    state: WorkerState,
+    turn: Turn,
+    answer: events.StartAnswered,
+) -> None:
+    """Take the answer to a start."""
+    if answer.clock_ms:
+        state.lease.note_clock(turn.now, answer.clock_ms)
+    if answer.verdict == verdicts.FENCED:
+        state.fence += _FENCE_STEP
+        turn.log('fence-raised', fence=state.fence)
+    run = state.runs.get(answer.task)
+    if run is None or run.number != answer.run:
+        return
+    if answer.verdict in _REFUSALS:
+        state.runs.pop(run.task)
+        report_end(state, turn, run, outcomes.NOT_STARTED, answer.verdict)
+        return
+    if answer.verdict == verdicts.UNKNOWN:
+        turn.log('start-unanswered', task=run.task, run=run.number)
+        send_stop(state, turn, run)
+        return
+    run.answered_at = turn.now
+    if run.phase is Phase.starting:
+        run.phase = Phase.running
+
+
+def send_stop(state: WorkerState, turn: Turn, run: Run) -> None:
+    """Ask the executor to stop a run."""
+    run.phase = Phase.stopping
+    run.stop_sent_at = turn.now
+    _call_stop(state, turn, run.key)
+
+
+def stop_stray(state: WorkerState, turn: Turn, key: RunKey) -> None:
+    """Stop a run that this process did not start."""
+    state.strays[key] = turn.now
+    _call_stop(state, turn, key)
+
+
+def settle_stop(
+    state: WorkerState,
+    turn: Turn,
+    answer: events.StopAnswered,
+) -> None:
+    """Note that a run has been stopped and cannot start any more."""
+    if not answer.confirmed:
+        return
+    run = state.runs.get(answer.task)
+    if run is not None and run.number == answer.run:
+        run.stopped_at = turn.now
+        state.lease.hasten(turn.now)
+
+
+def stop_on_request(
+    state: WorkerState,
+    turn: Turn,
+    message: work.StopTask,
+) -> None:
+    """Stop a run that its owner does not want any more."""
+    run = state.runs.get(message.task)
+    if run is None or run.number != message.run:
+        return
+    if run.phase is not Phase.stopping:
+        send_stop(state, turn, run)
+
+
+def finish(
+    state: WorkerState,
+    turn: Turn,
+    run: Run,
+    outcome: str,
+    reason: str,
+) -> None:
+    """Release the room of a run that is gone and report its end."""
+    state.runs.pop(run.task)
+    if not run.reported:
+        report_end(state, turn, run, outcome, reason)
+
+
+def report_end(
+    state: WorkerState,
+    turn: Turn,
+    run: Run,
+    outcome: str,
+    reason: str,
+) -> None:
+    """Report an end to the owner and keep it until it is noted."""
+    run.reported = True
+    duration_s = turn.now - run.started_at
+    message = work.TaskEnded(
+        run.task,
+        run.number,
+        outcome,
+        reason,
+        int(duration_s * MS_PER_S),
+    )
+    turn.count(f'runs_{outcome}')
+    if outcome == outcomes.DONE:
+        turn.observe('run', duration_s)
+    else:
+        turn.log(
+            'run-ended',
+            task=run.task,
+            run=run.number,
+            outcome=outcome,
+            reason=reason,
+        )
+    state.ends[run.key] = UnnotedEnd(run.owner, turn.now, message)
+    link = state.find_link(run.owner)
+    if link:
+        turn.send(link, message)
+
+
+def lose_all(state: WorkerState, turn: Turn, reason: str) -> None:
+    """Report every run as lost and release all room."""
+    for run in tuple(state.runs.values()):
+        finish(state, turn, run, outcomes.LOST, reason)
+    state.strays.clear()
+
+
+def _call_stop(state: WorkerState, turn: Turn, key: RunKey) -> None:
+    executor = state.executor
+    if executor is not None:
+        task, number = key
+        turn.effects.append(CallStop(executor, task, number, state.fence))
+
+
+def _refusal_of(state: WorkerState, message: work.StartTask) -> str:
+    if state.leaving:
+        return 'agent is leaving'
+    if not state.accepting:
+        return 'executor takes no tasks'
+    if message.task in state.runs:
+        return 'a run of the task is not settled'
+    if not state.free.holds(message.need):
+        return 'no room'
+    return ''
+
+
+def _not_started(task: str, run: int, reason: str) -> work.TaskEnded:
+    return work.TaskEnded(task, run, outcomes.NOT_STARTED, reason, 0)
--- /dev/null
+++ b/src/savoryrudder/worker/turn.py
@@ -0,0 +1,41 @@
+"""Collect the effects of one event of an agent."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from savoryrudder.utils.effects import Count
+from savoryrudder.utils.effects import Observe
+from savoryrudder.utils.effects import Send
+from savoryrudder.utils.effects import StateChanged
+
+if TYPE_CHECKING:
+    from savoryrudder.protocol.messages import Message
+    from savoryrudder.worker.effects import WorkerEffect
+
+
+@dataclass(slots=True)
+class Turn:
+    """Collect effects."""
+
+    now: float
+    effects: list[WorkerEffect] = field(default_factory=list)
+
+    def send(self, link: str, message: Message) -> None:
+        """Send a message to an entry."""
+        self.effects.append(Send(link, message))
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.effects.append(Count(name, amount))
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Record a duration."""
+        self.effects.append(Observe(name, seconds))
+
+    def log(self, name: str, **fields: object) -> None:
+        """Write one log line."""
+        pairs = tuple((key, str(value)) for key, value in fields.items())
+        self.effects.append(StateChanged(name, pairs))
--- a/tests/daemon/test_telemetry.py
+++ b/tests/daemon/test_telemetry.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from savoryrudder.daemon import telemetry
+from savoryrudder.daemon import logs
+from savoryrudder.daemon import metrics
+from savoryrudder.daemon import tracing
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -19,7 +21,7 @@
 
 def test_counters_and_latencies_are_exported() -> None:
     """Guard against metrics that a scraper cannot read."""
-    counters = telemetry.Counters()
+    counters = metrics.Counters()
     counters.count('starts', 3)
     counters.count('refused-key.expired')
     counters.observe('wait', 0.25)
@@ -34,8 +36,8 @@
 def test_a_change_is_one_json_line(tmp_path: Path) -> None:
     """Guard against log lines that lose their fields."""
     path = tmp_path / 'log'
-    with telemetry.log_to(str(path)):
-        telemetry.log_change('owner-changed', (('partition', '3'),))
+    with logs.log_to(str(path)):
+        logs.log_change('owner-changed', (('partition', '3'),))
     line = json.loads(path.read_text())
     assert (line['message_type'], line['partition']) == ('owner-changed', '3')
 
@@ -43,7 +45,7 @@
 def test_spans_of_one_trace_are_joined(tmp_path: Path) -> None:
     """Guard against traces that break where a message crosses a link."""
     path = tmp_path / 'spans'
-    tracer = telemetry.Tracer(str(path), 1, {'service.name': 'entry'})
+    tracer = tracing.Tracer(str(path), 1, {'service.name': 'entry'})
     outer = tracer.start('job', PARENT)
     inner = tracer.start('start', outer.traceparent)
     inner.note('task', 1)
@@ -65,7 +67,7 @@
 ) -> None:
     """Guard against sampling again what the caller left out."""
     path = tmp_path / 'spans'
-    tracer = telemetry.Tracer(str(path), ratio, {})
+    tracer = tracing.Tracer(str(path), ratio, {})
     span = tracer.start('job', parent)
     span.end()
     tracer.close()
--- /dev/null
+++ b/tests/dispatch/test_fleet.py
@@ -0,0 +1,152 @@
+"""Check the promises of entries and agents under faults."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from fakes.fleet import Fleet
+from fakes.fleet import job_of
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from savoryrudder.dispatch import answers
+
+PATIENT_S = 30
+
+
+def _completed(fleet: Fleet, request: int) -> bool:
+    answer = fleet.answers.get(request)
+    return answer is not None and answer.verdict == answers.COMPLETED
+
+
+def test_a_job_completes_once_all_its_tasks_are_done() -> None:
+    """Guards against an answer before the last task has ended."""
+    fleet = Fleet(1)
+    request = fleet.submit(0, job_of('one', tasks=8))
+    fleet.run(0.05)
+    assert request not in fleet.answers
+    fleet.run(1)
+    assert _completed(fleet, request)
+
+
+def test_runs_of_a_lost_agent_are_settled_before_they_start_elsewhere() -> None:
+    """Guards against two runs of a task while a link is silent."""
+    fleet = Fleet(2)
+    fleet.calls.duration_factor = 20
+    request = fleet.submit(0, job_of('one', tasks=6))
+    fleet.run(0.1)
+    for agent in range(3):
+        fleet.cut('e0', f'a{agent}', 1.5)
+    fleet.run(PATIENT_S)
+    assert _completed(fleet, request)
+
+
+def test_a_restarted_agent_stops_the_runs_it_finds() -> None:
+    """Guards against room that is given out twice after a restart."""
+    fleet = Fleet(3, agents=1)
+    fleet.calls.duration_factor = 10
+    request = fleet.submit(0, job_of('one', tasks=4))
+    fleet.run(0.1)
+    fleet.kill_agent(0, 0.2)
+    fleet.run(PATIENT_S)
+    assert _completed(fleet, request)
+
+
+def test_a_caller_that_left_has_its_runs_stopped() -> None:
+    """Guards against executors that work for nobody."""
+    fleet = Fleet(4)
+    fleet.calls.duration_factor = 20
+    request = fleet.submit(0, job_of('one', tasks=4))
+    fleet.run(0.1)
+    fleet.leave(0, request)
+    fleet.run(0.2)
+    assert not any(agent.executor.runs for agent in fleet.agents)
+    assert not fleet.entries[0].state.jobs
+
+
+def test_a_job_sent_to_another_entry_stops_at_the_first() -> None:
+    """Guards against a double run when a caller is cut off silently."""
+    fleet = Fleet(6)
+    fleet.calls.duration_factor = 5
+    former = fleet.submit(0, job_of('one', tasks=4))
+    fleet.run(0.2)
+    again = fleet.submit(1, job_of('one', tasks=4))
+    fleet.run(PATIENT_S)
+    assert fleet.answers[former].verdict == answers.SUPERSEDED
+    assert _completed(fleet, again)
+
+
+def test_a_job_of_a_lost_entry_waits_until_its_runs_are_gone() -> None:
+    """Guards against a double run after an entry was killed."""
+    fleet = Fleet(7)
+    fleet.calls.duration_factor = 10
+    fleet.submit(0, job_of('one', tasks=4))
+    fleet.run(0.2)
+    fleet.kill_entry(0, 1)
+    fleet.run(0.1)
+    again = fleet.submit(1, job_of('one', tasks=4))
+    fleet.run(PATIENT_S)
+    assert _completed(fleet, again)
+
+
+@settings(max_examples=100)
+@given(seed=st.integers(0, 2**32))
+def test_no_task_runs_twice_at_a_time_under_drawn_faults(seed: int) -> None:
+    """Guards against double runs and full executors under mixed faults."""
+    drawn = random.Random(seed)
+    fleet = Fleet(seed, entries=2, agents=3)
+    requests = []
+    for number in range(30):
+        entry = drawn.randrange(2)
+        requests.append(
+            (entry, fleet.submit(entry, job_of(f'j{number}', tasks=3))),
+        )
+        _inject(fleet, drawn, requests)
+        fleet.run(drawn.uniform(0, 0.3))
+    fleet.calls.lose_answers = 0
+    fleet.calls.late_orders = 0
+    fleet.run(PATIENT_S)
+    assert not fleet.entries[0].state.jobs
+    assert not fleet.entries[1].state.jobs
+
+
+def _inject(
+    fleet: Fleet,
+    drawn: random.Random,
+    requests: list[tuple[int, int]],
+) -> None:
+    agent = drawn.randrange(3)
+    entry = drawn.randrange(2)
+    match drawn.randrange(12):
+        case 0:
+            fleet.cut(f'e{entry}', f'a{agent}', drawn.uniform(0.2, 3))
+        case 1:
+            fleet.kill_agent(agent, drawn.uniform(0.1, 2))
+        case 2:
+            fleet.kill_entry(entry, drawn.uniform(0.1, 1))
+        case 3:
+            fleet.freeze_agent(agent, drawn.uniform(0.6, 3))
+        case 4:
+            fleet.crash_executor(agent)
+        case 5:
+            fleet.calls.lose_answers = drawn.choice((0, 0.1, 0.3))
+        case 6:
+            fleet.calls.late_orders = drawn.choice((0, 0.05, 0.1))
+        case 7:
+            fleet.leave(*drawn.choice(requests))
+        case 8:
+            fleet.cut('e0', 'e1', drawn.uniform(0.2, 3))
+
+
+@pytest.mark.parametrize('failing', [True, False])
+def test_a_task_that_always_fails_ends_its_job(failing: bool) -> None:
+    """Guards against endless retries of a task that cannot be done."""
+    fleet = Fleet(5)
+    for agent in fleet.agents:
+        agent.executor.failing = failing
+    request = fleet.submit(0, job_of('one'))
+    fleet.run(3)
+    verdict = answers.FAILED if failing else answers.COMPLETED
+    assert fleet.answers[request].verdict == verdict
--- /dev/null
+++ b/tests/fakes/executor.py
@@ -0,0 +1,155 @@
+"""Fake an executor that runs tasks under a lease and breaks no rule itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from savoryrudder.jobs.model import Room
+from savoryrudder.utils.units import MS_PER_S
+from savoryrudder.worker import effects
+from savoryrudder.worker import events
+from savoryrudder.worker import outcomes
+from savoryrudder.worker import verdicts
+
+
+@dataclass(slots=True)
+class FakeRun:
+    """Hold one run; `ends_at` is when it is done."""
+
+    task: str
+    number: int
+    started_at: float
+    ends_at: float
+    outcome: str
+    cpu: int = 2000
+
+    def percent(self, now: float) -> int:
+        """Return the progress."""
+        share = (now - self.started_at) / (self.ends_at - self.started_at)
+        return int(share * 100)
+
+
+@dataclass(slots=True)
+class FakeExecutor:
+    """Run tasks; time is passed in, `clock_offset_s` shifts its clock."""
+
+    name: str
+    capacity: Room
+    born_ms: int = 1
+    clock_offset_s: float = 100
+    lease_limit_s: float = 1
+    fence: int = 0
+    lease_until: float = 0
+    runs: dict[str, FakeRun] = field(default_factory=dict)
+    ends: list[events.EndListed] = field(default_factory=list)
+    highest_ended: dict[str, int] = field(default_factory=dict)
+    ended_count: int = 0
+    failing: bool = False
+    hanging: bool = False
+
+    def clock_ms(self, now: float) -> int:
+        """Return the steady clock of the executor."""
+        return int((now + self.clock_offset_s) * MS_PER_S)
+
+    def start(
+        self,
+        now: float,
+        call: effects.CallStart,
+        duration_s: float,
+    ) -> str:
+        """Start a run unless it is outdated; return the verdict."""
+        self.advance(now)
+        if call.executor.executor != self.name:
+            return verdicts.OTHER_LIFE
+        if call.fence < self.fence:
+            return verdicts.FENCED
+        self.fence = call.fence
+        if call.lease_until_ms <= self.clock_ms(now):
+            return verdicts.REFUSED
+        self._extend(now, call.lease_until_ms)
+        running = self.runs.get(call.task)
+        if running is not None:
+            is_there = running.number == call.run
+            return verdicts.STARTED if is_there else verdicts.OUTDATED
+        if call.run <= self.highest_ended.get(call.task, 0):
+            return verdicts.OUTDATED
+        ends_at = float('inf') if self.hanging else now + duration_s
+        outcome = outcomes.FAILED if self.failing else outcomes.DONE
+        run = FakeRun(call.task, call.run, now, ends_at, outcome)
+        self.runs[call.task] = run
+        return verdicts.STARTED
+
+    def stop(self, now: float, call: effects.CallStop) -> bool:
+        """Stop a run, and keep it from starting later."""
+        self.advance(now)
+        if call.executor.executor != self.name:
+            return False
+        run = self.runs.get(call.task)
+        if run is not None and run.number == call.run:
+            self._end(run, outcomes.STOPPED)
+        known = self.highest_ended.get(call.task, 0)
+        self.highest_ended[call.task] = max(known, call.run)
+        return True
+
+    def renew(
+        self,
+        now: float,
+        sent_at: float,
+        call: effects.CallRenew,
+    ) -> events.LeaseAnswered | None:
+        """Extend the lease and list runs and ends."""
+        self.advance(now)
+        if call.executor.executor != self.name:
+            return None
+        if call.lease_until_ms:
+            self._extend(now, call.lease_until_ms)
+        self.ends = [one for one in self.ends if one.number > call.noted_upto]
+        return events.LeaseAnswered(
+            now,
+            sent_at,
+            self.clock_ms(now),
+            tuple(
+                events.RunListed(run.task, run.number, run.percent(now))
+                for run in self.runs.values()
+            ),
+            tuple(self.ends),
+        )
+
+    def advance(self, now: float) -> None:
+        """End what is done, and everything when the lease is over."""
+        for run in tuple(self.runs.values()):
+            if run.ends_at <= min(now, self.lease_until):
+                self._end(run, run.outcome)
+        if now > self.lease_until:
+            for run in tuple(self.runs.values()):
+                self._end(run, outcomes.LOST)
+
+    def restart(self, name: str) -> None:
+        """Begin a new life that knows nothing of the former one."""
+        self.name = name
+        self.born_ms += 1
+        self.fence = 0
+        self.runs.clear()
+        self.ends.clear()
+        self.highest_ended.clear()
+        self.ended_count = 0
+
+    def _extend(self, now: float, lease_until_ms: int) -> None:
+        asked = lease_until_ms / MS_PER_S - self.clock_offset_s
+        longest = now + self.lease_limit_s
+        self.lease_until = max(self.lease_until, min(asked, longest))
+
+    def _end(self, run: FakeRun, outcome: str) -> None:
+        self.runs.pop(run.task)
+        known = self.highest_ended.get(run.task, 0)
+        self.highest_ended[run.task] = max(known, run.number)
+        self.ended_count += 1
+        self.ends.append(
+            events.EndListed(
+                self.ended_count,
+                run.task,
+                run.number,
+                outcome,
+            ),
+        )
--- /dev/null
+++ b/tests/fakes/fleet.py
@@ -0,0 +1,289 @@
+"""Join the reducers of entries and agents by fake links and executors."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+from fakes.clock import Clock
+from fakes.executor import FakeExecutor
+from fakes.executor_calls import ExecutorCalls
+from fakes.fleet_links import FleetLinks
+
+from savoryrudder.dispatch import effects as entry_effects
+from savoryrudder.dispatch import events as entry_events
+from savoryrudder.dispatch.reducer import reduce as reduce_entry
+from savoryrudder.dispatch.state import DispatchIdentity
+from savoryrudder.dispatch.state import DispatchState
+from savoryrudder.dispatch.state import DispatchTiming
+from savoryrudder.jobs.model import Configuration
+from savoryrudder.jobs.model import JobRequest
+from savoryrudder.jobs.model import Queue
+from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Step
+from savoryrudder.utils import effects
+from savoryrudder.worker import events as agent_events
+from savoryrudder.worker.reducer import reduce as reduce_agent
+from savoryrudder.worker.state import WorkerIdentity
+from savoryrudder.worker.state import WorkerState
+from savoryrudder.worker.state import WorkerTiming
+
+SERVICE = 'pane'
+QUEUE = Queue('plans', 'shop.example', '/plans/', SERVICE, 0, 2, 1.6, 60)
+CONFIGURATION = Configuration(1, {'plans': QUEUE})
+CAPACITY = Room(cpu=8000, memory=4096, gpu=0)
+ZONE = 'zone-a'
+TICK_S = 0.05
+SETTLE_S = 2.5
+
+
+def job_of(
+    name: str,
+    tasks: int = 2,
+    cpu: int = 2000,
+    estimate_ms: int = 200,
+) -> JobRequest:
+    """Return a job of one step."""
+    need = Room(cpu, 64, 0)
+    step = Step(tasks, need, estimate_ms, (), '', '', 0)
+    return JobRequest(name, 'spec', (step,))
+
+
+class EntryProcess:
+    """Run the reducer of an entry."""
+
+    def __init__(self, fleet: Fleet, name: str, incarnation: str) -> None:
+        """Start with the configuration."""
+        self.name = name
+        self.alive = True
+        self.frozen = False
+        identity = DispatchIdentity(name, incarnation, name, ZONE)
+        self.state = DispatchState(identity, DispatchTiming(SETTLE_S))
+        self._fleet = fleet
+        now = fleet.clock.now
+        self.post(entry_events.ConfigurationRead(now, CONFIGURATION))
+
+    def link_up(self, link: str, *, dialled: bool) -> None:
+        """Note an open link."""
+        self.post(entry_events.LinkUp(self._fleet.clock.now, link, dialled))
+
+    def link_down(self, link: str) -> None:
+        """Note the end of a link."""
+        self.post(entry_events.LinkDown(self._fleet.clock.now, link, 'cut'))
+
+    def receive(self, link: str, message: Any) -> None:
+        """Take a message."""
+        now = self._fleet.clock.now
+        self.post(entry_events.MessageReceived(now, link, message))
+
+    def post(self, event: Any) -> None:
+        """Reduce an event and carry out its effects."""
+        if not self.alive:
+            return
+        for effect in reduce_entry(self.state, event):
+            match effect:
+                case effects.Send(link, message):
+                    self._fleet.links.send(self, link, message)
+                case entry_effects.Reply(request, answer):
+                    self._fleet.answers[request] = answer
+                case effects.StateChanged():
+                    self._fleet.note(self.name, effect)
+
+
+class AgentProcess:
+    """Run the reducer of an agent beside an executor."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        number: int,
+        executor: FakeExecutor,
+    ) -> None:
+        """Start with a report of the executor."""
+        self.name = name
+        self.alive = True
+        self.frozen = False
+        self.executor = executor
+        identity = WorkerIdentity(name, f'{name}#{number}', ZONE)
+        timing = WorkerTiming(1, 0.05)
+        self.state = WorkerState(identity, timing, fence=number)
+        self._fleet = fleet
+        self.report()
+
+    def report(self) -> None:
+        """Let the executor report itself."""
+        now = self._fleet.clock.now
+        executor = self.executor
+        self.post(
+            agent_events.ExecutorSeen(
+                now,
+                executor.name,
+                executor.born_ms,
+                executor.clock_ms(now),
+                SERVICE,
+                'address',
+                (),
+                executor.capacity,
+                draining=False,
+                clock_ms=executor.clock_ms(now),
+            ),
+        )
+
+    def link_up(self, link: str, *, dialled: bool) -> None:
+        """Note an open link."""
+        self.post(agent_events.LinkUp(self._fleet.clock.now, link))
+
+    def link_down(self, link: str) -> None:
+        """Note the end of a link."""
+        self.post(agent_events.LinkDown(self._fleet.clock.now, link, 'cut'))
+
+    def receive(self, link: str, message: Any) -> None:
+        """Take a message; a process that stalls drops what waits."""
+        if not self.frozen:
+            now = self._fleet.clock.now
+            self.post(agent_events.MessageReceived(now, link, message))
+
+    def thaw(self, seconds: float) -> None:
+        """Go on after a stall."""
+        self.frozen = False
+        self.post(agent_events.Stalled(self._fleet.clock.now, seconds))
+
+    def post(self, event: Any) -> None:
+        """Reduce an event and carry out its effects."""
+        if not self.alive:
+            return
+        if self.frozen:
+            self._fleet.clock.after(TICK_S, self.post, event)
+            return
+        moved = event._replace(now=self._fleet.clock.now)
+        for effect in reduce_agent(self.state, moved):
+            match effect:
+                case effects.Send(link, message):
+                    self._fleet.links.send(self, link, message)
+                case effects.CloseLink(link, _):
+                    self._fleet.links.close(link)
+                case effects.StateChanged():
+                    self._fleet.note(self.name, effect)
+                case effects.Count() | effects.Observe() | effects.Exit():
+                    continue
+                case _:
+                    self._fleet.calls.send(self.executor, effect, self.post)
+
+
+class Fleet:
+    """Run entries and agents on a virtual clock and watch the executors."""
+
+    def __init__(self, seed: int, entries: int = 2, agents: int = 3) -> None:
+        """Start all processes and let them find each other."""
+        self.clock = Clock(seed)
+        self.links = FleetLinks(self.clock)
+        self.calls = ExecutorCalls(
+            self.clock,
+            lambda: [agent.executor for agent in self.agents],
+        )
+        self.answers: dict[int, Any] = {}
+        self.log: list[tuple[float, str, Any]] = []
+        self._numbers = itertools.count(1)
+        self.agents: list[AgentProcess] = []
+        self.entries = [self._new_entry(f'e{at}') for at in range(entries)]
+        for at in range(agents):
+            self.agents.append(self._new_agent(f'a{at}'))
+        self.clock.after(0, self._tick)
+        self.run(1)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.run(seconds)
+
+    def note(self, who: str, effect: effects.StateChanged) -> None:
+        """Keep a log line with its time and process."""
+        self.log.append((self.clock.now, who, effect))
+
+    def submit(self, entry: int, job: JobRequest) -> int:
+        """Submit a job and return the number of the request."""
+        number = next(self._numbers)
+        self.entries[entry].post(
+            entry_events.JobSubmitted(
+                self.clock.now,
+                number,
+                QUEUE.host,
+                QUEUE.prefix + job.job,
+                job,
+                '',
+                None,
+            ),
+        )
+        return number
+
+    def leave(self, entry: int, request: int) -> None:
+        """Let the caller of a request close its connection."""
+        gone = entry_events.CallerGone(self.clock.now, request)
+        self.entries[entry].post(gone)
+
+    def kill_agent(self, index: int, down_s: float) -> None:
+        """Kill an agent and start it again; its executor runs on."""
+        former = self.agents[index]
+        if former.alive:
+            former.alive = False
+            self.links.drop(former)
+            self.clock.after(down_s, self._restart_agent, index)
+
+    def kill_entry(self, index: int, down_s: float) -> None:
+        """Kill an entry and start it again."""
+        former = self.entries[index]
+        if former.alive:
+            former.alive = False
+            self.links.drop(former)
+            self.clock.after(down_s, self._restart_entry, index)
+
+    def freeze_agent(self, index: int, seconds: float) -> None:
+        """Let an agent stand still; its peers notice the silence."""
+        agent = self.agents[index]
+        if not agent.frozen:
+            agent.frozen = True
+            self.links.freeze(agent)
+            self.clock.after(seconds, agent.thaw, seconds)
+
+    def cut(self, one: str, other: str, seconds: float) -> None:
+        """Silence the link between two processes for a time."""
+        self.links.silence(one, other, seconds)
+
+    def crash_executor(self, index: int) -> None:
+        """Let an executor crash and start again under another name."""
+        agent = self.agents[index]
+        agent.executor.restart(f'x{next(self._numbers)}')
+        agent.report()
+
+    def _new_entry(self, name: str) -> EntryProcess:
+        incarnation = f'{name}#{next(self._numbers)}'
+        return EntryProcess(self, name, incarnation)
+
+    def _new_agent(
+        self,
+        name: str,
+        executor: FakeExecutor | None = None,
+    ) -> AgentProcess:
+        number = next(self._numbers)
+        beside = executor or FakeExecutor(f'x{number}', CAPACITY)
+        return AgentProcess(self, name, number, beside)
+
+    def _restart_agent(self, index: int) -> None:
+        former = self.agents[index]
+        self.agents[index] = self._new_agent(former.name, former.executor)
+
+    def _restart_entry(self, index: int) -> None:
+        self.entries[index] = self._new_entry(self.entries[index].name)
+
+    def _tick(self) -> None:
+        now = self.clock.now
+        for entry in self.entries:
+            entry.post(entry_events.Tick(now))
+        for agent in self.agents:
+            agent.post(agent_events.Tick(now))
+            agent.executor.advance(now)
+        for pair in itertools.combinations(self.entries, 2):
+            self.links.connect(*pair)
+        for beside, served in itertools.product(self.agents, self.entries):
+            self.links.connect(beside, served)
+        self.clock.after(TICK_S, self._tick)
