Wait for both ends before a stopped dialler's end is expected

Cause: test_a_stopped_dialler_ends_and_does_not_dial_again waited only for the dialling end to be up. A session is up with the first frame of its peer, so the listening end may not be up yet; it then never reports the session as down and the test waits without end. Ruled out: a lost removal callback of NNG (the same run reaches it once the listening end is up). The test asserts what it asserted before.

--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -154,6 +154,8 @@
             )
             group.start_soon(dialler.run)
             await at_agent.wait_for('up')
+            # The other end reports a session down only if it was up there.
+            await at_entry.wait_for('up')
             dialler.stop()
         down = await at_entry.wait_for('down')
     assert down.detail == 'connection lost'
