--- /dev/null
+++ b/bench/site_days.py
@@ -0,0 +1,89 @@
+"""Describe the load and the troubles of a site's days."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import NamedTuple
+
+SLOW: Final = 'slow'
+HANG: Final = 'hang'
+DARK: Final = 'dark'
+AWAY: Final = 'away'
+
+
+class Kind(NamedTuple):
+    """Describe one kind of job by the means of what it asks for."""
+
+    name: str
+    priority: int
+    attempts: int
+    per_s: float
+    tasks: float
+    task_ms: float
+    cpu: float
+    worth: float
+
+
+class Burst(NamedTuple):
+    """Multiply the arrivals of one kind for a while."""
+
+    at: float
+    lasts_s: float
+    factor: float
+    kind: str
+
+
+class Trouble(NamedTuple):
+    """Slow down, hang, darken or cut off some executors for a while.
+
+    `factor` is how many times longer tasks take on slow executors.
+    """
+
+    at: float
+    lasts_s: float
+    what: str
+    count: int
+    factor: float = 1
+
+
+class Day(NamedTuple):
+    """Describe a day; `load` multiplies all arrivals."""
+
+    name: str
+    load: float
+    bursts: tuple[Burst, ...] = ()
+    troubles: tuple[Trouble, ...] = ()
+
+
+CHECK: Final = 'check'
+PLAN: Final = 'plan'
+QUOTE: Final = 'quote'
+
+KINDS: Final = (
+    Kind(CHECK, 0, 4, 17.2, 8, 120, 6200, 0.0291),
+    Kind(PLAN, 2, 2, 3.12, 4, 1800, 6200, 0.16),
+    Kind(QUOTE, 1, 4, 50, 2, 400, 6200, 0.01),
+)
+
+DAYS: Final = (
+    Day('quiet', 0.65),
+    Day('burst', 1.1, (Burst(4, 5, 2.4, PLAN), Burst(14, 4, 1.8, CHECK))),
+    Day(
+        'trouble',
+        0.94,
+        (Burst(2.3, 5, 2.2, PLAN), Burst(13, 3.5, 1.8, CHECK)),
+        (Trouble(4.2, 4.2, DARK, 2), Trouble(5, 7, SLOW, 2, 5.1)),
+    ),
+    Day(
+        'hang',
+        1.1,
+        (Burst(3.7, 5.8, 2.2, PLAN), Burst(14, 3.9, 1.8, CHECK)),
+        (Trouble(7.1, 5.5, HANG, 2),),
+    ),
+    Day(
+        'overload',
+        1.1,
+        (Burst(4.5, 5.4, 2.4, PLAN), Burst(12, 3.9, 1.7, CHECK)),
+        (Trouble(1, 12, AWAY, 4), Trouble(12.2, 4.7, DARK, 1)),
+    ),
+)
--- /dev/null
+++ b/bench/site_load.py
@@ -0,0 +1,189 @@
+"""Replay the load and troubles of a site's day on the dispatch reducers.
+
+Processes, links and executors are the fakes of the tests; the decisions are
+the product's own. `python -m bench.site_load SEEDS DAY...` prints the means
+of each day; without days, it plays all.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+from typing import Final
+
+from fakes.executor import FakeExecutor
+from fakes.fleet import Fleet
+
+from bench.site_days import AWAY
+from bench.site_days import DARK
+from bench.site_days import DAYS
+from bench.site_days import HANG
+from bench.site_days import KINDS
+from bench.site_days import SLOW
+from bench.site_jobs import JobSource
+from bench.site_jobs import queues
+from bench.site_score import Outcome
+from bench.site_score import Result
+from bench.site_score import judge
+from savoryrudder.dispatch import answers
+from savoryrudder.jobs.model import Configuration
+from savoryrudder.jobs.model import Room
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from bench.site_days import Day
+    from bench.site_days import Kind
+    from bench.site_days import Trouble
+    from bench.site_jobs import DrawnJob
+    from savoryrudder.worker.effects import CallStart
+
+_ENTRIES: Final = 3
+_EXECUTORS: Final = 11
+_SMALL: Final = Room(64_000, 131_072, 0)
+_LARGE: Final = Room(96_000, 131_072, 0)
+_LARGE_SLOWNESS: Final = 1.3
+_DAY_S: Final = 30
+_SETTLE_S: Final = 12
+_DEFAULT_SEEDS: Final = 3
+
+
+class Replay:
+    """Play one day."""
+
+    def __init__(self, seed: int, day: Day) -> None:
+        """Start the processes."""
+        self._day = day
+        self._source = JobSource(seed)
+        self._queues = queues()
+        self.fleet = Fleet(
+            seed,
+            _ENTRIES,
+            configuration=Configuration(1, self._queues),
+            executors=[_executor(number) for number in range(_EXECUTORS)],
+        )
+        self.fleet.calls.draw_duration_s = self._draw_task_s
+        self.began = self.fleet.clock.now
+        self.sent: dict[int, tuple[Kind, float, DrawnJob]] = {}
+        self._jobs: dict[str, DrawnJob] = {}
+
+    def play(self) -> Outcome:
+        """Let the day pass and return its outcome."""
+        for trouble in self._day.troubles:
+            self._plan(trouble)
+        for kind in KINDS:
+            self.fleet.clock.after(0, self._arrive, kind)
+        self.fleet.run(_DAY_S + _SETTLE_S)
+        return judge(self.results())
+
+    def results(self) -> list[Result]:
+        """Return what became of each job."""
+        found = []
+        for number, (kind, sent_at, job) in self.sent.items():
+            answer = self.fleet.answers.get(number)
+            is_served = answer and answer.verdict == answers.COMPLETED
+            answered_at = self.fleet.answered_at.get(number, 0)
+            found.append(
+                Result(
+                    kind.name,
+                    sent_at - self.began,
+                    job.worth,
+                    job.objective_s,
+                    answered_at - sent_at if is_served else None,
+                ),
+            )
+        return found
+
+    def _arrive(self, kind: Kind) -> None:
+        clock = self.fleet.clock
+        elapsed_s = clock.now - self.began
+        if elapsed_s > _DAY_S:
+            return
+        rate = kind.per_s * self._day.load
+        for burst in self._day.bursts:
+            is_on = burst.at <= elapsed_s < burst.at + burst.lasts_s
+            if is_on and burst.kind == kind.name:
+                rate *= burst.factor
+        pause_s = self._source.random.expovariate(rate)
+        clock.after(pause_s, self._arrive, kind)
+        job = self._source.draw(kind)
+        self._jobs[job.request.job] = job
+        entry = self._source.random.randrange(_ENTRIES)
+        queue = self._queues[kind.name]
+        number = self.fleet.submit(entry, job.request, queue)
+        self.sent[number] = (kind, clock.now, job)
+
+    def _draw_task_s(self, call: CallStart) -> float:
+        job = self._jobs[call.task.partition('.')[0]]
+        return self._source.draw_task_s(job)
+
+    def _plan(self, trouble: Trouble) -> None:
+        agents = range(_EXECUTORS)
+        for index in self._source.random.sample(agents, trouble.count):
+            over = trouble.at + trouble.lasts_s
+            clock = self.fleet.clock
+            clock.after(trouble.at, self._begin, trouble, index)
+            clock.after(over, self._end, trouble, index)
+
+    def _begin(self, trouble: Trouble, index: int) -> None:
+        now = self.fleet.clock.now
+        agent = self.fleet.agents[index]
+        if trouble.what == SLOW:
+            agent.executor.slow_down(now, trouble.factor)
+        elif trouble.what == HANG:
+            agent.executor.hang(now)
+        elif trouble.what == DARK:
+            agent.executor.dark = True
+        elif trouble.what == AWAY:
+            for entry in self.fleet.entries:
+                self.fleet.cut(entry.name, agent.name, trouble.lasts_s)
+
+    def _end(self, trouble: Trouble, index: int) -> None:
+        executor = self.fleet.agents[index].executor
+        if trouble.what == SLOW:
+            executor.slow_down(self.fleet.clock.now, 1 / trouble.factor)
+        elif trouble.what == HANG:
+            executor.hanging = False
+        elif trouble.what == DARK:
+            executor.dark = False
+            self.fleet.crash_executor(index)
+
+
+def _executor(number: int) -> FakeExecutor:
+    is_large = number % 3 == 2
+    room = _LARGE if is_large else _SMALL
+    executor = FakeExecutor(f'x{number}', room)
+    executor.slowness = _LARGE_SLOWNESS if is_large else 1
+    return executor
+
+
+def main(arguments: Sequence[str] = ()) -> None:
+    """Write the mean outcome of each day over some seeds."""
+    seeds = int(arguments[0]) if arguments else _DEFAULT_SEEDS
+    chosen = arguments[1:]
+    kinds = ' '.join(kind.name for kind in KINDS)
+    sys.stdout.write(f'day worth whole windows {kinds} late refused\n')
+    for day in DAYS:
+        if not chosen or day.name in chosen:
+            found = [Replay(seed, day).play() for seed in range(seeds)]
+            sys.stdout.write(f'{day.name} {_means(found)}\n')
+
+
+def _means(found: list[Outcome]) -> str:
+    rows = [
+        (
+            one.worth,
+            one.day,
+            one.windows,
+            *(one.kinds[kind.name] for kind in KINDS),
+            one.late,
+            one.refused,
+        )
+        for one in found
+    ]
+    means = [sum(column) / len(rows) for column in zip(*rows)]
+    return ' '.join(f'{mean:.3f}' for mean in means)
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -15,19 +15,30 @@
 
 @dataclass(slots=True)
 class FakeRun:
-    """Hold one run; `ends_at` is when it is done."""
+    """Hold one run; it goes on evenly from `done` at `since` to its end."""
 
     task: str
     number: int
-    started_at: float
+    since: float
     ends_at: float
     outcome: str
     cpu: int = 2000
+    done: float = 0
 
     def percent(self, now: float) -> int:
         """Return the progress."""
-        share = (now - self.started_at) / (self.ends_at - self.started_at)
-        return int(share * 100)
+        return int(100 * self.share(now))
+
+    def share(self, now: float) -> float:
+        """Return the progress as a share."""
+        passed = (now - self.since) / (self.ends_at - self.since)
+        return self.done + (1 - self.done) * passed
+
+    def reschedule(self, now: float, ends_at: float) -> None:
+        """Go on at another speed."""
+        self.done = self.share(now)
+        self.since = now
+        self.ends_at = ends_at
 
 
 @dataclass(slots=True)
@@ -47,6 +58,10 @@
     ended_count: int = 0
     failing: bool = False
     hanging: bool = False
+    # Down without a sign: calls get no answer.
+    dark: bool = False
+    # How many times longer a task takes here.
+    slowness: float = 1
 
     def clock_ms(self, now: float) -> int:
         """Return the steady clock of the executor."""
@@ -74,7 +89,9 @@
             return verdicts.STARTED if is_there else verdicts.OUTDATED
         if call.run <= self.highest_ended.get(call.task, 0):
             return verdicts.OUTDATED
-        ends_at = float('inf') if self.hanging else now + duration_s
+        ends_at = (
+            float('inf') if self.hanging else now + duration_s * self.slowness
+        )
         outcome = outcomes.FAILED if self.failing else outcomes.DONE
         run = FakeRun(call.task, call.run, now, ends_at, outcome)
         self.runs[call.task] = run
@@ -125,6 +142,19 @@
             for run in tuple(self.runs.values()):
                 self._end(run, outcomes.LOST)
 
+    def slow_down(self, now: float, factor: float) -> None:
+        """Change the speed; what runs takes that many times longer."""
+        self.advance(now)
+        self.slowness *= factor
+        for run in self.runs.values():
+            run.reschedule(now, now + (run.ends_at - now) * factor)
+
+    def hang(self, now: float) -> None:
+        """Let what runs and what is started stand still."""
+        self.hanging = True
+        for run in self.runs.values():
+            run.reschedule(now, float('inf'))
+
     def restart(self, name: str) -> None:
         """Begin a new life that knows nothing of the former one."""
         self.name = name
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
 from savoryrudder.worker import verdicts
@@ -17,8 +18,8 @@
 
 CALL_TIMEOUT_S = 0.3
 _WAY_S = 0.001
-# Runs end by themselves; the next look finds the end.
-_LONGEST_LOOK_S = 0.02
+# How often a waiting look finds out whether a run has ended.
+_POLL_S = 0.002
 _LATEST_ORDER_S = 6
 
 
@@ -46,6 +47,10 @@
         self._clock = clock
         self._executors = executors
 
+    def draw_duration_s(self, call: effects.CallStart) -> float:
+        """Return how long a task takes on a sound executor."""
+        return self._clock.randomness.uniform(*self.durations_s)
+
     def send(
         self,
         executor: FakeExecutor,
@@ -76,21 +81,52 @@
         answer = self._apply(executor, call, sent_at)
         if answer_to is None:
             return
+        if executor.dark:
+            answer = None
         if answer is None:
             self._clock.after(CALL_TIMEOUT_S, self._give_up, call, answer_to)
             return
-        is_long = isinstance(call, effects.CallRenew) and call.wait_ms
-        self._clock.after(
-            _LONGEST_LOOK_S if is_long else _WAY_S,
-            answer_to,
-            answer,
-        )
+        waits = isinstance(call, effects.CallRenew) and call.wait_ms
+        if waits and not answer.ended:
+            until = self._clock.now + call.wait_ms / MS_PER_S
+            self._await_end(executor, call, sent_at, until, answer_to)
+        else:
+            self._clock.after(_WAY_S, answer_to, answer)
+
+    def _await_end(
+        self,
+        executor: FakeExecutor,
+        call: effects.CallRenew,
+        sent_at: float,
+        until: float,
+        answer_to: Callable[[Any], None],
+    ) -> None:
+        executor.advance(self._clock.now)
+        is_over = executor.ends or self._clock.now >= until
+        if not is_over:
+            self._clock.after(
+                _POLL_S,
+                self._await_end,
+                executor,
+                call,
+                sent_at,
+                until,
+                answer_to,
+            )
+            return
+        answer = self._apply(executor, call, sent_at)
+        if answer is None:
+            self._clock.after(CALL_TIMEOUT_S, self._give_up, call, answer_to)
+        else:
+            self._clock.after(_WAY_S, answer_to, answer)
 
     def _apply(self, executor: FakeExecutor, call: Any, sent_at: float) -> Any:
         now = self._clock.now
+        if executor.dark:
+            return None
         if isinstance(call, effects.CallStart):
-            drawn_s = self._clock.randomness.uniform(*self.durations_s)
-            verdict = executor.start(now, call, self.duration_factor * drawn_s)
+            duration_s = self.duration_factor * self.draw_duration_s(call)
+            verdict = executor.start(now, call, duration_s)
             self._check(executor)
             return events.StartAnswered(
                 now,
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from typing import TYPE_CHECKING
 from typing import Any
 
 from fakes.clock import Clock
@@ -28,6 +29,9 @@
 from savoryrudder.worker.state import WorkerState
 from savoryrudder.worker.state import WorkerTiming
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 SERVICE = 'pane'
 QUEUE = Queue('plans', 'shop.example', '/plans/', SERVICE, 0, 2, 1.6, 60)
 CONFIGURATION = Configuration(1, {'plans': QUEUE})
@@ -52,7 +56,13 @@
 class EntryProcess:
     """Run the reducer of an entry."""
 
-    def __init__(self, fleet: Fleet, name: str, incarnation: str) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        incarnation: str,
+        configuration: Configuration,
+    ) -> None:
         """Start with the configuration."""
         self.name = name
         self.alive = True
@@ -61,7 +71,7 @@
         self.state = DispatchState(identity, DispatchTiming(SETTLE_S))
         self._fleet = fleet
         now = fleet.clock.now
-        self.post(entry_events.ConfigurationRead(now, CONFIGURATION))
+        self.post(entry_events.ConfigurationRead(now, configuration))
 
     def link_up(self, link: str, *, dialled: bool) -> None:
         """Note an open link."""
@@ -175,8 +185,19 @@
 class Fleet:
     """Run entries and agents on a virtual clock and watch the executors."""
 
-    def __init__(self, seed: int, entries: int = 2, agents: int = 3) -> None:
-        """Start all processes and let them find each other."""
+    def __init__(
+        self,
+        seed: int,
+        entries: int = 2,
+        agents: int = 3,
+        configuration: Configuration = CONFIGURATION,
+        executors: Sequence[FakeExecutor] = (),
+    ) -> None:
+        """Start all processes and let them find each other.
+
+        There is an agent beside each of the `executors`, if any are given.
+        """
+        self._configuration = configuration
         self.clock = Clock(seed)
         self.links = FleetLinks(self.clock)
         self.calls = ExecutorCalls(
@@ -190,8 +211,9 @@
         self._numbers = itertools.count(1)
         self.agents: list[AgentProcess] = []
         self.entries = [self._new_entry(f'e{at}') for at in range(entries)]
-        for at in range(agents):
-            self.agents.append(self._new_agent(f'a{at}'))
+        for at in range(len(executors) or agents):
+            beside = executors[at] if executors else None
+            self.agents.append(self._new_agent(f'a{at}', beside))
         self.clock.after(0, self._tick)
         self.run(1)
 
@@ -203,15 +225,20 @@
         """Keep a log line with its time and process."""
         self.log.append((self.clock.now, who, effect))
 
-    def submit(self, entry: int, job: JobRequest) -> int:
+    def submit(
+        self,
+        entry: int,
+        job: JobRequest,
+        queue: Queue = QUEUE,
+    ) -> int:
         """Submit a job and return the number of the request."""
         number = next(self._numbers)
         self.entries[entry].post(
             entry_events.JobSubmitted(
                 self.clock.now,
                 number,
-                QUEUE.host,
-                QUEUE.prefix + job.job,
+                queue.host,
+                queue.prefix + job.job,
                 job,
                 '',
                 None,
@@ -265,7 +292,7 @@
 
     def _new_entry(self, name: str) -> EntryProcess:
         incarnation = f'{name}#{next(self._numbers)}'
-        return EntryProcess(self, name, incarnation)
+        return EntryProcess(self, name, incarnation, self._configuration)
 
     def _new_agent(
         self,
