--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -56,6 +56,9 @@
         for agent in state.agents.values()
         if agent.report is not None and agent.report.service == queue.service
     ]
+    if now < state.warm_until:
+        # Executors have yet to report; a job waits for them.
+        return None
     if not any(agent.usable for agent in agents):
         return answers.Answer(
             answers.UNAVAILABLE,
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -102,10 +102,11 @@
 ) -> None:
     """Note a slow run, and move its task if it ends sooner elsewhere."""
     agent = state.agents[link]
-    agent.slowness = min(slow.slowness, _SLOWEST)
-    agent.slow_until = turn.now + _SLOW_MEMORY_S
-    if slow.remaining_ms < 0:
-        note_failure(turn, agent, 'no progress')
+    if slow.slowness:
+        agent.slowness = min(slow.slowness, _SLOWEST)
+        agent.slow_until = turn.now + _SLOW_MEMORY_S
+        if slow.remaining_ms < 0:
+            note_failure(turn, agent, 'no progress')
     found = _placed_task(state, slow)
     if found is None:
         return
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -24,6 +24,9 @@
     from savoryrudder.jobs.model import Queue
 
 _RETRY_AFTER_S: Final = 1
+# A job of which no task has started after this share of its objective is
+# refused: its caller can still go elsewhere.
+_UNTRIED_SHARE: Final = 0.25
 
 
 def create(
@@ -148,14 +151,14 @@
 
 
 def refuse_overdue(state: DispatchState, turn: Turn) -> None:
-    """Refuse jobs that found no room in time for their objective."""
+    """Refuse jobs that found no room while they had a good chance."""
     for _, _, name in tuple(state.waiting):
         job = state.jobs[name]
         if job.started_at is not None:
             if turn.now >= job.expires_at:
                 late = answers.Answer(answers.INTERRUPTED, 'time limit')
                 answer(state, turn, job, late)
-        elif turn.now >= min(job.latest_start, job.expires_at):
+        elif turn.now >= _refused_from(state, job):
             refusal = answers.Answer(
                 answers.OVERLOADED,
                 'no room in time',
@@ -164,6 +167,13 @@
             answer(state, turn, job, refusal)
 
 
+def _refused_from(state: DispatchState, job: Job) -> float:
+    last_chance = min(job.latest_start, job.expires_at)
+    if job.arrived_at < state.warm_until:
+        return last_chance
+    return min(last_chance, job.arrived_at + _UNTRIED_SHARE * job.objective_s)
+
+
 def forget_answers(state: DispatchState, now: float) -> None:
     """Forget answers that no late copy of a request will ask for."""
     oldest = now - state.timing.answer_memory_s
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -34,6 +34,8 @@
 _FAR_FACTOR: Final = 1.5
 # Puts an executor that had trouble with a task behind all others.
 _AVOIDED_PENALTY_MS: Final = 100_000
+# A task that is sent on trial may have to start anew after this.
+_TRIAL_S: Final = 0.35
 
 
 class Placement(NamedTuple):
@@ -103,7 +105,11 @@
     for link, agent in _fitting(search.state.agents, job, progress):
         if link in excluded:
             continue
-        penalty_ms = _AVOIDED_PENALTY_MS * (agent.agent in task.avoided)
+        if agent.on_trial and 0 < job.latest_start - search.now < _TRIAL_S:
+            continue
+        penalty_ms = _AVOIDED_PENALTY_MS * (
+            agent.on_trial + (agent.agent in task.avoided)
+        )
         cost = (
             penalty_ms + _cost_ms(search.state, progress, agent, search.now),
             -agent.free.cpu,
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -38,6 +38,8 @@
 
     settle_s: float
     answer_memory_s: float = 30
+    # Agents find an entry that has just started within this time.
+    warm_up_s: float = 1.2
     # The balancer sends no new connections this long after not ready.
     balancer_s: float = 2.5
 
@@ -137,6 +139,11 @@
         report = self.report
         return self.listed and report is not None and report.accepting
 
+    @property
+    def on_trial(self) -> bool:
+        """Tell whether the executor takes one task at a time."""
+        return self.report is not None and self.report.on_trial
+
 
 @dataclass(slots=True)
 class PeerView:
@@ -193,12 +200,18 @@
     # Links that have not said who is at the other end, and whether we dialled.
     links: dict[str, bool] = field(default_factory=dict)
     jobs_seen: int = 0
+    started_at: float = 0
     leaving: bool = False
     exit_at: float = float('inf')
     balanced_until: float = float('inf')
     idle_from: float = 0
     exited: bool = False
 
+    @property
+    def warm_until(self) -> float:
+        """Return until when executors may be unknown."""
+        return self.started_at + self.timing.warm_up_s
+
     @property
     def ready(self) -> bool:
         """Tell whether the entry takes jobs."""
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -59,7 +59,8 @@
     """Report the executor beside an agent and its free room.
 
     `starts_seen` is the number of the receiver's last `StartTask` that the
-    free room already accounts for.
+    free room already accounts for. An executor `on_trial` stood still a while
+    ago and takes one task at a time until one makes progress.
     """
 
     executor: str
@@ -69,6 +70,7 @@
     free: Room
     accepting: bool
     starts_seen: int
+    on_trial: bool = False
 
 
 class RunningTasks(NamedTuple):
--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -7,6 +7,7 @@
 
 from savoryrudder.protocol import work
 from savoryrudder.utils.units import MS_PER_S
+from savoryrudder.worker import suspension
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
@@ -41,15 +42,17 @@
         run = state.runs.get(one.task)
         if run is None or run.number != one.run:
             continue
+        if one.percent > run.percent:
+            suspension.note_progress(state, turn)
         if one.percent > run.percent or run.progressed_at < 0:
             run.percent = one.percent
             run.progressed_at = turn.now
         if run.phase is Phase.running:
             running.append(run)
+    suspension.judge(state, turn)
     limit = _slowness_limit(running, turn.now)
     for candidate in running:
-        if not candidate.slow_reported:
-            _report_if_slow(state, turn, candidate, limit)
+        _report_if_slow(state, turn, candidate, limit)
 
 
 def _slowness_limit(running: list[Run], now: float) -> float:
@@ -71,15 +74,17 @@
     limit: float,
 ) -> None:
     slowness = _slowness_of(run, turn.now)
-    is_still = _stands_still(run, turn.now)
-    if slowness < limit and not is_still:
+    is_still = _stands_still(run, turn.now) and not run.standstill_reported
+    is_slow = slowness >= limit and not run.slow_reported
+    if not is_still and not is_slow:
         return
     run.slow_reported = True
+    run.standstill_reported = run.standstill_reported or is_still
     remaining_ms = _STANDS_STILL if is_still else _remaining_ms(run, turn.now)
     message = work.SlowRun(
         run.task,
         run.number,
-        max(slowness, limit),
+        0 if state.health.suspended else max(slowness, limit),
         remaining_ms,
     )
     turn.count('slow_runs')
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -16,7 +16,9 @@
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
+from savoryrudder.worker import suspension
 from savoryrudder.worker.state import EntryLink
+from savoryrudder.worker.state import Health
 from savoryrudder.worker.state import Lease
 from savoryrudder.worker.state import Phase
 
@@ -145,6 +147,7 @@
     state.report = event
     if known is None:
         state.lease = Lease()
+        state.health = Health()
         turn.log(
             'executor-seen',
             executor=event.executor,
@@ -210,6 +213,7 @@
     _stop_orphans(state, turn)
     renewal.report_lapsed(state, turn)
     renewal.retry_stops(state, turn)
+    suspension.end_suspension(state, turn)
     forgotten = turn.now - state.timing.retention_s
     for key, end in tuple(state.ends.items()):
         if end.ended_at < forgotten:
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -9,7 +9,9 @@
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import progress
+from savoryrudder.worker import reports
 from savoryrudder.worker import runs
+from savoryrudder.worker import suspension
 from savoryrudder.worker.effects import CallRenew
 from savoryrudder.worker.state import Phase
 
@@ -21,7 +23,8 @@
 
 # Ends that wait for their owner are listed again with each renewal.
 _UNNOTED_PAUSE_S: Final = 0.1
-# Tasks of a job often end together; one answer then lists them all.
+# Tasks of a job often end together; one answer then lists them all. On a full
+# executor each end makes room that entries wait for.
 _GATHERING_S: Final = 0.02
 _RETRY_PAUSE_S: Final = 0.05
 _IDLE_ACKNOWLEDGEMENT_S: Final = 0.5
@@ -75,7 +78,8 @@
         return _UNNOTED_PAUSE_S
     if not state.runs and not state.strays:
         return _IDLE_ACKNOWLEDGEMENT_S
-    return _GATHERING_S if answer.ended else 0
+    is_tight = reports.is_tight(state)
+    return _GATHERING_S if answer.ended and not is_tight else 0
 
 
 def take_silence(
@@ -165,6 +169,8 @@
         run = state.runs.get(end.task)
         if run is None or run.number != end.run:
             continue
+        if end.outcome == outcomes.DONE:
+            suspension.note_progress(state, turn)
         runs.finish(state, turn, run, end.outcome, 'executor')
         if run.durable:
             lease.unnoted_ends[end.number] = run.key
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -24,6 +24,13 @@
 _GATHERING_S: Final = 0.1
 
 
+def is_tight(state: WorkerState) -> bool:
+    """Tell whether the executor is nearly full."""
+    if state.report is None:
+        return False
+    return state.free.cpu < state.report.capacity.cpu * _TIGHT_SHARE
+
+
 def send_reports(state: WorkerState, turn: Turn) -> None:
     """Send a report on each link whose entry needs to know of a change."""
     executor = state.report
@@ -32,6 +39,7 @@
     current = Reported(
         state.free,
         state.accepting,
+        state.health.on_trial,
         executor.executor,
         turn.now,
     )
@@ -50,6 +58,7 @@
                 current.free,
                 current.accepting,
                 link.starts_seen,
+                current.on_trial,
             ),
         )
 
@@ -60,6 +69,8 @@
         return True
     if last.accepting != current.accepting:
         return True
+    if last.on_trial != current.on_trial:
+        return True
     if last.free == current.free:
         return False
     is_tight = _least_cpu(last.free, current.free) < tight_cpu
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -230,6 +230,8 @@
         return 'executor takes no tasks'
     if message.task in state.runs:
         return 'a run of the task is not settled'
+    if state.health.on_trial and state.runs:
+        return 'executor is on trial'
     if not state.free.holds(message.need):
         return 'no room'
     return ''
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -40,8 +40,8 @@
 
     lease_s: float
     stop_s: float
-    renewal_wait_s: float = 0.3
-    silence_s: float = 0.5
+    renewal_wait_s: float = 0.1
+    silence_s: float = 0
     stop_retry_s: float = 0.25
     owner_grace_s: float = 0.3
     retention_s: float = 30
@@ -73,6 +73,7 @@
     percent: int = 0
     progressed_at: float = _NEVER
     slow_reported: bool = False
+    standstill_reported: bool = False
     phase: Phase = Phase.starting
     answered_at: float = _NEVER
     stop_sent_at: float = _NEVER
@@ -98,6 +99,7 @@
 
     free: Room
     accepting: bool
+    on_trial: bool
     executor: str
     sent_at: float
 
@@ -151,6 +153,20 @@
         return self.ends_seen
 
 
+@dataclass(slots=True)
+class Health:
+    """Hold whether the executor gets tasks.
+
+    `progressed_at` is when some run went on last. While `on_trial`, it gets
+    one task at a time.
+    """
+
+    progressed_at: float = _NEVER
+    suspended: bool = False
+    suspended_until: float = _NEVER
+    on_trial: bool = False
+
+
 @dataclass(slots=True)
 class WorkerState:
     """Hold all state of an agent; its reducer mutates it in place."""
@@ -160,6 +176,7 @@
     fence: int
     report: ExecutorSeen | None = None
     lease: Lease = field(default_factory=Lease)
+    health: Health = field(default_factory=Health)
     runs: dict[str, Run] = field(default_factory=dict)
     # Runs that no message of this process started, with the last stop sent.
     strays: dict[work.RunName, float] = field(default_factory=dict)
@@ -183,6 +200,8 @@
         report = self.report
         if report is None or report.draining or self.leaving:
             return False
+        if self.health.suspended:
+            return False
         is_silent = self.lease.silent_since is not None
         return self.lease.surveyed and not self.strays and not is_silent
 
--- a/tests/dispatch/test_overload.py
+++ b/tests/dispatch/test_overload.py
@@ -103,3 +103,20 @@
     wide = fleet.submit(0, job_of('wide', tasks=10, estimate_ms=ESTIMATE_MS))
     fleet.run(1)
     assert fleet.answers[wide].verdict == answers.COMPLETED
+
+
+def test_a_job_that_finds_no_room_is_refused_early() -> None:
+    """Guards against callers that are held up to the last moment.
+
+    Seen on kpf-cutdesk trouble-1: refusals after half of the objective.
+    """
+    fleet = Fleet(5, entries=1, agents=1)
+    fleet.calls.durations_s = (2, 2)
+    fleet.submit(0, job_of('long', tasks=4, estimate_ms=50))
+    fleet.run(0.1)
+    refused = fleet.submit(0, job_of('one', estimate_ms=ESTIMATE_MS))
+    sent_at = fleet.clock.now
+    fleet.run(1)
+    assert fleet.answers[refused].verdict == answers.OVERLOADED
+    held_s = fleet.answered_at[refused] - sent_at
+    assert held_s <= OBJECTIVE_S / 4 + TICK_S
