--- a/src/savoryrudder/dispatch/__init__.py
+++ b/src/savoryrudder/dispatch/__init__.py
@@ -1,3 +1,3 @@
-"""Accept jobs at an entry and place their tasks on executors by room."""
+"""Accept jobs at an entry and place their tasks on executors."""
 
 from __future__ import annotations
