Reword comments and rename private names in dispatch/admission.py

_WAIT_SHARE -> _MAX_WAIT_SHARE _needed_s -> _objective_s _work_of -> _step_work begin -> start_ms earlier -> predecessor ends -> end_times_ms name -> job_id waiting_until -> queued_latest_start work -> work_cpu_ms

--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -1,7 +1,8 @@
-"""Decide whether an arriving job is taken.
+"""Admission control for submitted jobs.
 
-In an overload, a job whose tasks would start too late for its objective is
-refused on arrival: waiting would serve neither it nor those behind it.
+Under overload, a job whose tasks would start too late to meet its latency
+objective is refused on arrival: queueing it would help neither that job nor
+the jobs behind it.
 """
 
 from __future__ import annotations
@@ -23,19 +24,22 @@
     from savoryrudder.jobs.model import Step
 
 _RETRY_SOON_S: Final = 1
-# Share of the slack that a job may be predicted to wait. The rest covers what
-# the prediction misses; a longer queue would serve no more jobs, only later.
-_WAIT_SHARE: Final = 0.6
+# Maximum predicted wait as a share of the job's slack. The rest covers errors
+# of the prediction; a longer queue would complete no more jobs, only later.
+_MAX_WAIT_SHARE: Final = 0.6
 _RETRY_ELSEWHERE_S: Final = 0.2
 
 
 def ideal_duration_s(request: JobRequest) -> float:
-    """Return the longest chain of the steps' estimated durations."""
-    ends: list[int] = []
+    """Return the estimated duration of the job's critical path."""
+    end_times_ms: list[int] = []
     for step in request.steps:
-        begin = max((ends[earlier] for earlier in step.after), default=0)
-        ends.append(begin + step.estimate_ms)
-    return max(ends, default=0) / MS_PER_S
+        start_ms = max(
+            (end_times_ms[predecessor] for predecessor in step.after),
+            default=0,
+        )
+        end_times_ms.append(start_ms + step.estimate_ms)
+    return max(end_times_ms, default=0) / MS_PER_S
 
 
 def refusal_of(
@@ -44,8 +48,8 @@
     request: JobRequest,
     now: float,
 ) -> answers.Answer | None:
-    """Return why the job cannot be taken, or None."""
-    if state.leaving and now + _needed_s(queue, request) > state.exit_at:
+    """Return the refusal of a job that cannot be accepted, or None."""
+    if state.leaving and now + _objective_s(queue, request) > state.exit_at:
         return answers.Answer(
             answers.UNAVAILABLE,
             'entry is stopping',
@@ -57,7 +61,7 @@
         if agent.report is not None and agent.report.service == queue.service
     ]
     if now < state.warm_until:
-        # Executors have yet to report; a job waits for them.
+        # Agents may still be connecting after the start, so the job is queued.
         return None
     if not any(agent.usable for agent in agents):
         return answers.Answer(
@@ -71,7 +75,7 @@
             'a task needs more than any executor has',
         )
     wait_s = predicted_wait_s(state, queue, request, now)
-    if wait_s > _WAIT_SHARE * _slack_s(queue, request):
+    if wait_s > _MAX_WAIT_SHARE * _slack_s(queue, request):
         return answers.Answer(
             answers.OVERLOADED,
             f'tasks would wait {wait_s:.3f} s',
@@ -86,9 +90,9 @@
     request: JobRequest,
     now: float,
 ) -> float:
-    """Return how long the job's last task is likely to wait for room.
+    """Return the predicted wait until the job's last task can start.
 
-    Every entry is assumed to use an equal share of the executors.
+    Assumes that every entry uses an equal share of the executors' capacity.
     """
     agents = [
         agent
@@ -98,24 +102,24 @@
         and agent.report.service == queue.service
     ]
     latest_start = now + _slack_s(queue, request)
-    work = sum(_work_of(step) for step in request.steps)
-    for waiting_until, _, name in state.waiting:
-        if waiting_until > latest_start:
+    work_cpu_ms = sum(_step_work(step) for step in request.steps)
+    for queued_latest_start, _, job_id in state.waiting:
+        if queued_latest_start > latest_start:
             break
-        work += waiting_work(state.jobs[name])
-    # Free room takes tasks at once.
+        work_cpu_ms += waiting_work(state.jobs[job_id])
+    # Tasks that fit into the free resources start at once.
     free_cpu = sum(max(agent.free.cpu, 0) for agent in agents)
     longest_ms = max(step.estimate_ms for step in request.steps)
-    work = max(work - free_cpu * longest_ms, 0)
+    work_cpu_ms = max(work_cpu_ms - free_cpu * longest_ms, 0)
     total_cpu = sum(
         agent.report.capacity.cpu for agent in agents if agent.report
     )
     share_cpu = max(total_cpu / (1 + len(state.peers)), 1)
-    return work / share_cpu / MS_PER_S
+    return work_cpu_ms / share_cpu / MS_PER_S
 
 
 def waiting_work(job: Job) -> int:
-    """Return the estimated work that has not started, as cpu x ms."""
+    """Return the estimated work that has not started (`cpu` x ms)."""
     return sum(
         len(progress.waiting)
         * progress.step.need.cpu
@@ -124,15 +128,15 @@
     )
 
 
-def _work_of(step: Step) -> int:
+def _step_work(step: Step) -> int:
     return step.tasks * step.need.cpu * step.estimate_ms
 
 
 def _slack_s(queue: Queue, request: JobRequest) -> float:
-    return _needed_s(queue, request) - ideal_duration_s(request)
+    return _objective_s(queue, request) - ideal_duration_s(request)
 
 
-def _needed_s(queue: Queue, request: JobRequest) -> float:
+def _objective_s(queue: Queue, request: JobRequest) -> float:
     return (
         queue.stretch * ideal_duration_s(request) + queue.target_ms / MS_PER_S
     )
