--- a/src/savoryrudder/dispatch/answers.py
+++ b/src/savoryrudder/dispatch/answers.py
@@ -1,4 +1,4 @@
-"""Define the answers to callers' requests."""
+"""Answers to callers' requests and their verdicts."""
 
 from __future__ import annotations
 
@@ -10,28 +10,29 @@
 CANCELLED: Final = 'cancelled'
 PENDING: Final = 'pending'
 RUNNING: Final = 'running'
-# Refusals: the job has not run and will not, unless it is sent again.
+# Refusals: the job has not run and only runs if it is submitted again.
 OVERLOADED: Final = 'overloaded'
 UNAVAILABLE: Final = 'unavailable'
 UNSUPPORTED: Final = 'unsupported'
 UNKNOWN_QUEUE: Final = 'unknown-queue'
 UNKNOWN_JOB: Final = 'unknown-job'
 CONFLICT: Final = 'conflict'
-# The caller has sent the job to another entry, which goes on with it.
+# The caller submitted the job to another entry, which now runs it.
 SUPERSEDED: Final = 'superseded'
-# The job had started and was stopped; it runs again if it is sent again.
+# The job was stopped after its start; it runs again if it is resubmitted.
 INTERRUPTED: Final = 'interrupted'
 
 REFUSALS: Final = frozenset((OVERLOADED, UNAVAILABLE, UNSUPPORTED))
-# Another submission of the job starts anew.
+# Verdicts after which another submission of the same job starts a new run.
 UNREPEATED: Final = REFUSALS | {SUPERSEDED, INTERRUPTED}
 
 
 class Answer(NamedTuple):
-    """Answer one request.
+    """The answer to one request.
 
-    `verdict` is one of the names above; `reason` explains a refusal and
-    `retry_after_s` tells when to come back, 0 for never.
+    `verdict` is one of the constants of this module, `reason` explains a
+    refusal or failure, and `retry_after_s` is the suggested delay before a
+    retry, 0 for no retry.
     """
 
     verdict: str
@@ -40,6 +41,6 @@
 
 
 class QueueLength(NamedTuple):
-    """Answer a request for the accepted jobs without a started task."""
+    """The number of accepted jobs of a queue without a started task."""
 
     waiting: int
