Reword comments and rename private names in dispatch/claims.py

_conclude -> _close_contest _holder_of -> _find_holder _relinquish -> _relinquish_job _tell_peers -> _broadcast earlier -> recent_answer event -> submission found -> holder_answer job -> job_id name -> job_id name -> orphan_id names -> job_ids one -> submission open_contest -> existing_contest opened -> new_contest ready -> settled waiting -> closed_contest waiting -> open_contest

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -1,8 +1,9 @@
-"""Keep a job from running at two entries at a time.
+"""Ensure that a job runs at no more than one entry at a time.
 
-A caller that gets no answer sends its job again, often to another entry.
-Entries tell each other which jobs they have; whoever gets a job that another
-entry has starts it only after the other has stopped it.
+A caller that gets no answer submits its job again, often to another entry.
+Entries announce the jobs they have claimed to each other; an entry that
+receives a job claimed by another one starts it only after that entry has
+relinquished it.
 """
 
 from __future__ import annotations
@@ -27,7 +28,7 @@
     link: str,
     hello: work.EntryHello,
 ) -> None:
-    """Take in another entry and tell it which jobs are here."""
+    """Register another entry and send it the jobs claimed here."""
     if not state.links.pop(link):
         send_hello(state, turn, link)
     state.peers[link] = PeerView(hello.entry, hello.incarnation)
@@ -37,7 +38,7 @@
 
 
 def send_hello(state: DispatchState, turn: Turn, link: str) -> None:
-    """Say who is at this end of a link."""
+    """Identify this entry to the process at the other end of a link."""
     identity = state.identity
     turn.send(
         link,
@@ -50,14 +51,18 @@
 
 
 def lose_peer(state: DispatchState, turn: Turn, link: str) -> None:
-    """Note the loss of an entry; agents stop its runs within a bound."""
+    """Handle the loss of an entry.
+
+    Its jobs may be started here once agents have stopped its runs, which they
+    do within `settle_s`.
+    """
     peer = state.peers.pop(link, None)
     if peer is None:
         return
     settled_at = turn.now + state.timing.settle_s
     turn.log('peer-lost', peer=peer.entry, jobs=len(peer.jobs))
-    for job in peer.jobs:
-        state.orphans[job] = settled_at
+    for job_id in peer.jobs:
+        state.orphans[job_id] = settled_at
     for contest in state.contests.values():
         if contest.holder == link:
             contest.settled_at = settled_at
@@ -68,23 +73,26 @@
     turn: Turn,
     event: JobSubmitted,
 ) -> bool:
-    """Hold a submission back if another entry has the job."""
-    name = event.job.job
-    open_contest = state.contests.get(name)
-    if open_contest is not None:
-        open_contest.submissions.append(event)
+    """Defer a submission if its job may be running at another entry.
+
+    Returns whether the submission was deferred.
+    """
+    job_id = event.job.job
+    existing_contest = state.contests.get(job_id)
+    if existing_contest is not None:
+        existing_contest.submissions.append(event)
         return True
-    holder = _holder_of(state, name)
-    settled_at = state.orphans.get(name, 0)
+    holder = _find_holder(state, job_id)
+    settled_at = state.orphans.get(job_id, 0)
     if not holder and settled_at <= turn.now:
         return False
-    turn.log('job-contested', job=name, holder=holder or 'lost')
-    opened = Contest([event], holder)
+    turn.log('job-contested', job=job_id, holder=holder or 'lost')
+    new_contest = Contest([event], holder)
     if holder:
-        turn.send(holder, work.RelinquishJob(name))
+        turn.send(holder, work.RelinquishJob(job_id))
     else:
-        opened.settled_at = settled_at
-    state.contests[name] = opened
+        new_contest.settled_at = settled_at
+    state.contests[job_id] = new_contest
     return True
 
 
@@ -94,18 +102,18 @@
     link: str,
     message: object,
 ) -> list[JobSubmitted]:
-    """Take a message of another entry; return submissions to go on with."""
+    """Handle a message of another entry; return submissions to resume."""
     peer = state.peers[link]
     match message:
-        case work.JobsClaimed(names):
-            peer.jobs.update(names)
-        case work.JobsReleased(names):
-            peer.jobs.difference_update(names)
-        case work.RelinquishJob(name):
-            _relinquish(state, turn, link, name)
-        case work.JobRelinquished(name, verdict):
-            peer.jobs.discard(name)
-            return _conclude(state, turn, name, verdict)
+        case work.JobsClaimed(job_ids):
+            peer.jobs.update(job_ids)
+        case work.JobsReleased(job_ids):
+            peer.jobs.difference_update(job_ids)
+        case work.RelinquishJob(job_id):
+            _relinquish_job(state, turn, link, job_id)
+        case work.JobRelinquished(job_id, verdict):
+            peer.jobs.discard(job_id)
+            return _close_contest(state, turn, job_id, verdict)
     return []
 
 
@@ -113,45 +121,47 @@
     state: DispatchState,
     now: float,
 ) -> list[JobSubmitted]:
-    """Return the submissions whose jobs no longer run at lost entries."""
-    for name, settled_at in tuple(state.orphans.items()):
+    """Remove and return submissions whose jobs no longer run elsewhere."""
+    for orphan_id, settled_at in tuple(state.orphans.items()):
         if settled_at <= now:
-            state.orphans.pop(name)
-    ready: list[JobSubmitted] = []
-    for name, waiting in tuple(state.contests.items()):
-        if waiting.settled_at <= now:
-            state.contests.pop(name)
-            ready.extend(waiting.submissions)
-    return ready
+            state.orphans.pop(orphan_id)
+    settled: list[JobSubmitted] = []
+    for job_id, open_contest in tuple(state.contests.items()):
+        if open_contest.settled_at <= now:
+            state.contests.pop(job_id)
+            settled.extend(open_contest.submissions)
+    return settled
 
 
 def withdraw(state: DispatchState, request: int) -> None:
-    """Forget a submission that waits, as its caller has left."""
-    for name, waiting in tuple(state.contests.items()):
-        waiting.submissions = [
-            one for one in waiting.submissions if one.request != request
+    """Remove a deferred submission whose caller has disconnected."""
+    for job_id, open_contest in tuple(state.contests.items()):
+        open_contest.submissions = [
+            submission
+            for submission in open_contest.submissions
+            if submission.request != request
         ]
-        if not waiting.submissions:
-            state.contests.pop(name)
+        if not open_contest.submissions:
+            state.contests.pop(job_id)
 
 
 def announce(state: DispatchState, turn: Turn) -> None:
-    """Tell other entries about jobs taken in and jobs that have ended."""
+    """Announce claimed and released jobs to the other entries."""
     changes = state.claim_changes
     if changes.claimed:
-        _tell_peers(state, turn, work.JobsClaimed(tuple(changes.claimed)))
+        _broadcast(state, turn, work.JobsClaimed(tuple(changes.claimed)))
         changes.claimed.clear()
     if not changes.released:
         return
-    _tell_peers(state, turn, work.JobsReleased(tuple(changes.released)))
-    for name in changes.released:
-        link = state.relinquished.pop(name, '')
+    _broadcast(state, turn, work.JobsReleased(tuple(changes.released)))
+    for job_id in changes.released:
+        link = state.relinquished.pop(job_id, '')
         if link in state.peers:
-            turn.send(link, work.JobRelinquished(name, ''))
+            turn.send(link, work.JobRelinquished(job_id, ''))
     changes.released.clear()
 
 
-def _tell_peers(
+def _broadcast(
     state: DispatchState,
     turn: Turn,
     message: work.JobsClaimed | work.JobsReleased,
@@ -160,45 +170,45 @@
         turn.send(link, message)
 
 
-def _holder_of(state: DispatchState, name: str) -> str:
+def _find_holder(state: DispatchState, job_id: str) -> str:
     for link, peer in state.peers.items():
-        if name in peer.jobs:
+        if job_id in peer.jobs:
             return link
     return ''
 
 
-def _relinquish(
+def _relinquish_job(
     state: DispatchState,
     turn: Turn,
     link: str,
-    name: str,
+    job_id: str,
 ) -> None:
-    job = state.jobs.get(name)
+    job = state.jobs.get(job_id)
     if job is None:
-        earlier = state.answered.get(name)
-        verdict = earlier[1].verdict if earlier else ''
-        turn.send(link, work.JobRelinquished(name, verdict))
+        recent_answer = state.answered.get(job_id)
+        verdict = recent_answer[1].verdict if recent_answer else ''
+        turn.send(link, work.JobRelinquished(job_id, verdict))
         return
-    turn.log('job-relinquished', job=name, unsettled=job.out)
-    state.relinquished[name] = link
+    turn.log('job-relinquished', job=job_id, unsettled=job.out)
+    state.relinquished[job_id] = link
     if not job.ended:
         superseded = answers.Answer(answers.SUPERSEDED)
         jobs.answer(state, turn, job, superseded)
 
 
-def _conclude(
+def _close_contest(
     state: DispatchState,
     turn: Turn,
-    name: str,
+    job_id: str,
     verdict: str,
 ) -> list[JobSubmitted]:
-    waiting = state.contests.pop(name, None)
-    if waiting is None:
+    closed_contest = state.contests.pop(job_id, None)
+    if closed_contest is None:
         return []
     if not verdict:
-        return waiting.submissions
-    found = answers.Answer(verdict)
-    state.answered[name] = (turn.now, found)
-    for event in waiting.submissions:
-        turn.reply(event.request, found)
+        return closed_contest.submissions
+    holder_answer = answers.Answer(verdict)
+    state.answered[job_id] = (turn.now, holder_answer)
+    for submission in closed_contest.submissions:
+        turn.reply(submission.request, holder_answer)
     return []
