--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -1,4 +1,4 @@
-"""Stop an entry without leaving a caller unanswered."""
+"""Graceful stop of an entry: every open request is answered first."""
 
 from __future__ import annotations
 
@@ -14,13 +14,17 @@
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.turn import Turn
 
-# Left before the exit for the last answers to reach their callers.
-_LAST_ANSWERS_S: Final = 0.4
+# Time reserved before the exit for the last answers to reach their callers.
+_ANSWER_DELIVERY_S: Final = 0.4
 _RETRY_ELSEWHERE_S: Final = 0.2
 
 
 def begin(state: DispatchState, turn: Turn, event: DrainRequested) -> None:
-    """Report not ready; serve on until the balancer and callers are gone."""
+    """Start draining.
+
+    The entry reports not ready, but serves requests until the load balancer
+    has stopped sending them and all callers have their answers.
+    """
     if state.leaving:
         return
     turn.log('draining', jobs=len(state.jobs), timeout_s=event.timeout_s)
@@ -30,14 +34,14 @@
 
 
 def go_on(state: DispatchState, turn: Turn) -> None:
-    """Answer the last callers when time runs out, and exit."""
+    """Answer the remaining requests before the timeout, and exit when idle."""
     if not state.leaving or state.exited:
         return
-    if turn.now >= state.exit_at - _LAST_ANSWERS_S:
-        _answer_all(state, turn)
+    if turn.now >= state.exit_at - _ANSWER_DELIVERY_S:
+        _answer_open_requests(state, turn)
     if state.callers or state.contests:
-        # The last answer takes a while to reach its caller, too.
-        state.idle_from = turn.now + _LAST_ANSWERS_S
+        # The last answer, too, needs time to reach its caller.
+        state.idle_from = turn.now + _ANSWER_DELIVERY_S
     is_idle = turn.now >= max(state.idle_from, state.balanced_until)
     if is_idle or turn.now >= state.exit_at:
         turn.log('drained', jobs=len(state.jobs))
@@ -45,7 +49,7 @@
         turn.effects.append(Exit())
 
 
-def _answer_all(state: DispatchState, turn: Turn) -> None:
+def _answer_open_requests(state: DispatchState, turn: Turn) -> None:
     refusal = answers.Answer(
         answers.UNAVAILABLE,
         'entry is stopping',
@@ -54,9 +58,9 @@
     interruption = answers.Answer(answers.INTERRUPTED, 'entry is stopping')
     for job in tuple(state.jobs.values()):
         if not job.ended:
-            is_untouched = job.started_at is None
-            found = refusal if is_untouched else interruption
-            jobs.answer(state, turn, job, found)
+            is_unstarted = job.started_at is None
+            final_answer = refusal if is_unstarted else interruption
+            jobs.answer(state, turn, job, final_answer)
     for contest in state.contests.values():
         for submission in contest.submissions:
             turn.reply(submission.request, interruption)
