--- a/src/savoryrudder/dispatch/effects.py
+++ b/src/savoryrudder/dispatch/effects.py
@@ -1,4 +1,4 @@
-"""Define the effects of an entry beyond those of every role."""
+"""Effects of the dispatch reducer."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class Reply(NamedTuple):
-    """Answer a caller's request."""
+    """Send the answer to a caller's request."""
 
     request: int
     answer: Answer | QueueLength
