--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -1,4 +1,7 @@
-"""Define the events of an entry; `now` is seconds of the steady clock."""
+"""Events of the dispatch reducer.
+
+`now` is the time of the event in seconds of a monotonic clock.
+"""
 
 from __future__ import annotations
 
@@ -11,7 +14,7 @@
 
 
 class ConfigurationRead(NamedTuple):
-    """The store holds this configuration."""
+    """A configuration was read from the store."""
 
     now: float
     configuration: Configuration
@@ -20,8 +23,9 @@
 class JobSubmitted(NamedTuple):
     """A caller submitted a job.
 
-    `unsupported` names what the job asks for and we do not offer; the caller
-    waits for `patience_s` (None: for as long as it takes).
+    `unsupported` names the unsupported feature that the job requires, if any.
+    The caller waits for an answer for `patience_s` seconds, or without a
+    limit if it is None.
     """
 
     now: float
@@ -34,7 +38,7 @@
 
 
 class JobAsked(NamedTuple):
-    """A caller asked for a job's state, or for a queue's length."""
+    """A caller requested the state of a job or the length of a queue."""
 
     now: float
     request: int
@@ -43,7 +47,7 @@
 
 
 class JobCancelled(NamedTuple):
-    """A caller cancelled a job."""
+    """A caller requested the cancellation of a job."""
 
     now: float
     request: int
@@ -52,14 +56,14 @@
 
 
 class CallerGone(NamedTuple):
-    """The caller of a request has closed its connection."""
+    """The caller of a request closed its connection."""
 
     now: float
     request: int
 
 
 class LinkUp(NamedTuple):
-    """A link is open; `dialled` is True if this entry asked another for it."""
+    """A link was opened; `dialled` is True if this entry initiated it."""
 
     now: float
     link: str
@@ -67,7 +71,7 @@
 
 
 class LinkDown(NamedTuple):
-    """A link has ended; nothing more arrives on it."""
+    """A link was closed; no more messages arrive on it."""
 
     now: float
     link: str
@@ -75,7 +79,7 @@
 
 
 class MessageReceived(NamedTuple):
-    """A process at the other end of a link sent a message."""
+    """A message arrived on a link."""
 
     now: float
     link: str
@@ -83,13 +87,13 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed."""
+    """Periodic timer event."""
 
     now: float
 
 
 class DrainRequested(NamedTuple):
-    """The process shall stop gracefully."""
+    """The process was asked to stop gracefully within `timeout_s`."""
 
     now: float
     timeout_s: float
