Reword comments and rename private names in dispatch/fleet.py

_ROOM_RETURNED -> _RELEASING_OUTCOMES _RUN_STEP -> _RUN_NUMBER_INCREMENT _complete -> _complete_task _fail -> _fail_task _recount -> _update_free _requeue -> _requeue_task _return_room -> _release_resources _settle -> _requeue_unsettled _tasks_at -> _tasks_of_agent found -> failure listed -> listed_runs name -> task_name other -> former_link placed -> placement view -> agent

--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -1,4 +1,4 @@
-"""Follow agents, the room of their executors, and the tasks sent there."""
+"""Track agents, the free resources of their executors, and their tasks."""
 
 from __future__ import annotations
 
@@ -22,17 +22,19 @@
     from savoryrudder.dispatch.state import Task
     from savoryrudder.dispatch.turn import Turn
 
-# The run of a lost task keeps its room until it is surely gone.
-_ROOM_RETURNED: Final = frozenset(
+# Outcomes that free the resources of a run. A lost run may still be using
+# them; they are free again when the executor reports so.
+_RELEASING_OUTCOMES: Final = frozenset(
     (outcomes.DONE, outcomes.FAILED, outcomes.STOPPED),
 )
-# A run number above those of earlier runs of the task at the executor.
-_RUN_STEP: Final = 8
+# Added to the run number that an executor rejected as outdated, to exceed the
+# numbers of all earlier runs of the task there.
+_RUN_NUMBER_INCREMENT: Final = 8
 
 
-def send_task(state: DispatchState, turn: Turn, placed: Placement) -> None:
+def send_task(state: DispatchState, turn: Turn, placement: Placement) -> None:
     """Send a placed task to its agent."""
-    job, task, link = placed
+    job, task, link = placement
     agent = state.agents[link]
     progress = job.steps[task.step]
     progress.waiting.remove(task)
@@ -70,10 +72,10 @@
     link: str,
     hello: work.AgentHello,
 ) -> None:
-    """Take in an agent that has linked."""
-    for other, view in tuple(state.agents.items()):
-        if view.agent == hello.agent:
-            lose(state, turn, other, 'replaced by a new link')
+    """Register an agent; a former link of the same agent is dropped."""
+    for former_link, agent in tuple(state.agents.items()):
+        if agent.agent == hello.agent:
+            lose(state, turn, former_link, 'replaced by a new link')
     state.links.pop(link, None)
     state.agents[link] = AgentView(
         hello.agent,
@@ -85,7 +87,11 @@
 
 
 def lose(state: DispatchState, turn: Turn, link: str, reason: str) -> None:
-    """Note the loss of a link; tasks there may go on for a while."""
+    """Handle the loss of a link.
+
+    If it led to an agent, the runs there may continue for up to `settle_s`, so
+    their tasks become unsettled.
+    """
     state.links.pop(link, None)
     agent = state.agents.pop(link, None)
     state.noted_ends.pop(link, None)
@@ -93,7 +99,7 @@
         return
     tasks = [
         task
-        for _, task in _tasks_at(state, agent.agent)
+        for _, task in _tasks_of_agent(state, agent.agent)
         if task.state is TaskState.placed
     ]
     for task in tasks:
@@ -113,13 +119,13 @@
     link: str,
     message: work.RunningTasks,
 ) -> None:
-    """Match our tasks with those that an agent lists."""
+    """Reconcile unsettled tasks with the runs that an agent lists."""
     agent = state.agents[link]
-    listed = dict(message.tasks)
-    for job, task in _tasks_at(state, agent.agent):
+    listed_runs = dict(message.tasks)
+    for job, task in _tasks_of_agent(state, agent.agent):
         if task.state is not TaskState.unsettled:
             continue
-        if listed.get(task.name) == task.run:
+        if listed_runs.get(task.name) == task.run:
             task.state = TaskState.placed
             if job.ended:
                 turn.send(link, work.StopTask(task.name, task.run))
@@ -132,16 +138,16 @@
     link: str,
     report: work.ExecutorReport,
 ) -> None:
-    """Take the report of an executor and its free room."""
+    """Update the capacity and free resources of an executor."""
     agent = state.agents[link]
     agent.report = report
     for number in tuple(agent.pending):
         if number <= report.starts_seen:
             agent.pending.pop(number)
-    _recount(agent)
+    _update_free(agent)
     if report.accepting:
-        # Every run that the agent did not list is gone by now.
-        _settle(state, turn, agent.agent)
+        # Any run that the agent did not list has ended.
+        _requeue_unsettled(state, turn, agent.agent)
 
 
 def take_end(
@@ -150,9 +156,9 @@
     link: str,
     ended: work.TaskEnded,
 ) -> None:
-    """Take the end of a run."""
+    """Handle the end of a run: complete, fail or requeue its task."""
     agent = state.agents[link]
-    _return_room(state, agent, ended)
+    _release_resources(state, agent, ended)
     state.noted_ends.setdefault(link, []).append((ended.task, ended.run))
     agent.in_flight = max(agent.in_flight - 1, 0)
     job = state.jobs.get(ended.task.partition('.')[0])
@@ -163,27 +169,27 @@
         return
     health.note_end(turn, agent, job, task, ended)
     if ended.outcome == outcomes.DONE:
-        _complete(state, turn, job, task)
+        _complete_task(state, turn, job, task)
     elif ended.outcome == outcomes.FAILED:
-        _fail(state, turn, job, task)
+        _fail_task(state, turn, job, task)
     else:
         if ended.reason == verdicts.OUTDATED:
-            task.run += _RUN_STEP
+            task.run += _RUN_NUMBER_INCREMENT
         if ended.outcome == outcomes.LOST:
             task.avoided = {agent.agent}
-        _requeue(state, job, task)
+        _requeue_task(state, job, task)
     jobs.forget_if_settled(state, job)
 
 
 def confirm_ends(state: DispatchState, turn: Turn) -> None:
-    """Tell agents which ends have been noted."""
+    """Acknowledge the ends of runs to their agents."""
     for link, ends in state.noted_ends.items():
         turn.send(link, work.EndsNoted(tuple(ends)))
     state.noted_ends.clear()
 
 
 def settle_overdue(state: DispatchState, turn: Turn) -> None:
-    """Requeue tasks whose runs on lost agents have surely ended."""
+    """Requeue tasks of lost agents whose runs must have ended by now."""
     for job in tuple(state.jobs.values()):
         if not job.out:
             continue
@@ -191,19 +197,19 @@
             is_unsettled = task.state is TaskState.unsettled
             if is_unsettled and task.settled_at <= turn.now:
                 turn.log('task-settled', task=task.name, agent=task.agent)
-                _requeue(state, job, task)
+                _requeue_task(state, job, task)
         jobs.forget_if_settled(state, job)
 
 
-def _settle(state: DispatchState, turn: Turn, agent: str) -> None:
-    for job, task in _tasks_at(state, agent):
+def _requeue_unsettled(state: DispatchState, turn: Turn, agent: str) -> None:
+    for job, task in _tasks_of_agent(state, agent):
         if task.state is TaskState.unsettled:
             turn.log('task-settled', task=task.name, agent=agent)
-            _requeue(state, job, task)
+            _requeue_task(state, job, task)
             jobs.forget_if_settled(state, job)
 
 
-def _tasks_at(state: DispatchState, agent: str) -> list[tuple[Job, Task]]:
+def _tasks_of_agent(state: DispatchState, agent: str) -> list[tuple[Job, Task]]:
     return [
         (job, task)
         for job in state.jobs.values()
@@ -213,7 +219,12 @@
     ]
 
 
-def _complete(state: DispatchState, turn: Turn, job: Job, task: Task) -> None:
+def _complete_task(
+    state: DispatchState,
+    turn: Turn,
+    job: Job,
+    task: Task,
+) -> None:
     task.state = TaskState.done
     task.agent = ''
     job.out -= 1
@@ -229,19 +240,19 @@
     jobs.answer(state, turn, job, answers.Answer(answers.COMPLETED))
 
 
-def _fail(state: DispatchState, turn: Turn, job: Job, task: Task) -> None:
+def _fail_task(state: DispatchState, turn: Turn, job: Job, task: Task) -> None:
     task.failures += 1
     task.avoided = task.avoided | {task.agent}
-    _requeue(state, job, task)
+    _requeue_task(state, job, task)
     if task.failures >= job.queue.attempts and not job.ended:
-        found = answers.Answer(
+        failure = answers.Answer(
             answers.FAILED,
             f'a task failed {task.failures} times',
         )
-        jobs.answer(state, turn, job, found)
+        jobs.answer(state, turn, job, failure)
 
 
-def _requeue(state: DispatchState, job: Job, task: Task) -> None:
+def _requeue_task(state: DispatchState, job: Job, task: Task) -> None:
     task.state = TaskState.waiting
     task.agent = ''
     job.out -= 1
@@ -250,28 +261,28 @@
         jobs.enqueue(state, job)
 
 
-def _return_room(
+def _release_resources(
     state: DispatchState,
     agent: AgentView,
     ended: work.TaskEnded,
 ) -> None:
-    for number, (name, _) in tuple(agent.pending.items()):
-        if name == ended.task:
-            # The reported room does not account for this run yet.
+    for number, (task_name, _) in tuple(agent.pending.items()):
+        if task_name == ended.task:
+            # The reported free resources do not include this run yet.
             agent.pending.pop(number)
-            _recount(agent)
+            _update_free(agent)
             return
-    if ended.outcome not in _ROOM_RETURNED:
+    if ended.outcome not in _RELEASING_OUTCOMES:
         return
     job = state.jobs.get(ended.task.partition('.')[0])
     task = job.tasks.get(ended.task) if job else None
     if job is not None and task is not None and task.run == ended.run:
-        # The next report confirms it.
+        # Counted as free now; the next report replaces this value.
         need = job.steps[task.step].step.need
         agent.free = agent.free.plus(need)
 
 
-def _recount(agent: AgentView) -> None:
+def _update_free(agent: AgentView) -> None:
     if agent.report is None:
         return
     agent.free = agent.report.free
