Reword comments and rename private names in dispatch/health.py

_AVOIDANCE_S -> _MIN_AVOIDANCE_S _FAILURES_IN_A_ROW -> _FAILURE_THRESHOLD _LONGEST_AVOIDANCE_S -> _MAX_AVOIDANCE_S _MOVE_GAIN -> _MIN_MOVE_GAIN _SLOWEST -> _MAX_SLOWNESS _SLOW_FACTOR -> _SLOWNESS_THRESHOLD _SLOW_MEMORY_S -> _SLOWNESS_VALIDITY_S _SMOOTHING -> _SMOOTHING_FACTOR _placed_task -> _find_placed_task found -> placed other -> candidate relapses -> excess_failures

--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -1,8 +1,9 @@
-"""Judge executors by how their tasks end and how fast they go on.
+"""Track the health of executors by the failures and speed of their tasks.
 
-An executor that fails several tasks in a row gets none for a while, longer
-with each relapse, and then one at a time until one succeeds. A slow one is
-used when no other has room, and its tasks move where they end sooner.
+An executor that fails several tasks in a row is avoided for a while, longer
+after each further failure, and then gets one task at a time until one
+succeeds. A slow executor is used when no other has free resources, and its
+tasks are moved to executors that are expected to complete them sooner.
 """
 
 from __future__ import annotations
@@ -22,22 +23,23 @@
     from savoryrudder.dispatch.state import Task
     from savoryrudder.dispatch.turn import Turn
 
-# Weight of the latest duration in the moving average of an executor.
-_SMOOTHING: Final = 0.05
-_SLOWEST: Final = 20
-_FAILURES_IN_A_ROW: Final = 3
-_AVOIDANCE_S: Final = 1
-_LONGEST_AVOIDANCE_S: Final = 8
-_SLOW_MEMORY_S: Final = 4
-_SLOW_FACTOR: Final = 3
-# A task moves if that saves at least this share of its estimate.
-_MOVE_GAIN: Final = 0.3
+# Weight of the latest run in the moving average of an executor's slowness.
+_SMOOTHING_FACTOR: Final = 0.05
+_MAX_SLOWNESS: Final = 20
+_FAILURE_THRESHOLD: Final = 3
+_MIN_AVOIDANCE_S: Final = 1
+_MAX_AVOIDANCE_S: Final = 8
+_SLOWNESS_VALIDITY_S: Final = 4
+_SLOWNESS_THRESHOLD: Final = 3
+# A task is moved if that saves at least this share of its estimate.
+_MIN_MOVE_GAIN: Final = 0.3
 
 
 def avoided_links(state: DispatchState, now: float) -> set[str]:
-    """Return the links whose executors get no tasks at present.
+    """Return the links of executors that get no tasks at present.
 
-    When that would be most of them, the fault is not with the executors.
+    If more than half of the usable executors qualify, the cause is probably
+    not theirs, and none is avoided.
     """
     usable = [link for link, agent in state.agents.items() if agent.usable]
     avoided = {link for link in usable if is_avoided(state.agents[link], now)}
@@ -45,16 +47,16 @@
 
 
 def is_avoided(agent: AgentView, now: float) -> bool:
-    """Tell whether an executor fails tasks or is far too slow."""
-    if slowness_of(agent, now) >= _SLOW_FACTOR:
+    """Return whether an executor fails tasks repeatedly or is too slow."""
+    if slowness_of(agent, now) >= _SLOWNESS_THRESHOLD:
         return True
-    if agent.recent_failures < _FAILURES_IN_A_ROW:
+    if agent.recent_failures < _FAILURE_THRESHOLD:
         return False
     return now < agent.failing_until or agent.in_flight > 0
 
 
 def slowness_of(agent: AgentView, now: float) -> float:
-    """Return how long tasks take there, relative to their estimates."""
+    """Return the current task duration relative to the estimate."""
     return agent.slowness if now < agent.slow_until else 1
 
 
@@ -65,24 +67,24 @@
     task: Task,
     ended: work.TaskEnded,
 ) -> None:
-    """Learn from the end of a run."""
+    """Update the failure count and average slowness after a run."""
     if ended.outcome == outcomes.FAILED:
         note_failure(turn, agent, ended.reason)
     if ended.outcome != outcomes.DONE:
         return
     agent.recent_failures = 0
     estimate_ms = max(job.steps[task.step].step.estimate_ms, 1)
-    ratio = min(ended.duration_ms / estimate_ms, _SLOWEST)
-    agent.usual_slowness += _SMOOTHING * (ratio - agent.usual_slowness)
+    ratio = min(ended.duration_ms / estimate_ms, _MAX_SLOWNESS)
+    agent.usual_slowness += _SMOOTHING_FACTOR * (ratio - agent.usual_slowness)
 
 
 def note_failure(turn: Turn, agent: AgentView, reason: str) -> None:
-    """Count a failure, and avoid the executor after several."""
+    """Count a failure; avoid the executor after several in a row."""
     agent.recent_failures += 1
-    relapses = agent.recent_failures - _FAILURES_IN_A_ROW
-    if relapses < 0:
+    excess_failures = agent.recent_failures - _FAILURE_THRESHOLD
+    if excess_failures < 0:
         return
-    pause_s = min(_AVOIDANCE_S * 2**relapses, _LONGEST_AVOIDANCE_S)
+    pause_s = min(_MIN_AVOIDANCE_S * 2**excess_failures, _MAX_AVOIDANCE_S)
     agent.failing_until = turn.now + pause_s
     turn.count('executors_avoided')
     turn.log(
@@ -100,17 +102,20 @@
     link: str,
     slow: work.SlowRun,
 ) -> None:
-    """Note a slow run, and move its task if it ends sooner elsewhere."""
+    """Handle the report of a slow run.
+
+    Its task is moved if it makes no progress or would end sooner elsewhere.
+    """
     agent = state.agents[link]
     if slow.slowness:
-        agent.slowness = min(slow.slowness, _SLOWEST)
-        agent.slow_until = turn.now + _SLOW_MEMORY_S
+        agent.slowness = min(slow.slowness, _MAX_SLOWNESS)
+        agent.slow_until = turn.now + _SLOWNESS_VALIDITY_S
         if slow.remaining_ms < 0:
             note_failure(turn, agent, 'no progress')
-    found = _placed_task(state, slow)
-    if found is None:
+    placed = _find_placed_task(state, slow)
+    if placed is None:
         return
-    job, task = found
+    job, task = placed
     is_moved = slow.remaining_ms < 0 or _ends_sooner_elsewhere(
         state,
         turn.now,
@@ -132,7 +137,7 @@
         turn.send(link, work.StopTask(task.name, task.run))
 
 
-def _placed_task(
+def _find_placed_task(
     state: DispatchState,
     slow: work.SlowRun,
 ) -> tuple[Job, Task] | None:
@@ -153,15 +158,17 @@
     slow: work.SlowRun,
 ) -> bool:
     if task.moved:
-        # It is slow wherever it runs.
+        # The task was slow at another executor, too: moving does not help.
         return False
     step = job.steps[task.step].step
-    for other in state.agents.values():
-        if other.agent == task.agent or is_avoided(other, now):
+    for candidate in state.agents.values():
+        if candidate.agent == task.agent or is_avoided(candidate, now):
             continue
-        if not may_start(other, job.queue.service, step):
+        if not may_start(candidate, job.queue.service, step):
             continue
-        expected_ms = step.estimate_ms * (slowness_of(other, now) + _MOVE_GAIN)
+        expected_ms = step.estimate_ms * (
+            slowness_of(candidate, now) + _MIN_MOVE_GAIN
+        )
         if expected_ms < slow.remaining_ms:
             return True
     return False
