Reword comments and rename private names in dispatch/jobs.py

_RETRY_AFTER_S -> _RETRY_SOON_S _UNTRIED_SHARE -> _MAX_UNSTARTED_SHARE _refused_from -> _start_deadline earlier -> predecessor found -> final_answer last_chance -> deadline late -> interruption name -> job_id name -> task_name names -> task_names

--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -1,4 +1,4 @@
-"""Follow jobs from their arrival to their answer."""
+"""Life cycle of jobs, from submission to the final answer."""
 
 from __future__ import annotations
 
@@ -23,10 +23,10 @@
     from savoryrudder.jobs.model import JobRequest
     from savoryrudder.jobs.model import Queue
 
-_RETRY_AFTER_S: Final = 1
-# A job of which no task has started after this share of its objective is
-# refused: its caller can still go elsewhere.
-_UNTRIED_SHARE: Final = 0.25
+_RETRY_SOON_S: Final = 1
+# A job without a started task is refused after this share of its objective, so
+# that its caller still has time to submit it elsewhere.
+_MAX_UNSTARTED_SHARE: Final = 0.25
 
 
 def create(
@@ -34,7 +34,7 @@
     event: JobSubmitted,
     queue: Queue,
 ) -> Job:
-    """Take in a job; its first steps wait for room."""
+    """Create a job and queue the tasks of its first steps."""
     request = event.job
     ideal_s = admission.ideal_duration_s(request)
     objective_s = queue.stretch * ideal_s + queue.target_ms / MS_PER_S
@@ -50,8 +50,8 @@
         {},
     )
     for index, step in enumerate(request.steps):
-        names = _task_names(request, index)
-        tasks = [Task(name, index) for name in names]
+        task_names = _task_names(request, index)
+        tasks = [Task(task_name, index) for task_name in task_names]
         job.tasks.update((task.name, task) for task in tasks)
         job.steps.append(StepProgress(step, tasks, step.tasks))
     if event.patience_s is not None:
@@ -64,8 +64,8 @@
 
 
 def _task_names(request: JobRequest, index: int) -> list[str]:
-    # The occurrence is 0 for jobs that do not repeat. Tasks are taken from
-    # the end of the list.
+    # Names are `job.occurrence.step.position`; the occurrence is 0 for jobs
+    # that do not repeat. Reversed, because tasks are taken from the end.
     count = request.steps[index].tasks
     return [
         f'{request.job}.0.{index}.{position}'
@@ -74,17 +74,18 @@
 
 
 def unlock_steps(job: Job) -> None:
-    """Let steps start whose earlier steps are complete."""
+    """Unlock the steps whose predecessors are complete."""
     for progress in job.steps:
         if progress.unlocked:
             continue
         progress.unlocked = all(
-            job.steps[earlier].remaining == 0 for earlier in progress.step.after
+            job.steps[predecessor].remaining == 0
+            for predecessor in progress.step.after
         )
 
 
 def enqueue(state: DispatchState, job: Job) -> None:
-    """Put a job with waiting tasks into the queue, once."""
+    """Queue a job with waiting tasks unless it is queued already."""
     entry = (job.latest_start, job.number, job.request.job)
     position = bisect_left(state.waiting, entry)
     is_queued = state.waiting[position : position + 1] == [entry]
@@ -93,7 +94,7 @@
 
 
 def dequeue(state: DispatchState, job: Job) -> None:
-    """Take a job out of the queue."""
+    """Remove a job from the queue, if it is queued."""
     entry = (job.latest_start, job.number, job.request.job)
     position = bisect_left(state.waiting, entry)
     if state.waiting[position : position + 1] == [entry]:
@@ -104,36 +105,36 @@
     state: DispatchState,
     turn: Turn,
     job: Job,
-    found: answers.Answer,
+    final_answer: answers.Answer,
 ) -> None:
-    """Answer all callers of a job and stop what still runs."""
+    """Send the final answer to all callers of a job and stop its runs."""
     job.ended = True
     dequeue(state, job)
     for request in sorted(job.callers):
         state.callers.pop(request, None)
-        turn.reply(request, found)
+        turn.reply(request, final_answer)
     job.callers.clear()
-    turn.count(f'jobs_{found.verdict}')
+    turn.count(f'jobs_{final_answer.verdict}')
     elapsed_s = turn.now - job.arrived_at
-    turn.observe(f'job_{found.verdict}', elapsed_s)
+    turn.observe(f'job_{final_answer.verdict}', elapsed_s)
     turn.log(
         'job-answered',
         job=job.request.job,
         queue=job.queue.name,
-        verdict=found.verdict,
-        reason=found.reason,
+        verdict=final_answer.verdict,
+        reason=final_answer.reason,
         elapsed_ms=int(elapsed_s * MS_PER_S),
         objective_ms=int(job.objective_s * MS_PER_S),
         unsettled=job.out,
     )
-    if found.verdict not in answers.UNREPEATED:
-        state.answered[job.request.job] = (turn.now, found)
+    if final_answer.verdict not in answers.UNREPEATED:
+        state.answered[job.request.job] = (turn.now, final_answer)
     stop_runs(state, turn, job)
     forget_if_settled(state, job)
 
 
 def stop_runs(state: DispatchState, turn: Turn, job: Job) -> None:
-    """Stop the runs of a job."""
+    """Ask agents to stop the runs of a job."""
     if not job.out:
         return
     links = {view.agent: link for link, view in state.agents.items()}
@@ -144,41 +145,50 @@
 
 
 def forget_if_settled(state: DispatchState, job: Job) -> None:
-    """Forget an ended job once none of its tasks may be running."""
+    """Remove an ended job once none of its tasks can be running."""
     if job.ended and not job.out:
         state.jobs.pop(job.request.job, None)
         state.claim_changes.released.append(job.request.job)
 
 
 def refuse_overdue(state: DispatchState, turn: Turn) -> None:
-    """Refuse jobs that found no room while they had a good chance."""
-    for _, _, name in tuple(state.waiting):
-        job = state.jobs[name]
+    """Answer queued jobs that are past their time limit.
+
+    Jobs without a started task are refused, others are interrupted.
+    """
+    for _, _, job_id in tuple(state.waiting):
+        job = state.jobs[job_id]
         if job.started_at is not None:
             if turn.now >= job.expires_at:
-                late = answers.Answer(answers.INTERRUPTED, 'time limit')
-                answer(state, turn, job, late)
-        elif turn.now >= _refused_from(state, job):
+                interruption = answers.Answer(answers.INTERRUPTED, 'time limit')
+                answer(state, turn, job, interruption)
+        elif turn.now >= _start_deadline(state, job):
             refusal = answers.Answer(
                 answers.OVERLOADED,
                 'no room in time',
-                _RETRY_AFTER_S,
+                _RETRY_SOON_S,
             )
             answer(state, turn, job, refusal)
 
 
-def _refused_from(state: DispatchState, job: Job) -> float:
-    last_chance = min(job.latest_start, job.expires_at)
+def _start_deadline(state: DispatchState, job: Job) -> float:
+    deadline = min(job.latest_start, job.expires_at)
     if job.arrived_at < state.warm_until:
-        return last_chance
-    return min(last_chance, job.arrived_at + _UNTRIED_SHARE * job.objective_s)
+        return deadline
+    return min(
+        deadline,
+        job.arrived_at + _MAX_UNSTARTED_SHARE * job.objective_s,
+    )
 
 
 def forget_answers(state: DispatchState, now: float) -> None:
-    """Forget answers that no late copy of a request will ask for."""
+    """Remove answers that are older than the retention time.
+
+    No resubmission of their jobs is expected any more.
+    """
     oldest = now - state.timing.answer_memory_s
     while state.answered:
-        name = next(iter(state.answered))
-        if state.answered[name][0] > oldest:
+        job_id = next(iter(state.answered))
+        if state.answered[job_id][0] > oldest:
             return
-        state.answered.pop(name)
+        state.answered.pop(job_id)
