Reword comments and rename private names in dispatch/placement.py

_FAR_FACTOR -> _REMOTE_DATA_FACTOR _OTHER_ZONE_MS -> _OTHER_ZONE_COST_MS _OVERTAKING_JOBS -> _MAX_BLOCKED_JOBS _Search -> _SearchContext _TRIAL_S -> _TRIAL_RESTART_S _choose -> _choose_link _fitting -> _candidates _is_full -> _at_limit _roomiest -> _link_to_reserve best -> best_link blocked -> blocked_jobs cost -> cost_ms name -> job_id suitable -> ranked_links there -> tasks_on_executor

--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -1,8 +1,8 @@
 """Choose executors for waiting tasks.
 
-Jobs go in the order in which they have to start to meet their objectives.
-When the first waiting task finds no room, the executor with the most free
-room is kept for it, so that a stream of smaller tasks does not starve it.
+Jobs are served in the order of their latest start times. If the first task
+fits on no executor, the suitable executor with the most free CPU is reserved
+for it, so that a stream of smaller tasks does not starve it.
 """
 
 from __future__ import annotations
@@ -27,19 +27,22 @@
     from savoryrudder.dispatch.state import StepProgress
     from savoryrudder.dispatch.state import Task
 
-# How many jobs behind the first one that waits may overtake it.
-_OVERTAKING_JOBS: Final = 24
-# Weighs a way to another zone against the duration of a task.
-_OTHER_ZONE_MS: Final = 6
-_FAR_FACTOR: Final = 1.5
-# Puts an executor that had trouble with a task behind all others.
+# Number of blocked jobs after which the search ends. It limits how far other
+# jobs may overtake the first blocked one.
+_MAX_BLOCKED_JOBS: Final = 24
+# Cost of a placement in another zone, in ms of task duration.
+_OTHER_ZONE_COST_MS: Final = 6
+# Cost factor of a placement outside the rack that holds the task's data.
+_REMOTE_DATA_FACTOR: Final = 1.5
+# Ranks executors on trial, and those the task avoids, behind all others.
 _AVOIDED_PENALTY_MS: Final = 100_000
-# A task that is sent on trial may have to start anew after this.
-_TRIAL_S: Final = 0.35
+# A task on an executor on trial may have to be restarted after this time. Jobs
+# that have to start sooner are not placed there, unless they are late already.
+_TRIAL_RESTART_S: Final = 0.35
 
 
 class Placement(NamedTuple):
-    """Send a task to the agent at a link."""
+    """The choice of an agent, by its link, for a task."""
 
     job: Job
     task: Task
@@ -47,65 +50,70 @@
 
 
 def place(state: DispatchState, now: float) -> Iterator[Placement]:
-    """Yield placements; the caller applies each before taking the next."""
+    """Yield placements; the caller applies each one before the next."""
     if not state.waiting:
         return
     avoided = avoided_links(state, now)
     reserved: set[str] = set()
-    blocked = 0
-    for _, _, name in tuple(state.waiting):
-        job = state.jobs[name]
+    blocked_jobs = 0
+    for _, _, job_id in tuple(state.waiting):
+        job = state.jobs[job_id]
         for progress in job.steps:
             if progress.unlocked:
                 yield from _place_step(
-                    _Search(state, now, avoided, reserved),
+                    _SearchContext(state, now, avoided, reserved),
                     job,
                     progress,
                 )
         if job.has_waiting:
-            blocked += 1
-            if blocked > _OVERTAKING_JOBS:
+            blocked_jobs += 1
+            if blocked_jobs > _MAX_BLOCKED_JOBS:
                 return
 
 
-class _Search(NamedTuple):
-    """Hold what a search for room depends on."""
+class _SearchContext(NamedTuple):
+    """The inputs of the search for an executor."""
 
     state: DispatchState
     now: float
     avoided: set[str]
-    # Kept for the first task that found no room.
+    # The executor that is kept for the first task that fits nowhere.
     reserved: set[str]
 
 
 def _place_step(
-    search: _Search,
+    search: _SearchContext,
     job: Job,
     progress: StepProgress,
 ) -> Iterator[Placement]:
     while progress.waiting:
         task = progress.waiting[-1]
-        link = _choose(search, job, progress, task)
+        link = _choose_link(search, job, progress, task)
         if not link:
             if not search.reserved:
-                search.reserved.update(_roomiest(search.state, job, progress))
+                search.reserved.update(
+                    _link_to_reserve(search.state, job, progress)
+                )
             return
         yield Placement(job, task, link)
 
 
-def _choose(
-    search: _Search,
+def _choose_link(
+    search: _SearchContext,
     job: Job,
     progress: StepProgress,
     task: Task,
 ) -> str:
-    best = ''
+    best_link = ''
     best_cost = (float('inf'), 0)
     excluded = search.avoided | search.reserved
-    for link, agent in _fitting(search.state.agents, job, progress):
+    for link, agent in _candidates(search.state.agents, job, progress):
         if link in excluded:
             continue
-        if agent.on_trial and 0 < job.latest_start - search.now < _TRIAL_S:
+        if (
+            agent.on_trial
+            and 0 < job.latest_start - search.now < _TRIAL_RESTART_S
+        ):
             continue
         penalty_ms = _AVOIDED_PENALTY_MS * (
             agent.on_trial + (agent.agent in task.avoided)
@@ -115,9 +123,9 @@
             -agent.free.cpu,
         )
         if cost < best_cost:
-            best = link
+            best_link = link
             best_cost = cost
-    return best
+    return best_link
 
 
 def _cost_ms(
@@ -128,16 +136,16 @@
 ) -> float:
     step = progress.step
     slowness = max(agent.usual_slowness, slowness_of(agent, now))
-    cost = step.estimate_ms * slowness
+    cost_ms = step.estimate_ms * slowness
     report = agent.report
     if step.data_rack and report and step.data_rack not in report.labels:
-        cost *= _FAR_FACTOR
+        cost_ms *= _REMOTE_DATA_FACTOR
     if agent.zone != state.identity.zone:
-        cost += _OTHER_ZONE_MS
-    return cost
+        cost_ms += _OTHER_ZONE_COST_MS
+    return cost_ms
 
 
-def _fitting(
+def _candidates(
     agents: Mapping[str, AgentView],
     job: Job,
     progress: StepProgress,
@@ -146,32 +154,32 @@
     for link, agent in agents.items():
         if not may_start(agent, job.queue.service, step):
             continue
-        if step.max_per_executor and _is_full(job, progress, agent):
+        if step.max_per_executor and _at_limit(job, progress, agent):
             continue
         yield link, agent
 
 
-def _is_full(job: Job, progress: StepProgress, agent: AgentView) -> bool:
+def _at_limit(job: Job, progress: StepProgress, agent: AgentView) -> bool:
     index = job.steps.index(progress)
-    there = sum(
+    tasks_on_executor = sum(
         1
         for task in job.tasks.values()
         if task.step == index and task.agent == agent.agent
     )
-    return there >= progress.step.max_per_executor
+    return tasks_on_executor >= progress.step.max_per_executor
 
 
-def _roomiest(
+def _link_to_reserve(
     state: DispatchState,
     job: Job,
     progress: StepProgress,
 ) -> Iterable[str]:
     step = progress.step
-    suitable = [
+    ranked_links = [
         (agent.free.cpu, link)
         for link, agent in state.agents.items()
         if may_run(agent, job.queue.service, step)
         and agent.report
         and agent.report.capacity.holds(step.need)
     ]
-    return [max(suitable)[1]] if suitable else []
+    return [max(ranked_links)[1]] if ranked_links else []
