Reword comments and rename private names in dispatch/reducer.py

_accept -> _accept_job _early_answer -> _immediate_answer _locate -> _resolve_path _queue_of -> _find_queue _revive -> _revive_job _state_of -> _job_status earlier -> recent_answer found -> immediate_answer found -> target is_known -> is_duplicate known -> existing_job name -> job_id placed -> placement

--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -1,4 +1,4 @@
-"""Turn the events of an entry into effects."""
+"""Reducer of an entry: applies events to the state and returns effects."""
 
 from __future__ import annotations
 
@@ -41,8 +41,8 @@
     """Apply an event to the state in place and return its effects."""
     turn = Turn(event.now)
     _EVENT_HANDLERS[type(event)](state, turn, event)
-    for placed in place(state, turn.now):
-        fleet.send_task(state, turn, placed)
+    for placement in place(state, turn.now):
+        fleet.send_task(state, turn, placement)
     draining.go_on(state, turn)
     return turn.effects
 
@@ -69,29 +69,29 @@
     turn: Turn,
     event: events.JobSubmitted,
 ) -> None:
-    found = _early_answer(state, event)
-    if found is not None:
-        turn.count(f'jobs_{found.verdict}')
+    immediate_answer = _immediate_answer(state, event)
+    if immediate_answer is not None:
+        turn.count(f'jobs_{immediate_answer.verdict}')
         turn.log(
             'job-refused',
             job=event.job.job,
-            verdict=found.verdict,
-            reason=found.reason,
+            verdict=immediate_answer.verdict,
+            reason=immediate_answer.reason,
             version=state.configuration.version,
         )
-        turn.reply(event.request, found)
+        turn.reply(event.request, immediate_answer)
         return
-    is_known = event.job.job in state.jobs
-    if not is_known and claims.contest(state, turn, event):
+    is_duplicate = event.job.job in state.jobs
+    if not is_duplicate and claims.contest(state, turn, event):
         return
-    job = state.jobs.get(event.job.job) or _accept(state, turn, event)
+    job = state.jobs.get(event.job.job) or _accept_job(state, turn, event)
     if job.ended:
-        _revive(state, turn, job, event)
+        _revive_job(state, turn, job, event)
     job.callers.add(event.request)
     state.callers[event.request] = event.job.job
 
 
-def _early_answer(
+def _immediate_answer(
     state: DispatchState,
     event: events.JobSubmitted,
 ) -> answers.Answer | None:
@@ -112,22 +112,22 @@
             'entry is stopping',
             _RETRY_SOON_S,
         )
-    known = state.jobs.get(event.job.job)
-    if known is not None:
-        is_same = known.request == event.job
+    existing_job = state.jobs.get(event.job.job)
+    if existing_job is not None:
+        is_same = existing_job.request == event.job
         return None if is_same else answers.Answer(answers.CONFLICT)
-    earlier = state.answered.get(event.job.job)
-    if earlier is not None:
-        return earlier[1]
+    recent_answer = state.answered.get(event.job.job)
+    if recent_answer is not None:
+        return recent_answer[1]
     return admission.refusal_of(state, queue, event.job, event.now)
 
 
-def _accept(
+def _accept_job(
     state: DispatchState,
     turn: Turn,
     event: events.JobSubmitted,
 ) -> Job:
-    queue = _queue_of(state, event.host, event.path)
+    queue = _find_queue(state, event.host, event.path)
     job = jobs.create(state, event, queue)
     turn.count('jobs_accepted')
     turn.log(
@@ -141,20 +141,21 @@
     return job
 
 
-def _queue_of(state: DispatchState, host: str, path: str) -> Queue:
+def _find_queue(state: DispatchState, host: str, path: str) -> Queue:
     queue = state.configuration.find_queue(host, path)
     if queue is None:
         raise LookupError(f'no queue at {host}{path}')
     return queue
 
 
-def _revive(
+def _revive_job(
     state: DispatchState,
     turn: Turn,
     job: Job,
     event: events.JobSubmitted,
 ) -> None:
-    # Its caller had left; the runs that were stopped start again as they end.
+    # All callers of the job had disconnected, so its runs were stopped. The
+    # tasks are requeued as these runs end.
     jobs.dequeue(state, job)
     job.latest_start += event.now - job.arrived_at
     job.arrived_at = event.now
@@ -169,12 +170,12 @@
     turn: Turn,
     event: events.JobAsked,
 ) -> None:
-    found = _locate(state, event.host, event.path)
-    if isinstance(found, answers.Answer):
-        turn.reply(event.request, found)
+    target = _resolve_path(state, event.host, event.path)
+    if isinstance(target, answers.Answer):
+        turn.reply(event.request, target)
         return
-    queue, name = found
-    if not name:
+    queue, job_id = target
+    if not job_id:
         waiting = sum(
             1
             for job in state.jobs.values()
@@ -182,7 +183,7 @@
         )
         turn.reply(event.request, answers.QueueLength(waiting))
         return
-    turn.reply(event.request, _state_of(state, name))
+    turn.reply(event.request, _job_status(state, job_id))
 
 
 def _handle_job_cancelled(
@@ -190,12 +191,12 @@
     turn: Turn,
     event: events.JobCancelled,
 ) -> None:
-    found = _locate(state, event.host, event.path)
-    if isinstance(found, answers.Answer):
-        turn.reply(event.request, found)
+    target = _resolve_path(state, event.host, event.path)
+    if isinstance(target, answers.Answer):
+        turn.reply(event.request, target)
         return
-    _, name = found
-    job = state.jobs.get(name)
+    _, job_id = target
+    job = state.jobs.get(job_id)
     if job is None or job.ended:
         turn.reply(event.request, answers.Answer(answers.UNKNOWN_JOB))
         return
@@ -203,7 +204,7 @@
     turn.reply(event.request, answers.Answer(answers.CANCELLED))
 
 
-def _locate(
+def _resolve_path(
     state: DispatchState,
     host: str,
     path: str,
@@ -220,11 +221,15 @@
     return queue, path[len(queue.prefix) :]
 
 
-def _state_of(state: DispatchState, name: str) -> answers.Answer:
-    job = state.jobs.get(name)
+def _job_status(state: DispatchState, job_id: str) -> answers.Answer:
+    job = state.jobs.get(job_id)
     if job is None or job.ended:
-        earlier = state.answered.get(name)
-        return earlier[1] if earlier else answers.Answer(answers.UNKNOWN_JOB)
+        recent_answer = state.answered.get(job_id)
+        return (
+            recent_answer[1]
+            if recent_answer
+            else answers.Answer(answers.UNKNOWN_JOB)
+        )
     is_running = job.started_at is not None
     return answers.Answer(answers.RUNNING if is_running else answers.PENDING)
 
@@ -234,8 +239,8 @@
     turn: Turn,
     event: events.CallerGone,
 ) -> None:
-    name = state.callers.pop(event.request, '')
-    job = state.jobs.get(name)
+    job_id = state.callers.pop(event.request, '')
+    job = state.jobs.get(job_id)
     if job is None:
         claims.withdraw(state, event.request)
         return
@@ -245,7 +250,7 @@
     job.ended = True
     jobs.dequeue(state, job)
     turn.count('jobs_abandoned')
-    turn.log('job-abandoned', job=name, unsettled=job.out)
+    turn.log('job-abandoned', job=job_id, unsettled=job.out)
     jobs.stop_runs(state, turn, job)
     jobs.forget_if_settled(state, job)
 
