--- a/src/savoryrudder/dispatch/room.py
+++ b/src/savoryrudder/dispatch/room.py
@@ -1,4 +1,4 @@
-"""Tell which executors may run a step."""
+"""Which executors can run the tasks of a step."""
 
 from __future__ import annotations
 
@@ -10,7 +10,10 @@
 
 
 def may_run(agent: AgentView, service: str, step: Step) -> bool:
-    """Tell whether an executor takes tasks of the step, room aside."""
+    """Return whether an executor accepts tasks of the step.
+
+    Its free resources are not considered.
+    """
     report = agent.report
     if not agent.usable or report is None or report.service != service:
         return False
@@ -18,5 +21,5 @@
 
 
 def may_start(agent: AgentView, service: str, step: Step) -> bool:
-    """Tell whether an executor has room for a task of the step now."""
+    """Return whether a task of the step can start on an executor now."""
     return agent.free.holds(step.need) and may_run(agent, service, step)
