--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -1,4 +1,4 @@
-"""Hold the state of an entry that dispatches jobs."""
+"""State of the dispatch reducer of an entry."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class DispatchIdentity(NamedTuple):
-    """Name an entry and the start of its process."""
+    """The identity of an entry; `incarnation` differs for each start."""
 
     entry: str
     incarnation: str
@@ -30,33 +30,34 @@
 
 
 class DispatchTiming(NamedTuple):
-    """Set the intervals of an entry (seconds).
+    """The time limits of an entry, in seconds.
 
-    The runs of an agent that was lost are gone after `settle_s`: it notices
-    the silence of the link, stops them, or their lease expires.
+    The runs of a lost agent have ended after `settle_s`: by then it has noticed
+    the silence of the link and stopped them, or their lease has expired.
     """
 
     settle_s: float
     answer_memory_s: float = 30
-    # Agents find an entry that has just started within this time.
+    # Agents connect to an entry within this time after its start.
     warm_up_s: float = 1.2
-    # The balancer sends no new connections this long after not ready.
+    # The load balancer stops sending new connections within this time after
+    # the entry reports not ready.
     balancer_s: float = 2.5
 
 
 class TaskState(Enum):
-    """Tell how far a task is."""
+    """The state of a task."""
 
     waiting = 'waiting'
     placed = 'placed'
-    # Sent to an agent that was lost; it may be running there.
+    # Placed on an agent that was lost; it may still be running there.
     unsettled = 'unsettled'
     done = 'done'
 
 
 @dataclass(slots=True)
 class Task:
-    """Hold one task of a job; `run` numbers its last start."""
+    """A task of a job; `run` is the number of its latest run."""
 
     name: str
     step: int
@@ -71,7 +72,7 @@
 
 @dataclass(slots=True)
 class StepProgress:
-    """Hold how far the tasks of a step are."""
+    """The waiting tasks of a step and the number of unfinished ones."""
 
     step: Step
     waiting: list[Task]
@@ -81,11 +82,11 @@
 
 @dataclass(slots=True)
 class Job:
-    """Hold a job that is not answered yet, or whose runs are not settled.
+    """A job that is unanswered or has tasks that may still be running.
 
-    `latest_start` is when its remaining work has to start to meet the
-    objective; `objective_s` counts from the arrival. `out` counts tasks that
-    are placed or unsettled.
+    `objective_s` is the latency objective, counted from the arrival; to meet
+    it, the job has to start by `latest_start`. `out` counts the tasks that are
+    placed or unsettled.
     """
 
     request: JobRequest
@@ -104,18 +105,19 @@
 
     @property
     def has_waiting(self) -> bool:
-        """Tell whether a task of an unlocked step waits for room."""
+        """Return whether a task of an unlocked step is waiting."""
         return any(step.waiting for step in self.steps if step.unlocked)
 
 
 @dataclass(slots=True)
 class AgentView:
-    """Hold what an entry knows of an agent and the executor beside it.
+    """An entry's view of an agent and the executor beside it.
 
-    `pending` are starts that the reported free room does not account for
-    yet, by their number. `listed` tells that the agent has listed the runs
-    of this entry. `usual_slowness` is how long its tasks take relative to
-    their estimates; `slowness` is that of slow runs, until `slow_until`.
+    `pending` holds, by number, the starts that the reported free resources do
+    not include yet. `listed` is set once the agent has listed its runs of
+    tasks of this entry. `usual_slowness` is the moving average of the task
+    duration relative to the estimate; `slowness` is the same ratio of the
+    latest slow run and is valid until `slow_until`.
     """
 
     agent: str
@@ -135,19 +137,19 @@
 
     @property
     def usable(self) -> bool:
-        """Tell whether tasks may be sent to the agent."""
+        """Return whether tasks may be sent to the agent."""
         report = self.report
         return self.listed and report is not None and report.accepting
 
     @property
     def on_trial(self) -> bool:
-        """Tell whether the executor takes one task at a time."""
+        """Return whether the executor is on trial, with one task at a time."""
         return self.report is not None and self.report.on_trial
 
 
 @dataclass(slots=True)
 class PeerView:
-    """Hold what an entry knows of another one: the jobs that it has."""
+    """An entry's view of another entry and the jobs claimed by it."""
 
     entry: str
     incarnation: str
@@ -156,9 +158,10 @@
 
 @dataclass(slots=True)
 class Contest:
-    """Hold a job that another entry had, until nothing of it runs there.
+    """Submissions of a job that may still be running at another entry.
 
-    `settled_at` is set when that entry was lost; `holder` is the link to it.
+    `holder` is the link to that entry. If it was lost, `settled_at` is the time
+    by which its runs have ended.
     """
 
     submissions: list[JobSubmitted]
@@ -168,7 +171,7 @@
 
 @dataclass(slots=True)
 class ClaimChanges:
-    """Collect the jobs that other entries are to be told about."""
+    """Claimed and released jobs to announce to the other entries."""
 
     claimed: list[str] = field(default_factory=list)
     released: list[str] = field(default_factory=list)
@@ -176,28 +179,29 @@
 
 @dataclass(slots=True)
 class DispatchState:
-    """Hold all state of an entry; its reducer mutates it in place."""
+    """The whole state of an entry; the reducer mutates it in place."""
 
     identity: DispatchIdentity
     timing: DispatchTiming
     configuration: Configuration = NO_CONFIGURATION
     jobs: dict[str, Job] = field(default_factory=dict)
-    # Jobs with waiting tasks as (latest start, number, id), in order.
+    # Queued jobs as (latest start, number, job ID), sorted.
     waiting: list[tuple[float, int, str]] = field(default_factory=list)
-    # The job that each open request waits for.
+    # Job IDs by the number of the open request that waits for the answer.
     callers: dict[int, str] = field(default_factory=dict)
+    # Final answers with their times, by job ID, for resubmissions.
     answered: dict[str, tuple[float, Answer]] = field(default_factory=dict)
     agents: dict[str, AgentView] = field(default_factory=dict)
     peers: dict[str, PeerView] = field(default_factory=dict)
     contests: dict[str, Contest] = field(default_factory=dict)
-    # Jobs of lost entries, with the time by which none of them runs.
+    # Job IDs of lost entries, with the time by which their runs have ended.
     orphans: dict[str, float] = field(default_factory=dict)
-    # The links whose entries wait for a job that is being stopped here.
+    # Links of the entries that wait until a job has stopped here, by job ID.
     relinquished: dict[str, str] = field(default_factory=dict)
-    # Ends that agents may forget, by link; told with the next tick.
+    # Ends of runs by link, to be acknowledged with the next tick.
     noted_ends: dict[str, list[RunName]] = field(default_factory=dict)
     claim_changes: ClaimChanges = field(default_factory=ClaimChanges)
-    # Links that have not said who is at the other end, and whether we dialled.
+    # Links without a hello message yet, and whether this entry initiated them.
     links: dict[str, bool] = field(default_factory=dict)
     jobs_seen: int = 0
     started_at: float = 0
@@ -209,11 +213,11 @@
 
     @property
     def warm_until(self) -> float:
-        """Return until when executors may be unknown."""
+        """Return the time until which agents may not be connected yet."""
         return self.started_at + self.timing.warm_up_s
 
     @property
     def ready(self) -> bool:
-        """Tell whether the entry takes jobs."""
+        """Return whether the entry accepts jobs."""
         has_configuration = self.configuration.version >= 0
         return has_configuration and not self.leaving and bool(self.agents)
