--- a/src/savoryrudder/dispatch/turn.py
+++ b/src/savoryrudder/dispatch/turn.py
@@ -1,4 +1,4 @@
-"""Collect the effects of one event of an entry."""
+"""Effects of one event of the dispatch reducer."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 
 @dataclass(slots=True)
 class Turn(turn.Turn):
-    """Collect effects, answers to callers among them."""
+    """Collect the effects of one event, including answers to callers."""
 
     def reply(self, request: int, answer: Answer | QueueLength) -> None:
-        """Answer a caller."""
+        """Answer a caller's request."""
         self.effects.append(Reply(request, answer))
