--- a/src/savoryrudder/jobs/__init__.py
+++ b/src/savoryrudder/jobs/__init__.py
@@ -1,3 +1,3 @@
-"""Describe jobs of tasks with declared needs, and the queues they go to."""
+"""Jobs, their resource requirements, and the queues that accept them."""
 
 from __future__ import annotations
