--- a/src/savoryrudder/jobs/model.py
+++ b/src/savoryrudder/jobs/model.py
@@ -1,4 +1,4 @@
-"""Define jobs, their steps, and the configuration of queues."""
+"""Model of jobs, their steps, and the configuration of queues."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 
 
 class Room(NamedTuple):
-    """Hold an amount of what an executor has and tasks need.
+    """An amount of the resources that executors have and tasks need.
 
-    `cpu` is in thousandths of a core, `memory` in MB, `gpu` in devices.
+    `cpu` is in millicores, `memory` in MB, `gpu` in devices.
     """
 
     cpu: int
@@ -19,7 +19,7 @@
     gpu: int
 
     def plus(self, other: Room) -> Room:
-        """Return the sum."""
+        """Return the sum of both amounts."""
         return Room(
             self.cpu + other.cpu,
             self.memory + other.memory,
@@ -27,7 +27,7 @@
         )
 
     def minus(self, other: Room) -> Room:
-        """Return the difference, which may be negative."""
+        """Return the difference, whose parts may be negative."""
         return Room(
             self.cpu - other.cpu,
             self.memory - other.memory,
@@ -35,7 +35,7 @@
         )
 
     def holds(self, other: Room) -> bool:
-        """Tell whether the other amount fits into this one."""
+        """Return whether the other amount fits into this one."""
         return (
             other.cpu <= self.cpu
             and other.memory <= self.memory
@@ -47,11 +47,12 @@
 
 
 class Step(NamedTuple):
-    """Describe `tasks` that are alike.
+    """A step of a job: a number of identical `tasks`.
 
-    `estimate_ms` is the caller's rough estimate of one task's duration;
-    `after` lists earlier steps that must be complete first. `required_label`
-    and `data_rack` are empty when unset, `max_per_executor` is 0.
+    `estimate_ms` is the caller's rough estimate of the duration of one task;
+    `after` holds the indexes of the steps that must be complete first. When
+    unset, `required_label` and `data_rack` are empty and `max_per_executor`
+    is 0.
     """
 
     tasks: int
@@ -64,7 +65,7 @@
 
 
 class JobRequest(NamedTuple):
-    """Hold a job as a caller submitted it; `spec` is opaque to us."""
+    """A job as submitted by a caller; `spec` is passed on uninterpreted."""
 
     job: str
     spec: str
@@ -72,11 +73,11 @@
 
 
 class Queue(NamedTuple):
-    """Configure one queue.
+    """The configuration of one queue.
 
-    `priority` 0 is the most urgent; a task fails for good after `attempts`
-    failures. The latency objective of a job is `stretch` times its ideal
-    duration plus `target_ms`.
+    `priority` 0 is the most urgent. A job fails after `attempts` failures of
+    one of its tasks. Its latency objective is `stretch` times the estimated
+    duration of its critical path, plus `target_ms`.
     """
 
     name: str
@@ -90,20 +91,20 @@
 
 
 class Configuration(NamedTuple):
-    """Hold the operators' configuration; version -1 precedes any."""
+    """The operators' configuration; version -1 stands for none."""
 
     version: int
     queues: Mapping[str, Queue]
 
     def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue with the longest prefix of the path."""
-        found: Queue | None = None
+        """Return the queue with the longest matching prefix, or None."""
+        best_match: Queue | None = None
         for queue in self.queues.values():
             if queue.host != host or not path.startswith(queue.prefix):
                 continue
-            if found is None or len(queue.prefix) > len(found.prefix):
-                found = queue
-        return found
+            if best_match is None or len(queue.prefix) > len(best_match.prefix):
+                best_match = queue
+        return best_match
 
 
 NO_CONFIGURATION: Final = Configuration(-1, MappingProxyType({}))
