Reword docstrings and rename tests in tests/dispatch/test_start_up.py

_started -> _entry_started_at at -> started_at late -> replies one -> effect one -> reply test_a_job_waits_for_executors_after_the_start_of_its_entry -> test_a_job_waits_for_agents_to_connect_after_start_up test_later_a_job_without_executors_is_refused_at_once -> test_a_job_without_executors_is_refused_at_once_after_warm_up

--- a/tests/dispatch/test_start_up.py
+++ b/tests/dispatch/test_start_up.py
@@ -1,4 +1,4 @@
-"""Check how an entry that has just started treats jobs."""
+"""Tests of job admission shortly after the start of an entry."""
 
 from __future__ import annotations
 
@@ -29,28 +29,28 @@
 
 def _replies(effects: object) -> list[Reply]:
     assert isinstance(effects, list)
-    return [one for one in effects if isinstance(one, Reply)]
+    return [effect for effect in effects if isinstance(effect, Reply)]
 
 
-def _started(at: float) -> DispatchState:
+def _entry_started_at(started_at: float) -> DispatchState:
     identity = DispatchIdentity('e1', 'e1#1', 'address', 'zone')
-    return DispatchState(identity, DispatchTiming(1), started_at=at)
+    return DispatchState(identity, DispatchTiming(1), started_at=started_at)
 
 
-def test_a_job_waits_for_executors_after_the_start_of_its_entry() -> None:
-    """Guards against refusals in the second after a loss of power.
+def test_a_job_waits_for_agents_to_connect_after_start_up() -> None:
+    """Guards against refusals in the second after a power failure.
 
-    Seen on kpf-cutdesk trouble-1: 0.5 s of requests were refused until the
-    first agent had linked.
+    An entry used to refuse all jobs for 0.5 s after its start, until the first
+    agent had connected.
     """
-    state = _started(NOW)
+    state = _entry_started_at(NOW)
     assert not _submit(state, NOW)
     assert not _replies(reduce(state, events.Tick(NOW + SLACK_S - 0.01)))
-    late = _replies(reduce(state, events.Tick(NOW + SLACK_S)))
-    assert [one.answer.verdict for one in late] == [answers.OVERLOADED]
+    replies = _replies(reduce(state, events.Tick(NOW + SLACK_S)))
+    assert [reply.answer.verdict for reply in replies] == [answers.OVERLOADED]
 
 
-def test_later_a_job_without_executors_is_refused_at_once() -> None:
-    """Guards against callers that wait for nothing."""
-    replies = _submit(_started(NOW - 10), NOW)
-    assert [one.answer.verdict for one in replies] == [answers.UNAVAILABLE]
+def test_a_job_without_executors_is_refused_at_once_after_warm_up() -> None:
+    """Guards against callers that wait although no executor exists."""
+    replies = _submit(_entry_started_at(NOW - 10), NOW)
+    assert [reply.answer.verdict for reply in replies] == [answers.UNAVAILABLE]
