--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -100,35 +100,35 @@
     state: DispatchState,
     turn: Turn,
     link: str,
-    slow: work.SlowRun,
+    slow_run: work.SlowRun,
 ) -> None:
     """Handle the report of a slow run.
 
     Its task is moved if it makes no progress or would end sooner elsewhere.
     """
     agent = state.agents[link]
-    if slow.slowness:
-        agent.slowness = min(slow.slowness, _MAX_SLOWNESS)
+    if slow_run.slowness:
+        agent.slowness = min(slow_run.slowness, _MAX_SLOWNESS)
         agent.slow_until = turn.now + _SLOWNESS_VALIDITY_S
-        if slow.remaining_ms < 0:
+        if slow_run.remaining_ms < 0:
             note_failure(turn, agent, 'no progress')
-    placed = _find_placed_task(state, slow)
+    placed = _find_placed_task(state, slow_run)
     if placed is None:
         return
     job, task = placed
-    is_moved = slow.remaining_ms < 0 or _ends_sooner_elsewhere(
+    is_moved = slow_run.remaining_ms < 0 or _ends_sooner_elsewhere(
         state,
         turn.now,
         job,
         task,
-        slow,
+        slow_run,
     )
     turn.log(
         'task-slow',
         task=task.name,
         agent=agent.agent,
-        slowness=slow.slowness,
-        remaining_ms=slow.remaining_ms,
+        slowness=slow_run.slowness,
+        remaining_ms=slow_run.remaining_ms,
         moved=is_moved,
     )
     if is_moved:
@@ -139,13 +139,13 @@
 
 def _find_placed_task(
     state: DispatchState,
-    slow: work.SlowRun,
+    slow_run: work.SlowRun,
 ) -> tuple[Job, Task] | None:
-    job = state.jobs.get(slow.task.partition('.')[0])
+    job = state.jobs.get(slow_run.task.partition('.')[0])
     if job is None or job.ended:
         return None
-    task = job.tasks.get(slow.task)
-    if task is None or task.run != slow.run:
+    task = job.tasks.get(slow_run.task)
+    if task is None or task.run != slow_run.run:
         return None
     return (job, task) if task.state is TaskState.placed else None
 
@@ -155,7 +155,7 @@
     now: float,
     job: Job,
     task: Task,
-    slow: work.SlowRun,
+    slow_run: work.SlowRun,
 ) -> bool:
     if task.moved:
         # The task was slow at another executor, too: moving does not help.
@@ -169,6 +169,6 @@
         expected_ms = step.estimate_ms * (
             slowness_of(candidate, now) + _MIN_MOVE_GAIN
         )
-        if expected_ms < slow.remaining_ms:
+        if expected_ms < slow_run.remaining_ms:
             return True
     return False
