--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -63,12 +63,12 @@
     return job
 
 
-def _task_names(request: JobRequest, index: int) -> list[str]:
+def _task_names(request: JobRequest, step_index: int) -> list[str]:
     # Names are `job.occurrence.step.position`; the occurrence is 0 for jobs
     # that do not repeat. Reversed, because tasks are taken from the end.
-    count = request.steps[index].tasks
+    count = request.steps[step_index].tasks
     return [
-        f'{request.job}.0.{index}.{position}'
+        f'{request.job}.0.{step_index}.{position}'
         for position in reversed(range(count))
     ]
 
@@ -86,18 +86,18 @@
 
 def enqueue(state: DispatchState, job: Job) -> None:
     """Queue a job with waiting tasks unless it is queued already."""
-    entry = (job.latest_start, job.number, job.request.job)
-    position = bisect_left(state.waiting, entry)
-    is_queued = state.waiting[position : position + 1] == [entry]
+    queue_item = (job.latest_start, job.number, job.request.job)
+    position = bisect_left(state.waiting, queue_item)
+    is_queued = state.waiting[position : position + 1] == [queue_item]
     if job.has_waiting and not is_queued:
-        insort(state.waiting, entry)
+        insort(state.waiting, queue_item)
 
 
 def dequeue(state: DispatchState, job: Job) -> None:
     """Remove a job from the queue, if it is queued."""
-    entry = (job.latest_start, job.number, job.request.job)
-    position = bisect_left(state.waiting, entry)
-    if state.waiting[position : position + 1] == [entry]:
+    queue_item = (job.latest_start, job.number, job.request.job)
+    position = bisect_left(state.waiting, queue_item)
+    if state.waiting[position : position + 1] == [queue_item]:
         state.waiting.pop(position)
 
 
@@ -137,10 +137,10 @@
     """Ask agents to stop the runs of a job."""
     if not job.out:
         return
-    links = {view.agent: link for link, view in state.agents.items()}
+    links_by_agent = {agent.agent: link for link, agent in state.agents.items()}
     for task in job.tasks.values():
-        if task.state is TaskState.placed and task.agent in links:
-            link = links[task.agent]
+        if task.state is TaskState.placed and task.agent in links_by_agent:
+            link = links_by_agent[task.agent]
             turn.send(link, work.StopTask(task.name, task.run))
 
 
