--- a/src/savoryrudder/worker/__init__.py
+++ b/src/savoryrudder/worker/__init__.py
@@ -1,3 +1,3 @@
-"""Run tasks on the executor beside an agent, within its room and lease."""
+"""Run tasks on an agent's executor, within its capacity and lease."""
 
 from __future__ import annotations
--- a/src/savoryrudder/worker/effects.py
+++ b/src/savoryrudder/worker/effects.py
@@ -1,4 +1,4 @@
-"""Define the effects of an agent beyond those of every role."""
+"""Define the effects that only an agent has."""
 
 from __future__ import annotations
 
@@ -14,14 +14,17 @@
 
 
 class Executor(NamedTuple):
-    """Address one life of the executor."""
+    """Identify one instance of the executor and its address."""
 
     executor: str
     address: str
 
 
 class CallStart(NamedTuple):
-    """Start a run; the lease ends at `lease_until_ms` of its clock."""
+    """Start a run under a lease.
+
+    The lease expires when the executor's clock reaches `lease_until_ms`.
+    """
 
     executor: Executor
     task: str
@@ -32,7 +35,7 @@
 
 
 class CallStop(NamedTuple):
-    """Stop a run, or keep it from starting."""
+    """Stop a run, or prevent a start that is still under way."""
 
     executor: Executor
     task: str
@@ -41,10 +44,11 @@
 
 
 class CallRenew(NamedTuple):
-    """Renew the lease and list runs and ends.
+    """Renew the lease, and request the running and the ended runs.
 
-    `lease_until_ms` of 0 renews nothing. The call waits up to `wait_ms` for
-    an end; ends up to `noted_upto` may be forgotten by the executor.
+    A `lease_until_ms` of 0 leaves the lease as it is. The executor holds back
+    its answer for up to `wait_ms` until a run ends, and may forget the ends
+    numbered up to `noted_upto`.
     """
 
     executor: Executor
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -1,4 +1,7 @@
-"""Define the events of an agent; `now` is seconds of the steady clock."""
+"""Define the events of an agent.
+
+`now` is the time of the event on the monotonic clock, in seconds.
+"""
 
 from __future__ import annotations
 
@@ -10,14 +13,14 @@
 
 
 class LinkUp(NamedTuple):
-    """A link to an entry is open."""
+    """A link to an entry has opened."""
 
     now: float
     link: str
 
 
 class LinkDown(NamedTuple):
-    """A link to an entry has ended."""
+    """A link to an entry has closed."""
 
     now: float
     link: str
@@ -33,10 +36,11 @@
 
 
 class ExecutorSeen(NamedTuple):
-    """The executor reported itself.
+    """The executor sent a heartbeat.
 
-    `born_ms` is the UTC time of its start; a report with an earlier one comes
-    from a former life. `sequence` rises with each report of one life.
+    `born_ms` is the UTC time at which the instance started; a heartbeat with
+    an earlier one comes from a previous instance. `sequence` increases with
+    each heartbeat of an instance.
     """
 
     now: float
@@ -52,14 +56,14 @@
 
 
 class ExecutorLeft(NamedTuple):
-    """The executor has signed off."""
+    """The executor has deregistered."""
 
     now: float
     executor: str
 
 
 class StartAnswered(NamedTuple):
-    """A start was answered, or not.
+    """A request to start a run was answered or failed.
 
     `verdict` is one of `savoryrudder.worker.verdicts`.
     """
@@ -72,7 +76,7 @@
 
 
 class StopAnswered(NamedTuple):
-    """A stop was answered, or not."""
+    """A request to stop a run was answered or failed."""
 
     now: float
     task: str
@@ -81,7 +85,7 @@
 
 
 class RunListed(NamedTuple):
-    """Describe a run that the executor lists as running."""
+    """Describe a run that the executor reports as running."""
 
     task: str
     run: int
@@ -89,7 +93,7 @@
 
 
 class EndListed(NamedTuple):
-    """Describe an end that the executor lists, with its number."""
+    """Describe an ended run; `number` increases with each end."""
 
     number: int
     task: str
@@ -98,7 +102,7 @@
 
 
 class LeaseAnswered(NamedTuple):
-    """The executor answered a renewal of its lease."""
+    """The executor answered a lease renewal that was sent at `sent_at`."""
 
     now: float
     sent_at: float
@@ -108,9 +112,9 @@
 
 
 class LeaseUnanswered(NamedTuple):
-    """A renewal of the lease was refused or got no answer.
+    """A lease renewal was refused or got no usable answer.
 
-    `fenced` tells that the executor has seen a higher fencing token.
+    `fenced` is set if the executor has seen a higher fencing token.
     """
 
     now: float
@@ -119,20 +123,20 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed."""
+    """The periodic timer has fired."""
 
     now: float
 
 
 class Stalled(NamedTuple):
-    """The process did not run for a while; messages may be stale."""
+    """The process was not scheduled for a while; messages may be stale."""
 
     now: float
     stall_s: float
 
 
 class DrainRequested(NamedTuple):
-    """The process shall stop gracefully."""
+    """The process was asked to stop gracefully."""
 
     now: float
     timeout_s: float
--- a/src/savoryrudder/worker/outcomes.py
+++ b/src/savoryrudder/worker/outcomes.py
@@ -1,15 +1,15 @@
-"""Name the outcomes of a run."""
+"""Define the outcomes of a run."""
 
 from __future__ import annotations
 
 from typing import Final
 
 DONE: Final = 'done'
-# The task failed, through its own fault or the executor's.
+# The task failed; either the task or the executor may be the cause.
 FAILED: Final = 'failed'
-# It was stopped on request.
+# The run was stopped on request.
 STOPPED: Final = 'stopped'
-# Its lease expired, or the executor crashed.
+# The run's lease expired, or the executor crashed.
 LOST: Final = 'lost'
-# It did not start and will not.
+# The run did not start and never will.
 NOT_STARTED: Final = 'not-started'
--- a/src/savoryrudder/worker/verdicts.py
+++ b/src/savoryrudder/worker/verdicts.py
@@ -1,17 +1,17 @@
-"""Name what an executor says to a start."""
+"""Define the answers of an executor to a request to start a run."""
 
 from __future__ import annotations
 
 from typing import Final
 
 STARTED: Final = 'started'
-# The run will not start: the executor refused it and changed nothing.
+# The executor refused the run and changed nothing; it will not start.
 REFUSED: Final = 'refused'
-# A run that is not higher than one that ended there before.
+# A run of the same task with this or a higher number has already ended there.
 OUTDATED: Final = 'outdated'
 # The executor has seen a higher fencing token.
 FENCED: Final = 'fenced'
-# Another life of the executor answered.
+# Another instance of the executor answered.
 OTHER_LIFE: Final = 'other-life'
-# No answer; the run may start, even seconds later.
+# The request got no usable answer; the run may still start seconds later.
 UNKNOWN: Final = 'unknown'
