--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -1,4 +1,4 @@
-"""Hold the state of an agent beside an executor."""
+"""Define the state of an agent and its executor."""
 
 from __future__ import annotations
 
@@ -18,13 +18,16 @@
 if TYPE_CHECKING:
     from savoryrudder.worker.events import ExecutorSeen
 
-# A steady clock may run this much slower than ours.
+# A monotonic clock may run slower than the local one by up to this share.
 CLOCK_SLOWNESS: Final = 0.02
 _NEVER: Final = float('-inf')
 
 
 class WorkerIdentity(NamedTuple):
-    """Name an agent and the start of its process."""
+    """Identify an agent and its zone.
+
+    `incarnation` differs for each start of the process.
+    """
 
     agent: str
     incarnation: str
@@ -32,10 +35,10 @@
 
 
 class WorkerTiming(NamedTuple):
-    """Set the intervals of an agent (seconds).
+    """Define the intervals and timeouts of an agent, in seconds.
 
-    `lease_s` is the longest lease that the executor grants. A run that was
-    stopped is gone `stop_s` later.
+    `lease_s` is the longest lease that the executor grants. A run ends at
+    most `stop_s` after a request to stop it.
     """
 
     lease_s: float
@@ -48,7 +51,7 @@
 
 
 class Phase(Enum):
-    """Tell how far a run is."""
+    """Enumerate the phases of a run."""
 
     starting = 'starting'
     running = 'running'
@@ -57,10 +60,10 @@
 
 @dataclass(slots=True)
 class Run:
-    """Hold one run of a task that occupies room on the executor.
+    """Track a run of a task that occupies capacity of the executor.
 
-    `reported` tells that its owner has been told of its end; the room stays
-    taken until the executor confirms that the run is gone.
+    `reported` is set once its end was reported to the owner. The capacity
+    stays occupied until the executor confirms that the run has ended.
     """
 
     task: str
@@ -82,12 +85,12 @@
 
     @property
     def key(self) -> work.RunName:
-        """Return the task's name with the number of the run."""
+        """Return the name of the task with the number of the run."""
         return (self.task, self.number)
 
 
 class UnnotedEnd(NamedTuple):
-    """Hold an end until its owner has noted it."""
+    """Hold the end of a run until its owner has acknowledged it."""
 
     owner: str
     ended_at: float
@@ -95,7 +98,7 @@
 
 
 class Reported(NamedTuple):
-    """Hold what an entry was told last about the executor."""
+    """Hold what the last report to an entry said about the executor."""
 
     free: Room
     accepting: bool
@@ -106,7 +109,11 @@
 
 @dataclass(slots=True)
 class EntryLink:
-    """Hold what an agent knows of one link to an entry."""
+    """Track a link to an entry.
+
+    `incarnation` is empty until the entry has sent its hello. `starts_seen`
+    is the number of the last start that the entry sent on this link.
+    """
 
     incarnation: str = ''
     starts_seen: int = 0
@@ -115,10 +122,12 @@
 
 @dataclass(slots=True)
 class Lease:
-    """Follow the lease of the executor's runs and its clock.
+    """Track the lease of the executor's runs and the executor's clock.
 
-    `over_at` is when every run has lapsed if no renewal reaches the executor.
-    `silent_since` is the first unanswered renewal, or None.
+    The clock showed `clock_ms` at `clock_at`. By `over_at` the lease of every
+    run has expired, unless a renewal reaches the executor. `silent_since` is
+    the time of the first failed renewal since the last answer, or None.
+    `surveyed` is set once the executor has listed its runs.
     """
 
     clock_ms: int = 0
@@ -133,21 +142,24 @@
     unnoted_ends: dict[int, work.RunName] = field(default_factory=dict)
 
     def hasten(self, now: float) -> None:
-        """Let the next renewal go out as soon as the last is answered."""
+        """Bring the next renewal forward to `now`.
+
+        It is sent once no other renewal is in flight.
+        """
         self.renew_at = min(self.renew_at, now)
 
     def clock_now_ms(self, now: float) -> int:
-        """Return the executor's clock as far as it is known."""
+        """Return the estimated time on the executor's clock (ms)."""
         return self.clock_ms + int((now - self.clock_at) * MS_PER_S)
 
     def note_clock(self, now: float, clock_ms: int) -> None:
-        """Take a reading of the executor's clock."""
+        """Record a reading of the executor's clock."""
         self.clock_ms = clock_ms
         self.clock_at = now
 
     @property
     def noted_upto(self) -> int:
-        """Return the number up to which all ends have been noted."""
+        """Return the number up to which no end awaits acknowledgement."""
         if self.unnoted_ends:
             return min(self.unnoted_ends) - 1
         return self.ends_seen
@@ -155,10 +167,10 @@
 
 @dataclass(slots=True)
 class Health:
-    """Hold whether the executor gets tasks.
+    """Track whether the executor may get tasks.
 
-    `progressed_at` is when some run went on last. While `on_trial`, it gets
-    one task at a time.
+    `progressed_at` is the last time at which any run made progress. While
+    `on_trial`, the executor gets one task at a time.
     """
 
     progressed_at: float = _NEVER
@@ -169,7 +181,7 @@
 
 @dataclass(slots=True)
 class WorkerState:
-    """Hold all state of an agent; its reducer mutates it in place."""
+    """Hold the whole state of an agent; the reducer mutates it in place."""
 
     identity: WorkerIdentity
     timing: WorkerTiming
@@ -178,7 +190,8 @@
     lease: Lease = field(default_factory=Lease)
     health: Health = field(default_factory=Health)
     runs: dict[str, Run] = field(default_factory=dict)
-    # Runs that no message of this process started, with the last stop sent.
+    # Runs on the executor that this process did not start, with the time at
+    # which it last asked to stop them.
     strays: dict[work.RunName, float] = field(default_factory=dict)
     ends: dict[work.RunName, UnnotedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
@@ -189,14 +202,14 @@
 
     @property
     def executor(self) -> Executor | None:
-        """Return the address of the executor's present life."""
+        """Return the current instance of the executor, if there is one."""
         if self.report is None:
             return None
         return Executor(self.report.executor, self.report.address)
 
     @property
     def accepting(self) -> bool:
-        """Tell whether tasks may start."""
+        """Return whether tasks may start."""
         report = self.report
         if report is None or report.draining or self.leaving:
             return False
@@ -207,7 +220,7 @@
 
     @property
     def free(self) -> Room:
-        """Return the room that no run occupies."""
+        """Return the capacity that no run occupies."""
         if self.report is None:
             return NO_ROOM
         free = self.report.capacity
@@ -216,7 +229,7 @@
         return free
 
     def find_link(self, owner: str) -> str:
-        """Return the link to an entry's incarnation, or an empty text."""
+        """Return the link to an entry's incarnation, or an empty string."""
         for name, link in self.links.items():
             if link.incarnation == owner:
                 return name
