Reword the detection of slow runs

Private names and local variables:

_WHOLE_PERCENT -> _COMPLETE_PERCENT _STANDS_STILL -> _NO_PROGRESS _STANDSTILL_S -> _STUCK_AFTER_S _STANDSTILL_SHARE -> _STUCK_AFTER_SHARE _SLOW_ALONE_FACTOR -> _SINGLE_JOB_SLOW_FACTOR _LEAST_JOBS -> _MIN_JOBS _LEAST_PERCENT -> _MIN_PERCENT _LEAST_ELAPSED_S -> _MIN_ELAPSED_S _slowness_limit -> _slowness_threshold _stands_still -> _is_stuck _slowness_of -> _projected_slowness _remaining_ms -> _projected_remaining_ms is_still, is_slow -> is_newly_stuck, is_newly_slow (is_executor_slow) one -> progress known -> slownesses by_job -> slowness_by_job limit -> threshold

--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -1,4 +1,4 @@
-"""Notice runs that stand still or are far slower than estimated."""
+"""Detect runs that are stuck or far slower than estimated."""
 
 from __future__ import annotations
 
@@ -16,19 +16,21 @@
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
 
-_WHOLE_PERCENT: Final = 100
-_STANDS_STILL: Final = -1
-# A run without progress for this long, or this share of its estimate, hangs.
-_STANDSTILL_S: Final = 0.3
-_STANDSTILL_SHARE: Final = 0.1
-# The executor is slow if the runs of several jobs take this many times longer
-# than estimated; those of one job share the error of its estimate.
+_COMPLETE_PERCENT: Final = 100
+_NO_PROGRESS: Final = -1
+# A run is stuck after this long without progress, or after this share of its
+# estimate if that is longer.
+_STUCK_AFTER_S: Final = 0.3
+_STUCK_AFTER_SHARE: Final = 0.1
+# The executor counts as slow if the runs of several jobs take this many times
+# longer than estimated. The runs of a single job share the error of its
+# estimate and need a higher factor.
 _SLOW_FACTOR: Final = 3
-_SLOW_ALONE_FACTOR: Final = 6
-_LEAST_JOBS: Final = 2
-# Below this, the projected duration is too rough.
-_LEAST_PERCENT: Final = 3
-_LEAST_ELAPSED_S: Final = 0.1
+_SINGLE_JOB_SLOW_FACTOR: Final = 6
+_MIN_JOBS: Final = 2
+# Below these limits the projected duration is too inaccurate.
+_MIN_PERCENT: Final = 3
+_MIN_ELAPSED_S: Final = 0.1
 
 
 def report_slow_runs(
@@ -36,55 +38,62 @@
     turn: Turn,
     listed: tuple[RunListed, ...],
 ) -> None:
-    """Take the progress of runs; tell owners once of each slow one."""
+    """Record the progress of runs, and report slow and stuck ones once."""
     running: list[Run] = []
-    for one in listed:
-        run = state.runs.get(one.task)
-        if run is None or run.number != one.run:
+    for progress in listed:
+        run = state.runs.get(progress.task)
+        if run is None or run.number != progress.run:
             continue
-        if one.percent > run.percent:
+        if progress.percent > run.percent:
             suspension.note_progress(state, turn)
-        if one.percent > run.percent or run.progressed_at < 0:
-            run.percent = one.percent
+        if progress.percent > run.percent or run.progressed_at < 0:
+            run.percent = progress.percent
             run.progressed_at = turn.now
         if run.phase is Phase.running:
             running.append(run)
     suspension.judge(state, turn)
-    limit = _slowness_limit(running, turn.now)
+    threshold = _slowness_threshold(running, turn.now)
     for candidate in running:
-        _report_if_slow(state, turn, candidate, limit)
+        _report_if_slow(state, turn, candidate, threshold)
 
 
-def _slowness_limit(running: list[Run], now: float) -> float:
-    by_job = {
-        run.task.partition('.')[0]: _slowness_of(run, now) for run in running
+def _slowness_threshold(running: list[Run], now: float) -> float:
+    slowness_by_job = {
+        run.task.partition('.')[0]: _projected_slowness(run, now)
+        for run in running
     }
-    known = sorted(slowness for slowness in by_job.values() if slowness)
-    if len(known) < _LEAST_JOBS:
-        return _SLOW_ALONE_FACTOR
-    lower_median = known[(len(known) - 1) // 2]
-    is_slow = lower_median >= _SLOW_FACTOR
-    return _SLOW_FACTOR if is_slow else _SLOW_ALONE_FACTOR
+    slownesses = sorted(
+        slowness for slowness in slowness_by_job.values() if slowness
+    )
+    if len(slownesses) < _MIN_JOBS:
+        return _SINGLE_JOB_SLOW_FACTOR
+    lower_median = slownesses[(len(slownesses) - 1) // 2]
+    is_executor_slow = lower_median >= _SLOW_FACTOR
+    return _SLOW_FACTOR if is_executor_slow else _SINGLE_JOB_SLOW_FACTOR
 
 
 def _report_if_slow(
     state: WorkerState,
     turn: Turn,
     run: Run,
-    limit: float,
+    threshold: float,
 ) -> None:
-    slowness = _slowness_of(run, turn.now)
-    is_still = _stands_still(run, turn.now) and not run.standstill_reported
-    is_slow = slowness >= limit and not run.slow_reported
-    if not is_still and not is_slow:
+    slowness = _projected_slowness(run, turn.now)
+    is_newly_stuck = _is_stuck(run, turn.now) and not run.standstill_reported
+    is_newly_slow = slowness >= threshold and not run.slow_reported
+    if not is_newly_stuck and not is_newly_slow:
         return
     run.slow_reported = True
-    run.standstill_reported = run.standstill_reported or is_still
-    remaining_ms = _STANDS_STILL if is_still else _remaining_ms(run, turn.now)
+    run.standstill_reported = run.standstill_reported or is_newly_stuck
+    remaining_ms = (
+        _NO_PROGRESS
+        if is_newly_stuck
+        else _projected_remaining_ms(run, turn.now)
+    )
     message = work.SlowRun(
         run.task,
         run.number,
-        0 if state.health.suspended else max(slowness, limit),
+        0 if state.health.suspended else max(slowness, threshold),
         remaining_ms,
     )
     turn.count('slow_runs')
@@ -101,21 +110,21 @@
         turn.send(link, message)
 
 
-def _stands_still(run: Run, now: float) -> bool:
-    limit_s = max(_STANDSTILL_S, _STANDSTILL_SHARE * run.estimate_s)
+def _is_stuck(run: Run, now: float) -> bool:
+    limit_s = max(_STUCK_AFTER_S, _STUCK_AFTER_SHARE * run.estimate_s)
     return now - run.progressed_at >= limit_s
 
 
-def _slowness_of(run: Run, now: float) -> float:
+def _projected_slowness(run: Run, now: float) -> float:
     """Return the projected duration over the estimate, 0 if unknown."""
     elapsed_s = now - run.started_at
-    if run.percent < _LEAST_PERCENT or elapsed_s < _LEAST_ELAPSED_S:
+    if run.percent < _MIN_PERCENT or elapsed_s < _MIN_ELAPSED_S:
         return 0
-    estimate_s = max(run.estimate_s, _LEAST_ELAPSED_S)
-    return elapsed_s * _WHOLE_PERCENT / run.percent / estimate_s
+    estimate_s = max(run.estimate_s, _MIN_ELAPSED_S)
+    return elapsed_s * _COMPLETE_PERCENT / run.percent / estimate_s
 
 
-def _remaining_ms(run: Run, now: float) -> int:
+def _projected_remaining_ms(run: Run, now: float) -> int:
     elapsed_s = now - run.started_at
-    projected_s = elapsed_s * _WHOLE_PERCENT / max(run.percent, 1)
+    projected_s = elapsed_s * _COMPLETE_PERCENT / max(run.percent, 1)
     return int((projected_s - elapsed_s) * MS_PER_S)
