Reword the suspension of executors

Private names and local variables:

_STANDSTILL_S -> _STUCK_AFTER_S _STANDSTILL_SHARE -> _STUCK_AFTER_SHARE _LEAST_JOBS -> _MIN_JOBS _stands_still -> _is_stuck still -> stuck_runs least_jobs -> min_jobs is_seen -> has_progress

--- a/src/savoryrudder/worker/suspension.py
+++ b/src/savoryrudder/worker/suspension.py
@@ -1,8 +1,8 @@
-"""Judge whether the executor stands still as a whole.
+"""Suspend an executor on which no run makes progress.
 
-Tasks of several jobs that stop together show a fault of the executor. It is
-suspended for a while and then on trial: it gets one task at a time until one
-makes progress.
+Runs of several jobs that get stuck at the same time point to a fault of the
+executor. It gets no tasks for a while. Then it is on trial: it gets one task
+at a time until a run makes progress.
 """
 
 from __future__ import annotations
@@ -18,15 +18,15 @@
     from savoryrudder.worker.state import WorkerState
 
 _SUSPENSION_S: Final = 1
-# All runs without progress for this long, or for this share of the shortest
-# estimate among them, show that the executor stands still.
-_STANDSTILL_S: Final = 0.15
-_STANDSTILL_SHARE: Final = 0.05
-_LEAST_JOBS: Final = 2
+# The executor is suspended if no run makes progress for this long, or for this
+# share of the shortest estimate among the stuck runs if that is longer.
+_STUCK_AFTER_S: Final = 0.15
+_STUCK_AFTER_SHARE: Final = 0.05
+_MIN_JOBS: Final = 2
 
 
 def note_progress(state: WorkerState, turn: Turn) -> None:
-    """Note that some run went on or was done."""
+    """Record that a run made progress or completed; end a trial."""
     health = state.health
     health.progressed_at = turn.now
     if health.on_trial:
@@ -35,7 +35,7 @@
 
 
 def end_suspension(state: WorkerState, turn: Turn) -> None:
-    """Put the executor on trial once its suspension is over."""
+    """Put the executor on trial once its suspension has expired."""
     health = state.health
     if health.suspended and turn.now >= health.suspended_until:
         health.suspended = False
@@ -43,28 +43,30 @@
 
 
 def judge(state: WorkerState, turn: Turn) -> None:
-    """Suspend the executor if its latest lists show that nothing goes on."""
+    """Suspend the executor if none of its runs makes progress."""
     health = state.health
     if health.suspended:
         return
-    still = [run for run in state.runs.values() if _stands_still(run, turn.now)]
-    jobs = {run.task.partition('.')[0] for run in still}
-    least_jobs = 1 if health.on_trial else _LEAST_JOBS
-    if len(jobs) < least_jobs:
+    stuck_runs = [
+        run for run in state.runs.values() if _is_stuck(run, turn.now)
+    ]
+    jobs = {run.task.partition('.')[0] for run in stuck_runs}
+    min_jobs = 1 if health.on_trial else _MIN_JOBS
+    if len(jobs) < min_jobs:
         return
     limit_s = max(
-        _STANDSTILL_S,
-        _STANDSTILL_SHARE * min(run.estimate_s for run in still),
+        _STUCK_AFTER_S,
+        _STUCK_AFTER_SHARE * min(run.estimate_s for run in stuck_runs),
     )
     if turn.now - health.progressed_at < limit_s:
         return
     health.suspended = True
     health.suspended_until = turn.now + _SUSPENSION_S
     turn.count('executor_suspensions')
-    turn.log('executor-suspended', runs=len(still), jobs=len(jobs))
+    turn.log('executor-suspended', runs=len(stuck_runs), jobs=len(jobs))
 
 
-def _stands_still(run: Run, now: float) -> bool:
-    limit_s = max(_STANDSTILL_S, _STANDSTILL_SHARE * run.estimate_s)
-    is_seen = run.phase is Phase.running and run.progressed_at > 0
-    return is_seen and now - run.progressed_at >= limit_s
+def _is_stuck(run: Run, now: float) -> bool:
+    limit_s = max(_STUCK_AFTER_S, _STUCK_AFTER_SHARE * run.estimate_s)
+    has_progress = run.phase is Phase.running and run.progressed_at > 0
+    return has_progress and now - run.progressed_at >= limit_s
