Reword the reducer of the agent

Private names and local variables:

_handle_order -> _handle_entry_message _greet_entry -> _handle_entry_hello _stop_orphans -> _stop_runs_of_lost_owners _exit_when_done -> _exit_if_drained replaced -> previous_link name -> link listed -> running known -> previous is_same -> is_same_instance forgotten, due -> cutoff

--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -42,7 +42,7 @@
     _EVENT_HANDLERS[type(event)](state, turn, event)
     renewal.renew_if_due(state, turn)
     reports.send_reports(state, turn)
-    _exit_when_done(state, turn)
+    _exit_if_drained(state, turn)
     return turn.effects
 
 
@@ -82,12 +82,12 @@
     if link is None:
         turn.count('wasted_messages')
     elif isinstance(message, work.EntryHello):
-        _greet_entry(state, turn, event.link, message)
+        _handle_entry_hello(state, turn, event.link, message)
     elif link.incarnation:
-        _handle_order(state, turn, event.link, message)
+        _handle_entry_message(state, turn, event.link, message)
 
 
-def _handle_order(
+def _handle_entry_message(
     state: WorkerState,
     turn: Turn,
     link: str,
@@ -102,28 +102,28 @@
             renewal.note_ends(state, ends)
 
 
-def _greet_entry(
+def _handle_entry_hello(
     state: WorkerState,
     turn: Turn,
-    name: str,
+    link: str,
     hello: work.EntryHello,
 ) -> None:
-    replaced = state.find_link(hello.incarnation)
-    if replaced:
-        # The entry has given up the former link; this end has not noticed.
-        state.links[replaced].incarnation = ''
-    state.links[name].incarnation = hello.incarnation
+    previous_link = state.find_link(hello.incarnation)
+    if previous_link:
+        # The entry has closed the previous link, but its end was not seen here.
+        state.links[previous_link].incarnation = ''
+    state.links[link].incarnation = hello.incarnation
     state.lost_owners.pop(hello.incarnation, None)
     turn.log('entry-linked', entry=hello.entry, incarnation=hello.incarnation)
     for end in state.ends.values():
         if end.owner == hello.incarnation:
-            turn.send(name, end.message)
-    listed = tuple(
+            turn.send(link, end.message)
+    running = tuple(
         run.key
         for run in state.runs.values()
         if run.owner == hello.incarnation and not run.reported
     )
-    turn.send(name, work.RunningTasks(listed))
+    turn.send(link, work.RunningTasks(running))
 
 
 def _handle_executor_seen(
@@ -131,21 +131,22 @@
     turn: Turn,
     event: events.ExecutorSeen,
 ) -> None:
-    known = state.report
-    if known is not None:
-        if event.born_ms < known.born_ms:
+    previous = state.report
+    if previous is not None:
+        if event.born_ms < previous.born_ms:
             turn.count('outdated_heartbeats')
             return
-        is_same = (
-            event.executor == known.executor and event.born_ms == known.born_ms
+        is_same_instance = (
+            event.executor == previous.executor
+            and event.born_ms == previous.born_ms
         )
-        if is_same and event.sequence < known.sequence:
+        if is_same_instance and event.sequence < previous.sequence:
             return
-        if not is_same:
+        if not is_same_instance:
             runs.lose_all(state, turn, 'executor restarted')
-            known = None
+            previous = None
     state.report = event
-    if known is None:
+    if previous is None:
         state.lease = Lease()
         state.health = Health()
         turn.log(
@@ -154,7 +155,7 @@
             address=event.address,
             born_ms=event.born_ms,
         )
-    elif known.draining != event.draining:
+    elif previous.draining != event.draining:
         turn.log('executor-drains', executor=event.executor)
     if state.lease.clock_ms == 0:
         state.lease.note_clock(turn.now, event.clock_ms)
@@ -210,20 +211,20 @@
     turn: Turn,
     event: events.Tick,
 ) -> None:
-    _stop_orphans(state, turn)
+    _stop_runs_of_lost_owners(state, turn)
     renewal.report_lapsed(state, turn)
     renewal.retry_stops(state, turn)
     suspension.end_suspension(state, turn)
-    forgotten = turn.now - state.timing.retention_s
+    cutoff = turn.now - state.timing.retention_s
     for key, end in tuple(state.ends.items()):
-        if end.ended_at < forgotten:
+        if end.ended_at < cutoff:
             state.ends.pop(key)
 
 
-def _stop_orphans(state: WorkerState, turn: Turn) -> None:
-    due = turn.now - state.timing.owner_grace_s
+def _stop_runs_of_lost_owners(state: WorkerState, turn: Turn) -> None:
+    cutoff = turn.now - state.timing.owner_grace_s
     for owner, lost_at in tuple(state.lost_owners.items()):
-        if lost_at > due:
+        if lost_at > cutoff:
             continue
         state.lost_owners.pop(owner)
         for run in state.runs.values():
@@ -253,7 +254,7 @@
         state.exit_at = turn.now + event.timeout_s
 
 
-def _exit_when_done(state: WorkerState, turn: Turn) -> None:
+def _exit_if_drained(state: WorkerState, turn: Turn) -> None:
     if not state.leaving or state.exited:
         return
     if state.runs and turn.now < state.exit_at:
