Reword the renewal of the executor lease

Private names and local variables:

_UNNOTED_PAUSE_S -> _UNACKNOWLEDGED_DELAY_S _GATHERING_S -> _BATCHING_DELAY_S _RETRY_PAUSE_S -> _RETRY_DELAY_S _IDLE_ACKNOWLEDGEMENT_S -> _IDLE_DELAY_S _pause_s -> _renewal_delay_s _has_reason -> _is_renewal_needed _deserves_renewal -> _should_extend_lease _take_ends -> _process_ends _settle_runs -> _finish_unlisted_runs _outcome_of_missing -> _outcome_of_unlisted _stop_strays -> _stop_stray_runs is_renewed -> is_extended noted -> acknowledged is_open -> is_unconfirmed is_gone -> is_stop_confirmed is_started -> is_missing known, unknown -> tracked, untracked one -> listed_run due -> cutoff

--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -1,4 +1,4 @@
-"""Renew the executor's lease and read its runs and ends."""
+"""Renew the executor's lease and process its lists of runs and ends."""
 
 from __future__ import annotations
 
@@ -21,30 +21,33 @@
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
 
-# Ends that wait for their owner are listed again with each renewal.
-_UNNOTED_PAUSE_S: Final = 0.1
-# Tasks of a job often end together; one answer then lists them all. On a full
-# executor each end makes room that entries wait for.
-_GATHERING_S: Final = 0.02
-_RETRY_PAUSE_S: Final = 0.05
-_IDLE_ACKNOWLEDGEMENT_S: Final = 0.5
+# The executor lists ends again with each renewal until they are acknowledged,
+# so renewals are spaced out while an owner has not confirmed an end.
+_UNACKNOWLEDGED_DELAY_S: Final = 0.1
+# Tasks of a job often end together, and after this delay one answer lists them
+# all. There is no delay on a nearly full executor, as entries wait for the
+# capacity that each end releases.
+_BATCHING_DELAY_S: Final = 0.02
+_RETRY_DELAY_S: Final = 0.05
+# Renewals of an idle executor only acknowledge ends.
+_IDLE_DELAY_S: Final = 0.5
 
 
 def renew_if_due(state: WorkerState, turn: Turn) -> None:
-    """Send the next renewal when there is something to renew or read."""
+    """Send the next renewal if it is due and needed."""
     lease = state.lease
     executor = state.executor
     if executor is None or lease.renewing or turn.now < lease.renew_at:
         return
-    if not _has_reason(state):
+    if not _is_renewal_needed(state):
         return
     lease.renewing = True
-    is_renewed = _deserves_renewal(state, turn.now)
+    is_extended = _should_extend_lease(state, turn.now)
     lease.ends_acknowledged = lease.noted_upto
     turn.effects.append(
         CallRenew(
             executor,
-            runs.extend_lease(state, turn.now) if is_renewed else 0,
+            runs.extend_lease(state, turn.now) if is_extended else 0,
             state.fence,
             lease.noted_upto,
             _wait_ms(state),
@@ -57,29 +60,31 @@
     turn: Turn,
     answer: events.LeaseAnswered,
 ) -> None:
-    """Take the executor's lists of runs and ends."""
+    """Apply the executor's lists of running and ended runs."""
     lease = state.lease
     lease.renewing = False
     lease.note_clock(turn.now, answer.clock_ms)
     if lease.silent_since is not None:
         turn.log('executor-answers', silent_s=turn.now - lease.silent_since)
         lease.silent_since = None
-    _take_ends(state, turn, answer.ended)
+    _process_ends(state, turn, answer.ended)
     progress.report_slow_runs(state, turn, answer.running)
-    listed = {(one.task, one.run) for one in answer.running}
-    _settle_runs(state, turn, answer.sent_at, listed)
-    _stop_strays(state, turn, listed)
+    listed = {
+        (listed_run.task, listed_run.run) for listed_run in answer.running
+    }
+    _finish_unlisted_runs(state, turn, answer.sent_at, listed)
+    _stop_stray_runs(state, turn, listed)
     lease.surveyed = True
-    lease.renew_at = turn.now + _pause_s(state, answer)
+    lease.renew_at = turn.now + _renewal_delay_s(state, answer)
 
 
-def _pause_s(state: WorkerState, answer: events.LeaseAnswered) -> float:
+def _renewal_delay_s(state: WorkerState, answer: events.LeaseAnswered) -> float:
     if state.lease.unnoted_ends:
-        return _UNNOTED_PAUSE_S
+        return _UNACKNOWLEDGED_DELAY_S
     if not state.runs and not state.strays:
-        return _IDLE_ACKNOWLEDGEMENT_S
+        return _IDLE_DELAY_S
     is_tight = reports.is_tight(state)
-    return _GATHERING_S if answer.ended and not is_tight else 0
+    return _BATCHING_DELAY_S if answer.ended and not is_tight else 0
 
 
 def take_silence(
@@ -87,10 +92,10 @@
     turn: Turn,
     failure: events.LeaseUnanswered,
 ) -> None:
-    """Note a renewal without an answer."""
+    """Record a failed renewal and schedule the next one."""
     lease = state.lease
     lease.renewing = False
-    lease.renew_at = turn.now + _RETRY_PAUSE_S
+    lease.renew_at = turn.now + _RETRY_DELAY_S
     if failure.fenced:
         runs.raise_fence(state, turn)
         return
@@ -100,7 +105,7 @@
 
 
 def report_lapsed(state: WorkerState, turn: Turn) -> None:
-    """Report the runs of a silent executor whose lease is over as lost."""
+    """Report all runs as lost once the lease of a silent executor expires."""
     if state.lease.silent_since is None or turn.now < state.lease.over_at:
         return
     for run in state.runs.values():
@@ -110,18 +115,18 @@
 
 
 def retry_stops(state: WorkerState, turn: Turn) -> None:
-    """Send stops again that got no answer."""
-    due = turn.now - state.timing.stop_retry_s
+    """Repeat requests to stop a run that the executor has not confirmed."""
+    cutoff = turn.now - state.timing.stop_retry_s
     for run in state.runs.values():
-        is_open = run.phase is Phase.stopping and run.stopped_at < 0
-        if is_open and run.stop_sent_at <= due:
+        is_unconfirmed = run.phase is Phase.stopping and run.stopped_at < 0
+        if is_unconfirmed and run.stop_sent_at <= cutoff:
             runs.send_stop(state, turn, run)
 
 
 def note_ends(state: WorkerState, keys: tuple[RunName, ...]) -> None:
-    """Forget ends that their owner has noted."""
-    for noted in keys:
-        state.ends.pop(noted, None)
+    """Discard ends that their owner has acknowledged."""
+    for acknowledged in keys:
+        state.ends.pop(acknowledged, None)
     lease = state.lease
     lease.unnoted_ends = {
         number: key
@@ -132,7 +137,7 @@
         lease.hasten(0)
 
 
-def _has_reason(state: WorkerState) -> bool:
+def _is_renewal_needed(state: WorkerState) -> bool:
     lease = state.lease
     if state.runs or state.strays or not lease.surveyed:
         return True
@@ -141,7 +146,7 @@
     return lease.noted_upto > lease.ends_acknowledged
 
 
-def _deserves_renewal(state: WorkerState, now: float) -> bool:
+def _should_extend_lease(state: WorkerState, now: float) -> bool:
     if not state.lease.surveyed or not state.runs:
         return False
     silent_since = state.lease.silent_since
@@ -156,7 +161,7 @@
     return int(state.timing.renewal_wait_s * MS_PER_S)
 
 
-def _take_ends(
+def _process_ends(
     state: WorkerState,
     turn: Turn,
     ended: tuple[events.EndListed, ...],
@@ -176,7 +181,7 @@
             lease.unnoted_ends[end.number] = run.key
 
 
-def _settle_runs(
+def _finish_unlisted_runs(
     state: WorkerState,
     turn: Turn,
     sent_at: float,
@@ -185,31 +190,31 @@
     for run in tuple(state.runs.values()):
         if run.key in listed:
             continue
-        outcome = _outcome_of_missing(run, sent_at)
+        outcome = _outcome_of_unlisted(run, sent_at)
         if outcome:
             runs.finish(state, turn, run, outcome, 'not listed')
 
 
-def _outcome_of_missing(run: Run, sent_at: float) -> str:
+def _outcome_of_unlisted(run: Run, sent_at: float) -> str:
     if run.phase is Phase.stopping:
-        is_gone = 0 < run.stopped_at < sent_at
-        return outcomes.NOT_STARTED if is_gone else ''
-    is_started = run.phase is Phase.running and run.answered_at < sent_at
-    return outcomes.LOST if is_started else ''
+        is_stop_confirmed = 0 < run.stopped_at < sent_at
+        return outcomes.NOT_STARTED if is_stop_confirmed else ''
+    is_missing = run.phase is Phase.running and run.answered_at < sent_at
+    return outcomes.LOST if is_missing else ''
 
 
-def _stop_strays(
+def _stop_stray_runs(
     state: WorkerState,
     turn: Turn,
     listed: set[RunName],
 ) -> None:
-    known = {run.key for run in state.runs.values()}
-    unknown = listed - known
+    tracked = {run.key for run in state.runs.values()}
+    untracked = listed - tracked
     for key in tuple(state.strays):
-        if key not in unknown:
+        if key not in untracked:
             state.strays.pop(key)
-    due = turn.now - state.timing.stop_retry_s
-    for key in unknown:
-        if state.strays.get(key, due) <= due:
+    cutoff = turn.now - state.timing.stop_retry_s
+    for key in untracked:
+        if state.strays.get(key, cutoff) <= cutoff:
             turn.log('stray-run', task=key[0], run=key[1])
             runs.stop_stray(state, turn, key)
