Reword the reports of free capacity

Private names and local variables:

_TIGHT_SHARE -> _NEARLY_FULL_SHARE _GATHERING_S -> _BATCHING_DELAY_S _least_cpu -> _min_cpu tight_cpu -> nearly_full_cpu last -> previous one -> room

--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -1,8 +1,8 @@
-"""Report the executor's free room to entries.
+"""Report the executor's free capacity to entries.
 
-Each start and each end changes the room, but only a change that decides
-whether a task fits is worth a message of its own. While there is room to
-spare, changes are gathered.
+Each start and each end of a run changes the free capacity, but a change needs
+a message of its own only if it may decide whether a task fits. While the
+executor is far from full, changes are batched.
 """
 
 from __future__ import annotations
@@ -19,20 +19,20 @@
     from savoryrudder.worker.state import EntryLink
     from savoryrudder.worker.state import WorkerState
 
-# Below this share of its processors an executor is nearly full.
-_TIGHT_SHARE: Final = 0.25
-_GATHERING_S: Final = 0.1
+# An executor is nearly full below this share of free processors.
+_NEARLY_FULL_SHARE: Final = 0.25
+_BATCHING_DELAY_S: Final = 0.1
 
 
 def is_tight(state: WorkerState) -> bool:
-    """Tell whether the executor is nearly full."""
+    """Return whether the executor is nearly full."""
     if state.report is None:
         return False
-    return state.free.cpu < state.report.capacity.cpu * _TIGHT_SHARE
+    return state.free.cpu < state.report.capacity.cpu * _NEARLY_FULL_SHARE
 
 
 def send_reports(state: WorkerState, turn: Turn) -> None:
-    """Send a report on each link whose entry needs to know of a change."""
+    """Send a report to each linked entry for which one is due."""
     executor = state.report
     if executor is None:
         return
@@ -43,9 +43,9 @@
         executor.executor,
         turn.now,
     )
-    tight_cpu = executor.capacity.cpu * _TIGHT_SHARE
+    nearly_full_cpu = executor.capacity.cpu * _NEARLY_FULL_SHARE
     for name, link in state.links.items():
-        if not link.incarnation or not _is_due(link, current, tight_cpu):
+        if not link.incarnation or not _is_due(link, current, nearly_full_cpu):
             continue
         link.reported = current
         turn.send(
@@ -63,19 +63,19 @@
         )
 
 
-def _is_due(link: EntryLink, current: Reported, tight_cpu: float) -> bool:
-    last = link.reported
-    if last is None or last.executor != current.executor:
+def _is_due(link: EntryLink, current: Reported, nearly_full_cpu: float) -> bool:
+    previous = link.reported
+    if previous is None or previous.executor != current.executor:
         return True
-    if last.accepting != current.accepting:
+    if previous.accepting != current.accepting:
         return True
-    if last.on_trial != current.on_trial:
+    if previous.on_trial != current.on_trial:
         return True
-    if last.free == current.free:
+    if previous.free == current.free:
         return False
-    is_tight = _least_cpu(last.free, current.free) < tight_cpu
-    return is_tight or current.sent_at - last.sent_at >= _GATHERING_S
+    is_tight = _min_cpu(previous.free, current.free) < nearly_full_cpu
+    return is_tight or current.sent_at - previous.sent_at >= _BATCHING_DELAY_S
 
 
-def _least_cpu(one: Room, other: Room) -> int:
-    return min(one.cpu, other.cpu)
+def _min_cpu(room: Room, other: Room) -> int:
+    return min(room.cpu, other.cpu)
