Reword the start and stop of runs

Private names and local variables:

_LAPSE_MARGIN_S -> _EXPIRY_MARGIN_S _REFUSALS -> _REFUSAL_VERDICTS _refusal_of -> _refusal_reason known -> entry_link lapse_s -> expiry_s

--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -21,12 +21,12 @@
     from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import WorkerState
 
-# How far the fencing token is raised when the executor has seen a higher one.
+# Added to the fencing token when the executor has seen a higher one.
 _FENCE_STEP: Final = 60_000
-# Covers timers and the way to the executor.
-_LAPSE_MARGIN_S: Final = 0.05
+# Allows for timer delays and the network delay to the executor.
+_EXPIRY_MARGIN_S: Final = 0.05
 
-_REFUSALS: Final = frozenset(
+_REFUSAL_VERDICTS: Final = frozenset(
     (
         verdicts.REFUSED,
         verdicts.OUTDATED,
@@ -42,15 +42,15 @@
     link: str,
     message: work.StartTask,
 ) -> None:
-    """Start a task if there is room, else report that it has not started."""
-    known = state.links[link]
-    known.starts_seen = message.number
-    reason = _refusal_of(state, message)
+    """Start a run of a task, or report that it was not started."""
+    entry_link = state.links[link]
+    entry_link.starts_seen = message.number
+    reason = _refusal_reason(state, message)
     executor = state.executor
     if reason or executor is None:
         turn.count('starts_refused')
-        # Its entry takes the room for larger than it is.
-        known.reported = None
+        # The entry overestimates the free capacity; send it a report now.
+        entry_link.reported = None
         turn.log(
             'start-refused',
             task=message.task,
@@ -63,7 +63,7 @@
     state.runs[message.task] = Run(
         message.task,
         message.run,
-        known.incarnation,
+        entry_link.incarnation,
         message.need,
         message.durable,
         message.estimate_ms / MS_PER_S,
@@ -83,10 +83,13 @@
 
 
 def extend_lease(state: WorkerState, now: float) -> int:
-    """Return the new end of the lease on the executor's clock (ms)."""
+    """Extend the lease and return when it expires.
+
+    The time is in milliseconds of the executor's clock.
+    """
     lease_s = state.timing.lease_s
-    lapse_s = lease_s / (1 - CLOCK_SLOWNESS) + _LAPSE_MARGIN_S
-    state.lease.over_at = max(state.lease.over_at, now + lapse_s)
+    expiry_s = lease_s / (1 - CLOCK_SLOWNESS) + _EXPIRY_MARGIN_S
+    state.lease.over_at = max(state.lease.over_at, now + expiry_s)
     return state.lease.clock_now_ms(now) + int(lease_s * MS_PER_S)
 
 
@@ -95,7 +98,7 @@
     turn: Turn,
     answer: events.StartAnswered,
 ) -> None:
-    """Take the answer to a start."""
+    """Apply the answer to a request to start a run."""
     if answer.clock_ms:
         state.lease.note_clock(turn.now, answer.clock_ms)
     if answer.verdict == verdicts.FENCED:
@@ -103,7 +106,7 @@
     run = state.runs.get(answer.task)
     if run is None or run.number != answer.run:
         return
-    if answer.verdict in _REFUSALS:
+    if answer.verdict in _REFUSAL_VERDICTS:
         state.runs.pop(run.task)
         report_end(state, turn, run, outcomes.NOT_STARTED, answer.verdict)
         return
@@ -117,7 +120,10 @@
 
 
 def raise_fence(state: WorkerState, turn: Turn) -> None:
-    """Overtake the fencing token of an agent whose clock was ahead."""
+    """Raise the fencing token above that of a previous agent process.
+
+    That process took its token from a clock that was ahead of this one.
+    """
     state.fence += _FENCE_STEP
     turn.log('fence-raised', fence=state.fence)
 
@@ -140,7 +146,7 @@
     turn: Turn,
     answer: events.StopAnswered,
 ) -> None:
-    """Note that a run has been stopped and cannot start any more."""
+    """Record that a run has been stopped and can no longer start."""
     if not answer.confirmed:
         return
     run = state.runs.get(answer.task)
@@ -154,7 +160,7 @@
     turn: Turn,
     message: work.StopTask,
 ) -> None:
-    """Stop a run that its owner does not want any more."""
+    """Stop a run at the request of an entry."""
     run = state.runs.get(message.task)
     if run is None or run.number != message.run:
         return
@@ -169,7 +175,7 @@
     outcome: str,
     reason: str,
 ) -> None:
-    """Release the room of a run that is gone and report its end."""
+    """Release the capacity of a run that has ended, and report its end."""
     state.runs.pop(run.task)
     if not run.reported:
         report_end(state, turn, run, outcome, reason)
@@ -182,7 +188,7 @@
     outcome: str,
     reason: str,
 ) -> None:
-    """Report an end to the owner and keep it until it is noted."""
+    """Report an end to the run's owner and keep it until acknowledged."""
     run.reported = True
     duration_s = turn.now - run.started_at
     message = work.TaskEnded(
@@ -210,7 +216,7 @@
 
 
 def lose_all(state: WorkerState, turn: Turn, reason: str) -> None:
-    """Report every run as lost and release all room."""
+    """Report every run as lost and release its capacity."""
     for run in tuple(state.runs.values()):
         finish(state, turn, run, outcomes.LOST, reason)
     state.strays.clear()
@@ -223,7 +229,7 @@
         turn.effects.append(CallStop(executor, task, number, state.fence))
 
 
-def _refusal_of(state: WorkerState, message: work.StartTask) -> str:
+def _refusal_reason(state: WorkerState, message: work.StartTask) -> str:
     if state.leaving:
         return 'agent is leaving'
     if not state.accepting:
