Reword the tests of the agent

WorkerDriver.beat -> send_heartbeat WorkerDriver.look -> answer_renewal WorkerDriver.found -> effects_of WorkerDriver.sent -> messages_of _run -> _start_runs _stand_still -> _let_runs_get_stuck STILL_S -> STUCK_S

Test names follow the terms of the code.

--- a/tests/worker/conftest.py
+++ b/tests/worker/conftest.py
@@ -1,4 +1,4 @@
-"""Provide a linked agent beside an idle executor."""
+"""Provide a driver for the reducer of an agent."""
 
 from __future__ import annotations
 
@@ -8,5 +8,5 @@
 
 @pytest.fixture
 def driver() -> WorkerDriver:
-    """Return the driver of an agent."""
+    """Return a driver with one linked entry and an idle executor."""
     return WorkerDriver()
--- a/tests/worker/test_lease.py
+++ b/tests/worker/test_lease.py
@@ -1,4 +1,4 @@
-"""Check renewals, silence and slow runs."""
+"""Check lease renewals, slow runs and reports of free capacity."""
 
 from __future__ import annotations
 
@@ -14,84 +14,84 @@
     from worker_driver import WorkerDriver
 
 
-def _run(driver: WorkerDriver, *tasks: str) -> None:
+def _start_runs(driver: WorkerDriver, *tasks: str) -> None:
     for task in tasks:
         driver.start(task)
         driver.answer_start(task, verdicts.STARTED)
 
 
-def test_an_idle_executor_is_not_looked_at(driver: WorkerDriver) -> None:
-    """Guards against looks that nobody needs."""
+def test_an_idle_executor_gets_no_renewals(driver: WorkerDriver) -> None:
+    """Guards against needless calls to an executor without runs."""
     driver.tick(5)
-    assert not driver.found(effects.CallRenew)
+    assert not driver.effects_of(effects.CallRenew)
 
 
-def test_a_start_is_followed_by_a_renewal_at_once(
+def test_a_renewal_is_sent_at_once_after_a_start(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against an end that is noticed half a second late."""
+    """Guards against detecting the end of a run half a second late."""
     driver.start('j.0')
-    assert driver.found(effects.CallRenew)
+    assert driver.effects_of(effects.CallRenew)
 
 
-def test_a_silent_executor_loses_its_runs_after_the_lease(
+def test_runs_of_a_silent_executor_are_lost_when_the_lease_expires(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against runs that are given up while they may go on."""
-    _run(driver, 'j.0')
+    """Guards against giving up runs that may still be running."""
+    _start_runs(driver, 'j.0')
     driver.post(events.LeaseUnanswered(driver.now, 'silent'))
     driver.tick(0.9)
-    assert not driver.sent(work.TaskEnded)
+    assert not driver.messages_of(work.TaskEnded)
     driver.post(events.LeaseUnanswered(driver.now, 'silent'))
     driver.tick(1.2)
-    assert driver.sent(work.TaskEnded)[0].outcome == outcomes.LOST
-    # The room stays taken: a late start may still be carried out.
+    assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
+    # The capacity stays occupied: a delayed start may still take effect.
     assert driver.state.runs
 
 
 def test_a_run_without_progress_is_reported_once(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against tasks that wait for an executor that hangs."""
-    _run(driver, 'j.0')
+    """Guards against tasks that stay on an executor that hangs."""
+    _start_runs(driver, 'j.0')
     listed = (events.RunListed('j.0', 1, 40),)
-    driver.look(running=listed)
+    driver.answer_renewal(running=listed)
     driver.now += 0.4
-    driver.look(running=listed)
-    assert driver.sent(work.SlowRun)[0].remaining_ms == -1
-    driver.look(running=listed)
-    assert not driver.sent(work.SlowRun)
+    driver.answer_renewal(running=listed)
+    assert driver.messages_of(work.SlowRun)[0].remaining_ms == -1
+    driver.answer_renewal(running=listed)
+    assert not driver.messages_of(work.SlowRun)
 
 
-def test_one_job_far_over_its_estimate_is_no_slow_executor(
+def test_runs_of_one_job_over_its_estimate_are_not_reported(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against tasks that move because their estimate was off."""
-    _run(driver, 'j.0', 'j.1')
+    """Guards against moving tasks whose estimate was wrong."""
+    _start_runs(driver, 'j.0', 'j.1')
     driver.now += 0.2
     listed = (events.RunListed('j.0', 1, 25), events.RunListed('j.1', 1, 25))
-    driver.look(running=listed)
-    assert not driver.sent(work.SlowRun)
+    driver.answer_renewal(running=listed)
+    assert not driver.messages_of(work.SlowRun)
 
 
-def test_several_slow_jobs_are_a_slow_executor(driver: WorkerDriver) -> None:
-    """Guards against tasks that stay on an executor that has turned slow."""
-    _run(driver, 'j.0', 'k.0')
+def test_slow_runs_of_several_jobs_are_reported(driver: WorkerDriver) -> None:
+    """Guards against tasks that stay on an executor that became slow."""
+    _start_runs(driver, 'j.0', 'k.0')
     driver.now += 0.2
     listed = (events.RunListed('j.0', 1, 25), events.RunListed('k.0', 1, 25))
-    driver.look(running=listed)
-    slow = driver.sent(work.SlowRun)
-    assert len(slow) == 2
-    assert slow[0].remaining_ms == 600
+    driver.answer_renewal(running=listed)
+    slow_runs = driver.messages_of(work.SlowRun)
+    assert len(slow_runs) == 2
+    assert slow_runs[0].remaining_ms == 600
 
 
-def test_room_to_spare_is_reported_in_batches(driver: WorkerDriver) -> None:
+def test_free_capacity_is_reported_in_batches(driver: WorkerDriver) -> None:
     """Guards against a message to every entry for every start."""
     driver.start('j.0')
-    assert not driver.sent(work.ExecutorReport)
+    assert not driver.messages_of(work.ExecutorReport)
     driver.tick(0.2)
-    assert driver.sent(work.ExecutorReport)
+    assert driver.messages_of(work.ExecutorReport)
     driver.start('j.1')
     driver.start('j.2')
     driver.start('j.3')
-    assert driver.sent(work.ExecutorReport)[0].free.cpu == 0
+    assert driver.messages_of(work.ExecutorReport)[0].free.cpu == 0
--- a/tests/worker/test_suspension.py
+++ b/tests/worker/test_suspension.py
@@ -1,4 +1,4 @@
-"""Check the judgement of an executor that stands still."""
+"""Check the suspension of an executor without progress."""
 
 from __future__ import annotations
 
@@ -13,74 +13,78 @@
 if TYPE_CHECKING:
     from worker_driver import WorkerDriver
 
-STILL_S = 0.2
+STUCK_S = 0.2
 SUSPENSION_S = 1.1
 
 
-def _run(driver: WorkerDriver, *tasks: str) -> tuple[events.RunListed, ...]:
+def _start_runs(
+    driver: WorkerDriver,
+    *tasks: str,
+) -> tuple[events.RunListed, ...]:
     for started in tasks:
         driver.start(started)
         driver.answer_start(started, verdicts.STARTED)
-    listed = tuple(events.RunListed(one, 1, 40) for one in tasks)
-    driver.look(running=listed)
+    listed = tuple(events.RunListed(task, 1, 40) for task in tasks)
+    driver.answer_renewal(running=listed)
     return listed
 
 
-def _stand_still(driver: WorkerDriver, *tasks: str) -> None:
-    listed = _run(driver, *tasks)
-    driver.now += STILL_S
-    driver.look(running=listed)
+def _let_runs_get_stuck(driver: WorkerDriver, *tasks: str) -> None:
+    listed = _start_runs(driver, *tasks)
+    driver.now += STUCK_S
+    driver.answer_renewal(running=listed)
 
 
-def test_an_executor_on_which_nothing_goes_on_takes_no_tasks(
+def test_an_executor_without_progress_is_suspended(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against jobs that lose a task each to an executor that hangs.
+    """Guards against several jobs losing a task to a hanging executor.
 
-    Seen in a replay of kpf-cutdesk scale-1: each entry found out by itself.
+    This happened in a replay of kpf-cutdesk scale-1, where each entry had to
+    detect the fault by itself.
     """
-    _stand_still(driver, 'j.0', 'k.0')
+    _let_runs_get_stuck(driver, 'j.0', 'k.0')
     assert not driver.state.accepting
     driver.start('l.0')
-    assert not driver.found(effects.CallStart)
+    assert not driver.effects_of(effects.CallStart)
 
 
-def test_a_job_that_stands_still_alone_is_no_fault_of_the_executor(
+def test_one_stuck_job_does_not_suspend_the_executor(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against an executor that is given up for one bad job."""
-    _stand_still(driver, 'j.0', 'j.1')
+    """Guards against suspending the executor because of one bad job."""
+    _let_runs_get_stuck(driver, 'j.0', 'j.1')
     assert driver.state.accepting
 
 
-def test_one_run_that_goes_on_shows_a_sound_executor(
+def test_progress_of_one_run_prevents_the_suspension(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against a suspension while tasks are being done."""
-    listed = _run(driver, 'j.0', 'k.0', 'l.0')
-    driver.now += STILL_S
-    driver.look(running=(*listed[:2], events.RunListed('l.0', 1, 60)))
+    """Guards against suspending an executor that still runs tasks."""
+    listed = _start_runs(driver, 'j.0', 'k.0', 'l.0')
+    driver.now += STUCK_S
+    driver.answer_renewal(running=(*listed[:2], events.RunListed('l.0', 1, 60)))
     assert driver.state.accepting
 
 
-def test_after_a_suspension_one_task_at_a_time_is_tried(
+def test_one_task_at_a_time_is_started_after_a_suspension(
     driver: WorkerDriver,
 ) -> None:
-    """Guards against a flood of tasks for an executor that may still hang."""
-    _stand_still(driver, 'j.0', 'k.0')
+    """Guards against flooding an executor that may still hang."""
+    _let_runs_get_stuck(driver, 'j.0', 'k.0')
     ends = tuple(
         events.EndListed(number, task, 1, outcomes.STOPPED)
         for number, task in enumerate(('j.0', 'k.0'), 1)
     )
-    driver.look(ended=ends)
+    driver.answer_renewal(ended=ends)
     driver.tick(SUSPENSION_S)
-    assert driver.sent(work.ExecutorReport)[-1].on_trial
+    assert driver.messages_of(work.ExecutorReport)[-1].on_trial
     driver.start('l.0')
-    assert driver.found(effects.CallStart)
+    assert driver.effects_of(effects.CallStart)
     driver.start('m.0')
-    assert not driver.found(effects.CallStart)
+    assert not driver.effects_of(effects.CallStart)
     driver.answer_start('l.0', verdicts.STARTED)
-    driver.look(running=(events.RunListed('l.0', 1, 10),))
-    driver.look(running=(events.RunListed('l.0', 1, 20),))
+    driver.answer_renewal(running=(events.RunListed('l.0', 1, 10),))
+    driver.answer_renewal(running=(events.RunListed('l.0', 1, 20),))
     driver.start('m.0', run=2)
-    assert driver.found(effects.CallStart)
+    assert driver.effects_of(effects.CallStart)
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -1,4 +1,4 @@
-"""Drive the reducer of an agent by hand."""
+"""Drive the reducer of an agent step by step."""
 
 from __future__ import annotations
 
@@ -21,29 +21,34 @@
 
 
 class WorkerDriver:
-    """Hold an agent with one linked entry and an executor without runs."""
+    """Feed events to an agent with one linked entry and an idle executor."""
 
     def __init__(self) -> None:
-        """Start, link and survey the executor."""
+        """Link the entry, and let the executor report itself and its runs."""
         identity = WorkerIdentity('a1', 'a1#1', 'zone')
         self.state = WorkerState(identity, WorkerTiming(1, 0.05), fence=1)
         self.now = 100.0
         self.effects: list[Any] = []
         self.post(events.LinkUp(self.now, LINK))
         self.receive(work.EntryHello('e1', OWNER, 'address'))
-        self.beat()
-        self.look()
+        self.send_heartbeat()
+        self.answer_renewal()
 
     def post(self, event: Any) -> None:
-        """Reduce an event."""
+        """Reduce an event and keep its effects."""
         self.effects = reduce(self.state, event)
 
     def receive(self, message: Any) -> None:
-        """Reduce a message of the entry."""
+        """Reduce a message from the entry."""
         self.post(events.MessageReceived(self.now, LINK, message))
 
-    def beat(self, born_ms: int = 5, *, draining: bool = False) -> None:
-        """Let the executor report itself."""
+    def send_heartbeat(
+        self,
+        born_ms: int = 5,
+        *,
+        draining: bool = False,
+    ) -> None:
+        """Let the executor send a heartbeat."""
         self.post(
             events.ExecutorSeen(
                 self.now,
@@ -60,32 +65,36 @@
         )
 
     def start(self, task: str, run: int = 1, *, durable: bool = False) -> None:
-        """Let the entry start a task."""
+        """Let the entry ask for the start of a task."""
         self.receive(work.StartTask(1, task, run, 's', NEED, 200, durable))
 
     def answer_start(self, task: str, verdict: str, run: int = 1) -> None:
-        """Let the executor answer a start."""
+        """Let the executor answer the request to start a task."""
         self.post(events.StartAnswered(self.now, task, run, verdict, 1000))
 
-    def look(
+    def answer_renewal(
         self,
         running: tuple[events.RunListed, ...] = (),
         ended: tuple[events.EndListed, ...] = (),
     ) -> None:
-        """Let the executor answer a renewal that was sent just now."""
+        """Let the executor answer a renewal that was sent at the same time."""
         answer = events.LeaseAnswered(self.now, self.now, 0, running, ended)
         self.post(answer)
 
     def tick(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the time and reduce a tick."""
         self.now += seconds
         self.post(events.Tick(self.now))
 
-    def found(self, kind: type[EffectT]) -> list[EffectT]:
-        """Return the last effects of one kind."""
-        return [one for one in self.effects if isinstance(one, kind)]
-
-    def sent(self, kind: type[EffectT]) -> list[EffectT]:
-        """Return the messages of one kind among the last effects."""
-        messages = [one.message for one in self.found(effects.Send)]
-        return [one for one in messages if isinstance(one, kind)]
+    def effects_of(self, effect_type: type[EffectT]) -> list[EffectT]:
+        """Return the effects of the last event that have one type."""
+        return [
+            effect for effect in self.effects if isinstance(effect, effect_type)
+        ]
+
+    def messages_of(self, message_type: type[EffectT]) -> list[EffectT]:
+        """Return the messages of one type that the last event sent."""
+        messages = [send.message for send in self.effects_of(effects.Send)]
+        return [
+            message for message in messages if isinstance(message, message_type)
+        ]
