--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -38,7 +38,10 @@
     """Define the intervals and timeouts of an agent, in seconds.
 
     `lease_s` is the longest lease that the executor grants. A run ends at
-    most `stop_s` after a request to stop it.
+    most `stop_s` after a request to stop it. The lease of an executor that
+    does not answer is extended for another `silence_s`. The runs of an entry
+    are stopped `owner_grace_s` after the loss of its link. Ends that are not
+    acknowledged are kept for `retention_s`.
     """
 
     lease_s: float
