--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -23,7 +23,7 @@
 
 # The executor lists ends again with each renewal until they are acknowledged,
 # so renewals are spaced out while an owner has not confirmed an end.
-_UNACKNOWLEDGED_DELAY_S: Final = 0.1
+_UNACKED_DELAY_S: Final = 0.1
 # Tasks of a job often end together, and after this delay one answer lists them
 # all. There is no delay on a nearly full executor, as entries wait for the
 # capacity that each end releases.
@@ -80,7 +80,7 @@
 
 def _renewal_delay_s(state: WorkerState, answer: events.LeaseAnswered) -> float:
     if state.lease.unnoted_ends:
-        return _UNACKNOWLEDGED_DELAY_S
+        return _UNACKED_DELAY_S
     if not state.runs and not state.strays:
         return _IDLE_DELAY_S
     is_tight = reports.is_tight(state)
