Rename private names and locals of agent.credits

_RECALL_PAUSE_S -> _RECALL_RETRY_DELAY_S _neediest -> _entry_furthest_below_share _least_supplied -> _entry_with_fewest_credits locals and positional parameters: newcomer -> new_link, spare -> min_kept, kept -> retained, held -> allocated, room -> free_records, even -> equal_share, best -> highest_rank, neediest -> selected

--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -12,7 +12,7 @@
 
 # Pause after a recall that returned nothing, so that it is not repeated at
 # the speed of the network.
-_RECALL_PAUSE_S: Final = 1.0
+_RECALL_RETRY_DELAY_S: Final = 1.0
 
 
 def free_credits(state: AgentState) -> int:
@@ -21,8 +21,8 @@
         return 0
     granted = state.granted
     in_use = granted + len(state.calls) + len(state.waiting)
-    room = state.limits.max_records - len(state.book) - granted
-    return max(0, min(state.capacity - in_use, room))
+    free_records = state.limits.max_records - len(state.book) - granted
+    return max(0, min(state.capacity - in_use, free_records))
 
 
 def grant(state: AgentState) -> Counter[str]:
@@ -34,7 +34,9 @@
     """
     granted = Counter[str]()
     for _ in range(free_credits(state)):
-        entry = _neediest(state) or _least_supplied(state)
+        entry = _entry_furthest_below_share(
+            state
+        ) or _entry_with_fewest_credits(state)
         if entry is None:
             break
         link = state.links[entry]
@@ -55,16 +57,18 @@
             if link.ready and link.demand > link.credits:
                 needed += link.demand - link.credits
     # Free credits are granted before, so unmet demand means there are none.
-    return _open_recalls(state, now, needed, spare=0) if needed else {}
+    return _open_recalls(state, now, needed, min_kept=0) if needed else {}
 
 
-def spread(state: AgentState, now: float, newcomer: Link) -> dict[str, int]:
-    """Recall idle credits for a newcomer, down to an even split."""
+def spread(state: AgentState, now: float, new_link: Link) -> dict[str, int]:
+    """Recall idle credits for a new_link, down to an equal_share split."""
     ready = sum(link.ready for link in state.links.values())
-    even = state.granted // ready
-    if state.leaving or state.at_limit or newcomer.credits >= even:
+    equal_share = state.granted // ready
+    if state.leaving or state.at_limit or new_link.credits >= equal_share:
         return {}
-    return _open_recalls(state, now, even - newcomer.credits, spare=even)
+    return _open_recalls(
+        state, now, equal_share - new_link.credits, min_kept=equal_share
+    )
 
 
 def take_back(link: Link, amount: int, now: float) -> int:
@@ -72,12 +76,12 @@
     returned = max(0, min(amount, link.credits))
     link.credits -= returned
     if link.recalled and not returned:
-        link.recall_after = now + _RECALL_PAUSE_S
+        link.recall_after = now + _RECALL_RETRY_DELAY_S
     link.recalled = 0
     return returned
 
 
-def _neediest(state: AgentState) -> str | None:
+def _entry_furthest_below_share(state: AgentState) -> str | None:
     """Return the entry furthest below its share of the slots.
 
     Handing out one credit at a time to the largest deficit gives the split
@@ -88,21 +92,21 @@
     if not total:
         return None
     capacity = state.capacity
-    best: tuple[int, int] | None = None
-    neediest = None
+    highest_rank: tuple[int, int] | None = None
+    selected = None
     for entry, link in state.links.items():
         if not link.ready or link.demand <= link.credits:
             continue
-        held = link.credits + state.occupied.get(entry, 0)
+        allocated = link.credits + state.occupied.get(entry, 0)
         due = max(link.demand * capacity, total)
-        rank = (due - held * total, -link.granted_at)
-        if best is None or rank > best:
-            best = rank
-            neediest = entry
-    return neediest
+        rank = (due - allocated * total, -link.granted_at)
+        if highest_rank is None or rank > highest_rank:
+            highest_rank = rank
+            selected = entry
+    return selected
 
 
-def _least_supplied(state: AgentState) -> str | None:
+def _entry_with_fewest_credits(state: AgentState) -> str | None:
     ready = [entry for entry, link in state.links.items() if link.ready]
     return min(
         ready,
@@ -118,13 +122,13 @@
     state: AgentState,
     now: float,
     needed: int,
-    spare: int,
+    min_kept: int,
 ) -> dict[str, int]:
     opened: dict[str, int] = {}
     needed -= sum(link.recalled for link in state.links.values())
     for entry, link in state.links.items():
-        kept = spare if state.leaving else max(spare, link.demand)
-        amount = min(needed, link.credits - kept)
+        retained = min_kept if state.leaving else max(min_kept, link.demand)
+        amount = min(needed, link.credits - retained)
         if amount <= 0 or link.recalled or link.recall_after > now:
             continue
         link.recalled = amount
