--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -1,4 +1,4 @@
-"""Split the agent's slots among entries as credits."""
+"""Allocate the agent's slots to entries as credits."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
     from savoryrudder.agent.state import AgentState
     from savoryrudder.agent.state import Link
 
-# Pause after a recall that returned nothing, so that it is not repeated at
-# the speed of the network.
+# Delay after a recall that returned nothing; without it, recalls would repeat
+# as fast as the network carries them.
 _RECALL_RETRY_DELAY_S: Final = 1.0
 
 
@@ -26,11 +26,10 @@
 
 
 def grant(state: AgentState) -> Counter[str]:
-    """Grant all free credits and return the number for each entry.
+    """Grant all free credits and return the number granted to each entry.
 
-    Entries with queued tasks come first, the one furthest below its share
-    before the others; the rest is spread so that idle entries hold equally
-    many.
+    Entries with queued tasks come first, starting with the one furthest below
+    its share. Remaining credits are split evenly among all entries.
     """
     granted = Counter[str]()
     for _ in range(free_credits(state)):
@@ -48,7 +47,10 @@
 
 
 def recall(state: AgentState, now: float) -> dict[str, int]:
-    """Open recalls for credits that other entries need more."""
+    """Open recalls to meet the demand of other entries or to drain.
+
+    Return the number of credits to recall from each entry.
+    """
     needed = 0
     if state.leaving:
         needed = state.granted
@@ -56,12 +58,13 @@
         for link in state.links.values():
             if link.ready and link.demand > link.credits:
                 needed += link.demand - link.credits
-    # Free credits are granted before, so unmet demand means there are none.
+    # Free credits have been granted already, so unmet demand means that none
+    # are left.
     return _open_recalls(state, now, needed, min_kept=0) if needed else {}
 
 
 def spread(state: AgentState, now: float, new_link: Link) -> dict[str, int]:
-    """Recall idle credits for a new_link, down to an equal_share split."""
+    """Open recalls of idle credits so that a new link gets an equal share."""
     ready = sum(link.ready for link in state.links.values())
     equal_share = state.granted // ready
     if state.leaving or state.at_limit or new_link.credits >= equal_share:
@@ -82,11 +85,12 @@
 
 
 def _entry_furthest_below_share(state: AgentState) -> str | None:
-    """Return the entry furthest below its share of the slots.
+    """Return the entry with unmet demand furthest below its share of slots.
 
-    Handing out one credit at a time to the largest deficit gives the split
-    by largest remainder. Every entry with demand is due at least one slot;
-    otherwise a long queue elsewhere starves a short one.
+    Granting one credit at a time to the largest deficit amounts to the
+    largest remainder method. Every entry with demand is due at least one
+    slot; otherwise a long queue at one entry would starve a short one at
+    another.
     """
     total = sum([link.demand for link in state.links.values() if link.ready])
     if not total:
@@ -107,6 +111,10 @@
 
 
 def _entry_with_fewest_credits(state: AgentState) -> str | None:
+    """Return the ready entry with the fewest credits.
+
+    Among equals it is the one that was granted a credit least recently.
+    """
     ready = [entry for entry, link in state.links.items() if link.ready]
     return min(
         ready,
@@ -124,6 +132,11 @@
     needed: int,
     min_kept: int,
 ) -> dict[str, int]:
+    """Open recalls for the needed credits that no open recall covers.
+
+    An entry keeps its `min_kept` credits and, unless the agent is draining,
+    as many as it has queued tasks.
+    """
     opened: dict[str, int] = {}
     needed -= sum(link.recalled for link in state.links.values())
     for entry, link in state.links.items():
