--- a/src/savoryrudder/agent/holding.py
+++ b/src/savoryrudder/agent/holding.py
@@ -20,14 +20,14 @@
 
     Return whether credits have to wait, too: each would need a frame.
     """
-    urgent = state.leaving or not state.prefetched
+    flush_now = state.leaving or not state.prefetched
     if (
-        urgent
-        or not _may_wait(state, turn)
+        flush_now
+        or not _may_delay(state, turn)
         or (state.held and turn.now >= state.held_until)
     ):
-        held = [report for report in state.held if report[0] in state.links]
-        turn.reports = held + turn.reports
+        delayed = [report for report in state.held if report[0] in state.links]
+        turn.reports = delayed + turn.reports
         state.held = []
         return False
     if turn.reports and not state.held:
@@ -37,10 +37,10 @@
     return bool(state.held)
 
 
-def _may_wait(state: AgentState, turn: Turn) -> bool:
+def _may_delay(state: AgentState, turn: Turn) -> bool:
     """Tell whether all jobs reported on wait for other tasks here anyway."""
-    open_here = {key[0] for key in (*state.calls, *state.waiting)}
+    open_submissions = {key[0] for key in (*state.calls, *state.waiting)}
     return all(
-        record.state == _COMPLETE and record.key[0] in open_here
+        record.state == _COMPLETE and record.key[0] in open_submissions
         for _, record in turn.reports
     )
