--- a/src/savoryrudder/agent/holding.py
+++ b/src/savoryrudder/agent/holding.py
@@ -1,4 +1,4 @@
-"""Hold results back so that several of a large job share a frame."""
+"""Delay results of large jobs so that several of them share a frame."""
 
 from __future__ import annotations
 
@@ -9,16 +9,17 @@
     from savoryrudder.agent.state import AgentState
     from savoryrudder.agent.turn import Turn
 
-# Shorter than the work of the prefetched tasks, so that no slot runs dry.
+# Shorter than the prefetched tasks take to run, so that no slot goes idle.
 HOLD_S: Final = 0.25
 
 _COMPLETE: Final = 'complete'
 
 
 def hold_reports(state: AgentState, turn: Turn) -> bool:
-    """Hold this turn's reports, or release those held before.
+    """Delay the reports of this turn, or add the delayed ones to them.
 
-    Return whether credits have to wait, too: each would need a frame.
+    Return whether credits have to be delayed as well, since granting them
+    would need a frame too.
     """
     flush_now = state.leaving or not state.prefetched
     if (
@@ -38,7 +39,11 @@
 
 
 def _may_delay(state: AgentState, turn: Turn) -> bool:
-    """Tell whether all jobs reported on wait for other tasks here anyway."""
+    """Return whether a delay of this turn's reports delays no job.
+
+    That is so if all of them are complete results and each of their jobs
+    still has an unfinished task on this agent.
+    """
     open_submissions = {key[0] for key in (*state.calls, *state.waiting)}
     return all(
         record.state == _COMPLETE and record.key[0] in open_submissions
