--- a/src/savoryrudder/agent/effects.py
+++ b/src/savoryrudder/agent/effects.py
@@ -10,7 +10,7 @@
 
 
 class CallUpstream(NamedTuple):
-    """Call the upstream with one task; `deadline_ms` is the time left."""
+    """Call the upstream with one task; `deadline_ms` is the remaining time."""
 
     task: TaskKey
     operation: str
@@ -20,7 +20,7 @@
 
 
 class StopUpstreamCall(NamedTuple):
-    """Stop a running call of an idempotent task."""
+    """Cancel the running upstream call of an idempotent task."""
 
     task: TaskKey
 
--- a/src/savoryrudder/agent/events.py
+++ b/src/savoryrudder/agent/events.py
@@ -10,7 +10,7 @@
 
 
 class LinkUp(NamedTuple):
-    """A new session with an entry is open."""
+    """A session with an entry was opened; it replaces any earlier one."""
 
     now: float
     entry: str
@@ -18,7 +18,7 @@
 
 
 class LinkDown(NamedTuple):
-    """A session with an entry has ended; `reason` is for the log."""
+    """A session with an entry ended; `reason` is for the log."""
 
     now: float
     entry: str
@@ -27,7 +27,7 @@
 
 
 class MessageReceived(NamedTuple):
-    """A message arrived on a session, with the sender's revision."""
+    """A message arrived; `revision` is the sender's configuration revision."""
 
     now: float
     entry: str
@@ -39,7 +39,7 @@
 class UpstreamFinished(NamedTuple):
     """An upstream call ended.
 
-    `outcome` is complete, failed, unknown or not-run; not-run only when the
+    `outcome` is complete, failed, unknown or not-run, the last only if the
     request provably never reached the upstream.
     """
 
@@ -51,13 +51,13 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed; sent about ten times a second."""
+    """Periodic timer event, about ten times a second."""
 
     now: float
 
 
 class DrainRequested(NamedTuple):
-    """The agent has to stop gracefully within `timeout_s`."""
+    """The agent has to drain and exit within `timeout_s`."""
 
     now: float
     timeout_s: float
