Rename private names of agent.records

_urgency -> _transfer_order (urgency is a property of jobs) _settled -> _expiry_queue _settle -> _schedule_expiry _expire_undelivered -> _expire_unacknowledged local: fitting -> fitting_count

--- a/src/savoryrudder/agent/records.py
+++ b/src/savoryrudder/agent/records.py
@@ -86,13 +86,13 @@
     """
     if sum(len(record.result) for record in records) <= limit:
         return records, deque()
-    records = sorted(records, key=_urgency)
+    records = sorted(records, key=_transfer_order)
     sizes = accumulate(len(record.result) for record in records)
-    fitting = sum(1 for size in sizes if size <= limit)
-    return records[:fitting], deque(records[fitting:])
+    fitting_count = sum(1 for size in sizes if size <= limit)
+    return records[:fitting_count], deque(records[fitting_count:])
 
 
-def _urgency(record: Record) -> tuple[bool, bool, float]:
+def _transfer_order(record: Record) -> tuple[bool, bool, float]:
     return bool(record.result), record.acknowledged, -record.expires_at
 
 
@@ -107,7 +107,7 @@
         self._count = 0
         self._result_bytes = 0
         self._unacknowledged = OrderedDict[TaskKey, Record]()
-        self._settled = deque[Record]()
+        self._expiry_queue = deque[Record]()
         self._releasable = deque[Record]()
 
     def __len__(self) -> int:
@@ -171,7 +171,7 @@
         record.state = UNSTARTED
         record.reason = reason
         record.call = None
-        self._settle(record, now)
+        self._schedule_expiry(record, now)
 
     def acknowledge(self, key: TaskKey, now: float) -> bool:
         """Note that the owner holds a result; return whether this is new."""
@@ -179,7 +179,7 @@
         if record is None:
             return False
         record.acknowledged = True
-        self._settle(record, now)
+        self._schedule_expiry(record, now)
         if record.result:
             self._releasable.append(record)
             self._release_results()
@@ -187,16 +187,16 @@
 
     def expire(self, now: float) -> int:
         """Drop records past retention; return how many were undelivered."""
-        while self._settled and self._settled[0].expires_at <= now:
-            record = self._settled.popleft()
+        while self._expiry_queue and self._expiry_queue[0].expires_at <= now:
+            record = self._expiry_queue.popleft()
             if record.call:
                 # The upstream may still be working on the task.
-                self._settle(record, now)
+                self._schedule_expiry(record, now)
             else:
                 self._drop(record)
-        return self._expire_undelivered(now)
+        return self._expire_unacknowledged(now)
 
-    def _expire_undelivered(self, now: float) -> int:
+    def _expire_unacknowledged(self, now: float) -> int:
         dropped = 0
         while self._unacknowledged:
             record = next(iter(self._unacknowledged.values()))
@@ -204,15 +204,15 @@
                 break
             self._unacknowledged.pop(record.key)
             if record.call:
-                self._settle(record, now)
+                self._schedule_expiry(record, now)
             else:
                 self._drop(record)
             dropped += 1
         return dropped
 
-    def _settle(self, record: Record, now: float) -> None:
+    def _schedule_expiry(self, record: Record, now: float) -> None:
         record.expires_at = now + self._retention_s
-        self._settled.append(record)
+        self._expiry_queue.append(record)
 
     def _drop(self, record: Record) -> None:
         self._partitions[partition_of(record.key[0])].pop(record.key)
