--- a/src/savoryrudder/agent/records.py
+++ b/src/savoryrudder/agent/records.py
@@ -1,4 +1,4 @@
-"""Keep a record of each accepted task for as long as it may be needed."""
+"""Keep records of tasks until entries can no longer need them."""
 
 from __future__ import annotations
 
@@ -23,13 +23,13 @@
 RUNNING: Final = 'running'
 UNKNOWN: Final = 'unknown'
 RELEASED: Final = 'released'
-# A refused or withdrawn task: its start must never run. Not sent to entries.
+# A refused or withdrawn task, which must never start; not sent to entries.
 UNSTARTED: Final = 'unstarted'
 ENDED: Final = frozenset(('complete', 'failed', UNKNOWN, RELEASED))
 
 
 class Call(msgspec.Struct, gc=False):
-    """Hold what the upstream call of an accepted task needs."""
+    """Hold the parameters and state of a task's upstream call."""
 
     operation: str
     payload: bytes
@@ -40,8 +40,8 @@
     stopping: bool = False
 
 
-# An agent holds up to 100,000 records. They are part of no reference cycle,
-# and leaving them out keeps full garbage collections short.
+# `gc=False`: an agent holds up to 100,000 records, which are never part of a
+# reference cycle. Not tracking them keeps full garbage collections short.
 class Record(msgspec.Struct, gc=False):
     """Record one task; `call` is set until its upstream call has ended."""
 
@@ -57,9 +57,9 @@
     expires_at: float = inf
 
     def export(self, *, withheld: bool = False) -> TaskRecord:
-        """Return the record as entries receive it.
+        """Return the record as the message that is sent to entries.
 
-        A withheld record appears as running; its end is sent later.
+        A withheld record is reported as running; its end is sent later.
         """
         submission, task = self.key
         if withheld:
@@ -81,8 +81,8 @@
 ) -> tuple[list[Record], deque[Record]]:
     """Split records into those whose results fit a limit, and the others.
 
-    Unacknowledged results come first, then the latest ones: callers resubmit
-    soon or never.
+    `limit` is in bytes. Unacknowledged results take precedence, then the
+    latest ones, because callers resubmit soon or never.
     """
     if sum(len(record.result) for record in records) <= limit:
         return records, deque()
@@ -100,7 +100,6 @@
     """Hold all records by partition and bound their age and size."""
 
     def __init__(self, retention_s: float, result_bytes_limit: int) -> None:
-        """Create an empty book."""
         self._retention_s = retention_s
         self._result_bytes_limit = result_bytes_limit
         self._partitions: dict[int, dict[TaskKey, Record]] = {}
@@ -116,12 +115,12 @@
 
     @property
     def result_bytes(self) -> int:
-        """Return the size of all results held."""
+        """Return the total size of all results held, in bytes."""
         return self._result_bytes
 
     @property
     def undelivered(self) -> int:
-        """Return how many ended tasks no entry has acknowledged."""
+        """Return the number of ended tasks that no entry has acknowledged."""
         return len(self._unacknowledged)
 
     def find(self, key: TaskKey) -> Record | None:
@@ -130,7 +129,7 @@
         return records.get(key) if records else None
 
     def select(self, partitions: Iterable[int]) -> list[Record]:
-        """Return the records of tasks that were accepted in partitions."""
+        """Return the records of accepted tasks in the given partitions."""
         return [
             record
             for partition in partitions
@@ -139,7 +138,7 @@
         ]
 
     def add(self, record: Record) -> None:
-        """Add the record of a task that has none."""
+        """Add the record of a task that has no record yet."""
         partition = partition_of(record.key[0])
         self._partitions.setdefault(partition, {})[record.key] = record
         self._count += 1
@@ -163,7 +162,7 @@
         self._release_results()
 
     def refuse(self, key: TaskKey, now: float, reason: str) -> None:
-        """Remember that a task has not started and must never start."""
+        """Record that a task has not started and must never start."""
         record = self.find(key)
         if record is None:
             record = Record(key, '', UNSTARTED)
@@ -174,7 +173,7 @@
         self._schedule_expiry(record, now)
 
     def acknowledge(self, key: TaskKey, now: float) -> bool:
-        """Note that the owner holds a result; return whether this is new."""
+        """Record that the owner holds a result; return whether this is new."""
         record = self._unacknowledged.pop(key, None)
         if record is None:
             return False
@@ -186,7 +185,7 @@
         return True
 
     def expire(self, now: float) -> int:
-        """Drop records past retention; return how many were undelivered."""
+        """Drop expired records; return how many were unacknowledged."""
         while self._expiry_queue and self._expiry_queue[0].expires_at <= now:
             record = self._expiry_queue.popleft()
             if record.call:
