Rename private names and locals of agent.reducer

_hand_out_credits -> _grant_credits _exit_when_done -> _exit_when_drained _WASTED -> _WASTED_MESSAGES locals: open_elsewhere -> requested_elsewhere, open_work -> unfinished, name -> transition

--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -28,7 +28,7 @@
 
 _Handlers: TypeAlias = 'Mapping[type[Any], Callable[..., None]]'
 
-_WASTED: Final = 'wasted_messages'
+_WASTED_MESSAGES: Final = 'wasted_messages'
 
 
 def reduce(state: AgentState, event: events.AgentEvent) -> list[AgentEffect]:
@@ -38,15 +38,15 @@
     if turn.unbalanced:
         tasks.fill_slots(state, turn)
         if not hold_reports(state, turn):
-            _hand_out_credits(state, turn)
+            _grant_credits(state, turn)
     else:
         _send_reports(turn, {})
     if state.leaving:
-        _exit_when_done(state, turn)
+        _exit_when_drained(state, turn)
     return turn.effects
 
 
-def _hand_out_credits(state: AgentState, turn: Turn) -> None:
+def _grant_credits(state: AgentState, turn: Turn) -> None:
     granted = credit_rules.grant(state)
     _send_reports(turn, granted)
     for entry, amount in granted.items():
@@ -65,14 +65,14 @@
         turn.send(entry, messages.Recall(amount))
 
 
-def _exit_when_done(state: AgentState, turn: Turn) -> None:
+def _exit_when_drained(state: AgentState, turn: Turn) -> None:
     if state.exited:
         return
-    open_work = len(state.calls) + state.book.undelivered
+    unfinished = len(state.calls) + state.book.undelivered
     # A start may be on its way for as long as a credit is out.
-    if open_work + state.granted and turn.now < state.exit_at:
+    if unfinished + state.granted and turn.now < state.exit_at:
         return
-    if open_work:
+    if unfinished:
         turn.log(
             'stop-timeout',
             running=len(state.calls),
@@ -118,13 +118,13 @@
 ) -> None:
     link = state.links.get(event.entry)
     if link is None or link.session != event.session:
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     if event.revision > state.revision:
         _request_config(state, turn, event)
     handler = _MESSAGE_HANDLERS.get(type(event.message))
     if handler is None:
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     handler(state, turn, event.entry, event.message)
 
@@ -139,11 +139,11 @@
     link = state.links[event.entry]
     if link.fetching or link.requested >= event.revision:
         return
-    open_elsewhere = any(
+    requested_elsewhere = any(
         other.fetching and other.requested >= event.revision
         for other in state.links.values()
     )
-    if not open_elsewhere:
+    if not requested_elsewhere:
         link.fetching = True
         link.requested = event.revision
         turn.send(event.entry, messages.FetchConfig())
@@ -168,7 +168,7 @@
     if link.ready:
         return
     link.ready = True
-    _hand_out_credits(state, turn)
+    _grant_credits(state, turn)
     _send_recalls(turn, credit_rules.spread(state, turn.now, link))
 
 
@@ -210,7 +210,7 @@
 ) -> None:
     link = state.links[entry]
     if not credit_rules.take_back(link, message.credits, turn.now):
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
     turn.unbalanced = True
 
 
@@ -224,7 +224,7 @@
     queued = max(0, message.queued)
     prefetch = max(0, message.prefetch)
     if (link.demand, link.prefetch) == (queued, prefetch):
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     link.demand = queued
     link.prefetch = prefetch
@@ -248,7 +248,7 @@
 ) -> None:
     state.links[entry].fetching = False
     if message.revision <= state.revision:
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     state.revision = message.revision
     state.config_text = message.text
@@ -271,9 +271,9 @@
         turn.count('results_dropped', dropped)
     if state.at_limit != state.limit_reached:
         state.limit_reached = state.at_limit
-        name = 'reached' if state.at_limit else 'cleared'
+        transition = 'reached' if state.at_limit else 'cleared'
         turn.log(
-            f'record-limit-{name}',
+            f'record-limit-{transition}',
             records=len(state.book),
             result_bytes=state.book.result_bytes,
         )
