--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -1,4 +1,4 @@
-"""Turn the events of the agent role into effects."""
+"""Reduce the events of the agent role to state changes and effects."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 def reduce(state: AgentState, event: events.AgentEvent) -> list[AgentEffect]:
-    """Apply an event to the state in place and return its effects."""
+    """Apply an event to the state in place and return the effects."""
     turn = Turn(event.now)
     _EVENT_HANDLERS[type(event)](state, turn, event)
     if turn.unbalanced:
@@ -69,7 +69,7 @@
     if state.exited:
         return
     unfinished = len(state.calls) + state.book.undelivered
-    # A start may be on its way for as long as a credit is out.
+    # While credits are outstanding, a start may still be in flight.
     if unfinished + state.granted and turn.now < state.exit_at:
         return
     if unfinished:
@@ -192,7 +192,7 @@
 
 
 def _send_withheld(state: AgentState, turn: Turn) -> None:
-    """Send one page of withheld records on each link."""
+    """Send one page of the withheld records on each link."""
     for entry, link in state.links.items():
         size = 0
         while link.withheld and size < state.limits.page_bytes:
@@ -260,7 +260,7 @@
     entry: str,
     message: messages.Message,
 ) -> None:
-    """Accept a message that concerns only the shell."""
+    """Accept a message that only the runtime acts on."""
 
 
 def _handle_tick(state: AgentState, turn: Turn, event: events.Tick) -> None:
@@ -286,7 +286,7 @@
     entry: str,
     message: messages.Leaving,
 ) -> None:
-    """Stop gracefully because an operator asked an entry for it."""
+    """Drain the agent; an entry passes on an operator's request."""
     request = events.DrainRequested(turn.now, state.limits.stop_timeout_s)
     _handle_drain(state, turn, request)
 
