--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -21,7 +21,7 @@
 
 
 class Identity(NamedTuple):
-    """Describe the agent and the upstream beside it."""
+    """Describe the agent and the upstream that it calls."""
 
     agent: str
     incarnation: str
@@ -35,10 +35,10 @@
 class Limits(NamedTuple):
     """Bound what the agent accepts, keeps and sends.
 
-    `prefetch` is the number of credits beyond the slots at all times,
-    `max_prefetch` what entries may ask for besides. `page_bytes` bounds the
-    results in one answer to a claim: all results kept exceed what a link takes
-    at once.
+    `prefetch` is the number of credits that are always granted beyond the
+    slots, `max_prefetch` the most that entries can request in addition.
+    `page_bytes` bounds the results in one answer to a claim, because all
+    results together can exceed what a link accepts at once.
     """
 
     prefetch: int = 0
@@ -51,7 +51,7 @@
 
 
 class Ownership(NamedTuple):
-    """Name the entry that holds a partition, and its epoch."""
+    """Identify the entry that owns a partition and the epoch it owns it in."""
 
     epoch: int
     entry: str
@@ -62,10 +62,11 @@
     """Hold the state of one open session with an entry.
 
     `credits` are granted and unused; `recalled` is the size of the open
-    recall. `requested` is the highest revision asked for; it stays after the
-    answer so that an entry that sends less than it announces is not asked in
-    a loop. `withheld` are ended tasks that did not fit into the answer to a
-    claim.
+    recall, 0 if there is none. `claimed` holds the partitions that the entry
+    has claimed on this session. `requested` is the highest configuration
+    revision requested; it is kept after the answer so that an entry that
+    announces a newer revision than it sends is not requested_counts in a loop.
+    `withheld` are ended tasks that did not fit into the answer to a claim.
     """
 
     session: str
@@ -84,10 +85,11 @@
 
 @dataclass(slots=True)
 class AgentState:
-    """Hold everything that the agent knows.
+    """Hold the state of an agent.
 
-    `calls` are the upstream calls in progress, `waiting` the accepted tasks
-    without a slot, `occupied` how many of both each entry has.
+    `calls` are the tasks whose upstream call is in progress, `waiting` the
+    accepted tasks without a slot; `occupied` counts both for each entry.
+    `held` are the delayed reports, which go out at `held_until`.
     """
 
     identity: Identity
@@ -110,23 +112,30 @@
 
     @property
     def hello(self) -> Hello:
-        """Return the announcement that opens a session."""
+        """Return the message that opens a session."""
         return Hello(*self.identity, leaving=self.leaving)
 
     @property
     def prefetched(self) -> int:
-        """Return the credits beyond the usual ones that every entry wants.
+        """Return the number of extra credits that all entries agree on.
 
-        One entry alone may not ask: prefetching makes the others wait.
+        A single entry cannot request prefetching, because it makes the tasks
+        of the others wait.
         """
-        asked = [link.prefetch for link in self.links.values() if link.ready]
-        return min(*asked, self.limits.max_prefetch) if asked else 0
+        requested_counts = [
+            link.prefetch for link in self.links.values() if link.ready
+        ]
+        return (
+            min(*requested_counts, self.limits.max_prefetch)
+            if requested_counts
+            else 0
+        )
 
     @property
     def capacity(self) -> int:
-        """Return the number of tasks that all entries together may place."""
-        usual = self.identity.slots + self.limits.prefetch
-        return usual + self.prefetched
+        """Return how many tasks all entries together may place here."""
+        base = self.identity.slots + self.limits.prefetch
+        return base + self.prefetched
 
     @property
     def granted(self) -> int:
@@ -135,22 +144,23 @@
 
     @property
     def at_limit(self) -> bool:
-        """Return whether the bound on records or results is reached."""
+        """Return whether the limit on records or results is reached."""
         return (
             len(self.book) >= self.limits.max_records
             or self.book.result_bytes > self.limits.max_result_bytes
         )
 
     def owns(self, entry: str, partition: int) -> bool:
-        """Return whether no other entry holds a partition."""
+        """Return whether no other entry is known to own a partition."""
         owner = self.ownership.get(partition)
         return owner is None or owner.entry == entry
 
     def accept_epoch(self, entry: str, partition: int, epoch: int) -> bool:
-        """Raise a partition's epoch unless a newer owner is known.
+        """Record an entry as a partition's owner unless its epoch is stale.
 
-        Two owners never share an epoch, since each change of owner
-        increments it; the second of two is refused like an older one.
+        Return whether the entry is the owner. Each change of owner increments
+        the epoch, so two owners never share one; a second entry with the same
+        epoch is refused like one with an older epoch.
         """
         owner = self.ownership.get(partition)
         if owner and owner.epoch >= epoch:
@@ -159,7 +169,7 @@
         return True
 
     def receiver(self, partition: int) -> str | None:
-        """Return the owner if its session has claimed the partition."""
+        """Return the owner if its open session has claimed the partition."""
         owner = self.ownership.get(partition)
         link = self.links.get(owner.entry) if owner else None
         if owner and link and partition in link.claimed:
@@ -167,17 +177,17 @@
         return None
 
     def occupy(self, entry: str) -> None:
-        """Count one more accepted task of an entry."""
+        """Count an accepted task of an entry."""
         self.occupied[entry] = self.occupied.get(entry, 0) + 1
 
     def vacate(self, entry: str) -> None:
-        """Count one task less of an entry."""
-        left = self.occupied.pop(entry) - 1
-        if left:
-            self.occupied[entry] = left
+        """Count the end of an accepted task of an entry."""
+        remaining = self.occupied.pop(entry) - 1
+        if remaining:
+            self.occupied[entry] = remaining
 
 
 def new_state(identity: Identity, limits: Limits) -> AgentState:
-    """Create the state of an agent that has just started."""
+    """Return the initial state of an agent."""
     book = RecordBook(limits.retention_s, limits.max_result_bytes)
     return AgentState(identity, limits, book)
