--- a/src/savoryrudder/agent/turn.py
+++ b/src/savoryrudder/agent/turn.py
@@ -18,9 +18,10 @@
 
 @dataclass(slots=True)
 class Turn:
-    """Collect effects and the ended tasks to report to their owners.
+    """Collect effects, and the ended tasks to report to their owners.
 
-    `unbalanced` asks for slots and credits to be handed out afterwards.
+    If `unbalanced` is set, slots and credits are allocated again after the
+    event.
     """
 
     now: float
