Rename private names and locals of agent.tasks

_break_off -> _close_session _refusal -> _refusal_reason _answer_repeated -> _answer_duplicate _pass_fence -> _accept_epoch _accept -> _accept_task _run -> _call_upstream _end -> _record_end _forget_waiting -> _remove_waiting _reject -> _reject_to_owner _decline -> _send_rejection locals: held -> acknowledged_count, name -> counter_suffix

--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -40,30 +40,30 @@
     link = state.links[entry]
     key = (message.submission, message.task)
     if message.partition != partition_of(message.submission):
-        _break_off(state, turn, entry, 'wrong-partition')
+        _close_session(state, turn, entry, 'wrong-partition')
         return
     had_credit = link.credits > 0
     link.credits -= had_credit
     record = state.book.find(key)
-    if not _pass_fence(state, turn, entry, message):
+    if not _accept_epoch(state, turn, entry, message):
         turn.unbalanced = True
         # A rejection means "never started", which a record may contradict.
         if record is None or record.state == UNSTARTED:
-            _decline(turn, entry, key, 'stale-epoch')
+            _send_rejection(turn, entry, key, 'stale-epoch')
         return
     if record:
-        _answer_repeated(turn, entry, record)
+        _answer_duplicate(turn, entry, record)
         return
     if not had_credit:
         # The two sides disagree about credits; a new session starts afresh.
-        _break_off(state, turn, entry, 'start-without-credit')
+        _close_session(state, turn, entry, 'start-without-credit')
         return
-    reason = _refusal(state, message)
+    reason = _refusal_reason(state, message)
     if reason:
         state.book.refuse(key, turn.now, reason)
-        _decline(turn, entry, key, reason)
+        _send_rejection(turn, entry, key, reason)
         return
-    _accept(state, turn, entry, message)
+    _accept_task(state, turn, entry, message)
 
 
 def fill_slots(state: AgentState, turn: Turn) -> None:
@@ -74,7 +74,7 @@
             drop_waiting(state, turn, record, _DEADLINE_PASSED)
             continue
         state.waiting.pop(record.key)
-        _run(state, turn, record)
+        _call_upstream(state, turn, record)
 
 
 def drop_waiting(
@@ -84,8 +84,8 @@
     reason: str,
 ) -> None:
     """End a waiting task unstarted and tell its owner."""
-    _forget_waiting(state, turn, record, reason)
-    _reject(state, turn, record.key, reason)
+    _remove_waiting(state, turn, record, reason)
+    _reject_to_owner(state, turn, record.key, reason)
 
 
 def check_deadlines(state: AgentState, turn: Turn) -> None:
@@ -97,7 +97,7 @@
     for running in state.calls.values():
         if running.state == RUNNING and _deadline_of(running) <= limit:
             # The slot stays occupied: the upstream may still be working.
-            _end(state, turn, running, UNKNOWN, b'', _DEADLINE_PASSED)
+            _record_end(state, turn, running, UNKNOWN, b'', _DEADLINE_PASSED)
 
 
 def handle_upstream_finished(
@@ -116,10 +116,10 @@
         return
     if event.outcome == 'not-run':
         state.book.refuse(record.key, turn.now, event.outcome)
-        _reject(state, turn, record.key, event.outcome)
+        _reject_to_owner(state, turn, record.key, event.outcome)
         return
     outcome = event.outcome if event.outcome in ENDED else UNKNOWN
-    _end(state, turn, record, outcome, event.result, event.reason)
+    _record_end(state, turn, record, outcome, event.result, event.reason)
     record.call = None
 
 
@@ -130,12 +130,12 @@
     message: messages.Acknowledge,
 ) -> None:
     """Note which results the owner holds."""
-    held = sum(
+    acknowledged_count = sum(
         state.book.acknowledge(key, turn.now)
         for key in message.tasks
         if state.owns(entry, partition_of(key[0]))
     )
-    if not held:
+    if not acknowledged_count:
         turn.count('wasted_messages')
 
 
@@ -171,7 +171,7 @@
         state.book.refuse(key, turn.now, 'withdrawn')
         return True
     if record.state == WAITING:
-        _forget_waiting(state, turn, record, 'withdrawn')
+        _remove_waiting(state, turn, record, 'withdrawn')
         return True
     call = record.call
     if call and call.idempotent and not call.stopping:
@@ -180,7 +180,7 @@
     return record.state == UNSTARTED
 
 
-def _pass_fence(
+def _accept_epoch(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -200,7 +200,7 @@
     return False
 
 
-def _break_off(
+def _close_session(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -214,7 +214,7 @@
     turn.unbalanced = True
 
 
-def _refusal(state: AgentState, message: messages.Start) -> str:
+def _refusal_reason(state: AgentState, message: messages.Start) -> str:
     if state.leaving:
         return 'leaving'
     if message.deadline_ms <= 0:
@@ -224,7 +224,7 @@
     return ''
 
 
-def _answer_repeated(turn: Turn, entry: str, record: Record) -> None:
+def _answer_duplicate(turn: Turn, entry: str, record: Record) -> None:
     turn.count('duplicates')
     turn.unbalanced = True
     if record.state == UNSTARTED:
@@ -233,7 +233,7 @@
         turn.reports.append((entry, record))
 
 
-def _accept(
+def _accept_task(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -251,12 +251,12 @@
     state.book.add(record)
     state.occupy(entry)
     if len(state.calls) < state.identity.slots:
-        _run(state, turn, record)
+        _call_upstream(state, turn, record)
     else:
         state.waiting[key] = record
 
 
-def _run(state: AgentState, turn: Turn, record: Record) -> None:
+def _call_upstream(state: AgentState, turn: Turn, record: Record) -> None:
     call = record.call
     assert call
     record.state = RUNNING
@@ -275,7 +275,7 @@
     call.payload = b''
 
 
-def _end(
+def _record_end(
     state: AgentState,
     turn: Turn,
     record: Record,
@@ -294,7 +294,7 @@
         turn.reports.append((owner, record))
 
 
-def _forget_waiting(
+def _remove_waiting(
     state: AgentState,
     turn: Turn,
     record: Record,
@@ -306,20 +306,20 @@
     turn.unbalanced = True
 
 
-def _reject(
+def _reject_to_owner(
     state: AgentState, turn: Turn, key: messages.TaskKey, reason: str
 ) -> None:
     owner = state.receiver(partition_of(key[0]))
     if owner:
-        _decline(turn, owner, key, reason)
+        _send_rejection(turn, owner, key, reason)
 
 
-def _decline(
+def _send_rejection(
     turn: Turn, entry: str, key: messages.TaskKey, reason: str
 ) -> None:
     turn.send(entry, messages.Rejected(*key, reason))
-    name = reason.replace('-', '_')
-    turn.count(f'rejected_{name}')
+    counter_suffix = reason.replace('-', '_')
+    turn.count(f'rejected_{counter_suffix}')
     turn.unbalanced = True
 
 
