--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -24,8 +24,8 @@
     from savoryrudder.agent.state import AgentState
     from savoryrudder.agent.turn import Turn
 
-# Time for the upstream client to report the deadline itself before the agent
-# declares the outcome unknown.
+# Grace period for the upstream client to report a missed deadline itself,
+# before the agent records the outcome as unknown.
 _DEADLINE_GRACE_S: Final = 1.0
 _DEADLINE_PASSED: Final = 'deadline-passed'
 
@@ -36,7 +36,7 @@
     entry: str,
     message: messages.Start,
 ) -> None:
-    """Accept a start unless it is repeated, fenced or cannot be served."""
+    """Accept a start unless it is a duplicate, fenced or refused."""
     link = state.links[entry]
     key = (message.submission, message.task)
     if message.partition != partition_of(message.submission):
@@ -47,7 +47,8 @@
     record = state.book.find(key)
     if not _accept_epoch(state, turn, entry, message):
         turn.unbalanced = True
-        # A rejection means "never started", which a record may contradict.
+        # A rejection states that the task never started, which is wrong if
+        # there is a record of an accepted task.
         if record is None or record.state == UNSTARTED:
             _send_rejection(turn, entry, key, 'stale-epoch')
         return
@@ -55,7 +56,8 @@
         _answer_duplicate(turn, entry, record)
         return
     if not had_credit:
-        # The two sides disagree about credits; a new session starts afresh.
+        # Entry and agent disagree about the entry's credits; a new session
+        # starts from zero on both sides.
         _close_session(state, turn, entry, 'start-without-credit')
         return
     reason = _refusal_reason(state, message)
@@ -67,7 +69,7 @@
 
 
 def fill_slots(state: AgentState, turn: Turn) -> None:
-    """Start waiting tasks in free slots, earliest deadline first."""
+    """Call the upstream for waiting tasks, earliest deadline first."""
     while state.waiting and len(state.calls) < state.identity.slots:
         record = min(state.waiting.values(), key=_deadline_of)
         if _deadline_of(record) <= turn.now:
@@ -83,13 +85,13 @@
     record: Record,
     reason: str,
 ) -> None:
-    """End a waiting task unstarted and tell its owner."""
+    """Reject a waiting task to its owner without starting it."""
     _remove_waiting(state, turn, record, reason)
     _reject_to_owner(state, turn, record.key, reason)
 
 
 def check_deadlines(state: AgentState, turn: Turn) -> None:
-    """End waiting tasks and give up on calls that are past the deadline."""
+    """Reject waiting tasks and end calls that are past their deadline."""
     for waiting in tuple(state.waiting.values()):
         if _deadline_of(waiting) <= turn.now:
             drop_waiting(state, turn, waiting, _DEADLINE_PASSED)
@@ -129,7 +131,7 @@
     entry: str,
     message: messages.Acknowledge,
 ) -> None:
-    """Note which results the owner holds."""
+    """Record which results the owner holds."""
     acknowledged_count = sum(
         state.book.acknowledge(key, turn.now)
         for key in message.tasks
@@ -162,9 +164,9 @@
     entry: str,
     key: messages.TaskKey,
 ) -> bool:
-    """Return whether a task has not started and never will."""
+    """Withdraw a task; return whether it has not started and never will."""
     if not state.owns(entry, partition_of(key[0])):
-        # A former owner must not stop work that its successor relies on.
+        # A former owner must not stop tasks that the present owner relies on.
         return False
     record = state.book.find(key)
     if record is None:
