--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -65,7 +65,7 @@
     recall, 0 if there is none. `claimed` holds the partitions that the entry
     has claimed on this session. `requested` is the highest configuration
     revision requested; it is kept after the answer so that an entry that
-    announces a newer revision than it sends is not requested_counts in a loop.
+    announces a newer revision than it sends is not asked in a loop.
     `withheld` are ended tasks that did not fit into the answer to a claim.
     """
 
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -91,7 +91,7 @@
 
 
 def check_deadlines(state: AgentState, turn: Turn) -> None:
-    """Reject waiting tasks and end calls that are past their deadline."""
+    """Reject overdue waiting tasks and record overdue calls as unknown."""
     for waiting in tuple(state.waiting.values()):
         if _deadline_of(waiting) <= turn.now:
             drop_waiting(state, turn, waiting, _DEADLINE_PASSED)
