--- a/src/savoryrudder/policy/__init__.py
+++ b/src/savoryrudder/policy/__init__.py
@@ -1,3 +1,3 @@
-"""The operators' text: its model, checks and differences."""
+"""The configuration written by operators: its model, checks and diff."""
 
 from __future__ import annotations
--- a/src/savoryrudder/policy/model.py
+++ b/src/savoryrudder/policy/model.py
@@ -1,4 +1,4 @@
-"""Define the checked form of the operators' text."""
+"""Define the model of a valid configuration."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 class Client(NamedTuple):
-    """Describe a client: its first terms, their ceiling and queue weight."""
+    """Describe a client: its initial terms, their ceiling and queue weight."""
 
     name: str
     terms: Terms
@@ -48,7 +48,7 @@
 
 
 class Limits(NamedTuple):
-    """Bound what one job may ask for."""
+    """Bound the size and the deadline of one job."""
 
     max_tasks: int
     max_payload_bytes: int
@@ -56,7 +56,7 @@
 
 
 class Policy(NamedTuple):
-    """Hold the checked operators' text.
+    """Hold a valid configuration.
 
     `shares` maps each urgency band to its guaranteed fraction of the slots;
     the fractions add up to at most 1.
