--- a/src/savoryrudder/policy/schema.py
+++ b/src/savoryrudder/policy/schema.py
@@ -1,4 +1,4 @@
-"""Define the tables of the operators' text as they are written."""
+"""Define the schema of the configuration's TOML tables."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class DocumentTable(StrictModel):
-    """Hold the four top-level tables."""
+    """Hold the four top-level tables of the document."""
 
     services: Table = {}
     clients: Table = {}
@@ -36,7 +36,7 @@
 
 
 class ServiceTable(StrictModel):
-    """Describe a service; `slots` and `memory_mb` are the needs of a task."""
+    """Describe a service; a task needs `slots` and `memory_mb`."""
 
     operations: dict[str, OperationTable] = Field(min_length=1)
     default_deadline_ms: Milliseconds = 5000
@@ -46,7 +46,7 @@
 
 
 class CeilingTable(StrictModel):
-    """Bound the terms of a client; an absent key bounds it to its term."""
+    """Bound the terms of a client; a term without a bound cannot grow."""
 
     rate: Rate | None = None
     burst: Count | None = None
@@ -56,7 +56,7 @@
 
 
 class ClientTable(StrictModel):
-    """Describe the first terms of a client and their ceiling."""
+    """Describe the initial terms of a client and their ceiling."""
 
     rate: Rate
     burst: Count
@@ -74,7 +74,7 @@
 
 
 class LimitsTable(StrictModel):
-    """Bound what one job may ask for."""
+    """Bound the size and the deadline of one job."""
 
     max_tasks: int = Field(default=170, ge=1, le=10_000)
     max_payload_bytes: int = Field(
