--- a/src/savoryrudder/policy/diff.py
+++ b/src/savoryrudder/policy/diff.py
@@ -28,9 +28,10 @@
 
 
 def compare(old: Policy, new: Policy) -> tuple[Change, ...]:
-    """Return the changed keys, sorted.
+    """Return the changes between two policies, sorted by key.
 
-    Defaults are compared as values: writing a default out is no change.
+    Values are compared after defaults are filled in, so that writing out a
+    default is no change.
     """
     before = dict(_flatten(old, ()))
     after = dict(_flatten(new, ()))
@@ -47,7 +48,7 @@
     if not isinstance(value, dict):
         yield path, value
         return
-    for key, inner in value.items():
-        # A table repeats its own name; the key already tells it.
-        if key != 'name' or inner != path[-1]:
-            yield from _flatten(inner, (*path, key))
+    for key, child in value.items():
+        # A named table repeats its key in `name`.
+        if key != 'name' or child != path[-1]:
+            yield from _flatten(child, (*path, key))
