--- a/src/savoryrudder/policy/findings.py
+++ b/src/savoryrudder/policy/findings.py
@@ -78,7 +78,7 @@
     return None, [
         Fault(
             (*prefix, *_without_key_marker(detail['loc'])),
-            _MESSAGES.get(detail['type'], _lowered(detail['msg'])),
+            _MESSAGES.get(detail['type'], _normalize_message(detail['msg'])),
         )
         for detail in details
     ]
@@ -108,7 +108,7 @@
     return location
 
 
-def _lowered(message: str) -> str:
+def _normalize_message(message: str) -> str:
     message = message.removeprefix('Value error, ')
     message = message.removeprefix('Input ')
     return message[:1].lower() + message[1:]
