--- a/src/savoryrudder/policy/findings.py
+++ b/src/savoryrudder/policy/findings.py
@@ -1,4 +1,4 @@
-"""Describe what is wrong with a text, and where."""
+"""Validate tables and report errors with their position in the text."""
 
 from __future__ import annotations
 
@@ -29,14 +29,17 @@
 
 
 class Position(NamedTuple):
-    """Locate a character; lines and columns count from 1."""
+    """Identify a character; lines and columns count from 1."""
 
     line: int
     column: int
 
 
 class Finding(NamedTuple):
-    """Report one fault; `key` is the dotted path, empty for the whole text."""
+    """Report an error at a position.
+
+    `key` is the dotted path of the key, empty for the document as a whole.
+    """
 
     line: int
     column: int
@@ -48,7 +51,7 @@
 
 
 class StrictModel(BaseModel):
-    """Refuse unknown keys, converted types, infinities and changes."""
+    """Forbid unknown keys, type coercion, infinite numbers and mutation."""
 
     model_config = ConfigDict(
         extra='forbid',
@@ -59,7 +62,7 @@
 
 
 class Fault(NamedTuple):
-    """Report a fault at a key path whose position is not known yet."""
+    """Report an error at a key path whose position is not known yet."""
 
     path: KeyPath
     message: str
@@ -70,7 +73,10 @@
     raw: Any,
     prefix: KeyPath = (),
 ) -> tuple[ModelT | None, list[Fault]]:
-    """Return the checked model, or None and every fault in the raw table."""
+    """Return the validated model, or None and all errors in the raw table.
+
+    The paths of the errors start with `prefix`.
+    """
     try:
         return model.model_validate(raw), []
     except ValidationError as error:
@@ -88,7 +94,7 @@
     faults: Iterable[Fault],
     locate: Locate,
 ) -> tuple[Finding, ...]:
-    """Return the faults as findings in the order of the text."""
+    """Return the errors as findings in the order of the document."""
     findings = [
         Finding(*locate(fault.path), dotted(fault.path), fault.message)
         for fault in faults
@@ -97,18 +103,19 @@
 
 
 def dotted(path: KeyPath) -> str:
-    """Return a key path as text."""
+    """Return a key path as a string of parts joined by dots."""
     return '.'.join(str(part) for part in path)
 
 
 def _without_key_marker(location: KeyPath) -> KeyPath:
-    # pydantic marks a fault in a key, not in its value, by this last part.
+    # pydantic appends this part if the error is in a key and not in its value.
     if location and location[-1] == '[key]':
         return location[:-1]
     return location
 
 
 def _normalize_message(message: str) -> str:
+    """Remove the prefixes that pydantic adds, and the initial capital."""
     message = message.removeprefix('Value error, ')
     message = message.removeprefix('Input ')
     return message[:1].lower() + message[1:]
