Rename private names and locals of policy.text

_PLACE -> _POSITION_SUFFIX _END -> _END_SUFFIX _Table -> _Container _PlaceReader -> _KeyReader _places -> _key_points _refused -> _single_finding _syntax_fault -> _syntax_error locals: place -> point or match, inner -> containers, table -> container, level -> value

--- a/src/savoryrudder/policy/text.py
+++ b/src/savoryrudder/policy/text.py
@@ -33,11 +33,11 @@
 _START: Final = Position(1, 1)
 _LANGUAGE: Final = Language(tree_sitter_toml.language())
 _KEY_TYPES: Final = frozenset(('bare_key', 'quoted_key', 'dotted_key'))
-_PLACE: Final = re.compile(r' \(at line (\d+), column (\d+)\)\Z')
-_END: Final = ' (at end of document)'
+_POSITION_SUFFIX: Final = re.compile(r' \(at line (\d+), column (\d+)\)\Z')
+_END_SUFFIX: Final = ' (at end of document)'
 
 
-class _Table(NamedTuple):
+class _Container(NamedTuple):
     """Hold a syntax node that contains pairs or elements, and its path."""
 
     node: Node
@@ -55,23 +55,23 @@
     def locate(self, path: KeyPath) -> Position:
         """Return the position of a key path or its nearest known parent."""
         for length in range(len(path), 0, -1):
-            place = self._places.get(path[:length])
-            if place is not None:
-                return self._to_position(place)
+            point = self._key_points.get(path[:length])
+            if point is not None:
+                return self._to_position(point)
         return _START
 
     @cached_property
-    def _places(self) -> dict[KeyPath, Point]:
-        return _PlaceReader(self._text).read()
+    def _key_points(self) -> dict[KeyPath, Point]:
+        return _KeyReader(self._text).read()
 
     @cached_property
     def _lines(self) -> list[bytes]:
         return self._text.encode().split(b'\n')
 
-    def _to_position(self, place: Point) -> Position:
+    def _to_position(self, point: Point) -> Position:
         # The syntax tree counts columns in bytes.
-        before = self._lines[place.row][: place.column].decode()
-        return Position(place.row + 1, len(before) + 1)
+        before = self._lines[point.row][: point.column].decode()
+        return Position(point.row + 1, len(before) + 1)
 
 
 def parse_text(text: str) -> Result[Document, tuple[Finding, ...]]:
@@ -80,44 +80,44 @@
         size = len(text.encode())
     except UnicodeEncodeError as error:
         position = _position_at(text, error.start)
-        return _refused(position, 'the text is not valid Unicode')
+        return _single_finding(position, 'the text is not valid Unicode')
     if size > MAX_TEXT_BYTES:
-        return _refused(
+        return _single_finding(
             _START,
             f'the text has {size} bytes, at most {MAX_TEXT_BYTES} are allowed',
         )
     long_key = _LONG_KEY.search(text)
     if long_key is not None:
-        return _refused(
+        return _single_finding(
             _position_at(text, long_key.start()),
             'more than 16 names joined by dots',
         )
     try:
         values = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        return _refused(*_syntax_fault(text, str(error)))
+        return _single_finding(*_syntax_error(text, str(error)))
     except ValueError:
         # Python refuses integers of more than 4300 digits without a position.
-        return _refused(_START, 'a number or date is out of range')
+        return _single_finding(_START, 'a number or date is out of range')
     except RecursionError:
-        return _refused(_START, 'arrays or tables are nested too deeply')
+        return _single_finding(_START, 'arrays or tables are nested too deeply')
     return Ok(Document(text, values))
 
 
-def _refused(
+def _single_finding(
     position: Position,
     message: str,
 ) -> Result[Document, tuple[Finding, ...]]:
     return Error((Finding(position.line, position.column, '', message),))
 
 
-def _syntax_fault(text: str, message: str) -> tuple[Position, str]:
-    place = _PLACE.search(message)
-    if place is None:
+def _syntax_error(text: str, message: str) -> tuple[Position, str]:
+    match = _POSITION_SUFFIX.search(message)
+    if match is None:
         end = _position_at(text, len(text))
-        return end, _syntax_message(message.removesuffix(_END))
-    position = Position(int(place.group(1)), int(place.group(2)))
-    return position, _syntax_message(message[: place.start()])
+        return end, _syntax_message(message.removesuffix(_END_SUFFIX))
+    position = Position(int(match.group(1)), int(match.group(2)))
+    return position, _syntax_message(message[: match.start()])
 
 
 def _syntax_message(message: str) -> str:
@@ -130,58 +130,58 @@
     return Position(before.count('\n') + 1, column)
 
 
-class _PlaceReader:
+class _KeyReader:
     """Map the key paths of a syntax tree to rows and byte columns."""
 
     def __init__(self, text: str) -> None:
         """Parse the text, which tomllib has accepted."""
         self._root = Parser(_LANGUAGE).parse(text.encode()).root_node
-        self._places: dict[KeyPath, Point] = {}
+        self._key_points: dict[KeyPath, Point] = {}
 
     def read(self) -> dict[KeyPath, Point]:
         """Return the first place of each key path."""
-        pending = [_Table(self._root, ())]
+        pending = [_Container(self._root, ())]
         while pending:
-            table = pending.pop()
+            container = pending.pop()
             # The order of the text decides the index of an array element.
-            pending.extend(reversed(self._read_children(table)))
-        return self._places
-
-    def _read_children(self, table: _Table) -> list[_Table]:
-        if table.node.type == 'array':
-            return self._read_elements(table)
-        inner: list[_Table] = []
-        for child in table.node.named_children:
+            pending.extend(reversed(self._read_children(container)))
+        return self._key_points
+
+    def _read_children(self, container: _Container) -> list[_Container]:
+        if container.node.type == 'array':
+            return self._read_elements(container)
+        containers: list[_Container] = []
+        for child in container.node.named_children:
             if child.type == 'pair':
-                inner.extend(self._read_pair(child, table.path))
+                containers.extend(self._read_pair(child, container.path))
             elif child.type == 'table':
-                inner.append(_Table(child, self._read_header(child)))
+                containers.append(_Container(child, self._read_header(child)))
             elif child.type == 'table_array_element':
                 # No text has arrays of tables: the array is the fault.
                 self._read_header(child)
-        return inner
+        return containers
 
-    def _read_pair(self, pair: Node, prefix: KeyPath) -> list[_Table]:
+    def _read_pair(self, pair: Node, prefix: KeyPath) -> list[_Container]:
         children = pair.named_children
         path = self._read_key(children[0], prefix)
         return [
-            _Table(child, path)
+            _Container(child, path)
             for child in children[1:]
             if child.type in {'array', 'inline_table'}
         ]
 
-    def _read_elements(self, array: _Table) -> list[_Table]:
+    def _read_elements(self, array: _Container) -> list[_Container]:
         elements = [
             child
             for child in array.node.named_children
             if child.type != 'comment'
         ]
-        inner: list[_Table] = []
+        containers: list[_Container] = []
         for index, element in enumerate(elements):
             path = (*array.path, index)
-            self._places.setdefault(path, element.start_point)
-            inner.append(_Table(element, path))
-        return inner
+            self._key_points.setdefault(path, element.start_point)
+            containers.append(_Container(element, path))
+        return containers
 
     def _read_header(self, table: Node) -> KeyPath:
         for child in table.named_children:
@@ -193,7 +193,7 @@
         path = prefix
         for part in _key_parts(key):
             path = (*path, part)
-            self._places.setdefault(path, key.start_point)
+            self._key_points.setdefault(path, key.start_point)
         return path
 
 
@@ -203,12 +203,12 @@
         return [source]
     # tomllib itself resolves quotes, escapes and dots of a key.
     try:
-        level: Any = tomllib.loads(f'{source} = 0')
+        value: Any = tomllib.loads(f'{source} = 0')
     except ValueError:
         return []
     parts: list[str] = []
-    while isinstance(level, dict):
-        part = next(iter(level))
+    while isinstance(value, dict):
+        part = next(iter(value))
         parts.append(part)
-        level = level[part]
+        value = value[part]
     return parts
