--- a/src/savoryrudder/policy/text.py
+++ b/src/savoryrudder/policy/text.py
@@ -1,4 +1,4 @@
-"""Read TOML text and find the position of its keys."""
+"""Parse TOML text and locate its keys."""
 
 from __future__ import annotations
 
@@ -24,9 +24,9 @@
 
 MAX_TEXT_BYTES: Final = 1_000_000
 
-# tomllib's memory grows with the square of a key's parts: one key of 200,000
-# parts took several GB. Strings and comments are matched as well, because they
-# cannot be told apart before the text is parsed.
+# tomllib's memory use grows with the square of the number of parts of a dotted
+# key: a key of 200,000 parts took several GB. Strings and comments are matched
+# as well, because they cannot be told apart before the text is parsed.
 _LONG_KEY: Final = re.compile(
     r'(?<![\w-])(?:(?:[\w-]+|"[^"\n]*"|\'[^\'\n]*\')[ \t]*\.[ \t]*){16}',
 )
@@ -38,22 +38,24 @@
 
 
 class _Container(NamedTuple):
-    """Hold a syntax node that contains pairs or elements, and its path."""
+    """Hold a syntax node that contains pairs or elements, and its key path."""
 
     node: Node
     path: KeyPath
 
 
 class Document:
-    """Hold the values of a TOML text; positions are read on demand."""
+    """Hold the values of a TOML text.
+
+    The text is kept to find the positions of keys when they are needed.
+    """
 
     def __init__(self, text: str, values: dict[str, Any]) -> None:
-        """Keep the text for the positions."""
         self.values = values
         self._text = text
 
     def locate(self, path: KeyPath) -> Position:
-        """Return the position of a key path or its nearest known parent."""
+        """Return the position of a key path or its closest known parent."""
         for length in range(len(path), 0, -1):
             point = self._key_points.get(path[:length])
             if point is not None:
@@ -75,7 +77,7 @@
 
 
 def parse_text(text: str) -> Result[Document, tuple[Finding, ...]]:
-    """Parse TOML text of at most 1 MB; a fault in the syntax is a finding."""
+    """Parse TOML text of at most 1 MB; a syntax error is a finding."""
     try:
         size = len(text.encode())
     except UnicodeEncodeError as error:
@@ -97,7 +99,8 @@
     except tomllib.TOMLDecodeError as error:
         return _single_finding(*_syntax_error(text, str(error)))
     except ValueError:
-        # Python refuses integers of more than 4300 digits without a position.
+        # For an integer of more than 4300 digits Python raises an error that
+        # has no position.
         return _single_finding(_START, 'a number or date is out of range')
     except RecursionError:
         return _single_finding(_START, 'arrays or tables are nested too deeply')
@@ -139,11 +142,12 @@
         self._key_points: dict[KeyPath, Point] = {}
 
     def read(self) -> dict[KeyPath, Point]:
-        """Return the first place of each key path."""
+        """Return the first position of each key path."""
         pending = [_Container(self._root, ())]
         while pending:
             container = pending.pop()
-            # The order of the text decides the index of an array element.
+            # The index of an array element depends on the order of the text, so
+            # children are visited in that order.
             pending.extend(reversed(self._read_children(container)))
         return self._key_points
 
@@ -157,7 +161,8 @@
             elif child.type == 'table':
                 containers.append(_Container(child, self._read_header(child)))
             elif child.type == 'table_array_element':
-                # No text has arrays of tables: the array is the fault.
+                # No schema has arrays of tables, so that the array itself is
+                # an error and its position is enough.
                 self._read_header(child)
         return containers
 
@@ -201,7 +206,7 @@
     source = (key.text or b'').decode()
     if key.type == 'bare_key':
         return [source]
-    # tomllib itself resolves quotes, escapes and dots of a key.
+    # tomllib resolves the quotes, escapes and dots of the key.
     try:
         value: Any = tomllib.loads(f'{source} = 0')
     except ValueError:
