--- a/src/savoryrudder/policy/findings.py
+++ b/src/savoryrudder/policy/findings.py
@@ -51,7 +51,7 @@
 
 
 class StrictModel(BaseModel):
-    """Forbid unknown keys, type coercion, infinite numbers and mutation."""
+    """Forbid unknown keys, type coercion, non-finite numbers and changes."""
 
     model_config = ConfigDict(
         extra='forbid',
--- a/src/savoryrudder/policy/text.py
+++ b/src/savoryrudder/policy/text.py
@@ -161,8 +161,8 @@
             elif child.type == 'table':
                 containers.append(_Container(child, self._read_header(child)))
             elif child.type == 'table_array_element':
-                # No schema has arrays of tables, so that the array itself is
-                # an error and its position is enough.
+                # No schema has arrays of tables: the array itself is the
+                # error, and its header is all that has to be located.
                 self._read_header(child)
         return containers
 
