Rename private names and locals of policy.checks

_read_named -> _read_named_tables _table -> _section _cross_faults -> _cross_table_faults _rank -> _urgency_rank locals: seen -> visited, known -> expected, row -> definition

--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -62,7 +62,7 @@
         return Error(parsed.error)
     document = parsed.ok
     tables, faults = _read_tables(document.values)
-    faults.extend(_cross_faults(tables))
+    faults.extend(_cross_table_faults(tables))
     if faults:
         return Error(locate_faults(faults, document.locate))
     return Ok(_to_policy(tables))
@@ -70,27 +70,27 @@
 
 def _read_tables(raw: dict[str, Any]) -> tuple[_Tables, list[Fault]]:
     _, faults = validate(schema.DocumentTable, raw)
-    services = _read_named(raw, 'services', schema.ServiceTable, faults)
-    clients = _read_named(raw, 'clients', schema.ClientTable, faults)
-    bands = _read_named(raw, 'urgency', schema.BandTable, faults)
+    services = _read_named_tables(raw, 'services', schema.ServiceTable, faults)
+    clients = _read_named_tables(raw, 'clients', schema.ClientTable, faults)
+    bands = _read_named_tables(raw, 'urgency', schema.BandTable, faults)
     limits, limit_faults = validate(
         schema.LimitsTable,
         raw.get('limits', {}),
         ('limits',),
     )
     faults.extend(limit_faults)
-    names = frozenset(_table(raw, 'services'))
+    names = frozenset(_section(raw, 'services'))
     return _Tables(services, clients, bands, limits, names), faults
 
 
-def _read_named(
+def _read_named_tables(
     raw: dict[str, Any],
     section: str,
     model: type[ModelT],
     faults: list[Fault],
 ) -> dict[str, ModelT]:
     valid: dict[str, ModelT] = {}
-    for name, table in _table(raw, section).items():
+    for name, table in _section(raw, section).items():
         path = (section, name)
         checked, table_faults = validate(model, table, path)
         faults.extend(table_faults)
@@ -100,7 +100,7 @@
     return valid
 
 
-def _table(raw: dict[str, Any], section: str) -> dict[str, Any]:
+def _section(raw: dict[str, Any], section: str) -> dict[str, Any]:
     table = raw.get(section)
     return table if isinstance(table, dict) else {}
 
@@ -110,7 +110,7 @@
         yield Fault(path, _NAME_MESSAGE)
 
 
-def _cross_faults(tables: _Tables) -> Iterator[Fault]:
+def _cross_table_faults(tables: _Tables) -> Iterator[Fault]:
     if not tables.service_names:
         yield Fault(('services',), 'no service is declared')
     for service, service_table in tables.services.items():
@@ -176,14 +176,14 @@
 ) -> tuple[str, ...]:
     """Return the shortest path from a service back to itself."""
     paths: list[tuple[str, ...]] = [(start,)]
-    seen = {start}
+    visited = {start}
     for path in paths:
         table = services.get(path[-1])
         for dependency in table.depends_on if table else ():
             if dependency == start:
                 return path
-            if dependency not in seen:
-                seen.add(dependency)
+            if dependency not in visited:
+                visited.add(dependency)
                 paths.append((*path, dependency))
     return ()
 
@@ -212,7 +212,9 @@
         return
     if ceiling not in URGENCY_BANDS:
         yield _unknown_urgency((*path, 'ceiling', 'highest_urgency'), ceiling)
-    elif highest in URGENCY_BANDS and _rank(highest) < _rank(ceiling):
+    elif highest in URGENCY_BANDS and _urgency_rank(highest) < _urgency_rank(
+        ceiling
+    ):
         yield Fault(
             (*path, 'highest_urgency'),
             f'{highest} exceeds its ceiling {ceiling}',
@@ -229,11 +231,11 @@
 
 
 def _unknown_urgency(path: KeyPath, name: str) -> Fault:
-    known = ', '.join(URGENCY_BANDS)
-    return Fault(path, f'unknown urgency "{name}", known are {known}')
+    expected = ', '.join(URGENCY_BANDS)
+    return Fault(path, f'unknown urgency "{name}", expected are {expected}')
 
 
-def _rank(urgency: str) -> int:
+def _urgency_rank(urgency: str) -> int:
     return URGENCY_BANDS.index(urgency)
 
 
@@ -262,8 +264,10 @@
 
 def _to_service(name: str, table: schema.ServiceTable) -> Service:
     operations = {
-        operation: Operation(operation, row.idempotent, row.expected_ms)
-        for operation, row in table.operations.items()
+        operation: Operation(
+            operation, definition.idempotent, definition.expected_ms
+        )
+        for operation, definition in table.operations.items()
     }
     return Service(
         name,
