--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -1,4 +1,4 @@
-"""Check the operators' text as a whole."""
+"""Check a configuration as a whole."""
 
 from __future__ import annotations
 
@@ -30,11 +30,11 @@
 from savoryrudder.policy.model import Terms
 from savoryrudder.policy.text import parse_text
 
-# Names travel in HTTP headers and store keys.
+# Names are used in HTTP headers and store keys.
 _NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 _NAME_MESSAGE: Final = (
-    'a name has 1 to 64 letters, digits, dots, dashes or underscores '
-    'and starts with a letter or digit'
+    'a name must consist of 1 to 64 letters, digits, dots, dashes or '
+    'underscores and start with a letter or digit'
 )
 # Decimal shares such as 0.7 + 0.2 + 0.1 do not add up exactly in binary.
 _SHARE_TOLERANCE: Final = 1e-9
@@ -42,7 +42,10 @@
 
 
 class _Tables(NamedTuple):
-    """Hold the tables that are valid by themselves."""
+    """Hold the tables that match their schema.
+
+    `service_names` includes the services whose table does not.
+    """
 
     services: dict[str, schema.ServiceTable]
     clients: dict[str, schema.ClientTable]
@@ -52,10 +55,10 @@
 
 
 def check_text(text: str) -> Result[Policy, tuple[Finding, ...]]:
-    """Return the policy of a TOML text, or every finding in its order.
+    """Return the policy of a TOML text, or all findings in its order.
 
-    A fault in the syntax hides all other findings, because no values exist.
-    Lines and columns count from 1.
+    A syntax error hides all other findings, because the text has no values
+    then. Lines and columns count from 1.
     """
     parsed = parse_text(text)
     if parsed.is_error():
@@ -144,7 +147,7 @@
 
 
 def _cycle_faults(services: dict[str, schema.ServiceTable]) -> Iterator[Fault]:
-    # The search below is quadratic; most texts have no cycle.
+    # The search below is quadratic, and most configurations have no cycle.
     if not _has_cycle(services):
         return
     reported: set[frozenset[str]] = set()
@@ -227,7 +230,10 @@
             yield _unknown_urgency(('urgency', name), name)
     total = sum(table.share for table in bands.values())
     if total > 1 + _SHARE_TOLERANCE:
-        yield Fault(('urgency',), f'the shares add up to {total:g}, above 1')
+        yield Fault(
+            ('urgency',),
+            f'the shares add up to {total:g}; at most 1 is allowed',
+        )
 
 
 def _unknown_urgency(path: KeyPath, name: str) -> Fault:
