--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -238,7 +238,7 @@
 
 def _unknown_urgency(path: KeyPath, name: str) -> Fault:
     expected = ', '.join(URGENCY_BANDS)
-    return Fault(path, f'unknown urgency "{name}", expected are {expected}')
+    return Fault(path, f'unknown urgency "{name}", expected one of {expected}')
 
 
 def _urgency_rank(urgency: str) -> int:
