--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -104,6 +104,7 @@
 
 
 def _section(raw: dict[str, Any], section: str) -> dict[str, Any]:
+    """Return a top-level table, or an empty one if it is no table."""
     table = raw.get(section)
     return table if isinstance(table, dict) else {}
 
@@ -215,9 +216,7 @@
         return
     if ceiling not in URGENCY_BANDS:
         yield _unknown_urgency((*path, 'ceiling', 'highest_urgency'), ceiling)
-    elif highest in URGENCY_BANDS and _urgency_rank(highest) < _urgency_rank(
-        ceiling
-    ):
+    elif highest in URGENCY_BANDS and _rank(highest) < _rank(ceiling):
         yield Fault(
             (*path, 'highest_urgency'),
             f'{highest} exceeds its ceiling {ceiling}',
@@ -241,7 +240,7 @@
     return Fault(path, f'unknown urgency "{name}", expected one of {expected}')
 
 
-def _urgency_rank(urgency: str) -> int:
+def _rank(urgency: str) -> int:
     return URGENCY_BANDS.index(urgency)
 
 
@@ -270,10 +269,8 @@
 
 def _to_service(name: str, table: schema.ServiceTable) -> Service:
     operations = {
-        operation: Operation(
-            operation, definition.idempotent, definition.expected_ms
-        )
-        for operation, definition in table.operations.items()
+        operation: Operation(operation, spec.idempotent, spec.expected_ms)
+        for operation, spec in table.operations.items()
     }
     return Service(
         name,
