--- a/tests/agent/agent_driver.py
+++ b/tests/agent/agent_driver.py
@@ -25,12 +25,12 @@
 )
 
 
-def key_of(number: int) -> messages.TaskKey:
+def task_key(number: int) -> messages.TaskKey:
     """Return a task key; numbers up to 63 name the partition too."""
     return (number.to_bytes(4, 'big') + bytes(12), 0)
 
 
-class Agent:
+class AgentDriver:
     """Drive the reducer as the shell does; sessions are named by entry."""
 
     def __init__(self, slots: int = 2, **limits: float) -> None:
@@ -44,7 +44,7 @@
         self.sessions: dict[str, str] = {}
         self.effects: list[AgentEffect] = []
 
-    def up(
+    def connect_and_claim(
         self, entry: str, *claims: tuple[int, int], session: str = ''
     ) -> None:
         """Open a session and claim all partitions, or the given ones."""
@@ -57,7 +57,7 @@
         self.sessions[entry] = session
         self._apply(events.LinkUp(self.now, entry, session))
 
-    def down(self, entry: str) -> None:
+    def disconnect(self, entry: str) -> None:
         """End the session of an entry."""
         self._apply(events.LinkDown(self.now, entry, self.sessions[entry]))
 
@@ -83,7 +83,7 @@
         idempotent: bool = False,
     ) -> list[AgentEffect]:
         """Deliver a start."""
-        key = key_of(number)
+        key = task_key(number)
         return self.receive(
             entry,
             messages.Start(
@@ -105,7 +105,7 @@
         result: bytes = b'plan',
     ) -> list[AgentEffect]:
         """End the upstream call of a single-task job."""
-        return self.finish_task(key_of(number), outcome, result)
+        return self.finish_task(task_key(number), outcome, result)
 
     def finish_task(
         self,
@@ -118,7 +118,7 @@
             events.UpstreamFinished(self.now, key, outcome, result, ''),
         )
 
-    def wait(self, seconds: float) -> list[AgentEffect]:
+    def advance(self, seconds: float) -> list[AgentEffect]:
         """Let time pass and tick."""
         self.now += seconds
         return self._apply(events.Tick(self.now))
--- a/tests/agent/agent_oracle.py
+++ b/tests/agent/agent_oracle.py
@@ -11,13 +11,13 @@
 from savoryrudder.utils.identifiers import partition_of
 
 if TYPE_CHECKING:
-    from agent_driver import Agent
+    from agent_driver import AgentDriver
 
 
 class Oracle:
     """Check every effect against what was promised before."""
 
-    def __init__(self, agent: Agent) -> None:
+    def __init__(self, agent: AgentDriver) -> None:
         """Start with nothing promised."""
         self._agent = agent
         self.seen: dict[int, tuple[int, str]] = {}
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import pytest
-from agent_driver import Agent
+from agent_driver import AgentDriver
 
 
 @pytest.fixture
-def agent() -> Agent:
+def agent() -> AgentDriver:
     """Return an agent with two slots and entry e1 holding all partitions."""
-    created = Agent()
-    created.up('e1')
+    created = AgentDriver()
+    created.connect_and_claim('e1')
     return created
--- a/tests/agent/test_agent_credits.py
+++ b/tests/agent/test_agent_credits.py
@@ -3,33 +3,33 @@
 from __future__ import annotations
 
 import pytest
-from agent_driver import Agent
+from agent_driver import AgentDriver
 
 from savoryrudder.protocol import messages
 
 
-def held(agent: Agent) -> dict[str, int]:
+def unused_credits(agent: AgentDriver) -> dict[str, int]:
     """Return the unused credits of each entry."""
     return {entry: link.credits for entry, link in agent.state.links.items()}
 
 
 def test_no_credits_before_the_claim_is_answered() -> None:
     """Guard against starts by an entry that has not seen the records."""
-    agent = Agent(slots=4, prefetch=1)
-    agent.up('e1')
+    agent = AgentDriver(slots=4, prefetch=1)
+    agent.connect_and_claim('e1')
     order = [type(effect.message) for effect in agent.effects]
     assert order == [messages.Records, messages.Grant]
-    assert held(agent) == {'e1': 5}
+    assert unused_credits(agent) == {'e1': 5}
 
 
 def test_idle_credits_are_spread_when_an_entry_joins() -> None:
     """Guard against a lone task that finds no credit at a new entry."""
-    agent = Agent(slots=6)
-    agent.up('e1')
-    agent.up('e2')
+    agent = AgentDriver(slots=6)
+    agent.connect_and_claim('e1')
+    agent.connect_and_claim('e2')
     assert agent.sent(messages.Recall, 'e1') == [messages.Recall(3)]
     agent.receive('e1', messages.Return(3))
-    assert held(agent) == {'e1': 3, 'e2': 3}
+    assert unused_credits(agent) == {'e1': 3, 'e2': 3}
 
 
 @pytest.mark.parametrize(
@@ -47,30 +47,32 @@
     expected: tuple[int, ...],
 ) -> None:
     """Guard against a split that ignores demand or starves an entry."""
-    agent = Agent(slots=10)
-    agent.up('e0')
+    agent = AgentDriver(slots=10)
+    agent.connect_and_claim('e0')
     for number in range(10):
         agent.start('e0', number)
     entries = ('e1', 'e2', 'e3')
     for entry, demand in zip(entries, demands, strict=True):
-        agent.up(entry)
+        agent.connect_and_claim(entry)
         agent.receive(entry, messages.Demand(demand))
     agent.state.links.pop('e0')
     for number in range(10):
         agent.finish(number)
-    assert tuple(held(agent)[entry] for entry in entries) == expected
+    assert tuple(unused_credits(agent)[entry] for entry in entries) == expected
 
 
 def test_equal_entries_take_turns() -> None:
     """Guard against a fixed order that favours one of two equal entries."""
-    agent = Agent(slots=1)
-    agent.up('e1')
-    agent.up('e2')
+    agent = AgentDriver(slots=1)
+    agent.connect_and_claim('e1')
+    agent.connect_and_claim('e2')
     agent.receive('e1', messages.Demand(50))
     agent.receive('e2', messages.Demand(50))
     order = ''
     for number in range(6):
-        entry = next(each for each, amount in held(agent).items() if amount)
+        entry = next(
+            each for each, amount in unused_credits(agent).items() if amount
+        )
         order += entry[1]
         agent.start(entry, number)
         agent.finish(number)
@@ -79,24 +81,24 @@
 
 def test_recall_only_for_unmet_demand_and_never_twice() -> None:
     """Guard against recalls that repeat without effect."""
-    agent = Agent(slots=2)
-    agent.up('e1')
-    agent.up('e2')
+    agent = AgentDriver(slots=2)
+    agent.connect_and_claim('e1')
+    agent.connect_and_claim('e2')
     agent.receive('e1', messages.Return(1))
-    assert held(agent) == {'e1': 1, 'e2': 1}
+    assert unused_credits(agent) == {'e1': 1, 'e2': 1}
     agent.receive('e2', messages.Demand(9))
     assert agent.sent(messages.Recall, 'e1') == [messages.Recall(1)]
-    agent.wait(0.1)
+    agent.advance(0.1)
     assert not agent.sent(messages.Recall)
     agent.receive('e1', messages.Return(0))
     assert not agent.sent(messages.Recall)
-    agent.wait(0.5)
+    agent.advance(0.5)
     assert not agent.sent(messages.Recall)
-    agent.wait(0.5)
+    agent.advance(0.5)
     assert agent.sent(messages.Recall, 'e1')
     agent.start('e1', 1)
     agent.receive('e1', messages.Return(0))
-    assert held(agent) == {'e1': 0, 'e2': 1}
+    assert unused_credits(agent) == {'e1': 0, 'e2': 1}
     agent.finish(1)
     assert agent.sent(messages.Finished, 'e1')[0].credits == 0
     assert agent.sent(messages.Grant, 'e2') == [messages.Grant(1)]
@@ -104,9 +106,9 @@
 
 def test_credits_of_an_ended_session_are_granted_anew() -> None:
     """Guard against slots that stay idle after an entry has gone."""
-    agent = Agent(slots=2)
-    agent.up('e1')
-    agent.up('e2')
+    agent = AgentDriver(slots=2)
+    agent.connect_and_claim('e1')
+    agent.connect_and_claim('e2')
     agent.receive('e1', messages.Demand(1))
-    agent.down('e1')
+    agent.disconnect('e1')
     assert agent.sent(messages.Grant, 'e2') == [messages.Grant(2)]
--- a/tests/agent/test_agent_holding.py
+++ b/tests/agent/test_agent_holding.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from agent_driver import Agent
-from agent_driver import key_of
+from agent_driver import AgentDriver
+from agent_driver import task_key
 
 from savoryrudder.agent.holding import HOLD_S
 from savoryrudder.protocol import messages
@@ -18,12 +18,12 @@
 
 
 @pytest.fixture
-def busy() -> Agent:
+def busy_agent() -> AgentDriver:
     """Create an agent with two running and two waiting tasks of one job."""
-    agent = Agent()
-    agent.up('e1')
+    agent = AgentDriver()
+    agent.connect_and_claim('e1')
     agent.receive('e1', messages.Demand(9, _PREFETCH))
-    submission = key_of(1)[0]
+    submission = task_key(1)[0]
     for task in range(4):
         agent.receive(
             'e1',
@@ -32,10 +32,12 @@
     return agent
 
 
-def _finish(agent: Agent, tasks: Iterable[int], outcome: str) -> list[int]:
+def _finish(
+    agent: AgentDriver, tasks: Iterable[int], outcome: str
+) -> list[int]:
     """Finish tasks of the job and return those that the agent reports."""
     reported: list[int] = []
-    submission = key_of(1)[0]
+    submission = task_key(1)[0]
     for task in tasks:
         agent.finish_task((submission, task), outcome)
         reported += [
@@ -44,41 +46,41 @@
     return reported
 
 
-def test_results_leave_together(busy: Agent) -> None:
+def test_results_leave_together(busy_agent: AgentDriver) -> None:
     """Guard against a frame for each result of a large job."""
-    assert _finish(busy, (0, 1, 2), 'complete') == []
-    assert _finish(busy, (3,), 'complete') == [0, 1, 2, 3]
-    assert sum(sent.credits for sent in busy.sent(messages.Finished)) == 4
+    assert _finish(busy_agent, (0, 1, 2), 'complete') == []
+    assert _finish(busy_agent, (3,), 'complete') == [0, 1, 2, 3]
+    assert sum(sent.credits for sent in busy_agent.sent(messages.Finished)) == 4
 
 
-def test_holding_ends_in_time(busy: Agent) -> None:
+def test_holding_ends_in_time(busy_agent: AgentDriver) -> None:
     """Guard against credits that stay away while work waits."""
-    assert _finish(busy, (0,), 'complete') == []
-    busy.wait(HOLD_S)
-    assert len(busy.sent(messages.Finished)) == 1
+    assert _finish(busy_agent, (0,), 'complete') == []
+    busy_agent.advance(HOLD_S)
+    assert len(busy_agent.sent(messages.Finished)) == 1
 
 
-def test_failures_leave_at_once(busy: Agent) -> None:
+def test_failures_leave_at_once(busy_agent: AgentDriver) -> None:
     """Guard against running the rest of a job that has failed."""
-    assert _finish(busy, (0,), 'complete') == []
-    assert _finish(busy, (1,), 'failed') == [0, 1]
+    assert _finish(busy_agent, (0,), 'complete') == []
+    assert _finish(busy_agent, (1,), 'failed') == [0, 1]
 
 
-def test_other_entries_can_refuse_prefetching(busy: Agent) -> None:
+def test_other_entries_can_refuse_prefetching(busy_agent: AgentDriver) -> None:
     """Guard against small jobs that wait for another entry's large ones."""
-    assert busy.state.capacity == 2 + _PREFETCH
-    assert _finish(busy, (0,), 'complete') == []
-    busy.up('e2')
-    assert busy.state.capacity == 2
-    busy.receive('e2', messages.Demand(1))
-    assert len(busy.sent(messages.Finished, 'e1')) == 1
+    assert busy_agent.state.capacity == 2 + _PREFETCH
+    assert _finish(busy_agent, (0,), 'complete') == []
+    busy_agent.connect_and_claim('e2')
+    assert busy_agent.state.capacity == 2
+    busy_agent.receive('e2', messages.Demand(1))
+    assert len(busy_agent.sent(messages.Finished, 'e1')) == 1
 
 
-def test_held_results_survive_the_link(busy: Agent) -> None:
+def test_held_results_survive_the_link(busy_agent: AgentDriver) -> None:
     """Guard against results that are lost with the session."""
-    _finish(busy, (0,), 'complete')
-    busy.down('e1')
-    busy.up('e1', session='e1-2')
-    busy.wait(HOLD_S)
-    records = busy.state.book.select(range(64))
+    _finish(busy_agent, (0,), 'complete')
+    busy_agent.disconnect('e1')
+    busy_agent.connect_and_claim('e1', session='e1-2')
+    busy_agent.advance(HOLD_S)
+    records = busy_agent.state.book.select(range(64))
     assert [record.state for record in records].count('complete') == 1
--- a/tests/agent/test_agent_properties.py
+++ b/tests/agent/test_agent_properties.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from agent_driver import Agent
-from agent_driver import key_of
+from agent_driver import AgentDriver
+from agent_driver import task_key
 from agent_oracle import Oracle
 from hypothesis import seed
 from hypothesis import settings
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         """Start with one partition for each entry."""
         super().__init__()
-        self.agent = Agent(slots=SLOTS, prefetch=CAPACITY - SLOTS)
+        self.agent = AgentDriver(slots=SLOTS, prefetch=CAPACITY - SLOTS)
         self.oracle = Oracle(self.agent)
         self.owner = {1: (1, 'e1'), 2: (1, 'e2')}
         # The epoch of each partition that an entry believes to hold, or 0.
@@ -69,7 +69,7 @@
         """End a session, or replace it."""
         if down and entry in self.oracle.credits:
             self.oracle.end_session(entry)
-            self.agent.down(entry)
+            self.agent.disconnect(entry)
             self.oracle.observe()
         else:
             self.connect(entry)
@@ -188,7 +188,7 @@
     @rule(seconds=strategies.sampled_from((0.1, 0.5, 2)))
     def pass_time(self, seconds: float) -> None:
         """Let deadlines pass, but no record expire."""
-        self.agent.wait(seconds)
+        self.agent.advance(seconds)
         self.oracle.observe()
 
     @invariant()
@@ -210,14 +210,14 @@
             assert self.oracle.reported[key] == owner
         self.agent.drain()
         for each in NAMES:
-            keys = tuple(map(key_of, NUMBERS))
+            keys = tuple(map(task_key, NUMBERS))
             self._send(each, messages.Acknowledge(keys))
             self.give_back(each, CAPACITY)
         assert self.agent.state.exited
 
     def _key(self, age: int) -> messages.TaskKey:
         self.newest += age == 0
-        return key_of(NUMBERS[max(0, self.newest - age) % len(NUMBERS)])
+        return task_key(NUMBERS[max(0, self.newest - age) % len(NUMBERS)])
 
     def _starter(self, key: messages.TaskKey) -> str | None:
         """Return an entry that may start a task as far as it knows."""
--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -3,33 +3,33 @@
 from __future__ import annotations
 
 import pytest
-from agent_driver import Agent
-from agent_driver import key_of
+from agent_driver import AgentDriver
+from agent_driver import task_key
 
 from savoryrudder.agent.effects import CallUpstream
 from savoryrudder.agent.records import RecordBook
 from savoryrudder.protocol import messages
 from savoryrudder.utils import effects
 
-KEY = key_of(3)
+KEY = task_key(3)
 
 
 def test_claim_reports_claimed_records_and_stale_partitions() -> None:
     """Guard against a takeover that misses a task or a newer owner."""
-    agent = Agent(slots=3, prefetch=1)
-    agent.up('e1', (3, 1), (4, 7), (5, 1))
+    agent = AgentDriver(slots=3, prefetch=1)
+    agent.connect_and_claim('e1', (3, 1), (4, 7), (5, 1))
     for number, epoch in ((3, 1), (4, 7), (5, 1)):
         agent.start('e1', number, epoch)
     agent.finish(3)
     agent.start('e1', 67)
-    agent.receive('e1', messages.Withdraw((key_of(5 + 64),)))
+    agent.receive('e1', messages.Withdraw((task_key(5 + 64),)))
     agent.sessions['e2'] = 'e2-1'
-    agent.up('e2', (3, 2), (4, 6), (5, 2))
+    agent.connect_and_claim('e2', (3, 2), (4, 6), (5, 2))
     answer = tuple(each.export() for each in agent.state.book.select((3, 5)))
     assert [(each.submission, each.state) for each in answer] == [
         (KEY[0], 'complete'),
-        (key_of(67)[0], 'running'),
-        (key_of(5)[0], 'running'),
+        (task_key(67)[0], 'running'),
+        (task_key(5)[0], 'running'),
     ]
     assert agent.sent(messages.Records) == [messages.Records(1, answer, (4,))]
     assert answer[0].result == b'plan'
@@ -38,25 +38,25 @@
 
 
 def test_result_of_an_absent_owner_waits_for_its_next_claim(
-    agent: Agent,
+    agent: AgentDriver,
 ) -> None:
     """Guard against results that are lost while a link is down."""
     agent.start('e1', 3)
-    agent.down('e1')
+    agent.disconnect('e1')
     agent.finish(3)
     assert not agent.sent(messages.Finished)
-    agent.up('e1', session='e1-2')
+    agent.connect_and_claim('e1', session='e1-2')
     assert agent.sent(messages.Records)[0].records[0].result == b'plan'
 
 
-def test_new_session_replaces_the_old_one(agent: Agent) -> None:
+def test_new_session_replaces_the_old_one(agent: AgentDriver) -> None:
     """Guard against delayed starts of an earlier session."""
-    agent.up('e1', session='e1-2')
+    agent.connect_and_claim('e1', session='e1-2')
     message = messages.Start(*KEY, 3, 1, 'cut', b'', 500, False, '')
     agent.receive('e1', message, session='e1-1')
     assert agent.effects == [effects.Count('wasted_messages', 1)]
     agent.sessions['e1'] = 'e1-1'
-    agent.down('e1')
+    agent.disconnect('e1')
     assert agent.state.links['e1'].session == 'e1-2'
 
 
@@ -65,7 +65,7 @@
     [(True, 600, 0), (False, 1200, 1)],
 )
 def test_record_outlives_the_retention_window(
-    agent: Agent,
+    agent: AgentDriver,
     acknowledged: bool,
     held_s: float,
     counted: int,
@@ -75,23 +75,23 @@
     agent.finish(3)
     if acknowledged:
         agent.receive('e1', messages.Acknowledge((KEY,)))
-    agent.wait(held_s - 1)
+    agent.advance(held_s - 1)
     agent.start('e1', 3)
     assert not agent.emitted(CallUpstream)
-    agent.wait(1)
+    agent.advance(1)
     assert not len(agent.state.book)
     assert agent.counted('results_dropped') == counted
 
 
 def test_oldest_acknowledged_results_are_released_first() -> None:
     """Guard against unbounded memory, and against losing unsent results."""
-    agent = Agent(max_result_bytes=10)
-    agent.up('e1')
+    agent = AgentDriver(max_result_bytes=10)
+    agent.connect_and_claim('e1')
     for number in (1, 2, 3):
         agent.start('e1', number)
         agent.finish(number, result=b'12345')
         if number != 2:
-            agent.receive('e1', messages.Acknowledge((key_of(number),)))
+            agent.receive('e1', messages.Acknowledge((task_key(number),)))
     states = {
         each.key[0][3]: each for each in agent.state.book.select(range(9))
     }
@@ -101,7 +101,7 @@
         'complete',
     ]
     assert (states[1].result, len(states[1].digest)) == (b'', 16)
-    agent.wait(600)
+    agent.advance(600)
     assert agent.state.book.result_bytes == 5
 
 
@@ -110,49 +110,49 @@
 )
 def test_no_credits_beyond_the_record_limit(limits: dict[str, int]) -> None:
     """Guard against memory growth while no entry acknowledges."""
-    agent = Agent(**limits)
-    agent.up('e1')
+    agent = AgentDriver(**limits)
+    agent.connect_and_claim('e1')
     for number in (1, 2):
         agent.start('e1', number)
         agent.finish(number)
     assert not agent.state.granted or 'max_result_bytes' in limits
-    agent.wait(0.1)
+    agent.advance(0.1)
     assert agent.emitted(effects.StateChanged)[0].name == 'record-limit-reached'
     agent.state.links['e1'].credits = 1
     agent.start('e1', 3)
     assert agent.sent(messages.Rejected)[0].reason == 'overloaded'
-    agent.wait(1200)
+    agent.advance(1200)
     assert agent.emitted(effects.StateChanged)[0].name == 'record-limit-cleared'
 
 
 def test_released_results_stay_in_step_with_expiry() -> None:
     """Guard against a result size that drifts as records expire."""
     book = RecordBook(1, 100)
-    agent = Agent(slots=1)
+    agent = AgentDriver(slots=1)
     agent.state.book = book
-    agent.up('e1')
+    agent.connect_and_claim('e1')
     for number in range(30):
         agent.start('e1', number)
         agent.finish(number, result=b'x' * (number % 3) * 9)
-        agent.receive('e1', messages.Acknowledge((key_of(number),)))
-        agent.wait(0.1)
+        agent.receive('e1', messages.Acknowledge((task_key(number),)))
+        agent.advance(0.1)
     held = book.select(range(64))
     assert book.result_bytes == sum(len(each.result) for each in held)
-    agent.wait(2)
+    agent.advance(2)
     assert (len(book), book.result_bytes) == (0, 0)
 
 
 def test_results_beyond_one_page_follow_the_answer_to_a_claim() -> None:
     """Guard against an answer that no link takes, and so ends each session."""
-    agent = Agent(page_bytes=10)
-    agent.up('e1')
+    agent = AgentDriver(page_bytes=10)
+    agent.connect_and_claim('e1')
     for number in range(1, 6):
         agent.start('e1', number)
         agent.finish(number, result=b'1234')
         if number < 5:
-            agent.receive('e1', messages.Acknowledge((key_of(number),)))
-        agent.wait(1)
-    agent.up('e1', session='e1-2')
+            agent.receive('e1', messages.Acknowledge((task_key(number),)))
+        agent.advance(1)
+    agent.connect_and_claim('e1', session='e1-2')
     answer = agent.sent(messages.Records)[0].records
     assert [(each.submission[3], each.state) for each in answer] == [
         (5, 'complete'),
@@ -163,7 +163,7 @@
     ]
     pages = []
     for _ in range(3):
-        agent.wait(0.1)
+        agent.advance(0.1)
         finished = agent.sent(messages.Finished, 'e1')
         pages.append([each.record.submission[3] for each in finished])
     assert pages == [[3, 2, 1], [], []]
--- a/tests/agent/test_agent_sessions.py
+++ b/tests/agent/test_agent_sessions.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from agent_driver import Agent
-from agent_driver import key_of
+from agent_driver import AgentDriver
+from agent_driver import task_key
 
 from savoryrudder.agent.effects import CallUpstream
 from savoryrudder.protocol import messages
@@ -13,11 +13,11 @@
 
 def test_session_opens_with_a_hello() -> None:
     """Guard against an entry that does not know the agent's slots."""
-    agent = Agent(slots=7)
-    agent.up('e1')
+    agent = AgentDriver(slots=7)
+    agent.connect_and_claim('e1')
     agent.sessions['e2'] = 's'
     agent.drain()
-    agent.up('e2')
+    agent.connect_and_claim('e2')
     assert agent.state.hello == messages.Hello(
         agent='a1',
         incarnation='i1',
@@ -32,10 +32,10 @@
 
 
 def test_configuration_is_fetched_once_and_never_reverts(
-    agent: Agent,
+    agent: AgentDriver,
 ) -> None:
     """Guard against fetch storms and against falling back to old terms."""
-    agent.up('e2')
+    agent.connect_and_claim('e2')
     requests = 0
     for entry in ('e1', 'e1', 'e2'):
         agent.receive(entry, messages.Heartbeat(), revision=5)
@@ -49,9 +49,11 @@
     assert agent.sent(messages.Config, 'e2') == [messages.Config(5, 'five')]
 
 
-def test_false_announcement_is_not_fetched_in_a_loop(agent: Agent) -> None:
+def test_false_announcement_is_not_fetched_in_a_loop(
+    agent: AgentDriver,
+) -> None:
     """Guard against an endless exchange with an entry that lags itself."""
-    agent.up('e2')
+    agent.connect_and_claim('e2')
     agent.receive('e1', messages.Heartbeat(), revision=5)
     agent.receive('e1', messages.Config(3, 'three'), revision=5)
     agent.receive('e1', messages.Heartbeat(), revision=5)
@@ -66,12 +68,12 @@
         messages.Grant(1),
         messages.Return(0),
         messages.Demand(0),
-        messages.Acknowledge((key_of(1),)),
+        messages.Acknowledge((task_key(1),)),
         messages.Config(0, ''),
     ],
 )
 def test_message_without_effect_is_counted(
-    agent: Agent,
+    agent: AgentDriver,
     message: messages.Message,
 ) -> None:
     """Guard against waste that the metrics do not show."""
@@ -81,14 +83,14 @@
 
 def test_drain_finishes_running_work_and_delivers_it() -> None:
     """Guard against a planned stop that interrupts a request."""
-    agent = Agent(slots=1, prefetch=2)
-    agent.up('e1')
+    agent = AgentDriver(slots=1, prefetch=2)
+    agent.connect_and_claim('e1')
     agent.start('e1', 1)
     agent.start('e1', 2)
     agent.drain()
     assert agent.sent(messages.Leaving)
     assert agent.sent(messages.Rejected) == [
-        messages.Rejected(*key_of(2), 'leaving'),
+        messages.Rejected(*task_key(2), 'leaving'),
     ]
     assert agent.sent(messages.Recall) == [messages.Recall(1)]
     agent.start('e1', 3)
@@ -97,13 +99,15 @@
     agent.finish(1)
     assert agent.sent(messages.Finished)[0].credits == 0
     assert not agent.emitted(effects.Exit)
-    agent.receive('e1', messages.Acknowledge((key_of(1),)))
+    agent.receive('e1', messages.Acknowledge((task_key(1),)))
     assert agent.emitted(effects.Exit)
-    agent.wait(1)
+    agent.advance(1)
     assert not agent.emitted(effects.Exit)
 
 
-def test_drain_waits_for_starts_that_may_be_on_their_way(agent: Agent) -> None:
+def test_drain_waits_for_starts_that_may_be_on_their_way(
+    agent: AgentDriver,
+) -> None:
     """Guard against leaving a crossing start without an answer."""
     agent.drain()
     assert not agent.emitted(effects.Exit)
@@ -112,17 +116,17 @@
 
 
 def test_stop_timeout_ends_the_drain_and_logs_what_is_left(
-    agent: Agent,
+    agent: AgentDriver,
 ) -> None:
     """Guard against an agent that never stops while its owner is gone."""
     agent.start('e1', 1)
     agent.start('e1', 2, deadline_ms=50_000)
-    agent.down('e1')
+    agent.disconnect('e1')
     agent.finish(1)
     agent.drain(timeout_s=10)
-    agent.wait(9.9)
+    agent.advance(9.9)
     assert not agent.emitted(effects.Exit)
-    agent.wait(0.2)
+    agent.advance(0.2)
     assert agent.emitted(effects.Exit)
     assert agent.emitted(effects.StateChanged) == [
         effects.StateChanged(
@@ -132,9 +136,9 @@
     ]
 
 
-def test_an_entry_can_ask_for_the_stop(agent: Agent) -> None:
+def test_an_entry_can_ask_for_the_stop(agent: AgentDriver) -> None:
     """Guard against an operator's drain that an agent ignores."""
-    agent.up('e1')
+    agent.connect_and_claim('e1')
     agent.receive('e1', messages.Leaving())
     assert agent.sent(messages.Leaving, 'e1')
     assert agent.state.leaving
--- a/tests/agent/test_agent_tasks.py
+++ b/tests/agent/test_agent_tasks.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from agent_driver import Agent
-from agent_driver import key_of
+from agent_driver import AgentDriver
+from agent_driver import task_key
 
 from savoryrudder.agent.effects import CallUpstream
 from savoryrudder.agent.effects import StopUpstreamCall
@@ -12,10 +12,12 @@
 from savoryrudder.utils import effects
 from savoryrudder.utils.identifiers import digest_of
 
-KEY = key_of(3)
+KEY = task_key(3)
 
 
-def test_start_calls_the_upstream_with_the_time_left(agent: Agent) -> None:
+def test_start_calls_the_upstream_with_the_time_left(
+    agent: AgentDriver,
+) -> None:
     """Guard against calls that outlive their caller's deadline."""
     agent.start('e1', 3, deadline_ms=700)
     assert agent.emitted(CallUpstream) == [
@@ -26,7 +28,7 @@
 
 @pytest.mark.parametrize('outcome', ['complete', 'failed', 'unknown', 'odd'])
 def test_repeated_start_is_answered_from_the_record(
-    agent: Agent,
+    agent: AgentDriver,
     outcome: str,
 ) -> None:
     """Guard against a second run of a task, running or ended."""
@@ -57,8 +59,8 @@
     deadline_ms: int,
 ) -> None:
     """Guard against running what the entry is told will never run."""
-    agent = Agent()
-    agent.up('e1', (3, 2))
+    agent = AgentDriver()
+    agent.connect_and_claim('e1', (3, 2))
     if reason == 'leaving':
         agent.drain()
     agent.start('e1', 3, epoch, deadline_ms)
@@ -69,7 +71,7 @@
 
 
 def test_refused_start_stays_refused_and_returns_its_credit(
-    agent: Agent,
+    agent: AgentDriver,
 ) -> None:
     """Guard against running a repeated start after its rejection."""
     agent.start('e1', 3, deadline_ms=0)
@@ -81,24 +83,28 @@
     ]
 
 
-def test_higher_epoch_of_a_start_fences_the_old_owner(agent: Agent) -> None:
+def test_higher_epoch_of_a_start_fences_the_old_owner(
+    agent: AgentDriver,
+) -> None:
     """Guard against starts by an entry that lost the partition."""
-    agent.up('e2')
+    agent.connect_and_claim('e2')
     agent.receive('e1', messages.Return(1))
     agent.start('e2', 3, epoch=4)
     assert agent.emitted(CallUpstream)
     agent.start('e1', 67, epoch=3)
     assert agent.sent(messages.Rejected, 'e1')
     assert agent.emitted(effects.StateChanged)[0].name == 'start-fenced'
-    agent.up('e1', (3, 3), session='e1-2')
+    agent.connect_and_claim('e1', (3, 3), session='e1-2')
     agent.start('e1', 3, epoch=3)
     assert not agent.emitted(CallUpstream)
     assert not agent.sent(messages.Rejected)
 
 
-def test_two_owners_of_one_epoch_are_not_both_accepted(agent: Agent) -> None:
+def test_two_owners_of_one_epoch_are_not_both_accepted(
+    agent: AgentDriver,
+) -> None:
     """Guard against two entries that believe to hold one epoch."""
-    agent.up('e2', (3, 1), (4, 2))
+    agent.connect_and_claim('e2', (3, 1), (4, 2))
     assert agent.state.ownership[3].entry == 'e1'
     assert agent.state.ownership[4].entry == 'e2'
 
@@ -108,7 +114,7 @@
     [(3, 0, 'start-without-credit'), (9, 2, 'wrong-partition')],
 )
 def test_protocol_violation_ends_the_session(
-    agent: Agent,
+    agent: AgentDriver,
     partition: int,
     credits: int,
     reason: str,
@@ -130,8 +136,8 @@
 
 def test_waiting_task_with_the_earliest_deadline_starts_first() -> None:
     """Guard against a late task taking the slot of an urgent one."""
-    agent = Agent(slots=1, prefetch=2)
-    agent.up('e1')
+    agent = AgentDriver(slots=1, prefetch=2)
+    agent.connect_and_claim('e1')
     agent.start('e1', 1)
     agent.start('e1', 2, deadline_ms=3000)
     agent.start('e1', 3, deadline_ms=900)
@@ -145,11 +151,11 @@
 
 def test_waiting_task_past_its_deadline_is_rejected() -> None:
     """Guard against starting work that nobody waits for."""
-    agent = Agent(slots=1, prefetch=1)
-    agent.up('e1')
+    agent = AgentDriver(slots=1, prefetch=1)
+    agent.connect_and_claim('e1')
     agent.start('e1', 1)
     agent.start('e1', 3, deadline_ms=400)
-    agent.wait(0.5)
+    agent.advance(0.5)
     assert agent.sent(messages.Rejected) == [
         messages.Rejected(*KEY, 'deadline-passed'),
     ]
@@ -159,16 +165,16 @@
 
 def test_call_that_never_ends_is_unknown_and_keeps_its_slot() -> None:
     """Guard against overloading an upstream that still works on a task."""
-    agent = Agent(slots=1)
-    agent.up('e1')
+    agent = AgentDriver(slots=1)
+    agent.connect_and_claim('e1')
     agent.start('e1', 3, deadline_ms=1000)
-    agent.wait(1.9)
+    agent.advance(1.9)
     assert not agent.sent(messages.Finished)
-    agent.wait(0.2)
+    agent.advance(0.2)
     finished = agent.sent(messages.Finished)[0]
     assert (finished.record.state, finished.credits) == ('unknown', 0)
     agent.receive('e1', messages.Acknowledge((KEY,)))
-    agent.wait(700)
+    agent.advance(700)
     assert agent.state.book.find(KEY).state == 'unknown'
     agent.finish(3)
     assert agent.sent(messages.Grant) == [messages.Grant(1)]
@@ -177,7 +183,7 @@
     assert agent.counted('late_upstream_results') == 1
 
 
-def test_unreached_upstream_is_a_rejection(agent: Agent) -> None:
+def test_unreached_upstream_is_a_rejection(agent: AgentDriver) -> None:
     """Guard against reporting unstarted work as started."""
     agent.start('e1', 3)
     agent.finish(3, 'not-run', b'')
@@ -188,12 +194,12 @@
 
 def test_withdrawal_reports_what_had_started() -> None:
     """Guard against "not run" answers for work that ran."""
-    agent = Agent(slots=2, prefetch=1)
-    agent.up('e1')
+    agent = AgentDriver(slots=2, prefetch=1)
+    agent.connect_and_claim('e1')
     agent.start('e1', 1, idempotent=True)
     agent.start('e1', 2)
     agent.start('e1', 3)
-    keys = tuple(key_of(number) for number in range(1, 5))
+    keys = tuple(task_key(number) for number in range(1, 5))
     agent.receive('e1', messages.Withdraw(keys))
     assert agent.sent(messages.Withdrawn) == [
         messages.Withdrawn(keys[2:], keys[:2]),
@@ -210,11 +216,11 @@
 
 
 def test_former_owner_can_neither_withdraw_nor_acknowledge(
-    agent: Agent,
+    agent: AgentDriver,
 ) -> None:
     """Guard against a fenced entry that undoes its successor's work."""
     agent.start('e1', 3, idempotent=True)
-    agent.up('e2', (3, 2))
+    agent.connect_and_claim('e2', (3, 2))
     agent.receive('e1', messages.Withdraw((KEY,)))
     assert not agent.emitted(StopUpstreamCall)
     assert agent.sent(messages.Withdrawn)[0].started == (KEY,)
