Rename the model and reword the comments of the agent's property test

Oracle.seen -> owners Oracle.answered -> answered_claims Oracle.outstanding -> outstanding_starts Oracle.occupying -> active Oracle.barred -> never_started Oracle.observe -> check_effects, _observe_message -> _check_message Oracle._note_claim, _note_start, _note_unstarted -> _check_claim, _check_start, _check_unstarted AgentMachine.belief -> believed_epochs AgentMachine.late -> delayed AgentMachine.newest -> newest_index AgentMachine.placed -> started_elsewhere AgentMachine._starter -> _entry_to_start NAMES -> ENTRY_NAMES, NUMBERS -> TASK_NUMBERS Rules and their arguments keep their names, since the order in which hypothesis tries them depends on these.

--- a/tests/agent/agent_oracle.py
+++ b/tests/agent/agent_oracle.py
@@ -1,4 +1,4 @@
-"""Track what an agent promised, apart from the agent's own state."""
+"""Model what an agent has promised, independently of its own state."""
 
 from __future__ import annotations
 
@@ -18,40 +18,44 @@
     """Check every effect against what was promised before."""
 
     def __init__(self, agent: AgentDriver) -> None:
-        """Start with nothing promised."""
         self._agent = agent
-        self.seen: dict[int, tuple[int, str]] = {}
+        # The highest epoch of each partition and the entry that claimed it.
+        self.owners: dict[int, tuple[int, str]] = {}
         self.claimed: dict[str, set[int]] = {}
-        # Claims whose records the entry holds, on its present session.
-        self.answered: set[tuple[str, int, int]] = set()
+        # Claims (entry, partition, epoch) that were answered with records on
+        # the entry's present session.
+        self.answered_claims: set[tuple[str, int, int]] = set()
         self.credits: dict[str, int] = {}
         self.recalled: set[str] = set()
-        # Starts that an entry knows no end of, on its present session.
-        self.outstanding: set[tuple[str, messages.TaskKey]] = set()
+        # Starts sent on the entry's present session and not rejected there.
+        self.outstanding_starts: set[tuple[str, messages.TaskKey]] = set()
         self.accepted: set[messages.TaskKey] = set()
-        self.occupying: set[messages.TaskKey] = set()
+        # Tasks that take up capacity: waiting or running.
+        self.active: set[messages.TaskKey] = set()
         self.running: set[messages.TaskKey] = set()
         self.called: set[messages.TaskKey] = set()
-        self.barred: set[messages.TaskKey] = set()
+        self.never_started: set[messages.TaskKey] = set()
         self.reported: dict[messages.TaskKey, str] = {}
 
     def open_session(self, entry: str, session: str) -> None:
-        """Open a session in place of any earlier one."""
+        """Open a session, replacing any earlier one of the entry."""
         self.end_session(entry)
         self.credits[entry] = 0
         self.claimed[entry] = set()
         self._agent.connect(entry, session)
-        self.observe()
+        self.check_effects()
 
     def end_session(self, entry: str) -> None:
-        """Forget what was promised on a session."""
+        """Discard what was promised on the entry's session."""
         self.credits.pop(entry, None)
         self.claimed.pop(entry, None)
         self.recalled.discard(entry)
-        self.outstanding = {
-            pair for pair in self.outstanding if pair[0] != entry
+        self.outstanding_starts = {
+            pair for pair in self.outstanding_starts if pair[0] != entry
+        }
+        self.answered_claims = {
+            claim for claim in self.answered_claims if claim[0] != entry
         }
-        self.answered = {claim for claim in self.answered if claim[0] != entry}
 
     def deliver(
         self,
@@ -68,34 +72,34 @@
         if not valid:
             assert not self._agent.emitted(effects.Send)
         elif isinstance(message, messages.Claim):
-            self._note_claim(entry, message)
+            self._check_claim(entry, message)
         elif isinstance(message, messages.Start):
-            self._note_start(entry, message)
-        self.observe()
+            self._check_start(entry, message)
+        self.check_effects()
 
     def finish(self, key: messages.TaskKey, outcome: str) -> None:
-        """End an upstream call and check that the owner hears of it."""
-        first = key in self.running
+        """End an upstream call and check that its owner is notified."""
+        was_running = key in self.running
         self.running.discard(key)
-        self.occupying.discard(key)
+        self.active.discard(key)
         # A task already reported as unknown after its deadline stays accepted.
-        if first and outcome == 'not-run' and key not in self.reported:
+        if was_running and outcome == 'not-run' and key not in self.reported:
             self.accepted.discard(key)
         self._agent.finish(int.from_bytes(key[0][:4], 'big'), outcome)
         partition = partition_of(key[0])
-        owner = self.seen[partition][1]
+        owner = self.owners[partition][1]
         kind = messages.Rejected if outcome == 'not-run' else messages.Finished
-        if first and key not in self.reported:
-            present = partition in self.claimed.get(owner, ())
-            assert bool(self._agent.sent(kind, owner)) == present
-        self.observe()
+        if was_running and key not in self.reported:
+            owner_linked = partition in self.claimed.get(owner, ())
+            assert bool(self._agent.sent(kind, owner)) == owner_linked
+        self.check_effects()
 
-    def observe(self) -> None:
-        """Check and note every effect of the last event."""
+    def check_effects(self) -> None:
+        """Check and record every effect of the last event."""
         for effect in self._agent.effects:
             match effect:
                 case CallUpstream(task=key):
-                    assert key not in self.called | self.barred
+                    assert key not in self.called | self.never_started
                     self.called.add(key)
                     self.running.add(key)
                 case StopUpstreamCall(task=key):
@@ -103,27 +107,27 @@
                 case effects.CloseLink(peer=entry):
                     self.end_session(entry)
                 case effects.Send(peer=entry, message=message):
-                    self._observe_message(entry, message)
+                    self._check_message(entry, message)
 
-    def _note_claim(self, entry: str, message: messages.Claim) -> None:
+    def _check_claim(self, entry: str, message: messages.Claim) -> None:
         answer = self._agent.sent(messages.Records)[0]
         for partition, epoch in message.partitions:
-            stale = epoch < self.seen.get(partition, (0, ''))[0]
+            stale = epoch < self.owners.get(partition, (0, ''))[0]
             assert stale == (partition in answer.stale)
             if not stale:
-                self.seen[partition] = (epoch, entry)
+                self.owners[partition] = (epoch, entry)
                 self.claimed[entry].add(partition)
-                self.answered.add((entry, partition, epoch))
+                self.answered_claims.add((entry, partition, epoch))
         for record in answer.records:
             assert partition_of(record.submission) not in answer.stale
             if record.state not in {'waiting', 'running'}:
                 self.reported[(record.submission, record.task)] = entry
 
-    def _note_start(self, entry: str, message: messages.Start) -> None:
+    def _check_start(self, entry: str, message: messages.Start) -> None:
         key = (message.submission, message.task)
-        highest = self.seen.get(message.partition, (0, ''))[0]
+        highest = self.owners.get(message.partition, (0, ''))[0]
         if message.epoch > highest:
-            self.seen[message.partition] = (message.epoch, entry)
+            self.owners[message.partition] = (message.epoch, entry)
             self.claimed[entry].add(message.partition)
         if self._agent.emitted(effects.CloseLink):
             return
@@ -134,9 +138,9 @@
             assert not self._agent.emitted(CallUpstream)
             return
         self.accepted.add(key)
-        self.occupying.add(key)
+        self.active.add(key)
 
-    def _observe_message(self, entry: str, message: messages.Message) -> None:
+    def _check_message(self, entry: str, message: messages.Message) -> None:
         match message:
             case messages.Grant(credits=amount):
                 assert amount > 0
@@ -149,21 +153,21 @@
                 self.reported[(record.submission, record.task)] = entry
             case messages.Rejected(submission=submission, task=task):
                 key = (submission, task)
-                self._note_unstarted(entry, key, message.reason)
+                self._check_unstarted(entry, key, message.reason)
             case messages.Withdrawn(unstarted=keys):
-                for withdrawn in keys:
-                    self._note_unstarted(entry, withdrawn, 'withdrawn')
+                for withdrawn_key in keys:
+                    self._check_unstarted(entry, withdrawn_key, 'withdrawn')
 
-    def _note_unstarted(
+    def _check_unstarted(
         self,
         entry: str,
         key: messages.TaskKey,
         reason: str,
     ) -> None:
         assert key not in self.accepted & self.called
-        self.outstanding.discard((entry, key))
+        self.outstanding_starts.discard((entry, key))
         # A fenced start says nothing about starts by the present owner.
         if reason != 'stale-epoch':
-            self.barred.add(key)
+            self.never_started.add(key)
             self.accepted.discard(key)
-            self.occupying.discard(key)
+            self.active.discard(key)
--- a/tests/agent/test_agent_properties.py
+++ b/tests/agent/test_agent_properties.py
@@ -1,7 +1,7 @@
 """Check the agent under arbitrary interleavings of two entries.
 
-The model has a store that hands partitions over, two entries that believe
-what the store and the agent told them, and a second agent that runs tasks
+The model consists of a store that assigns partitions, two entries that act on
+what the store and the agent told them last, and a second agent that runs tasks
 which this agent provably has not started.
 """
 
@@ -24,12 +24,12 @@
 
 SLOTS = 2
 CAPACITY = 3
-NAMES = ('e1', 'e2')
+ENTRY_NAMES = ('e1', 'e2')
 # Tasks alternate between the partitions 1 and 2.
-NUMBERS = tuple(64 * (each // 2) + each % 2 + 1 for each in range(50))
+TASK_NUMBERS = tuple(64 * (index // 2) + index % 2 + 1 for index in range(50))
 PARTITIONS = (1, 2)
-entries = strategies.sampled_from(NAMES)
-# How many tasks ago a task was first named; 0 names a new one.
+entries = strategies.sampled_from(ENTRY_NAMES)
+# How many tasks ago a task was first used; 0 stands for a new task.
 ages = strategies.sampled_from((0, 0, 1, 1, 2, 3))
 positions = strategies.integers(0, 3)
 
@@ -38,18 +38,17 @@
     """Drive the reducer and check each effect against the model."""
 
     def __init__(self) -> None:
-        """Start with one partition for each entry."""
         super().__init__()
         self.agent = AgentDriver(slots=SLOTS, prefetch=CAPACITY - SLOTS)
         self.oracle = Oracle(self.agent)
         self.owner = {1: (1, 'e1'), 2: (1, 'e2')}
-        # The epoch of each partition that an entry believes to hold, or 0.
-        self.belief = {'e1': {1: 1, 2: 0}, 'e2': {1: 0, 2: 1}}
-        self.late: list[tuple[str, str, messages.Message]] = []
+        # The epoch in which an entry believes it owns a partition, or 0.
+        self.believed_epochs = {'e1': {1: 1, 2: 0}, 'e2': {1: 0, 2: 1}}
+        self.delayed: list[tuple[str, str, messages.Message]] = []
         self.sessions = 0
-        self.newest = 0
-        # Tasks that an entry has started at another agent.
-        self.placed: set[tuple[str, messages.TaskKey]] = set()
+        self.newest_index = 0
+        # Tasks that an entry has started on the other agent.
+        self.started_elsewhere: set[tuple[str, messages.TaskKey]] = set()
 
     @initialize(first=entries)
     def connect_both(self, first: str) -> None:
@@ -61,7 +60,9 @@
         """Open a session, or replace the open one, and claim."""
         self.sessions += 1
         self.oracle.open_session(entry, f's{self.sessions}')
-        claims = tuple(pair for pair in self.belief[entry].items() if pair[1])
+        claims = tuple(
+            pair for pair in self.believed_epochs[entry].items() if pair[1]
+        )
         self._send(entry, messages.Claim(1, claims))
 
     @rule(entry=entries, down=strategies.booleans())
@@ -70,7 +71,7 @@
         if down and entry in self.oracle.credits:
             self.oracle.end_session(entry)
             self.agent.disconnect(entry)
-            self.oracle.observe()
+            self.oracle.check_effects()
         else:
             self.connect(entry)
 
@@ -80,12 +81,12 @@
         late=strategies.booleans(),
     )
     def take_over(self, entry: str, partition: int, late: bool) -> None:
-        """Swap the owner in the store; the old owner does not notice."""
+        """Change the owner in the store; the former owner is not notified."""
         if self.owner[partition][1] == entry:
             return
         epoch = self.owner[partition][0] + 1
         self.owner[partition] = (epoch, entry)
-        self.belief[entry][partition] = epoch
+        self.believed_epochs[entry][partition] = epoch
         self._send(entry, messages.Claim(2, ((partition, epoch),)), late)
 
     @precondition(lambda machine: any(machine.oracle.credits.values()))
@@ -107,15 +108,15 @@
         """Send starts, at once or late, once or twice."""
         for age in tasks:
             key = self._key(age)
-            entry = self._starter(key)
+            entry = self._entry_to_start(key)
             if entry is None:
                 continue
             partition = partition_of(key[0])
-            self.oracle.outstanding.add((entry, key))
+            self.oracle.outstanding_starts.add((entry, key))
             message = messages.Start(
                 *key,
                 partition,
-                self.belief[entry][partition],
+                self.believed_epochs[entry][partition],
                 'cut',
                 b'',
                 deadline_ms,
@@ -143,20 +144,20 @@
     @precondition(lambda machine: machine.oracle.recalled)
     @rule(entry=entries, amount=strategies.integers(0, CAPACITY))
     def give_back(self, entry: str, amount: int) -> None:
-        """Return credits, as an answer to a recall or unasked."""
+        """Return credits, in answer to a recall or without one."""
         returned = min(amount, self.oracle.credits.get(entry, 0))
         if entry in self.oracle.credits:
             self._send(entry, messages.Return(returned))
 
-    @precondition(lambda machine: machine.late)
+    @precondition(lambda machine: machine.delayed)
     @rule(position=positions, keep=strategies.booleans())
     def deliver_late(self, position: int, keep: bool) -> None:
         """Deliver any delayed message, possibly again later."""
-        position = min(position, len(self.late) - 1)
-        late = self.late[position]
+        position = min(position, len(self.delayed) - 1)
+        delivery = self.delayed[position]
         if not keep:
-            self.late.pop(position)
-        self.oracle.deliver(*late)
+            self.delayed.pop(position)
+        self.oracle.deliver(*delivery)
 
     @precondition(lambda machine: machine.oracle.running)
     @rule(
@@ -165,70 +166,78 @@
         copies=strategies.sampled_from((1, 2)),
     )
     def finish(self, position: int, outcome: str, copies: int) -> None:
-        """End a running call; the event may be doubled."""
+        """End a running call; the event may be duplicated."""
         running = sorted(self.oracle.running)
         for _ in range(copies):
             self.oracle.finish(running[position % len(running)], outcome)
 
     @rule(entry=entries, age=ages)
     def run_elsewhere(self, entry: str, age: int) -> None:
-        """Start a task at another agent if it has provably not started."""
+        """Start a task on the other agent if it provably has not started."""
         key = self._key(age)
         partition = partition_of(key[0])
-        epoch = self.belief[entry][partition]
+        epoch = self.believed_epochs[entry][partition]
         if self.owner[partition] != (epoch, entry):
             return
-        if (entry, partition, epoch) not in self.oracle.answered:
+        if (entry, partition, epoch) not in self.oracle.answered_claims:
             return
-        known = self.oracle.accepted | self.oracle.called
-        if key not in known and (entry, key) not in self.oracle.outstanding:
+        started = self.oracle.accepted | self.oracle.called
+        if (
+            key not in started
+            and (entry, key) not in self.oracle.outstanding_starts
+        ):
             self.oracle.called.add(key)
-            self.placed.add((entry, key))
+            self.started_elsewhere.add((entry, key))
 
     @rule(seconds=strategies.sampled_from((0.1, 0.5, 2)))
     def pass_time(self, seconds: float) -> None:
-        """Let deadlines pass, but no record expire."""
+        """Advance the clock past deadlines, but not past retention times."""
         self.agent.advance(seconds)
-        self.oracle.observe()
+        self.oracle.check_effects()
 
     @invariant()
     def credits_fit_the_slots(self) -> None:
-        """Guard against promising more slots than there are."""
+        """Guard against granting more credits than there is capacity."""
         promised = sum(self.oracle.credits.values())
-        assert promised + len(self.oracle.occupying) <= CAPACITY
+        assert promised + len(self.oracle.active) <= CAPACITY
         assert len(self.oracle.running) <= SLOTS
 
     def teardown(self) -> None:
-        """Guard against an accepted task that its owner never hears of."""
+        """Guard against an accepted task that is not reported to its owner."""
         while self.oracle.running:
             self.oracle.finish(min(self.oracle.running), 'complete')
         self.oracle.reported.clear()
-        for entry in NAMES:
+        for entry in ENTRY_NAMES:
             self.connect(entry)
         for key in self.oracle.accepted:
             owner = self.owner[partition_of(key[0])][1]
             assert self.oracle.reported[key] == owner
         self.agent.drain()
-        for each in NAMES:
-            keys = tuple(map(task_key, NUMBERS))
-            self._send(each, messages.Acknowledge(keys))
-            self.give_back(each, CAPACITY)
+        for name in ENTRY_NAMES:
+            keys = tuple(map(task_key, TASK_NUMBERS))
+            self._send(name, messages.Acknowledge(keys))
+            self.give_back(name, CAPACITY)
         assert self.agent.state.exited
 
     def _key(self, age: int) -> messages.TaskKey:
-        self.newest += age == 0
-        return task_key(NUMBERS[max(0, self.newest - age) % len(NUMBERS)])
+        self.newest_index += age == 0
+        return task_key(
+            TASK_NUMBERS[max(0, self.newest_index - age) % len(TASK_NUMBERS)]
+        )
 
-    def _starter(self, key: messages.TaskKey) -> str | None:
-        """Return an entry that may start a task as far as it knows."""
+    def _entry_to_start(self, key: messages.TaskKey) -> str | None:
+        """Return an entry that may start a task according to its knowledge."""
         partition = partition_of(key[0])
-        known = self.oracle.called - self.oracle.accepted
-        for entry in NAMES:
-            epoch = self.belief[entry][partition]
-            if self.owner[partition] == (epoch, entry) and key in known:
+        not_accepted_here = self.oracle.called - self.oracle.accepted
+        for entry in ENTRY_NAMES:
+            epoch = self.believed_epochs[entry][partition]
+            if (
+                self.owner[partition] == (epoch, entry)
+                and key in not_accepted_here
+            ):
                 continue
-            # An entry never starts a task again that it has started itself.
-            if (entry, key) in self.placed:
+            # An entry does not repeat a start that it sent to the other agent.
+            if (entry, key) in self.started_elsewhere:
                 continue
             if epoch and self.oracle.credits.get(entry):
                 return entry
@@ -244,7 +253,7 @@
             return
         delivery = (entry, self.agent.sessions[entry], message)
         if late:
-            self.late.append(delivery)
+            self.delayed.append(delivery)
         else:
             self.oracle.deliver(*delivery)
 
