Reword the agent's tests of credits and delayed results

test_no_credits_before_the_claim_is_answered -> test_credits_follow_the_answer_to_a_claim test_recall_only_for_unmet_demand_and_never_twice -> test_recall_needs_unmet_demand_and_is_not_repeated test_equal_entries_take_turns -> test_entries_with_equal_demand_alternate test_credits_of_an_ended_session_are_granted_anew -> test_credits_of_an_ended_session_are_regranted test_results_leave_together -> test_results_of_a_job_are_reported_together test_holding_ends_in_time -> test_results_are_delayed_for_a_limited_time test_failures_leave_at_once -> test_failures_are_reported_at_once test_held_results_survive_the_link -> test_delayed_results_survive_the_session

--- a/tests/agent/agent_driver.py
+++ b/tests/agent/agent_driver.py
@@ -1,4 +1,4 @@
-"""Drive the agent reducer as the shell does."""
+"""Drive the agent reducer as the daemon's runtime does."""
 
 from __future__ import annotations
 
@@ -26,15 +26,15 @@
 
 
 def task_key(number: int) -> messages.TaskKey:
-    """Return a task key; numbers up to 63 name the partition too."""
+    """Return a task key; a number up to 63 is also the task's partition."""
     return (number.to_bytes(4, 'big') + bytes(12), 0)
 
 
 class AgentDriver:
-    """Drive the reducer as the shell does; sessions are named by entry."""
+    """Apply events to an agent and keep the effects of the last one."""
 
     def __init__(self, slots: int = 2, **limits: float) -> None:
-        """Create an agent without links."""
+        """Create an agent without sessions; `limits` override defaults."""
         identity = IDENTITY._replace(slots=slots)
         self.state = agent_state.new_state(
             identity,
@@ -82,7 +82,7 @@
         deadline_ms: int = 5000,
         idempotent: bool = False,
     ) -> list[AgentEffect]:
-        """Deliver a start."""
+        """Deliver the start of a single-task job."""
         key = task_key(number)
         return self.receive(
             entry,
@@ -119,16 +119,16 @@
         )
 
     def advance(self, seconds: float) -> list[AgentEffect]:
-        """Let time pass and tick."""
+        """Advance the clock and send a tick."""
         self.now += seconds
         return self._apply(events.Tick(self.now))
 
     def drain(self, timeout_s: float = 30) -> list[AgentEffect]:
-        """Ask for a graceful stop."""
+        """Request a graceful stop."""
         return self._apply(events.DrainRequested(self.now, timeout_s))
 
     def sent(self, kind: type, entry: str = '') -> list[messages.Message]:
-        """Return the messages of one kind that the last event sent."""
+        """Return the messages of one type that the last event sent."""
         return [
             effect.message
             for effect in self.effects
@@ -138,7 +138,7 @@
         ]
 
     def emitted(self, kind: type) -> list[AgentEffect]:
-        """Return the effects of one kind that the last event had."""
+        """Return the effects of one type that the last event had."""
         return [effect for effect in self.effects if isinstance(effect, kind)]
 
     def counted(self, name: str) -> int:
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -1,4 +1,4 @@
-"""Provide an agent that serves one entry."""
+"""Provide an agent with a session to one entry."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 @pytest.fixture
 def agent() -> AgentDriver:
-    """Return an agent with two slots and entry e1 holding all partitions."""
-    created = AgentDriver()
-    created.connect_and_claim('e1')
-    return created
+    """Return an agent with two slots whose partitions are all owned by e1."""
+    driver = AgentDriver()
+    driver.connect_and_claim('e1')
+    return driver
--- a/tests/agent/test_agent_credits.py
+++ b/tests/agent/test_agent_credits.py
@@ -13,8 +13,8 @@
     return {entry: link.credits for entry, link in agent.state.links.items()}
 
 
-def test_no_credits_before_the_claim_is_answered() -> None:
-    """Guard against starts by an entry that has not seen the records."""
+def test_credits_follow_the_answer_to_a_claim() -> None:
+    """Guard against starts by an entry that has not received the records."""
     agent = AgentDriver(slots=4, prefetch=1)
     agent.connect_and_claim('e1')
     order = [type(effect.message) for effect in agent.effects]
@@ -23,7 +23,7 @@
 
 
 def test_idle_credits_are_spread_when_an_entry_joins() -> None:
-    """Guard against a lone task that finds no credit at a new entry."""
+    """Guard against a new entry that has no credit for its first task."""
     agent = AgentDriver(slots=6)
     agent.connect_and_claim('e1')
     agent.connect_and_claim('e2')
@@ -61,7 +61,7 @@
     assert tuple(unused_credits(agent)[entry] for entry in entries) == expected
 
 
-def test_equal_entries_take_turns() -> None:
+def test_entries_with_equal_demand_alternate() -> None:
     """Guard against a fixed order that favours one of two equal entries."""
     agent = AgentDriver(slots=1)
     agent.connect_and_claim('e1')
@@ -71,7 +71,7 @@
     order = ''
     for number in range(6):
         entry = next(
-            each for each, amount in unused_credits(agent).items() if amount
+            name for name, amount in unused_credits(agent).items() if amount
         )
         order += entry[1]
         agent.start(entry, number)
@@ -79,8 +79,8 @@
     assert order in {'121212', '212121'}
 
 
-def test_recall_only_for_unmet_demand_and_never_twice() -> None:
-    """Guard against recalls that repeat without effect."""
+def test_recall_needs_unmet_demand_and_is_not_repeated() -> None:
+    """Guard against recalls that are repeated without effect."""
     agent = AgentDriver(slots=2)
     agent.connect_and_claim('e1')
     agent.connect_and_claim('e2')
@@ -104,8 +104,8 @@
     assert agent.sent(messages.Grant, 'e2') == [messages.Grant(1)]
 
 
-def test_credits_of_an_ended_session_are_granted_anew() -> None:
-    """Guard against slots that stay idle after an entry has gone."""
+def test_credits_of_an_ended_session_are_regranted() -> None:
+    """Guard against slots that stay idle after an entry disconnected."""
     agent = AgentDriver(slots=2)
     agent.connect_and_claim('e1')
     agent.connect_and_claim('e2')
--- a/tests/agent/test_agent_holding.py
+++ b/tests/agent/test_agent_holding.py
@@ -1,4 +1,4 @@
-"""Check when the agent holds results of large jobs back."""
+"""Check when the agent delays the results of large jobs."""
 
 from __future__ import annotations
 
@@ -46,28 +46,35 @@
     return reported
 
 
-def test_results_leave_together(busy_agent: AgentDriver) -> None:
+def test_results_of_a_job_are_reported_together(
+    busy_agent: AgentDriver,
+) -> None:
     """Guard against a frame for each result of a large job."""
     assert _finish(busy_agent, (0, 1, 2), 'complete') == []
     assert _finish(busy_agent, (3,), 'complete') == [0, 1, 2, 3]
-    assert sum(sent.credits for sent in busy_agent.sent(messages.Finished)) == 4
+    assert (
+        sum(message.credits for message in busy_agent.sent(messages.Finished))
+        == 4
+    )
 
 
-def test_holding_ends_in_time(busy_agent: AgentDriver) -> None:
-    """Guard against credits that stay away while work waits."""
+def test_results_are_delayed_for_a_limited_time(
+    busy_agent: AgentDriver,
+) -> None:
+    """Guard against entries that wait for credits while tasks are queued."""
     assert _finish(busy_agent, (0,), 'complete') == []
     busy_agent.advance(HOLD_S)
     assert len(busy_agent.sent(messages.Finished)) == 1
 
 
-def test_failures_leave_at_once(busy_agent: AgentDriver) -> None:
+def test_failures_are_reported_at_once(busy_agent: AgentDriver) -> None:
     """Guard against running the rest of a job that has failed."""
     assert _finish(busy_agent, (0,), 'complete') == []
     assert _finish(busy_agent, (1,), 'failed') == [0, 1]
 
 
 def test_other_entries_can_refuse_prefetching(busy_agent: AgentDriver) -> None:
-    """Guard against small jobs that wait for another entry's large ones."""
+    """Guard against small jobs that wait for another entry's large jobs."""
     assert busy_agent.state.capacity == 2 + _PREFETCH
     assert _finish(busy_agent, (0,), 'complete') == []
     busy_agent.connect_and_claim('e2')
@@ -76,7 +83,7 @@
     assert len(busy_agent.sent(messages.Finished, 'e1')) == 1
 
 
-def test_held_results_survive_the_link(busy_agent: AgentDriver) -> None:
+def test_delayed_results_survive_the_session(busy_agent: AgentDriver) -> None:
     """Guard against results that are lost with the session."""
     _finish(busy_agent, (0,), 'complete')
     busy_agent.disconnect('e1')
