Reword the agent's tests of records

test_released_results_stay_in_step_with_expiry -> test_result_size_stays_correct_as_records_expire locals: states, held -> records; each -> record or message; held_s -> retained_s

--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -15,7 +15,7 @@
 
 
 def test_claim_reports_claimed_records_and_stale_partitions() -> None:
-    """Guard against a takeover that misses a task or a newer owner."""
+    """Guard against a new owner that misses a task or a newer owner."""
     agent = AgentDriver(slots=3, prefetch=1)
     agent.connect_and_claim('e1', (3, 1), (4, 7), (5, 1))
     for number, epoch in ((3, 1), (4, 7), (5, 1)):
@@ -25,8 +25,10 @@
     agent.receive('e1', messages.Withdraw((task_key(5 + 64),)))
     agent.sessions['e2'] = 'e2-1'
     agent.connect_and_claim('e2', (3, 2), (4, 6), (5, 2))
-    answer = tuple(each.export() for each in agent.state.book.select((3, 5)))
-    assert [(each.submission, each.state) for each in answer] == [
+    answer = tuple(
+        record.export() for record in agent.state.book.select((3, 5))
+    )
+    assert [(record.submission, record.state) for record in answer] == [
         (KEY[0], 'complete'),
         (task_key(67)[0], 'running'),
         (task_key(5)[0], 'running'),
@@ -61,21 +63,21 @@
 
 
 @pytest.mark.parametrize(
-    ('acknowledged', 'held_s', 'counted'),
+    ('acknowledged', 'retained_s', 'counted'),
     [(True, 600, 0), (False, 1200, 1)],
 )
 def test_record_outlives_the_retention_window(
     agent: AgentDriver,
     acknowledged: bool,
-    held_s: float,
+    retained_s: float,
     counted: int,
 ) -> None:
-    """Guard against forgetting a task that may be started again."""
+    """Guard against dropping the record of a task that may be repeated."""
     agent.start('e1', 3)
     agent.finish(3)
     if acknowledged:
         agent.receive('e1', messages.Acknowledge((KEY,)))
-    agent.advance(held_s - 1)
+    agent.advance(retained_s - 1)
     agent.start('e1', 3)
     assert not agent.emitted(CallUpstream)
     agent.advance(1)
@@ -92,15 +94,15 @@
         agent.finish(number, result=b'12345')
         if number != 2:
             agent.receive('e1', messages.Acknowledge((task_key(number),)))
-    states = {
-        each.key[0][3]: each for each in agent.state.book.select(range(9))
+    records = {
+        record.key[0][3]: record for record in agent.state.book.select(range(9))
     }
-    assert [states[number].state for number in (1, 2, 3)] == [
+    assert [records[number].state for number in (1, 2, 3)] == [
         'released',
         'complete',
         'complete',
     ]
-    assert (states[1].result, len(states[1].digest)) == (b'', 16)
+    assert (records[1].result, len(records[1].digest)) == (b'', 16)
     agent.advance(600)
     assert agent.state.book.result_bytes == 5
 
@@ -125,7 +127,7 @@
     assert agent.emitted(effects.StateChanged)[0].name == 'record-limit-cleared'
 
 
-def test_released_results_stay_in_step_with_expiry() -> None:
+def test_result_size_stays_correct_as_records_expire() -> None:
     """Guard against a result size that drifts as records expire."""
     book = RecordBook(1, 100)
     agent = AgentDriver(slots=1)
@@ -136,14 +138,14 @@
         agent.finish(number, result=b'x' * (number % 3) * 9)
         agent.receive('e1', messages.Acknowledge((task_key(number),)))
         agent.advance(0.1)
-    held = book.select(range(64))
-    assert book.result_bytes == sum(len(each.result) for each in held)
+    records = book.select(range(64))
+    assert book.result_bytes == sum(len(record.result) for record in records)
     agent.advance(2)
     assert (len(book), book.result_bytes) == (0, 0)
 
 
 def test_results_beyond_one_page_follow_the_answer_to_a_claim() -> None:
-    """Guard against an answer that no link takes, and so ends each session."""
+    """Guard against an answer too large for a link, which ends the session."""
     agent = AgentDriver(page_bytes=10)
     agent.connect_and_claim('e1')
     for number in range(1, 6):
@@ -154,7 +156,7 @@
         agent.advance(1)
     agent.connect_and_claim('e1', session='e1-2')
     answer = agent.sent(messages.Records)[0].records
-    assert [(each.submission[3], each.state) for each in answer] == [
+    assert [(record.submission[3], record.state) for record in answer] == [
         (5, 'complete'),
         (4, 'complete'),
         (3, 'running'),
@@ -165,5 +167,5 @@
     for _ in range(3):
         agent.advance(0.1)
         finished = agent.sent(messages.Finished, 'e1')
-        pages.append([each.record.submission[3] for each in finished])
+        pages.append([message.record.submission[3] for message in finished])
     assert pages == [[3, 2, 1], [], []]
