Reword the agent's tests of tasks

test_unreached_upstream_is_a_rejection -> test_task_is_rejected_if_the_upstream_is_unreachable test_call_that_never_ends_is_unknown_and_keeps_its_slot -> test_overdue_call_is_unknown_and_keeps_its_slot local: name -> suffix

--- a/tests/agent/test_agent_tasks.py
+++ b/tests/agent/test_agent_tasks.py
@@ -1,4 +1,4 @@
-"""Check that starts run at most once and ends reach the present owner."""
+"""Check that a task starts at most once and its owner learns of the end."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
     agent: AgentDriver,
     outcome: str,
 ) -> None:
-    """Guard against a second run of a task, running or ended."""
+    """Guard against a second run of a running or ended task."""
     expected = 'unknown' if outcome == 'odd' else outcome
     agent.start('e1', 3)
     agent.start('e1', 3)
@@ -58,7 +58,7 @@
     epoch: int,
     deadline_ms: int,
 ) -> None:
-    """Guard against running what the entry is told will never run."""
+    """Guard against running a task that was reported as never started."""
     agent = AgentDriver()
     agent.connect_and_claim('e1', (3, 2))
     if reason == 'leaving':
@@ -66,8 +66,8 @@
     agent.start('e1', 3, epoch, deadline_ms)
     assert agent.sent(messages.Rejected) == [messages.Rejected(*KEY, reason)]
     assert not agent.emitted(CallUpstream)
-    name = reason.replace('-', '_')
-    assert agent.counted(f'rejected_{name}') == 1
+    suffix = reason.replace('-', '_')
+    assert agent.counted(f'rejected_{suffix}') == 1
 
 
 def test_refused_start_stays_refused_and_returns_its_credit(
@@ -103,7 +103,7 @@
 def test_two_owners_of_one_epoch_are_not_both_accepted(
     agent: AgentDriver,
 ) -> None:
-    """Guard against two entries that believe to hold one epoch."""
+    """Guard against two entries that claim a partition in the same epoch."""
     agent.connect_and_claim('e2', (3, 1), (4, 2))
     assert agent.state.ownership[3].entry == 'e1'
     assert agent.state.ownership[4].entry == 'e2'
@@ -119,7 +119,7 @@
     credits: int,
     reason: str,
 ) -> None:
-    """Guard against overbooking, and records in the wrong partition."""
+    """Guard against more starts than credits, and a wrong partition."""
     agent.receive('e1', messages.Return(2 - credits))
     agent.state.links['e1'].credits = credits
     agent.receive(
@@ -135,7 +135,7 @@
 
 
 def test_waiting_task_with_the_earliest_deadline_starts_first() -> None:
-    """Guard against a late task taking the slot of an urgent one."""
+    """Guard against a task that takes the slot of one with less time left."""
     agent = AgentDriver(slots=1, prefetch=2)
     agent.connect_and_claim('e1')
     agent.start('e1', 1)
@@ -150,7 +150,7 @@
 
 
 def test_waiting_task_past_its_deadline_is_rejected() -> None:
-    """Guard against starting work that nobody waits for."""
+    """Guard against starting a task whose caller no longer waits."""
     agent = AgentDriver(slots=1, prefetch=1)
     agent.connect_and_claim('e1')
     agent.start('e1', 1)
@@ -163,8 +163,8 @@
     assert not agent.emitted(CallUpstream)
 
 
-def test_call_that_never_ends_is_unknown_and_keeps_its_slot() -> None:
-    """Guard against overloading an upstream that still works on a task."""
+def test_overdue_call_is_unknown_and_keeps_its_slot() -> None:
+    """Guard against overloading an upstream that is still running a task."""
     agent = AgentDriver(slots=1)
     agent.connect_and_claim('e1')
     agent.start('e1', 3, deadline_ms=1000)
@@ -183,8 +183,10 @@
     assert agent.counted('late_upstream_results') == 1
 
 
-def test_unreached_upstream_is_a_rejection(agent: AgentDriver) -> None:
-    """Guard against reporting unstarted work as started."""
+def test_task_is_rejected_if_the_upstream_is_unreachable(
+    agent: AgentDriver,
+) -> None:
+    """Guard against reporting a task that never started as started."""
     agent.start('e1', 3)
     agent.finish(3, 'not-run', b'')
     assert agent.sent(messages.Rejected) == [messages.Rejected(*KEY, 'not-run')]
@@ -193,7 +195,7 @@
 
 
 def test_withdrawal_reports_what_had_started() -> None:
-    """Guard against "not run" answers for work that ran."""
+    """Guard against reporting a task that ran as not run."""
     agent = AgentDriver(slots=2, prefetch=1)
     agent.connect_and_claim('e1')
     agent.start('e1', 1, idempotent=True)
@@ -218,7 +220,7 @@
 def test_former_owner_can_neither_withdraw_nor_acknowledge(
     agent: AgentDriver,
 ) -> None:
-    """Guard against a fenced entry that undoes its successor's work."""
+    """Guard against a former owner that interferes with its successor."""
     agent.start('e1', 3, idempotent=True)
     agent.connect_and_claim('e2', (3, 2))
     agent.receive('e1', messages.Withdraw((KEY,)))
