Reword the tests of the policy

test_good_text_becomes_a_policy -> test_valid_text_becomes_a_policy test_any_text_is_answered_with_lines_inside_it -> test_findings_of_any_text_have_positions_in_it _GOOD -> _VALID_TEXT locals: found -> findings, outcome -> checked

--- a/tests/policy/test_checks.py
+++ b/tests/policy/test_checks.py
@@ -1,4 +1,4 @@
-"""Check that faulty operators' texts are reported whole and in place."""
+"""Check that all errors of a configuration are reported in place."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from savoryrudder.policy.text import MAX_TEXT_BYTES
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
-_GOOD = """
+_VALID_TEXT = """
 [services.pane]
 depends_on = ['stock']
 [services.pane.operations]
@@ -48,9 +48,9 @@
 ).map(''.join)
 
 
-def test_good_text_becomes_a_policy() -> None:
-    """Guard against lost values and a ceiling without its defaults."""
-    policy = check_text(_GOOD).ok
+def test_valid_text_becomes_a_policy() -> None:
+    """Guard against lost values and ceilings that lack their defaults."""
+    policy = check_text(_VALID_TEXT).ok
     client = policy.clients['shop']
     assert policy.services['pane'].depends_on == ('stock',)
     assert not policy.services['pane'].operations['cutting-plan'].idempotent
@@ -61,7 +61,7 @@
 
 
 def test_all_findings_are_reported_in_place() -> None:
-    """Guard against a type fault that hides the cross checks."""
+    """Guard against a type error that hides errors across tables."""
     text = r"""
 [services.pane]
 slots = 'many'
@@ -84,8 +84,8 @@
 hasty.share = 0.6
 [surplus]
 """
-    found = check_text(text).error
-    assert [(finding.line, finding.key) for finding in found] == [
+    findings = check_text(text).error
+    assert [(finding.line, finding.key) for finding in findings] == [
         (3, 'services.pane.slots'),
         (4, 'services.pane.operations.cut.idempotent'),
         (4, 'services.pane.operations.cut.expected_ms'),
@@ -99,8 +99,8 @@
         (20, 'urgency.hasty'),
         (21, 'surplus'),
     ]
-    assert 'a -> b -> a' in found[3].message
-    assert found[4].column == 20
+    assert 'a -> b -> a' in findings[3].message
+    assert findings[4].column == 20
 
 
 @pytest.mark.parametrize(
@@ -120,7 +120,7 @@
     line: int,
     message: str,
 ) -> None:
-    """Guard against exceptions and lost positions for unreadable text."""
+    """Guard against exceptions and missing positions for unreadable text."""
     findings = check_text(text).error
     assert [finding.line for finding in findings] == [line]
     assert message in findings[0].message
@@ -128,10 +128,10 @@
 
 @given(st.one_of(st.text(), _FRAGMENTS))
 @example(r'"\u0000" = 1')
-def test_any_text_is_answered_with_lines_inside_it(text: str) -> None:
+def test_findings_of_any_text_have_positions_in_it(text: str) -> None:
     """Guard against exceptions and positions outside the text."""
-    outcome = check_text(text)
-    findings = outcome.error if outcome.is_error() else ()
+    checked = check_text(text)
+    findings = checked.error if checked.is_error() else ()
     lines = text.count('\n') + 1
     assert all(1 <= finding.line <= lines for finding in findings)
     assert all(finding.column >= 1 for finding in findings)
--- a/tests/policy/test_diff.py
+++ b/tests/policy/test_diff.py
@@ -17,7 +17,7 @@
 
 
 def test_changes_name_keys_and_values() -> None:
-    """Guard against defaults that show as changes and lost removals."""
+    """Guard against defaults shown as changes, and removals that are lost."""
     new = _OLD.replace('slots = 1\n', '').replace('rate = 10', 'rate = 12')
     new = new.replace('operations.cut', 'operations.trim')
     changes = compare(check_text(_OLD).ok, check_text(new).ok)
