Reword the agent's tests of sessions

test_drain_waits_for_starts_that_may_be_on_their_way -> test_drain_waits_for_starts_that_may_be_in_flight test_an_entry_can_ask_for_the_stop -> test_entry_can_request_a_drain test_session_opens_with_a_hello -> test_session_opens_with_hello

--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -15,7 +15,7 @@
 
 
 def test_claim_reports_claimed_records_and_stale_partitions() -> None:
-    """Guard against a new owner that misses a task or a newer owner."""
+    """Guard against an answer that lacks a task or a newer owner."""
     agent = AgentDriver(slots=3, prefetch=1)
     agent.connect_and_claim('e1', (3, 1), (4, 7), (5, 1))
     for number, epoch in ((3, 1), (4, 7), (5, 1)):
@@ -72,7 +72,7 @@
     retained_s: float,
     counted: int,
 ) -> None:
-    """Guard against dropping the record of a task that may be repeated."""
+    """Guard against dropping a record while the start may be repeated."""
     agent.start('e1', 3)
     agent.finish(3)
     if acknowledged:
--- a/tests/agent/test_agent_sessions.py
+++ b/tests/agent/test_agent_sessions.py
@@ -1,4 +1,4 @@
-"""Check configuration, planned stop and the session greeting."""
+"""Check configuration updates, graceful stops and the Hello message."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from savoryrudder.utils import effects
 
 
-def test_session_opens_with_a_hello() -> None:
+def test_session_opens_with_hello() -> None:
     """Guard against an entry that does not know the agent's slots."""
     agent = AgentDriver(slots=7)
     agent.connect_and_claim('e1')
@@ -34,7 +34,7 @@
 def test_configuration_is_fetched_once_and_never_reverts(
     agent: AgentDriver,
 ) -> None:
-    """Guard against fetch storms and against falling back to old terms."""
+    """Guard against repeated fetches and a return to an older revision."""
     agent.connect_and_claim('e2')
     requests = 0
     for entry in ('e1', 'e1', 'e2'):
@@ -52,7 +52,7 @@
 def test_false_announcement_is_not_fetched_in_a_loop(
     agent: AgentDriver,
 ) -> None:
-    """Guard against an endless exchange with an entry that lags itself."""
+    """Guard against a fetch loop with an entry that lacks what it announces."""
     agent.connect_and_claim('e2')
     agent.receive('e1', messages.Heartbeat(), revision=5)
     agent.receive('e1', messages.Config(3, 'three'), revision=5)
@@ -76,13 +76,13 @@
     agent: AgentDriver,
     message: messages.Message,
 ) -> None:
-    """Guard against waste that the metrics do not show."""
+    """Guard against useless messages that the metrics do not show."""
     agent.receive('e1', message)
     assert agent.effects == [effects.Count('wasted_messages', 1)]
 
 
 def test_drain_finishes_running_work_and_delivers_it() -> None:
-    """Guard against a planned stop that interrupts a request."""
+    """Guard against a graceful stop that interrupts an upstream call."""
     agent = AgentDriver(slots=1, prefetch=2)
     agent.connect_and_claim('e1')
     agent.start('e1', 1)
@@ -105,10 +105,10 @@
     assert not agent.emitted(effects.Exit)
 
 
-def test_drain_waits_for_starts_that_may_be_on_their_way(
+def test_drain_waits_for_starts_that_may_be_in_flight(
     agent: AgentDriver,
 ) -> None:
-    """Guard against leaving a crossing start without an answer."""
+    """Guard against a start in flight that gets no answer."""
     agent.drain()
     assert not agent.emitted(effects.Exit)
     agent.receive('e1', messages.Return(2))
@@ -118,7 +118,7 @@
 def test_stop_timeout_ends_the_drain_and_logs_what_is_left(
     agent: AgentDriver,
 ) -> None:
-    """Guard against an agent that never stops while its owner is gone."""
+    """Guard against an agent that never stops while an owner is absent."""
     agent.start('e1', 1)
     agent.start('e1', 2, deadline_ms=50_000)
     agent.disconnect('e1')
@@ -136,8 +136,8 @@
     ]
 
 
-def test_an_entry_can_ask_for_the_stop(agent: AgentDriver) -> None:
-    """Guard against an operator's drain that an agent ignores."""
+def test_entry_can_request_a_drain(agent: AgentDriver) -> None:
+    """Guard against an agent that ignores an operator's drain request."""
     agent.connect_and_claim('e1')
     agent.receive('e1', messages.Leaving())
     assert agent.sent(messages.Leaving, 'e1')
