--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -33,9 +33,7 @@
     """
     granted = Counter[str]()
     for _ in range(free_credits(state)):
-        entry = _entry_furthest_below_share(
-            state
-        ) or _entry_with_fewest_credits(state)
+        entry = _entry_below_share(state) or _entry_with_fewest_credits(state)
         if entry is None:
             break
         link = state.links[entry]
@@ -84,7 +82,7 @@
     return returned
 
 
-def _entry_furthest_below_share(state: AgentState) -> str | None:
+def _entry_below_share(state: AgentState) -> str | None:
     """Return the entry with unmet demand furthest below its share of slots.
 
     Granting one credit at a time to the largest deficit amounts to the
@@ -134,8 +132,8 @@
 ) -> dict[str, int]:
     """Open recalls for the needed credits that no open recall covers.
 
-    An entry keeps its `min_kept` credits and, unless the agent is draining,
-    as many as it has queued tasks.
+    An entry keeps at least `min_kept` credits and, unless the agent is
+    draining, one for each queued task.
     """
     opened: dict[str, int] = {}
     needed -= sum(link.recalled for link in state.links.values())
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -286,7 +286,7 @@
     entry: str,
     message: messages.Leaving,
 ) -> None:
-    """Drain the agent; an entry passes on an operator's request."""
+    """Drain the agent; an entry has passed on an operator's request."""
     request = events.DrainRequested(turn.now, state.limits.stop_timeout_s)
     _handle_drain(state, turn, request)
 
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -51,7 +51,7 @@
 
 
 class Ownership(NamedTuple):
-    """Identify the entry that owns a partition and the epoch it owns it in."""
+    """Identify the owner of a partition and the epoch of its ownership."""
 
     epoch: int
     entry: str
@@ -122,14 +122,8 @@
         A single entry cannot request prefetching, because it makes the tasks
         of the others wait.
         """
-        requested_counts = [
-            link.prefetch for link in self.links.values() if link.ready
-        ]
-        return (
-            min(*requested_counts, self.limits.max_prefetch)
-            if requested_counts
-            else 0
-        )
+        requests = [link.prefetch for link in self.links.values() if link.ready]
+        return min(*requests, self.limits.max_prefetch) if requests else 0
 
     @property
     def capacity(self) -> int:
