Rename agent.holding to agent.report_delay

module agent.holding -> agent.report_delay test_agent_holding -> test_agent_report_delay hold_reports -> delay_reports HOLD_S -> MAX_REPORT_DELAY_S AgentState.held -> delayed_reports AgentState.held_until -> delayed_until

--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -11,8 +11,8 @@
 from savoryrudder.agent import credits as credit_rules
 from savoryrudder.agent import events
 from savoryrudder.agent import tasks
-from savoryrudder.agent.holding import hold_reports
 from savoryrudder.agent.records import split_by_size
+from savoryrudder.agent.report_delay import delay_reports
 from savoryrudder.agent.state import Link
 from savoryrudder.agent.turn import Turn
 from savoryrudder.protocol import messages
@@ -37,7 +37,7 @@
     _EVENT_HANDLERS[type(event)](state, turn, event)
     if turn.unbalanced:
         tasks.fill_slots(state, turn)
-        if not hold_reports(state, turn):
+        if not delay_reports(state, turn):
             _grant_credits(state, turn)
     else:
         _send_reports(turn, {})
--- a/src/savoryrudder/agent/holding.py
+++ b/src/savoryrudder/agent/report_delay.py
@@ -10,12 +10,12 @@
     from savoryrudder.agent.turn import Turn
 
 # Shorter than the prefetched tasks take to run, so that no slot goes idle.
-HOLD_S: Final = 0.25
+MAX_REPORT_DELAY_S: Final = 0.25
 
 _COMPLETE: Final = 'complete'
 
 
-def hold_reports(state: AgentState, turn: Turn) -> bool:
+def delay_reports(state: AgentState, turn: Turn) -> bool:
     """Delay the reports of this turn, or add the delayed ones to them.
 
     Return whether credits have to be delayed as well, since granting them
@@ -25,17 +25,21 @@
     if (
         flush_now
         or not _may_delay(state, turn)
-        or (state.held and turn.now >= state.held_until)
+        or (state.delayed_reports and turn.now >= state.delayed_until)
     ):
-        delayed = [report for report in state.held if report[0] in state.links]
+        delayed = [
+            report
+            for report in state.delayed_reports
+            if report[0] in state.links
+        ]
         turn.reports = delayed + turn.reports
-        state.held = []
+        state.delayed_reports = []
         return False
-    if turn.reports and not state.held:
-        state.held_until = turn.now + HOLD_S
-    state.held += turn.reports
+    if turn.reports and not state.delayed_reports:
+        state.delayed_until = turn.now + MAX_REPORT_DELAY_S
+    state.delayed_reports += turn.reports
     turn.reports = []
-    return bool(state.held)
+    return bool(state.delayed_reports)
 
 
 def _may_delay(state: AgentState, turn: Turn) -> bool:
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -89,7 +89,7 @@
 
     `calls` are the tasks whose upstream call is in progress, `waiting` the
     accepted tasks without a slot; `occupied` counts both for each entry.
-    `held` are the delayed reports, which go out at `held_until`.
+    `delayed_reports` are the delayed reports, which go out at `delayed_until`.
     """
 
     identity: Identity
@@ -100,8 +100,8 @@
     calls: dict[TaskKey, Record] = field(default_factory=dict)
     waiting: dict[TaskKey, Record] = field(default_factory=dict)
     occupied: dict[str, int] = field(default_factory=dict)
-    held: list[tuple[str, Record]] = field(default_factory=list)
-    held_until: float = 0
+    delayed_reports: list[tuple[str, Record]] = field(default_factory=list)
+    delayed_until: float = 0
     grants: int = 0
     limit_reached: bool = False
     revision: int = 0
--- a/tests/agent/test_agent_holding.py
+++ b/tests/agent/test_agent_report_delay.py
@@ -8,7 +8,7 @@
 from agent_driver import AgentDriver
 from agent_driver import task_key
 
-from savoryrudder.agent.holding import HOLD_S
+from savoryrudder.agent.report_delay import MAX_REPORT_DELAY_S
 from savoryrudder.protocol import messages
 
 if TYPE_CHECKING:
@@ -63,7 +63,7 @@
 ) -> None:
     """Guard against entries that wait for credits while tasks are queued."""
     assert _finish(busy_agent, (0,), 'complete') == []
-    busy_agent.advance(HOLD_S)
+    busy_agent.advance(MAX_REPORT_DELAY_S)
     assert len(busy_agent.sent(messages.Finished)) == 1
 
 
@@ -88,6 +88,6 @@
     _finish(busy_agent, (0,), 'complete')
     busy_agent.disconnect('e1')
     busy_agent.connect_and_claim('e1', session='e1-2')
-    busy_agent.advance(HOLD_S)
+    busy_agent.advance(MAX_REPORT_DELAY_S)
     records = busy_agent.state.book.select(range(64))
     assert [record.state for record in records].count('complete') == 1
