--- a/bench/agent_cost.py
+++ b/bench/agent_cost.py
@@ -55,7 +55,7 @@
     _run_tasks(state, 0, count)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return (used - state.book.result_bytes) / count
+    return (used - state.records.result_bytes) / count
 
 
 def _agent() -> AgentState:
--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -21,7 +21,7 @@
         return 0
     granted = state.granted
     in_use = granted + len(state.calls) + len(state.waiting)
-    free_records = state.limits.max_records - len(state.book) - granted
+    free_records = state.limits.max_records - len(state.records) - granted
     return max(0, min(state.capacity - in_use, free_records))
 
 
--- a/src/savoryrudder/agent/records.py
+++ b/src/savoryrudder/agent/records.py
@@ -96,7 +96,7 @@
     return bool(record.result), record.acknowledged, -record.expires_at
 
 
-class RecordBook:
+class RecordTable:
     """Hold all records by partition and bound their age and size."""
 
     def __init__(self, retention_s: float, result_bytes_limit: int) -> None:
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -68,7 +68,7 @@
 def _exit_when_drained(state: AgentState, turn: Turn) -> None:
     if state.exited:
         return
-    unfinished = len(state.calls) + state.book.undelivered
+    unfinished = len(state.calls) + state.records.undelivered
     # While credits are outstanding, a start may still be in flight.
     if unfinished + state.granted and turn.now < state.exit_at:
         return
@@ -76,7 +76,7 @@
         turn.log(
             'stop-timeout',
             running=len(state.calls),
-            undelivered=state.book.undelivered,
+            undelivered=state.records.undelivered,
         )
     state.exited = True
     turn.effects.append(Exit())
@@ -182,7 +182,7 @@
 ) -> None:
     link = state.links[entry]
     sent, withheld = split_by_size(
-        state.book.select(accepted),
+        state.records.select(accepted),
         state.limits.page_bytes,
     )
     exported = [record.export() for record in sent]
@@ -266,7 +266,7 @@
 def _handle_tick(state: AgentState, turn: Turn, event: events.Tick) -> None:
     tasks.check_deadlines(state, turn)
     _send_withheld(state, turn)
-    dropped = state.book.expire(turn.now)
+    dropped = state.records.expire(turn.now)
     if dropped:
         turn.count('results_dropped', dropped)
     if state.at_limit != state.limit_reached:
@@ -274,8 +274,8 @@
         transition = 'reached' if state.at_limit else 'cleared'
         turn.log(
             f'record-limit-{transition}',
-            records=len(state.book),
-            result_bytes=state.book.result_bytes,
+            records=len(state.records),
+            result_bytes=state.records.result_bytes,
         )
     turn.unbalanced = True
 
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from savoryrudder.agent.records import Record
-from savoryrudder.agent.records import RecordBook
+from savoryrudder.agent.records import RecordTable
 from savoryrudder.protocol.messages import Hello
 from savoryrudder.protocol.messages import TaskKey
 
@@ -94,7 +94,7 @@
 
     identity: Identity
     limits: Limits
-    book: RecordBook
+    records: RecordTable
     links: dict[str, Link] = field(default_factory=dict)
     ownership: dict[int, Ownership] = field(default_factory=dict)
     calls: dict[TaskKey, Record] = field(default_factory=dict)
@@ -140,8 +140,8 @@
     def at_limit(self) -> bool:
         """Return whether the limit on records or results is reached."""
         return (
-            len(self.book) >= self.limits.max_records
-            or self.book.result_bytes > self.limits.max_result_bytes
+            len(self.records) >= self.limits.max_records
+            or self.records.result_bytes > self.limits.max_result_bytes
         )
 
     def owns(self, entry: str, partition: int) -> bool:
@@ -183,5 +183,5 @@
 
 def new_state(identity: Identity, limits: Limits) -> AgentState:
     """Return the initial state of an agent."""
-    book = RecordBook(limits.retention_s, limits.max_result_bytes)
-    return AgentState(identity, limits, book)
+    records = RecordTable(limits.retention_s, limits.max_result_bytes)
+    return AgentState(identity, limits, records)
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -44,7 +44,7 @@
         return
     had_credit = link.credits > 0
     link.credits -= had_credit
-    record = state.book.find(key)
+    record = state.records.find(key)
     if not _accept_epoch(state, turn, entry, message):
         turn.unbalanced = True
         # A rejection states that the task never started, which is wrong if
@@ -62,7 +62,7 @@
         return
     reason = _refusal_reason(state, message)
     if reason:
-        state.book.refuse(key, turn.now, reason)
+        state.records.refuse(key, turn.now, reason)
         _send_rejection(turn, entry, key, reason)
         return
     _accept_task(state, turn, entry, message)
@@ -117,7 +117,7 @@
         turn.count('late_upstream_results')
         return
     if event.outcome == 'not-run':
-        state.book.refuse(record.key, turn.now, event.outcome)
+        state.records.refuse(record.key, turn.now, event.outcome)
         _reject_to_owner(state, turn, record.key, event.outcome)
         return
     outcome = event.outcome if event.outcome in ENDED else UNKNOWN
@@ -133,7 +133,7 @@
 ) -> None:
     """Record which results the owner holds."""
     acknowledged_count = sum(
-        state.book.acknowledge(key, turn.now)
+        state.records.acknowledge(key, turn.now)
         for key in message.tasks
         if state.owns(entry, partition_of(key[0]))
     )
@@ -168,9 +168,9 @@
     if not state.owns(entry, partition_of(key[0])):
         # A former owner must not stop tasks that the present owner relies on.
         return False
-    record = state.book.find(key)
+    record = state.records.find(key)
     if record is None:
-        state.book.refuse(key, turn.now, 'withdrawn')
+        state.records.refuse(key, turn.now, 'withdrawn')
         return True
     if record.state == WAITING:
         _remove_waiting(state, turn, record, 'withdrawn')
@@ -250,7 +250,7 @@
     )
     key = (message.submission, message.task)
     record = Record(key, entry, WAITING, call)
-    state.book.add(record)
+    state.records.add(record)
     state.occupy(entry)
     if len(state.calls) < state.identity.slots:
         _call_upstream(state, turn, record)
@@ -289,7 +289,7 @@
     assert call
     duration = turn.now - call.started_at
     record.duration_ms = round(duration * MS_PER_S)
-    state.book.end(record, turn.now, outcome, result, reason)
+    state.records.end(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
     owner = state.receiver(partition_of(record.key[0]))
     if owner:
@@ -304,7 +304,7 @@
 ) -> None:
     state.waiting.pop(record.key)
     state.vacate(record.entry)
-    state.book.refuse(record.key, turn.now, reason)
+    state.records.refuse(record.key, turn.now, reason)
     turn.unbalanced = True
 
 
--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -7,7 +7,7 @@
 from agent_driver import task_key
 
 from savoryrudder.agent.effects import CallUpstream
-from savoryrudder.agent.records import RecordBook
+from savoryrudder.agent.records import RecordTable
 from savoryrudder.protocol import messages
 from savoryrudder.utils import effects
 
@@ -26,7 +26,7 @@
     agent.sessions['e2'] = 'e2-1'
     agent.connect_and_claim('e2', (3, 2), (4, 6), (5, 2))
     answer = tuple(
-        record.export() for record in agent.state.book.select((3, 5))
+        record.export() for record in agent.state.records.select((3, 5))
     )
     assert [(record.submission, record.state) for record in answer] == [
         (KEY[0], 'complete'),
@@ -81,7 +81,7 @@
     agent.start('e1', 3)
     assert not agent.emitted(CallUpstream)
     agent.advance(1)
-    assert not len(agent.state.book)
+    assert not len(agent.state.records)
     assert agent.counted('results_dropped') == counted
 
 
@@ -95,7 +95,8 @@
         if number != 2:
             agent.receive('e1', messages.Acknowledge((task_key(number),)))
     records = {
-        record.key[0][3]: record for record in agent.state.book.select(range(9))
+        record.key[0][3]: record
+        for record in agent.state.records.select(range(9))
     }
     assert [records[number].state for number in (1, 2, 3)] == [
         'released',
@@ -104,7 +105,7 @@
     ]
     assert (records[1].result, len(records[1].digest)) == (b'', 16)
     agent.advance(600)
-    assert agent.state.book.result_bytes == 5
+    assert agent.state.records.result_bytes == 5
 
 
 @pytest.mark.parametrize(
@@ -129,19 +130,19 @@
 
 def test_result_size_stays_correct_as_records_expire() -> None:
     """Guard against a result size that drifts as records expire."""
-    book = RecordBook(1, 100)
+    table = RecordTable(1, 100)
     agent = AgentDriver(slots=1)
-    agent.state.book = book
+    agent.state.records = table
     agent.connect_and_claim('e1')
     for number in range(30):
         agent.start('e1', number)
         agent.finish(number, result=b'x' * (number % 3) * 9)
         agent.receive('e1', messages.Acknowledge((task_key(number),)))
         agent.advance(0.1)
-    records = book.select(range(64))
-    assert book.result_bytes == sum(len(record.result) for record in records)
+    records = table.select(range(64))
+    assert table.result_bytes == sum(len(record.result) for record in records)
     agent.advance(2)
-    assert (len(book), book.result_bytes) == (0, 0)
+    assert (len(table), table.result_bytes) == (0, 0)
 
 
 def test_results_beyond_one_page_follow_the_answer_to_a_claim() -> None:
--- a/tests/agent/test_agent_report_delay.py
+++ b/tests/agent/test_agent_report_delay.py
@@ -89,5 +89,5 @@
     busy_agent.disconnect('e1')
     busy_agent.connect_and_claim('e1', session='e1-2')
     busy_agent.advance(MAX_REPORT_DELAY_S)
-    records = busy_agent.state.book.select(range(64))
+    records = busy_agent.state.records.select(range(64))
     assert [record.state for record in records].count('complete') == 1
--- a/tests/agent/test_agent_tasks.py
+++ b/tests/agent/test_agent_tasks.py
@@ -175,7 +175,7 @@
     assert (finished.record.state, finished.credits) == ('unknown', 0)
     agent.receive('e1', messages.Acknowledge((KEY,)))
     agent.advance(700)
-    assert agent.state.book.find(KEY).state == 'unknown'
+    assert agent.state.records.find(KEY).state == 'unknown'
     agent.finish(3)
     assert agent.sent(messages.Grant) == [messages.Grant(1)]
     assert not agent.sent(messages.Finished)
@@ -229,6 +229,6 @@
     agent.finish(3)
     assert agent.sent(messages.Finished, 'e2')
     agent.receive('e1', messages.Acknowledge((KEY,)))
-    assert agent.state.book.undelivered == 1
+    assert agent.state.records.undelivered == 1
     agent.receive('e2', messages.Acknowledge((KEY,)))
-    assert agent.state.book.undelivered == 0
+    assert agent.state.records.undelivered == 0
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -13,7 +13,7 @@
 from scenario import refuse_some
 
 from savoryrudder.agent import state as agent_state
-from savoryrudder.agent.records import RecordBook
+from savoryrudder.agent.records import RecordTable
 from savoryrudder.entry import agents
 from savoryrudder.entry import answers
 from savoryrudder.entry import configuration
@@ -163,7 +163,7 @@
 
 
 def _without_records(patch: Patch) -> None:
-    patch.setattr(RecordBook, 'select', lambda *_: ())
+    patch.setattr(RecordTable, 'select', lambda *_: ())
 
 
 def _without_lease_deadline(patch: Patch) -> None:
