--- a/src/savoryrudder/agent/records.py
+++ b/src/savoryrudder/agent/records.py
@@ -28,7 +28,7 @@
 ENDED: Final = frozenset(('complete', 'failed', UNKNOWN, RELEASED))
 
 
-class Call(msgspec.Struct, gc=False):
+class UpstreamCall(msgspec.Struct, gc=False):
     """Hold the parameters and state of a task's upstream call."""
 
     operation: str
@@ -48,7 +48,7 @@
     key: TaskKey
     entry: str
     state: str
-    call: Call | None = None
+    call: UpstreamCall | None = None
     result: bytes = b''
     digest: bytes = b''
     reason: str = ''
@@ -56,7 +56,7 @@
     acknowledged: bool = False
     expires_at: float = inf
 
-    def export(self, *, withheld: bool = False) -> TaskRecord:
+    def to_message(self, *, withheld: bool = False) -> TaskRecord:
         """Return the record as the message that is sent to entries.
 
         A withheld record is reported as running; its end is sent later.
@@ -143,7 +143,7 @@
         self._partitions.setdefault(partition, {})[record.key] = record
         self._count += 1
 
-    def end(
+    def finish(
         self,
         record: Record,
         now: float,
@@ -161,7 +161,7 @@
         self._unacknowledged[record.key] = record
         self._release_results()
 
-    def refuse(self, key: TaskKey, now: float, reason: str) -> None:
+    def mark_unstarted(self, key: TaskKey, now: float, reason: str) -> None:
         """Record that a task has not started and must never start."""
         record = self.find(key)
         if record is None:
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -57,7 +57,7 @@
 def _send_reports(turn: Turn, granted: dict[str, int]) -> None:
     for entry, record in turn.reports:
         amount = granted.pop(entry, 0)
-        turn.send(entry, messages.Finished(record.export(), amount))
+        turn.send(entry, messages.Finished(record.to_message(), amount))
 
 
 def _send_recalls(turn: Turn, recalls: dict[str, int]) -> None:
@@ -185,8 +185,8 @@
         state.records.select(accepted),
         state.limits.page_bytes,
     )
-    exported = [record.export() for record in sent]
-    exported += [record.export(withheld=True) for record in withheld]
+    exported = [record.to_message() for record in sent]
+    exported += [record.to_message(withheld=True) for record in withheld]
     turn.send(entry, messages.Records(request, tuple(exported), tuple(stale)))
     link.withheld.extend(withheld)
 
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -12,8 +12,8 @@
 from savoryrudder.agent.records import UNKNOWN
 from savoryrudder.agent.records import UNSTARTED
 from savoryrudder.agent.records import WAITING
-from savoryrudder.agent.records import Call
 from savoryrudder.agent.records import Record
+from savoryrudder.agent.records import UpstreamCall
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.identifiers import partition_of
@@ -62,14 +62,14 @@
         return
     reason = _refusal_reason(state, message)
     if reason:
-        state.records.refuse(key, turn.now, reason)
+        state.records.mark_unstarted(key, turn.now, reason)
         _send_rejection(turn, entry, key, reason)
         return
     _accept_task(state, turn, entry, message)
 
 
 def fill_slots(state: AgentState, turn: Turn) -> None:
-    """Call the upstream for waiting tasks, earliest deadline first."""
+    """UpstreamCall the upstream for waiting tasks, earliest deadline first."""
     while state.waiting and len(state.calls) < state.identity.slots:
         record = min(state.waiting.values(), key=_deadline_of)
         if _deadline_of(record) <= turn.now:
@@ -117,7 +117,7 @@
         turn.count('late_upstream_results')
         return
     if event.outcome == 'not-run':
-        state.records.refuse(record.key, turn.now, event.outcome)
+        state.records.mark_unstarted(record.key, turn.now, event.outcome)
         _reject_to_owner(state, turn, record.key, event.outcome)
         return
     outcome = event.outcome if event.outcome in ENDED else UNKNOWN
@@ -170,7 +170,7 @@
         return False
     record = state.records.find(key)
     if record is None:
-        state.records.refuse(key, turn.now, 'withdrawn')
+        state.records.mark_unstarted(key, turn.now, 'withdrawn')
         return True
     if record.state == WAITING:
         _remove_waiting(state, turn, record, 'withdrawn')
@@ -241,7 +241,7 @@
     entry: str,
     message: messages.Start,
 ) -> None:
-    call = Call(
+    call = UpstreamCall(
         message.operation,
         message.payload,
         turn.now + message.deadline_ms / MS_PER_S,
@@ -289,7 +289,7 @@
     assert call
     duration = turn.now - call.started_at
     record.duration_ms = round(duration * MS_PER_S)
-    state.records.end(record, turn.now, outcome, result, reason)
+    state.records.finish(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
     owner = state.receiver(partition_of(record.key[0]))
     if owner:
@@ -304,7 +304,7 @@
 ) -> None:
     state.waiting.pop(record.key)
     state.vacate(record.entry)
-    state.records.refuse(record.key, turn.now, reason)
+    state.records.mark_unstarted(record.key, turn.now, reason)
     turn.unbalanced = True
 
 
--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -26,7 +26,7 @@
     agent.sessions['e2'] = 'e2-1'
     agent.connect_and_claim('e2', (3, 2), (4, 6), (5, 2))
     answer = tuple(
-        record.export() for record in agent.state.records.select((3, 5))
+        record.to_message() for record in agent.state.records.select((3, 5))
     )
     assert [(record.submission, record.state) for record in answer] == [
         (KEY[0], 'complete'),
