--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -1,4 +1,4 @@
-"""Split the agent's slots among entries as credits."""
+"""Allocate the agent's slots to entries as credits."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
     from savoryrudder.agent.state import AgentState
     from savoryrudder.agent.state import Link
 
-# Pause after a recall that returned nothing, so that it is not repeated at
-# the speed of the network.
-_RECALL_PAUSE_S: Final = 1.0
+# Delay after a recall that returned nothing; without it, recalls would repeat
+# as fast as the network carries them.
+_RECALL_RETRY_DELAY_S: Final = 1.0
 
 
 def free_credits(state: AgentState) -> int:
@@ -21,20 +21,19 @@
         return 0
     granted = state.granted
     in_use = granted + len(state.calls) + len(state.waiting)
-    room = state.limits.max_records - len(state.book) - granted
-    return max(0, min(state.capacity - in_use, room))
+    free_records = state.limits.max_records - len(state.records) - granted
+    return max(0, min(state.capacity - in_use, free_records))
 
 
 def grant(state: AgentState) -> Counter[str]:
-    """Grant all free credits and return the number for each entry.
+    """Grant all free credits and return the number granted to each entry.
 
-    Entries with queued tasks come first, the one furthest below its share
-    before the others; the rest is spread so that idle entries hold equally
-    many.
+    Entries with queued tasks come first, starting with the one furthest below
+    its share. Remaining credits are split evenly among all entries.
     """
     granted = Counter[str]()
     for _ in range(free_credits(state)):
-        entry = _neediest(state) or _least_supplied(state)
+        entry = _entry_below_share(state) or _entry_with_fewest_credits(state)
         if entry is None:
             break
         link = state.links[entry]
@@ -46,7 +45,10 @@
 
 
 def recall(state: AgentState, now: float) -> dict[str, int]:
-    """Open recalls for credits that other entries need more."""
+    """Open recalls to meet the demand of other entries or to drain.
+
+    Return the number of credits to recall from each entry.
+    """
     needed = 0
     if state.leaving:
         needed = state.granted
@@ -54,17 +56,20 @@
         for link in state.links.values():
             if link.ready and link.demand > link.credits:
                 needed += link.demand - link.credits
-    # Free credits are granted before, so unmet demand means there are none.
-    return _open_recalls(state, now, needed, spare=0) if needed else {}
+    # Free credits have been granted already, so unmet demand means that none
+    # are left.
+    return _open_recalls(state, now, needed, min_kept=0) if needed else {}
 
 
-def spread(state: AgentState, now: float, newcomer: Link) -> dict[str, int]:
-    """Recall idle credits for a newcomer, down to an even split."""
+def spread(state: AgentState, now: float, new_link: Link) -> dict[str, int]:
+    """Open recalls of idle credits so that a new link gets an equal share."""
     ready = sum(link.ready for link in state.links.values())
-    even = state.granted // ready
-    if state.leaving or state.at_limit or newcomer.credits >= even:
+    equal_share = state.granted // ready
+    if state.leaving or state.at_limit or new_link.credits >= equal_share:
         return {}
-    return _open_recalls(state, now, even - newcomer.credits, spare=even)
+    return _open_recalls(
+        state, now, equal_share - new_link.credits, min_kept=equal_share
+    )
 
 
 def take_back(link: Link, amount: int, now: float) -> int:
@@ -72,37 +77,42 @@
     returned = max(0, min(amount, link.credits))
     link.credits -= returned
     if link.recalled and not returned:
-        link.recall_after = now + _RECALL_PAUSE_S
+        link.recall_after = now + _RECALL_RETRY_DELAY_S
     link.recalled = 0
     return returned
 
 
-def _neediest(state: AgentState) -> str | None:
-    """Return the entry furthest below its share of the slots.
+def _entry_below_share(state: AgentState) -> str | None:
+    """Return the entry with unmet demand furthest below its share of slots.
 
-    Handing out one credit at a time to the largest deficit gives the split
-    by largest remainder. Every entry with demand is due at least one slot;
-    otherwise a long queue elsewhere starves a short one.
+    Granting one credit at a time to the largest deficit amounts to the
+    largest remainder method. Every entry with demand is due at least one
+    slot; otherwise a long queue at one entry would starve a short one at
+    another.
     """
     total = sum([link.demand for link in state.links.values() if link.ready])
     if not total:
         return None
     capacity = state.capacity
-    best: tuple[int, int] | None = None
-    neediest = None
+    highest_rank: tuple[int, int] | None = None
+    selected = None
     for entry, link in state.links.items():
         if not link.ready or link.demand <= link.credits:
             continue
-        held = link.credits + state.occupied.get(entry, 0)
+        allocated = link.credits + state.occupied.get(entry, 0)
         due = max(link.demand * capacity, total)
-        rank = (due - held * total, -link.granted_at)
-        if best is None or rank > best:
-            best = rank
-            neediest = entry
-    return neediest
+        rank = (due - allocated * total, -link.granted_at)
+        if highest_rank is None or rank > highest_rank:
+            highest_rank = rank
+            selected = entry
+    return selected
+
 
+def _entry_with_fewest_credits(state: AgentState) -> str | None:
+    """Return the ready entry with the fewest credits.
 
-def _least_supplied(state: AgentState) -> str | None:
+    Among equals it is the one that was granted a credit least recently.
+    """
     ready = [entry for entry, link in state.links.items() if link.ready]
     return min(
         ready,
@@ -118,13 +128,18 @@
     state: AgentState,
     now: float,
     needed: int,
-    spare: int,
+    min_kept: int,
 ) -> dict[str, int]:
+    """Open recalls for the needed credits that no open recall covers.
+
+    An entry keeps at least `min_kept` credits and, unless the agent is
+    draining, one for each queued task.
+    """
     opened: dict[str, int] = {}
     needed -= sum(link.recalled for link in state.links.values())
     for entry, link in state.links.items():
-        kept = spare if state.leaving else max(spare, link.demand)
-        amount = min(needed, link.credits - kept)
+        retained = min_kept if state.leaving else max(min_kept, link.demand)
+        amount = min(needed, link.credits - retained)
         if amount <= 0 or link.recalled or link.recall_after > now:
             continue
         link.recalled = amount
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -1,4 +1,4 @@
-"""Turn the events of the agent role into effects."""
+"""Reduce the events of the agent role to state changes and effects."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from savoryrudder.agent import credits as credit_rules
 from savoryrudder.agent import events
 from savoryrudder.agent import tasks
-from savoryrudder.agent.holding import hold_reports
 from savoryrudder.agent.records import split_by_size
+from savoryrudder.agent.report_delay import delay_reports
 from savoryrudder.agent.state import Link
 from savoryrudder.agent.turn import Turn
 from savoryrudder.protocol import messages
@@ -28,25 +28,25 @@
 
 _Handlers: TypeAlias = 'Mapping[type[Any], Callable[..., None]]'
 
-_WASTED: Final = 'wasted_messages'
+_WASTED_MESSAGES: Final = 'wasted_messages'
 
 
 def reduce(state: AgentState, event: events.AgentEvent) -> list[AgentEffect]:
-    """Apply an event to the state in place and return its effects."""
+    """Apply an event to the state in place and return the effects."""
     turn = Turn(event.now)
     _EVENT_HANDLERS[type(event)](state, turn, event)
     if turn.unbalanced:
         tasks.fill_slots(state, turn)
-        if not hold_reports(state, turn):
-            _hand_out_credits(state, turn)
+        if not delay_reports(state, turn):
+            _grant_credits(state, turn)
     else:
         _send_reports(turn, {})
     if state.leaving:
-        _exit_when_done(state, turn)
+        _exit_when_drained(state, turn)
     return turn.effects
 
 
-def _hand_out_credits(state: AgentState, turn: Turn) -> None:
+def _grant_credits(state: AgentState, turn: Turn) -> None:
     granted = credit_rules.grant(state)
     _send_reports(turn, granted)
     for entry, amount in granted.items():
@@ -57,7 +57,7 @@
 def _send_reports(turn: Turn, granted: dict[str, int]) -> None:
     for entry, record in turn.reports:
         amount = granted.pop(entry, 0)
-        turn.send(entry, messages.Finished(record.export(), amount))
+        turn.send(entry, messages.Finished(record.to_message(), amount))
 
 
 def _send_recalls(turn: Turn, recalls: dict[str, int]) -> None:
@@ -65,18 +65,18 @@
         turn.send(entry, messages.Recall(amount))
 
 
-def _exit_when_done(state: AgentState, turn: Turn) -> None:
+def _exit_when_drained(state: AgentState, turn: Turn) -> None:
     if state.exited:
         return
-    open_work = len(state.calls) + state.book.undelivered
-    # A start may be on its way for as long as a credit is out.
-    if open_work + state.granted and turn.now < state.exit_at:
+    unfinished = len(state.calls) + state.records.undelivered
+    # While credits are outstanding, a start may still be in flight.
+    if unfinished + state.granted and turn.now < state.exit_at:
         return
-    if open_work:
+    if unfinished:
         turn.log(
             'stop-timeout',
             running=len(state.calls),
-            undelivered=state.book.undelivered,
+            undelivered=state.records.undelivered,
         )
     state.exited = True
     turn.effects.append(Exit())
@@ -118,13 +118,13 @@
 ) -> None:
     link = state.links.get(event.entry)
     if link is None or link.session != event.session:
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     if event.revision > state.revision:
         _request_config(state, turn, event)
     handler = _MESSAGE_HANDLERS.get(type(event.message))
     if handler is None:
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     handler(state, turn, event.entry, event.message)
 
@@ -139,11 +139,11 @@
     link = state.links[event.entry]
     if link.fetching or link.requested >= event.revision:
         return
-    open_elsewhere = any(
+    requested_elsewhere = any(
         other.fetching and other.requested >= event.revision
         for other in state.links.values()
     )
-    if not open_elsewhere:
+    if not requested_elsewhere:
         link.fetching = True
         link.requested = event.revision
         turn.send(event.entry, messages.FetchConfig())
@@ -168,7 +168,7 @@
     if link.ready:
         return
     link.ready = True
-    _hand_out_credits(state, turn)
+    _grant_credits(state, turn)
     _send_recalls(turn, credit_rules.spread(state, turn.now, link))
 
 
@@ -182,17 +182,17 @@
 ) -> None:
     link = state.links[entry]
     sent, withheld = split_by_size(
-        state.book.select(accepted),
+        state.records.select(accepted),
         state.limits.page_bytes,
     )
-    exported = [record.export() for record in sent]
-    exported += [record.export(withheld=True) for record in withheld]
+    exported = [record.to_message() for record in sent]
+    exported += [record.to_message(withheld=True) for record in withheld]
     turn.send(entry, messages.Records(request, tuple(exported), tuple(stale)))
     link.withheld.extend(withheld)
 
 
 def _send_withheld(state: AgentState, turn: Turn) -> None:
-    """Send one page of withheld records on each link."""
+    """Send one page of the withheld records on each link."""
     for entry, link in state.links.items():
         size = 0
         while link.withheld and size < state.limits.page_bytes:
@@ -210,7 +210,7 @@
 ) -> None:
     link = state.links[entry]
     if not credit_rules.take_back(link, message.credits, turn.now):
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
     turn.unbalanced = True
 
 
@@ -224,7 +224,7 @@
     queued = max(0, message.queued)
     prefetch = max(0, message.prefetch)
     if (link.demand, link.prefetch) == (queued, prefetch):
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     link.demand = queued
     link.prefetch = prefetch
@@ -248,7 +248,7 @@
 ) -> None:
     state.links[entry].fetching = False
     if message.revision <= state.revision:
-        turn.count(_WASTED)
+        turn.count(_WASTED_MESSAGES)
         return
     state.revision = message.revision
     state.config_text = message.text
@@ -260,22 +260,22 @@
     entry: str,
     message: messages.Message,
 ) -> None:
-    """Accept a message that concerns only the shell."""
+    """Accept a message that only the runtime acts on."""
 
 
 def _handle_tick(state: AgentState, turn: Turn, event: events.Tick) -> None:
     tasks.check_deadlines(state, turn)
     _send_withheld(state, turn)
-    dropped = state.book.expire(turn.now)
+    dropped = state.records.expire(turn.now)
     if dropped:
         turn.count('results_dropped', dropped)
     if state.at_limit != state.limit_reached:
         state.limit_reached = state.at_limit
-        name = 'reached' if state.at_limit else 'cleared'
+        transition = 'reached' if state.at_limit else 'cleared'
         turn.log(
-            f'record-limit-{name}',
-            records=len(state.book),
-            result_bytes=state.book.result_bytes,
+            f'record-limit-{transition}',
+            records=len(state.records),
+            result_bytes=state.records.result_bytes,
         )
     turn.unbalanced = True
 
@@ -286,7 +286,7 @@
     entry: str,
     message: messages.Leaving,
 ) -> None:
-    """Stop gracefully because an operator asked an entry for it."""
+    """Drain the agent; an entry has passed on an operator's request."""
     request = events.DrainRequested(turn.now, state.limits.stop_timeout_s)
     _handle_drain(state, turn, request)
 
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -12,8 +12,8 @@
 from savoryrudder.agent.records import UNKNOWN
 from savoryrudder.agent.records import UNSTARTED
 from savoryrudder.agent.records import WAITING
-from savoryrudder.agent.records import Call
 from savoryrudder.agent.records import Record
+from savoryrudder.agent.records import UpstreamCall
 from savoryrudder.protocol import messages
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.identifiers import partition_of
@@ -24,8 +24,8 @@
     from savoryrudder.agent.state import AgentState
     from savoryrudder.agent.turn import Turn
 
-# Time for the upstream client to report the deadline itself before the agent
-# declares the outcome unknown.
+# Grace period for the upstream client to report a missed deadline itself,
+# before the agent records the outcome as unknown.
 _DEADLINE_GRACE_S: Final = 1.0
 _DEADLINE_PASSED: Final = 'deadline-passed'
 
@@ -36,45 +36,47 @@
     entry: str,
     message: messages.Start,
 ) -> None:
-    """Accept a start unless it is repeated, fenced or cannot be served."""
+    """Accept a start unless it is a duplicate, fenced or refused."""
     link = state.links[entry]
     key = (message.submission, message.task)
     if message.partition != partition_of(message.submission):
-        _break_off(state, turn, entry, 'wrong-partition')
+        _close_session(state, turn, entry, 'wrong-partition')
         return
     had_credit = link.credits > 0
     link.credits -= had_credit
-    record = state.book.find(key)
-    if not _pass_fence(state, turn, entry, message):
+    record = state.records.find(key)
+    if not _accept_epoch(state, turn, entry, message):
         turn.unbalanced = True
-        # A rejection means "never started", which a record may contradict.
+        # A rejection states that the task never started, which is wrong if
+        # there is a record of an accepted task.
         if record is None or record.state == UNSTARTED:
-            _decline(turn, entry, key, 'stale-epoch')
+            _send_rejection(turn, entry, key, 'stale-epoch')
         return
     if record:
-        _answer_repeated(turn, entry, record)
+        _answer_duplicate(turn, entry, record)
         return
     if not had_credit:
-        # The two sides disagree about credits; a new session starts afresh.
-        _break_off(state, turn, entry, 'start-without-credit')
+        # Entry and agent disagree about the entry's credits; a new session
+        # starts from zero on both sides.
+        _close_session(state, turn, entry, 'start-without-credit')
         return
-    reason = _refusal(state, message)
+    reason = _refusal_reason(state, message)
     if reason:
-        state.book.refuse(key, turn.now, reason)
-        _decline(turn, entry, key, reason)
+        state.records.mark_unstarted(key, turn.now, reason)
+        _send_rejection(turn, entry, key, reason)
         return
-    _accept(state, turn, entry, message)
+    _accept_task(state, turn, entry, message)
 
 
 def fill_slots(state: AgentState, turn: Turn) -> None:
-    """Start waiting tasks in free slots, earliest deadline first."""
+    """UpstreamCall the upstream for waiting tasks, earliest deadline first."""
     while state.waiting and len(state.calls) < state.identity.slots:
         record = min(state.waiting.values(), key=_deadline_of)
         if _deadline_of(record) <= turn.now:
             drop_waiting(state, turn, record, _DEADLINE_PASSED)
             continue
         state.waiting.pop(record.key)
-        _run(state, turn, record)
+        _call_upstream(state, turn, record)
 
 
 def drop_waiting(
@@ -83,13 +85,13 @@
     record: Record,
     reason: str,
 ) -> None:
-    """End a waiting task unstarted and tell its owner."""
-    _forget_waiting(state, turn, record, reason)
-    _reject(state, turn, record.key, reason)
+    """Reject a waiting task to its owner without starting it."""
+    _remove_waiting(state, turn, record, reason)
+    _reject_to_owner(state, turn, record.key, reason)
 
 
 def check_deadlines(state: AgentState, turn: Turn) -> None:
-    """End waiting tasks and give up on calls that are past the deadline."""
+    """Reject overdue waiting tasks and record overdue calls as unknown."""
     for waiting in tuple(state.waiting.values()):
         if _deadline_of(waiting) <= turn.now:
             drop_waiting(state, turn, waiting, _DEADLINE_PASSED)
@@ -97,7 +99,7 @@
     for running in state.calls.values():
         if running.state == RUNNING and _deadline_of(running) <= limit:
             # The slot stays occupied: the upstream may still be working.
-            _end(state, turn, running, UNKNOWN, b'', _DEADLINE_PASSED)
+            _record_end(state, turn, running, UNKNOWN, b'', _DEADLINE_PASSED)
 
 
 def handle_upstream_finished(
@@ -115,11 +117,11 @@
         turn.count('late_upstream_results')
         return
     if event.outcome == 'not-run':
-        state.book.refuse(record.key, turn.now, event.outcome)
-        _reject(state, turn, record.key, event.outcome)
+        state.records.mark_unstarted(record.key, turn.now, event.outcome)
+        _reject_to_owner(state, turn, record.key, event.outcome)
         return
     outcome = event.outcome if event.outcome in ENDED else UNKNOWN
-    _end(state, turn, record, outcome, event.result, event.reason)
+    _record_end(state, turn, record, outcome, event.result, event.reason)
     record.call = None
 
 
@@ -129,13 +131,13 @@
     entry: str,
     message: messages.Acknowledge,
 ) -> None:
-    """Note which results the owner holds."""
-    held = sum(
-        state.book.acknowledge(key, turn.now)
+    """Record which results the owner holds."""
+    acknowledged_count = sum(
+        state.records.acknowledge(key, turn.now)
         for key in message.tasks
         if state.owns(entry, partition_of(key[0]))
     )
-    if not held:
+    if not acknowledged_count:
         turn.count('wasted_messages')
 
 
@@ -162,16 +164,16 @@
     entry: str,
     key: messages.TaskKey,
 ) -> bool:
-    """Return whether a task has not started and never will."""
+    """Withdraw a task; return whether it has not started and never will."""
     if not state.owns(entry, partition_of(key[0])):
-        # A former owner must not stop work that its successor relies on.
+        # A former owner must not stop tasks that the present owner relies on.
         return False
-    record = state.book.find(key)
+    record = state.records.find(key)
     if record is None:
-        state.book.refuse(key, turn.now, 'withdrawn')
+        state.records.mark_unstarted(key, turn.now, 'withdrawn')
         return True
     if record.state == WAITING:
-        _forget_waiting(state, turn, record, 'withdrawn')
+        _remove_waiting(state, turn, record, 'withdrawn')
         return True
     call = record.call
     if call and call.idempotent and not call.stopping:
@@ -180,7 +182,7 @@
     return record.state == UNSTARTED
 
 
-def _pass_fence(
+def _accept_epoch(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -200,7 +202,7 @@
     return False
 
 
-def _break_off(
+def _close_session(
     state: AgentState,
     turn: Turn,
     entry: str,
@@ -214,7 +216,7 @@
     turn.unbalanced = True
 
 
-def _refusal(state: AgentState, message: messages.Start) -> str:
+def _refusal_reason(state: AgentState, message: messages.Start) -> str:
     if state.leaving:
         return 'leaving'
     if message.deadline_ms <= 0:
@@ -224,7 +226,7 @@
     return ''
 
 
-def _answer_repeated(turn: Turn, entry: str, record: Record) -> None:
+def _answer_duplicate(turn: Turn, entry: str, record: Record) -> None:
     turn.count('duplicates')
     turn.unbalanced = True
     if record.state == UNSTARTED:
@@ -233,13 +235,13 @@
         turn.reports.append((entry, record))
 
 
-def _accept(
+def _accept_task(
     state: AgentState,
     turn: Turn,
     entry: str,
     message: messages.Start,
 ) -> None:
-    call = Call(
+    call = UpstreamCall(
         message.operation,
         message.payload,
         turn.now + message.deadline_ms / MS_PER_S,
@@ -248,15 +250,15 @@
     )
     key = (message.submission, message.task)
     record = Record(key, entry, WAITING, call)
-    state.book.add(record)
+    state.records.add(record)
     state.occupy(entry)
     if len(state.calls) < state.identity.slots:
-        _run(state, turn, record)
+        _call_upstream(state, turn, record)
     else:
         state.waiting[key] = record
 
 
-def _run(state: AgentState, turn: Turn, record: Record) -> None:
+def _call_upstream(state: AgentState, turn: Turn, record: Record) -> None:
     call = record.call
     assert call
     record.state = RUNNING
@@ -275,7 +277,7 @@
     call.payload = b''
 
 
-def _end(
+def _record_end(
     state: AgentState,
     turn: Turn,
     record: Record,
@@ -287,14 +289,14 @@
     assert call
     duration = turn.now - call.started_at
     record.duration_ms = round(duration * MS_PER_S)
-    state.book.end(record, turn.now, outcome, result, reason)
+    state.records.finish(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
     owner = state.receiver(partition_of(record.key[0]))
     if owner:
         turn.reports.append((owner, record))
 
 
-def _forget_waiting(
+def _remove_waiting(
     state: AgentState,
     turn: Turn,
     record: Record,
@@ -302,24 +304,24 @@
 ) -> None:
     state.waiting.pop(record.key)
     state.vacate(record.entry)
-    state.book.refuse(record.key, turn.now, reason)
+    state.records.mark_unstarted(record.key, turn.now, reason)
     turn.unbalanced = True
 
 
-def _reject(
+def _reject_to_owner(
     state: AgentState, turn: Turn, key: messages.TaskKey, reason: str
 ) -> None:
     owner = state.receiver(partition_of(key[0]))
     if owner:
-        _decline(turn, owner, key, reason)
+        _send_rejection(turn, owner, key, reason)
 
 
-def _decline(
+def _send_rejection(
     turn: Turn, entry: str, key: messages.TaskKey, reason: str
 ) -> None:
     turn.send(entry, messages.Rejected(*key, reason))
-    name = reason.replace('-', '_')
-    turn.count(f'rejected_{name}')
+    counter_suffix = reason.replace('-', '_')
+    turn.count(f'rejected_{counter_suffix}')
     turn.unbalanced = True
 
 
--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -1,4 +1,4 @@
-"""Check the operators' text as a whole."""
+"""Check a configuration as a whole."""
 
 from __future__ import annotations
 
@@ -30,11 +30,11 @@
 from savoryrudder.policy.model import Terms
 from savoryrudder.policy.text import parse_text
 
-# Names travel in HTTP headers and store keys.
+# Names are used in HTTP headers and store keys.
 _NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 _NAME_MESSAGE: Final = (
-    'a name has 1 to 64 letters, digits, dots, dashes or underscores '
-    'and starts with a letter or digit'
+    'a name must consist of 1 to 64 letters, digits, dots, dashes or '
+    'underscores and start with a letter or digit'
 )
 # Decimal shares such as 0.7 + 0.2 + 0.1 do not add up exactly in binary.
 _SHARE_TOLERANCE: Final = 1e-9
@@ -42,7 +42,10 @@
 
 
 class _Tables(NamedTuple):
-    """Hold the tables that are valid by themselves."""
+    """Hold the tables that match their schema.
+
+    `service_names` includes the services whose table does not.
+    """
 
     services: dict[str, schema.ServiceTable]
     clients: dict[str, schema.ClientTable]
@@ -52,17 +55,17 @@
 
 
 def check_text(text: str) -> Result[Policy, tuple[Finding, ...]]:
-    """Return the policy of a TOML text, or every finding in its order.
+    """Return the policy of a TOML text, or all findings in its order.
 
-    A fault in the syntax hides all other findings, because no values exist.
-    Lines and columns count from 1.
+    A syntax error hides all other findings, because the text has no values
+    then. Lines and columns count from 1.
     """
     parsed = parse_text(text)
     if parsed.is_error():
         return Error(parsed.error)
     document = parsed.ok
     tables, faults = _read_tables(document.values)
-    faults.extend(_cross_faults(tables))
+    faults.extend(_cross_table_faults(tables))
     if faults:
         return Error(locate_faults(faults, document.locate))
     return Ok(_to_policy(tables))
@@ -70,27 +73,27 @@
 
 def _read_tables(raw: dict[str, Any]) -> tuple[_Tables, list[Fault]]:
     _, faults = validate(schema.DocumentTable, raw)
-    services = _read_named(raw, 'services', schema.ServiceTable, faults)
-    clients = _read_named(raw, 'clients', schema.ClientTable, faults)
-    bands = _read_named(raw, 'urgency', schema.BandTable, faults)
+    services = _read_named_tables(raw, 'services', schema.ServiceTable, faults)
+    clients = _read_named_tables(raw, 'clients', schema.ClientTable, faults)
+    bands = _read_named_tables(raw, 'urgency', schema.BandTable, faults)
     limits, limit_faults = validate(
         schema.LimitsTable,
         raw.get('limits', {}),
         ('limits',),
     )
     faults.extend(limit_faults)
-    names = frozenset(_table(raw, 'services'))
+    names = frozenset(_section(raw, 'services'))
     return _Tables(services, clients, bands, limits, names), faults
 
 
-def _read_named(
+def _read_named_tables(
     raw: dict[str, Any],
     section: str,
     model: type[ModelT],
     faults: list[Fault],
 ) -> dict[str, ModelT]:
     valid: dict[str, ModelT] = {}
-    for name, table in _table(raw, section).items():
+    for name, table in _section(raw, section).items():
         path = (section, name)
         checked, table_faults = validate(model, table, path)
         faults.extend(table_faults)
@@ -100,7 +103,8 @@
     return valid
 
 
-def _table(raw: dict[str, Any], section: str) -> dict[str, Any]:
+def _section(raw: dict[str, Any], section: str) -> dict[str, Any]:
+    """Return a top-level table, or an empty one if it is no table."""
     table = raw.get(section)
     return table if isinstance(table, dict) else {}
 
@@ -110,7 +114,7 @@
         yield Fault(path, _NAME_MESSAGE)
 
 
-def _cross_faults(tables: _Tables) -> Iterator[Fault]:
+def _cross_table_faults(tables: _Tables) -> Iterator[Fault]:
     if not tables.service_names:
         yield Fault(('services',), 'no service is declared')
     for service, service_table in tables.services.items():
@@ -144,7 +148,7 @@
 
 
 def _cycle_faults(services: dict[str, schema.ServiceTable]) -> Iterator[Fault]:
-    # The search below is quadratic; most texts have no cycle.
+    # The search below is quadratic, and most configurations have no cycle.
     if not _has_cycle(services):
         return
     reported: set[frozenset[str]] = set()
@@ -176,14 +180,14 @@
 ) -> tuple[str, ...]:
     """Return the shortest path from a service back to itself."""
     paths: list[tuple[str, ...]] = [(start,)]
-    seen = {start}
+    visited = {start}
     for path in paths:
         table = services.get(path[-1])
         for dependency in table.depends_on if table else ():
             if dependency == start:
                 return path
-            if dependency not in seen:
-                seen.add(dependency)
+            if dependency not in visited:
+                visited.add(dependency)
                 paths.append((*path, dependency))
     return ()
 
@@ -225,12 +229,15 @@
             yield _unknown_urgency(('urgency', name), name)
     total = sum(table.share for table in bands.values())
     if total > 1 + _SHARE_TOLERANCE:
-        yield Fault(('urgency',), f'the shares add up to {total:g}, above 1')
+        yield Fault(
+            ('urgency',),
+            f'the shares add up to {total:g}; at most 1 is allowed',
+        )
 
 
 def _unknown_urgency(path: KeyPath, name: str) -> Fault:
-    known = ', '.join(URGENCY_BANDS)
-    return Fault(path, f'unknown urgency "{name}", known are {known}')
+    expected = ', '.join(URGENCY_BANDS)
+    return Fault(path, f'unknown urgency "{name}", expected one of {expected}')
 
 
 def _rank(urgency: str) -> int:
@@ -262,8 +269,8 @@
 
 def _to_service(name: str, table: schema.ServiceTable) -> Service:
     operations = {
-        operation: Operation(operation, row.idempotent, row.expected_ms)
-        for operation, row in table.operations.items()
+        operation: Operation(operation, spec.idempotent, spec.expected_ms)
+        for operation, spec in table.operations.items()
     }
     return Service(
         name,
--- a/tests/agent/agent_driver.py
+++ b/tests/agent/agent_driver.py
@@ -1,4 +1,4 @@
-"""Drive the agent reducer as the shell does."""
+"""Drive the agent reducer as the daemon's runtime does."""
 
 from __future__ import annotations
 
@@ -25,16 +25,16 @@
 )
 
 
-def key_of(number: int) -> messages.TaskKey:
-    """Return a task key; numbers up to 63 name the partition too."""
+def task_key(number: int) -> messages.TaskKey:
+    """Return a task key; a number up to 63 is also the task's partition."""
     return (number.to_bytes(4, 'big') + bytes(12), 0)
 
 
-class Agent:
-    """Drive the reducer as the shell does; sessions are named by entry."""
+class AgentDriver:
+    """Apply events to an agent and keep the effects of the last one."""
 
     def __init__(self, slots: int = 2, **limits: float) -> None:
-        """Create an agent without links."""
+        """Create an agent without sessions; `limits` override defaults."""
         identity = IDENTITY._replace(slots=slots)
         self.state = agent_state.new_state(
             identity,
@@ -44,7 +44,7 @@
         self.sessions: dict[str, str] = {}
         self.effects: list[AgentEffect] = []
 
-    def up(
+    def connect_and_claim(
         self, entry: str, *claims: tuple[int, int], session: str = ''
     ) -> None:
         """Open a session and claim all partitions, or the given ones."""
@@ -57,7 +57,7 @@
         self.sessions[entry] = session
         self._apply(events.LinkUp(self.now, entry, session))
 
-    def down(self, entry: str) -> None:
+    def disconnect(self, entry: str) -> None:
         """End the session of an entry."""
         self._apply(events.LinkDown(self.now, entry, self.sessions[entry]))
 
@@ -82,8 +82,8 @@
         deadline_ms: int = 5000,
         idempotent: bool = False,
     ) -> list[AgentEffect]:
-        """Deliver a start."""
-        key = key_of(number)
+        """Deliver the start of a single-task job."""
+        key = task_key(number)
         return self.receive(
             entry,
             messages.Start(
@@ -105,7 +105,7 @@
         result: bytes = b'plan',
     ) -> list[AgentEffect]:
         """End the upstream call of a single-task job."""
-        return self.finish_task(key_of(number), outcome, result)
+        return self.finish_task(task_key(number), outcome, result)
 
     def finish_task(
         self,
@@ -118,17 +118,17 @@
             events.UpstreamFinished(self.now, key, outcome, result, ''),
         )
 
-    def wait(self, seconds: float) -> list[AgentEffect]:
-        """Let time pass and tick."""
+    def advance(self, seconds: float) -> list[AgentEffect]:
+        """Advance the clock and send a tick."""
         self.now += seconds
         return self._apply(events.Tick(self.now))
 
     def drain(self, timeout_s: float = 30) -> list[AgentEffect]:
-        """Ask for a graceful stop."""
+        """Request a graceful stop."""
         return self._apply(events.DrainRequested(self.now, timeout_s))
 
     def sent(self, kind: type, entry: str = '') -> list[messages.Message]:
-        """Return the messages of one kind that the last event sent."""
+        """Return the messages of one type that the last event sent."""
         return [
             effect.message
             for effect in self.effects
@@ -138,7 +138,7 @@
         ]
 
     def emitted(self, kind: type) -> list[AgentEffect]:
-        """Return the effects of one kind that the last event had."""
+        """Return the effects of one type that the last event had."""
         return [effect for effect in self.effects if isinstance(effect, kind)]
 
     def counted(self, name: str) -> int:
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -1,14 +1,14 @@
-"""Provide an agent that serves one entry."""
+"""Provide an agent with a session to one entry."""
 
 from __future__ import annotations
 
 import pytest
-from agent_driver import Agent
+from agent_driver import AgentDriver
 
 
 @pytest.fixture
-def agent() -> Agent:
-    """Return an agent with two slots and entry e1 holding all partitions."""
-    created = Agent()
-    created.up('e1')
-    return created
+def agent() -> AgentDriver:
+    """Return an agent with two slots whose partitions are all owned by e1."""
+    driver = AgentDriver()
+    driver.connect_and_claim('e1')
+    return driver
