Rename private names of admission

_check_needs -> _check_worker_size _dependencies -> _transitive_dependencies _is_shedding -> _is_overloaded _forecast_order -> _forecast_by_deadline _high_s -> _p90_s _final -> _permanent_refusal _retry_ms -> _retry_after_ms around -> context _check_limits: place -> field, found -> actual _check_worker_size: most -> largest _check_terms: highest -> highest_allowed _transitive_dependencies: service -> service_name, found -> dependencies, opened -> pending, known -> service _check_dependencies: cause -> problem _forecast: due -> work_by_deadline, pace -> drain_ratio _forecast_by_deadline: due -> work_by_deadline, own -> estimate, pace -> drain_ratio, before -> work_ahead, bucket -> due_at, waiting -> due_work, left_s -> remaining_s

--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -69,14 +69,14 @@
         """Return the refusal of a job, or None and count its tasks."""
         client = policy.clients.get(job.client)
         if client is None:
-            return _final(
+            return _permanent_refusal(
                 reasons.UNKNOWN_CLIENT,
                 f'no client is named {job.client!r}',
             )
-        around = Surroundings(policy, queues, fleet, now)
+        context = Surroundings(policy, queues, fleet, now)
         account = self.limits.account(job.client, client.terms, now)
         account.usage.jobs += 1
-        refusal = _check_body(job, policy) or _check_needs(job, around)
+        refusal = _check_body(job, policy) or _check_worker_size(job, context)
         if refusal is not None:
             account.usage.faulty += 1
             return refusal
@@ -85,9 +85,9 @@
             account.usage.exceeded += len(job.tasks)
             return refusal
         refusal = (
-            _check_upstreams(job, around)
-            or _check_dependencies(job, around)
-            or _check_wait(job, around)
+            _check_upstreams(job, context)
+            or _check_dependencies(job, context)
+            or _check_wait(job, context)
         )
         if refusal is None:
             account.bucket.take(len(job.tasks), now)
@@ -110,20 +110,22 @@
 def _check_body(job: Job, policy: Policy) -> Refusal | None:
     service = policy.services.get(job.service)
     if service is None:
-        return _final(
+        return _permanent_refusal(
             reasons.UNKNOWN_SERVICE,
             f'no service is named {job.service!r}',
         )
     if job.urgency not in URGENCY_BANDS:
-        return _final(
+        return _permanent_refusal(
             reasons.INVALID_REQUEST,
             f'urgency: no band is named {job.urgency!r}',
         )
     if not job.tasks:
-        return _final(reasons.INVALID_REQUEST, 'tasks: the job has none')
+        return _permanent_refusal(
+            reasons.INVALID_REQUEST, 'tasks: the job has none'
+        )
     for index, task in enumerate(job.tasks):
         if task.operation not in service.operations:
-            return _final(
+            return _permanent_refusal(
                 reasons.UNKNOWN_OPERATION,
                 f'tasks[{index}].operation: {job.service} has no operation '
                 f'{task.operation!r}',
@@ -134,33 +136,33 @@
 def _check_limits(job: Job, policy: Policy) -> Refusal | None:
     limits = policy.limits
     payload = sum(len(task.payload) for task in job.tasks)
-    for place, found, limit in (
+    for field, actual, limit in (
         ('tasks', len(job.tasks), limits.max_tasks),
         ('deadline_ms', job.deadline_ms, limits.max_deadline_ms),
         ('tasks[*].payload, bytes in total', payload, limits.max_payload_bytes),
     ):
-        if found > limit:
-            return _final(
+        if actual > limit:
+            return _permanent_refusal(
                 reasons.TOO_LARGE,
-                f'{place}: {found} is above the limit of {limit}',
+                f'{field}: {actual} is above the limit of {limit}',
             )
     return None
 
 
-def _check_needs(job: Job, around: Surroundings) -> Refusal | None:
-    service = around.policy.services[job.service]
-    slots, memory_mb = around.fleet.largest(job.service)
+def _check_worker_size(job: Job, context: Surroundings) -> Refusal | None:
+    service = context.policy.services[job.service]
+    slots, memory_mb = context.fleet.largest(job.service)
     if not slots:
         return None
-    for unit, needed, most in (
+    for unit, needed, largest in (
         ('slots', service.slots, slots),
         ('MB of memory', service.memory_mb, memory_mb),
     ):
-        if needed > most:
-            return _final(
+        if needed > largest:
+            return _permanent_refusal(
                 reasons.TOO_LARGE,
                 f'service: a task of {job.service} needs {needed} {unit}, '
-                f'the largest worker announces {most}',
+                f'the largest worker announces {largest}',
             )
     return None
 
@@ -171,9 +173,9 @@
     now: float,
 ) -> Refusal | None:
     terms = account.terms
-    highest = URGENCY_BANDS.index(terms.highest_urgency)
-    if URGENCY_BANDS.index(job.urgency) < highest:
-        return _final(
+    highest_allowed = URGENCY_BANDS.index(terms.highest_urgency)
+    if URGENCY_BANDS.index(job.urgency) < highest_allowed:
+        return _permanent_refusal(
             reasons.URGENCY_NOT_ALLOWED,
             f'urgency: the terms of {job.client} allow at most '
             f'{terms.highest_urgency}',
@@ -184,7 +186,7 @@
         (terms.concurrent, 'concurrent tasks'),
     ):
         if count > limit:
-            return _final(
+            return _permanent_refusal(
                 reasons.TOO_LARGE,
                 f'tasks: {count} is above the {name} of {limit} in the terms '
                 f'of {job.client}',
@@ -201,13 +203,13 @@
         return Refusal(
             reasons.RATE_LIMITED,
             f'{job.client} is above its rate of {terms.rate:g} tasks/s',
-            _retry_ms(wait_s),
+            _retry_after_ms(wait_s),
         )
     return None
 
 
-def _check_upstreams(job: Job, around: Surroundings) -> Refusal | None:
-    if around.fleet.is_linked(job.service):
+def _check_upstreams(job: Job, context: Surroundings) -> Refusal | None:
+    if context.fleet.is_linked(job.service):
         return None
     return Refusal(
         reasons.NO_UPSTREAM,
@@ -216,55 +218,55 @@
     )
 
 
-def _dependencies(service: str, policy: Policy) -> list[str]:
+def _transitive_dependencies(service_name: str, policy: Policy) -> list[str]:
     """Return what a service depends on, directly or not."""
-    found: list[str] = []
-    opened = [service]
-    while opened:
-        known = policy.services.get(opened.pop())
-        for name in known.depends_on if known else ():
-            if name not in found:
-                found.append(name)
-                opened.append(name)
-    return found
-
-
-def _check_dependencies(job: Job, around: Surroundings) -> Refusal | None:
-    for name in _dependencies(job.service, around.policy):
-        cause = ''
-        if _is_shedding(name, job.urgency, around):
-            cause = 'overloaded'
-        if around.fleet.capacity(name) <= 0:
-            cause = 'no usable upstream'
-        if cause:
+    dependencies: list[str] = []
+    pending = [service_name]
+    while pending:
+        service = policy.services.get(pending.pop())
+        for name in service.depends_on if service else ():
+            if name not in dependencies:
+                dependencies.append(name)
+                pending.append(name)
+    return dependencies
+
+
+def _check_dependencies(job: Job, context: Surroundings) -> Refusal | None:
+    for name in _transitive_dependencies(job.service, context.policy):
+        problem = ''
+        if _is_overloaded(name, job.urgency, context):
+            problem = 'overloaded'
+        if context.fleet.capacity(name) <= 0:
+            problem = 'no usable upstream'
+        if problem:
             return Refusal(
                 reasons.DEPENDENCY_UNAVAILABLE,
-                f'{job.service} depends on {name}: {cause}',
+                f'{job.service} depends on {name}: {problem}',
                 MIN_RETRY_MS,
             )
     return None
 
 
-def _is_shedding(name: str, urgency: str, around: Surroundings) -> bool:
+def _is_overloaded(name: str, urgency: str, context: Surroundings) -> bool:
     """Tell whether a service has more to do than its deadline allows."""
-    queue = around.queues.get(name)
-    service = around.policy.services.get(name)
+    queue = context.queues.get(name)
+    service = context.policy.services.get(name)
     if queue is None or service is None:
         return False
     usable_s = service.default_deadline_ms / MS_PER_S * USABLE_DEADLINE
     backlog_s = queue.work_up_to(urgency)
-    return backlog_s > usable_s * around.fleet.capacity(name)
+    return backlog_s > usable_s * context.fleet.capacity(name)
 
 
-def _check_wait(job: Job, around: Surroundings) -> Refusal | None:
-    queue = around.queues.get(job.service)
+def _check_wait(job: Job, context: Surroundings) -> Refusal | None:
+    queue = context.queues.get(job.service)
     if queue is not None and len(queue) + len(job.tasks) > MAX_QUEUED:
         return Refusal(
             reasons.OVERLOADED,
             f'{len(queue)} tasks wait for {job.service}',
             MIN_RETRY_MS,
         )
-    forecast = _forecast(job, around)
+    forecast = _forecast(job, context)
     usable_s = job.deadline_ms / MS_PER_S * USABLE_DEADLINE
     if forecast.expected_s > usable_s:
         detail = f'the job is expected to take {forecast.expected_s:.1f} s'
@@ -275,20 +277,20 @@
     return Refusal(
         reasons.DEADLINE_UNREACHABLE,
         detail,
-        _retry_ms(max(forecast.expected_s - usable_s, forecast.late_s)),
+        _retry_after_ms(max(forecast.expected_s - usable_s, forecast.late_s)),
     )
 
 
-def _forecast(job: Job, around: Surroundings) -> Forecast:
+def _forecast(job: Job, context: Surroundings) -> Forecast:
     """Forecast the order by deadline; 0 when nothing is known of the fleet."""
-    service = around.policy.services[job.service]
-    capacity = around.fleet.capacity(job.service)
+    service = context.policy.services[job.service]
+    capacity = context.fleet.capacity(job.service)
     if capacity <= 0:
         return Forecast(0, 0)
-    times = around.fleet.times
-    longest_s = max(_high_s(job, service, around))
+    times = context.fleet.times
+    longest_s = max(_p90_s(job, service, context))
     work = sum(times.mean_s(service, task.operation) for task in job.tasks)
-    queue = around.queues.get(job.service)
+    queue = context.queues.get(job.service)
     if queue is None:
         return Forecast(work / capacity + longest_s, 0)
     drain_s = queue.drain_s(
@@ -296,48 +298,52 @@
         job.client,
         work,
         capacity,
-        around.now,
+        context.now,
+    )
+    work_by_deadline = queue.work_due(job.urgency, job.client)
+    drain_ratio = drain_s / (work + sum(work_by_deadline.values()))
+    return _forecast_by_deadline(
+        job, work_by_deadline, (work, drain_ratio, longest_s), context.now
     )
-    due = queue.work_due(job.urgency, job.client)
-    pace = drain_s / (work + sum(due.values()))
-    return _forecast_order(job, due, (work, pace, longest_s), around.now)
 
 
-def _forecast_order(
+def _forecast_by_deadline(
     job: Job,
-    due: dict[int, float],
-    own: tuple[float, float, float],
+    work_by_deadline: dict[int, float],
+    estimate: tuple[float, float, float],
     now: float,
 ) -> Forecast:
     """Forecast a job among the work that its client has waiting by deadline.
 
     A deadline that is out of reach already is no reason to refuse more.
     """
-    work, pace, longest_s = own
+    work, drain_ratio, longest_s = estimate
     deadline = now + job.deadline_ms / MS_PER_S
-    before: float = 0
-    expected_s = work * pace + longest_s
+    work_ahead: float = 0
+    expected_s = work * drain_ratio + longest_s
     late_s: float = 0
-    for bucket, waiting in sorted(due.items()):
-        before += waiting
-        if bucket <= deadline:
-            expected_s = (before + work) * pace + longest_s
+    for due_at, due_work in sorted(work_by_deadline.items()):
+        work_ahead += due_work
+        if due_at <= deadline:
+            expected_s = (work_ahead + work) * drain_ratio + longest_s
             continue
-        left_s = bucket - now
-        if before * pace <= left_s:
-            late_s = max(late_s, (before + work) * pace - left_s)
+        remaining_s = due_at - now
+        if work_ahead * drain_ratio <= remaining_s:
+            late_s = max(
+                late_s, (work_ahead + work) * drain_ratio - remaining_s
+            )
     return Forecast(expected_s, late_s)
 
 
-def _high_s(job: Job, service: Service, around: Surroundings) -> list[float]:
+def _p90_s(job: Job, service: Service, context: Surroundings) -> list[float]:
     operations = {task.operation for task in job.tasks}
-    times = around.fleet.times
+    times = context.fleet.times
     return [times.high_s(service, operation) for operation in operations]
 
 
-def _final(reason: str, detail: str) -> Refusal:
+def _permanent_refusal(reason: str, detail: str) -> Refusal:
     return Refusal(reason, detail, 0)
 
 
-def _retry_ms(wait_s: float) -> int:
+def _retry_after_ms(wait_s: float) -> int:
     return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_s * MS_PER_S)))
