--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -22,13 +22,13 @@
 MAX_QUEUED: Final = 100_000
 MIN_RETRY_MS: Final = 1000
 MAX_RETRY_MS: Final = 60_000
-# Part of the deadline that the expected time may take up. The rest covers
-# more urgent work that arrives later.
+# Fraction of the deadline that the expected time may use. The rest is a
+# reserve for more urgent work that arrives later.
 USABLE_DEADLINE: Final = 0.8
 
 
 class Refusal(NamedTuple):
-    """Say why a job is refused and when to try again (0: never)."""
+    """Hold why a job is refused and when to retry (0: never)."""
 
     reason: str
     detail: str
@@ -36,14 +36,17 @@
 
 
 class Forecast(NamedTuple):
-    """Say how long a job takes and by how much it makes others late."""
+    """Hold the expected time of a job and the lateness it causes.
+
+    `late_s` is the largest delay of an accepted job beyond its deadline.
+    """
 
     expected_s: float
     late_s: float
 
 
 class Surroundings(NamedTuple):
-    """Hold what a decision depends on besides the job."""
+    """Hold the inputs of a decision other than the job."""
 
     policy: Policy
     queues: dict[str, ServiceQueue]
@@ -55,7 +58,7 @@
     """Check jobs against the policy, the terms and the expected wait."""
 
     def __init__(self) -> None:
-        """Create an admission control without history."""
+        """Create an admission control without accounts."""
         self.limits = ClientLimits()
 
     def check(
@@ -66,7 +69,7 @@
         fleet: Fleet,
         now: float,
     ) -> Refusal | None:
-        """Return the refusal of a job, or None and count its tasks."""
+        """Return a refusal, or accept the job: count its tasks, return None."""
         client = policy.clients.get(job.client)
         if client is None:
             return _permanent_refusal(
@@ -96,14 +99,14 @@
         return refusal
 
     def adopt(self, job: Job, policy: Policy | None, now: float) -> None:
-        """Count the tasks of a job that is accepted without a check."""
+        """Count the tasks of a recovered job, which is accepted unchecked."""
         client = policy.clients.get(job.client) if policy else None
         if client is not None:
             account = self.limits.account(job.client, client.terms, now)
             account.running += len(job.tasks)
 
     def job_ended(self, client: str, tasks: int) -> None:
-        """Forget the tasks of an ended job."""
+        """Stop counting the tasks of a job that has ended."""
         self.limits.end(client, tasks)
 
 
@@ -121,7 +124,7 @@
         )
     if not job.tasks:
         return _permanent_refusal(
-            reasons.INVALID_REQUEST, 'tasks: the job has none'
+            reasons.INVALID_REQUEST, 'tasks: the job has no tasks'
         )
     for index, task in enumerate(job.tasks):
         if task.operation not in service.operations:
@@ -219,7 +222,7 @@
 
 
 def _transitive_dependencies(service_name: str, policy: Policy) -> list[str]:
-    """Return what a service depends on, directly or not."""
+    """Return the direct and indirect dependencies of a service."""
     dependencies: list[str] = []
     pending = [service_name]
     while pending:
@@ -248,7 +251,7 @@
 
 
 def _is_overloaded(name: str, urgency: str, context: Surroundings) -> bool:
-    """Tell whether a service has more to do than its deadline allows."""
+    """Tell whether the backlog of a service exceeds its usable deadline."""
     queue = context.queues.get(name)
     service = context.policy.services.get(name)
     if queue is None or service is None:
@@ -282,7 +285,7 @@
 
 
 def _forecast(job: Job, context: Surroundings) -> Forecast:
-    """Forecast the order by deadline; 0 when nothing is known of the fleet."""
+    """Forecast a job; the forecast is zero while there is no capacity."""
     service = context.policy.services[job.service]
     capacity = context.fleet.capacity(job.service)
     if capacity <= 0:
@@ -313,9 +316,11 @@
     estimate: tuple[float, float, float],
     now: float,
 ) -> Forecast:
-    """Forecast a job among the work that its client has waiting by deadline.
+    """Forecast a job among the queued work of its client, by deadline.
 
-    A deadline that is out of reach already is no reason to refuse more.
+    `estimate` holds the work of the job, the ratio of drain time to work and
+    the time of its longest task. Queued work that would miss its deadline
+    even without the job is no reason to refuse it.
     """
     work, drain_ratio, longest_s = estimate
     deadline = now + job.deadline_ms / MS_PER_S
