--- a/src/savoryrudder/entry/answers.py
+++ b/src/savoryrudder/entry/answers.py
@@ -1,4 +1,4 @@
-"""Build answers and hand them to the callers that wait."""
+"""Build answers and send them to waiting callers."""
 
 from __future__ import annotations
 
@@ -41,8 +41,8 @@
 def job_answer(submission: Submission, *, certain: bool) -> Answer:
     """Build the answer to a job whose tasks are all settled.
 
-    `certain` is false when this entry may have lost the partition; nothing is
-    called not-run then, since another entry may have run it.
+    `certain` is false when this entry may have lost the partition. No task is
+    reported as not-run then, because another entry may have run it.
     """
     tasks = submission.tasks
     if all(task.status == reasons.COMPLETE for task in tasks):
@@ -94,7 +94,10 @@
     waiter: Waiter,
     wait_until: float,
 ) -> None:
-    """Answer a request now if possible, else when the job ends."""
+    """Answer a request now if possible, otherwise when the job ends.
+
+    After `wait_until` the answer is that the job is still running.
+    """
     answer = submission.answer or RUNNING_ANSWER
     if answer.status != reasons.RUNNING or wait_until <= turn.now:
         reply(turn, waiter, answer)
@@ -105,7 +108,7 @@
 
 
 def detach(turn: Turn, waiter: Waiter) -> None:
-    """Stop waiting on behalf of a request."""
+    """Remove a request from the waiters of its job."""
     identifier = turn.state.waiting.pop(waiter, None)
     if identifier is None:
         return
@@ -115,7 +118,7 @@
 
 
 def expire_waits(turn: Turn) -> None:
-    """Tell requests whose wait is over that the job still runs."""
+    """Answer requests whose wait has expired: the job is still running."""
     limits = turn.state.wait_limits
     while limits and limits[0][0] <= turn.now:
         _, waiter = heapq.heappop(limits)
