Rename private names of dispatching

_wanted_prefetch -> _choose_prefetch _has_changed -> _is_demand_outdated _may_start -> _can_start _start -> _start_task _least_s -> _p10_s report_demand: queued -> demand _is_demand_outdated: queued -> demand _p10_s: known -> definition _is_idempotent: known -> definition

--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -38,7 +38,7 @@
     """Start as many tasks as credits and the ownership allow."""
     state = turn.state
     for service, queue in state.queues.items():
-        if not queue or not _may_start(turn, service, queue):
+        if not queue or not _can_start(turn, service, queue):
             continue
         if not may_act(state, turn.now):
             return
@@ -53,20 +53,22 @@
     """
     state = turn.state
     state.fleet.entries = max(1, len(state.live))
-    prefetch = _wanted_prefetch(turn)
+    prefetch = _choose_prefetch(turn)
     for name, link in state.agents.items():
         queue = state.queues.get(link.service)
-        queued = min(len(queue), MAX_DEMAND) if queue else 0
+        demand = min(len(queue), MAX_DEMAND) if queue else 0
         # A single entry gets all credits in any case.
-        changed = len(state.live) > 1 and _has_changed(link, queued, turn.now)
+        changed = len(state.live) > 1 and _is_demand_outdated(
+            link, demand, turn.now
+        )
         if link.usable and (changed or prefetch != link.prefetch):
-            link.demand = queued
+            link.demand = demand
             link.demand_at = turn.now
             link.prefetch = prefetch
-            turn.send(name, Demand(queued, prefetch))
+            turn.send(name, Demand(demand, prefetch))
 
 
-def _wanted_prefetch(turn: Turn) -> int:
+def _choose_prefetch(turn: Turn) -> int:
     """Return the credits beyond the slots; none while small jobs arrive.
 
     Tasks that wait at an agent cannot be overtaken by those at the entry:
@@ -80,32 +82,32 @@
     return PREFETCH if state.prefetching else 0
 
 
-def _has_changed(link: AgentLink, queued: int, now: float) -> bool:
+def _is_demand_outdated(link: AgentLink, demand: int, now: float) -> bool:
     if not link.demand:
-        return queued > 0
+        return demand > 0
     if link.demand_at + DEMAND_INTERVAL_S > now:
         return False
     return (
         not link.demand
-        < DEMAND_FACTOR * queued
+        < DEMAND_FACTOR * demand
         < (DEMAND_FACTOR * DEMAND_FACTOR * link.demand)
     )
 
 
 def _dispatch_service(turn: Turn, service: str, queue: ServiceQueue) -> None:
-    while queue and _may_start(turn, service, queue):
+    while queue and _can_start(turn, service, queue):
         backlog_s = queue.work
         queued = queue.pop(turn.now)
         if queued is None:
             break
-        _start(turn, service, queued, backlog_s)
+        _start_task(turn, service, queued, backlog_s)
 
 
-def _may_start(turn: Turn, service: str, queue: ServiceQueue) -> bool:
+def _can_start(turn: Turn, service: str, queue: ServiceQueue) -> bool:
     return turn.state.fleet.has_credit(service, turn.now, queue.work)
 
 
-def _start(
+def _start_task(
     turn: Turn,
     service: str,
     queued: QueuedTask,
@@ -117,7 +119,7 @@
         return
     if submission.tasks[queued.task].status != QUEUED:
         return
-    if submission.deadline <= turn.now + _least_s(state, service, queued):
+    if submission.deadline <= turn.now + _p10_s(state, service, queued):
         submissions.settle_task(
             turn,
             submission,
@@ -133,10 +135,10 @@
     _send_start(turn, submission, queued, agent)
 
 
-def _least_s(state: EntryState, service: str, queued: QueuedTask) -> float:
+def _p10_s(state: EntryState, service: str, queued: QueuedTask) -> float:
     """Return the time that nearly every run of the operation exceeds."""
-    known = state.policy.services.get(service) if state.policy else None
-    return state.fleet.times.low_s(known, queued.operation)
+    definition = state.policy.services.get(service) if state.policy else None
+    return state.fleet.times.low_s(definition, queued.operation)
 
 
 def _send_start(
@@ -175,5 +177,5 @@
 def _is_idempotent(state: EntryState, service: str, operation: str) -> bool:
     if state.policy is None or service not in state.policy.services:
         return False
-    known = state.policy.services[service].operations.get(operation)
-    return known is not None and known.idempotent
+    definition = state.policy.services[service].operations.get(operation)
+    return definition is not None and definition.idempotent
