--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -22,20 +22,20 @@
     from savoryrudder.entry.state import Submission
     from savoryrudder.entry.turn import Turn
 
-# A queue that grows or shrinks by less leaves the split of credits as it is.
+# Demand that grew or shrank by a smaller factor is not reported again.
 DEMAND_FACTOR: Final = 2
 DEMAND_INTERVAL_S: Final = 0.5
 # Agents split slots in proportion to demand. With a higher bound, the large job
 # of one entry keeps slots from the small jobs of another: at 80 % load and two
 # entries, the p99 of small jobs was 1.8 with 1, 1.9 with 3 and 2.6 with 10.
 MAX_DEMAND: Final = 3
-# Credits beyond the slots pay off when no small job came for this long.
+# Agents get prefetch credits once no small job has arrived for this long.
 LARGE_ONLY_S: Final = 2
 PREFETCH: Final = 10
 
 
 def dispatch(turn: Turn) -> None:
-    """Start as many tasks as credits and the ownership allow."""
+    """Start queued tasks while there are credits and the lease is valid."""
     state = turn.state
     for service, queue in state.queues.items():
         if not queue or not _can_start(turn, service, queue):
@@ -46,10 +46,10 @@
 
 
 def report_demand(turn: Turn) -> None:
-    """Tell agents how many tasks wait for their service, if it matters.
+    """Report to agents how many tasks wait for their service.
 
-    An agent needs to know only when it has to choose between entries, and
-    then roughly.
+    Agents use the demand only to split their slots between several entries,
+    and a rough figure is enough.
     """
     state = turn.state
     state.fleet.entries = max(1, len(state.live))
@@ -71,8 +71,8 @@
 def _choose_prefetch(turn: Turn) -> int:
     """Return the credits beyond the slots; none while small jobs arrive.
 
-    Tasks that wait at an agent cannot be overtaken by those at the entry:
-    with 2 credits, the p99 of small jobs at 80 % load rose from 1.5 to 2.4.
+    Tasks queued at an agent cannot be overtaken by tasks queued here: with
+    2 credits, the p99 of small jobs at 80 % load rose from 1.5 to 2.4.
     """
     state = turn.state
     if turn.now < state.small_job_at + LARGE_ONLY_S:
@@ -136,7 +136,7 @@
 
 
 def _p10_s(state: EntryState, service: str, queued: QueuedTask) -> float:
-    """Return the time that nearly every run of the operation exceeds."""
+    """Return the 10th percentile of the service time, 0 if unknown."""
     definition = state.policy.services.get(service) if state.policy else None
     return state.fleet.times.low_s(definition, queued.operation)
 
