--- a/src/savoryrudder/entry/limits.py
+++ b/src/savoryrudder/entry/limits.py
@@ -17,7 +17,7 @@
         self._rate = rate
         self._burst = burst
         self._tokens = burst
-        self._at = now
+        self._refilled_at = now
 
     def configure(self, rate: float, burst: float, now: float) -> None:
         """Change rate and burst without granting tokens."""
@@ -42,11 +42,11 @@
         return True
 
     def _refill(self, now: float) -> None:
-        if now <= self._at:
+        if now <= self._refilled_at:
             return
-        gained = (now - self._at) * self._rate
-        self._tokens = min(self._burst, self._tokens + gained)
-        self._at = now
+        refill = (now - self._refilled_at) * self._rate
+        self._tokens = min(self._burst, self._tokens + refill)
+        self._refilled_at = now
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,9 +89,9 @@
             account.terms = terms
             account.bucket.configure(terms.rate, terms.burst, now)
 
-    def account(self, client: str, first: Terms, now: float) -> ClientAccount:
-        """Return the account; `first` applies until terms are granted."""
-        terms = self._granted.get(client, first)
+    def account(self, client: str, initial: Terms, now: float) -> ClientAccount:
+        """Return the account; `initial` applies until terms are granted."""
+        terms = self._granted.get(client, initial)
         account = self._accounts.get(client)
         if account is None:
             bucket = TokenBucket(terms.rate, terms.burst, now)
