--- a/src/savoryrudder/entry/limits.py
+++ b/src/savoryrudder/entry/limits.py
@@ -10,7 +10,7 @@
 
 
 class TokenBucket:
-    """Bound a rate with a burst; starts full."""
+    """Limit a rate and allow bursts; the bucket starts full."""
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
         """Create a bucket that refills `rate` tokens a second."""
@@ -29,12 +29,12 @@
         self._tokens = min(self._tokens, burst)
 
     def wait_s(self, tokens: float, now: float) -> float:
-        """Return the time until so many tokens are there."""
+        """Return the seconds until so many tokens are available."""
         self._refill(now)
         return max(0, tokens - self._tokens) / self._rate
 
     def take(self, tokens: float, now: float) -> bool:
-        """Take tokens if they are all there."""
+        """Take tokens if all of them are available."""
         self._refill(now)
         if tokens > self._tokens:
             return False
@@ -51,10 +51,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Usage:
-    """Count what a client did since the last renewal of its terms, in tasks.
+    """Count the use of a client's terms since their last renewal.
 
-    `exceeded` counts tasks refused for its limits, `faulty` jobs that no
-    terms would let pass, `jobs` all jobs.
+    `accepted` counts accepted tasks, `exceeded` tasks refused by the terms,
+    `faulty` jobs that would be refused under any terms, `jobs` all jobs.
     """
 
     accepted: int = 0
@@ -74,7 +74,7 @@
 
 
 class ClientLimits:
-    """Hold an account for each client that was seen."""
+    """Hold the accounts of the clients that have submitted jobs."""
 
     def __init__(self) -> None:
         """Create limits without accounts."""
@@ -82,7 +82,7 @@
         self._granted: dict[str, Terms] = {}
 
     def grant(self, client: str, terms: Terms, now: float) -> None:
-        """Put standing terms of a client in force."""
+        """Apply standing terms to a client."""
         self._granted[client] = terms
         account = self._accounts.get(client)
         if account is not None:
@@ -109,12 +109,12 @@
             account.running = max(0, account.running - tasks)
 
     def usage(self, client: str) -> Usage:
-        """Return what a client did since its usage was last forgotten."""
+        """Return the usage of a client since its last reset."""
         account = self._accounts.get(client)
         return account.usage if account else Usage()
 
     def forget_usage(self, client: str) -> None:
-        """Start the count of a client anew."""
+        """Reset the usage of a client."""
         account = self._accounts.get(client)
         if account is not None:
             account.usage = Usage()
