Rename private names of placement

.shapes -> .worker_sizes .free -> .free_credits ._usual -> ._normal_heap ._slow -> ._slow_heap ._probes -> ._probe_heap ._best -> ._best_agent ._choose_slow -> ._choose_slow_agent ._judge -> ._update_verdict ._refresh -> ._update_rank .refresh -> .update_rank _Pool._due_probe: at -> probe_at Fleet.agent_down: agent -> name, known -> agent Fleet.mark_usable: agent -> name Fleet.mark_leaving: agent -> name, known -> agent Fleet.grant: agent -> name Fleet.give_back: agent -> name, known -> agent Fleet.observe: agent -> name, known -> agent Fleet.take: probe -> is_probe Fleet.largest: shapes -> sizes, shape -> size

--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -61,7 +61,7 @@
     usable: bool = False
     version: int = 0
     capacity: float = 0
-    free: int = 0
+    free_credits: int = 0
     verdict: Verdict = _UNKNOWN_HEALTH
 
     @property
@@ -77,13 +77,13 @@
         self.agents: dict[str, _Agent] = {}
         self.health = ServiceHealth()
         self.capacity: float = 0
-        self.free = 0
-        self.shapes: Counter[tuple[int, int]] = Counter()
-        self._usual: list[_Rank] = []
-        self._slow: list[_Rank] = []
-        self._probes: list[tuple[float, str]] = []
+        self.free_credits = 0
+        self.worker_sizes: Counter[tuple[int, int]] = Counter()
+        self._normal_heap: list[_Rank] = []
+        self._slow_heap: list[_Rank] = []
+        self._probe_heap: list[tuple[float, str]] = []
 
-    def refresh(self, name: str, agent: _Agent) -> None:
+    def update_rank(self, name: str, agent: _Agent) -> None:
         """Rank an agent anew after any change."""
         verdict = agent.verdict
         agent.version += 1
@@ -92,15 +92,17 @@
         capacity = agent.hello.slots / verdict.slowness if active else 0
         free = agent.credits if agent.startable and not restricted else 0
         self.capacity += capacity - agent.capacity
-        self.free += free - agent.free
+        self.free_credits += free - agent.free_credits
         agent.capacity = capacity
-        agent.free = free
+        agent.free_credits = free
         if not agent.startable or not agent.credits:
             return
         if restricted:
-            heapq.heappush(self._probes, (verdict.probe_at, name))
+            heapq.heappush(self._probe_heap, (verdict.probe_at, name))
         if not verdict.ejected:
-            self._push(self._slow if verdict.slow else self._usual, name)
+            self._push(
+                self._slow_heap if verdict.slow else self._normal_heap, name
+            )
 
     def choose(
         self,
@@ -112,17 +114,17 @@
         probe = self._due_probe(now)
         if probe is not None:
             return probe, True
-        if self.free:
-            return self._best(self._usual), False
-        return self._choose_slow(backlog_s, mean_s)
+        if self.free_credits:
+            return self._best_agent(self._normal_heap), False
+        return self._choose_slow_agent(backlog_s, mean_s)
 
-    def _choose_slow(
+    def _choose_slow_agent(
         self,
         backlog_s: float,
         mean_s: float,
     ) -> tuple[str, bool] | None:
         """Use a slow agent if the queue makes tasks wait even longer."""
-        name = self._best(self._slow)
+        name = self._best_agent(self._slow_heap)
         if not name:
             return None
         extra_s = (self.agents[name].verdict.slowness - 1) * mean_s
@@ -143,7 +145,7 @@
         speed = round(SPEED_STEPS * math.log2(agent.verdict.slowness))
         return speed, -agent.credits, agent.version, name
 
-    def _best(self, heap: list[_Rank]) -> str:
+    def _best_agent(self, heap: list[_Rank]) -> str:
         while heap and not self._is_current(heap[0]):
             heapq.heappop(heap)
         return heap[0][3] if heap else ''
@@ -153,15 +155,15 @@
         return agent is not None and agent.version == rank[2]
 
     def _due_probe(self, now: float) -> str | None:
-        while self._probes and self._probes[0][0] <= now:
-            at, name = self._probes[0]
+        while self._probe_heap and self._probe_heap[0][0] <= now:
+            probe_at, name = self._probe_heap[0]
             agent = self.agents.get(name)
             if agent and agent.credits and agent.startable:
                 verdict = agent.verdict
                 restricted = verdict.ejected or verdict.slow
-                if restricted and verdict.probe_at == at:
+                if restricted and verdict.probe_at == probe_at:
                     return name
-            heapq.heappop(self._probes)
+            heapq.heappop(self._probe_heap)
         return None
 
 
@@ -182,45 +184,45 @@
         agent = _Agent(hello)
         self._agents[hello.agent] = agent
         pool.agents[hello.agent] = agent
-        pool.shapes[hello.slots, hello.memory_mb] += 1
+        pool.worker_sizes[hello.slots, hello.memory_mb] += 1
         pool.health.add(hello.agent)
 
-    def agent_down(self, agent: str) -> None:
+    def agent_down(self, name: str) -> None:
         """Remove an agent and its credits."""
-        known = self._agents.pop(agent, None)
-        if known is None:
+        agent = self._agents.pop(name, None)
+        if agent is None:
             return
-        pool = self._pools[known.hello.service]
-        known.usable = False
-        known.credits = 0
-        pool.refresh(agent, known)
-        pool.agents.pop(agent)
-        pool.shapes[known.hello.slots, known.hello.memory_mb] -= 1
-        for restored in pool.health.remove(agent):
-            self._judge(restored)
-
-    def mark_usable(self, agent: str) -> None:
+        pool = self._pools[agent.hello.service]
+        agent.usable = False
+        agent.credits = 0
+        pool.update_rank(name, agent)
+        pool.agents.pop(name)
+        pool.worker_sizes[agent.hello.slots, agent.hello.memory_mb] -= 1
+        for restored in pool.health.remove(name):
+            self._update_verdict(restored)
+
+    def mark_usable(self, name: str) -> None:
         """Allow starts on an agent."""
-        self._agents[agent].usable = True
-        self._refresh(agent)
+        self._agents[name].usable = True
+        self._update_rank(name)
 
-    def mark_leaving(self, agent: str) -> None:
+    def mark_leaving(self, name: str) -> None:
         """Stop starts on an agent for good."""
-        known = self._agents[agent]
-        known.hello = known.hello._replace(leaving=True)
-        self._refresh(agent)
+        agent = self._agents[name]
+        agent.hello = agent.hello._replace(leaving=True)
+        self._update_rank(name)
 
-    def grant(self, agent: str, count: int) -> None:
+    def grant(self, name: str, count: int) -> None:
         """Add credits of an agent."""
-        self._agents[agent].credits += count
-        self._refresh(agent)
+        self._agents[name].credits += count
+        self._update_rank(name)
 
-    def give_back(self, agent: str, wanted: int) -> int:
+    def give_back(self, name: str, wanted: int) -> int:
         """Remove up to `wanted` unused credits and return how many."""
-        known = self._agents[agent]
-        returned = min(wanted, known.credits)
-        known.credits -= returned
-        self._refresh(agent)
+        agent = self._agents[name]
+        returned = min(wanted, agent.credits)
+        agent.credits -= returned
+        self._update_rank(name)
         return returned
 
     def has_credit(
@@ -255,43 +257,43 @@
         chosen = pool.choose(now, backlog_s, mean_s)
         if chosen is None:
             return None
-        name, probe = chosen
+        name, is_probe = chosen
         agent = self._agents[name]
         agent.credits -= 1
-        if probe:
+        if is_probe:
             pool.health.note_probe(name, now)
             agent.verdict = pool.health.verdict(name)
-        pool.refresh(name, agent)
+        pool.update_rank(name, agent)
         return name
 
     def observe(
         self,
-        agent: str,
+        name: str,
         operation: str,
         outcome: str,
         duration_s: float,
         now: float,
     ) -> None:
         """Learn from the end of a task."""
-        known = self._agents.get(agent)
-        if known is None:
+        agent = self._agents.get(name)
+        if agent is None:
             return
-        service = known.hello.service
+        service = agent.hello.service
         health = self._pools[service].health
         if outcome == reasons.COMPLETE and duration_s > 0:
             mean_s = self.times.measured_mean_s(service, operation)
             if mean_s:
-                health.note_time(agent, duration_s / mean_s, now)
-            if not health.verdict(agent).slow:
+                health.note_time(name, duration_s / mean_s, now)
+            if not health.verdict(name).slow:
                 self.times.record(service, operation, duration_s)
         health.note_end(
-            agent,
+            name,
             operation,
             now,
             failed=outcome in _FAILURES,
             not_run=outcome == reasons.NOT_RUN,
         )
-        self._judge(agent)
+        self._update_verdict(name)
 
     def agents_of(self, service: str) -> list[str]:
         """Return the linked agents of a service that are not leaving."""
@@ -319,14 +321,14 @@
     def largest(self, service: str) -> tuple[int, int]:
         """Return the most slots and the most memory any worker announces."""
         pool = self._pools.get(service)
-        shapes = (
-            [shape for shape, count in pool.shapes.items() if count]
+        sizes = (
+            [size for size, count in pool.worker_sizes.items() if count]
             if pool
             else []
         )
         return (
-            max((slots for slots, _ in shapes), default=0),
-            max((memory_mb for _, memory_mb in shapes), default=0),
+            max((slots for slots, _ in sizes), default=0),
+            max((memory_mb for _, memory_mb in sizes), default=0),
         )
 
     def reports(self) -> list[AgentReport]:
@@ -344,13 +346,13 @@
             for name, agent in self._agents.items()
         ]
 
-    def _judge(self, name: str) -> None:
+    def _update_verdict(self, name: str) -> None:
         agent = self._agents[name]
         verdict = self._pools[agent.hello.service].health.verdict(name)
         if verdict != agent.verdict:
             agent.verdict = verdict
-            self._refresh(name)
+            self._update_rank(name)
 
-    def _refresh(self, name: str) -> None:
+    def _update_rank(self, name: str) -> None:
         agent = self._agents[name]
-        self._pools[agent.hello.service].refresh(name, agent)
+        self._pools[agent.hello.service].update_rank(name, agent)
