--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -1,4 +1,4 @@
-"""Keep the agents of each service and choose one for each start."""
+"""Track the agents of each service and choose one for each task."""
 
 from __future__ import annotations
 
@@ -19,10 +19,11 @@
 if TYPE_CHECKING:
     from savoryrudder.protocol.messages import Hello
 
-# Steps of the measured slowness within which agents count as equally fast;
-# two to a factor of 2, since service times scatter.
+# Speed classes per factor of 2 of the measured slowness. Agents of one class
+# count as equally fast, because service times scatter.
 SPEED_STEPS: Final = 2
-# Outdated heap items for each agent before a heap is rebuilt.
+# A heap is rebuilt, without its outdated items, above this many items for each
+# agent plus `SMALL_HEAP`.
 MAX_OUTDATED: Final = 4
 SMALL_HEAP: Final = 64
 
@@ -54,7 +55,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _Agent:
-    """Track one linked agent; `capacity` is what its pool counts of it."""
+    """Track one linked agent.
+
+    `capacity` and `free_credits` are its parts in the totals of its pool.
+    """
 
     hello: Hello
     credits: int = 0
@@ -66,12 +70,12 @@
 
     @property
     def startable(self) -> bool:
-        """Tell whether tasks may be started."""
+        """Tell whether tasks may be started on the agent."""
         return self.usable and not self.hello.leaving
 
 
 class _Pool:
-    """Hold the agents of one service in the order of their use."""
+    """Rank the agents of one service."""
 
     def __init__(self) -> None:
         self.agents: dict[str, _Agent] = {}
@@ -84,7 +88,7 @@
         self._probe_heap: list[tuple[float, str]] = []
 
     def update_rank(self, name: str, agent: _Agent) -> None:
-        """Rank an agent anew after any change."""
+        """Update the rank of an agent and the totals after a change."""
         verdict = agent.verdict
         agent.version += 1
         restricted = verdict.ejected or verdict.slow
@@ -123,7 +127,7 @@
         backlog_s: float,
         mean_s: float,
     ) -> tuple[str, bool] | None:
-        """Use a slow agent if the queue makes tasks wait even longer."""
+        """Return a slow agent if the backlog delays tasks even longer."""
         name = self._best_agent(self._slow_heap)
         if not name:
             return None
@@ -202,18 +206,18 @@
             self._update_verdict(restored)
 
     def mark_usable(self, name: str) -> None:
-        """Allow starts on an agent."""
+        """Allow tasks to be started on an agent."""
         self._agents[name].usable = True
         self._update_rank(name)
 
     def mark_leaving(self, name: str) -> None:
-        """Stop starts on an agent for good."""
+        """Start no more tasks on an agent that is leaving."""
         agent = self._agents[name]
         agent.hello = agent.hello._replace(leaving=True)
         self._update_rank(name)
 
     def grant(self, name: str, count: int) -> None:
-        """Add credits of an agent."""
+        """Add credits that an agent has granted."""
         self._agents[name].credits += count
         self._update_rank(name)
 
@@ -231,10 +235,10 @@
         now: float = 0,
         backlog_s: float = 0,
     ) -> bool:
-        """Tell whether a start of the service is sensible now.
+        """Tell whether an agent should be given a task of the service now.
 
-        `backlog_s` is the expected service time of all queued tasks; only a
-        long queue makes slow agents worth while.
+        `backlog_s` is the expected service time of all queued tasks; slow
+        agents are used only if it is long.
         """
         pool = self._pools.get(service)
         if pool is None:
@@ -274,7 +278,7 @@
         duration_s: float,
         now: float,
     ) -> None:
-        """Learn from the end of a task."""
+        """Update the health and the service times with the end of a task."""
         agent = self._agents.get(name)
         if agent is None:
             return
@@ -314,12 +318,12 @@
         )
 
     def capacity(self, service: str) -> float:
-        """Return the slots that serve this entry, in usual speed."""
+        """Return this entry's share of the slots, scaled to normal speed."""
         pool = self._pools.get(service)
         return pool.capacity / self.entries if pool else 0
 
     def largest(self, service: str) -> tuple[int, int]:
-        """Return the most slots and the most memory any worker announces."""
+        """Return the most slots and the most memory that a worker announces."""
         pool = self._pools.get(service)
         sizes = (
             [size for size, count in pool.worker_sizes.items() if count]
