--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -35,7 +35,7 @@
 
 
 def dispatch(turn: Turn) -> None:
-    """Start queued tasks while there are credits and the lease is valid."""
+    """Start queued tasks while there are credits and this entry may act."""
     state = turn.state
     for service, queue in state.queues.items():
         if not queue or not _can_start(turn, service, queue):
