Rename private names of queueing

_patience -> _target_delay_s _Item -> _HeapItem _Items -> _Heap ._live -> ._queued ._items -> ._heap ._is_live -> ._is_queued .due -> .work_by_deadline ._started -> ._recent_work ._started_at -> ._recent_work_at ._order -> ._client_heap ._first -> ._first_client ._add -> ._update_totals .forget -> .account_removal .head -> .peek .head_work -> .next_work .credit -> .deficit .note_start -> .record_start ._work_before -> ._work_ahead ._end_busy_period -> ._reset_shares ._charge -> ._update_deficits _ClientQueue.__init__: live -> queued _ClientQueue._update_totals: due -> due_work, bucket -> due_at _Band.__init__: live -> queued ServiceQueue.remove: known -> queued ServiceQueue.work_due: own -> client_queue ServiceQueue.work_up_to: place -> band_index ServiceQueue.drain_s: place -> band_index, left -> free_slots, before -> work_ahead ServiceQueue._work_ahead: own -> own_queue, before -> work_ahead, rounds -> normalized_work, due -> fair_work, other -> other_queue ServiceQueue._next_band: first -> most_urgent, due -> owed, most -> largest_deficit ServiceQueue._update_deficits: started -> band_name, charged -> started_band

--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -25,8 +25,8 @@
 MAX_PATIENCE_S: Final = 30
 LEAST_WORK_S: Final = 1e-6
 
-_Item: TypeAlias = 'tuple[float, float, int, QueuedTask]'
-_Items: TypeAlias = list[_Item]
+_HeapItem: TypeAlias = 'tuple[float, float, int, QueuedTask]'
+_Heap: TypeAlias = list[_HeapItem]
 
 
 class QueuedTask(NamedTuple):
@@ -63,57 +63,57 @@
     deadline in whole seconds.
     """
 
-    def __init__(self, live: dict[TaskKey, QueuedTask]) -> None:
+    def __init__(self, queued: dict[TaskKey, QueuedTask]) -> None:
         self.waiting = 0
         self.work: float = 0
-        self.due: dict[int, float] = {}
+        self.work_by_deadline: dict[int, float] = {}
         self.start: float = 0
         self.rank: float = 0
-        self._live = live
-        self._items: _Items = []
+        self._queued = queued
+        self._heap: _Heap = []
 
     def push(self, task: QueuedTask, sequence: int) -> None:
         # Of one job, the longest task first shortens the job.
         item = (task.target, -task.work, sequence, task)
-        heapq.heappush(self._items, item)
-        self._add(1, task, task.work)
+        heapq.heappush(self._heap, item)
+        self._update_totals(1, task, task.work)
 
     def pop(self) -> QueuedTask:
-        self.head()
-        task = heapq.heappop(self._items)[3]
-        self._live.pop((task.submission, task.task))
-        self._add(-1, task, -task.work)
+        self.peek()
+        task = heapq.heappop(self._heap)[3]
+        self._queued.pop((task.submission, task.task))
+        self._update_totals(-1, task, -task.work)
         return task
 
-    def head(self) -> QueuedTask:
-        while not self._is_live(self._items[0]):
-            heapq.heappop(self._items)
-        return self._items[0][3]
+    def peek(self) -> QueuedTask:
+        while not self._is_queued(self._heap[0]):
+            heapq.heappop(self._heap)
+        return self._heap[0][3]
 
-    def forget(self, task: QueuedTask) -> None:
+    def account_removal(self, task: QueuedTask) -> None:
         """Account for a task that was removed from the live ones."""
-        self._add(-1, task, -task.work)
-        if len(self._items) > 2 * self.waiting + MAX_REMOVED:
-            self._items = [item for item in self._items if self._is_live(item)]
-            heapq.heapify(self._items)
+        self._update_totals(-1, task, -task.work)
+        if len(self._heap) > 2 * self.waiting + MAX_REMOVED:
+            self._heap = [item for item in self._heap if self._is_queued(item)]
+            heapq.heapify(self._heap)
 
-    def _add(self, count: int, task: QueuedTask, work: float) -> None:
+    def _update_totals(self, count: int, task: QueuedTask, work: float) -> None:
         self.waiting += count
         if not self.waiting:
             # Sums of floats do not return to zero exactly.
             self.work = 0
-            self.due.clear()
+            self.work_by_deadline.clear()
             return
         self.work += work
-        bucket = math.ceil(task.deadline)
-        due = self.due.get(bucket, 0) + work
-        self.due[bucket] = due
-        if due < LEAST_WORK_S:
-            self.due.pop(bucket)
+        due_at = math.ceil(task.deadline)
+        due_work = self.work_by_deadline.get(due_at, 0) + work
+        self.work_by_deadline[due_at] = due_work
+        if due_work < LEAST_WORK_S:
+            self.work_by_deadline.pop(due_at)
 
-    def _is_live(self, item: _Item) -> bool:
+    def _is_queued(self, item: _HeapItem) -> bool:
         task = item[3]
-        return self._live.get((task.submission, task.task)) is task
+        return self._queued.get((task.submission, task.task)) is task
 
 
 class _Band:
@@ -124,81 +124,81 @@
     in the long run.
     """
 
-    def __init__(self, live: dict[TaskKey, QueuedTask]) -> None:
+    def __init__(self, queued: dict[TaskKey, QueuedTask]) -> None:
         self.waiting = 0
         self.work: float = 0
-        self.credit: float = 0
+        self.deficit: float = 0
         self.clients: dict[str, _ClientQueue] = {}
-        self._live = live
+        self._queued = queued
         self._virtual_time: float = 0
-        self._started: float = 0
-        self._started_at: float = 0
-        self._order: list[tuple[float, int, str]] = []
+        self._recent_work: float = 0
+        self._recent_work_at: float = 0
+        self._client_heap: list[tuple[float, int, str]] = []
 
     def push(self, task: QueuedTask, sequence: int) -> None:
         client = self.clients.get(task.client)
         if client is None:
-            client = _ClientQueue(self._live)
+            client = _ClientQueue(self._queued)
             self.clients[task.client] = client
         if not client.waiting:
             client.start = max(self._virtual_time, client.start)
             client.rank = float('inf')
         client.push(task, sequence)
-        self._add(1, task.work)
-        rank = client.start + _patience(task)
+        self._update_totals(1, task.work)
+        rank = client.start + _target_delay_s(task)
         if rank < client.rank:
             client.rank = rank
-            heapq.heappush(self._order, (rank, sequence, task.client))
+            heapq.heappush(self._client_heap, (rank, sequence, task.client))
 
-    def head_work(self) -> float:
-        return self.clients[self._first()].head().work
+    def next_work(self) -> float:
+        return self.clients[self._first_client()].peek().work
 
     def pop(self, weights: Mapping[str, float]) -> QueuedTask:
-        name = self._first()
+        name = self._first_client()
         client = self.clients[name]
         task = client.pop()
-        self._add(-1, -task.work)
+        self._update_totals(-1, -task.work)
         self._virtual_time = max(self._virtual_time, client.start)
         client.start += task.work / weights.get(name, 1)
-        sequence = heapq.heappop(self._order)[1]
+        sequence = heapq.heappop(self._client_heap)[1]
         if client.waiting:
-            client.rank = client.start + _patience(client.head())
-            heapq.heappush(self._order, (client.rank, sequence, name))
+            client.rank = client.start + _target_delay_s(client.peek())
+            heapq.heappush(self._client_heap, (client.rank, sequence, name))
         if not self.waiting:
-            self._end_busy_period()
+            self._reset_shares()
         return task
 
     def remove(self, task: QueuedTask) -> None:
-        self.clients[task.client].forget(task)
-        self._add(-1, -task.work)
+        self.clients[task.client].account_removal(task)
+        self._update_totals(-1, -task.work)
         if not self.waiting:
-            self._end_busy_period()
+            self._reset_shares()
 
-    def note_start(self, work: float, now: float) -> None:
-        self._started = self.load(now) * LOAD_WINDOW_S + work
-        self._started_at = now
+    def record_start(self, work: float, now: float) -> None:
+        self._recent_work = self.load(now) * LOAD_WINDOW_S + work
+        self._recent_work_at = now
 
     def load(self, now: float) -> float:
         """Return the work started in a second, averaged exponentially."""
-        age = (now - self._started_at) / LOAD_WINDOW_S
-        return self._started * math.exp(-age) / LOAD_WINDOW_S
+        age = (now - self._recent_work_at) / LOAD_WINDOW_S
+        return self._recent_work * math.exp(-age) / LOAD_WINDOW_S
 
-    def _first(self) -> str:
+    def _first_client(self) -> str:
         while True:
-            rank, _, name = self._order[0]
+            rank, _, name = self._client_heap[0]
             client = self.clients[name]
             if client.waiting and client.rank == rank:
                 return name
-            heapq.heappop(self._order)
+            heapq.heappop(self._client_heap)
 
-    def _end_busy_period(self) -> None:
+    def _reset_shares(self) -> None:
         """Forget past use: nobody waited for it."""
-        self._order.clear()
+        self._client_heap.clear()
         self._virtual_time = 0
-        self.credit = 0
+        self.deficit = 0
         self.clients.clear()
 
-    def _add(self, count: int, work: float) -> None:
+    def _update_totals(self, count: int, work: float) -> None:
         self.waiting += count
         self.work += work
         if not self.waiting:
@@ -218,14 +218,14 @@
         weights: Mapping[str, float],
     ) -> None:
         """Create a queue with band shares and client weights."""
-        self._live: dict[TaskKey, QueuedTask] = {}
-        self._bands = {name: _Band(self._live) for name in URGENCY_BANDS}
+        self._queued: dict[TaskKey, QueuedTask] = {}
+        self._bands = {name: _Band(self._queued) for name in URGENCY_BANDS}
         self._sequence = 0
         self.configure(shares, weights)
 
     def __len__(self) -> int:
         """Return the number of tasks that wait."""
-        return len(self._live)
+        return len(self._queued)
 
     @property
     def work(self) -> float:
@@ -244,10 +244,10 @@
     def push(self, task: QueuedTask) -> None:
         """Add a task unless it waits already."""
         key = (task.submission, task.task)
-        if key in self._live:
+        if key in self._queued:
             return
         self._sequence += 1
-        self._live[key] = task
+        self._queued[key] = task
         self._bands[task.urgency].push(task, self._sequence)
 
     def pop(self, now: float) -> QueuedTask | None:
@@ -256,25 +256,25 @@
         if name is None:
             return None
         task = self._bands[name].pop(self._weights)
-        self._charge(name, task.work, now)
+        self._update_deficits(name, task.work, now)
         return task
 
     def remove(self, task: QueuedTask) -> None:
         """Remove a task that waits, in constant amortized time."""
-        known = self._live.pop((task.submission, task.task), None)
-        if known is not None:
-            self._bands[task.urgency].remove(known)
+        queued = self._queued.pop((task.submission, task.task), None)
+        if queued is not None:
+            self._bands[task.urgency].remove(queued)
 
     def work_due(self, urgency: str, client: str) -> dict[int, float]:
         """Return a client's expected work by deadline in whole seconds."""
-        own = self._bands[urgency].clients.get(client)
-        return own.due if own else {}
+        client_queue = self._bands[urgency].clients.get(client)
+        return client_queue.work_by_deadline if client_queue else {}
 
     def work_up_to(self, urgency: str) -> float:
         """Return the expected work of a band and of more urgent ones."""
-        place = URGENCY_BANDS.index(urgency)
+        band_index = URGENCY_BANDS.index(urgency)
         return sum(
-            self._bands[name].work for name in URGENCY_BANDS[: place + 1]
+            self._bands[name].work for name in URGENCY_BANDS[: band_index + 1]
         )
 
     def drain_s(
@@ -290,50 +290,53 @@
         The band has at least its share of the slots, else what more urgent
         bands and the shares of waiting less urgent bands leave.
         """
-        place = URGENCY_BANDS.index(urgency)
-        left = slots
-        before = self._work_before(urgency, client, work)
+        band_index = URGENCY_BANDS.index(urgency)
+        free_slots = slots
+        work_ahead = self._work_ahead(urgency, client, work)
         wait_s = float('inf')
         if self._shares.get(urgency):
-            wait_s = before / (slots * self._shares[urgency])
+            wait_s = work_ahead / (slots * self._shares[urgency])
         for name, band in self._bands.items():
-            if URGENCY_BANDS.index(name) < place:
-                left -= band.load(now)
-                before += band.work
+            if URGENCY_BANDS.index(name) < band_index:
+                free_slots -= band.load(now)
+                work_ahead += band.work
             elif band.waiting and name != urgency:
-                left -= slots * self._shares.get(name, 0)
-        if left <= 0:
+                free_slots -= slots * self._shares.get(name, 0)
+        if free_slots <= 0:
             return wait_s
-        return min(wait_s, before / left)
+        return min(wait_s, work_ahead / free_slots)
 
-    def _work_before(self, urgency: str, client: str, work: float) -> float:
+    def _work_ahead(self, urgency: str, client: str, work: float) -> float:
         """Return the work that a band starts up to a client's new work."""
         clients = self._bands[urgency].clients
-        own = clients.get(client)
-        before = work
-        if own is not None:
-            before += own.work
-        rounds = before / self._weights.get(client, 1)
-        for name, other in clients.items():
+        own_queue = clients.get(client)
+        work_ahead = work
+        if own_queue is not None:
+            work_ahead += own_queue.work
+        normalized_work = work_ahead / self._weights.get(client, 1)
+        for name, other_queue in clients.items():
             if name != client:
-                due = rounds * self._weights.get(name, 1)
-                before += min(other.work, due)
-        return before
+                fair_work = normalized_work * self._weights.get(name, 1)
+                work_ahead += min(other_queue.work, fair_work)
+        return work_ahead
 
     def _next_band(self) -> str | None:
-        first: str | None = None
-        due: str | None = None
-        most: float = 0
+        most_urgent: str | None = None
+        owed: str | None = None
+        largest_deficit: float = 0
         for name, band in self._bands.items():
             if not band.waiting:
                 continue
-            first = first or name
-            if band.credit > most and band.credit >= band.head_work():
-                due = name
-                most = band.credit
-        return due or first
-
-    def _charge(self, started: str, work: float, now: float) -> None:
+            most_urgent = most_urgent or name
+            if (
+                band.deficit > largest_deficit
+                and band.deficit >= band.next_work()
+            ):
+                owed = name
+                largest_deficit = band.deficit
+        return owed or most_urgent
+
+    def _update_deficits(self, band_name: str, work: float, now: float) -> None:
         """Give waiting bands their shares of a start and charge its band.
 
         A band pays at most what it has: use of a share that nobody claimed is
@@ -341,11 +344,11 @@
         """
         for name, band in self._bands.items():
             if band.waiting:
-                band.credit += self._shares.get(name, 0) * work
-        charged = self._bands[started]
-        charged.credit = max(0, charged.credit - work)
-        charged.note_start(work, now)
+                band.deficit += self._shares.get(name, 0) * work
+        started_band = self._bands[band_name]
+        started_band.deficit = max(0, started_band.deficit - work)
+        started_band.record_start(work, now)
 
 
-def _patience(task: QueuedTask) -> float:
+def _target_delay_s(task: QueuedTask) -> float:
     return min(MAX_PATIENCE_S, task.target - task.enqueued)
--- a/tests/entry/test_queueing.py
+++ b/tests/entry/test_queueing.py
@@ -157,7 +157,7 @@
     for number in range(1, 10_000):
         queue.push(_task(number))
         queue.remove(_task(number))
-    held = queue._bands['normal'].clients['a']._items
+    held = queue._bands['normal'].clients['a']._heap
     assert len(held) <= 2 + MAX_REMOVED
     assert queue.pop(0) == keep
 
