--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -16,12 +16,13 @@
 
     from savoryrudder.protocol.messages import TaskKey
 
-# A heap may hold this many removed tasks, or as many as waiting ones, before
-# it is rebuilt.
+# A heap is rebuilt when its removed tasks outnumber the waiting ones by more
+# than this.
 MAX_REMOVED: Final = 64
 # Long enough to smooth jobs of 170 tasks, short enough to follow a burst.
 LOAD_WINDOW_S: Final = 5
-# Work, by weight, that a client with near targets gets ahead of others.
+# Bound on the work, in seconds divided by the weight, by which a client with
+# near targets gets ahead of others.
 MAX_PATIENCE_S: Final = 30
 LEAST_WORK_S: Final = 1e-6
 
@@ -30,7 +31,7 @@
 
 
 class QueuedTask(NamedTuple):
-    """Identify a queued task and what its order depends on.
+    """Hold the identity of a queued task and what decides its order.
 
     `deadline` and `enqueued` are monotonic seconds; `work` is the expected
     service time in seconds, `job_work` that of all tasks of the job.
@@ -48,7 +49,7 @@
 
     @property
     def target(self) -> float:
-        """Return the time that the order aims at, at most the deadline.
+        """Return the time by which the task should start, at most its deadline.
 
         Jobs of all sizes often have the same deadline. Ordered by it alone,
         the p99 of small jobs at 80 % load was 11.5 times the ideal.
@@ -73,7 +74,7 @@
         self._heap: _Heap = []
 
     def push(self, task: QueuedTask, sequence: int) -> None:
-        # Of one job, the longest task first shortens the job.
+        # Starting the longest task of a job first shortens the job.
         item = (task.target, -task.work, sequence, task)
         heapq.heappush(self._heap, item)
         self._update_totals(1, task, task.work)
@@ -91,7 +92,7 @@
         return self._heap[0][3]
 
     def account_removal(self, task: QueuedTask) -> None:
-        """Account for a task that was removed from the live ones."""
+        """Update the totals for a task that was removed while queued."""
         self._update_totals(-1, task, -task.work)
         if len(self._heap) > 2 * self.waiting + MAX_REMOVED:
             self._heap = [item for item in self._heap if self._is_queued(item)]
@@ -100,7 +101,7 @@
     def _update_totals(self, count: int, task: QueuedTask, work: float) -> None:
         self.waiting += count
         if not self.waiting:
-            # Sums of floats do not return to zero exactly.
+            # Rounding errors keep the sums from returning to exactly zero.
             self.work = 0
             self.work_by_deadline.clear()
             return
@@ -117,11 +118,11 @@
 
 
 class _Band:
-    """Share the starts of a band among its clients by virtual time.
+    """Share a band among its clients by weighted fair queueing.
 
-    A client's rank is its virtual start time plus the time to the target of
-    its first task, within a bound: targets decide in the short run, weights
-    in the long run.
+    A client's rank is its virtual start time plus the bounded time to the
+    target of its first task: targets decide in the short run, weights in the
+    long run.
     """
 
     def __init__(self, queued: dict[TaskKey, QueuedTask]) -> None:
@@ -179,7 +180,7 @@
         self._recent_work_at = now
 
     def load(self, now: float) -> float:
-        """Return the work started in a second, averaged exponentially."""
+        """Return the exponential average of the work started per second."""
         age = (now - self._recent_work_at) / LOAD_WINDOW_S
         return self._recent_work * math.exp(-age) / LOAD_WINDOW_S
 
@@ -192,7 +193,10 @@
             heapq.heappop(self._client_heap)
 
     def _reset_shares(self) -> None:
-        """Forget past use: nobody waited for it."""
+        """Reset the fair shares at the end of a busy period.
+
+        Work started while no other client waited is not held against a client.
+        """
         self._client_heap.clear()
         self._virtual_time = 0
         self.deficit = 0
@@ -206,10 +210,10 @@
 
 
 class ServiceQueue:
-    """Hold the queued tasks of one service in the order of their start.
+    """Order the queued tasks of one service.
 
-    Each band is guaranteed its share of the started work while it waits;
-    what is left goes to the most urgent band. Clients share a band by weight.
+    Each band is guaranteed its share of the started work while it has tasks;
+    the rest goes to the most urgent band. Clients share a band by weight.
     """
 
     def __init__(
@@ -224,12 +228,12 @@
         self.configure(shares, weights)
 
     def __len__(self) -> int:
-        """Return the number of tasks that wait."""
+        """Return the number of queued tasks."""
         return len(self._queued)
 
     @property
     def work(self) -> float:
-        """Return the expected service time of all waiting tasks."""
+        """Return the expected service time of all queued tasks."""
         return sum(band.work for band in self._bands.values())
 
     def configure(
@@ -242,7 +246,7 @@
         self._weights = weights
 
     def push(self, task: QueuedTask) -> None:
-        """Add a task unless it waits already."""
+        """Add a task unless it is queued already."""
         key = (task.submission, task.task)
         if key in self._queued:
             return
@@ -260,7 +264,7 @@
         return task
 
     def remove(self, task: QueuedTask) -> None:
-        """Remove a task that waits, in constant amortized time."""
+        """Remove a queued task in constant amortized time."""
         queued = self._queued.pop((task.submission, task.task), None)
         if queued is not None:
             self._bands[task.urgency].remove(queued)
@@ -285,10 +289,10 @@
         slots: float,
         now: float,
     ) -> float:
-        """Estimate when the last of a client's work starts with the new work.
+        """Estimate the time until all of a client's work, old and new, starts.
 
-        The band has at least its share of the slots, else what more urgent
-        bands and the shares of waiting less urgent bands leave.
+        The band gets its share of the slots, or what the load of more urgent
+        bands and the shares of waiting less urgent bands leave if it is more.
         """
         band_index = URGENCY_BANDS.index(urgency)
         free_slots = slots
@@ -307,7 +311,7 @@
         return min(wait_s, work_ahead / free_slots)
 
     def _work_ahead(self, urgency: str, client: str, work: float) -> float:
-        """Return the work that a band starts up to a client's new work."""
+        """Return the work that a band starts until a client's new work is."""
         clients = self._bands[urgency].clients
         own_queue = clients.get(client)
         work_ahead = work
@@ -337,10 +341,10 @@
         return owed or most_urgent
 
     def _update_deficits(self, band_name: str, work: float, now: float) -> None:
-        """Give waiting bands their shares of a start and charge its band.
+        """Credit waiting bands with their shares and charge the started band.
 
-        A band pays at most what it has: use of a share that nobody claimed is
-        free. An idle band saves nothing up.
+        A deficit never falls below zero, so that the use of unclaimed shares
+        is free. An idle band does not accumulate a deficit.
         """
         for name, band in self._bands.items():
             if band.waiting:
