--- a/src/savoryrudder/entry/reasons.py
+++ b/src/savoryrudder/entry/reasons.py
@@ -1,4 +1,4 @@
-"""Name the reason codes of refusals and failures."""
+"""Define the statuses, outcomes and reason codes of answers."""
 
 from __future__ import annotations
 
