Rename private names of refusals

remember_refusal: until -> repeat_until, named -> job_key repeat_refusal: left_ms -> remaining_ms, past -> refusal take_over_refusal: until -> repeat_until, named -> job_key pass_on_refusals: lost -> new_owners, past -> refusal, left_ms -> remaining_ms, named -> job_key forget_refusals: past -> refusal _remember: past -> refusal

--- a/src/savoryrudder/entry/refusals.py
+++ b/src/savoryrudder/entry/refusals.py
@@ -42,23 +42,23 @@
     retry_ms = max(answer.retry_after_ms, REFUSAL_REPEAT_MS)
     if answer.retry_after_ms:
         answer = answer._replace(retry_after_ms=retry_ms)
-    until = turn.now + retry_ms / MS_PER_S
-    named = (request.client, request.key)
-    _remember(turn, identifier, PastRefusal(until, *named, answer))
+    repeat_until = turn.now + retry_ms / MS_PER_S
+    job_key = (request.client, request.key)
+    _remember(turn, identifier, PastRefusal(repeat_until, *job_key, answer))
     return answer
 
 
 def repeat_refusal(
     turn: Turn,
     request: ParkedRequest,
-    past: PastRefusal,
+    refusal: PastRefusal,
 ) -> None:
     """Answer a copy of a refused request with the time that is left."""
     turn.count('refusals_repeated')
-    answer = past.answer
+    answer = refusal.answer
     if answer.retry_after_ms:
-        left_ms = max(0, int((past.repeat_until - turn.now) * MS_PER_S))
-        answer = answer._replace(retry_after_ms=left_ms + 1)
+        remaining_ms = max(0, int((refusal.repeat_until - turn.now) * MS_PER_S))
+        answer = answer._replace(retry_after_ms=remaining_ms + 1)
     answers.reply(turn, request.waiter, answer)
 
 
@@ -67,27 +67,31 @@
     identifier = submission_id(message.client, message.key)
     if identifier in turn.state.submissions:
         return
-    until = turn.now + message.wait_ms / MS_PER_S
+    repeat_until = turn.now + message.wait_ms / MS_PER_S
     answer = answers.refusal(
         reasons.OVERLOADED,
         'the entry formerly in charge refused the job',
         retry_after_ms=message.wait_ms,
     )
-    named = (message.client, message.key)
-    _remember(turn, identifier, PastRefusal(until, *named, answer))
+    job_key = (message.client, message.key)
+    _remember(turn, identifier, PastRefusal(repeat_until, *job_key, answer))
 
 
-def pass_on_refusals(turn: Turn, lost: dict[int, str]) -> None:
+def pass_on_refusals(turn: Turn, new_owners: dict[int, str]) -> None:
     """Tell the new owners of partitions which jobs were refused here."""
-    if not lost:
+    if not new_owners:
         return
-    for identifier, past in turn.state.refusals.items():
-        left_ms = int((past.repeat_until - turn.now) * MS_PER_S)
-        owner = turn.state.peers.get(lost.get(partition_of(identifier), ''))
-        if left_ms <= 0 or owner is None or not owner.session:
+    for identifier, refusal in turn.state.refusals.items():
+        remaining_ms = int((refusal.repeat_until - turn.now) * MS_PER_S)
+        owner = turn.state.peers.get(
+            new_owners.get(partition_of(identifier), '')
+        )
+        if remaining_ms <= 0 or owner is None or not owner.session:
             continue
-        named = (past.client, past.key)
-        turn.send(owner.name, Forward(0, 'refused', *named, None, left_ms, 0))
+        job_key = (refusal.client, refusal.key)
+        turn.send(
+            owner.name, Forward(0, 'refused', *job_key, None, remaining_ms, 0)
+        )
 
 
 def forget_refusals(turn: Turn) -> None:
@@ -96,14 +100,14 @@
     expiry = turn.state.refusal_expiry
     while expiry and expiry[0][0] <= turn.now:
         _, identifier = heapq.heappop(expiry)
-        past = refusals.get(identifier)
-        if past and past.repeat_until + REFUSAL_MEMORY_S <= turn.now:
+        refusal = refusals.get(identifier)
+        if refusal and refusal.repeat_until + REFUSAL_MEMORY_S <= turn.now:
             refusals.pop(identifier)
 
 
-def _remember(turn: Turn, identifier: bytes, past: PastRefusal) -> None:
-    turn.state.refusals[identifier] = past
+def _remember(turn: Turn, identifier: bytes, refusal: PastRefusal) -> None:
+    turn.state.refusals[identifier] = refusal
     heapq.heappush(
         turn.state.refusal_expiry,
-        (past.repeat_until + REFUSAL_MEMORY_S, identifier),
+        (refusal.repeat_until + REFUSAL_MEMORY_S, identifier),
     )
