--- a/src/savoryrudder/entry/refusals.py
+++ b/src/savoryrudder/entry/refusals.py
@@ -1,4 +1,4 @@
-"""Remember refusals and repeat them to copies of the same request."""
+"""Store refusals and repeat them to copies of the same request."""
 
 from __future__ import annotations
 
@@ -19,16 +19,17 @@
     from savoryrudder.entry.turn import Turn
     from savoryrudder.protocol.messages import Answer
 
-# Longer than a lease plus the collection of records, so that a call which
-# arrives right after the loss of an entry is served by its successor.
+# Longer than a lease plus the collection of records from agents, so that a
+# request which arrives right after the loss of an entry is served by the new
+# owner.
 PARK_S: Final = 12
 # The longest time that a frame can spend on a link before the link is closed.
 TRANSIT_S: Final = 3
-# Copies received before the end of a refusal's repetition and older than
-# parking plus transit cannot arrive any more.
+# A copy received while a refusal was repeated arrives within the time that it
+# may be parked and in transit.
 REFUSAL_MEMORY_S: Final = PARK_S + TRANSIT_S
-# A refusal is repeated for at least this long, so that copies that were on
-# their way while it was given (up to `TRANSIT_S`) do not run after it.
+# A refusal is repeated for at least this long, so that copies that were in
+# transit when it was given (up to `TRANSIT_S`) do not run afterwards.
 REFUSAL_REPEAT_MS: Final = 4000
 
 
@@ -38,7 +39,7 @@
     identifier: bytes,
     answer: Answer,
 ) -> Answer:
-    """Remember a refusal; return it with the retry-after in force."""
+    """Store a refusal; return it with the retry-after that applies."""
     retry_ms = max(answer.retry_after_ms, REFUSAL_REPEAT_MS)
     if answer.retry_after_ms:
         answer = answer._replace(retry_after_ms=retry_ms)
@@ -53,7 +54,7 @@
     request: ParkedRequest,
     refusal: PastRefusal,
 ) -> None:
-    """Answer a copy of a refused request with the time that is left."""
+    """Repeat a refusal with the remaining retry-after."""
     turn.count('refusals_repeated')
     answer = refusal.answer
     if answer.retry_after_ms:
@@ -63,14 +64,14 @@
 
 
 def take_over_refusal(turn: Turn, message: Forward) -> None:
-    """Remember a refusal that the former owner of a partition gave."""
+    """Store a refusal given by the former owner of a partition."""
     identifier = submission_id(message.client, message.key)
     if identifier in turn.state.submissions:
         return
     repeat_until = turn.now + message.wait_ms / MS_PER_S
     answer = answers.refusal(
         reasons.OVERLOADED,
-        'the entry formerly in charge refused the job',
+        'the former owner of the partition refused the job',
         retry_after_ms=message.wait_ms,
     )
     job_key = (message.client, message.key)
@@ -78,7 +79,7 @@
 
 
 def pass_on_refusals(turn: Turn, new_owners: dict[int, str]) -> None:
-    """Tell the new owners of partitions which jobs were refused here."""
+    """Send the refusals given here to the new owners of the partitions."""
     if not new_owners:
         return
     for identifier, refusal in turn.state.refusals.items():
@@ -95,7 +96,7 @@
 
 
 def forget_refusals(turn: Turn) -> None:
-    """Forget refusals whose delayed copies cannot arrive any more."""
+    """Drop refusals of which no delayed copy can arrive any more."""
     refusals = turn.state.refusals
     expiry = turn.state.refusal_expiry
     while expiry and expiry[0][0] <= turn.now:
