--- a/src/savoryrudder/entry/retries.py
+++ b/src/savoryrudder/entry/retries.py
@@ -19,7 +19,7 @@
         """Create a budget without starts."""
         self._starts: float = 0
         self._retries: float = 0
-        self._at: float = 0
+        self._decayed_at: float = 0
 
     def note_start(self, now: float) -> None:
         """Count a start."""
@@ -35,10 +35,10 @@
         return True
 
     def _decay(self, now: float) -> None:
-        kept = math.exp((self._at - now) / WINDOW_S)
-        self._at = now
-        self._starts *= kept
-        self._retries *= kept
+        decay = math.exp((self._decayed_at - now) / WINDOW_S)
+        self._decayed_at = now
+        self._starts *= decay
+        self._retries *= decay
 
 
 def backoff_s(attempts: int, jitter: float) -> float:
