--- a/src/savoryrudder/entry/retries.py
+++ b/src/savoryrudder/entry/retries.py
@@ -1,4 +1,4 @@
-"""Bound how much work is placed again."""
+"""Limit the retries of tasks."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class RetryBudget:
-    """Allow retries up to a part of the recent starts plus an allowance."""
+    """Allow retries up to a ratio of the recent starts plus an allowance."""
 
     def __init__(self) -> None:
         """Create a budget without starts."""
@@ -42,6 +42,6 @@
 
 
 def backoff_s(attempts: int, jitter: float) -> float:
-    """Return the pause before a retry; `jitter` is between 0 and 1."""
+    """Return the exponential backoff; `jitter` is between 0 and 1."""
     pause_s = FIRST_BACKOFF_S * math.pow(2, attempts - 1)
     return min(LONGEST_BACKOFF_S, pause_s) * (1 + jitter) / 2
