Rename private names of routing

_absent -> _not_found_answer _doubt -> _in_doubt_answer _resubmit -> _takeover_answer _check -> _check_admission _may_be_refused -> _may_have_been_refused _in_doubt -> _is_in_doubt _serve_known -> _serve_existing reroute_forwards: lost -> unanswered route: local -> may_forward _local_request: named -> event _serve: known -> submission, past -> refusal _check_admission: issued -> issued_at, found -> refusal _is_in_doubt: issued -> issued_at, fresh -> issued_after_gain

--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -97,12 +97,12 @@
 
 def reroute_forwards(turn: Turn, peer: str) -> None:
     """Route the requests again that a lost peer had to answer."""
-    lost = [
+    unanswered = [
         (number, request)
         for number, request in turn.state.forwards.items()
         if request.forwarded_to == peer
     ]
-    for number, request in lost:
+    for number, request in unanswered:
         turn.state.forwards.pop(number)
         request.give_up = max(request.give_up, turn.now + refusals.PARK_S)
         _park(turn, request)
@@ -118,8 +118,8 @@
         return
     owner = state.owners.get(partition)
     peer = state.peers.get(owner.owner) if owner else None
-    local = request.handed_over or not request.waiter.peer
-    if peer is not None and peer.session and local:
+    may_forward = request.handed_over or not request.waiter.peer
+    if peer is not None and peer.session and may_forward:
         forward(turn, request, peer.name)
     else:
         _park(turn, request)
@@ -159,15 +159,15 @@
     turn: Turn,
     number: int,
     kind: str,
-    named: Job | events.AnswerRequested | events.JobCancelled,
+    event: Job | events.AnswerRequested | events.JobCancelled,
     wait_s: float,
 ) -> ParkedRequest:
     return ParkedRequest(
         Waiter('', number),
         kind,
-        named.client,
-        named.key,
-        named if isinstance(named, Job) else None,
+        event.client,
+        event.key,
+        event if isinstance(event, Job) else None,
         turn.now,
         turn.now + wait_s,
         turn.now + refusals.PARK_S,
@@ -180,30 +180,30 @@
     partition: OwnedPartition,
 ) -> None:
     identifier = submission_id(request.client, request.key)
-    known = turn.state.submissions.get(identifier)
-    if known is not None and known.answer is None:
-        _serve_known(turn, request, known)
+    submission = turn.state.submissions.get(identifier)
+    if submission is not None and submission.answer is None:
+        _serve_existing(turn, request, submission)
         return
     # Another entry may own the key by now and may have run it, so that even
     # an answer given earlier could be wrong.
     if not may_act(turn.state, turn.now):
         _park(turn, request)
         return
-    if known is not None:
-        _serve_known(turn, request, known)
+    if submission is not None:
+        _serve_existing(turn, request, submission)
         return
-    past = turn.state.refusals.get(identifier)
-    if past is not None and request.received < past.repeat_until:
-        refusals.repeat_refusal(turn, request, past)
+    refusal = turn.state.refusals.get(identifier)
+    if refusal is not None and request.received < refusal.repeat_until:
+        refusals.repeat_refusal(turn, request, refusal)
         return
-    if _in_doubt(turn, request, partition):
+    if _is_in_doubt(turn, request, partition):
         if turn.now < partition.gained_at + TAKEOVER_WAIT_S:
             _park(turn, request)
         else:
-            _refuse(turn, request, identifier, _doubt())
+            _refuse(turn, request, identifier, _in_doubt_answer())
         return
-    if _may_be_refused(turn, request, partition):
-        _refuse(turn, request, identifier, _resubmit())
+    if _may_have_been_refused(turn, request, partition):
+        _refuse(turn, request, identifier, _takeover_answer())
         return
     if not turn.state.agents and (
         turn.now < partition.gained_at + TAKEOVER_WAIT_S
@@ -214,7 +214,7 @@
     _serve_new(turn, request, identifier)
 
 
-def _may_be_refused(
+def _may_have_been_refused(
     turn: Turn,
     request: ParkedRequest,
     partition: OwnedPartition,
@@ -233,7 +233,7 @@
     )
 
 
-def _resubmit() -> Answer:
+def _takeover_answer() -> Answer:
     return answers.refusal(
         reasons.TAKEOVER,
         'the entry in charge was lost; submit the job again',
@@ -242,7 +242,7 @@
     )
 
 
-def _serve_known(
+def _serve_existing(
     turn: Turn,
     request: ParkedRequest,
     submission: Submission,
@@ -280,13 +280,13 @@
                 answers.MIN_RETRY_AFTER_MS,
             )
             if recovered
-            else _absent(request)
+            else _not_found_answer(request)
         )
     elif recovered:
         answer = None
         turn.state.admission.adopt(request.job, turn.state.policy, turn.now)
     else:
-        answer = _check(turn, request.job)
+        answer = _check_admission(turn, request.job)
     if answer is None and request.job is not None:
         submission = submissions.create_submission(
             turn,
@@ -311,7 +311,7 @@
     answers.reply(turn, request.waiter, answer)
 
 
-def _absent(request: ParkedRequest) -> Answer:
+def _not_found_answer(request: ParkedRequest) -> Answer:
     if request.kind == 'cancel':
         return answers.refusal(
             reasons.CANCELLED,
@@ -325,7 +325,7 @@
     )
 
 
-def _check(turn: Turn, job: Job) -> Answer | None:
+def _check_admission(turn: Turn, job: Job) -> Answer | None:
     state = turn.state
     if state.policy is None:
         return answers.refusal(
@@ -333,8 +333,8 @@
             'no configuration has been received yet',
             retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
-    issued = issue_time(job.key)
-    if issued and issued + state.identity.retention_s < turn.wall:
+    issued_at = issue_time(job.key)
+    if issued_at and issued_at + state.identity.retention_s < turn.wall:
         return answers.refusal(
             reasons.KEY_EXPIRED,
             f'the key was issued over {state.identity.retention_s:.0f} s ago',
@@ -349,20 +349,20 @@
             'the entry holds as many submissions as it may',
             retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
-    found = state.admission.check(
+    refusal = state.admission.check(
         job,
         state.policy,
         state.queues,
         state.fleet,
         turn.now,
     )
-    if found is None:
+    if refusal is None:
         return None
-    turn.count(f'refused_{found.reason}')
+    turn.count(f'refused_{refusal.reason}')
     return answers.refusal(
-        found.reason,
-        found.detail,
-        retry_after_ms=found.retry_after_ms,
+        refusal.reason,
+        refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
     )
 
 
@@ -377,7 +377,7 @@
     return (parsed.int >> _UUID7_TIME_SHIFT) / MS_PER_S
 
 
-def _in_doubt(
+def _is_in_doubt(
     turn: Turn,
     request: ParkedRequest,
     partition: OwnedPartition,
@@ -387,23 +387,24 @@
         return False
     if turn.now > partition.gained_at + turn.state.identity.retention_s:
         return False
-    issued = issue_time(request.key) - CLOCK_SKEW_S
+    issued_at = issue_time(request.key) - CLOCK_SKEW_S
     identifier = submission_id(request.client, request.key)
-    fresh = (
-        issued > partition.gained_wall
+    issued_after_gain = (
+        issued_at > partition.gained_wall
         and identifier not in turn.state.recovered
     )
-    if partition.blind and not fresh:
+    if partition.blind and not issued_after_gain:
         return True
     service = request.job.service if request.job else ''
     return any(
         agent.service == service or not service
         for agent in partition.awaited.values()
-        if not fresh and not 0 < agent.gone_ms / MS_PER_S < issued
+        if not issued_after_gain
+        and not 0 < agent.gone_ms / MS_PER_S < issued_at
     )
 
 
-def _doubt() -> Answer:
+def _in_doubt_answer() -> Answer:
     return answers.refusal(
         reasons.IN_DOUBT,
         'an agent that may have run this job cannot be reached',
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -172,7 +172,7 @@
 
 
 def _without_doubt(patch: Patch) -> None:
-    patch.setattr(routing, '_in_doubt', _never)
+    patch.setattr(routing, '_is_in_doubt', _never)
 
 
 def _without_promises(patch: Patch) -> None:
