Reword comments and messages of routing

the entry in charge was lost; submit the job again -> the owner of the partition was lost; submit the job again no such job had arrived; a delayed copy of it will not run -> no such job has arrived; a delayed copy will not run the entry holds as many submissions as it may -> the entry holds too many submissions or payload bytes no entry could take charge of this key in time -> no entry became the owner of this key in time

--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -1,4 +1,4 @@
-"""Route callers' requests to the owner of their partition."""
+"""Route requests to the owners of their partitions."""
 
 from __future__ import annotations
 
@@ -26,8 +26,8 @@
     from savoryrudder.entry.turn import Turn
     from savoryrudder.protocol.messages import Answer
 
-# Agents answer a claim within a round trip; silence this long means that an
-# agent is dead, frozen or cut off.
+# Agents answer a claim within a round trip. One that has not answered for this
+# long is dead, hung or disconnected.
 TAKEOVER_WAIT_S: Final = 5
 CLOCK_SKEW_S: Final = 2
 MAX_SUBMISSIONS: Final = 200_000
@@ -38,7 +38,7 @@
 
 
 def handle_submit(turn: Turn, event: events.JobSubmitted) -> None:
-    """Accept, refuse, forward or park a caller's job."""
+    """Accept, refuse, forward or park a job."""
     route(
         turn,
         _local_request(turn, event.request, 'submit', event.job, event.wait_s),
@@ -58,14 +58,14 @@
 
 
 def handle_caller_gone(turn: Turn, event: events.CallerGone) -> None:
-    """Forget a caller that disconnected; its job goes on."""
+    """Forget a caller that has disconnected; its job continues."""
     waiter = Waiter('', event.request)
     answers.detach(turn, waiter)
     turn.state.parked.pop(waiter, None)
 
 
 def handle_forward(turn: Turn, peer: str, message: Forward) -> None:
-    """Serve a request that another entry passed on."""
+    """Serve a request that another entry has forwarded."""
     now = turn.now
     if message.kind == 'refused':
         refusals.take_over_refusal(turn, message)
@@ -84,7 +84,7 @@
 
 
 def handle_forward_answer(turn: Turn, request: int, answer: Answer) -> None:
-    """Pass the owner's answer to the caller, or route the request again."""
+    """Return the owner's answer to the caller, or route the request again."""
     forwarded = turn.state.forwards.pop(request, None)
     if forwarded is None:
         turn.count('late_answers')
@@ -96,7 +96,7 @@
 
 
 def reroute_forwards(turn: Turn, peer: str) -> None:
-    """Route the requests again that a lost peer had to answer."""
+    """Route requests again that were forwarded to a lost peer."""
     unanswered = [
         (number, request)
         for number, request in turn.state.forwards.items()
@@ -109,7 +109,7 @@
 
 
 def route(turn: Turn, request: ParkedRequest) -> None:
-    """Serve a request here, pass it to its owner, or park it."""
+    """Serve a request here, forward it to its owner, or park it."""
     state = turn.state
     partition = partition_of(submission_id(request.client, request.key))
     owned = state.owned.get(partition)
@@ -126,7 +126,7 @@
 
 
 def forward(turn: Turn, request: ParkedRequest, peer: str) -> None:
-    """Pass a request to the owner of its partition."""
+    """Forward a request to the owner of its partition."""
     state = turn.state
     number = state.next_request
     state.next_request += 1
@@ -148,7 +148,7 @@
 
 
 def retry_parked(turn: Turn) -> None:
-    """Route parked requests again; answer those whose time is up."""
+    """Route parked requests again; answer those that have timed out."""
     parked = turn.state.parked
     turn.state.parked = {}
     for request in parked.values():
@@ -184,8 +184,8 @@
     if submission is not None and submission.answer is None:
         _serve_existing(turn, request, submission)
         return
-    # Another entry may own the key by now and may have run it, so that even
-    # an answer given earlier could be wrong.
+    # Another entry may own the partition by now and may have run the job, so
+    # that even an answer given earlier could be wrong.
     if not may_act(turn.state, turn.now):
         _park(turn, request)
         return
@@ -208,7 +208,7 @@
     if not turn.state.agents and (
         turn.now < partition.gained_at + TAKEOVER_WAIT_S
     ):
-        # An entry that has just joined owns keys before agents have dialled.
+        # An entry that has just joined owns partitions before agents connect.
         _park(turn, request)
         return
     _serve_new(turn, request, identifier)
@@ -222,7 +222,7 @@
     """Tell whether a lost owner may have refused a copy of the job.
 
     Refusals are lost with their entry. The former owner acted for the last
-    time before this one took over, so that later requests are not concerned.
+    time before this entry took over, so that later requests are not affected.
     """
     if request.kind != 'submit' or not partition.refusals_lost:
         return False
@@ -236,7 +236,7 @@
 def _takeover_answer() -> Answer:
     return answers.refusal(
         reasons.TAKEOVER,
-        'the entry in charge was lost; submit the job again',
+        'the owner of the partition was lost; submit the job again',
         reasons.UNKNOWN,
         answers.MIN_RETRY_AFTER_MS,
     )
@@ -315,12 +315,12 @@
     if request.kind == 'cancel':
         return answers.refusal(
             reasons.CANCELLED,
-            'no such job had arrived; a delayed copy of it will not run',
+            'no such job has arrived; a delayed copy will not run',
         )
     return answers.refusal(
         reasons.NOT_FOUND,
         f'no job with idempotency key {request.key!r} is known',
-        # A copy may be on its way; only a cancellation keeps it from running.
+        # A copy may be in transit; only a cancellation keeps it from running.
         reasons.UNKNOWN,
     )
 
@@ -346,7 +346,7 @@
     ):
         return answers.refusal(
             reasons.OVERLOADED,
-            'the entry holds as many submissions as it may',
+            'the entry holds too many submissions or payload bytes',
             retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
     refusal = state.admission.check(
@@ -423,7 +423,7 @@
         request.waiter,
         answers.refusal(
             reasons.NOT_OWNER,
-            'no entry could take charge of this key in time',
+            'no entry became the owner of this key in time',
             reasons.UNKNOWN,
             answers.MIN_RETRY_AFTER_MS,
         ),
