Rename private names of submissions

_ENDED -> _FINAL_STATES _finish -> _answer_job create_submission: found -> record _expire: waiting -> in_grace_period _answer_job: held -> result_bytes

--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -37,7 +37,7 @@
 # Jobs up to this size are not made to wait for a saving of messages.
 SMALL_JOB_TASKS: Final = 10
 
-_ENDED: Final = frozenset(
+_FINAL_STATES: Final = frozenset(
     (
         reasons.COMPLETE,
         reasons.FAILED,
@@ -70,9 +70,9 @@
     )
     for index, _ in enumerate(job.tasks):
         _enqueue(turn, submission, index)
-    for task, found in state.recovered.pop(identifier, {}).items():
+    for task, record in state.recovered.pop(identifier, {}).items():
         if task < len(job.tasks):
-            absorb_record(turn, *found)
+            absorb_record(turn, *record)
     return submission
 
 
@@ -114,7 +114,7 @@
         _mark_sent(turn, submission, record.task, agent, incarnation)
     if task.status != SENT or task.agent != agent:
         return False
-    if record.state in _ENDED:
+    if record.state in _FINAL_STATES:
         _settle_from_record(turn, submission, record)
     return True
 
@@ -136,7 +136,7 @@
     if status != reasons.COMPLETE and not submission.failing:
         fail_rest(turn, submission, reasons.JOB_FAILED)
     if not submission.unsettled and submission.answer is None:
-        _finish(turn, submission)
+        _answer_job(turn, submission)
 
 
 def fail_rest(turn: Turn, submission: Submission, reason: str) -> None:
@@ -159,7 +159,7 @@
         return
     fail_rest(turn, submission, reasons.CANCELLED)
     if not submission.unsettled:
-        _finish(turn, submission)
+        _answer_job(turn, submission)
 
 
 def requeue(
@@ -269,11 +269,11 @@
 
 
 def _expire(turn: Turn, submission: Submission) -> None:
-    waiting = submission.deadline + SETTLE_GRACE_S > turn.now
+    in_grace_period = submission.deadline + SETTLE_GRACE_S > turn.now
     if not submission.failing:
         fail_rest(turn, submission, reasons.DEADLINE_PASSED)
     for index, task in enumerate(submission.tasks):
-        if task.status == SENT and not waiting:
+        if task.status == SENT and not in_grace_period:
             settle_task(
                 turn,
                 submission,
@@ -287,10 +287,10 @@
             (submission.deadline + SETTLE_GRACE_S, submission.identifier),
         )
     elif submission.answer is None:
-        _finish(turn, submission)
+        _answer_job(turn, submission)
 
 
-def _finish(turn: Turn, submission: Submission) -> None:
+def _answer_job(turn: Turn, submission: Submission) -> None:
     state = turn.state
     answer = job_answer(submission, certain=may_act(state, turn.now))
     submission.answer = answer
@@ -298,9 +298,9 @@
     submission.job = job._replace(tasks=())
     for task in submission.tasks:
         task.result = b''
-    held = sum(len(outcome.result) for outcome in answer.tasks)
-    state.payload_bytes += held - submission.held_bytes
-    submission.held_bytes = held
+    result_bytes = sum(len(outcome.result) for outcome in answer.tasks)
+    state.payload_bytes += result_bytes - submission.held_bytes
+    submission.held_bytes = result_bytes
     state.admission.job_ended(job.client, len(submission.tasks))
     heapq.heappush(
         state.retention,
