--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -1,4 +1,4 @@
-"""Track submissions from their acceptance to their answer."""
+"""Track submissions from acceptance to answer."""
 
 from __future__ import annotations
 
@@ -34,7 +34,8 @@
 # A task rejected this often by agents has no upstream that can run it.
 MAX_ATTEMPTS: Final = 5
 
-# Jobs up to this size are not made to wait for a saving of messages.
+# While jobs of up to this many tasks arrive, agents get no prefetch credits:
+# these save messages but delay small jobs.
 SMALL_JOB_TASKS: Final = 10
 
 _FINAL_STATES: Final = frozenset(
@@ -48,7 +49,7 @@
 
 
 def create_submission(turn: Turn, identifier: bytes, job: Job) -> Submission:
-    """Accept a job; tasks that agents already know keep their state."""
+    """Queue the tasks of an accepted job and apply records of them."""
     state = turn.state
     submission = Submission(
         identifier=identifier,
@@ -102,7 +103,7 @@
     incarnation: str,
     record: TaskRecord,
 ) -> bool:
-    """Apply what an agent knows about a task; tell whether it was new."""
+    """Apply an agent's record of a task; tell whether it was applicable."""
     submission = turn.state.submissions.get(record.submission)
     if submission is None or record.task >= len(submission.tasks):
         return False
@@ -154,7 +155,7 @@
 
 
 def cancel(turn: Turn, submission: Submission) -> None:
-    """Cancel a job: nothing more of it starts."""
+    """Cancel a job; no more of its tasks start."""
     if submission.answer is not None:
         return
     fail_rest(turn, submission, reasons.CANCELLED)
@@ -168,7 +169,7 @@
     index: int,
     reason: str,
 ) -> None:
-    """Queue a task again that provably did not start."""
+    """Retry a task that provably did not start."""
     task = submission.tasks[index]
     key = (submission.identifier, index)
     if submission.failing or task.attempts >= MAX_ATTEMPTS:
@@ -186,7 +187,7 @@
 
 
 def release_delayed(turn: Turn) -> None:
-    """Queue the tasks whose pause before a retry is over."""
+    """Queue the tasks whose retry backoff is over."""
     delayed = turn.state.delayed
     while delayed and delayed[0][0] <= turn.now:
         identifier, index = heapq.heappop(delayed)[1]
