Rename private names of terms

_adopt -> _apply_stored_terms _follow_policy -> _apply_policy _put_in_force -> _grant_terms _grow -> _interpolate keep_terms: due -> candidates, at -> due_at handle_read_terms: written -> pending_token handle_swapped_terms: written -> stored report: known -> definition terms_at: first -> initial _interpolate: first -> initial _apply_stored_terms: found -> stored, early -> lead_s

--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -40,16 +40,16 @@
     if state.policy is None:
         return
     if state.terms_revision != state.revision:
-        _follow_policy(turn)
+        _apply_policy(turn)
     if turn.now < state.terms_call_at:
         return
-    due = [
+    candidates = [
         (_due_at(turn, client), client)
         for client in state.admission.limits.seen()
         if client in state.policy.clients and not _record(turn, client).pending
     ]
-    at, client = min(due, default=(float('inf'), ''))
-    if at > turn.now:
+    due_at, client = min(candidates, default=(float('inf'), ''))
+    if due_at > turn.now:
         return
     state.terms_call_at = turn.now + CALL_INTERVAL_S
     record = _record(turn, client)
@@ -71,10 +71,10 @@
         # The last grant stays in force.
         record.read_at = turn.now + _jittered(turn, RETRY_S)
         return
-    written = record.token
+    pending_token = record.token
     record.token = ''
-    document = _adopt(turn, client, outcome)
-    if written and document and document['token'] == written:
+    document = _apply_stored_terms(turn, client, outcome)
+    if pending_token and document and document['token'] == pending_token:
         turn.state.admission.limits.forget_usage(client)
 
 
@@ -90,13 +90,13 @@
         record.token = ''
         turn.count('terms_renewed')
         turn.state.admission.limits.forget_usage(client)
-        written = interface.KeyValue('', outcome.version, record.proposed)
-        _adopt(turn, client, written)
+        stored = interface.KeyValue('', outcome.version, record.proposed)
+        _apply_stored_terms(turn, client, stored)
     elif isinstance(outcome, interface.SwapConflict):
         # The other entry's renewal is the one step.
         record.token = ''
         turn.state.admission.limits.forget_usage(client)
-        _adopt(turn, client, outcome.current)
+        _apply_stored_terms(turn, client, outcome.current)
     else:
         # The write may have taken effect: only reading tells.
         record.read_at = turn.now + _jittered(turn, RETRY_S)
@@ -105,11 +105,11 @@
 def report(turn: Turn, client: str) -> dict[str, Any] | None:
     """Describe the terms in force; None for an unknown client."""
     policy = turn.state.policy
-    known = policy.clients.get(client) if policy else None
-    if known is None:
+    definition = policy.clients.get(client) if policy else None
+    if definition is None:
         return None
     record = _record(turn, client)
-    terms = terms_at(known, record.step)
+    terms = terms_at(definition, record.step)
     return {
         'client': client,
         'rate': terms.rate,
@@ -123,17 +123,17 @@
 
 def terms_at(client: Client, step: int) -> Terms:
     """Return the terms at a step between the first ones and the ceiling."""
-    first = client.terms
+    initial = client.terms
     ceiling = client.ceiling
     progress = min(max(step, 0), STEPS) / STEPS
-    lowest = URGENCY_BANDS.index(first.highest_urgency)
+    lowest = URGENCY_BANDS.index(initial.highest_urgency)
     highest = URGENCY_BANDS.index(ceiling.highest_urgency)
     return Terms(
-        _grow(first.rate, ceiling.rate, progress),
-        int(_grow(first.burst, ceiling.burst, progress)),
-        int(_grow(first.concurrent, ceiling.concurrent, progress)),
+        _interpolate(initial.rate, ceiling.rate, progress),
+        int(_interpolate(initial.burst, ceiling.burst, progress)),
+        int(_interpolate(initial.concurrent, ceiling.concurrent, progress)),
         URGENCY_BANDS[lowest - int((lowest - highest) * progress)],
-        int(_grow(first.lifetime_s, ceiling.lifetime_s, progress)),
+        int(_interpolate(initial.lifetime_s, ceiling.lifetime_s, progress)),
     )
 
 
@@ -198,16 +198,16 @@
     )
 
 
-def _adopt(
+def _apply_stored_terms(
     turn: Turn,
     client: str,
-    found: interface.KeyValue,
+    stored: interface.KeyValue,
 ) -> documents.TermsDocument | None:
     """Put stored terms in force and plan the next read and renewal."""
     record = _record(turn, client)
     record.known = True
-    record.version = found.version
-    document = documents.decode_terms(found.value) if found.value else None
+    record.version = stored.version
+    document = documents.decode_terms(stored.value) if stored.value else None
     record.step = 0
     record.expires = 0
     if document is not None:
@@ -217,25 +217,25 @@
         if turn.wall > record.expires + lifetime_s:
             # Nobody used the terms for a whole lifetime.
             record.step = 0
-    lifetime_s = _put_in_force(turn, client).lifetime_s
+    lifetime_s = _grant_terms(turn, client).lifetime_s
     record.read_at = turn.now + _jittered(turn, lifetime_s / READS_A_LIFETIME)
-    early = turn.state.randomness.uniform(*RENEWAL_WINDOW) * lifetime_s
-    record.renew_at = turn.now + record.expires - turn.wall - early
+    lead_s = turn.state.randomness.uniform(*RENEWAL_WINDOW) * lifetime_s
+    record.renew_at = turn.now + record.expires - turn.wall - lead_s
     return document
 
 
-def _follow_policy(turn: Turn) -> None:
+def _apply_policy(turn: Turn) -> None:
     state = turn.state
     state.terms_revision = state.revision
     clients = state.policy.clients if state.policy else {}
     for client in tuple(state.terms):
         if client in clients:
-            _put_in_force(turn, client)
+            _grant_terms(turn, client)
         else:
             state.terms.pop(client)
 
 
-def _put_in_force(turn: Turn, client: str) -> Terms:
+def _grant_terms(turn: Turn, client: str) -> Terms:
     terms = _terms(turn, client, _record(turn, client).step)
     turn.state.admission.limits.grant(client, terms, turn.now)
     return terms
@@ -255,8 +255,8 @@
     return record
 
 
-def _grow(first: float, ceiling: float, progress: float) -> float:
-    return first * math.pow(ceiling / first, progress)
+def _interpolate(initial: float, ceiling: float, progress: float) -> float:
+    return initial * math.pow(ceiling / initial, progress)
 
 
 def _jittered(turn: Turn, seconds: float) -> float:
