--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -21,15 +21,16 @@
     from savoryrudder.entry.turn import Turn
     from savoryrudder.policy.model import Client
 
-# Steps from a client's first terms to their ceiling.
+# Number of steps from a client's initial terms to their ceiling.
 STEPS: Final = 10
 # All clients together cause at most one store call in this time.
 CALL_INTERVAL_S: Final = 1
 READS_A_LIFETIME: Final = 4
-# A renewal falls into this part of the lifetime, counted from its end.
+# Renewals are spread over this range of the lifetime, counted from its end.
 RENEWAL_WINDOW: Final = (0.1, 0.3)
 RETRY_S: Final = 5
-# Fractions of a client's own faults up to which a renewal is earned.
+# Highest fractions of exceeded tasks and of faulty jobs with which a renewal
+# still raises the step.
 MAX_EXCEEDED: Final = 0.01
 MAX_FAULTY: Final = 0.05
 
@@ -64,7 +65,7 @@
     client: str,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Take over terms that were read; settle a write without an answer."""
+    """Apply terms that were read; settle a renewal without an answer."""
     record = _record(turn, client)
     record.pending = ''
     if not isinstance(outcome, interface.KeyValue):
@@ -83,7 +84,7 @@
     client: str,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Take over the outcome of a renewal."""
+    """Apply the outcome of a renewal."""
     record = _record(turn, client)
     record.pending = ''
     if isinstance(outcome, interface.Swapped):
@@ -93,12 +94,12 @@
         stored = interface.KeyValue('', outcome.version, record.proposed)
         _apply_stored_terms(turn, client, stored)
     elif isinstance(outcome, interface.SwapConflict):
-        # The other entry's renewal is the one step.
+        # Another entry has renewed the terms; only its step counts.
         record.token = ''
         turn.state.admission.limits.forget_usage(client)
         _apply_stored_terms(turn, client, outcome.current)
     else:
-        # The write may have taken effect: only reading tells.
+        # Only a read shows whether the write has taken effect.
         record.read_at = turn.now + _jittered(turn, RETRY_S)
 
 
@@ -122,7 +123,7 @@
 
 
 def terms_at(client: Client, step: int) -> Terms:
-    """Return the terms at a step between the first ones and the ceiling."""
+    """Return the terms at a step between the initial ones and the ceiling."""
     initial = client.terms
     ceiling = client.ceiling
     progress = min(max(step, 0), STEPS) / STEPS
@@ -138,7 +139,7 @@
 
 
 def next_step(step: int, usage: Usage) -> int:
-    """Return the step of the next grant after the use of the last one."""
+    """Return the step of a renewal, given the usage since the last one."""
     offered = usage.accepted + usage.exceeded
     if usage.exceeded > MAX_EXCEEDED * offered:
         return max(0, step - 1)
@@ -203,7 +204,7 @@
     client: str,
     stored: interface.KeyValue,
 ) -> documents.TermsDocument | None:
-    """Put stored terms in force and plan the next read and renewal."""
+    """Apply stored terms and schedule the next read and renewal."""
     record = _record(turn, client)
     record.known = True
     record.version = stored.version
@@ -215,7 +216,7 @@
         record.expires = document['expires']
         lifetime_s = _terms(turn, client, record.step).lifetime_s
         if turn.wall > record.expires + lifetime_s:
-            # Nobody used the terms for a whole lifetime.
+            # The terms have not been renewed for a whole lifetime.
             record.step = 0
     lifetime_s = _grant_terms(turn, client).lifetime_s
     record.read_at = turn.now + _jittered(turn, lifetime_s / READS_A_LIFETIME)
