Rename private names of times

_LONGEST_MS -> _MAX_MS _DIGITS -> _SIGNIFICANT_DIGITS _HIGH -> _HIGH_PERCENTILE _LOW -> _LOW_PERCENTILE ._newest -> ._current ._older -> ._previous ._find -> ._find_measured ._operations -> ._by_operation ._services -> ._by_service

--- a/src/savoryrudder/entry/times.py
+++ b/src/savoryrudder/entry/times.py
@@ -21,10 +21,10 @@
 SHARE_OF_NEWEST: Final = 0.02
 UNDECLARED_S: Final = 1
 
-_LONGEST_MS: Final = 86_400_000
-_DIGITS: Final = 2
-_HIGH: Final = 90
-_LOW: Final = 10
+_MAX_MS: Final = 86_400_000
+_SIGNIFICANT_DIGITS: Final = 2
+_HIGH_PERCENTILE: Final = 90
+_LOW_PERCENTILE: Final = 10
 
 
 class OperationTimes:
@@ -36,8 +36,8 @@
         self.low_s: float = 0
         self.high_s: float = 0
         self._samples = 0
-        self._newest = HdrHistogram(1, _LONGEST_MS, _DIGITS)
-        self._older: HdrHistogram | None = None
+        self._current = HdrHistogram(1, _MAX_MS, _SIGNIFICANT_DIGITS)
+        self._previous: HdrHistogram | None = None
 
     @property
     def known(self) -> bool:
@@ -49,14 +49,18 @@
         self._samples += 1
         weight = max(1 / self._samples, SHARE_OF_NEWEST)
         self.mean_s += weight * (seconds - self.mean_s)
-        self._newest.record_value(max(1, int(seconds * MS_PER_S)))
-        if self._newest.total_count >= GENERATION:
-            self._older = self._newest
-            self._newest = HdrHistogram(1, _LONGEST_MS, _DIGITS)
+        self._current.record_value(max(1, int(seconds * MS_PER_S)))
+        if self._current.total_count >= GENERATION:
+            self._previous = self._current
+            self._current = HdrHistogram(1, _MAX_MS, _SIGNIFICANT_DIGITS)
         if self._samples % READ_INTERVAL == 0 or self._samples == MIN_SAMPLES:
-            histogram = self._older or self._newest
-            self.low_s = histogram.get_value_at_percentile(_LOW) / MS_PER_S
-            self.high_s = histogram.get_value_at_percentile(_HIGH) / MS_PER_S
+            histogram = self._previous or self._current
+            self.low_s = (
+                histogram.get_value_at_percentile(_LOW_PERCENTILE) / MS_PER_S
+            )
+            self.high_s = (
+                histogram.get_value_at_percentile(_HIGH_PERCENTILE) / MS_PER_S
+            )
 
 
 class ServiceTimes:
@@ -64,54 +68,54 @@
 
     def __init__(self) -> None:
         """Create times without samples."""
-        self._operations: dict[tuple[str, str], OperationTimes] = {}
-        self._services: dict[str, tuple[int, float]] = {}
+        self._by_operation: dict[tuple[str, str], OperationTimes] = {}
+        self._by_service: dict[str, tuple[int, float]] = {}
 
     def record(self, service: str, operation: str, seconds: float) -> None:
         """Add a sample."""
         key = (service, operation)
-        times = self._operations.get(key)
+        times = self._by_operation.get(key)
         if times is None:
             times = OperationTimes()
-            self._operations[key] = times
+            self._by_operation[key] = times
         times.record(seconds)
-        count, mean_s = self._services.get(service, (0, 0))
+        count, mean_s = self._by_service.get(service, (0, 0))
         weight = max(1 / (count + 1), SHARE_OF_NEWEST)
         mean_s += weight * (seconds - mean_s)
-        self._services[service] = (count + 1, mean_s)
+        self._by_service[service] = (count + 1, mean_s)
 
     def measured_mean_s(self, service: str, operation: str) -> float:
         """Return the mean so far, 0 without samples."""
-        times = self._operations.get((service, operation))
+        times = self._by_operation.get((service, operation))
         return times.mean_s if times else 0
 
     def mean_s(self, service: Service | None, operation: str) -> float:
         """Return the mean, the declared time until there are samples."""
-        times = self._find(service, operation)
+        times = self._find_measured(service, operation)
         return times.mean_s if times else _declared_s(service, operation)
 
     def service_mean_s(self, service: str) -> float:
         """Return the mean over all operations, 0 without samples."""
-        return self._services.get(service, (0, 0))[1]
+        return self._by_service.get(service, (0, 0))[1]
 
     def low_s(self, service: Service | None, operation: str) -> float:
         """Return the 10th percentile, 0 without enough samples."""
-        times = self._find(service, operation)
+        times = self._find_measured(service, operation)
         return times.low_s if times else 0
 
     def high_s(self, service: Service | None, operation: str) -> float:
         """Return the 90th percentile or the declared time."""
-        times = self._find(service, operation)
+        times = self._find_measured(service, operation)
         return times.high_s if times else _declared_s(service, operation)
 
-    def _find(
+    def _find_measured(
         self,
         service: Service | None,
         operation: str,
     ) -> OperationTimes | None:
         if service is None:
             return None
-        times = self._operations.get((service.name, operation))
+        times = self._by_operation.get((service.name, operation))
         return times if times and times.known else None
 
 
