--- a/src/savoryrudder/entry/times.py
+++ b/src/savoryrudder/entry/times.py
@@ -12,11 +12,12 @@
 if TYPE_CHECKING:
     from savoryrudder.policy.model import Service
 
-# Fewer samples say less than the declared time.
+# With fewer samples, the declared time is used.
 MIN_SAMPLES: Final = 10
-# Samples in a histogram before a new one starts and the older is dropped.
+# Samples in a histogram before a new one starts and the previous one is
+# dropped.
 GENERATION: Final = 1000
-# Reading a quantile walks the whole histogram.
+# Samples between updates of the percentiles, which walk the whole histogram.
 READ_INTERVAL: Final = 50
 SHARE_OF_NEWEST: Final = 0.02
 UNDECLARED_S: Final = 1
@@ -85,12 +86,12 @@
         self._by_service[service] = (count + 1, mean_s)
 
     def measured_mean_s(self, service: str, operation: str) -> float:
-        """Return the mean so far, 0 without samples."""
+        """Return the measured mean, 0 without samples."""
         times = self._by_operation.get((service, operation))
         return times.mean_s if times else 0
 
     def mean_s(self, service: Service | None, operation: str) -> float:
-        """Return the mean, the declared time until there are samples."""
+        """Return the measured mean, or the declared time."""
         times = self._find_measured(service, operation)
         return times.mean_s if times else _declared_s(service, operation)
 
@@ -99,12 +100,12 @@
         return self._by_service.get(service, (0, 0))[1]
 
     def low_s(self, service: Service | None, operation: str) -> float:
-        """Return the 10th percentile, 0 without enough samples."""
+        """Return the measured 10th percentile, 0 without enough samples."""
         times = self._find_measured(service, operation)
         return times.low_s if times else 0
 
     def high_s(self, service: Service | None, operation: str) -> float:
-        """Return the 90th percentile or the declared time."""
+        """Return the measured 90th percentile, or the declared time."""
         times = self._find_measured(service, operation)
         return times.high_s if times else _declared_s(service, operation)
 
