--- a/src/savoryrudder/entry/turn.py
+++ b/src/savoryrudder/entry/turn.py
@@ -16,7 +16,7 @@
 
 
 class Turn:
-    """Give the handlers of one event its time and a place for effects."""
+    """Hold state and time for the handlers of an event; collect effects."""
 
     def __init__(self, state: EntryState, now: float, wall: float) -> None:
         """Start a turn at a monotonic time and a UTC time in seconds."""
@@ -59,7 +59,7 @@
         operation: StoreOperation,
         pending: PendingCall,
     ) -> None:
-        """Call the store and remember why."""
+        """Call the store and keep the context for its answer."""
         call = self.state.next_call
         self.state.next_call += 1
         self.state.calls[call] = pending
