Reword test_admission

Arrivals -> AdmissionHarness arrivals -> harness offer -> submit fill -> queue_tasks test_faulty_jobs_are_refused -> test_refusals_say_what_to_change test_needs_above_every_worker_are_refused -> test_jobs_too_large_for_every_worker_are_refused test_wait_counts_what_runs_before -> test_expected_wait_counts_only_work_ahead test_refusals_say_what_to_change: place -> expected_detail

--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -45,8 +45,8 @@
 _POLICY = check_text(_TEXT).ok
 
 
-class Arrivals:
-    """Offer jobs to an admission control."""
+class AdmissionHarness:
+    """Submit jobs to an admission control with a fleet and queues."""
 
     def __init__(self) -> None:
         """Link one agent for each service."""
@@ -62,13 +62,13 @@
         self.fleet.agent_up(hello, 0)
         self.fleet.mark_usable(service)
 
-    def offer(
+    def submit(
         self,
         count: int = 1,
         now: float = 0,
         **fields: object,
     ) -> Refusal | None:
-        """Offer a job of so many tasks."""
+        """Submit a job of `count` tasks."""
         tasks = (TaskSpec('cut', b''),) * count
         job = Job('shop', 'k', 'pane', 'normal', 5000, tasks, b'', '')
         return self.admission.check(
@@ -79,14 +79,14 @@
             now,
         )
 
-    def fill(
+    def queue_tasks(
         self,
         count: int,
         client: str,
         urgency: str,
         service: str = 'pane',
     ) -> None:
-        """Queue tasks of 1 s."""
+        """Queue tasks of 1 s each."""
         queue = self.queues.setdefault(service, ServiceQueue({}, {}))
         for number in range(count):
             name = f'{client}{urgency}{number}'.encode()
@@ -96,13 +96,13 @@
 
 
 @pytest.fixture
-def arrivals() -> Arrivals:
-    """Create an idle fleet."""
-    return Arrivals()
+def harness() -> AdmissionHarness:
+    """Create an admission control with an idle fleet."""
+    return AdmissionHarness()
 
 
 @pytest.mark.parametrize(
-    ('fields', 'reason', 'place'),
+    ('fields', 'reason', 'expected_detail'),
     [
         ({'client': 'nobody'}, 'unknown-client', 'nobody'),
         ({'service': 'pain'}, 'unknown-service', 'pain'),
@@ -121,86 +121,92 @@
         ({'deadline_ms': 900}, 'deadline-unreachable', '1.1 s'),
     ],
 )
-def test_faulty_jobs_are_refused(
-    arrivals: Arrivals,
+def test_refusals_say_what_to_change(
+    harness: AdmissionHarness,
     fields: dict[str, object],
     reason: str,
-    place: str,
+    expected_detail: str,
 ) -> None:
     """Guard against a refusal that does not say what to change."""
-    refusal = arrivals.offer(**fields)
+    refusal = harness.submit(**fields)
     assert refusal
     assert refusal.reason == reason
-    assert place in refusal.detail
-    assert arrivals.offer() is None
+    assert expected_detail in refusal.detail
+    assert harness.submit() is None
 
 
-def test_needs_above_every_worker_are_refused(arrivals: Arrivals) -> None:
+def test_jobs_too_large_for_every_worker_are_refused(
+    harness: AdmissionHarness,
+) -> None:
     """Guard against queueing a job that can never run."""
-    arrivals.link('pane', memory_mb=99)
-    assert arrivals.offer().reason == 'too-large'
+    harness.link('pane', memory_mb=99)
+    assert harness.submit().reason == 'too-large'
 
 
-def test_rate_and_concurrency_are_bounded(arrivals: Arrivals) -> None:
+def test_rate_and_concurrency_are_bounded(harness: AdmissionHarness) -> None:
     """Guard against one client that takes all slots."""
-    assert arrivals.offer(20) is None
-    refusal = arrivals.offer(10)
+    assert harness.submit(20) is None
+    refusal = harness.submit(10)
     assert refusal.reason == 'rate-limited'
     assert refusal.retry_after_ms == 1000
-    assert arrivals.offer(10, now=1) is None
-    assert arrivals.offer(1, now=9).reason == 'rate-limited'
-    arrivals.admission.job_ended('shop', 20)
-    assert arrivals.offer(1, now=9) is None
-
-
-def test_wait_counts_what_runs_before(arrivals: Arrivals) -> None:
-    """Guard against refusals for the queue of someone else."""
-    arrivals.fill(200, 'office', 'background')
-    assert arrivals.offer() is None
-    assert arrivals.offer(client='office', urgency='normal') is None
-    refusal = arrivals.offer(client='office', urgency='background')
+    assert harness.submit(10, now=1) is None
+    assert harness.submit(1, now=9).reason == 'rate-limited'
+    harness.admission.job_ended('shop', 20)
+    assert harness.submit(1, now=9) is None
+
+
+def test_expected_wait_counts_only_work_ahead(
+    harness: AdmissionHarness,
+) -> None:
+    """Guard against refusals because of work that starts later."""
+    harness.queue_tasks(200, 'office', 'background')
+    assert harness.submit() is None
+    assert harness.submit(client='office', urgency='normal') is None
+    refusal = harness.submit(client='office', urgency='background')
     assert refusal.reason == 'deadline-unreachable'
     assert refusal.retry_after_ms > 10_000
 
 
-def test_accepted_jobs_keep_their_deadlines(arrivals: Arrivals) -> None:
+def test_accepted_jobs_keep_their_deadlines(harness: AdmissionHarness) -> None:
     """Guard against shorter deadlines that overtake accepted work."""
-    arrivals.fill(48, 'office', 'normal')
-    refusal = arrivals.offer(5, client='office', deadline_ms=4000)
+    harness.queue_tasks(48, 'office', 'normal')
+    refusal = harness.submit(5, client='office', deadline_ms=4000)
     assert refusal.reason == 'deadline-unreachable'
     assert 'accepted jobs' in refusal.detail
 
 
-def test_measured_times_replace_declared_ones(arrivals: Arrivals) -> None:
+def test_measured_times_replace_declared_ones(
+    harness: AdmissionHarness,
+) -> None:
     """Guard against declared run times that are far off."""
     for _ in range(20):
-        arrivals.fleet.observe('pane', 'cut', 'complete', 10, 0)
-    assert arrivals.offer().reason == 'deadline-unreachable'
+        harness.fleet.observe('pane', 'cut', 'complete', 10, 0)
+    assert harness.submit().reason == 'deadline-unreachable'
 
 
 def test_missing_upstreams_and_dependencies_are_named(
-    arrivals: Arrivals,
+    harness: AdmissionHarness,
 ) -> None:
-    """Guard against accepting work that fails one service further on."""
-    arrivals.fleet.agent_down('stock')
-    refusal = arrivals.offer()
+    """Guard against accepting jobs that fail at a dependency."""
+    harness.fleet.agent_down('stock')
+    refusal = harness.submit()
     assert refusal.reason == 'dependency-unavailable'
     assert 'stock' in refusal.detail
-    arrivals.link('stock')
-    arrivals.fill(100, 'office', 'background', 'stock')
-    assert arrivals.offer() is None
-    arrivals.fill(100, 'office', 'normal', 'stock')
-    assert arrivals.offer().reason == 'dependency-unavailable'
-    arrivals.queues.clear()
-    arrivals.fleet.agent_down('pane')
-    assert arrivals.offer(now=2).reason == 'no-upstream'
-
-
-def test_refused_jobs_use_no_tokens(arrivals: Arrivals) -> None:
-    """Guard against a client that pays for what it did not get."""
+    harness.link('stock')
+    harness.queue_tasks(100, 'office', 'background', 'stock')
+    assert harness.submit() is None
+    harness.queue_tasks(100, 'office', 'normal', 'stock')
+    assert harness.submit().reason == 'dependency-unavailable'
+    harness.queues.clear()
+    harness.fleet.agent_down('pane')
+    assert harness.submit(now=2).reason == 'no-upstream'
+
+
+def test_refused_jobs_use_no_tokens(harness: AdmissionHarness) -> None:
+    """Guard against refused jobs that use up the rate of a client."""
     for _ in range(40):
-        assert arrivals.offer(20, deadline_ms=10)
-    assert arrivals.offer(20) is None
+        assert harness.submit(20, deadline_ms=10)
+    assert harness.submit(20) is None
 
 
 @given(
