Reword test_placement

test_slow_agent_is_left_to_a_long_queue -> test_slow_agent_is_used_only_for_a_long_queue test_leaving_and_lost_agents_get_nothing -> test_leaving_and_lost_agents_get_no_tasks taken -> chosen _add -> _add_agent CreditMachine.credits_are_conserved: held -> actual, each -> report

--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -1,4 +1,4 @@
-"""Check which agent gets a start."""
+"""Check which agent is chosen for a task."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
     return Hello(name, 'i', 'pane', 'petaling', slots, 512, ('cut',), False)
 
 
-def _add(fleet: Fleet, name: str, credit: int = 10) -> None:
+def _add_agent(fleet: Fleet, name: str, credit: int = 10) -> None:
     fleet.agent_up(_hello(name), 0)
     fleet.mark_usable(name)
     fleet.grant(name, credit)
@@ -32,17 +32,17 @@
     """Create a fleet of three agents with 10 credits each."""
     fleet = Fleet()
     for name in 'abc':
-        _add(fleet, name)
+        _add_agent(fleet, name)
     return fleet
 
 
 def test_starts_spread_over_equal_agents(fleet: Fleet) -> None:
     """Guard against filling one agent while others idle."""
-    taken = Counter(fleet.take('pane', 'cut', 0) for _ in range(15))
-    assert taken == {'a': 5, 'b': 5, 'c': 5}
+    chosen = Counter(fleet.take('pane', 'cut', 0) for _ in range(15))
+    assert chosen == {'a': 5, 'b': 5, 'c': 5}
 
 
-def test_slow_agent_is_left_to_a_long_queue(fleet: Fleet) -> None:
+def test_slow_agent_is_used_only_for_a_long_queue(fleet: Fleet) -> None:
     """Guard against a short job that waits for a straggler."""
     for _ in range(10):
         for name, duration_s in (('a', 10), ('b', 1), ('c', 1)):
@@ -54,7 +54,7 @@
 
 
 def test_ejected_agent_gets_probes_only(fleet: Fleet) -> None:
-    """Guard against failing one job after the other."""
+    """Guard against a broken agent that fails job after job."""
     for _ in range(6):
         fleet.observe('a', 'cut', 'failed', 0.1, 0)
     assert [report.ejected for report in fleet.reports()] == [
@@ -62,14 +62,14 @@
         False,
         False,
     ]
-    taken = {fleet.take('pane', 'cut', 0.5) for _ in range(10)}
-    assert taken == {'b', 'c'}
-    taken = Counter(fleet.take('pane', 'cut', 2) for _ in range(5))
-    assert taken['a'] == 1
+    chosen = {fleet.take('pane', 'cut', 0.5) for _ in range(10)}
+    assert chosen == {'b', 'c'}
+    chosen = Counter(fleet.take('pane', 'cut', 2) for _ in range(5))
+    assert chosen['a'] == 1
 
 
-def test_leaving_and_lost_agents_get_nothing(fleet: Fleet) -> None:
-    """Guard against starts that are rejected for sure."""
+def test_leaving_and_lost_agents_get_no_tasks(fleet: Fleet) -> None:
+    """Guard against starts that are certain to be rejected."""
     fleet.mark_leaving('a')
     fleet.agent_down('b')
     assert {fleet.take('pane', 'cut', 0) for _ in range(10)} == {'c'}
@@ -90,7 +90,7 @@
     @rule(name=_NAMES, count=_COUNTS)
     def link(self, name: str, count: int) -> None:
         """Open a session, which ends an older one."""
-        _add(self.fleet, name, count)
+        _add_agent(self.fleet, name, count)
         self.credits[name] = count
 
     @rule(name=_NAMES)
@@ -116,12 +116,12 @@
 
     @rule(name=_NAMES)
     def fail(self, name: str) -> None:
-        """End a task badly."""
+        """Fail a task."""
         self.fleet.observe(name, 'cut', 'failed', 0.1, 0)
 
     @rule()
     def take(self) -> None:
-        """Start a task; refuses only if no healthy agent has a credit."""
+        """Start a task; fails only if no healthy agent has a credit."""
         healthy = any(
             report.credits and not report.ejected
             for report in self.fleet.reports()
@@ -133,9 +133,11 @@
 
     @invariant()
     def credits_are_conserved(self) -> None:
-        """Guard against starts without a credit and credits that are lost."""
-        held = {each.agent: each.credits for each in self.fleet.reports()}
-        assert held == self.credits
+        """Guard against starts without a credit and lost credits."""
+        actual = {
+            report.agent: report.credits for report in self.fleet.reports()
+        }
+        assert actual == self.credits
 
 
 TestCredits = CreditMachine.TestCase
