Reword test_queueing

_step -> _apply_action test_removed_tasks_are_given_up -> test_removed_tasks_free_their_memory test_small_job_passes_a_large_one_of_the_same_client -> test_small_job_overtakes_a_large_one_of_the_same_client test_busy_bands_get_their_shares: started -> started_work test_clients_share_a_band_by_weighted_work: done -> started_work test_no_client_starves: ahead -> work_ahead _apply_action: known -> queued test_removed_tasks_free_their_memory: held -> heap, keep -> kept

--- a/tests/entry/test_queueing.py
+++ b/tests/entry/test_queueing.py
@@ -35,19 +35,19 @@
 def test_busy_bands_get_their_shares(works: list[float]) -> None:
     """Guard against an urgent band that starves a less urgent one."""
     queue = ServiceQueue(_SHARES, {})
-    started = Counter[str]()
+    started_work = Counter[str]()
     for number in range(4 * 400):
         band = URGENCY_BANDS[number % 4]
         queue.push(_task(number, urgency=band, work=works[number % 4]))
     for following in range(1500):
         task = queue.pop(0)
         assert task
-        started[task.urgency] += task.work
+        started_work[task.urgency] += task.work
         queue.push(task._replace(submission=following.to_bytes(12, 'big')))
-    total = sum(started.values())
+    total = sum(started_work.values())
     for band, share in _SHARES.items():
         # A band is behind by at most one task of each band.
-        assert started[band] >= share * total - sum(works)
+        assert started_work[band] >= share * total - sum(works)
 
 
 def test_unused_shares_go_to_the_most_urgent(queue: ServiceQueue) -> None:
@@ -65,12 +65,14 @@
         client = ('a', 'b', 'heavy')[number % 3]
         work = {'a': 0.1, 'b': 1}.get(client, 1)
         queue.push(_task(number, client=client, work=work))
-    done = Counter[str]()
-    while sum(done.values()) < 100:
+    started_work = Counter[str]()
+    while sum(started_work.values()) < 100:
         task = queue.pop(0)
-        done[task.client] += task.work
-    assert done['heavy'] == pytest.approx(3 * done['b'], rel=0.15)
-    assert done['a'] == pytest.approx(done['b'], abs=1.5)
+        started_work[task.client] += task.work
+    assert started_work['heavy'] == pytest.approx(
+        3 * started_work['b'], rel=0.15
+    )
+    assert started_work['a'] == pytest.approx(started_work['b'], abs=1.5)
 
 
 @given(
@@ -83,11 +85,11 @@
 def test_no_client_starves(
     flood: list[tuple[int, int, float]],
 ) -> None:
-    """Guard against near deadlines that hold a client back for good."""
+    """Guard against near deadlines that delay a client forever."""
     queue = ServiceQueue({}, {})
     queue.push(_task(0, client='patient', deadline=1000, work=1))
     number = 1
-    ahead: float = 0
+    work_ahead: float = 0
     while True:
         for client, deadline, work in flood[number % 40 : number % 40 + 5]:
             name = str(client % 3)
@@ -98,24 +100,24 @@
         task = queue.pop(0)
         if task.client == 'patient':
             break
-        ahead += task.work
-        # Three clients, each ahead by the bound and one task.
-        assert ahead <= 3 * (30 + 4)
+        work_ahead += task.work
+        # Three clients, each ahead by at most the bound and one task.
+        assert work_ahead <= 3 * (30 + 4)
 
 
-def _step(
+def _apply_action(
     queue: ServiceQueue,
     model: dict[bytes, QueuedTask],
     action: str,
     task: QueuedTask,
 ) -> None:
-    known = model.get(task.submission)
-    if action == 'push' and known is None:
+    queued = model.get(task.submission)
+    if action == 'push' and queued is None:
         model[task.submission] = task
         queue.push(task)
     elif action == 'remove':
         model.pop(task.submission, None)
-        queue.remove(known or task)
+        queue.remove(queued or task)
     elif action == 'pop' and model:
         popped = queue.pop(0)
         assert model.pop(popped.submission) == popped
@@ -137,42 +139,42 @@
 def test_removed_tasks_never_start(
     steps: list[tuple[str, int, str, str, int, float]],
 ) -> None:
-    """Guard against lost, repeated and removed tasks."""
+    """Guard against lost and repeated tasks and starts of removed ones."""
     queue = ServiceQueue(_SHARES, {'a': 2})
     model: dict[bytes, QueuedTask] = {}
     for action, number, *fields in steps:
         names = ('urgency', 'client', 'deadline', 'work')
         task = _task(number, **dict(zip(names, fields, strict=True)))
-        _step(queue, model, action, task)
+        _apply_action(queue, model, action, task)
         assert len(queue) == len(model)
         work = sum(task.work for task in model.values())
         assert queue.work == pytest.approx(work)
     assert model or queue.pop(0) is None
 
 
-def test_removed_tasks_are_given_up(queue: ServiceQueue) -> None:
-    """Guard against memory that cancelled tasks keep."""
-    keep = _task(0, deadline=1)
-    queue.push(keep)
+def test_removed_tasks_free_their_memory(queue: ServiceQueue) -> None:
+    """Guard against memory held by cancelled tasks."""
+    kept = _task(0, deadline=1)
+    queue.push(kept)
     for number in range(1, 10_000):
         queue.push(_task(number))
         queue.remove(_task(number))
-    held = queue._bands['normal'].clients['a']._heap
-    assert len(held) <= 2 + MAX_REMOVED
-    assert queue.pop(0) == keep
+    heap = queue._bands['normal'].clients['a']._heap
+    assert len(heap) <= 2 + MAX_REMOVED
+    assert queue.pop(0) == kept
 
 
 def test_drain_time_follows_the_order(queue: ServiceQueue) -> None:
-    """Guard against refusals for work that would run later anyway."""
+    """Guard against refusals because of work that starts later."""
     for number in range(100):
         queue.push(_task(number, client='b', urgency='background'))
     assert queue.drain_s('normal', 'a', 1, 10, 0) == pytest.approx(1 / 9)
-    # Client b's share is the only work ahead of an equal.
+    # Of client b's work, only its fair share is ahead of client a.
     assert queue.drain_s('background', 'a', 1, 10, 0) == pytest.approx(0.2)
     assert queue.drain_s('background', 'b', 1, 10, 0) == pytest.approx(10.1)
 
 
-def test_small_job_passes_a_large_one_of_the_same_client(
+def test_small_job_overtakes_a_large_one_of_the_same_client(
     queue: ServiceQueue,
 ) -> None:
     """Guard against equal deadlines that leave all jobs in arrival order."""
@@ -180,6 +182,6 @@
         queue.push(_task(number, job_work=20))
     queue.push(_task(20, enqueued=1, job_work=1))
     assert queue.pop(1) == _task(20, enqueued=1, job_work=1)
-    # A small job that comes when the large one is due goes behind it.
+    # A small job that arrives when the large one is due is queued behind it.
     queue.push(_task(21, enqueued=8.5, job_work=1))
     assert queue.pop(8.5).submission == _task(0).submission
