--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -1,4 +1,4 @@
-"""Check the bound on work that is placed again."""
+"""Check the limits on retries."""
 
 from __future__ import annotations
 
@@ -13,19 +13,19 @@
 
 
 @given(st.integers(0, 500), st.integers(0, 200))
-def test_retries_stay_within_the_budget(starts: int, wanted: int) -> None:
+def test_retries_stay_within_the_budget(starts: int, requested: int) -> None:
     """Guard against retries that multiply the load of a failing fleet."""
     budget = RetryBudget()
     for _ in range(starts):
         budget.note_start(1)
-    taken = sum([budget.take(1) for _ in range(wanted)])
+    allowed = sum([budget.take(1) for _ in range(requested)])
     limit = int(RETRY_RATIO * starts + RETRY_ALLOWANCE + 1e-9)
-    assert abs(taken - min(wanted, limit)) <= 1
-    assert taken <= limit
+    assert abs(allowed - min(requested, limit)) <= 1
+    assert allowed <= limit
 
 
-def test_pauses_grow_within_a_bound() -> None:
-    """Guard against retries in step and against pauses without end."""
+def test_backoff_grows_up_to_a_limit() -> None:
+    """Guard against synchronized retries and unbounded pauses."""
     pauses = [backoff_s(attempts, 1) for attempts in range(1, 8)]
     assert pauses == sorted(pauses)
     assert pauses[-1] == LONGEST_BACKOFF_S
