Reword test_terms

Store -> FakeStore FakeStore.found -> stored Entry.held -> pending_calls Entry.use -> record_usage Entry.wait -> advance test_last_grant_stays_in_an_outage -> test_last_grant_stays_in_force_during_an_outage quiet -> small_store test_step_follows_use -> test_step_follows_usage FakeStore.call: lost -> unavailable, written -> entry Entry.record_usage: known -> definition test_two_renewals_at_once_grant_one_step: later -> renewing, last -> informed

--- a/tests/entry/test_terms.py
+++ b/tests/entry/test_terms.py
@@ -1,4 +1,4 @@
-"""Check how standing terms are read, renewed and settled."""
+"""Check how standing terms are read and renewed."""
 
 from __future__ import annotations
 
@@ -34,12 +34,12 @@
 """
 
 
-class Store:
-    """Keep keys in memory; loses answers or is down on request."""
+class FakeStore:
+    """Keep keys in memory; can lose answers or be down."""
 
     def __init__(self) -> None:
         """Create an empty store that works."""
-        self.found: dict[str, interface.KeyValue] = {}
+        self.stored: dict[str, interface.KeyValue] = {}
         self.down = False
         self.lose_answers = False
         self.calls = Counter[str]()
@@ -47,26 +47,26 @@
     def call(self, operation: interface.StoreOperation) -> object:
         """Carry out a read or a swap."""
         self.calls[type(operation).__name__] += 1
-        lost = interface.StoreUnavailable('timeout')
+        unavailable = interface.StoreUnavailable('timeout')
         if self.down:
-            return lost
+            return unavailable
         absent = interface.KeyValue(operation.key, 0, None)
-        current = self.found.get(operation.key, absent)
+        current = self.stored.get(operation.key, absent)
         if isinstance(operation, interface.ReadKey):
             return current
         if current.version != operation.expected:
             return interface.SwapConflict(current)
         version = current.version + 1
-        written = interface.KeyValue(operation.key, version, operation.value)
-        self.found[operation.key] = written
-        return lost if self.lose_answers else interface.Swapped(version)
+        entry = interface.KeyValue(operation.key, version, operation.value)
+        self.stored[operation.key] = entry
+        return unavailable if self.lose_answers else interface.Swapped(version)
 
 
 class Entry:
     """Drive the terms of one entry that owns all partitions."""
 
     def __init__(
-        self, store: Store, name: str = 'e1', clients: int = 1
+        self, store: FakeStore, name: str = 'e1', clients: int = 1
     ) -> None:
         """Create an entry with a policy for some clients."""
         identity = EntryIdentity(name, '', '', 'z', 600, 2)
@@ -80,35 +80,35 @@
             self.state.owned[partition] = OwnedPartition(1, 0, 0, {})
         self.store = store
         self.now: float = 0
-        self.held: list[CallStore] = []
+        self.pending_calls: list[CallStore] = []
 
-    def use(self, client: str = 'shop0', **counts: int) -> None:
-        """Record the use of a client's terms."""
-        known = self.state.policy.clients[client]
+    def record_usage(self, client: str = 'shop0', **counts: int) -> None:
+        """Record the usage of a client's terms."""
+        definition = self.state.policy.clients[client]
         limits = self.state.admission.limits
-        account = limits.account(client, known.terms, self.now)
+        account = limits.account(client, definition.terms, self.now)
         account.usage = Usage(**({'accepted': 100, 'jobs': 10} | counts))
 
-    def wait(self, seconds: float, **counts: int) -> None:
+    def advance(self, seconds: float, **counts: int) -> None:
         """Let time pass while all clients use their terms."""
         for _ in range(int(seconds * 4)):
             self.now += 0.25
             for client in self.state.policy.clients:
-                self.use(client, **counts)
+                self.record_usage(client, **counts)
             self.tick()
             self.deliver()
 
     def tick(self) -> None:
-        """Tick and hold back the store calls."""
+        """Run a tick and collect its store calls."""
         turn = Turn(self.state, self.now, _WALL + self.now)
         terms.keep_terms(turn)
-        self.held += [
+        self.pending_calls += [
             effect for effect in turn.effects if isinstance(effect, CallStore)
         ]
 
     def deliver(self) -> None:
-        """Let the store answer the calls that were held back."""
-        for call in self.held:
+        """Let the store answer the pending calls."""
+        for call in self.pending_calls:
             pending = self.state.calls.pop(call.call)
             handler = {
                 'read-terms': terms.handle_read_terms,
@@ -116,7 +116,7 @@
             }[pending.kind]
             turn = Turn(self.state, self.now, _WALL + self.now)
             handler(turn, pending.context, self.store.call(call.operation))
-        self.held = []
+        self.pending_calls = []
 
     def report(self, client: str = 'shop0') -> dict[str, object]:
         """Return the operators' view."""
@@ -125,15 +125,15 @@
 
 
 @pytest.fixture
-def store() -> Store:
+def store() -> FakeStore:
     """Create a store that works."""
-    return Store()
+    return FakeStore()
 
 
-def test_earned_renewals_reach_the_ceiling(store: Store) -> None:
+def test_earned_renewals_reach_the_ceiling(store: FakeStore) -> None:
     """Guard against terms that grow without a bound or not at all."""
     entry = Entry(store)
-    entry.wait(5)
+    entry.advance(5)
     assert entry.report() == {
         'client': 'shop0',
         'rate': 10,
@@ -143,9 +143,9 @@
         'expires_in_s': pytest.approx(_LIFETIME_S, abs=5),
         'step': 0,
     }
-    entry.wait(_LIFETIME_S)
+    entry.advance(_LIFETIME_S)
     assert entry.report()['step'] == 1
-    entry.wait(20 * _LIFETIME_S)
+    entry.advance(20 * _LIFETIME_S)
     assert entry.report()['step'] == terms.STEPS
     assert entry.report()['rate'] == pytest.approx(1000)
     assert entry.report()['highest_urgency'] == 'critical'
@@ -162,35 +162,35 @@
         ({'jobs': 3}, 5),
     ],
 )
-def test_step_follows_use(counts: dict[str, int], step: int) -> None:
-    """Guard against rewards for unused, exceeded or abused terms."""
+def test_step_follows_usage(counts: dict[str, int], step: int) -> None:
+    """Guard against higher terms after no, excessive or faulty use."""
     assert terms.next_step(5, Usage(**counts)) == step
 
 
-def test_two_renewals_at_once_grant_one_step(store: Store) -> None:
+def test_two_renewals_at_once_grant_one_step(store: FakeStore) -> None:
     """Guard against two entries that add up their steps."""
     entries = [Entry(store, 'e1'), Entry(store, 'e2')]
     for entry in entries:
-        entry.wait(5)
-    for later in entries:
-        later.now += 0.95 * _LIFETIME_S
-        later.use()
-        later.tick()
-    for last in entries:
-        last.deliver()
-        assert last.report()['step'] == 1
+        entry.advance(5)
+    for renewing in entries:
+        renewing.now += 0.95 * _LIFETIME_S
+        renewing.record_usage()
+        renewing.tick()
+    for informed in entries:
+        informed.deliver()
+        assert informed.report()['step'] == 1
 
 
 @pytest.mark.parametrize('took_effect', [True, False])
 def test_lost_answer_is_settled_by_reading(
-    store: Store,
+    store: FakeStore,
     took_effect: bool,
 ) -> None:
     """Guard against a blind retry that grants two steps."""
     entry = Entry(store)
-    entry.wait(5)
+    entry.advance(5)
     entry.now += 0.95 * _LIFETIME_S
-    entry.use()
+    entry.record_usage()
     entry.tick()
     store.lose_answers = took_effect
     store.down = not took_effect
@@ -199,33 +199,33 @@
     store.lose_answers = False
     store.down = False
     swaps = store.calls['SwapKey']
-    entry.wait(2 * terms.RETRY_S)
+    entry.advance(2 * terms.RETRY_S)
     assert entry.report()['step'] == 1
     assert store.calls['SwapKey'] == swaps + (not took_effect)
 
 
-def test_last_grant_stays_in_an_outage(store: Store) -> None:
+def test_last_grant_stays_in_force_during_an_outage(store: FakeStore) -> None:
     """Guard against terms that lapse because the store is down."""
     entry = Entry(store)
-    entry.wait(2.5 * _LIFETIME_S)
+    entry.advance(2.5 * _LIFETIME_S)
     step = entry.report()['step']
     store.down = True
     swaps = store.calls['SwapKey']
-    entry.wait(5 * _LIFETIME_S)
+    entry.advance(5 * _LIFETIME_S)
     assert step > 0
     assert entry.report()['step'] == step
     assert store.calls['SwapKey'] <= swaps + 1
     store.down = False
-    entry.wait(_LIFETIME_S)
+    entry.advance(_LIFETIME_S)
     assert entry.report()['step'] >= 1
 
 
-def test_store_calls_are_bounded(store: Store) -> None:
+def test_store_calls_are_bounded(store: FakeStore) -> None:
     """Guard against calls that grow with the number of clients."""
     entry = Entry(store, clients=68)
-    entry.wait(4 * _LIFETIME_S)
+    entry.advance(4 * _LIFETIME_S)
     assert sum(store.calls.values()) <= 4 * _LIFETIME_S + 1
-    quiet = Store()
-    Entry(quiet).wait(10 * _LIFETIME_S)
-    assert quiet.calls['SwapKey'] <= 14
-    assert quiet.calls['ReadKey'] <= 60
+    small_store = FakeStore()
+    Entry(small_store).advance(10 * _LIFETIME_S)
+    assert small_store.calls['SwapKey'] <= 14
+    assert small_store.calls['ReadKey'] <= 60
