--- a/tests/entry/test_bounds.py
+++ b/tests/entry/test_bounds.py
@@ -1,4 +1,4 @@
-"""Check what an entry keeps, and for how long."""
+"""Check the bounds on what an entry keeps, and for how long."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 def test_kept_results_count_as_held_bytes(state: EntryState) -> None:
-    """Guard against answers that grow past the memory bound unnoticed."""
+    """Guard against kept results that escape the memory limit."""
     turn = Turn(state, 100, 100)
     job = Job(
         'shop',
@@ -56,7 +56,7 @@
 
 
 def test_doubt_ends_with_the_retention_window(state: EntryState) -> None:
-    """Guard against a partition that stays in doubt for good."""
+    """Guard against a partition that stays in doubt forever."""
     state.owned[0] = OwnedPartition(1, 100, 100, {}, blind=True)
     expire_doubt(Turn(state, 100 + RETENTION_S, 0))
     assert state.owned[0].blind
@@ -73,7 +73,7 @@
 
 
 def test_a_replaced_peer_is_not_dialled_forever(state: EntryState) -> None:
-    """Guard against one more dialler for every replaced entry."""
+    """Guard against leaking one dialler for every replaced entry."""
     state.peers['e2#a'] = PeerLink('e2#a', 'left', heard_at=0)
     state.peers['e3#a'] = PeerLink('e3#a', 'same', heard_at=0)
     state.peers['e3#b'] = PeerLink('e3#b', 'same', 's1', heard_at=200)
