--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -60,8 +60,8 @@
 class _ClientQueue:
     """Hold the tasks of one client in one band, earliest target first.
 
-    `start` is the client's virtual start time, `due` the expected work by
-    deadline in whole seconds.
+    `start` is the client's virtual start time, `work_by_deadline` the expected
+    work by deadline in whole seconds.
     """
 
     def __init__(self, queued: dict[TaskKey, QueuedTask]) -> None:
@@ -193,10 +193,7 @@
             heapq.heappop(self._client_heap)
 
     def _reset_shares(self) -> None:
-        """Reset the fair shares at the end of a busy period.
-
-        Work started while no other client waited is not held against a client.
-        """
+        """Forget past use of the empty band; no client waits because of it."""
         self._client_heap.clear()
         self._virtual_time = 0
         self.deficit = 0
@@ -311,7 +308,7 @@
         return min(wait_s, work_ahead / free_slots)
 
     def _work_ahead(self, urgency: str, client: str, work: float) -> float:
-        """Return the work that a band starts until a client's new work is."""
+        """Return the work of a band up to and including a client's new work."""
         clients = self._bands[urgency].clients
         own_queue = clients.get(client)
         work_ahead = work
