--- a/src/savoryrudder/entry/refusals.py
+++ b/src/savoryrudder/entry/refusals.py
@@ -45,7 +45,9 @@
         answer = answer._replace(retry_after_ms=retry_ms)
     repeat_until = turn.now + retry_ms / MS_PER_S
     job_key = (request.client, request.key)
-    _remember(turn, identifier, PastRefusal(repeat_until, *job_key, answer))
+    _store_refusal(
+        turn, identifier, PastRefusal(repeat_until, *job_key, answer)
+    )
     return answer
 
 
@@ -75,7 +77,9 @@
         retry_after_ms=message.wait_ms,
     )
     job_key = (message.client, message.key)
-    _remember(turn, identifier, PastRefusal(repeat_until, *job_key, answer))
+    _store_refusal(
+        turn, identifier, PastRefusal(repeat_until, *job_key, answer)
+    )
 
 
 def pass_on_refusals(turn: Turn, new_owners: dict[int, str]) -> None:
@@ -106,7 +110,7 @@
             refusals.pop(identifier)
 
 
-def _remember(turn: Turn, identifier: bytes, refusal: PastRefusal) -> None:
+def _store_refusal(turn: Turn, identifier: bytes, refusal: PastRefusal) -> None:
     turn.state.refusals[identifier] = refusal
     heapq.heappush(
         turn.state.refusal_expiry,
