--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -45,7 +45,7 @@
     late_s: float
 
 
-class Surroundings(NamedTuple):
+class AdmissionContext(NamedTuple):
     """Hold the inputs of a decision other than the job."""
 
     policy: Policy
@@ -76,7 +76,7 @@
                 reasons.UNKNOWN_CLIENT,
                 f'no client is named {job.client!r}',
             )
-        context = Surroundings(policy, queues, fleet, now)
+        context = AdmissionContext(policy, queues, fleet, now)
         account = self.limits.account(job.client, client.terms, now)
         account.usage.jobs += 1
         refusal = _check_body(job, policy) or _check_worker_size(job, context)
@@ -152,7 +152,7 @@
     return None
 
 
-def _check_worker_size(job: Job, context: Surroundings) -> Refusal | None:
+def _check_worker_size(job: Job, context: AdmissionContext) -> Refusal | None:
     service = context.policy.services[job.service]
     slots, memory_mb = context.fleet.largest(job.service)
     if not slots:
@@ -211,7 +211,7 @@
     return None
 
 
-def _check_upstreams(job: Job, context: Surroundings) -> Refusal | None:
+def _check_upstreams(job: Job, context: AdmissionContext) -> Refusal | None:
     if context.fleet.is_linked(job.service):
         return None
     return Refusal(
@@ -234,7 +234,7 @@
     return dependencies
 
 
-def _check_dependencies(job: Job, context: Surroundings) -> Refusal | None:
+def _check_dependencies(job: Job, context: AdmissionContext) -> Refusal | None:
     for name in _transitive_dependencies(job.service, context.policy):
         problem = ''
         if _is_overloaded(name, job.urgency, context):
@@ -250,7 +250,7 @@
     return None
 
 
-def _is_overloaded(name: str, urgency: str, context: Surroundings) -> bool:
+def _is_overloaded(name: str, urgency: str, context: AdmissionContext) -> bool:
     """Tell whether the backlog of a service exceeds its usable deadline."""
     queue = context.queues.get(name)
     service = context.policy.services.get(name)
@@ -261,7 +261,7 @@
     return backlog_s > usable_s * context.fleet.capacity(name)
 
 
-def _check_wait(job: Job, context: Surroundings) -> Refusal | None:
+def _check_wait(job: Job, context: AdmissionContext) -> Refusal | None:
     queue = context.queues.get(job.service)
     if queue is not None and len(queue) + len(job.tasks) > MAX_QUEUED:
         return Refusal(
@@ -284,7 +284,7 @@
     )
 
 
-def _forecast(job: Job, context: Surroundings) -> Forecast:
+def _forecast(job: Job, context: AdmissionContext) -> Forecast:
     """Forecast a job; the forecast is zero while there is no capacity."""
     service = context.policy.services[job.service]
     capacity = context.fleet.capacity(job.service)
@@ -340,7 +340,9 @@
     return Forecast(expected_s, late_s)
 
 
-def _p90_s(job: Job, service: Service, context: Surroundings) -> list[float]:
+def _p90_s(
+    job: Job, service: Service, context: AdmissionContext
+) -> list[float]:
     operations = {task.operation for task in job.tasks}
     times = context.fleet.times
     return [times.high_s(service, operation) for operation in operations]
