--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -38,11 +38,11 @@
 class Forecast(NamedTuple):
     """Hold the expected time of a job and the lateness it causes.
 
-    `late_s` is the largest delay of an accepted job beyond its deadline.
+    `lateness_s` is the largest delay of an accepted job beyond its deadline.
     """
 
     expected_s: float
-    late_s: float
+    lateness_s: float
 
 
 class AdmissionContext(NamedTuple):
@@ -273,14 +273,16 @@
     usable_s = job.deadline_ms / MS_PER_S * USABLE_DEADLINE
     if forecast.expected_s > usable_s:
         detail = f'the job is expected to take {forecast.expected_s:.1f} s'
-    elif forecast.late_s > 0:
+    elif forecast.lateness_s > 0:
         detail = f'accepted jobs of {job.client} would miss their deadlines'
     else:
         return None
     return Refusal(
         reasons.DEADLINE_UNREACHABLE,
         detail,
-        _retry_after_ms(max(forecast.expected_s - usable_s, forecast.late_s)),
+        _retry_after_ms(
+            max(forecast.expected_s - usable_s, forecast.lateness_s)
+        ),
     )
 
 
@@ -326,7 +328,7 @@
     deadline = now + job.deadline_ms / MS_PER_S
     work_ahead: float = 0
     expected_s = work * drain_ratio + longest_s
-    late_s: float = 0
+    lateness_s: float = 0
     for due_at, due_work in sorted(work_by_deadline.items()):
         work_ahead += due_work
         if due_at <= deadline:
@@ -334,10 +336,10 @@
             continue
         remaining_s = due_at - now
         if work_ahead * drain_ratio <= remaining_s:
-            late_s = max(
-                late_s, (work_ahead + work) * drain_ratio - remaining_s
+            lateness_s = max(
+                lateness_s, (work_ahead + work) * drain_ratio - remaining_s
             )
-    return Forecast(expected_s, late_s)
+    return Forecast(expected_s, lateness_s)
 
 
 def _p90_s(
