--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -98,7 +98,9 @@
             account.running += len(job.tasks)
         return refusal
 
-    def adopt(self, job: Job, policy: Policy | None, now: float) -> None:
+    def count_recovered(
+        self, job: Job, policy: Policy | None, now: float
+    ) -> None:
         """Count the tasks of a recovered job, which is accepted unchecked."""
         client = policy.clients.get(job.client) if policy else None
         if client is not None:
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -284,7 +284,9 @@
         )
     elif recovered:
         answer = None
-        turn.state.admission.adopt(request.job, turn.state.policy, turn.now)
+        turn.state.admission.count_recovered(
+            request.job, turn.state.policy, turn.now
+        )
     else:
         answer = _check_admission(turn, request.job)
     if answer is None and request.job is not None:
--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -36,9 +36,9 @@
         """Return the limits of the wrapped control."""
         return self._admission.limits
 
-    def adopt(self, *named: Any) -> None:
+    def count_recovered(self, *named: Any) -> None:
         """Pass on a job that is accepted without a check."""
-        self._admission.adopt(*named)
+        self._admission.count_recovered(*named)
 
     def check(self, job: Any, *others: Any) -> Refusal | None:
         """Refuse at random, else as the wrapped control does."""
