--- a/src/savoryrudder/entry/answers.py
+++ b/src/savoryrudder/entry/answers.py
@@ -88,7 +88,7 @@
         turn.send(waiter.peer, ForwardAnswer(waiter.request, answer))
 
 
-def attach(
+def reply_or_wait(
     turn: Turn,
     submission: Submission,
     waiter: Waiter,
@@ -107,7 +107,7 @@
     heapq.heappush(turn.state.wait_limits, (wait_until, waiter))
 
 
-def detach(turn: Turn, waiter: Waiter) -> None:
+def stop_waiting(turn: Turn, waiter: Waiter) -> None:
     """Remove a request from the waiters of its job."""
     identifier = turn.state.waiting.pop(waiter, None)
     if identifier is None:
@@ -123,7 +123,7 @@
     while limits and limits[0][0] <= turn.now:
         _, waiter = heapq.heappop(limits)
         if waiter in turn.state.waiting:
-            detach(turn, waiter)
+            stop_waiting(turn, waiter)
             reply(turn, waiter, RUNNING_ANSWER)
 
 
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -60,7 +60,7 @@
 def handle_caller_gone(turn: Turn, event: events.CallerGone) -> None:
     """Forget a caller that has disconnected; its job continues."""
     waiter = Waiter('', event.request)
-    answers.detach(turn, waiter)
+    answers.stop_waiting(turn, waiter)
     turn.state.parked.pop(waiter, None)
 
 
@@ -262,7 +262,7 @@
         submissions.cancel(turn, submission)
     elif request.kind == 'submit':
         turn.count('resubmissions')
-    answers.attach(turn, submission, request.waiter, request.wait_until)
+    answers.reply_or_wait(turn, submission, request.waiter, request.wait_until)
 
 
 def _serve_new(
@@ -296,7 +296,9 @@
             request.job,
         )
         turn.count('jobs_accepted')
-        answers.attach(turn, submission, request.waiter, request.wait_until)
+        answers.reply_or_wait(
+            turn, submission, request.waiter, request.wait_until
+        )
     elif answer is not None:
         _refuse(turn, request, identifier, answer)
 
