--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -22,23 +22,23 @@
     from savoryrudder.entry.state import Submission
     from savoryrudder.entry.turn import Turn
 
-# A queue that grows or shrinks by less leaves the split of credits as it is.
+# Demand that grew or shrank by a smaller factor is not reported again.
 DEMAND_FACTOR: Final = 2
 DEMAND_INTERVAL_S: Final = 0.5
 # Agents split slots in proportion to demand. With a higher bound, the large job
 # of one entry keeps slots from the small jobs of another: at 80 % load and two
 # entries, the p99 of small jobs was 1.8 with 1, 1.9 with 3 and 2.6 with 10.
 MAX_DEMAND: Final = 3
-# Credits beyond the slots pay off when no small job came for this long.
+# Agents get prefetch credits once no small job has arrived for this long.
 LARGE_ONLY_S: Final = 2
 PREFETCH: Final = 10
 
 
 def dispatch(turn: Turn) -> None:
-    """Start as many tasks as credits and the ownership allow."""
+    """Start queued tasks while there are credits and this entry may act."""
     state = turn.state
     for service, queue in state.queues.items():
-        if not queue or not _may_start(turn, service, queue):
+        if not queue or not _can_start(turn, service, queue):
             continue
         if not may_act(state, turn.now):
             return
@@ -46,31 +46,33 @@
 
 
 def report_demand(turn: Turn) -> None:
-    """Tell agents how many tasks wait for their service, if it matters.
+    """Report to agents how many tasks wait for their service.
 
-    An agent needs to know only when it has to choose between entries, and
-    then roughly.
+    Agents use the demand only to split their slots between several entries,
+    and a rough figure is enough.
     """
     state = turn.state
     state.fleet.entries = max(1, len(state.live))
-    prefetch = _wanted_prefetch(turn)
+    prefetch = _choose_prefetch(turn)
     for name, link in state.agents.items():
         queue = state.queues.get(link.service)
-        queued = min(len(queue), MAX_DEMAND) if queue else 0
+        demand = min(len(queue), MAX_DEMAND) if queue else 0
         # A single entry gets all credits in any case.
-        changed = len(state.live) > 1 and _has_changed(link, queued, turn.now)
+        changed = len(state.live) > 1 and _is_demand_outdated(
+            link, demand, turn.now
+        )
         if link.usable and (changed or prefetch != link.prefetch):
-            link.demand = queued
+            link.demand = demand
             link.demand_at = turn.now
             link.prefetch = prefetch
-            turn.send(name, Demand(queued, prefetch))
+            turn.send(name, Demand(demand, prefetch))
 
 
-def _wanted_prefetch(turn: Turn) -> int:
+def _choose_prefetch(turn: Turn) -> int:
     """Return the credits beyond the slots; none while small jobs arrive.
 
-    Tasks that wait at an agent cannot be overtaken by those at the entry:
-    with 2 credits, the p99 of small jobs at 80 % load rose from 1.5 to 2.4.
+    Tasks queued at an agent cannot be overtaken by tasks queued here: with
+    2 credits, the p99 of small jobs at 80 % load rose from 1.5 to 2.4.
     """
     state = turn.state
     if turn.now < state.small_job_at + LARGE_ONLY_S:
@@ -80,32 +82,32 @@
     return PREFETCH if state.prefetching else 0
 
 
-def _has_changed(link: AgentLink, queued: int, now: float) -> bool:
+def _is_demand_outdated(link: AgentLink, demand: int, now: float) -> bool:
     if not link.demand:
-        return queued > 0
+        return demand > 0
     if link.demand_at + DEMAND_INTERVAL_S > now:
         return False
     return (
         not link.demand
-        < DEMAND_FACTOR * queued
+        < DEMAND_FACTOR * demand
         < (DEMAND_FACTOR * DEMAND_FACTOR * link.demand)
     )
 
 
 def _dispatch_service(turn: Turn, service: str, queue: ServiceQueue) -> None:
-    while queue and _may_start(turn, service, queue):
+    while queue and _can_start(turn, service, queue):
         backlog_s = queue.work
         queued = queue.pop(turn.now)
         if queued is None:
             break
-        _start(turn, service, queued, backlog_s)
+        _start_task(turn, service, queued, backlog_s)
 
 
-def _may_start(turn: Turn, service: str, queue: ServiceQueue) -> bool:
+def _can_start(turn: Turn, service: str, queue: ServiceQueue) -> bool:
     return turn.state.fleet.has_credit(service, turn.now, queue.work)
 
 
-def _start(
+def _start_task(
     turn: Turn,
     service: str,
     queued: QueuedTask,
@@ -117,7 +119,7 @@
         return
     if submission.tasks[queued.task].status != QUEUED:
         return
-    if submission.deadline <= turn.now + _least_s(state, service, queued):
+    if submission.deadline <= turn.now + _p10_s(state, service, queued):
         submissions.settle_task(
             turn,
             submission,
@@ -133,10 +135,10 @@
     _send_start(turn, submission, queued, agent)
 
 
-def _least_s(state: EntryState, service: str, queued: QueuedTask) -> float:
-    """Return the time that nearly every run of the operation exceeds."""
-    known = state.policy.services.get(service) if state.policy else None
-    return state.fleet.times.low_s(known, queued.operation)
+def _p10_s(state: EntryState, service: str, queued: QueuedTask) -> float:
+    """Return the 10th percentile of the service time, 0 if unknown."""
+    definition = state.policy.services.get(service) if state.policy else None
+    return state.fleet.times.low_s(definition, queued.operation)
 
 
 def _send_start(
@@ -175,5 +177,5 @@
 def _is_idempotent(state: EntryState, service: str, operation: str) -> bool:
     if state.policy is None or service not in state.policy.services:
         return False
-    known = state.policy.services[service].operations.get(operation)
-    return known is not None and known.idempotent
+    definition = state.policy.services[service].operations.get(operation)
+    return definition is not None and definition.idempotent
--- a/src/savoryrudder/entry/retries.py
+++ b/src/savoryrudder/entry/retries.py
@@ -1,4 +1,4 @@
-"""Bound how much work is placed again."""
+"""Limit the retries of tasks."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 
 
 class RetryBudget:
-    """Allow retries up to a part of the recent starts plus an allowance."""
+    """Allow retries up to a ratio of the recent starts plus an allowance."""
 
     def __init__(self) -> None:
         """Create a budget without starts."""
         self._starts: float = 0
         self._retries: float = 0
-        self._at: float = 0
+        self._decayed_at: float = 0
 
     def note_start(self, now: float) -> None:
         """Count a start."""
@@ -35,13 +35,13 @@
         return True
 
     def _decay(self, now: float) -> None:
-        kept = math.exp((self._at - now) / WINDOW_S)
-        self._at = now
-        self._starts *= kept
-        self._retries *= kept
+        decay = math.exp((self._decayed_at - now) / WINDOW_S)
+        self._decayed_at = now
+        self._starts *= decay
+        self._retries *= decay
 
 
 def backoff_s(attempts: int, jitter: float) -> float:
-    """Return the pause before a retry; `jitter` is between 0 and 1."""
+    """Return the exponential backoff; `jitter` is between 0 and 1."""
     pause_s = FIRST_BACKOFF_S * math.pow(2, attempts - 1)
     return min(LONGEST_BACKOFF_S, pause_s) * (1 + jitter) / 2
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -1,4 +1,4 @@
-"""Route callers' requests to the owner of their partition."""
+"""Route requests to the owners of their partitions."""
 
 from __future__ import annotations
 
@@ -26,8 +26,8 @@
     from savoryrudder.entry.turn import Turn
     from savoryrudder.protocol.messages import Answer
 
-# Agents answer a claim within a round trip; silence this long means that an
-# agent is dead, frozen or cut off.
+# Agents answer a claim within a round trip. One that has not answered for this
+# long is dead, hung or disconnected.
 TAKEOVER_WAIT_S: Final = 5
 CLOCK_SKEW_S: Final = 2
 MAX_SUBMISSIONS: Final = 200_000
@@ -38,7 +38,7 @@
 
 
 def handle_submit(turn: Turn, event: events.JobSubmitted) -> None:
-    """Accept, refuse, forward or park a caller's job."""
+    """Accept, refuse, forward or park a job."""
     route(
         turn,
         _local_request(turn, event.request, 'submit', event.job, event.wait_s),
@@ -58,14 +58,14 @@
 
 
 def handle_caller_gone(turn: Turn, event: events.CallerGone) -> None:
-    """Forget a caller that disconnected; its job goes on."""
+    """Forget a caller that has disconnected; its job continues."""
     waiter = Waiter('', event.request)
-    answers.detach(turn, waiter)
+    answers.stop_waiting(turn, waiter)
     turn.state.parked.pop(waiter, None)
 
 
 def handle_forward(turn: Turn, peer: str, message: Forward) -> None:
-    """Serve a request that another entry passed on."""
+    """Serve a request that another entry has forwarded."""
     now = turn.now
     if message.kind == 'refused':
         refusals.take_over_refusal(turn, message)
@@ -84,7 +84,7 @@
 
 
 def handle_forward_answer(turn: Turn, request: int, answer: Answer) -> None:
-    """Pass the owner's answer to the caller, or route the request again."""
+    """Return the owner's answer to the caller, or route the request again."""
     forwarded = turn.state.forwards.pop(request, None)
     if forwarded is None:
         turn.count('late_answers')
@@ -96,20 +96,20 @@
 
 
 def reroute_forwards(turn: Turn, peer: str) -> None:
-    """Route the requests again that a lost peer had to answer."""
-    lost = [
+    """Route requests again that were forwarded to a lost peer."""
+    unanswered = [
         (number, request)
         for number, request in turn.state.forwards.items()
         if request.forwarded_to == peer
     ]
-    for number, request in lost:
+    for number, request in unanswered:
         turn.state.forwards.pop(number)
         request.give_up = max(request.give_up, turn.now + refusals.PARK_S)
         _park(turn, request)
 
 
 def route(turn: Turn, request: ParkedRequest) -> None:
-    """Serve a request here, pass it to its owner, or park it."""
+    """Serve a request here, forward it to its owner, or park it."""
     state = turn.state
     partition = partition_of(submission_id(request.client, request.key))
     owned = state.owned.get(partition)
@@ -118,15 +118,15 @@
         return
     owner = state.owners.get(partition)
     peer = state.peers.get(owner.owner) if owner else None
-    local = request.handed_over or not request.waiter.peer
-    if peer is not None and peer.session and local:
+    may_forward = request.handed_over or not request.waiter.peer
+    if peer is not None and peer.session and may_forward:
         forward(turn, request, peer.name)
     else:
         _park(turn, request)
 
 
 def forward(turn: Turn, request: ParkedRequest, peer: str) -> None:
-    """Pass a request to the owner of its partition."""
+    """Forward a request to the owner of its partition."""
     state = turn.state
     number = state.next_request
     state.next_request += 1
@@ -148,7 +148,7 @@
 
 
 def retry_parked(turn: Turn) -> None:
-    """Route parked requests again; answer those whose time is up."""
+    """Route parked requests again; answer those that have timed out."""
     parked = turn.state.parked
     turn.state.parked = {}
     for request in parked.values():
@@ -159,15 +159,15 @@
     turn: Turn,
     number: int,
     kind: str,
-    named: Job | events.AnswerRequested | events.JobCancelled,
+    event: Job | events.AnswerRequested | events.JobCancelled,
     wait_s: float,
 ) -> ParkedRequest:
     return ParkedRequest(
         Waiter('', number),
         kind,
-        named.client,
-        named.key,
-        named if isinstance(named, Job) else None,
+        event.client,
+        event.key,
+        event if isinstance(event, Job) else None,
         turn.now,
         turn.now + wait_s,
         turn.now + refusals.PARK_S,
@@ -180,41 +180,41 @@
     partition: OwnedPartition,
 ) -> None:
     identifier = submission_id(request.client, request.key)
-    known = turn.state.submissions.get(identifier)
-    if known is not None and known.answer is None:
-        _serve_known(turn, request, known)
+    submission = turn.state.submissions.get(identifier)
+    if submission is not None and submission.answer is None:
+        _serve_existing(turn, request, submission)
         return
-    # Another entry may own the key by now and may have run it, so that even
-    # an answer given earlier could be wrong.
+    # Another entry may own the partition by now and may have run the job, so
+    # that even an answer given earlier could be wrong.
     if not may_act(turn.state, turn.now):
         _park(turn, request)
         return
-    if known is not None:
-        _serve_known(turn, request, known)
+    if submission is not None:
+        _serve_existing(turn, request, submission)
         return
-    past = turn.state.refusals.get(identifier)
-    if past is not None and request.received < past.repeat_until:
-        refusals.repeat_refusal(turn, request, past)
+    refusal = turn.state.refusals.get(identifier)
+    if refusal is not None and request.received < refusal.repeat_until:
+        refusals.repeat_refusal(turn, request, refusal)
         return
-    if _in_doubt(turn, request, partition):
+    if _is_in_doubt(turn, request, partition):
         if turn.now < partition.gained_at + TAKEOVER_WAIT_S:
             _park(turn, request)
         else:
-            _refuse(turn, request, identifier, _doubt())
+            _refuse(turn, request, identifier, _in_doubt_answer())
         return
-    if _may_be_refused(turn, request, partition):
-        _refuse(turn, request, identifier, _resubmit())
+    if _may_have_been_refused(turn, request, partition):
+        _refuse(turn, request, identifier, _takeover_answer())
         return
     if not turn.state.agents and (
         turn.now < partition.gained_at + TAKEOVER_WAIT_S
     ):
-        # An entry that has just joined owns keys before agents have dialled.
+        # An entry that has just joined owns partitions before agents connect.
         _park(turn, request)
         return
     _serve_new(turn, request, identifier)
 
 
-def _may_be_refused(
+def _may_have_been_refused(
     turn: Turn,
     request: ParkedRequest,
     partition: OwnedPartition,
@@ -222,7 +222,7 @@
     """Tell whether a lost owner may have refused a copy of the job.
 
     Refusals are lost with their entry. The former owner acted for the last
-    time before this one took over, so that later requests are not concerned.
+    time before this entry took over, so that later requests are not affected.
     """
     if request.kind != 'submit' or not partition.refusals_lost:
         return False
@@ -233,16 +233,16 @@
     )
 
 
-def _resubmit() -> Answer:
+def _takeover_answer() -> Answer:
     return answers.refusal(
         reasons.TAKEOVER,
-        'the entry in charge was lost; submit the job again',
+        'the owner of the partition was lost; submit the job again',
         reasons.UNKNOWN,
         answers.MIN_RETRY_AFTER_MS,
     )
 
 
-def _serve_known(
+def _serve_existing(
     turn: Turn,
     request: ParkedRequest,
     submission: Submission,
@@ -262,7 +262,7 @@
         submissions.cancel(turn, submission)
     elif request.kind == 'submit':
         turn.count('resubmissions')
-    answers.attach(turn, submission, request.waiter, request.wait_until)
+    answers.reply_or_wait(turn, submission, request.waiter, request.wait_until)
 
 
 def _serve_new(
@@ -280,13 +280,15 @@
                 answers.MIN_RETRY_AFTER_MS,
             )
             if recovered
-            else _absent(request)
+            else _not_found_answer(request)
         )
     elif recovered:
         answer = None
-        turn.state.admission.adopt(request.job, turn.state.policy, turn.now)
+        turn.state.admission.count_recovered(
+            request.job, turn.state.policy, turn.now
+        )
     else:
-        answer = _check(turn, request.job)
+        answer = _check_admission(turn, request.job)
     if answer is None and request.job is not None:
         submission = submissions.create_submission(
             turn,
@@ -294,7 +296,9 @@
             request.job,
         )
         turn.count('jobs_accepted')
-        answers.attach(turn, submission, request.waiter, request.wait_until)
+        answers.reply_or_wait(
+            turn, submission, request.waiter, request.wait_until
+        )
     elif answer is not None:
         _refuse(turn, request, identifier, answer)
 
@@ -311,21 +315,21 @@
     answers.reply(turn, request.waiter, answer)
 
 
-def _absent(request: ParkedRequest) -> Answer:
+def _not_found_answer(request: ParkedRequest) -> Answer:
     if request.kind == 'cancel':
         return answers.refusal(
             reasons.CANCELLED,
-            'no such job had arrived; a delayed copy of it will not run',
+            'no such job has arrived; a delayed copy will not run',
         )
     return answers.refusal(
         reasons.NOT_FOUND,
         f'no job with idempotency key {request.key!r} is known',
-        # A copy may be on its way; only a cancellation keeps it from running.
+        # A copy may be in transit; only a cancellation keeps it from running.
         reasons.UNKNOWN,
     )
 
 
-def _check(turn: Turn, job: Job) -> Answer | None:
+def _check_admission(turn: Turn, job: Job) -> Answer | None:
     state = turn.state
     if state.policy is None:
         return answers.refusal(
@@ -333,8 +337,8 @@
             'no configuration has been received yet',
             retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
-    issued = issue_time(job.key)
-    if issued and issued + state.identity.retention_s < turn.wall:
+    issued_at = issue_time(job.key)
+    if issued_at and issued_at + state.identity.retention_s < turn.wall:
         return answers.refusal(
             reasons.KEY_EXPIRED,
             f'the key was issued over {state.identity.retention_s:.0f} s ago',
@@ -346,23 +350,23 @@
     ):
         return answers.refusal(
             reasons.OVERLOADED,
-            'the entry holds as many submissions as it may',
+            'the entry holds too many submissions or payload bytes',
             retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
-    found = state.admission.check(
+    refusal = state.admission.check(
         job,
         state.policy,
         state.queues,
         state.fleet,
         turn.now,
     )
-    if found is None:
+    if refusal is None:
         return None
-    turn.count(f'refused_{found.reason}')
+    turn.count(f'refused_{refusal.reason}')
     return answers.refusal(
-        found.reason,
-        found.detail,
-        retry_after_ms=found.retry_after_ms,
+        refusal.reason,
+        refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
     )
 
 
@@ -377,7 +381,7 @@
     return (parsed.int >> _UUID7_TIME_SHIFT) / MS_PER_S
 
 
-def _in_doubt(
+def _is_in_doubt(
     turn: Turn,
     request: ParkedRequest,
     partition: OwnedPartition,
@@ -387,23 +391,24 @@
         return False
     if turn.now > partition.gained_at + turn.state.identity.retention_s:
         return False
-    issued = issue_time(request.key) - CLOCK_SKEW_S
+    issued_at = issue_time(request.key) - CLOCK_SKEW_S
     identifier = submission_id(request.client, request.key)
-    fresh = (
-        issued > partition.gained_wall
+    issued_after_gain = (
+        issued_at > partition.gained_wall
         and identifier not in turn.state.recovered
     )
-    if partition.blind and not fresh:
+    if partition.blind and not issued_after_gain:
         return True
     service = request.job.service if request.job else ''
     return any(
         agent.service == service or not service
         for agent in partition.awaited.values()
-        if not fresh and not 0 < agent.gone_ms / MS_PER_S < issued
+        if not issued_after_gain
+        and not 0 < agent.gone_ms / MS_PER_S < issued_at
     )
 
 
-def _doubt() -> Answer:
+def _in_doubt_answer() -> Answer:
     return answers.refusal(
         reasons.IN_DOUBT,
         'an agent that may have run this job cannot be reached',
@@ -422,7 +427,7 @@
         request.waiter,
         answers.refusal(
             reasons.NOT_OWNER,
-            'no entry could take charge of this key in time',
+            'no entry became the owner of this key in time',
             reasons.UNKNOWN,
             answers.MIN_RETRY_AFTER_MS,
         ),
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -1,4 +1,4 @@
-"""Track submissions from their acceptance to their answer."""
+"""Track submissions from acceptance to answer."""
 
 from __future__ import annotations
 
@@ -34,10 +34,11 @@
 # A task rejected this often by agents has no upstream that can run it.
 MAX_ATTEMPTS: Final = 5
 
-# Jobs up to this size are not made to wait for a saving of messages.
+# While jobs of up to this many tasks arrive, agents get no prefetch credits:
+# these save messages but delay small jobs.
 SMALL_JOB_TASKS: Final = 10
 
-_ENDED: Final = frozenset(
+_FINAL_STATES: Final = frozenset(
     (
         reasons.COMPLETE,
         reasons.FAILED,
@@ -48,7 +49,7 @@
 
 
 def create_submission(turn: Turn, identifier: bytes, job: Job) -> Submission:
-    """Accept a job; tasks that agents already know keep their state."""
+    """Queue the tasks of an accepted job and apply records of them."""
     state = turn.state
     submission = Submission(
         identifier=identifier,
@@ -70,9 +71,9 @@
     )
     for index, _ in enumerate(job.tasks):
         _enqueue(turn, submission, index)
-    for task, found in state.recovered.pop(identifier, {}).items():
+    for task, record in state.recovered.pop(identifier, {}).items():
         if task < len(job.tasks):
-            absorb_record(turn, *found)
+            absorb_record(turn, *record)
     return submission
 
 
@@ -102,7 +103,7 @@
     incarnation: str,
     record: TaskRecord,
 ) -> bool:
-    """Apply what an agent knows about a task; tell whether it was new."""
+    """Apply an agent's record of a task; tell whether it was applicable."""
     submission = turn.state.submissions.get(record.submission)
     if submission is None or record.task >= len(submission.tasks):
         return False
@@ -114,7 +115,7 @@
         _mark_sent(turn, submission, record.task, agent, incarnation)
     if task.status != SENT or task.agent != agent:
         return False
-    if record.state in _ENDED:
+    if record.state in _FINAL_STATES:
         _settle_from_record(turn, submission, record)
     return True
 
@@ -136,7 +137,7 @@
     if status != reasons.COMPLETE and not submission.failing:
         fail_rest(turn, submission, reasons.JOB_FAILED)
     if not submission.unsettled and submission.answer is None:
-        _finish(turn, submission)
+        _answer_job(turn, submission)
 
 
 def fail_rest(turn: Turn, submission: Submission, reason: str) -> None:
@@ -154,12 +155,12 @@
 
 
 def cancel(turn: Turn, submission: Submission) -> None:
-    """Cancel a job: nothing more of it starts."""
+    """Cancel a job; no more of its tasks start."""
     if submission.answer is not None:
         return
     fail_rest(turn, submission, reasons.CANCELLED)
     if not submission.unsettled:
-        _finish(turn, submission)
+        _answer_job(turn, submission)
 
 
 def requeue(
@@ -168,7 +169,7 @@
     index: int,
     reason: str,
 ) -> None:
-    """Queue a task again that provably did not start."""
+    """Retry a task that provably did not start."""
     task = submission.tasks[index]
     key = (submission.identifier, index)
     if submission.failing or task.attempts >= MAX_ATTEMPTS:
@@ -186,7 +187,7 @@
 
 
 def release_delayed(turn: Turn) -> None:
-    """Queue the tasks whose pause before a retry is over."""
+    """Queue the tasks whose retry backoff is over."""
     delayed = turn.state.delayed
     while delayed and delayed[0][0] <= turn.now:
         identifier, index = heapq.heappop(delayed)[1]
@@ -269,11 +270,11 @@
 
 
 def _expire(turn: Turn, submission: Submission) -> None:
-    waiting = submission.deadline + SETTLE_GRACE_S > turn.now
+    in_grace_period = submission.deadline + SETTLE_GRACE_S > turn.now
     if not submission.failing:
         fail_rest(turn, submission, reasons.DEADLINE_PASSED)
     for index, task in enumerate(submission.tasks):
-        if task.status == SENT and not waiting:
+        if task.status == SENT and not in_grace_period:
             settle_task(
                 turn,
                 submission,
@@ -287,10 +288,10 @@
             (submission.deadline + SETTLE_GRACE_S, submission.identifier),
         )
     elif submission.answer is None:
-        _finish(turn, submission)
+        _answer_job(turn, submission)
 
 
-def _finish(turn: Turn, submission: Submission) -> None:
+def _answer_job(turn: Turn, submission: Submission) -> None:
     state = turn.state
     answer = job_answer(submission, certain=may_act(state, turn.now))
     submission.answer = answer
@@ -298,9 +299,9 @@
     submission.job = job._replace(tasks=())
     for task in submission.tasks:
         task.result = b''
-    held = sum(len(outcome.result) for outcome in answer.tasks)
-    state.payload_bytes += held - submission.held_bytes
-    submission.held_bytes = held
+    result_bytes = sum(len(outcome.result) for outcome in answer.tasks)
+    state.payload_bytes += result_bytes - submission.held_bytes
+    submission.held_bytes = result_bytes
     state.admission.job_ended(job.client, len(submission.tasks))
     heapq.heappush(
         state.retention,
