--- a/src/savoryrudder/entry/__init__.py
+++ b/src/savoryrudder/entry/__init__.py
@@ -1,3 +1,3 @@
-"""The entry role as a reducer."""
+"""The entry role, implemented as a reducer."""
 
 from __future__ import annotations
--- a/src/savoryrudder/entry/effects.py
+++ b/src/savoryrudder/entry/effects.py
@@ -27,20 +27,20 @@
 
 
 class CallStore(NamedTuple):
-    """Call the store; the outcome returns as `StoreAnswered`."""
+    """Call the store; a `StoreAnswered` event returns the outcome."""
 
     call: int
     operation: StoreOperation
 
 
 class ConnectPeer(NamedTuple):
-    """Keep a link to the entry that listens at this join address."""
+    """Maintain a link to the entry that listens at this join address."""
 
     address: str
 
 
 class DisconnectPeer(NamedTuple):
-    """Stop dialling a join address at which no entry is expected any more."""
+    """Stop connecting to a join address that no known entry uses."""
 
     address: str
 
--- a/src/savoryrudder/entry/events.py
+++ b/src/savoryrudder/entry/events.py
@@ -42,7 +42,7 @@
 
 
 class CallerGone(NamedTuple):
-    """The caller of a request has disconnected; the job goes on."""
+    """The caller of a request has disconnected; the job continues."""
 
     now: float
     request: int
@@ -67,7 +67,10 @@
 
 
 class MessageReceived(NamedTuple):
-    """A message arrived on a session, with the sender's revision."""
+    """A message arrived on a session.
+
+    `revision` is the revision of the sender's configuration.
+    """
 
     now: float
     wall: float
@@ -78,7 +81,7 @@
 
 
 class StoreAnswered(NamedTuple):
-    """The store answered a call, or gave no answer in time."""
+    """The outcome of a store call, which may have timed out."""
 
     now: float
     wall: float
@@ -87,14 +90,14 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed; sent about twenty times a second."""
+    """Periodic event for timeouts, about 20 times a second."""
 
     now: float
     wall: float
 
 
 class ConfigSubmitted(NamedTuple):
-    """An operator applies a text against the revision it was diffed from."""
+    """An operator submits a configuration to replace `expected_revision`."""
 
     now: float
     wall: float
@@ -106,7 +109,10 @@
 
 
 class DataRequested(NamedTuple):
-    """An operator asks for `kind`: status, config or terms (of `name`)."""
+    """An operator asks for the status, the config or a client's terms.
+
+    `kind` is status, config or terms; `name` is the client, for terms only.
+    """
 
     now: float
     wall: float
@@ -116,7 +122,7 @@
 
 
 class AgentDrainRequested(NamedTuple):
-    """An operator asks for the graceful stop of an agent."""
+    """An operator asks an agent to stop gracefully."""
 
     now: float
     request: int
@@ -124,7 +130,7 @@
 
 
 class DrainRequested(NamedTuple):
-    """The entry has to stop gracefully within `timeout_s`."""
+    """The entry is to stop gracefully within `timeout_s`."""
 
     now: float
     timeout_s: float
--- a/src/savoryrudder/entry/leases.py
+++ b/src/savoryrudder/entry/leases.py
@@ -1,4 +1,4 @@
-"""Decide whether this entry may still act as an owner."""
+"""Decide whether this entry may still act as owner of its partitions."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 
 
 def may_act(state: EntryState, now: float) -> bool:
-    """Tell whether no other entry can own this entry's partitions.
+    """Return whether no other entry can own this entry's partitions.
 
-    True while the own lease is valid by the own clock. During a store outage
-    it stays true as long as every live peer keeps its promise not to take
-    over.
+    This holds while the lease is valid by this entry's clock, and during a
+    store outage as long as every live peer's promise not to take over is
+    valid.
     """
     if now < state.store.lease_deadline:
         return True
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -1,4 +1,4 @@
-"""Hold the state of the entry reducer."""
+"""Define the state of the entry reducer."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 class EntryIdentity(NamedTuple):
-    """Identify an entry process.
+    """The name, addresses and fixed settings of an entry process.
 
     `name` is unique for each run of an entry: its configured identifier, a
     hash sign and its incarnation. `address` is its join address, `http` the
@@ -45,7 +45,11 @@
 
 
 class Waiter(NamedTuple):
-    """Identify a request: at this entry, or at the peer that forwarded it."""
+    """A request that waits for an answer.
+
+    `request` is its number at this entry or, if a peer forwarded it, at that
+    `peer`; `peer` is empty for a request from a caller of this entry.
+    """
 
     peer: str
     request: int
@@ -53,7 +57,7 @@
 
 @dataclasses.dataclass(slots=True)
 class TaskState:
-    """Track one task: queued, sent, complete, failed, not-run or unknown."""
+    """A task that is queued, sent, complete, failed, not-run or unknown."""
 
     status: str
     agent: str = ''
@@ -65,7 +69,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Submission:
-    """Track one accepted job until its answer has been kept long enough."""
+    """An accepted job, kept until the retention of its answer ends."""
 
     identifier: bytes
     partition: int
@@ -83,10 +87,10 @@
 
 @dataclasses.dataclass(slots=True)
 class ParkedRequest:
-    """Hold a request until its partition is open or its time is up.
+    """A request held back until its partition is open or its time is up.
 
-    `received` is the earliest time at which the first entry may have received
-    it. The caller waits until `wait_until`, routing is tried until `give_up`.
+    `received` is the earliest time at which any entry may have received it.
+    The caller waits until `wait_until`, routing is retried until `give_up`.
     """
 
     waiter: Waiter
@@ -103,11 +107,12 @@
 
 @dataclasses.dataclass(slots=True)
 class OwnedPartition:
-    """Track a partition that this entry owns.
+    """A partition that this entry owns.
 
-    `awaited` holds the agents (name, incarnation) whose records are missing,
-    as their rosters show them. `blind` means that further agents may be
-    missing. `refusals_lost` is set after the loss of the former owner.
+    `awaited` maps the agents (name, incarnation) whose records are missing to
+    their roster entries. `blind` is set if that list may be incomplete.
+    `refusals_lost` is set if the former owner failed, since it could not pass
+    on its refusals.
     """
 
     epoch: int
@@ -121,10 +126,11 @@
 
 @dataclasses.dataclass(slots=True)
 class AgentLink:
-    """Track the session with an agent.
+    """The session with an agent.
 
     `claimed` is set by its first answer to a claim, `usable` once the peers
-    hold it in their rosters. `demand` and `prefetch` are what it was told last.
+    have it in this entry's roster. `demand` and `prefetch` are the values that
+    were last sent to it.
     """
 
     name: str
@@ -143,7 +149,7 @@
 
 
 class LostAgent(NamedTuple):
-    """Remember an agent whose session ended with tasks outstanding."""
+    """An agent whose session ended with tasks outstanding."""
 
     incarnation: str
     since: float
@@ -151,12 +157,13 @@
 
 @dataclasses.dataclass(slots=True)
 class PeerLink:
-    """Track another entry, linked or not; `session` is empty without a link.
+    """Another entry, linked or not; `session` is empty without a link.
 
-    `roster_held` is the sequence of this entry's roster that the peer has
-    confirmed. `gone` means that it is not registered any more. The peer's
-    promise not to take over holds until `promise_until`, the own one until
-    `promised_until`; `echo_ms` is the time in the peer's last promise.
+    `roster_held` is the sequence number of this entry's roster that the peer
+    confirmed last. `gone` is set once the peer is not registered any more. The
+    peer's promise not to take over is valid until `promise_until`, the promise
+    given to it until `promised_until`. `echo_ms` is the time in its last
+    promise.
     """
 
     name: str
@@ -174,7 +181,11 @@
 
 
 class PeerRoster(NamedTuple):
-    """Keep the agents that a peer may have used and when it last spoke."""
+    """The agents that a peer may have used.
+
+    `heard_at` is the time of the peer's last message. Until `blind_until` (UTC
+    seconds) the list may be incomplete.
+    """
 
     agents: tuple[RosterAgent, ...]
     heard_at: float
@@ -183,7 +194,7 @@
 
 @dataclasses.dataclass(slots=True)
 class StoreView:
-    """Track the lease, the watch and what the store last showed."""
+    """The lease, registration and watch of this entry at the store."""
 
     lease: str = ''
     lease_deadline: float = 0
@@ -205,7 +216,7 @@
 
 
 class EntryDocument(TypedDict):
-    """Hold what an entry registers: its addresses and its intent."""
+    """An entry's registration: its addresses and whether it is draining."""
 
     address: str
     http: str
@@ -213,14 +224,14 @@
 
 
 class PendingCall(NamedTuple):
-    """Remember why a store call was made."""
+    """The purpose of a store call whose outcome is pending."""
 
     kind: str
     context: ConfigSubmitted | str | None
 
 
 class PartitionOwner(NamedTuple):
-    """Name the owner of a partition, its epoch and the owner before."""
+    """The owner of a partition, its epoch and the former owner."""
 
     owner: str
     epoch: int
@@ -228,7 +239,7 @@
 
 
 class OpenClaim(NamedTuple):
-    """Remember a claim that an agent has not answered."""
+    """A claim that an agent has not answered yet."""
 
     agent: str
     session: str
@@ -236,7 +247,7 @@
 
 
 class FoundRecord(NamedTuple):
-    """Keep an agent's record of a task whose job is not known here."""
+    """An agent's record of a task whose job this entry does not have."""
 
     agent: str
     incarnation: str
@@ -244,7 +255,7 @@
 
 
 class PastRefusal(NamedTuple):
-    """Remember a refusal; copies received before `repeat_until` get it."""
+    """A refusal that is repeated to copies received before `repeat_until`."""
 
     repeat_until: float
     client: str
@@ -254,9 +265,9 @@
 
 @dataclasses.dataclass(slots=True)
 class ClientTerms:
-    """Track the stored terms of one client; `expires` is UTC seconds.
+    """The stored terms of a client; `expires` is in UTC seconds.
 
-    `token` marks a renewal whose outcome is not known yet.
+    `token` identifies a renewal whose outcome is not known yet.
     """
 
     step: int = 0
@@ -275,14 +286,14 @@
 
 @dataclasses.dataclass
 class EntryState:
-    """Hold everything that the entry reducer knows.
+    """The complete state of the entry reducer.
 
     `roster` lists the agents (name, incarnation) that this entry may have
-    used, `rosters` what peers sent of theirs. `parked` requests wait to be
-    routed again, `forwards` wait for another entry's answer. `waiting` names
-    the submission whose answer a request waits for. The lists `deadlines`,
-    `retention`, `refusal_expiry`, `delayed` and `wait_limits` are heaps by
-    monotonic seconds.
+    used, `rosters` holds the rosters of its peers. `parked` requests wait to
+    be routed again, `forwards` wait for another entry's answer. `waiting` maps
+    a request to the submission whose answer it waits for. The lists
+    `deadlines`, `retention`, `refusal_expiry`, `delayed` and `wait_limits` are
+    heaps ordered by monotonic seconds.
     """
 
     identity: EntryIdentity
