--- a/src/savoryrudder/entry/documents.py
+++ b/src/savoryrudder/entry/documents.py
@@ -1,4 +1,4 @@
-"""Encode the values that entries keep in the platform's store."""
+"""Encode and decode the values that entries keep in the store."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class ConfigDocument(TypedDict):
-    """Hold the operators' text; `applied_at` is a UTC time."""
+    """The configuration; `applied_at` is a UTC time in ISO 8601 format."""
 
     text: str
     author: str
@@ -29,13 +29,13 @@
 
 
 class PartitionsDocument(TypedDict):
-    """Hold owner, epoch and former owner of each partition."""
+    """The owner, epoch and former owner of each partition."""
 
     partitions: list[tuple[str, int, str]]
 
 
 class TermsDocument(TypedDict):
-    """Hold a client's step of its standing terms; `expires` is UTC seconds."""
+    """A client's step of its standing terms; `expires` is in UTC seconds."""
 
     step: int
     expires: float
@@ -60,17 +60,20 @@
 
 
 def decode_config(value: str) -> ConfigDocument:
-    """Decode the operators' text."""
+    """Decode a configuration."""
     return msgspec.json.decode(value, type=ConfigDocument)
 
 
-def decode_entry(found: KeyValue) -> EntryDocument:
-    """Decode what an entry registered."""
-    return msgspec.json.decode(found.value or '', type=EntryDocument)
+def decode_entry(item: KeyValue) -> EntryDocument:
+    """Decode an entry's registration."""
+    return msgspec.json.decode(item.value or '', type=EntryDocument)
 
 
 def decode_owners(value: str | None) -> dict[int, PartitionOwner]:
-    """Decode the partition map; an absent map has no owners at epoch 0."""
+    """Decode the partition map.
+
+    Without a map, every partition is at epoch 0 and has no owner.
+    """
     if value is None:
         return {
             partition: PartitionOwner('', 0, '')
