entry/agents: reword comments, rename private names

_absorb -> _apply_record _requeue_absent -> _requeue_missing _fail_older_incarnation -> _settle_former_incarnation _fail_outstanding -> _settle_outstanding Locals and positional parameters: number -> request, keys and known -> reported, patience -> silent_since, held -> confirmed or stored, gone -> expired, useful -> is_new, found -> recovered, older -> former, wanted -> requested.

--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -34,9 +34,10 @@
     from savoryrudder.protocol.messages import TaskRecord
     from savoryrudder.protocol.messages import Withdrawn
 
-# An agent that stays away longer is taken for dead; its tasks are unknown.
+# An agent that does not reconnect within this time is considered dead; the
+# outcome of its tasks is unknown.
 AGENT_RETURN_S: Final = 10
-# Peers silent for longer are not waited for before a new agent is used.
+# A new agent is used without waiting for peers that were silent for longer.
 ROSTER_PATIENCE_S: Final = 60
 ACKNOWLEDGE_INTERVAL_S: Final = 1
 _REPLACED: Final = 'replaced by a new session'
@@ -45,10 +46,10 @@
 
 
 def handle_hello(turn: Turn, session: str, hello: Hello) -> None:
-    """Start a session with an agent and claim the own partitions."""
+    """Start a session with an agent and claim this entry's partitions."""
     state = turn.state
     name = hello.agent
-    _fail_older_incarnation(turn, hello)
+    _settle_former_incarnation(turn, hello)
     if name in state.agents:
         handle_link_down(turn, name, _REPLACED)
     state.lost_agents.pop(name, None)
@@ -68,7 +69,7 @@
 
 
 def announce_entries(turn: Turn) -> None:
-    """Tell all linked agents which entries are alive now."""
+    """Send the addresses of the live entries to all linked agents."""
     for name in turn.state.agents:
         _send_welcome(turn, name)
 
@@ -81,7 +82,7 @@
     *,
     linked: bool,
 ) -> None:
-    """Record that an agent came or went; peers learn it with the next tick."""
+    """Record an agent as linked or gone; the next roster tells the peers."""
     state = turn.state
     state.roster[agent, incarnation] = RosterAgent(
         agent,
@@ -96,17 +97,17 @@
 def send_claim(turn: Turn, agent: str, partitions: Iterable[int]) -> None:
     """Claim partitions at an agent; an empty claim asks for credits only."""
     state = turn.state
-    number = state.next_request
+    request = state.next_request
     state.next_request += 1
     claimed = tuple(
         (partition, state.owned[partition].epoch) for partition in partitions
     )
-    state.claims[number] = OpenClaim(
+    state.claims[request] = OpenClaim(
         agent,
         state.agents[agent].session,
         tuple(partition for partition, _ in claimed),
     )
-    turn.send(agent, Claim(number, claimed))
+    turn.send(agent, Claim(request, claimed))
 
 
 def handle_link_down(turn: Turn, agent: str, reason: str) -> None:
@@ -116,8 +117,8 @@
     note_roster(turn, agent, link.incarnation, link.service, linked=False)
     state.fleet.agent_down(agent)
     state.claims = {
-        number: claim
-        for number, claim in state.claims.items()
+        request: claim
+        for request, claim in state.claims.items()
         if claim.agent != agent
     }
     turn.log_change(
@@ -131,7 +132,7 @@
 
 
 def handle_records(turn: Turn, agent: str, message: Records) -> None:
-    """Learn what an agent ran and compare it with the own record."""
+    """Apply an agent's records and requeue tasks that it never received."""
     state = turn.state
     claim = state.claims.pop(message.request, None)
     link = state.agents[agent]
@@ -139,13 +140,13 @@
         turn.count('late_records')
         return
     lose_partitions(turn, message.stale, stale=True)
-    keys = set()
+    reported = set()
     for record in message.records:
-        keys.add((record.submission, record.task))
-        _absorb(turn, link, record)
+        reported.add((record.submission, record.task))
+        _apply_record(turn, link, record)
     if not link.claimed:
         link.claimed = True
-        _requeue_absent(turn, agent, keys)
+        _requeue_missing(turn, agent, reported)
     for partition in claim.partitions:
         owned = state.owned.get(partition)
         if owned is not None and partition not in message.stale:
@@ -154,16 +155,16 @@
 
 
 def handle_finished(turn: Turn, agent: str, message: Finished) -> None:
-    """Settle a task and take the credits that came with its result."""
+    """Settle a task and add the credits that came with its result."""
     link = turn.state.agents[agent]
     if message.credits:
         turn.state.fleet.grant(agent, message.credits)
-    if not _absorb(turn, link, message.record):
+    if not _apply_record(turn, link, message.record):
         turn.count('wasted_messages')
 
 
 def handle_rejected(turn: Turn, agent: str, message: Rejected) -> None:
-    """Queue a task again that an agent did not accept."""
+    """Requeue a rejected task, or settle it if the rejection is final."""
     state = turn.state
     turn.count(f'rejected_{message.reason}')
     submission = state.submissions.get(message.submission)
@@ -203,26 +204,29 @@
             )
 
 
-def handle_recall(turn: Turn, agent: str, wanted: int) -> None:
-    """Return unused credits."""
-    turn.send(agent, Return(turn.state.fleet.give_back(agent, wanted)))
+def handle_recall(turn: Turn, agent: str, requested: int) -> None:
+    """Return up to `requested` unused credits to an agent."""
+    turn.send(agent, Return(turn.state.fleet.give_back(agent, requested)))
 
 
 def update_usable(turn: Turn, link: AgentLink) -> None:
-    """Allow starts on an agent once every peer has it in its roster."""
+    """Allow starts on an agent once every peer has confirmed it.
+
+    Gone peers and peers that were silent for `ROSTER_PATIENCE_S` are skipped.
+    """
     if link.usable or not link.claimed:
         return
-    patience = turn.now - ROSTER_PATIENCE_S
+    silent_since = turn.now - ROSTER_PATIENCE_S
     for peer in turn.state.peers.values():
-        held = peer.roster_held >= link.roster_sequence
-        if not held and not peer.gone and peer.heard_at > patience:
+        confirmed = peer.roster_held >= link.roster_sequence
+        if not confirmed and not peer.gone and peer.heard_at > silent_since:
             return
     link.usable = True
     turn.state.fleet.mark_usable(link.name)
 
 
 def keep_agents_informed(turn: Turn) -> None:
-    """Use new agents as soon as peers know them; confirm results."""
+    """Enable agents that all peers have confirmed; acknowledge results."""
     state = turn.state
     for link in state.agents.values():
         update_usable(turn, link)
@@ -236,16 +240,16 @@
 
 
 def expire_lost_agents(turn: Turn) -> None:
-    """Call the tasks of agents unknown that did not come back."""
+    """Settle the tasks of agents that did not reconnect as unknown."""
     state = turn.state
-    gone = [
+    expired = [
         agent
         for agent, lost in state.lost_agents.items()
         if lost.since + AGENT_RETURN_S <= turn.now
     ]
-    for agent in gone:
+    for agent in expired:
         state.lost_agents.pop(agent)
-        _fail_outstanding(turn, agent)
+        _settle_outstanding(turn, agent)
 
 
 def _send_welcome(turn: Turn, agent: str) -> None:
@@ -253,59 +257,63 @@
     turn.send(agent, Welcome(turn.state.identity.name, tuple(addresses)))
 
 
-def _absorb(turn: Turn, link: AgentLink, record: TaskRecord) -> bool:
+def _apply_record(turn: Turn, link: AgentLink, record: TaskRecord) -> bool:
     state = turn.state
     key = (record.submission, record.task)
-    useful = submissions.absorb_record(
+    is_new = submissions.absorb_record(
         turn,
         link.name,
         link.incarnation,
         record,
     )
-    held = record.submission in state.submissions
-    if not held and partition_of(record.submission) in state.owned:
-        found = state.recovered.setdefault(record.submission, {})
-        if not found:
+    stored = record.submission in state.submissions
+    if not stored and partition_of(record.submission) in state.owned:
+        recovered = state.recovered.setdefault(record.submission, {})
+        if not recovered:
             heapq.heappush(
                 state.retention,
                 (turn.now + state.identity.retention_s, record.submission),
             )
-        found[record.task] = FoundRecord(
+        recovered[record.task] = FoundRecord(
             link.name,
             link.incarnation,
             record,
         )
-        held = True
-        useful = True
-    if held and record.state not in {'waiting', 'running'}:
+        stored = True
+        is_new = True
+    if stored and record.state not in {'waiting', 'running'}:
         link.acknowledgements.append(key)
-    return useful
+    return is_new
 
 
-def _requeue_absent(turn: Turn, agent: str, known: set[TaskKey]) -> None:
+def _requeue_missing(
+    turn: Turn,
+    agent: str,
+    reported: set[TaskKey],
+) -> None:
     for identifier, index in list(turn.state.outstanding.get(agent, ())):
-        if (identifier, index) in known:
+        if (identifier, index) in reported:
             continue
         submission = turn.state.submissions.get(identifier)
         if submission is not None:
             submissions.requeue(turn, submission, index, reasons.NO_UPSTREAM)
 
 
-def _fail_older_incarnation(turn: Turn, hello: Hello) -> None:
+def _settle_former_incarnation(turn: Turn, hello: Hello) -> None:
     state = turn.state
     link = state.agents.get(hello.agent)
     lost = state.lost_agents.get(hello.agent)
     if link is not None:
-        older = link.incarnation
+        former = link.incarnation
     elif lost is not None:
-        older = lost.incarnation
+        former = lost.incarnation
     else:
-        older = hello.incarnation
-    if older != hello.incarnation:
-        _fail_outstanding(turn, hello.agent)
+        former = hello.incarnation
+    if former != hello.incarnation:
+        _settle_outstanding(turn, hello.agent)
 
 
-def _fail_outstanding(turn: Turn, agent: str) -> None:
+def _settle_outstanding(turn: Turn, agent: str) -> None:
     for identifier, index in list(turn.state.outstanding.get(agent, ())):
         submission = turn.state.submissions.get(identifier)
         if submission is not None:
