--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -1,4 +1,4 @@
-"""Follow and change the operators' text."""
+"""Apply and change the configuration."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def adopt_config(turn: Turn, version: int, value: str) -> None:
-    """Put a configuration from the store in force unless it is older."""
+    """Apply a configuration from the store unless it is outdated."""
     document = documents.decode_config(value)
     state = turn.state
     if version <= state.revision:
@@ -27,22 +27,22 @@
     state.author = document['author']
     state.token = document['token']
     state.applied_at = document['applied_at']
-    _put_in_force(turn, version, document['text'])
+    _apply_config(turn, version, document['text'])
 
 
 def handle_config(turn: Turn, message: Config) -> None:
-    """Put a configuration from a peer in force unless it is older."""
+    """Apply a configuration from a peer unless it is outdated."""
     if message.revision > turn.state.revision and message.text:
-        _put_in_force(turn, message.revision, message.text)
+        _apply_config(turn, message.revision, message.text)
 
 
 def send_config(turn: Turn, peer: str) -> None:
-    """Send the configuration to a process that is behind."""
+    """Send this entry's configuration to a process that requested it."""
     turn.send(peer, Config(turn.state.revision, turn.state.text))
 
 
 def note_revision(turn: Turn, peer: str, revision: int) -> None:
-    """Ask a peer that is ahead for its configuration."""
+    """Record a peer's revision; request its configuration if it is newer."""
     state = turn.state
     link = state.agents.get(peer) or state.peers.get(peer)
     if link is None or link.revision == revision:
@@ -53,13 +53,13 @@
 
 
 def handle_config_submitted(turn: Turn, event: ConfigSubmitted) -> None:
-    """Check a text and write it if nobody changed it in between."""
-    found = check_text(event.text)
-    if found.is_error():
+    """Check a configuration and write it if the revision is as expected."""
+    checked = check_text(event.text)
+    if checked.is_error():
         turn.reply_data(
             event.request,
             422,
-            {'findings': [finding._asdict() for finding in found.error]},
+            {'findings': [finding._asdict() for finding in checked.error]},
         )
         return
     applied_at = datetime.datetime.fromtimestamp(event.wall, datetime.UTC)
@@ -86,13 +86,13 @@
     event: ConfigSubmitted,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Report the outcome of a configuration change to its operator."""
+    """Report the outcome of a configuration change to the operator."""
     if isinstance(outcome, interface.Swapped):
         turn.reply_data(event.request, 200, {'revision': outcome.version})
     elif isinstance(outcome, interface.SwapConflict):
         _report_conflict(turn, event, outcome.current)
     else:
-        # The write may have taken effect: only reading tells.
+        # The write may have taken effect; read the key to find out.
         turn.call_store(
             interface.ReadKey(documents.CONFIG_KEY),
             PendingCall('read-config', event),
@@ -104,7 +104,7 @@
     event: ConfigSubmitted,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Settle a configuration change whose answer was lost."""
+    """Report the outcome of a change that the store did not answer."""
     if not isinstance(outcome, interface.KeyValue):
         turn.reply_data(
             event.request,
@@ -112,7 +112,7 @@
             {
                 'reason': 'store-unavailable',
                 'outcome': 'unknown',
-                'detail': 'the store gave no answer; the change may be made',
+                'detail': 'store unavailable; the change may have been applied',
             },
         )
         return
@@ -125,7 +125,7 @@
             {
                 'reason': 'store-unavailable',
                 'outcome': 'not-run',
-                'detail': 'the store did not take the change',
+                'detail': 'the store did not apply the change',
             },
         )
     else:
@@ -142,7 +142,7 @@
     current: interface.KeyValue,
 ) -> None:
     if current.value and _token_of(current.value) == event.token:
-        # A resent write meets its own first copy.
+        # A retried write conflicts with its own first attempt.
         turn.reply_data(event.request, 200, {'revision': current.version})
         return
     author = ''
@@ -158,7 +158,7 @@
     )
 
 
-def _put_in_force(turn: Turn, revision: int, text: str) -> None:
+def _apply_config(turn: Turn, revision: int, text: str) -> None:
     state = turn.state
     checked = check_text(text)
     if checked.is_error():
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -155,7 +155,7 @@
 
 
 def _adopt_any(turn: Any, message: messages.Config) -> None:
-    configuration._put_in_force(turn, message.revision, message.text)
+    configuration._apply_config(turn, message.revision, message.text)
 
 
 def _without_epochs(patch: Patch) -> None:
