--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -1,4 +1,4 @@
-"""Stop an entry without cutting off a request."""
+"""Drain an entry: finish its requests and jobs, then leave the cluster."""
 
 from __future__ import annotations
 
@@ -17,45 +17,49 @@
 
 
 def is_ready(state: EntryState) -> bool:
-    """Tell whether the balancer should send callers here."""
+    """Return whether the load balancer should send requests here."""
     if state.drain_started is not None:
         return False
-    # Without the partition map, requests could only wait in vain.
+    # Without the partition map no request can be routed.
     return state.policy is not None and bool(state.owners)
 
 
 def handle_drain(turn: Turn, event: DrainRequested) -> None:
-    """Begin a planned stop: readiness fails from now on."""
+    """Begin a graceful stop; the readiness check fails from now on."""
     state = turn.state
     if state.drain_started is not None:
         return
     state.drain_started = event.now
     state.drain_deadline = event.now + event.timeout_s
-    # Registered anew with its intent, so that no peer hands it a partition.
+    # Register again as draining, so that no peer assigns it a partition.
     state.store.registered = False
     state.store.register_at = event.now
     turn.log_change('draining')
 
 
 def proceed(turn: Turn) -> None:
-    """Leave once all partitions are handed over and callers answered."""
+    """Stop once all requests are answered and all partitions handed over.
+
+    At the deadline, the remaining requests are refused. Partitions are kept if
+    no other entry can own them.
+    """
     state = turn.state
     if state.drain_started is None or state.exited:
         return
     if turn.now >= state.drain_deadline:
-        _answer_rest(turn)
-        _leave(turn)
+        _refuse_remaining(turn)
+        _exit(turn)
         return
     if turn.now < state.drain_started + state.identity.balancer_delay_s:
         return
-    busy = state.waiting or state.forwards or state.parked
-    if busy or any(
+    has_requests = state.waiting or state.forwards or state.parked
+    if has_requests or any(
         submission.answer is None for submission in state.submissions.values()
     ):
         return
     if state.owned and _has_successor(turn):
         return
-    _leave(turn)
+    _exit(turn)
 
 
 def _has_successor(turn: Turn) -> bool:
@@ -67,27 +71,27 @@
     )
 
 
-def _answer_rest(turn: Turn) -> None:
+def _refuse_remaining(turn: Turn) -> None:
     state = turn.state
-    rest = [
+    waiters = [
         *state.waiting,
         *state.parked,
         *(request.waiter for request in state.forwards.values()),
     ]
-    for waiter in rest:
+    for waiter in waiters:
         answers.reply(
             turn,
             waiter,
             answers.refusal(
                 reasons.STOPPING,
-                'this entry had to stop; submit the job again with its key',
+                'this entry stopped; submit the job again with the same key',
                 reasons.UNKNOWN,
                 answers.MIN_RETRY_AFTER_MS,
             ),
         )
 
 
-def _leave(turn: Turn) -> None:
+def _exit(turn: Turn) -> None:
     state = turn.state
     state.exited = True
     turn.log_change('stopped')
