entry/handover: reword comments, rename private names

_keep_answer -> _store_answer Locals and positional parameters: gone -> gone_agents or agents, lost -> lost_agents, unknown -> still_awaited.

--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -1,4 +1,4 @@
-"""Hand over to a new owner what agents cannot tell it."""
+"""Hand over to a partition's new owner what agents cannot report."""
 
 from __future__ import annotations
 
@@ -22,15 +22,18 @@
     owned: OwnedPartition,
     submissions: list[Submission],
 ) -> None:
-    """Send the new owner the answers that no agent holds any more."""
+    """Send the new owner the answers whose records are on gone agents.
+
+    The message also lists the agents whose records this entry does not have.
+    """
     state = turn.state
     owner = state.owners[partition]
     peer = state.peers.get(owner.owner)
     if peer is None or not peer.session or owned.stale:
         return
-    gone = {key for key, agent in state.roster.items() if agent.gone_ms}
-    # Tasks may still run at agents that could yet return.
-    lost = [
+    gone_agents = {key for key, agent in state.roster.items() if agent.gone_ms}
+    # Agents that may still reconnect may still run tasks.
+    lost_agents = [
         agent
         for (name, incarnation), agent in state.roster.items()
         if name in state.lost_agents
@@ -42,7 +45,7 @@
             partition,
             owner.epoch,
             owned.blind,
-            (*owned.awaited.values(), *lost),
+            (*owned.awaited.values(), *lost_agents),
             tuple(
                 HeldAnswer(
                     submission.identifier,
@@ -50,45 +53,49 @@
                     submission.answer,
                 )
                 for submission in submissions
-                if submission.answer is not None and _ran_on(submission, gone)
+                if submission.answer is not None
+                and _ran_on(submission, gone_agents)
             ),
         ),
     )
 
 
 def handle_hand_over(turn: Turn, message: HandOver) -> None:
-    """Keep a hand-over and use it as soon as the partition is owned."""
+    """Store a hand-over and apply it once this entry owns the partition."""
     turn.state.hand_overs[message.partition] = message
     apply_hand_over(turn, message.partition)
 
 
 def apply_hand_over(turn: Turn, partition: int) -> None:
-    """Stop waiting for agents whose tasks the former owner accounted for."""
+    """Stop waiting for gone agents whose records the former owner had."""
     state = turn.state
     owned = state.owned.get(partition)
     message = state.hand_overs.get(partition)
     if owned is None or message is None or message.epoch != owned.epoch:
         return
     state.hand_overs.pop(partition)
-    unknown = {
+    still_awaited = {
         (agent.agent, agent.incarnation): agent for agent in message.awaited
     }
     owned.blind = message.blind
     owned.awaited = {
         key: agent for key, agent in owned.awaited.items() if not agent.gone_ms
-    } | unknown
+    } | still_awaited
     for held in message.answers:
         if held.submission not in state.submissions:
-            _keep_answer(turn, partition, held)
+            _store_answer(turn, partition, held)
 
 
-def _ran_on(submission: Submission, gone: set[tuple[str, str]]) -> bool:
+def _ran_on(
+    submission: Submission,
+    agents: set[tuple[str, str]],
+) -> bool:
     return any(
-        (task.agent, task.incarnation) in gone for task in submission.tasks
+        (task.agent, task.incarnation) in agents for task in submission.tasks
     )
 
 
-def _keep_answer(turn: Turn, partition: int, held: HeldAnswer) -> None:
+def _store_answer(turn: Turn, partition: int, held: HeldAnswer) -> None:
     state = turn.state
     state.submissions[held.submission] = Submission(
         identifier=held.submission,
