entry/health: reword comments, rename private names

_Upstream: score -> failure_score, failures -> excess_failures, restoring -> probes_passed, interval_s -> probe_interval_s, slowness -> log2_slowness, times -> timings, operations -> outcomes ServiceHealth: _operations -> _outcomes, _total_score -> _total_failure_score, _total_slowness -> _total_log2_slowness, _timed -> _timed_upstreams, _excess_slowness -> _excess_log2_slowness, _score_of -> _sort_key, _ratio_elsewhere -> _failure_ratio_elsewhere, _count -> _count_outcome, _score -> _update_score, _judge_probe -> _apply_probe_outcome Local: rest -> mean_of_others.

--- a/src/savoryrudder/entry/health.py
+++ b/src/savoryrudder/entry/health.py
@@ -1,4 +1,4 @@
-"""Judge the upstreams of one service by failures and service times."""
+"""Rate the upstreams of a service by their failures and service times."""
 
 from __future__ import annotations
 
@@ -8,13 +8,15 @@
 from typing import NamedTuple
 
 FAILURE_WEIGHT: Final = 0.2
-# Weighted failures that are not made up for by as many successes.
+# Weighted failures, less one for each success, needed for an ejection.
 MIN_FAILURES: Final = 4
 EXCESS_RATIO: Final = 0.3
+# At most one in this many upstreams is ejected.
 MAX_EJECTED: Final = 3
-# Fewer outcomes elsewhere do not tell whether the operation is at fault.
+# With fewer outcomes on other upstreams, a failure is not attributed to the
+# operation.
 MIN_ELSEWHERE: Final = 5
-# Older outcomes of an operation count half.
+# Outcome counts are halved beyond this, so that older outcomes weigh less.
 OUTCOME_MEMORY: Final = 200
 FIRST_PROBE_S: Final = 1
 LONGEST_PROBE_S: Final = 60
@@ -23,12 +25,13 @@
 PROBES_TO_RESTORE: Final = 2
 SLOWNESS_WEIGHT: Final = 0.15
 MIN_TIMES: Final = 5
-# An upstream this many times slower is used only in need.
+# An upstream this many times slower than the others is used only if the queue
+# makes tasks wait even longer.
 SLOW_FACTOR: Final = 3
 
 
 class Verdict(NamedTuple):
-    """Say how an upstream may be used; `slowness` is a factor."""
+    """How an upstream may be used; `slowness` is a factor of at least 1."""
 
     ejected: bool
     slow: bool
@@ -38,7 +41,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Outcomes:
-    """Count outcomes, the older ones less."""
+    """Counts of outcomes in which older ones weigh less."""
 
     failed: float = 0
     ended: float = 0
@@ -53,30 +56,30 @@
 
 @dataclasses.dataclass(slots=True)
 class _Upstream:
-    """Track one upstream."""
+    """The state of one upstream."""
 
-    score: float = 0
-    failures: float = 0
+    failure_score: float = 0
+    excess_failures: float = 0
     ejected: bool = False
-    restoring: int = 0
+    probes_passed: int = 0
     probe_at: float = 0
     probing: bool = False
-    interval_s: float = FIRST_PROBE_S
-    slowness: float = 0
-    times: int = 0
-    operations: dict[str, _Outcomes] = dataclasses.field(default_factory=dict)
+    probe_interval_s: float = FIRST_PROBE_S
+    log2_slowness: float = 0
+    timings: int = 0
+    outcomes: dict[str, _Outcomes] = dataclasses.field(default_factory=dict)
 
 
 class ServiceHealth:
-    """Judge the upstreams of one service."""
+    """Rate the upstreams of one service."""
 
     def __init__(self) -> None:
-        """Create a service without upstreams."""
+        """Start without upstreams."""
         self._upstreams: dict[str, _Upstream] = {}
-        self._operations: dict[str, _Outcomes] = {}
-        self._total_score: float = 0
-        self._total_slowness: float = 0
-        self._timed = 0
+        self._outcomes: dict[str, _Outcomes] = {}
+        self._total_failure_score: float = 0
+        self._total_log2_slowness: float = 0
+        self._timed_upstreams = 0
         self._ejected: set[str] = set()
 
     @property
@@ -85,38 +88,41 @@
         return frozenset(self._ejected)
 
     def add(self, name: str) -> None:
-        """Add an upstream without history."""
+        """Add an upstream and discard its history, if any."""
         self.remove(name)
         self._upstreams[name] = _Upstream()
 
     def remove(self, name: str) -> list[str]:
-        """Forget an upstream; return those that may be used again."""
+        """Remove an upstream; return the upstreams restored in consequence.
+
+        With fewer upstreams, fewer may be ejected.
+        """
         upstream = self._upstreams.pop(name, None)
         if upstream is None:
             return []
-        self._total_score -= upstream.score
-        self._total_slowness -= upstream.slowness
-        self._timed -= upstream.times > 0
+        self._total_failure_score -= upstream.failure_score
+        self._total_log2_slowness -= upstream.log2_slowness
+        self._timed_upstreams -= upstream.timings > 0
         self._ejected.discard(name)
         restored = []
         while len(self._ejected) * MAX_EJECTED > len(self._upstreams):
-            best = min(self._ejected, key=self._score_of)
+            best = min(self._ejected, key=self._sort_key)
             self._restore(best)
             restored.append(best)
         return restored
 
     def verdict(self, name: str) -> Verdict:
-        """Say how an upstream may be used."""
+        """Return how an upstream may be used."""
         upstream = self._upstreams[name]
         return Verdict(
             upstream.ejected,
             self._is_slow(upstream),
-            2 ** max(0, self._excess_slowness(upstream)),
+            2 ** max(0, self._excess_log2_slowness(upstream)),
             upstream.probe_at,
         )
 
     def note_probe(self, name: str, now: float) -> None:
-        """Record that a restricted upstream was given a task."""
+        """Record that an ejected or slow upstream was given a task."""
         upstream = self._upstreams[name]
         upstream.probing = True
         upstream.probe_at = now + PROBE_PATIENCE_S
@@ -130,89 +136,102 @@
         failed: bool,
         not_run: bool = False,
     ) -> None:
-        """Learn from the outcome of a task."""
+        """Record the outcome of a task."""
         upstream = self._upstreams[name]
         weight: float = 0
         if failed:
-            # A task that never ran says nothing about its operation.
-            elsewhere = 0 if not_run else self._ratio_elsewhere(name, operation)
+            # A task that did not run says nothing about its operation.
+            elsewhere = (
+                0 if not_run else self._failure_ratio_elsewhere(name, operation)
+            )
             weight = 1 - elsewhere
         if not not_run:
-            self._count(upstream, operation, failed=failed)
-        self._score(upstream, weight, failed=failed)
+            self._count_outcome(upstream, operation, failed=failed)
+        self._update_score(upstream, weight, failed=failed)
         if upstream.ejected:
-            self._judge_probe(name, now, failed=failed)
+            self._apply_probe_outcome(name, now, failed=failed)
         elif self._is_failing(upstream):
             self._eject(name, now)
 
     def note_time(self, name: str, ratio: float, now: float) -> None:
-        """Learn from a service time relative to the operation's mean."""
+        """Record a service time as a ratio to the mean of the operation."""
         upstream = self._upstreams[name]
         was_slow = self._is_slow(upstream)
-        upstream.times += 1
-        self._timed += upstream.times == 1
-        weight = max(1 / upstream.times, SLOWNESS_WEIGHT)
-        change = weight * (math.log2(ratio) - upstream.slowness)
-        upstream.slowness += change
-        self._total_slowness += change
+        upstream.timings += 1
+        self._timed_upstreams += upstream.timings == 1
+        weight = max(1 / upstream.timings, SLOWNESS_WEIGHT)
+        change = weight * (math.log2(ratio) - upstream.log2_slowness)
+        upstream.log2_slowness += change
+        self._total_log2_slowness += change
         if self._is_slow(upstream):
             if not was_slow or ratio < SLOW_FACTOR:
-                upstream.interval_s = FIRST_PROBE_S
+                upstream.probe_interval_s = FIRST_PROBE_S
             if not was_slow or upstream.probing:
                 self._schedule_probe(upstream, now)
 
     def _is_slow(self, upstream: _Upstream) -> bool:
-        return upstream.times >= MIN_TIMES and self._excess_slowness(
+        return upstream.timings >= MIN_TIMES and self._excess_log2_slowness(
             upstream
         ) > math.log2(SLOW_FACTOR)
 
-    def _excess_slowness(self, upstream: _Upstream) -> float:
-        """Compare with the others: a slow upstream raises the mean itself."""
-        others = self._timed - 1
-        if others < 1 or not upstream.times:
+    def _excess_log2_slowness(self, upstream: _Upstream) -> float:
+        """Compare with the mean of the others only.
+
+        A slow upstream would raise a mean that includes it.
+        """
+        others = self._timed_upstreams - 1
+        if others < 1 or not upstream.timings:
             return 0
-        rest = (self._total_slowness - upstream.slowness) / others
-        return upstream.slowness - rest
+        mean_of_others = (
+            self._total_log2_slowness - upstream.log2_slowness
+        ) / others
+        return upstream.log2_slowness - mean_of_others
 
-    def _score_of(self, name: str) -> tuple[float, str]:
-        return self._upstreams[name].score, name
+    def _sort_key(self, name: str) -> tuple[float, str]:
+        return self._upstreams[name].failure_score, name
 
-    def _ratio_elsewhere(self, name: str, operation: str) -> float:
-        everywhere = self._operations.get(operation, _Outcomes())
-        here = self._upstreams[name].operations.get(operation, _Outcomes())
+    def _failure_ratio_elsewhere(self, name: str, operation: str) -> float:
+        everywhere = self._outcomes.get(operation, _Outcomes())
+        here = self._upstreams[name].outcomes.get(operation, _Outcomes())
         ended = everywhere.ended - here.ended
         if ended < MIN_ELSEWHERE:
             return 0
         return min(1, max(0, everywhere.failed - here.failed) / ended)
 
-    def _count(
+    def _count_outcome(
         self,
         upstream: _Upstream,
         operation: str,
         *,
         failed: bool,
     ) -> None:
-        for outcomes in (self._operations, upstream.operations):
+        for outcomes in (self._outcomes, upstream.outcomes):
             outcomes.setdefault(operation, _Outcomes()).add(failed=failed)
 
-    def _score(
+    def _update_score(
         self,
         upstream: _Upstream,
         weight: float,
         *,
         failed: bool,
     ) -> None:
-        self._total_score -= upstream.score
-        upstream.score += FAILURE_WEIGHT * (weight - upstream.score)
-        self._total_score += upstream.score
-        upstream.failures = max(0, upstream.failures + weight - (not failed))
+        self._total_failure_score -= upstream.failure_score
+        upstream.failure_score += FAILURE_WEIGHT * (
+            weight - upstream.failure_score
+        )
+        self._total_failure_score += upstream.failure_score
+        upstream.excess_failures = max(
+            0, upstream.excess_failures + weight - (not failed)
+        )
 
     def _is_failing(self, upstream: _Upstream) -> bool:
         others = max(1, len(self._upstreams) - 1)
-        rest = (self._total_score - upstream.score) / others
+        mean_of_others = (
+            self._total_failure_score - upstream.failure_score
+        ) / others
         return (
-            upstream.failures >= MIN_FAILURES
-            and upstream.score > rest + EXCESS_RATIO
+            upstream.excess_failures >= MIN_FAILURES
+            and upstream.failure_score > mean_of_others + EXCESS_RATIO
         )
 
     def _eject(self, name: str, now: float) -> None:
@@ -220,35 +239,39 @@
             return
         upstream = self._upstreams[name]
         upstream.ejected = True
-        upstream.restoring = 0
-        upstream.interval_s = FIRST_PROBE_S
+        upstream.probes_passed = 0
+        upstream.probe_interval_s = FIRST_PROBE_S
         self._ejected.add(name)
         self._schedule_probe(upstream, now)
 
-    def _judge_probe(self, name: str, now: float, *, failed: bool) -> None:
+    def _apply_probe_outcome(
+        self, name: str, now: float, *, failed: bool
+    ) -> None:
         upstream = self._upstreams[name]
         if not upstream.probing:
-            # A task that was sent before the ejection.
+            # The task was sent before the ejection.
             return
         if failed:
-            upstream.restoring = 0
+            upstream.probes_passed = 0
             self._schedule_probe(upstream, now)
             return
         upstream.probing = False
-        upstream.restoring += 1
+        upstream.probes_passed += 1
         upstream.probe_at = now
-        if upstream.restoring >= PROBES_TO_RESTORE:
+        if upstream.probes_passed >= PROBES_TO_RESTORE:
             self._restore(name)
 
     def _schedule_probe(self, upstream: _Upstream, now: float) -> None:
         upstream.probing = False
-        upstream.probe_at = now + upstream.interval_s
-        upstream.interval_s = min(2 * upstream.interval_s, LONGEST_PROBE_S)
+        upstream.probe_at = now + upstream.probe_interval_s
+        upstream.probe_interval_s = min(
+            2 * upstream.probe_interval_s, LONGEST_PROBE_S
+        )
 
     def _restore(self, name: str) -> None:
         upstream = self._upstreams[name]
-        self._total_score -= upstream.score
-        upstream.score = 0
-        upstream.failures = 0
+        self._total_failure_score -= upstream.failure_score
+        upstream.failure_score = 0
+        upstream.excess_failures = 0
         upstream.ejected = False
         self._ejected.discard(name)
