entry/membership: reword comments, rename private names

_note_availability -> _update_availability _adopt_live -> _update_live_entries Locals and positional parameters: found -> items, own -> own_name.

--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -1,4 +1,4 @@
-"""Keep this entry's lease and registration, and watch the store."""
+"""Maintain this entry's lease and registration, and watch the store."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 
 LEASE_TTL_S: Final = 6
 RENEW_INTERVAL_S: Final = 2
-# A watch whose connection has gone silent is found out soon enough for a
-# change to be in force everywhere within 12 s.
+# Bounds how long a dead connection of the watch goes unnoticed, so that a
+# change is in force everywhere within 12 s.
 WATCH_WAIT_S: Final = 5
 RETRY_S: Final = 0.5
 
@@ -29,7 +29,7 @@
 
 
 def keep_lease(turn: Turn) -> None:
-    """Renew the lease, register, and keep a watch waiting."""
+    """Renew the lease, watch the store and register this entry."""
     store = turn.state.store
     if not store.lease_pending and turn.now >= store.renew_at:
         store.lease_pending = True
@@ -55,13 +55,13 @@
 
 
 def handle_lease(turn: Turn, outcome: interface.StoreOutcome) -> None:
-    """Take over the outcome of a grant or renewal."""
+    """Apply the outcome of a lease grant or renewal."""
     store = turn.state.store
     store.lease_pending = False
-    _note_availability(turn, outcome)
+    _update_availability(turn, outcome)
     if isinstance(outcome, interface.LeaseHeld):
-        # Counted from before the request left, so that the store's own count
-        # always ends later.
+        # Counted from when the request was sent, so that the lease always
+        # expires later in the store.
         store.lease_deadline = store.lease_sent_at + outcome.ttl_s
         store.renew_at = store.lease_sent_at + RENEW_INTERVAL_S
         if outcome.lease != store.lease:
@@ -82,7 +82,7 @@
     lease: str,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Take over the outcome of the registration."""
+    """Apply the outcome of a registration."""
     store = turn.state.store
     store.register_pending = False
     if isinstance(outcome, interface.Swapped):
@@ -100,25 +100,25 @@
 
 
 def handle_snapshot(turn: Turn, outcome: interface.StoreOutcome) -> None:
-    """Take over what the watch showed."""
+    """Apply the outcome of a watch."""
     state = turn.state
     store = state.store
     store.watch_pending = False
     if not isinstance(outcome, interface.Snapshot):
         store.watch_at = turn.now + RETRY_S * (1 + state.randomness.random())
         return
-    _note_availability(turn, outcome)
+    _update_availability(turn, outcome)
     store.watch_at = turn.now
     if outcome.version < store.watch_version:
         turn.log_change('store_version_went_back')
     store.watch_version = outcome.version
     store.seen_at = turn.now
-    found = {item.key: item for item in outcome.entries if item.value}
-    config = found.get(documents.CONFIG_KEY)
+    items = {item.key: item for item in outcome.entries if item.value}
+    config = items.get(documents.CONFIG_KEY)
     if config is not None:
         adopt_config(turn, config.version, config.value or '')
-    _adopt_live(turn, found)
-    partitions = found.get(documents.PARTITIONS_KEY, _NO_PARTITIONS)
+    _update_live_entries(turn, items)
+    partitions = items.get(documents.PARTITIONS_KEY, _NO_PARTITIONS)
     partition_map.adopt_owners(
         turn,
         partitions.version,
@@ -152,7 +152,7 @@
     )
 
 
-def _note_availability(turn: Turn, outcome: interface.StoreOutcome) -> None:
+def _update_availability(turn: Turn, outcome: interface.StoreOutcome) -> None:
     store = turn.state.store
     available = not isinstance(outcome, interface.StoreUnavailable)
     if available == store.available:
@@ -162,24 +162,27 @@
     turn.log_change('store_available' if available else 'store_unavailable')
 
 
-def _adopt_live(turn: Turn, found: dict[str, interface.KeyValue]) -> None:
+def _update_live_entries(
+    turn: Turn,
+    items: dict[str, interface.KeyValue],
+) -> None:
     state = turn.state
-    own = state.identity.name
+    own_name = state.identity.name
     former = state.live.keys()
     state.live = {
         key.removeprefix(documents.ENTRY_PREFIX): documents.decode_entry(item)
-        for key, item in found.items()
+        for key, item in items.items()
         if key.startswith(documents.ENTRY_PREFIX)
     }
-    own_item = found.get(f'{documents.ENTRY_PREFIX}{own}')
+    own_item = items.get(f'{documents.ENTRY_PREFIX}{own_name}')
     state.store.own_version = own_item.version if own_item else 0
-    if own not in state.live or (
-        state.live[own]['draining'] != (state.drain_started is not None)
+    if own_name not in state.live or (
+        state.live[own_name]['draining'] != (state.drain_started is not None)
     ):
         state.store.registered = False
     for name, document in state.live.items():
         state.absent_since.pop(name, None)
-        if name != own and name not in state.peers:
+        if name != own_name and name not in state.peers:
             _add_peer(turn, name, document['address'])
     for absent in state.peers.keys() - state.live.keys():
         state.absent_since.setdefault(absent, turn.now)
@@ -190,6 +193,6 @@
 def _add_peer(turn: Turn, name: str, address: str) -> None:
     turn.state.peers[name] = PeerLink(name, address, heard_at=turn.now)
     turn.log_change('entry_joined', entry=name)
-    # Of two entries the one with the smaller name dials.
+    # Of two entries, the one with the smaller name connects.
     if turn.state.identity.name < name:
         turn.emit(ConnectPeer(address))
