entry/partition_map: reword comments, rename private names

_follow_owner -> _gain_if_owner _candidates -> _owner_candidates _preferences -> _preferred_owners _preferred -> _preferred_owner Locals and positional parameters: own -> own_name, desired -> new_owner, patience -> delay_s.

--- a/src/savoryrudder/entry/partition_map.py
+++ b/src/savoryrudder/entry/partition_map.py
@@ -1,4 +1,4 @@
-"""Follow the partition map and balance the partitions."""
+"""Apply the partition map and balance partitions among live entries."""
 
 from __future__ import annotations
 
@@ -19,23 +19,24 @@
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
 
-# An entry that is gone from the store but still linked is about to register
-# again, as after a store outage.
+# An entry that is missing from the store but still linked is expected to
+# register again, as after a store outage.
 ABSENCE_LINKED_S: Final = 10
 ABSENCE_S: Final = 0.5
-# After an outage all leases have lapsed at once; owners register again first.
+# After a store outage all leases have expired at once; owners get this long to
+# register again.
 RESTORED_GRACE_S: Final = 5
 
 
 def balance(turn: Turn) -> None:
-    """Take partitions without a live owner and give away surplus ones."""
+    """Take over partitions without a live owner; reassign surplus ones."""
     state = turn.state
     store = state.store
     if store.swap_pending or not store.registered or not store.seen_at:
         return
     if turn.now >= store.lease_deadline or not state.live:
         return
-    preferred = _preferences(turn)
+    preferred = _preferred_owners(turn)
     changed = {
         partition: PartitionOwner(
             preferred[partition],
@@ -65,7 +66,7 @@
     version: int,
     owners: dict[int, PartitionOwner],
 ) -> None:
-    """Follow a version of the partition map, unless a later one is known."""
+    """Apply a version of the partition map unless a later one is known."""
     state = turn.state
     if version < state.map_version:
         return
@@ -78,7 +79,7 @@
     gained = [
         partition
         for partition, owner in owners.items()
-        if _follow_owner(turn, partition, owner)
+        if _gain_if_owner(turn, partition, owner)
     ]
     if not gained:
         return
@@ -96,7 +97,7 @@
     proposed: str,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Take over the outcome of a change of the partition map."""
+    """Apply the outcome of a change of the partition map."""
     state = turn.state
     state.store.swap_pending = False
     if isinstance(outcome, interface.Swapped):
@@ -108,7 +109,7 @@
             documents.decode_owners(outcome.current.value),
         )
     else:
-        # The write may have taken effect: only reading tells.
+        # The write may have taken effect; read the key to find out.
         state.store.swap_pending = True
         turn.call_store(
             interface.ReadKey(documents.PARTITIONS_KEY),
@@ -117,7 +118,7 @@
 
 
 def handle_read_map(turn: Turn, outcome: interface.StoreOutcome) -> None:
-    """Settle a change of the map whose answer was lost."""
+    """Apply the map that was read after a change without an answer."""
     turn.state.store.swap_pending = False
     if isinstance(outcome, interface.KeyValue) and outcome.value is not None:
         adopt_owners(
@@ -127,12 +128,12 @@
         )
 
 
-def _follow_owner(
+def _gain_if_owner(
     turn: Turn,
     partition: int,
     owner: PartitionOwner,
 ) -> bool:
-    """Gain a partition if the map says so; tell whether it was gained."""
+    """Gain a partition newly assigned to this entry; return whether it was."""
     owned = turn.state.owned.get(partition)
     if owner.owner != turn.state.identity.name:
         return False
@@ -142,32 +143,36 @@
     return True
 
 
-def _candidates(turn: Turn) -> list[str]:
-    """List the live entries that can own partitions, as this entry sees it."""
+def _owner_candidates(turn: Turn) -> list[str]:
+    """Return the entries that can own_name partitions, as far as known here."""
     state = turn.state
-    own = state.identity.name
+    own_name = state.identity.name
     candidates = [
         name
         for name in state.live
-        if name != own
+        if name != own_name
         and state.peers[name].session
         and not state.live[name]['draining']
     ]
     if state.drain_started is None:
-        candidates.append(own)
+        candidates.append(own_name)
     return candidates
 
 
-def _may_assign(turn: Turn, owner: PartitionOwner, desired: str) -> bool:
+def _may_assign(
+    turn: Turn,
+    owner: PartitionOwner,
+    new_owner: str,
+) -> bool:
     state = turn.state
-    own = state.identity.name
-    if owner.owner == own:
-        return desired != own
+    own_name = state.identity.name
+    if owner.owner == own_name:
+        return new_owner != own_name
     if owner.owner in state.live:
         return False
-    # Each entry takes for itself only; a dead owner's partition goes to the
-    # entry that prefers it.
-    if desired != own:
+    # An entry takes over partitions for itself only; a dead owner's partition
+    # is left to its preferred owner.
+    if new_owner != own_name:
         return False
     if not owner.owner:
         return True
@@ -184,19 +189,19 @@
         return False
     if state.store.restored_at + RESTORED_GRACE_S > turn.now:
         return False
-    patience = ABSENCE_LINKED_S if peer.session else ABSENCE_S
-    return absent_since + patience <= turn.now
+    delay_s = ABSENCE_LINKED_S if peer.session else ABSENCE_S
+    return absent_since + delay_s <= turn.now
 
 
-def _preferences(turn: Turn) -> dict[int, str]:
-    """Return the preferred owner of each partition, kept until they change."""
+def _preferred_owners(turn: Turn) -> dict[int, str]:
+    """Return the preferred owners, cached until the candidates change."""
     state = turn.state
-    candidates = tuple(_candidates(turn))
+    candidates = tuple(_owner_candidates(turn))
     if candidates != state.candidates:
         state.candidates = candidates
         state.preferred = (
             {
-                partition: _preferred(candidates, partition)
+                partition: _preferred_owner(candidates, partition)
                 for partition in range(PARTITION_COUNT)
             }
             if candidates
@@ -205,8 +210,8 @@
     return state.preferred
 
 
-def _preferred(candidates: tuple[str, ...], partition: int) -> str:
-    """Choose the owner by rendezvous hashing."""
+def _preferred_owner(candidates: tuple[str, ...], partition: int) -> str:
+    """Choose the owner of a partition by rendezvous hashing."""
     return max(
         candidates,
         key=lambda name: hashlib.blake2b(
