--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -37,20 +37,20 @@
     partition: int,
     owner: PartitionOwner,
 ) -> None:
-    """Take charge of a partition; requests wait until agents reported."""
+    """Become owner of a partition; requests wait for the agents' records."""
     state = turn.state
     awaited: dict[tuple[str, str], RosterAgent] = {}
     roster = state.rosters.get(owner.former)
-    known = (
+    has_valid_roster = (
         roster is not None and roster.heard_at + ROSTER_VALIDITY_S > turn.now
     )
     if owner.former:
         for agent in (*state.roster.values(), *(roster or _NO_ROSTER).agents):
             _await_agent(awaited, agent)
-    blind = bool(owner.former) and not known
+    blind = bool(owner.former) and not has_valid_roster
     if roster is not None and roster.blind_until > turn.wall:
         blind = True
-    # A successor of this entry has to ask these agents too.
+    # The next owner has to wait for the records of these agents as well.
     for key, awaited_agent in awaited.items():
         state.roster.setdefault(key, awaited_agent)
     state.roster_sequence += 1
@@ -61,14 +61,15 @@
         turn.wall,
         awaited,
         blind=blind,
-        # Only the owner itself gives away a live owner's partition.
+        # A live owner reassigns its partitions itself and passes on its
+        # refusals.
         refusals_lost=owner.former not in {'', *state.live},
     )
     apply_hand_over(turn, partition)
 
 
 def expire_doubt(turn: Turn) -> None:
-    """Stop waiting for agents whose tasks no caller can resubmit any more."""
+    """Stop waiting for records once no caller can resubmit their jobs."""
     limit = turn.now - turn.state.identity.retention_s
     for owned in turn.state.owned.values():
         if owned.gained_at < limit and (owned.awaited or owned.blind):
@@ -82,10 +83,10 @@
     *,
     stale: bool = False,
 ) -> None:
-    """Give up partitions and pass their live jobs to the new owners.
+    """Give up partitions and route their unanswered jobs to the new owners.
 
-    `stale` marks partitions that an agent knows at a higher epoch; they stay
-    listed until the map shows their owner.
+    `stale` marks partitions for which an agent knows a higher epoch; they stay
+    listed as owned until the partition map names their new owner.
     """
     state = turn.state
     lost = {
@@ -95,18 +96,20 @@
     }
     if not lost:
         return
-    mine: dict[int, list[Submission]] = {partition: [] for partition in lost}
+    affected: dict[int, list[Submission]] = {
+        partition: [] for partition in lost
+    }
     for submission in state.submissions.values():
         if submission.partition in lost:
-            mine[submission.partition].append(submission)
+            affected[submission.partition].append(submission)
     for partition, owned in lost.items():
         if stale:
             owned.stale = True
         else:
             state.owned.pop(partition)
-            hand_over(turn, partition, owned, mine[partition])
-        for submission in mine[partition]:
-            _pass_on(turn, submission)
+            hand_over(turn, partition, owned, affected[partition])
+        for submission in affected[partition]:
+            _reroute(turn, submission)
     turn.log_change(
         'partitions_lost',
         count=str(len(lost)),
@@ -120,15 +123,16 @@
     agent: RosterAgent,
 ) -> None:
     key = (agent.agent, agent.incarnation)
-    other = awaited.get(key)
-    # Linked for one entry means linked; else the later end counts.
-    if other is None or (
-        other.gone_ms and not 0 < agent.gone_ms <= other.gone_ms
+    listed = awaited.get(key)
+    # An agent that is linked in either roster counts as linked; otherwise the
+    # later end of its sessions counts.
+    if listed is None or (
+        listed.gone_ms and not 0 < agent.gone_ms <= listed.gone_ms
     ):
         awaited[key] = agent
 
 
-def _pass_on(turn: Turn, submission: Submission) -> None:
+def _reroute(turn: Turn, submission: Submission) -> None:
     submissions.drop_submission(turn, submission)
     job = submission.job
     if submission.answer is not None:
@@ -136,7 +140,7 @@
     left_ms = int((submission.deadline - turn.now) * MS_PER_S)
     waiters = submission.waiters
     if not waiters:
-        # A job without a caller is passed on under a number of its own.
+        # A job without a waiting caller gets a request number of its own.
         turn.state.next_request += 1
         waiters = {Waiter('', -turn.state.next_request): turn.now}
     for waiter, wait_until in waiters.items():
@@ -147,7 +151,7 @@
                 waiter,
                 answers.refusal(
                     reasons.TAKEOVER,
-                    'the job has passed to another entry; fetch its answer',
+                    'the job has moved to another entry; fetch its answer',
                     reasons.UNKNOWN,
                     answers.MIN_RETRY_AFTER_MS,
                 ),
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -259,7 +259,7 @@
     monkeypatch: Patch,
 ) -> None:
     """Guard against a proof of P7 that holds without passing jobs on."""
-    monkeypatch.setattr(partitions, '_pass_on', submissions.drop_submission)
+    monkeypatch.setattr(partitions, '_reroute', submissions.drop_submission)
     world = make_world(13)
     key = key_owned_by(world, 'e1')
     call = world.callers.submit(world.places['e1'], key, 20)
