--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -24,17 +24,18 @@
 
 PROMISE_VALIDITY_MS: Final = 3000
 PROMISE_INTERVAL_S: Final = 1
-# A roster change waits this long so that a wave of agents makes one message.
+# Roster changes are batched, so that many agents that link at once cause one
+# message.
 ROSTER_INTERVAL_S: Final = 0.2
 RETRY_S: Final = 0.5
-# Peers not heard from for longer are forgotten once their lease is gone.
+# Peers that were silent for longer are removed once their lease has expired.
 FORGET_PEER_S: Final = 120
 _REPLACED: Final = 'replaced by a new session'
-_REGISTERED_ANEW: Final = 'registered anew'
+_REGISTERED_AGAIN: Final = 'this entry registered again'
 
 
 def greet(turn: Turn, name: str) -> None:
-    """Introduce this entry on a new session with another entry."""
+    """Send this entry's hello on a new session with another entry."""
     identity = turn.state.identity
     turn.send(name, PeerHello(identity.name, identity.address))
 
@@ -47,7 +48,7 @@
         peer = PeerLink(hello.entry, hello.address)
         state.peers[hello.entry] = peer
     if peer.session:
-        # What was on the old session is lost; its end is reported later.
+        # Messages on the old session are lost; its link-down event follows.
         handle_peer_down(turn, hello.entry, _REPLACED)
     peer.session = session
     peer.heard_at = turn.now
@@ -69,7 +70,7 @@
 
 
 def handle_roster(turn: Turn, name: str, message: Roster) -> None:
-    """Keep a peer's roster and confirm it."""
+    """Store a peer's roster and confirm it."""
     turn.state.rosters[name] = PeerRoster(
         message.agents,
         turn.now,
@@ -79,13 +80,13 @@
 
 
 def handle_roster_held(turn: Turn, name: str, sequence: int) -> None:
-    """Note which roster a peer holds."""
+    """Record which roster a peer has confirmed."""
     peer = turn.state.peers[name]
     peer.roster_held = max(peer.roster_held, sequence)
 
 
 def handle_promise(turn: Turn, name: str, message: Promise) -> None:
-    """Note a peer's promise not to take over."""
+    """Record a peer's promise not to take over."""
     peer = turn.state.peers[name]
     peer.echo_ms = message.sent_ms
     until = (message.echo_ms + message.validity_ms) / MS_PER_S
@@ -94,17 +95,17 @@
 
 
 def forget_rosters(turn: Turn) -> None:
-    """Drop the rosters received before this entry registered.
+    """Discard the rosters received before this entry registered.
 
-    While an entry is not registered its peers use agents without waiting for
-    its confirmation, so that what it received earlier may lack agents. New
-    sessions keep out rosters that are still on their way.
+    While an entry is not registered, its peers use agents without waiting for
+    its confirmation, so rosters that it received earlier may lack agents. The
+    sessions are closed to discard rosters that are still in transit.
     """
     turn.state.rosters.clear()
     for name, peer in turn.state.peers.items():
         if peer.session:
-            turn.emit(CloseLink(name, _REGISTERED_ANEW))
-            handle_peer_down(turn, name, _REGISTERED_ANEW)
+            turn.emit(CloseLink(name, _REGISTERED_AGAIN))
+            handle_peer_down(turn, name, _REGISTERED_AGAIN)
 
 
 def handle_read_peer(
@@ -112,11 +113,12 @@
     context: str,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Note that an unlinked peer is not registered any more.
+    """Mark an unlinked peer as gone if it is not registered any more.
 
-    It cannot take over before it has registered again, and then it starts
-    without rosters. The read was sent after the end of the last session, so
-    that no roster reached the peer later.
+    Such a peer cannot take over before it registers again, and then it starts
+    without rosters. The read was sent after the last session had ended, and
+    `links` shows that none has started since, so that no later roster has
+    reached the peer.
     """
     name, _, links = context.rpartition(' ')
     peer = turn.state.peers.get(name)
@@ -128,7 +130,7 @@
 
 
 def note_heard(turn: Turn, name: str) -> None:
-    """Note that a peer is alive; its roster stays valid."""
+    """Record that a peer is alive, which keeps its roster valid."""
     state = turn.state
     state.peers[name].heard_at = turn.now
     roster = state.rosters.get(name)
@@ -137,7 +139,7 @@
 
 
 def keep_peers_informed(turn: Turn) -> None:
-    """Send promises every second and rosters after a change."""
+    """Send promises every second, and the roster after a change."""
     state = turn.state
     if state.promised_at + PROMISE_INTERVAL_S <= turn.now:
         state.promised_at = turn.now
@@ -152,11 +154,11 @@
         for peer in state.peers.values():
             if peer.session:
                 _send_roster(turn, peer)
-    _ask_for_gone_peers(turn)
+    _check_unlinked_peers(turn)
 
 
 def forget_peers(turn: Turn) -> None:
-    """Forget entries that are gone for good."""
+    """Remove entries that are neither linked nor registered any more."""
     state = turn.state
     gone = [
         name
@@ -173,7 +175,7 @@
             turn.emit(DisconnectPeer(address))
 
 
-def _ask_for_gone_peers(turn: Turn) -> None:
+def _check_unlinked_peers(turn: Turn) -> None:
     """Ask the store whether unlinked peers are still registered."""
     if all(link.usable for link in turn.state.agents.values()):
         return
@@ -210,8 +212,8 @@
 def _send_promise(turn: Turn, peer: PeerLink) -> None:
     state = turn.state
     validity_ms = 0
-    # Without the store this entry cannot take over anyway; with it, a peer
-    # that lost its lease has to stop.
+    # While the store is unavailable, this entry cannot take over anyway. While
+    # it is available, a peer that lost its lease has to stop acting as owner.
     if not state.store.available:
         validity_ms = PROMISE_VALIDITY_MS
         peer.promised_until = turn.now + PROMISE_VALIDITY_MS / MS_PER_S
@@ -222,7 +224,7 @@
 
 
 def _prune_roster(turn: Turn) -> None:
-    """Forget agents whose tasks no caller can resubmit any more."""
+    """Remove agents whose tasks no caller can resubmit any more."""
     limit_ms = (turn.wall - 2 * turn.state.identity.retention_s) * MS_PER_S
     turn.state.roster = {
         key: agent
