entry/reducer: name the handler tables after their keys

_HANDLERS -> _EVENT_HANDLERS _MESSAGES -> _MESSAGE_HANDLERS _STORE_CALLS -> _STORE_HANDLERS _handle_store -> _handle_store_answer _is_current -> _accept_session

--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -1,4 +1,4 @@
-"""Reduce the events of an entry to effects."""
+"""Apply events to the state of an entry and collect the effects."""
 
 from __future__ import annotations
 
@@ -41,10 +41,10 @@
 def reduce(state: EntryState, event: events.EntryEvent) -> list[EntryEffect]:
     """Apply one event to the state and return the effects.
 
-    The state is changed in place. Effects have to be executed in order.
+    The state is changed in place. The effects are to be executed in order.
     """
     turn = Turn(state, event.now, getattr(event, 'wall', 0))
-    _HANDLERS[type(event)](turn, event)
+    _EVENT_HANDLERS[type(event)](turn, event)
     if not state.exited:
         dispatching.dispatch(turn)
     return turn.effects
@@ -73,15 +73,15 @@
         agents.handle_hello(turn, event.session, message)
     elif isinstance(message, messages.PeerHello):
         peers.handle_peer_hello(turn, event.session, message)
-    elif _is_current(turn, event):
-        _MESSAGES[type(message)](turn, event.peer, message)
+    elif _accept_session(turn, event):
+        _MESSAGE_HANDLERS[type(message)](turn, event.peer, message)
     else:
         turn.count('stale_session_messages')
         return
     configuration.note_revision(turn, event.peer, event.revision)
 
 
-def _is_current(turn: Turn, event: events.MessageReceived) -> bool:
+def _accept_session(turn: Turn, event: events.MessageReceived) -> bool:
     state = turn.state
     agent = state.agents.get(event.peer)
     if agent is not None:
@@ -93,12 +93,12 @@
     return True
 
 
-def _handle_store(turn: Turn, event: events.StoreAnswered) -> None:
+def _handle_store_answer(turn: Turn, event: events.StoreAnswered) -> None:
     pending = turn.state.calls.pop(event.call, None)
     if pending is None:
         turn.count('late_store_answers')
         return
-    _STORE_CALLS[pending.kind](turn, pending.context, event.outcome)
+    _STORE_HANDLERS[pending.kind](turn, pending.context, event.outcome)
 
 
 def _handle_tick(turn: Turn, event: events.Tick) -> None:
@@ -124,7 +124,7 @@
     partitions.expire_doubt(turn)
 
 
-_HANDLERS: Final = MappingProxyType[type, _EventHandler](
+_EVENT_HANDLERS: Final = MappingProxyType[type, _EventHandler](
     {
         events.JobSubmitted: routing.handle_submit,
         events.AnswerRequested: routing.handle_fetch,
@@ -133,7 +133,7 @@
         events.LinkUp: _handle_link_up,
         events.LinkDown: _handle_link_down,
         events.MessageReceived: _handle_message,
-        events.StoreAnswered: _handle_store,
+        events.StoreAnswered: _handle_store_answer,
         events.Tick: _handle_tick,
         events.ConfigSubmitted: configuration.handle_config_submitted,
         events.DataRequested: reports.handle_data_requested,
@@ -142,7 +142,7 @@
     }
 )
 
-_MESSAGES: Final = MappingProxyType[type, _MessageHandler](
+_MESSAGE_HANDLERS: Final = MappingProxyType[type, _MessageHandler](
     {
         messages.Records: agents.handle_records,
         messages.Finished: agents.handle_finished,
@@ -189,7 +189,9 @@
     }
 )
 
-_STORE_CALLS: Final = MappingProxyType[str, Callable[[Turn, Any, Any], None]](
+_STORE_HANDLERS: Final = MappingProxyType[
+    str, Callable[[Turn, Any, Any], None]
+](
     {
         'lease': lambda turn, _, outcome: membership.handle_lease(
             turn, outcome
