--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -1,4 +1,4 @@
-"""Answer operators' questions about this entry."""
+"""Answer operators' requests for status, configuration and terms."""
 
 from __future__ import annotations
 
@@ -37,11 +37,11 @@
 
 
 def _report_terms(turn: Turn, event: DataRequested) -> None:
-    found = None
+    client_terms = None
     if event.kind == 'terms':
-        found = terms.report(turn, event.name)
-    if found is not None:
-        turn.reply_data(event.request, 200, found)
+        client_terms = terms.report(turn, event.name)
+    if client_terms is not None:
+        turn.reply_data(event.request, 200, client_terms)
         return
     turn.reply_data(
         event.request,
@@ -54,7 +54,7 @@
 
 
 def handle_agent_drain(turn: Turn, event: AgentDrainRequested) -> None:
-    """Pass an operator's request for a graceful stop to an agent."""
+    """Forward an operator's request for a graceful stop to an agent."""
     if event.agent in turn.state.agents:
         turn.send(event.agent, Leaving())
         turn.reply_data(event.request, 202, {'agent': event.agent})
