tests/entry/test_health: reword docstrings, rename tests

test_probes_grow_apart_and_restore -> test_probe_interval_grows_until_restored test_slow_upstream_is_found_and_forgiven -> test_slow_upstream_is_detected_and_recovers _health -> _service_health Locals: how -> flags, gaps -> intervals.

--- a/tests/entry/test_health.py
+++ b/tests/entry/test_health.py
@@ -1,4 +1,4 @@
-"""Check which upstreams are ejected and restored."""
+"""Test which upstreams are ejected and restored."""
 
 from __future__ import annotations
 
@@ -13,38 +13,38 @@
 _NAMES = tuple('abcdefghij')
 
 
-def _health(names: tuple[str, ...] = _NAMES) -> ServiceHealth:
+def _service_health(names: tuple[str, ...] = _NAMES) -> ServiceHealth:
     health = ServiceHealth()
     for name in names:
         health.add(name)
     return health
 
 
-def _fail(health: ServiceHealth, name: str, count: int, **how: bool) -> None:
+def _fail(health: ServiceHealth, name: str, count: int, **flags: bool) -> None:
     for _ in range(count):
-        health.note_end(name, 'cut', 0, failed=True, **how)
+        health.note_end(name, 'cut', 0, failed=True, **flags)
 
 
 def test_failing_upstream_is_ejected_soon() -> None:
-    """Guard against an upstream that fails fast and so attracts work."""
-    health = _health()
+    """An upstream that fails fast must not attract more and more tasks."""
+    health = _service_health()
     _fail(health, 'a', 5)
     assert health.ejected == {'a'}
 
 
 def test_rejecting_upstream_is_ejected() -> None:
-    """Guard against starts that bounce for ever off one agent."""
-    health = _health()
+    """An agent that rejects every start must not get tasks again and again."""
+    health = _service_health()
     for name in _NAMES:
         _fail(health, name, 8)
-    health = _health()
+    health = _service_health()
     _fail(health, 'a', 5, not_run=True)
     assert health.ejected == {'a'}
 
 
 def test_failing_operation_is_not_blamed_on_upstreams() -> None:
-    """Guard against an outage caused by one faulty operation."""
-    health = _health()
+    """An operation that fails everywhere must not cause ejections."""
+    health = _service_health()
     for _ in range(20):
         for name in _NAMES:
             health.note_end(name, 'broken', 0, failed=True)
@@ -53,19 +53,23 @@
     assert not health.ejected
 
 
-def test_probes_grow_apart_and_restore() -> None:
-    """Guard against probing a dead upstream often and a healed one never."""
-    health = _health()
+def test_probe_interval_grows_until_restored() -> None:
+    """A dead upstream is probed less and less, a recovered one restored."""
+    health = _service_health()
     _fail(health, 'a', 5)
     now: float = 0
-    gaps = []
+    intervals = []
     for _ in range(10):
-        gaps.append(health.verdict('a').probe_at - now)
+        intervals.append(health.verdict('a').probe_at - now)
         now = health.verdict('a').probe_at
         health.note_probe('a', now)
         health.note_end('a', 'cut', now, failed=True)
-    assert gaps[:3] == [FIRST_PROBE_S, 2 * FIRST_PROBE_S, 4 * FIRST_PROBE_S]
-    assert gaps[-1] == LONGEST_PROBE_S
+    assert intervals[:3] == [
+        FIRST_PROBE_S,
+        2 * FIRST_PROBE_S,
+        4 * FIRST_PROBE_S,
+    ]
+    assert intervals[-1] == LONGEST_PROBE_S
     for _ in range(2):
         now = health.verdict('a').probe_at
         health.note_probe('a', now)
@@ -73,9 +77,9 @@
     assert not health.ejected
 
 
-def test_slow_upstream_is_found_and_forgiven() -> None:
-    """Guard against stragglers and against a verdict that never changes."""
-    health = _health()
+def test_slow_upstream_is_detected_and_recovers() -> None:
+    """A slow upstream is avoided, but only as long as it is slow."""
+    health = _service_health()
     for _ in range(6):
         health.note_time('a', 10, 0)
         health.note_time('b', 1, 0)
@@ -99,8 +103,8 @@
     count: int,
     steps: list[tuple[str, int]],
 ) -> None:
-    """Guard against ejecting the capacity that an overload needs."""
-    health = _health(_NAMES[:count])
+    """Ejections must leave the capacity that an overload needs."""
+    health = _service_health(_NAMES[:count])
     linked = set(_NAMES[:count])
     for action, number in steps:
         name = _NAMES[number]
