--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -32,7 +32,7 @@
     if peer is None or not peer.session or owned.stale:
         return
     gone_agents = {key for key, agent in state.roster.items() if agent.gone_ms}
-    # Agents that may still reconnect may still run tasks.
+    # These agents may reconnect and may still run tasks.
     lost_agents = [
         agent
         for (name, incarnation), agent in state.roster.items()
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -137,7 +137,7 @@
     job = submission.job
     if submission.answer is not None:
         return
-    left_ms = int((submission.deadline - turn.now) * MS_PER_S)
+    remaining_ms = int((submission.deadline - turn.now) * MS_PER_S)
     waiters = submission.waiters
     if not waiters:
         # A job without a waiting caller gets a request number of its own.
@@ -145,7 +145,7 @@
         waiters = {Waiter('', -turn.state.next_request): turn.now}
     for waiter, wait_until in waiters.items():
         turn.state.waiting.pop(waiter, None)
-        if left_ms <= 0 or submission.failing:
+        if remaining_ms <= 0 or submission.failing:
             answers.reply(
                 turn,
                 waiter,
@@ -162,7 +162,7 @@
             'submit',
             job.client,
             job.key,
-            job._replace(deadline_ms=left_ms),
+            job._replace(deadline_ms=remaining_ms),
             turn.now,
             wait_until,
             turn.now + PARK_S,
