Put the texts of four findings back

They travel in the body of an HTTP answer. As at: 'a name has 1 to 64 letters, ...', 'unknown urgency "...", known are ...', 'the shares add up to ..., above 1', 'more than 16 names joined by dots'

--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -33,8 +33,8 @@
 # Names are used in HTTP headers and store keys.
 _NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 _NAME_MESSAGE: Final = (
-    'a name must consist of 1 to 64 letters, digits, dots, dashes or '
-    'underscores and start with a letter or digit'
+    'a name has 1 to 64 letters, digits, dots, dashes or underscores '
+    'and starts with a letter or digit'
 )
 # Decimal shares such as 0.7 + 0.2 + 0.1 do not add up exactly in binary.
 _SHARE_TOLERANCE: Final = 1e-9
@@ -229,15 +229,12 @@
             yield _unknown_urgency(('urgency', name), name)
     total = sum(table.share for table in bands.values())
     if total > 1 + _SHARE_TOLERANCE:
-        yield Fault(
-            ('urgency',),
-            f'the shares add up to {total:g}; at most 1 is allowed',
-        )
+        yield Fault(('urgency',), f'the shares add up to {total:g}, above 1')
 
 
 def _unknown_urgency(path: KeyPath, name: str) -> Fault:
-    expected = ', '.join(URGENCY_BANDS)
-    return Fault(path, f'unknown urgency "{name}", expected one of {expected}')
+    known = ', '.join(URGENCY_BANDS)
+    return Fault(path, f'unknown urgency "{name}", known are {known}')
 
 
 def _rank(urgency: str) -> int:
--- a/src/savoryrudder/policy/text.py
+++ b/src/savoryrudder/policy/text.py
@@ -92,7 +92,7 @@
     if long_key is not None:
         return _single_finding(
             _position_at(text, long_key.start()),
-            'a dotted key has more than 16 parts',
+            'more than 16 names joined by dots',
         )
     try:
         values = tomllib.loads(text)
