--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -89,7 +89,7 @@
 
     `calls` are the tasks whose upstream call is in progress, `waiting` the
     accepted tasks without a slot; `occupied` counts both for each entry.
-    `delayed_reports` are the delayed reports, which go out at `delayed_until`.
+    `delayed_reports` are sent at `delayed_until` at the latest.
     """
 
     identity: Identity
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -69,7 +69,7 @@
 
 
 def fill_slots(state: AgentState, turn: Turn) -> None:
-    """UpstreamCall the upstream for waiting tasks, earliest deadline first."""
+    """Call the upstream for waiting tasks, earliest deadline first."""
     while state.waiting and len(state.calls) < state.identity.slots:
         record = min(state.waiting.values(), key=_deadline_of)
         if _deadline_of(record) <= turn.now:
