--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -61,7 +61,9 @@
     return _open_recalls(state, now, needed, min_kept=0) if needed else {}
 
 
-def spread(state: AgentState, now: float, new_link: Link) -> dict[str, int]:
+def recall_for_new_link(
+    state: AgentState, now: float, new_link: Link
+) -> dict[str, int]:
     """Open recalls of idle credits so that a new link gets an equal share."""
     ready = sum(link.ready for link in state.links.values())
     equal_share = state.granted // ready
@@ -72,7 +74,7 @@
     )
 
 
-def take_back(link: Link, amount: int, now: float) -> int:
+def close_recall(link: Link, amount: int, now: float) -> int:
     """Close a recall and return the number of credits that came back."""
     returned = max(0, min(amount, link.credits))
     link.credits -= returned
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -169,7 +169,7 @@
         return
     link.ready = True
     _grant_credits(state, turn)
-    _send_recalls(turn, credit_rules.spread(state, turn.now, link))
+    _send_recalls(turn, credit_rules.recall_for_new_link(state, turn.now, link))
 
 
 def _send_records(
@@ -209,7 +209,7 @@
     message: messages.Return,
 ) -> None:
     link = state.links[entry]
-    if not credit_rules.take_back(link, message.credits, turn.now):
+    if not credit_rules.close_recall(link, message.credits, turn.now):
         turn.count(_WASTED_MESSAGES)
     turn.unbalanced = True
 
