Rename the counters of the agent state

AgentState.occupied -> active_tasks AgentState.occupy -> add_active_task AgentState.vacate -> remove_active_task AgentState.grants -> grant_count Link.granted_at -> last_grant (a sequence number) AgentState.limit_reached -> was_at_limit AgentState.prefetched -> agreed_prefetch AgentState.granted -> granted_credits

--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -19,7 +19,7 @@
     """Return how many credits can be granted now."""
     if state.leaving or state.at_limit:
         return 0
-    granted = state.granted
+    granted = state.granted_credits
     in_use = granted + len(state.calls) + len(state.waiting)
     free_records = state.limits.max_records - len(state.records) - granted
     return max(0, min(state.capacity - in_use, free_records))
@@ -37,8 +37,8 @@
         if entry is None:
             break
         link = state.links[entry]
-        state.grants += 1
-        link.granted_at = state.grants
+        state.grant_count += 1
+        link.last_grant = state.grant_count
         link.credits += 1
         granted[entry] += 1
     return granted
@@ -51,7 +51,7 @@
     """
     needed = 0
     if state.leaving:
-        needed = state.granted
+        needed = state.granted_credits
     elif not state.at_limit:
         for link in state.links.values():
             if link.ready and link.demand > link.credits:
@@ -66,7 +66,7 @@
 ) -> dict[str, int]:
     """Open recalls of idle credits so that a new link gets an equal share."""
     ready = sum(link.ready for link in state.links.values())
-    equal_share = state.granted // ready
+    equal_share = state.granted_credits // ready
     if state.leaving or state.at_limit or new_link.credits >= equal_share:
         return {}
     return _open_recalls(
@@ -101,9 +101,9 @@
     for entry, link in state.links.items():
         if not link.ready or link.demand <= link.credits:
             continue
-        allocated = link.credits + state.occupied.get(entry, 0)
+        allocated = link.credits + state.active_tasks.get(entry, 0)
         due = max(link.demand * capacity, total)
-        rank = (due - allocated * total, -link.granted_at)
+        rank = (due - allocated * total, -link.last_grant)
         if highest_rank is None or rank > highest_rank:
             highest_rank = rank
             selected = entry
@@ -120,7 +120,7 @@
         ready,
         key=lambda entry: (
             state.links[entry].credits,
-            state.links[entry].granted_at,
+            state.links[entry].last_grant,
         ),
         default=None,
     )
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -70,7 +70,7 @@
         return
     unfinished = len(state.calls) + state.records.undelivered
     # While credits are outstanding, a start may still be in flight.
-    if unfinished + state.granted and turn.now < state.exit_at:
+    if unfinished + state.granted_credits and turn.now < state.exit_at:
         return
     if unfinished:
         turn.log(
@@ -269,8 +269,8 @@
     dropped = state.records.expire(turn.now)
     if dropped:
         turn.count('results_dropped', dropped)
-    if state.at_limit != state.limit_reached:
-        state.limit_reached = state.at_limit
+    if state.at_limit != state.was_at_limit:
+        state.was_at_limit = state.at_limit
         transition = 'reached' if state.at_limit else 'cleared'
         turn.log(
             f'record-limit-{transition}',
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -75,7 +75,7 @@
     credits: int = 0
     demand: int = 0
     prefetch: int = 0
-    granted_at: int = 0
+    last_grant: int = 0
     recalled: int = 0
     recall_after: float = 0
     fetching: bool = False
@@ -88,7 +88,7 @@
     """Hold the state of an agent.
 
     `calls` are the tasks whose upstream call is in progress, `waiting` the
-    accepted tasks without a slot; `occupied` counts both for each entry.
+    accepted tasks without a slot; `active_tasks` counts both for each entry.
     `delayed_reports` are sent at `delayed_until` at the latest.
     """
 
@@ -99,11 +99,11 @@
     ownership: dict[int, Ownership] = field(default_factory=dict)
     calls: dict[TaskKey, Record] = field(default_factory=dict)
     waiting: dict[TaskKey, Record] = field(default_factory=dict)
-    occupied: dict[str, int] = field(default_factory=dict)
+    active_tasks: dict[str, int] = field(default_factory=dict)
     delayed_reports: list[tuple[str, Record]] = field(default_factory=list)
     delayed_until: float = 0
-    grants: int = 0
-    limit_reached: bool = False
+    grant_count: int = 0
+    was_at_limit: bool = False
     revision: int = 0
     config_text: str = ''
     leaving: bool = False
@@ -116,7 +116,7 @@
         return Hello(*self.identity, leaving=self.leaving)
 
     @property
-    def prefetched(self) -> int:
+    def agreed_prefetch(self) -> int:
         """Return the number of extra credits that all entries agree on.
 
         A single entry cannot request prefetching, because it makes the tasks
@@ -129,10 +129,10 @@
     def capacity(self) -> int:
         """Return how many tasks all entries together may place here."""
         base = self.identity.slots + self.limits.prefetch
-        return base + self.prefetched
+        return base + self.agreed_prefetch
 
     @property
-    def granted(self) -> int:
+    def granted_credits(self) -> int:
         """Return the number of granted and unused credits."""
         return sum([link.credits for link in self.links.values()])
 
@@ -170,15 +170,15 @@
             return owner.entry
         return None
 
-    def occupy(self, entry: str) -> None:
+    def add_active_task(self, entry: str) -> None:
         """Count an accepted task of an entry."""
-        self.occupied[entry] = self.occupied.get(entry, 0) + 1
+        self.active_tasks[entry] = self.active_tasks.get(entry, 0) + 1
 
-    def vacate(self, entry: str) -> None:
+    def remove_active_task(self, entry: str) -> None:
         """Count the end of an accepted task of an entry."""
-        remaining = self.occupied.pop(entry) - 1
+        remaining = self.active_tasks.pop(entry) - 1
         if remaining:
-            self.occupied[entry] = remaining
+            self.active_tasks[entry] = remaining
 
 
 def new_state(identity: Identity, limits: Limits) -> AgentState:
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -110,7 +110,7 @@
     if record is None:
         turn.count('late_upstream_results')
         return
-    state.vacate(record.entry)
+    state.remove_active_task(record.entry)
     turn.unbalanced = True
     if record.state != RUNNING:
         record.call = None
@@ -251,7 +251,7 @@
     key = (message.submission, message.task)
     record = Record(key, entry, WAITING, call)
     state.records.add(record)
-    state.occupy(entry)
+    state.add_active_task(entry)
     if len(state.calls) < state.identity.slots:
         _call_upstream(state, turn, record)
     else:
@@ -303,7 +303,7 @@
     reason: str,
 ) -> None:
     state.waiting.pop(record.key)
-    state.vacate(record.entry)
+    state.remove_active_task(record.entry)
     state.records.mark_unstarted(record.key, turn.now, reason)
     turn.unbalanced = True
 
--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -118,7 +118,7 @@
     for number in (1, 2):
         agent.start('e1', number)
         agent.finish(number)
-    assert not agent.state.granted or 'max_result_bytes' in limits
+    assert not agent.state.granted_credits or 'max_result_bytes' in limits
     agent.advance(0.1)
     assert agent.emitted(effects.StateChanged)[0].name == 'record-limit-reached'
     agent.state.links['e1'].credits = 1
