--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -79,7 +79,7 @@
     returned = max(0, min(amount, link.credits))
     link.credits -= returned
     if link.recalled and not returned:
-        link.recall_after = now + _RECALL_RETRY_DELAY_S
+        link.next_recall_at = now + _RECALL_RETRY_DELAY_S
     link.recalled = 0
     return returned
 
@@ -142,7 +142,7 @@
     for entry, link in state.links.items():
         retained = min_kept if state.leaving else max(min_kept, link.demand)
         amount = min(needed, link.credits - retained)
-        if amount <= 0 or link.recalled or link.recall_after > now:
+        if amount <= 0 or link.recalled or link.next_recall_at > now:
             continue
         link.recalled = amount
         needed -= amount
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -137,15 +137,15 @@
     if isinstance(event.message, messages.Config):
         return
     link = state.links[event.entry]
-    if link.fetching or link.requested >= event.revision:
+    if link.fetching_config or link.requested_revision >= event.revision:
         return
     requested_elsewhere = any(
-        other.fetching and other.requested >= event.revision
+        other.fetching_config and other.requested_revision >= event.revision
         for other in state.links.values()
     )
     if not requested_elsewhere:
-        link.fetching = True
-        link.requested = event.revision
+        link.fetching_config = True
+        link.requested_revision = event.revision
         turn.send(event.entry, messages.FetchConfig())
 
 
@@ -246,7 +246,7 @@
     entry: str,
     message: messages.Config,
 ) -> None:
-    state.links[entry].fetching = False
+    state.links[entry].fetching_config = False
     if message.revision <= state.revision:
         turn.count(_WASTED_MESSAGES)
         return
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -63,8 +63,8 @@
 
     `credits` are granted and unused; `recalled` is the size of the open
     recall, 0 if there is none. `claimed` holds the partitions that the entry
-    has claimed on this session. `requested` is the highest configuration
-    revision requested; it is kept after the answer so that an entry that
+    has claimed on this session. `requested_revision` is the highest
+    configuration revision requested; it is kept so that an entry that
     announces a newer revision than it sends is not asked in a loop.
     `withheld` are ended tasks that did not fit into the answer to a claim.
     """
@@ -77,9 +77,9 @@
     prefetch: int = 0
     last_grant: int = 0
     recalled: int = 0
-    recall_after: float = 0
-    fetching: bool = False
-    requested: int = 0
+    next_recall_at: float = 0
+    fetching_config: bool = False
+    requested_revision: int = 0
     withheld: deque[Record] = field(default_factory=deque)
 
 
