--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -35,7 +35,7 @@
     """Apply an event to the state in place and return the effects."""
     turn = Turn(event.now)
     _EVENT_HANDLERS[type(event)](state, turn, event)
-    if turn.unbalanced:
+    if turn.reallocate:
         tasks.fill_slots(state, turn)
         if not delay_reports(state, turn):
             _grant_credits(state, turn)
@@ -90,7 +90,7 @@
     state.links[event.entry] = Link(event.session)
     turn.send(event.entry, state.hello)
     turn.log('link-up', entry=event.entry, session=event.session)
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _handle_link_down(
@@ -108,7 +108,7 @@
         session=event.session,
         reason=event.reason,
     )
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _handle_message(
@@ -198,7 +198,7 @@
         while link.withheld and size < state.limits.page_bytes:
             record = link.withheld.popleft()
             size += len(record.result)
-            if state.receiver(partition_of(record.key[0])) == entry:
+            if state.linked_owner(partition_of(record.key[0])) == entry:
                 turn.reports.append((entry, record))
 
 
@@ -211,7 +211,7 @@
     link = state.links[entry]
     if not credit_rules.close_recall(link, message.credits, turn.now):
         turn.count(_WASTED_MESSAGES)
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _handle_demand(
@@ -228,7 +228,7 @@
         return
     link.demand = queued
     link.prefetch = prefetch
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _handle_fetch_config(
@@ -277,7 +277,7 @@
             records=len(state.records),
             result_bytes=state.records.result_bytes,
         )
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _handle_leaving(
@@ -304,8 +304,8 @@
     for entry in state.links:
         turn.send(entry, messages.Leaving())
     for record in tuple(state.waiting.values()):
-        tasks.drop_waiting(state, turn, record, 'leaving')
-    turn.unbalanced = True
+        tasks.reject_waiting(state, turn, record, 'leaving')
+    turn.reallocate = True
 
 
 _EVENT_HANDLERS: Final[_Handlers] = MappingProxyType(
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -162,7 +162,7 @@
         self.ownership[partition] = Ownership(epoch, entry)
         return True
 
-    def receiver(self, partition: int) -> str | None:
+    def linked_owner(self, partition: int) -> str | None:
         """Return the owner if its open session has claimed the partition."""
         owner = self.ownership.get(partition)
         link = self.links.get(owner.entry) if owner else None
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -46,7 +46,7 @@
     link.credits -= had_credit
     record = state.records.find(key)
     if not _accept_epoch(state, turn, entry, message):
-        turn.unbalanced = True
+        turn.reallocate = True
         # A rejection states that the task never started, which is wrong if
         # there is a record of an accepted task.
         if record is None or record.state == UNSTARTED:
@@ -73,13 +73,13 @@
     while state.waiting and len(state.calls) < state.identity.slots:
         record = min(state.waiting.values(), key=_deadline_of)
         if _deadline_of(record) <= turn.now:
-            drop_waiting(state, turn, record, _DEADLINE_PASSED)
+            reject_waiting(state, turn, record, _DEADLINE_PASSED)
             continue
         state.waiting.pop(record.key)
         _call_upstream(state, turn, record)
 
 
-def drop_waiting(
+def reject_waiting(
     state: AgentState,
     turn: Turn,
     record: Record,
@@ -94,7 +94,7 @@
     """Reject overdue waiting tasks and record overdue calls as unknown."""
     for waiting in tuple(state.waiting.values()):
         if _deadline_of(waiting) <= turn.now:
-            drop_waiting(state, turn, waiting, _DEADLINE_PASSED)
+            reject_waiting(state, turn, waiting, _DEADLINE_PASSED)
     limit = turn.now - _DEADLINE_GRACE_S
     for running in state.calls.values():
         if running.state == RUNNING and _deadline_of(running) <= limit:
@@ -111,7 +111,7 @@
         turn.count('late_upstream_results')
         return
     state.remove_active_task(record.entry)
-    turn.unbalanced = True
+    turn.reallocate = True
     if record.state != RUNNING:
         record.call = None
         turn.count('late_upstream_results')
@@ -213,7 +213,7 @@
     turn.effects.append(CloseLink(entry, reason))
     turn.count('protocol_violations')
     turn.log('link-broken-off', entry=entry, reason=reason)
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _refusal_reason(state: AgentState, message: messages.Start) -> str:
@@ -228,7 +228,7 @@
 
 def _answer_duplicate(turn: Turn, entry: str, record: Record) -> None:
     turn.count('duplicates')
-    turn.unbalanced = True
+    turn.reallocate = True
     if record.state == UNSTARTED:
         turn.send(entry, messages.Rejected(*record.key, record.reason))
     elif record.state in ENDED:
@@ -291,7 +291,7 @@
     record.duration_ms = round(duration * MS_PER_S)
     state.records.finish(record, turn.now, outcome, result, reason)
     turn.count(f'finished_{outcome}')
-    owner = state.receiver(partition_of(record.key[0]))
+    owner = state.linked_owner(partition_of(record.key[0]))
     if owner:
         turn.reports.append((owner, record))
 
@@ -305,13 +305,13 @@
     state.waiting.pop(record.key)
     state.remove_active_task(record.entry)
     state.records.mark_unstarted(record.key, turn.now, reason)
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _reject_to_owner(
     state: AgentState, turn: Turn, key: messages.TaskKey, reason: str
 ) -> None:
-    owner = state.receiver(partition_of(key[0]))
+    owner = state.linked_owner(partition_of(key[0]))
     if owner:
         _send_rejection(turn, owner, key, reason)
 
@@ -322,7 +322,7 @@
     turn.send(entry, messages.Rejected(*key, reason))
     counter_suffix = reason.replace('-', '_')
     turn.count(f'rejected_{counter_suffix}')
-    turn.unbalanced = True
+    turn.reallocate = True
 
 
 def _deadline_of(record: Record) -> float:
--- a/src/savoryrudder/agent/turn.py
+++ b/src/savoryrudder/agent/turn.py
@@ -20,14 +20,14 @@
 class Turn:
     """Collect effects, and the ended tasks to report to their owners.
 
-    If `unbalanced` is set, slots and credits are allocated again after the
+    If `reallocate` is set, slots and credits are allocated again after the
     event.
     """
 
     now: float
     effects: list[AgentEffect] = field(default_factory=list)
     reports: list[tuple[str, Record]] = field(default_factory=list)
-    unbalanced: bool = False
+    reallocate: bool = False
 
     def send(self, entry: str, message: Message) -> None:
         """Send a message to an entry."""
