--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -15,6 +15,7 @@
 from expression import Result
 
 from savoryrudder.policy import schema
+from savoryrudder.policy.document import parse_toml
 from savoryrudder.policy.findings import Fault
 from savoryrudder.policy.findings import Finding
 from savoryrudder.policy.findings import KeyPath
@@ -28,7 +29,6 @@
 from savoryrudder.policy.model import Policy
 from savoryrudder.policy.model import Service
 from savoryrudder.policy.model import Terms
-from savoryrudder.policy.text import parse_text
 
 # Names are used in HTTP headers and store keys.
 _NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
@@ -60,7 +60,7 @@
     A syntax error hides all other findings, because the text has no values
     then. Lines and columns count from 1.
     """
-    parsed = parse_text(text)
+    parsed = parse_toml(text)
     if parsed.is_error():
         return Error(parsed.error)
     document = parsed.ok
--- a/src/savoryrudder/policy/text.py
+++ b/src/savoryrudder/policy/document.py
@@ -76,7 +76,7 @@
         return Position(point.row + 1, len(before) + 1)
 
 
-def parse_text(text: str) -> Result[Document, tuple[Finding, ...]]:
+def parse_toml(text: str) -> Result[Document, tuple[Finding, ...]]:
     """Parse TOML text of at most 1 MB; a syntax error is a finding."""
     try:
         size = len(text.encode())
--- a/src/savoryrudder/settings/loading.py
+++ b/src/savoryrudder/settings/loading.py
@@ -13,13 +13,13 @@
 from expression import Ok
 from expression import Result
 
+from savoryrudder.policy.document import Document
+from savoryrudder.policy.document import parse_toml
 from savoryrudder.policy.findings import Fault
 from savoryrudder.policy.findings import Finding
 from savoryrudder.policy.findings import ModelT
 from savoryrudder.policy.findings import locate_faults
 from savoryrudder.policy.findings import validate
-from savoryrudder.policy.text import Document
-from savoryrudder.policy.text import parse_text
 from savoryrudder.settings.models import AgentSettings
 from savoryrudder.settings.models import EntrySettings
 
@@ -76,7 +76,7 @@
     path: str,
     environment: Mapping[str, str],
 ) -> Result[ModelT, tuple[Finding, ...]]:
-    parsed = read_file(path).bind(parse_text)
+    parsed = read_file(path).bind(parse_toml)
     if parsed.is_error():
         return Error(parsed.error)
     document = parsed.ok
--- a/tests/policy/test_checks.py
+++ b/tests/policy/test_checks.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from savoryrudder.policy.checks import check_text
-from savoryrudder.policy.text import MAX_TEXT_BYTES
+from savoryrudder.policy.document import MAX_TEXT_BYTES
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
 _VALID_TEXT = """
