Rename Fault to Violation

Fault -> Violation locate_faults -> locate_violations Locate -> Locator private names and locals in policy and settings.loading: ..._faults -> ..._violations, fault -> violation

--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -16,11 +16,11 @@
 
 from savoryrudder.policy import schema
 from savoryrudder.policy.document import parse_toml
-from savoryrudder.policy.findings import Fault
 from savoryrudder.policy.findings import Finding
 from savoryrudder.policy.findings import KeyPath
 from savoryrudder.policy.findings import ModelT
-from savoryrudder.policy.findings import locate_faults
+from savoryrudder.policy.findings import Violation
+from savoryrudder.policy.findings import locate_violations
 from savoryrudder.policy.findings import validate
 from savoryrudder.policy.model import URGENCY_BANDS
 from savoryrudder.policy.model import Client
@@ -64,40 +64,42 @@
     if parsed.is_error():
         return Error(parsed.error)
     document = parsed.ok
-    tables, faults = _read_tables(document.values)
-    faults.extend(_cross_table_faults(tables))
-    if faults:
-        return Error(locate_faults(faults, document.locate))
+    tables, violations = _read_tables(document.values)
+    violations.extend(_cross_table_violations(tables))
+    if violations:
+        return Error(locate_violations(violations, document.locate))
     return Ok(_to_policy(tables))
 
 
-def _read_tables(raw: dict[str, Any]) -> tuple[_Tables, list[Fault]]:
-    _, faults = validate(schema.DocumentTable, raw)
-    services = _read_named_tables(raw, 'services', schema.ServiceTable, faults)
-    clients = _read_named_tables(raw, 'clients', schema.ClientTable, faults)
-    bands = _read_named_tables(raw, 'urgency', schema.BandTable, faults)
-    limits, limit_faults = validate(
+def _read_tables(raw: dict[str, Any]) -> tuple[_Tables, list[Violation]]:
+    _, violations = validate(schema.DocumentTable, raw)
+    services = _read_named_tables(
+        raw, 'services', schema.ServiceTable, violations
+    )
+    clients = _read_named_tables(raw, 'clients', schema.ClientTable, violations)
+    bands = _read_named_tables(raw, 'urgency', schema.BandTable, violations)
+    limits, limit_violations = validate(
         schema.LimitsTable,
         raw.get('limits', {}),
         ('limits',),
     )
-    faults.extend(limit_faults)
+    violations.extend(limit_violations)
     names = frozenset(_section(raw, 'services'))
-    return _Tables(services, clients, bands, limits, names), faults
+    return _Tables(services, clients, bands, limits, names), violations
 
 
 def _read_named_tables(
     raw: dict[str, Any],
     section: str,
     model: type[ModelT],
-    faults: list[Fault],
+    violations: list[Violation],
 ) -> dict[str, ModelT]:
     valid: dict[str, ModelT] = {}
     for name, table in _section(raw, section).items():
         path = (section, name)
-        checked, table_faults = validate(model, table, path)
-        faults.extend(table_faults)
-        faults.extend(_name_faults(name, path))
+        checked, table_violations = validate(model, table, path)
+        violations.extend(table_violations)
+        violations.extend(_name_violations(name, path))
         if checked is not None:
             valid[name] = checked
     return valid
@@ -109,45 +111,47 @@
     return table if isinstance(table, dict) else {}
 
 
-def _name_faults(name: str, path: KeyPath) -> Iterator[Fault]:
+def _name_violations(name: str, path: KeyPath) -> Iterator[Violation]:
     if _NAME.fullmatch(name) is None:
-        yield Fault(path, _NAME_MESSAGE)
+        yield Violation(path, _NAME_MESSAGE)
 
 
-def _cross_table_faults(tables: _Tables) -> Iterator[Fault]:
+def _cross_table_violations(tables: _Tables) -> Iterator[Violation]:
     if not tables.service_names:
-        yield Fault(('services',), 'no service is declared')
+        yield Violation(('services',), 'no service is declared')
     for service, service_table in tables.services.items():
-        yield from _service_faults(service, service_table, tables)
-    yield from _cycle_faults(tables.services)
+        yield from _service_violations(service, service_table, tables)
+    yield from _cycle_violations(tables.services)
     for client, client_table in tables.clients.items():
-        yield from _client_faults(('clients', client), client_table)
-    yield from _share_faults(tables.bands)
+        yield from _client_violations(('clients', client), client_table)
+    yield from _share_violations(tables.bands)
 
 
-def _service_faults(
+def _service_violations(
     name: str,
     table: schema.ServiceTable,
     tables: _Tables,
-) -> Iterator[Fault]:
+) -> Iterator[Violation]:
     path = ('services', name)
     for index, dependency in enumerate(table.depends_on):
         if dependency not in tables.service_names:
-            yield Fault(
+            yield Violation(
                 (*path, 'depends_on', index),
                 f'unknown service "{dependency}"',
             )
     for operation in table.operations:
-        yield from _name_faults(operation, (*path, 'operations', operation))
+        yield from _name_violations(operation, (*path, 'operations', operation))
     limits = tables.limits
     if limits and table.default_deadline_ms > limits.max_deadline_ms:
-        yield Fault(
+        yield Violation(
             (*path, 'default_deadline_ms'),
             f'exceeds limits.max_deadline_ms ({limits.max_deadline_ms})',
         )
 
 
-def _cycle_faults(services: dict[str, schema.ServiceTable]) -> Iterator[Fault]:
+def _cycle_violations(
+    services: dict[str, schema.ServiceTable],
+) -> Iterator[Violation]:
     # The search below is quadratic, and most configurations have no cycle.
     if not _has_cycle(services):
         return
@@ -157,7 +161,7 @@
         members = frozenset(cycle)
         if cycle and members not in reported:
             reported.add(members)
-            yield Fault(
+            yield Violation(
                 ('services', name, 'depends_on'),
                 'dependency cycle: {0}'.format(' -> '.join((*cycle, name))),
             )
@@ -192,22 +196,22 @@
     return ()
 
 
-def _client_faults(
+def _client_violations(
     path: KeyPath,
     table: schema.ClientTable,
-) -> Iterator[Fault]:
+) -> Iterator[Violation]:
     for key in _BOUNDED_TERMS:
         bound = getattr(table.ceiling, key)
         term = getattr(table, key)
         if bound is not None and term > bound:
-            yield Fault((*path, key), f'{term} exceeds its ceiling {bound}')
-    yield from _urgency_faults(path, table)
+            yield Violation((*path, key), f'{term} exceeds its ceiling {bound}')
+    yield from _urgency_violations(path, table)
 
 
-def _urgency_faults(
+def _urgency_violations(
     path: KeyPath,
     table: schema.ClientTable,
-) -> Iterator[Fault]:
+) -> Iterator[Violation]:
     highest = table.highest_urgency
     ceiling = table.ceiling.highest_urgency
     if highest not in URGENCY_BANDS:
@@ -217,24 +221,28 @@
     if ceiling not in URGENCY_BANDS:
         yield _unknown_urgency((*path, 'ceiling', 'highest_urgency'), ceiling)
     elif highest in URGENCY_BANDS and _rank(highest) < _rank(ceiling):
-        yield Fault(
+        yield Violation(
             (*path, 'highest_urgency'),
             f'{highest} exceeds its ceiling {ceiling}',
         )
 
 
-def _share_faults(bands: dict[str, schema.BandTable]) -> Iterator[Fault]:
+def _share_violations(
+    bands: dict[str, schema.BandTable],
+) -> Iterator[Violation]:
     for name in bands:
         if name not in URGENCY_BANDS:
             yield _unknown_urgency(('urgency', name), name)
     total = sum(table.share for table in bands.values())
     if total > 1 + _SHARE_TOLERANCE:
-        yield Fault(('urgency',), f'the shares add up to {total:g}, above 1')
+        yield Violation(
+            ('urgency',), f'the shares add up to {total:g}, above 1'
+        )
 
 
-def _unknown_urgency(path: KeyPath, name: str) -> Fault:
+def _unknown_urgency(path: KeyPath, name: str) -> Violation:
     known = ', '.join(URGENCY_BANDS)
-    return Fault(path, f'unknown urgency "{name}", known are {known}')
+    return Violation(path, f'unknown urgency "{name}", known are {known}')
 
 
 def _rank(urgency: str) -> int:
--- a/src/savoryrudder/policy/findings.py
+++ b/src/savoryrudder/policy/findings.py
@@ -47,7 +47,7 @@
     message: str
 
 
-Locate: TypeAlias = Callable[[KeyPath], Position]
+Locator: TypeAlias = Callable[[KeyPath], Position]
 
 
 class StrictModel(BaseModel):
@@ -61,7 +61,7 @@
     )
 
 
-class Fault(NamedTuple):
+class Violation(NamedTuple):
     """Report an error at a key path whose position is not known yet."""
 
     path: KeyPath
@@ -72,7 +72,7 @@
     model: type[ModelT],
     raw: Any,
     prefix: KeyPath = (),
-) -> tuple[ModelT | None, list[Fault]]:
+) -> tuple[ModelT | None, list[Violation]]:
     """Return the validated model, or None and all errors in the raw table.
 
     The paths of the errors start with `prefix`.
@@ -82,7 +82,7 @@
     except ValidationError as error:
         details = error.errors(include_url=False, include_input=False)
     return None, [
-        Fault(
+        Violation(
             (*prefix, *_without_key_marker(detail['loc'])),
             _MESSAGES.get(detail['type'], _normalize_message(detail['msg'])),
         )
@@ -90,14 +90,16 @@
     ]
 
 
-def locate_faults(
-    faults: Iterable[Fault],
-    locate: Locate,
+def locate_violations(
+    violations: Iterable[Violation],
+    locate: Locator,
 ) -> tuple[Finding, ...]:
     """Return the errors as findings in the order of the document."""
     findings = [
-        Finding(*locate(fault.path), dotted(fault.path), fault.message)
-        for fault in faults
+        Finding(
+            *locate(violation.path), dotted(violation.path), violation.message
+        )
+        for violation in violations
     ]
     return tuple(sorted(findings))
 
--- a/src/savoryrudder/settings/loading.py
+++ b/src/savoryrudder/settings/loading.py
@@ -15,10 +15,10 @@
 
 from savoryrudder.policy.document import Document
 from savoryrudder.policy.document import parse_toml
-from savoryrudder.policy.findings import Fault
 from savoryrudder.policy.findings import Finding
 from savoryrudder.policy.findings import ModelT
-from savoryrudder.policy.findings import locate_faults
+from savoryrudder.policy.findings import Violation
+from savoryrudder.policy.findings import locate_violations
 from savoryrudder.policy.findings import validate
 from savoryrudder.settings.models import AgentSettings
 from savoryrudder.settings.models import EntrySettings
@@ -82,11 +82,11 @@
     document = parsed.ok
     overrides = _read_overrides(model, environment)
     merged = {**document.values, **overrides.values}
-    settings, faults = validate(model, merged)
-    faults.extend(_tls_faults(model, merged))
+    settings, violations = validate(model, merged)
+    violations.extend(_tls_violations(model, merged))
     findings = (
-        *_in_environment(faults, overrides),
-        *_in_file(faults, overrides, document),
+        *_in_environment(violations, overrides),
+        *_in_file(violations, overrides, document),
     )
     if settings is None or findings:
         return Error(findings)
@@ -128,35 +128,45 @@
         return raw
 
 
-def _tls_faults(model: type[ModelT], raw: dict[str, Any]) -> Iterator[Fault]:
+def _tls_violations(
+    model: type[ModelT], raw: dict[str, Any]
+) -> Iterator[Violation]:
     pair = ('tls_certificate', 'tls_key')
     present = [key for key in pair if key in raw]
     if pair[0] in model.model_fields and len(present) == 1:
-        yield Fault(
+        yield Violation(
             (present[0],),
             'tls_certificate and tls_key must be given together',
         )
 
 
 def _in_environment(
-    faults: list[Fault],
+    violations: list[Violation],
     overrides: _Overrides,
 ) -> tuple[Finding, ...]:
-    unknown = [Fault((key,), 'unknown variable') for key in overrides.unknown]
+    unknown = [
+        Violation((key,), 'unknown variable') for key in overrides.unknown
+    ]
     findings = [
-        Finding(1, 1, _PREFIX + str(fault.path[0]).upper(), fault.message)
-        for fault in (*faults, *unknown)
-        if fault in unknown or fault.path[0] in overrides.values
+        Finding(
+            1, 1, _PREFIX + str(violation.path[0]).upper(), violation.message
+        )
+        for violation in (*violations, *unknown)
+        if violation in unknown or violation.path[0] in overrides.values
     ]
     return tuple(sorted(findings))
 
 
 def _in_file(
-    faults: list[Fault],
+    violations: list[Violation],
     overrides: _Overrides,
     document: Document,
 ) -> tuple[Finding, ...]:
-    return locate_faults(
-        (fault for fault in faults if fault.path[0] not in overrides.values),
+    return locate_violations(
+        (
+            violation
+            for violation in violations
+            if violation.path[0] not in overrides.values
+        ),
         document.locate,
     )
