--- a/src/savoryrudder/console/application.py
+++ b/src/savoryrudder/console/application.py
@@ -33,7 +33,7 @@
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
 from savoryrudder.console.session import UsageError
-from savoryrudder.policy.findings import dotted
+from savoryrudder.policy.findings import format_key_path
 
 _NAME: Final = 'savoryrudder'
 _Command = Callable[..., Awaitable[ExitCode]]
@@ -110,7 +110,7 @@
     if isinstance(error, UsageError):
         return [str(error)]
     return [
-        '{0}: {1}'.format(dotted(detail['loc']), detail['msg'])
+        '{0}: {1}'.format(format_key_path(detail['loc']), detail['msg'])
         for detail in error.errors(include_url=False)
     ]
 
--- a/src/savoryrudder/policy/diff.py
+++ b/src/savoryrudder/policy/diff.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from savoryrudder.policy.findings import KeyPath
-from savoryrudder.policy.findings import dotted
+from savoryrudder.policy.findings import format_key_path
 from savoryrudder.policy.model import Policy
 
 
@@ -36,7 +36,7 @@
     before = dict(_flatten(old, ()))
     after = dict(_flatten(new, ()))
     return tuple(
-        Change(dotted(path), before.get(path), after.get(path))
+        Change(format_key_path(path), before.get(path), after.get(path))
         for path in sorted({*before, *after})
         if before.get(path) != after.get(path)
     )
--- a/src/savoryrudder/policy/findings.py
+++ b/src/savoryrudder/policy/findings.py
@@ -97,14 +97,16 @@
     """Return the errors as findings in the order of the document."""
     findings = [
         Finding(
-            *locate(violation.path), dotted(violation.path), violation.message
+            *locate(violation.path),
+            format_key_path(violation.path),
+            violation.message,
         )
         for violation in violations
     ]
     return tuple(sorted(findings))
 
 
-def dotted(path: KeyPath) -> str:
+def format_key_path(path: KeyPath) -> str:
     """Return a key path as a string of parts joined by dots."""
     return '.'.join(str(part) for part in path)
 
