--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -14,7 +14,7 @@
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.policy.findings import Finding
 from savoryrudder.settings.loading import read_file
 
@@ -43,7 +43,7 @@
 ) -> ExitCode:
     """Apply a configuration file by compare-and-swap."""
     text = read_file(options.file)
-    checked = text.bind(check_text)
+    checked = text.bind(parse_policy)
     if checked.is_error():
         return session.report(options.file, checked.error, options.as_json)
     client = session.connect(options.entry)
--- a/src/savoryrudder/console/commands/config_check.py
+++ b/src/savoryrudder/console/commands/config_check.py
@@ -7,7 +7,7 @@
 from savoryrudder.console.options import Options
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.settings.loading import read_file
 
 
@@ -21,7 +21,7 @@
     session: Session, options: ConfigCheckOptions
 ) -> ExitCode:
     """Check a configuration file without an entry."""
-    checked = read_file(options.file).bind(check_text)
+    checked = read_file(options.file).bind(parse_policy)
     if checked.is_error():
         return session.report(options.file, checked.error, options.as_json)
     if options.as_json:
--- a/src/savoryrudder/console/commands/config_diff.py
+++ b/src/savoryrudder/console/commands/config_diff.py
@@ -9,7 +9,7 @@
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.settings.loading import read_file
 
 
@@ -22,7 +22,7 @@
 async def config_diff(session: Session, options: ConfigDiffOptions) -> ExitCode:
     """Show what applying a configuration file would change."""
     text = read_file(options.file)
-    checked = text.bind(check_text)
+    checked = text.bind(parse_policy)
     if checked.is_error():
         return session.report(options.file, checked.error, options.as_json)
     fetched = await fetch_configuration(session.connect(options.entry))
--- a/src/savoryrudder/console/configuration.py
+++ b/src/savoryrudder/console/configuration.py
@@ -17,7 +17,7 @@
 from savoryrudder.console.client import Answer
 from savoryrudder.console.client import EntryClient
 from savoryrudder.console.client import Request
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.policy.diff import compare
 from savoryrudder.policy.model import Limits
 from savoryrudder.policy.model import Policy
@@ -146,12 +146,12 @@
     `new` is free of findings. An old text with findings, written by another
     version, is compared line by line.
     """
-    before = check_text(old).default_value(_EMPTY)
+    before = parse_policy(old).default_value(_EMPTY)
     if old.strip() and before is _EMPTY:
         return list(
             difflib.unified_diff(old.splitlines(), new.splitlines()),
         )
-    after = check_text(new).default_value(_EMPTY)
+    after = parse_policy(new).default_value(_EMPTY)
     return [str(change) for change in compare(before, after)]
 
 
--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -8,7 +8,7 @@
 from savoryrudder.entry import documents
 from savoryrudder.entry.state import PendingCall
 from savoryrudder.entry.submissions import queue_settings
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.protocol.messages import Config
 from savoryrudder.protocol.messages import FetchConfig
 from savoryrudder.store import interface
@@ -54,7 +54,7 @@
 
 def handle_config_submitted(turn: Turn, event: ConfigSubmitted) -> None:
     """Check a configuration and write it if the revision is as expected."""
-    checked = check_text(event.text)
+    checked = parse_policy(event.text)
     if checked.is_error():
         turn.reply_data(
             event.request,
@@ -160,7 +160,7 @@
 
 def _apply_config(turn: Turn, revision: int, text: str) -> None:
     state = turn.state
-    checked = check_text(text)
+    checked = parse_policy(text)
     if checked.is_error():
         turn.log_change('configuration_rejected', revision=str(revision))
         return
--- a/src/savoryrudder/policy/checks.py
+++ b/src/savoryrudder/policy/checks.py
@@ -54,7 +54,7 @@
     service_names: frozenset[str]
 
 
-def check_text(text: str) -> Result[Policy, tuple[Finding, ...]]:
+def parse_policy(text: str) -> Result[Policy, tuple[Finding, ...]]:
     """Return the policy of a TOML text, or all findings in its order.
 
     A syntax error hides all other findings, because the text has no values
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -12,7 +12,7 @@
 from savoryrudder.entry.placement import Fleet
 from savoryrudder.entry.queueing import QueuedTask
 from savoryrudder.entry.queueing import ServiceQueue
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.protocol.messages import Hello
 from savoryrudder.protocol.messages import Job
 from savoryrudder.protocol.messages import TaskSpec
@@ -42,7 +42,7 @@
 max_payload_bytes = 100
 max_deadline_ms = 60000
 """
-_POLICY = check_text(_TEXT).ok
+_POLICY = parse_policy(_TEXT).ok
 
 
 class AdmissionHarness:
--- a/tests/entry/test_terms.py
+++ b/tests/entry/test_terms.py
@@ -14,7 +14,7 @@
 from savoryrudder.entry.state import EntryState
 from savoryrudder.entry.state import OwnedPartition
 from savoryrudder.entry.turn import Turn
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.store import interface
 
 _WALL = 1_800_000_000
@@ -74,7 +74,7 @@
         text = _SERVICE + ''.join(
             _CLIENT.format(name=f'shop{number}') for number in range(clients)
         )
-        self.state.policy = check_text(text).ok
+        self.state.policy = parse_policy(text).ok
         self.state.revision = 1
         for partition in range(64):
             self.state.owned[partition] = OwnedPartition(1, 0, 0, {})
--- a/tests/policy/test_checks.py
+++ b/tests/policy/test_checks.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.policy.document import MAX_TEXT_BYTES
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
@@ -50,7 +50,7 @@
 
 def test_valid_text_becomes_a_policy() -> None:
     """Guard against lost values and ceilings that lack their defaults."""
-    policy = check_text(_VALID_TEXT).ok
+    policy = parse_policy(_VALID_TEXT).ok
     client = policy.clients['shop']
     assert policy.services['pane'].depends_on == ('stock',)
     assert not policy.services['pane'].operations['cutting-plan'].idempotent
@@ -84,7 +84,7 @@
 hasty.share = 0.6
 [surplus]
 """
-    findings = check_text(text).error
+    findings = parse_policy(text).error
     assert [(finding.line, finding.key) for finding in findings] == [
         (3, 'services.pane.slots'),
         (4, 'services.pane.operations.cut.idempotent'),
@@ -121,7 +121,7 @@
     message: str,
 ) -> None:
     """Guard against exceptions and missing positions for unreadable text."""
-    findings = check_text(text).error
+    findings = parse_policy(text).error
     assert [finding.line for finding in findings] == [line]
     assert message in findings[0].message
 
@@ -130,7 +130,7 @@
 @example(r'"\u0000" = 1')
 def test_findings_of_any_text_have_positions_in_it(text: str) -> None:
     """Guard against exceptions and positions outside the text."""
-    checked = check_text(text)
+    checked = parse_policy(text)
     findings = checked.error if checked.is_error() else ()
     lines = text.count('\n') + 1
     assert all(1 <= finding.line <= lines for finding in findings)
@@ -141,7 +141,7 @@
 def test_examples_have_no_findings(name: str) -> None:
     """Guard against examples that an entry would refuse."""
     text = (_EXAMPLES / name).read_text(encoding='utf-8')
-    assert check_text(text).is_ok()
+    assert parse_policy(text).is_ok()
 
 
 @pytest.mark.parametrize(
@@ -151,5 +151,5 @@
 def test_examples_admit_the_largest_job(name: str, client: str) -> None:
     """Guard against a demo whose job of 170 tasks is refused by its terms."""
     text = (_EXAMPLES / name).read_text(encoding='utf-8')
-    terms = check_text(text).ok.clients[client].terms
+    terms = parse_policy(text).ok.clients[client].terms
     assert min(terms.burst, terms.concurrent) >= 170
--- a/tests/policy/test_diff.py
+++ b/tests/policy/test_diff.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from savoryrudder.policy.checks import check_text
+from savoryrudder.policy.checks import parse_policy
 from savoryrudder.policy.diff import compare
 
 _OLD = """
@@ -20,7 +20,7 @@
     """Guard against defaults shown as changes, and removals that are lost."""
     new = _OLD.replace('slots = 1\n', '').replace('rate = 10', 'rate = 12')
     new = new.replace('operations.cut', 'operations.trim')
-    changes = compare(check_text(_OLD).ok, check_text(new).ok)
+    changes = compare(parse_policy(_OLD).ok, parse_policy(new).ok)
     assert [str(change) for change in changes] == [
         '~ clients.shop.ceiling.rate: 10.0 -> 12.0',
         '~ clients.shop.terms.rate: 10.0 -> 12.0',
