--- a/src/savoryrudder/agent/credits.py
+++ b/src/savoryrudder/agent/credits.py
@@ -17,7 +17,7 @@
 
 def free_credits(state: AgentState) -> int:
     """Return how many credits can be granted now."""
-    if state.leaving or state.at_limit:
+    if state.draining or state.at_limit:
         return 0
     granted = state.granted_credits
     in_use = granted + len(state.calls) + len(state.waiting)
@@ -50,7 +50,7 @@
     Return the number of credits to recall from each entry.
     """
     needed = 0
-    if state.leaving:
+    if state.draining:
         needed = state.granted_credits
     elif not state.at_limit:
         for link in state.links.values():
@@ -67,7 +67,7 @@
     """Open recalls of idle credits so that a new link gets an equal share."""
     ready = sum(link.ready for link in state.links.values())
     equal_share = state.granted_credits // ready
-    if state.leaving or state.at_limit or new_link.credits >= equal_share:
+    if state.draining or state.at_limit or new_link.credits >= equal_share:
         return {}
     return _open_recalls(
         state, now, equal_share - new_link.credits, min_kept=equal_share
@@ -140,7 +140,7 @@
     opened: dict[str, int] = {}
     needed -= sum(link.recalled for link in state.links.values())
     for entry, link in state.links.items():
-        retained = min_kept if state.leaving else max(min_kept, link.demand)
+        retained = min_kept if state.draining else max(min_kept, link.demand)
         amount = min(needed, link.credits - retained)
         if amount <= 0 or link.recalled or link.next_recall_at > now:
             continue
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -41,7 +41,7 @@
             _grant_credits(state, turn)
     else:
         _send_reports(turn, {})
-    if state.leaving:
+    if state.draining:
         _exit_when_drained(state, turn)
     return turn.effects
 
@@ -296,9 +296,9 @@
     turn: Turn,
     event: events.DrainRequested,
 ) -> None:
-    if state.leaving:
+    if state.draining:
         return
-    state.leaving = True
+    state.draining = True
     state.exit_at = turn.now + event.timeout_s
     turn.log('leaving', running=len(state.calls), timeout_s=event.timeout_s)
     for entry in state.links:
--- a/src/savoryrudder/agent/report_delay.py
+++ b/src/savoryrudder/agent/report_delay.py
@@ -21,7 +21,7 @@
     Return whether credits have to be delayed as well, since granting them
     would need a frame too.
     """
-    flush_now = state.leaving or not state.agreed_prefetch
+    flush_now = state.draining or not state.agreed_prefetch
     if (
         flush_now
         or not _may_delay(state, turn)
--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -106,14 +106,14 @@
     was_at_limit: bool = False
     revision: int = 0
     config_text: str = ''
-    leaving: bool = False
+    draining: bool = False
     exit_at: float = 0
     exited: bool = False
 
     @property
     def hello(self) -> Hello:
         """Return the message that opens a session."""
-        return Hello(*self.identity, leaving=self.leaving)
+        return Hello(*self.identity, leaving=self.draining)
 
     @property
     def agreed_prefetch(self) -> int:
--- a/src/savoryrudder/agent/tasks.py
+++ b/src/savoryrudder/agent/tasks.py
@@ -217,7 +217,7 @@
 
 
 def _refusal_reason(state: AgentState, message: messages.Start) -> str:
-    if state.leaving:
+    if state.draining:
         return 'leaving'
     if message.deadline_ms <= 0:
         return _DEADLINE_PASSED
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -89,8 +89,8 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether an entry is linked and the agent is not leaving."""
-        return bool(self.state.links) and not self.state.leaving
+        """Tell whether an entry is linked and the agent is not draining."""
+        return bool(self.state.links) and not self.state.draining
 
     def start(self, group: TaskGroup, entries: list[str]) -> None:
         """Dial the entries."""
--- a/tests/agent/test_agent_sessions.py
+++ b/tests/agent/test_agent_sessions.py
@@ -141,4 +141,4 @@
     agent.connect_and_claim('e1')
     agent.receive('e1', messages.Leaving())
     assert agent.sent(messages.Leaving, 'e1')
-    assert agent.state.leaving
+    assert agent.state.draining
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -199,7 +199,7 @@
 def _without_leaving(patch: Patch) -> None:
     patch.setattr(Fleet, 'mark_leaving', _never)
     stays = property(_never, lambda *_: None)
-    patch.setattr(agent_state.AgentState, 'leaving', stays)
+    patch.setattr(agent_state.AgentState, 'draining', stays)
 
 
 def _without_revisions(patch: Patch) -> None:
