--- a/src/savoryrudder/console/configuration.py
+++ b/src/savoryrudder/console/configuration.py
@@ -18,7 +18,7 @@
 from savoryrudder.console.client import EntryClient
 from savoryrudder.console.client import Request
 from savoryrudder.policy.checks import parse_policy
-from savoryrudder.policy.diff import compare
+from savoryrudder.policy.diff import compare_policies
 from savoryrudder.policy.model import Limits
 from savoryrudder.policy.model import Policy
 
@@ -152,7 +152,7 @@
             difflib.unified_diff(old.splitlines(), new.splitlines()),
         )
     after = parse_policy(new).default_value(_EMPTY)
-    return [str(change) for change in compare(before, after)]
+    return [str(change) for change in compare_policies(before, after)]
 
 
 async def _resolve(
--- a/src/savoryrudder/policy/diff.py
+++ b/src/savoryrudder/policy/diff.py
@@ -27,7 +27,7 @@
         return f'~ {self.key}: {self.old!r} -> {self.new!r}'
 
 
-def compare(old: Policy, new: Policy) -> tuple[Change, ...]:
+def compare_policies(old: Policy, new: Policy) -> tuple[Change, ...]:
     """Return the changes between two policies, sorted by key.
 
     Values are compared after defaults are filled in, so that writing out a
--- a/tests/policy/test_diff.py
+++ b/tests/policy/test_diff.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from savoryrudder.policy.checks import parse_policy
-from savoryrudder.policy.diff import compare
+from savoryrudder.policy.diff import compare_policies
 
 _OLD = """
 [services.pane]
@@ -20,7 +20,7 @@
     """Guard against defaults shown as changes, and removals that are lost."""
     new = _OLD.replace('slots = 1\n', '').replace('rate = 10', 'rate = 12')
     new = new.replace('operations.cut', 'operations.trim')
-    changes = compare(parse_policy(_OLD).ok, parse_policy(new).ok)
+    changes = compare_policies(parse_policy(_OLD).ok, parse_policy(new).ok)
     assert [str(change) for change in changes] == [
         '~ clients.shop.ceiling.rate: 10.0 -> 12.0',
         '~ clients.shop.terms.rate: 10.0 -> 12.0',
