--- a/src/savoryrudder/agent/state.py
+++ b/src/savoryrudder/agent/state.py
@@ -64,8 +64,8 @@
     `credits` are granted and unused; `recalled` is the size of the open
     recall, 0 if there is none. `claimed` holds the partitions that the entry
     has claimed on this session. `requested_revision` is the highest
-    configuration revision requested; it is kept so that an entry that
-    announces a newer revision than it sends is not asked in a loop.
+    configuration revision requested; it is kept after the answer so that an
+    entry that announces a newer revision than it sends is not asked in a loop.
     `withheld` are ended tasks that did not fit into the answer to a claim.
     """
 
