--- a/bench/site_jobs.py
+++ b/bench/site_jobs.py
@@ -11,7 +11,7 @@
 from bench.site_days import KINDS
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.jobs.model import Queue
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
 from savoryrudder.utils.units import MS_PER_S
 
@@ -55,7 +55,9 @@
         self._count += 1
         task_s = self._spread(kind.task_ms, _SPREAD) / MS_PER_S
         error = math.exp(self.random.gauss(0, _SPREAD))
-        need = Room(int(self._spread(kind.cpu, _CPU_SPREAD)), _MEMORY_MB, 0)
+        need = Resources(
+            int(self._spread(kind.cpu, _CPU_SPREAD)), _MEMORY_MB, 0
+        )
         tasks = max(1, round(self._spread(kind.tasks, _SPREAD)))
         estimate_ms = int(task_s * error * MS_PER_S)
         step = Step(tasks, need, estimate_ms, (), '', '', 0)
--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -27,7 +27,7 @@
 from bench.site_score import judge
 from savoryrudder.dispatch import answers
 from savoryrudder.jobs.model import Configuration
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -40,8 +40,8 @@
 
 _ENTRIES: Final = 3
 _EXECUTORS: Final = 11
-_SMALL: Final = Room(64_000, 131_072, 0)
-_LARGE: Final = Room(96_000, 131_072, 0)
+_SMALL: Final = Resources(64_000, 131_072, 0)
+_LARGE: Final = Resources(96_000, 131_072, 0)
 _LARGE_SLOWNESS: Final = 1.3
 _DAY_S: Final = 30
 _SETTLE_S: Final = 12
@@ -151,8 +151,8 @@
 
 def _executor(number: int) -> FakeExecutor:
     is_large = number % 3 == 2
-    room = _LARGE if is_large else _SMALL
-    executor = FakeExecutor(f'x{number}', room)
+    resources = _LARGE if is_large else _SMALL
+    executor = FakeExecutor(f'x{number}', resources)
     executor.slowness = _LARGE_SLOWNESS if is_large else 1
     return executor
 
--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -145,7 +145,7 @@
 def _fits_anywhere(agents: Iterable[AgentView], step: Step) -> bool:
     for agent in agents:
         report = agent.report
-        if report is None or not report.capacity.holds(step.need):
+        if report is None or not report.capacity.covers(step.need):
             continue
         if not step.required_label or step.required_label in report.labels:
             return True
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -10,11 +10,11 @@
 from savoryrudder.dispatch.answers import Answer
 from savoryrudder.dispatch.events import JobSubmitted
 from savoryrudder.jobs.model import NO_CONFIGURATION
-from savoryrudder.jobs.model import NO_ROOM
+from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.jobs.model import Configuration
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.jobs.model import Queue
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
 from savoryrudder.protocol.work import ExecutorReport
 from savoryrudder.protocol.work import RunName
@@ -126,8 +126,8 @@
     report: ExecutorReport | None = None
     listed: bool = False
     starts_sent: int = 0
-    pending: dict[int, tuple[str, Room]] = field(default_factory=dict)
-    free: Room = NO_ROOM
+    pending: dict[int, tuple[str, Resources]] = field(default_factory=dict)
+    free: Resources = NO_RESOURCES
     usual_slowness: float = 1
     slowness: float = 1
     slow_until: float = 0
--- a/src/savoryrudder/jobs/model.py
+++ b/src/savoryrudder/jobs/model.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 
-class Room(NamedTuple):
+class Resources(NamedTuple):
     """An amount of the resources that executors have and tasks need.
 
     `cpu` is in millicores, `memory` in MB, `gpu` in devices.
@@ -18,23 +18,23 @@
     memory: int
     gpu: int
 
-    def plus(self, other: Room) -> Room:
+    def plus(self, other: Resources) -> Resources:
         """Return the sum of both amounts."""
-        return Room(
+        return Resources(
             self.cpu + other.cpu,
             self.memory + other.memory,
             self.gpu + other.gpu,
         )
 
-    def minus(self, other: Room) -> Room:
+    def minus(self, other: Resources) -> Resources:
         """Return the difference, whose parts may be negative."""
-        return Room(
+        return Resources(
             self.cpu - other.cpu,
             self.memory - other.memory,
             self.gpu - other.gpu,
         )
 
-    def holds(self, other: Room) -> bool:
+    def covers(self, other: Resources) -> bool:
         """Return whether the other amount fits into this one."""
         return (
             other.cpu <= self.cpu
@@ -43,7 +43,7 @@
         )
 
 
-NO_ROOM: Final = Room(0, 0, 0)
+NO_RESOURCES: Final = Resources(0, 0, 0)
 
 
 class Step(NamedTuple):
@@ -56,7 +56,7 @@
     """
 
     tasks: int
-    need: Room
+    need: Resources
     estimate_ms: int
     after: tuple[int, ...]
     required_label: str
--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -10,7 +10,7 @@
 
 from savoryrudder.daemon import asgi
 from savoryrudder.daemon.logs import log_change
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.worker import events
 
 if TYPE_CHECKING:
@@ -106,7 +106,7 @@
                 body.service,
                 body.address,
                 tuple(body.labels),
-                Room(
+                Resources(
                     body.capacity.cpu,
                     body.capacity.mem_mb,
                     body.capacity.gpu,
--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -13,7 +13,7 @@
 
 from savoryrudder.dispatch import answers
 from savoryrudder.jobs.model import JobRequest
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
 
 _MOST_TASKS: Final = 10_000
@@ -127,7 +127,7 @@
 def _step_of(body: _StepBody) -> Step:
     return Step(
         body.count,
-        Room(body.cpu, body.mem_mb, body.gpu),
+        Resources(body.cpu, body.mem_mb, body.gpu),
         body.estimate_ms,
         tuple(body.after),
         body.required_label,
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 from typing import TypeAlias
 
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 
 # A task's name with the number of its run.
 RunName: TypeAlias = tuple[str, int]
@@ -66,8 +66,8 @@
     executor: str
     service: str
     labels: tuple[str, ...]
-    capacity: Room
-    free: Room
+    capacity: Resources
+    free: Resources
     accepting: bool
     starts_seen: int
     on_trial: bool = False
@@ -94,7 +94,7 @@
     task: str
     run: int
     spec: str
-    need: Room
+    need: Resources
     estimate_ms: int
     durable: bool
 
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 from typing import TypeAlias
 
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol.messages import Message
 
 
@@ -50,7 +50,7 @@
     service: str
     address: str
     labels: tuple[str, ...]
-    capacity: Room
+    capacity: Resources
     draining: bool
     clock_ms: int
 
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -14,7 +14,7 @@
 from savoryrudder.worker.state import Reported
 
 if TYPE_CHECKING:
-    from savoryrudder.jobs.model import Room
+    from savoryrudder.jobs.model import Resources
     from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import EntryLink
     from savoryrudder.worker.state import WorkerState
@@ -77,5 +77,5 @@
     return is_tight or current.sent_at - previous.sent_at >= _BATCHING_DELAY_S
 
 
-def _min_cpu(room: Room, other: Room) -> int:
-    return min(room.cpu, other.cpu)
+def _min_cpu(resources: Resources, other: Resources) -> int:
+    return min(resources.cpu, other.cpu)
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -238,7 +238,7 @@
         return 'a run of the task is not settled'
     if state.health.on_trial and state.runs:
         return 'executor is on trial'
-    if not state.free.holds(message.need):
+    if not state.free.covers(message.need):
         return 'no room'
     return ''
 
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -9,8 +9,8 @@
 from typing import Final
 from typing import NamedTuple
 
-from savoryrudder.jobs.model import NO_ROOM
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import NO_RESOURCES
+from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import work
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker.effects import Executor
@@ -72,7 +72,7 @@
     task: str
     number: int
     owner: str
-    need: Room
+    need: Resources
     durable: bool
     estimate_s: float
     started_at: float
@@ -103,7 +103,7 @@
 class Reported(NamedTuple):
     """Hold what the last report to an entry said about the executor."""
 
-    free: Room
+    free: Resources
     accepting: bool
     on_trial: bool
     executor: str
@@ -222,10 +222,10 @@
         return self.lease.surveyed and not self.strays and not is_silent
 
     @property
-    def free(self) -> Room:
+    def free(self) -> Resources:
         """Return the capacity that no run occupies."""
         if self.report is None:
-            return NO_ROOM
+            return NO_RESOURCES
         free = self.report.capacity
         for run in self.runs.values():
             free = free.minus(run.need)
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
@@ -46,7 +46,7 @@
     """Run tasks; time is passed in, `clock_offset_s` shifts its clock."""
 
     name: str
-    capacity: Room
+    capacity: Resources
     born_ms: int = 1
     clock_offset_s: float = 100
     lease_limit_s: float = 1
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -20,7 +20,7 @@
 from savoryrudder.jobs.model import Configuration
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.jobs.model import Queue
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
 from savoryrudder.utils import effects
 from savoryrudder.worker import events as agent_events
@@ -35,7 +35,7 @@
 SERVICE = 'pane'
 QUEUE = Queue('plans', 'shop.example', '/plans/', SERVICE, 0, 2, 1.6, 60)
 CONFIGURATION = Configuration(1, {'plans': QUEUE})
-CAPACITY = Room(cpu=8000, memory=4096, gpu=0)
+CAPACITY = Resources(cpu=8000, memory=4096, gpu=0)
 ZONE = 'zone-a'
 TICK_S = 0.05
 SETTLE_S = 2.5
@@ -48,7 +48,7 @@
     estimate_ms: int = 200,
 ) -> JobRequest:
     """Return a job of one step."""
-    need = Room(cpu, 64, 0)
+    need = Resources(cpu, 64, 0)
     step = Step(tasks, need, estimate_ms, (), '', '', 0)
     return JobRequest(name, 'spec', (step,))
 
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -5,7 +5,7 @@
 from typing import Any
 from typing import TypeVar
 
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import work
 from savoryrudder.utils import effects
 from savoryrudder.worker import events
@@ -17,7 +17,7 @@
 EffectT = TypeVar('EffectT')
 LINK = 'l1'
 OWNER = 'e1#1'
-NEED = Room(2000, 64, 0)
+NEED = Resources(2000, 64, 0)
 
 
 class WorkerDriver:
@@ -58,7 +58,7 @@
                 'pane',
                 'address',
                 (),
-                Room(8000, 4096, 0),
+                Resources(8000, 4096, 0),
                 draining,
                 clock_ms=1000,
             ),
