Rename the resource need of a task to its demand

Step.need -> Step.demand StartTask.need -> StartTask.demand (travels by position) Run.need -> Run.demand need -> demand (locals) NEED -> DEMAND (test constant)

--- a/bench/site_jobs.py
+++ b/bench/site_jobs.py
@@ -55,13 +55,13 @@
         self._count += 1
         task_s = self._spread(kind.task_ms, _SPREAD) / MS_PER_S
         error = math.exp(self.random.gauss(0, _SPREAD))
-        need = Resources(
+        demand = Resources(
             int(self._spread(kind.cpu, _CPU_SPREAD)), _MEMORY_MB, 0
         )
         tasks = max(1, round(self._spread(kind.tasks, _SPREAD)))
         estimate_ms = int(task_s * error * MS_PER_S)
-        step = Step(tasks, need, estimate_ms, (), '', '', 0)
-        work = tasks * need.cpu * task_s * MS_PER_S
+        step = Step(tasks, demand, estimate_ms, (), '', '', 0)
+        work = tasks * demand.cpu * task_s * MS_PER_S
         share = work / (kind.tasks * kind.cpu * kind.task_ms)
         worth = _FIXED_WORTH + (1 - _FIXED_WORTH) * share
         return DrawnJob(
--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -122,14 +122,14 @@
     """Return the estimated work that has not started (`cpu` x ms)."""
     return sum(
         len(progress.waiting)
-        * progress.step.need.cpu
+        * progress.step.demand.cpu
         * progress.step.estimate_ms
         for progress in job.steps
     )
 
 
 def _step_work(step: Step) -> int:
-    return step.tasks * step.need.cpu * step.estimate_ms
+    return step.tasks * step.demand.cpu * step.estimate_ms
 
 
 def _slack_s(queue: Queue, request: JobRequest) -> float:
@@ -145,7 +145,7 @@
 def _fits_anywhere(agents: Iterable[AgentView], step: Step) -> bool:
     for agent in agents:
         report = agent.report
-        if report is None or not report.capacity.covers(step.need):
+        if report is None or not report.capacity.covers(step.demand):
             continue
         if not step.required_label or step.required_label in report.labels:
             return True
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -49,9 +49,9 @@
         jobs.dequeue(state, job)
     agent.starts_sent += 1
     agent.in_flight += 1
-    need = progress.step.need
-    agent.pending[agent.starts_sent] = (task.name, need)
-    agent.free = agent.free.minus(need)
+    demand = progress.step.demand
+    agent.pending[agent.starts_sent] = (task.name, demand)
+    agent.free = agent.free.minus(demand)
     turn.send(
         link,
         work.StartTask(
@@ -59,7 +59,7 @@
             task.name,
             task.run,
             job.request.spec,
-            need,
+            demand,
             progress.step.estimate_ms,
             durable=False,
         ),
@@ -278,13 +278,13 @@
     task = job.tasks.get(ended.task) if job else None
     if job is not None and task is not None and task.run == ended.run:
         # Counted as free now; the next report replaces this value.
-        need = job.steps[task.step].step.need
-        agent.free = agent.free.plus(need)
+        demand = job.steps[task.step].step.demand
+        agent.free = agent.free.plus(demand)
 
 
 def _update_free(agent: AgentView) -> None:
     if agent.report is None:
         return
     agent.free = agent.report.free
-    for _, need in agent.pending.values():
-        agent.free = agent.free.minus(need)
+    for _, demand in agent.pending.values():
+        agent.free = agent.free.minus(demand)
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -180,6 +180,6 @@
         for link, agent in state.agents.items()
         if may_run(agent, job.queue.service, step)
         and agent.report
-        and agent.report.capacity.covers(step.need)
+        and agent.report.capacity.covers(step.demand)
     ]
     return [max(ranked_links)[1]] if ranked_links else []
--- a/src/savoryrudder/dispatch/room.py
+++ b/src/savoryrudder/dispatch/room.py
@@ -22,4 +22,4 @@
 
 def may_start(agent: AgentView, service: str, step: Step) -> bool:
     """Return whether a task of the step can start on an executor now."""
-    return agent.free.covers(step.need) and may_run(agent, service, step)
+    return agent.free.covers(step.demand) and may_run(agent, service, step)
--- a/src/savoryrudder/jobs/model.py
+++ b/src/savoryrudder/jobs/model.py
@@ -56,7 +56,7 @@
     """
 
     tasks: int
-    need: Resources
+    demand: Resources
     estimate_ms: int
     after: tuple[int, ...]
     required_label: str
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -94,7 +94,7 @@
     task: str
     run: int
     spec: str
-    need: Resources
+    demand: Resources
     estimate_ms: int
     durable: bool
 
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -64,7 +64,7 @@
         message.task,
         message.run,
         entry_link.incarnation,
-        message.need,
+        message.demand,
         message.durable,
         message.estimate_ms / MS_PER_S,
         turn.now,
@@ -238,7 +238,7 @@
         return 'a run of the task is not settled'
     if state.health.on_trial and state.runs:
         return 'executor is on trial'
-    if not state.free.covers(message.need):
+    if not state.free.covers(message.demand):
         return 'no room'
     return ''
 
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -72,7 +72,7 @@
     task: str
     number: int
     owner: str
-    need: Resources
+    demand: Resources
     durable: bool
     estimate_s: float
     started_at: float
@@ -228,7 +228,7 @@
             return NO_RESOURCES
         free = self.report.capacity
         for run in self.runs.values():
-            free = free.minus(run.need)
+            free = free.minus(run.demand)
         return free
 
     def find_link(self, owner: str) -> str:
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -48,8 +48,8 @@
     estimate_ms: int = 200,
 ) -> JobRequest:
     """Return a job of one step."""
-    need = Resources(cpu, 64, 0)
-    step = Step(tasks, need, estimate_ms, (), '', '', 0)
+    demand = Resources(cpu, 64, 0)
+    step = Step(tasks, demand, estimate_ms, (), '', '', 0)
     return JobRequest(name, 'spec', (step,))
 
 
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -59,7 +59,7 @@
     submitted = decode_job('id', msgspec.json.encode(dict(JOB))).ok
     first, second = submitted.request.steps
     assert first.tasks == 2
-    assert first.need.memory == 256
+    assert first.demand.memory == 256
     assert second.after == (0,)
     assert second.data_rack == 'r1'
     assert not submitted.unsupported
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -17,7 +17,7 @@
 EffectT = TypeVar('EffectT')
 LINK = 'l1'
 OWNER = 'e1#1'
-NEED = Resources(2000, 64, 0)
+DEMAND = Resources(2000, 64, 0)
 
 
 class WorkerDriver:
@@ -66,7 +66,7 @@
 
     def start(self, task: str, run: int = 1, *, durable: bool = False) -> None:
         """Let the entry ask for the start of a task."""
-        self.receive(work.StartTask(1, task, run, 's', NEED, 200, durable))
+        self.receive(work.StartTask(1, task, run, 's', DEMAND, 200, durable))
 
     def answer_start(self, task: str, verdict: str, run: int = 1) -> None:
         """Let the executor answer the request to start a task."""
