--- a/bench/site_jobs.py
+++ b/bench/site_jobs.py
@@ -56,7 +56,9 @@
         task_s = self._spread(kind.task_ms, _SPREAD) / MS_PER_S
         error = math.exp(self.random.gauss(0, _SPREAD))
         demand = Resources(
-            int(self._spread(kind.cpu, _CPU_SPREAD)), _MEMORY_MB, 0
+            int(self._spread(kind.cpu, _CPU_SPREAD)),
+            _MEMORY_MB,
+            0,
         )
         tasks = max(1, round(self._spread(kind.tasks, _SPREAD)))
         estimate_ms = int(task_s * error * MS_PER_S)
