--- a/src/savoryrudder/dispatch/room.py
+++ b/src/savoryrudder/dispatch/eligibility.py
@@ -9,7 +9,7 @@
     from savoryrudder.jobs.model import Step
 
 
-def may_run(agent: AgentView, service: str, step: Step) -> bool:
+def is_eligible(agent: AgentView, service: str, step: Step) -> bool:
     """Return whether an executor accepts tasks of the step.
 
     Its free resources are not considered.
@@ -20,6 +20,6 @@
     return not step.required_label or step.required_label in report.labels
 
 
-def may_start(agent: AgentView, service: str, step: Step) -> bool:
+def can_start(agent: AgentView, service: str, step: Step) -> bool:
     """Return whether a task of the step can start on an executor now."""
-    return agent.free.covers(step.demand) and may_run(agent, service, step)
+    return agent.free.covers(step.demand) and is_eligible(agent, service, step)
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from savoryrudder.dispatch.room import may_start
+from savoryrudder.dispatch.eligibility import can_start
 from savoryrudder.dispatch.state import TaskState
 from savoryrudder.protocol import work
 from savoryrudder.worker import outcomes
@@ -164,7 +164,7 @@
     for candidate in state.agents.values():
         if candidate.agent == task.agent or is_avoided(candidate, now):
             continue
-        if not may_start(candidate, job.queue.service, step):
+        if not can_start(candidate, job.queue.service, step):
             continue
         expected_ms = step.estimate_ms * (
             slowness_of(candidate, now) + _MIN_MOVE_GAIN
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -11,10 +11,10 @@
 from typing import Final
 from typing import NamedTuple
 
+from savoryrudder.dispatch.eligibility import can_start
+from savoryrudder.dispatch.eligibility import is_eligible
 from savoryrudder.dispatch.health import avoided_links
 from savoryrudder.dispatch.health import slowness_of
-from savoryrudder.dispatch.room import may_run
-from savoryrudder.dispatch.room import may_start
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -152,7 +152,7 @@
 ) -> Iterator[tuple[str, AgentView]]:
     step = progress.step
     for link, agent in agents.items():
-        if not may_start(agent, job.queue.service, step):
+        if not can_start(agent, job.queue.service, step):
             continue
         if step.max_per_executor and _at_limit(job, progress, agent):
             continue
@@ -178,7 +178,7 @@
     ranked_links = [
         (agent.free.cpu, link)
         for link, agent in state.agents.items()
-        if may_run(agent, job.queue.service, step)
+        if is_eligible(agent, job.queue.service, step)
         and agent.report
         and agent.report.capacity.covers(step.demand)
     ]
