Rename contests to contested jobs and the functions of claims

Contest -> ContestedJob DispatchState.contests -> contested_jobs DispatchState.orphans -> orphaned_jobs DispatchState.relinquished -> relinquish_requests contest -> defer_if_claimed greet_peer -> register_peer lose_peer -> remove_peer take_message -> handle_message settled_submissions -> pop_settled_submissions withdraw -> withdraw_submission announce -> announce_changes _close_contest -> _resolve_contested_job

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -12,7 +12,7 @@
 
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import jobs
-from savoryrudder.dispatch.state import Contest
+from savoryrudder.dispatch.state import ContestedJob
 from savoryrudder.dispatch.state import PeerView
 from savoryrudder.protocol import work
 
@@ -22,7 +22,7 @@
     from savoryrudder.dispatch.turn import Turn
 
 
-def greet_peer(
+def register_peer(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -50,7 +50,7 @@
     )
 
 
-def lose_peer(state: DispatchState, turn: Turn, link: str) -> None:
+def remove_peer(state: DispatchState, turn: Turn, link: str) -> None:
     """Handle the loss of an entry.
 
     Its jobs may be started here once agents have stopped its runs, which they
@@ -62,13 +62,13 @@
     settled_at = turn.now + state.timing.settle_s
     turn.log('peer-lost', peer=peer.entry, jobs=len(peer.jobs))
     for job_id in peer.jobs:
-        state.orphans[job_id] = settled_at
-    for contest in state.contests.values():
-        if contest.holder == link:
-            contest.settled_at = settled_at
+        state.orphaned_jobs[job_id] = settled_at
+    for contested_job in state.contested_jobs.values():
+        if contested_job.holder == link:
+            contested_job.settled_at = settled_at
 
 
-def contest(
+def defer_if_claimed(
     state: DispatchState,
     turn: Turn,
     event: JobSubmitted,
@@ -78,25 +78,25 @@
     Returns whether the submission was deferred.
     """
     job_id = event.job.job
-    existing_contest = state.contests.get(job_id)
-    if existing_contest is not None:
-        existing_contest.submissions.append(event)
+    existing = state.contested_jobs.get(job_id)
+    if existing is not None:
+        existing.submissions.append(event)
         return True
     holder = _find_holder(state, job_id)
-    settled_at = state.orphans.get(job_id, 0)
+    settled_at = state.orphaned_jobs.get(job_id, 0)
     if not holder and settled_at <= turn.now:
         return False
     turn.log('job-contested', job=job_id, holder=holder or 'lost')
-    new_contest = Contest([event], holder)
+    contested_job = ContestedJob([event], holder)
     if holder:
         turn.send(holder, work.RelinquishJob(job_id))
     else:
-        new_contest.settled_at = settled_at
-    state.contests[job_id] = new_contest
+        contested_job.settled_at = settled_at
+    state.contested_jobs[job_id] = contested_job
     return True
 
 
-def take_message(
+def handle_message(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -113,39 +113,39 @@
             _relinquish_job(state, turn, link, job_id)
         case work.JobRelinquished(job_id, verdict):
             peer.jobs.discard(job_id)
-            return _close_contest(state, turn, job_id, verdict)
+            return _resolve_contested_job(state, turn, job_id, verdict)
     return []
 
 
-def settled_submissions(
+def pop_settled_submissions(
     state: DispatchState,
     now: float,
 ) -> list[JobSubmitted]:
     """Remove and return submissions whose jobs no longer run elsewhere."""
-    for orphan_id, settled_at in tuple(state.orphans.items()):
+    for orphan_id, settled_at in tuple(state.orphaned_jobs.items()):
         if settled_at <= now:
-            state.orphans.pop(orphan_id)
+            state.orphaned_jobs.pop(orphan_id)
     settled: list[JobSubmitted] = []
-    for job_id, open_contest in tuple(state.contests.items()):
-        if open_contest.settled_at <= now:
-            state.contests.pop(job_id)
-            settled.extend(open_contest.submissions)
+    for job_id, contested_job in tuple(state.contested_jobs.items()):
+        if contested_job.settled_at <= now:
+            state.contested_jobs.pop(job_id)
+            settled.extend(contested_job.submissions)
     return settled
 
 
-def withdraw(state: DispatchState, request: int) -> None:
+def withdraw_submission(state: DispatchState, request: int) -> None:
     """Remove a deferred submission whose caller has disconnected."""
-    for job_id, open_contest in tuple(state.contests.items()):
-        open_contest.submissions = [
+    for job_id, contested_job in tuple(state.contested_jobs.items()):
+        contested_job.submissions = [
             submission
-            for submission in open_contest.submissions
+            for submission in contested_job.submissions
             if submission.request != request
         ]
-        if not open_contest.submissions:
-            state.contests.pop(job_id)
+        if not contested_job.submissions:
+            state.contested_jobs.pop(job_id)
 
 
-def announce(state: DispatchState, turn: Turn) -> None:
+def announce_changes(state: DispatchState, turn: Turn) -> None:
     """Announce claimed and released jobs to the other entries."""
     changes = state.claim_changes
     if changes.claimed:
@@ -155,7 +155,7 @@
         return
     _broadcast(state, turn, work.JobsReleased(tuple(changes.released)))
     for job_id in changes.released:
-        link = state.relinquished.pop(job_id, '')
+        link = state.relinquish_requests.pop(job_id, '')
         if link in state.peers:
             turn.send(link, work.JobRelinquished(job_id, ''))
     changes.released.clear()
@@ -190,25 +190,25 @@
         turn.send(link, work.JobRelinquished(job_id, verdict))
         return
     turn.log('job-relinquished', job=job_id, unsettled=job.out)
-    state.relinquished[job_id] = link
+    state.relinquish_requests[job_id] = link
     if not job.ended:
         superseded = answers.Answer(answers.SUPERSEDED)
         jobs.answer(state, turn, job, superseded)
 
 
-def _close_contest(
+def _resolve_contested_job(
     state: DispatchState,
     turn: Turn,
     job_id: str,
     verdict: str,
 ) -> list[JobSubmitted]:
-    closed_contest = state.contests.pop(job_id, None)
-    if closed_contest is None:
+    contested_job = state.contested_jobs.pop(job_id, None)
+    if contested_job is None:
         return []
     if not verdict:
-        return closed_contest.submissions
+        return contested_job.submissions
     holder_answer = answers.Answer(verdict)
     state.answered[job_id] = (turn.now, holder_answer)
-    for submission in closed_contest.submissions:
+    for submission in contested_job.submissions:
         turn.reply(submission.request, holder_answer)
     return []
--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -39,7 +39,7 @@
         return
     if turn.now >= state.exit_at - _ANSWER_DELIVERY_S:
         _answer_open_requests(state, turn)
-    if state.callers or state.contests:
+    if state.callers or state.contested_jobs:
         # The last answer, too, needs time to reach its caller.
         state.idle_from = turn.now + _ANSWER_DELIVERY_S
     is_idle = turn.now >= max(state.idle_from, state.balanced_until)
@@ -61,7 +61,7 @@
             is_unstarted = job.started_at is None
             final_answer = refusal if is_unstarted else interruption
             jobs.answer(state, turn, job, final_answer)
-    for contest in state.contests.values():
-        for submission in contest.submissions:
+    for contested_job in state.contested_jobs.values():
+        for submission in contested_job.submissions:
             turn.reply(submission.request, interruption)
-    state.contests.clear()
+    state.contested_jobs.clear()
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -82,7 +82,7 @@
         turn.reply(event.request, immediate_answer)
         return
     is_duplicate = event.job.job in state.jobs
-    if not is_duplicate and claims.contest(state, turn, event):
+    if not is_duplicate and claims.defer_if_claimed(state, turn, event):
         return
     job = state.jobs.get(event.job.job) or _accept_job(state, turn, event)
     if job.ended:
@@ -242,7 +242,7 @@
     job_id = state.callers.pop(event.request, '')
     job = state.jobs.get(job_id)
     if job is None:
-        claims.withdraw(state, event.request)
+        claims.withdraw_submission(state, event.request)
         return
     job.callers.discard(event.request)
     if job.callers or job.ended:
@@ -271,7 +271,7 @@
     event: events.LinkDown,
 ) -> None:
     fleet.lose(state, turn, event.link, event.reason)
-    claims.lose_peer(state, turn, event.link)
+    claims.remove_peer(state, turn, event.link)
 
 
 def _handle_message(
@@ -282,7 +282,7 @@
     if event.link in state.agents:
         _handle_agent_message(state, turn, event)
     elif event.link in state.peers:
-        for submission in claims.take_message(
+        for submission in claims.handle_message(
             state,
             turn,
             event.link,
@@ -304,7 +304,7 @@
         case work.AgentHello():
             fleet.greet(state, turn, event.link, event.message)
         case work.EntryHello():
-            claims.greet_peer(state, turn, event.link, event.message)
+            claims.register_peer(state, turn, event.link, event.message)
 
 
 def _handle_agent_message(
@@ -330,10 +330,10 @@
 ) -> None:
     fleet.settle_overdue(state, turn)
     jobs.refuse_overdue(state, turn)
-    for submission in claims.settled_submissions(state, turn.now):
+    for submission in claims.pop_settled_submissions(state, turn.now):
         _handle_job_submitted(state, turn, submission)
     jobs.forget_answers(state, turn.now)
-    claims.announce(state, turn)
+    claims.announce_changes(state, turn)
     fleet.confirm_ends(state, turn)
 
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -157,7 +157,7 @@
 
 
 @dataclass(slots=True)
-class Contest:
+class ContestedJob:
     """Submissions of a job that may still be running at another entry.
 
     `holder` is the link to that entry. If it was lost, `settled_at` is the time
@@ -193,11 +193,11 @@
     answered: dict[str, tuple[float, Answer]] = field(default_factory=dict)
     agents: dict[str, AgentView] = field(default_factory=dict)
     peers: dict[str, PeerView] = field(default_factory=dict)
-    contests: dict[str, Contest] = field(default_factory=dict)
+    contested_jobs: dict[str, ContestedJob] = field(default_factory=dict)
     # Job IDs of lost entries, with the time by which their runs have ended.
-    orphans: dict[str, float] = field(default_factory=dict)
+    orphaned_jobs: dict[str, float] = field(default_factory=dict)
     # Links of the entries that wait until a job has stopped here, by job ID.
-    relinquished: dict[str, str] = field(default_factory=dict)
+    relinquish_requests: dict[str, str] = field(default_factory=dict)
     # Ends of runs by link, to be acknowledged with the next tick.
     noted_ends: dict[str, list[RunName]] = field(default_factory=dict)
     claim_changes: ClaimChanges = field(default_factory=ClaimChanges)
