Rename two events of the dispatch reducer

JobAsked -> JobQueried CallerGone -> CallerDisconnected (of dispatch/events.py) _handle_job_asked -> _handle_job_queried _handle_caller_gone -> _handle_caller_disconnected

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -94,7 +94,9 @@
         finally:
             self._requests.pop(number, None)
             if request.answer is None:
-                self.handle(events.CallerGone(anyio.current_time(), number))
+                self.handle(
+                    events.CallerDisconnected(anyio.current_time(), number)
+                )
         if request.answer is None:
             raise RuntimeError('a request was answered without an answer')
         return request.answer
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -37,7 +37,7 @@
     patience_s: float | None
 
 
-class JobAsked(NamedTuple):
+class JobQueried(NamedTuple):
     """A caller requested the state of a job or the length of a queue."""
 
     now: float
@@ -55,7 +55,7 @@
     path: str
 
 
-class CallerGone(NamedTuple):
+class CallerDisconnected(NamedTuple):
     """The caller of a request closed its connection."""
 
     now: float
@@ -102,9 +102,9 @@
 DispatchEvent: TypeAlias = (
     ConfigurationRead
     | JobSubmitted
-    | JobAsked
+    | JobQueried
     | JobCancelled
-    | CallerGone
+    | CallerDisconnected
     | LinkUp
     | LinkDown
     | MessageReceived
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -165,10 +165,10 @@
     turn.log('job-revived', job=event.job.job, unsettled=job.out)
 
 
-def _handle_job_asked(
+def _handle_job_queried(
     state: DispatchState,
     turn: Turn,
-    event: events.JobAsked,
+    event: events.JobQueried,
 ) -> None:
     target = _resolve_path(state, event.host, event.path)
     if isinstance(target, answers.Answer):
@@ -234,10 +234,10 @@
     return answers.Answer(answers.RUNNING if is_running else answers.PENDING)
 
 
-def _handle_caller_gone(
+def _handle_caller_disconnected(
     state: DispatchState,
     turn: Turn,
-    event: events.CallerGone,
+    event: events.CallerDisconnected,
 ) -> None:
     job_id = state.callers.pop(event.request, '')
     job = state.jobs.get(job_id)
@@ -349,9 +349,9 @@
     {
         events.ConfigurationRead: _handle_configuration,
         events.JobSubmitted: _handle_job_submitted,
-        events.JobAsked: _handle_job_asked,
+        events.JobQueried: _handle_job_queried,
         events.JobCancelled: _handle_job_cancelled,
-        events.CallerGone: _handle_caller_gone,
+        events.CallerDisconnected: _handle_caller_disconnected,
         events.LinkUp: _handle_link_up,
         events.LinkDown: _handle_link_down,
         events.MessageReceived: _handle_message,
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -77,7 +77,7 @@
                 return await self._submit(call, content, receive)
             case 'GET':
                 return await self._ask(
-                    lambda now, number: events.JobAsked(
+                    lambda now, number: events.JobQueried(
                         now,
                         number,
                         call.host,
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -248,7 +248,7 @@
 
     def leave(self, entry: int, request: int) -> None:
         """Let the caller of a request close its connection."""
-        gone = entry_events.CallerGone(self.clock.now, request)
+        gone = entry_events.CallerDisconnected(self.clock.now, request)
         self.entries[entry].post(gone)
 
     def drain_entry(self, index: int, timeout_s: float) -> None:
