--- a/src/savoryrudder/dispatch/answers.py
+++ b/src/savoryrudder/dispatch/answers.py
@@ -24,7 +24,7 @@
 
 REFUSALS: Final = frozenset((OVERLOADED, UNAVAILABLE, UNSUPPORTED))
 # Verdicts after which another submission of the same job starts a new run.
-UNREPEATED: Final = REFUSALS | {SUPERSEDED, INTERRUPTED}
+RETRYABLE: Final = REFUSALS | {SUPERSEDED, INTERRUPTED}
 
 
 class Answer(NamedTuple):
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -127,7 +127,7 @@
         objective_ms=int(job.objective_s * MS_PER_S),
         unsettled=job.out,
     )
-    if final_answer.verdict not in answers.UNREPEATED:
+    if final_answer.verdict not in answers.RETRYABLE:
         state.answered[job.request.job] = (turn.now, final_answer)
     stop_runs(state, turn, job)
     forget_if_settled(state, job)
