--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -107,7 +107,7 @@
         pause_s = self._source.random.expovariate(rate)
         clock.after(pause_s, self._arrive, kind)
         job = self._source.draw(kind)
-        self._jobs[job.request.job] = job
+        self._jobs[job.request.job_id] = job
         entry = self._source.random.randrange(_ENTRIES)
         queue = self._queues[kind.name]
         number = self.fleet.submit(entry, job.request, queue)
--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -77,7 +77,7 @@
 
     Returns whether the submission was deferred.
     """
-    job_id = event.job.job
+    job_id = event.job.job_id
     existing = state.contested_jobs.get(job_id)
     if existing is not None:
         existing.submissions.append(event)
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -56,8 +56,8 @@
         job.steps.append(StepProgress(step, tasks, step.tasks))
     if event.patience_s is not None:
         job.expires_at = event.now + event.patience_s
-    state.jobs[request.job] = job
-    state.claim_changes.claimed.append(request.job)
+    state.jobs[request.job_id] = job
+    state.claim_changes.claimed.append(request.job_id)
     unlock_steps(job)
     enqueue(state, job)
     return job
@@ -68,7 +68,7 @@
     # that do not repeat. Reversed, because tasks are taken from the end.
     count = request.steps[step_index].tasks
     return [
-        f'{request.job}.0.{step_index}.{position}'
+        f'{request.job_id}.0.{step_index}.{position}'
         for position in reversed(range(count))
     ]
 
@@ -86,7 +86,7 @@
 
 def enqueue(state: DispatchState, job: Job) -> None:
     """Queue a job with waiting tasks unless it is queued already."""
-    queue_item = (job.latest_start, job.number, job.request.job)
+    queue_item = (job.latest_start, job.number, job.request.job_id)
     position = bisect_left(state.waiting, queue_item)
     is_queued = state.waiting[position : position + 1] == [queue_item]
     if job.has_waiting and not is_queued:
@@ -95,7 +95,7 @@
 
 def dequeue(state: DispatchState, job: Job) -> None:
     """Remove a job from the queue, if it is queued."""
-    queue_item = (job.latest_start, job.number, job.request.job)
+    queue_item = (job.latest_start, job.number, job.request.job_id)
     position = bisect_left(state.waiting, queue_item)
     if state.waiting[position : position + 1] == [queue_item]:
         state.waiting.pop(position)
@@ -119,7 +119,7 @@
     turn.observe(f'job_{final_answer.verdict}', elapsed_s)
     turn.log(
         'job-answered',
-        job=job.request.job,
+        job=job.request.job_id,
         queue=job.queue.name,
         verdict=final_answer.verdict,
         reason=final_answer.reason,
@@ -128,7 +128,7 @@
         unsettled=job.out,
     )
     if final_answer.verdict not in answers.RETRYABLE:
-        state.answered[job.request.job] = (turn.now, final_answer)
+        state.answered[job.request.job_id] = (turn.now, final_answer)
     stop_runs(state, turn, job)
     forget_if_settled(state, job)
 
@@ -147,8 +147,8 @@
 def forget_if_settled(state: DispatchState, job: Job) -> None:
     """Remove an ended job once none of its tasks can be running."""
     if job.ended and not job.out:
-        state.jobs.pop(job.request.job, None)
-        state.claim_changes.released.append(job.request.job)
+        state.jobs.pop(job.request.job_id, None)
+        state.claim_changes.released.append(job.request.job_id)
 
 
 def refuse_overdue(state: DispatchState, turn: Turn) -> None:
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -74,21 +74,21 @@
         turn.count(f'jobs_{immediate_answer.verdict}')
         turn.log(
             'job-refused',
-            job=event.job.job,
+            job=event.job.job_id,
             verdict=immediate_answer.verdict,
             reason=immediate_answer.reason,
             version=state.configuration.version,
         )
         turn.reply(event.request, immediate_answer)
         return
-    is_duplicate = event.job.job in state.jobs
+    is_duplicate = event.job.job_id in state.jobs
     if not is_duplicate and claims.defer_if_claimed(state, turn, event):
         return
-    job = state.jobs.get(event.job.job) or _accept_job(state, turn, event)
+    job = state.jobs.get(event.job.job_id) or _accept_job(state, turn, event)
     if job.ended:
         _revive_job(state, turn, job, event)
     job.callers.add(event.request)
-    state.callers[event.request] = event.job.job
+    state.callers[event.request] = event.job.job_id
 
 
 def _immediate_answer(
@@ -112,11 +112,11 @@
             'entry is stopping',
             _RETRY_SOON_S,
         )
-    existing_job = state.jobs.get(event.job.job)
+    existing_job = state.jobs.get(event.job.job_id)
     if existing_job is not None:
         is_same = existing_job.request == event.job
         return None if is_same else answers.Answer(answers.CONFLICT)
-    recent_answer = state.answered.get(event.job.job)
+    recent_answer = state.answered.get(event.job.job_id)
     if recent_answer is not None:
         return recent_answer[1]
     return admission.refusal_of(state, queue, event.job, event.now)
@@ -132,7 +132,7 @@
     turn.count('jobs_accepted')
     turn.log(
         'job-accepted',
-        job=event.job.job,
+        job=event.job.job_id,
         queue=queue.name,
         tasks=len(job.tasks),
         version=state.configuration.version,
@@ -162,7 +162,7 @@
     job.started_at = None
     job.ended = False
     jobs.enqueue(state, job)
-    turn.log('job-revived', job=event.job.job, unsettled=job.out)
+    turn.log('job-revived', job=event.job.job_id, unsettled=job.out)
 
 
 def _handle_job_queried(
--- a/src/savoryrudder/jobs/model.py
+++ b/src/savoryrudder/jobs/model.py
@@ -67,7 +67,7 @@
 class JobRequest(NamedTuple):
     """A job as submitted by a caller; `spec` is passed on uninterpreted."""
 
-    job: str
+    job_id: str
     spec: str
     steps: tuple[Step, ...]
 
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -238,7 +238,7 @@
                 self.clock.now,
                 number,
                 queue.host,
-                queue.prefix + job.job,
+                queue.prefix + job.job_id,
                 job,
                 '',
                 None,
