Rename the number of a request to request_id

JobSubmitted.request, JobQueried.request, JobCancelled.request, CallerDisconnected.request, Reply.request -> request_id request -> request_id (parameters and locals that are numbers)

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -158,7 +158,7 @@
     def _carry_out_own(self, effect: effects.DispatchEffect) -> None:
         if not isinstance(effect, effects.Reply):
             raise TypeError(f'unknown effect {effect}')
-        request = self._requests.get(effect.request)
+        request = self._requests.get(effect.request_id)
         if request is not None:
             request.answer = effect.answer
             request.answered.set()
--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -133,13 +133,13 @@
     return settled
 
 
-def withdraw_submission(state: DispatchState, request: int) -> None:
+def withdraw_submission(state: DispatchState, request_id: int) -> None:
     """Remove a deferred submission whose caller has disconnected."""
     for job_id, contested_job in tuple(state.contested_jobs.items()):
         contested_job.submissions = [
             submission
             for submission in contested_job.submissions
-            if submission.request != request
+            if submission.request_id != request_id
         ]
         if not contested_job.submissions:
             state.contested_jobs.pop(job_id)
@@ -210,5 +210,5 @@
     holder_answer = answers.Answer(verdict)
     state.answered[job_id] = (turn.now, holder_answer)
     for submission in contested_job.submissions:
-        turn.reply(submission.request, holder_answer)
+        turn.reply(submission.request_id, holder_answer)
     return []
--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -63,5 +63,5 @@
             jobs.answer(state, turn, job, final_answer)
     for contested_job in state.contested_jobs.values():
         for submission in contested_job.submissions:
-            turn.reply(submission.request, interruption)
+            turn.reply(submission.request_id, interruption)
     state.contested_jobs.clear()
--- a/src/savoryrudder/dispatch/effects.py
+++ b/src/savoryrudder/dispatch/effects.py
@@ -18,7 +18,7 @@
 class Reply(NamedTuple):
     """Send the answer to a caller's request."""
 
-    request: int
+    request_id: int
     answer: Answer | QueueLength
 
 
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -29,7 +29,7 @@
     """
 
     now: float
-    request: int
+    request_id: int
     host: str
     path: str
     job: JobRequest
@@ -41,7 +41,7 @@
     """A caller requested the state of a job or the length of a queue."""
 
     now: float
-    request: int
+    request_id: int
     host: str
     path: str
 
@@ -50,7 +50,7 @@
     """A caller requested the cancellation of a job."""
 
     now: float
-    request: int
+    request_id: int
     host: str
     path: str
 
@@ -59,7 +59,7 @@
     """The caller of a request closed its connection."""
 
     now: float
-    request: int
+    request_id: int
 
 
 class LinkUp(NamedTuple):
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -110,9 +110,9 @@
     """Send the final answer to all callers of a job and stop its runs."""
     job.ended = True
     dequeue(state, job)
-    for request in sorted(job.callers):
-        state.callers.pop(request, None)
-        turn.reply(request, final_answer)
+    for request_id in sorted(job.callers):
+        state.callers.pop(request_id, None)
+        turn.reply(request_id, final_answer)
     job.callers.clear()
     turn.count(f'jobs_{final_answer.verdict}')
     elapsed_s = turn.now - job.arrived_at
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -79,7 +79,7 @@
             reason=immediate_answer.reason,
             version=state.configuration.version,
         )
-        turn.reply(event.request, immediate_answer)
+        turn.reply(event.request_id, immediate_answer)
         return
     is_duplicate = event.job.job_id in state.jobs
     if not is_duplicate and claims.defer_if_claimed(state, turn, event):
@@ -87,8 +87,8 @@
     job = state.jobs.get(event.job.job_id) or _accept_job(state, turn, event)
     if job.ended:
         _revive_job(state, turn, job, event)
-    job.callers.add(event.request)
-    state.callers[event.request] = event.job.job_id
+    job.callers.add(event.request_id)
+    state.callers[event.request_id] = event.job.job_id
 
 
 def _immediate_answer(
@@ -172,7 +172,7 @@
 ) -> None:
     target = _resolve_path(state, event.host, event.path)
     if isinstance(target, answers.Answer):
-        turn.reply(event.request, target)
+        turn.reply(event.request_id, target)
         return
     queue, job_id = target
     if not job_id:
@@ -181,9 +181,9 @@
             for job in state.jobs.values()
             if job.queue.name == queue.name and job.started_at is None
         )
-        turn.reply(event.request, answers.QueueLength(waiting))
+        turn.reply(event.request_id, answers.QueueLength(waiting))
         return
-    turn.reply(event.request, _job_status(state, job_id))
+    turn.reply(event.request_id, _job_status(state, job_id))
 
 
 def _handle_job_cancelled(
@@ -193,15 +193,15 @@
 ) -> None:
     target = _resolve_path(state, event.host, event.path)
     if isinstance(target, answers.Answer):
-        turn.reply(event.request, target)
+        turn.reply(event.request_id, target)
         return
     _, job_id = target
     job = state.jobs.get(job_id)
     if job is None or job.ended:
-        turn.reply(event.request, answers.Answer(answers.UNKNOWN_JOB))
+        turn.reply(event.request_id, answers.Answer(answers.UNKNOWN_JOB))
         return
     jobs.answer(state, turn, job, answers.Answer(answers.CANCELLED))
-    turn.reply(event.request, answers.Answer(answers.CANCELLED))
+    turn.reply(event.request_id, answers.Answer(answers.CANCELLED))
 
 
 def _resolve_path(
@@ -239,12 +239,12 @@
     turn: Turn,
     event: events.CallerDisconnected,
 ) -> None:
-    job_id = state.callers.pop(event.request, '')
+    job_id = state.callers.pop(event.request_id, '')
     job = state.jobs.get(job_id)
     if job is None:
-        claims.withdraw_submission(state, event.request)
+        claims.withdraw_submission(state, event.request_id)
         return
-    job.callers.discard(event.request)
+    job.callers.discard(event.request_id)
     if job.callers or job.ended:
         return
     job.ended = True
--- a/src/savoryrudder/dispatch/turn.py
+++ b/src/savoryrudder/dispatch/turn.py
@@ -17,6 +17,6 @@
 class Turn(turn.Turn):
     """Collect the effects of one event, including answers to callers."""
 
-    def reply(self, request: int, answer: Answer | QueueLength) -> None:
+    def reply(self, request_id: int, answer: Answer | QueueLength) -> None:
         """Answer a caller's request."""
-        self.effects.append(Reply(request, answer))
+        self.effects.append(Reply(request_id, answer))
