Rename three time limits of an entry

JobSubmitted.patience_s -> caller_timeout_s DispatchTiming.answer_memory_s -> answer_retention_s DispatchTiming.balancer_s -> balancer_delay_s

--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -30,7 +30,7 @@
     turn.log('draining', jobs=len(state.jobs), timeout_s=event.timeout_s)
     state.leaving = True
     state.exit_at = turn.now + event.timeout_s
-    state.balanced_until = turn.now + state.timing.balancer_s
+    state.balanced_until = turn.now + state.timing.balancer_delay_s
 
 
 def go_on(state: DispatchState, turn: Turn) -> None:
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -24,7 +24,7 @@
     """A caller submitted a job.
 
     `unsupported` names the unsupported feature that the job requires, if any.
-    The caller waits for an answer for `patience_s` seconds, or without a
+    The caller waits for an answer for `caller_timeout_s` seconds, or without a
     limit if it is None.
     """
 
@@ -34,7 +34,7 @@
     path: str
     job: JobRequest
     unsupported: str
-    patience_s: float | None
+    caller_timeout_s: float | None
 
 
 class JobQueried(NamedTuple):
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -54,8 +54,8 @@
         tasks = [Task(task_name, index) for task_name in task_names]
         job.tasks.update((task.name, task) for task in tasks)
         job.steps.append(StepProgress(step, tasks, step.tasks))
-    if event.patience_s is not None:
-        job.expires_at = event.now + event.patience_s
+    if event.caller_timeout_s is not None:
+        job.expires_at = event.now + event.caller_timeout_s
     state.jobs[request.job_id] = job
     state.claim_changes.claimed.append(request.job_id)
     unlock_steps(job)
@@ -186,7 +186,7 @@
 
     No resubmission of their jobs is expected any more.
     """
-    oldest = now - state.timing.answer_memory_s
+    oldest = now - state.timing.answer_retention_s
     while state.answered:
         job_id = next(iter(state.answered))
         if state.answered[job_id][0] > oldest:
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -37,12 +37,12 @@
     """
 
     settle_s: float
-    answer_memory_s: float = 30
+    answer_retention_s: float = 30
     # Agents connect to an entry within this time after its start.
     warm_up_s: float = 1.2
     # The load balancer stops sending new connections within this time after
     # the entry reports not ready.
-    balancer_s: float = 2.5
+    balancer_delay_s: float = 2.5
 
 
 class TaskState(Enum):
