Rename fields of tasks and jobs

Task.step -> step_index Task.avoided -> avoided_agents Job.number -> sequence_number Job.callers -> open_requests Job.out -> outstanding Job.has_waiting -> has_waiting_tasks

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -189,7 +189,7 @@
         verdict = recent_answer[1].verdict if recent_answer else ''
         turn.send(link, work.JobRelinquished(job_id, verdict))
         return
-    turn.log('job-relinquished', job=job_id, unsettled=job.out)
+    turn.log('job-relinquished', job=job_id, unsettled=job.outstanding)
     state.relinquish_requests[job_id] = link
     if not job.ended:
         superseded = answers.Answer(answers.SUPERSEDED)
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -36,16 +36,16 @@
     """Send a placed task to its agent."""
     job, task, link = placement
     agent = state.agents[link]
-    progress = job.steps[task.step]
+    progress = job.steps[task.step_index]
     progress.waiting.remove(task)
     task.state = TaskState.placed
     task.agent = agent.agent
     task.run += 1
-    job.out += 1
+    job.outstanding += 1
     if job.started_at is None:
         job.started_at = turn.now
         turn.observe('job_wait', turn.now - job.arrived_at)
-    if not job.has_waiting:
+    if not job.has_waiting_tasks:
         jobs.dequeue(state, job)
     agent.starts_sent += 1
     agent.in_flight += 1
@@ -176,7 +176,7 @@
         if ended.reason == verdicts.OUTDATED:
             task.run += _RUN_NUMBER_INCREMENT
         if ended.outcome == outcomes.LOST:
-            task.avoided = {agent.agent}
+            task.avoided_agents = {agent.agent}
         _requeue_task(state, job, task)
     jobs.forget_if_settled(state, job)
 
@@ -191,7 +191,7 @@
 def settle_overdue(state: DispatchState, turn: Turn) -> None:
     """Requeue tasks of lost agents whose runs must have ended by now."""
     for job in tuple(state.jobs.values()):
-        if not job.out:
+        if not job.outstanding:
             continue
         for task in job.tasks.values():
             is_unsettled = task.state is TaskState.unsettled
@@ -213,7 +213,7 @@
     return [
         (job, task)
         for job in state.jobs.values()
-        if job.out
+        if job.outstanding
         for task in job.tasks.values()
         if task.agent == agent
     ]
@@ -227,8 +227,8 @@
 ) -> None:
     task.state = TaskState.done
     task.agent = ''
-    job.out -= 1
-    progress = job.steps[task.step]
+    job.outstanding -= 1
+    progress = job.steps[task.step_index]
     progress.remaining -= 1
     if job.ended:
         return
@@ -242,7 +242,7 @@
 
 def _fail_task(state: DispatchState, turn: Turn, job: Job, task: Task) -> None:
     task.failures += 1
-    task.avoided = task.avoided | {task.agent}
+    task.avoided_agents = task.avoided_agents | {task.agent}
     _requeue_task(state, job, task)
     if task.failures >= job.queue.attempts and not job.ended:
         failure = answers.Answer(
@@ -255,8 +255,8 @@
 def _requeue_task(state: DispatchState, job: Job, task: Task) -> None:
     task.state = TaskState.waiting
     task.agent = ''
-    job.out -= 1
-    job.steps[task.step].waiting.append(task)
+    job.outstanding -= 1
+    job.steps[task.step_index].waiting.append(task)
     if not job.ended:
         jobs.enqueue(state, job)
 
@@ -278,7 +278,7 @@
     task = job.tasks.get(ended.task) if job else None
     if job is not None and task is not None and task.run == ended.run:
         # Counted as free now; the next report replaces this value.
-        demand = job.steps[task.step].step.demand
+        demand = job.steps[task.step_index].step.demand
         agent.free = agent.free.plus(demand)
 
 
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -73,7 +73,7 @@
     if ended.outcome != outcomes.DONE:
         return
     agent.recent_failures = 0
-    estimate_ms = max(job.steps[task.step].step.estimate_ms, 1)
+    estimate_ms = max(job.steps[task.step_index].step.estimate_ms, 1)
     ratio = min(ended.duration_ms / estimate_ms, _MAX_SLOWNESS)
     agent.usual_slowness += _SMOOTHING_FACTOR * (ratio - agent.usual_slowness)
 
@@ -133,7 +133,7 @@
     )
     if is_moved:
         task.moved = True
-        task.avoided = task.avoided | {agent.agent}
+        task.avoided_agents = task.avoided_agents | {agent.agent}
         turn.send(link, work.StopTask(task.name, task.run))
 
 
@@ -160,7 +160,7 @@
     if task.moved:
         # The task was slow at another executor, too: moving does not help.
         return False
-    step = job.steps[task.step].step
+    step = job.steps[task.step_index].step
     for candidate in state.agents.values():
         if candidate.agent == task.agent or is_avoided(candidate, now):
             continue
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -86,16 +86,16 @@
 
 def enqueue(state: DispatchState, job: Job) -> None:
     """Queue a job with waiting tasks unless it is queued already."""
-    queue_item = (job.latest_start, job.number, job.request.job_id)
+    queue_item = (job.latest_start, job.sequence_number, job.request.job_id)
     position = bisect_left(state.waiting, queue_item)
     is_queued = state.waiting[position : position + 1] == [queue_item]
-    if job.has_waiting and not is_queued:
+    if job.has_waiting_tasks and not is_queued:
         insort(state.waiting, queue_item)
 
 
 def dequeue(state: DispatchState, job: Job) -> None:
     """Remove a job from the queue, if it is queued."""
-    queue_item = (job.latest_start, job.number, job.request.job_id)
+    queue_item = (job.latest_start, job.sequence_number, job.request.job_id)
     position = bisect_left(state.waiting, queue_item)
     if state.waiting[position : position + 1] == [queue_item]:
         state.waiting.pop(position)
@@ -110,10 +110,10 @@
     """Send the final answer to all callers of a job and stop its runs."""
     job.ended = True
     dequeue(state, job)
-    for request_id in sorted(job.callers):
+    for request_id in sorted(job.open_requests):
         state.callers.pop(request_id, None)
         turn.reply(request_id, final_answer)
-    job.callers.clear()
+    job.open_requests.clear()
     turn.count(f'jobs_{final_answer.verdict}')
     elapsed_s = turn.now - job.arrived_at
     turn.observe(f'job_{final_answer.verdict}', elapsed_s)
@@ -125,7 +125,7 @@
         reason=final_answer.reason,
         elapsed_ms=int(elapsed_s * MS_PER_S),
         objective_ms=int(job.objective_s * MS_PER_S),
-        unsettled=job.out,
+        unsettled=job.outstanding,
     )
     if final_answer.verdict not in answers.RETRYABLE:
         state.answered[job.request.job_id] = (turn.now, final_answer)
@@ -135,7 +135,7 @@
 
 def stop_runs(state: DispatchState, turn: Turn, job: Job) -> None:
     """Ask agents to stop the runs of a job."""
-    if not job.out:
+    if not job.outstanding:
         return
     links_by_agent = {agent.agent: link for link, agent in state.agents.items()}
     for task in job.tasks.values():
@@ -146,7 +146,7 @@
 
 def forget_if_settled(state: DispatchState, job: Job) -> None:
     """Remove an ended job once none of its tasks can be running."""
-    if job.ended and not job.out:
+    if job.ended and not job.outstanding:
         state.jobs.pop(job.request.job_id, None)
         state.claim_changes.released.append(job.request.job_id)
 
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -65,7 +65,7 @@
                     job,
                     progress,
                 )
-        if job.has_waiting:
+        if job.has_waiting_tasks:
             blocked_jobs += 1
             if blocked_jobs > _MAX_BLOCKED_JOBS:
                 return
@@ -116,7 +116,7 @@
         ):
             continue
         penalty_ms = _AVOIDED_PENALTY_MS * (
-            agent.on_trial + (agent.agent in task.avoided)
+            agent.on_trial + (agent.agent in task.avoided_agents)
         )
         cost = (
             penalty_ms + _cost_ms(search.state, progress, agent, search.now),
@@ -164,7 +164,7 @@
     tasks_on_executor = sum(
         1
         for task in job.tasks.values()
-        if task.step == index and task.agent == agent.agent
+        if task.step_index == index and task.agent == agent.agent
     )
     return tasks_on_executor >= progress.step.max_per_executor
 
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -87,7 +87,7 @@
     job = state.jobs.get(event.job.job_id) or _accept_job(state, turn, event)
     if job.ended:
         _revive_job(state, turn, job, event)
-    job.callers.add(event.request_id)
+    job.open_requests.add(event.request_id)
     state.callers[event.request_id] = event.job.job_id
 
 
@@ -162,7 +162,7 @@
     job.started_at = None
     job.ended = False
     jobs.enqueue(state, job)
-    turn.log('job-revived', job=event.job.job_id, unsettled=job.out)
+    turn.log('job-revived', job=event.job.job_id, unsettled=job.outstanding)
 
 
 def _handle_job_queried(
@@ -244,13 +244,13 @@
     if job is None:
         claims.withdraw_submission(state, event.request_id)
         return
-    job.callers.discard(event.request_id)
-    if job.callers or job.ended:
+    job.open_requests.discard(event.request_id)
+    if job.open_requests or job.ended:
         return
     job.ended = True
     jobs.dequeue(state, job)
     turn.count('jobs_abandoned')
-    turn.log('job-abandoned', job=job_id, unsettled=job.out)
+    turn.log('job-abandoned', job=job_id, unsettled=job.outstanding)
     jobs.stop_runs(state, turn, job)
     jobs.forget_if_settled(state, job)
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -60,14 +60,14 @@
     """A task of a job; `run` is the number of its latest run."""
 
     name: str
-    step: int
+    step_index: int
     state: TaskState = TaskState.waiting
     run: int = 0
     failures: int = 0
     agent: str = ''
     settled_at: float = 0
     moved: bool = False
-    avoided: set[str] = field(default_factory=set)
+    avoided_agents: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -85,8 +85,8 @@
     """A job that is unanswered or has tasks that may still be running.
 
     `objective_s` is the latency objective, counted from the arrival; to meet
-    it, the job has to start by `latest_start`. `out` counts the tasks that are
-    placed or unsettled.
+    it, the job has to start by `latest_start`. `outstanding` counts the tasks
+    that are placed or unsettled.
     """
 
     request: JobRequest
@@ -94,17 +94,17 @@
     arrived_at: float
     objective_s: float
     latest_start: float
-    number: int
+    sequence_number: int
     steps: list[StepProgress]
     tasks: dict[str, Task]
-    callers: set[int] = field(default_factory=set)
+    open_requests: set[int] = field(default_factory=set)
     expires_at: float = float('inf')
     started_at: float | None = None
-    out: int = 0
+    outstanding: int = 0
     ended: bool = False
 
     @property
-    def has_waiting(self) -> bool:
+    def has_waiting_tasks(self) -> bool:
         """Return whether a task of an unlocked step is waiting."""
         return any(step.waiting for step in self.steps if step.unlocked)
 
