Rename fields of AgentView

AgentView.agent -> name AgentView.listed -> reconciled AgentView.pending -> unreported_starts AgentView.usual_slowness -> average_slowness AgentView.slowness -> reported_slowness AgentView.failing_until -> avoided_until AgentView.recent_failures -> consecutive_failures

--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -39,7 +39,7 @@
     progress = job.steps[task.step_index]
     progress.waiting.remove(task)
     task.state = TaskState.placed
-    task.agent = agent.agent
+    task.agent = agent.name
     task.run += 1
     job.outstanding += 1
     if job.started_at is None:
@@ -50,7 +50,7 @@
     agent.starts_sent += 1
     agent.in_flight += 1
     demand = progress.step.demand
-    agent.pending[agent.starts_sent] = (task.name, demand)
+    agent.unreported_starts[agent.starts_sent] = (task.name, demand)
     agent.free = agent.free.minus(demand)
     turn.send(
         link,
@@ -74,7 +74,7 @@
 ) -> None:
     """Register an agent; a former link of the same agent is dropped."""
     for former_link, agent in tuple(state.agents.items()):
-        if agent.agent == hello.agent:
+        if agent.name == hello.agent:
             lose(state, turn, former_link, 'replaced by a new link')
     state.links.pop(link, None)
     state.agents[link] = AgentView(
@@ -99,7 +99,7 @@
         return
     tasks = [
         task
-        for _, task in _tasks_of_agent(state, agent.agent)
+        for _, task in _tasks_of_agent(state, agent.name)
         if task.state is TaskState.placed
     ]
     for task in tasks:
@@ -107,7 +107,7 @@
         task.settled_at = turn.now + state.timing.settle_s
     turn.log(
         'agent-lost',
-        agent=agent.agent,
+        agent=agent.name,
         reason=reason,
         tasks=len(tasks),
     )
@@ -122,14 +122,14 @@
     """Reconcile unsettled tasks with the runs that an agent lists."""
     agent = state.agents[link]
     listed_runs = dict(message.tasks)
-    for job, task in _tasks_of_agent(state, agent.agent):
+    for job, task in _tasks_of_agent(state, agent.name):
         if task.state is not TaskState.unsettled:
             continue
         if listed_runs.get(task.name) == task.run:
             task.state = TaskState.placed
             if job.ended:
                 turn.send(link, work.StopTask(task.name, task.run))
-    agent.listed = True
+    agent.reconciled = True
 
 
 def take_report(
@@ -141,13 +141,13 @@
     """Update the capacity and free resources of an executor."""
     agent = state.agents[link]
     agent.report = report
-    for number in tuple(agent.pending):
+    for number in tuple(agent.unreported_starts):
         if number <= report.starts_seen:
-            agent.pending.pop(number)
+            agent.unreported_starts.pop(number)
     _update_free(agent)
     if report.accepting:
         # Any run that the agent did not list has ended.
-        _requeue_unsettled(state, turn, agent.agent)
+        _requeue_unsettled(state, turn, agent.name)
 
 
 def take_end(
@@ -176,7 +176,7 @@
         if ended.reason == verdicts.OUTDATED:
             task.run += _RUN_NUMBER_INCREMENT
         if ended.outcome == outcomes.LOST:
-            task.avoided_agents = {agent.agent}
+            task.avoided_agents = {agent.name}
         _requeue_task(state, job, task)
     jobs.forget_if_settled(state, job)
 
@@ -266,10 +266,10 @@
     agent: AgentView,
     ended: work.TaskEnded,
 ) -> None:
-    for number, (task_name, _) in tuple(agent.pending.items()):
+    for number, (task_name, _) in tuple(agent.unreported_starts.items()):
         if task_name == ended.task:
             # The reported free resources do not include this run yet.
-            agent.pending.pop(number)
+            agent.unreported_starts.pop(number)
             _update_free(agent)
             return
     if ended.outcome not in _RELEASING_OUTCOMES:
@@ -286,5 +286,5 @@
     if agent.report is None:
         return
     agent.free = agent.report.free
-    for _, demand in agent.pending.values():
+    for _, demand in agent.unreported_starts.values():
         agent.free = agent.free.minus(demand)
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -50,14 +50,14 @@
     """Return whether an executor fails tasks repeatedly or is too slow."""
     if slowness_of(agent, now) >= _SLOWNESS_THRESHOLD:
         return True
-    if agent.recent_failures < _FAILURE_THRESHOLD:
+    if agent.consecutive_failures < _FAILURE_THRESHOLD:
         return False
-    return now < agent.failing_until or agent.in_flight > 0
+    return now < agent.avoided_until or agent.in_flight > 0
 
 
 def slowness_of(agent: AgentView, now: float) -> float:
     """Return the current task duration relative to the estimate."""
-    return agent.slowness if now < agent.slow_until else 1
+    return agent.reported_slowness if now < agent.slow_until else 1
 
 
 def note_end(
@@ -72,25 +72,27 @@
         note_failure(turn, agent, ended.reason)
     if ended.outcome != outcomes.DONE:
         return
-    agent.recent_failures = 0
+    agent.consecutive_failures = 0
     estimate_ms = max(job.steps[task.step_index].step.estimate_ms, 1)
     ratio = min(ended.duration_ms / estimate_ms, _MAX_SLOWNESS)
-    agent.usual_slowness += _SMOOTHING_FACTOR * (ratio - agent.usual_slowness)
+    agent.average_slowness += _SMOOTHING_FACTOR * (
+        ratio - agent.average_slowness
+    )
 
 
 def note_failure(turn: Turn, agent: AgentView, reason: str) -> None:
     """Count a failure; avoid the executor after several in a row."""
-    agent.recent_failures += 1
-    excess_failures = agent.recent_failures - _FAILURE_THRESHOLD
+    agent.consecutive_failures += 1
+    excess_failures = agent.consecutive_failures - _FAILURE_THRESHOLD
     if excess_failures < 0:
         return
     pause_s = min(_MIN_AVOIDANCE_S * 2**excess_failures, _MAX_AVOIDANCE_S)
-    agent.failing_until = turn.now + pause_s
+    agent.avoided_until = turn.now + pause_s
     turn.count('executors_avoided')
     turn.log(
         'executor-avoided',
-        agent=agent.agent,
-        failures=agent.recent_failures,
+        agent=agent.name,
+        failures=agent.consecutive_failures,
         pause_s=pause_s,
         reason=reason,
     )
@@ -108,7 +110,7 @@
     """
     agent = state.agents[link]
     if slow_run.slowness:
-        agent.slowness = min(slow_run.slowness, _MAX_SLOWNESS)
+        agent.reported_slowness = min(slow_run.slowness, _MAX_SLOWNESS)
         agent.slow_until = turn.now + _SLOWNESS_VALIDITY_S
         if slow_run.remaining_ms < 0:
             note_failure(turn, agent, 'no progress')
@@ -126,14 +128,14 @@
     turn.log(
         'task-slow',
         task=task.name,
-        agent=agent.agent,
+        agent=agent.name,
         slowness=slow_run.slowness,
         remaining_ms=slow_run.remaining_ms,
         moved=is_moved,
     )
     if is_moved:
         task.moved = True
-        task.avoided_agents = task.avoided_agents | {agent.agent}
+        task.avoided_agents = task.avoided_agents | {agent.name}
         turn.send(link, work.StopTask(task.name, task.run))
 
 
@@ -162,7 +164,7 @@
         return False
     step = job.steps[task.step_index].step
     for candidate in state.agents.values():
-        if candidate.agent == task.agent or is_avoided(candidate, now):
+        if candidate.name == task.agent or is_avoided(candidate, now):
             continue
         if not can_start(candidate, job.queue.service, step):
             continue
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -137,7 +137,7 @@
     """Ask agents to stop the runs of a job."""
     if not job.outstanding:
         return
-    links_by_agent = {agent.agent: link for link, agent in state.agents.items()}
+    links_by_agent = {agent.name: link for link, agent in state.agents.items()}
     for task in job.tasks.values():
         if task.state is TaskState.placed and task.agent in links_by_agent:
             link = links_by_agent[task.agent]
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -116,7 +116,7 @@
         ):
             continue
         penalty_ms = _AVOIDED_PENALTY_MS * (
-            agent.on_trial + (agent.agent in task.avoided_agents)
+            agent.on_trial + (agent.name in task.avoided_agents)
         )
         cost = (
             penalty_ms + _cost_ms(search.state, progress, agent, search.now),
@@ -135,7 +135,7 @@
     now: float,
 ) -> float:
     step = progress.step
-    slowness = max(agent.usual_slowness, slowness_of(agent, now))
+    slowness = max(agent.average_slowness, slowness_of(agent, now))
     cost_ms = step.estimate_ms * slowness
     report = agent.report
     if step.data_rack and report and step.data_rack not in report.labels:
@@ -164,7 +164,7 @@
     tasks_on_executor = sum(
         1
         for task in job.tasks.values()
-        if task.step_index == index and task.agent == agent.agent
+        if task.step_index == index and task.agent == agent.name
     )
     return tasks_on_executor >= progress.step.max_per_executor
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -113,33 +113,35 @@
 class AgentView:
     """An entry's view of an agent and the executor beside it.
 
-    `pending` holds, by number, the starts that the reported free resources do
-    not include yet. `listed` is set once the agent has listed its runs of
-    tasks of this entry. `usual_slowness` is the moving average of the task
-    duration relative to the estimate; `slowness` is the same ratio of the
-    latest slow run and is valid until `slow_until`.
+    `unreported_starts` holds, by number, the starts that the reported free
+    resources do not include yet. `reconciled` is set once the agent has listed
+    its runs of tasks of this entry. `average_slowness` is the moving average
+    of the task duration relative to the estimate; `reported_slowness` is the
+    same ratio of the latest slow run and is valid until `slow_until`.
     """
 
-    agent: str
+    name: str
     incarnation: str
     zone: str
     report: ExecutorReport | None = None
-    listed: bool = False
+    reconciled: bool = False
     starts_sent: int = 0
-    pending: dict[int, tuple[str, Resources]] = field(default_factory=dict)
+    unreported_starts: dict[int, tuple[str, Resources]] = field(
+        default_factory=dict
+    )
     free: Resources = NO_RESOURCES
-    usual_slowness: float = 1
-    slowness: float = 1
+    average_slowness: float = 1
+    reported_slowness: float = 1
     slow_until: float = 0
-    failing_until: float = 0
-    recent_failures: int = 0
+    avoided_until: float = 0
+    consecutive_failures: int = 0
     in_flight: int = 0
 
     @property
     def usable(self) -> bool:
         """Return whether tasks may be sent to the agent."""
         report = self.report
-        return self.listed and report is not None and report.accepting
+        return self.reconciled and report is not None and report.accepting
 
     @property
     def on_trial(self) -> bool:
