Rename fields of DispatchState

DispatchState.waiting -> job_queue DispatchState.callers -> open_requests DispatchState.answered -> recent_answers DispatchState.noted_ends -> unacknowledged_ends DispatchState.links -> unidentified_links DispatchState.jobs_seen -> jobs_created DispatchState.leaving -> draining DispatchState.balanced_until -> new_connections_until DispatchState.warm_until -> warm_up_until

--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -49,7 +49,7 @@
     now: float,
 ) -> answers.Answer | None:
     """Return the refusal of a job that cannot be accepted, or None."""
-    if state.leaving and now + _objective_s(queue, request) > state.exit_at:
+    if state.draining and now + _objective_s(queue, request) > state.exit_at:
         return answers.Answer(
             answers.UNAVAILABLE,
             'entry is stopping',
@@ -60,7 +60,7 @@
         for agent in state.agents.values()
         if agent.report is not None and agent.report.service == queue.service
     ]
-    if now < state.warm_until:
+    if now < state.warm_up_until:
         # Agents may still be connecting after the start, so the job is queued.
         return None
     if not any(agent.usable for agent in agents):
@@ -103,7 +103,7 @@
     ]
     latest_start = now + _slack_s(queue, request)
     work_cpu_ms = sum(_step_work(step) for step in request.steps)
-    for queued_latest_start, _, job_id in state.waiting:
+    for queued_latest_start, _, job_id in state.job_queue:
         if queued_latest_start > latest_start:
             break
         work_cpu_ms += waiting_work(state.jobs[job_id])
--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -29,7 +29,7 @@
     hello: work.EntryHello,
 ) -> None:
     """Register another entry and send it the jobs claimed here."""
-    if not state.links.pop(link):
+    if not state.unidentified_links.pop(link):
         send_hello(state, turn, link)
     state.peers[link] = PeerView(hello.entry, hello.incarnation)
     turn.log('peer-linked', peer=hello.entry, incarnation=hello.incarnation)
@@ -185,7 +185,7 @@
 ) -> None:
     job = state.jobs.get(job_id)
     if job is None:
-        recent_answer = state.answered.get(job_id)
+        recent_answer = state.recent_answers.get(job_id)
         verdict = recent_answer[1].verdict if recent_answer else ''
         turn.send(link, work.JobRelinquished(job_id, verdict))
         return
@@ -208,7 +208,7 @@
     if not verdict:
         return contested_job.submissions
     holder_answer = answers.Answer(verdict)
-    state.answered[job_id] = (turn.now, holder_answer)
+    state.recent_answers[job_id] = (turn.now, holder_answer)
     for submission in contested_job.submissions:
         turn.reply(submission.request_id, holder_answer)
     return []
--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -25,24 +25,24 @@
     The entry reports not ready, but serves requests until the load balancer
     has stopped sending them and all callers have their answers.
     """
-    if state.leaving:
+    if state.draining:
         return
     turn.log('draining', jobs=len(state.jobs), timeout_s=event.timeout_s)
-    state.leaving = True
+    state.draining = True
     state.exit_at = turn.now + event.timeout_s
-    state.balanced_until = turn.now + state.timing.balancer_delay_s
+    state.new_connections_until = turn.now + state.timing.balancer_delay_s
 
 
 def go_on(state: DispatchState, turn: Turn) -> None:
     """Answer the remaining requests before the timeout, and exit when idle."""
-    if not state.leaving or state.exited:
+    if not state.draining or state.exited:
         return
     if turn.now >= state.exit_at - _ANSWER_DELIVERY_S:
         _answer_open_requests(state, turn)
-    if state.callers or state.contested_jobs:
+    if state.open_requests or state.contested_jobs:
         # The last answer, too, needs time to reach its caller.
         state.idle_from = turn.now + _ANSWER_DELIVERY_S
-    is_idle = turn.now >= max(state.idle_from, state.balanced_until)
+    is_idle = turn.now >= max(state.idle_from, state.new_connections_until)
     if is_idle or turn.now >= state.exit_at:
         turn.log('drained', jobs=len(state.jobs))
         state.exited = True
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -76,7 +76,7 @@
     for former_link, agent in tuple(state.agents.items()):
         if agent.name == hello.agent:
             lose(state, turn, former_link, 'replaced by a new link')
-    state.links.pop(link, None)
+    state.unidentified_links.pop(link, None)
     state.agents[link] = AgentView(
         hello.agent,
         hello.incarnation,
@@ -92,9 +92,9 @@
     If it led to an agent, the runs there may continue for up to `settle_s`, so
     their tasks become unsettled.
     """
-    state.links.pop(link, None)
+    state.unidentified_links.pop(link, None)
     agent = state.agents.pop(link, None)
-    state.noted_ends.pop(link, None)
+    state.unacknowledged_ends.pop(link, None)
     if agent is None:
         return
     tasks = [
@@ -159,7 +159,9 @@
     """Handle the end of a run: complete, fail or requeue its task."""
     agent = state.agents[link]
     _release_resources(state, agent, ended)
-    state.noted_ends.setdefault(link, []).append((ended.task, ended.run))
+    state.unacknowledged_ends.setdefault(link, []).append(
+        (ended.task, ended.run)
+    )
     agent.in_flight = max(agent.in_flight - 1, 0)
     job = state.jobs.get(ended.task.partition('.')[0])
     task = job.tasks.get(ended.task) if job else None
@@ -183,9 +185,9 @@
 
 def confirm_ends(state: DispatchState, turn: Turn) -> None:
     """Acknowledge the ends of runs to their agents."""
-    for link, ends in state.noted_ends.items():
+    for link, ends in state.unacknowledged_ends.items():
         turn.send(link, work.EndsNoted(tuple(ends)))
-    state.noted_ends.clear()
+    state.unacknowledged_ends.clear()
 
 
 def settle_overdue(state: DispatchState, turn: Turn) -> None:
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -38,14 +38,14 @@
     request = event.job
     ideal_s = admission.ideal_duration_s(request)
     objective_s = queue.stretch * ideal_s + queue.target_ms / MS_PER_S
-    state.jobs_seen += 1
+    state.jobs_created += 1
     job = Job(
         request,
         queue,
         event.now,
         objective_s,
         event.now + objective_s - ideal_s,
-        state.jobs_seen,
+        state.jobs_created,
         [],
         {},
     )
@@ -87,18 +87,18 @@
 def enqueue(state: DispatchState, job: Job) -> None:
     """Queue a job with waiting tasks unless it is queued already."""
     queue_item = (job.latest_start, job.sequence_number, job.request.job_id)
-    position = bisect_left(state.waiting, queue_item)
-    is_queued = state.waiting[position : position + 1] == [queue_item]
+    position = bisect_left(state.job_queue, queue_item)
+    is_queued = state.job_queue[position : position + 1] == [queue_item]
     if job.has_waiting_tasks and not is_queued:
-        insort(state.waiting, queue_item)
+        insort(state.job_queue, queue_item)
 
 
 def dequeue(state: DispatchState, job: Job) -> None:
     """Remove a job from the queue, if it is queued."""
     queue_item = (job.latest_start, job.sequence_number, job.request.job_id)
-    position = bisect_left(state.waiting, queue_item)
-    if state.waiting[position : position + 1] == [queue_item]:
-        state.waiting.pop(position)
+    position = bisect_left(state.job_queue, queue_item)
+    if state.job_queue[position : position + 1] == [queue_item]:
+        state.job_queue.pop(position)
 
 
 def answer(
@@ -111,7 +111,7 @@
     job.ended = True
     dequeue(state, job)
     for request_id in sorted(job.open_requests):
-        state.callers.pop(request_id, None)
+        state.open_requests.pop(request_id, None)
         turn.reply(request_id, final_answer)
     job.open_requests.clear()
     turn.count(f'jobs_{final_answer.verdict}')
@@ -128,7 +128,7 @@
         unsettled=job.outstanding,
     )
     if final_answer.verdict not in answers.RETRYABLE:
-        state.answered[job.request.job_id] = (turn.now, final_answer)
+        state.recent_answers[job.request.job_id] = (turn.now, final_answer)
     stop_runs(state, turn, job)
     forget_if_settled(state, job)
 
@@ -156,7 +156,7 @@
 
     Jobs without a started task are refused, others are interrupted.
     """
-    for _, _, job_id in tuple(state.waiting):
+    for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
         if job.started_at is not None:
             if turn.now >= job.expires_at:
@@ -173,7 +173,7 @@
 
 def _start_deadline(state: DispatchState, job: Job) -> float:
     deadline = min(job.latest_start, job.expires_at)
-    if job.arrived_at < state.warm_until:
+    if job.arrived_at < state.warm_up_until:
         return deadline
     return min(
         deadline,
@@ -187,8 +187,8 @@
     No resubmission of their jobs is expected any more.
     """
     oldest = now - state.timing.answer_retention_s
-    while state.answered:
-        job_id = next(iter(state.answered))
-        if state.answered[job_id][0] > oldest:
+    while state.recent_answers:
+        job_id = next(iter(state.recent_answers))
+        if state.recent_answers[job_id][0] > oldest:
             return
-        state.answered.pop(job_id)
+        state.recent_answers.pop(job_id)
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -51,12 +51,12 @@
 
 def place(state: DispatchState, now: float) -> Iterator[Placement]:
     """Yield placements; the caller applies each one before the next."""
-    if not state.waiting:
+    if not state.job_queue:
         return
     avoided = avoided_links(state, now)
     reserved: set[str] = set()
     blocked_jobs = 0
-    for _, _, job_id in tuple(state.waiting):
+    for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
         for progress in job.steps:
             if progress.unlocked:
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -88,7 +88,7 @@
     if job.ended:
         _revive_job(state, turn, job, event)
     job.open_requests.add(event.request_id)
-    state.callers[event.request_id] = event.job.job_id
+    state.open_requests[event.request_id] = event.job.job_id
 
 
 def _immediate_answer(
@@ -116,7 +116,7 @@
     if existing_job is not None:
         is_same = existing_job.request == event.job
         return None if is_same else answers.Answer(answers.CONFLICT)
-    recent_answer = state.answered.get(event.job.job_id)
+    recent_answer = state.recent_answers.get(event.job.job_id)
     if recent_answer is not None:
         return recent_answer[1]
     return admission.refusal_of(state, queue, event.job, event.now)
@@ -136,7 +136,7 @@
         queue=queue.name,
         tasks=len(job.tasks),
         version=state.configuration.version,
-        queued=len(state.waiting),
+        queued=len(state.job_queue),
     )
     return job
 
@@ -224,7 +224,7 @@
 def _job_status(state: DispatchState, job_id: str) -> answers.Answer:
     job = state.jobs.get(job_id)
     if job is None or job.ended:
-        recent_answer = state.answered.get(job_id)
+        recent_answer = state.recent_answers.get(job_id)
         return (
             recent_answer[1]
             if recent_answer
@@ -239,7 +239,7 @@
     turn: Turn,
     event: events.CallerDisconnected,
 ) -> None:
-    job_id = state.callers.pop(event.request_id, '')
+    job_id = state.open_requests.pop(event.request_id, '')
     job = state.jobs.get(job_id)
     if job is None:
         claims.withdraw_submission(state, event.request_id)
@@ -260,7 +260,7 @@
     turn: Turn,
     event: events.LinkUp,
 ) -> None:
-    state.links[event.link] = event.dialled
+    state.unidentified_links[event.link] = event.dialled
     if event.dialled:
         claims.send_hello(state, turn, event.link)
 
@@ -289,7 +289,7 @@
             event.message,
         ):
             _handle_job_submitted(state, turn, submission)
-    elif event.link in state.links:
+    elif event.link in state.unidentified_links:
         _handle_hello(state, turn, event)
     else:
         turn.count('wasted_messages')
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -188,11 +188,13 @@
     configuration: Configuration = NO_CONFIGURATION
     jobs: dict[str, Job] = field(default_factory=dict)
     # Queued jobs as (latest start, number, job ID), sorted.
-    waiting: list[tuple[float, int, str]] = field(default_factory=list)
+    job_queue: list[tuple[float, int, str]] = field(default_factory=list)
     # Job IDs by the number of the open request that waits for the answer.
-    callers: dict[int, str] = field(default_factory=dict)
+    open_requests: dict[int, str] = field(default_factory=dict)
     # Final answers with their times, by job ID, for resubmissions.
-    answered: dict[str, tuple[float, Answer]] = field(default_factory=dict)
+    recent_answers: dict[str, tuple[float, Answer]] = field(
+        default_factory=dict
+    )
     agents: dict[str, AgentView] = field(default_factory=dict)
     peers: dict[str, PeerView] = field(default_factory=dict)
     contested_jobs: dict[str, ContestedJob] = field(default_factory=dict)
@@ -201,20 +203,20 @@
     # Links of the entries that wait until a job has stopped here, by job ID.
     relinquish_requests: dict[str, str] = field(default_factory=dict)
     # Ends of runs by link, to be acknowledged with the next tick.
-    noted_ends: dict[str, list[RunName]] = field(default_factory=dict)
+    unacknowledged_ends: dict[str, list[RunName]] = field(default_factory=dict)
     claim_changes: ClaimChanges = field(default_factory=ClaimChanges)
     # Links without a hello message yet, and whether this entry initiated them.
-    links: dict[str, bool] = field(default_factory=dict)
-    jobs_seen: int = 0
+    unidentified_links: dict[str, bool] = field(default_factory=dict)
+    jobs_created: int = 0
     started_at: float = 0
-    leaving: bool = False
+    draining: bool = False
     exit_at: float = float('inf')
-    balanced_until: float = float('inf')
+    new_connections_until: float = float('inf')
     idle_from: float = 0
     exited: bool = False
 
     @property
-    def warm_until(self) -> float:
+    def warm_up_until(self) -> float:
         """Return the time until which agents may not be connected yet."""
         return self.started_at + self.timing.warm_up_s
 
@@ -222,4 +224,4 @@
     def ready(self) -> bool:
         """Return whether the entry accepts jobs."""
         has_configuration = self.configuration.version >= 0
-        return has_configuration and not self.leaving and bool(self.agents)
+        return has_configuration and not self.draining and bool(self.agents)
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -144,7 +144,7 @@
         if answer.retry_after_s:
             seconds = math.ceil(answer.retry_after_s)
             headers.append((b'retry-after', str(seconds).encode()))
-        if self._dispatcher.state.leaving:
+        if self._dispatcher.state.draining:
             # The balancer sends the next connection to another entry.
             headers.append((b'connection', b'close'))
         await asgi.respond(
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -139,4 +139,4 @@
     gone = iter([{'type': 'http.disconnect'}])
     caller = Caller()
     assert await caller.call('POST', '/p/id', gone) == (0, {}, b'')
-    assert not caller.dispatcher.state.callers
+    assert not caller.dispatcher.state.open_requests
