--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -30,7 +30,7 @@
 _RETRY_ELSEWHERE_S: Final = 0.2
 
 
-def ideal_duration_s(request: JobRequest) -> float:
+def critical_path_s(request: JobRequest) -> float:
     """Return the estimated duration of the job's critical path."""
     end_times_ms: list[int] = []
     for step in request.steps:
@@ -42,7 +42,7 @@
     return max(end_times_ms, default=0) / MS_PER_S
 
 
-def refusal_of(
+def refusal_for(
     state: DispatchState,
     queue: Queue,
     request: JobRequest,
@@ -106,7 +106,7 @@
     for queued_latest_start, _, job_id in state.job_queue:
         if queued_latest_start > latest_start:
             break
-        work_cpu_ms += waiting_work(state.jobs[job_id])
+        work_cpu_ms += unstarted_work(state.jobs[job_id])
     # Tasks that fit into the free resources start at once.
     free_cpu = sum(max(agent.free.cpu, 0) for agent in agents)
     longest_ms = max(step.estimate_ms for step in request.steps)
@@ -118,7 +118,7 @@
     return work_cpu_ms / share_cpu / MS_PER_S
 
 
-def waiting_work(job: Job) -> int:
+def unstarted_work(job: Job) -> int:
     """Return the estimated work that has not started (`cpu` x ms)."""
     return sum(
         len(progress.waiting)
@@ -133,13 +133,11 @@
 
 
 def _slack_s(queue: Queue, request: JobRequest) -> float:
-    return _objective_s(queue, request) - ideal_duration_s(request)
+    return _objective_s(queue, request) - critical_path_s(request)
 
 
 def _objective_s(queue: Queue, request: JobRequest) -> float:
-    return (
-        queue.stretch * ideal_duration_s(request) + queue.target_ms / MS_PER_S
-    )
+    return queue.stretch * critical_path_s(request) + queue.target_ms / MS_PER_S
 
 
 def _fits_anywhere(agents: Iterable[AgentView], step: Step) -> bool:
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -36,15 +36,15 @@
 ) -> Job:
     """Create a job and queue the tasks of its first steps."""
     request = event.job
-    ideal_s = admission.ideal_duration_s(request)
-    objective_s = queue.stretch * ideal_s + queue.target_ms / MS_PER_S
+    critical_path_s = admission.critical_path_s(request)
+    objective_s = queue.stretch * critical_path_s + queue.target_ms / MS_PER_S
     state.jobs_created += 1
     job = Job(
         request,
         queue,
         event.now,
         objective_s,
-        event.now + objective_s - ideal_s,
+        event.now + objective_s - critical_path_s,
         state.jobs_created,
         [],
         {},
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -119,7 +119,7 @@
     recent_answer = state.recent_answers.get(event.job.job_id)
     if recent_answer is not None:
         return recent_answer[1]
-    return admission.refusal_of(state, queue, event.job, event.now)
+    return admission.refusal_for(state, queue, event.job, event.now)
 
 
 def _accept_job(
