--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -33,7 +33,7 @@
     state.new_connections_until = turn.now + state.timing.balancer_delay_s
 
 
-def go_on(state: DispatchState, turn: Turn) -> None:
+def advance_drain(state: DispatchState, turn: Turn) -> None:
     """Answer the remaining requests before the timeout, and exit when idle."""
     if not state.draining or state.exited:
         return
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -43,7 +43,7 @@
     _EVENT_HANDLERS[type(event)](state, turn, event)
     for placement in place(state, turn.now):
         fleet.send_task(state, turn, placement)
-    draining.go_on(state, turn)
+    draining.advance_drain(state, turn)
     return turn.effects
 
 
