Rename functions of fleet

greet -> register_agent lose -> remove_link take_list -> reconcile_tasks take_report -> update_executor take_end -> handle_task_end confirm_ends -> acknowledge_ends settle_overdue -> requeue_overdue

--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -66,7 +66,7 @@
     )
 
 
-def greet(
+def register_agent(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -75,7 +75,7 @@
     """Register an agent; a former link of the same agent is dropped."""
     for former_link, agent in tuple(state.agents.items()):
         if agent.name == hello.agent:
-            lose(state, turn, former_link, 'replaced by a new link')
+            remove_link(state, turn, former_link, 'replaced by a new link')
     state.unidentified_links.pop(link, None)
     state.agents[link] = AgentView(
         hello.agent,
@@ -86,7 +86,9 @@
     send_hello(state, turn, link)
 
 
-def lose(state: DispatchState, turn: Turn, link: str, reason: str) -> None:
+def remove_link(
+    state: DispatchState, turn: Turn, link: str, reason: str
+) -> None:
     """Handle the loss of a link.
 
     If it led to an agent, the runs there may continue for up to `settle_s`, so
@@ -113,7 +115,7 @@
     )
 
 
-def take_list(
+def reconcile_tasks(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -132,7 +134,7 @@
     agent.reconciled = True
 
 
-def take_report(
+def update_executor(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -150,7 +152,7 @@
         _requeue_unsettled(state, turn, agent.name)
 
 
-def take_end(
+def handle_task_end(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -183,14 +185,14 @@
     jobs.forget_if_settled(state, job)
 
 
-def confirm_ends(state: DispatchState, turn: Turn) -> None:
+def acknowledge_ends(state: DispatchState, turn: Turn) -> None:
     """Acknowledge the ends of runs to their agents."""
     for link, ends in state.unacknowledged_ends.items():
         turn.send(link, work.EndsNoted(tuple(ends)))
     state.unacknowledged_ends.clear()
 
 
-def settle_overdue(state: DispatchState, turn: Turn) -> None:
+def requeue_overdue(state: DispatchState, turn: Turn) -> None:
     """Requeue tasks of lost agents whose runs must have ended by now."""
     for job in tuple(state.jobs.values()):
         if not job.outstanding:
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -270,7 +270,7 @@
     turn: Turn,
     event: events.LinkDown,
 ) -> None:
-    fleet.lose(state, turn, event.link, event.reason)
+    fleet.remove_link(state, turn, event.link, event.reason)
     claims.remove_peer(state, turn, event.link)
 
 
@@ -302,7 +302,7 @@
 ) -> None:
     match event.message:
         case work.AgentHello():
-            fleet.greet(state, turn, event.link, event.message)
+            fleet.register_agent(state, turn, event.link, event.message)
         case work.EntryHello():
             claims.register_peer(state, turn, event.link, event.message)
 
@@ -314,11 +314,11 @@
 ) -> None:
     match event.message:
         case work.ExecutorReport():
-            fleet.take_report(state, turn, event.link, event.message)
+            fleet.update_executor(state, turn, event.link, event.message)
         case work.RunningTasks():
-            fleet.take_list(state, turn, event.link, event.message)
+            fleet.reconcile_tasks(state, turn, event.link, event.message)
         case work.TaskEnded():
-            fleet.take_end(state, turn, event.link, event.message)
+            fleet.handle_task_end(state, turn, event.link, event.message)
         case work.SlowRun():
             health.take_slow_run(state, turn, event.link, event.message)
 
@@ -328,13 +328,13 @@
     turn: Turn,
     event: events.Tick,
 ) -> None:
-    fleet.settle_overdue(state, turn)
+    fleet.requeue_overdue(state, turn)
     jobs.refuse_overdue(state, turn)
     for submission in claims.pop_settled_submissions(state, turn.now):
         _handle_job_submitted(state, turn, submission)
     jobs.forget_answers(state, turn.now)
     claims.announce_changes(state, turn)
-    fleet.confirm_ends(state, turn)
+    fleet.acknowledge_ends(state, turn)
 
 
 def _handle_drain(
