--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -171,7 +171,7 @@
         return
     if task.state not in {TaskState.placed, TaskState.unsettled}:
         return
-    health.note_end(turn, agent, job, task, ended)
+    health.record_task_end(turn, agent, job, task, ended)
     if ended.outcome == outcomes.DONE:
         _complete_task(state, turn, job, task)
     elif ended.outcome == outcomes.FAILED:
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -60,7 +60,7 @@
     return agent.reported_slowness if now < agent.slow_until else 1
 
 
-def note_end(
+def record_task_end(
     turn: Turn,
     agent: AgentView,
     job: Job,
@@ -69,7 +69,7 @@
 ) -> None:
     """Update the failure count and average slowness after a run."""
     if ended.outcome == outcomes.FAILED:
-        note_failure(turn, agent, ended.reason)
+        record_failure(turn, agent, ended.reason)
     if ended.outcome != outcomes.DONE:
         return
     agent.consecutive_failures = 0
@@ -80,7 +80,7 @@
     )
 
 
-def note_failure(turn: Turn, agent: AgentView, reason: str) -> None:
+def record_failure(turn: Turn, agent: AgentView, reason: str) -> None:
     """Count a failure; avoid the executor after several in a row."""
     agent.consecutive_failures += 1
     excess_failures = agent.consecutive_failures - _FAILURE_THRESHOLD
@@ -98,7 +98,7 @@
     )
 
 
-def take_slow_run(
+def handle_slow_run(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -113,7 +113,7 @@
         agent.reported_slowness = min(slow_run.slowness, _MAX_SLOWNESS)
         agent.slow_until = turn.now + _SLOWNESS_VALIDITY_S
         if slow_run.remaining_ms < 0:
-            note_failure(turn, agent, 'no progress')
+            record_failure(turn, agent, 'no progress')
     placed = _find_placed_task(state, slow_run)
     if placed is None:
         return
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -320,7 +320,7 @@
         case work.TaskEnded():
             fleet.handle_task_end(state, turn, event.link, event.message)
         case work.SlowRun():
-            health.take_slow_run(state, turn, event.link, event.message)
+            health.handle_slow_run(state, turn, event.link, event.message)
 
 
 def _handle_tick(
