--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -182,7 +182,7 @@
         if ended.outcome == outcomes.LOST:
             task.avoided_agents = {agent.name}
         _requeue_task(state, job, task)
-    jobs.forget_if_settled(state, job)
+    jobs.remove_if_settled(state, job)
 
 
 def acknowledge_ends(state: DispatchState, turn: Turn) -> None:
@@ -202,7 +202,7 @@
             if is_unsettled and task.settled_at <= turn.now:
                 turn.log('task-settled', task=task.name, agent=task.agent)
                 _requeue_task(state, job, task)
-        jobs.forget_if_settled(state, job)
+        jobs.remove_if_settled(state, job)
 
 
 def _requeue_unsettled(state: DispatchState, turn: Turn, agent: str) -> None:
@@ -210,7 +210,7 @@
         if task.state is TaskState.unsettled:
             turn.log('task-settled', task=task.name, agent=agent)
             _requeue_task(state, job, task)
-            jobs.forget_if_settled(state, job)
+            jobs.remove_if_settled(state, job)
 
 
 def _tasks_of_agent(state: DispatchState, agent: str) -> list[tuple[Job, Task]]:
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -130,7 +130,7 @@
     if final_answer.verdict not in answers.RETRYABLE:
         state.recent_answers[job.request.job_id] = (turn.now, final_answer)
     stop_runs(state, turn, job)
-    forget_if_settled(state, job)
+    remove_if_settled(state, job)
 
 
 def stop_runs(state: DispatchState, turn: Turn, job: Job) -> None:
@@ -144,14 +144,14 @@
             turn.send(link, work.StopTask(task.name, task.run))
 
 
-def forget_if_settled(state: DispatchState, job: Job) -> None:
+def remove_if_settled(state: DispatchState, job: Job) -> None:
     """Remove an ended job once none of its tasks can be running."""
     if job.ended and not job.outstanding:
         state.jobs.pop(job.request.job_id, None)
         state.claim_changes.released.append(job.request.job_id)
 
 
-def refuse_overdue(state: DispatchState, turn: Turn) -> None:
+def answer_overdue(state: DispatchState, turn: Turn) -> None:
     """Answer queued jobs that are past their time limit.
 
     Jobs without a started task are refused, others are interrupted.
@@ -181,7 +181,7 @@
     )
 
 
-def forget_answers(state: DispatchState, now: float) -> None:
+def expire_answers(state: DispatchState, now: float) -> None:
     """Remove answers that are older than the retention time.
 
     No resubmission of their jobs is expected any more.
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -252,7 +252,7 @@
     turn.count('jobs_abandoned')
     turn.log('job-abandoned', job=job_id, unsettled=job.outstanding)
     jobs.stop_runs(state, turn, job)
-    jobs.forget_if_settled(state, job)
+    jobs.remove_if_settled(state, job)
 
 
 def _handle_link_up(
@@ -329,10 +329,10 @@
     event: events.Tick,
 ) -> None:
     fleet.requeue_overdue(state, turn)
-    jobs.refuse_overdue(state, turn)
+    jobs.answer_overdue(state, turn)
     for submission in claims.pop_settled_submissions(state, turn.now):
         _handle_job_submitted(state, turn, submission)
-    jobs.forget_answers(state, turn.now)
+    jobs.expire_answers(state, turn.now)
     claims.announce_changes(state, turn)
     fleet.acknowledge_ends(state, turn)
 
