--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -49,7 +49,7 @@
     link: str
 
 
-def place(state: DispatchState, now: float) -> Iterator[Placement]:
+def place_tasks(state: DispatchState, now: float) -> Iterator[Placement]:
     """Yield placements; the caller applies each one before the next."""
     if not state.job_queue:
         return
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -16,7 +16,7 @@
 from savoryrudder.dispatch import fleet
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import jobs
-from savoryrudder.dispatch.placement import place
+from savoryrudder.dispatch.placement import place_tasks
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import work
 
@@ -41,7 +41,7 @@
     """Apply an event to the state in place and return its effects."""
     turn = Turn(event.now)
     _EVENT_HANDLERS[type(event)](state, turn, event)
-    for placement in place(state, turn.now):
+    for placement in place_tasks(state, turn.now):
         fleet.send_task(state, turn, placement)
     draining.advance_drain(state, turn)
     return turn.effects
