--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -187,7 +187,7 @@
     timing: DispatchTiming
     configuration: Configuration = NO_CONFIGURATION
     jobs: dict[str, Job] = field(default_factory=dict)
-    # Queued jobs as (latest start, number, job ID), sorted.
+    # Queued jobs as (latest start, sequence number, job ID), sorted.
     job_queue: list[tuple[float, int, str]] = field(default_factory=list)
     # Job IDs by the number of the open request that waits for the answer.
     open_requests: dict[int, str] = field(default_factory=dict)
