--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -95,7 +95,7 @@
             self._requests.pop(number, None)
             if request.answer is None:
                 self.handle(
-                    events.CallerDisconnected(anyio.current_time(), number)
+                    events.CallerDisconnected(anyio.current_time(), number),
                 )
         if request.answer is None:
             raise RuntimeError('a request was answered without an answer')
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -87,7 +87,10 @@
 
 
 def remove_link(
-    state: DispatchState, turn: Turn, link: str, reason: str
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    reason: str,
 ) -> None:
     """Handle the loss of a link.
 
@@ -162,7 +165,7 @@
     agent = state.agents[link]
     _release_resources(state, agent, ended)
     state.unacknowledged_ends.setdefault(link, []).append(
-        (ended.task, ended.run)
+        (ended.task, ended.run),
     )
     agent.in_flight = max(agent.in_flight - 1, 0)
     job = state.jobs.get(ended.task.partition('.')[0])
