--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -94,7 +94,9 @@
         finally:
             self._requests.pop(number, None)
             if request.answer is None:
-                self.handle(events.CallerGone(anyio.current_time(), number))
+                self.handle(
+                    events.CallerDisconnected(anyio.current_time(), number),
+                )
         if request.answer is None:
             raise RuntimeError('a request was answered without an answer')
         return request.answer
@@ -156,7 +158,7 @@
     def _carry_out_own(self, effect: effects.DispatchEffect) -> None:
         if not isinstance(effect, effects.Reply):
             raise TypeError(f'unknown effect {effect}')
-        request = self._requests.get(effect.request)
+        request = self._requests.get(effect.request_id)
         if request is not None:
             request.answer = effect.answer
             request.answered.set()
--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -30,7 +30,7 @@
 _RETRY_ELSEWHERE_S: Final = 0.2
 
 
-def ideal_duration_s(request: JobRequest) -> float:
+def critical_path_s(request: JobRequest) -> float:
     """Return the estimated duration of the job's critical path."""
     end_times_ms: list[int] = []
     for step in request.steps:
@@ -42,14 +42,14 @@
     return max(end_times_ms, default=0) / MS_PER_S
 
 
-def refusal_of(
+def refusal_for(
     state: DispatchState,
     queue: Queue,
     request: JobRequest,
     now: float,
 ) -> answers.Answer | None:
     """Return the refusal of a job that cannot be accepted, or None."""
-    if state.leaving and now + _objective_s(queue, request) > state.exit_at:
+    if state.draining and now + _objective_s(queue, request) > state.exit_at:
         return answers.Answer(
             answers.UNAVAILABLE,
             'entry is stopping',
@@ -60,7 +60,7 @@
         for agent in state.agents.values()
         if agent.report is not None and agent.report.service == queue.service
     ]
-    if now < state.warm_until:
+    if now < state.warm_up_until:
         # Agents may still be connecting after the start, so the job is queued.
         return None
     if not any(agent.usable for agent in agents):
@@ -103,10 +103,10 @@
     ]
     latest_start = now + _slack_s(queue, request)
     work_cpu_ms = sum(_step_work(step) for step in request.steps)
-    for queued_latest_start, _, job_id in state.waiting:
+    for queued_latest_start, _, job_id in state.job_queue:
         if queued_latest_start > latest_start:
             break
-        work_cpu_ms += waiting_work(state.jobs[job_id])
+        work_cpu_ms += unstarted_work(state.jobs[job_id])
     # Tasks that fit into the free resources start at once.
     free_cpu = sum(max(agent.free.cpu, 0) for agent in agents)
     longest_ms = max(step.estimate_ms for step in request.steps)
@@ -118,34 +118,32 @@
     return work_cpu_ms / share_cpu / MS_PER_S
 
 
-def waiting_work(job: Job) -> int:
+def unstarted_work(job: Job) -> int:
     """Return the estimated work that has not started (`cpu` x ms)."""
     return sum(
         len(progress.waiting)
-        * progress.step.need.cpu
+        * progress.step.demand.cpu
         * progress.step.estimate_ms
         for progress in job.steps
     )
 
 
 def _step_work(step: Step) -> int:
-    return step.tasks * step.need.cpu * step.estimate_ms
+    return step.tasks * step.demand.cpu * step.estimate_ms
 
 
 def _slack_s(queue: Queue, request: JobRequest) -> float:
-    return _objective_s(queue, request) - ideal_duration_s(request)
+    return _objective_s(queue, request) - critical_path_s(request)
 
 
 def _objective_s(queue: Queue, request: JobRequest) -> float:
-    return (
-        queue.stretch * ideal_duration_s(request) + queue.target_ms / MS_PER_S
-    )
+    return queue.stretch * critical_path_s(request) + queue.target_ms / MS_PER_S
 
 
 def _fits_anywhere(agents: Iterable[AgentView], step: Step) -> bool:
     for agent in agents:
         report = agent.report
-        if report is None or not report.capacity.holds(step.need):
+        if report is None or not report.capacity.covers(step.demand):
             continue
         if not step.required_label or step.required_label in report.labels:
             return True
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -24,24 +24,24 @@
     """A caller submitted a job.
 
     `unsupported` names the unsupported feature that the job requires, if any.
-    The caller waits for an answer for `patience_s` seconds, or without a
+    The caller waits for an answer for `caller_timeout_s` seconds, or without a
     limit if it is None.
     """
 
     now: float
-    request: int
+    request_id: int
     host: str
     path: str
     job: JobRequest
     unsupported: str
-    patience_s: float | None
+    caller_timeout_s: float | None
 
 
-class JobAsked(NamedTuple):
+class JobQueried(NamedTuple):
     """A caller requested the state of a job or the length of a queue."""
 
     now: float
-    request: int
+    request_id: int
     host: str
     path: str
 
@@ -50,16 +50,16 @@
     """A caller requested the cancellation of a job."""
 
     now: float
-    request: int
+    request_id: int
     host: str
     path: str
 
 
-class CallerGone(NamedTuple):
+class CallerDisconnected(NamedTuple):
     """The caller of a request closed its connection."""
 
     now: float
-    request: int
+    request_id: int
 
 
 class LinkUp(NamedTuple):
@@ -102,9 +102,9 @@
 DispatchEvent: TypeAlias = (
     ConfigurationRead
     | JobSubmitted
-    | JobAsked
+    | JobQueried
     | JobCancelled
-    | CallerGone
+    | CallerDisconnected
     | LinkUp
     | LinkDown
     | MessageReceived
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -36,22 +36,22 @@
     """Send a placed task to its agent."""
     job, task, link = placement
     agent = state.agents[link]
-    progress = job.steps[task.step]
+    progress = job.steps[task.step_index]
     progress.waiting.remove(task)
     task.state = TaskState.placed
-    task.agent = agent.agent
+    task.agent = agent.name
     task.run += 1
-    job.out += 1
+    job.outstanding += 1
     if job.started_at is None:
         job.started_at = turn.now
         turn.observe('job_wait', turn.now - job.arrived_at)
-    if not job.has_waiting:
+    if not job.has_waiting_tasks:
         jobs.dequeue(state, job)
     agent.starts_sent += 1
     agent.in_flight += 1
-    need = progress.step.need
-    agent.pending[agent.starts_sent] = (task.name, need)
-    agent.free = agent.free.minus(need)
+    demand = progress.step.demand
+    agent.unreported_starts[agent.starts_sent] = (task.name, demand)
+    agent.free = agent.free.minus(demand)
     turn.send(
         link,
         work.StartTask(
@@ -59,14 +59,14 @@
             task.name,
             task.run,
             job.request.spec,
-            need,
+            demand,
             progress.step.estimate_ms,
             durable=False,
         ),
     )
 
 
-def greet(
+def register_agent(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -74,9 +74,9 @@
 ) -> None:
     """Register an agent; a former link of the same agent is dropped."""
     for former_link, agent in tuple(state.agents.items()):
-        if agent.agent == hello.agent:
-            lose(state, turn, former_link, 'replaced by a new link')
-    state.links.pop(link, None)
+        if agent.name == hello.agent:
+            remove_link(state, turn, former_link, 'replaced by a new link')
+    state.unidentified_links.pop(link, None)
     state.agents[link] = AgentView(
         hello.agent,
         hello.incarnation,
@@ -86,20 +86,25 @@
     send_hello(state, turn, link)
 
 
-def lose(state: DispatchState, turn: Turn, link: str, reason: str) -> None:
+def remove_link(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    reason: str,
+) -> None:
     """Handle the loss of a link.
 
     If it led to an agent, the runs there may continue for up to `settle_s`, so
     their tasks become unsettled.
     """
-    state.links.pop(link, None)
+    state.unidentified_links.pop(link, None)
     agent = state.agents.pop(link, None)
-    state.noted_ends.pop(link, None)
+    state.unacknowledged_ends.pop(link, None)
     if agent is None:
         return
     tasks = [
         task
-        for _, task in _tasks_of_agent(state, agent.agent)
+        for _, task in _tasks_of_agent(state, agent.name)
         if task.state is TaskState.placed
     ]
     for task in tasks:
@@ -107,13 +112,13 @@
         task.settled_at = turn.now + state.timing.settle_s
     turn.log(
         'agent-lost',
-        agent=agent.agent,
+        agent=agent.name,
         reason=reason,
         tasks=len(tasks),
     )
 
 
-def take_list(
+def reconcile_tasks(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -122,17 +127,17 @@
     """Reconcile unsettled tasks with the runs that an agent lists."""
     agent = state.agents[link]
     listed_runs = dict(message.tasks)
-    for job, task in _tasks_of_agent(state, agent.agent):
+    for job, task in _tasks_of_agent(state, agent.name):
         if task.state is not TaskState.unsettled:
             continue
         if listed_runs.get(task.name) == task.run:
             task.state = TaskState.placed
             if job.ended:
                 turn.send(link, work.StopTask(task.name, task.run))
-    agent.listed = True
+    agent.reconciled = True
 
 
-def take_report(
+def update_executor(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -141,16 +146,16 @@
     """Update the capacity and free resources of an executor."""
     agent = state.agents[link]
     agent.report = report
-    for number in tuple(agent.pending):
+    for number in tuple(agent.unreported_starts):
         if number <= report.starts_seen:
-            agent.pending.pop(number)
+            agent.unreported_starts.pop(number)
     _update_free(agent)
     if report.accepting:
         # Any run that the agent did not list has ended.
-        _requeue_unsettled(state, turn, agent.agent)
+        _requeue_unsettled(state, turn, agent.name)
 
 
-def take_end(
+def handle_task_end(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -159,7 +164,9 @@
     """Handle the end of a run: complete, fail or requeue its task."""
     agent = state.agents[link]
     _release_resources(state, agent, ended)
-    state.noted_ends.setdefault(link, []).append((ended.task, ended.run))
+    state.unacknowledged_ends.setdefault(link, []).append(
+        (ended.task, ended.run),
+    )
     agent.in_flight = max(agent.in_flight - 1, 0)
     job = state.jobs.get(ended.task.partition('.')[0])
     task = job.tasks.get(ended.task) if job else None
@@ -167,7 +174,7 @@
         return
     if task.state not in {TaskState.placed, TaskState.unsettled}:
         return
-    health.note_end(turn, agent, job, task, ended)
+    health.record_task_end(turn, agent, job, task, ended)
     if ended.outcome == outcomes.DONE:
         _complete_task(state, turn, job, task)
     elif ended.outcome == outcomes.FAILED:
@@ -176,29 +183,29 @@
         if ended.reason == verdicts.OUTDATED:
             task.run += _RUN_NUMBER_INCREMENT
         if ended.outcome == outcomes.LOST:
-            task.avoided = {agent.agent}
+            task.avoided_agents = {agent.name}
         _requeue_task(state, job, task)
-    jobs.forget_if_settled(state, job)
+    jobs.remove_if_settled(state, job)
 
 
-def confirm_ends(state: DispatchState, turn: Turn) -> None:
+def acknowledge_ends(state: DispatchState, turn: Turn) -> None:
     """Acknowledge the ends of runs to their agents."""
-    for link, ends in state.noted_ends.items():
+    for link, ends in state.unacknowledged_ends.items():
         turn.send(link, work.EndsNoted(tuple(ends)))
-    state.noted_ends.clear()
+    state.unacknowledged_ends.clear()
 
 
-def settle_overdue(state: DispatchState, turn: Turn) -> None:
+def requeue_overdue(state: DispatchState, turn: Turn) -> None:
     """Requeue tasks of lost agents whose runs must have ended by now."""
     for job in tuple(state.jobs.values()):
-        if not job.out:
+        if not job.outstanding:
             continue
         for task in job.tasks.values():
             is_unsettled = task.state is TaskState.unsettled
             if is_unsettled and task.settled_at <= turn.now:
                 turn.log('task-settled', task=task.name, agent=task.agent)
                 _requeue_task(state, job, task)
-        jobs.forget_if_settled(state, job)
+        jobs.remove_if_settled(state, job)
 
 
 def _requeue_unsettled(state: DispatchState, turn: Turn, agent: str) -> None:
@@ -206,14 +213,14 @@
         if task.state is TaskState.unsettled:
             turn.log('task-settled', task=task.name, agent=agent)
             _requeue_task(state, job, task)
-            jobs.forget_if_settled(state, job)
+            jobs.remove_if_settled(state, job)
 
 
 def _tasks_of_agent(state: DispatchState, agent: str) -> list[tuple[Job, Task]]:
     return [
         (job, task)
         for job in state.jobs.values()
-        if job.out
+        if job.outstanding
         for task in job.tasks.values()
         if task.agent == agent
     ]
@@ -227,8 +234,8 @@
 ) -> None:
     task.state = TaskState.done
     task.agent = ''
-    job.out -= 1
-    progress = job.steps[task.step]
+    job.outstanding -= 1
+    progress = job.steps[task.step_index]
     progress.remaining -= 1
     if job.ended:
         return
@@ -242,7 +249,7 @@
 
 def _fail_task(state: DispatchState, turn: Turn, job: Job, task: Task) -> None:
     task.failures += 1
-    task.avoided = task.avoided | {task.agent}
+    task.avoided_agents = task.avoided_agents | {task.agent}
     _requeue_task(state, job, task)
     if task.failures >= job.queue.attempts and not job.ended:
         failure = answers.Answer(
@@ -255,8 +262,8 @@
 def _requeue_task(state: DispatchState, job: Job, task: Task) -> None:
     task.state = TaskState.waiting
     task.agent = ''
-    job.out -= 1
-    job.steps[task.step].waiting.append(task)
+    job.outstanding -= 1
+    job.steps[task.step_index].waiting.append(task)
     if not job.ended:
         jobs.enqueue(state, job)
 
@@ -266,10 +273,10 @@
     agent: AgentView,
     ended: work.TaskEnded,
 ) -> None:
-    for number, (task_name, _) in tuple(agent.pending.items()):
+    for number, (task_name, _) in tuple(agent.unreported_starts.items()):
         if task_name == ended.task:
             # The reported free resources do not include this run yet.
-            agent.pending.pop(number)
+            agent.unreported_starts.pop(number)
             _update_free(agent)
             return
     if ended.outcome not in _RELEASING_OUTCOMES:
@@ -278,13 +285,13 @@
     task = job.tasks.get(ended.task) if job else None
     if job is not None and task is not None and task.run == ended.run:
         # Counted as free now; the next report replaces this value.
-        need = job.steps[task.step].step.need
-        agent.free = agent.free.plus(need)
+        demand = job.steps[task.step_index].step.demand
+        agent.free = agent.free.plus(demand)
 
 
 def _update_free(agent: AgentView) -> None:
     if agent.report is None:
         return
     agent.free = agent.report.free
-    for _, need in agent.pending.values():
-        agent.free = agent.free.minus(need)
+    for _, demand in agent.unreported_starts.values():
+        agent.free = agent.free.minus(demand)
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from savoryrudder.dispatch.room import may_start
+from savoryrudder.dispatch.eligibility import can_start
 from savoryrudder.dispatch.state import TaskState
 from savoryrudder.protocol import work
 from savoryrudder.worker import outcomes
@@ -50,17 +50,17 @@
     """Return whether an executor fails tasks repeatedly or is too slow."""
     if slowness_of(agent, now) >= _SLOWNESS_THRESHOLD:
         return True
-    if agent.recent_failures < _FAILURE_THRESHOLD:
+    if agent.consecutive_failures < _FAILURE_THRESHOLD:
         return False
-    return now < agent.failing_until or agent.in_flight > 0
+    return now < agent.avoided_until or agent.in_flight > 0
 
 
 def slowness_of(agent: AgentView, now: float) -> float:
     """Return the current task duration relative to the estimate."""
-    return agent.slowness if now < agent.slow_until else 1
+    return agent.reported_slowness if now < agent.slow_until else 1
 
 
-def note_end(
+def record_task_end(
     turn: Turn,
     agent: AgentView,
     job: Job,
@@ -69,34 +69,36 @@
 ) -> None:
     """Update the failure count and average slowness after a run."""
     if ended.outcome == outcomes.FAILED:
-        note_failure(turn, agent, ended.reason)
+        record_failure(turn, agent, ended.reason)
     if ended.outcome != outcomes.DONE:
         return
-    agent.recent_failures = 0
-    estimate_ms = max(job.steps[task.step].step.estimate_ms, 1)
+    agent.consecutive_failures = 0
+    estimate_ms = max(job.steps[task.step_index].step.estimate_ms, 1)
     ratio = min(ended.duration_ms / estimate_ms, _MAX_SLOWNESS)
-    agent.usual_slowness += _SMOOTHING_FACTOR * (ratio - agent.usual_slowness)
+    agent.average_slowness += _SMOOTHING_FACTOR * (
+        ratio - agent.average_slowness
+    )
 
 
-def note_failure(turn: Turn, agent: AgentView, reason: str) -> None:
+def record_failure(turn: Turn, agent: AgentView, reason: str) -> None:
     """Count a failure; avoid the executor after several in a row."""
-    agent.recent_failures += 1
-    excess_failures = agent.recent_failures - _FAILURE_THRESHOLD
+    agent.consecutive_failures += 1
+    excess_failures = agent.consecutive_failures - _FAILURE_THRESHOLD
     if excess_failures < 0:
         return
     pause_s = min(_MIN_AVOIDANCE_S * 2**excess_failures, _MAX_AVOIDANCE_S)
-    agent.failing_until = turn.now + pause_s
+    agent.avoided_until = turn.now + pause_s
     turn.count('executors_avoided')
     turn.log(
         'executor-avoided',
-        agent=agent.agent,
-        failures=agent.recent_failures,
+        agent=agent.name,
+        failures=agent.consecutive_failures,
         pause_s=pause_s,
         reason=reason,
     )
 
 
-def take_slow_run(
+def handle_slow_run(
     state: DispatchState,
     turn: Turn,
     link: str,
@@ -108,10 +110,10 @@
     """
     agent = state.agents[link]
     if slow_run.slowness:
-        agent.slowness = min(slow_run.slowness, _MAX_SLOWNESS)
+        agent.reported_slowness = min(slow_run.slowness, _MAX_SLOWNESS)
         agent.slow_until = turn.now + _SLOWNESS_VALIDITY_S
         if slow_run.remaining_ms < 0:
-            note_failure(turn, agent, 'no progress')
+            record_failure(turn, agent, 'no progress')
     placed = _find_placed_task(state, slow_run)
     if placed is None:
         return
@@ -126,14 +128,14 @@
     turn.log(
         'task-slow',
         task=task.name,
-        agent=agent.agent,
+        agent=agent.name,
         slowness=slow_run.slowness,
         remaining_ms=slow_run.remaining_ms,
         moved=is_moved,
     )
     if is_moved:
         task.moved = True
-        task.avoided = task.avoided | {agent.agent}
+        task.avoided_agents = task.avoided_agents | {agent.name}
         turn.send(link, work.StopTask(task.name, task.run))
 
 
@@ -160,11 +162,11 @@
     if task.moved:
         # The task was slow at another executor, too: moving does not help.
         return False
-    step = job.steps[task.step].step
+    step = job.steps[task.step_index].step
     for candidate in state.agents.values():
-        if candidate.agent == task.agent or is_avoided(candidate, now):
+        if candidate.name == task.agent or is_avoided(candidate, now):
             continue
-        if not may_start(candidate, job.queue.service, step):
+        if not can_start(candidate, job.queue.service, step):
             continue
         expected_ms = step.estimate_ms * (
             slowness_of(candidate, now) + _MIN_MOVE_GAIN
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -36,16 +36,16 @@
 ) -> Job:
     """Create a job and queue the tasks of its first steps."""
     request = event.job
-    ideal_s = admission.ideal_duration_s(request)
-    objective_s = queue.stretch * ideal_s + queue.target_ms / MS_PER_S
-    state.jobs_seen += 1
+    critical_path_s = admission.critical_path_s(request)
+    objective_s = queue.stretch * critical_path_s + queue.target_ms / MS_PER_S
+    state.jobs_created += 1
     job = Job(
         request,
         queue,
         event.now,
         objective_s,
-        event.now + objective_s - ideal_s,
-        state.jobs_seen,
+        event.now + objective_s - critical_path_s,
+        state.jobs_created,
         [],
         {},
     )
@@ -54,10 +54,10 @@
         tasks = [Task(task_name, index) for task_name in task_names]
         job.tasks.update((task.name, task) for task in tasks)
         job.steps.append(StepProgress(step, tasks, step.tasks))
-    if event.patience_s is not None:
-        job.expires_at = event.now + event.patience_s
-    state.jobs[request.job] = job
-    state.claim_changes.claimed.append(request.job)
+    if event.caller_timeout_s is not None:
+        job.expires_at = event.now + event.caller_timeout_s
+    state.jobs[request.job_id] = job
+    state.claim_changes.claimed.append(request.job_id)
     unlock_steps(job)
     enqueue(state, job)
     return job
@@ -68,7 +68,7 @@
     # that do not repeat. Reversed, because tasks are taken from the end.
     count = request.steps[step_index].tasks
     return [
-        f'{request.job}.0.{step_index}.{position}'
+        f'{request.job_id}.0.{step_index}.{position}'
         for position in reversed(range(count))
     ]
 
@@ -86,19 +86,19 @@
 
 def enqueue(state: DispatchState, job: Job) -> None:
     """Queue a job with waiting tasks unless it is queued already."""
-    queue_item = (job.latest_start, job.number, job.request.job)
-    position = bisect_left(state.waiting, queue_item)
-    is_queued = state.waiting[position : position + 1] == [queue_item]
-    if job.has_waiting and not is_queued:
-        insort(state.waiting, queue_item)
+    queue_item = (job.latest_start, job.sequence_number, job.request.job_id)
+    position = bisect_left(state.job_queue, queue_item)
+    is_queued = state.job_queue[position : position + 1] == [queue_item]
+    if job.has_waiting_tasks and not is_queued:
+        insort(state.job_queue, queue_item)
 
 
 def dequeue(state: DispatchState, job: Job) -> None:
     """Remove a job from the queue, if it is queued."""
-    queue_item = (job.latest_start, job.number, job.request.job)
-    position = bisect_left(state.waiting, queue_item)
-    if state.waiting[position : position + 1] == [queue_item]:
-        state.waiting.pop(position)
+    queue_item = (job.latest_start, job.sequence_number, job.request.job_id)
+    position = bisect_left(state.job_queue, queue_item)
+    if state.job_queue[position : position + 1] == [queue_item]:
+        state.job_queue.pop(position)
 
 
 def answer(
@@ -110,53 +110,53 @@
     """Send the final answer to all callers of a job and stop its runs."""
     job.ended = True
     dequeue(state, job)
-    for request in sorted(job.callers):
-        state.callers.pop(request, None)
-        turn.reply(request, final_answer)
-    job.callers.clear()
+    for request_id in sorted(job.open_requests):
+        state.open_requests.pop(request_id, None)
+        turn.reply(request_id, final_answer)
+    job.open_requests.clear()
     turn.count(f'jobs_{final_answer.verdict}')
     elapsed_s = turn.now - job.arrived_at
     turn.observe(f'job_{final_answer.verdict}', elapsed_s)
     turn.log(
         'job-answered',
-        job=job.request.job,
+        job=job.request.job_id,
         queue=job.queue.name,
         verdict=final_answer.verdict,
         reason=final_answer.reason,
         elapsed_ms=int(elapsed_s * MS_PER_S),
         objective_ms=int(job.objective_s * MS_PER_S),
-        unsettled=job.out,
+        unsettled=job.outstanding,
     )
-    if final_answer.verdict not in answers.UNREPEATED:
-        state.answered[job.request.job] = (turn.now, final_answer)
+    if final_answer.verdict not in answers.RETRYABLE:
+        state.recent_answers[job.request.job_id] = (turn.now, final_answer)
     stop_runs(state, turn, job)
-    forget_if_settled(state, job)
+    remove_if_settled(state, job)
 
 
 def stop_runs(state: DispatchState, turn: Turn, job: Job) -> None:
     """Ask agents to stop the runs of a job."""
-    if not job.out:
+    if not job.outstanding:
         return
-    links_by_agent = {agent.agent: link for link, agent in state.agents.items()}
+    links_by_agent = {agent.name: link for link, agent in state.agents.items()}
     for task in job.tasks.values():
         if task.state is TaskState.placed and task.agent in links_by_agent:
             link = links_by_agent[task.agent]
             turn.send(link, work.StopTask(task.name, task.run))
 
 
-def forget_if_settled(state: DispatchState, job: Job) -> None:
+def remove_if_settled(state: DispatchState, job: Job) -> None:
     """Remove an ended job once none of its tasks can be running."""
-    if job.ended and not job.out:
-        state.jobs.pop(job.request.job, None)
-        state.claim_changes.released.append(job.request.job)
+    if job.ended and not job.outstanding:
+        state.jobs.pop(job.request.job_id, None)
+        state.claim_changes.released.append(job.request.job_id)
 
 
-def refuse_overdue(state: DispatchState, turn: Turn) -> None:
+def answer_overdue(state: DispatchState, turn: Turn) -> None:
     """Answer queued jobs that are past their time limit.
 
     Jobs without a started task are refused, others are interrupted.
     """
-    for _, _, job_id in tuple(state.waiting):
+    for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
         if job.started_at is not None:
             if turn.now >= job.expires_at:
@@ -173,7 +173,7 @@
 
 def _start_deadline(state: DispatchState, job: Job) -> float:
     deadline = min(job.latest_start, job.expires_at)
-    if job.arrived_at < state.warm_until:
+    if job.arrived_at < state.warm_up_until:
         return deadline
     return min(
         deadline,
@@ -181,14 +181,14 @@
     )
 
 
-def forget_answers(state: DispatchState, now: float) -> None:
+def expire_answers(state: DispatchState, now: float) -> None:
     """Remove answers that are older than the retention time.
 
     No resubmission of their jobs is expected any more.
     """
-    oldest = now - state.timing.answer_memory_s
-    while state.answered:
-        job_id = next(iter(state.answered))
-        if state.answered[job_id][0] > oldest:
+    oldest = now - state.timing.answer_retention_s
+    while state.recent_answers:
+        job_id = next(iter(state.recent_answers))
+        if state.recent_answers[job_id][0] > oldest:
             return
-        state.answered.pop(job_id)
+        state.recent_answers.pop(job_id)
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -11,10 +11,10 @@
 from typing import Final
 from typing import NamedTuple
 
+from savoryrudder.dispatch.eligibility import can_start
+from savoryrudder.dispatch.eligibility import is_eligible
 from savoryrudder.dispatch.health import avoided_links
 from savoryrudder.dispatch.health import slowness_of
-from savoryrudder.dispatch.room import may_run
-from savoryrudder.dispatch.room import may_start
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -49,14 +49,14 @@
     link: str
 
 
-def place(state: DispatchState, now: float) -> Iterator[Placement]:
+def place_tasks(state: DispatchState, now: float) -> Iterator[Placement]:
     """Yield placements; the caller applies each one before the next."""
-    if not state.waiting:
+    if not state.job_queue:
         return
     avoided = avoided_links(state, now)
     reserved: set[str] = set()
     blocked_jobs = 0
-    for _, _, job_id in tuple(state.waiting):
+    for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
         for progress in job.steps:
             if progress.unlocked:
@@ -65,7 +65,7 @@
                     job,
                     progress,
                 )
-        if job.has_waiting:
+        if job.has_waiting_tasks:
             blocked_jobs += 1
             if blocked_jobs > _MAX_BLOCKED_JOBS:
                 return
@@ -116,7 +116,7 @@
         ):
             continue
         penalty_ms = _AVOIDED_PENALTY_MS * (
-            agent.on_trial + (agent.agent in task.avoided)
+            agent.on_trial + (agent.name in task.avoided_agents)
         )
         cost = (
             penalty_ms + _cost_ms(search.state, progress, agent, search.now),
@@ -135,7 +135,7 @@
     now: float,
 ) -> float:
     step = progress.step
-    slowness = max(agent.usual_slowness, slowness_of(agent, now))
+    slowness = max(agent.average_slowness, slowness_of(agent, now))
     cost_ms = step.estimate_ms * slowness
     report = agent.report
     if step.data_rack and report and step.data_rack not in report.labels:
@@ -152,7 +152,7 @@
 ) -> Iterator[tuple[str, AgentView]]:
     step = progress.step
     for link, agent in agents.items():
-        if not may_start(agent, job.queue.service, step):
+        if not can_start(agent, job.queue.service, step):
             continue
         if step.max_per_executor and _at_limit(job, progress, agent):
             continue
@@ -164,7 +164,7 @@
     tasks_on_executor = sum(
         1
         for task in job.tasks.values()
-        if task.step == index and task.agent == agent.agent
+        if task.step_index == index and task.agent == agent.name
     )
     return tasks_on_executor >= progress.step.max_per_executor
 
@@ -178,8 +178,8 @@
     ranked_links = [
         (agent.free.cpu, link)
         for link, agent in state.agents.items()
-        if may_run(agent, job.queue.service, step)
+        if is_eligible(agent, job.queue.service, step)
         and agent.report
-        and agent.report.capacity.holds(step.need)
+        and agent.report.capacity.covers(step.demand)
     ]
     return [max(ranked_links)[1]] if ranked_links else []
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -16,7 +16,7 @@
 from savoryrudder.dispatch import fleet
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import jobs
-from savoryrudder.dispatch.placement import place
+from savoryrudder.dispatch.placement import place_tasks
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import work
 
@@ -41,9 +41,9 @@
     """Apply an event to the state in place and return its effects."""
     turn = Turn(event.now)
     _EVENT_HANDLERS[type(event)](state, turn, event)
-    for placement in place(state, turn.now):
+    for placement in place_tasks(state, turn.now):
         fleet.send_task(state, turn, placement)
-    draining.go_on(state, turn)
+    draining.advance_drain(state, turn)
     return turn.effects
 
 
@@ -74,21 +74,21 @@
         turn.count(f'jobs_{immediate_answer.verdict}')
         turn.log(
             'job-refused',
-            job=event.job.job,
+            job=event.job.job_id,
             verdict=immediate_answer.verdict,
             reason=immediate_answer.reason,
             version=state.configuration.version,
         )
-        turn.reply(event.request, immediate_answer)
+        turn.reply(event.request_id, immediate_answer)
         return
-    is_duplicate = event.job.job in state.jobs
-    if not is_duplicate and claims.contest(state, turn, event):
+    is_duplicate = event.job.job_id in state.jobs
+    if not is_duplicate and claims.defer_if_claimed(state, turn, event):
         return
-    job = state.jobs.get(event.job.job) or _accept_job(state, turn, event)
+    job = state.jobs.get(event.job.job_id) or _accept_job(state, turn, event)
     if job.ended:
         _revive_job(state, turn, job, event)
-    job.callers.add(event.request)
-    state.callers[event.request] = event.job.job
+    job.open_requests.add(event.request_id)
+    state.open_requests[event.request_id] = event.job.job_id
 
 
 def _immediate_answer(
@@ -112,14 +112,14 @@
             'entry is stopping',
             _RETRY_SOON_S,
         )
-    existing_job = state.jobs.get(event.job.job)
+    existing_job = state.jobs.get(event.job.job_id)
     if existing_job is not None:
         is_same = existing_job.request == event.job
         return None if is_same else answers.Answer(answers.CONFLICT)
-    recent_answer = state.answered.get(event.job.job)
+    recent_answer = state.recent_answers.get(event.job.job_id)
     if recent_answer is not None:
         return recent_answer[1]
-    return admission.refusal_of(state, queue, event.job, event.now)
+    return admission.refusal_for(state, queue, event.job, event.now)
 
 
 def _accept_job(
@@ -132,11 +132,11 @@
     turn.count('jobs_accepted')
     turn.log(
         'job-accepted',
-        job=event.job.job,
+        job=event.job.job_id,
         queue=queue.name,
         tasks=len(job.tasks),
         version=state.configuration.version,
-        queued=len(state.waiting),
+        queued=len(state.job_queue),
     )
     return job
 
@@ -162,17 +162,17 @@
     job.started_at = None
     job.ended = False
     jobs.enqueue(state, job)
-    turn.log('job-revived', job=event.job.job, unsettled=job.out)
+    turn.log('job-revived', job=event.job.job_id, unsettled=job.outstanding)
 
 
-def _handle_job_asked(
+def _handle_job_queried(
     state: DispatchState,
     turn: Turn,
-    event: events.JobAsked,
+    event: events.JobQueried,
 ) -> None:
     target = _resolve_path(state, event.host, event.path)
     if isinstance(target, answers.Answer):
-        turn.reply(event.request, target)
+        turn.reply(event.request_id, target)
         return
     queue, job_id = target
     if not job_id:
@@ -181,9 +181,9 @@
             for job in state.jobs.values()
             if job.queue.name == queue.name and job.started_at is None
         )
-        turn.reply(event.request, answers.QueueLength(waiting))
+        turn.reply(event.request_id, answers.QueueLength(waiting))
         return
-    turn.reply(event.request, _job_status(state, job_id))
+    turn.reply(event.request_id, _job_status(state, job_id))
 
 
 def _handle_job_cancelled(
@@ -193,15 +193,15 @@
 ) -> None:
     target = _resolve_path(state, event.host, event.path)
     if isinstance(target, answers.Answer):
-        turn.reply(event.request, target)
+        turn.reply(event.request_id, target)
         return
     _, job_id = target
     job = state.jobs.get(job_id)
     if job is None or job.ended:
-        turn.reply(event.request, answers.Answer(answers.UNKNOWN_JOB))
+        turn.reply(event.request_id, answers.Answer(answers.UNKNOWN_JOB))
         return
     jobs.answer(state, turn, job, answers.Answer(answers.CANCELLED))
-    turn.reply(event.request, answers.Answer(answers.CANCELLED))
+    turn.reply(event.request_id, answers.Answer(answers.CANCELLED))
 
 
 def _resolve_path(
@@ -224,7 +224,7 @@
 def _job_status(state: DispatchState, job_id: str) -> answers.Answer:
     job = state.jobs.get(job_id)
     if job is None or job.ended:
-        recent_answer = state.answered.get(job_id)
+        recent_answer = state.recent_answers.get(job_id)
         return (
             recent_answer[1]
             if recent_answer
@@ -234,25 +234,25 @@
     return answers.Answer(answers.RUNNING if is_running else answers.PENDING)
 
 
-def _handle_caller_gone(
+def _handle_caller_disconnected(
     state: DispatchState,
     turn: Turn,
-    event: events.CallerGone,
+    event: events.CallerDisconnected,
 ) -> None:
-    job_id = state.callers.pop(event.request, '')
+    job_id = state.open_requests.pop(event.request_id, '')
     job = state.jobs.get(job_id)
     if job is None:
-        claims.withdraw(state, event.request)
+        claims.withdraw_submission(state, event.request_id)
         return
-    job.callers.discard(event.request)
-    if job.callers or job.ended:
+    job.open_requests.discard(event.request_id)
+    if job.open_requests or job.ended:
         return
     job.ended = True
     jobs.dequeue(state, job)
     turn.count('jobs_abandoned')
-    turn.log('job-abandoned', job=job_id, unsettled=job.out)
+    turn.log('job-abandoned', job=job_id, unsettled=job.outstanding)
     jobs.stop_runs(state, turn, job)
-    jobs.forget_if_settled(state, job)
+    jobs.remove_if_settled(state, job)
 
 
 def _handle_link_up(
@@ -260,7 +260,7 @@
     turn: Turn,
     event: events.LinkUp,
 ) -> None:
-    state.links[event.link] = event.dialled
+    state.unidentified_links[event.link] = event.dialled
     if event.dialled:
         claims.send_hello(state, turn, event.link)
 
@@ -270,8 +270,8 @@
     turn: Turn,
     event: events.LinkDown,
 ) -> None:
-    fleet.lose(state, turn, event.link, event.reason)
-    claims.lose_peer(state, turn, event.link)
+    fleet.remove_link(state, turn, event.link, event.reason)
+    claims.remove_peer(state, turn, event.link)
 
 
 def _handle_message(
@@ -282,14 +282,14 @@
     if event.link in state.agents:
         _handle_agent_message(state, turn, event)
     elif event.link in state.peers:
-        for submission in claims.take_message(
+        for submission in claims.handle_message(
             state,
             turn,
             event.link,
             event.message,
         ):
             _handle_job_submitted(state, turn, submission)
-    elif event.link in state.links:
+    elif event.link in state.unidentified_links:
         _handle_hello(state, turn, event)
     else:
         turn.count('wasted_messages')
@@ -302,9 +302,9 @@
 ) -> None:
     match event.message:
         case work.AgentHello():
-            fleet.greet(state, turn, event.link, event.message)
+            fleet.register_agent(state, turn, event.link, event.message)
         case work.EntryHello():
-            claims.greet_peer(state, turn, event.link, event.message)
+            claims.register_peer(state, turn, event.link, event.message)
 
 
 def _handle_agent_message(
@@ -314,13 +314,13 @@
 ) -> None:
     match event.message:
         case work.ExecutorReport():
-            fleet.take_report(state, turn, event.link, event.message)
+            fleet.update_executor(state, turn, event.link, event.message)
         case work.RunningTasks():
-            fleet.take_list(state, turn, event.link, event.message)
+            fleet.reconcile_tasks(state, turn, event.link, event.message)
         case work.TaskEnded():
-            fleet.take_end(state, turn, event.link, event.message)
+            fleet.handle_task_end(state, turn, event.link, event.message)
         case work.SlowRun():
-            health.take_slow_run(state, turn, event.link, event.message)
+            health.handle_slow_run(state, turn, event.link, event.message)
 
 
 def _handle_tick(
@@ -328,13 +328,13 @@
     turn: Turn,
     event: events.Tick,
 ) -> None:
-    fleet.settle_overdue(state, turn)
-    jobs.refuse_overdue(state, turn)
-    for submission in claims.settled_submissions(state, turn.now):
+    fleet.requeue_overdue(state, turn)
+    jobs.answer_overdue(state, turn)
+    for submission in claims.pop_settled_submissions(state, turn.now):
         _handle_job_submitted(state, turn, submission)
-    jobs.forget_answers(state, turn.now)
-    claims.announce(state, turn)
-    fleet.confirm_ends(state, turn)
+    jobs.expire_answers(state, turn.now)
+    claims.announce_changes(state, turn)
+    fleet.acknowledge_ends(state, turn)
 
 
 def _handle_drain(
@@ -349,9 +349,9 @@
     {
         events.ConfigurationRead: _handle_configuration,
         events.JobSubmitted: _handle_job_submitted,
-        events.JobAsked: _handle_job_asked,
+        events.JobQueried: _handle_job_queried,
         events.JobCancelled: _handle_job_cancelled,
-        events.CallerGone: _handle_caller_gone,
+        events.CallerDisconnected: _handle_caller_disconnected,
         events.LinkUp: _handle_link_up,
         events.LinkDown: _handle_link_down,
         events.MessageReceived: _handle_message,
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -10,11 +10,11 @@
 from savoryrudder.dispatch.answers import Answer
 from savoryrudder.dispatch.events import JobSubmitted
 from savoryrudder.jobs.model import NO_CONFIGURATION
-from savoryrudder.jobs.model import NO_ROOM
+from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.jobs.model import Configuration
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.jobs.model import Queue
-from savoryrudder.jobs.model import Room
+from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
 from savoryrudder.protocol.work import ExecutorReport
 from savoryrudder.protocol.work import RunName
@@ -37,12 +37,12 @@
     """
 
     settle_s: float
-    answer_memory_s: float = 30
+    answer_retention_s: float = 30
     # Agents connect to an entry within this time after its start.
     warm_up_s: float = 1.2
     # The load balancer stops sending new connections within this time after
     # the entry reports not ready.
-    balancer_s: float = 2.5
+    balancer_delay_s: float = 2.5
 
 
 class TaskState(Enum):
@@ -60,14 +60,14 @@
     """A task of a job; `run` is the number of its latest run."""
 
     name: str
-    step: int
+    step_index: int
     state: TaskState = TaskState.waiting
     run: int = 0
     failures: int = 0
     agent: str = ''
     settled_at: float = 0
     moved: bool = False
-    avoided: set[str] = field(default_factory=set)
+    avoided_agents: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -85,8 +85,8 @@
     """A job that is unanswered or has tasks that may still be running.
 
     `objective_s` is the latency objective, counted from the arrival; to meet
-    it, the job has to start by `latest_start`. `out` counts the tasks that are
-    placed or unsettled.
+    it, the job has to start by `latest_start`. `outstanding` counts the tasks
+    that are placed or unsettled.
     """
 
     request: JobRequest
@@ -94,17 +94,17 @@
     arrived_at: float
     objective_s: float
     latest_start: float
-    number: int
+    sequence_number: int
     steps: list[StepProgress]
     tasks: dict[str, Task]
-    callers: set[int] = field(default_factory=set)
+    open_requests: set[int] = field(default_factory=set)
     expires_at: float = float('inf')
     started_at: float | None = None
-    out: int = 0
+    outstanding: int = 0
     ended: bool = False
 
     @property
-    def has_waiting(self) -> bool:
+    def has_waiting_tasks(self) -> bool:
         """Return whether a task of an unlocked step is waiting."""
         return any(step.waiting for step in self.steps if step.unlocked)
 
@@ -113,33 +113,35 @@
 class AgentView:
     """An entry's view of an agent and the executor beside it.
 
-    `pending` holds, by number, the starts that the reported free resources do
-    not include yet. `listed` is set once the agent has listed its runs of
-    tasks of this entry. `usual_slowness` is the moving average of the task
-    duration relative to the estimate; `slowness` is the same ratio of the
-    latest slow run and is valid until `slow_until`.
+    `unreported_starts` holds, by number, the starts that the reported free
+    resources do not include yet. `reconciled` is set once the agent has listed
+    its runs of tasks of this entry. `average_slowness` is the moving average
+    of the task duration relative to the estimate; `reported_slowness` is the
+    same ratio of the latest slow run and is valid until `slow_until`.
     """
 
-    agent: str
+    name: str
     incarnation: str
     zone: str
     report: ExecutorReport | None = None
-    listed: bool = False
+    reconciled: bool = False
     starts_sent: int = 0
-    pending: dict[int, tuple[str, Room]] = field(default_factory=dict)
-    free: Room = NO_ROOM
-    usual_slowness: float = 1
-    slowness: float = 1
+    unreported_starts: dict[int, tuple[str, Resources]] = field(
+        default_factory=dict
+    )
+    free: Resources = NO_RESOURCES
+    average_slowness: float = 1
+    reported_slowness: float = 1
     slow_until: float = 0
-    failing_until: float = 0
-    recent_failures: int = 0
+    avoided_until: float = 0
+    consecutive_failures: int = 0
     in_flight: int = 0
 
     @property
     def usable(self) -> bool:
         """Return whether tasks may be sent to the agent."""
         report = self.report
-        return self.listed and report is not None and report.accepting
+        return self.reconciled and report is not None and report.accepting
 
     @property
     def on_trial(self) -> bool:
@@ -157,7 +159,7 @@
 
 
 @dataclass(slots=True)
-class Contest:
+class ContestedJob:
     """Submissions of a job that may still be running at another entry.
 
     `holder` is the link to that entry. If it was lost, `settled_at` is the time
@@ -185,34 +187,36 @@
     timing: DispatchTiming
     configuration: Configuration = NO_CONFIGURATION
     jobs: dict[str, Job] = field(default_factory=dict)
-    # Queued jobs as (latest start, number, job ID), sorted.
-    waiting: list[tuple[float, int, str]] = field(default_factory=list)
+    # Queued jobs as (latest start, sequence number, job ID), sorted.
+    job_queue: list[tuple[float, int, str]] = field(default_factory=list)
     # Job IDs by the number of the open request that waits for the answer.
-    callers: dict[int, str] = field(default_factory=dict)
+    open_requests: dict[int, str] = field(default_factory=dict)
     # Final answers with their times, by job ID, for resubmissions.
-    answered: dict[str, tuple[float, Answer]] = field(default_factory=dict)
+    recent_answers: dict[str, tuple[float, Answer]] = field(
+        default_factory=dict
+    )
     agents: dict[str, AgentView] = field(default_factory=dict)
     peers: dict[str, PeerView] = field(default_factory=dict)
-    contests: dict[str, Contest] = field(default_factory=dict)
+    contested_jobs: dict[str, ContestedJob] = field(default_factory=dict)
     # Job IDs of lost entries, with the time by which their runs have ended.
-    orphans: dict[str, float] = field(default_factory=dict)
+    orphaned_jobs: dict[str, float] = field(default_factory=dict)
     # Links of the entries that wait until a job has stopped here, by job ID.
-    relinquished: dict[str, str] = field(default_factory=dict)
+    relinquish_requests: dict[str, str] = field(default_factory=dict)
     # Ends of runs by link, to be acknowledged with the next tick.
-    noted_ends: dict[str, list[RunName]] = field(default_factory=dict)
+    unacknowledged_ends: dict[str, list[RunName]] = field(default_factory=dict)
     claim_changes: ClaimChanges = field(default_factory=ClaimChanges)
     # Links without a hello message yet, and whether this entry initiated them.
-    links: dict[str, bool] = field(default_factory=dict)
-    jobs_seen: int = 0
+    unidentified_links: dict[str, bool] = field(default_factory=dict)
+    jobs_created: int = 0
     started_at: float = 0
-    leaving: bool = False
+    draining: bool = False
     exit_at: float = float('inf')
-    balanced_until: float = float('inf')
+    new_connections_until: float = float('inf')
     idle_from: float = 0
     exited: bool = False
 
     @property
-    def warm_until(self) -> float:
+    def warm_up_until(self) -> float:
         """Return the time until which agents may not be connected yet."""
         return self.started_at + self.timing.warm_up_s
 
@@ -220,4 +224,4 @@
     def ready(self) -> bool:
         """Return whether the entry accepts jobs."""
         has_configuration = self.configuration.version >= 0
-        return has_configuration and not self.leaving and bool(self.agents)
+        return has_configuration and not self.draining and bool(self.agents)
