--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -126,7 +126,7 @@
         )
     if not job.tasks:
         return _permanent_refusal(
-            reasons.INVALID_REQUEST, 'tasks: the job has no tasks'
+            reasons.INVALID_REQUEST, 'tasks: the job has none'
         )
     for index, task in enumerate(job.tasks):
         if task.operation not in service.operations:
--- a/src/savoryrudder/entry/refusals.py
+++ b/src/savoryrudder/entry/refusals.py
@@ -73,7 +73,7 @@
     repeat_until = turn.now + message.wait_ms / MS_PER_S
     answer = answers.refusal(
         reasons.OVERLOADED,
-        'the former owner of the partition refused the job',
+        'the entry formerly in charge refused the job',
         retry_after_ms=message.wait_ms,
     )
     job_key = (message.client, message.key)
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -236,7 +236,7 @@
 def _takeover_answer() -> Answer:
     return answers.refusal(
         reasons.TAKEOVER,
-        'the owner of the partition was lost; submit the job again',
+        'the entry in charge was lost; submit the job again',
         reasons.UNKNOWN,
         answers.MIN_RETRY_AFTER_MS,
     )
@@ -319,7 +319,7 @@
     if request.kind == 'cancel':
         return answers.refusal(
             reasons.CANCELLED,
-            'no such job has arrived; a delayed copy will not run',
+            'no such job had arrived; a delayed copy of it will not run',
         )
     return answers.refusal(
         reasons.NOT_FOUND,
@@ -350,7 +350,7 @@
     ):
         return answers.refusal(
             reasons.OVERLOADED,
-            'the entry holds too many submissions or payload bytes',
+            'the entry holds as many submissions as it may',
             retry_after_ms=answers.MIN_RETRY_AFTER_MS,
         )
     refusal = state.admission.check(
@@ -427,7 +427,7 @@
         request.waiter,
         answers.refusal(
             reasons.NOT_OWNER,
-            'no entry became the owner of this key in time',
+            'no entry could take charge of this key in time',
             reasons.UNKNOWN,
             answers.MIN_RETRY_AFTER_MS,
         ),
