--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -130,7 +130,7 @@
     """Record the end of one task and answer the job if it was the last."""
     task = submission.tasks[index]
     if task.status == SENT:
-        _forget_outstanding(turn, task.agent, (submission.identifier, index))
+        _remove_outstanding(turn, task.agent, (submission.identifier, index))
     task.status = status
     task.reason = reason
     submission.unsettled -= 1
@@ -179,7 +179,7 @@
         turn.count('retries_refused')
         settle_task(turn, submission, index, reasons.NOT_RUN, reason)
         return
-    _forget_outstanding(turn, task.agent, key)
+    _remove_outstanding(turn, task.agent, key)
     turn.count('tasks_requeued')
     task.status = QUEUED
     pause_s = backoff_s(task.attempts, turn.state.randomness.random())
@@ -229,7 +229,7 @@
                 _queued_task(submission, index),
             )
         elif task.status == SENT:
-            _forget_outstanding(
+            _remove_outstanding(
                 turn,
                 task.agent,
                 (submission.identifier, index),
@@ -377,7 +377,7 @@
             turn.send(agent, Withdraw(tuple(keys)))
 
 
-def _forget_outstanding(turn: Turn, agent: str, key: TaskKey) -> None:
+def _remove_outstanding(turn: Turn, agent: str, key: TaskKey) -> None:
     outstanding = turn.state.outstanding.get(agent)
     if outstanding is None:
         return
