--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -30,8 +30,8 @@
 # entries, the p99 of small jobs was 1.8 with 1, 1.9 with 3 and 2.6 with 10.
 MAX_DEMAND: Final = 3
 # Agents get prefetch credits once no small job has arrived for this long.
-LARGE_ONLY_S: Final = 2
-PREFETCH: Final = 10
+PREFETCH_DELAY_S: Final = 2
+PREFETCH_CREDITS: Final = 10
 
 
 def dispatch(turn: Turn) -> None:
@@ -75,11 +75,11 @@
     2 credits, the p99 of small jobs at 80 % load rose from 1.5 to 2.4.
     """
     state = turn.state
-    if turn.now < state.small_job_at + LARGE_ONLY_S:
+    if turn.now < state.small_job_at + PREFETCH_DELAY_S:
         state.prefetching = False
     elif any(state.queues.values()):
         state.prefetching = True
-    return PREFETCH if state.prefetching else 0
+    return PREFETCH_CREDITS if state.prefetching else 0
 
 
 def _is_demand_outdated(link: AgentLink, demand: int, now: float) -> bool:
