--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -109,7 +109,7 @@
 
     def job_ended(self, client: str, tasks: int) -> None:
         """Stop counting the tasks of a job that has ended."""
-        self.limits.end(client, tasks)
+        self.limits.end_tasks(client, tasks)
 
 
 def _check_body(job: Job, policy: Policy) -> Refusal | None:
--- a/src/savoryrudder/entry/limits.py
+++ b/src/savoryrudder/entry/limits.py
@@ -102,7 +102,7 @@
             account.bucket.configure(terms.rate, terms.burst, now)
         return account
 
-    def end(self, client: str, tasks: int) -> None:
+    def end_tasks(self, client: str, tasks: int) -> None:
         """Count tasks of a client as no longer running."""
         account = self._accounts.get(client)
         if account is not None:
@@ -113,12 +113,12 @@
         account = self._accounts.get(client)
         return account.usage if account else Usage()
 
-    def forget_usage(self, client: str) -> None:
+    def reset_usage(self, client: str) -> None:
         """Reset the usage of a client."""
         account = self._accounts.get(client)
         if account is not None:
             account.usage = Usage()
 
-    def seen(self) -> list[str]:
+    def clients(self) -> list[str]:
         """Return the clients with an account."""
         return list(self._accounts)
--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -46,7 +46,7 @@
         return
     candidates = [
         (_due_at(turn, client), client)
-        for client in state.admission.limits.seen()
+        for client in state.admission.limits.clients()
         if client in state.policy.clients and not _record(turn, client).pending
     ]
     due_at, client = min(candidates, default=(float('inf'), ''))
@@ -76,7 +76,7 @@
     record.token = ''
     document = _apply_stored_terms(turn, client, outcome)
     if pending_token and document and document['token'] == pending_token:
-        turn.state.admission.limits.forget_usage(client)
+        turn.state.admission.limits.reset_usage(client)
 
 
 def handle_swapped_terms(
@@ -90,13 +90,13 @@
     if isinstance(outcome, interface.Swapped):
         record.token = ''
         turn.count('terms_renewed')
-        turn.state.admission.limits.forget_usage(client)
+        turn.state.admission.limits.reset_usage(client)
         stored = interface.KeyValue('', outcome.version, record.proposed)
         _apply_stored_terms(turn, client, stored)
     elif isinstance(outcome, interface.SwapConflict):
         # Another entry has renewed the terms; only its step counts.
         record.token = ''
-        turn.state.admission.limits.forget_usage(client)
+        turn.state.admission.limits.reset_usage(client)
         _apply_stored_terms(turn, client, outcome.current)
     else:
         # Only a read shows whether the write has taken effect.
