--- a/bench/policy.py
+++ b/bench/policy.py
@@ -414,7 +414,7 @@
     fleet = Fleet()
     for number in range(count):
         name = f'agent{number}'
-        fleet.agent_up(
+        fleet.add_agent(
             Hello(name, 'i', 'pane', 'zone', SLOTS, 1000, ('plan',), False),
             0,
         )
--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -62,7 +62,7 @@
         hello.operations,
         state.roster_sequence,
     )
-    state.fleet.agent_up(hello, turn.now)
+    state.fleet.add_agent(hello, turn.now)
     turn.log_change('agent_up', agent=name, service=hello.service)
     _send_welcome(turn, name)
     send_claim(turn, name, state.owned)
@@ -115,7 +115,7 @@
     state = turn.state
     link = state.agents.pop(agent)
     note_roster(turn, agent, link.incarnation, link.service, linked=False)
-    state.fleet.agent_down(agent)
+    state.fleet.remove_agent(agent)
     state.claims = {
         request: claim
         for request, claim in state.claims.items()
--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -181,9 +181,9 @@
         self._agents: dict[str, _Agent] = {}
         self._pools: dict[str, _Pool] = {}
 
-    def agent_up(self, hello: Hello, now: float) -> None:
+    def add_agent(self, hello: Hello, now: float) -> None:
         """Add an agent with a new session and no credits."""
-        self.agent_down(hello.agent)
+        self.remove_agent(hello.agent)
         pool = self._pools.setdefault(hello.service, _Pool())
         agent = _Agent(hello)
         self._agents[hello.agent] = agent
@@ -191,7 +191,7 @@
         pool.worker_sizes[hello.slots, hello.memory_mb] += 1
         pool.health.add(hello.agent)
 
-    def agent_down(self, name: str) -> None:
+    def remove_agent(self, name: str) -> None:
         """Remove an agent and its credits."""
         agent = self._agents.pop(name, None)
         if agent is None:
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -59,7 +59,7 @@
     def link(self, service: str, slots: int = 10, memory_mb: int = 512) -> None:
         """Link an agent that is named after its service."""
         hello = Hello(service, 'i', service, 'z', slots, memory_mb, (), False)
-        self.fleet.agent_up(hello, 0)
+        self.fleet.add_agent(hello, 0)
         self.fleet.mark_usable(service)
 
     def submit(
@@ -188,7 +188,7 @@
     harness: AdmissionHarness,
 ) -> None:
     """Guard against accepting jobs that fail at a dependency."""
-    harness.fleet.agent_down('stock')
+    harness.fleet.remove_agent('stock')
     refusal = harness.submit()
     assert refusal.reason == 'dependency-unavailable'
     assert 'stock' in refusal.detail
@@ -198,7 +198,7 @@
     harness.queue_tasks(100, 'office', 'normal', 'stock')
     assert harness.submit().reason == 'dependency-unavailable'
     harness.queues.clear()
-    harness.fleet.agent_down('pane')
+    harness.fleet.remove_agent('pane')
     assert harness.submit(now=2).reason == 'no-upstream'
 
 
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -22,7 +22,7 @@
 
 
 def _add_agent(fleet: Fleet, name: str, credit: int = 10) -> None:
-    fleet.agent_up(_hello(name), 0)
+    fleet.add_agent(_hello(name), 0)
     fleet.mark_usable(name)
     fleet.grant(name, credit)
 
@@ -71,7 +71,7 @@
 def test_leaving_and_lost_agents_get_no_tasks(fleet: Fleet) -> None:
     """Guard against starts that are certain to be rejected."""
     fleet.mark_leaving('a')
-    fleet.agent_down('b')
+    fleet.remove_agent('b')
     assert {fleet.take('pane', 'cut', 0) for _ in range(10)} == {'c'}
     assert fleet.take('pane', 'cut', 0) is None
     assert fleet.capacity('pane') == 10
@@ -96,7 +96,7 @@
     @rule(name=_NAMES)
     def unlink(self, name: str) -> None:
         """End a session."""
-        self.fleet.agent_down(name)
+        self.fleet.remove_agent(name)
         self.credits.pop(name, None)
 
     @rule(name=_NAMES, count=_COUNTS)
