--- a/bench/policy.py
+++ b/bench/policy.py
@@ -419,9 +419,9 @@
             0,
         )
         fleet.mark_usable(name)
-        fleet.grant(name, SLOTS)
+        fleet.add_credits(name, SLOTS)
     target = int(count * SLOTS * 0.8)
-    busy = [fleet.take('pane', 'plan', 0) or '' for _ in range(target)]
+    busy = [fleet.take_credit('pane', 'plan', 0) or '' for _ in range(target)]
     rng = random.Random(5)
     return min(_timed_round(fleet, busy, rng) for _ in range(ROUNDS))
 
@@ -432,8 +432,8 @@
         index = rng.randrange(len(busy))
         now = turn / 1000
         fleet.observe(busy[index], 'plan', 'complete', 0.5, now)
-        fleet.grant(busy[index], 1)
-        busy[index] = fleet.take('pane', 'plan', now) or ''
+        fleet.add_credits(busy[index], 1)
+        busy[index] = fleet.take_credit('pane', 'plan', now) or ''
     return (time.perf_counter() - started) / PLACEMENTS
 
 
--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -158,7 +158,7 @@
     """Settle a task and add the credits that came with its result."""
     link = turn.state.agents[agent]
     if message.credits:
-        turn.state.fleet.grant(agent, message.credits)
+        turn.state.fleet.add_credits(agent, message.credits)
     if not _apply_record(turn, link, message.record):
         turn.count('wasted_messages')
 
@@ -206,7 +206,7 @@
 
 def handle_recall(turn: Turn, agent: str, requested: int) -> None:
     """Return up to `requested` unused credits to an agent."""
-    turn.send(agent, Return(turn.state.fleet.give_back(agent, requested)))
+    turn.send(agent, Return(turn.state.fleet.return_credits(agent, requested)))
 
 
 def update_usable(turn: Turn, link: AgentLink) -> None:
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -128,7 +128,9 @@
             reasons.DEADLINE_PASSED,
         )
         return
-    agent = state.fleet.take(service, queued.operation, turn.now, backlog_s)
+    agent = state.fleet.take_credit(
+        service, queued.operation, turn.now, backlog_s
+    )
     if agent is None:
         return
     turn.observe('queue', turn.now - queued.enqueued)
--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -216,12 +216,12 @@
         agent.hello = agent.hello._replace(leaving=True)
         self._update_rank(name)
 
-    def grant(self, name: str, count: int) -> None:
+    def add_credits(self, name: str, count: int) -> None:
         """Add credits that an agent has granted."""
         self._agents[name].credits += count
         self._update_rank(name)
 
-    def give_back(self, name: str, wanted: int) -> int:
+    def return_credits(self, name: str, wanted: int) -> int:
         """Remove up to `wanted` unused credits and return how many."""
         agent = self._agents[name]
         returned = min(wanted, agent.credits)
@@ -246,7 +246,7 @@
         mean_s = self.times.service_mean_s(service)
         return pool.choose(now, backlog_s, mean_s) is not None
 
-    def take(
+    def take_credit(
         self,
         service: str,
         operation: str,
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -148,9 +148,11 @@
         messages.Finished: agents.handle_finished,
         messages.Rejected: agents.handle_rejected,
         messages.Withdrawn: agents.handle_withdrawn,
-        messages.Grant: lambda turn, agent, message: turn.state.fleet.grant(
-            agent,
-            message.credits,
+        messages.Grant: lambda turn, agent, message: (
+            turn.state.fleet.add_credits(
+                agent,
+                message.credits,
+            )
         ),
         messages.Recall: lambda turn, agent, message: agents.handle_recall(
             turn,
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -24,7 +24,7 @@
 def _add_agent(fleet: Fleet, name: str, credit: int = 10) -> None:
     fleet.add_agent(_hello(name), 0)
     fleet.mark_usable(name)
-    fleet.grant(name, credit)
+    fleet.add_credits(name, credit)
 
 
 @pytest.fixture
@@ -38,7 +38,7 @@
 
 def test_starts_spread_over_equal_agents(fleet: Fleet) -> None:
     """Guard against filling one agent while others idle."""
-    chosen = Counter(fleet.take('pane', 'cut', 0) for _ in range(15))
+    chosen = Counter(fleet.take_credit('pane', 'cut', 0) for _ in range(15))
     assert chosen == {'a': 5, 'b': 5, 'c': 5}
 
 
@@ -48,9 +48,9 @@
         for name, duration_s in (('a', 10), ('b', 1), ('c', 1)):
             fleet.observe(name, 'cut', 'complete', duration_s, 0)
     while fleet.has_credit('pane'):
-        assert fleet.take('pane', 'cut', 0) != 'a'
+        assert fleet.take_credit('pane', 'cut', 0) != 'a'
     assert fleet.has_credit('pane', 0, backlog_s=1000)
-    assert fleet.take('pane', 'cut', 0, 1000) == 'a'
+    assert fleet.take_credit('pane', 'cut', 0, 1000) == 'a'
 
 
 def test_ejected_agent_gets_probes_only(fleet: Fleet) -> None:
@@ -62,9 +62,9 @@
         False,
         False,
     ]
-    chosen = {fleet.take('pane', 'cut', 0.5) for _ in range(10)}
+    chosen = {fleet.take_credit('pane', 'cut', 0.5) for _ in range(10)}
     assert chosen == {'b', 'c'}
-    chosen = Counter(fleet.take('pane', 'cut', 2) for _ in range(5))
+    chosen = Counter(fleet.take_credit('pane', 'cut', 2) for _ in range(5))
     assert chosen['a'] == 1
 
 
@@ -72,8 +72,8 @@
     """Guard against starts that are certain to be rejected."""
     fleet.mark_leaving('a')
     fleet.remove_agent('b')
-    assert {fleet.take('pane', 'cut', 0) for _ in range(10)} == {'c'}
-    assert fleet.take('pane', 'cut', 0) is None
+    assert {fleet.take_credit('pane', 'cut', 0) for _ in range(10)} == {'c'}
+    assert fleet.take_credit('pane', 'cut', 0) is None
     assert fleet.capacity('pane') == 10
     assert fleet.agents_of('pane') == ['c']
 
@@ -104,15 +104,15 @@
         """Grant credits."""
         if name not in self.credits:
             return
-        self.fleet.grant(name, count)
+        self.fleet.add_credits(name, count)
         self.credits[name] += count
 
     @rule(name=_NAMES, count=_COUNTS)
-    def give_back(self, name: str, count: int) -> None:
+    def return_credits(self, name: str, count: int) -> None:
         """Take credits back."""
         if name not in self.credits:
             return
-        self.credits[name] -= self.fleet.give_back(name, count)
+        self.credits[name] -= self.fleet.return_credits(name, count)
 
     @rule(name=_NAMES)
     def fail(self, name: str) -> None:
@@ -126,7 +126,7 @@
             report.credits and not report.ejected
             for report in self.fleet.reports()
         )
-        agent = self.fleet.take('pane', 'cut', 0)
+        agent = self.fleet.take_credit('pane', 'cut', 0)
         assert healthy == (agent is not None)
         if agent is not None:
             self.credits[agent] -= 1
