--- a/bench/policy.py
+++ b/bench/policy.py
@@ -431,7 +431,7 @@
     for turn in range(PLACEMENTS):
         index = rng.randrange(len(busy))
         now = turn / 1000
-        fleet.observe(busy[index], 'plan', 'complete', 0.5, now)
+        fleet.record_outcome(busy[index], 'plan', 'complete', 0.5, now)
         fleet.add_credits(busy[index], 1)
         busy[index] = fleet.take_credit('pane', 'plan', now) or ''
     return (time.perf_counter() - started) / PLACEMENTS
--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -156,7 +156,7 @@
 
 def _check_worker_size(job: Job, context: AdmissionContext) -> Refusal | None:
     service = context.policy.services[job.service]
-    slots, memory_mb = context.fleet.largest(job.service)
+    slots, memory_mb = context.fleet.largest_worker(job.service)
     if not slots:
         return None
     for unit, needed, largest in (
--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -174,7 +174,7 @@
     if task.status != SENT or task.agent != agent:
         return
     operation = submission.job.tasks[message.task].operation
-    state.fleet.observe(agent, operation, reasons.NOT_RUN, 0, turn.now)
+    state.fleet.record_outcome(agent, operation, reasons.NOT_RUN, 0, turn.now)
     if message.reason in _FINAL_REJECTIONS:
         submissions.settle_task(
             turn,
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -52,7 +52,7 @@
     and a rough figure is enough.
     """
     state = turn.state
-    state.fleet.entries = max(1, len(state.live))
+    state.fleet.entry_count = max(1, len(state.live))
     prefetch = _choose_prefetch(turn)
     for name, link in state.agents.items():
         queue = state.queues.get(link.service)
--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -177,7 +177,7 @@
     def __init__(self) -> None:
         """Create a fleet without agents."""
         self.times = ServiceTimes()
-        self.entries = 1
+        self.entry_count = 1
         self._agents: dict[str, _Agent] = {}
         self._pools: dict[str, _Pool] = {}
 
@@ -270,7 +270,7 @@
         pool.update_rank(name, agent)
         return name
 
-    def observe(
+    def record_outcome(
         self,
         name: str,
         operation: str,
@@ -320,9 +320,9 @@
     def capacity(self, service: str) -> float:
         """Return this entry's share of the slots, scaled to normal speed."""
         pool = self._pools.get(service)
-        return pool.capacity / self.entries if pool else 0
+        return pool.capacity / self.entry_count if pool else 0
 
-    def largest(self, service: str) -> tuple[int, int]:
+    def largest_worker(self, service: str) -> tuple[int, int]:
         """Return the most slots and the most memory that a worker announces."""
         pool = self._pools.get(service)
         sizes = (
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -258,7 +258,7 @@
             status, reason = reasons.UNKNOWN, reasons.DAMAGED_RESULT
     # A task that was stopped on request says nothing about its upstream.
     if status == reasons.COMPLETE or not submission.withdrawn:
-        turn.state.fleet.observe(
+        turn.state.fleet.record_outcome(
             task.agent,
             submission.job.tasks[record.task].operation,
             status,
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -180,7 +180,7 @@
 ) -> None:
     """Guard against declared run times that are far off."""
     for _ in range(20):
-        harness.fleet.observe('pane', 'cut', 'complete', 10, 0)
+        harness.fleet.record_outcome('pane', 'cut', 'complete', 10, 0)
     assert harness.submit().reason == 'deadline-unreachable'
 
 
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -46,7 +46,7 @@
     """Guard against a short job that waits for a straggler."""
     for _ in range(10):
         for name, duration_s in (('a', 10), ('b', 1), ('c', 1)):
-            fleet.observe(name, 'cut', 'complete', duration_s, 0)
+            fleet.record_outcome(name, 'cut', 'complete', duration_s, 0)
     while fleet.has_credit('pane'):
         assert fleet.take_credit('pane', 'cut', 0) != 'a'
     assert fleet.has_credit('pane', 0, backlog_s=1000)
@@ -56,7 +56,7 @@
 def test_ejected_agent_gets_probes_only(fleet: Fleet) -> None:
     """Guard against a broken agent that fails job after job."""
     for _ in range(6):
-        fleet.observe('a', 'cut', 'failed', 0.1, 0)
+        fleet.record_outcome('a', 'cut', 'failed', 0.1, 0)
     assert [report.ejected for report in fleet.reports()] == [
         True,
         False,
@@ -117,7 +117,7 @@
     @rule(name=_NAMES)
     def fail(self, name: str) -> None:
         """Fail a task."""
-        self.fleet.observe(name, 'cut', 'failed', 0.1, 0)
+        self.fleet.record_outcome(name, 'cut', 'failed', 0.1, 0)
 
     @rule()
     def take(self) -> None:
