--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -21,11 +21,11 @@
 
 # Speed classes per factor of 2 of the measured slowness. Agents of one class
 # count as equally fast, because service times scatter.
-SPEED_STEPS: Final = 2
+CLASSES_PER_DOUBLING: Final = 2
 # A heap is rebuilt, without its outdated items, above this many items for each
-# agent plus `SMALL_HEAP`.
-MAX_OUTDATED: Final = 4
-SMALL_HEAP: Final = 64
+# agent plus `MAX_SPARE_ITEMS`.
+MAX_ITEMS_PER_AGENT: Final = 4
+MAX_SPARE_ITEMS: Final = 64
 
 # Speed class, negative credits, version, agent.
 _Rank: TypeAlias = tuple[int, int, int, str]
@@ -138,7 +138,7 @@
 
     def _push(self, heap: list[_Rank], name: str) -> None:
         heapq.heappush(heap, self._rank(name))
-        if len(heap) > MAX_OUTDATED * len(self.agents) + SMALL_HEAP:
+        if len(heap) > MAX_ITEMS_PER_AGENT * len(self.agents) + MAX_SPARE_ITEMS:
             current = [rank for rank in heap if self._is_current(rank)]
             heapq.heapify(current)
             heap.clear()
@@ -146,7 +146,7 @@
 
     def _rank(self, name: str) -> _Rank:
         agent = self.agents[name]
-        speed = round(SPEED_STEPS * math.log2(agent.verdict.slowness))
+        speed = round(CLASSES_PER_DOUBLING * math.log2(agent.verdict.slowness))
         return speed, -agent.credits, agent.version, name
 
     def _best_agent(self, heap: list[_Rank]) -> str:
