--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -307,7 +307,7 @@
         capacity,
         context.now,
     )
-    work_by_deadline = queue.work_due(job.urgency, job.client)
+    work_by_deadline = queue.work_by_deadline(job.urgency, job.client)
     drain_ratio = drain_s / (work + sum(work_by_deadline.values()))
     return _forecast_by_deadline(
         job, work_by_deadline, (work, drain_ratio, longest_s), context.now
--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -266,7 +266,7 @@
         if queued is not None:
             self._bands[task.urgency].remove(queued)
 
-    def work_due(self, urgency: str, client: str) -> dict[int, float]:
+    def work_by_deadline(self, urgency: str, client: str) -> dict[int, float]:
         """Return a client's expected work by deadline in whole seconds."""
         client_queue = self._bands[urgency].clients.get(client)
         return client_queue.work_by_deadline if client_queue else {}
