--- a/src/savoryrudder/entry/queueing.py
+++ b/src/savoryrudder/entry/queueing.py
@@ -23,8 +23,8 @@
 LOAD_WINDOW_S: Final = 5
 # Bound on the work, in seconds divided by the weight, by which a client with
 # near targets gets ahead of others.
-MAX_PATIENCE_S: Final = 30
-LEAST_WORK_S: Final = 1e-6
+MAX_TARGET_DELAY_S: Final = 30
+MIN_WORK_S: Final = 1e-6
 
 _HeapItem: TypeAlias = 'tuple[float, float, int, QueuedTask]'
 _Heap: TypeAlias = list[_HeapItem]
@@ -109,7 +109,7 @@
         due_at = math.ceil(task.deadline)
         due_work = self.work_by_deadline.get(due_at, 0) + work
         self.work_by_deadline[due_at] = due_work
-        if due_work < LEAST_WORK_S:
+        if due_work < MIN_WORK_S:
             self.work_by_deadline.pop(due_at)
 
     def _is_queued(self, item: _HeapItem) -> bool:
@@ -352,4 +352,4 @@
 
 
 def _target_delay_s(task: QueuedTask) -> float:
-    return min(MAX_PATIENCE_S, task.target - task.enqueued)
+    return min(MAX_TARGET_DELAY_S, task.target - task.enqueued)
