--- a/src/savoryrudder/entry/partition_map.py
+++ b/src/savoryrudder/entry/partition_map.py
@@ -10,7 +10,7 @@
 from savoryrudder.entry.agents import send_claim
 from savoryrudder.entry.partitions import gain_partition
 from savoryrudder.entry.partitions import lose_partitions
-from savoryrudder.entry.refusals import pass_on_refusals
+from savoryrudder.entry.refusals import send_refusals
 from savoryrudder.entry.state import PartitionOwner
 from savoryrudder.entry.state import PendingCall
 from savoryrudder.store import interface
@@ -74,7 +74,7 @@
     state.owners = owners
     name = state.identity.name
     lost = [number for number in state.owned if owners[number].owner != name]
-    pass_on_refusals(turn, {number: owners[number].owner for number in lost})
+    send_refusals(turn, {number: owners[number].owner for number in lost})
     lose_partitions(turn, lost)
     gained = [
         partition
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -120,7 +120,7 @@
     submissions.release_delayed(turn)
     submissions.expire_retention(turn)
     answers.expire_waits(turn)
-    refusals.forget_refusals(turn)
+    refusals.expire_refusals(turn)
     partitions.expire_doubt(turn)
 
 
--- a/src/savoryrudder/entry/refusals.py
+++ b/src/savoryrudder/entry/refusals.py
@@ -33,7 +33,7 @@
 REFUSAL_REPEAT_MS: Final = 4000
 
 
-def remember_refusal(
+def store_refusal(
     turn: Turn,
     request: ParkedRequest,
     identifier: bytes,
@@ -65,7 +65,7 @@
     answers.reply(turn, request.waiter, answer)
 
 
-def take_over_refusal(turn: Turn, message: Forward) -> None:
+def handle_refusal(turn: Turn, message: Forward) -> None:
     """Store a refusal given by the former owner of a partition."""
     identifier = submission_id(message.client, message.key)
     if identifier in turn.state.submissions:
@@ -82,7 +82,7 @@
     )
 
 
-def pass_on_refusals(turn: Turn, new_owners: dict[int, str]) -> None:
+def send_refusals(turn: Turn, new_owners: dict[int, str]) -> None:
     """Send the refusals given here to the new owners of the partitions."""
     if not new_owners:
         return
@@ -99,7 +99,7 @@
         )
 
 
-def forget_refusals(turn: Turn) -> None:
+def expire_refusals(turn: Turn) -> None:
     """Drop refusals of which no delayed copy can arrive any more."""
     refusals = turn.state.refusals
     expiry = turn.state.refusal_expiry
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -68,7 +68,7 @@
     """Serve a request that another entry has forwarded."""
     now = turn.now
     if message.kind == 'refused':
-        refusals.take_over_refusal(turn, message)
+        refusals.handle_refusal(turn, message)
         return
     request = ParkedRequest(
         Waiter(peer, message.request),
@@ -310,7 +310,7 @@
     answer: Answer,
 ) -> None:
     if answer.outcome == reasons.NOT_RUN and request.kind != 'fetch':
-        answer = refusals.remember_refusal(turn, request, identifier, answer)
+        answer = refusals.store_refusal(turn, request, identifier, answer)
     turn.count('requests_refused')
     answers.reply(turn, request.waiter, answer)
 
