--- a/src/savoryrudder/entry/refusals.py
+++ b/src/savoryrudder/entry/refusals.py
@@ -27,7 +27,7 @@
 TRANSIT_S: Final = 3
 # A copy received while a refusal was repeated arrives within the time that it
 # may be parked and in transit.
-REFUSAL_MEMORY_S: Final = PARK_S + TRANSIT_S
+REFUSAL_RETENTION_S: Final = PARK_S + TRANSIT_S
 # A refusal is repeated for at least this long, so that copies that were in
 # transit when it was given (up to `TRANSIT_S`) do not run afterwards.
 REFUSAL_REPEAT_MS: Final = 4000
@@ -106,7 +106,7 @@
     while expiry and expiry[0][0] <= turn.now:
         _, identifier = heapq.heappop(expiry)
         refusal = refusals.get(identifier)
-        if refusal and refusal.repeat_until + REFUSAL_MEMORY_S <= turn.now:
+        if refusal and refusal.repeat_until + REFUSAL_RETENTION_S <= turn.now:
             refusals.pop(identifier)
 
 
@@ -114,5 +114,5 @@
     turn.state.refusals[identifier] = refusal
     heapq.heappush(
         turn.state.refusal_expiry,
-        (refusal.repeat_until + REFUSAL_MEMORY_S, identifier),
+        (refusal.repeat_until + REFUSAL_RETENTION_S, identifier),
     )
