--- a/src/savoryrudder/entry/retries.py
+++ b/src/savoryrudder/entry/retries.py
@@ -8,8 +8,8 @@
 RETRY_RATIO: Final = 0.1
 RETRY_ALLOWANCE: Final = 10
 WINDOW_S: Final = 10
-FIRST_BACKOFF_S: Final = 0.05
-LONGEST_BACKOFF_S: Final = 1
+INITIAL_BACKOFF_S: Final = 0.05
+MAX_BACKOFF_S: Final = 1
 
 
 class RetryBudget:
@@ -43,5 +43,5 @@
 
 def backoff_s(attempts: int, jitter: float) -> float:
     """Return the exponential backoff; `jitter` is between 0 and 1."""
-    pause_s = FIRST_BACKOFF_S * math.pow(2, attempts - 1)
-    return min(LONGEST_BACKOFF_S, pause_s) * (1 + jitter) / 2
+    pause_s = INITIAL_BACKOFF_S * math.pow(2, attempts - 1)
+    return min(MAX_BACKOFF_S, pause_s) * (1 + jitter) / 2
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from savoryrudder.entry.retries import LONGEST_BACKOFF_S
+from savoryrudder.entry.retries import MAX_BACKOFF_S
 from savoryrudder.entry.retries import RETRY_ALLOWANCE
 from savoryrudder.entry.retries import RETRY_RATIO
 from savoryrudder.entry.retries import RetryBudget
@@ -28,5 +28,5 @@
     """Guard against synchronized retries and unbounded pauses."""
     pauses = [backoff_s(attempts, 1) for attempts in range(1, 8)]
     assert pauses == sorted(pauses)
-    assert pauses[-1] == LONGEST_BACKOFF_S
+    assert pauses[-1] == MAX_BACKOFF_S
     assert backoff_s(1, 0) < backoff_s(1, 0.5) < backoff_s(1, 1)
