--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -159,7 +159,7 @@
     state.outstanding.setdefault(agent, {})[key] = None
     spec = submission.job.tasks[queued.task]
     turn.count('tasks_started')
-    state.retries.note_start(turn.now)
+    state.retries.record_start(turn.now)
     turn.send(
         agent,
         Start(
--- a/src/savoryrudder/entry/retries.py
+++ b/src/savoryrudder/entry/retries.py
@@ -21,7 +21,7 @@
         self._retries: float = 0
         self._decayed_at: float = 0
 
-    def note_start(self, now: float) -> None:
+    def record_start(self, now: float) -> None:
         """Count a start."""
         self._decay(now)
         self._starts += 1
--- a/tests/entry/test_retries.py
+++ b/tests/entry/test_retries.py
@@ -17,7 +17,7 @@
     """Guard against retries that multiply the load of a failing fleet."""
     budget = RetryBudget()
     for _ in range(starts):
-        budget.note_start(1)
+        budget.record_start(1)
     allowed = sum([budget.take(1) for _ in range(requested)])
     limit = int(RETRY_RATIO * starts + RETRY_ALLOWANCE + 1e-9)
     assert abs(allowed - min(requested, limit)) <= 1
