--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -260,7 +260,7 @@
 def _apply_record(turn: Turn, link: AgentLink, record: TaskRecord) -> bool:
     state = turn.state
     key = (record.submission, record.task)
-    is_new = submissions.absorb_record(
+    is_new = submissions.apply_record(
         turn,
         link.name,
         link.incarnation,
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -117,7 +117,7 @@
 def _expire(turn: Turn) -> None:
     agents.expire_lost_agents(turn)
     submissions.expire_deadlines(turn)
-    submissions.release_delayed(turn)
+    submissions.queue_delayed_retries(turn)
     submissions.expire_retention(turn)
     answers.expire_waits(turn)
     refusals.expire_refusals(turn)
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -73,7 +73,7 @@
         _enqueue(turn, submission, index)
     for task, record in state.recovered.pop(identifier, {}).items():
         if task < len(job.tasks):
-            absorb_record(turn, *record)
+            apply_record(turn, *record)
     return submission
 
 
@@ -97,7 +97,7 @@
     return policy.shares, weights
 
 
-def absorb_record(
+def apply_record(
     turn: Turn,
     agent: str,
     incarnation: str,
@@ -135,12 +135,12 @@
     task.reason = reason
     submission.unsettled -= 1
     if status != reasons.COMPLETE and not submission.failing:
-        fail_rest(turn, submission, reasons.JOB_FAILED)
+        fail_remaining(turn, submission, reasons.JOB_FAILED)
     if not submission.unsettled and submission.answer is None:
         _answer_job(turn, submission)
 
 
-def fail_rest(turn: Turn, submission: Submission, reason: str) -> None:
+def fail_remaining(turn: Turn, submission: Submission, reason: str) -> None:
     """Drop the queued tasks of a job and withdraw those sent."""
     submission.failing = True
     for index, task in enumerate(submission.tasks):
@@ -158,7 +158,7 @@
     """Cancel a job; no more of its tasks start."""
     if submission.answer is not None:
         return
-    fail_rest(turn, submission, reasons.CANCELLED)
+    fail_remaining(turn, submission, reasons.CANCELLED)
     if not submission.unsettled:
         _answer_job(turn, submission)
 
@@ -186,7 +186,7 @@
     heapq.heappush(turn.state.delayed, (turn.now + pause_s, key))
 
 
-def release_delayed(turn: Turn) -> None:
+def queue_delayed_retries(turn: Turn) -> None:
     """Queue the tasks whose retry backoff is over."""
     delayed = turn.state.delayed
     while delayed and delayed[0][0] <= turn.now:
@@ -272,7 +272,7 @@
 def _expire(turn: Turn, submission: Submission) -> None:
     in_grace_period = submission.deadline + SETTLE_GRACE_S > turn.now
     if not submission.failing:
-        fail_rest(turn, submission, reasons.DEADLINE_PASSED)
+        fail_remaining(turn, submission, reasons.DEADLINE_PASSED)
     for index, task in enumerate(submission.tasks):
         if task.status == SENT and not in_grace_period:
             settle_task(
