--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -109,7 +109,7 @@
     _expire(turn)
     routing.retry_parked(turn)
     agents.keep_agents_informed(turn)
-    terms.keep_terms(turn)
+    terms.refresh_terms(turn)
     dispatching.report_demand(turn)
     draining.proceed(turn)
 
--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -25,7 +25,7 @@
 STEPS: Final = 10
 # All clients together cause at most one store call in this time.
 CALL_INTERVAL_S: Final = 1
-READS_A_LIFETIME: Final = 4
+READS_PER_LIFETIME: Final = 4
 # Renewals are spread over this range of the lifetime, counted from its end.
 RENEWAL_WINDOW: Final = (0.1, 0.3)
 RETRY_S: Final = 5
@@ -35,7 +35,7 @@
 MAX_FAULTY: Final = 0.05
 
 
-def keep_terms(turn: Turn) -> None:
+def refresh_terms(turn: Turn) -> None:
     """Read or renew the terms of the client that is most overdue."""
     state = turn.state
     if state.policy is None:
@@ -219,7 +219,7 @@
             # The terms have not been renewed for a whole lifetime.
             record.step = 0
     lifetime_s = _grant_terms(turn, client).lifetime_s
-    record.read_at = turn.now + _jittered(turn, lifetime_s / READS_A_LIFETIME)
+    record.read_at = turn.now + _jittered(turn, lifetime_s / READS_PER_LIFETIME)
     lead_s = turn.state.randomness.uniform(*RENEWAL_WINDOW) * lifetime_s
     record.renew_at = turn.now + record.expires - turn.wall - lead_s
     return document
--- a/tests/entry/test_terms.py
+++ b/tests/entry/test_terms.py
@@ -101,7 +101,7 @@
     def tick(self) -> None:
         """Run a tick and collect its store calls."""
         turn = Turn(self.state, self.now, _WALL + self.now)
-        terms.keep_terms(turn)
+        terms.refresh_terms(turn)
         self.pending_calls += [
             effect for effect in turn.effects if isinstance(effect, CallStore)
         ]
