--- a/src/savoryrudder/entry/admission.py
+++ b/src/savoryrudder/entry/admission.py
@@ -349,7 +349,7 @@
 ) -> list[float]:
     operations = {task.operation for task in job.tasks}
     times = context.fleet.times
-    return [times.high_s(service, operation) for operation in operations]
+    return [times.p90_s(service, operation) for operation in operations]
 
 
 def _permanent_refusal(reason: str, detail: str) -> Refusal:
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -140,7 +140,7 @@
 def _p10_s(state: EntryState, service: str, queued: QueuedTask) -> float:
     """Return the 10th percentile of the service time, 0 if unknown."""
     definition = state.policy.services.get(service) if state.policy else None
-    return state.fleet.times.low_s(definition, queued.operation)
+    return state.fleet.times.p10_s(definition, queued.operation)
 
 
 def _send_start(
--- a/src/savoryrudder/entry/times.py
+++ b/src/savoryrudder/entry/times.py
@@ -34,14 +34,14 @@
     def __init__(self) -> None:
         """Create times without samples."""
         self.mean_s: float = 0
-        self.low_s: float = 0
-        self.high_s: float = 0
+        self.p10_s: float = 0
+        self.p90_s: float = 0
         self._samples = 0
         self._current = HdrHistogram(1, _MAX_MS, _SIGNIFICANT_DIGITS)
         self._previous: HdrHistogram | None = None
 
     @property
-    def known(self) -> bool:
+    def has_enough_samples(self) -> bool:
         """Tell whether there are enough samples."""
         return self._samples >= MIN_SAMPLES
 
@@ -56,10 +56,10 @@
             self._current = HdrHistogram(1, _MAX_MS, _SIGNIFICANT_DIGITS)
         if self._samples % READ_INTERVAL == 0 or self._samples == MIN_SAMPLES:
             histogram = self._previous or self._current
-            self.low_s = (
+            self.p10_s = (
                 histogram.get_value_at_percentile(_LOW_PERCENTILE) / MS_PER_S
             )
-            self.high_s = (
+            self.p90_s = (
                 histogram.get_value_at_percentile(_HIGH_PERCENTILE) / MS_PER_S
             )
 
@@ -99,15 +99,15 @@
         """Return the mean over all operations, 0 without samples."""
         return self._by_service.get(service, (0, 0))[1]
 
-    def low_s(self, service: Service | None, operation: str) -> float:
+    def p10_s(self, service: Service | None, operation: str) -> float:
         """Return the measured 10th percentile, 0 without enough samples."""
         times = self._find_measured(service, operation)
-        return times.low_s if times else 0
+        return times.p10_s if times else 0
 
-    def high_s(self, service: Service | None, operation: str) -> float:
+    def p90_s(self, service: Service | None, operation: str) -> float:
         """Return the measured 90th percentile, or the declared time."""
         times = self._find_measured(service, operation)
-        return times.high_s if times else _declared_s(service, operation)
+        return times.p90_s if times else _declared_s(service, operation)
 
     def _find_measured(
         self,
@@ -117,7 +117,7 @@
         if service is None:
             return None
         times = self._by_operation.get((service.name, operation))
-        return times if times and times.known else None
+        return times if times and times.has_enough_samples else None
 
 
 def _declared_s(service: Service | None, operation: str) -> float:
