--- a/src/savoryrudder/entry/times.py
+++ b/src/savoryrudder/entry/times.py
@@ -16,11 +16,11 @@
 MIN_SAMPLES: Final = 10
 # Samples in a histogram before a new one starts and the previous one is
 # dropped.
-GENERATION: Final = 1000
+HISTOGRAM_SAMPLES: Final = 1000
 # Samples between updates of the percentiles, which walk the whole histogram.
-READ_INTERVAL: Final = 50
-SHARE_OF_NEWEST: Final = 0.02
-UNDECLARED_S: Final = 1
+PERCENTILE_INTERVAL: Final = 50
+MIN_SAMPLE_WEIGHT: Final = 0.02
+DEFAULT_TIME_S: Final = 1
 
 _MAX_MS: Final = 86_400_000
 _SIGNIFICANT_DIGITS: Final = 2
@@ -48,13 +48,16 @@
     def record(self, seconds: float) -> None:
         """Add a sample."""
         self._samples += 1
-        weight = max(1 / self._samples, SHARE_OF_NEWEST)
+        weight = max(1 / self._samples, MIN_SAMPLE_WEIGHT)
         self.mean_s += weight * (seconds - self.mean_s)
         self._current.record_value(max(1, int(seconds * MS_PER_S)))
-        if self._current.total_count >= GENERATION:
+        if self._current.total_count >= HISTOGRAM_SAMPLES:
             self._previous = self._current
             self._current = HdrHistogram(1, _MAX_MS, _SIGNIFICANT_DIGITS)
-        if self._samples % READ_INTERVAL == 0 or self._samples == MIN_SAMPLES:
+        if (
+            self._samples % PERCENTILE_INTERVAL == 0
+            or self._samples == MIN_SAMPLES
+        ):
             histogram = self._previous or self._current
             self.p10_s = (
                 histogram.get_value_at_percentile(_LOW_PERCENTILE) / MS_PER_S
@@ -81,7 +84,7 @@
             self._by_operation[key] = times
         times.record(seconds)
         count, mean_s = self._by_service.get(service, (0, 0))
-        weight = max(1 / (count + 1), SHARE_OF_NEWEST)
+        weight = max(1 / (count + 1), MIN_SAMPLE_WEIGHT)
         mean_s += weight * (seconds - mean_s)
         self._by_service[service] = (count + 1, mean_s)
 
@@ -122,5 +125,5 @@
 
 def _declared_s(service: Service | None, operation: str) -> float:
     if service is None or operation not in service.operations:
-        return UNDECLARED_S
+        return DEFAULT_TIME_S
     return service.operations[operation].expected_ms / MS_PER_S
