--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -146,7 +146,7 @@
 
     async def _send(
         self,
-        executor: effects.Executor,
+        executor: effects.ExecutorInstance,
         path: str,
         body: dict[str, Any],
         timeout_s: float,
@@ -158,7 +158,7 @@
             path,
             _JSON.encode(body),
             timeout_s,
-            ((b'expect-instance', executor.executor.encode()),),
+            ((b'expect-instance', executor.name.encode()),),
         )
 
 
--- a/src/savoryrudder/worker/effects.py
+++ b/src/savoryrudder/worker/effects.py
@@ -13,10 +13,10 @@
 from savoryrudder.utils.effects import StateChanged
 
 
-class Executor(NamedTuple):
+class ExecutorInstance(NamedTuple):
     """Identify one instance of the executor and its address."""
 
-    executor: str
+    name: str
     address: str
 
 
@@ -26,7 +26,7 @@
     The lease expires when the executor's clock reaches `lease_until_ms`.
     """
 
-    executor: Executor
+    executor: ExecutorInstance
     task: str
     run: int
     spec: str
@@ -37,7 +37,7 @@
 class CallStop(NamedTuple):
     """Stop a run, or prevent a start that is still under way."""
 
-    executor: Executor
+    executor: ExecutorInstance
     task: str
     run: int
     fence: int
@@ -51,7 +51,7 @@
     numbered up to `noted_upto`.
     """
 
-    executor: Executor
+    executor: ExecutorInstance
     lease_until_ms: int
     fence: int
     noted_upto: int
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -13,7 +13,7 @@
 from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import work
 from savoryrudder.utils.units import MS_PER_S
-from savoryrudder.worker.effects import Executor
+from savoryrudder.worker.effects import ExecutorInstance
 
 if TYPE_CHECKING:
     from savoryrudder.worker.events import ExecutorSeen
@@ -204,11 +204,11 @@
     exited: bool = False
 
     @property
-    def executor(self) -> Executor | None:
+    def executor(self) -> ExecutorInstance | None:
         """Return the current instance of the executor, if there is one."""
         if self.report is None:
             return None
-        return Executor(self.report.executor, self.report.address)
+        return ExecutorInstance(self.report.executor, self.report.address)
 
     @property
     def accepting(self) -> bool:
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -75,7 +75,7 @@
     ) -> str:
         """Start a run unless it is outdated; return the verdict."""
         self.advance(now)
-        if call.executor.executor != self.name:
+        if call.executor.name != self.name:
             return verdicts.OTHER_LIFE
         if call.fence < self.fence:
             return verdicts.FENCED
@@ -100,7 +100,7 @@
     def stop(self, now: float, call: effects.CallStop) -> bool:
         """Stop a run, and keep it from starting later."""
         self.advance(now)
-        if call.executor.executor != self.name:
+        if call.executor.name != self.name:
             return False
         run = self.runs.get(call.task)
         if run is not None and run.number == call.run:
@@ -117,7 +117,7 @@
     ) -> events.LeaseAnswered | None:
         """Extend the lease and list runs and ends."""
         self.advance(now)
-        if call.executor.executor != self.name:
+        if call.executor.name != self.name:
             return None
         if call.lease_until_ms:
             self._extend(now, call.lease_until_ms)
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -20,7 +20,7 @@
 
     from savoryrudder.platform.executor import ExecutorClient
 
-LIFE = effects.Executor('i-1', 'executor')
+LIFE = effects.ExecutorInstance('i-1', 'executor')
 START = effects.CallStart(LIFE, 'j.0.0.1', 2, 'spec', 5000, 7)
 
 
