--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -36,7 +36,7 @@
     from bench.site_days import Kind
     from bench.site_days import Trouble
     from bench.site_jobs import DrawnJob
-    from savoryrudder.worker.effects import CallStart
+    from savoryrudder.worker.effects import StartRun
 
 _ENTRIES: Final = 3
 _EXECUTORS: Final = 11
@@ -113,7 +113,7 @@
         number = self.fleet.submit(entry, job.request, queue)
         self.sent[number] = (kind, clock.now, job)
 
-    def _draw_task_s(self, call: CallStart) -> float:
+    def _draw_task_s(self, call: StartRun) -> float:
         job = self._jobs[call.task.partition('.')[0]]
         return self._source.draw_task_s(job)
 
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -35,15 +35,15 @@
 class ExecutorCalls(Protocol):
     """Call the executor; each call is sent once and ends in bounded time."""
 
-    async def start(self, call: effects.CallStart) -> tuple[str, int]:
+    async def start(self, call: effects.StartRun) -> tuple[str, int]:
         """Return the verdict and the executor's clock (ms, 0: unknown)."""
 
-    async def stop(self, call: effects.CallStop) -> bool:
+    async def stop(self, call: effects.StopRun) -> bool:
         """Return whether the executor confirmed the stop."""
 
     async def renew(
         self,
-        call: effects.CallRenew,
+        call: effects.RenewLease,
         sent_at: float,
     ) -> events.LeaseAnswered | events.LeaseUnanswered:
         """Return the executor's runs and ends."""
@@ -138,14 +138,14 @@
 
     def _carry_out_own(self, effect: effects.WorkerEffect) -> None:
         match effect:
-            case effects.CallStart():
+            case effects.StartRun():
                 self._group.start_soon(self._start, effect)
-            case effects.CallStop():
+            case effects.StopRun():
                 self._group.start_soon(self._stop, effect)
-            case effects.CallRenew():
+            case effects.RenewLease():
                 self._group.start_soon(self._renew, effect)
 
-    async def _start(self, call: effects.CallStart) -> None:
+    async def _start(self, call: effects.StartRun) -> None:
         verdict, clock_ms = await self._executor.start(call)
         self.handle(
             events.StartAnswered(
@@ -157,7 +157,7 @@
             ),
         )
 
-    async def _stop(self, call: effects.CallStop) -> None:
+    async def _stop(self, call: effects.StopRun) -> None:
         confirmed = await self._executor.stop(call)
         self.handle(
             events.StopAnswered(
@@ -168,7 +168,7 @@
             ),
         )
 
-    async def _renew(self, call: effects.CallRenew) -> None:
+    async def _renew(self, call: effects.RenewLease) -> None:
         self.handle(await self._executor.renew(call, anyio.current_time()))
 
     def _send(self, peer: str, message: Message) -> None:
--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -80,7 +80,7 @@
         """Start without an address."""
         self._client = PlatformClient('')
 
-    async def start(self, call: effects.CallStart) -> tuple[str, int]:
+    async def start(self, call: effects.StartRun) -> tuple[str, int]:
         """Return the verdict and the executor's clock (ms, 0: unknown)."""
         body = {
             'task': call.task,
@@ -100,7 +100,7 @@
             return verdict, 0
         return _verdict_of(answer)
 
-    async def stop(self, call: effects.CallStop) -> bool:
+    async def stop(self, call: effects.StopRun) -> bool:
         """Return whether the executor confirmed the stop."""
         body = {'task': call.task, 'run': call.run, 'fence': call.fence}
         answer = await self._send(
@@ -113,7 +113,7 @@
 
     async def renew(
         self,
-        call: effects.CallRenew,
+        call: effects.RenewLease,
         sent_at: float,
     ) -> events.LeaseAnswered | events.LeaseUnanswered:
         """Return the executor's runs and ends."""
--- a/src/savoryrudder/worker/effects.py
+++ b/src/savoryrudder/worker/effects.py
@@ -20,7 +20,7 @@
     address: str
 
 
-class CallStart(NamedTuple):
+class StartRun(NamedTuple):
     """Start a run under a lease.
 
     The lease expires when the executor's clock reaches `lease_until_ms`.
@@ -34,7 +34,7 @@
     fence: int
 
 
-class CallStop(NamedTuple):
+class StopRun(NamedTuple):
     """Stop a run, or prevent a start that is still under way."""
 
     executor: ExecutorInstance
@@ -43,7 +43,7 @@
     fence: int
 
 
-class CallRenew(NamedTuple):
+class RenewLease(NamedTuple):
     """Renew the lease, and request the running and the ended runs.
 
     A `lease_until_ms` of 0 leaves the lease as it is. The executor holds back
@@ -65,7 +65,7 @@
     | Observe
     | StateChanged
     | Exit
-    | CallStart
-    | CallStop
-    | CallRenew
+    | StartRun
+    | StopRun
+    | RenewLease
 )
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -12,7 +12,7 @@
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
 from savoryrudder.worker import suspension
-from savoryrudder.worker.effects import CallRenew
+from savoryrudder.worker.effects import RenewLease
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
@@ -45,7 +45,7 @@
     is_extended = _should_extend_lease(state, turn.now)
     lease.ends_acknowledged = lease.noted_upto
     turn.effects.append(
-        CallRenew(
+        RenewLease(
             executor,
             runs.extend_lease(state, turn.now) if is_extended else 0,
             state.fence,
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -10,8 +10,8 @@
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
-from savoryrudder.worker.effects import CallStart
-from savoryrudder.worker.effects import CallStop
+from savoryrudder.worker.effects import StartRun
+from savoryrudder.worker.effects import StopRun
 from savoryrudder.worker.state import CLOCK_SLOWNESS
 from savoryrudder.worker.state import Phase
 from savoryrudder.worker.state import Run
@@ -71,7 +71,7 @@
     )
     state.lease.hasten(turn.now)
     turn.effects.append(
-        CallStart(
+        StartRun(
             executor,
             message.task,
             message.run,
@@ -226,7 +226,7 @@
     executor = state.executor
     if executor is not None:
         task, number = key
-        turn.effects.append(CallStop(executor, task, number, state.fence))
+        turn.effects.append(StopRun(executor, task, number, state.fence))
 
 
 def _refusal_reason(state: WorkerState, message: work.StartTask) -> str:
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -70,7 +70,7 @@
     def start(
         self,
         now: float,
-        call: effects.CallStart,
+        call: effects.StartRun,
         duration_s: float,
     ) -> str:
         """Start a run unless it is outdated; return the verdict."""
@@ -97,7 +97,7 @@
         self.runs[call.task] = run
         return verdicts.STARTED
 
-    def stop(self, now: float, call: effects.CallStop) -> bool:
+    def stop(self, now: float, call: effects.StopRun) -> bool:
         """Stop a run, and keep it from starting later."""
         self.advance(now)
         if call.executor.name != self.name:
@@ -113,7 +113,7 @@
         self,
         now: float,
         sent_at: float,
-        call: effects.CallRenew,
+        call: effects.RenewLease,
     ) -> events.LeaseAnswered | None:
         """Extend the lease and list runs and ends."""
         self.advance(now)
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -47,7 +47,7 @@
         self._clock = clock
         self._executors = executors
 
-    def draw_duration_s(self, call: effects.CallStart) -> float:
+    def draw_duration_s(self, call: effects.StartRun) -> float:
         """Return how long a task takes on a sound executor."""
         return self._clock.randomness.uniform(*self.durations_s)
 
@@ -86,7 +86,7 @@
         if answer is None:
             self._clock.after(CALL_TIMEOUT_S, self._give_up, call, answer_to)
             return
-        waits = isinstance(call, effects.CallRenew) and call.wait_ms
+        waits = isinstance(call, effects.RenewLease) and call.wait_ms
         if waits and not answer.ended:
             until = self._clock.now + call.wait_ms / MS_PER_S
             self._await_end(executor, call, sent_at, until, answer_to)
@@ -96,7 +96,7 @@
     def _await_end(
         self,
         executor: FakeExecutor,
-        call: effects.CallRenew,
+        call: effects.RenewLease,
         sent_at: float,
         until: float,
         answer_to: Callable[[Any], None],
@@ -124,7 +124,7 @@
         now = self._clock.now
         if executor.dark:
             return None
-        if isinstance(call, effects.CallStart):
+        if isinstance(call, effects.StartRun):
             duration_s = self.duration_factor * self.draw_duration_s(call)
             verdict = executor.start(now, call, duration_s)
             self._check(executor)
@@ -135,7 +135,7 @@
                 verdict,
                 executor.clock_ms(now),
             )
-        if isinstance(call, effects.CallStop):
+        if isinstance(call, effects.StopRun):
             confirmed = executor.stop(now, call)
             return events.StopAnswered(now, call.task, call.run, confirmed)
         return executor.renew(now, sent_at, call)
@@ -159,7 +159,7 @@
 
 
 def _missing_answer(now: float, call: Any) -> Any:
-    if isinstance(call, effects.CallStart):
+    if isinstance(call, effects.StartRun):
         return events.StartAnswered(
             now,
             call.task,
@@ -167,6 +167,6 @@
             verdicts.UNKNOWN,
             0,
         )
-    if isinstance(call, effects.CallStop):
+    if isinstance(call, effects.StopRun):
         return events.StopAnswered(now, call.task, call.run, confirmed=False)
     return events.LeaseUnanswered(now, 'no answer')
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -21,7 +21,7 @@
     from savoryrudder.platform.executor import ExecutorClient
 
 LIFE = effects.ExecutorInstance('i-1', 'executor')
-START = effects.CallStart(LIFE, 'j.0.0.1', 2, 'spec', 5000, 7)
+START = effects.StartRun(LIFE, 'j.0.0.1', 2, 'spec', 5000, 7)
 
 
 @pytest.mark.parametrize(
@@ -75,7 +75,7 @@
         'ended': [[3, 'j.0.0.2', 1, 'done', ''], [4, 'k', 1, 'lapsed', '']],
     }
     executor_server.answer = Response(200, msgspec.json.encode(lists))
-    call = effects.CallRenew(LIFE, 5000, 7, 2, 300)
+    call = effects.RenewLease(LIFE, 5000, 7, 2, 300)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(answer, events.LeaseAnswered)
     assert answer.running == (events.RunListed('j.0.0.1', 2, 41),)
@@ -92,7 +92,7 @@
     """Guards against a fence that is taken for a dead executor."""
     body = b'{"clock_ms":9,"reason":"fence"}'
     executor_server.answer = Response(409, body)
-    call = effects.CallRenew(LIFE, 0, 7, 0, 0)
+    call = effects.RenewLease(LIFE, 0, 7, 0, 0)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(answer, events.LeaseUnanswered)
     assert answer.fenced
@@ -104,6 +104,6 @@
 ) -> None:
     """Guards against runs that seem gone after an unreadable answer."""
     executor_server.answer = Response(200, b'{"running":[["x"]],"clock_ms":1}')
-    call = effects.CallRenew(LIFE, 5000, 7, 2, 0)
+    call = effects.RenewLease(LIFE, 5000, 7, 2, 0)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(answer, events.LeaseUnanswered)
--- a/tests/worker/test_lease.py
+++ b/tests/worker/test_lease.py
@@ -23,7 +23,7 @@
 def test_an_idle_executor_gets_no_renewals(driver: WorkerDriver) -> None:
     """Guards against needless calls to an executor without runs."""
     driver.tick(5)
-    assert not driver.effects_of(effects.CallRenew)
+    assert not driver.effects_of(effects.RenewLease)
 
 
 def test_a_renewal_is_sent_at_once_after_a_start(
@@ -31,7 +31,7 @@
 ) -> None:
     """Guards against detecting the end of a run half a second late."""
     driver.start('j.0')
-    assert driver.effects_of(effects.CallRenew)
+    assert driver.effects_of(effects.RenewLease)
 
 
 def test_runs_of_a_silent_executor_are_lost_when_the_lease_expires(
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -20,9 +20,9 @@
     """Guards against overloading the executor."""
     for number in range(4):
         driver.start(f'j.{number}')
-        assert driver.effects_of(effects.CallStart)
+        assert driver.effects_of(effects.StartRun)
     driver.start('j.4')
-    assert not driver.effects_of(effects.CallStart)
+    assert not driver.effects_of(effects.StartRun)
     assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.NOT_STARTED
 
 
@@ -31,7 +31,7 @@
     driver.send_heartbeat(draining=True)
     assert not driver.messages_of(work.ExecutorReport)[0].accepting
     driver.start('j.0')
-    assert not driver.effects_of(effects.CallStart)
+    assert not driver.effects_of(effects.StartRun)
 
 
 @pytest.mark.parametrize('is_confirmed', [True, False])
@@ -42,7 +42,7 @@
     """Guards against a delayed start while the task runs elsewhere."""
     driver.start('j.0')
     driver.answer_start('j.0', verdicts.UNKNOWN)
-    assert driver.effects_of(effects.CallStop)
+    assert driver.effects_of(effects.StopRun)
     driver.now += 0.1
     driver.post(events.StopAnswered(driver.now, 'j.0', 1, is_confirmed))
     driver.now += 0.1
@@ -98,12 +98,12 @@
     """Guards against assigning capacity twice after an agent restart."""
     driver.send_heartbeat(born_ms=6)
     driver.answer_renewal(running=(events.RunListed('old.0', 3, 10),))
-    assert driver.effects_of(effects.CallStop)[0].task == 'old.0'
+    assert driver.effects_of(effects.StopRun)[0].task == 'old.0'
     driver.start('j.0')
-    assert not driver.effects_of(effects.CallStart)
+    assert not driver.effects_of(effects.StartRun)
     driver.answer_renewal()
     driver.start('j.0', run=2)
-    assert driver.effects_of(effects.CallStart)
+    assert driver.effects_of(effects.StartRun)
 
 
 def test_the_runs_of_a_lost_entry_are_stopped(driver: WorkerDriver) -> None:
@@ -112,9 +112,9 @@
     driver.answer_start('j.0', verdicts.STARTED)
     driver.post(events.LinkDown(driver.now, 'l1', 'cut'))
     driver.tick(0.1)
-    assert not driver.effects_of(effects.CallStop)
+    assert not driver.effects_of(effects.StopRun)
     driver.tick(0.3)
-    assert driver.effects_of(effects.CallStop)
+    assert driver.effects_of(effects.StopRun)
 
 
 def test_a_fenced_start_raises_the_fencing_token(driver: WorkerDriver) -> None:
--- a/tests/worker/test_suspension.py
+++ b/tests/worker/test_suspension.py
@@ -46,7 +46,7 @@
     _let_runs_get_stuck(driver, 'j.0', 'k.0')
     assert not driver.state.accepting
     driver.start('l.0')
-    assert not driver.effects_of(effects.CallStart)
+    assert not driver.effects_of(effects.StartRun)
 
 
 def test_one_stuck_job_does_not_suspend_the_executor(
@@ -80,11 +80,11 @@
     driver.tick(SUSPENSION_S)
     assert driver.messages_of(work.ExecutorReport)[-1].on_trial
     driver.start('l.0')
-    assert driver.effects_of(effects.CallStart)
+    assert driver.effects_of(effects.StartRun)
     driver.start('m.0')
-    assert not driver.effects_of(effects.CallStart)
+    assert not driver.effects_of(effects.StartRun)
     driver.answer_start('l.0', verdicts.STARTED)
     driver.answer_renewal(running=(events.RunListed('l.0', 1, 10),))
     driver.answer_renewal(running=(events.RunListed('l.0', 1, 20),))
     driver.start('m.0', run=2)
-    assert driver.effects_of(effects.CallStart)
+    assert driver.effects_of(effects.StartRun)
