--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -98,7 +98,7 @@
         if body.state not in _STATES:
             return _refuse(executor, f'unknown state {body.state}')
         self._worker.handle(
-            events.ExecutorSeen(
+            events.ExecutorHeartbeat(
                 anyio.current_time(),
                 executor,
                 body.born,
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -35,17 +35,17 @@
     message: Message
 
 
-class ExecutorSeen(NamedTuple):
+class ExecutorHeartbeat(NamedTuple):
     """The executor sent a heartbeat.
 
-    `born_ms` is the UTC time at which the instance started; a heartbeat with
+    `started_ms` is the UTC time at which the instance started; a heartbeat with
     an earlier one comes from a previous instance. `sequence` increases with
     each heartbeat of an instance.
     """
 
     now: float
     executor: str
-    born_ms: int
+    started_ms: int
     sequence: int
     service: str
     address: str
@@ -146,7 +146,7 @@
     LinkUp
     | LinkDown
     | MessageReceived
-    | ExecutorSeen
+    | ExecutorHeartbeat
     | ExecutorLeft
     | StartAnswered
     | StopAnswered
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -126,26 +126,26 @@
     turn.send(link, work.RunningTasks(running))
 
 
-def _handle_executor_seen(
+def _handle_executor_heartbeat(
     state: WorkerState,
     turn: Turn,
-    event: events.ExecutorSeen,
+    event: events.ExecutorHeartbeat,
 ) -> None:
-    previous = state.report
+    previous = state.heartbeat
     if previous is not None:
-        if event.born_ms < previous.born_ms:
+        if event.started_ms < previous.started_ms:
             turn.count('outdated_heartbeats')
             return
         is_same_instance = (
             event.executor == previous.executor
-            and event.born_ms == previous.born_ms
+            and event.started_ms == previous.started_ms
         )
         if is_same_instance and event.sequence < previous.sequence:
             return
         if not is_same_instance:
             runs.lose_all(state, turn, 'executor restarted')
             previous = None
-    state.report = event
+    state.heartbeat = event
     if previous is None:
         state.lease = Lease()
         state.health = Health()
@@ -153,7 +153,7 @@
             'executor-seen',
             executor=event.executor,
             address=event.address,
-            born_ms=event.born_ms,
+            born_ms=event.started_ms,
         )
     elif previous.draining != event.draining:
         turn.log('executor-drains', executor=event.executor)
@@ -166,10 +166,10 @@
     turn: Turn,
     event: events.ExecutorLeft,
 ) -> None:
-    if state.report is None or state.report.executor != event.executor:
+    if state.heartbeat is None or state.heartbeat.executor != event.executor:
         return
     runs.lose_all(state, turn, 'executor left')
-    state.report = None
+    state.heartbeat = None
     state.lease = Lease()
     turn.log('executor-left', executor=event.executor)
 
@@ -270,7 +270,7 @@
         events.LinkUp: _handle_link_up,
         events.LinkDown: _handle_link_down,
         events.MessageReceived: _handle_message,
-        events.ExecutorSeen: _handle_executor_seen,
+        events.ExecutorHeartbeat: _handle_executor_heartbeat,
         events.ExecutorLeft: _handle_executor_left,
         events.StartAnswered: _handle_start_answered,
         events.StopAnswered: _handle_stop_answered,
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -26,24 +26,24 @@
 
 def is_tight(state: WorkerState) -> bool:
     """Return whether the executor is nearly full."""
-    if state.report is None:
+    if state.heartbeat is None:
         return False
-    return state.free.cpu < state.report.capacity.cpu * _NEARLY_FULL_SHARE
+    return state.free.cpu < state.heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
 
 
 def send_reports(state: WorkerState, turn: Turn) -> None:
     """Send a report to each linked entry for which one is due."""
-    executor = state.report
-    if executor is None:
+    heartbeat = state.heartbeat
+    if heartbeat is None:
         return
     current = Reported(
         state.free,
         state.accepting,
         state.health.on_trial,
-        executor.executor,
+        heartbeat.executor,
         turn.now,
     )
-    nearly_full_cpu = executor.capacity.cpu * _NEARLY_FULL_SHARE
+    nearly_full_cpu = heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
     for name, link in state.links.items():
         if not link.incarnation or not _is_due(link, current, nearly_full_cpu):
             continue
@@ -51,10 +51,10 @@
         turn.send(
             name,
             work.ExecutorReport(
-                executor.executor,
-                executor.service,
-                executor.labels,
-                executor.capacity,
+                heartbeat.executor,
+                heartbeat.service,
+                heartbeat.labels,
+                heartbeat.capacity,
                 current.free,
                 current.accepting,
                 link.starts_seen,
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -16,7 +16,7 @@
 from savoryrudder.worker.effects import ExecutorInstance
 
 if TYPE_CHECKING:
-    from savoryrudder.worker.events import ExecutorSeen
+    from savoryrudder.worker.events import ExecutorHeartbeat
 
 # A monotonic clock may run slower than the local one by up to this share.
 CLOCK_SLOWNESS: Final = 0.02
@@ -189,7 +189,7 @@
     identity: WorkerIdentity
     timing: WorkerTiming
     fence: int
-    report: ExecutorSeen | None = None
+    heartbeat: ExecutorHeartbeat | None = None
     lease: Lease = field(default_factory=Lease)
     health: Health = field(default_factory=Health)
     runs: dict[str, Run] = field(default_factory=dict)
@@ -206,15 +206,15 @@
     @property
     def executor(self) -> ExecutorInstance | None:
         """Return the current instance of the executor, if there is one."""
-        if self.report is None:
+        if self.heartbeat is None:
             return None
-        return ExecutorInstance(self.report.executor, self.report.address)
+        return ExecutorInstance(self.heartbeat.executor, self.heartbeat.address)
 
     @property
     def accepting(self) -> bool:
         """Return whether tasks may start."""
-        report = self.report
-        if report is None or report.draining or self.leaving:
+        heartbeat = self.heartbeat
+        if heartbeat is None or heartbeat.draining or self.leaving:
             return False
         if self.health.suspended:
             return False
@@ -224,9 +224,9 @@
     @property
     def free(self) -> Resources:
         """Return the capacity that no run occupies."""
-        if self.report is None:
+        if self.heartbeat is None:
             return NO_RESOURCES
-        free = self.report.capacity
+        free = self.heartbeat.capacity
         for run in self.runs.values():
             free = free.minus(run.demand)
         return free
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -127,7 +127,7 @@
         now = self._fleet.clock.now
         executor = self.executor
         self.post(
-            agent_events.ExecutorSeen(
+            agent_events.ExecutorHeartbeat(
                 now,
                 executor.name,
                 executor.born_ms,
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -85,18 +85,18 @@
     """Guards against waiting for runs that ended with a crash."""
     driver.start('j.0')
     driver.answer_start('j.0', verdicts.STARTED)
-    driver.send_heartbeat(born_ms=6)
+    driver.send_heartbeat(started_ms=6)
     assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
-    driver.send_heartbeat(born_ms=5)
-    assert driver.state.report is not None
-    assert driver.state.report.born_ms == 6
+    driver.send_heartbeat(started_ms=5)
+    assert driver.state.heartbeat is not None
+    assert driver.state.heartbeat.started_ms == 6
 
 
 def test_stray_runs_are_stopped_before_any_start(
     driver: WorkerDriver,
 ) -> None:
     """Guards against assigning capacity twice after an agent restart."""
-    driver.send_heartbeat(born_ms=6)
+    driver.send_heartbeat(started_ms=6)
     driver.answer_renewal(running=(events.RunListed('old.0', 3, 10),))
     assert driver.effects_of(effects.StopRun)[0].task == 'old.0'
     driver.start('j.0')
@@ -134,7 +134,7 @@
     its previous process read.
     """
     fence = driver.state.fence
-    driver.send_heartbeat(born_ms=6)
+    driver.send_heartbeat(started_ms=6)
     fenced = events.LeaseUnanswered(driver.now, 'fence', fenced=True)
     driver.post(fenced)
     assert driver.state.fence > fence
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -44,16 +44,16 @@
 
     def send_heartbeat(
         self,
-        born_ms: int = 5,
+        started_ms: int = 5,
         *,
         draining: bool = False,
     ) -> None:
         """Let the executor send a heartbeat."""
         self.post(
-            events.ExecutorSeen(
+            events.ExecutorHeartbeat(
                 self.now,
                 'x1',
-                born_ms,
+                started_ms,
                 int(self.now * 1000),
                 'pane',
                 'address',
