--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -186,11 +186,11 @@
 ) -> events.LeaseAnswered:
     body = _lists_decoder.decode(content)
     running = tuple(
-        events.RunListed(str(row[0]), int(row[1]), int(row[3]))
+        events.RunProgress(str(row[0]), int(row[1]), int(row[3]))
         for row in body.running
     )
     ended = tuple(
-        events.EndListed(
+        events.RunEnd(
             int(row[0]),
             str(row[1]),
             int(row[2]),
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -84,7 +84,7 @@
     confirmed: bool
 
 
-class RunListed(NamedTuple):
+class RunProgress(NamedTuple):
     """Describe a run that the executor reports as running."""
 
     task: str
@@ -92,7 +92,7 @@
     percent: int
 
 
-class EndListed(NamedTuple):
+class RunEnd(NamedTuple):
     """Describe an ended run; `number` increases with each end."""
 
     number: int
@@ -107,8 +107,8 @@
     now: float
     sent_at: float
     clock_ms: int
-    running: tuple[RunListed, ...]
-    ended: tuple[EndListed, ...]
+    running: tuple[RunProgress, ...]
+    ended: tuple[RunEnd, ...]
 
 
 class LeaseUnanswered(NamedTuple):
--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from savoryrudder.utils.turn import Turn
-    from savoryrudder.worker.events import RunListed
+    from savoryrudder.worker.events import RunProgress
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
 
@@ -36,7 +36,7 @@
 def report_slow_runs(
     state: WorkerState,
     turn: Turn,
-    listed: tuple[RunListed, ...],
+    listed: tuple[RunProgress, ...],
 ) -> None:
     """Record the progress of runs, and report slow and stuck ones once."""
     running: list[Run] = []
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -164,7 +164,7 @@
 def _process_ends(
     state: WorkerState,
     turn: Turn,
-    ended: tuple[events.EndListed, ...],
+    ended: tuple[events.RunEnd, ...],
 ) -> None:
     lease = state.lease
     for end in ended:
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -53,7 +53,7 @@
     fence: int = 0
     lease_until: float = 0
     runs: dict[str, FakeRun] = field(default_factory=dict)
-    ends: list[events.EndListed] = field(default_factory=list)
+    ends: list[events.RunEnd] = field(default_factory=list)
     highest_ended: dict[str, int] = field(default_factory=dict)
     ended_count: int = 0
     failing: bool = False
@@ -127,7 +127,7 @@
             sent_at,
             self.clock_ms(now),
             tuple(
-                events.RunListed(run.task, run.number, run.percent(now))
+                events.RunProgress(run.task, run.number, run.percent(now))
                 for run in self.runs.values()
             ),
             tuple(self.ends),
@@ -176,7 +176,7 @@
         self.highest_ended[run.task] = max(known, run.number)
         self.ended_count += 1
         self.ends.append(
-            events.EndListed(
+            events.RunEnd(
                 self.ended_count,
                 run.task,
                 run.number,
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -78,7 +78,7 @@
     call = effects.RenewLease(LIFE, 5000, 7, 2, 300)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(answer, events.LeaseAnswered)
-    assert answer.running == (events.RunListed('j.0.0.1', 2, 41),)
+    assert answer.running == (events.RunProgress('j.0.0.1', 2, 41),)
     assert [end.outcome for end in answer.ended] == [
         outcomes.DONE,
         outcomes.LOST,
--- a/tests/worker/test_lease.py
+++ b/tests/worker/test_lease.py
@@ -54,7 +54,7 @@
 ) -> None:
     """Guards against tasks that stay on an executor that hangs."""
     _start_runs(driver, 'j.0')
-    listed = (events.RunListed('j.0', 1, 40),)
+    listed = (events.RunProgress('j.0', 1, 40),)
     driver.answer_renewal(running=listed)
     driver.now += 0.4
     driver.answer_renewal(running=listed)
@@ -69,7 +69,10 @@
     """Guards against moving tasks whose estimate was wrong."""
     _start_runs(driver, 'j.0', 'j.1')
     driver.now += 0.2
-    listed = (events.RunListed('j.0', 1, 25), events.RunListed('j.1', 1, 25))
+    listed = (
+        events.RunProgress('j.0', 1, 25),
+        events.RunProgress('j.1', 1, 25),
+    )
     driver.answer_renewal(running=listed)
     assert not driver.messages_of(work.SlowRun)
 
@@ -78,7 +81,10 @@
     """Guards against tasks that stay on an executor that became slow."""
     _start_runs(driver, 'j.0', 'k.0')
     driver.now += 0.2
-    listed = (events.RunListed('j.0', 1, 25), events.RunListed('k.0', 1, 25))
+    listed = (
+        events.RunProgress('j.0', 1, 25),
+        events.RunProgress('k.0', 1, 25),
+    )
     driver.answer_renewal(running=listed)
     slow_runs = driver.messages_of(work.SlowRun)
     assert len(slow_runs) == 2
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -56,7 +56,7 @@
     """Guards against losing an end when the link to its owner closes."""
     driver.start('j.0')
     driver.answer_start('j.0', verdicts.STARTED)
-    end = events.EndListed(1, 'j.0', 1, outcomes.DONE)
+    end = events.RunEnd(1, 'j.0', 1, outcomes.DONE)
     driver.answer_renewal(ended=(end,))
     assert len(driver.messages_of(work.TaskEnded)) == 1
     driver.answer_renewal(ended=(end,))
@@ -73,7 +73,7 @@
     """Guards against an end that neither the store nor the executor holds."""
     driver.start('j.0', durable=True)
     driver.answer_start('j.0', verdicts.STARTED)
-    driver.answer_renewal(ended=(events.EndListed(1, 'j.0', 1, outcomes.DONE),))
+    driver.answer_renewal(ended=(events.RunEnd(1, 'j.0', 1, outcomes.DONE),))
     assert driver.state.lease.noted_upto == 0
     driver.receive(work.EndsNoted((('j.0', 1),)))
     assert driver.state.lease.noted_upto == 1
@@ -97,7 +97,7 @@
 ) -> None:
     """Guards against assigning capacity twice after an agent restart."""
     driver.send_heartbeat(started_ms=6)
-    driver.answer_renewal(running=(events.RunListed('old.0', 3, 10),))
+    driver.answer_renewal(running=(events.RunProgress('old.0', 3, 10),))
     assert driver.effects_of(effects.StopRun)[0].task == 'old.0'
     driver.start('j.0')
     assert not driver.effects_of(effects.StartRun)
--- a/tests/worker/test_suspension.py
+++ b/tests/worker/test_suspension.py
@@ -20,11 +20,11 @@
 def _start_runs(
     driver: WorkerDriver,
     *tasks: str,
-) -> tuple[events.RunListed, ...]:
+) -> tuple[events.RunProgress, ...]:
     for started in tasks:
         driver.start(started)
         driver.answer_start(started, verdicts.STARTED)
-    listed = tuple(events.RunListed(task, 1, 40) for task in tasks)
+    listed = tuple(events.RunProgress(task, 1, 40) for task in tasks)
     driver.answer_renewal(running=listed)
     return listed
 
@@ -63,7 +63,9 @@
     """Guards against suspending an executor that still runs tasks."""
     listed = _start_runs(driver, 'j.0', 'k.0', 'l.0')
     driver.now += STUCK_S
-    driver.answer_renewal(running=(*listed[:2], events.RunListed('l.0', 1, 60)))
+    driver.answer_renewal(
+        running=(*listed[:2], events.RunProgress('l.0', 1, 60))
+    )
     assert driver.state.accepting
 
 
@@ -73,7 +75,7 @@
     """Guards against flooding an executor that may still hang."""
     _let_runs_get_stuck(driver, 'j.0', 'k.0')
     ends = tuple(
-        events.EndListed(number, task, 1, outcomes.STOPPED)
+        events.RunEnd(number, task, 1, outcomes.STOPPED)
         for number, task in enumerate(('j.0', 'k.0'), 1)
     )
     driver.answer_renewal(ended=ends)
@@ -84,7 +86,7 @@
     driver.start('m.0')
     assert not driver.effects_of(effects.StartRun)
     driver.answer_start('l.0', verdicts.STARTED)
-    driver.answer_renewal(running=(events.RunListed('l.0', 1, 10),))
-    driver.answer_renewal(running=(events.RunListed('l.0', 1, 20),))
+    driver.answer_renewal(running=(events.RunProgress('l.0', 1, 10),))
+    driver.answer_renewal(running=(events.RunProgress('l.0', 1, 20),))
     driver.start('m.0', run=2)
     assert driver.effects_of(effects.StartRun)
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -74,8 +74,8 @@
 
     def answer_renewal(
         self,
-        running: tuple[events.RunListed, ...] = (),
-        ended: tuple[events.EndListed, ...] = (),
+        running: tuple[events.RunProgress, ...] = (),
+        ended: tuple[events.RunEnd, ...] = (),
     ) -> None:
         """Let the executor answer a renewal that was sent at the same time."""
         answer = events.LeaseAnswered(self.now, self.now, 0, running, ended)
