Rename the answers to lease renewals

LeaseAnswered -> RenewalAnswered LeaseUnanswered -> RenewalFailed renewal.take_answer -> apply_answer renewal.take_silence -> apply_failure renewal.report_lapsed -> report_expired renewal.note_ends -> discard_ends

--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -45,7 +45,7 @@
         self,
         call: effects.RenewLease,
         sent_at: float,
-    ) -> events.LeaseAnswered | events.LeaseUnanswered:
+    ) -> events.RenewalAnswered | events.RenewalFailed:
         """Return the executor's runs and ends."""
 
 
--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -115,7 +115,7 @@
         self,
         call: effects.RenewLease,
         sent_at: float,
-    ) -> events.LeaseAnswered | events.LeaseUnanswered:
+    ) -> events.RenewalAnswered | events.RenewalFailed:
         """Return the executor's runs and ends."""
         body = {
             'fence': call.fence,
@@ -133,16 +133,16 @@
         )
         now = anyio.current_time()
         if isinstance(answer, Unanswered):
-            return events.LeaseUnanswered(now, answer.reason)
+            return events.RenewalFailed(now, answer.reason)
         if answer.status != HTTPStatus.OK:
             reason = f'the executor answered {answer.status}'
             verdict, _ = _verdict_of(answer)
             is_fenced = verdict == verdicts.FENCED
-            return events.LeaseUnanswered(now, reason, is_fenced)
+            return events.RenewalFailed(now, reason, is_fenced)
         try:
             return _lists_of(answer.content, now, sent_at)
         except _UNREADABLE as error:
-            return events.LeaseUnanswered(now, f'unusable answer: {error}')
+            return events.RenewalFailed(now, f'unusable answer: {error}')
 
     async def _send(
         self,
@@ -183,7 +183,7 @@
     content: bytes,
     now: float,
     sent_at: float,
-) -> events.LeaseAnswered:
+) -> events.RenewalAnswered:
     body = _lists_decoder.decode(content)
     running = tuple(
         events.RunProgress(str(row[0]), int(row[1]), int(row[3]))
@@ -198,4 +198,4 @@
         )
         for row in body.ended
     )
-    return events.LeaseAnswered(now, sent_at, body.clock_ms, running, ended)
+    return events.RenewalAnswered(now, sent_at, body.clock_ms, running, ended)
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -101,7 +101,7 @@
     outcome: str
 
 
-class LeaseAnswered(NamedTuple):
+class RenewalAnswered(NamedTuple):
     """The executor answered a lease renewal that was sent at `sent_at`."""
 
     now: float
@@ -111,7 +111,7 @@
     ended: tuple[RunEnd, ...]
 
 
-class LeaseUnanswered(NamedTuple):
+class RenewalFailed(NamedTuple):
     """A lease renewal was refused or got no usable answer.
 
     `fenced` is set if the executor has seen a higher fencing token.
@@ -150,8 +150,8 @@
     | ExecutorLeft
     | StartAnswered
     | StopAnswered
-    | LeaseAnswered
-    | LeaseUnanswered
+    | RenewalAnswered
+    | RenewalFailed
     | Tick
     | Stalled
     | DrainRequested
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -99,7 +99,7 @@
         case work.StopTask():
             runs.stop_on_request(state, turn, message)
         case work.EndsNoted(ends):
-            renewal.note_ends(state, ends)
+            renewal.discard_ends(state, ends)
 
 
 def _handle_entry_hello(
@@ -190,20 +190,20 @@
     runs.settle_stop(state, turn, event)
 
 
-def _handle_lease_answered(
+def _handle_renewal_answered(
     state: WorkerState,
     turn: Turn,
-    event: events.LeaseAnswered,
+    event: events.RenewalAnswered,
 ) -> None:
-    renewal.take_answer(state, turn, event)
+    renewal.apply_answer(state, turn, event)
 
 
-def _handle_lease_unanswered(
+def _handle_renewal_failed(
     state: WorkerState,
     turn: Turn,
-    event: events.LeaseUnanswered,
+    event: events.RenewalFailed,
 ) -> None:
-    renewal.take_silence(state, turn, event)
+    renewal.apply_failure(state, turn, event)
 
 
 def _handle_tick(
@@ -212,7 +212,7 @@
     event: events.Tick,
 ) -> None:
     _stop_runs_of_lost_owners(state, turn)
-    renewal.report_lapsed(state, turn)
+    renewal.report_expired(state, turn)
     renewal.retry_stops(state, turn)
     suspension.end_suspension(state, turn)
     cutoff = turn.now - state.timing.retention_s
@@ -274,8 +274,8 @@
         events.ExecutorLeft: _handle_executor_left,
         events.StartAnswered: _handle_start_answered,
         events.StopAnswered: _handle_stop_answered,
-        events.LeaseAnswered: _handle_lease_answered,
-        events.LeaseUnanswered: _handle_lease_unanswered,
+        events.RenewalAnswered: _handle_renewal_answered,
+        events.RenewalFailed: _handle_renewal_failed,
         events.Tick: _handle_tick,
         events.Stalled: _handle_stalled,
         events.DrainRequested: _handle_drain,
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -55,10 +55,10 @@
     )
 
 
-def take_answer(
+def apply_answer(
     state: WorkerState,
     turn: Turn,
-    answer: events.LeaseAnswered,
+    answer: events.RenewalAnswered,
 ) -> None:
     """Apply the executor's lists of running and ended runs."""
     lease = state.lease
@@ -78,7 +78,10 @@
     lease.renew_at = turn.now + _renewal_delay_s(state, answer)
 
 
-def _renewal_delay_s(state: WorkerState, answer: events.LeaseAnswered) -> float:
+def _renewal_delay_s(
+    state: WorkerState,
+    answer: events.RenewalAnswered,
+) -> float:
     if state.lease.unnoted_ends:
         return _UNACKED_DELAY_S
     if not state.runs and not state.strays:
@@ -87,10 +90,10 @@
     return _BATCHING_DELAY_S if answer.ended and not is_tight else 0
 
 
-def take_silence(
+def apply_failure(
     state: WorkerState,
     turn: Turn,
-    failure: events.LeaseUnanswered,
+    failure: events.RenewalFailed,
 ) -> None:
     """Record a failed renewal and schedule the next one."""
     lease = state.lease
@@ -104,7 +107,7 @@
         turn.log('executor-silent', reason=failure.reason)
 
 
-def report_lapsed(state: WorkerState, turn: Turn) -> None:
+def report_expired(state: WorkerState, turn: Turn) -> None:
     """Report all runs as lost once the lease of a silent executor expires."""
     if state.lease.silent_since is None or turn.now < state.lease.over_at:
         return
@@ -123,7 +126,7 @@
             runs.send_stop(state, turn, run)
 
 
-def note_ends(state: WorkerState, keys: tuple[RunName, ...]) -> None:
+def discard_ends(state: WorkerState, keys: tuple[RunName, ...]) -> None:
     """Discard ends that their owner has acknowledged."""
     for acknowledged in keys:
         state.ends.pop(acknowledged, None)
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -114,7 +114,7 @@
         now: float,
         sent_at: float,
         call: effects.RenewLease,
-    ) -> events.LeaseAnswered | None:
+    ) -> events.RenewalAnswered | None:
         """Extend the lease and list runs and ends."""
         self.advance(now)
         if call.executor.name != self.name:
@@ -122,7 +122,7 @@
         if call.lease_until_ms:
             self._extend(now, call.lease_until_ms)
         self.ends = [one for one in self.ends if one.number > call.noted_upto]
-        return events.LeaseAnswered(
+        return events.RenewalAnswered(
             now,
             sent_at,
             self.clock_ms(now),
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -169,4 +169,4 @@
         )
     if isinstance(call, effects.StopRun):
         return events.StopAnswered(now, call.task, call.run, confirmed=False)
-    return events.LeaseUnanswered(now, 'no answer')
+    return events.RenewalFailed(now, 'no answer')
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -77,7 +77,7 @@
     executor_server.answer = Response(200, msgspec.json.encode(lists))
     call = effects.RenewLease(LIFE, 5000, 7, 2, 300)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
-    assert isinstance(answer, events.LeaseAnswered)
+    assert isinstance(answer, events.RenewalAnswered)
     assert answer.running == (events.RunProgress('j.0.0.1', 2, 41),)
     assert [end.outcome for end in answer.ended] == [
         outcomes.DONE,
@@ -94,7 +94,7 @@
     executor_server.answer = Response(409, body)
     call = effects.RenewLease(LIFE, 0, 7, 0, 0)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
-    assert isinstance(answer, events.LeaseUnanswered)
+    assert isinstance(answer, events.RenewalFailed)
     assert answer.fenced
 
 
@@ -106,4 +106,4 @@
     executor_server.answer = Response(200, b'{"running":[["x"]],"clock_ms":1}')
     call = effects.RenewLease(LIFE, 5000, 7, 2, 0)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
-    assert isinstance(answer, events.LeaseUnanswered)
+    assert isinstance(answer, events.RenewalFailed)
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -135,7 +135,7 @@
     """
     fence = driver.state.fence
     driver.send_heartbeat(started_ms=6)
-    fenced = events.LeaseUnanswered(driver.now, 'fence', fenced=True)
+    fenced = events.RenewalFailed(driver.now, 'fence', fenced=True)
     driver.post(fenced)
     assert driver.state.fence > fence
     driver.tick(0.1)
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -78,7 +78,7 @@
         ended: tuple[events.RunEnd, ...] = (),
     ) -> None:
         """Let the executor answer a renewal that was sent at the same time."""
-        answer = events.LeaseAnswered(self.now, self.now, 0, running, ended)
+        answer = events.RenewalAnswered(self.now, self.now, 0, running, ended)
         self.post(answer)
 
     def tick(self, seconds: float) -> None:
