--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -164,7 +164,7 @@
 
 def _verdict_of(answer: Response) -> tuple[str, int]:
     if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
-        return verdicts.OTHER_LIFE, 0
+        return verdicts.OTHER_INSTANCE, 0
     if answer.status in _REFUSING_STATUSES:
         return verdicts.REFUSED, 0
     try:
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -31,7 +31,7 @@
         verdicts.REFUSED,
         verdicts.OUTDATED,
         verdicts.FENCED,
-        verdicts.OTHER_LIFE,
+        verdicts.OTHER_INSTANCE,
     ),
 )
 
--- a/src/savoryrudder/worker/verdicts.py
+++ b/src/savoryrudder/worker/verdicts.py
@@ -12,6 +12,6 @@
 # The executor has seen a higher fencing token.
 FENCED: Final = 'fenced'
 # Another instance of the executor answered.
-OTHER_LIFE: Final = 'other-life'
+OTHER_INSTANCE: Final = 'other-life'
 # The request got no usable answer; the run may still start seconds later.
 UNKNOWN: Final = 'unknown'
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -76,7 +76,7 @@
         """Start a run unless it is outdated; return the verdict."""
         self.advance(now)
         if call.executor.name != self.name:
-            return verdicts.OTHER_LIFE
+            return verdicts.OTHER_INSTANCE
         if call.fence < self.fence:
             return verdicts.FENCED
         self.fence = call.fence
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -31,7 +31,7 @@
         (Response(409, b'{"clock_ms":9,"reason":"old"}'), verdicts.OUTDATED),
         (Response(409, b'{"clock_ms":9,"reason":"fence"}'), verdicts.FENCED),
         (Response(409, b'{"clock_ms":9,"reason":"late"}'), verdicts.REFUSED),
-        (Response(421, b''), verdicts.OTHER_LIFE),
+        (Response(421, b''), verdicts.OTHER_INSTANCE),
         (Response(503, b''), verdicts.REFUSED),
         (Response(500, b'{}'), verdicts.UNKNOWN),
         (Response(200, b'garbage'), verdicts.UNKNOWN),
