Rename the functions that start and stop runs

settle_start -> apply_start_answer settle_stop -> apply_stop_answer lose_all -> mark_all_lost stop_stray -> stop_stray_run strays -> stray_runs

--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -143,7 +143,7 @@
         if is_same_instance and event.sequence < previous.sequence:
             return
         if not is_same_instance:
-            runs.lose_all(state, turn, 'executor restarted')
+            runs.mark_all_lost(state, turn, 'executor restarted')
             previous = None
     state.heartbeat = event
     if previous is None:
@@ -168,7 +168,7 @@
 ) -> None:
     if state.heartbeat is None or state.heartbeat.executor != event.executor:
         return
-    runs.lose_all(state, turn, 'executor left')
+    runs.mark_all_lost(state, turn, 'executor left')
     state.heartbeat = None
     state.lease = Lease()
     turn.log('executor-left', executor=event.executor)
@@ -179,7 +179,7 @@
     turn: Turn,
     event: events.StartAnswered,
 ) -> None:
-    runs.settle_start(state, turn, event)
+    runs.apply_start_answer(state, turn, event)
 
 
 def _handle_stop_answered(
@@ -187,7 +187,7 @@
     turn: Turn,
     event: events.StopAnswered,
 ) -> None:
-    runs.settle_stop(state, turn, event)
+    runs.apply_stop_answer(state, turn, event)
 
 
 def _handle_renewal_answered(
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -84,7 +84,7 @@
 ) -> float:
     if state.lease.unnoted_ends:
         return _UNACKED_DELAY_S
-    if not state.runs and not state.strays:
+    if not state.runs and not state.stray_runs:
         return _IDLE_DELAY_S
     is_tight = reports.is_tight(state)
     return _BATCHING_DELAY_S if answer.ended and not is_tight else 0
@@ -142,7 +142,7 @@
 
 def _is_renewal_needed(state: WorkerState) -> bool:
     lease = state.lease
-    if state.runs or state.strays or not lease.surveyed:
+    if state.runs or state.stray_runs or not lease.surveyed:
         return True
     if lease.silent_since is not None:
         return True
@@ -157,7 +157,7 @@
 
 
 def _wait_ms(state: WorkerState) -> int:
-    if not state.runs or state.strays or not state.lease.surveyed:
+    if not state.runs or state.stray_runs or not state.lease.surveyed:
         return 0
     if any(run.stopped_at > 0 for run in state.runs.values()):
         return 0
@@ -213,11 +213,11 @@
 ) -> None:
     tracked = {run.key for run in state.runs.values()}
     untracked = listed - tracked
-    for key in tuple(state.strays):
+    for key in tuple(state.stray_runs):
         if key not in untracked:
-            state.strays.pop(key)
+            state.stray_runs.pop(key)
     cutoff = turn.now - state.timing.stop_retry_s
     for key in untracked:
-        if state.strays.get(key, cutoff) <= cutoff:
+        if state.stray_runs.get(key, cutoff) <= cutoff:
             turn.log('stray-run', task=key[0], run=key[1])
-            runs.stop_stray(state, turn, key)
+            runs.stop_stray_run(state, turn, key)
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -93,7 +93,7 @@
     return state.lease.clock_now_ms(now) + int(lease_s * MS_PER_S)
 
 
-def settle_start(
+def apply_start_answer(
     state: WorkerState,
     turn: Turn,
     answer: events.StartAnswered,
@@ -135,13 +135,13 @@
     _call_stop(state, turn, run.key)
 
 
-def stop_stray(state: WorkerState, turn: Turn, key: work.RunName) -> None:
+def stop_stray_run(state: WorkerState, turn: Turn, key: work.RunName) -> None:
     """Stop a run that this process did not start."""
-    state.strays[key] = turn.now
+    state.stray_runs[key] = turn.now
     _call_stop(state, turn, key)
 
 
-def settle_stop(
+def apply_stop_answer(
     state: WorkerState,
     turn: Turn,
     answer: events.StopAnswered,
@@ -215,11 +215,11 @@
         turn.send(link, message)
 
 
-def lose_all(state: WorkerState, turn: Turn, reason: str) -> None:
+def mark_all_lost(state: WorkerState, turn: Turn, reason: str) -> None:
     """Report every run as lost and release its capacity."""
     for run in tuple(state.runs.values()):
         finish(state, turn, run, outcomes.LOST, reason)
-    state.strays.clear()
+    state.stray_runs.clear()
 
 
 def _call_stop(state: WorkerState, turn: Turn, key: work.RunName) -> None:
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -195,7 +195,7 @@
     runs: dict[str, Run] = field(default_factory=dict)
     # Runs on the executor that this process did not start, with the time at
     # which it last asked to stop them.
-    strays: dict[work.RunName, float] = field(default_factory=dict)
+    stray_runs: dict[work.RunName, float] = field(default_factory=dict)
     ends: dict[work.RunName, UnnotedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
     lost_owners: dict[str, float] = field(default_factory=dict)
@@ -219,7 +219,7 @@
         if self.health.suspended:
             return False
         is_silent = self.lease.silent_since is not None
-        return self.lease.surveyed and not self.strays and not is_silent
+        return self.lease.surveyed and not self.stray_runs and not is_silent
 
     @property
     def free(self) -> Resources:
