--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -45,13 +45,13 @@
         if run is None or run.number != progress.run:
             continue
         if progress.percent > run.percent:
-            suspension.note_progress(state, turn)
+            suspension.record_progress(state, turn)
         if progress.percent > run.percent or run.progressed_at < 0:
             run.percent = progress.percent
             run.progressed_at = turn.now
         if run.phase is Phase.running:
             running.append(run)
-    suspension.judge(state, turn)
+    suspension.suspend_if_stuck(state, turn)
     threshold = _slowness_threshold(running, turn.now)
     for candidate in running:
         _report_if_slow(state, turn, candidate, threshold)
@@ -79,12 +79,12 @@
     threshold: float,
 ) -> None:
     slowness = _projected_slowness(run, turn.now)
-    is_newly_stuck = _is_stuck(run, turn.now) and not run.standstill_reported
+    is_newly_stuck = _is_stuck(run, turn.now) and not run.stuck_reported
     is_newly_slow = slowness >= threshold and not run.slow_reported
     if not is_newly_stuck and not is_newly_slow:
         return
     run.slow_reported = True
-    run.standstill_reported = run.standstill_reported or is_newly_stuck
+    run.stuck_reported = run.stuck_reported or is_newly_stuck
     remaining_ms = (
         _NO_PROGRESS
         if is_newly_stuck
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -178,7 +178,7 @@
         if run is None or run.number != end.run:
             continue
         if end.outcome == outcomes.DONE:
-            suspension.note_progress(state, turn)
+            suspension.record_progress(state, turn)
         runs.finish(state, turn, run, end.outcome, 'executor')
         if run.durable:
             lease.unnoted_ends[end.number] = run.key
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -79,7 +79,7 @@
     percent: int = 0
     progressed_at: float = _NEVER
     slow_reported: bool = False
-    standstill_reported: bool = False
+    stuck_reported: bool = False
     phase: Phase = Phase.starting
     answered_at: float = _NEVER
     stop_sent_at: float = _NEVER
--- a/src/savoryrudder/worker/suspension.py
+++ b/src/savoryrudder/worker/suspension.py
@@ -25,7 +25,7 @@
 _MIN_JOBS: Final = 2
 
 
-def note_progress(state: WorkerState, turn: Turn) -> None:
+def record_progress(state: WorkerState, turn: Turn) -> None:
     """Record that a run made progress or completed; end a trial."""
     health = state.health
     health.progressed_at = turn.now
@@ -42,7 +42,7 @@
         health.on_trial = True
 
 
-def judge(state: WorkerState, turn: Turn) -> None:
+def suspend_if_stuck(state: WorkerState, turn: Turn) -> None:
     """Suspend the executor if none of its runs makes progress."""
     health = state.health
     if health.suspended:
