--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -86,8 +86,8 @@
         return _UNACKED_DELAY_S
     if not state.runs and not state.stray_runs:
         return _IDLE_DELAY_S
-    is_tight = reports.is_tight(state)
-    return _BATCHING_DELAY_S if answer.ended and not is_tight else 0
+    is_nearly_full = reports.is_nearly_full(state)
+    return _BATCHING_DELAY_S if answer.ended and not is_nearly_full else 0
 
 
 def apply_failure(
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from savoryrudder.protocol import work
-from savoryrudder.worker.state import Reported
+from savoryrudder.worker.state import SentReport
 
 if TYPE_CHECKING:
     from savoryrudder.jobs.model import Resources
@@ -24,7 +24,7 @@
 _BATCHING_DELAY_S: Final = 0.1
 
 
-def is_tight(state: WorkerState) -> bool:
+def is_nearly_full(state: WorkerState) -> bool:
     """Return whether the executor is nearly full."""
     if state.heartbeat is None:
         return False
@@ -36,7 +36,7 @@
     heartbeat = state.heartbeat
     if heartbeat is None:
         return
-    current = Reported(
+    current = SentReport(
         state.free,
         state.accepting,
         state.health.on_trial,
@@ -47,7 +47,7 @@
     for name, link in state.links.items():
         if not link.incarnation or not _is_due(link, current, nearly_full_cpu):
             continue
-        link.reported = current
+        link.last_report = current
         turn.send(
             name,
             work.ExecutorReport(
@@ -63,8 +63,12 @@
         )
 
 
-def _is_due(link: EntryLink, current: Reported, nearly_full_cpu: float) -> bool:
-    previous = link.reported
+def _is_due(
+    link: EntryLink,
+    current: SentReport,
+    nearly_full_cpu: float,
+) -> bool:
+    previous = link.last_report
     if previous is None or previous.executor != current.executor:
         return True
     if previous.accepting != current.accepting:
@@ -73,8 +77,11 @@
         return True
     if previous.free == current.free:
         return False
-    is_tight = _min_cpu(previous.free, current.free) < nearly_full_cpu
-    return is_tight or current.sent_at - previous.sent_at >= _BATCHING_DELAY_S
+    is_nearly_full = _min_cpu(previous.free, current.free) < nearly_full_cpu
+    return (
+        is_nearly_full
+        or current.sent_at - previous.sent_at >= _BATCHING_DELAY_S
+    )
 
 
 def _min_cpu(resources: Resources, other: Resources) -> int:
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -50,7 +50,7 @@
     if reason or executor is None:
         turn.count('starts_refused')
         # The entry overestimates the free capacity; send it a report now.
-        entry_link.reported = None
+        entry_link.last_report = None
         turn.log(
             'start-refused',
             task=message.task,
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -100,7 +100,7 @@
     message: work.TaskEnded
 
 
-class Reported(NamedTuple):
+class SentReport(NamedTuple):
     """Hold what the last report to an entry said about the executor."""
 
     free: Resources
@@ -120,7 +120,7 @@
 
     incarnation: str = ''
     starts_seen: int = 0
-    reported: Reported | None = None
+    last_report: SentReport | None = None
 
 
 @dataclass(slots=True)
