--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -121,7 +121,7 @@
     running = tuple(
         run.key
         for run in state.runs.values()
-        if run.owner == hello.incarnation and not run.reported
+        if run.owner == hello.incarnation and not run.end_reported
     )
     turn.send(link, work.RunningTasks(running))
 
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -112,7 +112,7 @@
     if state.lease.silent_since is None or turn.now < state.lease.over_at:
         return
     for run in state.runs.values():
-        if not run.reported:
+        if not run.end_reported:
             runs.report_end(state, turn, run, outcomes.LOST, 'lease expired')
             runs.send_stop(state, turn, run)
 
@@ -121,7 +121,9 @@
     """Repeat requests to stop a run that the executor has not confirmed."""
     cutoff = turn.now - state.timing.stop_retry_s
     for run in state.runs.values():
-        is_unconfirmed = run.phase is Phase.stopping and run.stopped_at < 0
+        is_unconfirmed = (
+            run.phase is Phase.stopping and run.stop_confirmed_at < 0
+        )
         if is_unconfirmed and run.stop_sent_at <= cutoff:
             runs.send_stop(state, turn, run)
 
@@ -159,7 +161,7 @@
 def _wait_ms(state: WorkerState) -> int:
     if not state.runs or state.stray_runs or not state.lease.surveyed:
         return 0
-    if any(run.stopped_at > 0 for run in state.runs.values()):
+    if any(run.stop_confirmed_at > 0 for run in state.runs.values()):
         return 0
     return int(state.timing.renewal_wait_s * MS_PER_S)
 
@@ -200,9 +202,9 @@
 
 def _outcome_of_unlisted(run: Run, sent_at: float) -> str:
     if run.phase is Phase.stopping:
-        is_stop_confirmed = 0 < run.stopped_at < sent_at
+        is_stop_confirmed = 0 < run.stop_confirmed_at < sent_at
         return outcomes.NOT_STARTED if is_stop_confirmed else ''
-    is_missing = run.phase is Phase.running and run.answered_at < sent_at
+    is_missing = run.phase is Phase.running and run.start_confirmed_at < sent_at
     return outcomes.LOST if is_missing else ''
 
 
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -114,7 +114,7 @@
         turn.log('start-unanswered', task=run.task, run=run.number)
         send_stop(state, turn, run)
         return
-    run.answered_at = turn.now
+    run.start_confirmed_at = turn.now
     if run.phase is Phase.starting:
         run.phase = Phase.running
 
@@ -151,7 +151,7 @@
         return
     run = state.runs.get(answer.task)
     if run is not None and run.number == answer.run:
-        run.stopped_at = turn.now
+        run.stop_confirmed_at = turn.now
         state.lease.hasten(turn.now)
 
 
@@ -177,7 +177,7 @@
 ) -> None:
     """Release the capacity of a run that has ended, and report its end."""
     state.runs.pop(run.task)
-    if not run.reported:
+    if not run.end_reported:
         report_end(state, turn, run, outcome, reason)
 
 
@@ -189,7 +189,7 @@
     reason: str,
 ) -> None:
     """Report an end to the run's owner and keep it until acknowledged."""
-    run.reported = True
+    run.end_reported = True
     duration_s = turn.now - run.started_at
     message = work.TaskEnded(
         run.task,
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -65,7 +65,7 @@
 class Run:
     """Track a run of a task that occupies capacity of the executor.
 
-    `reported` is set once its end was reported to the owner. The capacity
+    `end_reported` is set once its end was reported to the owner. The capacity
     stays occupied until the executor confirms that the run has ended.
     """
 
@@ -81,10 +81,10 @@
     slow_reported: bool = False
     stuck_reported: bool = False
     phase: Phase = Phase.starting
-    answered_at: float = _NEVER
+    start_confirmed_at: float = _NEVER
     stop_sent_at: float = _NEVER
-    stopped_at: float = _NEVER
-    reported: bool = False
+    stop_confirmed_at: float = _NEVER
+    end_reported: bool = False
 
     @property
     def key(self) -> work.RunName:
