Call noted ends acknowledged

CallRenew.noted_upto, Lease.noted_upto -> acknowledged_upto UnnotedEnd -> UnacknowledgedEnd Lease.unnoted_ends -> unacknowledged_ends Lease.ends_acknowledged -> acknowledged_upto_sent Lease.ends_seen -> last_end_number _UNACKED_DELAY_S -> _UNACKNOWLEDGED_DELAY_S

--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -119,7 +119,7 @@
         """Return the executor's runs and ends."""
         body = {
             'fence': call.fence,
-            'acked_upto': call.noted_upto,
+            'acked_upto': call.acknowledged_upto,
         }
         if call.lease_until_ms:
             body['deadline_ms'] = call.lease_until_ms
--- a/src/savoryrudder/worker/effects.py
+++ b/src/savoryrudder/worker/effects.py
@@ -48,13 +48,13 @@
 
     A `lease_until_ms` of 0 leaves the lease as it is. The executor holds back
     its answer for up to `wait_ms` until a run ends, and may forget the ends
-    numbered up to `noted_upto`.
+    numbered up to `acknowledged_upto`.
     """
 
     executor: ExecutorInstance
     lease_until_ms: int
     fence: int
-    noted_upto: int
+    acknowledged_upto: int
     wait_ms: int
 
 
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -23,7 +23,7 @@
 
 # The executor lists ends again with each renewal until they are acknowledged,
 # so renewals are spaced out while an owner has not confirmed an end.
-_UNACKED_DELAY_S: Final = 0.1
+_UNACKNOWLEDGED_DELAY_S: Final = 0.1
 # Tasks of a job often end together, and after this delay one answer lists them
 # all. There is no delay on a nearly full executor, as entries wait for the
 # capacity that each end releases.
@@ -43,13 +43,13 @@
         return
     lease.renewing = True
     is_extended = _should_extend_lease(state, turn.now)
-    lease.ends_acknowledged = lease.noted_upto
+    lease.acknowledged_upto_sent = lease.acknowledged_upto
     turn.effects.append(
         RenewLease(
             executor,
             runs.extend_lease(state, turn.now) if is_extended else 0,
             state.fence,
-            lease.noted_upto,
+            lease.acknowledged_upto,
             _wait_ms(state),
         ),
     )
@@ -82,8 +82,8 @@
     state: WorkerState,
     answer: events.RenewalAnswered,
 ) -> float:
-    if state.lease.unnoted_ends:
-        return _UNACKED_DELAY_S
+    if state.lease.unacknowledged_ends:
+        return _UNACKNOWLEDGED_DELAY_S
     if not state.runs and not state.stray_runs:
         return _IDLE_DELAY_S
     is_nearly_full = reports.is_nearly_full(state)
@@ -133,12 +133,12 @@
     for acknowledged in keys:
         state.ends.pop(acknowledged, None)
     lease = state.lease
-    lease.unnoted_ends = {
+    lease.unacknowledged_ends = {
         number: key
-        for number, key in lease.unnoted_ends.items()
+        for number, key in lease.unacknowledged_ends.items()
         if key in state.ends
     }
-    if not lease.unnoted_ends:
+    if not lease.unacknowledged_ends:
         lease.hasten(0)
 
 
@@ -148,7 +148,7 @@
         return True
     if lease.silent_since is not None:
         return True
-    return lease.noted_upto > lease.ends_acknowledged
+    return lease.acknowledged_upto > lease.acknowledged_upto_sent
 
 
 def _should_extend_lease(state: WorkerState, now: float) -> bool:
@@ -173,9 +173,9 @@
 ) -> None:
     lease = state.lease
     for end in ended:
-        if end.number <= lease.ends_seen:
+        if end.number <= lease.last_end_number:
             continue
-        lease.ends_seen = end.number
+        lease.last_end_number = end.number
         run = state.runs.get(end.task)
         if run is None or run.number != end.run:
             continue
@@ -183,7 +183,7 @@
             suspension.record_progress(state, turn)
         runs.finish(state, turn, run, end.outcome, 'executor')
         if run.durable:
-            lease.unnoted_ends[end.number] = run.key
+            lease.unacknowledged_ends[end.number] = run.key
 
 
 def _finish_unlisted_runs(
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -15,7 +15,7 @@
 from savoryrudder.worker.state import CLOCK_SLOWNESS
 from savoryrudder.worker.state import Phase
 from savoryrudder.worker.state import Run
-from savoryrudder.worker.state import UnnotedEnd
+from savoryrudder.worker.state import UnacknowledgedEnd
 
 if TYPE_CHECKING:
     from savoryrudder.utils.turn import Turn
@@ -209,7 +209,7 @@
             outcome=outcome,
             reason=reason,
         )
-    state.ends[run.key] = UnnotedEnd(run.owner, turn.now, message)
+    state.ends[run.key] = UnacknowledgedEnd(run.owner, turn.now, message)
     link = state.find_link(run.owner)
     if link:
         turn.send(link, message)
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -92,7 +92,7 @@
         return (self.task, self.number)
 
 
-class UnnotedEnd(NamedTuple):
+class UnacknowledgedEnd(NamedTuple):
     """Hold the end of a run until its owner has acknowledged it."""
 
     owner: str
@@ -140,9 +140,9 @@
     renewing: bool = False
     renew_at: float = _NEVER
     surveyed: bool = False
-    ends_seen: int = 0
-    ends_acknowledged: int = 0
-    unnoted_ends: dict[int, work.RunName] = field(default_factory=dict)
+    last_end_number: int = 0
+    acknowledged_upto_sent: int = 0
+    unacknowledged_ends: dict[int, work.RunName] = field(default_factory=dict)
 
     def hasten(self, now: float) -> None:
         """Bring the next renewal forward to `now`.
@@ -161,11 +161,11 @@
         self.clock_at = now
 
     @property
-    def noted_upto(self) -> int:
+    def acknowledged_upto(self) -> int:
         """Return the number up to which no end awaits acknowledgement."""
-        if self.unnoted_ends:
-            return min(self.unnoted_ends) - 1
-        return self.ends_seen
+        if self.unacknowledged_ends:
+            return min(self.unacknowledged_ends) - 1
+        return self.last_end_number
 
 
 @dataclass(slots=True)
@@ -196,7 +196,7 @@
     # Runs on the executor that this process did not start, with the time at
     # which it last asked to stop them.
     stray_runs: dict[work.RunName, float] = field(default_factory=dict)
-    ends: dict[work.RunName, UnnotedEnd] = field(default_factory=dict)
+    ends: dict[work.RunName, UnacknowledgedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
     lost_owners: dict[str, float] = field(default_factory=dict)
     leaving: bool = False
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -121,7 +121,9 @@
             return None
         if call.lease_until_ms:
             self._extend(now, call.lease_until_ms)
-        self.ends = [one for one in self.ends if one.number > call.noted_upto]
+        self.ends = [
+            one for one in self.ends if one.number > call.acknowledged_upto
+        ]
         return events.RenewalAnswered(
             now,
             sent_at,
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -74,9 +74,9 @@
     driver.start('j.0', durable=True)
     driver.answer_start('j.0', verdicts.STARTED)
     driver.answer_renewal(ended=(events.RunEnd(1, 'j.0', 1, outcomes.DONE),))
-    assert driver.state.lease.noted_upto == 0
+    assert driver.state.lease.acknowledged_upto == 0
     driver.receive(work.EndsNoted((('j.0', 1),)))
-    assert driver.state.lease.noted_upto == 1
+    assert driver.state.lease.acknowledged_upto == 1
 
 
 def test_runs_are_lost_when_the_executor_restarts(
