Rename the fields of the executor lease

CLOCK_SLOWNESS -> MAX_CLOCK_DRIFT silence_s -> silent_renewal_s clock_at -> clock_read_at over_at -> expires_at surveyed -> reconciled hasten -> renew_by clock_now_ms -> estimate_clock_ms note_clock -> record_clock

--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -158,7 +158,7 @@
     elif previous.draining != event.draining:
         turn.log('executor-drains', executor=event.executor)
     if state.lease.clock_ms == 0:
-        state.lease.note_clock(turn.now, event.clock_ms)
+        state.lease.record_clock(turn.now, event.clock_ms)
 
 
 def _handle_executor_left(
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -63,7 +63,7 @@
     """Apply the executor's lists of running and ended runs."""
     lease = state.lease
     lease.renewing = False
-    lease.note_clock(turn.now, answer.clock_ms)
+    lease.record_clock(turn.now, answer.clock_ms)
     if lease.silent_since is not None:
         turn.log('executor-answers', silent_s=turn.now - lease.silent_since)
         lease.silent_since = None
@@ -74,7 +74,7 @@
     }
     _finish_unlisted_runs(state, turn, answer.sent_at, listed)
     _stop_stray_runs(state, turn, listed)
-    lease.surveyed = True
+    lease.reconciled = True
     lease.renew_at = turn.now + _renewal_delay_s(state, answer)
 
 
@@ -109,7 +109,7 @@
 
 def report_expired(state: WorkerState, turn: Turn) -> None:
     """Report all runs as lost once the lease of a silent executor expires."""
-    if state.lease.silent_since is None or turn.now < state.lease.over_at:
+    if state.lease.silent_since is None or turn.now < state.lease.expires_at:
         return
     for run in state.runs.values():
         if not run.end_reported:
@@ -139,12 +139,12 @@
         if key in state.ends
     }
     if not lease.unacknowledged_ends:
-        lease.hasten(0)
+        lease.renew_by(0)
 
 
 def _is_renewal_needed(state: WorkerState) -> bool:
     lease = state.lease
-    if state.runs or state.stray_runs or not lease.surveyed:
+    if state.runs or state.stray_runs or not lease.reconciled:
         return True
     if lease.silent_since is not None:
         return True
@@ -152,14 +152,17 @@
 
 
 def _should_extend_lease(state: WorkerState, now: float) -> bool:
-    if not state.lease.surveyed or not state.runs:
+    if not state.lease.reconciled or not state.runs:
         return False
     silent_since = state.lease.silent_since
-    return silent_since is None or now - silent_since < state.timing.silence_s
+    return (
+        silent_since is None
+        or now - silent_since < state.timing.silent_renewal_s
+    )
 
 
 def _wait_ms(state: WorkerState) -> int:
-    if not state.runs or state.stray_runs or not state.lease.surveyed:
+    if not state.runs or state.stray_runs or not state.lease.reconciled:
         return 0
     if any(run.stop_confirmed_at > 0 for run in state.runs.values()):
         return 0
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -12,7 +12,7 @@
 from savoryrudder.worker import verdicts
 from savoryrudder.worker.effects import StartRun
 from savoryrudder.worker.effects import StopRun
-from savoryrudder.worker.state import CLOCK_SLOWNESS
+from savoryrudder.worker.state import MAX_CLOCK_DRIFT
 from savoryrudder.worker.state import Phase
 from savoryrudder.worker.state import Run
 from savoryrudder.worker.state import UnacknowledgedEnd
@@ -69,7 +69,7 @@
         message.estimate_ms / MS_PER_S,
         turn.now,
     )
-    state.lease.hasten(turn.now)
+    state.lease.renew_by(turn.now)
     turn.effects.append(
         StartRun(
             executor,
@@ -88,9 +88,9 @@
     The time is in milliseconds of the executor's clock.
     """
     lease_s = state.timing.lease_s
-    expiry_s = lease_s / (1 - CLOCK_SLOWNESS) + _EXPIRY_MARGIN_S
-    state.lease.over_at = max(state.lease.over_at, now + expiry_s)
-    return state.lease.clock_now_ms(now) + int(lease_s * MS_PER_S)
+    expiry_s = lease_s / (1 - MAX_CLOCK_DRIFT) + _EXPIRY_MARGIN_S
+    state.lease.expires_at = max(state.lease.expires_at, now + expiry_s)
+    return state.lease.estimate_clock_ms(now) + int(lease_s * MS_PER_S)
 
 
 def apply_start_answer(
@@ -100,7 +100,7 @@
 ) -> None:
     """Apply the answer to a request to start a run."""
     if answer.clock_ms:
-        state.lease.note_clock(turn.now, answer.clock_ms)
+        state.lease.record_clock(turn.now, answer.clock_ms)
     if answer.verdict == verdicts.FENCED:
         raise_fence(state, turn)
     run = state.runs.get(answer.task)
@@ -152,7 +152,7 @@
     run = state.runs.get(answer.task)
     if run is not None and run.number == answer.run:
         run.stop_confirmed_at = turn.now
-        state.lease.hasten(turn.now)
+        state.lease.renew_by(turn.now)
 
 
 def stop_on_request(
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -19,7 +19,7 @@
     from savoryrudder.worker.events import ExecutorHeartbeat
 
 # A monotonic clock may run slower than the local one by up to this share.
-CLOCK_SLOWNESS: Final = 0.02
+MAX_CLOCK_DRIFT: Final = 0.02
 _NEVER: Final = float('-inf')
 
 
@@ -39,15 +39,15 @@
 
     `lease_s` is the longest lease that the executor grants. A run ends at
     most `stop_s` after a request to stop it. The lease of an executor that
-    does not answer is extended for another `silence_s`. The runs of an entry
-    are stopped `owner_grace_s` after the loss of its link. Ends that are not
-    acknowledged are kept for `retention_s`.
+    does not answer is extended for another `silent_renewal_s`. The runs of
+    an entry are stopped `owner_grace_s` after the loss of its link. Ends that
+    are not acknowledged are kept for `retention_s`.
     """
 
     lease_s: float
     stop_s: float
     renewal_wait_s: float = 0.1
-    silence_s: float = 0
+    silent_renewal_s: float = 0
     stop_retry_s: float = 0.25
     owner_grace_s: float = 0.3
     retention_s: float = 30
@@ -127,38 +127,39 @@
 class Lease:
     """Track the lease of the executor's runs and the executor's clock.
 
-    The clock showed `clock_ms` at `clock_at`. By `over_at` the lease of every
-    run has expired, unless a renewal reaches the executor. `silent_since` is
-    the time of the first failed renewal since the last answer, or None.
-    `surveyed` is set once the executor has listed its runs.
+    The clock showed `clock_ms` at `clock_read_at`. By `expires_at` the lease
+    of every run has expired, unless a renewal reaches the executor.
+    `silent_since` is the time of the first failed renewal since the last
+    answer, or None.
+    `reconciled` is set once the executor has listed its runs.
     """
 
     clock_ms: int = 0
-    clock_at: float = _NEVER
-    over_at: float = _NEVER
+    clock_read_at: float = _NEVER
+    expires_at: float = _NEVER
     silent_since: float | None = None
     renewing: bool = False
     renew_at: float = _NEVER
-    surveyed: bool = False
+    reconciled: bool = False
     last_end_number: int = 0
     acknowledged_upto_sent: int = 0
     unacknowledged_ends: dict[int, work.RunName] = field(default_factory=dict)
 
-    def hasten(self, now: float) -> None:
+    def renew_by(self, now: float) -> None:
         """Bring the next renewal forward to `now`.
 
         It is sent once no other renewal is in flight.
         """
         self.renew_at = min(self.renew_at, now)
 
-    def clock_now_ms(self, now: float) -> int:
+    def estimate_clock_ms(self, now: float) -> int:
         """Return the estimated time on the executor's clock (ms)."""
-        return self.clock_ms + int((now - self.clock_at) * MS_PER_S)
+        return self.clock_ms + int((now - self.clock_read_at) * MS_PER_S)
 
-    def note_clock(self, now: float, clock_ms: int) -> None:
+    def record_clock(self, now: float, clock_ms: int) -> None:
         """Record a reading of the executor's clock."""
         self.clock_ms = clock_ms
-        self.clock_at = now
+        self.clock_read_at = now
 
     @property
     def acknowledged_upto(self) -> int:
@@ -219,7 +220,7 @@
         if self.health.suspended:
             return False
         is_silent = self.lease.silent_since is not None
-        return self.lease.surveyed and not self.stray_runs and not is_silent
+        return self.lease.reconciled and not self.stray_runs and not is_silent
 
     @property
     def free(self) -> Resources:
