--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -248,14 +248,14 @@
     turn: Turn,
     event: events.DrainRequested,
 ) -> None:
-    if not state.leaving:
+    if not state.draining:
         turn.log('draining', runs=len(state.runs))
-        state.leaving = True
+        state.draining = True
         state.exit_at = turn.now + event.timeout_s
 
 
 def _exit_if_drained(state: WorkerState, turn: Turn) -> None:
-    if not state.leaving or state.exited:
+    if not state.draining or state.exited:
         return
     if state.runs and turn.now < state.exit_at:
         return
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -230,7 +230,7 @@
 
 
 def _refusal_reason(state: WorkerState, message: work.StartTask) -> str:
-    if state.leaving:
+    if state.draining:
         return 'agent is leaving'
     if not state.accepting:
         return 'executor takes no tasks'
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -200,7 +200,7 @@
     ends: dict[work.RunName, UnacknowledgedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
     lost_owners: dict[str, float] = field(default_factory=dict)
-    leaving: bool = False
+    draining: bool = False
     exit_at: float = float('inf')
     exited: bool = False
 
@@ -215,7 +215,7 @@
     def accepting(self) -> bool:
         """Return whether tasks may start."""
         heartbeat = self.heartbeat
-        if heartbeat is None or heartbeat.draining or self.leaving:
+        if heartbeat is None or heartbeat.draining or self.draining:
             return False
         if self.health.suspended:
             return False
