--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -84,5 +84,5 @@
     )
 
 
-def _min_cpu(resources: Resources, other: Resources) -> int:
-    return min(resources.cpu, other.cpu)
+def _min_cpu(previous: Resources, current: Resources) -> int:
+    return min(previous.cpu, current.cpu)
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -130,8 +130,8 @@
     The clock showed `clock_ms` at `clock_read_at`. By `expires_at` the lease
     of every run has expired, unless a renewal reaches the executor.
     `silent_since` is the time of the first failed renewal since the last
-    answer, or None.
-    `reconciled` is set once the executor has listed its runs.
+    answer, or None. `reconciled` is set once the executor has listed its runs
+    and they were compared with those of the agent.
     """
 
     clock_ms: int = 0
@@ -145,12 +145,12 @@
     acknowledged_upto_sent: int = 0
     unacknowledged_ends: dict[int, work.RunName] = field(default_factory=dict)
 
-    def renew_by(self, now: float) -> None:
-        """Bring the next renewal forward to `now`.
+    def renew_by(self, due_at: float) -> None:
+        """Bring the next renewal forward to `due_at`.
 
         It is sent once no other renewal is in flight.
         """
-        self.renew_at = min(self.renew_at, now)
+        self.renew_at = min(self.renew_at, due_at)
 
     def estimate_clock_ms(self, now: float) -> int:
         """Return the estimated time on the executor's clock (ms)."""
