--- a/src/savoryrudder/utils/__init__.py
+++ b/src/savoryrudder/utils/__init__.py
@@ -1,3 +1,3 @@
-"""Small helpers without state."""
+"""Effects, identifiers and units that the roles share."""
 
 from __future__ import annotations
--- a/src/savoryrudder/utils/effects.py
+++ b/src/savoryrudder/utils/effects.py
@@ -1,4 +1,4 @@
-"""Define the effects that both reducers return."""
+"""Define the effects that the reducers of all roles return."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class CloseLink(NamedTuple):
-    """Close the session with a peer; the shell dials anew."""
+    """Close the session with a peer; the dialling side reconnects."""
 
     peer: str
     reason: str
--- a/src/savoryrudder/utils/identifiers.py
+++ b/src/savoryrudder/utils/identifiers.py
@@ -7,8 +7,8 @@
 
 PARTITION_COUNT: Final = 64
 _IDENTIFIER_BYTES: Final = 16
-# Separates an entry's identifier from its incarnation; settings allow it in
-# no name.
+# Separates the name of an entry from its incarnation. The settings allow this
+# character in no name.
 _INCARNATION_MARK: Final = '#'
 
 
@@ -24,7 +24,7 @@
 
 
 def is_entry_name(name: str) -> bool:
-    """Tell the names of entries from those of agents."""
+    """Return whether a name is that of an entry rather than an agent."""
     return _INCARNATION_MARK in name
 
 
--- a/src/savoryrudder/utils/turn.py
+++ b/src/savoryrudder/utils/turn.py
@@ -1,4 +1,4 @@
-"""Collect the effects of one event."""
+"""Collect the effects of handling one event."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class Turn:
-    """Collect effects that every role has; roles append their own."""
+    """Collect the effects of one event; roles append effects of their own."""
 
     now: float
     effects: list[Any] = field(default_factory=list)
--- a/src/savoryrudder/utils/units.py
+++ b/src/savoryrudder/utils/units.py
@@ -1,4 +1,4 @@
-"""Name the factors between units."""
+"""Conversion factors between units."""
 
 from __future__ import annotations
 
