Rename private names in utils

identifiers: _INCARNATION_MARK -> _INCARNATION_SEPARATOR identifiers: _IDENTIFIER_BYTES -> _DIGEST_BYTES, as it is the size of digests too identifiers.submission_id: text -> scoped_key turn.Turn.send: link -> peer, as in the Send effect

--- a/src/savoryrudder/utils/identifiers.py
+++ b/src/savoryrudder/utils/identifiers.py
@@ -6,16 +6,16 @@
 from typing import Final
 
 PARTITION_COUNT: Final = 64
-_IDENTIFIER_BYTES: Final = 16
+_DIGEST_BYTES: Final = 16
 # Separates the name of an entry from its incarnation. The settings allow this
 # character in no name.
-_INCARNATION_MARK: Final = '#'
+_INCARNATION_SEPARATOR: Final = '#'
 
 
 def submission_id(client: str, key: str) -> bytes:
     """Return the 16-byte identifier of a client's idempotency key."""
-    text = f'{client}\0{key}'.encode()
-    return hashlib.blake2b(text, digest_size=_IDENTIFIER_BYTES).digest()
+    scoped_key = f'{client}\0{key}'.encode()
+    return hashlib.blake2b(scoped_key, digest_size=_DIGEST_BYTES).digest()
 
 
 def partition_of(submission: bytes) -> int:
@@ -25,9 +25,9 @@
 
 def is_entry_name(name: str) -> bool:
     """Return whether a name is that of an entry rather than an agent."""
-    return _INCARNATION_MARK in name
+    return _INCARNATION_SEPARATOR in name
 
 
 def digest_of(content: bytes) -> bytes:
     """Return the 16-byte digest of a payload or result."""
-    return hashlib.blake2b(content, digest_size=_IDENTIFIER_BYTES).digest()
+    return hashlib.blake2b(content, digest_size=_DIGEST_BYTES).digest()
--- a/src/savoryrudder/utils/turn.py
+++ b/src/savoryrudder/utils/turn.py
@@ -23,9 +23,9 @@
     now: float
     effects: list[Any] = field(default_factory=list)
 
-    def send(self, link: str, message: Message) -> None:
+    def send(self, peer: str, message: Message) -> None:
         """Send a message."""
-        self.effects.append(Send(link, message))
+        self.effects.append(Send(peer, message))
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
