--- a/src/savoryrudder/settings/__init__.py
+++ b/src/savoryrudder/settings/__init__.py
@@ -1,3 +1,3 @@
-"""Settings of the daemon."""
+"""Settings of the daemons."""
 
 from __future__ import annotations
--- a/src/savoryrudder/settings/addresses.py
+++ b/src/savoryrudder/settings/addresses.py
@@ -14,14 +14,14 @@
 
 
 class Endpoint(NamedTuple):
-    """Hold an IP address without brackets and a port."""
+    """An IP address, without brackets, and a port."""
 
     host: str
     port: int
 
 
 def split_address(address: str) -> Endpoint:
-    """Return the parts of "ip:port" or "[ipv6]:port".
+    """Return the address and port of "ip:port" or "[ipv6]:port".
 
     Raises ValueError when the address or the port is malformed.
     """
@@ -50,7 +50,8 @@
 def _to_port(text: str, lowest: int) -> int:
     if not (text.isascii() and text.isdigit()):
         raise ValueError('must have a numeric port')
-    # Long digit strings are cut off, because int() refuses very long ones.
+    # int() raises for very long digit strings; six digits are enough to tell
+    # that a port is out of range.
     port = int(text[:6])
     if lowest <= port <= _MAX_PORT:
         return port
@@ -74,7 +75,10 @@
 
 
 def check_url(url: str) -> str:
-    """Return an HTTP URL; raises ValueError for any other text."""
+    """Return the URL if its scheme is http or https.
+
+    Raises ValueError for any other text.
+    """
     try:
         parts = urlsplit(url)
     except ValueError:
@@ -84,7 +88,8 @@
     return url
 
 
-# Port 0 lets the system choose; only a listener may leave the choice open.
+# With port 0 the operating system chooses a port, which only a listener can
+# use.
 ListenAddress = Annotated[str, AfterValidator(_check_listen_address)]
 DialAddress = Annotated[str, AfterValidator(_check_dial_address)]
 PortRange = Annotated[str, AfterValidator(_check_ports)]
