--- a/src/savoryrudder/settings/addresses.py
+++ b/src/savoryrudder/settings/addresses.py
@@ -25,13 +25,13 @@
 
     Raises ValueError when the address or the port is malformed.
     """
-    host, _, port = address.rpartition(':')
-    plain = host.removeprefix('[').removesuffix(']')
+    host_text, _, port_text = address.rpartition(':')
+    host = host_text.removeprefix('[').removesuffix(']')
     try:
-        ipaddress.ip_address(plain)
+        ipaddress.ip_address(host)
     except ValueError:
         raise ValueError('must be "ip:port"') from None
-    return Endpoint(plain, _to_port(port, 0))
+    return Endpoint(host, _parse_port(port_text, 0))
 
 
 def split_ports(ports: str) -> range:
@@ -40,14 +40,14 @@
     Raises ValueError when a port is malformed or the range is empty.
     """
     low_text, _, high_text = ports.partition('-')
-    low = _to_port(low_text, 1)
-    high = _to_port(high_text, 1)
+    low = _parse_port(low_text, 1)
+    high = _parse_port(high_text, 1)
     if low > high:
         raise ValueError('must be "low-high" with low <= high')
     return range(low, high + 1)
 
 
-def _to_port(text: str, lowest: int) -> int:
+def _parse_port(text: str, lowest: int) -> int:
     if not (text.isascii() and text.isdigit()):
         raise ValueError('must have a numeric port')
     # int() raises for very long digit strings; six digits are enough to tell
@@ -69,7 +69,7 @@
     return address
 
 
-def _check_ports(ports: str) -> str:
+def _check_port_range(ports: str) -> str:
     split_ports(ports)
     return ports
 
@@ -92,5 +92,5 @@
 # use.
 ListenAddress = Annotated[str, AfterValidator(_check_listen_address)]
 DialAddress = Annotated[str, AfterValidator(_check_dial_address)]
-PortRange = Annotated[str, AfterValidator(_check_ports)]
+PortRange = Annotated[str, AfterValidator(_check_port_range)]
 Url = Annotated[str, AfterValidator(check_url)]
