--- a/src/savoryrudder/settings/models.py
+++ b/src/savoryrudder/settings/models.py
@@ -23,10 +23,11 @@
 
 
 class EntrySettings(StrictModel):
-    """Hold the settings of an entry; an empty file name means no file.
+    """Settings of an entry; an empty file name disables the file.
 
-    `link_address` is the join socket that agents and entries dial. Sessions
-    use ports from `link_ports`, or ephemeral ports when it is absent.
+    `link_address` is the address of the join socket, which agents and other
+    entries dial. Sessions use the ports in `link_ports`, or ephemeral ports if
+    it is absent.
     """
 
     entry: Name
@@ -52,10 +53,10 @@
 
 
 class AgentSettings(StrictModel):
-    """Hold the settings of an agent; an empty file name means no file.
+    """Settings of an agent; an empty file name disables the file.
 
-    `entries` are the join addresses of the entries known at the start;
-    `http_address` serves health and metrics.
+    `entries` are the join addresses of the entries known at startup;
+    `http_address` serves health checks and metrics.
     """
 
     agent: Name
