--- a/src/savoryrudder/settings/loading.py
+++ b/src/savoryrudder/settings/loading.py
@@ -24,15 +24,15 @@
 from savoryrudder.settings.models import EntrySettings
 
 _PREFIX: Final = 'SAVORYRUDDERD_'
-# Both roles may share an environment, so a variable is unknown only if neither
-# reads it.
+# Entries and agents may share an environment, so a variable is unknown only if
+# neither of them has such a setting.
 _KNOWN_KEYS: Final = frozenset(
     (*EntrySettings.model_fields, *AgentSettings.model_fields),
 )
 
 
 class _Overrides(NamedTuple):
-    """Hold the values of the environment and the names of surplus keys."""
+    """Values of environment variables, and the keys of unknown variables."""
 
     values: dict[str, Any]
     unknown: list[str]
@@ -42,10 +42,11 @@
     path: str,
     environment: Mapping[str, str],
 ) -> Result[EntrySettings, tuple[Finding, ...]]:
-    """Return the settings of an entry, or every finding.
+    """Return the settings of an entry, or all findings.
 
-    A variable `SAVORYRUDDERD_<KEY>` replaces the key of the file; its findings
-    carry the variable's name and line 1. Lists are separated by commas.
+    An environment variable `SAVORYRUDDERD_<KEY>` overrides the key in the file;
+    a finding about it carries the name of the variable and line 1. The items
+    of a list are separated by commas.
     """
     return _load(EntrySettings, path, environment)
 
@@ -54,7 +55,7 @@
     path: str,
     environment: Mapping[str, str],
 ) -> Result[AgentSettings, tuple[Finding, ...]]:
-    """Return the settings of an agent, as `load_entry_settings` does."""
+    """Return the settings of an agent; see `load_entry_settings`."""
     return _load(AgentSettings, path, environment)
 
 
@@ -112,7 +113,10 @@
 
 
 def _convert(annotation: Any, raw: str) -> Any:
-    """Return the value a TOML file would hold; keep what does not convert."""
+    """Return the value as a TOML file would hold it.
+
+    A malformed number stays text, which validation then reports.
+    """
     if getattr(annotation, '__origin__', None) is list:
         return [part.strip() for part in raw.split(',') if part.strip()]
     for number in (int, float):
