Rename private names in settings/loading.py

_PREFIX -> _ENV_PREFIX _KNOWN_KEYS -> _SETTING_KEYS _convert -> _convert_variable _to_number -> _parse_number _tls_violations -> _check_tls_pair _in_environment -> _environment_findings _in_file -> _file_findings _Overrides.unknown -> unknown_keys _read_overrides: unknown -> unknown_keys _convert_variable, _parse_number: number -> number_type _check_tls_pair: raw -> values

--- a/src/savoryrudder/settings/loading.py
+++ b/src/savoryrudder/settings/loading.py
@@ -23,10 +23,10 @@
 from savoryrudder.settings.models import AgentSettings
 from savoryrudder.settings.models import EntrySettings
 
-_PREFIX: Final = 'SAVORYRUDDERD_'
+_ENV_PREFIX: Final = 'SAVORYRUDDERD_'
 # Entries and agents may share an environment, so a variable is unknown only if
 # neither of them has such a setting.
-_KNOWN_KEYS: Final = frozenset(
+_SETTING_KEYS: Final = frozenset(
     (*EntrySettings.model_fields, *AgentSettings.model_fields),
 )
 
@@ -35,7 +35,7 @@
     """Values of environment variables, and the keys of unknown variables."""
 
     values: dict[str, Any]
-    unknown: list[str]
+    unknown_keys: list[str]
 
 
 def load_entry_settings(
@@ -84,10 +84,10 @@
     overrides = _read_overrides(model, environment)
     merged = {**document.values, **overrides.values}
     settings, violations = validate(model, merged)
-    violations.extend(_tls_violations(model, merged))
+    violations.extend(_check_tls_pair(model, merged))
     findings = (
-        *_in_environment(violations, overrides),
-        *_in_file(violations, overrides, document),
+        *_environment_findings(violations, overrides),
+        *_file_findings(violations, overrides, document),
     )
     if settings is None or findings:
         return Error(findings)
@@ -99,44 +99,48 @@
     environment: Mapping[str, str],
 ) -> _Overrides:
     values: dict[str, Any] = {}
-    unknown: list[str] = []
+    unknown_keys: list[str] = []
     for variable, raw in environment.items():
-        if not variable.startswith(_PREFIX):
+        if not variable.startswith(_ENV_PREFIX):
             continue
-        key = variable.removeprefix(_PREFIX).lower()
+        key = variable.removeprefix(_ENV_PREFIX).lower()
         field = model.model_fields.get(key)
         if field is not None:
-            values[key] = _convert(field.annotation, raw)
-        elif key not in _KNOWN_KEYS:
-            unknown.append(key)
-    return _Overrides(values, unknown)
+            values[key] = _convert_variable(field.annotation, raw)
+        elif key not in _SETTING_KEYS:
+            unknown_keys.append(key)
+    return _Overrides(values, unknown_keys)
 
 
-def _convert(annotation: Any, raw: str) -> Any:
+def _convert_variable(annotation: Any, raw: str) -> Any:
     """Return the value as a TOML file would hold it.
 
     A malformed number stays text, which validation then reports.
     """
     if getattr(annotation, '__origin__', None) is list:
         return [part.strip() for part in raw.split(',') if part.strip()]
-    for number in (int, float):
-        if annotation in {number, number | None}:
-            return _to_number(number, raw)
+    for number_type in (int, float):
+        if annotation in {number_type, number_type | None}:
+            return _parse_number(number_type, raw)
     return raw
 
 
-def _to_number(number: type[int] | type[float], raw: str) -> float | str:
+def _parse_number(
+    number_type: type[int] | type[float],
+    raw: str,
+) -> float | str:
     try:
-        return number(raw)
+        return number_type(raw)
     except ValueError:
         return raw
 
 
-def _tls_violations(
-    model: type[ModelT], raw: dict[str, Any]
+def _check_tls_pair(
+    model: type[ModelT],
+    values: dict[str, Any],
 ) -> Iterator[Violation]:
     pair = ('tls_certificate', 'tls_key')
-    present = [key for key in pair if key in raw]
+    present = [key for key in pair if key in values]
     if pair[0] in model.model_fields and len(present) == 1:
         yield Violation(
             (present[0],),
@@ -144,16 +148,19 @@
         )
 
 
-def _in_environment(
+def _environment_findings(
     violations: list[Violation],
     overrides: _Overrides,
 ) -> tuple[Finding, ...]:
     unknown = [
-        Violation((key,), 'unknown variable') for key in overrides.unknown
+        Violation((key,), 'unknown variable') for key in overrides.unknown_keys
     ]
     findings = [
         Finding(
-            1, 1, _PREFIX + str(violation.path[0]).upper(), violation.message
+            1,
+            1,
+            _ENV_PREFIX + str(violation.path[0]).upper(),
+            violation.message,
         )
         for violation in (*violations, *unknown)
         if violation in unknown or violation.path[0] in overrides.values
@@ -161,7 +168,7 @@
     return tuple(sorted(findings))
 
 
-def _in_file(
+def _file_findings(
     violations: list[Violation],
     overrides: _Overrides,
     document: Document,
