--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -1,4 +1,4 @@
-"""Check the settings of the daemons."""
+"""Test the loading of the daemons' settings."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from savoryrudder.settings.loading import load_agent_settings
 from savoryrudder.settings.loading import load_entry_settings
 
-_ENTRY = """
+_ENTRY_TOML = """
 entry = 'e1'
 zone = 'Vič'
 http_address = '127.0.0.1:0'
@@ -21,12 +21,12 @@
 @pytest.fixture(name='entry_file')
 def _entry_file(tmp_path: Path) -> Path:
     path = tmp_path / 'entry.toml'
-    path.write_text(_ENTRY, encoding='utf-8')
+    path.write_text(_ENTRY_TOML, encoding='utf-8')
     return path
 
 
 def test_environment_replaces_the_file(entry_file: Path) -> None:
-    """Guard against overrides that stay text, and against lost defaults."""
+    """Guard against overrides that stay strings, and lost defaults."""
     environment = {
         'SAVORYRUDDERD_PEERS': '127.0.0.1:1, 127.0.0.1:2',
         'SAVORYRUDDERD_SEED': '7',
@@ -43,8 +43,8 @@
 
 
 def test_all_findings_name_line_or_variable(entry_file: Path) -> None:
-    """Guard against reporting only the first faulty source."""
-    text = _ENTRY.replace('[::1]:7000', 'localhost:7000')
+    """Guard against findings from only the file or only the environment."""
+    text = _ENTRY_TOML.replace('[::1]:7000', 'localhost:7000')
     text = f"{text}tls_key = 'k'\nlink_ports = '9-1'\npeers = ['1.1.1.1:0']"
     entry_file.write_text(text, encoding='utf-8')
     environment = {
@@ -65,7 +65,7 @@
 
 
 def test_agent_settings_report_missing_keys(tmp_path: Path) -> None:
-    """Guard against an agent that starts without an upstream."""
+    """Guard against an agent that starts without required settings."""
     path = tmp_path / 'agent.toml'
     path.write_text("agent = 'a1'\nentries = []", encoding='utf-8')
     keys = {finding.key for finding in load_agent_settings(str(path), {}).error}
