Reword comments and errors of console/client.py

Error texts: "malformed answer" -> "malformed response", "HTTP status N without JSON" -> "HTTP status N without a JSON body", "the answer is not a JSON object" -> "the response is not a JSON object"

--- a/src/savoryrudder/console/client.py
+++ b/src/savoryrudder/console/client.py
@@ -19,14 +19,14 @@
 
 _CONNECT_TIMEOUT_S: Final = 2
 _READ_TIMEOUT_S: Final = 5
-# A proxy answers with these when the entry behind it did not.
+# A proxy returns these statuses if the entry behind it did not respond.
 _PROXY_FAILURES: Final = frozenset((502, 504))
 
 BodyT = TypeVar('BodyT')
 
 
 class Request(NamedTuple):
-    """Describe a call; `wait_s` is how long the entry may hold the answer."""
+    """A request; `wait_s` is how long the entry may delay its response."""
 
     method: str
     path: str
@@ -37,7 +37,7 @@
 
 
 class Answer(NamedTuple):
-    """Hold an entry's answer; `body` is empty unless it is a JSON object."""
+    """The response of an entry; an absent body is an empty dictionary."""
 
     entry: str
     status: int
@@ -50,15 +50,15 @@
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
     def read(self, kind: type[BodyT]) -> Result[BodyT, str]:
-        """Return the body as a structure."""
+        """Return the body as a structure, or why it is malformed."""
         try:
             return Ok(msgspec.convert(self.body, kind))
         except msgspec.ValidationError as error:
-            return Error(f'{self.entry}: malformed answer: {error}')
+            return Error(f'{self.entry}: malformed response: {error}')
 
     @property
     def problem(self) -> str:
-        """Return one line about a refusal."""
+        """Return one line that describes a refusal."""
         reason = self.body.get('reason') or f'HTTP status {self.status}'
         outcome = self.body.get('outcome')
         detail = self.body.get('detail')
@@ -70,7 +70,7 @@
         return ''.join(parts)
 
     def describe(self) -> Iterator[str]:
-        """Return the lines that describe the answer to a job."""
+        """Yield the lines that describe the state of a job."""
         status = self.body.get('status')
         yield str(status) if self.succeeded and status else self.problem
         if self.retry_after:
@@ -80,22 +80,22 @@
 
 
 class EntryClient:
-    """Call one of several entries."""
+    """HTTP client of several entries."""
 
     def __init__(
         self,
         entries: tuple[str, ...],
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
-        """Take the base URLs in the order they are tried."""
+        """Create a client that tries the base URLs in the given order."""
         self.entries = entries
         self._transport = transport
 
     async def call(self, request: Request) -> Result[Answer, str]:
-        """Try the entries in turn until one answers.
+        """Send a request to the entries in turn until one responds.
 
-        The same request may reach several entries, so it must be safe to
-        repeat. The error names every entry and why it did not answer.
+        The request may reach several entries, so it must be safe to repeat.
+        The error names every entry and why it did not respond.
         """
         failures: list[str] = []
         remaining = deque(self.entries)
@@ -112,7 +112,7 @@
         entry: str,
         request: Request,
     ) -> Result[Answer, str]:
-        """Send a request once; after an error it may have taken effect."""
+        """Send a request to one entry; it may have taken effect on an error."""
         timeout = httpx.Timeout(
             request.wait_s + _READ_TIMEOUT_S,
             connect=_CONNECT_TIMEOUT_S,
@@ -142,7 +142,7 @@
     if not isinstance(task, dict):
         return json.dumps(task)
     parts = [str(task.get('outcome', '')), str(task.get('reason') or '')]
-    # A complete task may have the result null.
+    # A complete task may have a null result.
     if 'result' in task:
         parts.append(json.dumps(task.get('result')))
     return ' '.join(part for part in parts if part)
@@ -154,8 +154,8 @@
     try:
         body = json.loads(response.content or b'{}')
     except ValueError:
-        return Error(f'HTTP status {response.status_code} without JSON')
+        return Error(f'HTTP status {response.status_code} without a JSON body')
     if isinstance(body, dict):
         retry_after = response.headers.get('Retry-After', '')
         return Ok(Answer(entry, response.status_code, body, retry_after))
-    return Error('the answer is not a JSON object')
+    return Error('the response is not a JSON object')
