Rename private names in console/client.py

_PROXY_FAILURES -> _PROXY_ERRORS _read_answer -> _parse_response _describe_task -> _format_task Answer.read: kind -> body_type EntryClient.call: answer -> response EntryClient.call_one, _parse_response: response -> http_response

--- a/src/savoryrudder/console/client.py
+++ b/src/savoryrudder/console/client.py
@@ -20,7 +20,7 @@
 _CONNECT_TIMEOUT_S: Final = 2
 _READ_TIMEOUT_S: Final = 5
 # A proxy returns these statuses if the entry behind it did not respond.
-_PROXY_FAILURES: Final = frozenset((502, 504))
+_PROXY_ERRORS: Final = frozenset((502, 504))
 
 BodyT = TypeVar('BodyT')
 
@@ -49,10 +49,10 @@
         """Return whether the entry accepted the request."""
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
-    def read(self, kind: type[BodyT]) -> Result[BodyT, str]:
+    def read(self, body_type: type[BodyT]) -> Result[BodyT, str]:
         """Return the body as a structure, or why it is malformed."""
         try:
-            return Ok(msgspec.convert(self.body, kind))
+            return Ok(msgspec.convert(self.body, body_type))
         except msgspec.ValidationError as error:
             return Error(f'{self.entry}: malformed response: {error}')
 
@@ -76,7 +76,7 @@
         if self.retry_after:
             yield f'retry after {self.retry_after} s'
         for number, task in enumerate(self.body.get('tasks') or ()):
-            yield f'task {number}: {_describe_task(task)}'
+            yield f'task {number}: {_format_task(task)}'
 
 
 class EntryClient:
@@ -101,10 +101,10 @@
         remaining = deque(self.entries)
         while remaining:
             entry = remaining.popleft()
-            answer = await self.call_one(entry, request)
-            if answer.is_ok():
-                return answer
-            failures.append(f'{entry}: {answer.error}')
+            response = await self.call_one(entry, request)
+            if response.is_ok():
+                return response
+            failures.append(f'{entry}: {response.error}')
         return Error('; '.join(failures))
 
     async def call_one(
@@ -126,7 +126,7 @@
                 timeout=timeout,
                 trust_env=False,
             ) as client:
-                response = await client.request(
+                http_response = await client.request(
                     request.method,
                     f'{entry}{request.path}',
                     headers=headers,
@@ -135,10 +135,10 @@
                 )
         except httpx.RequestError as error:
             return Error(str(error) or type(error).__name__)
-        return _read_answer(entry, response)
+        return _parse_response(entry, http_response)
 
 
-def _describe_task(task: Any) -> str:
+def _format_task(task: Any) -> str:
     if not isinstance(task, dict):
         return json.dumps(task)
     parts = [str(task.get('outcome', '')), str(task.get('reason') or '')]
@@ -148,14 +148,19 @@
     return ' '.join(part for part in parts if part)
 
 
-def _read_answer(entry: str, response: httpx.Response) -> Result[Answer, str]:
-    if response.status_code in _PROXY_FAILURES:
-        return Error(f'HTTP status {response.status_code}')
+def _parse_response(
+    entry: str,
+    http_response: httpx.Response,
+) -> Result[Answer, str]:
+    if http_response.status_code in _PROXY_ERRORS:
+        return Error(f'HTTP status {http_response.status_code}')
     try:
-        body = json.loads(response.content or b'{}')
+        body = json.loads(http_response.content or b'{}')
     except ValueError:
-        return Error(f'HTTP status {response.status_code} without a JSON body')
+        return Error(
+            f'HTTP status {http_response.status_code} without a JSON body'
+        )
     if isinstance(body, dict):
-        retry_after = response.headers.get('Retry-After', '')
-        return Ok(Answer(entry, response.status_code, body, retry_after))
+        retry_after = http_response.headers.get('Retry-After', '')
+        return Ok(Answer(entry, http_response.status_code, body, retry_after))
     return Error('the response is not a JSON object')
