--- a/src/savoryrudder/console/spans.py
+++ b/src/savoryrudder/console/spans.py
@@ -1,4 +1,4 @@
-"""Read span files and arrange the spans of a trace as a tree."""
+"""Read span files and format the spans of a trace as a tree."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class Span(msgspec.Struct):
-    """Hold one line of a span file; other fields are ignored."""
+    """A span from one line of a span file; unknown fields are ignored."""
 
     trace_id: str
     span_id: str
@@ -33,10 +33,10 @@
 
 
 class SpanTree:
-    """Arrange the spans of one trace; a span without its parent is a root."""
+    """The spans of one trace; a span whose parent is missing is a root."""
 
     def __init__(self, spans: Iterable[Span], trace_id: str) -> None:
-        """Take the spans of the trace in the order of their start."""
+        """Select the spans of the trace and sort them by start time."""
         self._trace_id = trace_id
         self._spans = sorted(
             (span for span in spans if span.trace_id == trace_id),
@@ -49,7 +49,7 @@
             self._children[parent if parent in known else ''].append(span)
 
     def summary(self) -> str:
-        """Return one line about the trace."""
+        """Return one line that describes the trace."""
         first = self._spans[0]
         end_ns = max(span.end_ns for span in self._spans)
         duration_ms = (end_ns - first.start_ns) / _NS_PER_MS
@@ -59,11 +59,11 @@
         )
 
     def as_rows(self) -> list[dict[str, Any]]:
-        """Return the spans as they were read, in the order of their start."""
+        """Return the spans as dictionaries, sorted by start time."""
         return [msgspec.structs.asdict(span) for span in self._spans]
 
     def as_lines(self) -> Iterator[str]:
-        """Return the summary and one indented line a span."""
+        """Yield the summary and one indented line for each span."""
         yield self.summary()
         pending = [(span, 1) for span in reversed(self._children[''])]
         while pending:
@@ -91,7 +91,7 @@
 
 
 def read_spans(files: Iterable[str]) -> tuple[list[Span], list[str]]:
-    """Return the spans of the files and a message for each faulty line.
+    """Return the spans of the files and an error for each malformed line.
 
     Raises OSError when a file cannot be read. The last line of a file that is
     being written may be incomplete.
