Rename private names in console/spans.py

SpanTree._describe -> _format_span SpanTree.__init__: known -> span_ids SpanTree._format_span: content -> value read_spans: faults -> errors

--- a/src/savoryrudder/console/spans.py
+++ b/src/savoryrudder/console/spans.py
@@ -42,11 +42,11 @@
             (span for span in spans if span.trace_id == trace_id),
             key=lambda span: (span.start_ns, span.span_id),
         )
-        known = {span.span_id for span in self._spans}
+        span_ids = {span.span_id for span in self._spans}
         self._children: dict[str, list[Span]] = defaultdict(list)
         for span in self._spans:
             parent = span.parent_id or ''
-            self._children[parent if parent in known else ''].append(span)
+            self._children[parent if parent in span_ids else ''].append(span)
 
     def summary(self) -> str:
         """Return one line that describes the trace."""
@@ -68,17 +68,15 @@
         pending = [(span, 1) for span in reversed(self._children[''])]
         while pending:
             span, depth = pending.pop()
-            yield self._describe(span, depth)
+            yield self._format_span(span, depth)
             pending.extend(
                 (child, depth + 1)
                 for child in reversed(self._children[span.span_id])
             )
 
-    def _describe(self, span: Span, depth: int) -> str:
+    def _format_span(self, span: Span, depth: int) -> str:
         offset_ms = (span.start_ns - self._spans[0].start_ns) / _NS_PER_MS
-        details = [
-            f'{name}={content}' for name, content in span.attributes.items()
-        ]
+        details = [f'{name}={value}' for name, value in span.attributes.items()]
         return '  '.join(
             (
                 '{0}{1}'.format('  ' * depth, span.name),
@@ -97,12 +95,12 @@
     being written may be incomplete.
     """
     spans: list[Span] = []
-    faults: list[str] = []
+    errors: list[str] = []
     for file in files:
         lines = Path(file).read_bytes().splitlines()
         for number, line in enumerate(lines, start=1):
             try:
                 spans.append(msgspec.json.decode(line, type=Span))
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
-                faults.append(f'{file}:{number}: {error}')
-    return spans, faults
+                errors.append(f'{file}:{number}: {error}')
+    return spans, errors
