Reword comments and errors of console/configuration.py

Error texts: "the entries do not agree on the revision" -> "the entries disagree on the revision", "... is in force and its write token is not reported" -> "... is in force but its write token is not reported"

--- a/src/savoryrudder/console/configuration.py
+++ b/src/savoryrudder/console/configuration.py
@@ -23,14 +23,15 @@
 from savoryrudder.policy.model import Policy
 
 _PATH: Final = '/v1/config'
-# Together the delays exceed the 12 s in which a revision reaches every entry.
+# The delays add up to more than the 12 s within which a revision reaches every
+# entry.
 _RESOLVE_ATTEMPTS: Final = 5
 _FIRST_DELAY_S: Final = 0.5
 _EMPTY: Final = Policy({}, {}, {}, Limits(0, 0, 0))
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """Hold a configuration in force and the token of its write."""
+    """The configuration in force and the token of the write that set it."""
 
     revision: int
     text: str
@@ -40,15 +41,15 @@
 
 
 class Applied(msgspec.Struct, frozen=True):
-    """Report that the new text is in the store at a revision."""
+    """The new text is in the store at a revision."""
 
     revision: int
 
 
 class RaceLost(msgspec.Struct, frozen=True):
-    """Report another operator's configuration.
+    """Another operator's configuration is in force.
 
-    `certain` is false if the own text may have been in force before it.
+    `certain` is false if the submitted text may have been in force before it.
     """
 
     revision: int
@@ -58,7 +59,7 @@
 
 
 class FindingRow(msgspec.Struct, frozen=True):
-    """Hold a finding as an entry writes it."""
+    """A finding as an entry reports it."""
 
     line: int
     column: int
@@ -67,22 +68,22 @@
 
 
 class FindingsReported(msgspec.Struct, frozen=True):
-    """Report the findings of the entry."""
+    """The entry rejected the text because of findings."""
 
     findings: tuple[FindingRow, ...]
 
 
 class Refused(NamedTuple):
-    """Report another refusal of the entry; nothing was written."""
+    """The entry refused the write for another reason; nothing was written."""
 
     detail: str
 
 
 class Unresolved(NamedTuple):
-    """Report that it is unknown whether the text was written.
+    """It is unknown whether the text was written.
 
-    `conflict` is true once the store holds another revision than the expected
-    one: a repeated write would fail, and only reading settles the outcome.
+    `conflict` is true once the store holds a revision other than the expected
+    one: a repeated write would fail, and only a read settles the outcome.
     """
 
     detail: str
@@ -104,7 +105,7 @@
 
 
 class NewText(NamedTuple):
-    """Hold a text to apply against a revision, with its unique write token."""
+    """A text to write over a revision, with the unique token of the write."""
 
     text: str
     expected_revision: int
@@ -115,7 +116,7 @@
 async def fetch_configuration(
     client: EntryClient,
 ) -> Result[Configuration, str]:
-    """Return the configuration in force at the first entry that answers."""
+    """Return the configuration in force at the first entry that responds."""
     answer = await client.call(Request('GET', _PATH))
     if answer.is_error():
         return Error(answer.error)
@@ -127,9 +128,9 @@
 async def apply_text(client: EntryClient, change: NewText) -> ApplyOutcome:
     """Write a text by compare-and-swap.
 
-    An answer that was lost is resolved by reading the configuration back. The
-    write is repeated only after a reading that shows the expected revision; a
-    lost write that takes effect later makes the repetition fail.
+    If the response is lost, the configuration is read back. The write is
+    repeated only after a read that shows the expected revision; if the lost
+    write takes effect later, the repeated one fails.
     """
     outcome = await _write_once(client, 0, change)
     attempt = 0
@@ -141,10 +142,10 @@
 
 
 def describe_difference(old: str, new: str) -> list[str]:
-    """Return one line for each changed key of two texts.
+    """Return one line for each key that differs between two texts.
 
-    `new` is free of findings. An old text with findings, written by another
-    version, is compared line by line.
+    `new` must be free of findings. If `old` has findings, because another
+    version wrote it, the texts are compared line by line.
     """
     before = parse_policy(old).default_value(_EMPTY)
     if old.strip() and before is _EMPTY:
@@ -170,12 +171,12 @@
     if current.revision != change.expected_revision:
         return _overtaken(current, change)
     if outcome.conflict:
-        # The entry that was read is behind the store.
+        # The entry that was read lags behind the store.
         return outcome
     repeated = await _write_once(client, attempt, change)
     if isinstance(repeated, RaceLost):
-        # The conflict may be with the own earlier write.
-        return Unresolved('the entries do not agree on the revision', True)
+        # The conflict may be with an earlier attempt of this write.
+        return Unresolved('the entries disagree on the revision', True)
     return repeated
 
 
@@ -183,7 +184,7 @@
     if not current.token:
         return Unresolved(
             f'revision {current.revision} by {current.author} is in force '
-            'and its write token is not reported',
+            'but its write token is not reported',
             True,
         )
     return RaceLost(
@@ -210,7 +211,7 @@
 def _read_outcome(answer: Answer) -> ApplyOutcome:
     kind = _OUTCOMES.get(answer.status)
     if kind is not None:
-        # An answer that cannot be read is a lost answer.
+        # A malformed response is treated like a lost one.
         return answer.read(kind).default_with(_lost)
     if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return _lost(answer.problem)
