Rename private names in console/configuration.py

_PATH -> _CONFIG_PATH _FIRST_DELAY_S -> _INITIAL_DELAY_S _EMPTY -> _EMPTY_POLICY _OUTCOMES -> _OUTCOME_TYPES _resolve -> _resolve_outcome _overtaken -> _classify_conflict _read_outcome -> _decode_outcome _lost -> _unresolved answer -> response in all functions change -> update where it is a NewText _decode_outcome: kind -> outcome_type

--- a/src/savoryrudder/console/configuration.py
+++ b/src/savoryrudder/console/configuration.py
@@ -22,12 +22,12 @@
 from savoryrudder.policy.model import Limits
 from savoryrudder.policy.model import Policy
 
-_PATH: Final = '/v1/config'
+_CONFIG_PATH: Final = '/v1/config'
 # The delays add up to more than the 12 s within which a revision reaches every
 # entry.
 _RESOLVE_ATTEMPTS: Final = 5
-_FIRST_DELAY_S: Final = 0.5
-_EMPTY: Final = Policy({}, {}, {}, Limits(0, 0, 0))
+_INITIAL_DELAY_S: Final = 0.5
+_EMPTY_POLICY: Final = Policy({}, {}, {}, Limits(0, 0, 0))
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -95,7 +95,7 @@
 )
 
 
-_OUTCOMES: Final = MappingProxyType[int, type[ApplyOutcome]](
+_OUTCOME_TYPES: Final = MappingProxyType[int, type[ApplyOutcome]](
     {
         HTTPStatus.OK: Applied,
         HTTPStatus.CONFLICT: RaceLost,
@@ -117,27 +117,27 @@
     client: EntryClient,
 ) -> Result[Configuration, str]:
     """Return the configuration in force at the first entry that responds."""
-    answer = await client.call(Request('GET', _PATH))
-    if answer.is_error():
-        return Error(answer.error)
-    if answer.ok.status != HTTPStatus.OK:
-        return Error(answer.ok.problem)
-    return answer.ok.read(Configuration)
+    response = await client.call(Request('GET', _CONFIG_PATH))
+    if response.is_error():
+        return Error(response.error)
+    if response.ok.status != HTTPStatus.OK:
+        return Error(response.ok.problem)
+    return response.ok.read(Configuration)
 
 
-async def apply_text(client: EntryClient, change: NewText) -> ApplyOutcome:
+async def apply_text(client: EntryClient, update: NewText) -> ApplyOutcome:
     """Write a text by compare-and-swap.
 
     If the response is lost, the configuration is read back. The write is
     repeated only after a read that shows the expected revision; if the lost
     write takes effect later, the repeated one fails.
     """
-    outcome = await _write_once(client, 0, change)
+    outcome = await _write_once(client, 0, update)
     attempt = 0
     while isinstance(outcome, Unresolved) and attempt < _RESOLVE_ATTEMPTS:
-        await anyio.sleep(_FIRST_DELAY_S * 2**attempt)
+        await anyio.sleep(_INITIAL_DELAY_S * 2**attempt)
         attempt += 1
-        outcome = await _resolve(client, attempt, change, outcome)
+        outcome = await _resolve_outcome(client, attempt, update, outcome)
     return outcome
 
 
@@ -147,40 +147,40 @@
     `new` must be free of findings. If `old` has findings, because another
     version wrote it, the texts are compared line by line.
     """
-    before = parse_policy(old).default_value(_EMPTY)
-    if old.strip() and before is _EMPTY:
+    before = parse_policy(old).default_value(_EMPTY_POLICY)
+    if old.strip() and before is _EMPTY_POLICY:
         return list(
             difflib.unified_diff(old.splitlines(), new.splitlines()),
         )
-    after = parse_policy(new).default_value(_EMPTY)
+    after = parse_policy(new).default_value(_EMPTY_POLICY)
     return [str(change) for change in compare_policies(before, after)]
 
 
-async def _resolve(
+async def _resolve_outcome(
     client: EntryClient,
     attempt: int,
-    change: NewText,
+    update: NewText,
     outcome: Unresolved,
 ) -> ApplyOutcome:
     fetched = await fetch_configuration(client)
     if fetched.is_error():
         return outcome._replace(detail=fetched.error)
     current = fetched.ok
-    if current.token == change.token:
+    if current.token == update.token:
         return Applied(current.revision)
-    if current.revision != change.expected_revision:
-        return _overtaken(current, change)
+    if current.revision != update.expected_revision:
+        return _classify_conflict(current, update)
     if outcome.conflict:
         # The entry that was read lags behind the store.
         return outcome
-    repeated = await _write_once(client, attempt, change)
+    repeated = await _write_once(client, attempt, update)
     if isinstance(repeated, RaceLost):
         # The conflict may be with an earlier attempt of this write.
         return Unresolved('the entries disagree on the revision', True)
     return repeated
 
 
-def _overtaken(current: Configuration, change: NewText) -> ApplyOutcome:
+def _classify_conflict(current: Configuration, update: NewText) -> ApplyOutcome:
     if not current.token:
         return Unresolved(
             f'revision {current.revision} by {current.author} is in force '
@@ -191,32 +191,35 @@
         current.revision,
         current.author,
         current.text,
-        current.revision == change.expected_revision + 1,
+        current.revision == update.expected_revision + 1,
     )
 
 
 async def _write_once(
     client: EntryClient,
     attempt: int,
-    change: NewText,
+    update: NewText,
 ) -> ApplyOutcome:
     entry = client.entries[attempt % len(client.entries)]
-    body = msgspec.json.encode(change._asdict())
-    answer = await client.call_one(entry, Request('POST', _PATH, body=body))
-    if answer.is_error():
-        return _lost(answer.error)
-    return _read_outcome(answer.ok)
+    body = msgspec.json.encode(update._asdict())
+    response = await client.call_one(
+        entry,
+        Request('POST', _CONFIG_PATH, body=body),
+    )
+    if response.is_error():
+        return _unresolved(response.error)
+    return _decode_outcome(response.ok)
 
 
-def _read_outcome(answer: Answer) -> ApplyOutcome:
-    kind = _OUTCOMES.get(answer.status)
-    if kind is not None:
+def _decode_outcome(response: Answer) -> ApplyOutcome:
+    outcome_type = _OUTCOME_TYPES.get(response.status)
+    if outcome_type is not None:
         # A malformed response is treated like a lost one.
-        return answer.read(kind).default_with(_lost)
-    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-        return _lost(answer.problem)
-    return Refused(answer.problem)
+        return response.read(outcome_type).default_with(_unresolved)
+    if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return _unresolved(response.problem)
+    return Refused(response.problem)
 
 
-def _lost(detail: str) -> ApplyOutcome:
+def _unresolved(detail: str) -> ApplyOutcome:
     return Unresolved(detail, conflict=False)
