--- a/src/savoryrudder/console/session.py
+++ b/src/savoryrudder/console/session.py
@@ -1,4 +1,4 @@
-"""Hold what a command needs from the process it runs in."""
+"""Provide commands with the environment, streams and connections."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class ExitCode(IntEnum):
-    """Tell a script how a command ended."""
+    """Exit codes of the commands, for scripts to evaluate."""
 
     done = 0
     refused = 1
@@ -34,11 +34,11 @@
 
 
 class UsageError(ValueError):
-    """Report an argument that a command cannot work with."""
+    """An argument that a command cannot use."""
 
 
 class Session:
-    """Give commands their environment, streams and connection."""
+    """The environment, streams and connections of one command."""
 
     def __init__(
         self,
@@ -47,22 +47,22 @@
         output: TextIO | None = None,
         errors: TextIO | None = None,
     ) -> None:
-        """Take the parts of the current process unless others are given."""
+        """Use the environment and streams of the process by default."""
         self.environment = os.environ if environment is None else environment
         self._transport = transport
         self._output = output or sys.stdout
         self._errors = errors or sys.stderr
 
     def say(self, *lines: str) -> None:
-        """Write lines of the answer."""
+        """Write lines of the result to the output stream."""
         self._output.writelines(f'{line}\n' for line in lines)
 
     def warn(self, *lines: str) -> None:
-        """Write lines that are not part of the answer."""
+        """Write lines that are not part of the result to the error stream."""
         self._errors.writelines(f'{line}\n' for line in lines)
 
     def dump(self, value: Any) -> None:
-        """Write a value as JSON."""
+        """Write a value to the output stream as indented JSON."""
         raw = msgspec.json.format(msgspec.json.encode(value), indent=2)
         self.say(raw.decode())
 
@@ -72,7 +72,7 @@
         findings: Iterable[Finding],
         as_json: bool = False,
     ) -> ExitCode:
-        """Write the findings of a file."""
+        """Write the findings of a file and return the exit code."""
         if as_json:
             rows = [finding._asdict() for finding in findings]
             self.dump({'file': file, 'findings': rows})
@@ -87,25 +87,27 @@
         return ExitCode.refused
 
     def refused(self, answer: Answer) -> ExitCode:
-        """Report the refusal of an entry."""
+        """Report that an entry refused the request."""
         self.warn(f'{answer.entry}: {answer.problem}')
         return ExitCode.refused
 
     def unreachable(self, detail: str) -> ExitCode:
-        """Report that no entry, or not its store, answered."""
+        """Report that no entry responded, or that its store did not."""
         self.warn(f'unreachable: {detail}')
         return ExitCode.unreachable
 
     def connect(self, entry: str) -> EntryClient:
-        """Return a client of the entries named by `--entry` or the variable.
+        """Return a client of the entries in `--entry` or the environment.
 
-        Raises UsageError when neither names an HTTP URL.
+        Raises UsageError when no entry is given or one is not an HTTP URL.
         """
         urls = entry or self.environment.get(_ENTRY_VARIABLE, '')
         entries = [url.strip().rstrip('/') for url in urls.split(',')]
         entries = [url for url in entries if url]
         if not entries:
-            raise UsageError(f'give --entry or set {_ENTRY_VARIABLE}')
+            raise UsageError(
+                f'no entry given; use --entry or set {_ENTRY_VARIABLE}'
+            )
         for url in entries:
             _check_entry(url)
         return EntryClient(tuple(entries), self._transport)
