Rename private names in console/session.py

_check_entry -> _check_entry_url Session.report: finding -> row, found -> finding Session.dump: raw -> encoded Session.refused: answer -> response

--- a/src/savoryrudder/console/session.py
+++ b/src/savoryrudder/console/session.py
@@ -63,8 +63,8 @@
 
     def dump(self, value: Any) -> None:
         """Write a value to the output stream as indented JSON."""
-        raw = msgspec.json.format(msgspec.json.encode(value), indent=2)
-        self.say(raw.decode())
+        encoded = msgspec.json.format(msgspec.json.encode(value), indent=2)
+        self.say(encoded.decode())
 
     def report(
         self,
@@ -74,21 +74,21 @@
     ) -> ExitCode:
         """Write the findings of a file and return the exit code."""
         if as_json:
-            rows = [finding._asdict() for finding in findings]
+            rows = [row._asdict() for row in findings]
             self.dump({'file': file, 'findings': rows})
             return ExitCode.refused
         self.say(
             *(
-                f'{file}:{found.line}:{found.column}: '
-                f'{found.key or "text"}: {found.message}'
-                for found in findings
+                f'{file}:{finding.line}:{finding.column}: '
+                f'{finding.key or "text"}: {finding.message}'
+                for finding in findings
             ),
         )
         return ExitCode.refused
 
-    def refused(self, answer: Answer) -> ExitCode:
+    def refused(self, response: Answer) -> ExitCode:
         """Report that an entry refused the request."""
-        self.warn(f'{answer.entry}: {answer.problem}')
+        self.warn(f'{response.entry}: {response.problem}')
         return ExitCode.refused
 
     def unreachable(self, detail: str) -> ExitCode:
@@ -109,11 +109,11 @@
                 f'no entry given; use --entry or set {_ENTRY_VARIABLE}'
             )
         for url in entries:
-            _check_entry(url)
+            _check_entry_url(url)
         return EntryClient(tuple(entries), self._transport)
 
 
-def _check_entry(url: str) -> None:
+def _check_entry_url(url: str) -> None:
     try:
         check_url(url)
     except ValueError as error:
