--- a/src/savoryrudder/console/application.py
+++ b/src/savoryrudder/console/application.py
@@ -64,7 +64,7 @@
 
 
 class _Invocation:
-    """Hold a command until Fire has consumed all arguments.
+    """A command to run once Fire has consumed all arguments.
 
     Fire calls a command before it reports surplus arguments; a mistyped
     command line must not submit a job.
@@ -97,7 +97,7 @@
     try:
         return _run(arguments, session, trio_options)
     except SystemExit as request:
-        # Fire exits by itself after help and usage faults.
+        # Fire raises it after printing help or a usage error.
         return int(request.code or 0)
     except (UsageError, ValidationError) as error:
         session.warn(*_describe_usage(error))
@@ -169,7 +169,7 @@
 ) -> Callable[..., _Invocation]:
     parse.__doc__ = help_text
     parse.__dict__['__signature__'] = signature
-    # Fire would turn a key such as 1_000 into a number.
+    # Fire would convert a key such as 1_000 to a number.
     SetParseFn(str)(parse)
     return parse
 
