Rename private names in console/application.py

_NAME -> _PROGRAM_NAME _CONFIG -> _CONFIG_COMMANDS _FLAGS -> _BOOLEAN_FLAGS _INTERRUPTED -> _INTERRUPTED_EXIT_CODE _run -> _run_command _prepare -> _prepare_arguments _parse -> _parse_command _deferred_all -> _defer_commands _deferred -> _defer_command _described -> _set_metadata _signature -> _command_signature _describe_usage -> _format_usage_error run: request -> fire_exit _run_command: options -> trio_options _parse_command: tree -> components, the term of Fire _command_signature: signature -> declared kind -> options_type where it is the class of the options

--- a/src/savoryrudder/console/application.py
+++ b/src/savoryrudder/console/application.py
@@ -35,9 +35,9 @@
 from savoryrudder.console.session import UsageError
 from savoryrudder.policy.findings import format_key_path
 
-_NAME: Final = 'savoryrudder'
+_PROGRAM_NAME: Final = 'savoryrudder'
 _Command = Callable[..., Awaitable[ExitCode]]
-_CONFIG: Final = MappingProxyType[str, _Command](
+_CONFIG_COMMANDS: Final = MappingProxyType[str, _Command](
     {
         'check': config_check,
         'diff': config_diff,
@@ -57,10 +57,10 @@
     },
 )
 # Fire would take the argument after a flag as the flag's value.
-_FLAGS: Final = frozenset(('--json', '--itself'))
+_BOOLEAN_FLAGS: Final = frozenset(('--json', '--itself'))
 # Fire splits commands at "-", which `--tasks -` needs for standard input.
 _NO_SEPARATOR: Final = '--separator=\0'
-_INTERRUPTED: Final = 130
+_INTERRUPTED_EXIT_CODE: Final = 130
 
 
 class _Invocation:
@@ -95,18 +95,18 @@
 ) -> int:
     """Run one command line and return its exit code."""
     try:
-        return _run(arguments, session, trio_options)
-    except SystemExit as request:
+        return _run_command(arguments, session, trio_options)
+    except SystemExit as fire_exit:
         # Fire raises it after printing help or a usage error.
-        return int(request.code or 0)
+        return int(fire_exit.code or 0)
     except (UsageError, ValidationError) as error:
-        session.warn(*_describe_usage(error))
+        session.warn(*_format_usage_error(error))
         return ExitCode.usage
     except KeyboardInterrupt:
-        return _INTERRUPTED
+        return _INTERRUPTED_EXIT_CODE
 
 
-def _describe_usage(error: UsageError | ValidationError) -> list[str]:
+def _format_usage_error(error: UsageError | ValidationError) -> list[str]:
     if isinstance(error, UsageError):
         return [str(error)]
     return [
@@ -115,21 +115,21 @@
     ]
 
 
-def _run(
+def _run_command(
     arguments: Sequence[str],
     session: Session,
-    options: dict[str, Any],
+    trio_options: dict[str, Any],
 ) -> int:
-    invocation = _parse(_prepare(arguments))
+    invocation = _parse_command(_prepare_arguments(arguments))
     if isinstance(invocation, _Invocation):
-        return invocation.start(session, options)
-    session.warn(f'no command given; see "{_NAME} --help"')
+        return invocation.start(session, trio_options)
+    session.warn(f'no command given; see "{_PROGRAM_NAME} --help"')
     return ExitCode.usage
 
 
-def _prepare(arguments: Sequence[str]) -> list[str]:
+def _prepare_arguments(arguments: Sequence[str]) -> list[str]:
     prepared = [
-        f'{argument}=True' if argument in _FLAGS else argument
+        f'{argument}=True' if argument in _BOOLEAN_FLAGS else argument
         for argument in arguments
     ]
     if '--' not in prepared:
@@ -137,32 +137,32 @@
     return [*prepared, _NO_SEPARATOR]
 
 
-def _parse(arguments: list[str]) -> Any:
-    tree: dict[str, Any] = _deferred_all(_COMMANDS)
-    tree['config'] = _deferred_all(_CONFIG)
-    return Fire(tree, arguments, _NAME, lambda _: None)
+def _parse_command(arguments: list[str]) -> Any:
+    components: dict[str, Any] = _defer_commands(_COMMANDS)
+    components['config'] = _defer_commands(_CONFIG_COMMANDS)
+    return Fire(components, arguments, _PROGRAM_NAME, lambda _: None)
 
 
-def _deferred_all(
+def _defer_commands(
     commands: MappingProxyType[str, _Command],
 ) -> dict[str, Any]:
-    return {name: _deferred(command) for name, command in commands.items()}
+    return {name: _defer_command(command) for name, command in commands.items()}
 
 
-def _deferred(command: _Command) -> Callable[..., _Invocation]:
-    kind = get_type_hints(command)['options']
-    signature = _signature(kind)
-    return _described(
+def _defer_command(command: _Command) -> Callable[..., _Invocation]:
+    options_type = get_type_hints(command)['options']
+    signature = _command_signature(options_type)
+    return _set_metadata(
         lambda *positional, **named: _Invocation(
             command,
-            kind(**signature.bind(*positional, **named).arguments),
+            options_type(**signature.bind(*positional, **named).arguments),
         ),
         signature,
-        _help_text(command, kind),
+        _help_text(command, options_type),
     )
 
 
-def _described(
+def _set_metadata(
     parse: Callable[..., _Invocation],
     signature: inspect.Signature,
     help_text: str,
@@ -174,23 +174,23 @@
     return parse
 
 
-def _signature(kind: type[Options]) -> inspect.Signature:
-    signature = inspect.signature(kind)
+def _command_signature(options_type: type[Options]) -> inspect.Signature:
+    declared = inspect.signature(options_type)
     required: list[inspect.Parameter] = []
     optional: list[inspect.Parameter] = []
-    for parameter in signature.parameters.values():
+    for parameter in declared.parameters.values():
         if parameter.default is inspect.Parameter.empty:
             positional = inspect.Parameter.POSITIONAL_OR_KEYWORD
             required.append(parameter.replace(kind=positional))
         else:
             optional.append(parameter)
-    return signature.replace(parameters=[*required, *optional])
+    return declared.replace(parameters=[*required, *optional])
 
 
-def _help_text(command: _Command, kind: type[Options]) -> str:
+def _help_text(command: _Command, options_type: type[Options]) -> str:
     arguments = [
         f'    {field.alias or name}: {field.description}'
-        for name, field in kind.model_fields.items()
+        for name, field in options_type.model_fields.items()
     ]
     summary = inspect.getdoc(command) or ''
     return '\n'.join((summary, '', 'Args:', *arguments))
