--- a/src/savoryrudder/console/fleet.py
+++ b/src/savoryrudder/console/fleet.py
@@ -16,7 +16,7 @@
 
 
 class Peer(msgspec.Struct):
-    """Hold what an entry knows of a live entry; the address serves HTTP."""
+    """A live entry as another entry sees it; the address serves HTTP."""
 
     entry: str
     address: str = ''
@@ -24,7 +24,7 @@
 
 
 class Agent(msgspec.Struct):
-    """Hold what an entry knows of an agent."""
+    """An agent as an entry sees it."""
 
     agent: str
     service: str = ''
@@ -37,7 +37,7 @@
 
 
 class Status(msgspec.Struct):
-    """Hold the state of an entry and its view of the fleet."""
+    """The state of an entry and its view of the fleet."""
 
     entry: str
     revision: int
@@ -50,16 +50,16 @@
 
 
 class FleetRevisions(NamedTuple):
-    """Hold the highest revision that is known of each live process.
+    """The highest reported revision of each live process.
 
-    A process never goes back to a lower revision, so of several reports the
-    highest is the latest.
+    A process never goes back to a lower revision, so the highest of several
+    reports is the latest.
     """
 
     revisions: dict[str, int]
 
     def behind(self, revision: int) -> dict[str, int]:
-        """Return the processes that have not reported a revision."""
+        """Return the processes whose reported revision is lower."""
         return {
             name: held
             for name, held in sorted(self.revisions.items())
@@ -67,16 +67,16 @@
         }
 
     def add(self, name: str, revision: int) -> None:
-        """Note a report."""
+        """Record the revision of a process."""
         known = self.revisions.get(name, 0)
         self.revisions[name] = max(known, revision)
 
 
 async def read_fleet(client: EntryClient) -> FleetRevisions | None:
-    """Ask all live entries for their status; None if none answers.
+    """Return the revisions in the fleet, or None if no entry responds.
 
-    A live entry that does not answer itself counts with the revision that
-    its peers know of it.
+    All live entries are queried. One that does not respond counts with the
+    revision that its peers report for it.
     """
     seen: list[Status] = []
     await _ask_all(client, set(client.entries), seen)
