Rename private names in console/fleet.py

_ask_all -> _fetch_statuses _ask -> _fetch_status FleetRevisions.behind: held -> reported FleetRevisions.add: known -> highest read_fleet: seen -> statuses, asked -> responding, others -> peer_urls _fetch_statuses: entries -> urls, entry -> url, seen -> statuses _fetch_status: entry -> url, seen -> statuses, answer -> response

--- a/src/savoryrudder/console/fleet.py
+++ b/src/savoryrudder/console/fleet.py
@@ -61,15 +61,15 @@
     def behind(self, revision: int) -> dict[str, int]:
         """Return the processes whose reported revision is lower."""
         return {
-            name: held
-            for name, held in sorted(self.revisions.items())
-            if held < revision
+            name: reported
+            for name, reported in sorted(self.revisions.items())
+            if reported < revision
         }
 
     def add(self, name: str, revision: int) -> None:
         """Record the revision of a process."""
-        known = self.revisions.get(name, 0)
-        self.revisions[name] = max(known, revision)
+        highest = self.revisions.get(name, 0)
+        self.revisions[name] = max(highest, revision)
 
 
 async def read_fleet(client: EntryClient) -> FleetRevisions | None:
@@ -78,40 +78,44 @@
     All live entries are queried. One that does not respond counts with the
     revision that its peers report for it.
     """
-    seen: list[Status] = []
-    await _ask_all(client, set(client.entries), seen)
+    statuses: list[Status] = []
+    await _fetch_statuses(client, set(client.entries), statuses)
     scheme = urlsplit(client.entries[0]).scheme
-    asked = {status.entry for status in seen}
-    others = {
+    responding = {status.entry for status in statuses}
+    peer_urls = {
         f'{scheme}://{peer.address}'
-        for status in seen
+        for status in statuses
         for peer in status.live_entries
-        if peer.address and peer.entry not in asked
+        if peer.address and peer.entry not in responding
     }
-    await _ask_all(client, others, seen)
-    if not seen:
+    await _fetch_statuses(client, peer_urls, statuses)
+    if not statuses:
         return None
     fleet = FleetRevisions({})
-    for status in seen:
+    for status in statuses:
         _add_status(fleet, status)
     return fleet
 
 
-async def _ask_all(
+async def _fetch_statuses(
     client: EntryClient,
-    entries: set[str],
-    seen: list[Status],
+    urls: set[str],
+    statuses: list[Status],
 ) -> None:
     async with anyio.create_task_group() as group:
-        for entry in entries:
-            group.start_soon(_ask, client, entry, seen)
+        for url in urls:
+            group.start_soon(_fetch_status, client, url, statuses)
 
 
-async def _ask(client: EntryClient, entry: str, seen: list[Status]) -> None:
-    answer = await client.call_one(entry, STATUS)
-    status = answer.bind(lambda received: received.read(Status))
+async def _fetch_status(
+    client: EntryClient,
+    url: str,
+    statuses: list[Status],
+) -> None:
+    response = await client.call_one(url, STATUS)
+    status = response.bind(lambda received: received.read(Status))
     if status.is_ok():
-        seen.append(status.ok)
+        statuses.append(status.ok)
 
 
 def _add_status(fleet: FleetRevisions, status: Status) -> None:
