--- a/src/savoryrudder/console/options.py
+++ b/src/savoryrudder/console/options.py
@@ -8,24 +8,24 @@
 from pydantic import ConfigDict
 from pydantic import Field
 
-# Keys travel in a header and a path; an empty one asks for a new key.
+# Keys are sent in a header and in a path. An empty key requests a new one.
 Key = Annotated[str, Field(pattern='^[!-~]{0,128}$')]
 
 
 class Options(BaseModel):
-    """Hold the arguments of a command; required ones may be positional."""
+    """Arguments of a command; required ones may be positional."""
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
     as_json: bool = Field(
         default=False,
         alias='json',
-        description='write the answer as JSON',
+        description='write the output as JSON',
     )
 
 
 class EntryOptions(Options):
-    """Hold the arguments of a command that calls an entry."""
+    """Arguments of a command that calls an entry."""
 
     entry: str = Field(
         default='',
