--- a/src/savoryrudder/console/commands/config_check.py
+++ b/src/savoryrudder/console/commands/config_check.py
@@ -12,15 +12,15 @@
 
 
 class ConfigCheckOptions(Options):
-    """Hold the arguments of the command."""
+    """Arguments of `config check`."""
 
-    file: str = Field(description='the configuration text')
+    file: str = Field(description='the configuration file')
 
 
 async def config_check(
     session: Session, options: ConfigCheckOptions
 ) -> ExitCode:
-    """Check a configuration file without an entry."""
+    """Check a configuration file without calling an entry."""
     checked = read_file(options.file).bind(parse_policy)
     if checked.is_error():
         return session.report(options.file, checked.error, options.as_json)
--- a/src/savoryrudder/console/commands/config_diff.py
+++ b/src/savoryrudder/console/commands/config_diff.py
@@ -14,9 +14,9 @@
 
 
 class ConfigDiffOptions(EntryOptions):
-    """Hold the arguments of the command."""
+    """Arguments of `config diff`."""
 
-    file: str = Field(description='the configuration text')
+    file: str = Field(description='the configuration file')
 
 
 async def config_diff(session: Session, options: ConfigDiffOptions) -> ExitCode:
--- a/src/savoryrudder/console/commands/config_show.py
+++ b/src/savoryrudder/console/commands/config_show.py
@@ -9,7 +9,7 @@
 
 
 async def config_show(session: Session, options: EntryOptions) -> ExitCode:
-    """Write the configuration in force."""
+    """Show the configuration in force."""
     fetched = await fetch_configuration(session.connect(options.entry))
     if fetched.is_error():
         return session.unreachable(fetched.error)
