--- a/src/savoryrudder/console/commands/config_wait.py
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -16,13 +16,13 @@
 
 
 class ConfigWaitOptions(EntryOptions):
-    """Hold the arguments of the command."""
+    """Arguments of `config wait`."""
 
     revision: int = Field(description='the lowest revision to wait for')
     timeout: float = Field(
         default=30,
         ge=0,
-        description='the time to wait in seconds',
+        description='the longest time to wait in seconds',
     )
 
 
@@ -35,11 +35,13 @@
     session: Session,
     options: ConfigWaitOptions,
 ) -> ExitCode:
-    """Wait for a revision and name the processes that are behind."""
+    """Wait for a revision and list the processes that have not reached it."""
     client = session.connect(options.entry)
     fleet = await _poll(client, options.revision, options.timeout)
     if fleet is None:
-        return session.unreachable('no status within the timeout')
+        return session.unreachable(
+            'no entry reported its status within the timeout'
+        )
     behind = fleet.behind(options.revision)
     if options.as_json:
         session.dump({'revision': options.revision, 'behind': behind})
