--- a/src/savoryrudder/console/commands/config_wait.py
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -12,7 +12,7 @@
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
 
-_POLL_S = 0.5
+_POLL_INTERVAL_S = 0.5
 
 
 class ConfigWaitOptions(EntryOptions):
@@ -37,7 +37,7 @@
 ) -> ExitCode:
     """Wait for a revision and list the processes that have not reached it."""
     client = session.connect(options.entry)
-    fleet = await _poll(client, options.revision, options.timeout)
+    fleet = await _poll_fleet(client, options.revision, options.timeout)
     if fleet is None:
         return session.unreachable(
             'no entry reported its status within the timeout'
@@ -48,8 +48,8 @@
     elif behind:
         session.say(
             *(
-                f'{name}: revision {held}, not {options.revision}'
-                for name, held in behind.items()
+                f'{name}: revision {reported}, not {options.revision}'
+                for name, reported in behind.items()
             ),
         )
     else:
@@ -57,16 +57,16 @@
     return ExitCode.pending if behind else ExitCode.done
 
 
-async def _poll(
+async def _poll_fleet(
     client: EntryClient,
     revision: int,
     timeout: float,
 ) -> FleetRevisions | None:
-    end = anyio.current_time() + timeout
+    deadline = anyio.current_time() + timeout
     fleet = await read_fleet(client)
     while fleet is None or fleet.behind(revision):
-        if anyio.current_time() >= end:
+        if anyio.current_time() >= deadline:
             break
-        await anyio.sleep(_POLL_S)
+        await anyio.sleep(_POLL_INTERVAL_S)
         fleet = await read_fleet(client)
     return fleet
