--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -20,9 +20,9 @@
 
 
 class ConfigApplyOptions(EntryOptions):
-    """Hold the arguments of the command."""
+    """Arguments of `config apply`."""
 
-    file: str = Field(description='the configuration text')
+    file: str = Field(description='the configuration file')
     revision: int | None = Field(
         default=None,
         description='revision of an earlier diff; the current one by default',
@@ -34,7 +34,7 @@
     wait: float = Field(
         default=0,
         ge=0,
-        description='seconds to wait until the text is in force everywhere',
+        description='seconds to wait until the new text is in force everywhere',
     )
 
 
@@ -97,7 +97,7 @@
 
 
 class _Report:
-    """Write the outcome of a write against a base configuration."""
+    """Report the changes to a base configuration and how their write ended."""
 
     def __init__(
         self,
@@ -112,7 +112,7 @@
         self._as_json = as_json
 
     def outcome(self, outcome: configuration.ApplyOutcome) -> ExitCode:
-        """Write how the write ended."""
+        """Report how the write ended."""
         if isinstance(outcome, configuration.Applied):
             return self.applied(outcome.revision)
         if isinstance(outcome, configuration.RaceLost):
@@ -128,23 +128,24 @@
             return ExitCode.refused
         self._write({'outcome': 'unknown', 'detail': outcome.detail})
         self._session.warn(
-            'the text may be in force or not; see "savoryrudder config show"',
+            'the configuration may or may not be in force; '
+            'check with "savoryrudder config show"',
         )
         return ExitCode.unreachable
 
     def changes(self, text: str) -> None:
-        """Write what the new text changes."""
+        """Report what the new text changes."""
         lines = configuration.describe_difference(self._base.text, text)
         if not self._as_json:
             self._session.say(*(lines or ['no changed values']))
 
     def applied(self, revision: int) -> ExitCode:
-        """Write the revision of the text in force."""
+        """Report the revision at which the new text is in force."""
         self._write({'outcome': 'applied', 'revision': revision})
         return ExitCode.done
 
     def race(self, lost: configuration.RaceLost, before: str) -> ExitCode:
-        """Write the other operator's revision, author and changes."""
+        """Report the other operator's revision, author and changes."""
         self._write(
             {
                 'outcome': 'race-lost',
@@ -153,7 +154,9 @@
             },
         )
         if not lost.certain:
-            self._session.warn('the text may have been in force before')
+            self._session.warn(
+                'your configuration may have been in force before'
+            )
         lines = configuration.describe_difference(before, lost.text)
         if not self._as_json:
             self._session.say('changed by the other operator:', *lines)
