Rename private names of config apply

_Report -> _ApplyReport _Report.race -> race_lost _Report._write -> _write_fields _wait -> _wait_if_requested _race_before_write -> _conflict_before_write _wait_if_requested: waiting -> wait_options race_lost: lost -> conflict, before -> old_text

--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -50,12 +50,12 @@
     fetched = await configuration.fetch_configuration(client)
     if fetched.is_error():
         return session.unreachable(fetched.error)
-    report = _Report(session, options.file, fetched.ok, options.as_json)
+    report = _ApplyReport(session, options.file, fetched.ok, options.as_json)
     if options.revision not in {None, fetched.ok.revision}:
-        return report.race(_race_before_write(fetched.ok), text.ok)
+        return report.race_lost(_conflict_before_write(fetched.ok), text.ok)
     if fetched.ok.text == text.ok:
         report.applied(fetched.ok.revision)
-        return await _wait(session, options, fetched.ok.revision)
+        return await _wait_if_requested(session, options, fetched.ok.revision)
     report.changes(text.ok)
     change = configuration.NewText(
         text.ok,
@@ -67,26 +67,26 @@
     code = report.outcome(outcome)
     if not isinstance(outcome, configuration.Applied):
         return code
-    return await _wait(session, options, outcome.revision)
+    return await _wait_if_requested(session, options, outcome.revision)
 
 
-async def _wait(
+async def _wait_if_requested(
     session: Session,
     options: ConfigApplyOptions,
     revision: int,
 ) -> ExitCode:
     if not options.wait:
         return ExitCode.done
-    waiting = ConfigWaitOptions(
+    wait_options = ConfigWaitOptions(
         entry=options.entry,
         json=options.as_json,
         revision=revision,
         timeout=options.wait,
     )
-    return await wait_for_revision(session, waiting)
+    return await wait_for_revision(session, wait_options)
 
 
-def _race_before_write(
+def _conflict_before_write(
     current: configuration.Configuration,
 ) -> configuration.RaceLost:
     return configuration.RaceLost(
@@ -96,7 +96,7 @@
     )
 
 
-class _Report:
+class _ApplyReport:
     """Report the changes to a base configuration and how their write ended."""
 
     def __init__(
@@ -116,7 +116,7 @@
         if isinstance(outcome, configuration.Applied):
             return self.applied(outcome.revision)
         if isinstance(outcome, configuration.RaceLost):
-            return self.race(outcome, self._base.text)
+            return self.race_lost(outcome, self._base.text)
         if isinstance(outcome, configuration.FindingsReported):
             findings = [
                 Finding(row.line, row.column, row.key, row.message)
@@ -124,9 +124,9 @@
             ]
             return self._session.report(self._file, findings, self._as_json)
         if isinstance(outcome, configuration.Refused):
-            self._write({'outcome': 'refused', 'detail': outcome.detail})
+            self._write_fields({'outcome': 'refused', 'detail': outcome.detail})
             return ExitCode.refused
-        self._write({'outcome': 'unknown', 'detail': outcome.detail})
+        self._write_fields({'outcome': 'unknown', 'detail': outcome.detail})
         self._session.warn(
             'the configuration may or may not be in force; '
             'check with "savoryrudder config show"',
@@ -141,28 +141,32 @@
 
     def applied(self, revision: int) -> ExitCode:
         """Report the revision at which the new text is in force."""
-        self._write({'outcome': 'applied', 'revision': revision})
+        self._write_fields({'outcome': 'applied', 'revision': revision})
         return ExitCode.done
 
-    def race(self, lost: configuration.RaceLost, before: str) -> ExitCode:
+    def race_lost(
+        self,
+        conflict: configuration.RaceLost,
+        old_text: str,
+    ) -> ExitCode:
         """Report the other operator's revision, author and changes."""
-        self._write(
+        self._write_fields(
             {
                 'outcome': 'race-lost',
-                'revision': lost.revision,
-                'author': lost.author,
+                'revision': conflict.revision,
+                'author': conflict.author,
             },
         )
-        if not lost.certain:
+        if not conflict.certain:
             self._session.warn(
                 'your configuration may have been in force before'
             )
-        lines = configuration.describe_difference(before, lost.text)
+        lines = configuration.describe_difference(old_text, conflict.text)
         if not self._as_json:
             self._session.say('changed by the other operator:', *lines)
         return ExitCode.race_lost
 
-    def _write(self, fields: dict[str, Any]) -> None:
+    def _write_fields(self, fields: dict[str, Any]) -> None:
         if self._as_json:
             self._session.dump(fields)
         else:
