--- a/src/savoryrudder/console/commands/cancel.py
+++ b/src/savoryrudder/console/commands/cancel.py
@@ -15,14 +15,14 @@
 
 
 class CancelOptions(EntryOptions):
-    """Hold the arguments of the command."""
+    """Arguments of `cancel`."""
 
     key: Key = Field(description='the idempotency key of the job')
     client: Name = Field(description='the client that submitted the job')
 
 
 async def cancel(session: Session, options: CancelOptions) -> ExitCode:
-    """Cancel a job; tasks that are not idempotent run to their end."""
+    """Cancel a job; tasks that are not idempotent run to completion."""
     path = '/v1/jobs/{0}'.format(quote(options.key, safe=''))
     request = Request('DELETE', path, {'Client': options.client})
     answer = await session.connect(options.entry).call(request)
--- a/src/savoryrudder/console/commands/drain.py
+++ b/src/savoryrudder/console/commands/drain.py
@@ -13,7 +13,7 @@
 
 
 class DrainOptions(EntryOptions):
-    """Hold the arguments of the command."""
+    """Arguments of `drain`."""
 
     agent: str = Field(default='', description='the agent to drain')
     itself: bool = Field(
@@ -23,12 +23,12 @@
 
 
 async def drain(session: Session, options: DrainOptions) -> ExitCode:
-    """Let an agent, or the entry itself, finish its work and stop."""
+    """Make an agent, or the entry itself, finish its work and stop."""
     client = session.connect(options.entry)
     if bool(options.agent) == options.itself:
         raise UsageError('give either --agent or --itself')
     if options.itself and len(client.entries) > 1:
-        # The next entry in turn would drain, though it was not meant.
+        # If the first entry did not respond, the next one would drain instead.
         raise UsageError('--itself needs exactly one entry')
     body = {'agent': options.agent} if options.agent else {}
     answer = await client.call(
--- a/src/savoryrudder/console/commands/submit.py
+++ b/src/savoryrudder/console/commands/submit.py
@@ -22,16 +22,16 @@
 
 
 class _Task(msgspec.Struct, forbid_unknown_fields=True):
-    """Hold one task of the file; the payload keeps its bytes."""
+    """A task of the file; its payload is sent byte for byte."""
 
     operation: str
     payload: msgspec.Raw
 
 
 class SubmitOptions(EntryOptions):
-    """Hold the arguments of the command."""
+    """Arguments of `submit`."""
 
-    client: Name = Field(description='the client that submits')
+    client: Name = Field(description='the client that submits the job')
     service: str = Field(description='the service that runs the tasks')
     tasks: str = Field(
         description='JSON list of {"operation", "payload"}: a file or "-"',
@@ -42,12 +42,12 @@
     )
     deadline_ms: int | None = Field(
         default=None,
-        description='the time until the answer is useless',
+        description='milliseconds after which the result is useless',
     )
     wait: float = Field(
         default=10,
         ge=0,
-        description='the time to wait for the answer in seconds',
+        description='the time to wait for the result in seconds',
     )
     key: Key = Field(
         default='',
@@ -56,10 +56,10 @@
 
 
 async def submit(session: Session, options: SubmitOptions) -> ExitCode:
-    """Submit a job and wait for its answer.
+    """Submit a job and wait for its result.
 
-    When an entry does not answer, the next one gets the same key, so that no
-    task starts twice.
+    If an entry does not respond, the next one gets the job with the same key,
+    so that no task starts twice.
     """
     body: dict[str, Any] = {
         'service': options.service,
--- a/src/savoryrudder/console/commands/terms.py
+++ b/src/savoryrudder/console/commands/terms.py
@@ -11,13 +11,13 @@
 
 
 class TermsOptions(EntryOptions):
-    """Hold the arguments of the command."""
+    """Arguments of `terms`."""
 
-    client: str = Field(description='the client')
+    client: str = Field(description='the client whose terms are shown')
 
 
 async def terms(session: Session, options: TermsOptions) -> ExitCode:
-    """Show the standing terms that a client has now."""
+    """Show the current standing terms of a client."""
     request = Request('GET', '/v1/terms', query={'client': options.client})
     answer = await session.connect(options.entry).call(request)
     if answer.is_error():
--- a/src/savoryrudder/console/commands/traces.py
+++ b/src/savoryrudder/console/commands/traces.py
@@ -13,7 +13,7 @@
 
 
 class TracesOptions(Options):
-    """Hold the arguments of the command."""
+    """Arguments of `traces`."""
 
     files: str = Field(description='span files, separated by commas')
     trace: str = Field(
