--- a/src/savoryrudder/console/commands/cancel.py
+++ b/src/savoryrudder/console/commands/cancel.py
@@ -25,14 +25,14 @@
     """Cancel a job; tasks that are not idempotent run to completion."""
     path = '/v1/jobs/{0}'.format(quote(options.key, safe=''))
     request = Request('DELETE', path, {'Client': options.client})
-    answer = await session.connect(options.entry).call(request)
-    if answer.is_error():
-        return session.unreachable(answer.error)
+    response = await session.connect(options.entry).call(request)
+    if response.is_error():
+        return session.unreachable(response.error)
     if options.as_json:
-        session.dump({'key': options.key, 'answer': answer.ok.body})
-    cancelled = answer.ok.body.get('reason') == 'cancelled'
-    if not (answer.ok.succeeded or cancelled):
-        return session.refused(answer.ok)
+        session.dump({'key': options.key, 'answer': response.ok.body})
+    cancelled = response.ok.body.get('reason') == 'cancelled'
+    if not (response.ok.succeeded or cancelled):
+        return session.refused(response.ok)
     if not options.as_json:
-        session.say(f'key {options.key}', *answer.ok.describe())
+        session.say(f'key {options.key}', *response.ok.describe())
     return ExitCode.done
--- a/src/savoryrudder/console/commands/drain.py
+++ b/src/savoryrudder/console/commands/drain.py
@@ -31,15 +31,15 @@
         # If the first entry did not respond, the next one would drain instead.
         raise UsageError('--itself needs exactly one entry')
     body = {'agent': options.agent} if options.agent else {}
-    answer = await client.call(
+    response = await client.call(
         Request('POST', '/v1/drain', body=msgspec.json.encode(body)),
     )
-    if answer.is_error():
-        return session.unreachable(answer.error)
-    if not answer.ok.succeeded:
-        return session.refused(answer.ok)
+    if response.is_error():
+        return session.unreachable(response.error)
+    if not response.ok.succeeded:
+        return session.refused(response.ok)
     if options.as_json:
-        session.dump(answer.ok.body)
+        session.dump(response.ok.body)
     else:
-        session.say(f'draining {options.agent or answer.ok.entry}')
+        session.say(f'draining {options.agent or response.ok.entry}')
     return ExitCode.done
--- a/src/savoryrudder/console/commands/submit.py
+++ b/src/savoryrudder/console/commands/submit.py
@@ -77,17 +77,17 @@
         msgspec.json.encode(body),
         options.wait,
     )
-    answer = await session.connect(options.entry).call(request)
-    if answer.is_error():
+    response = await session.connect(options.entry).call(request)
+    if response.is_error():
         session.warn(
             f'the job may have been accepted; submit it again with --key {key}',
         )
-        return session.unreachable(answer.error)
+        return session.unreachable(response.error)
     if options.as_json:
-        session.dump({'key': key, 'answer': answer.ok.body})
+        session.dump({'key': key, 'answer': response.ok.body})
     else:
-        session.say(f'key {key}', *answer.ok.describe())
-    return _exit_code(answer.ok)
+        session.say(f'key {key}', *response.ok.describe())
+    return _exit_code(response.ok)
 
 
 def _read_tasks(file: str) -> list[_Task]:
@@ -107,10 +107,10 @@
     return Path(file).read_bytes()
 
 
-def _exit_code(answer: Answer) -> ExitCode:
-    status = answer.body.get('status')
-    if answer.status == HTTPStatus.ACCEPTED or status == 'running':
+def _exit_code(response: Answer) -> ExitCode:
+    status = response.body.get('status')
+    if response.status == HTTPStatus.ACCEPTED or status == 'running':
         return ExitCode.pending
-    if answer.succeeded and status == 'complete':
+    if response.succeeded and status == 'complete':
         return ExitCode.done
     return ExitCode.refused
--- a/src/savoryrudder/console/commands/terms.py
+++ b/src/savoryrudder/console/commands/terms.py
@@ -19,15 +19,15 @@
 async def terms(session: Session, options: TermsOptions) -> ExitCode:
     """Show the current standing terms of a client."""
     request = Request('GET', '/v1/terms', query={'client': options.client})
-    answer = await session.connect(options.entry).call(request)
-    if answer.is_error():
-        return session.unreachable(answer.error)
-    if not answer.ok.succeeded:
-        return session.refused(answer.ok)
+    response = await session.connect(options.entry).call(request)
+    if response.is_error():
+        return session.unreachable(response.error)
+    if not response.ok.succeeded:
+        return session.refused(response.ok)
     if options.as_json:
-        session.dump(answer.ok.body)
+        session.dump(response.ok.body)
     else:
         session.say(
-            *(f'{name}: {term}' for name, term in answer.ok.body.items()),
+            *(f'{name}: {term}' for name, term in response.ok.body.items()),
         )
     return ExitCode.done
