Rename local names of status and traces

traces: names -> paths, faults -> errors, found -> trace_ids, chosen -> matching status: answer -> response, seen -> decoded status._describe -> _format_status, its seen -> entry_status status._describe_agent -> _format_agent status._pairs -> _format_counts

--- a/src/savoryrudder/console/commands/status.py
+++ b/src/savoryrudder/console/commands/status.py
@@ -14,39 +14,39 @@
 
 async def status(session: Session, options: EntryOptions) -> ExitCode:
     """Show entries, agents, partitions and queues as one entry sees them."""
-    answer = await session.connect(options.entry).call(STATUS)
-    if answer.is_error():
-        return session.unreachable(answer.error)
-    if not answer.ok.succeeded:
-        return session.refused(answer.ok)
-    seen = answer.ok.read(Status)
-    if seen.is_error():
-        return session.unreachable(seen.error)
+    response = await session.connect(options.entry).call(STATUS)
+    if response.is_error():
+        return session.unreachable(response.error)
+    if not response.ok.succeeded:
+        return session.refused(response.ok)
+    decoded = response.ok.read(Status)
+    if decoded.is_error():
+        return session.unreachable(decoded.error)
     if options.as_json:
-        session.dump(answer.ok.body)
+        session.dump(response.ok.body)
     else:
-        session.say(*_describe(seen.ok))
+        session.say(*_format_status(decoded.ok))
     return ExitCode.done
 
 
-def _describe(seen: Status) -> Iterator[str]:
-    draining = ', draining' if seen.draining else ''
+def _format_status(entry_status: Status) -> Iterator[str]:
+    draining = ', draining' if entry_status.draining else ''
     yield (
-        f'entry {seen.entry}: revision {seen.revision}, '
-        f'store {seen.store}{draining}'
+        f'entry {entry_status.entry}: revision {entry_status.revision}, '
+        f'store {entry_status.store}{draining}'
     )
-    yield 'partitions: {0}'.format(_pairs(seen.partitions))
-    yield 'queued: {0}'.format(_pairs(seen.queued))
-    for peer in seen.live_entries:
+    yield 'partitions: {0}'.format(_format_counts(entry_status.partitions))
+    yield 'queued: {0}'.format(_format_counts(entry_status.queued))
+    for peer in entry_status.live_entries:
         yield (
             f'live entry {peer.entry} at {peer.address}: '
             f'revision {peer.revision}'
         )
-    for agent in seen.agents:
-        yield _describe_agent(agent)
+    for agent in entry_status.agents:
+        yield _format_agent(agent)
 
 
-def _describe_agent(agent: Agent) -> str:
+def _format_agent(agent: Agent) -> str:
     parts = [
         f'agent {agent.agent}: service {agent.service}',
         f'zone {agent.zone}',
@@ -61,7 +61,7 @@
     return ', '.join(parts)
 
 
-def _pairs(counts: dict[str, int]) -> str:
+def _format_counts(counts: dict[str, int]) -> str:
     if not counts:
         return 'none'
     return ', '.join(f'{name} {count}' for name, count in counts.items())
--- a/src/savoryrudder/console/commands/traces.py
+++ b/src/savoryrudder/console/commands/traces.py
@@ -24,18 +24,20 @@
 
 async def traces(session: Session, options: TracesOptions) -> ExitCode:
     """Show one trace as a tree, or list the traces of the files."""
-    names = [name.strip() for name in options.files.split(',') if name.strip()]
+    paths = [path.strip() for path in options.files.split(',') if path.strip()]
     try:
-        spans, faults = read_spans(names)
+        spans, errors = read_spans(paths)
     except OSError as error:
         raise UsageError(f'{error.filename}: {error.strerror}') from None
-    session.warn(*faults)
-    found = sorted({span.trace_id for span in spans})
-    chosen = [name for name in found if name.startswith(options.trace)]
-    if not chosen:
+    session.warn(*errors)
+    trace_ids = sorted({span.trace_id for span in spans})
+    matching = [
+        trace_id for trace_id in trace_ids if trace_id.startswith(options.trace)
+    ]
+    if not matching:
         session.warn(f'no trace starts with "{options.trace}"')
         return ExitCode.refused
-    trees = [SpanTree(spans, name) for name in chosen]
+    trees = [SpanTree(spans, trace_id) for trace_id in matching]
     if options.as_json:
         session.dump([tree.as_rows() for tree in trees])
     elif len(trees) == 1:
