--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -1,4 +1,4 @@
-"""Provide a console whose entries are functions."""
+"""Provide a console whose entries are simulated by functions."""
 
 from __future__ import annotations
 
@@ -17,42 +17,44 @@
 
 
 class Console:
-    """Run commands against a handler; keep what they wrote."""
+    """Run commands against a request handler and record their output."""
 
     def __init__(self) -> None:
-        """Start without any entry that answers."""
+        """Start with entries that refuse connections."""
         self.handler: Handler = refuse_connection
         self.requests: list[httpx.Request] = []
         self.output = ''
         self.errors = ''
 
     def run(self, *arguments: Any) -> int:
-        """Run one command line on a clock that skips waiting."""
+        """Run one command line on a mock clock that skips idle time."""
         output = io.StringIO()
         errors = io.StringIO()
         session = Session(
             {'SAVORYRUDDER_ENTRY': 'http://e1:80,http://e2:80'},
-            httpx.MockTransport(self._answer),
+            httpx.MockTransport(self._handle_request),
             output,
             errors,
         )
         clock = MockClock(autojump_threshold=0)
-        code = run([str(part) for part in arguments], session, clock=clock)
+        code = run(
+            [str(argument) for argument in arguments], session, clock=clock
+        )
         self.output = output.getvalue()
         self.errors = errors.getvalue()
         return code
 
-    def _answer(self, request: httpx.Request) -> httpx.Response:
+    def _handle_request(self, request: httpx.Request) -> httpx.Response:
         self.requests.append(request)
         return self.handler(request)
 
 
 def refuse_connection(request: httpx.Request) -> httpx.Response:
-    """Fail as an entry that is down."""
+    """Fail like an entry that is down."""
     raise httpx.ConnectError('connection refused', request=request)
 
 
 @pytest.fixture
 def console() -> Console:
-    """Return a console without entries."""
+    """Return a console whose entries refuse connections."""
     return Console()
