Reword the tests of the configuration commands

_Store -> _FakeEntry, its _swap -> _compare_and_swap, _current -> _current_configuration _OLD -> _BASE script -> faults, step -> fault, store -> entry, answer -> response values "lose answer" -> "lose response", "write" -> "none"

--- a/tests/console/test_config_commands.py
+++ b/tests/console/test_config_commands.py
@@ -1,4 +1,4 @@
-"""Check the commands for the configuration."""
+"""Test the commands for the configuration."""
 
 from __future__ import annotations
 
@@ -13,44 +13,44 @@
 if TYPE_CHECKING:
     from tests.console.conftest import Console
 
-_OLD = """
+_BASE = """
 [services.pane]
 operations.cut = { idempotent = false, expected_ms = 400 }
 """
-_NEW = _OLD.replace('400', '500')
-_OTHER = _OLD.replace('400', '900')
+_NEW = _BASE.replace('400', '500')
+_OTHER = _BASE.replace('400', '900')
 
 
-class _Store:
-    """Stand in for an entry and its store; `script` fails the next writes."""
+class _FakeEntry:
+    """A fake entry with its store; each write takes the next of `faults`."""
 
-    def __init__(self, *script: str) -> None:
+    def __init__(self, *faults: str) -> None:
         self.revision = 4
-        self.text = _OLD
+        self.text = _BASE
         self.token = 'first'
-        self.script = list(script)
+        self.faults = list(faults)
         self.writes = 0
 
     def __call__(self, request: httpx.Request) -> httpx.Response:
         if request.method == 'GET':
-            return httpx.Response(200, json=self._current())
+            return httpx.Response(200, json=self._current_configuration())
         self.writes += 1
         body = json.loads(request.content)
-        step = self.script.pop(0) if self.script else 'write'
-        if step == 'race':
+        fault = self.faults.pop(0) if self.faults else 'none'
+        if fault == 'race':
             self._write({'text': _OTHER, 'token': 'other'})
-        if step == 'late write':
+        if fault == 'late write':
             self._write(body)
-        if step == 'unavailable':
+        if fault == 'unavailable':
             return httpx.Response(503, json={'reason': 'store-unavailable'})
-        answer = self._swap(body)
-        if step == 'lose answer':
+        response = self._compare_and_swap(body)
+        if fault == 'lose response':
             raise httpx.ReadTimeout('timed out', request=request)
-        return answer
+        return response
 
-    def _swap(self, body: dict[str, Any]) -> httpx.Response:
+    def _compare_and_swap(self, body: dict[str, Any]) -> httpx.Response:
         if body['expected_revision'] != self.revision:
-            return httpx.Response(409, json=self._current())
+            return httpx.Response(409, json=self._current_configuration())
         self._write(body)
         return httpx.Response(200, json={'revision': self.revision})
 
@@ -59,7 +59,7 @@
         self.text = body['text']
         self.token = body['token']
 
-    def _current(self) -> dict[str, Any]:
+    def _current_configuration(self) -> dict[str, Any]:
         return {
             'revision': self.revision,
             'author': 'mira',
@@ -90,17 +90,17 @@
     file: Path,
 ) -> None:
     """Guard against a diff without the revision that apply needs."""
-    console.handler = _Store()
+    console.handler = _FakeEntry()
     assert console.run('config', 'diff', file) == 0
     assert 'revision 4' in console.output
     assert 'expected_ms: 400 -> 500' in console.output
 
 
 @pytest.mark.parametrize(
-    ('script', 'writes'),
+    ('faults', 'writes'),
     [
         ((), 1),
-        (('lose answer',), 1),
+        (('lose response',), 1),
         (('unavailable', 'unavailable'), 3),
         (('unavailable', 'late write'), 2),
     ],
@@ -108,28 +108,32 @@
 def test_apply_writes_once(
     console: Console,
     file: Path,
-    script: tuple[str, ...],
+    faults: tuple[str, ...],
     writes: int,
 ) -> None:
-    """Guard against a blind retry and a lost write reported as done."""
-    store = _Store(*script)
-    console.handler = store
+    """Guard against writing twice and against reporting a lost write as done.
+
+    After a lost response or a 503 the write may have taken effect, may take
+    effect later, or not at all.
+    """
+    entry = _FakeEntry(*faults)
+    console.handler = entry
     assert console.run('config', 'apply', file) == 0
-    assert (store.revision, store.text, store.writes) == (5, _NEW, writes)
+    assert (entry.revision, entry.text, entry.writes) == (5, _NEW, writes)
     assert 'revision 5' in console.output
 
 
-@pytest.mark.parametrize('script', [('race',), ('unavailable', 'race')])
+@pytest.mark.parametrize('faults', [('race',), ('unavailable', 'race')])
 def test_lost_race_shows_the_other_change(
     console: Console,
     file: Path,
-    script: tuple[str, ...],
+    faults: tuple[str, ...],
 ) -> None:
     """Guard against overwriting the change of another operator."""
-    store = _Store(*script)
-    console.handler = store
+    entry = _FakeEntry(*faults)
+    console.handler = entry
     assert console.run('config', 'apply', file) == 4
-    assert store.text == _OTHER
+    assert entry.text == _OTHER
     assert 'mira' in console.output
     assert 'expected_ms: 400 -> 900' in console.output
 
@@ -138,26 +142,26 @@
     console: Console,
     file: Path,
 ) -> None:
-    """Guard against applying a text whose diff was never seen."""
-    store = _Store()
-    console.handler = store
+    """Guard against a write over a revision newer than the diffed one."""
+    entry = _FakeEntry()
+    console.handler = entry
     assert console.run('config', 'apply', file, '--revision', 3) == 4
-    assert store.writes == 0
+    assert entry.writes == 0
 
 
 def test_unresolved_write_is_not_reported_as_done(
     console: Console,
     file: Path,
 ) -> None:
-    """Guard against a claim without a readable write token."""
-    store = _Store('lose answer')
-    console.handler = lambda request: _without_token(store(request))
+    """Guard against reporting success when no write token is read back."""
+    entry = _FakeEntry('lose response')
+    console.handler = lambda request: _without_token(entry(request))
     assert console.run('config', 'apply', file) == 3
-    assert store.writes == 1
+    assert entry.writes == 1
 
 
 def test_wait_names_processes_that_are_behind(console: Console) -> None:
-    """Guard against a rollout that counts as done while an agent lags."""
+    """Guard against a wait that ends while an agent lags behind."""
     console.handler = lambda request: _status(
         request.url.host,
         len(console.requests),
@@ -169,10 +173,10 @@
     assert hosts == {'e1', 'e2', '10.0.0.3'}
 
 
-def _without_token(answer: httpx.Response) -> httpx.Response:
-    body = answer.json()
+def _without_token(response: httpx.Response) -> httpx.Response:
+    body = response.json()
     body.pop('token', '')
-    return httpx.Response(answer.status_code, json=body)
+    return httpx.Response(response.status_code, json=body)
 
 
 def _status(host: str, poll: int) -> httpx.Response:
