Reword the tests of the job commands

test_exit_code_tells_the_outcome -> test_exit_code_reports_the_outcome test_silent_entries_leave_the_key -> test_lost_submission_reports_the_key test_usage_faults_call_no_entry -> test_usage_errors_call_no_entry test_status_survives_malformed_answers -> test_status_handles_malformed_responses _first_entry_hangs -> _time_out_first_entry

--- a/tests/console/test_job_commands.py
+++ b/tests/console/test_job_commands.py
@@ -1,4 +1,4 @@
-"""Check the commands for jobs, drains, terms and traces."""
+"""Test the commands for jobs, drains, terms and traces."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
     submit: tuple[str, ...],
 ) -> None:
     """Guard against a second key, which would start the tasks twice."""
-    console.handler = _first_entry_hangs
+    console.handler = _time_out_first_entry
     assert console.run(*submit, '--deadline-ms', 900, '--wait=2') == 0
     first, second = console.requests
     assert first.content == second.content
@@ -45,24 +45,27 @@
         (429, {'reason': 'rate-limited', 'outcome': 'not-run'}, 1),
     ],
 )
-def test_exit_code_tells_the_outcome(
+def test_exit_code_reports_the_outcome(
     console: Console,
     submit: tuple[str, ...],
     status: int,
     body: dict[str, str],
     code: int,
 ) -> None:
-    """Guard against a job that counts as done without its answer."""
+    """Guard against exit code 0 for a job without a complete result."""
     console.handler = lambda _: httpx.Response(status, json=body)
     assert console.run(*submit, '--key=1_000', '--json') == code
     assert json.loads(console.output) == {'key': '1_000', 'answer': body}
 
 
-def test_silent_entries_leave_the_key(
+def test_lost_submission_reports_the_key(
     console: Console,
     submit: tuple[str, ...],
 ) -> None:
-    """Guard against an operator who cannot repeat a lost submission."""
+    """Guard against a lost submission whose key is not shown.
+
+    Without the key the operator cannot repeat the submission safely.
+    """
     assert console.run(*submit, '--key=k7') == 3
     assert '--key k7' in console.errors
     assert 'Traceback' not in console.errors
@@ -82,17 +85,17 @@
         ('nothing',),
     ],
 )
-def test_usage_faults_call_no_entry(
+def test_usage_errors_call_no_entry(
     console: Console,
     arguments: tuple[str, ...],
 ) -> None:
-    """Guard against a mistyped line that acts or ends in a traceback."""
+    """Guard against mistyped commands that send requests or raise."""
     assert console.run(*arguments) == 2
     assert not console.requests
 
 
 def test_requests_name_their_target(console: Console) -> None:
-    """Guard against draining or cancelling something else."""
+    """Guard against draining or cancelling the wrong target."""
     console.handler = lambda _: httpx.Response(200, json={'rate': 4})
     assert console.run('drain', '--agent', 'a1') == 0
     assert console.run('drain', '--itself', '--entry=http://e1:80') == 0
@@ -108,18 +111,18 @@
 
 
 @pytest.mark.parametrize('body', [b'<html>', b'[]', b'{"entry": 3}'])
-def test_status_survives_malformed_answers(
+def test_status_handles_malformed_responses(
     console: Console,
     body: bytes,
 ) -> None:
-    """Guard against tracebacks for answers of another program."""
+    """Guard against a traceback when another program responds."""
     console.handler = lambda _: httpx.Response(200, content=body)
     assert console.run('status') == 3
     assert console.errors.startswith('unreachable: http://e1:80: ')
 
 
 def test_trace_is_shown_as_a_tree(console: Console, tmp_path: Path) -> None:
-    """Guard against lost spans and an abort at an incomplete line."""
+    """Guard against missing spans and failing on an incomplete line."""
     spans = [
         ('t1', 's2', 's1', 'place', 2_000_000, 3_500_000),
         ('t1', 's1', 'absent', 'job', 1_000_000, 5_000_000),
@@ -139,7 +142,7 @@
     assert console.run('traces', path, '--trace=t9') == 1
 
 
-def _first_entry_hangs(request: httpx.Request) -> httpx.Response:
+def _time_out_first_entry(request: httpx.Request) -> httpx.Response:
     if request.url.host == 'e1':
         raise httpx.ReadTimeout('timed out', request=request)
     return httpx.Response(200, json={'status': 'complete'})
