--- a/src/savoryrudder/agent/effects.py
+++ b/src/savoryrudder/agent/effects.py
@@ -30,7 +30,7 @@
     | effects.CloseLink
     | effects.Count
     | effects.Observe
-    | effects.StateChanged
+    | effects.Log
     | effects.Exit
     | CallUpstream
     | StopUpstreamCall
--- a/src/savoryrudder/agent/turn.py
+++ b/src/savoryrudder/agent/turn.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from savoryrudder.utils.effects import Count
+from savoryrudder.utils.effects import Log
 from savoryrudder.utils.effects import Send
-from savoryrudder.utils.effects import StateChanged
 
 if TYPE_CHECKING:
     from savoryrudder.agent.effects import AgentEffect
@@ -40,4 +40,4 @@
     def log(self, name: str, **fields: object) -> None:
         """Write one log line about a change of state."""
         pairs = tuple((key, str(value)) for key, value in fields.items())
-        self.effects.append(StateChanged(name, pairs))
+        self.effects.append(Log(name, pairs))
--- a/src/savoryrudder/daemon/loop.py
+++ b/src/savoryrudder/daemon/loop.py
@@ -79,7 +79,7 @@
                 self.counters.count(effect.name, effect.amount)
             case effects.Observe():
                 self.counters.observe(effect.name, effect.seconds)
-            case effects.StateChanged():
+            case effects.Log():
                 log_change(effect.name, effect.fields)
             case effects.CloseLink():
                 self._close(effect.peer, effect.reason)
--- a/src/savoryrudder/dispatch/effects.py
+++ b/src/savoryrudder/dispatch/effects.py
@@ -10,9 +10,9 @@
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.effects import Count
 from savoryrudder.utils.effects import Exit
+from savoryrudder.utils.effects import Log
 from savoryrudder.utils.effects import Observe
 from savoryrudder.utils.effects import Send
-from savoryrudder.utils.effects import StateChanged
 
 
 class Reply(NamedTuple):
@@ -23,5 +23,5 @@
 
 
 DispatchEffect: TypeAlias = (
-    Send | CloseLink | Count | Observe | StateChanged | Exit | Reply
+    Send | CloseLink | Count | Observe | Log | Exit | Reply
 )
--- a/src/savoryrudder/entry/effects.py
+++ b/src/savoryrudder/entry/effects.py
@@ -50,7 +50,7 @@
     | effects.CloseLink
     | effects.Count
     | effects.Observe
-    | effects.StateChanged
+    | effects.Log
     | effects.Exit
     | Reply
     | ReplyData
--- a/src/savoryrudder/entry/turn.py
+++ b/src/savoryrudder/entry/turn.py
@@ -39,7 +39,7 @@
 
     def log_change(self, name: str, **fields: str) -> None:
         """Write a log line about a change of state."""
-        self.effects.append(effects.StateChanged(name, tuple(fields.items())))
+        self.effects.append(effects.Log(name, tuple(fields.items())))
 
     def emit(self, effect: entry_effects.EntryEffect) -> None:
         """Add any other effect."""
--- a/src/savoryrudder/utils/effects.py
+++ b/src/savoryrudder/utils/effects.py
@@ -35,7 +35,7 @@
     seconds: float
 
 
-class StateChanged(NamedTuple):
+class Log(NamedTuple):
     """Write one log line about a change of state."""
 
     name: str
--- a/src/savoryrudder/utils/turn.py
+++ b/src/savoryrudder/utils/turn.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from savoryrudder.utils.effects import Count
+from savoryrudder.utils.effects import Log
 from savoryrudder.utils.effects import Observe
 from savoryrudder.utils.effects import Send
-from savoryrudder.utils.effects import StateChanged
 
 if TYPE_CHECKING:
     from savoryrudder.protocol.messages import Message
@@ -38,4 +38,4 @@
     def log(self, name: str, **fields: object) -> None:
         """Write one log line."""
         pairs = tuple((key, str(value)) for key, value in fields.items())
-        self.effects.append(StateChanged(name, pairs))
+        self.effects.append(Log(name, pairs))
--- a/src/savoryrudder/worker/effects.py
+++ b/src/savoryrudder/worker/effects.py
@@ -8,9 +8,9 @@
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.effects import Count
 from savoryrudder.utils.effects import Exit
+from savoryrudder.utils.effects import Log
 from savoryrudder.utils.effects import Observe
 from savoryrudder.utils.effects import Send
-from savoryrudder.utils.effects import StateChanged
 
 
 class ExecutorInstance(NamedTuple):
@@ -63,7 +63,7 @@
     | CloseLink
     | Count
     | Observe
-    | StateChanged
+    | Log
     | Exit
     | StartRun
     | StopRun
--- a/tests/agent/test_agent_records.py
+++ b/tests/agent/test_agent_records.py
@@ -120,12 +120,12 @@
         agent.finish(number)
     assert not agent.state.granted_credits or 'max_result_bytes' in limits
     agent.advance(0.1)
-    assert agent.emitted(effects.StateChanged)[0].name == 'record-limit-reached'
+    assert agent.emitted(effects.Log)[0].name == 'record-limit-reached'
     agent.state.links['e1'].credits = 1
     agent.start('e1', 3)
     assert agent.sent(messages.Rejected)[0].reason == 'overloaded'
     agent.advance(1200)
-    assert agent.emitted(effects.StateChanged)[0].name == 'record-limit-cleared'
+    assert agent.emitted(effects.Log)[0].name == 'record-limit-cleared'
 
 
 def test_result_size_stays_correct_as_records_expire() -> None:
--- a/tests/agent/test_agent_sessions.py
+++ b/tests/agent/test_agent_sessions.py
@@ -128,8 +128,8 @@
     assert not agent.emitted(effects.Exit)
     agent.advance(0.2)
     assert agent.emitted(effects.Exit)
-    assert agent.emitted(effects.StateChanged) == [
-        effects.StateChanged(
+    assert agent.emitted(effects.Log) == [
+        effects.Log(
             'stop-timeout',
             (('running', '1'), ('undelivered', '1')),
         ),
--- a/tests/agent/test_agent_tasks.py
+++ b/tests/agent/test_agent_tasks.py
@@ -93,7 +93,7 @@
     assert agent.emitted(CallUpstream)
     agent.start('e1', 67, epoch=3)
     assert agent.sent(messages.Rejected, 'e1')
-    assert agent.emitted(effects.StateChanged)[0].name == 'start-fenced'
+    assert agent.emitted(effects.Log)[0].name == 'start-fenced'
     agent.connect_and_claim('e1', (3, 3), session='e1-2')
     agent.start('e1', 3, epoch=3)
     assert not agent.emitted(CallUpstream)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -97,7 +97,7 @@
                 case entry_effects.Reply(request, answer):
                     self._fleet.answers[request] = answer
                     self._fleet.answered_at[request] = self._fleet.clock.now
-                case effects.StateChanged():
+                case effects.Log():
                     self._fleet.note(self.name, effect)
 
 
@@ -174,7 +174,7 @@
                     self._fleet.links.send(self, link, message)
                 case effects.CloseLink(link, _):
                     self._fleet.links.close(link)
-                case effects.StateChanged():
+                case effects.Log():
                     self._fleet.note(self.name, effect)
                 case effects.Count() | effects.Observe() | effects.Exit():
                     continue
@@ -221,7 +221,7 @@
         """Let time pass."""
         self.clock.run(seconds)
 
-    def note(self, who: str, effect: effects.StateChanged) -> None:
+    def note(self, who: str, effect: effects.Log) -> None:
         """Keep a log line with its time and process."""
         self.log.append((self.clock.now, who, effect))
 
