--- a/src/savoryrudder/settings/addresses.py
+++ b/src/savoryrudder/settings/addresses.py
@@ -20,7 +20,7 @@
     port: int
 
 
-def split_address(address: str) -> Endpoint:
+def parse_address(address: str) -> Endpoint:
     """Return the address and port of "ip:port" or "[ipv6]:port".
 
     Raises ValueError when the address or the port is malformed.
@@ -34,7 +34,7 @@
     return Endpoint(host, _parse_port(port_text, 0))
 
 
-def split_ports(ports: str) -> range:
+def parse_port_range(ports: str) -> range:
     """Return the ports of "low-high", both included.
 
     Raises ValueError when a port is malformed or the range is empty.
@@ -59,18 +59,18 @@
 
 
 def _check_listen_address(address: str) -> str:
-    split_address(address)
+    parse_address(address)
     return address
 
 
 def _check_dial_address(address: str) -> str:
-    if split_address(address).port == 0:
+    if parse_address(address).port == 0:
         raise ValueError('must have a port from 1 to 65535')
     return address
 
 
 def _check_port_range(ports: str) -> str:
-    split_ports(ports)
+    parse_port_range(ports)
     return ports
 
 
--- a/src/savoryrudder/settings/models.py
+++ b/src/savoryrudder/settings/models.py
@@ -11,7 +11,7 @@
 from savoryrudder.settings.addresses import ListenAddress
 from savoryrudder.settings.addresses import PortRange
 from savoryrudder.settings.addresses import Url
-from savoryrudder.settings.addresses import split_ports
+from savoryrudder.settings.addresses import parse_port_range
 
 Name = Annotated[
     str,
@@ -49,7 +49,7 @@
 
     def session_ports(self) -> range | None:
         """Return the ports for sessions, or None for ephemeral ports."""
-        return split_ports(self.link_ports) if self.link_ports else None
+        return parse_port_range(self.link_ports) if self.link_ports else None
 
 
 class AgentSettings(StrictModel):
