--- a/src/savoryrudder/console/client.py
+++ b/src/savoryrudder/console/client.py
@@ -36,7 +36,7 @@
     wait_s: float = 0
 
 
-class Answer(NamedTuple):
+class Response(NamedTuple):
     """The response of an entry; an absent body is an empty dictionary."""
 
     entry: str
@@ -49,7 +49,7 @@
         """Return whether the entry accepted the request."""
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
-    def read(self, body_type: type[BodyT]) -> Result[BodyT, str]:
+    def decode(self, body_type: type[BodyT]) -> Result[BodyT, str]:
         """Return the body as a structure, or why it is malformed."""
         try:
             return Ok(msgspec.convert(self.body, body_type))
@@ -69,7 +69,7 @@
             parts.append(f': {detail}')
         return ''.join(parts)
 
-    def describe(self) -> Iterator[str]:
+    def describe_job(self) -> Iterator[str]:
         """Yield the lines that describe the state of a job."""
         status = self.body.get('status')
         yield str(status) if self.succeeded and status else self.problem
@@ -91,7 +91,7 @@
         self.entries = entries
         self._transport = transport
 
-    async def call(self, request: Request) -> Result[Answer, str]:
+    async def call(self, request: Request) -> Result[Response, str]:
         """Send a request to the entries in turn until one responds.
 
         The request may reach several entries, so it must be safe to repeat.
@@ -101,17 +101,17 @@
         remaining = deque(self.entries)
         while remaining:
             entry = remaining.popleft()
-            response = await self.call_one(entry, request)
+            response = await self.call_entry(entry, request)
             if response.is_ok():
                 return response
             failures.append(f'{entry}: {response.error}')
         return Error('; '.join(failures))
 
-    async def call_one(
+    async def call_entry(
         self,
         entry: str,
         request: Request,
-    ) -> Result[Answer, str]:
+    ) -> Result[Response, str]:
         """Send a request to one entry; it may have taken effect on an error."""
         timeout = httpx.Timeout(
             request.wait_s + _READ_TIMEOUT_S,
@@ -151,7 +151,7 @@
 def _parse_response(
     entry: str,
     http_response: httpx.Response,
-) -> Result[Answer, str]:
+) -> Result[Response, str]:
     if http_response.status_code in _PROXY_ERRORS:
         return Error(f'HTTP status {http_response.status_code}')
     try:
@@ -162,5 +162,5 @@
         )
     if isinstance(body, dict):
         retry_after = http_response.headers.get('Retry-After', '')
-        return Ok(Answer(entry, http_response.status_code, body, retry_after))
+        return Ok(Response(entry, http_response.status_code, body, retry_after))
     return Error('the response is not a JSON object')
--- a/src/savoryrudder/console/commands/cancel.py
+++ b/src/savoryrudder/console/commands/cancel.py
@@ -34,5 +34,5 @@
     if not (response.ok.succeeded or cancelled):
         return session.refused(response.ok)
     if not options.as_json:
-        session.say(f'key {options.key}', *response.ok.describe())
+        session.say(f'key {options.key}', *response.ok.describe_job())
     return ExitCode.done
--- a/src/savoryrudder/console/commands/status.py
+++ b/src/savoryrudder/console/commands/status.py
@@ -19,7 +19,7 @@
         return session.unreachable(response.error)
     if not response.ok.succeeded:
         return session.refused(response.ok)
-    decoded = response.ok.read(Status)
+    decoded = response.ok.decode(Status)
     if decoded.is_error():
         return session.unreachable(decoded.error)
     if options.as_json:
--- a/src/savoryrudder/console/commands/submit.py
+++ b/src/savoryrudder/console/commands/submit.py
@@ -11,8 +11,8 @@
 import uuid6
 from pydantic import Field
 
-from savoryrudder.console.client import Answer
 from savoryrudder.console.client import Request
+from savoryrudder.console.client import Response
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.options import Key
 from savoryrudder.console.session import ExitCode
@@ -86,7 +86,7 @@
     if options.as_json:
         session.dump({'key': key, 'answer': response.ok.body})
     else:
-        session.say(f'key {key}', *response.ok.describe())
+        session.say(f'key {key}', *response.ok.describe_job())
     return _exit_code(response.ok)
 
 
@@ -107,7 +107,7 @@
     return Path(file).read_bytes()
 
 
-def _exit_code(response: Answer) -> ExitCode:
+def _exit_code(response: Response) -> ExitCode:
     status = response.body.get('status')
     if response.status == HTTPStatus.ACCEPTED or status == 'running':
         return ExitCode.pending
--- a/src/savoryrudder/console/configuration.py
+++ b/src/savoryrudder/console/configuration.py
@@ -14,9 +14,9 @@
 from expression import Error
 from expression import Result
 
-from savoryrudder.console.client import Answer
 from savoryrudder.console.client import EntryClient
 from savoryrudder.console.client import Request
+from savoryrudder.console.client import Response
 from savoryrudder.policy.checks import parse_policy
 from savoryrudder.policy.diff import compare_policies
 from savoryrudder.policy.model import Limits
@@ -122,7 +122,7 @@
         return Error(response.error)
     if response.ok.status != HTTPStatus.OK:
         return Error(response.ok.problem)
-    return response.ok.read(Configuration)
+    return response.ok.decode(Configuration)
 
 
 async def apply_text(client: EntryClient, update: NewText) -> ApplyOutcome:
@@ -202,7 +202,7 @@
 ) -> ApplyOutcome:
     entry = client.entries[attempt % len(client.entries)]
     body = msgspec.json.encode(update._asdict())
-    response = await client.call_one(
+    response = await client.call_entry(
         entry,
         Request('POST', _CONFIG_PATH, body=body),
     )
@@ -211,11 +211,11 @@
     return _decode_outcome(response.ok)
 
 
-def _decode_outcome(response: Answer) -> ApplyOutcome:
+def _decode_outcome(response: Response) -> ApplyOutcome:
     outcome_type = _OUTCOME_TYPES.get(response.status)
     if outcome_type is not None:
         # A malformed response is treated like a lost one.
-        return response.read(outcome_type).default_with(_unresolved)
+        return response.decode(outcome_type).default_with(_unresolved)
     if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return _unresolved(response.problem)
     return Refused(response.problem)
--- a/src/savoryrudder/console/fleet.py
+++ b/src/savoryrudder/console/fleet.py
@@ -112,8 +112,8 @@
     url: str,
     statuses: list[Status],
 ) -> None:
-    response = await client.call_one(url, STATUS)
-    status = response.bind(lambda received: received.read(Status))
+    response = await client.call_entry(url, STATUS)
+    status = response.bind(lambda received: received.decode(Status))
     if status.is_ok():
         statuses.append(status.ok)
 
--- a/src/savoryrudder/console/session.py
+++ b/src/savoryrudder/console/session.py
@@ -14,8 +14,8 @@
 import msgspec
 from httpx import AsyncBaseTransport
 
-from savoryrudder.console.client import Answer
 from savoryrudder.console.client import EntryClient
+from savoryrudder.console.client import Response
 from savoryrudder.policy.findings import Finding
 from savoryrudder.settings.addresses import check_url
 
@@ -86,7 +86,7 @@
         )
         return ExitCode.refused
 
-    def refused(self, response: Answer) -> ExitCode:
+    def refused(self, response: Response) -> ExitCode:
         """Report that an entry refused the request."""
         self.warn(f'{response.entry}: {response.problem}')
         return ExitCode.refused
