--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -57,13 +57,13 @@
         report.applied(fetched.ok.revision)
         return await _wait_if_requested(session, options, fetched.ok.revision)
     report.changes(text.ok)
-    change = configuration.NewText(
+    update = configuration.ConfigurationUpdate(
         text.ok,
         fetched.ok.revision,
         options.author or getpass.getuser(),
         str(uuid6.uuid7()),
     )
-    outcome = await configuration.apply_text(client, change)
+    outcome = await configuration.apply_update(client, update)
     code = report.outcome(outcome)
     if not isinstance(outcome, configuration.Applied):
         return code
--- a/src/savoryrudder/console/configuration.py
+++ b/src/savoryrudder/console/configuration.py
@@ -104,7 +104,7 @@
 )
 
 
-class NewText(NamedTuple):
+class ConfigurationUpdate(NamedTuple):
     """A text to write over a revision, with the unique token of the write."""
 
     text: str
@@ -125,7 +125,9 @@
     return response.ok.decode(Configuration)
 
 
-async def apply_text(client: EntryClient, update: NewText) -> ApplyOutcome:
+async def apply_update(
+    client: EntryClient, update: ConfigurationUpdate
+) -> ApplyOutcome:
     """Write a text by compare-and-swap.
 
     If the response is lost, the configuration is read back. The write is
@@ -159,7 +161,7 @@
 async def _resolve_outcome(
     client: EntryClient,
     attempt: int,
-    update: NewText,
+    update: ConfigurationUpdate,
     outcome: Unresolved,
 ) -> ApplyOutcome:
     fetched = await fetch_configuration(client)
@@ -180,7 +182,9 @@
     return repeated
 
 
-def _classify_conflict(current: Configuration, update: NewText) -> ApplyOutcome:
+def _classify_conflict(
+    current: Configuration, update: ConfigurationUpdate
+) -> ApplyOutcome:
     if not current.token:
         return Unresolved(
             f'revision {current.revision} by {current.author} is in force '
@@ -198,7 +202,7 @@
 async def _write_once(
     client: EntryClient,
     attempt: int,
-    update: NewText,
+    update: ConfigurationUpdate,
 ) -> ApplyOutcome:
     entry = client.entries[attempt % len(client.entries)]
     body = msgspec.json.encode(update._asdict())
