--- a/src/savoryrudder/console/commands/config_wait.py
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -7,7 +7,7 @@
 
 from savoryrudder.console.client import EntryClient
 from savoryrudder.console.fleet import FleetRevisions
-from savoryrudder.console.fleet import read_fleet
+from savoryrudder.console.fleet import fetch_fleet_revisions
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
@@ -63,10 +63,10 @@
     timeout: float,
 ) -> FleetRevisions | None:
     deadline = anyio.current_time() + timeout
-    fleet = await read_fleet(client)
+    fleet = await fetch_fleet_revisions(client)
     while fleet is None or fleet.behind(revision):
         if anyio.current_time() >= deadline:
             break
         await anyio.sleep(_POLL_INTERVAL_S)
-        fleet = await read_fleet(client)
+        fleet = await fetch_fleet_revisions(client)
     return fleet
--- a/src/savoryrudder/console/commands/status.py
+++ b/src/savoryrudder/console/commands/status.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from savoryrudder.console.fleet import STATUS
+from savoryrudder.console.fleet import STATUS_REQUEST
 from savoryrudder.console.fleet import Agent
 from savoryrudder.console.fleet import Status
 from savoryrudder.console.options import EntryOptions
@@ -14,7 +14,7 @@
 
 async def status(session: Session, options: EntryOptions) -> ExitCode:
     """Show entries, agents, partitions and queues as one entry sees them."""
-    response = await session.connect(options.entry).call(STATUS)
+    response = await session.connect(options.entry).call(STATUS_REQUEST)
     if response.is_error():
         return session.unreachable(response.error)
     if not response.ok.succeeded:
--- a/src/savoryrudder/console/fleet.py
+++ b/src/savoryrudder/console/fleet.py
@@ -12,7 +12,7 @@
 from savoryrudder.console.client import EntryClient
 from savoryrudder.console.client import Request
 
-STATUS: Final = Request('GET', '/v1/status')
+STATUS_REQUEST: Final = Request('GET', '/v1/status')
 
 
 class Peer(msgspec.Struct):
@@ -72,7 +72,7 @@
         self.revisions[name] = max(highest, revision)
 
 
-async def read_fleet(client: EntryClient) -> FleetRevisions | None:
+async def fetch_fleet_revisions(client: EntryClient) -> FleetRevisions | None:
     """Return the revisions in the fleet, or None if no entry responds.
 
     All live entries are queried. One that does not respond counts with the
@@ -112,7 +112,7 @@
     url: str,
     statuses: list[Status],
 ) -> None:
-    response = await client.call_entry(url, STATUS)
+    response = await client.call_entry(url, STATUS_REQUEST)
     status = response.bind(lambda received: received.decode(Status))
     if status.is_ok():
         statuses.append(status.ok)
