--- a/src/savoryrudder/console/commands/status.py
+++ b/src/savoryrudder/console/commands/status.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 
 from savoryrudder.console.fleet import STATUS_REQUEST
-from savoryrudder.console.fleet import Agent
-from savoryrudder.console.fleet import Status
+from savoryrudder.console.fleet import AgentStatus
+from savoryrudder.console.fleet import EntryStatus
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.session import ExitCode
 from savoryrudder.console.session import Session
@@ -19,7 +19,7 @@
         return session.unreachable(response.error)
     if not response.ok.succeeded:
         return session.refused(response.ok)
-    decoded = response.ok.decode(Status)
+    decoded = response.ok.decode(EntryStatus)
     if decoded.is_error():
         return session.unreachable(decoded.error)
     if options.as_json:
@@ -29,7 +29,7 @@
     return ExitCode.done
 
 
-def _format_status(entry_status: Status) -> Iterator[str]:
+def _format_status(entry_status: EntryStatus) -> Iterator[str]:
     draining = ', draining' if entry_status.draining else ''
     yield (
         f'entry {entry_status.entry}: revision {entry_status.revision}, '
@@ -46,7 +46,7 @@
         yield _format_agent(agent)
 
 
-def _format_agent(agent: Agent) -> str:
+def _format_agent(agent: AgentStatus) -> str:
     parts = [
         f'agent {agent.agent}: service {agent.service}',
         f'zone {agent.zone}',
--- a/src/savoryrudder/console/fleet.py
+++ b/src/savoryrudder/console/fleet.py
@@ -15,7 +15,7 @@
 STATUS_REQUEST: Final = Request('GET', '/v1/status')
 
 
-class Peer(msgspec.Struct):
+class PeerStatus(msgspec.Struct):
     """A live entry as another entry sees it; the address serves HTTP."""
 
     entry: str
@@ -23,7 +23,7 @@
     revision: int = 0
 
 
-class Agent(msgspec.Struct):
+class AgentStatus(msgspec.Struct):
     """An agent as an entry sees it."""
 
     agent: str
@@ -36,13 +36,13 @@
     ejected: bool = False
 
 
-class Status(msgspec.Struct):
+class EntryStatus(msgspec.Struct):
     """The state of an entry and its view of the fleet."""
 
     entry: str
     revision: int
-    live_entries: list[Peer] = []
-    agents: list[Agent] = []
+    live_entries: list[PeerStatus] = []
+    agents: list[AgentStatus] = []
     partitions: dict[str, int] = {}
     queued: dict[str, int] = {}
     store: str = ''
@@ -78,7 +78,7 @@
     All live entries are queried. One that does not respond counts with the
     revision that its peers report for it.
     """
-    statuses: list[Status] = []
+    statuses: list[EntryStatus] = []
     await _fetch_statuses(client, set(client.entries), statuses)
     scheme = urlsplit(client.entries[0]).scheme
     responding = {status.entry for status in statuses}
@@ -100,7 +100,7 @@
 async def _fetch_statuses(
     client: EntryClient,
     urls: set[str],
-    statuses: list[Status],
+    statuses: list[EntryStatus],
 ) -> None:
     async with anyio.create_task_group() as group:
         for url in urls:
@@ -110,15 +110,15 @@
 async def _fetch_status(
     client: EntryClient,
     url: str,
-    statuses: list[Status],
+    statuses: list[EntryStatus],
 ) -> None:
     response = await client.call_entry(url, STATUS_REQUEST)
-    status = response.bind(lambda received: received.decode(Status))
+    status = response.bind(lambda received: received.decode(EntryStatus))
     if status.is_ok():
         statuses.append(status.ok)
 
 
-def _add_status(fleet: FleetRevisions, status: Status) -> None:
+def _add_status(fleet: FleetRevisions, status: EntryStatus) -> None:
     fleet.add(f'entry {status.entry}', status.revision)
     for peer in status.live_entries:
         fleet.add(f'entry {peer.entry}', peer.revision)
