Rename the output methods of the console session

Session.say -> write_lines Session.dump -> write_json Session.report -> report_findings Session.refused -> report_refusal Session.unreachable -> report_unreachable

--- a/src/savoryrudder/console/commands/cancel.py
+++ b/src/savoryrudder/console/commands/cancel.py
@@ -27,12 +27,12 @@
     request = Request('DELETE', path, {'Client': options.client})
     response = await session.connect(options.entry).call(request)
     if response.is_error():
-        return session.unreachable(response.error)
+        return session.report_unreachable(response.error)
     if options.as_json:
-        session.dump({'key': options.key, 'answer': response.ok.body})
+        session.write_json({'key': options.key, 'answer': response.ok.body})
     cancelled = response.ok.body.get('reason') == 'cancelled'
     if not (response.ok.succeeded or cancelled):
-        return session.refused(response.ok)
+        return session.report_refusal(response.ok)
     if not options.as_json:
-        session.say(f'key {options.key}', *response.ok.describe_job())
+        session.write_lines(f'key {options.key}', *response.ok.describe_job())
     return ExitCode.done
--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -45,11 +45,13 @@
     text = read_file(options.file)
     checked = text.bind(parse_policy)
     if checked.is_error():
-        return session.report(options.file, checked.error, options.as_json)
+        return session.report_findings(
+            options.file, checked.error, options.as_json
+        )
     client = session.connect(options.entry)
     fetched = await configuration.fetch_configuration(client)
     if fetched.is_error():
-        return session.unreachable(fetched.error)
+        return session.report_unreachable(fetched.error)
     report = _ApplyReport(session, options.file, fetched.ok, options.as_json)
     if options.revision not in {None, fetched.ok.revision}:
         return report.race_lost(_conflict_before_write(fetched.ok), text.ok)
@@ -122,7 +124,9 @@
                 Finding(row.line, row.column, row.key, row.message)
                 for row in outcome.findings
             ]
-            return self._session.report(self._file, findings, self._as_json)
+            return self._session.report_findings(
+                self._file, findings, self._as_json
+            )
         if isinstance(outcome, configuration.Refused):
             self._write_fields({'outcome': 'refused', 'detail': outcome.detail})
             return ExitCode.refused
@@ -137,7 +141,7 @@
         """Report what the new text changes."""
         lines = configuration.describe_difference(self._base.text, text)
         if not self._as_json:
-            self._session.say(*(lines or ['no changed values']))
+            self._session.write_lines(*(lines or ['no changed values']))
 
     def applied(self, revision: int) -> ExitCode:
         """Report the revision at which the new text is in force."""
@@ -163,13 +167,13 @@
             )
         lines = configuration.describe_difference(old_text, conflict.text)
         if not self._as_json:
-            self._session.say('changed by the other operator:', *lines)
+            self._session.write_lines('changed by the other operator:', *lines)
         return ExitCode.race_lost
 
     def _write_fields(self, fields: dict[str, Any]) -> None:
         if self._as_json:
-            self._session.dump(fields)
+            self._session.write_json(fields)
         else:
-            self._session.say(
+            self._session.write_lines(
                 ', '.join(f'{key} {item}' for key, item in fields.items()),
             )
--- a/src/savoryrudder/console/commands/config_check.py
+++ b/src/savoryrudder/console/commands/config_check.py
@@ -23,9 +23,11 @@
     """Check a configuration file without calling an entry."""
     checked = read_file(options.file).bind(parse_policy)
     if checked.is_error():
-        return session.report(options.file, checked.error, options.as_json)
+        return session.report_findings(
+            options.file, checked.error, options.as_json
+        )
     if options.as_json:
-        session.dump({'file': options.file, 'findings': []})
+        session.write_json({'file': options.file, 'findings': []})
     else:
-        session.say(f'{options.file}: no findings')
+        session.write_lines(f'{options.file}: no findings')
     return ExitCode.done
--- a/src/savoryrudder/console/commands/config_diff.py
+++ b/src/savoryrudder/console/commands/config_diff.py
@@ -24,15 +24,19 @@
     text = read_file(options.file)
     checked = text.bind(parse_policy)
     if checked.is_error():
-        return session.report(options.file, checked.error, options.as_json)
+        return session.report_findings(
+            options.file, checked.error, options.as_json
+        )
     fetched = await fetch_configuration(session.connect(options.entry))
     if fetched.is_error():
-        return session.unreachable(fetched.error)
+        return session.report_unreachable(fetched.error)
     current = fetched.ok
     lines = describe_difference(current.text, text.ok)
     if options.as_json:
-        session.dump({'revision': current.revision, 'changes': lines})
+        session.write_json({'revision': current.revision, 'changes': lines})
         return ExitCode.done
-    session.say(f'against revision {current.revision} by {current.author}:')
-    session.say(*(lines or ('no changes',)))
+    session.write_lines(
+        f'against revision {current.revision} by {current.author}:'
+    )
+    session.write_lines(*(lines or ('no changes',)))
     return ExitCode.done
--- a/src/savoryrudder/console/commands/config_show.py
+++ b/src/savoryrudder/console/commands/config_show.py
@@ -12,14 +12,14 @@
     """Show the configuration in force."""
     fetched = await fetch_configuration(session.connect(options.entry))
     if fetched.is_error():
-        return session.unreachable(fetched.error)
+        return session.report_unreachable(fetched.error)
     current = fetched.ok
     if options.as_json:
-        session.dump(current)
+        session.write_json(current)
         return ExitCode.done
     session.warn(
         f'revision {current.revision} by {current.author}, '
         f'applied at {current.applied_at}',
     )
-    session.say(current.text.rstrip('\n'))
+    session.write_lines(current.text.rstrip('\n'))
     return ExitCode.done
--- a/src/savoryrudder/console/commands/config_wait.py
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -39,21 +39,23 @@
     client = session.connect(options.entry)
     fleet = await _poll_fleet(client, options.revision, options.timeout)
     if fleet is None:
-        return session.unreachable(
+        return session.report_unreachable(
             'no entry reported its status within the timeout'
         )
     behind = fleet.behind(options.revision)
     if options.as_json:
-        session.dump({'revision': options.revision, 'behind': behind})
+        session.write_json({'revision': options.revision, 'behind': behind})
     elif behind:
-        session.say(
+        session.write_lines(
             *(
                 f'{name}: revision {reported}, not {options.revision}'
                 for name, reported in behind.items()
             ),
         )
     else:
-        session.say(f'revision {options.revision} is in force everywhere')
+        session.write_lines(
+            f'revision {options.revision} is in force everywhere'
+        )
     return ExitCode.pending if behind else ExitCode.done
 
 
--- a/src/savoryrudder/console/commands/drain.py
+++ b/src/savoryrudder/console/commands/drain.py
@@ -35,11 +35,11 @@
         Request('POST', '/v1/drain', body=msgspec.json.encode(body)),
     )
     if response.is_error():
-        return session.unreachable(response.error)
+        return session.report_unreachable(response.error)
     if not response.ok.succeeded:
-        return session.refused(response.ok)
+        return session.report_refusal(response.ok)
     if options.as_json:
-        session.dump(response.ok.body)
+        session.write_json(response.ok.body)
     else:
-        session.say(f'draining {options.agent or response.ok.entry}')
+        session.write_lines(f'draining {options.agent or response.ok.entry}')
     return ExitCode.done
--- a/src/savoryrudder/console/commands/status.py
+++ b/src/savoryrudder/console/commands/status.py
@@ -16,16 +16,16 @@
     """Show entries, agents, partitions and queues as one entry sees them."""
     response = await session.connect(options.entry).call(STATUS_REQUEST)
     if response.is_error():
-        return session.unreachable(response.error)
+        return session.report_unreachable(response.error)
     if not response.ok.succeeded:
-        return session.refused(response.ok)
+        return session.report_refusal(response.ok)
     decoded = response.ok.decode(EntryStatus)
     if decoded.is_error():
-        return session.unreachable(decoded.error)
+        return session.report_unreachable(decoded.error)
     if options.as_json:
-        session.dump(response.ok.body)
+        session.write_json(response.ok.body)
     else:
-        session.say(*_format_status(decoded.ok))
+        session.write_lines(*_format_status(decoded.ok))
     return ExitCode.done
 
 
--- a/src/savoryrudder/console/commands/submit.py
+++ b/src/savoryrudder/console/commands/submit.py
@@ -82,11 +82,11 @@
         session.warn(
             f'the job may have been accepted; submit it again with --key {key}',
         )
-        return session.unreachable(response.error)
+        return session.report_unreachable(response.error)
     if options.as_json:
-        session.dump({'key': key, 'answer': response.ok.body})
+        session.write_json({'key': key, 'answer': response.ok.body})
     else:
-        session.say(f'key {key}', *response.ok.describe_job())
+        session.write_lines(f'key {key}', *response.ok.describe_job())
     return _exit_code(response.ok)
 
 
--- a/src/savoryrudder/console/commands/terms.py
+++ b/src/savoryrudder/console/commands/terms.py
@@ -21,13 +21,13 @@
     request = Request('GET', '/v1/terms', query={'client': options.client})
     response = await session.connect(options.entry).call(request)
     if response.is_error():
-        return session.unreachable(response.error)
+        return session.report_unreachable(response.error)
     if not response.ok.succeeded:
-        return session.refused(response.ok)
+        return session.report_refusal(response.ok)
     if options.as_json:
-        session.dump(response.ok.body)
+        session.write_json(response.ok.body)
     else:
-        session.say(
+        session.write_lines(
             *(f'{name}: {term}' for name, term in response.ok.body.items()),
         )
     return ExitCode.done
--- a/src/savoryrudder/console/commands/traces.py
+++ b/src/savoryrudder/console/commands/traces.py
@@ -39,9 +39,9 @@
         return ExitCode.refused
     trees = [SpanTree(spans, trace_id) for trace_id in matching]
     if options.as_json:
-        session.dump([tree.as_rows() for tree in trees])
+        session.write_json([tree.as_rows() for tree in trees])
     elif len(trees) == 1:
-        session.say(*trees[0].as_lines())
+        session.write_lines(*trees[0].as_lines())
     else:
-        session.say(*(tree.summary() for tree in trees))
+        session.write_lines(*(tree.summary() for tree in trees))
     return ExitCode.done
--- a/src/savoryrudder/console/session.py
+++ b/src/savoryrudder/console/session.py
@@ -53,7 +53,7 @@
         self._output = output or sys.stdout
         self._errors = errors or sys.stderr
 
-    def say(self, *lines: str) -> None:
+    def write_lines(self, *lines: str) -> None:
         """Write lines of the result to the output stream."""
         self._output.writelines(f'{line}\n' for line in lines)
 
@@ -61,12 +61,12 @@
         """Write lines that are not part of the result to the error stream."""
         self._errors.writelines(f'{line}\n' for line in lines)
 
-    def dump(self, value: Any) -> None:
+    def write_json(self, value: Any) -> None:
         """Write a value to the output stream as indented JSON."""
         encoded = msgspec.json.format(msgspec.json.encode(value), indent=2)
-        self.say(encoded.decode())
+        self.write_lines(encoded.decode())
 
-    def report(
+    def report_findings(
         self,
         file: str,
         findings: Iterable[Finding],
@@ -75,9 +75,9 @@
         """Write the findings of a file and return the exit code."""
         if as_json:
             rows = [row._asdict() for row in findings]
-            self.dump({'file': file, 'findings': rows})
+            self.write_json({'file': file, 'findings': rows})
             return ExitCode.refused
-        self.say(
+        self.write_lines(
             *(
                 f'{file}:{finding.line}:{finding.column}: '
                 f'{finding.key or "text"}: {finding.message}'
@@ -86,12 +86,12 @@
         )
         return ExitCode.refused
 
-    def refused(self, response: Response) -> ExitCode:
+    def report_refusal(self, response: Response) -> ExitCode:
         """Report that an entry refused the request."""
         self.warn(f'{response.entry}: {response.problem}')
         return ExitCode.refused
 
-    def unreachable(self, detail: str) -> ExitCode:
+    def report_unreachable(self, detail: str) -> ExitCode:
         """Report that no entry responded, or that its store did not."""
         self.warn(f'unreachable: {detail}')
         return ExitCode.unreachable
