--- a/src/savoryrudder/console/application.py
+++ b/src/savoryrudder/console/application.py
@@ -29,10 +29,10 @@
 from savoryrudder.console.commands.submit import submit
 from savoryrudder.console.commands.terms import terms
 from savoryrudder.console.commands.traces import traces
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
+from savoryrudder.console.context import UsageError
 from savoryrudder.console.options import Options
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
-from savoryrudder.console.session import UsageError
 from savoryrudder.policy.findings import format_key_path
 
 _PROGRAM_NAME: Final = 'savoryrudder'
@@ -74,10 +74,12 @@
         self._command = command
         self._options = options
 
-    def start(self, session: Session, trio_options: dict[str, Any]) -> int:
+    def start(
+        self, context: CommandContext, trio_options: dict[str, Any]
+    ) -> int:
         """Run the command and return its exit code."""
         return anyio.run(
-            partial(self._command, session, self._options),
+            partial(self._command, context, self._options),
             backend='trio',
             backend_options=trio_options,
         )
@@ -85,22 +87,22 @@
 
 def main() -> None:
     """Run the command line of the process."""
-    sys.exit(run(sys.argv[1:], Session()))
+    sys.exit(run(sys.argv[1:], CommandContext()))
 
 
 def run(
     arguments: Sequence[str],
-    session: Session,
+    context: CommandContext,
     **trio_options: Any,
 ) -> int:
     """Run one command line and return its exit code."""
     try:
-        return _run_command(arguments, session, trio_options)
+        return _run_command(arguments, context, trio_options)
     except SystemExit as fire_exit:
         # Fire raises it after printing help or a usage error.
         return int(fire_exit.code or 0)
     except (UsageError, ValidationError) as error:
-        session.warn(*_format_usage_error(error))
+        context.warn(*_format_usage_error(error))
         return ExitCode.usage
     except KeyboardInterrupt:
         return _INTERRUPTED_EXIT_CODE
@@ -117,13 +119,13 @@
 
 def _run_command(
     arguments: Sequence[str],
-    session: Session,
+    context: CommandContext,
     trio_options: dict[str, Any],
 ) -> int:
     invocation = _parse_command(_prepare_arguments(arguments))
     if isinstance(invocation, _Invocation):
-        return invocation.start(session, trio_options)
-    session.warn(f'no command given; see "{_PROGRAM_NAME} --help"')
+        return invocation.start(context, trio_options)
+    context.warn(f'no command given; see "{_PROGRAM_NAME} --help"')
     return ExitCode.usage
 
 
--- a/src/savoryrudder/console/commands/cancel.py
+++ b/src/savoryrudder/console/commands/cancel.py
@@ -7,10 +7,10 @@
 from pydantic import Field
 
 from savoryrudder.console.client import Request
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.options import Key
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
 from savoryrudder.settings.models import Name
 
 
@@ -21,18 +21,18 @@
     client: Name = Field(description='the client that submitted the job')
 
 
-async def cancel(session: Session, options: CancelOptions) -> ExitCode:
+async def cancel(context: CommandContext, options: CancelOptions) -> ExitCode:
     """Cancel a job; tasks that are not idempotent run to completion."""
     path = '/v1/jobs/{0}'.format(quote(options.key, safe=''))
     request = Request('DELETE', path, {'Client': options.client})
-    response = await session.connect(options.entry).call(request)
+    response = await context.connect(options.entry).call(request)
     if response.is_error():
-        return session.report_unreachable(response.error)
+        return context.report_unreachable(response.error)
     if options.as_json:
-        session.write_json({'key': options.key, 'answer': response.ok.body})
+        context.write_json({'key': options.key, 'answer': response.ok.body})
     cancelled = response.ok.body.get('reason') == 'cancelled'
     if not (response.ok.succeeded or cancelled):
-        return session.report_refusal(response.ok)
+        return context.report_refusal(response.ok)
     if not options.as_json:
-        session.write_lines(f'key {options.key}', *response.ok.describe_job())
+        context.write_lines(f'key {options.key}', *response.ok.describe_job())
     return ExitCode.done
--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -11,9 +11,9 @@
 from savoryrudder.console import configuration
 from savoryrudder.console.commands.config_wait import ConfigWaitOptions
 from savoryrudder.console.commands.config_wait import wait_for_revision
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
 from savoryrudder.console.options import EntryOptions
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
 from savoryrudder.policy.checks import parse_policy
 from savoryrudder.policy.findings import Finding
 from savoryrudder.settings.loading import read_file
@@ -39,25 +39,25 @@
 
 
 async def config_apply(
-    session: Session, options: ConfigApplyOptions
+    context: CommandContext, options: ConfigApplyOptions
 ) -> ExitCode:
     """Apply a configuration file by compare-and-swap."""
     text = read_file(options.file)
     checked = text.bind(parse_policy)
     if checked.is_error():
-        return session.report_findings(
+        return context.report_findings(
             options.file, checked.error, options.as_json
         )
-    client = session.connect(options.entry)
+    client = context.connect(options.entry)
     fetched = await configuration.fetch_configuration(client)
     if fetched.is_error():
-        return session.report_unreachable(fetched.error)
-    report = _ApplyReport(session, options.file, fetched.ok, options.as_json)
+        return context.report_unreachable(fetched.error)
+    report = _ApplyReport(context, options.file, fetched.ok, options.as_json)
     if options.revision not in {None, fetched.ok.revision}:
         return report.race_lost(_conflict_before_write(fetched.ok), text.ok)
     if fetched.ok.text == text.ok:
         report.applied(fetched.ok.revision)
-        return await _wait_if_requested(session, options, fetched.ok.revision)
+        return await _wait_if_requested(context, options, fetched.ok.revision)
     report.changes(text.ok)
     update = configuration.ConfigurationUpdate(
         text.ok,
@@ -69,11 +69,11 @@
     code = report.outcome(outcome)
     if not isinstance(outcome, configuration.Applied):
         return code
-    return await _wait_if_requested(session, options, outcome.revision)
+    return await _wait_if_requested(context, options, outcome.revision)
 
 
 async def _wait_if_requested(
-    session: Session,
+    context: CommandContext,
     options: ConfigApplyOptions,
     revision: int,
 ) -> ExitCode:
@@ -85,7 +85,7 @@
         revision=revision,
         timeout=options.wait,
     )
-    return await wait_for_revision(session, wait_options)
+    return await wait_for_revision(context, wait_options)
 
 
 def _conflict_before_write(
@@ -103,12 +103,12 @@
 
     def __init__(
         self,
-        session: Session,
+        context: CommandContext,
         file: str,
         base: configuration.Configuration,
         as_json: bool,
     ) -> None:
-        self._session = session
+        self._context = context
         self._file = file
         self._base = base
         self._as_json = as_json
@@ -124,14 +124,14 @@
                 Finding(row.line, row.column, row.key, row.message)
                 for row in outcome.findings
             ]
-            return self._session.report_findings(
+            return self._context.report_findings(
                 self._file, findings, self._as_json
             )
         if isinstance(outcome, configuration.Refused):
             self._write_fields({'outcome': 'refused', 'detail': outcome.detail})
             return ExitCode.refused
         self._write_fields({'outcome': 'unknown', 'detail': outcome.detail})
-        self._session.warn(
+        self._context.warn(
             'the configuration may or may not be in force; '
             'check with "savoryrudder config show"',
         )
@@ -141,7 +141,7 @@
         """Report what the new text changes."""
         lines = configuration.describe_difference(self._base.text, text)
         if not self._as_json:
-            self._session.write_lines(*(lines or ['no changed values']))
+            self._context.write_lines(*(lines or ['no changed values']))
 
     def applied(self, revision: int) -> ExitCode:
         """Report the revision at which the new text is in force."""
@@ -162,18 +162,18 @@
             },
         )
         if not conflict.certain:
-            self._session.warn(
+            self._context.warn(
                 'your configuration may have been in force before'
             )
         lines = configuration.describe_difference(old_text, conflict.text)
         if not self._as_json:
-            self._session.write_lines('changed by the other operator:', *lines)
+            self._context.write_lines('changed by the other operator:', *lines)
         return ExitCode.race_lost
 
     def _write_fields(self, fields: dict[str, Any]) -> None:
         if self._as_json:
-            self._session.write_json(fields)
+            self._context.write_json(fields)
         else:
-            self._session.write_lines(
+            self._context.write_lines(
                 ', '.join(f'{key} {item}' for key, item in fields.items()),
             )
--- a/src/savoryrudder/console/commands/config_check.py
+++ b/src/savoryrudder/console/commands/config_check.py
@@ -4,9 +4,9 @@
 
 from pydantic import Field
 
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
 from savoryrudder.console.options import Options
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
 from savoryrudder.policy.checks import parse_policy
 from savoryrudder.settings.loading import read_file
 
@@ -18,16 +18,16 @@
 
 
 async def config_check(
-    session: Session, options: ConfigCheckOptions
+    context: CommandContext, options: ConfigCheckOptions
 ) -> ExitCode:
     """Check a configuration file without calling an entry."""
     checked = read_file(options.file).bind(parse_policy)
     if checked.is_error():
-        return session.report_findings(
+        return context.report_findings(
             options.file, checked.error, options.as_json
         )
     if options.as_json:
-        session.write_json({'file': options.file, 'findings': []})
+        context.write_json({'file': options.file, 'findings': []})
     else:
-        session.write_lines(f'{options.file}: no findings')
+        context.write_lines(f'{options.file}: no findings')
     return ExitCode.done
--- a/src/savoryrudder/console/commands/config_show.py
+++ b/src/savoryrudder/console/commands/config_show.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 from savoryrudder.console.configuration import fetch_configuration
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
 from savoryrudder.console.options import EntryOptions
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
 
 
-async def config_show(session: Session, options: EntryOptions) -> ExitCode:
+async def config_show(
+    context: CommandContext, options: EntryOptions
+) -> ExitCode:
     """Show the configuration in force."""
-    fetched = await fetch_configuration(session.connect(options.entry))
+    fetched = await fetch_configuration(context.connect(options.entry))
     if fetched.is_error():
-        return session.report_unreachable(fetched.error)
+        return context.report_unreachable(fetched.error)
     current = fetched.ok
     if options.as_json:
-        session.write_json(current)
+        context.write_json(current)
         return ExitCode.done
-    session.warn(
+    context.warn(
         f'revision {current.revision} by {current.author}, '
         f'applied at {current.applied_at}',
     )
-    session.write_lines(current.text.rstrip('\n'))
+    context.write_lines(current.text.rstrip('\n'))
     return ExitCode.done
--- a/src/savoryrudder/console/commands/config_wait.py
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -6,11 +6,11 @@
 from pydantic import Field
 
 from savoryrudder.console.client import EntryClient
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
 from savoryrudder.console.fleet import FleetRevisions
 from savoryrudder.console.fleet import fetch_fleet_revisions
 from savoryrudder.console.options import EntryOptions
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
 
 _POLL_INTERVAL_S = 0.5
 
@@ -26,34 +26,36 @@
     )
 
 
-async def config_wait(session: Session, options: ConfigWaitOptions) -> ExitCode:
+async def config_wait(
+    context: CommandContext, options: ConfigWaitOptions
+) -> ExitCode:
     """Wait until all live entries and agents report a revision."""
-    return await wait_for_revision(session, options)
+    return await wait_for_revision(context, options)
 
 
 async def wait_for_revision(
-    session: Session,
+    context: CommandContext,
     options: ConfigWaitOptions,
 ) -> ExitCode:
     """Wait for a revision and list the processes that have not reached it."""
-    client = session.connect(options.entry)
+    client = context.connect(options.entry)
     fleet = await _poll_fleet(client, options.revision, options.timeout)
     if fleet is None:
-        return session.report_unreachable(
+        return context.report_unreachable(
             'no entry reported its status within the timeout'
         )
     behind = fleet.behind(options.revision)
     if options.as_json:
-        session.write_json({'revision': options.revision, 'behind': behind})
+        context.write_json({'revision': options.revision, 'behind': behind})
     elif behind:
-        session.write_lines(
+        context.write_lines(
             *(
                 f'{name}: revision {reported}, not {options.revision}'
                 for name, reported in behind.items()
             ),
         )
     else:
-        session.write_lines(
+        context.write_lines(
             f'revision {options.revision} is in force everywhere'
         )
     return ExitCode.pending if behind else ExitCode.done
--- a/src/savoryrudder/console/commands/drain.py
+++ b/src/savoryrudder/console/commands/drain.py
@@ -6,10 +6,10 @@
 from pydantic import Field
 
 from savoryrudder.console.client import Request
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
+from savoryrudder.console.context import UsageError
 from savoryrudder.console.options import EntryOptions
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
-from savoryrudder.console.session import UsageError
 
 
 class DrainOptions(EntryOptions):
@@ -22,9 +22,9 @@
     )
 
 
-async def drain(session: Session, options: DrainOptions) -> ExitCode:
+async def drain(context: CommandContext, options: DrainOptions) -> ExitCode:
     """Make an agent, or the entry itself, finish its work and stop."""
-    client = session.connect(options.entry)
+    client = context.connect(options.entry)
     if bool(options.agent) == options.itself:
         raise UsageError('give either --agent or --itself')
     if options.itself and len(client.entries) > 1:
@@ -35,11 +35,11 @@
         Request('POST', '/v1/drain', body=msgspec.json.encode(body)),
     )
     if response.is_error():
-        return session.report_unreachable(response.error)
+        return context.report_unreachable(response.error)
     if not response.ok.succeeded:
-        return session.report_refusal(response.ok)
+        return context.report_refusal(response.ok)
     if options.as_json:
-        session.write_json(response.ok.body)
+        context.write_json(response.ok.body)
     else:
-        session.write_lines(f'draining {options.agent or response.ok.entry}')
+        context.write_lines(f'draining {options.agent or response.ok.entry}')
     return ExitCode.done
--- a/src/savoryrudder/console/commands/status.py
+++ b/src/savoryrudder/console/commands/status.py
@@ -4,28 +4,28 @@
 
 from collections.abc import Iterator
 
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
 from savoryrudder.console.fleet import STATUS_REQUEST
 from savoryrudder.console.fleet import AgentStatus
 from savoryrudder.console.fleet import EntryStatus
 from savoryrudder.console.options import EntryOptions
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
 
 
-async def status(session: Session, options: EntryOptions) -> ExitCode:
+async def status(context: CommandContext, options: EntryOptions) -> ExitCode:
     """Show entries, agents, partitions and queues as one entry sees them."""
-    response = await session.connect(options.entry).call(STATUS_REQUEST)
+    response = await context.connect(options.entry).call(STATUS_REQUEST)
     if response.is_error():
-        return session.report_unreachable(response.error)
+        return context.report_unreachable(response.error)
     if not response.ok.succeeded:
-        return session.report_refusal(response.ok)
+        return context.report_refusal(response.ok)
     decoded = response.ok.decode(EntryStatus)
     if decoded.is_error():
-        return session.report_unreachable(decoded.error)
+        return context.report_unreachable(decoded.error)
     if options.as_json:
-        session.write_json(response.ok.body)
+        context.write_json(response.ok.body)
     else:
-        session.write_lines(*_format_status(decoded.ok))
+        context.write_lines(*_format_status(decoded.ok))
     return ExitCode.done
 
 
--- a/src/savoryrudder/console/commands/submit.py
+++ b/src/savoryrudder/console/commands/submit.py
@@ -13,11 +13,11 @@
 
 from savoryrudder.console.client import Request
 from savoryrudder.console.client import Response
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
+from savoryrudder.console.context import UsageError
 from savoryrudder.console.options import EntryOptions
 from savoryrudder.console.options import Key
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
-from savoryrudder.console.session import UsageError
 from savoryrudder.settings.models import Name
 
 
@@ -55,7 +55,7 @@
     )
 
 
-async def submit(session: Session, options: SubmitOptions) -> ExitCode:
+async def submit(context: CommandContext, options: SubmitOptions) -> ExitCode:
     """Submit a job and wait for its result.
 
     If an entry does not respond, the next one gets the job with the same key,
@@ -77,16 +77,16 @@
         msgspec.json.encode(body),
         options.wait,
     )
-    response = await session.connect(options.entry).call(request)
+    response = await context.connect(options.entry).call(request)
     if response.is_error():
-        session.warn(
+        context.warn(
             f'the job may have been accepted; submit it again with --key {key}',
         )
-        return session.report_unreachable(response.error)
+        return context.report_unreachable(response.error)
     if options.as_json:
-        session.write_json({'key': key, 'answer': response.ok.body})
+        context.write_json({'key': key, 'answer': response.ok.body})
     else:
-        session.write_lines(f'key {key}', *response.ok.describe_job())
+        context.write_lines(f'key {key}', *response.ok.describe_job())
     return _exit_code(response.ok)
 
 
--- a/src/savoryrudder/console/commands/terms.py
+++ b/src/savoryrudder/console/commands/terms.py
@@ -5,9 +5,9 @@
 from pydantic import Field
 
 from savoryrudder.console.client import Request
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
 from savoryrudder.console.options import EntryOptions
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
 
 
 class TermsOptions(EntryOptions):
@@ -16,18 +16,18 @@
     client: str = Field(description='the client whose terms are shown')
 
 
-async def terms(session: Session, options: TermsOptions) -> ExitCode:
+async def terms(context: CommandContext, options: TermsOptions) -> ExitCode:
     """Show the current standing terms of a client."""
     request = Request('GET', '/v1/terms', query={'client': options.client})
-    response = await session.connect(options.entry).call(request)
+    response = await context.connect(options.entry).call(request)
     if response.is_error():
-        return session.report_unreachable(response.error)
+        return context.report_unreachable(response.error)
     if not response.ok.succeeded:
-        return session.report_refusal(response.ok)
+        return context.report_refusal(response.ok)
     if options.as_json:
-        session.write_json(response.ok.body)
+        context.write_json(response.ok.body)
     else:
-        session.write_lines(
+        context.write_lines(
             *(f'{name}: {term}' for name, term in response.ok.body.items()),
         )
     return ExitCode.done
--- a/src/savoryrudder/console/commands/traces.py
+++ b/src/savoryrudder/console/commands/traces.py
@@ -4,10 +4,10 @@
 
 from pydantic import Field
 
+from savoryrudder.console.context import CommandContext
+from savoryrudder.console.context import ExitCode
+from savoryrudder.console.context import UsageError
 from savoryrudder.console.options import Options
-from savoryrudder.console.session import ExitCode
-from savoryrudder.console.session import Session
-from savoryrudder.console.session import UsageError
 from savoryrudder.console.spans import SpanTree
 from savoryrudder.console.spans import read_spans
 
@@ -22,26 +22,26 @@
     )
 
 
-async def traces(session: Session, options: TracesOptions) -> ExitCode:
+async def traces(context: CommandContext, options: TracesOptions) -> ExitCode:
     """Show one trace as a tree, or list the traces of the files."""
     paths = [path.strip() for path in options.files.split(',') if path.strip()]
     try:
         spans, errors = read_spans(paths)
     except OSError as error:
         raise UsageError(f'{error.filename}: {error.strerror}') from None
-    session.warn(*errors)
+    context.warn(*errors)
     trace_ids = sorted({span.trace_id for span in spans})
     matching = [
         trace_id for trace_id in trace_ids if trace_id.startswith(options.trace)
     ]
     if not matching:
-        session.warn(f'no trace starts with "{options.trace}"')
+        context.warn(f'no trace starts with "{options.trace}"')
         return ExitCode.refused
     trees = [SpanTree(spans, trace_id) for trace_id in matching]
     if options.as_json:
-        session.write_json([tree.as_rows() for tree in trees])
+        context.write_json([tree.as_rows() for tree in trees])
     elif len(trees) == 1:
-        session.write_lines(*trees[0].as_lines())
+        context.write_lines(*trees[0].as_lines())
     else:
-        session.write_lines(*(tree.summary() for tree in trees))
+        context.write_lines(*(tree.summary() for tree in trees))
     return ExitCode.done
--- a/src/savoryrudder/console/session.py
+++ b/src/savoryrudder/console/context.py
@@ -37,7 +37,7 @@
     """An argument that a command cannot use."""
 
 
-class Session:
+class CommandContext:
     """The environment, streams and connections of one command."""
 
     def __init__(
--- a/tests/console/conftest.py
+++ b/tests/console/conftest.py
@@ -11,7 +11,7 @@
 from trio.testing import MockClock
 
 from savoryrudder.console.application import run
-from savoryrudder.console.session import Session
+from savoryrudder.console.context import CommandContext
 
 Handler = Callable[[httpx.Request], httpx.Response]
 
@@ -30,7 +30,7 @@
         """Run one command line on a mock clock that skips idle time."""
         output = io.StringIO()
         errors = io.StringIO()
-        session = Session(
+        context = CommandContext(
             {'SAVORYRUDDER_ENTRY': 'http://e1:80,http://e2:80'},
             httpx.MockTransport(self._handle_request),
             output,
@@ -38,7 +38,7 @@
         )
         clock = MockClock(autojump_threshold=0)
         code = run(
-            [str(argument) for argument in arguments], session, clock=clock
+            [str(argument) for argument in arguments], context, clock=clock
         )
         self.output = output.getvalue()
         self.errors = errors.getvalue()
