--- a/src/savoryrudder/console/application.py
+++ b/src/savoryrudder/console/application.py
@@ -64,7 +64,7 @@
 
 
 class _Invocation:
-    """A command to run once Fire has consumed all arguments.
+    """Hold a command to run once Fire has consumed all arguments.
 
     Fire calls a command before it reports surplus arguments; a mistyped
     command line must not submit a job.
--- a/src/savoryrudder/console/client.py
+++ b/src/savoryrudder/console/client.py
@@ -26,7 +26,7 @@
 
 
 class Request(NamedTuple):
-    """A request; `wait_s` is how long the entry may delay its response."""
+    """Describe a request; the entry may delay its response by `wait_s`."""
 
     method: str
     path: str
@@ -37,7 +37,7 @@
 
 
 class Response(NamedTuple):
-    """The response of an entry; an absent body is an empty dictionary."""
+    """Hold the response of an entry; an absent body is an empty dictionary."""
 
     entry: str
     status: int
@@ -80,7 +80,7 @@
 
 
 class EntryClient:
-    """HTTP client of several entries."""
+    """Call the HTTP API of several entries."""
 
     def __init__(
         self,
--- a/src/savoryrudder/console/commands/cancel.py
+++ b/src/savoryrudder/console/commands/cancel.py
@@ -15,7 +15,7 @@
 
 
 class CancelOptions(EntryOptions):
-    """Arguments of `cancel`."""
+    """Define the arguments of `cancel`."""
 
     key: Key = Field(description='the idempotency key of the job')
     client: Name = Field(description='the client that submitted the job')
--- a/src/savoryrudder/console/commands/config_apply.py
+++ b/src/savoryrudder/console/commands/config_apply.py
@@ -20,7 +20,7 @@
 
 
 class ConfigApplyOptions(EntryOptions):
-    """Arguments of `config apply`."""
+    """Define the arguments of `config apply`."""
 
     file: str = Field(description='the configuration file')
     revision: int | None = Field(
--- a/src/savoryrudder/console/commands/config_check.py
+++ b/src/savoryrudder/console/commands/config_check.py
@@ -12,7 +12,7 @@
 
 
 class ConfigCheckOptions(Options):
-    """Arguments of `config check`."""
+    """Define the arguments of `config check`."""
 
     file: str = Field(description='the configuration file')
 
--- a/src/savoryrudder/console/commands/config_diff.py
+++ b/src/savoryrudder/console/commands/config_diff.py
@@ -14,7 +14,7 @@
 
 
 class ConfigDiffOptions(EntryOptions):
-    """Arguments of `config diff`."""
+    """Define the arguments of `config diff`."""
 
     file: str = Field(description='the configuration file')
 
--- a/src/savoryrudder/console/commands/config_wait.py
+++ b/src/savoryrudder/console/commands/config_wait.py
@@ -16,7 +16,7 @@
 
 
 class ConfigWaitOptions(EntryOptions):
-    """Arguments of `config wait`."""
+    """Define the arguments of `config wait`."""
 
     revision: int = Field(description='the lowest revision to wait for')
     timeout: float = Field(
--- a/src/savoryrudder/console/commands/drain.py
+++ b/src/savoryrudder/console/commands/drain.py
@@ -13,7 +13,7 @@
 
 
 class DrainOptions(EntryOptions):
-    """Arguments of `drain`."""
+    """Define the arguments of `drain`."""
 
     agent: str = Field(default='', description='the agent to drain')
     itself: bool = Field(
--- a/src/savoryrudder/console/commands/submit.py
+++ b/src/savoryrudder/console/commands/submit.py
@@ -22,14 +22,14 @@
 
 
 class _Task(msgspec.Struct, forbid_unknown_fields=True):
-    """A task of the file; its payload is sent byte for byte."""
+    """Hold a task of the file; its payload is sent byte for byte."""
 
     operation: str
     payload: msgspec.Raw
 
 
 class SubmitOptions(EntryOptions):
-    """Arguments of `submit`."""
+    """Define the arguments of `submit`."""
 
     client: Name = Field(description='the client that submits the job')
     service: str = Field(description='the service that runs the tasks')
--- a/src/savoryrudder/console/commands/terms.py
+++ b/src/savoryrudder/console/commands/terms.py
@@ -11,7 +11,7 @@
 
 
 class TermsOptions(EntryOptions):
-    """Arguments of `terms`."""
+    """Define the arguments of `terms`."""
 
     client: str = Field(description='the client whose terms are shown')
 
--- a/src/savoryrudder/console/commands/traces.py
+++ b/src/savoryrudder/console/commands/traces.py
@@ -13,7 +13,7 @@
 
 
 class TracesOptions(Options):
-    """Arguments of `traces`."""
+    """Define the arguments of `traces`."""
 
     files: str = Field(description='span files, separated by commas')
     trace: str = Field(
--- a/src/savoryrudder/console/configuration.py
+++ b/src/savoryrudder/console/configuration.py
@@ -31,7 +31,7 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """The configuration in force and the token of the write that set it."""
+    """Hold the configuration in force and the token of its write."""
 
     revision: int
     text: str
@@ -41,13 +41,13 @@
 
 
 class Applied(msgspec.Struct, frozen=True):
-    """The new text is in the store at a revision."""
+    """Report that the new text is in the store at a revision."""
 
     revision: int
 
 
 class RaceLost(msgspec.Struct, frozen=True):
-    """Another operator's configuration is in force.
+    """Report that another operator's configuration is in force.
 
     `certain` is false if the submitted text may have been in force before it.
     """
@@ -59,7 +59,7 @@
 
 
 class FindingRow(msgspec.Struct, frozen=True):
-    """A finding as an entry reports it."""
+    """Hold a finding as an entry reports it."""
 
     line: int
     column: int
@@ -68,19 +68,19 @@
 
 
 class FindingsReported(msgspec.Struct, frozen=True):
-    """The entry rejected the text because of findings."""
+    """Report that the entry rejected the text because of findings."""
 
     findings: tuple[FindingRow, ...]
 
 
 class Refused(NamedTuple):
-    """The entry refused the write for another reason; nothing was written."""
+    """Report a refusal for another reason; nothing was written."""
 
     detail: str
 
 
 class Unresolved(NamedTuple):
-    """It is unknown whether the text was written.
+    """Report that it is unknown whether the text was written.
 
     `conflict` is true once the store holds a revision other than the expected
     one: a repeated write would fail, and only a read settles the outcome.
@@ -105,7 +105,7 @@
 
 
 class ConfigurationUpdate(NamedTuple):
-    """A text to write over a revision, with the unique token of the write."""
+    """Hold a text to write over a revision, with its unique write token."""
 
     text: str
     expected_revision: int
--- a/src/savoryrudder/console/context.py
+++ b/src/savoryrudder/console/context.py
@@ -1,4 +1,4 @@
-"""Provide commands with the environment, streams and connections."""
+"""Provide commands with their environment, streams and connections."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class ExitCode(IntEnum):
-    """Exit codes of the commands, for scripts to evaluate."""
+    """Define the exit codes of the commands, for scripts to evaluate."""
 
     done = 0
     refused = 1
@@ -34,11 +34,11 @@
 
 
 class UsageError(ValueError):
-    """An argument that a command cannot use."""
+    """Report an argument that a command cannot use."""
 
 
 class CommandContext:
-    """The environment, streams and connections of one command."""
+    """Hold the environment, streams and connections of one command."""
 
     def __init__(
         self,
--- a/src/savoryrudder/console/fleet.py
+++ b/src/savoryrudder/console/fleet.py
@@ -16,7 +16,7 @@
 
 
 class PeerStatus(msgspec.Struct):
-    """A live entry as another entry sees it; the address serves HTTP."""
+    """Hold what an entry reports of a live entry; the address serves HTTP."""
 
     entry: str
     address: str = ''
@@ -24,7 +24,7 @@
 
 
 class AgentStatus(msgspec.Struct):
-    """An agent as an entry sees it."""
+    """Hold what an entry reports of an agent."""
 
     agent: str
     service: str = ''
@@ -37,7 +37,7 @@
 
 
 class EntryStatus(msgspec.Struct):
-    """The state of an entry and its view of the fleet."""
+    """Hold the state of an entry and its view of the fleet."""
 
     entry: str
     revision: int
@@ -50,7 +50,7 @@
 
 
 class FleetRevisions(NamedTuple):
-    """The highest reported revision of each live process.
+    """Hold the highest reported revision of each live process.
 
     A process never goes back to a lower revision, so the highest of several
     reports is the latest.
--- a/src/savoryrudder/console/options.py
+++ b/src/savoryrudder/console/options.py
@@ -13,7 +13,7 @@
 
 
 class Options(BaseModel):
-    """Arguments of a command; required ones may be positional."""
+    """Define the arguments of a command; required ones may be positional."""
 
     model_config = ConfigDict(extra='forbid', frozen=True)
 
@@ -25,7 +25,7 @@
 
 
 class EntryOptions(Options):
-    """Arguments of a command that calls an entry."""
+    """Define the arguments of a command that calls an entry."""
 
     entry: str = Field(
         default='',
--- a/src/savoryrudder/console/spans.py
+++ b/src/savoryrudder/console/spans.py
@@ -15,7 +15,7 @@
 
 
 class Span(msgspec.Struct):
-    """A span from one line of a span file; unknown fields are ignored."""
+    """Hold a span from one line of a span file; unknown fields are ignored."""
 
     trace_id: str
     span_id: str
@@ -33,7 +33,7 @@
 
 
 class SpanTree:
-    """The spans of one trace; a span whose parent is missing is a root."""
+    """Arrange the spans of a trace; a span without its parent is a root."""
 
     def __init__(self, spans: Iterable[Span], trace_id: str) -> None:
         """Select the spans of the trace and sort them by start time."""
--- a/src/savoryrudder/settings/__init__.py
+++ b/src/savoryrudder/settings/__init__.py
@@ -1,3 +1,3 @@
-"""Settings of the daemons."""
+"""Define and load the settings of the daemons."""
 
 from __future__ import annotations
--- a/src/savoryrudder/settings/addresses.py
+++ b/src/savoryrudder/settings/addresses.py
@@ -14,7 +14,7 @@
 
 
 class Endpoint(NamedTuple):
-    """An IP address, without brackets, and a port."""
+    """Hold an IP address, without brackets, and a port."""
 
     host: str
     port: int
--- a/src/savoryrudder/settings/loading.py
+++ b/src/savoryrudder/settings/loading.py
@@ -32,7 +32,7 @@
 
 
 class _Overrides(NamedTuple):
-    """Values of environment variables, and the keys of unknown variables."""
+    """Hold the values of variables and the keys of unknown variables."""
 
     values: dict[str, Any]
     unknown_keys: list[str]
--- a/src/savoryrudder/settings/models.py
+++ b/src/savoryrudder/settings/models.py
@@ -23,7 +23,7 @@
 
 
 class EntrySettings(StrictModel):
-    """Settings of an entry; an empty file name disables the file.
+    """Hold the settings of an entry; an empty file name disables the file.
 
     `link_address` is the address of the join socket, which agents and other
     entries dial. Sessions use the ports in `link_ports`, or ephemeral ports if
@@ -53,7 +53,7 @@
 
 
 class AgentSettings(StrictModel):
-    """Settings of an agent; an empty file name disables the file.
+    """Hold the settings of an agent; an empty file name disables the file.
 
     `entries` are the join addresses of the entries known at startup;
     `http_address` serves health checks and metrics.
--- a/src/savoryrudder/utils/__init__.py
+++ b/src/savoryrudder/utils/__init__.py
@@ -1,3 +1,3 @@
-"""Effects, identifiers and units that the roles share."""
+"""Provide effects, identifiers and units that the roles share."""
 
 from __future__ import annotations
--- a/src/savoryrudder/utils/units.py
+++ b/src/savoryrudder/utils/units.py
@@ -1,4 +1,4 @@
-"""Conversion factors between units."""
+"""Define conversion factors between units."""
 
 from __future__ import annotations
 
--- a/tests/console/test_config_commands.py
+++ b/tests/console/test_config_commands.py
@@ -22,7 +22,7 @@
 
 
 class _FakeEntry:
-    """A fake entry with its store; each write takes the next of `faults`."""
+    """Simulate an entry and its store; each write takes the next fault."""
 
     def __init__(self, *faults: str) -> None:
         self.revision = 4
