Reword the fake callers

_RETRIED -> _RETRYABLE_REASONS _RETRIES -> _MAX_RETRIES _deliver -> _send_to_entry _request -> _post_to_entry _send_again -> _resubmit _retry -> _schedule_retry more -> fields number -> request

--- a/tests/fakes/callers.py
+++ b/tests/fakes/callers.py
@@ -1,4 +1,4 @@
-"""Stand in for callers, who may submit a job again elsewhere."""
+"""Fake callers that may resubmit a job through another entry."""
 
 from __future__ import annotations
 
@@ -17,13 +17,15 @@
 
 CLIENT = 'shop'
 # Reasons that ask the caller to submit its job again under the same key.
-_RETRIED = frozenset(('takeover', 'not-owner', 'in-doubt', 'stopping'))
-_RETRIES = 15
+_RETRYABLE_REASONS = frozenset(
+    ('takeover', 'not-owner', 'in-doubt', 'stopping')
+)
+_MAX_RETRIES = 15
 
 
 @dataclasses.dataclass
 class Call:
-    """Hold one request of a caller; `persistent` ones are sent again."""
+    """One request of a caller; `persistent` requests are retried."""
 
     kind: str
     key: str
@@ -54,7 +56,7 @@
 
 
 class Callers:
-    """Send requests to entries and hand their answers to the oracle."""
+    """Send requests to entries and pass the answers to the oracle."""
 
     def __init__(self, world: World) -> None:
         self._world = world
@@ -64,7 +66,7 @@
     def submit(
         self, entry: Process, key: str, tasks: int = 2, **options: Any
     ) -> Call:
-        """Submit a job or a copy; options are fields of the job too."""
+        """Submit a job or a copy; other options replace fields of the job."""
         variant = options.pop('variant', '')
         operation = options.pop('operation', 'cutting-plan')
         persistent = options.pop('persistent', False)
@@ -80,66 +82,66 @@
         return self._send('cancel', entry, job.key, job)
 
     def carry(self, request: int, answer: Answer) -> None:
-        """Carry an answer to its caller unless the connection is gone."""
+        """Deliver an answer unless the connection of its caller is lost."""
         self._world.clock.soon(self.delay_s, self._receive, request, answer)
 
     def lose(self, entry: Process) -> None:
-        """Break the connections of an entry that has ended."""
+        """Break the connections to an entry whose process has ended."""
         for call in self.open_calls():
             if call.entry is entry:
                 call.lost = True
-                self._retry(call)
+                self._schedule_retry(call)
 
     def open_calls(self) -> list[Call]:
-        """Return the requests whose callers still wait."""
+        """Return the requests that are not answered and not lost."""
         calls = self.calls.values()
-        return [one for one in calls if one.answer is None and not one.lost]
+        return [call for call in calls if call.answer is None and not call.lost]
 
     def _send(
-        self, kind: str, entry: Process, key: str, job: Any, **more: Any
+        self, kind: str, entry: Process, key: str, job: Any, **fields: Any
     ) -> Call:
         payloads = tuple(task.payload for task in job.tasks) if job else ()
-        more.setdefault('persistent', False)
+        fields.setdefault('persistent', False)
         now = self._world.clock.now
-        call = Call(kind, key, entry, now, payloads, job, **more)
-        number = len(self.calls) + 1
-        self.calls[number] = call
+        call = Call(kind, key, entry, now, payloads, job, **fields)
+        request = len(self.calls) + 1
+        self.calls[request] = call
         if kind == 'submit':
             self._world.oracle.note_copy(call)
-        self._world.clock.soon(self.delay_s, self._deliver, number, call)
+        self._world.clock.soon(self.delay_s, self._send_to_entry, request, call)
         return call
 
-    def _deliver(self, number: int, call: Call) -> None:
+    def _send_to_entry(self, request: int, call: Call) -> None:
         if call.entry.alive:
-            self._request(number, call)
+            self._post_to_entry(request, call)
         else:
             call.lost = True
-            self._retry(call)
+            self._schedule_retry(call)
 
-    def _request(self, number: int, call: Call) -> None:
+    def _post_to_entry(self, request: int, call: Call) -> None:
         if call.kind == 'submit':
-            call.entry.post('JobSubmitted', number, call.job, 10)
+            call.entry.post('JobSubmitted', request, call.job, 10)
         elif call.kind == 'fetch':
-            call.entry.post('AnswerRequested', number, CLIENT, call.key, 0)
+            call.entry.post('AnswerRequested', request, CLIENT, call.key, 0)
         else:
-            call.entry.post('JobCancelled', number, CLIENT, call.key)
+            call.entry.post('JobCancelled', request, CLIENT, call.key)
 
     def _receive(self, request: int, answer: Answer) -> None:
         call = self.calls[request]
         if call.lost:
             return
         self._world.oracle.note_answer(call, answer, self._world.clock.now)
-        if answer.status == 'running' or answer.reason in _RETRIED:
-            self._retry(call)
+        if answer.status == 'running' or answer.reason in _RETRYABLE_REASONS:
+            self._schedule_retry(call)
 
-    def _retry(self, call: Call) -> None:
-        if call.persistent and call.retries < _RETRIES:
-            self._world.clock.after(0.5, self._send_again, call)
+    def _schedule_retry(self, call: Call) -> None:
+        if call.persistent and call.retries < _MAX_RETRIES:
+            self._world.clock.after(0.5, self._resubmit, call)
 
-    def _send_again(self, call: Call) -> None:
+    def _resubmit(self, call: Call) -> None:
         entry = self._world.some_entry()
         if entry is None:
-            self._world.clock.after(1, self._send_again, call)
+            self._world.clock.after(1, self._resubmit, call)
             return
-        more = {'persistent': True, 'retries': call.retries + 1}
-        self._send('submit', entry, call.key, call.job, **more)
+        fields = {'persistent': True, 'retries': call.retries + 1}
+        self._send('submit', entry, call.key, call.job, **fields)
