--- a/tests/fakes/clock.py
+++ b/tests/fakes/clock.py
@@ -8,30 +8,30 @@
 
 
 class Clock:
-    """Hold the virtual time, the actions to come and the seeded chance."""
+    """Hold the virtual time, the scheduled actions and a seeded generator."""
 
     def __init__(self, seed: int) -> None:
-        # Not 0, which the reducers use for a time that is not set.
+        # Not 0, which the reducers use for a time that is unset.
         self.now = 100.0
         self.randomness = random.Random(seed)
-        self._count = 0
+        self._sequence = 0
         self._actions: list[Any] = []
 
     def after(self, delay: float, action: Any, *args: Any) -> None:
-        """Run an action once the delay has passed."""
-        self._count += 1
-        entry = (self.now + delay, self._count, action, args)
-        heapq.heappush(self._actions, entry)
+        """Run an action after a delay in seconds."""
+        self._sequence += 1
+        scheduled = (self.now + delay, self._sequence, action, args)
+        heapq.heappush(self._actions, scheduled)
 
     def soon(self, limit: float, action: Any, *args: Any) -> None:
-        """Run an action after a drawn delay."""
+        """Run an action after a random delay of due_at most `limit` seconds."""
         self.after(self.randomness.uniform(0, limit), action, *args)
 
     def run(self, seconds: float) -> None:
-        """Run all actions due within this time."""
+        """Advance the time and run all actions that become due."""
         end = self.now + seconds
         while self._actions and self._actions[0][0] <= end:
-            at, _, action, args = heapq.heappop(self._actions)
-            self.now = max(self.now, at)
+            due_at, _, action, args = heapq.heappop(self._actions)
+            self.now = max(self.now, due_at)
             action(*args)
         self.now = end
