--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -1,4 +1,4 @@
-"""Fake an executor that runs tasks under a lease and breaks no rule itself."""
+"""Fake executor that runs tasks under a lease and keeps the protocol."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class FakeRun:
-    """Hold one run; it goes on evenly from `done` at `since` to its end."""
+    """One run; its progress is linear from `done` at `since` to the end."""
 
     task: str
     number: int
@@ -26,16 +26,16 @@
     done: float = 0
 
     def percent(self, now: float) -> int:
-        """Return the progress."""
+        """Return the progress in percent, rounded down."""
         return int(100 * self.share(now))
 
     def share(self, now: float) -> float:
-        """Return the progress as a share."""
-        passed = (now - self.since) / (self.ends_at - self.since)
-        return self.done + (1 - self.done) * passed
+        """Return the progress as a share of 1."""
+        elapsed = (now - self.since) / (self.ends_at - self.since)
+        return self.done + (1 - self.done) * elapsed
 
     def reschedule(self, now: float, ends_at: float) -> None:
-        """Go on at another speed."""
+        """Continue at the speed that ends the run at `ends_at`."""
         self.done = self.share(now)
         self.since = now
         self.ends_at = ends_at
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class FakeExecutor:
-    """Run tasks; time is passed in, `clock_offset_s` shifts its clock."""
+    """Run tasks at times given by the caller, on a clock with an offset."""
 
     name: str
     capacity: Resources
@@ -58,13 +58,13 @@
     ended_count: int = 0
     failing: bool = False
     hanging: bool = False
-    # Down without a sign: calls get no answer.
+    # Calls are neither carried out nor answered.
     dark: bool = False
-    # How many times longer a task takes here.
+    # Factor on the duration of tasks.
     slowness: float = 1
 
     def clock_ms(self, now: float) -> int:
-        """Return the steady clock of the executor."""
+        """Return the monotonic clock of the executor."""
         return int((now + self.clock_offset_s) * MS_PER_S)
 
     def start(
@@ -85,8 +85,8 @@
         self._extend(now, call.lease_until_ms)
         running = self.runs.get(call.task)
         if running is not None:
-            is_there = running.number == call.run
-            return verdicts.STARTED if is_there else verdicts.OUTDATED
+            is_same_run = running.number == call.run
+            return verdicts.STARTED if is_same_run else verdicts.OUTDATED
         if call.run <= self.highest_ended.get(call.task, 0):
             return verdicts.OUTDATED
         ends_at = (
@@ -98,15 +98,15 @@
         return verdicts.STARTED
 
     def stop(self, now: float, call: effects.StopRun) -> bool:
-        """Stop a run, and keep it from starting later."""
+        """Stop a run and prevent a delayed start of it."""
         self.advance(now)
         if call.executor.name != self.name:
             return False
         run = self.runs.get(call.task)
         if run is not None and run.number == call.run:
             self._end(run, outcomes.STOPPED)
-        known = self.highest_ended.get(call.task, 0)
-        self.highest_ended[call.task] = max(known, call.run)
+        highest = self.highest_ended.get(call.task, 0)
+        self.highest_ended[call.task] = max(highest, call.run)
         return True
 
     def renew(
@@ -115,14 +115,14 @@
         sent_at: float,
         call: effects.RenewLease,
     ) -> events.RenewalAnswered | None:
-        """Extend the lease and list runs and ends."""
+        """Extend the lease and list the runs and the unacknowledged ends."""
         self.advance(now)
         if call.executor.name != self.name:
             return None
         if call.lease_until_ms:
             self._extend(now, call.lease_until_ms)
         self.ends = [
-            one for one in self.ends if one.number > call.acknowledged_upto
+            end for end in self.ends if end.number > call.acknowledged_upto
         ]
         return events.RenewalAnswered(
             now,
@@ -136,7 +136,7 @@
         )
 
     def advance(self, now: float) -> None:
-        """End what is done, and everything when the lease is over."""
+        """End completed runs, and all runs once the lease has expired."""
         for run in tuple(self.runs.values()):
             if run.ends_at <= min(now, self.lease_until):
                 self._end(run, run.outcome)
@@ -145,20 +145,20 @@
                 self._end(run, outcomes.LOST)
 
     def slow_down(self, now: float, factor: float) -> None:
-        """Change the speed; what runs takes that many times longer."""
+        """Multiply the durations of current and future runs by a factor."""
         self.advance(now)
         self.slowness *= factor
         for run in self.runs.values():
             run.reschedule(now, now + (run.ends_at - now) * factor)
 
     def hang(self, now: float) -> None:
-        """Let what runs and what is started stand still."""
+        """Stop the progress of current and future runs."""
         self.hanging = True
         for run in self.runs.values():
             run.reschedule(now, float('inf'))
 
     def restart(self, name: str) -> None:
-        """Begin a new life that knows nothing of the former one."""
+        """Restart as a new instance without the state of the former one."""
         self.name = name
         self.born_ms += 1
         self.fence = 0
@@ -168,14 +168,16 @@
         self.ended_count = 0
 
     def _extend(self, now: float, lease_until_ms: int) -> None:
-        asked = lease_until_ms / MS_PER_S - self.clock_offset_s
-        longest = now + self.lease_limit_s
-        self.lease_until = max(self.lease_until, min(asked, longest))
+        requested_until = lease_until_ms / MS_PER_S - self.clock_offset_s
+        latest_until = now + self.lease_limit_s
+        self.lease_until = max(
+            self.lease_until, min(requested_until, latest_until)
+        )
 
     def _end(self, run: FakeRun, outcome: str) -> None:
         self.runs.pop(run.task)
-        known = self.highest_ended.get(run.task, 0)
-        self.highest_ended[run.task] = max(known, run.number)
+        highest = self.highest_ended.get(run.task, 0)
+        self.highest_ended[run.task] = max(highest, run.number)
         self.ended_count += 1
         self.ends.append(
             events.RunEnd(
