Reword the fake executor calls

_WAY_S -> _NETWORK_DELAY_S _POLL_S -> _POLL_INTERVAL_S _LATEST_ORDER_S -> _MAX_CALL_DELAY_S _exchange -> _deliver _give_up -> _time_out _check -> _check_invariants _apply -> _execute answer_to -> on_answer chance -> draw late_s -> delay_s delivery -> arguments waits -> is_long_poll is_over -> is_due places -> executors_by_task running -> task doubled -> task_key where -> names occupied -> used_cpu

--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -1,4 +1,4 @@
-"""Carry out the calls of agents on fake executors and watch these."""
+"""Carry out the calls of agents on fake executors and check invariants."""
 
 from __future__ import annotations
 
@@ -17,21 +17,21 @@
     from fakes.executor import FakeExecutor
 
 CALL_TIMEOUT_S = 0.3
-_WAY_S = 0.001
-# How often a waiting look finds out whether a run has ended.
-_POLL_S = 0.002
-_LATEST_ORDER_S = 6
+_NETWORK_DELAY_S = 0.001
+# How often a long poll checks whether a run has ended.
+_POLL_INTERVAL_S = 0.002
+_MAX_CALL_DELAY_S = 6
 
 
 class ViolationError(AssertionError):
-    """Report a broken promise, with the time."""
+    """An invariant was violated; the message starts with the time."""
 
 
 class ExecutorCalls:
-    """Deliver calls, lose their answers, or carry them out late.
+    """Deliver calls, lose their answers, or carry calls out late.
 
     `lose_answers` and `late_orders` are shares of the calls. `executors`
-    returns all that are up.
+    returns all executors that run.
     """
 
     def __init__(
@@ -48,50 +48,50 @@
         self._executors = executors
 
     def draw_duration_s(self, call: effects.StartRun) -> float:
-        """Return how long a task takes on a sound executor."""
+        """Return how long a task takes on an executor without faults."""
         return self._clock.randomness.uniform(*self.durations_s)
 
     def send(
         self,
         executor: FakeExecutor,
         call: Any,
-        answer_to: Callable[[Any], None],
+        on_answer: Callable[[Any], None],
     ) -> None:
-        """Carry out a call and pass on its answer, or that there is none."""
+        """Carry out a call and report its answer or a timeout."""
         sent_at = self._clock.now
-        chance = self._clock.randomness.random()
-        if chance < self.late_orders:
-            late_s = self._clock.randomness.uniform(2, _LATEST_ORDER_S)
-            self._clock.after(late_s, self._apply, executor, call, sent_at)
-            self._clock.after(CALL_TIMEOUT_S, self._give_up, call, answer_to)
+        draw = self._clock.randomness.random()
+        if draw < self.late_orders:
+            delay_s = self._clock.randomness.uniform(2, _MAX_CALL_DELAY_S)
+            self._clock.after(delay_s, self._execute, executor, call, sent_at)
+            self._clock.after(CALL_TIMEOUT_S, self._time_out, call, on_answer)
             return
-        is_lost = chance < self.late_orders + self.lose_answers
-        delivery = (executor, call, sent_at, None if is_lost else answer_to)
-        self._clock.after(_WAY_S, self._exchange, *delivery)
+        is_lost = draw < self.late_orders + self.lose_answers
+        arguments = (executor, call, sent_at, None if is_lost else on_answer)
+        self._clock.after(_NETWORK_DELAY_S, self._deliver, *arguments)
         if is_lost:
-            self._clock.after(CALL_TIMEOUT_S, self._give_up, call, answer_to)
+            self._clock.after(CALL_TIMEOUT_S, self._time_out, call, on_answer)
 
-    def _exchange(
+    def _deliver(
         self,
         executor: FakeExecutor,
         call: Any,
         sent_at: float,
-        answer_to: Callable[[Any], None] | None,
+        on_answer: Callable[[Any], None] | None,
     ) -> None:
-        answer = self._apply(executor, call, sent_at)
-        if answer_to is None:
+        answer = self._execute(executor, call, sent_at)
+        if on_answer is None:
             return
         if executor.dark:
             answer = None
         if answer is None:
-            self._clock.after(CALL_TIMEOUT_S, self._give_up, call, answer_to)
+            self._clock.after(CALL_TIMEOUT_S, self._time_out, call, on_answer)
             return
-        waits = isinstance(call, effects.RenewLease) and call.wait_ms
-        if waits and not answer.ended:
+        is_long_poll = isinstance(call, effects.RenewLease) and call.wait_ms
+        if is_long_poll and not answer.ended:
             until = self._clock.now + call.wait_ms / MS_PER_S
-            self._await_end(executor, call, sent_at, until, answer_to)
+            self._await_end(executor, call, sent_at, until, on_answer)
         else:
-            self._clock.after(_WAY_S, answer_to, answer)
+            self._clock.after(_NETWORK_DELAY_S, on_answer, answer)
 
     def _await_end(
         self,
@@ -99,35 +99,37 @@
         call: effects.RenewLease,
         sent_at: float,
         until: float,
-        answer_to: Callable[[Any], None],
+        on_answer: Callable[[Any], None],
     ) -> None:
         executor.advance(self._clock.now)
-        is_over = executor.ends or self._clock.now >= until
-        if not is_over:
+        is_due = executor.ends or self._clock.now >= until
+        if not is_due:
             self._clock.after(
-                _POLL_S,
+                _POLL_INTERVAL_S,
                 self._await_end,
                 executor,
                 call,
                 sent_at,
                 until,
-                answer_to,
+                on_answer,
             )
             return
-        answer = self._apply(executor, call, sent_at)
+        answer = self._execute(executor, call, sent_at)
         if answer is None:
-            self._clock.after(CALL_TIMEOUT_S, self._give_up, call, answer_to)
+            self._clock.after(CALL_TIMEOUT_S, self._time_out, call, on_answer)
         else:
-            self._clock.after(_WAY_S, answer_to, answer)
+            self._clock.after(_NETWORK_DELAY_S, on_answer, answer)
 
-    def _apply(self, executor: FakeExecutor, call: Any, sent_at: float) -> Any:
+    def _execute(
+        self, executor: FakeExecutor, call: Any, sent_at: float
+    ) -> Any:
         now = self._clock.now
         if executor.dark:
             return None
         if isinstance(call, effects.StartRun):
             duration_s = self.duration_factor * self.draw_duration_s(call)
             verdict = executor.start(now, call, duration_s)
-            self._check(executor)
+            self._check_invariants(executor)
             return events.StartAnswered(
                 now,
                 call.task,
@@ -140,22 +142,24 @@
             return events.StopAnswered(now, call.task, call.run, confirmed)
         return executor.renew(now, sent_at, call)
 
-    def _give_up(self, call: Any, answer_to: Callable[[Any], None]) -> None:
-        answer_to(_missing_answer(self._clock.now, call))
+    def _time_out(self, call: Any, on_answer: Callable[[Any], None]) -> None:
+        on_answer(_missing_answer(self._clock.now, call))
 
-    def _check(self, started_on: FakeExecutor) -> None:
+    def _check_invariants(self, started_on: FakeExecutor) -> None:
         now = self._clock.now
-        places: dict[str, list[str]] = {}
+        executors_by_task: dict[str, list[str]] = {}
         for executor in self._executors():
             executor.advance(now)
-            for running in executor.runs:
-                places.setdefault(running, []).append(executor.name)
-        for doubled, where in places.items():
-            if len(where) > 1:
-                raise ViolationError(f'{now}: {doubled} runs on {where}')
-        occupied = sum(run.cpu for run in started_on.runs.values())
-        if occupied > started_on.capacity.cpu:
-            raise ViolationError(f'{now}: {started_on.name} is overfull')
+            for task in executor.runs:
+                executors_by_task.setdefault(task, []).append(executor.name)
+        for task_key, names in executors_by_task.items():
+            if len(names) > 1:
+                raise ViolationError(f'{now}: {task_key} runs on {names}')
+        used_cpu = sum(run.cpu for run in started_on.runs.values())
+        if used_cpu > started_on.capacity.cpu:
+            raise ViolationError(
+                f'{now}: {started_on.name} exceeds its CPU capacity'
+            )
 
 
 def _missing_answer(now: float, call: Any) -> Any:
