Reword the fake links of a fleet

_RETRY_S -> _FROZEN_RETRY_S _NOTICE_S -> _MAX_NOTICE_DELAY_S _arrive -> _deliver _down -> _notify_link_down dialling -> dialler one -> first

--- a/tests/fakes/fleet_links.py
+++ b/tests/fakes/fleet_links.py
@@ -1,4 +1,4 @@
-"""Join the processes of a fleet by links that can be cut."""
+"""Fake links between the processes of a fleet, with faults."""
 
 from __future__ import annotations
 
@@ -13,30 +13,30 @@
 
 LINK_DELAY_S = 0.002
 SILENCE_S = 0.75
-_RETRY_S = 0.05
-_NOTICE_S = 0.01
+_FROZEN_RETRY_S = 0.05
+_MAX_NOTICE_DELAY_S = 0.01
 
 
 class Process(Protocol):
-    """Take what happens on the links of a process."""
+    """The part of a process that its links call."""
 
     name: str
     alive: bool
     frozen: bool
 
     def link_up(self, link: str, *, dialled: bool) -> None:
-        """Note an open link."""
+        """Handle an opened link."""
 
     def link_down(self, link: str) -> None:
-        """Note the end of a link."""
+        """Handle a closed link."""
 
     def receive(self, link: str, message: Any) -> None:
-        """Take a message."""
+        """Handle a message."""
 
 
 @dataclass(eq=False)
 class Link:
-    """Join two processes, the dialling one first; a cut loses messages."""
+    """A link whose `ends` start with the dialler; cut, it loses messages."""
 
     name: str
     ends: tuple[Process, Process]
@@ -49,7 +49,7 @@
 
 
 class FleetLinks:
-    """Keep one link between each two processes that may talk."""
+    """Keep first link between each two connected processes."""
 
     def __init__(self, clock: Clock) -> None:
         """Start without links."""
@@ -58,59 +58,59 @@
         self._links: dict[str, Link] = {}
         self._blocked: dict[frozenset[str], float] = {}
 
-    def connect(self, dialling: Process, other: Process) -> None:
-        """Open a link unless there is one or the way is blocked."""
-        for end in (dialling, other):
+    def connect(self, dialler: Process, listener: Process) -> None:
+        """Open a link unless there is first or the pair is blocked."""
+        for end in (dialler, listener):
             if not end.alive or end.frozen:
                 return
-        pair = frozenset((dialling.name, other.name))
+        pair = frozenset((dialler.name, listener.name))
         if self._blocked.get(pair, 0) > self._clock.now:
             return
         if any(
-            link.ends == (dialling, other) and not link.cut
+            link.ends == (dialler, listener) and not link.cut
             for link in self._links.values()
         ):
             return
-        link = Link(f'l{next(self._numbers)}', (dialling, other))
+        link = Link(f'l{next(self._numbers)}', (dialler, listener))
         self._links[link.name] = link
-        dialling.link_up(link.name, dialled=True)
-        other.link_up(link.name, dialled=False)
+        dialler.link_up(link.name, dialled=True)
+        listener.link_up(link.name, dialled=False)
 
     def send(self, sender: Process, name: str, message: Any) -> None:
-        """Deliver a message a little later, unless the link is cut."""
+        """Deliver a message after the link delay, unless the link is cut."""
         link = self._links[name]
         if not link.cut:
             first, second = link.ends
             receiver = second if sender is first else first
             self._clock.after(
                 LINK_DELAY_S,
-                self._arrive,
+                self._deliver,
                 link,
                 receiver,
                 message,
             )
 
     def close(self, name: str) -> None:
-        """End a link; both ends notice at once."""
+        """Close a link; both ends are notified without a timeout."""
         link = self._links[name]
         if not link.cut:
             self._cut(link, 0)
 
     def drop(self, process: Process) -> None:
-        """End the links of a process that was killed."""
+        """Close the links of a process that was killed."""
         for link in self._open_links(process.name):
             self._cut(link, 0)
 
-    def silence(self, one: str, other: str, seconds: float) -> None:
-        """Lose all messages both ways for a time; both ends notice late."""
-        pair = frozenset((one, other))
+    def silence(self, first: str, second: str, seconds: float) -> None:
+        """Lose all messages for a time; the ends notice after the timeout."""
+        pair = frozenset((first, second))
         self._blocked[pair] = self._clock.now + seconds
-        for link in self._open_links(one):
+        for link in self._open_links(first):
             if link.pair == pair:
                 self._cut(link, SILENCE_S)
 
     def freeze(self, process: Process) -> None:
-        """Let the peers of a frozen process notice its silence."""
+        """Close the links of a process that stays frozen past the timeout."""
         for link in self._open_links(process.name):
             self._clock.after(SILENCE_S, self._cut_if_frozen, link, process)
 
@@ -128,14 +128,21 @@
     def _cut(self, link: Link, notice_s: float) -> None:
         link.cut = True
         for end in link.ends:
-            self._clock.soon(notice_s + _NOTICE_S, self._down, link, end)
+            self._clock.soon(
+                notice_s + _MAX_NOTICE_DELAY_S,
+                self._notify_link_down,
+                link,
+                end,
+            )
 
-    def _down(self, link: Link, end: Process) -> None:
+    def _notify_link_down(self, link: Link, end: Process) -> None:
         if end.frozen:
-            self._clock.after(_RETRY_S, self._down, link, end)
+            self._clock.after(
+                _FROZEN_RETRY_S, self._notify_link_down, link, end
+            )
         else:
             end.link_down(link.name)
 
-    def _arrive(self, link: Link, receiver: Process, message: Any) -> None:
+    def _deliver(self, link: Link, receiver: Process, message: Any) -> None:
         if not link.cut:
             receiver.receive(link.name, message)
