--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -1,4 +1,4 @@
-"""Join the reducers of entries and agents by fake links and executors."""
+"""Run the reducers of entries and agents on fake links and executors."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
     cpu: int = 2000,
     estimate_ms: int = 200,
 ) -> JobRequest:
-    """Return a job of one step."""
+    """Return a job that consists of one step."""
     demand = Resources(cpu, 64, 0)
     step = Step(tasks, demand, estimate_ms, (), '', '', 0)
     return JobRequest(name, 'spec', (step,))
@@ -63,7 +63,7 @@
         incarnation: str,
         configuration: Configuration,
     ) -> None:
-        """Start with the configuration."""
+        """Start with a configuration in force."""
         self.name = name
         self.alive = True
         self.frozen = False
@@ -74,15 +74,15 @@
         self.post(entry_events.ConfigurationRead(now, configuration))
 
     def link_up(self, link: str, *, dialled: bool) -> None:
-        """Note an open link."""
+        """Handle an opened link."""
         self.post(entry_events.LinkUp(self._fleet.clock.now, link, dialled))
 
     def link_down(self, link: str) -> None:
-        """Note the end of a link."""
+        """Handle a closed link."""
         self.post(entry_events.LinkDown(self._fleet.clock.now, link, 'cut'))
 
     def receive(self, link: str, message: Any) -> None:
-        """Take a message."""
+        """Handle a message."""
         now = self._fleet.clock.now
         self.post(entry_events.MessageReceived(now, link, message))
 
@@ -111,7 +111,7 @@
         number: int,
         executor: FakeExecutor,
     ) -> None:
-        """Start with a report of the executor."""
+        """Start with a heartbeat of the executor."""
         self.name = name
         self.alive = True
         self.frozen = False
@@ -123,7 +123,7 @@
         self.report()
 
     def report(self) -> None:
-        """Let the executor report itself."""
+        """Handle a heartbeat of the executor."""
         now = self._fleet.clock.now
         executor = self.executor
         self.post(
@@ -142,21 +142,21 @@
         )
 
     def link_up(self, link: str, *, dialled: bool) -> None:
-        """Note an open link."""
+        """Handle an opened link."""
         self.post(agent_events.LinkUp(self._fleet.clock.now, link))
 
     def link_down(self, link: str) -> None:
-        """Note the end of a link."""
+        """Handle a closed link."""
         self.post(agent_events.LinkDown(self._fleet.clock.now, link, 'cut'))
 
     def receive(self, link: str, message: Any) -> None:
-        """Take a message; a process that stalls drops what waits."""
+        """Handle a message; a frozen agent drops it."""
         if not self.frozen:
             now = self._fleet.clock.now
             self.post(agent_events.MessageReceived(now, link, message))
 
     def thaw(self, seconds: float) -> None:
-        """Go on after a stall."""
+        """Resume after a stall of the given length."""
         self.frozen = False
         self.post(agent_events.Stalled(self._fleet.clock.now, seconds))
 
@@ -167,8 +167,8 @@
         if self.frozen:
             self._fleet.clock.after(TICK_S, self.post, event)
             return
-        moved = event._replace(now=self._fleet.clock.now)
-        for effect in reduce_agent(self.state, moved):
+        current = event._replace(now=self._fleet.clock.now)
+        for effect in reduce_agent(self.state, current):
             match effect:
                 case effects.Send(link, message):
                     self._fleet.links.send(self, link, message)
@@ -183,7 +183,7 @@
 
 
 class Fleet:
-    """Run entries and agents on a virtual clock and watch the executors."""
+    """Run entries and agents on a virtual clock and check the executors."""
 
     def __init__(
         self,
@@ -193,9 +193,9 @@
         configuration: Configuration = CONFIGURATION,
         executors: Sequence[FakeExecutor] = (),
     ) -> None:
-        """Start all processes and let them find each other.
+        """Start all processes and let them connect.
 
-        There is an agent beside each of the `executors`, if any are given.
+        If `executors` are given, each of them gets an agent.
         """
         self._configuration = configuration
         self.clock = Clock(seed)
@@ -210,20 +210,22 @@
         self.log: list[tuple[float, str, Any]] = []
         self._numbers = itertools.count(1)
         self.agents: list[AgentProcess] = []
-        self.entries = [self._new_entry(f'e{at}') for at in range(entries)]
-        for at in range(len(executors) or agents):
-            beside = executors[at] if executors else None
-            self.agents.append(self._new_agent(f'a{at}', beside))
+        self.entries = [
+            self._new_entry(f'e{index}') for index in range(entries)
+        ]
+        for number in range(len(executors) or agents):
+            executor = executors[number] if executors else None
+            self.agents.append(self._new_agent(f'a{number}', executor))
         self.clock.after(0, self._tick)
         self.run(1)
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the virtual time."""
         self.clock.run(seconds)
 
-    def note(self, who: str, effect: effects.Log) -> None:
-        """Keep a log line with its time and process."""
-        self.log.append((self.clock.now, who, effect))
+    def note(self, process: str, effect: effects.Log) -> None:
+        """Record a log line with its time and process."""
+        self.log.append((self.clock.now, process, effect))
 
     def submit(
         self,
@@ -247,45 +249,45 @@
         return number
 
     def leave(self, entry: int, request: int) -> None:
-        """Let the caller of a request close its connection."""
-        gone = entry_events.CallerDisconnected(self.clock.now, request)
-        self.entries[entry].post(gone)
+        """Close the connection of the caller of a request."""
+        event = entry_events.CallerDisconnected(self.clock.now, request)
+        self.entries[entry].post(event)
 
     def drain_entry(self, index: int, timeout_s: float) -> None:
-        """Begin a planned stop of an entry."""
-        asked = entry_events.DrainRequested(self.clock.now, timeout_s)
-        self.entries[index].post(asked)
+        """Start to drain an entry."""
+        event = entry_events.DrainRequested(self.clock.now, timeout_s)
+        self.entries[index].post(event)
 
     def kill_agent(self, index: int, down_s: float) -> None:
-        """Kill an agent and start it again; its executor runs on."""
-        former = self.agents[index]
-        if former.alive:
-            former.alive = False
-            self.links.drop(former)
+        """Kill an agent and restart it later; its executor keeps running."""
+        killed = self.agents[index]
+        if killed.alive:
+            killed.alive = False
+            self.links.drop(killed)
             self.clock.after(down_s, self._restart_agent, index)
 
     def kill_entry(self, index: int, down_s: float) -> None:
-        """Kill an entry and start it again."""
-        former = self.entries[index]
-        if former.alive:
-            former.alive = False
-            self.links.drop(former)
+        """Kill an entry and restart it later."""
+        killed = self.entries[index]
+        if killed.alive:
+            killed.alive = False
+            self.links.drop(killed)
             self.clock.after(down_s, self._restart_entry, index)
 
     def freeze_agent(self, index: int, seconds: float) -> None:
-        """Let an agent stand still; its peers notice the silence."""
+        """Freeze an agent; its peers close the links after the timeout."""
         agent = self.agents[index]
         if not agent.frozen:
             agent.frozen = True
             self.links.freeze(agent)
             self.clock.after(seconds, agent.thaw, seconds)
 
-    def cut(self, one: str, other: str, seconds: float) -> None:
-        """Silence the link between two processes for a time."""
-        self.links.silence(one, other, seconds)
+    def cut(self, first: str, second: str, seconds: float) -> None:
+        """Lose all messages between two processes for a time."""
+        self.links.silence(first, second, seconds)
 
     def crash_executor(self, index: int) -> None:
-        """Let an executor crash and start again under another name."""
+        """Restart an executor under a new name without its runs."""
         agent = self.agents[index]
         agent.executor.restart(f'x{next(self._numbers)}')
         agent.report()
@@ -300,12 +302,12 @@
         executor: FakeExecutor | None = None,
     ) -> AgentProcess:
         number = next(self._numbers)
-        beside = executor or FakeExecutor(f'x{number}', CAPACITY)
-        return AgentProcess(self, name, number, beside)
+        local_executor = executor or FakeExecutor(f'x{number}', CAPACITY)
+        return AgentProcess(self, name, number, local_executor)
 
     def _restart_agent(self, index: int) -> None:
-        former = self.agents[index]
-        self.agents[index] = self._new_agent(former.name, former.executor)
+        agent = self.agents[index]
+        self.agents[index] = self._new_agent(agent.name, agent.executor)
 
     def _restart_entry(self, index: int) -> None:
         self.entries[index] = self._new_entry(self.entries[index].name)
@@ -319,6 +321,6 @@
             agent.executor.advance(now)
         for pair in itertools.combinations(self.entries, 2):
             self.links.connect(*pair)
-        for beside, served in itertools.product(self.agents, self.entries):
-            self.links.connect(beside, served)
+        for dialler, listener in itertools.product(self.agents, self.entries):
+            self.links.connect(dialler, listener)
         self.clock.after(TICK_S, self._tick)
