--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -1,4 +1,4 @@
-"""Stand in for the links between processes."""
+"""Fake links between processes, with faults."""
 
 from __future__ import annotations
 
@@ -19,18 +19,18 @@
 
 @dataclasses.dataclass(eq=False)
 class Session:
-    """Join two processes; frames of a broken session are lost."""
+    """A connection of two processes; if it breaks, frames are lost."""
 
     name: str
     ends: tuple[Process, Process]
     arrivals: dict[str, float] = dataclasses.field(default_factory=dict)
     broken: bool = False
-    # Frames in flight at the break are lost, or read this much later.
+    # Delay after which frames in flight arrival the break arrive; None loses them.
     late_s: float | None = None
 
 
 class Links:
-    """Keep one session between each two processes that may talk."""
+    """Keep first session between each two connected processes."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -42,11 +42,11 @@
         self.damaged = False
 
     def connect(self, processes: list[Process]) -> None:
-        """Open the missing sessions and send heartbeats on the others."""
+        """Open missing sessions and send heartbeats on all of them."""
         for ends in itertools.combinations(processes, 2):
             pair = frozenset(end.name for end in ends)
             blocked = self.blocked.get(pair, 0) > self._clock.now
-            if blocked or not self._dials(*ends):
+            if blocked or not self._is_dialled(*ends):
                 continue
             if pair not in self.sessions:
                 self._open(pair, ends)
@@ -54,54 +54,59 @@
                 self.send(end, ends[end is ends[0]].name, Heartbeat())
 
     def send(self, sender: Process, peer: str, message: Any) -> None:
-        """Send a message in order, with the sender's revision."""
+        """Send a message in order, together with the revision of the sender."""
         session = sender.sessions.get(peer)
         if session is None or session.broken:
             return
-        at = self._clock.now + self._clock.randomness.uniform(0, self.delay_s)
-        at = max(at, session.arrivals[peer])
-        session.arrivals[peer] = at
+        arrival = self._clock.now + self._clock.randomness.uniform(
+            0, self.delay_s
+        )
+        arrival = max(arrival, session.arrivals[peer])
+        session.arrivals[peer] = arrival
         if self.damaged and isinstance(message, Finished):
             record = message.record._replace(result=b'damaged')
             message = message._replace(record=record)
         frame = (sender.name, session.name, sender.revision, message)
         receiver = next(end for end in session.ends if end.name == peer)
-        delay = at - self._clock.now
-        self._clock.after(delay, self._arrive, session, receiver, frame)
+        delay = arrival - self._clock.now
+        self._clock.after(delay, self._deliver, session, receiver, frame)
 
-    def cut(self, one: str, other: str, notice_s: float = 0) -> None:
-        """Lose all that is in flight; both ends notice, one by one."""
-        pair = frozenset((one, other))
+    def cut(self, first: str, second: str, notice_s: float = 0) -> None:
+        """Break a session; each end is notified after a delay of its own."""
+        pair = frozenset((first, second))
         session = self.sessions.get(pair)
         if session is None or session.broken:
             return
         session.broken = True
         if self._clock.randomness.random() < self.late_ratio:
             session.late_s = self._clock.randomness.uniform(0, 2)
-        forget = (self.sessions.pop, pair)
-        self._clock.after(notice_s, self._clock.soon, 0.4, *forget)
+        remove_session = (self.sessions.pop, pair)
+        self._clock.after(notice_s, self._clock.soon, 0.4, *remove_session)
         for end in session.ends:
-            down = (end.session_ended, session)
-            self._clock.after(notice_s, self._clock.soon, 0.4, *down)
+            notify_end = (end.session_ended, session)
+            self._clock.after(notice_s, self._clock.soon, 0.4, *notify_end)
 
-    def silence(self, one: str, other: str, seconds: float) -> None:
-        """Lose all frames both ways for a time; both ends notice late."""
+    def silence(self, first: str, second: str, seconds: float) -> None:
+        """Lose all frames for a time; the ends notice after the timeout."""
         until = self._clock.now + seconds
-        self.blocked[frozenset((one, other))] = until
-        self.cut(one, other, SILENCE_S)
+        self.blocked[frozenset((first, second))] = until
+        self.cut(first, second, SILENCE_S)
 
     def drop(self, name: str) -> None:
-        """Break all sessions of a process that is gone or frozen."""
+        """Break all sessions of a process that has ended or is frozen."""
         for pair in tuple(self.sessions):
             if name in pair:
                 self.cut(name, *(pair - {name}))
 
-    def _dials(self, one: Process, other: Process) -> bool:
-        """Tell whether one end dials: agents any entry, entries if told."""
-        if one.is_entry and other.is_entry:
-            low, high = sorted((one, other), key=lambda end: end.name)
+    def _is_dialled(self, first: Process, second: Process) -> bool:
+        """Return whether first end dials the other.
+
+        Agents dial every entry, entries the peers that their reducer names.
+        """
+        if first.is_entry and second.is_entry:
+            low, high = sorted((first, second), key=lambda end: end.name)
             return high.state.identity.address in low.dials
-        return one.is_entry or other.is_entry
+        return first.is_entry or second.is_entry
 
     def _open(self, pair: frozenset[str], ends: Any) -> None:
         session = Session(f's{next(self._numbers)}', ends)
@@ -111,7 +116,7 @@
             session.arrivals[end.name] = self._clock.now + delay
             self._clock.after(delay, end.session_opened, session)
 
-    def _arrive(self, session: Session, receiver: Any, frame: Any) -> None:
+    def _deliver(self, session: Session, receiver: Any, frame: Any) -> None:
         late_s = session.late_s if session.broken else 0
         if late_s is not None:
             self._clock.after(late_s, receiver.post, 'MessageReceived', *frame)
