--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -1,4 +1,4 @@
-"""Drive the reducers as the shells of entry and agent do."""
+"""Run the reducers of entry and agent as their daemons do."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class Process:
-    """Run one reducer; a frozen process handles its events when thawed."""
+    """Run one reducer; a frozen process queues its events until thawed."""
 
     def __init__(self, world: World, name: str, state: Any) -> None:
         self.world = world
@@ -42,14 +42,14 @@
         return int(self.state.revision)
 
     def post(self, kind: str, *fields: Any) -> None:
-        """Handle an event now, or once the process is thawed."""
+        """Handle an event now, or after the thaw of a frozen process."""
         if self.frozen:
             self._inbox.append((kind, *fields))
         elif self.alive:
             self._handle(kind, *fields)
 
     def thaw(self) -> None:
-        """Handle what came in the meantime; a late tick is among it."""
+        """Handle the queued events and a late tick at a random position."""
         self.frozen = False
         inbox = self._inbox
         self._inbox = []
@@ -59,18 +59,18 @@
             self.post(*event)
 
     def kill(self) -> None:
-        """End without a word."""
+        """End the process without a graceful stop."""
         self.alive = False
         self.world.links.drop(self.name)
         self.world.callers.lose(self)
 
     def session_opened(self, session: Session) -> None:
-        """Learn of a new session."""
+        """Handle the start of a session."""
         peer = next(end.name for end in session.ends if end is not self)
         self.post('LinkUp', peer, session)
 
     def session_ended(self, session: Session) -> None:
-        """Learn of the end of a session."""
+        """Handle the end of a session."""
         peer = next(end.name for end in session.ends if end is not self)
         self.post('LinkDown', peer, session)
 
@@ -82,23 +82,25 @@
 
     def _handle(self, kind: str, *fields: Any) -> None:
         if kind in {'LinkUp', 'LinkDown'}:
-            fields = self._follow_session(kind, *fields)
+            fields = self._update_session(kind, *fields)
         events = entry_events if self.is_entry else agent_events
         event_type = getattr(events, kind)
         now = self.world.clock.now
-        # A clock that runs slow from 100 s on, when all worlds begin.
+        # All worlds start at 100 s; from there on the clock may run slow.
         now = 100 + (now - 100) * self.clock_rate
         wall = (now + WALL_OFFSET_S,) if 'wall' in event_type._fields else ()
         event = event_type(now, *wall, *fields)
         reducer = entry_reducer if self.is_entry else agent_reducer
-        before = self.revision
-        produced = reducer.reduce(self.state, event)
-        self.world.note(self, event, produced)
-        self.world.oracle.note_revision(self.name, before, self.revision)
-        for effect in produced:
+        previous_revision = self.revision
+        produced_effects = reducer.reduce(self.state, event)
+        self.world.note(self, event, produced_effects)
+        self.world.oracle.note_revision(
+            self.name, previous_revision, self.revision
+        )
+        for effect in produced_effects:
             self._execute(effect)
 
-    def _follow_session(self, kind: str, peer: str, session: Session) -> Any:
+    def _update_session(self, kind: str, peer: str, session: Session) -> Any:
         if kind == 'LinkUp':
             self.sessions[peer] = session
         elif self.sessions.get(peer) is session:
@@ -106,9 +108,9 @@
         return peer, session.name
 
     def _execute(self, effect: Any) -> None:
-        carry_out = getattr(self, f'_on_{type(effect).__name__.lower()}', None)
-        if carry_out is not None:
-            carry_out(effect)
+        handler = getattr(self, f'_on_{type(effect).__name__.lower()}', None)
+        if handler is not None:
+            handler(effect)
 
     def _on_send(self, effect: Any) -> None:
         self.world.links.send(self, effect.peer, effect.message)
@@ -119,7 +121,7 @@
         self.world.links.cut(self.name, effect.peer)
 
     def _on_exit(self, effect: Any) -> None:
-        # What the last turn sent is still delivered.
+        # Leaves time to deliver the messages of the last turn.
         self.world.clock.after(0.05, self.kill)
 
     def _on_callstore(self, effect: Any) -> None:
