--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -1,4 +1,4 @@
-"""Stand in for the platform's key-value service."""
+"""Fake key-value store of the platform."""
 
 from __future__ import annotations
 
@@ -10,13 +10,14 @@
 if TYPE_CHECKING:
     from fakes.clock import Clock
 
-_LOST = store.StoreUnavailable('no answer')
+_UNAVAILABLE = store.StoreUnavailable('no answer')
 
 
 class StoreFake:
-    """Keep versioned keys, leases and watches; fail on request.
+    """Keep versioned keys, leases and watches, with faults.
 
-    Operations whose type name is in `lose_answers` take effect unreported.
+    Operations whose type name is in `lose_answers` take effect, but their
+    answers are lost.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -31,19 +32,19 @@
         self.lose_answers: list[str] = []
 
     def call(self, caller: str, operation: Any, answer: Any) -> None:
-        """Carry out an operation unless the caller cannot reach the store."""
+        """Carry out an operation unless the caller is cut off."""
         if caller in self.cut_off:
-            self._clock.after(1, answer, _LOST)
+            self._clock.after(1, answer, _UNAVAILABLE)
             return
         self._clock.soon(self.delay_s, self._execute, operation, answer)
 
     def read(self, key: str) -> store.KeyValue:
-        """Read a key at once."""
+        """Read a key without delay."""
         version, text, _ = self._keys.get(key, (0, None, ''))
         return store.KeyValue(key, version, text)
 
     def write(self, key: str, text: str | None, lease: str = '') -> None:
-        """Write or delete a key at once."""
+        """Write a key without delay; None deletes it."""
         self.version += 1
         self._keys[key] = (self.version, text, lease)
         if text is None:
@@ -54,17 +55,17 @@
         self._expire()
         kind = type(operation).__name__
         if self.down:
-            self._clock.after(1, answer, _LOST)
+            self._clock.after(1, answer, _UNAVAILABLE)
         elif kind == 'WatchPrefix':
             self._watches.append((operation, answer))
             self._notify()
         else:
-            outcome = getattr(self, f'_{kind}')(operation)
+            result = getattr(self, f'_{kind}')(operation)
             if kind in self.lose_answers:
                 self.lose_answers.remove(kind)
-                self._clock.after(1, answer, _LOST)
+                self._clock.after(1, answer, _UNAVAILABLE)
                 return
-            self._clock.soon(self.delay_s, answer, outcome)
+            self._clock.soon(self.delay_s, answer, result)
 
     def _expire(self) -> None:
         for lease in list(self._leases):
@@ -105,16 +106,18 @@
         return store.LeaseHeld(lease, ttl_s)
 
     def _notify(self) -> None:
-        waiting = self._watches
+        watches = self._watches
         self._watches = []
-        for watch, answer in waiting:
+        for watch, answer in watches:
             if self.down:
-                self._clock.after(1, answer, _LOST)
+                self._clock.after(1, answer, _UNAVAILABLE)
                 continue
             if self.version <= watch.after:
                 self._watches.append((watch, answer))
                 continue
-            found = (self.read(key) for key in self._keys)
-            chosen = [one for one in found if one.key.startswith(watch.prefix)]
-            snapshot = store.Snapshot(self.version, tuple(chosen))
+            entries = (self.read(key) for key in self._keys)
+            matching = [
+                entry for entry in entries if entry.key.startswith(watch.prefix)
+            ]
+            snapshot = store.Snapshot(self.version, tuple(matching))
             self._clock.soon(self.delay_s, answer, snapshot)
