--- a/tests/fakes/upstream.py
+++ b/tests/fakes/upstream.py
@@ -1,4 +1,4 @@
-"""Stand in for the upstreams beside the agents."""
+"""Fake upstreams of the agents."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class Upstreams:
-    """Run tasks; `modes` holds how an agent's upstream misbehaves."""
+    """Run tasks; `modes` names the fault of the upstream of an agent."""
 
     def __init__(self, world: World) -> None:
         self._world = world
@@ -24,13 +24,13 @@
         self.duration_s = (0.05, 0.6)
 
     def call(self, agent: Process, call: Any) -> None:
-        """Start a task, whatever its agent learns of it."""
+        """Start a task, which is counted whether or not its agent gets an end."""
         self._world.oracle.note_start(agent, call, self._world.clock.now)
         mode = self.modes.get(agent.name, '')
         delay = self._world.clock.randomness.uniform(*self.duration_s)
         result = result_of(call.payload)
         if mode == 'hang':
-            # The shell gives up on the call, some time after its deadline.
+            # The daemon abandons the call some time after its deadline.
             self.finish(call.deadline_ms / 500, agent, call.task, 'unknown')
             return
         if mode == 'late':
@@ -42,8 +42,8 @@
         if mode == 'twice':
             self.finish(delay + 0.2, agent, call.task, 'complete', result)
 
-    def finish(self, delay: float, agent: Process, *what: Any) -> None:
-        """Report the end of a task: its key, outcome and result."""
-        result = what[2] if len(what) > 2 else b''
-        end = ('UpstreamFinished', *what[:2], result, '')
+    def finish(self, delay: float, agent: Process, *outcome: Any) -> None:
+        """Report the end of a task after a delay: its key, outcome and result."""
+        result = outcome[2] if len(outcome) > 2 else b''
+        end = ('UpstreamFinished', *outcome[:2], result, '')
         self._world.clock.after(delay, agent.post, *end)
