--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -1,4 +1,4 @@
-"""Join real reducers by fakes of everything around them."""
+"""Run real reducers with fakes of everything around them."""
 
 from __future__ import annotations
 
@@ -33,16 +33,16 @@
 
 
 def config_value(text: str, token: str) -> str:
-    """Return the store's value for an operators' text."""
+    """Return the value that the store holds for a configuration."""
     fields = {'text': text, 'author': 'op', 'applied_at': '', 'token': token}
     return documents.encode(fields)
 
 
 class World:
-    """Hold the processes `e1`, `e2`, ... and `a1`, `a2`, ... by place.
+    """Processes on the hosts `e1`, `e2`, ... (entries) and `a1`, ... (agents).
 
-    A restarted process takes the place of its predecessor with a new
-    incarnation; an entry's name contains it, an agent's does not.
+    A process that is restarted on its host gets a new incarnation; the name
+    of an entry contains it, the name of an agent does not.
     """
 
     text = TEXT
@@ -50,7 +50,7 @@
     operations = OPERATIONS
 
     def __init__(self, oracle: Any, seed: int, **sizes: int) -> None:
-        """Start all processes and let them settle."""
+        """Start all processes and wait until they are connected."""
         self.oracle = oracle
         self.clock = Clock(seed)
         self.links = Links(self.clock)
@@ -70,7 +70,7 @@
         self.clock.run(sizes.get('settle_s', 3))
 
     def start(self, place: str) -> None:
-        """Start a process with an empty state and a new incarnation."""
+        """Start a process on a host, with an empty state."""
         self._incarnations += 1
         name = place
         if place.startswith('e'):
@@ -90,7 +90,7 @@
         self.places[place] = Process(self, name, state)
 
     def some_entry(self) -> Process | None:
-        """Return an entry that a balancer would choose."""
+        """Return a random entry that a load balancer would choose."""
         entries = [
             process
             for process in self.places.values()
@@ -99,10 +99,10 @@
         return self.clock.randomness.choice(entries) if entries else None
 
     def owner_of(self, key: str) -> str:
-        """Return the place that owns a key by the map in the store."""
-        found = self.store.read(documents.PARTITIONS_KEY)
+        """Return the host of the owner of a key, by the map in the store."""
+        stored = self.store.read(documents.PARTITIONS_KEY)
         partition = partition_of(submission_id(CLIENT, key))
-        owner = documents.decode_owners(found.value)[partition].owner
+        owner = documents.decode_owners(stored.value)[partition].owner
         return owner.partition('#')[0]
 
     def config_revision(self) -> int:
@@ -110,22 +110,22 @@
         return self.store.read(documents.CONFIG_KEY).version
 
     def drain(self, place: str, timeout_s: float = 30) -> None:
-        """Ask a process to stop gracefully."""
+        """Request a graceful stop of a process."""
         self.places[place].post('DrainRequested', timeout_s)
 
     def kill(self, place: str, back_after: float | None = None) -> None:
-        """Kill a process and start it again unless told otherwise."""
+        """Kill a process and restart it after a delay, if one is given."""
         self.places[place].kill()
         if back_after is not None:
             self.clock.after(back_after, self.start_missing, place)
 
     def start_missing(self, place: str) -> None:
-        """Start a process unless it lives."""
+        """Start a process unless it is alive."""
         if not self.places[place].alive:
             self.start(place)
 
     def freeze(self, place: str, seconds: float) -> None:
-        """Stop a process for a time; its peers notice after 3 s."""
+        """Freeze a process for a time; its peers notice after 3 s."""
         process = self.places[place]
         if process.alive and not process.frozen:
             process.frozen = True
@@ -133,7 +133,7 @@
             self.clock.after(seconds, process.thaw)
 
     def end_faults(self) -> None:
-        """Thaw, restart and heal everything."""
+        """End all faults; thaw and restart all processes."""
         self.store.down = False
         self.store.cut_off.clear()
         self.store.delay_s = 0.005
@@ -147,18 +147,22 @@
                 self.places[place].thaw()
             self.start_missing(place)
 
-    def note(self, process: Process, event: Any, produced: Any) -> None:
-        """Show one step to the observers."""
+    def note(self, process: Process, event: Any, effects: Any) -> None:
+        """Pass an event and its effects to the observers."""
         for observer in self.observers:
-            observer(process, event, produced)
+            observer(process, event, effects)
 
     def _notice_frozen(self, process: Process) -> None:
         if process.frozen:
             self.links.drop(process.name)
 
     def _connect(self) -> None:
-        places = self.places.values()
+        processes = self.places.values()
         self.links.connect(
-            [one for one in places if one.alive and not one.frozen]
+            [
+                process
+                for process in processes
+                if process.alive and not process.frozen
+            ]
         )
         self.clock.after(0.5, self._connect)
