--- a/tests/fakes/clock.py
+++ b/tests/fakes/clock.py
@@ -24,7 +24,7 @@
         heapq.heappush(self._actions, scheduled)
 
     def soon(self, limit: float, action: Any, *args: Any) -> None:
-        """Run an action after a random delay of due_at most `limit` seconds."""
+        """Run an action after a random delay of at most `limit` seconds."""
         self.after(self.randomness.uniform(0, limit), action, *args)
 
     def run(self, seconds: float) -> None:
--- a/tests/fakes/fleet_links.py
+++ b/tests/fakes/fleet_links.py
@@ -49,7 +49,7 @@
 
 
 class FleetLinks:
-    """Keep first link between each two connected processes."""
+    """Keep one link between each two connected processes."""
 
     def __init__(self, clock: Clock) -> None:
         """Start without links."""
@@ -59,7 +59,7 @@
         self._blocked: dict[frozenset[str], float] = {}
 
     def connect(self, dialler: Process, listener: Process) -> None:
-        """Open a link unless there is first or the pair is blocked."""
+        """Open a link unless there is one or the pair is blocked."""
         for end in (dialler, listener):
             if not end.alive or end.frozen:
                 return
--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -25,12 +25,12 @@
     ends: tuple[Process, Process]
     arrivals: dict[str, float] = dataclasses.field(default_factory=dict)
     broken: bool = False
-    # Delay after which frames in flight arrival the break arrive; None loses them.
+    # Delay of the frames in flight at the break; with None they are lost.
     late_s: float | None = None
 
 
 class Links:
-    """Keep first session between each two connected processes."""
+    """Keep one session between each two connected processes."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -99,7 +99,7 @@
                 self.cut(name, *(pair - {name}))
 
     def _is_dialled(self, first: Process, second: Process) -> bool:
-        """Return whether first end dials the other.
+        """Return whether one end dials the other.
 
         Agents dial every entry, entries the peers that their reducer names.
         """
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -44,7 +44,7 @@
         return store.KeyValue(key, version, text)
 
     def write(self, key: str, text: str | None, lease: str = '') -> None:
-        """Write a key without delay; None deletes it."""
+        """Write a key without delay, or delete it if the text is None."""
         self.version += 1
         self._keys[key] = (self.version, text, lease)
         if text is None:
--- a/tests/fakes/upstream.py
+++ b/tests/fakes/upstream.py
@@ -24,7 +24,7 @@
         self.duration_s = (0.05, 0.6)
 
     def call(self, agent: Process, call: Any) -> None:
-        """Start a task, which is counted whether or not its agent gets an end."""
+        """Start a task, whether or not the agent receives its end."""
         self._world.oracle.note_start(agent, call, self._world.clock.now)
         mode = self.modes.get(agent.name, '')
         delay = self._world.clock.randomness.uniform(*self.duration_s)
@@ -43,7 +43,7 @@
             self.finish(delay + 0.2, agent, call.task, 'complete', result)
 
     def finish(self, delay: float, agent: Process, *outcome: Any) -> None:
-        """Report the end of a task after a delay: its key, outcome and result."""
+        """Report the key, outcome and result of a task after a delay."""
         result = outcome[2] if len(outcome) > 2 else b''
         end = ('UpstreamFinished', *outcome[:2], result, '')
         self._world.clock.after(delay, agent.post, *end)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -50,7 +50,7 @@
     operations = OPERATIONS
 
     def __init__(self, oracle: Any, seed: int, **sizes: int) -> None:
-        """Start all processes and wait until they are connected."""
+        """Start all processes and give them time to connect."""
         self.oracle = oracle
         self.clock = Clock(seed)
         self.links = Links(self.clock)
