Reword the shared steps of the proofs

_behind -> _outdated_revisions _randomness -> _random _unanswered -> _unanswered_calls chance -> random_bits found -> revisions fresh -> calls named -> arguments others -> arguments

--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -1,4 +1,4 @@
-"""Steps that the proofs share."""
+"""Steps shared by the proofs."""
 
 from __future__ import annotations
 
@@ -15,20 +15,20 @@
     from fakes.callers import Call
     from fakes.world import World
 
-# A call is answered within its deadline of 8 s, the grace for the agent's
-# report and the way there.
+# Upper bound: the deadline of 8 s, the grace period for the agent's report
+# and the network delay.
 ANSWER_S = 14
-# Lease, takeover and the return of a lost agent, one after the other.
+# Upper bound: lease expiry, takeover and reconnection of an agent in sequence.
 RECOVERY_S = 20
 
 
 class Reluctant:
-    """Refuse some jobs by chance, as an overload does."""
+    """Admission control that refuses random jobs, as an overload does."""
 
     def __init__(self, admission: Any, seed: int) -> None:
         """Wrap an admission control."""
         self._admission = admission
-        self._randomness = random.Random(seed)
+        self._random = random.Random(seed)
         self.ratio: float = 0
 
     @property
@@ -36,23 +36,23 @@
         """Return the limits of the wrapped control."""
         return self._admission.limits
 
-    def count_recovered(self, *named: Any) -> None:
-        """Pass on a job that is accepted without a check."""
-        self._admission.count_recovered(*named)
+    def count_recovered(self, *arguments: Any) -> None:
+        """Count a job that is accepted without a check."""
+        self._admission.count_recovered(*arguments)
 
-    def check(self, job: Any, *others: Any) -> Refusal | None:
-        """Refuse at random, else as the wrapped control does."""
-        if self._randomness.random() < self.ratio:
+    def check(self, job: Any, *arguments: Any) -> Refusal | None:
+        """Refuse at random, otherwise ask the wrapped control."""
+        if self._random.random() < self.ratio:
             return Refusal('overloaded', 'refused by chance', 1000)
-        return self._admission.check(job, *others)
+        return self._admission.check(job, *arguments)
 
     def __getattr__(self, name: str) -> Any:
-        """Leave everything else to the wrapped control."""
+        """Delegate everything else to the wrapped control."""
         return getattr(self._admission, name)
 
 
 def refuse_some(world: World, ratio: float, seed: int) -> None:
-    """Let every live entry refuse a ratio of the jobs."""
+    """Make every entry refuse a ratio of the jobs."""
     for place in entries_of(world):
         state = world.places[place].state
         if not isinstance(state.admission, Reluctant):
@@ -61,41 +61,43 @@
 
 
 def key_owned_by(world: World, place: str, name: str = 'k') -> str:
-    """Return an opaque key whose partition an entry owns."""
+    """Return an opaque key whose partition is owned by an entry."""
     keys = (f'{name}-{number}' for number in range(10_000))
     return next(key for key in keys if world.owner_of(key) == place)
 
 
 def fresh_key(world: World) -> str:
-    """Return a UUIDv7 key that is issued now."""
+    """Return a UUIDv7 key issued at the current time."""
     issued_ms = int((world.clock.now + WALL_OFFSET_S) * 1000)
-    chance = world.clock.randomness.getrandbits(62)
-    return str(UUID(int=(issued_ms << 80) | (7 << 76) | (2 << 62) | chance))
+    random_bits = world.clock.randomness.getrandbits(62)
+    return str(
+        UUID(int=(issued_ms << 80) | (7 << 76) | (2 << 62) | random_bits)
+    )
 
 
 def start_counts(world: World, call: Call) -> set[int]:
-    """Return how often the tasks of a job were started."""
+    """Return the distinct start counts of the tasks of a job."""
     return {len(world.oracle.starts[payload]) for payload in call.payloads}
 
 
 def faults_end(world: World) -> list[str]:
-    """End all faults and return the violations, of liveness too."""
+    """End all faults and return the violations of safety and liveness."""
     world.end_faults()
     for entry in entries_of(world):
         state = world.places[entry].state
         if isinstance(state.admission, Reluctant):
             state.admission.ratio = 0
     world.clock.run(RECOVERY_S)
-    fresh = [
+    calls = [
         world.callers.submit(world.places[place], fresh_key(world))
         for place in entries_of(world)
     ]
     world.clock.run(ANSWER_S)
     return [
         *world.oracle.judge(),
-        *(f'fresh: {one.status}' for one in fresh if not _complete(one)),
-        *_unanswered(world),
-        *_behind(world),
+        *(f'fresh: {call.status}' for call in calls if not _complete(call)),
+        *_unanswered_calls(world),
+        *_outdated_revisions(world),
     ]
 
 
@@ -108,16 +110,18 @@
     return call.status == 'complete/'
 
 
-def _unanswered(world: World) -> list[str]:
+def _unanswered_calls(world: World) -> list[str]:
     limit = world.clock.now - ANSWER_S
     return [
-        f'{call.kind} {call.key} of {call.sent_at:.2f} is not answered'
+        f'{call.kind} {call.key} sent at {call.sent_at:.2f} is not answered'
         for call in world.callers.open_calls()
         if call.sent_at < limit
     ]
 
 
-def _behind(world: World) -> list[str]:
+def _outdated_revisions(world: World) -> list[str]:
     stored = world.config_revision()
-    found = {one.name: one.revision for one in world.places.values()}
-    return [f'P8: {name}' for name in found if found[name] != stored]
+    revisions = {
+        process.name: process.revision for process in world.places.values()
+    }
+    return [f'P8: {name}' for name in revisions if revisions[name] != stored]
