--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -1,4 +1,4 @@
-"""Guard all invariants against drawn faults at arbitrary moments."""
+"""Guard all invariants against random faults at random times."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from scenario import refuse_some
 
 EXAMPLES = 80
-# Moments within a round trip, within a task, and within a lease.
+# Pauses shorter than a round trip, a task and a lease, and longer ones.
 PAUSES_S = (0, 0.005, 0.05, 0.3, 1, 3, 7)
 MODES = ('hang', 'late', 'failed', 'unknown', 'twice')
 WRITES = ('SwapKey', 'RenewLease', 'GrantLease')
@@ -43,23 +43,23 @@
 
 
 def burst(world: World, number: int) -> None:
-    """Submit copies of a job through all entries at once."""
+    """Submit copies of a job through all entries at the same time."""
     for entry in entries_of(world):
         submit(world, entry, number, persistent=False)
 
 
 def cancel(world: World, entry: str, number: int) -> None:
-    """Cancel a job, whether or not it was submitted."""
+    """Cancel a job, which may be unknown."""
     world.callers.cancel(world.places[entry], make_job(*job_fields(number)))
 
 
 def fetch(world: World, entry: str, number: int) -> None:
-    """Ask for the answer to a job, whether or not it was submitted."""
+    """Fetch the answer to a job, which may be unknown."""
     world.callers.fetch(world.places[entry], make_job(*job_fields(number)))
 
 
 def drain(world: World, place: str) -> None:
-    """Stop a process gracefully and start it again."""
+    """Stop a process gracefully and restart it."""
     world.drain(place, 15)
     world.clock.after(20, world.start_missing, place)
 
@@ -86,7 +86,7 @@
 
 
 def cut_off(world: World, entry: str) -> None:
-    """Keep an entry from reaching the store until all faults end."""
+    """Cut an entry off from the store until all faults end."""
     world.store.cut_off.add(world.places[entry].name)
 
 
@@ -96,12 +96,12 @@
 
 
 def misbehave(world: World, agent: str, mode: str) -> None:
-    """Change how an upstream behaves."""
+    """Set the fault of an upstream."""
     world.upstreams.modes[agent] = mode
 
 
 def refuse(world: World, ratio: float) -> None:
-    """Let the entries refuse a ratio of the jobs."""
+    """Make the entries refuse a ratio of the jobs."""
     refuse_some(world, ratio, len(world.callers.calls))
 
 
@@ -115,7 +115,7 @@
 
 
 def step(action: Any, *drawn: Any) -> Any:
-    """Return a strategy for calls of an action."""
+    """Return a strategy for an action with its arguments."""
     return st.tuples(st.just(action), st.tuples(*drawn))
 
 
