Reword the tests of single faults

hour_part -> number last -> retried late -> unrelated loser -> conflict lost -> kinds older -> outdated test_all_entries_replaced -> test_restart_of_all_entries test_crossed_resubmissions -> test_concurrent_resubmissions test_lost_answer_of_a_configuration -> test_lost_answer_of_a_configuration_change test_operators_race -> test_concurrent_configuration_changes test_restarted_entry_is_greeted -> test_restarted_entry_links_to_all_peers test_stored_configuration_outlives_a_lower_one -> test_outdated_configuration_is_ignored test_wave_of_cancellations -> test_mass_cancellation waves -> cancellations

--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -1,4 +1,4 @@
-"""Guard the invariants against one class of faults at a time."""
+"""Guard the invariants against one class of faults per test."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def test_job_completes_without_faults(make_world: MakeWorld) -> None:
-    """Guard against a world that proves nothing because nothing runs."""
+    """Guard against a simulation in which no job runs."""
     world = make_world(1)
     calls = [
         world.callers.submit(world.places[place], f'k-{place}', 5)
@@ -39,14 +39,14 @@
     world.clock.run(0.3)
     world.kill('e1')
     world.clock.run(25)
-    last = list(world.callers.calls.values())[-1]
-    assert last.status == 'complete/'
+    retried = list(world.callers.calls.values())[-1]
+    assert retried.status == 'complete/'
     assert start_counts(world, call) == {1}
     assert not faults_end(world)
 
 
 def test_killed_entry_and_agent(make_world: MakeWorld) -> None:
-    """Guard against starts whose record died with its agent."""
+    """Guard against a second start when the record is lost with its agent."""
     world = make_world(3)
     key = key_owned_by(world, 'e1')
     world.callers.submit(world.places['e1'], key, 12, persistent=True)
@@ -55,16 +55,16 @@
     world.kill('a1', 1)
     world.clock.run(20)
     copy = world.callers.submit(world.places['e2'], key, 12)
-    late = world.callers.submit(world.places['e2'], fresh_key(world))
+    unrelated = world.callers.submit(world.places['e2'], fresh_key(world))
     world.clock.run(8)
     assert copy.status == 'refused/in-doubt'
-    assert late.status == 'complete/'
+    assert unrelated.status == 'complete/'
     assert not faults_end(world)
 
 
 @pytest.mark.parametrize('seconds', [4, 9, 15])
 def test_frozen_entry(make_world: MakeWorld, seconds: float) -> None:
-    """Guard against starts of an entry that thaws after a takeover."""
+    """Guard against starts by a former owner that thaws after a takeover."""
     world = make_world(4)
     key = key_owned_by(world, 'e1')
     calls = [world.callers.submit(world.places['e1'], key, 40)]
@@ -79,7 +79,7 @@
 
 
 def test_cut_link_with_starts_in_flight(make_world: MakeWorld) -> None:
-    """Guard against lost starts and against those that arrive late."""
+    """Guard against start messages that are lost or arrive late."""
     world = make_world(5)
     key = key_owned_by(world, 'e2')
     world.links.delay_s = 0.3
@@ -95,7 +95,7 @@
 
 
 def test_silent_link(make_world: MakeWorld) -> None:
-    """Guard against a job that waits for a link that says nothing."""
+    """Guard against a job that waits forever for a silent link."""
     world = make_world(6)
     key = key_owned_by(world, 'e2')
     call = world.callers.submit(world.places['e2'], key, 12)
@@ -108,7 +108,7 @@
 
 
 def test_frozen_agent(make_world: MakeWorld) -> None:
-    """Guard against starts that a thawed agent still finds queued."""
+    """Guard against queued start messages that an agent runs after a thaw."""
     world = make_world(7)
     calls = [
         world.callers.submit(world.places['e1'], f'k{number}', 6)
@@ -122,21 +122,21 @@
 
 
 def test_store_outage_of_an_hour(make_world: MakeWorld) -> None:
-    """Guard against owners that stop or double while the store is down."""
+    """Guard against partitions with no owner or two during a store outage."""
     world = make_world(8)
     world.store.down = True
     calls = []
-    for hour_part in range(6):
+    for number in range(6):
         world.clock.run(600)
-        entry = world.places[f'e{hour_part % 3 + 1}']
-        calls.append(world.callers.submit(entry, f'k{hour_part}'))
+        entry = world.places[f'e{number % 3 + 1}']
+        calls.append(world.callers.submit(entry, f'k{number}'))
     world.clock.run(8)
     assert {call.status for call in calls} == {'complete/'}
     assert not faults_end(world)
 
 
 def test_entry_dies_during_store_outage(make_world: MakeWorld) -> None:
-    """Guard against acting without the promise of every peer."""
+    """Guard against an entry that acts without a promise of every peer."""
     world = make_world(9)
     world.store.down = True
     world.clock.run(30)
@@ -150,7 +150,7 @@
 
 
 def test_lost_answer_of_a_takeover(make_world: MakeWorld) -> None:
-    """Guard against a blind retry of a swap that took effect."""
+    """Guard against a blind retry of a swap that has taken effect."""
     world = make_world(10)
     key = key_owned_by(world, 'e1')
     call = world.callers.submit(world.places['e1'], key, 12, persistent=True)
@@ -158,17 +158,17 @@
     world.kill('e1')
     world.store.lose_answers += ('SwapKey', 'SwapKey')
     world.clock.run(25)
-    last = list(world.callers.calls.values())[-1]
-    assert last.status == 'complete/'
+    retried = list(world.callers.calls.values())[-1]
+    assert retried.status == 'complete/'
     assert start_counts(world, call) == {1}
     assert not faults_end(world)
 
 
 def test_lost_answers_of_lease_renewals(make_world: MakeWorld) -> None:
-    """Guard against an entry that gives up over one lost renewal."""
+    """Guard against an entry that stops after one lost renewal."""
     world = make_world(11)
-    lost = ('RenewLease' for _ in range(6))
-    world.store.lose_answers += lost
+    kinds = ('RenewLease' for _ in range(6))
+    world.store.lose_answers += kinds
     calls = []
     for second in range(12):
         calls.append(world.callers.submit(world.places['e1'], f'k{second}'))
@@ -179,7 +179,7 @@
 
 
 def test_slow_store(make_world: MakeWorld) -> None:
-    """Guard against leases that end while their renewal is on its way."""
+    """Guard against leases that expire while their renewal is in flight."""
     world = make_world(12)
     world.store.delay_s = 5
     for second in range(30):
@@ -190,13 +190,13 @@
 
 @pytest.mark.parametrize('place', ['e1', 'e2', 'a1', 'a2'])
 def test_drain_under_traffic(make_world: MakeWorld, place: str) -> None:
-    """Guard against a request that a planned stop interrupts."""
+    """Guard against a request that is interrupted by a graceful stop."""
     world = make_world(13)
     calls = []
     for step in range(60):
         if step == 20:
             world.drain(place)
-        # The balancer sends callers until it has seen the drain, for 2 s.
+        # The balancer uses all entries until it notices the drain after 1 s.
         number = step % 3 + 1 if step < 30 else 3
         entry = world.places[f'e{number}']
         calls.append(world.callers.submit(entry, f'k{step}', 3))
@@ -208,7 +208,7 @@
 
 
 def test_restarted_agent(make_world: MakeWorld) -> None:
-    """Guard against a second start of tasks that an agent took with it."""
+    """Guard against a second start of tasks lost with their agent."""
     world = make_world(14)
     calls = [
         world.callers.submit(world.places['e1'], f'k{number}', 4)
@@ -227,7 +227,7 @@
 
 @pytest.mark.parametrize('mode', ['late', 'twice', 'hang', 'failed'])
 def test_misbehaving_upstream(make_world: MakeWorld, mode: str) -> None:
-    """Guard against answers made of late, doubled or missing results."""
+    """Guard against answers built from late, duplicate or missing results."""
     world = make_world(15)
     world.upstreams.modes['a1'] = mode
     calls = [
@@ -241,8 +241,8 @@
     assert not faults_end(world)
 
 
-def test_crossed_resubmissions(make_world: MakeWorld) -> None:
-    """Guard against a copy that runs after another one was refused."""
+def test_concurrent_resubmissions(make_world: MakeWorld) -> None:
+    """Guard against a copy that runs after another copy was refused."""
     world = make_world(16)
     refuse_some(world, 0.5, 16)
     world.callers.delay_s = 1.4
@@ -257,7 +257,7 @@
 
 
 def test_conflicting_bodies(make_world: MakeWorld) -> None:
-    """Guard against results of another body under the same key."""
+    """Guard against the results of another body with the same key."""
     world = make_world(17)
     calls = [
         world.callers.submit(world.places[place], 'k', variant=place)
@@ -274,22 +274,22 @@
 
 
 def test_cancel_that_overtakes_its_job(make_world: MakeWorld) -> None:
-    """Guard against a job that runs although its caller was told not."""
+    """Guard against a job that runs after its cancel was answered not-run."""
     world = make_world(18)
     for number in range(20):
         world.callers.delay_s = 1.4
         place = f'e{number % 3 + 1}'
-        job = world.callers.submit(world.places[place], f'k{number}', 1)
+        submitted = world.callers.submit(world.places[place], f'k{number}', 1)
         world.callers.delay_s = 0.4
         place = f'e{(number + 1) % 3 + 1}'
-        world.callers.cancel(world.places[place], job.job)
+        world.callers.cancel(world.places[place], submitted.job)
         world.clock.run(0.1)
     world.clock.run(8)
     assert not faults_end(world)
 
 
 def test_fetch_that_overtakes_its_job(make_world: MakeWorld) -> None:
-    """Guard against a not-run for a job that is still on its way."""
+    """Guard against not-run answers for a job that is still in flight."""
     world = make_world(27)
     world.callers.delay_s = 1.4
     submitted = [
@@ -305,7 +305,7 @@
 
 
 def test_refusal_before_a_takeover(make_world: MakeWorld) -> None:
-    """Guard against a parked copy that runs after its key was refused."""
+    """Guard against a waiting copy that runs after its key was refused."""
     world = make_world(28)
     key = key_owned_by(world, 'e1')
     refuse_some(world, 1, 28)
@@ -325,7 +325,7 @@
 
 
 def test_refusal_before_a_handover(make_world: MakeWorld) -> None:
-    """Guard against a copy that its new owner runs after a refusal."""
+    """Guard against a copy that the new owner runs after a refusal."""
     world = make_world(29)
     keys = [key_owned_by(world, 'e1', f'k{number}') for number in range(20)]
     refuse_some(world, 1, 29)
@@ -342,24 +342,26 @@
     assert not faults_end(world)
 
 
-def test_wave_of_cancellations(make_world: MakeWorld) -> None:
-    """Guard against cancelled jobs that run, and against a lost answer."""
+def test_mass_cancellation(make_world: MakeWorld) -> None:
+    """Guard against cancelled jobs that run and against lost answers."""
     world = make_world(19)
     jobs = [
         world.callers.submit(world.places['e1'], f'k{number}', 1)
         for number in range(10_000)
     ]
     world.clock.run(0.3)
-    waves = [world.callers.cancel(world.places['e1'], job.job) for job in jobs]
+    cancellations = [
+        world.callers.cancel(world.places['e1'], job.job) for job in jobs
+    ]
     world.clock.run(5)
-    assert all(call.answer for call in jobs + waves)
+    assert all(call.answer for call in jobs + cancellations)
     started = len(world.oracle.starts)
     assert started < 100
     assert not faults_end(world)
 
 
-def test_operators_race(make_world: MakeWorld) -> None:
-    """Guard against a change that overwrites another unseen."""
+def test_concurrent_configuration_changes(make_world: MakeWorld) -> None:
+    """Guard against a change that silently overwrites another one."""
     world = make_world(20)
     for number in (1, 2):
         text = TEXT.replace('400', f'40{number}')
@@ -368,15 +370,17 @@
     world.clock.run(12)
     answers = world.operator_answers
     assert sorted(answer.status for answer in answers.values()) == [200, 409]
-    loser = next(one for one in answers.values() if one.status == 409)
-    assert loser.body['author'] in {'op1', 'op2'}
+    conflict = next(
+        answer for answer in answers.values() if answer.status == 409
+    )
+    assert conflict.body['author'] in {'op1', 'op2'}
     stored = world.config_revision()
-    assert {one.revision for one in world.places.values()} == {stored}
+    assert {process.revision for process in world.places.values()} == {stored}
     assert not faults_end(world)
 
 
-def test_lost_answer_of_a_configuration(make_world: MakeWorld) -> None:
-    """Guard against reporting a change as refused that is in force."""
+def test_lost_answer_of_a_configuration_change(make_world: MakeWorld) -> None:
+    """Guard against a change that is in force but reported as refused."""
     world = make_world(21)
     world.store.lose_answers.append('SwapKey')
     change = (1, TEXT.replace('400', '401'), 1, 'op', 'token')
@@ -387,7 +391,7 @@
 
 
 def test_agent_cut_off_from_a_change(make_world: MakeWorld) -> None:
-    """Guard against an agent that never hears of a configuration."""
+    """Guard against an agent that never receives a configuration."""
     world = make_world(22)
     for entry in ('e1', 'e2', 'e3'):
         world.links.silence(world.places[entry].name, 'a1', 8)
@@ -399,12 +403,12 @@
         world.clock.run(2)
     world.clock.run(2 + 12)
     stored = world.config_revision()
-    assert {one.revision for one in world.places.values()} == {stored}
+    assert {process.revision for process in world.places.values()} == {stored}
     assert not faults_end(world)
 
 
-def test_all_entries_replaced(make_world: MakeWorld) -> None:
-    """Guard against starts that no surviving entry knows of."""
+def test_restart_of_all_entries(make_world: MakeWorld) -> None:
+    """Guard against a second start of tasks unknown to all entries."""
     world = make_world(23)
     jobs = [
         world.callers.submit(world.places['e1'], f'k{number}', 4)
@@ -441,7 +445,7 @@
 def test_forwarded_request_survives_a_new_session(
     make_world: MakeWorld,
 ) -> None:
-    """Guard against a forward lost with a session that was replaced."""
+    """Guard against a forwarded request lost with a replaced session."""
     world = make_world(26)
     key = key_owned_by(world, 'e1')
     world.links.delay_s = 0.3
@@ -449,18 +453,18 @@
     for _ in range(20):
         calls.append(world.callers.submit(world.places['e2'], key))
         world.clock.run(0.3)
-        one, other = world.places['e1'].name, world.places['e2'].name
-        world.links.cut(one, other)
+        owner, peer = world.places['e1'].name, world.places['e2'].name
+        world.links.cut(owner, peer)
     world.links.delay_s = 0.002
     world.clock.run(12)
     assert {call.status for call in calls} == {'complete/'}
     assert not faults_end(world)
 
 
-def test_stored_configuration_outlives_a_lower_one(
+def test_outdated_configuration_is_ignored(
     make_world: MakeWorld,
 ) -> None:
-    """Guard against a late copy of an older configuration."""
+    """Guard against a delayed older configuration that is applied."""
     world = make_world(26)
     agent = world.places['a1']
     world.store.write(
@@ -471,15 +475,15 @@
     )
     world.clock.run(12)
     session = agent.sessions[world.places['e1'].name]
-    older = messages.Config(1, TEXT)
+    outdated = messages.Config(1, TEXT)
     sender = world.places['e1'].name
-    agent.post('MessageReceived', sender, session.name, 1, older)
+    agent.post('MessageReceived', sender, session.name, 1, outdated)
     assert agent.revision == world.config_revision()
     assert not faults_end(world)
 
 
-def test_restarted_entry_is_greeted(make_world: MakeWorld) -> None:
-    """Guard against a link that opens before its other end has a name."""
+def test_restarted_entry_links_to_all_peers(make_world: MakeWorld) -> None:
+    """Guard against a link that opens before its peer has registered."""
     world = make_world(30)
     world.store.delay_s = 2
     world.kill('e2', 0.1)
