Reword the tests of the oracle

_adopt_any -> _apply_any_config _complete_anyhow -> _answer_complete _may_act_unpromised -> _may_act_without_promises _refuse_and_forget -> _refuse_without_record _without_doubt -> _without_doubt_check _without_roster -> _without_roster_wait checked -> arguments found -> detected stays -> never_draining

--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -1,4 +1,4 @@
-"""Show that the oracle notices when one mechanism is switched off."""
+"""Check that the oracle detects the loss of each safety mechanism."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 def _resubmit_after_loss(world: World) -> None:
-    """Kill an entry in the middle of a job; its caller tries elsewhere."""
+    """Kill an entry during a job; its caller resubmits to another one."""
     world.links.delay_s = 0.3
     key = key_owned_by(world, 'e1')
     entry = world.places['e1']
@@ -41,7 +41,7 @@
 
 
 def _lose_entry_and_agent(world: World) -> None:
-    """Kill an entry and an agent that holds records of its job."""
+    """Kill an entry and an agent that has records of its job."""
     key = key_owned_by(world, 'e1')
     entry = world.places['e1']
     world.callers.submit(entry, key, 12, persistent=True)
@@ -52,10 +52,10 @@
 
 
 def _cut_off_owner(world: World) -> None:
-    """Cut an owner off from the store; others take over and run a job."""
+    """Cut an owner off from the store; its successor runs a job."""
     key = key_owned_by(world, 'e1')
     world.store.cut_off.add(world.places['e1'].name)
-    # The successor runs only what it received after its takeover.
+    # The new owner runs only jobs received after its takeover.
     world.clock.run(24)
     call = world.callers.submit(world.places['e2'], key)
     world.clock.run(3)
@@ -64,7 +64,7 @@
 
 
 def _slow_clock(world: World) -> None:
-    """Slow an owner's clock, so that its lease seems valid for long."""
+    """Slow down the clock of an owner, so that its lease seems valid."""
     key = key_owned_by(world, 'e1')
     world.places['e1'].clock_rate = 0.3
     world.clock.run(1)
@@ -76,7 +76,7 @@
 
 
 def _new_agent_unknown_to_peers(world: World) -> None:
-    """Use an agent that no peer knows, then lose the entry."""
+    """Run a job on an agent unknown to the peers, then kill the entry."""
     key = key_owned_by(world, 'e1')
     entry = world.places['e1']
     for peer in ('e2', 'e3'):
@@ -96,7 +96,7 @@
 
 
 def _crossed_copies(world: World) -> None:
-    """Send copies of jobs, of which some are refused."""
+    """Submit copies of jobs while some are refused."""
     refuse_some(world, 0.5, 7)
     world.callers.delay_s = 1.4
     for number in range(20):
@@ -106,14 +106,14 @@
 
 
 def _damaged_results(world: World) -> None:
-    """Damage results on their way."""
+    """Corrupt results in flight."""
     world.links.damaged = True
     world.callers.submit(world.places['e1'], 'k')
     world.clock.run(4)
 
 
 def _leaving_agent(world: World) -> None:
-    """Submit jobs long after an agent announced that it leaves."""
+    """Submit jobs well after an agent announced its leaving."""
     world.drain('a1')
     world.clock.run(4)
     for number in range(9):
@@ -132,29 +132,31 @@
 
 
 def _failing_upstream(world: World) -> None:
-    """Run a job whose tasks partly fail."""
+    """Run a job of which some tasks fail."""
     world.upstreams.modes['a1'] = 'failed'
     world.callers.submit(world.places['e1'], 'partly', 12)
     world.clock.run(5)
 
 
-def _always(*checked: Any) -> bool:
+def _always(*arguments: Any) -> bool:
     return True
 
 
-def _never(*checked: Any) -> bool:
+def _never(*arguments: Any) -> bool:
     return False
 
 
-def _may_act_unpromised(state: Any, now: float) -> bool:
+def _may_act_without_promises(state: Any, now: float) -> bool:
     return leases.may_act(state, now) or not state.store.available
 
 
-def _refuse_and_forget(turn: Any, request: Any, _: bytes, answer: Any) -> None:
+def _refuse_without_record(
+    turn: Any, request: Any, _: bytes, answer: Any
+) -> None:
     answers.reply(turn, request.waiter, answer)
 
 
-def _adopt_any(turn: Any, message: messages.Config) -> None:
+def _apply_any_config(turn: Any, message: messages.Config) -> None:
     configuration._apply_config(turn, message.revision, message.text)
 
 
@@ -171,21 +173,21 @@
         patch.setattr(module, 'may_act', _always)
 
 
-def _without_doubt(patch: Patch) -> None:
+def _without_doubt_check(patch: Patch) -> None:
     patch.setattr(routing, '_is_in_doubt', _never)
 
 
 def _without_promises(patch: Patch) -> None:
     for module in (dispatching, routing, submissions):
-        patch.setattr(module, 'may_act', _may_act_unpromised)
+        patch.setattr(module, 'may_act', _may_act_without_promises)
 
 
-def _without_roster(patch: Patch) -> None:
+def _without_roster_wait(patch: Patch) -> None:
     patch.setattr(agents, 'ROSTER_PATIENCE_S', -1)
 
 
 def _without_refusals(patch: Patch) -> None:
-    patch.setattr(routing, '_refuse', _refuse_and_forget)
+    patch.setattr(routing, '_refuse', _refuse_without_record)
 
 
 def _without_digests(patch: Patch) -> None:
@@ -198,15 +200,15 @@
 
 def _without_leaving(patch: Patch) -> None:
     patch.setattr(Fleet, 'mark_leaving', _never)
-    stays = property(_never, lambda *_: None)
-    patch.setattr(agent_state.AgentState, 'draining', stays)
+    never_draining = property(_never, lambda *_: None)
+    patch.setattr(agent_state.AgentState, 'draining', never_draining)
 
 
 def _without_revisions(patch: Patch) -> None:
-    patch.setattr(configuration, 'handle_config', _adopt_any)
+    patch.setattr(configuration, 'handle_config', _apply_any_config)
 
 
-def _complete_anyhow(submission: Any, *, certain: bool) -> messages.Answer:
+def _answer_complete(submission: Any, *, certain: bool) -> messages.Answer:
     outcomes = tuple(
         messages.TaskOutcome(task.status, task.result, task.reason)
         for task in submission.tasks
@@ -215,7 +217,7 @@
 
 
 def _without_whole_answers(patch: Patch) -> None:
-    patch.setattr(submissions, 'job_answer', _complete_anyhow)
+    patch.setattr(submissions, 'job_answer', _answer_complete)
 
 
 CASES = MappingProxyType(
@@ -224,9 +226,9 @@
         'records': (_without_records, _resubmit_after_loss, 2, 'P1'),
         'lease': (_without_lease_deadline, _cut_off_owner, 3, 'P4'),
         'promise': (_without_promises, _cut_off_owner, 4, 'P4'),
-        'doubt': (_without_doubt, _lose_entry_and_agent, 5, 'P1'),
-        'takeover-wait': (_without_doubt, _resubmit_after_loss, 1, 'P1'),
-        'roster': (_without_roster, _new_agent_unknown_to_peers, 7, 'P1'),
+        'doubt': (_without_doubt_check, _lose_entry_and_agent, 5, 'P1'),
+        'takeover-wait': (_without_doubt_check, _resubmit_after_loss, 1, 'P1'),
+        'roster': (_without_roster_wait, _new_agent_unknown_to_peers, 7, 'P1'),
         'refusals': (_without_refusals, _crossed_copies, 8, 'P4'),
         'whole-answers': (_without_whole_answers, _failing_upstream, 15, 'P2'),
         'digests': (_without_digests, _damaged_results, 9, 'P3'),
@@ -242,23 +244,25 @@
     monkeypatch: Patch,
     name: str,
 ) -> None:
-    """Guard against a proof that holds whatever the code does."""
+    """Guard against an oracle that passes without the mechanism."""
     switch_off, scenario, seed, violated = CASES[name]
     intact = make_world(seed)
     scenario(intact)
     switch_off(monkeypatch)
     broken = make_world(seed)
     scenario(broken)
-    found = {violation[:2] for violation in broken.oracle.judge()}
-    assert violated not in {one[:2] for one in intact.oracle.judge()}
-    assert violated in found
+    detected = {violation[:2] for violation in broken.oracle.judge()}
+    assert violated not in {
+        violation[:2] for violation in intact.oracle.judge()
+    }
+    assert violated in detected
 
 
 def test_a_drain_without_a_handover_loses_requests(
     make_world: MakeWorld,
     monkeypatch: Patch,
 ) -> None:
-    """Guard against a proof of P7 that holds without passing jobs on."""
+    """Guard against a test of P7 that passes without a handover."""
     monkeypatch.setattr(partitions, '_reroute', submissions.drop_submission)
     world = make_world(13)
     key = key_owned_by(world, 'e1')
