--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -196,7 +196,8 @@
     for step in range(60):
         if step == 20:
             world.drain(place)
-        # The balancer uses all entries until it notices the drain after 1 s.
+        # The load balancer uses all entries until it has noticed the drain;
+        # an entry that drains serves new requests for 2 s.
         number = step % 3 + 1 if step < 30 else 3
         entry = world.places[f'e{number}']
         calls.append(world.callers.submit(entry, f'k{step}', 3))
