--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -22,7 +22,7 @@
 RECOVERY_S = 20
 
 
-class Reluctant:
+class RandomAdmission:
     """Admission control that refuses random jobs, as an overload does."""
 
     def __init__(self, admission: Any, seed: int) -> None:
@@ -55,8 +55,8 @@
     """Make every entry refuse a ratio of the jobs."""
     for place in entries_of(world):
         state = world.places[place].state
-        if not isinstance(state.admission, Reluctant):
-            state.admission = Reluctant(state.admission, seed)
+        if not isinstance(state.admission, RandomAdmission):
+            state.admission = RandomAdmission(state.admission, seed)
         state.admission.ratio = ratio
 
 
@@ -85,7 +85,7 @@
     world.end_faults()
     for entry in entries_of(world):
         state = world.places[entry].state
-        if isinstance(state.admission, Reluctant):
+        if isinstance(state.admission, RandomAdmission):
             state.admission.ratio = 0
     world.clock.run(RECOVERY_S)
     calls = [
