--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -371,9 +371,7 @@
     world.clock.run(12)
     answers = world.operator_answers
     assert sorted(answer.status for answer in answers.values()) == [200, 409]
-    conflict = next(
-        answer for answer in answers.values() if answer.status == 409
-    )
+    conflict = next(reply for reply in answers.values() if reply.status == 409)
     assert conflict.body['author'] in {'op1', 'op2'}
     stored = world.config_revision()
     assert {process.revision for process in world.places.values()} == {stored}
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -252,9 +252,7 @@
     broken = make_world(seed)
     scenario(broken)
     detected = {violation[:2] for violation in broken.oracle.judge()}
-    assert violated not in {
-        violation[:2] for violation in intact.oracle.judge()
-    }
+    assert violated not in {text[:2] for text in intact.oracle.judge()}
     assert violated in detected
 
 
