Reword the golden sessions

Silent -> NullOracle _HIDDEN -> _OMITTED_EFFECTS _PANE -> _PANE_POLICY _ROUNDS -> _ROUNDS_POLICY _show -> _format _show_bytes -> _format_bytes observed -> arguments path_of -> golden_path produced -> effects quiet -> is_omitted text_of -> record_session

--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -1,4 +1,4 @@
-"""Record whole sessions as readable text; run as a module to rewrite them."""
+"""Record sessions as text; run as a module to rewrite the golden files."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from fakes.world import World
 
 _HERE = pathlib.Path(__file__).parent
-_HIDDEN = frozenset(('Count', 'Observe', 'CallStore'))
-_ROUNDS = """
+_OMITTED_EFFECTS = frozenset(('Count', 'Observe', 'CallStore'))
+_ROUNDS_POLICY = """
 [services.rounds.operations]
 wreath-order = { idempotent = false, expected_ms = 300 }
 route = { idempotent = true, expected_ms = 900 }
@@ -20,7 +20,7 @@
 burst = 100
 concurrent = 100
 """
-_PANE = """
+_PANE_POLICY = """
 [services.pane.operations]
 cutting-plan = { idempotent = false, expected_ms = 400 }
 sheet-quote = { idempotent = true, expected_ms = 100 }
@@ -33,46 +33,52 @@
 
 
 class KacaPotong(World):
-    """Serve the glass shops."""
+    """The deployment of the glass shops."""
 
-    text = _PANE
+    text = _PANE_POLICY
     operations = ('cutting-plan', 'sheet-quote', 'offcut-check')
 
 
 class CvetnaPot(World):
-    """Serve the grave flower rounds."""
+    """The deployment of the grave flower rounds."""
 
-    text = _ROUNDS
+    text = _ROUNDS_POLICY
     service = 'rounds'
     operations = ('wreath-order', 'route', 'quote')
 
 
-class Silent:
-    """Stand in for the oracle, which golden files don't need."""
+class NullOracle:
+    """An oracle that ignores its observations; golden files need none."""
 
     def __getattr__(self, name: str) -> Any:
-        """Accept any observation."""
-        return lambda *observed: None
+        """Return a method that does nothing."""
+        return lambda *arguments: None
 
 
 class Recorder:
-    """Write one line per event and effect that concerns the session."""
+    """Record a line for each event and effect of a session."""
 
     def __init__(self) -> None:
-        """Start without lines."""
+        """Start without recorded lines."""
         self.lines: list[str] = []
 
-    def note(self, process: Any, event: Any, produced: Any) -> None:
-        """Record one step unless it is a heartbeat or an idle tick."""
-        shown = [one for one in produced if type(one).__name__ not in _HIDDEN]
+    def note(self, process: Any, event: Any, effects: Any) -> None:
+        """Record an event with its effects, except heartbeats and idle ticks."""
+        shown = [
+            effect
+            for effect in effects
+            if type(effect).__name__ not in _OMITTED_EFFECTS
+        ]
         name = type(event).__name__
-        quiet = name in {'Tick', 'StoreAnswered'}
+        is_omitted = name in {'Tick', 'StoreAnswered'}
         if type(getattr(event, 'message', None)).__name__ == 'Heartbeat':
-            quiet = True
-        if quiet and not shown:
+            is_omitted = True
+        if is_omitted and not shown:
             return
-        self.lines.append(f'{event.now:.3f} {process.name} {_show(event)}')
-        self.lines.extend(f'    {_show(effect)}' for effect in shown)
+        self.lines.append(f'{event.now:.3f} {process.name} {_format(event)}')
+        self.lines.extend(
+            f'    {_format(shown_effect)}' for shown_effect in shown
+        )
 
 
 def record_kaca_potong() -> list[str]:
@@ -118,13 +124,13 @@
 )
 
 
-def path_of(name: str) -> pathlib.Path:
-    """Return where a session is kept."""
+def golden_path(name: str) -> pathlib.Path:
+    """Return the path of the golden file of a session."""
     return _HERE / f'{name}.txt'
 
 
-def text_of(name: str) -> str:
-    """Record a session."""
+def record_session(name: str) -> str:
+    """Run a session and return its record."""
     lines = SESSIONS[name]()
     return '\n'.join((*lines, ''))
 
@@ -140,27 +146,27 @@
 
 
 def _start(deployment: type[World], entries: int) -> tuple[World, Recorder]:
-    world = deployment(Silent(), 1, entries=entries, agents=1)
+    world = deployment(NullOracle(), 1, entries=entries, agents=1)
     recorder = Recorder()
     world.observers.append(recorder.note)
     return world, recorder
 
 
-def _show(value: Any) -> str:
+def _format(value: Any) -> str:
     if isinstance(value, bytes):
-        return _show_bytes(value)
+        return _format_bytes(value)
     if hasattr(value, '_asdict'):
         fields = value._asdict()
         for clock in ('now', 'wall'):
             fields.pop(clock, None)
-        parts = [f'{name}={_show(fields[name])}' for name in fields]
+        parts = [f'{name}={_format(fields[name])}' for name in fields]
         return f'{type(value).__name__}({", ".join(parts)})'
     if isinstance(value, tuple):
-        return f'[{", ".join(map(_show, value))}]'
+        return f'[{", ".join(map(_format, value))}]'
     return str(value)
 
 
-def _show_bytes(value: bytes) -> str:
+def _format_bytes(value: bytes) -> str:
     if value.isascii():
         return value.decode()
     return value.hex()[:8]
@@ -168,4 +174,4 @@
 
 if __name__ == '__main__':
     for session in SESSIONS:
-        path_of(session).write_text(text_of(session))
+        golden_path(session).write_text(record_session(session))
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -1,18 +1,18 @@
-"""Compare whole sessions with the committed ones.
+"""Compare recorded sessions with the golden files.
 
 `PYTHONPATH=src:tests .venv/bin/python -m golden.sessions` rewrites the files;
-the difference is to be read before it is committed.
+review the difference before committing it.
 """
 
 from __future__ import annotations
 
 import pytest
 from golden.sessions import SESSIONS
-from golden.sessions import path_of
-from golden.sessions import text_of
+from golden.sessions import golden_path
+from golden.sessions import record_session
 
 
 @pytest.mark.parametrize('name', SESSIONS)
 def test_session_is_as_recorded(name: str) -> None:
-    """Guard against unnoticed changes of events, effects and their order."""
-    assert text_of(name) == path_of(name).read_text()
+    """Guard against unintended changes of events, effects and their order."""
+    assert record_session(name) == golden_path(name).read_text()
