--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -63,7 +63,7 @@
         self.lines: list[str] = []
 
     def note(self, process: Any, event: Any, effects: Any) -> None:
-        """Record an event with its effects, except heartbeats and idle ticks."""
+        """Record an event and its effects; omit heartbeats and idle ticks."""
         shown = [
             effect
             for effect in effects
