Reword the tests on separate processes

PATIENCE_S -> TIMEOUT_S _POLL_S -> _POLL_INTERVAL_S _STOP_S -> _KILL_TIMEOUT_S _ask -> _request_job again -> resubmitted doubled -> duplicates early -> submissions held -> waiting_answers late -> resubmissions place -> field stopping -> stop test_an_entry_that_joins_later_gets_agents -> test_new_entry_links_to_agents test_an_operator_drains_an_agent -> test_drain_request_stops_an_agent test_answers_are_fetched_cancelled_and_refused -> test_jobs_are_fetched_cancelled_and_refused test_invalid_requests_name_every_fault -> test_invalid_requests_name_every_error test_loss_of_an_agent_is_answered_truthfully -> test_loss_of_an_agent_is_reported_as_unknown test_planned_stops_cut_off_no_request -> test_graceful_stops_interrupt_no_request test_two_operators_apply_at_once -> test_concurrent_configuration_changes test_whole_path_serves_through_every_entry -> test_every_entry_serves_every_key what -> description winner -> applied

--- a/tests/processes/__init__.py
+++ b/tests/processes/__init__.py
@@ -1,3 +1,3 @@
-"""Try the programs as real processes on loopback."""
+"""Test the programs as separate processes on loopback."""
 
 from __future__ import annotations
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,4 +1,4 @@
-"""Provide deployments of real processes."""
+"""Provide deployments of separate processes."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def deployment(tmp_path: Path) -> Iterator[Deployment]:
-    """Provide a deployment without processes; ends what a test started."""
+    """Provide an empty deployment; kill its processes after the test."""
     created = Deployment(tmp_path)
     yield created
     created.close()
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -1,4 +1,4 @@
-"""Start and stop the programs of one deployment on loopback."""
+"""Start and stop the processes of a deployment on loopback."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
     from collections.abc import Callable
 
 _ROOT: Final = Path(__file__).parents[2]
-# Bounds a hung test; no test asserts on it.
-PATIENCE_S: Final = 60
-_POLL_S: Final = 0.05
-_STOP_S: Final = 20
+# Bounds the waits of a test that hangs; no assertion depends on it.
+TIMEOUT_S: Final = 60
+_POLL_INTERVAL_S: Final = 0.05
+_KILL_TIMEOUT_S: Final = 20
 
 CONFIG: Final = """
 [services.pane]
@@ -44,20 +44,20 @@
 
 
 class Deployment:
-    """Run a store, upstreams, agents and entries as separate processes."""
+    """A store, upstreams, agents and entries as separate processes."""
 
     def __init__(self, folder: Path) -> None:
-        """Keep settings and logs in a folder."""
+        """Use a folder for settings, logs and output."""
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.urls: dict[str, str] = {}
         self.links: dict[str, str] = {}
         self.upstreams: dict[str, str] = {}
-        self.http = httpx.Client(timeout=PATIENCE_S, trust_env=False)
+        self.http = httpx.Client(timeout=TIMEOUT_S, trust_env=False)
         self.store_url = ''
 
     def start_store(self, port: int = 0) -> None:
-        """Start the store; restarted with the same port it keeps its keys."""
+        """Start the store; its keys are kept over a restart."""
         self._spawn(
             'store',
             [
@@ -91,7 +91,7 @@
         self.links[name] = listening['link']
 
     def start_agent(self, name: str, **settings: Any) -> None:
-        """Start an upstream and the agent beside it."""
+        """Start an agent, and its upstream unless that is running."""
         upstream = f'{name}-upstream'
         if upstream not in self.processes:
             self._spawn(
@@ -122,14 +122,14 @@
         )
 
     def wait_revision(self, entry: str, revision: int) -> None:
-        """Wait until an entry has a revision in force."""
+        """Wait until a revision is in force at an entry."""
         self.wait(
             lambda: self.status(entry)['revision'] == revision,
             f'revision {revision} at {entry}',
         )
 
     def start(self, entries: int, agents: int) -> None:
-        """Start everything, apply the configuration, wait for the links."""
+        """Start all processes, apply the configuration and wait for links."""
         self.start_store()
         for number in range(entries):
             self.start_entry(f'entry-{number}')
@@ -140,7 +140,10 @@
             self.wait_usable(name, agents)
 
     def apply(self, text: str, expected: int | None = None) -> httpx.Response:
-        """Apply an operators' text through the first entry."""
+        """Apply a configuration through the first entry.
+
+        Without `expected`, the current revision is expected.
+        """
         url = next(iter(self.urls.values()))
         if expected is None:
             expected = self.http.get(f'{url}/v1/config').json()['revision']
@@ -162,7 +165,7 @@
         run_ms: int = 50,
         wait: float = 20,
     ) -> httpx.Response:
-        """Submit a job whose tasks run for a known time."""
+        """Submit a job whose tasks run for `run_ms`; wait for its answer."""
         body = {
             'service': 'pane',
             'tasks': [
@@ -179,45 +182,45 @@
 
     def starts(self) -> Counter[str]:
         """Count the starts of each task over all upstreams."""
-        found: Counter[str] = Counter()
+        counts: Counter[str] = Counter()
         for url in self.upstreams.values():
-            found.update(self.http.get(f'{url}/starts').json())
-        return found
+            counts.update(self.http.get(f'{url}/starts').json())
+        return counts
 
     def status(self, entry: str) -> dict[str, Any]:
         """Return the status that an entry reports."""
         answer = self.http.get(f'{self.urls[entry]}/v1/status')
-        found: dict[str, Any] = answer.json()
-        return found
+        status: dict[str, Any] = answer.json()
+        return status
 
     def wait_usable(self, entry: str, agents: int) -> None:
-        """Wait until an entry owns partitions and sees all agents."""
+        """Wait until an entry owns partitions and is linked to all agents."""
         self.wait(
             lambda: self._is_usable(self.status(entry), agents),
             f'{entry} with {agents} agents',
         )
 
-    def wait(self, condition: Callable[[], Any], what: str) -> None:
+    def wait(self, condition: Callable[[], Any], description: str) -> None:
         """Poll until a condition holds."""
-        limit = time.monotonic() + PATIENCE_S
+        limit = time.monotonic() + TIMEOUT_S
         while not condition():
             if time.monotonic() > limit:
-                raise TimeoutError(f'still waiting for {what}')
-            time.sleep(_POLL_S)
+                raise TimeoutError(f'still waiting for {description}')
+            time.sleep(_POLL_INTERVAL_S)
 
-    def wait_log(self, name: str, change: str) -> dict[str, Any]:
-        """Wait for a log line and return its fields."""
+    def wait_log(self, name: str, line_name: str) -> dict[str, Any]:
+        """Wait for a log line with this name and return its fields."""
         path = self.folder / f'{name}.log'
         self.wait(
-            lambda: path.exists() and f'"{change}"' in path.read_text(),
-            f'{change} in the log of {name}',
+            lambda: path.exists() and f'"{line_name}"' in path.read_text(),
+            f'{line_name} in the log of {name}',
         )
-        found: dict[str, Any] = next(
+        fields: dict[str, Any] = next(
             json.loads(line)
             for line in path.read_text().splitlines()
-            if f'"{change}"' in line
+            if f'"{line_name}"' in line
         )
-        return found
+        return fields
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process."""
@@ -235,16 +238,16 @@
         """Stop a process gracefully and return its exit code."""
         process = self.processes.pop(name)
         process.send_signal(signal.SIGTERM)
-        return process.wait(PATIENCE_S)
+        return process.wait(TIMEOUT_S)
 
     def close(self) -> None:
-        """End all processes."""
+        """Kill all processes, also those that are stopped by a signal."""
         self.http.close()
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.kill()
         for process in self.processes.values():
-            process.wait(_STOP_S)
+            process.wait(_KILL_TIMEOUT_S)
 
     def _is_usable(self, status: dict[str, Any], agents: int) -> bool:
         return (
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -1,4 +1,4 @@
-"""Kill, freeze and stop real processes during traffic."""
+"""Kill, freeze and stop processes during traffic."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from typing import Final
 
 from tests.processes.deployment import CONFIG
-from tests.processes.deployment import PATIENCE_S
+from tests.processes.deployment import TIMEOUT_S
 
 if TYPE_CHECKING:
     import httpx
@@ -24,21 +24,21 @@
 
 
 def _assert_single_starts(deployment: Deployment) -> None:
-    doubled = {
+    duplicates = {
         key: count for key, count in deployment.starts().items() if count > 1
     }
-    assert not doubled
+    assert not duplicates
 
 
 def _keep_submitting(
     deployment: Deployment,
     entry: str,
     worker: int,
-    stopping: threading.Event,
+    stop: threading.Event,
     answers: list[httpx.Response],
 ) -> None:
     for number in itertools.count():
-        if stopping.is_set():
+        if stop.is_set():
             return
         answers.append(
             deployment.submit(entry, f'{worker}-{number}', tasks=2),
@@ -51,7 +51,7 @@
     key: str,
     **job: int,
 ) -> dict[str, Any]:
-    """Submit a job again as long as its outcome is said to be unknown."""
+    """Resubmit a job while its outcome is reported as unknown."""
     while True:
         response = deployment.submit(entry, key, **job)
         answer: dict[str, Any] = response.json()
@@ -61,10 +61,10 @@
         time.sleep(float(response.headers['retry-after']))
 
 
-def test_whole_path_serves_through_every_entry(
+def test_every_entry_serves_every_key(
     deployment: Deployment,
 ) -> None:
-    """Guard against a call that fails because it reached the wrong entry."""
+    """Guard against a request that fails because another entry owns its key."""
     deployment.start(entries=2, agents=2)
     for number in range(10):
         for entry in ('entry-0', 'entry-1'):
@@ -77,7 +77,7 @@
 def test_resubmission_after_the_loss_of_an_entry(
     deployment: Deployment,
 ) -> None:
-    """Guard against a second start when an entry is killed mid-job."""
+    """Guard against a second start when an entry is killed during a job."""
     deployment.start(entries=2, agents=3)
     with ThreadPoolExecutor(8) as pool:
         for number in range(8):
@@ -106,10 +106,10 @@
     _assert_single_starts(deployment)
 
 
-def test_loss_of_an_agent_is_answered_truthfully(
+def test_loss_of_an_agent_is_reported_as_unknown(
     deployment: Deployment,
 ) -> None:
-    """Guard against a lost, doubled or invented answer after a kill."""
+    """Guard against a lost, duplicate or false answer after a kill."""
     deployment.start(entries=1, agents=2)
     with ThreadPoolExecutor(8) as pool:
         answers = [
@@ -124,8 +124,8 @@
         ]
         deployment.wait(lambda: len(deployment.starts()) == 8, 'all starts')
         deployment.kill('agent-0')
-        found = [answer.result().json() for answer in answers]
-    failed = [answer for answer in found if answer['status'] == 'failed']
+        answered = [answer.result().json() for answer in answers]
+    failed = [answer for answer in answered if answer['status'] == 'failed']
     assert 0 < len(failed) < 8
     assert {answer['outcome'] for answer in failed} == {'unknown'}
     _assert_single_starts(deployment)
@@ -134,10 +134,10 @@
 def test_frozen_entry_starts_nothing_after_takeover(
     deployment: Deployment,
 ) -> None:
-    """Guard against a former owner that wakes up and goes on."""
+    """Guard against starts by a former owner that is resumed."""
     deployment.start(entries=2, agents=2)
     with ThreadPoolExecutor(12) as pool:
-        early = [
+        submissions = [
             pool.submit(
                 deployment.submit,
                 'entry-0',
@@ -150,7 +150,7 @@
         ]
         deployment.wait(lambda: deployment.starts(), 'a start')
         deployment.signal('entry-0', signal.SIGSTOP)
-        late = [
+        resubmissions = [
             pool.submit(
                 _resubmit_until_answered,
                 deployment,
@@ -161,16 +161,16 @@
             )
             for number in range(6)
         ]
-        answers = [answer.result() for answer in late]
+        answers = [answer.result() for answer in resubmissions]
         deployment.signal('entry-0', signal.SIGCONT)
-        for answer in early:
+        for answer in submissions:
             assert answer.result().status_code in {200, 202, 503}
     assert {answer['status'] for answer in answers} == {'complete'}
     _assert_single_starts(deployment)
 
 
 def test_store_restart_during_traffic(deployment: Deployment) -> None:
-    """Guard against refusals while the store is away for a short time."""
+    """Guard against refusals during a short outage of the store."""
     deployment.start(entries=2, agents=2)
     port = int(deployment.store_url.rpartition(':')[2])
     deployment.kill('store')
@@ -195,10 +195,10 @@
     _assert_single_starts(deployment)
 
 
-def test_planned_stops_cut_off_no_request(deployment: Deployment) -> None:
-    """Guard against requests lost when an agent and an entry are stopped."""
+def test_graceful_stops_interrupt_no_request(deployment: Deployment) -> None:
+    """Guard against requests lost when an agent and an entry stop."""
     deployment.start(entries=2, agents=3)
-    stopping = threading.Event()
+    stop = threading.Event()
     answers: list[httpx.Response] = []
     with ThreadPoolExecutor(8) as pool:
         workers = [
@@ -207,12 +207,12 @@
                 deployment,
                 'entry-1',
                 worker,
-                stopping,
+                stop,
                 answers,
             )
             for worker in range(4)
         ]
-        held = [
+        waiting_answers = [
             pool.submit(
                 deployment.submit,
                 'entry-0',
@@ -225,15 +225,15 @@
         deployment.wait(lambda: len(answers) > 8, 'traffic')
         assert deployment.stop('agent-0') == 0
         assert deployment.stop('entry-0') == 0
-        stopping.set()
+        stop.set()
         for worker in workers:
             worker.result()
-        answers.extend(answer.result() for answer in held)
+        answers.extend(answer.result() for answer in waiting_answers)
     assert {answer.json()['status'] for answer in answers} == {'complete'}
     _assert_single_starts(deployment)
 
 
-def test_two_operators_apply_at_once(deployment: Deployment) -> None:
+def test_concurrent_configuration_changes(deployment: Deployment) -> None:
     """Guard against a change that silently overwrites another."""
     deployment.start(entries=2, agents=1)
     revision = deployment.status('entry-0')['revision']
@@ -248,29 +248,29 @@
             ),
         )
     assert sorted(outcome.status_code for outcome in outcomes) == [200, 409]
-    winner = min(outcomes, key=lambda outcome: outcome.status_code).json()
+    applied = min(outcomes, key=lambda outcome: outcome.status_code).json()
     for entry in ('entry-0', 'entry-1'):
-        deployment.wait_revision(entry, winner['revision'])
+        deployment.wait_revision(entry, applied['revision'])
 
 
-def test_an_operator_drains_an_agent(deployment: Deployment) -> None:
-    """Guard against a drain that is accepted and never carried out."""
+def test_drain_request_stops_an_agent(deployment: Deployment) -> None:
+    """Guard against a drain that is accepted but not carried out."""
     deployment.start(entries=1, agents=2)
     answer = deployment.http.post(
         f'{deployment.urls["entry-0"]}/v1/drain',
         json={'agent': 'agent-0'},
     )
     assert answer.status_code == 202
-    assert deployment.processes.pop('agent-0').wait(PATIENCE_S) == 0
+    assert deployment.processes.pop('agent-0').wait(TIMEOUT_S) == 0
     assert deployment.submit('entry-0', 'after').json()['status'] == 'complete'
 
 
-def test_an_entry_that_joins_later_gets_agents(
+def test_new_entry_links_to_agents(
     deployment: Deployment,
 ) -> None:
-    """Guard against a new entry that owns keys but has no agent for them."""
+    """Guard against a new entry that owns keys but has no agents."""
     deployment.start(entries=1, agents=2)
-    stopping = threading.Event()
+    stop = threading.Event()
     answers: list[httpx.Response] = []
     with ThreadPoolExecutor(4) as pool:
         for worker in range(3):
@@ -279,7 +279,7 @@
                 deployment,
                 'entry-0',
                 worker,
-                stopping,
+                stop,
                 answers,
             )
         deployment.wait(lambda: len(answers) > 5, 'traffic')
@@ -287,7 +287,7 @@
         try:
             deployment.wait_usable('entry-1', 2)
         finally:
-            stopping.set()
+            stop.set()
     for number in range(8):
         answers.append(deployment.submit('entry-1', f'joined-{number}'))
     assert {answer.json()['status'] for answer in answers} == {'complete'}
