Reword the stand-in store

_GRACE_S -> _GRACEFUL_TIMEOUT_S _KEEP_ALIVE_S -> _KEEP_ALIVE_TIMEOUT_S _MS -> _MS_PER_S _SWEEP_S -> _EXPIRY_INTERVAL_S _forgotten -> _last_dropped_deletion _guard -> _handle_with_faults guarded -> handler_with_faults is_change -> may_lose_answer one_lease -> lease_path over -> expired tied -> leased_keys wanted -> requested written -> temporary

--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -1,4 +1,4 @@
-"""Stand in for the platform's key-value service.
+"""Stand-in for the key-value store of the platform.
 
 Prints the bound address as its first line. Run it with
 `python stand_ins/store.py --port 0 [--snapshot FILE]`.
@@ -41,17 +41,17 @@
     from starlette.types import Send
 
 _MAX_VALUE_BYTES: Final = 1_000_000
-_SWEEP_S: Final = 0.05
-_KEEP_ALIVE_S: Final = 60
-_GRACE_S: Final = 0.2
-_MS: Final = 1000
-# Deletions are remembered up to this number; a watch from before the oldest
-# one is answered at once.
+_EXPIRY_INTERVAL_S: Final = 0.05
+_KEEP_ALIVE_TIMEOUT_S: Final = 60
+_GRACEFUL_TIMEOUT_S: Final = 0.2
+_MS_PER_S: Final = 1000
+# Number of deletions kept; a watch that starts before the oldest of them is
+# answered at once.
 _MAX_DELETIONS: Final = 10_000
 
 
 class Held(NamedTuple):
-    """Hold a key's version, value and lease."""
+    """The version, value and lease of a key."""
 
     version: int
     value: str
@@ -59,22 +59,22 @@
 
 
 class Content:
-    """Hold keys under one version counter, and write them to a file."""
+    """Keys with a common version counter, saved to a file on each change."""
 
     def __init__(self, snapshot: Path | None) -> None:
-        """Load the file, if there is one."""
+        """Load the snapshot file, if there is one."""
         self.version = 0
         self.held: dict[str, Held] = {}
         self.leases: dict[str, tuple[float, float]] = {}
         self._deletions: dict[str, int] = {}
-        self._forgotten = 0
+        self._last_dropped_deletion = 0
         self._snapshot = snapshot
         self._changed = anyio.Event()
         if snapshot is not None and snapshot.exists():
             self._load(json.loads(snapshot.read_text()))
 
     def describe(self, key: str) -> dict[str, Any]:
-        """Return a key as the wire shows it."""
+        """Return a key in the format of the HTTP interface."""
         held = self.held.get(key)
         if held is None:
             return {'key': key, 'version': 0, 'value': None}
@@ -95,7 +95,7 @@
             self._deletions[key] = self.version
         if len(self._deletions) > _MAX_DELETIONS:
             oldest = next(iter(self._deletions))
-            self._forgotten = self._deletions.pop(oldest)
+            self._last_dropped_deletion = self._deletions.pop(oldest)
         self._publish()
         return self.version
 
@@ -114,22 +114,24 @@
         return ttl_s
 
     def revoke(self, lease: str) -> None:
-        """End a lease and delete its keys."""
+        """Revoke a lease and delete its keys."""
         self.leases.pop(lease, None)
-        tied = [key for key, held in self.held.items() if held.lease == lease]
-        for key in tied:
+        leased_keys = [
+            key for key, held in self.held.items() if held.lease == lease
+        ]
+        for key in leased_keys:
             self.delete(key)
 
     def expire(self) -> None:
-        """End the leases whose time has passed."""
+        """Revoke the leases that have expired."""
         now = anyio.current_time()
-        over = [name for name, (_, end) in self.leases.items() if end <= now]
-        for lease in over:
+        expired = [name for name, (_, end) in self.leases.items() if end <= now]
+        for lease in expired:
             self.revoke(lease)
 
     def has_changed(self, prefix: str, after: int) -> bool:
         """Return whether a key below a prefix changed after a version."""
-        if after < self._forgotten or after > self.version:
+        if after < self._last_dropped_deletion or after > self.version:
             return True
         versions = [
             held.version
@@ -152,20 +154,20 @@
         self._changed = anyio.Event()
         if self._snapshot is None:
             return
-        written = self._snapshot.with_suffix('.new')
+        temporary = self._snapshot.with_suffix('.new')
         document = {
             'version': self.version,
             'held': self.held,
             'leases': {name: ttl for name, (ttl, _) in self.leases.items()},
         }
-        written.write_text(json.dumps(document))
-        written.replace(self._snapshot)
+        temporary.write_text(json.dumps(document))
+        temporary.replace(self._snapshot)
 
     def _load(self, document: dict[str, Any]) -> None:
         self.version = document['version']
-        self._forgotten = self.version
+        self._last_dropped_deletion = self.version
         self.held = {key: Held(*held) for key, held in document['held'].items()}
-        # As after a change of leader, each lease gets its full time again.
+        # As after a change of the leader, each lease gets its full time to live.
         now = anyio.current_time()
         self.leases = {
             name: (ttl_s, now + ttl_s)
@@ -174,7 +176,7 @@
 
 
 class Faults:
-    """Hold the faults that tests have asked for."""
+    """The faults requested by tests."""
 
     def __init__(self) -> None:
         """Start without faults."""
@@ -182,16 +184,18 @@
         self.slow_ms = float(0)
         self.lose_answers = 0
 
-    def set_from(self, wanted: dict[str, Any]) -> None:
-        """Take over the faults named in a request."""
-        down_s = wanted.get('down_s')
+    def set_from(self, requested: dict[str, Any]) -> None:
+        """Update the faults named in a request."""
+        down_s = requested.get('down_s')
         if down_s is not None:
             self.down_until = anyio.current_time() + float(down_s)
-        self.slow_ms = float(wanted.get('slow_ms', self.slow_ms))
-        self.lose_answers = int(wanted.get('lose_answers', self.lose_answers))
+        self.slow_ms = float(requested.get('slow_ms', self.slow_ms))
+        self.lose_answers = int(
+            requested.get('lose_answers', self.lose_answers)
+        )
 
     def take_lost_answer(self) -> bool:
-        """Return whether the answer to the current write is to be lost."""
+        """Return whether to lose the answer to this write; count it down."""
         if self.lose_answers:
             self.lose_answers -= 1
             return True
@@ -199,7 +203,7 @@
 
 
 class LostAnswer(Response):
-    """Close the connection in the middle of the answer."""
+    """A response whose connection closes before the body."""
 
     async def __call__(
         self,
@@ -207,7 +211,7 @@
         receive: Receive,
         send: Send,
     ) -> None:
-        """Send the head of an answer and no body."""
+        """Send the head of a response without its body."""
         head = {
             'type': 'http.response.start',
             'status': int(HTTPStatus.OK),
@@ -217,7 +221,7 @@
 
 
 class StandInStore:
-    """Serve the content over HTTP."""
+    """HTTP interface of the store."""
 
     def __init__(self, snapshot: Path | None = None) -> None:
         """Start with the content of the snapshot, if there is one."""
@@ -226,16 +230,16 @@
         self.calls: Counter[str] = Counter()
 
     def application(self) -> Starlette:
-        """Return the routes."""
+        """Return the ASGI application."""
         key = '/v1/keys/{key:path}'
-        one_lease = '/v1/leases/{lease}'
+        lease_path = '/v1/leases/{lease}'
         routes = [
             self._route(key, 'GET', 'read', self._read),
             self._route(key, 'PUT', 'write', self._write),
             self._route(key, 'DELETE', 'write', self._delete),
             self._route('/v1/leases', 'POST', 'lease', self._grant),
-            self._route(f'{one_lease}/renew', 'POST', 'lease', self._renew),
-            self._route(one_lease, 'DELETE', 'lease', self._revoke),
+            self._route(f'{lease_path}/renew', 'POST', 'lease', self._renew),
+            self._route(lease_path, 'DELETE', 'lease', self._revoke),
             self._route('/v1/watch', 'GET', 'watch', self._watch),
             Route('/faults', self._set_faults, methods=['POST']),
             Route('/faults/calls', self._report_calls),
@@ -243,10 +247,10 @@
         return Starlette(routes=routes)
 
     async def sweep(self) -> None:
-        """Expire leases until cancelled."""
+        """Revoke expired leases until cancelled."""
         while True:
             self.content.expire()
-            await anyio.sleep(_SWEEP_S)
+            await anyio.sleep(_EXPIRY_INTERVAL_S)
 
     def _route(
         self,
@@ -255,10 +259,12 @@
         kind: str,
         handler: Callable[[Request], Awaitable[Response]],
     ) -> Route:
-        guarded = functools.partial(self._guard, kind, handler)
-        return Route(path, guarded, methods=[method])
+        handler_with_faults = functools.partial(
+            self._handle_with_faults, kind, handler
+        )
+        return Route(path, handler_with_faults, methods=[method])
 
-    async def _guard(
+    async def _handle_with_faults(
         self,
         kind: str,
         handler: Callable[[Request], Awaitable[Response]],
@@ -268,10 +274,10 @@
         self.content.expire()
         if anyio.current_time() < self.faults.down_until:
             return Response(status_code=HTTPStatus.SERVICE_UNAVAILABLE)
-        await anyio.sleep(self.faults.slow_ms / _MS)
+        await anyio.sleep(self.faults.slow_ms / _MS_PER_S)
         response = await handler(request)
-        is_change = kind in {'write', 'lease'}
-        if is_change and self.faults.take_lost_answer():
+        may_lose_answer = kind in {'write', 'lease'}
+        if may_lose_answer and self.faults.take_lost_answer():
             return LostAnswer()
         return response
 
@@ -352,8 +358,8 @@
     config = Config()
     # hypercorn closes the descriptor it is given.
     config.bind = [f'fd://{os.dup(listening.fileno())}']
-    config.keep_alive_timeout = _KEEP_ALIVE_S
-    config.graceful_timeout = _GRACE_S
+    config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT_S
+    config.graceful_timeout = _GRACEFUL_TIMEOUT_S
     config.loglevel = 'critical'
     async with trio.open_nursery() as nursery:
         nursery.start_soon(store.sweep)
