Reword the stand-in upstream

_GRACE_S -> _GRACEFUL_TIMEOUT_S _KEEP_ALIVE_S -> _KEEP_ALIVE_TIMEOUT_S _LONGEST_MS -> _MAX_RUN_MS _MS -> _MS_PER_S _SHORTEST_MS -> _MIN_RUN_MS _cancel_when_gone -> _cancel_on_disconnect _finish -> _make_response _free -> _free_slots _leave -> _exit_process _start -> _record_start _work -> _wait_run_time have -> available need -> required

--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -1,4 +1,4 @@
-"""Stand in for an upstream: the pane service or the rounds service.
+"""Stand-in for an upstream of the pane service or the rounds service.
 
 Prints the bound address as its first line. Run it with
 `python stand_ins/upstream.py --port 0 --service pane --slots 10`.
@@ -34,11 +34,11 @@
 
     from starlette.requests import Request
 
-_KEEP_ALIVE_S: Final = 60
-_GRACE_S: Final = 0.2
-_MS: Final = 1000
-_SHORTEST_MS: Final = 50
-_LONGEST_MS: Final = 300
+_KEEP_ALIVE_TIMEOUT_S: Final = 60
+_GRACEFUL_TIMEOUT_S: Final = 0.2
+_MS_PER_S: Final = 1000
+_MIN_RUN_MS: Final = 50
+_MAX_RUN_MS: Final = 300
 _SHEET_MM: Final = (3210, 2250)
 _PRICE_PER_M2: Final = 84.5
 _KM_PER_GRAVE: Final = 0.4
@@ -57,14 +57,17 @@
 
 def _quote_sheet(order: dict[str, Any]) -> dict[str, Any]:
     width, height = order.get('sheet', _SHEET_MM)
-    price = round(width * height / _MS**2 * _PRICE_PER_M2, 2)
+    price = round(width * height / _MS_PER_S**2 * _PRICE_PER_M2, 2)
     return {'currency': 'MYR', 'price': price}
 
 
 def _check_offcut(order: dict[str, Any]) -> dict[str, Any]:
     wanted = order.get('pane', [300, 200])
     offcut = order.get('offcut', [400, 400])
-    fits = all(need <= have for need, have in zip(wanted, offcut, strict=True))
+    fits = all(
+        required <= available
+        for required, available in zip(wanted, offcut, strict=True)
+    )
     return {'fits': fits}
 
 
@@ -104,7 +107,7 @@
 
 
 class Faults:
-    """Hold the faults that tests have asked for."""
+    """The faults requested by tests."""
 
     def __init__(self) -> None:
         """Start without faults."""
@@ -113,18 +116,18 @@
         self.slow_factor = float(1)
         self.exit_after_starts = 0
 
-    def set_from(self, wanted: dict[str, Any]) -> None:
-        """Take over the faults named in a request."""
-        self.fail_all = bool(wanted.get('fail_all', self.fail_all))
-        self.hang = bool(wanted.get('hang', self.hang))
-        self.slow_factor = float(wanted.get('slow_factor', self.slow_factor))
+    def set_from(self, requested: dict[str, Any]) -> None:
+        """Update the faults named in a request."""
+        self.fail_all = bool(requested.get('fail_all', self.fail_all))
+        self.hang = bool(requested.get('hang', self.hang))
+        self.slow_factor = float(requested.get('slow_factor', self.slow_factor))
         self.exit_after_starts = int(
-            wanted.get('exit_after_starts', self.exit_after_starts),
+            requested.get('exit_after_starts', self.exit_after_starts),
         )
 
 
 class StandInUpstream:
-    """Run tasks of one service and record each start."""
+    """An upstream that runs tasks of one service and records each start."""
 
     def __init__(
         self,
@@ -133,16 +136,16 @@
         seed: int = 0,
         leave: Callable[[int], object] = os._exit,
     ) -> None:
-        """Serve `slots` tasks at once; `leave` ends the process at once."""
+        """Run up to `slots` tasks at a time; `leave` exits the process."""
         self.faults = Faults()
         self.starts: list[str] = []
         self._operations = _SERVICES[service]
-        self._free = anyio.Semaphore(slots)
+        self._free_slots = anyio.Semaphore(slots)
         self._random = random.Random(seed)
-        self._leave = leave
+        self._exit_process = leave
 
     def application(self) -> Starlette:
-        """Return the routes."""
+        """Return the ASGI application."""
         return Starlette(
             routes=[
                 Route('/run/{operation}', self._run, methods=['POST']),
@@ -158,20 +161,20 @@
         order = _parse(await request.body())
         answer: Response = Response(status_code=HTTPStatus.BAD_REQUEST)
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_when_gone, request, group.cancel_scope)
-            async with self._free:
-                self._start(request.headers.get('idempotency-key', ''))
-                await self._work(order)
-                answer = self._finish(operation, order)
+            group.start_soon(_cancel_on_disconnect, request, group.cancel_scope)
+            async with self._free_slots:
+                self._record_start(request.headers.get('idempotency-key', ''))
+                await self._wait_run_time(order)
+                answer = self._make_response(operation, order)
             group.cancel_scope.cancel()
         return answer
 
-    async def _work(self, order: dict[str, Any]) -> None:
-        await anyio.sleep(self._run_ms(order) / _MS)
+    async def _wait_run_time(self, order: dict[str, Any]) -> None:
+        await anyio.sleep(self._run_ms(order) / _MS_PER_S)
         if self.faults.hang:
             await anyio.sleep_forever()
 
-    def _finish(
+    def _make_response(
         self,
         operation: Callable[[dict[str, Any]], dict[str, Any]],
         order: dict[str, Any],
@@ -180,13 +183,13 @@
             return Response(status_code=HTTPStatus.INTERNAL_SERVER_ERROR)
         return JSONResponse(operation(order))
 
-    def _start(self, key: str) -> None:
+    def _record_start(self, key: str) -> None:
         self.starts.append(key)
         if len(self.starts) == self.faults.exit_after_starts:
-            self._leave(1)
+            self._exit_process(1)
 
     def _run_ms(self, order: dict[str, Any]) -> float:
-        drawn = self._random.uniform(_SHORTEST_MS, _LONGEST_MS)
+        drawn = self._random.uniform(_MIN_RUN_MS, _MAX_RUN_MS)
         return float(order.get('run_ms', drawn)) * self.faults.slow_factor
 
     async def _report_starts(self, request: Request) -> Response:
@@ -205,12 +208,12 @@
     return order if isinstance(order, dict) else {}
 
 
-async def _cancel_when_gone(
+async def _cancel_on_disconnect(
     request: Request,
     scope: anyio.CancelScope,
 ) -> None:
-    # `Request.is_disconnected` never sees the message on trio: it receives in
-    # a cancelled scope, and trio's channels raise before they look.
+    # `Request.is_disconnected` never gets the message on trio: it receives
+    # in a cancelled scope, where the channels of trio raise at once.
     message = await request.receive()
     while message['type'] != 'http.disconnect':
         message = await request.receive()
@@ -226,8 +229,8 @@
     config = Config()
     # hypercorn closes the descriptor it is given.
     config.bind = [f'fd://{os.dup(listening.fileno())}']
-    config.keep_alive_timeout = _KEEP_ALIVE_S
-    config.graceful_timeout = _GRACE_S
+    config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT_S
+    config.graceful_timeout = _GRACEFUL_TIMEOUT_S
     config.loglevel = 'critical'
     await serve_hypercorn(
         upstream.application(),
