--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -67,7 +67,7 @@
         self.held: dict[str, Held] = {}
         self.leases: dict[str, tuple[float, float]] = {}
         self._deletions: dict[str, int] = {}
-        self._last_dropped_deletion = 0
+        self._history_start = 0
         self._snapshot = snapshot
         self._changed = anyio.Event()
         if snapshot is not None and snapshot.exists():
@@ -95,7 +95,7 @@
             self._deletions[key] = self.version
         if len(self._deletions) > _MAX_DELETIONS:
             oldest = next(iter(self._deletions))
-            self._last_dropped_deletion = self._deletions.pop(oldest)
+            self._history_start = self._deletions.pop(oldest)
         self._publish()
         return self.version
 
@@ -131,7 +131,7 @@
 
     def has_changed(self, prefix: str, after: int) -> bool:
         """Return whether a key below a prefix changed after a version."""
-        if after < self._last_dropped_deletion or after > self.version:
+        if after < self._history_start or after > self.version:
             return True
         versions = [
             held.version
@@ -165,9 +165,9 @@
 
     def _load(self, document: dict[str, Any]) -> None:
         self.version = document['version']
-        self._last_dropped_deletion = self.version
+        self._history_start = self.version
         self.held = {key: Held(*held) for key, held in document['held'].items()}
-        # As after a change of the leader, each lease gets its full time to live.
+        # As after a change of leader, each lease gets its full time to live.
         now = anyio.current_time()
         self.leases = {
             name: (ttl_s, now + ttl_s)
