--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -36,7 +36,8 @@
 
 _KEEP_ALIVE_TIMEOUT_S: Final = 60
 _GRACEFUL_TIMEOUT_S: Final = 0.2
-_MS_PER_S: Final = 1000
+# Milliseconds in a second and millimetres in a metre.
+_MILLI: Final = 1000
 _MIN_RUN_MS: Final = 50
 _MAX_RUN_MS: Final = 300
 _SHEET_MM: Final = (3210, 2250)
@@ -57,7 +58,7 @@
 
 def _quote_sheet(order: dict[str, Any]) -> dict[str, Any]:
     width, height = order.get('sheet', _SHEET_MM)
-    price = round(width * height / _MS_PER_S**2 * _PRICE_PER_M2, 2)
+    price = round(width * height / _MILLI**2 * _PRICE_PER_M2, 2)
     return {'currency': 'MYR', 'price': price}
 
 
@@ -170,7 +171,7 @@
         return answer
 
     async def _wait_run_time(self, order: dict[str, Any]) -> None:
-        await anyio.sleep(self._run_ms(order) / _MS_PER_S)
+        await anyio.sleep(self._run_ms(order) / _MILLI)
         if self.faults.hang:
             await anyio.sleep_forever()
 
