--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -57,7 +57,7 @@
         self.store_url = ''
 
     def start_store(self, port: int = 0) -> None:
-        """Start the store; its keys are kept over a restart."""
+        """Start the store; a restart keeps its keys and, if given, its port."""
         self._spawn(
             'store',
             [
