--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,3 +1,3 @@
-"""Measurements of savoryrudder."""
+"""Benchmarks of savoryrudder."""
 
 from __future__ import annotations
