--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Run all measurements."""
+"""Run all benchmarks except the replay of site days."""
 
 from __future__ import annotations
 
@@ -10,5 +10,5 @@
 from bench import recovery
 
 if __name__ == '__main__':
-    for measure in (policy, recovery, entry_cost, agent_cost, links, latency):
-        measure.main()
+    for benchmark in (policy, recovery, entry_cost, agent_cost, links, latency):
+        benchmark.main()
