Reword the benchmark of the agent reducer

_ROUNDS -> _SAMPLE_COUNT _SAMPLE -> _TASKS_PER_SAMPLE _agent -> _new_agent _steps -> _task_events micros -> cpu_us step -> event steps -> task_events used -> cpu_s

--- a/bench/agent_cost.py
+++ b/bench/agent_cost.py
@@ -19,8 +19,8 @@
 from savoryrudder.utils.identifiers import submission_id
 
 _RECORD_COUNTS: Final = (1_000, 10_000, 100_000)
-_SAMPLE: Final = 200
-_ROUNDS: Final = 5
+_TASKS_PER_SAMPLE: Final = 200
+_SAMPLE_COUNT: Final = 5
 _ENTRIES: Final = ('e1', 'e2', 'e3')
 _SLOTS: Final = 10
 _RESULT: Final = bytes(200)
@@ -29,37 +29,39 @@
 
 
 def main() -> None:
-    """Print one line for each number of records held."""
+    """Print one line for each number of records."""
     sys.stdout.write('records   us/task  bytes/record\n')
     for count in _RECORD_COUNTS:
-        micros = _measure_cpu(count)
+        cpu_us = _measure_cpu(count)
         memory = _measure_memory(count)
-        sys.stdout.write(f'{count:>7}  {micros:>8.1f}  {memory:>12.0f}\n')
+        sys.stdout.write(f'{count:>7}  {cpu_us:>8.1f}  {memory:>12.0f}\n')
 
 
 def _measure_cpu(count: int) -> float:
-    """Return microseconds per start, end and acknowledgement."""
-    state = _agent()
-    _run_tasks(state, 0, count - _ROUNDS * _SAMPLE)
+    """Return CPU microseconds per task: start, end and acknowledgement."""
+    state = _new_agent()
+    _run_tasks(state, 0, count - _SAMPLE_COUNT * _TASKS_PER_SAMPLE)
     fastest = min(
-        _run_tasks(state, first, first + _SAMPLE)
-        for first in range(count - _ROUNDS * _SAMPLE, count, _SAMPLE)
+        _run_tasks(state, first, first + _TASKS_PER_SAMPLE)
+        for first in range(
+            count - _SAMPLE_COUNT * _TASKS_PER_SAMPLE, count, _TASKS_PER_SAMPLE
+        )
     )
-    return fastest * _US_PER_S / _SAMPLE
+    return fastest * _US_PER_S / _TASKS_PER_SAMPLE
 
 
 def _measure_memory(count: int) -> float:
     """Return bytes per acknowledged record, without its result."""
-    state = _agent()
+    state = _new_agent()
     tracemalloc.start()
     _run_tasks(state, 0, count)
-    used, _ = tracemalloc.get_traced_memory()
+    used_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return (used - state.records.result_bytes) / count
+    return (used_bytes - state.records.result_bytes) / count
 
 
-def _agent() -> AgentState:
-    """Return an agent with sessions to all entries."""
+def _new_agent() -> AgentState:
+    """Return the state of an agent that is linked to all entries."""
     identity = Identity('a1', 'i1', 'pane', 'z1', _SLOTS, 512, ('cut',))
     limits = Limits(max_records=2 * _RECORD_COUNTS[-1])
     state = new_state(identity, limits)
@@ -72,20 +74,24 @@
 
 def _run_tasks(state: AgentState, first: int, last: int) -> float:
     """Start, end and acknowledge tasks; return the CPU seconds used."""
-    used = float()
+    cpu_s = float()
     for number in range(first, last):
         submission = submission_id('bench', str(number))
         # The events are built before the clock starts, as the codec builds
         # them in the daemon.
-        steps = _steps(submission, _RESULT + number.to_bytes(4, 'big'))
+        task_events = _task_events(
+            submission, _RESULT + number.to_bytes(4, 'big')
+        )
         began = time.process_time()
-        for step in steps:
-            reduce(state, step)
-        used += time.process_time() - began
-    return used
+        for event in task_events:
+            reduce(state, event)
+        cpu_s += time.process_time() - began
+    return cpu_s
 
 
-def _steps(submission: bytes, content: bytes) -> tuple[events.AgentEvent, ...]:
+def _task_events(
+    submission: bytes, content: bytes
+) -> tuple[events.AgentEvent, ...]:
     key = (submission, 0)
     start = messages.Start(
         submission,
