--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -1,4 +1,4 @@
-"""Compute the response times of simple placements and of the ideal one."""
+"""Compute the response times of simple and of ideal placements."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class PushedQueues:
-    """Model one FIFO queue for each agent."""
+    """One FIFO queue for each agent, filled as soon as a task arrives."""
 
     def __init__(self, seed: int) -> None:
         """Create empty queues."""
@@ -37,7 +37,7 @@
         self._reported = (-1, [0 for _ in range(AGENTS)])
 
     def push(self, agent: int, now: float, service_s: float) -> float:
-        """Queue a task at an agent and return when it ends."""
+        """Queue a task at an agent and return the time of its end."""
         end = max(now, self._free[agent][0]) + service_s
         heapq.heapreplace(self._free[agent], end)
         ends = self._ends[agent]
@@ -45,7 +45,7 @@
         return end
 
     def loads(self, now: float) -> list[int]:
-        """Return the tasks at each agent as last reported."""
+        """Return the last reported number of tasks at each agent."""
         interval = int(now / REPORT_INTERVAL_S)
         if interval > self._reported[0]:
             self._ends = [
@@ -76,12 +76,12 @@
 
 
 def run_pushed(jobs: Iterable[BenchJob], chooser: Chooser) -> dict[str, float]:
-    """Return the response time of each job when tasks are pushed at once."""
+    """Return the response time of each job if its tasks are pushed."""
     queues = PushedQueues(1)
     return {
         job.key: max(
-            queues.push(chooser(queues, job.arrival), job.arrival, each[1])
-            for each in job.tasks
+            queues.push(chooser(queues, job.arrival), job.arrival, task[1])
+            for task in job.tasks
         )
         - job.arrival
         + _NETWORK_S
@@ -90,45 +90,45 @@
 
 
 def run_fifo(jobs: Iterable[BenchJob]) -> dict[str, float]:
-    """Return the response times with one FIFO queue."""
+    """Return the response times with one common FIFO queue."""
     free = idle_slots(AGENTS * SLOTS)
     times = {}
     for job in jobs:
-        last = job.arrival
+        last_end = job.arrival
         for task in job.tasks:
             end = max(job.arrival, free[0]) + task.service_s
             heapq.heapreplace(free, end)
-            last = max(last, end)
-        times[job.key] = last - job.arrival + _NETWORK_S
+            last_end = max(last_end, end)
+        times[job.key] = last_end - job.arrival + _NETWORK_S
     return times
 
 
 def run_omniscient(jobs: list[BenchJob]) -> dict[str, float]:
     """Return the response times of the omniscient central scheduler.
 
-    One queue without a network, ordered by band, then deadline, then the
-    longest task first.
+    It has one queue and no network delay; tasks are ordered by band, deadline
+    and falling duration.
     """
     ends: list[tuple[float, BenchJob]] = []
     queue: list[tuple[int, float, float, int, BenchJob]] = []
     order = itertools.count()
-    last: dict[str, float] = {}
+    last_end: dict[str, float] = {}
     arrivals = iter(sorted(jobs))
-    coming = next(arrivals, None)
+    next_job = next(arrivals, None)
     now: float = 0
-    while coming or ends or queue:
+    while next_job or ends or queue:
         if queue and len(ends) < AGENTS * SLOTS:
             job = heapq.heappop(queue)
             end = now - job[2]
-            last[job[4].key] = max(end, last.get(job[4].key, 0))
+            last_end[job[4].key] = max(end, last_end.get(job[4].key, 0))
             heapq.heappush(ends, (end, job[4]))
-        elif coming and (not ends or coming.arrival <= ends[0][0]):
-            now = coming.arrival
-            _enqueue(queue, coming, order)
-            coming = next(arrivals, None)
+        elif next_job and (not ends or next_job.arrival <= ends[0][0]):
+            now = next_job.arrival
+            _enqueue(queue, next_job, order)
+            next_job = next(arrivals, None)
         else:
             now = heapq.heappop(ends)[0]
-    return {job.key: last[job.key] - job.arrival for job in jobs}
+    return {job.key: last_end[job.key] - job.arrival for job in jobs}
 
 
 def _enqueue(
