Reword the benchmark of an entry

_FLEETS -> _AGENT_COUNTS _MICRO -> _US_PER_S _PEERS -> _PEER_COUNTS _WALL -> _WALL_CLOCK _answers -> _agent_answers _boot -> _start_entry _extra -> _overhead_bytes _row -> _print_row _size -> _frame_bytes began -> started_at content -> content_bytes produced -> produced_effects spent -> cpu_s

--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -1,7 +1,7 @@
-"""Measure CPU, memory and bytes of an entry at growing sizes.
+"""Measure CPU time, memory and message sizes of an entry.
 
-Run with `python -m bench.entry_cost`. Times are for the reducer alone, without
-sockets; `bench.links` and `bench.latency` measure those.
+Run with `python -m bench.entry_cost`. The times are those of the reducer,
+without sockets, which `bench.links` and `bench.latency` include.
 """
 
 from __future__ import annotations
@@ -34,16 +34,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-_FLEETS: Final = (10, 100, 1000, 6300)
+_AGENT_COUNTS: Final = (10, 100, 1000, 6300)
 _JOB_SIZES: Final = (1, 10, 170)
-_PEERS: Final = (2, 20, 100)
+_PEER_COUNTS: Final = (2, 20, 100)
 _TASKS: Final = 3400
 _TICKS: Final = 100
-_MICRO: Final = 1_000_000
+_US_PER_S: Final = 1_000_000
 _SLOTS: Final = 10
-# Below the client's rate, so that no job is refused.
+# Below the rate limit of the client, so that no job is refused.
 _RATE: Final = 100_000
-_WALL: Final = 1_800_000_000.0
+_WALL_CLOCK: Final = 1_800_000_000.0
 _NAME: Final = 'e1#a'
 _RESULT: Final = bytes(200)
 _PAYLOAD: Final = bytes(200)
@@ -65,14 +65,14 @@
 
 
 class Sizes(NamedTuple):
-    """Set how many agents and peers an entry has."""
+    """The number of agents and peers of an entry."""
 
     agents: int
     peers: int = 0
 
 
 class Bench:
-    """Drive one entry whose agents answer at once."""
+    """An entry whose agents answer without delay."""
 
     def __init__(self, sizes: Sizes) -> None:
         """Start an entry that owns all partitions."""
@@ -85,11 +85,11 @@
             EntryIdentity(_NAME, 'a', 'h', 'zone', 600, 2),
             random.Random(1),
         )
-        self._boot(sizes)
+        self._start_entry(sizes)
 
     def run_jobs(self, size: int, tasks: int) -> float:
-        """Submit and finish jobs; return CPU seconds of the reducer."""
-        spent = float(0)
+        """Submit and finish jobs; return the CPU seconds of the reducer."""
+        cpu_s = float(0)
         self._expected += tasks // size * size
         for _ in range(tasks // size):
             self._jobs += 1
@@ -104,38 +104,38 @@
                 b'digest',
                 '',
             )
-            spent += self._reduce(
-                events.JobSubmitted(self.now, _WALL, self._jobs, job, 10),
+            cpu_s += self._reduce(
+                events.JobSubmitted(self.now, _WALL_CLOCK, self._jobs, job, 10),
             )
         if self.started < self._expected:
             raise RuntimeError('some jobs were refused')
-        return spent
+        return cpu_s
 
     def run_ticks(self) -> float:
-        """Return CPU seconds of one tick."""
-        began = time.process_time()
+        """Return the CPU seconds of one tick."""
+        started_at = time.process_time()
         for _ in range(_TICKS):
             self.now += 0.05
             self.state.store.lease_deadline = self.now + 6
-            reduce(self.state, events.Tick(self.now, _WALL))
-        return (time.process_time() - began) / _TICKS
+            reduce(self.state, events.Tick(self.now, _WALL_CLOCK))
+        return (time.process_time() - started_at) / _TICKS
 
     def _reduce(self, event: events.EntryEvent) -> float:
-        """Reduce an event and the agents' answers to what it started."""
+        """Reduce an event and the answers of the agents to its effects."""
         queue = [event]
-        spent = float(0)
+        cpu_s = float(0)
         while queue:
-            began = time.perf_counter()
-            produced = reduce(self.state, queue.pop())
-            spent += time.perf_counter() - began
-            queue.extend(self._answers(produced))
-        return spent
+            started_at = time.perf_counter()
+            produced_effects = reduce(self.state, queue.pop())
+            cpu_s += time.perf_counter() - started_at
+            queue.extend(self._agent_answers(produced_effects))
+        return cpu_s
 
-    def _answers(
+    def _agent_answers(
         self,
-        produced: Iterable[entry_effects.EntryEffect],
+        produced_effects: Iterable[entry_effects.EntryEffect],
     ) -> Iterable[events.EntryEvent]:
-        for effect in produced:
+        for effect in produced_effects:
             if not isinstance(effect, effects.Send):
                 continue
             self.sent += 1
@@ -161,8 +161,8 @@
                     messages.Records(message.request, (), ()),
                 )
 
-    def _boot(self, sizes: Sizes) -> None:
-        reduce(self.state, events.Tick(self.now, _WALL))
+    def _start_entry(self, sizes: Sizes) -> None:
+        reduce(self.state, events.Tick(self.now, _WALL_CLOCK))
         config = documents.encode(
             {'text': _CONFIG, 'author': '', 'applied_at': '', 'token': ''},
         )
@@ -194,17 +194,17 @@
                 outcome = interface.LeaseHeld('lease', 1e9)
             reduce(
                 self.state,
-                events.StoreAnswered(self.now, _WALL, call, outcome),
+                events.StoreAnswered(self.now, _WALL_CLOCK, call, outcome),
             )
         for name in entries[1:]:
             self._reduce(self._message(name, messages.PeerHello(name, 'a')))
         for number in range(sizes.agents):
             self._link_agent(f'agent-{number}')
         for name in entries[1:]:
-            held = messages.RosterHeld(self.state.roster_sequence)
-            self._reduce(self._message(name, held))
+            confirmation = messages.RosterHeld(self.state.roster_sequence)
+            self._reduce(self._message(name, confirmation))
         self.now += 1
-        reduce(self.state, events.Tick(self.now, _WALL))
+        reduce(self.state, events.Tick(self.now, _WALL_CLOCK))
 
     def _link_agent(self, name: str) -> None:
         hello = messages.Hello(
@@ -227,7 +227,7 @@
     ) -> events.MessageReceived:
         return events.MessageReceived(
             self.now,
-            _WALL,
+            _WALL_CLOCK,
             peer,
             's1',
             1,
@@ -243,35 +243,37 @@
 
 
 def _print_cpu() -> None:
-    _row('agents', 'tasks a job', 'us a task')
-    for agents in _FLEETS:
+    _print_row('agents', 'tasks a job', 'us a task')
+    for agents in _AGENT_COUNTS:
         bench = Bench(Sizes(agents))
         for size in _JOB_SIZES:
             bench.run_jobs(size, _TASKS)
-            spent = min(bench.run_jobs(size, _TASKS) for _ in range(3))
-            _row(agents, size, spent / (_TASKS // size * size) * _MICRO)
-    _row()
-    _row('agents', 'peers', 'us a tick', 'percent of a core')
-    for agents in _FLEETS:
+            cpu_s = min(bench.run_jobs(size, _TASKS) for _ in range(3))
+            _print_row(
+                agents, size, cpu_s / (_TASKS // size * size) * _US_PER_S
+            )
+    _print_row()
+    _print_row('agents', 'peers', 'us a tick', 'percent of a core')
+    for agents in _AGENT_COUNTS:
         _print_tick(Sizes(agents))
-    for peers in _PEERS:
-        _print_tick(Sizes(_FLEETS[0], peers))
+    for peers in _PEER_COUNTS:
+        _print_tick(Sizes(_AGENT_COUNTS[0], peers))
 
 
 def _print_tick(sizes: Sizes) -> None:
-    spent = Bench(sizes).run_ticks()
-    _row(sizes.agents, sizes.peers, spent * _MICRO, spent * 20 * 100)
+    cpu_s = Bench(sizes).run_ticks()
+    _print_row(sizes.agents, sizes.peers, cpu_s * _US_PER_S, cpu_s * 20 * 100)
 
 
 def _print_memory() -> None:
-    _row()
-    _row('what', 'number', 'bytes each')
-    for agents in _FLEETS:
+    _print_row()
+    _print_row('what', 'number', 'bytes each')
+    for agents in _AGENT_COUNTS:
         tracemalloc.start()
         bench = Bench(Sizes(agents))
-        _row('agent', agents, tracemalloc.get_traced_memory()[0] / agents)
+        _print_row('agent', agents, tracemalloc.get_traced_memory()[0] / agents)
         tracemalloc.stop()
-        if agents == _FLEETS[1]:
+        if agents == _AGENT_COUNTS[1]:
             for size in _JOB_SIZES:
                 _print_job_memory(bench, size)
 
@@ -282,7 +284,7 @@
         bench.run_jobs(size, jobs * size)
         used = tracemalloc.get_traced_memory()[0]
         tracemalloc.stop()
-        _row(f'answered job of {size}', jobs, used / jobs)
+        _print_row(f'answered job of {size}', jobs, used / jobs)
 
 
 def _print_bytes() -> None:
@@ -310,33 +312,40 @@
         messages.RosterAgent(f'pane-{number}', 'abcdef12', 'pane', 0)
         for number in range(100)
     )
-    _row()
-    _row('message', 'bytes beyond payload and result')
-    _row('frame with a heartbeat', _size(messages.Heartbeat()))
-    _row('start', _extra(start, len(_PAYLOAD)))
-    _row('finished', _extra(messages.Finished(record, 1), len(_RESULT)))
+    _print_row()
+    _print_row('message', 'bytes beyond payload and result')
+    _print_row('frame with a heartbeat', _frame_bytes(messages.Heartbeat()))
+    _print_row('start', _overhead_bytes(start, len(_PAYLOAD)))
+    _print_row(
+        'finished', _overhead_bytes(messages.Finished(record, 1), len(_RESULT))
+    )
     keys = tuple((bytes(16), number) for number in range(100))
-    _row('acknowledged task', _extra(messages.Acknowledge(keys), 0) / 100)
-    _row('roster agent', _extra(messages.Roster(1, 0, agents), 0) / 100)
+    _print_row(
+        'acknowledged task',
+        _overhead_bytes(messages.Acknowledge(keys), 0) / 100,
+    )
+    _print_row(
+        'roster agent', _overhead_bytes(messages.Roster(1, 0, agents), 0) / 100
+    )
     owners = {
         number: PartitionOwner('entry-12#abcdef12', 9, 'entry-13#abcdef12')
         for number in range(PARTITION_COUNT)
     }
     size = len(documents.encode_owners(owners))
-    _row('partition in the map', size / PARTITION_COUNT)
-    _row('grant', _extra(messages.Grant(1), 0))
-    _row('job as MessagePack', len(msgspec.msgpack.encode(start)))
+    _print_row('partition in the map', size / PARTITION_COUNT)
+    _print_row('grant', _overhead_bytes(messages.Grant(1), 0))
+    _print_row('job as MessagePack', len(msgspec.msgpack.encode(start)))
 
 
-def _size(*sent: messages.Message) -> int:
+def _frame_bytes(*sent: messages.Message) -> int:
     return len(encode_frame(Frame('0123456789abcdef', 1000, 1000, sent)))
 
 
-def _extra(message: messages.Message, content: int) -> int:
-    return _size(message) - _size() - content
+def _overhead_bytes(message: messages.Message, content_bytes: int) -> int:
+    return _frame_bytes(message) - _frame_bytes() - content_bytes
 
 
-def _row(*cells: object) -> None:
+def _print_row(*cells: object) -> None:
     texts = [
         f'{cell:.2f}' if isinstance(cell, float) else str(cell)
         for cell in cells
