--- a/bench/links.py
+++ b/bench/links.py
@@ -1,4 +1,4 @@
-"""Measure the CPU time that links take.
+"""Measure the CPU time of links.
 
 Run it with `python -m bench.links`. Both ends of each link run in this
 process, and the time includes the threads of NNG.
@@ -22,23 +22,23 @@
 from savoryrudder.protocol import codec
 from savoryrudder.protocol import messages
 
-_US: Final = 1_000_000
+_US_PER_S: Final = 1_000_000
 _PAYLOAD_BYTES: Final = 200
 _SUBMISSION: Final = b'x' * 16
 
 
 class Tally:
-    """Count what arrives on links."""
+    """Counts links and the messages received on them."""
 
     def __init__(self) -> None:
         """Start at zero."""
         self.links = 0
         self.messages = 0
-        self._wanted = 0
-        self._arrived = anyio.Event()
+        self._expected = 0
+        self._has_arrived = anyio.Event()
 
     def on_up(self, peer: str, session: str) -> None:
-        """Count a link."""
+        """Count an opened link."""
         self.links += 1
 
     def on_frame(
@@ -51,23 +51,23 @@
         """Count messages other than heartbeats."""
         if isinstance(received[0], messages.Start):
             self.messages += len(received)
-        if self.messages >= self._wanted:
-            self._arrived.set()
+        if self.messages >= self._expected:
+            self._has_arrived.set()
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """Count a link less."""
+        """Subtract a closed link."""
         self.links -= 1
 
-    async def wait_messages(self, wanted: int) -> None:
+    async def wait_messages(self, expected: int) -> None:
         """Wait until this many messages have arrived."""
-        self._wanted = wanted
-        self._arrived = anyio.Event()
-        if self.messages < wanted:
-            await self._arrived.wait()
+        self._expected = expected
+        self._has_arrived = anyio.Event()
+        if self.messages < expected:
+            await self._has_arrived.wait()
 
 
 class Cost(NamedTuple):
-    """Hold CPU microseconds for both ends of a link together."""
+    """CPU microseconds, summed over both ends of a link."""
 
     frames: int
     frame_us: float
@@ -99,7 +99,7 @@
         dialler = LinkDialler(address, request, Tally(), _no_revision)
         group.start_soon(dialler.run)
         diallers.append(dialler)
-    while tally.links < count or not all(one.peer for one in diallers):
+    while tally.links < count or not all(linked.peer for linked in diallers):
         await anyio.sleep(0.01)
     return diallers
 
@@ -121,22 +121,22 @@
     tally = Tally()
     async with anyio.create_task_group() as group:
         diallers = await _open_links(group, tally, 1)
-        started = time.process_time()
+        started_at = time.process_time()
         await _send_frames(diallers[0], tally, frames, size)
-        used_us = (time.process_time() - started) * _US
+        cpu_us = (time.process_time() - started_at) * _US_PER_S
         group.cancel_scope.cancel()
-    return Cost(frames, used_us / frames, used_us / frames / size)
+    return Cost(frames, cpu_us / frames, cpu_us / frames / size)
 
 
 async def _measure_idle(links: int, seconds: float) -> float:
     tally = Tally()
     async with anyio.create_task_group() as group:
         await _open_links(group, tally, links)
-        started = time.process_time()
+        started_at = time.process_time()
         await anyio.sleep(seconds)
-        used_us = (time.process_time() - started) * _US
+        cpu_us = (time.process_time() - started_at) * _US_PER_S
         group.cancel_scope.cancel()
-    return used_us / links / seconds
+    return cpu_us / links / seconds
 
 
 def main(
