Reword the benchmark of the policy

_rest_rows -> _background_rows _timed_round -> _measure_round _times -> _response_times before -> p99_without busy -> agents calm -> unloaded due -> expected inside -> overlap others -> baseline_times rest -> usual_jobs

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -36,7 +36,7 @@
 OVERLOAD_END_S: Final = 35
 SETTLE_S: Final = 40
 EQUAL_DEADLINE_S: Final = 30
-# Counted part of an overload, after the queues have filled.
+# The measured part of an overload, after the queues have filled.
 WINDOW: Final = (START_S + 3, OVERLOAD_END_S)
 PANE_LATENCY_S: Final = LATENCY_S['pane']
 SLOW, FAILING = 0, 1
@@ -47,7 +47,7 @@
 
 
 class Row(NamedTuple):
-    """Hold one line of the table; without a bound it is information."""
+    """A line of the table; without a bound it is only informative."""
 
     quantity: str
     figure: float
@@ -71,7 +71,7 @@
 
 
 def quantile(samples: Iterable[float], fraction: float) -> float:
-    """Return a quantile by nearest rank; NaN without samples."""
+    """Return a quantile by the nearest rank, or NaN without samples."""
     ordered = sorted(samples)
     if not ordered:
         return float('nan')
@@ -110,7 +110,7 @@
     small: bool = True,
     latency_s: float = PANE_LATENCY_S,
 ) -> list[float]:
-    """Return response time over ideal of the small or the large jobs."""
+    """Return response time / ideal time of the small or the large jobs."""
     network_s = 2 * (CLIENT_LATENCY_S + latency_s)
     return [
         times[job.key] / (job.alone_s + network_s)
@@ -119,25 +119,27 @@
     ]
 
 
-def _times(jobs: list[BenchJob], figures: Figures) -> dict[str, float]:
-    return {job.key: took for job, took in completed(jobs, figures)}
+def _response_times(jobs: list[BenchJob], figures: Figures) -> dict[str, float]:
+    return {job.key: response_s for job, response_s in completed(jobs, figures)}
 
 
 def steady() -> list[Row]:
     """Measure the response time at 80 % load."""
     jobs = generate(11, Stream(0.8, client_names()), START_S, END_S)
-    others = {
+    baseline_times = {
         name: baselines.run_pushed(jobs, chooser)
         for name, chooser in baselines.PUSHED.items()
     }
-    others['one FIFO queue'] = baselines.run_fifo(jobs)
-    others['omniscient'] = baselines.run_omniscient(jobs)
+    baseline_times['one FIFO queue'] = baselines.run_fifo(jobs)
+    baseline_times['omniscient'] = baselines.run_omniscient(jobs)
     return [
         *chain.from_iterable(
-            _baseline_rows(name, jobs, times) for name, times in others.items()
+            _baseline_rows(name, jobs, times)
+            for name, times in baseline_times.items()
         ),
         *chain.from_iterable(
-            _deployment_rows(jobs, others, *setting) for setting in SETTINGS
+            _deployment_rows(jobs, baseline_times, *setting)
+            for setting in SETTINGS
         ),
     ]
 
@@ -159,7 +161,7 @@
 
 def _deployment_rows(
     jobs: list[BenchJob],
-    others: dict[str, dict[str, float]],
+    baseline_times: dict[str, dict[str, float]],
     entries: int,
     deployment: str,
 ) -> list[Row]:
@@ -169,10 +171,12 @@
         entries=entries,
         latency_s=LATENCY_S[deployment],
     )
-    times = _times(jobs, figures)
+    times = _response_times(jobs, figures)
     label = f'{deployment}, {entries} entries'
     return [
-        *_steady_rows(label, jobs, times, others, LATENCY_S[deployment]),
+        *_steady_rows(
+            label, jobs, times, baseline_times, LATENCY_S[deployment]
+        ),
         *_message_rows(label, figures, len(jobs) - len(times)),
     ]
 
@@ -181,21 +185,21 @@
     label: str,
     jobs: list[BenchJob],
     times: dict[str, float],
-    others: dict[str, dict[str, float]],
+    baseline_times: dict[str, dict[str, float]],
     latency_s: float,
 ) -> list[Row]:
-    found = ratios(jobs, times, latency_s=latency_s)
+    small = ratios(jobs, times, latency_s=latency_s)
     large = ratios(jobs, times, small=False)
-    best = ratios(jobs, others['omniscient'], small=False)
-    random_p99 = quantile(ratios(jobs, others['random']), 0.99)
-    p99 = quantile(found, 0.99)
+    omniscient = ratios(jobs, baseline_times['omniscient'], small=False)
+    random_p99 = quantile(ratios(jobs, baseline_times['random']), 0.99)
+    p99 = quantile(small, 0.99)
     rows = [
-        Row(f'{label}: small jobs p50 / ideal', quantile(found, 0.5), 1.1),
+        Row(f'{label}: small jobs p50 / ideal', quantile(small, 0.5), 1.1),
         Row(f'{label}: small jobs p99 / ideal', p99, 2),
         Row(f'{label}: small jobs p99 / random p99', p99 / random_p99, 0.5),
     ]
     for name, fraction in (('p50', 0.5), ('p99', 0.99)):
-        figure = quantile(large, fraction) / quantile(best, fraction)
+        figure = quantile(large, fraction) / quantile(omniscient, fraction)
         rows.append(
             Row(f'{label}: large jobs {name} / omniscient', figure, 1.1)
         )
@@ -220,19 +224,19 @@
         FAILING: Behaviour(failing=True),
     }
     figures = simulate(jobs, END_S, behaviours=behaviours)
-    done = _times(jobs, figures)
-    found = ratios(jobs, done)
-    first = [start for start in figures.starts if start[1] == FAILING]
-    later = {start[2] for start in first[FIRST_STARTS:]}
+    times = _response_times(jobs, figures)
+    small = ratios(jobs, times)
+    failing_starts = [start for start in figures.starts if start[1] == FAILING]
+    affected_jobs = {start[2] for start in failing_starts[FIRST_STARTS:]}
     return [
-        Row(f'degraded, {label}: small p99', quantile(found, 0.99), 2.5),
+        Row(f'degraded, {label}: small p99', quantile(small, 0.99), 2.5),
         Row(
             f'degraded, {label}: jobs affected after 20 starts',
-            len(later) / len(jobs),
+            len(affected_jobs) / len(jobs),
             0.01,
         ),
-        Row(f'  degraded, {label}: small p50', quantile(found, 0.5)),
-        Row(f'  degraded, {label}: jobs not completed', len(jobs) - len(done)),
+        Row(f'  degraded, {label}: small p50', quantile(small, 0.5)),
+        Row(f'  degraded, {label}: jobs not completed', len(jobs) - len(times)),
     ]
 
 
@@ -243,9 +247,9 @@
     figures = simulate(jobs, START_S + 30, entries=entries)
     frames = sum(figures.frames.values()) / len(figures.starts)
     label = f'{tasks}-task jobs, {entries} entries'
-    times = _times(jobs, figures)
-    best = baselines.run_omniscient(jobs)
-    p99 = quantile(times.values(), 0.99) / quantile(best.values(), 0.99)
+    times = _response_times(jobs, figures)
+    omniscient = baselines.run_omniscient(jobs)
+    p99 = quantile(times.values(), 0.99) / quantile(omniscient.values(), 0.99)
     return [
         Row(f'{label}: messages per start', frames, bound),
         Row(f'  {label}: p99 / omniscient', p99),
@@ -257,73 +261,75 @@
 
 
 def equal_deadlines() -> list[Row]:
-    """Measure without deadlines that tell small jobs from large ones."""
+    """Measure with equal deadlines of small and large jobs."""
     jobs = [
         job._replace(deadline_s=EQUAL_DEADLINE_S)
         for job in generate(11, Stream(0.8, client_names()), START_S, END_S)
     ]
     figures = simulate(jobs, END_S)
-    found = ratios(jobs, _times(jobs, figures))
+    small = ratios(jobs, _response_times(jobs, figures))
     return [
         Row(
-            'equal deadlines: small jobs p50 / ideal', quantile(found, 0.5), 1.1
+            'equal deadlines: small jobs p50 / ideal', quantile(small, 0.5), 1.1
         ),
         Row(
-            'equal deadlines: small jobs p99 / ideal', quantile(found, 0.99), 2
+            'equal deadlines: small jobs p99 / ideal', quantile(small, 0.99), 2
         ),
     ]
 
 
 def overload(kind: str) -> list[Row]:
-    """Measure an overload by the least or the most urgent work."""
+    """Measure an overload by the least or the most urgent jobs."""
     stream = Stream(0.5, client_names(), (0.1, 0.4, 0.5, 0))
-    rest = generate(14, stream, START_S, OVERLOAD_END_S)
+    usual_jobs = generate(14, stream, START_S, OVERLOAD_END_S)
     bands = (0, 0, 0, 1) if kind == 'background' else (1, 0, 0, 0)
     flood = Stream(10, ('flood',), bands)
-    jobs = sorted(rest + generate(15, flood, START_S, OVERLOAD_END_S))
+    jobs = sorted(usual_jobs + generate(15, flood, START_S, OVERLOAD_END_S))
     figures = simulate(jobs, OVERLOAD_END_S)
     rows = _overload_rows(kind, jobs, figures)
     rows += _refusal_rows(kind, jobs, figures)
     if kind == 'background':
-        return _rest_rows(kind, rest, figures) + rows
-    urgent = [job for job in rest if job.urgency in {'critical', 'urgent'}]
-    goodput = len(_times(urgent, figures)) / len(urgent)
+        return _background_rows(kind, usual_jobs, figures) + rows
+    urgent = [
+        job for job in usual_jobs if job.urgency in {'critical', 'urgent'}
+    ]
+    goodput = len(_response_times(urgent, figures)) / len(urgent)
     return [
         Row(f"{kind}: others' urgent goodput", goodput, 0.95, at_least=True),
-        *_share_rows(kind, rest, figures),
+        *_share_rows(kind, usual_jobs, figures),
         *rows,
     ]
 
 
-def _rest_rows(
+def _background_rows(
     kind: str,
-    rest: list[BenchJob],
+    usual_jobs: list[BenchJob],
     figures: Figures,
 ) -> list[Row]:
-    calm = _times(rest, simulate(rest, OVERLOAD_END_S))
-    done = _times(rest, figures)
-    goodput = len(done) / len(rest)
-    before = quantile(calm.values(), 0.99)
-    p99 = quantile(done.values(), 0.99)
+    unloaded = _response_times(usual_jobs, simulate(usual_jobs, OVERLOAD_END_S))
+    times = _response_times(usual_jobs, figures)
+    goodput = len(times) / len(usual_jobs)
+    p99_without = quantile(unloaded.values(), 0.99)
+    p99 = quantile(times.values(), 0.99)
     return [
         Row(f'{kind}: goodput of the rest', goodput, 0.98, at_least=True),
-        Row(f'{kind}: p99 of the rest / without', p99 / before, 1.25),
+        Row(f'{kind}: p99 of the rest / without', p99 / p99_without, 1.25),
     ]
 
 
 def _share_rows(
     kind: str,
-    rest: list[BenchJob],
+    usual_jobs: list[BenchJob],
     figures: Figures,
 ) -> list[Row]:
-    """Compare each band's starts with its share or its lesser demand."""
+    """Compare the started work of each band with min(demand, share)."""
     shares = {'urgent': 0.3, 'normal': 0.2}
     capacity = AGENTS * SLOTS * (WINDOW[1] - WINDOW[0])
     rows = []
     for band, share in shares.items():
         offered = sum(
             job.work_s
-            for job in rest
+            for job in usual_jobs
             if job.urgency == band and WINDOW[0] <= job.arrival < WINDOW[1]
         )
         started = sum(
@@ -331,11 +337,11 @@
             for start in figures.starts
             if start[3] == band and WINDOW[0] <= start[0] < WINDOW[1]
         )
-        due = min(offered, share * capacity)
+        expected = min(offered, share * capacity)
         rows.append(
             Row(
                 f'{kind}: {band} started / min(demand, share)',
-                started / due,
+                started / expected,
                 0.95,
                 at_least=True,
             ),
@@ -348,12 +354,14 @@
     jobs: list[BenchJob],
     figures: Figures,
 ) -> list[Row]:
-    done = {job.key for job, took in completed(jobs, figures)}
+    completed_keys = {job.key for job, _ in completed(jobs, figures)}
     useful: float = 0
-    for at, _, key, _, service_s in figures.starts:
-        if key in done:
-            inside = min(at + service_s, WINDOW[1]) - max(at, WINDOW[0])
-            useful += max(0, inside)
+    for started_at, _, key, _, service_s in figures.starts:
+        if key in completed_keys:
+            overlap = min(started_at + service_s, WINDOW[1]) - max(
+                started_at, WINDOW[0]
+            )
+            useful += max(0, overlap)
     capacity = AGENTS * SLOTS * (WINDOW[1] - WINDOW[0])
     return [
         Row(
@@ -385,9 +393,9 @@
     cpu = statistics.median(figures.refusal_cpu_s or [float('nan')])
     frames = sum(figures.frames.values())
     wasted = figures.counts['wasted_messages']
-    per_task = 1000 * (virtual + cpu)
+    refusal_ms = 1000 * (virtual + cpu)
     return [
-        Row(f'{kind}: refusals, median ms with network and CPU', per_task, 5),
+        Row(f'{kind}: refusals, median ms with network and CPU', refusal_ms, 5),
         Row(f'{kind}: refused jobs that ran', ran, 0),
         Row(
             f'{kind}: wasted messages per refused call',
@@ -400,7 +408,7 @@
 
 
 def placement() -> list[Row]:
-    """Measure the cost of a placement by the number of upstreams."""
+    """Measure the cost of a placement for two numbers of upstreams."""
     costs = {count: _placement_cost(count) for count in (10, 6300)}
     rows = [
         Row(f'  placement cost with {count} upstreams, us', cost * 1e6)
@@ -421,19 +429,21 @@
         fleet.mark_usable(name)
         fleet.add_credits(name, SLOTS)
     target = int(count * SLOTS * 0.8)
-    busy = [fleet.take_credit('pane', 'plan', 0) or '' for _ in range(target)]
+    agents = [fleet.take_credit('pane', 'plan', 0) or '' for _ in range(target)]
     rng = random.Random(5)
-    return min(_timed_round(fleet, busy, rng) for _ in range(ROUNDS))
+    return min(_measure_round(fleet, agents, rng) for _ in range(ROUNDS))
 
 
-def _timed_round(fleet: Fleet, busy: list[str], rng: random.Random) -> float:
+def _measure_round(
+    fleet: Fleet, agents: list[str], rng: random.Random
+) -> float:
     started = time.perf_counter()
     for turn in range(PLACEMENTS):
-        index = rng.randrange(len(busy))
+        index = rng.randrange(len(agents))
         now = turn / 1000
-        fleet.record_outcome(busy[index], 'plan', 'complete', 0.5, now)
-        fleet.add_credits(busy[index], 1)
-        busy[index] = fleet.take_credit('pane', 'plan', now) or ''
+        fleet.record_outcome(agents[index], 'plan', 'complete', 0.5, now)
+        fleet.add_credits(agents[index], 1)
+        agents[index] = fleet.take_credit('pane', 'plan', now) or ''
     return (time.perf_counter() - started) / PLACEMENTS
 
 
@@ -459,8 +469,8 @@
     for name, scenario in SCENARIOS:
         started = time.perf_counter()
         rows = scenario()
-        took = time.perf_counter() - started
-        sys.stdout.write(f'-- {name} ({took:.0f} s)\n')
+        elapsed_s = time.perf_counter() - started
+        sys.stdout.write(f'-- {name} ({elapsed_s:.0f} s)\n')
         sys.stdout.writelines(f'{row}\n' for row in rows)
         sys.stdout.flush()
 
