Reword the benchmark of recovery

_complete_at -> _first_completions _row -> _print_row _summary -> _summarize counted -> counting_call died_at -> killed_at first -> kill_after_s found -> recoveries one -> recovery

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -1,7 +1,7 @@
-"""Measure takeover, store calls and service in a store outage.
+"""Measure takeover, store calls and service during a store outage.
 
 Run with `make bench` or `PYTHONPATH=src:tests:tests/proofs python -m
-bench.recovery`. Drives the real reducers in the tests' world on its own clock.
+bench.recovery`. It runs the real reducers in the simulated world of the tests.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 
 
 class Recovery(NamedTuple):
-    """Hold how a fleet came through the loss of an entry."""
+    """The recovery of a fleet from the loss of an entry."""
 
     first_s: float
     complete: int
@@ -44,14 +44,16 @@
 
 
 def _print_takeover() -> None:
-    _row('takeover', 'median s to first answer', 'worst s', 'complete share')
-    _row('on', *_summary([_lose_entry(seed) for seed in _SEEDS]))
+    _print_row(
+        'takeover', 'median s to first answer', 'worst s', 'complete share'
+    )
+    _print_row('on', *_summarize([_lose_entry(seed) for seed in _SEEDS]))
     with mock.patch.object(partition_map, '_is_gone', lambda *_: False):
-        _row('off', *_summary([_lose_entry(seed) for seed in _SEEDS]))
+        _print_row('off', *_summarize([_lose_entry(seed) for seed in _SEEDS]))
 
 
 def _lose_entry(seed: int) -> Recovery:
-    """Kill an entry with jobs in flight whose callers submit again."""
+    """Kill an entry with jobs in flight, which are resubmitted."""
     world = World(Oracle(), seed)
     calls = [
         world.callers.submit(
@@ -64,38 +66,38 @@
     ]
     owned = {call.key for call in calls if world.owner_of(call.key) == 'e1'}
     world.clock.run(0.1)
-    died_at = world.clock.now
+    killed_at = world.clock.now
     world.kill('e1')
     world.clock.run(30)
-    complete = _complete_at(world, owned)
+    complete = _first_completions(world, owned)
     return Recovery(
-        min(complete.values(), default=float('inf')) - died_at,
+        min(complete.values(), default=float('inf')) - killed_at,
         len(complete),
         len(owned),
     )
 
 
-def _complete_at(world: World, keys: set[str]) -> dict[str, float]:
-    """Return when each job's first complete answer came."""
-    found: dict[str, float] = {}
+def _first_completions(world: World, keys: set[str]) -> dict[str, float]:
+    """Return the time of the first complete answer to each job."""
+    completions: dict[str, float] = {}
     for call in world.callers.calls.values():
         if call.key in keys and call.status == 'complete/':
-            found.setdefault(call.key, call.answered_at)
-    return found
+            completions.setdefault(call.key, call.answered_at)
+    return completions
 
 
-def _summary(found: list[Recovery]) -> tuple[float, float, float]:
-    total = sum(one.total for one in found)
+def _summarize(recoveries: list[Recovery]) -> tuple[float, float, float]:
+    total = sum(recovery.total for recovery in recoveries)
     return (
-        statistics.median(one.first_s for one in found),
-        max(one.first_s for one in found),
-        sum(one.complete for one in found) / total,
+        statistics.median(recovery.first_s for recovery in recoveries),
+        max(recovery.first_s for recovery in recoveries),
+        sum(recovery.complete for recovery in recoveries) / total,
     )
 
 
 def _print_store_calls() -> None:
-    _row()
-    _row('entries', 'agents', 'jobs a second', 'store calls a second')
+    _print_row()
+    _print_row('entries', 'agents', 'jobs a second', 'store calls a second')
     for entries, agents, rate in (
         (1, 3, 0),
         (2, 3, 0),
@@ -107,16 +109,16 @@
         (3, 10, 5),
         (3, 10, 20),
     ):
-        _row(entries, agents, rate, _store_calls(entries, agents, rate))
+        _print_row(entries, agents, rate, _store_calls(entries, agents, rate))
 
 
 def _store_calls(entries: int, agents: int, rate: int) -> float:
     world = World(Oracle(), 1, entries=entries, agents=agents)
     world.clock.run(10)
-    counted = mock.Mock(wraps=world.store.call)
-    with mock.patch.object(world.store, 'call', counted):
+    counting_call = mock.Mock(wraps=world.store.call)
+    with mock.patch.object(world.store, 'call', counting_call):
         _submit_steadily(world, rate, _STEADY_S)
-    return counted.call_count / _STEADY_S
+    return counting_call.call_count / _STEADY_S
 
 
 def _submit_steadily(world: World, rate: int, seconds: int) -> list[Call]:
@@ -134,11 +136,11 @@
 
 
 def _print_outage() -> None:
-    _row()
-    _row('store outage of 300 s', 'share of jobs complete')
-    _row('all entries alive', _serve_outage(None))
-    _row('one of three lost 20 s before', _serve_outage(-20))
-    _row('one of three lost 60 s into it', _serve_outage(60))
+    _print_row()
+    _print_row('store outage of 300 s', 'share of jobs complete')
+    _print_row('all entries alive', _serve_outage(None))
+    _print_row('one of three lost 20 s before', _serve_outage(-20))
+    _print_row('one of three lost 60 s into it', _serve_outage(60))
 
 
 def _serve_outage(lost_after_s: int | None) -> float:
@@ -148,17 +150,17 @@
         world.clock.run(-lost_after_s)
     world.store.down = True
     calls: list[Call] = []
-    first = lost_after_s if (lost_after_s or 0) > 0 else 0
-    if first:
-        calls += _submit_steadily(world, 2, first)
+    kill_after_s = lost_after_s if (lost_after_s or 0) > 0 else 0
+    if kill_after_s:
+        calls += _submit_steadily(world, 2, kill_after_s)
         world.kill('e1')
-    calls += _submit_steadily(world, 2, _OUTAGE_S - first)
+    calls += _submit_steadily(world, 2, _OUTAGE_S - kill_after_s)
     world.clock.run(15)
     complete = sum(call.status == 'complete/' for call in calls)
     return complete / len(calls)
 
 
-def _row(*cells: object) -> None:
+def _print_row(*cells: object) -> None:
     texts = [
         f'{cell:.3f}' if isinstance(cell, float) else str(cell)
         for cell in cells
