Reword the simulation of the benchmarks

_agent -> _post_to_agent _arrival -> _last_arrivals _at -> _schedule _boot -> _start_processes _do_entry -> _execute_entry_effect _entry -> _post_to_entry _frames -> _last_frames _order -> _sequence one -> first other -> second when -> due_at

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,4 +1,4 @@
-"""Drive the entry and agent reducers on a virtual clock."""
+"""Run the entry and agent reducers on a virtual clock."""
 
 from __future__ import annotations
 
@@ -48,7 +48,7 @@
 
 @dataclass
 class Behaviour:
-    """Describe an upstream: its slowness and whether it fails every task."""
+    """An upstream: a factor on its durations, and whether all tasks fail."""
 
     slowness: float = 1
     failing: bool = False
@@ -56,7 +56,7 @@
 
 @dataclass
 class Outcome:
-    """Hold the answer to a job and when its caller had it."""
+    """The answer to a job and its response time for the caller."""
 
     answer: messages.Answer
     response_s: float
@@ -64,7 +64,7 @@
 
 @dataclass
 class Figures:
-    """Hold what a run produced.
+    """The results of a run.
 
     `starts` lists (start, agent, job key, band, service seconds).
     """
@@ -104,10 +104,10 @@
 
     def snapshot(self, prefix: str) -> interface.Snapshot:
         """Return all keys below a prefix."""
-        found = [
+        matching = [
             item for key, item in self.found.items() if key.startswith(prefix)
         ]
-        return interface.Snapshot(self.version, tuple(found))
+        return interface.Snapshot(self.version, tuple(matching))
 
     def _swap(self, operation: interface.SwapKey) -> interface.StoreOutcome:
         absent = interface.KeyValue(operation.key, 0, None)
@@ -129,13 +129,13 @@
         behaviours: dict[int, Behaviour] | None = None,
         prefetch: int = 0,
     ) -> None:
-        """Start all processes and let them find each other."""
+        """Start all processes and give them time to connect."""
         self.figures = Figures()
         self.now: float = 0
         self._latency_s = latency_s
         self._behaviours = behaviours or {}
         self._queue: list[tuple[float, int, _Action]] = []
-        self._order = itertools.count()
+        self._sequence = itertools.count()
         self._store = Store()
         self._store.put(
             documents.CONFIG_KEY,
@@ -149,8 +149,8 @@
             ),
         )
         self._watches: list[tuple[str, int, int]] = []
-        self._frames: dict[tuple[str, str], float] = {}
-        self._arrival: dict[tuple[str, str], float] = {}
+        self._last_frames: dict[tuple[str, str], float] = {}
+        self._last_arrivals: dict[tuple[str, str], float] = {}
         self._jobs: dict[int, BenchJob] = {}
         self._running: set[messages.TaskKey] = set()
         self.entries = {
@@ -182,7 +182,7 @@
             )
             for number in range(AGENTS)
         }
-        self._boot()
+        self._start_processes()
 
     def offer(self, jobs: list[BenchJob]) -> None:
         """Schedule the arrival of jobs."""
@@ -191,29 +191,29 @@
             self._jobs[number] = job
             names = list(self.entries)
             name = names[number % len(names)]
-            self._at(
+            self._schedule(
                 job.arrival + CLIENT_LATENCY_S,
                 partial(self._submit, name, number),
             )
 
     def run(self, until: float) -> Figures:
-        """Run up to a time."""
+        """Run all actions due up to a time."""
         while self._queue and self._queue[0][0] <= until:
             event = heapq.heappop(self._queue)
             self.now = event[0]
             event[2]()
         return self.figures
 
-    def _at(self, when: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._queue, (when, next(self._order), action))
+    def _schedule(self, due_at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (due_at, next(self._sequence), action))
 
-    def _boot(self) -> None:
+    def _start_processes(self) -> None:
         for name in self.entries:
             self._tick_entry(name)
         for name in self.agents:
             self._tick_agent(name)
             for entry in self.entries:
-                self._agent(
+                self._post_to_agent(
                     name, agent_events.LinkUp(self.now, entry, 'session')
                 )
         self.run(WARM_UP_S)
@@ -222,12 +222,14 @@
         self.figures.counts.clear()
 
     def _tick_entry(self, name: str) -> None:
-        self._entry(name, entry_events.Tick(self.now, EPOCH_S + self.now))
-        self._at(self.now + TICK_S, lambda: self._tick_entry(name))
+        self._post_to_entry(
+            name, entry_events.Tick(self.now, EPOCH_S + self.now)
+        )
+        self._schedule(self.now + TICK_S, lambda: self._tick_entry(name))
 
     def _tick_agent(self, name: str) -> None:
-        self._agent(name, agent_events.Tick(self.now))
-        self._at(self.now + 2 * TICK_S, lambda: self._tick_agent(name))
+        self._post_to_agent(name, agent_events.Tick(self.now))
+        self._schedule(self.now + 2 * TICK_S, lambda: self._tick_agent(name))
 
     def _submit(self, entry: str, number: int) -> None:
         job = self._jobs[number]
@@ -236,7 +238,7 @@
             for index, task in enumerate(job.tasks)
         )
         started = time.perf_counter()
-        self._entry(
+        self._post_to_entry(
             entry,
             entry_events.JobSubmitted(
                 self.now,
@@ -259,11 +261,11 @@
         if outcome and outcome.answer.status == 'refused':
             self.figures.refusal_cpu_s.append(time.perf_counter() - started)
 
-    def _entry(self, name: str, event: Any) -> None:
+    def _post_to_entry(self, name: str, event: Any) -> None:
         for effect in entry_reducer.reduce(self.entries[name], event):
-            self._do_entry(name, effect)
+            self._execute_entry_effect(name, effect)
 
-    def _agent(self, name: str, event: Any) -> None:
+    def _post_to_agent(self, name: str, event: Any) -> None:
         for effect in agent_reducer.reduce(self.agents[name], event):
             if isinstance(effect, Send):
                 self._send(name, effect)
@@ -278,7 +280,9 @@
         if isinstance(effect, Count):
             self.figures.counts[effect.name] += effect.amount
 
-    def _do_entry(self, name: str, effect: entry_effects.EntryEffect) -> None:
+    def _execute_entry_effect(
+        self, name: str, effect: entry_effects.EntryEffect
+    ) -> None:
         if isinstance(effect, Send):
             self._send(name, effect)
         elif isinstance(effect, entry_effects.Reply):
@@ -295,11 +299,11 @@
         else:
             self._count(effect)
 
-    def _link_peers(self, one: str, other: str) -> None:
-        for name, peer in ((one, other), (other, one)):
+    def _link_peers(self, first: str, second: str) -> None:
+        for name, peer in ((first, second), (second, first)):
             address = self.entries[peer].identity.address
             hello = messages.PeerHello(peer, address)
-            self._at(
+            self._schedule(
                 self.now + TICK_S,
                 partial(self._receive, name, peer, hello),
             )
@@ -318,8 +322,8 @@
         for watch in tuple(self._watches):
             if watch[2] < self._store.version:
                 self._watches.remove(watch)
-                found = self._store.snapshot(documents.CLUSTER_PREFIX)
-                self._answer_store(watch[0], watch[1], found)
+                snapshot = self._store.snapshot(documents.CLUSTER_PREFIX)
+                self._answer_store(watch[0], watch[1], snapshot)
 
     def _answer_store(
         self,
@@ -327,9 +331,9 @@
         call: int,
         outcome: interface.StoreOutcome,
     ) -> None:
-        self._at(
+        self._schedule(
             self.now + 0.004,
-            lambda: self._entry(
+            lambda: self._post_to_entry(
                 name,
                 entry_events.StoreAnswered(
                     self.now,
@@ -341,21 +345,21 @@
         )
 
     def _send(self, sender: str, effect: Send) -> None:
-        """Deliver a message; those of one moment form one frame."""
+        """Deliver a message; messages sent at the same time share a frame."""
         pair = (sender, effect.peer)
-        if self._frames.get(pair) != self.now:
-            self._frames[pair] = self.now
+        if self._last_frames.get(pair) != self.now:
+            self._last_frames[pair] = self.now
             self.figures.frames[type(effect.message).__name__] += 1
         self.figures.kinds[type(effect.message).__name__] += 1
         delay = self._latency_s
         if sender[-1] == effect.peer[-1]:
             delay = SAME_ZONE_S
-        self._arrival[pair] = max(
+        self._last_arrivals[pair] = max(
             self.now + delay,
-            self._arrival.get(pair, 0),
+            self._last_arrivals.get(pair, 0),
         )
-        self._at(
-            self._arrival[pair],
+        self._schedule(
+            self._last_arrivals[pair],
             lambda: self._receive(effect.peer, sender, effect.message),
         )
 
@@ -366,7 +370,7 @@
         message: messages.Message,
     ) -> None:
         if receiver in self.agents:
-            self._agent(
+            self._post_to_agent(
                 receiver,
                 agent_events.MessageReceived(
                     self.now,
@@ -377,7 +381,7 @@
                 ),
             )
             return
-        self._entry(
+        self._post_to_entry(
             receiver,
             entry_events.MessageReceived(
                 self.now,
@@ -405,7 +409,7 @@
             outcome = 'failed'
             service_s = 0.02
         self._running.add(effect.task)
-        self._at(
+        self._schedule(
             self.now + service_s,
             lambda: self._finish(name, effect.task, outcome, b'x'),
         )
@@ -420,7 +424,7 @@
         if task not in self._running:
             return
         self._running.remove(task)
-        self._agent(
+        self._post_to_agent(
             name,
             agent_events.UpstreamFinished(self.now, task, outcome, body, ''),
         )
