--- a/bench/site_days.py
+++ b/bench/site_days.py
@@ -1,4 +1,4 @@
-"""Describe the load and the troubles of a site's days."""
+"""The load and the faults of the days of a site."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class Kind(NamedTuple):
-    """Describe one kind of job by the means of what it asks for."""
+    """A kind of job, described by the means of its requirements."""
 
     name: str
     priority: int
@@ -25,7 +25,7 @@
 
 
 class Burst(NamedTuple):
-    """Multiply the arrivals of one kind for a while."""
+    """A factor on the arrival rate of one kind of job for a time."""
 
     at: float
     lasts_s: float
@@ -34,9 +34,9 @@
 
 
 class Trouble(NamedTuple):
-    """Slow down, hang, darken or cut off some executors for a while.
+    """A fault of some executors, which are chosen at random, for a time.
 
-    `factor` is how many times longer tasks take on slow executors.
+    `factor` applies to the durations of tasks on slow executors.
     """
 
     at: float
@@ -47,7 +47,7 @@
 
 
 class Day(NamedTuple):
-    """Describe a day; `load` multiplies all arrivals."""
+    """A day; `load` is a factor on all arrival rates."""
 
     name: str
     load: float
