Reword the jobs of a site

_CPU_SPREAD -> _CPU_LOG_DEVIATION _FIXED_WORTH -> _FIXED_WORTH_SHARE _LARGEST_FACTOR -> _MAX_FACTOR _SPREAD -> _LOG_DEVIATION _STRETCH -> _STRETCH_FACTOR _TARGET_MS -> _TARGET_DURATION_MS _UNEVEN -> _TASK_VARIATION _spread -> _draw_log_normal error -> estimate_error spread -> deviation

--- a/bench/site_jobs.py
+++ b/bench/site_jobs.py
@@ -1,4 +1,4 @@
-"""Draw jobs as callers of a site submit them."""
+"""Generate random jobs of the callers of a site."""
 
 from __future__ import annotations
 
@@ -20,21 +20,22 @@
 
 SERVICE: Final = 'pane'
 
-_STRETCH: Final = 1.6
-_TARGET_MS: Final = 60
+_STRETCH_FACTOR: Final = 1.6
+_TARGET_DURATION_MS: Final = 60
 _MEMORY_MB: Final = 64
-# Standard deviations of logarithms; the estimate errs by the first, too.
-_SPREAD: Final = 0.4
-_CPU_SPREAD: Final = 0.2
-_LARGEST_FACTOR: Final = 4
-# Durations of a job's tasks differ by up to this share.
-_UNEVEN: Final = 0.15
+# Standard deviations of logarithms; the first also applies to the error of
+# the estimates.
+_LOG_DEVIATION: Final = 0.4
+_CPU_LOG_DEVIATION: Final = 0.2
+_MAX_FACTOR: Final = 4
+# Maximum deviation of a task from the mean duration in its job, as a share.
+_TASK_VARIATION: Final = 0.15
 # Share of the worth that does not depend on the work in a job.
-_FIXED_WORTH: Final = 0.3
+_FIXED_WORTH_SHARE: Final = 0.3
 
 
 class DrawnJob(NamedTuple):
-    """Hold a job with its true duration, worth and objective."""
+    """A job with its true task duration, worth and objective."""
 
     request: JobRequest
     task_s: float
@@ -43,7 +44,7 @@
 
 
 class JobSource:
-    """Draw jobs, and the durations of their tasks."""
+    """A random source of jobs and of the durations of their tasks."""
 
     def __init__(self, seed: int) -> None:
         """Start with a seed."""
@@ -53,33 +54,38 @@
     def draw(self, kind: Kind) -> DrawnJob:
         """Return a job of a kind."""
         self._count += 1
-        task_s = self._spread(kind.task_ms, _SPREAD) / MS_PER_S
-        error = math.exp(self.random.gauss(0, _SPREAD))
+        task_s = self._draw_log_normal(kind.task_ms, _LOG_DEVIATION) / MS_PER_S
+        estimate_error = math.exp(self.random.gauss(0, _LOG_DEVIATION))
         demand = Resources(
-            int(self._spread(kind.cpu, _CPU_SPREAD)),
+            int(self._draw_log_normal(kind.cpu, _CPU_LOG_DEVIATION)),
             _MEMORY_MB,
             0,
         )
-        tasks = max(1, round(self._spread(kind.tasks, _SPREAD)))
-        estimate_ms = int(task_s * error * MS_PER_S)
+        tasks = max(1, round(self._draw_log_normal(kind.tasks, _LOG_DEVIATION)))
+        estimate_ms = int(task_s * estimate_error * MS_PER_S)
         step = Step(tasks, demand, estimate_ms, (), '', '', 0)
         work = tasks * demand.cpu * task_s * MS_PER_S
         share = work / (kind.tasks * kind.cpu * kind.task_ms)
-        worth = _FIXED_WORTH + (1 - _FIXED_WORTH) * share
+        worth = _FIXED_WORTH_SHARE + (1 - _FIXED_WORTH_SHARE) * share
         return DrawnJob(
             JobRequest(f'{self._count:016x}', 'spec', (step,)),
             task_s,
-            kind.worth * min(worth, _LARGEST_FACTOR),
-            _STRETCH * task_s * (1 + _UNEVEN) + _TARGET_MS / MS_PER_S,
+            kind.worth * min(worth, _MAX_FACTOR),
+            _STRETCH_FACTOR * task_s * (1 + _TASK_VARIATION)
+            + _TARGET_DURATION_MS / MS_PER_S,
         )
 
     def draw_task_s(self, job: DrawnJob) -> float:
-        """Return the duration of one task on a sound executor."""
-        return job.task_s * self.random.uniform(1 - _UNEVEN, 1 + _UNEVEN)
+        """Return the duration of a task on an executor without faults."""
+        return job.task_s * self.random.uniform(
+            1 - _TASK_VARIATION, 1 + _TASK_VARIATION
+        )
 
-    def _spread(self, mean: float, spread: float) -> float:
-        drawn = math.exp(self.random.gauss(-spread * spread / 2, spread))
-        return mean * min(drawn, _LARGEST_FACTOR)
+    def _draw_log_normal(self, mean: float, deviation: float) -> float:
+        drawn = math.exp(
+            self.random.gauss(-deviation * deviation / 2, deviation)
+        )
+        return mean * min(drawn, _MAX_FACTOR)
 
 
 def queues() -> dict[str, Queue]:
@@ -92,8 +98,8 @@
             SERVICE,
             kind.priority,
             kind.attempts,
-            _STRETCH,
-            _TARGET_MS,
+            _STRETCH_FACTOR,
+            _TARGET_DURATION_MS,
         )
         for kind in KINDS
     }
