--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -1,8 +1,8 @@
-"""Replay the load and troubles of a site's day on the dispatch reducers.
+"""Replay the load and the faults of the days of a site on the reducers.
 
-Processes, links and executors are the fakes of the tests; the decisions are
-the product's own. `python -m bench.site_load SEEDS DAY...` prints the means
-of each day; without days, it plays all.
+Processes, links and executors are the fakes of the tests; the reducers are
+those of the product. `python -m bench.site_load SEEDS DAY...` prints the means
+of each day, or of all days if none is named.
 """
 
 from __future__ import annotations
@@ -40,8 +40,8 @@
 
 _ENTRIES: Final = 3
 _EXECUTORS: Final = 11
-_SMALL: Final = Resources(64_000, 131_072, 0)
-_LARGE: Final = Resources(96_000, 131_072, 0)
+_SMALL_CAPACITY: Final = Resources(64_000, 131_072, 0)
+_LARGE_CAPACITY: Final = Resources(96_000, 131_072, 0)
 _LARGE_SLOWNESS: Final = 1.3
 _DAY_S: Final = 30
 _SETTLE_S: Final = 12
@@ -49,7 +49,7 @@
 
 
 class Replay:
-    """Play one day."""
+    """The replay of a day."""
 
     def __init__(self, seed: int, day: Day) -> None:
         """Start the processes."""
@@ -68,22 +68,22 @@
         self._jobs: dict[str, DrawnJob] = {}
 
     def play(self) -> Outcome:
-        """Let the day pass and return its outcome."""
+        """Run the day and return its outcome."""
         for trouble in self._day.troubles:
-            self._plan(trouble)
+            self._schedule_fault(trouble)
         for kind in KINDS:
-            self.fleet.clock.after(0, self._arrive, kind)
+            self.fleet.clock.after(0, self._submit_next, kind)
         self.fleet.run(_DAY_S + _SETTLE_S)
         return judge(self.results())
 
     def results(self) -> list[Result]:
-        """Return what became of each job."""
-        found = []
+        """Return the result of each job."""
+        job_results = []
         for number, (kind, sent_at, job) in self.sent.items():
             answer = self.fleet.answers.get(number)
             is_served = answer and answer.verdict == answers.COMPLETED
             answered_at = self.fleet.answered_at.get(number, 0)
-            found.append(
+            job_results.append(
                 Result(
                     kind.name,
                     sent_at - self.began,
@@ -92,20 +92,20 @@
                     answered_at - sent_at if is_served else None,
                 ),
             )
-        return found
+        return job_results
 
-    def _arrive(self, kind: Kind) -> None:
+    def _submit_next(self, kind: Kind) -> None:
         clock = self.fleet.clock
         elapsed_s = clock.now - self.began
         if elapsed_s > _DAY_S:
             return
         rate = kind.per_s * self._day.load
         for burst in self._day.bursts:
-            is_on = burst.at <= elapsed_s < burst.at + burst.lasts_s
-            if is_on and burst.kind == kind.name:
+            is_active = burst.at <= elapsed_s < burst.at + burst.lasts_s
+            if is_active and burst.kind == kind.name:
                 rate *= burst.factor
-        pause_s = self._source.random.expovariate(rate)
-        clock.after(pause_s, self._arrive, kind)
+        interval_s = self._source.random.expovariate(rate)
+        clock.after(interval_s, self._submit_next, kind)
         job = self._source.draw(kind)
         self._jobs[job.request.job_id] = job
         entry = self._source.random.randrange(_ENTRIES)
@@ -117,15 +117,15 @@
         job = self._jobs[call.task.partition('.')[0]]
         return self._source.draw_task_s(job)
 
-    def _plan(self, trouble: Trouble) -> None:
+    def _schedule_fault(self, trouble: Trouble) -> None:
         agents = range(_EXECUTORS)
         for index in self._source.random.sample(agents, trouble.count):
-            over = trouble.at + trouble.lasts_s
+            ends_at = trouble.at + trouble.lasts_s
             clock = self.fleet.clock
-            clock.after(trouble.at, self._begin, trouble, index)
-            clock.after(over, self._end, trouble, index)
+            clock.after(trouble.at, self._begin_fault, trouble, index)
+            clock.after(ends_at, self._end_fault, trouble, index)
 
-    def _begin(self, trouble: Trouble, index: int) -> None:
+    def _begin_fault(self, trouble: Trouble, index: int) -> None:
         now = self.fleet.clock.now
         agent = self.fleet.agents[index]
         if trouble.what == SLOW:
@@ -138,7 +138,7 @@
             for entry in self.fleet.entries:
                 self.fleet.cut(entry.name, agent.name, trouble.lasts_s)
 
-    def _end(self, trouble: Trouble, index: int) -> None:
+    def _end_fault(self, trouble: Trouble, index: int) -> None:
         executor = self.fleet.agents[index].executor
         if trouble.what == SLOW:
             executor.slow_down(self.fleet.clock.now, 1 / trouble.factor)
@@ -151,35 +151,35 @@
 
 def _executor(number: int) -> FakeExecutor:
     is_large = number % 3 == 2
-    resources = _LARGE if is_large else _SMALL
-    executor = FakeExecutor(f'x{number}', resources)
+    capacity = _LARGE_CAPACITY if is_large else _SMALL_CAPACITY
+    executor = FakeExecutor(f'x{number}', capacity)
     executor.slowness = _LARGE_SLOWNESS if is_large else 1
     return executor
 
 
 def main(arguments: Sequence[str] = ()) -> None:
-    """Write the mean outcome of each day over some seeds."""
+    """Print the mean outcome of each day over the seeds."""
     seeds = int(arguments[0]) if arguments else _DEFAULT_SEEDS
-    chosen = arguments[1:]
+    selected = arguments[1:]
     kinds = ' '.join(kind.name for kind in KINDS)
     sys.stdout.write(f'day worth whole windows {kinds} late refused\n')
     for day in DAYS:
-        if not chosen or day.name in chosen:
-            found = [Replay(seed, day).play() for seed in range(seeds)]
-            sys.stdout.write(f'{day.name} {_means(found)}\n')
+        if not selected or day.name in selected:
+            outcomes = [Replay(seed, day).play() for seed in range(seeds)]
+            sys.stdout.write(f'{day.name} {_format_means(outcomes)}\n')
 
 
-def _means(found: list[Outcome]) -> str:
+def _format_means(outcomes: list[Outcome]) -> str:
     rows = [
         (
-            one.worth,
-            one.day,
-            one.windows,
-            *(one.kinds[kind.name] for kind in KINDS),
-            one.late,
-            one.refused,
+            outcome.worth,
+            outcome.day,
+            outcome.windows,
+            *(outcome.kinds[kind.name] for kind in KINDS),
+            outcome.late,
+            outcome.refused,
         )
-        for one in found
+        for outcome in outcomes
     ]
     means = [sum(column) / len(rows) for column in zip(*rows)]
     return ' '.join(f'{mean:.3f}' for mean in means)
