--- a/bench/site_score.py
+++ b/bench/site_score.py
@@ -1,4 +1,4 @@
-"""Judge a replayed day by what its callers were owed and got."""
+"""Score a replayed day by the worth of the jobs answered in time."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 KeyT = TypeVar('KeyT')
 
-# A late answer earns this share until the objective has passed three times.
+# A late answer earns this share up to three times the objective.
 _LATE_SHARE: Final = 0.2
 _LATE_FACTOR: Final = 3
 _WINDOW_S: Final = 2
@@ -20,7 +20,7 @@
 
 
 class Result(NamedTuple):
-    """Hold what became of one job; `took_s` is None if it was not served."""
+    """The result of a job; `took_s` is None if it was not completed."""
 
     kind: str
     sent_s: float
@@ -40,7 +40,7 @@
 
 
 class Outcome(NamedTuple):
-    """Hold shares earned of what was owed, and shares of the jobs."""
+    """Earned shares of the worth; `late` and `refused` are shares of jobs."""
 
     worth: float
     day: float
@@ -52,12 +52,12 @@
 
 def judge(results: Iterable[Result]) -> Outcome:
     """Return the outcome of a day."""
-    found = tuple(results)
-    kinds = _shares_by(found, [one.kind for one in found])
-    day = _shares_by(found, ['day' for _ in found])['day']
+    answered = tuple(results)
+    kinds = _earned_shares(answered, [result.kind for result in answered])
+    day = _earned_shares(answered, ['day' for _ in answered])['day']
     windows = sorted(
-        _shares_by(
-            found, [int(one.sent_s / _WINDOW_S) for one in found]
+        _earned_shares(
+            answered, [int(result.sent_s / _WINDOW_S) for result in answered]
         ).values(),
     )
     worst = sum(windows[:_WORST_WINDOWS]) / _WORST_WINDOWS
@@ -67,18 +67,20 @@
         day,
         worst,
         kinds,
-        sum(0 < one.share < 1 for one in found) / len(found),
-        sum(not one.share for one in found) / len(found),
+        sum(0 < result.share < 1 for result in answered) / len(answered),
+        sum(not result.share for result in answered) / len(answered),
     )
 
 
-def _shares_by(
+def _earned_shares(
     results: tuple[Result, ...],
     keys: list[KeyT],
 ) -> dict[KeyT, float]:
     owed: defaultdict[KeyT, float] = defaultdict(float)
     earned: defaultdict[KeyT, float] = defaultdict(float)
-    for key, one in zip(keys, results):
-        owed[key] += one.worth
-        earned[key] += one.worth * one.share
-    return {found: earned[found] / due for found, due in owed.items()}
+    for key, result in zip(keys, results):
+        owed[key] += result.worth
+        earned[key] += result.worth * result.share
+    return {
+        group: earned[group] / owed_worth for group, owed_worth in owed.items()
+    }
