--- a/bench/workload.py
+++ b/bench/workload.py
@@ -1,4 +1,4 @@
-"""Generate the jobs of a run from a fixed seed."""
+"""Generate the jobs of a run from a seed."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 AGENTS: Final = 10
 CAPACITY: Final = AGENTS * SLOTS
 CLIENTS: Final = 12
-# Mean of the service times below in seconds.
+# Mean of the service times drawn by `_task`, in seconds.
 MEAN_SERVICE_S: Final = 0.42
 MEAN_TASKS: Final = 7.05
 LATENCY_S: Final = MappingProxyType({'pane': 0.0015, 'rounds': 0.0005})
@@ -54,14 +54,14 @@
 
 
 class BenchTask(NamedTuple):
-    """Hold the operation and true service time of a task."""
+    """The operation and the true service time of a task."""
 
     operation: str
     service_s: float
 
 
 class BenchJob(NamedTuple):
-    """Hold a job; `arrival` is when its caller sends it."""
+    """A job; `arrival` is the time when its caller sends it."""
 
     arrival: float
     key: str
@@ -78,7 +78,7 @@
 
 
 class Stream(NamedTuple):
-    """Describe a stream of jobs; `load` is in fleet capacities."""
+    """A stream of jobs; `load` is a multiple of the capacity of the fleet."""
 
     load: float
     clients: tuple[str, ...]
@@ -87,12 +87,12 @@
 
 
 def client_names(count: int = CLIENTS) -> tuple[str, ...]:
-    """Return the names of the usual clients."""
+    """Return the default names of clients."""
     return tuple(f'client{number:02}' for number in range(count))
 
 
 def policy_text(names: tuple[str, ...]) -> str:
-    """Return the operators' text for a run."""
+    """Return the configuration for a run."""
     clients = ''.join(CLIENT.format(name=name) for name in names)
     return POLICY.format(clients=clients)
 
@@ -112,7 +112,8 @@
     now = start + rng.expovariate(rate)
     while now < end:
         tasks = tuple(
-            _task(rng) for _ in range(stream.tasks or _task_count(rng))
+            _draw_task(rng)
+            for _ in range(stream.tasks or _draw_task_count(rng))
         )
         alone_s = alone(tasks)
         jobs.append(
@@ -131,22 +132,22 @@
 
 
 def idle_slots(count: int) -> list[float]:
-    """Return the times at which idle slots become free."""
+    """Return the times at which idle slots are free: all 0."""
     return [float(0) for _ in range(count)]
 
 
 def alone(tasks: tuple[BenchTask, ...]) -> float:
-    """Return the time of the tasks on the idle fleet, longest first."""
+    """Return the time of the tasks on an idle fleet, longest first."""
     ends = idle_slots(AGENTS * SLOTS)
-    last: float = 0
-    for task in sorted(tasks, key=lambda each: -each.service_s):
+    last_end: float = 0
+    for task in sorted(tasks, key=lambda timed_task: -timed_task.service_s):
         end = ends[0] + task.service_s
         heapq.heapreplace(ends, end)
-        last = max(last, end)
-    return last
+        last_end = max(last_end, end)
+    return last_end
 
 
-def _task_count(rng: random.Random) -> int:
+def _draw_task_count(rng: random.Random) -> int:
     low, high = rng.choices(
         ((1, 1), (2, SMALL_JOB), (SMALL_JOB + 1, 60), (61, 170)),
         (0.7, 0.2, 0.08, 0.02),
@@ -154,7 +155,7 @@
     return rng.randint(low, high)
 
 
-def _task(rng: random.Random) -> BenchTask:
+def _draw_task(rng: random.Random) -> BenchTask:
     operation, low, high = rng.choices(
         (('quote', 0.05, 0.2), ('plan', 0.2, 1), ('sheet', 2, 5)),
         (0.5, 0.48, 0.02),
