--- a/bench/workload.py
+++ b/bench/workload.py
@@ -15,7 +15,7 @@
 AGENTS: Final = 10
 CAPACITY: Final = AGENTS * SLOTS
 CLIENTS: Final = 12
-# Mean of the service times drawn by `_task`, in seconds.
+# Mean of the service times drawn by `_draw_task`, in seconds.
 MEAN_SERVICE_S: Final = 0.42
 MEAN_TASKS: Final = 7.05
 LATENCY_S: Final = MappingProxyType({'pane': 0.0015, 'rounds': 0.0005})
