--- a/bench/policy.py
+++ b/bench/policy.py
@@ -289,7 +289,7 @@
     rows = _overload_rows(kind, jobs, figures)
     rows += _refusal_rows(kind, jobs, figures)
     if kind == 'background':
-        return _background_rows(kind, usual_jobs, figures) + rows
+        return _usual_job_rows(kind, usual_jobs, figures) + rows
     urgent = [
         job for job in usual_jobs if job.urgency in {'critical', 'urgent'}
     ]
@@ -301,7 +301,7 @@
     ]
 
 
-def _background_rows(
+def _usual_job_rows(
     kind: str,
     usual_jobs: list[BenchJob],
     figures: Figures,
@@ -354,7 +354,7 @@
     jobs: list[BenchJob],
     figures: Figures,
 ) -> list[Row]:
-    completed_keys = {job.key for job, _ in completed(jobs, figures)}
+    completed_keys = {job.key for job, response_s in completed(jobs, figures)}
     useful: float = 0
     for started_at, _, key, _, service_s in figures.starts:
         if key in completed_keys:
