--- a/bench/site_score.py
+++ b/bench/site_score.py
@@ -52,12 +52,13 @@
 
 def judge(results: Iterable[Result]) -> Outcome:
     """Return the outcome of a day."""
-    answered = tuple(results)
-    kinds = _earned_shares(answered, [result.kind for result in answered])
-    day = _earned_shares(answered, ['day' for _ in answered])['day']
+    all_results = tuple(results)
+    kinds = _earned_shares(all_results, [result.kind for result in all_results])
+    day = _earned_shares(all_results, ['day' for _ in all_results])['day']
     windows = sorted(
         _earned_shares(
-            answered, [int(result.sent_s / _WINDOW_S) for result in answered]
+            all_results,
+            [int(result.sent_s / _WINDOW_S) for result in all_results],
         ).values(),
     )
     worst = sum(windows[:_WORST_WINDOWS]) / _WORST_WINDOWS
@@ -67,8 +68,8 @@
         day,
         worst,
         kinds,
-        sum(0 < result.share < 1 for result in answered) / len(answered),
-        sum(not result.share for result in answered) / len(answered),
+        sum(0 < result.share < 1 for result in all_results) / len(all_results),
+        sum(not result.share for result in all_results) / len(all_results),
     )
 
 
