--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -1,14 +1,14 @@
 #!/usr/bin/env bash
 # Runs both deployments as separate processes on loopback, submits their
-# examples, prints the answers and one trace, and stops everything gracefully.
-# Exits 0 only if all answers were right.
+# example jobs, prints the answers and a trace and stops all processes
+# gracefully. Exits with 0 only if all answers are correct.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 work=$(mktemp -d)
 pids=()
 
-# Ends what is still running; only processes that this script started.
+# Terminates the processes started by this script that still run.
 cleanup() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
@@ -16,7 +16,7 @@
 }
 trap cleanup EXIT
 
-# Waits until a file has a line that matches, and prints the line.
+# Waits until a file has a line that matches a pattern, and prints it.
 wait_line() {
   for _ in $(seq 200); do
     if grep -m1 -E "$2" "$1" 2>/dev/null; then return 0; fi
@@ -100,14 +100,14 @@
 for task in answer['tasks']:
     print('  ', json.dumps(task['result']))
 CHECK
-  # The same key through the other entry yields the same answer.
+  # Resubmission with the same key through the other entry.
   SAVORYRUDDER_ENTRY="$(cut -d, -f2 <<< "$SAVORYRUDDER_ENTRY")" \
     savoryrudder submit --client "$5" --service "$2" --urgency urgent \
     --deadline_ms 10000 --wait 10 --key "demo-$1" --json \
     --tasks "examples/jobs/$2.json" > "$dir/again.json"
   cmp "$dir/answer.json" "$dir/again.json"
   echo "   resubmitted through the other entry: same answer"
-  # One job of the largest size.
+  # A job of the maximum size.
   python -c "
 import json
 print(json.dumps([{'operation': '$7', 'payload': {'run_ms': 60}}] * 170))
@@ -123,7 +123,7 @@
   stop_all "${agent_pids[@]}"
   stop_all "${entry_pids[@]}"
   stop_all "${stand_in_pids[@]}"
-  # The trace of the first job.
+  # Prints the trace of the first job.
   local trace
   trace=$(grep -h '"receive-job"' "$dir"/entry-*.spans | python -c "
 import json, sys
