--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -112,7 +112,7 @@
             {
                 'reason': 'store-unavailable',
                 'outcome': 'unknown',
-                'detail': 'store unavailable; the change may have been applied',
+                'detail': 'the store gave no answer; the change may be made',
             },
         )
         return
@@ -125,7 +125,7 @@
             {
                 'reason': 'store-unavailable',
                 'outcome': 'not-run',
-                'detail': 'the store did not apply the change',
+                'detail': 'the store did not take the change',
             },
         )
     else:
--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -84,7 +84,7 @@
             waiter,
             answers.refusal(
                 reasons.STOPPING,
-                'this entry stopped; submit the job again with the same key',
+                'this entry had to stop; submit the job again with its key',
                 reasons.UNKNOWN,
                 answers.MIN_RETRY_AFTER_MS,
             ),
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -151,7 +151,7 @@
                 waiter,
                 answers.refusal(
                     reasons.TAKEOVER,
-                    'the job has moved to another entry; fetch its answer',
+                    'the job has passed to another entry; fetch its answer',
                     reasons.UNKNOWN,
                     answers.MIN_RETRY_AFTER_MS,
                 ),
