--- a/tests/entry/test_health.py
+++ b/tests/entry/test_health.py
@@ -26,14 +26,14 @@
 
 
 def test_failing_upstream_is_ejected_soon() -> None:
-    """An upstream that fails fast must not attract more and more tasks."""
+    """Guard against an upstream that fails fast and so attracts tasks."""
     health = _service_health()
     _fail(health, 'a', 5)
     assert health.ejected == {'a'}
 
 
 def test_rejecting_upstream_is_ejected() -> None:
-    """An agent that rejects every start must not get tasks again and again."""
+    """Guard against an endless loop of starts that one agent rejects."""
     health = _service_health()
     for name in _NAMES:
         _fail(health, name, 8)
@@ -43,7 +43,7 @@
 
 
 def test_failing_operation_is_not_blamed_on_upstreams() -> None:
-    """An operation that fails everywhere must not cause ejections."""
+    """Guard against ejections caused by an operation that always fails."""
     health = _service_health()
     for _ in range(20):
         for name in _NAMES:
@@ -54,7 +54,7 @@
 
 
 def test_probe_interval_grows_until_restored() -> None:
-    """A dead upstream is probed less and less, a recovered one restored."""
+    """Guard against probing dead upstreams often or recovered ones never."""
     health = _service_health()
     _fail(health, 'a', 5)
     now: float = 0
@@ -78,7 +78,7 @@
 
 
 def test_slow_upstream_is_detected_and_recovers() -> None:
-    """A slow upstream is avoided, but only as long as it is slow."""
+    """Guard against using slow upstreams or avoiding recovered ones."""
     health = _service_health()
     for _ in range(6):
         health.note_time('a', 10, 0)
@@ -103,7 +103,7 @@
     count: int,
     steps: list[tuple[str, int]],
 ) -> None:
-    """Ejections must leave the capacity that an overload needs."""
+    """Guard against ejecting the capacity that an overload needs."""
     health = _service_health(_NAMES[:count])
     linked = set(_NAMES[:count])
     for action, number in steps:
