Rename Verdict and the recording methods of ServiceHealth

Verdict -> UpstreamStatus ServiceHealth.verdict -> status note_probe -> record_probe note_end -> record_outcome note_time -> record_service_time In placement: _Agent.verdict -> status, _update_verdict -> _update_status, _UNKNOWN_HEALTH -> _INITIAL_STATUS.

--- a/src/savoryrudder/entry/health.py
+++ b/src/savoryrudder/entry/health.py
@@ -30,7 +30,7 @@
 SLOW_FACTOR: Final = 3
 
 
-class Verdict(NamedTuple):
+class UpstreamStatus(NamedTuple):
     """How an upstream may be used; `slowness` is a factor of at least 1."""
 
     ejected: bool
@@ -111,23 +111,23 @@
             restored.append(best)
         return restored
 
-    def verdict(self, name: str) -> Verdict:
+    def status(self, name: str) -> UpstreamStatus:
         """Return how an upstream may be used."""
         upstream = self._upstreams[name]
-        return Verdict(
+        return UpstreamStatus(
             upstream.ejected,
             self._is_slow(upstream),
             2 ** max(0, self._excess_log2_slowness(upstream)),
             upstream.probe_at,
         )
 
-    def note_probe(self, name: str, now: float) -> None:
+    def record_probe(self, name: str, now: float) -> None:
         """Record that an ejected or slow upstream was given a task."""
         upstream = self._upstreams[name]
         upstream.probing = True
         upstream.probe_at = now + PROBE_PATIENCE_S
 
-    def note_end(
+    def record_outcome(
         self,
         name: str,
         operation: str,
@@ -153,7 +153,7 @@
         elif self._is_failing(upstream):
             self._eject(name, now)
 
-    def note_time(self, name: str, ratio: float, now: float) -> None:
+    def record_service_time(self, name: str, ratio: float, now: float) -> None:
         """Record a service time as a ratio to the mean of the operation."""
         upstream = self._upstreams[name]
         was_slow = self._is_slow(upstream)
--- a/src/savoryrudder/entry/placement.py
+++ b/src/savoryrudder/entry/placement.py
@@ -13,7 +13,7 @@
 
 from savoryrudder.entry import reasons
 from savoryrudder.entry.health import ServiceHealth
-from savoryrudder.entry.health import Verdict
+from savoryrudder.entry.health import UpstreamStatus
 from savoryrudder.entry.times import ServiceTimes
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
 _FAILURES: Final = frozenset(
     (reasons.FAILED, reasons.UNKNOWN, reasons.NOT_RUN),
 )
-_UNKNOWN_HEALTH: Final = Verdict(
+_INITIAL_STATUS: Final = UpstreamStatus(
     ejected=False,
     slow=False,
     slowness=1,
@@ -66,7 +66,7 @@
     version: int = 0
     capacity: float = 0
     free_credits: int = 0
-    verdict: Verdict = _UNKNOWN_HEALTH
+    status: UpstreamStatus = _INITIAL_STATUS
 
     @property
     def startable(self) -> bool:
@@ -89,11 +89,11 @@
 
     def update_rank(self, name: str, agent: _Agent) -> None:
         """Update the rank of an agent and the totals after a change."""
-        verdict = agent.verdict
+        status = agent.status
         agent.version += 1
-        restricted = verdict.ejected or verdict.slow
-        active = agent.startable and not verdict.ejected
-        capacity = agent.hello.slots / verdict.slowness if active else 0
+        restricted = status.ejected or status.slow
+        active = agent.startable and not status.ejected
+        capacity = agent.hello.slots / status.slowness if active else 0
         free = agent.credits if agent.startable and not restricted else 0
         self.capacity += capacity - agent.capacity
         self.free_credits += free - agent.free_credits
@@ -102,10 +102,10 @@
         if not agent.startable or not agent.credits:
             return
         if restricted:
-            heapq.heappush(self._probe_heap, (verdict.probe_at, name))
-        if not verdict.ejected:
+            heapq.heappush(self._probe_heap, (status.probe_at, name))
+        if not status.ejected:
             self._push(
-                self._slow_heap if verdict.slow else self._normal_heap, name
+                self._slow_heap if status.slow else self._normal_heap, name
             )
 
     def choose(
@@ -131,7 +131,7 @@
         name = self._best_agent(self._slow_heap)
         if not name:
             return None
-        extra_s = (self.agents[name].verdict.slowness - 1) * mean_s
+        extra_s = (self.agents[name].status.slowness - 1) * mean_s
         if backlog_s <= extra_s * self.capacity:
             return None
         return name, False
@@ -146,7 +146,7 @@
 
     def _rank(self, name: str) -> _Rank:
         agent = self.agents[name]
-        speed = round(CLASSES_PER_DOUBLING * math.log2(agent.verdict.slowness))
+        speed = round(CLASSES_PER_DOUBLING * math.log2(agent.status.slowness))
         return speed, -agent.credits, agent.version, name
 
     def _best_agent(self, heap: list[_Rank]) -> str:
@@ -163,9 +163,9 @@
             probe_at, name = self._probe_heap[0]
             agent = self.agents.get(name)
             if agent and agent.credits and agent.startable:
-                verdict = agent.verdict
-                restricted = verdict.ejected or verdict.slow
-                if restricted and verdict.probe_at == probe_at:
+                status = agent.status
+                restricted = status.ejected or status.slow
+                if restricted and status.probe_at == probe_at:
                     return name
             heapq.heappop(self._probe_heap)
         return None
@@ -203,7 +203,7 @@
         pool.agents.pop(name)
         pool.worker_sizes[agent.hello.slots, agent.hello.memory_mb] -= 1
         for restored in pool.health.remove(name):
-            self._update_verdict(restored)
+            self._update_status(restored)
 
     def mark_usable(self, name: str) -> None:
         """Allow tasks to be started on an agent."""
@@ -265,8 +265,8 @@
         agent = self._agents[name]
         agent.credits -= 1
         if is_probe:
-            pool.health.note_probe(name, now)
-            agent.verdict = pool.health.verdict(name)
+            pool.health.record_probe(name, now)
+            agent.status = pool.health.status(name)
         pool.update_rank(name, agent)
         return name
 
@@ -287,17 +287,17 @@
         if outcome == reasons.COMPLETE and duration_s > 0:
             mean_s = self.times.measured_mean_s(service, operation)
             if mean_s:
-                health.note_time(name, duration_s / mean_s, now)
-            if not health.verdict(name).slow:
+                health.record_service_time(name, duration_s / mean_s, now)
+            if not health.status(name).slow:
                 self.times.record(service, operation, duration_s)
-        health.note_end(
+        health.record_outcome(
             name,
             operation,
             now,
             failed=outcome in _FAILURES,
             not_run=outcome == reasons.NOT_RUN,
         )
-        self._update_verdict(name)
+        self._update_status(name)
 
     def agents_of(self, service: str) -> list[str]:
         """Return the linked agents of a service that are not leaving."""
@@ -345,16 +345,16 @@
                 agent.hello.slots,
                 agent.credits,
                 agent.hello.leaving,
-                agent.verdict.ejected,
+                agent.status.ejected,
             )
             for name, agent in self._agents.items()
         ]
 
-    def _update_verdict(self, name: str) -> None:
+    def _update_status(self, name: str) -> None:
         agent = self._agents[name]
-        verdict = self._pools[agent.hello.service].health.verdict(name)
-        if verdict != agent.verdict:
-            agent.verdict = verdict
+        status = self._pools[agent.hello.service].health.status(name)
+        if status != agent.status:
+            agent.status = status
             self._update_rank(name)
 
     def _update_rank(self, name: str) -> None:
--- a/tests/entry/test_health.py
+++ b/tests/entry/test_health.py
@@ -22,7 +22,7 @@
 
 def _fail(health: ServiceHealth, name: str, count: int, **flags: bool) -> None:
     for _ in range(count):
-        health.note_end(name, 'cut', 0, failed=True, **flags)
+        health.record_outcome(name, 'cut', 0, failed=True, **flags)
 
 
 def test_failing_upstream_is_ejected_soon() -> None:
@@ -47,9 +47,9 @@
     health = _service_health()
     for _ in range(20):
         for name in _NAMES:
-            health.note_end(name, 'broken', 0, failed=True)
-            health.note_end(name, 'cut', 0, failed=False)
-            health.note_end(name, 'cut', 0, failed=False)
+            health.record_outcome(name, 'broken', 0, failed=True)
+            health.record_outcome(name, 'cut', 0, failed=False)
+            health.record_outcome(name, 'cut', 0, failed=False)
     assert not health.ejected
 
 
@@ -60,10 +60,10 @@
     now: float = 0
     intervals = []
     for _ in range(10):
-        intervals.append(health.verdict('a').probe_at - now)
-        now = health.verdict('a').probe_at
-        health.note_probe('a', now)
-        health.note_end('a', 'cut', now, failed=True)
+        intervals.append(health.status('a').probe_at - now)
+        now = health.status('a').probe_at
+        health.record_probe('a', now)
+        health.record_outcome('a', 'cut', now, failed=True)
     assert intervals[:3] == [
         FIRST_PROBE_S,
         2 * FIRST_PROBE_S,
@@ -71,9 +71,9 @@
     ]
     assert intervals[-1] == LONGEST_PROBE_S
     for _ in range(2):
-        now = health.verdict('a').probe_at
-        health.note_probe('a', now)
-        health.note_end('a', 'cut', now, failed=False)
+        now = health.status('a').probe_at
+        health.record_probe('a', now)
+        health.record_outcome('a', 'cut', now, failed=False)
     assert not health.ejected
 
 
@@ -81,12 +81,12 @@
     """Guard against using slow upstreams or avoiding recovered ones."""
     health = _service_health()
     for _ in range(6):
-        health.note_time('a', 10, 0)
-        health.note_time('b', 1, 0)
-    assert health.verdict('a').slow
+        health.record_service_time('a', 10, 0)
+        health.record_service_time('b', 1, 0)
+    assert health.status('a').slow
     for _ in range(20):
-        health.note_time('a', 1, 0)
-    assert not health.verdict('a').slow
+        health.record_service_time('a', 1, 0)
+    assert not health.status('a').slow
 
 
 @given(
@@ -116,6 +116,6 @@
             linked.discard(name)
         elif name in linked:
             _fail(health, name, 4 if action == 'fail' else 0)
-            health.note_end(name, 'cut', 0, failed=action == 'fail')
+            health.record_outcome(name, 'cut', 0, failed=action == 'fail')
         assert len(health.ejected) * MAX_EJECTED <= len(linked)
         assert health.ejected <= linked
