Rename constants of upstream health

MAX_EJECTED -> UPSTREAMS_PER_EJECTION MIN_ELSEWHERE -> MIN_OUTCOMES_ELSEWHERE OUTCOME_MEMORY -> OUTCOME_WINDOW MIN_TIMES -> MIN_TIMINGS FIRST_PROBE_S -> MIN_PROBE_INTERVAL_S LONGEST_PROBE_S -> MAX_PROBE_INTERVAL_S PROBE_PATIENCE_S -> PROBE_TIMEOUT_S EXCESS_RATIO -> EJECTION_MARGIN

--- a/src/savoryrudder/entry/health.py
+++ b/src/savoryrudder/entry/health.py
@@ -10,21 +10,21 @@
 FAILURE_WEIGHT: Final = 0.2
 # Weighted failures, less one for each success, needed for an ejection.
 MIN_FAILURES: Final = 4
-EXCESS_RATIO: Final = 0.3
+EJECTION_MARGIN: Final = 0.3
 # At most one in this many upstreams is ejected.
-MAX_EJECTED: Final = 3
+UPSTREAMS_PER_EJECTION: Final = 3
 # With fewer outcomes on other upstreams, a failure is not attributed to the
 # operation.
-MIN_ELSEWHERE: Final = 5
+MIN_OUTCOMES_ELSEWHERE: Final = 5
 # Outcome counts are halved beyond this, so that older outcomes weigh less.
-OUTCOME_MEMORY: Final = 200
-FIRST_PROBE_S: Final = 1
-LONGEST_PROBE_S: Final = 60
+OUTCOME_WINDOW: Final = 200
+MIN_PROBE_INTERVAL_S: Final = 1
+MAX_PROBE_INTERVAL_S: Final = 60
 # A probe without an outcome is repeated after this time.
-PROBE_PATIENCE_S: Final = 30
+PROBE_TIMEOUT_S: Final = 30
 PROBES_TO_RESTORE: Final = 2
 SLOWNESS_WEIGHT: Final = 0.15
-MIN_TIMES: Final = 5
+MIN_TIMINGS: Final = 5
 # An upstream this many times slower than the others is used only if the queue
 # makes tasks wait even longer.
 SLOW_FACTOR: Final = 3
@@ -49,7 +49,7 @@
     def add(self, *, failed: bool) -> None:
         self.failed += failed
         self.ended += 1
-        if self.ended > OUTCOME_MEMORY:
+        if self.ended > OUTCOME_WINDOW:
             self.failed /= 2
             self.ended /= 2
 
@@ -64,7 +64,7 @@
     probes_passed: int = 0
     probe_at: float = 0
     probing: bool = False
-    probe_interval_s: float = FIRST_PROBE_S
+    probe_interval_s: float = MIN_PROBE_INTERVAL_S
     log2_slowness: float = 0
     timings: int = 0
     outcomes: dict[str, _Outcomes] = dataclasses.field(default_factory=dict)
@@ -105,7 +105,9 @@
         self._timed_upstreams -= upstream.timings > 0
         self._ejected.discard(name)
         restored = []
-        while len(self._ejected) * MAX_EJECTED > len(self._upstreams):
+        while len(self._ejected) * UPSTREAMS_PER_EJECTION > len(
+            self._upstreams
+        ):
             best = min(self._ejected, key=self._sort_key)
             self._restore(best)
             restored.append(best)
@@ -125,7 +127,7 @@
         """Record that an ejected or slow upstream was given a task."""
         upstream = self._upstreams[name]
         upstream.probing = True
-        upstream.probe_at = now + PROBE_PATIENCE_S
+        upstream.probe_at = now + PROBE_TIMEOUT_S
 
     def record_outcome(
         self,
@@ -165,12 +167,12 @@
         self._total_log2_slowness += change
         if self._is_slow(upstream):
             if not was_slow or ratio < SLOW_FACTOR:
-                upstream.probe_interval_s = FIRST_PROBE_S
+                upstream.probe_interval_s = MIN_PROBE_INTERVAL_S
             if not was_slow or upstream.probing:
                 self._schedule_probe(upstream, now)
 
     def _is_slow(self, upstream: _Upstream) -> bool:
-        return upstream.timings >= MIN_TIMES and self._excess_log2_slowness(
+        return upstream.timings >= MIN_TIMINGS and self._excess_log2_slowness(
             upstream
         ) > math.log2(SLOW_FACTOR)
 
@@ -194,7 +196,7 @@
         everywhere = self._outcomes.get(operation, _Outcomes())
         here = self._upstreams[name].outcomes.get(operation, _Outcomes())
         ended = everywhere.ended - here.ended
-        if ended < MIN_ELSEWHERE:
+        if ended < MIN_OUTCOMES_ELSEWHERE:
             return 0
         return min(1, max(0, everywhere.failed - here.failed) / ended)
 
@@ -231,16 +233,18 @@
         ) / others
         return (
             upstream.excess_failures >= MIN_FAILURES
-            and upstream.failure_score > mean_of_others + EXCESS_RATIO
+            and upstream.failure_score > mean_of_others + EJECTION_MARGIN
         )
 
     def _eject(self, name: str, now: float) -> None:
-        if (len(self._ejected) + 1) * MAX_EJECTED > len(self._upstreams):
+        if (len(self._ejected) + 1) * UPSTREAMS_PER_EJECTION > len(
+            self._upstreams
+        ):
             return
         upstream = self._upstreams[name]
         upstream.ejected = True
         upstream.probes_passed = 0
-        upstream.probe_interval_s = FIRST_PROBE_S
+        upstream.probe_interval_s = MIN_PROBE_INTERVAL_S
         self._ejected.add(name)
         self._schedule_probe(upstream, now)
 
@@ -265,7 +269,7 @@
         upstream.probing = False
         upstream.probe_at = now + upstream.probe_interval_s
         upstream.probe_interval_s = min(
-            2 * upstream.probe_interval_s, LONGEST_PROBE_S
+            2 * upstream.probe_interval_s, MAX_PROBE_INTERVAL_S
         )
 
     def _restore(self, name: str) -> None:
--- a/tests/entry/test_health.py
+++ b/tests/entry/test_health.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from savoryrudder.entry.health import FIRST_PROBE_S
-from savoryrudder.entry.health import LONGEST_PROBE_S
-from savoryrudder.entry.health import MAX_EJECTED
+from savoryrudder.entry.health import MAX_PROBE_INTERVAL_S
+from savoryrudder.entry.health import MIN_PROBE_INTERVAL_S
+from savoryrudder.entry.health import UPSTREAMS_PER_EJECTION
 from savoryrudder.entry.health import ServiceHealth
 
 _NAMES = tuple('abcdefghij')
@@ -65,11 +65,11 @@
         health.record_probe('a', now)
         health.record_outcome('a', 'cut', now, failed=True)
     assert intervals[:3] == [
-        FIRST_PROBE_S,
-        2 * FIRST_PROBE_S,
-        4 * FIRST_PROBE_S,
+        MIN_PROBE_INTERVAL_S,
+        2 * MIN_PROBE_INTERVAL_S,
+        4 * MIN_PROBE_INTERVAL_S,
     ]
-    assert intervals[-1] == LONGEST_PROBE_S
+    assert intervals[-1] == MAX_PROBE_INTERVAL_S
     for _ in range(2):
         now = health.status('a').probe_at
         health.record_probe('a', now)
@@ -117,5 +117,5 @@
         elif name in linked:
             _fail(health, name, 4 if action == 'fail' else 0)
             health.record_outcome(name, 'cut', 0, failed=action == 'fail')
-        assert len(health.ejected) * MAX_EJECTED <= len(linked)
+        assert len(health.ejected) * UPSTREAMS_PER_EJECTION <= len(linked)
         assert health.ejected <= linked
