--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -173,7 +173,7 @@
     def forget_request(self, number: int) -> None:
         """Forget a request whose caller has disconnected."""
         if self._pending.pop(number, None) is not None:
-            self.handle(events.CallerGone(anyio.current_time(), number))
+            self.handle(events.CallerDisconnected(anyio.current_time(), number))
 
     def on_up(self, peer: str, session: str) -> None:
         """Report a new session."""
--- a/src/savoryrudder/entry/events.py
+++ b/src/savoryrudder/entry/events.py
@@ -41,7 +41,7 @@
     key: str
 
 
-class CallerGone(NamedTuple):
+class CallerDisconnected(NamedTuple):
     """The caller of a request has disconnected; the job continues."""
 
     now: float
@@ -140,7 +140,7 @@
     JobSubmitted
     | AnswerRequested
     | JobCancelled
-    | CallerGone
+    | CallerDisconnected
     | LinkUp
     | LinkDown
     | MessageReceived
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -129,7 +129,7 @@
         events.JobSubmitted: routing.handle_submit,
         events.AnswerRequested: routing.handle_fetch,
         events.JobCancelled: routing.handle_cancel,
-        events.CallerGone: routing.handle_caller_gone,
+        events.CallerDisconnected: routing.handle_caller_disconnected,
         events.LinkUp: _handle_link_up,
         events.LinkDown: _handle_link_down,
         events.MessageReceived: _handle_message,
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -57,7 +57,9 @@
     route(turn, _local_request(turn, event.request, 'cancel', event, 0))
 
 
-def handle_caller_gone(turn: Turn, event: events.CallerGone) -> None:
+def handle_caller_disconnected(
+    turn: Turn, event: events.CallerDisconnected
+) -> None:
     """Forget a caller that has disconnected; its job continues."""
     waiter = Waiter('', event.request)
     answers.stop_waiting(turn, waiter)
