--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -136,7 +136,7 @@
         kind = request.url.path.rpartition('/')[2]
         number, pending = self._runtime.begin_request()
         self._runtime.handle(
-            events.DataRequested(
+            events.ReportRequested(
                 anyio.current_time(),
                 time.time(),
                 number,
--- a/src/savoryrudder/entry/events.py
+++ b/src/savoryrudder/entry/events.py
@@ -108,7 +108,7 @@
     token: str
 
 
-class DataRequested(NamedTuple):
+class ReportRequested(NamedTuple):
     """An operator asks for the status, the config or a client's terms.
 
     `kind` is status, config or terms; `name` is the client, for terms only.
@@ -147,7 +147,7 @@
     | StoreAnswered
     | Tick
     | ConfigSubmitted
-    | DataRequested
+    | ReportRequested
     | AgentDrainRequested
     | DrainRequested
 )
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -136,7 +136,7 @@
         events.StoreAnswered: _handle_store_answer,
         events.Tick: _handle_tick,
         events.ConfigSubmitted: configuration.handle_config_submitted,
-        events.DataRequested: reports.handle_data_requested,
+        events.ReportRequested: reports.handle_report_requested,
         events.AgentDrainRequested: reports.handle_agent_drain,
         events.DrainRequested: draining.handle_drain,
     }
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -11,11 +11,11 @@
 
 if TYPE_CHECKING:
     from savoryrudder.entry.events import AgentDrainRequested
-    from savoryrudder.entry.events import DataRequested
+    from savoryrudder.entry.events import ReportRequested
     from savoryrudder.entry.turn import Turn
 
 
-def handle_data_requested(turn: Turn, event: DataRequested) -> None:
+def handle_report_requested(turn: Turn, event: ReportRequested) -> None:
     """Report status, configuration or terms."""
     state = turn.state
     if event.kind == 'status':
@@ -36,7 +36,7 @@
         _report_terms(turn, event)
 
 
-def _report_terms(turn: Turn, event: DataRequested) -> None:
+def _report_terms(turn: Turn, event: ReportRequested) -> None:
     client_terms = None
     if event.kind == 'terms':
         client_terms = terms.report(turn, event.name)
