--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -202,7 +202,7 @@
             group.cancel_scope.cancel()
         if response is None:
             return Response(status_code=_UNAVAILABLE)
-        if isinstance(response, effects.ReplyData):
+        if isinstance(response, effects.ReplyJson):
             return _json(response.status, response.body)
         return _answer(response)
 
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -49,7 +49,7 @@
 LINGER_S: Final = 0.5
 _INCARNATION_BYTES: Final = 4
 
-Response: TypeAlias = Answer | entry_effects.ReplyData
+Response: TypeAlias = Answer | entry_effects.ReplyJson
 
 
 class EntrySettings(Protocol):
@@ -230,7 +230,7 @@
         match effect:
             case entry_effects.Reply():
                 self._respond(effect.request, effect.answer)
-            case entry_effects.ReplyData():
+            case entry_effects.ReplyJson():
                 self._respond(effect.request, effect)
             case entry_effects.CallStore():
                 self._group.start_soon(self._call_store, effect)
--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -56,7 +56,7 @@
     """Check a configuration and write it if the revision is as expected."""
     checked = parse_policy(event.text)
     if checked.is_error():
-        turn.reply_data(
+        turn.reply_json(
             event.request,
             422,
             {'findings': [finding._asdict() for finding in checked.error]},
@@ -88,7 +88,7 @@
 ) -> None:
     """Report the outcome of a configuration change to the operator."""
     if isinstance(outcome, interface.Swapped):
-        turn.reply_data(event.request, 200, {'revision': outcome.version})
+        turn.reply_json(event.request, 200, {'revision': outcome.version})
     elif isinstance(outcome, interface.SwapConflict):
         _report_conflict(turn, event, outcome.current)
     else:
@@ -106,7 +106,7 @@
 ) -> None:
     """Report the outcome of a change that the store did not answer."""
     if not isinstance(outcome, interface.KeyValue):
-        turn.reply_data(
+        turn.reply_json(
             event.request,
             503,
             {
@@ -117,9 +117,9 @@
         )
         return
     if outcome.value and _token_of(outcome.value) == event.token:
-        turn.reply_data(event.request, 200, {'revision': outcome.version})
+        turn.reply_json(event.request, 200, {'revision': outcome.version})
     elif outcome.version == event.expected_revision:
-        turn.reply_data(
+        turn.reply_json(
             event.request,
             503,
             {
@@ -143,7 +143,7 @@
 ) -> None:
     if current.value and _token_of(current.value) == event.token:
         # A retried write conflicts with its own first attempt.
-        turn.reply_data(event.request, 200, {'revision': current.version})
+        turn.reply_json(event.request, 200, {'revision': current.version})
         return
     author = ''
     text = ''
@@ -151,7 +151,7 @@
         document = documents.decode_config(current.value)
         author = document['author']
         text = document['text']
-    turn.reply_data(
+    turn.reply_json(
         event.request,
         409,
         {'revision': current.version, 'author': author, 'text': text},
--- a/src/savoryrudder/entry/effects.py
+++ b/src/savoryrudder/entry/effects.py
@@ -18,7 +18,7 @@
     answer: Answer
 
 
-class ReplyData(NamedTuple):
+class ReplyJson(NamedTuple):
     """Answer an operator's request with an HTTP status and a JSON object."""
 
     request: int
@@ -53,7 +53,7 @@
     | effects.Log
     | effects.Exit
     | Reply
-    | ReplyData
+    | ReplyJson
     | CallStore
     | ConnectPeer
     | DisconnectPeer
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -19,9 +19,9 @@
     """Report status, configuration or terms."""
     state = turn.state
     if event.kind == 'status':
-        turn.reply_data(event.request, 200, _status(turn))
+        turn.reply_json(event.request, 200, _status(turn))
     elif event.kind == 'config':
-        turn.reply_data(
+        turn.reply_json(
             event.request,
             200,
             {
@@ -41,9 +41,9 @@
     if event.kind == 'terms':
         client_terms = terms.report(turn, event.name)
     if client_terms is not None:
-        turn.reply_data(event.request, 200, client_terms)
+        turn.reply_json(event.request, 200, client_terms)
         return
-    turn.reply_data(
+    turn.reply_json(
         event.request,
         404,
         {
@@ -57,9 +57,9 @@
     """Forward an operator's request for a graceful stop to an agent."""
     if event.agent in turn.state.agents:
         turn.send(event.agent, Leaving())
-        turn.reply_data(event.request, 202, {'agent': event.agent})
+        turn.reply_json(event.request, 202, {'agent': event.agent})
         return
-    turn.reply_data(
+    turn.reply_json(
         event.request,
         404,
         {
--- a/src/savoryrudder/entry/turn.py
+++ b/src/savoryrudder/entry/turn.py
@@ -45,14 +45,14 @@
         """Add any other effect."""
         self.effects.append(effect)
 
-    def reply_data(
+    def reply_json(
         self,
         request: int,
         status: int,
         body: dict[str, Any],
     ) -> None:
         """Answer an operator's request."""
-        self.emit(entry_effects.ReplyData(request, status, body))
+        self.emit(entry_effects.ReplyJson(request, status, body))
 
     def call_store(
         self,
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -134,7 +134,7 @@
     def _on_reply(self, effect: Any) -> None:
         self.world.callers.carry(effect.request, effect.answer)
 
-    def _on_replydata(self, effect: Any) -> None:
+    def _on_replyjson(self, effect: Any) -> None:
         self.world.operator_answers[effect.request] = effect
 
     def _on_callupstream(self, effect: Any) -> None:
