--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -11,9 +11,9 @@
 from savoryrudder.entry.partitions import lose_partitions
 from savoryrudder.entry.state import SENT
 from savoryrudder.entry.state import AgentLink
-from savoryrudder.entry.state import FoundRecord
 from savoryrudder.entry.state import LostAgent
-from savoryrudder.entry.state import OpenClaim
+from savoryrudder.entry.state import PendingClaim
+from savoryrudder.entry.state import RecoveredRecord
 from savoryrudder.protocol.messages import Acknowledge
 from savoryrudder.protocol.messages import Claim
 from savoryrudder.protocol.messages import Return
@@ -102,7 +102,7 @@
     claimed = tuple(
         (partition, state.owned[partition].epoch) for partition in partitions
     )
-    state.claims[request] = OpenClaim(
+    state.claims[request] = PendingClaim(
         agent,
         state.agents[agent].session,
         tuple(partition for partition, _ in claimed),
@@ -274,7 +274,7 @@
                 state.retention,
                 (turn.now + state.identity.retention_s, record.submission),
             )
-        recovered[record.task] = FoundRecord(
+        recovered[record.task] = RecoveredRecord(
             link.name,
             link.incarnation,
             record,
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -238,7 +238,7 @@
     former: str
 
 
-class OpenClaim(NamedTuple):
+class PendingClaim(NamedTuple):
     """A claim that an agent has not answered yet."""
 
     agent: str
@@ -246,7 +246,7 @@
     partitions: tuple[int, ...]
 
 
-class FoundRecord(NamedTuple):
+class RecoveredRecord(NamedTuple):
     """An agent's record of a task whose job this entry does not have."""
 
     agent: str
@@ -281,7 +281,7 @@
     renew_at: float = 0
 
 
-FoundTasks: TypeAlias = dict[int, FoundRecord]
+RecoveredTasks: TypeAlias = dict[int, RecoveredRecord]
 
 
 @dataclasses.dataclass
@@ -326,14 +326,14 @@
     roster_changed: bool = False
     agents: dict[str, AgentLink] = dataclasses.field(default_factory=dict)
     lost_agents: dict[str, LostAgent] = dataclasses.field(default_factory=dict)
-    claims: dict[int, OpenClaim] = dataclasses.field(default_factory=dict)
+    claims: dict[int, PendingClaim] = dataclasses.field(default_factory=dict)
     outstanding: dict[str, dict[TaskKey, None]] = dataclasses.field(
         default_factory=dict,
     )
     submissions: dict[bytes, Submission] = dataclasses.field(
         default_factory=dict,
     )
-    recovered: dict[bytes, FoundTasks] = dataclasses.field(
+    recovered: dict[bytes, RecoveredTasks] = dataclasses.field(
         default_factory=dict,
     )
     refusals: dict[bytes, PastRefusal] = dataclasses.field(
