--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -112,7 +112,7 @@
     if outcome.version < store.watch_version:
         turn.log_change('store_version_went_back')
     store.watch_version = outcome.version
-    store.seen_at = turn.now
+    store.snapshot_at = turn.now
     items = {item.key: item for item in outcome.entries if item.value}
     config = items.get(documents.CONFIG_KEY)
     if config is not None:
--- a/src/savoryrudder/entry/partition_map.py
+++ b/src/savoryrudder/entry/partition_map.py
@@ -32,7 +32,7 @@
     """Take over partitions without a live owner; reassign surplus ones."""
     state = turn.state
     store = state.store
-    if store.swap_pending or not store.registered or not store.seen_at:
+    if store.swap_pending or not store.registered or not store.snapshot_at:
         return
     if turn.now >= store.lease_deadline or not state.live:
         return
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -193,7 +193,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class StoreView:
+class StoreSession:
     """The lease, registration and watch of this entry at the store."""
 
     lease: str = ''
@@ -210,7 +210,7 @@
     register_pending: bool = False
     register_at: float = 0
     swap_pending: bool = False
-    seen_at: float = 0
+    snapshot_at: float = 0
     available: bool = True
     restored_at: float = 0
 
@@ -306,7 +306,7 @@
     author: str = ''
     token: str = ''
     applied_at: str = ''
-    store: StoreView = dataclasses.field(default_factory=StoreView)
+    store: StoreSession = dataclasses.field(default_factory=StoreSession)
     calls: dict[int, PendingCall] = dataclasses.field(default_factory=dict)
     next_call: int = 1
     next_request: int = 1
