--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -150,7 +150,7 @@
     for partition in claim.partitions:
         owned = state.owned.get(partition)
         if owned is not None and partition not in message.stale:
-            owned.awaited.pop((agent, link.incarnation), None)
+            owned.awaited_agents.pop((agent, link.incarnation), None)
     update_usable(turn, link)
 
 
--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -44,8 +44,8 @@
         HandOver(
             partition,
             owner.epoch,
-            owned.blind,
-            (*owned.awaited.values(), *lost_agents),
+            owned.roster_incomplete,
+            (*owned.awaited_agents.values(), *lost_agents),
             tuple(
                 HeldAnswer(
                     submission.identifier,
@@ -77,9 +77,11 @@
     still_awaited = {
         (agent.agent, agent.incarnation): agent for agent in message.awaited
     }
-    owned.blind = message.blind
-    owned.awaited = {
-        key: agent for key, agent in owned.awaited.items() if not agent.gone_ms
+    owned.roster_incomplete = message.blind
+    owned.awaited_agents = {
+        key: agent
+        for key, agent in owned.awaited_agents.items()
+        if not agent.gone_ms
     } | still_awaited
     for held in message.answers:
         if held.submission not in state.submissions:
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -47,9 +47,9 @@
     if owner.former:
         for agent in (*state.roster.values(), *(roster or _NO_ROSTER).agents):
             _await_agent(awaited, agent)
-    blind = bool(owner.former) and not has_valid_roster
-    if roster is not None and roster.blind_until > turn.wall:
-        blind = True
+    roster_incomplete = bool(owner.former) and not has_valid_roster
+    if roster is not None and roster.incomplete_until > turn.wall:
+        roster_incomplete = True
     # The next owner has to wait for the records of these agents as well.
     for key, awaited_agent in awaited.items():
         state.roster.setdefault(key, awaited_agent)
@@ -60,7 +60,7 @@
         turn.now,
         turn.wall,
         awaited,
-        blind=blind,
+        roster_incomplete=roster_incomplete,
         # A live owner reassigns its partitions itself and passes on its
         # refusals.
         refusals_lost=owner.former not in {'', *state.live},
@@ -72,9 +72,11 @@
     """Stop waiting for records once no caller can resubmit their jobs."""
     limit = turn.now - turn.state.identity.retention_s
     for owned in turn.state.owned.values():
-        if owned.gained_at < limit and (owned.awaited or owned.blind):
-            owned.awaited = {}
-            owned.blind = False
+        if owned.gained_at < limit and (
+            owned.awaited_agents or owned.roster_incomplete
+        ):
+            owned.awaited_agents = {}
+            owned.roster_incomplete = False
 
 
 def lose_partitions(
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -195,7 +195,7 @@
         (
             owned.gained_wall + state.identity.retention_s
             for owned in state.owned.values()
-            if owned.blind
+            if owned.roster_incomplete
         ),
         default=0,
     )
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -74,7 +74,7 @@
     unopened = [
         owned
         for owned in state.owned.values()
-        if owned.awaited or owned.blind or owned.stale
+        if owned.awaited_agents or owned.roster_incomplete or owned.stale
     ]
     return {
         'entry': state.identity.name,
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -389,7 +389,7 @@
     partition: OwnedPartition,
 ) -> bool:
     """Tell whether an agent that has not reported may have run the job."""
-    if not partition.awaited and not partition.blind:
+    if not partition.awaited_agents and not partition.roster_incomplete:
         return False
     if turn.now > partition.gained_at + turn.state.identity.retention_s:
         return False
@@ -399,12 +399,12 @@
         issued_at > partition.gained_wall
         and identifier not in turn.state.recovered
     )
-    if partition.blind and not issued_after_gain:
+    if partition.roster_incomplete and not issued_after_gain:
         return True
     service = request.job.service if request.job else ''
     return any(
         agent.service == service or not service
-        for agent in partition.awaited.values()
+        for agent in partition.awaited_agents.values()
         if not issued_after_gain
         and not 0 < agent.gone_ms / MS_PER_S < issued_at
     )
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -109,17 +109,17 @@
 class OwnedPartition:
     """A partition that this entry owns.
 
-    `awaited` maps the agents (name, incarnation) whose records are missing to
-    their roster entries. `blind` is set if that list may be incomplete.
-    `refusals_lost` is set if the former owner failed, since it could not pass
-    on its refusals.
+    `awaited_agents` maps the agents (name, incarnation) whose records are
+    missing to their roster entries. `roster_incomplete` is set if that list may
+    be incomplete. `refusals_lost` is set if the former owner failed, since it
+    could not pass on its refusals.
     """
 
     epoch: int
     gained_at: float
     gained_wall: float
-    awaited: dict[tuple[str, str], RosterAgent]
-    blind: bool = False
+    awaited_agents: dict[tuple[str, str], RosterAgent]
+    roster_incomplete: bool = False
     refusals_lost: bool = False
     stale: bool = False
 
@@ -183,13 +183,13 @@
 class PeerRoster(NamedTuple):
     """The agents that a peer may have used.
 
-    `heard_at` is the time of the peer's last message. Until `blind_until` (UTC
-    seconds) the list may be incomplete.
+    `heard_at` is the time of the peer's last message. Until `incomplete_until`
+    (UTC seconds) the list may be incomplete.
     """
 
     agents: tuple[RosterAgent, ...]
     heard_at: float
-    blind_until: float
+    incomplete_until: float
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/entry/test_bounds.py
+++ b/tests/entry/test_bounds.py
@@ -57,11 +57,11 @@
 
 def test_doubt_ends_with_the_retention_window(state: EntryState) -> None:
     """Guard against a partition that stays in doubt forever."""
-    state.owned[0] = OwnedPartition(1, 100, 100, {}, blind=True)
+    state.owned[0] = OwnedPartition(1, 100, 100, {}, roster_incomplete=True)
     expire_doubt(Turn(state, 100 + RETENTION_S, 0))
-    assert state.owned[0].blind
+    assert state.owned[0].roster_incomplete
     expire_doubt(Turn(state, 101 + RETENTION_S, 0))
-    assert not state.owned[0].blind
+    assert not state.owned[0].roster_incomplete
 
 
 def test_an_entry_without_the_partition_map_is_not_ready(
