--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -77,7 +77,7 @@
     still_awaited = {
         (agent.agent, agent.incarnation): agent for agent in message.awaited
     }
-    owned.roster_incomplete = message.blind
+    owned.roster_incomplete = message.roster_incomplete
     owned.awaited_agents = {
         key: agent
         for key, agent in owned.awaited_agents.items()
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -74,7 +74,7 @@
     turn.state.rosters[name] = PeerRoster(
         message.agents,
         turn.now,
-        message.blind_until_ms / MS_PER_S,
+        message.incomplete_until_ms / MS_PER_S,
     )
     turn.send(name, RosterHeld(message.sequence))
 
@@ -191,7 +191,7 @@
 
 def _send_roster(turn: Turn, peer: PeerLink) -> None:
     state = turn.state
-    blind_until = max(
+    incomplete_until = max(
         (
             owned.gained_wall + state.identity.retention_s
             for owned in state.owned.values()
@@ -203,7 +203,7 @@
         peer.name,
         Roster(
             state.roster_sequence,
-            int(blind_until * MS_PER_S),
+            int(incomplete_until * MS_PER_S),
             tuple(state.roster.values()),
         ),
     )
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -222,12 +222,12 @@
 class Roster(NamedTuple):
     """Tell a peer entry all agents that the sender may have used.
 
-    Until `blind_until_ms` (UTC) the list may lack agents, since the sender
+    Until `incomplete_until_ms` (UTC) the list may lack agents, since the sender
     took over from an entry whose roster it did not have.
     """
 
     sequence: int
-    blind_until_ms: int
+    incomplete_until_ms: int
     agents: tuple[RosterAgent, ...]
 
 
@@ -267,7 +267,7 @@
 
     partition: int
     epoch: int
-    blind: bool
+    roster_incomplete: bool
     awaited: tuple[RosterAgent, ...]
     answers: tuple[HeldAnswer, ...]
 
