Rename fields of PeerLink

gone -> unregistered roster_held -> confirmed_sequence links -> session_count asked_at -> registration_read_at promise_until -> promise_received_until promised_until -> promise_given_until

--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -218,8 +218,12 @@
         return
     silent_since = turn.now - ROSTER_PATIENCE_S
     for peer in turn.state.peers.values():
-        confirmed = peer.roster_held >= link.roster_sequence
-        if not confirmed and not peer.gone and peer.heard_at > silent_since:
+        confirmed = peer.confirmed_sequence >= link.roster_sequence
+        if (
+            not confirmed
+            and not peer.unregistered
+            and peer.heard_at > silent_since
+        ):
             return
     link.usable = True
     turn.state.fleet.mark_usable(link.name)
--- a/src/savoryrudder/entry/leases.py
+++ b/src/savoryrudder/entry/leases.py
@@ -20,7 +20,7 @@
     if state.store.available or not state.store.lease:
         return False
     return all(
-        state.peers[name].promise_until > now
+        state.peers[name].promise_received_until > now
         for name in state.live
         if name != state.identity.name
     )
--- a/src/savoryrudder/entry/partition_map.py
+++ b/src/savoryrudder/entry/partition_map.py
@@ -185,7 +185,7 @@
     peer = state.peers.get(name)
     if peer is None:
         return absent_since + ABSENCE_S <= turn.now
-    if peer.promised_until > turn.now:
+    if peer.promise_given_until > turn.now:
         return False
     if state.store.restored_at + RESTORED_GRACE_S > turn.now:
         return False
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -52,9 +52,9 @@
         handle_peer_down(turn, hello.entry, _REPLACED)
     peer.session = session
     peer.heard_at = turn.now
-    peer.roster_held = 0
-    peer.gone = False
-    peer.links += 1
+    peer.confirmed_sequence = 0
+    peer.unregistered = False
+    peer.session_count += 1
     turn.log_change('peer_up', entry=hello.entry)
     _send_roster(turn, peer)
     _send_promise(turn, peer)
@@ -64,7 +64,7 @@
     """End the session with another entry."""
     peer = turn.state.peers[name]
     peer.session = ''
-    peer.promise_until = 0
+    peer.promise_received_until = 0
     turn.log_change('peer_down', entry=name, reason=reason)
     reroute_forwards(turn, name)
 
@@ -82,7 +82,7 @@
 def handle_roster_held(turn: Turn, name: str, sequence: int) -> None:
     """Record which roster a peer has confirmed."""
     peer = turn.state.peers[name]
-    peer.roster_held = max(peer.roster_held, sequence)
+    peer.confirmed_sequence = max(peer.confirmed_sequence, sequence)
 
 
 def handle_promise(turn: Turn, name: str, message: Promise) -> None:
@@ -91,7 +91,7 @@
     peer.echo_ms = message.sent_ms
     until = (message.echo_ms + message.validity_ms) / MS_PER_S
     if message.validity_ms:
-        peer.promise_until = max(peer.promise_until, until)
+        peer.promise_received_until = max(peer.promise_received_until, until)
 
 
 def forget_rosters(turn: Turn) -> None:
@@ -125,8 +125,8 @@
     if peer is None:
         return
     absent = isinstance(outcome, interface.KeyValue) and outcome.value is None
-    if absent and int(links) == peer.links:
-        peer.gone = True
+    if absent and int(links) == peer.session_count:
+        peer.unregistered = True
 
 
 def note_heard(turn: Turn, name: str) -> None:
@@ -180,12 +180,16 @@
     if all(link.usable for link in turn.state.agents.values()):
         return
     for peer in turn.state.peers.values():
-        if peer.session or peer.gone or turn.now < peer.asked_at + RETRY_S:
+        if (
+            peer.session
+            or peer.unregistered
+            or turn.now < peer.registration_read_at + RETRY_S
+        ):
             continue
-        peer.asked_at = turn.now
+        peer.registration_read_at = turn.now
         turn.call_store(
             interface.ReadKey(f'{documents.ENTRY_PREFIX}{peer.name}'),
-            PendingCall('read-peer', f'{peer.name} {peer.links}'),
+            PendingCall('read-peer', f'{peer.name} {peer.session_count}'),
         )
 
 
@@ -216,7 +220,7 @@
     # it is available, a peer that lost its lease has to stop acting as owner.
     if not state.store.available:
         validity_ms = PROMISE_VALIDITY_MS
-        peer.promised_until = turn.now + PROMISE_VALIDITY_MS / MS_PER_S
+        peer.promise_given_until = turn.now + PROMISE_VALIDITY_MS / MS_PER_S
     turn.send(
         peer.name,
         Promise(validity_ms, int(turn.now * MS_PER_S), peer.echo_ms),
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -159,11 +159,11 @@
 class PeerLink:
     """Another entry, linked or not; `session` is empty without a link.
 
-    `roster_held` is the sequence number of this entry's roster that the peer
-    confirmed last. `gone` is set once the peer is not registered any more. The
-    peer's promise not to take over is valid until `promise_until`, the promise
-    given to it until `promised_until`. `echo_ms` is the time in its last
-    promise.
+    `confirmed_sequence` is the sequence number of this entry's roster that the
+    peer confirmed last. `unregistered` is set once the peer is not registered
+    any more. The peer's promise not to take over is valid until
+    `promise_received_until`, the promise given to it until
+    `promise_given_until`. `echo_ms` is the time in its last promise.
     """
 
     name: str
@@ -171,12 +171,12 @@
     session: str = ''
     heard_at: float = 0
     revision: int = 0
-    roster_held: int = 0
-    links: int = 0
-    gone: bool = False
-    asked_at: float = 0
-    promise_until: float = 0
-    promised_until: float = 0
+    confirmed_sequence: int = 0
+    session_count: int = 0
+    unregistered: bool = False
+    registration_read_at: float = 0
+    promise_received_until: float = 0
+    promise_given_until: float = 0
     echo_ms: int = 0
 
 
