--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -91,7 +91,7 @@
     if forwarded is None:
         turn.count('late_answers')
         return
-    if answer.reason == reasons.NOT_OWNER and forwarded.give_up > turn.now:
+    if answer.reason == reasons.NOT_OWNER and forwarded.give_up_at > turn.now:
         _park(turn, forwarded)
         return
     answers.reply(turn, forwarded.waiter, answer)
@@ -106,7 +106,7 @@
     ]
     for number, request in unanswered:
         turn.state.forwards.pop(number)
-        request.give_up = max(request.give_up, turn.now + refusals.PARK_S)
+        request.give_up_at = max(request.give_up_at, turn.now + refusals.PARK_S)
         _park(turn, request)
 
 
@@ -420,7 +420,7 @@
 
 
 def _park(turn: Turn, request: ParkedRequest) -> None:
-    if request.give_up > turn.now:
+    if request.give_up_at > turn.now:
         turn.state.parked[request.waiter] = request
         return
     turn.count('requests_unowned')
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -90,7 +90,7 @@
     """A request held back until its partition is open or its time is up.
 
     `received` is the earliest time at which any entry may have received it.
-    The caller waits until `wait_until`, routing is retried until `give_up`.
+    The caller waits until `wait_until`, routing is retried until `give_up_at`.
     """
 
     waiter: Waiter
@@ -100,7 +100,7 @@
     job: Job | None
     received: float
     wait_until: float
-    give_up: float
+    give_up_at: float
     forwarded_to: str = ''
     handed_over: bool = False
 
