--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -273,10 +273,10 @@
     step: int = 0
     expires: float = 0
     version: int = 0
-    known: bool = False
-    pending: str = ''
+    loaded: bool = False
+    pending_call: str = ''
     token: str = ''
-    proposed: str = ''
+    proposed_value: str = ''
     read_at: float = 0
     renew_at: float = 0
 
--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -47,7 +47,8 @@
     candidates = [
         (_due_at(turn, client), client)
         for client in state.admission.limits.clients()
-        if client in state.policy.clients and not _record(turn, client).pending
+        if client in state.policy.clients
+        and not _record(turn, client).pending_call
     ]
     due_at, client = min(candidates, default=(float('inf'), ''))
     if due_at > turn.now:
@@ -67,7 +68,7 @@
 ) -> None:
     """Apply terms that were read; settle a renewal without an answer."""
     record = _record(turn, client)
-    record.pending = ''
+    record.pending_call = ''
     if not isinstance(outcome, interface.KeyValue):
         # The last grant stays in force.
         record.read_at = turn.now + _jittered(turn, RETRY_S)
@@ -86,12 +87,12 @@
 ) -> None:
     """Apply the outcome of a renewal."""
     record = _record(turn, client)
-    record.pending = ''
+    record.pending_call = ''
     if isinstance(outcome, interface.Swapped):
         record.token = ''
         turn.count('terms_renewed')
         turn.state.admission.limits.reset_usage(client)
-        stored = interface.KeyValue('', outcome.version, record.proposed)
+        stored = interface.KeyValue('', outcome.version, record.proposed_value)
         _apply_stored_terms(turn, client, stored)
     elif isinstance(outcome, interface.SwapConflict):
         # Another entry has renewed the terms; only its step counts.
@@ -157,7 +158,7 @@
 
 def _may_renew(turn: Turn, client: str, record: ClientTerms) -> bool:
     """Tell whether a renewal is due here and the stored terms are known."""
-    if not record.known or record.token or record.renew_at > turn.now:
+    if not record.loaded or record.token or record.renew_at > turn.now:
         return False
     usage = turn.state.admission.limits.usage(client)
     partition = partition_of(submission_id(client, 'terms'))
@@ -165,7 +166,7 @@
 
 
 def _read(turn: Turn, client: str, record: ClientTerms) -> None:
-    record.pending = 'read'
+    record.pending_call = 'read'
     turn.call_store(
         interface.ReadKey(f'{documents.TERMS_PREFIX}{client}'),
         PendingCall('read-terms', client),
@@ -180,19 +181,19 @@
         step = next_step(step, usage)
     lifetime_s = _terms(turn, client, step).lifetime_s
     record.token = f'{state.identity.name}/{state.randomness.getrandbits(64):x}'
-    record.proposed = documents.encode_terms(
+    record.proposed_value = documents.encode_terms(
         {
             'step': step,
             'expires': turn.wall + lifetime_s,
             'token': record.token,
         },
     )
-    record.pending = 'swap'
+    record.pending_call = 'swap'
     turn.call_store(
         interface.SwapKey(
             f'{documents.TERMS_PREFIX}{client}',
             record.version,
-            record.proposed,
+            record.proposed_value,
             '',
         ),
         PendingCall('swap-terms', client),
@@ -206,7 +207,7 @@
 ) -> documents.TermsDocument | None:
     """Apply stored terms and schedule the next read and renewal."""
     record = _record(turn, client)
-    record.known = True
+    record.loaded = True
     record.version = stored.version
     document = documents.decode_terms(stored.value) if stored.value else None
     record.step = 0
