--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -105,7 +105,7 @@
     store = state.store
     store.watch_pending = False
     if not isinstance(outcome, interface.Snapshot):
-        store.watch_at = turn.now + RETRY_S * (1 + state.randomness.random())
+        store.watch_at = turn.now + RETRY_S * (1 + state.rng.random())
         return
     _update_availability(turn, outcome)
     store.watch_at = turn.now
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -297,7 +297,7 @@
     """
 
     identity: EntryIdentity
-    randomness: random.Random
+    rng: random.Random
     admission: Admission = dataclasses.field(default_factory=Admission)
     fleet: Fleet = dataclasses.field(default_factory=Fleet)
     policy: Policy | None = None
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -182,7 +182,7 @@
     _remove_outstanding(turn, task.agent, key)
     turn.count('tasks_requeued')
     task.status = QUEUED
-    pause_s = backoff_s(task.attempts, turn.state.randomness.random())
+    pause_s = backoff_s(task.attempts, turn.state.rng.random())
     heapq.heappush(turn.state.delayed, (turn.now + pause_s, key))
 
 
--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -180,7 +180,7 @@
     if record.version:
         step = next_step(step, usage)
     lifetime_s = _terms(turn, client, step).lifetime_s
-    record.token = f'{state.identity.name}/{state.randomness.getrandbits(64):x}'
+    record.token = f'{state.identity.name}/{state.rng.getrandbits(64):x}'
     record.proposed_value = documents.encode_terms(
         {
             'step': step,
@@ -221,7 +221,7 @@
             record.step = 0
     lifetime_s = _grant_terms(turn, client).lifetime_s
     record.read_at = turn.now + _jittered(turn, lifetime_s / READS_PER_LIFETIME)
-    lead_s = turn.state.randomness.uniform(*RENEWAL_WINDOW) * lifetime_s
+    lead_s = turn.state.rng.uniform(*RENEWAL_WINDOW) * lifetime_s
     record.renew_at = turn.now + record.expires - turn.wall - lead_s
     return document
 
@@ -262,4 +262,4 @@
 
 
 def _jittered(turn: Turn, seconds: float) -> float:
-    return seconds * turn.state.randomness.uniform(0.8, 1)
+    return seconds * turn.state.rng.uniform(0.8, 1)
