--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -24,9 +24,9 @@
     state = turn.state
     if version <= state.revision:
         return
-    state.author = document['author']
-    state.token = document['token']
-    state.applied_at = document['applied_at']
+    state.config_author = document['author']
+    state.config_token = document['token']
+    state.config_applied_at = document['applied_at']
     _apply_config(turn, version, document['text'])
 
 
@@ -38,7 +38,7 @@
 
 def send_config(turn: Turn, peer: str) -> None:
     """Send this entry's configuration to a process that requested it."""
-    turn.send(peer, Config(turn.state.revision, turn.state.text))
+    turn.send(peer, Config(turn.state.revision, turn.state.config_text))
 
 
 def note_revision(turn: Turn, peer: str, revision: int) -> None:
@@ -166,7 +166,7 @@
         return
     policy = checked.ok
     state.revision = revision
-    state.text = text
+    state.config_text = text
     state.policy = policy
     for queue in state.queues.values():
         queue.configure(*queue_settings(policy))
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -26,10 +26,10 @@
             200,
             {
                 'revision': state.revision,
-                'author': state.author,
-                'token': state.token,
-                'applied_at': state.applied_at,
-                'text': state.text,
+                'author': state.config_author,
+                'token': state.config_token,
+                'applied_at': state.config_applied_at,
+                'text': state.config_text,
             },
         )
     else:
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -302,10 +302,10 @@
     fleet: Fleet = dataclasses.field(default_factory=Fleet)
     policy: Policy | None = None
     revision: int = 0
-    text: str = ''
-    author: str = ''
-    token: str = ''
-    applied_at: str = ''
+    config_text: str = ''
+    config_author: str = ''
+    config_token: str = ''
+    config_applied_at: str = ''
     store: StoreSession = dataclasses.field(default_factory=StoreSession)
     calls: dict[int, PendingCall] = dataclasses.field(default_factory=dict)
     next_call: int = 1
--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -108,7 +108,7 @@
 def configure(world: World, entry: str, number: int) -> None:
     """Change the configuration against the revision in force at an entry."""
     process = world.places[entry]
-    text = f'# {number}\n{process.state.text}'
+    text = f'# {number}\n{process.state.config_text}'
     request = world.clock.randomness.getrandbits(40)
     change = (request, text, process.revision, entry, f'token{request}')
     process.post('ConfigSubmitted', *change)
