--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -188,7 +188,7 @@
                 ),
             ),
         )
-        for call, pending in list(self.state.calls.items()):
+        for call, pending in list(self.state.pending_calls.items()):
             outcome: interface.StoreOutcome = snapshot
             if pending.kind == 'lease':
                 outcome = interface.LeaseHeld('lease', 1e9)
--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -97,8 +97,8 @@
 def send_claim(turn: Turn, agent: str, partitions: Iterable[int]) -> None:
     """Claim partitions at an agent; an empty claim asks for credits only."""
     state = turn.state
-    request = state.next_request
-    state.next_request += 1
+    request = state.next_request_id
+    state.next_request_id += 1
     claimed = tuple(
         (partition, state.owned[partition].epoch) for partition in partitions
     )
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -143,8 +143,8 @@
     waiters = submission.waiters
     if not waiters:
         # A job without a waiting caller gets a request number of its own.
-        turn.state.next_request += 1
-        waiters = {Waiter('', -turn.state.next_request): turn.now}
+        turn.state.next_request_id += 1
+        waiters = {Waiter('', -turn.state.next_request_id): turn.now}
     for waiter, wait_until in waiters.items():
         turn.state.waiting.pop(waiter, None)
         if remaining_ms <= 0 or submission.failing:
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -94,7 +94,7 @@
 
 
 def _handle_store_answer(turn: Turn, event: events.StoreAnswered) -> None:
-    pending = turn.state.calls.pop(event.call, None)
+    pending = turn.state.pending_calls.pop(event.call, None)
     if pending is None:
         turn.count('late_store_answers')
         return
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -130,8 +130,8 @@
 def forward(turn: Turn, request: ParkedRequest, peer: str) -> None:
     """Forward a request to the owner of its partition."""
     state = turn.state
-    number = state.next_request
-    state.next_request += 1
+    number = state.next_request_id
+    state.next_request_id += 1
     request.forwarded_to = peer
     state.forwards[number] = request
     turn.count('requests_forwarded')
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -307,9 +307,11 @@
     config_token: str = ''
     config_applied_at: str = ''
     store: StoreSession = dataclasses.field(default_factory=StoreSession)
-    calls: dict[int, PendingCall] = dataclasses.field(default_factory=dict)
-    next_call: int = 1
-    next_request: int = 1
+    pending_calls: dict[int, PendingCall] = dataclasses.field(
+        default_factory=dict
+    )
+    next_call_id: int = 1
+    next_request_id: int = 1
     map_version: int = 0
     candidates: tuple[str, ...] = ()
     preferred: dict[int, str] = dataclasses.field(default_factory=dict)
--- a/src/savoryrudder/entry/turn.py
+++ b/src/savoryrudder/entry/turn.py
@@ -60,7 +60,7 @@
         pending: PendingCall,
     ) -> None:
         """Call the store and keep the context for its answer."""
-        call = self.state.next_call
-        self.state.next_call += 1
-        self.state.calls[call] = pending
+        call = self.state.next_call_id
+        self.state.next_call_id += 1
+        self.state.pending_calls[call] = pending
         self.emit(entry_effects.CallStore(call, operation))
--- a/tests/entry/test_terms.py
+++ b/tests/entry/test_terms.py
@@ -109,7 +109,7 @@
     def deliver(self) -> None:
         """Let the store answer the pending calls."""
         for call in self.pending_calls:
-            pending = self.state.calls.pop(call.call)
+            pending = self.state.pending_calls.pop(call.call)
             handler = {
                 'read-terms': terms.handle_read_terms,
                 'swap-terms': terms.handle_swapped_terms,
