--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -257,7 +257,9 @@
 
 
 def _send_welcome(turn: Turn, agent: str) -> None:
-    addresses = (document['address'] for document in turn.state.live.values())
+    addresses = (
+        document['address'] for document in turn.state.live_entries.values()
+    )
     turn.send(agent, Welcome(turn.state.identity.name, tuple(addresses)))
 
 
--- a/src/savoryrudder/entry/dispatching.py
+++ b/src/savoryrudder/entry/dispatching.py
@@ -52,13 +52,13 @@
     and a rough figure is enough.
     """
     state = turn.state
-    state.fleet.entry_count = max(1, len(state.live))
+    state.fleet.entry_count = max(1, len(state.live_entries))
     prefetch = _choose_prefetch(turn)
     for name, link in state.agents.items():
         queue = state.queues.get(link.service)
         demand = min(len(queue), MAX_DEMAND) if queue else 0
         # A single entry gets all credits in any case.
-        changed = len(state.live) > 1 and _is_demand_outdated(
+        changed = len(state.live_entries) > 1 and _is_demand_outdated(
             link, demand, turn.now
         )
         if link.usable and (changed or prefetch != link.prefetch):
--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -67,7 +67,8 @@
     return any(
         peer.session
         for name, peer in state.peers.items()
-        if name in state.live and not state.live[name]['draining']
+        if name in state.live_entries
+        and not state.live_entries[name]['draining']
     )
 
 
--- a/src/savoryrudder/entry/leases.py
+++ b/src/savoryrudder/entry/leases.py
@@ -21,6 +21,6 @@
         return False
     return all(
         state.peers[name].promise_received_until > now
-        for name in state.live
+        for name in state.live_entries
         if name != state.identity.name
     )
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -168,25 +168,26 @@
 ) -> None:
     state = turn.state
     own_name = state.identity.name
-    former = state.live.keys()
-    state.live = {
+    former = state.live_entries.keys()
+    state.live_entries = {
         key.removeprefix(documents.ENTRY_PREFIX): documents.decode_entry(item)
         for key, item in items.items()
         if key.startswith(documents.ENTRY_PREFIX)
     }
     own_item = items.get(f'{documents.ENTRY_PREFIX}{own_name}')
     state.store.own_version = own_item.version if own_item else 0
-    if own_name not in state.live or (
-        state.live[own_name]['draining'] != (state.drain_started is not None)
+    if own_name not in state.live_entries or (
+        state.live_entries[own_name]['draining']
+        != (state.drain_started is not None)
     ):
         state.store.registered = False
-    for name, document in state.live.items():
+    for name, document in state.live_entries.items():
         state.absent_since.pop(name, None)
         if name != own_name and name not in state.peers:
             _add_peer(turn, name, document['address'])
-    for absent in state.peers.keys() - state.live.keys():
+    for absent in state.peers.keys() - state.live_entries.keys():
         state.absent_since.setdefault(absent, turn.now)
-    if state.live.keys() != former:
+    if state.live_entries.keys() != former:
         announce_entries(turn)
 
 
--- a/src/savoryrudder/entry/partition_map.py
+++ b/src/savoryrudder/entry/partition_map.py
@@ -34,7 +34,7 @@
     store = state.store
     if store.swap_pending or not store.registered or not store.snapshot_at:
         return
-    if turn.now >= store.lease_deadline or not state.live:
+    if turn.now >= store.lease_deadline or not state.live_entries:
         return
     preferred = _preferred_owners(turn)
     changed = {
@@ -149,10 +149,10 @@
     own_name = state.identity.name
     candidates = [
         name
-        for name in state.live
+        for name in state.live_entries
         if name != own_name
         and state.peers[name].session
-        and not state.live[name]['draining']
+        and not state.live_entries[name]['draining']
     ]
     if state.drain_started is None:
         candidates.append(own_name)
@@ -168,7 +168,7 @@
     own_name = state.identity.name
     if owner.owner == own_name:
         return new_owner != own_name
-    if owner.owner in state.live:
+    if owner.owner in state.live_entries:
         return False
     # An entry takes over partitions for itself only; a dead owner's partition
     # is left to its preferred owner.
@@ -197,9 +197,9 @@
     """Return the preferred owners, cached until the candidates change."""
     state = turn.state
     candidates = tuple(_owner_candidates(turn))
-    if candidates != state.candidates:
-        state.candidates = candidates
-        state.preferred = (
+    if candidates != state.owner_candidates:
+        state.owner_candidates = candidates
+        state.preferred_owners = (
             {
                 partition: _preferred_owner(candidates, partition)
                 for partition in range(PARTITION_COUNT)
@@ -207,7 +207,7 @@
             if candidates
             else {}
         )
-    return state.preferred
+    return state.preferred_owners
 
 
 def _preferred_owner(candidates: tuple[str, ...], partition: int) -> str:
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -63,7 +63,7 @@
         roster_incomplete=roster_incomplete,
         # A live owner reassigns its partitions itself and passes on its
         # refusals.
-        refusals_lost=owner.former not in {'', *state.live},
+        refusals_lost=owner.former not in {'', *state.live_entries},
     )
     apply_hand_over(turn, partition)
 
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -164,7 +164,7 @@
         name
         for name, peer in state.peers.items()
         if not peer.session
-        and name not in state.live
+        and name not in state.live_entries
         and peer.heard_at + FORGET_PEER_S < turn.now
     ]
     for name in gone:
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -89,7 +89,7 @@
                     else state.peers[name].revision
                 ),
             }
-            for name, document in state.live.items()
+            for name, document in state.live_entries.items()
         ],
         'agents': [
             report._asdict() | {'revision': state.agents[report.agent].revision}
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -313,12 +313,14 @@
     next_call_id: int = 1
     next_request_id: int = 1
     map_version: int = 0
-    candidates: tuple[str, ...] = ()
-    preferred: dict[int, str] = dataclasses.field(default_factory=dict)
+    owner_candidates: tuple[str, ...] = ()
+    preferred_owners: dict[int, str] = dataclasses.field(default_factory=dict)
     owners: dict[int, PartitionOwner] = dataclasses.field(default_factory=dict)
     owned: dict[int, OwnedPartition] = dataclasses.field(default_factory=dict)
     absent_since: dict[str, float] = dataclasses.field(default_factory=dict)
-    live: dict[str, EntryDocument] = dataclasses.field(default_factory=dict)
+    live_entries: dict[str, EntryDocument] = dataclasses.field(
+        default_factory=dict
+    )
     peers: dict[str, PeerLink] = dataclasses.field(default_factory=dict)
     rosters: dict[str, PeerRoster] = dataclasses.field(default_factory=dict)
     roster: dict[tuple[str, str], RosterAgent] = dataclasses.field(
