--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -277,7 +277,7 @@
         recovered = state.recovered.setdefault(record.submission, {})
         if not recovered:
             heapq.heappush(
-                state.retention,
+                state.retention_expiry,
                 (turn.now + state.identity.retention_s, record.submission),
             )
         recovered[record.task] = RecoveredRecord(
--- a/src/savoryrudder/entry/answers.py
+++ b/src/savoryrudder/entry/answers.py
@@ -79,7 +79,7 @@
 
 def reply(turn: Turn, waiter: Waiter, answer: Answer) -> None:
     """Send an answer to one waiting request."""
-    turn.state.waiting.pop(waiter, None)
+    turn.state.waiting_requests.pop(waiter, None)
     if waiter.request <= 0:
         return
     if waiter.peer == '':
@@ -103,13 +103,13 @@
         reply(turn, waiter, answer)
         return
     submission.waiters[waiter] = wait_until
-    turn.state.waiting[waiter] = submission.identifier
+    turn.state.waiting_requests[waiter] = submission.identifier
     heapq.heappush(turn.state.wait_limits, (wait_until, waiter))
 
 
 def stop_waiting(turn: Turn, waiter: Waiter) -> None:
     """Remove a request from the waiters of its job."""
-    identifier = turn.state.waiting.pop(waiter, None)
+    identifier = turn.state.waiting_requests.pop(waiter, None)
     if identifier is None:
         return
     submission = turn.state.submissions.get(identifier)
@@ -122,7 +122,7 @@
     limits = turn.state.wait_limits
     while limits and limits[0][0] <= turn.now:
         _, waiter = heapq.heappop(limits)
-        if waiter in turn.state.waiting:
+        if waiter in turn.state.waiting_requests:
             stop_waiting(turn, waiter)
             reply(turn, waiter, RUNNING_ANSWER)
 
--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -52,7 +52,11 @@
         return
     if turn.now < state.drain_started + state.identity.balancer_delay_s:
         return
-    has_requests = state.waiting or state.forwards or state.parked
+    has_requests = (
+        state.waiting_requests
+        or state.forwarded_requests
+        or state.parked_requests
+    )
     if has_requests or any(
         submission.answer is None for submission in state.submissions.values()
     ):
@@ -75,9 +79,9 @@
 def _refuse_remaining(turn: Turn) -> None:
     state = turn.state
     waiters = [
-        *state.waiting,
-        *state.parked,
-        *(request.waiter for request in state.forwards.values()),
+        *state.waiting_requests,
+        *state.parked_requests,
+        *(request.waiter for request in state.forwarded_requests.values()),
     ]
     for waiter in waiters:
         answers.reply(
--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -110,6 +110,6 @@
         answer=held.answer,
     )
     heapq.heappush(
-        state.retention,
+        state.retention_expiry,
         (turn.now + state.identity.retention_s, held.submission),
     )
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -146,7 +146,7 @@
         turn.state.next_request_id += 1
         waiters = {Waiter('', -turn.state.next_request_id): turn.now}
     for waiter, wait_until in waiters.items():
-        turn.state.waiting.pop(waiter, None)
+        turn.state.waiting_requests.pop(waiter, None)
         if remaining_ms <= 0 or submission.failing:
             answers.reply(
                 turn,
@@ -159,7 +159,7 @@
                 ),
             )
             continue
-        turn.state.parked[waiter] = ParkedRequest(
+        turn.state.parked_requests[waiter] = ParkedRequest(
             waiter,
             'submit',
             job.client,
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -63,7 +63,7 @@
     """Forget a caller that has disconnected; its job continues."""
     waiter = Waiter('', event.request)
     answers.stop_waiting(turn, waiter)
-    turn.state.parked.pop(waiter, None)
+    turn.state.parked_requests.pop(waiter, None)
 
 
 def handle_forward(turn: Turn, peer: str, message: Forward) -> None:
@@ -87,7 +87,7 @@
 
 def handle_forward_answer(turn: Turn, request: int, answer: Answer) -> None:
     """Return the owner's answer to the caller, or route the request again."""
-    forwarded = turn.state.forwards.pop(request, None)
+    forwarded = turn.state.forwarded_requests.pop(request, None)
     if forwarded is None:
         turn.count('late_answers')
         return
@@ -101,11 +101,11 @@
     """Route requests again that were forwarded to a lost peer."""
     unanswered = [
         (number, request)
-        for number, request in turn.state.forwards.items()
+        for number, request in turn.state.forwarded_requests.items()
         if request.forwarded_to == peer
     ]
     for number, request in unanswered:
-        turn.state.forwards.pop(number)
+        turn.state.forwarded_requests.pop(number)
         request.give_up_at = max(request.give_up_at, turn.now + refusals.PARK_S)
         _park(turn, request)
 
@@ -133,7 +133,7 @@
     number = state.next_request_id
     state.next_request_id += 1
     request.forwarded_to = peer
-    state.forwards[number] = request
+    state.forwarded_requests[number] = request
     turn.count('requests_forwarded')
     turn.send(
         peer,
@@ -151,8 +151,8 @@
 
 def retry_parked(turn: Turn) -> None:
     """Route parked requests again; answer those that have timed out."""
-    parked = turn.state.parked
-    turn.state.parked = {}
+    parked = turn.state.parked_requests
+    turn.state.parked_requests = {}
     for request in parked.values():
         route(turn, request)
 
@@ -421,7 +421,7 @@
 
 def _park(turn: Turn, request: ParkedRequest) -> None:
     if request.give_up_at > turn.now:
-        turn.state.parked[request.waiter] = request
+        turn.state.parked_requests[request.waiter] = request
         return
     turn.count('requests_unowned')
     answers.reply(
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -288,12 +288,12 @@
 class EntryState:
     """The complete state of the entry reducer.
 
-    `roster` lists the agents (name, incarnation) that this entry may have
-    used, `rosters` holds the rosters of its peers. `parked` requests wait to
-    be routed again, `forwards` wait for another entry's answer. `waiting` maps
-    a request to the submission whose answer it waits for. The lists
-    `deadlines`, `retention`, `refusal_expiry`, `delayed` and `wait_limits` are
-    heaps ordered by monotonic seconds.
+    `roster` lists the agents (name, incarnation) that this entry may have used,
+    `rosters` holds the rosters of its peers. `parked_requests` requests wait to
+    be routed again, `forwarded_requests` wait for another entry's answer.
+    `waiting_requests` maps a request to the submission whose answer it waits
+    for. The lists `deadlines`, `retention_expiry`, `refusal_expiry`,
+    `delayed_tasks` and `wait_limits` are heaps ordered by monotonic seconds.
     """
 
     identity: EntryIdentity
@@ -349,14 +349,14 @@
     deadlines: list[tuple[float, bytes]] = dataclasses.field(
         default_factory=list,
     )
-    retention: list[tuple[float, bytes]] = dataclasses.field(
+    retention_expiry: list[tuple[float, bytes]] = dataclasses.field(
         default_factory=list,
     )
     payload_bytes: int = 0
     small_job_at: float = 0
     prefetching: bool = False
     retries: RetryBudget = dataclasses.field(default_factory=RetryBudget)
-    delayed: list[tuple[float, TaskKey]] = dataclasses.field(
+    delayed_tasks: list[tuple[float, TaskKey]] = dataclasses.field(
         default_factory=list,
     )
     terms: dict[str, ClientTerms] = dataclasses.field(default_factory=dict)
@@ -364,14 +364,18 @@
     terms_call_at: float = 0
     queues: dict[str, ServiceQueue] = dataclasses.field(default_factory=dict)
     hand_overs: dict[int, HandOver] = dataclasses.field(default_factory=dict)
-    parked: dict[Waiter, ParkedRequest] = dataclasses.field(
+    parked_requests: dict[Waiter, ParkedRequest] = dataclasses.field(
         default_factory=dict,
     )
     wait_limits: list[tuple[float, Waiter]] = dataclasses.field(
         default_factory=list,
     )
-    forwards: dict[int, ParkedRequest] = dataclasses.field(default_factory=dict)
-    waiting: dict[Waiter, bytes] = dataclasses.field(default_factory=dict)
+    forwarded_requests: dict[int, ParkedRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting_requests: dict[Waiter, bytes] = dataclasses.field(
+        default_factory=dict
+    )
     roster_sent_at: float = 0
     promised_at: float = 0
     acknowledged_at: float = 0
--- a/src/savoryrudder/entry/submissions.py
+++ b/src/savoryrudder/entry/submissions.py
@@ -183,12 +183,12 @@
     turn.count('tasks_requeued')
     task.status = QUEUED
     pause_s = backoff_s(task.attempts, turn.state.rng.random())
-    heapq.heappush(turn.state.delayed, (turn.now + pause_s, key))
+    heapq.heappush(turn.state.delayed_tasks, (turn.now + pause_s, key))
 
 
 def queue_delayed_retries(turn: Turn) -> None:
     """Queue the tasks whose retry backoff is over."""
-    delayed = turn.state.delayed
+    delayed = turn.state.delayed_tasks
     while delayed and delayed[0][0] <= turn.now:
         identifier, index = heapq.heappop(delayed)[1]
         submission = turn.state.submissions.get(identifier)
@@ -210,8 +210,8 @@
 def expire_retention(turn: Turn) -> None:
     """Forget answers and records after the retention window."""
     state = turn.state
-    while state.retention and state.retention[0][0] <= turn.now:
-        _, identifier = heapq.heappop(state.retention)
+    while state.retention_expiry and state.retention_expiry[0][0] <= turn.now:
+        _, identifier = heapq.heappop(state.retention_expiry)
         state.recovered.pop(identifier, None)
         submission = state.submissions.get(identifier)
         if submission is not None and submission.answer is not None:
@@ -304,7 +304,7 @@
     submission.held_bytes = result_bytes
     state.admission.job_ended(job.client, len(submission.tasks))
     heapq.heappush(
-        state.retention,
+        state.retention_expiry,
         (turn.now + state.identity.retention_s, submission.identifier),
     )
     turn.count(f'jobs_{answer.status}')
