--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -113,19 +113,19 @@
     context: str,
     outcome: interface.StoreOutcome,
 ) -> None:
-    """Mark an unlinked peer as gone if it is not registered any more.
+    """Mark an unlinked peer as unregistered if the store has no entry of it.
 
     Such a peer cannot take over before it registers again, and then it starts
     without rosters. The read was sent after the last session had ended, and
-    `links` shows that none has started since, so that no later roster has
-    reached the peer.
+    `session_count` shows that none has started since, so that no later roster
+    has reached the peer.
     """
-    name, _, links = context.rpartition(' ')
+    name, _, session_count = context.rpartition(' ')
     peer = turn.state.peers.get(name)
     if peer is None:
         return
     absent = isinstance(outcome, interface.KeyValue) and outcome.value is None
-    if absent and int(links) == peer.session_count:
+    if absent and int(session_count) == peer.session_count:
         peer.unregistered = True
 
 
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -289,7 +289,7 @@
     """The complete state of the entry reducer.
 
     `roster` lists the agents (name, incarnation) that this entry may have used,
-    `rosters` holds the rosters of its peers. `parked_requests` requests wait to
+    `rosters` holds the rosters of its peers. `parked_requests` wait to
     be routed again, `forwarded_requests` wait for another entry's answer.
     `waiting_requests` maps a request to the submission whose answer it waits
     for. The lists `deadlines`, `retention_expiry`, `refusal_expiry`,
