Rename functions and constants of agents

note_roster -> update_roster keep_agents_informed -> send_agent_updates keep_peers_informed -> send_peer_updates AGENT_RETURN_S -> AGENT_RECONNECT_S ROSTER_PATIENCE_S -> ROSTER_CONFIRMATION_TIMEOUT_S

--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -36,9 +36,9 @@
 
 # An agent that does not reconnect within this time is considered dead; the
 # outcome of its tasks is unknown.
-AGENT_RETURN_S: Final = 10
+AGENT_RECONNECT_S: Final = 10
 # A new agent is used without waiting for peers that were silent for longer.
-ROSTER_PATIENCE_S: Final = 60
+ROSTER_CONFIRMATION_TIMEOUT_S: Final = 60
 ACKNOWLEDGE_INTERVAL_S: Final = 1
 _REPLACED: Final = 'replaced by a new session'
 
@@ -53,7 +53,7 @@
     if name in state.agents:
         handle_link_down(turn, name, _REPLACED)
     state.lost_agents.pop(name, None)
-    note_roster(turn, name, hello.incarnation, hello.service, linked=True)
+    update_roster(turn, name, hello.incarnation, hello.service, linked=True)
     state.agents[name] = AgentLink(
         name,
         hello.incarnation,
@@ -74,7 +74,7 @@
         _send_welcome(turn, name)
 
 
-def note_roster(
+def update_roster(
     turn: Turn,
     agent: str,
     incarnation: str,
@@ -114,7 +114,7 @@
     """End the session with an agent; its tasks stay outstanding."""
     state = turn.state
     link = state.agents.pop(agent)
-    note_roster(turn, agent, link.incarnation, link.service, linked=False)
+    update_roster(turn, agent, link.incarnation, link.service, linked=False)
     state.fleet.remove_agent(agent)
     state.claims = {
         request: claim
@@ -212,11 +212,12 @@
 def update_usable(turn: Turn, link: AgentLink) -> None:
     """Allow starts on an agent once every peer has confirmed it.
 
-    Gone peers and peers that were silent for `ROSTER_PATIENCE_S` are skipped.
+    Peers that are unregistered, or were silent for
+    `ROSTER_CONFIRMATION_TIMEOUT_S`, are skipped.
     """
     if link.usable or not link.claimed:
         return
-    silent_since = turn.now - ROSTER_PATIENCE_S
+    silent_since = turn.now - ROSTER_CONFIRMATION_TIMEOUT_S
     for peer in turn.state.peers.values():
         confirmed = peer.confirmed_sequence >= link.roster_sequence
         if (
@@ -229,7 +230,7 @@
     turn.state.fleet.mark_usable(link.name)
 
 
-def keep_agents_informed(turn: Turn) -> None:
+def send_agent_updates(turn: Turn) -> None:
     """Enable agents that all peers have confirmed; acknowledge results."""
     state = turn.state
     for link in state.agents.values():
@@ -249,7 +250,7 @@
     expired = [
         agent
         for agent, lost in state.lost_agents.items()
-        if lost.since + AGENT_RETURN_S <= turn.now
+        if lost.since + AGENT_RECONNECT_S <= turn.now
     ]
     for agent in expired:
         state.lost_agents.pop(agent)
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -138,7 +138,7 @@
         state.rosters[name] = roster._replace(heard_at=turn.now)
 
 
-def keep_peers_informed(turn: Turn) -> None:
+def send_peer_updates(turn: Turn) -> None:
     """Send promises every second, and the roster after a change."""
     state = turn.state
     if state.promised_at + PROMISE_INTERVAL_S <= turn.now:
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -104,11 +104,11 @@
 def _handle_tick(turn: Turn, event: events.Tick) -> None:
     membership.keep_lease(turn)
     partition_map.balance(turn)
-    peers.keep_peers_informed(turn)
+    peers.send_peer_updates(turn)
     peers.forget_peers(turn)
     _expire(turn)
     routing.retry_parked(turn)
-    agents.keep_agents_informed(turn)
+    agents.send_agent_updates(turn)
     terms.refresh_terms(turn)
     dispatching.report_demand(turn)
     draining.proceed(turn)
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -183,7 +183,7 @@
 
 
 def _without_roster_wait(patch: Patch) -> None:
-    patch.setattr(agents, 'ROSTER_PATIENCE_S', -1)
+    patch.setattr(agents, 'ROSTER_CONFIRMATION_TIMEOUT_S', -1)
 
 
 def _without_refusals(patch: Patch) -> None:
