--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -18,7 +18,7 @@
     from savoryrudder.entry.turn import Turn
 
 
-def adopt_config(turn: Turn, version: int, value: str) -> None:
+def apply_stored_config(turn: Turn, version: int, value: str) -> None:
     """Apply a configuration from the store unless it is outdated."""
     document = documents.decode_config(value)
     state = turn.state
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -8,7 +8,7 @@
 from savoryrudder.entry import documents
 from savoryrudder.entry import partition_map
 from savoryrudder.entry.agents import announce_entries
-from savoryrudder.entry.configuration import adopt_config
+from savoryrudder.entry.configuration import apply_stored_config
 from savoryrudder.entry.effects import ConnectPeer
 from savoryrudder.entry.peers import forget_rosters
 from savoryrudder.entry.state import PeerLink
@@ -116,7 +116,7 @@
     items = {item.key: item for item in outcome.entries if item.value}
     config = items.get(documents.CONFIG_KEY)
     if config is not None:
-        adopt_config(turn, config.version, config.value or '')
+        apply_stored_config(turn, config.version, config.value or '')
     _update_live_entries(turn, items)
     partitions = items.get(documents.PARTITIONS_KEY, _NO_PARTITIONS)
     partition_map.adopt_owners(
