--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -16,7 +16,7 @@
     from savoryrudder.entry.turn import Turn
 
 
-def hand_over(
+def send_hand_over(
     turn: Turn,
     partition: int,
     owned: OwnedPartition,
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -9,7 +9,7 @@
 from savoryrudder.entry import reasons
 from savoryrudder.entry import submissions
 from savoryrudder.entry.handover import apply_hand_over
-from savoryrudder.entry.handover import hand_over
+from savoryrudder.entry.handover import send_hand_over
 from savoryrudder.entry.refusals import PARK_S
 from savoryrudder.entry.state import OwnedPartition
 from savoryrudder.entry.state import ParkedRequest
@@ -109,7 +109,7 @@
             owned.stale = True
         else:
             state.owned.pop(partition)
-            hand_over(turn, partition, owned, affected[partition])
+            send_hand_over(turn, partition, owned, affected[partition])
         for submission in affected[partition]:
             _reroute(turn, submission)
     turn.log_change(
