--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -28,7 +28,7 @@
 _NO_PARTITIONS: Final = interface.KeyValue(documents.PARTITIONS_KEY, 0, None)
 
 
-def keep_lease(turn: Turn) -> None:
+def maintain_membership(turn: Turn) -> None:
     """Renew the lease, watch the store and register this entry."""
     store = turn.state.store
     if not store.lease_pending and turn.now >= store.renew_at:
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -68,7 +68,7 @@
     apply_hand_over(turn, partition)
 
 
-def expire_doubt(turn: Turn) -> None:
+def expire_awaited_agents(turn: Turn) -> None:
     """Stop waiting for records once no caller can resubmit their jobs."""
     limit = turn.now - turn.state.identity.retention_s
     for owned in turn.state.owned.values():
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -102,7 +102,7 @@
 
 
 def _handle_tick(turn: Turn, event: events.Tick) -> None:
-    membership.keep_lease(turn)
+    membership.maintain_membership(turn)
     partition_map.balance(turn)
     peers.send_peer_updates(turn)
     peers.forget_peers(turn)
@@ -121,7 +121,7 @@
     submissions.expire_retention(turn)
     answers.expire_waits(turn)
     refusals.expire_refusals(turn)
-    partitions.expire_doubt(turn)
+    partitions.expire_awaited_agents(turn)
 
 
 _EVENT_HANDLERS: Final = MappingProxyType[type, _EventHandler](
--- a/tests/entry/test_bounds.py
+++ b/tests/entry/test_bounds.py
@@ -8,7 +8,7 @@
 
 from savoryrudder.entry.draining import is_ready
 from savoryrudder.entry.effects import DisconnectPeer
-from savoryrudder.entry.partitions import expire_doubt
+from savoryrudder.entry.partitions import expire_awaited_agents
 from savoryrudder.entry.peers import forget_peers
 from savoryrudder.entry.state import EntryIdentity
 from savoryrudder.entry.state import EntryState
@@ -58,9 +58,9 @@
 def test_doubt_ends_with_the_retention_window(state: EntryState) -> None:
     """Guard against a partition that stays in doubt forever."""
     state.owned[0] = OwnedPartition(1, 100, 100, {}, roster_incomplete=True)
-    expire_doubt(Turn(state, 100 + RETENTION_S, 0))
+    expire_awaited_agents(Turn(state, 100 + RETENTION_S, 0))
     assert state.owned[0].roster_incomplete
-    expire_doubt(Turn(state, 101 + RETENTION_S, 0))
+    expire_awaited_agents(Turn(state, 101 + RETENTION_S, 0))
     assert not state.owned[0].roster_incomplete
 
 
