--- a/src/savoryrudder/entry/partition_map.py
+++ b/src/savoryrudder/entry/partition_map.py
@@ -21,11 +21,11 @@
 
 # An entry that is missing from the store but still linked is expected to
 # register again, as after a store outage.
-ABSENCE_LINKED_S: Final = 10
-ABSENCE_S: Final = 0.5
+LINKED_TAKEOVER_DELAY_S: Final = 10
+TAKEOVER_DELAY_S: Final = 0.5
 # After a store outage all leases have expired at once; owners get this long to
 # register again.
-RESTORED_GRACE_S: Final = 5
+STORE_OUTAGE_GRACE_S: Final = 5
 
 
 def balance(turn: Turn) -> None:
@@ -184,12 +184,12 @@
     absent_since = state.absent_since.setdefault(name, turn.now)
     peer = state.peers.get(name)
     if peer is None:
-        return absent_since + ABSENCE_S <= turn.now
+        return absent_since + TAKEOVER_DELAY_S <= turn.now
     if peer.promise_given_until > turn.now:
         return False
-    if state.store.restored_at + RESTORED_GRACE_S > turn.now:
+    if state.store.restored_at + STORE_OUTAGE_GRACE_S > turn.now:
         return False
-    delay_s = ABSENCE_LINKED_S if peer.session else ABSENCE_S
+    delay_s = LINKED_TAKEOVER_DELAY_S if peer.session else TAKEOVER_DELAY_S
     return absent_since + delay_s <= turn.now
 
 
