--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -10,7 +10,7 @@
 from savoryrudder.entry.agents import announce_entries
 from savoryrudder.entry.configuration import apply_stored_config
 from savoryrudder.entry.effects import ConnectPeer
-from savoryrudder.entry.peers import forget_rosters
+from savoryrudder.entry.peers import discard_rosters
 from savoryrudder.entry.state import PeerLink
 from savoryrudder.entry.state import PendingCall
 from savoryrudder.store import interface
@@ -90,7 +90,7 @@
         store.registered = lease == store.lease
         if store.registered_lease != lease:
             store.registered_lease = lease
-            forget_rosters(turn)
+            discard_rosters(turn)
     elif isinstance(outcome, interface.SwapConflict):
         store.own_version = outcome.current.version
     elif isinstance(outcome, interface.LeaseLost) and lease == store.lease:
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -29,7 +29,7 @@
 ROSTER_INTERVAL_S: Final = 0.2
 RETRY_S: Final = 0.5
 # Peers that were silent for longer are removed once their lease has expired.
-FORGET_PEER_S: Final = 120
+PEER_RETENTION_S: Final = 120
 _REPLACED: Final = 'replaced by a new session'
 _REGISTERED_AGAIN: Final = 'this entry registered again'
 
@@ -94,7 +94,7 @@
         peer.promise_received_until = max(peer.promise_received_until, until)
 
 
-def forget_rosters(turn: Turn) -> None:
+def discard_rosters(turn: Turn) -> None:
     """Discard the rosters received before this entry registered.
 
     While an entry is not registered, its peers use agents without waiting for
@@ -129,7 +129,7 @@
         peer.unregistered = True
 
 
-def note_heard(turn: Turn, name: str) -> None:
+def record_contact(turn: Turn, name: str) -> None:
     """Record that a peer is alive, which keeps its roster valid."""
     state = turn.state
     state.peers[name].heard_at = turn.now
@@ -157,7 +157,7 @@
     _check_unlinked_peers(turn)
 
 
-def forget_peers(turn: Turn) -> None:
+def remove_stale_peers(turn: Turn) -> None:
     """Remove entries that are neither linked nor registered any more."""
     state = turn.state
     gone = [
@@ -165,7 +165,7 @@
         for name, peer in state.peers.items()
         if not peer.session
         and name not in state.live_entries
-        and peer.heard_at + FORGET_PEER_S < turn.now
+        and peer.heard_at + PEER_RETENTION_S < turn.now
     ]
     for name in gone:
         address = state.peers.pop(name).address
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -89,7 +89,7 @@
     peer = state.peers.get(event.peer)
     if peer is None or peer.session != event.session:
         return False
-    peers.note_heard(turn, event.peer)
+    peers.record_contact(turn, event.peer)
     return True
 
 
@@ -105,7 +105,7 @@
     membership.maintain_membership(turn)
     partition_map.balance(turn)
     peers.send_peer_updates(turn)
-    peers.forget_peers(turn)
+    peers.remove_stale_peers(turn)
     _expire(turn)
     routing.retry_parked(turn)
     agents.send_agent_updates(turn)
--- a/tests/entry/test_bounds.py
+++ b/tests/entry/test_bounds.py
@@ -9,7 +9,7 @@
 from savoryrudder.entry.draining import is_ready
 from savoryrudder.entry.effects import DisconnectPeer
 from savoryrudder.entry.partitions import expire_awaited_agents
-from savoryrudder.entry.peers import forget_peers
+from savoryrudder.entry.peers import remove_stale_peers
 from savoryrudder.entry.state import EntryIdentity
 from savoryrudder.entry.state import EntryState
 from savoryrudder.entry.state import OwnedPartition
@@ -78,6 +78,6 @@
     state.peers['e3#a'] = PeerLink('e3#a', 'same', heard_at=0)
     state.peers['e3#b'] = PeerLink('e3#b', 'same', 's1', heard_at=200)
     turn = Turn(state, 200, 0)
-    forget_peers(turn)
+    remove_stale_peers(turn)
     assert turn.effects == [DisconnectPeer('left')]
     assert list(state.peers) == ['e3#b']
