--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -41,7 +41,7 @@
     turn.send(peer, Config(turn.state.revision, turn.state.config_text))
 
 
-def note_revision(turn: Turn, peer: str, revision: int) -> None:
+def track_revision(turn: Turn, peer: str, revision: int) -> None:
     """Record a peer's revision; request its configuration if it is newer."""
     state = turn.state
     link = state.agents.get(peer) or state.peers.get(peer)
--- a/src/savoryrudder/entry/draining.py
+++ b/src/savoryrudder/entry/draining.py
@@ -37,7 +37,7 @@
     turn.log_change('draining')
 
 
-def proceed(turn: Turn) -> None:
+def advance_drain(turn: Turn) -> None:
     """Stop once all requests are answered and all partitions handed over.
 
     At the deadline, the remaining requests are refused. Partitions are kept if
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -34,7 +34,7 @@
 _REGISTERED_AGAIN: Final = 'this entry registered again'
 
 
-def greet(turn: Turn, name: str) -> None:
+def send_hello(turn: Turn, name: str) -> None:
     """Send this entry's hello on a new session with another entry."""
     identity = turn.state.identity
     turn.send(name, PeerHello(identity.name, identity.address))
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -53,7 +53,7 @@
 def _handle_link_up(turn: Turn, event: events.LinkUp) -> None:
     turn.count('links_up')
     if is_entry_name(event.peer):
-        peers.greet(turn, event.peer)
+        peers.send_hello(turn, event.peer)
 
 
 def _handle_link_down(turn: Turn, event: events.LinkDown) -> None:
@@ -78,7 +78,7 @@
     else:
         turn.count('stale_session_messages')
         return
-    configuration.note_revision(turn, event.peer, event.revision)
+    configuration.track_revision(turn, event.peer, event.revision)
 
 
 def _accept_session(turn: Turn, event: events.MessageReceived) -> bool:
@@ -111,7 +111,7 @@
     agents.send_agent_updates(turn)
     terms.refresh_terms(turn)
     dispatching.report_demand(turn)
-    draining.proceed(turn)
+    draining.advance_drain(turn)
 
 
 def _expire(turn: Turn) -> None:
