Rename the request numbers of entry events and effects

request -> request_id in JobSubmitted, AnswerRequested, JobCancelled, CallerDisconnected, ConfigSubmitted, ReportRequested, AgentDrainRequested, Reply, ReplyJson and Waiter, as in dispatch/.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -286,7 +286,7 @@
         if isinstance(effect, Send):
             self._send(name, effect)
         elif isinstance(effect, entry_effects.Reply):
-            job = self._jobs[effect.request]
+            job = self._jobs[effect.request_id]
             end = self.now + CLIENT_LATENCY_S
             self.figures.outcomes[job.key] = Outcome(
                 effect.answer,
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -229,9 +229,9 @@
     def _carry_out_own(self, effect: entry_effects.EntryEffect) -> None:
         match effect:
             case entry_effects.Reply():
-                self._respond(effect.request, effect.answer)
+                self._respond(effect.request_id, effect.answer)
             case entry_effects.ReplyJson():
-                self._respond(effect.request, effect)
+                self._respond(effect.request_id, effect)
             case entry_effects.CallStore():
                 self._group.start_soon(self._call_store, effect)
             case entry_effects.ConnectPeer():
--- a/src/savoryrudder/entry/answers.py
+++ b/src/savoryrudder/entry/answers.py
@@ -80,12 +80,12 @@
 def reply(turn: Turn, waiter: Waiter, answer: Answer) -> None:
     """Send an answer to one waiting request."""
     turn.state.waiting_requests.pop(waiter, None)
-    if waiter.request <= 0:
+    if waiter.request_id <= 0:
         return
     if waiter.peer == '':
-        turn.emit(Reply(waiter.request, answer))
+        turn.emit(Reply(waiter.request_id, answer))
     elif waiter.peer in turn.state.peers:
-        turn.send(waiter.peer, ForwardAnswer(waiter.request, answer))
+        turn.send(waiter.peer, ForwardAnswer(waiter.request_id, answer))
 
 
 def reply_or_wait(
--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -57,7 +57,7 @@
     checked = parse_policy(event.text)
     if checked.is_error():
         turn.reply_json(
-            event.request,
+            event.request_id,
             422,
             {'findings': [finding._asdict() for finding in checked.error]},
         )
@@ -88,7 +88,7 @@
 ) -> None:
     """Report the outcome of a configuration change to the operator."""
     if isinstance(outcome, interface.Swapped):
-        turn.reply_json(event.request, 200, {'revision': outcome.version})
+        turn.reply_json(event.request_id, 200, {'revision': outcome.version})
     elif isinstance(outcome, interface.SwapConflict):
         _report_conflict(turn, event, outcome.current)
     else:
@@ -107,7 +107,7 @@
     """Report the outcome of a change that the store did not answer."""
     if not isinstance(outcome, interface.KeyValue):
         turn.reply_json(
-            event.request,
+            event.request_id,
             503,
             {
                 'reason': 'store-unavailable',
@@ -117,10 +117,10 @@
         )
         return
     if outcome.value and _token_of(outcome.value) == event.token:
-        turn.reply_json(event.request, 200, {'revision': outcome.version})
+        turn.reply_json(event.request_id, 200, {'revision': outcome.version})
     elif outcome.version == event.expected_revision:
         turn.reply_json(
-            event.request,
+            event.request_id,
             503,
             {
                 'reason': 'store-unavailable',
@@ -143,7 +143,7 @@
 ) -> None:
     if current.value and _token_of(current.value) == event.token:
         # A retried write conflicts with its own first attempt.
-        turn.reply_json(event.request, 200, {'revision': current.version})
+        turn.reply_json(event.request_id, 200, {'revision': current.version})
         return
     author = ''
     text = ''
@@ -152,7 +152,7 @@
         author = document['author']
         text = document['text']
     turn.reply_json(
-        event.request,
+        event.request_id,
         409,
         {'revision': current.version, 'author': author, 'text': text},
     )
--- a/src/savoryrudder/entry/effects.py
+++ b/src/savoryrudder/entry/effects.py
@@ -14,14 +14,14 @@
 class Reply(NamedTuple):
     """Answer a caller's request."""
 
-    request: int
+    request_id: int
     answer: Answer
 
 
 class ReplyJson(NamedTuple):
     """Answer an operator's request with an HTTP status and a JSON object."""
 
-    request: int
+    request_id: int
     status: int
     body: dict[str, Any]
 
--- a/src/savoryrudder/entry/events.py
+++ b/src/savoryrudder/entry/events.py
@@ -15,7 +15,7 @@
 
     now: float
     wall: float
-    request: int
+    request_id: int
     job: Job
     wait_s: float
 
@@ -25,7 +25,7 @@
 
     now: float
     wall: float
-    request: int
+    request_id: int
     client: str
     key: str
     wait_s: float
@@ -36,7 +36,7 @@
 
     now: float
     wall: float
-    request: int
+    request_id: int
     client: str
     key: str
 
@@ -45,7 +45,7 @@
     """The caller of a request has disconnected; the job continues."""
 
     now: float
-    request: int
+    request_id: int
 
 
 class LinkUp(NamedTuple):
@@ -101,7 +101,7 @@
 
     now: float
     wall: float
-    request: int
+    request_id: int
     text: str
     expected_revision: int
     author: str
@@ -116,7 +116,7 @@
 
     now: float
     wall: float
-    request: int
+    request_id: int
     kind: str
     name: str
 
@@ -125,7 +125,7 @@
     """An operator asks an agent to stop gracefully."""
 
     now: float
-    request: int
+    request_id: int
     agent: str
 
 
--- a/src/savoryrudder/entry/reports.py
+++ b/src/savoryrudder/entry/reports.py
@@ -19,10 +19,10 @@
     """Report status, configuration or terms."""
     state = turn.state
     if event.kind == 'status':
-        turn.reply_json(event.request, 200, _status(turn))
+        turn.reply_json(event.request_id, 200, _status(turn))
     elif event.kind == 'config':
         turn.reply_json(
-            event.request,
+            event.request_id,
             200,
             {
                 'revision': state.revision,
@@ -41,10 +41,10 @@
     if event.kind == 'terms':
         client_terms = terms.report(turn, event.name)
     if client_terms is not None:
-        turn.reply_json(event.request, 200, client_terms)
+        turn.reply_json(event.request_id, 200, client_terms)
         return
     turn.reply_json(
-        event.request,
+        event.request_id,
         404,
         {
             'reason': 'not-found',
@@ -57,10 +57,10 @@
     """Forward an operator's request for a graceful stop to an agent."""
     if event.agent in turn.state.agents:
         turn.send(event.agent, Leaving())
-        turn.reply_json(event.request, 202, {'agent': event.agent})
+        turn.reply_json(event.request_id, 202, {'agent': event.agent})
         return
     turn.reply_json(
-        event.request,
+        event.request_id,
         404,
         {
             'reason': 'not-found',
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -41,27 +41,30 @@
     """Accept, refuse, forward or park a job."""
     route(
         turn,
-        _local_request(turn, event.request, 'submit', event.job, event.wait_s),
+        _local_request(
+            turn, event.request_id, 'submit', event.job, event.wait_s
+        ),
     )
 
 
 def handle_fetch(turn: Turn, event: events.AnswerRequested) -> None:
     """Look up the answer to an earlier submission."""
     route(
-        turn, _local_request(turn, event.request, 'fetch', event, event.wait_s)
+        turn,
+        _local_request(turn, event.request_id, 'fetch', event, event.wait_s),
     )
 
 
 def handle_cancel(turn: Turn, event: events.JobCancelled) -> None:
     """Cancel a submission."""
-    route(turn, _local_request(turn, event.request, 'cancel', event, 0))
+    route(turn, _local_request(turn, event.request_id, 'cancel', event, 0))
 
 
 def handle_caller_disconnected(
     turn: Turn, event: events.CallerDisconnected
 ) -> None:
     """Forget a caller that has disconnected; its job continues."""
-    waiter = Waiter('', event.request)
+    waiter = Waiter('', event.request_id)
     answers.stop_waiting(turn, waiter)
     turn.state.parked_requests.pop(waiter, None)
 
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -47,12 +47,12 @@
 class Waiter(NamedTuple):
     """A request that waits for an answer.
 
-    `request` is its number at this entry or, if a peer forwarded it, at that
+    `request_id` is its number at this entry or, if a peer forwarded it, at that
     `peer`; `peer` is empty for a request from a caller of this entry.
     """
 
     peer: str
-    request: int
+    request_id: int
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -132,10 +132,10 @@
         self.dials.add(effect.address)
 
     def _on_reply(self, effect: Any) -> None:
-        self.world.callers.carry(effect.request, effect.answer)
+        self.world.callers.carry(effect.request_id, effect.answer)
 
     def _on_replyjson(self, effect: Any) -> None:
-        self.world.operator_answers[effect.request] = effect
+        self.world.operator_answers[effect.request_id] = effect
 
     def _on_callupstream(self, effect: Any) -> None:
         self.world.upstreams.call(self, effect)
