Reword the fixtures and tests of links

Renamed: HELLO -> AGENT_HELLO Happening -> LinkCall Hub -> LinkedProcesses TURNS_BETWEEN_FAULTS -> MEAN_STEPS_BETWEEN_FAULTS WELCOME -> ENTRY_HELLO _add -> _record _changed -> _call_recorded _until_greeted -> _wait_for_greetings _until_up -> _wait_until_up after -> excluded_session ask -> send_join_request assert_alternating -> assert_sessions_do_not_overlap at_agent -> agent_recorder at_entry -> entry_recorder changes -> session_calls dialling -> run_dialler draw -> rng ended -> downs events -> recorder found -> greetings happening -> call here -> listener_recorder hub -> linked is_detail -> matches_detail is_session -> matches_session linked -> run_links listening -> run_listener load -> message numbers -> received one -> call one -> detail one -> links raw -> encoded raw -> frame raw_peer -> raw_session seen -> calls small -> small_limits taken -> occupied test_a_bad_frame_closes_the_session -> test_invalid_frame_closes_the_session test_a_closed_session_ends_at_both_ends -> test_closed_session_ends_on_both_sides test_a_closed_session_is_followed_by_a_new_one -> test_closed_session_is_followed_by_a_new_one test_a_dialler_finds_a_restarted_listener -> test_dialler_reconnects_to_a_restarted_listener test_a_full_queue_closes_the_session -> test_full_queue_closes_the_session test_a_join_that_cannot_be_served_is_refused -> test_invalid_join_is_refused test_a_join_that_is_not_followed_up_replaces_nothing -> test_join_without_a_connection_replaces_nothing test_a_link_that_is_not_read_is_closed -> test_peer_that_does_not_read_is_disconnected test_a_lost_connection_ends_the_session -> test_lost_connection_ends_the_session test_a_second_join_replaces_the_session -> test_second_join_replaces_the_session test_a_sequence_gap_closes_the_session -> test_unexpected_sequence_closes_the_session test_a_silent_link_is_closed -> test_session_without_heartbeats_is_closed test_a_stopped_dialler_ends_and_does_not_dial_again -> test_stopped_dialler_closes_its_session_and_returns test_joins_are_refused_when_all_ports_are_taken -> test_join_is_refused_when_all_ports_are_in_use test_messages_pass_both_ways_in_order -> test_messages_arrive_in_order_in_both_directions there -> dialler_recorder

--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -1,4 +1,4 @@
-"""Provide a recorder of link events and short link intervals."""
+"""Fixtures for links: recorders of callbacks, and short intervals."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
     from savoryrudder.protocol.messages import Message
 
 
-class Happening(NamedTuple):
-    """Hold one call of a link callback."""
+class LinkCall(NamedTuple):
+    """A recorded call of a link callback."""
 
     kind: str
     peer: str
@@ -24,17 +24,17 @@
 
 
 class Recorder:
-    """Record the calls of link callbacks."""
+    """Link callbacks that record their calls."""
 
     def __init__(self) -> None:
-        """Start with nothing recorded."""
-        self.seen: list[Happening] = []
+        """Initialize without calls."""
+        self.calls: list[LinkCall] = []
         self.revisions: set[int] = set()
-        self._changed = anyio.Event()
+        self._call_recorded = anyio.Event()
 
     def on_up(self, peer: str, session: str) -> None:
-        """Record a session."""
-        self._add(Happening('up', peer, session, None))
+        """Record the start of a session."""
+        self._record(LinkCall('up', peer, session, None))
 
     def on_frame(
         self,
@@ -46,36 +46,43 @@
         """Record each message."""
         self.revisions.add(revision)
         for message in messages:
-            self._add(Happening('message', peer, session, message))
+            self._record(LinkCall('message', peer, session, message))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
         """Record the end of a session."""
-        self._add(Happening('down', peer, session, reason))
+        self._record(LinkCall('down', peer, session, reason))
 
-    def of_kind(self, kind: str) -> list[Happening]:
-        """Return what was recorded of one kind."""
-        return [one for one in self.seen if one.kind == kind]
+    def of_kind(self, kind: str) -> list[LinkCall]:
+        """Return the recorded calls of a kind: up, message or down."""
+        return [call for call in self.calls if call.kind == kind]
 
     async def wait_for(
         self,
         kind: str,
         session: str = '',
-        after: str = '',
+        excluded_session: str = '',
         detail: object = None,
-    ) -> Happening:
-        """Return the first match; `after` is a session to be passed over."""
-        while True:
-            for one in self.of_kind(kind):
-                is_session = one.session == session or not session
-                is_detail = detail is None or one.detail == detail
-                if is_session and is_detail and one.session != after:
-                    return one
-            await self._changed.wait()
+    ) -> LinkCall:
+        """Wait for the first call that matches, and return it.
 
-    def _add(self, happening: Happening) -> None:
-        self.seen.append(happening)
-        self._changed.set()
-        self._changed = anyio.Event()
+        Calls of `excluded_session` are ignored.
+        """
+        while True:
+            for call in self.of_kind(kind):
+                matches_session = call.session == session or not session
+                matches_detail = detail is None or call.detail == detail
+                if (
+                    matches_session
+                    and matches_detail
+                    and call.session != excluded_session
+                ):
+                    return call
+            await self._call_recorded.wait()
+
+    def _record(self, call: LinkCall) -> None:
+        self.calls.append(call)
+        self._call_recorded.set()
+        self._call_recorded = anyio.Event()
 
 
 @pytest.fixture
@@ -86,7 +93,7 @@
 
 @pytest.fixture
 def timing() -> LinkTiming:
-    """Return short intervals, so that silence is noticed soon."""
+    """Return short intervals, so that timeouts elapse quickly."""
     return LinkTiming(
         heartbeat_s=0.05,
         silent_intervals=20,
@@ -97,12 +104,12 @@
 
 
 @pytest.fixture
-def at_entry() -> Recorder:
+def entry_recorder() -> Recorder:
     """Return the recorder of the listening side."""
     return Recorder()
 
 
 @pytest.fixture
-def at_agent() -> Recorder:
+def agent_recorder() -> Recorder:
     """Return the recorder of the dialling side."""
     return Recorder()
--- a/tests/daemon/test_hub.py
+++ b/tests/daemon/test_hub.py
@@ -1,4 +1,4 @@
-"""Check links through a shared port."""
+"""Tests for links that share one listening port."""
 
 from __future__ import annotations
 
@@ -21,87 +21,95 @@
     from savoryrudder.daemon.session import LinkTiming
 
 pytestmark = pytest.mark.anyio
-HELLO = work.AgentHello('a1', 'a1#1', 'zone')
-WELCOME = work.EntryHello('e1', 'e1#1', 'address')
+AGENT_HELLO = work.AgentHello('a1', 'a1#1', 'zone')
+ENTRY_HELLO = work.EntryHello('e1', 'e1#1', 'address')
 
 
 def _no_revision() -> int:
     return int()
 
 
-async def _until_up(recorder: Recorder, count: int) -> None:
+async def _wait_until_up(recorder: Recorder, count: int) -> None:
     while len(recorder.of_kind('up')) < count:
         await anyio.sleep(0.01)
 
 
-class Hub(NamedTuple):
-    """Hold a listener and the links of the processes that dial it."""
+class LinkedProcesses(NamedTuple):
+    """A listener and the links of the processes that dial it."""
 
     listener: HubListener
     dialled: list[DialledLinks]
 
 
 @contextlib.asynccontextmanager
-async def linked(
-    here: Recorder,
-    there: Recorder,
+async def run_links(
+    listener_recorder: Recorder,
+    dialler_recorder: Recorder,
     timing: LinkTiming,
     count: int,
-) -> AsyncIterator[Hub]:
+) -> AsyncIterator[LinkedProcesses]:
     """Run a listener and several processes that dial it."""
-    listener = HubListener('127.0.0.1:0', here, _no_revision, timing)
-    dialled = [DialledLinks(there, _no_revision) for _ in range(count)]
+    listener = HubListener(
+        '127.0.0.1:0', listener_recorder, _no_revision, timing
+    )
+    dialled = [
+        DialledLinks(dialler_recorder, _no_revision) for _ in range(count)
+    ]
     async with anyio.create_task_group() as group:
         address = await group.start(listener.run)
         for links in dialled:
             links.follow(group, [address])
-        await _until_up(here, count)
-        await _until_up(there, count)
-        yield Hub(listener, dialled)
+        await _wait_until_up(listener_recorder, count)
+        await _wait_until_up(dialler_recorder, count)
+        yield LinkedProcesses(listener, dialled)
         group.cancel_scope.cancel()
 
 
 async def test_many_processes_share_one_port(
-    at_entry: Recorder,
-    at_agent: Recorder,
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
     timing: LinkTiming,
 ) -> None:
-    """Guards against a port for each session."""
-    async with linked(at_entry, at_agent, timing, 5) as hub:
-        sessions = [up.session for up in at_agent.of_kind('up')]
+    """Guard against a port for each session."""
+    async with run_links(entry_recorder, agent_recorder, timing, 5) as linked:
+        sessions = [up.session for up in agent_recorder.of_kind('up')]
         for session in sessions:
-            assert hub.listener.send(session, WELCOME)
-            assert any(one.send(session, HELLO) for one in hub.dialled)
-        await _until_greeted(at_agent, WELCOME, 5)
-        await _until_greeted(at_entry, HELLO, 5)
+            assert linked.listener.send(session, ENTRY_HELLO)
+            assert any(
+                links.send(session, AGENT_HELLO) for links in linked.dialled
+            )
+        await _wait_for_greetings(agent_recorder, ENTRY_HELLO, 5)
+        await _wait_for_greetings(entry_recorder, AGENT_HELLO, 5)
     assert len(set(sessions)) == 5
 
 
-async def test_a_closed_session_ends_at_both_ends(
-    at_entry: Recorder,
-    at_agent: Recorder,
+async def test_closed_session_ends_on_both_sides(
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
     timing: LinkTiming,
 ) -> None:
-    """Guards against an end that takes a dead link for open."""
-    async with linked(at_entry, at_agent, timing, 2) as hub:
-        session = at_entry.of_kind('up')[0].session
-        hub.listener.close(session, 'test')
-        await at_entry.wait_for('down', session)
-        await at_agent.wait_for('down', session)
-        # The other session is not touched; the closed one is dialled anew.
-        await _until_up(at_agent, 3)
-        assert len(at_agent.of_kind('down')) == 1
-
-
-async def _until_greeted(
+    """Guard against a side that considers a closed session open."""
+    async with run_links(entry_recorder, agent_recorder, timing, 2) as linked:
+        session = entry_recorder.of_kind('up')[0].session
+        linked.listener.close(session, 'test')
+        await entry_recorder.wait_for('down', session)
+        await agent_recorder.wait_for('down', session)
+        # The other session stays open; the closed one is dialled again.
+        await _wait_until_up(agent_recorder, 3)
+        assert len(agent_recorder.of_kind('down')) == 1
+
+
+async def _wait_for_greetings(
     recorder: Recorder,
     greeting: object,
     count: int,
 ) -> None:
     while True:
-        found = [
-            one for one in recorder.of_kind('message') if one.detail == greeting
+        greetings = [
+            call
+            for call in recorder.of_kind('message')
+            if call.detail == greeting
         ]
-        if len(found) == count:
+        if len(greetings) == count:
             return
         await anyio.sleep(0.01)
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -1,4 +1,4 @@
-"""Check that links carry messages and end with their first fault."""
+"""Tests for links that use one port per session."""
 
 from __future__ import annotations
 
@@ -31,16 +31,16 @@
 pytestmark = pytest.mark.anyio
 REQUEST = join.JoinRequest(codec.PROTOCOL_VERSION, 'a1', 'agent')
 MEGABYTE = 1 << 20
-TURNS_BETWEEN_FAULTS = 20
+MEAN_STEPS_BETWEEN_FAULTS = 20
 
 
 @contextlib.asynccontextmanager
-async def listening(
-    events: Recorder,
+async def run_listener(
+    recorder: Recorder,
     timing: LinkTiming,
 ) -> AsyncIterator[LinkListener]:
-    """Run a listener."""
-    listener = LinkListener('127.0.0.1:0', 'e1', events, lambda: 3, timing)
+    """Run a listener in the background."""
+    listener = LinkListener('127.0.0.1:0', 'e1', recorder, lambda: 3, timing)
     async with anyio.create_task_group() as group:
         await group.start(listener.run)
         yield listener
@@ -48,182 +48,187 @@
 
 
 @contextlib.asynccontextmanager
-async def dialling(
+async def run_dialler(
     listener: LinkListener,
-    events: Recorder,
+    recorder: Recorder,
     timing: LinkTiming,
 ) -> AsyncIterator[LinkDialler]:
     """Run a dialler and wait until its first session is up."""
     dialler = LinkDialler(
         listener.address,
         REQUEST,
-        events,
+        recorder,
         lambda: 2,
         timing,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(dialler.run)
-        await events.wait_for('up')
+        await recorder.wait_for('up')
         yield dialler
         group.cancel_scope.cancel()
 
 
-async def ask(address: str, request: bytes) -> join.JoinAnswer:
-    """Send a join request and return the raw answer."""
+async def send_join_request(address: str, request: bytes) -> join.JoinAnswer:
+    """Send an encoded join request and return the decoded answer."""
     with contextlib.closing(MessageSocket(pynng.Req0())) as socket:
         socket.dial(address, redial_ms=(10, 10))
         await socket.send(request)
-        raw = await socket.receive()
-    return msgspec.msgpack.decode(raw, type=join.JoinAnswer)
+        encoded = await socket.receive()
+    return msgspec.msgpack.decode(encoded, type=join.JoinAnswer)
 
 
 @contextlib.asynccontextmanager
-async def raw_peer(
+async def raw_session(
     listener: LinkListener,
-    events: Recorder,
+    recorder: Recorder,
 ) -> AsyncIterator[tuple[PairSocket, join.JoinAnswer]]:
-    """Open a session whose frames the test writes itself."""
-    answer = await ask(listener.address, join.encode_join(REQUEST))
+    """Open a session whose frames are written by the test."""
+    answer = await send_join_request(
+        listener.address,
+        join.encode_join(REQUEST),
+    )
     with contextlib.closing(PairSocket()) as socket:
         socket.dial_once(answer.address)
         await socket.send(heartbeat(answer.session, 0))
-        await events.wait_for('up', session=answer.session)
+        await recorder.wait_for('up', session=answer.session)
         yield socket, answer
 
 
 def heartbeat(session: str, sequence: int) -> bytes:
-    """Encode a frame of one heartbeat."""
+    """Return an encoded frame with one heartbeat."""
     frame = codec.Frame(session, sequence, 0, (messages.Heartbeat(),))
     return codec.encode_frame(frame)
 
 
-async def test_messages_pass_both_ways_in_order(
+async def test_messages_arrive_in_order_in_both_directions(
     timing: LinkTiming,
-    at_entry: Recorder,
-    at_agent: Recorder,
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
 ) -> None:
     """Guard against lost or reordered messages on a healthy link."""
     sent = [messages.Grant(number) for number in range(500)]
     async with (
-        listening(at_entry, timing) as listener,
-        dialling(listener, at_agent, timing) as dialler,
+        run_listener(entry_recorder, timing) as listener,
+        run_dialler(listener, agent_recorder, timing) as dialler,
     ):
-        await at_entry.wait_for('up')
+        await entry_recorder.wait_for('up')
         assert listener.send('a1', messages.Demand(4))
         assert all(dialler.send('e1', message) for message in sent)
-        await at_agent.wait_for('message', detail=messages.Demand(4))
-        await at_entry.wait_for('message', detail=sent[-1])
-    received = [one.detail for one in at_entry.of_kind('message')]
-    assert [one for one in received if one in sent] == sent
-    assert at_entry.revisions == {2}
+        await agent_recorder.wait_for('message', detail=messages.Demand(4))
+        await entry_recorder.wait_for('message', detail=sent[-1])
+    received = [call.detail for call in entry_recorder.of_kind('message')]
+    assert [detail for detail in received if detail in sent] == sent
+    assert entry_recorder.revisions == {2}
 
 
-async def test_a_closed_session_is_followed_by_a_new_one(
+async def test_closed_session_is_followed_by_a_new_one(
     timing: LinkTiming,
-    at_entry: Recorder,
-    at_agent: Recorder,
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
 ) -> None:
-    """Guard against a session that goes on over another connection."""
+    """Guard against a session that continues on another connection."""
     async with (
-        listening(at_entry, timing) as listener,
-        dialling(listener, at_agent, timing),
+        run_listener(entry_recorder, timing) as listener,
+        run_dialler(listener, agent_recorder, timing),
     ):
-        first = await at_entry.wait_for('up')
-        listener.close('a1', 'asked to')
+        first = await entry_recorder.wait_for('up')
+        listener.close('a1', 'closed by test')
         assert not listener.send('a1', messages.Demand(4))
-        await at_agent.wait_for('down', session=first.session)
-        await at_agent.wait_for('up', after=first.session)
-    down = at_entry.of_kind('down')[0]
-    assert (down.session, down.detail) == (first.session, 'asked to')
+        await agent_recorder.wait_for('down', session=first.session)
+        await agent_recorder.wait_for('up', excluded_session=first.session)
+    down = entry_recorder.of_kind('down')[0]
+    assert (down.session, down.detail) == (first.session, 'closed by test')
 
 
-async def test_a_stopped_dialler_ends_and_does_not_dial_again(
+async def test_stopped_dialler_closes_its_session_and_returns(
     timing: LinkTiming,
-    at_entry: Recorder,
-    at_agent: Recorder,
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
 ) -> None:
-    """Guard against a dialler that keeps a forgotten address alive."""
-    async with listening(at_entry, timing) as listener:
+    """Guard against a dialler that keeps dialling a removed address."""
+    async with run_listener(entry_recorder, timing) as listener:
         async with anyio.create_task_group() as group:
             dialler = LinkDialler(
                 listener.address,
                 REQUEST,
-                at_agent,
+                agent_recorder,
                 lambda: 2,
                 timing,
             )
             group.start_soon(dialler.run)
-            await at_agent.wait_for('up')
-            # The other end reports a session down only if it was up there.
-            await at_entry.wait_for('up')
+            await agent_recorder.wait_for('up')
+            # A side reports the end of a session only if it was up there.
+            await entry_recorder.wait_for('up')
             dialler.stop()
-        down = await at_entry.wait_for('down')
+        down = await entry_recorder.wait_for('down')
     assert down.detail == 'connection lost'
-    ended = at_agent.of_kind('down')
-    assert [one.detail for one in ended] == ['address is no longer dialled']
+    downs = agent_recorder.of_kind('down')
+    assert [call.detail for call in downs] == ['address is no longer dialled']
 
 
-async def test_a_second_join_replaces_the_session(
+async def test_second_join_replaces_the_session(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
 ) -> None:
     """Guard against two open sessions of one peer."""
-    async with listening(at_entry, timing) as listener:
+    async with run_listener(entry_recorder, timing) as listener:
         async with (
-            raw_peer(listener, at_entry) as (_, first),
-            raw_peer(listener, at_entry) as (_, second),
+            raw_session(listener, entry_recorder) as (_, first),
+            raw_session(listener, entry_recorder) as (_, second),
         ):
             assert listener.send('a1', messages.Demand(1))
-    changes = [one for one in at_entry.seen if one.kind != 'message']
-    assert [(one.kind, one.session) for one in changes[:3]] == [
+    session_calls = [
+        call for call in entry_recorder.calls if call.kind != 'message'
+    ]
+    assert [(call.kind, call.session) for call in session_calls[:3]] == [
         ('up', first.session),
         ('down', first.session),
         ('up', second.session),
     ]
 
 
-async def test_a_join_that_is_not_followed_up_replaces_nothing(
+async def test_join_without_a_connection_replaces_nothing(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
 ) -> None:
-    """Guard against a delayed join request that ends a healthy session."""
-    async with listening(at_entry, timing) as listener:
-        async with raw_peer(listener, at_entry):
-            await ask(listener.address, join.encode_join(REQUEST))
+    """Guard against a delayed join request that closes a healthy session."""
+    async with run_listener(entry_recorder, timing) as listener:
+        async with raw_session(listener, entry_recorder):
+            await send_join_request(listener.address, join.encode_join(REQUEST))
             assert listener.send('a1', messages.Demand(1))
-            assert not at_entry.of_kind('down')
+            assert not entry_recorder.of_kind('down')
 
 
-async def test_a_silent_link_is_closed(
+async def test_session_without_heartbeats_is_closed(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
 ) -> None:
-    """Guard against a peer that is frozen while its connection stays open."""
-    async with listening(at_entry, timing) as listener:
-        async with raw_peer(listener, at_entry):
-            down = await at_entry.wait_for('down')
+    """Guard against a peer that hangs while its connection stays open."""
+    async with run_listener(entry_recorder, timing) as listener:
+        async with raw_session(listener, entry_recorder):
+            down = await entry_recorder.wait_for('down')
     assert down.detail == 'peer is silent'
 
 
-async def test_a_link_that_is_not_read_is_closed(
+async def test_peer_that_does_not_read_is_disconnected(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
 ) -> None:
-    """Guard against a peer that sends heartbeats and reads nothing."""
-    load = messages.Config(1, 'x' * MEGABYTE)
-    small = timing._replace(frame_bytes=MEGABYTE)
-    async with listening(at_entry, small) as listener:
-        async with raw_peer(listener, at_entry) as (socket, answer):
+    """Guard against a peer that sends heartbeats but reads nothing."""
+    message = messages.Config(1, 'x' * MEGABYTE)
+    small_limits = timing._replace(frame_bytes=MEGABYTE)
+    async with run_listener(entry_recorder, small_limits) as listener:
+        async with raw_session(listener, entry_recorder) as (socket, answer):
             async with anyio.create_task_group() as group:
                 group.start_soon(send_heartbeats, socket, answer.session)
-                assert all(listener.send('a1', load) for _ in range(30))
-                down = await at_entry.wait_for('down')
+                assert all(listener.send('a1', message) for _ in range(30))
+                down = await entry_recorder.wait_for('down')
                 group.cancel_scope.cancel()
     assert down.detail == 'peer does not read'
 
 
 async def send_heartbeats(socket: PairSocket, session: str) -> None:
-    """Send heartbeats without end."""
+    """Send heartbeats until cancelled."""
     sequence = 1
     while True:
         await socket.send(heartbeat(session, sequence))
@@ -231,23 +236,23 @@
         await anyio.sleep(0.01)
 
 
-async def test_a_full_queue_closes_the_session(
+async def test_full_queue_closes_the_session(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
 ) -> None:
     """Guard against memory that grows with a slow peer."""
-    small = timing._replace(queue_bytes=1000)
-    async with listening(at_entry, small) as listener:
-        async with raw_peer(listener, at_entry):
-            load = messages.Config(1, 'x' * 600)
-            assert listener.send('a1', load)
-            assert not listener.send('a1', load)
-            down = await at_entry.wait_for('down')
+    small_limits = timing._replace(queue_bytes=1000)
+    async with run_listener(entry_recorder, small_limits) as listener:
+        async with raw_session(listener, entry_recorder):
+            message = messages.Config(1, 'x' * 600)
+            assert listener.send('a1', message)
+            assert not listener.send('a1', message)
+            down = await entry_recorder.wait_for('down')
     assert down.detail == 'outgoing queue is full'
 
 
 @pytest.mark.parametrize(
-    ('raw', 'reason'),
+    ('frame', 'reason'),
     [
         (b'\xc1', 'malformed frame'),
         (b'\x91' * 100_000, 'malformed frame'),
@@ -255,92 +260,92 @@
         (heartbeat('other', 1), 'foreign session'),
     ],
 )
-async def test_a_bad_frame_closes_the_session(
+async def test_invalid_frame_closes_the_session(
     timing: LinkTiming,
-    at_entry: Recorder,
-    raw: bytes,
+    entry_recorder: Recorder,
+    frame: bytes,
     reason: str,
 ) -> None:
-    """Guard against state built on frames that cannot be trusted."""
-    async with listening(at_entry, timing) as listener:
-        async with raw_peer(listener, at_entry) as (socket, _):
-            await socket.send(raw)
-            down = await at_entry.wait_for('down')
+    """Guard against state that is built on invalid frames."""
+    async with run_listener(entry_recorder, timing) as listener:
+        async with raw_session(listener, entry_recorder) as (socket, _):
+            await socket.send(frame)
+            down = await entry_recorder.wait_for('down')
     assert reason in str(down.detail)
 
 
 @pytest.mark.parametrize('sequence', [0, 2])
-async def test_a_sequence_gap_closes_the_session(
+async def test_unexpected_sequence_closes_the_session(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
     sequence: int,
 ) -> None:
-    """Guard against frames that were lost or repeated."""
-    async with listening(at_entry, timing) as listener:
-        async with raw_peer(listener, at_entry) as (socket, answer):
+    """Guard against lost or repeated frames."""
+    async with run_listener(entry_recorder, timing) as listener:
+        async with raw_session(listener, entry_recorder) as (socket, answer):
             await socket.send(heartbeat(answer.session, sequence))
-            down = await at_entry.wait_for('down')
+            down = await entry_recorder.wait_for('down')
     assert down.detail == f'frame {sequence} instead of 1'
 
 
-async def test_a_lost_connection_ends_the_session(
+async def test_lost_connection_ends_the_session(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
 ) -> None:
     """Guard against a second connection that takes over the session."""
-    async with listening(at_entry, timing) as listener:
-        async with raw_peer(listener, at_entry) as (_, answer):
+    async with run_listener(entry_recorder, timing) as listener:
+        async with raw_session(listener, entry_recorder) as (_, answer):
             second = PairSocket()
             second.dial_once(answer.address)
-        down = await at_entry.wait_for('down')
+        down = await entry_recorder.wait_for('down')
         second.close()
     assert down.detail == 'connection lost'
 
 
-async def test_a_dialler_finds_a_restarted_listener(
+async def test_dialler_reconnects_to_a_restarted_listener(
     timing: LinkTiming,
-    at_entry: Recorder,
-    at_agent: Recorder,
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
 ) -> None:
-    """Guard against agents that stay away after an entry restarts."""
-    first = LinkListener('127.0.0.1:0', 'e1', at_entry, lambda: 3, timing)
+    """Guard against agents that do not reconnect to a restarted entry."""
+    first = LinkListener('127.0.0.1:0', 'e1', entry_recorder, lambda: 3, timing)
     async with anyio.create_task_group() as group:
-        await group.start(run_until_up, first, at_entry, group, timing)
+        await group.start(run_until_up, first, entry_recorder, group, timing)
         second = LinkListener(
             first.address,
             'e1',
-            at_agent,
+            agent_recorder,
             lambda: 3,
             timing,
         )
         group.start_soon(second.run)
-        await at_agent.wait_for('up')
+        await agent_recorder.wait_for('up')
         assert second.send('a1', messages.Demand(1))
         group.cancel_scope.cancel()
-    down = at_entry.of_kind('down')
-    assert [one.detail for one in down] == ['process is stopping']
+    down = entry_recorder.of_kind('down')
+    assert [call.detail for call in down] == ['process is stopping']
 
 
 async def run_until_up(
     listener: LinkListener,
-    events: Recorder,
+    recorder: Recorder,
     outer: TaskGroup,
     timing: LinkTiming,
     *,
     task_status: TaskStatus[None],
 ) -> None:
-    """Run a listener until a session is up; the dialler goes on."""
+    """Run a listener until a session is up; the dialler keeps running."""
     async with anyio.create_task_group() as group:
         address = await group.start(listener.run)
         dialler = LinkDialler(
             address,
             REQUEST,
-            type(events)(),
+            type(recorder)(),
             lambda: 2,
             timing,
         )
         outer.start_soon(dialler.run)
-        await events.wait_for('up')
+        await recorder.wait_for('up')
         group.cancel_scope.cancel()
     task_status.started()
 
@@ -348,41 +353,41 @@
 @pytest.mark.parametrize('seed', range(3))
 async def test_sessions_deliver_prefixes_under_repeated_faults(
     timing: LinkTiming,
-    at_entry: Recorder,
-    at_agent: Recorder,
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
     seed: int,
 ) -> None:
     """Guard against gaps, repeats and overlaps when links keep failing."""
-    draw = random.Random(seed)
+    rng = random.Random(seed)
     async with (
-        listening(at_entry, timing) as listener,
-        dialling(listener, at_agent, timing) as dialler,
+        run_listener(entry_recorder, timing) as listener,
+        run_dialler(listener, agent_recorder, timing) as dialler,
     ):
         sent = 0
-        while len(at_entry.of_kind('down')) < 10:
+        while len(entry_recorder.of_kind('down')) < 10:
             sent += dialler.send('e1', messages.Grant(sent))
-            if not draw.randrange(TURNS_BETWEEN_FAULTS):
+            if not rng.randrange(MEAN_STEPS_BETWEEN_FAULTS):
                 listener.close('a1', 'fault')
-            if not draw.randrange(TURNS_BETWEEN_FAULTS):
+            if not rng.randrange(MEAN_STEPS_BETWEEN_FAULTS):
                 dialler.close('e1', 'fault')
             await anyio.sleep(0.001)
-    assert_alternating(at_entry)
-    assert_alternating(at_agent)
-    numbers = [
-        one.detail.credits
-        for one in at_entry.of_kind('message')
-        if isinstance(one.detail, messages.Grant)
+    assert_sessions_do_not_overlap(entry_recorder)
+    assert_sessions_do_not_overlap(agent_recorder)
+    received = [
+        call.detail.credits
+        for call in entry_recorder.of_kind('message')
+        if isinstance(call.detail, messages.Grant)
     ]
-    assert numbers == sorted(set(numbers))
+    assert received == sorted(set(received))
 
 
-def assert_alternating(events: Recorder) -> None:
-    """Check that each session ends before the next one begins."""
-    changes = [one for one in events.seen if one.kind != 'message']
-    ups, downs = changes[::2], changes[1::2]
-    assert {one.kind for one in ups} == {'up'}
-    assert {one.kind for one in downs} == {'down'}
-    assert [one.session for one in ups] == [one.session for one in downs]
+def assert_sessions_do_not_overlap(recorder: Recorder) -> None:
+    """Check that each session ends before the next one starts."""
+    session_calls = [call for call in recorder.calls if call.kind != 'message']
+    ups, downs = session_calls[::2], session_calls[1::2]
+    assert {call.kind for call in ups} == {'up'}
+    assert {call.kind for call in downs} == {'down'}
+    assert [call.session for call in ups] == [call.session for call in downs]
 
 
 @pytest.mark.parametrize(
@@ -393,36 +398,36 @@
         (b'\xc1', 'malformed join request'),
     ],
 )
-async def test_a_join_that_cannot_be_served_is_refused(
+async def test_invalid_join_is_refused(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
     request_bytes: bytes,
     refusal: str,
 ) -> None:
-    """Guard against a process of another release that joins silently."""
-    async with listening(at_entry, timing) as listener:
-        answer = await ask(listener.address, request_bytes)
+    """Guard against sessions with peers of another protocol version."""
+    async with run_listener(entry_recorder, timing) as listener:
+        answer = await send_join_request(listener.address, request_bytes)
     assert refusal in answer.refusal
 
 
-async def test_joins_are_refused_when_all_ports_are_taken(
+async def test_join_is_refused_when_all_ports_are_in_use(
     timing: LinkTiming,
-    at_entry: Recorder,
+    entry_recorder: Recorder,
 ) -> None:
-    """Guard against a listener that fails when its port range is used up."""
-    taken = PairSocket()
-    port = int(taken.listen('127.0.0.1:0').rpartition(':')[2])
+    """Guard against a listener that fails when its port range is exhausted."""
+    occupied = PairSocket()
+    port = int(occupied.listen('127.0.0.1:0').rpartition(':')[2])
     listener = LinkListener(
         '127.0.0.1:0',
         'e1',
-        at_entry,
+        entry_recorder,
         lambda: 3,
         timing,
         (port,),
     )
     async with anyio.create_task_group() as group:
         address = await group.start(listener.run)
-        answer = await ask(address, join.encode_join(REQUEST))
+        answer = await send_join_request(address, join.encode_join(REQUEST))
         group.cancel_scope.cancel()
-    taken.close()
+    occupied.close()
     assert answer.refusal == 'no free port for a session'
