Reword the session of a link, with its reasons for closing

Renamed: _accept -> _handle_frame _count_within -> _count_fitting _events -> _handler _fault_of -> _frame_error _filled -> _not_empty _guard -> _close_on_socket_error _heard_at -> _received_at _is_reported -> _is_down_reported _keep_alive -> _send_heartbeats _received -> _frames_received _send_patiently -> _send_or_time_out _sent -> _frames_sent _silence_s -> _idle_timeout_s _watch_silence -> _watch_idle_timeout events -> handler exchange -> transfer fault -> error raw -> encoded seen -> sent_before taken -> batch totals -> total_sizes

--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -27,7 +27,7 @@
 
 
 class LinkTiming(NamedTuple):
-    """Set the intervals and bounds of links (seconds and bytes)."""
+    """Intervals (seconds) and size limits (bytes) of links."""
 
     heartbeat_s: float = 1
     silent_intervals: int = 3
@@ -42,10 +42,10 @@
 
 
 class LinkEvents(Protocol):
-    """Receive what happens on links; called in the event loop, in order."""
+    """Callbacks of links; called in the event loop, in order."""
 
     def on_up(self, peer: str, session: str) -> None:
-        """A session is open in both directions."""
+        """Handle a session that is open in both directions."""
 
     def on_frame(
         self,
@@ -54,125 +54,128 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Messages arrived with the sender's configuration revision."""
+        """Handle messages and the sender's configuration revision."""
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """A session that was up has ended; nothing more arrives on it."""
+        """Handle the end of a session that was up; no frames follow."""
 
 
 class FrameSocket(Protocol):
-    """Send and receive whole frames on one connection."""
+    """Connection that sends and receives frames."""
 
     async def receive(self) -> bytes:
-        """Return the next frame."""
+        """Wait for the next frame and return it."""
 
     def send_now(self, content: bytes) -> bool:
-        """Send a frame if there is room for it."""
+        """Send a frame; return False if the send buffer is full."""
 
     async def send(self, content: bytes) -> None:
-        """Send a frame as soon as there is room for it."""
+        """Send a frame, waiting for room in the send buffer."""
 
     async def wait_attached(self) -> None:
         """Wait until the connection is open."""
 
     async def wait_removed(self) -> None:
-        """Wait until the connection is gone."""
+        """Wait until the connection is closed or lost."""
 
     def close(self) -> None:
         """Close the connection."""
 
 
 class SessionName(NamedTuple):
-    """Name a session and the peer at its other end."""
+    """Identifiers of a session and of the peer at its other end."""
 
     peer: str
     session: str
 
 
 class OutgoingQueue:
-    """Hold messages up to a number of bytes."""
+    """Queue of outgoing messages, bounded by their total size."""
 
     def __init__(self, limit: int) -> None:
-        """Start empty."""
+        """Create an empty queue of at most `limit` bytes."""
         self._limit = limit
         self._bytes = 0
         self._messages: list[Message] = []
-        self._filled = anyio.Event()
+        self._not_empty = anyio.Event()
 
     def put(self, message: Message, size: int) -> bool:
-        """Append a message; return False if the queue is full."""
+        """Append a message; return False if it does not fit."""
         if self._bytes + size > self._limit:
             return False
         if not self._messages:
-            self._filled.set()
+            self._not_empty.set()
         self._bytes += size
         self._messages.append(message)
         return True
 
     async def take(self, limit: int) -> tuple[Message, ...]:
-        """Wait for messages and take up to `limit` bytes, at least one."""
-        await self._filled.wait()
-        taken = tuple(self._messages)
+        """Wait for messages; remove and return up to `limit` bytes.
+
+        At least one message is returned, whatever its size.
+        """
+        await self._not_empty.wait()
+        batch = tuple(self._messages)
         if self._bytes > limit:
-            taken = taken[: _count_within(taken, limit)]
-        self._messages = self._messages[len(taken) :]
+            batch = batch[: _count_fitting(batch, limit)]
+        self._messages = self._messages[len(batch) :]
         if self._messages:
-            self._bytes -= sum(map(codec.message_size, taken))
+            self._bytes -= sum(map(codec.message_size, batch))
         else:
             self._bytes = 0
-            self._filled = anyio.Event()
-        return taken
+            self._not_empty = anyio.Event()
+        return batch
 
 
-def _count_within(messages: Sequence[Message], limit: int) -> int:
-    totals = accumulate(map(codec.message_size, messages))
-    return max(1, sum(1 for _ in takewhile(limit.__ge__, totals)))
+def _count_fitting(messages: Sequence[Message], limit: int) -> int:
+    total_sizes = accumulate(map(codec.message_size, messages))
+    return max(1, sum(1 for _ in takewhile(limit.__ge__, total_sizes)))
 
 
 class Session:
-    """Exchange frames with one peer until the first fault.
+    """Exchange frames with one peer until the first error.
 
-    The session is up with the first valid frame from the peer, which shows
-    that both sides agree on the session.
+    The session is up once the first valid frame from the peer arrives, which
+    shows that both sides agree on the session.
     """
 
     def __init__(
         self,
         socket: FrameSocket,
         name: SessionName,
-        events: LinkEvents,
+        handler: LinkEvents,
         revision: Callable[[], int],
         timing: LinkTiming,
     ) -> None:
-        """Take over a socket that listens or dials."""
+        """Take ownership of a socket that listens or dials."""
         self._socket = socket
         self._name = name
-        self._events = events
+        self._handler = handler
         self._revision = revision
         self._timing = timing
         self._queue = OutgoingQueue(timing.queue_bytes)
         self._scope = anyio.CancelScope()
-        self._received = 0
-        self._sent = 0
-        self._heard_at = float(0)
-        self._silence_s = timing.heartbeat_s * timing.silent_intervals
+        self._frames_received = 0
+        self._frames_sent = 0
+        self._received_at = float(0)
+        self._idle_timeout_s = timing.heartbeat_s * timing.silent_intervals
         self._is_up = False
-        self._is_reported = False
+        self._is_down_reported = False
         self._reason = ''
 
     @property
     def name(self) -> SessionName:
-        """Return the names of the session and its peer."""
+        """Return the identifiers of the session and its peer."""
         return self._name
 
     @property
     def reason(self) -> str:
-        """Return why the session ended; empty while it is open."""
+        """Return why the session was closed; empty while it is open."""
         return self._reason
 
     @property
     def was_up(self) -> bool:
-        """Return whether the session was ever up."""
+        """Return whether the session has been up."""
         return self._is_up
 
     def send(self, message: Message) -> bool:
@@ -181,7 +184,7 @@
             return False
         size = codec.message_size(message)
         if size > _MAX_MESSAGE_BYTES:
-            self.close('message larger than a frame may be')
+            self.close('message exceeds the size limit of a frame')
             return False
         if not self._queue.put(message, size):
             self.close('outgoing queue is full')
@@ -189,20 +192,20 @@
         return True
 
     def close(self, reason: str) -> None:
-        """End the session; `on_down` follows in a later turn."""
+        """Close the session; `on_down` is called later by `run`."""
         if not self._reason:
             self._reason = reason
             self._scope.cancel()
 
     def end(self, reason: str) -> None:
-        """End the session and report it at once."""
+        """Close the session and call `on_down` at once."""
         self.close(reason)
-        if self._is_up and not self._is_reported:
-            self._is_reported = True
-            self._events.on_down(*self._name, self._reason)
+        if self._is_up and not self._is_down_reported:
+            self._is_down_reported = True
+            self._handler.on_down(*self._name, self._reason)
 
     async def run(self) -> None:
-        """Serve the session until it ends, then close the socket."""
+        """Serve the session until it is closed, then close the socket."""
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self.end, 'process is stopping')
             cleanup.callback(self._socket.close)
@@ -216,50 +219,56 @@
         except TimeoutError:
             self.close('peer did not connect')
             return
-        self._heard_at = anyio.current_time()
+        self._received_at = anyio.current_time()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._guard, self._read)
-            group.start_soon(self._guard, self._write)
+            group.start_soon(self._close_on_socket_error, self._read)
+            group.start_soon(self._close_on_socket_error, self._write)
             group.start_soon(self._watch_connection)
-            group.start_soon(self._watch_silence)
-            group.start_soon(self._keep_alive)
+            group.start_soon(self._watch_idle_timeout)
+            group.start_soon(self._send_heartbeats)
 
-    async def _guard(self, exchange: Callable[[], Awaitable[None]]) -> None:
+    async def _close_on_socket_error(
+        self,
+        transfer: Callable[[], Awaitable[None]],
+    ) -> None:
         try:
-            await exchange()
+            await transfer()
         except pynng.NNGException as error:
             self.close(f'socket error: {error}')
 
     async def _read(self) -> None:
         while not self._reason:
-            raw = await self._socket.receive()
+            encoded = await self._socket.receive()
             if not self._reason:
-                self._accept(raw)
+                self._handle_frame(encoded)
 
-    def _accept(self, raw: bytes) -> None:
-        decoded = codec.decode_frame(raw)
+    def _handle_frame(self, encoded: bytes) -> None:
+        decoded = codec.decode_frame(encoded)
         if decoded.is_error():
             self.close(decoded.error.detail)
             return
         frame = decoded.ok
-        fault = self._fault_of(frame)
-        if fault:
-            self.close(fault)
+        error = self._frame_error(frame)
+        if error:
+            self.close(error)
             return
-        self._received += 1
-        self._heard_at = anyio.current_time()
+        self._frames_received += 1
+        self._received_at = anyio.current_time()
         if not self._is_up:
             self._is_up = True
-            self._events.on_up(*self._name)
+            self._handler.on_up(*self._name)
         if self._reason:
             return
-        self._events.on_frame(*self._name, frame.revision, frame.messages)
+        self._handler.on_frame(*self._name, frame.revision, frame.messages)
 
-    def _fault_of(self, frame: codec.Frame) -> str:
+    def _frame_error(self, frame: codec.Frame) -> str:
         if frame.session != self._name.session:
-            return 'frame of a foreign session'
-        if frame.sequence != self._received:
-            return f'frame {frame.sequence} instead of {self._received}'
+            return 'frame belongs to a foreign session'
+        if frame.sequence != self._frames_received:
+            return (
+                f'received frame {frame.sequence}, '
+                f'expected {self._frames_received}'
+            )
         if not isinstance(frame.revision, int):
             return 'malformed frame: revision is not a number'
         return ''
@@ -269,39 +278,39 @@
             batch = await self._queue.take(self._timing.frame_bytes)
             frame = codec.Frame(
                 self._name.session,
-                self._sent,
+                self._frames_sent,
                 self._revision(),
                 batch,
             )
-            raw = codec.encode_frame(frame)
-            self._sent += 1
-            if not self._socket.send_now(raw):
-                await self._send_patiently(raw)
+            encoded = codec.encode_frame(frame)
+            self._frames_sent += 1
+            if not self._socket.send_now(encoded):
+                await self._send_or_time_out(encoded)
 
-    async def _send_patiently(self, raw: bytes) -> None:
+    async def _send_or_time_out(self, encoded: bytes) -> None:
         try:
-            with anyio.fail_after(self._silence_s):
-                await self._socket.send(raw)
+            with anyio.fail_after(self._idle_timeout_s):
+                await self._socket.send(encoded)
         except TimeoutError:
-            self.close('peer does not read')
+            self.close('send timeout: peer is not reading')
 
     async def _watch_connection(self) -> None:
         await self._socket.wait_removed()
         self.close('connection lost')
 
-    async def _watch_silence(self) -> None:
+    async def _watch_idle_timeout(self) -> None:
         while not self._reason:
-            deadline = self._heard_at + self._silence_s
+            deadline = self._received_at + self._idle_timeout_s
             await anyio.sleep(deadline - anyio.current_time())
-            # After a stall of this process, frames may wait to be read.
+            # After a stall of this process, there may be frames left to read.
             await checkpoint()
-            if self._heard_at + self._silence_s <= anyio.current_time():
-                self.close('peer is silent')
+            if self._received_at + self._idle_timeout_s <= anyio.current_time():
+                self.close('heartbeat timeout')
 
-    async def _keep_alive(self) -> None:
-        seen = -1
+    async def _send_heartbeats(self) -> None:
+        sent_before = -1
         while True:
-            if seen in {-1, self._sent}:
+            if sent_before in {-1, self._frames_sent}:
                 self.send(Heartbeat())
-            seen = self._sent
+            sent_before = self._frames_sent
             await anyio.sleep(self._timing.heartbeat_s)
