Reword the reducer loop and the runtimes of the roles

Renamed: _OpenRequest -> _PendingRequest _SHORTEST_TICK_S -> _MIN_TICK_S _STALL_S -> _STALL_THRESHOLD_S _attach -> _set_task_group _carry_out -> _execute _carry_out_own -> _execute_role_effect _forget_entries -> _expire_entries _forwarded -> _forward_spans _learned -> _learned_addresses _next_request -> _next_request_id _notice_stall -> _detect_stall _numbers -> _request_ids _pause_s -> _tick_delay_s _ran_at -> _last_ran_at _reduce_all -> _process_events _requests -> _pending began -> started_at describe -> make_event due_s -> renewal_in_s found -> result number -> request_id received -> traced

--- a/src/savoryrudder/daemon/__init__.py
+++ b/src/savoryrudder/daemon/__init__.py
@@ -1,3 +1,3 @@
-"""The daemon: sockets, timers and HTTP around the reducers."""
+"""Runtime of the daemons: sockets, timers and HTTP around the reducers."""
 
 from __future__ import annotations
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -1,4 +1,4 @@
-"""Run an agent: turn I/O into events and carry out effects."""
+"""Run an agent: turn I/O into events and execute effects."""
 
 from __future__ import annotations
 
@@ -37,13 +37,13 @@
     from savoryrudder.protocol.messages import Message
 
 TICK_S: Final = 0.1
-# A slot whose call was given up may still be busy at the upstream.
+# A slot whose call was abandoned may still be busy at the upstream.
 SPARE_CONNECTIONS: Final = 4
 _INCARNATION_BYTES: Final = 4
 
 
 class AgentSettings(Protocol):
-    """Name the settings that the agent reads."""
+    """Settings read by the agent."""
 
     agent: str
     service: str
@@ -64,7 +64,7 @@
 
 
 class AgentRuntime(Runtime[events.AgentEvent, agent_effects.AgentEffect]):
-    """Run the agent role and call the upstream."""
+    """Runtime of an agent, which runs tasks by calling the upstream."""
 
     def __init__(
         self,
@@ -73,7 +73,7 @@
         counters: Counters,
         tracer: Tracer,
     ) -> None:
-        """Create a runtime; `start` connects it to entries."""
+        """Create an agent runtime; `start` connects it to entries."""
         super().__init__(
             JoinRequest(PROTOCOL_VERSION, state.identity.agent, 'agent'),
             counters,
@@ -89,23 +89,23 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether an entry is linked and the agent is not draining."""
+        """Return whether an entry is linked and the agent is not draining."""
         return bool(self.state.links) and not self.state.draining
 
     def start(self, group: TaskGroup, entries: list[str]) -> None:
-        """Dial the entries."""
-        self._attach(group)
-        self._learned = LearnedAddresses(entries)
+        """Dial the configured entries."""
+        self._set_task_group(group)
+        self._learned_addresses = LearnedAddresses(entries)
         for address in entries:
             self.connect(address)
 
     def on_up(self, peer: str, session: str) -> None:
-        """Report a new session."""
+        """Handle a newly opened session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """Report the end of a session."""
-        self._learned.end_session(session)
+        """Handle the end of a session."""
+        self._learned_addresses.end_session(session)
         self.handle(
             events.LinkDown(anyio.current_time(), peer, session, reason)
         )
@@ -117,7 +117,7 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Report the messages of a frame."""
+        """Handle the messages of a frame."""
         for message in messages:
             if isinstance(message, Welcome):
                 self._learn_entries(session, message.entries)
@@ -132,24 +132,24 @@
             )
 
     def drain(self, timeout_s: float) -> None:
-        """Begin a planned stop."""
+        """Begin a graceful stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
     async def tick(self) -> None:
-        """Send ticks until cancelled."""
+        """Emit tick events until cancelled."""
         while True:
-            self._forget_entries()
+            self._expire_entries()
             self.handle(events.Tick(anyio.current_time()))
             await anyio.sleep(TICK_S)
 
     def _learn_entries(self, session: str, addresses: Sequence[str]) -> None:
-        self._learned.learn(session, addresses, anyio.current_time())
+        self._learned_addresses.learn(session, addresses, anyio.current_time())
         for address in addresses:
             self.connect(address)
 
-    def _forget_entries(self) -> None:
+    def _expire_entries(self) -> None:
         now = anyio.current_time()
-        for address in self._learned.forget_unused(self.linked, now):
+        for address in self._learned_addresses.forget_unused(self.linked, now):
             self.disconnect(address)
 
     def _reduce(
@@ -158,7 +158,7 @@
     ) -> Sequence[agent_effects.AgentEffect]:
         return reduce(self.state, event)
 
-    def _carry_out_own(self, effect: agent_effects.AgentEffect) -> None:
+    def _execute_role_effect(self, effect: agent_effects.AgentEffect) -> None:
         match effect:
             case agent_effects.CallUpstream():
                 self._group.start_soon(self._call_upstream, effect)
@@ -169,24 +169,27 @@
         task_span = self.tracer.start('run-task', effect.trace)
         call_span = self.tracer.start('call-upstream', task_span.traceparent)
         call_span.note('operation', effect.operation)
-        began = anyio.current_time()
-        found = await self._upstream.call(
+        started_at = anyio.current_time()
+        result = await self._upstream.call(
             effect.task,
             effect.operation,
             effect.payload,
             effect.deadline_ms,
             call_span.traceparent,
         )
-        self.counters.observe('upstream_call', anyio.current_time() - began)
-        call_span.note('outcome', found.outcome)
+        self.counters.observe(
+            'upstream_call',
+            anyio.current_time() - started_at,
+        )
+        call_span.note('outcome', result.outcome)
         call_span.end()
         self.handle(
             events.UpstreamFinished(
                 anyio.current_time(),
                 effect.task,
-                found.outcome,
-                found.result,
-                found.reason,
+                result.outcome,
+                result.result,
+                result.reason,
             ),
         )
         task_span.end()
--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -33,8 +33,8 @@
 _TICK_S: Final = 0.025
 
 
-class _OpenRequest:
-    """Hold the answer to a request once it is known."""
+class _PendingRequest:
+    """A caller's request that waits for its answer."""
 
     def __init__(self) -> None:
         self.answered = anyio.Event()
@@ -44,14 +44,14 @@
 class Dispatcher(
     ReducerLoop[events.DispatchEvent, effects.DispatchEffect],
 ):
-    """Feed the reducer of an entry and carry out its effects."""
+    """Feed the reducer of an entry and execute its effects."""
 
     def __init__(self, state: DispatchState, counters: Counters) -> None:
         """Create a dispatcher; `run` serves its links."""
         super().__init__(counters)
         self.state = state
-        self._requests: dict[int, _OpenRequest] = {}
-        self._numbers = itertools.count(1)
+        self._pending: dict[int, _PendingRequest] = {}
+        self._request_ids = itertools.count(1)
         self._listener = HubListener(
             state.identity.address,
             self,
@@ -61,7 +61,7 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether the entry takes jobs."""
+        """Return whether the entry accepts jobs."""
         return self.state.ready
 
     async def run(
@@ -69,7 +69,10 @@
         *,
         task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve links and ticks until cancelled; reports the address."""
+        """Serve links and ticks until cancelled.
+
+        The task status receives the bound link address.
+        """
         async with anyio.create_task_group() as group:
             self._group: TaskGroup = group
             address = await group.start(self._listener.run)
@@ -78,31 +81,37 @@
 
     async def ask(
         self,
-        describe: Callable[[float, int], events.DispatchEvent],
+        make_event: Callable[[float, int], events.DispatchEvent],
     ) -> Answer | QueueLength:
         """Handle a caller's request and return its answer.
 
-        `describe` makes the event from the time and the request's number.
-        When the caller is gone, cancel the call.
+        `make_event` builds the event from the current time and the request's
+        identifier. Cancel the call when the caller disconnects.
         """
-        number = next(self._numbers)
-        request = _OpenRequest()
-        self._requests[number] = request
-        self.handle(describe(anyio.current_time(), number))
+        request_id = next(self._request_ids)
+        request = _PendingRequest()
+        self._pending[request_id] = request
+        self.handle(make_event(anyio.current_time(), request_id))
         try:
             await request.answered.wait()
         finally:
-            self._requests.pop(number, None)
+            self._pending.pop(request_id, None)
             if request.answer is None:
                 self.handle(
-                    events.CallerDisconnected(anyio.current_time(), number),
+                    events.CallerDisconnected(
+                        anyio.current_time(),
+                        request_id,
+                    ),
                 )
         if request.answer is None:
-            raise RuntimeError('a request was answered without an answer')
+            raise RuntimeError('request was completed without an answer')
         return request.answer
 
     def follow_entries(self, addresses: Iterable[str]) -> None:
-        """Link with other entries; the lower address dials the higher."""
+        """Keep links with the other entries at these addresses.
+
+        Of two entries, the one with the lower address dials the other.
+        """
         own = self.state.identity.address
         self._peers.follow(
             self._group,
@@ -110,22 +119,22 @@
         )
 
     def configure(self, configuration: Configuration) -> None:
-        """Take a configuration that the store holds."""
+        """Handle a configuration read from the store."""
         self.handle(
             events.ConfigurationRead(anyio.current_time(), configuration),
         )
 
     def drain(self, timeout_s: float) -> None:
-        """Begin a planned stop."""
+        """Begin a graceful stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
     def on_up(self, peer: str, session: str) -> None:
-        """Report a new session."""
+        """Handle a newly opened session."""
         dialled = self._peers.has(session)
         self.handle(events.LinkUp(anyio.current_time(), session, dialled))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """Report the end of a session."""
+        """Handle the end of a session."""
         self.handle(events.LinkDown(anyio.current_time(), session, reason))
 
     def on_frame(
@@ -135,7 +144,7 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Report the messages of a frame."""
+        """Handle the messages of a frame."""
         now = anyio.current_time()
         for message in messages:
             if not isinstance(message, Heartbeat):
@@ -155,10 +164,10 @@
     ) -> Sequence[effects.DispatchEffect]:
         return reduce(self.state, event)
 
-    def _carry_out_own(self, effect: effects.DispatchEffect) -> None:
+    def _execute_role_effect(self, effect: effects.DispatchEffect) -> None:
         if not isinstance(effect, effects.Reply):
-            raise TypeError(f'unknown effect {effect}')
-        request = self._requests.get(effect.request_id)
+            raise TypeError(f'unknown effect: {effect}')
+        request = self._pending.get(effect.request_id)
         if request is not None:
             request.answer = effect.answer
             request.answered.set()
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -1,4 +1,4 @@
-"""Run an entry: turn I/O into events and carry out effects."""
+"""Run an entry: turn I/O into events and execute effects."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
 TICK_S: Final = 0.05
 # The store answers in milliseconds; a lease has to be renewed within seconds.
 STORE_TIMEOUT_S: Final = 1.5
-# Answers that were just given are still on their way to callers.
+# Lets the last answers reach their callers before the exit.
 LINGER_S: Final = 0.5
 _INCARNATION_BYTES: Final = 4
 
@@ -53,7 +53,7 @@
 
 
 class EntrySettings(Protocol):
-    """Name the settings that the entry reads."""
+    """Settings read by the entry."""
 
     entry: str
     zone: str
@@ -71,14 +71,14 @@
     peers: list[str]
 
     def session_ports(self) -> range | None:
-        """Return the ports for sessions, or None for ephemeral ports."""
+        """Return the ports for sessions, None for ephemeral ports."""
 
 
 class PendingResponse:
-    """Hold the place where a caller waits for its response."""
+    """A response that a caller waits for."""
 
     def __init__(self) -> None:
-        """Wait for a response."""
+        """Create a response that is not available yet."""
         self._event = anyio.Event()
         self._response: Response | None = None
 
@@ -88,13 +88,13 @@
         self._event.set()
 
     async def wait(self) -> Response | None:
-        """Return the response; None if the entry stops without one."""
+        """Wait for the response; return None if there is none."""
         await self._event.wait()
         return self._response
 
 
 class EntryRuntime(Runtime[events.EntryEvent, entry_effects.EntryEffect]):
-    """Run the entry role and keep the requests of waiting callers."""
+    """Runtime of an entry, which keeps the requests of waiting callers."""
 
     def __init__(
         self,
@@ -102,7 +102,7 @@
         counters: Counters,
         tracer: Tracer,
     ) -> None:
-        """Create a runtime; `start` connects it to the outside."""
+        """Create an entry runtime; `start` connects it to store and links."""
         super().__init__(
             JoinRequest(PROTOCOL_VERSION, state.identity.name, 'entry'),
             counters,
@@ -110,8 +110,8 @@
         )
         self.state = state
         self._pending: dict[int, PendingResponse] = {}
-        self._forwarded: dict[tuple[str, int], Span] = {}
-        self._next_request = 1
+        self._forward_spans: dict[tuple[str, int], Span] = {}
+        self._next_request_id = 1
         self._configured_peers: frozenset[str] = frozenset()
 
     @property
@@ -121,13 +121,13 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether the balancer should send callers here."""
+        """Return whether the load balancer should route callers here."""
         return is_ready(self.state)
 
     def connect_configured(self, addresses: list[str]) -> None:
         """Keep links to the peers from the settings.
 
-        With the store down, they have the configuration.
+        While the store is down, the configuration is fetched from them.
         """
         self._configured_peers = frozenset(addresses)
         for address in addresses:
@@ -149,13 +149,13 @@
         store: HttpStore,
         listener: LinkListener,
     ) -> None:
-        """Connect the runtime to store and links."""
-        self._attach(group)
+        """Connect the runtime to the store and the link listener."""
+        self._set_task_group(group)
         self._store = store
         self._listener = listener
 
     def note_addresses(self, url: str, link: str) -> None:
-        """Announce the bound addresses instead of those in the settings."""
+        """Log and announce the bound addresses, not those in the settings."""
         log_change('listening', (('http', url), ('link', link)))
         self.state.identity = self.state.identity._replace(
             address=link,
@@ -163,24 +163,26 @@
         )
 
     def begin_request(self) -> tuple[int, PendingResponse]:
-        """Return a number and a place to wait for a new request."""
-        number = self._next_request
-        self._next_request += 1
+        """Return the identifier and the pending response of a new request."""
+        request_id = self._next_request_id
+        self._next_request_id += 1
         pending = PendingResponse()
-        self._pending[number] = pending
-        return number, pending
+        self._pending[request_id] = pending
+        return request_id, pending
 
-    def forget_request(self, number: int) -> None:
-        """Forget a request whose caller has disconnected."""
-        if self._pending.pop(number, None) is not None:
-            self.handle(events.CallerDisconnected(anyio.current_time(), number))
+    def forget_request(self, request_id: int) -> None:
+        """Abandon a request whose caller has disconnected."""
+        if self._pending.pop(request_id, None) is not None:
+            self.handle(
+                events.CallerDisconnected(anyio.current_time(), request_id),
+            )
 
     def on_up(self, peer: str, session: str) -> None:
-        """Report a new session."""
+        """Handle a newly opened session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """Report the end of a session."""
+        """Handle the end of a session."""
         self.handle(
             events.LinkDown(
                 anyio.current_time(), time.time(), peer, session, reason
@@ -194,11 +196,11 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Report the messages of a frame."""
+        """Handle the messages of a frame."""
         for message in messages:
-            received = message
+            traced = message
             if isinstance(message, Forward) and message.job is not None:
-                received = self._trace_forward(peer, message, message.job)
+                traced = self._trace_forward(peer, message, message.job)
             self.handle(
                 events.MessageReceived(
                     anyio.current_time(),
@@ -206,16 +208,16 @@
                     peer,
                     session,
                     revision,
-                    received,
+                    traced,
                 ),
             )
 
     def drain(self, timeout_s: float) -> None:
-        """Begin a planned stop."""
+        """Begin a graceful stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
     async def tick(self) -> None:
-        """Send ticks until cancelled."""
+        """Emit tick events until cancelled."""
         while True:
             self.handle(events.Tick(anyio.current_time(), time.time()))
             await anyio.sleep(TICK_S)
@@ -226,7 +228,7 @@
     ) -> Sequence[entry_effects.EntryEffect]:
         return reduce(self.state, event)
 
-    def _carry_out_own(self, effect: entry_effects.EntryEffect) -> None:
+    def _execute_role_effect(self, effect: entry_effects.EntryEffect) -> None:
         match effect:
             case entry_effects.Reply():
                 self._respond(effect.request_id, effect.answer)
@@ -242,7 +244,7 @@
 
     def _send(self, peer: str, message: Message) -> None:
         if isinstance(message, ForwardAnswer):
-            span = self._forwarded.pop((peer, message.request), None)
+            span = self._forward_spans.pop((peer, message.request), None)
             if span is not None:
                 span.end()
         if not self._listener.send(peer, message):
@@ -252,8 +254,8 @@
         self._listener.close(peer, reason)
         super()._close(peer, reason)
 
-    def _respond(self, number: int, response: Response) -> None:
-        pending = self._pending.pop(number, None)
+    def _respond(self, request_id: int, response: Response) -> None:
+        pending = self._pending.pop(request_id, None)
         if pending is not None:
             pending.set(response)
 
@@ -271,7 +273,7 @@
 
     def _trace_forward(self, peer: str, message: Forward, job: Job) -> Forward:
         span = self.tracer.start('serve-forwarded', job.trace)
-        self._forwarded[peer, message.request] = span
+        self._forward_spans[peer, message.request] = span
         return message._replace(job=job._replace(trace=span.traceparent))
 
 
--- a/src/savoryrudder/daemon/loop.py
+++ b/src/savoryrudder/daemon/loop.py
@@ -1,4 +1,4 @@
-"""Feed a reducer with events and carry out its effects."""
+"""Feed a reducer with events and execute its effects."""
 
 from __future__ import annotations
 
@@ -25,10 +25,10 @@
 
 
 class ReducerLoop(ABC, Generic[EventT, EffectT]):
-    """Reduce one event at a time, in order."""
+    """Base of the runtimes: reduces one event at a time, in order."""
 
     def __init__(self, counters: Counters) -> None:
-        """Start without events."""
+        """Initialize with an empty event queue."""
         self.counters = counters
         self.stopped = anyio.Event()
         self._events: deque[EventT] = deque()
@@ -37,26 +37,26 @@
     @property
     @abstractmethod
     def ready(self) -> bool:
-        """Tell whether the daemon can take work."""
+        """Return whether the daemon accepts work."""
 
     def handle(self, event: EventT) -> None:
-        """Reduce an event now, or after the one being reduced."""
+        """Reduce an event now, or once the one being reduced is done."""
         self._events.append(event)
         if self._reducing:
             return
         self._reducing = True
         try:
-            self._reduce_all()
+            self._process_events()
         finally:
             self._reducing = False
 
     @abstractmethod
     def _reduce(self, event: EventT) -> Sequence[EffectT]:
-        """Apply one event to the state."""
+        """Apply an event to the state and return the effects."""
 
     @abstractmethod
-    def _carry_out_own(self, effect: EffectT) -> None:
-        """Carry out an effect that only this role has."""
+    def _execute_role_effect(self, effect: EffectT) -> None:
+        """Execute an effect that is specific to this role."""
 
     @abstractmethod
     def _send(self, peer: str, message: Message) -> None:
@@ -66,12 +66,12 @@
     def _close(self, peer: str, reason: str) -> None:
         """End the session with a peer, if it has one."""
 
-    def _reduce_all(self) -> None:
+    def _process_events(self) -> None:
         while self._events:
             for effect in self._reduce(self._events.popleft()):
-                self._carry_out(effect)
+                self._execute(effect)
 
-    def _carry_out(self, effect: EffectT) -> None:
+    def _execute(self, effect: EffectT) -> None:
         match effect:
             case effects.Send():
                 self._send(effect.peer, effect.message)
@@ -86,4 +86,4 @@
             case effects.Exit():
                 self.stopped.set()
             case _:
-                self._carry_out_own(effect)
+                self._execute_role_effect(effect)
--- a/src/savoryrudder/daemon/runtime.py
+++ b/src/savoryrudder/daemon/runtime.py
@@ -1,4 +1,4 @@
-"""Run a reducer and hold its links to entries."""
+"""Run a reducer and keep its links to entries."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class Runtime(ReducerLoop[EventT, EffectT]):
-    """Feed the reducer and carry out its effects, one event at a time."""
+    """Base of the runtimes that keep links to entries."""
 
     def __init__(
         self,
@@ -28,7 +28,7 @@
         counters: Counters,
         tracer: Tracer,
     ) -> None:
-        """Create a runtime that dials with the given join request."""
+        """Create a runtime that joins entries with `join_request`."""
         super().__init__(counters)
         self.tracer = tracer
         self._join_request = join_request
@@ -37,7 +37,7 @@
     @property
     @abstractmethod
     def revision(self) -> int:
-        """Return the configuration revision that frames carry."""
+        """Return the configuration revision that is sent with frames."""
 
     @property
     def linked(self) -> list[str]:
@@ -50,7 +50,7 @@
 
     @abstractmethod
     def on_up(self, peer: str, session: str) -> None:
-        """Report a new session."""
+        """Handle a newly opened session."""
 
     @abstractmethod
     def on_frame(
@@ -60,11 +60,11 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Report the messages of a frame."""
+        """Handle the messages of a frame."""
 
     @abstractmethod
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """Report the end of a session."""
+        """Handle the end of a session."""
 
     def connect(self, address: str) -> None:
         """Keep a link to the entry at a join address."""
@@ -85,7 +85,7 @@
         if dialler is not None:
             dialler.stop()
 
-    def _attach(self, group: TaskGroup) -> None:
+    def _set_task_group(self, group: TaskGroup) -> None:
         self._group = group
 
     def _send(self, peer: str, message: Message) -> None:
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -27,16 +27,20 @@
     from savoryrudder.worker.state import WorkerState
 
 _TICK_S: Final = 0.05
-_SHORTEST_TICK_S: Final = 0.005
-# A process that did not run for this long drops the messages that wait.
-_STALL_S: Final = 0.5
+_MIN_TICK_S: Final = 0.005
+# After not running for this long, a process drops the frames received
+# meanwhile: they may be stale.
+_STALL_THRESHOLD_S: Final = 0.5
 
 
 class ExecutorCalls(Protocol):
-    """Call the executor; each call is sent once and ends in bounded time."""
+    """Client of the executor.
+
+    Each call is sent once and completes in bounded time.
+    """
 
     async def start(self, call: effects.StartRun) -> tuple[str, int]:
-        """Return the verdict and the executor's clock (ms, 0: unknown)."""
+        """Return the verdict and the executor's clock in ms, 0 if unknown."""
 
     async def stop(self, call: effects.StopRun) -> bool:
         """Return whether the executor confirmed the stop."""
@@ -46,11 +50,11 @@
         call: effects.RenewLease,
         sent_at: float,
     ) -> events.RenewalAnswered | events.RenewalFailed:
-        """Return the executor's runs and ends."""
+        """Renew the lease; return the executor's active and ended runs."""
 
 
 class Worker(ReducerLoop[events.WorkerEvent, effects.WorkerEffect]):
-    """Feed the reducer of an agent and carry out its effects."""
+    """Feed the reducer of an agent and execute its effects."""
 
     def __init__(
         self,
@@ -63,11 +67,11 @@
         self.state = state
         self._executor = executor
         self._entries = DialledLinks(self, _no_revision)
-        self._ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._last_ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
 
     @property
     def ready(self) -> bool:
-        """Tell whether the executor takes tasks."""
+        """Return whether the executor accepts tasks."""
         return self.state.accepting
 
     async def run(
@@ -80,24 +84,24 @@
             self._group: TaskGroup = group
             task_status.started()
             while True:
-                self._notice_stall()
+                self._detect_stall()
                 self.handle(events.Tick(anyio.current_time()))
-                await anyio.sleep(self._pause_s())
+                await anyio.sleep(self._tick_delay_s())
 
     def follow_entries(self, addresses: Iterable[str]) -> None:
-        """Dial these entries, and no others that are not linked."""
+        """Dial these entries; stop dialling others that are not linked."""
         self._entries.follow(self._group, addresses)
 
     def drain(self, timeout_s: float) -> None:
-        """Begin a planned stop."""
+        """Begin a graceful stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
     def on_up(self, peer: str, session: str) -> None:
-        """Report a new session."""
+        """Handle a newly opened session."""
         self.handle(events.LinkUp(anyio.current_time(), session))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """Report the end of a session."""
+        """Handle the end of a session."""
         self.handle(events.LinkDown(anyio.current_time(), session, reason))
 
     def on_frame(
@@ -107,25 +111,25 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Report the messages of a frame, unless they may be stale."""
-        if self._notice_stall():
+        """Handle the messages of a frame, unless they may be stale."""
+        if self._detect_stall():
             return
         now = anyio.current_time()
         for message in messages:
             if not isinstance(message, Heartbeat):
                 self.handle(events.MessageReceived(now, session, message))
 
-    def _pause_s(self) -> float:
-        due_s = self.state.lease.renew_at - anyio.current_time()
-        if 0 < due_s < _TICK_S:
-            return max(due_s, _SHORTEST_TICK_S)
+    def _tick_delay_s(self) -> float:
+        renewal_in_s = self.state.lease.renew_at - anyio.current_time()
+        if 0 < renewal_in_s < _TICK_S:
+            return max(renewal_in_s, _MIN_TICK_S)
         return _TICK_S
 
-    def _notice_stall(self) -> bool:
+    def _detect_stall(self) -> bool:
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
-        stall_s = now - self._ran_at
-        self._ran_at = now
-        if stall_s < _STALL_S:
+        stall_s = now - self._last_ran_at
+        self._last_ran_at = now
+        if stall_s < _STALL_THRESHOLD_S:
             return False
         self.handle(events.Stalled(anyio.current_time(), stall_s))
         return True
@@ -136,7 +140,7 @@
     ) -> Sequence[effects.WorkerEffect]:
         return reduce(self.state, event)
 
-    def _carry_out_own(self, effect: effects.WorkerEffect) -> None:
+    def _execute_role_effect(self, effect: effects.WorkerEffect) -> None:
         match effect:
             case effects.StartRun():
                 self._group.start_soon(self._start, effect)
