Reword the learned entry addresses

Renamed: _named -> _addresses_by_session _needed_at -> _last_used kept -> refreshed named -> learned needed -> in_use needed_at -> last_used_at unused -> expired

--- a/src/savoryrudder/daemon/addresses.py
+++ b/src/savoryrudder/daemon/addresses.py
@@ -1,4 +1,4 @@
-"""Decide which entries an agent dials."""
+"""Track the entry addresses that an agent has learned from entries."""
 
 from __future__ import annotations
 
@@ -9,43 +9,47 @@
     from collections.abc import Collection
     from collections.abc import Iterable
 
-# Long enough to outlast the restart of an entry at its address.
+# Longer than an entry takes to restart at the same address.
 FORGET_ADDRESS_S: Final = 60
 
 
 class LearnedAddresses:
-    """Hold the entry addresses that `Welcome` messages name.
+    """Entry addresses received in `Welcome` messages.
 
-    The list of a session counts for as long as the session is open. Times
-    are monotonic seconds.
+    The addresses of a session are in use while the session is open. Times are
+    monotonic seconds.
     """
 
     def __init__(self, configured: Iterable[str]) -> None:
-        """Start with the addresses from the settings, which stay."""
+        """Initialize with the configured addresses, which never expire."""
         self._configured = frozenset(configured)
-        self._named: dict[str, frozenset[str]] = {}
-        self._needed_at: dict[str, float] = {}
+        self._addresses_by_session: dict[str, frozenset[str]] = {}
+        self._last_used: dict[str, float] = {}
 
     def learn(self, session: str, addresses: Iterable[str], now: float) -> None:
-        """Replace the addresses that a session names."""
-        named = frozenset(addresses) - self._configured
-        self._named[session] = named
-        self._needed_at.update(dict.fromkeys(named, now))
+        """Replace the addresses received on a session."""
+        learned = frozenset(addresses) - self._configured
+        self._addresses_by_session[session] = learned
+        self._last_used.update(dict.fromkeys(learned, now))
 
     def end_session(self, session: str) -> None:
-        """Stop counting the addresses that an ended session named."""
-        self._named.pop(session, None)
+        """Remove the addresses received on a closed session."""
+        self._addresses_by_session.pop(session, None)
 
     def forget_unused(self, linked: Collection[str], now: float) -> list[str]:
-        """Forget and return addresses neither named nor linked for 60 s."""
-        needed = frozenset(linked).union(*self._named.values())
-        kept = needed & self._needed_at.keys()
-        self._needed_at.update(dict.fromkeys(kept, now))
-        unused = [
+        """Remove and return the addresses that expired.
+
+        An address expires after `FORGET_ADDRESS_S` without being linked or
+        listed on an open session.
+        """
+        in_use = frozenset(linked).union(*self._addresses_by_session.values())
+        refreshed = in_use & self._last_used.keys()
+        self._last_used.update(dict.fromkeys(refreshed, now))
+        expired = [
             address
-            for address, needed_at in self._needed_at.items()
-            if needed_at + FORGET_ADDRESS_S <= now
+            for address, last_used_at in self._last_used.items()
+            if last_used_at + FORGET_ADDRESS_S <= now
         ]
-        for address in unused:
-            self._needed_at.pop(address)
-        return unused
+        for address in expired:
+            self._last_used.pop(address)
+        return expired
