Reword the HTTP interface of an entry

Renamed: _answer -> _answer_response _ask -> _handle_existing _identity -> _identity_headers _invalid -> _invalid_request _json -> _json_response _wait_of -> _parse_wait_s _watch_caller -> _watch_disconnect asked -> wait_s began -> started_at headers -> identity more -> extra_fields number -> request_id read -> parsed

--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -1,4 +1,4 @@
-"""Offer callers and operators the HTTP interface of an entry."""
+"""HTTP interface of an entry for callers and operators."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 
 class ConfigBody(TypedDict):
-    """Read a configuration change."""
+    """Request body of a configuration change."""
 
     text: str
     expected_revision: int
@@ -49,22 +49,22 @@
 
 
 class DrainBody(TypedDict):
-    """Read which agent has to stop; none means this entry."""
+    """Request body of a drain; without `agent` it drains this entry."""
 
     agent: NotRequired[str]
 
 
 class EntryApi:
-    """Turn HTTP requests into events and responses back into HTTP."""
+    """Translate HTTP requests into events and answers into responses."""
 
     def __init__(self, runtime: EntryRuntime, stop_timeout_s: float) -> None:
-        """Serve the requests of one entry."""
+        """Create the handlers for the requests to an entry."""
         self._runtime = runtime
         self._stop_timeout_s = stop_timeout_s
 
     async def submit(self, request: Request) -> Response:
-        """Accept a job and wait for its answer as long as asked to."""
-        began = anyio.current_time()
+        """Submit a job and wait for its answer up to the requested time."""
+        started_at = anyio.current_time()
         body = await request.body()
         if len(body) > MAX_BODY_BYTES:
             return _problem(
@@ -72,151 +72,160 @@
                 'too-large',
                 f'the body exceeds {MAX_BODY_BYTES} bytes',
             )
-        read = requests.read_job(
+        parsed = requests.read_job(
             request.headers,
             body,
             self._runtime.default_deadlines(),
         )
-        if read.is_error():
-            return _invalid(read.error)
-        job = read.ok
+        if parsed.is_error():
+            return _invalid_request(parsed.error)
+        job = parsed.ok
         span = self._runtime.tracer.start('receive-job', job.trace)
         span.note('client', job.client)
         span.note('service', job.service)
         span.note('tasks', len(job.tasks))
-        number, pending = self._runtime.begin_request()
+        request_id, pending = self._runtime.begin_request()
         self._runtime.handle(
             events.JobSubmitted(
                 anyio.current_time(),
                 time.time(),
-                number,
+                request_id,
                 job._replace(trace=span.traceparent),
-                _wait_of(request, job.deadline_ms / MS_PER_S + 1),
+                _parse_wait_s(request, job.deadline_ms / MS_PER_S + 1),
             ),
         )
-        response = await self._respond(request, number, pending)
+        response = await self._respond(request, request_id, pending)
         span.end()
         self._runtime.counters.observe(
             'request',
-            anyio.current_time() - began,
+            anyio.current_time() - started_at,
         )
         return response
 
     async def fetch(self, request: Request) -> Response:
         """Return the answer to an earlier submission."""
-        wait_s = _wait_of(request, 0)
-        return await self._ask(request, events.AnswerRequested, wait_s)
+        wait_s = _parse_wait_s(request, 0)
+        return await self._handle_existing(
+            request,
+            events.AnswerRequested,
+            wait_s,
+        )
 
     async def cancel(self, request: Request) -> Response:
         """Cancel a submission."""
-        return await self._ask(request, events.JobCancelled)
+        return await self._handle_existing(request, events.JobCancelled)
 
     async def apply_config(self, request: Request) -> Response:
-        """Change the operators' text."""
+        """Replace the operators' configuration text."""
         try:
             body = msgspec.json.decode(await request.body(), type=ConfigBody)
         except msgspec.DecodeError as error:
-            return _invalid([f'body: {error}'])
-        number, pending = self._runtime.begin_request()
+            return _invalid_request([f'body: {error}'])
+        request_id, pending = self._runtime.begin_request()
         self._runtime.handle(
             events.ConfigSubmitted(
                 anyio.current_time(),
                 time.time(),
-                number,
+                request_id,
                 body['text'],
                 body['expected_revision'],
                 body['author'],
                 body['token'],
             ),
         )
-        return await self._respond(request, number, pending)
+        return await self._respond(request, request_id, pending)
 
     async def report(self, request: Request) -> Response:
-        """Report status, configuration or terms."""
+        """Return the status, configuration or terms, as the path says."""
         kind = request.url.path.rpartition('/')[2]
-        number, pending = self._runtime.begin_request()
+        request_id, pending = self._runtime.begin_request()
         self._runtime.handle(
             events.ReportRequested(
                 anyio.current_time(),
                 time.time(),
-                number,
+                request_id,
                 kind,
                 request.query_params.get('client', ''),
             ),
         )
-        return await self._respond(request, number, pending)
+        return await self._respond(request, request_id, pending)
 
     async def drain(self, request: Request) -> Response:
-        """Begin the graceful stop of this entry or of an agent."""
+        """Begin a graceful stop of this entry or of an agent."""
         try:
             body = msgspec.json.decode(
                 await request.body() or b'{}',
                 type=DrainBody,
             )
         except msgspec.DecodeError as error:
-            return _invalid([f'body: {error}'])
+            return _invalid_request([f'body: {error}'])
         agent = body.get('agent', '')
         if not agent:
             self._runtime.drain(self._stop_timeout_s)
             name = self._runtime.state.identity.name
-            return _json(_ACCEPTED, {'entry': name})
-        number, pending = self._runtime.begin_request()
+            return _json_response(_ACCEPTED, {'entry': name})
+        request_id, pending = self._runtime.begin_request()
         self._runtime.handle(
-            events.AgentDrainRequested(anyio.current_time(), number, agent),
+            events.AgentDrainRequested(anyio.current_time(), request_id, agent),
         )
-        return await self._respond(request, number, pending)
+        return await self._respond(request, request_id, pending)
 
-    async def _ask(
+    async def _handle_existing(
         self,
         request: Request,
         event_type: type[events.AnswerRequested | events.JobCancelled],
-        *more: float,
+        *extra_fields: float,
     ) -> Response:
-        """Pass on a request about the submission that the path names."""
-        headers = _identity(request)
-        findings = requests.check_identity(headers)
+        """Handle a request about the existing submission in the path."""
+        identity = _identity_headers(request)
+        findings = requests.check_identity(identity)
         if findings:
-            return _invalid(findings)
-        number, pending = self._runtime.begin_request()
+            return _invalid_request(findings)
+        request_id, pending = self._runtime.begin_request()
         self._runtime.handle(
             event_type(
                 anyio.current_time(),
                 time.time(),
-                number,
-                headers['client'],
-                headers['idempotency-key'],
-                *more,
+                request_id,
+                identity['client'],
+                identity['idempotency-key'],
+                *extra_fields,
             ),
         )
-        return await self._respond(request, number, pending)
+        return await self._respond(request, request_id, pending)
 
     async def _respond(
         self,
         request: Request,
-        number: int,
+        request_id: int,
         pending: PendingResponse,
     ) -> Response:
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_caller, request, number, pending)
+            group.start_soon(
+                self._watch_disconnect,
+                request,
+                request_id,
+                pending,
+            )
             response = await pending.wait()
             group.cancel_scope.cancel()
         if response is None:
             return Response(status_code=_UNAVAILABLE)
         if isinstance(response, effects.ReplyJson):
-            return _json(response.status, response.body)
-        return _answer(response)
+            return _json_response(response.status, response.body)
+        return _answer_response(response)
 
-    async def _watch_caller(
+    async def _watch_disconnect(
         self,
         request: Request,
-        number: int,
+        request_id: int,
         pending: PendingResponse,
     ) -> None:
         while not await request.is_disconnected():
             message = await request.receive()
             if message['type'] == 'http.disconnect':
                 break
-        self._runtime.forget_request(number)
+        self._runtime.forget_request(request_id)
         pending.set(None)
 
 
@@ -239,24 +248,24 @@
     )
 
 
-def _identity(request: Request) -> dict[str, str]:
+def _identity_headers(request: Request) -> dict[str, str]:
     return {
         'client': request.headers.get('client', ''),
         'idempotency-key': request.path_params['key'],
     }
 
 
-def _wait_of(request: Request, default_s: float) -> float:
+def _parse_wait_s(request: Request, default_s: float) -> float:
     try:
-        asked = float(request.query_params.get('wait', default_s))
+        wait_s = float(request.query_params.get('wait', default_s))
     except ValueError:
         return default_s
-    return min(max(asked, 0), MAX_WAIT_S)
+    return min(max(wait_s, 0), MAX_WAIT_S)
 
 
-def _answer(answer: Answer) -> Response:
+def _answer_response(answer: Answer) -> Response:
     status = requests.status_of(answer)
-    response = _json(status, requests.write_answer(answer))
+    response = _json_response(status, requests.write_answer(answer))
     if answer.reason and answer.status == 'refused':
         response.headers['content-type'] = _PROBLEM
     retry_after_s = requests.retry_after_s(answer)
@@ -265,12 +274,12 @@
     return response
 
 
-def _invalid(findings: list[str]) -> Response:
+def _invalid_request(findings: list[str]) -> Response:
     return _problem(_BAD_REQUEST, 'invalid-request', '; '.join(findings))
 
 
 def _problem(status: int, reason: str, detail: str) -> Response:
-    response = _json(
+    response = _json_response(
         status,
         {
             'type': f'urn:savoryrudder:{reason}',
@@ -285,7 +294,7 @@
     return response
 
 
-def _json(status: int, body: dict[str, Any]) -> Response:
+def _json_response(status: int, body: dict[str, Any]) -> Response:
     return Response(
         msgspec.json.encode(body),
         status_code=status,
