--- a/src/savoryrudder/daemon/asgi.py
+++ b/src/savoryrudder/daemon/asgi.py
@@ -1,4 +1,4 @@
-"""Exchange whole requests and responses over ASGI."""
+"""Read complete requests and send complete responses over ASGI."""
 
 from __future__ import annotations
 
@@ -21,11 +21,11 @@
 
 
 class CallerGoneError(Exception):
-    """Report that the caller closed its connection."""
+    """Raised when the caller closes its connection during a request."""
 
 
 class Reply(NamedTuple):
-    """Hold a response whose body is sent in one piece."""
+    """A response whose body is sent in a single message."""
 
     status: int
     body: bytes
@@ -34,16 +34,19 @@
 
 
 async def follow_lifespan(receive: Receive, send: Send) -> None:
-    """Confirm the start and the end of the server."""
+    """Acknowledge the startup and shutdown events of the server."""
     while True:
-        kind = (await receive())['type']
-        await send({'type': f'{kind}.complete'})
-        if kind == 'lifespan.shutdown':
+        event_type = (await receive())['type']
+        await send({'type': f'{event_type}.complete'})
+        if event_type == 'lifespan.shutdown':
             return
 
 
 async def read_body(receive: Receive, limit: int) -> bytes | None:
-    """Return the body of a request, None if it is longer than the limit."""
+    """Return the body of a request, None if it exceeds `limit` bytes.
+
+    Raises `CallerGoneError` if the caller disconnects first.
+    """
     content = bytearray()
     while True:
         message = await receive()
@@ -57,7 +60,7 @@
 
 
 async def respond(send: Send, reply: Reply) -> None:
-    """Send a response."""
+    """Send a complete response with its content type and length."""
     await send(
         {
             'type': 'http.response.start',
