--- a/src/savoryrudder/daemon/http.py
+++ b/src/savoryrudder/daemon/http.py
@@ -1,4 +1,4 @@
-"""Serve HTTP on the address of a daemon."""
+"""Run the HTTP server of a daemon."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class Application(Protocol):
-    """Serve requests over ASGI."""
+    """An ASGI application."""
 
     def __call__(
         self,
@@ -32,11 +32,11 @@
 
 
 class HttpSettings(Protocol):
-    """Name the settings of the HTTP server."""
+    """Settings of the HTTP server."""
 
     @property
     def http_address(self) -> str:
-        """Return the `ip:port` to listen at."""
+        """Return the `ip:port` to listen on."""
 
     @property
     def tls_certificate(self) -> str | None:
@@ -54,24 +54,26 @@
     *,
     task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until cancelled; reports the bound address.
+    """Serve until cancelled.
 
-    Once `stopping` is set, idle connections are closed and no more are
-    accepted; requests that were read are still answered.
+    The task status receives the bound URL. Once `stopping` is set, idle
+    connections are closed and new ones refused; requests already received
+    are still answered.
     """
     config = Config()
     config.bind = [settings.http_address]
     config.accesslog = None
     config.errorlog = None
-    # Callers keep connections open; a graceful stop answers them first.
+    # Callers keep connections open; a graceful stop answers pending requests
+    # before it closes them.
     config.graceful_timeout = 1
     config.keep_alive_timeout = 60
     if settings.tls_certificate:
         config.certfile = settings.tls_certificate
         config.keyfile = settings.tls_key
     async with anyio.create_task_group() as group:
-        bound = await group.start(_serve, app, config, stopping)
-        task_status.started(str(bound[0]))
+        bound_urls = await group.start(_serve, app, config, stopping)
+        task_status.started(str(bound_urls[0]))
 
 
 async def _serve(
