Reword the links on a shared port

Renamed: _RECEIVES_PER_TURN -> _RECEIVES_PER_CHECKPOINT _arrived -> _frame_arrived _attempt -> _dial_and_serve _deliver -> _route _events -> _handler _mark_removed -> _mark_pipe_removed _note_removed -> _on_pipe_removed _random -> _rng _removed -> _disconnected _scope -> _cancel_scope _token -> _trio_token added -> new_dialler events -> handler former -> dialled link -> session_id number -> pipe_id one -> dialler randomness -> rng

--- a/src/savoryrudder/daemon/hub.py
+++ b/src/savoryrudder/daemon/hub.py
@@ -1,4 +1,4 @@
-"""Keep the links of one process through a single listening port."""
+"""Listen for and dial links that share one port per process."""
 
 from __future__ import annotations
 
@@ -40,40 +40,40 @@
 
 _SESSION_BYTES: Final = 6
 _MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
-# Frames that a connection holds while its peer does not read.
+# Frames buffered by a connection whose peer does not read.
 _BUFFERED_FRAMES: Final = 64
-_RECEIVES_PER_TURN: Final = 16
+_RECEIVES_PER_CHECKPOINT: Final = 16
 
 
 class PipeSocket:
-    """Send and receive on one connection of a shared listening socket."""
+    """One connection (NNG pipe) of a shared listening socket."""
 
     def __init__(self, socket: Any, pipe: Any) -> None:
-        """Take over a connection."""
+        """Take ownership of a pipe of the shared socket."""
         self._socket = socket
         self._pipe = pipe
         self._frames: deque[bytes] = deque()
-        self._arrived = anyio.Event()
-        self._removed = anyio.Event()
+        self._frame_arrived = anyio.Event()
+        self._disconnected = anyio.Event()
 
     def put(self, content: bytes) -> None:
-        """Take a frame that the shared socket has received."""
+        """Queue a frame that the shared socket received on this pipe."""
         self._frames.append(content)
-        self._arrived.set()
+        self._frame_arrived.set()
 
     def mark_removed(self) -> None:
-        """Note the end of the connection."""
-        self._removed.set()
+        """Record that the pipe was removed from the shared socket."""
+        self._disconnected.set()
 
     async def receive(self) -> bytes:
-        """Return the next message."""
+        """Wait for the next frame and return it."""
         while not self._frames:
-            self._arrived = anyio.Event()
-            await self._arrived.wait()
+            self._frame_arrived = anyio.Event()
+            await self._frame_arrived.wait()
         return self._frames.popleft()
 
     def send_now(self, content: bytes) -> bool:
-        """Send a message if the socket has room for it."""
+        """Send a frame; return False if the send buffer is full."""
         message = pynng.Message(content, pipe=self._pipe)
         try:
             self._socket.send_msg(message, block=False)
@@ -82,55 +82,55 @@
         return True
 
     async def send(self, content: bytes) -> None:
-        """Send a message as soon as the socket has room for it."""
+        """Send a frame, waiting for room in the send buffer."""
         while not self.send_now(content):
             await anyio.wait_readable(self._socket.send_fd)
 
     async def wait_attached(self) -> None:
-        """Return at once: the connection is open."""
+        """Return at once, as the pipe is already connected."""
         await checkpoint()
 
     async def wait_removed(self) -> None:
-        """Wait until the connection is gone."""
-        await self._removed.wait()
+        """Wait until the connection is closed or lost."""
+        await self._disconnected.wait()
 
     def close(self) -> None:
-        """Close the connection; the shared socket stays open."""
+        """Close the pipe; the shared socket stays open."""
         with contextlib.suppress(pynng.NNGException):
             self._pipe.close()
 
 
 class HubListener:
-    """Accept any number of sessions at one address.
+    """Accept any number of sessions on one address.
 
-    The dialling side names the session in its first frame; a link has the
-    name of its session.
+    The dialling side chooses the session identifier and sends it in its first
+    frame; it identifies the link as well.
     """
 
     def __init__(
         self,
         address: str,
-        events: LinkEvents,
+        handler: LinkEvents,
         revision: Callable[[], int],
         timing: LinkTiming = FAST_TIMING,
     ) -> None:
-        """Prepare to listen at `ip:port`."""
+        """Prepare to listen on `ip:port`."""
         self._address = address
-        self._events = events
+        self._handler = handler
         self._revision = revision
         self._timing = timing
         self._sessions: dict[str, Session] = {}
         self._pipes: dict[int, PipeSocket] = {}
-        self._token = trio.lowlevel.current_trio_token()
+        self._trio_token = trio.lowlevel.current_trio_token()
 
-    def send(self, link: str, message: Message) -> bool:
+    def send(self, session_id: str, message: Message) -> bool:
         """Queue a message; return False if there is no such session."""
-        session = self._sessions.get(link)
+        session = self._sessions.get(session_id)
         return session is not None and session.send(message)
 
-    def close(self, link: str, reason: str) -> None:
-        """End a session, if it is open."""
-        session = self._sessions.get(link)
+    def close(self, session_id: str, reason: str) -> None:
+        """Close a session, if it is open."""
+        session = self._sessions.get(session_id)
         if session is not None:
             session.close(reason)
 
@@ -139,13 +139,16 @@
         *,
         task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve sessions until cancelled; reports the bound address."""
+        """Serve sessions until cancelled.
+
+        The task status receives the bound address.
+        """
         socket = pynng.Pair1(polyamorous=True)
         socket.recv_max_size = _MAX_FRAME_BYTES
         socket.recv_buffer_size = _BUFFERED_FRAMES
         socket.send_buffer_size = _BUFFERED_FRAMES
         socket.tcp_nodelay = True
-        socket.add_post_pipe_remove_cb(self._note_removed)
+        socket.add_post_pipe_remove_cb(self._on_pipe_removed)
         with contextlib.closing(socket):
             listener = socket.listen(f'tcp://{self._address}')
             self._address = str(listener.local_address)
@@ -162,14 +165,14 @@
                 await anyio.wait_readable(socket.recv_fd)
                 continue
             received += 1
-            if received % _RECEIVES_PER_TURN == 0:
+            if received % _RECEIVES_PER_CHECKPOINT == 0:
                 await checkpoint()
             if message.pipe is not None:
-                self._deliver(socket, group, message)
+                self._route(socket, group, message)
 
-    def _deliver(self, socket: Any, group: TaskGroup, message: Any) -> None:
-        number = cast('int', message.pipe.id)
-        pipe = self._pipes.get(number)
+    def _route(self, socket: Any, group: TaskGroup, message: Any) -> None:
+        pipe_id = cast('int', message.pipe.id)
+        pipe = self._pipes.get(pipe_id)
         content = cast('bytes', message.bytes)
         if pipe is None:
             decoded = codec.decode_frame(content)
@@ -178,95 +181,95 @@
             if not name or name in self._sessions:
                 pipe.close()
                 return
-            self._pipes[number] = pipe
-            group.start_soon(self._serve, pipe, number, name)
+            self._pipes[pipe_id] = pipe
+            group.start_soon(self._serve, pipe, pipe_id, name)
         pipe.put(content)
 
-    async def _serve(self, pipe: PipeSocket, number: int, name: str) -> None:
+    async def _serve(self, pipe: PipeSocket, pipe_id: int, name: str) -> None:
         session = Session(
             pipe,
             SessionName(name, name),
-            self._events,
+            self._handler,
             self._revision,
             self._timing,
         )
         self._sessions[name] = session
         with contextlib.ExitStack() as cleanup:
-            cleanup.callback(self._pipes.pop, number, None)
+            cleanup.callback(self._pipes.pop, pipe_id, None)
             cleanup.callback(self._sessions.pop, name, None)
             await session.run()
 
-    def _note_removed(self, pipe: Any) -> None:
-        # Runs in a thread of NNG.
+    def _on_pipe_removed(self, pipe: Any) -> None:
+        # Called in an NNG thread.
         with contextlib.suppress(trio.RunFinishedError):
-            self._token.run_sync_soon(self._mark_removed, pipe.id)
+            self._trio_token.run_sync_soon(self._mark_pipe_removed, pipe.id)
 
-    def _mark_removed(self, number: int) -> None:
-        pipe = self._pipes.get(number)
+    def _mark_pipe_removed(self, pipe_id: int) -> None:
+        pipe = self._pipes.get(pipe_id)
         if pipe is not None:
             pipe.mark_removed()
 
 
 class HubDialler:
-    """Keep one session with the process that listens at an address."""
+    """Keep one session with the process that listens on an address."""
 
     def __init__(
         self,
         address: str,
-        events: LinkEvents,
+        handler: LinkEvents,
         revision: Callable[[], int],
         timing: LinkTiming = FAST_TIMING,
-        randomness: random.Random | None = None,
+        rng: random.Random | None = None,
     ) -> None:
-        """Prepare to dial `ip:port`; `randomness` spreads the retries."""
+        """Prepare to dial `ip:port`; `rng` draws the retry delays."""
         self._address = address
-        self._events = events
+        self._handler = handler
         self._revision = revision
         self._timing = timing
-        self._random = randomness or random.Random()
+        self._rng = rng or random.Random()
         self._session: Session | None = None
-        self._scope = anyio.CancelScope()
+        self._cancel_scope = anyio.CancelScope()
 
     @property
     def link(self) -> str:
-        """Return the open session; empty if there is none."""
+        """Return the identifier of the open session; empty if none is."""
         session = self._session
         if session is None or not session.was_up:
             return ''
         return session.name.session
 
-    def send(self, link: str, message: Message) -> bool:
+    def send(self, session_id: str, message: Message) -> bool:
         """Queue a message; return False if there is no such session."""
         session = self._session
-        if session is None or session.name.session != link:
+        if session is None or session.name.session != session_id:
             return False
         return session.send(message)
 
-    def close(self, link: str, reason: str) -> None:
-        """End a session, if it is open; a new one is dialled."""
+    def close(self, session_id: str, reason: str) -> None:
+        """Close a session, if it is open; a new one is dialled."""
         session = self._session
-        if session is not None and session.name.session == link:
+        if session is not None and session.name.session == session_id:
             session.close(reason)
 
     def stop(self) -> None:
-        """End the open session, if any, and do not dial again."""
+        """Close the open session, if any, and stop dialling."""
         if self._session is not None:
             self._session.close('address is no longer dialled')
-        self._scope.cancel()
+        self._cancel_scope.cancel()
 
     async def run(self) -> None:
         """Dial and serve sessions until stopped or cancelled."""
-        with self._scope:
+        with self._cancel_scope:
             while True:
-                await self._attempt()
+                await self._dial_and_serve()
                 await anyio.sleep(
-                    self._random.uniform(
+                    self._rng.uniform(
                         self._timing.backoff_min_s,
                         self._timing.backoff_max_s,
                     ),
                 )
 
-    async def _attempt(self) -> None:
+    async def _dial_and_serve(self) -> None:
         name = secrets.token_hex(_SESSION_BYTES)
         socket = PairSocket(pynng.Pair1())
         try:
@@ -277,7 +280,7 @@
         self._session = Session(
             socket,
             SessionName(name, name),
-            self._events,
+            self._handler,
             self._revision,
             self._timing,
         )
@@ -286,43 +289,46 @@
 
 
 class DialledLinks:
-    """Keep sessions with the processes at a changing set of addresses."""
+    """Sessions with the processes at a changing set of addresses."""
 
     def __init__(
         self,
-        events: LinkEvents,
+        handler: LinkEvents,
         revision: Callable[[], int],
     ) -> None:
-        """Start without addresses."""
-        self._events = events
+        """Initialize without addresses; `follow` sets them."""
+        self._handler = handler
         self._revision = revision
         self._diallers: dict[str, HubDialler] = {}
 
-    def has(self, link: str) -> bool:
-        """Tell whether this process dialled an open session."""
-        return any(one.link == link for one in self._diallers.values())
+    def has(self, session_id: str) -> bool:
+        """Return whether an open session was dialled by this process."""
+        return any(
+            dialler.link == session_id for dialler in self._diallers.values()
+        )
 
     def follow(self, group: TaskGroup, addresses: Iterable[str]) -> None:
-        """Dial these addresses, and no others that are not linked."""
+        """Dial these addresses; stop dialling others that are not linked."""
         wanted = set(addresses)
-        for former in tuple(self._diallers):
-            dialler = self._diallers[former]
-            # An open session outlives a registration that has lapsed.
-            if former not in wanted and not dialler.link:
+        for dialled in tuple(self._diallers):
+            dialler = self._diallers[dialled]
+            # An open session outlives an expired registration.
+            if dialled not in wanted and not dialler.link:
                 dialler.stop()
-                self._diallers.pop(former)
+                self._diallers.pop(dialled)
         for address in sorted(wanted - self._diallers.keys()):
-            added = HubDialler(address, self._events, self._revision)
-            self._diallers[address] = added
-            group.start_soon(added.run)
+            new_dialler = HubDialler(address, self._handler, self._revision)
+            self._diallers[address] = new_dialler
+            group.start_soon(new_dialler.run)
 
-    def send(self, link: str, message: Message) -> bool:
+    def send(self, session_id: str, message: Message) -> bool:
         """Queue a message; return False if there is no such session."""
         return any(
-            dialler.send(link, message) for dialler in self._diallers.values()
+            dialler.send(session_id, message)
+            for dialler in self._diallers.values()
         )
 
-    def close(self, link: str, reason: str) -> None:
-        """End a session, if it is open; a new one is dialled."""
+    def close(self, session_id: str, reason: str) -> None:
+        """Close a session, if it is open; a new one is dialled."""
         for dialler in self._diallers.values():
-            dialler.close(link, reason)
+            dialler.close(session_id, reason)
