--- a/src/savoryrudder/daemon/join.py
+++ b/src/savoryrudder/daemon/join.py
@@ -1,4 +1,4 @@
-"""Define the join request by which a process obtains a session."""
+"""Encode and decode the join requests that open sessions."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class JoinRequest(NamedTuple):
-    """Ask a listener for a session; `kind` is agent or entry."""
+    """Request for a session; `kind` is `agent` or `entry`."""
 
     version: int
     peer: str
@@ -24,8 +24,9 @@
 
 
 class JoinAnswer(NamedTuple):
-    """Grant a session at an address, or say in `refusal` why not.
+    """Answer to a join request.
 
+    Grants a session at `address`, unless `refusal` gives the reason why not.
     `listener` is the peer id of the answering process.
     """
 
@@ -45,33 +46,33 @@
     return _encoder.encode(message)
 
 
-def decode_request(raw: bytes) -> Result[JoinRequest, str]:
-    """Decode a join request of this protocol version."""
+def decode_request(encoded: bytes) -> Result[JoinRequest, str]:
+    """Decode a join request; another protocol version is an error."""
     try:
-        request = _request_decoder.decode(raw)
+        request = _request_decoder.decode(encoded)
     except (msgspec.DecodeError, RecursionError) as error:
         return Error(f'malformed join request: {error}')
     if request.version != PROTOCOL_VERSION:
-        return Error(_version_fault(request.version))
+        return Error(_version_error(request.version))
     if not request.peer:
         return Error('join request without a peer id')
     return Ok(request)
 
 
-def decode_answer(raw: bytes) -> Result[JoinAnswer, str]:
+def decode_answer(encoded: bytes) -> Result[JoinAnswer, str]:
     """Decode the answer to a join request; a refusal is an error."""
     try:
-        answer = _answer_decoder.decode(raw)
+        answer = _answer_decoder.decode(encoded)
     except (msgspec.DecodeError, RecursionError) as error:
         return Error(f'malformed join answer: {error}')
     if answer.refusal:
         return Error(f'join refused: {answer.refusal}')
     if answer.version != PROTOCOL_VERSION:
-        return Error(_version_fault(answer.version))
+        return Error(_version_error(answer.version))
     return Ok(answer)
 
 
-def _version_fault(version: int) -> str:
+def _version_error(version: int) -> str:
     return (
         f'protocol version {version} is not supported; '
         f'this process speaks version {PROTOCOL_VERSION}'
