Reword the links with a port per session

Renamed: _ANY_PORT -> _EPHEMERAL_PORT _MAX_PENDING -> _MAX_PENDING_SESSIONS _answer -> _join_answer _ask -> _exchange_join _attempt -> _dial_and_serve _bind -> _listen_on_free_port _dial_repeatedly -> _dial_with_backoff _events -> _handler _fault -> _last_error _next_pause_s -> _next_backoff_s _random -> _rng _scope -> _cancel_scope drawn -> drawn_s earlier -> previous events -> handler granted -> opened longest_ms -> max_ms pause_s -> backoff_s randomness -> rng raw -> encoded shortest_ms -> min_ms

--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -1,4 +1,4 @@
-"""Keep links to other processes: listen for them and dial them."""
+"""Listen for and dial links that use one port per session."""
 
 from __future__ import annotations
 
@@ -34,49 +34,48 @@
     from savoryrudder.protocol.messages import Message
 
 _SESSION_BYTES: Final = 8
-_ANY_PORT: Final = (0,)
+_EPHEMERAL_PORT: Final = (0,)
 _BACKOFF_FACTOR: Final = 3
-# Bounds the sockets that peers can hold by joining without connecting.
-_MAX_PENDING: Final = 4096
+# Bounds the sockets opened for peers that join without connecting.
+_MAX_PENDING_SESSIONS: Final = 4096
 
 
 class _SessionTable:
-    """Hold the open session of each peer, and those that are not up yet.
+    """The open session of each peer, and the sessions that are not up yet.
 
-    A session replaces an earlier one of its peer when it is up, not when it
-    is asked for: a join request that was delayed must not end a healthy
-    session.
+    A session replaces the previous one of its peer once it is up, not when it
+    is requested: a delayed join request must not close a healthy session.
     """
 
-    def __init__(self, events: LinkEvents) -> None:
-        self._events = events
+    def __init__(self, handler: LinkEvents) -> None:
+        self._handler = handler
         self._pending: dict[str, Session] = {}
         self._open: dict[str, Session] = {}
 
     @property
     def pending_count(self) -> int:
-        """Return how many sessions are not up yet."""
+        """Return the number of sessions that are not up yet."""
         return len(self._pending)
 
     def find(self, peer: str) -> Session | None:
-        """Return the open session of a peer."""
+        """Return the open session of a peer, None if there is none."""
         return self._open.get(peer)
 
     def add(self, session: Session) -> None:
-        """Take in a session that is not up yet."""
+        """Add a session that is not up yet."""
         self._pending[session.name.session] = session
 
     def discard(self, session: Session) -> None:
-        """Forget a session that ended before it was up."""
+        """Remove a session that ended before it was up."""
         self._pending.pop(session.name.session, None)
 
     def on_up(self, peer: str, session: str) -> None:
-        """Replace the earlier session of the peer."""
-        earlier = self._open.get(peer)
-        if earlier is not None:
-            earlier.end('replaced by a new session')
+        """Replace the previous session of the peer."""
+        previous = self._open.get(peer)
+        if previous is not None:
+            previous.end('replaced by a new session')
         self._open[peer] = self._pending.pop(session)
-        self._events.on_up(peer, session)
+        self._handler.on_up(peer, session)
 
     def on_frame(
         self,
@@ -85,42 +84,42 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Pass on the messages."""
-        self._events.on_frame(peer, session, revision, messages)
+        """Forward the messages of a frame."""
+        self._handler.on_frame(peer, session, revision, messages)
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
-        """Forget the session."""
+        """Remove the session."""
         self._open.pop(peer, None)
-        self._events.on_down(peer, session, reason)
+        self._handler.on_down(peer, session, reason)
 
 
 class LinkListener:
     """Accept one session per peer at a join address.
 
-    Each session has a listening socket of its own. A later session of a peer
-    replaces its earlier one.
+    Each session has its own listening socket. A new session of a peer
+    replaces the previous one.
     """
 
     def __init__(
         self,
         address: str,
         identity: str,
-        events: LinkEvents,
+        handler: LinkEvents,
         revision: Callable[[], int],
         timing: LinkTiming = DEFAULT_TIMING,
-        ports: Sequence[int] = _ANY_PORT,
+        ports: Sequence[int] = _EPHEMERAL_PORT,
     ) -> None:
-        """Prepare to listen at `ip:port`; `ports` are for the sessions."""
+        """Prepare to listen on `ip:port`; `ports` are for the sessions."""
         self._address = address
         self._identity = identity
-        self._table = _SessionTable(events)
+        self._table = _SessionTable(handler)
         self._revision = revision
         self._timing = timing
         self._ports = ports
 
     @property
     def address(self) -> str:
-        """Return the join address, with the bound port once `run` started."""
+        """Return the join address, with the bound port once `run` listens."""
         return self._address
 
     def send(self, peer: str, message: Message) -> bool:
@@ -129,7 +128,7 @@
         return session is not None and session.send(message)
 
     def close(self, peer: str, reason: str) -> None:
-        """End the session of a peer, if it has one."""
+        """Close the session of a peer, if it has one."""
         session = self._table.find(peer)
         if session is not None:
             session.close(reason)
@@ -139,7 +138,10 @@
         *,
         task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve joins until cancelled; reports the bound address."""
+        """Serve join requests and sessions until cancelled.
+
+        The task status receives the bound address.
+        """
         with contextlib.closing(MessageSocket(pynng.Rep0())) as socket:
             self._address = socket.listen(self._address)
             task_status.started(self._address)
@@ -152,18 +154,18 @@
         socket: MessageSocket,
         group: TaskGroup,
     ) -> None:
-        raw = await socket.receive()
-        granted = join.decode_request(raw).bind(self._open_session)
-        if granted.is_ok():
-            session, address = granted.ok
+        encoded = await socket.receive()
+        opened = join.decode_request(encoded).bind(self._open_session)
+        if opened.is_ok():
+            session, address = opened.ok
             group.start_soon(self._serve, session)
-            answer = self._answer(session.name.session, address, '')
+            answer = self._join_answer(session.name.session, address, '')
         else:
-            answer = self._answer('', '', granted.error)
+            answer = self._join_answer('', '', opened.error)
         with contextlib.suppress(pynng.NNGException):
             await socket.send(join.encode_join(answer))
 
-    def _answer(
+    def _join_answer(
         self,
         session: str,
         address: str,
@@ -181,9 +183,9 @@
         self,
         request: join.JoinRequest,
     ) -> Result[tuple[Session, str], str]:
-        if self._table.pending_count >= _MAX_PENDING:
+        if self._table.pending_count >= _MAX_PENDING_SESSIONS:
             return Error('too many sessions are being opened')
-        bound = self._bind()
+        bound = self._listen_on_free_port()
         if bound.is_error():
             return Error(bound.error)
         socket, address = bound.ok
@@ -197,7 +199,7 @@
         self._table.add(session)
         return Ok((session, address))
 
-    def _bind(self) -> Result[tuple[PairSocket, str], str]:
+    def _listen_on_free_port(self) -> Result[tuple[PairSocket, str], str]:
         host = self._address.rpartition(':')[0]
         for port in self._ports:
             with contextlib.suppress(pynng.NNGException):
@@ -219,31 +221,31 @@
 
 
 class LinkDialler:
-    """Keep one session with the process that listens at a join address."""
+    """Keep one session with the process that listens on a join address."""
 
     def __init__(
         self,
         join_address: str,
         request: join.JoinRequest,
-        events: LinkEvents,
+        handler: LinkEvents,
         revision: Callable[[], int],
         timing: LinkTiming = DEFAULT_TIMING,
-        randomness: random.Random | None = None,
+        rng: random.Random | None = None,
     ) -> None:
-        """Prepare to dial `ip:port`; `randomness` spreads the retries."""
+        """Prepare to dial `ip:port`; `rng` draws the retry delays."""
         self._join_address = join_address
         self._request = request
-        self._events = events
+        self._handler = handler
         self._revision = revision
         self._timing = timing
-        self._random = randomness or random.Random()
+        self._rng = rng or random.Random()
         self._session: Session | None = None
-        self._scope = anyio.CancelScope()
-        self._fault = ''
+        self._cancel_scope = anyio.CancelScope()
+        self._last_error = ''
 
     @property
     def peer(self) -> str:
-        """Return the peer id at the other end; empty while not up."""
+        """Return the peer id of the open session; empty if there is none."""
         session = self._session
         if session is None or not session.was_up:
             return ''
@@ -251,8 +253,8 @@
 
     @property
     def fault(self) -> str:
-        """Return why the last attempt or session ended."""
-        return self._fault
+        """Return why the last attempt failed or the last session ended."""
+        return self._last_error
 
     def send(self, peer: str, message: Message) -> bool:
         """Queue a message; return False if the peer has no open session."""
@@ -260,30 +262,30 @@
         return session is not None and session.send(message)
 
     def close(self, peer: str, reason: str) -> None:
-        """End the session with a peer; a new one is dialled."""
+        """Close the session with a peer; a new one is dialled."""
         session = self._find(peer)
         if session is not None:
             session.close(reason)
 
     def stop(self) -> None:
-        """End the open session, if any, and do not dial again."""
+        """Close the open session, if any, and stop dialling."""
         if self._session is not None:
             self._session.close('address is no longer dialled')
-        self._scope.cancel()
+        self._cancel_scope.cancel()
 
     async def run(self) -> None:
-        """Join and serve sessions until stopped or cancelled."""
-        with self._scope:
-            await self._dial_repeatedly()
+        """Dial and serve sessions until stopped or cancelled."""
+        with self._cancel_scope:
+            await self._dial_with_backoff()
 
-    async def _dial_repeatedly(self) -> None:
-        pause_s = self._timing.backoff_min_s
+    async def _dial_with_backoff(self) -> None:
+        backoff_s = self._timing.backoff_min_s
         while True:
-            was_up = await self._attempt()
+            was_up = await self._dial_and_serve()
             if was_up:
-                pause_s = self._timing.backoff_min_s
-            pause_s = self._next_pause_s(pause_s)
-            await anyio.sleep(pause_s)
+                backoff_s = self._timing.backoff_min_s
+            backoff_s = self._next_backoff_s(backoff_s)
+            await anyio.sleep(backoff_s)
 
     def _find(self, peer: str) -> Session | None:
         session = self._session
@@ -291,25 +293,25 @@
             return None
         return session if session.was_up else None
 
-    def _next_pause_s(self, pause_s: float) -> float:
-        # Decorrelated jitter: peers that lost a listener together come back
-        # spread over time.
-        drawn = self._random.uniform(
+    def _next_backoff_s(self, backoff_s: float) -> float:
+        # Decorrelated jitter spreads the reconnects of peers that lost the same
+        # listener at once.
+        drawn_s = self._rng.uniform(
             self._timing.backoff_min_s,
-            pause_s * _BACKOFF_FACTOR,
+            backoff_s * _BACKOFF_FACTOR,
         )
-        return min(drawn, self._timing.backoff_max_s)
+        return min(drawn_s, self._timing.backoff_max_s)
 
-    async def _attempt(self) -> bool:
+    async def _dial_and_serve(self) -> bool:
         joined = await self._join()
         if joined.is_error():
-            self._fault = joined.error
+            self._last_error = joined.error
             return False
         answer = joined.ok
         try:
             socket = _dial_pair(answer.address)
         except pynng.NNGException as error:
-            self._fault = f'cannot dial {answer.address}: {error}'
+            self._last_error = f'cannot dial {answer.address}: {error}'
             return False
         return await self._serve(socket, answer)
 
@@ -321,30 +323,30 @@
         self._session = Session(
             socket,
             SessionName(answer.listener, answer.session),
-            self._events,
+            self._handler,
             self._revision,
             self._timing,
         )
         session = self._session
         await session.run()
         self._session = None
-        self._fault = session.reason
+        self._last_error = session.reason
         return session.was_up
 
     async def _join(self) -> Result[join.JoinAnswer, str]:
         with contextlib.closing(MessageSocket(pynng.Req0())) as socket:
             try:
                 with anyio.fail_after(self._timing.join_timeout_s):
-                    return join.decode_answer(await self._ask(socket))
+                    return join.decode_answer(await self._exchange_join(socket))
             except TimeoutError:
                 return Error('no answer to the join request')
             except pynng.NNGException as error:
                 return Error(f'join failed: {error}')
 
-    async def _ask(self, socket: MessageSocket) -> bytes:
-        shortest_ms = int(self._timing.backoff_min_s * MS_PER_S)
-        longest_ms = int(self._timing.backoff_max_s * MS_PER_S)
-        socket.dial(self._join_address, redial_ms=(shortest_ms, longest_ms))
+    async def _exchange_join(self, socket: MessageSocket) -> bytes:
+        min_ms = int(self._timing.backoff_min_s * MS_PER_S)
+        max_ms = int(self._timing.backoff_max_s * MS_PER_S)
+        socket.dial(self._join_address, redial_ms=(min_ms, max_ms))
         await socket.send(join.encode_join(self._request))
         return await socket.receive()
 
