--- a/src/savoryrudder/daemon/logs.py
+++ b/src/savoryrudder/daemon/logs.py
@@ -23,18 +23,18 @@
 
 STANDARD_OUTPUT: Final = '-'
 
-# Sustained and momentary bounds of the lines that a process writes.
+# Rate limit of the log lines of a process, as a token bucket.
 _LINES_PER_S: Final = 500
 _BURST_LINES: Final = 2000
-# A pipe takes this much at once when it is writable.
-_LONGEST_LINE_BYTES: Final = 4096
+# A writable pipe accepts this much (PIPE_BUF) without blocking.
+_MAX_LINE_BYTES: Final = 4096
 
 
 class BoundedLog:
-    """Write lines to a descriptor that may stop taking them.
+    """Write log lines to a file descriptor without blocking.
 
-    A line is dropped when the reader has stopped or when lines come faster
-    than the bound; the next one that is written says how many were.
+    A line is dropped while the reader is stalled or the rate limit is
+    exceeded; the next line written carries the number of dropped ones.
     """
 
     def __init__(
@@ -42,32 +42,32 @@
         descriptor: int,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Write to an open descriptor."""
+        """Write to an open file descriptor."""
         self._descriptor = descriptor
         self._clock = clock
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
         self._encoder = msgspec.json.Encoder(enc_hook=str)
-        self._allowance = float(_BURST_LINES)
-        self._counted_at = clock()
+        self._tokens = float(_BURST_LINES)
+        self._refilled_at = clock()
         self._dropped = 0
 
     @property
     def dropped(self) -> int:
-        """Return how many lines were dropped since the last one written."""
+        """Return the number of lines dropped since the last one written."""
         return self._dropped
 
     def __call__(self, message: Mapping[str, Any]) -> None:
-        """Write a line, or count it as dropped."""
+        """Write a message as one line, or count it as dropped."""
         self._refill()
-        if self._allowance < 1 or not self._poll.poll(0):
+        if self._tokens < 1 or not self._poll.poll(0):
             self._dropped += 1
             return
         content = dict(message)
         if self._dropped:
             content['dropped'] = self._dropped
-        line = self._encoder.encode(content)[: _LONGEST_LINE_BYTES - 1]
-        self._allowance -= 1
+        line = self._encoder.encode(content)[: _MAX_LINE_BYTES - 1]
+        self._tokens -= 1
         try:
             os.write(self._descriptor, b'%s\n' % line)
         except OSError:
@@ -77,14 +77,14 @@
 
     def _refill(self) -> None:
         now = self._clock()
-        gained = (now - self._counted_at) * _LINES_PER_S
-        self._counted_at = now
-        self._allowance = min(self._allowance + gained, _BURST_LINES)
+        refill = (now - self._refilled_at) * _LINES_PER_S
+        self._refilled_at = now
+        self._tokens = min(self._tokens + refill, _BURST_LINES)
 
 
 @contextlib.contextmanager
 def log_to(path: str) -> Iterator[None]:
-    """Write log lines as JSON to a file; empty is stderr, `-` is stdout."""
+    """Write log lines to a file; an empty path is stderr, `-` is stdout."""
     with contextlib.ExitStack() as cleanup:
         if path == STANDARD_OUTPUT:
             destination: Any = BoundedLog(sys.stdout.fileno())
