--- a/src/savoryrudder/daemon/main.py
+++ b/src/savoryrudder/daemon/main.py
@@ -1,4 +1,4 @@
-"""Start the daemon in one of its roles."""
+"""Command line that starts the daemon in one of its roles."""
 
 from __future__ import annotations
 
@@ -27,12 +27,12 @@
 
     from savoryrudder.policy.findings import Finding
 
-_FAULTY_SETTINGS: Final = 1
-_Loaded: TypeAlias = 'Result[Any, tuple[Finding, ...]]'
+_EXIT_INVALID_SETTINGS: Final = 1
+_LoadResult: TypeAlias = 'Result[Any, tuple[Finding, ...]]'
 
 
 class Daemon:
-    """Run one process of the dispatcher."""
+    """Run an entry or an agent."""
 
     def entry(self, settings: str, *, check: bool = False) -> None:
         """Serve callers and own submissions.
@@ -62,16 +62,16 @@
 
 def _run(
     path: str,
-    load: Callable[[str, Any], _Loaded],
+    load_settings: Callable[[str, Any], _LoadResult],
     serve: Callable[[Any], Awaitable[None]],
     *,
     only_check: bool,
 ) -> None:
-    loaded = load(path, os.environ)
+    loaded = load_settings(path, os.environ)
     if loaded.is_error():
         for finding in loaded.error:
             sys.stderr.write(f'{path}:{finding}\n')
-        sys.exit(_FAULTY_SETTINGS)
+        sys.exit(_EXIT_INVALID_SETTINGS)
     if only_check:
         sys.stdout.write(f'{path}: no findings\n')
         return
