--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -1,4 +1,4 @@
-"""Register an entry in the store, and follow the registered ones."""
+"""Register an entry in the store and watch the registered ones."""
 
 from __future__ import annotations
 
@@ -24,34 +24,37 @@
     store: interface.KeyValueStore,
     prefix: str,
     wait_s: float,
-    take: Callable[[tuple[interface.KeyValue, ...]], None],
+    on_change: Callable[[tuple[interface.KeyValue, ...]], None],
 ) -> None:
-    """Pass on the keys below a prefix with each change until cancelled."""
-    after = 0
-    is_lost = False
+    """Call `on_change` with the keys below a prefix on each change.
+
+    Runs until cancelled; `wait_s` bounds each long poll of the store.
+    """
+    last_version = 0
+    is_store_lost = False
     while True:
         outcome = await store.call(
-            interface.WatchPrefix(prefix, after, wait_s),
+            interface.WatchPrefix(prefix, last_version, wait_s),
         )
         if isinstance(outcome, interface.Snapshot):
-            if is_lost:
+            if is_store_lost:
                 log_change('store-regained', (('prefix', prefix),))
-            is_lost = False
-            if outcome.version != after:
-                take(outcome.entries)
-            after = outcome.version
+            is_store_lost = False
+            if outcome.version != last_version:
+                on_change(outcome.entries)
+            last_version = outcome.version
             continue
-        if not is_lost:
+        if not is_store_lost:
             log_change(
                 'store-lost',
                 (('prefix', prefix), ('reason', str(outcome))),
             )
-        is_lost = True
+        is_store_lost = True
         await anyio.sleep(_RETRY_S)
 
 
 class Registration:
-    """Keep a key of an entry in the store under a lease."""
+    """Key of an entry in the store, held under a lease."""
 
     def __init__(
         self,
@@ -59,14 +62,14 @@
         name: str,
         address: str,
     ) -> None:
-        """Prepare to register an entry at its link address."""
+        """Prepare to register an entry with its link address."""
         self._store = store
         self._key = f'{MEMBERS_PREFIX}{name}'
         self._address = address
         self._lease = ''
 
     async def run(self) -> None:
-        """Register and renew until cancelled."""
+        """Register the entry and renew its lease until cancelled."""
         while True:
             if not self._lease and not await self._register():
                 await anyio.sleep(_RETRY_S)
@@ -80,7 +83,7 @@
                 self._lease = ''
 
     async def withdraw(self) -> None:
-        """Remove the registration."""
+        """Revoke the lease, which removes the key."""
         if self._lease:
             await self._store.call(interface.RevokeLease(self._lease))
 
@@ -88,18 +91,18 @@
         granted = await self._store.call(interface.GrantLease(_LEASE_S))
         if not isinstance(granted, interface.LeaseHeld):
             return False
-        outcome = await self._write(0, granted.lease)
+        outcome = await self._swap_key(0, granted.lease)
         if isinstance(outcome, interface.SwapConflict):
-            # A former start of this entry wrote the key.
+            # The key was written by an earlier incarnation of this entry.
             version = outcome.current.version
-            outcome = await self._write(version, granted.lease)
+            outcome = await self._swap_key(version, granted.lease)
         if not isinstance(outcome, interface.Swapped):
             return False
         self._lease = granted.lease
         log_change('registered', (('key', self._key),))
         return True
 
-    async def _write(
+    async def _swap_key(
         self,
         expected: int,
         lease: str,
