Reword the metrics

Renamed: _LONGEST_US -> _MAX_LATENCY_US _Latency -> _LatencyHistogram _NOT_IN_METRICS -> _INVALID_CHARACTER _US -> _US_PER_S bounded -> clamped_us counted -> counter_name micros -> latency_us timed -> latency_name

--- a/src/savoryrudder/daemon/metrics.py
+++ b/src/savoryrudder/daemon/metrics.py
@@ -1,4 +1,4 @@
-"""Count events and record latencies."""
+"""Count events and record latencies for Prometheus."""
 
 from __future__ import annotations
 
@@ -14,40 +14,40 @@
 
     from prometheus_client.core import Metric
 
-_US: Final = 1_000_000
-_LONGEST_US: Final = 3600 * _US
+_US_PER_S: Final = 1_000_000
+_MAX_LATENCY_US: Final = 3600 * _US_PER_S
 _SIGNIFICANT_DIGITS: Final = 2
 _QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
 _PERCENT: Final = 100
 _NAMESPACE: Final = 'savoryrudder'
-# Prometheus refuses other characters, such as the hyphens of reasons.
-_NOT_IN_METRICS: Final = re.compile('[^a-zA-Z0-9_]')
+# Prometheus rejects these in metric names, such as the hyphens of reasons.
+_INVALID_CHARACTER: Final = re.compile('[^a-zA-Z0-9_]')
 
 
-class _Latency:
-    """Hold the durations of one name in microseconds."""
+class _LatencyHistogram:
+    """Histogram of the durations of one metric."""
 
     def __init__(self) -> None:
-        self._histogram = HdrHistogram(1, _LONGEST_US, _SIGNIFICANT_DIGITS)
+        self._histogram = HdrHistogram(1, _MAX_LATENCY_US, _SIGNIFICANT_DIGITS)
         self._sum_s = float(0)
 
     def record(self, seconds: float) -> None:
-        """Add a duration; out-of-range ones count as the nearest bound."""
-        bounded = min(max(int(seconds * _US), 1), _LONGEST_US)
-        self._histogram.record_value(bounded)
+        """Add a duration, clamped to the range of the histogram."""
+        clamped_us = min(max(int(seconds * _US_PER_S), 1), _MAX_LATENCY_US)
+        self._histogram.record_value(clamped_us)
         self._sum_s += seconds
 
     def export(self, name: str) -> Metric:
-        """Return a summary of the durations in seconds."""
+        """Return a summary metric of the durations in seconds."""
         from prometheus_client.core import Metric
 
         metric = Metric(name, name.replace('_', ' '), 'summary')
         for quantile in _QUANTILES:
-            micros = self._histogram.get_value_at_percentile(
+            latency_us = self._histogram.get_value_at_percentile(
                 quantile * _PERCENT,
             )
             labels = {'quantile': str(quantile)}
-            metric.add_sample(name, labels, micros / _US)
+            metric.add_sample(name, labels, latency_us / _US_PER_S)
         total = self._histogram.get_total_count()
         metric.add_sample(f'{name}_count', {}, total)
         metric.add_sample(f'{name}_sum', {}, self._sum_s)
@@ -55,51 +55,51 @@
 
 
 class _Collector:
-    """Export all counters and latencies to a Prometheus registry."""
+    """Prometheus collector of all counters and latencies."""
 
     def __init__(
         self,
         counts: Mapping[str, int],
-        latencies: Mapping[str, _Latency],
+        latencies: Mapping[str, _LatencyHistogram],
     ) -> None:
         self._counts = counts
         self._latencies = latencies
 
     def collect(self) -> Iterator[Metric]:
-        """Yield one metric for each name."""
+        """Yield one metric per counter and per latency."""
         from prometheus_client.core import CounterMetricFamily
 
-        for counted, total in self._counts.items():
+        for counter_name, total in self._counts.items():
             yield CounterMetricFamily(
-                _metric_name(counted),
-                counted.replace('_', ' '),
+                _metric_name(counter_name),
+                counter_name.replace('_', ' '),
                 value=total,
             )
-        for timed, latency in self._latencies.items():
-            yield latency.export(f'{_metric_name(timed)}_seconds')
+        for latency_name, latency in self._latencies.items():
+            yield latency.export(f'{_metric_name(latency_name)}_seconds')
 
 
 class Counters:
-    """Count events and record durations under names.
+    """Named counters and latencies of a process.
 
-    The library that writes the metrics is imported when they are asked for
-    first; a process starts in less time without it.
+    The Prometheus client is imported on the first export, which shortens the
+    start of a process.
     """
 
     def __init__(self) -> None:
-        """Start without counters."""
+        """Initialize without counters and latencies."""
         self._counts: dict[str, int] = {}
-        self._latencies: dict[str, _Latency] = {}
+        self._latencies: dict[str, _LatencyHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
-        """Add to a counter."""
+        """Increment a counter by `amount`."""
         self._counts[name] = self._counts.get(name, 0) + amount
 
     def observe(self, name: str, seconds: float) -> None:
-        """Record a duration."""
+        """Record a duration as a latency."""
         latency = self._latencies.get(name)
         if latency is None:
-            latency = _Latency()
+            latency = _LatencyHistogram()
             self._latencies[name] = latency
         latency.record(seconds)
 
@@ -114,4 +114,4 @@
 
 
 def _metric_name(name: str) -> str:
-    return f'{_NAMESPACE}_{_NOT_IN_METRICS.sub("_", name)}'
+    return f'{_NAMESPACE}_{_INVALID_CHARACTER.sub("_", name)}'
