--- a/src/savoryrudder/daemon/probes.py
+++ b/src/savoryrudder/daemon/probes.py
@@ -1,4 +1,4 @@
-"""Serve the health and metrics of a daemon over HTTP."""
+"""Serve the health, readiness and metrics of a daemon over HTTP."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
 
 
 class ProbeApp:
-    """Serve health and metrics; an ASGI application."""
+    """ASGI application for health, readiness and metrics."""
 
     def __init__(self, runtime: ReducerLoop[Any, Any]) -> None:
-        """Serve the requests about one daemon."""
+        """Serve the probes of one daemon."""
         self._runtime = runtime
 
     async def __call__(
@@ -33,9 +33,9 @@
         if scope['type'] == 'lifespan':
             await asgi.follow_lifespan(receive, send)
             return
-        await asgi.respond(send, self._answer(scope['path']))
+        await asgi.respond(send, self._reply_to(scope['path']))
 
-    def _answer(self, path: str) -> asgi.Reply:
+    def _reply_to(self, path: str) -> asgi.Reply:
         match path:
             case '/health':
                 return asgi.Reply(200, b'{"status":"alive"}')
