--- a/src/savoryrudder/daemon/requests.py
+++ b/src/savoryrudder/daemon/requests.py
@@ -1,4 +1,4 @@
-"""Read callers' jobs from HTTP requests and write answers to them."""
+"""Parse callers' jobs from HTTP requests and encode the answers."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 MAX_TASKS: Final = 170
 MAX_KEY_LENGTH: Final = 200
 _DIGEST_BYTES: Final = 16
-_UNSET_DEADLINE_MS: Final = 10_000
+_FALLBACK_DEADLINE_MS: Final = 10_000
 
 _STATUS_BY_REASON: Final = MappingProxyType(
     {
@@ -52,7 +52,7 @@
 
 
 class TaskBody(TypedDict):
-    """Read one task; the payload is JSON or base64 text, not both."""
+    """A task in a request; its payload is either JSON or base64 text."""
 
     operation: str
     payload: NotRequired[msgspec.Raw]
@@ -60,7 +60,7 @@
 
 
 class JobBody(TypedDict):
-    """Read a job."""
+    """Request body of a job."""
 
     service: str
     tasks: list[TaskBody]
@@ -76,12 +76,12 @@
     body: bytes,
     default_deadline_ms: Mapping[str, int],
 ) -> Result[Job, list[str]]:
-    """Read a job, or list everything that is wrong with it."""
+    """Parse a job; the error lists everything that is wrong with it."""
     try:
         content = _decoder.decode(body)
     except (msgspec.DecodeError, RecursionError) as error:
         return Error([f'body: {error}'])
-    findings = _check(headers, content)
+    findings = _check_job(headers, content)
     tasks = []
     for index, task in enumerate(content['tasks']):
         payload = _read_payload(task)
@@ -100,7 +100,8 @@
             headers['idempotency-key'],
             service,
             urgency,
-            deadline_ms or default_deadline_ms.get(service, _UNSET_DEADLINE_MS),
+            deadline_ms
+            or default_deadline_ms.get(service, _FALLBACK_DEADLINE_MS),
             tuple(tasks),
             _digest(service, urgency, tasks),
             headers.get('traceparent', ''),
@@ -109,7 +110,7 @@
 
 
 def check_identity(headers: Mapping[str, str]) -> list[str]:
-    """List what is wrong with the headers that name a submission."""
+    """Return what is wrong with the headers that identify a submission."""
     findings = []
     if not headers.get('client'):
         findings.append('header Client: is missing')
@@ -150,16 +151,16 @@
             'detail': answer.detail,
         }
     if answer.tasks:
-        body['tasks'] = [_write_task(task) for task in answer.tasks]
+        body['tasks'] = [_task_to_json(task) for task in answer.tasks]
     return body
 
 
 def retry_after_s(answer: Answer) -> int:
-    """Return the whole seconds for the Retry-After header, 0 for none."""
+    """Return the Retry-After header in whole seconds, 0 for none."""
     return -(-answer.retry_after_ms // MS_PER_S)
 
 
-def _check(headers: Mapping[str, str], content: JobBody) -> list[str]:
+def _check_job(headers: Mapping[str, str], content: JobBody) -> list[str]:
     findings = check_identity(headers)
     if not 1 <= len(content['tasks']) <= MAX_TASKS:
         findings.append(f'body.tasks: must have 1 to {MAX_TASKS} tasks')
@@ -176,21 +177,21 @@
     if 'payload' in task and 'payload_base64' in task:
         return Error('give payload or payload_base64, not both')
     try:
-        encoded = base64.b64decode(
+        decoded = base64.b64decode(
             task.get('payload_base64', ''), validate=True
         )
     except binascii.Error as error:
         return Error(f'payload_base64: {error}')
-    return Ok(bytes(task['payload']) if 'payload' in task else encoded)
+    return Ok(bytes(task['payload']) if 'payload' in task else decoded)
 
 
 def _digest(service: str, urgency: str, tasks: list[TaskSpec]) -> bytes:
-    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    digest.update(msgspec.msgpack.encode((service, urgency, tasks)))
-    return digest.digest()
+    hasher = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    hasher.update(msgspec.msgpack.encode((service, urgency, tasks)))
+    return hasher.digest()
 
 
-def _write_task(task: TaskOutcome) -> dict[str, Any]:
+def _task_to_json(task: TaskOutcome) -> dict[str, Any]:
     body: dict[str, Any] = {'outcome': task.outcome}
     if task.outcome != reasons.COMPLETE:
         body['reason'] = task.reason
