--- a/src/savoryrudder/daemon/signals.py
+++ b/src/savoryrudder/daemon/signals.py
@@ -1,4 +1,4 @@
-"""Turn termination signals into a graceful stop."""
+"""Handle termination and reload signals."""
 
 from __future__ import annotations
 
@@ -17,14 +17,15 @@
 ) -> None:
     """Call `on_stop` on SIGTERM and SIGINT, `on_reload` on SIGHUP.
 
-    Without `on_reload`, SIGHUP ends the process, as it does by default.
+    Without `on_reload`, SIGHUP keeps its default action, which terminates
+    the process.
     """
-    watched = [signal.SIGTERM, signal.SIGINT]
+    signals = [signal.SIGTERM, signal.SIGINT]
     if on_reload is not None:
-        watched.append(signal.SIGHUP)
-    with anyio.open_signal_receiver(*watched) as received:
-        async for number in received:
-            if number == signal.SIGHUP and on_reload is not None:
+        signals.append(signal.SIGHUP)
+    with anyio.open_signal_receiver(*signals) as receiver:
+        async for received in receiver:
+            if received == signal.SIGHUP and on_reload is not None:
                 on_reload()
             else:
                 on_stop()
