Reword the tracing

Renamed: _SPAN_BATCH -> _MAX_BATCH_SPANS _SPAN_DELAY_MS -> _EXPORT_DELAY_MS _SPAN_QUEUE -> _MAX_QUEUED_SPANS _append -> _write _line_of -> _span_line _parent_of -> _parent_context

--- a/src/savoryrudder/daemon/tracing.py
+++ b/src/savoryrudder/daemon/tracing.py
@@ -1,4 +1,4 @@
-"""Record spans of sampled traces."""
+"""Record the spans of sampled traces in a file."""
 
 from __future__ import annotations
 
@@ -29,16 +29,16 @@
     from opentelemetry.sdk.trace import ReadableSpan
 
 _NAMESPACE: Final = 'savoryrudder'
-_SPAN_QUEUE: Final = 8192
-_SPAN_BATCH: Final = 512
-_SPAN_DELAY_MS: Final = 1000
+_MAX_QUEUED_SPANS: Final = 8192
+_MAX_BATCH_SPANS: Final = 512
+_EXPORT_DELAY_MS: Final = 1000
 _CARRIER_FIELD: Final = 'traceparent'
 
 
 class SpanLine(NamedTuple):
-    """Hold one exported span; times are nanoseconds since the epoch.
+    """An exported span; times are nanoseconds since the epoch.
 
-    `resource` names the process that recorded it.
+    `resource` identifies the process that recorded the span.
     """
 
     trace_id: str
@@ -52,17 +52,17 @@
 
 
 class _FileExporter(SpanExporter):
-    """Append spans to a file; called in the thread of the batches."""
+    """Append spans to a file; called in the batch processor's thread."""
 
     def __init__(self, path: str) -> None:
         self._output = Path(path).open('ab')
         self._encoder = msgspec.json.Encoder()
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Write a batch with one flush."""
-        lines = [_line_of(span)._asdict() for span in spans]
+        """Write a batch of spans with one flush."""
+        lines = [_span_line(span)._asdict() for span in spans]
         try:
-            self._append(self._encoder.encode_lines(lines))
+            self._write(self._encoder.encode_lines(lines))
         except OSError:
             return SpanExportResult.FAILURE
         return SpanExportResult.SUCCESS
@@ -71,7 +71,7 @@
         """Close the file."""
         self._output.close()
 
-    def _append(self, content: bytes) -> None:
+    def _write(self, content: bytes) -> None:
         self._output.write(content)
         self._output.flush()
 
@@ -79,10 +79,9 @@
 class Tracer:
     """Record spans of sampled traces without blocking the event loop.
 
-    A span belongs to the trace of a W3C `traceparent` text. Without one it
-    begins a trace, sampled with the given ratio. Spans are queued and a
-    thread writes them in batches; when the queue is full, the oldest are
-    dropped.
+    A span joins the trace of its W3C `traceparent`; without one it starts a
+    trace, which is sampled with the given ratio. Spans are queued and written
+    in batches by a thread; when the queue is full, the oldest are dropped.
     """
 
     def __init__(
@@ -101,9 +100,9 @@
             self._provider.add_span_processor(
                 BatchSpanProcessor(
                     _FileExporter(path),
-                    max_queue_size=_SPAN_QUEUE,
-                    schedule_delay_millis=_SPAN_DELAY_MS,
-                    max_export_batch_size=_SPAN_BATCH,
+                    max_queue_size=_MAX_QUEUED_SPANS,
+                    schedule_delay_millis=_EXPORT_DELAY_MS,
+                    max_export_batch_size=_MAX_BATCH_SPANS,
                 ),
             )
         self._tracer = self._provider.get_tracer(_NAMESPACE)
@@ -111,23 +110,23 @@
 
     def start(self, name: str, traceparent: str) -> Span:
         """Start a span; the caller ends it."""
-        parent = self._parent_of(traceparent)
+        parent = self._parent_context(traceparent)
         return Span(
             self._tracer.start_span(name, context=parent),
             self._propagator,
         )
 
     def close(self) -> None:
-        """Write what is queued and close the file."""
+        """Write the queued spans and close the file."""
         self._provider.shutdown()
 
-    def _parent_of(self, traceparent: str) -> Context:
+    def _parent_context(self, traceparent: str) -> Context:
         carrier = {_CARRIER_FIELD: traceparent}
         return self._propagator.extract(carrier, Context())
 
 
 class Span:
-    """Measure one step of a trace."""
+    """A timed operation of a trace."""
 
     def __init__(
         self,
@@ -140,22 +139,22 @@
 
     @property
     def traceparent(self) -> str:
-        """Return the context to carry in messages."""
+        """Return the W3C `traceparent` to send with messages."""
         carrier: dict[str, str] = {}
         context = trace.set_span_in_context(self._span)
         self._propagator.inject(carrier, context)
         return carrier.get(_CARRIER_FIELD, '')
 
     def note(self, name: str, content: str | int | float) -> None:
-        """Set an attribute."""
+        """Set an attribute of the span."""
         self._span.set_attribute(name, content)
 
     def end(self) -> None:
-        """End the span."""
+        """Record the end time and queue the span for export."""
         self._span.end()
 
 
-def _line_of(span: ReadableSpan) -> SpanLine:
+def _span_line(span: ReadableSpan) -> SpanLine:
     context = span.get_span_context() or trace.INVALID_SPAN_CONTEXT
     parent = span.parent
     return SpanLine(
