--- a/src/savoryrudder/daemon/upstream.py
+++ b/src/savoryrudder/daemon/upstream.py
@@ -1,4 +1,4 @@
-"""Call the colocated upstream over HTTP on loopback."""
+"""Call the upstream on the same host, over HTTP on loopback."""
 
 from __future__ import annotations
 
@@ -21,12 +21,12 @@
 _KEEPALIVE_S: Final = 5
 _CONNECT_TIMEOUT_S: Final = 1
 _MAX_RESULT_BYTES: Final = 16 * 1024 * 1024
-# httpcore reports this event before it writes the first byte of a request.
-_SENDING: Final = 'send_request_headers.started'
+# httpcore emits this trace event before it writes the first byte of a request.
+_REQUEST_STARTED_EVENT: Final = 'send_request_headers.started'
 
 
 class UpstreamResult(NamedTuple):
-    """Report how a call ended: complete, failed, unknown or not-run."""
+    """Result of a call; the outcome is complete, failed, unknown or not-run."""
 
     outcome: str
     result: bytes
@@ -34,7 +34,7 @@
 
 
 class _Call:
-    """Follow one call and note whether the upstream may have seen it."""
+    """A call in progress, and whether its request may have been sent."""
 
     def __init__(self, deadline_ms: int) -> None:
         self.is_sent = False
@@ -43,19 +43,19 @@
             deadline=anyio.current_time() + deadline_ms / MS_PER_S,
         )
 
-    async def note(self, event: str, details: dict[str, Any]) -> None:
-        """Take a trace event of httpcore."""
-        if event.endswith(_SENDING):
+    async def on_trace_event(self, event: str, details: dict[str, Any]) -> None:
+        """Handle a trace event of httpcore."""
+        if event.endswith(_REQUEST_STARTED_EVENT):
             self.is_sent = True
 
-    def fault(self, reason: str) -> UpstreamResult:
-        """Return the result of a call that ended without an answer."""
+    def failure(self, reason: str) -> UpstreamResult:
+        """Return the result of a call that ended without a response."""
         outcome = 'unknown' if self.is_sent else 'not-run'
         return UpstreamResult(outcome, b'', reason)
 
 
 class UpstreamClient:
-    """Call one upstream; a request is sent once and never repeated."""
+    """Client of one upstream; a request is sent once and never retried."""
 
     def __init__(
         self,
@@ -66,7 +66,7 @@
     ) -> None:
         """Prepare to call the upstream at `url`.
 
-        A connection idle longer than `keepalive_s` is not used again.
+        A connection that was idle for longer than `keepalive_s` is not reused.
         """
         self._url = url
         self._max_result_bytes = max_result_bytes
@@ -84,7 +84,7 @@
 
     @property
     def url(self) -> str:
-        """Return the address of the upstream."""
+        """Return the base URL of the upstream."""
         return self._url
 
     async def close(self) -> None:
@@ -92,7 +92,7 @@
         await self._client.aclose()
 
     def stop(self, task: TaskKey) -> None:
-        """End a running call; its result is unknown if it was sent."""
+        """Cancel a running call; its outcome is unknown if it was sent."""
         call = self._calls.get(task)
         if call is not None:
             call.is_stopped = True
@@ -106,7 +106,7 @@
         deadline_ms: int,
         trace: str,
     ) -> UpstreamResult:
-        """Run one task within its deadline and report the outcome.
+        """Run a task within its deadline and return the result.
 
         A task whose call is still running is not sent again.
         """
@@ -119,7 +119,7 @@
             'idempotency-key': f'{submission.hex()}/{position}',
             'deadline-ms': str(deadline_ms),
         }
-        # The text comes from callers; httpx raises on what no header can hold.
+        # The value comes from callers, and httpx raises on invalid header text.
         if trace and trace.isascii() and trace.isprintable():
             headers['traceparent'] = trace
         call = _Call(deadline_ms)
@@ -140,14 +140,14 @@
             f'/run/{quote(operation, safe="")}',
             content=payload,
             headers=headers,
-            extensions={'trace': call.note},
+            extensions={'trace': call.on_trace_event},
         )
         with call.scope:
             try:
                 return await self._send(request)
             except httpx.HTTPError as error:
-                return call.fault(type(error).__name__)
-        return call.fault('stopped' if call.is_stopped else 'deadline passed')
+                return call.failure(type(error).__name__)
+        return call.failure('stopped' if call.is_stopped else 'deadline passed')
 
     async def _send(self, request: httpx.Request) -> UpstreamResult:
         response = await self._client.send(request, stream=True)
@@ -156,7 +156,7 @@
 
     async def _read(self, response: httpx.Response) -> UpstreamResult:
         if response.status_code != HTTPStatus.OK:
-            return _refusal(response)
+            return _error_result(response)
         if not _has_framing(response):
             return UpstreamResult('unknown', b'', 'answer without a length')
         content = bytearray()
@@ -167,7 +167,7 @@
         return UpstreamResult('complete', bytes(content), '')
 
 
-def _refusal(response: httpx.Response) -> UpstreamResult:
+def _error_result(response: httpx.Response) -> UpstreamResult:
     status = response.status_code
     reason = f'upstream answered {status}'
     if status < HTTPStatus.BAD_REQUEST:
@@ -179,6 +179,6 @@
 
 
 def _has_framing(response: httpx.Response) -> bool:
-    # Without framing, a body cut short looks like a whole one.
+    # Without framing, a truncated body looks complete.
     headers = response.headers
     return 'content-length' in headers or 'transfer-encoding' in headers
