Reword the tests of learned addresses

Renamed: EARLY -> BEFORE_EXPIRY_S book -> addresses test_an_address_from_the_settings_is_never_forgotten -> test_configured_address_never_expires test_an_address_named_on_an_open_session_is_kept -> test_address_listed_on_an_open_session_is_kept test_an_address_with_a_session_is_kept -> test_linked_address_is_kept test_an_unused_address_is_forgotten_after_its_session_ended -> test_unused_address_expires_after_its_session_ends

--- a/tests/daemon/test_addresses.py
+++ b/tests/daemon/test_addresses.py
@@ -1,4 +1,4 @@
-"""Check which learned entry addresses an agent keeps."""
+"""Tests for the expiry of learned entry addresses."""
 
 from __future__ import annotations
 
@@ -8,42 +8,44 @@
 CONFIGURED = '10.0.0.1:7001'
 LEARNED = '10.0.0.2:7001'
 SESSION = 'session'
-EARLY = FORGET_ADDRESS_S - 1
+BEFORE_EXPIRY_S = FORGET_ADDRESS_S - 1
 
 
-def test_an_unused_address_is_forgotten_after_its_session_ended() -> None:
+def test_unused_address_expires_after_its_session_ends() -> None:
     """Guard against dialling replaced entries forever."""
-    book = LearnedAddresses([CONFIGURED])
-    book.learn(SESSION, [LEARNED], 0)
-    book.end_session(SESSION)
-    assert not book.forget_unused([], EARLY)
-    assert book.forget_unused([], FORGET_ADDRESS_S) == [LEARNED]
-    assert not book.forget_unused([], 2 * FORGET_ADDRESS_S)
-
-
-def test_an_address_named_on_an_open_session_is_kept() -> None:
-    """Guard against losing a live entry that is unreachable for long."""
-    book = LearnedAddresses([])
-    book.learn(SESSION, [LEARNED], 0)
-    assert not book.forget_unused([], 2 * FORGET_ADDRESS_S)
-    book.learn(SESSION, [], 2 * FORGET_ADDRESS_S)
-    assert book.forget_unused([], 3 * FORGET_ADDRESS_S) == [LEARNED]
-
-
-def test_an_address_with_a_session_is_kept() -> None:
-    """Guard against closing a working link that no list names."""
-    book = LearnedAddresses([])
-    book.learn(SESSION, [LEARNED], 0)
-    book.end_session(SESSION)
-    assert not book.forget_unused([LEARNED], 2 * FORGET_ADDRESS_S)
+    addresses = LearnedAddresses([CONFIGURED])
+    addresses.learn(SESSION, [LEARNED], 0)
+    addresses.end_session(SESSION)
+    assert not addresses.forget_unused([], BEFORE_EXPIRY_S)
+    assert addresses.forget_unused([], FORGET_ADDRESS_S) == [LEARNED]
+    assert not addresses.forget_unused([], 2 * FORGET_ADDRESS_S)
+
+
+def test_address_listed_on_an_open_session_is_kept() -> None:
+    """Guard against dropping a live entry that is unreachable for long."""
+    addresses = LearnedAddresses([])
+    addresses.learn(SESSION, [LEARNED], 0)
+    assert not addresses.forget_unused([], 2 * FORGET_ADDRESS_S)
+    addresses.learn(SESSION, [], 2 * FORGET_ADDRESS_S)
+    assert addresses.forget_unused([], 3 * FORGET_ADDRESS_S) == [LEARNED]
+
+
+def test_linked_address_is_kept() -> None:
+    """Guard against closing a working link to an unlisted address."""
+    addresses = LearnedAddresses([])
+    addresses.learn(SESSION, [LEARNED], 0)
+    addresses.end_session(SESSION)
+    assert not addresses.forget_unused([LEARNED], 2 * FORGET_ADDRESS_S)
     unlinked_at = 2 * FORGET_ADDRESS_S
-    assert not book.forget_unused([], unlinked_at + EARLY)
-    assert book.forget_unused([], unlinked_at + FORGET_ADDRESS_S) == [LEARNED]
+    assert not addresses.forget_unused([], unlinked_at + BEFORE_EXPIRY_S)
+    assert addresses.forget_unused([], unlinked_at + FORGET_ADDRESS_S) == [
+        LEARNED
+    ]
 
 
-def test_an_address_from_the_settings_is_never_forgotten() -> None:
+def test_configured_address_never_expires() -> None:
     """Guard against an agent that cannot find any entry after an outage."""
-    book = LearnedAddresses([CONFIGURED])
-    book.learn(SESSION, [CONFIGURED, LEARNED], 0)
-    book.end_session(SESSION)
-    assert book.forget_unused([], FORGET_ADDRESS_S) == [LEARNED]
+    addresses = LearnedAddresses([CONFIGURED])
+    addresses.learn(SESSION, [CONFIGURED, LEARNED], 0)
+    addresses.end_session(SESSION)
+    assert addresses.forget_unused([], FORGET_ADDRESS_S) == [LEARNED]
