Reword the tests of telemetry

Renamed: first -> inner inner -> start_span outer -> job_span second -> outer test_a_change_is_one_json_line -> test_log_change_writes_one_json_line test_spans_of_one_trace_are_joined -> test_spans_of_one_trace_are_linked

--- a/tests/daemon/test_telemetry.py
+++ b/tests/daemon/test_telemetry.py
@@ -1,4 +1,4 @@
-"""Check metrics, log lines and traces."""
+"""Tests for metrics, log lines and traces."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 def test_counters_and_latencies_are_exported() -> None:
-    """Guard against metrics that a scraper cannot read."""
+    """Guard against metrics that a scraper cannot parse."""
     counters = metrics.Counters()
     counters.count('starts', 3)
     counters.count('refused-key.expired')
@@ -34,11 +34,11 @@
     assert 'savoryrudder_wait_seconds_count 2.0' in text
 
 
-def test_a_change_is_one_json_line(tmp_path: Path) -> None:
+def test_log_change_writes_one_json_line(tmp_path: Path) -> None:
     """Guard against log lines that lose their fields."""
     path = tmp_path / 'log'
     with logs.log_to(os.devnull):
-        # Takes the lines that eliot has held back since the first test.
+        # Drains the messages that eliot buffers until the first destination.
         logs.log_change('held-back', ())
     with logs.log_to(str(path)):
         logs.log_change('owner-changed', (('partition', '3'),))
@@ -46,21 +46,21 @@
     assert (line['message_type'], line['partition']) == ('owner-changed', '3')
 
 
-def test_spans_of_one_trace_are_joined(tmp_path: Path) -> None:
+def test_spans_of_one_trace_are_linked(tmp_path: Path) -> None:
     """Guard against traces that break where a message crosses a link."""
     path = tmp_path / 'spans'
     tracer = tracing.Tracer(str(path), 1, {'service.name': 'entry'})
-    outer = tracer.start('job', PARENT)
-    inner = tracer.start('start', outer.traceparent)
-    inner.note('task', 1)
-    inner.end()
-    outer.end()
+    job_span = tracer.start('job', PARENT)
+    start_span = tracer.start('start', job_span.traceparent)
+    start_span.note('task', 1)
+    start_span.end()
+    job_span.end()
     tracer.close()
-    first, second = map(json.loads, path.read_text().splitlines())
-    assert first['parent_id'] == second['span_id']
-    assert second['parent_id'] == PARENT.split('-')[2]
-    assert first['trace_id'] == PARENT.split('-')[1]
-    assert first['attributes'] == {'task': 1}
+    inner, outer = map(json.loads, path.read_text().splitlines())
+    assert inner['parent_id'] == outer['span_id']
+    assert outer['parent_id'] == PARENT.split('-')[2]
+    assert inner['trace_id'] == PARENT.split('-')[1]
+    assert inner['attributes'] == {'task': 1}
 
 
 @pytest.mark.parametrize(('parent', 'ratio'), [(UNSAMPLED, 1), ('', 0)])
@@ -69,7 +69,7 @@
     parent: str,
     ratio: int,
 ) -> None:
-    """Guard against sampling again what the caller left out."""
+    """Guard against sampling a trace that the caller did not sample."""
     path = tmp_path / 'spans'
     tracer = tracing.Tracer(str(path), ratio, {})
     span = tracer.start('job', parent)
