--- a/src/savoryrudder/daemon/hub.py
+++ b/src/savoryrudder/daemon/hub.py
@@ -176,27 +176,32 @@
         content = cast('bytes', message.bytes)
         if pipe is None:
             decoded = codec.decode_frame(content)
-            name = '' if decoded.is_error() else decoded.ok.session
+            session_id = '' if decoded.is_error() else decoded.ok.session
             pipe = PipeSocket(socket, message.pipe)
-            if not name or name in self._sessions:
+            if not session_id or session_id in self._sessions:
                 pipe.close()
                 return
             self._pipes[pipe_id] = pipe
-            group.start_soon(self._serve, pipe, pipe_id, name)
+            group.start_soon(self._serve, pipe, pipe_id, session_id)
         pipe.put(content)
 
-    async def _serve(self, pipe: PipeSocket, pipe_id: int, name: str) -> None:
+    async def _serve(
+        self,
+        pipe: PipeSocket,
+        pipe_id: int,
+        session_id: str,
+    ) -> None:
         session = Session(
             pipe,
-            SessionName(name, name),
+            SessionName(session_id, session_id),
             self._handler,
             self._revision,
             self._timing,
         )
-        self._sessions[name] = session
+        self._sessions[session_id] = session
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._pipes.pop, pipe_id, None)
-            cleanup.callback(self._sessions.pop, name, None)
+            cleanup.callback(self._sessions.pop, session_id, None)
             await session.run()
 
     def _on_pipe_removed(self, pipe: Any) -> None:
@@ -232,7 +237,7 @@
 
     @property
     def link(self) -> str:
-        """Return the identifier of the open session; empty if none is."""
+        """Return the identifier of the open session; empty if there is none."""
         session = self._session
         if session is None or not session.was_up:
             return ''
@@ -270,7 +275,7 @@
                 )
 
     async def _dial_and_serve(self) -> None:
-        name = secrets.token_hex(_SESSION_BYTES)
+        session_id = secrets.token_hex(_SESSION_BYTES)
         socket = PairSocket(pynng.Pair1())
         try:
             socket.dial_once(self._address)
@@ -279,7 +284,7 @@
             return
         self._session = Session(
             socket,
-            SessionName(name, name),
+            SessionName(session_id, session_id),
             self._handler,
             self._revision,
             self._timing,
