--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -94,7 +94,7 @@
 
 
 class LinkListener:
-    """Accept one session per peer at a join address.
+    """Accept one session per peer on a join address.
 
     Each session has its own listening socket. A new session of a peer
     replaces the previous one.
