--- a/src/savoryrudder/daemon/__init__.py
+++ b/src/savoryrudder/daemon/__init__.py
@@ -1,3 +1,3 @@
-"""Runtime of the daemons: sockets, timers and HTTP around the reducers."""
+"""Connect the reducers to sockets, timers and HTTP."""
 
 from __future__ import annotations
--- a/src/savoryrudder/daemon/addresses.py
+++ b/src/savoryrudder/daemon/addresses.py
@@ -14,7 +14,7 @@
 
 
 class LearnedAddresses:
-    """Entry addresses received in `Welcome` messages.
+    """Hold the entry addresses received in `Welcome` messages.
 
     The addresses of a session are in use while the session is open. Times are
     monotonic seconds.
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -43,7 +43,7 @@
 
 
 class AgentSettings(Protocol):
-    """Settings read by the agent."""
+    """Declare the settings that the agent reads."""
 
     agent: str
     service: str
@@ -64,7 +64,7 @@
 
 
 class AgentRuntime(Runtime[events.AgentEvent, agent_effects.AgentEffect]):
-    """Runtime of an agent, which runs tasks by calling the upstream."""
+    """Run an agent, which calls the upstream for each task."""
 
     def __init__(
         self,
--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -1,4 +1,4 @@
-"""HTTP interface of an entry for callers and operators."""
+"""Serve the HTTP interface of an entry for callers and operators."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 
 class ConfigBody(TypedDict):
-    """Request body of a configuration change."""
+    """Define the request body of a configuration change."""
 
     text: str
     expected_revision: int
@@ -49,7 +49,7 @@
 
 
 class DrainBody(TypedDict):
-    """Request body of a drain; without `agent` it drains this entry."""
+    """Define the request body of a drain, by default of this entry."""
 
     agent: NotRequired[str]
 
--- a/src/savoryrudder/daemon/asgi.py
+++ b/src/savoryrudder/daemon/asgi.py
@@ -25,7 +25,7 @@
 
 
 class Reply(NamedTuple):
-    """A response whose body is sent in a single message."""
+    """Hold a response whose body is sent in a single message."""
 
     status: int
     body: bytes
--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -34,7 +34,7 @@
 
 
 class _PendingRequest:
-    """A caller's request that waits for its answer."""
+    """Hold a caller's request until it is answered."""
 
     def __init__(self) -> None:
         self.answered = anyio.Event()
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -53,7 +53,7 @@
 
 
 class EntrySettings(Protocol):
-    """Settings read by the entry."""
+    """Declare the settings that the entry reads."""
 
     entry: str
     zone: str
@@ -75,7 +75,7 @@
 
 
 class PendingResponse:
-    """A response that a caller waits for."""
+    """Hold a response that a caller waits for."""
 
     def __init__(self) -> None:
         """Create a response that is not available yet."""
@@ -94,7 +94,7 @@
 
 
 class EntryRuntime(Runtime[events.EntryEvent, entry_effects.EntryEffect]):
-    """Runtime of an entry, which keeps the requests of waiting callers."""
+    """Run an entry and keep the requests of waiting callers."""
 
     def __init__(
         self,
--- a/src/savoryrudder/daemon/http.py
+++ b/src/savoryrudder/daemon/http.py
@@ -20,7 +20,7 @@
 
 
 class Application(Protocol):
-    """An ASGI application."""
+    """Serve requests over ASGI."""
 
     def __call__(
         self,
@@ -32,7 +32,7 @@
 
 
 class HttpSettings(Protocol):
-    """Settings of the HTTP server."""
+    """Declare the settings of the HTTP server."""
 
     @property
     def http_address(self) -> str:
--- a/src/savoryrudder/daemon/hub.py
+++ b/src/savoryrudder/daemon/hub.py
@@ -46,7 +46,7 @@
 
 
 class PipeSocket:
-    """One connection (NNG pipe) of a shared listening socket."""
+    """Send and receive on one connection (NNG pipe) of a shared socket."""
 
     def __init__(self, socket: Any, pipe: Any) -> None:
         """Take ownership of a pipe of the shared socket."""
@@ -294,7 +294,7 @@
 
 
 class DialledLinks:
-    """Sessions with the processes at a changing set of addresses."""
+    """Keep sessions with the processes at a changing set of addresses."""
 
     def __init__(
         self,
--- a/src/savoryrudder/daemon/join.py
+++ b/src/savoryrudder/daemon/join.py
@@ -16,7 +16,7 @@
 
 
 class JoinRequest(NamedTuple):
-    """Request for a session; `kind` is `agent` or `entry`."""
+    """Request a session; `kind` is `agent` or `entry`."""
 
     version: int
     peer: str
@@ -24,7 +24,7 @@
 
 
 class JoinAnswer(NamedTuple):
-    """Answer to a join request.
+    """Answer a join request.
 
     Grants a session at `address`, unless `refusal` gives the reason why not.
     `listener` is the peer id of the answering process.
--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -41,7 +41,7 @@
 
 
 class _SessionTable:
-    """The open session of each peer, and the sessions that are not up yet.
+    """Hold the open session of each peer, and those that are not up yet.
 
     A session replaces the previous one of its peer once it is up, not when it
     is requested: a delayed join request must not close a healthy session.
--- a/src/savoryrudder/daemon/loop.py
+++ b/src/savoryrudder/daemon/loop.py
@@ -25,7 +25,7 @@
 
 
 class ReducerLoop(ABC, Generic[EventT, EffectT]):
-    """Base of the runtimes: reduces one event at a time, in order."""
+    """Reduce one event at a time, in order, and execute its effects."""
 
     def __init__(self, counters: Counters) -> None:
         """Initialize with an empty event queue."""
--- a/src/savoryrudder/daemon/main.py
+++ b/src/savoryrudder/daemon/main.py
@@ -1,4 +1,4 @@
-"""Command line that starts the daemon in one of its roles."""
+"""Start the daemon in one of its roles from the command line."""
 
 from __future__ import annotations
 
--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -54,7 +54,7 @@
 
 
 class Registration:
-    """Key of an entry in the store, held under a lease."""
+    """Keep the key of an entry in the store under a lease."""
 
     def __init__(
         self,
--- a/src/savoryrudder/daemon/metrics.py
+++ b/src/savoryrudder/daemon/metrics.py
@@ -25,7 +25,7 @@
 
 
 class _LatencyHistogram:
-    """Histogram of the durations of one metric."""
+    """Record the durations of one metric in a histogram."""
 
     def __init__(self) -> None:
         self._histogram = HdrHistogram(1, _MAX_LATENCY_US, _SIGNIFICANT_DIGITS)
@@ -55,7 +55,7 @@
 
 
 class _Collector:
-    """Prometheus collector of all counters and latencies."""
+    """Export all counters and latencies to a Prometheus registry."""
 
     def __init__(
         self,
@@ -80,7 +80,7 @@
 
 
 class Counters:
-    """Named counters and latencies of a process.
+    """Keep the named counters and latencies of a process.
 
     The Prometheus client is imported on the first export, which shortens the
     start of a process.
--- a/src/savoryrudder/daemon/probes.py
+++ b/src/savoryrudder/daemon/probes.py
@@ -17,7 +17,7 @@
 
 
 class ProbeApp:
-    """ASGI application for health, readiness and metrics."""
+    """Serve health, readiness and metrics as an ASGI application."""
 
     def __init__(self, runtime: ReducerLoop[Any, Any]) -> None:
         """Serve the probes of one daemon."""
--- a/src/savoryrudder/daemon/requests.py
+++ b/src/savoryrudder/daemon/requests.py
@@ -52,7 +52,7 @@
 
 
 class TaskBody(TypedDict):
-    """A task in a request; its payload is either JSON or base64 text."""
+    """Define a task of a job; its payload is either JSON or base64 text."""
 
     operation: str
     payload: NotRequired[msgspec.Raw]
@@ -60,7 +60,7 @@
 
 
 class JobBody(TypedDict):
-    """Request body of a job."""
+    """Define the request body of a job."""
 
     service: str
     tasks: list[TaskBody]
--- a/src/savoryrudder/daemon/runtime.py
+++ b/src/savoryrudder/daemon/runtime.py
@@ -20,7 +20,7 @@
 
 
 class Runtime(ReducerLoop[EventT, EffectT]):
-    """Base of the runtimes that keep links to entries."""
+    """Run the reducer of a role that dials entries."""
 
     def __init__(
         self,
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -27,7 +27,7 @@
 
 
 class LinkTiming(NamedTuple):
-    """Intervals (seconds) and size limits (bytes) of links."""
+    """Define the intervals (seconds) and size limits (bytes) of links."""
 
     heartbeat_s: float = 1
     silent_intervals: int = 3
@@ -42,7 +42,7 @@
 
 
 class LinkEvents(Protocol):
-    """Callbacks of links; called in the event loop, in order."""
+    """Receive the callbacks of links, in the event loop and in order."""
 
     def on_up(self, peer: str, session: str) -> None:
         """Handle a session that is open in both directions."""
@@ -61,7 +61,7 @@
 
 
 class FrameSocket(Protocol):
-    """Connection that sends and receives frames."""
+    """Send and receive frames on one connection."""
 
     async def receive(self) -> bytes:
         """Wait for the next frame and return it."""
@@ -83,14 +83,14 @@
 
 
 class SessionName(NamedTuple):
-    """Identifiers of a session and of the peer at its other end."""
+    """Identify a session and the peer at its other end."""
 
     peer: str
     session: str
 
 
 class OutgoingQueue:
-    """Queue of outgoing messages, bounded by their total size."""
+    """Queue outgoing messages up to a total size in bytes."""
 
     def __init__(self, limit: int) -> None:
         """Create an empty queue of at most `limit` bytes."""
--- a/src/savoryrudder/daemon/sockets.py
+++ b/src/savoryrudder/daemon/sockets.py
@@ -23,7 +23,7 @@
 
 
 class MessageSocket:
-    """Asynchronous sends and receives on one pynng socket.
+    """Send and receive whole messages on one pynng socket.
 
     Polls the file descriptors of the socket, because the asynchronous calls
     of pynng leak the message when a send is cancelled or fails.
@@ -87,7 +87,7 @@
 
 
 class PairSocket(MessageSocket):
-    """A pair socket that accepts only its first connection."""
+    """Send and receive on a pair socket that accepts one connection."""
 
     def __init__(self, socket: Any = None) -> None:
         """Wrap an unconnected socket, by default a new Pair0."""
--- a/src/savoryrudder/daemon/tracing.py
+++ b/src/savoryrudder/daemon/tracing.py
@@ -36,7 +36,7 @@
 
 
 class SpanLine(NamedTuple):
-    """An exported span; times are nanoseconds since the epoch.
+    """Hold an exported span; times are nanoseconds since the epoch.
 
     `resource` identifies the process that recorded the span.
     """
@@ -126,7 +126,7 @@
 
 
 class Span:
-    """A timed operation of a trace."""
+    """Measure one operation of a trace."""
 
     def __init__(
         self,
--- a/src/savoryrudder/daemon/upstream.py
+++ b/src/savoryrudder/daemon/upstream.py
@@ -26,7 +26,7 @@
 
 
 class UpstreamResult(NamedTuple):
-    """Result of a call; the outcome is complete, failed, unknown or not-run."""
+    """Hold the result of a call: complete, failed, unknown or not-run."""
 
     outcome: str
     result: bytes
@@ -34,7 +34,7 @@
 
 
 class _Call:
-    """A call in progress, and whether its request may have been sent."""
+    """Track a call in progress and whether its request may have been sent."""
 
     def __init__(self, deadline_ms: int) -> None:
         self.is_sent = False
@@ -55,7 +55,7 @@
 
 
 class UpstreamClient:
-    """Client of one upstream; a request is sent once and never retried."""
+    """Call one upstream; a request is sent once and never retried."""
 
     def __init__(
         self,
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -34,10 +34,7 @@
 
 
 class ExecutorCalls(Protocol):
-    """Client of the executor.
-
-    Each call is sent once and completes in bounded time.
-    """
+    """Call the executor; each call is sent once and ends in bounded time."""
 
     async def start(self, call: effects.StartRun) -> tuple[str, int]:
         """Return the verdict and the executor's clock in ms, 0 if unknown."""
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures for links: recorders of callbacks, and short intervals."""
+"""Provide recorders of link callbacks and short link intervals."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class LinkCall(NamedTuple):
-    """A recorded call of a link callback."""
+    """Hold one recorded call of a link callback."""
 
     kind: str
     peer: str
@@ -24,7 +24,7 @@
 
 
 class Recorder:
-    """Link callbacks that record their calls."""
+    """Record the calls of link callbacks."""
 
     def __init__(self) -> None:
         """Initialize without calls."""
--- a/tests/daemon/test_addresses.py
+++ b/tests/daemon/test_addresses.py
@@ -1,4 +1,4 @@
-"""Tests for the expiry of learned entry addresses."""
+"""Test the expiry of learned entry addresses."""
 
 from __future__ import annotations
 
--- a/tests/daemon/test_bounded_log.py
+++ b/tests/daemon/test_bounded_log.py
@@ -1,4 +1,4 @@
-"""Tests for the bounded log."""
+"""Test that the log is bounded and never blocks."""
 
 from __future__ import annotations
 
--- a/tests/daemon/test_hub.py
+++ b/tests/daemon/test_hub.py
@@ -1,4 +1,4 @@
-"""Tests for links that share one listening port."""
+"""Test links that share one listening port."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class LinkedProcesses(NamedTuple):
-    """A listener and the links of the processes that dial it."""
+    """Hold a listener and the links of the processes that dial it."""
 
     listener: HubListener
     dialled: list[DialledLinks]
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -1,4 +1,4 @@
-"""Tests for links that use one port per session."""
+"""Test links that use one port per session."""
 
 from __future__ import annotations
 
--- a/tests/daemon/test_telemetry.py
+++ b/tests/daemon/test_telemetry.py
@@ -1,4 +1,4 @@
-"""Tests for metrics, log lines and traces."""
+"""Test metrics, log lines and traces."""
 
 from __future__ import annotations
 
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -1,4 +1,4 @@
-"""Tests for the outcomes that the upstream client reports."""
+"""Test the outcomes that the upstream client reports."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 
 class ScriptedUpstream:
-    """Upstream that answers the first request of a connection, then closes.
+    """Answer the first request of a connection, then close it.
 
     With `reads_twice`, it also reads a second request, but closes the
     connection without an answer.
