--- a/src/savoryrudder/daemon/addresses.py
+++ b/src/savoryrudder/daemon/addresses.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable
 
 # Longer than an entry takes to restart at the same address.
-FORGET_ADDRESS_S: Final = 60
+ADDRESS_EXPIRY_S: Final = 60
 
 
 class LearnedAddresses:
@@ -32,14 +32,14 @@
         self._addresses_by_session[session] = learned
         self._last_used.update(dict.fromkeys(learned, now))
 
-    def end_session(self, session: str) -> None:
+    def remove_session(self, session: str) -> None:
         """Remove the addresses received on a closed session."""
         self._addresses_by_session.pop(session, None)
 
-    def forget_unused(self, linked: Collection[str], now: float) -> list[str]:
+    def remove_expired(self, linked: Collection[str], now: float) -> list[str]:
         """Remove and return the addresses that expired.
 
-        An address expires after `FORGET_ADDRESS_S` without being linked or
+        An address expires after `ADDRESS_EXPIRY_S` without being linked or
         listed on an open session.
         """
         in_use = frozenset(linked).union(*self._addresses_by_session.values())
@@ -48,7 +48,7 @@
         expired = [
             address
             for address, last_used_at in self._last_used.items()
-            if last_used_at + FORGET_ADDRESS_S <= now
+            if last_used_at + ADDRESS_EXPIRY_S <= now
         ]
         for address in expired:
             self._last_used.pop(address)
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -105,7 +105,7 @@
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session."""
-        self._learned_addresses.end_session(session)
+        self._learned_addresses.remove_session(session)
         self.handle(
             events.LinkDown(anyio.current_time(), peer, session, reason)
         )
@@ -149,7 +149,7 @@
 
     def _expire_entries(self) -> None:
         now = anyio.current_time()
-        for address in self._learned_addresses.forget_unused(self.linked, now):
+        for address in self._learned_addresses.remove_expired(self.linked, now):
             self.disconnect(address)
 
     def _reduce(
