--- a/src/savoryrudder/daemon/asgi.py
+++ b/src/savoryrudder/daemon/asgi.py
@@ -20,7 +20,7 @@
 JSON: Final = b'application/json'
 
 
-class CallerGoneError(Exception):
+class CallerDisconnectedError(Exception):
     """Raised when the caller closes its connection during a request."""
 
 
@@ -33,7 +33,7 @@
     media_type: bytes = JSON
 
 
-async def follow_lifespan(receive: Receive, send: Send) -> None:
+async def handle_lifespan(receive: Receive, send: Send) -> None:
     """Acknowledge the startup and shutdown events of the server."""
     while True:
         event_type = (await receive())['type']
@@ -45,13 +45,13 @@
 async def read_body(receive: Receive, limit: int) -> bytes | None:
     """Return the body of a request, None if it exceeds `limit` bytes.
 
-    Raises `CallerGoneError` if the caller disconnects first.
+    Raises `CallerDisconnectedError` if the caller disconnects first.
     """
     content = bytearray()
     while True:
         message = await receive()
         if message['type'] == DISCONNECT:
-            raise CallerGoneError
+            raise CallerDisconnectedError
         content.extend(message.get('body', b''))
         if len(content) > limit:
             return None
--- a/src/savoryrudder/daemon/probes.py
+++ b/src/savoryrudder/daemon/probes.py
@@ -31,7 +31,7 @@
     ) -> None:
         """Serve one request."""
         if scope['type'] == 'lifespan':
-            await asgi.follow_lifespan(receive, send)
+            await asgi.handle_lifespan(receive, send)
             return
         await asgi.respond(send, self._reply_to(scope['path']))
 
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -55,7 +55,7 @@
     ) -> None:
         """Serve one request."""
         if scope['type'] == 'lifespan':
-            await asgi.follow_lifespan(receive, send)
+            await asgi.handle_lifespan(receive, send)
             return
         call = _head_of(scope)
         if call.path == _READINESS_PATH:
@@ -64,7 +64,7 @@
             return
         try:
             answer = await self._serve(call, receive)
-        except asgi.CallerGoneError:
+        except asgi.CallerDisconnectedError:
             return
         await self._respond(send, answer)
 
@@ -136,7 +136,7 @@
             found.append(await self._dispatcher.ask(describe))
             group.cancel_scope.cancel()
         if not found:
-            raise asgi.CallerGoneError
+            raise asgi.CallerDisconnectedError
         return encode_answer(found[0])
 
     async def _respond(self, send: asgi.Send, answer: EncodedAnswer) -> None:
--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -60,11 +60,11 @@
     ) -> None:
         """Serve one request."""
         if scope['type'] == 'lifespan':
-            await asgi.follow_lifespan(receive, send)
+            await asgi.handle_lifespan(receive, send)
             return
         try:
             body = await asgi.read_body(receive, _MAX_BODY_BYTES)
-        except asgi.CallerGoneError:
+        except asgi.CallerDisconnectedError:
             return
         reply = self._serve(scope['method'], scope['path'], body)
         await asgi.respond(send, reply)
