--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -107,7 +107,7 @@
             raise RuntimeError('request was completed without an answer')
         return request.answer
 
-    def follow_entries(self, addresses: Iterable[str]) -> None:
+    def set_entry_addresses(self, addresses: Iterable[str]) -> None:
         """Keep links with the other entries at these addresses.
 
         Of two entries, the one with the lower address dials the other.
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -85,7 +85,7 @@
                 self.handle(events.Tick(anyio.current_time()))
                 await anyio.sleep(self._tick_delay_s())
 
-    def follow_entries(self, addresses: Iterable[str]) -> None:
+    def set_entry_addresses(self, addresses: Iterable[str]) -> None:
         """Dial these entries; stop dialling others that are not linked."""
         self._entries.follow(self._group, addresses)
 
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -98,7 +98,9 @@
     process: Dispatcher | Worker,
     entries: tuple[KeyValue, ...],
 ) -> None:
-    process.follow_entries([entry.value for entry in entries if entry.value])
+    process.set_entry_addresses(
+        [entry.value for entry in entries if entry.value]
+    )
 
 
 def follow_signals(
