--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -118,7 +118,7 @@
             [address for address in addresses if address > own],
         )
 
-    def configure(self, configuration: Configuration) -> None:
+    def apply_configuration(self, configuration: Configuration) -> None:
         """Handle a configuration read from the store."""
         self.handle(
             events.ConfigurationRead(anyio.current_time(), configuration),
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -83,7 +83,7 @@
 def _configure(dispatcher: Dispatcher, content: str) -> None:
     decoded = decode_configuration(content)
     if decoded.is_ok():
-        dispatcher.configure(decoded.ok)
+        dispatcher.apply_configuration(decoded.ok)
         return
     log_change('configuration-refused', (('reason', decoded.error),))
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -68,7 +68,7 @@
         state = DispatchState(identity, DispatchTiming(1))
         self.dispatcher = Dispatcher(state, Counters())
         if configured:
-            self.dispatcher.configure(Configuration(1, {'r': QUEUE}))
+            self.dispatcher.apply_configuration(Configuration(1, {'r': QUEUE}))
 
     async def call(
         self,
