--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -225,7 +225,7 @@
             message = await request.receive()
             if message['type'] == 'http.disconnect':
                 break
-        self._runtime.forget_request(request_id)
+        self._runtime.abandon_request(request_id)
         pending.set(None)
 
 
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -124,7 +124,7 @@
         """Return whether the load balancer should route callers here."""
         return is_ready(self.state)
 
-    def connect_configured(self, addresses: list[str]) -> None:
+    def connect_configured_peers(self, addresses: list[str]) -> None:
         """Keep links to the peers from the settings.
 
         While the store is down, the configuration is fetched from them.
@@ -154,7 +154,7 @@
         self._store = store
         self._listener = listener
 
-    def note_addresses(self, url: str, link: str) -> None:
+    def announce_addresses(self, url: str, link: str) -> None:
         """Log and announce the bound addresses, not those in the settings."""
         log_change('listening', (('http', url), ('link', link)))
         self.state.identity = self.state.identity._replace(
@@ -170,7 +170,7 @@
         self._pending[request_id] = pending
         return request_id, pending
 
-    def forget_request(self, request_id: int) -> None:
+    def abandon_request(self, request_id: int) -> None:
         """Abandon a request whose caller has disconnected."""
         if self._pending.pop(request_id, None) is not None:
             self.handle(
@@ -296,8 +296,8 @@
             create_api(runtime, settings.stop_timeout_s),
             settings,
         )
-        runtime.note_addresses(address, listener.address)
-        runtime.connect_configured(settings.peers)
+        runtime.announce_addresses(address, listener.address)
+        runtime.connect_configured_peers(settings.peers)
         group.start_soon(runtime.tick)
         group.start_soon(
             watch_signals,
