Rename the module hub to shared_port

Renamed: src/savoryrudder/daemon/hub.py -> src/savoryrudder/daemon/shared_port.py tests/daemon/test_hub.py -> tests/daemon/test_shared_port.py savoryrudder.daemon.hub -> savoryrudder.daemon.shared_port HubListener -> SharedPortListener HubDialler -> SharedPortDialler

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -8,9 +8,9 @@
 
 import anyio
 
-from savoryrudder.daemon.hub import DialledLinks
-from savoryrudder.daemon.hub import HubListener
 from savoryrudder.daemon.loop import ReducerLoop
+from savoryrudder.daemon.shared_port import DialledLinks
+from savoryrudder.daemon.shared_port import SharedPortListener
 from savoryrudder.dispatch import effects
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch.reducer import reduce
@@ -52,7 +52,7 @@
         self.state = state
         self._pending: dict[int, _PendingRequest] = {}
         self._request_ids = itertools.count(1)
-        self._listener = HubListener(
+        self._listener = SharedPortListener(
             state.identity.address,
             self,
             self._revision,
--- a/src/savoryrudder/daemon/hub.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -100,7 +100,7 @@
             self._pipe.close()
 
 
-class HubListener:
+class SharedPortListener:
     """Accept any number of sessions on one address.
 
     The dialling side chooses the session identifier and sends it in its first
@@ -215,7 +215,7 @@
             pipe.mark_removed()
 
 
-class HubDialler:
+class SharedPortDialler:
     """Keep one session with the process that listens on an address."""
 
     def __init__(
@@ -304,7 +304,7 @@
         """Initialize without addresses; `follow` sets them."""
         self._handler = handler
         self._revision = revision
-        self._diallers: dict[str, HubDialler] = {}
+        self._diallers: dict[str, SharedPortDialler] = {}
 
     def has(self, session_id: str) -> bool:
         """Return whether an open session was dialled by this process."""
@@ -322,7 +322,9 @@
                 dialler.stop()
                 self._diallers.pop(dialled)
         for address in sorted(wanted - self._diallers.keys()):
-            new_dialler = HubDialler(address, self._handler, self._revision)
+            new_dialler = SharedPortDialler(
+                address, self._handler, self._revision
+            )
             self._diallers[address] = new_dialler
             group.start_soon(new_dialler.run)
 
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -9,8 +9,8 @@
 
 import anyio
 
-from savoryrudder.daemon.hub import DialledLinks
 from savoryrudder.daemon.loop import ReducerLoop
+from savoryrudder.daemon.shared_port import DialledLinks
 from savoryrudder.protocol.messages import Heartbeat
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
--- a/tests/daemon/test_hub.py
+++ b/tests/daemon/test_shared_port.py
@@ -9,8 +9,8 @@
 import anyio
 import pytest
 
-from savoryrudder.daemon.hub import DialledLinks
-from savoryrudder.daemon.hub import HubListener
+from savoryrudder.daemon.shared_port import DialledLinks
+from savoryrudder.daemon.shared_port import SharedPortListener
 from savoryrudder.protocol import work
 
 if TYPE_CHECKING:
@@ -37,7 +37,7 @@
 class LinkedProcesses(NamedTuple):
     """Hold a listener and the links of the processes that dial it."""
 
-    listener: HubListener
+    listener: SharedPortListener
     dialled: list[DialledLinks]
 
 
@@ -49,7 +49,7 @@
     count: int,
 ) -> AsyncIterator[LinkedProcesses]:
     """Run a listener and several processes that dial it."""
-    listener = HubListener(
+    listener = SharedPortListener(
         '127.0.0.1:0', listener_recorder, _no_revision, timing
     )
     dialled = [
