--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -61,7 +61,7 @@
         self._frames.append(content)
         self._frame_arrived.set()
 
-    def mark_removed(self) -> None:
+    def mark_disconnected(self) -> None:
         """Record that the pipe was removed from the shared socket."""
         self._disconnected.set()
 
@@ -212,7 +212,7 @@
     def _mark_pipe_removed(self, pipe_id: int) -> None:
         pipe = self._pipes.get(pipe_id)
         if pipe is not None:
-            pipe.mark_removed()
+            pipe.mark_disconnected()
 
 
 class SharedPortDialler:
@@ -236,7 +236,7 @@
         self._cancel_scope = anyio.CancelScope()
 
     @property
-    def link(self) -> str:
+    def session_id(self) -> str:
         """Return the identifier of the open session; empty if there is none."""
         session = self._session
         if session is None or not session.was_up:
@@ -309,7 +309,8 @@
     def has(self, session_id: str) -> bool:
         """Return whether an open session was dialled by this process."""
         return any(
-            dialler.link == session_id for dialler in self._diallers.values()
+            dialler.session_id == session_id
+            for dialler in self._diallers.values()
         )
 
     def follow(self, group: TaskGroup, addresses: Iterable[str]) -> None:
@@ -318,7 +319,7 @@
         for dialled in tuple(self._diallers):
             dialler = self._diallers[dialled]
             # An open session outlives an expired registration.
-            if dialled not in wanted and not dialler.link:
+            if dialled not in wanted and not dialler.session_id:
                 dialler.stop()
                 self._diallers.pop(dialled)
         for address in sorted(wanted - self._diallers.keys()):
