--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -113,7 +113,7 @@
         Of two entries, the one with the lower address dials the other.
         """
         own = self.state.identity.address
-        self._peers.follow(
+        self._peers.set_addresses(
             self._group,
             [address for address in addresses if address > own],
         )
@@ -130,7 +130,7 @@
 
     def on_up(self, peer: str, session: str) -> None:
         """Handle a newly opened session."""
-        dialled = self._peers.has(session)
+        dialled = self._peers.has_session(session)
         self.handle(events.LinkUp(anyio.current_time(), session, dialled))
 
     def on_down(self, peer: str, session: str, reason: str) -> None:
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -301,19 +301,19 @@
         handler: LinkEvents,
         revision: Callable[[], int],
     ) -> None:
-        """Initialize without addresses; `follow` sets them."""
+        """Initialize without addresses; `set_addresses` sets them."""
         self._handler = handler
         self._revision = revision
         self._diallers: dict[str, SharedPortDialler] = {}
 
-    def has(self, session_id: str) -> bool:
+    def has_session(self, session_id: str) -> bool:
         """Return whether an open session was dialled by this process."""
         return any(
             dialler.session_id == session_id
             for dialler in self._diallers.values()
         )
 
-    def follow(self, group: TaskGroup, addresses: Iterable[str]) -> None:
+    def set_addresses(self, group: TaskGroup, addresses: Iterable[str]) -> None:
         """Dial these addresses; stop dialling others that are not linked."""
         wanted = set(addresses)
         for dialled in tuple(self._diallers):
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -87,7 +87,7 @@
 
     def set_entry_addresses(self, addresses: Iterable[str]) -> None:
         """Dial these entries; stop dialling others that are not linked."""
-        self._entries.follow(self._group, addresses)
+        self._entries.set_addresses(self._group, addresses)
 
     def drain(self, timeout_s: float) -> None:
         """Begin a graceful stop."""
--- a/tests/daemon/test_shared_port.py
+++ b/tests/daemon/test_shared_port.py
@@ -58,7 +58,7 @@
     async with anyio.create_task_group() as group:
         address = await group.start(listener.run)
         for links in dialled:
-            links.follow(group, [address])
+            links.set_addresses(group, [address])
         await _wait_until_up(listener_recorder, count)
         await _wait_until_up(dialler_recorder, count)
         yield LinkedProcesses(listener, dialled)
