--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -252,7 +252,7 @@
         return session.name.peer
 
     @property
-    def fault(self) -> str:
+    def last_error(self) -> str:
         """Return why the last attempt failed or the last session ended."""
         return self._last_error
 
