--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -18,7 +18,7 @@
 from savoryrudder.daemon.addresses import LearnedAddresses
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.probes import ProbeApp
 from savoryrudder.daemon.runtime import Runtime
@@ -205,7 +205,7 @@
             ProbeApp(runtime),
             settings,
         )
-        log_change('listening', (('http', address),))
+        log_event('listening', (('http', address),))
         group.start_soon(runtime.tick)
         group.start_soon(
             watch_signals,
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -16,7 +16,7 @@
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.join import JoinRequest
 from savoryrudder.daemon.links import LinkListener
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
@@ -156,7 +156,7 @@
 
     def announce_addresses(self, url: str, link: str) -> None:
         """Log and announce the bound addresses, not those in the settings."""
-        log_change('listening', (('http', url), ('link', link)))
+        log_event('listening', (('http', url), ('link', link)))
         self.state.identity = self.state.identity._replace(
             address=link,
             http=url.rpartition('/')[2],
--- a/src/savoryrudder/daemon/logs.py
+++ b/src/savoryrudder/daemon/logs.py
@@ -100,6 +100,6 @@
         yield
 
 
-def log_change(name: str, fields: Sequence[tuple[str, str]]) -> None:
-    """Write one log line about a change of state."""
+def log_event(name: str, fields: Sequence[tuple[str, str]]) -> None:
+    """Write one log line about an event."""
     eliot.log_message(message_type=name, **dict(fields))
--- a/src/savoryrudder/daemon/loop.py
+++ b/src/savoryrudder/daemon/loop.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.utils import effects
 
 if TYPE_CHECKING:
@@ -80,7 +80,7 @@
             case effects.Observe():
                 self.counters.observe(effect.name, effect.seconds)
             case effects.Log():
-                log_change(effect.name, effect.fields)
+                log_event(effect.name, effect.fields)
             case effects.CloseLink():
                 self._close(effect.peer, effect.reason)
             case effects.Exit():
--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.store import interface
 
 if TYPE_CHECKING:
@@ -38,14 +38,14 @@
         )
         if isinstance(outcome, interface.Snapshot):
             if is_store_lost:
-                log_change('store-regained', (('prefix', prefix),))
+                log_event('store-regained', (('prefix', prefix),))
             is_store_lost = False
             if outcome.version != last_version:
                 on_change(outcome.entries)
             last_version = outcome.version
             continue
         if not is_store_lost:
-            log_change(
+            log_event(
                 'store-lost',
                 (('prefix', prefix), ('reason', str(outcome))),
             )
@@ -79,7 +79,7 @@
                 interface.RenewLease(self._lease),
             )
             if isinstance(outcome, interface.LeaseLost):
-                log_change('registration-lost', (('key', self._key),))
+                log_event('registration-lost', (('key', self._key),))
                 self._lease = ''
 
     async def withdraw(self) -> None:
@@ -99,7 +99,7 @@
         if not isinstance(outcome, interface.Swapped):
             return False
         self._lease = granted.lease
-        log_change('registered', (('key', self._key),))
+        log_event('registered', (('key', self._key),))
         return True
 
     async def _swap_key(
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from savoryrudder.daemon import asgi
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.dispatch import events
 from savoryrudder.platform.job_bodies import EncodedAnswer
 from savoryrudder.platform.job_bodies import decode_job
@@ -106,7 +106,7 @@
         name = call.path.rpartition('/')[-1]
         decoded = decode_job(name, content)
         if decoded.is_error():
-            log_change(
+            log_event(
                 'job-malformed',
                 (('job', name), ('reason', decoded.error)),
             )
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -11,7 +11,7 @@
 
 from savoryrudder.daemon.dispatcher import Dispatcher
 from savoryrudder.daemon.http import serve_http
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.membership import Registration
 from savoryrudder.daemon.membership import follow
 from savoryrudder.daemon.metrics import Counters
@@ -85,7 +85,7 @@
     if decoded.is_ok():
         dispatcher.apply_configuration(decoded.ok)
         return
-    log_change('configuration-refused', (('reason', decoded.error),))
+    log_event('configuration-refused', (('reason', decoded.error),))
 
 
 async def _serve_callers(
--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from savoryrudder.daemon import asgi
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.jobs.model import Resources
 from savoryrudder.worker import events
 
@@ -119,7 +119,7 @@
 
 
 def _refuse(executor: str, reason: str) -> asgi.Reply:
-    log_change(
+    log_event(
         'heartbeat-refused',
         (('executor', executor), ('reason', reason)),
     )
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -13,7 +13,7 @@
 
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.logs import STANDARD_OUTPUT
-from savoryrudder.daemon.logs import log_change
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.logs import log_to
 from savoryrudder.daemon.membership import MEMBERS_PREFIX
 from savoryrudder.daemon.membership import follow
@@ -63,9 +63,9 @@
     # What was imported lives as long as the process.
     gc.freeze()
     with log_to(STANDARD_OUTPUT):
-        log_change('start', (('name', settings.name),))
+        log_event('start', (('name', settings.name),))
         anyio.run(partial(serve, settings), backend='trio')
-        log_change('stop', (('name', settings.name),))
+        log_event('stop', (('name', settings.name),))
 
 
 async def serve_metrics(
@@ -132,7 +132,7 @@
         """Read the settings; keep the former ones if they are faulty."""
         found = read_settings()
         if found.is_error():
-            log_change('reload-refused', (('reason', found.error),))
+            log_event('reload-refused', (('reason', found.error),))
             return
         current = found.ok
         changed = [
@@ -140,6 +140,6 @@
             for name, former in self._settings._asdict().items()
             if getattr(current, name) != former
         ]
-        log_change('reload', (('changed', ','.join(changed)),))
+        log_event('reload', (('changed', ','.join(changed)),))
         self._settings = current
         self._store.move(current.store)
--- a/tests/daemon/test_telemetry.py
+++ b/tests/daemon/test_telemetry.py
@@ -34,14 +34,14 @@
     assert 'savoryrudder_wait_seconds_count 2.0' in text
 
 
-def test_log_change_writes_one_json_line(tmp_path: Path) -> None:
+def test_log_event_writes_one_json_line(tmp_path: Path) -> None:
     """Guard against log lines that lose their fields."""
     path = tmp_path / 'log'
     with logs.log_to(os.devnull):
         # Drains the messages that eliot buffers until the first destination.
-        logs.log_change('held-back', ())
+        logs.log_event('held-back', ())
     with logs.log_to(str(path)):
-        logs.log_change('owner-changed', (('partition', '3'),))
+        logs.log_event('owner-changed', (('partition', '3'),))
     line = json.loads(path.read_text())
     assert (line['message_type'], line['partition']) == ('owner-changed', '3')
 
