--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -20,7 +20,7 @@
 _RETRY_S: Final = 0.3
 
 
-async def follow(
+async def watch_prefix(
     store: interface.KeyValueStore,
     prefix: str,
     wait_s: float,
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -13,7 +13,7 @@
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.membership import Registration
-from savoryrudder.daemon.membership import follow
+from savoryrudder.daemon.membership import watch_prefix
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.dispatch.state import DispatchIdentity
 from savoryrudder.dispatch.state import DispatchState
@@ -63,7 +63,7 @@
     dispatcher: Dispatcher,
 ) -> None:
     group.start_soon(
-        follow,
+        watch_prefix,
         store,
         CONFIGURATION_KEY,
         _CONFIGURATION_WAIT_S,
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -16,7 +16,7 @@
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.logs import log_to
 from savoryrudder.daemon.membership import MEMBERS_PREFIX
-from savoryrudder.daemon.membership import follow
+from savoryrudder.daemon.membership import watch_prefix
 from savoryrudder.daemon.probes import ProbeApp
 from savoryrudder.daemon.signals import watch_signals
 from savoryrudder.platform.settings import read_settings
@@ -86,7 +86,7 @@
     """Let a process link with the registered entries."""
 
     group.start_soon(
-        follow,
+        watch_prefix,
         store,
         MEMBERS_PREFIX,
         _MEMBERS_WAIT_S,
