--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -72,7 +72,7 @@
                 'too-large',
                 f'the body exceeds {MAX_BODY_BYTES} bytes',
             )
-        parsed = requests.read_job(
+        parsed = requests.parse_job(
             request.headers,
             body,
             self._runtime.default_deadlines(),
@@ -264,8 +264,8 @@
 
 
 def _answer_response(answer: Answer) -> Response:
-    status = requests.status_of(answer)
-    response = _json_response(status, requests.write_answer(answer))
+    status = requests.http_status(answer)
+    response = _json_response(status, requests.answer_body(answer))
     if answer.reason and answer.status == 'refused':
         response.headers['content-type'] = _PROBLEM
     retry_after_s = requests.retry_after_s(answer)
--- a/src/savoryrudder/daemon/requests.py
+++ b/src/savoryrudder/daemon/requests.py
@@ -71,7 +71,7 @@
 _decoder: Final = msgspec.json.Decoder(JobBody)
 
 
-def read_job(
+def parse_job(
     headers: Mapping[str, str],
     body: bytes,
     default_deadline_ms: Mapping[str, int],
@@ -123,7 +123,7 @@
     return findings
 
 
-def status_of(answer: Answer) -> int:
+def http_status(answer: Answer) -> int:
     """Return the HTTP status of an answer."""
     if answer.status == reasons.RUNNING:
         return 202
@@ -132,13 +132,13 @@
     return 200
 
 
-def write_answer(answer: Answer) -> dict[str, Any]:
+def answer_body(answer: Answer) -> dict[str, Any]:
     """Return the JSON object of a job's answer."""
     if answer.status == reasons.REFUSED:
         return {
             'type': f'urn:savoryrudder:{answer.reason}',
             'title': 'request refused',
-            'status': status_of(answer),
+            'status': http_status(answer),
             'reason': answer.reason,
             'outcome': answer.outcome,
             'detail': answer.detail,
