--- a/src/savoryrudder/daemon/runtime.py
+++ b/src/savoryrudder/daemon/runtime.py
@@ -40,7 +40,7 @@
         """Return the configuration revision that is sent with frames."""
 
     @property
-    def linked(self) -> list[str]:
+    def linked_addresses(self) -> list[str]:
         """Return the dialled join addresses that have an open session."""
         return [
             address
