--- a/bench/links.py
+++ b/bench/links.py
@@ -37,7 +37,7 @@
         self._expected = 0
         self._has_arrived = anyio.Event()
 
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Count an opened link."""
         self.links += 1
 
@@ -54,7 +54,7 @@
         if self.messages >= self._expected:
             self._has_arrived.set()
 
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Subtract a closed link."""
         self.links -= 1
 
--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -99,11 +99,11 @@
         for address in entries:
             self.connect(address)
 
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Handle a newly opened session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
 
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session."""
         self._learned_addresses.remove_session(session)
         self.handle(
--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -177,11 +177,11 @@
                 events.CallerDisconnected(anyio.current_time(), request_id),
             )
 
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Handle a newly opened session."""
         self.handle(events.LinkUp(anyio.current_time(), peer, session))
 
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session."""
         self.handle(
             events.LinkDown(
--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -18,7 +18,7 @@
 
 from savoryrudder.daemon import join
 from savoryrudder.daemon.session import DEFAULT_TIMING
-from savoryrudder.daemon.session import LinkEvents
+from savoryrudder.daemon.session import LinkHandler
 from savoryrudder.daemon.session import LinkTiming
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionName
@@ -47,7 +47,7 @@
     is requested: a delayed join request must not close a healthy session.
     """
 
-    def __init__(self, handler: LinkEvents) -> None:
+    def __init__(self, handler: LinkHandler) -> None:
         self._handler = handler
         self._pending: dict[str, Session] = {}
         self._open: dict[str, Session] = {}
@@ -69,13 +69,13 @@
         """Remove a session that ended before it was up."""
         self._pending.pop(session.name.session, None)
 
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Replace the previous session of the peer."""
         previous = self._open.get(peer)
         if previous is not None:
             previous.end('replaced by a new session')
         self._open[peer] = self._pending.pop(session)
-        self._handler.on_up(peer, session)
+        self._handler.on_link_up(peer, session)
 
     def on_frame(
         self,
@@ -87,10 +87,10 @@
         """Forward the messages of a frame."""
         self._handler.on_frame(peer, session, revision, messages)
 
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Remove the session."""
         self._open.pop(peer, None)
-        self._handler.on_down(peer, session, reason)
+        self._handler.on_link_down(peer, session, reason)
 
 
 class LinkListener:
@@ -104,7 +104,7 @@
         self,
         address: str,
         identity: str,
-        handler: LinkEvents,
+        handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming = DEFAULT_TIMING,
         ports: Sequence[int] = _EPHEMERAL_PORT,
@@ -227,7 +227,7 @@
         self,
         join_address: str,
         request: join.JoinRequest,
-        handler: LinkEvents,
+        handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming = DEFAULT_TIMING,
         rng: random.Random | None = None,
--- a/src/savoryrudder/daemon/runtime.py
+++ b/src/savoryrudder/daemon/runtime.py
@@ -49,7 +49,7 @@
         ]
 
     @abstractmethod
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Handle a newly opened session."""
 
     @abstractmethod
@@ -63,7 +63,7 @@
         """Handle the messages of a frame."""
 
     @abstractmethod
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session."""
 
     def connect(self, address: str) -> None:
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -41,10 +41,10 @@
 DEFAULT_TIMING: Final = LinkTiming()
 
 
-class LinkEvents(Protocol):
+class LinkHandler(Protocol):
     """Receive the callbacks of links, in the event loop and in order."""
 
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Handle a session that is open in both directions."""
 
     def on_frame(
@@ -56,7 +56,7 @@
     ) -> None:
         """Handle messages and the sender's configuration revision."""
 
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session that was up; no frames follow."""
 
 
@@ -143,7 +143,7 @@
         self,
         socket: FrameSocket,
         name: SessionName,
-        handler: LinkEvents,
+        handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming,
     ) -> None:
@@ -192,17 +192,17 @@
         return True
 
     def close(self, reason: str) -> None:
-        """Close the session; `on_down` is called later by `run`."""
+        """Close the session; `on_link_down` is called later by `run`."""
         if not self._reason:
             self._reason = reason
             self._scope.cancel()
 
     def end(self, reason: str) -> None:
-        """Close the session and call `on_down` at once."""
+        """Close the session and call `on_link_down` at once."""
         self.close(reason)
         if self._is_up and not self._is_down_reported:
             self._is_down_reported = True
-            self._handler.on_down(*self._name, self._reason)
+            self._handler.on_link_down(*self._name, self._reason)
 
     async def run(self) -> None:
         """Serve the session until it is closed, then close the socket."""
@@ -256,7 +256,7 @@
         self._received_at = anyio.current_time()
         if not self._is_up:
             self._is_up = True
-            self._handler.on_up(*self._name)
+            self._handler.on_link_up(*self._name)
         if self._reason:
             return
         self._handler.on_frame(*self._name, frame.revision, frame.messages)
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -17,7 +17,7 @@
 from anyio.abc import TaskGroup
 from anyio.lowlevel import checkpoint
 
-from savoryrudder.daemon.session import LinkEvents
+from savoryrudder.daemon.session import LinkHandler
 from savoryrudder.daemon.session import LinkTiming
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionName
@@ -110,7 +110,7 @@
     def __init__(
         self,
         address: str,
-        handler: LinkEvents,
+        handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming = FAST_TIMING,
     ) -> None:
@@ -221,7 +221,7 @@
     def __init__(
         self,
         address: str,
-        handler: LinkEvents,
+        handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming = FAST_TIMING,
         rng: random.Random | None = None,
@@ -298,7 +298,7 @@
 
     def __init__(
         self,
-        handler: LinkEvents,
+        handler: LinkHandler,
         revision: Callable[[], int],
     ) -> None:
         """Initialize without addresses; `set_addresses` sets them."""
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -93,11 +93,11 @@
         """Begin a graceful stop."""
         self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
 
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Handle a newly opened session."""
         self.handle(events.LinkUp(anyio.current_time(), session))
 
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session."""
         self.handle(events.LinkDown(anyio.current_time(), session, reason))
 
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -32,7 +32,7 @@
         self.revisions: set[int] = set()
         self._call_recorded = anyio.Event()
 
-    def on_up(self, peer: str, session: str) -> None:
+    def on_link_up(self, peer: str, session: str) -> None:
         """Record the start of a session."""
         self._record(LinkCall('up', peer, session, None))
 
@@ -48,7 +48,7 @@
         for message in messages:
             self._record(LinkCall('message', peer, session, message))
 
-    def on_down(self, peer: str, session: str, reason: str) -> None:
+    def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Record the end of a session."""
         self._record(LinkCall('down', peer, session, reason))
 
