--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -30,7 +30,7 @@
     """Define the intervals (seconds) and size limits (bytes) of links."""
 
     heartbeat_s: float = 1
-    silent_intervals: int = 3
+    max_missed_heartbeats: int = 3
     join_timeout_s: float = 3
     backoff_min_s: float = 0.1
     backoff_max_s: float = 2
@@ -158,7 +158,7 @@
         self._frames_received = 0
         self._frames_sent = 0
         self._received_at = float(0)
-        self._idle_timeout_s = timing.heartbeat_s * timing.silent_intervals
+        self._idle_timeout_s = timing.heartbeat_s * timing.max_missed_heartbeats
         self._is_up = False
         self._is_down_reported = False
         self._reason = ''
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -32,7 +32,7 @@
 
 FAST_TIMING: Final = LinkTiming(
     heartbeat_s=0.25,
-    silent_intervals=3,
+    max_missed_heartbeats=3,
     join_timeout_s=1,
     backoff_min_s=0.1,
     backoff_max_s=0.5,
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -96,7 +96,7 @@
     """Return short intervals, so that timeouts elapse quickly."""
     return LinkTiming(
         heartbeat_s=0.05,
-        silent_intervals=20,
+        max_missed_heartbeats=20,
         join_timeout_s=5,
         backoff_min_s=0.01,
         backoff_max_s=0.05,
