--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -73,7 +73,7 @@
         """Replace the previous session of the peer."""
         previous = self._open.get(peer)
         if previous is not None:
-            previous.end('replaced by a new session')
+            previous.close_now('replaced by a new session')
         self._open[peer] = self._pending.pop(session)
         self._handler.on_link_up(peer, session)
 
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -197,7 +197,7 @@
             self._reason = reason
             self._scope.cancel()
 
-    def end(self, reason: str) -> None:
+    def close_now(self, reason: str) -> None:
         """Close the session and call `on_link_down` at once."""
         self.close(reason)
         if self._is_up and not self._is_down_reported:
@@ -207,7 +207,7 @@
     async def run(self) -> None:
         """Serve the session until it is closed, then close the socket."""
         with contextlib.ExitStack() as cleanup:
-            cleanup.callback(self.end, 'process is stopping')
+            cleanup.callback(self.close_now, 'process is stopping')
             cleanup.callback(self._socket.close)
             cleanup.enter_context(self._scope)
             await self._serve()
