--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -21,7 +21,7 @@
 from savoryrudder.daemon.session import LinkHandler
 from savoryrudder.daemon.session import LinkTiming
 from savoryrudder.daemon.session import Session
-from savoryrudder.daemon.session import SessionName
+from savoryrudder.daemon.session import SessionIds
 from savoryrudder.daemon.sockets import MessageSocket
 from savoryrudder.daemon.sockets import PairSocket
 from savoryrudder.protocol.codec import PROTOCOL_VERSION
@@ -63,11 +63,11 @@
 
     def add(self, session: Session) -> None:
         """Add a session that is not up yet."""
-        self._pending[session.name.session] = session
+        self._pending[session.ids.session] = session
 
     def discard(self, session: Session) -> None:
         """Remove a session that ended before it was up."""
-        self._pending.pop(session.name.session, None)
+        self._pending.pop(session.ids.session, None)
 
     def on_link_up(self, peer: str, session: str) -> None:
         """Replace the previous session of the peer."""
@@ -159,7 +159,7 @@
         if opened.is_ok():
             session, address = opened.ok
             group.start_soon(self._serve, session)
-            answer = self._join_answer(session.name.session, address, '')
+            answer = self._join_answer(session.ids.session, address, '')
         else:
             answer = self._join_answer('', '', opened.error)
         with contextlib.suppress(pynng.NNGException):
@@ -191,7 +191,7 @@
         socket, address = bound.ok
         session = Session(
             socket,
-            SessionName(request.peer, secrets.token_hex(_SESSION_BYTES)),
+            SessionIds(request.peer, secrets.token_hex(_SESSION_BYTES)),
             self._table,
             self._revision,
             self._timing,
@@ -249,7 +249,7 @@
         session = self._session
         if session is None or not session.was_up:
             return ''
-        return session.name.peer
+        return session.ids.peer
 
     @property
     def last_error(self) -> str:
@@ -289,7 +289,7 @@
 
     def _find(self, peer: str) -> Session | None:
         session = self._session
-        if session is None or session.name.peer != peer:
+        if session is None or session.ids.peer != peer:
             return None
         return session if session.was_up else None
 
@@ -322,7 +322,7 @@
     ) -> bool:
         self._session = Session(
             socket,
-            SessionName(answer.listener, answer.session),
+            SessionIds(answer.listener, answer.session),
             self._handler,
             self._revision,
             self._timing,
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -82,7 +82,7 @@
         """Close the connection."""
 
 
-class SessionName(NamedTuple):
+class SessionIds(NamedTuple):
     """Identify a session and the peer at its other end."""
 
     peer: str
@@ -142,14 +142,14 @@
     def __init__(
         self,
         socket: FrameSocket,
-        name: SessionName,
+        ids: SessionIds,
         handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming,
     ) -> None:
         """Take ownership of a socket that listens or dials."""
         self._socket = socket
-        self._name = name
+        self._ids = ids
         self._handler = handler
         self._revision = revision
         self._timing = timing
@@ -164,9 +164,9 @@
         self._reason = ''
 
     @property
-    def name(self) -> SessionName:
+    def ids(self) -> SessionIds:
         """Return the identifiers of the session and its peer."""
-        return self._name
+        return self._ids
 
     @property
     def reason(self) -> str:
@@ -202,7 +202,7 @@
         self.close(reason)
         if self._is_up and not self._is_down_reported:
             self._is_down_reported = True
-            self._handler.on_link_down(*self._name, self._reason)
+            self._handler.on_link_down(*self._ids, self._reason)
 
     async def run(self) -> None:
         """Serve the session until it is closed, then close the socket."""
@@ -256,13 +256,13 @@
         self._received_at = anyio.current_time()
         if not self._is_up:
             self._is_up = True
-            self._handler.on_link_up(*self._name)
+            self._handler.on_link_up(*self._ids)
         if self._reason:
             return
-        self._handler.on_frame(*self._name, frame.revision, frame.messages)
+        self._handler.on_frame(*self._ids, frame.revision, frame.messages)
 
     def _frame_error(self, frame: codec.Frame) -> str:
-        if frame.session != self._name.session:
+        if frame.session != self._ids.session:
             return 'frame belongs to a foreign session'
         if frame.sequence != self._frames_received:
             return (
@@ -277,7 +277,7 @@
         while True:
             batch = await self._queue.take(self._timing.frame_bytes)
             frame = codec.Frame(
-                self._name.session,
+                self._ids.session,
                 self._frames_sent,
                 self._revision(),
                 batch,
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -20,7 +20,7 @@
 from savoryrudder.daemon.session import LinkHandler
 from savoryrudder.daemon.session import LinkTiming
 from savoryrudder.daemon.session import Session
-from savoryrudder.daemon.session import SessionName
+from savoryrudder.daemon.session import SessionIds
 from savoryrudder.daemon.sockets import PairSocket
 from savoryrudder.protocol import codec
 
@@ -193,7 +193,7 @@
     ) -> None:
         session = Session(
             pipe,
-            SessionName(session_id, session_id),
+            SessionIds(session_id, session_id),
             self._handler,
             self._revision,
             self._timing,
@@ -241,19 +241,19 @@
         session = self._session
         if session is None or not session.was_up:
             return ''
-        return session.name.session
+        return session.ids.session
 
     def send(self, session_id: str, message: Message) -> bool:
         """Queue a message; return False if there is no such session."""
         session = self._session
-        if session is None or session.name.session != session_id:
+        if session is None or session.ids.session != session_id:
             return False
         return session.send(message)
 
     def close(self, session_id: str, reason: str) -> None:
         """Close a session, if it is open; a new one is dialled."""
         session = self._session
-        if session is not None and session.name.session == session_id:
+        if session is not None and session.ids.session == session_id:
             session.close(reason)
 
     def stop(self) -> None:
@@ -284,7 +284,7 @@
             return
         self._session = Session(
             socket,
-            SessionName(session_id, session_id),
+            SessionIds(session_id, session_id),
             self._handler,
             self._revision,
             self._timing,
