--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -66,16 +66,16 @@
     async def receive(self) -> bytes:
         """Wait for the next frame and return it."""
 
-    def send_now(self, content: bytes) -> bool:
+    def try_send(self, content: bytes) -> bool:
         """Send a frame; return False if the send buffer is full."""
 
     async def send(self, content: bytes) -> None:
         """Send a frame, waiting for room in the send buffer."""
 
-    async def wait_attached(self) -> None:
+    async def wait_connected(self) -> None:
         """Wait until the connection is open."""
 
-    async def wait_removed(self) -> None:
+    async def wait_disconnected(self) -> None:
         """Wait until the connection is closed or lost."""
 
     def close(self) -> None:
@@ -215,7 +215,7 @@
     async def _serve(self) -> None:
         try:
             with anyio.fail_after(self._timing.join_timeout_s):
-                await self._socket.wait_attached()
+                await self._socket.wait_connected()
         except TimeoutError:
             self.close('peer did not connect')
             return
@@ -284,7 +284,7 @@
             )
             encoded = codec.encode_frame(frame)
             self._frames_sent += 1
-            if not self._socket.send_now(encoded):
+            if not self._socket.try_send(encoded):
                 await self._send_or_time_out(encoded)
 
     async def _send_or_time_out(self, encoded: bytes) -> None:
@@ -295,7 +295,7 @@
             self.close('send timeout: peer is not reading')
 
     async def _watch_connection(self) -> None:
-        await self._socket.wait_removed()
+        await self._socket.wait_disconnected()
         self.close('connection lost')
 
     async def _watch_idle_timeout(self) -> None:
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -72,7 +72,7 @@
             await self._frame_arrived.wait()
         return self._frames.popleft()
 
-    def send_now(self, content: bytes) -> bool:
+    def try_send(self, content: bytes) -> bool:
         """Send a frame; return False if the send buffer is full."""
         message = pynng.Message(content, pipe=self._pipe)
         try:
@@ -83,14 +83,14 @@
 
     async def send(self, content: bytes) -> None:
         """Send a frame, waiting for room in the send buffer."""
-        while not self.send_now(content):
+        while not self.try_send(content):
             await anyio.wait_readable(self._socket.send_fd)
 
-    async def wait_attached(self) -> None:
+    async def wait_connected(self) -> None:
         """Return at once, as the pipe is already connected."""
         await checkpoint()
 
-    async def wait_removed(self) -> None:
+    async def wait_disconnected(self) -> None:
         """Wait until the connection is closed or lost."""
         await self._disconnected.wait()
 
--- a/src/savoryrudder/daemon/sockets.py
+++ b/src/savoryrudder/daemon/sockets.py
@@ -56,7 +56,7 @@
                 return cast('bytes', self._socket.recv(block=False))
             await anyio.wait_readable(self._receive_fd)
 
-    def send_now(self, content: bytes) -> bool:
+    def try_send(self, content: bytes) -> bool:
         """Send a message; return False if the send buffer is full."""
         try:
             self._socket.send(content, block=False)
@@ -66,7 +66,7 @@
 
     async def send(self, content: bytes) -> None:
         """Send a message, waiting for room in the send buffer."""
-        while not self.send_now(content):
+        while not self.try_send(content):
             await anyio.wait_readable(self._send_fd)
 
     def dial(self, address: str, *, redial_ms: tuple[int, int]) -> None:
@@ -100,11 +100,11 @@
         self._socket.add_post_pipe_connect_cb(self._on_pipe_connected)
         self._socket.add_post_pipe_remove_cb(self._on_pipe_removed)
 
-    async def wait_attached(self) -> None:
+    async def wait_connected(self) -> None:
         """Wait until the connection is open."""
         await self._connected.wait()
 
-    async def wait_removed(self) -> None:
+    async def wait_disconnected(self) -> None:
         """Wait until the connection is closed or lost."""
         await self._disconnected.wait()
 
