--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -170,7 +170,7 @@
     async def _call_upstream(self, effect: agent_effects.CallUpstream) -> None:
         task_span = self.tracer.start('run-task', effect.trace)
         call_span = self.tracer.start('call-upstream', task_span.traceparent)
-        call_span.note('operation', effect.operation)
+        call_span.set_attribute('operation', effect.operation)
         started_at = anyio.current_time()
         result = await self._upstream.call(
             effect.task,
@@ -183,7 +183,7 @@
             'upstream_call',
             anyio.current_time() - started_at,
         )
-        call_span.note('outcome', result.outcome)
+        call_span.set_attribute('outcome', result.outcome)
         call_span.end()
         self.handle(
             events.UpstreamFinished(
--- a/src/savoryrudder/daemon/api.py
+++ b/src/savoryrudder/daemon/api.py
@@ -81,9 +81,9 @@
             return _invalid_request(parsed.error)
         job = parsed.ok
         span = self._runtime.tracer.start('receive-job', job.trace)
-        span.note('client', job.client)
-        span.note('service', job.service)
-        span.note('tasks', len(job.tasks))
+        span.set_attribute('client', job.client)
+        span.set_attribute('service', job.service)
+        span.set_attribute('tasks', len(job.tasks))
         request_id, pending = self._runtime.begin_request()
         self._runtime.handle(
             events.JobSubmitted(
--- a/src/savoryrudder/daemon/tracing.py
+++ b/src/savoryrudder/daemon/tracing.py
@@ -145,7 +145,7 @@
         self._propagator.inject(carrier, context)
         return carrier.get(_CARRIER_FIELD, '')
 
-    def note(self, name: str, content: str | int | float) -> None:
+    def set_attribute(self, name: str, content: str | int | float) -> None:
         """Set an attribute of the span."""
         self._span.set_attribute(name, content)
 
--- a/tests/daemon/test_telemetry.py
+++ b/tests/daemon/test_telemetry.py
@@ -52,7 +52,7 @@
     tracer = tracing.Tracer(str(path), 1, {'service.name': 'entry'})
     job_span = tracer.start('job', PARENT)
     start_span = tracer.start('start', job_span.traceparent)
-    start_span.note('task', 1)
+    start_span.set_attribute('task', 1)
     start_span.end()
     job_span.end()
     tracer.close()
