--- a/src/savoryrudder/daemon/agent.py
+++ b/src/savoryrudder/daemon/agent.py
@@ -150,7 +150,8 @@
     def _expire_entries(self) -> None:
         now = anyio.current_time()
         for address in self._learned_addresses.remove_expired(
-            self.linked_addresses, now
+            self.linked_addresses,
+            now,
         ):
             self.disconnect(address)
 
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -324,7 +324,9 @@
                 self._diallers.pop(dialled)
         for address in sorted(wanted - self._diallers.keys()):
             new_dialler = SharedPortDialler(
-                address, self._handler, self._revision
+                address,
+                self._handler,
+                self._revision,
             )
             self._diallers[address] = new_dialler
             group.start_soon(new_dialler.run)
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -99,7 +99,7 @@
     entries: tuple[KeyValue, ...],
 ) -> None:
     process.set_entry_addresses(
-        [entry.value for entry in entries if entry.value]
+        [entry.value for entry in entries if entry.value],
     )
 
 
--- a/tests/daemon/test_shared_port.py
+++ b/tests/daemon/test_shared_port.py
@@ -50,7 +50,10 @@
 ) -> AsyncIterator[LinkedProcesses]:
     """Run a listener and several processes that dial it."""
     listener = SharedPortListener(
-        '127.0.0.1:0', listener_recorder, _no_revision, timing
+        '127.0.0.1:0',
+        listener_recorder,
+        _no_revision,
+        timing,
     )
     dialled = [
         DialledLinks(dialler_recorder, _no_revision) for _ in range(count)
