--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -1,4 +1,4 @@
-"""Admission control for submitted jobs.
+"""Control the admission of submitted jobs.
 
 Under overload, a job whose tasks would start too late to meet its latency
 objective is refused on arrival: queueing it would help neither that job nor
--- a/src/savoryrudder/dispatch/answers.py
+++ b/src/savoryrudder/dispatch/answers.py
@@ -1,4 +1,4 @@
-"""Answers to callers' requests and their verdicts."""
+"""Define the answers to callers' requests and their verdicts."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 class Answer(NamedTuple):
-    """The answer to one request.
+    """Hold the answer to one request.
 
     `verdict` is one of the constants of this module, `reason` explains a
     refusal or failure, and `retry_after_s` is the suggested delay before a
@@ -41,6 +41,6 @@
 
 
 class QueueLength(NamedTuple):
-    """The number of accepted jobs of a queue without a started task."""
+    """Hold the number of accepted jobs of a queue without a started task."""
 
     waiting: int
--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -1,4 +1,4 @@
-"""Graceful stop of an entry: every open request is answered first."""
+"""Stop an entry gracefully: every open request is answered first."""
 
 from __future__ import annotations
 
--- a/src/savoryrudder/dispatch/effects.py
+++ b/src/savoryrudder/dispatch/effects.py
@@ -1,4 +1,4 @@
-"""Effects of the dispatch reducer."""
+"""Define the effects of the dispatch reducer."""
 
 from __future__ import annotations
 
--- a/src/savoryrudder/dispatch/eligibility.py
+++ b/src/savoryrudder/dispatch/eligibility.py
@@ -1,4 +1,4 @@
-"""Which executors can run the tasks of a step."""
+"""Determine which executors can run the tasks of a step."""
 
 from __future__ import annotations
 
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -1,4 +1,4 @@
-"""Events of the dispatch reducer.
+"""Define the events of the dispatch reducer.
 
 `now` is the time of the event in seconds of a monotonic clock.
 """
@@ -87,7 +87,7 @@
 
 
 class Tick(NamedTuple):
-    """Periodic timer event."""
+    """The periodic timer has fired."""
 
     now: float
 
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -1,4 +1,4 @@
-"""Life cycle of jobs, from submission to the final answer."""
+"""Manage the life cycle of jobs, from submission to the final answer."""
 
 from __future__ import annotations
 
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -42,7 +42,7 @@
 
 
 class Placement(NamedTuple):
-    """The choice of an agent, by its link, for a task."""
+    """Hold the choice of an agent, by its link, for a task."""
 
     job: Job
     task: Task
@@ -72,7 +72,7 @@
 
 
 class _SearchContext(NamedTuple):
-    """The inputs of the search for an executor."""
+    """Hold the inputs of the search for an executor."""
 
     state: DispatchState
     now: float
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -1,4 +1,4 @@
-"""Reducer of an entry: applies events to the state and returns effects."""
+"""Apply the events of an entry to its state and return the effects."""
 
 from __future__ import annotations
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -1,4 +1,4 @@
-"""State of the dispatch reducer of an entry."""
+"""Define the state of the dispatch reducer of an entry."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class DispatchIdentity(NamedTuple):
-    """The identity of an entry; `incarnation` differs for each start."""
+    """Identify an entry; `incarnation` differs for each start."""
 
     entry: str
     incarnation: str
@@ -30,7 +30,7 @@
 
 
 class DispatchTiming(NamedTuple):
-    """The time limits of an entry, in seconds.
+    """Define the time limits of an entry, in seconds.
 
     The runs of a lost agent have ended after `settle_s`: by then it has noticed
     the silence of the link and stopped them, or their lease has expired.
@@ -46,7 +46,7 @@
 
 
 class TaskState(Enum):
-    """The state of a task."""
+    """Enumerate the states of a task."""
 
     waiting = 'waiting'
     placed = 'placed'
@@ -57,7 +57,7 @@
 
 @dataclass(slots=True)
 class Task:
-    """A task of a job; `run` is the number of its latest run."""
+    """Track a task of a job; `run` is the number of its latest run."""
 
     name: str
     step_index: int
@@ -72,7 +72,7 @@
 
 @dataclass(slots=True)
 class StepProgress:
-    """The waiting tasks of a step and the number of unfinished ones."""
+    """Hold the waiting tasks of a step and the number of unfinished ones."""
 
     step: Step
     waiting: list[Task]
@@ -82,7 +82,7 @@
 
 @dataclass(slots=True)
 class Job:
-    """A job that is unanswered or has tasks that may still be running.
+    """Track a job that is unanswered or has tasks that may still be running.
 
     `objective_s` is the latency objective, counted from the arrival; to meet
     it, the job has to start by `latest_start`. `outstanding` counts the tasks
@@ -111,7 +111,7 @@
 
 @dataclass(slots=True)
 class AgentView:
-    """An entry's view of an agent and the executor beside it.
+    """Hold an entry's view of an agent and the executor beside it.
 
     `unreported_starts` holds, by number, the starts that the reported free
     resources do not include yet. `reconciled` is set once the agent has listed
@@ -151,7 +151,7 @@
 
 @dataclass(slots=True)
 class PeerView:
-    """An entry's view of another entry and the jobs claimed by it."""
+    """Hold an entry's view of another entry and the jobs claimed by it."""
 
     entry: str
     incarnation: str
@@ -160,7 +160,7 @@
 
 @dataclass(slots=True)
 class ContestedJob:
-    """Submissions of a job that may still be running at another entry.
+    """Hold submissions of a job that may still be running at another entry.
 
     `holder` is the link to that entry. If it was lost, `settled_at` is the time
     by which its runs have ended.
@@ -173,7 +173,7 @@
 
 @dataclass(slots=True)
 class ClaimChanges:
-    """Claimed and released jobs to announce to the other entries."""
+    """Collect claimed and released jobs to announce to the other entries."""
 
     claimed: list[str] = field(default_factory=list)
     released: list[str] = field(default_factory=list)
@@ -181,7 +181,7 @@
 
 @dataclass(slots=True)
 class DispatchState:
-    """The whole state of an entry; the reducer mutates it in place."""
+    """Hold the whole state of an entry; the reducer mutates it in place."""
 
     identity: DispatchIdentity
     timing: DispatchTiming
--- a/src/savoryrudder/dispatch/turn.py
+++ b/src/savoryrudder/dispatch/turn.py
@@ -1,4 +1,4 @@
-"""Effects of one event of the dispatch reducer."""
+"""Collect the effects of one event of the dispatch reducer."""
 
 from __future__ import annotations
 
