--- a/src/savoryrudder/jobs/__init__.py
+++ b/src/savoryrudder/jobs/__init__.py
@@ -1,3 +1,3 @@
-"""Jobs, their resource requirements, and the queues that accept them."""
+"""Define jobs, their resource requirements, and the queues that accept them."""
 
 from __future__ import annotations
--- a/src/savoryrudder/jobs/model.py
+++ b/src/savoryrudder/jobs/model.py
@@ -1,4 +1,4 @@
-"""Model of jobs, their steps, and the configuration of queues."""
+"""Define the model of jobs, their steps, and the configuration of queues."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class Resources(NamedTuple):
-    """An amount of the resources that executors have and tasks need.
+    """Hold an amount of the resources that executors have and tasks need.
 
     `cpu` is in millicores, `memory` in MB, `gpu` in devices.
     """
@@ -47,7 +47,7 @@
 
 
 class Step(NamedTuple):
-    """A step of a job: a number of identical `tasks`.
+    """Describe a step of a job: a number of identical `tasks`.
 
     `estimate_ms` is the caller's rough estimate of the duration of one task;
     `after` holds the indexes of the steps that must be complete first. When
@@ -65,7 +65,7 @@
 
 
 class JobRequest(NamedTuple):
-    """A job as submitted by a caller; `spec` is passed on uninterpreted."""
+    """Hold a job submitted by a caller; `spec` is passed on uninterpreted."""
 
     job_id: str
     spec: str
@@ -73,7 +73,7 @@
 
 
 class Queue(NamedTuple):
-    """The configuration of one queue.
+    """Hold the configuration of one queue.
 
     `priority` 0 is the most urgent. A job fails after `attempts` failures of
     one of its tasks. Its latency objective is `stretch` times the estimated
@@ -91,7 +91,7 @@
 
 
 class Configuration(NamedTuple):
-    """The operators' configuration; version -1 stands for none."""
+    """Hold the operators' configuration; version -1 stands for none."""
 
     version: int
     queues: Mapping[str, Queue]
