--- a/src/savoryrudder/agent/__init__.py
+++ b/src/savoryrudder/agent/__init__.py
@@ -1,3 +1,3 @@
-"""The agent role as a reducer."""
+"""Implement the agent role as a reducer."""
 
 from __future__ import annotations
--- a/src/savoryrudder/agent/events.py
+++ b/src/savoryrudder/agent/events.py
@@ -51,7 +51,7 @@
 
 
 class Tick(NamedTuple):
-    """Periodic timer event, about ten times a second."""
+    """The periodic timer has fired, as it does about ten times a second."""
 
     now: float
 
