--- a/tests/dispatch/test_fleet.py
+++ b/tests/dispatch/test_fleet.py
@@ -1,4 +1,4 @@
-"""Tests of entries and agents together, with and without faults."""
+"""Check entries and agents together, with and without faults."""
 
 from __future__ import annotations
 
--- a/tests/dispatch/test_overload.py
+++ b/tests/dispatch/test_overload.py
@@ -1,4 +1,4 @@
-"""Tests of admission and refusals under more load than capacity."""
+"""Check admission and refusals under more load than capacity."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class Outcome(NamedTuple):
-    """Counts of jobs by their result."""
+    """Count the jobs by their result."""
 
     in_time: int
     late: int
@@ -74,7 +74,7 @@
 def test_admission_by_predicted_wait_completes_more_jobs_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Compares runs with and without the prediction of the wait."""
+    """Compare runs with and without the prediction of the wait."""
     with_prediction = [_replay(seed) for seed in range(3)]
     monkeypatch.setattr(admission, 'predicted_wait_s', lambda *_: 0)
     without_prediction = [_replay(seed) for seed in range(3)]
--- a/tests/dispatch/test_start_up.py
+++ b/tests/dispatch/test_start_up.py
@@ -1,4 +1,4 @@
-"""Tests of job admission shortly after the start of an entry."""
+"""Check job admission shortly after the start of an entry."""
 
 from __future__ import annotations
 
