--- a/src/savoryrudder/policy/__init__.py
+++ b/src/savoryrudder/policy/__init__.py
@@ -1,3 +1,3 @@
-"""The configuration written by operators: its model, checks and diff."""
+"""Define the configuration written by operators: its model, checks and diff."""
 
 from __future__ import annotations
