--- a/src/savoryrudder/entry/__init__.py
+++ b/src/savoryrudder/entry/__init__.py
@@ -1,3 +1,3 @@
-"""The entry role, implemented as a reducer."""
+"""Implement the entry role as a reducer."""
 
 from __future__ import annotations
--- a/src/savoryrudder/entry/documents.py
+++ b/src/savoryrudder/entry/documents.py
@@ -20,7 +20,7 @@
 
 
 class ConfigDocument(TypedDict):
-    """The configuration; `applied_at` is a UTC time in ISO 8601 format."""
+    """Hold the configuration; `applied_at` is a UTC time in ISO 8601 format."""
 
     text: str
     author: str
@@ -29,13 +29,13 @@
 
 
 class PartitionsDocument(TypedDict):
-    """The owner, epoch and former owner of each partition."""
+    """Hold the owner, epoch and former owner of each partition."""
 
     partitions: list[tuple[str, int, str]]
 
 
 class TermsDocument(TypedDict):
-    """A client's step of its standing terms; `expires` is in UTC seconds."""
+    """Hold a client's step of its standing terms; `expires` is UTC seconds."""
 
     step: int
     expires: float
--- a/src/savoryrudder/entry/events.py
+++ b/src/savoryrudder/entry/events.py
@@ -81,7 +81,7 @@
 
 
 class StoreAnswered(NamedTuple):
-    """The outcome of a store call, which may have timed out."""
+    """The store answered a call, or the call timed out."""
 
     now: float
     wall: float
@@ -90,7 +90,7 @@
 
 
 class Tick(NamedTuple):
-    """Periodic event for timeouts, about 20 times a second."""
+    """The timer for timeouts has fired, as it does about 20 times a second."""
 
     now: float
     wall: float
--- a/src/savoryrudder/entry/health.py
+++ b/src/savoryrudder/entry/health.py
@@ -31,7 +31,7 @@
 
 
 class UpstreamStatus(NamedTuple):
-    """How an upstream may be used; `slowness` is a factor of at least 1."""
+    """Say how an upstream may be used; `slowness` is a factor of at least 1."""
 
     ejected: bool
     slow: bool
@@ -41,7 +41,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Outcomes:
-    """Counts of outcomes in which older ones weigh less."""
+    """Count outcomes so that older ones weigh less."""
 
     failed: float = 0
     ended: float = 0
@@ -56,7 +56,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Upstream:
-    """The state of one upstream."""
+    """Track the state of one upstream."""
 
     failure_score: float = 0
     excess_failures: float = 0
--- a/src/savoryrudder/entry/state.py
+++ b/src/savoryrudder/entry/state.py
@@ -29,7 +29,7 @@
 
 
 class EntryIdentity(NamedTuple):
-    """The name, addresses and fixed settings of an entry process.
+    """Hold the name, addresses and fixed settings of an entry process.
 
     `name` is unique for each run of an entry: its configured identifier, a
     hash sign and its incarnation. `address` is its join address, `http` the
@@ -45,7 +45,7 @@
 
 
 class Waiter(NamedTuple):
-    """A request that waits for an answer.
+    """Identify a request that waits for an answer.
 
     `request_id` is its number at this entry or, if a peer forwarded it, at that
     `peer`; `peer` is empty for a request from a caller of this entry.
@@ -57,7 +57,7 @@
 
 @dataclasses.dataclass(slots=True)
 class TaskState:
-    """A task that is queued, sent, complete, failed, not-run or unknown."""
+    """Track a task: queued, sent, complete, failed, not-run or unknown."""
 
     status: str
     agent: str = ''
@@ -69,7 +69,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Submission:
-    """An accepted job, kept until the retention of its answer ends."""
+    """Track an accepted job, kept until the retention of its answer ends."""
 
     identifier: bytes
     partition: int
@@ -87,7 +87,7 @@
 
 @dataclasses.dataclass(slots=True)
 class ParkedRequest:
-    """A request held back until its partition is open or its time is up.
+    """Hold back a request until its partition is open or its time is up.
 
     `received` is the earliest time at which any entry may have received it.
     The caller waits until `wait_until`, routing is retried until `give_up_at`.
@@ -107,7 +107,7 @@
 
 @dataclasses.dataclass(slots=True)
 class OwnedPartition:
-    """A partition that this entry owns.
+    """Track a partition that this entry owns.
 
     `awaited_agents` maps the agents (name, incarnation) whose records are
     missing to their roster entries. `roster_incomplete` is set if that list may
@@ -126,7 +126,7 @@
 
 @dataclasses.dataclass(slots=True)
 class AgentLink:
-    """The session with an agent.
+    """Track the session with an agent.
 
     `claimed` is set by its first answer to a claim, `usable` once the peers
     have it in this entry's roster. `demand` and `prefetch` are the values that
@@ -149,7 +149,7 @@
 
 
 class LostAgent(NamedTuple):
-    """An agent whose session ended with tasks outstanding."""
+    """Record an agent whose session ended with tasks outstanding."""
 
     incarnation: str
     since: float
@@ -157,7 +157,7 @@
 
 @dataclasses.dataclass(slots=True)
 class PeerLink:
-    """Another entry, linked or not; `session` is empty without a link.
+    """Track another entry, linked or not; `session` is empty without a link.
 
     `confirmed_sequence` is the sequence number of this entry's roster that the
     peer confirmed last. `unregistered` is set once the peer is not registered
@@ -181,7 +181,7 @@
 
 
 class PeerRoster(NamedTuple):
-    """The agents that a peer may have used.
+    """Hold the agents that a peer may have used.
 
     `heard_at` is the time of the peer's last message. Until `incomplete_until`
     (UTC seconds) the list may be incomplete.
@@ -194,7 +194,7 @@
 
 @dataclasses.dataclass(slots=True)
 class StoreSession:
-    """The lease, registration and watch of this entry at the store."""
+    """Track the lease, registration and watch of this entry at the store."""
 
     lease: str = ''
     lease_deadline: float = 0
@@ -216,7 +216,7 @@
 
 
 class EntryDocument(TypedDict):
-    """An entry's registration: its addresses and whether it is draining."""
+    """Hold an entry's registration: addresses and whether it is draining."""
 
     address: str
     http: str
@@ -224,14 +224,14 @@
 
 
 class PendingCall(NamedTuple):
-    """The purpose of a store call whose outcome is pending."""
+    """Record the purpose of a store call whose outcome is pending."""
 
     kind: str
     context: ConfigSubmitted | str | None
 
 
 class PartitionOwner(NamedTuple):
-    """The owner of a partition, its epoch and the former owner."""
+    """Hold the owner of a partition, its epoch and the former owner."""
 
     owner: str
     epoch: int
@@ -239,7 +239,7 @@
 
 
 class PendingClaim(NamedTuple):
-    """A claim that an agent has not answered yet."""
+    """Record a claim that an agent has not answered yet."""
 
     agent: str
     session: str
@@ -247,7 +247,7 @@
 
 
 class RecoveredRecord(NamedTuple):
-    """An agent's record of a task whose job this entry does not have."""
+    """Hold an agent's record of a task whose job this entry does not have."""
 
     agent: str
     incarnation: str
@@ -255,7 +255,7 @@
 
 
 class PastRefusal(NamedTuple):
-    """A refusal that is repeated to copies received before `repeat_until`."""
+    """Hold a refusal to repeat to copies received before `repeat_until`."""
 
     repeat_until: float
     client: str
@@ -265,7 +265,7 @@
 
 @dataclasses.dataclass(slots=True)
 class ClientTerms:
-    """The stored terms of a client; `expires` is in UTC seconds.
+    """Track the stored terms of a client; `expires` is in UTC seconds.
 
     `token` identifies a renewal whose outcome is not known yet.
     """
@@ -286,7 +286,7 @@
 
 @dataclasses.dataclass
 class EntryState:
-    """The complete state of the entry reducer.
+    """Hold the complete state of the entry reducer.
 
     `roster` lists the agents (name, incarnation) that this entry may have used,
     `rosters` holds the rosters of its peers. `parked_requests` wait to
