Name the executor client's private parts for what they hold

_JSON -> _encoder _OUTCOME_BY_END -> _OUTCOME_BY_END_REASON _REFUSING_STATUSES -> _REFUSAL_STATUSES _UNREADABLE -> _DECODE_ERRORS _ListsBody -> _RenewalBody _lists_decoder -> _renewal_decoder _verdict_of -> _decode_verdict _lists_of -> _decode_renewal answer -> response

--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -20,7 +20,7 @@
 from savoryrudder.worker import verdicts
 
 _TIMEOUT_S: Final = 0.3
-_JSON: Final = msgspec.json.Encoder()
+_encoder: Final = msgspec.json.Encoder()
 _VERDICT_BY_REASON: Final = MappingProxyType(
     {
         'fence': verdicts.FENCED,
@@ -30,7 +30,7 @@
         'ticket': verdicts.REFUSED,
     }
 )
-_OUTCOME_BY_END: Final = MappingProxyType(
+_OUTCOME_BY_END_REASON: Final = MappingProxyType(
     {
         'done': outcomes.DONE,
         'failed': outcomes.FAILED,
@@ -40,7 +40,7 @@
         'alone': outcomes.LOST,
     }
 )
-_REFUSING_STATUSES: Final = frozenset(
+_REFUSAL_STATUSES: Final = frozenset(
     (
         HTTPStatus.BAD_REQUEST,
         HTTPStatus.TOO_MANY_REQUESTS,
@@ -48,7 +48,7 @@
     ),
 )
 
-_UNREADABLE: Final = (
+_DECODE_ERRORS: Final = (
     msgspec.MsgspecError,
     LookupError,
     TypeError,
@@ -61,7 +61,7 @@
     reason: str = ''
 
 
-class _ListsBody(msgspec.Struct):
+class _RenewalBody(msgspec.Struct):
     clock_ms: int
     # Rows of task, run, saved state, percent, load.
     running: list[list[Any]] = msgspec.field(default_factory=list)
@@ -70,7 +70,7 @@
 
 
 _start_decoder: Final = msgspec.json.Decoder(_StartBody)
-_lists_decoder: Final = msgspec.json.Decoder(_ListsBody)
+_renewal_decoder: Final = msgspec.json.Decoder(_RenewalBody)
 
 
 class ExecutorClient:
@@ -89,27 +89,29 @@
             'deadline_ms': call.lease_until_ms,
             'fence': call.fence,
         }
-        answer = await self._send(
+        response = await self._send(
             call.executor,
             '/api/run-start',
             body,
             _TIMEOUT_S,
         )
-        if isinstance(answer, Unanswered):
-            verdict = verdicts.UNKNOWN if answer.sent else verdicts.REFUSED
+        if isinstance(response, Unanswered):
+            verdict = verdicts.UNKNOWN if response.sent else verdicts.REFUSED
             return verdict, 0
-        return _verdict_of(answer)
+        return _decode_verdict(response)
 
     async def stop(self, call: effects.StopRun) -> bool:
         """Return whether the executor confirmed the stop."""
         body = {'task': call.task, 'run': call.run, 'fence': call.fence}
-        answer = await self._send(
+        response = await self._send(
             call.executor,
             '/api/run-stop',
             body,
             _TIMEOUT_S,
         )
-        return isinstance(answer, Response) and answer.status == HTTPStatus.OK
+        return (
+            isinstance(response, Response) and response.status == HTTPStatus.OK
+        )
 
     async def renew(
         self,
@@ -125,24 +127,24 @@
             body['deadline_ms'] = call.lease_until_ms
         if call.wait_ms:
             body['wait_ms'] = call.wait_ms
-        answer = await self._send(
+        response = await self._send(
             call.executor,
             '/api/hold',
             body,
             _TIMEOUT_S + call.wait_ms / MS_PER_S,
         )
         now = anyio.current_time()
-        if isinstance(answer, Unanswered):
-            return events.RenewalFailed(now, answer.reason)
-        if answer.status != HTTPStatus.OK:
-            reason = f'the executor answered {answer.status}'
-            verdict, _ = _verdict_of(answer)
+        if isinstance(response, Unanswered):
+            return events.RenewalFailed(now, response.reason)
+        if response.status != HTTPStatus.OK:
+            reason = f'the executor answered {response.status}'
+            verdict, _ = _decode_verdict(response)
             is_fenced = verdict == verdicts.FENCED
             return events.RenewalFailed(now, reason, is_fenced)
         try:
-            return _lists_of(answer.content, now, sent_at)
-        except _UNREADABLE as error:
-            return events.RenewalFailed(now, f'unusable answer: {error}')
+            return _decode_renewal(response.content, now, sent_at)
+        except _DECODE_ERRORS as error:
+            return events.RenewalFailed(now, f'unusable response: {error}')
 
     async def _send(
         self,
@@ -156,35 +158,35 @@
         return await self._client.call(
             'POST',
             path,
-            _JSON.encode(body),
+            _encoder.encode(body),
             timeout_s,
             ((b'expect-instance', executor.name.encode()),),
         )
 
 
-def _verdict_of(answer: Response) -> tuple[str, int]:
-    if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+def _decode_verdict(response: Response) -> tuple[str, int]:
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
         return verdicts.OTHER_INSTANCE, 0
-    if answer.status in _REFUSING_STATUSES:
+    if response.status in _REFUSAL_STATUSES:
         return verdicts.REFUSED, 0
     try:
-        body = _start_decoder.decode(answer.content)
+        body = _start_decoder.decode(response.content)
     except msgspec.MsgspecError:
         return verdicts.UNKNOWN, 0
-    if answer.status == HTTPStatus.OK:
+    if response.status == HTTPStatus.OK:
         return verdicts.STARTED, body.clock_ms
-    if answer.status == HTTPStatus.CONFLICT:
+    if response.status == HTTPStatus.CONFLICT:
         verdict = _VERDICT_BY_REASON.get(body.reason, verdicts.REFUSED)
         return verdict, body.clock_ms
     return verdicts.UNKNOWN, 0
 
 
-def _lists_of(
+def _decode_renewal(
     content: bytes,
     now: float,
     sent_at: float,
 ) -> events.RenewalAnswered:
-    body = _lists_decoder.decode(content)
+    body = _renewal_decoder.decode(content)
     running = tuple(
         events.RunProgress(str(row[0]), int(row[1]), int(row[3]))
         for row in body.running
@@ -194,7 +196,7 @@
             int(row[0]),
             str(row[1]),
             int(row[2]),
-            _OUTCOME_BY_END.get(row[3], outcomes.LOST),
+            _OUTCOME_BY_END_REASON.get(row[3], outcomes.LOST),
         )
         for row in body.ended
     )
