--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -80,14 +80,16 @@
             return _NOT_FOUND
         match method:
             case 'PUT':
-                return self._take_report(executor, body)
+                return self._handle_heartbeat(executor, body)
             case 'DELETE':
-                left = events.ExecutorLeft(anyio.current_time(), executor)
-                self._worker.handle(left)
+                departure = events.ExecutorLeft(anyio.current_time(), executor)
+                self._worker.handle(departure)
                 return _ACKNOWLEDGED
         return asgi.Reply(405, b'{"error":"unknown method"}')
 
-    def _take_report(self, executor: str, content: bytes | None) -> asgi.Reply:
+    def _handle_heartbeat(
+        self, executor: str, content: bytes | None
+    ) -> asgi.Reply:
         # What cannot be read names no executor.
         if content is None:
             return _refuse(executor, 'the body is too large')
