--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -171,11 +171,13 @@
         try:
             response = await connection.exchange(request, content)
         except (OSError, anyio.BrokenResourceError) as error:
-            unanswered = Unanswered(str(error) or 'connection lost', sent=True)
-        except h11.RemoteProtocolError as fault:
-            unanswered = Unanswered(f'malformed response: {fault}', sent=True)
+            failure = Unanswered(str(error) or 'connection lost', sent=True)
+        except h11.RemoteProtocolError as protocol_error:
+            failure = Unanswered(
+                f'malformed response: {protocol_error}', sent=True
+            )
         except trio.Cancelled:
-            self._distrust()
+            self._retire_idle_connections()
             with anyio.CancelScope(shield=True):
                 await connection.close()
             raise
@@ -186,11 +188,11 @@
             else:
                 await connection.close()
             return response
-        self._distrust()
+        self._retire_idle_connections()
         await connection.close()
-        return unanswered
+        return failure
 
-    def _distrust(self) -> None:
+    def _retire_idle_connections(self) -> None:
         # Idle connections are closed when they are found not to be reusable.
         self._generation += 1
         for connection in self._idle:
