--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -16,7 +16,7 @@
 from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
 
-_MOST_TASKS: Final = 10_000
+_MAX_TASKS_PER_STEP: Final = 10_000
 # 410 says that no such job exists.
 _STATUS_BY_VERDICT: Final = MappingProxyType(
     {
@@ -83,12 +83,12 @@
         body = _decoder.decode(content)
     except msgspec.MsgspecError as error:
         return Error(str(error))
-    fault = _fault_of(body)
-    if fault:
-        return Error(fault)
-    steps = tuple(_step_of(step) for step in body.steps)
+    reason = _validate(body)
+    if reason:
+        return Error(reason)
+    steps = tuple(_convert_step(step) for step in body.steps)
     request = JobRequest(name, body.spec, steps)
-    return Ok(SubmittedJob(request, _unsupported(body)))
+    return Ok(SubmittedJob(request, _find_unsupported(body)))
 
 
 def encode_answer(
@@ -111,12 +111,12 @@
     )
 
 
-def _fault_of(body: _JobBody) -> str:
+def _validate(body: _JobBody) -> str:
     if not body.steps:
         return 'steps: a job needs at least one step'
     for index, step in enumerate(body.steps):
-        if not 1 <= step.count <= _MOST_TASKS:
-            return f'steps[{index}].count: must be 1 to {_MOST_TASKS}'
+        if not 1 <= step.count <= _MAX_TASKS_PER_STEP:
+            return f'steps[{index}].count: must be 1 to {_MAX_TASKS_PER_STEP}'
         if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
             return f'steps[{index}]: amounts must not be negative'
         if any(not 0 <= earlier < index for earlier in step.after):
@@ -124,7 +124,7 @@
     return ''
 
 
-def _step_of(body: _StepBody) -> Step:
+def _convert_step(body: _StepBody) -> Step:
     return Step(
         body.count,
         Resources(body.cpu, body.mem_mb, body.gpu),
@@ -136,7 +136,7 @@
     )
 
 
-def _unsupported(body: _JobBody) -> str:
+def _find_unsupported(body: _JobBody) -> str:
     if not body.best_effort:
         return 'jobs that must be stored'
     if body.repeats:
