Name the platform store's private parts for what they do

_JSON -> _encoder _copies -> _cached_prefixes copy -> cached _carry_out -> _execute _lease -> _execute_lease _lease_of -> _decode_lease _key_value -> _convert_item _RangeAnswer -> _RangeBody _WatchAnswer -> _WatchBody _TransactionAnswer -> _TransactionBody _ConflictAnswer -> _ConflictBody _LeaseAnswer -> _LeaseBody _ItemAnswer -> _KeyBody answer -> response written -> transaction held -> granted found -> matching one -> item

--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -19,11 +19,11 @@
 from savoryrudder.utils.units import MS_PER_S
 
 _TIMEOUT_S: Final = 1.0
-_JSON: Final = msgspec.json.Encoder()
+_encoder: Final = msgspec.json.Encoder()
 
 
 class _Item(msgspec.Struct):
-    """Read one key; an event of a deletion has no value."""
+    """Read item key; an event of a deletion has no value."""
 
     key: str
     revision: int
@@ -31,43 +31,43 @@
     deleted: bool = False
 
 
-class _ItemAnswer(_Item, kw_only=True):
+class _KeyBody(_Item, kw_only=True):
     current_rev: int
 
 
-class _RangeAnswer(msgspec.Struct):
+class _RangeBody(msgspec.Struct):
     items: list[_Item]
     current_rev: int
-    # Named for whether another page follows this one.
+    # Named for whether another page follows this item.
     more_pages: bool = False
 
 
-class _WatchAnswer(msgspec.Struct):
+class _WatchBody(msgspec.Struct):
     events: list[_Item]
     current_rev: int
 
 
-class _TransactionAnswer(msgspec.Struct):
+class _TransactionBody(msgspec.Struct):
     revision: int
 
 
-class _ConflictAnswer(msgspec.Struct):
+class _ConflictBody(msgspec.Struct):
     # The expected keys as they are now; a key that is absent has revision 0.
     items: list[_Item]
 
 
-class _LeaseAnswer(msgspec.Struct):
+class _LeaseBody(msgspec.Struct):
     ttl_ms: int
     lease: int = 0
 
 
 class PlatformStore:
-    """Carry out store operations; keeps a copy of each watched prefix."""
+    """Carry out store operations; keeps a cached of each watched prefix."""
 
     def __init__(self, address: str) -> None:
         """Prepare to call the store at `ip:port`."""
         self._client = PlatformClient(address)
-        self._copies: dict[str, dict[str, interface.KeyValue]] = {}
+        self._cached_prefixes: dict[str, dict[str, interface.KeyValue]] = {}
 
     def move(self, address: str) -> None:
         """Use the store at another address from the next call on."""
@@ -78,13 +78,13 @@
         self,
         operation: interface.StoreOperation,
     ) -> interface.StoreOutcome:
-        """Carry out one operation; a failure is `StoreUnavailable`."""
+        """Carry out item operation; a failure is `StoreUnavailable`."""
         try:
-            return await self._carry_out(operation)
+            return await self._execute(operation)
         except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
-            return interface.StoreUnavailable(f'unusable answer: {error}')
+            return interface.StoreUnavailable(f'unusable response: {error}')
 
-    async def _carry_out(
+    async def _execute(
         self,
         operation: interface.StoreOperation,
     ) -> interface.StoreOutcome:
@@ -96,9 +96,9 @@
             case interface.WatchPrefix():
                 return await self._watch(operation)
             case _:
-                return await self._lease(operation)
+                return await self._execute_lease(operation)
 
-    async def _lease(
+    async def _execute_lease(
         self,
         operation: interface.GrantLease
         | interface.RenewLease
@@ -107,15 +107,15 @@
         match operation:
             case interface.GrantLease(ttl_s):
                 body = {'ttl_ms': int(ttl_s * MS_PER_S)}
-                answer = await self._send('POST', '/api/kv-lease', body)
-                return _lease_of(answer, '')
+                response = await self._send('POST', '/api/kv-lease', body)
+                return _decode_lease(response, '')
             case interface.RenewLease(lease):
-                answer = await self._send('POST', f'/api/kv-keep/{lease}')
-                return _lease_of(answer, lease)
+                response = await self._send('POST', f'/api/kv-keep/{lease}')
+                return _decode_lease(response, lease)
             case interface.RevokeLease(lease):
                 path = f'/api/kv-lease-end/{lease}'
-                answer = await self._send('DELETE', path)
-                return _lease_of(answer, lease)
+                response = await self._send('DELETE', path)
+                return _decode_lease(response, lease)
 
     async def _send(
         self,
@@ -124,17 +124,17 @@
         body: dict[str, Any] | None = None,
         timeout_s: float = _TIMEOUT_S,
     ) -> Response | Unanswered:
-        content = None if body is None else _JSON.encode(body)
+        content = None if body is None else _encoder.encode(body)
         return await self._client.call(method, path, content, timeout_s)
 
     async def _read(self, key: str) -> interface.StoreOutcome:
         query = urlencode({'key': key})
-        answer = await self._send('GET', f'/api/kv-key?{query}')
-        if _has_status(answer, HTTPStatus.NOT_FOUND):
+        response = await self._send('GET', f'/api/kv-key?{query}')
+        if _has_status(response, HTTPStatus.NOT_FOUND):
             return interface.KeyValue(key, 0, None)
-        if not _has_status(answer, HTTPStatus.OK):
-            return _unavailable(answer)
-        return _key_value(msgspec.json.decode(answer.content, type=_Item))
+        if not _has_status(response, HTTPStatus.OK):
+            return _unavailable(response)
+        return _convert_item(msgspec.json.decode(response.content, type=_Item))
 
     async def _swap(
         self,
@@ -158,31 +158,36 @@
                     'lease': int(operation.lease or 0),
                 },
             )
-        answer = await self._send('POST', '/api/kv-txn', body)
-        if _has_status(answer, HTTPStatus.OK):
-            written = msgspec.json.decode(
-                answer.content,
-                type=_TransactionAnswer,
+        response = await self._send('POST', '/api/kv-txn', body)
+        if _has_status(response, HTTPStatus.OK):
+            transaction = msgspec.json.decode(
+                response.content,
+                type=_TransactionBody,
             )
-            return interface.Swapped(written.revision)
-        if _has_status(answer, HTTPStatus.PRECONDITION_FAILED):
-            conflict = msgspec.json.decode(answer.content, type=_ConflictAnswer)
-            found = [one for one in conflict.items if one.key == operation.key]
+            return interface.Swapped(transaction.revision)
+        if _has_status(response, HTTPStatus.PRECONDITION_FAILED):
+            conflict = msgspec.json.decode(response.content, type=_ConflictBody)
+            matching = [
+                item for item in conflict.items if item.key == operation.key
+            ]
             current = (
-                _key_value(found[0])
-                if found
+                _convert_item(matching[0])
+                if matching
                 else interface.KeyValue(operation.key, 0, None)
             )
             return interface.SwapConflict(current)
-        if _has_status(answer, HTTPStatus.NOT_FOUND):
+        if _has_status(response, HTTPStatus.NOT_FOUND):
             return interface.LeaseLost()
-        return _unavailable(answer)
+        return _unavailable(response)
 
     async def _watch(
         self,
         operation: interface.WatchPrefix,
     ) -> interface.StoreOutcome:
-        if operation.after == 0 or operation.prefix not in self._copies:
+        if (
+            operation.after == 0
+            or operation.prefix not in self._cached_prefixes
+        ):
             return await self._read_all(operation.prefix)
         query = urlencode(
             {
@@ -191,61 +196,63 @@
                 'wait_ms': int(operation.wait_s * MS_PER_S),
             },
         )
-        answer = await self._send(
+        response = await self._send(
             'GET',
             f'/api/kv-watch?{query}',
             timeout_s=operation.wait_s + _TIMEOUT_S,
         )
-        if _has_status(answer, HTTPStatus.GONE):
+        if _has_status(response, HTTPStatus.GONE):
             # The history since `after` is gone.
             return await self._read_all(operation.prefix)
-        if not _has_status(answer, HTTPStatus.OK):
-            return _unavailable(answer)
-        changes = msgspec.json.decode(answer.content, type=_WatchAnswer)
-        copy = self._copies[operation.prefix]
+        if not _has_status(response, HTTPStatus.OK):
+            return _unavailable(response)
+        changes = msgspec.json.decode(response.content, type=_WatchBody)
+        cached = self._cached_prefixes[operation.prefix]
         for item in changes.events:
             if item.deleted:
-                copy.pop(item.key, None)
+                cached.pop(item.key, None)
             else:
-                copy[item.key] = _key_value(item)
-        return interface.Snapshot(changes.current_rev, tuple(copy.values()))
+                cached[item.key] = _convert_item(item)
+        return interface.Snapshot(changes.current_rev, tuple(cached.values()))
 
     async def _read_all(self, prefix: str) -> interface.StoreOutcome:
-        copy: dict[str, interface.KeyValue] = {}
-        # Pages are not a snapshot; the watch goes on from the first one.
+        cached: dict[str, interface.KeyValue] = {}
+        # Pages are not a snapshot; the watch goes on from the first item.
         first_version = 0
         query = {'prefix': prefix}
         while True:
             path = f'/api/kv-range?{urlencode(query)}'
-            answer = await self._send('GET', path)
-            if not _has_status(answer, HTTPStatus.OK):
-                return _unavailable(answer)
-            page = msgspec.json.decode(answer.content, type=_RangeAnswer)
+            response = await self._send('GET', path)
+            if not _has_status(response, HTTPStatus.OK):
+                return _unavailable(response)
+            page = msgspec.json.decode(response.content, type=_RangeBody)
             first_version = first_version or page.current_rev
-            copy.update((item.key, _key_value(item)) for item in page.items)
+            cached.update(
+                (item.key, _convert_item(item)) for item in page.items
+            )
             if not page.more_pages or not page.items:
                 break
             query['after'] = page.items[-1].key
-        self._copies[prefix] = copy
-        return interface.Snapshot(first_version, tuple(copy.values()))
+        self._cached_prefixes[prefix] = cached
+        return interface.Snapshot(first_version, tuple(cached.values()))
 
 
 def _has_status(
-    answer: Response | Unanswered,
+    response: Response | Unanswered,
     status: HTTPStatus,
 ) -> TypeGuard[Response]:
-    return isinstance(answer, Response) and answer.status == status
+    return isinstance(response, Response) and response.status == status
 
 
 def _unavailable(
-    answer: Response | Unanswered,
+    response: Response | Unanswered,
 ) -> interface.StoreUnavailable:
-    if isinstance(answer, Unanswered):
-        return interface.StoreUnavailable(answer.reason)
-    return interface.StoreUnavailable(f'the store answered {answer.status}')
+    if isinstance(response, Unanswered):
+        return interface.StoreUnavailable(response.reason)
+    return interface.StoreUnavailable(f'the store answered {response.status}')
 
 
-def _key_value(item: _Item) -> interface.KeyValue:
+def _convert_item(item: _Item) -> interface.KeyValue:
     content = base64.b64decode(item.value, validate=True).decode()
     is_present = item.revision > 0 and not item.deleted
     return interface.KeyValue(
@@ -255,16 +262,16 @@
     )
 
 
-def _lease_of(
-    answer: Response | Unanswered,
+def _decode_lease(
+    response: Response | Unanswered,
     lease: str,
 ) -> interface.StoreOutcome:
-    if _has_status(answer, HTTPStatus.NOT_FOUND):
+    if _has_status(response, HTTPStatus.NOT_FOUND):
         return interface.LeaseLost()
-    if isinstance(answer, Unanswered) or answer.status != HTTPStatus.OK:
-        return _unavailable(answer)
-    if not answer.content:
+    if isinstance(response, Unanswered) or response.status != HTTPStatus.OK:
+        return _unavailable(response)
+    if not response.content:
         return interface.LeaseHeld(lease, 0)
-    held = msgspec.json.decode(answer.content, type=_LeaseAnswer)
-    name = lease or str(held.lease)
-    return interface.LeaseHeld(name, held.ttl_ms / MS_PER_S)
+    granted = msgspec.json.decode(response.content, type=_LeaseBody)
+    name = lease or str(granted.lease)
+    return interface.LeaseHeld(name, granted.ttl_ms / MS_PER_S)
