Name the callers' application in the terms of HTTP

_Call -> _RequestHead call -> head _head_of -> _parse_head _Describe -> _EventFactory describe -> make_event _ask -> _dispatch number -> request patience_s -> timeout_s raw_patience -> raw_timeout found -> answers _watch_caller -> _cancel_on_disconnect _error -> _encode_error

--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -25,19 +25,19 @@
     from savoryrudder.dispatch.answers import Answer
     from savoryrudder.dispatch.answers import QueueLength
 
-_Describe: TypeAlias = Callable[[float, int], events.DispatchEvent]
+_EventFactory: TypeAlias = Callable[[float, int], events.DispatchEvent]
 
 _MAX_BODY_BYTES: Final = 262_144
 _READINESS_PATH: Final = '/api/ready'
 
 
-class _Call(NamedTuple):
+class _RequestHead(NamedTuple):
     """Hold the head of a request."""
 
     method: str
     host: str
     path: str
-    patience_s: float | None
+    timeout_s: float | None
 
 
 class CallerApp:
@@ -57,87 +57,89 @@
         if scope['type'] == 'lifespan':
             await asgi.handle_lifespan(receive, send)
             return
-        call = _head_of(scope)
-        if call.path == _READINESS_PATH:
+        head = _parse_head(scope)
+        if head.path == _READINESS_PATH:
             status = 200 if self._dispatcher.ready else 503
             await self._respond(send, EncodedAnswer(status, b'{}', 0))
             return
         try:
-            answer = await self._serve(call, receive)
+            answer = await self._serve(head, receive)
         except asgi.CallerDisconnectedError:
             return
         await self._respond(send, answer)
 
-    async def _serve(self, call: _Call, receive: asgi.Receive) -> EncodedAnswer:
+    async def _serve(
+        self, head: _RequestHead, receive: asgi.Receive
+    ) -> EncodedAnswer:
         content = await asgi.read_body(receive, _MAX_BODY_BYTES)
         if content is None:
-            return _error(413, 'the body is too large')
-        match call.method:
+            return _encode_error(413, 'the body is too large')
+        match head.method:
             case 'POST':
-                return await self._submit(call, content, receive)
+                return await self._submit(head, content, receive)
             case 'GET':
-                return await self._ask(
-                    lambda now, number: events.JobQueried(
+                return await self._dispatch(
+                    lambda now, request: events.JobQueried(
                         now,
-                        number,
-                        call.host,
-                        call.path,
+                        request,
+                        head.host,
+                        head.path,
                     ),
                     receive,
                 )
             case 'DELETE':
-                return await self._ask(
-                    lambda now, number: events.JobCancelled(
+                return await self._dispatch(
+                    lambda now, request: events.JobCancelled(
                         now,
-                        number,
-                        call.host,
-                        call.path,
+                        request,
+                        head.host,
+                        head.path,
                     ),
                     receive,
                 )
-        return _error(405, f'unknown method {call.method}')
+        return _encode_error(405, f'unknown method {head.method}')
 
     async def _submit(
         self,
-        call: _Call,
+        head: _RequestHead,
         content: bytes,
         receive: asgi.Receive,
     ) -> EncodedAnswer:
-        name = call.path.rpartition('/')[-1]
+        name = head.path.rpartition('/')[-1]
         decoded = decode_job(name, content)
         if decoded.is_error():
             log_event(
                 'job-malformed',
                 (('job', name), ('reason', decoded.error)),
             )
-            return _error(400, decoded.error)
+            return _encode_error(400, decoded.error)
         submitted = decoded.ok
-        return await self._ask(
-            lambda now, number: events.JobSubmitted(
+        return await self._dispatch(
+            lambda now, request: events.JobSubmitted(
                 now,
-                number,
-                call.host,
-                call.path,
+                request,
+                head.host,
+                head.path,
                 submitted.request,
                 submitted.unsupported,
-                call.patience_s,
+                head.timeout_s,
             ),
             receive,
         )
 
-    async def _ask(
+    async def _dispatch(
         self,
-        describe: _Describe,
+        make_event: _EventFactory,
         receive: asgi.Receive,
     ) -> EncodedAnswer:
-        found: list[Answer | QueueLength] = []
+        answers: list[Answer | QueueLength] = []
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_caller, receive, group.cancel_scope)
-            found.append(await self._dispatcher.ask(describe))
+            group.start_soon(_cancel_on_disconnect, receive, group.cancel_scope)
+            answers.append(await self._dispatcher.ask(make_event))
             group.cancel_scope.cancel()
-        if not found:
+        if not answers:
             raise asgi.CallerDisconnectedError
-        return encode_answer(found[0])
+        return encode_answer(answers[0])
 
     async def _respond(self, send: asgi.Send, answer: EncodedAnswer) -> None:
         headers = []
@@ -153,7 +155,7 @@
         )
 
 
-async def _watch_caller(
+async def _cancel_on_disconnect(
     receive: asgi.Receive,
     scope: anyio.CancelScope,
 ) -> None:
@@ -164,21 +166,19 @@
             return
 
 
-def _head_of(scope: asgi.Message) -> _Call:
+def _parse_head(scope: asgi.Message) -> _RequestHead:
     headers = dict(scope['headers'])
     host = headers.get(b'host', b'').decode('latin-1')
-    raw_patience = headers.get(b'deadline-ms', b'').decode('latin-1')
-    patience_s = (
-        int(raw_patience) / MS_PER_S if raw_patience.isdecimal() else None
-    )
-    return _Call(
+    raw_timeout = headers.get(b'deadline-ms', b'').decode('latin-1')
+    timeout_s = int(raw_timeout) / MS_PER_S if raw_timeout.isdecimal() else None
+    return _RequestHead(
         scope['method'],
         host.partition(':')[0],
         scope['path'],
-        patience_s,
+        timeout_s,
     )
 
 
-def _error(status: int, reason: str) -> EncodedAnswer:
+def _encode_error(status: int, reason: str) -> EncodedAnswer:
     body = msgspec.json.encode({'error': reason})
     return EncodedAnswer(status, body, 0)
