Name the process set-up's private parts for what they do

_FAULTY_SETTINGS -> _SETTINGS_ERROR_STATUS found -> loaded _take_members -> _update_members _Reloader -> _SettingsReloader former -> previous

--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -35,7 +35,7 @@
 
 INCARNATION_BYTES: Final = 4
 
-_FAULTY_SETTINGS: Final = 1
+_SETTINGS_ERROR_STATUS: Final = 1
 # Named in the deploy file, too.
 _METRICS_PORT: Final = 9464
 _MEMBERS_WAIT_S: Final = 5
@@ -55,11 +55,11 @@
     serve: Callable[[ProcessSettings], Awaitable[None]],
 ) -> None:
     """Read the settings and serve until stopped."""
-    found = read_settings()
-    if found.is_error():
-        sys.stderr.write(f'{found.error}\n')
-        sys.exit(_FAULTY_SETTINGS)
-    settings = found.ok
+    loaded = read_settings()
+    if loaded.is_error():
+        sys.stderr.write(f'{loaded.error}\n')
+        sys.exit(_SETTINGS_ERROR_STATUS)
+    settings = loaded.ok
     # What was imported lives as long as the process.
     gc.freeze()
     with log_to(STANDARD_OUTPUT):
@@ -90,11 +90,11 @@
         store,
         MEMBERS_PREFIX,
         _MEMBERS_WAIT_S,
-        partial(_take_members, process),
+        partial(_update_members, process),
     )
 
 
-def _take_members(
+def _update_members(
     process: Dispatcher | Worker,
     entries: tuple[KeyValue, ...],
 ) -> None:
@@ -113,11 +113,11 @@
     group.start_soon(
         watch_signals,
         lambda: process.drain(settings.grace_s - _STOP_MARGIN_S),
-        _Reloader(settings, store).reload,
+        _SettingsReloader(settings, store).reload,
     )
 
 
-class _Reloader:
+class _SettingsReloader:
     """Read the settings again when the platform has changed them.
 
     The address of the store takes effect at once; the other settings that
@@ -129,16 +129,16 @@
         self._store = store
 
     def reload(self) -> None:
-        """Read the settings; keep the former ones if they are faulty."""
-        found = read_settings()
-        if found.is_error():
-            log_event('reload-refused', (('reason', found.error),))
+        """Read the settings; keep the previous ones if they are faulty."""
+        loaded = read_settings()
+        if loaded.is_error():
+            log_event('reload-refused', (('reason', loaded.error),))
             return
-        current = found.ok
+        current = loaded.ok
         changed = [
             name
-            for name, former in self._settings._asdict().items()
-            if getattr(current, name) != former
+            for name, previous in self._settings._asdict().items()
+            if getattr(current, name) != previous
         ]
         log_event('reload', (('changed', ','.join(changed)),))
         self._settings = current
