--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -34,7 +34,7 @@
 # An agent notices a lost link, stops its runs or lets their lease expire.
 _SETTLE_S: Final = 2.5
 # Idle connections of callers are closed in this time before the exit.
-_CLOSING_S: Final = 0.3
+_CLOSE_TIMEOUT_S: Final = 0.3
 
 
 async def run_entry(settings: ProcessSettings) -> None:
@@ -53,7 +53,7 @@
         await process.serve_metrics(group, settings, dispatcher)
         await dispatcher.stopped.wait()
         stopping.set()
-        await _close(registration)
+        await _close_connections(registration)
         group.cancel_scope.cancel()
 
 
@@ -67,20 +67,20 @@
         store,
         CONFIGURATION_KEY,
         _CONFIGURATION_WAIT_S,
-        partial(_take_configuration, dispatcher),
+        partial(_update_configuration, dispatcher),
     )
 
 
-def _take_configuration(
+def _update_configuration(
     dispatcher: Dispatcher,
     entries: tuple[KeyValue, ...],
 ) -> None:
     for entry in entries:
         if entry.key == CONFIGURATION_KEY and entry.value is not None:
-            _configure(dispatcher, entry.value)
+            _apply_configuration(dispatcher, entry.value)
 
 
-def _configure(dispatcher: Dispatcher, content: str) -> None:
+def _apply_configuration(dispatcher: Dispatcher, content: str) -> None:
     decoded = decode_configuration(content)
     if decoded.is_ok():
         dispatcher.apply_configuration(decoded.ok)
@@ -102,9 +102,9 @@
         await group.start(serve_http, app, readiness)
 
 
-async def _close(registration: Registration) -> None:
-    await anyio.sleep(_CLOSING_S)
-    with anyio.move_on_after(_CLOSING_S):
+async def _close_connections(registration: Registration) -> None:
+    await anyio.sleep(_CLOSE_TIMEOUT_S)
+    with anyio.move_on_after(_CLOSE_TIMEOUT_S):
         await registration.withdraw()
 
 
