--- a/src/savoryrudder/platform/__init__.py
+++ b/src/savoryrudder/platform/__init__.py
@@ -1,6 +1,6 @@
-"""Translate between the users' platform and the product.
+"""Adapt the dispatcher to the users' platform.
 
-Nothing outside this package knows the names that the platform uses.
+The platform's names and formats are confined to this package.
 """
 
 from __future__ import annotations
