--- a/src/savoryrudder/platform/agent.py
+++ b/src/savoryrudder/platform/agent.py
@@ -25,7 +25,7 @@
 
 
 async def run_agent(settings: ProcessSettings) -> None:
-    """Serve the executor beside this machine until stopped."""
+    """Run tasks on the executor beside this agent until stopped."""
     worker = _new_worker(settings)
     store = PlatformStore(settings.store)
     async with anyio.create_task_group() as group:
@@ -51,7 +51,8 @@
     state = WorkerState(
         identity,
         WorkerTiming(settings.lease_s, settings.stop_s),
-        # Rises across the starts of the agent, which keeps nothing.
+        # The agent keeps no state: the wall clock makes the fencing token
+        # grow with each start.
         fence=int(time.time() * MS_PER_S),
     )
     return Worker(state, ExecutorClient(), Counters())
