--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -63,9 +63,9 @@
 
 class _RenewalBody(msgspec.Struct):
     clock_ms: int
-    # Rows of task, run, saved state, percent, load.
+    # Rows of task, run, saved state, progress in percent, load.
     running: list[list[Any]] = msgspec.field(default_factory=list)
-    # Rows of number, task, run, how it ended, saved state.
+    # Rows of number, task, run, end reason, saved state.
     ended: list[list[Any]] = msgspec.field(default_factory=list)
 
 
@@ -74,14 +74,14 @@
 
 
 class ExecutorClient:
-    """Call the executor at whatever address it has reported last."""
+    """Call the executor at the address that it reported last."""
 
     def __init__(self) -> None:
-        """Start without an address."""
+        """Create a client; each call carries the executor's address."""
         self._client = PlatformClient('')
 
     async def start(self, call: effects.StartRun) -> tuple[str, int]:
-        """Return the verdict and the executor's clock (ms, 0: unknown)."""
+        """Return the verdict and the executor's clock (ms; 0: unknown)."""
         body = {
             'task': call.task,
             'run': call.run,
@@ -118,7 +118,7 @@
         call: effects.RenewLease,
         sent_at: float,
     ) -> events.RenewalAnswered | events.RenewalFailed:
-        """Return the executor's runs and ends."""
+        """Renew the lease and return the running and ended runs."""
         body = {
             'fence': call.fence,
             'acked_upto': call.acknowledged_upto,
@@ -137,7 +137,7 @@
         if isinstance(response, Unanswered):
             return events.RenewalFailed(now, response.reason)
         if response.status != HTTPStatus.OK:
-            reason = f'the executor answered {response.status}'
+            reason = f'the executor responded with status {response.status}'
             verdict, _ = _decode_verdict(response)
             is_fenced = verdict == verdicts.FENCED
             return events.RenewalFailed(now, reason, is_fenced)
