--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -1,4 +1,4 @@
-"""Receive the executor's reports about itself."""
+"""Receive the heartbeats of the executor beside an agent."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
     clock_ms: int
     capacity: _CapacityBody
     labels: list[str] = msgspec.field(default_factory=list)
-    # The UTC time of its start, in milliseconds.
+    # UTC time at which the executor started, in milliseconds.
     born: int = 0
 
 
@@ -46,10 +46,10 @@
 
 
 class HeartbeatApp:
-    """Pass the executor's reports on to the agent; an ASGI application."""
+    """ASGI application that passes the executor's heartbeats to the agent."""
 
     def __init__(self, worker: Worker) -> None:
-        """Serve the executor beside an agent."""
+        """Pass heartbeats to `worker`."""
         self._worker = worker
 
     async def __call__(
@@ -88,9 +88,11 @@
         return asgi.Reply(405, b'{"error":"unknown method"}')
 
     def _handle_heartbeat(
-        self, executor: str, content: bytes | None
+        self,
+        executor: str,
+        content: bytes | None,
     ) -> asgi.Reply:
-        # What cannot be read names no executor.
+        # A heartbeat that cannot be decoded is no sign of life.
         if content is None:
             return _refuse(executor, 'the body is too large')
         try:
