--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -1,4 +1,4 @@
-"""Call one HTTP server of the platform."""
+"""Send HTTP requests to a server of the platform."""
 
 from __future__ import annotations
 
@@ -24,16 +24,16 @@
 
 
 class Response(NamedTuple):
-    """Hold the answer to a call."""
+    """Hold the response to a request."""
 
     status: int
     content: bytes
 
 
 class Unanswered(NamedTuple):
-    """Report a call without an answer.
+    """Report a request that got no response.
 
-    `sent` is False if the server cannot have received it.
+    `sent` is False if the server cannot have received the request.
     """
 
     reason: str
@@ -41,7 +41,7 @@
 
 
 class _Connection:
-    """Exchange one request and response at a time."""
+    """HTTP/1.1 connection for one request at a time."""
 
     def __init__(self, stream: SocketStream) -> None:
         self.used_at = anyio.current_time()
@@ -57,7 +57,7 @@
         if self._protocol.our_state is not h11.IDLE:
             return False
         is_fresh = anyio.current_time() - self.used_at < _KEEPALIVE_S
-        # An idle connection that can be read has been closed.
+        # An idle connection is readable only once the server has closed it.
         return is_fresh and not self._poll.poll(0)
 
     async def exchange(self, request: h11.Request, body: bytes) -> Response:
@@ -98,11 +98,11 @@
 
 
 class PlatformClient:
-    """Send each call once, over connections that are kept open.
+    """Send each request once, over persistent connections.
 
-    Open connections may have gone silent, so that after a call without an
-    answer the following calls use new ones. A call costs a fifth of the
-    processor time that it costs with httpx.
+    After a request without a response, the next requests use new connections,
+    since the idle ones may be dead, too. A request takes a fifth of the CPU
+    time that it takes with httpx.
     """
 
     def __init__(self, address: str) -> None:
@@ -124,7 +124,7 @@
         timeout_s: float,
         headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> Response | Unanswered:
-        """Send a call and return its answer."""
+        """Send a request and return its response."""
         content = body or b''
         request = h11.Request(
             method=method,
@@ -137,7 +137,7 @@
             ],
         )
         connection: _Connection | Unanswered = Unanswered(
-            'cannot connect in time',
+            'connection timed out',
             sent=False,
         )
         with anyio.move_on_after(timeout_s):
@@ -147,7 +147,7 @@
             return await self._exchange(connection, request, content)
         if isinstance(connection, Unanswered):
             return connection
-        return Unanswered('no answer in time', sent=True)
+        return Unanswered('request timed out', sent=True)
 
     async def _connect(self) -> _Connection | Unanswered:
         while self._idle:
@@ -174,7 +174,8 @@
             failure = Unanswered(str(error) or 'connection lost', sent=True)
         except h11.RemoteProtocolError as protocol_error:
             failure = Unanswered(
-                f'malformed response: {protocol_error}', sent=True
+                f'malformed response: {protocol_error}',
+                sent=True,
             )
         except trio.Cancelled:
             self._retire_idle_connections()
@@ -182,7 +183,7 @@
                 await connection.close()
             raise
         else:
-            # After a failure elsewhere, this connection may be silent, too.
+            # After a failure on another connection, this one may be dead, too.
             if generation == self._generation:
                 self._idle.append(connection)
             else:
@@ -193,7 +194,7 @@
         return failure
 
     def _retire_idle_connections(self) -> None:
-        # Idle connections are closed when they are found not to be reusable.
+        # `_connect` closes these connections as it finds them not reusable.
         self._generation += 1
         for connection in self._idle:
             connection.used_at = float('-inf')
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -99,7 +99,7 @@
         await client.call('GET', '/x', None, PATIENT_S)
         server.answer = b''
         found = await client.call('POST', '/x', b'{}', 0.05)
-        assert found == Unanswered('no answer in time', sent=True)
+        assert found == Unanswered('request timed out', sent=True)
         server.answer = ANSWER
         again = await client.call('POST', '/x', b'{}', PATIENT_S)
         assert again == Response(200, b'{}')
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -89,7 +89,7 @@
         Response(503, b''),
         Response(429, b'{}'),
         Response(200, b'no json'),
-        Unanswered('no answer in time', sent=True),
+        Unanswered('request timed out', sent=True),
     ],
 )
 def test_an_unusable_answer_is_reported(
