--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -1,4 +1,4 @@
-"""Decode the jobs that callers submit and encode the answers to them."""
+"""Decode submitted jobs and encode the answers to callers."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from savoryrudder.jobs.model import Step
 
 _MAX_TASKS_PER_STEP: Final = 10_000
-# 410 says that no such job exists.
+# 410 (Gone) means that no such job exists.
 _STATUS_BY_VERDICT: Final = MappingProxyType(
     {
         answers.UNKNOWN_QUEUE: 404,
@@ -42,7 +42,7 @@
     after: list[int] = msgspec.field(default_factory=list)
     required_label: str = ''
     data_rack: str = ''
-    # The most tasks of the step on one executor, in spite of its name.
+    # Maximum number of the step's tasks on one executor, despite the name.
     max_per_server: int = 0
     gang: bool = False
     long_running: bool = False
@@ -52,15 +52,18 @@
 class _JobBody(msgspec.Struct):
     spec: str
     steps: list[_StepBody]
-    # The job need not be stored; its answer comes when it has ended.
+    # The job need not be stored; it is answered when it has ended.
     best_effort: bool = False
-    # How many times the steps run.
+    # Number of times that the steps run.
     repeats: int = 0
     long_running: bool = False
 
 
 class SubmittedJob(NamedTuple):
-    """Hold a decoded job and what it asks for that we do not offer."""
+    """Hold a decoded job.
+
+    `unsupported` names a requested feature that is not supported, if any.
+    """
 
     request: JobRequest
     unsupported: str
@@ -78,7 +81,7 @@
 
 
 def decode_job(name: str, content: bytes) -> Result[SubmittedJob, str]:
-    """Decode a submitted job, or say what is wrong with it."""
+    """Decode a submitted job; the error names the invalid field."""
     try:
         body = _decoder.decode(content)
     except msgspec.MsgspecError as error:
@@ -94,7 +97,7 @@
 def encode_answer(
     answer: answers.Answer | answers.QueueLength,
 ) -> EncodedAnswer:
-    """Encode an answer for a caller."""
+    """Encode an answer as an HTTP response."""
     if isinstance(answer, answers.QueueLength):
         waiting = msgspec.json.encode({'waiting': answer.waiting})
         return EncodedAnswer(_OK, waiting, 0)
