--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -1,4 +1,4 @@
-"""Reach the platform's store through the product's interface."""
+"""Implement the store interface on the platform's key-value service."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class _Item(msgspec.Struct):
-    """Read item key; an event of a deletion has no value."""
+    """Hold one key; a deletion event has no value."""
 
     key: str
     revision: int
@@ -38,7 +38,7 @@
 class _RangeBody(msgspec.Struct):
     items: list[_Item]
     current_rev: int
-    # Named for whether another page follows this item.
+    # Whether another page follows this one.
     more_pages: bool = False
 
 
@@ -52,7 +52,7 @@
 
 
 class _ConflictBody(msgspec.Struct):
-    # The expected keys as they are now; a key that is absent has revision 0.
+    # The current state of the expected keys; an absent key has revision 0.
     items: list[_Item]
 
 
@@ -62,10 +62,10 @@
 
 
 class PlatformStore:
-    """Carry out store operations; keeps a cached of each watched prefix."""
+    """Execute store operations; caches the keys of each watched prefix."""
 
     def __init__(self, address: str) -> None:
-        """Prepare to call the store at `ip:port`."""
+        """Create a client of the store at `ip:port`."""
         self._client = PlatformClient(address)
         self._cached_prefixes: dict[str, dict[str, interface.KeyValue]] = {}
 
@@ -78,7 +78,7 @@
         self,
         operation: interface.StoreOperation,
     ) -> interface.StoreOutcome:
-        """Carry out item operation; a failure is `StoreUnavailable`."""
+        """Execute an operation; a failure is `StoreUnavailable`."""
         try:
             return await self._execute(operation)
         except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
@@ -202,7 +202,7 @@
             timeout_s=operation.wait_s + _TIMEOUT_S,
         )
         if _has_status(response, HTTPStatus.GONE):
-            # The history since `after` is gone.
+            # The store no longer has the changes since `after`.
             return await self._read_all(operation.prefix)
         if not _has_status(response, HTTPStatus.OK):
             return _unavailable(response)
@@ -217,7 +217,8 @@
 
     async def _read_all(self, prefix: str) -> interface.StoreOutcome:
         cached: dict[str, interface.KeyValue] = {}
-        # Pages are not a snapshot; the watch goes on from the first item.
+        # The pages are read at different revisions. The watch continues from
+        # that of the first page, so that no change is missed.
         first_version = 0
         query = {'prefix': prefix}
         while True:
@@ -249,7 +250,9 @@
 ) -> interface.StoreUnavailable:
     if isinstance(response, Unanswered):
         return interface.StoreUnavailable(response.reason)
-    return interface.StoreUnavailable(f'the store answered {response.status}')
+    return interface.StoreUnavailable(
+        f'the store responded with status {response.status}',
+    )
 
 
 def _convert_item(item: _Item) -> interface.KeyValue:
