--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -1,4 +1,4 @@
-"""Serve callers: submit, ask for and cancel jobs over HTTP."""
+"""Serve callers over HTTP: submit, query and cancel jobs."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 class _RequestHead(NamedTuple):
-    """Hold the head of a request."""
+    """Hold what the line and headers of a request say."""
 
     method: str
     host: str
@@ -41,10 +41,10 @@
 
 
 class CallerApp:
-    """Translate callers' HTTP requests; an ASGI application."""
+    """ASGI application that serves the callers of an entry."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
-        """Serve the callers of an entry."""
+        """Pass callers' requests to `dispatcher`."""
         self._dispatcher = dispatcher
 
     async def __call__(
@@ -69,7 +69,9 @@
         await self._respond(send, answer)
 
     async def _serve(
-        self, head: _RequestHead, receive: asgi.Receive
+        self,
+        head: _RequestHead,
+        receive: asgi.Receive,
     ) -> EncodedAnswer:
         content = await asgi.read_body(receive, _MAX_BODY_BYTES)
         if content is None:
@@ -147,7 +149,7 @@
             seconds = math.ceil(answer.retry_after_s)
             headers.append((b'retry-after', str(seconds).encode()))
         if self._dispatcher.state.draining:
-            # The balancer sends the next connection to another entry.
+            # The load balancer routes the next connection to another entry.
             headers.append((b'connection', b'close'))
         await asgi.respond(
             send,
