--- a/src/savoryrudder/platform/configuration.py
+++ b/src/savoryrudder/platform/configuration.py
@@ -29,7 +29,7 @@
 
 class _ConfigurationBody(msgspec.Struct):
     version: int
-    # What the platform calls a route is a queue.
+    # The platform calls a queue a route.
     routes: list[_RouteBody]
 
 
@@ -37,7 +37,7 @@
 
 
 def decode_configuration(content: str) -> Result[Configuration, str]:
-    """Decode a configuration, or say what is wrong with it."""
+    """Decode a configuration; the error names the invalid field."""
     try:
         body = _decoder.decode(content)
     except msgspec.MsgspecError as error:
