--- a/src/savoryrudder/platform/settings.py
+++ b/src/savoryrudder/platform/settings.py
@@ -20,7 +20,7 @@
 
 
 class ProcessSettings(NamedTuple):
-    """Hold the settings that our roles use; addresses are `ip:port`.
+    """Hold the settings of an entry or agent; addresses are `ip:port`.
 
     `callers` and `readiness` are empty on executors' machines, `heartbeats`
     on entries that do not serve it.
@@ -45,7 +45,7 @@
 
 
 def read_settings() -> Result[ProcessSettings, str]:
-    """Read the file that the environment names, or say what is wrong."""
+    """Read the file at the path that `PATH_VARIABLE` holds."""
     path = os.environ.get(PATH_VARIABLE, '')
     if not path:
         return Error(f'the variable {PATH_VARIABLE} is not set')
@@ -53,15 +53,15 @@
         text = Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         return Error(f'{path}: cannot read the settings: {error}')
-    return parse_settings(text).map_error(lambda fault: f'{path}: {fault}')
+    return parse_settings(text).map_error(lambda reason: f'{path}: {reason}')
 
 
 def parse_settings(text: str) -> Result[ProcessSettings, str]:
-    """Parse lines of the form `a.b=value`, or say what is wrong."""
+    """Parse lines of the form `a.b=value`; unknown names are ignored."""
     fields: dict[str, str] = {}
     for line in text.splitlines():
-        name, _, content = line.partition('=')
-        fields[name.strip()] = content.strip()
+        name, _, value = line.partition('=')
+        fields[name.strip()] = value.strip()
     missing = [
         name
         for name in ('node_name', 'zone', 'ip', 'platform.address')
