--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -1,4 +1,4 @@
-"""Run a process of the platform: settings, signals, metrics, the store."""
+"""Run an entry or agent on the platform: settings, signals, metrics."""
 
 from __future__ import annotations
 
@@ -36,15 +36,16 @@
 INCARNATION_BYTES: Final = 4
 
 _SETTINGS_ERROR_STATUS: Final = 1
-# Named in the deploy file, too.
+# The `metrics` of deploy/system.toml name the same port.
 _METRICS_PORT: Final = 9464
 _MEMBERS_WAIT_S: Final = 5
-# Left of the time between the signal to stop and the kill.
+# Kept free for the exit: the platform kills the process `grace_s` after
+# SIGTERM.
 _STOP_MARGIN_S: Final = 0.9
 
 
 class Listening(NamedTuple):
-    """Hold the address of an HTTP server without TLS."""
+    """Hold the settings of an HTTP server without TLS."""
 
     http_address: str
     tls_certificate: str | None = None
@@ -60,7 +61,8 @@
         sys.stderr.write(f'{loaded.error}\n')
         sys.exit(_SETTINGS_ERROR_STATUS)
     settings = loaded.ok
-    # What was imported lives as long as the process.
+    # The imported modules live as long as the process; the garbage collector
+    # need not scan them.
     gc.freeze()
     with log_to(STANDARD_OUTPUT):
         log_event('start', (('name', settings.name),))
@@ -73,7 +75,7 @@
     settings: ProcessSettings,
     process: Dispatcher | Worker,
 ) -> None:
-    """Serve health and metrics of a process."""
+    """Serve the health checks and metrics of a process."""
     listening = Listening(f'{settings.host}:{_METRICS_PORT}')
     await group.start(serve_http, ProbeApp(process), listening)
 
@@ -83,7 +85,7 @@
     store: PlatformStore,
     process: Dispatcher | Worker,
 ) -> None:
-    """Let a process link with the registered entries."""
+    """Keep a process linked with the registered entries."""
 
     group.start_soon(
         watch_prefix,
@@ -109,7 +111,7 @@
     store: PlatformStore,
     process: Dispatcher | Worker,
 ) -> None:
-    """Stop on SIGTERM, read the settings again on SIGHUP."""
+    """Drain on SIGTERM, reload the settings on SIGHUP."""
     group.start_soon(
         watch_signals,
         lambda: process.drain(settings.grace_s - _STOP_MARGIN_S),
@@ -118,10 +120,10 @@
 
 
 class _SettingsReloader:
-    """Read the settings again when the platform has changed them.
+    """Reload the settings after the platform has changed them.
 
-    The address of the store takes effect at once; the other settings that
-    we use belong to the machine and take effect with the next start.
+    A new address of the store takes effect at once. The other settings are
+    properties of the machine and take effect at the next start.
     """
 
     def __init__(self, settings: ProcessSettings, store: PlatformStore) -> None:
@@ -129,7 +131,7 @@
         self._store = store
 
     def reload(self) -> None:
-        """Read the settings; keep the previous ones if they are faulty."""
+        """Read the settings; keep the previous ones if reading fails."""
         loaded = read_settings()
         if loaded.is_error():
             log_event('reload-refused', (('reason', loaded.error),))
