--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -31,9 +31,11 @@
     from savoryrudder.store.interface import KeyValue
 
 _CONFIGURATION_WAIT_S: Final = 1.5
-# An agent notices a lost link, stops its runs or lets their lease expire.
+# Time for an agent that was lost to notice it and to stop its runs or let
+# their lease expire.
 _SETTLE_S: Final = 2.5
-# Idle connections of callers are closed in this time before the exit.
+# Time before the exit in which callers' idle connections are closed, and limit
+# of the call that withdraws the registration after that.
 _CLOSE_TIMEOUT_S: Final = 0.3
 
 
@@ -75,9 +77,9 @@
     dispatcher: Dispatcher,
     entries: tuple[KeyValue, ...],
 ) -> None:
-    for entry in entries:
-        if entry.key == CONFIGURATION_KEY and entry.value is not None:
-            _apply_configuration(dispatcher, entry.value)
+    for item in entries:
+        if item.key == CONFIGURATION_KEY and item.value is not None:
+            _apply_configuration(dispatcher, item.value)
 
 
 def _apply_configuration(dispatcher: Dispatcher, content: str) -> None:
