--- a/src/savoryrudder/platform/configuration.py
+++ b/src/savoryrudder/platform/configuration.py
@@ -37,7 +37,7 @@
 
 
 def decode_configuration(content: str) -> Result[Configuration, str]:
-    """Decode a configuration; the error names the invalid field."""
+    """Decode a configuration; an error says what is invalid."""
     try:
         body = _decoder.decode(content)
     except msgspec.MsgspecError as error:
--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -81,7 +81,7 @@
 
 
 def decode_job(name: str, content: bytes) -> Result[SubmittedJob, str]:
-    """Decode a submitted job; the error names the invalid field."""
+    """Decode a submitted job; an error says what is invalid."""
     try:
         body = _decoder.decode(content)
     except msgspec.MsgspecError as error:
