Name the store client's private parts in the terms of HTTP

_CONNECTIONS -> _MAX_CONNECTIONS _MAX_ANSWER_BYTES -> _MAX_RESPONSE_BYTES _Answer -> _Response answer -> response _exchange -> _send _request_for -> _build_request _outcome_of -> _decode_outcome _read -> _read_response

--- a/src/savoryrudder/store/http.py
+++ b/src/savoryrudder/store/http.py
@@ -14,12 +14,12 @@
 
 from savoryrudder.store import interface
 
-_CONNECTIONS: Final = 16
+_MAX_CONNECTIONS: Final = 16
 # The platform drops idle connections without notice; a write sent on one
-# would be lost or its answer unknown.
+# would be lost or its response unknown.
 _KEEPALIVE_S: Final = 3
 # A snapshot may hold many values of up to 1 MB.
-_MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+_MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
 
 
 class _Request(NamedTuple):
@@ -30,7 +30,7 @@
     timeout_s: float
 
 
-class _Answer(NamedTuple):
+class _Response(NamedTuple):
     status: int
     content: bytes
 
@@ -81,7 +81,7 @@
             timeout=None,
             trust_env=False,
             limits=httpx.Limits(
-                max_connections=_CONNECTIONS,
+                max_connections=_MAX_CONNECTIONS,
                 keepalive_expiry=keepalive_s,
             ),
         )
@@ -96,18 +96,18 @@
     ) -> interface.StoreOutcome:
         """Carry out one operation; a failure is `StoreUnavailable`."""
         try:
-            answer = await self._exchange(self._request_for(operation))
+            response = await self._send(self._build_request(operation))
         except TimeoutError:
-            return interface.StoreUnavailable('no answer in time')
+            return interface.StoreUnavailable('no response in time')
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             reason = str(error) or type(error).__name__
             return interface.StoreUnavailable(reason)
         try:
-            return _outcome_of(operation, answer)
+            return _decode_outcome(operation, response)
         except msgspec.MsgspecError as error:
-            return interface.StoreUnavailable(f'unusable answer: {error}')
+            return interface.StoreUnavailable(f'unusable response: {error}')
 
-    def _request_for(self, operation: interface.StoreOperation) -> _Request:
+    def _build_request(self, operation: interface.StoreOperation) -> _Request:
         timeout_s = self._timeout_s
         match operation:
             case interface.ReadKey(key):
@@ -125,7 +125,7 @@
             case _:
                 return _lease_request(operation, timeout_s)
 
-    async def _exchange(self, request: _Request) -> _Answer:
+    async def _send(self, request: _Request) -> _Response:
         with anyio.fail_after(request.timeout_s):
             async with self._client.stream(
                 request.method,
@@ -134,16 +134,16 @@
                 json=request.body,
                 headers={'accept-encoding': 'identity'},
             ) as response:
-                return await _read(response)
+                return await _read_response(response)
 
 
-async def _read(response: httpx.Response) -> _Answer:
+async def _read_response(response: httpx.Response) -> _Response:
     content = bytearray()
     async for chunk in response.aiter_raw():
         content.extend(chunk)
-        if len(content) > _MAX_ANSWER_BYTES:
-            raise httpx.ReadError('answer is too large')
-    return _Answer(response.status_code, bytes(content))
+        if len(content) > _MAX_RESPONSE_BYTES:
+            raise httpx.ReadError('response is too large')
+    return _Response(response.status_code, bytes(content))
 
 
 def _key_path(key: str) -> str:
@@ -184,17 +184,17 @@
             return _Request('DELETE', path, {}, None, timeout_s)
 
 
-def _outcome_of(
+def _decode_outcome(
     operation: interface.StoreOperation,
-    answer: _Answer,
+    response: _Response,
 ) -> interface.StoreOutcome:
-    if answer.status == HTTPStatus.OK:
-        return _decode(operation, answer.content)
-    if answer.status == HTTPStatus.CONFLICT:
-        return interface.SwapConflict(_decode_key(answer.content))
-    if answer.status == HTTPStatus.GONE:
+    if response.status == HTTPStatus.OK:
+        return _decode(operation, response.content)
+    if response.status == HTTPStatus.CONFLICT:
+        return interface.SwapConflict(_decode_key(response.content))
+    if response.status == HTTPStatus.GONE:
         return interface.LeaseLost()
-    return interface.StoreUnavailable(f'the store answered {answer.status}')
+    return interface.StoreUnavailable(f'the store answered {response.status}')
 
 
 def _decode(
@@ -224,7 +224,7 @@
 def _decode_snapshot(content: bytes) -> interface.Snapshot:
     snapshot = msgspec.json.decode(content, type=_SnapshotBody)
     entries = tuple(
-        interface.KeyValue(one.key, one.version, one.value)
-        for one in snapshot.entries
+        interface.KeyValue(entry.key, entry.version, entry.value)
+        for entry in snapshot.entries
     )
     return interface.Snapshot(snapshot.version, entries)
