--- a/src/savoryrudder/store/http.py
+++ b/src/savoryrudder/store/http.py
@@ -1,4 +1,4 @@
-"""Reach the platform's key-value service over HTTP with JSON."""
+"""Call the key-value service over HTTP with JSON."""
 
 from __future__ import annotations
 
@@ -56,7 +56,7 @@
 
 
 class HttpStore:
-    """Call the store; each operation is sent once and never repeated.
+    """Client of the store; sends each operation once, without retries.
 
     Keys: `GET /v1/keys/{key}`; `PUT` with the JSON fields `expected`, `value`
     and `lease`; `DELETE` with the query field `expected`. A conflict is 409
@@ -71,9 +71,9 @@
         timeout_s: float,
         keepalive_s: float = _KEEPALIVE_S,
     ) -> None:
-        """Prepare to call the service at `base_url`.
+        """Create a client of the service at `base_url`.
 
-        A connection idle longer than `keepalive_s` is not used again.
+        A connection idle longer than `keepalive_s` is not reused.
         """
         self._timeout_s = timeout_s
         self._client = httpx.AsyncClient(
@@ -94,7 +94,7 @@
         self,
         operation: interface.StoreOperation,
     ) -> interface.StoreOutcome:
-        """Carry out one operation; a failure is `StoreUnavailable`."""
+        """Execute an operation; a failure is `StoreUnavailable`."""
         try:
             response = await self._send(self._build_request(operation))
         except TimeoutError:
@@ -194,7 +194,9 @@
         return interface.SwapConflict(_decode_key(response.content))
     if response.status == HTTPStatus.GONE:
         return interface.LeaseLost()
-    return interface.StoreUnavailable(f'the store answered {response.status}')
+    return interface.StoreUnavailable(
+        f'the store responded with status {response.status}',
+    )
 
 
 def _decode(
@@ -212,13 +214,13 @@
         case interface.RevokeLease():
             return interface.LeaseLost()
         case interface.GrantLease() | interface.RenewLease():
-            held = msgspec.json.decode(content, type=_LeaseBody)
-            return interface.LeaseHeld(held.lease, held.ttl_s)
+            granted = msgspec.json.decode(content, type=_LeaseBody)
+            return interface.LeaseHeld(granted.lease, granted.ttl_s)
 
 
 def _decode_key(content: bytes) -> interface.KeyValue:
-    held = msgspec.json.decode(content, type=_KeyBody)
-    return interface.KeyValue(held.key, held.version, held.value)
+    body = msgspec.json.decode(content, type=_KeyBody)
+    return interface.KeyValue(body.key, body.version, body.value)
 
 
 def _decode_snapshot(content: bytes) -> interface.Snapshot:
