--- a/src/savoryrudder/store/interface.py
+++ b/src/savoryrudder/store/interface.py
@@ -16,8 +16,8 @@
 class SwapKey(NamedTuple):
     """Write a key if its version is still the expected one (0: absent).
 
-    A `value` of None deletes the key. `lease` ties the key to a lease; an
-    empty text ties it to none.
+    A `value` of None deletes the key. `lease` attaches the key to a lease;
+    an empty string attaches it to none.
     """
 
     key: str
@@ -27,7 +27,7 @@
 
 
 class GrantLease(NamedTuple):
-    """Ask for a lease with a time to live in seconds."""
+    """Request a lease with a time to live in seconds."""
 
     ttl_s: float
 
@@ -45,9 +45,9 @@
 
 
 class WatchPrefix(NamedTuple):
-    """Wait for a change below a prefix later than a store version.
+    """Wait for a change of a key under a prefix after a store version.
 
-    Returns all keys below the prefix, at once when `after` is 0.
+    Returns all keys under the prefix; at once if `after` is 0.
     """
 
     prefix: str
@@ -75,7 +75,7 @@
 
 
 class SwapConflict(NamedTuple):
-    """Report a refused write and what the key holds."""
+    """Report a write that was refused, with the key's current state."""
 
     current: KeyValue
 
@@ -88,18 +88,21 @@
 
 
 class LeaseLost(NamedTuple):
-    """Report that a lease does not exist any more."""
+    """Report that a lease no longer exists."""
 
 
 class Snapshot(NamedTuple):
-    """Report all keys below a watched prefix at a store version."""
+    """Report all keys under a watched prefix at a store version."""
 
     version: int
     entries: tuple[KeyValue, ...]
 
 
 class StoreUnavailable(NamedTuple):
-    """Report that no answer arrived; a write may have taken effect."""
+    """Report that no usable response arrived.
+
+    A write may have taken effect.
+    """
 
     reason: str
 
@@ -116,7 +119,7 @@
 
 
 class KeyValueStore(Protocol):
-    """Reach the platform's key-value service."""
+    """Client of the platform's key-value service."""
 
     async def call(self, operation: StoreOperation) -> StoreOutcome:
-        """Carry out one operation."""
+        """Execute an operation."""
