--- a/src/savoryrudder/store/http.py
+++ b/src/savoryrudder/store/http.py
@@ -15,8 +15,8 @@
 from savoryrudder.store import interface
 
 _MAX_CONNECTIONS: Final = 16
-# The platform drops idle connections without notice; a write sent on one
-# would be lost or its response unknown.
+# The platform drops idle connections without notice; a write sent on such a
+# connection would be lost, or its outcome would be unknown.
 _KEEPALIVE_S: Final = 3
 # A snapshot may hold many values of up to 1 MB.
 _MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
@@ -98,7 +98,7 @@
         try:
             response = await self._send(self._build_request(operation))
         except TimeoutError:
-            return interface.StoreUnavailable('no response in time')
+            return interface.StoreUnavailable('request timed out')
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             reason = str(error) or type(error).__name__
             return interface.StoreUnavailable(reason)
