--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -18,8 +18,8 @@
 
 PROTOCOL_VERSION: Final = 1
 
-# A kind keeps its number for as long as any release speaks this version.
-_KINDS: Final = MappingProxyType[int, type[Any]](
+# A message_type keeps its tag for as long as any release speaks this version.
+_TYPE_BY_TAG: Final = MappingProxyType[int, type[Any]](
     {
         1: messages.Hello,
         2: messages.PeerHello,
@@ -61,11 +61,11 @@
         38: work.SlowRun,
     }
 )
-_NUMBERS: Final = MappingProxyType(
-    {kind: number for number, kind in _KINDS.items()},
+_TAG_BY_TYPE: Final = MappingProxyType(
+    {message_type: tag for tag, message_type in _TYPE_BY_TAG.items()},
 )
 # About the size of a start or result without its payload.
-_FIXED_BYTES: Final = 128
+_OVERHEAD_BYTES: Final = 128
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(list)
 
@@ -87,7 +87,9 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Encode a frame as MessagePack."""
-    body = [(_NUMBERS[type(message)], message) for message in frame.messages]
+    body = [
+        (_TAG_BY_TYPE[type(message)], message) for message in frame.messages
+    ]
     return _encoder.encode(
         (PROTOCOL_VERSION, frame.session, frame.sequence, frame.revision, body),
     )
@@ -99,11 +101,11 @@
     The frequent kinds are not encoded for this.
     """
     if isinstance(message, messages.Start):
-        return _FIXED_BYTES + len(message.payload) + len(message.trace)
+        return _OVERHEAD_BYTES + len(message.payload) + len(message.trace)
     if isinstance(message, messages.Finished):
-        return _FIXED_BYTES + len(message.record.result)
+        return _OVERHEAD_BYTES + len(message.record.result)
     if isinstance(message, work.StartTask):
-        return _FIXED_BYTES + len(message.spec)
+        return _OVERHEAD_BYTES + len(message.spec)
     return len(_encoder.encode(message))
 
 
@@ -129,13 +131,16 @@
 def _decode_fields(fields: list[Any]) -> Frame:
     session, sequence, revision, body = fields[:4]
     decoded = tuple(
-        _decode_message(_KINDS[number], body_fields)
-        for number, body_fields in body
-        if number in _KINDS
+        _decode_message(_TYPE_BY_TAG[tag], body_fields)
+        for tag, body_fields in body
+        if tag in _TYPE_BY_TAG
     )
     return Frame(session, sequence, revision, decoded)
 
 
-def _decode_message(kind: type[Any], fields: list[Any]) -> messages.Message:
-    known = fields[: len(kind._fields)]
-    return cast('messages.Message', msgspec.convert(known, kind))
+def _decode_message(
+    message_type: type[Any],
+    fields: list[Any],
+) -> messages.Message:
+    known_fields = fields[: len(message_type._fields)]
+    return cast('messages.Message', msgspec.convert(known_fields, message_type))
