--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -1,4 +1,4 @@
-"""Encode and decode the frames that links carry."""
+"""Encode and decode the frames that are sent over links."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 PROTOCOL_VERSION: Final = 1
 
-# A message_type keeps its tag for as long as any release speaks this version.
+# A message type keeps its tag for as long as any release uses this version.
 _TYPE_BY_TAG: Final = MappingProxyType[int, type[Any]](
     {
         1: messages.Hello,
@@ -64,14 +64,14 @@
 _TAG_BY_TYPE: Final = MappingProxyType(
     {message_type: tag for tag, message_type in _TYPE_BY_TAG.items()},
 )
-# About the size of a start or result without its payload.
+# Approximate size of a start or a result without its payload.
 _OVERHEAD_BYTES: Final = 128
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(list)
 
 
 class Frame(NamedTuple):
-    """Hold the messages of one event-loop turn on one session."""
+    """Hold the messages that one event-loop turn sends on a session."""
 
     session: str
     sequence: int
@@ -80,7 +80,7 @@
 
 
 class FrameError(NamedTuple):
-    """Say why a received frame cannot be used."""
+    """Report why a received frame cannot be decoded."""
 
     detail: str
 
@@ -96,9 +96,9 @@
 
 
 def message_size(message: messages.Message) -> int:
-    """Return about how many bytes a message takes in a frame.
+    """Return the approximate size of a message in a frame, in bytes.
 
-    The frequent kinds are not encoded for this.
+    The frequent types are estimated without encoding them.
     """
     if isinstance(message, messages.Start):
         return _OVERHEAD_BYTES + len(message.payload) + len(message.trace)
@@ -110,7 +110,7 @@
 
 
 def decode_frame(raw: bytes) -> Result[Frame, FrameError]:
-    """Decode a frame; unknown kinds and surplus fields are skipped."""
+    """Decode a frame; unknown message types and extra fields are skipped."""
     try:
         version, *fields = _decoder.decode(raw)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
