--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -21,8 +21,8 @@
 class Job(NamedTuple):
     """Hold a submitted job as its caller sent it.
 
-    `digest` covers service, urgency and tasks and tells two bodies under one
-    key apart. `deadline_ms` counts from the moment of submission.
+    `digest` covers service, urgency and tasks; it distinguishes two bodies
+    under the same key. `deadline_ms` counts from the submission.
     """
 
     client: str
@@ -47,7 +47,7 @@
     """Hold the answer to a job.
 
     `status` is complete, failed, refused or running; `outcome` is empty for
-    complete and running, else not-run, failed or unknown.
+    complete and running, and otherwise not-run, failed or unknown.
     """
 
     status: str
@@ -59,10 +59,10 @@
 
 
 class TaskRecord(NamedTuple):
-    """Report what an agent knows about one task that it accepted.
+    """Report an agent's record of a task that it accepted.
 
-    `state` is waiting, running, complete, failed, unknown or released; a
-    released record has given up its result to stay within the memory bound.
+    `state` is waiting, running, complete, failed, unknown or released; the
+    result of a released record was dropped to stay within the memory bound.
     """
 
     submission: bytes
@@ -95,21 +95,21 @@
 
 
 class Welcome(NamedTuple):
-    """Tell an agent which entries are alive, as join addresses."""
+    """Tell an agent the join addresses of the live entries."""
 
     entry: str
     entries: tuple[str, ...]
 
 
 class Claim(NamedTuple):
-    """Claim partitions at an agent: pairs of partition and epoch."""
+    """Claim partitions at an agent, as pairs of partition and epoch."""
 
     request: int
     partitions: tuple[tuple[int, int], ...]
 
 
 class Records(NamedTuple):
-    """Answer a claim with the records held in the claimed partitions.
+    """Answer a claim with the agent's records in the claimed partitions.
 
     `stale` lists the partitions for which the agent knows a higher epoch.
     """
@@ -120,7 +120,7 @@
 
 
 class Grant(NamedTuple):
-    """Give an entry credits, each good for one start."""
+    """Grant credits to an entry; each allows one start."""
 
     credits: int
 
@@ -132,7 +132,7 @@
 
 
 class Return(NamedTuple):
-    """Give unused credits back to an agent."""
+    """Return unused credits to an agent."""
 
     credits: int
 
@@ -140,8 +140,8 @@
 class Demand(NamedTuple):
     """Report how many tasks an entry has queued for the agent's service.
 
-    `prefetch` asks for so many credits beyond the slots; results may be held
-    back meanwhile, since only large jobs wait.
+    `prefetch` requests that many credits beyond the slots. While it is set,
+    the agent may delay results, since only large jobs are waiting.
     """
 
     queued: int
@@ -149,9 +149,9 @@
 
 
 class Start(NamedTuple):
-    """Start one task; uses one credit.
+    """Start one task, for one credit.
 
-    `deadline_ms` is the time left when the message was written.
+    `deadline_ms` is the time left when the message was encoded.
     """
 
     submission: bytes
@@ -166,7 +166,7 @@
 
 
 class Rejected(NamedTuple):
-    """Report that a start was not accepted and will never run here."""
+    """Report a start that was rejected; the agent will never run it."""
 
     submission: bytes
     task: int
@@ -181,7 +181,7 @@
 
 
 class Acknowledge(NamedTuple):
-    """Confirm that the results of these tasks are held by the entry."""
+    """Acknowledge that the entry has the results of these tasks."""
 
     tasks: tuple[TaskKey, ...]
 
@@ -193,7 +193,7 @@
 
 
 class Withdrawn(NamedTuple):
-    """Answer a withdrawal: tasks that never started, and tasks that had."""
+    """Answer a withdrawal; each task had started or will never start."""
 
     unstarted: tuple[TaskKey, ...]
     started: tuple[TaskKey, ...]
@@ -204,7 +204,7 @@
 
 
 class Leaving(NamedTuple):
-    """Announce that an agent takes no new work, or ask it to stop."""
+    """Announce that an agent takes no new tasks, or ask it to stop."""
 
 
 class RosterAgent(NamedTuple):
@@ -220,10 +220,10 @@
 
 
 class Roster(NamedTuple):
-    """Tell a peer entry all agents that the sender may have used.
+    """List for a peer entry all agents that the sender may have used.
 
-    Until `incomplete_until_ms` (UTC) the list may lack agents, since the sender
-    took over from an entry whose roster it did not have.
+    Until `incomplete_until_ms` (UTC) agents may be missing from the list, since
+    the sender took over from an entry whose roster it did not have.
     """
 
     sequence: int
@@ -232,7 +232,7 @@
 
 
 class RosterHeld(NamedTuple):
-    """Confirm a roster."""
+    """Acknowledge a roster."""
 
     sequence: int
 
@@ -240,9 +240,9 @@
 class Promise(NamedTuple):
     """Promise not to take over the receiver's partitions for a while.
 
-    The validity counts from `echo_ms`, the receiver's own clock as of the last
-    promise it sent, so that a promise read late is not taken for a fresh one.
-    A validity of 0 promises nothing. `sent_ms` is the sender's clock.
+    The validity counts from `echo_ms`, the `sent_ms` of the receiver's last
+    promise, so that a promise that was delayed does not count as recent. A
+    validity of 0 promises nothing. `sent_ms` is the sender's clock.
     """
 
     validity_ms: int
@@ -251,7 +251,7 @@
 
 
 class HeldAnswer(NamedTuple):
-    """Carry the answer to an ended job that agents could not report."""
+    """Hold the answer to an ended job that no agent can report any more."""
 
     submission: bytes
     digest: bytes
@@ -261,8 +261,9 @@
 class HandOver(NamedTuple):
     """Tell a partition's new owner what it cannot learn from agents.
 
-    `awaited` lists the agents whose records the former owner lacks; of all
-    other agents that are gone, `answers` holds what ran there.
+    `awaited` lists the agents whose records the former owner lacks; with
+    `roster_incomplete`, there may be others. `answers` covers the jobs with
+    tasks on all other agents that are gone.
     """
 
     partition: int
@@ -276,9 +277,9 @@
     """Pass a caller's request to the owner of its partition.
 
     `kind` is submit, fetch, cancel or refused; `job` is set for submit only. A
-    request of 0 expects no answer. `age_ms` is the time since the caller's
+    `request` of 0 expects no answer. `age_ms` is the time since the caller's
     request was read. With refused, a former owner tells its successor to
-    refuse copies of a job for `wait_ms`.
+    refuse resubmissions of a job for `wait_ms`.
     """
 
     request: int
@@ -298,11 +299,11 @@
 
 
 class FetchConfig(NamedTuple):
-    """Ask for the sender's configuration."""
+    """Request the receiver's configuration."""
 
 
 class Config(NamedTuple):
-    """Carry the operators' text at a revision."""
+    """Carry a revision of the operators' configuration text."""
 
     revision: int
     text: str
