--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -7,7 +7,7 @@
 
 from savoryrudder.jobs.model import Resources
 
-# A task's name with the number of its run.
+# A task's name and the number of its run.
 RunName: TypeAlias = tuple[str, int]
 
 
@@ -23,25 +23,28 @@
 
 
 class JobsClaimed(NamedTuple):
-    """Tell another entry which jobs the sender has taken in."""
+    """Tell another entry which jobs the sender has accepted."""
 
     jobs: tuple[str, ...]
 
 
 class JobsReleased(NamedTuple):
-    """Tell another entry that nothing of these jobs runs any more."""
+    """Tell another entry that no task of these jobs runs any more."""
 
     jobs: tuple[str, ...]
 
 
 class RelinquishJob(NamedTuple):
-    """Ask an entry to stop a job whose caller has come to the sender."""
+    """Ask an entry to stop a job that its caller sent to the sender."""
 
     job: str
 
 
 class JobRelinquished(NamedTuple):
-    """Confirm that nothing of a job runs, with its verdict if it ended."""
+    """Confirm that no task of a job runs.
+
+    `verdict` is empty unless the job had ended.
+    """
 
     job: str
     verdict: str
@@ -56,11 +59,11 @@
 
 
 class ExecutorReport(NamedTuple):
-    """Report the executor beside an agent and its free room.
+    """Report the executor beside an agent and its free resources.
 
-    `starts_seen` is the number of the receiver's last `StartTask` that the
-    free room already accounts for. An executor `on_trial` stood still a while
-    ago and takes one task at a time until one makes progress.
+    `free` accounts for the receiver's `StartTask` messages up to the number
+    `starts_seen`. An executor `on_trial` was suspended for a stall and takes
+    one task at a time until one makes progress.
     """
 
     executor: str
@@ -74,10 +77,10 @@
 
 
 class RunningTasks(NamedTuple):
-    """List the receiver's tasks at the agent: names with run numbers.
+    """List the receiver's tasks at the agent, with their run numbers.
 
-    Any other task that the receiver had sent before is not running and will
-    not start.
+    Any other task that the receiver sent before is not running and will not
+    start.
     """
 
     tasks: tuple[RunName, ...]
@@ -86,8 +89,8 @@
 class StartTask(NamedTuple):
     """Start a task; `number` counts the starts sent on this session.
 
-    `durable` holds back the acknowledgement of the task's end until the entry
-    has stored it.
+    With `durable`, the agent acknowledges the task's end to the executor only
+    after the entry has stored it.
     """
 
     number: int
@@ -134,6 +137,6 @@
 
 
 class EndsNoted(NamedTuple):
-    """Confirm ends, as names with run numbers; the agent may forget them."""
+    """Acknowledge the ends of runs; the agent may forget them."""
 
     ends: tuple[RunName, ...]
