Name the tests of the HTTP client and their fake server plainly

PATIENT_S -> TIMEOUT_S ANSWER -> RESPONSE Server -> FakeServer serving -> run_server answer -> response closes_after -> requests_per_connection served -> count found -> response again -> second_response test_calls_share_a_connection -> test_requests_share_a_connection test_a_closed_connection_is_not_used_again -> test_a_closed_connection_is_not_reused test_silence_is_unanswered_and_ends_the_connection -> test_a_timed_out_request_closes_its_connection test_a_refused_connection_has_sent_nothing -> test_a_refused_connection_sends_nothing test_a_cut_answer_is_unanswered -> test_a_truncated_response_is_unanswered

--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -19,17 +19,17 @@
     from anyio.abc import SocketStream
 
 pytestmark = pytest.mark.anyio
-ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
-PATIENT_S = 30
+RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
+TIMEOUT_S = 30
 
 
-class Server:
+class FakeServer:
     """Answer requests, or stay silent, or close, as told."""
 
     def __init__(self) -> None:
         """Start by answering."""
-        self.answer = ANSWER
-        self.closes_after = 1_000
+        self.response = RESPONSE
+        self.requests_per_connection = 1_000
         self.connections = 0
         self.requests = 0
 
@@ -41,13 +41,13 @@
                 await self._serve(stream)
 
     async def _serve(self, stream: SocketStream) -> None:
-        served = 0
-        while served < self.closes_after:
-            served += 1
+        count = 0
+        while count < self.requests_per_connection:
+            count += 1
             await stream.receive()
             self.requests += 1
-            if self.answer:
-                await stream.send(self.answer)
+            if self.response:
+                await stream.send(self.response)
 
 
 @pytest.fixture
@@ -57,7 +57,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(server: Server) -> AsyncIterator[PlatformClient]:
+async def run_server(server: FakeServer) -> AsyncIterator[PlatformClient]:
     """Run a server and return a client of it."""
     listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
     port = listener.extra(SocketAttribute.local_port)
@@ -67,59 +67,59 @@
         group.cancel_scope.cancel()
 
 
-async def test_calls_share_a_connection() -> None:
+async def test_requests_share_a_connection() -> None:
     """Guards against a new connection for each call."""
-    server = Server()
-    async with serving(server) as client:
-        first = await client.call('GET', '/x', None, PATIENT_S)
-        second = await client.call('GET', '/y', None, PATIENT_S)
+    server = FakeServer()
+    async with run_server(server) as client:
+        first = await client.call('GET', '/x', None, TIMEOUT_S)
+        second = await client.call('GET', '/y', None, TIMEOUT_S)
         assert first == second == Response(200, b'{}')
     assert server.connections == 1
 
 
-async def test_a_closed_connection_is_not_used_again() -> None:
+async def test_a_closed_connection_is_not_reused() -> None:
     """Guards against a call that is lost on a connection known to be dead."""
-    server = Server()
-    server.closes_after = 1
-    async with serving(server) as client:
-        await client.call('GET', '/x', None, PATIENT_S)
+    server = FakeServer()
+    server.requests_per_connection = 1
+    async with run_server(server) as client:
+        await client.call('GET', '/x', None, TIMEOUT_S)
         # The server's close arrives before the next call.
         while server.requests < 1:
             await anyio.sleep(0.01)
         await anyio.wait_all_tasks_blocked()
-        found = await client.call('GET', '/x', None, PATIENT_S)
-        assert found == Response(200, b'{}')
+        response = await client.call('GET', '/x', None, TIMEOUT_S)
+        assert response == Response(200, b'{}')
     assert server.connections == 2
 
 
-async def test_silence_is_unanswered_and_ends_the_connection() -> None:
-    """Guards against a lost answer that is taken for an order not sent."""
-    server = Server()
-    async with serving(server) as client:
-        await client.call('GET', '/x', None, PATIENT_S)
-        server.answer = b''
-        found = await client.call('POST', '/x', b'{}', 0.05)
-        assert found == Unanswered('request timed out', sent=True)
-        server.answer = ANSWER
-        again = await client.call('POST', '/x', b'{}', PATIENT_S)
-        assert again == Response(200, b'{}')
+async def test_a_timed_out_request_closes_its_connection() -> None:
+    """Guards against a lost response that is taken for an order not sent."""
+    server = FakeServer()
+    async with run_server(server) as client:
+        await client.call('GET', '/x', None, TIMEOUT_S)
+        server.response = b''
+        response = await client.call('POST', '/x', b'{}', 0.05)
+        assert response == Unanswered('request timed out', sent=True)
+        server.response = RESPONSE
+        second_response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
+        assert second_response == Response(200, b'{}')
     assert server.connections == 2
 
 
-async def test_a_refused_connection_has_sent_nothing() -> None:
+async def test_a_refused_connection_sends_nothing() -> None:
     """Guards against a stop of a run that nobody was told to start."""
     client = PlatformClient('127.0.0.1:1')
-    found = await client.call('POST', '/x', b'{}', PATIENT_S)
-    assert isinstance(found, Unanswered)
-    assert not found.sent
-
-
-async def test_a_cut_answer_is_unanswered() -> None:
-    """Guards against an answer that was cut and looks whole."""
-    server = Server()
-    server.answer = b'HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{}'
-    server.closes_after = 1
-    async with serving(server) as client:
-        found = await client.call('POST', '/x', b'{}', PATIENT_S)
-        assert isinstance(found, Unanswered)
-        assert found.sent
+    response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
+    assert isinstance(response, Unanswered)
+    assert not response.sent
+
+
+async def test_a_truncated_response_is_unanswered() -> None:
+    """Guards against an response that was cut and looks whole."""
+    server = FakeServer()
+    server.response = b'HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{}'
+    server.requests_per_connection = 1
+    async with run_server(server) as client:
+        response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
+        assert isinstance(response, Unanswered)
+        assert response.sent
