--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -1,4 +1,4 @@
-"""Check calls to the platform's servers over real connections."""
+"""Test the HTTP client against a local server."""
 
 from __future__ import annotations
 
@@ -24,10 +24,13 @@
 
 
 class FakeServer:
-    """Answer requests, or stay silent, or close, as told."""
+    """Send `response` to each request; none if it is empty.
+
+    Connections are closed after `requests_per_connection` requests.
+    """
 
     def __init__(self) -> None:
-        """Start by answering."""
+        """Respond to each request at first."""
         self.response = RESPONSE
         self.requests_per_connection = 1_000
         self.connections = 0
@@ -58,7 +61,7 @@
 
 @contextlib.asynccontextmanager
 async def run_server(server: FakeServer) -> AsyncIterator[PlatformClient]:
-    """Run a server and return a client of it."""
+    """Run a server and provide a client of it."""
     listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
     port = listener.extra(SocketAttribute.local_port)
     async with anyio.create_task_group() as group:
@@ -68,7 +71,7 @@
 
 
 async def test_requests_share_a_connection() -> None:
-    """Guards against a new connection for each call."""
+    """Guards against opening a connection for each request."""
     server = FakeServer()
     async with run_server(server) as client:
         first = await client.call('GET', '/x', None, TIMEOUT_S)
@@ -78,12 +81,12 @@
 
 
 async def test_a_closed_connection_is_not_reused() -> None:
-    """Guards against a call that is lost on a connection known to be dead."""
+    """Guards against losing a request on a connection known to be closed."""
     server = FakeServer()
     server.requests_per_connection = 1
     async with run_server(server) as client:
         await client.call('GET', '/x', None, TIMEOUT_S)
-        # The server's close arrives before the next call.
+        # The server's close arrives before the next request.
         while server.requests < 1:
             await anyio.sleep(0.01)
         await anyio.wait_all_tasks_blocked()
@@ -93,7 +96,7 @@
 
 
 async def test_a_timed_out_request_closes_its_connection() -> None:
-    """Guards against a lost response that is taken for an order not sent."""
+    """Guards against treating a request without a response as not sent."""
     server = FakeServer()
     async with run_server(server) as client:
         await client.call('GET', '/x', None, TIMEOUT_S)
@@ -107,7 +110,7 @@
 
 
 async def test_a_refused_connection_sends_nothing() -> None:
-    """Guards against a stop of a run that nobody was told to start."""
+    """Guards against stopping a run whose start was never sent."""
     client = PlatformClient('127.0.0.1:1')
     response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
     assert isinstance(response, Unanswered)
@@ -115,7 +118,7 @@
 
 
 async def test_a_truncated_response_is_unanswered() -> None:
-    """Guards against an response that was cut and looks whole."""
+    """Guards against taking a truncated response for a complete one."""
     server = FakeServer()
     server.response = b'HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{}'
     server.requests_per_connection = 1
