--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -53,8 +53,8 @@
                 return self._change(fields)
             case 'kv-lease':
                 return _ok({'lease': 1, 'ttl_ms': fields['ttl_ms']})
-        is_known = int(parts.path.rpartition('/')[-1]) in self.leases
-        return _ok({'ttl_ms': 1000}) if is_known else Response(404, b'{}')
+        is_held = int(parts.path.rpartition('/')[-1]) in self.leases
+        return _ok({'ttl_ms': 1000}) if is_held else Response(404, b'{}')
 
     def put(self, key: str, text: str) -> None:
         """Write an item as another client would."""
@@ -84,16 +84,16 @@
         return _ok({**item, 'current_rev': self.revision})
 
     def _range(self, query: dict[str, str]) -> Response:
-        found = [
+        matching = [
             item
             for key, item in sorted(self.items.items())
             if key.startswith(query['prefix']) and key > query.get('after', '')
         ]
-        page = found[: self.page_size]
+        page = matching[: self.page_size]
         return _ok(
             {
                 'items': page,
-                'more_pages': len(found) > len(page),
+                'more_pages': len(matching) > len(page),
                 'current_rev': self.revision,
             },
         )
@@ -102,20 +102,20 @@
         after = int(query['after'])
         if after < self.history_from:
             return Response(410, b'{}')
-        found = [
+        matching = [
             event
             for event in self.events
             if event['revision'] > after
             and event['key'].startswith(query['prefix'])
         ]
-        return _ok({'events': found, 'current_rev': self.revision})
+        return _ok({'events': matching, 'current_rev': self.revision})
 
     def _change(self, fields: dict[str, Any]) -> Response:
-        for row in fields['expect']:
-            item = self.items.get(row['key'], {})
-            if item.get('revision', 0) != row['revision']:
-                present = [item] if item else []
-                content = msgspec.json.encode({'items': present})
+        for expected in fields['expect']:
+            item = self.items.get(expected['key'], {})
+            if item.get('revision', 0) != expected['revision']:
+                current = [item] if item else []
+                content = msgspec.json.encode({'items': current})
                 return Response(412, content)
         for write in fields['set_keys']:
             text = base64.b64decode(write['value']).decode()
@@ -133,7 +133,7 @@
     def __init__(self) -> None:
         """Start without an answer."""
         self.answer: Response | Unanswered = Unanswered('silent', sent=True)
-        self.seen: list[Any] = []
+        self.requests: list[Any] = []
 
     async def call(
         self,
@@ -145,7 +145,7 @@
     ) -> Response | Unanswered:
         """Answer one call."""
         fields = msgspec.json.decode(body) if body else {}
-        self.seen.append((path, fields, headers))
+        self.requests.append((path, fields, headers))
         return self.answer
 
 
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -57,7 +57,7 @@
 ) -> None:
     """Guards against an order that another life carries out."""
     anyio.run(executor.start, START, backend='trio')
-    path, body, headers = executor_server.seen[0]
+    path, body, headers = executor_server.requests[0]
     assert path == '/api/run-start'
     assert body['fence'] == 7
     assert body['deadline_ms'] == 5000
