--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -1,4 +1,4 @@
-"""Fake the platform's servers behind the client of the adapter."""
+"""Fake clients that answer for the platform's servers."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class FakeStoreServer:
-    """Hold items with one revision counter; calls answer at once."""
+    """In-memory store with one revision counter; calls return at once."""
 
     address = 'store'
 
@@ -36,7 +36,7 @@
         timeout_s: float,
         headers: Any = (),
     ) -> Response | Unanswered:
-        """Answer one call."""
+        """Respond to a request, with `failure` if it is set."""
         if self.failure is not None:
             return self.failure
         parts = urlsplit(path)
@@ -126,13 +126,13 @@
 
 
 class FakeExecutorServer:
-    """Answer each call with what the test has set."""
+    """Executor that responds with `response` and records the requests."""
 
     address = 'executor'
 
     def __init__(self) -> None:
-        """Start without an answer."""
-        self.answer: Response | Unanswered = Unanswered('silent', sent=True)
+        """Leave requests without a response at first."""
+        self.response: Response | Unanswered = Unanswered('silent', sent=True)
         self.requests: list[Any] = []
 
     async def call(
@@ -143,10 +143,10 @@
         timeout_s: float,
         headers: Any = (),
     ) -> Response | Unanswered:
-        """Answer one call."""
+        """Record a request and return `response`."""
         fields = msgspec.json.decode(body) if body else {}
         self.requests.append((path, fields, headers))
-        return self.answer
+        return self.response
 
 
 def _ok(content: dict[str, Any]) -> Response:
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -46,7 +46,7 @@
     verdict: str,
 ) -> None:
     """Guards against a second start of a run that is under way."""
-    executor_server.answer = answer
+    executor_server.response = answer
     found, _ = anyio.run(executor.start, START, backend='trio')
     assert found == verdict
 
@@ -74,7 +74,7 @@
         'running': [['j.0.0.1', 2, '', 41, 6000]],
         'ended': [[3, 'j.0.0.2', 1, 'done', ''], [4, 'k', 1, 'lapsed', '']],
     }
-    executor_server.answer = Response(200, msgspec.json.encode(lists))
+    executor_server.response = Response(200, msgspec.json.encode(lists))
     call = effects.RenewLease(LIFE, 5000, 7, 2, 300)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(answer, events.RenewalAnswered)
@@ -91,7 +91,7 @@
 ) -> None:
     """Guards against a fence that is taken for a dead executor."""
     body = b'{"clock_ms":9,"reason":"fence"}'
-    executor_server.answer = Response(409, body)
+    executor_server.response = Response(409, body)
     call = effects.RenewLease(LIFE, 0, 7, 0, 0)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(answer, events.RenewalFailed)
@@ -103,7 +103,9 @@
     executor_server: FakeExecutorServer,
 ) -> None:
     """Guards against runs that seem gone after an unreadable answer."""
-    executor_server.answer = Response(200, b'{"running":[["x"]],"clock_ms":1}')
+    executor_server.response = Response(
+        200, b'{"running":[["x"]],"clock_ms":1}'
+    )
     call = effects.RenewLease(LIFE, 5000, 7, 2, 0)
     answer = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(answer, events.RenewalFailed)
