--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -1,4 +1,4 @@
-"""Provide the adapter's clients with fakes behind them."""
+"""Provide the platform's clients with fake servers."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def executor_server() -> FakeExecutorServer:
-    """Return an executor that does not answer."""
+    """Return an executor that does not respond."""
     return FakeExecutorServer()
 
 
