Name the tests of the executor client plainly

LIFE -> EXECUTOR found -> actual test_a_start_that_may_have_run_is_unknown -> test_responses_to_a_start_map_to_verdicts test_a_start_names_the_life_and_the_fence -> test_a_start_carries_the_instance_and_the_fence test_the_lists_of_runs_and_ends_are_decoded -> test_running_and_ended_runs_are_decoded test_a_fenced_renewal_is_told_from_silence -> test_a_fenced_renewal_is_reported_as_fenced answer -> response, event lists -> body

--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -20,12 +20,12 @@
 
     from savoryrudder.platform.executor import ExecutorClient
 
-LIFE = effects.ExecutorInstance('i-1', 'executor')
-START = effects.StartRun(LIFE, 'j.0.0.1', 2, 'spec', 5000, 7)
+EXECUTOR = effects.ExecutorInstance('i-1', 'executor')
+START = effects.StartRun(EXECUTOR, 'j.0.0.1', 2, 'spec', 5000, 7)
 
 
 @pytest.mark.parametrize(
-    ('answer', 'verdict'),
+    ('response', 'verdict'),
     [
         (Response(200, b'{"clock_ms":9}'), verdicts.STARTED),
         (Response(409, b'{"clock_ms":9,"reason":"old"}'), verdicts.OUTDATED),
@@ -39,19 +39,19 @@
         (Unanswered('no listener', sent=False), verdicts.REFUSED),
     ],
 )
-def test_a_start_that_may_have_run_is_unknown(
+def test_responses_to_a_start_map_to_verdicts(
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
-    answer: Response | Unanswered,
+    response: Response | Unanswered,
     verdict: str,
 ) -> None:
     """Guards against a second start of a run that is under way."""
-    executor_server.response = answer
-    found, _ = anyio.run(executor.start, START, backend='trio')
-    assert found == verdict
+    executor_server.response = response
+    actual, _ = anyio.run(executor.start, START, backend='trio')
+    assert actual == verdict
 
 
-def test_a_start_names_the_life_and_the_fence(
+def test_a_start_carries_the_instance_and_the_fence(
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
@@ -64,48 +64,48 @@
     assert (b'expect-instance', b'i-1') in headers
 
 
-def test_the_lists_of_runs_and_ends_are_decoded(
+def test_running_and_ended_runs_are_decoded(
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
     """Guards against ends that are taken for others."""
-    lists = {
+    body = {
         'clock_ms': 9,
         'running': [['j.0.0.1', 2, '', 41, 6000]],
         'ended': [[3, 'j.0.0.2', 1, 'done', ''], [4, 'k', 1, 'lapsed', '']],
     }
-    executor_server.response = Response(200, msgspec.json.encode(lists))
-    call = effects.RenewLease(LIFE, 5000, 7, 2, 300)
-    answer = anyio.run(executor.renew, call, 1.0, backend='trio')
-    assert isinstance(answer, events.RenewalAnswered)
-    assert answer.running == (events.RunProgress('j.0.0.1', 2, 41),)
-    assert [end.outcome for end in answer.ended] == [
+    executor_server.response = Response(200, msgspec.json.encode(body))
+    call = effects.RenewLease(EXECUTOR, 5000, 7, 2, 300)
+    event = anyio.run(executor.renew, call, 1.0, backend='trio')
+    assert isinstance(event, events.RenewalAnswered)
+    assert event.running == (events.RunProgress('j.0.0.1', 2, 41),)
+    assert [end.outcome for end in event.ended] == [
         outcomes.DONE,
         outcomes.LOST,
     ]
 
 
-def test_a_fenced_renewal_is_told_from_silence(
+def test_a_fenced_renewal_is_reported_as_fenced(
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
     """Guards against a fence that is taken for a dead executor."""
     body = b'{"clock_ms":9,"reason":"fence"}'
     executor_server.response = Response(409, body)
-    call = effects.RenewLease(LIFE, 0, 7, 0, 0)
-    answer = anyio.run(executor.renew, call, 1.0, backend='trio')
-    assert isinstance(answer, events.RenewalFailed)
-    assert answer.fenced
+    call = effects.RenewLease(EXECUTOR, 0, 7, 0, 0)
+    event = anyio.run(executor.renew, call, 1.0, backend='trio')
+    assert isinstance(event, events.RenewalFailed)
+    assert event.fenced
 
 
 def test_lists_that_cannot_be_read_are_no_answer(
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
-    """Guards against runs that seem gone after an unreadable answer."""
+    """Guards against runs that seem gone after an unreadable response."""
     executor_server.response = Response(
         200, b'{"running":[["x"]],"clock_ms":1}'
     )
-    call = effects.RenewLease(LIFE, 5000, 7, 2, 0)
-    answer = anyio.run(executor.renew, call, 1.0, backend='trio')
-    assert isinstance(answer, events.RenewalFailed)
+    call = effects.RenewLease(EXECUTOR, 5000, 7, 2, 0)
+    event = anyio.run(executor.renew, call, 1.0, backend='trio')
+    assert isinstance(event, events.RenewalFailed)
