--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -1,4 +1,4 @@
-"""Check the translation of calls to the executor."""
+"""Test the executor client."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
     response: Response | Unanswered,
     verdict: str,
 ) -> None:
-    """Guards against a second start of a run that is under way."""
+    """Guards against starting a run again that may already be running."""
     executor_server.response = response
     actual, _ = anyio.run(executor.start, START, backend='trio')
     assert actual == verdict
@@ -55,7 +55,7 @@
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
-    """Guards against an order that another life carries out."""
+    """Guards against a start by another instance of the executor."""
     anyio.run(executor.start, START, backend='trio')
     path, body, headers = executor_server.requests[0]
     assert path == '/api/run-start'
@@ -68,7 +68,7 @@
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
-    """Guards against ends that are taken for others."""
+    """Guards against reading an end from the wrong column."""
     body = {
         'clock_ms': 9,
         'running': [['j.0.0.1', 2, '', 41, 6000]],
@@ -89,7 +89,7 @@
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
-    """Guards against a fence that is taken for a dead executor."""
+    """Guards against taking a fenced agent for a silent executor."""
     body = b'{"clock_ms":9,"reason":"fence"}'
     executor_server.response = Response(409, body)
     call = effects.RenewLease(EXECUTOR, 0, 7, 0, 0)
@@ -102,9 +102,10 @@
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
 ) -> None:
-    """Guards against runs that seem gone after an unreadable response."""
+    """Guards against taking runs for ended after a malformed response."""
     executor_server.response = Response(
-        200, b'{"running":[["x"]],"clock_ms":1}'
+        200,
+        b'{"running":[["x"]],"clock_ms":1}',
     )
     call = effects.RenewLease(EXECUTOR, 5000, 7, 2, 0)
     event = anyio.run(executor.renew, call, 1.0, backend='trio')
