Name the tests of the job and configuration decoders plainly

_changed -> _encode_job found -> queue submitted -> decoded place -> detail test_a_malformed_job_is_refused_with_its_place -> test_the_error_of_a_malformed_job_names_the_field test_what_is_not_offered_is_named -> test_unsupported_features_are_reported test_no_body_breaks_the_decoders -> test_malformed_bytes_are_decoding_errors test_only_jobs_that_never_ran_are_said_not_to_run -> test_verdicts_map_to_http_statuses

--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -50,23 +50,23 @@
 )
 
 
-def _changed(**fields: object) -> bytes:
+def _encode_job(**fields: object) -> bytes:
     return msgspec.json.encode({**JOB, **fields})
 
 
 def test_a_job_is_decoded_into_steps() -> None:
     """Guards against needs that are read from the wrong field."""
-    submitted = decode_job('id', msgspec.json.encode(dict(JOB))).ok
-    first, second = submitted.request.steps
+    decoded = decode_job('id', msgspec.json.encode(dict(JOB))).ok
+    first, second = decoded.request.steps
     assert first.tasks == 2
     assert first.demand.memory == 256
     assert second.after == (0,)
     assert second.data_rack == 'r1'
-    assert not submitted.unsupported
+    assert not decoded.unsupported
 
 
 @pytest.mark.parametrize(
-    ('fields', 'place'),
+    ('fields', 'detail'),
     [
         ({'steps': []}, 'steps'),
         ({'steps': [{'count': 0}]}, 'count'),
@@ -75,12 +75,12 @@
         ({'spec': 7}, 'spec'),
     ],
 )
-def test_a_malformed_job_is_refused_with_its_place(
+def test_the_error_of_a_malformed_job_names_the_field(
     fields: dict[str, object],
-    place: str,
+    detail: str,
 ) -> None:
     """Guards against a job that is accepted and can never run."""
-    assert place in decode_job('id', _changed(**fields)).error
+    assert detail in decode_job('id', _encode_job(**fields)).error
 
 
 @pytest.mark.parametrize(
@@ -93,13 +93,13 @@
         {'steps': [{'count': 1, 'fills': True}]},
     ],
 )
-def test_what_is_not_offered_is_named(fields: dict[str, object]) -> None:
+def test_unsupported_features_are_reported(fields: dict[str, object]) -> None:
     """Guards against a job that runs in another way than it asks for."""
-    assert decode_job('id', _changed(**fields)).ok.unsupported
+    assert decode_job('id', _encode_job(**fields)).ok.unsupported
 
 
 @given(st.binary(max_size=300))
-def test_no_body_breaks_the_decoders(content: bytes) -> None:
+def test_malformed_bytes_are_decoding_errors(content: bytes) -> None:
     """Guards against an entry that crashes on unreadable bytes."""
     assert decode_job('id', content).is_error()
     text = content.decode('latin-1')
@@ -110,9 +110,9 @@
     """Guards against a job in the queue of a shorter prefix."""
     text = msgspec.json.encode(dict(CONFIGURATION)).decode()
     configuration = decode_configuration(text).ok
-    found = configuration.find_queue('a.example', '/p/q/id')
-    assert found is not None
-    assert found.name == 'r-2'
+    queue = configuration.find_queue('a.example', '/p/q/id')
+    assert queue is not None
+    assert queue.name == 'r-2'
     assert configuration.find_queue('b.example', '/p/id') is None
 
 
@@ -129,7 +129,7 @@
         (answers.INTERRUPTED, 502),
     ],
 )
-def test_only_jobs_that_never_ran_are_said_not_to_run(
+def test_verdicts_map_to_http_statuses(
     verdict: str,
     status: int,
 ) -> None:
