--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -1,4 +1,4 @@
-"""Check the decoding of what the platform's clients and operators send."""
+"""Test the decoding of jobs and configurations, and encoded answers."""
 
 from __future__ import annotations
 
@@ -55,7 +55,7 @@
 
 
 def test_a_job_is_decoded_into_steps() -> None:
-    """Guards against needs that are read from the wrong field."""
+    """Guards against reading a step's settings from the wrong field."""
     decoded = decode_job('id', msgspec.json.encode(dict(JOB))).ok
     first, second = decoded.request.steps
     assert first.tasks == 2
@@ -79,7 +79,7 @@
     fields: dict[str, object],
     detail: str,
 ) -> None:
-    """Guards against a job that is accepted and can never run."""
+    """Guards against accepting a job that can never run."""
     assert detail in decode_job('id', _encode_job(**fields)).error
 
 
@@ -94,20 +94,20 @@
     ],
 )
 def test_unsupported_features_are_reported(fields: dict[str, object]) -> None:
-    """Guards against a job that runs in another way than it asks for."""
+    """Guards against running a job without a feature that it requests."""
     assert decode_job('id', _encode_job(**fields)).ok.unsupported
 
 
 @given(st.binary(max_size=300))
 def test_malformed_bytes_are_decoding_errors(content: bytes) -> None:
-    """Guards against an entry that crashes on unreadable bytes."""
+    """Guards against a crash on bytes that are not JSON."""
     assert decode_job('id', content).is_error()
     text = content.decode('latin-1')
     assert decode_configuration(text).is_error()
 
 
 def test_the_longest_prefix_selects_the_queue() -> None:
-    """Guards against a job in the queue of a shorter prefix."""
+    """Guards against selecting the queue of a shorter prefix."""
     text = msgspec.json.encode(dict(CONFIGURATION)).decode()
     configuration = decode_configuration(text).ok
     queue = configuration.find_queue('a.example', '/p/q/id')
@@ -133,5 +133,5 @@
     verdict: str,
     status: int,
 ) -> None:
-    """Guards against a refusal of a job that has started."""
+    """Guards against the status of a refusal for a job that has started."""
     assert encode_answer(answers.Answer(verdict)).status == status
