Name the tests of the callers' application plainly

Ends -> FakeConnection ends -> connection found -> message Caller -> Entry caller -> entry gone -> disconnect broken -> malformed test_without_a_configuration_nothing_is_taken -> test_without_a_configuration_jobs_are_refused test_a_malformed_job_is_refused_with_its_place -> test_the_refusal_of_a_malformed_job_names_the_field test_a_queue_tells_its_length_and_a_job_its_absence -> test_queue_lengths_and_unknown_jobs_are_reported test_a_caller_that_leaves_ends_its_request -> test_a_disconnect_ends_the_request

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -38,8 +38,8 @@
     return 'trio'
 
 
-class Ends:
-    """Hold what the caller sends and what it has been sent."""
+class FakeConnection:
+    """Hold what the entry sends and what it has been sent."""
 
     def __init__(self, messages: Iterator[Any]) -> None:
         """Send these messages, then stay connected."""
@@ -47,11 +47,11 @@
         self._messages = messages
 
     async def receive(self) -> Any:
-        """Return the caller's next message."""
-        found = next(self._messages, None)
-        if found is None:
+        """Return the entry's next message."""
+        message = next(self._messages, None)
+        if message is None:
             await anyio.sleep_forever()
-        return found
+        return message
 
     async def send(self, message: Any) -> None:
         """Take a part of the response."""
@@ -59,7 +59,7 @@
         self.sent.append(message)
 
 
-class Caller:
+class Entry:
     """Send one request to the application."""
 
     def __init__(self, *, configured: bool = True) -> None:
@@ -77,7 +77,7 @@
         messages: Iterator[Any] | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Return status, headers and body of the response."""
-        ends = Ends(messages or iter([BODY]))
+        connection = FakeConnection(messages or iter([BODY]))
         scope = {
             'type': 'http',
             'method': method,
@@ -85,58 +85,58 @@
             'headers': [(b'host', b'a.example:80')],
         }
         app = CallerApp(self.dispatcher)
-        await app(scope, ends.receive, ends.send)
-        if not ends.sent:
+        await app(scope, connection.receive, connection.send)
+        if not connection.sent:
             return 0, {}, b''
-        head, body = ends.sent
+        head, body = connection.sent
         headers = {
             name.decode(): text.decode() for name, text in head['headers']
         }
         return head['status'], headers, body['body']
 
 
-async def test_without_a_configuration_nothing_is_taken() -> None:
+async def test_without_a_configuration_jobs_are_refused() -> None:
     """Guards against a 404 for a queue that only is not known yet."""
-    caller = Caller(configured=False)
-    status, headers, _ = await caller.call('POST', '/p/id')
+    entry = Entry(configured=False)
+    status, headers, _ = await entry.call('POST', '/p/id')
     assert status == 503
     assert headers['retry-after']
-    status, _, _ = await caller.call('GET', '/api/ready')
+    status, _, _ = await entry.call('GET', '/api/ready')
     assert status == 503
 
 
 async def test_an_unknown_queue_is_not_found() -> None:
     """Guards against a job in a queue that was dropped."""
-    status, _, _ = await Caller().call('POST', '/q/id')
+    status, _, _ = await Entry().call('POST', '/q/id')
     assert status == 404
 
 
 async def test_without_an_executor_a_job_is_refused_at_once() -> None:
     """Guards against callers that wait for nothing."""
-    status, headers, _ = await Caller().call('POST', '/p/id')
+    status, headers, _ = await Entry().call('POST', '/p/id')
     assert status == 503
     assert headers['retry-after'] == '1'
 
 
-async def test_a_malformed_job_is_refused_with_its_place() -> None:
+async def test_the_refusal_of_a_malformed_job_names_the_field() -> None:
     """Guards against an entry that crashes on a body."""
-    broken = {'type': 'http.request', 'body': b'{"spec":1}'}
-    status, _, body = await Caller().call('POST', '/p/id', iter([broken]))
+    malformed = {'type': 'http.request', 'body': b'{"spec":1}'}
+    status, _, body = await Entry().call('POST', '/p/id', iter([malformed]))
     assert status == 400
     assert b'spec' in body
 
 
-async def test_a_queue_tells_its_length_and_a_job_its_absence() -> None:
+async def test_queue_lengths_and_unknown_jobs_are_reported() -> None:
     """Guards against a state of a job that nobody submitted."""
-    status, _, body = await Caller().call('GET', '/p/')
+    status, _, body = await Entry().call('GET', '/p/')
     assert (status, body) == (200, b'{"waiting":0}')
-    status, _, _ = await Caller().call('GET', '/p/id')
+    status, _, _ = await Entry().call('GET', '/p/id')
     assert status == 410
 
 
-async def test_a_caller_that_leaves_ends_its_request() -> None:
+async def test_a_disconnect_ends_the_request() -> None:
     """Guards against requests that stay open for callers that are gone."""
-    gone = iter([{'type': 'http.disconnect'}])
-    caller = Caller()
-    assert await caller.call('POST', '/p/id', gone) == (0, {}, b'')
-    assert not caller.dispatcher.state.open_requests
+    disconnect = iter([{'type': 'http.disconnect'}])
+    entry = Entry()
+    assert await entry.call('POST', '/p/id', disconnect) == (0, {}, b'')
+    assert not entry.dispatcher.state.open_requests
