--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,4 +1,4 @@
-"""Check the callers' interface on the platform."""
+"""Test the callers' HTTP interface on the platform."""
 
 from __future__ import annotations
 
@@ -39,31 +39,31 @@
 
 
 class FakeConnection:
-    """Hold what the entry sends and what it has been sent."""
+    """Connection of a caller that sends prepared messages."""
 
     def __init__(self, messages: Iterator[Any]) -> None:
-        """Send these messages, then stay connected."""
+        """Send `messages`, then stay connected."""
         self.sent: list[Any] = []
         self._messages = messages
 
     async def receive(self) -> Any:
-        """Return the entry's next message."""
+        """Return the caller's next message."""
         message = next(self._messages, None)
         if message is None:
             await anyio.sleep_forever()
         return message
 
     async def send(self, message: Any) -> None:
-        """Take a part of the response."""
+        """Record a part of the response."""
         await anyio.lowlevel.checkpoint()
         self.sent.append(message)
 
 
 class Entry:
-    """Send one request to the application."""
+    """Entry without agents that requests can be sent to."""
 
     def __init__(self, *, configured: bool = True) -> None:
-        """Start an entry without agents."""
+        """Create the entry; `configured` gives it one queue."""
         identity = DispatchIdentity('e1', 'e1#1', '127.0.0.1:0', 'zone')
         state = DispatchState(identity, DispatchTiming(1))
         self.dispatcher = Dispatcher(state, Counters())
@@ -76,7 +76,7 @@
         path: str,
         messages: Iterator[Any] | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Return status, headers and body of the response."""
+        """Send a request and return the response's status, headers and body."""
         connection = FakeConnection(messages or iter([BODY]))
         scope = {
             'type': 'http',
@@ -96,7 +96,7 @@
 
 
 async def test_without_a_configuration_jobs_are_refused() -> None:
-    """Guards against a 404 for a queue that only is not known yet."""
+    """Guards against a 404 for a queue that the entry has yet to read."""
     entry = Entry(configured=False)
     status, headers, _ = await entry.call('POST', '/p/id')
     assert status == 503
@@ -106,20 +106,20 @@
 
 
 async def test_an_unknown_queue_is_not_found() -> None:
-    """Guards against a job in a queue that was dropped."""
+    """Guards against accepting a job for a queue that does not exist."""
     status, _, _ = await Entry().call('POST', '/q/id')
     assert status == 404
 
 
 async def test_without_an_executor_a_job_is_refused_at_once() -> None:
-    """Guards against callers that wait for nothing."""
+    """Guards against callers that wait for a job that cannot start."""
     status, headers, _ = await Entry().call('POST', '/p/id')
     assert status == 503
     assert headers['retry-after'] == '1'
 
 
 async def test_the_refusal_of_a_malformed_job_names_the_field() -> None:
-    """Guards against an entry that crashes on a body."""
+    """Guards against a crash on a malformed job."""
     malformed = {'type': 'http.request', 'body': b'{"spec":1}'}
     status, _, body = await Entry().call('POST', '/p/id', iter([malformed]))
     assert status == 400
@@ -127,7 +127,7 @@
 
 
 async def test_queue_lengths_and_unknown_jobs_are_reported() -> None:
-    """Guards against a state of a job that nobody submitted."""
+    """Guards against reporting a state of a job that was never submitted."""
     status, _, body = await Entry().call('GET', '/p/')
     assert (status, body) == (200, b'{"waiting":0}')
     status, _, _ = await Entry().call('GET', '/p/id')
@@ -135,7 +135,7 @@
 
 
 async def test_a_disconnect_ends_the_request() -> None:
-    """Guards against requests that stay open for callers that are gone."""
+    """Guards against keeping requests whose callers have disconnected."""
     disconnect = iter([{'type': 'http.disconnect'}])
     entry = Entry()
     assert await entry.call('POST', '/p/id', disconnect) == (0, {}, b'')
