Name the tests of the platform store plainly

written -> first refused -> second, outcome test_a_swap_expects_the_version -> test_a_swap_succeeds_only_at_the_expected_version test_a_conflict_about_an_absent_key_has_version_zero -> test_a_conflict_on_an_absent_key_has_version_zero test_lost_history_is_replaced_by_a_whole_read -> test_a_watch_after_a_compaction_reads_all_keys test_an_unusable_answer_is_reported -> test_an_unusable_response_is_unavailable test_a_lease_that_ended_is_lost -> test_an_expired_lease_is_lost held -> granted

--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -24,29 +24,29 @@
     return anyio.run(store.call, operation, backend='trio')
 
 
-def test_a_swap_expects_the_version(
+def test_a_swap_succeeds_only_at_the_expected_version(
     store: PlatformStore,
     store_server: FakeStoreServer,
 ) -> None:
     """Guards against a write over what another process wrote."""
-    written = _call(store, interface.SwapKey('a/b', 0, 'one', ''))
-    assert isinstance(written, interface.Swapped)
+    first = _call(store, interface.SwapKey('a/b', 0, 'one', ''))
+    assert isinstance(first, interface.Swapped)
     store_server.put('a/b', 'two')
-    refused = _call(
+    second = _call(
         store,
-        interface.SwapKey('a/b', written.version, 'three', ''),
+        interface.SwapKey('a/b', first.version, 'three', ''),
     )
-    assert isinstance(refused, interface.SwapConflict)
-    assert refused.current.value == 'two'
+    assert isinstance(second, interface.SwapConflict)
+    assert second.current.value == 'two'
 
 
-def test_a_conflict_about_an_absent_key_has_version_zero(
+def test_a_conflict_on_an_absent_key_has_version_zero(
     store: PlatformStore,
 ) -> None:
     """Guards against a crash when the expected key is gone."""
-    refused = _call(store, interface.SwapKey('a/b', 5, 'one', ''))
-    assert isinstance(refused, interface.SwapConflict)
-    assert refused.current == interface.KeyValue('a/b', 0, None)
+    outcome = _call(store, interface.SwapKey('a/b', 5, 'one', ''))
+    assert isinstance(outcome, interface.SwapConflict)
+    assert outcome.current == interface.KeyValue('a/b', 0, None)
 
 
 def test_a_watch_follows_writes_and_deletions(
@@ -67,7 +67,7 @@
     assert second.version == store_server.revision
 
 
-def test_lost_history_is_replaced_by_a_whole_read(
+def test_a_watch_after_a_compaction_reads_all_keys(
     store: PlatformStore,
     store_server: FakeStoreServer,
 ) -> None:
@@ -92,7 +92,7 @@
         Unanswered('request timed out', sent=True),
     ],
 )
-def test_an_unusable_answer_is_reported(
+def test_an_unusable_response_is_unavailable(
     store: PlatformStore,
     store_server: FakeStoreServer,
     failure: Response | Unanswered,
@@ -103,13 +103,13 @@
     assert isinstance(outcome, interface.StoreUnavailable)
 
 
-def test_a_lease_that_ended_is_lost(
+def test_an_expired_lease_is_lost(
     store: PlatformStore,
     store_server: FakeStoreServer,
 ) -> None:
     """Guards against an entry that takes itself for registered."""
-    held = _call(store, interface.GrantLease(6))
-    assert held == interface.LeaseHeld('1', 6)
+    granted = _call(store, interface.GrantLease(6))
+    assert granted == interface.LeaseHeld('1', 6)
     store_server.leases.clear()
     outcome = _call(store, interface.RenewLease('1'))
     assert isinstance(outcome, interface.LeaseLost)
