--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -1,4 +1,4 @@
-"""Check the store's adapter."""
+"""Test the store on the platform's key-value service."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
     store: PlatformStore,
     store_server: FakeStoreServer,
 ) -> None:
-    """Guards against a write over what another process wrote."""
+    """Guards against overwriting what another process wrote."""
     first = _call(store, interface.SwapKey('a/b', 0, 'one', ''))
     assert isinstance(first, interface.Swapped)
     store_server.put('a/b', 'two')
@@ -53,7 +53,7 @@
     store: PlatformStore,
     store_server: FakeStoreServer,
 ) -> None:
-    """Guards against a copy that keeps what was deleted."""
+    """Guards against a cache that keeps deleted keys."""
     for name in ('a/1', 'a/2', 'a/3'):
         store_server.put(name, name)
     first = _call(store, interface.WatchPrefix('a/', 0, 1))
@@ -71,7 +71,7 @@
     store: PlatformStore,
     store_server: FakeStoreServer,
 ) -> None:
-    """Guards against changes that are missed after a compaction."""
+    """Guards against missing changes after a compaction of the history."""
     store_server.put('a/1', 'one')
     first = _call(store, interface.WatchPrefix('a/', 0, 1))
     assert isinstance(first, interface.Snapshot)
@@ -97,7 +97,7 @@
     store_server: FakeStoreServer,
     failure: Response | Unanswered,
 ) -> None:
-    """Guards against a failure that looks like an empty store."""
+    """Guards against taking a failure for an empty store."""
     store_server.failure = failure
     outcome = _call(store, interface.WatchPrefix('a/', 0, 1))
     assert isinstance(outcome, interface.StoreUnavailable)
@@ -107,7 +107,7 @@
     store: PlatformStore,
     store_server: FakeStoreServer,
 ) -> None:
-    """Guards against an entry that takes itself for registered."""
+    """Guards against an entry that assumes it is still registered."""
     granted = _call(store, interface.GrantLease(6))
     assert granted == interface.LeaseHeld('1', 6)
     store_server.leases.clear()
