Name the tests of the settings parser plainly

EDGE -> SETTINGS broken -> malformed fault -> error test_the_fields_of_an_edge_machine_are_read -> test_settings_of_an_edge_machine_are_parsed test_missing_settings_are_named_together -> test_all_missing_settings_are_reported test_a_bound_that_is_no_number_is_refused -> test_a_bound_that_is_not_a_number_is_an_error

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,7 +4,7 @@
 
 from savoryrudder.platform.settings import parse_settings
 
-EDGE = """
+SETTINGS = """
 node_name=edge-1
 zone=shah-alam
 ip=10.1.0.13
@@ -18,9 +18,9 @@
 """
 
 
-def test_the_fields_of_an_edge_machine_are_read() -> None:
+def test_settings_of_an_edge_machine_are_parsed() -> None:
     """Guards against a setting that is read from the wrong field."""
-    settings = parse_settings(EDGE).ok
+    settings = parse_settings(SETTINGS).ok
     assert settings.link_address == '10.1.0.13:7720'
     assert settings.callers == '10.1.0.13:8161'
     assert settings.readiness == '10.1.0.13:8167'
@@ -28,14 +28,14 @@
     assert settings.lease_s == 1
 
 
-def test_missing_settings_are_named_together() -> None:
+def test_all_missing_settings_are_reported() -> None:
     """Guards against a start with half of the settings."""
-    fault = parse_settings('zone=a\n').error
-    assert 'node_name' in fault
-    assert 'platform.address' in fault
+    error = parse_settings('zone=a\n').error
+    assert 'node_name' in error
+    assert 'platform.address' in error
 
 
-def test_a_bound_that_is_no_number_is_refused() -> None:
+def test_a_bound_that_is_not_a_number_is_an_error() -> None:
     """Guards against a crash on a malformed bound."""
-    broken = EDGE.replace('grace_s=6', 'grace_s=soon')
-    assert 'not a number' in parse_settings(broken).error
+    malformed = SETTINGS.replace('grace_s=6', 'grace_s=soon')
+    assert 'not a number' in parse_settings(malformed).error
