--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,4 +1,4 @@
-"""Check the reading of the platform's settings file."""
+"""Test the parsing of the platform's settings file."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def test_settings_of_an_edge_machine_are_parsed() -> None:
-    """Guards against a setting that is read from the wrong field."""
+    """Guards against reading a setting from the wrong field."""
     settings = parse_settings(SETTINGS).ok
     assert settings.link_address == '10.1.0.13:7720'
     assert settings.callers == '10.1.0.13:8161'
@@ -29,7 +29,7 @@
 
 
 def test_all_missing_settings_are_reported() -> None:
-    """Guards against a start with half of the settings."""
+    """Guards against starting with incomplete settings."""
     error = parse_settings('zone=a\n').error
     assert 'node_name' in error
     assert 'platform.address' in error
