Name the tests of the codec plainly

test_frame_survives_the_wire -> test_a_frame_is_decoded_as_it_was_encoded test_unknown_kinds_and_surplus_fields_are_skipped -> test_unknown_types_and_extra_fields_are_skipped test_unknown_version_is_refused_by_name -> test_the_error_names_an_unknown_version

--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -10,7 +10,7 @@
 from savoryrudder.protocol.codec import encode_frame
 
 
-def test_frame_survives_the_wire() -> None:
+def test_a_frame_is_decoded_as_it_was_encoded() -> None:
     """Guard against fields that change type or order on the wire."""
     frame = Frame(
         's1',
@@ -25,7 +25,7 @@
     assert decode_frame(encode_frame(frame)).ok == frame
 
 
-def test_unknown_kinds_and_surplus_fields_are_skipped() -> None:
+def test_unknown_types_and_extra_fields_are_skipped() -> None:
     """Guard against breaking older processes by a newer peer."""
     raw = msgspec.msgpack.encode(
         (1, 's1', 1, 0, [(6, [3, 'new field']), (999, [1])], 'new part'),
@@ -33,7 +33,7 @@
     assert decode_frame(raw).ok.messages == (messages.Grant(3),)
 
 
-def test_unknown_version_is_refused_by_name() -> None:
+def test_the_error_names_an_unknown_version() -> None:
     """Guard against reading a frame of another protocol version."""
     raw = msgspec.msgpack.encode((2, 's1', 1, 0, []))
     assert 'version 2' in decode_frame(raw).error.detail
