--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -1,4 +1,4 @@
-"""Check that frames survive the wire and bad frames are refused."""
+"""Test the encoding and decoding of frames."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def test_a_frame_is_decoded_as_it_was_encoded() -> None:
-    """Guard against fields that change type or order on the wire."""
+    """Guard against fields that change type or order in transit."""
     frame = Frame(
         's1',
         7,
@@ -26,7 +26,7 @@
 
 
 def test_unknown_types_and_extra_fields_are_skipped() -> None:
-    """Guard against breaking older processes by a newer peer."""
+    """Guard against messages of a newer peer that break an older one."""
     raw = msgspec.msgpack.encode(
         (1, 's1', 1, 0, [(6, [3, 'new field']), (999, [1])], 'new part'),
     )
@@ -34,6 +34,6 @@
 
 
 def test_the_error_names_an_unknown_version() -> None:
-    """Guard against reading a frame of another protocol version."""
+    """Guard against decoding a frame of another protocol version."""
     raw = msgspec.msgpack.encode((2, 's1', 1, 0, []))
     assert 'version 2' in decode_frame(raw).error.detail
