Name the tests of the store client plainly

again -> conflict held -> current gone -> deletion start -> first seen -> second tied -> attached test_a_lost_answer_is_found_by_reading_back -> test_a_write_without_a_response_is_read_back test_a_watch_wakes_for_changes_below_its_prefix -> test_a_watch_returns_after_a_change_under_its_prefix test_a_lease_ends_with_its_keys -> test_revoking_a_lease_deletes_its_keys test_an_outage_is_unavailable -> test_an_outage_is_reported_as_unavailable test_a_refused_connection_is_unavailable -> test_a_refused_connection_is_reported_as_unavailable

--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -26,17 +26,17 @@
     """Guard against overwriting what another writer wrote."""
     async with open_store() as (client, _):
         swapped = await client.call(interface.SwapKey(KEY, 0, 'first', ''))
-        again = await client.call(interface.SwapKey(KEY, 0, 'second', ''))
-        held = interface.KeyValue(KEY, swapped.version, 'first')
-        assert again == interface.SwapConflict(held)
-        assert await client.call(interface.ReadKey(KEY)) == held
-        gone = interface.SwapKey(KEY, held.version, None, '')
-        await client.call(gone)
+        conflict = await client.call(interface.SwapKey(KEY, 0, 'second', ''))
+        current = interface.KeyValue(KEY, swapped.version, 'first')
+        assert conflict == interface.SwapConflict(current)
+        assert await client.call(interface.ReadKey(KEY)) == current
+        deletion = interface.SwapKey(KEY, current.version, None, '')
+        await client.call(deletion)
         absent = await client.call(interface.ReadKey(KEY))
         assert absent == interface.KeyValue(KEY, 0, None)
 
 
-async def test_a_lost_answer_is_found_by_reading_back(
+async def test_a_write_without_a_response_is_read_back(
     open_store: Callable[..., Any],
 ) -> None:
     """Guard against taking a write for failed when only its answer was."""
@@ -48,20 +48,20 @@
         assert stand_in.calls['write'] == 1
 
 
-async def test_a_watch_wakes_for_changes_below_its_prefix(
+async def test_a_watch_returns_after_a_change_under_its_prefix(
     open_store: Callable[..., Any],
 ) -> None:
     """Guard against missed changes, deletions among them."""
     async with open_store() as (client, stand_in):
-        start = await client.call(interface.WatchPrefix('entries/', 0, 10))
-        assert start == interface.Snapshot(0, ())
+        first = await client.call(interface.WatchPrefix('entries/', 0, 10))
+        assert first == interface.Snapshot(0, ())
         version = stand_in.content.put(KEY, 'here', '')
         stand_in.content.put('terms/x', '', '')
         watch = interface.WatchPrefix('entries/', version, 10)
         async with anyio.create_task_group() as group:
             group.start_soon(_delete_when_watched, stand_in)
-            seen = await client.call(watch)
-        assert seen == interface.Snapshot(stand_in.content.version, ())
+            second = await client.call(watch)
+        assert second == interface.Snapshot(stand_in.content.version, ())
 
 
 async def _delete_when_watched(stand_in: Any) -> None:
@@ -78,11 +78,11 @@
         lease = (await client.call(interface.GrantLease(0))).lease
         renewed = await client.call(interface.RenewLease(lease))
         assert renewed == interface.LeaseLost()
-        tied = interface.SwapKey(KEY, 0, 'x', lease)
-        assert await client.call(tied) == interface.LeaseLost()
+        attached = interface.SwapKey(KEY, 0, 'x', lease)
+        assert await client.call(attached) == interface.LeaseLost()
 
 
-async def test_a_lease_ends_with_its_keys(
+async def test_revoking_a_lease_deletes_its_keys(
     open_store: Callable[..., Any],
 ) -> None:
     """Guard against entries that stay listed after their lease."""
@@ -94,7 +94,7 @@
 
 
 @pytest.mark.parametrize('fault', ['down_s', 'slow_ms'])
-async def test_an_outage_is_unavailable(
+async def test_an_outage_is_reported_as_unavailable(
     open_store: Callable[..., Any],
     fault: str,
 ) -> None:
@@ -118,7 +118,7 @@
     assert after.has_changed('', version - 1)
 
 
-async def test_a_refused_connection_is_unavailable() -> None:
+async def test_a_refused_connection_is_reported_as_unavailable() -> None:
     """Guard against errors that escape when nothing listens."""
     client = HttpStore('http://127.0.0.1:1', 1)
     outcome = await client.call(interface.ReadKey(KEY))
