--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -1,4 +1,4 @@
-"""Check the store adapter against the stand-in store."""
+"""Test the HTTP store client against the stand-in store."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 async def test_a_write_without_a_response_is_read_back(
     open_store: Callable[..., Any],
 ) -> None:
-    """Guard against taking a write for failed when only its answer was."""
+    """Guard against taking a write for failed when its response was lost."""
     async with open_store() as (client, stand_in):
         stand_in.faults.lose_answers = 1
         outcome = await client.call(interface.SwapKey(KEY, 0, 'token', ''))
@@ -73,7 +73,7 @@
 async def test_an_expired_lease_is_lost(
     open_store: Callable[..., Any],
 ) -> None:
-    """Guard against an owner that believes in a lease that has ended."""
+    """Guard against an owner that relies on an expired lease."""
     async with open_store() as (client, _):
         lease = (await client.call(interface.GrantLease(0))).lease
         renewed = await client.call(interface.RenewLease(lease))
@@ -85,7 +85,7 @@
 async def test_revoking_a_lease_deletes_its_keys(
     open_store: Callable[..., Any],
 ) -> None:
-    """Guard against entries that stay listed after their lease."""
+    """Guard against entries that stay registered after their lease ends."""
     async with open_store() as (client, _):
         lease = (await client.call(interface.GrantLease(60))).lease
         await client.call(interface.SwapKey(KEY, 0, 'x', lease))
@@ -98,7 +98,7 @@
     open_store: Callable[..., Any],
     fault: str,
 ) -> None:
-    """Guard against errors that escape or calls that never end."""
+    """Guard against exceptions, and calls without a time limit."""
     async with open_store(timeout_s=0.2) as (client, stand_in):
         stand_in.faults.set_from({fault: 60_000})
         outcome = await client.call(interface.ReadKey(KEY))
@@ -106,7 +106,7 @@
 
 
 async def test_content_survives_a_restart(tmp_path: Path) -> None:
-    """Guard against a store stand-in that forgets what it confirmed."""
+    """Guard against a stand-in store that loses acknowledged writes."""
     path = tmp_path / 'snapshot'
     before = StandInStore(path).content
     version = before.put(KEY, 'here', before.grant(5))
@@ -114,12 +114,12 @@
     assert after.describe(KEY) == before.describe(KEY)
     assert after.version == version
     assert after.leases.keys() == before.leases.keys()
-    # Deletions before the restart are forgotten.
+    # The stand-in does not store deletions, so it reports a change.
     assert after.has_changed('', version - 1)
 
 
 async def test_a_refused_connection_is_reported_as_unavailable() -> None:
-    """Guard against errors that escape when nothing listens."""
+    """Guard against an exception when nothing listens at the port."""
     client = HttpStore('http://127.0.0.1:1', 1)
     outcome = await client.call(interface.ReadKey(KEY))
     assert isinstance(outcome, interface.StoreUnavailable)
