--- a/tests/store/conftest.py
+++ b/tests/store/conftest.py
@@ -21,7 +21,7 @@
 CLIENT_TIMEOUT_S = 20
 
 
-class StorePair(NamedTuple):
+class StoreFixture(NamedTuple):
     """Hold a client and the stand-in that it calls."""
 
     client: HttpStore
@@ -31,15 +31,15 @@
 @contextlib.asynccontextmanager
 async def _open_store(
     timeout_s: float = CLIENT_TIMEOUT_S,
-) -> AsyncIterator[StorePair]:
+) -> AsyncIterator[StoreFixture]:
     stop = trio.Event()
     stand_in = StandInStore()
-    with socket.create_server(('127.0.0.1', 0)) as listening:
-        url = 'http://{0}:{1}'.format(*listening.getsockname())
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        url = 'http://{0}:{1}'.format(*listener.getsockname())
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve, stand_in, listening, stop)
+            nursery.start_soon(serve, stand_in, listener, stop)
             client = HttpStore(url, timeout_s)
-            yield StorePair(client, stand_in)
+            yield StoreFixture(client, stand_in)
             await client.close()
             stop.set()
 
@@ -52,7 +52,7 @@
 
 @pytest.fixture
 def open_store() -> Callable[
-    ..., contextlib.AbstractAsyncContextManager[StorePair]
+    ..., contextlib.AbstractAsyncContextManager[StoreFixture]
 ]:
     """Return how to open a client and its stand-in."""
     return _open_store
