--- a/tests/store/conftest.py
+++ b/tests/store/conftest.py
@@ -1,4 +1,4 @@
-"""Serve a stand-in store in the process of the test."""
+"""Run a stand-in store in the test's process."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class StoreFixture(NamedTuple):
-    """Hold a client and the stand-in that it calls."""
+    """Hold a client and the stand-in store that it calls."""
 
     client: HttpStore
     stand_in: StandInStore
@@ -54,5 +54,5 @@
 def open_store() -> Callable[
     ..., contextlib.AbstractAsyncContextManager[StoreFixture]
 ]:
-    """Return how to open a client and its stand-in."""
+    """Return a function that starts a stand-in store with a client."""
     return _open_store
