--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -35,7 +35,7 @@
 
 
 class RelinquishJob(NamedTuple):
-    """Ask an entry to stop a job that its caller sent to the sender."""
+    """Ask an entry to stop a job whose caller now waits at the sender."""
 
     job: str
 
