--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -24,7 +24,7 @@
 
 
 class Response(NamedTuple):
-    """Hold the response to a request."""
+    """Hold the status and the body of a response."""
 
     status: int
     content: bytes
@@ -106,7 +106,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        """Prepare to call the server at `ip:port`."""
+        """Create a client of the server at `ip:port`."""
         self._address = address
         self._idle: list[_Connection] = []
         self._generation = 0
