--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -55,7 +55,7 @@
         await process.serve_metrics(group, settings, dispatcher)
         await dispatcher.stopped.wait()
         stopping.set()
-        await _close_connections(registration)
+        await _shut_down(registration)
         group.cancel_scope.cancel()
 
 
@@ -104,7 +104,7 @@
         await group.start(serve_http, app, readiness)
 
 
-async def _close_connections(registration: Registration) -> None:
+async def _shut_down(registration: Registration) -> None:
     await anyio.sleep(_CLOSE_TIMEOUT_S)
     with anyio.move_on_after(_CLOSE_TIMEOUT_S):
         await registration.withdraw()
