--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -32,7 +32,7 @@
 
 
 class _RequestHead(NamedTuple):
-    """Hold what the line and headers of a request say."""
+    """The parts of a request that precede its body."""
 
     method: str
     host: str
--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -24,14 +24,14 @@
 
 
 class Response(NamedTuple):
-    """Hold the status and the body of a response."""
+    """The status and the body of a response."""
 
     status: int
     content: bytes
 
 
 class Unanswered(NamedTuple):
-    """Report a request that got no response.
+    """The lack of a response to a request.
 
     `sent` is False if the server cannot have received the request.
     """
--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -60,7 +60,7 @@
 
 
 class SubmittedJob(NamedTuple):
-    """Hold a decoded job.
+    """A decoded job.
 
     `unsupported` names a requested feature that is not supported, if any.
     """
@@ -70,7 +70,7 @@
 
 
 class EncodedAnswer(NamedTuple):
-    """Hold the parts of an HTTP response."""
+    """The parts of an HTTP response."""
 
     status: int
     body: bytes
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -71,7 +71,7 @@
 
 
 class Frame(NamedTuple):
-    """Hold the messages that one event-loop turn sends on a session."""
+    """The messages that one event-loop turn sends on a session."""
 
     session: str
     sequence: int
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -12,14 +12,14 @@
 
 
 class TaskSpec(NamedTuple):
-    """Describe one task of a job."""
+    """One task of a job."""
 
     operation: str
     payload: bytes
 
 
 class Job(NamedTuple):
-    """Hold a submitted job as its caller sent it.
+    """A submitted job, as its caller sent it.
 
     `digest` covers service, urgency and tasks; it distinguishes two bodies
     under the same key. `deadline_ms` counts from the submission.
@@ -36,7 +36,7 @@
 
 
 class TaskOutcome(NamedTuple):
-    """Report how one task ended: complete, failed, not-run or unknown."""
+    """The outcome of one task: complete, failed, not-run or unknown."""
 
     outcome: str
     result: bytes
@@ -44,7 +44,7 @@
 
 
 class Answer(NamedTuple):
-    """Hold the answer to a job.
+    """The answer to a job.
 
     `status` is complete, failed, refused or running; `outcome` is empty for
     complete and running, and otherwise not-run, failed or unknown.
@@ -59,7 +59,7 @@
 
 
 class TaskRecord(NamedTuple):
-    """Report an agent's record of a task that it accepted.
+    """An agent's record of a task that it accepted.
 
     `state` is waiting, running, complete, failed, unknown or released; the
     result of a released record was dropped to stay within the memory bound.
@@ -208,7 +208,7 @@
 
 
 class RosterAgent(NamedTuple):
-    """Name an agent that an entry may have used.
+    """An agent that an entry may have used.
 
     `gone_ms` is the UTC time at which its last session ended, 0 while linked.
     """
@@ -251,7 +251,7 @@
 
 
 class HeldAnswer(NamedTuple):
-    """Hold the answer to an ended job that no agent can report any more."""
+    """The answer to an ended job that no agent can report any more."""
 
     submission: bytes
     digest: bytes
--- a/src/savoryrudder/store/interface.py
+++ b/src/savoryrudder/store/interface.py
@@ -61,7 +61,7 @@
 
 
 class KeyValue(NamedTuple):
-    """Hold a key with its version (0: absent)."""
+    """A key with its version (0: absent)."""
 
     key: str
     version: int
