--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -81,9 +81,9 @@
                 return await self._submit(head, content, receive)
             case 'GET':
                 return await self._dispatch(
-                    lambda now, request: events.JobQueried(
+                    lambda now, request_id: events.JobQueried(
                         now,
-                        request,
+                        request_id,
                         head.host,
                         head.path,
                     ),
@@ -91,9 +91,9 @@
                 )
             case 'DELETE':
                 return await self._dispatch(
-                    lambda now, request: events.JobCancelled(
+                    lambda now, request_id: events.JobCancelled(
                         now,
-                        request,
+                        request_id,
                         head.host,
                         head.path,
                     ),
@@ -117,9 +117,9 @@
             return _encode_error(400, decoded.error)
         submitted = decoded.ok
         return await self._dispatch(
-            lambda now, request: events.JobSubmitted(
+            lambda now, request_id: events.JobSubmitted(
                 now,
-                request,
+                request_id,
                 head.host,
                 head.path,
                 submitted.request,
