--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -32,7 +32,7 @@
 
 
 class _RequestHead(NamedTuple):
-    """The parts of a request that precede its body."""
+    """Hold the parts of a request that precede its body."""
 
     method: str
     host: str
@@ -41,7 +41,7 @@
 
 
 class CallerApp:
-    """ASGI application that serves the callers of an entry."""
+    """Serve the callers of an entry; an ASGI application."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         """Pass callers' requests to `dispatcher`."""
--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -46,10 +46,10 @@
 
 
 class HeartbeatApp:
-    """ASGI application that passes the executor's heartbeats to the agent."""
+    """Pass the executor's heartbeats to the agent; an ASGI application."""
 
     def __init__(self, worker: Worker) -> None:
-        """Pass heartbeats to `worker`."""
+        """Create the application of an agent."""
         self._worker = worker
 
     async def __call__(
--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -24,14 +24,14 @@
 
 
 class Response(NamedTuple):
-    """The status and the body of a response."""
+    """Hold the status and the body of a response."""
 
     status: int
     content: bytes
 
 
 class Unanswered(NamedTuple):
-    """The lack of a response to a request.
+    """Report a request that got no response.
 
     `sent` is False if the server cannot have received the request.
     """
@@ -41,7 +41,7 @@
 
 
 class _Connection:
-    """HTTP/1.1 connection for one request at a time."""
+    """Send one HTTP/1.1 request at a time over a connection."""
 
     def __init__(self, stream: SocketStream) -> None:
         self.used_at = anyio.current_time()
--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -60,7 +60,7 @@
 
 
 class SubmittedJob(NamedTuple):
-    """A decoded job.
+    """Hold a decoded job.
 
     `unsupported` names a requested feature that is not supported, if any.
     """
@@ -70,7 +70,7 @@
 
 
 class EncodedAnswer(NamedTuple):
-    """The parts of an HTTP response."""
+    """Hold the parts of an HTTP response."""
 
     status: int
     body: bytes
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -45,7 +45,7 @@
 
 
 class Listening(NamedTuple):
-    """The settings of an HTTP server without TLS."""
+    """Hold the settings of an HTTP server without TLS."""
 
     http_address: str
     tls_certificate: str | None = None
--- a/src/savoryrudder/platform/settings.py
+++ b/src/savoryrudder/platform/settings.py
@@ -20,7 +20,7 @@
 
 
 class ProcessSettings(NamedTuple):
-    """The settings of an entry or agent; addresses are `ip:port`.
+    """Hold the settings of an entry or agent; addresses are `ip:port`.
 
     `callers` and `readiness` are empty on executors' machines, `heartbeats`
     on entries that do not serve it.
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -23,7 +23,7 @@
 
 
 class _Item(msgspec.Struct):
-    """A key and its value; a deletion event has no value."""
+    """Hold a key and its value; a deletion event has no value."""
 
     key: str
     revision: int
--- a/src/savoryrudder/protocol/__init__.py
+++ b/src/savoryrudder/protocol/__init__.py
@@ -1,3 +1,3 @@
-"""Messages between the processes of savoryrudder."""
+"""Define the messages between the processes of savoryrudder."""
 
 from __future__ import annotations
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -71,7 +71,7 @@
 
 
 class Frame(NamedTuple):
-    """The messages that one event-loop turn sends on a session."""
+    """Hold the messages that one event-loop turn sends on a session."""
 
     session: str
     sequence: int
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -12,14 +12,14 @@
 
 
 class TaskSpec(NamedTuple):
-    """One task of a job."""
+    """Describe one task of a job."""
 
     operation: str
     payload: bytes
 
 
 class Job(NamedTuple):
-    """A submitted job, as its caller sent it.
+    """Hold a submitted job as its caller sent it.
 
     `digest` covers service, urgency and tasks; it distinguishes two bodies
     under the same key. `deadline_ms` counts from the submission.
@@ -36,7 +36,7 @@
 
 
 class TaskOutcome(NamedTuple):
-    """The outcome of one task: complete, failed, not-run or unknown."""
+    """Report the outcome of a task: complete, failed, not-run or unknown."""
 
     outcome: str
     result: bytes
@@ -44,7 +44,7 @@
 
 
 class Answer(NamedTuple):
-    """The answer to a job.
+    """Hold the answer to a job.
 
     `status` is complete, failed, refused or running; `outcome` is empty for
     complete and running, and otherwise not-run, failed or unknown.
@@ -59,7 +59,7 @@
 
 
 class TaskRecord(NamedTuple):
-    """An agent's record of a task that it accepted.
+    """Hold an agent's record of a task that it accepted.
 
     `state` is waiting, running, complete, failed, unknown or released; the
     result of a released record was dropped to stay within the memory bound.
@@ -208,7 +208,7 @@
 
 
 class RosterAgent(NamedTuple):
-    """An agent that an entry may have used.
+    """Name an agent that an entry may have used.
 
     `gone_ms` is the UTC time at which its last session ended, 0 while linked.
     """
@@ -251,7 +251,7 @@
 
 
 class HeldAnswer(NamedTuple):
-    """The answer to an ended job that no agent can report any more."""
+    """Hold the answer to an ended job that no agent can report any more."""
 
     submission: bytes
     digest: bytes
--- a/src/savoryrudder/store/__init__.py
+++ b/src/savoryrudder/store/__init__.py
@@ -1,3 +1,3 @@
-"""Access to the platform's key-value service."""
+"""Access the platform's key-value service."""
 
 from __future__ import annotations
--- a/src/savoryrudder/store/http.py
+++ b/src/savoryrudder/store/http.py
@@ -56,7 +56,7 @@
 
 
 class HttpStore:
-    """Client of the store; sends each operation once, without retries.
+    """Call the store; sends each operation once, without retries.
 
     Keys: `GET /v1/keys/{key}`; `PUT` with the JSON fields `expected`, `value`
     and `lease`; `DELETE` with the query field `expected`. A conflict is 409
--- a/src/savoryrudder/store/interface.py
+++ b/src/savoryrudder/store/interface.py
@@ -61,7 +61,7 @@
 
 
 class KeyValue(NamedTuple):
-    """A key with its version (0: absent)."""
+    """Hold a key with its version (0: absent)."""
 
     key: str
     version: int
@@ -119,7 +119,7 @@
 
 
 class KeyValueStore(Protocol):
-    """Client of the platform's key-value service."""
+    """Execute operations of the platform's key-value service."""
 
     async def call(self, operation: StoreOperation) -> StoreOutcome:
         """Execute an operation."""
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -1,4 +1,4 @@
-"""Fake clients that answer for the platform's servers."""
+"""Fake the platform's servers."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class FakeStoreServer:
-    """In-memory store with one revision counter; calls return at once."""
+    """Hold items with one revision counter; requests return at once."""
 
     address = 'store'
 
@@ -126,7 +126,7 @@
 
 
 class FakeExecutorServer:
-    """Executor that responds with `response` and records the requests."""
+    """Respond with `response` and record the requests."""
 
     address = 'executor'
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -39,7 +39,7 @@
 
 
 class FakeConnection:
-    """Connection of a caller that sends prepared messages."""
+    """Exchange prepared messages over a fake connection of a caller."""
 
     def __init__(self, messages: Iterator[Any]) -> None:
         """Send `messages`, then stay connected."""
@@ -60,7 +60,7 @@
 
 
 class Entry:
-    """Entry without agents that requests can be sent to."""
+    """Run an entry without agents and send requests to it."""
 
     def __init__(self, *, configured: bool = True) -> None:
         """Create the entry; `configured` gives it one queue."""
--- a/tests/store/conftest.py
+++ b/tests/store/conftest.py
@@ -22,7 +22,7 @@
 
 
 class StoreFixture(NamedTuple):
-    """A client and the stand-in store that it calls."""
+    """Hold a client and the stand-in store that it calls."""
 
     client: HttpStore
     stand_in: StandInStore
