--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -17,7 +17,7 @@
 from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
 from savoryrudder.protocol.work import ExecutorReport
-from savoryrudder.protocol.work import RunName
+from savoryrudder.protocol.work import RunKey
 
 
 class DispatchIdentity(NamedTuple):
@@ -203,7 +203,7 @@
     # Links of the entries that wait until a job has stopped here, by job ID.
     relinquish_requests: dict[str, str] = field(default_factory=dict)
     # Ends of runs by link, to be acknowledged with the next tick.
-    unacknowledged_ends: dict[str, list[RunName]] = field(default_factory=dict)
+    unacknowledged_ends: dict[str, list[RunKey]] = field(default_factory=dict)
     claim_changes: ClaimChanges = field(default_factory=ClaimChanges)
     # Links without a hello message yet, and whether this entry initiated them.
     unidentified_links: dict[str, bool] = field(default_factory=dict)
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -8,7 +8,7 @@
 from savoryrudder.jobs.model import Resources
 
 # A task's name and the number of its run.
-RunName: TypeAlias = tuple[str, int]
+RunKey: TypeAlias = tuple[str, int]
 
 
 class EntryHello(NamedTuple):
@@ -83,7 +83,7 @@
     start.
     """
 
-    tasks: tuple[RunName, ...]
+    tasks: tuple[RunKey, ...]
 
 
 class StartTask(NamedTuple):
@@ -139,4 +139,4 @@
 class EndsNoted(NamedTuple):
     """Acknowledge the ends of runs; the agent may forget them."""
 
-    ends: tuple[RunName, ...]
+    ends: tuple[RunKey, ...]
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -16,7 +16,7 @@
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
-    from savoryrudder.protocol.work import RunName
+    from savoryrudder.protocol.work import RunKey
     from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
@@ -128,7 +128,7 @@
             runs.send_stop(state, turn, run)
 
 
-def discard_ends(state: WorkerState, keys: tuple[RunName, ...]) -> None:
+def discard_ends(state: WorkerState, keys: tuple[RunKey, ...]) -> None:
     """Discard ends that their owner has acknowledged."""
     for acknowledged in keys:
         state.ends.pop(acknowledged, None)
@@ -193,7 +193,7 @@
     state: WorkerState,
     turn: Turn,
     sent_at: float,
-    listed: set[RunName],
+    listed: set[RunKey],
 ) -> None:
     for run in tuple(state.runs.values()):
         if run.key in listed:
@@ -214,7 +214,7 @@
 def _stop_stray_runs(
     state: WorkerState,
     turn: Turn,
-    listed: set[RunName],
+    listed: set[RunKey],
 ) -> None:
     tracked = {run.key for run in state.runs.values()}
     untracked = listed - tracked
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -135,7 +135,7 @@
     _call_stop(state, turn, run.key)
 
 
-def stop_stray_run(state: WorkerState, turn: Turn, key: work.RunName) -> None:
+def stop_stray_run(state: WorkerState, turn: Turn, key: work.RunKey) -> None:
     """Stop a run that this process did not start."""
     state.stray_runs[key] = turn.now
     _call_stop(state, turn, key)
@@ -222,7 +222,7 @@
     state.stray_runs.clear()
 
 
-def _call_stop(state: WorkerState, turn: Turn, key: work.RunName) -> None:
+def _call_stop(state: WorkerState, turn: Turn, key: work.RunKey) -> None:
     executor = state.executor
     if executor is not None:
         task, number = key
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -87,7 +87,7 @@
     end_reported: bool = False
 
     @property
-    def key(self) -> work.RunName:
+    def key(self) -> work.RunKey:
         """Return the name of the task with the number of the run."""
         return (self.task, self.number)
 
@@ -143,7 +143,7 @@
     reconciled: bool = False
     last_end_number: int = 0
     acknowledged_upto_sent: int = 0
-    unacknowledged_ends: dict[int, work.RunName] = field(default_factory=dict)
+    unacknowledged_ends: dict[int, work.RunKey] = field(default_factory=dict)
 
     def renew_by(self, due_at: float) -> None:
         """Bring the next renewal forward to `due_at`.
@@ -196,8 +196,8 @@
     runs: dict[str, Run] = field(default_factory=dict)
     # Runs on the executor that this process did not start, with the time at
     # which it last asked to stop them.
-    stray_runs: dict[work.RunName, float] = field(default_factory=dict)
-    ends: dict[work.RunName, UnacknowledgedEnd] = field(default_factory=dict)
+    stray_runs: dict[work.RunKey, float] = field(default_factory=dict)
+    ends: dict[work.RunKey, UnacknowledgedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
     lost_owners: dict[str, float] = field(default_factory=dict)
     draining: bool = False
