--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -191,7 +191,7 @@
 def acknowledge_ends(state: DispatchState, turn: Turn) -> None:
     """Acknowledge the ends of runs to their agents."""
     for link, ends in state.unacknowledged_ends.items():
-        turn.send(link, work.EndsNoted(tuple(ends)))
+        turn.send(link, work.EndsAcknowledged(tuple(ends)))
     state.unacknowledged_ends.clear()
 
 
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -53,7 +53,7 @@
         30: work.StartTask,
         31: work.StopTask,
         32: work.TaskEnded,
-        33: work.EndsNoted,
+        33: work.EndsAcknowledged,
         34: work.JobsClaimed,
         35: work.JobsReleased,
         36: work.RelinquishJob,
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -346,6 +346,6 @@
     | work.StartTask
     | work.StopTask
     | work.TaskEnded
-    | work.EndsNoted
+    | work.EndsAcknowledged
     | work.SlowRun
 )
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -136,7 +136,7 @@
     remaining_ms: int
 
 
-class EndsNoted(NamedTuple):
+class EndsAcknowledged(NamedTuple):
     """Acknowledge the ends of runs; the agent may forget them."""
 
     ends: tuple[RunKey, ...]
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -98,7 +98,7 @@
             runs.start(state, turn, link, message)
         case work.StopTask():
             runs.stop_on_request(state, turn, message)
-        case work.EndsNoted(ends):
+        case work.EndsAcknowledged(ends):
             renewal.discard_ends(state, ends)
 
 
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -63,7 +63,7 @@
     assert not driver.messages_of(work.TaskEnded)
     driver.receive(work.EntryHello('e1', 'e1#1', 'address'))
     assert len(driver.messages_of(work.TaskEnded)) == 1
-    driver.receive(work.EndsNoted((('j.0', 1),)))
+    driver.receive(work.EndsAcknowledged((('j.0', 1),)))
     assert not driver.state.ends
 
 
@@ -75,7 +75,7 @@
     driver.answer_start('j.0', verdicts.STARTED)
     driver.answer_renewal(ended=(events.RunEnd(1, 'j.0', 1, outcomes.DONE),))
     assert driver.state.lease.acknowledged_upto == 0
-    driver.receive(work.EndsNoted((('j.0', 1),)))
+    driver.receive(work.EndsAcknowledged((('j.0', 1),)))
     assert driver.state.lease.acknowledged_upto == 1
 
 
