--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -201,7 +201,9 @@
         for number in range(sizes.agents):
             self._link_agent(f'agent-{number}')
         for name in entries[1:]:
-            confirmation = messages.RosterHeld(self.state.roster_sequence)
+            confirmation = messages.RosterAcknowledged(
+                self.state.roster_sequence,
+            )
             self._reduce(self._message(name, confirmation))
         self.now += 1
         reduce(self.state, events.Tick(self.now, _WALL_CLOCK))
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -14,7 +14,7 @@
 from savoryrudder.protocol.messages import PeerHello
 from savoryrudder.protocol.messages import Promise
 from savoryrudder.protocol.messages import Roster
-from savoryrudder.protocol.messages import RosterHeld
+from savoryrudder.protocol.messages import RosterAcknowledged
 from savoryrudder.store import interface
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.units import MS_PER_S
@@ -76,7 +76,7 @@
         turn.now,
         message.incomplete_until_ms / MS_PER_S,
     )
-    turn.send(name, RosterHeld(message.sequence))
+    turn.send(name, RosterAcknowledged(message.sequence))
 
 
 def handle_roster_held(turn: Turn, name: str, sequence: int) -> None:
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -164,7 +164,7 @@
         ),
         messages.Heartbeat: lambda turn, peer, _: None,
         messages.Roster: peers.handle_roster,
-        messages.RosterHeld: lambda turn, peer, message: (
+        messages.RosterAcknowledged: lambda turn, peer, message: (
             peers.handle_roster_held(
                 turn,
                 peer,
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -39,7 +39,7 @@
         16: messages.Heartbeat,
         17: messages.Leaving,
         18: messages.Roster,
-        19: messages.RosterHeld,
+        19: messages.RosterAcknowledged,
         20: messages.Promise,
         21: messages.Forward,
         22: messages.ForwardAnswer,
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -231,7 +231,7 @@
     agents: tuple[RosterAgent, ...]
 
 
-class RosterHeld(NamedTuple):
+class RosterAcknowledged(NamedTuple):
     """Acknowledge a roster."""
 
     sequence: int
@@ -328,7 +328,7 @@
     | Heartbeat
     | Leaving
     | Roster
-    | RosterHeld
+    | RosterAcknowledged
     | Promise
     | HandOver
     | Forward
