--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -31,7 +31,9 @@
     peer = state.peers.get(owner.owner)
     if peer is None or not peer.session or owned.stale:
         return
-    gone_agents = {key for key, agent in state.roster.items() if agent.gone_ms}
+    gone_agents = {
+        key for key, agent in state.roster.items() if agent.disconnected_at_ms
+    }
     # These agents may reconnect and may still run tasks.
     lost_agents = [
         agent
@@ -81,7 +83,7 @@
     owned.awaited_agents = {
         key: agent
         for key, agent in owned.awaited_agents.items()
-        if not agent.gone_ms
+        if not agent.disconnected_at_ms
     } | still_awaited
     for held in message.answers:
         if held.submission not in state.submissions:
--- a/src/savoryrudder/entry/partitions.py
+++ b/src/savoryrudder/entry/partitions.py
@@ -129,7 +129,8 @@
     # An agent that is linked in either roster counts as linked; otherwise the
     # later end of its sessions counts.
     if listed is None or (
-        listed.gone_ms and not 0 < agent.gone_ms <= listed.gone_ms
+        listed.disconnected_at_ms
+        and not 0 < agent.disconnected_at_ms <= listed.disconnected_at_ms
     ):
         awaited[key] = agent
 
--- a/src/savoryrudder/entry/peers.py
+++ b/src/savoryrudder/entry/peers.py
@@ -233,5 +233,5 @@
     turn.state.roster = {
         key: agent
         for key, agent in turn.state.roster.items()
-        if not 0 < agent.gone_ms < limit_ms
+        if not 0 < agent.disconnected_at_ms < limit_ms
     }
--- a/src/savoryrudder/entry/routing.py
+++ b/src/savoryrudder/entry/routing.py
@@ -409,7 +409,7 @@
         agent.service == service or not service
         for agent in partition.awaited_agents.values()
         if not issued_after_gain
-        and not 0 < agent.gone_ms / MS_PER_S < issued_at
+        and not 0 < agent.disconnected_at_ms / MS_PER_S < issued_at
     )
 
 
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -210,13 +210,14 @@
 class RosterAgent(NamedTuple):
     """Name an agent that an entry may have used.
 
-    `gone_ms` is the UTC time at which its last session ended, 0 while linked.
+    `disconnected_at_ms` is the UTC time at which its last session ended, 0
+    while linked.
     """
 
     agent: str
     incarnation: str
     service: str
-    gone_ms: int
+    disconnected_at_ms: int
 
 
 class Roster(NamedTuple):
