--- a/src/savoryrudder/entry/handover.py
+++ b/src/savoryrudder/entry/handover.py
@@ -9,8 +9,8 @@
 from savoryrudder.entry.state import Submission
 from savoryrudder.entry.state import TaskState
 from savoryrudder.protocol.messages import HandOver
-from savoryrudder.protocol.messages import HeldAnswer
 from savoryrudder.protocol.messages import Job
+from savoryrudder.protocol.messages import RetainedAnswer
 
 if TYPE_CHECKING:
     from savoryrudder.entry.turn import Turn
@@ -49,7 +49,7 @@
             owned.roster_incomplete,
             (*owned.awaited_agents.values(), *lost_agents),
             tuple(
-                HeldAnswer(
+                RetainedAnswer(
                     submission.identifier,
                     submission.job.digest,
                     submission.answer,
@@ -99,7 +99,7 @@
     )
 
 
-def _store_answer(turn: Turn, partition: int, held: HeldAnswer) -> None:
+def _store_answer(turn: Turn, partition: int, held: RetainedAnswer) -> None:
     state = turn.state
     state.submissions[held.submission] = Submission(
         identifier=held.submission,
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -251,7 +251,7 @@
     echo_ms: int
 
 
-class HeldAnswer(NamedTuple):
+class RetainedAnswer(NamedTuple):
     """Hold the answer to an ended job that no agent can report any more."""
 
     submission: bytes
@@ -271,7 +271,7 @@
     epoch: int
     roster_incomplete: bool
     awaited: tuple[RosterAgent, ...]
-    answers: tuple[HeldAnswer, ...]
+    answers: tuple[RetainedAnswer, ...]
 
 
 class Forward(NamedTuple):
