--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -120,7 +120,7 @@
             batch = batch[: _count_fitting(batch, limit)]
         self._messages = self._messages[len(batch) :]
         if self._messages:
-            self._bytes -= sum(map(codec.message_size, batch))
+            self._bytes -= sum(map(codec.estimate_message_size, batch))
         else:
             self._bytes = 0
             self._not_empty = anyio.Event()
@@ -128,7 +128,7 @@
 
 
 def _count_fitting(messages: Sequence[Message], limit: int) -> int:
-    total_sizes = accumulate(map(codec.message_size, messages))
+    total_sizes = accumulate(map(codec.estimate_message_size, messages))
     return max(1, sum(1 for _ in takewhile(limit.__ge__, total_sizes)))
 
 
@@ -182,7 +182,7 @@
         """Queue a message; return False if the session is closed."""
         if self._reason:
             return False
-        size = codec.message_size(message)
+        size = codec.estimate_message_size(message)
         if size > _MAX_MESSAGE_BYTES:
             self.close('message exceeds the size limit of a frame')
             return False
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -95,7 +95,7 @@
     )
 
 
-def message_size(message: messages.Message) -> int:
+def estimate_message_size(message: messages.Message) -> int:
     """Return the approximate size of a message in a frame, in bytes.
 
     The frequent types are estimated without encoding them.
