--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -10,9 +10,9 @@
 import anyio
 import msgspec
 
+from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
 from savoryrudder.platform.http_client import Response
-from savoryrudder.platform.http_client import Unanswered
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
@@ -95,7 +95,7 @@
             body,
             _TIMEOUT_S,
         )
-        if isinstance(response, Unanswered):
+        if isinstance(response, NoResponse):
             verdict = verdicts.UNKNOWN if response.sent else verdicts.REFUSED
             return verdict, 0
         return _decode_verdict(response)
@@ -134,7 +134,7 @@
             _TIMEOUT_S + call.wait_ms / MS_PER_S,
         )
         now = anyio.current_time()
-        if isinstance(response, Unanswered):
+        if isinstance(response, NoResponse):
             return events.RenewalFailed(now, response.reason)
         if response.status != HTTPStatus.OK:
             reason = f'the executor responded with status {response.status}'
@@ -152,7 +152,7 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float,
-    ) -> Response | Unanswered:
+    ) -> Response | NoResponse:
         if self._client.address != executor.address:
             self._client = PlatformClient(executor.address)
         return await self._client.call(
--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -30,7 +30,7 @@
     content: bytes
 
 
-class Unanswered(NamedTuple):
+class NoResponse(NamedTuple):
     """Report a request that got no response.
 
     `sent` is False if the server cannot have received the request.
@@ -123,7 +123,7 @@
         body: bytes | None,
         timeout_s: float,
         headers: tuple[tuple[bytes, bytes], ...] = (),
-    ) -> Response | Unanswered:
+    ) -> Response | NoResponse:
         """Send a request and return its response."""
         content = body or b''
         request = h11.Request(
@@ -136,20 +136,20 @@
                 *headers,
             ],
         )
-        connection: _Connection | Unanswered = Unanswered(
+        connection: _Connection | NoResponse = NoResponse(
             'connection timed out',
             sent=False,
         )
         with anyio.move_on_after(timeout_s):
             connection = await self._connect()
-            if isinstance(connection, Unanswered):
+            if isinstance(connection, NoResponse):
                 return connection
             return await self._exchange(connection, request, content)
-        if isinstance(connection, Unanswered):
+        if isinstance(connection, NoResponse):
             return connection
-        return Unanswered('request timed out', sent=True)
+        return NoResponse('request timed out', sent=True)
 
-    async def _connect(self) -> _Connection | Unanswered:
+    async def _connect(self) -> _Connection | NoResponse:
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
@@ -159,21 +159,21 @@
         try:
             return _Connection(await anyio.connect_tcp(host, int(port)))
         except OSError as error:
-            return Unanswered(f'cannot connect: {error}', sent=False)
+            return NoResponse(f'cannot connect: {error}', sent=False)
 
     async def _exchange(
         self,
         connection: _Connection,
         request: h11.Request,
         content: bytes,
-    ) -> Response | Unanswered:
+    ) -> Response | NoResponse:
         generation = self._generation
         try:
             response = await connection.exchange(request, content)
         except (OSError, anyio.BrokenResourceError) as error:
-            failure = Unanswered(str(error) or 'connection lost', sent=True)
+            failure = NoResponse(str(error) or 'connection lost', sent=True)
         except h11.RemoteProtocolError as protocol_error:
-            failure = Unanswered(
+            failure = NoResponse(
                 f'malformed response: {protocol_error}',
                 sent=True,
             )
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
+from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
 from savoryrudder.platform.http_client import Response
-from savoryrudder.platform.http_client import Unanswered
 from savoryrudder.store import interface
 from savoryrudder.utils.units import MS_PER_S
 
@@ -123,7 +123,7 @@
         path: str,
         body: dict[str, Any] | None = None,
         timeout_s: float = _TIMEOUT_S,
-    ) -> Response | Unanswered:
+    ) -> Response | NoResponse:
         content = None if body is None else _encoder.encode(body)
         return await self._client.call(method, path, content, timeout_s)
 
@@ -239,16 +239,16 @@
 
 
 def _has_status(
-    response: Response | Unanswered,
+    response: Response | NoResponse,
     status: HTTPStatus,
 ) -> TypeGuard[Response]:
     return isinstance(response, Response) and response.status == status
 
 
 def _unavailable(
-    response: Response | Unanswered,
+    response: Response | NoResponse,
 ) -> interface.StoreUnavailable:
-    if isinstance(response, Unanswered):
+    if isinstance(response, NoResponse):
         return interface.StoreUnavailable(response.reason)
     return interface.StoreUnavailable(
         f'the store responded with status {response.status}',
@@ -266,12 +266,12 @@
 
 
 def _decode_lease(
-    response: Response | Unanswered,
+    response: Response | NoResponse,
     lease: str,
 ) -> interface.StoreOutcome:
     if _has_status(response, HTTPStatus.NOT_FOUND):
         return interface.LeaseLost()
-    if isinstance(response, Unanswered) or response.status != HTTPStatus.OK:
+    if isinstance(response, NoResponse) or response.status != HTTPStatus.OK:
         return _unavailable(response)
     if not response.content:
         return interface.LeaseHeld(lease, 0)
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import Response
-from savoryrudder.platform.http_client import Unanswered
 
 
 class FakeStoreServer:
@@ -25,7 +25,7 @@
         self.events: list[dict[str, Any]] = []
         self.history_from = 0
         self.page_size = 2
-        self.failure: Response | Unanswered | None = None
+        self.failure: Response | NoResponse | None = None
         self.leases = {1}
 
     async def call(
@@ -35,7 +35,7 @@
         body: bytes | None,
         timeout_s: float,
         headers: Any = (),
-    ) -> Response | Unanswered:
+    ) -> Response | NoResponse:
         """Respond to a request, with `failure` if it is set."""
         if self.failure is not None:
             return self.failure
@@ -132,7 +132,7 @@
 
     def __init__(self) -> None:
         """Leave requests without a response at first."""
-        self.response: Response | Unanswered = Unanswered('silent', sent=True)
+        self.response: Response | NoResponse = NoResponse('silent', sent=True)
         self.requests: list[Any] = []
 
     async def call(
@@ -142,7 +142,7 @@
         body: bytes | None,
         timeout_s: float,
         headers: Any = (),
-    ) -> Response | Unanswered:
+    ) -> Response | NoResponse:
         """Record a request and return `response`."""
         fields = msgspec.json.decode(body) if body else {}
         self.requests.append((path, fields, headers))
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -8,8 +8,8 @@
 import msgspec
 import pytest
 
+from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import Response
-from savoryrudder.platform.http_client import Unanswered
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
@@ -35,14 +35,14 @@
         (Response(503, b''), verdicts.REFUSED),
         (Response(500, b'{}'), verdicts.UNKNOWN),
         (Response(200, b'garbage'), verdicts.UNKNOWN),
-        (Unanswered('reset', sent=True), verdicts.UNKNOWN),
-        (Unanswered('no listener', sent=False), verdicts.REFUSED),
+        (NoResponse('reset', sent=True), verdicts.UNKNOWN),
+        (NoResponse('no listener', sent=False), verdicts.REFUSED),
     ],
 )
 def test_responses_to_a_start_map_to_verdicts(
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
-    response: Response | Unanswered,
+    response: Response | NoResponse,
     verdict: str,
 ) -> None:
     """Guards against starting a run again that may already be running."""
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -9,9 +9,9 @@
 import pytest
 from anyio.abc import SocketAttribute
 
+from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
 from savoryrudder.platform.http_client import Response
-from savoryrudder.platform.http_client import Unanswered
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -102,7 +102,7 @@
         await client.call('GET', '/x', None, TIMEOUT_S)
         server.response = b''
         response = await client.call('POST', '/x', b'{}', 0.05)
-        assert response == Unanswered('request timed out', sent=True)
+        assert response == NoResponse('request timed out', sent=True)
         server.response = RESPONSE
         second_response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
         assert second_response == Response(200, b'{}')
@@ -113,7 +113,7 @@
     """Guards against stopping a run whose start was never sent."""
     client = PlatformClient('127.0.0.1:1')
     response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
-    assert isinstance(response, Unanswered)
+    assert isinstance(response, NoResponse)
     assert not response.sent
 
 
@@ -124,5 +124,5 @@
     server.requests_per_connection = 1
     async with run_server(server) as client:
         response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
-        assert isinstance(response, Unanswered)
+        assert isinstance(response, NoResponse)
         assert response.sent
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -7,8 +7,8 @@
 import anyio
 import pytest
 
+from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import Response
-from savoryrudder.platform.http_client import Unanswered
 from savoryrudder.store import interface
 
 if TYPE_CHECKING:
@@ -89,13 +89,13 @@
         Response(503, b''),
         Response(429, b'{}'),
         Response(200, b'no json'),
-        Unanswered('request timed out', sent=True),
+        NoResponse('request timed out', sent=True),
     ],
 )
 def test_an_unusable_response_is_unavailable(
     store: PlatformStore,
     store_server: FakeStoreServer,
-    failure: Response | Unanswered,
+    failure: Response | NoResponse,
 ) -> None:
     """Guards against taking a failure for an empty store."""
     store_server.failure = failure
