--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -59,7 +59,7 @@
     long_running: bool = False
 
 
-class SubmittedJob(NamedTuple):
+class DecodedJob(NamedTuple):
     """Hold a decoded job.
 
     `unsupported` names a requested feature that is not supported, if any.
@@ -80,7 +80,7 @@
 _decoder: Final = msgspec.json.Decoder(_JobBody)
 
 
-def decode_job(name: str, content: bytes) -> Result[SubmittedJob, str]:
+def decode_job(name: str, content: bytes) -> Result[DecodedJob, str]:
     """Decode a submitted job; an error says what is invalid."""
     try:
         body = _decoder.decode(content)
@@ -91,7 +91,7 @@
         return Error(reason)
     steps = tuple(_convert_step(step) for step in body.steps)
     request = JobRequest(name, body.spec, steps)
-    return Ok(SubmittedJob(request, _find_unsupported(body)))
+    return Ok(DecodedJob(request, _find_unsupported(body)))
 
 
 def encode_answer(
