--- a/src/savoryrudder/platform/agent.py
+++ b/src/savoryrudder/platform/agent.py
@@ -35,7 +35,7 @@
         await group.start(
             serve_http,
             HeartbeatApp(worker),
-            process.Listening(settings.heartbeats),
+            process.PlainHttpSettings(settings.heartbeats),
         )
         await process.serve_metrics(group, settings, worker)
         await worker.stopped.wait()
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -97,10 +97,10 @@
     stopping: anyio.Event,
 ) -> None:
     app = CallerApp(dispatcher)
-    callers = process.Listening(settings.callers)
+    callers = process.PlainHttpSettings(settings.callers)
     await group.start(serve_http, app, callers, stopping)
     if settings.readiness != settings.callers:
-        readiness = process.Listening(settings.readiness)
+        readiness = process.PlainHttpSettings(settings.readiness)
         await group.start(serve_http, app, readiness)
 
 
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -44,7 +44,7 @@
 _STOP_MARGIN_S: Final = 0.9
 
 
-class Listening(NamedTuple):
+class PlainHttpSettings(NamedTuple):
     """Hold the settings of an HTTP server without TLS."""
 
     http_address: str
@@ -76,7 +76,7 @@
     process: Dispatcher | Worker,
 ) -> None:
     """Serve the health checks and metrics of a process."""
-    listening = Listening(f'{settings.host}:{_METRICS_PORT}')
+    listening = PlainHttpSettings(f'{settings.host}:{_METRICS_PORT}')
     await group.start(serve_http, ProbeApp(process), listening)
 
 
