--- a/src/savoryrudder/platform/agent.py
+++ b/src/savoryrudder/platform/agent.py
@@ -30,8 +30,8 @@
     store = PlatformStore(settings.store)
     async with anyio.create_task_group() as group:
         await group.start(worker.run)
-        process.follow_members(group, store, worker)
-        process.follow_signals(group, settings, store, worker)
+        process.watch_members(group, store, worker)
+        process.handle_signals(group, settings, store, worker)
         await group.start(
             serve_http,
             HeartbeatApp(worker),
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -80,7 +80,7 @@
     await group.start(serve_http, ProbeApp(process), listening)
 
 
-def follow_members(
+def watch_members(
     group: TaskGroup,
     store: PlatformStore,
     process: Dispatcher | Worker,
@@ -105,7 +105,7 @@
     )
 
 
-def follow_signals(
+def handle_signals(
     group: TaskGroup,
     settings: ProcessSettings,
     store: PlatformStore,
