--- a/src/savoryrudder/platform/settings.py
+++ b/src/savoryrudder/platform/settings.py
@@ -14,7 +14,7 @@
 
 from savoryrudder.utils.units import MS_PER_S
 
-PATH_VARIABLE: Final = 'SAVORYRUDDER_BOOT'
+SETTINGS_PATH_VARIABLE: Final = 'SAVORYRUDDER_BOOT'
 
 _DEFAULT_GRACE_S: Final = 6
 
@@ -45,10 +45,10 @@
 
 
 def read_settings() -> Result[ProcessSettings, str]:
-    """Read the file at the path that `PATH_VARIABLE` holds."""
-    path = os.environ.get(PATH_VARIABLE, '')
+    """Read the file at the path that `SETTINGS_PATH_VARIABLE` holds."""
+    path = os.environ.get(SETTINGS_PATH_VARIABLE, '')
     if not path:
-        return Error(f'the variable {PATH_VARIABLE} is not set')
+        return Error(f'the variable {SETTINGS_PATH_VARIABLE} is not set')
     try:
         text = Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
