--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -220,7 +220,7 @@
             leaving=False,
         )
         self._reduce(self._message(name, hello))
-        self._reduce(self._message(name, messages.Grant(_SLOTS)))
+        self._reduce(self._message(name, messages.GrantCredits(_SLOTS)))
 
     def _message(
         self,
@@ -335,7 +335,7 @@
     }
     size = len(documents.encode_owners(owners))
     _print_row('partition in the map', size / PARTITION_COUNT)
-    _print_row('grant', _overhead_bytes(messages.Grant(1), 0))
+    _print_row('grant', _overhead_bytes(messages.GrantCredits(1), 0))
     _print_row('job as MessagePack', len(msgspec.msgpack.encode(start)))
 
 
--- a/src/savoryrudder/agent/reducer.py
+++ b/src/savoryrudder/agent/reducer.py
@@ -50,7 +50,7 @@
     granted = credit_rules.grant(state)
     _send_reports(turn, granted)
     for entry, amount in granted.items():
-        turn.send(entry, messages.Grant(amount))
+        turn.send(entry, messages.GrantCredits(amount))
     _send_recalls(turn, credit_rules.recall(state, turn.now))
 
 
@@ -62,7 +62,7 @@
 
 def _send_recalls(turn: Turn, recalls: dict[str, int]) -> None:
     for entry, amount in recalls.items():
-        turn.send(entry, messages.Recall(amount))
+        turn.send(entry, messages.RecallCredits(amount))
 
 
 def _exit_when_drained(state: AgentState, turn: Turn) -> None:
@@ -206,7 +206,7 @@
     state: AgentState,
     turn: Turn,
     entry: str,
-    message: messages.Return,
+    message: messages.ReturnCredits,
 ) -> None:
     link = state.links[entry]
     if not credit_rules.close_recall(link, message.credits, turn.now):
@@ -327,7 +327,7 @@
         messages.FetchConfig: _handle_fetch_config,
         messages.Heartbeat: _ignore,
         messages.Leaving: _handle_leaving,
-        messages.Return: _handle_return,
+        messages.ReturnCredits: _handle_return,
         messages.Start: tasks.handle_start,
         messages.Welcome: _ignore,
         messages.Withdraw: tasks.handle_withdraw,
--- a/src/savoryrudder/entry/agents.py
+++ b/src/savoryrudder/entry/agents.py
@@ -16,7 +16,7 @@
 from savoryrudder.entry.state import RecoveredRecord
 from savoryrudder.protocol.messages import Acknowledge
 from savoryrudder.protocol.messages import Claim
-from savoryrudder.protocol.messages import Return
+from savoryrudder.protocol.messages import ReturnCredits
 from savoryrudder.protocol.messages import RosterAgent
 from savoryrudder.protocol.messages import Welcome
 from savoryrudder.utils.identifiers import partition_of
@@ -206,7 +206,9 @@
 
 def handle_recall(turn: Turn, agent: str, requested: int) -> None:
     """Return up to `requested` unused credits to an agent."""
-    turn.send(agent, Return(turn.state.fleet.return_credits(agent, requested)))
+    turn.send(
+        agent, ReturnCredits(turn.state.fleet.return_credits(agent, requested))
+    )
 
 
 def update_usable(turn: Turn, link: AgentLink) -> None:
--- a/src/savoryrudder/entry/reducer.py
+++ b/src/savoryrudder/entry/reducer.py
@@ -148,16 +148,18 @@
         messages.Finished: agents.handle_finished,
         messages.Rejected: agents.handle_rejected,
         messages.Withdrawn: agents.handle_withdrawn,
-        messages.Grant: lambda turn, agent, message: (
+        messages.GrantCredits: lambda turn, agent, message: (
             turn.state.fleet.add_credits(
                 agent,
                 message.credits,
             )
         ),
-        messages.Recall: lambda turn, agent, message: agents.handle_recall(
-            turn,
-            agent,
-            message.credits,
+        messages.RecallCredits: lambda turn, agent, message: (
+            agents.handle_recall(
+                turn,
+                agent,
+                message.credits,
+            )
         ),
         messages.Leaving: lambda turn, agent, _: turn.state.fleet.mark_leaving(
             agent,
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -119,19 +119,19 @@
     stale: tuple[int, ...]
 
 
-class Grant(NamedTuple):
+class GrantCredits(NamedTuple):
     """Grant credits to an entry; each allows one start."""
 
     credits: int
 
 
-class Recall(NamedTuple):
+class RecallCredits(NamedTuple):
     """Ask an entry to return up to this many unused credits."""
 
     credits: int
 
 
-class Return(NamedTuple):
+class ReturnCredits(NamedTuple):
     """Return unused credits to an agent."""
 
     credits: int
@@ -316,9 +316,9 @@
     | Welcome
     | Claim
     | Records
-    | Grant
-    | Recall
-    | Return
+    | GrantCredits
+    | RecallCredits
+    | ReturnCredits
     | Demand
     | Start
     | Rejected
--- a/tests/agent/agent_oracle.py
+++ b/tests/agent/agent_oracle.py
@@ -65,7 +65,7 @@
     ) -> None:
         """Deliver a message and check the agent's answer."""
         valid = entry in self.credits and session == self._agent.sessions[entry]
-        if valid and isinstance(message, messages.Return):
+        if valid and isinstance(message, messages.ReturnCredits):
             self.credits[entry] -= message.credits
             self.recalled.discard(entry)
         self._agent.receive(entry, message, session=session)
@@ -142,10 +142,10 @@
 
     def _check_message(self, entry: str, message: messages.Message) -> None:
         match message:
-            case messages.Grant(credits=amount):
+            case messages.GrantCredits(credits=amount):
                 assert amount > 0
                 self.credits[entry] += amount
-            case messages.Recall():
+            case messages.RecallCredits():
                 assert entry not in self.recalled
                 self.recalled.add(entry)
             case messages.Finished(record=record, credits=amount):
--- a/tests/agent/test_agent_credits.py
+++ b/tests/agent/test_agent_credits.py
@@ -18,7 +18,7 @@
     agent = AgentDriver(slots=4, prefetch=1)
     agent.connect_and_claim('e1')
     order = [type(effect.message) for effect in agent.effects]
-    assert order == [messages.Records, messages.Grant]
+    assert order == [messages.Records, messages.GrantCredits]
     assert unused_credits(agent) == {'e1': 5}
 
 
@@ -27,8 +27,10 @@
     agent = AgentDriver(slots=6)
     agent.connect_and_claim('e1')
     agent.connect_and_claim('e2')
-    assert agent.sent(messages.Recall, 'e1') == [messages.Recall(3)]
-    agent.receive('e1', messages.Return(3))
+    assert agent.sent(messages.RecallCredits, 'e1') == [
+        messages.RecallCredits(3)
+    ]
+    agent.receive('e1', messages.ReturnCredits(3))
     assert unused_credits(agent) == {'e1': 3, 'e2': 3}
 
 
@@ -84,24 +86,26 @@
     agent = AgentDriver(slots=2)
     agent.connect_and_claim('e1')
     agent.connect_and_claim('e2')
-    agent.receive('e1', messages.Return(1))
+    agent.receive('e1', messages.ReturnCredits(1))
     assert unused_credits(agent) == {'e1': 1, 'e2': 1}
     agent.receive('e2', messages.Demand(9))
-    assert agent.sent(messages.Recall, 'e1') == [messages.Recall(1)]
+    assert agent.sent(messages.RecallCredits, 'e1') == [
+        messages.RecallCredits(1)
+    ]
     agent.advance(0.1)
-    assert not agent.sent(messages.Recall)
-    agent.receive('e1', messages.Return(0))
-    assert not agent.sent(messages.Recall)
+    assert not agent.sent(messages.RecallCredits)
+    agent.receive('e1', messages.ReturnCredits(0))
+    assert not agent.sent(messages.RecallCredits)
     agent.advance(0.5)
-    assert not agent.sent(messages.Recall)
+    assert not agent.sent(messages.RecallCredits)
     agent.advance(0.5)
-    assert agent.sent(messages.Recall, 'e1')
+    assert agent.sent(messages.RecallCredits, 'e1')
     agent.start('e1', 1)
-    agent.receive('e1', messages.Return(0))
+    agent.receive('e1', messages.ReturnCredits(0))
     assert unused_credits(agent) == {'e1': 0, 'e2': 1}
     agent.finish(1)
     assert agent.sent(messages.Finished, 'e1')[0].credits == 0
-    assert agent.sent(messages.Grant, 'e2') == [messages.Grant(1)]
+    assert agent.sent(messages.GrantCredits, 'e2') == [messages.GrantCredits(1)]
 
 
 def test_credits_of_an_ended_session_are_regranted() -> None:
@@ -111,4 +115,4 @@
     agent.connect_and_claim('e2')
     agent.receive('e1', messages.Demand(1))
     agent.disconnect('e1')
-    assert agent.sent(messages.Grant, 'e2') == [messages.Grant(2)]
+    assert agent.sent(messages.GrantCredits, 'e2') == [messages.GrantCredits(2)]
--- a/tests/agent/test_agent_properties.py
+++ b/tests/agent/test_agent_properties.py
@@ -147,7 +147,7 @@
         """Return credits, in answer to a recall or without one."""
         returned = min(amount, self.oracle.credits.get(entry, 0))
         if entry in self.oracle.credits:
-            self._send(entry, messages.Return(returned))
+            self._send(entry, messages.ReturnCredits(returned))
 
     @precondition(lambda machine: machine.delayed)
     @rule(position=positions, keep=strategies.booleans())
--- a/tests/agent/test_agent_sessions.py
+++ b/tests/agent/test_agent_sessions.py
@@ -28,7 +28,7 @@
         operations=('cut',),
         leaving=True,
     )
-    assert not agent.sent(messages.Grant)
+    assert not agent.sent(messages.GrantCredits)
 
 
 def test_configuration_is_fetched_once_and_never_reverts(
@@ -65,8 +65,8 @@
 @pytest.mark.parametrize(
     'message',
     [
-        messages.Grant(1),
-        messages.Return(0),
+        messages.GrantCredits(1),
+        messages.ReturnCredits(0),
         messages.Demand(0),
         messages.Acknowledge((task_key(1),)),
         messages.Config(0, ''),
@@ -92,10 +92,10 @@
     assert agent.sent(messages.Rejected) == [
         messages.Rejected(*task_key(2), 'leaving'),
     ]
-    assert agent.sent(messages.Recall) == [messages.Recall(1)]
+    assert agent.sent(messages.RecallCredits) == [messages.RecallCredits(1)]
     agent.start('e1', 3)
     assert not agent.emitted(CallUpstream)
-    agent.receive('e1', messages.Return(0))
+    agent.receive('e1', messages.ReturnCredits(0))
     agent.finish(1)
     assert agent.sent(messages.Finished)[0].credits == 0
     assert not agent.emitted(effects.Exit)
@@ -111,7 +111,7 @@
     """Guard against a start in flight that gets no answer."""
     agent.drain()
     assert not agent.emitted(effects.Exit)
-    agent.receive('e1', messages.Return(2))
+    agent.receive('e1', messages.ReturnCredits(2))
     assert agent.emitted(effects.Exit)
 
 
--- a/tests/agent/test_agent_tasks.py
+++ b/tests/agent/test_agent_tasks.py
@@ -37,7 +37,7 @@
     agent.start('e1', 3)
     assert not agent.emitted(CallUpstream)
     assert not agent.sent(messages.Finished)
-    assert agent.sent(messages.Grant) == [messages.Grant(1)]
+    assert agent.sent(messages.GrantCredits) == [messages.GrantCredits(1)]
     agent.finish(3, outcome)
     first = agent.sent(messages.Finished)[0]
     assert first.record.state == expected
@@ -75,7 +75,7 @@
 ) -> None:
     """Guard against running a repeated start after its rejection."""
     agent.start('e1', 3, deadline_ms=0)
-    assert agent.sent(messages.Grant) == [messages.Grant(1)]
+    assert agent.sent(messages.GrantCredits) == [messages.GrantCredits(1)]
     agent.start('e1', 3, deadline_ms=500)
     assert not agent.emitted(CallUpstream)
     assert agent.sent(messages.Rejected) == [
@@ -88,7 +88,7 @@
 ) -> None:
     """Guard against starts by an entry that lost the partition."""
     agent.connect_and_claim('e2')
-    agent.receive('e1', messages.Return(1))
+    agent.receive('e1', messages.ReturnCredits(1))
     agent.start('e2', 3, epoch=4)
     assert agent.emitted(CallUpstream)
     agent.start('e1', 67, epoch=3)
@@ -120,7 +120,7 @@
     reason: str,
 ) -> None:
     """Guard against more starts than credits, and a wrong partition."""
-    agent.receive('e1', messages.Return(2 - credits))
+    agent.receive('e1', messages.ReturnCredits(2 - credits))
     agent.state.links['e1'].credits = credits
     agent.receive(
         'e1',
@@ -177,7 +177,7 @@
     agent.advance(700)
     assert agent.state.records.find(KEY).state == 'unknown'
     agent.finish(3)
-    assert agent.sent(messages.Grant) == [messages.Grant(1)]
+    assert agent.sent(messages.GrantCredits) == [messages.GrantCredits(1)]
     assert not agent.sent(messages.Finished)
     agent.finish(3)
     assert agent.counted('late_upstream_results') == 1
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -106,7 +106,7 @@
     agent_recorder: Recorder,
 ) -> None:
     """Guard against lost or reordered messages on a healthy link."""
-    sent = [messages.Grant(number) for number in range(500)]
+    sent = [messages.GrantCredits(number) for number in range(500)]
     async with (
         run_listener(entry_recorder, timing) as listener,
         run_dialler(listener, agent_recorder, timing) as dialler,
@@ -365,7 +365,7 @@
     ):
         sent = 0
         while len(entry_recorder.of_kind('down')) < 10:
-            sent += dialler.send('e1', messages.Grant(sent))
+            sent += dialler.send('e1', messages.GrantCredits(sent))
             if not rng.randrange(MEAN_STEPS_BETWEEN_FAULTS):
                 listener.close('a1', 'fault')
             if not rng.randrange(MEAN_STEPS_BETWEEN_FAULTS):
@@ -376,7 +376,7 @@
     received = [
         call.detail.credits
         for call in entry_recorder.of_kind('message')
-        if isinstance(call.detail, messages.Grant)
+        if isinstance(call.detail, messages.GrantCredits)
     ]
     assert received == sorted(set(received))
 
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -30,7 +30,7 @@
     raw = msgspec.msgpack.encode(
         (1, 's1', 1, 0, [(6, [3, 'new field']), (999, [1])], 'new part'),
     )
-    assert decode_frame(raw).ok.messages == (messages.Grant(3),)
+    assert decode_frame(raw).ok.messages == (messages.GrantCredits(3),)
 
 
 def test_the_error_names_an_unknown_version() -> None:
