--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -95,7 +95,7 @@
 
     def call(self, operation: Any) -> interface.StoreOutcome:
         """Carry out an operation other than a watch."""
-        if isinstance(operation, interface.SwapKey):
+        if isinstance(operation, interface.CompareAndSwap):
             return self._swap(operation)
         if isinstance(operation, interface.ReadKey):
             absent = interface.KeyValue(operation.key, 0, None)
@@ -109,7 +109,9 @@
         ]
         return interface.Snapshot(self.version, tuple(matching))
 
-    def _swap(self, operation: interface.SwapKey) -> interface.StoreOutcome:
+    def _swap(
+        self, operation: interface.CompareAndSwap
+    ) -> interface.StoreOutcome:
         absent = interface.KeyValue(operation.key, 0, None)
         current = self.found.get(operation.key, absent)
         if current.version != operation.expected:
--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -107,7 +107,7 @@
         expected: int,
         lease: str,
     ) -> interface.StoreOutcome:
-        operation = interface.SwapKey(
+        operation = interface.CompareAndSwap(
             self._key,
             expected,
             self._address,
--- a/src/savoryrudder/entry/configuration.py
+++ b/src/savoryrudder/entry/configuration.py
@@ -64,7 +64,7 @@
         return
     applied_at = datetime.datetime.fromtimestamp(event.wall, datetime.UTC)
     turn.call_store(
-        interface.SwapKey(
+        interface.CompareAndSwap(
             documents.CONFIG_KEY,
             event.expected_revision,
             documents.encode(
--- a/src/savoryrudder/entry/membership.py
+++ b/src/savoryrudder/entry/membership.py
@@ -136,7 +136,7 @@
     store.register_pending = True
     store.register_at = turn.now + RETRY_S
     turn.call_store(
-        interface.SwapKey(
+        interface.CompareAndSwap(
             f'{documents.ENTRY_PREFIX}{state.identity.name}',
             store.own_version,
             documents.encode(
--- a/src/savoryrudder/entry/partition_map.py
+++ b/src/savoryrudder/entry/partition_map.py
@@ -51,7 +51,7 @@
     store.swap_pending = True
     proposed = documents.encode_owners(state.owners | changed)
     turn.call_store(
-        interface.SwapKey(
+        interface.CompareAndSwap(
             documents.PARTITIONS_KEY,
             state.map_version,
             proposed,
--- a/src/savoryrudder/entry/terms.py
+++ b/src/savoryrudder/entry/terms.py
@@ -190,7 +190,7 @@
     )
     record.pending_call = 'swap'
     turn.call_store(
-        interface.SwapKey(
+        interface.CompareAndSwap(
             f'{documents.TERMS_PREFIX}{client}',
             record.version,
             record.proposed_value,
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -91,7 +91,7 @@
         match operation:
             case interface.ReadKey(key):
                 return await self._read(key)
-            case interface.SwapKey():
+            case interface.CompareAndSwap():
                 return await self._swap(operation)
             case interface.WatchPrefix():
                 return await self._watch(operation)
@@ -138,7 +138,7 @@
 
     async def _swap(
         self,
-        operation: interface.SwapKey,
+        operation: interface.CompareAndSwap,
     ) -> interface.StoreOutcome:
         body: dict[str, Any] = {
             'expect': [
--- a/src/savoryrudder/store/http.py
+++ b/src/savoryrudder/store/http.py
@@ -112,7 +112,7 @@
         match operation:
             case interface.ReadKey(key):
                 return _Request('GET', _key_path(key), {}, None, timeout_s)
-            case interface.SwapKey():
+            case interface.CompareAndSwap():
                 return _swap_request(operation, timeout_s)
             case interface.WatchPrefix(prefix, after, wait_s):
                 query = {
@@ -151,7 +151,7 @@
 
 
 def _swap_request(
-    operation: interface.SwapKey,
+    operation: interface.CompareAndSwap,
     timeout_s: float,
 ) -> _Request:
     path = _key_path(operation.key)
@@ -206,7 +206,7 @@
     match operation:
         case interface.ReadKey():
             return _decode_key(content)
-        case interface.SwapKey():
+        case interface.CompareAndSwap():
             swapped = msgspec.json.decode(content, type=_VersionBody)
             return interface.Swapped(swapped.version)
         case interface.WatchPrefix():
--- a/src/savoryrudder/store/interface.py
+++ b/src/savoryrudder/store/interface.py
@@ -13,7 +13,7 @@
     key: str
 
 
-class SwapKey(NamedTuple):
+class CompareAndSwap(NamedTuple):
     """Write a key if its version is still the expected one (0: absent).
 
     A `value` of None deletes the key. `lease` attaches the key to a lease;
@@ -56,7 +56,12 @@
 
 
 StoreOperation: TypeAlias = (
-    ReadKey | SwapKey | GrantLease | RenewLease | RevokeLease | WatchPrefix
+    ReadKey
+    | CompareAndSwap
+    | GrantLease
+    | RenewLease
+    | RevokeLease
+    | WatchPrefix
 )
 
 
--- a/tests/entry/test_terms.py
+++ b/tests/entry/test_terms.py
@@ -198,10 +198,10 @@
     assert entry.report()['step'] == 0
     store.lose_answers = False
     store.down = False
-    swaps = store.calls['SwapKey']
+    swaps = store.calls['CompareAndSwap']
     entry.advance(2 * terms.RETRY_S)
     assert entry.report()['step'] == 1
-    assert store.calls['SwapKey'] == swaps + (not took_effect)
+    assert store.calls['CompareAndSwap'] == swaps + (not took_effect)
 
 
 def test_last_grant_stays_in_force_during_an_outage(store: FakeStore) -> None:
@@ -210,11 +210,11 @@
     entry.advance(2.5 * _LIFETIME_S)
     step = entry.report()['step']
     store.down = True
-    swaps = store.calls['SwapKey']
+    swaps = store.calls['CompareAndSwap']
     entry.advance(5 * _LIFETIME_S)
     assert step > 0
     assert entry.report()['step'] == step
-    assert store.calls['SwapKey'] <= swaps + 1
+    assert store.calls['CompareAndSwap'] <= swaps + 1
     store.down = False
     entry.advance(_LIFETIME_S)
     assert entry.report()['step'] >= 1
@@ -227,5 +227,5 @@
     assert sum(store.calls.values()) <= 4 * _LIFETIME_S + 1
     small_store = FakeStore()
     Entry(small_store).advance(10 * _LIFETIME_S)
-    assert small_store.calls['SwapKey'] <= 14
+    assert small_store.calls['CompareAndSwap'] <= 14
     assert small_store.calls['ReadKey'] <= 60
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -75,7 +75,7 @@
     def _ReadKey(self, operation: store.ReadKey) -> Any:
         return self.read(operation.key)
 
-    def _SwapKey(self, operation: store.SwapKey) -> Any:
+    def _CompareAndSwap(self, operation: store.CompareAndSwap) -> Any:
         if operation.lease and operation.lease not in self._leases:
             return store.LeaseLost()
         current = self.read(operation.key)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -29,12 +29,12 @@
     store_server: FakeStoreServer,
 ) -> None:
     """Guards against overwriting what another process wrote."""
-    first = _call(store, interface.SwapKey('a/b', 0, 'one', ''))
+    first = _call(store, interface.CompareAndSwap('a/b', 0, 'one', ''))
     assert isinstance(first, interface.Swapped)
     store_server.put('a/b', 'two')
     second = _call(
         store,
-        interface.SwapKey('a/b', first.version, 'three', ''),
+        interface.CompareAndSwap('a/b', first.version, 'three', ''),
     )
     assert isinstance(second, interface.SwapConflict)
     assert second.current.value == 'two'
@@ -44,7 +44,7 @@
     store: PlatformStore,
 ) -> None:
     """Guards against a crash when the expected key is gone."""
-    outcome = _call(store, interface.SwapKey('a/b', 5, 'one', ''))
+    outcome = _call(store, interface.CompareAndSwap('a/b', 5, 'one', ''))
     assert isinstance(outcome, interface.SwapConflict)
     assert outcome.current == interface.KeyValue('a/b', 0, None)
 
--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -156,7 +156,7 @@
     call = world.callers.submit(world.places['e1'], key, 12, persistent=True)
     world.clock.run(0.2)
     world.kill('e1')
-    world.store.lose_answers += ('SwapKey', 'SwapKey')
+    world.store.lose_answers += ('CompareAndSwap', 'CompareAndSwap')
     world.clock.run(25)
     retried = list(world.callers.calls.values())[-1]
     assert retried.status == 'complete/'
@@ -381,7 +381,7 @@
 def test_lost_answer_of_a_configuration_change(make_world: MakeWorld) -> None:
     """Guard against a change that is in force but reported as refused."""
     world = make_world(21)
-    world.store.lose_answers.append('SwapKey')
+    world.store.lose_answers.append('CompareAndSwap')
     change = (1, TEXT.replace('400', '401'), 1, 'op', 'token')
     world.places['e1'].post('ConfigSubmitted', *change)
     world.clock.run(12)
--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -19,7 +19,7 @@
 # Pauses shorter than a round trip, a task and a lease, and longer ones.
 PAUSES_S = (0, 0.005, 0.05, 0.3, 1, 3, 7)
 MODES = ('hang', 'late', 'failed', 'unknown', 'twice')
-WRITES = ('SwapKey', 'RenewLease', 'GrantLease')
+WRITES = ('CompareAndSwap', 'RenewLease', 'GrantLease')
 
 ENTRY = st.sampled_from(('e1', 'e2', 'e3'))
 AGENT = st.sampled_from(('a1', 'a2', 'a3'))
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -25,12 +25,16 @@
 ) -> None:
     """Guard against overwriting what another writer wrote."""
     async with open_store() as (client, _):
-        swapped = await client.call(interface.SwapKey(KEY, 0, 'first', ''))
-        conflict = await client.call(interface.SwapKey(KEY, 0, 'second', ''))
+        swapped = await client.call(
+            interface.CompareAndSwap(KEY, 0, 'first', '')
+        )
+        conflict = await client.call(
+            interface.CompareAndSwap(KEY, 0, 'second', '')
+        )
         current = interface.KeyValue(KEY, swapped.version, 'first')
         assert conflict == interface.SwapConflict(current)
         assert await client.call(interface.ReadKey(KEY)) == current
-        deletion = interface.SwapKey(KEY, current.version, None, '')
+        deletion = interface.CompareAndSwap(KEY, current.version, None, '')
         await client.call(deletion)
         absent = await client.call(interface.ReadKey(KEY))
         assert absent == interface.KeyValue(KEY, 0, None)
@@ -42,7 +46,9 @@
     """Guard against taking a write for failed when its response was lost."""
     async with open_store() as (client, stand_in):
         stand_in.faults.lose_answers = 1
-        outcome = await client.call(interface.SwapKey(KEY, 0, 'token', ''))
+        outcome = await client.call(
+            interface.CompareAndSwap(KEY, 0, 'token', '')
+        )
         assert isinstance(outcome, interface.StoreUnavailable)
         assert (await client.call(interface.ReadKey(KEY))).value == 'token'
         assert stand_in.calls['write'] == 1
@@ -78,7 +84,7 @@
         lease = (await client.call(interface.GrantLease(0))).lease
         renewed = await client.call(interface.RenewLease(lease))
         assert renewed == interface.LeaseLost()
-        attached = interface.SwapKey(KEY, 0, 'x', lease)
+        attached = interface.CompareAndSwap(KEY, 0, 'x', lease)
         assert await client.call(attached) == interface.LeaseLost()
 
 
@@ -88,7 +94,7 @@
     """Guard against entries that stay registered after their lease ends."""
     async with open_store() as (client, _):
         lease = (await client.call(interface.GrantLease(60))).lease
-        await client.call(interface.SwapKey(KEY, 0, 'x', lease))
+        await client.call(interface.CompareAndSwap(KEY, 0, 'x', lease))
         await client.call(interface.RevokeLease(lease))
         assert (await client.call(interface.ReadKey(KEY))).version == 0
 
