--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -114,7 +114,7 @@
     ) -> interface.StoreOutcome:
         absent = interface.KeyValue(operation.key, 0, None)
         current = self.found.get(operation.key, absent)
-        if current.version != operation.expected:
+        if current.version != operation.expected_version:
             return interface.SwapConflict(current)
         self.put(operation.key, operation.value or '')
         return interface.Swapped(self.version)
@@ -317,7 +317,7 @@
     ) -> None:
         operation = effect.operation
         if isinstance(operation, interface.WatchPrefix):
-            self._watches.append((name, effect.call, operation.after))
+            self._watches.append((name, effect.call, operation.after_version))
         else:
             outcome = self._store.call(operation)
             self._answer_store(name, effect.call, outcome)
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -142,7 +142,7 @@
     ) -> interface.StoreOutcome:
         body: dict[str, Any] = {
             'expect': [
-                {'key': operation.key, 'revision': operation.expected},
+                {'key': operation.key, 'revision': operation.expected_version},
             ],
             'set_keys': [],
             'remove': [],
@@ -185,14 +185,14 @@
         operation: interface.WatchPrefix,
     ) -> interface.StoreOutcome:
         if (
-            operation.after == 0
+            operation.after_version == 0
             or operation.prefix not in self._cached_prefixes
         ):
             return await self._read_all(operation.prefix)
         query = urlencode(
             {
                 'prefix': operation.prefix,
-                'after': operation.after,
+                'after': operation.after_version,
                 'wait_ms': int(operation.wait_s * MS_PER_S),
             },
         )
@@ -202,7 +202,7 @@
             timeout_s=operation.wait_s + _TIMEOUT_S,
         )
         if _has_status(response, HTTPStatus.GONE):
-            # The store no longer has the changes since `after`.
+            # The store no longer has the changes since `after_version`.
             return await self._read_all(operation.prefix)
         if not _has_status(response, HTTPStatus.OK):
             return _unavailable(response)
--- a/src/savoryrudder/store/http.py
+++ b/src/savoryrudder/store/http.py
@@ -114,10 +114,10 @@
                 return _Request('GET', _key_path(key), {}, None, timeout_s)
             case interface.CompareAndSwap():
                 return _swap_request(operation, timeout_s)
-            case interface.WatchPrefix(prefix, after, wait_s):
+            case interface.WatchPrefix(prefix, after_version, wait_s):
                 query = {
                     'prefix': prefix,
-                    'after': str(after),
+                    'after': str(after_version),
                     'wait': str(wait_s),
                 }
                 timeout_s += wait_s
@@ -156,10 +156,10 @@
 ) -> _Request:
     path = _key_path(operation.key)
     if operation.value is None:
-        query = {'expected': str(operation.expected)}
+        query = {'expected': str(operation.expected_version)}
         return _Request('DELETE', path, query, None, timeout_s)
     body = {
-        'expected': operation.expected,
+        'expected': operation.expected_version,
         'value': operation.value,
         'lease': operation.lease,
     }
--- a/src/savoryrudder/store/interface.py
+++ b/src/savoryrudder/store/interface.py
@@ -14,14 +14,14 @@
 
 
 class CompareAndSwap(NamedTuple):
-    """Write a key if its version is still the expected one (0: absent).
+    """Write a key if its version is still `expected_version` (0: absent).
 
     A `value` of None deletes the key. `lease` attaches the key to a lease;
     an empty string attaches it to none.
     """
 
     key: str
-    expected: int
+    expected_version: int
     value: str | None
     lease: str
 
@@ -47,11 +47,11 @@
 class WatchPrefix(NamedTuple):
     """Wait for a change of a key under a prefix after a store version.
 
-    Returns all keys under the prefix; at once if `after` is 0.
+    Returns all keys under the prefix; at once if `after_version` is 0.
     """
 
     prefix: str
-    after: int
+    after_version: int
     wait_s: float
 
 
--- a/tests/entry/test_terms.py
+++ b/tests/entry/test_terms.py
@@ -54,7 +54,7 @@
         current = self.stored.get(operation.key, absent)
         if isinstance(operation, interface.ReadKey):
             return current
-        if current.version != operation.expected:
+        if current.version != operation.expected_version:
             return interface.SwapConflict(current)
         version = current.version + 1
         entry = interface.KeyValue(operation.key, version, operation.value)
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -79,7 +79,7 @@
         if operation.lease and operation.lease not in self._leases:
             return store.LeaseLost()
         current = self.read(operation.key)
-        if current.version != operation.expected:
+        if current.version != operation.expected_version:
             return store.SwapConflict(current)
         self.write(operation.key, operation.value, operation.lease)
         return store.Swapped(self.version)
@@ -112,7 +112,7 @@
             if self.down:
                 self._clock.after(1, answer, _UNAVAILABLE)
                 continue
-            if self.version <= watch.after:
+            if self.version <= watch.after_version:
                 self._watches.append((watch, answer))
                 continue
             entries = (self.read(key) for key in self._keys)
