--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -155,7 +155,7 @@
     ) -> Response | NoResponse:
         if self._client.address != executor.address:
             self._client = PlatformClient(executor.address)
-        return await self._client.call(
+        return await self._client.request(
             'POST',
             path,
             _encoder.encode(body),
--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -116,7 +116,7 @@
         """Return the address of the server."""
         return self._address
 
-    async def call(
+    async def request(
         self,
         method: str,
         path: str,
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -125,7 +125,7 @@
         timeout_s: float = _TIMEOUT_S,
     ) -> Response | NoResponse:
         content = None if body is None else _encoder.encode(body)
-        return await self._client.call(method, path, content, timeout_s)
+        return await self._client.request(method, path, content, timeout_s)
 
     async def _read(self, key: str) -> interface.StoreOutcome:
         query = urlencode({'key': key})
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -28,7 +28,7 @@
         self.failure: Response | NoResponse | None = None
         self.leases = {1}
 
-    async def call(
+    async def request(
         self,
         method: str,
         path: str,
@@ -135,7 +135,7 @@
         self.response: Response | NoResponse = NoResponse('silent', sent=True)
         self.requests: list[Any] = []
 
-    async def call(
+    async def request(
         self,
         method: str,
         path: str,
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -74,8 +74,8 @@
     """Guards against opening a connection for each request."""
     server = FakeServer()
     async with run_server(server) as client:
-        first = await client.call('GET', '/x', None, TIMEOUT_S)
-        second = await client.call('GET', '/y', None, TIMEOUT_S)
+        first = await client.request('GET', '/x', None, TIMEOUT_S)
+        second = await client.request('GET', '/y', None, TIMEOUT_S)
         assert first == second == Response(200, b'{}')
     assert server.connections == 1
 
@@ -85,12 +85,12 @@
     server = FakeServer()
     server.requests_per_connection = 1
     async with run_server(server) as client:
-        await client.call('GET', '/x', None, TIMEOUT_S)
+        await client.request('GET', '/x', None, TIMEOUT_S)
         # The server's close arrives before the next request.
         while server.requests < 1:
             await anyio.sleep(0.01)
         await anyio.wait_all_tasks_blocked()
-        response = await client.call('GET', '/x', None, TIMEOUT_S)
+        response = await client.request('GET', '/x', None, TIMEOUT_S)
         assert response == Response(200, b'{}')
     assert server.connections == 2
 
@@ -99,12 +99,12 @@
     """Guards against treating a request without a response as not sent."""
     server = FakeServer()
     async with run_server(server) as client:
-        await client.call('GET', '/x', None, TIMEOUT_S)
+        await client.request('GET', '/x', None, TIMEOUT_S)
         server.response = b''
-        response = await client.call('POST', '/x', b'{}', 0.05)
+        response = await client.request('POST', '/x', b'{}', 0.05)
         assert response == NoResponse('request timed out', sent=True)
         server.response = RESPONSE
-        second_response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
+        second_response = await client.request('POST', '/x', b'{}', TIMEOUT_S)
         assert second_response == Response(200, b'{}')
     assert server.connections == 2
 
@@ -112,7 +112,7 @@
 async def test_a_refused_connection_sends_nothing() -> None:
     """Guards against stopping a run whose start was never sent."""
     client = PlatformClient('127.0.0.1:1')
-    response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
+    response = await client.request('POST', '/x', b'{}', TIMEOUT_S)
     assert isinstance(response, NoResponse)
     assert not response.sent
 
@@ -123,6 +123,6 @@
     server.response = b'HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{}'
     server.requests_per_connection = 1
     async with run_server(server) as client:
-        response = await client.call('POST', '/x', b'{}', TIMEOUT_S)
+        response = await client.request('POST', '/x', b'{}', TIMEOUT_S)
         assert isinstance(response, NoResponse)
         assert response.sent
