--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -144,4 +144,4 @@
         ]
         log_event('reload', (('changed', ','.join(changed)),))
         self._settings = current
-        self._store.move(current.store)
+        self._store.set_address(current.store)
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -69,8 +69,8 @@
         self._client = PlatformClient(address)
         self._cached_prefixes: dict[str, dict[str, interface.KeyValue]] = {}
 
-    def move(self, address: str) -> None:
-        """Use the store at another address from the next call on."""
+    def set_address(self, address: str) -> None:
+        """Use the store at another address from the next operation on."""
         if address != self._client.address:
             self._client = PlatformClient(address)
 
