--- a/tests/fakes/callers.py
+++ b/tests/fakes/callers.py
@@ -37,7 +37,7 @@
     retries: int = 0
     answer: Answer | None = None
     answered_at: float = 0
-    lost: bool = False
+    connection_lost: bool = False
 
     @property
     def status(self) -> str:
@@ -81,21 +81,25 @@
         """Cancel a submission."""
         return self._send('cancel', entry, job.key, job)
 
-    def carry(self, request: int, answer: Answer) -> None:
+    def deliver_answer(self, request: int, answer: Answer) -> None:
         """Deliver an answer unless the connection of its caller is lost."""
         self._world.clock.soon(self.delay_s, self._receive, request, answer)
 
-    def lose(self, entry: Process) -> None:
+    def break_connections(self, entry: Process) -> None:
         """Break the connections to an entry whose process has ended."""
         for call in self.open_calls():
             if call.entry is entry:
-                call.lost = True
+                call.connection_lost = True
                 self._schedule_retry(call)
 
     def open_calls(self) -> list[Call]:
         """Return the requests that are not answered and not lost."""
         calls = self.calls.values()
-        return [call for call in calls if call.answer is None and not call.lost]
+        return [
+            call
+            for call in calls
+            if call.answer is None and not call.connection_lost
+        ]
 
     def _send(
         self, kind: str, entry: Process, key: str, job: Any, **fields: Any
@@ -115,7 +119,7 @@
         if call.entry.alive:
             self._post_to_entry(request, call)
         else:
-            call.lost = True
+            call.connection_lost = True
             self._schedule_retry(call)
 
     def _post_to_entry(self, request: int, call: Call) -> None:
@@ -128,7 +132,7 @@
 
     def _receive(self, request: int, answer: Answer) -> None:
         call = self.calls[request]
-        if call.lost:
+        if call.connection_lost:
             return
         self._world.oracle.note_answer(call, answer, self._world.clock.now)
         if answer.status == 'running' or answer.reason in _RETRYABLE_REASONS:
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -62,7 +62,7 @@
         """End the process without a graceful stop."""
         self.alive = False
         self.world.links.drop(self.name)
-        self.world.callers.lose(self)
+        self.world.callers.break_connections(self)
 
     def session_opened(self, session: Session) -> None:
         """Handle the start of a session."""
@@ -132,7 +132,7 @@
         self.dials.add(effect.address)
 
     def _on_reply(self, effect: Any) -> None:
-        self.world.callers.carry(effect.request_id, effect.answer)
+        self.world.callers.deliver_answer(effect.request_id, effect.answer)
 
     def _on_replyjson(self, effect: Any) -> None:
         self.world.operator_answers[effect.request_id] = effect
