--- a/tests/fakes/callers.py
+++ b/tests/fakes/callers.py
@@ -83,7 +83,7 @@
 
     def deliver_answer(self, request: int, answer: Answer) -> None:
         """Deliver an answer unless the connection of its caller is lost."""
-        self._world.clock.soon(self.delay_s, self._receive, request, answer)
+        self._world.clock.within(self.delay_s, self._receive, request, answer)
 
     def break_connections(self, entry: Process) -> None:
         """Break the connections to an entry whose process has ended."""
@@ -112,7 +112,9 @@
         self.calls[request] = call
         if kind == 'submit':
             self._world.oracle.note_copy(call)
-        self._world.clock.soon(self.delay_s, self._send_to_entry, request, call)
+        self._world.clock.within(
+            self.delay_s, self._send_to_entry, request, call
+        )
         return call
 
     def _send_to_entry(self, request: int, call: Call) -> None:
--- a/tests/fakes/clock.py
+++ b/tests/fakes/clock.py
@@ -23,7 +23,7 @@
         scheduled = (self.now + delay, self._sequence, action, args)
         heapq.heappush(self._actions, scheduled)
 
-    def soon(self, limit: float, action: Any, *args: Any) -> None:
+    def within(self, limit: float, action: Any, *args: Any) -> None:
         """Run an action after a random delay of at most `limit` seconds."""
         self.after(self.randomness.uniform(0, limit), action, *args)
 
--- a/tests/fakes/fleet_links.py
+++ b/tests/fakes/fleet_links.py
@@ -128,7 +128,7 @@
     def _cut(self, link: Link, notice_s: float) -> None:
         link.cut = True
         for end in link.ends:
-            self._clock.soon(
+            self._clock.within(
                 notice_s + _MAX_NOTICE_DELAY_S,
                 self._notify_link_down,
                 link,
--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -81,10 +81,10 @@
         if self._clock.randomness.random() < self.late_ratio:
             session.late_s = self._clock.randomness.uniform(0, 2)
         remove_session = (self.sessions.pop, pair)
-        self._clock.after(notice_s, self._clock.soon, 0.4, *remove_session)
+        self._clock.after(notice_s, self._clock.within, 0.4, *remove_session)
         for end in session.ends:
             notify_end = (end.session_ended, session)
-            self._clock.after(notice_s, self._clock.soon, 0.4, *notify_end)
+            self._clock.after(notice_s, self._clock.within, 0.4, *notify_end)
 
     def silence(self, first: str, second: str, seconds: float) -> None:
         """Lose all frames for a time; the ends notice after the timeout."""
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -36,7 +36,7 @@
         if caller in self.cut_off:
             self._clock.after(1, answer, _UNAVAILABLE)
             return
-        self._clock.soon(self.delay_s, self._execute, operation, answer)
+        self._clock.within(self.delay_s, self._execute, operation, answer)
 
     def read(self, key: str) -> store.KeyValue:
         """Read a key without delay."""
@@ -65,7 +65,7 @@
                 self.lose_answers.remove(kind)
                 self._clock.after(1, answer, _UNAVAILABLE)
                 return
-            self._clock.soon(self.delay_s, answer, result)
+            self._clock.within(self.delay_s, answer, result)
 
     def _expire(self) -> None:
         for lease in list(self._leases):
@@ -120,4 +120,4 @@
                 entry for entry in entries if entry.key.startswith(watch.prefix)
             ]
             snapshot = store.Snapshot(self.version, tuple(matching))
-            self._clock.soon(self.delay_s, answer, snapshot)
+            self._clock.within(self.delay_s, answer, snapshot)
