--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class FakeRun:
-    """One run; its progress is linear from `done` at `since` to the end."""
+    """One run; its progress is linear from `progress` at `since` to the end."""
 
     task: str
     number: int
@@ -23,20 +23,20 @@
     ends_at: float
     outcome: str
     cpu: int = 2000
-    done: float = 0
+    progress: float = 0
 
     def percent(self, now: float) -> int:
         """Return the progress in percent, rounded down."""
-        return int(100 * self.share(now))
+        return int(100 * self.progress_at(now))
 
-    def share(self, now: float) -> float:
+    def progress_at(self, now: float) -> float:
         """Return the progress as a share of 1."""
         elapsed = (now - self.since) / (self.ends_at - self.since)
-        return self.done + (1 - self.done) * elapsed
+        return self.progress + (1 - self.progress) * elapsed
 
     def reschedule(self, now: float, ends_at: float) -> None:
         """Continue at the speed that ends the run at `ends_at`."""
-        self.done = self.share(now)
+        self.progress = self.progress_at(now)
         self.since = now
         self.ends_at = ends_at
 
