--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -133,7 +133,7 @@
         elif trouble.what == HANG:
             agent.executor.hang(now)
         elif trouble.what == DARK:
-            agent.executor.dark = True
+            agent.executor.unresponsive = True
         elif trouble.what == AWAY:
             for entry in self.fleet.entries:
                 self.fleet.cut(entry.name, agent.name, trouble.lasts_s)
@@ -145,7 +145,7 @@
         elif trouble.what == HANG:
             executor.hanging = False
         elif trouble.what == DARK:
-            executor.dark = False
+            executor.unresponsive = False
             self.fleet.crash_executor(index)
 
 
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -59,7 +59,7 @@
     failing: bool = False
     hanging: bool = False
     # Calls are neither carried out nor answered.
-    dark: bool = False
+    unresponsive: bool = False
     # Factor on the duration of tasks.
     slowness: float = 1
 
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -81,7 +81,7 @@
         answer = self._execute(executor, call, sent_at)
         if on_answer is None:
             return
-        if executor.dark:
+        if executor.unresponsive:
             answer = None
         if answer is None:
             self._clock.after(CALL_TIMEOUT_S, self._time_out, call, on_answer)
@@ -124,7 +124,7 @@
         self, executor: FakeExecutor, call: Any, sent_at: float
     ) -> Any:
         now = self._clock.now
-        if executor.dark:
+        if executor.unresponsive:
             return None
         if isinstance(call, effects.StartRun):
             duration_s = self.duration_factor * self.draw_duration_s(call)
