--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -136,7 +136,7 @@
             agent.executor.unresponsive = True
         elif trouble.what == AWAY:
             for entry in self.fleet.entries:
-                self.fleet.cut(entry.name, agent.name, trouble.lasts_s)
+                self.fleet.silence_link(entry.name, agent.name, trouble.lasts_s)
 
     def _end_fault(self, trouble: Trouble, index: int) -> None:
         executor = self.fleet.agents[index].executor
--- a/tests/dispatch/test_fleet.py
+++ b/tests/dispatch/test_fleet.py
@@ -39,7 +39,7 @@
     request = fleet.submit(0, job_of('one', tasks=6))
     fleet.run(0.1)
     for agent in range(3):
-        fleet.cut('e0', f'a{agent}', 1.5)
+        fleet.silence_link('e0', f'a{agent}', 1.5)
     fleet.run(RECOVERY_S)
     assert _completed(fleet, request)
 
@@ -61,7 +61,7 @@
     fleet.calls.duration_factor = 20
     request = fleet.submit(0, job_of('one', tasks=4))
     fleet.run(0.1)
-    fleet.leave(0, request)
+    fleet.disconnect_caller(0, request)
     fleet.run(0.2)
     assert not any(agent.executor.runs for agent in fleet.agents)
     assert not fleet.entries[0].state.jobs
@@ -126,7 +126,7 @@
     entry = rng.randrange(2)
     match rng.randrange(12):
         case 0:
-            fleet.cut(f'e{entry}', f'a{agent}', rng.uniform(0.2, 3))
+            fleet.silence_link(f'e{entry}', f'a{agent}', rng.uniform(0.2, 3))
         case 1:
             fleet.kill_agent(agent, rng.uniform(0.1, 2))
         case 2:
@@ -140,9 +140,9 @@
         case 6:
             fleet.calls.late_orders = rng.choice((0, 0.05, 0.1))
         case 7:
-            fleet.leave(*rng.choice(requests))
+            fleet.disconnect_caller(*rng.choice(requests))
         case 8:
-            fleet.cut('e0', 'e1', rng.uniform(0.2, 3))
+            fleet.silence_link('e0', 'e1', rng.uniform(0.2, 3))
 
 
 @pytest.mark.parametrize('failing', [True, False])
