--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -98,7 +98,7 @@
                     self._fleet.answers[request] = answer
                     self._fleet.answered_at[request] = self._fleet.clock.now
                 case effects.Log():
-                    self._fleet.note(self.name, effect)
+                    self._fleet.record_change(self.name, effect)
 
 
 class AgentProcess:
@@ -120,9 +120,9 @@
         timing = WorkerTiming(1, 0.05)
         self.state = WorkerState(identity, timing, fence=number)
         self._fleet = fleet
-        self.report()
+        self.receive_heartbeat()
 
-    def report(self) -> None:
+    def receive_heartbeat(self) -> None:
         """Handle a heartbeat of the executor."""
         now = self._fleet.clock.now
         executor = self.executor
@@ -175,7 +175,7 @@
                 case effects.CloseLink(link, _):
                     self._fleet.links.close(link)
                 case effects.Log():
-                    self._fleet.note(self.name, effect)
+                    self._fleet.record_change(self.name, effect)
                 case effects.Count() | effects.Observe() | effects.Exit():
                     continue
                 case _:
@@ -223,7 +223,7 @@
         """Advance the virtual time."""
         self.clock.run(seconds)
 
-    def note(self, process: str, effect: effects.Log) -> None:
+    def record_change(self, process: str, effect: effects.Log) -> None:
         """Record a log line with its time and process."""
         self.log.append((self.clock.now, process, effect))
 
@@ -248,7 +248,7 @@
         )
         return number
 
-    def leave(self, entry: int, request: int) -> None:
+    def disconnect_caller(self, entry: int, request: int) -> None:
         """Close the connection of the caller of a request."""
         event = entry_events.CallerDisconnected(self.clock.now, request)
         self.entries[entry].post(event)
@@ -282,7 +282,7 @@
             self.links.freeze(agent)
             self.clock.after(seconds, agent.thaw, seconds)
 
-    def cut(self, first: str, second: str, seconds: float) -> None:
+    def silence_link(self, first: str, second: str, seconds: float) -> None:
         """Lose all messages between two processes for a time."""
         self.links.silence(first, second, seconds)
 
@@ -290,7 +290,7 @@
         """Restart an executor under a new name without its runs."""
         agent = self.agents[index]
         agent.executor.restart(f'x{next(self._numbers)}')
-        agent.report()
+        agent.receive_heartbeat()
 
     def _new_entry(self, name: str) -> EntryProcess:
         incarnation = f'{name}#{next(self._numbers)}'
