--- a/tests/fakes/fleet_links.py
+++ b/tests/fakes/fleet_links.py
@@ -12,7 +12,7 @@
     from fakes.clock import Clock
 
 LINK_DELAY_S = 0.002
-SILENCE_S = 0.75
+SILENCE_TIMEOUT_S = 0.75
 _FROZEN_RETRY_S = 0.05
 _MAX_NOTICE_DELAY_S = 0.01
 
@@ -107,12 +107,14 @@
         self._blocked[pair] = self._clock.now + seconds
         for link in self._open_links(first):
             if link.pair == pair:
-                self._cut(link, SILENCE_S)
+                self._cut(link, SILENCE_TIMEOUT_S)
 
     def freeze(self, process: Process) -> None:
         """Close the links of a process that stays frozen past the timeout."""
         for link in self._open_links(process.name):
-            self._clock.after(SILENCE_S, self._cut_if_frozen, link, process)
+            self._clock.after(
+                SILENCE_TIMEOUT_S, self._cut_if_frozen, link, process
+            )
 
     def _open_links(self, name: str) -> list[Link]:
         return [
--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -14,7 +14,7 @@
     from fakes.clock import Clock
     from fakes.processes import Process
 
-SILENCE_S = 3.0
+SILENCE_TIMEOUT_S = 3.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -90,7 +90,7 @@
         """Lose all frames for a time; the ends notice after the timeout."""
         until = self._clock.now + seconds
         self.blocked[frozenset((first, second))] = until
-        self.cut(first, second, SILENCE_S)
+        self.cut(first, second, SILENCE_TIMEOUT_S)
 
     def drop(self, name: str) -> None:
         """Break all sessions of a process that has ended or is frozen."""
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -8,7 +8,7 @@
 from fakes.callers import CLIENT
 from fakes.callers import Callers
 from fakes.clock import Clock
-from fakes.links import SILENCE_S
+from fakes.links import SILENCE_TIMEOUT_S
 from fakes.links import Links
 from fakes.processes import Process
 from fakes.store import StoreFake
@@ -129,7 +129,7 @@
         process = self.places[place]
         if process.alive and not process.frozen:
             process.frozen = True
-            self.clock.after(SILENCE_S, self._notice_frozen, process)
+            self.clock.after(SILENCE_TIMEOUT_S, self._notice_frozen, process)
             self.clock.after(seconds, process.thaw)
 
     def end_faults(self) -> None:
