--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -26,7 +26,7 @@
     arrivals: dict[str, float] = dataclasses.field(default_factory=dict)
     broken: bool = False
     # Delay of the frames in flight at the break; with None they are lost.
-    late_s: float | None = None
+    late_arrival_s: float | None = None
 
 
 class Links:
@@ -38,8 +38,8 @@
         self.sessions: dict[frozenset[str], Session] = {}
         self.blocked: dict[frozenset[str], float] = {}
         self.delay_s = 0.002
-        self.late_ratio = 0.3
-        self.damaged = False
+        self.late_frame_ratio = 0.3
+        self.corrupt_results = False
 
     def connect(self, processes: list[Process]) -> None:
         """Open missing sessions and send heartbeats on all of them."""
@@ -63,7 +63,7 @@
         )
         arrival = max(arrival, session.arrivals[peer])
         session.arrivals[peer] = arrival
-        if self.damaged and isinstance(message, Finished):
+        if self.corrupt_results and isinstance(message, Finished):
             record = message.record._replace(result=b'damaged')
             message = message._replace(record=record)
         frame = (sender.name, session.name, sender.revision, message)
@@ -78,8 +78,8 @@
         if session is None or session.broken:
             return
         session.broken = True
-        if self._clock.randomness.random() < self.late_ratio:
-            session.late_s = self._clock.randomness.uniform(0, 2)
+        if self._clock.randomness.random() < self.late_frame_ratio:
+            session.late_arrival_s = self._clock.randomness.uniform(0, 2)
         remove_session = (self.sessions.pop, pair)
         self._clock.after(notice_s, self._clock.within, 0.4, *remove_session)
         for end in session.ends:
@@ -117,6 +117,8 @@
             self._clock.after(delay, end.session_opened, session)
 
     def _deliver(self, session: Session, receiver: Any, frame: Any) -> None:
-        late_s = session.late_s if session.broken else 0
-        if late_s is not None:
-            self._clock.after(late_s, receiver.post, 'MessageReceived', *frame)
+        late_arrival_s = session.late_arrival_s if session.broken else 0
+        if late_arrival_s is not None:
+            self._clock.after(
+                late_arrival_s, receiver.post, 'MessageReceived', *frame
+            )
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -140,7 +140,7 @@
         self.store.lose_answers.clear()
         self.links.blocked.clear()
         self.links.delay_s = 0.002
-        self.links.damaged = False
+        self.links.corrupt_results = False
         self.upstreams.modes.clear()
         for place in list(self.places):
             if self.places[place].frozen:
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -107,7 +107,7 @@
 
 def _damaged_results(world: World) -> None:
     """Corrupt results in flight."""
-    world.links.damaged = True
+    world.links.corrupt_results = True
     world.callers.submit(world.places['e1'], 'k')
     world.clock.run(4)
 
