--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -13,7 +13,7 @@
 _UNAVAILABLE = store.StoreUnavailable('no answer')
 
 
-class StoreFake:
+class FakeStore:
     """Keep versioned keys, leases and watches, with faults.
 
     Operations whose type name is in `lose_answers` take effect, but their
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -11,7 +11,7 @@
 from fakes.links import SILENCE_TIMEOUT_S
 from fakes.links import Links
 from fakes.processes import Process
-from fakes.store import StoreFake
+from fakes.store import FakeStore
 from fakes.upstream import Upstreams
 
 from savoryrudder.agent import state as agent_state
@@ -54,7 +54,7 @@
         self.oracle = oracle
         self.clock = Clock(seed)
         self.links = Links(self.clock)
-        self.store = StoreFake(self.clock)
+        self.store = FakeStore(self.clock)
         self.upstreams = Upstreams(self)
         self.callers = Callers(self)
         self.observers: list[Any] = []
