--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -57,7 +57,7 @@
     world = World(Oracle(), seed)
     calls = [
         world.callers.submit(
-            world.places[f'e{number % 3 + 1}'],
+            world.processes[f'e{number % 3 + 1}'],
             f'job-{number}',
             _TASKS,
             persistent=True,
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -58,7 +58,7 @@
         self.upstreams = Upstreams(self)
         self.callers = Callers(self)
         self.observers: list[Any] = []
-        self.places: dict[str, Process] = {}
+        self.processes: dict[str, Process] = {}
         self.operator_answers: dict[int, Any] = {}
         self._incarnations = 0
         self.store.write(documents.CONFIG_KEY, config_value(self.text, 'first'))
@@ -87,13 +87,13 @@
                 agent_state.Identity(*agent, 4, 512, self.operations),
                 agent_state.Limits(),
             )
-        self.places[place] = Process(self, name, state)
+        self.processes[place] = Process(self, name, state)
 
     def some_entry(self) -> Process | None:
         """Return a random entry that a load balancer would choose."""
         entries = [
             process
-            for process in self.places.values()
+            for process in self.processes.values()
             if process.is_entry and process.alive and not process.frozen
         ]
         return self.clock.randomness.choice(entries) if entries else None
@@ -111,22 +111,22 @@
 
     def drain(self, place: str, timeout_s: float = 30) -> None:
         """Request a graceful stop of a process."""
-        self.places[place].post('DrainRequested', timeout_s)
+        self.processes[place].post('DrainRequested', timeout_s)
 
     def kill(self, place: str, back_after: float | None = None) -> None:
         """Kill a process and restart it after a delay, if one is given."""
-        self.places[place].kill()
+        self.processes[place].kill()
         if back_after is not None:
             self.clock.after(back_after, self.start_missing, place)
 
     def start_missing(self, place: str) -> None:
         """Start a process unless it is alive."""
-        if not self.places[place].alive:
+        if not self.processes[place].alive:
             self.start(place)
 
     def freeze(self, place: str, seconds: float) -> None:
         """Freeze a process for a time; its peers notice after 3 s."""
-        process = self.places[place]
+        process = self.processes[place]
         if process.alive and not process.frozen:
             process.frozen = True
             self.clock.after(SILENCE_TIMEOUT_S, self._notice_frozen, process)
@@ -142,9 +142,9 @@
         self.links.delay_s = 0.002
         self.links.corrupt_results = False
         self.upstreams.modes.clear()
-        for place in list(self.places):
-            if self.places[place].frozen:
-                self.places[place].thaw()
+        for place in list(self.processes):
+            if self.processes[place].frozen:
+                self.processes[place].thaw()
             self.start_missing(place)
 
     def note(self, process: Process, event: Any, effects: Any) -> None:
@@ -157,7 +157,7 @@
             self.links.drop(process.name)
 
     def _connect(self) -> None:
-        processes = self.places.values()
+        processes = self.processes.values()
         self.links.connect(
             [
                 process
--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -95,11 +95,11 @@
     """Submit a job through two entries, then ask for its answer."""
     world, recorder = _start(KacaPotong, 2)
     for place in ('e1', 'e2'):
-        entry = world.places[place]
+        entry = world.processes[place]
         call = world.callers.submit(entry, 'order-1', 1)
         world.clock.run(0.04)
     world.clock.run(1)
-    world.callers.fetch(world.places['e1'], call.job)
+    world.callers.fetch(world.processes['e1'], call.job)
     world.clock.run(0.1)
     return recorder.lines
 
@@ -108,7 +108,7 @@
     """Submit a job that names an unknown operation, and a copy of it."""
     world, recorder = _start(KacaPotong, 1)
     for _ in range(2):
-        entry = world.places['e1']
+        entry = world.processes['e1']
         world.callers.submit(entry, 'order-2', 1, operation='engrave')
         world.clock.run(0.1)
     return recorder.lines
@@ -139,7 +139,7 @@
     world, recorder = _start(deployment, 1)
     for operation in deployment.operations:
         options = {'operation': operation, 'service': deployment.service}
-        entry = world.places['e1']
+        entry = world.processes['e1']
         world.callers.submit(entry, f'order-{operation}', 2, **options)
         world.clock.run(1)
     return recorder.lines
--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -54,7 +54,7 @@
 def refuse_some(world: World, ratio: float, seed: int) -> None:
     """Make every entry refuse a ratio of the jobs."""
     for place in entries_of(world):
-        state = world.places[place].state
+        state = world.processes[place].state
         if not isinstance(state.admission, RandomAdmission):
             state.admission = RandomAdmission(state.admission, seed)
         state.admission.ratio = ratio
@@ -84,12 +84,12 @@
     """End all faults and return the violations of safety and liveness."""
     world.end_faults()
     for entry in entries_of(world):
-        state = world.places[entry].state
+        state = world.processes[entry].state
         if isinstance(state.admission, RandomAdmission):
             state.admission.ratio = 0
     world.clock.run(RECOVERY_S)
     calls = [
-        world.callers.submit(world.places[place], fresh_key(world))
+        world.callers.submit(world.processes[place], fresh_key(world))
         for place in entries_of(world)
     ]
     world.clock.run(ANSWER_S)
@@ -103,7 +103,7 @@
 
 def entries_of(world: World) -> list[str]:
     """Return the places of all entries."""
-    return [place for place in world.places if place.startswith('e')]
+    return [place for place in world.processes if place.startswith('e')]
 
 
 def _complete(call: Call) -> bool:
@@ -122,6 +122,6 @@
 def _outdated_revisions(world: World) -> list[str]:
     stored = world.config_revision()
     revisions = {
-        process.name: process.revision for process in world.places.values()
+        process.name: process.revision for process in world.processes.values()
     }
     return [f'P8: {name}' for name in revisions if revisions[name] != stored]
--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -23,7 +23,7 @@
     """Guard against a simulation in which no job runs."""
     world = make_world(1)
     calls = [
-        world.callers.submit(world.places[place], f'k-{place}', 5)
+        world.callers.submit(world.processes[place], f'k-{place}', 5)
         for place in ('e1', 'e2', 'e3')
     ]
     world.clock.run(5)
@@ -35,7 +35,7 @@
     """Guard against a second start after a resubmission elsewhere."""
     world = make_world(2)
     key = key_owned_by(world, 'e1')
-    call = world.callers.submit(world.places['e1'], key, 20, persistent=True)
+    call = world.callers.submit(world.processes['e1'], key, 20, persistent=True)
     world.clock.run(0.3)
     world.kill('e1')
     world.clock.run(25)
@@ -49,13 +49,13 @@
     """Guard against a second start when the record is lost with its agent."""
     world = make_world(3)
     key = key_owned_by(world, 'e1')
-    world.callers.submit(world.places['e1'], key, 12, persistent=True)
+    world.callers.submit(world.processes['e1'], key, 12, persistent=True)
     world.clock.run(0.1)
     world.kill('e1')
     world.kill('a1', 1)
     world.clock.run(20)
-    copy = world.callers.submit(world.places['e2'], key, 12)
-    unrelated = world.callers.submit(world.places['e2'], fresh_key(world))
+    copy = world.callers.submit(world.processes['e2'], key, 12)
+    unrelated = world.callers.submit(world.processes['e2'], fresh_key(world))
     world.clock.run(8)
     assert copy.status == 'refused/in-doubt'
     assert unrelated.status == 'complete/'
@@ -67,12 +67,12 @@
     """Guard against starts by a former owner that thaws after a takeover."""
     world = make_world(4)
     key = key_owned_by(world, 'e1')
-    calls = [world.callers.submit(world.places['e1'], key, 40)]
+    calls = [world.callers.submit(world.processes['e1'], key, 40)]
     world.clock.run(0.2)
     world.freeze('e1', seconds)
-    calls.append(world.callers.submit(world.places['e1'], key, 40))
+    calls.append(world.callers.submit(world.processes['e1'], key, 40))
     world.clock.run(1)
-    calls.append(world.callers.submit(world.places['e2'], key, 40))
+    calls.append(world.callers.submit(world.processes['e2'], key, 40))
     world.clock.run(seconds + 12)
     assert start_counts(world, calls[0]) == {1}
     assert not faults_end(world)
@@ -83,11 +83,11 @@
     world = make_world(5)
     key = key_owned_by(world, 'e2')
     world.links.delay_s = 0.3
-    call = world.callers.submit(world.places['e2'], key, 12)
+    call = world.callers.submit(world.processes['e2'], key, 12)
     for _ in range(6):
         world.clock.run(0.15)
         for agent in ('a1', 'a2', 'a3'):
-            world.links.cut(world.places['e2'].name, agent)
+            world.links.cut(world.processes['e2'].name, agent)
     world.clock.run(10)
     assert call.status == 'complete/'
     assert start_counts(world, call) == {1}
@@ -98,9 +98,9 @@
     """Guard against a job that waits forever for a silent link."""
     world = make_world(6)
     key = key_owned_by(world, 'e2')
-    call = world.callers.submit(world.places['e2'], key, 12)
+    call = world.callers.submit(world.processes['e2'], key, 12)
     world.clock.run(0.1)
-    world.links.silence(world.places['e2'].name, 'a1', 5)
+    world.links.silence(world.processes['e2'].name, 'a1', 5)
     world.clock.run(10)
     assert call.status == 'complete/'
     assert start_counts(world, call) == {1}
@@ -111,7 +111,7 @@
     """Guard against queued start messages that an agent runs after a thaw."""
     world = make_world(7)
     calls = [
-        world.callers.submit(world.places['e1'], f'k{number}', 6)
+        world.callers.submit(world.processes['e1'], f'k{number}', 6)
         for number in range(4)
     ]
     world.clock.run(0.1)
@@ -128,7 +128,7 @@
     calls = []
     for number in range(6):
         world.clock.run(600)
-        entry = world.places[f'e{number % 3 + 1}']
+        entry = world.processes[f'e{number % 3 + 1}']
         calls.append(world.callers.submit(entry, f'k{number}'))
     world.clock.run(8)
     assert {call.status for call in calls} == {'complete/'}
@@ -143,7 +143,7 @@
     world.kill('e1', 40)
     calls = []
     for second in range(20):
-        entry = world.places[f'e{second % 2 + 2}']
+        entry = world.processes[f'e{second % 2 + 2}']
         calls.append(world.callers.submit(entry, f'k{second}', persistent=True))
         world.clock.run(1)
     assert not faults_end(world)
@@ -153,7 +153,7 @@
     """Guard against a blind retry of a swap that has taken effect."""
     world = make_world(10)
     key = key_owned_by(world, 'e1')
-    call = world.callers.submit(world.places['e1'], key, 12, persistent=True)
+    call = world.callers.submit(world.processes['e1'], key, 12, persistent=True)
     world.clock.run(0.2)
     world.kill('e1')
     world.store.lose_answers += ('CompareAndSwap', 'CompareAndSwap')
@@ -171,7 +171,7 @@
     world.store.lose_answers += kinds
     calls = []
     for second in range(12):
-        calls.append(world.callers.submit(world.places['e1'], f'k{second}'))
+        calls.append(world.callers.submit(world.processes['e1'], f'k{second}'))
         world.clock.run(1)
     world.clock.run(6)
     assert {call.status for call in calls} == {'complete/'}
@@ -183,7 +183,7 @@
     world = make_world(12)
     world.store.delay_s = 5
     for second in range(30):
-        world.callers.submit(world.places['e1'], f'k{second}')
+        world.callers.submit(world.processes['e1'], f'k{second}')
         world.clock.run(1)
     assert not faults_end(world)
 
@@ -199,12 +199,12 @@
         # The load balancer uses all entries until it has noticed the drain;
         # an entry that drains serves new requests for 2 s.
         number = step % 3 + 1 if step < 30 else 3
-        entry = world.places[f'e{number}']
+        entry = world.processes[f'e{number}']
         calls.append(world.callers.submit(entry, f'k{step}', 3))
         world.clock.run(0.1)
     world.clock.run(12)
     assert {call.status for call in calls} == {'complete/'}
-    assert not world.places[place].alive
+    assert not world.processes[place].alive
     assert not faults_end(world)
 
 
@@ -212,7 +212,7 @@
     """Guard against a second start of tasks lost with their agent."""
     world = make_world(14)
     calls = [
-        world.callers.submit(world.places['e1'], f'k{number}', 4)
+        world.callers.submit(world.processes['e1'], f'k{number}', 4)
         for number in range(4)
     ]
     world.clock.run(0.1)
@@ -232,7 +232,7 @@
     world = make_world(15)
     world.upstreams.modes['a1'] = mode
     calls = [
-        world.callers.submit(world.places['e1'], f'k{number}', 3)
+        world.callers.submit(world.processes['e1'], f'k{number}', 3)
         for number in range(6)
     ]
     world.clock.run(14)
@@ -249,7 +249,7 @@
     world.callers.delay_s = 1.4
     for number in range(30):
         for place in ('e1', 'e2', 'e3'):
-            world.callers.submit(world.places[place], f'k{number}', 1)
+            world.callers.submit(world.processes[place], f'k{number}', 1)
         world.clock.run(0.2)
     world.clock.run(6)
     statuses = {call.status for call in world.callers.calls.values()}
@@ -261,7 +261,7 @@
     """Guard against the results of another body with the same key."""
     world = make_world(17)
     calls = [
-        world.callers.submit(world.places[place], 'k', variant=place)
+        world.callers.submit(world.processes[place], 'k', variant=place)
         for place in ('e1', 'e2', 'e3')
     ]
     world.clock.run(5)
@@ -280,10 +280,12 @@
     for number in range(20):
         world.callers.delay_s = 1.4
         place = f'e{number % 3 + 1}'
-        submitted = world.callers.submit(world.places[place], f'k{number}', 1)
+        submitted = world.callers.submit(
+            world.processes[place], f'k{number}', 1
+        )
         world.callers.delay_s = 0.4
         place = f'e{(number + 1) % 3 + 1}'
-        world.callers.cancel(world.places[place], submitted.job)
+        world.callers.cancel(world.processes[place], submitted.job)
         world.clock.run(0.1)
     world.clock.run(8)
     assert not faults_end(world)
@@ -294,12 +296,12 @@
     world = make_world(27)
     world.callers.delay_s = 1.4
     submitted = [
-        world.callers.submit(world.places['e1'], f'k{number}', 1)
+        world.callers.submit(world.processes['e1'], f'k{number}', 1)
         for number in range(10)
     ]
     world.callers.delay_s = 0.1
     for call in submitted:
-        world.callers.fetch(world.places['e2'], call.job)
+        world.callers.fetch(world.processes['e2'], call.job)
     world.clock.run(4)
     assert {call.status for call in submitted} == {'complete/'}
     assert not faults_end(world)
@@ -310,12 +312,12 @@
     world = make_world(28)
     key = key_owned_by(world, 'e1')
     refuse_some(world, 1, 28)
-    owner, peer = world.places['e1'].name, world.places['e2'].name
+    owner, peer = world.processes['e1'].name, world.processes['e2'].name
     world.links.silence(owner, peer, 60)
     world.clock.run(4)
-    copy = world.callers.submit(world.places['e2'], key, 1)
+    copy = world.callers.submit(world.processes['e2'], key, 1)
     world.clock.run(0.2)
-    refused = world.callers.submit(world.places['e1'], key, 1)
+    refused = world.callers.submit(world.processes['e1'], key, 1)
     world.clock.run(0.2)
     refuse_some(world, 0, 28)
     world.kill('e1')
@@ -331,13 +333,13 @@
     keys = [key_owned_by(world, 'e1', f'k{number}') for number in range(20)]
     refuse_some(world, 1, 29)
     for place in ('e2', 'e3'):
-        world.places[place].state.admission.ratio = 0
+        world.processes[place].state.admission.ratio = 0
     world.drain('e1')
     for key in keys:
         world.callers.delay_s = 0.002
-        world.callers.submit(world.places['e1'], key, 1)
+        world.callers.submit(world.processes['e1'], key, 1)
         world.callers.delay_s = 1
-        world.callers.submit(world.places['e2'], key, 1)
+        world.callers.submit(world.processes['e2'], key, 1)
         world.clock.run(0.02)
     world.clock.run(8)
     assert not faults_end(world)
@@ -347,12 +349,12 @@
     """Guard against cancelled jobs that run and against lost answers."""
     world = make_world(19)
     jobs = [
-        world.callers.submit(world.places['e1'], f'k{number}', 1)
+        world.callers.submit(world.processes['e1'], f'k{number}', 1)
         for number in range(10_000)
     ]
     world.clock.run(0.3)
     cancellations = [
-        world.callers.cancel(world.places['e1'], job.job) for job in jobs
+        world.callers.cancel(world.processes['e1'], job.job) for job in jobs
     ]
     world.clock.run(5)
     assert all(call.answer for call in jobs + cancellations)
@@ -367,14 +369,16 @@
     for number in (1, 2):
         text = TEXT.replace('400', f'40{number}')
         change = (number, text, 1, f'op{number}', f'token{number}')
-        world.places[f'e{number}'].post('ConfigSubmitted', *change)
+        world.processes[f'e{number}'].post('ConfigSubmitted', *change)
     world.clock.run(12)
     answers = world.operator_answers
     assert sorted(answer.status for answer in answers.values()) == [200, 409]
     conflict = next(reply for reply in answers.values() if reply.status == 409)
     assert conflict.body['author'] in {'op1', 'op2'}
     stored = world.config_revision()
-    assert {process.revision for process in world.places.values()} == {stored}
+    assert {process.revision for process in world.processes.values()} == {
+        stored
+    }
     assert not faults_end(world)
 
 
@@ -383,7 +387,7 @@
     world = make_world(21)
     world.store.lose_answers.append('CompareAndSwap')
     change = (1, TEXT.replace('400', '401'), 1, 'op', 'token')
-    world.places['e1'].post('ConfigSubmitted', *change)
+    world.processes['e1'].post('ConfigSubmitted', *change)
     world.clock.run(12)
     assert world.operator_answers[1].status == 200
     assert not faults_end(world)
@@ -393,16 +397,18 @@
     """Guard against an agent that never receives a configuration."""
     world = make_world(22)
     for entry in ('e1', 'e2', 'e3'):
-        world.links.silence(world.places[entry].name, 'a1', 8)
+        world.links.silence(world.processes[entry].name, 'a1', 8)
     for number in range(3):
         text = TEXT.replace('400', f'50{number}')
         previous = world.config_revision()
         change = (number, text, previous, 'op', f'token{number}')
-        world.places['e1'].post('ConfigSubmitted', *change)
+        world.processes['e1'].post('ConfigSubmitted', *change)
         world.clock.run(2)
     world.clock.run(2 + 12)
     stored = world.config_revision()
-    assert {process.revision for process in world.places.values()} == {stored}
+    assert {process.revision for process in world.processes.values()} == {
+        stored
+    }
     assert not faults_end(world)
 
 
@@ -410,7 +416,7 @@
     """Guard against a second start of tasks unknown to all entries."""
     world = make_world(23)
     jobs = [
-        world.callers.submit(world.places['e1'], f'k{number}', 4)
+        world.callers.submit(world.processes['e1'], f'k{number}', 4)
         for number in range(6)
     ]
     world.clock.run(0.2)
@@ -418,7 +424,7 @@
         world.kill(place, 1)
     world.clock.run(20)
     copies = [
-        world.callers.submit(world.places['e2'], job.key, 4) for job in jobs
+        world.callers.submit(world.processes['e2'], job.key, 4) for job in jobs
     ]
     world.clock.run(12)
     assert all(call.answer for call in copies)
@@ -436,7 +442,7 @@
     world.kill('a2', 0)
     world.kill('a3', 0)
     world.clock.run(3)
-    call = world.callers.submit(world.places['e1'], fresh_key(world))
+    call = world.callers.submit(world.processes['e1'], fresh_key(world))
     world.clock.run(5)
     assert call.status == 'complete/'
 
@@ -450,9 +456,9 @@
     world.links.delay_s = 0.3
     calls = []
     for _ in range(20):
-        calls.append(world.callers.submit(world.places['e2'], key))
+        calls.append(world.callers.submit(world.processes['e2'], key))
         world.clock.run(0.3)
-        owner, peer = world.places['e1'].name, world.places['e2'].name
+        owner, peer = world.processes['e1'].name, world.processes['e2'].name
         world.links.cut(owner, peer)
     world.links.delay_s = 0.002
     world.clock.run(12)
@@ -465,7 +471,7 @@
 ) -> None:
     """Guard against a delayed older configuration that is applied."""
     world = make_world(26)
-    agent = world.places['a1']
+    agent = world.processes['a1']
     world.store.write(
         documents.CONFIG_KEY,
         documents.encode(
@@ -473,9 +479,9 @@
         ),
     )
     world.clock.run(12)
-    session = agent.sessions[world.places['e1'].name]
+    session = agent.sessions[world.processes['e1'].name]
     outdated = messages.Config(1, TEXT)
-    sender = world.places['e1'].name
+    sender = world.processes['e1'].name
     agent.post('MessageReceived', sender, session.name, 1, outdated)
     assert agent.revision == world.config_revision()
     assert not faults_end(world)
@@ -487,9 +493,9 @@
     world.store.delay_s = 2
     world.kill('e2', 0.1)
     world.clock.run(14)
-    names = {world.places[place].name for place in ('e1', 'e2', 'e3')}
+    names = {world.processes[place].name for place in ('e1', 'e2', 'e3')}
     for name in names:
-        process = world.places[name[:2]]
+        process = world.processes[name[:2]]
         peers = process.state.peers
         linked = {peer for peer in peers if peers[peer].session}
         assert linked == names - {name}
--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -39,7 +39,7 @@
     """Submit a job or a copy of it."""
     key, _, operation, tasks = job_fields(number)
     options = {'operation': operation, 'persistent': persistent}
-    world.callers.submit(world.places[entry], key, tasks, **options)
+    world.callers.submit(world.processes[entry], key, tasks, **options)
 
 
 def burst(world: World, number: int) -> None:
@@ -50,12 +50,12 @@
 
 def cancel(world: World, entry: str, number: int) -> None:
     """Cancel a job, which may be unknown."""
-    world.callers.cancel(world.places[entry], make_job(*job_fields(number)))
+    world.callers.cancel(world.processes[entry], make_job(*job_fields(number)))
 
 
 def fetch(world: World, entry: str, number: int) -> None:
     """Fetch the answer to a job, which may be unknown."""
-    world.callers.fetch(world.places[entry], make_job(*job_fields(number)))
+    world.callers.fetch(world.processes[entry], make_job(*job_fields(number)))
 
 
 def drain(world: World, place: str) -> None:
@@ -66,12 +66,12 @@
 
 def cut(world: World, entry: str, place: str) -> None:
     """Cut a link."""
-    world.links.cut(world.places[entry].name, world.places[place].name)
+    world.links.cut(world.processes[entry].name, world.processes[place].name)
 
 
 def silence(world: World, entry: str, place: str, seconds: float) -> None:
     """Lose all frames of a link for a time."""
-    ends = (world.places[end].name for end in (entry, place))
+    ends = (world.processes[end].name for end in (entry, place))
     world.links.silence(*ends, seconds)
 
 
@@ -87,7 +87,7 @@
 
 def cut_off(world: World, entry: str) -> None:
     """Cut an entry off from the store until all faults end."""
-    world.store.cut_off.add(world.places[entry].name)
+    world.store.cut_off.add(world.processes[entry].name)
 
 
 def lose_answer(world: World, kind: str) -> None:
@@ -107,7 +107,7 @@
 
 def configure(world: World, entry: str, number: int) -> None:
     """Change the configuration against the revision in force at an entry."""
-    process = world.places[entry]
+    process = world.processes[entry]
     text = f'# {number}\n{process.state.config_text}'
     request = world.clock.randomness.getrandbits(40)
     change = (request, text, process.revision, entry, f'token{request}')
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -33,7 +33,7 @@
     """Kill an entry during a job; its caller resubmits to another one."""
     world.links.delay_s = 0.3
     key = key_owned_by(world, 'e1')
-    entry = world.places['e1']
+    entry = world.processes['e1']
     world.callers.submit(entry, key, 12, persistent=True)
     world.clock.run(0.8)
     world.kill('e1')
@@ -43,7 +43,7 @@
 def _lose_entry_and_agent(world: World) -> None:
     """Kill an entry and an agent that has records of its job."""
     key = key_owned_by(world, 'e1')
-    entry = world.places['e1']
+    entry = world.processes['e1']
     world.callers.submit(entry, key, 12, persistent=True)
     world.clock.run(0.3)
     world.kill('e1')
@@ -54,34 +54,34 @@
 def _cut_off_owner(world: World) -> None:
     """Cut an owner off from the store; its successor runs a job."""
     key = key_owned_by(world, 'e1')
-    world.store.cut_off.add(world.places['e1'].name)
+    world.store.cut_off.add(world.processes['e1'].name)
     # The new owner runs only jobs received after its takeover.
     world.clock.run(24)
-    call = world.callers.submit(world.places['e2'], key)
+    call = world.callers.submit(world.processes['e2'], key)
     world.clock.run(3)
-    world.callers.cancel(world.places['e1'], call.job)
+    world.callers.cancel(world.processes['e1'], call.job)
     world.clock.run(3)
 
 
 def _slow_clock(world: World) -> None:
     """Slow down the clock of an owner, so that its lease seems valid."""
     key = key_owned_by(world, 'e1')
-    world.places['e1'].clock_rate = 0.3
+    world.processes['e1'].clock_rate = 0.3
     world.clock.run(1)
-    world.store.cut_off.add(world.places['e1'].name)
+    world.store.cut_off.add(world.processes['e1'].name)
     world.clock.run(17.5)
     for place in ('e2', 'e1'):
-        world.callers.submit(world.places[place], key, 12)
+        world.callers.submit(world.processes[place], key, 12)
     world.clock.run(5)
 
 
 def _new_agent_unknown_to_peers(world: World) -> None:
     """Run a job on an agent unknown to the peers, then kill the entry."""
     key = key_owned_by(world, 'e1')
-    entry = world.places['e1']
+    entry = world.processes['e1']
     for peer in ('e2', 'e3'):
-        world.links.silence(entry.name, world.places[peer].name, 60)
-        world.links.silence('a4', world.places[peer].name, 60)
+        world.links.silence(entry.name, world.processes[peer].name, 60)
+        world.links.silence('a4', world.processes[peer].name, 60)
     for agent in ('a1', 'a2', 'a3'):
         world.links.silence(entry.name, agent, 60)
     world.clock.run(4)
@@ -91,7 +91,7 @@
     world.clock.run(2)
     world.kill('e1')
     world.clock.run(12)
-    world.callers.submit(world.places['e2'], key, 4)
+    world.callers.submit(world.processes['e2'], key, 4)
     world.clock.run(8)
 
 
@@ -101,14 +101,14 @@
     world.callers.delay_s = 1.4
     for number in range(20):
         for place in ('e1', 'e2', 'e3'):
-            world.callers.submit(world.places[place], f'k{number}', 1)
+            world.callers.submit(world.processes[place], f'k{number}', 1)
     world.clock.run(6)
 
 
 def _damaged_results(world: World) -> None:
     """Corrupt results in flight."""
     world.links.corrupt_results = True
-    world.callers.submit(world.places['e1'], 'k')
+    world.callers.submit(world.processes['e1'], 'k')
     world.clock.run(4)
 
 
@@ -117,16 +117,16 @@
     world.drain('a1')
     world.clock.run(4)
     for number in range(9):
-        world.callers.submit(world.places['e1'], f'k{number}', 4)
+        world.callers.submit(world.processes['e1'], f'k{number}', 4)
     world.clock.run(3)
 
 
 def _older_configuration(world: World) -> None:
     """Deliver an older configuration to an agent and an entry."""
     older = messages.Config(0, TEXT)
-    sender = world.places['e1'].name
+    sender = world.processes['e1'].name
     for place in ('a1', 'e2'):
-        process = world.places[place]
+        process = world.processes[place]
         session = process.sessions[sender].name
         process.post('MessageReceived', sender, session, 1, older)
 
@@ -134,7 +134,7 @@
 def _failing_upstream(world: World) -> None:
     """Run a job of which some tasks fail."""
     world.upstreams.modes['a1'] = 'failed'
-    world.callers.submit(world.places['e1'], 'partly', 12)
+    world.callers.submit(world.processes['e1'], 'partly', 12)
     world.clock.run(5)
 
 
@@ -264,7 +264,7 @@
     monkeypatch.setattr(partitions, '_reroute', submissions.drop_submission)
     world = make_world(13)
     key = key_owned_by(world, 'e1')
-    call = world.callers.submit(world.places['e1'], key, 20)
+    call = world.callers.submit(world.processes['e1'], key, 20)
     world.clock.run(0.1)
     world.drain('e1')
     world.clock.run(12)
