--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -69,25 +69,25 @@
         self._connect()
         self.clock.run(sizes.get('settle_s', 3))
 
-    def start(self, place: str) -> None:
+    def start(self, host: str) -> None:
         """Start a process on a host, with an empty state."""
         self._incarnations += 1
-        name = place
-        if place.startswith('e'):
-            name = f'{place}#{self._incarnations}'
-            addresses = (f'tcp://{place}', f'http://{place}')
+        name = host
+        if host.startswith('e'):
+            name = f'{host}#{self._incarnations}'
+            addresses = (f'tcp://{host}', f'http://{host}')
             entry = (name, *addresses, 'zale', 600, 2)
             state: Any = entry_state.EntryState(
                 entry_state.EntryIdentity(*entry),
                 random.Random(self._incarnations),
             )
         else:
-            agent = (place, f'i{self._incarnations}', self.service, 'zale')
+            agent = (host, f'i{self._incarnations}', self.service, 'zale')
             state = agent_state.new_state(
                 agent_state.Identity(*agent, 4, 512, self.operations),
                 agent_state.Limits(),
             )
-        self.processes[place] = Process(self, name, state)
+        self.processes[host] = Process(self, name, state)
 
     def some_entry(self) -> Process | None:
         """Return a random entry that a load balancer would choose."""
@@ -109,24 +109,24 @@
         """Return the revision of the configuration in the store."""
         return self.store.read(documents.CONFIG_KEY).version
 
-    def drain(self, place: str, timeout_s: float = 30) -> None:
+    def drain(self, host: str, timeout_s: float = 30) -> None:
         """Request a graceful stop of a process."""
-        self.processes[place].post('DrainRequested', timeout_s)
+        self.processes[host].post('DrainRequested', timeout_s)
 
-    def kill(self, place: str, back_after: float | None = None) -> None:
+    def kill(self, host: str, back_after: float | None = None) -> None:
         """Kill a process and restart it after a delay, if one is given."""
-        self.processes[place].kill()
+        self.processes[host].kill()
         if back_after is not None:
-            self.clock.after(back_after, self.start_missing, place)
+            self.clock.after(back_after, self.start_missing, host)
 
-    def start_missing(self, place: str) -> None:
+    def start_missing(self, host: str) -> None:
         """Start a process unless it is alive."""
-        if not self.processes[place].alive:
-            self.start(place)
+        if not self.processes[host].alive:
+            self.start(host)
 
-    def freeze(self, place: str, seconds: float) -> None:
+    def freeze(self, host: str, seconds: float) -> None:
         """Freeze a process for a time; its peers notice after 3 s."""
-        process = self.processes[place]
+        process = self.processes[host]
         if process.alive and not process.frozen:
             process.frozen = True
             self.clock.after(SILENCE_TIMEOUT_S, self._notice_frozen, process)
@@ -142,10 +142,10 @@
         self.links.delay_s = 0.002
         self.links.corrupt_results = False
         self.upstreams.modes.clear()
-        for place in list(self.processes):
-            if self.processes[place].frozen:
-                self.processes[place].thaw()
-            self.start_missing(place)
+        for host in list(self.processes):
+            if self.processes[host].frozen:
+                self.processes[host].thaw()
+            self.start_missing(host)
 
     def note(self, process: Process, event: Any, effects: Any) -> None:
         """Pass an event and its effects to the observers."""
--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -94,8 +94,8 @@
 def record_resubmission() -> list[str]:
     """Submit a job through two entries, then ask for its answer."""
     world, recorder = _start(KacaPotong, 2)
-    for place in ('e1', 'e2'):
-        entry = world.processes[place]
+    for host in ('e1', 'e2'):
+        entry = world.processes[host]
         call = world.callers.submit(entry, 'order-1', 1)
         world.clock.run(0.04)
     world.clock.run(1)
--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -53,17 +53,17 @@
 
 def refuse_some(world: World, ratio: float, seed: int) -> None:
     """Make every entry refuse a ratio of the jobs."""
-    for place in entries_of(world):
-        state = world.processes[place].state
+    for host in entries_of(world):
+        state = world.processes[host].state
         if not isinstance(state.admission, RandomAdmission):
             state.admission = RandomAdmission(state.admission, seed)
         state.admission.ratio = ratio
 
 
-def key_owned_by(world: World, place: str, name: str = 'k') -> str:
+def key_owned_by(world: World, host: str, name: str = 'k') -> str:
     """Return an opaque key whose partition is owned by an entry."""
     keys = (f'{name}-{number}' for number in range(10_000))
-    return next(key for key in keys if world.owner_of(key) == place)
+    return next(key for key in keys if world.owner_of(key) == host)
 
 
 def fresh_key(world: World) -> str:
@@ -89,8 +89,8 @@
             state.admission.ratio = 0
     world.clock.run(RECOVERY_S)
     calls = [
-        world.callers.submit(world.processes[place], fresh_key(world))
-        for place in entries_of(world)
+        world.callers.submit(world.processes[host], fresh_key(world))
+        for host in entries_of(world)
     ]
     world.clock.run(ANSWER_S)
     return [
@@ -103,7 +103,7 @@
 
 def entries_of(world: World) -> list[str]:
     """Return the places of all entries."""
-    return [place for place in world.processes if place.startswith('e')]
+    return [host for host in world.processes if host.startswith('e')]
 
 
 def _complete(call: Call) -> bool:
--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -23,8 +23,8 @@
     """Guard against a simulation in which no job runs."""
     world = make_world(1)
     calls = [
-        world.callers.submit(world.processes[place], f'k-{place}', 5)
-        for place in ('e1', 'e2', 'e3')
+        world.callers.submit(world.processes[host], f'k-{host}', 5)
+        for host in ('e1', 'e2', 'e3')
     ]
     world.clock.run(5)
     assert {call.status for call in calls} == {'complete/'}
@@ -188,14 +188,14 @@
     assert not faults_end(world)
 
 
-@pytest.mark.parametrize('place', ['e1', 'e2', 'a1', 'a2'])
-def test_drain_under_traffic(make_world: MakeWorld, place: str) -> None:
+@pytest.mark.parametrize('host', ['e1', 'e2', 'a1', 'a2'])
+def test_drain_under_traffic(make_world: MakeWorld, host: str) -> None:
     """Guard against a request that is interrupted by a graceful stop."""
     world = make_world(13)
     calls = []
     for step in range(60):
         if step == 20:
-            world.drain(place)
+            world.drain(host)
         # The load balancer uses all entries until it has noticed the drain;
         # an entry that drains serves new requests for 2 s.
         number = step % 3 + 1 if step < 30 else 3
@@ -204,7 +204,7 @@
         world.clock.run(0.1)
     world.clock.run(12)
     assert {call.status for call in calls} == {'complete/'}
-    assert not world.processes[place].alive
+    assert not world.processes[host].alive
     assert not faults_end(world)
 
 
@@ -248,8 +248,8 @@
     refuse_some(world, 0.5, 16)
     world.callers.delay_s = 1.4
     for number in range(30):
-        for place in ('e1', 'e2', 'e3'):
-            world.callers.submit(world.processes[place], f'k{number}', 1)
+        for host in ('e1', 'e2', 'e3'):
+            world.callers.submit(world.processes[host], f'k{number}', 1)
         world.clock.run(0.2)
     world.clock.run(6)
     statuses = {call.status for call in world.callers.calls.values()}
@@ -261,8 +261,8 @@
     """Guard against the results of another body with the same key."""
     world = make_world(17)
     calls = [
-        world.callers.submit(world.processes[place], 'k', variant=place)
-        for place in ('e1', 'e2', 'e3')
+        world.callers.submit(world.processes[host], 'k', variant=host)
+        for host in ('e1', 'e2', 'e3')
     ]
     world.clock.run(5)
     statuses = sorted(call.status for call in calls)
@@ -279,13 +279,11 @@
     world = make_world(18)
     for number in range(20):
         world.callers.delay_s = 1.4
-        place = f'e{number % 3 + 1}'
-        submitted = world.callers.submit(
-            world.processes[place], f'k{number}', 1
-        )
+        host = f'e{number % 3 + 1}'
+        submitted = world.callers.submit(world.processes[host], f'k{number}', 1)
         world.callers.delay_s = 0.4
-        place = f'e{(number + 1) % 3 + 1}'
-        world.callers.cancel(world.processes[place], submitted.job)
+        host = f'e{(number + 1) % 3 + 1}'
+        world.callers.cancel(world.processes[host], submitted.job)
         world.clock.run(0.1)
     world.clock.run(8)
     assert not faults_end(world)
@@ -332,8 +330,8 @@
     world = make_world(29)
     keys = [key_owned_by(world, 'e1', f'k{number}') for number in range(20)]
     refuse_some(world, 1, 29)
-    for place in ('e2', 'e3'):
-        world.processes[place].state.admission.ratio = 0
+    for host in ('e2', 'e3'):
+        world.processes[host].state.admission.ratio = 0
     world.drain('e1')
     for key in keys:
         world.callers.delay_s = 0.002
@@ -420,8 +418,8 @@
         for number in range(6)
     ]
     world.clock.run(0.2)
-    for place in ('e1', 'e2', 'e3'):
-        world.kill(place, 1)
+    for host in ('e1', 'e2', 'e3'):
+        world.kill(host, 1)
     world.clock.run(20)
     copies = [
         world.callers.submit(world.processes['e2'], job.key, 4) for job in jobs
@@ -493,7 +491,7 @@
     world.store.delay_s = 2
     world.kill('e2', 0.1)
     world.clock.run(14)
-    names = {world.processes[place].name for place in ('e1', 'e2', 'e3')}
+    names = {world.processes[host].name for host in ('e1', 'e2', 'e3')}
     for name in names:
         process = world.processes[name[:2]]
         peers = process.state.peers
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -70,8 +70,8 @@
     world.clock.run(1)
     world.store.cut_off.add(world.processes['e1'].name)
     world.clock.run(17.5)
-    for place in ('e2', 'e1'):
-        world.callers.submit(world.processes[place], key, 12)
+    for host in ('e2', 'e1'):
+        world.callers.submit(world.processes[host], key, 12)
     world.clock.run(5)
 
 
@@ -100,8 +100,8 @@
     refuse_some(world, 0.5, 7)
     world.callers.delay_s = 1.4
     for number in range(20):
-        for place in ('e1', 'e2', 'e3'):
-            world.callers.submit(world.processes[place], f'k{number}', 1)
+        for host in ('e1', 'e2', 'e3'):
+            world.callers.submit(world.processes[host], f'k{number}', 1)
     world.clock.run(6)
 
 
@@ -125,8 +125,8 @@
     """Deliver an older configuration to an agent and an entry."""
     older = messages.Config(0, TEXT)
     sender = world.processes['e1'].name
-    for place in ('a1', 'e2'):
-        process = world.processes[place]
+    for host in ('a1', 'e2'):
+        process = world.processes[host]
         session = process.sessions[sender].name
         process.post('MessageReceived', sender, session, 1, older)
 
