--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -127,7 +127,7 @@
         world.clock.run(seconds)
         return calls
     for number in range(rate * seconds):
-        entry = world.some_entry()
+        entry = world.pick_entry()
         if entry is not None:
             key = f'steady-{world.clock.now:.3f}-{number}'
             calls.append(world.callers.submit(entry, key, 1))
--- a/tests/fakes/callers.py
+++ b/tests/fakes/callers.py
@@ -145,7 +145,7 @@
             self._world.clock.after(0.5, self._resubmit, call)
 
     def _resubmit(self, call: Call) -> None:
-        entry = self._world.some_entry()
+        entry = self._world.pick_entry()
         if entry is None:
             self._world.clock.after(1, self._resubmit, call)
             return
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -89,7 +89,7 @@
             )
         self.processes[host] = Process(self, name, state)
 
-    def some_entry(self) -> Process | None:
+    def pick_entry(self) -> Process | None:
         """Return a random entry that a load balancer would choose."""
         entries = [
             process
