--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -117,9 +117,9 @@
         """Kill a process and restart it after a delay, if one is given."""
         self.processes[host].kill()
         if back_after is not None:
-            self.clock.after(back_after, self.start_missing, host)
+            self.clock.after(back_after, self.ensure_started, host)
 
-    def start_missing(self, host: str) -> None:
+    def ensure_started(self, host: str) -> None:
         """Start a process unless it is alive."""
         if not self.processes[host].alive:
             self.start(host)
@@ -145,7 +145,7 @@
         for host in list(self.processes):
             if self.processes[host].frozen:
                 self.processes[host].thaw()
-            self.start_missing(host)
+            self.ensure_started(host)
 
     def note(self, process: Process, event: Any, effects: Any) -> None:
         """Pass an event and its effects to the observers."""
--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -61,7 +61,7 @@
 def drain(world: World, place: str) -> None:
     """Stop a process gracefully and restart it."""
     world.drain(place, 15)
-    world.clock.after(20, world.start_missing, place)
+    world.clock.after(20, world.ensure_started, place)
 
 
 def cut(world: World, entry: str, place: str) -> None:
