--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -93,7 +93,7 @@
         reducer = entry_reducer if self.is_entry else agent_reducer
         previous_revision = self.revision
         produced_effects = reducer.reduce(self.state, event)
-        self.world.note(self, event, produced_effects)
+        self.world.notify_observers(self, event, produced_effects)
         self.world.oracle.note_revision(
             self.name, previous_revision, self.revision
         )
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -147,7 +147,9 @@
                 self.processes[host].thaw()
             self.ensure_started(host)
 
-    def note(self, process: Process, event: Any, effects: Any) -> None:
+    def notify_observers(
+        self, process: Process, event: Any, effects: Any
+    ) -> None:
         """Pass an event and its effects to the observers."""
         for observer in self.observers:
             observer(process, event, effects)
