--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -21,7 +21,7 @@
 from savoryrudder.utils.identifiers import submission_id
 
 OPERATIONS = ('cutting-plan', 'sheet-quote')
-TEXT = """
+POLICY = """
 [services.pane.operations]
 cutting-plan = { idempotent = false, expected_ms = 400 }
 sheet-quote = { idempotent = true, expected_ms = 100 }
@@ -45,7 +45,7 @@
     of an entry contains it, the name of an agent does not.
     """
 
-    text = TEXT
+    text = POLICY
     service = 'pane'
     operations = OPERATIONS
 
--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import pytest
-from fakes.world import TEXT
+from fakes.world import POLICY
 from fakes.world import World
 from scenario import faults_end
 from scenario import fresh_key
@@ -365,7 +365,7 @@
     """Guard against a change that silently overwrites another one."""
     world = make_world(20)
     for number in (1, 2):
-        text = TEXT.replace('400', f'40{number}')
+        text = POLICY.replace('400', f'40{number}')
         change = (number, text, 1, f'op{number}', f'token{number}')
         world.processes[f'e{number}'].post('ConfigSubmitted', *change)
     world.clock.run(12)
@@ -384,7 +384,7 @@
     """Guard against a change that is in force but reported as refused."""
     world = make_world(21)
     world.store.lose_answers.append('CompareAndSwap')
-    change = (1, TEXT.replace('400', '401'), 1, 'op', 'token')
+    change = (1, POLICY.replace('400', '401'), 1, 'op', 'token')
     world.processes['e1'].post('ConfigSubmitted', *change)
     world.clock.run(12)
     assert world.operator_answers[1].status == 200
@@ -397,7 +397,7 @@
     for entry in ('e1', 'e2', 'e3'):
         world.links.silence(world.processes[entry].name, 'a1', 8)
     for number in range(3):
-        text = TEXT.replace('400', f'50{number}')
+        text = POLICY.replace('400', f'50{number}')
         previous = world.config_revision()
         change = (number, text, previous, 'op', f'token{number}')
         world.processes['e1'].post('ConfigSubmitted', *change)
@@ -473,12 +473,12 @@
     world.store.write(
         documents.CONFIG_KEY,
         documents.encode(
-            {'text': TEXT, 'author': '', 'applied_at': '', 'token': 't2'}
+            {'text': POLICY, 'author': '', 'applied_at': '', 'token': 't2'}
         ),
     )
     world.clock.run(12)
     session = agent.sessions[world.processes['e1'].name]
-    outdated = messages.Config(1, TEXT)
+    outdated = messages.Config(1, POLICY)
     sender = world.processes['e1'].name
     agent.post('MessageReceived', sender, session.name, 1, outdated)
     assert agent.revision == world.config_revision()
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from fakes.world import TEXT
+from fakes.world import POLICY
 from fakes.world import World
 from scenario import key_owned_by
 from scenario import refuse_some
@@ -123,7 +123,7 @@
 
 def _older_configuration(world: World) -> None:
     """Deliver an older configuration to an agent and an entry."""
-    older = messages.Config(0, TEXT)
+    older = messages.Config(0, POLICY)
     sender = world.processes['e1'].name
     for host in ('a1', 'e2'):
         process = world.processes[host]
