--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -45,7 +45,7 @@
     of an entry contains it, the name of an agent does not.
     """
 
-    text = POLICY
+    policy = POLICY
     service = 'pane'
     operations = OPERATIONS
 
@@ -61,7 +61,9 @@
         self.processes: dict[str, Process] = {}
         self.operator_answers: dict[int, Any] = {}
         self._incarnations = 0
-        self.store.write(documents.CONFIG_KEY, config_value(self.text, 'first'))
+        self.store.write(
+            documents.CONFIG_KEY, config_value(self.policy, 'first')
+        )
         for number in range(sizes.get('entries', 3)):
             self.start(f'e{number + 1}')
         for number in range(sizes.get('agents', 3)):
--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -35,14 +35,14 @@
 class KacaPotong(World):
     """The deployment of the glass shops."""
 
-    text = _PANE_POLICY
+    policy = _PANE_POLICY
     operations = ('cutting-plan', 'sheet-quote', 'offcut-check')
 
 
 class CvetnaPot(World):
     """The deployment of the grave flower rounds."""
 
-    text = _ROUNDS_POLICY
+    policy = _ROUNDS_POLICY
     service = 'rounds'
     operations = ('wreath-order', 'route', 'quote')
 
