--- a/tests/proofs/oracle.py
+++ b/tests/proofs/oracle.py
@@ -79,7 +79,7 @@
         for payload in not_run:
             self._not_run_claims.append((now, payload, call.status))
 
-    def judge(self) -> list[str]:
+    def find_violations(self) -> list[str]:
         """Check the claims of not-run against all starts; return violations."""
         for at, payload, status in self._not_run_claims:
             submission_times = self._submission_times[payload]
--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -94,7 +94,7 @@
     ]
     world.clock.run(ANSWER_S)
     return [
-        *world.oracle.judge(),
+        *world.oracle.find_violations(),
         *(f'fresh: {call.status}' for call in calls if not _complete(call)),
         *_unanswered_calls(world),
         *_outdated_revisions(world),
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -251,8 +251,10 @@
     switch_off(monkeypatch)
     broken = make_world(seed)
     scenario(broken)
-    detected = {violation[:2] for violation in broken.oracle.judge()}
-    assert violated not in {text[:2] for text in intact.oracle.judge()}
+    detected = {violation[:2] for violation in broken.oracle.find_violations()}
+    assert violated not in {
+        text[:2] for text in intact.oracle.find_violations()
+    }
     assert violated in detected
 
 
