--- a/tests/proofs/oracle.py
+++ b/tests/proofs/oracle.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from fakes.callers import Call
 
-LEAVING_S = 3.0
+MAX_START_DELAY_AFTER_LEAVING_S = 3.0
 _NOT_RUN = 'not-run'
 
 
@@ -37,7 +37,11 @@
             self._add_violation(
                 'P1', f'{call.payload!r} started again at {now:.3f}'
             )
-        if now > self._leaving_since.get(agent, now) + LEAVING_S:
+        if (
+            now
+            > self._leaving_since.get(agent, now)
+            + MAX_START_DELAY_AFTER_LEAVING_S
+        ):
             self._add_violation('P6', f'{agent.name} started after leaving')
 
     def note_leaving(self, agent: Any, now: float) -> None:
