--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -51,9 +51,9 @@
         return getattr(self._admission, name)
 
 
-def refuse_some(world: World, ratio: float, seed: int) -> None:
+def set_refusal_ratio(world: World, ratio: float, seed: int) -> None:
     """Make every entry refuse a ratio of the jobs."""
-    for host in entries_of(world):
+    for host in entry_hosts(world):
         state = world.processes[host].state
         if not isinstance(state.admission, RandomAdmission):
             state.admission = RandomAdmission(state.admission, seed)
@@ -83,14 +83,14 @@
 def faults_end(world: World) -> list[str]:
     """End all faults and return the violations of safety and liveness."""
     world.end_faults()
-    for entry in entries_of(world):
+    for entry in entry_hosts(world):
         state = world.processes[entry].state
         if isinstance(state.admission, RandomAdmission):
             state.admission.ratio = 0
     world.clock.run(RECOVERY_S)
     calls = [
         world.callers.submit(world.processes[host], fresh_key(world))
-        for host in entries_of(world)
+        for host in entry_hosts(world)
     ]
     world.clock.run(ANSWER_S)
     return [
@@ -101,7 +101,7 @@
     ]
 
 
-def entries_of(world: World) -> list[str]:
+def entry_hosts(world: World) -> list[str]:
     """Return the places of all entries."""
     return [host for host in world.processes if host.startswith('e')]
 
--- a/tests/proofs/test_faults.py
+++ b/tests/proofs/test_faults.py
@@ -10,7 +10,7 @@
 from scenario import faults_end
 from scenario import fresh_key
 from scenario import key_owned_by
-from scenario import refuse_some
+from scenario import set_refusal_ratio
 from scenario import start_counts
 
 from savoryrudder.entry import documents
@@ -245,7 +245,7 @@
 def test_concurrent_resubmissions(make_world: MakeWorld) -> None:
     """Guard against a copy that runs after another copy was refused."""
     world = make_world(16)
-    refuse_some(world, 0.5, 16)
+    set_refusal_ratio(world, 0.5, 16)
     world.callers.delay_s = 1.4
     for number in range(30):
         for host in ('e1', 'e2', 'e3'):
@@ -309,7 +309,7 @@
     """Guard against a waiting copy that runs after its key was refused."""
     world = make_world(28)
     key = key_owned_by(world, 'e1')
-    refuse_some(world, 1, 28)
+    set_refusal_ratio(world, 1, 28)
     owner, peer = world.processes['e1'].name, world.processes['e2'].name
     world.links.silence(owner, peer, 60)
     world.clock.run(4)
@@ -317,7 +317,7 @@
     world.clock.run(0.2)
     refused = world.callers.submit(world.processes['e1'], key, 1)
     world.clock.run(0.2)
-    refuse_some(world, 0, 28)
+    set_refusal_ratio(world, 0, 28)
     world.kill('e1')
     world.clock.run(14)
     assert refused.status == 'refused/overloaded'
@@ -329,7 +329,7 @@
     """Guard against a copy that the new owner runs after a refusal."""
     world = make_world(29)
     keys = [key_owned_by(world, 'e1', f'k{number}') for number in range(20)]
-    refuse_some(world, 1, 29)
+    set_refusal_ratio(world, 1, 29)
     for host in ('e2', 'e3'):
         world.processes[host].state.admission.ratio = 0
     world.drain('e1')
--- a/tests/proofs/test_invariants.py
+++ b/tests/proofs/test_invariants.py
@@ -11,9 +11,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from oracle import Oracle
-from scenario import entries_of
+from scenario import entry_hosts
 from scenario import faults_end
-from scenario import refuse_some
+from scenario import set_refusal_ratio
 
 EXAMPLES = 80
 # Pauses shorter than a round trip, a task and a lease, and longer ones.
@@ -44,7 +44,7 @@
 
 def burst(world: World, number: int) -> None:
     """Submit copies of a job through all entries at the same time."""
-    for entry in entries_of(world):
+    for entry in entry_hosts(world):
         submit(world, entry, number, persistent=False)
 
 
@@ -102,7 +102,7 @@
 
 def refuse(world: World, ratio: float) -> None:
     """Make the entries refuse a ratio of the jobs."""
-    refuse_some(world, ratio, len(world.callers.calls))
+    set_refusal_ratio(world, ratio, len(world.callers.calls))
 
 
 def configure(world: World, entry: str, number: int) -> None:
--- a/tests/proofs/test_mechanisms.py
+++ b/tests/proofs/test_mechanisms.py
@@ -10,7 +10,7 @@
 from fakes.world import POLICY
 from fakes.world import World
 from scenario import key_owned_by
-from scenario import refuse_some
+from scenario import set_refusal_ratio
 
 from savoryrudder.agent import state as agent_state
 from savoryrudder.agent.records import RecordTable
@@ -97,7 +97,7 @@
 
 def _crossed_copies(world: World) -> None:
     """Submit copies of jobs while some are refused."""
-    refuse_some(world, 0.5, 7)
+    set_refusal_ratio(world, 0.5, 7)
     world.callers.delay_s = 1.4
     for number in range(20):
         for host in ('e1', 'e2', 'e3'):
