--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -105,7 +105,7 @@
         """
         if first.is_entry and second.is_entry:
             low, high = sorted((first, second), key=lambda end: end.name)
-            return high.state.identity.address in low.dials
+            return high.state.identity.address in low.dialled_addresses
         return first.is_entry or second.is_entry
 
     def _open(self, pair: frozenset[str], ends: Any) -> None:
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -31,7 +31,7 @@
         self.alive = True
         self.frozen = False
         self.clock_rate = 1.0
-        self.dials: set[str] = set()
+        self.dialled_addresses: set[str] = set()
         self.sessions: dict[str, Session] = {}
         self._inbox: list[Any] = []
         self._tick()
@@ -129,7 +129,7 @@
         self.world.store.call(self.name, effect.operation, answered)
 
     def _on_connectpeer(self, effect: Any) -> None:
-        self.dials.add(effect.address)
+        self.dialled_addresses.add(effect.address)
 
     def _on_reply(self, effect: Any) -> None:
         self.world.callers.deliver_answer(effect.request_id, effect.answer)
