--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -50,7 +50,7 @@
 _MAX_DELETIONS: Final = 10_000
 
 
-class Held(NamedTuple):
+class StoredValue(NamedTuple):
     """The version, value and lease of a key."""
 
     version: int
@@ -64,7 +64,7 @@
     def __init__(self, snapshot: Path | None) -> None:
         """Load the snapshot file, if there is one."""
         self.version = 0
-        self.held: dict[str, Held] = {}
+        self.entries: dict[str, StoredValue] = {}
         self.leases: dict[str, tuple[float, float]] = {}
         self._deletions: dict[str, int] = {}
         self._history_start = 0
@@ -75,15 +75,15 @@
 
     def describe(self, key: str) -> dict[str, Any]:
         """Return a key in the format of the HTTP interface."""
-        held = self.held.get(key)
-        if held is None:
+        stored = self.entries.get(key)
+        if stored is None:
             return {'key': key, 'version': 0, 'value': None}
-        return {'key': key, 'version': held.version, 'value': held.value}
+        return {'key': key, 'version': stored.version, 'value': stored.value}
 
     def put(self, key: str, value: str, lease: str) -> int:
         """Write a key and return its version."""
         self.version += 1
-        self.held[key] = Held(self.version, value, lease)
+        self.entries[key] = StoredValue(self.version, value, lease)
         self._deletions.pop(key, None)
         self._publish()
         return self.version
@@ -91,7 +91,7 @@
     def delete(self, key: str) -> int:
         """Delete a key and return the version of the deletion."""
         self.version += 1
-        if self.held.pop(key, None) is not None:
+        if self.entries.pop(key, None) is not None:
             self._deletions[key] = self.version
         if len(self._deletions) > _MAX_DELETIONS:
             oldest = next(iter(self._deletions))
@@ -117,7 +117,7 @@
         """Revoke a lease and delete its keys."""
         self.leases.pop(lease, None)
         leased_keys = [
-            key for key, held in self.held.items() if held.lease == lease
+            key for key, stored in self.entries.items() if stored.lease == lease
         ]
         for key in leased_keys:
             self.delete(key)
@@ -134,8 +134,8 @@
         if after < self._history_start or after > self.version:
             return True
         versions = [
-            held.version
-            for key, held in self.held.items()
+            stored.version
+            for key, stored in self.entries.items()
             if key.startswith(prefix)
         ]
         versions.extend(
@@ -157,7 +157,7 @@
         temporary = self._snapshot.with_suffix('.new')
         document = {
             'version': self.version,
-            'held': self.held,
+            'held': self.entries,
             'leases': {name: ttl for name, (ttl, _) in self.leases.items()},
         }
         temporary.write_text(json.dumps(document))
@@ -166,7 +166,10 @@
     def _load(self, document: dict[str, Any]) -> None:
         self.version = document['version']
         self._history_start = self.version
-        self.held = {key: Held(*held) for key, held in document['held'].items()}
+        self.entries = {
+            key: StoredValue(*stored)
+            for key, stored in document['held'].items()
+        }
         # As after a change of leader, each lease gets its full time to live.
         now = anyio.current_time()
         self.leases = {
@@ -334,7 +337,7 @@
                     await self.content.wait_change()
         entries = [
             self.content.describe(key)
-            for key in sorted(self.content.held)
+            for key in sorted(self.content.entries)
             if key.startswith(prefix)
         ]
         return JSONResponse(
