--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -249,7 +249,7 @@
         ]
         return Starlette(routes=routes)
 
-    async def sweep(self) -> None:
+    async def expire_leases(self) -> None:
         """Revoke expired leases until cancelled."""
         while True:
             self.content.expire()
@@ -365,7 +365,7 @@
     config.graceful_timeout = _GRACEFUL_TIMEOUT_S
     config.loglevel = 'critical'
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(store.sweep)
+        nursery.start_soon(store.expire_leases)
         await serve_hypercorn(
             store.application(),
             config,
