--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -187,7 +187,7 @@
         self.slow_ms = float(0)
         self.lose_answers = 0
 
-    def set_from(self, requested: dict[str, Any]) -> None:
+    def update(self, requested: dict[str, Any]) -> None:
         """Update the faults named in a request."""
         down_s = requested.get('down_s')
         if down_s is not None:
@@ -345,7 +345,7 @@
         )
 
     async def _set_faults(self, request: Request) -> Response:
-        self.faults.set_from(await request.json())
+        self.faults.update(await request.json())
         return Response(status_code=HTTPStatus.NO_CONTENT)
 
     async def _report_calls(self, request: Request) -> Response:
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -117,7 +117,7 @@
         self.slow_factor = float(1)
         self.exit_after_starts = 0
 
-    def set_from(self, requested: dict[str, Any]) -> None:
+    def update(self, requested: dict[str, Any]) -> None:
         """Update the faults named in a request."""
         self.fail_all = bool(requested.get('fail_all', self.fail_all))
         self.hang = bool(requested.get('hang', self.hang))
@@ -197,7 +197,7 @@
         return JSONResponse(self.starts)
 
     async def _set_faults(self, request: Request) -> Response:
-        self.faults.set_from(await request.json())
+        self.faults.update(await request.json())
         return Response(status_code=HTTPStatus.NO_CONTENT)
 
 
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -106,7 +106,7 @@
 ) -> None:
     """Guard against exceptions, and calls without a time limit."""
     async with open_store(timeout_s=0.2) as (client, stand_in):
-        stand_in.faults.set_from({fault: 60_000})
+        stand_in.faults.update({fault: 60_000})
         outcome = await client.call(interface.ReadKey(KEY))
         assert isinstance(outcome, interface.StoreUnavailable)
 
