--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -135,15 +135,15 @@
         service: str,
         slots: int,
         seed: int = 0,
-        leave: Callable[[int], object] = os._exit,
+        exit_process: Callable[[int], object] = os._exit,
     ) -> None:
-        """Run up to `slots` tasks at a time; `leave` exits the process."""
+        """Run up to `slots` tasks; `exit_process` ends the process."""
         self.faults = Faults()
         self.starts: list[str] = []
         self._operations = _SERVICES[service]
         self._free_slots = anyio.Semaphore(slots)
         self._random = random.Random(seed)
-        self._exit_process = leave
+        self._exit_process = exit_process
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
