--- a/bench/policy.py
+++ b/bench/policy.py
@@ -86,7 +86,7 @@
     """Run jobs through the reducers."""
     names = tuple(sorted({job.client for job in jobs}))
     run = Simulation(policy_text(names), **options)
-    run.offer(jobs)
+    run.schedule_jobs(jobs)
     return run.run(end + SETTLE_S)
 
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -186,7 +186,7 @@
         }
         self._start_processes()
 
-    def offer(self, jobs: list[BenchJob]) -> None:
+    def schedule_jobs(self, jobs: list[BenchJob]) -> None:
         """Schedule the arrival of jobs."""
         for job in jobs:
             number = len(self._jobs) + 1
