--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -85,13 +85,13 @@
 
     def __init__(self) -> None:
         """Create an empty store."""
-        self.found: dict[str, interface.KeyValue] = {}
+        self.items: dict[str, interface.KeyValue] = {}
         self.version = 0
 
     def put(self, key: str, text: str) -> None:
         """Write a key."""
         self.version += 1
-        self.found[key] = interface.KeyValue(key, self.version, text)
+        self.items[key] = interface.KeyValue(key, self.version, text)
 
     def call(self, operation: Any) -> interface.StoreOutcome:
         """Carry out an operation other than a watch."""
@@ -99,13 +99,13 @@
             return self._swap(operation)
         if isinstance(operation, interface.ReadKey):
             absent = interface.KeyValue(operation.key, 0, None)
-            return self.found.get(operation.key, absent)
+            return self.items.get(operation.key, absent)
         return interface.LeaseHeld('lease', 6)
 
     def snapshot(self, prefix: str) -> interface.Snapshot:
         """Return all keys below a prefix."""
         matching = [
-            item for key, item in self.found.items() if key.startswith(prefix)
+            item for key, item in self.items.items() if key.startswith(prefix)
         ]
         return interface.Snapshot(self.version, tuple(matching))
 
@@ -113,7 +113,7 @@
         self, operation: interface.CompareAndSwap
     ) -> interface.StoreOutcome:
         absent = interface.KeyValue(operation.key, 0, None)
-        current = self.found.get(operation.key, absent)
+        current = self.items.get(operation.key, absent)
         if current.version != operation.expected_version:
             return interface.SwapConflict(current)
         self.put(operation.key, operation.value or '')
