--- a/bench/site_days.py
+++ b/bench/site_days.py
@@ -33,7 +33,7 @@
     kind: str
 
 
-class Trouble(NamedTuple):
+class Fault(NamedTuple):
     """A fault of some executors, which are chosen at random, for a time.
 
     `factor` applies to the durations of tasks on slow executors.
@@ -41,7 +41,7 @@
 
     at: float
     lasts_s: float
-    what: str
+    kind: str
     count: int
     factor: float = 1
 
@@ -52,7 +52,7 @@
     name: str
     load: float
     bursts: tuple[Burst, ...] = ()
-    troubles: tuple[Trouble, ...] = ()
+    faults: tuple[Fault, ...] = ()
 
 
 CHECK: Final = 'check'
@@ -72,18 +72,18 @@
         'trouble',
         0.94,
         (Burst(2.3, 5, 2.2, PLAN), Burst(13, 3.5, 1.8, CHECK)),
-        (Trouble(4.2, 4.2, DARK, 2), Trouble(5, 7, SLOW, 2, 5.1)),
+        (Fault(4.2, 4.2, DARK, 2), Fault(5, 7, SLOW, 2, 5.1)),
     ),
     Day(
         'hang',
         1.1,
         (Burst(3.7, 5.8, 2.2, PLAN), Burst(14, 3.9, 1.8, CHECK)),
-        (Trouble(7.1, 5.5, HANG, 2),),
+        (Fault(7.1, 5.5, HANG, 2),),
     ),
     Day(
         'overload',
         1.1,
         (Burst(4.5, 5.4, 2.4, PLAN), Burst(12, 3.9, 1.7, CHECK)),
-        (Trouble(1, 12, AWAY, 4), Trouble(12.2, 4.7, DARK, 1)),
+        (Fault(1, 12, AWAY, 4), Fault(12.2, 4.7, DARK, 1)),
     ),
 )
--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -33,8 +33,8 @@
     from collections.abc import Sequence
 
     from bench.site_days import Day
+    from bench.site_days import Fault
     from bench.site_days import Kind
-    from bench.site_days import Trouble
     from bench.site_jobs import DrawnJob
     from savoryrudder.worker.effects import StartRun
 
@@ -69,8 +69,8 @@
 
     def play(self) -> Outcome:
         """Run the day and return its outcome."""
-        for trouble in self._day.troubles:
-            self._schedule_fault(trouble)
+        for fault in self._day.faults:
+            self._schedule_fault(fault)
         for kind in KINDS:
             self.fleet.clock.after(0, self._submit_next, kind)
         self.fleet.run(_DAY_S + _SETTLE_S)
@@ -117,34 +117,34 @@
         job = self._jobs[call.task.partition('.')[0]]
         return self._source.draw_task_s(job)
 
-    def _schedule_fault(self, trouble: Trouble) -> None:
+    def _schedule_fault(self, fault: Fault) -> None:
         agents = range(_EXECUTORS)
-        for index in self._source.random.sample(agents, trouble.count):
-            ends_at = trouble.at + trouble.lasts_s
+        for index in self._source.random.sample(agents, fault.count):
+            ends_at = fault.at + fault.lasts_s
             clock = self.fleet.clock
-            clock.after(trouble.at, self._begin_fault, trouble, index)
-            clock.after(ends_at, self._end_fault, trouble, index)
+            clock.after(fault.at, self._begin_fault, fault, index)
+            clock.after(ends_at, self._end_fault, fault, index)
 
-    def _begin_fault(self, trouble: Trouble, index: int) -> None:
+    def _begin_fault(self, fault: Fault, index: int) -> None:
         now = self.fleet.clock.now
         agent = self.fleet.agents[index]
-        if trouble.what == SLOW:
-            agent.executor.slow_down(now, trouble.factor)
-        elif trouble.what == HANG:
+        if fault.kind == SLOW:
+            agent.executor.slow_down(now, fault.factor)
+        elif fault.kind == HANG:
             agent.executor.hang(now)
-        elif trouble.what == DARK:
+        elif fault.kind == DARK:
             agent.executor.unresponsive = True
-        elif trouble.what == AWAY:
+        elif fault.kind == AWAY:
             for entry in self.fleet.entries:
-                self.fleet.silence_link(entry.name, agent.name, trouble.lasts_s)
+                self.fleet.silence_link(entry.name, agent.name, fault.lasts_s)
 
-    def _end_fault(self, trouble: Trouble, index: int) -> None:
+    def _end_fault(self, fault: Fault, index: int) -> None:
         executor = self.fleet.agents[index].executor
-        if trouble.what == SLOW:
-            executor.slow_down(self.fleet.clock.now, 1 / trouble.factor)
-        elif trouble.what == HANG:
+        if fault.kind == SLOW:
+            executor.slow_down(self.fleet.clock.now, 1 / fault.factor)
+        elif fault.kind == HANG:
             executor.hanging = False
-        elif trouble.what == DARK:
+        elif fault.kind == DARK:
             executor.unresponsive = False
             self.fleet.crash_executor(index)
 
