--- a/bench/site_days.py
+++ b/bench/site_days.py
@@ -27,8 +27,8 @@
 class Burst(NamedTuple):
     """A factor on the arrival rate of one kind of job for a time."""
 
-    at: float
-    lasts_s: float
+    start_s: float
+    duration_s: float
     factor: float
     kind: str
 
@@ -39,8 +39,8 @@
     `factor` applies to the durations of tasks on slow executors.
     """
 
-    at: float
-    lasts_s: float
+    start_s: float
+    duration_s: float
     kind: str
     count: int
     factor: float = 1
--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -101,7 +101,9 @@
             return
         rate = kind.per_s * self._day.load
         for burst in self._day.bursts:
-            is_active = burst.at <= elapsed_s < burst.at + burst.lasts_s
+            is_active = (
+                burst.start_s <= elapsed_s < burst.start_s + burst.duration_s
+            )
             if is_active and burst.kind == kind.name:
                 rate *= burst.factor
         interval_s = self._source.random.expovariate(rate)
@@ -120,9 +122,9 @@
     def _schedule_fault(self, fault: Fault) -> None:
         agents = range(_EXECUTORS)
         for index in self._source.random.sample(agents, fault.count):
-            ends_at = fault.at + fault.lasts_s
+            ends_at = fault.start_s + fault.duration_s
             clock = self.fleet.clock
-            clock.after(fault.at, self._begin_fault, fault, index)
+            clock.after(fault.start_s, self._begin_fault, fault, index)
             clock.after(ends_at, self._end_fault, fault, index)
 
     def _begin_fault(self, fault: Fault, index: int) -> None:
@@ -136,7 +138,9 @@
             agent.executor.unresponsive = True
         elif fault.kind == AWAY:
             for entry in self.fleet.entries:
-                self.fleet.silence_link(entry.name, agent.name, fault.lasts_s)
+                self.fleet.silence_link(
+                    entry.name, agent.name, fault.duration_s
+                )
 
     def _end_fault(self, fault: Fault, index: int) -> None:
         executor = self.fleet.agents[index].executor
