--- a/bench/site_days.py
+++ b/bench/site_days.py
@@ -17,7 +17,7 @@
     name: str
     priority: int
     attempts: int
-    per_s: float
+    rate_per_s: float
     tasks: float
     task_ms: float
     cpu: float
--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -99,7 +99,7 @@
         elapsed_s = clock.now - self.began
         if elapsed_s > _DAY_S:
             return
-        rate = kind.per_s * self._day.load
+        rate = kind.rate_per_s * self._day.load
         for burst in self._day.bursts:
             is_active = (
                 burst.start_s <= elapsed_s < burst.start_s + burst.duration_s
