--- a/bench/site_days.py
+++ b/bench/site_days.py
@@ -7,8 +7,8 @@
 
 SLOW: Final = 'slow'
 HANG: Final = 'hang'
-DARK: Final = 'dark'
-AWAY: Final = 'away'
+UNRESPONSIVE: Final = 'dark'
+DISCONNECTED: Final = 'away'
 
 
 class Kind(NamedTuple):
@@ -72,7 +72,7 @@
         'trouble',
         0.94,
         (Burst(2.3, 5, 2.2, PLAN), Burst(13, 3.5, 1.8, CHECK)),
-        (Fault(4.2, 4.2, DARK, 2), Fault(5, 7, SLOW, 2, 5.1)),
+        (Fault(4.2, 4.2, UNRESPONSIVE, 2), Fault(5, 7, SLOW, 2, 5.1)),
     ),
     Day(
         'hang',
@@ -84,6 +84,6 @@
         'overload',
         1.1,
         (Burst(4.5, 5.4, 2.4, PLAN), Burst(12, 3.9, 1.7, CHECK)),
-        (Fault(1, 12, AWAY, 4), Fault(12.2, 4.7, DARK, 1)),
+        (Fault(1, 12, DISCONNECTED, 4), Fault(12.2, 4.7, UNRESPONSIVE, 1)),
     ),
 )
--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -14,12 +14,12 @@
 from fakes.executor import FakeExecutor
 from fakes.fleet import Fleet
 
-from bench.site_days import AWAY
-from bench.site_days import DARK
 from bench.site_days import DAYS
+from bench.site_days import DISCONNECTED
 from bench.site_days import HANG
 from bench.site_days import KINDS
 from bench.site_days import SLOW
+from bench.site_days import UNRESPONSIVE
 from bench.site_jobs import JobSource
 from bench.site_jobs import queues
 from bench.site_score import Outcome
@@ -134,9 +134,9 @@
             agent.executor.slow_down(now, fault.factor)
         elif fault.kind == HANG:
             agent.executor.hang(now)
-        elif fault.kind == DARK:
+        elif fault.kind == UNRESPONSIVE:
             agent.executor.unresponsive = True
-        elif fault.kind == AWAY:
+        elif fault.kind == DISCONNECTED:
             for entry in self.fleet.entries:
                 self.fleet.silence_link(
                     entry.name, agent.name, fault.duration_s
@@ -148,7 +148,7 @@
             executor.slow_down(self.fleet.clock.now, 1 / fault.factor)
         elif fault.kind == HANG:
             executor.hanging = False
-        elif fault.kind == DARK:
+        elif fault.kind == UNRESPONSIVE:
             executor.unresponsive = False
             self.fleet.crash_executor(index)
 
