--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -63,7 +63,7 @@
             executors=[_executor(number) for number in range(_EXECUTORS)],
         )
         self.fleet.calls.draw_duration_s = self._draw_task_s
-        self.began = self.fleet.clock.now
+        self.started_at = self.fleet.clock.now
         self.sent: dict[int, tuple[Kind, float, DrawnJob]] = {}
         self._jobs: dict[str, DrawnJob] = {}
 
@@ -86,7 +86,7 @@
             job_results.append(
                 Result(
                     kind.name,
-                    sent_at - self.began,
+                    sent_at - self.started_at,
                     job.worth,
                     job.objective_s,
                     answered_at - sent_at if is_served else None,
@@ -96,7 +96,7 @@
 
     def _submit_next(self, kind: Kind) -> None:
         clock = self.fleet.clock
-        elapsed_s = clock.now - self.began
+        elapsed_s = clock.now - self.started_at
         if elapsed_s > _DAY_S:
             return
         rate = kind.rate_per_s * self._day.load
