--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -24,7 +24,7 @@
 from bench.site_jobs import queues
 from bench.site_score import Outcome
 from bench.site_score import Result
-from bench.site_score import judge
+from bench.site_score import score_day
 from savoryrudder.dispatch import answers
 from savoryrudder.jobs.model import Configuration
 from savoryrudder.jobs.model import Resources
@@ -74,7 +74,7 @@
         for kind in KINDS:
             self.fleet.clock.after(0, self._submit_next, kind)
         self.fleet.run(_DAY_S + _SETTLE_S)
-        return judge(self.results())
+        return score_day(self.results())
 
     def results(self) -> list[Result]:
         """Return the result of each job."""
--- a/bench/site_score.py
+++ b/bench/site_score.py
@@ -50,7 +50,7 @@
     refused: float
 
 
-def judge(results: Iterable[Result]) -> Outcome:
+def score_day(results: Iterable[Result]) -> Outcome:
     """Return the outcome of a day."""
     all_results = tuple(results)
     kinds = _earned_shares(all_results, [result.kind for result in all_results])
