--- a/bench/policy.py
+++ b/bench/policy.py
@@ -113,7 +113,7 @@
     """Return response time / ideal time of the small or the large jobs."""
     network_s = 2 * (CLIENT_LATENCY_S + latency_s)
     return [
-        times[job.key] / (job.alone_s + network_s)
+        times[job.key] / (job.ideal_s + network_s)
         for job in jobs
         if (len(job.tasks) <= SMALL_JOB) == small and job.key in times
     ]
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -68,7 +68,7 @@
     client: str
     urgency: str
     deadline_s: float
-    alone_s: float
+    ideal_s: float
     tasks: tuple[BenchTask, ...]
 
     @property
@@ -115,15 +115,15 @@
             _draw_task(rng)
             for _ in range(stream.tasks or _draw_task_count(rng))
         )
-        alone_s = alone(tasks)
+        ideal_s = ideal_duration(tasks)
         jobs.append(
             BenchJob(
                 now,
                 f'{seed}-{len(jobs)}',
                 rng.choice(stream.clients),
                 rng.choices(URGENCY_BANDS, stream.bands or USUAL_BANDS)[0],
-                2 + 10 * alone_s,
-                alone_s,
+                2 + 10 * ideal_s,
+                ideal_s,
                 tasks,
             ),
         )
@@ -136,7 +136,7 @@
     return [float(0) for _ in range(count)]
 
 
-def alone(tasks: tuple[BenchTask, ...]) -> float:
+def ideal_duration(tasks: tuple[BenchTask, ...]) -> float:
     """Return the time of the tasks on an idle fleet, longest first."""
     ends = idle_slots(AGENTS * SLOTS)
     last_end: float = 0
