--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,8 +21,8 @@
 from bench.workload import AGENTS
 from bench.workload import CLIENT_LATENCY_S
 from bench.workload import LATENCY_S
+from bench.workload import MAX_SMALL_JOB_TASKS
 from bench.workload import SLOTS
-from bench.workload import SMALL_JOB
 from bench.workload import BenchJob
 from bench.workload import Stream
 from bench.workload import client_names
@@ -115,7 +115,7 @@
     return [
         times[job.key] / (job.ideal_s + network_s)
         for job in jobs
-        if (len(job.tasks) <= SMALL_JOB) == small and job.key in times
+        if (len(job.tasks) <= MAX_SMALL_JOB_TASKS) == small and job.key in times
     ]
 
 
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -20,7 +20,7 @@
 MEAN_TASKS: Final = 7.05
 LATENCY_S: Final = MappingProxyType({'pane': 0.0015, 'rounds': 0.0005})
 CLIENT_LATENCY_S: Final = 0.001
-SMALL_JOB: Final = 10
+MAX_SMALL_JOB_TASKS: Final = 10
 
 POLICY: Final = """
 [services.pane]
@@ -149,7 +149,12 @@
 
 def _draw_task_count(rng: random.Random) -> int:
     low, high = rng.choices(
-        ((1, 1), (2, SMALL_JOB), (SMALL_JOB + 1, 60), (61, 170)),
+        (
+            (1, 1),
+            (2, MAX_SMALL_JOB_TASKS),
+            (MAX_SMALL_JOB_TASKS + 1, 60),
+            (61, 170),
+        ),
         (0.7, 0.2, 0.08, 0.02),
     )[0]
     return rng.randint(low, high)
