--- a/bench/links.py
+++ b/bench/links.py
@@ -27,7 +27,7 @@
 _SUBMISSION: Final = b'x' * 16
 
 
-class Tally:
+class LinkCounter:
     """Counts links and the messages received on them."""
 
     def __init__(self) -> None:
@@ -88,50 +88,50 @@
 
 async def _open_links(
     group: TaskGroup,
-    tally: Tally,
+    counter: LinkCounter,
     count: int,
 ) -> list[LinkDialler]:
-    listener = LinkListener('127.0.0.1:0', 'e', tally, _no_revision)
+    listener = LinkListener('127.0.0.1:0', 'e', counter, _no_revision)
     address = await group.start(listener.run)
     diallers = []
     for number in range(count):
         request = JoinRequest(codec.PROTOCOL_VERSION, f'a{number}', 'agent')
-        dialler = LinkDialler(address, request, Tally(), _no_revision)
+        dialler = LinkDialler(address, request, LinkCounter(), _no_revision)
         group.start_soon(dialler.run)
         diallers.append(dialler)
-    while tally.links < count or not all(linked.peer for linked in diallers):
+    while counter.links < count or not all(linked.peer for linked in diallers):
         await anyio.sleep(0.01)
     return diallers
 
 
 async def _send_frames(
     dialler: LinkDialler,
-    tally: Tally,
+    counter: LinkCounter,
     frames: int,
     size: int,
 ) -> None:
     batch = _make_batch(size)
-    while tally.messages < frames * size:
+    while counter.messages < frames * size:
         for message in batch:
             dialler.send('e', message)
-        await tally.wait_messages(tally.messages + size)
+        await counter.wait_messages(counter.messages + size)
 
 
 async def _measure_load(frames: int, size: int) -> Cost:
-    tally = Tally()
+    counter = LinkCounter()
     async with anyio.create_task_group() as group:
-        diallers = await _open_links(group, tally, 1)
+        diallers = await _open_links(group, counter, 1)
         started_at = time.process_time()
-        await _send_frames(diallers[0], tally, frames, size)
+        await _send_frames(diallers[0], counter, frames, size)
         cpu_us = (time.process_time() - started_at) * _US_PER_S
         group.cancel_scope.cancel()
     return Cost(frames, cpu_us / frames, cpu_us / frames / size)
 
 
 async def _measure_idle(links: int, seconds: float) -> float:
-    tally = Tally()
+    counter = LinkCounter()
     async with anyio.create_task_group() as group:
-        await _open_links(group, tally, links)
+        await _open_links(group, counter, links)
         started_at = time.process_time()
         await anyio.sleep(seconds)
         cpu_us = (time.process_time() - started_at) * _US_PER_S
