--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,3 +1,3 @@
-"""Benchmarks of savoryrudder."""
+"""Measure savoryrudder."""
 
 from __future__ import annotations
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -26,7 +26,7 @@
 
 
 class PushedQueues:
-    """One FIFO queue for each agent, filled as soon as a task arrives."""
+    """Simulate a FIFO queue for each agent that gets tasks on arrival."""
 
     def __init__(self, seed: int) -> None:
         """Create empty queues."""
--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -65,14 +65,14 @@
 
 
 class Sizes(NamedTuple):
-    """The number of agents and peers of an entry."""
+    """Hold the number of agents and peers of an entry."""
 
     agents: int
     peers: int = 0
 
 
 class Bench:
-    """An entry whose agents answer without delay."""
+    """Simulate an entry whose agents answer without delay."""
 
     def __init__(self, sizes: Sizes) -> None:
         """Start an entry that owns all partitions."""
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -35,7 +35,7 @@
 
 
 class Latency(NamedTuple):
-    """Two quantiles in microseconds."""
+    """Hold two quantiles in microseconds."""
 
     p50: float
     p99: float
--- a/bench/links.py
+++ b/bench/links.py
@@ -28,7 +28,7 @@
 
 
 class LinkCounter:
-    """Counts links and the messages received on them."""
+    """Count links and the messages received on them."""
 
     def __init__(self) -> None:
         """Start at zero."""
@@ -67,7 +67,7 @@
 
 
 class Cost(NamedTuple):
-    """CPU microseconds, summed over both ends of a link."""
+    """Hold CPU microseconds, summed over both ends of a link."""
 
     frames: int
     frame_us: float
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -47,7 +47,7 @@
 
 
 class Row(NamedTuple):
-    """A line of the table; without a bound it is only informative."""
+    """Hold a line of the table; without a bound it is informative."""
 
     quantity: str
     figure: float
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -29,7 +29,7 @@
 
 
 class Recovery(NamedTuple):
-    """The recovery of a fleet from the loss of an entry."""
+    """Hold the recovery of a fleet from the loss of an entry."""
 
     first_s: float
     complete: int
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -48,7 +48,7 @@
 
 @dataclass
 class Behaviour:
-    """An upstream: a factor on its durations, and whether all tasks fail."""
+    """Describe an upstream: a factor on durations, and if all tasks fail."""
 
     slowness: float = 1
     failing: bool = False
@@ -56,7 +56,7 @@
 
 @dataclass
 class Outcome:
-    """The answer to a job and its response time for the caller."""
+    """Hold the answer to a job and its response time for the caller."""
 
     answer: messages.Answer
     response_s: float
@@ -64,7 +64,7 @@
 
 @dataclass
 class Figures:
-    """The results of a run.
+    """Hold the results of a run.
 
     `starts` lists (start, agent, job key, band, service seconds).
     """
--- a/bench/site_days.py
+++ b/bench/site_days.py
@@ -1,4 +1,4 @@
-"""The load and the faults of the days of a site."""
+"""Define the load and the faults of the days of a site."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class Kind(NamedTuple):
-    """A kind of job, described by the means of its requirements."""
+    """Describe a kind of job by the means of its requirements."""
 
     name: str
     priority: int
@@ -25,7 +25,7 @@
 
 
 class Burst(NamedTuple):
-    """A factor on the arrival rate of one kind of job for a time."""
+    """Describe a factor on the arrival rate of a kind of job for a time."""
 
     start_s: float
     duration_s: float
@@ -34,7 +34,7 @@
 
 
 class Fault(NamedTuple):
-    """A fault of some executors, which are chosen at random, for a time.
+    """Describe a fault of some random executors for a time.
 
     `factor` applies to the durations of tasks on slow executors.
     """
@@ -47,7 +47,7 @@
 
 
 class Day(NamedTuple):
-    """A day; `load` is a factor on all arrival rates."""
+    """Describe a day; `load` is a factor on all arrival rates."""
 
     name: str
     load: float
--- a/bench/site_jobs.py
+++ b/bench/site_jobs.py
@@ -35,7 +35,7 @@
 
 
 class DrawnJob(NamedTuple):
-    """A job with its true task duration, worth and objective."""
+    """Hold a job with its true task duration, worth and objective."""
 
     request: JobRequest
     task_s: float
@@ -44,7 +44,7 @@
 
 
 class JobSource:
-    """A random source of jobs and of the durations of their tasks."""
+    """Draw random jobs and the durations of their tasks."""
 
     def __init__(self, seed: int) -> None:
         """Start with a seed."""
--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -49,7 +49,7 @@
 
 
 class Replay:
-    """The replay of a day."""
+    """Replay a day."""
 
     def __init__(self, seed: int, day: Day) -> None:
         """Start the processes."""
--- a/bench/site_score.py
+++ b/bench/site_score.py
@@ -20,7 +20,7 @@
 
 
 class Result(NamedTuple):
-    """The result of a job; `took_s` is None if it was not completed."""
+    """Hold the result of a job; `took_s` is None if it was not completed."""
 
     kind: str
     sent_s: float
@@ -40,7 +40,7 @@
 
 
 class Outcome(NamedTuple):
-    """Earned shares of the worth; `late` and `refused` are shares of jobs."""
+    """Hold earned shares of the worth; `late`, `refused`: shares of jobs."""
 
     worth: float
     day: float
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -54,14 +54,14 @@
 
 
 class BenchTask(NamedTuple):
-    """The operation and the true service time of a task."""
+    """Hold the operation and the true service time of a task."""
 
     operation: str
     service_s: float
 
 
 class BenchJob(NamedTuple):
-    """A job; `arrival` is the time when its caller sends it."""
+    """Hold a job; `arrival` is the time when its caller sends it."""
 
     arrival: float
     key: str
@@ -78,7 +78,7 @@
 
 
 class Stream(NamedTuple):
-    """A stream of jobs; `load` is a multiple of the capacity of the fleet."""
+    """Describe a stream of jobs; `load` is in capacities of the fleet."""
 
     load: float
     clients: tuple[str, ...]
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the key-value store of the platform.
+"""Stand in for the key-value store of the platform.
 
 Prints the bound address as its first line. Run it with
 `python stand_ins/store.py --port 0 [--snapshot FILE]`.
@@ -51,7 +51,7 @@
 
 
 class StoredValue(NamedTuple):
-    """The version, value and lease of a key."""
+    """Hold the version, value and lease of a key."""
 
     version: int
     value: str
@@ -59,7 +59,7 @@
 
 
 class Content:
-    """Keys with a common version counter, saved to a file on each change."""
+    """Hold keys under one version counter; save them on each change."""
 
     def __init__(self, snapshot: Path | None) -> None:
         """Load the snapshot file, if there is one."""
@@ -179,7 +179,7 @@
 
 
 class Faults:
-    """The faults requested by tests."""
+    """Hold the faults requested by tests."""
 
     def __init__(self) -> None:
         """Start without faults."""
@@ -206,7 +206,7 @@
 
 
 class LostAnswer(Response):
-    """A response whose connection closes before the body."""
+    """Close the connection before the body of the response."""
 
     async def __call__(
         self,
@@ -224,7 +224,7 @@
 
 
 class StandInStore:
-    """HTTP interface of the store."""
+    """Serve the store over HTTP."""
 
     def __init__(self, snapshot: Path | None = None) -> None:
         """Start with the content of the snapshot, if there is one."""
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -1,4 +1,4 @@
-"""Stand-in for an upstream of the pane service or the rounds service.
+"""Stand in for an upstream of the pane service or the rounds service.
 
 Prints the bound address as its first line. Run it with
 `python stand_ins/upstream.py --port 0 --service pane --slots 10`.
@@ -108,7 +108,7 @@
 
 
 class Faults:
-    """The faults requested by tests."""
+    """Hold the faults requested by tests."""
 
     def __init__(self) -> None:
         """Start without faults."""
@@ -128,7 +128,7 @@
 
 
 class StandInUpstream:
-    """An upstream that runs tasks of one service and records each start."""
+    """Run tasks of one service and record each start."""
 
     def __init__(
         self,
--- a/tests/fakes/callers.py
+++ b/tests/fakes/callers.py
@@ -1,4 +1,4 @@
-"""Fake callers that may resubmit a job through another entry."""
+"""Simulate callers that may resubmit a job through another entry."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass
 class Call:
-    """One request of a caller; `persistent` requests are retried."""
+    """Hold one request of a caller; `persistent` requests are retried."""
 
     kind: str
     key: str
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -1,4 +1,4 @@
-"""Fake executor that runs tasks under a lease and keeps the protocol."""
+"""Simulate an executor that runs tasks under a lease without errors."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class FakeRun:
-    """One run; its progress is linear from `progress` at `since` to the end."""
+    """Hold one run; it is linear from `progress` at `since` to its end."""
 
     task: str
     number: int
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -24,7 +24,7 @@
 
 
 class ViolationError(AssertionError):
-    """An invariant was violated; the message starts with the time."""
+    """Report a violated invariant; the message starts with the time."""
 
 
 class ExecutorCalls:
--- a/tests/fakes/fleet_links.py
+++ b/tests/fakes/fleet_links.py
@@ -1,4 +1,4 @@
-"""Fake links between the processes of a fleet, with faults."""
+"""Simulate links between the processes of a fleet, with faults."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class Process(Protocol):
-    """The part of a process that its links call."""
+    """Handle the events on the links of a process."""
 
     name: str
     alive: bool
@@ -36,7 +36,7 @@
 
 @dataclass(eq=False)
 class Link:
-    """A link whose `ends` start with the dialler; cut, it loses messages."""
+    """Join two processes, the dialler first; a cut loses messages."""
 
     name: str
     ends: tuple[Process, Process]
--- a/tests/fakes/links.py
+++ b/tests/fakes/links.py
@@ -1,4 +1,4 @@
-"""Fake links between processes, with faults."""
+"""Simulate links between processes, with faults."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 @dataclasses.dataclass(eq=False)
 class Session:
-    """A connection of two processes; if it breaks, frames are lost."""
+    """Connect two processes; a broken session loses its frames."""
 
     name: str
     ends: tuple[Process, Process]
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -1,4 +1,4 @@
-"""Fake key-value store of the platform."""
+"""Simulate the key-value store of the platform."""
 
 from __future__ import annotations
 
--- a/tests/fakes/upstream.py
+++ b/tests/fakes/upstream.py
@@ -1,4 +1,4 @@
-"""Fake upstreams of the agents."""
+"""Simulate the upstreams of the agents."""
 
 from __future__ import annotations
 
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -39,7 +39,7 @@
 
 
 class World:
-    """Processes on the hosts `e1`, `e2`, ... (entries) and `a1`, ... (agents).
+    """Run processes on hosts: entries on `e1`, ..., agents on `a1`, ...
 
     A process that is restarted on its host gets a new incarnation; the name
     of an entry contains it, the name of an agent does not.
--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -33,14 +33,14 @@
 
 
 class KacaPotong(World):
-    """The deployment of the glass shops."""
+    """Simulate the deployment of the glass shops."""
 
     policy = _PANE_POLICY
     operations = ('cutting-plan', 'sheet-quote', 'offcut-check')
 
 
 class CvetnaPot(World):
-    """The deployment of the grave flower rounds."""
+    """Simulate the deployment of the grave flower rounds."""
 
     policy = _ROUNDS_POLICY
     service = 'rounds'
@@ -48,7 +48,7 @@
 
 
 class NullOracle:
-    """An oracle that ignores its observations; golden files need none."""
+    """Replace the oracle, which golden files don't need."""
 
     def __getattr__(self, name: str) -> Any:
         """Return a method that does nothing."""
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -44,7 +44,7 @@
 
 
 class Deployment:
-    """A store, upstreams, agents and entries as separate processes."""
+    """Run a store, upstreams, agents and entries as separate processes."""
 
     def __init__(self, folder: Path) -> None:
         """Use a folder for settings, logs and output."""
--- a/tests/proofs/oracle.py
+++ b/tests/proofs/oracle.py
@@ -1,4 +1,4 @@
-"""Check the invariants by what callers and upstreams observe."""
+"""Check the invariants on the observations of callers and upstreams."""
 
 from __future__ import annotations
 
--- a/tests/proofs/scenario.py
+++ b/tests/proofs/scenario.py
@@ -1,4 +1,4 @@
-"""Steps shared by the proofs."""
+"""Provide the steps that the proofs share."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class RandomAdmission:
-    """Admission control that refuses random jobs, as an overload does."""
+    """Refuse random jobs, as the admission control does in an overload."""
 
     def __init__(self, admission: Any, seed: int) -> None:
         """Wrap an admission control."""
@@ -102,7 +102,7 @@
 
 
 def entry_hosts(world: World) -> list[str]:
-    """Return the places of all entries."""
+    """Return the hosts of all entries."""
     return [host for host in world.processes if host.startswith('e')]
 
 
