--- a/bench/site_days.py
+++ b/bench/site_days.py
@@ -41,7 +41,7 @@
 
     start_s: float
     duration_s: float
-    kind: str
+    mode: str
     count: int
     factor: float = 1
 
--- a/bench/site_load.py
+++ b/bench/site_load.py
@@ -130,13 +130,13 @@
     def _begin_fault(self, fault: Fault, index: int) -> None:
         now = self.fleet.clock.now
         agent = self.fleet.agents[index]
-        if fault.kind == SLOW:
+        if fault.mode == SLOW:
             agent.executor.slow_down(now, fault.factor)
-        elif fault.kind == HANG:
+        elif fault.mode == HANG:
             agent.executor.hang(now)
-        elif fault.kind == UNRESPONSIVE:
+        elif fault.mode == UNRESPONSIVE:
             agent.executor.unresponsive = True
-        elif fault.kind == DISCONNECTED:
+        elif fault.mode == DISCONNECTED:
             for entry in self.fleet.entries:
                 self.fleet.silence_link(
                     entry.name, agent.name, fault.duration_s
@@ -144,11 +144,11 @@
 
     def _end_fault(self, fault: Fault, index: int) -> None:
         executor = self.fleet.agents[index].executor
-        if fault.kind == SLOW:
+        if fault.mode == SLOW:
             executor.slow_down(self.fleet.clock.now, 1 / fault.factor)
-        elif fault.kind == HANG:
+        elif fault.mode == HANG:
             executor.hanging = False
-        elif fault.kind == UNRESPONSIVE:
+        elif fault.mode == UNRESPONSIVE:
             executor.unresponsive = False
             self.fleet.crash_executor(index)
 
