--- a/src/savoryrudder/daemon/load.py
+++ b/src/savoryrudder/daemon/load.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 import anyio
+import trio
 
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.utils.units import MS_PER_S
@@ -25,7 +26,7 @@
 SENT_PREFIX: Final = 'sent_'
 EVENT_PREFIX: Final = 'event_'
 
-_INTERVAL_S: Final = 5
+_INTERVAL_S: Final = 2
 _REPORTED_PREFIXES: Final = (RECEIVED_PREFIX, SENT_PREFIX, EVENT_PREFIX)
 _MAX_NAMES: Final = 10
 
@@ -35,9 +36,28 @@
 
     at: float
     cpu_s: float
+    waited_s: float
     counts: Mapping[str, int]
 
 
+class WaitingTime(trio.abc.Instrument):
+    """Measure how long the event loop has waited for something to do."""
+
+    def __init__(self) -> None:
+        self.total_s = float(0)
+        self._since: float | None = None
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Note when the event loop begins to wait."""
+        self._since = trio.current_time()
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Add the time since the event loop began to wait."""
+        if self._since is not None:
+            self.total_s += trio.current_time() - self._since
+        self._since = None
+
+
 class LoadReporter:
     """Log the load of a process at regular intervals."""
 
@@ -45,7 +65,8 @@
         """Report the counters of one process."""
         self._counters = counters
         self._max_delay_s = float(0)
-        self._last = _Sample(0, 0, {})
+        self.waiting = WaitingTime()
+        self._last = _Sample(0, 0, 0, {})
 
     def record_delay(self, delay_s: float) -> None:
         """Record by how much the event loop was late for a tick."""
@@ -59,7 +80,8 @@
             log_event('load', self.report())
 
     def begin(self) -> None:
-        """Start the first interval."""
+        """Start the first interval, in the event loop to be observed."""
+        trio.lowlevel.add_instrument(self.waiting)
         self._last = self._sample()
 
     def report(self) -> tuple[tuple[str, str], ...]:
@@ -68,12 +90,14 @@
         current = self._sample()
         elapsed_s = max(current.at - previous.at, 1 / MS_PER_S)
         cpu_share = (current.cpu_s - previous.cpu_s) / elapsed_s
+        waiting_share = (current.waited_s - previous.waited_s) / elapsed_s
         max_delay_ms = int(self._max_delay_s * MS_PER_S)
         self._last = current
         self._max_delay_s = 0
         return (
             ('interval_s', f'{elapsed_s:.2f}'),
             ('cpu_share', f'{cpu_share:.3f}'),
+            ('busy_share', f'{1 - waiting_share:.3f}'),
             ('loop_delay_ms', str(max_delay_ms)),
             *_rates(previous, current, elapsed_s),
         )
@@ -84,7 +108,12 @@
             for name, count in self._counters.counts.items()
             if name.startswith(_REPORTED_PREFIXES)
         }
-        return _Sample(anyio.current_time(), time.process_time(), counts)
+        return _Sample(
+            anyio.current_time(),
+            time.process_time(),
+            self.waiting.total_s,
+            counts,
+        )
 
 
 def _rates(
--- a/src/savoryrudder/dispatch/capacity.py
+++ b/src/savoryrudder/dispatch/capacity.py
@@ -64,8 +64,12 @@
 
     def has_agents(self, service: str) -> bool:
         """Return whether a service has a usable agent."""
+        return self.count_agents(service) > 0
+
+    def count_agents(self, service: str) -> int:
+        """Return the number of usable agents of a service."""
         capacity = self._services.get(service)
-        return capacity is not None and bool(capacity.local or capacity.remote)
+        return len(capacity.local) + len(capacity.remote) if capacity else 0
 
     def free_cpu(self, service: str) -> int:
         """Return the free millicores of a service."""
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -127,6 +127,7 @@
         elapsed_ms=int(elapsed_s * MS_PER_S),
         objective_ms=int(job.objective_s * MS_PER_S),
         unsettled=job.outstanding,
+        **describe_capacity(state, job.queue),
     )
     if final_answer.verdict not in answers.RETRYABLE:
         state.recent_answers[job.request.job_id] = (turn.now, final_answer)
@@ -134,6 +135,20 @@
     remove_if_settled(state, job)
 
 
+def describe_capacity(state: DispatchState, queue: Queue) -> dict[str, int]:
+    """Return what the entry knows of a queue's executors, for a log line.
+
+    Processors are in millicores.
+    """
+    ranking = state.capacity
+    return {
+        'agents': ranking.count_agents(queue.service),
+        'free_cpu': ranking.free_cpu(queue.service),
+        'share_cpu': ranking.share_cpu(queue.service),
+        'queued': len(state.job_queue),
+    }
+
+
 def stop_runs(state: DispatchState, turn: Turn, job: Job) -> None:
     """Ask agents to stop the runs of a job."""
     if not job.outstanding:
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -80,6 +80,7 @@
             verdict=immediate_answer.verdict,
             reason=immediate_answer.reason,
             version=state.configuration.version,
+            **_known_capacity(state, event),
         )
         turn.reply(event.request_id, immediate_answer)
         return
@@ -143,6 +144,14 @@
     return job
 
 
+def _known_capacity(
+    state: DispatchState,
+    event: events.JobSubmitted,
+) -> dict[str, int]:
+    queue = state.configuration.find_queue(event.host, event.path)
+    return {} if queue is None else jobs.describe_capacity(state, queue)
+
+
 def _find_queue(state: DispatchState, host: str, path: str) -> Queue:
     queue = state.configuration.find_queue(host, path)
     if queue is None:
--- a/tests/daemon/test_load.py
+++ b/tests/daemon/test_load.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 import anyio
+import trio
 from trio.testing import MockClock
 
 from savoryrudder.daemon.load import LoadReporter
@@ -40,6 +41,21 @@
     return dict(reporter.report())
 
 
+async def _replay_a_stall(
+    counters: Counters,
+    reporter: LoadReporter,
+) -> _Line:
+    clock = trio.lowlevel.current_clock()
+    assert isinstance(clock, MockClock)
+    reporter.begin()
+    reporter.waiting.before_io_wait(3)
+    clock.jump(3)
+    reporter.waiting.after_io_wait(3)
+    # Time that passes while the event loop does not wait is work.
+    clock.jump(1)
+    return dict(reporter.report())
+
+
 async def _replay_a_past_peak(
     counters: Counters,
     reporter: LoadReporter,
@@ -67,3 +83,8 @@
     fields = _run(_replay_a_past_peak)
     assert 'event_Tick_per_s' not in fields
     assert fields['loop_delay_ms'] == '0'
+
+
+def test_load_lines_tell_work_from_waiting() -> None:
+    """Guard against an overloaded process that looks like an idle one."""
+    assert _run(_replay_a_stall)['busy_share'] == '0.250'
--- a/tests/dispatch/test_overload.py
+++ b/tests/dispatch/test_overload.py
@@ -5,12 +5,15 @@
 from typing import NamedTuple
 
 import pytest
+from entry_driver import NO_CPU
+from entry_driver import EntryDriver
 from fakes.fleet import QUEUE
 from fakes.fleet import Fleet
 from fakes.fleet import job_of
 
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
+from savoryrudder.utils.effects import Log
 
 ESTIMATE_MS = 250
 OBJECTIVE_S = (QUEUE.stretch * ESTIMATE_MS + QUEUE.target_ms) / 1000
@@ -121,3 +124,22 @@
     assert fleet.answers[refused_request].verdict == answers.OVERLOADED
     waiting_s = fleet.answered_at[refused_request] - sent_at
     assert waiting_s <= OBJECTIVE_S / 4 + TICK_S
+
+
+def test_a_refusal_tells_what_the_entry_knew_of_its_executors() -> None:
+    """Guard against refusals that could be due to a full fleet or to few links.
+
+    The clients of one zone were refused while most executors stood free, and
+    no line said what their entry saw.
+    """
+    driver = EntryDriver(2, NO_CPU)
+    driver.state.started_at = driver.now - 10
+    driver.submit('j1')
+    effects = driver.submit('j2', tasks=400)
+    lines = [effect for effect in effects if isinstance(effect, Log)]
+    fields = dict(lines[0].fields)
+    assert lines[0].name == 'job-refused'
+    assert fields['agents'] == '2'
+    assert fields['free_cpu'] == '0'
+    assert fields['share_cpu'] == '16000'
+    assert fields['queued'] == '1'
