Time heartbeats from the last frame sent

Cause: the heartbeat task woke every heartbeat_s and skipped its turn if any frame had been sent since it last woke, so a live peer could be silent for 2 x heartbeat_s, which is also when FAST_TIMING gives a link up. Each lost link costs a connection, greetings, a list of runs and reports, and between entries 2.5 s in which the jobs of the peer are in doubt.

Why it works: the next heartbeat is due heartbeat_s after the last frame, so one that is late by up to (max_missed_heartbeats - 1) x heartbeat_s does no harm.

--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -27,7 +27,11 @@
 
 
 class LinkTiming(NamedTuple):
-    """Define the intervals (seconds) and size limits (bytes) of links."""
+    """Define the intervals (seconds) and size limits (bytes) of links.
+
+    A live peer sends a frame at least every `heartbeat_s`. The link is closed
+    once `max_missed_heartbeats` of them are missing.
+    """
 
     heartbeat_s: float = 1
     max_missed_heartbeats: int = 3
@@ -37,6 +41,11 @@
     queue_bytes: int = 32 * 1024 * 1024
     frame_bytes: int = 4 * 1024 * 1024
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Return how long a peer may be silent before its link is closed."""
+        return self.heartbeat_s * self.max_missed_heartbeats
+
 
 DEFAULT_TIMING: Final = LinkTiming()
 
@@ -158,7 +167,7 @@
         self._frames_received = 0
         self._frames_sent = 0
         self._received_at = float(0)
-        self._idle_timeout_s = timing.heartbeat_s * timing.max_missed_heartbeats
+        self._sent_at = float('-inf')
         self._is_up = False
         self._is_down_reported = False
         self._reason = ''
@@ -284,12 +293,13 @@
             )
             encoded = codec.encode_frame(frame)
             self._frames_sent += 1
+            self._sent_at = anyio.current_time()
             if not self._socket.try_send(encoded):
                 await self._send_or_time_out(encoded)
 
     async def _send_or_time_out(self, encoded: bytes) -> None:
         try:
-            with anyio.fail_after(self._idle_timeout_s):
+            with anyio.fail_after(self._timing.idle_timeout_s):
                 await self._socket.send(encoded)
         except TimeoutError:
             self.close('send timeout: peer is not reading')
@@ -299,18 +309,20 @@
         self.close('connection lost')
 
     async def _watch_idle_timeout(self) -> None:
+        timeout_s = self._timing.idle_timeout_s
         while not self._reason:
-            deadline = self._received_at + self._idle_timeout_s
+            deadline = self._received_at + timeout_s
             await anyio.sleep(deadline - anyio.current_time())
             # After a stall of this process, there may be frames left to read.
             await checkpoint()
-            if self._received_at + self._idle_timeout_s <= anyio.current_time():
+            if self._received_at + timeout_s <= anyio.current_time():
                 self.close('heartbeat timeout')
 
     async def _send_heartbeats(self) -> None:
-        sent_before = -1
         while True:
-            if sent_before in {-1, self._frames_sent}:
+            due_at = self._sent_at + self._timing.heartbeat_s
+            if due_at <= anyio.current_time():
                 self.send(Heartbeat())
-            sent_before = self._frames_sent
-            await anyio.sleep(self._timing.heartbeat_s)
+                self._sent_at = anyio.current_time()
+            else:
+                await anyio.sleep_until(due_at)
