Tick when something is due

Cause: every process turned a tick of 50 ms whether anything was due or not, and agents did so while they waited for an answer of their executor.

Why it works: the reducers tell when the next thing is due, and an event brings that time forward. A process still ticks every 0.5 s, which bounds how long a stop of the process goes unnoticed: agents now drop stale frames after 1 s in place of 0.5 s; the entry waits 2.5 s for their runs.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -4,15 +4,15 @@
 
 import itertools
 from typing import TYPE_CHECKING
-from typing import Final
 
 import anyio
 
-from savoryrudder.daemon.loop import ReducerLoop
 from savoryrudder.daemon.shared_port import DialledLinks
 from savoryrudder.daemon.shared_port import SharedPortListener
+from savoryrudder.daemon.ticking import TickingLoop
 from savoryrudder.dispatch import effects
 from savoryrudder.dispatch import events
+from savoryrudder.dispatch.deadlines import next_tick_at
 from savoryrudder.dispatch.reducer import reduce
 from savoryrudder.protocol.messages import Heartbeat
 
@@ -31,8 +31,6 @@
     from savoryrudder.protocol.members import Member
     from savoryrudder.protocol.messages import Message
 
-_TICK_S: Final = 0.05
-
 
 class _PendingRequest:
     """Hold a caller's request until it is answered."""
@@ -43,7 +41,7 @@
 
 
 class Dispatcher(
-    ReducerLoop[events.DispatchEvent, effects.DispatchEffect],
+    TickingLoop[events.DispatchEvent, effects.DispatchEffect],
 ):
     """Feed the reducer of an entry and execute its effects."""
 
@@ -79,7 +77,7 @@
             address = await group.start(self._listener.run)
             task_status.started(address)
             group.start_soon(self.load.run)
-            await self._tick()
+            await self.run_ticks()
 
     async def ask(
         self,
@@ -156,14 +154,11 @@
     def _revision(self) -> int:
         return self.state.configuration.version
 
-    async def _tick(self) -> None:
-        due_at = anyio.current_time()
-        while True:
-            now = anyio.current_time()
-            self.load.record_delay(now - due_at)
-            self.handle(events.Tick(now))
-            due_at = anyio.current_time() + _TICK_S
-            await anyio.sleep_until(due_at)
+    def _tick(self, now: float) -> None:
+        self.handle(events.Tick(now))
+
+    def _next_tick_at(self, now: float) -> float:
+        return next_tick_at(self.state, now)
 
     def _reduce(
         self,
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -9,11 +9,13 @@
 
 import anyio
 
-from savoryrudder.daemon.loop import ReducerLoop
 from savoryrudder.daemon.shared_port import DialledLinks
+from savoryrudder.daemon.ticking import TickingLoop
 from savoryrudder.protocol.messages import Heartbeat
+from savoryrudder.utils.ticks import IDLE_TICK_S
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
+from savoryrudder.worker.deadlines import next_tick_at
 from savoryrudder.worker.entry_choice import choose_entries
 from savoryrudder.worker.reducer import reduce
 
@@ -27,11 +29,10 @@
     from savoryrudder.protocol.messages import Message
     from savoryrudder.worker.state import WorkerState
 
-_TICK_S: Final = 0.05
-_MIN_TICK_S: Final = 0.005
-# After not running for this long, a process drops the frames received
-# meanwhile: they may be stale.
-_STALL_THRESHOLD_S: Final = 0.5
+# A process that is this late for its next tick was stopped meanwhile and drops
+# the frames received since: they may be stale.
+_MAX_TICK_DELAY_S: Final = 0.5
+_STALL_THRESHOLD_S: Final = IDLE_TICK_S + _MAX_TICK_DELAY_S
 
 
 class ExecutorCalls(Protocol):
@@ -51,7 +52,7 @@
         """Renew the lease; return the executor's active and ended runs."""
 
 
-class Worker(ReducerLoop[events.WorkerEvent, effects.WorkerEffect]):
+class Worker(TickingLoop[events.WorkerEvent, effects.WorkerEffect]):
     """Feed the reducer of an agent and execute its effects."""
 
     def __init__(
@@ -82,14 +83,7 @@
             self._group: TaskGroup = group
             group.start_soon(self.load.run)
             task_status.started()
-            due_at = anyio.current_time()
-            while True:
-                self._detect_stall()
-                now = anyio.current_time()
-                self.load.record_delay(now - due_at)
-                self.handle(events.Tick(now))
-                due_at = anyio.current_time() + self._tick_delay_s()
-                await anyio.sleep_until(due_at)
+            await self.run_ticks()
 
     def link_entries(self, entries: Sequence[Member]) -> None:
         """Link with some of the registered entries and retire other links."""
@@ -133,11 +127,12 @@
             if not isinstance(message, Heartbeat):
                 self.handle(events.MessageReceived(now, session, message))
 
-    def _tick_delay_s(self) -> float:
-        renewal_in_s = self.state.lease.renew_at - anyio.current_time()
-        if 0 < renewal_in_s < _TICK_S:
-            return max(renewal_in_s, _MIN_TICK_S)
-        return _TICK_S
+    def _tick(self, now: float) -> None:
+        self._detect_stall()
+        self.handle(events.Tick(now))
+
+    def _next_tick_at(self, now: float) -> float:
+        return next_tick_at(self.state, now)
 
     def _detect_stall(self) -> bool:
         now = time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/savoryrudder/dispatch/deadlines.py
@@ -0,0 +1,42 @@
+"""Tell when an entry has something to do without another event."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savoryrudder.utils.ticks import IDLE_TICK_S
+from savoryrudder.utils.ticks import TICK_S
+from savoryrudder.utils.ticks import align_tick
+
+if TYPE_CHECKING:
+    from savoryrudder.dispatch.state import DispatchState
+
+
+def next_tick_at(state: DispatchState, now: float) -> float:
+    """Return the time of the next tick, unless an event changes the state."""
+    if _needs_each_tick(state):
+        return align_tick(now + TICK_S, now)
+    due_at = now + IDLE_TICK_S
+    changes = state.claim_changes
+    if changes.claimed or changes.released:
+        due_at = min(
+            due_at,
+            changes.announced_at + state.timing.announcement_s,
+        )
+    if state.unacknowledged_ends:
+        due_at = min(
+            due_at,
+            state.acknowledged_at + state.timing.acknowledgement_s,
+        )
+    return align_tick(due_at, now)
+
+
+def _needs_each_tick(state: DispatchState) -> bool:
+    waiting = (
+        state.job_queue,
+        state.unsettled_agents,
+        state.contested_jobs,
+        state.orphaned_jobs,
+        state.relinquish_requests,
+    )
+    return state.draining or any(waiting)
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -17,6 +17,7 @@
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
 from savoryrudder.worker import suspension
+from savoryrudder.worker.deadlines import RETIREMENT_GRACE_S
 from savoryrudder.worker.state import EntryLink
 from savoryrudder.worker.state import Health
 from savoryrudder.worker.state import Lease
@@ -32,10 +33,6 @@
 
 _Handlers: TypeAlias = 'Mapping[type[Any], Callable[..., None]]'
 
-# Starts that were sent before the entry heard of the retirement arrive within
-# this time.
-_RETIREMENT_GRACE_S: Final = 0.5
-
 
 def reduce(
     state: WorkerState,
@@ -91,7 +88,7 @@
 
 def _close_retired_links(state: WorkerState, turn: Turn) -> None:
     owners = {run.owner for run in state.runs.values()}
-    cutoff = turn.now - _RETIREMENT_GRACE_S
+    cutoff = turn.now - RETIREMENT_GRACE_S
     for name, link in state.links.items():
         if link.retired_at is None or link.retired_at > cutoff:
             continue
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -37,9 +38,7 @@
     """Send the next renewal if it is due and needed."""
     lease = state.lease
     executor = state.executor
-    if executor is None or lease.renewing or turn.now < lease.renew_at:
-        return
-    if not _is_renewal_needed(state):
+    if executor is None or turn.now < next_renewal_at(state):
         return
     lease.renewing = True
     is_extended = _should_extend_lease(state, turn.now)
@@ -55,6 +54,14 @@
     )
 
 
+def next_renewal_at(state: WorkerState) -> float:
+    """Return when the next renewal is due; infinity if none is needed."""
+    lease = state.lease
+    if state.executor is None or lease.renewing:
+        return math.inf
+    return lease.renew_at if _is_renewal_needed(state) else math.inf
+
+
 def apply_answer(
     state: WorkerState,
     turn: Turn,
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -18,6 +18,8 @@
 from savoryrudder.worker.state import SentReport
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import EntryLink
     from savoryrudder.worker.state import WorkerState
@@ -35,6 +37,17 @@
     return state.free.cpu < state.heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
 
 
+def due_times(state: WorkerState) -> Iterator[float]:
+    """Yield when each report that waits to be batched is due."""
+    if state.heartbeat is None:
+        return
+    free = state.free
+    for link in state.links.values():
+        previous = link.last_report
+        if link.incarnation and previous and previous.free != free:
+            yield previous.sent_at + _BATCHING_DELAY_S
+
+
 def send_reports(state: WorkerState, turn: Turn) -> None:
     """Send a report to each linked entry for which one is due."""
     heartbeat = state.heartbeat
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -13,6 +13,7 @@
 
 from savoryrudder.dispatch import effects as entry_effects
 from savoryrudder.dispatch import events as entry_events
+from savoryrudder.dispatch.deadlines import next_tick_at as next_entry_tick_at
 from savoryrudder.dispatch.reducer import reduce as reduce_entry
 from savoryrudder.dispatch.state import DispatchIdentity
 from savoryrudder.dispatch.state import DispatchState
@@ -24,7 +25,9 @@
 from savoryrudder.jobs.model import Step
 from savoryrudder.protocol.members import Member
 from savoryrudder.utils import effects
+from savoryrudder.utils.ticks import TICK_S
 from savoryrudder.worker import events as agent_events
+from savoryrudder.worker.deadlines import next_tick_at as next_agent_tick_at
 from savoryrudder.worker.entry_choice import choose_entries
 from savoryrudder.worker.reducer import reduce as reduce_agent
 from savoryrudder.worker.state import WorkerIdentity
@@ -39,8 +42,9 @@
 CONFIGURATION = Configuration(1, {'plans': QUEUE})
 CAPACITY = Resources(cpu=8000, memory=4096, gpu=0)
 ZONE = 'zone-a'
-TICK_S = 0.05
 SETTLE_S = 2.5
+# Ticks at multiples of `TICK_S` may miss a time by the error of their sum.
+CLOCK_ERROR_S = 0.001
 
 
 def job_of(
@@ -72,6 +76,7 @@
         identity = DispatchIdentity(name, incarnation, name, ZONE)
         self.state = DispatchState(identity, DispatchTiming(SETTLE_S))
         self._fleet = fleet
+        self._tick_at = fleet.clock.now
         now = fleet.clock.now
         self.post(entry_events.ConfigurationRead(now, configuration))
 
@@ -88,6 +93,12 @@
         now = self._fleet.clock.now
         self.post(entry_events.MessageReceived(now, link, message))
 
+    def tick_if_due(self) -> None:
+        """Reduce a tick unless there is nothing to do yet."""
+        now = self._fleet.clock.now
+        if now >= self._tick_at - CLOCK_ERROR_S:
+            self.post(entry_events.Tick(now))
+
     def post(self, event: Any) -> None:
         """Reduce an event and carry out its effects."""
         if not self.alive:
@@ -101,6 +112,8 @@
                     self._fleet.answered_at[request] = self._fleet.clock.now
                 case effects.Log():
                     self._fleet.record_change(self.name, effect)
+        now = self._fleet.clock.now
+        self._tick_at = next_entry_tick_at(self.state, now)
 
 
 class AgentProcess:
@@ -122,6 +135,7 @@
         timing = WorkerTiming(1, 0.05)
         self.state = WorkerState(identity, timing, fence=number)
         self._fleet = fleet
+        self._tick_at = fleet.clock.now
         self.receive_heartbeat()
 
     def receive_heartbeat(self) -> None:
@@ -157,6 +171,12 @@
             now = self._fleet.clock.now
             self.post(agent_events.MessageReceived(now, link, message))
 
+    def tick_if_due(self) -> None:
+        """Reduce a tick unless there is nothing to do yet."""
+        now = self._fleet.clock.now
+        if now >= self._tick_at - CLOCK_ERROR_S:
+            self.post(agent_events.Tick(now))
+
     def thaw(self, seconds: float) -> None:
         """Resume after a stall of the given length."""
         self.frozen = False
@@ -182,6 +202,8 @@
                     continue
                 case _:
                     self._fleet.calls.send(self.executor, effect, self.post)
+        now = self._fleet.clock.now
+        self._tick_at = next_agent_tick_at(self.state, now)
 
 
 class Fleet:
@@ -327,9 +349,9 @@
     def _tick(self) -> None:
         now = self.clock.now
         for entry in self.entries:
-            entry.post(entry_events.Tick(now))
+            entry.tick_if_due()
         for agent in self.agents:
-            agent.post(agent_events.Tick(now))
+            agent.tick_if_due()
             agent.executor.advance(now)
         for pair in itertools.combinations(self.entries, 2):
             self.links.connect(*pair)
