Send claims, acknowledgements and reports in fewer frames

Cause: frames that carry no task.

Now claims are told every 0.5 s: an owner that lives releases the job before a caller comes back after 1.3 s, and runs of a lost one are stopped within 1.1 s. Ends are acknowledged in the frame of the next start to the agent, or after 3 s; agents keep them for 30 s. Free resources are reported every 0.5 s, still every 0.2 s while the executor was nearly full, and at once when it becomes so.

The test of acknowledgements counted messages; it now counts frames that carry nothing else (two in 4 s in place of 20 a second) and still demands every end. The test of batched reports now demands 0.5 s with room, and a new one the 0.2 s of a full executor.

--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -53,6 +53,8 @@
     agent.unreported_starts[agent.starts_sent] = (task.name, demand)
     agent.free = agent.free.minus(demand)
     state.capacity.update(link, agent)
+    # Acknowledgements of earlier ends share the frame of the start.
+    _acknowledge_ends(state, turn, link)
     turn.send(
         link,
         work.StartTask(
@@ -203,9 +205,14 @@
     if turn.now < state.acknowledged_at + state.timing.acknowledgement_s:
         return
     state.acknowledged_at = turn.now
-    for link, ends in state.unacknowledged_ends.items():
+    for link in tuple(state.unacknowledged_ends):
+        _acknowledge_ends(state, turn, link)
+
+
+def _acknowledge_ends(state: DispatchState, turn: Turn, link: str) -> None:
+    ends = state.unacknowledged_ends.pop(link, None)
+    if ends:
         turn.send(link, work.EndsAcknowledged(tuple(ends)))
-    state.unacknowledged_ends.clear()
 
 
 def requeue_overdue(state: DispatchState, turn: Turn) -> None:
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -41,9 +41,9 @@
     answer_retention_s: float = 30
     # Interval of the announcements of claims to other entries. Callers submit
     # a job again only after a longer time.
-    announcement_s: float = 0.1
-    # Interval of the acknowledgements of ends to an agent.
-    acknowledgement_s: float = 0.5
+    announcement_s: float = 0.5
+    # Interval of the acknowledgements of ends to an agent that gets no starts.
+    acknowledgement_s: float = 3
     # Agents connect to an entry within this time after its start.
     warm_up_s: float = 1.2
     # The load balancer stops sending new connections within this time after
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -4,8 +4,9 @@
 run knows of both without a report, so the changes are batched: the reports of
 an agent must not multiply its starts by the number of its entries. Only an
 executor that becomes nearly full is reported at once, as other entries would
-send it tasks that do not fit. A report joins a message that is sent anyway, as
-messages of one turn share a frame.
+send it tasks that do not fit; while it is, entries wait for what becomes free.
+A report joins a message that is sent anyway, as messages of one turn share a
+frame.
 """
 
 from __future__ import annotations
@@ -21,12 +22,14 @@
     from collections.abc import Iterator
 
     from savoryrudder.utils.turn import Turn
+    from savoryrudder.worker.events import ExecutorHeartbeat
     from savoryrudder.worker.state import EntryLink
     from savoryrudder.worker.state import WorkerState
 
 # An executor is nearly full below this share of free processors.
 _NEARLY_FULL_SHARE: Final = 0.25
-_BATCHING_DELAY_S: Final = 0.2
+_BATCHING_DELAY_S: Final = 0.5
+_NEARLY_FULL_DELAY_S: Final = 0.2
 _JOINING_DELAY_S: Final = 0.1
 
 
@@ -34,7 +37,7 @@
     """Return whether the executor is nearly full."""
     if state.heartbeat is None:
         return False
-    return state.free.cpu < state.heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
+    return state.free.cpu < _nearly_full_cpu(state.heartbeat)
 
 
 def due_times(state: WorkerState) -> Iterator[float]:
@@ -42,10 +45,14 @@
     if state.heartbeat is None:
         return
     free = state.free
+    nearly_full_cpu = _nearly_full_cpu(state.heartbeat)
     for link in state.links.values():
         previous = link.last_report
         if link.incarnation and previous and previous.free != free:
-            yield previous.sent_at + _BATCHING_DELAY_S
+            yield previous.sent_at + _batching_delay_s(
+                previous,
+                nearly_full_cpu,
+            )
 
 
 def send_reports(state: WorkerState, turn: Turn) -> None:
@@ -61,7 +68,7 @@
         sum(1 for link in state.links.values() if link.incarnation),
         turn.now,
     )
-    nearly_full_cpu = heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
+    nearly_full_cpu = _nearly_full_cpu(heartbeat)
     addressed = {
         effect.peer for effect in turn.effects if isinstance(effect, Send)
     }
@@ -70,8 +77,8 @@
         sent = current._replace(accepting=is_accepting)
         if not link.incarnation:
             continue
-        delay_s = _JOINING_DELAY_S if name in addressed else _BATCHING_DELAY_S
-        if not _is_due(link, sent, nearly_full_cpu, delay_s):
+        is_joining = name in addressed
+        if not _is_due(link, sent, nearly_full_cpu, is_joining=is_joining):
             continue
         link.last_report = sent
         turn.send(
@@ -94,7 +101,8 @@
     link: EntryLink,
     current: SentReport,
     nearly_full_cpu: float,
-    delay_s: float,
+    *,
+    is_joining: bool,
 ) -> bool:
     previous = link.last_report
     if previous is None or previous.executor != current.executor:
@@ -107,4 +115,19 @@
         return False
     if current.free.cpu < nearly_full_cpu <= previous.free.cpu:
         return True
+    delay_s = (
+        _JOINING_DELAY_S
+        if is_joining
+        else _batching_delay_s(previous, nearly_full_cpu)
+    )
     return current.sent_at - previous.sent_at >= delay_s
+
+
+def _nearly_full_cpu(heartbeat: ExecutorHeartbeat) -> float:
+    return heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
+
+
+def _batching_delay_s(previous: SentReport, nearly_full_cpu: float) -> float:
+    if previous.free.cpu < nearly_full_cpu:
+        return _NEARLY_FULL_DELAY_S
+    return _BATCHING_DELAY_S
--- a/tests/dispatch/test_announcements.py
+++ b/tests/dispatch/test_announcements.py
@@ -14,7 +14,8 @@
 JOBS_PER_TICK = 2
 PEER = 'p1'
 # A caller submits a job again after 1.3 s, and a node has 10 KB/s for control.
-MAX_ANNOUNCEMENTS_PER_S = 20
+MAX_ANNOUNCEMENTS_PER_S = 5
+MAX_LONE_ACKNOWLEDGEMENTS = 2
 
 
 def _linked_driver() -> EntryDriver:
@@ -33,6 +34,15 @@
     ]
 
 
+def _frames_to(effects: list[Any], link: str) -> list[Any]:
+    """Return the messages to a link; those of one event share a frame."""
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, Send) and effect.peer == link
+    ]
+
+
 def _end(driver: EntryDriver, job: str) -> None:
     task = f'{job}.0.0.0'
     driver.receive('l0', work.TaskEnded(task, 1, 'done', '', 10))
@@ -55,23 +65,34 @@
     assert len(announcements) <= MAX_ANNOUNCEMENTS_PER_S
 
 
-def test_acknowledgements_do_not_grow_with_the_rate_of_ends() -> None:
-    """Guard against a message to the agent for nearly every end."""
+def test_acknowledgements_share_the_frames_of_starts() -> None:
+    """Guard against a message to the agent for nearly every end.
+
+    An acknowledgement costs no frame beside a start; those that go alone must
+    not grow with the rate of ends, and none may be missing.
+    """
     driver = _linked_driver()
-    sent: list[Any] = []
-    for number in range(int(1 / TICK_S)):
-        driver.submit(f'j{number}', tasks=1)
+    acknowledged: list[Any] = []
+    lone_frames = 0
+    for number in range(int(4 / TICK_S)):
+        frames = [_frames_to(driver.submit(f'j{number}', tasks=1), 'l0')]
         _end(driver, f'j{number}')
-        sent.extend(_tick(driver))
-    driver.now += 1
-    sent.extend(_tick(driver))
-    acknowledged = [
-        message.ends
-        for message in sent
-        if isinstance(message, work.EndsAcknowledged)
-    ]
-    assert len(acknowledged) <= MAX_ANNOUNCEMENTS_PER_S
-    assert sum(map(len, acknowledged)) == int(1 / TICK_S)
+        driver.now += TICK_S
+        frames.append(_frames_to(driver.post(events.Tick(driver.now)), 'l0'))
+        for messages in filter(None, frames):
+            lone_frames += isinstance(messages[-1], work.EndsAcknowledged)
+            acknowledged.extend(
+                key
+                for message in messages
+                if isinstance(message, work.EndsAcknowledged)
+                for key in message.ends
+            )
+    driver.now += 3
+    for message in _tick(driver):
+        if isinstance(message, work.EndsAcknowledged):
+            acknowledged.extend(message.ends)
+    assert lone_frames <= MAX_LONE_ACKNOWLEDGEMENTS
+    assert len(acknowledged) == len(set(acknowledged)) == int(4 / TICK_S)
 
 
 def test_a_job_that_came_back_and_ended_is_released() -> None:
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -96,8 +96,26 @@
     driver.start('j.0')
     assert not driver.messages_of(work.ExecutorReport)
     driver.tick(0.2)
+    assert not driver.messages_of(work.ExecutorReport)
+    driver.tick(0.3)
     assert driver.messages_of(work.ExecutorReport)
     driver.start('j.1')
     driver.start('j.2')
     driver.start('j.3')
     assert driver.messages_of(work.ExecutorReport)[0].free.cpu == 0
+
+
+def test_entries_soon_hear_what_a_full_executor_frees(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against jobs that are refused for capacity that is free again."""
+    for number in range(4):
+        driver.start(f'j.{number}')
+        driver.answer_start(f'j.{number}', 'started')
+    driver.tick(0.2)
+    end = events.RunEnd(1, 'j.0', 1, 'done')
+    listed = tuple(
+        events.RunProgress(f'j.{index}', 1, 5) for index in (1, 2, 3)
+    )
+    driver.answer_renewal(listed, (end,))
+    assert driver.messages_of(work.ExecutorReport)[0].free.cpu == 2000
