Search once a turn for a demand that fits nowhere

Cause: each end of a task started a placement of the whole queue, and the search over all executors was repeated for up to 24 blocked jobs although the first one had shown that there is no room.

Now a demand that fits nowhere is remembered for the turn, and no larger one is searched for under the same constraints. tests/dispatch/test_cost.py counts 69 lines a blocked job before and bounds them at 40.

--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -30,6 +30,7 @@
     from savoryrudder.dispatch.state import Job
     from savoryrudder.dispatch.state import StepProgress
     from savoryrudder.dispatch.state import Task
+    from savoryrudder.jobs.model import Resources
     from savoryrudder.jobs.model import Step
 
 # Number of blocked jobs after which the search ends. It limits how far other
@@ -61,23 +62,27 @@
     """Yield placements; the caller applies each one before the next."""
     if not state.job_queue:
         return
-    reserved: set[str] = set()
+    search = _SearchContext(state, now, set(), {})
     blocked_jobs = 0
     for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
         for progress in job.steps:
             if progress.unlocked:
-                yield from _place_step(
-                    _SearchContext(state, now, reserved),
-                    job,
-                    progress,
-                )
+                yield from _place_step(search, job, progress)
         if job.has_waiting_tasks:
             blocked_jobs += 1
             if blocked_jobs > _MAX_BLOCKED_JOBS:
                 return
 
 
+class _Constraints(NamedTuple):
+    """Hold what excludes executors, apart from their free resources."""
+
+    service: str
+    required_label: str
+    avoids_trials: bool
+
+
 class _SearchContext(NamedTuple):
     """Hold the inputs of the search for an executor."""
 
@@ -85,6 +90,8 @@
     now: float
     # The executor that is kept for the first task that fits nowhere.
     reserved: set[str]
+    # Demands that fit nowhere; nothing larger does before the next turn.
+    blocked: dict[_Constraints, Resources]
 
 
 def _place_step(
@@ -93,11 +100,16 @@
     progress: StepProgress,
 ) -> Iterator[Placement]:
     link = ''
+    constraints = _constraints_of(search, job, progress)
     while progress.waiting:
         task = progress.waiting[-1]
+        if _is_blocked(search, constraints, progress.step):
+            return
         if not link or not _has_ample_room(search, job, task, link):
             link = _choose_link(search, job, progress, task)
         if not link:
+            if not progress.step.max_per_executor:
+                search.blocked[constraints] = progress.step.demand
             if not search.reserved:
                 search.reserved.update(
                     _link_to_reserve(search.state, job, progress)
@@ -106,6 +118,31 @@
         yield Placement(job, task, link)
 
 
+def _constraints_of(
+    search: _SearchContext,
+    job: Job,
+    progress: StepProgress,
+) -> _Constraints:
+    return _Constraints(
+        job.queue.service,
+        progress.step.required_label,
+        _avoids_trials(search, job),
+    )
+
+
+def _is_blocked(
+    search: _SearchContext,
+    constraints: _Constraints,
+    step: Step,
+) -> bool:
+    blocked_demand = search.blocked.get(constraints)
+    return blocked_demand is not None and step.demand.covers(blocked_demand)
+
+
+def _avoids_trials(search: _SearchContext, job: Job) -> bool:
+    return 0 < job.latest_start - search.now < _TRIAL_RESTART_S
+
+
 def _has_ample_room(
     search: _SearchContext,
     job: Job,
@@ -195,8 +232,7 @@
         return False
     if search.state.avoidance_enabled and is_avoided(agent, search.now):
         return False
-    restart_s = job.latest_start - search.now
-    if agent.on_trial and 0 < restart_s < _TRIAL_RESTART_S:
+    if agent.on_trial and _avoids_trials(search, job):
         return False
     limit = progress.step.max_per_executor
     return not limit or not _at_limit(job, progress, agent)
--- a/tests/dispatch/test_cost.py
+++ b/tests/dispatch/test_cost.py
@@ -14,6 +14,8 @@
 LARGE_FLEET = 430
 # Placement is to stay flat within this factor.
 MAX_GROWTH = 2
+# A job that needs no less than a blocked one costs a look, not a search.
+MAX_LINES_PER_BLOCKED_JOB = 40
 
 
 def _submission_cost(agents: int) -> int:
@@ -67,3 +69,23 @@
         driver.submit(f'j{number}')
     full_queue = count_lines(partial(driver.report, 'l0', NO_CPU))
     assert full_queue <= MAX_GROWTH * empty_queue
+
+
+def _search_cost(jobs: int) -> int:
+    driver = EntryDriver(SMALL_FLEET, NO_CPU)
+    driver.state.started_at = driver.now
+    for number in range(jobs):
+        driver.submit(f'j{number}')
+    free = NO_CPU._replace(cpu=500)
+    return count_lines(partial(driver.report, 'l0', free))
+
+
+def test_jobs_behind_a_blocked_one_are_not_searched_for_again() -> None:
+    """Guard against a search for each queued job at each end of a task.
+
+    An entry without room spent a fifth of its time on tasks that fit nowhere,
+    as the same task before them had shown.
+    """
+    added_jobs = 20
+    added_cost = _search_cost(added_jobs + 1) - _search_cost(1)
+    assert added_cost <= MAX_LINES_PER_BLOCKED_JOB * added_jobs
