Hand jobs to another entry for want of room or time

Cause: callers reach the entries of their zone only, and an entry uses the executors that it is linked with only.

Now entries tell each other their free processors and how busy they are, and one that lacks either hands new jobs to one that has both.

Why it works: the cost of a delegated job at the busy entry is its request and two messages, and the job meets the capacity that the other entry sees. It is owned and claimed by that entry, so no rule about runs rests on two owners.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from savoryrudder.daemon.load import BusyShare
 from savoryrudder.daemon.shared_port import DialledLinks
 from savoryrudder.daemon.shared_port import SharedPortListener
 from savoryrudder.daemon.ticking import TickingLoop
@@ -57,6 +58,7 @@
             self._revision,
         )
         self._peers = DialledLinks(self, self._revision)
+        self._busy = BusyShare(self.load.waiting)
 
     @property
     def ready(self) -> bool:
@@ -155,7 +157,7 @@
         return self.state.configuration.version
 
     def _tick(self, now: float) -> None:
-        self.handle(events.Tick(now))
+        self.handle(events.Tick(now, self._busy.measure_if_due(now)))
 
     def _next_tick_at(self, now: float) -> float:
         return next_tick_at(self.state, now)
--- a/src/savoryrudder/daemon/load.py
+++ b/src/savoryrudder/daemon/load.py
@@ -27,6 +27,7 @@
 EVENT_PREFIX: Final = 'event_'
 
 _INTERVAL_S: Final = 2
+_BUSY_INTERVAL_S: Final = 0.45
 _REPORTED_PREFIXES: Final = (RECEIVED_PREFIX, SENT_PREFIX, EVENT_PREFIX)
 _MAX_NAMES: Final = 10
 
@@ -58,6 +59,29 @@
         self._since = None
 
 
+class BusyShare:
+    """Measure at intervals how busy the event loop is."""
+
+    def __init__(self, waiting: WaitingTime) -> None:
+        """Measure by the time that the event loop has waited."""
+        self._waiting = waiting
+        self._measured_at = anyio.current_time()
+        self._waited_s = waiting.total_s
+
+    def measure_if_due(self, now: float) -> float | None:
+        """Return the share of time without waiting since the last time.
+
+        None is returned until the interval has passed.
+        """
+        elapsed_s = now - self._measured_at
+        if elapsed_s < _BUSY_INTERVAL_S:
+            return None
+        waited_s = self._waiting.total_s - self._waited_s
+        self._measured_at = now
+        self._waited_s = self._waiting.total_s
+        return min(max(1 - waited_s / elapsed_s, 0), 1)
+
+
 class LoadReporter:
     """Log the load of a process at regular intervals."""
 
--- a/src/savoryrudder/dispatch/capacity.py
+++ b/src/savoryrudder/dispatch/capacity.py
@@ -76,6 +76,13 @@
         capacity = self._services.get(service)
         return capacity.free_cpu if capacity else 0
 
+    def free_cpu_by_service(self) -> dict[str, int]:
+        """Return the free millicores of each service."""
+        return {
+            service: capacity.free_cpu
+            for service, capacity in self._services.items()
+        }
+
     def share_cpu(self, service: str) -> int:
         """Return the millicores, free or not, that are this entry's share.
 
--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -31,7 +31,7 @@
     """Register another entry and send it the jobs claimed here."""
     if not state.unidentified_links.pop(link):
         send_hello(state, turn, link)
-    state.peers[link] = PeerView(hello.entry, hello.incarnation)
+    state.peers[link] = PeerView(hello.entry, hello.incarnation, hello.zone)
     turn.log('peer-linked', peer=hello.entry, incarnation=hello.incarnation)
     if state.jobs:
         turn.send(link, work.JobsClaimed(tuple(state.jobs)))
@@ -46,6 +46,7 @@
             identity.entry,
             identity.incarnation,
             identity.address,
+            identity.zone,
         ),
     )
 
--- /dev/null
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -0,0 +1,372 @@
+"""Hand jobs to another entry while this one lacks capacity or time.
+
+Callers reach the entries of their zone only, and an entry uses the executors
+that it is linked with only. Without delegation, callers of a zone with few
+entries are refused while other entries and their executors stand free.
+
+A delegated job is owned, claimed and run by the other entry; this one keeps its
+callers' requests. A job is delegated once at most.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+from savoryrudder.dispatch import answers
+from savoryrudder.dispatch.effects import Reply
+from savoryrudder.dispatch.events import JobSubmitted
+from savoryrudder.dispatch.state import Delegation
+from savoryrudder.dispatch.state import ForeignRequest
+from savoryrudder.protocol import delegation
+from savoryrudder.utils.effects import Send
+
+if TYPE_CHECKING:
+    from savoryrudder.dispatch.effects import DispatchEffect
+    from savoryrudder.dispatch.state import DispatchState
+    from savoryrudder.dispatch.state import PeerView
+    from savoryrudder.dispatch.turn import Turn
+    from savoryrudder.jobs.model import JobRequest
+    from savoryrudder.jobs.model import Queue
+
+# An entry hands on as many jobs as keep its event loop from being busier.
+_TARGET_BUSY_SHARE: Final = 0.75
+_MAX_DELEGATED_SHARE: Final = 0.9
+# Jobs go to entries that are less busy, and have this many times the free
+# capacity that a job needs: others may hand them jobs at the same time.
+_MAX_PEER_BUSY_SHARE: Final = 0.6
+_PEER_CAPACITY_FACTOR: Final = 2
+# A change of the load by less than this share is not announced.
+_MIN_LOAD_CHANGE: Final = 0.1
+
+_UNCLAIMED_VERDICTS: Final = answers.REFUSALS | {answers.UNKNOWN_QUEUE}
+
+
+def record_load(state: DispatchState, busy_share: float) -> None:
+    """Adapt the share of delegated jobs to how busy the event loop was."""
+    state.busy_share = busy_share
+    delegated_share = state.delegated_share + busy_share - _TARGET_BUSY_SHARE
+    state.delegated_share = min(max(delegated_share, 0), _MAX_DELEGATED_SHARE)
+
+
+def announce_load(state: DispatchState, turn: Turn) -> None:
+    """Tell the other entries how much work this one can take, if it changed."""
+    load = delegation.EntryLoad(
+        state.capacity.free_cpu_by_service(),
+        round(state.busy_share, 3),
+        accepting=not state.draining,
+        version=state.configuration.version,
+    )
+    for link, peer in state.peers.items():
+        if _has_changed(peer.announced_load, load):
+            peer.announced_load = load
+            turn.send(link, load)
+
+
+def _has_changed(
+    previous: delegation.EntryLoad | None,
+    load: delegation.EntryLoad,
+) -> bool:
+    if previous is None or previous[2:] != load[2:]:
+        return True
+    if abs(previous.busy_share - load.busy_share) > _MIN_LOAD_CHANGE:
+        return True
+    return any(
+        abs(cpu - previous.free_cpu.get(service, 0)) > _MIN_LOAD_CHANGE * cpu
+        for service, cpu in load.free_cpu.items()
+    )
+
+
+def delegate(
+    state: DispatchState,
+    turn: Turn,
+    event: JobSubmitted,
+    queue: Queue,
+    *,
+    is_refused: bool,
+) -> bool:
+    """Hand a job to another entry if that serves it better.
+
+    `is_refused` tells that this entry would refuse it for want of capacity.
+    Returns whether the job was delegated.
+    """
+    if event.may_have_started or state.draining:
+        return False
+    if event.request_id in state.foreign_requests:
+        return False
+    reason = _reason_to_delegate(state, event, queue, is_refused=is_refused)
+    link = _choose_peer(state, queue, event.job) if reason else ''
+    if not link:
+        return False
+    peer = state.peers[link]
+    job_id = event.job.job_id
+    cpu = _demand_cpu(event.job)
+    state.delegations[job_id] = Delegation(link, cpu, [event])
+    state.open_requests[event.request_id] = job_id
+    # The peer owns the job from here on; its release clears the claim.
+    peer.jobs.add(job_id)
+    peer.delegated_cpu += cpu
+    turn.count('jobs_delegated')
+    turn.log('job-delegated', job=job_id, peer=peer.entry, reason=reason)
+    turn.send(
+        link,
+        delegation.DelegateJob(
+            event.host,
+            event.path,
+            event.job,
+            event.caller_timeout_s,
+        ),
+    )
+    return True
+
+
+def _reason_to_delegate(
+    state: DispatchState,
+    event: JobSubmitted,
+    queue: Queue,
+    *,
+    is_refused: bool,
+) -> str:
+    free_cpu = state.capacity.free_cpu(queue.service)
+    if is_refused or state.job_queue or free_cpu < _demand_cpu(event.job):
+        return 'no room'
+    state.delegation_credit += state.delegated_share
+    if state.delegation_credit < 1:
+        return ''
+    state.delegation_credit -= 1
+    return 'busy'
+
+
+def _choose_peer(
+    state: DispatchState,
+    queue: Queue,
+    job: JobRequest,
+) -> str:
+    needed_cpu = _demand_cpu(job) * _PEER_CAPACITY_FACTOR
+    zone = state.identity.zone
+    suitable = [
+        (peer.zone == zone, _free_cpu_of(peer, queue.service), link)
+        for link, peer in state.peers.items()
+        if _takes_jobs(state, peer)
+        and _free_cpu_of(peer, queue.service) >= needed_cpu
+    ]
+    return max(suitable)[-1] if suitable else ''
+
+
+def _takes_jobs(state: DispatchState, peer: PeerView) -> bool:
+    load = peer.load
+    if load is None or not load.accepting:
+        return False
+    is_current = load.version >= state.configuration.version
+    return is_current and load.busy_share < _MAX_PEER_BUSY_SHARE
+
+
+def _free_cpu_of(peer: PeerView, service: str) -> int:
+    if peer.load is None:
+        return 0
+    return peer.load.free_cpu.get(service, 0) - peer.delegated_cpu
+
+
+def _demand_cpu(job: JobRequest) -> int:
+    return sum(step.tasks * step.demand.cpu for step in job.steps)
+
+
+def join(state: DispatchState, event: JobSubmitted) -> bool:
+    """Let another request wait for a delegated job; return whether it is."""
+    delegated = state.delegations.get(event.job.job_id)
+    if delegated is None:
+        return False
+    delegated.submissions.append(event)
+    state.open_requests[event.request_id] = event.job.job_id
+    return True
+
+
+def disconnect(
+    state: DispatchState, turn: Turn, request: int, job: str
+) -> bool:
+    """Withdraw a delegated job once its last caller has disconnected.
+
+    Returns whether the job is a delegated one.
+    """
+    delegated = state.delegations.get(job)
+    if delegated is None:
+        return False
+    delegated.submissions = [
+        submission
+        for submission in delegated.submissions
+        if submission.request_id != request
+    ]
+    if not delegated.submissions:
+        turn.count('jobs_abandoned')
+        turn.log('job-abandoned', job=job, delegated=True)
+        _withdraw(state, turn, job)
+    return True
+
+
+def answer_all(
+    state: DispatchState, turn: Turn, answer: answers.Answer
+) -> None:
+    """Answer the callers of all delegated jobs, and withdraw the jobs."""
+    for job in tuple(state.delegations):
+        answer_callers(state, turn, job, answer)
+
+
+def answer_callers(
+    state: DispatchState,
+    turn: Turn,
+    job: str,
+    answer: answers.Answer,
+) -> bool:
+    """Answer the callers of a delegated job, and withdraw the job.
+
+    Returns whether the job is a delegated one.
+    """
+    if job not in state.delegations:
+        return False
+    _reply(state, turn, job, answer)
+    _withdraw(state, turn, job)
+    return True
+
+
+def _withdraw(state: DispatchState, turn: Turn, job: str) -> None:
+    delegated = _end(state, job)
+    if delegated.link in state.peers:
+        turn.send(delegated.link, delegation.WithdrawJob(job))
+
+
+def _end(state: DispatchState, job: str) -> Delegation:
+    delegated = state.delegations.pop(job)
+    peer = state.peers.get(delegated.link)
+    if peer is not None:
+        peer.delegated_cpu = max(peer.delegated_cpu - delegated.cpu, 0)
+    return delegated
+
+
+def _reply(
+    state: DispatchState,
+    turn: Turn,
+    job: str,
+    answer: answers.Answer,
+) -> None:
+    for submission in state.delegations[job].submissions:
+        state.open_requests.pop(submission.request_id, None)
+        turn.reply(submission.request_id, answer)
+
+
+def handle_load(
+    state: DispatchState,
+    link: str,
+    load: delegation.EntryLoad,
+) -> None:
+    """Record how much work another entry can take."""
+    peer = state.peers[link]
+    peer.load = load
+    peer.delegated_cpu = 0
+
+
+def handle_answer(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    message: delegation.DelegatedAnswer,
+) -> None:
+    """Answer the callers of a delegated job."""
+    job, verdict, reason, retry_after_s = message
+    peer = state.peers[link]
+    if verdict in _UNCLAIMED_VERDICTS:
+        # The peer does not have the job, so it will not release it either.
+        peer.jobs.discard(job)
+    delegated = state.delegations.get(job)
+    if delegated is None or delegated.link != link:
+        return
+    elapsed_s = turn.now - delegated.submissions[0].now
+    turn.count(f'jobs_{verdict}')
+    turn.observe(f'job_{verdict}', elapsed_s)
+    turn.log(
+        'job-answered',
+        job=job,
+        verdict=verdict,
+        reason=reason,
+        peer=peer.entry,
+        elapsed_s=round(elapsed_s, 3),
+    )
+    final_answer = answers.Answer(verdict, reason, retry_after_s)
+    if verdict not in answers.RETRYABLE:
+        state.recent_answers[job] = (turn.now, final_answer)
+    _reply(state, turn, job, final_answer)
+    _end(state, job)
+
+
+def take(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    message: delegation.DelegateJob,
+) -> JobSubmitted:
+    """Return the submission of a job that another entry hands over."""
+    state.foreign_requests_created += 1
+    # Requests of callers have positive numbers.
+    request_id = -state.foreign_requests_created
+    state.foreign_requests[request_id] = ForeignRequest(
+        link,
+        message.job.job_id,
+    )
+    return JobSubmitted(
+        turn.now,
+        request_id,
+        message.host,
+        message.path,
+        message.job,
+        '',
+        message.caller_timeout_s,
+    )
+
+
+def pop_foreign_requests(
+    state: DispatchState,
+    link: str,
+    job: str = '',
+) -> list[int]:
+    """Remove and return the requests of another entry, for one job or all."""
+    numbers = [
+        number
+        for number, request in state.foreign_requests.items()
+        if request.link == link and job in {'', request.job}
+    ]
+    for number in numbers:
+        state.foreign_requests.pop(number)
+    return numbers
+
+
+def pop_submissions_at(state: DispatchState, link: str) -> list[JobSubmitted]:
+    """Remove and return the submissions delegated to an entry that is lost."""
+    lost_jobs = [
+        job
+        for job, delegated in state.delegations.items()
+        if delegated.link == link
+    ]
+    submissions: list[JobSubmitted] = []
+    for job in lost_jobs:
+        submissions.extend(state.delegations.pop(job).submissions)
+    for submission in submissions:
+        state.open_requests.pop(submission.request_id, None)
+    return [lost._replace(may_have_started=True) for lost in submissions]
+
+
+def route_answers(state: DispatchState, turn: Turn) -> list[DispatchEffect]:
+    """Return the effects with answers to other entries as messages."""
+    if not state.foreign_requests:
+        return turn.effects
+    return [_route(state, effect) for effect in turn.effects]
+
+
+def _route(state: DispatchState, effect: DispatchEffect) -> DispatchEffect:
+    if not isinstance(effect, Reply):
+        return effect
+    request = state.foreign_requests.pop(effect.request_id, None)
+    if request is None or not isinstance(effect.answer, answers.Answer):
+        return effect
+    return Send(
+        request.link,
+        delegation.DelegatedAnswer(request.job, *effect.answer),
+    )
--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import delegation
 from savoryrudder.dispatch import jobs
 from savoryrudder.utils.effects import Exit
 
@@ -58,9 +59,9 @@
     interruption = answers.Answer(answers.INTERRUPTED, 'entry is stopping')
     for job in tuple(state.jobs.values()):
         if not job.ended:
-            is_unstarted = job.started_at is None
-            final_answer = refusal if is_unstarted else interruption
+            final_answer = interruption if job.may_have_run else refusal
             jobs.answer(state, turn, job, final_answer)
+    delegation.answer_all(state, turn, interruption)
     for contested_job in state.contested_jobs.values():
         for submission in contested_job.submissions:
             turn.reply(submission.request_id, interruption)
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -25,7 +25,8 @@
 
     `unsupported` names the unsupported feature that the job requires, if any.
     The caller waits for an answer for `caller_timeout_s` seconds, or without a
-    limit if it is None.
+    limit if it is None. A job that `may_have_started` at another entry must not
+    be refused, as a refusal tells that it has not run.
     """
 
     now: float
@@ -35,6 +36,7 @@
     job: JobRequest
     unsupported: str
     caller_timeout_s: float | None
+    may_have_started: bool = False
 
 
 class JobQueried(NamedTuple):
@@ -87,9 +89,14 @@
 
 
 class Tick(NamedTuple):
-    """The periodic timer has fired."""
+    """The timer has fired.
+
+    `busy_share` is the share of time in which the event loop did not wait, if
+    it was measured since the last tick.
+    """
 
     now: float
+    busy_share: float | None = None
 
 
 class DrainRequested(NamedTuple):
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -53,6 +53,7 @@
         tasks = [Task(task_name, index) for task_name in task_names]
         job.tasks.update((task.name, task) for task in tasks)
         job.steps.append(StepProgress(step, tasks, step.tasks))
+    job.started_elsewhere = event.may_have_started
     if event.caller_timeout_s is not None:
         job.expires_at = event.now + event.caller_timeout_s
     state.jobs[request.job_id] = job
@@ -169,7 +170,7 @@
 def answer_overdue(state: DispatchState, turn: Turn) -> None:
     """Answer queued jobs that are past their time limit.
 
-    Jobs without a started task are refused, others are interrupted.
+    Jobs that have not run are refused, others are interrupted.
     """
     for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
@@ -178,12 +179,14 @@
                 interruption = answers.Answer(answers.INTERRUPTED, 'time limit')
                 answer(state, turn, job, interruption)
         elif turn.now >= _start_deadline(state, job):
-            refusal = answers.Answer(
-                answers.OVERLOADED,
-                'no room in time',
-                _RETRY_SOON_S,
-            )
-            answer(state, turn, job, refusal)
+            answer(state, turn, job, _overdue_answer(job))
+
+
+def _overdue_answer(job: Job) -> answers.Answer:
+    reason = 'no room in time'
+    if job.may_have_run:
+        return answers.Answer(answers.INTERRUPTED, reason)
+    return answers.Answer(answers.OVERLOADED, reason, _RETRY_SOON_S)
 
 
 def _start_deadline(state: DispatchState, job: Job) -> float:
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -11,6 +11,7 @@
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import claims
+from savoryrudder.dispatch import delegation
 from savoryrudder.dispatch import draining
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch import fleet
@@ -18,6 +19,7 @@
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch.placement import place_tasks
 from savoryrudder.dispatch.turn import Turn
+from savoryrudder.protocol import delegation as protocol
 from savoryrudder.protocol import work
 
 if TYPE_CHECKING:
@@ -46,7 +48,7 @@
         for placement in place_tasks(state, turn.now):
             fleet.send_task(state, turn, placement)
     draining.advance_drain(state, turn)
-    return turn.effects
+    return delegation.route_answers(state, turn)
 
 
 def _handle_configuration(
@@ -71,21 +73,31 @@
     turn: Turn,
     event: events.JobSubmitted,
 ) -> None:
+    if delegation.join(state, event):
+        return
     immediate_answer = _immediate_answer(state, event)
-    if immediate_answer is not None:
-        turn.count(f'jobs_{immediate_answer.verdict}')
-        turn.log(
-            'job-refused',
-            job=event.job.job_id,
-            verdict=immediate_answer.verdict,
-            reason=immediate_answer.reason,
-            version=state.configuration.version,
-            **_known_capacity(state, event),
-        )
-        turn.reply(event.request_id, immediate_answer)
+    is_refused = (
+        immediate_answer is not None
+        and immediate_answer.verdict == answers.OVERLOADED
+    )
+    if immediate_answer is not None and not is_refused:
+        _answer_at_once(state, turn, event, immediate_answer)
         return
     is_duplicate = event.job.job_id in state.jobs
-    if not is_duplicate and claims.defer_if_claimed(state, turn, event):
+    if not is_duplicate:
+        if claims.defer_if_claimed(state, turn, event):
+            return
+        queue = _find_queue(state, event.host, event.path)
+        if delegation.delegate(
+            state,
+            turn,
+            event,
+            queue,
+            is_refused=is_refused,
+        ):
+            return
+    if immediate_answer is not None:
+        _answer_at_once(state, turn, event, immediate_answer)
         return
     job = state.jobs.get(event.job.job_id) or _accept_job(state, turn, event)
     if job.ended:
@@ -94,6 +106,31 @@
     state.open_requests[event.request_id] = event.job.job_id
 
 
+def _answer_at_once(
+    state: DispatchState,
+    turn: Turn,
+    event: events.JobSubmitted,
+    immediate_answer: answers.Answer,
+) -> None:
+    turn.count(f'jobs_{immediate_answer.verdict}')
+    turn.log(
+        'job-refused',
+        job=event.job.job_id,
+        verdict=immediate_answer.verdict,
+        reason=immediate_answer.reason,
+        version=state.configuration.version,
+        **_known_capacity(state, event),
+    )
+    if event.may_have_started and immediate_answer.verdict in answers.REFUSALS:
+        interruption = answers.Answer(
+            answers.INTERRUPTED,
+            immediate_answer.reason,
+        )
+        turn.reply(event.request_id, interruption)
+        return
+    turn.reply(event.request_id, immediate_answer)
+
+
 def _immediate_answer(
     state: DispatchState,
     event: events.JobSubmitted,
@@ -207,12 +244,16 @@
         turn.reply(event.request_id, target)
         return
     _, job_id = target
+    cancelled = answers.Answer(answers.CANCELLED)
+    if delegation.answer_callers(state, turn, job_id, cancelled):
+        turn.reply(event.request_id, cancelled)
+        return
     job = state.jobs.get(job_id)
     if job is None or job.ended:
         turn.reply(event.request_id, answers.Answer(answers.UNKNOWN_JOB))
         return
-    jobs.answer(state, turn, job, answers.Answer(answers.CANCELLED))
-    turn.reply(event.request_id, answers.Answer(answers.CANCELLED))
+    jobs.answer(state, turn, job, cancelled)
+    turn.reply(event.request_id, cancelled)
 
 
 def _resolve_path(
@@ -233,6 +274,8 @@
 
 
 def _job_status(state: DispatchState, job_id: str) -> answers.Answer:
+    if job_id in state.delegations:
+        return answers.Answer(answers.RUNNING)
     job = state.jobs.get(job_id)
     if job is None or job.ended:
         recent_answer = state.recent_answers.get(job_id)
@@ -251,6 +294,8 @@
     event: events.CallerDisconnected,
 ) -> None:
     job_id = state.open_requests.pop(event.request_id, '')
+    if delegation.disconnect(state, turn, event.request_id, job_id):
+        return
     job = state.jobs.get(job_id)
     if job is None:
         claims.withdraw_submission(state, event.request_id)
@@ -283,6 +328,20 @@
 ) -> None:
     fleet.remove_link(state, turn, event.link, event.reason)
     claims.remove_peer(state, turn, event.link)
+    _disconnect_foreign_requests(state, turn, event.link)
+    for submission in delegation.pop_submissions_at(state, event.link):
+        _handle_job_submitted(state, turn, submission)
+
+
+def _disconnect_foreign_requests(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    job: str = '',
+) -> None:
+    for number in delegation.pop_foreign_requests(state, link, job):
+        disconnected = events.CallerDisconnected(turn.now, number)
+        _handle_caller_disconnected(state, turn, disconnected)
 
 
 def _handle_message(
@@ -293,19 +352,39 @@
     if event.link in state.agents:
         _handle_agent_message(state, turn, event)
     elif event.link in state.peers:
-        for submission in claims.handle_message(
-            state,
-            turn,
-            event.link,
-            event.message,
-        ):
-            _handle_job_submitted(state, turn, submission)
+        _handle_peer_message(state, turn, event)
     elif event.link in state.unidentified_links:
         _handle_hello(state, turn, event)
     else:
         turn.count('wasted_messages')
 
 
+def _handle_peer_message(
+    state: DispatchState,
+    turn: Turn,
+    event: events.MessageReceived,
+) -> None:
+    link = event.link
+    match event.message:
+        case protocol.EntryLoad():
+            delegation.handle_load(state, link, event.message)
+        case protocol.DelegateJob():
+            submission = delegation.take(state, turn, link, event.message)
+            _handle_job_submitted(state, turn, submission)
+        case protocol.DelegatedAnswer():
+            delegation.handle_answer(state, turn, link, event.message)
+        case protocol.WithdrawJob():
+            _disconnect_foreign_requests(state, turn, link, event.message.job)
+        case _:
+            for resumed in claims.handle_message(
+                state,
+                turn,
+                link,
+                event.message,
+            ):
+                _handle_job_submitted(state, turn, resumed)
+
+
 def _handle_hello(
     state: DispatchState,
     turn: Turn,
@@ -348,6 +427,9 @@
         _handle_job_submitted(state, turn, submission)
     jobs.expire_answers(state, turn.now)
     claims.announce_changes(state, turn)
+    if event.busy_share is not None:
+        delegation.record_load(state, event.busy_share)
+        delegation.announce_load(state, turn)
     fleet.acknowledge_ends(state, turn)
 
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -17,6 +17,7 @@
 from savoryrudder.jobs.model import Queue
 from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
+from savoryrudder.protocol.delegation import EntryLoad
 from savoryrudder.protocol.work import ExecutorReport
 from savoryrudder.protocol.work import RunKey
 
@@ -92,7 +93,8 @@
 
     `objective_s` is the latency objective, counted from the arrival; to meet
     it, the job has to start by `latest_start`. `outstanding` counts the tasks
-    that are placed or unsettled.
+    that are placed or unsettled. A job that `started_elsewhere` may have run at
+    another entry.
     """
 
     request: JobRequest
@@ -106,9 +108,15 @@
     open_requests: set[int] = field(default_factory=set)
     expires_at: float = float('inf')
     started_at: float | None = None
+    started_elsewhere: bool = False
     outstanding: int = 0
     ended: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a refusal of the job might not be true."""
+        return self.started_elsewhere or self.started_at is not None
+
     @property
     def has_waiting_tasks(self) -> bool:
         """Return whether a task of an unlocked step is waiting."""
@@ -157,11 +165,38 @@
 
 @dataclass(slots=True)
 class PeerView:
-    """Hold an entry's view of another entry and the jobs claimed by it."""
+    """Hold an entry's view of another entry and the jobs claimed by it.
+
+    `delegated_cpu` counts the millicores of the jobs delegated to it since it
+    told its `load`; `announced_load` is what it was told last.
+    """
 
     entry: str
     incarnation: str
+    zone: str = ''
     jobs: set[str] = field(default_factory=set)
+    load: EntryLoad | None = None
+    announced_load: EntryLoad | None = None
+    delegated_cpu: int = 0
+
+
+@dataclass(slots=True)
+class Delegation:
+    """Hold the submissions of a job that another entry, by its link, runs.
+
+    Its tasks need `cpu` millicores in all.
+    """
+
+    link: str
+    cpu: int
+    submissions: list[JobSubmitted]
+
+
+class ForeignRequest(NamedTuple):
+    """Identify the request of another entry that delegated a job."""
+
+    link: str
+    job: str
 
 
 @dataclass(slots=True)
@@ -225,6 +260,16 @@
     unacknowledged_ends: dict[str, list[RunKey]] = field(default_factory=dict)
     acknowledged_at: float = 0
     claim_changes: ClaimChanges = field(default_factory=ClaimChanges)
+    # Jobs that other entries run for callers of this one, by job ID.
+    delegations: dict[str, Delegation] = field(default_factory=dict)
+    # Open requests of other entries whose jobs run here, by request number.
+    foreign_requests: dict[int, ForeignRequest] = field(default_factory=dict)
+    foreign_requests_created: int = 0
+    # Share of time in which the event loop does not wait, and share of the
+    # jobs that are delegated for it; the credit sums up to whole jobs.
+    busy_share: float = 0
+    delegated_share: float = 0
+    delegation_credit: float = 0
     # Links without a hello message yet, and whether this entry initiated them.
     unidentified_links: dict[str, bool] = field(default_factory=dict)
     jobs_created: int = 0
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -13,6 +13,7 @@
 from expression import Ok
 from expression import Result
 
+from savoryrudder.protocol import delegation
 from savoryrudder.protocol import messages
 from savoryrudder.protocol import work
 
@@ -59,6 +60,10 @@
         36: work.RelinquishJob,
         37: work.JobRelinquished,
         38: work.SlowRun,
+        39: delegation.EntryLoad,
+        40: delegation.DelegateJob,
+        41: delegation.DelegatedAnswer,
+        42: delegation.WithdrawJob,
     }
 )
 _TAG_BY_TYPE: Final = MappingProxyType(
@@ -106,6 +111,8 @@
         return _OVERHEAD_BYTES + len(message.record.result)
     if isinstance(message, work.StartTask):
         return _OVERHEAD_BYTES + len(message.spec)
+    if isinstance(message, delegation.DelegateJob):
+        return _OVERHEAD_BYTES + len(message.job.spec)
     return len(_encoder.encode(message))
 
 
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 from typing import TypeAlias
 
+from savoryrudder.protocol import delegation
 from savoryrudder.protocol import work
 
 # A submission identifier (16 bytes) and the task's position in its job.
@@ -349,4 +350,8 @@
     | work.TaskEnded
     | work.EndsAcknowledged
     | work.SlowRun
+    | delegation.EntryLoad
+    | delegation.DelegateJob
+    | delegation.DelegatedAnswer
+    | delegation.WithdrawJob
 )
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -20,6 +20,7 @@
     entry: str
     incarnation: str
     address: str
+    zone: str = ''
 
 
 class JobsClaimed(NamedTuple):
--- a/tests/daemon/test_load.py
+++ b/tests/daemon/test_load.py
@@ -10,6 +10,7 @@
 import trio
 from trio.testing import MockClock
 
+from savoryrudder.daemon.load import BusyShare
 from savoryrudder.daemon.load import LoadReporter
 from savoryrudder.daemon.metrics import Counters
 
@@ -88,3 +89,28 @@
 def test_load_lines_tell_work_from_waiting() -> None:
     """Guard against an overloaded process that looks like an idle one."""
     assert _run(_replay_a_stall)['busy_share'] == '0.250'
+
+
+async def _replay_half_busy(
+    counters: Counters,
+    reporter: LoadReporter,
+) -> _Line:
+    clock = trio.lowlevel.current_clock()
+    assert isinstance(clock, MockClock)
+    busy = BusyShare(reporter.waiting)
+    assert busy.measure_if_due(anyio.current_time()) is None
+    reporter.waiting.before_io_wait(1)
+    clock.jump(1)
+    reporter.waiting.after_io_wait(1)
+    clock.jump(1)
+    measured = busy.measure_if_due(anyio.current_time())
+    clock.jump(1)
+    later = busy.measure_if_due(anyio.current_time())
+    return {'measured': str(measured), 'later': str(later)}
+
+
+def test_the_busy_share_covers_its_own_interval() -> None:
+    """Guard against jobs that are handed on for a load that has passed."""
+    shares = _run(_replay_half_busy)
+    assert shares['measured'] == '0.5'
+    assert shares['later'] == '1.0'
--- a/tests/dispatch/test_fleet.py
+++ b/tests/dispatch/test_fleet.py
@@ -117,6 +117,42 @@
     assert not fleet.entries[1].state.jobs
 
 
+@settings(max_examples=100)
+@given(seed=st.integers(0, 2**32))
+def test_delegated_tasks_have_no_concurrent_runs_under_random_faults(
+    seed: int,
+) -> None:
+    """Guards against runs of a job at the entry that delegated it, and at both.
+
+    The entries are busy by turns, so each of them delegates jobs.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(seed, entries=2, agents=3)
+    requests = []
+    for number in range(30):
+        busy = number // 10 % 2
+        fleet.entries[busy].busy_share = 1
+        fleet.entries[1 - busy].busy_share = 0.1
+        submitted_at = rng.choice((busy, busy, 1 - busy))
+        requests.append(
+            (
+                submitted_at,
+                fleet.submit(
+                    submitted_at, job_of(f'j{number}', rng.choice((1, 2)))
+                ),
+            ),
+        )
+        _inject_random_fault(fleet, rng, requests)
+        fleet.run(rng.uniform(0, 0.3))
+    fleet.calls.lose_answers = 0
+    fleet.calls.late_orders = 0
+    fleet.run(RECOVERY_S)
+    for entry in fleet.entries:
+        assert not entry.state.jobs
+        assert not entry.state.delegations
+        assert not entry.state.foreign_requests
+
+
 def _inject_random_fault(
     fleet: Fleet,
     rng: random.Random,
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -73,6 +73,8 @@
         self.name = name
         self.alive = True
         self.frozen = False
+        # What its event loop would measure, if anything.
+        self.busy_share: float | None = None
         identity = DispatchIdentity(name, incarnation, name, ZONE)
         self.state = DispatchState(identity, DispatchTiming(SETTLE_S))
         self._fleet = fleet
@@ -97,7 +99,7 @@
         """Reduce a tick unless there is nothing to do yet."""
         now = self._fleet.clock.now
         if now >= self._tick_at - CLOCK_ERROR_S:
-            self.post(entry_events.Tick(now))
+            self.post(entry_events.Tick(now, self.busy_share))
 
     def post(self, event: Any) -> None:
         """Reduce an event and carry out its effects."""
