--- a/src/savoryrudder/daemon/ticking.py
+++ b/src/savoryrudder/daemon/ticking.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from savoryrudder.daemon.due_timer import DueTimer
 from savoryrudder.daemon.loop import ReducerLoop
 from savoryrudder.daemon.metrics import Counters
 
@@ -14,27 +15,6 @@
 EffectT = TypeVar('EffectT')
 
 
-class DueTimer:
-    """Sleep until a time that may be brought forward meanwhile."""
-
-    def __init__(self) -> None:
-        """Initialize without a sleeper."""
-        self._scope = anyio.CancelScope()
-
-    def bring_forward(self, due_at: float) -> None:
-        """Wake the sleeper at `due_at` if it would sleep longer."""
-        if due_at < self._scope.deadline:
-            self._scope.deadline = due_at
-
-    async def sleep_until(self, due_at: float) -> float:
-        """Sleep, and return the time that the sleep was to end."""
-        scope = anyio.CancelScope(deadline=due_at)
-        self._scope = scope
-        with scope:
-            await anyio.sleep_forever()
-        return scope.deadline
-
-
 class TickingLoop(ReducerLoop[EventT, EffectT]):
     """Reduce events, and a tick when something is due without an event."""
 
--- a/tests/daemon/test_ticking.py
+++ b/tests/daemon/test_ticking.py
@@ -5,7 +5,7 @@
 import anyio
 from trio.testing import MockClock
 
-from savoryrudder.daemon.ticking import DueTimer
+from savoryrudder.daemon.due_timer import DueTimer
 
 
 async def _sleep_and_bring_forward(due_at: float, earlier: float) -> float:
