--- a/src/savoryrudder/worker/deadlines.py
+++ b/src/savoryrudder/worker/deadlines.py
@@ -15,7 +15,6 @@
 from savoryrudder.utils.ticks import align_tick
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
-from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -60,6 +59,6 @@
 
 
 def _stop_times(state: WorkerState) -> Iterator[float]:
-    for run in state.runs.values():
-        if run.phase is Phase.stopping and run.stop_confirmed_at < 0:
+    for run in state.stopping.values():
+        if run.stop_confirmed_at < 0:
             yield run.stop_sent_at + state.timing.stop_retry_s
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -127,11 +127,8 @@
 def retry_stops(state: WorkerState, turn: Turn) -> None:
     """Repeat requests to stop a run that the executor has not confirmed."""
     cutoff = turn.now - state.timing.stop_retry_s
-    for run in state.runs.values():
-        is_unconfirmed = (
-            run.phase is Phase.stopping and run.stop_confirmed_at < 0
-        )
-        if is_unconfirmed and run.stop_sent_at <= cutoff:
+    for run in state.stopping.values():
+        if run.stop_confirmed_at < 0 and run.stop_sent_at <= cutoff:
             runs.send_stop(state, turn, run)
 
 
@@ -171,7 +168,7 @@
 def _wait_ms(state: WorkerState) -> int:
     if not state.runs or state.stray_runs or not state.lease.reconciled:
         return 0
-    if any(run.stop_confirmed_at > 0 for run in state.runs.values()):
+    if any(run.stop_confirmed_at > 0 for run in state.stopping.values()):
         return 0
     return int(state.timing.renewal_wait_s * MS_PER_S)
 
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -60,14 +60,16 @@
         )
         turn.send(link, _not_started(message.task, message.run, reason))
         return
-    state.runs[message.task] = Run(
-        message.task,
-        message.run,
-        entry_link.incarnation,
-        message.demand,
-        message.durable,
-        message.estimate_ms / MS_PER_S,
-        turn.now,
+    state.add_run(
+        Run(
+            message.task,
+            message.run,
+            entry_link.incarnation,
+            message.demand,
+            message.durable,
+            message.estimate_ms / MS_PER_S,
+            turn.now,
+        ),
     )
     state.lease.renew_by(turn.now)
     turn.effects.append(
@@ -107,7 +109,7 @@
     if run is None or run.number != answer.run:
         return
     if answer.verdict in _REFUSAL_VERDICTS:
-        state.runs.pop(run.task)
+        state.remove_run(run)
         report_end(state, turn, run, outcomes.NOT_STARTED, answer.verdict)
         return
     if answer.verdict == verdicts.UNKNOWN:
@@ -131,6 +133,7 @@
 def send_stop(state: WorkerState, turn: Turn, run: Run) -> None:
     """Ask the executor to stop a run."""
     run.phase = Phase.stopping
+    state.stopping[run.task] = run
     run.stop_sent_at = turn.now
     _call_stop(state, turn, run.key)
 
@@ -176,7 +179,7 @@
     reason: str,
 ) -> None:
     """Release the capacity of a run that has ended, and report its end."""
-    state.runs.pop(run.task)
+    state.remove_run(run)
     if not run.end_reported:
         report_end(state, turn, run, outcome, reason)
 
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -206,6 +206,9 @@
     draining: bool = False
     exit_at: float = float('inf')
     exited: bool = False
+    # The runs that the executor was asked to stop.
+    stopping: dict[str, Run] = field(default_factory=dict)
+    _occupied: Resources = NO_RESOURCES
 
     @property
     def executor(self) -> ExecutorInstance | None:
@@ -230,10 +233,18 @@
         """Return the capacity that no run occupies."""
         if self.heartbeat is None:
             return NO_RESOURCES
-        free = self.heartbeat.capacity
-        for run in self.runs.values():
-            free = free.minus(run.demand)
-        return free
+        return self.heartbeat.capacity.minus(self._occupied)
+
+    def add_run(self, run: Run) -> None:
+        """Track a run and occupy its capacity."""
+        self.runs[run.task] = run
+        self._occupied = self._occupied.plus(run.demand)
+
+    def remove_run(self, run: Run) -> None:
+        """Stop tracking a run and release its capacity."""
+        self.runs.pop(run.task)
+        self.stopping.pop(run.task, None)
+        self._occupied = self._occupied.minus(run.demand)
 
     def find_link(self, owner: str) -> str:
         """Return the link to an entry's incarnation, or an empty string."""
