Let a link without work be quiet

Cause: every link carried heartbeats each 0.375 s in both directions, whether anything depended on noticing its loss quickly or not, 1,600 frames a second in a fleet at rest.

Now a link is quiet (1 s) while its entry has no run at its agent. The detector follows from the sender: each frame tells how long its sender may be silent, so ends that disagree about work do not lose each other, and an end that gives work to a quiet peer gets a frame at once and waits for it 0.75 s, as ever. The limits are in one place, daemon/liveness.py, instead of two tasks of a session.

tests/daemon/test_liveness.py plays two ends whose views of work change at any time, with late frames: without the immediate answer it fails ('lost at'). test_both_ends_of_a_link_with_runs_watch_it_closely checks under random faults that an agent with runs is never watched as a quiet one; it fails if an entry forgets the runs that an agent lists on a new link. The fakes notice a cut of a quiet link after 2 s, so the tests of concurrent runs cover it.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -16,6 +16,7 @@
 from savoryrudder.dispatch.deadlines import next_tick_at
 from savoryrudder.dispatch.reducer import reduce
 from savoryrudder.protocol.messages import Heartbeat
+from savoryrudder.utils.effects import SetCarriesWork
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -169,11 +170,18 @@
         return reduce(self.state, event)
 
     def _execute_role_effect(self, effect: effects.DispatchEffect) -> None:
-        if not isinstance(effect, effects.Reply):
-            raise TypeError(f'unknown effect: {effect}')
-        request = self._pending.get(effect.request_id)
+        match effect:
+            case effects.Reply():
+                self._reply(effect)
+            case SetCarriesWork(peer, carries_work):
+                self._listener.set_carries_work(peer, carries_work=carries_work)
+            case _:
+                raise TypeError(f'unknown effect: {effect}')
+
+    def _reply(self, reply: effects.Reply) -> None:
+        request = self._pending.get(reply.request_id)
         if request is not None:
-            request.answer = effect.answer
+            request.answer = reply.answer
             request.answered.set()
 
     def _send(self, peer: str, message: Message) -> None:
--- a/src/savoryrudder/daemon/links.py
+++ b/src/savoryrudder/daemon/links.py
@@ -17,9 +17,9 @@
 from expression import Result
 
 from savoryrudder.daemon import join
+from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.session import DEFAULT_TIMING
 from savoryrudder.daemon.session import LinkHandler
-from savoryrudder.daemon.session import LinkTiming
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
 from savoryrudder.daemon.sockets import MessageSocket
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -14,6 +14,9 @@
 import pynng
 from anyio.lowlevel import checkpoint
 
+from savoryrudder.daemon.due_timer import DueTimer
+from savoryrudder.daemon.liveness import LinkTiming
+from savoryrudder.daemon.liveness import Liveness
 from savoryrudder.protocol import codec
 from savoryrudder.protocol.messages import Heartbeat
 from savoryrudder.protocol.messages import Message
@@ -26,27 +29,6 @@
 _MAX_MESSAGE_BYTES: Final = 48 * 1024 * 1024
 
 
-class LinkTiming(NamedTuple):
-    """Define the intervals (seconds) and size limits (bytes) of links.
-
-    A live peer sends a frame at least every `heartbeat_s`. The link is closed
-    once `max_missed_heartbeats` of them are missing.
-    """
-
-    heartbeat_s: float = 1
-    max_missed_heartbeats: int = 3
-    join_timeout_s: float = 3
-    backoff_min_s: float = 0.1
-    backoff_max_s: float = 2
-    queue_bytes: int = 32 * 1024 * 1024
-    frame_bytes: int = 4 * 1024 * 1024
-
-    @property
-    def idle_timeout_s(self) -> float:
-        """Return how long a peer may be silent before its link is closed."""
-        return self.heartbeat_s * self.max_missed_heartbeats
-
-
 DEFAULT_TIMING: Final = LinkTiming()
 
 
@@ -166,8 +148,8 @@
         self._scope = anyio.CancelScope()
         self._frames_received = 0
         self._frames_sent = 0
-        self._received_at = float(0)
-        self._sent_at = float('-inf')
+        self._liveness = Liveness(timing)
+        self._timer = DueTimer()
         self._is_up = False
         self._is_down_reported = False
         self._reason = ''
@@ -200,6 +182,12 @@
             return False
         return True
 
+    def set_carries_work(self, *, carries_work: bool) -> None:
+        """Record whether the peer has work of this end, or the reverse."""
+        now = anyio.current_time()
+        self._liveness.record_work(now, carries_work=carries_work)
+        self._timer.bring_forward(self._liveness.next_due_at)
+
     def close(self, reason: str) -> None:
         """Close the session; `on_link_down` is called later by `run`."""
         if not self._reason:
@@ -228,13 +216,12 @@
         except TimeoutError:
             self.close('peer did not connect')
             return
-        self._received_at = anyio.current_time()
+        self._liveness.record_received(anyio.current_time(), 0)
         async with anyio.create_task_group() as group:
             group.start_soon(self._close_on_socket_error, self._read)
             group.start_soon(self._close_on_socket_error, self._write)
             group.start_soon(self._watch_connection)
-            group.start_soon(self._watch_idle_timeout)
-            group.start_soon(self._send_heartbeats)
+            group.start_soon(self._watch_liveness)
 
     async def _close_on_socket_error(
         self,
@@ -262,13 +249,14 @@
             self.close(error)
             return
         self._frames_received += 1
-        self._received_at = anyio.current_time()
+        self._liveness.record_received(anyio.current_time(), frame.silence_ms)
         if not self._is_up:
             self._is_up = True
             self._handler.on_link_up(*self._ids)
         if self._reason:
             return
         self._handler.on_frame(*self._ids, frame.revision, frame.messages)
+        self._timer.bring_forward(self._liveness.next_due_at)
 
     def _frame_error(self, frame: codec.Frame) -> str:
         if frame.session != self._ids.session:
@@ -280,6 +268,8 @@
             )
         if not isinstance(frame.revision, int):
             return 'malformed frame: revision is not a number'
+        if not isinstance(frame.silence_ms, int) or frame.silence_ms < 0:
+            return 'malformed frame: silence is not a duration'
         return ''
 
     async def _write(self) -> None:
@@ -290,10 +280,10 @@
                 self._frames_sent,
                 self._revision(),
                 batch,
+                self._liveness.record_sent(anyio.current_time()),
             )
             encoded = codec.encode_frame(frame)
             self._frames_sent += 1
-            self._sent_at = anyio.current_time()
             if not self._socket.try_send(encoded):
                 await self._send_or_time_out(encoded)
 
@@ -308,21 +298,15 @@
         await self._socket.wait_disconnected()
         self.close('connection lost')
 
-    async def _watch_idle_timeout(self) -> None:
-        timeout_s = self._timing.idle_timeout_s
+    async def _watch_liveness(self) -> None:
+        liveness = self._liveness
         while not self._reason:
-            deadline = self._received_at + timeout_s
-            await anyio.sleep(deadline - anyio.current_time())
+            now = anyio.current_time()
+            if liveness.heartbeat_due_at <= now:
+                self.send(Heartbeat())
+                liveness.record_sent(now)
+            await self._timer.sleep_until(liveness.next_due_at)
             # After a stall of this process, there may be frames left to read.
             await checkpoint()
-            if self._received_at + timeout_s <= anyio.current_time():
+            if liveness.lost_at <= anyio.current_time():
                 self.close('heartbeat timeout')
-
-    async def _send_heartbeats(self) -> None:
-        while True:
-            due_at = self._sent_at + self._timing.heartbeat_s
-            if due_at <= anyio.current_time():
-                self.send(Heartbeat())
-                self._sent_at = anyio.current_time()
-            else:
-                await anyio.sleep_until(due_at)
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -17,8 +17,8 @@
 from anyio.abc import TaskGroup
 from anyio.lowlevel import checkpoint
 
+from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.session import LinkHandler
-from savoryrudder.daemon.session import LinkTiming
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
 from savoryrudder.daemon.sockets import PairSocket
@@ -32,6 +32,7 @@
 
 FAST_TIMING: Final = LinkTiming(
     heartbeat_s=0.375,
+    quiet_heartbeat_s=1,
     max_missed_heartbeats=2,
     join_timeout_s=1,
     backoff_min_s=0.1,
@@ -128,6 +129,12 @@
         session = self._sessions.get(session_id)
         return session is not None and session.send(message)
 
+    def set_carries_work(self, session_id: str, *, carries_work: bool) -> None:
+        """Record whether a session carries work."""
+        session = self._sessions.get(session_id)
+        if session is not None:
+            session.set_carries_work(carries_work=carries_work)
+
     def close(self, session_id: str, reason: str) -> None:
         """Close a session, if it is open."""
         session = self._sessions.get(session_id)
@@ -251,6 +258,12 @@
             return False
         return session.send(message)
 
+    def set_carries_work(self, session_id: str, *, carries_work: bool) -> None:
+        """Record whether a session carries work."""
+        session = self._session
+        if session is not None and session.ids.session == session_id:
+            session.set_carries_work(carries_work=carries_work)
+
     def close(self, session_id: str, reason: str) -> None:
         """Close a session, if it is open; a new one is dialled."""
         session = self._session
@@ -363,6 +376,11 @@
             for dialler in self._diallers.values()
         )
 
+    def set_carries_work(self, session_id: str, *, carries_work: bool) -> None:
+        """Record whether a session carries work."""
+        for dialler in self._diallers.values():
+            dialler.set_carries_work(session_id, carries_work=carries_work)
+
     async def _run(self, address: str, dialler: SharedPortDialler) -> None:
         await dialler.run()
         if self._diallers.get(address) is dialler:
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -12,6 +12,7 @@
 from savoryrudder.daemon.shared_port import DialledLinks
 from savoryrudder.daemon.ticking import TickingLoop
 from savoryrudder.protocol.messages import Heartbeat
+from savoryrudder.utils.effects import SetCarriesWork
 from savoryrudder.utils.ticks import IDLE_TICK_S
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
@@ -157,6 +158,8 @@
                 self._group.start_soon(self._stop, effect)
             case effects.RenewLease():
                 self._group.start_soon(self._renew, effect)
+            case SetCarriesWork(peer, carries_work):
+                self._entries.set_carries_work(peer, carries_work=carries_work)
 
     async def _start(self, call: effects.StartRun) -> None:
         verdict, clock_ms = await self._executor.start(call)
--- a/src/savoryrudder/dispatch/effects.py
+++ b/src/savoryrudder/dispatch/effects.py
@@ -13,6 +13,7 @@
 from savoryrudder.utils.effects import Log
 from savoryrudder.utils.effects import Observe
 from savoryrudder.utils.effects import Send
+from savoryrudder.utils.effects import SetCarriesWork
 
 
 class Reply(NamedTuple):
@@ -23,5 +24,5 @@
 
 
 DispatchEffect: TypeAlias = (
-    Send | CloseLink | Count | Observe | Log | Exit | Reply
+    Send | CloseLink | SetCarriesWork | Count | Observe | Log | Exit | Reply
 )
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -12,6 +12,7 @@
 from savoryrudder.dispatch.state import AgentView
 from savoryrudder.dispatch.state import TaskState
 from savoryrudder.protocol import work
+from savoryrudder.utils.effects import SetCarriesWork
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
 
@@ -48,7 +49,8 @@
     if not job.has_waiting_tasks:
         jobs.dequeue(state, job)
     agent.starts_sent += 1
-    agent.in_flight += 1
+    agent.runs.add((task.name, task.run))
+    _update_carries_work(turn, link, agent)
     demand = progress.step.demand
     agent.unreported_starts[agent.starts_sent] = (task.name, demand)
     agent.free = agent.free.minus(demand)
@@ -143,6 +145,8 @@
             if job.ended:
                 turn.send(link, work.StopTask(task.name, task.run))
     agent.reconciled = True
+    agent.runs.update(message.tasks)
+    _update_carries_work(turn, link, agent)
     _rank(state, link)
 
 
@@ -179,7 +183,8 @@
     state.unacknowledged_ends.setdefault(link, []).append(
         (ended.task, ended.run),
     )
-    agent.in_flight = max(agent.in_flight - 1, 0)
+    agent.runs.discard((ended.task, ended.run))
+    _update_carries_work(turn, link, agent)
     job = state.jobs.get(ended.task.partition('.')[0])
     task = job.tasks.get(ended.task) if job else None
     if job is None or task is None or task.run != ended.run:
@@ -245,6 +250,13 @@
         state.placement_due = True
 
 
+def _update_carries_work(turn: Turn, link: str, agent: AgentView) -> None:
+    carries_work = bool(agent.runs)
+    if carries_work != agent.carries_work:
+        agent.carries_work = carries_work
+        turn.effects.append(SetCarriesWork(link, carries_work))
+
+
 def _requeue_unsettled(state: DispatchState, turn: Turn, agent: str) -> None:
     for job, task in _tasks_of_agent(state, agent):
         if task.state is TaskState.unsettled:
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -53,7 +53,7 @@
         return True
     if agent.consecutive_failures < _FAILURE_THRESHOLD:
         return False
-    return now < agent.avoided_until or agent.in_flight > 0
+    return now < agent.avoided_until or bool(agent.runs)
 
 
 def slowness_of(agent: AgentView, now: float) -> float:
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -129,7 +129,8 @@
 
     `unreported_starts` holds, by number, the starts that the reported free
     resources do not include yet. `reconciled` is set once the agent has listed
-    its runs of tasks of this entry. `average_slowness` is the moving average
+    its runs of tasks of this entry, and `runs` are those that have not ended.
+    `average_slowness` is the moving average
     of the task duration relative to the estimate; `reported_slowness` is the
     same ratio of the latest slow run and is valid until `slow_until`.
     """
@@ -149,7 +150,8 @@
     slow_until: float = 0
     avoided_until: float = 0
     consecutive_failures: int = 0
-    in_flight: int = 0
+    runs: set[RunKey] = field(default_factory=set)
+    carries_work: bool = True
 
     @property
     def usable(self) -> bool:
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -76,12 +76,16 @@
 
 
 class Frame(NamedTuple):
-    """Hold the messages that one event-loop turn sends on a session."""
+    """Hold the messages that one event-loop turn sends on a session.
+
+    The sender's next frame follows within `silence_ms`; 0 if it does not tell.
+    """
 
     session: str
     sequence: int
     revision: int
     messages: tuple[messages.Message, ...]
+    silence_ms: int = 0
 
 
 class FrameError(NamedTuple):
@@ -96,7 +100,14 @@
         (_TAG_BY_TYPE[type(message)], message) for message in frame.messages
     ]
     return _encoder.encode(
-        (PROTOCOL_VERSION, frame.session, frame.sequence, frame.revision, body),
+        (
+            PROTOCOL_VERSION,
+            frame.session,
+            frame.sequence,
+            frame.revision,
+            body,
+            frame.silence_ms,
+        ),
     )
 
 
@@ -142,7 +153,7 @@
         for tag, body_fields in body
         if tag in _TYPE_BY_TAG
     )
-    return Frame(session, sequence, revision, decoded)
+    return Frame(session, sequence, revision, decoded, *fields[4:5])
 
 
 def _decode_message(
--- a/src/savoryrudder/utils/effects.py
+++ b/src/savoryrudder/utils/effects.py
@@ -21,6 +21,16 @@
     reason: str
 
 
+class SetCarriesWork(NamedTuple):
+    """Record whether the link with a peer carries work.
+
+    The loss of a link without work is noticed later.
+    """
+
+    peer: str
+    carries_work: bool
+
+
 class Count(NamedTuple):
     """Add to a counter."""
 
--- a/src/savoryrudder/worker/effects.py
+++ b/src/savoryrudder/worker/effects.py
@@ -11,6 +11,7 @@
 from savoryrudder.utils.effects import Log
 from savoryrudder.utils.effects import Observe
 from savoryrudder.utils.effects import Send
+from savoryrudder.utils.effects import SetCarriesWork
 
 
 class ExecutorInstance(NamedTuple):
@@ -61,6 +62,7 @@
 WorkerEffect: TypeAlias = (
     Send
     | CloseLink
+    | SetCarriesWork
     | Count
     | Observe
     | Log
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -11,6 +11,7 @@
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.effects import Exit
+from savoryrudder.utils.effects import SetCarriesWork
 from savoryrudder.utils.turn import Turn
 from savoryrudder.worker import events
 from savoryrudder.worker import renewal
@@ -43,6 +44,7 @@
     _EVENT_HANDLERS[type(event)](state, turn, event)
     renewal.renew_if_due(state, turn)
     reports.send_reports(state, turn)
+    _update_links(state, turn)
     _exit_if_drained(state, turn)
     return turn.effects
 
@@ -87,12 +89,11 @@
 
 
 def _close_retired_links(state: WorkerState, turn: Turn) -> None:
-    owners = {run.owner for run in state.runs.values()}
     cutoff = turn.now - RETIREMENT_GRACE_S
     for name, link in state.links.items():
         if link.retired_at is None or link.retired_at > cutoff:
             continue
-        if link.incarnation not in owners:
+        if not state.has_runs_of(link.incarnation):
             turn.effects.append(CloseLink(name, 'another entry is linked'))
 
 
@@ -279,6 +280,16 @@
         state.exit_at = turn.now + event.timeout_s
 
 
+def _update_links(state: WorkerState, turn: Turn) -> None:
+    for name, link in state.links.items():
+        if not link.incarnation:
+            continue
+        carries_work = state.has_runs_of(link.incarnation)
+        if carries_work != link.carries_work:
+            link.carries_work = carries_work
+            turn.effects.append(SetCarriesWork(name, carries_work))
+
+
 def _exit_if_drained(state: WorkerState, turn: Turn) -> None:
     if not state.draining or state.exited:
         return
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -116,11 +117,13 @@
     """Track a link to an entry.
 
     `incarnation` is empty until the entry has sent its hello. `starts_seen`
-    is the number of the last start that the entry sent on this link. From
-    `retired_at` on, the entry is asked for no more starts.
+    is the number of the last start that the entry sent on this link. The link
+    `carries_work` while the entry has a run here. From `retired_at` on, the
+    entry is asked for no more starts.
     """
 
     incarnation: str = ''
+    carries_work: bool = True
     retired_at: float | None = None
     starts_seen: int = 0
     last_report: SentReport | None = None
@@ -209,6 +212,7 @@
     # The runs that the executor was asked to stop.
     stopping: dict[str, Run] = field(default_factory=dict)
     _occupied: Resources = NO_RESOURCES
+    _runs_by_owner: Counter[str] = field(default_factory=Counter)
 
     @property
     def executor(self) -> ExecutorInstance | None:
@@ -239,12 +243,20 @@
         """Track a run and occupy its capacity."""
         self.runs[run.task] = run
         self._occupied = self._occupied.plus(run.demand)
+        self._runs_by_owner[run.owner] += 1
 
     def remove_run(self, run: Run) -> None:
         """Stop tracking a run and release its capacity."""
         self.runs.pop(run.task)
         self.stopping.pop(run.task, None)
         self._occupied = self._occupied.minus(run.demand)
+        self._runs_by_owner[run.owner] -= 1
+        if not self._runs_by_owner[run.owner]:
+            self._runs_by_owner.pop(run.owner)
+
+    def has_runs_of(self, owner: str) -> bool:
+        """Return whether an entry's incarnation has a run here."""
+        return owner in self._runs_by_owner
 
     def find_link(self, owner: str) -> str:
         """Return the link to an entry's incarnation, or an empty string."""
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from savoryrudder.daemon.session import LinkTiming
+from savoryrudder.daemon.liveness import LinkTiming
 
 if TYPE_CHECKING:
     from savoryrudder.protocol.messages import Message
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -26,7 +26,7 @@
     from anyio.abc import TaskStatus
     from conftest import Recorder
 
-    from savoryrudder.daemon.session import LinkTiming
+    from savoryrudder.daemon.liveness import LinkTiming
 
 pytestmark = pytest.mark.anyio
 REQUEST = join.JoinRequest(codec.PROTOCOL_VERSION, 'a1', 'agent')
--- a/tests/daemon/test_shared_port.py
+++ b/tests/daemon/test_shared_port.py
@@ -19,7 +19,7 @@
     from anyio.abc import TaskGroup
     from conftest import Recorder
 
-    from savoryrudder.daemon.session import LinkTiming
+    from savoryrudder.daemon.liveness import LinkTiming
 
 pytestmark = pytest.mark.anyio
 AGENT_HELLO = work.AgentHello('a1', 'a1#1', 'zone')
--- a/tests/dispatch/test_fleet.py
+++ b/tests/dispatch/test_fleet.py
@@ -153,6 +153,45 @@
         assert not entry.state.foreign_requests
 
 
+@settings(max_examples=60)
+@given(seed=st.integers(0, 2**32))
+def test_both_ends_of_a_link_with_runs_watch_it_closely(seed: int) -> None:
+    """Guard against a lost entry whose runs are stopped too late.
+
+    An entry that takes a link for quiet sends few heartbeats, and the agent
+    notices its loss late; runs that the entry starts elsewhere would overlap.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(seed, entries=2, agents=3)
+    requests = []
+    for number in range(30):
+        entry = rng.randrange(2)
+        job = job_of(f'j{number}', rng.choice((1, 2)))
+        requests.append((entry, fleet.submit(entry, job)))
+        _inject_random_fault(fleet, rng, requests)
+        fleet.run(rng.uniform(0, 0.3))
+        _check_links_with_runs(fleet)
+
+
+def _check_links_with_runs(fleet: Fleet) -> None:
+    views = {
+        (entry.state.identity.incarnation, link): view
+        for entry in fleet.entries
+        for link, view in entry.state.agents.items()
+    }
+    for agent in fleet.agents:
+        owners = {
+            run.owner
+            for run in agent.state.runs.values()
+            if not run.end_reported
+        }
+        for name, link in agent.state.links.items():
+            view = views.get((link.incarnation, name))
+            if view is not None and link.incarnation in owners:
+                assert link.carries_work
+                assert view.carries_work
+
+
 def _inject_random_fault(
     fleet: Fleet,
     rng: random.Random,
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -112,6 +112,12 @@
                 case entry_effects.Reply(request, answer):
                     self._fleet.answers[request] = answer
                     self._fleet.answered_at[request] = self._fleet.clock.now
+                case effects.SetCarriesWork(link, carries_work):
+                    self._fleet.links.set_carries_work(
+                        self,
+                        link,
+                        carries_work=carries_work,
+                    )
                 case effects.Log():
                     self._fleet.record_change(self.name, effect)
         now = self._fleet.clock.now
@@ -193,20 +199,26 @@
             return
         current = event._replace(now=self._fleet.clock.now)
         for effect in reduce_agent(self.state, current):
-            match effect:
-                case effects.Send(link, message):
-                    self._fleet.links.send(self, link, message)
-                case effects.CloseLink(link, _):
-                    self._fleet.links.close(link)
-                case effects.Log():
-                    self._fleet.record_change(self.name, effect)
-                case effects.Count() | effects.Observe() | effects.Exit():
-                    continue
-                case _:
-                    self._fleet.calls.send(self.executor, effect, self.post)
+            self._execute(effect)
         now = self._fleet.clock.now
         self._tick_at = next_agent_tick_at(self.state, now)
 
+    def _execute(self, effect: Any) -> None:
+        links = self._fleet.links
+        match effect:
+            case effects.Send(link, message):
+                links.send(self, link, message)
+            case effects.CloseLink(link, _):
+                links.close(link)
+            case effects.SetCarriesWork(link, carries_work):
+                links.set_carries_work(self, link, carries_work=carries_work)
+            case effects.Log():
+                self._fleet.record_change(self.name, effect)
+            case effects.Count() | effects.Observe() | effects.Exit():
+                return
+            case _:
+                self._fleet.calls.send(self.executor, effect, self.post)
+
 
 class Fleet:
     """Run entries and agents on a virtual clock and check the executors."""
--- a/tests/fakes/fleet_links.py
+++ b/tests/fakes/fleet_links.py
@@ -4,6 +4,7 @@
 
 import itertools
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
@@ -13,6 +14,7 @@
 
 LINK_DELAY_S = 0.002
 SILENCE_TIMEOUT_S = 0.75
+QUIET_TIMEOUT_S = 2
 _FROZEN_RETRY_S = 0.05
 _MAX_NOTICE_DELAY_S = 0.01
 
@@ -36,11 +38,17 @@
 
 @dataclass(eq=False)
 class Link:
-    """Join two processes, the dialler first; a cut loses messages."""
+    """Join two processes, the dialler first; a cut loses messages.
+
+    An end in `quiet` has said that the link carries no work, so that the other
+    one notices a cut later. `notified` are the ends that know of the cut.
+    """
 
     name: str
     ends: tuple[Process, Process]
     cut: bool = False
+    quiet: set[str] = field(default_factory=set)
+    notified: set[str] = field(default_factory=set)
 
     @property
     def pair(self) -> frozenset[str]:
@@ -90,6 +98,22 @@
                 message,
             )
 
+    def set_carries_work(
+        self,
+        process: Process,
+        name: str,
+        *,
+        carries_work: bool,
+    ) -> None:
+        """Note whether an end takes the link to carry work."""
+        link = self._links[name]
+        if not carries_work:
+            link.quiet.add(process.name)
+            return
+        link.quiet.discard(process.name)
+        if link.cut:
+            self._notify_within(SILENCE_TIMEOUT_S, link, process)
+
     def close(self, name: str) -> None:
         """Close a link; both ends are notified without a timeout."""
         link = self._links[name]
@@ -129,20 +153,30 @@
 
     def _cut(self, link: Link, notice_s: float) -> None:
         link.cut = True
-        for end in link.ends:
-            self._clock.within(
-                notice_s + _MAX_NOTICE_DELAY_S,
-                self._notify_link_down,
+        first, second = link.ends
+        for end, other in ((first, second), (second, first)):
+            is_quiet = notice_s and other.name in link.quiet
+            self._notify_within(
+                QUIET_TIMEOUT_S if is_quiet else notice_s,
                 link,
                 end,
             )
 
+    def _notify_within(self, notice_s: float, link: Link, end: Process) -> None:
+        self._clock.within(
+            notice_s + _MAX_NOTICE_DELAY_S,
+            self._notify_link_down,
+            link,
+            end,
+        )
+
     def _notify_link_down(self, link: Link, end: Process) -> None:
         if end.frozen:
             self._clock.after(
                 _FROZEN_RETRY_S, self._notify_link_down, link, end
             )
-        else:
+        elif end.name not in link.notified:
+            link.notified.add(end.name)
             end.link_down(link.name)
 
     def _deliver(self, link: Link, receiver: Process, message: Any) -> None:
