Send frames in the turn and handle them on receipt

Cause: a frame woke the event loop twice at each end, once for the socket and once for the task of its session, and each session had two timers.

Now the messages of a turn are sent at its end, the receiver of a shared port passes frames to their session without a task, and a session has one timer. The events of a frame are one turn, so their messages share frames.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -57,8 +57,9 @@
             state.identity.address,
             self,
             self._revision,
+            outbox=self._outbox,
         )
-        self._peers = DialledLinks(self, self._revision)
+        self._peers = DialledLinks(self, self._revision, self._outbox)
         self._busy = BusyShare(self.load.waiting)
 
     @property
@@ -149,10 +150,15 @@
     ) -> None:
         """Handle the messages of a frame."""
         now = anyio.current_time()
-        for message in messages:
-            self.count_received(message)
-            if not isinstance(message, Heartbeat):
-                self.handle(events.MessageReceived(now, session, message))
+        for received in messages:
+            self.count_received(received)
+        self.handle(
+            *(
+                events.MessageReceived(now, session, message)
+                for message in messages
+                if not isinstance(message, Heartbeat)
+            ),
+        )
 
     def _revision(self) -> int:
         return self.state.configuration.version
--- a/src/savoryrudder/daemon/liveness.py
+++ b/src/savoryrudder/daemon/liveness.py
@@ -3,8 +3,8 @@
 Each frame tells how long its sender may be silent after it, and the receiver
 waits a multiple of that time. So the two ends need not agree on whether the
 link carries work: a link without work may be quiet, and its peer is not taken
-for lost. An end that gives work to a quiet peer gets a frame at once, and waits for
-for it as it does on a link that carries work.
+for lost. An end that gives work to a quiet peer gets a frame at once, and waits
+for it as on a link that carries work.
 """
 
 from __future__ import annotations
--- a/src/savoryrudder/daemon/loop.py
+++ b/src/savoryrudder/daemon/loop.py
@@ -44,9 +44,9 @@
     def ready(self) -> bool:
         """Return whether the daemon accepts work."""
 
-    def handle(self, event: EventT) -> None:
-        """Reduce an event now, or once the one being reduced is done."""
-        self._events.append(event)
+    def handle(self, *events: EventT) -> None:
+        """Reduce events now, or once the one being reduced is done."""
+        self._events.extend(events)
         if self._reducing:
             return
         self._reducing = True
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -54,8 +54,8 @@
 class FrameSocket(Protocol):
     """Send and receive frames on one connection."""
 
-    async def receive(self) -> bytes:
-        """Wait for the next frame and return it."""
+    async def pass_frames(self, handle: Callable[[bytes], None]) -> None:
+        """Pass each received frame to a function, until cancelled."""
 
     def try_send(self, content: bytes) -> bool:
         """Send a frame; return False if the send buffer is full."""
@@ -88,24 +88,21 @@
         self._limit = limit
         self._bytes = 0
         self._messages: list[Message] = []
-        self._not_empty = anyio.Event()
 
     def put(self, message: Message, size: int) -> bool:
         """Append a message; return False if it does not fit."""
         if self._bytes + size > self._limit:
             return False
-        if not self._messages:
-            self._not_empty.set()
         self._bytes += size
         self._messages.append(message)
         return True
 
-    async def take(self, limit: int) -> tuple[Message, ...]:
-        """Wait for messages; remove and return up to `limit` bytes.
+    def take(self, limit: int) -> tuple[Message, ...]:
+        """Remove and return messages of up to `limit` bytes.
 
-        At least one message is returned, whatever its size.
+        At least one message is returned, whatever its size, unless the queue
+        is empty.
         """
-        await self._not_empty.wait()
         batch = tuple(self._messages)
         if self._bytes > limit:
             batch = batch[: _count_fitting(batch, limit)]
@@ -114,10 +111,32 @@
             self._bytes -= sum(map(codec.estimate_message_size, batch))
         else:
             self._bytes = 0
-            self._not_empty = anyio.Event()
         return batch
 
 
+class Outbox:
+    """Collect the sessions of a process that have queued messages.
+
+    The messages of one turn share a frame, which is sent at the end of the
+    turn without another pass of the event loop.
+    """
+
+    def __init__(self) -> None:
+        """Initialize without sessions."""
+        self._sessions: dict[Session, None] = {}
+
+    def add(self, session: Session) -> None:
+        """Remember a session that has queued a message."""
+        self._sessions[session] = None
+
+    def flush(self) -> None:
+        """Send the queued messages of all sessions."""
+        sessions = self._sessions
+        self._sessions = {}
+        for session in sessions:
+            session.flush()
+
+
 def _count_fitting(messages: Sequence[Message], limit: int) -> int:
     total_sizes = accumulate(map(codec.estimate_message_size, messages))
     return max(1, sum(1 for _ in takewhile(limit.__ge__, total_sizes)))
@@ -137,14 +156,23 @@
         handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming,
+        outbox: Outbox | None = None,
     ) -> None:
-        """Take ownership of a socket that listens or dials."""
+        """Take ownership of a socket that listens or dials.
+
+        Without an outbox, queued messages are sent in the next turn.
+        """
         self._socket = socket
         self._ids = ids
         self._handler = handler
         self._revision = revision
         self._timing = timing
+        self._outbox = outbox
         self._queue = OutgoingQueue(timing.queue_bytes)
+        self._writer_wanted = anyio.Event()
+        self._is_connected = False
+        # A frame that the send buffer did not take yet.
+        self._unsent = b''
         self._scope = anyio.CancelScope()
         self._frames_received = 0
         self._frames_sent = 0
@@ -180,13 +208,31 @@
         if not self._queue.put(message, size):
             self.close('outgoing queue is full')
             return False
+        if self._outbox is None:
+            self._writer_wanted.set()
+        else:
+            self._outbox.add(self)
         return True
 
+    def flush(self) -> None:
+        """Send the queued messages, as far as the send buffer takes them."""
+        if not self._is_connected or self._unsent or self._reason:
+            return
+        try:
+            self._send_queued()
+        except pynng.NNGException as error:
+            self.close(f'socket error: {error}')
+        # A frame of this turn may have made a heartbeat needless.
+        self._timer.bring_forward(self._liveness.next_due_at)
+
     def set_carries_work(self, *, carries_work: bool) -> None:
         """Record whether the peer has work of this end, or the reverse."""
         now = anyio.current_time()
         self._liveness.record_work(now, carries_work=carries_work)
-        self._timer.bring_forward(self._liveness.next_due_at)
+        if self._outbox is None:
+            self._timer.bring_forward(self._liveness.next_due_at)
+        else:
+            self._outbox.add(self)
 
     def close(self, reason: str) -> None:
         """Close the session; `on_link_down` is called later by `run`."""
@@ -217,6 +263,7 @@
             self.close('peer did not connect')
             return
         self._liveness.record_received(anyio.current_time(), 0)
+        self._is_connected = True
         async with anyio.create_task_group() as group:
             group.start_soon(self._close_on_socket_error, self._read)
             group.start_soon(self._close_on_socket_error, self._write)
@@ -233,12 +280,11 @@
             self.close(f'socket error: {error}')
 
     async def _read(self) -> None:
-        while not self._reason:
-            encoded = await self._socket.receive()
-            if not self._reason:
-                self._handle_frame(encoded)
+        await self._socket.pass_frames(self._handle_frame)
 
     def _handle_frame(self, encoded: bytes) -> None:
+        if self._reason:
+            return
         decoded = codec.decode_frame(encoded)
         if decoded.is_error():
             self.close(decoded.error.detail)
@@ -274,18 +320,34 @@
 
     async def _write(self) -> None:
         while True:
-            batch = await self._queue.take(self._timing.frame_bytes)
-            frame = codec.Frame(
-                self._ids.session,
-                self._frames_sent,
-                self._revision(),
-                batch,
-                self._liveness.record_sent(anyio.current_time()),
-            )
-            encoded = codec.encode_frame(frame)
-            self._frames_sent += 1
+            self._writer_wanted = anyio.Event()
+            if self._unsent:
+                await self._send_or_time_out(self._unsent)
+                self._unsent = b''
+            self._send_queued()
+            if not self._unsent:
+                await self._writer_wanted.wait()
+
+    def _send_queued(self) -> None:
+        batch = self._queue.take(self._timing.frame_bytes)
+        while batch:
+            encoded = self._encode(batch)
             if not self._socket.try_send(encoded):
-                await self._send_or_time_out(encoded)
+                self._unsent = encoded
+                self._writer_wanted.set()
+                return
+            batch = self._queue.take(self._timing.frame_bytes)
+
+    def _encode(self, batch: tuple[Message, ...]) -> bytes:
+        frame = codec.Frame(
+            self._ids.session,
+            self._frames_sent,
+            self._revision(),
+            batch,
+            self._liveness.record_sent(anyio.current_time()),
+        )
+        self._frames_sent += 1
+        return codec.encode_frame(frame)
 
     async def _send_or_time_out(self, encoded: bytes) -> None:
         try:
@@ -304,6 +366,7 @@
             now = anyio.current_time()
             if liveness.heartbeat_due_at <= now:
                 self.send(Heartbeat())
+                self.flush()
                 liveness.record_sent(now)
             await self._timer.sleep_until(liveness.next_due_at)
             # After a stall of this process, there may be frames left to read.
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -5,7 +5,6 @@
 import contextlib
 import random
 import secrets
-from collections import deque
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
@@ -19,6 +18,7 @@
 
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.session import LinkHandler
+from savoryrudder.daemon.session import Outbox
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
 from savoryrudder.daemon.sockets import PairSocket
@@ -53,25 +53,24 @@
         """Take ownership of a pipe of the shared socket."""
         self._socket = socket
         self._pipe = pipe
-        self._frames: deque[bytes] = deque()
-        self._frame_arrived = anyio.Event()
+        self._early_frames: list[bytes] = []
+        self._handle: Callable[[bytes], None] = self._early_frames.append
         self._disconnected = anyio.Event()
 
     def put(self, content: bytes) -> None:
-        """Queue a frame that the shared socket received on this pipe."""
-        self._frames.append(content)
-        self._frame_arrived.set()
+        """Handle a frame that the shared socket received on this pipe."""
+        self._handle(content)
 
     def mark_disconnected(self) -> None:
         """Record that the pipe was removed from the shared socket."""
         self._disconnected.set()
 
-    async def receive(self) -> bytes:
-        """Wait for the next frame and return it."""
-        while not self._frames:
-            self._frame_arrived = anyio.Event()
-            await self._frame_arrived.wait()
-        return self._frames.popleft()
+    async def pass_frames(self, handle: Callable[[bytes], None]) -> None:
+        """Pass each received frame to a function, until cancelled."""
+        self._handle = handle
+        for content in self._early_frames:
+            handle(content)
+        await anyio.sleep_forever()
 
     def try_send(self, content: bytes) -> bool:
         """Send a frame; return False if the send buffer is full."""
@@ -114,8 +113,10 @@
         handler: LinkHandler,
         revision: Callable[[], int],
         timing: LinkTiming = FAST_TIMING,
+        outbox: Outbox | None = None,
     ) -> None:
         """Prepare to listen on `ip:port`."""
+        self._outbox = outbox
         self._address = address
         self._handler = handler
         self._revision = revision
@@ -204,6 +205,7 @@
             self._handler,
             self._revision,
             self._timing,
+            self._outbox,
         )
         self._sessions[session_id] = session
         with contextlib.ExitStack() as cleanup:
@@ -232,8 +234,10 @@
         revision: Callable[[], int],
         timing: LinkTiming = FAST_TIMING,
         rng: random.Random | None = None,
+        outbox: Outbox | None = None,
     ) -> None:
         """Prepare to dial `ip:port`; `rng` draws the retry delays."""
+        self._outbox = outbox
         self._address = address
         self._handler = handler
         self._revision = revision
@@ -306,6 +310,7 @@
             self._handler,
             self._revision,
             self._timing,
+            self._outbox,
         )
         await self._session.run()
         self._session = None
@@ -318,8 +323,10 @@
         self,
         handler: LinkHandler,
         revision: Callable[[], int],
+        outbox: Outbox | None = None,
     ) -> None:
         """Initialize without addresses; `set_addresses` sets them."""
+        self._outbox = outbox
         self._handler = handler
         self._revision = revision
         self._diallers: dict[str, SharedPortDialler] = {}
@@ -365,6 +372,7 @@
                 address,
                 self._handler,
                 self._revision,
+                outbox=self._outbox,
             )
             self._diallers[address] = new_dialler
             group.start_soon(self._run, address, new_dialler)
--- a/src/savoryrudder/daemon/sockets.py
+++ b/src/savoryrudder/daemon/sockets.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import functools
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
 from typing import cast
@@ -13,6 +14,9 @@
 import trio
 from anyio.lowlevel import checkpoint
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 _BUFFERED_FRAMES: Final = 4
 # NNG always redials a broken connection, but a session has to end with its
@@ -56,6 +60,11 @@
                 return cast('bytes', self._socket.recv(block=False))
             await anyio.wait_readable(self._receive_fd)
 
+    async def pass_frames(self, handle: Callable[[bytes], None]) -> None:
+        """Pass each received message to a function, until cancelled."""
+        while True:
+            handle(await self.receive())
+
     def try_send(self, content: bytes) -> bool:
         """Send a message; return False if the send buffer is full."""
         try:
--- a/src/savoryrudder/daemon/ticking.py
+++ b/src/savoryrudder/daemon/ticking.py
@@ -10,6 +10,7 @@
 from savoryrudder.daemon.due_timer import DueTimer
 from savoryrudder.daemon.loop import ReducerLoop
 from savoryrudder.daemon.metrics import Counters
+from savoryrudder.daemon.session import Outbox
 
 EventT = TypeVar('EventT')
 EffectT = TypeVar('EffectT')
@@ -21,11 +22,14 @@
     def __init__(self, counters: Counters) -> None:
         """Initialize with an empty event queue."""
         super().__init__(counters)
+        self._outbox = Outbox()
         self._timer = DueTimer()
 
-    def handle(self, event: EventT) -> None:
-        """Reduce an event now, or once the one being reduced is done."""
-        super().handle(event)
+    def handle(self, *events: EventT) -> None:
+        """Reduce events and send the messages that result."""
+        super().handle(*events)
+        if not self._reducing:
+            self._outbox.flush()
         self._timer.bring_forward(self._next_tick_at(anyio.current_time()))
 
     async def run_ticks(self) -> None:
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -66,7 +66,7 @@
         super().__init__(counters)
         self.state = state
         self._executor = executor
-        self._entries = DialledLinks(self, _no_revision)
+        self._entries = DialledLinks(self, _no_revision, self._outbox)
         self._last_ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
 
     @property
@@ -123,10 +123,15 @@
         if self._detect_stall():
             return
         now = anyio.current_time()
-        for message in messages:
-            self.count_received(message)
-            if not isinstance(message, Heartbeat):
-                self.handle(events.MessageReceived(now, session, message))
+        for received in messages:
+            self.count_received(received)
+        self.handle(
+            *(
+                events.MessageReceived(now, session, message)
+                for message in messages
+                if not isinstance(message, Heartbeat)
+            ),
+        )
 
     def _tick(self, now: float) -> None:
         self._detect_stall()
--- a/tests/daemon/test_heartbeats.py
+++ b/tests/daemon/test_heartbeats.py
@@ -22,6 +22,7 @@
 from savoryrudder.protocol import work
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from savoryrudder.protocol.messages import Message
@@ -58,12 +59,13 @@
         self._interval_s = interval_s
         self._received = 0
 
-    async def receive(self) -> bytes:
-        """Return a heartbeat of the peer."""
-        await anyio.sleep(self._interval_s)
-        frame = codec.Frame('session', self._received, 0, ())
-        self._received += 1
-        return codec.encode_frame(frame)
+    async def pass_frames(self, handle: Callable[[bytes], None]) -> None:
+        """Pass on a heartbeat of the peer at intervals."""
+        while True:
+            await anyio.sleep(self._interval_s)
+            frame = codec.Frame('session', self._received, 0, ())
+            self._received += 1
+            handle(codec.encode_frame(frame))
 
     def try_send(self, content: bytes) -> bool:
         """Record when a frame is sent."""
