Serve a caller's request in one task

Each request had a task group with a second task that waited for its caller to leave; now the task itself waits for that, and the answer ends the wait.

--- a/src/savoryrudder/daemon/asgi.py
+++ b/src/savoryrudder/daemon/asgi.py
@@ -59,6 +59,13 @@
             return bytes(content)
 
 
+async def wait_disconnected(receive: Receive) -> None:
+    """Wait until the caller of a request that was read has disconnected."""
+    message = await receive()
+    while message['type'] != DISCONNECT:
+        message = await receive()
+
+
 async def respond(send: Send, reply: Reply) -> None:
     """Send a complete response with its content type and length."""
     await send(
--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -19,6 +19,7 @@
 from savoryrudder.utils.effects import SetCarriesWork
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Sequence
@@ -38,8 +39,9 @@
     """Hold a caller's request until it is answered."""
 
     def __init__(self) -> None:
-        self.answered = anyio.Event()
         self.answer: Answer | QueueLength | None = None
+        # Cancelled by the answer.
+        self.waiting = anyio.CancelScope()
 
 
 class Dispatcher(
@@ -86,18 +88,20 @@
     async def ask(
         self,
         make_event: Callable[[float, int], events.DispatchEvent],
-    ) -> Answer | QueueLength:
-        """Handle a caller's request and return its answer.
+        wait_disconnected: Callable[[], Awaitable[None]],
+    ) -> Answer | QueueLength | None:
+        """Handle a caller's request; return None if the caller disconnects.
 
         `make_event` builds the event from the current time and the request's
-        identifier. Cancel the call when the caller disconnects.
+        identifier.
         """
         request_id = next(self._request_ids)
         request = _PendingRequest()
         self._pending[request_id] = request
         self.handle(make_event(anyio.current_time(), request_id))
         try:
-            await request.answered.wait()
+            with request.waiting:
+                await wait_disconnected()
         finally:
             self._pending.pop(request_id, None)
             if request.answer is None:
@@ -107,8 +111,6 @@
                         request_id,
                     ),
                 )
-        if request.answer is None:
-            raise RuntimeError('request was completed without an answer')
         return request.answer
 
     def link_entries(self, entries: Iterable[Member]) -> None:
@@ -188,7 +190,7 @@
         request = self._pending.get(reply.request_id)
         if request is not None:
             request.answer = reply.answer
-            request.answered.set()
+            request.waiting.cancel()
 
     def _send(self, peer: str, message: Message) -> None:
         is_sent = self._listener.send(peer, message)
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -4,12 +4,12 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import NamedTuple
 from typing import TypeAlias
 
-import anyio
 import msgspec
 
 from savoryrudder.daemon import asgi
@@ -22,8 +22,6 @@
 
 if TYPE_CHECKING:
     from savoryrudder.daemon.dispatcher import Dispatcher
-    from savoryrudder.dispatch.answers import Answer
-    from savoryrudder.dispatch.answers import QueueLength
 
 _EventFactory: TypeAlias = Callable[[float, int], events.DispatchEvent]
 
@@ -134,14 +132,13 @@
         make_event: _EventFactory,
         receive: asgi.Receive,
     ) -> EncodedAnswer:
-        answers: list[Answer | QueueLength] = []
-        async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_on_disconnect, receive, group.cancel_scope)
-            answers.append(await self._dispatcher.ask(make_event))
-            group.cancel_scope.cancel()
-        if not answers:
+        answer = await self._dispatcher.ask(
+            make_event,
+            partial(asgi.wait_disconnected, receive),
+        )
+        if answer is None:
             raise asgi.CallerDisconnectedError
-        return encode_answer(answers[0])
+        return encode_answer(answer)
 
     async def _respond(self, send: asgi.Send, answer: EncodedAnswer) -> None:
         headers = []
@@ -157,17 +154,6 @@
         )
 
 
-async def _cancel_on_disconnect(
-    receive: asgi.Receive,
-    scope: anyio.CancelScope,
-) -> None:
-    while True:
-        message = await receive()
-        if message['type'] == asgi.DISCONNECT:
-            scope.cancel()
-            return
-
-
 def _parse_head(scope: asgi.Message) -> _RequestHead:
     headers = dict(scope['headers'])
     host = headers.get(b'host', b'').decode('latin-1')
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -140,3 +140,16 @@
     entry = Entry()
     assert await entry.call('POST', '/p/id', disconnect) == (0, {}, b'')
     assert not entry.dispatcher.state.open_requests
+
+
+async def test_a_disconnect_ends_a_request_that_waits() -> None:
+    """Guards against tasks that run on for a caller that has left."""
+    entry = Entry()
+    events: list[Any] = []
+    entry.dispatcher.handle = events.append
+    messages = iter([BODY, BODY, {'type': 'http.disconnect'}])
+    assert await entry.call('POST', '/p/id', messages) == (0, {}, b'')
+    assert [type(event).__name__ for event in events] == [
+        'JobSubmitted',
+        'CallerDisconnected',
+    ]
