--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -52,15 +52,15 @@
         if run.phase is Phase.running:
             running.append(run)
     suspension.suspend_if_stuck(state, turn)
-    threshold = _slowness_threshold(running, turn.now)
-    for candidate in running:
-        _report_if_slow(state, turn, candidate, threshold)
+    projected = [(run, _projected_slowness(run, turn.now)) for run in running]
+    threshold = _slowness_threshold(projected)
+    for candidate, slowness in projected:
+        _report_if_slow(state, turn, candidate, slowness, threshold)
 
 
-def _slowness_threshold(running: list[Run], now: float) -> float:
+def _slowness_threshold(projected: list[tuple[Run, float]]) -> float:
     slowness_by_job = {
-        run.task.partition('.')[0]: _projected_slowness(run, now)
-        for run in running
+        run.task.partition('.')[0]: slowness for run, slowness in projected
     }
     slownesses = sorted(
         slowness for slowness in slowness_by_job.values() if slowness
@@ -76,11 +76,11 @@
     state: WorkerState,
     turn: Turn,
     run: Run,
+    slowness: float,
     threshold: float,
 ) -> None:
-    slowness = _projected_slowness(run, turn.now)
-    is_newly_stuck = _is_stuck(run, turn.now) and not run.stuck_reported
-    is_newly_slow = slowness >= threshold and not run.slow_reported
+    is_newly_stuck = not run.stuck_reported and _is_stuck(run, turn.now)
+    is_newly_slow = not run.slow_reported and slowness >= threshold
     if not is_newly_stuck and not is_newly_slow:
         return
     run.slow_reported = True
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -73,10 +73,11 @@
         effect.peer for effect in turn.effects if isinstance(effect, Send)
     }
     for name, link in state.links.items():
-        is_accepting = state.accepting and link.retired_at is None
-        sent = current._replace(accepting=is_accepting)
         if not link.incarnation:
             continue
+        sent = current
+        if link.retired_at is not None:
+            sent = current._replace(accepting=False)
         is_joining = name in addressed
         if not _is_due(link, sent, nearly_full_cpu, is_joining=is_joining):
             continue
@@ -89,7 +90,7 @@
                 heartbeat.labels,
                 heartbeat.capacity,
                 current.free,
-                is_accepting,
+                sent.accepting,
                 link.starts_seen,
                 current.on_trial,
                 current.entries,
