--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import Protocol
@@ -10,6 +11,7 @@
 import anyio
 
 from savoryrudder.daemon.shared_port import DialledLinks
+from savoryrudder.daemon.task_pool import TaskPool
 from savoryrudder.daemon.ticking import TickingLoop
 from savoryrudder.protocol.messages import Heartbeat
 from savoryrudder.utils.effects import SetCarriesWork
@@ -33,6 +35,10 @@
 # A process that is this late for its next tick was stopped meanwhile and drops
 # the frames received since: they may be stale.
 _MAX_TICK_DELAY_S: Final = 0.5
+# The tasks of a job arrive together; the executor starts some at a time.
+_MAX_CONCURRENT_STARTS: Final = 4
+# One that waits for an executor that has gone does not delay its successor's.
+_MAX_CONCURRENT_RENEWALS: Final = 2
 _STALL_THRESHOLD_S: Final = IDLE_TICK_S + _MAX_TICK_DELAY_S
 
 
@@ -66,6 +72,8 @@
         super().__init__(counters)
         self.state = state
         self._executor = executor
+        self._starts = TaskPool(_MAX_CONCURRENT_STARTS)
+        self._renewals = TaskPool(_MAX_CONCURRENT_RENEWALS)
         self._entries = DialledLinks(self, _no_revision, self._outbox)
         self._last_ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
 
@@ -83,6 +91,8 @@
         async with anyio.create_task_group() as group:
             self._group: TaskGroup = group
             group.start_soon(self.load.run)
+            group.start_soon(self._starts.run)
+            group.start_soon(self._renewals.run)
             task_status.started()
             await self.run_ticks()
 
@@ -158,11 +168,11 @@
     def _execute_role_effect(self, effect: effects.WorkerEffect) -> None:
         match effect:
             case effects.StartRun():
-                self._group.start_soon(self._start, effect)
+                self._starts.submit(partial(self._start, effect))
             case effects.StopRun():
                 self._group.start_soon(self._stop, effect)
             case effects.RenewLease():
-                self._group.start_soon(self._renew, effect)
+                self._renewals.submit(partial(self._renew, effect))
             case SetCarriesWork(peer, carries_work):
                 self._entries.set_carries_work(peer, carries_work=carries_work)
 
--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -93,13 +93,19 @@
             'deadline_ms': call.lease_until_ms,
             'fence': call.fence,
         }
-        async with self._starts:
+        try:
+            self._starts.acquire_nowait()
+        except anyio.WouldBlock:
+            await self._starts.acquire()
+        try:
             response = await self._send(
                 call.executor,
                 '/api/run-start',
                 body,
                 _TIMEOUT_S,
             )
+        finally:
+            self._starts.release()
         if isinstance(response, NoResponse):
             verdict = verdicts.UNKNOWN if response.sent else verdicts.REFUSED
             return verdict, 0
