--- a/src/savoryrudder/daemon/load.py
+++ b/src/savoryrudder/daemon/load.py
@@ -47,15 +47,20 @@
     def __init__(self) -> None:
         self.total_s = float(0)
         self._since: float | None = None
+        self._read_clock = trio.current_time
+
+    def read_clock(self, clock: trio.abc.Clock) -> None:
+        """Read a clock directly, as the event loop waits very often."""
+        self._read_clock = clock.current_time
 
     def before_io_wait(self, timeout: float) -> None:
         """Note when the event loop begins to wait."""
-        self._since = trio.current_time()
+        self._since = self._read_clock()
 
     def after_io_wait(self, timeout: float) -> None:
         """Add the time since the event loop began to wait."""
         if self._since is not None:
-            self.total_s += trio.current_time() - self._since
+            self.total_s += self._read_clock() - self._since
         self._since = None
 
 
@@ -105,6 +110,7 @@
 
     def begin(self) -> None:
         """Start the first interval, in the event loop to be observed."""
+        self.waiting.read_clock(trio.lowlevel.current_clock())
         trio.lowlevel.add_instrument(self.waiting)
         self._last = self._sample()
 
