--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -30,7 +30,7 @@
     from savoryrudder.jobs.model import Queue
 
 # An entry hands on as many jobs as keep its event loop from being busier.
-_TARGET_BUSY_SHARE: Final = 0.75
+_TARGET_BUSY_SHARE: Final = 0.6
 _MAX_DELEGATED_SHARE: Final = 0.9
 # Jobs go to entries that are less busy, and have this many times the free
 # capacity that a job needs: others may hand them jobs at the same time.
