--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-from itertools import accumulate
-from itertools import takewhile
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import NamedTuple
@@ -17,6 +15,7 @@
 from savoryrudder.daemon.due_timer import DueTimer
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.liveness import Liveness
+from savoryrudder.daemon.outgoing import OutgoingQueue
 from savoryrudder.protocol import codec
 from savoryrudder.protocol.messages import Heartbeat
 from savoryrudder.protocol.messages import Message
@@ -24,7 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
-    from collections.abc import Sequence
+
+    from savoryrudder.daemon.outgoing import Outbox
 
 _MAX_MESSAGE_BYTES: Final = 48 * 1024 * 1024
 
@@ -80,68 +80,6 @@
     session: str
 
 
-class OutgoingQueue:
-    """Queue outgoing messages up to a total size in bytes."""
-
-    def __init__(self, limit: int) -> None:
-        """Create an empty queue of at most `limit` bytes."""
-        self._limit = limit
-        self._bytes = 0
-        self._messages: list[Message] = []
-
-    def put(self, message: Message, size: int) -> bool:
-        """Append a message; return False if it does not fit."""
-        if self._bytes + size > self._limit:
-            return False
-        self._bytes += size
-        self._messages.append(message)
-        return True
-
-    def take(self, limit: int) -> tuple[Message, ...]:
-        """Remove and return messages of up to `limit` bytes.
-
-        At least one message is returned, whatever its size, unless the queue
-        is empty.
-        """
-        batch = tuple(self._messages)
-        if self._bytes > limit:
-            batch = batch[: _count_fitting(batch, limit)]
-        self._messages = self._messages[len(batch) :]
-        if self._messages:
-            self._bytes -= sum(map(codec.estimate_message_size, batch))
-        else:
-            self._bytes = 0
-        return batch
-
-
-class Outbox:
-    """Collect the sessions of a process that have queued messages.
-
-    The messages of one turn share a frame, which is sent at the end of the
-    turn without another pass of the event loop.
-    """
-
-    def __init__(self) -> None:
-        """Initialize without sessions."""
-        self._sessions: dict[Session, None] = {}
-
-    def add(self, session: Session) -> None:
-        """Remember a session that has queued a message."""
-        self._sessions[session] = None
-
-    def flush(self) -> None:
-        """Send the queued messages of all sessions."""
-        sessions = self._sessions
-        self._sessions = {}
-        for session in sessions:
-            session.flush()
-
-
-def _count_fitting(messages: Sequence[Message], limit: int) -> int:
-    total_sizes = accumulate(map(codec.estimate_message_size, messages))
-    return max(1, sum(1 for _ in takewhile(limit.__ge__, total_sizes)))
-
-
 class Session:
     """Exchange frames with one peer until the first error.
 
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -17,8 +17,8 @@
 from anyio.lowlevel import checkpoint
 
 from savoryrudder.daemon.liveness import LinkTiming
+from savoryrudder.daemon.outgoing import Outbox
 from savoryrudder.daemon.session import LinkHandler
-from savoryrudder.daemon.session import Outbox
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
 from savoryrudder.daemon.sockets import PairSocket
--- a/src/savoryrudder/daemon/ticking.py
+++ b/src/savoryrudder/daemon/ticking.py
@@ -10,7 +10,7 @@
 from savoryrudder.daemon.due_timer import DueTimer
 from savoryrudder.daemon.loop import ReducerLoop
 from savoryrudder.daemon.metrics import Counters
-from savoryrudder.daemon.session import Outbox
+from savoryrudder.daemon.outgoing import Outbox
 
 EventT = TypeVar('EventT')
 EffectT = TypeVar('EffectT')
--- a/tests/daemon/test_heartbeats.py
+++ b/tests/daemon/test_heartbeats.py
@@ -8,6 +8,7 @@
 
 import anyio
 import pytest
+from fakes.link_handler import IgnoringHandler
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -25,32 +26,11 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from savoryrudder.protocol.messages import Message
-
 IDS = SessionIds('peer', 'session')
 ACKNOWLEDGEMENT = work.EndsAcknowledged(())
 INTERVALS = 40
 
 
-class _SilentHandler:
-    """Ignore the callbacks of a link."""
-
-    def on_link_up(self, peer: str, session: str) -> None:
-        """Ignore an opened session."""
-
-    def on_frame(
-        self,
-        peer: str,
-        session: str,
-        revision: int,
-        messages: tuple[Message, ...],
-    ) -> None:
-        """Ignore messages."""
-
-    def on_link_down(self, peer: str, session: str, reason: str) -> None:
-        """Ignore the end of a session."""
-
-
 class _FeedingSocket:
     """Receive a frame of the peer at intervals and record what is sent."""
 
@@ -97,7 +77,7 @@
 ) -> tuple[list[float], str]:
     """Send messages after pauses; return the frames' times and the reason."""
     socket = _FeedingSocket(timing.heartbeat_s)
-    session = Session(socket, IDS, _SilentHandler(), int, timing)
+    session = Session(socket, IDS, IgnoringHandler(), int, timing)
     async with anyio.create_task_group() as group:
         group.start_soon(session.run)
         for delay_s in accumulate(pauses_s):
--- a/tests/daemon/test_session_writes.py
+++ b/tests/daemon/test_session_writes.py
@@ -9,10 +9,11 @@
 from typing import TypeAlias
 
 import anyio
+from fakes.link_handler import IgnoringHandler
 from trio.testing import MockClock
 
 from savoryrudder.daemon.liveness import LinkTiming
-from savoryrudder.daemon.session import Outbox
+from savoryrudder.daemon.outgoing import Outbox
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
 from savoryrudder.protocol import codec
@@ -25,25 +26,6 @@
 MESSAGES = tuple(work.RelinquishJob(f'j{number}') for number in range(6))
 
 
-class _IgnoringHandler:
-    """Ignore the callbacks of a link."""
-
-    def on_link_up(self, peer: str, session: str) -> None:
-        """Ignore an opened session."""
-
-    def on_frame(
-        self,
-        peer: str,
-        session: str,
-        revision: int,
-        messages: tuple[Message, ...],
-    ) -> None:
-        """Ignore messages."""
-
-    def on_link_down(self, peer: str, session: str, reason: str) -> None:
-        """Ignore the end of a session."""
-
-
 class _RecordingSocket:
     """Record the frames that are sent; `full` fills the send buffer."""
 
@@ -97,7 +79,7 @@
 async def _play(outbox: Outbox | None, script: _Script) -> None:
     socket = _RecordingSocket()
     ids = SessionIds('peer', 'session')
-    session = Session(socket, ids, _IgnoringHandler(), int, TIMING, outbox)
+    session = Session(socket, ids, IgnoringHandler(), int, TIMING, outbox)
     async with anyio.create_task_group() as group:
         group.start_soon(session.run)
         await script(outbox or Outbox(), session, socket)
