Let a store call take as long as its response makes progress

Ruled out: the store itself (other keys are registered meanwhile), decoding (the same value was applied at 27.2 s, before the loss of power). Now the limit holds for the beginning of a response and for each part of it, and a request without an answer is followed by one with more time. Calls to an executor keep their limit: a start must be settled in bounded time.

--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -4,6 +4,7 @@
 
 import re
 import select
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import NamedTuple
@@ -14,6 +15,8 @@
 from anyio.abc import SocketAttribute
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import SocketStream
 
 _KEEPALIVE_S: Final = 8
@@ -112,13 +115,21 @@
         # An idle connection is readable only once the server has closed it.
         return not self._poll.poll(0)
 
-    async def exchange(self, request: bytes) -> Response:
-        """Send a request and return its response."""
+    async def exchange(
+        self,
+        request: bytes,
+        on_progress: Callable[[], None],
+    ) -> Response:
+        """Send a request and return its response.
+
+        `on_progress` is called for each part of the response that arrives.
+        """
         response = self._response
         response.clear()
         await self._stream.send(request)
         while not response.is_complete:
             await self._receive()
+            on_progress()
         self._is_kept_alive = response.is_kept_alive
         self.used_at = anyio.current_time()
         return Response(response.status, bytes(response.content))
@@ -164,8 +175,13 @@
         body: bytes | None,
         timeout_s: float,
         headers: tuple[tuple[str, str], ...] = (),
+        progress_timeout_s: float = 0,
     ) -> Response | NoResponse:
-        """Send a request and return its response."""
+        """Send a request and return its response.
+
+        A response may take longer than `timeout_s` as long as each part of it
+        arrives within `progress_timeout_s` of the one before.
+        """
         if not _is_well_formed(path, headers):
             return NoResponse('malformed path or header', sent=False)
         request = _encode_request(method, path, self._address, headers, body)
@@ -173,11 +189,15 @@
             'connection timed out',
             sent=False,
         )
-        with anyio.move_on_after(timeout_s):
+        with anyio.move_on_after(timeout_s) as limit:
             connection = await self._connect()
             if isinstance(connection, NoResponse):
                 return connection
-            return await self._exchange(connection, request)
+            return await self._exchange(
+                connection,
+                request,
+                partial(_extend, limit, progress_timeout_s),
+            )
         if isinstance(connection, NoResponse):
             return connection
         return NoResponse('request timed out', sent=True)
@@ -198,10 +218,11 @@
         self,
         connection: _Connection,
         request: bytes,
+        on_progress: Callable[[], None],
     ) -> Response | NoResponse:
         generation = self._generation
         try:
-            response = await connection.exchange(request)
+            response = await connection.exchange(request, on_progress)
         except _CONNECTION_ERRORS as error:
             failure = NoResponse(str(error) or 'connection lost', sent=True)
         except _PARSE_ERRORS as parse_error:
@@ -232,6 +253,10 @@
             connection.used_at = float('-inf')
 
 
+def _extend(limit: anyio.CancelScope, duration_s: float) -> None:
+    limit.deadline = max(limit.deadline, anyio.current_time() + duration_s)
+
+
 def _is_well_formed(path: str, headers: tuple[tuple[str, str], ...]) -> bool:
     return _PATH.fullmatch(path) is not None and all(
         _HEADER_VALUE.fullmatch(header_value) for _, header_value in headers
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -18,7 +18,12 @@
 from savoryrudder.store import interface
 from savoryrudder.utils.units import MS_PER_S
 
+# Time limits for the beginning of a response, the second one after a request
+# that got none, and for each further part of it. The time that a whole response
+# takes depends on its size and on what else uses the machine's link.
 _TIMEOUT_S: Final = 1.0
+_RETRY_TIMEOUT_S: Final = 2.0
+_PROGRESS_TIMEOUT_S: Final = 2.0
 _encoder: Final = msgspec.json.Encoder()
 
 
@@ -67,6 +72,7 @@
     def __init__(self, address: str) -> None:
         """Create a client of the store at `ip:port`."""
         self._client = PlatformClient(address)
+        self._timeout_s = _TIMEOUT_S
         self._cached_prefixes: dict[str, dict[str, interface.KeyValue]] = {}
 
     def set_address(self, address: str) -> None:
@@ -122,10 +128,19 @@
         method: str,
         path: str,
         body: dict[str, Any] | None = None,
-        timeout_s: float = _TIMEOUT_S,
+        wait_s: float = 0,
     ) -> Response | NoResponse:
         content = None if body is None else _encoder.encode(body)
-        return await self._client.request(method, path, content, timeout_s)
+        response = await self._client.request(
+            method,
+            path,
+            content,
+            wait_s + self._timeout_s,
+            progress_timeout_s=_PROGRESS_TIMEOUT_S,
+        )
+        is_unanswered = isinstance(response, NoResponse) and response.sent
+        self._timeout_s = _RETRY_TIMEOUT_S if is_unanswered else _TIMEOUT_S
+        return response
 
     async def _read(self, key: str) -> interface.StoreOutcome:
         query = urlencode({'key': key})
@@ -199,7 +214,7 @@
         response = await self._send(
             'GET',
             f'/api/kv-watch?{query}',
-            timeout_s=operation.wait_s + _TIMEOUT_S,
+            wait_s=operation.wait_s,
         )
         if _has_status(response, HTTPStatus.GONE):
             # The store no longer has the changes since `after_version`.
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -28,6 +28,7 @@
         self.page_size = 2
         self.failure: Response | NoResponse | None = None
         self.leases = {1}
+        self.timeouts_s: list[float] = []
 
     async def request(
         self,
@@ -36,8 +37,10 @@
         body: bytes | None,
         timeout_s: float,
         headers: Any = (),
+        progress_timeout_s: float = 0,
     ) -> Response | NoResponse:
         """Respond to a request, with `failure` if it is set."""
+        self.timeouts_s.append(timeout_s)
         if self.failure is not None:
             return self.failure
         parts = urlsplit(path)
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import socket
+from functools import partial
 from typing import TYPE_CHECKING
+from typing import Any
 
 import anyio
 import pytest
 from anyio.abc import SocketAttribute
+from anyio.lowlevel import checkpoint
+from trio.testing import MockClock
 
 from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
@@ -195,3 +200,98 @@
         assert isinstance(response, NoResponse)
         assert not response.sent
     assert server.requests == 0
+
+
+class _SlowStream:
+    """Deliver a response in parts, each after a delay in seconds."""
+
+    def __init__(self, parts: list[tuple[float, bytes]]) -> None:
+        """Take the parts with the delay before each."""
+        self._parts = parts
+        self._socket = socket.socket()
+
+    def extra(self, attribute: Any) -> socket.socket:
+        """Return a socket whose descriptor can be polled."""
+        return self._socket
+
+    async def send(self, content: bytes) -> None:
+        """Accept a request."""
+        await checkpoint()
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Return the next part of the response."""
+        delay_s, part = self._parts.pop(0)
+        await anyio.sleep(delay_s)
+        return part
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+
+async def _connect_slowly(
+    parts: list[tuple[float, bytes]],
+    host: str,
+    port: int,
+) -> _SlowStream:
+    await checkpoint()
+    return _SlowStream(parts)
+
+
+async def _request(progress_timeout_s: float) -> Response | NoResponse:
+    client = PlatformClient('127.0.0.1:80')
+    return await client.request(
+        'GET',
+        '/x',
+        None,
+        1,
+        progress_timeout_s=progress_timeout_s,
+    )
+
+
+def _request_slowly(
+    parts: list[tuple[float, bytes]],
+    progress_timeout_s: float,
+    monkeypatch: pytest.MonkeyPatch,
+) -> Response | NoResponse:
+    monkeypatch.setattr(anyio, 'connect_tcp', partial(_connect_slowly, parts))
+    clock = MockClock(autojump_threshold=0)
+    return anyio.run(
+        _request,
+        progress_timeout_s,
+        backend='trio',
+        backend_options={'clock': clock},
+    )
+
+
+HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n'
+
+
+def test_a_long_response_may_take_longer_than_its_beginning(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an entry that never reads a large configuration.
+
+    Each try ended after a second, and the next one began anew.
+    """
+    parts = [(0.5, HEAD), (0.8, b'ab'), (0.8, b'cd'), (0.8, b'ef')]
+    response = _request_slowly(parts, 1, monkeypatch)
+    assert response == Response(200, b'abcdef')
+
+
+def test_a_response_that_stops_arriving_times_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against waiting forever on a connection that went silent."""
+    parts = [(0.5, HEAD), (0.8, b'ab'), (1.2, b'cd'), (0.1, b'ef')]
+    response = _request_slowly(parts, 1, monkeypatch)
+    assert response == NoResponse('request timed out', sent=True)
+
+
+def test_calls_to_an_executor_end_in_bounded_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a start that is unsettled while bytes trickle in."""
+    parts = [(0.5, HEAD), (0.4, b'ab'), (0.4, b'cd'), (0.4, b'ef')]
+    response = _request_slowly(parts, 0, monkeypatch)
+    assert response == NoResponse('request timed out', sent=True)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -113,3 +113,19 @@
     store_server.leases.clear()
     outcome = _call(store, interface.RenewLease('1'))
     assert isinstance(outcome, interface.LeaseLost)
+
+
+def test_an_unanswered_call_is_tried_again_with_more_time(
+    store: PlatformStore,
+    store_server: FakeStoreServer,
+) -> None:
+    """Guards against tries that each give up on a response under way."""
+    store_server.failure = NoResponse('request timed out', sent=True)
+    _call(store, interface.ReadKey('a/b'))
+    _call(store, interface.ReadKey('a/b'))
+    store_server.failure = None
+    _call(store, interface.ReadKey('a/b'))
+    _call(store, interface.ReadKey('a/b'))
+    first, second, third, fourth = store_server.timeouts_s
+    assert first < second
+    assert (third, fourth) == (second, first)
