Serve the platform's HTTP with httptools

Ruled out: stubs in place of hypercorn's imports (they tie us to its inside). httptools, which parses the platform's responses already, parses requests; one task serves a connection. hypercorn stays for the product's own interface. A request that fails unexpectedly is logged with its trace and ends alone; a reducer that fails ends the process, as its state may be wrong (hypercorn swallowed both).

--- a/src/savoryrudder/daemon/loop.py
+++ b/src/savoryrudder/daemon/loop.py
@@ -28,6 +28,10 @@
 EffectT = TypeVar('EffectT')
 
 
+class ReducerError(Exception):
+    """Raised when a reducer fails: its state may be wrong from then on."""
+
+
 class ReducerLoop(ABC, Generic[EventT, EffectT]):
     """Reduce one event at a time, in order, and execute its effects."""
 
@@ -78,8 +82,13 @@
     def _process_events(self) -> None:
         while self._events:
             event = self._events.popleft()
-            self.counters.count(f'{EVENT_PREFIX}{type(event).__name__}')
-            for effect in self._reduce(event):
+            event_type = type(event).__name__
+            self.counters.count(f'{EVENT_PREFIX}{event_type}')
+            try:
+                reduced = self._reduce(event)
+            except Exception as error:
+                raise ReducerError(f'event {event_type} failed') from error
+            for effect in reduced:
                 self._execute(effect)
 
     def _execute(self, effect: EffectT) -> None:
--- a/src/savoryrudder/platform/agent.py
+++ b/src/savoryrudder/platform/agent.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from savoryrudder.daemon.http import serve_http
+from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.worker import Worker
 from savoryrudder.platform import process
@@ -33,9 +33,9 @@
         process.watch_members(group, store, worker)
         process.handle_signals(group, settings, store, worker)
         await group.start(
-            serve_http,
+            serve_plain_http,
             HeartbeatApp(worker),
-            process.PlainHttpSettings(settings.heartbeats),
+            settings.heartbeats,
         )
         await process.serve_metrics(group, settings, worker)
         await worker.stopped.wait()
@@ -58,5 +58,10 @@
     return Worker(state, ExecutorClient(), Counters())
 
 
-if __name__ == '__main__':
+def main() -> None:
+    """Run an agent until it is stopped."""
     process.run_process(run_agent)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -10,7 +10,7 @@
 import anyio
 
 from savoryrudder.daemon.dispatcher import Dispatcher
-from savoryrudder.daemon.http import serve_http
+from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.membership import Registration
 from savoryrudder.daemon.membership import watch_prefix
@@ -101,11 +101,9 @@
     stopping: anyio.Event,
 ) -> None:
     app = CallerApp(dispatcher)
-    callers = process.PlainHttpSettings(settings.callers)
-    await group.start(serve_http, app, callers, stopping)
+    await group.start(serve_plain_http, app, settings.callers, stopping)
     if settings.readiness != settings.callers:
-        readiness = process.PlainHttpSettings(settings.readiness)
-        await group.start(serve_http, app, readiness)
+        await group.start(serve_plain_http, app, settings.readiness)
 
 
 async def _shut_down(registration: Registration) -> None:
@@ -129,5 +127,10 @@
     return Dispatcher(state, Counters())
 
 
-if __name__ == '__main__':
+def main() -> None:
+    """Run an entry until it is stopped."""
     process.run_process(run_entry)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -7,11 +7,10 @@
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
-from typing import NamedTuple
 
 import anyio
 
-from savoryrudder.daemon.http import serve_http
+from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.logs import STANDARD_OUTPUT
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.logs import log_to
@@ -45,14 +44,6 @@
 _STOP_MARGIN_S: Final = 0.9
 
 
-class PlainHttpSettings(NamedTuple):
-    """Hold the settings of an HTTP server without TLS."""
-
-    http_address: str
-    tls_certificate: str | None = None
-    tls_key: str | None = None
-
-
 def run_process(
     serve: Callable[[ProcessSettings], Awaitable[None]],
 ) -> None:
@@ -65,6 +56,7 @@
     # The imported modules live as long as the process; the garbage collector
     # need not scan them.
     gc.freeze()
+    gc.enable()
     with log_to(STANDARD_OUTPUT):
         log_event('start', (('name', settings.name),))
         anyio.run(partial(serve, settings), backend='trio')
@@ -77,8 +69,8 @@
     process: Dispatcher | Worker,
 ) -> None:
     """Serve the health checks and metrics of a process."""
-    listening = PlainHttpSettings(f'{settings.host}:{_METRICS_PORT}')
-    await group.start(serve_http, ProbeApp(process), listening)
+    address = f'{settings.host}:{_METRICS_PORT}'
+    await group.start(serve_plain_http, ProbeApp(process), address)
 
 
 def watch_members(
