--- a/src/savoryrudder/daemon/logs.py
+++ b/src/savoryrudder/daemon/logs.py
@@ -1,4 +1,8 @@
-"""Write log lines as JSON."""
+"""Write log lines as JSON.
+
+eliot writes them to a file. It is imported on demand, as it takes a tenth of
+the start of a process that logs to standard output.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,6 @@
 from typing import Any
 from typing import Final
 
-import eliot
 import msgspec
 
 if TYPE_CHECKING:
@@ -82,19 +85,41 @@
         self._tokens = min(self._tokens + refill, _BURST_LINES)
 
 
+# The logs on standard output that are open: one at most in a process.
+_bounded_logs: Final[list[BoundedLog]] = []
+
+
 @contextlib.contextmanager
 def log_to(path: str) -> Iterator[None]:
     """Write log lines to a file; an empty path is stderr, `-` is stdout."""
+    if path == STANDARD_OUTPUT:
+        with _log_to_standard_output():
+            yield
+        return
+    with _log_to_file(path):
+        yield
+
+
+@contextlib.contextmanager
+def _log_to_standard_output() -> Iterator[None]:
+    _bounded_logs.append(BoundedLog(sys.stdout.fileno()))
+    try:
+        yield
+    finally:
+        _bounded_logs.pop()
+
+
+@contextlib.contextmanager
+def _log_to_file(path: str) -> Iterator[None]:
+    import eliot
+
     with contextlib.ExitStack() as cleanup:
-        if path == STANDARD_OUTPUT:
-            destination: Any = BoundedLog(sys.stdout.fileno())
-        else:
-            output = sys.stderr
-            if path:
-                output = cleanup.enter_context(
-                    Path(path).open('a', encoding='utf-8'),
-                )
-            destination = eliot.FileDestination(file=output)
+        output = sys.stderr
+        if path:
+            output = cleanup.enter_context(
+                Path(path).open('a', encoding='utf-8'),
+            )
+        destination = eliot.FileDestination(file=output)
         eliot.add_destinations(destination)
         cleanup.callback(eliot.remove_destination, destination)
         yield
@@ -102,4 +127,15 @@
 
 def log_event(name: str, fields: Sequence[tuple[str, str]]) -> None:
     """Write one log line about an event."""
+    if not _bounded_logs:
+        _log_with_eliot(name, fields)
+        return
+    line = {'timestamp': time.time(), 'message_type': name, **dict(fields)}
+    for bounded_log in _bounded_logs:
+        bounded_log(line)
+
+
+def _log_with_eliot(name: str, fields: Sequence[tuple[str, str]]) -> None:
+    import eliot
+
     eliot.log_message(message_type=name, **dict(fields))
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -5,8 +5,12 @@
 import os
 
 import msgspec
+import pytest
 
+from savoryrudder.daemon.logs import STANDARD_OUTPUT
 from savoryrudder.daemon.logs import BoundedLog
+from savoryrudder.daemon.logs import log_event
+from savoryrudder.daemon.logs import log_to
 
 PIPE_BYTES = 65_536
 
@@ -46,3 +50,14 @@
     assert line == {'a': 2, 'dropped': 100}
     os.close(read_fd)
     os.close(write_fd)
+
+
+def test_standard_output_gets_a_json_line_for_each_event(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guard against events that are lost without a library for logs."""
+    with log_to(STANDARD_OUTPUT):
+        log_event('start', (('name', 'entry-1'),))
+    line = msgspec.json.decode(capfd.readouterr().out)
+    assert line.pop('timestamp') > 0
+    assert line == {'message_type': 'start', 'name': 'entry-1'}
