Prefer executors in the entry's zone by 25 ms of task duration

A cost of 6 ms is less than what the averages of two sound executors differ by, so a task left the zone about as often as not.

--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -36,8 +36,9 @@
 # Number of blocked jobs after which the search ends. It limits how far other
 # jobs may overtake the first blocked one.
 _MAX_BLOCKED_JOBS: Final = 24
-# Cost of a placement in another zone, in ms of task duration.
-_OTHER_ZONE_COST_MS: Final = 6
+# Cost of a placement in another zone, in ms of task duration. The traffic
+# between zones is paid for.
+_OTHER_ZONE_COST_MS: Final = 25
 # Cost factor of a placement outside the rack that holds the task's data.
 _REMOTE_DATA_FACTOR: Final = 1.5
 # Tasks of a step follow the one before to the same executor while this share
