Bound what entries tell each other, and batch the starts of a step

Cause: each of n entries exchanged three heartbeats a second with every other one and told all of them its load; each task's start carried the whole content of its job. Links between entries are quiet now unless a job depends on them, the load goes to six of them (chosen by rendezvous hashing), and the starts of a step's tasks at one agent share a message. Sessions are found by their identifier, not by a search of all diallers. Ruled out: claims at hashed entries in place of all (a round trip before each start, or a claim that comes too late for a resubmission). Safe, as a job that is contested, delegated or taken over has its link watched from the same turn on, and orphaned jobs wait settle_s from the notice as before.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -183,6 +183,7 @@
                 self._reply(effect)
             case SetCarriesWork(peer, carries_work):
                 self._listener.set_carries_work(peer, carries_work=carries_work)
+                self._peers.set_carries_work(peer, carries_work=carries_work)
             case _:
                 raise TypeError(f'unknown effect: {effect}')
 
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -235,9 +235,16 @@
         timing: LinkTiming = FAST_TIMING,
         rng: random.Random | None = None,
         outbox: Outbox | None = None,
+        sessions: dict[str, Session] | None = None,
     ) -> None:
-        """Prepare to dial `ip:port`; `rng` draws the retry delays."""
+        """Prepare to dial `ip:port`; `rng` draws the retry delays.
+
+        `sessions` holds the running session under its identifier.
+        """
         self._outbox = outbox
+        self._sessions: dict[str, Session] = (
+            {} if sessions is None else sessions
+        )
         self._address = address
         self._handler = handler
         self._revision = revision
@@ -255,25 +262,6 @@
             return ''
         return session.ids.session
 
-    def send(self, session_id: str, message: Message) -> bool:
-        """Queue a message; return False if there is no such session."""
-        session = self._session
-        if session is None or session.ids.session != session_id:
-            return False
-        return session.send(message)
-
-    def set_carries_work(self, session_id: str, *, carries_work: bool) -> None:
-        """Record whether a session carries work."""
-        session = self._session
-        if session is not None and session.ids.session == session_id:
-            session.set_carries_work(carries_work=carries_work)
-
-    def close(self, session_id: str, reason: str) -> None:
-        """Close a session, if it is open; a new one is dialled."""
-        session = self._session
-        if session is not None and session.ids.session == session_id:
-            session.close(reason)
-
     def set_wanted(self, *, wanted: bool) -> None:
         """Set whether to dial again once the open session has ended."""
         self._is_wanted = wanted
@@ -304,7 +292,7 @@
         except pynng.NNGException:
             socket.close()
             return
-        self._session = Session(
+        session = Session(
             socket,
             SessionIds(session_id, session_id),
             self._handler,
@@ -312,7 +300,12 @@
             self._timing,
             self._outbox,
         )
-        await self._session.run()
+        self._session = session
+        self._sessions[session_id] = session
+        try:
+            await session.run()
+        finally:
+            self._sessions.pop(session_id)
         self._session = None
 
 
@@ -330,13 +323,12 @@
         self._handler = handler
         self._revision = revision
         self._diallers: dict[str, SharedPortDialler] = {}
+        self._sessions: dict[str, Session] = {}
 
     def has_session(self, session_id: str) -> bool:
         """Return whether an open session was dialled by this process."""
-        return any(
-            dialler.session_id == session_id
-            for dialler in self._diallers.values()
-        )
+        session = self._sessions.get(session_id)
+        return session is not None and session.was_up
 
     def sessions_at(self, addresses: Iterable[str]) -> tuple[str, ...]:
         """Return the identifiers of the open sessions at some addresses."""
@@ -373,21 +365,21 @@
                 self._handler,
                 self._revision,
                 outbox=self._outbox,
+                sessions=self._sessions,
             )
             self._diallers[address] = new_dialler
             group.start_soon(self._run, address, new_dialler)
 
     def send(self, session_id: str, message: Message) -> bool:
         """Queue a message; return False if there is no such session."""
-        return any(
-            dialler.send(session_id, message)
-            for dialler in self._diallers.values()
-        )
+        session = self._sessions.get(session_id)
+        return session is not None and session.send(message)
 
     def set_carries_work(self, session_id: str, *, carries_work: bool) -> None:
         """Record whether a session carries work."""
-        for dialler in self._diallers.values():
-            dialler.set_carries_work(session_id, carries_work=carries_work)
+        session = self._sessions.get(session_id)
+        if session is not None:
+            session.set_carries_work(carries_work=carries_work)
 
     async def _run(self, address: str, dialler: SharedPortDialler) -> None:
         await dialler.run()
@@ -396,5 +388,6 @@
 
     def close(self, session_id: str, reason: str) -> None:
         """Close a session, if it is open; a new one is dialled."""
-        for dialler in self._diallers.values():
-            dialler.close(session_id, reason)
+        session = self._sessions.get(session_id)
+        if session is not None:
+            session.close(reason)
--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -11,7 +11,9 @@
 from typing import TYPE_CHECKING
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import delegation
 from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch.state import ContestedJob
 from savoryrudder.dispatch.state import PeerView
 from savoryrudder.protocol import work
@@ -32,6 +34,8 @@
     if not state.unidentified_links.pop(link):
         send_hello(state, turn, link)
     state.peers[link] = PeerView(hello.entry, hello.incarnation, hello.zone)
+    state.working_peers.add(link)
+    delegation.choose_load_listeners(state)
     turn.log('peer-linked', peer=hello.entry, incarnation=hello.incarnation)
     if state.jobs:
         turn.send(link, work.JobsClaimed(tuple(state.jobs)))
@@ -60,6 +64,8 @@
     peer = state.peers.pop(link, None)
     if peer is None:
         return
+    state.working_peers.discard(link)
+    delegation.choose_load_listeners(state)
     settled_at = turn.now + state.timing.settle_s
     turn.log('peer-lost', peer=peer.entry, jobs=len(peer.jobs))
     for job_id in peer.jobs:
@@ -91,6 +97,7 @@
     contested_job = ContestedJob([event], holder)
     if holder:
         turn.send(holder, work.RelinquishJob(job_id))
+        peer_links.begin_work(state, turn, holder)
     else:
         contested_job.settled_at = settled_at
     state.contested_jobs[job_id] = contested_job
@@ -209,6 +216,7 @@
         return
     turn.log('job-relinquished', job=job_id, unsettled=job.outstanding)
     state.relinquish_requests[job_id] = link
+    peer_links.begin_work(state, turn, link)
     if not job.ended:
         superseded = answers.Answer(answers.SUPERSEDED)
         jobs.answer(state, turn, job, superseded)
--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -12,14 +12,18 @@
 
 from typing import TYPE_CHECKING
 from typing import Final
+from typing import NamedTuple
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch.effects import Reply
 from savoryrudder.dispatch.events import JobSubmitted
 from savoryrudder.dispatch.state import Delegation
 from savoryrudder.dispatch.state import ForeignRequest
 from savoryrudder.protocol import delegation
 from savoryrudder.utils.effects import Send
+from savoryrudder.utils.rendezvous import ChoiceSize
+from savoryrudder.utils.rendezvous import choose
 
 if TYPE_CHECKING:
     from savoryrudder.dispatch.effects import DispatchEffect
@@ -36,6 +40,9 @@
 # capacity that a job needs: others may hand them jobs at the same time.
 _MAX_PEER_BUSY_SHARE: Final = 0.6
 _PEER_CAPACITY_FACTOR: Final = 2
+# Entries that are told the load of this one. Each has to know some others that
+# take jobs, in its zone and elsewhere, not all of them.
+_LOAD_LISTENERS: Final = ChoiceSize(local=3, remote=3)
 # A change of the load by less than this share is not announced.
 _MIN_LOAD_CHANGE: Final = 0.1
 
@@ -58,11 +65,35 @@
         version=state.configuration.version,
     )
     for link, peer in state.peers.items():
-        if _has_changed(peer.announced_load, load):
+        if peer.hears_load and _has_changed(peer.announced_load, load):
             peer.announced_load = load
             turn.send(link, load)
 
 
+class _Listener(NamedTuple):
+    """Name an entry that may be told the load."""
+
+    name: str
+    zone: str
+    link: str
+
+
+def choose_load_listeners(state: DispatchState) -> None:
+    """Choose the entries that are told the load, after one came or went."""
+    identity = state.identity
+    listeners = choose(
+        _Listener(identity.entry, identity.zone, ''),
+        (
+            _Listener(peer.entry, peer.zone, link)
+            for link, peer in state.peers.items()
+        ),
+        _LOAD_LISTENERS,
+    )
+    links = {listener.link for listener in listeners}
+    for link, peer in state.peers.items():
+        peer.hears_load = link in links
+
+
 def _has_changed(
     previous: delegation.EntryLoad | None,
     load: delegation.EntryLoad,
@@ -106,6 +137,7 @@
     # The peer owns the job from here on; its release clears the claim.
     peer.jobs.add(job_id)
     peer.delegated_cpu += cpu
+    peer_links.begin_work(state, turn, link)
     turn.count('jobs_delegated')
     turn.log('job-delegated', job=job_id, peer=peer.entry, reason=reason)
     turn.send(
@@ -311,6 +343,7 @@
         link,
         message.job.job_id,
     )
+    peer_links.begin_work(state, turn, link)
     return JobSubmitted(
         turn.now,
         request_id,
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -33,8 +33,12 @@
 _RUN_NUMBER_INCREMENT: Final = 8
 
 
-def send_task(state: DispatchState, turn: Turn, placement: Placement) -> None:
-    """Send a placed task to its agent."""
+def apply_placement(
+    state: DispatchState,
+    turn: Turn,
+    placement: Placement,
+) -> work.StartTask:
+    """Record that a task is placed; return the message that starts it."""
     job, task, link = placement
     agent = state.agents[link]
     progress = job.steps[task.step_index]
@@ -55,19 +59,14 @@
     agent.unreported_starts[agent.starts_sent] = (task.name, demand)
     agent.free = agent.free.minus(demand)
     state.capacity.update(link, agent)
-    # Acknowledgements of earlier ends share the frame of the start.
-    _acknowledge_ends(state, turn, link)
-    turn.send(
-        link,
-        work.StartTask(
-            agent.starts_sent,
-            task.name,
-            task.run,
-            job.request.spec,
-            demand,
-            progress.step.estimate_ms,
-            durable=False,
-        ),
+    return work.StartTask(
+        agent.starts_sent,
+        task.name,
+        task.run,
+        job.request.spec,
+        demand,
+        progress.step.estimate_ms,
+        durable=False,
     )
 
 
@@ -87,6 +86,7 @@
         hello.agent,
         hello.incarnation,
         hello.zone,
+        batches=hello.batches,
     )
     turn.log('agent-linked', agent=hello.agent, link=link)
     send_hello(state, turn, link)
@@ -205,6 +205,30 @@
     jobs.remove_if_settled(state, job)
 
 
+def send_starts(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    starts: list[work.StartTask],
+) -> None:
+    """Send the starts of a step's tasks, in the order of their numbers."""
+    # Acknowledgements of earlier ends share the frame of the starts.
+    _acknowledge_ends(state, turn, link)
+    first = starts[0]
+    if len(starts) > 1 and state.agents[link].batches:
+        turn.send(
+            link,
+            work.StartTasks(
+                first.number,
+                tuple((start.task, start.run) for start in starts),
+                *first[3:],
+            ),
+        )
+        return
+    for start in starts:
+        turn.send(link, start)
+
+
 def acknowledge_ends(state: DispatchState, turn: Turn) -> None:
     """Acknowledge the ends of runs to their agents at intervals."""
     if turn.now < state.acknowledged_at + state.timing.acknowledgement_s:
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
+from typing import NamedTuple
 from typing import TypeAlias
 
 from savoryrudder.dispatch import admission
@@ -17,6 +18,7 @@
 from savoryrudder.dispatch import fleet
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch.placement import place_tasks
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import delegation as protocol
@@ -45,12 +47,33 @@
     _EVENT_HANDLERS[type(event)](state, turn, event)
     if state.placement_due:
         state.placement_due = False
-        for placement in place_tasks(state, turn.now):
-            fleet.send_task(state, turn, placement)
+        _place_tasks(state, turn)
     draining.advance_drain(state, turn)
     return delegation.route_answers(state, turn)
 
 
+def _place_tasks(state: DispatchState, turn: Turn) -> None:
+    starts: dict[_StartGroup, list[work.StartTask]] = {}
+    for placement in place_tasks(state, turn.now):
+        group = _StartGroup(
+            placement.link,
+            placement.job.request.job_id,
+            placement.task.step_index,
+        )
+        start = fleet.apply_placement(state, turn, placement)
+        starts.setdefault(group, []).append(start)
+    for group, group_starts in starts.items():
+        fleet.send_starts(state, turn, group.link, group_starts)
+
+
+class _StartGroup(NamedTuple):
+    """Identify the starts of a turn that differ in their task only."""
+
+    link: str
+    job: str
+    step_index: int
+
+
 def _handle_configuration(
     state: DispatchState,
     turn: Turn,
@@ -431,6 +454,7 @@
         delegation.record_load(state, event.busy_share)
         delegation.announce_load(state, turn)
     fleet.acknowledge_ends(state, turn)
+    peer_links.end_work(state, turn)
 
 
 def _handle_drain(
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -132,7 +132,8 @@
     its runs of tasks of this entry, and `runs` are those that have not ended.
     `average_slowness` is the moving average
     of the task duration relative to the estimate; `reported_slowness` is the
-    same ratio of the latest slow run and is valid until `slow_until`.
+    same ratio of the latest slow run and is valid until `slow_until`. An agent
+    that `batches` takes the starts of a step in one message.
     """
 
     name: str
@@ -152,6 +153,7 @@
     consecutive_failures: int = 0
     runs: set[RunKey] = field(default_factory=set)
     carries_work: bool = True
+    batches: bool = False
 
     @property
     def usable(self) -> bool:
@@ -170,7 +172,8 @@
     """Hold an entry's view of another entry and the jobs claimed by it.
 
     `delegated_cpu` counts the millicores of the jobs delegated to it since it
-    told its `load`; `announced_load` is what it was told last.
+    told its `load`; `announced_load` is what it was told last, if it
+    `hears_load` of this entry at all.
     """
 
     entry: str
@@ -180,6 +183,7 @@
     load: EntryLoad | None = None
     announced_load: EntryLoad | None = None
     delegated_cpu: int = 0
+    hears_load: bool = False
 
 
 @dataclass(slots=True)
@@ -253,6 +257,8 @@
     # Not set while most executors look faulty, as the cause is not theirs.
     avoidance_enabled: bool = True
     peers: dict[str, PeerView] = field(default_factory=dict)
+    # Links to other entries that carry work, as far as this one knows.
+    working_peers: set[str] = field(default_factory=set)
     contested_jobs: dict[str, ContestedJob] = field(default_factory=dict)
     # Job IDs of lost entries, with the time by which their runs have ended.
     orphaned_jobs: dict[str, float] = field(default_factory=dict)
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -64,6 +64,7 @@
         40: delegation.DelegateJob,
         41: delegation.DelegatedAnswer,
         42: delegation.WithdrawJob,
+        43: work.StartTasks,
     }
 )
 _TAG_BY_TYPE: Final = MappingProxyType(
@@ -122,6 +123,8 @@
         return _OVERHEAD_BYTES + len(message.record.result)
     if isinstance(message, work.StartTask):
         return _OVERHEAD_BYTES + len(message.spec)
+    if isinstance(message, work.StartTasks):
+        return _OVERHEAD_BYTES * len(message.tasks) + len(message.spec)
     if isinstance(message, delegation.DelegateJob):
         return _OVERHEAD_BYTES + len(message.job.spec)
     return len(_encoder.encode(message))
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -346,6 +346,7 @@
     | work.ExecutorReport
     | work.RunningTasks
     | work.StartTask
+    | work.StartTasks
     | work.StopTask
     | work.TaskEnded
     | work.EndsAcknowledged
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import TypeAlias
 
 from savoryrudder.jobs.model import Resources
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 # A task's name and the number of its run.
 RunKey: TypeAlias = tuple[str, int]
 
@@ -52,11 +56,12 @@
 
 
 class AgentHello(NamedTuple):
-    """Announce an agent to an entry."""
+    """Announce an agent to an entry; one that `batches` takes `StartTasks`."""
 
     agent: str
     incarnation: str
     zone: str
+    batches: bool = False
 
 
 class ExecutorReport(NamedTuple):
@@ -105,6 +110,33 @@
     durable: bool
 
 
+class StartTasks(NamedTuple):
+    """Start tasks of one step of a job; the fields are those of `StartTask`.
+
+    The first start has the number `first_number`, and the others follow.
+    """
+
+    first_number: int
+    tasks: tuple[RunKey, ...]
+    spec: str
+    demand: Resources
+    estimate_ms: int
+    durable: bool
+
+    def each(self) -> Iterator[StartTask]:
+        """Yield a message for each task."""
+        for number, (task, run) in enumerate(self.tasks, self.first_number):
+            yield StartTask(
+                number,
+                task,
+                run,
+                self.spec,
+                self.demand,
+                self.estimate_ms,
+                self.durable,
+            )
+
+
 class StopTask(NamedTuple):
     """Stop a run of a task, whether it has started or not."""
 
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -58,7 +58,12 @@
     identity = state.identity
     turn.send(
         event.link,
-        work.AgentHello(identity.agent, identity.incarnation, identity.zone),
+        work.AgentHello(
+            identity.agent,
+            identity.incarnation,
+            identity.zone,
+            batches=True,
+        ),
     )
 
 
@@ -121,6 +126,9 @@
     match message:
         case work.StartTask():
             runs.start(state, turn, link, message)
+        case work.StartTasks():
+            for start in message.each():
+                runs.start(state, turn, link, start)
         case work.StopTask():
             runs.stop_on_request(state, turn, message)
         case work.EndsAcknowledged(ends):
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -141,3 +141,20 @@
     driver.tick(0.1)
     driver.answer_renewal()
     assert driver.state.accepting
+
+
+def test_starts_in_one_message_are_handled_one_by_one(
+    driver: WorkerDriver,
+) -> None:
+    """Guards against a batch that is started or refused as a whole."""
+    demand = driver.state.free._replace(
+        cpu=driver.state.free.cpu // 2, memory=1
+    )
+    tasks = (('j.0', 1), ('j.1', 1), ('j.2', 1))
+    driver.receive(
+        work.StartTasks(4, tasks, 's', demand, 200, durable=False),
+    )
+    assert set(driver.state.runs) == {'j.0', 'j.1'}
+    refused = driver.messages_of(work.TaskEnded)
+    assert [message.task for message in refused] == ['j.2']
+    assert driver.messages_of(work.ExecutorReport)[0].starts_seen == 6
