Refuse odd data where it is read, and use the rest

Reported by other operators: one odd entry among those of the executors ended the processes that read the list, or stopped them following it. It could happen here: - one value in the store that is no UTF-8 made every later read of the list unusable, so a process followed the list no more; - a body nested 100,000 deep raises RecursionError, which nothing caught; - an integer of 400 digits (version, clock, number of an end) was accepted, and could not be sent on: the error ended the process; - an address with a port out of range raised out of the HTTP client and ended an agent; pynng dialled such a member for ever; - a frame whose session is a list ended the listener; - a job name with a dot made a job whose tasks are never found, 1,000 steps of 10,000 tasks took the memory of the entry. All is decoded through one function into bounded types now; an address is checked where it is decoded; what is refused is logged and counted. A list of runs with one odd row is refused as a whole: a run that is left out would be taken for ended. Two tests that used the job name 'id' use one of 16 digits, and the error of a negative amount names its place.

--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -17,6 +17,8 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from savoryrudder.daemon.metrics import Counters
+
 MEMBERS_PREFIX: Final = 'savoryrudder/members/'
 
 _LEASE_S: Final = 6
@@ -57,8 +59,11 @@
         await anyio.sleep(_RETRY_S)
 
 
-def read_members(entries: Iterable[interface.KeyValue]) -> list[Member]:
-    """Return the registered entries; unreadable ones are logged."""
+def read_members(
+    entries: Iterable[interface.KeyValue],
+    counters: Counters,
+) -> list[Member]:
+    """Return the registered entries; refused ones are logged and counted."""
     members = []
     for entry in entries:
         if entry.value is None:
@@ -67,6 +72,7 @@
         if decoded.is_ok():
             members.append(decoded.ok)
         else:
+            counters.count('refused_members')
             log_event(
                 'member-unreadable',
                 (('key', entry.key), ('reason', decoded.error)),
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -15,6 +15,7 @@
 from savoryrudder.daemon import asgi
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.dispatch import events
+from savoryrudder.platform.job_bodies import JOB_NAME_LENGTH
 from savoryrudder.platform.job_bodies import EncodedAnswer
 from savoryrudder.platform.job_bodies import decode_job
 from savoryrudder.platform.job_bodies import encode_answer
@@ -27,6 +28,8 @@
 
 _MAX_BODY_BYTES: Final = 262_144
 _READINESS_PATH: Final = '/api/ready'
+# A longer time limit in milliseconds is none.
+_MAX_TIMEOUT_DIGITS: Final = 12
 
 
 class _RequestHead(NamedTuple):
@@ -105,9 +108,10 @@
         content: bytes,
         receive: asgi.Receive,
     ) -> EncodedAnswer:
-        name = head.path.rpartition('/')[-1]
+        name = head.path[-JOB_NAME_LENGTH:]
         decoded = decode_job(name, content)
         if decoded.is_error():
+            self._dispatcher.counters.count('refused_jobs')
             log_event(
                 'job-malformed',
                 (('job', name), ('reason', decoded.error)),
@@ -158,7 +162,9 @@
     headers = dict(scope['headers'])
     host = headers.get(b'host', b'').decode('latin-1')
     raw_timeout = headers.get(b'deadline-ms', b'').decode('latin-1')
-    timeout_s = int(raw_timeout) / MS_PER_S if raw_timeout.isdecimal() else None
+    timeout_s = None
+    if raw_timeout.isdecimal() and len(raw_timeout) <= _MAX_TIMEOUT_DIGITS:
+        timeout_s = int(raw_timeout) / MS_PER_S
     return _RequestHead(
         scope['method'],
         host.partition(':')[0],
--- a/src/savoryrudder/platform/configuration.py
+++ b/src/savoryrudder/platform/configuration.py
@@ -3,32 +3,36 @@
 from __future__ import annotations
 
 from types import MappingProxyType
+from typing import Annotated
 from typing import Final
 
 import msgspec
-from expression import Error
-from expression import Ok
 from expression import Result
 
 from savoryrudder.jobs.model import Configuration
 from savoryrudder.jobs.model import Queue
+from savoryrudder.utils.checked import Natural
+from savoryrudder.utils.checked import decode
 
 CONFIGURATION_KEY: Final = 'op/config'
 
 
+_MAX_STRETCH: Final = 1000
+
+
 class _RouteBody(msgspec.Struct):
     name: str
     host: str
     prefix: str
     service: str
-    priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
-    target_duration_ms: int = 0
+    priority: Natural = 0
+    attempts: Natural = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=_MAX_STRETCH)] = 1.0
+    target_duration_ms: Natural = 0
 
 
 class _ConfigurationBody(msgspec.Struct):
-    version: int
+    version: Natural
     # The platform calls a queue a route.
     routes: list[_RouteBody]
 
@@ -38,10 +42,10 @@
 
 def decode_configuration(content: str) -> Result[Configuration, str]:
     """Decode a configuration; an error says what is invalid."""
-    try:
-        body = _decoder.decode(content)
-    except msgspec.MsgspecError as error:
-        return Error(str(error))
+    return decode(_decoder, content).map(_convert)
+
+
+def _convert(body: _ConfigurationBody) -> Configuration:
     queues = {
         route.name: Queue(
             route.name,
@@ -55,4 +59,4 @@
         )
         for route in body.routes
     }
-    return Ok(Configuration(body.version, MappingProxyType(queues)))
+    return Configuration(body.version, MappingProxyType(queues))
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -91,6 +91,7 @@
     if decoded.is_ok():
         dispatcher.apply_configuration(decoded.ok)
         return
+    dispatcher.counters.count('refused_configurations')
     log_event('configuration-refused', (('reason', decoded.error),))
 
 
--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -13,6 +13,10 @@
 from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
 from savoryrudder.platform.http_client import Response
+from savoryrudder.utils.checked import DECODE_ERRORS
+from savoryrudder.utils.checked import MAX_INTEGER
+from savoryrudder.utils.checked import Natural
+from savoryrudder.utils.checked import decode
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
@@ -51,21 +55,17 @@
     ),
 )
 
-_DECODE_ERRORS: Final = (
-    msgspec.MsgspecError,
-    LookupError,
-    TypeError,
-    ValueError,
-)
+# A row of a list may be too short, or its parts of other types.
+_ROW_ERRORS: Final = (*DECODE_ERRORS, LookupError, TypeError, OverflowError)
 
 
 class _StartBody(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: Natural = 0
     reason: str = ''
 
 
 class _RenewalBody(msgspec.Struct):
-    clock_ms: int
+    clock_ms: Natural
     # Rows of task, run, saved state, progress in percent, load.
     running: list[list[Any]] = msgspec.field(default_factory=list)
     # Rows of number, task, run, end reason, saved state.
@@ -154,7 +154,7 @@
             return events.RenewalFailed(now, reason, is_fenced)
         try:
             return _decode_renewal(response.content, now, sent_at)
-        except _DECODE_ERRORS as error:
+        except _ROW_ERRORS as error:
             return events.RenewalFailed(now, f'unusable response: {error}')
 
     async def _send(
@@ -180,10 +180,10 @@
         return verdicts.OTHER_INSTANCE, 0
     if response.status in _REFUSAL_STATUSES:
         return verdicts.REFUSED, 0
-    try:
-        body = _start_decoder.decode(response.content)
-    except msgspec.MsgspecError:
+    decoded = decode(_start_decoder, response.content)
+    if decoded.is_error():
         return verdicts.UNKNOWN, 0
+    body = decoded.ok
     if response.status == HTTPStatus.OK:
         return verdicts.STARTED, body.clock_ms
     if response.status == HTTPStatus.CONFLICT:
@@ -199,16 +199,23 @@
 ) -> events.RenewalAnswered:
     body = _renewal_decoder.decode(content)
     running = tuple(
-        events.RunProgress(str(row[0]), int(row[1]), int(row[3]))
+        events.RunProgress(str(row[0]), _number(row[1]), _number(row[3]))
         for row in body.running
     )
     ended = tuple(
         events.RunEnd(
-            int(row[0]),
+            _number(row[0]),
             str(row[1]),
-            int(row[2]),
+            _number(row[2]),
             _OUTCOME_BY_END_REASON.get(row[3], outcomes.LOST),
         )
         for row in body.ended
     )
     return events.RenewalAnswered(now, sent_at, body.clock_ms, running, ended)
+
+
+def _number(part: Any) -> int:
+    number = int(part)
+    if 0 <= number <= MAX_INTEGER:
+        return number
+    raise ValueError(f'{number} is out of range')
--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -11,6 +11,9 @@
 from savoryrudder.daemon import asgi
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.jobs.model import Resources
+from savoryrudder.utils.addresses import parse_dial_address
+from savoryrudder.utils.checked import Natural
+from savoryrudder.utils.checked import decode
 from savoryrudder.worker import events
 
 if TYPE_CHECKING:
@@ -25,21 +28,21 @@
 
 
 class _CapacityBody(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
 
 
 class _HeartbeatBody(msgspec.Struct):
     service: str
     address: str
     state: str
-    seq: int
-    clock_ms: int
+    seq: Natural
+    clock_ms: Natural
     capacity: _CapacityBody
     labels: list[str] = msgspec.field(default_factory=list)
     # UTC time at which the executor started, in milliseconds.
-    born: int = 0
+    born: Natural = 0
 
 
 _decoder: Final = msgspec.json.Decoder(_HeartbeatBody)
@@ -94,13 +97,14 @@
     ) -> asgi.Reply:
         # A heartbeat that cannot be decoded is no sign of life.
         if content is None:
-            return _refuse(executor, 'the body is too large')
-        try:
-            body = _decoder.decode(content)
-        except msgspec.MsgspecError as error:
-            return _refuse(executor, str(error))
-        if body.state not in _STATES:
-            return _refuse(executor, f'unknown state {body.state}')
+            return self._refuse(executor, 'the body is too large')
+        decoded = decode(_decoder, content)
+        if decoded.is_error():
+            return self._refuse(executor, decoded.error)
+        body = decoded.ok
+        reason = _find_fault(body)
+        if reason:
+            return self._refuse(executor, reason)
         self._worker.handle(
             events.ExecutorHeartbeat(
                 anyio.current_time(),
@@ -121,10 +125,20 @@
         )
         return _ACKNOWLEDGED
 
+    def _refuse(self, executor: str, reason: str) -> asgi.Reply:
+        self._worker.counters.count('refused_heartbeats')
+        log_event(
+            'heartbeat-refused',
+            (('executor', executor), ('reason', reason)),
+        )
+        return asgi.Reply(400, msgspec.json.encode({'error': reason}))
+
 
-def _refuse(executor: str, reason: str) -> asgi.Reply:
-    log_event(
-        'heartbeat-refused',
-        (('executor', executor), ('reason', reason)),
-    )
-    return asgi.Reply(400, msgspec.json.encode({'error': reason}))
+def _find_fault(body: _HeartbeatBody) -> str:
+    if body.state not in _STATES:
+        return f'unknown state {body.state}'
+    try:
+        parse_dial_address(body.address)
+    except ValueError as error:
+        return f'address: {error}'
+    return ''
--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -14,6 +14,8 @@
 import trio
 from anyio.abc import SocketAttribute
 
+from savoryrudder.utils.addresses import parse_dial_address
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -21,6 +23,7 @@
 
 _KEEPALIVE_S: Final = 8
 _RECEIVE_BYTES: Final = 65_536
+_MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 # What may stand in a path and in the value of a header.
 _PATH: Final = re.compile('[!-~]+')
 _HEADER_VALUE: Final = re.compile('[ -~]*')
@@ -143,6 +146,8 @@
             self._response.on_message_complete()
         else:
             self._response.parser.feed_data(received)
+        if len(self._response.content) > _MAX_RESPONSE_BYTES:
+            raise httptools.HttpParserError('the response is too large')
 
     async def close(self) -> None:
         """Close the connection at once."""
@@ -208,9 +213,12 @@
             if connection.reusable:
                 return connection
             await connection.close()
-        host, _, port = self._address.rpartition(':')
         try:
-            return _Connection(await anyio.connect_tcp(host, int(port)))
+            host, port = parse_dial_address(self._address)
+        except ValueError as invalid:
+            return NoResponse(f'cannot connect: {invalid}', sent=False)
+        try:
+            return _Connection(await anyio.connect_tcp(host, port))
         except OSError as error:
             return NoResponse(f'cannot connect: {error}', sent=False)
 
--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from types import MappingProxyType
 from typing import Final
 from typing import NamedTuple
@@ -15,8 +16,12 @@
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
+from savoryrudder.utils.checked import Natural
+from savoryrudder.utils.checked import decode
 
-_MAX_TASKS_PER_STEP: Final = 10_000
+_MAX_TASKS: Final = 10_000
+_JOB_NAME: Final = re.compile('[0-9a-fA-F]{16}')
+JOB_NAME_LENGTH: Final = 16
 # 410 (Gone) means that no such job exists.
 _STATUS_BY_VERDICT: Final = MappingProxyType(
     {
@@ -34,16 +39,16 @@
 
 
 class _StepBody(msgspec.Struct):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: list[int] = msgspec.field(default_factory=list)
+    count: Natural
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
+    estimate_ms: Natural = 0
+    after: list[Natural] = msgspec.field(default_factory=list)
     required_label: str = ''
     data_rack: str = ''
     # Maximum number of the step's tasks on one executor, despite the name.
-    max_per_server: int = 0
+    max_per_server: Natural = 0
     gang: bool = False
     long_running: bool = False
     fills: bool = False
@@ -55,7 +60,7 @@
     # The job need not be stored; it is answered when it has ended.
     best_effort: bool = False
     # Number of times that the steps run.
-    repeats: int = 0
+    repeats: Natural = 0
     long_running: bool = False
 
 
@@ -82,10 +87,12 @@
 
 def decode_job(name: str, content: bytes) -> Result[DecodedJob, str]:
     """Decode a submitted job; an error says what is invalid."""
-    try:
-        body = _decoder.decode(content)
-    except msgspec.MsgspecError as error:
-        return Error(str(error))
+    if not _JOB_NAME.fullmatch(name):
+        return Error('the name of a job has 16 hexadecimal digits')
+    decoded = decode(_decoder, content)
+    if decoded.is_error():
+        return Error(decoded.error)
+    body = decoded.ok
     reason = _validate(body)
     if reason:
         return Error(reason)
@@ -118,12 +125,12 @@
     if not body.steps:
         return 'steps: a job needs at least one step'
     for index, step in enumerate(body.steps):
-        if not 1 <= step.count <= _MAX_TASKS_PER_STEP:
-            return f'steps[{index}].count: must be 1 to {_MAX_TASKS_PER_STEP}'
-        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
-            return f'steps[{index}]: amounts must not be negative'
-        if any(not 0 <= earlier < index for earlier in step.after):
+        if not 1 <= step.count <= _MAX_TASKS:
+            return f'steps[{index}].count: must be 1 to {_MAX_TASKS}'
+        if any(earlier >= index for earlier in step.after):
             return f'steps[{index}].after: must name earlier steps'
+    if sum(added.count for added in body.steps) > _MAX_TASKS:
+        return f'steps: a job has at most {_MAX_TASKS} tasks'
     return ''
 
 
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -93,7 +93,7 @@
     process: Dispatcher | Worker,
     entries: tuple[KeyValue, ...],
 ) -> None:
-    process.link_entries(read_members(entries))
+    process.link_entries(read_members(entries, process.counters))
 
 
 def handle_signals(
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from http import HTTPStatus
 from typing import Any
 from typing import Final
@@ -12,10 +11,12 @@
 
 import msgspec
 
+from savoryrudder.daemon.logs import log_event
 from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
 from savoryrudder.platform.http_client import Response
 from savoryrudder.store import interface
+from savoryrudder.utils.checked import DECODE_ERRORS
 from savoryrudder.utils.units import MS_PER_S
 
 # Time limits for the beginning of a response, the second one after a request
@@ -87,7 +88,7 @@
         """Execute an operation; a failure is `StoreUnavailable`."""
         try:
             return await self._execute(operation)
-        except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
+        except DECODE_ERRORS as error:
             return interface.StoreUnavailable(f'unusable response: {error}')
 
     async def _execute(
@@ -271,7 +272,7 @@
 
 
 def _convert_item(item: _Item) -> interface.KeyValue:
-    content = base64.b64decode(item.value, validate=True).decode()
+    content = _decode_value(item)
     is_present = item.revision > 0 and not item.deleted
     return interface.KeyValue(
         item.key,
@@ -280,6 +281,19 @@
     )
 
 
+def _decode_value(item: _Item) -> str:
+    # Another writer may have left any bytes. An empty text holds nothing that
+    # a reader takes for an entry, and the other keys are read as usual.
+    try:
+        return base64.b64decode(item.value, validate=True).decode()
+    except ValueError as error:
+        log_event(
+            'store-value-unreadable',
+            (('key', item.key), ('reason', str(error))),
+        )
+        return ''
+
+
 def _decode_lease(
     response: Response | NoResponse,
     lease: str,
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -151,6 +151,8 @@
 
 def _decode_fields(fields: list[Any]) -> Frame:
     session, sequence, revision, body = fields[:4]
+    if not isinstance(session, str):
+        raise TypeError('the session is not a text')
     decoded = tuple(
         _decode_message(_TYPE_BY_TAG[tag], body_fields)
         for tag, body_fields in body
--- a/src/savoryrudder/settings/addresses.py
+++ b/src/savoryrudder/settings/addresses.py
@@ -2,36 +2,14 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Annotated
-from typing import Final
-from typing import NamedTuple
 from urllib.parse import urlsplit
 
 from pydantic import AfterValidator
 
-_MAX_PORT: Final = 65_535
-
-
-class Endpoint(NamedTuple):
-    """Hold an IP address, without brackets, and a port."""
-
-    host: str
-    port: int
-
-
-def parse_address(address: str) -> Endpoint:
-    """Return the address and port of "ip:port" or "[ipv6]:port".
-
-    Raises ValueError when the address or the port is malformed.
-    """
-    host_text, _, port_text = address.rpartition(':')
-    host = host_text.removeprefix('[').removesuffix(']')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        raise ValueError('must be "ip:port"') from None
-    return Endpoint(host, _parse_port(port_text, 0))
+from savoryrudder.utils.addresses import parse_address
+from savoryrudder.utils.addresses import parse_dial_address
+from savoryrudder.utils.addresses import parse_port
 
 
 def parse_port_range(ports: str) -> range:
@@ -40,32 +18,20 @@
     Raises ValueError when a port is malformed or the range is empty.
     """
     low_text, _, high_text = ports.partition('-')
-    low = _parse_port(low_text, 1)
-    high = _parse_port(high_text, 1)
+    low = parse_port(low_text, 1)
+    high = parse_port(high_text, 1)
     if low > high:
         raise ValueError('must be "low-high" with low <= high')
     return range(low, high + 1)
 
 
-def _parse_port(text: str, lowest: int) -> int:
-    if not (text.isascii() and text.isdigit()):
-        raise ValueError('must have a numeric port')
-    # int() raises for very long digit strings; six digits are enough to tell
-    # that a port is out of range.
-    port = int(text[:6])
-    if lowest <= port <= _MAX_PORT:
-        return port
-    raise ValueError(f'must have a port from {lowest} to {_MAX_PORT}')
-
-
 def _check_listen_address(address: str) -> str:
     parse_address(address)
     return address
 
 
 def _check_dial_address(address: str) -> str:
-    if parse_address(address).port == 0:
-        raise ValueError('must have a port from 1 to 65535')
+    parse_dial_address(address)
     return address
 
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -98,7 +98,7 @@
 async def test_without_a_configuration_jobs_are_refused() -> None:
     """Guards against a 404 for a queue that the entry has yet to read."""
     entry = Entry(configured=False)
-    status, headers, _ = await entry.call('POST', '/p/id')
+    status, headers, _ = await entry.call('POST', '/p/0123456789abcdef')
     assert status == 503
     assert headers['retry-after']
     status, _, _ = await entry.call('GET', '/api/ready')
@@ -107,13 +107,13 @@
 
 async def test_an_unknown_queue_is_not_found() -> None:
     """Guards against accepting a job for a queue that does not exist."""
-    status, _, _ = await Entry().call('POST', '/q/id')
+    status, _, _ = await Entry().call('POST', '/q/0123456789abcdef')
     assert status == 404
 
 
 async def test_without_an_executor_a_job_is_refused_at_once() -> None:
     """Guards against callers that wait for a job that cannot start."""
-    status, headers, _ = await Entry().call('POST', '/p/id')
+    status, headers, _ = await Entry().call('POST', '/p/0123456789abcdef')
     assert status == 503
     assert headers['retry-after'] == '1'
 
@@ -121,7 +121,9 @@
 async def test_the_refusal_of_a_malformed_job_names_the_field() -> None:
     """Guards against a crash on a malformed job."""
     malformed = {'type': 'http.request', 'body': b'{"spec":1}'}
-    status, _, body = await Entry().call('POST', '/p/id', iter([malformed]))
+    status, _, body = await Entry().call(
+        'POST', '/p/0123456789abcdef', iter([malformed])
+    )
     assert status == 400
     assert b'spec' in body
 
@@ -130,7 +132,7 @@
     """Guards against reporting a state of a job that was never submitted."""
     status, _, body = await Entry().call('GET', '/p/')
     assert (status, body) == (200, b'{"waiting":0}')
-    status, _, _ = await Entry().call('GET', '/p/id')
+    status, _, _ = await Entry().call('GET', '/p/0123456789abcdef')
     assert status == 410
 
 
@@ -138,7 +140,11 @@
     """Guards against keeping requests whose callers have disconnected."""
     disconnect = iter([{'type': 'http.disconnect'}])
     entry = Entry()
-    assert await entry.call('POST', '/p/id', disconnect) == (0, {}, b'')
+    assert await entry.call('POST', '/p/0123456789abcdef', disconnect) == (
+        0,
+        {},
+        b'',
+    )
     assert not entry.dispatcher.state.open_requests
 
 
@@ -148,7 +154,11 @@
     events: list[Any] = []
     entry.dispatcher.handle = events.append
     messages = iter([BODY, BODY, {'type': 'http.disconnect'}])
-    assert await entry.call('POST', '/p/id', messages) == (0, {}, b'')
+    assert await entry.call('POST', '/p/0123456789abcdef', messages) == (
+        0,
+        {},
+        b'',
+    )
     assert [type(event).__name__ for event in events] == [
         'JobSubmitted',
         'CallerDisconnected',
--- a/tests/platform/test_job_bodies.py
+++ b/tests/platform/test_job_bodies.py
@@ -56,7 +56,7 @@
 
 def test_a_job_is_decoded_into_steps() -> None:
     """Guards against reading a step's settings from the wrong field."""
-    decoded = decode_job('id', msgspec.json.encode(dict(JOB))).ok
+    decoded = decode_job('0123456789abcdef', msgspec.json.encode(dict(JOB))).ok
     first, second = decoded.request.steps
     assert first.tasks == 2
     assert first.demand.memory == 256
@@ -71,7 +71,7 @@
         ({'steps': []}, 'steps'),
         ({'steps': [{'count': 0}]}, 'count'),
         ({'steps': [{'count': 1, 'after': [0]}]}, 'after'),
-        ({'steps': [{'count': 1, 'cpu': -1}]}, 'negative'),
+        ({'steps': [{'count': 1, 'cpu': -1}]}, '$.steps[0].cpu'),
         ({'spec': 7}, 'spec'),
     ],
 )
@@ -80,7 +80,7 @@
     detail: str,
 ) -> None:
     """Guards against accepting a job that can never run."""
-    assert detail in decode_job('id', _encode_job(**fields)).error
+    assert detail in decode_job('0123456789abcdef', _encode_job(**fields)).error
 
 
 @pytest.mark.parametrize(
@@ -95,13 +95,13 @@
 )
 def test_unsupported_features_are_reported(fields: dict[str, object]) -> None:
     """Guards against running a job without a feature that it requests."""
-    assert decode_job('id', _encode_job(**fields)).ok.unsupported
+    assert decode_job('0123456789abcdef', _encode_job(**fields)).ok.unsupported
 
 
 @given(st.binary(max_size=300))
 def test_malformed_bytes_are_decoding_errors(content: bytes) -> None:
     """Guards against a crash on bytes that are not JSON."""
-    assert decode_job('id', content).is_error()
+    assert decode_job('0123456789abcdef', content).is_error()
     text = content.decode('latin-1')
     assert decode_configuration(text).is_error()
 
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
 
 from savoryrudder.protocol import messages
 from savoryrudder.protocol.codec import Frame
@@ -37,3 +41,48 @@
     """Guard against decoding a frame of another protocol version."""
     raw = msgspec.msgpack.encode((2, 's1', 1, 0, []))
     assert 'version 2' in decode_frame(raw).error.detail
+
+
+_parts = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.binary(max_size=5)
+    | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=5)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=20,
+)
+_bodies = st.lists(
+    st.tuples(st.integers(0, 50), st.lists(_parts, max_size=10)),
+    max_size=3,
+)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_frame_or_an_error(raw: bytes) -> None:
+    """Guard against bytes that end the process that receives them."""
+    decode_frame(raw)
+
+
+@given(_parts, _parts, _parts, _bodies | _parts, _parts)
+def test_any_parts_are_a_frame_or_an_error(
+    session: Any,
+    sequence: Any,
+    revision: Any,
+    body: Any,
+    silence: Any,
+) -> None:
+    """Guard against a frame of the right form with parts of other types."""
+    raw = msgspec.msgpack.encode(
+        (1, session, sequence, revision, body, silence),
+    )
+    decoded = decode_frame(raw)
+    assert decoded.is_error() or isinstance(decoded.ok.session, str)
+
+
+def test_a_deeply_nested_frame_is_an_error() -> None:
+    """Guard against a frame that exceeds the limit of recursion."""
+    assert decode_frame(b'\x91' * 100_000).is_error()
