--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import trio
 
 from savoryrudder.daemon.load import BusyShare
 from savoryrudder.daemon.shared_port import DialledLinks
@@ -41,7 +42,7 @@
     def __init__(self) -> None:
         self.answer: Answer | QueueLength | None = None
         # Cancelled by the answer.
-        self.waiting = anyio.CancelScope()
+        self.waiting = trio.CancelScope()
 
 
 class Dispatcher(
@@ -98,7 +99,7 @@
         request_id = next(self._request_ids)
         request = _PendingRequest()
         self._pending[request_id] = request
-        self.handle(make_event(anyio.current_time(), request_id))
+        self.handle(make_event(trio.current_time(), request_id))
         try:
             with request.waiting:
                 await wait_disconnected()
@@ -107,7 +108,7 @@
             if request.answer is None:
                 self.handle(
                     events.CallerDisconnected(
-                        anyio.current_time(),
+                        trio.current_time(),
                         request_id,
                     ),
                 )
@@ -127,21 +128,21 @@
     def apply_configuration(self, configuration: Configuration) -> None:
         """Handle a configuration read from the store."""
         self.handle(
-            events.ConfigurationRead(anyio.current_time(), configuration),
+            events.ConfigurationRead(trio.current_time(), configuration),
         )
 
     def drain(self, timeout_s: float) -> None:
         """Begin a graceful stop."""
-        self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
+        self.handle(events.DrainRequested(trio.current_time(), timeout_s))
 
     def on_link_up(self, peer: str, session: str) -> None:
         """Handle a newly opened session."""
         dialled = self._peers.has_session(session)
-        self.handle(events.LinkUp(anyio.current_time(), session, dialled))
+        self.handle(events.LinkUp(trio.current_time(), session, dialled))
 
     def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session."""
-        self.handle(events.LinkDown(anyio.current_time(), session, reason))
+        self.handle(events.LinkDown(trio.current_time(), session, reason))
 
     def on_frame(
         self,
@@ -151,7 +152,7 @@
         messages: tuple[Message, ...],
     ) -> None:
         """Handle the messages of a frame."""
-        now = anyio.current_time()
+        now = trio.current_time()
         for received in messages:
             self.count_received(received)
         self.handle(
--- a/src/savoryrudder/daemon/due_timer.py
+++ b/src/savoryrudder/daemon/due_timer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import anyio
+import trio
 
 
 class DueTimer:
@@ -10,7 +10,7 @@
 
     def __init__(self) -> None:
         """Initialize without a sleeper."""
-        self._scope = anyio.CancelScope()
+        self._scope = trio.CancelScope()
 
     def bring_forward(self, due_at: float) -> None:
         """Wake the sleeper at `due_at` if it would sleep longer."""
@@ -19,8 +19,8 @@
 
     async def sleep_until(self, due_at: float) -> float:
         """Sleep, and return the time that the sleep was to end."""
-        scope = anyio.CancelScope(deadline=due_at)
+        scope = trio.CancelScope(deadline=due_at)
         self._scope = scope
         with scope:
-            await anyio.sleep_forever()
+            await trio.sleep_forever()
         return scope.deadline
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -10,7 +10,7 @@
 
 import anyio
 import pynng
-from anyio.lowlevel import checkpoint
+import trio
 
 from savoryrudder.daemon.due_timer import DueTimer
 from savoryrudder.daemon.liveness import LinkTiming
@@ -107,11 +107,11 @@
         self._timing = timing
         self._outbox = outbox
         self._queue = OutgoingQueue(timing.queue_bytes)
-        self._writer_wanted = anyio.Event()
+        self._writer_wanted = trio.Event()
         self._is_connected = False
         # A frame that the send buffer did not take yet.
         self._unsent = b''
-        self._scope = anyio.CancelScope()
+        self._scope = trio.CancelScope()
         self._frames_received = 0
         self._frames_sent = 0
         self._liveness = Liveness(timing)
@@ -165,7 +165,7 @@
 
     def set_carries_work(self, *, carries_work: bool) -> None:
         """Record whether the peer has work of this end, or the reverse."""
-        now = anyio.current_time()
+        now = trio.current_time()
         self._liveness.record_work(now, carries_work=carries_work)
         if self._outbox is None:
             self._timer.bring_forward(self._liveness.next_due_at)
@@ -200,7 +200,7 @@
         except TimeoutError:
             self.close('peer did not connect')
             return
-        self._liveness.record_received(anyio.current_time(), 0)
+        self._liveness.record_received(trio.current_time(), 0)
         self._is_connected = True
         async with anyio.create_task_group() as group:
             group.start_soon(self._close_on_socket_error, self._read)
@@ -233,7 +233,7 @@
             self.close(error)
             return
         self._frames_received += 1
-        self._liveness.record_received(anyio.current_time(), frame.silence_ms)
+        self._liveness.record_received(trio.current_time(), frame.silence_ms)
         if not self._is_up:
             self._is_up = True
             self._handler.on_link_up(*self._ids)
@@ -258,7 +258,7 @@
 
     async def _write(self) -> None:
         while True:
-            self._writer_wanted = anyio.Event()
+            self._writer_wanted = trio.Event()
             if self._unsent:
                 await self._send_or_time_out(self._unsent)
                 self._unsent = b''
@@ -282,7 +282,7 @@
             self._frames_sent,
             self._revision(),
             batch,
-            self._liveness.record_sent(anyio.current_time()),
+            self._liveness.record_sent(trio.current_time()),
         )
         self._frames_sent += 1
         return codec.encode_frame(frame)
@@ -301,13 +301,13 @@
     async def _watch_liveness(self) -> None:
         liveness = self._liveness
         while not self._reason:
-            now = anyio.current_time()
+            now = trio.current_time()
             if liveness.heartbeat_due_at <= now:
                 self.send(Heartbeat())
                 self.flush()
                 liveness.record_sent(now)
             await self._timer.sleep_until(liveness.next_due_at)
             # After a stall of this process, there may be frames left to read.
-            await checkpoint()
-            if liveness.lost_at <= anyio.current_time():
+            await trio.lowlevel.checkpoint()
+            if liveness.lost_at <= trio.current_time():
                 self.close('heartbeat timeout')
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -14,7 +14,6 @@
 import pynng
 import trio
 from anyio.abc import TaskGroup
-from anyio.lowlevel import checkpoint
 
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.outgoing import Outbox
@@ -55,7 +54,7 @@
         self._pipe = pipe
         self._early_frames: list[bytes] = []
         self._handle: Callable[[bytes], None] = self._early_frames.append
-        self._disconnected = anyio.Event()
+        self._disconnected = trio.Event()
 
     def put(self, content: bytes) -> None:
         """Handle a frame that the shared socket received on this pipe."""
@@ -70,7 +69,7 @@
         self._handle = handle
         for content in self._early_frames:
             handle(content)
-        await anyio.sleep_forever()
+        await trio.sleep_forever()
 
     def try_send(self, content: bytes) -> bool:
         """Send a frame; return False if the send buffer is full."""
@@ -84,11 +83,11 @@
     async def send(self, content: bytes) -> None:
         """Send a frame, waiting for room in the send buffer."""
         while not self.try_send(content):
-            await anyio.wait_readable(self._socket.send_fd)
+            await trio.lowlevel.wait_readable(self._socket.send_fd)
 
     async def wait_connected(self) -> None:
         """Return at once, as the pipe is already connected."""
-        await checkpoint()
+        await trio.lowlevel.checkpoint()
 
     async def wait_disconnected(self) -> None:
         """Wait until the connection is closed or lost."""
@@ -170,11 +169,11 @@
             try:
                 message = socket.recv_msg(block=False)
             except pynng.TryAgain:
-                await anyio.wait_readable(socket.recv_fd)
+                await trio.lowlevel.wait_readable(socket.recv_fd)
                 continue
             received += 1
             if received % _RECEIVES_PER_CHECKPOINT == 0:
-                await checkpoint()
+                await trio.lowlevel.checkpoint()
             if message.pipe is not None:
                 self._route(socket, group, message)
 
@@ -252,7 +251,7 @@
         self._rng = rng or random.Random()
         self._session: Session | None = None
         self._is_wanted = True
-        self._cancel_scope = anyio.CancelScope()
+        self._cancel_scope = trio.CancelScope()
 
     @property
     def session_id(self) -> str:
--- a/src/savoryrudder/daemon/sockets.py
+++ b/src/savoryrudder/daemon/sockets.py
@@ -9,10 +9,8 @@
 from typing import Final
 from typing import cast
 
-import anyio
 import pynng
 import trio
-from anyio.lowlevel import checkpoint
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,11 +52,11 @@
         """Wait for the next message and return it."""
         self._received += 1
         if self._received % _RECEIVES_PER_CHECKPOINT == 0:
-            await checkpoint()
+            await trio.lowlevel.checkpoint()
         while True:
             with contextlib.suppress(pynng.TryAgain):
                 return cast('bytes', self._socket.recv(block=False))
-            await anyio.wait_readable(self._receive_fd)
+            await trio.lowlevel.wait_readable(self._receive_fd)
 
     async def pass_frames(self, handle: Callable[[bytes], None]) -> None:
         """Pass each received message to a function, until cancelled."""
@@ -76,7 +74,7 @@
     async def send(self, content: bytes) -> None:
         """Send a message, waiting for room in the send buffer."""
         while not self.try_send(content):
-            await anyio.wait_readable(self._send_fd)
+            await trio.lowlevel.wait_readable(self._send_fd)
 
     def dial(self, address: str, *, redial_ms: tuple[int, int]) -> None:
         """Dial `ip:port` in the background; `redial_ms` bounds the delays."""
@@ -101,8 +99,8 @@
     def __init__(self, socket: Any = None) -> None:
         """Wrap an unconnected socket, by default a new Pair0."""
         super().__init__(pynng.Pair0() if socket is None else socket)
-        self._connected = anyio.Event()
-        self._disconnected = anyio.Event()
+        self._connected = trio.Event()
+        self._disconnected = trio.Event()
         self._has_pipe = False
         self._trio_token = trio.lowlevel.current_trio_token()
         self._socket.add_pre_pipe_connect_cb(self._accept_first_pipe)
@@ -133,6 +131,6 @@
     def _on_pipe_removed(self, pipe: Any) -> None:
         self._set_in_event_loop(self._disconnected)
 
-    def _set_in_event_loop(self, event: anyio.Event) -> None:
+    def _set_in_event_loop(self, event: trio.Event) -> None:
         with contextlib.suppress(trio.RunFinishedError):
             self._trio_token.run_sync_soon(event.set)
--- a/src/savoryrudder/daemon/task_pool.py
+++ b/src/savoryrudder/daemon/task_pool.py
@@ -8,6 +8,7 @@
 from typing import TypeAlias
 
 import anyio
+import trio
 
 _Call: TypeAlias = Callable[[], Awaitable[None]]
 
@@ -19,7 +20,7 @@
         """Initialize without tasks; `run` starts them."""
         self._size = size
         self._calls: deque[_Call] = deque()
-        self._idle: list[anyio.Event] = []
+        self._idle: list[trio.Event] = []
 
     def submit(self, call: _Call) -> None:
         """Run a call as soon as a task is free."""
@@ -38,6 +39,6 @@
             if self._calls:
                 await self._calls.popleft()()
             else:
-                called = anyio.Event()
+                called = trio.Event()
                 self._idle.append(called)
                 await called.wait()
--- a/src/savoryrudder/daemon/ticking.py
+++ b/src/savoryrudder/daemon/ticking.py
@@ -5,7 +5,7 @@
 from abc import abstractmethod
 from typing import TypeVar
 
-import anyio
+import trio
 
 from savoryrudder.daemon.due_timer import DueTimer
 from savoryrudder.daemon.loop import ReducerLoop
@@ -30,16 +30,16 @@
         super().handle(*events)
         if not self._reducing:
             self._outbox.flush()
-        self._timer.bring_forward(self._next_tick_at(anyio.current_time()))
+        self._timer.bring_forward(self._next_tick_at(trio.current_time()))
 
     async def run_ticks(self) -> None:
         """Reduce ticks until cancelled."""
-        due_at = anyio.current_time()
+        due_at = trio.current_time()
         while True:
-            now = anyio.current_time()
+            now = trio.current_time()
             self.load.record_delay(now - due_at)
             self._tick(now)
-            next_tick_at = self._next_tick_at(anyio.current_time())
+            next_tick_at = self._next_tick_at(trio.current_time())
             due_at = await self._timer.sleep_until(next_tick_at)
 
     @abstractmethod
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 import anyio
+import trio
 
 from savoryrudder.daemon.shared_port import DialledLinks
 from savoryrudder.daemon.task_pool import TaskPool
@@ -105,22 +106,22 @@
         self._entries.set_addresses(self._group, chosen_addresses, others)
         self.handle(
             events.LinksRetired(
-                anyio.current_time(),
+                trio.current_time(),
                 self._entries.sessions_at(others),
             ),
         )
 
     def drain(self, timeout_s: float) -> None:
         """Begin a graceful stop."""
-        self.handle(events.DrainRequested(anyio.current_time(), timeout_s))
+        self.handle(events.DrainRequested(trio.current_time(), timeout_s))
 
     def on_link_up(self, peer: str, session: str) -> None:
         """Handle a newly opened session."""
-        self.handle(events.LinkUp(anyio.current_time(), session))
+        self.handle(events.LinkUp(trio.current_time(), session))
 
     def on_link_down(self, peer: str, session: str, reason: str) -> None:
         """Handle the end of a session."""
-        self.handle(events.LinkDown(anyio.current_time(), session, reason))
+        self.handle(events.LinkDown(trio.current_time(), session, reason))
 
     def on_frame(
         self,
@@ -132,7 +133,7 @@
         """Handle the messages of a frame, unless they may be stale."""
         if self._detect_stall():
             return
-        now = anyio.current_time()
+        now = trio.current_time()
         for received in messages:
             self.count_received(received)
         self.handle(
@@ -156,7 +157,7 @@
         self._last_ran_at = now
         if stall_s < _STALL_THRESHOLD_S:
             return False
-        self.handle(events.Stalled(anyio.current_time(), stall_s))
+        self.handle(events.Stalled(trio.current_time(), stall_s))
         return True
 
     def _reduce(
@@ -180,7 +181,7 @@
         verdict, clock_ms = await self._executor.start(call)
         self.handle(
             events.StartAnswered(
-                anyio.current_time(),
+                trio.current_time(),
                 call.task,
                 call.run,
                 verdict,
@@ -192,7 +193,7 @@
         confirmed = await self._executor.stop(call)
         self.handle(
             events.StopAnswered(
-                anyio.current_time(),
+                trio.current_time(),
                 call.task,
                 call.run,
                 confirmed,
@@ -200,7 +201,7 @@
         )
 
     async def _renew(self, call: effects.RenewLease) -> None:
-        self.handle(await self._executor.renew(call, anyio.current_time()))
+        self.handle(await self._executor.renew(call, trio.current_time()))
 
     def _send(self, peer: str, message: Message) -> None:
         if not self._entries.send(peer, message):
--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -7,8 +7,8 @@
 from typing import Any
 from typing import Final
 
-import anyio
 import msgspec
+import trio
 
 from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
@@ -82,7 +82,7 @@
     def __init__(self) -> None:
         """Create a client; each call carries the executor's address."""
         self._client = PlatformClient('')
-        self._starts = anyio.CapacityLimiter(_MAX_CONCURRENT_STARTS)
+        self._starts = trio.CapacityLimiter(_MAX_CONCURRENT_STARTS)
 
     async def start(self, call: effects.StartRun) -> tuple[str, int]:
         """Return the verdict and the executor's clock (ms; 0: unknown)."""
@@ -95,7 +95,7 @@
         }
         try:
             self._starts.acquire_nowait()
-        except anyio.WouldBlock:
+        except trio.WouldBlock:
             await self._starts.acquire()
         try:
             response = await self._send(
@@ -144,7 +144,7 @@
             body,
             _TIMEOUT_S + call.wait_ms / MS_PER_S,
         )
-        now = anyio.current_time()
+        now = trio.current_time()
         if isinstance(response, NoResponse):
             return events.RenewalFailed(now, response.reason)
         if response.status != HTTPStatus.OK:
--- a/src/savoryrudder/platform/http_client.py
+++ b/src/savoryrudder/platform/http_client.py
@@ -9,18 +9,14 @@
 from typing import Final
 from typing import NamedTuple
 
-import anyio
 import httptools
 import trio
-from anyio.abc import SocketAttribute
 
 from savoryrudder.utils.addresses import parse_dial_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from anyio.abc import SocketStream
-
 _KEEPALIVE_S: Final = 8
 _RECEIVE_BYTES: Final = 65_536
 _MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
@@ -28,11 +24,7 @@
 _PATH: Final = re.compile('[!-~]+')
 _HEADER_VALUE: Final = re.compile('[ -~]*')
 _FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
-_CONNECTION_ERRORS: Final = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.EndOfStream,
-)
+_CONNECTION_ERRORS: Final = (OSError, trio.BrokenResourceError)
 _PARSE_ERRORS: Final = (
     httptools.HttpParserError,
     httptools.HttpParserUpgrade,
@@ -100,19 +92,18 @@
 class _Connection:
     """Send one HTTP/1.1 request at a time over a connection."""
 
-    def __init__(self, stream: SocketStream) -> None:
-        self.used_at = anyio.current_time()
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.used_at = trio.current_time()
         self._stream = stream
         self._response = _ResponseReceiver()
         self._is_kept_alive = True
         self._poll = select.poll()
-        descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
-        self._poll.register(descriptor, select.POLLIN)
+        self._poll.register(stream.socket.fileno(), select.POLLIN)
 
     @property
     def reusable(self) -> bool:
         """Tell whether another request may be sent."""
-        is_fresh = anyio.current_time() - self.used_at < _KEEPALIVE_S
+        is_fresh = trio.current_time() - self.used_at < _KEEPALIVE_S
         if not self._is_kept_alive or not is_fresh:
             return False
         # An idle connection is readable only once the server has closed it.
@@ -125,33 +116,33 @@
     ) -> Response:
         """Send a request and return its response.
 
-        `on_progress` is called for each part of the response that arrives.
+        `on_progress` is called for each part of the response but the last.
         """
         response = self._response
         response.clear()
-        await self._stream.send(request)
+        await self._stream.send_all(request)
+        await self._receive()
         while not response.is_complete:
-            await self._receive()
             on_progress()
+            await self._receive()
         self._is_kept_alive = response.is_kept_alive
-        self.used_at = anyio.current_time()
+        self.used_at = trio.current_time()
         return Response(response.status, bytes(response.content))
 
     async def _receive(self) -> None:
-        try:
-            received = await self._stream.receive(_RECEIVE_BYTES)
-        except anyio.EndOfStream:
-            if not self._response.ends_with_connection:
-                raise
+        received = await self._stream.receive_some(_RECEIVE_BYTES)
+        if received:
+            self._response.parser.feed_data(received)
+        elif self._response.ends_with_connection:
             self._response.on_message_complete()
         else:
-            self._response.parser.feed_data(received)
+            raise trio.BrokenResourceError('the server closed the connection')
         if len(self._response.content) > _MAX_RESPONSE_BYTES:
             raise httptools.HttpParserError('the response is too large')
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close the connection at once."""
-        await anyio.aclose_forcefully(self._stream)
+        self._stream.socket.close()
 
 
 class PlatformClient:
@@ -194,7 +185,7 @@
             'connection timed out',
             sent=False,
         )
-        with anyio.move_on_after(timeout_s) as limit:
+        with trio.move_on_after(timeout_s) as limit:
             connection = await self._connect()
             if isinstance(connection, NoResponse):
                 return connection
@@ -212,13 +203,13 @@
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
-            await connection.close()
+            connection.close()
         try:
             host, port = parse_dial_address(self._address)
         except ValueError as invalid:
             return NoResponse(f'cannot connect: {invalid}', sent=False)
         try:
-            return _Connection(await anyio.connect_tcp(host, port))
+            return _Connection(await trio.open_tcp_stream(host, port))
         except OSError as error:
             return NoResponse(f'cannot connect: {error}', sent=False)
 
@@ -240,18 +231,17 @@
             )
         except trio.Cancelled:
             self._retire_idle_connections()
-            with anyio.CancelScope(shield=True):
-                await connection.close()
+            connection.close()
             raise
         else:
             # After a failure on another connection, this one may be dead, too.
             if generation == self._generation:
                 self._idle.append(connection)
             else:
-                await connection.close()
+                connection.close()
             return response
         self._retire_idle_connections()
-        await connection.close()
+        connection.close()
         return failure
 
     def _retire_idle_connections(self) -> None:
@@ -261,8 +251,8 @@
             connection.used_at = float('-inf')
 
 
-def _extend(limit: anyio.CancelScope, duration_s: float) -> None:
-    limit.deadline = max(limit.deadline, anyio.current_time() + duration_s)
+def _extend(limit: trio.CancelScope, duration_s: float) -> None:
+    limit.deadline = max(limit.deadline, trio.current_time() + duration_s)
 
 
 def _is_well_formed(path: str, headers: tuple[tuple[str, str], ...]) -> bool:
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -6,10 +6,10 @@
 import socket
 from functools import partial
 from typing import TYPE_CHECKING
-from typing import Any
 
 import anyio
 import pytest
+import trio
 from anyio.abc import SocketAttribute
 from anyio.lowlevel import checkpoint
 from trio.testing import MockClock
@@ -208,26 +208,18 @@
     def __init__(self, parts: list[tuple[float, bytes]]) -> None:
         """Take the parts with the delay before each."""
         self._parts = parts
-        self._socket = socket.socket()
+        self.socket = socket.socket()
 
-    def extra(self, attribute: Any) -> socket.socket:
-        """Return a socket whose descriptor can be polled."""
-        return self._socket
-
-    async def send(self, content: bytes) -> None:
+    async def send_all(self, content: bytes) -> None:
         """Accept a request."""
         await checkpoint()
 
-    async def receive(self, max_bytes: int) -> bytes:
+    async def receive_some(self, max_bytes: int) -> bytes:
         """Return the next part of the response."""
         delay_s, part = self._parts.pop(0)
         await anyio.sleep(delay_s)
         return part
 
-    async def aclose(self) -> None:
-        """Close the socket."""
-        self._socket.close()
-
 
 async def _connect_slowly(
     parts: list[tuple[float, bytes]],
@@ -254,7 +246,8 @@
     progress_timeout_s: float,
     monkeypatch: pytest.MonkeyPatch,
 ) -> Response | NoResponse:
-    monkeypatch.setattr(anyio, 'connect_tcp', partial(_connect_slowly, parts))
+    connect = partial(_connect_slowly, parts)
+    monkeypatch.setattr(trio, 'open_tcp_stream', connect)
     clock = MockClock(autojump_threshold=0)
     return anyio.run(
         _request,
