--- a/src/savoryrudder/jobs/model.py
+++ b/src/savoryrudder/jobs/model.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import cached_property
 from types import MappingProxyType
 from typing import Final
 from typing import NamedTuple
@@ -90,7 +93,8 @@
     target_ms: int
 
 
-class Configuration(NamedTuple):
+@dataclass(frozen=True)
+class Configuration:
     """Hold the operators' configuration; version -1 stands for none."""
 
     version: int
@@ -98,13 +102,35 @@
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching prefix, or None."""
-        best_match: Queue | None = None
+        queues = self._queues_by_host.get(host)
+        if queues is None:
+            return None
+        for length in queues.prefix_lengths:
+            queue = queues.by_prefix.get(path[:length])
+            if queue is not None:
+                return queue
+        return None
+
+    @cached_property
+    def _queues_by_host(self) -> Mapping[str, _HostQueues]:
+        by_host: dict[str, dict[str, Queue]] = {}
         for queue in self.queues.values():
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if best_match is None or len(queue.prefix) > len(best_match.prefix):
-                best_match = queue
-        return best_match
+            by_host.setdefault(queue.host, {}).setdefault(queue.prefix, queue)
+        return {
+            host: _HostQueues(
+                by_prefix,
+                sorted({len(prefix) for prefix in by_prefix}, reverse=True),
+            )
+            for host, by_prefix in by_host.items()
+        }
+
+
+class _HostQueues(NamedTuple):
+    """Hold the queues of a host, and the lengths of their prefixes."""
+
+    by_prefix: Mapping[str, Queue]
+    # The longest comes first.
+    prefix_lengths: Sequence[int]
 
 
 NO_CONFIGURATION: Final = Configuration(-1, MappingProxyType({}))
