Refuse jobs that cannot start in time on time, also while agents connect

Now the time by which each queued job has to start is kept in a heap and the next tick comes then; the rule holds while agents connect, too.

--- a/src/savoryrudder/dispatch/deadlines.py
+++ b/src/savoryrudder/dispatch/deadlines.py
@@ -15,7 +15,11 @@
 def next_tick_at(state: DispatchState, now: float) -> float:
     """Return the time of the next tick, unless an event changes the state."""
     if _needs_each_tick(state):
-        return align_tick(now + TICK_S, now)
+        tick_at = align_tick(now + TICK_S, now)
+        if not state.start_deadlines:
+            return tick_at
+        # A job that cannot start in time is refused then, not a tick later.
+        return min(tick_at, max(state.start_deadlines[0][0], now))
     due_at = now + IDLE_TICK_S
     changes = state.claim_changes
     if changes.claimed or changes.released:
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from heapq import heappop
+from heapq import heappush
+from math import inf
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -93,6 +96,7 @@
     position = bisect_left(state.job_queue, queue_item)
     if state.job_queue[position : position + 1] != [queue_item]:
         state.job_queue.insert(position, queue_item)
+        _watch_start_deadline(state, job)
 
 
 def dequeue(state: DispatchState, job: Job) -> None:
@@ -172,14 +176,29 @@
 
     Jobs that have not run are refused, others are interrupted.
     """
-    for _, _, job_id in tuple(state.job_queue):
-        job = state.jobs[job_id]
-        if job.started_at is not None:
-            if turn.now >= job.expires_at:
-                interruption = answers.Answer(answers.INTERRUPTED, 'time limit')
-                answer(state, turn, job, interruption)
-        elif turn.now >= _start_deadline(state, job):
+    while state.start_deadlines and state.start_deadlines[0][0] <= turn.now:
+        _, job_id = heappop(state.start_deadlines)
+        job = state.jobs.get(job_id)
+        if job is None or not _is_queued(state, job):
+            continue
+        if _start_deadline(job) > turn.now:
+            # The job has started, or another caller waits for it, since.
+            _watch_start_deadline(state, job)
+        elif job.started_at is None:
             answer(state, turn, job, _overdue_answer(job))
+        else:
+            interruption = answers.Answer(answers.INTERRUPTED, 'time limit')
+            answer(state, turn, job, interruption)
+
+
+def _watch_start_deadline(state: DispatchState, job: Job) -> None:
+    deadline = _start_deadline(job)
+    if deadline < inf:
+        heappush(state.start_deadlines, (deadline, job.request.job_id))
+
+
+def _is_queued(state: DispatchState, job: Job) -> bool:
+    return not job.ended and job.has_waiting_tasks
 
 
 def _overdue_answer(job: Job) -> answers.Answer:
@@ -189,12 +208,12 @@
     return answers.Answer(answers.OVERLOADED, reason, _RETRY_SOON_S)
 
 
-def _start_deadline(state: DispatchState, job: Job) -> float:
-    deadline = min(job.latest_start, job.expires_at)
-    if job.arrived_at < state.warm_up_until:
-        return deadline
+def _start_deadline(job: Job) -> float:
+    if job.started_at is not None:
+        return job.expires_at
     return min(
-        deadline,
+        job.latest_start,
+        job.expires_at,
         job.arrived_at + _MAX_UNSTARTED_SHARE * job.objective_s,
     )
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -240,6 +240,9 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     # Queued jobs as (latest start, sequence number, job ID), sorted.
     job_queue: list[tuple[float, int, str]] = field(default_factory=list)
+    # Times by which queued jobs have to start, as a heap of (time, job ID); it
+    # may hold jobs that are queued no longer.
+    start_deadlines: list[tuple[float, str]] = field(default_factory=list)
     # Job IDs by the number of the open request that waits for the answer.
     open_requests: dict[int, str] = field(default_factory=dict)
     # Final answers with their times, by job ID, for resubmissions.
--- a/tests/dispatch/test_entry_ticks.py
+++ b/tests/dispatch/test_entry_ticks.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
 from entry_driver import NO_CPU
 from entry_driver import EntryDriver
+from fakes.fleet import CAPACITY
 
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch.deadlines import next_tick_at
@@ -63,3 +65,24 @@
     driver.receive('l0', work.RunningTasks(()))
     driver.post(events.LinkDown(driver.now, 'l0', 'connection lost'))
     assert next_tick_at(driver.state, driver.now) <= driver.now + 2 * TICK_S
+
+
+def test_a_job_that_cannot_start_is_refused_on_time() -> None:
+    """Guard against refusals that wait for the next of the regular ticks."""
+    driver = EntryDriver(2, NO_CPU)
+    driver.submit('j1')
+    job = driver.state.jobs['j1']
+    refused_at = job.arrived_at + job.objective_s / 4
+    while driver.state.jobs:
+        driver.now = next_tick_at(driver.state, driver.now)
+        driver.post(events.Tick(driver.now))
+    assert driver.now == pytest.approx(refused_at)
+
+
+def test_a_job_that_starts_is_not_refused_later() -> None:
+    """Guard against a refusal of a job whose first task runs."""
+    driver = EntryDriver(1, CAPACITY._replace(cpu=1000))
+    driver.submit('j1', tasks=2, cpu=1000)
+    assert driver.state.jobs['j1'].started_at is not None
+    _ticks_in(driver, 10)
+    assert not driver.state.jobs['j1'].ended
--- a/tests/dispatch/test_start_up.py
+++ b/tests/dispatch/test_start_up.py
@@ -16,7 +16,8 @@
 
 NOW = 100.0
 OBJECTIVE_S = 0.38
-SLACK_S = 0.18
+# A job without a started task is refused after a quarter of its objective.
+WAIT_S = OBJECTIVE_S / 4
 
 
 def _submit(state: DispatchState, now: float) -> list[Reply]:
@@ -41,12 +42,13 @@
     """Guards against refusals in the second after a power failure.
 
     An entry used to refuse all jobs for 0.5 s after its start, until the first
-    agent had connected.
+    agent had connected. It later held them until they could only be late, and
+    refused them then, which left their callers no time to go elsewhere.
     """
     state = _entry_started_at(NOW)
     assert not _submit(state, NOW)
-    assert not _replies(reduce(state, events.Tick(NOW + SLACK_S - 0.01)))
-    replies = _replies(reduce(state, events.Tick(NOW + SLACK_S)))
+    assert not _replies(reduce(state, events.Tick(NOW + WAIT_S - 0.01)))
+    replies = _replies(reduce(state, events.Tick(NOW + WAIT_S + 0.001)))
     assert [reply.answer.verdict for reply in replies] == [answers.OVERLOADED]
 
 
