Send no start to an agent that has just refused one, nor after its executor left

The refusal came before the report of the same frame, and gave back what the entry took for free. Nothing counts as free there now until the report, which follows each refusal, those of the executor too. An executor that signs off without draining was still taken for accepting, as reports end with it: entries sent it tasks until the next one reported.

--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -11,6 +11,7 @@
 from savoryrudder.dispatch.claims import send_hello
 from savoryrudder.dispatch.state import AgentView
 from savoryrudder.dispatch.state import TaskState
+from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import SetCarriesWork
 from savoryrudder.worker import outcomes
@@ -346,6 +347,11 @@
     agent: AgentView,
     ended: work.TaskEnded,
 ) -> None:
+    if ended.outcome == outcomes.NOT_STARTED:
+        # There is less free than the entry takes for free. The report that
+        # follows tells how much.
+        agent.free = NO_RESOURCES
+        return
     for number, (task_name, _) in tuple(agent.unreported_starts.items()):
         if task_name == ended.task:
             # The reported free resources do not include this run yet.
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -202,6 +202,7 @@
     if state.heartbeat is None or state.heartbeat.executor != event.executor:
         return
     runs.mark_all_lost(state, turn, 'executor left')
+    reports.report_departure(state, turn)
     state.heartbeat = None
     state.lease = Lease()
     turn.log('executor-left', executor=event.executor)
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import Send
 from savoryrudder.worker.state import SentReport
@@ -98,6 +99,32 @@
         )
 
 
+def report_departure(state: WorkerState, turn: Turn) -> None:
+    """Tell the entries that the executor takes no tasks any more.
+
+    Without this report they would send it tasks until the next one reports.
+    """
+    heartbeat = state.heartbeat
+    if heartbeat is None:
+        return
+    for name, link in state.links.items():
+        if not link.last_report:
+            continue
+        link.last_report = None
+        turn.send(
+            name,
+            work.ExecutorReport(
+                heartbeat.executor,
+                heartbeat.service,
+                heartbeat.labels,
+                heartbeat.capacity,
+                NO_RESOURCES,
+                accepting=False,
+                starts_seen=link.starts_seen,
+            ),
+        )
+
+
 def _is_due(
     link: EntryLink,
     current: SentReport,
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -214,8 +214,12 @@
         )
     state.ends[run.key] = UnacknowledgedEnd(run.owner, turn.now, message)
     link = state.find_link(run.owner)
-    if link:
-        turn.send(link, message)
+    if not link:
+        return
+    if outcome == outcomes.NOT_STARTED:
+        # The entry overestimates the free capacity; send it a report now.
+        state.links[link].last_report = None
+    turn.send(link, message)
 
 
 def mark_all_lost(state: WorkerState, turn: Turn, reason: str) -> None:
--- a/tests/dispatch/test_fleet.py
+++ b/tests/dispatch/test_fleet.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import pytest
+from entry_driver import NO_CPU
+from entry_driver import EntryDriver
+from fakes.fleet import CAPACITY
 from fakes.fleet import Fleet
 from fakes.fleet import job_of
 from hypothesis import given
@@ -12,6 +16,8 @@
 from hypothesis import strategies as st
 
 from savoryrudder.dispatch import answers
+from savoryrudder.protocol import work
+from savoryrudder.utils.effects import Send
 
 RECOVERY_S = 30
 ANSWER_DELIVERY_S = 0.3
@@ -268,3 +274,25 @@
         fleet.run(0.01)
     assert _completed(fleet, served)
     assert fleet.clock.now > fleet.answered_at[served] + ANSWER_DELIVERY_S
+
+
+def test_a_refused_task_is_not_sent_again_before_a_report() -> None:
+    """Guard against starts that an agent refuses twice.
+
+    Its report follows in the same frame, and says what is free.
+    """
+    driver = EntryDriver(1)
+    driver.submit('j1', tasks=1)
+    refusal = work.TaskEnded('j1.0.0.0', 1, 'not-started', 'no room', 0)
+    assert not _starts(driver.receive('l0', refusal))
+    assert not _starts(driver.report('l0', NO_CPU, starts=1))
+    assert _starts(driver.report('l0', CAPACITY, starts=1))
+
+
+def _starts(sent: list[Any]) -> list[Any]:
+    return [
+        effect.message
+        for effect in sent
+        if isinstance(effect, Send)
+        and isinstance(effect.message, work.StartTask | work.StartTasks)
+    ]
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -158,3 +158,25 @@
     refused = driver.messages_of(work.TaskEnded)
     assert [message.task for message in refused] == ['j.2']
     assert driver.messages_of(work.ExecutorReport)[0].starts_seen == 6
+
+
+def test_a_report_follows_each_start_that_the_executor_refused(
+    driver: WorkerDriver,
+) -> None:
+    """Guards against capacity that an entry takes for occupied for ever."""
+    driver.start('j.0')
+    driver.answer_start('j.0', verdicts.REFUSED)
+    assert driver.messages_of(work.TaskEnded)
+    assert driver.messages_of(work.ExecutorReport)
+
+
+def test_entries_hear_that_the_executor_has_left(driver: WorkerDriver) -> None:
+    """Guards against tasks for an executor that is not there any more."""
+    driver.post(events.ExecutorLeft(driver.now, 'x1'))
+    reports = driver.messages_of(work.ExecutorReport)
+    assert [report.accepting for report in reports] == [False]
+    driver.post(events.Tick(driver.now + 1))
+    assert not driver.messages_of(work.ExecutorReport)
+    driver.send_heartbeat(started_ms=6)
+    driver.answer_renewal()
+    assert driver.messages_of(work.ExecutorReport)[-1].accepting
