--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -31,6 +31,8 @@
 _NEARLY_FULL_SHARE: Final = 0.25
 _BATCHING_DELAY_S: Final = 0.5
 _NEARLY_FULL_DELAY_S: Final = 0.2
+# An entry without runs here chooses among others first, most of the time.
+_UNUSED_LINK_DELAY_S: Final = 1
 _JOINING_DELAY_S: Final = 0.1
 
 
@@ -51,6 +53,7 @@
         previous = link.last_report
         if link.incarnation and previous and previous.free != free:
             yield previous.sent_at + _batching_delay_s(
+                link,
                 previous,
                 nearly_full_cpu,
             )
@@ -146,7 +149,7 @@
     delay_s = (
         _JOINING_DELAY_S
         if is_joining
-        else _batching_delay_s(previous, nearly_full_cpu)
+        else _batching_delay_s(link, previous, nearly_full_cpu)
     )
     return current.sent_at - previous.sent_at >= delay_s
 
@@ -155,7 +158,11 @@
     return heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
 
 
-def _batching_delay_s(previous: SentReport, nearly_full_cpu: float) -> float:
+def _batching_delay_s(
+    link: EntryLink,
+    previous: SentReport,
+    nearly_full_cpu: float,
+) -> float:
     if previous.free.cpu < nearly_full_cpu:
         return _NEARLY_FULL_DELAY_S
-    return _BATCHING_DELAY_S
+    return _BATCHING_DELAY_S if link.carries_work else _UNUSED_LINK_DELAY_S
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from savoryrudder.protocol import work
+from savoryrudder.utils.effects import Send
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
@@ -119,3 +120,24 @@
     )
     driver.answer_renewal(listed, (end,))
     assert driver.messages_of(work.ExecutorReport)[0].free.cpu == 2000
+
+
+def _reported_links(driver: WorkerDriver) -> set[str]:
+    return {
+        effect.peer
+        for effect in driver.effects_of(Send)
+        if isinstance(effect.message, work.ExecutorReport)
+    }
+
+
+def test_entries_without_runs_hear_less_often(driver: WorkerDriver) -> None:
+    """Guard against reports that cost more than what they tell is used."""
+    driver.post(events.LinkUp(driver.now, 'l2'))
+    hello = work.EntryHello('e2', 'e2#1', 'address')
+    driver.post(events.MessageReceived(driver.now, 'l2', hello))
+    driver.tick(0.5)
+    driver.start('j.0')
+    driver.tick(0.4)
+    assert 'l2' not in _reported_links(driver)
+    driver.tick(0.3)
+    assert 'l2' in _reported_links(driver)
