Hold an entry's old jobs back after a pause until the others have told theirs

An entry now notices that it did not run (as agents do), closes its links, and starts nothing of its old jobs until each entry that it lost has told its jobs again, or their runs must have ended; it yields those that another entry has. The same holds when it has lost all links without a pause. An entry that is back is asked again for a job that it still held. Ruled out: answering all old jobs at once (callers that still wait would come back 1.3 s later for jobs that nobody else has).

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -11,6 +11,7 @@
 from savoryrudder.daemon.load import BusyShare
 from savoryrudder.daemon.shared_port import DialledLinks
 from savoryrudder.daemon.shared_port import SharedPortListener
+from savoryrudder.daemon.stall import StallDetector
 from savoryrudder.daemon.ticking import TickingLoop
 from savoryrudder.dispatch import effects
 from savoryrudder.dispatch import events
@@ -64,6 +65,7 @@
         )
         self._peers = DialledLinks(self, self._revision, self._outbox)
         self._busy = BusyShare(self.load.waiting)
+        self._stall = StallDetector()
 
     @property
     def ready(self) -> bool:
@@ -99,6 +101,7 @@
         request_id = next(self._request_ids)
         request = _PendingRequest()
         self._pending[request_id] = request
+        self._detect_stall()
         self.handle(make_event(trio.current_time(), request_id))
         try:
             with request.waiting:
@@ -151,7 +154,9 @@
         revision: int,
         messages: tuple[Message, ...],
     ) -> None:
-        """Handle the messages of a frame."""
+        """Handle the messages of a frame, unless they may be stale."""
+        if self._detect_stall():
+            return
         now = trio.current_time()
         for received in messages:
             self.count_received(received)
@@ -166,7 +171,15 @@
     def _revision(self) -> int:
         return self.state.configuration.version
 
+    def _detect_stall(self) -> bool:
+        stall_s = self._stall.measure()
+        if not stall_s:
+            return False
+        self.handle(events.Stalled(trio.current_time(), stall_s))
+        return True
+
     def _tick(self, now: float) -> None:
+        self._detect_stall()
         self.handle(events.Tick(now, self._busy.measure_if_due(now)))
 
     def _next_tick_at(self, now: float) -> float:
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
@@ -12,11 +11,11 @@
 import trio
 
 from savoryrudder.daemon.shared_port import DialledLinks
+from savoryrudder.daemon.stall import StallDetector
 from savoryrudder.daemon.task_pool import TaskPool
 from savoryrudder.daemon.ticking import TickingLoop
 from savoryrudder.protocol.messages import Heartbeat
 from savoryrudder.utils.effects import SetCarriesWork
-from savoryrudder.utils.ticks import IDLE_TICK_S
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
 from savoryrudder.worker.deadlines import next_tick_at
@@ -33,14 +32,10 @@
     from savoryrudder.protocol.messages import Message
     from savoryrudder.worker.state import WorkerState
 
-# A process that is this late for its next tick was stopped meanwhile and drops
-# the frames received since: they may be stale.
-_MAX_TICK_DELAY_S: Final = 0.5
 # The tasks of a job arrive together; the executor starts some at a time.
 _MAX_CONCURRENT_STARTS: Final = 4
 # One that waits for an executor that has gone does not delay its successor's.
 _MAX_CONCURRENT_RENEWALS: Final = 2
-_STALL_THRESHOLD_S: Final = IDLE_TICK_S + _MAX_TICK_DELAY_S
 
 
 class ExecutorCalls(Protocol):
@@ -76,7 +71,7 @@
         self._starts = TaskPool(_MAX_CONCURRENT_STARTS)
         self._renewals = TaskPool(_MAX_CONCURRENT_RENEWALS)
         self._entries = DialledLinks(self, _no_revision, self._outbox)
-        self._last_ran_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._stall = StallDetector()
 
     @property
     def ready(self) -> bool:
@@ -152,10 +147,8 @@
         return next_tick_at(self.state, now)
 
     def _detect_stall(self) -> bool:
-        now = time.clock_gettime(time.CLOCK_BOOTTIME)
-        stall_s = now - self._last_ran_at
-        self._last_ran_at = now
-        if stall_s < _STALL_THRESHOLD_S:
+        stall_s = self._stall.measure()
+        if not stall_s:
             return False
         self.handle(events.Stalled(trio.current_time(), stall_s))
         return True
--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -12,9 +12,11 @@
 
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import delegation
+from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch.state import ContestedJob
+from savoryrudder.dispatch.state import OrphanedJob
 from savoryrudder.dispatch.state import PeerView
 from savoryrudder.protocol import work
 
@@ -40,8 +42,22 @@
     state.working_peers.add(link)
     delegation.choose_load_listeners(state)
     turn.log('peer-linked', peer=hello.entry, incarnation=hello.incarnation)
-    if state.jobs:
-        turn.send(link, work.JobsClaimed(tuple(state.jobs)))
+    turn.send(link, work.JobsClaimed(tuple(state.jobs)))
+    _ask_again(state, turn, link, hello.incarnation)
+
+
+def _ask_again(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    incarnation: str,
+) -> None:
+    for job_id, contested_job in state.contested_jobs.items():
+        if contested_job.incarnation == incarnation:
+            contested_job.holder = link
+            contested_job.settled_at = float('inf')
+            turn.send(link, work.RelinquishJob(job_id))
+            peer_links.begin_work(state, turn, link)
 
 
 def send_hello(state: DispatchState, turn: Turn, link: str) -> None:
@@ -69,10 +85,11 @@
         return
     state.working_peers.discard(link)
     delegation.choose_load_listeners(state)
+    isolation.record_lost_peer(state, turn.now, peer.entry)
     settled_at = turn.now + state.timing.settle_s
     turn.log('peer-lost', peer=peer.entry, jobs=len(peer.jobs))
     for job_id in peer.jobs:
-        state.orphaned_jobs[job_id] = settled_at
+        state.orphaned_jobs[job_id] = OrphanedJob(settled_at, peer.incarnation)
     for contested_job in state.contested_jobs.values():
         if contested_job.holder == link:
             contested_job.settled_at = settled_at
@@ -92,21 +109,41 @@
     if existing is not None:
         existing.submissions.append(event)
         return True
-    holder = _find_holder(state, job_id)
-    settled_at = state.orphaned_jobs.get(job_id, 0)
-    if not holder and settled_at <= turn.now:
+    contested_job = _contest_at_holder(state, turn, event)
+    if contested_job is None:
+        contested_job = _contest_as_orphan(state, turn, event)
+    if contested_job is None:
         return False
-    turn.log('job-contested', job=job_id, holder=holder or 'lost')
-    contested_job = ContestedJob([event], holder)
-    if holder:
-        turn.send(holder, work.RelinquishJob(job_id))
-        peer_links.begin_work(state, turn, holder)
-    else:
-        contested_job.settled_at = settled_at
+    turn.log('job-contested', job=job_id, holder=contested_job.holder or 'lost')
     state.contested_jobs[job_id] = contested_job
     return True
 
 
+def _contest_at_holder(
+    state: DispatchState,
+    turn: Turn,
+    event: JobSubmitted,
+) -> ContestedJob | None:
+    holder = _find_holder(state, event.job.job_id)
+    if not holder:
+        return None
+    turn.send(holder, work.RelinquishJob(event.job.job_id))
+    peer_links.begin_work(state, turn, holder)
+    incarnation = state.peers[holder].incarnation
+    return ContestedJob([event], holder, incarnation=incarnation)
+
+
+def _contest_as_orphan(
+    state: DispatchState,
+    turn: Turn,
+    event: JobSubmitted,
+) -> ContestedJob | None:
+    orphan = state.orphaned_jobs.get(event.job.job_id)
+    if orphan is None or orphan.settled_at <= turn.now:
+        return None
+    return ContestedJob([event], '', orphan.settled_at, orphan.incarnation)
+
+
 def handle_message(
     state: DispatchState,
     turn: Turn,
@@ -118,6 +155,8 @@
     match message:
         case work.JobsClaimed(job_ids):
             peer.jobs.update(job_ids)
+            _yield_taken_jobs(state, turn, job_ids)
+            isolation.record_claims_of(state, peer.entry)
         case work.JobsReleased(job_ids):
             peer.jobs.difference_update(job_ids)
         case work.RelinquishJob(job_id):
@@ -133,8 +172,8 @@
     now: float,
 ) -> list[JobSubmitted]:
     """Remove and return submissions whose jobs no longer run elsewhere."""
-    for orphan_id, settled_at in tuple(state.orphaned_jobs.items()):
-        if settled_at <= now:
+    for orphan_id, orphan in tuple(state.orphaned_jobs.items()):
+        if orphan.settled_at <= now:
             state.orphaned_jobs.pop(orphan_id)
     settled: list[JobSubmitted] = []
     for job_id, contested_job in tuple(state.contested_jobs.items()):
@@ -211,6 +250,21 @@
     return ''
 
 
+def _yield_taken_jobs(
+    state: DispatchState,
+    turn: Turn,
+    job_ids: Iterable[str],
+) -> None:
+    for job_id in job_ids:
+        job = state.jobs.get(job_id)
+        if job is None or job.ended:
+            continue
+        if isolation.is_held_back(state, job, turn.now):
+            turn.log('job-yielded', job=job_id, unsettled=job.outstanding)
+            superseded = answers.Answer(answers.SUPERSEDED)
+            jobs.answer(state, turn, job, superseded)
+
+
 def _relinquish_job(
     state: DispatchState,
     turn: Turn,
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -99,6 +99,13 @@
     busy_share: float | None = None
 
 
+class Stalled(NamedTuple):
+    """The process did not run for a while; its peers have lost it."""
+
+    now: float
+    stall_s: float
+
+
 class DrainRequested(NamedTuple):
     """The process was asked to stop gracefully within `timeout_s`."""
 
@@ -116,5 +123,6 @@
     | LinkDown
     | MessageReceived
     | Tick
+    | Stalled
     | DrainRequested
 )
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -20,6 +20,7 @@
 from savoryrudder.dispatch.eligibility import is_eligible
 from savoryrudder.dispatch.health import is_avoided
 from savoryrudder.dispatch.health import slowness_of
+from savoryrudder.dispatch.isolation import is_held_back
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -67,6 +68,8 @@
     blocked_jobs = 0
     for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
+        if is_held_back(state, job, now):
+            continue
         for progress in job.steps:
             if progress.unlocked:
                 yield from _place_step(search, job, progress)
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -17,12 +17,14 @@
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch import fleet
 from savoryrudder.dispatch import health
+from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch.placement import place_tasks
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import delegation as protocol
 from savoryrudder.protocol import work
+from savoryrudder.utils.effects import CloseLink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -351,6 +353,7 @@
 ) -> None:
     fleet.remove_link(state, turn, event.link, event.reason)
     claims.remove_peer(state, turn, event.link)
+    isolation.begin_if_isolated(state, turn)
     _disconnect_foreign_requests(state, turn, event.link)
     for submission in delegation.pop_submissions_at(state, event.link):
         _handle_job_submitted(state, turn, submission)
@@ -446,6 +449,7 @@
     health.update_avoidance(state, turn.now)
     fleet.requeue_overdue(state, turn)
     jobs.answer_overdue(state, turn)
+    isolation.forget_old_losses(state, turn.now)
     for submission in claims.pop_settled_submissions(state, turn.now):
         _handle_job_submitted(state, turn, submission)
     jobs.expire_answers(state, turn.now)
@@ -457,6 +461,18 @@
     peer_links.end_work(state, turn)
 
 
+def _handle_stalled(
+    state: DispatchState,
+    turn: Turn,
+    event: events.Stalled,
+) -> None:
+    turn.log('stalled', stall_s=event.stall_s, jobs=len(state.jobs))
+    for link in (*state.agents, *state.peers, *state.unidentified_links):
+        turn.effects.append(CloseLink(link, 'process was stalled'))
+        lost = events.LinkDown(event.now, link, 'process was stalled')
+        _handle_link_down(state, turn, lost)
+
+
 def _handle_drain(
     state: DispatchState,
     turn: Turn,
@@ -476,6 +492,7 @@
         events.LinkDown: _handle_link_down,
         events.MessageReceived: _handle_message,
         events.Tick: _handle_tick,
+        events.Stalled: _handle_stalled,
         events.DrainRequested: _handle_drain,
     }
 )
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -211,13 +211,24 @@
 class ContestedJob:
     """Hold submissions of a job that may still be running at another entry.
 
-    `holder` is the link to that entry. If it was lost, `settled_at` is the time
-    by which its runs have ended.
+    `holder` is the link to that entry, which runs as `incarnation`. If it was
+    lost, `settled_at` is the time by which its runs have ended.
     """
 
     submissions: list[JobSubmitted]
     holder: str
     settled_at: float = float('inf')
+    incarnation: str = ''
+
+
+class OrphanedJob(NamedTuple):
+    """Tell by when the runs of a lost entry's job have ended.
+
+    The entry ran as `incarnation`.
+    """
+
+    settled_at: float
+    incarnation: str
 
 
 @dataclass(slots=True)
@@ -274,8 +285,12 @@
     # Links to other entries that carry work, as far as this one knows.
     working_peers: set[str] = field(default_factory=set)
     contested_jobs: dict[str, ContestedJob] = field(default_factory=dict)
-    # Job IDs of lost entries, with the time by which their runs have ended.
-    orphaned_jobs: dict[str, float] = field(default_factory=dict)
+    # Jobs of lost entries by their IDs.
+    orphaned_jobs: dict[str, OrphanedJob] = field(default_factory=dict)
+    # Entries whose links were lost, with the time, until they tell their jobs
+    # again, and when the last link of this entry was lost.
+    lost_peers: dict[str, float] = field(default_factory=dict)
+    isolated_at: float = float('-inf')
     # Links of the entries that wait until a job has stopped here, by job ID.
     relinquish_requests: dict[str, str] = field(default_factory=dict)
     # Ends of runs by link that are not acknowledged yet.
--- a/tests/dispatch/test_fleet.py
+++ b/tests/dispatch/test_fleet.py
@@ -115,6 +115,77 @@
     assert _completed(fleet, resubmitted)
 
 
+SHORT_PAUSES_S = (0.1, 0.3, 0.5, 0.7)
+LONG_PAUSES_S = (0.8, 1, 1.5, 2, 3, 5, 10)
+
+
+@pytest.mark.parametrize('pause_s', SHORT_PAUSES_S)
+def test_a_short_pause_of_an_agent_restarts_nothing(pause_s: float) -> None:
+    """Guards against giving up the work of a machine that is only silent."""
+    fleet = Fleet(10)
+    fleet.calls.duration_factor = 10
+    request = fleet.submit(0, job_of('one', tasks=4))
+    fleet.run(0.3)
+    runs = {
+        run.key for agent in fleet.agents for run in agent.state.runs.values()
+    }
+    fleet.freeze_agent(0, pause_s)
+    fleet.run(pause_s + 0.1)
+    assert runs == {
+        run.key for agent in fleet.agents for run in agent.state.runs.values()
+    }
+    fleet.run(RECOVERY_S)
+    assert _completed(fleet, request)
+
+
+@pytest.mark.parametrize('pause_s', [*SHORT_PAUSES_S, *LONG_PAUSES_S])
+@settings(max_examples=10)
+@given(seed=st.integers(0, 2**32), paused_at=st.floats(0, 1))
+def test_a_paused_agent_leaves_no_concurrent_runs(
+    pause_s: float,
+    seed: int,
+    paused_at: float,
+) -> None:
+    """Guards against work that is started elsewhere before it has ended.
+
+    The fake executors raise on a task that runs at two of them.
+    """
+    fleet = Fleet(seed)
+    fleet.calls.duration_factor = 10
+    requests = [fleet.submit(0, job_of(f'j{number}')) for number in range(3)]
+    fleet.run(paused_at)
+    fleet.freeze_agent(0, pause_s)
+    fleet.run(RECOVERY_S)
+    assert all(_completed(fleet, request) for request in requests)
+
+
+@pytest.mark.parametrize('pause_s', [*SHORT_PAUSES_S, *LONG_PAUSES_S])
+@settings(max_examples=10)
+@given(seed=st.integers(0, 2**32), paused_at=st.floats(0, 1))
+def test_a_paused_entry_leaves_no_concurrent_runs(
+    pause_s: float,
+    seed: int,
+    paused_at: float,
+) -> None:
+    """Guards against an entry that acts after its jobs have gone elsewhere.
+
+    Its callers lose patience and come to another entry, and it handles what
+    arrived meanwhile as if no time had passed.
+    """
+    fleet = Fleet(seed, zones=('zone-a', 'zone-b'))
+    fleet.calls.duration_factor = 10
+    jobs = [job_of(f'j{number}') for number in range(3)]
+    for job in jobs:
+        fleet.submit(0, job)
+    fleet.run(paused_at)
+    fleet.freeze_entry(0, pause_s)
+    fleet.submit(0, job_of('late'))
+    fleet.run(RESUBMISSION_S)
+    resubmitted = [fleet.submit(1, again) for again in jobs]
+    fleet.run(RECOVERY_S)
+    assert all(fleet.answers.get(request) for request in resubmitted)
+
+
 @settings(max_examples=100)
 @given(seed=st.integers(0, 2**32))
 def test_no_task_has_concurrent_runs_under_random_faults(seed: int) -> None:
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -43,6 +43,8 @@
 CAPACITY = Resources(cpu=8000, memory=4096, gpu=0)
 ZONE = 'zone-a'
 SETTLE_S = 2.5
+# A process notices that it did not run for this long.
+STALL_S = 1
 # Ticks at multiples of `TICK_S` may miss a time by the error of their sum.
 CLOCK_ERROR_S = 0.001
 
@@ -80,6 +82,7 @@
         self.state = DispatchState(identity, DispatchTiming(SETTLE_S))
         self._fleet = fleet
         self._tick_at = fleet.clock.now
+        self._deferred: list[Any] = []
         now = fleet.clock.now
         self.post(entry_events.ConfigurationRead(now, configuration))
 
@@ -102,10 +105,27 @@
         if now >= self._tick_at - CLOCK_ERROR_S:
             self.post(entry_events.Tick(now, self.busy_share))
 
+    def thaw(self, seconds: float) -> None:
+        """Resume, and handle what has arrived meanwhile."""
+        self.frozen = False
+        if seconds >= STALL_S:
+            stalled = entry_events.Stalled(self._fleet.clock.now, seconds)
+            self.post(stalled)
+        deferred = self._deferred
+        self._deferred = []
+        for event in deferred:
+            self.post(event._replace(now=self._fleet.clock.now))
+
     def post(self, event: Any) -> None:
-        """Reduce an event and carry out its effects."""
+        """Reduce an event and carry out its effects.
+
+        A frozen entry handles it after its thaw, in the order of arrival.
+        """
         if not self.alive:
             return
+        if self.frozen:
+            self._deferred.append(event)
+            return
         for effect in reduce_entry(self.state, event):
             match effect:
                 case effects.Send(link, message):
@@ -119,6 +139,8 @@
                         link,
                         carries_work=carries_work,
                     )
+                case effects.CloseLink(link, _):
+                    self._fleet.links.close(link)
                 case effects.Log():
                     self._fleet.record_change(self.name, effect)
         now = self._fleet.clock.now
@@ -324,6 +346,14 @@
             self.links.freeze(agent)
             self.clock.after(seconds, agent.thaw, seconds)
 
+    def freeze_entry(self, index: int, seconds: float) -> None:
+        """Freeze an entry; its peers close the links after the timeout."""
+        entry = self.entries[index]
+        if not entry.frozen:
+            entry.frozen = True
+            self.links.freeze(entry)
+            self.clock.after(seconds, entry.thaw, seconds)
+
     def silence_link(self, first: str, second: str, seconds: float) -> None:
         """Lose all messages between two processes for a time."""
         self.links.silence(first, second, seconds)
