--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -8,8 +8,8 @@
 import anyio
 import trio
 
+from savoryrudder.daemon.dialled_links import DialledLinks
 from savoryrudder.daemon.load import BusyShare
-from savoryrudder.daemon.shared_port import DialledLinks
 from savoryrudder.daemon.shared_port import SharedPortListener
 from savoryrudder.daemon.stall import StallDetector
 from savoryrudder.daemon.ticking import TickingLoop
--- a/src/savoryrudder/daemon/liveness.py
+++ b/src/savoryrudder/daemon/liveness.py
@@ -42,6 +42,16 @@
         return self.heartbeat_s * self.max_missed_heartbeats
 
 
+FAST_TIMING: Final = LinkTiming(
+    heartbeat_s=0.375,
+    quiet_heartbeat_s=1,
+    max_missed_heartbeats=2,
+    join_timeout_s=1,
+    backoff_min_s=0.1,
+    backoff_max_s=0.5,
+)
+
+
 class Liveness:
     """Track the frames of a link in both directions; times in seconds."""
 
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -10,7 +10,7 @@
 import anyio
 import trio
 
-from savoryrudder.daemon.shared_port import DialledLinks
+from savoryrudder.daemon.dialled_links import DialledLinks
 from savoryrudder.daemon.stall import StallDetector
 from savoryrudder.daemon.task_pool import TaskPool
 from savoryrudder.daemon.ticking import TickingLoop
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -20,6 +20,7 @@
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import peer_links
+from savoryrudder.dispatch import queries
 from savoryrudder.dispatch.placement import place_tasks
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import delegation as protocol
@@ -238,81 +239,6 @@
     turn.log('job-revived', job=event.job.job_id, unsettled=job.outstanding)
 
 
-def _handle_job_queried(
-    state: DispatchState,
-    turn: Turn,
-    event: events.JobQueried,
-) -> None:
-    target = _resolve_path(state, event.host, event.path)
-    if isinstance(target, answers.Answer):
-        turn.reply(event.request_id, target)
-        return
-    queue, job_id = target
-    if not job_id:
-        waiting = sum(
-            1
-            for job in state.jobs.values()
-            if job.queue.name == queue.name and job.started_at is None
-        )
-        turn.reply(event.request_id, answers.QueueLength(waiting))
-        return
-    turn.reply(event.request_id, _job_status(state, job_id))
-
-
-def _handle_job_cancelled(
-    state: DispatchState,
-    turn: Turn,
-    event: events.JobCancelled,
-) -> None:
-    target = _resolve_path(state, event.host, event.path)
-    if isinstance(target, answers.Answer):
-        turn.reply(event.request_id, target)
-        return
-    _, job_id = target
-    cancelled = answers.Answer(answers.CANCELLED)
-    if delegation.answer_callers(state, turn, job_id, cancelled):
-        turn.reply(event.request_id, cancelled)
-        return
-    job = state.jobs.get(job_id)
-    if job is None or job.ended:
-        turn.reply(event.request_id, answers.Answer(answers.UNKNOWN_JOB))
-        return
-    jobs.answer(state, turn, job, cancelled)
-    turn.reply(event.request_id, cancelled)
-
-
-def _resolve_path(
-    state: DispatchState,
-    host: str,
-    path: str,
-) -> tuple[Queue, str] | answers.Answer:
-    if state.configuration.version < 0:
-        return answers.Answer(
-            answers.UNAVAILABLE,
-            'no configuration yet',
-            _RETRY_SOON_S,
-        )
-    queue = state.configuration.find_queue(host, path)
-    if queue is None:
-        return answers.Answer(answers.UNKNOWN_QUEUE)
-    return queue, path[len(queue.prefix) :]
-
-
-def _job_status(state: DispatchState, job_id: str) -> answers.Answer:
-    if job_id in state.delegations:
-        return answers.Answer(answers.RUNNING)
-    job = state.jobs.get(job_id)
-    if job is None or job.ended:
-        recent_answer = state.recent_answers.get(job_id)
-        return (
-            recent_answer[1]
-            if recent_answer
-            else answers.Answer(answers.UNKNOWN_JOB)
-        )
-    is_running = job.started_at is not None
-    return answers.Answer(answers.RUNNING if is_running else answers.PENDING)
-
-
 def _handle_caller_disconnected(
     state: DispatchState,
     turn: Turn,
@@ -485,8 +411,8 @@
     {
         events.ConfigurationRead: _handle_configuration,
         events.JobSubmitted: _handle_job_submitted,
-        events.JobQueried: _handle_job_queried,
-        events.JobCancelled: _handle_job_cancelled,
+        events.JobQueried: queries.answer_query,
+        events.JobCancelled: queries.cancel,
         events.CallerDisconnected: _handle_caller_disconnected,
         events.LinkUp: _handle_link_up,
         events.LinkDown: _handle_link_down,
--- a/tests/daemon/test_heartbeats.py
+++ b/tests/daemon/test_heartbeats.py
@@ -15,10 +15,10 @@
 from trio.testing import MockClock
 
 from savoryrudder.daemon.links import DEFAULT_TIMING
+from savoryrudder.daemon.liveness import FAST_TIMING
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
-from savoryrudder.daemon.shared_port import FAST_TIMING
 from savoryrudder.protocol import codec
 from savoryrudder.protocol import work
 
--- a/tests/daemon/test_liveness.py
+++ b/tests/daemon/test_liveness.py
@@ -9,9 +9,9 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from savoryrudder.daemon.liveness import FAST_TIMING
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.liveness import Liveness
-from savoryrudder.daemon.shared_port import FAST_TIMING
 
 TIMING = LinkTiming(
     heartbeat_s=1,
--- a/tests/daemon/test_shared_port.py
+++ b/tests/daemon/test_shared_port.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 
-from savoryrudder.daemon.shared_port import DialledLinks
+from savoryrudder.daemon.dialled_links import DialledLinks
 from savoryrudder.daemon.shared_port import SharedPortListener
 from savoryrudder.protocol import work
 
