--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -86,20 +86,25 @@
         if not _is_due(link, sent, nearly_full_cpu, is_joining=is_joining):
             continue
         link.last_report = sent
-        turn.send(
-            name,
-            work.ExecutorReport(
-                heartbeat.executor,
-                heartbeat.service,
-                heartbeat.labels,
-                heartbeat.capacity,
-                current.free,
-                sent.accepting,
-                link.starts_seen,
-                current.on_trial,
-                current.entries,
-            ),
-        )
+        turn.send(name, _describe(heartbeat, sent, link.starts_seen))
+
+
+def _describe(
+    heartbeat: ExecutorHeartbeat,
+    sent: SentReport,
+    starts_seen: int,
+) -> work.ExecutorReport:
+    return work.ExecutorReport(
+        heartbeat.executor,
+        heartbeat.service,
+        heartbeat.labels,
+        heartbeat.capacity,
+        sent.free,
+        sent.accepting,
+        starts_seen,
+        sent.on_trial,
+        sent.entries,
+    )
 
 
 def report_departure(state: WorkerState, turn: Turn) -> None:
@@ -113,19 +118,12 @@
     for name, link in state.links.items():
         if not link.last_report:
             continue
-        link.last_report = None
-        turn.send(
-            name,
-            work.ExecutorReport(
-                heartbeat.executor,
-                heartbeat.service,
-                heartbeat.labels,
-                heartbeat.capacity,
-                NO_RESOURCES,
-                accepting=False,
-                starts_seen=link.starts_seen,
-            ),
+        departure = link.last_report._replace(
+            free=NO_RESOURCES,
+            accepting=False,
         )
+        link.last_report = None
+        turn.send(name, _describe(heartbeat, departure, link.starts_seen))
 
 
 def _is_due(
