--- a/src/savoryrudder/daemon/http_server.py
+++ b/src/savoryrudder/daemon/http_server.py
@@ -1,9 +1,8 @@
 """Serve ASGI applications over HTTP/1.1 without TLS.
 
-Requests are parsed by httptools, in one task for each connection. hypercorn
-serves the product's own interface, with TLS and HTTP/2; its protocol stacks
-take a fifth of the start of a process and a third of the processor time of a
-request, and the platform's callers use none of them.
+Requests are parsed by httptools, in one task for each connection. The callers of
+the platform use none of the protocols that hypercorn adds for the product's own
+interface, and each process would pay for them at its start and at each request.
 """
 
 from __future__ import annotations
--- a/src/savoryrudder/daemon/logs.py
+++ b/src/savoryrudder/daemon/logs.py
@@ -1,7 +1,7 @@
 """Write log lines as JSON.
 
-eliot writes them to a file. It is imported on demand, as it takes a tenth of
-the start of a process that logs to standard output.
+eliot writes them to a file. It is imported on demand: processes that log to
+standard output start sooner without it.
 """
 
 from __future__ import annotations
