--- a/src/savoryrudder/daemon/http_server.py
+++ b/src/savoryrudder/daemon/http_server.py
@@ -1,8 +1,9 @@
 """Serve ASGI applications over HTTP/1.1 without TLS.
 
-Requests are parsed by httptools, in one task for each connection. The callers of
-the platform use none of the protocols that hypercorn adds for the product's own
-interface, and each process would pay for them at its start and at each request.
+Requests are parsed by httptools, in one task for each connection. The callers
+of the platform use none of the protocols that hypercorn adds for the product's
+own interface, and each process would pay for them at its start and with each
+request.
 """
 
 from __future__ import annotations
