Let one entry take a job that several wait for

Seen: two runs of a task at once in the in-memory fleet. An entry is lost; its job waits at a second entry until its runs must have ended (settle_s); the caller goes on to a third one, where it waits for the same moment: both start it. And an entry that was asked for a job by two others told neither the first one nor, if it had the job no more, that another waits.

Cause: a job that waits was not claimed, so that nobody asked its holder; of several claimers only the first one found was asked.

Now a contested job is claimed like one that runs, the entry asked for it leaves it to the one that asks (of two that ask each other, to the lower name), each claimer is asked, and of two askers the earlier one is told that its caller has gone on. Contested jobs have a module of their own.

Asking each claimer has no test that fails without it.

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -11,12 +11,11 @@
 from typing import TYPE_CHECKING
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import peer_links
-from savoryrudder.dispatch.state import ContestedJob
-from savoryrudder.dispatch.state import OrphanedJob
 from savoryrudder.dispatch.state import PeerView
 from savoryrudder.protocol import work
 
@@ -42,22 +41,8 @@
     state.working_peers.add(link)
     delegation.choose_load_listeners(state)
     turn.log('peer-linked', peer=hello.entry, incarnation=hello.incarnation)
-    turn.send(link, work.JobsClaimed(tuple(state.jobs)))
-    _ask_again(state, turn, link, hello.incarnation)
-
-
-def _ask_again(
-    state: DispatchState,
-    turn: Turn,
-    link: str,
-    incarnation: str,
-) -> None:
-    for job_id, contested_job in state.contested_jobs.items():
-        if contested_job.incarnation == incarnation:
-            contested_job.holder = link
-            contested_job.settled_at = float('inf')
-            turn.send(link, work.RelinquishJob(job_id))
-            peer_links.begin_work(state, turn, link)
+    turn.send(link, work.JobsClaimed((*state.jobs, *state.contested_jobs)))
+    contested.ask_again(state, turn, link, hello.incarnation)
 
 
 def send_hello(state: DispatchState, turn: Turn, link: str) -> None:
@@ -88,60 +73,7 @@
     isolation.record_lost_peer(state, turn.now, peer.entry)
     settled_at = turn.now + state.timing.settle_s
     turn.log('peer-lost', peer=peer.entry, jobs=len(peer.jobs))
-    for job_id in peer.jobs:
-        state.orphaned_jobs[job_id] = OrphanedJob(settled_at, peer.incarnation)
-    for contested_job in state.contested_jobs.values():
-        if contested_job.holder == link:
-            contested_job.settled_at = settled_at
-
-
-def defer_if_claimed(
-    state: DispatchState,
-    turn: Turn,
-    event: JobSubmitted,
-) -> bool:
-    """Defer a submission if its job may be running at another entry.
-
-    Returns whether the submission was deferred.
-    """
-    job_id = event.job.job_id
-    existing = state.contested_jobs.get(job_id)
-    if existing is not None:
-        existing.submissions.append(event)
-        return True
-    contested_job = _contest_at_holder(state, turn, event)
-    if contested_job is None:
-        contested_job = _contest_as_orphan(state, turn, event)
-    if contested_job is None:
-        return False
-    turn.log('job-contested', job=job_id, holder=contested_job.holder or 'lost')
-    state.contested_jobs[job_id] = contested_job
-    return True
-
-
-def _contest_at_holder(
-    state: DispatchState,
-    turn: Turn,
-    event: JobSubmitted,
-) -> ContestedJob | None:
-    holder = _find_holder(state, event.job.job_id)
-    if not holder:
-        return None
-    turn.send(holder, work.RelinquishJob(event.job.job_id))
-    peer_links.begin_work(state, turn, holder)
-    incarnation = state.peers[holder].incarnation
-    return ContestedJob([event], holder, incarnation=incarnation)
-
-
-def _contest_as_orphan(
-    state: DispatchState,
-    turn: Turn,
-    event: JobSubmitted,
-) -> ContestedJob | None:
-    orphan = state.orphaned_jobs.get(event.job.job_id)
-    if orphan is None or orphan.settled_at <= turn.now:
-        return None
-    return ContestedJob([event], '', orphan.settled_at, orphan.incarnation)
+    contested.record_lost_holder(state, link, peer, settled_at)
 
 
 def handle_message(
@@ -161,40 +93,12 @@
             peer.jobs.difference_update(job_ids)
         case work.RelinquishJob(job_id):
             _relinquish_job(state, turn, link, job_id)
-        case work.JobRelinquished(job_id, verdict):
-            peer.jobs.discard(job_id)
-            return _resolve_contested_job(state, turn, job_id, verdict)
+        case work.JobRelinquished():
+            peer.jobs.discard(message.job)
+            return contested.record_relinquished(state, turn, link, message)
     return []
 
 
-def pop_settled_submissions(
-    state: DispatchState,
-    now: float,
-) -> list[JobSubmitted]:
-    """Remove and return submissions whose jobs no longer run elsewhere."""
-    for orphan_id, orphan in tuple(state.orphaned_jobs.items()):
-        if orphan.settled_at <= now:
-            state.orphaned_jobs.pop(orphan_id)
-    settled: list[JobSubmitted] = []
-    for job_id, contested_job in tuple(state.contested_jobs.items()):
-        if contested_job.settled_at <= now:
-            state.contested_jobs.pop(job_id)
-            settled.extend(contested_job.submissions)
-    return settled
-
-
-def withdraw_submission(state: DispatchState, request_id: int) -> None:
-    """Remove a deferred submission whose caller has disconnected."""
-    for job_id, contested_job in tuple(state.contested_jobs.items()):
-        contested_job.submissions = [
-            submission
-            for submission in contested_job.submissions
-            if submission.request_id != request_id
-        ]
-        if not contested_job.submissions:
-            state.contested_jobs.pop(job_id)
-
-
 def announce_changes(state: DispatchState, turn: Turn) -> None:
     """Announce claimed and released jobs to the other entries.
 
@@ -220,10 +124,10 @@
         return
     changes.announced_at = turn.now
     claimed = dict.fromkeys(
-        job_id for job_id in changes.claimed if job_id in state.jobs
+        job_id for job_id in changes.claimed if state.claims(job_id)
     )
     released = dict.fromkeys(
-        job_id for job_id in changes.released if job_id not in state.jobs
+        job_id for job_id in changes.released if not state.claims(job_id)
     )
     changes.claimed.clear()
     changes.released.clear()
@@ -243,13 +147,6 @@
             turn.send(link, work.JobRelinquished(job_id, ''))
 
 
-def _find_holder(state: DispatchState, job_id: str) -> str:
-    for link, peer in state.peers.items():
-        if job_id in peer.jobs:
-            return link
-    return ''
-
-
 def _yield_taken_jobs(
     state: DispatchState,
     turn: Turn,
@@ -271,6 +168,9 @@
     link: str,
     job_id: str,
 ) -> None:
+    if job_id in state.contested_jobs:
+        contested.relinquish(state, turn, link, job_id)
+        return
     job = state.jobs.get(job_id)
     if job is None:
         recent_answer = state.recent_answers.get(job_id)
@@ -278,26 +178,15 @@
         turn.send(link, work.JobRelinquished(job_id, verdict))
         return
     turn.log('job-relinquished', job=job_id, unsettled=job.outstanding)
+    former_link = state.relinquish_requests.get(job_id, link)
+    if former_link != link and former_link in state.peers:
+        # The caller has gone on from there, and one entry may start the job.
+        turn.send(
+            former_link,
+            work.JobRelinquished(job_id, answers.SUPERSEDED),
+        )
     state.relinquish_requests[job_id] = link
     peer_links.begin_work(state, turn, link)
     if not job.ended:
         superseded = answers.Answer(answers.SUPERSEDED)
         jobs.answer(state, turn, job, superseded)
-
-
-def _resolve_contested_job(
-    state: DispatchState,
-    turn: Turn,
-    job_id: str,
-    verdict: str,
-) -> list[JobSubmitted]:
-    contested_job = state.contested_jobs.pop(job_id, None)
-    if contested_job is None:
-        return []
-    if not verdict:
-        return contested_job.submissions
-    holder_answer = answers.Answer(verdict)
-    state.recent_answers[job_id] = (turn.now, holder_answer)
-    for submission in contested_job.submissions:
-        turn.reply(submission.request_id, holder_answer)
-    return []
--- /dev/null
+++ b/src/savoryrudder/dispatch/contested.py
@@ -0,0 +1,184 @@
+"""Hold back jobs that may be running at another entry.
+
+A caller that gets no answer submits its job again, often to another entry.
+That one starts the job only once each entry that may have it has told that it
+does not, or has been lost for so long that its runs have ended. While a job is
+contested, the entry claims it like a job that it runs.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import peer_links
+from savoryrudder.dispatch.state import ContestedJob
+from savoryrudder.dispatch.state import OrphanedJob
+from savoryrudder.protocol import work
+
+if TYPE_CHECKING:
+    from savoryrudder.dispatch.events import JobSubmitted
+    from savoryrudder.dispatch.state import DispatchState
+    from savoryrudder.dispatch.state import PeerView
+    from savoryrudder.dispatch.turn import Turn
+
+
+def defer_if_claimed(
+    state: DispatchState,
+    turn: Turn,
+    event: JobSubmitted,
+) -> bool:
+    """Defer a submission if its job may be running at another entry.
+
+    Returns whether the submission was deferred.
+    """
+    job_id = event.job.job_id
+    existing = state.contested_jobs.get(job_id)
+    if existing is not None:
+        existing.submissions.append(event)
+        return True
+    holders = [
+        link for link, peer in state.peers.items() if job_id in peer.jobs
+    ]
+    orphan = state.orphaned_jobs.get(job_id)
+    if orphan is not None and orphan.settled_at <= turn.now:
+        orphan = None
+    if not holders and orphan is None:
+        return False
+    contested_job = ContestedJob([event], set())
+    if orphan is not None:
+        contested_job.lost_holders.add(orphan.incarnation)
+        contested_job.settled_at = orphan.settled_at
+    state.contested_jobs[job_id] = contested_job
+    state.record_claim(job_id)
+    turn.log(
+        'job-contested',
+        job=job_id,
+        holders=' '.join(state.peers[link].entry for link in holders),
+        lost_holders=len(contested_job.lost_holders),
+    )
+    for holder in holders:
+        _ask(state, turn, job_id, holder)
+    return True
+
+
+def ask_again(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    incarnation: str,
+) -> None:
+    """Ask an entry that is linked again for the jobs it was asked for."""
+    for job_id, contested_job in state.contested_jobs.items():
+        if incarnation in contested_job.lost_holders:
+            contested_job.lost_holders.discard(incarnation)
+            if not contested_job.lost_holders:
+                contested_job.settled_at = 0
+            _ask(state, turn, job_id, link)
+
+
+def record_lost_holder(
+    state: DispatchState,
+    link: str,
+    peer: PeerView,
+    settled_at: float,
+) -> None:
+    """Let the jobs of a lost entry wait until its runs have ended."""
+    for job_id in peer.jobs:
+        state.orphaned_jobs[job_id] = OrphanedJob(settled_at, peer.incarnation)
+    for contested_job in state.contested_jobs.values():
+        if link in contested_job.holders:
+            contested_job.holders.discard(link)
+            contested_job.lost_holders.add(peer.incarnation)
+            contested_job.settled_at = settled_at
+
+
+def record_relinquished(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    message: work.JobRelinquished,
+) -> list[JobSubmitted]:
+    """Record that no run of a job is left at an entry.
+
+    Returns the submissions to resume once no other entry may have the job.
+    """
+    job_id, verdict = message
+    contested_job = state.contested_jobs.get(job_id)
+    if contested_job is None or link not in contested_job.holders:
+        return []
+    contested_job.holders.discard(link)
+    if verdict:
+        _answer(state, turn, job_id, answers.Answer(verdict))
+        return []
+    if not contested_job.is_settled(turn.now):
+        return []
+    return _pop(state, job_id)
+
+
+def pop_settled(state: DispatchState, now: float) -> list[JobSubmitted]:
+    """Remove and return submissions whose jobs no longer run elsewhere."""
+    for orphan_id, orphan in tuple(state.orphaned_jobs.items()):
+        if orphan.settled_at <= now:
+            state.orphaned_jobs.pop(orphan_id)
+    settled: list[JobSubmitted] = []
+    for job_id, contested_job in tuple(state.contested_jobs.items()):
+        if contested_job.is_settled(now):
+            settled.extend(_pop(state, job_id))
+    return settled
+
+
+def withdraw_submission(state: DispatchState, request_id: int) -> None:
+    """Remove a deferred submission whose caller has disconnected."""
+    for job_id, contested_job in tuple(state.contested_jobs.items()):
+        contested_job.submissions = [
+            submission
+            for submission in contested_job.submissions
+            if submission.request_id != request_id
+        ]
+        if not contested_job.submissions:
+            _pop(state, job_id)
+
+
+def relinquish(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    job_id: str,
+) -> None:
+    """Leave a contested job to the entry that asks for it.
+
+    Of two entries that ask each other, the one with the lower name takes the
+    job.
+    """
+    contested_job = state.contested_jobs[job_id]
+    asks_each_other = link in contested_job.holders
+    is_first = state.identity.entry < state.peers[link].entry
+    if asks_each_other and is_first:
+        turn.send(link, work.JobRelinquished(job_id, answers.SUPERSEDED))
+        return
+    _answer(state, turn, job_id, answers.Answer(answers.SUPERSEDED))
+    turn.send(link, work.JobRelinquished(job_id, ''))
+
+
+def _ask(state: DispatchState, turn: Turn, job_id: str, link: str) -> None:
+    state.contested_jobs[job_id].holders.add(link)
+    turn.send(link, work.RelinquishJob(job_id))
+    peer_links.begin_work(state, turn, link)
+
+
+def _answer(
+    state: DispatchState,
+    turn: Turn,
+    job_id: str,
+    final_answer: answers.Answer,
+) -> None:
+    if final_answer.verdict not in answers.RETRYABLE:
+        state.recent_answers[job_id] = (turn.now, final_answer)
+    for submission in _pop(state, job_id):
+        turn.reply(submission.request_id, final_answer)
+
+
+def _pop(state: DispatchState, job_id: str) -> list[JobSubmitted]:
+    state.record_release(job_id)
+    return state.contested_jobs.pop(job_id).submissions
--- a/src/savoryrudder/dispatch/draining.py
+++ b/src/savoryrudder/dispatch/draining.py
@@ -65,4 +65,6 @@
     for contested_job in state.contested_jobs.values():
         for submission in contested_job.submissions:
             turn.reply(submission.request_id, interruption)
+    for job_id in state.contested_jobs:
+        state.record_release(job_id)
     state.contested_jobs.clear()
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -60,8 +60,7 @@
     if event.caller_timeout_s is not None:
         job.expires_at = event.now + event.caller_timeout_s
     state.jobs[request.job_id] = job
-    for claim_changes in state.claim_changes:
-        claim_changes.claimed.append(request.job_id)
+    state.record_claim(request.job_id)
     unlock_steps(job)
     enqueue(state, job)
     return job
@@ -169,8 +168,7 @@
     """Remove an ended job once none of its tasks can be running."""
     if job.ended and not job.outstanding:
         state.jobs.pop(job.request.job_id, None)
-        for claim_changes in state.claim_changes:
-            claim_changes.released.append(job.request.job_id)
+        state.record_release(job.request.job_id)
 
 
 def answer_overdue(state: DispatchState, turn: Turn) -> None:
--- a/src/savoryrudder/dispatch/peer_links.py
+++ b/src/savoryrudder/dispatch/peer_links.py
@@ -37,6 +37,6 @@
     return chain(
         (delegated.link for delegated in state.delegations.values()),
         (request.link for request in state.foreign_requests.values()),
-        (contested.holder for contested in state.contested_jobs.values()),
+        *(contested.holders for contested in state.contested_jobs.values()),
         state.relinquish_requests.values(),
     )
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -12,6 +12,7 @@
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import claims
+from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
 from savoryrudder.dispatch import draining
 from savoryrudder.dispatch import events
@@ -111,7 +112,7 @@
         return
     is_duplicate = event.job.job_id in state.jobs
     if not is_duplicate:
-        if claims.defer_if_claimed(state, turn, event):
+        if contested.defer_if_claimed(state, turn, event):
             return
         queue = _find_queue(state, event.host, event.path)
         if delegation.delegate(
@@ -249,7 +250,7 @@
         return
     job = state.jobs.get(job_id)
     if job is None:
-        claims.withdraw_submission(state, event.request_id)
+        contested.withdraw_submission(state, event.request_id)
         return
     job.open_requests.discard(event.request_id)
     if job.open_requests or job.ended:
@@ -376,7 +377,7 @@
     fleet.requeue_overdue(state, turn)
     jobs.answer_overdue(state, turn)
     isolation.forget_old_losses(state, turn.now)
-    for submission in claims.pop_settled_submissions(state, turn.now):
+    for submission in contested.pop_settled(state, turn.now):
         _handle_job_submitted(state, turn, submission)
     jobs.expire_answers(state, turn.now)
     claims.announce_changes(state, turn)
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -211,14 +211,19 @@
 class ContestedJob:
     """Hold submissions of a job that may still be running at another entry.
 
-    `holder` is the link to that entry, which runs as `incarnation`. If it was
-    lost, `settled_at` is the time by which its runs have ended.
+    `holders` are the links to the entries that were asked for the job and have
+    not answered yet, and `lost_holders` the incarnations of those that were
+    lost meanwhile. The runs of these have ended by `settled_at`.
     """
 
     submissions: list[JobSubmitted]
-    holder: str
-    settled_at: float = float('inf')
-    incarnation: str = ''
+    holders: set[str]
+    lost_holders: set[str] = field(default_factory=set)
+    settled_at: float = 0
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether no other entry has the job any more."""
+        return not self.holders and self.settled_at <= now
 
 
 class OrphanedJob(NamedTuple):
@@ -331,6 +336,20 @@
         """Return the time until which agents may not be connected yet."""
         return self.started_at + self.timing.warm_up_s
 
+    def claims(self, job_id: str) -> bool:
+        """Return whether other entries must not start a job unasked."""
+        return job_id in self.jobs or job_id in self.contested_jobs
+
+    def record_claim(self, job_id: str) -> None:
+        """Announce to the other entries that this one has a job."""
+        for changes in self.claim_changes:
+            changes.claimed.append(job_id)
+
+    def record_release(self, job_id: str) -> None:
+        """Announce to the other entries that this one has a job no more."""
+        for changes in self.claim_changes:
+            changes.released.append(job_id)
+
     @property
     def claim_changes(self) -> tuple[ClaimChanges, ClaimChanges]:
         """Return the changes to announce in the zone and elsewhere."""
