Reach an entry through agents when the link to it is lost

What callers saw (in the in-memory fleet): a job runs twice after the link between two entries was lost while both live and reach the agents. Cause: the loss of a link was taken for the end of the other process; its jobs were started elsewhere after settle_s. Now an entry that loses another one asks its agents (FindEntries); an agent that is linked with both relays their claims (RelayedClaims), and the relayed entry is a peer like others, without delegated jobs. While agents have still to answer, for 0.3 s at most, new jobs wait. Without such an agent the old rule holds: the other one has died or lost its agents.

Ruled out: claims at one entry chosen by hashing the job's name: a round trip for each job, and a change of the registered entries still needs a wait.

Messages grow with losses of links only: one question an agent and loss.

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -37,12 +37,25 @@
     """Register another entry and send it the jobs claimed here."""
     if not state.unidentified_links.pop(link):
         send_hello(state, turn, link)
-    state.peers[link] = PeerView(hello.entry, hello.incarnation, hello.zone)
-    state.working_peers.add(link)
-    delegation.choose_load_listeners(state)
     turn.log('peer-linked', peer=hello.entry, incarnation=hello.incarnation)
+    peer = PeerView(hello.entry, hello.incarnation, hello.zone)
+    add_peer(state, turn, link, peer)
+
+
+def add_peer(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    peer: PeerView,
+) -> None:
+    """Add another entry, on a link of its own or a relayed one."""
+    peer.linked_at = turn.now
+    state.peers[link] = peer
+    if not peer_links.is_relayed(link):
+        state.working_peers.add(link)
+    delegation.choose_load_listeners(state)
     turn.send(link, work.JobsClaimed((*state.jobs, *state.contested_jobs)))
-    contested.ask_again(state, turn, link, hello.incarnation)
+    contested.ask_again(state, turn, link, peer.incarnation)
 
 
 def send_hello(state: DispatchState, turn: Turn, link: str) -> None:
@@ -59,21 +72,26 @@
     )
 
 
-def remove_peer(state: DispatchState, turn: Turn, link: str) -> None:
-    """Handle the loss of an entry.
+def remove_peer(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+) -> PeerView | None:
+    """Handle the loss of an entry, and return what was known of it.
 
     Its jobs may be started here once agents have stopped its runs, which they
-    do within `settle_s`.
+    do within `settle_s` unless they reach it.
     """
     peer = state.peers.pop(link, None)
     if peer is None:
-        return
+        return None
     state.working_peers.discard(link)
     delegation.choose_load_listeners(state)
     isolation.record_lost_peer(state, turn.now, peer.entry)
     settled_at = turn.now + state.timing.settle_s
     turn.log('peer-lost', peer=peer.entry, jobs=len(peer.jobs))
     contested.record_lost_holder(state, link, peer, settled_at)
+    return peer
 
 
 def handle_message(
@@ -86,6 +104,9 @@
     peer = state.peers[link]
     match message:
         case work.JobsClaimed(job_ids):
+            if not peer.has_told_claims:
+                peer.has_told_claims = True
+                contested.forget_orphans(state, peer.incarnation)
             peer.jobs.update(job_ids)
             _yield_taken_jobs(state, turn, job_ids)
             isolation.record_claims_of(state, peer.entry)
--- a/src/savoryrudder/dispatch/contested.py
+++ b/src/savoryrudder/dispatch/contested.py
@@ -43,9 +43,10 @@
     orphan = state.orphaned_jobs.get(job_id)
     if orphan is not None and orphan.settled_at <= turn.now:
         orphan = None
-    if not holders and orphan is None:
+    searching = state.is_searching(turn.now)
+    if not (holders or orphan is not None or searching):
         return False
-    contested_job = ContestedJob([event], set())
+    contested_job = ContestedJob([event], set(), awaits_search=searching)
     if orphan is not None:
         contested_job.lost_holders.add(orphan.incarnation)
         contested_job.settled_at = orphan.settled_at
@@ -93,6 +94,13 @@
             contested_job.settled_at = settled_at
 
 
+def forget_orphans(state: DispatchState, incarnation: str) -> None:
+    """Forget the orphaned jobs of an entry that tells its jobs again."""
+    for job_id, orphan in tuple(state.orphaned_jobs.items()):
+        if orphan.incarnation == incarnation:
+            state.orphaned_jobs.pop(job_id)
+
+
 def record_relinquished(
     state: DispatchState,
     turn: Turn,
@@ -111,7 +119,7 @@
     if verdict:
         _answer(state, turn, job_id, answers.Answer(verdict))
         return []
-    if not contested_job.is_settled(turn.now):
+    if not _is_settled(state, contested_job, turn.now):
         return []
     return _pop(state, job_id)
 
@@ -123,7 +131,7 @@
             state.orphaned_jobs.pop(orphan_id)
     settled: list[JobSubmitted] = []
     for job_id, contested_job in tuple(state.contested_jobs.items()):
-        if contested_job.is_settled(now):
+        if _is_settled(state, contested_job, now):
             settled.extend(_pop(state, job_id))
     return settled
 
@@ -161,6 +169,16 @@
     turn.send(link, work.JobRelinquished(job_id, ''))
 
 
+def _is_settled(
+    state: DispatchState,
+    contested_job: ContestedJob,
+    now: float,
+) -> bool:
+    if contested_job.awaits_search and state.is_searching(now):
+        return False
+    return contested_job.is_settled(now)
+
+
 def _ask(state: DispatchState, turn: Turn, job_id: str, link: str) -> None:
     state.contested_jobs[job_id].holders.add(link)
     turn.send(link, work.RelinquishJob(job_id))
--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -86,6 +86,7 @@
         (
             _Listener(peer.entry, peer.zone, link)
             for link, peer in state.peers.items()
+            if not peer_links.is_relayed(link)
         ),
         _LOAD_LISTENERS,
     )
--- a/src/savoryrudder/dispatch/peer_links.py
+++ b/src/savoryrudder/dispatch/peer_links.py
@@ -8,6 +8,7 @@
 
 from itertools import chain
 from typing import TYPE_CHECKING
+from typing import Final
 
 from savoryrudder.utils.effects import SetCarriesWork
 
@@ -15,6 +16,18 @@
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.turn import Turn
 
+_RELAY_PREFIX: Final = 'relay:'
+
+
+def relay_link(entry: str) -> str:
+    """Return the name of the link to an entry that is reached by relay."""
+    return f'{_RELAY_PREFIX}{entry}'
+
+
+def is_relayed(link: str) -> bool:
+    """Return whether a link exists through agents only."""
+    return link.startswith(_RELAY_PREFIX)
+
 
 def begin_work(state: DispatchState, turn: Turn, link: str) -> None:
     """Record that a job depends on the entry at the other end of a link."""
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -22,9 +22,11 @@
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch import queries
+from savoryrudder.dispatch import relays
 from savoryrudder.dispatch.placement import place_tasks
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import delegation as protocol
+from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import CloseLink
 
@@ -53,7 +55,7 @@
         state.placement_due = False
         _place_tasks(state, turn)
     draining.advance_drain(state, turn)
-    return delegation.route_answers(state, turn)
+    return relays.route(state, delegation.route_answers(state, turn))
 
 
 def _place_tasks(state: DispatchState, turn: Turn) -> None:
@@ -279,7 +281,10 @@
     event: events.LinkDown,
 ) -> None:
     fleet.remove_link(state, turn, event.link, event.reason)
-    claims.remove_peer(state, turn, event.link)
+    relays.remove_agent(state, turn, event.link)
+    peer = claims.remove_peer(state, turn, event.link)
+    if peer is not None and not peer_links.is_relayed(event.link):
+        relays.search(state, turn, peer.entry)
     isolation.begin_if_isolated(state, turn)
     _disconnect_foreign_requests(state, turn, event.link)
     for submission in delegation.pop_submissions_at(state, event.link):
@@ -346,7 +351,9 @@
     match event.message:
         case work.AgentHello():
             fleet.register_agent(state, turn, event.link, event.message)
+            relays.ask_agent(state, turn, event.link)
         case work.EntryHello():
+            relays.end(state, turn, event.message.entry)
             claims.register_peer(state, turn, event.link, event.message)
 
 
@@ -364,6 +371,28 @@
             fleet.handle_task_end(state, turn, event.link, event.message)
         case work.SlowRun():
             health.handle_slow_run(state, turn, event.link, event.message)
+        case relay.EntryReachable():
+            relays.handle_reachable(state, turn, event.link, event.message)
+        case relay.EntryUnreachable(entry):
+            relays.handle_unreachable(state, turn, event.link, entry)
+        case relay.RelayedClaims():
+            _handle_relayed_claims(state, turn, event.link, event.message)
+
+
+def _handle_relayed_claims(
+    state: DispatchState,
+    turn: Turn,
+    agent_link: str,
+    message: relay.RelayedClaims,
+) -> None:
+    outdated = relays.find_outdated_link(state, turn.now, message)
+    if outdated:
+        reason = 'the peer has lost it'
+        turn.effects.append(CloseLink(outdated, reason))
+        lost = events.LinkDown(turn.now, outdated, reason)
+        _handle_link_down(state, turn, lost)
+    for resumed in relays.receive(state, turn, agent_link, message):
+        _handle_job_submitted(state, turn, resumed)
 
 
 def _handle_tick(
@@ -377,6 +406,7 @@
     fleet.requeue_overdue(state, turn)
     jobs.answer_overdue(state, turn)
     isolation.forget_old_losses(state, turn.now)
+    relays.forget_old_searches(state, turn.now)
     for submission in contested.pop_settled(state, turn.now):
         _handle_job_submitted(state, turn, submission)
     jobs.expire_answers(state, turn.now)
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -47,6 +47,8 @@
     remote_announcement_s: float = 1
     # Interval of the acknowledgements of ends to an agent that gets no starts.
     acknowledgement_s: float = 3
+    # Agents tell within this time whether they are linked with an entry.
+    search_s: float = 0.3
     # Agents connect to an entry within this time after its start.
     warm_up_s: float = 1.2
     # The load balancer stops sending new connections within this time after
@@ -175,7 +177,8 @@
 
     `delegated_cpu` counts the millicores of the jobs delegated to it since it
     told its `load`; `announced_load` is what it was told last, if it
-    `hears_load` of this entry at all.
+    `hears_load` of this entry at all. It `has_told_claims` once since it was
+    linked at `linked_at`.
     """
 
     entry: str
@@ -186,6 +189,8 @@
     announced_load: EntryLoad | None = None
     delegated_cpu: int = 0
     hears_load: bool = False
+    linked_at: float = float('-inf')
+    has_told_claims: bool = False
 
 
 @dataclass(slots=True)
@@ -213,11 +218,13 @@
 
     `holders` are the links to the entries that were asked for the job and have
     not answered yet, and `lost_holders` the incarnations of those that were
-    lost meanwhile. The runs of these have ended by `settled_at`.
+    lost meanwhile. The runs of these have ended by `settled_at`. A job that
+    `awaits_search` came while another entry was looked for.
     """
 
     submissions: list[JobSubmitted]
     holders: set[str]
+    awaits_search: bool = False
     lost_holders: set[str] = field(default_factory=set)
     settled_at: float = 0
 
@@ -226,6 +233,19 @@
         return not self.holders and self.settled_at <= now
 
 
+@dataclass(slots=True)
+class RelayedEntry:
+    """Track an entry that was lost, and the agent that reaches it.
+
+    `via` is the link to that agent, if one is known; `unanswered` are the
+    links to those that have not told yet whether they reach the entry.
+    """
+
+    lost_at: float
+    via: str = ''
+    unanswered: set[str] = field(default_factory=set)
+
+
 class OrphanedJob(NamedTuple):
     """Tell by when the runs of a lost entry's job have ended.
 
@@ -296,6 +316,8 @@
     # again, and when the last link of this entry was lost.
     lost_peers: dict[str, float] = field(default_factory=dict)
     isolated_at: float = float('-inf')
+    # Lost entries, by name, that are reached through agents or looked for.
+    relayed_entries: dict[str, RelayedEntry] = field(default_factory=dict)
     # Links of the entries that wait until a job has stopped here, by job ID.
     relinquish_requests: dict[str, str] = field(default_factory=dict)
     # Ends of runs by link that are not acknowledged yet.
@@ -336,6 +358,15 @@
         """Return the time until which agents may not be connected yet."""
         return self.started_at + self.timing.warm_up_s
 
+    def is_searching(self, now: float) -> bool:
+        """Return whether agents have still to tell if a lost entry lives."""
+        return any(
+            relayed.unanswered
+            and not relayed.via
+            and now < relayed.lost_at + self.timing.search_s
+            for relayed in self.relayed_entries.values()
+        )
+
     def claims(self, job_id: str) -> bool:
         """Return whether other entries must not start a job unasked."""
         return job_id in self.jobs or job_id in self.contested_jobs
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -12,6 +12,7 @@
 
 from savoryrudder.protocol import delegation
 from savoryrudder.protocol import messages
+from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
 
 PROTOCOL_VERSION: Final = 1
@@ -62,6 +63,10 @@
         41: delegation.DelegatedAnswer,
         42: delegation.WithdrawJob,
         43: work.StartTasks,
+        44: relay.FindEntries,
+        45: relay.EntryReachable,
+        46: relay.EntryUnreachable,
+        47: relay.RelayedClaims,
     }
 )
 _TAG_BY_TYPE: Final = MappingProxyType(
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -6,6 +6,7 @@
 from typing import TypeAlias
 
 from savoryrudder.protocol import delegation
+from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
 
 # A submission identifier (16 bytes) and the task's position in its job.
@@ -355,4 +356,8 @@
     | delegation.DelegateJob
     | delegation.DelegatedAnswer
     | delegation.WithdrawJob
+    | relay.FindEntries
+    | relay.EntryReachable
+    | relay.EntryUnreachable
+    | relay.RelayedClaims
 )
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -8,12 +8,14 @@
 from typing import Final
 from typing import TypeAlias
 
+from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.effects import Exit
 from savoryrudder.utils.effects import SetCarriesWork
 from savoryrudder.utils.turn import Turn
 from savoryrudder.worker import events
+from savoryrudder.worker import relays
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
@@ -78,6 +80,7 @@
     turn.log('entry-lost', entry=link.incarnation, reason=event.reason)
     if link.incarnation and not state.find_link(link.incarnation):
         state.lost_owners[link.incarnation] = turn.now
+    relays.announce_loss(state, turn, link.entry)
 
 
 def _handle_links_retired(
@@ -133,6 +136,10 @@
             runs.stop_on_request(state, turn, message)
         case work.EndsAcknowledged(ends):
             renewal.discard_ends(state, ends)
+        case relay.FindEntries():
+            relays.answer_search(state, turn, link, message)
+        case relay.RelayedClaims():
+            relays.forward(state, turn, link, message)
 
 
 def _handle_entry_hello(
@@ -146,6 +153,7 @@
         # The entry has closed the previous link, but its end was not seen here.
         state.links[previous_link].incarnation = ''
     state.links[link].incarnation = hello.incarnation
+    relays.record_entry(state, turn, link, hello)
     state.lost_owners.pop(hello.incarnation, None)
     turn.log('entry-linked', entry=hello.entry, incarnation=hello.incarnation)
     for end in state.ends.values():
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -119,10 +119,14 @@
     `incarnation` is empty until the entry has sent its hello. `starts_seen`
     is the number of the last start that the entry sent on this link. The link
     `carries_work` while the entry has a run here. From `retired_at` on, the
-    entry is asked for no more starts.
+    entry is asked for no more starts. `wanted_entries` are the names of other
+    entries that it has lost.
     """
 
     incarnation: str = ''
+    entry: str = ''
+    zone: str = ''
+    wanted_entries: frozenset[str] = frozenset()
     carries_work: bool = True
     retired_at: float | None = None
     starts_seen: int = 0
--- a/tests/dispatch/test_isolation.py
+++ b/tests/dispatch/test_isolation.py
@@ -12,6 +12,7 @@
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch.effects import Reply
+from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.effects import Send
@@ -78,6 +79,8 @@
 def test_a_new_job_starts_at_once(stalled: EntryDriver) -> None:
     """Guards against an entry that serves nobody after a pause."""
     _link_agent(stalled, 'l1')
+    # The agent was asked for the lost entry.
+    stalled.receive('l1', relay.EntryUnreachable('e2'))
     stalled.now += 0.05
     assert _started(stalled.submit('new', tasks=1)) == {'new'}
 
