Callers that come back, in the in-memory fleet (known red)

The property-based tests of the fleet submit each job once. On the platform a request with the same ID arrives again, at any entry, 1.3 s or more after its caller got no answer or a 502. The fake callers do so; entries notice their leaving at once, late or never.

A history has a refusal count against it even if the earlier run had ended before the refusal: "not run" is what the caller is told.

--- /dev/null
+++ b/tests/dispatch/test_returning_callers.py
@@ -0,0 +1,183 @@
+"""Check that jobs of callers that come back have no concurrent runs.
+
+The fake executors raise on a task that runs at two of them. To play a history
+by its seed:
+
+    PYTHONPATH=src:tests:tests/dispatch .venv/bin/python -c \
+        'import test_returning_callers as t; t.play(SEED, t.cut_agents)'
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import pytest
+from fakes.fleet import ZONE
+from fakes.fleet import Fleet
+from fakes.fleet import job_of
+from fakes.returning_callers import RecordingExecutor
+from fakes.returning_callers import ReturningCallers
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from savoryrudder.dispatch import answers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fakes.fleet import EntryProcess
+
+Faults: TypeAlias = 'Callable[[Fleet, random.Random], None]'
+
+AGENTS = 4
+JOBS = 25
+ESTIMATE_MS = 1000
+DURATIONS_S = (0.1, 1.8)
+MAX_PAUSE_S = 0.4
+# Callers come back and late orders are carried out for some time.
+RECOVERY_S = 40
+FRESH_JOB_S = 5
+
+
+def cut_agents(fleet: Fleet, rng: random.Random) -> None:
+    """Silence the link of an entry and an agent at times."""
+    if rng.randrange(2):
+        _cut_agent(fleet, rng)
+
+
+def cut_entries(fleet: Fleet, rng: random.Random) -> None:
+    """Silence links of entries and agents, and of two entries, at times."""
+    match rng.randrange(4):
+        case 0:
+            _cut_agent(fleet, rng)
+        case 1:
+            _cut_entry(fleet, rng)
+
+
+def all_faults(fleet: Fleet, rng: random.Random) -> None:
+    """Draw from all kinds of faults, or none."""
+    entry = rng.randrange(len(fleet.entries))
+    agent = rng.randrange(AGENTS)
+    match rng.randrange(14):
+        case 0:
+            _cut_agent(fleet, rng)
+        case 1:
+            _cut_entry(fleet, rng)
+        case 2:
+            fleet.kill_agent(agent, rng.uniform(0.1, 2))
+        case 3:
+            fleet.kill_entry(entry, rng.uniform(0, 1))
+        case 4:
+            fleet.freeze_agent(agent, rng.uniform(0.1, 4))
+        case 5:
+            fleet.freeze_entry(entry, rng.uniform(0.1, 4))
+        case 6:
+            fleet.crash_executor(agent)
+        case 7:
+            fleet.calls.lose_answers = rng.choice((0, 0.1, 0.3))
+        case 8:
+            fleet.calls.late_orders = rng.choice((0, 0.05, 0.1))
+
+
+def isolate_entry(fleet: Fleet, rng: random.Random) -> None:
+    """Cut an entry off from all others at times; agents reach all."""
+    if rng.randrange(6):
+        return
+    isolated = rng.choice(fleet.entries)
+    seconds = rng.uniform(0.5, 8)
+    for other in fleet.entries:
+        if other is not isolated:
+            fleet.silence_link(isolated.name, other.name, seconds)
+
+
+def restart_entries(fleet: Fleet, rng: random.Random) -> None:
+    """Kill an entry at times and start it again."""
+    if not rng.randrange(3):
+        entry = rng.randrange(len(fleet.entries))
+        fleet.kill_entry(entry, rng.uniform(0, 1.5))
+
+
+def _cut_agent(fleet: Fleet, rng: random.Random) -> None:
+    entry = rng.choice(fleet.entries)
+    agent = rng.choice(fleet.agents)
+    fleet.silence_link(entry.name, agent.name, rng.uniform(0.2, 4))
+
+
+def _cut_entry(fleet: Fleet, rng: random.Random) -> None:
+    first, second = rng.sample(fleet.entries, 2)
+    fleet.silence_link(first.name, second.name, rng.uniform(0.2, 8))
+
+
+def play(seed: int, faults: Faults) -> ReturningCallers:
+    """Play a history; raise on concurrent runs and on what is left behind."""
+    rng = random.Random(seed)
+    executors = [RecordingExecutor(f'x-{number}') for number in range(AGENTS)]
+    fleet = Fleet(
+        seed,
+        entries=rng.choice((3, 4)),
+        executors=executors,
+        zones=rng.choice(((ZONE,), (ZONE, 'zone-b'))),
+    )
+    fleet.calls.durations_s = DURATIONS_S
+    callers = ReturningCallers(fleet, executors, rng)
+    for number in range(JOBS):
+        tasks = rng.randint(1, 3)
+        callers.submit(job_of(f'j{number}', tasks, estimate_ms=ESTIMATE_MS))
+        faults(fleet, rng)
+        fleet.run(rng.uniform(0, MAX_PAUSE_S))
+    fleet.calls.lose_answers = 0
+    fleet.calls.late_orders = 0
+    fleet.run(RECOVERY_S)
+    for entry in fleet.entries:
+        _check_nothing_left(entry)
+    _check_fresh_jobs(fleet)
+    return callers
+
+
+def _check_nothing_left(entry: EntryProcess) -> None:
+    state = entry.state
+    assert not state.jobs
+    assert not state.contested_jobs
+    assert not state.delegations
+    assert not state.foreign_requests
+
+
+def _check_fresh_jobs(fleet: Fleet) -> None:
+    requests = [
+        fleet.submit(number, job_of(f'fresh{number}', estimate_ms=ESTIMATE_MS))
+        for number in range(len(fleet.entries))
+    ]
+    fleet.run(FRESH_JOB_S)
+    for request in requests:
+        assert fleet.answers[request].verdict == answers.COMPLETED
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [cut_agents, cut_entries, all_faults, isolate_entry, restart_entries],
+)
+@settings(max_examples=40)
+@given(seed=st.integers(0, 2**32))
+def test_returning_callers_cause_no_concurrent_runs(
+    faults: Faults,
+    seed: int,
+) -> None:
+    """Guards against a job that runs anew beside a run of its former life."""
+    play(seed, faults)
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [cut_agents, cut_entries, all_faults, isolate_entry, restart_entries],
+)
+@settings(max_examples=40)
+@given(seed=st.integers(0, 2**32))
+def test_returning_callers_hear_only_true_refusals(
+    faults: Faults,
+    seed: int,
+) -> None:
+    """Guards against "not run" for a job of which a task has run."""
+    assert not play(seed, faults).untrue_refusals
