A job that reaches two entries within their announcement of claims (known red)

A request that waited on the network or in the socket of an entry that did not run is submitted although its caller has closed the connection: read and end of stream arrive together, and only then the job is abandoned. With the repetition at another entry 30 ms before, or with the end of stream 50 ms later, two runs.

A deferred job starts when its former entry relinquishes it, not when its caller comes: its caller may have left 1.3 s before and come to a third entry just then, and hears of no claim there. No fault but lost links of agents is needed.

--- a/tests/dispatch/test_returning_callers.py
+++ b/tests/dispatch/test_returning_callers.py
@@ -17,6 +17,7 @@
 from fakes.fleet import ZONE
 from fakes.fleet import Fleet
 from fakes.fleet import job_of
+from fakes.returning_callers import RESUBMISSION_S
 from fakes.returning_callers import RecordingExecutor
 from fakes.returning_callers import ReturningCallers
 from hypothesis import given
@@ -181,3 +182,67 @@
 ) -> None:
     """Guards against "not run" for a job of which a task has run."""
     assert not play(seed, faults).untrue_refusals
+
+
+@pytest.mark.parametrize('noticed_s', [0, 0.05])
+@pytest.mark.parametrize('late_s', [-0.005, 0, 0.005, 0.03])
+def test_a_request_read_late_has_no_run_beside_its_repetition(
+    late_s: float,
+    noticed_s: float,
+) -> None:
+    """Guards against concurrent runs of a job that reaches two entries at once.
+
+    An entry reads a request that waited on the network, and that its caller has
+    left, while the caller comes to another entry. The entry notices the leaving
+    with the next segment.
+    """
+    fleet = Fleet(1, agents=AGENTS)
+    fleet.calls.durations_s = (1, 1)
+    times_s = {0: max(late_s, 0), 1: max(-late_s, 0)}
+    requests: dict[int, int] = {}
+    for entry in sorted(times_s, key=times_s.__getitem__):
+        fleet.run(times_s[entry])
+        requests[entry] = fleet.submit(entry, job_of('one'))
+        if entry == 0:
+            fleet.clock.after(
+                noticed_s, fleet.disconnect_caller, 0, requests[0]
+            )
+    fleet.run(RECOVERY_S)
+    assert fleet.answers[requests[1]].verdict == answers.COMPLETED
+
+
+@pytest.mark.parametrize('delay_s', [0, 0.1, 0.3])
+def test_a_deferred_job_has_no_run_beside_its_repetition(
+    delay_s: float,
+) -> None:
+    """Guards against a job that starts long after its submission unannounced.
+
+    The first entry relinquishes the job late, as it has lost the agents. The
+    caller breaks its second request off meanwhile, and comes to a third entry.
+    """
+    fleet = Fleet(1, entries=3, agents=AGENTS)
+    fleet.calls.durations_s = (1, 1)
+    fleet.submit(0, job_of('one'))
+    fleet.run(0.1)
+    for agent in fleet.agents:
+        fleet.silence_link('e0', agent.name, 3)
+    fleet.run(RESUBMISSION_S)
+    fleet.submit(1, job_of('one'))
+    _run_until_accepted(fleet, 'one')
+    fleet.run(delay_s)
+    request = fleet.submit(2, job_of('one'))
+    fleet.run(RECOVERY_S)
+    assert fleet.answers[request].verdict == answers.COMPLETED
+
+
+def _run_until_accepted(fleet: Fleet, job_id: str) -> None:
+    # Other jobs keep the entry busy with announcements.
+    for number in range(500):
+        if not number % 10:
+            fleet.submit(
+                1, job_of(f'other{number}', 1, estimate_ms=ESTIMATE_MS)
+            )
+        fleet.run(0.01)
+        if job_id in fleet.entries[1].state.jobs:
+            return
+    raise AssertionError(f'{job_id} has not started')
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import Any
@@ -11,7 +12,9 @@
 import pytest
 
 from savoryrudder.daemon.dispatcher import Dispatcher
+from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.metrics import Counters
+from savoryrudder.dispatch import events
 from savoryrudder.dispatch.state import DispatchIdentity
 from savoryrudder.dispatch.state import DispatchState
 from savoryrudder.dispatch.state import DispatchTiming
@@ -163,3 +166,31 @@
         'JobSubmitted',
         'CallerDisconnected',
     ]
+
+
+async def test_a_request_is_ignored_once_its_caller_has_left() -> None:
+    """Guards against a job that starts while its caller submits it elsewhere.
+
+    A request may wait on the network, or in the socket of an entry that does
+    not run, until after its caller has left.
+    """
+    entry = Entry()
+    handled: list[Any] = []
+    entry.dispatcher.handle = lambda *received: handled.extend(received)
+    head = 'POST /p/0123456789abcdef HTTP/1.1\r\nhost: a.example\r\n'
+    request = f'{head}content-length: {len(JOB)}\r\n\r\n'.encode() + JOB
+    async with anyio.create_task_group() as group:
+        app = CallerApp(entry.dispatcher)
+        url = await group.start(serve_plain_http, app, '127.0.0.1:0')
+        port = int(url.rpartition(':')[-1])
+        # The server does not run meanwhile.
+        with socket.create_connection(('127.0.0.1', port)) as caller:
+            caller.sendall(request)
+        with anyio.move_on_after(1):
+            while not handled:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    submitted = [
+        event for event in handled if isinstance(event, events.JobSubmitted)
+    ]
+    assert not submitted
