Ask an entry that has not told its claims lately before a new job starts

A link without work is found lost after up to 2 s, and a caller comes back after 1.3 s: for that time "no claim heard" stood for "no claim". Now an entry takes a job as new only if each other entry has told its claims within 1.2 s, and asks the others first (RelinquishJob).

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -104,9 +104,9 @@
     peer = state.peers[link]
     match message:
         case work.JobsClaimed(job_ids):
-            if not peer.has_told_claims:
-                peer.has_told_claims = True
+            if peer.told_claims_at < peer.linked_at:
                 contested.forget_orphans(state, peer.incarnation)
+            peer.told_claims_at = turn.now
             peer.jobs.update(job_ids)
             _yield_taken_jobs(state, turn, job_ids)
             isolation.record_claims_of(state, peer.entry)
--- a/src/savoryrudder/dispatch/contested.py
+++ b/src/savoryrudder/dispatch/contested.py
@@ -38,7 +38,9 @@
         existing.submissions.append(event)
         return True
     holders = [
-        link for link, peer in state.peers.items() if job_id in peer.jobs
+        link
+        for link, peer in state.peers.items()
+        if _may_have(state, peer, event)
     ]
     orphan = state.orphaned_jobs.get(job_id)
     if orphan is not None and orphan.settled_at <= turn.now:
@@ -47,6 +49,7 @@
     if not (holders or orphan is not None or searching):
         return False
     contested_job = ContestedJob([event], set(), awaits_search=searching)
+    contested_job.cleared_by = event.cleared_by
     if orphan is not None:
         contested_job.lost_holders.add(orphan.incarnation)
         contested_job.settled_at = orphan.settled_at
@@ -116,6 +119,7 @@
     if contested_job is None or link not in contested_job.holders:
         return []
     contested_job.holders.discard(link)
+    contested_job.cleared_by |= {state.peers[link].incarnation}
     if verdict:
         _answer(state, turn, job_id, answers.Answer(verdict))
         return []
@@ -169,6 +173,17 @@
     turn.send(link, work.JobRelinquished(job_id, ''))
 
 
+def _may_have(
+    state: DispatchState,
+    peer: PeerView,
+    event: JobSubmitted,
+) -> bool:
+    if event.job.job_id in peer.jobs:
+        return True
+    valid_until = peer.told_claims_at + state.timing.claims_validity_s
+    return event.now > valid_until and peer.incarnation not in event.cleared_by
+
+
 def _is_settled(
     state: DispatchState,
     contested_job: ContestedJob,
@@ -199,4 +214,8 @@
 
 def _pop(state: DispatchState, job_id: str) -> list[JobSubmitted]:
     state.record_release(job_id)
-    return state.contested_jobs.pop(job_id).submissions
+    contested_job = state.contested_jobs.pop(job_id)
+    return [
+        submission._replace(cleared_by=contested_job.cleared_by)
+        for submission in contested_job.submissions
+    ]
--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -353,6 +353,7 @@
         message.job,
         '',
         message.caller_timeout_s,
+        cleared_by=frozenset((state.peers[link].incarnation,)),
     )
 
 
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -26,7 +26,8 @@
     `unsupported` names the unsupported feature that the job requires, if any.
     The caller waits for an answer for `caller_timeout_s` seconds, or without a
     limit if it is None. A job that `may_have_started` at another entry must not
-    be refused, as a refusal tells that it has not run.
+    be refused, as a refusal tells that it has not run. The entries in
+    `cleared_by`, by their incarnations, have told that they do not have it.
     """
 
     now: float
@@ -37,6 +38,7 @@
     unsupported: str
     caller_timeout_s: float | None
     may_have_started: bool = False
+    cleared_by: frozenset[str] = frozenset()
 
 
 class JobQueried(NamedTuple):
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -47,6 +47,9 @@
     remote_announcement_s: float = 1
     # Interval of the acknowledgements of ends to an agent that gets no starts.
     acknowledgement_s: float = 3
+    # A caller submits a job again after a longer time, so that an entry that
+    # took the job before has told so if it told its claims within this time.
+    claims_validity_s: float = 1.2
     # Agents tell within this time whether they are linked with an entry.
     search_s: float = 0.3
     # Agents connect to an entry within this time after its start.
@@ -177,8 +180,8 @@
 
     `delegated_cpu` counts the millicores of the jobs delegated to it since it
     told its `load`; `announced_load` is what it was told last, if it
-    `hears_load` of this entry at all. It `has_told_claims` once since it was
-    linked at `linked_at`.
+    `hears_load` of this entry at all. It was linked at `linked_at`, and told at
+    `told_claims_at` which jobs it had taken or given up by then.
     """
 
     entry: str
@@ -190,7 +193,7 @@
     delegated_cpu: int = 0
     hears_load: bool = False
     linked_at: float = float('-inf')
-    has_told_claims: bool = False
+    told_claims_at: float = float('-inf')
 
 
 @dataclass(slots=True)
@@ -219,12 +222,14 @@
     `holders` are the links to the entries that were asked for the job and have
     not answered yet, and `lost_holders` the incarnations of those that were
     lost meanwhile. The runs of these have ended by `settled_at`. A job that
-    `awaits_search` came while another entry was looked for.
+    `awaits_search` came while another entry was looked for, and the
+    incarnations in `cleared_by` have told that they do not have the job.
     """
 
     submissions: list[JobSubmitted]
     holders: set[str]
     awaits_search: bool = False
+    cleared_by: frozenset[str] = frozenset()
     lost_holders: set[str] = field(default_factory=set)
     settled_at: float = 0
 
