--- a/tests/dispatch/test_returning_callers.py
+++ b/tests/dispatch/test_returning_callers.py
@@ -235,6 +235,60 @@
     assert fleet.answers[request].verdict == answers.COMPLETED
 
 
+def test_entries_that_meet_again_do_not_both_run_a_job() -> None:
+    """Guards against two owners of a job that each go on.
+
+    The second one has heard of no claim, as the link was cut before. Once they
+    are linked again, the first one starts the job at other agents.
+    """
+    fleet = Fleet(1, entries=3, agents=AGENTS)
+    fleet.calls.durations_s = (4, 4)
+    fleet.submit(0, job_of('one'))
+    fleet.silence_link('e0', 'e1', 2)
+    fleet.run(0.1)
+    for agent in fleet.agents:
+        fleet.silence_link('e0', agent.name, 2)
+    fleet.run(RESUBMISSION_S)
+    request = fleet.submit(1, job_of('one'))
+    fleet.run(RECOVERY_S)
+    assert fleet.answers[request].verdict == answers.COMPLETED
+
+
+def test_a_restarted_entry_runs_no_job_beside_its_former_runs() -> None:
+    """Guards against runs of an entry that its next incarnation forgets.
+
+    The agents of these runs are frozen, so that the leases keep them. Another
+    entry knows that the job may be running.
+    """
+    fleet = Fleet(1, agents=AGENTS)
+    fleet.calls.durations_s = (3, 3)
+    fleet.submit(0, job_of('one', 1))
+    fleet.run(0.5)
+    fleet.kill_entry(0, 0.2)
+    fleet.run(0.25)
+    for number, agent in enumerate(fleet.agents):
+        if agent.executor.runs:
+            fleet.freeze_agent(number, 2)
+    fleet.run(0.8)
+    request = fleet.submit(0, job_of('one', 1))
+    fleet.run(RECOVERY_S)
+    assert fleet.answers[request].verdict == answers.COMPLETED
+
+
+def test_a_job_that_runs_elsewhere_is_not_refused_for_want_of_agents() -> None:
+    """Guards against "not run" for a job that another entry has claimed."""
+    fleet = Fleet(1, agents=AGENTS)
+    fleet.calls.durations_s = (4, 4)
+    fleet.submit(0, job_of('one'))
+    for agent in fleet.agents:
+        fleet.silence_link('e1', agent.name, 4)
+    # The loss of links without work is noticed late.
+    fleet.run(2 * RESUBMISSION_S)
+    request = fleet.submit(1, job_of('one'))
+    fleet.run(RECOVERY_S)
+    assert fleet.answers[request].verdict not in answers.REFUSALS
+
+
 def _run_until_accepted(fleet: Fleet, job_id: str) -> None:
     # Other jobs keep the entry busy with announcements.
     for number in range(500):
