--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -111,6 +111,7 @@
             _yield_taken_jobs(state, turn, job_ids)
             isolation.record_claims_of(state, peer.entry)
         case work.JobsReleased(job_ids):
+            peer.told_claims_at = turn.now
             peer.jobs.difference_update(job_ids)
         case work.RelinquishJob(job_id):
             _relinquish_job(state, turn, link, job_id)
@@ -155,7 +156,7 @@
     for link in links:
         if released:
             turn.send(link, work.JobsReleased(tuple(released)))
-        if claimed:
+        if claimed or not released:
             turn.send(link, work.JobsClaimed(tuple(claimed)))
 
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -42,7 +42,8 @@
     answer_retention_s: float = 30
     # Intervals of the announcements of claims to other entries, in the zone
     # and elsewhere. Callers submit a job again only after a longer time, and
-    # nearly always in their zone.
+    # nearly always in their zone. Without changes an announcement is empty, and
+    # as rare as elsewhere.
     announcement_s: float = 0.5
     remote_announcement_s: float = 1
     # Interval of the acknowledgements of ends to an agent that gets no starts.
@@ -266,20 +267,21 @@
     """Collect claimed and released jobs to announce to other entries.
 
     `announced_at` is the time of the last announcement, and `interval_s` the
-    time between two.
+    time between two; without changes it is `max_interval_s`.
     """
 
     interval_s: float
+    max_interval_s: float
     announced_at: float = 0
     claimed: list[str] = field(default_factory=list)
     released: list[str] = field(default_factory=list)
 
     @property
     def due_at(self) -> float:
-        """Return when the next announcement is due; infinity if none is."""
+        """Return when the next announcement is due."""
         if self.claimed or self.released:
             return self.announced_at + self.interval_s
-        return float('inf')
+        return self.announced_at + self.max_interval_s
 
 
 @dataclass(slots=True)
@@ -353,9 +355,14 @@
     def __post_init__(self) -> None:
         """Rank agents from the zone of this entry."""
         self.capacity = CapacityRanking(self.identity.zone)
-        self.local_claim_changes = ClaimChanges(self.timing.announcement_s)
+        timing = self.timing
+        self.local_claim_changes = ClaimChanges(
+            timing.announcement_s,
+            timing.remote_announcement_s,
+        )
         self.remote_claim_changes = ClaimChanges(
-            self.timing.remote_announcement_s,
+            timing.remote_announcement_s,
+            timing.remote_announcement_s,
         )
 
     @property
--- a/tests/dispatch/test_isolation.py
+++ b/tests/dispatch/test_isolation.py
@@ -44,6 +44,7 @@
     """Return an entry with a waiting job that did not run for five seconds."""
     driver = EntryDriver(1, NO_CPU)
     _link_peer(driver, 'p1')
+    driver.receive('p1', work.JobsClaimed(()))
     driver.submit('old', tasks=1)
     driver.state.jobs['old'].objective_s = 100
     driver.now += 0.05
@@ -109,6 +110,7 @@
     """Guards against jobs that wait whenever another entry dies."""
     driver = EntryDriver(1, NO_CPU)
     _link_peer(driver, 'p1')
+    driver.receive('p1', work.JobsClaimed(()))
     driver.submit('old', tasks=1)
     driver.post(events.LinkDown(driver.now, 'p1', 'cut'))
     assert _started(driver.report('l0', CAPACITY)) == {'old'}
