Keep the ends of two entries' runs of a task apart at an agent

Seen: an end that its owner had not acknowledged yet was gone once another entry's run of the same task, with the same number, had ended at the agent, or once that entry had acknowledged its own. The owner was not told how its run ended; it took the run for lost and started the task again. A request to stop a run stopped that of another entry with the same task and number.

Cause: ends were held, acknowledged and stopped by task and run number, and each entry numbers the runs of a task from 1.

Fix: the incarnation of the owner is part of the key of an end, and a stop or an acknowledgement counts for the runs of the entry that sent it only. The executor's lists still name a run by task and number.

Ruled out: a separate store of ends for each link; ends outlive links.

--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -130,9 +130,10 @@
             for start in message.each():
                 runs.start(state, turn, link, start)
         case work.StopTask():
-            runs.stop_on_request(state, turn, message)
+            runs.stop_on_request(state, turn, link, message)
         case work.EndsAcknowledged(ends):
-            renewal.discard_ends(state, ends)
+            owner = state.links[link].incarnation
+            renewal.discard_ends(state, owner, ends)
 
 
 def _handle_entry_hello(
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -14,6 +14,7 @@
 from savoryrudder.worker import runs
 from savoryrudder.worker import suspension
 from savoryrudder.worker.effects import RenewLease
+from savoryrudder.worker.state import EndKey
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
@@ -132,10 +133,14 @@
             runs.send_stop(state, turn, run)
 
 
-def discard_ends(state: WorkerState, keys: tuple[RunKey, ...]) -> None:
+def discard_ends(
+    state: WorkerState,
+    owner: str,
+    keys: tuple[RunKey, ...],
+) -> None:
     """Discard ends that their owner has acknowledged."""
     for acknowledged in keys:
-        state.ends.pop(acknowledged, None)
+        state.ends.pop(EndKey(owner, acknowledged), None)
     lease = state.lease
     lease.unacknowledged_ends = {
         number: key
@@ -190,7 +195,7 @@
             suspension.record_progress(state, turn)
         runs.finish(state, turn, run, end.outcome, 'executor')
         if run.durable:
-            lease.unacknowledged_ends[end.number] = run.key
+            lease.unacknowledged_ends[end.number] = run.end_key
 
 
 def _finish_unlisted_runs(
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -13,6 +13,7 @@
 from savoryrudder.worker.effects import StartRun
 from savoryrudder.worker.effects import StopRun
 from savoryrudder.worker.state import MAX_CLOCK_DRIFT
+from savoryrudder.worker.state import EndKey
 from savoryrudder.worker.state import Phase
 from savoryrudder.worker.state import Run
 from savoryrudder.worker.state import UnacknowledgedEnd
@@ -161,11 +162,13 @@
 def stop_on_request(
     state: WorkerState,
     turn: Turn,
+    link: str,
     message: work.StopTask,
 ) -> None:
-    """Stop a run at the request of an entry."""
+    """Stop a run at the request of its owner."""
     run = state.runs.get(message.task)
-    if run is None or run.number != message.run:
+    owner = state.links[link].incarnation
+    if run is None or run.end_key != EndKey(owner, (message.task, message.run)):
         return
     if run.phase is not Phase.stopping:
         send_stop(state, turn, run)
@@ -212,7 +215,7 @@
             outcome=outcome,
             reason=reason,
         )
-    state.ends[run.key] = UnacknowledgedEnd(run.owner, turn.now, message)
+    state.ends[run.end_key] = UnacknowledgedEnd(run.owner, turn.now, message)
     link = state.find_link(run.owner)
     if not link:
         return
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -54,6 +54,13 @@
     retention_s: float = 30
 
 
+class EndKey(NamedTuple):
+    """Identify the end of a run among those of all owners."""
+
+    owner: str
+    run: work.RunKey
+
+
 class Phase(Enum):
     """Enumerate the phases of a run."""
 
@@ -92,6 +99,11 @@
         """Return the name of the task with the number of the run."""
         return (self.task, self.number)
 
+    @property
+    def end_key(self) -> EndKey:
+        """Return the key of the run's end."""
+        return EndKey(self.owner, self.key)
+
 
 class UnacknowledgedEnd(NamedTuple):
     """Hold the end of a run until its owner has acknowledged it."""
@@ -149,7 +161,7 @@
     reconciled: bool = False
     last_end_number: int = 0
     acknowledged_upto_sent: int = 0
-    unacknowledged_ends: dict[int, work.RunKey] = field(default_factory=dict)
+    unacknowledged_ends: dict[int, EndKey] = field(default_factory=dict)
 
     def renew_by(self, due_at: float) -> None:
         """Bring the next renewal forward to `due_at`.
@@ -203,7 +215,7 @@
     # Runs on the executor that this process did not start, with the time at
     # which it last asked to stop them.
     stray_runs: dict[work.RunKey, float] = field(default_factory=dict)
-    ends: dict[work.RunKey, UnacknowledgedEnd] = field(default_factory=dict)
+    ends: dict[EndKey, UnacknowledgedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
     lost_owners: dict[str, float] = field(default_factory=dict)
     draining: bool = False
