Tell the runs of a job from those of a removed job with its ID

Seen: a task ran twice at the same time. Its job had been abandoned and removed, its caller came back to the same entry, and an agent whose link had been silent reported the end of the stopped run once more. The entry took it for the end of the present run, requeued the task and started it elsewhere.

Cause: a job that is submitted again is created anew and numbers the runs of its tasks from 1 again, and messages between entry and agent named a run by task and number alone. An end counted whoever reported it.

Fix: each message that names a run also carries the sequence number of its job at the entry, and what an entry or an agent compares on behalf of an entry compares it. Numbers are unique within an incarnation of the entry, and owners are incarnations. An end or a slow run counts from the agent that has the run only. The executor's calls and lists still use task and number.

The number is the last field of each message, and lists carry the numbers in a second one, so earlier releases ignore it. An agent that sends none is taken to mean the present job; the comparison of the agent limits what that can do.

Ruled out: counting an end from the agent that has the task only, as the former run may have been there, too; run numbers that go on after a removal, as the entry would have to remember removed jobs, and for how long is unknown; pairs extended to triples on the wire, as earlier releases reject them.

--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -8,9 +8,11 @@
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch import runs
 from savoryrudder.dispatch.claims import send_hello
 from savoryrudder.dispatch.state import AgentView
 from savoryrudder.dispatch.state import TaskState
+from savoryrudder.dispatch.state import UnreportedStart
 from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import SetCarriesWork
@@ -54,10 +56,11 @@
     if not job.has_waiting_tasks:
         jobs.dequeue(state, job)
     agent.starts_sent += 1
-    agent.runs.add((task.name, task.run))
+    run_id = job.run_id_of(task)
+    agent.runs.add(run_id)
     _update_carries_work(turn, link, agent)
     demand = progress.step.demand
-    agent.unreported_starts[agent.starts_sent] = (task.name, demand)
+    agent.unreported_starts[agent.starts_sent] = UnreportedStart(run_id, demand)
     agent.free = agent.free.minus(demand)
     state.capacity.update(link, agent)
     return work.StartTask(
@@ -68,6 +71,7 @@
         demand,
         progress.step.estimate_ms,
         durable=False,
+        job_number=run_id.job_number,
     )
 
 
@@ -137,16 +141,17 @@
 ) -> None:
     """Reconcile unsettled tasks with the runs that an agent lists."""
     agent = state.agents[link]
-    listed_runs = dict(message.tasks)
+    listed = {runs.complete(state, run_id) for run_id in message.run_ids}
     for job, task in _tasks_of_agent(state, agent.name):
         if task.state is not TaskState.unsettled:
             continue
-        if listed_runs.get(task.name) == task.run:
+        run_id = job.run_id_of(task)
+        if run_id in listed:
             task.state = TaskState.placed
             if job.ended:
-                turn.send(link, work.StopTask(task.name, task.run))
+                turn.send(link, work.StopTask(*run_id))
     agent.reconciled = True
-    agent.runs.update(message.tasks)
+    agent.runs.update(listed)
     _update_carries_work(turn, link, agent)
     _rank(state, link)
 
@@ -179,17 +184,16 @@
 ) -> None:
     """Handle the end of a run: complete, fail or requeue its task."""
     agent = state.agents[link]
-    _release_resources(state, agent, ended)
+    run_id = runs.complete(state, ended.run_id)
+    found = runs.find(state, agent, run_id)
+    _release_resources(agent, ended.outcome, run_id, found)
     _rank(state, link)
-    state.unacknowledged_ends.setdefault(link, []).append(
-        (ended.task, ended.run),
-    )
-    agent.runs.discard((ended.task, ended.run))
+    state.unacknowledged_ends.setdefault(link, []).append(ended.run_id)
+    agent.runs.discard(run_id)
     _update_carries_work(turn, link, agent)
-    job = state.jobs.get(ended.task.partition('.')[0])
-    task = job.tasks.get(ended.task) if job else None
-    if job is None or task is None or task.run != ended.run:
+    if found is None:
         return
+    job, task = found
     if task.state not in {TaskState.placed, TaskState.unsettled}:
         return
     health.record_task_end(turn, agent, job, task, ended)
@@ -242,7 +246,7 @@
 def _acknowledge_ends(state: DispatchState, turn: Turn, link: str) -> None:
     ends = state.unacknowledged_ends.pop(link, None)
     if ends:
-        turn.send(link, work.EndsAcknowledged(tuple(ends)))
+        turn.send(link, work.EndsAcknowledged.of(ends))
 
 
 def requeue_overdue(state: DispatchState, turn: Turn) -> None:
@@ -343,28 +347,27 @@
 
 
 def _release_resources(
-    state: DispatchState,
     agent: AgentView,
-    ended: work.TaskEnded,
+    outcome: str,
+    run_id: work.RunId,
+    found: runs.CurrentRun | None,
 ) -> None:
-    if ended.outcome == outcomes.NOT_STARTED:
+    if outcome == outcomes.NOT_STARTED:
         # There is less free than the entry takes for free. The report that
         # follows tells how much.
         agent.free = NO_RESOURCES
         return
-    for number, (task_name, _) in tuple(agent.unreported_starts.items()):
-        if task_name == ended.task:
+    for number, start in tuple(agent.unreported_starts.items()):
+        if start.run_id == run_id:
             # The reported free resources do not include this run yet.
             agent.unreported_starts.pop(number)
             _update_free(agent)
             return
-    if ended.outcome not in _RELEASING_OUTCOMES:
+    if outcome not in _RELEASING_OUTCOMES:
         return
-    job = state.jobs.get(ended.task.partition('.')[0])
-    task = job.tasks.get(ended.task) if job else None
-    if job is not None and task is not None and task.run == ended.run:
+    if found is not None:
         # Counted as free now; the next report replaces this value.
-        demand = job.steps[task.step_index].step.demand
+        demand = found.job.steps[found.task.step_index].step.demand
         agent.free = agent.free.plus(demand)
 
 
@@ -372,5 +375,5 @@
     if agent.report is None:
         return
     agent.free = agent.report.free
-    for _, demand in agent.unreported_starts.values():
-        agent.free = agent.free.minus(demand)
+    for start in agent.unreported_starts.values():
+        agent.free = agent.free.minus(start.demand)
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from savoryrudder.dispatch import runs
 from savoryrudder.dispatch.eligibility import can_start
 from savoryrudder.dispatch.state import TaskState
 from savoryrudder.protocol import work
@@ -115,7 +116,7 @@
         agent.slow_until = turn.now + _SLOWNESS_VALIDITY_S
         if slow_run.remaining_ms < 0:
             record_failure(turn, agent, 'no progress')
-    placed = _find_placed_task(state, slow_run)
+    placed = _find_placed_task(state, agent, slow_run)
     if placed is None:
         return
     job, task = placed
@@ -137,20 +138,19 @@
     if is_moved:
         task.moved = True
         task.avoided_agents = task.avoided_agents | {agent.name}
-        turn.send(link, work.StopTask(task.name, task.run))
+        turn.send(link, work.StopTask(*job.run_id_of(task)))
 
 
 def _find_placed_task(
     state: DispatchState,
+    agent: AgentView,
     slow_run: work.SlowRun,
 ) -> tuple[Job, Task] | None:
-    job = state.jobs.get(slow_run.task.partition('.')[0])
-    if job is None or job.ended:
-        return None
-    task = job.tasks.get(slow_run.task)
-    if task is None or task.run != slow_run.run:
+    run_id = runs.complete(state, slow_run.run_id)
+    found = runs.find(state, agent, run_id)
+    if found is None or found.job.ended:
         return None
-    return (job, task) if task.state is TaskState.placed else None
+    return found if found.task.state is TaskState.placed else None
 
 
 def _ends_sooner_elsewhere(
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -162,7 +162,7 @@
     for task in job.tasks.values():
         link = state.links_by_agent.get(task.agent)
         if link is not None and task.state is TaskState.placed:
-            turn.send(link, work.StopTask(task.name, task.run))
+            turn.send(link, work.StopTask(*job.run_id_of(task)))
 
 
 def remove_if_settled(state: DispatchState, job: Job) -> None:
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -19,7 +19,7 @@
 from savoryrudder.jobs.model import Step
 from savoryrudder.protocol.delegation import EntryLoad
 from savoryrudder.protocol.work import ExecutorReport
-from savoryrudder.protocol.work import RunKey
+from savoryrudder.protocol.work import RunId
 
 
 class DispatchIdentity(NamedTuple):
@@ -124,6 +124,17 @@
         """Return whether a task of an unlocked step is waiting."""
         return any(step.waiting for step in self.steps if step.unlocked)
 
+    def run_id_of(self, task: Task) -> RunId:
+        """Return the identity of the latest run of a task."""
+        return RunId(task.name, task.run, self.sequence_number)
+
+
+class UnreportedStart(NamedTuple):
+    """Hold a start that the reported free resources do not include yet."""
+
+    run_id: RunId
+    demand: Resources
+
 
 @dataclass(slots=True)
 class AgentView:
@@ -144,16 +155,14 @@
     report: ExecutorReport | None = None
     reconciled: bool = False
     starts_sent: int = 0
-    unreported_starts: dict[int, tuple[str, Resources]] = field(
-        default_factory=dict
-    )
+    unreported_starts: dict[int, UnreportedStart] = field(default_factory=dict)
     free: Resources = NO_RESOURCES
     average_slowness: float = 1
     reported_slowness: float = 1
     slow_until: float = 0
     avoided_until: float = 0
     consecutive_failures: int = 0
-    runs: set[RunKey] = field(default_factory=set)
+    runs: set[RunId] = field(default_factory=set)
     carries_work: bool = True
     batches: bool = False
 
@@ -294,7 +303,7 @@
     # Links of the entries that wait until a job has stopped here, by job ID.
     relinquish_requests: dict[str, str] = field(default_factory=dict)
     # Ends of runs by link that are not acknowledged yet.
-    unacknowledged_ends: dict[str, list[RunKey]] = field(default_factory=dict)
+    unacknowledged_ends: dict[str, list[RunId]] = field(default_factory=dict)
     acknowledged_at: float = 0
     local_claim_changes: ClaimChanges = field(init=False)
     remote_claim_changes: ClaimChanges = field(init=False)
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -2,17 +2,54 @@
 
 from __future__ import annotations
 
+from itertools import chain
+from itertools import repeat
 from typing import TYPE_CHECKING
+from typing import Final
 from typing import NamedTuple
 from typing import TypeAlias
 
 from savoryrudder.jobs.model import Resources
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
-# A task's name and the number of its run.
+# A task's name and the number of its run, which an executor tells apart.
 RunKey: TypeAlias = tuple[str, int]
+# The job number of an earlier release, which sends none.
+NO_JOB_NUMBER: Final = 0
+
+
+class RunId(NamedTuple):
+    """Identify a run among all runs of an entry's incarnation.
+
+    A job that was removed and submitted again has another `job_number`, while
+    the numbers of the runs of its tasks begin at 1 again.
+    """
+
+    task: str
+    number: int
+    job_number: int = NO_JOB_NUMBER
+
+
+def _join_ids(
+    keys: Iterable[RunKey],
+    job_numbers: Iterable[int],
+) -> tuple[RunId, ...]:
+    numbers = chain(job_numbers, repeat(NO_JOB_NUMBER))
+    return tuple(
+        RunId(task, run, job_number)
+        for (task, run), job_number in zip(keys, numbers, strict=False)
+    )
+
+
+def _split_ids(
+    run_ids: Iterable[RunId],
+) -> tuple[tuple[RunKey, ...], tuple[int, ...]]:
+    identified = tuple(run_ids)
+    keys = tuple((run_id.task, run_id.number) for run_id in identified)
+    return keys, tuple(run_id.job_number for run_id in identified)
 
 
 class EntryHello(NamedTuple):
@@ -88,17 +125,29 @@
     """List the receiver's tasks at the agent, with their run numbers.
 
     Any other task that the receiver sent before is not running and will not
-    start.
+    start. `job_numbers` are those of the tasks, in their order.
     """
 
     tasks: tuple[RunKey, ...]
+    job_numbers: tuple[int, ...] = ()
+
+    @property
+    def run_ids(self) -> tuple[RunId, ...]:
+        """Return the identities of the runs."""
+        return _join_ids(self.tasks, self.job_numbers)
+
+    @classmethod
+    def of(cls, run_ids: Iterable[RunId]) -> RunningTasks:
+        """Return a message that lists runs."""
+        return cls(*_split_ids(run_ids))
 
 
 class StartTask(NamedTuple):
     """Start a task; `number` counts the starts sent on this session.
 
     With `durable`, the agent acknowledges the task's end to the executor only
-    after the entry has stored it.
+    after the entry has stored it. All messages about the run carry its
+    `job_number`.
     """
 
     number: int
@@ -108,6 +157,12 @@
     demand: Resources
     estimate_ms: int
     durable: bool
+    job_number: int = NO_JOB_NUMBER
+
+    @property
+    def run_id(self) -> RunId:
+        """Return the identity of the run."""
+        return RunId(self.task, self.run, self.job_number)
 
 
 class StartTasks(NamedTuple):
@@ -122,6 +177,7 @@
     demand: Resources
     estimate_ms: int
     durable: bool
+    job_number: int = NO_JOB_NUMBER
 
     def each(self) -> Iterator[StartTask]:
         """Yield a message for each task."""
@@ -134,6 +190,7 @@
                 self.demand,
                 self.estimate_ms,
                 self.durable,
+                self.job_number,
             )
 
 
@@ -142,6 +199,12 @@
 
     task: str
     run: int
+    job_number: int = NO_JOB_NUMBER
+
+    @property
+    def run_id(self) -> RunId:
+        """Return the identity of the run."""
+        return RunId(*self)
 
 
 class TaskEnded(NamedTuple):
@@ -156,6 +219,12 @@
     outcome: str
     reason: str
     duration_ms: int
+    job_number: int = NO_JOB_NUMBER
+
+    @property
+    def run_id(self) -> RunId:
+        """Return the identity of the run."""
+        return RunId(self.task, self.run, self.job_number)
 
 
 class SlowRun(NamedTuple):
@@ -169,9 +238,26 @@
     run: int
     slowness: float
     remaining_ms: int
+    job_number: int = NO_JOB_NUMBER
+
+    @property
+    def run_id(self) -> RunId:
+        """Return the identity of the run."""
+        return RunId(self.task, self.run, self.job_number)
 
 
 class EndsAcknowledged(NamedTuple):
     """Acknowledge the ends of runs; the agent may forget them."""
 
     ends: tuple[RunKey, ...]
+    job_numbers: tuple[int, ...] = ()
+
+    @property
+    def run_ids(self) -> tuple[RunId, ...]:
+        """Return the identities of the runs."""
+        return _join_ids(self.ends, self.job_numbers)
+
+    @classmethod
+    def of(cls, run_ids: Iterable[RunId]) -> EndsAcknowledged:
+        """Return a message that acknowledges the ends of runs."""
+        return cls(*_split_ids(run_ids))
--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -95,6 +95,7 @@
         run.number,
         0 if state.health.suspended else max(slowness, threshold),
         remaining_ms,
+        run.job_number,
     )
     turn.count('slow_runs')
     turn.log(
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -131,9 +131,9 @@
                 runs.start(state, turn, link, start)
         case work.StopTask():
             runs.stop_on_request(state, turn, link, message)
-        case work.EndsAcknowledged(ends):
+        case work.EndsAcknowledged():
             owner = state.links[link].incarnation
-            renewal.discard_ends(state, owner, ends)
+            renewal.discard_ends(state, owner, message.run_ids)
 
 
 def _handle_entry_hello(
@@ -152,12 +152,12 @@
     for end in state.ends.values():
         if end.owner == hello.incarnation:
             turn.send(link, end.message)
-    running = tuple(
-        run.key
+    running = (
+        run.run_id
         for run in state.runs.values()
         if run.owner == hello.incarnation and not run.end_reported
     )
-    turn.send(link, work.RunningTasks(running))
+    turn.send(link, work.RunningTasks.of(running))
 
 
 def _handle_executor_heartbeat(
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -18,6 +18,7 @@
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
+    from savoryrudder.protocol.work import RunId
     from savoryrudder.protocol.work import RunKey
     from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import Run
@@ -136,10 +137,10 @@
 def discard_ends(
     state: WorkerState,
     owner: str,
-    keys: tuple[RunKey, ...],
+    run_ids: tuple[RunId, ...],
 ) -> None:
     """Discard ends that their owner has acknowledged."""
-    for acknowledged in keys:
+    for acknowledged in run_ids:
         state.ends.pop(EndKey(owner, acknowledged), None)
     lease = state.lease
     lease.unacknowledged_ends = {
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -59,12 +59,13 @@
             reason=reason,
             free_cpu=state.free.cpu,
         )
-        turn.send(link, _not_started(message.task, message.run, reason))
+        turn.send(link, _not_started(message.run_id, reason))
         return
     state.add_run(
         Run(
             message.task,
             message.run,
+            message.job_number,
             entry_link.incarnation,
             message.demand,
             message.durable,
@@ -167,8 +168,8 @@
 ) -> None:
     """Stop a run at the request of its owner."""
     run = state.runs.get(message.task)
-    owner = state.links[link].incarnation
-    if run is None or run.end_key != EndKey(owner, (message.task, message.run)):
+    requested = EndKey(state.links[link].incarnation, message.run_id)
+    if run is None or run.end_key != requested:
         return
     if run.phase is not Phase.stopping:
         send_stop(state, turn, run)
@@ -203,6 +204,7 @@
         outcome,
         reason,
         int(duration_s * MS_PER_S),
+        run.job_number,
     )
     turn.count(f'runs_{outcome}')
     if outcome == outcomes.DONE:
@@ -253,5 +255,12 @@
     return ''
 
 
-def _not_started(task: str, run: int, reason: str) -> work.TaskEnded:
-    return work.TaskEnded(task, run, outcomes.NOT_STARTED, reason, 0)
+def _not_started(run_id: work.RunId, reason: str) -> work.TaskEnded:
+    return work.TaskEnded(
+        run_id.task,
+        run_id.number,
+        outcomes.NOT_STARTED,
+        reason,
+        0,
+        run_id.job_number,
+    )
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -58,7 +58,7 @@
     """Identify the end of a run among those of all owners."""
 
     owner: str
-    run: work.RunKey
+    run_id: work.RunId
 
 
 class Phase(Enum):
@@ -79,6 +79,7 @@
 
     task: str
     number: int
+    job_number: int
     owner: str
     demand: Resources
     durable: bool
@@ -96,13 +97,18 @@
 
     @property
     def key(self) -> work.RunKey:
-        """Return the name of the task with the number of the run."""
+        """Return how the executor identifies the run."""
         return (self.task, self.number)
 
+    @property
+    def run_id(self) -> work.RunId:
+        """Return how the owner identifies the run."""
+        return work.RunId(self.task, self.number, self.job_number)
+
     @property
     def end_key(self) -> EndKey:
         """Return the key of the run's end."""
-        return EndKey(self.owner, self.key)
+        return EndKey(self.owner, self.run_id)
 
 
 class UnacknowledgedEnd(NamedTuple):
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -5,15 +5,30 @@
 from typing import Any
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import messages
+from savoryrudder.protocol import work
 from savoryrudder.protocol.codec import Frame
 from savoryrudder.protocol.codec import FrameError
 from savoryrudder.protocol.codec import decode_frame
 from savoryrudder.protocol.codec import encode_frame
 
+RUN_IDS = (work.RunId('j.0.0.0', 1, 7), work.RunId('k.0.0.0', 2, 8))
+RESOURCES = Resources(1000, 64, 0)
+RUN_MESSAGES = (
+    work.StartTask(1, 'j.0.0.0', 1, 's', RESOURCES, 200, False, 7),
+    work.StartTasks(1, (('j.0.0.0', 1),), 's', RESOURCES, 200, False, 7),
+    work.StopTask('j.0.0.0', 1, 7),
+    work.TaskEnded('j.0.0.0', 1, 'done', '', 10, 7),
+    work.SlowRun('j.0.0.0', 1, 3.5, -1, 7),
+    work.RunningTasks.of(RUN_IDS),
+    work.EndsAcknowledged.of(RUN_IDS),
+)
+
 
 def test_a_frame_is_decoded_as_it_was_encoded() -> None:
     """Guard against fields that change type or order in transit."""
@@ -91,3 +106,36 @@
 def test_a_deeply_nested_frame_is_an_error() -> None:
     """Guard against a frame that exceeds the limit of recursion."""
     assert isinstance(decode_frame(b'\x91' * 100_000), FrameError)
+
+
+def test_messages_about_runs_keep_their_identities() -> None:
+    """Guard against a run that takes the identity of another in transit."""
+    frame = Frame('s1', 1, 0, RUN_MESSAGES)
+    decoded = decode_frame(encode_frame(frame))
+    assert decoded == frame
+    assert {message.run_ids for message in RUN_MESSAGES[-2:]} == {RUN_IDS}
+
+
+@pytest.mark.parametrize('message', RUN_MESSAGES)
+def test_messages_about_runs_of_an_earlier_release_are_understood(
+    message: Any,
+) -> None:
+    """Guard against releases that cannot run beside each other.
+
+    The number of the job is the last field, and earlier releases lack it.
+    """
+    encoded = encode_frame(Frame('s1', 1, 0, (message,)))
+    parts = msgspec.msgpack.decode(encoded)
+    tag, fields = parts[4][0]
+    parts[4] = [(tag, fields[:-1])]
+    decoded = decode_frame(msgspec.msgpack.encode(parts))
+    assert isinstance(decoded, Frame)
+    received = decoded.messages[0]
+    assert tuple(received[:-1]) == tuple(message[:-1])
+    assert received[-1] in {work.NO_JOB_NUMBER, ()}
+
+
+def test_a_list_of_runs_without_job_numbers_is_complete() -> None:
+    """Guard against runs that are left out of a list of an earlier release."""
+    listed = work.RunningTasks((('j.0.0.0', 1),))
+    assert listed.run_ids == (work.RunId('j.0.0.0', 1, work.NO_JOB_NUMBER),)
--- a/tests/worker/test_run_identity.py
+++ b/tests/worker/test_agent_run_identity.py
@@ -90,3 +90,52 @@
     kept = {'e1#1', OTHER_OWNER} - {owner}
     assert not _ends_reported_to(driver, owner)
     assert _ends_reported_to(driver, kept.pop()) == [outcomes.NOT_STARTED]
+
+
+def _start_for_job(driver: WorkerDriver, job_number: int) -> None:
+    start = work.StartTask(1, TASK, 1, 's', DEMAND, 200, False, job_number)
+    _receive(driver, LINK, start)
+
+
+def test_a_stop_of_a_removed_job_stops_nothing(driver: WorkerDriver) -> None:
+    """Guard against a stop that hits a run of the job submitted again."""
+    _start_for_job(driver, 2)
+    driver.answer_start(TASK, verdicts.STARTED)
+    _receive(driver, LINK, work.StopTask(TASK, 1, 1))
+    assert not driver.effects_of(effects.StopRun)
+    _receive(driver, LINK, work.StopTask(TASK, 1, 2))
+    assert driver.effects_of(effects.StopRun)
+
+
+def test_reports_of_a_run_carry_the_number_of_its_job(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against reports that an entry takes for those of another run."""
+    _start_for_job(driver, 2)
+    driver.answer_start(TASK, verdicts.STARTED)
+    _receive(driver, LINK, work.EntryHello('e1', 'e1#1', 'address'))
+    listed = driver.messages_of(work.RunningTasks)[0]
+    assert listed.run_ids == (work.RunId(TASK, 1, 2),)
+    _start_for_job(driver, 3)
+    refused = driver.messages_of(work.TaskEnded)[0]
+    assert refused.run_id == work.RunId(TASK, 1, 3)
+    driver.now += 0.2
+    driver.answer_renewal(running=(events.RunProgress(TASK, 1, 4),))
+    slow = driver.messages_of(work.SlowRun)[0]
+    assert slow.run_id == work.RunId(TASK, 1, 2)
+    end = events.RunEnd(1, TASK, 1, outcomes.DONE)
+    driver.answer_renewal(ended=(end,))
+    ended = driver.messages_of(work.TaskEnded)[0]
+    assert ended.run_id == work.RunId(TASK, 1, 2)
+
+
+def test_an_acknowledgement_of_a_removed_job_discards_nothing(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against an end of the job submitted again that is lost."""
+    for job_number in (1, 2):
+        _start_for_job(driver, job_number)
+        driver.answer_start(TASK, verdicts.REFUSED)
+    acknowledged = work.EndsAcknowledged.of([work.RunId(TASK, 1, 1)])
+    _receive(driver, LINK, acknowledged)
+    assert [key.run_id.job_number for key in driver.state.ends] == [2]
