Tell the answer of a withdrawn delegation from that of the next one

Seen (in a directed test): a job was delegated, withdrawn when its caller left and delegated again to the same entry. The answer to the first delegation, sent before the withdrawal had arrived, was given to the callers of the second. With a refusal, they heard that a job never runs that runs at the other entry, and the claim that stands for the delegation was dropped, so that a later submission of the job could start here beside it.

Cause: an answer named the job only. Links keep the order of each direction, but the answer and the withdrawal cross. Usually the claim of the other entry holds the second delegation back until its release, which follows the answer on the link; a release from before the first delegation, which is announced later, clears the claim too early.

Evidence: the three cases of test_an_answer_to_a_withdrawn_job_does_not_answer_the_next failed without the comparison: the second caller got the answer of the first delegation. On the sources before, they and test_an_answer_names_the_delegation_that_it_answers fail for want of the field.

Fix: delegations are numbered at the entry that hands a job over, the answer carries the number, and an answer with another number is ignored: that of the present delegation follows.

Ruled out: a number in the withdrawal. It cannot overtake a later delegation on its link, and the requests of a lost link are withdrawn with the link.

--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -132,7 +132,9 @@
     peer = state.peers[link]
     job_id = event.job.job_id
     cpu = _demand_cpu(event.job)
-    state.delegations[job_id] = Delegation(link, cpu, [event])
+    state.delegations_created += 1
+    number = state.delegations_created
+    state.delegations[job_id] = Delegation(link, number, cpu, [event])
     state.open_requests[event.request_id] = job_id
     # The peer owns the job from here on; its release clears the claim.
     peer.jobs.add(job_id)
@@ -147,6 +149,7 @@
             event.path,
             event.job,
             event.caller_timeout_s,
+            number,
         ),
     )
     return True
@@ -303,13 +306,16 @@
     message: delegation.DelegatedAnswer,
 ) -> None:
     """Answer the callers of a delegated job."""
-    job, verdict, reason, retry_after_s = message
+    job, verdict, reason, retry_after_s = message[:4]
     peer = state.peers[link]
+    delegated = _delegation_at(state, link, job)
+    if delegated and message.number not in {delegated.number, 0}:
+        # The job was withdrawn and delegated again while this answer was sent.
+        return
     if verdict in _UNCLAIMED_VERDICTS:
         # The peer does not have the job, so it will not release it either.
         peer.jobs.discard(job)
-    delegated = state.delegations.get(job)
-    if delegated is None or delegated.link != link:
+    if delegated is None:
         return
     elapsed_s = turn.now - delegated.submissions[0].now
     turn.count(f'jobs_{verdict}')
@@ -329,6 +335,15 @@
     _end(state, job)
 
 
+def _delegation_at(
+    state: DispatchState,
+    link: str,
+    job: str,
+) -> Delegation | None:
+    delegated = state.delegations.get(job)
+    return delegated if delegated and delegated.link == link else None
+
+
 def take(
     state: DispatchState,
     turn: Turn,
@@ -342,6 +357,7 @@
     state.foreign_requests[request_id] = ForeignRequest(
         link,
         message.job.job_id,
+        message.number,
     )
     peer_links.begin_work(state, turn, link)
     return JobSubmitted(
@@ -401,5 +417,9 @@
         return effect
     return Send(
         request.link,
-        delegation.DelegatedAnswer(request.job, *effect.answer),
+        delegation.DelegatedAnswer(
+            request.job,
+            *effect.answer,
+            number=request.number,
+        ),
     )
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -201,10 +201,12 @@
 class Delegation:
     """Hold the submissions of a job that another entry, by its link, runs.
 
-    Its tasks need `cpu` millicores in all.
+    Its tasks need `cpu` millicores in all. `number` tells it from former
+    delegations of the job.
     """
 
     link: str
+    number: int
     cpu: int
     submissions: list[JobSubmitted]
 
@@ -214,6 +216,7 @@
 
     link: str
     job: str
+    number: int
 
 
 @dataclass(slots=True)
@@ -309,6 +312,7 @@
     remote_claim_changes: ClaimChanges = field(init=False)
     # Jobs that other entries run for callers of this one, by job ID.
     delegations: dict[str, Delegation] = field(default_factory=dict)
+    delegations_created: int = 0
     # Open requests of other entries whose jobs run here, by request number.
     foreign_requests: dict[int, ForeignRequest] = field(default_factory=dict)
     foreign_requests_created: int = 0
--- a/src/savoryrudder/protocol/delegation.py
+++ b/src/savoryrudder/protocol/delegation.py
@@ -22,21 +22,27 @@
 
 
 class DelegateJob(NamedTuple):
-    """Ask another entry to run a job whose caller waits at the sender."""
+    """Ask another entry to run a job whose caller waits at the sender.
+
+    `number` differs for each delegation of an incarnation of the sender; it is
+    0 if the sender does not number them.
+    """
 
     host: str
     path: str
     job: JobRequest
     caller_timeout_s: float | None
+    number: int = 0
 
 
 class DelegatedAnswer(NamedTuple):
-    """Answer a delegated job."""
+    """Answer a delegated job; `number` is that of the delegation."""
 
     job: str
     verdict: str
     reason: str
     retry_after_s: float
+    number: int = 0
 
 
 class WithdrawJob(NamedTuple):
--- a/tests/dispatch/test_delegation.py
+++ b/tests/dispatch/test_delegation.py
@@ -219,3 +219,54 @@
     assert fleet.answers[request].verdict == answers.INTERRUPTED
     assert fleet.entries[0].state.exited
     assert not fleet.entries[1].state.jobs
+
+
+def _delegated_again(driver: EntryDriver) -> delegation.DelegateJob:
+    """Withdraw the job `j1` and delegate it again; return the last message.
+
+    The release of the job that the other entry ran before arrives meanwhile.
+    """
+    driver.receive(PEER, IDLE_LOAD)
+    assert _delegates(driver, 'j1')
+    driver.post(events.CallerDisconnected(driver.now, 1))
+    driver.receive(PEER, work.JobsReleased(('j1',)))
+    sent = _sent(driver.submit('j1'), delegation.DelegateJob)
+    delegated: delegation.DelegateJob = sent[0]
+    return delegated
+
+
+@pytest.mark.parametrize(
+    'verdict',
+    [answers.OVERLOADED, answers.INTERRUPTED, answers.SUPERSEDED],
+)
+def test_an_answer_to_a_withdrawn_job_does_not_answer_the_next(
+    verdict: str,
+) -> None:
+    """Guard against a caller who hears that a job that runs never will.
+
+    The answer crosses the withdrawal of the job, which is delegated again.
+    """
+    driver = _driver()
+    current = _delegated_again(driver)
+    former = delegation.DelegatedAnswer('j1', verdict, '', 0)
+    effects = driver.receive(PEER, former._replace(number=current.number - 1))
+    assert not _replies(effects)
+    assert 'j1' in driver.state.peers[PEER].jobs
+    effects = driver.receive(PEER, former._replace(number=current.number))
+    assert [answer.verdict for answer in _replies(effects)] == [verdict]
+
+
+def test_an_answer_names_the_delegation_that_it_answers() -> None:
+    """Guard against answers that their receiver cannot tell apart."""
+    driver = _driver()
+    message = delegation.DelegateJob(
+        'shop.example',
+        '/plans/j1',
+        job_of('j1', tasks=4),
+        None,
+        7,
+    )
+    driver.receive(PEER, message)
+    driver.now += RECOVERY_S
+    effects = driver.post(events.Tick(driver.now))
+    assert _sent(effects, delegation.DelegatedAnswer)[0].number == 7
