--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -133,9 +133,10 @@
             for start in message.each():
                 runs.start(state, turn, link, start)
         case work.StopTask():
-            runs.stop_on_request(state, turn, message)
-        case work.EndsAcknowledged(ends):
-            renewal.discard_ends(state, ends)
+            runs.stop_on_request(state, turn, link, message)
+        case work.EndsAcknowledged():
+            owner = state.links[link].incarnation
+            renewal.discard_ends(state, owner, message.run_ids)
         case relay.FindEntries():
             relays.answer_search(state, turn, link, message)
         case relay.RelayedClaims():
@@ -159,12 +160,12 @@
     for end in state.ends.values():
         if end.owner == hello.incarnation:
             turn.send(link, end.message)
-    running = tuple(
-        run.key
+    running = (
+        run.run_id
         for run in state.runs.values()
         if run.owner == hello.incarnation and not run.end_reported
     )
-    turn.send(link, work.RunningTasks(running))
+    turn.send(link, work.RunningTasks.of(running))
 
 
 def _handle_executor_heartbeat(
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -13,6 +13,7 @@
 from savoryrudder.worker.effects import StartRun
 from savoryrudder.worker.effects import StopRun
 from savoryrudder.worker.state import MAX_CLOCK_DRIFT
+from savoryrudder.worker.state import EndKey
 from savoryrudder.worker.state import Phase
 from savoryrudder.worker.state import Run
 from savoryrudder.worker.state import UnacknowledgedEnd
@@ -58,12 +59,13 @@
             reason=reason,
             free_cpu=state.free.cpu,
         )
-        turn.send(link, _not_started(message.task, message.run, reason))
+        turn.send(link, _not_started(message.run_id, reason))
         return
     state.add_run(
         Run(
             message.task,
             message.run,
+            message.job_number,
             entry_link.incarnation,
             message.demand,
             message.durable,
@@ -161,11 +163,13 @@
 def stop_on_request(
     state: WorkerState,
     turn: Turn,
+    link: str,
     message: work.StopTask,
 ) -> None:
-    """Stop a run at the request of an entry."""
+    """Stop a run at the request of its owner."""
     run = state.runs.get(message.task)
-    if run is None or run.number != message.run:
+    requested = EndKey(state.links[link].incarnation, message.run_id)
+    if run is None or run.end_key != requested:
         return
     if run.phase is not Phase.stopping:
         send_stop(state, turn, run)
@@ -200,6 +204,7 @@
         outcome,
         reason,
         int(duration_s * MS_PER_S),
+        run.job_number,
     )
     turn.count(f'runs_{outcome}')
     if outcome == outcomes.DONE:
@@ -212,7 +217,7 @@
             outcome=outcome,
             reason=reason,
         )
-    state.ends[run.key] = UnacknowledgedEnd(run.owner, turn.now, message)
+    state.ends[run.end_key] = UnacknowledgedEnd(run.owner, turn.now, message)
     link = state.find_link(run.owner)
     if not link:
         return
@@ -250,5 +255,12 @@
     return ''
 
 
-def _not_started(task: str, run: int, reason: str) -> work.TaskEnded:
-    return work.TaskEnded(task, run, outcomes.NOT_STARTED, reason, 0)
+def _not_started(run_id: work.RunId, reason: str) -> work.TaskEnded:
+    return work.TaskEnded(
+        run_id.task,
+        run_id.number,
+        outcomes.NOT_STARTED,
+        reason,
+        0,
+        run_id.job_number,
+    )
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -54,6 +54,13 @@
     retention_s: float = 30
 
 
+class EndKey(NamedTuple):
+    """Identify the end of a run among those of all owners."""
+
+    owner: str
+    run_id: work.RunId
+
+
 class Phase(Enum):
     """Enumerate the phases of a run."""
 
@@ -72,6 +79,7 @@
 
     task: str
     number: int
+    job_number: int
     owner: str
     demand: Resources
     durable: bool
@@ -89,9 +97,19 @@
 
     @property
     def key(self) -> work.RunKey:
-        """Return the name of the task with the number of the run."""
+        """Return how the executor identifies the run."""
         return (self.task, self.number)
 
+    @property
+    def run_id(self) -> work.RunId:
+        """Return how the owner identifies the run."""
+        return work.RunId(self.task, self.number, self.job_number)
+
+    @property
+    def end_key(self) -> EndKey:
+        """Return the key of the run's end."""
+        return EndKey(self.owner, self.run_id)
+
 
 class UnacknowledgedEnd(NamedTuple):
     """Hold the end of a run until its owner has acknowledged it."""
@@ -153,7 +171,7 @@
     reconciled: bool = False
     last_end_number: int = 0
     acknowledged_upto_sent: int = 0
-    unacknowledged_ends: dict[int, work.RunKey] = field(default_factory=dict)
+    unacknowledged_ends: dict[int, EndKey] = field(default_factory=dict)
 
     def renew_by(self, due_at: float) -> None:
         """Bring the next renewal forward to `due_at`.
@@ -207,7 +225,7 @@
     # Runs on the executor that this process did not start, with the time at
     # which it last asked to stop them.
     stray_runs: dict[work.RunKey, float] = field(default_factory=dict)
-    ends: dict[work.RunKey, UnacknowledgedEnd] = field(default_factory=dict)
+    ends: dict[EndKey, UnacknowledgedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
     lost_owners: dict[str, float] = field(default_factory=dict)
     draining: bool = False
--- a/tests/dispatch/test_peer_links.py
+++ b/tests/dispatch/test_peer_links.py
@@ -12,7 +12,6 @@
 from savoryrudder.dispatch import events
 from savoryrudder.protocol import delegation
 from savoryrudder.protocol import work
-from savoryrudder.protocol.delegation import EntryLoad
 from savoryrudder.utils.effects import Send
 from savoryrudder.utils.effects import SetCarriesWork
 
@@ -93,7 +92,8 @@
     told = {
         effect.peer
         for effect in _tick(driver, 0.9)
-        if isinstance(effect, Send) and isinstance(effect.message, EntryLoad)
+        if isinstance(effect, Send)
+        and isinstance(effect.message, delegation.EntryLoad)
     }
     assert len(told) == len(listeners)
     assert listeners[0] not in told
