Follow an executor that restarts under its former name

What callers saw: a task ran at two executors. Cause: the agent noticed the new instance only with its next heartbeat (1.5 s), had started runs in it by then, and reported them all as lost; the entry started them elsewhere. It also used the numbers of ends, the clock and the fencing token of the former instance.

The lists of runs now tell when their executor started. A list or a heartbeat of a newer instance begins a new lease: numbers of ends, clock, a raised fencing token. No run is lost because a report came: one is over when a list that was asked for with the raised token does not show it, so that calls to the former instance are void by then. Older instances are ignored, and a new one gets no tasks before its heartbeat told its capacity and whether it drains. An executor with another name still ends all runs at once: it refuses calls to the former name. A token that was refused after the agent had raised it raises it no further.

Ruled out: reporting runs as lost with the first list of the new instance. A start that is still under way could begin after that.

--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -66,6 +66,8 @@
 
 class _RenewalBody(msgspec.Struct):
     clock_ms: Natural
+    # UTC time at which the executor started, in milliseconds.
+    born: Natural = 0
     # Rows of task, run, saved state, progress in percent, load.
     running: list[list[Any]] = msgspec.field(default_factory=list)
     # Rows of number, task, run, end reason, saved state.
@@ -146,16 +148,17 @@
         )
         now = trio.current_time()
         if isinstance(response, NoResponse):
-            return events.RenewalFailed(now, response.reason)
+            return events.RenewalFailed(now, response.reason, call.fence)
         if response.status != HTTPStatus.OK:
             reason = f'the executor responded with status {response.status}'
             verdict, _ = _decode_verdict(response)
             is_fenced = verdict == verdicts.FENCED
-            return events.RenewalFailed(now, reason, is_fenced)
+            return events.RenewalFailed(now, reason, call.fence, is_fenced)
         try:
-            return _decode_renewal(response.content, now, sent_at)
+            return _decode_renewal(response.content, now, sent_at, call.fence)
         except _ROW_ERRORS as error:
-            return events.RenewalFailed(now, f'unusable response: {error}')
+            reason = f'unusable response: {error}'
+            return events.RenewalFailed(now, reason, call.fence)
 
     async def _send(
         self,
@@ -196,6 +199,7 @@
     content: bytes,
     now: float,
     sent_at: float,
+    fence: int,
 ) -> events.RenewalAnswered:
     body = _renewal_decoder.decode(content)
     running = tuple(
@@ -211,7 +215,15 @@
         )
         for row in body.ended
     )
-    return events.RenewalAnswered(now, sent_at, body.clock_ms, running, ended)
+    return events.RenewalAnswered(
+        now,
+        sent_at,
+        body.clock_ms,
+        running,
+        ended,
+        fence,
+        body.born,
+    )
 
 
 def _number(part: Any) -> int:
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -109,23 +109,31 @@
 
 
 class RenewalAnswered(NamedTuple):
-    """The executor answered a lease renewal that was sent at `sent_at`."""
+    """The executor answered a lease renewal that was sent at `sent_at`.
+
+    `fence` is the fencing token of the renewal. `started_ms` is the UTC time at
+    which the instance that answered started, 0 if it did not tell.
+    """
 
     now: float
     sent_at: float
     clock_ms: int
     running: tuple[RunProgress, ...]
     ended: tuple[RunEnd, ...]
+    fence: int
+    started_ms: int = 0
 
 
 class RenewalFailed(NamedTuple):
     """A lease renewal was refused or got no usable answer.
 
-    `fenced` is set if the executor has seen a higher fencing token.
+    `fence` is the fencing token of the renewal, and `fenced` is set if the
+    executor has seen a higher one.
     """
 
     now: float
     reason: str
+    fence: int
     fenced: bool = False
 
 
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -14,13 +14,13 @@
 from savoryrudder.utils.effects import SetCarriesWork
 from savoryrudder.utils.turn import Turn
 from savoryrudder.worker import events
+from savoryrudder.worker import instances
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
 from savoryrudder.worker import suspension
 from savoryrudder.worker.deadlines import RETIREMENT_GRACE_S
 from savoryrudder.worker.state import EntryLink
-from savoryrudder.worker.state import Health
 from savoryrudder.worker.state import Lease
 from savoryrudder.worker.state import Phase
 
@@ -164,34 +164,32 @@
     turn: Turn,
     event: events.ExecutorHeartbeat,
 ) -> None:
+    if event.started_ms < state.lease.started_ms:
+        turn.count('outdated_heartbeats')
+        return
     previous = state.heartbeat
-    if previous is not None:
-        if event.started_ms < previous.started_ms:
-            turn.count('outdated_heartbeats')
-            return
-        is_same_instance = (
-            event.executor == previous.executor
-            and event.started_ms == previous.started_ms
-        )
-        if is_same_instance and event.sequence < previous.sequence:
-            return
-        if not is_same_instance:
-            runs.mark_all_lost(state, turn, 'executor restarted')
-            previous = None
+    if previous is not None and _is_outdated(event, previous):
+        return
     state.heartbeat = event
-    if previous is None:
-        state.lease = Lease()
-        state.health = Health()
-        turn.log(
-            'executor-seen',
-            executor=event.executor,
-            address=event.address,
-            born_ms=event.started_ms,
-        )
+    if previous is None or event.executor != previous.executor:
+        # The new instance refuses calls to one with another name.
+        runs.mark_all_lost(state, turn, 'executor restarted')
+        instances.begin(state, turn, event.started_ms, event.clock_ms)
+    elif event.started_ms > state.lease.started_ms:
+        instances.begin(state, turn, event.started_ms, event.clock_ms)
     elif previous.draining != event.draining:
         turn.log('executor-drains', executor=event.executor)
-    if state.lease.clock_ms == 0:
-        state.lease.record_clock(turn.now, event.clock_ms)
+
+
+def _is_outdated(
+    event: events.ExecutorHeartbeat,
+    previous: events.ExecutorHeartbeat,
+) -> bool:
+    is_same_instance = (
+        event.executor == previous.executor
+        and event.started_ms == previous.started_ms
+    )
+    return is_same_instance and event.sequence < previous.sequence
 
 
 def _handle_executor_left(
@@ -204,7 +202,7 @@
     runs.mark_all_lost(state, turn, 'executor left')
     reports.report_departure(state, turn)
     state.heartbeat = None
-    state.lease = Lease()
+    state.lease = Lease(state.lease.started_ms)
     turn.log('executor-left', executor=event.executor)
 
 
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -8,6 +8,7 @@
 
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import events
+from savoryrudder.worker import instances
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import progress
 from savoryrudder.worker import reports
@@ -69,7 +70,14 @@
 ) -> None:
     """Apply the executor's lists of running and ended runs."""
     lease = state.lease
+    if instances.begin_if_newer(state, turn, answer):
+        return
+    if answer.fence < lease.first_fence:
+        return
     lease.renewing = False
+    if instances.is_outdated(state, answer):
+        lease.renew_at = turn.now + _RETRY_DELAY_S
+        return
     lease.record_clock(turn.now, answer.clock_ms)
     if lease.silent_since is not None:
         turn.log('executor-answers', silent_s=turn.now - lease.silent_since)
@@ -104,10 +112,12 @@
 ) -> None:
     """Record a failed renewal and schedule the next one."""
     lease = state.lease
+    if failure.fence < lease.first_fence:
+        return
     lease.renewing = False
     lease.renew_at = turn.now + _RETRY_DELAY_S
     if failure.fenced:
-        runs.raise_fence(state, turn)
+        runs.raise_fence(state, turn, failure.fence)
         return
     if lease.silent_since is None:
         lease.silent_since = turn.now
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -69,6 +69,7 @@
             message.durable,
             message.estimate_ms / MS_PER_S,
             turn.now,
+            fence=state.fence,
         ),
     )
     state.lease.renew_by(turn.now)
@@ -103,11 +104,11 @@
     """Apply the answer to a request to start a run."""
     if answer.clock_ms:
         state.lease.record_clock(turn.now, answer.clock_ms)
-    if answer.verdict == verdicts.FENCED:
-        raise_fence(state, turn)
     run = state.runs.get(answer.task)
     if run is None or run.number != answer.run:
         return
+    if answer.verdict == verdicts.FENCED:
+        raise_fence(state, turn, run.fence)
     if answer.verdict in _REFUSAL_VERDICTS:
         state.remove_run(run)
         report_end(state, turn, run, outcomes.NOT_STARTED, answer.verdict)
@@ -121,11 +122,14 @@
         run.phase = Phase.running
 
 
-def raise_fence(state: WorkerState, turn: Turn) -> None:
+def raise_fence(state: WorkerState, turn: Turn, refused: int) -> None:
     """Raise the fencing token above that of a previous agent process.
 
-    That process took its token from a clock that was ahead of this one.
+    That process took its token from a clock that was ahead of this one. A token
+    that was refused after this process raised it says nothing of another one.
     """
+    if refused < state.fence:
+        return
     state.fence += _FENCE_STEP
     turn.log('fence-raised', fence=state.fence)
 
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -67,7 +67,8 @@
     """Track a run of a task that occupies capacity of the executor.
 
     `end_reported` is set once its end was reported to the owner. The capacity
-    stays occupied until the executor confirms that the run has ended.
+    stays occupied until the executor confirms that the run has ended. `fence`
+    is the fencing token of its start.
     """
 
     task: str
@@ -86,6 +87,7 @@
     stop_sent_at: float = _NEVER
     stop_confirmed_at: float = _NEVER
     end_reported: bool = False
+    fence: int = 0
 
     @property
     def key(self) -> work.RunKey:
@@ -138,8 +140,14 @@
     `silent_since` is the time of the first failed renewal since the last
     answer, or None. `reconciled` is set once the executor has listed its runs
     and they were compared with those of the agent.
+
+    The lease belongs to the instance of the executor that started at
+    `started_ms`. Calls with a fencing token below `first_fence` were meant for
+    a former instance.
     """
 
+    started_ms: int = 0
+    first_fence: int = 0
     clock_ms: int = 0
     clock_read_at: float = _NEVER
     expires_at: float = _NEVER
@@ -227,6 +235,9 @@
         heartbeat = self.heartbeat
         if heartbeat is None or heartbeat.draining or self.draining:
             return False
+        if heartbeat.started_ms < self.lease.started_ms:
+            # The capacity of a new instance is known from its first heartbeat.
+            return False
         if self.health.suspended:
             return False
         is_silent = self.lease.silent_since is not None
--- /dev/null
+++ b/tests/dispatch/test_executor_restarts.py
@@ -0,0 +1,61 @@
+"""Check that executors that restart behind a cut run no task twice.
+
+The fake executors raise on a task that runs at two of them.
+"""
+
+from __future__ import annotations
+
+import random
+
+from fakes.fleet import Fleet
+from fakes.fleet import job_of
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+RECOVERY_S = 40
+ENTRIES = 2
+AGENTS = 4
+JOBS = 40
+
+
+def _crash(fleet: Fleet, rng: random.Random, *, same_name: bool) -> None:
+    agent = rng.randrange(AGENTS)
+    if not fleet.agents[agent].executor.unresponsive:
+        down_s = rng.choice((0.01, 0.1, 0.4, 1, 2, 4))
+        fleet.crash_executor_behind_cut(agent, down_s, same_name=same_name)
+
+
+def _submit(fleet: Fleet, rng: random.Random, number: int) -> None:
+    job = job_of(f'j{number}', tasks=rng.choice((1, 3, 6)))
+    fleet.submit(rng.randrange(ENTRIES), job)
+
+
+def _check_nothing_is_left(fleet: Fleet) -> None:
+    fleet.calls.lose_answers = 0
+    fleet.calls.late_orders = 0
+    fleet.run(RECOVERY_S)
+    assert not any(entry.state.jobs for entry in fleet.entries)
+    for agent in fleet.agents:
+        assert not agent.state.runs
+        assert not agent.executor.runs
+        assert agent.state.accepting
+
+
+@settings(max_examples=60)
+@given(seed=st.integers(0, 2**32), same_name=st.booleans())
+def test_restarts_behind_cuts_leave_no_concurrent_runs(
+    seed: int,
+    same_name: bool,
+) -> None:
+    """Guard against runs of a new instance that are taken for lost."""
+    rng = random.Random(seed)
+    fleet = Fleet(seed, ENTRIES, AGENTS)
+    fleet.calls.durations_s = (0.1, 1.8)
+    fleet.calls.lose_answers = rng.choice((0, 0.1, 0.3))
+    for number in range(JOBS):
+        _submit(fleet, rng, number)
+        if not rng.randrange(4):
+            _crash(fleet, rng, same_name=same_name)
+        fleet.run(rng.uniform(0, 0.3))
+    _check_nothing_is_left(fleet)
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -12,6 +12,9 @@
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
 
+# What the clock of an executor shows after a restart.
+_FIRST_CLOCK_S = 0.1
+
 
 @dataclass(slots=True)
 class FakeRun:
@@ -100,8 +103,9 @@
     def stop(self, now: float, call: effects.StopRun) -> bool:
         """Stop a run and prevent a delayed start of it."""
         self.advance(now)
-        if call.executor.name != self.name:
+        if call.executor.name != self.name or call.fence < self.fence:
             return False
+        self.fence = call.fence
         run = self.runs.get(call.task)
         if run is not None and run.number == call.run:
             self._end(run, outcomes.STOPPED)
@@ -114,11 +118,14 @@
         now: float,
         sent_at: float,
         call: effects.RenewLease,
-    ) -> events.RenewalAnswered | None:
+    ) -> events.RenewalAnswered | events.RenewalFailed | None:
         """Extend the lease and list the runs and the unacknowledged ends."""
         self.advance(now)
         if call.executor.name != self.name:
             return None
+        if call.fence < self.fence:
+            return events.RenewalFailed(now, 'fence', call.fence, fenced=True)
+        self.fence = call.fence
         if call.lease_until_ms:
             self._extend(now, call.lease_until_ms)
         self.ends = [
@@ -133,6 +140,8 @@
                 for run in self.runs.values()
             ),
             tuple(self.ends),
+            call.fence,
+            self.born_ms,
         )
 
     def advance(self, now: float) -> None:
@@ -157,10 +166,15 @@
         for run in self.runs.values():
             run.reschedule(now, float('inf'))
 
-    def restart(self, name: str) -> None:
-        """Restart as a new instance without the state of the former one."""
+    def restart(self, name: str, now: float) -> None:
+        """Restart as a new instance without the state of the former one.
+
+        Its clock starts anew.
+        """
         self.name = name
         self.born_ms += 1
+        self.clock_offset_s = _FIRST_CLOCK_S - now
+        self.lease_until = 0
         self.fence = 0
         self.runs.clear()
         self.ends.clear()
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -42,6 +42,8 @@
         """Start without faults."""
         self.lose_answers = float(0)
         self.late_orders = float(0)
+        # The leases of late calls count from their arrival.
+        self.late_leases_from_arrival = False
         self.duration_factor = float(1)
         self.durations_s = (0.1, 0.4)
         self._clock = clock
@@ -62,7 +64,8 @@
         draw = self._clock.randomness.random()
         if draw < self.late_orders:
             delay_s = self._clock.randomness.uniform(2, _MAX_CALL_DELAY_S)
-            self._clock.after(delay_s, self._execute, executor, call, sent_at)
+            arguments = (executor, call, sent_at)
+            self._clock.after(delay_s, self._execute_late, *arguments)
             self._clock.after(CALL_TIMEOUT_S, self._time_out, call, on_answer)
             return
         is_lost = draw < self.late_orders + self.lose_answers
@@ -86,21 +89,27 @@
         if answer is None:
             self._clock.after(CALL_TIMEOUT_S, self._time_out, call, on_answer)
             return
-        is_long_poll = isinstance(call, effects.RenewLease) and call.wait_ms
-        if is_long_poll and not answer.ended:
+        is_list = isinstance(answer, events.RenewalAnswered)
+        if is_list and call.wait_ms and not answer.ended:
             until = self._clock.now + call.wait_ms / MS_PER_S
-            self._await_end(executor, call, sent_at, until, on_answer)
+            arguments = (executor, executor.born_ms, call, sent_at, until)
+            self._await_end(*arguments, on_answer)
         else:
             self._clock.after(_NETWORK_DELAY_S, on_answer, answer)
 
     def _await_end(
         self,
         executor: FakeExecutor,
+        born_ms: int,
         call: effects.RenewLease,
         sent_at: float,
         until: float,
         on_answer: Callable[[Any], None],
     ) -> None:
+        if executor.born_ms != born_ms:
+            # The instance that held back its answer has crashed.
+            self._time_out(call, on_answer)
+            return
         executor.advance(self._clock.now)
         is_due = executor.ends or self._clock.now >= until
         if not is_due:
@@ -108,6 +117,7 @@
                 _POLL_INTERVAL_S,
                 self._await_end,
                 executor,
+                born_ms,
                 call,
                 sent_at,
                 until,
@@ -120,6 +130,16 @@
         else:
             self._clock.after(_NETWORK_DELAY_S, on_answer, answer)
 
+    def _execute_late(
+        self, executor: FakeExecutor, call: Any, sent_at: float
+    ) -> None:
+        has_lease = getattr(call, 'lease_until_ms', 0)
+        if has_lease and self.late_leases_from_arrival:
+            clock_ms = executor.clock_ms(self._clock.now)
+            lease_ms = int(executor.lease_limit_s * MS_PER_S)
+            call = call._replace(lease_until_ms=clock_ms + lease_ms)
+        self._execute(executor, call, sent_at)
+
     def _execute(
         self, executor: FakeExecutor, call: Any, sent_at: float
     ) -> Any:
@@ -173,4 +193,4 @@
         )
     if isinstance(call, effects.StopRun):
         return events.StopAnswered(now, call.task, call.run, confirmed=False)
-    return events.RenewalFailed(now, 'no answer')
+    return events.RenewalFailed(now, 'no answer', call.fence)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -26,6 +26,7 @@
 from savoryrudder.protocol.members import Member
 from savoryrudder.utils import effects
 from savoryrudder.utils.ticks import TICK_S
+from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import events as agent_events
 from savoryrudder.worker.deadlines import next_tick_at as next_agent_tick_at
 from savoryrudder.worker.entry_choice import choose_entries
@@ -43,6 +44,7 @@
 CAPACITY = Resources(cpu=8000, memory=4096, gpu=0)
 ZONE = 'zone-a'
 SETTLE_S = 2.5
+HEARTBEAT_S = 1.5
 # A process notices that it did not run for this long.
 STALL_S = 1
 # Ticks at multiples of `TICK_S` may miss a time by the error of their sum.
@@ -164,7 +166,8 @@
         self.executor = executor
         identity = WorkerIdentity(name, f'{name}#{number}', ZONE)
         timing = WorkerTiming(1, 0.05)
-        self.state = WorkerState(identity, timing, fence=number)
+        fence = int(fleet.clock.now * MS_PER_S)
+        self.state = WorkerState(identity, timing, fence)
         self._fleet = fleet
         self._tick_at = fleet.clock.now
         self.receive_heartbeat()
@@ -280,6 +283,7 @@
         for number in range(len(executors) or agents):
             executor = executors[number] if executors else None
             self.agents.append(self._new_agent(f'a{number}', executor))
+            self.clock.after(HEARTBEAT_S, self._send_heartbeat, number)
         self.clock.after(0, self._tick)
         self.run(1)
 
@@ -361,9 +365,33 @@
     def crash_executor(self, index: int) -> None:
         """Restart an executor under a new name without its runs."""
         agent = self.agents[index]
-        agent.executor.restart(f'x{next(self._numbers)}')
+        name = f'x{next(self._numbers)}'
+        agent.executor.restart(name, self.clock.now)
         agent.receive_heartbeat()
 
+    def crash_executor_behind_cut(
+        self,
+        index: int,
+        down_s: float,
+        *,
+        same_name: bool,
+    ) -> None:
+        """Restart an executor; no call reaches it for a time.
+
+        Its agent learns of the new instance from an answer or a heartbeat.
+        """
+        executor = self.agents[index].executor
+        number = next(self._numbers)
+        name = executor.name if same_name else f'x{number}'
+        executor.restart(name, self.clock.now)
+        self.cut_executor(index, down_s)
+
+    def cut_executor(self, index: int, seconds: float) -> None:
+        """Let no call reach an executor for a time."""
+        executor = self.agents[index].executor
+        executor.unresponsive = True
+        self.clock.after(seconds, setattr, executor, 'unresponsive', False)
+
     def _new_entry(self, name: str) -> EntryProcess:
         incarnation = f'{name}#{next(self._numbers)}'
         zone = self._zones[int(name[1:]) % len(self._zones)]
@@ -401,6 +429,12 @@
     def _restart_entry(self, index: int) -> None:
         self.entries[index] = self._new_entry(self.entries[index].name)
 
+    def _send_heartbeat(self, index: int) -> None:
+        agent = self.agents[index]
+        if not agent.executor.unresponsive:
+            agent.receive_heartbeat()
+        self.clock.after(HEARTBEAT_S, self._send_heartbeat, index)
+
     def _tick(self) -> None:
         now = self.clock.now
         for entry in self.entries:
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -102,6 +102,24 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ('part', 'started_ms'), [(b',"born":86', 86), (b'', 0)]
+)
+def test_a_list_tells_when_its_executor_started(
+    executor: ExecutorClient,
+    executor_server: FakeExecutorServer,
+    part: bytes,
+    started_ms: int,
+) -> None:
+    """Guards against taking the list of a new instance for a former one's."""
+    executor_server.response = Response(200, b'{"clock_ms":9%s}' % part)
+    call = effects.RenewLease(EXECUTOR, 5000, 7, 2, 300)
+    event = anyio.run(executor.renew, call, 1.0, backend='trio')
+    assert isinstance(event, events.RenewalAnswered)
+    assert event.started_ms == started_ms
+    assert event.fence == 7
+
+
 def test_a_fenced_renewal_is_reported_as_fenced(
     executor: ExecutorClient,
     executor_server: FakeExecutorServer,
--- a/tests/platform/test_odd_data.py
+++ b/tests/platform/test_odd_data.py
@@ -29,6 +29,7 @@
 from savoryrudder.protocol.members import decode_member
 from savoryrudder.protocol.members import encode_member
 from savoryrudder.store import interface
+from savoryrudder.utils.checked import MAX_INTEGER
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
 from savoryrudder.worker import verdicts
@@ -260,6 +261,7 @@
         *ODD_VALUES,
         *(_heartbeat(number) for number in ODD_NUMBERS),
         *(_heartbeat(number, part=b'clock_ms') for number in ODD_NUMBERS),
+        *(_heartbeat(number, part=b'born') for number in ODD_NUMBERS),
         _heartbeat(b'{"cpu":%s}' % HUGE, part=b'capacity'),
         _heartbeat(b'"gone"', part=b'state'),
     ],
@@ -284,6 +286,8 @@
     [
         *ODD_VALUES,
         *(b'{"clock_ms":%s}' % number for number in ODD_NUMBERS),
+        *(b'{"clock_ms":1,"born":%s}' % number for number in ODD_NUMBERS),
+        b'{"clock_ms":1,"born":%d}' % (MAX_INTEGER + 1),
         b'{"clock_ms":1,"running":[["t"]]}',
         b'{"clock_ms":1,"running":[["t",%s,"",0]]}' % HUGE,
         b'{"clock_ms":1,"running":[["t","%s","",0]]}' % TOO_LONG,
--- a/tests/worker/test_agent_ticks.py
+++ b/tests/worker/test_agent_ticks.py
@@ -48,7 +48,7 @@
     """Guard against leases that lapse between two ticks."""
     driver.start('j.0')
     driver.answer_start('j.0', 'started')
-    driver.post(events.RenewalFailed(driver.now, 'timeout'))
+    driver.fail_renewal()
     due_at = driver.state.lease.renew_at
     assert next_tick_at(driver.state, driver.now) == due_at
     driver.tick(due_at - driver.now)
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -40,10 +40,10 @@
 ) -> None:
     """Guards against giving up runs that may still be running."""
     _start_runs(driver, 'j.0')
-    driver.post(events.RenewalFailed(driver.now, 'silent'))
+    driver.fail_renewal()
     driver.tick(0.9)
     assert not driver.messages_of(work.TaskEnded)
-    driver.post(events.RenewalFailed(driver.now, 'silent'))
+    driver.fail_renewal()
     driver.tick(1.2)
     assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
     # The capacity stays occupied: a delayed start may still take effect.
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -85,13 +85,28 @@
     """Guards against waiting for runs that ended with a crash."""
     driver.start('j.0')
     driver.answer_start('j.0', verdicts.STARTED)
+    driver.now += 0.1
     driver.send_heartbeat(started_ms=6)
+    assert not driver.messages_of(work.TaskEnded)
+    driver.answer_renewal(started_ms=6)
     assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
+    assert not driver.state.runs
     driver.send_heartbeat(started_ms=5)
     assert driver.state.heartbeat is not None
     assert driver.state.heartbeat.started_ms == 6
 
 
+def test_runs_are_lost_at_once_when_another_executor_replaces_theirs(
+    driver: WorkerDriver,
+) -> None:
+    """Guards against waiting for runs that ended with a crash."""
+    driver.start('j.0')
+    driver.answer_start('j.0', verdicts.STARTED)
+    driver.send_heartbeat(started_ms=6, name='x2')
+    assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
+    assert not driver.state.runs
+
+
 def test_stray_runs_are_stopped_before_any_start(
     driver: WorkerDriver,
 ) -> None:
@@ -135,8 +150,7 @@
     """
     fence = driver.state.fence
     driver.send_heartbeat(started_ms=6)
-    fenced = events.RenewalFailed(driver.now, 'fence', fenced=True)
-    driver.post(fenced)
+    driver.fail_renewal(fenced=True)
     assert driver.state.fence > fence
     driver.tick(0.1)
     driver.answer_renewal()
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -47,12 +47,13 @@
         started_ms: int = 5,
         *,
         draining: bool = False,
+        name: str = 'x1',
     ) -> None:
         """Let the executor send a heartbeat."""
         self.post(
             events.ExecutorHeartbeat(
                 self.now,
-                'x1',
+                name,
                 started_ms,
                 int(self.now * 1000),
                 'pane',
@@ -76,10 +77,27 @@
         self,
         running: tuple[events.RunProgress, ...] = (),
         ended: tuple[events.RunEnd, ...] = (),
+        started_ms: int = 0,
+        fence: int | None = None,
     ) -> None:
         """Let the executor answer a renewal that was sent at the same time."""
-        answer = events.RenewalAnswered(self.now, self.now, 0, running, ended)
-        self.post(answer)
+        self.post(
+            events.RenewalAnswered(
+                self.now,
+                self.now,
+                0,
+                running,
+                ended,
+                self.state.fence if fence is None else fence,
+                started_ms,
+            ),
+        )
+
+    def fail_renewal(self, *, fenced: bool = False) -> None:
+        """Let the last renewal fail."""
+        fence = self.state.fence
+        failure = events.RenewalFailed(self.now, 'failed', fence, fenced)
+        self.post(failure)
 
     def tick(self, seconds: float) -> None:
         """Advance the time and reduce a tick."""
