Void calls without an answer, and wait for unanswered starts

What callers saw: a task ran at two executors. Cause: a call without an answer may be carried out seconds later, with a lease that counts from its arrival. A late renewal kept runs alive that the agent had reported lost by its own estimate, and a start that nobody had confirmed as stopped was reported lost when the lease of the silent executor expired, before it began.

Each start or renewal without an answer now raises the fencing token: the next call that the executor receives voids it. Runs whose start was answered are still lost when the lease of a silent executor expires: the calls that no newer one has voided were sent within a call timeout of the silence, and a late one arrives after the lease has ended. Callers of such a job wait for the executor to answer; tasks that had been started before are not held any longer than they were.

Not solved: an instance under the former name that no newer call has reached carries out a late start of a run that was settled before.

--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -119,21 +119,33 @@
     if failure.fenced:
         runs.raise_fence(state, turn, failure.fence)
         return
+    runs.supersede_calls(state)
     if lease.silent_since is None:
         lease.silent_since = turn.now
         turn.log('executor-silent', reason=failure.reason)
 
 
 def report_expired(state: WorkerState, turn: Turn) -> None:
-    """Report all runs as lost once the lease of a silent executor expires."""
+    """Report runs of a silent executor as lost once they must have ended."""
     if state.lease.silent_since is None or turn.now < state.lease.expires_at:
         return
     for run in state.runs.values():
-        if not run.end_reported:
+        if not run.end_reported and turn.now >= _ends_by(state, run):
             runs.report_end(state, turn, run, outcomes.LOST, 'lease expired')
             runs.send_stop(state, turn, run)
 
 
+def _ends_by(state: WorkerState, run: Run) -> float:
+    # Calls without an answer are carried out at once, or later than a lease
+    # lasts: a renewal finds no run then, but a start begins one.
+    if run.start_confirmed_at > 0:
+        return state.lease.expires_at
+    if run.start_unanswered_at < 0:
+        return math.inf
+    timing = state.timing
+    return run.start_unanswered_at + timing.late_call_s + timing.expiry_s
+
+
 def retry_stops(state: WorkerState, turn: Turn) -> None:
     """Repeat requests to stop a run that the executor has not confirmed."""
     cutoff = turn.now - state.timing.stop_retry_s
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -12,7 +12,6 @@
 from savoryrudder.worker import verdicts
 from savoryrudder.worker.effects import StartRun
 from savoryrudder.worker.effects import StopRun
-from savoryrudder.worker.state import MAX_CLOCK_DRIFT
 from savoryrudder.worker.state import Phase
 from savoryrudder.worker.state import Run
 from savoryrudder.worker.state import UnacknowledgedEnd
@@ -23,8 +22,6 @@
 
 # Added to the fencing token when the executor has seen a higher one.
 _FENCE_STEP: Final = 60_000
-# Allows for timer delays and the network delay to the executor.
-_EXPIRY_MARGIN_S: Final = 0.05
 
 _REFUSAL_VERDICTS: Final = frozenset(
     (
@@ -90,10 +87,10 @@
 
     The time is in milliseconds of the executor's clock.
     """
-    lease_s = state.timing.lease_s
-    expiry_s = lease_s / (1 - MAX_CLOCK_DRIFT) + _EXPIRY_MARGIN_S
-    state.lease.expires_at = max(state.lease.expires_at, now + expiry_s)
-    return state.lease.estimate_clock_ms(now) + int(lease_s * MS_PER_S)
+    timing = state.timing
+    expires_at = now + timing.expiry_s
+    state.lease.expires_at = max(state.lease.expires_at, expires_at)
+    return state.lease.estimate_clock_ms(now) + int(timing.lease_s * MS_PER_S)
 
 
 def apply_start_answer(
@@ -104,6 +101,8 @@
     """Apply the answer to a request to start a run."""
     if answer.clock_ms:
         state.lease.record_clock(turn.now, answer.clock_ms)
+    if answer.verdict == verdicts.UNKNOWN:
+        supersede_calls(state)
     run = state.runs.get(answer.task)
     if run is None or run.number != answer.run:
         return
@@ -115,6 +114,7 @@
         return
     if answer.verdict == verdicts.UNKNOWN:
         turn.log('start-unanswered', task=run.task, run=run.number)
+        run.start_unanswered_at = turn.now
         send_stop(state, turn, run)
         return
     run.start_confirmed_at = turn.now
@@ -122,6 +122,14 @@
         run.phase = Phase.running
 
 
+def supersede_calls(state: WorkerState) -> None:
+    """Let the next call that the executor receives void all earlier ones.
+
+    One without an answer may otherwise be carried out late.
+    """
+    state.fence += 1
+
+
 def raise_fence(state: WorkerState, turn: Turn, refused: int) -> None:
     """Raise the fencing token above that of a previous agent process.
 
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -21,6 +21,8 @@
 
 # A monotonic clock may run slower than the local one by up to this share.
 MAX_CLOCK_DRIFT: Final = 0.02
+# Allows for timer delays and the network delay to the executor.
+_EXPIRY_MARGIN_S: Final = 0.05
 _NEVER: Final = float('-inf')
 
 
@@ -42,7 +44,8 @@
     most `stop_s` after a request to stop it. The lease of an executor that
     does not answer is extended for another `silent_renewal_s`. The runs of
     an entry are stopped `owner_grace_s` after the loss of its link. Ends that
-    are not acknowledged are kept for `retention_s`.
+    are not acknowledged are kept for `retention_s`. The executor may carry out
+    a call without an answer up to `late_call_s` after it was given up.
     """
 
     lease_s: float
@@ -52,6 +55,12 @@
     stop_retry_s: float = 0.25
     owner_grace_s: float = 0.3
     retention_s: float = 30
+    late_call_s: float = 12
+
+    @property
+    def expiry_s(self) -> float:
+        """Return how long after a renewal the lease has surely expired."""
+        return self.lease_s / (1 - MAX_CLOCK_DRIFT) + _EXPIRY_MARGIN_S
 
 
 class Phase(Enum):
@@ -84,6 +93,7 @@
     stuck_reported: bool = False
     phase: Phase = Phase.starting
     start_confirmed_at: float = _NEVER
+    start_unanswered_at: float = _NEVER
     stop_sent_at: float = _NEVER
     stop_confirmed_at: float = _NEVER
     end_reported: bool = False
--- a/tests/dispatch/test_executor_restarts.py
+++ b/tests/dispatch/test_executor_restarts.py
@@ -59,3 +59,56 @@
             _crash(fleet, rng, same_name=same_name)
         fleet.run(rng.uniform(0, 0.3))
     _check_nothing_is_left(fleet)
+
+
+@settings(max_examples=60)
+@given(seed=st.integers(0, 2**32), from_arrival=st.booleans())
+def test_late_calls_leave_no_concurrent_runs(
+    seed: int,
+    from_arrival: bool,
+) -> None:
+    """Guard against starts and renewals that take effect after newer calls."""
+    rng = random.Random(seed)
+    fleet = Fleet(seed, ENTRIES, AGENTS)
+    fleet.calls.durations_s = (0.1, 1.8)
+    fleet.calls.lose_answers = rng.choice((0, 0.1, 0.3))
+    fleet.calls.late_orders = rng.choice((0.05, 0.1, 0.3))
+    fleet.calls.late_leases_from_arrival = from_arrival
+    for number in range(JOBS):
+        _submit(fleet, rng, number)
+        agent = rng.randrange(AGENTS)
+        if not rng.randrange(4):
+            fleet.cut_executor(agent, rng.choice((0.1, 0.4, 1, 2, 4)))
+        fleet.run(rng.uniform(0, 0.3))
+    _check_nothing_is_left(fleet)
+
+
+@settings(max_examples=60)
+@given(
+    seed=st.integers(0, 2**32),
+    same_name=st.booleans(),
+    from_arrival=st.booleans(),
+)
+def test_late_calls_and_restarts_leave_no_concurrent_runs(
+    seed: int,
+    same_name: bool,
+    from_arrival: bool,
+) -> None:
+    """Guard against calls to a former instance that reach the new one.
+
+    An instance that no newer call has reached yet carries out any start, and
+    its agent cannot prevent that.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(seed, ENTRIES, AGENTS)
+    fleet.calls.late_calls_come_first = False
+    fleet.calls.durations_s = (0.1, 1.8)
+    fleet.calls.lose_answers = rng.choice((0, 0.1, 0.3))
+    fleet.calls.late_orders = rng.choice((0.05, 0.1, 0.3))
+    fleet.calls.late_leases_from_arrival = from_arrival
+    for number in range(JOBS):
+        _submit(fleet, rng, number)
+        if not rng.randrange(4):
+            _crash(fleet, rng, same_name=same_name)
+        fleet.run(rng.uniform(0, 0.3))
+    _check_nothing_is_left(fleet)
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -44,6 +44,8 @@
         self.late_orders = float(0)
         # The leases of late calls count from their arrival.
         self.late_leases_from_arrival = False
+        # Late calls reach an executor that restarted before any other call.
+        self.late_calls_come_first = True
         self.duration_factor = float(1)
         self.durations_s = (0.1, 0.4)
         self._clock = clock
@@ -133,6 +135,8 @@
     def _execute_late(
         self, executor: FakeExecutor, call: Any, sent_at: float
     ) -> None:
+        if not executor.fence and not self.late_calls_come_first:
+            return
         has_lease = getattr(call, 'lease_until_ms', 0)
         if has_lease and self.late_leases_from_arrival:
             clock_ms = executor.clock_ms(self._clock.now)
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -50,6 +50,40 @@
     assert driver.state.runs
 
 
+def test_an_unanswered_start_outlasts_the_lease_of_a_silent_executor(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against a late start while the task runs elsewhere."""
+    driver.start('j.0')
+    driver.answer_start('j.0', verdicts.UNKNOWN)
+    driver.fail_renewal()
+    driver.tick(12)
+    assert not driver.messages_of(work.TaskEnded)
+    driver.tick(1.1)
+    assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
+
+
+def test_a_call_without_an_answer_raises_the_token_of_the_next(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against a renewal that extends the lease of runs given up."""
+    _start_runs(driver, 'j.0')
+    former_fence = driver.state.fence
+    driver.fail_renewal()
+    driver.tick(0.1)
+    assert driver.effects_of(effects.RenewLease)[0].fence > former_fence
+
+
+def test_a_start_without_an_answer_raises_the_token_of_its_stop(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against a start that takes effect after its stop."""
+    driver.start('j.0')
+    former_fence = driver.effects_of(effects.StartRun)[0].fence
+    driver.answer_start('j.0', verdicts.UNKNOWN)
+    assert driver.effects_of(effects.StopRun)[0].fence > former_fence
+
+
 def test_a_run_without_progress_is_reported_once(
     driver: WorkerDriver,
 ) -> None:
