Ask for no lease beyond its estimate on a slow clock

What callers could see: two runs of a task, if an executor falls silent right after its first start. Cause: the clock of an executor may be 2 % slow, and the agent took it for as fast as its own since the last reading; an idle executor's clock is not read between renewals. After 30 s the lease asked for ends 0.6 s later than the agent assumes, unless the executor shortens it, and that counts from the arrival of the call.

The estimate is now a time that the clock has surely reached, and heartbeats advance it, so that leases of an idle executor are short by 30 ms at most. A heartbeat that was delayed reads below the estimate and changes nothing.

Evidence: test_no_lease_outlasts_its_estimate_on_a_slow_clock fails on the former commit (31,000 ms where 30,400 is the most). Not seen in a fleet.

--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -179,6 +179,7 @@
         instances.begin(state, turn, event.started_ms, event.clock_ms)
     elif previous.draining != event.draining:
         turn.log('executor-drains', executor=event.executor)
+    state.lease.advance_clock(turn.now, event.clock_ms)
 
 
 def _is_outdated(
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -177,14 +177,20 @@
         self.renew_at = min(self.renew_at, due_at)
 
     def estimate_clock_ms(self, now: float) -> int:
-        """Return the estimated time on the executor's clock (ms)."""
-        return self.clock_ms + int((now - self.clock_read_at) * MS_PER_S)
+        """Return a time that the executor's clock (ms) has surely reached."""
+        elapsed_s = (now - self.clock_read_at) * (1 - MAX_CLOCK_DRIFT)
+        return self.clock_ms + int(elapsed_s * MS_PER_S)
 
     def record_clock(self, now: float, clock_ms: int) -> None:
         """Record a reading of the executor's clock."""
         self.clock_ms = clock_ms
         self.clock_read_at = now
 
+    def advance_clock(self, now: float, clock_ms: int) -> None:
+        """Record a reading that may be old unless it is below the estimate."""
+        if clock_ms >= self.estimate_clock_ms(now):
+            self.record_clock(now, clock_ms)
+
     @property
     def acknowledged_upto(self) -> int:
         """Return the number up to which no end awaits acknowledgement."""
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -10,6 +10,7 @@
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
+from savoryrudder.worker.state import MAX_CLOCK_DRIFT
 
 if TYPE_CHECKING:
     from worker_driver import WorkerDriver
@@ -84,6 +85,30 @@
     assert driver.effects_of(effects.StopRun)[0].fence > former_fence
 
 
+def test_no_lease_outlasts_its_estimate_on_a_slow_clock(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against runs that outlive the time at which they are given up."""
+    driver.tick(30)
+    clock_ms = int(30_000 * (1 - MAX_CLOCK_DRIFT))
+    driver.start('j.0')
+    lease_until_ms = driver.effects_of(effects.StartRun)[0].lease_until_ms
+    assert lease_until_ms <= clock_ms + 1000
+
+
+def test_a_heartbeat_advances_the_clock_of_an_idle_executor(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against leases that shrink while no renewal reads the clock."""
+    driver.tick(30)
+    driver.send_heartbeat(clock_ms=30_000)
+    driver.start('j.0')
+    assert driver.effects_of(effects.StartRun)[0].lease_until_ms == 31_000
+    driver.send_heartbeat(clock_ms=20_000)
+    driver.start('k.0')
+    assert driver.effects_of(effects.StartRun)[0].lease_until_ms == 31_000
+
+
 def test_a_run_without_progress_is_reported_once(
     driver: WorkerDriver,
 ) -> None:
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -48,6 +48,7 @@
         *,
         draining: bool = False,
         name: str = 'x1',
+        clock_ms: int = 1000,
     ) -> None:
         """Let the executor send a heartbeat."""
         self.post(
@@ -61,7 +62,7 @@
                 (),
                 Resources(8000, 4096, 0),
                 draining,
-                clock_ms=1000,
+                clock_ms=clock_ms,
             ),
         )
 
