Take no clock from an answer of a former instance

What callers could see: tasks of an executor that restarted under its former name are refused as late, or outlive the agent's estimate of their lease. Cause: the answer to a start that was sent to the former instance set the clock of the new one, until the next renewal was answered. Starts carry their fencing token, and one below the first of the instance reads another clock.

Not seen in a fleet.

--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -99,13 +99,14 @@
     answer: events.StartAnswered,
 ) -> None:
     """Apply the answer to a request to start a run."""
-    if answer.clock_ms:
-        state.lease.record_clock(turn.now, answer.clock_ms)
     if answer.verdict == verdicts.UNKNOWN:
         supersede_calls(state)
     run = state.runs.get(answer.task)
     if run is None or run.number != answer.run:
         return
+    # A former instance had another clock.
+    if answer.clock_ms and run.fence >= state.lease.first_fence:
+        state.lease.record_clock(turn.now, answer.clock_ms)
     if answer.verdict == verdicts.FENCED:
         raise_fence(state, turn, run.fence)
     if answer.verdict in _REFUSAL_VERDICTS:
--- a/tests/worker/test_instances.py
+++ b/tests/worker/test_instances.py
@@ -106,6 +106,16 @@
     assert driver.effects_of(effects.StartRun)
 
 
+def test_an_answer_of_a_former_instance_sets_no_clock(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against leases that never expire on a clock that began anew."""
+    driver.start('j.0')
+    driver.send_heartbeat(started_ms=6, clock_ms=100)
+    driver.answer_start('j.0', verdicts.STARTED)
+    assert driver.state.lease.estimate_clock_ms(driver.now) == 100
+
+
 def test_a_refused_token_of_a_former_call_raises_no_token(
     driver: WorkerDriver,
 ) -> None:
