Ignore the sign-off of a former instance

What callers could see: a task runs at two executors. Cause: a sign-off that was delayed by a cut may arrive after the executor has started again under its former name; the agent reported all runs of the new instance as lost and forgot the executor until its next heartbeat. The sign-off may tell when its sender started, as heartbeats do; one of an older instance is ignored. One without a body is taken as before; one that cannot be read is refused.

Evidence: test_a_former_instance_that_signs_off_late_ends_no_run and the cases of odd and of sound departures in tests/platform/test_odd_data.py fail on the former commit (with the new field of the event only). Not seen in a fleet, and whether the platform's sign-off has a body is not known.

--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -45,7 +45,12 @@
     born: Natural = 0
 
 
+class _DepartureBody(msgspec.Struct):
+    born: Natural = 0
+
+
 _decoder: Final = msgspec.json.Decoder(_HeartbeatBody)
+_departure_decoder: Final = msgspec.json.Decoder(_DepartureBody)
 
 
 class HeartbeatApp:
@@ -85,9 +90,7 @@
             case 'PUT':
                 return self._handle_heartbeat(executor, body)
             case 'DELETE':
-                departure = events.ExecutorLeft(anyio.current_time(), executor)
-                self._worker.handle(departure)
-                return _ACKNOWLEDGED
+                return self._handle_departure(executor, body)
         return asgi.Reply(405, b'{"error":"unknown method"}')
 
     def _handle_heartbeat(
@@ -125,6 +128,25 @@
         )
         return _ACKNOWLEDGED
 
+    def _handle_departure(
+        self,
+        executor: str,
+        content: bytes | None,
+    ) -> asgi.Reply:
+        if content is None:
+            return self._refuse(executor, 'the body is too large')
+        decoded = decode(_departure_decoder, content or b'{}')
+        if decoded.is_error():
+            return self._refuse(executor, decoded.error)
+        self._worker.handle(
+            events.ExecutorLeft(
+                anyio.current_time(),
+                executor,
+                decoded.ok.born,
+            ),
+        )
+        return _ACKNOWLEDGED
+
     def _refuse(self, executor: str, reason: str) -> asgi.Reply:
         self._worker.counters.count('refused_heartbeats')
         log_event(
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -63,10 +63,14 @@
 
 
 class ExecutorLeft(NamedTuple):
-    """The executor has deregistered."""
+    """The executor has deregistered.
+
+    `started_ms` is the UTC time at which the instance started, 0 if unknown.
+    """
 
     now: float
     executor: str
+    started_ms: int = 0
 
 
 class StartAnswered(NamedTuple):
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -200,6 +200,9 @@
 ) -> None:
     if state.heartbeat is None or state.heartbeat.executor != event.executor:
         return
+    if 0 < event.started_ms < state.lease.started_ms:
+        turn.count('outdated_departures')
+        return
     runs.mark_all_lost(state, turn, 'executor left')
     reports.report_departure(state, turn)
     state.heartbeat = None
--- a/tests/platform/test_odd_data.py
+++ b/tests/platform/test_odd_data.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -244,15 +245,21 @@
         self.sent.append(message)
 
 
-async def _put_to(worker: Any, content: bytes) -> int:
+async def _send_to(worker: Any, content: bytes, method: str) -> int:
     exchange = FakeExchange(content)
-    scope = {'type': 'http', 'method': 'PUT', 'path': '/api/instances/i-1'}
+    scope = {'type': 'http', 'method': method, 'path': '/api/instances/i-1'}
     await HeartbeatApp(worker)(scope, exchange.receive, exchange.send)
     return int(exchange.sent[0]['status'])
 
 
 def _put(content: bytes, worker: FakeWorker | None = None) -> int:
-    return anyio.run(_put_to, worker or FakeWorker(), content, backend='trio')
+    sender = partial(_send_to, worker or FakeWorker(), content, 'PUT')
+    return anyio.run(sender, backend='trio')
+
+
+def _delete(content: bytes, worker: FakeWorker) -> int:
+    sender = partial(_send_to, worker, content, 'DELETE')
+    return anyio.run(sender, backend='trio')
 
 
 @pytest.mark.parametrize(
@@ -274,6 +281,34 @@
     assert worker.counters.counts['refused_heartbeats'] == 1
 
 
+@pytest.mark.parametrize(
+    'content',
+    [
+        *(odd for odd in ODD_VALUES if odd),
+        *(b'{"born":%s}' % number for number in ODD_NUMBERS),
+    ],
+)
+def test_an_odd_departure_ends_no_executor(content: bytes) -> None:
+    """Guards against runs that are lost because of what cannot be read."""
+    worker = FakeWorker()
+    assert _delete(content, worker) == 400
+    assert not worker.handled
+
+
+@pytest.mark.parametrize(
+    ('content', 'started_ms'),
+    [(b'', 0), (b'{}', 0), (b'{"born":86}', 86)],
+)
+def test_a_departure_tells_which_instance_leaves(
+    content: bytes,
+    started_ms: int,
+) -> None:
+    """Guards against taking a former instance for the current one."""
+    worker = FakeWorker()
+    assert _delete(content, worker) == 200
+    assert worker.handled[0].started_ms == started_ms
+
+
 def test_a_sound_heartbeat_reaches_the_agent() -> None:
     """Guards against checks that refuse every executor."""
     worker = FakeWorker()
--- a/tests/worker/test_instances.py
+++ b/tests/worker/test_instances.py
@@ -116,6 +116,20 @@
     assert driver.state.lease.estimate_clock_ms(driver.now) == 100
 
 
+def test_a_former_instance_that_signs_off_late_ends_no_run(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against runs of a new instance that are taken for lost."""
+    driver.send_heartbeat(started_ms=6)
+    driver.answer_renewal(started_ms=6)
+    _start(driver)
+    driver.post(events.ExecutorLeft(driver.now, 'x1', 5))
+    assert not driver.messages_of(work.TaskEnded)
+    assert driver.state.accepting
+    driver.post(events.ExecutorLeft(driver.now, 'x1', 6))
+    assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
+
+
 def test_a_refused_token_of_a_former_call_raises_no_token(
     driver: WorkerDriver,
 ) -> None:
