--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -21,6 +21,8 @@
 
 # A monotonic clock may run slower than the local one by up to this share.
 MAX_CLOCK_DRIFT: Final = 0.02
+# Allows for timer delays and the network delay to the executor.
+_EXPIRY_MARGIN_S: Final = 0.05
 _NEVER: Final = float('-inf')
 
 
@@ -42,7 +44,8 @@
     most `stop_s` after a request to stop it. The lease of an executor that
     does not answer is extended for another `silent_renewal_s`. The runs of
     an entry are stopped `owner_grace_s` after the loss of its link. Ends that
-    are not acknowledged are kept for `retention_s`.
+    are not acknowledged are kept for `retention_s`. The executor may carry out
+    a call without an answer up to `late_call_s` after it was given up.
     """
 
     lease_s: float
@@ -52,6 +55,12 @@
     stop_retry_s: float = 0.25
     owner_grace_s: float = 0.3
     retention_s: float = 30
+    late_call_s: float = 12
+
+    @property
+    def expiry_s(self) -> float:
+        """Return how long after a renewal the lease has surely expired."""
+        return self.lease_s / (1 - MAX_CLOCK_DRIFT) + _EXPIRY_MARGIN_S
 
 
 class EndKey(NamedTuple):
@@ -74,7 +83,8 @@
     """Track a run of a task that occupies capacity of the executor.
 
     `end_reported` is set once its end was reported to the owner. The capacity
-    stays occupied until the executor confirms that the run has ended.
+    stays occupied until the executor confirms that the run has ended. `fence`
+    is the fencing token of its start.
     """
 
     task: str
@@ -91,9 +101,11 @@
     stuck_reported: bool = False
     phase: Phase = Phase.starting
     start_confirmed_at: float = _NEVER
+    start_unanswered_at: float = _NEVER
     stop_sent_at: float = _NEVER
     stop_confirmed_at: float = _NEVER
     end_reported: bool = False
+    fence: int = 0
 
     @property
     def key(self) -> work.RunKey:
@@ -160,8 +172,14 @@
     `silent_since` is the time of the first failed renewal since the last
     answer, or None. `reconciled` is set once the executor has listed its runs
     and they were compared with those of the agent.
+
+    The lease belongs to the instance of the executor that started at
+    `started_ms`. Calls with a fencing token below `first_fence` were meant for
+    a former instance.
     """
 
+    started_ms: int = 0
+    first_fence: int = 0
     clock_ms: int = 0
     clock_read_at: float = _NEVER
     expires_at: float = _NEVER
@@ -181,14 +199,20 @@
         self.renew_at = min(self.renew_at, due_at)
 
     def estimate_clock_ms(self, now: float) -> int:
-        """Return the estimated time on the executor's clock (ms)."""
-        return self.clock_ms + int((now - self.clock_read_at) * MS_PER_S)
+        """Return a time that the executor's clock (ms) has surely reached."""
+        elapsed_s = (now - self.clock_read_at) * (1 - MAX_CLOCK_DRIFT)
+        return self.clock_ms + int(elapsed_s * MS_PER_S)
 
     def record_clock(self, now: float, clock_ms: int) -> None:
         """Record a reading of the executor's clock."""
         self.clock_ms = clock_ms
         self.clock_read_at = now
 
+    def advance_clock(self, now: float, clock_ms: int) -> None:
+        """Record a reading that may be old unless it is below the estimate."""
+        if clock_ms >= self.estimate_clock_ms(now):
+            self.record_clock(now, clock_ms)
+
     @property
     def acknowledged_upto(self) -> int:
         """Return the number up to which no end awaits acknowledgement."""
@@ -249,6 +273,9 @@
         heartbeat = self.heartbeat
         if heartbeat is None or heartbeat.draining or self.draining:
             return False
+        if heartbeat.started_ms < self.lease.started_ms:
+            # The capacity of a new instance is known from its first heartbeat.
+            return False
         if self.health.suspended:
             return False
         is_silent = self.lease.silent_since is not None
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -10,6 +10,7 @@
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
+from savoryrudder.worker.state import MAX_CLOCK_DRIFT
 
 if TYPE_CHECKING:
     from worker_driver import WorkerDriver
@@ -40,16 +41,74 @@
 ) -> None:
     """Guards against giving up runs that may still be running."""
     _start_runs(driver, 'j.0')
-    driver.post(events.RenewalFailed(driver.now, 'silent'))
+    driver.fail_renewal()
     driver.tick(0.9)
     assert not driver.messages_of(work.TaskEnded)
-    driver.post(events.RenewalFailed(driver.now, 'silent'))
+    driver.fail_renewal()
     driver.tick(1.2)
     assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
     # The capacity stays occupied: a delayed start may still take effect.
     assert driver.state.runs
 
 
+def test_an_unanswered_start_outlasts_the_lease_of_a_silent_executor(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against a late start while the task runs elsewhere."""
+    driver.start('j.0')
+    driver.answer_start('j.0', verdicts.UNKNOWN)
+    driver.fail_renewal()
+    driver.tick(12)
+    assert not driver.messages_of(work.TaskEnded)
+    driver.tick(1.1)
+    assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
+
+
+def test_a_call_without_an_answer_raises_the_token_of_the_next(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against a renewal that extends the lease of runs given up."""
+    _start_runs(driver, 'j.0')
+    former_fence = driver.state.fence
+    driver.fail_renewal()
+    driver.tick(0.1)
+    assert driver.effects_of(effects.RenewLease)[0].fence > former_fence
+
+
+def test_a_start_without_an_answer_raises_the_token_of_its_stop(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against a start that takes effect after its stop."""
+    driver.start('j.0')
+    former_fence = driver.effects_of(effects.StartRun)[0].fence
+    driver.answer_start('j.0', verdicts.UNKNOWN)
+    assert driver.effects_of(effects.StopRun)[0].fence > former_fence
+
+
+def test_no_lease_outlasts_its_estimate_on_a_slow_clock(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against runs that outlive the time at which they are given up."""
+    driver.tick(30)
+    clock_ms = int(30_000 * (1 - MAX_CLOCK_DRIFT))
+    driver.start('j.0')
+    lease_until_ms = driver.effects_of(effects.StartRun)[0].lease_until_ms
+    assert lease_until_ms <= clock_ms + 1000
+
+
+def test_a_heartbeat_advances_the_clock_of_an_idle_executor(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against leases that shrink while no renewal reads the clock."""
+    driver.tick(30)
+    driver.send_heartbeat(clock_ms=30_000)
+    driver.start('j.0')
+    assert driver.effects_of(effects.StartRun)[0].lease_until_ms == 31_000
+    driver.send_heartbeat(clock_ms=20_000)
+    driver.start('k.0')
+    assert driver.effects_of(effects.StartRun)[0].lease_until_ms == 31_000
+
+
 def test_a_run_without_progress_is_reported_once(
     driver: WorkerDriver,
 ) -> None:
