Tell what may be left of a lost entry, and let one of two entries yield

Now the jobs of lost entries are told on a new link and their askers wait; of two that run a job the lower name goes on; delegated jobs stay claimed; a job that may run elsewhere is never said not to have run. A second link of an entry replaces the first.

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -38,6 +38,9 @@
     if not state.unidentified_links.pop(link):
         send_hello(state, turn, link)
     turn.log('peer-linked', peer=hello.entry, incarnation=hello.incarnation)
+    for former_link, former in tuple(state.peers.items()):
+        if former.entry == hello.entry:
+            remove_peer(state, turn, former_link)
     peer = PeerView(hello.entry, hello.incarnation, hello.zone)
     add_peer(state, turn, link, peer)
 
@@ -54,7 +57,8 @@
     if not peer_links.is_relayed(link):
         state.working_peers.add(link)
     delegation.choose_load_listeners(state)
-    turn.send(link, work.JobsClaimed((*state.jobs, *state.contested_jobs)))
+    claimed = (*state.jobs, *state.contested_jobs, *state.orphaned_jobs)
+    turn.send(link, work.JobsClaimed(claimed))
     contested.ask_again(state, turn, link, peer.incarnation)
 
 
@@ -108,11 +112,13 @@
                 contested.forget_orphans(state, peer.incarnation)
             peer.told_claims_at = turn.now
             peer.jobs.update(job_ids)
-            _yield_taken_jobs(state, turn, job_ids)
+            _yield_taken_jobs(state, turn, peer, job_ids)
             isolation.record_claims_of(state, peer.entry)
         case work.JobsReleased(job_ids):
             peer.told_claims_at = turn.now
             peer.jobs.difference_update(job_ids)
+            # It may have been released before it was delegated again.
+            peer.jobs.update(delegation.jobs_at(state, link))
         case work.RelinquishJob(job_id):
             _relinquish_job(state, turn, link, job_id)
         case work.JobRelinquished():
@@ -162,7 +168,7 @@
 
 def _confirm_relinquished(state: DispatchState, turn: Turn) -> None:
     for job_id, link in tuple(state.relinquish_requests.items()):
-        if job_id in state.jobs:
+        if state.claims(job_id) or job_id in state.orphaned_jobs:
             continue
         state.relinquish_requests.pop(job_id)
         if link in state.peers:
@@ -172,13 +178,16 @@
 def _yield_taken_jobs(
     state: DispatchState,
     turn: Turn,
+    peer: PeerView,
     job_ids: Iterable[str],
 ) -> None:
+    # Of two entries that both run a job, the one with the lower name goes on.
+    yields = peer.entry < state.identity.entry
     for job_id in job_ids:
         job = state.jobs.get(job_id)
         if job is None or job.ended:
             continue
-        if isolation.is_held_back(state, job, turn.now):
+        if yields or isolation.is_held_back(state, job, turn.now):
             turn.log('job-yielded', job=job_id, unsettled=job.outstanding)
             superseded = answers.Answer(answers.SUPERSEDED)
             jobs.answer(state, turn, job, superseded)
@@ -193,6 +202,10 @@
     if job_id in state.contested_jobs:
         contested.relinquish(state, turn, link, job_id)
         return
+    if job_id in state.orphaned_jobs and job_id not in state.jobs:
+        # Its runs at a lost entry may not have ended yet.
+        _await_end(state, turn, link, job_id)
+        return
     job = state.jobs.get(job_id)
     if job is None:
         recent_answer = state.recent_answers.get(job_id)
@@ -200,6 +213,18 @@
         turn.send(link, work.JobRelinquished(job_id, verdict))
         return
     turn.log('job-relinquished', job=job_id, unsettled=job.outstanding)
+    _await_end(state, turn, link, job_id)
+    if not job.ended:
+        superseded = answers.Answer(answers.SUPERSEDED)
+        jobs.answer(state, turn, job, superseded)
+
+
+def _await_end(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    job_id: str,
+) -> None:
     former_link = state.relinquish_requests.get(job_id, link)
     if former_link != link and former_link in state.peers:
         # The caller has gone on from there, and one entry may start the job.
@@ -209,6 +234,3 @@
         )
     state.relinquish_requests[job_id] = link
     peer_links.begin_work(state, turn, link)
-    if not job.ended:
-        superseded = answers.Answer(answers.SUPERSEDED)
-        jobs.answer(state, turn, job, superseded)
--- a/src/savoryrudder/dispatch/contested.py
+++ b/src/savoryrudder/dispatch/contested.py
@@ -50,6 +50,7 @@
         return False
     contested_job = ContestedJob([event], set(), awaits_search=searching)
     contested_job.cleared_by = event.cleared_by
+    contested_job.may_have_started = may_run_elsewhere(state, event)
     if orphan is not None:
         contested_job.lost_holders.add(orphan.incarnation)
         contested_job.settled_at = orphan.settled_at
@@ -66,6 +67,14 @@
     return True
 
 
+def may_run_elsewhere(state: DispatchState, event: JobSubmitted) -> bool:
+    """Return whether another entry has told that it has a job."""
+    job_id = event.job.job_id
+    if job_id in state.orphaned_jobs:
+        return True
+    return any(job_id in peer.jobs for peer in state.peers.values())
+
+
 def ask_again(
     state: DispatchState,
     turn: Turn,
@@ -216,6 +225,10 @@
     state.record_release(job_id)
     contested_job = state.contested_jobs.pop(job_id)
     return [
-        submission._replace(cleared_by=contested_job.cleared_by)
+        submission._replace(
+            cleared_by=contested_job.cleared_by,
+            may_have_started=submission.may_have_started
+            or contested_job.may_have_started,
+        )
         for submission in contested_job.submissions
     ]
--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -389,15 +389,19 @@
     return numbers
 
 
-def pop_submissions_at(state: DispatchState, link: str) -> list[JobSubmitted]:
-    """Remove and return the submissions delegated to an entry that is lost."""
-    lost_jobs = [
+def jobs_at(state: DispatchState, link: str) -> list[str]:
+    """Return the jobs that are delegated to another entry."""
+    return [
         job
         for job, delegated in state.delegations.items()
         if delegated.link == link
     ]
+
+
+def pop_submissions_at(state: DispatchState, link: str) -> list[JobSubmitted]:
+    """Remove and return the submissions delegated to an entry that is lost."""
     submissions: list[JobSubmitted] = []
-    for job in lost_jobs:
+    for job in jobs_at(state, link):
         submissions.extend(state.delegations.pop(job).submissions)
     for submission in submissions:
         state.open_requests.pop(submission.request_id, None)
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -150,7 +150,10 @@
         version=state.configuration.version,
         **_known_capacity(state, event),
     )
-    if event.may_have_started and immediate_answer.verdict in answers.REFUSALS:
+    is_refusal = immediate_answer.verdict in answers.REFUSALS
+    if is_refusal and (
+        event.may_have_started or contested.may_run_elsewhere(state, event)
+    ):
         interruption = answers.Answer(
             answers.INTERRUPTED,
             immediate_answer.reason,
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -236,13 +236,15 @@
     not answered yet, and `lost_holders` the incarnations of those that were
     lost meanwhile. The runs of these have ended by `settled_at`. A job that
     `awaits_search` came while another entry was looked for, and the
-    incarnations in `cleared_by` have told that they do not have the job.
+    incarnations in `cleared_by` have told that they do not have the job. One
+    that another entry had told to have `may_have_started`.
     """
 
     submissions: list[JobSubmitted]
     holders: set[str]
     awaits_search: bool = False
     cleared_by: frozenset[str] = frozenset()
+    may_have_started: bool = False
     lost_holders: set[str] = field(default_factory=set)
     settled_at: float = 0
 
