Trust the claims of an entry only after its complete list

Now lists say whether they are complete, a new path begins with a complete one, and until then the entry is asked for each job. Of two that open a path at the same time the lower name decides.

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -58,7 +58,7 @@
         state.working_peers.add(link)
     delegation.choose_load_listeners(state)
     claimed = (*state.jobs, *state.contested_jobs, *state.orphaned_jobs)
-    turn.send(link, work.JobsClaimed(claimed))
+    turn.send(link, work.JobsClaimed(claimed, complete=True))
     contested.ask_again(state, turn, link, peer.incarnation)
 
 
@@ -107,8 +107,9 @@
     """Handle a message of another entry; return submissions to resume."""
     peer = state.peers[link]
     match message:
-        case work.JobsClaimed(job_ids):
-            if peer.told_claims_at < peer.linked_at:
+        case work.JobsClaimed(job_ids, complete):
+            if complete:
+                peer.claims_complete = True
                 contested.forget_orphans(state, peer.incarnation)
             peer.told_claims_at = turn.now
             peer.jobs.update(job_ids)
--- a/src/savoryrudder/dispatch/contested.py
+++ b/src/savoryrudder/dispatch/contested.py
@@ -189,8 +189,10 @@
 ) -> bool:
     if event.job.job_id in peer.jobs:
         return True
+    if peer.incarnation in event.cleared_by:
+        return False
     valid_until = peer.told_claims_at + state.timing.claims_validity_s
-    return event.now > valid_until and peer.incarnation not in event.cleared_by
+    return not peer.claims_complete or event.now > valid_until
 
 
 def _is_settled(
--- a/src/savoryrudder/dispatch/relays.py
+++ b/src/savoryrudder/dispatch/relays.py
@@ -32,6 +32,8 @@
 _SEARCH_RETENTION_S: Final = 30
 # Claims that were relayed before a link was opened arrive within this time.
 _OVERTAKEN_S: Final = 1
+# Two entries that lose each other open a path within this time of each other.
+_CROSSING_S: Final = 0.2
 
 
 def search(state: DispatchState, turn: Turn, entry: str) -> None:
@@ -82,9 +84,8 @@
     relayed = state.relayed_entries.get(reachable.entry)
     if relayed is None or relayed.via:
         return
-    relayed.via = link
     peer = PeerView(reachable.entry, reachable.incarnation, reachable.zone)
-    _open(state, turn, peer)
+    _open(state, turn, peer, link)
 
 
 def handle_unreachable(
@@ -129,14 +130,12 @@
     former = state.peers.get(link)
     if former is not None and former.incarnation != message.incarnation:
         claims.remove_peer(state, turn, link)
-    relayed = state.relayed_entries.get(message.source)
-    if relayed is None:
+    if message.source not in state.relayed_entries:
         search(state, turn, message.source)
-        relayed = state.relayed_entries[message.source]
-    relayed.via = agent_link
-    if link not in state.peers:
+    if link not in state.peers or _opens_other_path(state, agent_link, message):
+        claims.remove_peer(state, turn, link)
         peer = PeerView(message.source, message.incarnation, message.zone)
-        _open(state, turn, peer)
+        _open(state, turn, peer, _choose_path(state, turn, agent_link, message))
     resumed: list[JobSubmitted] = []
     for part in _parts_of(message):
         resumed.extend(claims.handle_message(state, turn, link, part))
@@ -172,7 +171,39 @@
     ]
 
 
-def _open(state: DispatchState, turn: Turn, peer: PeerView) -> None:
+def _opens_other_path(
+    state: DispatchState,
+    agent_link: str,
+    message: relay.RelayedClaims,
+) -> bool:
+    relayed = state.relayed_entries[message.source]
+    return message.complete and relayed.via != agent_link
+
+
+def _choose_path(
+    state: DispatchState,
+    turn: Turn,
+    agent_link: str,
+    message: relay.RelayedClaims,
+) -> str:
+    # If both have just opened a path, the lower name decides on it.
+    relayed = state.relayed_entries[message.source]
+    is_crossing = turn.now < relayed.opened_at + _CROSSING_S
+    is_first = state.identity.entry < message.source
+    if relayed.via and is_crossing and is_first:
+        return relayed.via
+    return agent_link
+
+
+def _open(
+    state: DispatchState,
+    turn: Turn,
+    peer: PeerView,
+    agent_link: str,
+) -> None:
+    relayed = state.relayed_entries[peer.entry]
+    relayed.via = agent_link
+    relayed.opened_at = turn.now
     turn.log('peer-relayed', peer=peer.entry, incarnation=peer.incarnation)
     claims.add_peer(state, turn, peer_links.relay_link(peer.entry), peer)
 
@@ -195,7 +226,7 @@
         message.released or message.asked or message.relinquished
     )
     if message.claimed or is_greeting:
-        parts.append(work.JobsClaimed(message.claimed))
+        parts.append(work.JobsClaimed(message.claimed, message.complete))
     parts.extend(work.RelinquishJob(job) for job in message.asked)
     parts.extend(
         work.JobRelinquished(job, verdict)
@@ -221,8 +252,11 @@
         identity.zone,
     )
     match message:
-        case work.JobsClaimed(jobs):
-            relayed_claims = relayed_claims._replace(claimed=jobs)
+        case work.JobsClaimed(jobs, complete):
+            relayed_claims = relayed_claims._replace(
+                claimed=jobs,
+                complete=complete,
+            )
         case work.JobsReleased(jobs):
             relayed_claims = relayed_claims._replace(released=jobs)
         case work.RelinquishJob(job):
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -190,8 +190,8 @@
 
     `delegated_cpu` counts the millicores of the jobs delegated to it since it
     told its `load`; `announced_load` is what it was told last, if it
-    `hears_load` of this entry at all. It was linked at `linked_at`, and told at
-    `told_claims_at` which jobs it had taken or given up by then.
+    `hears_load` of this entry at all. It was linked at `linked_at`. Once its list of
+    claims is complete, it has told at `told_claims_at` all changes until then.
     """
 
     entry: str
@@ -203,6 +203,7 @@
     delegated_cpu: int = 0
     hears_load: bool = False
     linked_at: float = float('-inf')
+    claims_complete: bool = False
     told_claims_at: float = float('-inf')
 
 
@@ -258,11 +259,13 @@
     """Track an entry that was lost, and the agent that reaches it.
 
     `via` is the link to that agent, if one is known; `unanswered` are the
-    links to those that have not told yet whether they reach the entry.
+    links to those that have not told yet whether they reach the entry. The
+    path was opened at `opened_at`.
     """
 
     lost_at: float
     via: str = ''
+    opened_at: float = float('-inf')
     unanswered: set[str] = field(default_factory=set)
 
 
--- a/src/savoryrudder/protocol/relay.py
+++ b/src/savoryrudder/protocol/relay.py
@@ -32,7 +32,7 @@
     """Carry claims from one entry to another, the target, through an agent.
 
     The tuples are the contents of the messages that entries exchange on a link
-    of their own.
+    of their own. Claims are `complete` when the sender begins to use the agent.
     """
 
     target: str
@@ -43,3 +43,4 @@
     released: tuple[str, ...] = ()
     asked: tuple[str, ...] = ()
     relinquished: tuple[tuple[str, str], ...] = ()
+    complete: bool = False
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -65,9 +65,13 @@
 
 
 class JobsClaimed(NamedTuple):
-    """Tell another entry which jobs the sender has accepted."""
+    """Tell another entry which jobs the sender has accepted.
+
+    The list is `complete` at the start of a link; later ones add to it.
+    """
 
     jobs: tuple[str, ...]
+    complete: bool = False
 
 
 class JobsReleased(NamedTuple):
--- a/tests/dispatch/test_announcements.py
+++ b/tests/dispatch/test_announcements.py
@@ -25,7 +25,7 @@
     driver = EntryDriver(agents=1)
     driver.post(events.LinkUp(driver.now, PEER, dialled=False))
     driver.receive(PEER, work.EntryHello('e2', 'e2#1', 'e2'))
-    driver.receive(PEER, work.JobsClaimed(()))
+    driver.receive(PEER, work.JobsClaimed((), complete=True))
     return driver
 
 
@@ -117,7 +117,7 @@
     driver = EntryDriver(agents=1)
     driver.post(events.LinkUp(driver.now, PEER, dialled=False))
     driver.receive(PEER, work.EntryHello('e2', 'e2#1', 'e2', zone))
-    driver.receive(PEER, work.JobsClaimed(()))
+    driver.receive(PEER, work.JobsClaimed((), complete=True))
     for changes in driver.state.claim_changes:
         changes.announced_at = driver.now
     driver.submit('j1', tasks=1)
--- a/tests/dispatch/test_delegation.py
+++ b/tests/dispatch/test_delegation.py
@@ -35,7 +35,7 @@
     driver.state.started_at = driver.now - 10
     driver.post(events.LinkUp(driver.now, PEER, dialled=False))
     driver.receive(PEER, work.EntryHello('e2', 'e2#1', 'e2'))
-    driver.receive(PEER, work.JobsClaimed(()))
+    driver.receive(PEER, work.JobsClaimed((), complete=True))
     return driver
 
 
--- a/tests/dispatch/test_isolation.py
+++ b/tests/dispatch/test_isolation.py
@@ -44,7 +44,7 @@
     """Return an entry with a waiting job that did not run for five seconds."""
     driver = EntryDriver(1, NO_CPU)
     _link_peer(driver, 'p1')
-    driver.receive('p1', work.JobsClaimed(()))
+    driver.receive('p1', work.JobsClaimed((), complete=True))
     driver.submit('old', tasks=1)
     driver.state.jobs['old'].objective_s = 100
     driver.now += 0.05
@@ -62,7 +62,7 @@
     """Guards against a job that another entry runs by now."""
     assert not _started(_link_agent(stalled, 'l1'))
     _link_peer(stalled, 'p2')
-    stalled.receive('p2', work.JobsClaimed(()))
+    stalled.receive('p2', work.JobsClaimed((), complete=True))
     stalled.now += 0.05
     assert _started(stalled.post(events.Tick(stalled.now))) == {'old'}
 
@@ -110,7 +110,7 @@
     """Guards against jobs that wait whenever another entry dies."""
     driver = EntryDriver(1, NO_CPU)
     _link_peer(driver, 'p1')
-    driver.receive('p1', work.JobsClaimed(()))
+    driver.receive('p1', work.JobsClaimed((), complete=True))
     driver.submit('old', tasks=1)
     driver.post(events.LinkDown(driver.now, 'p1', 'cut'))
     assert _started(driver.report('l0', CAPACITY)) == {'old'}
--- a/tests/dispatch/test_peer_links.py
+++ b/tests/dispatch/test_peer_links.py
@@ -31,7 +31,7 @@
         zone = ZONES[number % len(ZONES)]
         hello = work.EntryHello(f'x{number}', f'x{number}#1', link, zone)
         driver.receive(link, hello)
-        driver.receive(link, work.JobsClaimed(()))
+        driver.receive(link, work.JobsClaimed((), complete=True))
     return driver
 
 
