Wait for the claims of registered entries after a start

An entry that had just started took a job as new before it was linked with an entry that is registered and has the job.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -23,7 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
-    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from anyio.abc import TaskGroup
@@ -117,7 +116,7 @@
                 )
         return request.answer
 
-    def link_entries(self, entries: Iterable[Member]) -> None:
+    def link_entries(self, entries: Sequence[Member]) -> None:
         """Keep links with the other entries.
 
         Of two entries, the one with the lower address dials the other.
@@ -127,6 +126,8 @@
             self._group,
             [entry.address for entry in entries if entry.address > own],
         )
+        names = tuple(entry.name for entry in entries)
+        self.handle(events.MembersRead(trio.current_time(), names))
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Handle a configuration read from the store."""
--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -57,8 +57,14 @@
     if not peer_links.is_relayed(link):
         state.working_peers.add(link)
     delegation.choose_load_listeners(state)
-    claimed = (*state.jobs, *state.contested_jobs, *state.orphaned_jobs)
-    turn.send(link, work.JobsClaimed(claimed, complete=True))
+    turn.send(
+        link,
+        work.JobsClaimed(
+            (*state.jobs, *state.contested_jobs),
+            complete=True,
+            unsettled=tuple(state.orphaned_jobs),
+        ),
+    )
     contested.ask_again(state, turn, link, peer.incarnation)
 
 
@@ -107,12 +113,12 @@
     """Handle a message of another entry; return submissions to resume."""
     peer = state.peers[link]
     match message:
-        case work.JobsClaimed(job_ids, complete):
+        case work.JobsClaimed(job_ids, complete, unsettled):
             if complete:
                 peer.claims_complete = True
                 contested.forget_orphans(state, peer.incarnation)
             peer.told_claims_at = turn.now
-            peer.jobs.update(job_ids)
+            peer.jobs.update(job_ids, unsettled)
             _yield_taken_jobs(state, turn, peer, job_ids)
             isolation.record_claims_of(state, peer.entry)
         case work.JobsReleased(job_ids):
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -20,6 +20,13 @@
     configuration: Configuration
 
 
+class MembersRead(NamedTuple):
+    """The names of the registered entries were read from the store."""
+
+    now: float
+    entries: tuple[str, ...]
+
+
 class JobSubmitted(NamedTuple):
     """A caller submitted a job.
 
@@ -117,6 +124,7 @@
 
 DispatchEvent: TypeAlias = (
     ConfigurationRead
+    | MembersRead
     | JobSubmitted
     | JobQueried
     | JobCancelled
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -97,6 +97,14 @@
     state.configuration = configuration
 
 
+def _handle_members(
+    state: DispatchState,
+    turn: Turn,
+    event: events.MembersRead,
+) -> None:
+    relays.expect_members(state, turn, event.entries)
+
+
 def _handle_job_submitted(
     state: DispatchState,
     turn: Turn,
@@ -444,6 +452,7 @@
 _EVENT_HANDLERS: Final[_Handlers] = MappingProxyType(
     {
         events.ConfigurationRead: _handle_configuration,
+        events.MembersRead: _handle_members,
         events.JobSubmitted: _handle_job_submitted,
         events.JobQueried: queries.answer_query,
         events.JobCancelled: queries.cancel,
--- a/src/savoryrudder/dispatch/relays.py
+++ b/src/savoryrudder/dispatch/relays.py
@@ -42,6 +42,29 @@
     _ask_agents(state, turn)
 
 
+def expect_members(
+    state: DispatchState,
+    turn: Turn,
+    entries: tuple[str, ...],
+) -> None:
+    """Wait, after the start, for the claims of the registered entries.
+
+    One that is not linked soon is reached through agents, or not there.
+    """
+    if turn.now >= state.warm_up_until:
+        return
+    linked = {peer.entry for peer in state.peers.values()}
+    linked.add(state.identity.entry)
+    missing = set(entries) - linked - state.relayed_entries.keys()
+    for entry in missing:
+        state.relayed_entries[entry] = RelayedEntry(
+            turn.now,
+            expected_until=state.warm_up_until,
+        )
+    if missing:
+        _ask_agents(state, turn)
+
+
 def ask_agent(state: DispatchState, turn: Turn, link: str) -> None:
     """Ask a newly linked agent for the lost entries."""
     if not state.relayed_entries:
@@ -226,7 +249,13 @@
         message.released or message.asked or message.relinquished
     )
     if message.claimed or is_greeting:
-        parts.append(work.JobsClaimed(message.claimed, message.complete))
+        parts.append(
+            work.JobsClaimed(
+                message.claimed,
+                message.complete,
+                message.unsettled,
+            ),
+        )
     parts.extend(work.RelinquishJob(job) for job in message.asked)
     parts.extend(
         work.JobRelinquished(job, verdict)
@@ -252,10 +281,11 @@
         identity.zone,
     )
     match message:
-        case work.JobsClaimed(jobs, complete):
+        case work.JobsClaimed(jobs, complete, unsettled):
             relayed_claims = relayed_claims._replace(
                 claimed=jobs,
                 complete=complete,
+                unsettled=unsettled,
             )
         case work.JobsReleased(jobs):
             relayed_claims = relayed_claims._replace(released=jobs)
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -190,8 +190,9 @@
 
     `delegated_cpu` counts the millicores of the jobs delegated to it since it
     told its `load`; `announced_load` is what it was told last, if it
-    `hears_load` of this entry at all. It was linked at `linked_at`. Once its list of
-    claims is complete, it has told at `told_claims_at` all changes until then.
+    `hears_load` of this entry at all. It was linked at `linked_at`. Once its
+    list of claims is complete, it has told at `told_claims_at` all changes
+    until then.
     """
 
     entry: str
@@ -260,14 +261,24 @@
 
     `via` is the link to that agent, if one is known; `unanswered` are the
     links to those that have not told yet whether they reach the entry. The
-    path was opened at `opened_at`.
+    path was opened at `opened_at`. An entry that was not linked since the start
+    is waited for until `expected_until`.
     """
 
     lost_at: float
     via: str = ''
     opened_at: float = float('-inf')
+    expected_until: float = float('-inf')
     unanswered: set[str] = field(default_factory=set)
 
+    def is_looked_for(self, now: float, search_s: float) -> bool:
+        """Return whether it may soon be known if the entry lives."""
+        if self.via:
+            return False
+        if now < self.expected_until:
+            return True
+        return bool(self.unanswered) and now < self.lost_at + search_s
+
 
 class OrphanedJob(NamedTuple):
     """Tell by when the runs of a lost entry's job have ended.
@@ -391,9 +402,7 @@
     def is_searching(self, now: float) -> bool:
         """Return whether agents have still to tell if a lost entry lives."""
         return any(
-            relayed.unanswered
-            and not relayed.via
-            and now < relayed.lost_at + self.timing.search_s
+            relayed.is_looked_for(now, self.timing.search_s)
             for relayed in self.relayed_entries.values()
         )
 
--- a/src/savoryrudder/protocol/relay.py
+++ b/src/savoryrudder/protocol/relay.py
@@ -44,3 +44,4 @@
     asked: tuple[str, ...] = ()
     relinquished: tuple[tuple[str, str], ...] = ()
     complete: bool = False
+    unsettled: tuple[str, ...] = ()
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -67,11 +67,13 @@
 class JobsClaimed(NamedTuple):
     """Tell another entry which jobs the sender has accepted.
 
-    The list is `complete` at the start of a link; later ones add to it.
+    The list is `complete` at the start of a link; later ones add to it. Runs of
+    the `unsettled` jobs may be left at agents of an entry that was lost.
     """
 
     jobs: tuple[str, ...]
     complete: bool = False
+    unsettled: tuple[str, ...] = ()
 
 
 class JobsReleased(NamedTuple):
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -73,6 +73,7 @@
         incarnation: str,
         configuration: Configuration,
         zone: str,
+        started_at: float = 0,
     ) -> None:
         """Start with a configuration in force."""
         self.name = name
@@ -81,7 +82,11 @@
         # What its event loop would measure, if anything.
         self.busy_share: float | None = None
         identity = DispatchIdentity(name, incarnation, name, zone)
-        self.state = DispatchState(identity, DispatchTiming(SETTLE_S))
+        self.state = DispatchState(
+            identity,
+            DispatchTiming(SETTLE_S),
+            started_at=started_at,
+        )
         self._fleet = fleet
         self._tick_at = fleet.clock.now
         self._deferred: list[Any] = []
@@ -392,7 +397,7 @@
         executor.unresponsive = True
         self.clock.after(seconds, setattr, executor, 'unresponsive', False)
 
-    def _new_entry(self, name: str) -> EntryProcess:
+    def _new_entry(self, name: str, started_at: float = 0) -> EntryProcess:
         incarnation = f'{name}#{next(self._numbers)}'
         zone = self._zones[int(name[1:]) % len(self._zones)]
         return EntryProcess(
@@ -401,6 +406,7 @@
             incarnation,
             self._configuration,
             zone,
+            started_at,
         )
 
     def _new_agent(
@@ -427,7 +433,11 @@
         self.agents[index] = self._new_agent(agent.name, agent.executor)
 
     def _restart_entry(self, index: int) -> None:
-        self.entries[index] = self._new_entry(self.entries[index].name)
+        now = self.clock.now
+        restarted = self._new_entry(self.entries[index].name, now)
+        self.entries[index] = restarted
+        members = tuple(entry.name for entry in self.entries)
+        restarted.post(entry_events.MembersRead(now, members))
 
     def _send_heartbeat(self, index: int) -> None:
         agent = self.agents[index]
