Ignore a request whose caller has left before it is read

Seen by callers: a request that waited on the network, or in the socket of an entry that did not run, started its tasks although its caller had closed the connection and submitted the job to another entry.

Cause: the server reads the request first and the end of the stream only while the application waits for the answer, so the job was submitted, and started, before the end that stood behind it was read.

Fix: before a job is submitted the entry asks the kernel for the state of the connection (poll for POLLRDHUP, without waiting). This reports an end of stream and a reset also behind data that is yet to be read, so a pipelined request neither counts as leaving nor hides it. The server offers the check to the application as an extension of the scope; only submissions use it. No checkpoint lies between the check and the reducer's turn.

A caller that shuts down its sending side is taken to have left, as it was already while its request waited. New: such a caller is not told either that its job is refused at once, and has to send it again. Queries and cancellations are served as before.

Evidence: on the code before the fix these fail, in three runs of three: test_a_request_is_ignored_once_its_caller_has_left (JobSubmitted), test_no_request_is_submitted_after_its_caller_has_left[False] and [True] (both pipelined jobs submitted), test_the_end_of_the_requests_counts_as_leaving (a response instead of the end).

Ruled out: a look with MSG_PEEK, which sees a pipelined request in place of the end behind it; dropping the request in the server, as other applications answer callers that have shut down their sending side (tests/daemon).

Open: an end that arrives after the request was read.

--- a/src/savoryrudder/daemon/asgi.py
+++ b/src/savoryrudder/daemon/asgi.py
@@ -18,6 +18,9 @@
 
 DISCONNECT: Final = 'http.disconnect'
 JSON: Final = b'application/json'
+# Extension of a scope: a function that returns, without waiting, whether the
+# client has closed its connection.
+HAS_DISCONNECTED: Final = 'savoryrudder.has_disconnected'
 
 
 class CallerDisconnectedError(Exception):
@@ -59,6 +62,12 @@
             return bytes(content)
 
 
+def has_disconnected(scope: Message) -> bool:
+    """Return, without waiting, whether the caller is known to have left."""
+    check = scope.get('extensions', {}).get(HAS_DISCONNECTED)
+    return check is not None and check()
+
+
 async def wait_disconnected(receive: Receive) -> None:
     """Wait until the caller of a request that was read has disconnected."""
     message = await receive()
--- a/src/savoryrudder/daemon/http_server.py
+++ b/src/savoryrudder/daemon/http_server.py
@@ -17,6 +17,7 @@
 import trio
 
 from savoryrudder.daemon import asgi
+from savoryrudder.daemon.disconnects import has_peer_closed
 from savoryrudder.daemon.http_requests import Request
 from savoryrudder.daemon.http_requests import RequestParser
 from savoryrudder.daemon.http_requests import RequestRefusal
@@ -183,8 +184,12 @@
             request.scope['method'],
             is_kept_alive=request.is_kept_alive and not self._is_stopping,
         )
+        scope = {
+            **request.scope,
+            'extensions': {asgi.HAS_DISCONNECTED: exchange.has_disconnected},
+        }
         try:
-            await self._app(request.scope, exchange.receive, response.send)
+            await self._app(scope, exchange.receive, response.send)
         except _FOREIGN_ERRORS:
             raise
         except Exception:
@@ -215,6 +220,12 @@
         self._parser = parser
         self._body: bytes | None = request.body
 
+    def has_disconnected(self) -> bool:
+        """Return whether the client has closed its side of the connection."""
+        if not self.is_open:
+            return True
+        return has_peer_closed(self._stream.socket.fileno())
+
     async def receive(self) -> asgi.Message:
         """Return the body, then wait until the client disconnects."""
         if self._body is not None:
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -64,7 +64,7 @@
             await self._respond(send, EncodedAnswer(status, b'{}', 0))
             return
         try:
-            answer = await self._serve(head, receive)
+            answer = await self._serve(head, scope, receive)
         except asgi.CallerDisconnectedError:
             return
         await self._respond(send, answer)
@@ -72,6 +72,7 @@
     async def _serve(
         self,
         head: _RequestHead,
+        scope: asgi.Message,
         receive: asgi.Receive,
     ) -> EncodedAnswer:
         content = await asgi.read_body(receive, _MAX_BODY_BYTES)
@@ -79,6 +80,7 @@
             return _encode_error(413, 'the body is too large')
         match head.method:
             case 'POST':
+                _check_connected(head, scope)
                 return await self._submit(head, content, receive)
             case 'GET':
                 return await self._dispatch(
@@ -173,6 +175,15 @@
     )
 
 
+def _check_connected(head: _RequestHead, scope: asgi.Message) -> None:
+    # A caller who has left submits its job to another entry.
+    if asgi.has_disconnected(scope):
+        name = head.path[-JOB_NAME_LENGTH:]
+        reason = 'its caller has disconnected'
+        log_event('job-ignored', (('job', name), ('reason', reason)))
+        raise asgi.CallerDisconnectedError
+
+
 def _encode_error(status: int, reason: str) -> EncodedAnswer:
     body = msgspec.json.encode({'error': reason})
     return EncodedAnswer(status, body, 0)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import struct
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import Any
@@ -10,6 +12,7 @@
 import anyio
 import msgspec
 import pytest
+from anyio.abc import SocketAttribute
 
 from savoryrudder.daemon.dispatcher import Dispatcher
 from savoryrudder.daemon.http_server import serve_plain_http
@@ -23,9 +26,14 @@
 from savoryrudder.platform.callers import CallerApp
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Iterator
 
+    from anyio.abc import SocketStream
+
 pytestmark = pytest.mark.anyio
+LIMIT_S = 20
+JOB_IDS = ('0123456789abcdef', 'fedcba9876543210')
 QUEUE = Queue('r', 'a.example', '/p/', 's', 0, 2, 1.6, 60)
 JOB = msgspec.json.encode(
     {'spec': 's', 'best_effort': True, 'steps': [{'count': 1}]},
@@ -194,3 +202,121 @@
         event for event in handled if isinstance(event, events.JobSubmitted)
     ]
     assert not submitted
+
+
+class ServedEntry:
+    """Hold an entry that serves callers over loopback, and its events."""
+
+    def __init__(self, dispatcher: Dispatcher, url: str) -> None:
+        """Record the events that the dispatcher handles."""
+        self.handled: list[Any] = []
+        self._port = int(url.rpartition(':')[-1])
+        self._handle = dispatcher.handle
+        dispatcher.handle = self._record
+
+    @property
+    def submitted(self) -> list[str]:
+        """Return the jobs that were submitted."""
+        return [
+            event.job.job_id
+            for event in self.handled
+            if isinstance(event, events.JobSubmitted)
+        ]
+
+    async def connect(self) -> SocketStream:
+        """Open a connection of a caller who stays."""
+        return await anyio.connect_tcp('127.0.0.1', self._port)
+
+    def submit_and_leave(self, requests: bytes, *, is_reset: bool) -> None:
+        """Send requests and leave before the entry can run."""
+        with socket.create_connection(('127.0.0.1', self._port)) as caller:
+            caller.sendall(requests)
+            if is_reset:
+                # Closing the connection then resets it.
+                lingering = struct.pack('ii', 1, 0)
+                caller.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, lingering
+                )
+
+    def _record(self, *received: Any) -> None:
+        self.handled.extend(received)
+        self._handle(*received)
+
+
+@contextlib.asynccontextmanager
+async def run_entry() -> AsyncIterator[ServedEntry]:
+    """Serve callers until the end of the block."""
+    dispatcher = Entry().dispatcher
+    app = CallerApp(dispatcher)
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as group:
+            url = await group.start(serve_plain_http, app, '127.0.0.1:0')
+            yield ServedEntry(dispatcher, url)
+            group.cancel_scope.cancel()
+
+
+def encode_submission(job_id: str) -> bytes:
+    """Return the bytes of a request that submits a job."""
+    head = f'POST /p/{job_id} HTTP/1.1\r\nhost: a.example\r\n'
+    return f'{head}content-length: {len(JOB)}\r\n\r\n'.encode() + JOB
+
+
+async def read_responses(caller: SocketStream, count: int) -> bytes:
+    """Return what arrives until `count` responses have begun."""
+    received = bytearray()
+    while received.count(b'HTTP/1.1 ') < count:
+        received.extend(await caller.receive())
+    return bytes(received)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+async def test_no_request_is_submitted_after_its_caller_has_left(
+    *,
+    is_reset: bool,
+) -> None:
+    """Guards against overlooking a reset, or an end behind other requests."""
+    requests = b''.join(encode_submission(job_id) for job_id in JOB_IDS)
+    async with run_entry() as served:
+        served.submit_and_leave(requests, is_reset=is_reset)
+        await anyio.wait_all_tasks_blocked()
+        assert not served.submitted
+        async with await served.connect() as caller:
+            await caller.send(encode_submission(JOB_IDS[0]))
+            await read_responses(caller, 1)
+        assert served.submitted == [JOB_IDS[0]]
+
+
+async def test_requests_that_were_sent_early_are_all_submitted() -> None:
+    """Guards against taking a caller's next request for its leaving."""
+    requests = b''.join(encode_submission(job_id) for job_id in JOB_IDS)
+    async with run_entry() as served, await served.connect() as caller:
+        await caller.send(requests)
+        received = await read_responses(caller, len(JOB_IDS))
+        assert served.submitted == list(JOB_IDS)
+    assert received.count(b'HTTP/1.1 503') == len(JOB_IDS)
+
+
+async def test_a_caller_that_stays_is_served_again() -> None:
+    """Guards against taking a quiet connection for a closed one."""
+    first, second = JOB_IDS
+    async with run_entry() as served, await served.connect() as caller:
+        await caller.send(encode_submission(first))
+        assert b'HTTP/1.1 503' in await read_responses(caller, 1)
+        await caller.send(encode_submission(second))
+        assert b'HTTP/1.1 503' in await read_responses(caller, 1)
+        assert served.submitted == [first, second]
+
+
+async def test_the_end_of_the_requests_counts_as_leaving() -> None:
+    """Guards against a rule for waiting requests that new ones do not follow.
+
+    A caller who shuts down its sending side is taken to have left.
+    """
+    async with run_entry() as served, await served.connect() as caller:
+        # The server does not run between the two.
+        raw_caller = caller.extra(SocketAttribute.raw_socket)
+        raw_caller.send(encode_submission(JOB_IDS[0]))
+        await caller.send_eof()
+        with pytest.raises(anyio.EndOfStream):
+            await caller.receive()
+        assert not served.submitted
