Look a moment later for a caller's leaving after a stall

Seen by callers: none yet; a model shows it. A machine that was stalled missed the packets of a request and of its caller's leaving. They are sent again and arrive a round trip apart, so the job is submitted between the two, beside its repetition at another entry.

Cause: the connection is looked at as soon as the request is read.

Fix: after a stall of the process, for as long as the stall lasted, each request waits 10 ms before its caller's connection is looked at. All kinds of requests wait alike, so that a cancellation does not overtake its job. A process that was stopped while its machine ran needs no wait: the kernel knows the end by then.

Evidence: test_after_a_stall_an_entry_waits_for_a_late_leaving, on a virtual clock with a caller that leaves 5 ms after its request is read. On the code before the fix three of its four cases fail: JobSubmitted although the caller leaves in time ([0-0.005], [1.8-0.005]), and no wait ([0-0.05]). The fourth (a request after that time is not held) passes before and after. No run shows the order of packets on a machine that was really stalled.

Open: without a stall of this process (a cut or slow link to the caller), and for an end that comes later than 10 ms, a late request is not told from a new one.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -4,6 +4,7 @@
 
 import itertools
 from typing import TYPE_CHECKING
+from typing import Final
 
 import anyio
 import trio
@@ -36,6 +37,9 @@
     from savoryrudder.protocol.members import Member
     from savoryrudder.protocol.messages import Message
 
+# Longer than a round trip between a caller and an entry.
+_SETTLE_S: Final = 0.01
+
 
 class _PendingRequest:
     """Hold a caller's request until it is answered."""
@@ -66,6 +70,7 @@
         self._peers = DialledLinks(self, self._revision, self._outbox)
         self._busy = BusyShare(self.load.waiting)
         self._stall = StallDetector()
+        self._settled_at: float = 0
 
     @property
     def ready(self) -> bool:
@@ -88,6 +93,16 @@
             group.start_soon(self.load.run)
             await self.run_ticks()
 
+    async def settle(self) -> None:
+        """Wait a moment if the leaving of a caller may have been held up.
+
+        Packets that a stalled machine missed are sent again: those of a
+        request and of its caller's leaving come a round trip apart.
+        """
+        self._detect_stall()
+        if trio.current_time() < self._settled_at:
+            await trio.sleep(_SETTLE_S)
+
     async def ask(
         self,
         make_event: Callable[[float, int], events.DispatchEvent],
@@ -175,7 +190,11 @@
         stall_s = self._stall.measure()
         if not stall_s:
             return False
-        self.handle(events.Stalled(trio.current_time(), stall_s))
+        now = trio.current_time()
+        # The time between two attempts to send a packet doubles each time, so
+        # what was sent during the stall comes within as long a time again.
+        self._settled_at = max(self._settled_at, now + stall_s)
+        self.handle(events.Stalled(now, stall_s))
         return True
 
     def _tick(self, now: float) -> None:
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -78,6 +78,8 @@
         content = await asgi.read_body(receive, _MAX_BODY_BYTES)
         if content is None:
             return _encode_error(413, 'the body is too large')
+        # All kinds wait alike: a cancellation must not overtake its job.
+        await self._dispatcher.settle()
         match head.method:
             case 'POST':
                 _check_connected(head, scope)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import socket
 import struct
 from types import MappingProxyType
@@ -13,10 +14,13 @@
 import msgspec
 import pytest
 from anyio.abc import SocketAttribute
+from trio.testing import MockClock
 
+from savoryrudder.daemon import asgi
 from savoryrudder.daemon.dispatcher import Dispatcher
 from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.metrics import Counters
+from savoryrudder.daemon.stall import StallDetector
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch.state import DispatchIdentity
 from savoryrudder.dispatch.state import DispatchState
@@ -27,12 +31,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from anyio.abc import SocketStream
 
 pytestmark = pytest.mark.anyio
 LIMIT_S = 20
+STALL_S = 2
 JOB_IDS = ('0123456789abcdef', 'fedcba9876543210')
 QUEUE = Queue('r', 'a.example', '/p/', 's', 0, 2, 1.6, 60)
 JOB = msgspec.json.encode(
@@ -86,6 +92,7 @@
         method: str,
         path: str,
         messages: Iterator[Any] | None = None,
+        has_disconnected: Callable[[], bool] = bool,
     ) -> tuple[int, dict[str, str], bytes]:
         """Send a request and return the response's status, headers and body."""
         connection = FakeConnection(messages or iter([BODY]))
@@ -94,6 +101,7 @@
             'method': method,
             'path': path,
             'headers': [(b'host', b'a.example:80')],
+            'extensions': {asgi.HAS_DISCONNECTED: has_disconnected},
         }
         app = CallerApp(self.dispatcher)
         await app(scope, connection.receive, connection.send)
@@ -320,3 +328,55 @@
         with pytest.raises(anyio.EndOfStream):
             await caller.receive()
         assert not served.submitted
+
+
+async def submit_after_stall(
+    read_after_s: float,
+    left_after_s: float,
+) -> tuple[list[str], float]:
+    """Return the events of a request after a stall, and their delay."""
+    entry = Entry()
+    await entry.call('GET', '/p/')
+    await anyio.sleep(read_after_s)
+    handled: list[str] = []
+    entry.dispatcher.handle = lambda event: handled.append(type(event).__name__)
+    read_at = anyio.current_time()
+    left_at = read_at + left_after_s
+    await entry.call(
+        'POST',
+        '/p/0123456789abcdef',
+        iter([BODY, {'type': asgi.DISCONNECT}]),
+        lambda: anyio.current_time() >= left_at,
+    )
+    return handled, anyio.current_time() - read_at
+
+
+@pytest.mark.parametrize(
+    ('read_after_s', 'left_after_s', 'is_submitted', 'is_delayed'),
+    [
+        (0, 0.005, False, True),
+        (0.9 * STALL_S, 0.005, False, True),
+        (0, 0.05, True, True),
+        (1.1 * STALL_S, 0.005, True, False),
+    ],
+)
+def test_after_a_stall_an_entry_waits_for_a_late_leaving(
+    monkeypatch: pytest.MonkeyPatch,
+    read_after_s: float,
+    left_after_s: float,
+    *,
+    is_submitted: bool,
+    is_delayed: bool,
+) -> None:
+    """Guards against a leaving that reaches a thawed machine too late."""
+    stalls = itertools.chain([STALL_S], itertools.repeat(0))
+    monkeypatch.setattr(StallDetector, 'measure', lambda _: next(stalls))
+    handled, delay_s = anyio.run(
+        submit_after_stall,
+        read_after_s,
+        left_after_s,
+        backend='trio',
+        backend_options={'clock': MockClock(autojump_threshold=0)},
+    )
+    assert ('JobSubmitted' in handled) == is_submitted
+    assert bool(delay_s) == is_delayed
