Let connections without room wait apart from each other

Cause: the sessions of a listener share one socket. Two of them that wait for room at the same time wait for the same file descriptor, which the event loop refuses; the error ends the process.

Now such a connection tries again after 10 ms. test_two_connections_without_room_do_not_end_the_process failed before with this error.

--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -30,6 +30,8 @@
 # Frames buffered by a connection whose peer does not read.
 _BUFFERED_FRAMES: Final = 64
 _RECEIVES_PER_CHECKPOINT: Final = 16
+# Pause before another attempt to send on a connection without room.
+_SEND_RETRY_S: Final = 0.01
 
 
 class PipeSocket:
@@ -70,7 +72,8 @@
     async def send(self, content: bytes) -> None:
         """Send a frame, waiting for room in the send buffer."""
         while not self.try_send(content):
-            await trio.lowlevel.wait_readable(self._socket.send_fd)
+            # Sessions that wait for room cannot share the file descriptor.
+            await anyio.sleep(_SEND_RETRY_S)
 
     async def wait_connected(self) -> None:
         """Return at once, as the pipe is already connected."""
--- a/tests/daemon/test_shared_port.py
+++ b/tests/daemon/test_shared_port.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import contextlib
+import os
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import NamedTuple
 
 import anyio
+import pynng
 import pytest
+import trio
 
 from savoryrudder.daemon.dialled_links import DialledLinks
+from savoryrudder.daemon.shared_port import PipeSocket
 from savoryrudder.daemon.shared_port import SharedPortListener
 from savoryrudder.protocol import work
 
@@ -138,3 +143,35 @@
         await _wait_until_up(agent_recorder, 3)
         assert kept.sessions_at([linked.address])
         assert not retiring.sessions_at([linked.address])
+
+
+class _FullSocket:
+    """Have no room for some attempts to send; its file descriptor is shared."""
+
+    def __init__(self, send_fd: int) -> None:
+        """Refuse the first attempts."""
+        self.send_fd = send_fd
+        self.sent = 0
+        self._refusals_left = 6
+
+    def send_msg(self, message: Any, block: bool) -> None:
+        """Count a message, or refuse it."""
+        if self._refusals_left:
+            self._refusals_left -= 1
+            raise pynng.TryAgain('no room', 0)
+        self.sent += 1
+
+
+async def test_two_connections_without_room_do_not_end_the_process() -> None:
+    """Guards against an entry that ends when two peers do not read."""
+    read_fd, write_fd = os.pipe()
+    full_socket = _FullSocket(read_fd)
+    try:
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                pipe = PipeSocket(full_socket, None)
+                nursery.start_soon(pipe.send, b'frame')
+    finally:
+        os.close(read_fd)
+        os.close(write_fd)
+    assert full_socket.sent == 2
