Mend what the review of the claims found

A reviewer that had not seen the work showed, on, with scratch tests: fresh jobs that waited 3 to 4.4 s after a whole machine was cut off, as a lost entry that was only asked for news counted as having had them; the first claim of an idle entry told up to 1 s late, as empty announcements moved the time of the next one; a contested job whose lost entry's runs may go on told as relinquished; questions and answers lost with the path of a relay and never repeated; a stale path after an agent linked again; a contested job that was answered 410 when cancelled and then started; incomplete lists that ended an isolation.

Tried and taken back: waiting after a start also until the members are read. A job without agents was then not refused in time (test_a_job_waits_for_agents_to_connect_after_start_up).

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -120,7 +120,8 @@
             peer.told_claims_at = turn.now
             peer.jobs.update(job_ids, unsettled)
             _yield_taken_jobs(state, turn, peer, job_ids)
-            isolation.record_claims_of(state, peer.entry)
+            if complete:
+                isolation.record_claims_of(state, peer.entry)
         case work.JobsReleased(job_ids):
             peer.told_claims_at = turn.now
             peer.jobs.difference_update(job_ids)
@@ -157,7 +158,10 @@
 ) -> None:
     if turn.now < changes.due_at:
         return
-    changes.announced_at = turn.now
+    if changes.claimed or changes.released:
+        changes.announced_at = turn.now
+    else:
+        changes.refreshed_at = turn.now
     claimed = dict.fromkeys(
         job_id for job_id in changes.claimed if state.claims(job_id)
     )
@@ -211,7 +215,7 @@
         return
     if job_id in state.orphaned_jobs and job_id not in state.jobs:
         # Its runs at a lost entry may not have ended yet.
-        _await_end(state, turn, link, job_id)
+        contested.await_end(state, turn, link, job_id)
         return
     job = state.jobs.get(job_id)
     if job is None:
@@ -220,24 +224,7 @@
         turn.send(link, work.JobRelinquished(job_id, verdict))
         return
     turn.log('job-relinquished', job=job_id, unsettled=job.outstanding)
-    _await_end(state, turn, link, job_id)
+    contested.await_end(state, turn, link, job_id)
     if not job.ended:
         superseded = answers.Answer(answers.SUPERSEDED)
         jobs.answer(state, turn, job, superseded)
-
-
-def _await_end(
-    state: DispatchState,
-    turn: Turn,
-    link: str,
-    job_id: str,
-) -> None:
-    former_link = state.relinquish_requests.get(job_id, link)
-    if former_link != link and former_link in state.peers:
-        # The caller has gone on from there, and one entry may start the job.
-        turn.send(
-            former_link,
-            work.JobRelinquished(job_id, answers.SUPERSEDED),
-        )
-    state.relinquish_requests[job_id] = link
-    peer_links.begin_work(state, turn, link)
--- a/src/savoryrudder/dispatch/contested.py
+++ b/src/savoryrudder/dispatch/contested.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Final
 
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import peer_links
@@ -22,6 +23,9 @@
     from savoryrudder.dispatch.state import PeerView
     from savoryrudder.dispatch.turn import Turn
 
+# A question that neither was answered nor ended with its link is asked again.
+_REPETITION_S: Final = 0.5
+
 
 def defer_if_claimed(
     state: DispatchState,
@@ -99,11 +103,16 @@
     """Let the jobs of a lost entry wait until its runs have ended."""
     for job_id in peer.jobs:
         state.orphaned_jobs[job_id] = OrphanedJob(settled_at, peer.incarnation)
-    for contested_job in state.contested_jobs.values():
-        if link in contested_job.holders:
-            contested_job.holders.discard(link)
+    for contested_id, contested_job in state.contested_jobs.items():
+        if link not in contested_job.holders:
+            continue
+        contested_job.holders.discard(link)
+        if contested_id in peer.jobs:
             contested_job.lost_holders.add(peer.incarnation)
             contested_job.settled_at = settled_at
+        else:
+            # It was asked for want of news only, and is looked for now.
+            contested_job.awaits_search = True
 
 
 def forget_orphans(state: DispatchState, incarnation: str) -> None:
@@ -137,8 +146,12 @@
     return _pop(state, job_id)
 
 
-def pop_settled(state: DispatchState, now: float) -> list[JobSubmitted]:
-    """Remove and return submissions whose jobs no longer run elsewhere."""
+def pop_settled(state: DispatchState, turn: Turn) -> list[JobSubmitted]:
+    """Remove and return submissions whose jobs no longer run elsewhere.
+
+    Entries that have not answered for a while are asked again.
+    """
+    now = turn.now
     for orphan_id, orphan in tuple(state.orphaned_jobs.items()):
         if orphan.settled_at <= now:
             state.orphaned_jobs.pop(orphan_id)
@@ -146,18 +159,22 @@
     for job_id, contested_job in tuple(state.contested_jobs.items()):
         if _is_settled(state, contested_job, now):
             settled.extend(_pop(state, job_id))
+    _repeat_questions(state, turn)
     return settled
 
 
 def withdraw_submission(state: DispatchState, request_id: int) -> None:
     """Remove a deferred submission whose caller has disconnected."""
     for job_id, contested_job in tuple(state.contested_jobs.items()):
-        contested_job.submissions = [
+        remaining = [
             submission
             for submission in contested_job.submissions
             if submission.request_id != request_id
         ]
-        if not contested_job.submissions:
+        if len(remaining) == len(contested_job.submissions):
+            continue
+        contested_job.submissions = remaining
+        if not remaining and job_id not in state.relinquish_requests:
             _pop(state, job_id)
 
 
@@ -169,8 +186,8 @@
 ) -> None:
     """Leave a contested job to the entry that asks for it.
 
-    Of two entries that ask each other, the one with the lower name takes the
-    job.
+    It is told so once the job is contested here no more. Of two entries that
+    ask each other, the one with the lower name takes the job.
     """
     contested_job = state.contested_jobs[job_id]
     asks_each_other = link in contested_job.holders
@@ -178,8 +195,48 @@
     if asks_each_other and is_first:
         turn.send(link, work.JobRelinquished(job_id, answers.SUPERSEDED))
         return
-    _answer(state, turn, job_id, answers.Answer(answers.SUPERSEDED))
-    turn.send(link, work.JobRelinquished(job_id, ''))
+    contested_job.holders.discard(link)
+    _reply(turn, contested_job, answers.Answer(answers.SUPERSEDED))
+    contested_job.submissions = []
+    if _is_settled(state, contested_job, turn.now):
+        _pop(state, job_id)
+        turn.send(link, work.JobRelinquished(job_id, ''))
+    else:
+        await_end(state, turn, link, job_id)
+
+
+def await_end(
+    state: DispatchState,
+    turn: Turn,
+    link: str,
+    job_id: str,
+) -> None:
+    """Let an entry know once no run of a job may be left here."""
+    former_link = state.relinquish_requests.get(job_id, link)
+    if former_link != link and former_link in state.peers:
+        # The caller has gone on from there, and one entry may start the job.
+        turn.send(
+            former_link,
+            work.JobRelinquished(job_id, answers.SUPERSEDED),
+        )
+    state.relinquish_requests[job_id] = link
+    peer_links.begin_work(state, turn, link)
+
+
+def cancel(
+    state: DispatchState,
+    turn: Turn,
+    job_id: str,
+    cancelled: answers.Answer,
+) -> bool:
+    """Answer the callers of a contested job, which its holders stop.
+
+    Returns whether the job is contested.
+    """
+    if job_id not in state.contested_jobs:
+        return False
+    _answer(state, turn, job_id, cancelled)
+    return True
 
 
 def _may_have(
@@ -205,8 +262,20 @@
     return contested_job.is_settled(now)
 
 
+def _repeat_questions(state: DispatchState, turn: Turn) -> None:
+    # A relayed question or answer may be lost while the path changes.
+    cutoff = turn.now - _REPETITION_S
+    for job_id, contested_job in state.contested_jobs.items():
+        if contested_job.asked_at > cutoff:
+            continue
+        for link in tuple(contested_job.holders):
+            _ask(state, turn, job_id, link)
+
+
 def _ask(state: DispatchState, turn: Turn, job_id: str, link: str) -> None:
-    state.contested_jobs[job_id].holders.add(link)
+    contested_job = state.contested_jobs[job_id]
+    contested_job.holders.add(link)
+    contested_job.asked_at = turn.now
     turn.send(link, work.RelinquishJob(job_id))
     peer_links.begin_work(state, turn, link)
 
@@ -219,7 +288,16 @@
 ) -> None:
     if final_answer.verdict not in answers.RETRYABLE:
         state.recent_answers[job_id] = (turn.now, final_answer)
-    for submission in _pop(state, job_id):
+    _reply(turn, state.contested_jobs[job_id], final_answer)
+    _pop(state, job_id)
+
+
+def _reply(
+    turn: Turn,
+    contested_job: ContestedJob,
+    final_answer: answers.Answer,
+) -> None:
+    for submission in contested_job.submissions:
         turn.reply(submission.request_id, final_answer)
 
 
--- a/src/savoryrudder/dispatch/queries.py
+++ b/src/savoryrudder/dispatch/queries.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
 from savoryrudder.dispatch import jobs
 
@@ -55,6 +56,9 @@
     if delegation.answer_callers(state, turn, job_id, cancelled):
         turn.reply(event.request_id, cancelled)
         return
+    if contested.cancel(state, turn, job_id, cancelled):
+        turn.reply(event.request_id, cancelled)
+        return
     job = state.jobs.get(job_id)
     if job is None or job.ended:
         turn.reply(event.request_id, answers.Answer(answers.UNKNOWN_JOB))
@@ -83,6 +87,8 @@
 def _job_status(state: DispatchState, job_id: str) -> answers.Answer:
     if job_id in state.delegations:
         return answers.Answer(answers.RUNNING)
+    if job_id in state.contested_jobs:
+        return answers.Answer(answers.PENDING)
     job = state.jobs.get(job_id)
     if job is None or job.ended:
         recent_answer = state.recent_answers.get(job_id)
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -361,7 +361,9 @@
 ) -> None:
     match event.message:
         case work.AgentHello():
+            former_link = state.links_by_agent.get(event.message.agent, '')
             fleet.register_agent(state, turn, event.link, event.message)
+            relays.remove_agent(state, turn, former_link)
             relays.ask_agent(state, turn, event.link)
         case work.EntryHello():
             relays.end(state, turn, event.message.entry)
@@ -418,7 +420,7 @@
     jobs.answer_overdue(state, turn)
     isolation.forget_old_losses(state, turn.now)
     relays.forget_old_searches(state, turn.now)
-    for submission in contested.pop_settled(state, turn.now):
+    for submission in contested.pop_settled(state, turn):
         _handle_job_submitted(state, turn, submission)
     jobs.expire_answers(state, turn.now)
     claims.announce_changes(state, turn)
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -249,6 +249,7 @@
     may_have_started: bool = False
     lost_holders: set[str] = field(default_factory=set)
     settled_at: float = 0
+    asked_at: float = 0
 
     def is_settled(self, now: float) -> bool:
         """Return whether no other entry has the job any more."""
@@ -294,13 +295,15 @@
 class ClaimChanges:
     """Collect claimed and released jobs to announce to other entries.
 
-    `announced_at` is the time of the last announcement, and `interval_s` the
-    time between two; without changes it is `max_interval_s`.
+    `announced_at` is the time of the last announcement of changes, and
+    `interval_s` the time between two. After `max_interval_s` without changes an
+    empty one is sent; the last one was at `refreshed_at`.
     """
 
     interval_s: float
     max_interval_s: float
     announced_at: float = 0
+    refreshed_at: float = 0
     claimed: list[str] = field(default_factory=list)
     released: list[str] = field(default_factory=list)
 
@@ -309,7 +312,7 @@
         """Return when the next announcement is due."""
         if self.claimed or self.released:
             return self.announced_at + self.interval_s
-        return self.announced_at + self.max_interval_s
+        return max(self.announced_at, self.refreshed_at) + self.max_interval_s
 
 
 @dataclass(slots=True)
@@ -400,7 +403,7 @@
         return self.started_at + self.timing.warm_up_s
 
     def is_searching(self, now: float) -> bool:
-        """Return whether agents have still to tell if a lost entry lives."""
+        """Return whether it may soon be known if an entry lives."""
         return any(
             relayed.is_looked_for(now, self.timing.search_s)
             for relayed in self.relayed_entries.values()
