--- a/review/2/case.py
+++ b/review/2/case.py
@@ -62,10 +62,11 @@
         await asyncio.sleep(0.01)
     await asyncio.sleep(0.05)
     if trouble():
-        _lose_orders(deployment)
-    deployment.send_signal(killed, signal.SIGKILL)
-    await asyncio.sleep(_RESTART_S)
-    deployment.launch(killed)
+        if os.environ.get('LATE', '1') != '0':
+            _lose_orders(deployment)
+        deployment.send_signal(killed, signal.SIGKILL)
+        await asyncio.sleep(_RESTART_S)
+        deployment.launch(killed)
     await asyncio.gather(*callers)
 
 
