--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -30,6 +30,8 @@
 PREFIX = '/cut/'
 _METRICS_PORT = 9464
 _READY_TIMEOUT_S = 25.0
+_PLAY_TIMEOUT_S = 110
+_CANNOT_RUN = 2
 _ZONES = ('zone-1', 'zone-2', 'zone-3')
 # Bounds of the site kpf-cutdesk.
 _BOUNDS = (
@@ -336,15 +338,18 @@
     record: Record,
     play: Callable[[Deployment], Awaitable[bool]],
 ) -> int:
-    deployment = Deployment(record)
+    deployment = None
     try:
-        async with asyncio.timeout(110):
+        async with asyncio.timeout(_PLAY_TIMEOUT_S):
+            deployment = Deployment(record)
             is_broken = await play(deployment)
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:
+        # Whatever fails here says nothing about the rule.
         record(f'the case could not run: {error!r}')
-        return 2
+        return _CANNOT_RUN
     finally:
-        deployment.close()
+        if deployment is not None:
+            deployment.close()
     record('the rule was broken' if is_broken else 'the rule held')
     return int(is_broken)
 
