Believe an instance of the executor once it has answered a call

Cause: a heartbeat, which any process may send, was taken for proof that the former instance had ended, and start times, read from a clock that may jump, for an order of instances. The decoder also let fields be missing.

Now a heartbeat must have all fields. One of another instance makes it a candidate that is called by its name at its address; it takes over when it has answered with that start time and the former one has ended. Start times are compared for equality only: an answer to a call that was sent after the current instance was heard of comes from it or a later one.

--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -47,6 +47,12 @@
     async def stop(self, call: effects.StopRun) -> bool:
         """Return whether the executor confirmed the stop."""
 
+    async def probe(
+        self,
+        call: effects.ProbeInstance,
+    ) -> events.InstanceProbed:
+        """Ask an instance by its name and address whether it is there."""
+
     async def renew(
         self,
         call: effects.RenewLease,
@@ -163,6 +169,8 @@
         match effect:
             case effects.StartRun():
                 self._starts.submit(partial(self._start, effect))
+            case effects.ProbeInstance():
+                self._group.start_soon(self._probe, effect)
             case effects.StopRun():
                 self._group.start_soon(self._stop, effect)
             case effects.RenewLease():
@@ -193,6 +201,9 @@
             ),
         )
 
+    async def _probe(self, call: effects.ProbeInstance) -> None:
+        self.handle(await self._executor.probe(call))
+
     async def _renew(self, call: effects.RenewLease) -> None:
         self.handle(await self._executor.renew(call, trio.current_time()))
 
--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -126,6 +126,28 @@
             isinstance(response, Response) and response.status == HTTPStatus.OK
         )
 
+    async def probe(
+        self,
+        call: effects.ProbeInstance,
+    ) -> events.InstanceProbed:
+        """Ask an instance by its name and address whether it is there."""
+        # Neither extends the lease nor lets the executor forget an end.
+        body = {'fence': call.fence, 'acked_upto': 0}
+        response = await _post(
+            self._client_of(call.executor),
+            call.executor,
+            '/api/hold',
+            body,
+            _TIMEOUT_S,
+        )
+        verdict, started_ms = _decode_presence(response)
+        return events.InstanceProbed(
+            trio.current_time(),
+            call.executor,
+            verdict,
+            started_ms,
+        )
+
     async def renew(
         self,
         call: effects.RenewLease,
@@ -167,15 +189,42 @@
         body: dict[str, Any],
         timeout_s: float,
     ) -> Response | NoResponse:
-        if self._client.address != executor.address:
-            self._client = PlatformClient(executor.address)
-        return await self._client.request(
-            'POST',
-            path,
-            _encoder.encode(body),
-            timeout_s,
-            (('expect-instance', executor.name),),
-        )
+        self._client = self._client_of(executor)
+        return await _post(self._client, executor, path, body, timeout_s)
+
+    def _client_of(self, executor: effects.ExecutorInstance) -> PlatformClient:
+        if self._client.address == executor.address:
+            return self._client
+        return PlatformClient(executor.address)
+
+
+async def _post(
+    client: PlatformClient,
+    executor: effects.ExecutorInstance,
+    path: str,
+    body: dict[str, Any],
+    timeout_s: float,
+) -> Response | NoResponse:
+    return await client.request(
+        'POST',
+        path,
+        _encoder.encode(body),
+        timeout_s,
+        (('expect-instance', executor.name),),
+    )
+
+
+def _decode_presence(response: Response | NoResponse) -> tuple[str, int]:
+    if isinstance(response, NoResponse):
+        return verdicts.UNKNOWN, 0
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return verdicts.ABSENT, 0
+    if response.status == HTTPStatus.CONFLICT:
+        return _decode_verdict(response)[0], 0
+    decoded = decode(_renewal_decoder, response.content)
+    if response.status != HTTPStatus.OK or decoded.is_error():
+        return verdicts.UNKNOWN, 0
+    return verdicts.PRESENT, decoded.ok.born
 
 
 def _decode_verdict(response: Response) -> tuple[str, int]:
--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -28,19 +28,24 @@
 
 
 class _CapacityBody(msgspec.Struct):
-    cpu: Natural = 0
-    mem_mb: Natural = 0
-    gpu: Natural = 0
+    cpu: Natural
+    mem_mb: Natural
+    gpu: Natural
 
 
 class _HeartbeatBody(msgspec.Struct):
+    # All fields of a sound heartbeat, also those that are not used here.
     service: str
     address: str
+    zone: str
+    version: str
+    slots: Natural
     state: str
+    cold_remaining_ms: Natural
     seq: Natural
     clock_ms: Natural
     capacity: _CapacityBody
-    labels: list[str] = msgspec.field(default_factory=list)
+    labels: list[str]
     # UTC time at which the executor started, in milliseconds.
     born: Natural = 0
 
--- a/src/savoryrudder/worker/deadlines.py
+++ b/src/savoryrudder/worker/deadlines.py
@@ -13,6 +13,7 @@
 from savoryrudder.utils.ticks import IDLE_TICK_S
 from savoryrudder.utils.ticks import TICK_S
 from savoryrudder.utils.ticks import align_tick
+from savoryrudder.worker import instances
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
 
@@ -39,6 +40,7 @@
     yield now + IDLE_TICK_S
     if state.draining:
         yield now + TICK_S
+    yield instances.next_probe_at(state)
     if state.health.suspended:
         yield state.health.suspended_until
     if state.lease.silent_since is not None and state.runs:
--- a/src/savoryrudder/worker/effects.py
+++ b/src/savoryrudder/worker/effects.py
@@ -21,6 +21,13 @@
     address: str
 
 
+class ProbeInstance(NamedTuple):
+    """Ask an instance that has only sent a heartbeat whether it is there."""
+
+    executor: ExecutorInstance
+    fence: int
+
+
 class StartRun(NamedTuple):
     """Start a run under a lease.
 
@@ -67,6 +74,7 @@
     | Observe
     | Log
     | Exit
+    | ProbeInstance
     | StartRun
     | StopRun
     | RenewLease
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -10,6 +10,7 @@
 
 from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol.messages import Message
+from savoryrudder.worker.effects import ExecutorInstance
 
 
 class LinkUp(NamedTuple):
@@ -45,9 +46,8 @@
 class ExecutorHeartbeat(NamedTuple):
     """The executor sent a heartbeat.
 
-    `started_ms` is the UTC time at which the instance started; a heartbeat with
-    an earlier one comes from a previous instance. `sequence` increases with
-    each heartbeat of an instance.
+    `started_ms` is the UTC time at which the instance started, by a clock that
+    may jump. `sequence` increases with each heartbeat of an instance.
     """
 
     now: float
@@ -61,6 +61,11 @@
     draining: bool
     clock_ms: int
 
+    @property
+    def instance(self) -> ExecutorInstance:
+        """Return how calls name the instance, and its address."""
+        return ExecutorInstance(self.executor, self.address)
+
 
 class ExecutorLeft(NamedTuple):
     """The executor has deregistered.
@@ -95,6 +100,19 @@
     confirmed: bool
 
 
+class InstanceProbed(NamedTuple):
+    """An instance answered a probe or did not.
+
+    `verdict` is one of `savoryrudder.worker.verdicts`. `started_ms` is the UTC
+    time at which the instance that answered started, 0 if it did not tell.
+    """
+
+    now: float
+    executor: ExecutorInstance
+    verdict: str
+    started_ms: int = 0
+
+
 class RunProgress(NamedTuple):
     """Describe a run that the executor reports as running."""
 
@@ -170,6 +188,7 @@
     | ExecutorLeft
     | StartAnswered
     | StopAnswered
+    | InstanceProbed
     | RenewalAnswered
     | RenewalFailed
     | Tick
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -173,33 +173,15 @@
     turn: Turn,
     event: events.ExecutorHeartbeat,
 ) -> None:
-    if event.started_ms < state.lease.started_ms:
-        turn.count('outdated_heartbeats')
-        return
-    previous = state.heartbeat
-    if previous is not None and _is_outdated(event, previous):
-        return
-    state.heartbeat = event
-    if previous is None or event.executor != previous.executor:
-        # The new instance refuses calls to one with another name.
-        runs.mark_all_lost(state, turn, 'executor restarted')
-        instances.begin(state, turn, event.started_ms, event.clock_ms)
-    elif event.started_ms > state.lease.started_ms:
-        instances.begin(state, turn, event.started_ms, event.clock_ms)
-    elif previous.draining != event.draining:
-        turn.log('executor-drains', executor=event.executor)
-    state.lease.advance_clock(turn.now, event.clock_ms)
-
-
-def _is_outdated(
-    event: events.ExecutorHeartbeat,
-    previous: events.ExecutorHeartbeat,
-) -> bool:
-    is_same_instance = (
-        event.executor == previous.executor
-        and event.started_ms == previous.started_ms
-    )
-    return is_same_instance and event.sequence < previous.sequence
+    instances.record_heartbeat(state, turn, event)
+
+
+def _handle_instance_probed(
+    state: WorkerState,
+    turn: Turn,
+    event: events.InstanceProbed,
+) -> None:
+    instances.apply_probe(state, turn, event)
 
 
 def _handle_executor_left(
@@ -209,7 +191,7 @@
 ) -> None:
     if state.heartbeat is None or state.heartbeat.executor != event.executor:
         return
-    if 0 < event.started_ms < state.lease.started_ms:
+    if event.started_ms not in {0, state.lease.started_ms}:
         turn.count('outdated_departures')
         return
     runs.mark_all_lost(state, turn, 'executor left')
@@ -258,6 +240,7 @@
 ) -> None:
     _stop_runs_of_lost_owners(state, turn)
     _close_retired_links(state, turn)
+    instances.probe_if_due(state, turn)
     renewal.report_expired(state, turn)
     renewal.retry_stops(state, turn)
     suspension.end_suspension(state, turn)
@@ -329,6 +312,7 @@
         events.MessageReceived: _handle_message,
         events.ExecutorHeartbeat: _handle_executor_heartbeat,
         events.ExecutorLeft: _handle_executor_left,
+        events.InstanceProbed: _handle_instance_probed,
         events.StartAnswered: _handle_start_answered,
         events.StopAnswered: _handle_stop_answered,
         events.RenewalAnswered: _handle_renewal_answered,
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -72,14 +72,11 @@
 ) -> None:
     """Apply the executor's lists of running and ended runs."""
     lease = state.lease
-    if instances.begin_if_newer(state, turn, answer):
-        return
     if answer.fence < lease.first_fence:
         return
-    lease.renewing = False
-    if instances.is_outdated(state, answer):
-        lease.renew_at = turn.now + _RETRY_DELAY_S
+    if instances.begin_if_other(state, turn, answer):
         return
+    lease.renewing = False
     lease.record_clock(turn.now, answer.clock_ms)
     if lease.silent_since is not None:
         turn.log('executor-answers', silent_s=turn.now - lease.silent_since)
@@ -178,7 +175,7 @@
     lease = state.lease
     if state.runs or state.stray_runs or not lease.reconciled:
         return True
-    if lease.silent_since is not None:
+    if lease.silent_since is not None or instances.is_end_awaited(state):
         return True
     return lease.acknowledged_upto > lease.acknowledged_upto_sent
 
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -235,6 +235,20 @@
     on_trial: bool = False
 
 
+@dataclass(slots=True)
+class Candidate:
+    """Track an instance that has sent a heartbeat but answered no call yet.
+
+    It was heard of at `since`. The next probe is due at `probe_at`, unless one
+    is in flight.
+    """
+
+    heartbeat: ExecutorHeartbeat
+    since: float
+    probe_at: float
+    probing: bool = False
+
+
 @dataclass(slots=True)
 class WorkerState:
     """Hold the whole state of an agent; the reducer mutates it in place."""
@@ -243,6 +257,10 @@
     timing: WorkerTiming
     fence: int
     heartbeat: ExecutorHeartbeat | None = None
+    # Another instance that may have taken the place of the executor.
+    candidate: Candidate | None = None
+    # The last heartbeat of the executor that contradicts those before it.
+    contradiction: ExecutorHeartbeat | None = None
     lease: Lease = field(default_factory=Lease)
     health: Health = field(default_factory=Health)
     runs: dict[str, Run] = field(default_factory=dict)
@@ -265,7 +283,7 @@
         """Return the current instance of the executor, if there is one."""
         if self.heartbeat is None:
             return None
-        return ExecutorInstance(self.heartbeat.executor, self.heartbeat.address)
+        return self.heartbeat.instance
 
     @property
     def accepting(self) -> bool:
@@ -273,7 +291,7 @@
         heartbeat = self.heartbeat
         if heartbeat is None or heartbeat.draining or self.draining:
             return False
-        if heartbeat.started_ms < self.lease.started_ms:
+        if heartbeat.started_ms != self.lease.started_ms:
             # The capacity of a new instance is known from its first heartbeat.
             return False
         if self.health.suspended:
--- a/src/savoryrudder/worker/verdicts.py
+++ b/src/savoryrudder/worker/verdicts.py
@@ -1,4 +1,4 @@
-"""Define the answers of an executor to a request to start a run."""
+"""Define the answers of an executor to starts of runs and to probes."""
 
 from __future__ import annotations
 
@@ -15,3 +15,7 @@
 OTHER_INSTANCE: Final = 'other-life'
 # The request got no usable answer; the run may still start seconds later.
 UNKNOWN: Final = 'unknown'
+# The instance that was asked for answered.
+PRESENT: Final = 'present'
+# Another instance listens at the address of the one that was asked for.
+ABSENT: Final = 'absent'
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -113,6 +113,22 @@
         self.highest_ended[call.task] = max(highest, call.run)
         return True
 
+    def probe(
+        self,
+        now: float,
+        call: effects.ProbeInstance,
+    ) -> events.InstanceProbed:
+        """Tell whether the instance that is asked for is this one."""
+        if call.executor.name != self.name:
+            return events.InstanceProbed(now, call.executor, verdicts.ABSENT)
+        self.fence = max(self.fence, call.fence)
+        return events.InstanceProbed(
+            now,
+            call.executor,
+            verdicts.PRESENT,
+            self.born_ms,
+        )
+
     def renew(
         self,
         now: float,
--- a/tests/fakes/executor_calls.py
+++ b/tests/fakes/executor_calls.py
@@ -164,6 +164,8 @@
         if isinstance(call, effects.StopRun):
             confirmed = executor.stop(now, call)
             return events.StopAnswered(now, call.task, call.run, confirmed)
+        if isinstance(call, effects.ProbeInstance):
+            return executor.probe(now, call)
         return executor.renew(now, sent_at, call)
 
     def _time_out(self, call: Any, on_answer: Callable[[Any], None]) -> None:
@@ -197,4 +199,6 @@
         )
     if isinstance(call, effects.StopRun):
         return events.StopAnswered(now, call.task, call.run, confirmed=False)
+    if isinstance(call, effects.ProbeInstance):
+        return events.InstanceProbed(now, call.executor, verdicts.UNKNOWN)
     return events.RenewalFailed(now, 'no answer', call.fence)
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -51,6 +51,38 @@
     assert actual == verdict
 
 
+@pytest.mark.parametrize(
+    ('response', 'verdict', 'started_ms'),
+    [
+        (Response(200, b'{"clock_ms":9,"born":7}'), verdicts.PRESENT, 7),
+        (Response(200, b'{"clock_ms":9,"born":"7"}'), verdicts.UNKNOWN, 0),
+        (Response(200, b'garbage'), verdicts.UNKNOWN, 0),
+        (Response(421, b'{}'), verdicts.ABSENT, 0),
+        (Response(409, b'{"reason":"fence"}'), verdicts.FENCED, 0),
+        (Response(503, b''), verdicts.UNKNOWN, 0),
+        (NoResponse('no listener', sent=False), verdicts.UNKNOWN, 0),
+        (NoResponse('timed out', sent=True), verdicts.UNKNOWN, 0),
+    ],
+)
+def test_only_its_own_answer_tells_that_an_instance_is_there(
+    executor: ExecutorClient,
+    executor_server: FakeExecutorServer,
+    response: Response | NoResponse,
+    verdict: str,
+    started_ms: int,
+) -> None:
+    """Guards against an executor that another writer has made up."""
+    executor_server.response = response
+    call = effects.ProbeInstance(EXECUTOR, 7)
+    probed = anyio.run(executor.probe, call, backend='trio')
+    assert probed.verdict == verdict
+    assert probed.started_ms == started_ms
+    path, body, headers = executor_server.requests[0]
+    assert path == '/api/hold'
+    assert 'deadline_ms' not in body
+    assert headers == (('expect-instance', 'i-1'),)
+
+
 async def _start_all(executor: ExecutorClient, count: int) -> None:
     async with anyio.create_task_group() as group:
         for number in range(count):
--- a/tests/platform/test_odd_data.py
+++ b/tests/platform/test_odd_data.py
@@ -77,6 +77,19 @@
     'ipc:///tmp/x',
     '\0:80',
 )
+HEARTBEAT_PARTS = (
+    b'service',
+    b'address',
+    b'zone',
+    b'version',
+    b'slots',
+    b'state',
+    b'cold_remaining_ms',
+    b'seq',
+    b'clock_ms',
+    b'capacity',
+    b'labels',
+)
 json_values = st.recursive(
     st.none()
     | st.booleans()
@@ -108,17 +121,24 @@
     number: bytes = b'1',
     address: str = '10.0.0.1:80',
     part: bytes = b'seq',
+    missing: bytes = b'',
 ) -> bytes:
     fields = {
         b'service': b'"s"',
         b'address': msgspec.json.encode(address),
+        b'zone': b'"z"',
+        b'version': b'"v1"',
+        b'slots': b'8',
         b'state': b'"ready"',
+        b'cold_remaining_ms': b'0',
         b'seq': b'1',
         b'clock_ms': b'1',
         b'born': b'1',
-        b'capacity': b'{"cpu":1}',
+        b'capacity': b'{"cpu":1,"mem_mb":1,"gpu":0}',
+        b'labels': b'["a"]',
         part: number,
     }
+    fields.pop(missing, None)
     content = b','.join(b'"%s":%s' % field for field in fields.items())
     return b'{%s}' % content
 
@@ -271,6 +291,10 @@
         *(_heartbeat(number, part=b'born') for number in ODD_NUMBERS),
         _heartbeat(b'{"cpu":%s}' % HUGE, part=b'capacity'),
         _heartbeat(b'"gone"', part=b'state'),
+        *(_heartbeat(missing=part) for part in HEARTBEAT_PARTS),
+        *(_heartbeat(b'{}', part=part) for part in HEARTBEAT_PARTS),
+        _heartbeat(b'{"cpu":1,"mem_mb":1}', part=b'capacity'),
+        _heartbeat(b'7', part=b'version'),
     ],
 )
 def test_an_odd_heartbeat_is_no_executor(content: bytes) -> None:
--- a/tests/worker/test_agent_cost.py
+++ b/tests/worker/test_agent_cost.py
@@ -54,6 +54,6 @@
     driver.receive(work.StopTask('j.0', 1))
     driver.answer_start('j.0', 'refused')
     assert driver.state.free == capacity.minus(Resources(20, 2, 0))
-    driver.send_heartbeat(started_ms=6, name='x2')
+    driver.replace_executor(name='x2')
     assert driver.state.free == capacity
     assert not driver.state.stopping
--- a/tests/worker/test_runs.py
+++ b/tests/worker/test_runs.py
@@ -86,14 +86,16 @@
     driver.start('j.0')
     driver.answer_start('j.0', verdicts.STARTED)
     driver.now += 0.1
-    driver.send_heartbeat(started_ms=6)
+    driver.replace_executor()
     assert not driver.messages_of(work.TaskEnded)
     driver.answer_renewal(started_ms=6)
     assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
     assert not driver.state.runs
     driver.send_heartbeat(started_ms=5)
+    driver.answer_probe()
     assert driver.state.heartbeat is not None
     assert driver.state.heartbeat.started_ms == 6
+    assert driver.state.candidate is None
 
 
 def test_runs_are_lost_at_once_when_another_executor_replaces_theirs(
@@ -102,7 +104,7 @@
     """Guards against waiting for runs that ended with a crash."""
     driver.start('j.0')
     driver.answer_start('j.0', verdicts.STARTED)
-    driver.send_heartbeat(started_ms=6, name='x2')
+    driver.replace_executor(name='x2')
     assert driver.messages_of(work.TaskEnded)[0].outcome == outcomes.LOST
     assert not driver.state.runs
 
@@ -111,7 +113,7 @@
     driver: WorkerDriver,
 ) -> None:
     """Guards against assigning capacity twice after an agent restart."""
-    driver.send_heartbeat(started_ms=6)
+    driver.replace_executor()
     driver.answer_renewal(running=(events.RunProgress('old.0', 3, 10),))
     assert driver.effects_of(effects.StopRun)[0].task == 'old.0'
     driver.start('j.0')
@@ -149,7 +151,7 @@
     its previous process read.
     """
     fence = driver.state.fence
-    driver.send_heartbeat(started_ms=6)
+    driver.replace_executor()
     driver.fail_renewal(fenced=True)
     assert driver.state.fence > fence
     driver.tick(0.1)
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -9,6 +9,8 @@
 from savoryrudder.protocol import work
 from savoryrudder.utils import effects
 from savoryrudder.worker import events
+from savoryrudder.worker import verdicts
+from savoryrudder.worker.effects import ExecutorInstance
 from savoryrudder.worker.reducer import reduce
 from savoryrudder.worker.state import WorkerIdentity
 from savoryrudder.worker.state import WorkerState
@@ -23,16 +25,20 @@
 class WorkerDriver:
     """Feed events to an agent with one linked entry and an idle executor."""
 
-    def __init__(self) -> None:
-        """Link the entry, and let the executor report itself and its runs."""
+    def __init__(self, first_executor: str = 'x1') -> None:
+        """Link the entry, and let the executor report itself and its runs.
+
+        One with another name than `x1` is not there, and answers nothing.
+        """
         identity = WorkerIdentity('a1', 'a1#1', 'zone')
         self.state = WorkerState(identity, WorkerTiming(1, 0.05), fence=1)
         self.now = 100.0
         self.effects: list[Any] = []
         self.post(events.LinkUp(self.now, LINK))
         self.receive(work.EntryHello('e1', OWNER, 'address'))
-        self.send_heartbeat()
-        self.answer_renewal()
+        self.send_heartbeat(name=first_executor)
+        if first_executor == 'x1':
+            self.answer_renewal()
 
     def post(self, event: Any) -> None:
         """Reduce an event and keep its effects."""
@@ -49,6 +55,8 @@
         draining: bool = False,
         name: str = 'x1',
         clock_ms: int = 1000,
+        service: str = 'pane',
+        address: str = 'address',
     ) -> None:
         """Let the executor send a heartbeat."""
         self.post(
@@ -57,8 +65,8 @@
                 name,
                 started_ms,
                 int(self.now * 1000),
-                'pane',
-                'address',
+                service,
+                address,
                 (),
                 Resources(8000, 4096, 0),
                 draining,
@@ -66,6 +74,30 @@
             ),
         )
 
+    def answer_probe(
+        self,
+        verdict: str = verdicts.PRESENT,
+        started_ms: int = 6,
+        name: str = 'x1',
+        address: str = 'address',
+    ) -> None:
+        """Let an instance answer whether it is there."""
+        instance = ExecutorInstance(name, address)
+        self.post(
+            events.InstanceProbed(self.now, instance, verdict, started_ms),
+        )
+
+    def replace_executor(
+        self,
+        started_ms: int = 6,
+        *,
+        name: str = 'x1',
+        clock_ms: int = 1000,
+    ) -> None:
+        """Let another instance send a heartbeat and answer the probe."""
+        self.send_heartbeat(started_ms, name=name, clock_ms=clock_ms)
+        self.answer_probe(started_ms=started_ms, name=name)
+
     def start(self, task: str, run: int = 1, *, durable: bool = False) -> None:
         """Let the entry ask for the start of a task."""
         self.receive(work.StartTask(1, task, run, 's', DEMAND, 200, durable))
