Start no job while an agent may still run it for a lost entry

Cause: no news was taken for "there is none", and time for proof. Now an agent tells all linked entries which jobs have runs whose owner it has lost, and when these have ended; until then no entry starts them, and entries tell each other. Where no word can come, the agent withholds the lease from 0.6 s after the loss of an owner with runs left, so that the fixed wait of its entries holds by its sum, which a test compares.

Ruled out: a longer wait (nothing bounds a stop that stays unanswered); only withholding the lease (too late for callers that are back after 1.3 s, unless it begins before the first stop); only telling (a living entry that lost the agent hears nothing).

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -62,7 +62,7 @@
         work.JobsClaimed(
             (*state.jobs, *state.contested_jobs),
             complete=True,
-            unsettled=tuple(state.orphaned_jobs),
+            unsettled=(*state.orphaned_jobs, *state.orphan_holders),
         ),
     )
     contested.ask_again(state, turn, link, peer.incarnation)
@@ -158,28 +158,37 @@
 ) -> None:
     if turn.now < changes.due_at:
         return
-    if changes.claimed or changes.released:
+    if changes.has_changes:
         changes.announced_at = turn.now
     else:
         changes.refreshed_at = turn.now
     claimed = dict.fromkeys(
         job_id for job_id in changes.claimed if state.claims(job_id)
     )
+    orphaned = dict.fromkeys(
+        job_id for job_id in changes.orphaned if job_id in state.orphan_holders
+    )
     released = dict.fromkeys(
-        job_id for job_id in changes.released if not state.claims(job_id)
+        job_id
+        for job_id in changes.released
+        if not (state.claims(job_id) or job_id in state.orphan_holders)
     )
     changes.claimed.clear()
+    changes.orphaned.clear()
     changes.released.clear()
     for link in links:
         if released:
             turn.send(link, work.JobsReleased(tuple(released)))
-        if claimed or not released:
-            turn.send(link, work.JobsClaimed(tuple(claimed)))
+        if claimed or orphaned or not released:
+            turn.send(
+                link,
+                work.JobsClaimed(tuple(claimed), unsettled=tuple(orphaned)),
+            )
 
 
 def _confirm_relinquished(state: DispatchState, turn: Turn) -> None:
     for job_id, link in tuple(state.relinquish_requests.items()):
-        if state.claims(job_id) or job_id in state.orphaned_jobs:
+        if state.claims(job_id) or state.may_be_orphaned(job_id):
             continue
         state.relinquish_requests.pop(job_id)
         if link in state.peers:
@@ -213,7 +222,7 @@
     if job_id in state.contested_jobs:
         contested.relinquish(state, turn, link, job_id)
         return
-    if job_id in state.orphaned_jobs and job_id not in state.jobs:
+    if state.may_be_orphaned(job_id) and job_id not in state.jobs:
         # Its runs at a lost entry may not have ended yet.
         contested.await_end(state, turn, link, job_id)
         return
--- a/src/savoryrudder/dispatch/contested.py
+++ b/src/savoryrudder/dispatch/contested.py
@@ -2,8 +2,9 @@
 
 A caller that gets no answer submits its job again, often to another entry.
 That one starts the job only once each entry that may have it has told that it
-does not, or has been lost for so long that its runs have ended. While a job is
-contested, the entry claims it like a job that it runs.
+does not, or has been lost for so long that its runs have ended, and no agent
+tells of runs whose owner it has lost. While a job is contested, the entry
+claims it like a job that it runs.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import orphans
 from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch.state import ContestedJob
 from savoryrudder.dispatch.state import OrphanedJob
@@ -50,7 +52,8 @@
     if orphan is not None and orphan.settled_at <= turn.now:
         orphan = None
     searching = state.is_searching(turn.now)
-    if not (holders or orphan is not None or searching):
+    is_running = job_id in state.orphan_holders
+    if not (holders or orphan is not None or searching or is_running):
         return False
     contested_job = ContestedJob([event], set(), awaits_search=searching)
     contested_job.cleared_by = event.cleared_by
@@ -65,6 +68,7 @@
         job=job_id,
         holders=' '.join(state.peers[link].entry for link in holders),
         lost_holders=len(contested_job.lost_holders),
+        agents=len(state.orphan_holders.get(job_id, ())),
     )
     for holder in holders:
         _ask(state, turn, job_id, holder)
@@ -74,7 +78,7 @@
 def may_run_elsewhere(state: DispatchState, event: JobSubmitted) -> bool:
     """Return whether another entry has told that it has a job."""
     job_id = event.job.job_id
-    if job_id in state.orphaned_jobs:
+    if state.may_be_orphaned(job_id):
         return True
     return any(job_id in peer.jobs for peer in state.peers.values())
 
@@ -141,7 +145,7 @@
     if verdict:
         _answer(state, turn, job_id, answers.Answer(verdict))
         return []
-    if not _is_settled(state, contested_job, turn.now):
+    if not _is_settled(state, job_id, turn.now):
         return []
     return _pop(state, job_id)
 
@@ -155,9 +159,10 @@
     for orphan_id, orphan in tuple(state.orphaned_jobs.items()):
         if orphan.settled_at <= now:
             state.orphaned_jobs.pop(orphan_id)
+    orphans.release_settled(state, now)
     settled: list[JobSubmitted] = []
     for job_id, contested_job in tuple(state.contested_jobs.items()):
-        if _is_settled(state, contested_job, now):
+        if _is_settled(state, job_id, now):
             settled.extend(_pop(state, job_id))
     _repeat_questions(state, turn)
     return settled
@@ -198,7 +203,7 @@
     contested_job.holders.discard(link)
     _reply(turn, contested_job, answers.Answer(answers.SUPERSEDED))
     contested_job.submissions = []
-    if _is_settled(state, contested_job, turn.now):
+    if _is_settled(state, job_id, turn.now):
         _pop(state, job_id)
         turn.send(link, work.JobRelinquished(job_id, ''))
     else:
@@ -252,11 +257,10 @@
     return not peer.claims_complete or event.now > valid_until
 
 
-def _is_settled(
-    state: DispatchState,
-    contested_job: ContestedJob,
-    now: float,
-) -> bool:
+def _is_settled(state: DispatchState, job_id: str, now: float) -> bool:
+    contested_job = state.contested_jobs[job_id]
+    if job_id in state.orphan_holders:
+        return False
     if contested_job.awaits_search and state.is_searching(now):
         return False
     return contested_job.is_settled(now)
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -8,6 +8,7 @@
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch import orphans
 from savoryrudder.dispatch import runs
 from savoryrudder.dispatch.claims import send_hello
 from savoryrudder.dispatch.state import AgentView
@@ -109,10 +110,11 @@
     their tasks become unsettled.
     """
     state.unidentified_links.pop(link, None)
-    agent = state.agents.pop(link, None)
     state.unacknowledged_ends.pop(link, None)
-    if agent is None:
+    if link not in state.agents:
         return
+    orphans.lose_agent(state, turn.now, link)
+    agent = state.agents.pop(link)
     state.capacity.remove(link)
     state.links_by_agent.pop(agent.name)
     tasks = [
@@ -150,6 +152,7 @@
             task.state = TaskState.placed
             if job.ended:
                 turn.send(link, work.StopTask(*run_id))
+    orphans.release_unlisted(state, link)
     agent.reconciled = True
     agent.runs.update(listed)
     _update_carries_work(turn, link, agent)
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -20,6 +20,7 @@
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch import orphans
 from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch import queries
 from savoryrudder.dispatch import relays
@@ -380,6 +381,9 @@
             fleet.update_executor(state, turn, event.link, event.message)
         case work.RunningTasks():
             fleet.reconcile_tasks(state, turn, event.link, event.message)
+        case work.OrphanedJobs():
+            orphans.record(state, turn, event.link, event.message)
+            _resume_settled(state, turn)
         case work.TaskEnded():
             fleet.handle_task_end(state, turn, event.link, event.message)
         case work.SlowRun():
@@ -420,8 +424,7 @@
     jobs.answer_overdue(state, turn)
     isolation.forget_old_losses(state, turn.now)
     relays.forget_old_searches(state, turn.now)
-    for submission in contested.pop_settled(state, turn):
-        _handle_job_submitted(state, turn, submission)
+    _resume_settled(state, turn)
     jobs.expire_answers(state, turn.now)
     claims.announce_changes(state, turn)
     if event.busy_share is not None:
@@ -431,6 +434,11 @@
     peer_links.end_work(state, turn)
 
 
+def _resume_settled(state: DispatchState, turn: Turn) -> None:
+    for submission in contested.pop_settled(state, turn):
+        _handle_job_submitted(state, turn, submission)
+
+
 def _handle_stalled(
     state: DispatchState,
     turn: Turn,
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -152,7 +152,8 @@
     `average_slowness` is the moving average
     of the task duration relative to the estimate; `reported_slowness` is the
     same ratio of the latest slow run and is valid until `slow_until`. An agent
-    that `batches` takes the starts of a step in one message.
+    that `batches` takes the starts of a step in one message. Runs of the
+    `orphaned_jobs` may be going on there without their owner.
     """
 
     name: str
@@ -171,6 +172,7 @@
     runs: set[RunId] = field(default_factory=set)
     carries_work: bool = True
     batches: bool = False
+    orphaned_jobs: frozenset[str] = frozenset()
 
     @property
     def usable(self) -> bool:
@@ -293,7 +295,7 @@
 
 @dataclass(slots=True)
 class ClaimChanges:
-    """Collect claimed and released jobs to announce to other entries.
+    """Collect claimed, orphaned and released jobs to announce to entries.
 
     `announced_at` is the time of the last announcement of changes, and
     `interval_s` the time between two. After `max_interval_s` without changes an
@@ -305,12 +307,18 @@
     announced_at: float = 0
     refreshed_at: float = 0
     claimed: list[str] = field(default_factory=list)
+    orphaned: list[str] = field(default_factory=list)
     released: list[str] = field(default_factory=list)
 
+    @property
+    def has_changes(self) -> bool:
+        """Return whether there is anything to announce."""
+        return bool(self.claimed or self.orphaned or self.released)
+
     @property
     def due_at(self) -> float:
         """Return when the next announcement is due."""
-        if self.claimed or self.released:
+        if self.has_changes:
             return self.announced_at + self.interval_s
         return max(self.announced_at, self.refreshed_at) + self.max_interval_s
 
@@ -350,6 +358,9 @@
     contested_jobs: dict[str, ContestedJob] = field(default_factory=dict)
     # Jobs of lost entries by their IDs.
     orphaned_jobs: dict[str, OrphanedJob] = field(default_factory=dict)
+    # Jobs with runs at agents that have lost their owner: by job ID and the
+    # agent's incarnation, when these have ended; infinity until it tells so.
+    orphan_holders: dict[str, dict[str, float]] = field(default_factory=dict)
     # Entries whose links were lost, with the time, until they tell their jobs
     # again, and when the last link of this entry was lost.
     lost_peers: dict[str, float] = field(default_factory=dict)
@@ -413,6 +424,15 @@
         """Return whether other entries must not start a job unasked."""
         return job_id in self.jobs or job_id in self.contested_jobs
 
+    def may_be_orphaned(self, job_id: str) -> bool:
+        """Return whether runs of a lost entry's job may be going on."""
+        return job_id in self.orphaned_jobs or job_id in self.orphan_holders
+
+    def record_orphan(self, job_id: str) -> None:
+        """Announce to the other entries that a job runs without its owner."""
+        for changes in self.claim_changes:
+            changes.orphaned.append(job_id)
+
     def record_claim(self, job_id: str) -> None:
         """Announce to the other entries that this one has a job."""
         for changes in self.claim_changes:
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -67,6 +67,7 @@
         45: relay.EntryReachable,
         46: relay.EntryUnreachable,
         47: relay.RelayedClaims,
+        48: work.OrphanedJobs,
     }
 )
 _TAG_BY_TYPE: Final = MappingProxyType(
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -343,6 +343,7 @@
     | work.JobsReleased
     | work.RelinquishJob
     | work.JobRelinquished
+    | work.OrphanedJobs
     | work.AgentHello
     | work.ExecutorReport
     | work.RunningTasks
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -21,6 +21,11 @@
 NO_JOB_NUMBER: Final = 0
 
 
+def job_of_task(task: str) -> str:
+    """Return the job of a task, which its name begins with."""
+    return task.partition('.')[0]
+
+
 class RunId(NamedTuple):
     """Identify a run among all runs of an entry's incarnation.
 
@@ -98,6 +103,16 @@
     verdict: str
 
 
+class OrphanedJobs(NamedTuple):
+    """Tell an entry which jobs have runs at the sender without their owner.
+
+    The entry that started these runs is not linked there. They may be going on
+    until a later list, which replaces the former one, leaves their jobs out.
+    """
+
+    jobs: tuple[str, ...]
+
+
 class AgentHello(NamedTuple):
     """Announce an agent to an entry; one that `batches` takes `StartTasks`."""
 
--- a/src/savoryrudder/worker/deadlines.py
+++ b/src/savoryrudder/worker/deadlines.py
@@ -14,6 +14,7 @@
 from savoryrudder.utils.ticks import TICK_S
 from savoryrudder.utils.ticks import align_tick
 from savoryrudder.worker import instances
+from savoryrudder.worker import orphans
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
 
@@ -48,13 +49,12 @@
     yield from chain(
         _link_times(state),
         _stop_times(state),
+        orphans.due_times(state),
         reports.due_times(state),
     )
 
 
 def _link_times(state: WorkerState) -> Iterator[float]:
-    for lost_at in state.lost_owners.values():
-        yield lost_at + state.timing.owner_grace_s
     for link in state.links.values():
         if link.retired_at is not None:
             yield link.retired_at + RETIREMENT_GRACE_S
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -16,6 +16,7 @@
 from savoryrudder.utils.turn import Turn
 from savoryrudder.worker import events
 from savoryrudder.worker import instances
+from savoryrudder.worker import orphans
 from savoryrudder.worker import relays
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
@@ -24,7 +25,6 @@
 from savoryrudder.worker.deadlines import RETIREMENT_GRACE_S
 from savoryrudder.worker.state import EntryLink
 from savoryrudder.worker.state import Lease
-from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,7 +43,12 @@
 ) -> list[WorkerEffect]:
     """Apply an event to the state in place and return its effects."""
     turn = Turn(event.now)
+    # A start would extend a lease that became due to be withheld meanwhile, and
+    # the event may release one.
+    orphans.withhold_lease(state, turn)
     _EVENT_HANDLERS[type(event)](state, turn, event)
+    orphans.withhold_lease(state, turn)
+    orphans.tell_entries(state, turn)
     renewal.renew_if_due(state, turn)
     reports.send_reports(state, turn)
     _update_links(state, turn)
@@ -160,6 +165,8 @@
     for end in state.ends.values():
         if end.owner == hello.incarnation:
             turn.send(link, end.message)
+    # The list of runs tells that this one is complete.
+    orphans.tell_entries(state, turn)
     running = (
         run.run_id
         for run in state.runs.values()
@@ -238,7 +245,7 @@
     turn: Turn,
     event: events.Tick,
 ) -> None:
-    _stop_runs_of_lost_owners(state, turn)
+    orphans.stop_runs(state, turn)
     _close_retired_links(state, turn)
     instances.probe_if_due(state, turn)
     renewal.report_expired(state, turn)
@@ -250,18 +257,6 @@
             state.ends.pop(key)
 
 
-def _stop_runs_of_lost_owners(state: WorkerState, turn: Turn) -> None:
-    cutoff = turn.now - state.timing.owner_grace_s
-    for owner, lost_at in tuple(state.lost_owners.items()):
-        if lost_at > cutoff:
-            continue
-        state.lost_owners.pop(owner)
-        for run in state.runs.values():
-            if run.owner == owner and run.phase is not Phase.stopping:
-                turn.log('owner-lost', task=run.task, run=run.number)
-                runs.send_stop(state, turn, run)
-
-
 def _handle_stalled(
     state: WorkerState,
     turn: Turn,
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -181,7 +181,7 @@
 
 
 def _should_extend_lease(state: WorkerState, now: float) -> bool:
-    if not state.lease.reconciled or not state.runs:
+    if not state.lease.reconciled or not state.runs or state.lease_withheld:
         return False
     silent_since = state.lease.silent_since
     return (
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -43,9 +43,11 @@
     `lease_s` is the longest lease that the executor grants. A run ends at
     most `stop_s` after a request to stop it. The lease of an executor that
     does not answer is extended for another `silent_renewal_s`. The runs of
-    an entry are stopped `owner_grace_s` after the loss of its link. Ends that
-    are not acknowledged are kept for `retention_s`. The executor may carry out
-    a call without an answer up to `late_call_s` after it was given up.
+    an entry are stopped `owner_grace_s` after the loss of its link; from
+    `orphan_lease_s` after it, the lease is not extended until they have ended.
+    Ends that are not acknowledged are kept for `retention_s`. The executor may
+    carry out a call without an answer up to `late_call_s` after it was given
+    up.
     """
 
     lease_s: float
@@ -55,6 +57,7 @@
     stop_retry_s: float = 0.25
     owner_grace_s: float = 0.3
     retention_s: float = 30
+    orphan_lease_s: float = 0.6
     late_call_s: float = 12
 
     @property
@@ -150,7 +153,7 @@
     is the number of the last start that the entry sent on this link. The link
     `carries_work` while the entry has a run here. From `retired_at` on, the
     entry is asked for no more starts. `wanted_entries` are the names of other
-    entries that it has lost.
+    entries that it has lost, and `orphaned_jobs` what it was told of them last.
     """
 
     incarnation: str = ''
@@ -161,6 +164,7 @@
     retired_at: float | None = None
     starts_seen: int = 0
     last_report: SentReport | None = None
+    orphaned_jobs: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -269,7 +273,13 @@
     stray_runs: dict[work.RunKey, float] = field(default_factory=dict)
     ends: dict[EndKey, UnacknowledgedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
+    # Entries by incarnation, with the time of the loss of their links, whose
+    # runs here have not ended yet.
     lost_owners: dict[str, float] = field(default_factory=dict)
+    # The jobs of runs here whose owners are not linked, as told to the entries.
+    orphaned_jobs: tuple[str, ...] = ()
+    # Set while the lease is not extended, for the sake of lost owners' runs.
+    lease_withheld: bool = False
     draining: bool = False
     exit_at: float = float('inf')
     exited: bool = False
@@ -294,7 +304,8 @@
         if heartbeat.started_ms != self.lease.started_ms:
             # The capacity of a new instance is known from its first heartbeat.
             return False
-        if self.health.suspended:
+        if self.health.suspended or self.lease_withheld:
+            # Each start would extend the lease.
             return False
         is_silent = self.lease.silent_since is not None
         return self.lease.reconciled and not self.stray_runs and not is_silent
@@ -325,6 +336,16 @@
         """Return whether an entry's incarnation has a run here."""
         return owner in self._runs_by_owner
 
+    @property
+    def owners(self) -> set[str]:
+        """Return the incarnations of the entries that have runs here."""
+        return set(self._runs_by_owner)
+
+    @property
+    def linked_entries(self) -> set[str]:
+        """Return the incarnations of the linked entries."""
+        return {link.incarnation for link in self.links.values()}
+
     def find_link(self, owner: str) -> str:
         """Return the link to an entry's incarnation, or an empty string."""
         for name, link in self.links.items():
