Hear of the configuration within contact_ms of the store's return

Cause: a watch that began just before the store was back got no answer, and held the only path to news for its wait (1.5 s), the longer limit after another silent call (2 s) and a pause (0.3 s).

Now a call that follows a failure does not wait at the store, a call that waits there always has the shorter limit on top, whatever other calls of the client met, and the wait follows from contact_ms, so that the sum stays below it. A renewal of the registration that failed is repeated after 0.3 s in place of 2 s.

Ruled out: a slow answer after the return (a few ms).

--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -23,7 +23,8 @@
 
 _LEASE_S: Final = 6
 _RENEWAL_S: Final = 2
-_RETRY_S: Final = 0.3
+# Pause after a call that failed.
+RETRY_S: Final = 0.3
 
 
 async def watch_prefix(
@@ -36,13 +37,19 @@
     """Call `on_change` with the keys below a prefix on each change.
 
     Runs until cancelled; `wait_s` bounds each long poll of the store. Changes
-    within `pause_s` of a call are told together.
+    within `pause_s` of a call are told together. After a call that failed, the
+    store is asked for what has changed meanwhile, without a wait: it may be
+    silent still, and a long poll would hide its return.
     """
     last_version = 0
     is_store_lost = False
     while True:
         outcome = await store.call(
-            interface.WatchPrefix(prefix, last_version, wait_s),
+            interface.WatchPrefix(
+                prefix,
+                last_version,
+                0 if is_store_lost else wait_s,
+            ),
         )
         if isinstance(outcome, interface.Snapshot):
             if is_store_lost:
@@ -59,7 +66,7 @@
                 (('prefix', prefix), ('reason', str(outcome))),
             )
         is_store_lost = True
-        await anyio.sleep(_RETRY_S)
+        await anyio.sleep(RETRY_S)
 
 
 def read_members(
@@ -98,15 +105,22 @@
         self._lease = ''
 
     async def run(self) -> None:
-        """Register the entry and renew its lease until cancelled."""
+        """Register the entry and renew its lease until cancelled.
+
+        A renewal that failed is repeated soon: a lease that has expired in an
+        outage of the store is replaced when the store is back.
+        """
+        pause_s: float = _RENEWAL_S
         while True:
             if not self._lease and not await self._register():
-                await anyio.sleep(_RETRY_S)
+                await anyio.sleep(RETRY_S)
                 continue
-            await anyio.sleep(_RENEWAL_S)
+            await anyio.sleep(pause_s)
             outcome = await self._store.call(
                 interface.RenewLease(self._lease),
             )
+            is_failed = isinstance(outcome, interface.StoreUnavailable)
+            pause_s = RETRY_S if is_failed else _RENEWAL_S
             if isinstance(outcome, interface.LeaseLost):
                 log_event('registration-lost', (('key', self._key),))
                 self._lease = ''
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -23,6 +23,7 @@
 from savoryrudder.platform.configuration import CONFIGURATION_KEY
 from savoryrudder.platform.configuration import decode_configuration
 from savoryrudder.platform.store import PlatformStore
+from savoryrudder.platform.store import longest_watch_s
 from savoryrudder.protocol.members import Member
 
 if TYPE_CHECKING:
@@ -31,7 +32,6 @@
     from savoryrudder.platform.settings import ProcessSettings
     from savoryrudder.store.interface import KeyValue
 
-_CONFIGURATION_WAIT_S: Final = 1.5
 # Time for an agent that was lost to notice it and to stop its runs or let
 # their lease expire.
 _SETTLE_S: Final = 2.5
@@ -52,7 +52,7 @@
     async with anyio.create_task_group() as group:
         await group.start(dispatcher.run)
         group.start_soon(registration.run)
-        _follow_configuration(group, store, dispatcher)
+        _follow_configuration(group, settings, store, dispatcher)
         process.watch_members(group, store, dispatcher)
         process.handle_signals(group, settings, store, dispatcher)
         await _serve_callers(group, settings, dispatcher, stopping)
@@ -65,6 +65,7 @@
 
 def _follow_configuration(
     group: TaskGroup,
+    settings: ProcessSettings,
     store: PlatformStore,
     dispatcher: Dispatcher,
 ) -> None:
@@ -72,7 +73,7 @@
         watch_prefix,
         store,
         CONFIGURATION_KEY,
-        _CONFIGURATION_WAIT_S,
+        longest_watch_s(settings.news_limit_s),
         partial(_update_configuration, dispatcher),
     )
 
--- a/src/savoryrudder/platform/settings.py
+++ b/src/savoryrudder/platform/settings.py
@@ -17,13 +17,15 @@
 SETTINGS_PATH_VARIABLE: Final = 'SAVORYRUDDER_BOOT'
 
 _DEFAULT_GRACE_S: Final = 6
+_DEFAULT_CONTACT_MS: Final = 3000
 
 
 class ProcessSettings(NamedTuple):
     """Hold the settings of an entry or agent; addresses are `ip:port`.
 
     `callers` and `readiness` are empty on executors' machines, `heartbeats`
-    on entries that do not serve it.
+    on entries that do not serve it. Within `news_limit_s` of the end of an
+    outage, a process has to know what changed in the store.
     """
 
     name: str
@@ -37,6 +39,7 @@
     lease_s: float
     stop_s: float
     grace_s: float
+    news_limit_s: float
 
     @property
     def link_address(self) -> str:
@@ -89,4 +92,8 @@
         lease_s=float(fields.get('bounds.hold_max_ms', MS_PER_S)) / MS_PER_S,
         stop_s=float(fields.get('bounds.stop_ms', 50)) / MS_PER_S,
         grace_s=float(fields.get('bounds.grace_s', _DEFAULT_GRACE_S)),
+        news_limit_s=float(
+            fields.get('bounds.contact_ms', _DEFAULT_CONTACT_MS),
+        )
+        / MS_PER_S,
     )
--- a/src/savoryrudder/platform/store.py
+++ b/src/savoryrudder/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from savoryrudder.daemon.logs import log_event
+from savoryrudder.daemon.membership import RETRY_S
 from savoryrudder.platform.http_client import NoResponse
 from savoryrudder.platform.http_client import PlatformClient
 from savoryrudder.platform.http_client import Response
@@ -21,10 +22,15 @@
 
 # Time limits for the beginning of a response, the second one after a request
 # that got none, and for each further part of it. The time that a whole response
-# takes depends on its size and on what else uses the machine's link.
+# takes depends on its size and on what else uses the machine's link. A request
+# that may wait at the store for a change always has the first one on top of its
+# wait: what follows one without an answer is to be sent soon.
 _TIMEOUT_S: Final = 1.0
 _RETRY_TIMEOUT_S: Final = 2.0
 _PROGRESS_TIMEOUT_S: Final = 2.0
+# Time for the answer to the first call that reaches the store again.
+_ANSWER_S: Final = 0.5
+_MIN_WATCH_S: Final = 0.2
 _encoder: Final = msgspec.json.Encoder()
 
 
@@ -67,6 +73,17 @@
     lease: int = 0
 
 
+def longest_watch_s(news_limit_s: float) -> float:
+    """Return how long a watch may wait, to hear of a change within a limit.
+
+    The limit counts from the end of an outage in which the store was silent. A
+    watch that began before it gets no answer, and the next call tells the
+    change. All times are in seconds.
+    """
+    others_s = _TIMEOUT_S + RETRY_S + _ANSWER_S
+    return max(news_limit_s - others_s, _MIN_WATCH_S)
+
+
 class PlatformStore:
     """Execute store operations; caches the keys of each watched prefix."""
 
@@ -132,11 +149,12 @@
         wait_s: float = 0,
     ) -> Response | NoResponse:
         content = None if body is None else _encoder.encode(body)
+        timeout_s = wait_s + _TIMEOUT_S if wait_s else self._timeout_s
         response = await self._client.request(
             method,
             path,
             content,
-            wait_s + self._timeout_s,
+            timeout_s,
             progress_timeout_s=_PROGRESS_TIMEOUT_S,
         )
         is_unanswered = isinstance(response, NoResponse) and response.sent
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -13,6 +13,7 @@
 port_range=7720,7735
 bounds.hold_max_ms=1000
 bounds.grace_s=6
+bounds.contact_ms=4000
 platform.address=10.200.1.7:8169
 a.field.to.come=1
 """
@@ -26,6 +27,7 @@
     assert settings.readiness == '10.1.0.13:8167'
     assert settings.heartbeats == ''
     assert settings.lease_s == 1
+    assert settings.news_limit_s == 4
 
 
 def test_all_missing_settings_are_reported() -> None:
