--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -16,14 +16,14 @@
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import peer_links
-from savoryrudder.dispatch.state import PeerView
+from savoryrudder.dispatch.peers import PeerView
 from savoryrudder.protocol import work
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from savoryrudder.dispatch.events import JobSubmitted
-    from savoryrudder.dispatch.state import ClaimChanges
+    from savoryrudder.dispatch.peers import ClaimChanges
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.turn import Turn
 
--- a/src/savoryrudder/dispatch/contested.py
+++ b/src/savoryrudder/dispatch/contested.py
@@ -15,14 +15,14 @@
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import orphans
 from savoryrudder.dispatch import peer_links
-from savoryrudder.dispatch.state import ContestedJob
-from savoryrudder.dispatch.state import OrphanedJob
+from savoryrudder.dispatch.peers import ContestedJob
+from savoryrudder.dispatch.peers import OrphanedJob
 from savoryrudder.protocol import work
 
 if TYPE_CHECKING:
     from savoryrudder.dispatch.events import JobSubmitted
+    from savoryrudder.dispatch.peers import PeerView
     from savoryrudder.dispatch.state import DispatchState
-    from savoryrudder.dispatch.state import PeerView
     from savoryrudder.dispatch.turn import Turn
 
 # A question that neither was answered nor ended with its link is asked again.
--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -18,8 +18,8 @@
 from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch.effects import Reply
 from savoryrudder.dispatch.events import JobSubmitted
-from savoryrudder.dispatch.state import Delegation
-from savoryrudder.dispatch.state import ForeignRequest
+from savoryrudder.dispatch.peers import Delegation
+from savoryrudder.dispatch.peers import ForeignRequest
 from savoryrudder.protocol import delegation
 from savoryrudder.utils.effects import Send
 from savoryrudder.utils.rendezvous import ChoiceSize
@@ -27,8 +27,8 @@
 
 if TYPE_CHECKING:
     from savoryrudder.dispatch.effects import DispatchEffect
+    from savoryrudder.dispatch.peers import PeerView
     from savoryrudder.dispatch.state import DispatchState
-    from savoryrudder.dispatch.state import PeerView
     from savoryrudder.dispatch.turn import Turn
     from savoryrudder.jobs.model import JobRequest
     from savoryrudder.jobs.model import Queue
--- a/src/savoryrudder/dispatch/relays.py
+++ b/src/savoryrudder/dispatch/relays.py
@@ -13,8 +13,8 @@
 
 from savoryrudder.dispatch import claims
 from savoryrudder.dispatch import peer_links
-from savoryrudder.dispatch.state import PeerView
-from savoryrudder.dispatch.state import RelayedEntry
+from savoryrudder.dispatch.peers import PeerView
+from savoryrudder.dispatch.peers import RelayedEntry
 from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import CloseLink
--- a/src/savoryrudder/worker/instances.py
+++ b/src/savoryrudder/worker/instances.py
@@ -21,9 +21,9 @@
 from savoryrudder.worker import runs
 from savoryrudder.worker import verdicts
 from savoryrudder.worker.effects import ProbeInstance
+from savoryrudder.worker.lease import Health
+from savoryrudder.worker.lease import Lease
 from savoryrudder.worker.state import Candidate
-from savoryrudder.worker.state import Health
-from savoryrudder.worker.state import Lease
 
 if TYPE_CHECKING:
     from savoryrudder.utils.turn import Turn
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -23,8 +23,8 @@
 from savoryrudder.worker import runs
 from savoryrudder.worker import suspension
 from savoryrudder.worker.deadlines import RETIREMENT_GRACE_S
+from savoryrudder.worker.lease import Lease
 from savoryrudder.worker.state import EntryLink
-from savoryrudder.worker.state import Lease
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -10,7 +10,7 @@
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
-from savoryrudder.worker.state import MAX_CLOCK_DRIFT
+from savoryrudder.worker.lease import MAX_CLOCK_DRIFT
 
 if TYPE_CHECKING:
     from worker_driver import WorkerDriver
