--- a/tests/dispatch/test_orphans.py
+++ b/tests/dispatch/test_orphans.py
@@ -7,6 +7,7 @@
 
 import random
 
+import pytest
 from entry_driver import EntryDriver
 from fakes.fleet import CAPACITY
 from fakes.fleet import SETTLE_S
@@ -108,6 +109,36 @@
     assert not fleet.entries[0].state.jobs
 
 
+@pytest.mark.parametrize('phase_s', [0, 0.25, 0.5, 0.75])
+@pytest.mark.parametrize('killed_at_s', [0.05, 0.2, 0.3, 0.4])
+def test_a_job_waits_for_runs_of_an_agent_that_stands_still(
+    phase_s: float,
+    killed_at_s: float,
+) -> None:
+    """Guard against a start while an agent that stops nothing stands still.
+
+    It has told of the runs before, as it lost the entry that was killed.
+    """
+    fleet = Fleet(1, agents=AGENTS)
+    fleet.run(1 + phase_s)
+    # The entry tells its claims, and does not tell the next one at once.
+    fleet.calls.durations_s = (0.01, 0.01)
+    fleet.submit(0, job_of('former', 1))
+    fleet.run(0.1)
+    fleet.calls.durations_s = (2 * DISRUPTION_S, 2 * DISRUPTION_S)
+    fleet.submit(0, job_of('one', AGENTS))
+    fleet.run(killed_at_s)
+    fleet.kill_entry(0, RECOVERY_S)
+    fleet.run(NOTICE_S / 3)
+    busy = [agent.executor.runs for agent in fleet.agents]
+    frozen = next(number for number, runs in enumerate(busy) if runs)
+    fleet.freeze_agent(frozen, 2)
+    fleet.run(RESUBMISSION_S - killed_at_s - NOTICE_S / 3)
+    request = fleet.submit(1, job_of('one', AGENTS))
+    fleet.run(RECOVERY_S / 2)
+    assert fleet.answers[request].verdict == answers.COMPLETED
+
+
 def test_the_waits_of_an_agent_end_before_those_of_its_entries() -> None:
     """Guard against a limit that outlasts the one that relies on it.
 
