--- a/tests/dispatch/test_executor_restarts.py
+++ b/tests/dispatch/test_executor_restarts.py
@@ -7,12 +7,16 @@
 
 import random
 
+from fakes.fleet import CAPACITY
+from fakes.fleet import SERVICE
 from fakes.fleet import Fleet
 from fakes.fleet import job_of
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from savoryrudder.worker.events import ExecutorHeartbeat
+
 RECOVERY_S = 40
 ENTRIES = 2
 AGENTS = 4
@@ -42,6 +46,52 @@
         assert agent.state.accepting
 
 
+def _send_odd_heartbeat(fleet: Fleet, rng: random.Random) -> None:
+    agent = rng.choice(fleet.agents)
+    executor = agent.executor
+    now = fleet.clock.now
+    names_executor = rng.choice((True, False))
+    agent.post(
+        ExecutorHeartbeat(
+            now,
+            executor.name if names_executor else 'x-odd',
+            executor.born_ms + rng.choice((-1, 1, 2**40)),
+            rng.choice((0, 2**40)),
+            rng.choice((SERVICE, 'unknown')),
+            rng.choice((executor.address, 'other')),
+            (),
+            CAPACITY,
+            draining=rng.choice((True, False)),
+            clock_ms=rng.choice((0, 2**40)),
+        ),
+    )
+
+
+@settings(max_examples=60)
+@given(seed=st.integers(0, 2**32), same_name=st.booleans())
+def test_heartbeats_of_other_writers_cause_no_concurrent_runs(
+    seed: int,
+    same_name: bool,
+) -> None:
+    """Guard against runs that are given up for an executor that is not there.
+
+    Executors restart between, and some answers are lost.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(seed, ENTRIES, AGENTS)
+    fleet.calls.durations_s = (0.1, 1.8)
+    fleet.calls.lose_answers = rng.choice((0, 0.1))
+    for number in range(JOBS):
+        _submit(fleet, rng, number)
+        match rng.randrange(6):
+            case 0 | 1:
+                _send_odd_heartbeat(fleet, rng)
+            case 2:
+                _crash(fleet, rng, same_name=same_name)
+        fleet.run(rng.uniform(0, 0.3))
+    _check_nothing_is_left(fleet)
+
+
 @settings(max_examples=60)
 @given(seed=st.integers(0, 2**32), same_name=st.booleans())
 def test_restarts_behind_cuts_leave_no_concurrent_runs(
--- a/tests/fakes/executor.py
+++ b/tests/fakes/executor.py
@@ -51,6 +51,7 @@
     name: str
     capacity: Resources
     born_ms: int = 1
+    address: str = 'address'
     clock_offset_s: float = 100
     lease_limit_s: float = 1
     fence: int = 0
@@ -119,6 +120,8 @@
         call: effects.ProbeInstance,
     ) -> events.InstanceProbed:
         """Tell whether the instance that is asked for is this one."""
+        if call.executor.address != self.address:
+            return events.InstanceProbed(now, call.executor, verdicts.UNKNOWN)
         if call.executor.name != self.name:
             return events.InstanceProbed(now, call.executor, verdicts.ABSENT)
         self.fence = max(self.fence, call.fence)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -188,7 +188,7 @@
                 executor.born_ms,
                 executor.clock_ms(now),
                 SERVICE,
-                'address',
+                executor.address,
                 (),
                 executor.capacity,
                 draining=False,
