--- a/review/6/case.py
+++ b/review/6/case.py
@@ -60,25 +60,7 @@
     await asyncio.sleep(OBSERVED_S)
     for task in (*posted, sign_off):
         task.cancel()
-    return [text for job in jobs for text in find_overlaps(rig, job)]
-
-
-def find_overlaps(rig, job):
-    """Return the pairs of runs of one task that went on at the same time."""
-    runs = sorted(rig.runs_of(job), key=lambda row: row[2])
-    now = rig.record.now()
-    overlaps = []
-    for number, first in enumerate(runs):
-        first_end = first[3] or now
-        for second in runs[number + 1 :]:
-            if second[0] == first[0] and second[2] < first_end:
-                overlap_s = min(first_end, second[3] or now) - second[2]
-                overlaps.append(
-                    f'run {first[1]} on {first[5]} and run {second[1]} on '
-                    f'{second[5]} of {first[0]} went on together for '
-                    f'{overlap_s:.2f} s',
-                )
-    return overlaps
+    return [text for job in jobs for text in rigs.find_overlaps(rig, job)]
 
 
 rigs.run_case(FOLDER, ['shah-alam', 'petaling'], EXECUTORS, play)
