Redial an address while nobody listens there yet

Cause: a dialled socket made one attempt. If the process at the address did not listen yet, the session waited for the whole join timeout (1 s) and a backoff before the next attempt.

Ruled out: the interval of the members' watch (agents that heard of the entry later were linked before).

Change: until the connection is open, the library redials within the link's backoff (0.1 to 0.5 s); a connection that is lost is not redialled, as before.

The new test waits for its limit without the change and passes with it.

--- a/src/savoryrudder/daemon/dialled_links.py
+++ b/src/savoryrudder/daemon/dialled_links.py
@@ -19,6 +19,7 @@
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
 from savoryrudder.daemon.sockets import PairSocket
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,6 +70,15 @@
             return ''
         return session.ids.session
 
+    @property
+    def _redial_ms(self) -> tuple[int, int]:
+        # A process that starts listens soon after its address is known.
+        timing = self._timing
+        return (
+            int(timing.backoff_min_s * MS_PER_S),
+            int(timing.backoff_max_s * MS_PER_S),
+        )
+
     def set_wanted(self, *, wanted: bool) -> None:
         """Set whether to dial again once the open session has ended."""
         self._is_wanted = wanted
@@ -95,7 +105,7 @@
         session_id = secrets.token_hex(_SESSION_BYTES)
         socket = PairSocket(pynng.Pair1())
         try:
-            socket.dial_once(self._address)
+            socket.dial_once(self._address, redial_ms=self._redial_ms)
         except _DIAL_ERRORS:
             socket.close()
             return
--- a/src/savoryrudder/daemon/sockets.py
+++ b/src/savoryrudder/daemon/sockets.py
@@ -34,6 +34,7 @@
     def __init__(self, socket: Any) -> None:
         """Take ownership of a socket, which `close` releases."""
         self._socket = socket
+        self._dialer: Any = None
         self._socket.recv_max_size = _MAX_FRAME_BYTES
         self._socket.recv_buffer_size = _BUFFERED_FRAMES
         self._socket.send_buffer_size = _BUFFERED_FRAMES
@@ -81,7 +82,7 @@
         min_ms, max_ms = redial_ms
         self._socket.reconnect_time_min = min_ms
         self._socket.reconnect_time_max = max_ms
-        self._socket.dial(f'tcp://{address}', block=False)
+        self._dialer = self._socket.dial(f'tcp://{address}', block=False)
 
     def listen(self, address: str) -> str:
         """Listen on `ip:port` and return the bound address."""
@@ -108,16 +109,27 @@
         self._socket.add_post_pipe_remove_cb(self._on_pipe_removed)
 
     async def wait_connected(self) -> None:
-        """Wait until the connection is open."""
+        """Wait until the connection is open; it is not redialled then."""
         await self._connected.wait()
+        if self._dialer is not None:
+            self._dialer.reconnect_time_min = _NO_REDIAL_MS
+            self._dialer.reconnect_time_max = _NO_REDIAL_MS
 
     async def wait_disconnected(self) -> None:
         """Wait until the connection is closed or lost."""
         await self._disconnected.wait()
 
-    def dial_once(self, address: str) -> None:
-        """Dial `ip:port` without redialling a lost connection."""
-        self.dial(address, redial_ms=(_NO_REDIAL_MS, _NO_REDIAL_MS))
+    def dial_once(
+        self,
+        address: str,
+        *,
+        redial_ms: tuple[int, int] = (_NO_REDIAL_MS, _NO_REDIAL_MS),
+    ) -> None:
+        """Dial `ip:port` for one connection, which is not redialled if lost.
+
+        `redial_ms` bounds the delays between attempts while nobody listens.
+        """
+        self.dial(address, redial_ms=redial_ms)
 
     def _accept_first_pipe(self, pipe: Any) -> None:
         # Called in an NNG thread that holds the lock of the socket.
--- a/tests/daemon/test_shared_port.py
+++ b/tests/daemon/test_shared_port.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import socket
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 import trio
 
 from savoryrudder.daemon.dialled_links import DialledLinks
+from savoryrudder.daemon.dialled_links import SharedPortDialler
 from savoryrudder.daemon.shared_port import PipeSocket
 from savoryrudder.daemon.shared_port import SharedPortListener
 from savoryrudder.protocol import work
@@ -27,6 +29,8 @@
     from savoryrudder.daemon.liveness import LinkTiming
 
 pytestmark = pytest.mark.anyio
+# Bounds the wait of a test that hangs.
+_HANG_S = 10
 AGENT_HELLO = work.AgentHello('a1', 'a1#1', 'zone')
 ENTRY_HELLO = work.EntryHello('e1', 'e1#1', 'address')
 
@@ -145,6 +149,46 @@
         assert not retiring.sessions_at([linked.address])
 
 
+async def test_a_process_that_listens_later_is_linked_soon(
+    entry_recorder: Recorder,
+    agent_recorder: Recorder,
+    timing: LinkTiming,
+) -> None:
+    """Guard against a refused connection that uses up the whole join timeout.
+
+    After a loss of all power, agents dialled entries that did not listen yet,
+    and tried again only after the timeout.
+    """
+    address = _free_address()
+    patient = timing._replace(join_timeout_s=_HANG_S * 2)
+    links = SharedPortDialler(
+        address,
+        agent_recorder,
+        _no_revision,
+        patient,
+    )
+    listener = SharedPortListener(
+        address,
+        entry_recorder,
+        _no_revision,
+        timing,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(links.run)
+        await anyio.sleep(timing.backoff_min_s)
+        await group.start(listener.run)
+        with anyio.fail_after(_HANG_S):
+            await _wait_until_up(agent_recorder, 1)
+        group.cancel_scope.cancel()
+
+
+def _free_address() -> str:
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind(('127.0.0.1', 0))
+        host, port = probe.getsockname()
+    return f'{host}:{port}'
+
+
 class _FullSocket:
     """Have no room for some attempts to send; its file descriptor is shared."""
 
