Revert "Let jobs wait for agents that connect after an entry's start"

Cause: links are not what such jobs wait for. All agents were linked within 0.5 s, but an agent that has started knows its executor from the next heartbeat only, up to 1.5 s later. Jobs that are held until then go first, as they have to start first, and make those late that come meanwhile.

--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -181,7 +181,7 @@
         job = state.jobs.get(job_id)
         if job is None or not _is_queued(state, job):
             continue
-        if _start_deadline(state, job) > turn.now:
+        if _start_deadline(job) > turn.now:
             # The job has started, or another caller waits for it, since.
             _watch_start_deadline(state, job)
         elif job.started_at is None:
@@ -192,7 +192,7 @@
 
 
 def _watch_start_deadline(state: DispatchState, job: Job) -> None:
-    deadline = _start_deadline(state, job)
+    deadline = _start_deadline(job)
     if deadline < inf:
         heappush(state.start_deadlines, (deadline, job.request.job_id))
 
@@ -208,18 +208,14 @@
     return answers.Answer(answers.OVERLOADED, reason, _RETRY_SOON_S)
 
 
-def _start_deadline(state: DispatchState, job: Job) -> float:
+def _start_deadline(job: Job) -> float:
     if job.started_at is not None:
         return job.expires_at
-    deadline = min(
+    return min(
         job.latest_start,
+        job.expires_at,
         job.arrived_at + _MAX_UNSTARTED_SHARE * job.objective_s,
     )
-    if job.arrived_at < state.warm_up_until:
-        # The room that it waits for comes with the agents that connect. The
-        # callers would find no more of it at entries that start, too.
-        deadline = max(deadline, state.warm_up_until)
-    return min(deadline, job.expires_at)
 
 
 def expire_answers(state: DispatchState, now: float) -> None:
