Use executors last while they are cold

Cause: executors tell with each heartbeat for how long they are slow after their start. The agent decoded it and used it nowhere, so that tasks went to cold executors while warm ones were idle.

Change: the heartbeat event and the agent's reports say whether the executor is cold; a change is reported at once. The ranking keeps agents with cold executors apart, after the local and the remote warm ones, so that a sample of candidates holds warm ones whenever there are some with room. A cold one costs more than a warm one in any zone, less than one on trial. It stays in the capacity that admission counts, may be reserved, and is used when no warm one has room. Nothing changes where no executor says that it is cold.

Weighed: a factor on the estimate (a short task would still prefer a cold executor in its zone to a warm one in another); excluding cold executors (they would be idle while jobs wait); the remaining time in the reports (the next heartbeat tells the end).

--- a/src/savoryrudder/dispatch/capacity.py
+++ b/src/savoryrudder/dispatch/capacity.py
@@ -34,6 +34,7 @@
     service: str
     labels: tuple[str, ...]
     is_local: bool
+    is_cold: bool
     free_cpu: int
     share_cpu: int
 
@@ -42,8 +43,11 @@
 class _ServiceCapacity:
     """Hold the usable agents of a service and their sums, in millicores."""
 
-    local: _Ranking = field(default_factory=list)
-    remote: _Ranking = field(default_factory=list)
+    # The agents in the zone, those in other zones, and the same for agents with
+    # cold executors.
+    rankings: tuple[_Ranking, ...] = field(
+        default_factory=lambda: ([], [], [], []),
+    )
     # Links by the labels of their executors; the values of the maps are unused.
     labelled: dict[str, dict[str, None]] = field(default_factory=dict)
     free_cpu: int = 0
@@ -53,7 +57,8 @@
 class CapacityRanking:
     """Rank the usable agents of each service, the freest first.
 
-    Agents in the zone of the entry are ranked apart from the others.
+    Agents in the zone of the entry are ranked apart from the others, and those
+    with cold executors apart from both.
     """
 
     def __init__(self, zone: str) -> None:
@@ -69,7 +74,7 @@
     def count_agents(self, service: str) -> int:
         """Return the number of usable agents of a service."""
         capacity = self._services.get(service)
-        return len(capacity.local) + len(capacity.remote) if capacity else 0
+        return sum(map(len, capacity.rankings)) if capacity else 0
 
     def free_cpu(self, service: str) -> int:
         """Return the free millicores of a service."""
@@ -91,19 +96,20 @@
         capacity = self._services.get(service)
         return capacity.share_cpu if capacity else 0
 
-    def local_links(self, service: str, cpu: int) -> Iterator[str]:
-        """Yield the links in the zone with `cpu` free.
+    def links_with_room(
+        self,
+        service: str,
+        cpu: int,
+    ) -> tuple[Iterator[str], ...]:
+        """Return the links with `cpu` free, by preference.
 
-        The first `SAMPLE_SIZE` are spread over the ranking, because the
-        freest executors may all be of one kind.
+        Those in the zone come first, those in other zones second, and then the
+        same for cold executors. The first `SAMPLE_SIZE` of each are spread over
+        the ranking, because the freest executors may all be of one kind.
         """
         capacity = self._services.get(service)
-        return _links(capacity.local if capacity else [], cpu)
-
-    def remote_links(self, service: str, cpu: int) -> Iterator[str]:
-        """Yield the links in other zones with `cpu` free, spread as above."""
-        capacity = self._services.get(service)
-        return _links(capacity.remote if capacity else [], cpu)
+        rankings = capacity.rankings if capacity else ()
+        return tuple(_links(ranking, cpu) for ranking in rankings)
 
     def labelled_links(self, service: str, label: str) -> Iterator[str]:
         """Yield the links to executors with a label."""
@@ -111,10 +117,13 @@
         return iter(capacity.labelled.get(label, ()) if capacity else ())
 
     def freest_links(self, service: str) -> Iterator[str]:
-        """Yield the links in the zone, the freest first, then the others."""
+        """Yield the links in the zone, the freest first, then the others.
+
+        Those to cold executors come last.
+        """
         capacity = self._services.get(service)
         if capacity is not None:
-            for _, link in chain(capacity.local, capacity.remote):
+            for _, link in chain(*capacity.rankings):
                 yield link
 
     def update(self, link: str, agent: AgentView) -> bool:
@@ -144,6 +153,7 @@
             report.service,
             report.labels,
             agent.zone == self._zone,
+            report.cold,
             agent.free.cpu,
             report.capacity.cpu // max(report.entries, 1),
         )
@@ -172,7 +182,8 @@
 
 
 def _ranking_of(capacity: _ServiceCapacity, position: _Position) -> _Ranking:
-    return capacity.local if position.is_local else capacity.remote
+    rank = 2 * position.is_cold + (not position.is_local)
+    return capacity.rankings[rank]
 
 
 def _links(ranking: _Ranking, cpu: int) -> Iterator[str]:
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -166,8 +166,7 @@
     step = job.steps[task.step_index].step
     service = job.queue.service
     for link in chain(
-        state.capacity.local_links(service, step.demand.cpu),
-        state.capacity.remote_links(service, step.demand.cpu),
+        *state.capacity.links_with_room(service, step.demand.cpu),
     ):
         candidate = state.agents[link]
         if candidate.name == task.agent or is_avoided(candidate, now):
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -45,6 +45,8 @@
 # Tasks of a step follow the one before to the same executor while this share
 # of its processors stays free.
 _SPARE_SHARE: Final = 0.25
+# Ranks cold executors behind the others.
+_COLD_PENALTY_MS: Final = 10_000
 # Ranks executors on trial, and those the task avoids, behind all others.
 _AVOIDED_PENALTY_MS: Final = 100_000
 # A task on an executor on trial may have to be restarted after this time. Jobs
@@ -199,6 +201,8 @@
         cost_ms *= _REMOTE_DATA_FACTOR
     if agent.zone != state.identity.zone:
         cost_ms += _OTHER_ZONE_COST_MS
+    if agent.cold:
+        cost_ms += _COLD_PENALTY_MS
     return cost_ms
 
 
@@ -212,8 +216,7 @@
     step = progress.step
     for links in (
         ranking.labelled_links(service, step.data_rack),
-        ranking.local_links(service, step.demand.cpu),
-        ranking.remote_links(service, step.demand.cpu),
+        *ranking.links_with_room(service, step.demand.cpu),
     ):
         suitable = (
             (link, search.state.agents[link])
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -190,6 +190,11 @@
         """Return whether the executor is on trial, with one task at a time."""
         return self.report is not None and self.report.on_trial
 
+    @property
+    def cold(self) -> bool:
+        """Return whether the executor is still slow after its start."""
+        return self.report is not None and self.report.cold
+
 
 @dataclass(slots=True)
 class DispatchState:
--- a/src/savoryrudder/platform/heartbeats.py
+++ b/src/savoryrudder/platform/heartbeats.py
@@ -129,6 +129,7 @@
                 ),
                 body.state == _DRAINING,
                 body.clock_ms,
+                body.cold_remaining_ms > 0,
             ),
         )
         return _ACKNOWLEDGED
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -128,7 +128,7 @@
     `free` accounts for the receiver's `StartTask` messages up to the number
     `starts_seen`. An executor `on_trial` was suspended for a stall and takes
     one task at a time until one makes progress. Its capacity is shared by a
-    number of `entries`.
+    number of `entries`. A `cold` executor is slow for a while after its start.
     """
 
     executor: str
@@ -140,6 +140,7 @@
     starts_seen: int
     on_trial: bool = False
     entries: int = 1
+    cold: bool = False
 
 
 class RunningTasks(NamedTuple):
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -47,7 +47,8 @@
     """The executor sent a heartbeat.
 
     `started_ms` is the UTC time at which the instance started, by a clock that
-    may jump. `sequence` increases with each heartbeat of an instance.
+    may jump. `sequence` increases with each heartbeat of an instance. A `cold`
+    one is slow for a while after its start.
     """
 
     now: float
@@ -60,6 +61,7 @@
     capacity: Resources
     draining: bool
     clock_ms: int
+    cold: bool = False
 
     @property
     def instance(self) -> ExecutorInstance:
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -70,6 +70,7 @@
         state.health.on_trial,
         heartbeat.executor,
         sum(1 for link in state.links.values() if link.incarnation),
+        heartbeat.cold,
         turn.now,
     )
     nearly_full_cpu = _nearly_full_cpu(heartbeat)
@@ -104,6 +105,7 @@
         starts_seen,
         sent.on_trial,
         sent.entries,
+        sent.cold,
     )
 
 
@@ -136,9 +138,7 @@
     previous = link.last_report
     if previous is None or previous.executor != current.executor:
         return True
-    if previous.accepting != current.accepting:
-        return True
-    if previous.on_trial != current.on_trial:
+    if _conditions_of(previous) != _conditions_of(current):
         return True
     if (previous.free, previous.entries) == (current.free, current.entries):
         return False
@@ -152,6 +152,11 @@
     return current.sent_at - previous.sent_at >= delay_s
 
 
+def _conditions_of(report: SentReport) -> tuple[bool, ...]:
+    # Entries are told a change of these at once.
+    return report.accepting, report.on_trial, report.cold
+
+
 def _nearly_full_cpu(heartbeat: ExecutorHeartbeat) -> float:
     return heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
 
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -57,6 +57,7 @@
         clock_ms: int = 1000,
         service: str = 'pane',
         address: str = 'address',
+        cold: bool = False,
     ) -> None:
         """Let the executor send a heartbeat."""
         self.post(
@@ -71,6 +72,7 @@
                 Resources(8000, 4096, 0),
                 draining,
                 clock_ms=clock_ms,
+                cold=cold,
             ),
         )
 
