Send nothing new to evacuated availability zones

Cause: the operator's keys for the evacuation of a zone were read by nobody, so tasks were started there all the while.

Change: an entry follows all keys of the operator with the watch that followed the configuration (no further call to the store). Agents of an evacuated zone are not usable for new tasks: they leave the ranking that placement, reservation, moves, admission and the load for other entries read. Queued jobs that have not run and that the rest cannot start in time are refused at once. Agents are told as well and refuse starts, so that an entry without the store stops, too; the store's revision tells which news is newer. A start that waits at the agent for its turn is given back. Runs end normally. Where no zone is evacuated, agents get one more message in the first frame of a link.

--- a/src/savoryrudder/daemon/dispatcher.py
+++ b/src/savoryrudder/daemon/dispatcher.py
@@ -33,6 +33,7 @@
     from savoryrudder.dispatch.answers import QueueLength
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.jobs.model import Configuration
+    from savoryrudder.protocol.evacuation import EvacuatedZones
     from savoryrudder.protocol.members import Member
     from savoryrudder.protocol.messages import Message
 
@@ -150,6 +151,10 @@
             events.ConfigurationRead(trio.current_time(), configuration),
         )
 
+    def apply_evacuation(self, evacuation: EvacuatedZones) -> None:
+        """Handle the evacuated zones read from the store."""
+        self.handle(events.EvacuationsRead(trio.current_time(), evacuation))
+
     def drain(self, timeout_s: float) -> None:
         """Begin a graceful stop."""
         self.handle(events.DrainRequested(trio.current_time(), timeout_s))
--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -36,6 +36,26 @@
 ) -> None:
     """Call `on_change` with the keys below a prefix on each change.
 
+    Runs as `watch_snapshots`.
+    """
+    await watch_snapshots(
+        store,
+        prefix,
+        wait_s,
+        lambda snapshot: on_change(snapshot.entries),
+        pause_s,
+    )
+
+
+async def watch_snapshots(
+    store: interface.KeyValueStore,
+    prefix: str,
+    wait_s: float,
+    on_change: Callable[[interface.Snapshot], None],
+    pause_s: float = 0,
+) -> None:
+    """Call `on_change` with the keys and the version of each change.
+
     Runs until cancelled; `wait_s` bounds each long poll of the store. Changes
     within `pause_s` of a call are told together. After a call that failed, the
     store is asked for what has changed meanwhile, without a wait: it may be
@@ -56,7 +76,7 @@
                 log_event('store-regained', (('prefix', prefix),))
             is_store_lost = False
             if outcome.version != last_version:
-                on_change(outcome.entries)
+                on_change(outcome)
                 await anyio.sleep(pause_s)
             last_version = outcome.version
             continue
--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -182,8 +182,12 @@
 
     async def _start(self, call: effects.StartRun) -> None:
         verdict, clock_ms = verdicts.UNKNOWN, 0
-        with contain_errors(self.counters, 'start'):
-            verdict, clock_ms = await self._executor.start(call)
+        if self.state.evacuated:
+            # The zone was evacuated while the call waited for its turn.
+            verdict = verdicts.REFUSED
+        else:
+            with contain_errors(self.counters, 'start'):
+                verdict, clock_ms = await self._executor.start(call)
         self.handle(
             events.StartAnswered(
                 trio.current_time(),
--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -15,6 +16,7 @@
 from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
+    from savoryrudder.dispatch.state import AgentView
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.state import Job
     from savoryrudder.jobs.model import Queue
@@ -25,6 +27,21 @@
 # of the prediction; a longer queue would complete no more jobs, only later.
 _MAX_WAIT_SHARE: Final = 0.6
 _RETRY_ELSEWHERE_S: Final = 0.2
+_NO_EXECUTOR: Final = answers.Answer(
+    answers.UNAVAILABLE,
+    'no executor is available',
+    _RETRY_SOON_S,
+)
+_ALL_EVACUATED: Final = answers.Answer(
+    answers.UNAVAILABLE,
+    'no executor outside the evacuated zones is available',
+    _RETRY_SOON_S,
+)
+_NEEDS_EVACUATED: Final = answers.Answer(
+    answers.UNAVAILABLE,
+    'the executors that can run a task are in evacuated zones',
+    _RETRY_SOON_S,
+)
 
 
 def critical_path_s(request: JobRequest) -> float:
@@ -55,29 +72,81 @@
     if now < state.warm_up_until:
         # Agents may still be connecting after the start, so the job is queued.
         return None
-    if not state.capacity.has_agents(queue.service):
-        return answers.Answer(
-            answers.UNAVAILABLE,
-            'no executor is available',
-            _RETRY_SOON_S,
-        )
-    if not all(
-        _fits_anywhere(state, queue.service, step) for step in request.steps
-    ):
-        return answers.Answer(
-            answers.UNSUPPORTED,
-            'a task needs more than any executor has',
-        )
+    refusal = _refusal_without_executors(state, queue.service, request)
+    if refusal is not None:
+        return refusal
     wait_s = predicted_wait_s(state, queue, request, now)
     if wait_s > _MAX_WAIT_SHARE * _slack_s(queue, request):
+        return _overloaded(wait_s)
+    return None
+
+
+def _refusal_without_executors(
+    state: DispatchState,
+    service: str,
+    request: JobRequest,
+) -> answers.Answer | None:
+    if not state.capacity.has_agents(service):
+        is_evacuated = any(agent.evacuated for agent in state.agents.values())
+        return _ALL_EVACUATED if is_evacuated else _NO_EXECUTOR
+    if not all(_fits_anywhere(state, service, step) for step in request.steps):
         return answers.Answer(
-            answers.OVERLOADED,
-            f'tasks would wait {wait_s:.3f} s',
-            max(wait_s, _RETRY_SOON_S),
+            answers.UNSUPPORTED,
+            'a task needs more than any executor has',
         )
+    if state.evacuation.zones and not all(
+        _fits_outside(state, service, step) for step in request.steps
+    ):
+        return _NEEDS_EVACUATED
     return None
 
 
+def is_for_want_of_capacity(refusal: answers.Answer) -> bool:
+    """Return whether another entry may have the capacity that is missing."""
+    return refusal.verdict == answers.OVERLOADED or refusal == _ALL_EVACUATED
+
+
+def find_hopeless_jobs(
+    state: DispatchState,
+    now: float,
+) -> list[tuple[Job, answers.Answer]]:
+    """Return the queued jobs that must be refused, and their refusals.
+
+    Called when executors have gone: the jobs that have not run and that none of
+    the others can run, or not in time. Those ahead in the queue keep their
+    place.
+    """
+    hopeless: list[tuple[Job, answers.Answer]] = []
+    work_by_service: Counter[str] = Counter()
+    for _, _, job_id in state.job_queue:
+        job = state.jobs[job_id]
+        service = job.queue.service
+        ahead_cpu_ms = work_by_service[service]
+        refusal = _refusal_in_queue(state, job, ahead_cpu_ms, now)
+        if refusal is None:
+            work_by_service[service] += unstarted_work(job)
+        else:
+            hopeless.append((job, refusal))
+    return hopeless
+
+
+def _refusal_in_queue(
+    state: DispatchState,
+    job: Job,
+    ahead_cpu_ms: int,
+    now: float,
+) -> answers.Answer | None:
+    if job.may_have_run or now < state.warm_up_until:
+        return None
+    service = job.queue.service
+    refusal = _refusal_without_executors(state, service, job.request)
+    if refusal is not None:
+        return refusal
+    work_cpu_ms = ahead_cpu_ms + unstarted_work(job)
+    wait_s = _wait_s(state, service, job.request, work_cpu_ms)
+    return _overloaded(wait_s) if now + wait_s > job.latest_start else None
+
+
 def predicted_wait_s(
     state: DispatchState,
     queue: Queue,
@@ -94,12 +163,29 @@
         if queued_latest_start > latest_start:
             break
         work_cpu_ms += unstarted_work(state.jobs[job_id])
+    return _wait_s(state, queue.service, request, work_cpu_ms)
+
+
+def _wait_s(
+    state: DispatchState,
+    service: str,
+    request: JobRequest,
+    work_cpu_ms: int,
+) -> float:
     # Tasks that fit into the free resources start at once.
-    free_cpu = state.capacity.free_cpu(queue.service)
+    free_cpu = state.capacity.free_cpu(service)
     longest_ms = max(step.estimate_ms for step in request.steps)
-    work_cpu_ms = max(work_cpu_ms - free_cpu * longest_ms, 0)
-    share_cpu = max(state.capacity.share_cpu(queue.service), 1)
-    return work_cpu_ms / share_cpu / MS_PER_S
+    queued_cpu_ms = max(work_cpu_ms - free_cpu * longest_ms, 0)
+    share_cpu = max(state.capacity.share_cpu(service), 1)
+    return queued_cpu_ms / share_cpu / MS_PER_S
+
+
+def _overloaded(wait_s: float) -> answers.Answer:
+    return answers.Answer(
+        answers.OVERLOADED,
+        f'tasks would wait {wait_s:.3f} s',
+        max(wait_s, _RETRY_SOON_S),
+    )
 
 
 def unstarted_work(job: Job) -> int:
@@ -125,12 +211,23 @@
 
 
 def _fits_anywhere(state: DispatchState, service: str, step: Step) -> bool:
-    for agent in state.agents.values():
-        report = agent.report
-        if report is None or report.service != service:
-            continue
-        if not report.capacity.covers(step.demand):
-            continue
-        if not step.required_label or step.required_label in report.labels:
-            return True
-    return False
+    return any(
+        _could_run(agent, service, step) for agent in state.agents.values()
+    )
+
+
+def _fits_outside(state: DispatchState, service: str, step: Step) -> bool:
+    # Outside the evacuated zones.
+    return any(
+        not agent.evacuated and _could_run(agent, service, step)
+        for agent in state.agents.values()
+    )
+
+
+def _could_run(agent: AgentView, service: str, step: Step) -> bool:
+    report = agent.report
+    if report is None or report.service != service:
+        return False
+    if not report.capacity.covers(step.demand):
+        return False
+    return not step.required_label or step.required_label in report.labels
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -10,6 +10,7 @@
 
 from savoryrudder.jobs.model import Configuration
 from savoryrudder.jobs.model import JobRequest
+from savoryrudder.protocol.evacuation import EvacuatedZones
 from savoryrudder.protocol.messages import Message
 
 
@@ -27,6 +28,13 @@
     entries: tuple[str, ...]
 
 
+class EvacuationsRead(NamedTuple):
+    """The evacuated availability zones were read from the store."""
+
+    now: float
+    evacuation: EvacuatedZones
+
+
 class JobSubmitted(NamedTuple):
     """A caller submitted a job.
 
@@ -125,6 +133,7 @@
 DispatchEvent: TypeAlias = (
     ConfigurationRead
     | MembersRead
+    | EvacuationsRead
     | JobSubmitted
     | JobQueried
     | JobCancelled
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import evacuation
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import orphans
@@ -168,6 +169,7 @@
     """Update the capacity and free resources of an executor."""
     agent = state.agents[link]
     agent.report = report
+    evacuation.update_agent(state, agent)
     for number in tuple(agent.unreported_starts):
         if number <= report.starts_seen:
             agent.unreported_starts.pop(number)
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -15,6 +15,7 @@
 from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
 from savoryrudder.dispatch import draining
+from savoryrudder.dispatch import evacuation
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch import fleet
 from savoryrudder.dispatch import health
@@ -106,6 +107,14 @@
     relays.expect_members(state, turn, event.entries)
 
 
+def _handle_evacuations(
+    state: DispatchState,
+    turn: Turn,
+    event: events.EvacuationsRead,
+) -> None:
+    evacuation.apply(state, turn, event)
+
+
 def _handle_job_submitted(
     state: DispatchState,
     turn: Turn,
@@ -116,7 +125,7 @@
     immediate_answer = _immediate_answer(state, event)
     is_refused = (
         immediate_answer is not None
-        and immediate_answer.verdict == answers.OVERLOADED
+        and admission.is_for_want_of_capacity(immediate_answer)
     )
     if immediate_answer is not None and not is_refused:
         _answer_at_once(state, turn, event, immediate_answer)
@@ -364,6 +373,7 @@
         case work.AgentHello():
             former_link = state.links_by_agent.get(event.message.agent, '')
             fleet.register_agent(state, turn, event.link, event.message)
+            evacuation.tell(state, turn, event.link)
             relays.remove_agent(state, turn, former_link)
             relays.ask_agent(state, turn, event.link)
         case work.EntryHello():
@@ -463,6 +473,7 @@
     {
         events.ConfigurationRead: _handle_configuration,
         events.MembersRead: _handle_members,
+        events.EvacuationsRead: _handle_evacuations,
         events.JobSubmitted: _handle_job_submitted,
         events.JobQueried: queries.answer_query,
         events.JobCancelled: queries.cancel,
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -23,6 +23,8 @@
 from savoryrudder.jobs.model import Queue
 from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
+from savoryrudder.protocol.evacuation import UNREAD_ZONES
+from savoryrudder.protocol.evacuation import EvacuatedZones
 from savoryrudder.protocol.work import ExecutorReport
 from savoryrudder.protocol.work import RunId
 
@@ -158,7 +160,8 @@
     of the task duration relative to the estimate; `reported_slowness` is the
     same ratio of the latest slow run and is valid until `slow_until`. An agent
     that `batches` takes the starts of a step in one message. Runs of the
-    `orphaned_jobs` may be going on there without their owner.
+    `orphaned_jobs` may be going on there without their owner. An agent whose
+    zone is `evacuated` gets no new tasks.
     """
 
     name: str
@@ -178,12 +181,15 @@
     carries_work: bool = True
     batches: bool = False
     orphaned_jobs: frozenset[str] = frozenset()
+    evacuated: bool = False
 
     @property
     def usable(self) -> bool:
         """Return whether tasks may be sent to the agent."""
         report = self.report
-        return self.reconciled and report is not None and report.accepting
+        if report is None or self.evacuated:
+            return False
+        return self.reconciled and report.accepting
 
     @property
     def on_trial(self) -> bool:
@@ -216,6 +222,7 @@
         default_factory=dict
     )
     agents: dict[str, AgentView] = field(default_factory=dict)
+    evacuation: EvacuatedZones = UNREAD_ZONES
     # Links by the names of the agents at their other ends.
     links_by_agent: dict[str, str] = field(default_factory=dict)
     capacity: CapacityRanking = field(init=False)
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -13,7 +13,7 @@
 from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.membership import Registration
-from savoryrudder.daemon.membership import watch_prefix
+from savoryrudder.daemon.membership import watch_snapshots
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.dispatch.state import DispatchIdentity
 from savoryrudder.dispatch.state import DispatchState
@@ -22,6 +22,7 @@
 from savoryrudder.platform.callers import CallerApp
 from savoryrudder.platform.configuration import CONFIGURATION_KEY
 from savoryrudder.platform.configuration import decode_configuration
+from savoryrudder.platform.evacuations import read_evacuated_zones
 from savoryrudder.platform.store import PlatformStore
 from savoryrudder.platform.store import longest_watch_s
 from savoryrudder.protocol.members import Member
@@ -30,8 +31,11 @@
     from anyio.abc import TaskGroup
 
     from savoryrudder.platform.settings import ProcessSettings
-    from savoryrudder.store.interface import KeyValue
+    from savoryrudder.store.interface import KeyValueStore
+    from savoryrudder.store.interface import Snapshot
 
+# What the operator writes: the configuration, and zones to evacuate.
+_OPERATOR_PREFIX: Final = 'op/'
 # Time for an agent that was lost to notice it and to stop its runs or let
 # their lease expire.
 _SETTLE_S: Final = 2.5
@@ -52,7 +56,12 @@
     async with anyio.create_task_group() as group:
         await group.start(dispatcher.run)
         group.start_soon(registration.run)
-        _follow_configuration(group, settings, store, dispatcher)
+        group.start_soon(
+            follow_operator,
+            store,
+            longest_watch_s(settings.news_limit_s),
+            dispatcher,
+        )
         process.watch_members(group, store, dispatcher)
         process.handle_signals(group, settings, store, dispatcher)
         await _serve_callers(group, settings, dispatcher, stopping)
@@ -63,26 +72,29 @@
         group.cancel_scope.cancel()
 
 
-def _follow_configuration(
-    group: TaskGroup,
-    settings: ProcessSettings,
-    store: PlatformStore,
+async def follow_operator(
+    store: KeyValueStore,
+    wait_s: float,
     dispatcher: Dispatcher,
 ) -> None:
-    group.start_soon(
-        watch_prefix,
+    """Pass what the operator writes to the dispatcher, until cancelled.
+
+    `wait_s` bounds each long poll of the store.
+    """
+    await watch_snapshots(
         store,
-        CONFIGURATION_KEY,
-        longest_watch_s(settings.news_limit_s),
-        partial(_update_configuration, dispatcher),
+        _OPERATOR_PREFIX,
+        wait_s,
+        partial(_apply_operator_keys, dispatcher),
     )
 
 
-def _update_configuration(
-    dispatcher: Dispatcher,
-    entries: tuple[KeyValue, ...],
-) -> None:
-    for item in entries:
+def _apply_operator_keys(dispatcher: Dispatcher, snapshot: Snapshot) -> None:
+    # An entry takes jobs once it has a configuration, and must know then which
+    # zones are evacuated.
+    evacuation = read_evacuated_zones(snapshot, dispatcher.counters)
+    dispatcher.apply_evacuation(evacuation)
+    for item in snapshot.entries:
         if item.key == CONFIGURATION_KEY and item.value is not None:
             _apply_configuration(dispatcher, item.value)
 
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from savoryrudder.protocol import delegation
+from savoryrudder.protocol import evacuation
 from savoryrudder.protocol import messages
 from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
@@ -68,6 +69,7 @@
         46: relay.EntryUnreachable,
         47: relay.RelayedClaims,
         48: work.OrphanedJobs,
+        49: evacuation.EvacuatedZones,
     }
 )
 _TAG_BY_TYPE: Final = MappingProxyType(
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -6,6 +6,7 @@
 from typing import TypeAlias
 
 from savoryrudder.protocol import delegation
+from savoryrudder.protocol import evacuation
 from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
 
@@ -361,4 +362,5 @@
     | relay.EntryReachable
     | relay.EntryUnreachable
     | relay.RelayedClaims
+    | evacuation.EvacuatedZones
 )
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -10,6 +10,7 @@
 from typing import TypeAlias
 
 from savoryrudder.jobs.model import Resources
+from savoryrudder.protocol.evacuation import UNREAD_ZONES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -129,6 +130,7 @@
     `starts_seen`. An executor `on_trial` was suspended for a stall and takes
     one task at a time until one makes progress. Its capacity is shared by a
     number of `entries`. A `cold` executor is slow for a while after its start.
+    Its zone is `evacuated` or not, as the agent was told at a `zones_revision`.
     """
 
     executor: str
@@ -141,6 +143,8 @@
     on_trial: bool = False
     entries: int = 1
     cold: bool = False
+    evacuated: bool = False
+    zones_revision: int = UNREAD_ZONES.revision
 
 
 class RunningTasks(NamedTuple):
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -10,11 +10,13 @@
 
 from savoryrudder.protocol import relay
 from savoryrudder.protocol import work
+from savoryrudder.protocol.evacuation import EvacuatedZones
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.effects import Exit
 from savoryrudder.utils.effects import SetCarriesWork
 from savoryrudder.utils.turn import Turn
 from savoryrudder.worker import departures
+from savoryrudder.worker import evacuation
 from savoryrudder.worker import events
 from savoryrudder.worker import instances
 from savoryrudder.worker import orphans
@@ -143,6 +145,8 @@
         case work.EndsAcknowledged():
             owner = state.links[link].incarnation
             renewal.discard_ends(state, owner, message.run_ids)
+        case EvacuatedZones():
+            evacuation.apply(state, turn, message)
         case relay.FindEntries():
             relays.answer_search(state, turn, link, message)
         case relay.RelayedClaims():
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -71,6 +71,8 @@
         heartbeat.executor,
         sum(1 for link in state.links.values() if link.incarnation),
         heartbeat.cold,
+        state.evacuated,
+        state.evacuation.revision,
         turn.now,
     )
     nearly_full_cpu = _nearly_full_cpu(heartbeat)
@@ -106,6 +108,8 @@
         sent.on_trial,
         sent.entries,
         sent.cold,
+        sent.evacuated,
+        sent.zones_revision,
     )
 
 
@@ -154,7 +158,7 @@
 
 def _conditions_of(report: SentReport) -> tuple[bool, ...]:
     # Entries are told a change of these at once.
-    return report.accepting, report.on_trial, report.cold
+    return report.accepting, report.on_trial, report.cold, report.evacuated
 
 
 def _nearly_full_cpu(heartbeat: ExecutorHeartbeat) -> float:
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -257,6 +257,8 @@
 def _refusal_reason(state: WorkerState, message: work.StartTask) -> str:
     if state.draining:
         return 'agent is leaving'
+    if state.evacuated:
+        return 'zone is evacuated'
     if not state.accepting:
         return 'executor takes no tasks'
     if message.task in state.runs:
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -13,6 +13,8 @@
 from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import work
+from savoryrudder.protocol.evacuation import UNREAD_ZONES
+from savoryrudder.protocol.evacuation import EvacuatedZones
 from savoryrudder.worker.effects import ExecutorInstance
 from savoryrudder.worker.lease import MAX_CLOCK_DRIFT
 from savoryrudder.worker.lease import Health
@@ -143,6 +145,8 @@
     executor: str
     entries: int
     cold: bool
+    evacuated: bool
+    zones_revision: int
     sent_at: float
 
 
@@ -211,6 +215,8 @@
     orphaned_jobs: tuple[str, ...] = ()
     # Set while the lease is not extended, for the sake of lost owners' runs.
     lease_withheld: bool = False
+    # The newest set of evacuated zones that an entry has told.
+    evacuation: EvacuatedZones = UNREAD_ZONES
     draining: bool = False
     exit_at: float = float('inf')
     exited: bool = False
@@ -232,7 +238,7 @@
         heartbeat = self.heartbeat
         if heartbeat is None or heartbeat.draining or self.draining:
             return False
-        if self.signed_off_at is not None:
+        if self.signed_off_at is not None or self.evacuated:
             return False
         if heartbeat.started_ms != self.lease.started_ms:
             # The capacity of a new instance is known from its first heartbeat.
@@ -243,6 +249,11 @@
         is_silent = self.lease.silent_since is not None
         return self.lease.reconciled and not self.stray_runs and not is_silent
 
+    @property
+    def evacuated(self) -> bool:
+        """Return whether the zone of the executor is evacuated."""
+        return self.identity.zone in self.evacuation.zones
+
     @property
     def free(self) -> Resources:
         """Return the capacity that no run occupies."""
--- a/tests/dispatch/entry_driver.py
+++ b/tests/dispatch/entry_driver.py
@@ -19,6 +19,8 @@
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import work
+from savoryrudder.protocol.evacuation import UNREAD_ZONES
+from savoryrudder.protocol.evacuation import EvacuatedZones
 
 NO_CPU = Resources(0, 4096, 0)
 
@@ -53,6 +55,11 @@
         """Reduce a message."""
         return self.post(events.MessageReceived(self.now, link, message))
 
+    def evacuate(self, revision: int, *zones: str) -> list[Any]:
+        """Let the entry read from the store which zones are evacuated."""
+        evacuation = EvacuatedZones(revision, zones)
+        return self.post(events.EvacuationsRead(self.now, evacuation))
+
     def submit(self, name: str, tasks: int = 4, cpu: int = 1000) -> list[Any]:
         """Submit a job."""
         return self.submit_job(job_of(name, tasks, cpu))
@@ -80,8 +87,14 @@
         labels: tuple[str, ...] = (),
         *,
         cold: bool = False,
+        told: EvacuatedZones = UNREAD_ZONES,
     ) -> list[Any]:
-        """Let an agent report the free resources of its executor."""
+        """Let an agent report the free resources of its executor.
+
+        It accepts tasks unless it was `told` that its zone is evacuated.
+        """
+        agent = self.state.agents[link]
+        evacuated = agent.zone in told.zones
         return self.receive(
             link,
             work.ExecutorReport(
@@ -90,9 +103,11 @@
                 labels,
                 CAPACITY,
                 free,
-                accepting=True,
+                accepting=not evacuated,
                 starts_seen=starts,
                 cold=cold,
+                evacuated=evacuated,
+                zones_revision=told.revision,
             ),
         )
 
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -23,6 +23,8 @@
 from savoryrudder.jobs.model import Queue
 from savoryrudder.jobs.model import Resources
 from savoryrudder.jobs.model import Step
+from savoryrudder.protocol.evacuation import UNREAD_ZONES
+from savoryrudder.protocol.evacuation import EvacuatedZones
 from savoryrudder.protocol.members import Member
 from savoryrudder.utils import effects
 from savoryrudder.utils.ticks import TICK_S
@@ -163,13 +165,14 @@
         name: str,
         number: int,
         executor: FakeExecutor,
+        zone: str,
     ) -> None:
         """Start with a heartbeat of the executor."""
         self.name = name
         self.alive = True
         self.frozen = False
         self.executor = executor
-        identity = WorkerIdentity(name, f'{name}#{number}', ZONE)
+        identity = WorkerIdentity(name, f'{name}#{number}', zone)
         timing = WorkerTiming(1, 0.05)
         fence = int(fleet.clock.now * MS_PER_S)
         self.state = WorkerState(identity, timing, fence)
@@ -262,13 +265,18 @@
         configuration: Configuration = CONFIGURATION,
         executors: Sequence[FakeExecutor] = (),
         zones: Sequence[str] = (ZONE,),
+        agent_zones: Sequence[str] = (ZONE,),
     ) -> None:
         """Start all processes and let them connect.
 
         If `executors` are given, each of them gets an agent. The entries stand
-        in the `zones` in turn.
+        in the `zones` in turn, and the agents in the `agent_zones`.
         """
         self._zones = zones
+        self._agent_zones = agent_zones
+        # What the store holds, and the entries that do not reach it.
+        self.evacuation = UNREAD_ZONES
+        self.without_store: set[str] = set()
         self._configuration = configuration
         self.clock = Clock(seed)
         self.links = FleetLinks(self.clock)
@@ -331,6 +339,19 @@
         event = entry_events.DrainRequested(self.clock.now, timeout_s)
         self.entries[index].post(event)
 
+    def evacuate(self, *zones: str) -> None:
+        """Evacuate these availability zones and no others."""
+        revision = self.evacuation.revision + 1
+        self.evacuation = EvacuatedZones(revision, zones)
+        for entry in self.entries:
+            self._read_store(entry)
+
+    def reach_store(self, index: int) -> None:
+        """Let an entry read the store again."""
+        entry = self.entries[index]
+        self.without_store.discard(entry.name)
+        self._read_store(entry)
+
     def kill_agent(self, index: int, down_s: float) -> None:
         """Kill an agent and restart it later; its executor keeps running."""
         killed = self.agents[index]
@@ -409,6 +430,15 @@
             started_at,
         )
 
+    def _read_store(self, entry: EntryProcess) -> None:
+        is_known = self.evacuation != UNREAD_ZONES
+        if is_known and entry.name not in self.without_store:
+            event = entry_events.EvacuationsRead(
+                self.clock.now,
+                self.evacuation,
+            )
+            entry.post(event)
+
     def _new_agent(
         self,
         name: str,
@@ -416,7 +446,8 @@
     ) -> AgentProcess:
         number = next(self._numbers)
         local_executor = executor or FakeExecutor(f'x{number}', CAPACITY)
-        return AgentProcess(self, name, number, local_executor)
+        zone = self._agent_zones[int(name[1:]) % len(self._agent_zones)]
+        return AgentProcess(self, name, number, local_executor, zone)
 
     def _chosen_entries(self, agent: AgentProcess) -> list[EntryProcess]:
         members = {
@@ -436,6 +467,7 @@
         now = self.clock.now
         restarted = self._new_entry(self.entries[index].name, now)
         self.entries[index] = restarted
+        self._read_store(restarted)
         members = tuple(entry.name for entry in self.entries)
         restarted.post(entry_events.MembersRead(now, members))
 
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -16,6 +16,7 @@
 from savoryrudder.protocol.codec import FrameError
 from savoryrudder.protocol.codec import decode_frame
 from savoryrudder.protocol.codec import encode_frame
+from savoryrudder.protocol.evacuation import EvacuatedZones
 
 RUN_IDS = (work.RunId('j.0.0.0', 1, 7), work.RunId('k.0.0.0', 2, 8))
 RESOURCES = Resources(1000, 64, 0)
@@ -135,6 +136,27 @@
     assert received[-1] in {work.NO_JOB_NUMBER, ()}
 
 
+def test_evacuated_zones_keep_their_revision() -> None:
+    """Guard against zones that are lost, or out of order, in transit."""
+    told = EvacuatedZones(2**40, ('zone-a', 'zone-b'))
+    frame = Frame('s1', 1, 0, (told,))
+    assert decode_frame(encode_frame(frame)) == frame
+
+
+def test_a_report_of_an_earlier_release_is_of_a_warm_executor() -> None:
+    """Guard against releases that cannot run beside each other."""
+    report = work.ExecutorReport(
+        'x1', 's', (), RESOURCES, RESOURCES, accepting=True, starts_seen=1
+    )
+    encoded = encode_frame(Frame('s1', 1, 0, (report,)))
+    parts = msgspec.msgpack.decode(encoded)
+    tag, fields = parts[4][0]
+    parts[4] = [(tag, fields[:-3])]
+    decoded = decode_frame(msgspec.msgpack.encode(parts))
+    assert isinstance(decoded, Frame)
+    assert decoded.messages == (report,)
+
+
 def test_a_list_of_runs_without_job_numbers_is_complete() -> None:
     """Guard against runs that are left out of a list of an earlier release."""
     listed = work.RunningTasks((('j.0.0.0', 1),))
