--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -10,6 +10,7 @@
 from typing import TypeAlias
 
 from savoryrudder.jobs.model import Resources
+from savoryrudder.protocol.evacuation import UNREAD_ZONES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -128,7 +129,8 @@
     `free` accounts for the receiver's `StartTask` messages up to the number
     `starts_seen`. An executor `on_trial` was suspended for a stall and takes
     one task at a time until one makes progress. Its capacity is shared by a
-    number of `entries`.
+    number of `entries`. A `cold` executor is slow for a while after its start.
+    Its zone is `evacuated` or not, as the agent was told at a `zones_revision`.
     """
 
     executor: str
@@ -140,6 +142,9 @@
     starts_seen: int
     on_trial: bool = False
     entries: int = 1
+    cold: bool = False
+    evacuated: bool = False
+    zones_revision: int = UNREAD_ZONES.revision
 
 
 class RunningTasks(NamedTuple):
