Turn jobs away by priority, deadline and work

Jobs with short objectives can wait least, so the predicted wait alone refused urgent jobs more often than others; whoever waited kept its place, also when it could not be met any more.

An arriving job that would be refused is compared with the waiting ones, and takes the place of those that cost less. Each tick turns away jobs that would start late, before their time limit. While more urgent jobs are refused, others wait for at most 0.25 of their slack in place of 0.6. Queues and sizes that were turned away more often than others are spared. Retry-After follows the backlog, with a spread of whole seconds.

Seen to fail with the mechanism switched off: five of test_turned_away.py (an urgent job is refused while a less urgent one waits; no refusal when half of the agents are lost; no queue gives way, twice; all 50 refusals say 1 s). With waiting jobs all taken for refusable, the three tests of truthful refusals fail.

--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -21,9 +21,13 @@
     from savoryrudder.jobs.model import Step
 
 _RETRY_SOON_S: Final = 1
+# Callers are told whole seconds, so a smaller spread would not divide them.
+_RETRY_SPREAD_S: Final = 2
 # Maximum predicted wait as a share of the job's slack. The rest covers errors
 # of the prediction; a longer queue would complete no more jobs, only later.
 _MAX_WAIT_SHARE: Final = 0.6
+# The same while more urgent jobs are turned away.
+_YIELDING_WAIT_SHARE: Final = 0.25
 _RETRY_ELSEWHERE_S: Final = 0.2
 
 
@@ -69,13 +73,27 @@
             'a task needs more than any executor has',
         )
     wait_s = predicted_wait_s(state, queue, request, now)
-    if wait_s > _MAX_WAIT_SHARE * _slack_s(queue, request):
-        return answers.Answer(
-            answers.OVERLOADED,
-            f'tasks would wait {wait_s:.3f} s',
-            max(wait_s, _RETRY_SOON_S),
-        )
-    return None
+    if wait_s == 0:
+        return None
+    excess_s = wait_s - max_wait_s(state, queue, request, now)
+    if excess_s <= 0:
+        return None
+    return answers.Answer(
+        answers.OVERLOADED,
+        f'tasks would wait {wait_s:.3f} s',
+        retry_after_s(state, excess_s),
+    )
+
+
+def retry_after_s(state: DispatchState, backlog_s: float) -> float:
+    """Return when to submit a job again that has no room.
+
+    The queue has shrunk far enough after `backlog_s`. Callers who were refused
+    together do not all return together.
+    """
+    spread_s = max(backlog_s, _RETRY_SPREAD_S)
+    delay_s = backlog_s + state.rng.uniform(0, spread_s)
+    return max(delay_s, _RETRY_SOON_S)
 
 
 def predicted_wait_s(
@@ -89,7 +107,7 @@
     Assumes that every entry uses an equal share of the executors' capacity.
     """
     latest_start = now + _slack_s(queue, request)
-    work_cpu_ms = sum(_step_work(step) for step in request.steps)
+    work_cpu_ms = needed_work(request)
     for queued_latest_start, _, job_id in state.job_queue:
         if queued_latest_start > latest_start:
             break
@@ -102,6 +120,11 @@
     return work_cpu_ms / share_cpu / MS_PER_S
 
 
+def needed_work(request: JobRequest) -> int:
+    """Return the estimated work of a whole job (`cpu` x ms)."""
+    return sum(_step_work(step) for step in request.steps)
+
+
 def unstarted_work(job: Job) -> int:
     """Return the estimated work that has not started (`cpu` x ms)."""
     return sum(
@@ -116,6 +139,31 @@
     return step.tasks * step.demand.cpu * step.estimate_ms
 
 
+def max_wait_s(
+    state: DispatchState,
+    queue: Queue,
+    request: JobRequest,
+    now: float,
+) -> float:
+    """Return the longest predicted wait with which a job is accepted.
+
+    A job that should be spared may start at the last moment. While more urgent
+    jobs are turned away, others hardly wait.
+    """
+    shares = state.refusal_shares
+    slack_s = _slack_s(queue, request)
+    if shares.is_guarded(queue.name, needed_work(request), now):
+        return slack_s
+    if shares.gives_way(queue, now):
+        return _YIELDING_WAIT_SHARE * slack_s
+    return _MAX_WAIT_SHARE * slack_s
+
+
+def latest_start(queue: Queue, request: JobRequest, now: float) -> float:
+    """Return when a job that arrives now has to start."""
+    return now + _slack_s(queue, request)
+
+
 def _slack_s(queue: Queue, request: JobRequest) -> float:
     return _objective_s(queue, request) - critical_path_s(request)
 
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -121,6 +121,12 @@
         turn.reply(request_id, final_answer)
     job.open_requests.clear()
     turn.count(f'jobs_{final_answer.verdict}')
+    if final_answer.verdict == answers.OVERLOADED:
+        state.refusal_shares.record_refusal(
+            job.queue,
+            admission.needed_work(job.request),
+            turn.now,
+        )
     elapsed_s = turn.now - job.arrived_at
     turn.observe(f'job_{final_answer.verdict}', elapsed_s)
     turn.log(
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -21,6 +21,7 @@
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import orphans
+from savoryrudder.dispatch import overload
 from savoryrudder.dispatch import peer_links
 from savoryrudder.dispatch import queries
 from savoryrudder.dispatch import relays
@@ -96,6 +97,7 @@
         queues=len(configuration.queues),
     )
     state.configuration = configuration
+    state.refusal_shares.forget_others(configuration.queues.keys())
 
 
 def _handle_members(
@@ -134,9 +136,16 @@
             is_refused=is_refused,
         ):
             return
-    if immediate_answer is not None:
-        _answer_at_once(state, turn, event, immediate_answer)
-        return
+        overload.record_arrival(state, event, queue)
+        if immediate_answer is not None and not overload.make_room(
+            state,
+            turn,
+            event,
+            queue,
+        ):
+            _answer_at_once(state, turn, event, immediate_answer)
+            overload.record_refusal(state, turn, event, queue)
+            return
     job = state.jobs.get(event.job.job_id) or _accept_job(state, turn, event)
     if job.ended:
         _revive_job(state, turn, job, event)
@@ -421,7 +430,7 @@
     state.placement_due = True
     health.update_avoidance(state, turn.now)
     fleet.requeue_overdue(state, turn)
-    jobs.answer_overdue(state, turn)
+    overload.answer_hopeless(state, turn)
     isolation.forget_old_losses(state, turn.now)
     relays.forget_old_searches(state, turn.now)
     _resume_settled(state, turn)
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -16,6 +17,7 @@
 from savoryrudder.dispatch.peers import OrphanedJob
 from savoryrudder.dispatch.peers import PeerView
 from savoryrudder.dispatch.peers import RelayedEntry
+from savoryrudder.dispatch.refusal_shares import RefusalShares
 from savoryrudder.jobs.model import NO_CONFIGURATION
 from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.jobs.model import Configuration
@@ -214,6 +216,8 @@
     # Links by the names of the agents at their other ends.
     links_by_agent: dict[str, str] = field(default_factory=dict)
     capacity: CapacityRanking = field(init=False)
+    refusal_shares: RefusalShares = field(default_factory=RefusalShares)
+    rng: random.Random = field(init=False)
     # Set when a task may have become placeable since the last placement.
     placement_due: bool = False
     # Names of lost agents whose tasks may be unsettled.
@@ -266,6 +270,7 @@
     def __post_init__(self) -> None:
         """Rank agents from the zone of this entry."""
         self.capacity = CapacityRanking(self.identity.zone)
+        self.rng = random.Random(self.identity.incarnation)
         timing = self.timing
         self.local_claim_changes = ClaimChanges(
             timing.announcement_s,
