Derive the limits of clients from settings and configuration

Memory and descriptors that the platform grants a process, and the limits of heads and bodies in its configuration, were ignored. The listeners for callers and for heartbeats now share out of them; readiness and metrics have a small intake of their own, so that a crowd does not keep probes out. Limits that cannot be decoded are refused as a configuration is, and leave those in force.

--- a/src/savoryrudder/platform/agent.py
+++ b/src/savoryrudder/platform/agent.py
@@ -36,6 +36,8 @@
             serve_plain_http,
             HeartbeatApp(worker),
             settings.heartbeats,
+            None,
+            process.create_intake(settings, worker.counters),
         )
         await process.serve_metrics(group, settings, worker)
         await worker.stopped.wait()
--- a/src/savoryrudder/platform/callers.py
+++ b/src/savoryrudder/platform/callers.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from savoryrudder.daemon import asgi
+from savoryrudder.daemon.intake import Intake
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.dispatch import events
 from savoryrudder.platform.job_bodies import JOB_NAME_LENGTH
@@ -26,7 +27,6 @@
 
 _EventFactory: TypeAlias = Callable[[float, int], events.DispatchEvent]
 
-_MAX_BODY_BYTES: Final = 262_144
 _READINESS_PATH: Final = '/api/ready'
 # A longer time limit in milliseconds is none.
 _MAX_TIMEOUT_DIGITS: Final = 12
@@ -44,9 +44,14 @@
 class CallerApp:
     """Serve the callers of an entry; an ASGI application."""
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
-        """Pass callers' requests to `dispatcher`."""
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        intake: Intake | None = None,
+    ) -> None:
+        """Pass callers' requests to `dispatcher`, within limits."""
         self._dispatcher = dispatcher
+        self._intake = intake or Intake()
 
     async def __call__(
         self,
@@ -75,7 +80,10 @@
         scope: asgi.Message,
         receive: asgi.Receive,
     ) -> EncodedAnswer:
-        content = await asgi.read_body(receive, _MAX_BODY_BYTES)
+        content = await asgi.read_body(
+            receive,
+            self._intake.requests.max_body_bytes,
+        )
         if content is None:
             return _encode_error(413, 'the body is too large')
         # All kinds wait alike: a cancellation must not overtake its job.
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-from functools import partial
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -22,6 +21,7 @@
 from savoryrudder.platform.callers import CallerApp
 from savoryrudder.platform.configuration import CONFIGURATION_KEY
 from savoryrudder.platform.configuration import decode_configuration
+from savoryrudder.platform.configuration import decode_request_limits
 from savoryrudder.platform.store import PlatformStore
 from savoryrudder.platform.store import longest_watch_s
 from savoryrudder.protocol.members import Member
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from savoryrudder.daemon.intake import Intake
     from savoryrudder.platform.settings import ProcessSettings
     from savoryrudder.store.interface import KeyValue
 
@@ -43,6 +44,7 @@
 async def run_entry(settings: ProcessSettings) -> None:
     """Serve callers until stopped."""
     dispatcher = _new_dispatcher(settings)
+    intake = process.create_intake(settings, dispatcher.counters)
     store = PlatformStore(settings.store, dispatcher.counters)
     registration = Registration(
         store,
@@ -52,10 +54,15 @@
     async with anyio.create_task_group() as group:
         await group.start(dispatcher.run)
         group.start_soon(registration.run)
-        _follow_configuration(group, settings, store, dispatcher)
+        _follow_configuration(
+            group,
+            settings,
+            store,
+            _ConfigurationFollower(dispatcher, intake),
+        )
         process.watch_members(group, store, dispatcher)
         process.handle_signals(group, settings, store, dispatcher)
-        await _serve_callers(group, settings, dispatcher, stopping)
+        await _serve_callers(group, settings, dispatcher, stopping, intake)
         await process.serve_metrics(group, settings, dispatcher)
         await dispatcher.stopped.wait()
         stopping.set()
@@ -67,33 +74,46 @@
     group: TaskGroup,
     settings: ProcessSettings,
     store: PlatformStore,
-    dispatcher: Dispatcher,
+    follower: _ConfigurationFollower,
 ) -> None:
     group.start_soon(
         watch_prefix,
         store,
         CONFIGURATION_KEY,
         longest_watch_s(settings.news_limit_s),
-        partial(_update_configuration, dispatcher),
+        follower.update,
     )
 
 
-def _update_configuration(
-    dispatcher: Dispatcher,
-    entries: tuple[KeyValue, ...],
-) -> None:
-    for item in entries:
-        if item.key == CONFIGURATION_KEY and item.value is not None:
-            _apply_configuration(dispatcher, item.value)
+class _ConfigurationFollower:
+    """Apply the configurations that are read from the store."""
+
+    def __init__(self, dispatcher: Dispatcher, intake: Intake) -> None:
+        self._dispatcher = dispatcher
+        self._intake = intake
+
+    def update(self, entries: tuple[KeyValue, ...]) -> None:
+        """Apply the configuration, if it is among the entries."""
+        for item in entries:
+            if item.key == CONFIGURATION_KEY and item.value is not None:
+                self._apply(item.value)
 
+    def _apply(self, content: str) -> None:
+        decoded = decode_configuration(content)
+        if decoded.is_error():
+            self._refuse(decoded.error)
+            return
+        self._dispatcher.apply_configuration(decoded.ok)
+        limits = decode_request_limits(content)
+        if limits.is_error():
+            # The limits of requests in force remain.
+            self._refuse(limits.error)
+            return
+        self._intake.requests = limits.ok
 
-def _apply_configuration(dispatcher: Dispatcher, content: str) -> None:
-    decoded = decode_configuration(content)
-    if decoded.is_ok():
-        dispatcher.apply_configuration(decoded.ok)
-        return
-    dispatcher.counters.count('refused_configurations')
-    log_event('configuration-refused', (('reason', decoded.error),))
+    def _refuse(self, reason: str) -> None:
+        self._dispatcher.counters.count('refused_configurations')
+        log_event('configuration-refused', (('reason', reason),))
 
 
 async def _serve_callers(
@@ -101,11 +121,14 @@
     settings: ProcessSettings,
     dispatcher: Dispatcher,
     stopping: anyio.Event,
+    intake: Intake,
 ) -> None:
-    app = CallerApp(dispatcher)
-    await group.start(serve_plain_http, app, settings.callers, stopping)
-    if settings.readiness != settings.callers:
-        await group.start(serve_plain_http, app, settings.readiness)
+    app = CallerApp(dispatcher, intake)
+    address = settings.callers
+    await group.start(serve_plain_http, app, address, stopping, intake)
+    if settings.readiness != address:
+        counters = dispatcher.counters
+        await process.serve_probes(group, app, settings.readiness, counters)
 
 
 async def _shut_down(registration: Registration) -> None:
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -11,6 +11,9 @@
 import anyio
 
 from savoryrudder.daemon.http_server import serve_plain_http
+from savoryrudder.daemon.intake import PROBE_LIMITS
+from savoryrudder.daemon.intake import Intake
+from savoryrudder.daemon.intake import derive_limits
 from savoryrudder.daemon.logs import STANDARD_OUTPUT
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.logs import log_to
@@ -28,6 +31,8 @@
     from anyio.abc import TaskGroup
 
     from savoryrudder.daemon.dispatcher import Dispatcher
+    from savoryrudder.daemon.http import Application
+    from savoryrudder.daemon.metrics import Counters
     from savoryrudder.daemon.worker import Worker
     from savoryrudder.platform.settings import ProcessSettings
     from savoryrudder.platform.store import PlatformStore
@@ -66,6 +71,23 @@
         log_event('stop', (('name', settings.name),))
 
 
+def create_intake(settings: ProcessSettings, counters: Counters) -> Intake:
+    """Create the intake of the listeners that clients reach."""
+    limits = derive_limits(settings.memory_mb, settings.max_sockets)
+    return Intake(limits, counters)
+
+
+async def serve_probes(
+    group: TaskGroup,
+    app: Application,
+    address: str,
+    counters: Counters,
+) -> None:
+    """Serve probes, which have connections and memory of their own."""
+    intake = Intake(PROBE_LIMITS, counters)
+    await group.start(serve_plain_http, app, address, None, intake)
+
+
 async def serve_metrics(
     group: TaskGroup,
     settings: ProcessSettings,
@@ -73,7 +95,7 @@
 ) -> None:
     """Serve the health checks and metrics of a process."""
     address = f'{settings.host}:{_METRICS_PORT}'
-    await group.start(serve_plain_http, ProbeApp(process), address)
+    await serve_probes(group, ProbeApp(process), address, process.counters)
 
 
 def watch_members(
--- a/src/savoryrudder/platform/settings.py
+++ b/src/savoryrudder/platform/settings.py
@@ -18,6 +18,8 @@
 
 _DEFAULT_GRACE_S: Final = 6
 _DEFAULT_CONTACT_MS: Final = 3000
+# Of the descriptors of a process, these are for files.
+_FILE_DESCRIPTORS: Final = 200
 
 
 class ProcessSettings(NamedTuple):
@@ -40,6 +42,9 @@
     stop_s: float
     grace_s: float
     news_limit_s: float
+    # Memory and sockets of the process, 0 if the platform names no limit.
+    memory_mb: int = 0
+    max_sockets: int = 0
 
     @property
     def link_address(self) -> str:
@@ -96,4 +101,9 @@
             fields.get('bounds.contact_ms', _DEFAULT_CONTACT_MS),
         )
         / MS_PER_S,
+        memory_mb=int(fields.get('limits.memory_mb', 0)),
+        max_sockets=max(
+            int(fields.get('limits.max_fds', 0)) - _FILE_DESCRIPTORS,
+            0,
+        ),
     )
