Bound the requests to the product's own interface

hypercorn bounds heads and the time for them, but no bodies, no connections and no time to read a response. Its connections are now accepted by the same listener and intake as those of the plain server, and a guard in front of the application reads bodies within the limits: their size, time and the bytes of all of them together (setting request_memory_mb, 192 by default).

Not reached: 100 Continue is sent before a body is refused; frames of HTTP/2 beside bodies are bounded by the library alone.

--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -12,12 +12,16 @@
 
 import anyio
 
+from savoryrudder.daemon.api import MAX_BODY_BYTES
 from savoryrudder.daemon.api import create_api
 from savoryrudder.daemon.http import serve_http
+from savoryrudder.daemon.intake import Intake
+from savoryrudder.daemon.intake import limits_of_budget
 from savoryrudder.daemon.join import JoinRequest
 from savoryrudder.daemon.links import LinkListener
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.metrics import Counters
+from savoryrudder.daemon.request_limits import DEFAULT_LIMITS
 from savoryrudder.daemon.runtime import Runtime
 from savoryrudder.daemon.signals import watch_signals
 from savoryrudder.daemon.tracing import Span
@@ -47,6 +51,8 @@
 STORE_TIMEOUT_S: Final = 1.5
 # Lets the last answers reach their callers before the exit.
 LINGER_S: Final = 0.5
+# A body of the largest size takes this long over a slow link.
+BODY_TIMEOUT_S: Final = 300
 _INCARNATION_BYTES: Final = 4
 
 Response: TypeAlias = Answer | entry_effects.ReplyJson
@@ -67,6 +73,7 @@
     trace_ratio: float
     tls_certificate: str | None
     tls_key: str | None
+    request_memory_mb: int
     seed: int | None
     peers: list[str]
 
@@ -295,6 +302,8 @@
             serve_http,
             create_api(runtime, settings.stop_timeout_s),
             settings,
+            None,
+            _create_intake(settings, runtime.counters),
         )
         runtime.announce_addresses(address, listener.address)
         runtime.connect_configured_peers(settings.peers)
@@ -310,6 +319,15 @@
     runtime.tracer.close()
 
 
+def _create_intake(settings: EntrySettings, counters: Counters) -> Intake:
+    requests = DEFAULT_LIMITS._replace(
+        max_body_bytes=MAX_BODY_BYTES,
+        body_s=BODY_TIMEOUT_S,
+    )
+    limits = limits_of_budget(settings.request_memory_mb)
+    return Intake(limits, counters, requests)
+
+
 def _create_runtime(settings: EntrySettings) -> EntryRuntime:
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
     name = f'{settings.entry}#{incarnation}'
--- a/src/savoryrudder/settings/models.py
+++ b/src/savoryrudder/settings/models.py
@@ -40,6 +40,7 @@
     stop_timeout_s: Seconds = 30
     balancer_delay_s: Seconds = 2
     retention_s: Seconds = 600
+    request_memory_mb: int = Field(default=192, ge=32, le=100_000)
     log_file: str = ''
     trace_file: str = ''
     trace_ratio: Ratio = 0.01
