--- a/src/savoryrudder/daemon/entry.py
+++ b/src/savoryrudder/daemon/entry.py
@@ -16,7 +16,7 @@
 from savoryrudder.daemon.api import create_api
 from savoryrudder.daemon.http import serve_http
 from savoryrudder.daemon.intake import Intake
-from savoryrudder.daemon.intake import limits_of_budget
+from savoryrudder.daemon.intake_limits import limits_of_budget
 from savoryrudder.daemon.join import JoinRequest
 from savoryrudder.daemon.links import LinkListener
 from savoryrudder.daemon.logs import log_event
--- a/src/savoryrudder/platform/process.py
+++ b/src/savoryrudder/platform/process.py
@@ -11,9 +11,9 @@
 import anyio
 
 from savoryrudder.daemon.http_server import serve_plain_http
-from savoryrudder.daemon.intake import PROBE_LIMITS
 from savoryrudder.daemon.intake import Intake
-from savoryrudder.daemon.intake import derive_limits
+from savoryrudder.daemon.intake_limits import PROBE_LIMITS
+from savoryrudder.daemon.intake_limits import derive_limits
 from savoryrudder.daemon.logs import STANDARD_OUTPUT
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.logs import log_to
--- a/tests/daemon/test_http_limits.py
+++ b/tests/daemon/test_http_limits.py
@@ -15,7 +15,7 @@
 from savoryrudder.daemon.http_connection import Connection
 from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.intake import Intake
-from savoryrudder.daemon.intake import IntakeLimits
+from savoryrudder.daemon.intake_limits import IntakeLimits
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.request_limits import RequestLimits
 from savoryrudder.daemon.request_refusals import NO_MEMORY
--- a/tests/daemon/test_intake.py
+++ b/tests/daemon/test_intake.py
@@ -6,8 +6,8 @@
 
 from savoryrudder.daemon.intake import SMALL_REQUEST_BYTES
 from savoryrudder.daemon.intake import Intake
-from savoryrudder.daemon.intake import IntakeLimits
-from savoryrudder.daemon.intake import derive_limits
+from savoryrudder.daemon.intake_limits import IntakeLimits
+from savoryrudder.daemon.intake_limits import derive_limits
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.request_limits import RequestLimits
 from savoryrudder.daemon.request_limits import Stage
