--- a/src/savoryrudder/daemon/http.py
+++ b/src/savoryrudder/daemon/http.py
@@ -25,6 +25,7 @@
 from savoryrudder.daemon.request_guard import GuardedConnection
 from savoryrudder.daemon.request_guard import RequestGuard
 from savoryrudder.daemon.request_guard import current_connection
+from savoryrudder.daemon.request_refusals import NO_CONNECTION
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -142,8 +143,7 @@
         connection = GuardedConnection(stream, self._intake)
         current_connection.set(connection)
         try:
-            if self._intake.admit(connection, trio.current_time()):
-                await self._serve(stream)
+            await self._serve_if_admitted(connection, stream)
         except Exception:
             # One connection that fails unexpectedly must not end the others.
             log_event('request-failed', (('trace', traceback.format_exc()),))
@@ -151,6 +151,17 @@
             self._intake.remove(connection, trio.current_time())
             await trio.aclose_forcefully(stream)
 
+    async def _serve_if_admitted(
+        self,
+        connection: GuardedConnection,
+        stream: trio.SocketStream,
+    ) -> None:
+        now = trio.current_time()
+        if self._intake.admit(connection, now):
+            await self._serve(stream)
+        else:
+            self._intake.count_refusal(NO_CONNECTION, now)
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         wrapped: Any = stream
         if self._tls is not None:
