--- a/tests/platform/test_operator_keys.py
+++ b/tests/platform/test_operator_keys.py
@@ -14,6 +14,7 @@
 from trio.testing import MockClock
 
 from savoryrudder.daemon.dispatcher import Dispatcher
+from savoryrudder.daemon.intake import Intake
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.dispatch.state import DispatchIdentity
 from savoryrudder.dispatch.state import DispatchState
@@ -51,7 +52,13 @@
         Counters(),
     )
     async with anyio.create_task_group() as group:
-        group.start_soon(follow_operator, store, WAIT_S, dispatcher)
+        group.start_soon(
+            follow_operator,
+            store,
+            WAIT_S,
+            dispatcher,
+            Intake(),
+        )
         await anyio.sleep(0.5)
         before = dispatcher.state.evacuation.zones
         change(server)
