Split the hand-over of jobs between entries into four modules

delegation.py held the announcements of load, the choice of a peer, the life of a delegated job and the requests of other entries. The code moves unchanged to peer_load.py, peer_choice.py and foreign_jobs.py; two private functions became public, since another module calls them now.

--- a/src/savoryrudder/dispatch/claims.py
+++ b/src/savoryrudder/dispatch/claims.py
@@ -16,6 +16,7 @@
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import peer_links
+from savoryrudder.dispatch import peer_load
 from savoryrudder.dispatch.peers import PeerView
 from savoryrudder.protocol import work
 
@@ -56,7 +57,7 @@
     state.peers[link] = peer
     if not peer_links.is_relayed(link):
         state.working_peers.add(link)
-    delegation.choose_load_listeners(state)
+    peer_load.choose_load_listeners(state)
     turn.send(
         link,
         work.JobsClaimed(
@@ -96,7 +97,7 @@
     if peer is None:
         return None
     state.working_peers.discard(link)
-    delegation.choose_load_listeners(state)
+    peer_load.choose_load_listeners(state)
     isolation.record_lost_peer(state, turn.now, peer.entry)
     settled_at = turn.now + state.timing.settle_s
     turn.log('peer-lost', peer=peer.entry, jobs=len(peer.jobs))
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -17,11 +17,13 @@
 from savoryrudder.dispatch import draining
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch import fleet
+from savoryrudder.dispatch import foreign_jobs
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import orphans
 from savoryrudder.dispatch import peer_links
+from savoryrudder.dispatch import peer_load
 from savoryrudder.dispatch import queries
 from savoryrudder.dispatch import relays
 from savoryrudder.dispatch.placement import place_tasks
@@ -56,7 +58,7 @@
         state.placement_due = False
         _place_tasks(state, turn)
     draining.advance_drain(state, turn)
-    return relays.route(state, delegation.route_answers(state, turn))
+    return relays.route(state, foreign_jobs.route_answers(state, turn))
 
 
 def _place_tasks(state: DispatchState, turn: Turn) -> None:
@@ -309,7 +311,7 @@
     link: str,
     job: str = '',
 ) -> None:
-    for number in delegation.pop_foreign_requests(state, link, job):
+    for number in foreign_jobs.pop_foreign_requests(state, link, job):
         disconnected = events.CallerDisconnected(turn.now, number)
         _handle_caller_disconnected(state, turn, disconnected)
 
@@ -337,9 +339,9 @@
     link = event.link
     match event.message:
         case protocol.EntryLoad():
-            delegation.handle_load(state, link, event.message)
+            peer_load.handle_load(state, link, event.message)
         case protocol.DelegateJob():
-            submission = delegation.take(state, turn, link, event.message)
+            submission = foreign_jobs.take(state, turn, link, event.message)
             _handle_job_submitted(state, turn, submission)
         case protocol.DelegatedAnswer():
             delegation.handle_answer(state, turn, link, event.message)
@@ -428,8 +430,8 @@
     jobs.expire_answers(state, turn.now)
     claims.announce_changes(state, turn)
     if event.busy_share is not None:
-        delegation.record_load(state, event.busy_share)
-        delegation.announce_load(state, turn)
+        peer_load.record_load(state, event.busy_share)
+        peer_load.announce_load(state, turn)
     fleet.acknowledge_ends(state, turn)
     peer_links.end_work(state, turn)
 
