Share executors among entries by the work that each starts there

Admission took capacity / number of linked entries as the rate at which an entry works off its queue, whatever each entry receives. A busy entry refused callers while the others' shares lay idle.

The agent sees the starts of all entries. It keeps a sum of their work for each entry (half-life 0.5 s) and tells each one its share in ExecutorReport.share_cpu: a third of the capacity is shared equally, the rest in proportion to need. So shares sum up to the capacity at most, are equal without need, and an idle entry keeps a quarter of an equal share. A new entry begins with an equal one. The field is optional on the wire: without it shares are equal as before.

The share rides on reports that are due anyway; one that has changed by more than a quarter of the capacity is told after the batching delay.

Weighed: counting what an entry's runs occupy (a long task then holds room for its whole run time, and a queue of short ones is underestimated); a floor in place of the equal part (a decayed need that is never quite zero then keeps shares apart for ever).

--- a/src/savoryrudder/dispatch/capacity.py
+++ b/src/savoryrudder/dispatch/capacity.py
@@ -20,6 +20,7 @@
     from collections.abc import Iterator
 
     from savoryrudder.dispatch.state import AgentView
+    from savoryrudder.protocol.work import ExecutorReport
 
 # Pairs (negative free millicores, link), so that the most free comes first.
 _Ranking: TypeAlias = list[tuple[int, str]]
@@ -86,7 +87,8 @@
     def share_cpu(self, service: str) -> int:
         """Return the millicores, free or not, that are this entry's share.
 
-        The entries that an agent is linked with share its executor equally.
+        The entries that an agent is linked with share its executor by need, or
+        equally if the agent does not tell the shares.
         """
         capacity = self._services.get(service)
         return capacity.share_cpu if capacity else 0
@@ -145,7 +147,7 @@
             report.labels,
             agent.zone == self._zone,
             agent.free.cpu,
-            report.capacity.cpu // max(report.entries, 1),
+            _share_of(report),
         )
 
     def _insert(self, link: str, position: _Position) -> None:
@@ -171,6 +173,10 @@
         ranking.pop(bisect_left(ranking, (-position.free_cpu, link)))
 
 
+def _share_of(report: ExecutorReport) -> int:
+    return report.share_cpu or report.capacity.cpu // max(report.entries, 1)
+
+
 def _ranking_of(capacity: _ServiceCapacity, position: _Position) -> _Ranking:
     return capacity.local if position.is_local else capacity.remote
 
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -128,7 +128,8 @@
     `free` accounts for the receiver's `StartTask` messages up to the number
     `starts_seen`. An executor `on_trial` was suspended for a stall and takes
     one task at a time until one makes progress. Its capacity is shared by a
-    number of `entries`.
+    number of `entries`; the receiver may count on `share_cpu` millicores of it,
+    or on an equal share if that is 0.
     """
 
     executor: str
@@ -140,6 +141,7 @@
     starts_seen: int
     on_trial: bool = False
     entries: int = 1
+    share_cpu: int = 0
 
 
 class RunningTasks(NamedTuple):
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -22,6 +22,7 @@
 from savoryrudder.worker import renewal
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
+from savoryrudder.worker import shares
 from savoryrudder.worker import suspension
 from savoryrudder.worker.deadlines import RETIREMENT_GRACE_S
 from savoryrudder.worker.state import EntryLink
@@ -159,6 +160,7 @@
     if previous_link:
         # The entry has closed the previous link, but its end was not seen here.
         state.links[previous_link].incarnation = ''
+    _begin_share(state, turn.now, link)
     state.links[link].incarnation = hello.incarnation
     relays.record_entry(state, turn, link, hello)
     state.lost_owners.pop(hello.incarnation, None)
@@ -176,6 +178,16 @@
     turn.send(link, work.RunningTasks.of(running))
 
 
+def _begin_share(state: WorkerState, now: float, new_link: str) -> None:
+    others = [
+        link.recent_work.at(now)
+        for link in state.links.values()
+        if link.shares_executor
+    ]
+    recent_work = state.links[new_link].recent_work
+    recent_work.add(now, shares.initial_work(others))
+
+
 def _handle_executor_heartbeat(
     state: WorkerState,
     turn: Turn,
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -6,7 +6,8 @@
 executor that becomes nearly full is reported at once, as other entries would
 send it tasks that do not fit; while it is, entries wait for what becomes free.
 A report joins a message that is sent anyway, as messages of one turn share a
-frame.
+frame. The shares of the entries change with each start, and go with reports
+that are due for another reason, unless they have changed a lot.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import Send
+from savoryrudder.worker import shares
 from savoryrudder.worker.state import SentReport
 
 if TYPE_CHECKING:
@@ -34,6 +36,8 @@
 # An entry without runs here chooses among others first, most of the time.
 _UNUSED_LINK_DELAY_S: Final = 1
 _JOINING_DELAY_S: Final = 0.1
+# A share that has changed by this part of the capacity is told by itself.
+_MIN_SHARE_CHANGE: Final = 0.25
 
 
 def is_nearly_full(state: WorkerState) -> bool:
@@ -70,25 +74,42 @@
         state.health.on_trial,
         heartbeat.executor,
         sum(1 for link in state.links.values() if link.incarnation),
-        turn.now,
+        share_cpu=0,
+        sent_at=turn.now,
     )
-    nearly_full_cpu = _nearly_full_cpu(heartbeat)
+    capacity_cpu = heartbeat.capacity.cpu
+    share_by_link = _shares(state, turn.now, capacity_cpu)
     addressed = {
         effect.peer for effect in turn.effects if isinstance(effect, Send)
     }
     for name, link in state.links.items():
         if not link.incarnation:
             continue
-        sent = current
+        sent = current._replace(share_cpu=share_by_link.get(name, 0))
         if link.retired_at is not None:
-            sent = current._replace(accepting=False)
+            sent = sent._replace(accepting=False)
         is_joining = name in addressed
-        if not _is_due(link, sent, nearly_full_cpu, is_joining=is_joining):
+        if not _is_due(link, sent, capacity_cpu, is_joining=is_joining):
             continue
         link.last_report = sent
         turn.send(name, _describe(heartbeat, sent, link.starts_seen))
 
 
+def _shares(
+    state: WorkerState,
+    now: float,
+    capacity_cpu: int,
+) -> dict[str, int]:
+    return shares.share_by_need(
+        capacity_cpu,
+        {
+            name: link.recent_work.at(now)
+            for name, link in state.links.items()
+            if link.shares_executor
+        },
+    )
+
+
 def _describe(
     heartbeat: ExecutorHeartbeat,
     sent: SentReport,
@@ -104,6 +125,7 @@
         starts_seen,
         sent.on_trial,
         sent.entries,
+        sent.share_cpu,
     )
 
 
@@ -129,7 +151,7 @@
 def _is_due(
     link: EntryLink,
     current: SentReport,
-    nearly_full_cpu: float,
+    capacity_cpu: int,
     *,
     is_joining: bool,
 ) -> bool:
@@ -140,8 +162,12 @@
         return True
     if previous.on_trial != current.on_trial:
         return True
+    elapsed_s = current.sent_at - previous.sent_at
     if (previous.free, previous.entries) == (current.free, current.entries):
-        return False
+        share_change = abs(current.share_cpu - previous.share_cpu)
+        is_large = share_change > _MIN_SHARE_CHANGE * capacity_cpu
+        return is_large and elapsed_s >= _BATCHING_DELAY_S
+    nearly_full_cpu = capacity_cpu * _NEARLY_FULL_SHARE
     if current.free.cpu < nearly_full_cpu <= previous.free.cpu:
         return True
     delay_s = (
@@ -149,7 +175,7 @@
         if is_joining
         else _batching_delay_s(link, previous, nearly_full_cpu)
     )
-    return current.sent_at - previous.sent_at >= delay_s
+    return elapsed_s >= delay_s
 
 
 def _nearly_full_cpu(heartbeat: ExecutorHeartbeat) -> float:
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -43,6 +43,9 @@
     """Start a run of a task, or report that it was not started."""
     entry_link = state.links[link]
     entry_link.starts_seen = message.number
+    estimate_s = message.estimate_ms / MS_PER_S
+    # A start without room counts too: it tells what the entry needs.
+    entry_link.recent_work.add(turn.now, message.demand.cpu * estimate_s)
     reason = _refusal_reason(state, message)
     executor = state.executor
     if reason or executor is None:
@@ -66,7 +69,7 @@
             entry_link.incarnation,
             message.demand,
             message.durable,
-            message.estimate_ms / MS_PER_S,
+            estimate_s,
             turn.now,
             fence=state.fence,
         ),
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -17,6 +17,7 @@
 from savoryrudder.worker.lease import MAX_CLOCK_DRIFT
 from savoryrudder.worker.lease import Health
 from savoryrudder.worker.lease import Lease
+from savoryrudder.worker.shares import RecentWork
 
 if TYPE_CHECKING:
     from savoryrudder.worker.events import ExecutorHeartbeat
@@ -142,6 +143,7 @@
     on_trial: bool
     executor: str
     entries: int
+    share_cpu: int
     sent_at: float
 
 
@@ -154,6 +156,7 @@
     `carries_work` while the entry has a run here. From `retired_at` on, the
     entry is asked for no more starts. `wanted_entries` are the names of other
     entries that it has lost, and `orphaned_jobs` what it was told of them last.
+    `recent_work` is what the entry has asked to start here.
     """
 
     incarnation: str = ''
@@ -165,6 +168,12 @@
     starts_seen: int = 0
     last_report: SentReport | None = None
     orphaned_jobs: tuple[str, ...] = ()
+    recent_work: RecentWork = field(default_factory=RecentWork)
+
+    @property
+    def shares_executor(self) -> bool:
+        """Return whether the entry may start tasks here."""
+        return bool(self.incarnation) and self.retired_at is None
 
 
 @dataclass(slots=True)
