Learn from the waiting queue how fast it is worked off

The shares that agents tell follow the starts, so what waits or is refused at an entry is not in them: after a burst elsewhere an entry promised its share of executors that others had filled, or refused for a share below what it got.

While tasks of a service wait, the entry averages the work that it starts (time constant 1 s, beginning at its share), and admission takes that rate in place of the share. Without waiting tasks the share holds. job-refused lines carry the rate as drain_cpu.

Weighed: telling agents what waits, with the starts (an entry without room sends none to those that matter) or in a message of its own (one per link and change, for what the entry can measure itself).

--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import drain_rate
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.utils.units import MS_PER_S
 
@@ -86,7 +87,8 @@
 ) -> float:
     """Return the predicted wait until the job's last task can start.
 
-    Assumes that every entry uses an equal share of the executors' capacity.
+    Assumes that the queue is worked off as fast as lately, or, if there was
+    none, with this entry's share of the executors' capacity.
     """
     latest_start = now + _slack_s(queue, request)
     work_cpu_ms = sum(_step_work(step) for step in request.steps)
@@ -98,8 +100,8 @@
     free_cpu = state.capacity.free_cpu(queue.service)
     longest_ms = max(step.estimate_ms for step in request.steps)
     work_cpu_ms = max(work_cpu_ms - free_cpu * longest_ms, 0)
-    share_cpu = max(state.capacity.share_cpu(queue.service), 1)
-    return work_cpu_ms / share_cpu / MS_PER_S
+    drain_cpu = max(drain_rate.expected_cpu(state, queue.service, now), 1)
+    return work_cpu_ms / drain_cpu / MS_PER_S
 
 
 def unstarted_work(job: Job) -> int:
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -14,6 +14,7 @@
 from savoryrudder.dispatch import claims
 from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
+from savoryrudder.dispatch import drain_rate
 from savoryrudder.dispatch import draining
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch import fleet
@@ -57,6 +58,9 @@
     if state.placement_due:
         state.placement_due = False
         _place_tasks(state, turn)
+        drain_rate.observe_queue(state, turn.now)
+    elif not state.job_queue:
+        state.drain_rates.clear()
     draining.advance_drain(state, turn)
     return relays.route(state, foreign_jobs.route_answers(state, turn))
 
@@ -70,6 +74,9 @@
             placement.task.step_index,
         )
         start = fleet.apply_placement(state, turn, placement)
+        service = placement.job.queue.service
+        step = placement.job.steps[placement.task.step_index].step
+        drain_rate.record_start(state, turn.now, service, step)
         starts.setdefault(group, []).append(start)
     for group, group_starts in starts.items():
         fleet.send_starts(state, turn, group.link, group_starts)
@@ -229,7 +236,13 @@
     event: events.JobSubmitted,
 ) -> dict[str, int]:
     queue = state.configuration.find_queue(event.host, event.path)
-    return {} if queue is None else jobs.describe_capacity(state, queue)
+    if queue is None:
+        return {}
+    drain_cpu = drain_rate.expected_cpu(state, queue.service, event.now)
+    return {
+        **jobs.describe_capacity(state, queue),
+        'drain_cpu': int(drain_cpu),
+    }
 
 
 def _find_queue(state: DispatchState, host: str, path: str) -> Queue:
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -9,6 +9,7 @@
 
 from savoryrudder.dispatch.answers import Answer
 from savoryrudder.dispatch.capacity import CapacityRanking
+from savoryrudder.dispatch.drain_rate import DrainRate
 from savoryrudder.dispatch.peers import ClaimChanges
 from savoryrudder.dispatch.peers import ContestedJob
 from savoryrudder.dispatch.peers import Delegation
@@ -214,6 +215,8 @@
     # Links by the names of the agents at their other ends.
     links_by_agent: dict[str, str] = field(default_factory=dict)
     capacity: CapacityRanking = field(init=False)
+    # Observed rates of the services whose tasks wait for room.
+    drain_rates: dict[str, DrainRate] = field(default_factory=dict)
     # Set when a task may have become placeable since the last placement.
     placement_due: bool = False
     # Names of lost agents whose tasks may be unsettled.
