Spread handed-over jobs by room, and try a second entry after a refusal

A job without room here went to the one entry with the most free processors in its last announcement. All entries that heard of it sent all their jobs there until the next one, it refused them and its own callers, and a refusal there was final. Entries with less than twice the room of a job got none.

An entry queues jobs of others behind waiting ones for half as long as those of its own callers.

Weighed: dividing the announced room by the number of entries that hear of it (a lone sender could use a sixth); telling with the load how many entries send jobs (late for the first wave, which is the herd); queueing each refused job here (an entry without room was chosen to hand it over because it waits here).

--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -25,6 +25,9 @@
 # Maximum predicted wait as a share of the job's slack. The rest covers errors
 # of the prediction; a longer queue would complete no more jobs, only later.
 _MAX_WAIT_SHARE: Final = 0.6
+# The same for a job of another entry behind a queue. Several may hand over jobs
+# at once, and must leave room in the queue for the callers of this one.
+_MAX_FOREIGN_WAIT_SHARE: Final = 0.3
 _RETRY_ELSEWHERE_S: Final = 0.2
 
 
@@ -45,8 +48,13 @@
     queue: Queue,
     request: JobRequest,
     now: float,
+    *,
+    is_foreign: bool = False,
 ) -> answers.Answer | None:
-    """Return the refusal of a job that cannot be accepted, or None."""
+    """Return the refusal of a job that cannot be accepted, or None.
+
+    A job that another entry hands over `is_foreign`.
+    """
     if state.draining and now + _objective_s(queue, request) > state.exit_at:
         return answers.Answer(
             answers.UNAVAILABLE,
@@ -70,7 +78,10 @@
             'a task needs more than any executor has',
         )
     wait_s = predicted_wait_s(state, queue, request, now)
-    if wait_s > _MAX_WAIT_SHARE * _slack_s(queue, request):
+    max_wait_share = _MAX_WAIT_SHARE
+    if is_foreign and state.job_queue:
+        max_wait_share = _MAX_FOREIGN_WAIT_SHARE
+    if wait_s > max_wait_share * _slack_s(queue, request):
         return answers.Answer(
             answers.OVERLOADED,
             f'tasks would wait {wait_s:.3f} s',
--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -5,7 +5,8 @@
 entries are refused while other entries and their executors stand free.
 
 A delegated job is owned, claimed and run by the other entry; this one keeps its
-callers' requests. A job is delegated once at most.
+callers' requests. That entry delegates it no further. If it refuses the job,
+the job runs here if it fits by now, or is delegated once more.
 """
 
 from __future__ import annotations
@@ -16,15 +17,19 @@
 from savoryrudder.dispatch import answers
 from savoryrudder.dispatch import peer_choice
 from savoryrudder.dispatch import peer_links
+from savoryrudder.dispatch import peer_load
 from savoryrudder.dispatch.peers import Delegation
 from savoryrudder.protocol import delegation
 
 if TYPE_CHECKING:
     from savoryrudder.dispatch.events import JobSubmitted
+    from savoryrudder.dispatch.peers import PeerView
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.turn import Turn
     from savoryrudder.jobs.model import Queue
 
+# Entries that may refuse a job before it is delegated no more.
+_MAX_REFUSALS: Final = 2
 _UNCLAIMED_VERDICTS: Final = answers.REFUSALS | {answers.UNKNOWN_QUEUE}
 
 
@@ -45,23 +50,48 @@
         return False
     if event.request_id in state.foreign_requests:
         return False
+    if event.refusals >= _MAX_REFUSALS:
+        return False
     reason = _reason_to_delegate(state, event, queue, is_refused=is_refused)
-    link = peer_choice.choose_peer(state, queue, event.job) if reason else ''
-    if not link:
+    if not reason:
         return False
-    peer = state.peers[link]
+    room = peer_choice.choose_peer(state, turn.now, queue.service, event.job)
+    if room is None:
+        return False
+    _send_job(state, turn, event, room, reason)
+    return True
+
+
+def _send_job(
+    state: DispatchState,
+    turn: Turn,
+    event: JobSubmitted,
+    room: peer_choice.PeerRoom,
+    reason: str,
+) -> None:
+    link, peer = room[:2]
     job_id = event.job.job_id
     cpu = peer_choice.demand_cpu(event.job)
     state.delegations_created += 1
     number = state.delegations_created
-    state.delegations[job_id] = Delegation(link, number, cpu, [event])
+    state.delegations[job_id] = Delegation(link, number, cpu, turn.now, [event])
     state.open_requests[event.request_id] = job_id
     # The peer owns the job from here on; its release clears the claim.
     peer.jobs.add(job_id)
     peer.delegated_cpu += cpu
     peer_links.begin_work(state, turn, link)
     turn.count('jobs_delegated')
-    turn.log('job-delegated', job=job_id, peer=peer.entry, reason=reason)
+    turn.log(
+        'job-delegated',
+        job=job_id,
+        peer=peer.entry,
+        zone=peer.zone,
+        reason=reason,
+        refusals=event.refusals,
+        needed_cpu=cpu,
+        peer_free_cpu=int(room.free_cpu),
+        load_age_s=round(room.load_age_s, 3),
+    )
     turn.send(
         link,
         delegation.DelegateJob(
@@ -72,7 +102,6 @@
             number,
         ),
     )
-    return True
 
 
 def _reason_to_delegate(
@@ -162,7 +191,7 @@
 def _end(state: DispatchState, job: str) -> Delegation:
     delegated = state.delegations.pop(job)
     peer = state.peers.get(delegated.link)
-    if peer is not None:
+    if peer is not None and not peer_load.is_included(peer, delegated):
         peer.delegated_cpu = max(peer.delegated_cpu - delegated.cpu, 0)
     return delegated
 
@@ -183,19 +212,28 @@
     turn: Turn,
     link: str,
     message: delegation.DelegatedAnswer,
-) -> None:
-    """Answer the callers of a delegated job."""
+) -> list[JobSubmitted]:
+    """Answer the callers of a delegated job.
+
+    Returns the submissions of one that was refused, if it may run elsewhere.
+    """
     job, verdict, reason, retry_after_s = message[:4]
     peer = state.peers[link]
     delegated = _delegation_at(state, link, job)
     if delegated and message.number not in {delegated.number, 0}:
         # The job was withdrawn and delegated again while this answer was sent.
-        return
+        return []
     if verdict in _UNCLAIMED_VERDICTS:
         # The peer does not have the job, so it will not release it either.
         peer.jobs.discard(job)
     if delegated is None:
-        return
+        return []
+    if verdict in answers.REFUSALS:
+        peer.refused_at = turn.now
+        if _may_run_elsewhere(state, turn, delegated):
+            turn.count('jobs_handed_back')
+            turn.log('job-handed-back', job=job, peer=peer.entry, reason=reason)
+            return _resubmit(state, job, peer)
     elapsed_s = turn.now - delegated.submissions[0].now
     turn.count(f'jobs_{verdict}')
     turn.observe(f'job_{verdict}', elapsed_s)
@@ -212,6 +250,47 @@
         state.recent_answers[job] = (turn.now, final_answer)
     _reply(state, turn, job, final_answer)
     _end(state, job)
+    return []
+
+
+def _may_run_elsewhere(
+    state: DispatchState,
+    turn: Turn,
+    delegated: Delegation,
+) -> bool:
+    submission = delegated.submissions[0]
+    queue = state.configuration.find_queue(submission.host, submission.path)
+    if queue is None or state.draining:
+        return False
+    free_cpu = state.capacity.free_cpu(queue.service)
+    if not state.job_queue and free_cpu >= delegated.cpu:
+        return True
+    if submission.refusals + 1 >= _MAX_REFUSALS:
+        return False
+    room = peer_choice.choose_peer(
+        state,
+        turn.now,
+        queue.service,
+        submission.job,
+    )
+    return room is not None
+
+
+def _resubmit(
+    state: DispatchState,
+    job: str,
+    peer: PeerView,
+) -> list[JobSubmitted]:
+    delegated = _end(state, job)
+    for submission in delegated.submissions:
+        state.open_requests.pop(submission.request_id, None)
+    return [
+        refused._replace(
+            cleared_by=refused.cleared_by | {peer.incarnation},
+            refusals=refused.refusals + 1,
+        )
+        for refused in delegated.submissions
+    ]
 
 
 def _delegation_at(
--- a/src/savoryrudder/dispatch/events.py
+++ b/src/savoryrudder/dispatch/events.py
@@ -35,6 +35,7 @@
     limit if it is None. A job that `may_have_started` at another entry must not
     be refused, as a refusal tells that it has not run. The entries in
     `cleared_by`, by their incarnations, have told that they do not have it.
+    That many entries have refused it as `refusals` tells.
     """
 
     now: float
@@ -46,6 +47,7 @@
     caller_timeout_s: float | None
     may_have_started: bool = False
     cleared_by: frozenset[str] = frozenset()
+    refusals: int = 0
 
 
 class JobQueried(NamedTuple):
--- a/src/savoryrudder/dispatch/peer_load.py
+++ b/src/savoryrudder/dispatch/peer_load.py
@@ -12,6 +12,8 @@
 from savoryrudder.utils.rendezvous import choose
 
 if TYPE_CHECKING:
+    from savoryrudder.dispatch.peers import Delegation
+    from savoryrudder.dispatch.peers import PeerView
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.turn import Turn
 
@@ -23,6 +25,9 @@
 _LOAD_LISTENERS: Final = ChoiceSize(local=3, remote=3)
 # A change of the load by less than this share is not announced.
 _MIN_LOAD_CHANGE: Final = 0.1
+# A job that was sent at most this long before a load arrived may have crossed
+# it on the way.
+_ROUND_TRIP_S: Final = 0.05
 
 
 def record_load(state: DispatchState, busy_share: float) -> None:
@@ -87,10 +92,21 @@
 
 def handle_load(
     state: DispatchState,
+    now: float,
     link: str,
     load: delegation.EntryLoad,
 ) -> None:
     """Record how much work another entry can take."""
     peer = state.peers[link]
     peer.load = load
-    peer.delegated_cpu = 0
+    peer.load_at = now
+    peer.delegated_cpu = sum(
+        delegated.cpu
+        for delegated in state.delegations.values()
+        if delegated.link == link and not is_included(peer, delegated)
+    )
+
+
+def is_included(peer: PeerView, delegated: Delegation) -> bool:
+    """Return whether the load that a peer told includes a delegated job."""
+    return delegated.delegated_at <= peer.load_at - _ROUND_TRIP_S
--- a/src/savoryrudder/dispatch/peers.py
+++ b/src/savoryrudder/dispatch/peers.py
@@ -16,9 +16,10 @@
 class PeerView:
     """Hold an entry's view of another entry and the jobs claimed by it.
 
-    `delegated_cpu` counts the millicores of the jobs delegated to it since it
-    told its `load`; `announced_load` is what it was told last, if it
-    `hears_load` of this entry at all. It was linked at `linked_at`. Once its
+    `delegated_cpu` counts the millicores of the jobs delegated to it that are
+    not included in its `load`, which it told at `load_at`; `announced_load` is
+    what it was told last, if it `hears_load` of this entry at all. It refused a
+    delegated job last at `refused_at`. It was linked at `linked_at`. Once its
     list of claims is complete, it has told at `told_claims_at` all changes
     until then.
     """
@@ -28,6 +29,8 @@
     zone: str = ''
     jobs: set[str] = field(default_factory=set)
     load: EntryLoad | None = None
+    load_at: float = float('-inf')
+    refused_at: float = float('-inf')
     announced_load: EntryLoad | None = None
     delegated_cpu: int = 0
     hears_load: bool = False
@@ -47,6 +50,7 @@
     link: str
     number: int
     cpu: int
+    delegated_at: float
     submissions: list[JobSubmitted]
 
 
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -209,7 +209,13 @@
     recent_answer = state.recent_answers.get(event.job.job_id)
     if recent_answer is not None:
         return recent_answer[1]
-    return admission.refusal_for(state, queue, event.job, event.now)
+    return admission.refusal_for(
+        state,
+        queue,
+        event.job,
+        event.now,
+        is_foreign=event.request_id in state.foreign_requests,
+    )
 
 
 def _accept_job(
@@ -352,12 +358,18 @@
     link = event.link
     match event.message:
         case protocol.EntryLoad():
-            peer_load.handle_load(state, link, event.message)
+            peer_load.handle_load(state, turn.now, link, event.message)
         case protocol.DelegateJob():
             submission = foreign_jobs.take(state, turn, link, event.message)
             _handle_job_submitted(state, turn, submission)
         case protocol.DelegatedAnswer():
-            delegation.handle_answer(state, turn, link, event.message)
+            for refused in delegation.handle_answer(
+                state,
+                turn,
+                link,
+                event.message,
+            ):
+                _handle_job_submitted(state, turn, refused)
         case protocol.WithdrawJob():
             _disconnect_foreign_requests(state, turn, link, event.message.job)
         case _:
