Hand a refused job on only if it was refused on arrival

A job that an entry queued and refused later, for want of room in time, went to a second entry, whose objective counts from its arrival there: it was accepted, and late for its caller.

test_a_job_that_waited_elsewhere_is_handed_over_no_more fails before: the job runs here in place of the refusal.

--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -30,6 +30,9 @@
 
 # Entries that may refuse a job before it is delegated no more.
 _MAX_REFUSALS: Final = 2
+# A refusal on arrival comes within this time. After a longer one the job would
+# be late elsewhere.
+_MAX_REFUSAL_DELAY_S: Final = 0.05
 _UNCLAIMED_VERDICTS: Final = answers.REFUSALS | {answers.UNKNOWN_QUEUE}
 
 
@@ -258,6 +261,8 @@
     turn: Turn,
     delegated: Delegation,
 ) -> bool:
+    if turn.now > delegated.delegated_at + _MAX_REFUSAL_DELAY_S:
+        return False
     submission = delegated.submissions[0]
     queue = state.configuration.find_queue(submission.host, submission.path)
     if queue is None or state.draining:
--- a/tests/dispatch/test_hand_overs.py
+++ b/tests/dispatch/test_hand_overs.py
@@ -165,6 +165,18 @@
     assert not driver.state.delegations
 
 
+def test_a_job_that_waited_elsewhere_is_handed_over_no_more() -> None:
+    """Guard against jobs that are accepted and late, in place of a refusal."""
+    driver = _driver((ZONE, ZONE))
+    driver.receive('p0', IDLE_LOAD)
+    driver.receive('p1', IDLE_LOAD)
+    receiver = _receivers(driver.submit('j1'))[0]
+    driver.now += 0.1
+    driver.report('l0', CAPACITY)
+    effects = driver.receive(receiver, REFUSED)
+    assert _verdicts(effects) == [answers.OVERLOADED]
+
+
 def test_an_entry_that_refused_gets_no_job_for_a_while() -> None:
     """Guard against jobs that go on to an entry that is full."""
     driver = _driver([ZONE])
