--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import drain_rate
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.utils.units import MS_PER_S
 
@@ -30,6 +31,9 @@
 _MAX_WAIT_SHARE: Final = 0.6
 # The same while more urgent jobs are turned away.
 _YIELDING_WAIT_SHARE: Final = 0.25
+# The same for a job of another entry behind a queue. Several may hand over jobs
+# at once, and must leave room in the queue for the callers of this one.
+_MAX_FOREIGN_WAIT_SHARE: Final = 0.3
 _RETRY_ELSEWHERE_S: Final = 0.2
 _NO_EXECUTOR: Final = answers.Answer(
     answers.UNAVAILABLE,
@@ -65,8 +69,13 @@
     queue: Queue,
     request: JobRequest,
     now: float,
+    *,
+    is_foreign: bool = False,
 ) -> answers.Answer | None:
-    """Return the refusal of a job that cannot be accepted, or None."""
+    """Return the refusal of a job that cannot be accepted, or None.
+
+    A job that another entry hands over `is_foreign`.
+    """
     if state.draining and now + _objective_s(queue, request) > state.exit_at:
         return answers.Answer(
             answers.UNAVAILABLE,
@@ -82,7 +91,11 @@
     wait_s = predicted_wait_s(state, queue, request, now)
     if wait_s == 0:
         return None
-    excess_s = wait_s - max_wait_s(state, queue, request, now)
+    limit_s = max_wait_s(state, queue, request, now)
+    if is_foreign and state.job_queue:
+        slack_s = _slack_s(queue, request)
+        limit_s = min(limit_s, _MAX_FOREIGN_WAIT_SHARE * slack_s)
+    excess_s = wait_s - limit_s
     return _overloaded(state, wait_s, excess_s) if excess_s > 0 else None
 
 
@@ -159,7 +172,7 @@
     if refusal is not None:
         return refusal
     work_cpu_ms = ahead_cpu_ms + unstarted_work(job)
-    wait_s = _wait_s(state, service, job.request, work_cpu_ms)
+    wait_s = _wait_s(state, service, job.request, work_cpu_ms, now)
     excess_s = now + wait_s - job.latest_start
     return _overloaded(state, wait_s, excess_s) if excess_s > 0 else None
 
@@ -172,7 +185,8 @@
 ) -> float:
     """Return the predicted wait until the job's last task can start.
 
-    Assumes that every entry uses an equal share of the executors' capacity.
+    Assumes that the queue is worked off as fast as lately, or, if there was
+    none, with this entry's share of the executors' capacity.
     """
     latest_start = now + _slack_s(queue, request)
     work_cpu_ms = needed_work(request)
@@ -180,7 +194,7 @@
         if queued_latest_start > latest_start:
             break
         work_cpu_ms += unstarted_work(state.jobs[job_id])
-    return _wait_s(state, queue.service, request, work_cpu_ms)
+    return _wait_s(state, queue.service, request, work_cpu_ms, now)
 
 
 def _wait_s(
@@ -188,13 +202,14 @@
     service: str,
     request: JobRequest,
     work_cpu_ms: int,
+    now: float,
 ) -> float:
     # Tasks that fit into the free resources start at once.
     free_cpu = state.capacity.free_cpu(service)
     longest_ms = max(step.estimate_ms for step in request.steps)
     queued_cpu_ms = max(work_cpu_ms - free_cpu * longest_ms, 0)
-    share_cpu = max(state.capacity.share_cpu(service), 1)
-    return queued_cpu_ms / share_cpu / MS_PER_S
+    drain_cpu = max(drain_rate.expected_cpu(state, service, now), 1)
+    return queued_cpu_ms / drain_cpu / MS_PER_S
 
 
 def _overloaded(
--- a/src/savoryrudder/dispatch/delegation.py
+++ b/src/savoryrudder/dispatch/delegation.py
@@ -5,110 +5,37 @@
 entries are refused while other entries and their executors stand free.
 
 A delegated job is owned, claimed and run by the other entry; this one keeps its
-callers' requests. A job is delegated once at most.
+callers' requests. That entry delegates it no further. If it refuses the job,
+the job runs here if it fits by now, or is delegated once more.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 from typing import Final
-from typing import NamedTuple
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import peer_choice
 from savoryrudder.dispatch import peer_links
-from savoryrudder.dispatch.effects import Reply
-from savoryrudder.dispatch.events import JobSubmitted
+from savoryrudder.dispatch import peer_load
 from savoryrudder.dispatch.peers import Delegation
-from savoryrudder.dispatch.peers import ForeignRequest
 from savoryrudder.protocol import delegation
-from savoryrudder.utils.effects import Send
-from savoryrudder.utils.rendezvous import ChoiceSize
-from savoryrudder.utils.rendezvous import choose
 
 if TYPE_CHECKING:
-    from savoryrudder.dispatch.effects import DispatchEffect
+    from savoryrudder.dispatch.events import JobSubmitted
     from savoryrudder.dispatch.peers import PeerView
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.turn import Turn
-    from savoryrudder.jobs.model import JobRequest
     from savoryrudder.jobs.model import Queue
 
-# An entry hands on as many jobs as keep its event loop from being busier.
-_TARGET_BUSY_SHARE: Final = 0.6
-_MAX_DELEGATED_SHARE: Final = 0.9
-# Jobs go to entries that are less busy, and have this many times the free
-# capacity that a job needs: others may hand them jobs at the same time.
-_MAX_PEER_BUSY_SHARE: Final = 0.6
-_PEER_CAPACITY_FACTOR: Final = 2
-# Entries that are told the load of this one. Each has to know some others that
-# take jobs, in its zone and elsewhere, not all of them.
-_LOAD_LISTENERS: Final = ChoiceSize(local=3, remote=3)
-# A change of the load by less than this share is not announced.
-_MIN_LOAD_CHANGE: Final = 0.1
-
+# Entries that may refuse a job before it is delegated no more.
+_MAX_REFUSALS: Final = 2
+# A refusal on arrival comes within this time. After a longer one the job would
+# be late elsewhere.
+_MAX_REFUSAL_DELAY_S: Final = 0.05
 _UNCLAIMED_VERDICTS: Final = answers.REFUSALS | {answers.UNKNOWN_QUEUE}
 
 
-def record_load(state: DispatchState, busy_share: float) -> None:
-    """Adapt the share of delegated jobs to how busy the event loop was."""
-    state.busy_share = busy_share
-    delegated_share = state.delegated_share + busy_share - _TARGET_BUSY_SHARE
-    state.delegated_share = min(max(delegated_share, 0), _MAX_DELEGATED_SHARE)
-
-
-def announce_load(state: DispatchState, turn: Turn) -> None:
-    """Tell the other entries how much work this one can take, if it changed."""
-    load = delegation.EntryLoad(
-        state.capacity.free_cpu_by_service(),
-        round(state.busy_share, 3),
-        accepting=not state.draining,
-        version=state.configuration.version,
-    )
-    for link, peer in state.peers.items():
-        if peer.hears_load and _has_changed(peer.announced_load, load):
-            peer.announced_load = load
-            turn.send(link, load)
-
-
-class _Listener(NamedTuple):
-    """Name an entry that may be told the load."""
-
-    name: str
-    zone: str
-    link: str
-
-
-def choose_load_listeners(state: DispatchState) -> None:
-    """Choose the entries that are told the load, after one came or went."""
-    identity = state.identity
-    listeners = choose(
-        _Listener(identity.entry, identity.zone, ''),
-        (
-            _Listener(peer.entry, peer.zone, link)
-            for link, peer in state.peers.items()
-            if not peer_links.is_relayed(link)
-        ),
-        _LOAD_LISTENERS,
-    )
-    links = {listener.link for listener in listeners}
-    for link, peer in state.peers.items():
-        peer.hears_load = link in links
-
-
-def _has_changed(
-    previous: delegation.EntryLoad | None,
-    load: delegation.EntryLoad,
-) -> bool:
-    if previous is None or previous[2:] != load[2:]:
-        return True
-    if abs(previous.busy_share - load.busy_share) > _MIN_LOAD_CHANGE:
-        return True
-    return any(
-        abs(cpu - previous.free_cpu.get(service, 0)) > _MIN_LOAD_CHANGE * cpu
-        for service, cpu in load.free_cpu.items()
-    )
-
-
 def delegate(
     state: DispatchState,
     turn: Turn,
@@ -126,23 +53,48 @@
         return False
     if event.request_id in state.foreign_requests:
         return False
+    if event.refusals >= _MAX_REFUSALS:
+        return False
     reason = _reason_to_delegate(state, event, queue, is_refused=is_refused)
-    link = _choose_peer(state, queue, event.job) if reason else ''
-    if not link:
+    if not reason:
         return False
-    peer = state.peers[link]
+    room = peer_choice.choose_peer(state, turn.now, queue.service, event.job)
+    if room is None:
+        return False
+    _send_job(state, turn, event, room, reason)
+    return True
+
+
+def _send_job(
+    state: DispatchState,
+    turn: Turn,
+    event: JobSubmitted,
+    room: peer_choice.PeerRoom,
+    reason: str,
+) -> None:
+    link, peer = room[:2]
     job_id = event.job.job_id
-    cpu = _demand_cpu(event.job)
+    cpu = peer_choice.demand_cpu(event.job)
     state.delegations_created += 1
     number = state.delegations_created
-    state.delegations[job_id] = Delegation(link, number, cpu, [event])
+    state.delegations[job_id] = Delegation(link, number, cpu, turn.now, [event])
     state.open_requests[event.request_id] = job_id
     # The peer owns the job from here on; its release clears the claim.
     peer.jobs.add(job_id)
     peer.delegated_cpu += cpu
     peer_links.begin_work(state, turn, link)
     turn.count('jobs_delegated')
-    turn.log('job-delegated', job=job_id, peer=peer.entry, reason=reason)
+    turn.log(
+        'job-delegated',
+        job=job_id,
+        peer=peer.entry,
+        zone=peer.zone,
+        reason=reason,
+        refusals=event.refusals,
+        needed_cpu=cpu,
+        peer_free_cpu=int(room.free_cpu),
+        load_age_s=round(room.load_age_s, 3),
+    )
     turn.send(
         link,
         delegation.DelegateJob(
@@ -153,7 +105,6 @@
             number,
         ),
     )
-    return True
 
 
 def _reason_to_delegate(
@@ -164,7 +115,11 @@
     is_refused: bool,
 ) -> str:
     free_cpu = state.capacity.free_cpu(queue.service)
-    if is_refused or state.job_queue or free_cpu < _demand_cpu(event.job):
+    if (
+        is_refused
+        or state.job_queue
+        or free_cpu < peer_choice.demand_cpu(event.job)
+    ):
         return 'no room'
     state.delegation_credit += state.delegated_share
     if state.delegation_credit < 1:
@@ -173,40 +128,6 @@
     return 'busy'
 
 
-def _choose_peer(
-    state: DispatchState,
-    queue: Queue,
-    job: JobRequest,
-) -> str:
-    needed_cpu = _demand_cpu(job) * _PEER_CAPACITY_FACTOR
-    zone = state.identity.zone
-    suitable = [
-        (peer.zone == zone, _free_cpu_of(peer, queue.service), link)
-        for link, peer in state.peers.items()
-        if _takes_jobs(state, peer)
-        and _free_cpu_of(peer, queue.service) >= needed_cpu
-    ]
-    return max(suitable)[-1] if suitable else ''
-
-
-def _takes_jobs(state: DispatchState, peer: PeerView) -> bool:
-    load = peer.load
-    if load is None or not load.accepting:
-        return False
-    is_current = load.version >= state.configuration.version
-    return is_current and load.busy_share < _MAX_PEER_BUSY_SHARE
-
-
-def _free_cpu_of(peer: PeerView, service: str) -> int:
-    if peer.load is None:
-        return 0
-    return peer.load.free_cpu.get(service, 0) - peer.delegated_cpu
-
-
-def _demand_cpu(job: JobRequest) -> int:
-    return sum(step.tasks * step.demand.cpu for step in job.steps)
-
-
 def join(state: DispatchState, event: JobSubmitted) -> bool:
     """Let another request wait for a delegated job; return whether it is."""
     delegated = state.delegations.get(event.job.job_id)
@@ -273,7 +194,7 @@
 def _end(state: DispatchState, job: str) -> Delegation:
     delegated = state.delegations.pop(job)
     peer = state.peers.get(delegated.link)
-    if peer is not None:
+    if peer is not None and not peer_load.is_included(peer, delegated):
         peer.delegated_cpu = max(peer.delegated_cpu - delegated.cpu, 0)
     return delegated
 
@@ -289,35 +210,33 @@
         turn.reply(submission.request_id, answer)
 
 
-def handle_load(
-    state: DispatchState,
-    link: str,
-    load: delegation.EntryLoad,
-) -> None:
-    """Record how much work another entry can take."""
-    peer = state.peers[link]
-    peer.load = load
-    peer.delegated_cpu = 0
-
-
 def handle_answer(
     state: DispatchState,
     turn: Turn,
     link: str,
     message: delegation.DelegatedAnswer,
-) -> None:
-    """Answer the callers of a delegated job."""
+) -> list[JobSubmitted]:
+    """Answer the callers of a delegated job.
+
+    Returns the submissions of one that was refused, if it may run elsewhere.
+    """
     job, verdict, reason, retry_after_s = message[:4]
     peer = state.peers[link]
     delegated = _delegation_at(state, link, job)
     if delegated and message.number not in {delegated.number, 0}:
         # The job was withdrawn and delegated again while this answer was sent.
-        return
+        return []
     if verdict in _UNCLAIMED_VERDICTS:
         # The peer does not have the job, so it will not release it either.
         peer.jobs.discard(job)
     if delegated is None:
-        return
+        return []
+    if verdict in answers.REFUSALS:
+        peer.refused_at = turn.now
+        if _may_run_elsewhere(state, turn, delegated):
+            turn.count('jobs_handed_back')
+            turn.log('job-handed-back', job=job, peer=peer.entry, reason=reason)
+            return _resubmit(state, job, peer)
     elapsed_s = turn.now - delegated.submissions[0].now
     turn.count(f'jobs_{verdict}')
     turn.observe(f'job_{verdict}', elapsed_s)
@@ -334,59 +253,58 @@
         state.recent_answers[job] = (turn.now, final_answer)
     _reply(state, turn, job, final_answer)
     _end(state, job)
+    return []
 
 
-def _delegation_at(
-    state: DispatchState,
-    link: str,
-    job: str,
-) -> Delegation | None:
-    delegated = state.delegations.get(job)
-    return delegated if delegated and delegated.link == link else None
-
-
-def take(
+def _may_run_elsewhere(
     state: DispatchState,
     turn: Turn,
-    link: str,
-    message: delegation.DelegateJob,
-) -> JobSubmitted:
-    """Return the submission of a job that another entry hands over."""
-    state.foreign_requests_created += 1
-    # Requests of callers have positive numbers.
-    request_id = -state.foreign_requests_created
-    state.foreign_requests[request_id] = ForeignRequest(
-        link,
-        message.job.job_id,
-        message.number,
-    )
-    peer_links.begin_work(state, turn, link)
-    return JobSubmitted(
+    delegated: Delegation,
+) -> bool:
+    if turn.now > delegated.delegated_at + _MAX_REFUSAL_DELAY_S:
+        return False
+    submission = delegated.submissions[0]
+    queue = state.configuration.find_queue(submission.host, submission.path)
+    if queue is None or state.draining:
+        return False
+    free_cpu = state.capacity.free_cpu(queue.service)
+    if not state.job_queue and free_cpu >= delegated.cpu:
+        return True
+    if submission.refusals + 1 >= _MAX_REFUSALS:
+        return False
+    room = peer_choice.choose_peer(
+        state,
         turn.now,
-        request_id,
-        message.host,
-        message.path,
-        message.job,
-        '',
-        message.caller_timeout_s,
-        cleared_by=frozenset((state.peers[link].incarnation,)),
+        queue.service,
+        submission.job,
     )
+    return room is not None
 
 
-def pop_foreign_requests(
+def _resubmit(
     state: DispatchState,
-    link: str,
-    job: str = '',
-) -> list[int]:
-    """Remove and return the requests of another entry, for one job or all."""
-    numbers = [
-        number
-        for number, request in state.foreign_requests.items()
-        if request.link == link and job in {'', request.job}
+    job: str,
+    peer: PeerView,
+) -> list[JobSubmitted]:
+    delegated = _end(state, job)
+    for submission in delegated.submissions:
+        state.open_requests.pop(submission.request_id, None)
+    return [
+        refused._replace(
+            cleared_by=refused.cleared_by | {peer.incarnation},
+            refusals=refused.refusals + 1,
+        )
+        for refused in delegated.submissions
     ]
-    for number in numbers:
-        state.foreign_requests.pop(number)
-    return numbers
+
+
+def _delegation_at(
+    state: DispatchState,
+    link: str,
+    job: str,
+) -> Delegation | None:
+    delegated = state.delegations.get(job)
+    return delegated if delegated and delegated.link == link else None
 
 
 def jobs_at(state: DispatchState, link: str) -> list[str]:
@@ -406,26 +324,3 @@
     for submission in submissions:
         state.open_requests.pop(submission.request_id, None)
     return [lost._replace(may_have_started=True) for lost in submissions]
-
-
-def route_answers(state: DispatchState, turn: Turn) -> list[DispatchEffect]:
-    """Return the effects with answers to other entries as messages."""
-    if not state.foreign_requests:
-        return turn.effects
-    return [_route(state, effect) for effect in turn.effects]
-
-
-def _route(state: DispatchState, effect: DispatchEffect) -> DispatchEffect:
-    if not isinstance(effect, Reply):
-        return effect
-    request = state.foreign_requests.pop(effect.request_id, None)
-    if request is None or not isinstance(effect.answer, answers.Answer):
-        return effect
-    return Send(
-        request.link,
-        delegation.DelegatedAnswer(
-            request.job,
-            *effect.answer,
-            number=request.number,
-        ),
-    )
--- a/src/savoryrudder/dispatch/overload.py
+++ b/src/savoryrudder/dispatch/overload.py
@@ -13,6 +13,7 @@
 
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import drain_rate
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import shedding
 from savoryrudder.utils.units import MS_PER_S
@@ -55,8 +56,11 @@
 ) -> bool:
     """Turn away waiting jobs for one that arrives, if that costs less.
 
-    Returns whether there is room for it now.
+    Returns whether there is room for it now. None is turned away for a job that
+    another entry hands over.
     """
+    if event.request_id in state.foreign_requests:
+        return False
     arriving = _arriving_candidate(state, event, queue)
     removals = _removals_for(state, turn.now, arriving, queue.service)
     if removals is None:
@@ -106,7 +110,7 @@
 ) -> None:
     removals = shedding.choose_removals(
         _waiting_candidates(state, turn.now, service),
-        _room(state, service),
+        _room(state, service, turn.now),
         turn.now,
     )
     _turn_away(state, turn, removals)
@@ -130,7 +134,7 @@
     return shedding.choose_removals_for(
         arriving,
         waiting,
-        _room(state, service),
+        _room(state, service, now),
         now,
     )
 
@@ -177,10 +181,10 @@
     )
 
 
-def _room(state: DispatchState, service: str) -> shedding.Room:
+def _room(state: DispatchState, service: str, now: float) -> shedding.Room:
     return shedding.Room(
         state.capacity.free_cpu(service),
-        state.capacity.share_cpu(service),
+        int(drain_rate.expected_cpu(state, service, now)),
     )
 
 
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -14,16 +14,19 @@
 from savoryrudder.dispatch import claims
 from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
+from savoryrudder.dispatch import drain_rate
 from savoryrudder.dispatch import draining
 from savoryrudder.dispatch import evacuation
 from savoryrudder.dispatch import events
 from savoryrudder.dispatch import fleet
+from savoryrudder.dispatch import foreign_jobs
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import isolation
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import orphans
 from savoryrudder.dispatch import overload
 from savoryrudder.dispatch import peer_links
+from savoryrudder.dispatch import peer_load
 from savoryrudder.dispatch import queries
 from savoryrudder.dispatch import relays
 from savoryrudder.dispatch.placement import place_tasks
@@ -57,8 +60,11 @@
     if state.placement_due:
         state.placement_due = False
         _place_tasks(state, turn)
+        drain_rate.observe_queue(state, turn.now)
+    elif not state.job_queue:
+        state.drain_rates.clear()
     draining.advance_drain(state, turn)
-    return relays.route(state, delegation.route_answers(state, turn))
+    return relays.route(state, foreign_jobs.route_answers(state, turn))
 
 
 def _place_tasks(state: DispatchState, turn: Turn) -> None:
@@ -70,6 +76,9 @@
             placement.task.step_index,
         )
         start = fleet.apply_placement(state, turn, placement)
+        service = placement.job.queue.service
+        step = placement.job.steps[placement.task.step_index].step
+        drain_rate.record_start(state, turn.now, service, step)
         starts.setdefault(group, []).append(start)
     for group, group_starts in starts.items():
         fleet.send_starts(state, turn, group.link, group_starts)
@@ -218,7 +227,13 @@
     recent_answer = state.recent_answers.get(event.job.job_id)
     if recent_answer is not None:
         return recent_answer[1]
-    return admission.refusal_for(state, queue, event.job, event.now)
+    return admission.refusal_for(
+        state,
+        queue,
+        event.job,
+        event.now,
+        is_foreign=event.request_id in state.foreign_requests,
+    )
 
 
 def _accept_job(
@@ -245,7 +260,13 @@
     event: events.JobSubmitted,
 ) -> dict[str, int]:
     queue = state.configuration.find_queue(event.host, event.path)
-    return {} if queue is None else jobs.describe_capacity(state, queue)
+    if queue is None:
+        return {}
+    drain_cpu = drain_rate.expected_cpu(state, queue.service, event.now)
+    return {
+        **jobs.describe_capacity(state, queue),
+        'drain_cpu': int(drain_cpu),
+    }
 
 
 def _find_queue(state: DispatchState, host: str, path: str) -> Queue:
@@ -327,7 +348,7 @@
     link: str,
     job: str = '',
 ) -> None:
-    for number in delegation.pop_foreign_requests(state, link, job):
+    for number in foreign_jobs.pop_foreign_requests(state, link, job):
         disconnected = events.CallerDisconnected(turn.now, number)
         _handle_caller_disconnected(state, turn, disconnected)
 
@@ -355,12 +376,18 @@
     link = event.link
     match event.message:
         case protocol.EntryLoad():
-            delegation.handle_load(state, link, event.message)
+            peer_load.handle_load(state, turn.now, link, event.message)
         case protocol.DelegateJob():
-            submission = delegation.take(state, turn, link, event.message)
+            submission = foreign_jobs.take(state, turn, link, event.message)
             _handle_job_submitted(state, turn, submission)
         case protocol.DelegatedAnswer():
-            delegation.handle_answer(state, turn, link, event.message)
+            for refused in delegation.handle_answer(
+                state,
+                turn,
+                link,
+                event.message,
+            ):
+                _handle_job_submitted(state, turn, refused)
         case protocol.WithdrawJob():
             _disconnect_foreign_requests(state, turn, link, event.message.job)
         case _:
@@ -447,8 +474,8 @@
     jobs.expire_answers(state, turn.now)
     claims.announce_changes(state, turn)
     if event.busy_share is not None:
-        delegation.record_load(state, event.busy_share)
-        delegation.announce_load(state, turn)
+        peer_load.record_load(state, event.busy_share)
+        peer_load.announce_load(state, turn)
     fleet.acknowledge_ends(state, turn)
     peer_links.end_work(state, turn)
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -10,6 +10,7 @@
 
 from savoryrudder.dispatch.answers import Answer
 from savoryrudder.dispatch.capacity import CapacityRanking
+from savoryrudder.dispatch.drain_rate import DrainRate
 from savoryrudder.dispatch.peers import ClaimChanges
 from savoryrudder.dispatch.peers import ContestedJob
 from savoryrudder.dispatch.peers import Delegation
@@ -230,6 +231,8 @@
     capacity: CapacityRanking = field(init=False)
     refusal_shares: RefusalShares = field(default_factory=RefusalShares)
     rng: random.Random = field(init=False)
+    # Observed rates of the services whose tasks wait for room.
+    drain_rates: dict[str, DrainRate] = field(default_factory=dict)
     # Set when a task may have become placeable since the last placement.
     placement_due: bool = False
     # Names of lost agents whose tasks may be unsettled.
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -129,8 +129,10 @@
     `free` accounts for the receiver's `StartTask` messages up to the number
     `starts_seen`. An executor `on_trial` was suspended for a stall and takes
     one task at a time until one makes progress. Its capacity is shared by a
-    number of `entries`. A `cold` executor is slow for a while after its start.
-    Its zone is `evacuated` or not, as the agent was told at a `zones_revision`.
+    number of `entries`; the receiver may count on `share_cpu` millicores of it,
+    or on an equal share if that is 0. A `cold` executor is slow for a while
+    after its start. Its zone is `evacuated` or not, as the agent was told at a
+    `zones_revision`.
     """
 
     executor: str
@@ -145,6 +147,7 @@
     cold: bool = False
     evacuated: bool = False
     zones_revision: int = UNREAD_ZONES.revision
+    share_cpu: int = 0
 
 
 class RunningTasks(NamedTuple):
