Learn how long tasks take by queue and by executor

Callers' estimates are off by a factor that differs by kind of request, and were taken as they are. Each entry kept one average of duration over estimate per executor, with all kinds of work mixed, and a new entry knew nothing.

An entry now keeps, by queue, the ratio of typical runs to their estimates and the mean over the typical run (dispatch/run_times.py). The steps of a job are corrected when it is accepted: its objective, predicted waits, placement and the estimate in StartTask follow. Entries tell their own observations to those that hear their load, and all of them at the start of a link. The agent keeps the speed of its executor from the runs of all entries, and reports it.

A run that is slow beside normal ones no longer puts its executor aside; it is not moved either if moved tasks of its queue were slow again (SlowRun.sound_executor). The predicted wait counts with the mean speed of the executors.

Weighed: ratios kept by agents (they don't know queues), speeds kept by entries and told to peers (grows with the machines), values in the store (calls per change), means of logarithms (too low for work that varies much). Messages of an earlier release lack the new fields, and decisions are then those of before.

--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import calibration
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.utils.units import MS_PER_S
 
@@ -46,6 +47,20 @@
     now: float,
 ) -> answers.Answer | None:
     """Return the refusal of a job that cannot be accepted, or None."""
+    return _refusal_for_corrected(
+        state,
+        queue,
+        calibration.correct_request(state, queue, request),
+        now,
+    )
+
+
+def _refusal_for_corrected(
+    state: DispatchState,
+    queue: Queue,
+    request: JobRequest,
+    now: float,
+) -> answers.Answer | None:
     if state.draining and now + _objective_s(queue, request) > state.exit_at:
         return answers.Answer(
             answers.UNAVAILABLE,
@@ -86,10 +101,12 @@
 ) -> float:
     """Return the predicted wait until the job's last task can start.
 
-    Assumes that every entry uses an equal share of the executors' capacity.
+    Assumes that every entry uses an equal share of the executors' capacity, and
+    that the estimates are corrected.
     """
     latest_start = now + _slack_s(queue, request)
-    work_cpu_ms = sum(_step_work(step) for step in request.steps)
+    excess = state.run_times.calibration_of(queue.name).mean_excess
+    work_cpu_ms = excess * sum(_step_work(step) for step in request.steps)
     for queued_latest_start, _, job_id in state.job_queue:
         if queued_latest_start > latest_start:
             break
@@ -99,12 +116,12 @@
     longest_ms = max(step.estimate_ms for step in request.steps)
     work_cpu_ms = max(work_cpu_ms - free_cpu * longest_ms, 0)
     share_cpu = max(state.capacity.share_cpu(queue.service), 1)
-    return work_cpu_ms / share_cpu / MS_PER_S
+    return work_cpu_ms * state.typical_slowness / share_cpu / MS_PER_S
 
 
-def unstarted_work(job: Job) -> int:
+def unstarted_work(job: Job) -> float:
     """Return the estimated work that has not started (`cpu` x ms)."""
-    return sum(
+    return job.mean_excess * sum(
         len(progress.waiting)
         * progress.step.demand.cpu
         * progress.step.estimate_ms
--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import calibration
 from savoryrudder.dispatch import health
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import orphans
@@ -199,7 +200,8 @@
     job, task = found
     if task.state not in {TaskState.placed, TaskState.unsettled}:
         return
-    health.record_task_end(turn, agent, job, task, ended)
+    health.record_task_end(turn, agent, ended)
+    calibration.record_run(state, turn, agent, found, ended)
     if ended.outcome == outcomes.DONE:
         _complete_task(state, turn, job, task)
     elif ended.outcome == outcomes.FAILED:
--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -25,8 +25,6 @@
     from savoryrudder.dispatch.state import Task
     from savoryrudder.dispatch.turn import Turn
 
-# Weight of the latest run in the moving average of an executor's slowness.
-_SMOOTHING_FACTOR: Final = 0.05
 _MAX_SLOWNESS: Final = 20
 _FAILURE_THRESHOLD: Final = 3
 _MIN_AVOIDANCE_S: Final = 1
@@ -44,10 +42,21 @@
     theirs, and none is avoided.
     """
     usable = [agent for agent in state.agents.values() if agent.usable]
+    state.typical_slowness = _typical_slowness(usable, now)
     avoided = sum(1 for agent in usable if is_avoided(agent, now))
     state.avoidance_enabled = 2 * avoided <= len(usable)
 
 
+def _typical_slowness(usable: list[AgentView], now: float) -> float:
+    if not usable:
+        return 1
+    total = sum(
+        min(expected_slowness(agent, now), _SLOWNESS_THRESHOLD)
+        for agent in usable
+    )
+    return total / len(usable)
+
+
 def is_avoided(agent: AgentView, now: float) -> bool:
     """Return whether an executor fails tasks repeatedly or is too slow."""
     if slowness_of(agent, now) >= _SLOWNESS_THRESHOLD:
@@ -62,24 +71,27 @@
     return agent.reported_slowness if now < agent.slow_until else 1
 
 
+def expected_slowness(agent: AgentView, now: float) -> float:
+    """Return how long tasks are expected to take, relative to the estimate.
+
+    An agent knows the speed of its executor from all completed runs; a slow run
+    is newer.
+    """
+    if now < agent.slow_until or agent.report is None:
+        return slowness_of(agent, now)
+    return agent.report.slowness
+
+
 def record_task_end(
     turn: Turn,
     agent: AgentView,
-    job: Job,
-    task: Task,
     ended: work.TaskEnded,
 ) -> None:
-    """Update the failure count and average slowness after a run."""
+    """Update the failure count after a run."""
     if ended.outcome == outcomes.FAILED:
         record_failure(turn, agent, ended.reason)
-    if ended.outcome != outcomes.DONE:
-        return
-    agent.consecutive_failures = 0
-    estimate_ms = max(job.steps[task.step_index].step.estimate_ms, 1)
-    ratio = min(ended.duration_ms / estimate_ms, _MAX_SLOWNESS)
-    agent.average_slowness += _SMOOTHING_FACTOR * (
-        ratio - agent.average_slowness
-    )
+    elif ended.outcome == outcomes.DONE:
+        agent.consecutive_failures = 0
 
 
 def record_failure(turn: Turn, agent: AgentView, reason: str) -> None:
@@ -111,12 +123,14 @@
     Its task is moved if it makes no progress or would end sooner elsewhere.
     """
     agent = state.agents[link]
-    if slow_run.slowness:
+    placed = _find_placed_task(state, agent, slow_run)
+    # A task that was slow at another executor, too, says nothing of this one.
+    was_moved = placed is not None and placed[1].moved
+    if slow_run.slowness and not slow_run.sound_executor and not was_moved:
         agent.reported_slowness = min(slow_run.slowness, _MAX_SLOWNESS)
         agent.slow_until = turn.now + _SLOWNESS_VALIDITY_S
-        if slow_run.remaining_ms < 0:
-            record_failure(turn, agent, 'no progress')
-    placed = _find_placed_task(state, agent, slow_run)
+    if slow_run.slowness and slow_run.remaining_ms < 0:
+        record_failure(turn, agent, 'no progress')
     if placed is None:
         return
     job, task = placed
@@ -133,6 +147,7 @@
         agent=agent.name,
         slowness=slow_run.slowness,
         remaining_ms=slow_run.remaining_ms,
+        sound_executor=slow_run.sound_executor,
         moved=is_moved,
     )
     if is_moved:
@@ -163,6 +178,9 @@
     if task.moved:
         # The task was slow at another executor, too: moving does not help.
         return False
+    calibration = state.run_times.calibration_of(job.queue.name)
+    if slow_run.sound_executor and calibration.stay_slow:
+        return False
     step = job.steps[task.step_index].step
     service = job.queue.service
     for link in chain(
@@ -175,7 +193,7 @@
         if not can_start(candidate, service, step):
             continue
         expected_ms = step.estimate_ms * (
-            slowness_of(candidate, now) + _MIN_MOVE_GAIN
+            expected_slowness(candidate, now) + _MIN_MOVE_GAIN
         )
         if expected_ms < slow_run.remaining_ms:
             return True
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -11,6 +11,7 @@
 
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import calibration
 from savoryrudder.dispatch.state import Job
 from savoryrudder.dispatch.state import StepProgress
 from savoryrudder.dispatch.state import Task
@@ -38,7 +39,8 @@
 ) -> Job:
     """Create a job and queue the tasks of its first steps."""
     request = event.job
-    critical_path_s = admission.critical_path_s(request)
+    corrected = calibration.correct_request(state, queue, request)
+    critical_path_s = admission.critical_path_s(corrected)
     objective_s = queue.stretch * critical_path_s + queue.target_ms / MS_PER_S
     state.jobs_created += 1
     job = Job(
@@ -51,11 +53,12 @@
         [],
         {},
     )
-    for index, step in enumerate(request.steps):
+    for index, step in enumerate(corrected.steps):
         task_names = _task_names(request, index)
         tasks = [Task(task_name, index) for task_name in task_names]
         job.tasks.update((task.name, task) for task in tasks)
         job.steps.append(StepProgress(step, tasks, step.tasks))
+    job.mean_excess = state.run_times.calibration_of(queue.name).mean_excess
     job.started_elsewhere = event.may_have_started
     if event.caller_timeout_s is not None:
         job.expires_at = event.now + event.caller_timeout_s
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -18,8 +18,8 @@
 from savoryrudder.dispatch.capacity import SAMPLE_SIZE
 from savoryrudder.dispatch.eligibility import can_start
 from savoryrudder.dispatch.eligibility import is_eligible
+from savoryrudder.dispatch.health import expected_slowness
 from savoryrudder.dispatch.health import is_avoided
-from savoryrudder.dispatch.health import slowness_of
 from savoryrudder.dispatch.isolation import is_held_back
 
 if TYPE_CHECKING:
@@ -192,8 +192,7 @@
     now: float,
 ) -> float:
     step = progress.step
-    slowness = max(agent.average_slowness, slowness_of(agent, now))
-    cost_ms = step.estimate_ms * slowness
+    cost_ms = step.estimate_ms * expected_slowness(agent, now)
     report = agent.report
     if step.data_rack and report and step.data_rack not in report.labels:
         cost_ms *= _REMOTE_DATA_FACTOR
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -11,6 +11,7 @@
 
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import calibration
 from savoryrudder.dispatch import claims
 from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
@@ -28,6 +29,7 @@
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import delegation as protocol
 from savoryrudder.protocol import relay
+from savoryrudder.protocol import run_times
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import CloseLink
 
@@ -338,6 +340,8 @@
     match event.message:
         case protocol.EntryLoad():
             delegation.handle_load(state, link, event.message)
+        case run_times.RunTimesObserved():
+            calibration.handle_observed(state, turn, link, event.message)
         case protocol.DelegateJob():
             submission = delegation.take(state, turn, link, event.message)
             _handle_job_submitted(state, turn, submission)
@@ -369,6 +373,7 @@
         case work.EntryHello():
             relays.end(state, turn, event.message.entry)
             claims.register_peer(state, turn, event.link, event.message)
+            calibration.tell_all(state, turn, event.link)
 
 
 def _handle_agent_message(
@@ -426,12 +431,21 @@
     relays.forget_old_searches(state, turn.now)
     _resume_settled(state, turn)
     jobs.expire_answers(state, turn.now)
+    _tell_peers(state, turn, event)
+    fleet.acknowledge_ends(state, turn)
+    peer_links.end_work(state, turn)
+
+
+def _tell_peers(
+    state: DispatchState,
+    turn: Turn,
+    event: events.Tick,
+) -> None:
     claims.announce_changes(state, turn)
     if event.busy_share is not None:
         delegation.record_load(state, event.busy_share)
         delegation.announce_load(state, turn)
-    fleet.acknowledge_ends(state, turn)
-    peer_links.end_work(state, turn)
+    calibration.tell_changes(state, turn)
 
 
 def _resume_settled(state: DispatchState, turn: Turn) -> None:
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -16,6 +16,7 @@
 from savoryrudder.dispatch.peers import OrphanedJob
 from savoryrudder.dispatch.peers import PeerView
 from savoryrudder.dispatch.peers import RelayedEntry
+from savoryrudder.dispatch.run_times import RunTimes
 from savoryrudder.jobs.model import NO_CONFIGURATION
 from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.jobs.model import Configuration
@@ -107,7 +108,8 @@
     `objective_s` is the latency objective, counted from the arrival; to meet
     it, the job has to start by `latest_start`. `outstanding` counts the tasks
     that are placed or unsettled. A job that `started_elsewhere` may have run at
-    another entry.
+    another entry. Its tasks take `mean_excess` times their estimates on
+    average, with the few that take far longer than a typical one.
     """
 
     request: JobRequest
@@ -124,6 +126,7 @@
     started_elsewhere: bool = False
     outstanding: int = 0
     ended: bool = False
+    mean_excess: float = 1
 
     @property
     def may_have_run(self) -> bool:
@@ -154,9 +157,8 @@
     `unreported_starts` holds, by number, the starts that the reported free
     resources do not include yet. `reconciled` is set once the agent has listed
     its runs of tasks of this entry, and `runs` are those that have not ended.
-    `average_slowness` is the moving average
-    of the task duration relative to the estimate; `reported_slowness` is the
-    same ratio of the latest slow run and is valid until `slow_until`. An agent
+    `reported_slowness` is the duration of the latest slow run relative to the
+    estimate and is valid until `slow_until`. An agent
     that `batches` takes the starts of a step in one message. Runs of the
     `orphaned_jobs` may be going on there without their owner.
     """
@@ -169,7 +171,6 @@
     starts_sent: int = 0
     unreported_starts: dict[int, UnreportedStart] = field(default_factory=dict)
     free: Resources = NO_RESOURCES
-    average_slowness: float = 1
     reported_slowness: float = 1
     slow_until: float = 0
     avoided_until: float = 0
@@ -218,6 +219,10 @@
     placement_due: bool = False
     # Names of lost agents whose tasks may be unsettled.
     unsettled_agents: set[str] = field(default_factory=set)
+    run_times: RunTimes = field(default_factory=RunTimes)
+    run_times_told_at: float = 0
+    # Mean slowness of the usable executors.
+    typical_slowness: float = 1
     # Not set while most executors look faulty, as the cause is not theirs.
     avoidance_enabled: bool = True
     peers: dict[str, PeerView] = field(default_factory=dict)
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -13,6 +13,7 @@
 from savoryrudder.protocol import delegation
 from savoryrudder.protocol import messages
 from savoryrudder.protocol import relay
+from savoryrudder.protocol import run_times
 from savoryrudder.protocol import work
 
 PROTOCOL_VERSION: Final = 1
@@ -68,6 +69,7 @@
         46: relay.EntryUnreachable,
         47: relay.RelayedClaims,
         48: work.OrphanedJobs,
+        51: run_times.RunTimesObserved,
     }
 )
 _TAG_BY_TYPE: Final = MappingProxyType(
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -7,6 +7,7 @@
 
 from savoryrudder.protocol import delegation
 from savoryrudder.protocol import relay
+from savoryrudder.protocol import run_times
 from savoryrudder.protocol import work
 
 # A submission identifier (16 bytes) and the task's position in its job.
@@ -361,4 +362,5 @@
     | relay.EntryReachable
     | relay.EntryUnreachable
     | relay.RelayedClaims
+    | run_times.RunTimesObserved
 )
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -128,7 +128,8 @@
     `free` accounts for the receiver's `StartTask` messages up to the number
     `starts_seen`. An executor `on_trial` was suspended for a stall and takes
     one task at a time until one makes progress. Its capacity is shared by a
-    number of `entries`.
+    number of `entries`. `slowness` is the duration of recent runs relative to
+    their estimates, as sent with the starts.
     """
 
     executor: str
@@ -140,6 +141,7 @@
     starts_seen: int
     on_trial: bool = False
     entries: int = 1
+    slowness: float = 1
 
 
 class RunningTasks(NamedTuple):
@@ -252,7 +254,8 @@
     """Report a run that takes far longer than estimated.
 
     `slowness` is the projected duration relative to the estimate;
-    `remaining_ms` is -1 for a run that makes no progress.
+    `remaining_ms` is -1 for a run that makes no progress. With `sound_executor`
+    other runs there show that the executor is not slow.
     """
 
     task: str
@@ -260,6 +263,7 @@
     slowness: float
     remaining_ms: int
     job_number: int = NO_JOB_NUMBER
+    sound_executor: bool = False
 
     @property
     def run_id(self) -> RunId:
--- a/src/savoryrudder/worker/lease.py
+++ b/src/savoryrudder/worker/lease.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from savoryrudder.utils.ratio_estimate import RatioEstimate
 from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
@@ -80,10 +81,14 @@
     """Track whether the executor may get tasks.
 
     `progressed_at` is the last time at which any run made progress. While
-    `on_trial`, the executor gets one task at a time.
+    `on_trial`, the executor gets one task at a time. `run_times` are those of
+    completed runs relative to their estimates, and `normal_end_at` is when a
+    run last ended that was not slow.
     """
 
     progressed_at: float = _NEVER
     suspended: bool = False
     suspended_until: float = _NEVER
     on_trial: bool = False
+    run_times: RatioEstimate = field(default_factory=RatioEstimate)
+    normal_end_at: float = _NEVER
--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from statistics import median_low
 from typing import TYPE_CHECKING
 from typing import Final
+from typing import NamedTuple
 
 from savoryrudder.protocol import work
 from savoryrudder.utils.units import MS_PER_S
@@ -33,6 +35,13 @@
 _MIN_ELAPSED_S: Final = 0.1
 
 
+class _ProjectedRun(NamedTuple):
+    """Hold a run and its projected duration over the estimate, 0 if unknown."""
+
+    run: Run
+    slowness: float
+
+
 def report_slow_runs(
     state: WorkerState,
     turn: Turn,
@@ -52,33 +61,50 @@
         if run.phase is Phase.running:
             running.append(run)
     suspension.suspend_if_stuck(state, turn)
-    projected = [(run, _projected_slowness(run, turn.now)) for run in running]
+    projected = [
+        _ProjectedRun(run, _projected_slowness(run, turn.now))
+        for run in running
+    ]
     threshold = _slowness_threshold(projected)
-    for candidate, slowness in projected:
-        _report_if_slow(state, turn, candidate, slowness, threshold)
+    for candidate in projected:
+        _report_if_slow(state, turn, candidate, projected, threshold)
 
 
-def _slowness_threshold(projected: list[tuple[Run, float]]) -> float:
+def _slowness_threshold(projected: list[_ProjectedRun]) -> float:
     slowness_by_job = {
-        run.task.partition('.')[0]: slowness for run, slowness in projected
+        work.job_of_task(run.task): slowness for run, slowness in projected
     }
-    slownesses = sorted(
-        slowness for slowness in slowness_by_job.values() if slowness
-    )
+    slownesses = [slowness for slowness in slowness_by_job.values() if slowness]
     if len(slownesses) < _MIN_JOBS:
         return _SINGLE_JOB_SLOW_FACTOR
-    lower_median = slownesses[(len(slownesses) - 1) // 2]
-    is_executor_slow = lower_median >= _SLOW_FACTOR
+    is_executor_slow = median_low(slownesses) >= _SLOW_FACTOR
     return _SLOW_FACTOR if is_executor_slow else _SINGLE_JOB_SLOW_FACTOR
 
 
+def _is_executor_sound(
+    state: WorkerState,
+    slow_run: Run,
+    projected: list[_ProjectedRun],
+) -> bool:
+    """Return whether other runs show that the executor is not slow."""
+    others = [
+        slowness
+        for run, slowness in projected
+        if slowness and run is not slow_run
+    ]
+    if others:
+        return median_low(others) < _SLOW_FACTOR
+    return state.health.normal_end_at > slow_run.started_at
+
+
 def _report_if_slow(
     state: WorkerState,
     turn: Turn,
-    run: Run,
-    slowness: float,
+    candidate: _ProjectedRun,
+    projected: list[_ProjectedRun],
     threshold: float,
 ) -> None:
+    run, slowness = candidate
     is_newly_stuck = not run.stuck_reported and _is_stuck(run, turn.now)
     is_newly_slow = not run.slow_reported and slowness >= threshold
     if not is_newly_stuck and not is_newly_slow:
@@ -96,6 +122,7 @@
         0 if state.health.suspended else max(slowness, threshold),
         remaining_ms,
         run.job_number,
+        _is_executor_sound(state, run, projected),
     )
     turn.count('slow_runs')
     turn.log(
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -17,6 +17,7 @@
 from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import Send
+from savoryrudder.worker import speed
 from savoryrudder.worker.state import SentReport
 
 if TYPE_CHECKING:
@@ -34,6 +35,9 @@
 # An entry without runs here chooses among others first, most of the time.
 _UNUSED_LINK_DELAY_S: Final = 1
 _JOINING_DELAY_S: Final = 0.1
+# A change of the speed joins reports of free capacity. One of this factor is
+# told without, so that entries try an idle executor that was slow.
+_SLOWNESS_CHANGE: Final = 1.25
 
 
 def is_nearly_full(state: WorkerState) -> bool:
@@ -70,6 +74,7 @@
         state.health.on_trial,
         heartbeat.executor,
         sum(1 for link in state.links.values() if link.incarnation),
+        speed.current_slowness(state, turn.now),
         turn.now,
     )
     nearly_full_cpu = _nearly_full_cpu(heartbeat)
@@ -104,6 +109,7 @@
         starts_seen,
         sent.on_trial,
         sent.entries,
+        sent.slowness,
     )
 
 
@@ -141,7 +147,7 @@
     if previous.on_trial != current.on_trial:
         return True
     if (previous.free, previous.entries) == (current.free, current.entries):
-        return False
+        return _has_other_speed(previous, current)
     if current.free.cpu < nearly_full_cpu <= previous.free.cpu:
         return True
     delay_s = (
@@ -152,6 +158,11 @@
     return current.sent_at - previous.sent_at >= delay_s
 
 
+def _has_other_speed(previous: SentReport, current: SentReport) -> bool:
+    lower, upper = sorted((previous.slowness, current.slowness))
+    return upper >= lower * _SLOWNESS_CHANGE
+
+
 def _nearly_full_cpu(heartbeat: ExecutorHeartbeat) -> float:
     return heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
 
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -9,6 +9,7 @@
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
+from savoryrudder.worker import speed
 from savoryrudder.worker import verdicts
 from savoryrudder.worker.effects import StartRun
 from savoryrudder.worker.effects import StopRun
@@ -222,6 +223,7 @@
     turn.count(f'runs_{outcome}')
     if outcome == outcomes.DONE:
         turn.observe('run', duration_s)
+        speed.record_run(state, run, turn.now)
     else:
         turn.log(
             'run-ended',
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -142,6 +142,7 @@
     on_trial: bool
     executor: str
     entries: int
+    slowness: float
     sent_at: float
 
 
