Let a job's last task wait for a faster executor

A job is as late as its last task, and each task was placed as soon as anything had room: one of eight tasks on a slow executor made the whole job late.

A task now waits if the best executor with room is slower than the mean by 1.4, the job would miss its objective there, and would not after the expected wait for room elsewhere. The wait ends after a tenth of the objective, so a wrong prediction costs little; with much work waiting, or with time enough, the slow executor is used. At most four steps of a kind are deferred in one turn; those behind them count as blocked, so that a turn stays as cheap as with a full fleet.

Ruled out: waiting for the fastest executor whenever that ends the task sooner (slow ones would stand idle under load), and deferral of steps that others follow or that need a label (their time left, or the faster executors, are not known at once).

--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -5,22 +5,27 @@
 for it, so that a stream of smaller tasks does not starve it.
 
 The tasks of a step go to few executors: a job is as late as its last task, so
-each further executor is one more that may be slow, and one more message.
+each further executor is one more that may be slow, and one more message. For
+the same reason, a task waits a moment if only a slow executor has room, and the
+job would miss its objective there but not after the wait.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from itertools import islice
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import NamedTuple
 
+from savoryrudder.dispatch.admission import unstarted_work
 from savoryrudder.dispatch.capacity import SAMPLE_SIZE
 from savoryrudder.dispatch.eligibility import can_start
 from savoryrudder.dispatch.eligibility import is_eligible
 from savoryrudder.dispatch.health import expected_slowness
 from savoryrudder.dispatch.health import is_avoided
 from savoryrudder.dispatch.isolation import is_held_back
+from savoryrudder.utils.units import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,6 +55,12 @@
 # A task on an executor on trial may have to be restarted after this time. Jobs
 # that have to start sooner are not placed there, unless they are late already.
 _TRIAL_RESTART_S: Final = 0.35
+# A task may wait for a faster executor if the others are faster by this factor
+# on average, until this share of the job's objective has passed.
+_SLOW_FACTOR: Final = 1.4
+_MAX_DEFERRED_SHARE: Final = 0.1
+# Number of deferred steps after which the search ends for similar ones.
+_MAX_DEFERRED_STEPS: Final = 4
 
 
 class Placement(NamedTuple):
@@ -64,7 +75,7 @@
     """Yield placements; the caller applies each one before the next."""
     if not state.job_queue:
         return
-    search = _SearchContext(state, now, set(), {})
+    search = _SearchContext(state, now, set(), {}, Counter())
     blocked_jobs = 0
     for _, _, job_id in tuple(state.job_queue):
         job = state.jobs[job_id]
@@ -96,6 +107,8 @@
     reserved: set[str]
     # Demands that fit nowhere; nothing larger does before the next turn.
     blocked: dict[_Constraints, Resources]
+    # Numbers of steps that wait for a faster executor.
+    deferred: Counter[_Constraints]
 
 
 def _place_step(
@@ -112,16 +125,36 @@
         if not link or not _has_ample_room(search, job, task, link):
             link = _choose_link(search, job, progress, task)
         if not link:
-            if not progress.step.max_per_executor:
-                search.blocked[constraints] = progress.step.demand
-            if not search.reserved:
-                search.reserved.update(
-                    _link_to_reserve(search.state, job, progress)
-                )
+            _record_blocked(search, job, progress, constraints)
+            return
+        if _should_defer(search, job, progress, link):
+            _record_deferred(search, progress.step, constraints)
             return
         yield Placement(job, task, link)
 
 
+def _record_blocked(
+    search: _SearchContext,
+    job: Job,
+    progress: StepProgress,
+    constraints: _Constraints,
+) -> None:
+    if not progress.step.max_per_executor:
+        search.blocked[constraints] = progress.step.demand
+    if not search.reserved:
+        search.reserved.update(_link_to_reserve(search.state, job, progress))
+
+
+def _record_deferred(
+    search: _SearchContext,
+    step: Step,
+    constraints: _Constraints,
+) -> None:
+    search.deferred[constraints] += 1
+    if search.deferred[constraints] >= _MAX_DEFERRED_STEPS:
+        search.blocked[constraints] = step.demand
+
+
 def _constraints_of(
     search: _SearchContext,
     job: Job,
@@ -147,6 +180,45 @@
     return 0 < job.latest_start - search.now < _TRIAL_RESTART_S
 
 
+def _should_defer(
+    search: _SearchContext,
+    job: Job,
+    progress: StepProgress,
+    link: str,
+) -> bool:
+    """Return whether a task had better wait for a faster executor."""
+    state = search.state
+    slowness = expected_slowness(state.agents[link], search.now)
+    if slowness < _SLOW_FACTOR * state.typical_slowness:
+        return False
+    elapsed_s = search.now - job.arrived_at
+    if elapsed_s > _MAX_DEFERRED_SHARE * job.objective_s:
+        return False
+    step = progress.step
+    has_other_steps = any(
+        other.remaining for other in job.steps if other is not progress
+    )
+    if has_other_steps or step.required_label:
+        return False
+    left_ms = (job.objective_s - elapsed_s) * MS_PER_S
+    if left_ms >= step.estimate_ms * slowness:
+        return False
+    typical_ms = step.estimate_ms * state.typical_slowness
+    return _expected_wait_ms(state, job) + typical_ms <= left_ms
+
+
+def _expected_wait_ms(state: DispatchState, job: Job) -> float:
+    """Return the wait until the job's last task starts, behind those before."""
+    waiting_work: float = 0
+    # Those ahead that are searched for in one turn.
+    for _, _, job_id in state.job_queue[: _MAX_BLOCKED_JOBS + 1]:
+        waiting_work += unstarted_work(state.jobs[job_id])
+        if job_id == job.request.job_id:
+            break
+    share_cpu = max(state.capacity.share_cpu(job.queue.service), 1)
+    return waiting_work * state.typical_slowness / share_cpu
+
+
 def _has_ample_room(
     search: _SearchContext,
     job: Job,
