Average the speeds of executors, not their slowness

One executor in ten that is ten times slower takes a tenth of the capacity, not half; predicted waits counted with the latter. A reported slowness out of range counts as the limit.

--- a/src/savoryrudder/dispatch/health.py
+++ b/src/savoryrudder/dispatch/health.py
@@ -25,6 +25,7 @@
     from savoryrudder.dispatch.state import Task
     from savoryrudder.dispatch.turn import Turn
 
+_MIN_SLOWNESS: Final = 0.1
 _MAX_SLOWNESS: Final = 20
 _FAILURE_THRESHOLD: Final = 3
 _MIN_AVOIDANCE_S: Final = 1
@@ -50,11 +51,8 @@
 def _typical_slowness(usable: list[AgentView], now: float) -> float:
     if not usable:
         return 1
-    total = sum(
-        min(expected_slowness(agent, now), _SLOWNESS_THRESHOLD)
-        for agent in usable
-    )
-    return total / len(usable)
+    total_speed = sum(1 / expected_slowness(agent, now) for agent in usable)
+    return len(usable) / total_speed
 
 
 def is_avoided(agent: AgentView, now: float) -> bool:
@@ -79,7 +77,7 @@
     """
     if now < agent.slow_until or agent.report is None:
         return slowness_of(agent, now)
-    return agent.report.slowness
+    return min(max(_MIN_SLOWNESS, agent.report.slowness), _MAX_SLOWNESS)
 
 
 def record_task_end(
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -221,7 +221,7 @@
     unsettled_agents: set[str] = field(default_factory=set)
     run_times: RunTimes = field(default_factory=RunTimes)
     run_times_told_at: float = 0
-    # Mean slowness of the usable executors.
+    # Slowness of the usable executors, by their mean speed.
     typical_slowness: float = 1
     # Not set while most executors look faulty, as the cause is not theirs.
     avoidance_enabled: bool = True
