--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import defaultdict
 from typing import TYPE_CHECKING
 from typing import Final
 
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import calibration
 from savoryrudder.dispatch import drain_rate
 from savoryrudder.jobs.model import JobRequest
 from savoryrudder.utils.units import MS_PER_S
@@ -76,6 +77,23 @@
 
     A job that another entry hands over `is_foreign`.
     """
+    return _refusal_for_corrected(
+        state,
+        queue,
+        calibration.correct_request(state, queue, request),
+        now,
+        is_foreign=is_foreign,
+    )
+
+
+def _refusal_for_corrected(
+    state: DispatchState,
+    queue: Queue,
+    request: JobRequest,
+    now: float,
+    *,
+    is_foreign: bool,
+) -> answers.Answer | None:
     if state.draining and now + _objective_s(queue, request) > state.exit_at:
         return answers.Answer(
             answers.UNAVAILABLE,
@@ -146,7 +164,7 @@
     place.
     """
     hopeless: list[tuple[Job, answers.Answer]] = []
-    work_by_service: Counter[str] = Counter()
+    work_by_service: defaultdict[str, float] = defaultdict(float)
     for _, _, job_id in state.job_queue:
         job = state.jobs[job_id]
         service = job.queue.service
@@ -162,7 +180,7 @@
 def _refusal_in_queue(
     state: DispatchState,
     job: Job,
-    ahead_cpu_ms: int,
+    ahead_cpu_ms: float,
     now: float,
 ) -> answers.Answer | None:
     if job.may_have_run or now < state.warm_up_until:
@@ -186,10 +204,12 @@
     """Return the predicted wait until the job's last task can start.
 
     Assumes that the queue is worked off as fast as lately, or, if there was
-    none, with this entry's share of the executors' capacity.
+    none, with this entry's share of the executors' capacity, and that the
+    estimates are corrected.
     """
     latest_start = now + _slack_s(queue, request)
-    work_cpu_ms = needed_work(request)
+    excess = state.run_times.calibration_of(queue.name).mean_excess
+    work_cpu_ms = excess * needed_work(request)
     for queued_latest_start, _, job_id in state.job_queue:
         if queued_latest_start > latest_start:
             break
@@ -201,7 +221,7 @@
     state: DispatchState,
     service: str,
     request: JobRequest,
-    work_cpu_ms: int,
+    work_cpu_ms: float,
     now: float,
 ) -> float:
     # Tasks that fit into the free resources start at once.
@@ -229,9 +249,14 @@
     return sum(_step_work(step) for step in request.steps)
 
 
-def unstarted_work(job: Job) -> int:
+def whole_work(job: Job) -> int:
+    """Return the estimated work of an accepted job (`cpu` x ms)."""
+    return sum(_step_work(progress.step) for progress in job.steps)
+
+
+def unstarted_work(job: Job) -> float:
     """Return the estimated work that has not started (`cpu` x ms)."""
-    return sum(
+    return job.mean_excess * sum(
         len(progress.waiting)
         * progress.step.demand.cpu
         * progress.step.estimate_ms
--- a/src/savoryrudder/dispatch/drain_rate.py
+++ b/src/savoryrudder/dispatch/drain_rate.py
@@ -32,16 +32,29 @@
 
 @dataclass(slots=True)
 class DrainRate:
-    """Average the work that is started a second, in millicores."""
+    """Average the work that is started a second, in millicores.
+
+    `share_cpu` is what this entry could count on when the rate was observed.
+    """
 
     cpu: float
     updated_at: float
+    share_cpu: float = 0
 
     def add(self, now: float, work_cpu_ms: float) -> None:
         """Add the work of a task that starts now."""
         self.cpu = self.at(now) + work_cpu_ms / MS_PER_S / _AVERAGING_S
         self.updated_at = now
 
+    def follow_share(self, share_cpu: float) -> None:
+        """Lower the rate by as much as the share has shrunk."""
+        self.cpu *= self.part_left(share_cpu)
+        self.share_cpu = share_cpu
+
+    def part_left(self, share_cpu: float) -> float:
+        """Return which part of the share, and of the rate, is left."""
+        return min(share_cpu / self.share_cpu, 1) if self.share_cpu else 1
+
     def at(self, now: float) -> float:
         """Return the rate as of now."""
         elapsed_s = max(now - self.updated_at, 0)
@@ -50,11 +63,12 @@
 
 def expected_cpu(state: DispatchState, service: str, now: float) -> float:
     """Return the millicores with which tasks of a service will be started."""
-    share_cpu = state.capacity.share_cpu(service)
+    share_cpu = _sound_share_cpu(state, service)
     rate = state.drain_rates.get(service)
     if rate is None:
         return share_cpu
-    return max(rate.at(now), _MIN_PART_OF_SHARE * share_cpu)
+    rate_cpu = rate.at(now) * rate.part_left(share_cpu)
+    return max(rate_cpu, _MIN_PART_OF_SHARE * share_cpu)
 
 
 def record_start(
@@ -84,9 +98,16 @@
     }
     for service in state.drain_rates.keys() - services:
         state.drain_rates.pop(service)
+    for service, rate in state.drain_rates.items():
+        rate.follow_share(_sound_share_cpu(state, service))
     for service in services - state.drain_rates.keys():
-        share_cpu = state.capacity.share_cpu(service)
-        state.drain_rates[service] = DrainRate(share_cpu, now)
+        share_cpu = _sound_share_cpu(state, service)
+        state.drain_rates[service] = DrainRate(share_cpu, now, share_cpu)
+
+
+def _sound_share_cpu(state: DispatchState, service: str) -> float:
+    # Slow executors take longer for the same work.
+    return state.capacity.share_cpu(service) / state.typical_slowness
 
 
 def _lacks_room(state: DispatchState, job: Job, now: float) -> bool:
--- a/src/savoryrudder/dispatch/overload.py
+++ b/src/savoryrudder/dispatch/overload.py
@@ -13,6 +13,7 @@
 
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import calibration
 from savoryrudder.dispatch import drain_rate
 from savoryrudder.dispatch import jobs
 from savoryrudder.dispatch import shedding
@@ -25,7 +26,6 @@
     from savoryrudder.dispatch.state import DispatchState
     from savoryrudder.dispatch.state import Job
     from savoryrudder.dispatch.turn import Turn
-    from savoryrudder.jobs.model import JobRequest
     from savoryrudder.jobs.model import Queue
 
 # Queued jobs that are examined, those that have to start first.
@@ -44,7 +44,8 @@
     queue: Queue,
 ) -> None:
     """Count a job that this entry accepts or refuses."""
-    work_cpu_ms = admission.needed_work(event.job)
+    request = calibration.correct_request(state, queue, event.job)
+    work_cpu_ms = admission.needed_work(request)
     state.refusal_shares.record_arrival(queue, work_cpu_ms, event.now)
 
 
@@ -77,13 +78,11 @@
 ) -> None:
     """Count and log a job that was refused on arrival for want of room."""
     arriving = _arriving_candidate(state, event, queue)
-    state.refusal_shares.record_refusal(
-        queue,
-        arriving.work_cpu_ms,
-        turn.now,
-    )
+    request = calibration.correct_request(state, queue, event.job)
+    work_cpu_ms = admission.needed_work(request)
+    state.refusal_shares.record_refusal(queue, work_cpu_ms, turn.now)
     turn.count('jobs_shed_arriving')
-    wait_s = admission.predicted_wait_s(state, queue, event.job, turn.now)
+    wait_s = admission.predicted_wait_s(state, queue, request, turn.now)
     _log(turn, arriving, queue, late=arriving.job_id, wait_s=wait_s)
 
 
@@ -176,7 +175,7 @@
         priority=queue.priority,
         late=late,
         wait_ms=int(wait_s * MS_PER_S),
-        work_cpu_ms=candidate.work_cpu_ms,
+        work_cpu_ms=int(candidate.work_cpu_ms),
         cost=int(candidate.cost),
     )
 
@@ -218,8 +217,8 @@
         job.sequence_number,
         job.latest_start,
         admission.unstarted_work(job),
-        admission.critical_path_s(job.request) * MS_PER_S,
-        _cost(state, job.queue, job.request, now),
+        (job.objective_s - (job.latest_start - job.arrived_at)) * MS_PER_S,
+        _cost(state, job.queue, admission.whole_work(job), now),
         refusable=not job.may_have_run and not job.outstanding,
     )
 
@@ -229,15 +228,17 @@
     event: JobSubmitted,
     queue: Queue,
 ) -> shedding.Candidate:
-    request = event.job
+    request = calibration.correct_request(state, queue, event.job)
+    work_cpu_ms = admission.needed_work(request)
+    observed = state.run_times.calibration_of(queue.name)
     return shedding.Candidate(
         request.job_id,
         admission.latest_start(queue, request, event.now),
         state.jobs_created + 1,
         event.now + admission.max_wait_s(state, queue, request, event.now),
-        admission.needed_work(request),
+        observed.mean_excess * work_cpu_ms,
         admission.critical_path_s(request) * MS_PER_S,
-        _cost(state, queue, request, event.now),
+        _cost(state, queue, work_cpu_ms, event.now),
         refusable=True,
     )
 
@@ -245,10 +246,9 @@
 def _cost(
     state: DispatchState,
     queue: Queue,
-    request: JobRequest,
+    work_cpu_ms: int,
     now: float,
 ) -> float:
-    work_cpu_ms = admission.needed_work(request)
     mean_cpu_ms = state.refusal_shares.mean_size(queue.name)
     weighted_work = (
         _FIXED_COST_SHARE * mean_cpu_ms + (1 - _FIXED_COST_SHARE) * work_cpu_ms
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Final
-from typing import NamedTuple
 from typing import TypeAlias
 
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import answers
+from savoryrudder.dispatch import calibration
 from savoryrudder.dispatch import claims
 from savoryrudder.dispatch import contested
 from savoryrudder.dispatch import delegation
@@ -29,10 +29,11 @@
 from savoryrudder.dispatch import peer_load
 from savoryrudder.dispatch import queries
 from savoryrudder.dispatch import relays
-from savoryrudder.dispatch.placement import place_tasks
+from savoryrudder.dispatch import starts
 from savoryrudder.dispatch.turn import Turn
 from savoryrudder.protocol import delegation as protocol
 from savoryrudder.protocol import relay
+from savoryrudder.protocol import run_times
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import CloseLink
 
@@ -59,39 +60,13 @@
     _EVENT_HANDLERS[type(event)](state, turn, event)
     if state.placement_due:
         state.placement_due = False
-        _place_tasks(state, turn)
-        drain_rate.observe_queue(state, turn.now)
+        starts.start_tasks(state, turn)
     elif not state.job_queue:
         state.drain_rates.clear()
     draining.advance_drain(state, turn)
     return relays.route(state, foreign_jobs.route_answers(state, turn))
 
 
-def _place_tasks(state: DispatchState, turn: Turn) -> None:
-    starts: dict[_StartGroup, list[work.StartTask]] = {}
-    for placement in place_tasks(state, turn.now):
-        group = _StartGroup(
-            placement.link,
-            placement.job.request.job_id,
-            placement.task.step_index,
-        )
-        start = fleet.apply_placement(state, turn, placement)
-        service = placement.job.queue.service
-        step = placement.job.steps[placement.task.step_index].step
-        drain_rate.record_start(state, turn.now, service, step)
-        starts.setdefault(group, []).append(start)
-    for group, group_starts in starts.items():
-        fleet.send_starts(state, turn, group.link, group_starts)
-
-
-class _StartGroup(NamedTuple):
-    """Identify the starts of a turn that differ in their task only."""
-
-    link: str
-    job: str
-    step_index: int
-
-
 def _handle_configuration(
     state: DispatchState,
     turn: Turn,
@@ -377,6 +352,8 @@
     match event.message:
         case protocol.EntryLoad():
             peer_load.handle_load(state, turn.now, link, event.message)
+        case run_times.RunTimesObserved():
+            calibration.handle_observed(state, turn, link, event.message)
         case protocol.DelegateJob():
             submission = foreign_jobs.take(state, turn, link, event.message)
             _handle_job_submitted(state, turn, submission)
@@ -415,6 +392,7 @@
         case work.EntryHello():
             relays.end(state, turn, event.message.entry)
             claims.register_peer(state, turn, event.link, event.message)
+            calibration.tell_all(state, turn, event.link)
 
 
 def _handle_agent_message(
@@ -472,12 +450,21 @@
     relays.forget_old_searches(state, turn.now)
     _resume_settled(state, turn)
     jobs.expire_answers(state, turn.now)
+    _tell_peers(state, turn, event)
+    fleet.acknowledge_ends(state, turn)
+    peer_links.end_work(state, turn)
+
+
+def _tell_peers(
+    state: DispatchState,
+    turn: Turn,
+    event: events.Tick,
+) -> None:
     claims.announce_changes(state, turn)
     if event.busy_share is not None:
         peer_load.record_load(state, event.busy_share)
         peer_load.announce_load(state, turn)
-    fleet.acknowledge_ends(state, turn)
-    peer_links.end_work(state, turn)
+    calibration.tell_changes(state, turn)
 
 
 def _resume_settled(state: DispatchState, turn: Turn) -> None:
--- a/src/savoryrudder/dispatch/shedding.py
+++ b/src/savoryrudder/dispatch/shedding.py
@@ -39,7 +39,7 @@
     latest_start: float
     sequence_number: int
     start_by: float
-    work_cpu_ms: int
+    work_cpu_ms: float
     duration_ms: float
     cost: float
     refusable: bool
@@ -117,7 +117,7 @@
     room: Room
     now: float
     kept: list[Candidate] = field(default_factory=list)
-    work_cpu_ms: int = 0
+    work_cpu_ms: float = 0
 
     def append(self, candidate: Candidate) -> None:
         """Let a job start after all others."""
@@ -139,7 +139,7 @@
         return late_s * _share_cpu(self.room) * MS_PER_S
 
 
-def _wait_s(room: Room, last: Candidate, work_cpu_ms: int) -> float:
+def _wait_s(room: Room, last: Candidate, work_cpu_ms: float) -> float:
     # Tasks that fit into the free processors start at once.
     waiting_cpu_ms = work_cpu_ms - room.free_cpu * last.duration_ms
     return max(waiting_cpu_ms, 0) / _share_cpu(room) / MS_PER_S
@@ -223,7 +223,7 @@
     kept: Collection[Candidate],
 ) -> set[str]:
     late: set[str] = set()
-    work_cpu_ms = 0
+    work_cpu_ms: float = 0
     for candidate in kept:
         work_cpu_ms += candidate.work_cpu_ms
         wait_s = _wait_s(schedule.room, candidate, work_cpu_ms)
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -14,6 +14,7 @@
 from savoryrudder.protocol import evacuation
 from savoryrudder.protocol import messages
 from savoryrudder.protocol import relay
+from savoryrudder.protocol import run_times
 from savoryrudder.protocol import work
 
 PROTOCOL_VERSION: Final = 1
@@ -70,6 +71,7 @@
         47: relay.RelayedClaims,
         48: work.OrphanedJobs,
         49: evacuation.EvacuatedZones,
+        51: run_times.RunTimesObserved,
     }
 )
 _TAG_BY_TYPE: Final = MappingProxyType(
--- a/src/savoryrudder/protocol/messages.py
+++ b/src/savoryrudder/protocol/messages.py
@@ -8,6 +8,7 @@
 from savoryrudder.protocol import delegation
 from savoryrudder.protocol import evacuation
 from savoryrudder.protocol import relay
+from savoryrudder.protocol import run_times
 from savoryrudder.protocol import work
 
 # A submission identifier (16 bytes) and the task's position in its job.
@@ -363,4 +364,5 @@
     | relay.EntryUnreachable
     | relay.RelayedClaims
     | evacuation.EvacuatedZones
+    | run_times.RunTimesObserved
 )
--- a/src/savoryrudder/protocol/work.py
+++ b/src/savoryrudder/protocol/work.py
@@ -132,7 +132,8 @@
     number of `entries`; the receiver may count on `share_cpu` millicores of it,
     or on an equal share if that is 0. A `cold` executor is slow for a while
     after its start. Its zone is `evacuated` or not, as the agent was told at a
-    `zones_revision`.
+    `zones_revision`. `slowness` is the duration of recent runs relative to
+    their estimates, as sent with the starts.
     """
 
     executor: str
@@ -148,6 +149,7 @@
     evacuated: bool = False
     zones_revision: int = UNREAD_ZONES.revision
     share_cpu: int = 0
+    slowness: float = 1
 
 
 class RunningTasks(NamedTuple):
@@ -260,7 +262,8 @@
     """Report a run that takes far longer than estimated.
 
     `slowness` is the projected duration relative to the estimate;
-    `remaining_ms` is -1 for a run that makes no progress.
+    `remaining_ms` is -1 for a run that makes no progress. With `sound_executor`
+    other runs there show that the executor is not slow.
     """
 
     task: str
@@ -268,6 +271,7 @@
     slowness: float
     remaining_ms: int
     job_number: int = NO_JOB_NUMBER
+    sound_executor: bool = False
 
     @property
     def run_id(self) -> RunId:
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -19,6 +19,7 @@
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import Send
 from savoryrudder.worker import shares
+from savoryrudder.worker import speed
 from savoryrudder.worker.state import SentReport
 
 if TYPE_CHECKING:
@@ -38,6 +39,9 @@
 _JOINING_DELAY_S: Final = 0.1
 # A share that has changed by this part of the capacity is told by itself.
 _MIN_SHARE_CHANGE: Final = 0.25
+# A change of the speed joins reports of free capacity. One of this factor is
+# told without, so that entries try an idle executor that was slow.
+_SLOWNESS_CHANGE: Final = 1.25
 
 
 def is_nearly_full(state: WorkerState) -> bool:
@@ -78,6 +82,7 @@
         state.evacuated,
         state.evacuation.revision,
         share_cpu=0,
+        slowness=speed.current_slowness(state, turn.now),
         sent_at=turn.now,
     )
     capacity_cpu = heartbeat.capacity.cpu
@@ -132,6 +137,7 @@
         sent.evacuated,
         sent.zones_revision,
         sent.share_cpu,
+        sent.slowness,
     )
 
 
@@ -168,9 +174,10 @@
         return True
     elapsed_s = current.sent_at - previous.sent_at
     if (previous.free, previous.entries) == (current.free, current.entries):
-        share_change = abs(current.share_cpu - previous.share_cpu)
-        is_large = share_change > _MIN_SHARE_CHANGE * capacity_cpu
-        return is_large and elapsed_s >= _BATCHING_DELAY_S
+        return _has_other_speed(previous, current) or (
+            _has_other_share(previous, current, capacity_cpu)
+            and elapsed_s >= _BATCHING_DELAY_S
+        )
     nearly_full_cpu = capacity_cpu * _NEARLY_FULL_SHARE
     if current.free.cpu < nearly_full_cpu <= previous.free.cpu:
         return True
@@ -187,6 +194,20 @@
     return report.accepting, report.on_trial, report.cold, report.evacuated
 
 
+def _has_other_share(
+    previous: SentReport,
+    current: SentReport,
+    capacity_cpu: int,
+) -> bool:
+    change = abs(current.share_cpu - previous.share_cpu)
+    return change > _MIN_SHARE_CHANGE * capacity_cpu
+
+
+def _has_other_speed(previous: SentReport, current: SentReport) -> bool:
+    lower, upper = sorted((previous.slowness, current.slowness))
+    return upper >= lower * _SLOWNESS_CHANGE
+
+
 def _nearly_full_cpu(heartbeat: ExecutorHeartbeat) -> float:
     return heartbeat.capacity.cpu * _NEARLY_FULL_SHARE
 
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -149,6 +149,7 @@
     evacuated: bool
     zones_revision: int
     share_cpu: int
+    slowness: float
     sent_at: float
 
 
