Revert "Remember in the store which executor stands beside an agent"

What the room waits for is the new instance's first heartbeat, 0.4 to 0.9 s after the power is back.

--- a/src/savoryrudder/daemon/membership.py
+++ b/src/savoryrudder/daemon/membership.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 from typing import Final
-from typing import NamedTuple
 
 import anyio
 
@@ -22,6 +21,8 @@
 
 MEMBERS_PREFIX: Final = 'savoryrudder/members/'
 
+_LEASE_S: Final = 6
+_RENEWAL_S: Final = 2
 # Pause after a call that failed.
 RETRY_S: Final = 0.3
 
@@ -109,52 +110,37 @@
     return members
 
 
-class LeaseTiming(NamedTuple):
-    """Define the lease of a key and its renewal, in seconds.
-
-    A call that failed is repeated after `retry_s`.
-    """
-
-    lease_s: float
-    renewal_s: float
-    retry_s: float = RETRY_S
-
-
-class LeasedKey:
-    """Keep a key in the store under a lease."""
+class Registration:
+    """Keep the key of an entry in the store under a lease."""
 
     def __init__(
         self,
         store: interface.KeyValueStore,
-        key: str,
-        content: str,
-        timing: LeaseTiming,
+        member: Member,
     ) -> None:
-        """Prepare to write a key."""
+        """Prepare to register an entry."""
         self._store = store
-        self._key = key
-        self._content = content
-        self._timing = timing
+        self._key = f'{MEMBERS_PREFIX}{member.name}'
+        self._content = encode_member(member)
         self._lease = ''
 
     async def run(self) -> None:
-        """Write the key and renew its lease until cancelled.
+        """Register the entry and renew its lease until cancelled.
 
         A renewal that failed is repeated soon: a lease that has expired in an
         outage of the store is replaced when the store is back.
         """
-        timing = self._timing
-        pause_s = timing.renewal_s
+        pause_s: float = _RENEWAL_S
         while True:
             if not self._lease and not await self._register():
-                await anyio.sleep(timing.retry_s)
+                await anyio.sleep(RETRY_S)
                 continue
             await anyio.sleep(pause_s)
             outcome = await self._store.call(
                 interface.RenewLease(self._lease),
             )
             is_failed = isinstance(outcome, interface.StoreUnavailable)
-            pause_s = timing.retry_s if is_failed else timing.renewal_s
+            pause_s = RETRY_S if is_failed else _RENEWAL_S
             if isinstance(outcome, interface.LeaseLost):
                 log_event('registration-lost', (('key', self._key),))
                 self._lease = ''
@@ -165,14 +151,12 @@
             await self._store.call(interface.RevokeLease(self._lease))
 
     async def _register(self) -> bool:
-        granted = await self._store.call(
-            interface.GrantLease(self._timing.lease_s),
-        )
+        granted = await self._store.call(interface.GrantLease(_LEASE_S))
         if not isinstance(granted, interface.LeaseHeld):
             return False
         outcome = await self._swap_key(0, granted.lease)
         if isinstance(outcome, interface.SwapConflict):
-            # The key was written by an earlier incarnation of this process.
+            # The key was written by an earlier incarnation of this entry.
             version = outcome.current.version
             outcome = await self._swap_key(version, granted.lease)
         if not isinstance(outcome, interface.Swapped):
@@ -193,23 +177,3 @@
             lease,
         )
         return await self._store.call(operation)
-
-
-_MEMBER_TIMING: Final = LeaseTiming(lease_s=6, renewal_s=2)
-
-
-class Registration(LeasedKey):
-    """Keep the key of an entry in the store under a lease."""
-
-    def __init__(
-        self,
-        store: interface.KeyValueStore,
-        member: Member,
-    ) -> None:
-        """Prepare to register an entry."""
-        super().__init__(
-            store,
-            f'{MEMBERS_PREFIX}{member.name}',
-            encode_member(member),
-            _MEMBER_TIMING,
-        )
--- a/src/savoryrudder/platform/agent.py
+++ b/src/savoryrudder/platform/agent.py
@@ -8,7 +8,6 @@
 
 import anyio
 
-from savoryrudder.daemon.executor_record import ExecutorRecord
 from savoryrudder.daemon.http_server import serve_plain_http
 from savoryrudder.daemon.metrics import Counters
 from savoryrudder.daemon.worker import Worker
@@ -33,7 +32,6 @@
         await group.start(worker.run)
         process.watch_members(group, store, worker)
         process.handle_signals(group, settings, store, worker)
-        group.start_soon(ExecutorRecord(store, worker).run)
         await group.start(
             serve_plain_http,
             HeartbeatApp(worker),
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -69,13 +69,6 @@
         return ExecutorInstance(self.executor, self.address)
 
 
-class ExecutorRecalled(NamedTuple):
-    """A record from before the start of this process names an executor."""
-
-    now: float
-    heartbeat: ExecutorHeartbeat
-
-
 class ExecutorLeft(NamedTuple):
     """The executor has deregistered.
 
@@ -194,7 +187,6 @@
     | LinksRetired
     | MessageReceived
     | ExecutorHeartbeat
-    | ExecutorRecalled
     | ExecutorLeft
     | StartAnswered
     | StopAnswered
--- a/src/savoryrudder/worker/instances.py
+++ b/src/savoryrudder/worker/instances.py
@@ -53,17 +53,6 @@
         _propose(state, turn, heartbeat)
 
 
-def recall(
-    state: WorkerState,
-    turn: Turn,
-    heartbeat: ExecutorHeartbeat,
-) -> None:
-    """Probe the executor of before the start, unless it was heard of since."""
-    if state.heartbeat is None:
-        turn.log('executor-recalled', executor=heartbeat.executor)
-        _propose(state, turn, heartbeat)
-
-
 def apply_probe(
     state: WorkerState,
     turn: Turn,
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -200,14 +200,6 @@
     instances.record_heartbeat(state, turn, event)
 
 
-def _handle_executor_recalled(
-    state: WorkerState,
-    turn: Turn,
-    event: events.ExecutorRecalled,
-) -> None:
-    instances.recall(state, turn, event.heartbeat)
-
-
 def _handle_instance_probed(
     state: WorkerState,
     turn: Turn,
@@ -322,7 +314,6 @@
         events.LinksRetired: _handle_links_retired,
         events.MessageReceived: _handle_message,
         events.ExecutorHeartbeat: _handle_executor_heartbeat,
-        events.ExecutorRecalled: _handle_executor_recalled,
         events.ExecutorLeft: _handle_executor_left,
         events.InstanceProbed: _handle_instance_probed,
         events.StartAnswered: _handle_start_answered,
--- a/tests/worker/test_instances.py
+++ b/tests/worker/test_instances.py
@@ -5,17 +5,13 @@
 from typing import Any
 
 import pytest
-from worker_driver import LINK
-from worker_driver import OWNER
 from worker_driver import WorkerDriver
 
-from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import work
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
-from savoryrudder.worker.state import WorkerState
 
 LISTED = (events.RunProgress('j.0', 1, 10),)
 
@@ -299,75 +295,3 @@
     driver.tick(0.1)
     probe = driver.effects_of(effects.ProbeInstance)[0]
     assert probe.fence > fence
-
-
-def _restarted_driver() -> WorkerDriver:
-    """Return an agent that has started, and has heard of no executor."""
-    driver = WorkerDriver()
-    identity = driver.state.identity
-    driver.state = WorkerState(identity, driver.state.timing, fence=2)
-    driver.post(events.LinkUp(driver.now, LINK))
-    driver.receive(work.EntryHello('e1', OWNER, 'address'))
-    return driver
-
-
-def _recall(driver: WorkerDriver, started_ms: int = 5) -> None:
-    heartbeat = events.ExecutorHeartbeat(
-        driver.now,
-        'x1',
-        started_ms,
-        0,
-        'pane',
-        'address',
-        (),
-        Resources(8000, 4096, 0),
-        draining=False,
-        clock_ms=0,
-    )
-    driver.post(events.ExecutorRecalled(driver.now, heartbeat))
-
-
-def test_a_recalled_executor_gets_tasks_once_it_has_answered() -> None:
-    """Guard against capacity that is idle until the next heartbeat."""
-    driver = _restarted_driver()
-    _recall(driver)
-    assert driver.effects_of(effects.ProbeInstance)
-    driver.start('j.0')
-    assert not driver.effects_of(effects.StartRun)
-    driver.answer_probe(started_ms=5)
-    driver.answer_renewal(started_ms=5)
-    assert driver.state.accepting
-    driver.start('k.0')
-    assert driver.effects_of(effects.StartRun)
-
-
-@pytest.mark.parametrize(
-    ('verdict', 'started_ms'),
-    [(verdicts.PRESENT, 6), (verdicts.ABSENT, 0)],
-)
-def test_a_recalled_executor_that_has_gone_is_forgotten(
-    verdict: str,
-    started_ms: int,
-) -> None:
-    """Guard against starts by the capacity of an instance that has ended."""
-    driver = _restarted_driver()
-    _recall(driver)
-    driver.answer_probe(verdict, started_ms)
-    assert driver.state.heartbeat is None
-    assert driver.state.candidate is None
-    driver.send_heartbeat(started_ms=6)
-    driver.answer_renewal(started_ms=6)
-    assert driver.state.accepting
-
-
-def test_a_heartbeat_goes_before_a_record() -> None:
-    """Guard against an executor that drains and is recalled as ready."""
-    driver = _restarted_driver()
-    _recall(driver)
-    driver.send_heartbeat(draining=True)
-    driver.answer_probe(started_ms=5)
-    driver.answer_renewal(started_ms=5)
-    assert not driver.state.accepting
-    _recall(driver)
-    driver.answer_probe(started_ms=5)
-    assert not driver.state.accepting
