Mend what a reader of the whole diff found

- A job that was handed over and comes back after minutes ended the entry: the decay of the shares overflowed.
The elapsed time is bounded below by 0.
- Jobs without an estimate counted as 1 ms, and made all estimates of their queue, and their executor, look wrong.
They teach nothing now.
- A request under way was given up when there was no memory for what its client sent next.
It is answered, and the connection closes.
- Room was taken for a job if no job of its service was among those examined.
- Refusals for evacuation passed through the choice among waiting jobs, which counted them as shed; interruptions were counted as refusals.
- What an evacuation leaves hopeless was decided in two places: it refuses what no executor can run now, and leaves the rest to dispatch/overload.py.
- A limit of fewer than 200 descriptors was taken for none; a refused limit of requests was logged as a refused configuration, which was in force.

--- a/src/savoryrudder/daemon/http_connection.py
+++ b/src/savoryrudder/daemon/http_connection.py
@@ -126,6 +126,10 @@
             return NO_MEMORY
         return refusal
 
+    def discard_unread(self) -> None:
+        """Free what was received after the request under way."""
+        self._parser.discard()
+
     async def _serve_to_end(self) -> None:
         with self._scope:
             await self._serve_requests()
@@ -144,7 +148,9 @@
             self._scope.deadline = math.inf
             await self._serve_request(request)
             self._served_bytes = 0
-            self._update_held()
+            if not self._update_held():
+                self._refusal = NO_MEMORY
+                return
             self._intake.mark_waiting(self, trio.current_time())
 
     def _update_held(self) -> bool:
@@ -232,7 +238,7 @@
             return
         is_answered = response.is_complete
         self._is_open = (
-            is_answered and response.is_kept_alive and exchange.is_open
+            is_answered and response.is_kept_alive and exchange.may_follow
         )
 
 
@@ -249,6 +255,13 @@
         self._connection = connection
         self._stream = stream
         self._body: bytes | None = request.body
+        # Set when there is no memory for more than the request under way.
+        self._is_unread = False
+
+    @property
+    def may_follow(self) -> bool:
+        """Return whether another request may follow on the connection."""
+        return self.is_open and not self._is_unread
 
     def has_disconnected(self) -> bool:
         """Return whether the client has closed its side of the connection."""
@@ -270,10 +283,20 @@
             if not received:
                 self.is_open = False
                 break
-            # A client may send its next request before it has the response.
-            self.is_open = self._connection.feed(received) is None
+            if not self._is_unread:
+                self._feed(received)
         return {'type': asgi.DISCONNECT}
 
+    def _feed(self, received: bytes) -> None:
+        # A client may send its next request before it has the response.
+        refusal = self._connection.feed(received)
+        if refusal == NO_MEMORY:
+            # The request under way is answered all the same.
+            self._is_unread = True
+            self._connection.discard_unread()
+        else:
+            self.is_open = refusal is None
+
 
 class _Response:
     """Write the response of an application."""
--- a/src/savoryrudder/daemon/request_guard.py
+++ b/src/savoryrudder/daemon/request_guard.py
@@ -29,6 +29,8 @@
 _CONTENT_LENGTH: Final = b'content-length'
 _CLOSE: Final = (b'connection', b'close')
 # A client that still sends gets a refusal only if its bytes are read.
+# A longer length of a body is over every limit.
+_MAX_LENGTH_DIGITS: Final = 19
 _LINGER_S: Final = 1
 _LINGER_MESSAGES: Final = 64
 
@@ -254,4 +256,6 @@
         (length for name, length in headers if name == _CONTENT_LENGTH),
         b'',
     )
-    return int(announced) if announced.isdigit() else 0
+    if not announced.isdigit():
+        return 0
+    return int(announced[:_MAX_LENGTH_DIGITS])
--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -103,7 +102,7 @@
     if now < state.warm_up_until:
         # Agents may still be connecting after the start, so the job is queued.
         return None
-    refusal = _refusal_without_executors(state, queue.service, request)
+    refusal = refusal_without_executors(state, queue.service, request)
     if refusal is not None:
         return refusal
     wait_s = predicted_wait_s(state, queue, request, now)
@@ -117,13 +116,14 @@
     return _overloaded(state, wait_s, excess_s) if excess_s > 0 else None
 
 
-def _refusal_without_executors(
+def refusal_without_executors(
     state: DispatchState,
     service: str,
     request: JobRequest,
 ) -> answers.Answer | None:
+    """Return the refusal of a job that no usable executor can run, or None."""
     if not state.capacity.has_agents(service):
-        is_evacuated = any(agent.evacuated for agent in state.agents.values())
+        is_evacuated = _has_evacuated(state, service)
         return _ALL_EVACUATED if is_evacuated else _NO_EXECUTOR
     if not all(_fits_anywhere(state, service, step) for step in request.steps):
         return answers.Answer(
@@ -153,48 +153,6 @@
     return refusal.verdict == answers.OVERLOADED or refusal == _ALL_EVACUATED
 
 
-def find_hopeless_jobs(
-    state: DispatchState,
-    now: float,
-) -> list[tuple[Job, answers.Answer]]:
-    """Return the queued jobs that must be refused, and their refusals.
-
-    Called when executors have gone: the jobs that have not run and that none of
-    the others can run, or not in time. Those ahead in the queue keep their
-    place.
-    """
-    hopeless: list[tuple[Job, answers.Answer]] = []
-    work_by_service: defaultdict[str, float] = defaultdict(float)
-    for _, _, job_id in state.job_queue:
-        job = state.jobs[job_id]
-        service = job.queue.service
-        ahead_cpu_ms = work_by_service[service]
-        refusal = _refusal_in_queue(state, job, ahead_cpu_ms, now)
-        if refusal is None:
-            work_by_service[service] += unstarted_work(job)
-        else:
-            hopeless.append((job, refusal))
-    return hopeless
-
-
-def _refusal_in_queue(
-    state: DispatchState,
-    job: Job,
-    ahead_cpu_ms: float,
-    now: float,
-) -> answers.Answer | None:
-    if job.may_have_run or now < state.warm_up_until:
-        return None
-    service = job.queue.service
-    refusal = _refusal_without_executors(state, service, job.request)
-    if refusal is not None:
-        return refusal
-    work_cpu_ms = ahead_cpu_ms + unstarted_work(job)
-    wait_s = _wait_s(state, service, job.request, work_cpu_ms, now)
-    excess_s = now + wait_s - job.latest_start
-    return _overloaded(state, wait_s, excess_s) if excess_s > 0 else None
-
-
 def predicted_wait_s(
     state: DispatchState,
     queue: Queue,
@@ -307,6 +265,15 @@
     )
 
 
+def _has_evacuated(state: DispatchState, service: str) -> bool:
+    return any(
+        agent.evacuated
+        and agent.report is not None
+        and agent.report.service == service
+        for agent in state.agents.values()
+    )
+
+
 def _fits_outside(state: DispatchState, service: str, step: Step) -> bool:
     # Outside the evacuated zones.
     return any(
--- a/src/savoryrudder/dispatch/calibration.py
+++ b/src/savoryrudder/dispatch/calibration.py
@@ -48,7 +48,10 @@
 
 
 def _correct_step(step: Step, ratio: float) -> Step:
-    return step._replace(estimate_ms=round(step.estimate_ms * ratio))
+    if not step.estimate_ms:
+        return step
+    estimate_ms = max(round(step.estimate_ms * ratio), 1)
+    return step._replace(estimate_ms=estimate_ms)
 
 
 def record_run(
@@ -64,12 +67,14 @@
     report = agent.report
     if ended.outcome != outcomes.DONE or report is None:
         return
+    if not step.estimate_ms:
+        return
     if step.data_rack and step.data_rack not in report.labels:
         return
     slowness = health.expected_slowness(agent, turn.now)
     if slowness >= _MAX_SLOWNESS or agent.on_trial:
         return
-    ratio = ended.duration_ms / max(step.estimate_ms, 1) / slowness
+    ratio = ended.duration_ms / step.estimate_ms / slowness
     observation = RunObservation(ratio, rerun=task.moved)
     state.run_times.observe(job.queue.name, observation, turn.now)
     _log_change(state, turn, job.queue.name)
--- a/src/savoryrudder/dispatch/evacuation.py
+++ b/src/savoryrudder/dispatch/evacuation.py
@@ -11,6 +11,7 @@
 
 from savoryrudder.dispatch import admission
 from savoryrudder.dispatch import jobs
+from savoryrudder.dispatch import overload
 from savoryrudder.protocol.evacuation import UNREAD_ZONES
 
 if TYPE_CHECKING:
@@ -89,6 +90,16 @@
 
 def _refuse_queued(state: DispatchState, turn: Turn) -> None:
     # A job that may have run is not refused: it waits until its time limit.
-    for job, refusal in admission.find_hopeless_jobs(state, turn.now):
-        turn.count('evacuation_refusals')
-        jobs.answer(state, turn, job, refusal)
+    if turn.now < state.warm_up_until:
+        return
+    for _, _, job_id in tuple(state.job_queue):
+        job = state.jobs[job_id]
+        refusal = admission.refusal_without_executors(
+            state,
+            job.queue.service,
+            job.request,
+        )
+        if refusal is not None and not job.may_have_run:
+            turn.count('evacuation_refusals')
+            jobs.answer(state, turn, job, refusal)
+    overload.answer_hopeless(state, turn)
--- a/src/savoryrudder/dispatch/overload.py
+++ b/src/savoryrudder/dispatch/overload.py
@@ -40,13 +40,14 @@
 
 def record_arrival(
     state: DispatchState,
+    turn: Turn,
     event: JobSubmitted,
     queue: Queue,
 ) -> None:
     """Count a job that this entry accepts or refuses."""
     request = calibration.correct_request(state, queue, event.job)
     work_cpu_ms = admission.needed_work(request)
-    state.refusal_shares.record_arrival(queue, work_cpu_ms, event.now)
+    state.refusal_shares.record_arrival(queue, work_cpu_ms, turn.now)
 
 
 def make_room(
@@ -123,10 +124,8 @@
 ) -> list[shedding.Removal] | None:
     waiting = _waiting_candidates(state, now, service)
     is_partial = len(state.job_queue) > _MAX_EXAMINED
-    if (
-        is_partial
-        and waiting
-        and waiting[-1].latest_start < arriving.latest_start
+    if is_partial and (
+        not waiting or waiting[-1].latest_start < arriving.latest_start
     ):
         # It would start after jobs that are not examined.
         return None
--- a/src/savoryrudder/dispatch/peer_choice.py
+++ b/src/savoryrudder/dispatch/peer_choice.py
@@ -28,7 +28,8 @@
 _MAX_TAKEN_PART: Final = 0.25
 # An entry that refused a job gets none for this time.
 _REFUSAL_PAUSE_S: Final = 0.5
-_DIGEST_BYTES: Final = 8
+# A float holds them exactly.
+_DIGEST_BYTES: Final = 6
 
 
 class PeerRoom(NamedTuple):
--- a/src/savoryrudder/dispatch/reducer.py
+++ b/src/savoryrudder/dispatch/reducer.py
@@ -129,15 +129,13 @@
             is_refused=is_refused,
         ):
             return
-        overload.record_arrival(state, event, queue)
-        if immediate_answer is not None and not overload.make_room(
+        overload.record_arrival(state, turn, event, queue)
+        if immediate_answer is not None and not _make_room(
             state,
             turn,
             event,
-            queue,
+            immediate_answer,
         ):
-            _answer_at_once(state, turn, event, immediate_answer)
-            overload.record_refusal(state, turn, event, queue)
             return
     job = state.jobs.get(event.job.job_id) or _accept_job(state, turn, event)
     if job.ended:
@@ -146,12 +144,33 @@
     state.open_requests[event.request_id] = event.job.job_id
 
 
+def _make_room(
+    state: DispatchState,
+    turn: Turn,
+    event: events.JobSubmitted,
+    refusal: answers.Answer,
+) -> bool:
+    """Turn away other jobs or this one; return whether it has room now."""
+    queue = _find_queue(state, event.host, event.path)
+    is_overloaded = refusal.verdict == answers.OVERLOADED
+    if is_overloaded and overload.make_room(state, turn, event, queue):
+        return True
+    is_refused = _answer_at_once(state, turn, event, refusal)
+    if is_overloaded and is_refused:
+        overload.record_refusal(state, turn, event, queue)
+    return False
+
+
 def _answer_at_once(
     state: DispatchState,
     turn: Turn,
     event: events.JobSubmitted,
     immediate_answer: answers.Answer,
-) -> None:
+) -> bool:
+    """Answer a job without accepting it; return whether that is unchanged.
+
+    A refusal that might not be true becomes an interruption.
+    """
     turn.count(f'jobs_{immediate_answer.verdict}')
     turn.log(
         'job-refused',
@@ -170,8 +189,9 @@
             immediate_answer.reason,
         )
         turn.reply(event.request_id, interruption)
-        return
+        return False
     turn.reply(event.request_id, immediate_answer)
+    return True
 
 
 def _immediate_answer(
--- a/src/savoryrudder/dispatch/refusal_shares.py
+++ b/src/savoryrudder/dispatch/refusal_shares.py
@@ -48,10 +48,12 @@
 
     def decay(self, now: float) -> None:
         """Let the counts decay until a time."""
-        factor = math.exp((self.decayed_at - now) / self.decay_s)
+        # A job that was handed over and comes back tells an earlier time.
+        elapsed_s = max(now - self.decayed_at, 0)
+        factor = math.exp(-elapsed_s / self.decay_s)
         self.arrived *= factor
         self.turned_away *= factor
-        self.decayed_at = now
+        self.decayed_at = max(now, self.decayed_at)
 
     def served_share(self, now: float) -> float:
         """Return the share that was not turned away; near 1 for a few jobs."""
@@ -104,6 +106,7 @@
         """Forget the queues that are not among those given."""
         for queue in self._queues.keys() - queues:
             self._queues.pop(queue)
+        self._levels.clear()
 
     def mean_size(self, queue: str) -> float:
         """Return the mean size of the latest jobs of a queue, or 0."""
@@ -141,7 +144,12 @@
             count.arrived += 1
 
     def record_refusal(self, queue: Queue, size: int, now: float) -> None:
-        """Count a job that was turned away for want of room."""
+        """Count a job that was turned away for want of room.
+
+        Its queue may have left the configuration meanwhile.
+        """
+        if queue.name not in self._queues:
+            return
         for count in self._counts(queue, size):
             count.decay(now)
             count.turned_away += 1
--- a/src/savoryrudder/dispatch/shedding.py
+++ b/src/savoryrudder/dispatch/shedding.py
@@ -48,11 +48,12 @@
 class Room(NamedTuple):
     """Hold the processors that waiting jobs can use, in millicores.
 
-    `free_cpu` is idle now, `share_cpu` is the usable part of the fleet.
+    `free_cpu` is idle now, `drain_cpu` is the rate at which waiting tasks are
+    expected to start.
     """
 
     free_cpu: int
-    share_cpu: int
+    drain_cpu: int
 
 
 class Removal(NamedTuple):
@@ -136,17 +137,17 @@
     def excess_cpu_ms(self, last: Candidate) -> float:
         """Return the work that keeps the last job from starting in time."""
         late_s = self.wait_s(last) + self.now - last.start_by
-        return late_s * _share_cpu(self.room) * MS_PER_S
+        return late_s * _drain_cpu(self.room) * MS_PER_S
 
 
 def _wait_s(room: Room, last: Candidate, work_cpu_ms: float) -> float:
     # Tasks that fit into the free processors start at once.
     waiting_cpu_ms = work_cpu_ms - room.free_cpu * last.duration_ms
-    return max(waiting_cpu_ms, 0) / _share_cpu(room) / MS_PER_S
+    return max(waiting_cpu_ms, 0) / _drain_cpu(room) / MS_PER_S
 
 
-def _share_cpu(room: Room) -> int:
-    return max(room.share_cpu, 1)
+def _drain_cpu(room: Room) -> int:
+    return max(room.drain_cpu, 1)
 
 
 def _victims(schedule: _Schedule, late: Candidate) -> list[Candidate]:
--- a/src/savoryrudder/platform/entry.py
+++ b/src/savoryrudder/platform/entry.py
@@ -119,7 +119,8 @@
         limits = decode_request_limits(content)
         if limits.is_error():
             # The limits of requests in force remain.
-            self._refuse(limits.error)
+            self._dispatcher.counters.count('refused_request_limits')
+            log_event('request-limits-refused', (('reason', limits.error),))
             return
         self._intake.requests = limits.ok
 
--- a/src/savoryrudder/platform/settings.py
+++ b/src/savoryrudder/platform/settings.py
@@ -83,6 +83,13 @@
         return Error(f'a setting is not a number: {error}')
 
 
+def _count_sockets(max_descriptors: int) -> int:
+    """Return how many sockets a process may have; 0 stands for no limit."""
+    if not max_descriptors:
+        return 0
+    return max(max_descriptors - _FILE_DESCRIPTORS, 1)
+
+
 def _convert(fields: Mapping[str, str]) -> ProcessSettings:
     first_port = fields.get('port_range', '0').partition(',')[0]
     return ProcessSettings(
@@ -102,8 +109,5 @@
         )
         / MS_PER_S,
         memory_mb=int(fields.get('limits.memory_mb', 0)),
-        max_sockets=max(
-            int(fields.get('limits.max_fds', 0)) - _FILE_DESCRIPTORS,
-            0,
-        ),
+        max_sockets=_count_sockets(int(fields.get('limits.max_fds', 0))),
     )
--- a/src/savoryrudder/worker/speed.py
+++ b/src/savoryrudder/worker/speed.py
@@ -28,6 +28,8 @@
 
 def record_run(state: WorkerState, run: Run, now: float) -> None:
     """Learn from a completed run."""
+    if not run.estimate_s:
+        return
     duration_s = now - run.started_at
     ratio = duration_s / max(run.estimate_s, _MIN_ESTIMATE_S)
     health = state.health
--- a/tests/daemon/test_http_limits.py
+++ b/tests/daemon/test_http_limits.py
@@ -268,3 +268,68 @@
     await connection.serve()
     assert stream.sent.startswith(b'HTTP/1.1 503 ')
     assert not app.served
+
+
+class PipeliningStream:
+    """Send a request and the beginning of another one, then wait."""
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self.sent = bytearray()
+        self._chunks = [GET, b'GET /b HTTP/1.1\r\nx: %s' % (b'a' * 900)]
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return the next piece, or wait for a client that sends no more."""
+        if self._chunks:
+            return self._chunks.pop(0)
+        await anyio.sleep_forever()
+        return b''
+
+    async def send_all(self, content: bytes) -> None:
+        """Keep what the server sends."""
+        self.sent.extend(content)
+
+    async def send_eof(self) -> None:
+        """End the stream."""
+
+
+class SlowApp:
+    """Answer after a moment; note whether the client seems to have left."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.has_disconnected = False
+
+    async def __call__(
+        self,
+        scope: asgi.Message,
+        receive: asgi.Receive,
+        send: asgi.Send,
+    ) -> None:
+        """Serve one request."""
+        await receive()
+        with anyio.move_on_after(0.1):
+            await receive()
+            self.has_disconnected = True
+        await asgi.respond(send, asgi.Reply(200, b'done'))
+
+
+class OtherClient:
+    """Hold memory; it is finished, and so it is not dropped."""
+
+    def drop(self, refusal: object) -> None:
+        """Drop nothing."""
+
+
+async def test_a_request_under_way_is_answered_without_memory() -> None:
+    """Guards against a job that is given up for what its caller sends next."""
+    app = SlowApp()
+    stream = PipeliningStream()
+    intake = Intake(IntakeLimits(CONNECTIONS, 2**20, 700))
+    intake.hold(OtherClient(), 100, anyio.current_time(), is_unfinished=False)
+    connection = Connection(app, cast('trio.SocketStream', stream), intake)
+    intake.admit(connection, anyio.current_time())
+    with anyio.fail_after(LIMIT_S):
+        await connection.serve()
+    assert not app.has_disconnected
+    assert stream.sent.startswith(b'HTTP/1.1 200 ')
--- a/tests/dispatch/test_calibration.py
+++ b/tests/dispatch/test_calibration.py
@@ -165,3 +165,14 @@
     ]
     assert {dict(line.fields)['queue'] for line in lines} == set(QUEUES)
     assert len(lines) < LEARNING_JOBS / 3
+
+
+def test_jobs_without_an_estimate_say_nothing_of_the_others() -> None:
+    """Guards against objectives that grow for all callers of a queue."""
+    fleet = Fleet(7, entries=1, configuration=CONFIGURATION)
+    for number in range(LEARNING_JOBS):
+        job = job_of(f'long-{number}', estimate_ms=0)
+        fleet.submit(0, job, QUEUES['long'])
+        fleet.run(INTERVAL_S)
+    run_times = fleet.entries[0].state.run_times
+    assert run_times.calibration_of('long').ratio == 1
--- a/tests/dispatch/test_refusal_shares.py
+++ b/tests/dispatch/test_refusal_shares.py
@@ -88,3 +88,21 @@
     for _ in range(150):
         shares.record_arrival(URGENT, 7, NOW)
     assert shares.mean_size(URGENT.name) == 7
+
+
+def test_a_job_of_long_ago_does_not_end_the_entry() -> None:
+    """Guards against a job that another entry held and that comes back."""
+    shares = RefusalShares()
+    shares.record_arrival(QUEUE, 100, 10_000)
+    shares.record_arrival(QUEUE, 100, 9000)
+    assert not shares.is_guarded(QUEUE.name, 100, 9000)
+
+
+def test_a_queue_that_was_removed_does_not_come_back() -> None:
+    """Guards against memory that grows with each queue there ever was."""
+    shares = RefusalShares()
+    shares.record_arrival(QUEUE, 100, 1)
+    shares.forget_others(set())
+    shares.record_refusal(QUEUE, 100, 2)
+    assert not shares.mean_size(QUEUE.name)
+    assert not shares.is_guarded(QUEUE.name, 100, 2)
--- a/tests/dispatch/test_shedding.py
+++ b/tests/dispatch/test_shedding.py
@@ -12,7 +12,7 @@
 
 NOW = 100.0
 # Work of 1000 takes 1 s.
-ROOM = Room(free_cpu=0, share_cpu=1)
+ROOM = Room(free_cpu=0, drain_cpu=1)
 
 
 def _candidate(
@@ -49,7 +49,7 @@
     for candidate in order:
         work_cpu_ms += candidate.work_cpu_ms
         waiting = work_cpu_ms - room.free_cpu * candidate.duration_ms
-        wait_s = max(waiting, 0) / room.share_cpu / 1000
+        wait_s = max(waiting, 0) / room.drain_cpu / 1000
         if NOW + wait_s > candidate.start_by:
             late.add(candidate.job_id)
     return late
