--- a/src/savoryrudder/daemon/accepting.py
+++ b/src/savoryrudder/daemon/accepting.py
@@ -18,7 +18,7 @@
 _RETRY_S: Final = 0.1
 
 
-class PatientListener(trio.abc.Listener[trio.SocketStream]):
+class RetryingListener(trio.abc.Listener[trio.SocketStream]):
     """Drop a waiting connection if there is no descriptor for a new one."""
 
     def __init__(self, listener: trio.SocketListener, intake: Intake) -> None:
--- a/src/savoryrudder/daemon/http.py
+++ b/src/savoryrudder/daemon/http.py
@@ -19,7 +19,7 @@
 from hypercorn.utils import repr_socket_addr
 from hypercorn.utils import wrap_app
 
-from savoryrudder.daemon.accepting import PatientListener
+from savoryrudder.daemon.accepting import RetryingListener
 from savoryrudder.daemon.intake import Intake
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.request_guard import GuardedConnection
@@ -92,7 +92,7 @@
                 partial(
                     trio.serve_listeners,
                     server.serve_connection,
-                    [PatientListener(listener, shared_intake)],
+                    [RetryingListener(listener, shared_intake)],
                     handler_nursery=connections,
                 ),
             )
--- a/src/savoryrudder/daemon/http_connection.py
+++ b/src/savoryrudder/daemon/http_connection.py
@@ -35,7 +35,7 @@
 # A client that still sends gets a refusal only if its bytes are read.
 _LINGER_S: Final = 1
 # Time for the answer to a client whose place another one has.
-_FAREWELL_S: Final = 0.2
+_DROPPED_WRITE_S: Final = 0.2
 _LINGER_BYTES: Final = 1_048_576
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Errors of a request that are not its own.
@@ -114,7 +114,9 @@
         now = trio.current_time()
         self._intake.mark_waiting(self, now)
         is_admitted = self._intake.is_admitted(self)
-        write_s = self._intake.requests.write_s if is_admitted else _FAREWELL_S
+        write_s = (
+            self._intake.requests.write_s if is_admitted else _DROPPED_WRITE_S
+        )
         self._scope.deadline = now + write_s
         await self._stream.send_all(content)
         self._intake.mark_serving(self)
--- a/src/savoryrudder/daemon/http_server.py
+++ b/src/savoryrudder/daemon/http_server.py
@@ -14,7 +14,7 @@
 import anyio
 import trio
 
-from savoryrudder.daemon.accepting import PatientListener
+from savoryrudder.daemon.accepting import RetryingListener
 from savoryrudder.daemon.http_connection import CONNECTION_ERRORS
 from savoryrudder.daemon.http_connection import Connection
 from savoryrudder.daemon.intake import Intake
@@ -49,7 +49,7 @@
     shared_intake = intake or Intake()
     server = _Server(app, shared_intake)
     patient_listeners = [
-        PatientListener(listener, shared_intake) for listener in listeners
+        RetryingListener(listener, shared_intake) for listener in listeners
     ]
     async with anyio.create_task_group() as group:
         accepting = anyio.CancelScope()
@@ -66,7 +66,7 @@
 
 async def _accept(
     server: _Server,
-    listeners: list[PatientListener],
+    listeners: list[RetryingListener],
     scope: anyio.CancelScope,
 ) -> None:
     async with trio.open_nursery() as connections:
--- a/src/savoryrudder/dispatch/calibration.py
+++ b/src/savoryrudder/dispatch/calibration.py
@@ -27,7 +27,7 @@
 # Estimates that are wrong by a smaller share are left as they are.
 _MIN_CORRECTION: Final = 0.1
 # Runs at executors of a greater slowness say more of these than of their queue.
-_MAX_SLOWNESS: Final = 3
+_MAX_TELLING_SLOWNESS: Final = 3
 _TELLING_INTERVAL_S: Final = 1
 # Rows of a message at intervals, and of the one at the start of a link.
 _MAX_TOLD_ROWS: Final = 64
@@ -72,7 +72,7 @@
     if step.data_rack and step.data_rack not in report.labels:
         return
     slowness = health.expected_slowness(agent, turn.now)
-    if slowness >= _MAX_SLOWNESS or agent.on_trial:
+    if slowness >= _MAX_TELLING_SLOWNESS or agent.on_trial:
         return
     ratio = ended.duration_ms / step.estimate_ms / slowness
     observation = RunObservation(ratio, rerun=task.moved)
--- a/src/savoryrudder/dispatch/placement.py
+++ b/src/savoryrudder/dispatch/placement.py
@@ -59,7 +59,7 @@
 _TRIAL_RESTART_S: Final = 0.35
 # A task may wait for a faster executor if the others are faster by this factor
 # on average, until this share of the job's objective has passed.
-_SLOW_FACTOR: Final = 1.4
+_DEFERRAL_SLOWNESS: Final = 1.4
 _MAX_DEFERRED_SHARE: Final = 0.1
 # Number of deferred steps after which the search ends for similar ones.
 _MAX_DEFERRED_STEPS: Final = 4
@@ -191,7 +191,7 @@
     """Return whether a task had better wait for a faster executor."""
     state = search.state
     slowness = expected_slowness(state.agents[link], search.now)
-    if slowness < _SLOW_FACTOR * state.typical_slowness:
+    if slowness < _DEFERRAL_SLOWNESS * state.typical_slowness:
         return False
     elapsed_s = search.now - job.arrived_at
     if elapsed_s > _MAX_DEFERRED_SHARE * job.objective_s:
