Bound the bytes that the kernel holds unread for clients

What callers saw: a process could be ended for want of memory by clients that send faster than it reads. Bytes that were received and not yet read count toward the memory of its machine, and only the process's own buffers were bounded.

Cause: the connections of a listener had the kernel's receive buffer (128 KiB at first, up to 32 MiB), also while they waited to be accepted, and a connection was counted as 16 KiB.

Change: listeners ask for 16 KiB, which their connections inherit from the first byte on; a connection counts as 48 KiB; a quarter of the connections that fit may wait to be accepted, in place of 4,096.

--- a/src/savoryrudder/daemon/http.py
+++ b/src/savoryrudder/daemon/http.py
@@ -21,6 +21,7 @@
 
 from savoryrudder.daemon.accepting import RetryingListener
 from savoryrudder.daemon.intake import Intake
+from savoryrudder.daemon.listening import limit_receive_buffer
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.request_guard import GuardedConnection
 from savoryrudder.daemon.request_guard import RequestGuard
@@ -83,7 +84,8 @@
     sockets = config.create_sockets()
     scheme = 'https' if sockets.secure_sockets else 'http'
     bound = (sockets.secure_sockets or sockets.insecure_sockets)[0]
-    bound.listen(config.backlog)
+    limit_receive_buffer(bound)
+    bound.listen(shared_intake.limits.backlog)
     address = repr_socket_addr(bound.family, bound.getsockname())
     listener = trio.SocketListener(trio.socket.from_stdlib_socket(bound))
     async with trio.open_nursery() as connections:
--- a/src/savoryrudder/daemon/http_server.py
+++ b/src/savoryrudder/daemon/http_server.py
@@ -18,6 +18,7 @@
 from savoryrudder.daemon.http_connection import CONNECTION_ERRORS
 from savoryrudder.daemon.http_connection import Connection
 from savoryrudder.daemon.intake import Intake
+from savoryrudder.daemon.listening import listen_tcp
 from savoryrudder.daemon.request_refusals import NO_CONNECTION
 
 if TYPE_CHECKING:
@@ -43,17 +44,15 @@
     connections are closed and new ones refused; requests already received
     are still answered. Listeners may share an intake.
     """
-    host, _, port = address.rpartition(':')
-    listeners = await trio.open_tcp_listeners(int(port), host=host)
-    bound_port = listeners[0].socket.getsockname()[1]
+    host = address.rpartition(':')[0]
     shared_intake = intake or Intake()
+    listener = listen_tcp(address, shared_intake.limits)
+    bound_port = listener.socket.getsockname()[1]
     server = _Server(app, shared_intake)
-    patient_listeners = [
-        RetryingListener(listener, shared_intake) for listener in listeners
-    ]
+    patient_listener = RetryingListener(listener, shared_intake)
     async with anyio.create_task_group() as group:
         accepting = anyio.CancelScope()
-        group.start_soon(_accept, server, patient_listeners, accepting)
+        group.start_soon(_accept, server, patient_listener, accepting)
         task_status.started(f'http://{host}:{bound_port}')
         if stopping is None:
             await anyio.sleep_forever()
@@ -66,14 +65,14 @@
 
 async def _accept(
     server: _Server,
-    listeners: list[RetryingListener],
+    listener: RetryingListener,
     scope: anyio.CancelScope,
 ) -> None:
     async with trio.open_nursery() as connections:
         with scope:
             await trio.serve_listeners(
                 server.serve_connection,
-                listeners,
+                [listener],
                 handler_nursery=connections,
             )
 
--- a/src/savoryrudder/daemon/intake.py
+++ b/src/savoryrudder/daemon/intake.py
@@ -93,6 +93,11 @@
         # Refusals since the last one logged.
         self._unlogged = 0
 
+    @property
+    def limits(self) -> IntakeLimits:
+        """Return the limits of all clients together."""
+        return self._limits
+
     @property
     def held_bytes(self) -> int:
         """Return the bytes of all unanswered requests."""
--- a/src/savoryrudder/daemon/intake_limits.py
+++ b/src/savoryrudder/daemon/intake_limits.py
@@ -11,7 +11,15 @@
 _LARGE_SHARE: Final = 0.125
 _SMALL_SHARE: Final = 0.0625
 _CONNECTION_SHARE: Final = 0.25
-_CONNECTION_BYTES: Final = 16_384
+# The kernel doubles it for its own bookkeeping. A body of legal size takes some
+# round trips more than with the kernel's default.
+RECEIVE_BUFFER_BYTES: Final = 16_384
+# What a connection takes in the process, and unread bytes in the kernel.
+_CONNECTION_BYTES: Final = 16_384 + 2 * RECEIVE_BUFFER_BYTES
+# Of the connections that fit, those that wait to be accepted.
+_BACKLOG_SHARE: Final = 0.25
+_MAX_BACKLOG: Final = 1024
+_DEFAULT_BACKLOG: Final = 128
 _MIN_POOL_BYTES: Final = 2_097_152
 # Descriptors for links, executors, the store and listeners.
 _RESERVED_SHARE: Final = 1 / 3
@@ -32,10 +40,12 @@
     # Of all unanswered requests over 16 KiB, and of the others.
     large_bytes: int
     small_bytes: int
+    # Connections of a listener that wait to be accepted.
+    backlog: int = _DEFAULT_BACKLOG
 
 
 # Probes come one at a time, from few addresses.
-PROBE_LIMITS: Final = IntakeLimits(16, _MIN_POOL_BYTES, _MIN_POOL_BYTES)
+PROBE_LIMITS: Final = IntakeLimits(16, _MIN_POOL_BYTES, _MIN_POOL_BYTES, 16)
 
 
 def derive_limits(memory_mb: int, max_sockets: int) -> IntakeLimits:
@@ -49,10 +59,12 @@
     if max_sockets:
         allowed = min(allowed, max_sockets)
     connections = int(memory * _CONNECTION_SHARE) // _CONNECTION_BYTES
+    backlog = int(connections * _BACKLOG_SHARE)
     return IntakeLimits(
-        min(connections, _share_sockets(allowed)),
+        min(connections - backlog, _share_sockets(allowed)),
         max(int(memory * _LARGE_SHARE), _MIN_POOL_BYTES),
         max(int(memory * _SMALL_SHARE), _MIN_POOL_BYTES),
+        min(backlog, _MAX_BACKLOG),
     )
 
 
--- a/tests/daemon/test_intake.py
+++ b/tests/daemon/test_intake.py
@@ -6,6 +6,7 @@
 
 from savoryrudder.daemon.intake import SMALL_REQUEST_BYTES
 from savoryrudder.daemon.intake import Intake
+from savoryrudder.daemon.intake_limits import RECEIVE_BUFFER_BYTES
 from savoryrudder.daemon.intake_limits import IntakeLimits
 from savoryrudder.daemon.intake_limits import derive_limits
 from savoryrudder.daemon.metrics import Counters
@@ -154,6 +155,18 @@
     assert held_mb < memory_mb / 4
 
 
+@pytest.mark.parametrize('memory_mb', [96, 168, 300])
+def test_unread_bytes_count_in_the_memory_of_connections(
+    memory_mb: int,
+) -> None:
+    """Guards against more connections than their unread bytes leave room."""
+    limits = derive_limits(memory_mb, 3900)
+    connections = limits.max_connections + limits.backlog
+    unread_mb = connections * 2 * RECEIVE_BUFFER_BYTES / 2**20
+    assert unread_mb < memory_mb / 4
+    assert limits.max_connections > 300
+
+
 def test_a_body_has_time_by_what_has_arrived() -> None:
     """Guards against pieces that each restart the limit of a request."""
     limits = RequestLimits()
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import TYPE_CHECKING
 
 import pytest
@@ -19,3 +20,10 @@
     created = Deployment(tmp_path)
     yield created
     created.close()
+
+
+@pytest.fixture
+def loopback_host() -> str:
+    """Return a loopback address that no other process of the tests uses."""
+    number = os.getpid()
+    return f'127.79.{number // 250 % 250}.{number % 250 + 1}'
--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -144,6 +144,18 @@
     return Plan(partial(_chunk_pieces, sent))
 
 
+def body_at_once(size: int) -> Plan:
+    """Announce a body and send it with its head as a single piece."""
+    return Plan(lambda address: iter((_announce(address, size) + b' ' * size,)))
+
+
+def head_at_once() -> Plan:
+    """Send a head that is far over the limit as a single piece."""
+    return Plan(
+        lambda address: iter((b''.join(_head_pieces(_LONG_BYTES, address)),)),
+    )
+
+
 def trickle() -> Plan:
     """Send the bytes of a body one by one."""
     return Plan(_trickled_pieces, pause_s=_TRICKLE_PAUSE_S)
