Free the whole requests of a connection that is refused

What callers saw: clients that send requests of many headers, each within the limits, could end a process for want of memory.

Cause: a header of 5 bytes takes over 200 in memory, so a connection may send megabytes of requests at once. The intake refused it, but the parser kept its whole requests until the connection was closed, up to a second later; only the unfinished one was freed.

Change: `RequestParser.discard` frees both. None of them has reached the application, and the connection is closed.

--- a/src/savoryrudder/daemon/http_requests.py
+++ b/src/savoryrudder/daemon/http_requests.py
@@ -137,7 +137,9 @@
         return request
 
     def discard(self) -> None:
-        """Free what was received of unfinished requests."""
+        """Free all requests that have not been taken."""
+        self._complete.clear()
+        self._complete_bytes = 0
         self._reset()
 
     def note_continue_sent(self) -> None:
--- a/tests/daemon/test_http_requests.py
+++ b/tests/daemon/test_http_requests.py
@@ -45,3 +45,14 @@
     for start, end in zip(places, places[1:], strict=False):
         pieced.feed(POST[start:end])
     assert pieced.next_request() == whole.next_request()
+
+
+def test_nothing_is_held_once_requests_are_discarded() -> None:
+    """Guard against whole requests that a refused connection still holds."""
+    parser = RequestParser(LIMIT)
+    head = b'GET / HTTP/1.1\r\n%s\r\n' % (b'a: b\r\n' * 100)
+    assert parser.feed(head * 3 + b'GET / HTTP/1.1\r\na: b\r\n') is None
+    assert parser.held_bytes
+    parser.discard()
+    assert parser.next_request() is None
+    assert not parser.held_bytes
--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -29,6 +29,10 @@
 # Below 1 MiB, at which a server without further limits ends a request.
 _LONG_BYTES: Final = 1_000_000
 _HEAD_BYTES: Final = 100_000
+_TINY_CHUNK: Final = b'1\r\n \r\n'
+_STEPS: Final = 10_000
+_HEADERS: Final = 3900
+_COSTLY_REQUESTS: Final = 10
 _ANNOUNCED_BYTES: Final = 4_000_000_000
 # Ends just before the whole of what was announced.
 _SHORT_BYTES: Final = 10
@@ -99,6 +103,23 @@
     yield from repeat(b'\r\n'.join(lines), _PIPELINED_REQUESTS)
 
 
+def _tiny_chunk_pieces(limit: int, address: Address) -> Iterator[bytes]:
+    yield _head(address, b'transfer-encoding: chunked\r\n\r\n')
+    yield from _repeat(_TINY_CHUNK, limit * len(_TINY_CHUNK))
+
+
+def _many_step_pieces(address: Address) -> Iterator[bytes]:
+    steps = b','.join(repeat(b'{"count":1}', _STEPS))
+    body = b'{"spec":"s","best_effort":true,"steps":[%s]}' % steps
+    yield from repeat(_announce(address, len(body)) + body, _COSTLY_REQUESTS)
+
+
+def _many_header_pieces(address: Address) -> Iterator[bytes]:
+    headers = b''.join(repeat(b'a:b\r\n', _HEADERS))
+    request = _head(address, b'content-length: 0\r\n%s\r\n' % headers)
+    yield from repeat(request, _COSTLY_REQUESTS)
+
+
 def head_without_end() -> Plan:
     """Send short headers and no end of the head."""
     return Plan(partial(_head_pieces, _LONG_BYTES))
@@ -156,6 +177,21 @@
     )
 
 
+def tiny_chunks(limit: int) -> Plan:
+    """Send a legal body in chunks of one byte, and its end."""
+    return Plan(partial(_tiny_chunk_pieces, limit), b'0\r\n\r\n')
+
+
+def many_steps() -> Plan:
+    """Send jobs of many steps, one after the other, and read no response."""
+    return Plan(_many_step_pieces)
+
+
+def many_headers() -> Plan:
+    """Send legal requests of many headers, and read no response."""
+    return Plan(_many_header_pieces)
+
+
 def trickle() -> Plan:
     """Send the bytes of a body one by one."""
     return Plan(_trickled_pieces, pause_s=_TRICKLE_PAUSE_S)
--- /dev/null
+++ b/tests/processes/test_costly_requests.py
@@ -0,0 +1,70 @@
+"""Meet listeners with crowds whose legal requests cost the most work a byte.
+
+Each case bounds resident memory and unread bytes together, and asks for an
+answer to an ordinary request while the crowd stays connected.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Final
+
+import pytest
+import trio
+
+from tests.processes import crowd
+from tests.processes.test_uncontrolled_clients import run_platform
+from tests.processes.test_uncontrolled_clients import run_product
+from tests.processes.test_unread_bytes import LIMITS
+from tests.processes.test_unread_bytes import MEMORY_MB
+from tests.processes.test_unread_bytes import PLATFORM_PORTS
+from tests.processes.test_unread_bytes import PRODUCT_MEMORY_MB
+from tests.processes.test_unread_bytes import meet_crowd
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+PLANS: Final = (('many_headers', crowd.many_headers()),)
+
+
+@pytest.mark.parametrize('role', ['entry', 'agent'])
+@pytest.mark.parametrize(
+    'plan',
+    [pytest.param(case[1], id=case[0]) for case in PLANS],
+)
+def test_costly_requests_leave_room_for_others(
+    tmp_path: Path,
+    loopback_host: str,
+    role: str,
+    plan: crowd.Plan,
+) -> None:
+    """Guard against few bytes that take much memory or processor time."""
+    with run_platform(tmp_path, role, loopback_host, LIMITS) as target:
+        trio.run(
+            meet_crowd,
+            target,
+            target.address,
+            PLATFORM_PORTS,
+            plan,
+            MEMORY_MB,
+        )
+
+
+@pytest.mark.parametrize(
+    'plan',
+    [pytest.param(case[1], id=case[0]) for case in PLANS],
+)
+def test_costly_requests_to_the_product_leave_room_for_others(
+    tmp_path: Path,
+    plan: crowd.Plan,
+) -> None:
+    """Guard against an entry that serves nobody but a few strangers."""
+    with run_product(tmp_path) as target:
+        trio.run(
+            meet_crowd,
+            target,
+            target.address,
+            frozenset((target.address.port,)),
+            plan,
+            PRODUCT_MEMORY_MB,
+        )
