Refuse jobs of more than 1,000 tasks or steps

What callers saw: 300 clients with jobs of 10,000 steps, each a legal body of 120 KB, took an entry over the memory of its machine.

Cause: the limit of tasks, 10,000, was far over the jobs of the target size (170), and the work and memory of a job grow with its steps: 30 ms to decode one, 567 ms in the reducer with 100 agents and a queue of such jobs, 7.9 MB in all. Steps that name many earlier ones cost another 36 ms.

Change: at most 1,000 tasks, 1,000 steps and 20,000 names of earlier steps (170 steps in which each waits for all before have 14,365); the steps are counted before they are converted.

Three cases of test_odd_data.py failed before; a job of 170 dependent steps is still accepted.

--- a/src/savoryrudder/platform/job_bodies.py
+++ b/src/savoryrudder/platform/job_bodies.py
@@ -19,7 +19,9 @@
 from savoryrudder.utils.checked import Natural
 from savoryrudder.utils.checked import decode
 
-_MAX_TASKS: Final = 10_000
+# A job of the target size has 170 tasks, and at most one step for each.
+_MAX_TASKS: Final = 1000
+_MAX_PREDECESSORS: Final = 20_000
 _JOB_NAME: Final = re.compile('[0-9a-fA-F]{16}')
 JOB_NAME_LENGTH: Final = 16
 # 410 (Gone) means that no such job exists.
@@ -124,6 +126,10 @@
 def _validate(body: _JobBody) -> str:
     if not body.steps:
         return 'steps: a job needs at least one step'
+    if len(body.steps) > _MAX_TASKS:
+        return f'steps: a job has at most {_MAX_TASKS} steps'
+    if sum(len(step.after) for step in body.steps) > _MAX_PREDECESSORS:
+        return f'steps: after names at most {_MAX_PREDECESSORS} steps in all'
     for index, step in enumerate(body.steps):
         if not 1 <= step.count <= _MAX_TASKS:
             return f'steps[{index}].count: must be 1 to {_MAX_TASKS}'
--- a/tests/daemon/test_http_requests.py
+++ b/tests/daemon/test_http_requests.py
@@ -51,7 +51,8 @@
     """Guard against whole requests that a refused connection still holds."""
     parser = RequestParser(LIMIT)
     head = b'GET / HTTP/1.1\r\n%s\r\n' % (b'a: b\r\n' * 100)
-    assert parser.feed(head * 3 + b'GET / HTTP/1.1\r\na: b\r\n') is None
+    unfinished = b'GET / HTTP/1.1\r\na: b\r\n'
+    assert parser.feed(b''.join((head, head, unfinished))) is None
     assert parser.held_bytes
     parser.discard()
     assert parser.next_request() is None
--- a/tests/platform/test_odd_data.py
+++ b/tests/platform/test_odd_data.py
@@ -190,6 +190,29 @@
     assert decoded.is_error()
 
 
+@pytest.mark.parametrize(
+    'steps',
+    [
+        [{'count': 1} for _ in range(1001)],
+        [{'count': 1001}],
+        [{'count': 1}, {'count': 1, 'after': [0 for _ in range(20_001)]}],
+    ],
+)
+def test_a_job_far_over_the_target_size_is_refused(
+    steps: list[dict[str, Any]],
+) -> None:
+    """Guards against work that grows with the steps of one request."""
+    body = {'spec': 's', 'best_effort': True, 'steps': steps}
+    assert decode_job(JOB, msgspec.json.encode(body)).is_error()
+
+
+def test_a_job_of_the_target_size_is_accepted() -> None:
+    """Guards against limits that a legal job meets."""
+    steps = [{'count': 1, 'after': list(range(step))} for step in range(170)]
+    body = {'spec': 's', 'best_effort': True, 'steps': steps}
+    assert decode_job(JOB, msgspec.json.encode(body)).is_ok()
+
+
 @given(json_values, st.sampled_from(('version', 'routes', 'steps', 'spec')))
 def test_any_json_is_decoded_or_refused(document: Any, name: str) -> None:
     """Guards against an error that is neither, and ends the process."""
--- a/tests/processes/test_costly_requests.py
+++ b/tests/processes/test_costly_requests.py
@@ -24,7 +24,10 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-PLANS: Final = (('many_headers', crowd.many_headers()),)
+PLANS: Final = (
+    ('many_steps', crowd.many_steps()),
+    ('many_headers', crowd.many_headers()),
+)
 
 
 @pytest.mark.parametrize('role', ['entry', 'agent'])
