Bound the tasks that an entry holds

What callers saw: small requests could make an entry hold any number of tasks, and end it for want of memory.

Cause: a job of 57 bytes has up to 1,000 tasks. Tasks without work are never predicted to wait, so they are accepted however many there are; and every job is queued in the first moments of an entry.

Change: an entry refuses a job (503, Retry-After) that would bring it over 20,000 tasks that wait or run. At the target, an entry that starts 10,000 tasks a second of half a second each holds 5,000. A job that is already accepted is not refused.

--- a/src/savoryrudder/dispatch/admission.py
+++ b/src/savoryrudder/dispatch/admission.py
@@ -35,6 +35,13 @@
 # at once, and must leave room in the queue for the callers of this one.
 _MAX_FOREIGN_WAIT_SHARE: Final = 0.3
 _RETRY_ELSEWHERE_S: Final = 0.2
+# A task takes nearly a kilobyte, and each arrival looks at the queued steps.
+MAX_OPEN_TASKS: Final = 20_000
+_TOO_MANY_TASKS: Final = answers.Answer(
+    answers.UNAVAILABLE,
+    'too many tasks wait or run',
+    _RETRY_SOON_S,
+)
 _NO_EXECUTOR: Final = answers.Answer(
     answers.UNAVAILABLE,
     'no executor is available',
@@ -99,6 +106,9 @@
             'entry is stopping',
             _RETRY_ELSEWHERE_S,
         )
+    added_tasks = sum(step.tasks for step in request.steps)
+    if state.open_tasks + added_tasks > MAX_OPEN_TASKS:
+        return _TOO_MANY_TASKS
     if now < state.warm_up_until:
         # Agents may still be connecting after the start, so the job is queued.
         return None
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -63,6 +63,7 @@
     if event.caller_timeout_s is not None:
         job.expires_at = event.now + event.caller_timeout_s
     state.jobs[request.job_id] = job
+    state.open_tasks += len(job.tasks)
     state.record_claim(request.job_id)
     unlock_steps(job)
     enqueue(state, job)
@@ -176,7 +177,8 @@
 def remove_if_settled(state: DispatchState, job: Job) -> None:
     """Remove an ended job once none of its tasks can be running."""
     if job.ended and not job.outstanding:
-        state.jobs.pop(job.request.job_id, None)
+        if state.jobs.pop(job.request.job_id, None) is not None:
+            state.open_tasks -= len(job.tasks)
         state.record_release(job.request.job_id)
 
 
--- a/src/savoryrudder/dispatch/state.py
+++ b/src/savoryrudder/dispatch/state.py
@@ -214,6 +214,8 @@
     timing: DispatchTiming
     configuration: Configuration = NO_CONFIGURATION
     jobs: dict[str, Job] = field(default_factory=dict)
+    # Number of the tasks of all jobs, which bounds the memory they take.
+    open_tasks: int = 0
     # Queued jobs as (latest start, sequence number, job ID), sorted.
     job_queue: list[tuple[float, int, str]] = field(default_factory=list)
     # Times by which queued jobs have to start, as a heap of (time, job ID); it
