Read connections that send much one at a time

What callers saw: while a crowd sent requests of legal size that cost much to parse, ordinary requests waited for the work of the whole crowd.

Cause: whatever a connection had sent, up to 64 KiB, was parsed as soon as the event loop came to it, so a round of the loop took the work of all connections: 97 ms for a body of 256 KiB in chunks of one byte (httptools), 23 ms for a request of 3,900 headers at the product's own interface (h11).

Change: connections of listeners are read 16 KiB at a time at most. One that has sent 16 KiB in all, less 1 KiB a second, takes turns with all others like it: one of them is read in a round of the event loop, 4 KiB.

--- a/src/savoryrudder/daemon/http.py
+++ b/src/savoryrudder/daemon/http.py
@@ -34,6 +34,7 @@
     from anyio.abc import TaskStatus
 
     from savoryrudder.daemon import asgi
+    from savoryrudder.daemon.paced_stream import PacedStream
 
 
 class Application(Protocol):
@@ -140,7 +141,7 @@
         self._intake = intake
         self._tls = config.create_ssl_context()
 
-    async def serve_connection(self, stream: trio.SocketStream) -> None:
+    async def serve_connection(self, stream: PacedStream) -> None:
         """Serve the requests of a connection until it is closed."""
         connection = GuardedConnection(stream, self._intake)
         current_connection.set(connection)
@@ -156,7 +157,7 @@
     async def _serve_if_admitted(
         self,
         connection: GuardedConnection,
-        stream: trio.SocketStream,
+        stream: PacedStream,
     ) -> None:
         now = trio.current_time()
         if self._intake.admit(connection, now):
@@ -164,7 +165,7 @@
         else:
             self._intake.count_refusal(NO_CONNECTION, now)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: PacedStream) -> None:
         wrapped: Any = stream
         if self._tls is not None:
             wrapped = trio.SSLStream(
--- a/src/savoryrudder/daemon/http_connection.py
+++ b/src/savoryrudder/daemon/http_connection.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from savoryrudder.daemon.http import Application
     from savoryrudder.daemon.intake import Intake
+    from savoryrudder.daemon.paced_stream import PacedStream
     from savoryrudder.daemon.request_refusals import RequestRefusal
 
 CONNECTION_ERRORS: Final = (
@@ -48,7 +49,7 @@
     def __init__(
         self,
         app: Application,
-        stream: trio.SocketStream,
+        stream: PacedStream,
         intake: Intake,
     ) -> None:
         """Serve the requests that arrive at `stream`."""
@@ -250,7 +251,7 @@
     def __init__(
         self,
         connection: Connection,
-        stream: trio.SocketStream,
+        stream: PacedStream,
         request: Request,
     ) -> None:
         self.is_open = True
--- a/src/savoryrudder/daemon/http_server.py
+++ b/src/savoryrudder/daemon/http_server.py
@@ -25,6 +25,7 @@
     from anyio.abc import TaskStatus
 
     from savoryrudder.daemon.http import Application
+    from savoryrudder.daemon.paced_stream import PacedStream
 
 # Time for the requests under way at a graceful stop.
 _STOP_TIMEOUT_S: Final = 1
@@ -85,7 +86,7 @@
         self._intake = intake
         self._connections: set[Connection] = set()
 
-    async def serve_connection(self, stream: trio.SocketStream) -> None:
+    async def serve_connection(self, stream: PacedStream) -> None:
         """Serve the requests of a connection until it is closed."""
         connection = Connection(self._app, stream, self._intake)
         is_admitted = self._intake.admit(connection, trio.current_time())
--- a/src/savoryrudder/daemon/request_guard.py
+++ b/src/savoryrudder/daemon/request_guard.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from savoryrudder.daemon.http import Application
     from savoryrudder.daemon.intake import Intake
+    from savoryrudder.daemon.paced_stream import PacedStream
     from savoryrudder.daemon.request_refusals import RequestRefusal
 
 _CONTENT_LENGTH: Final = b'content-length'
@@ -38,10 +39,10 @@
 class GuardedConnection:
     """Let the intake close a connection that waits for its client."""
 
-    def __init__(self, stream: trio.SocketStream, intake: Intake) -> None:
+    def __init__(self, stream: PacedStream, intake: Intake) -> None:
         """Guard a connection whose requests are served."""
         # hypercorn shields what it sends from cancellation.
-        stream.setsockopt(
+        stream.socket.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
             int(intake.requests.write_s * MS_PER_S),
--- a/tests/processes/test_costly_requests.py
+++ b/tests/processes/test_costly_requests.py
@@ -15,6 +15,7 @@
 from tests.processes import crowd
 from tests.processes.test_uncontrolled_clients import run_platform
 from tests.processes.test_uncontrolled_clients import run_product
+from tests.processes.test_unread_bytes import BODY_BYTES
 from tests.processes.test_unread_bytes import LIMITS
 from tests.processes.test_unread_bytes import MEMORY_MB
 from tests.processes.test_unread_bytes import PLATFORM_PORTS
@@ -25,6 +26,7 @@
     from pathlib import Path
 
 PLANS: Final = (
+    ('tiny_chunks', crowd.tiny_chunks(BODY_BYTES)),
     ('many_steps', crowd.many_steps()),
     ('many_headers', crowd.many_headers()),
 )
