Test the port of an entry's links with crowds of strangers

A greeting and a frame of 60 MB of which 1 MB is sent take 328 MB.

Cause of that: the library reads a frame of up to 64 MiB into memory before anybody knows who sent it.

--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -33,6 +33,11 @@
 _STEPS: Final = 10_000
 _HEADERS: Final = 3900
 _COSTLY_REQUESTS: Final = 10
+# Of the protocol below the links: `Pair1`, version 0, and a length before each
+# frame.
+_LINK_GREETING: Final = b'\0SP\0\0\x11\0\0'
+_LINK_LENGTH_BYTES: Final = 8
+_LINK_FRAME_BYTES: Final = 60_000_000
 _ANNOUNCED_BYTES: Final = 4_000_000_000
 # Ends just before the whole of what was announced.
 _SHORT_BYTES: Final = 10
@@ -120,6 +125,21 @@
     yield from repeat(request, _COSTLY_REQUESTS)
 
 
+def _link_frame(length: int) -> bytes:
+    return length.to_bytes(_LINK_LENGTH_BYTES, 'big')
+
+
+def _link_frame_pieces(_: Address) -> Iterator[bytes]:
+    yield _LINK_GREETING + _link_frame(_LINK_FRAME_BYTES)
+    yield from _repeat(b' ', _LONG_BYTES)
+
+
+def _odd_link_frame_pieces(_: Address) -> Iterator[bytes]:
+    yield _LINK_GREETING
+    frame = _link_frame(_PIECE_BYTES) + bytes(_PIECE_BYTES)
+    yield from repeat(frame, _COSTLY_REQUESTS)
+
+
 def head_without_end() -> Plan:
     """Send short headers and no end of the head."""
     return Plan(partial(_head_pieces, _LONG_BYTES))
@@ -192,6 +212,21 @@
     return Plan(_many_header_pieces)
 
 
+def link_greeting() -> Plan:
+    """Greet like a process that links, and send nothing more."""
+    return Plan(lambda _: iter((_LINK_GREETING,)))
+
+
+def link_frame_without_end() -> Plan:
+    """Announce a large frame on a link and send a part of it."""
+    return Plan(_link_frame_pieces)
+
+
+def link_odd_frames() -> Plan:
+    """Send whole frames on a link that nobody can decode."""
+    return Plan(_odd_link_frame_pieces)
+
+
 def trickle() -> Plan:
     """Send the bytes of a body one by one."""
     return Plan(_trickled_pieces, pause_s=_TRICKLE_PAUSE_S)
