Hold no received piece while a connection waits for the next one

What callers saw: nothing by itself; memory of connections that wait for their clients was not counted, up to 64 KiB each before reads were bounded, 16 KiB since.

Cause: the variable that held the last piece lived on in the loop that waited for the next one, though the piece had been parsed.

Change: a piece is received and parsed in a call of its own, which ends before the connection waits again; the same while a request is served.

The new test, which looks at the piece during the next wait, failed before and passes.

--- a/src/savoryrudder/daemon/http_connection.py
+++ b/src/savoryrudder/daemon/http_connection.py
@@ -179,16 +179,23 @@
                 self._parser.note_continue_sent()
                 await self.write(_CONTINUE)
                 self._intake.mark_waiting(self, trio.current_time())
-            self._scope.deadline = self._receive_deadline()
-            self._is_receiving = True
-            received = await self._stream.receive_some(_RECEIVE_BYTES)
-            self._is_receiving = False
-            if self._is_dropped or not received:
-                return None
-            self._refusal = self.feed(received)
-            if self._refusal is not None:
+            if not await self._receive_piece():
                 return None
 
+    async def _receive_piece(self) -> bool:
+        """Parse what arrives next; return whether the connection goes on.
+
+        A connection that waits for its client holds no received piece.
+        """
+        self._scope.deadline = self._receive_deadline()
+        self._is_receiving = True
+        received = await self._stream.receive_some(_RECEIVE_BYTES)
+        self._is_receiving = False
+        if self._is_dropped or not received:
+            return False
+        self._refusal = self.feed(received)
+        return self._refusal is None
+
     def _receive_deadline(self) -> float:
         # Only the next request or its next stage begins a new time; what
         # arrives of a body prolongs it.
@@ -211,10 +218,12 @@
         await self._stream.send_eof()
         unread_bytes = _LINGER_BYTES
         while unread_bytes > 0:
-            received = await self._stream.receive_some(_RECEIVE_BYTES)
-            if not received:
+            received_bytes = len(
+                await self._stream.receive_some(_RECEIVE_BYTES),
+            )
+            if not received_bytes:
                 return
-            unread_bytes -= len(received)
+            unread_bytes -= received_bytes
 
     async def _serve_request(self, request: Request) -> None:
         exchange = _Exchange(self, self._stream, request)
@@ -279,17 +288,19 @@
             self._body = None
             return {'type': 'http.request', 'body': body, 'more_body': False}
         while self.is_open:
-            try:
-                received = await self._stream.receive_some(_RECEIVE_BYTES)
-            except CONNECTION_ERRORS:
-                received = b''
-            if not received:
-                self.is_open = False
-                break
-            if not self._is_unread:
-                self._feed(received)
+            await self._receive_piece()
         return {'type': asgi.DISCONNECT}
 
+    async def _receive_piece(self) -> None:
+        try:
+            received = await self._stream.receive_some(_RECEIVE_BYTES)
+        except CONNECTION_ERRORS:
+            received = b''
+        if not received:
+            self.is_open = False
+        elif not self._is_unread:
+            self._feed(received)
+
     def _feed(self, received: bytes) -> None:
         # A client may send its next request before it has the response.
         refusal = self._connection.feed(received)
--- a/tests/daemon/test_http_limits.py
+++ b/tests/daemon/test_http_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import weakref
 from collections import deque
 from functools import partial
 from typing import TYPE_CHECKING
@@ -24,9 +25,10 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
-    import trio
     from anyio.abc import SocketStream
 
+    from savoryrudder.daemon.paced_stream import PacedStream
+
 pytestmark = pytest.mark.anyio
 LIMIT_S = 20
 GET = b'GET /a HTTP/1.1\r\nhost: x\r\n\r\n'
@@ -262,7 +264,7 @@
     head = b'%scontent-length: 9\r\n\r\n' % POST
     stream = LateStream([head, b'part', b'of it'])
     intake = Intake(IntakeLimits(CONNECTIONS, 2**20, 2**20))
-    connection = Connection(app, cast('trio.SocketStream', stream), intake)
+    connection = Connection(app, cast('PacedStream', stream), intake)
     intake.admit(connection, anyio.current_time())
     stream.on_last = partial(connection.drop, NO_MEMORY)
     await connection.serve()
@@ -270,6 +272,35 @@
     assert not app.served
 
 
+class WatchedStream(LateStream):
+    """Tell, while the connection waits, whether a piece is still held."""
+
+    def __init__(self) -> None:
+        """Send the beginning of a request, and then wait."""
+        super().__init__([])
+        self.is_held = True
+        self._piece: weakref.ref[memoryview] | None = None
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return a piece; the second time, look whether it is freed."""
+        if self._piece is None:
+            piece = memoryview(POST)
+            self._piece = weakref.ref(piece)
+            return cast('bytes', piece)
+        self.is_held = self._piece() is not None
+        return b''
+
+
+async def test_a_connection_that_waits_holds_no_received_piece() -> None:
+    """Guards against memory of waiting connections that nobody counts."""
+    stream = WatchedStream()
+    intake = Intake(IntakeLimits(CONNECTIONS, 2**20, 2**20))
+    connection = Connection(CountingApp(), cast('PacedStream', stream), intake)
+    intake.admit(connection, anyio.current_time())
+    await connection.serve()
+    assert not stream.is_held
+
+
 class PipeliningStream:
     """Send a request and the beginning of another one, then wait."""
 
@@ -327,7 +358,7 @@
     stream = PipeliningStream()
     intake = Intake(IntakeLimits(CONNECTIONS, 2**20, 700))
     intake.hold(OtherClient(), 100, anyio.current_time(), is_unfinished=False)
-    connection = Connection(app, cast('trio.SocketStream', stream), intake)
+    connection = Connection(app, cast('PacedStream', stream), intake)
     intake.admit(connection, anyio.current_time())
     with anyio.fail_after(LIMIT_S):
         await connection.serve()
