Close HTTP/2 connections whose heads have no end

What callers saw: at the product's own interface, heads without end over HTTP/2 made an entry hold up to 1 MB for each connection.

Cause: the library keeps up to 64 continuations of a head, whatever their size in all, and tells nobody before the head is whole. The bound on heads was that of HTTP/1.1 only.

Change: the guard of a connection counts the bytes received since a request, or a part of a body, reached it, and closes the connection over 128 KiB: what is left are heads without end and frames that belong to no request. The figure leaves room for the pieces of a body that the library reads ahead of the guard.

--- a/src/savoryrudder/daemon/paced_stream.py
+++ b/src/savoryrudder/daemon/paced_stream.py
@@ -8,10 +8,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Final
 
 import trio
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Read at once from a connection, and from one that shares a turn.
 _READ_BYTES: Final = 16_384
 _PIECE_BYTES: Final = 4096
@@ -60,12 +64,17 @@
         self._stream = stream
         self._turn = turn
         self._allowance = SmallRequestAllowance(trio.current_time())
+        self._on_received: Callable[[int], None] | None = None
 
     @property
     def socket(self) -> trio.socket.SocketType:
         """Return the socket of the connection."""
         return self._stream.socket
 
+    def notify(self, on_received: Callable[[int], None]) -> None:
+        """Call a function with the number of bytes of each piece received."""
+        self._on_received = on_received
+
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return what was received, at most 16 KiB; nothing at the end.
 
@@ -77,6 +86,8 @@
         else:
             received = await self._stream.receive_some(limit)
         self._allowance.spend(len(received), trio.current_time())
+        if self._on_received is not None:
+            self._on_received(len(received))
         return received
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
--- a/src/savoryrudder/daemon/request_guard.py
+++ b/src/savoryrudder/daemon/request_guard.py
@@ -18,6 +18,7 @@
 from savoryrudder.daemon.request_limits import Stage
 from savoryrudder.daemon.request_refusals import BODY_TOO_LARGE
 from savoryrudder.daemon.request_refusals import NO_MEMORY
+from savoryrudder.daemon.request_refusals import PADDING_TOO_LARGE
 from savoryrudder.daemon.request_refusals import TOO_SLOW
 from savoryrudder.utils.units import MS_PER_S
 
@@ -34,6 +35,9 @@
 _MAX_LENGTH_DIGITS: Final = 19
 _LINGER_S: Final = 1
 _LINGER_MESSAGES: Final = 64
+# Of heads without end and frames that are no request. hypercorn may be this far
+# ahead of an application that reads a body.
+_MAX_UNCLAIMED_BYTES: Final = 131_072
 
 
 class GuardedConnection:
@@ -50,11 +54,18 @@
         self._stream = stream
         self._intake = intake
         self._served = 0
+        # Received since a request, or a part of a body, was complete.
+        self._unclaimed_bytes = 0
+        stream.notify(self._note_received)
 
     def drop(self, refusal: RequestRefusal) -> None:
         """Close the connection; whoever waits for it is told."""
         self._stream.socket.close()
 
+    def claim(self) -> None:
+        """Note that what was received has reached a request."""
+        self._unclaimed_bytes = 0
+
     def mark_serving(self) -> None:
         """Note that one more request waits for its answer."""
         self._served += 1
@@ -66,6 +77,12 @@
         if not self._served:
             self._intake.mark_waiting(self, trio.current_time())
 
+    def _note_received(self, size: int) -> None:
+        self._unclaimed_bytes += size
+        if self._unclaimed_bytes > _MAX_UNCLAIMED_BYTES:
+            self._intake.count_refusal(PADDING_TOO_LARGE, trio.current_time())
+            self.drop(PADDING_TOO_LARGE)
+
 
 # The connection that the requests of a task arrive at.
 current_connection: Final[ContextVar[GuardedConnection]] = ContextVar(
@@ -113,6 +130,7 @@
         )
         with self._reading:
             message = await self._receive()
+            current_connection.get().claim()
             if message['type'] == asgi.DISCONNECT:
                 raise asgi.CallerDisconnectedError
             return self._add(message)
@@ -156,6 +174,7 @@
         if scope['type'] != 'http':
             await self._app(scope, receive, send)
             return
+        current_connection.get().claim()
         reader = _BodyReader(receive, self._intake)
         try:
             await self._serve(reader, scope, receive, send)
@@ -249,6 +268,7 @@
     with trio.move_on_after(_LINGER_S):
         unread = _LINGER_MESSAGES
         while unread and (await receive()).get('more_body', False):
+            current_connection.get().claim()
             unread -= 1
 
 
--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -33,6 +33,13 @@
 _STEPS: Final = 10_000
 _HEADERS: Final = 3900
 _COSTLY_REQUESTS: Final = 10
+_HTTP2_PREFACE: Final = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
+_HTTP2_LENGTH_BYTES: Final = 3
+_HTTP2_STREAM_BYTES: Final = 4
+_HTTP2_HEADERS: Final = 1
+_HTTP2_SETTINGS: Final = 4
+_HTTP2_PING: Final = 6
+_HTTP2_CONTINUATION: Final = 9
 # Of the protocol below the links: `Pair1`, version 0, and a length before each
 # frame.
 _LINK_GREETING: Final = b'\0SP\0\0\x11\0\0'
@@ -125,6 +132,32 @@
     yield from repeat(request, _COSTLY_REQUESTS)
 
 
+def _http2_frame(kind: int, stream: int, payload: bytes) -> bytes:
+    length = len(payload).to_bytes(_HTTP2_LENGTH_BYTES, 'big')
+    number = stream.to_bytes(_HTTP2_STREAM_BYTES, 'big')
+    # The flags, none, stand between the kind and the stream.
+    return b''.join((length, bytes((kind, 0)), number, payload))
+
+
+def _http2_start() -> bytes:
+    return _HTTP2_PREFACE + _http2_frame(_HTTP2_SETTINGS, 0, b'')
+
+
+def _http2_head_pieces(_: Address) -> Iterator[bytes]:
+    yield _http2_start()
+    yield _http2_frame(_HTTP2_HEADERS, 1, b'')
+    # One field of a literal name and value, again and again.
+    fields = b''.join(repeat(b'\x40\x01a\x01b', _PIECE_BYTES // 8))
+    frame = _http2_frame(_HTTP2_CONTINUATION, 1, fields)
+    yield from repeat(frame, _LONG_BYTES // len(frame))
+
+
+def _http2_ping_pieces(_: Address) -> Iterator[bytes]:
+    yield _http2_start()
+    frame = _http2_frame(_HTTP2_PING, 0, bytes(8))
+    yield from _repeat(frame, _LONG_BYTES)
+
+
 def _link_frame(length: int) -> bytes:
     return length.to_bytes(_LINK_LENGTH_BYTES, 'big')
 
@@ -212,6 +245,16 @@
     return Plan(_many_header_pieces)
 
 
+def http2_head_without_end() -> Plan:
+    """Send continuations of a head over HTTP/2, and no end of it."""
+    return Plan(_http2_head_pieces)
+
+
+def http2_pings() -> Plan:
+    """Send frames over HTTP/2 that belong to no request."""
+    return Plan(_http2_ping_pieces)
+
+
 def link_greeting() -> Plan:
     """Greet like a process that links, and send nothing more."""
     return Plan(lambda _: iter((_LINK_GREETING,)))
--- a/tests/processes/test_uncontrolled_clients.py
+++ b/tests/processes/test_uncontrolled_clients.py
@@ -14,6 +14,7 @@
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Final
 from typing import NamedTuple
 
@@ -219,13 +220,13 @@
 
 
 @contextlib.contextmanager
-def run_product(folder: Path) -> Iterator[Target]:
+def run_product(folder: Path, **settings: Any) -> Iterator[Target]:
     """Run an entry that serves the product's own interface."""
     deployment = Deployment(folder)
     with contextlib.ExitStack() as cleanup:
         cleanup.callback(deployment.close)
         deployment.start_store()
-        deployment.start_entry('entry-0')
+        deployment.start_entry('entry-0', **settings)
         url = deployment.urls['entry-0']
         process = deployment.processes['entry-0']
         yield Target(
