Share the meeting of crowds among tests, and move frames to their own module

The tests of crowds had the same steps four times, and imported them from each other. HTTP/2 and link frames were planned beside HTTP/1.1 requests.

--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -33,18 +33,6 @@
 _STEPS: Final = 10_000
 _HEADERS: Final = 3900
 _COSTLY_REQUESTS: Final = 10
-_HTTP2_PREFACE: Final = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
-_HTTP2_LENGTH_BYTES: Final = 3
-_HTTP2_STREAM_BYTES: Final = 4
-_HTTP2_HEADERS: Final = 1
-_HTTP2_SETTINGS: Final = 4
-_HTTP2_PING: Final = 6
-_HTTP2_CONTINUATION: Final = 9
-# Of the protocol below the links: `Pair1`, version 0, and a length before each
-# frame.
-_LINK_GREETING: Final = b'\0SP\0\0\x11\0\0'
-_LINK_LENGTH_BYTES: Final = 8
-_LINK_FRAME_BYTES: Final = 60_000_000
 _ANNOUNCED_BYTES: Final = 4_000_000_000
 # Ends just before the whole of what was announced.
 _SHORT_BYTES: Final = 10
@@ -71,7 +59,7 @@
     pause_s: float = 0
 
 
-def _repeat(part: bytes, size: int) -> Iterator[bytes]:
+def repeat_part(part: bytes, size: int) -> Iterator[bytes]:
     """Yield a part again and again, of `size` bytes in all, in pieces."""
     piece = part * (_PIECE_BYTES // len(part))
     count, rest = divmod(size, len(piece))
@@ -90,18 +78,18 @@
 
 def _body_pieces(length: int, sent: int, address: Address) -> Iterator[bytes]:
     yield _announce(address, length)
-    yield from _repeat(b' ', sent)
+    yield from repeat_part(b' ', sent)
 
 
 def _chunk_pieces(sent: int, address: Address) -> Iterator[bytes]:
     yield _head(address, b'transfer-encoding: chunked\r\n\r\n')
-    for piece in _repeat(b' ', sent):
+    for piece in repeat_part(b' ', sent):
         yield b'%x\r\n%s\r\n' % (len(piece), piece)
 
 
 def _head_pieces(size: int, address: Address) -> Iterator[bytes]:
     yield _head(address, b'')
-    yield from _repeat(b'a:b\r\n', size)
+    yield from repeat_part(b'a:b\r\n', size)
 
 
 def _trickled_pieces(address: Address) -> Iterator[bytes]:
@@ -117,7 +105,7 @@
 
 def _tiny_chunk_pieces(limit: int, address: Address) -> Iterator[bytes]:
     yield _head(address, b'transfer-encoding: chunked\r\n\r\n')
-    yield from _repeat(_TINY_CHUNK, limit * len(_TINY_CHUNK))
+    yield from repeat_part(_TINY_CHUNK, limit * len(_TINY_CHUNK))
 
 
 def _many_step_pieces(address: Address) -> Iterator[bytes]:
@@ -132,47 +120,6 @@
     yield from repeat(request, _COSTLY_REQUESTS)
 
 
-def _http2_frame(kind: int, stream: int, payload: bytes) -> bytes:
-    length = len(payload).to_bytes(_HTTP2_LENGTH_BYTES, 'big')
-    number = stream.to_bytes(_HTTP2_STREAM_BYTES, 'big')
-    # The flags, none, stand between the kind and the stream.
-    return b''.join((length, bytes((kind, 0)), number, payload))
-
-
-def _http2_start() -> bytes:
-    return _HTTP2_PREFACE + _http2_frame(_HTTP2_SETTINGS, 0, b'')
-
-
-def _http2_head_pieces(_: Address) -> Iterator[bytes]:
-    yield _http2_start()
-    yield _http2_frame(_HTTP2_HEADERS, 1, b'')
-    # One field of a literal name and value, again and again.
-    fields = b''.join(repeat(b'\x40\x01a\x01b', _PIECE_BYTES // 8))
-    frame = _http2_frame(_HTTP2_CONTINUATION, 1, fields)
-    yield from repeat(frame, _LONG_BYTES // len(frame))
-
-
-def _http2_ping_pieces(_: Address) -> Iterator[bytes]:
-    yield _http2_start()
-    frame = _http2_frame(_HTTP2_PING, 0, bytes(8))
-    yield from _repeat(frame, _LONG_BYTES)
-
-
-def _link_frame(length: int) -> bytes:
-    return length.to_bytes(_LINK_LENGTH_BYTES, 'big')
-
-
-def _link_frame_pieces(_: Address) -> Iterator[bytes]:
-    yield _LINK_GREETING + _link_frame(_LINK_FRAME_BYTES)
-    yield from _repeat(b' ', _LONG_BYTES)
-
-
-def _odd_link_frame_pieces(_: Address) -> Iterator[bytes]:
-    yield _LINK_GREETING
-    frame = _link_frame(_PIECE_BYTES) + bytes(_PIECE_BYTES)
-    yield from repeat(frame, _COSTLY_REQUESTS)
-
-
 def head_without_end() -> Plan:
     """Send short headers and no end of the head."""
     return Plan(partial(_head_pieces, _LONG_BYTES))
@@ -185,7 +132,7 @@
 
 def empty_lines() -> Plan:
     """Send empty lines and no request after them."""
-    return Plan(lambda _: _repeat(b'\r\n', _LONG_BYTES))
+    return Plan(lambda _: repeat_part(b'\r\n', _LONG_BYTES))
 
 
 def body_without_end(limit: int) -> Plan:
@@ -245,31 +192,6 @@
     return Plan(_many_header_pieces)
 
 
-def http2_head_without_end() -> Plan:
-    """Send continuations of a head over HTTP/2, and no end of it."""
-    return Plan(_http2_head_pieces)
-
-
-def http2_pings() -> Plan:
-    """Send frames over HTTP/2 that belong to no request."""
-    return Plan(_http2_ping_pieces)
-
-
-def link_greeting() -> Plan:
-    """Greet like a process that links, and send nothing more."""
-    return Plan(lambda _: iter((_LINK_GREETING,)))
-
-
-def link_frame_without_end() -> Plan:
-    """Announce a large frame on a link and send a part of it."""
-    return Plan(_link_frame_pieces)
-
-
-def link_odd_frames() -> Plan:
-    """Send whole frames on a link that nobody can decode."""
-    return Plan(_odd_link_frame_pieces)
-
-
 def trickle() -> Plan:
     """Send the bytes of a body one by one."""
     return Plan(_trickled_pieces, pause_s=_TRICKLE_PAUSE_S)
--- a/tests/processes/test_costly_requests.py
+++ b/tests/processes/test_costly_requests.py
@@ -10,17 +10,14 @@
 from typing import Final
 
 import pytest
-import trio
 
 from tests.processes import crowd
+from tests.processes.crowd_meeting import BODY_BYTES
+from tests.processes.crowd_meeting import LIMITS
+from tests.processes.crowd_meeting import meet_at_platform
+from tests.processes.crowd_meeting import meet_at_product
 from tests.processes.test_uncontrolled_clients import run_platform
 from tests.processes.test_uncontrolled_clients import run_product
-from tests.processes.test_unread_bytes import BODY_BYTES
-from tests.processes.test_unread_bytes import LIMITS
-from tests.processes.test_unread_bytes import MEMORY_MB
-from tests.processes.test_unread_bytes import PLATFORM_PORTS
-from tests.processes.test_unread_bytes import PRODUCT_MEMORY_MB
-from tests.processes.test_unread_bytes import meet_crowd
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -45,14 +42,7 @@
 ) -> None:
     """Guard against few bytes that take much memory or processor time."""
     with run_platform(tmp_path, role, loopback_host, LIMITS) as target:
-        trio.run(
-            meet_crowd,
-            target,
-            target.address,
-            PLATFORM_PORTS,
-            plan,
-            MEMORY_MB,
-        )
+        meet_at_platform(target, plan)
 
 
 @pytest.mark.parametrize(
@@ -65,11 +55,4 @@
 ) -> None:
     """Guard against an entry that serves nobody but a few strangers."""
     with run_product(tmp_path) as target:
-        trio.run(
-            meet_crowd,
-            target,
-            target.address,
-            frozenset((target.address.port,)),
-            plan,
-            PRODUCT_MEMORY_MB,
-        )
+        meet_at_product(target, plan)
--- a/tests/processes/test_crowd_around_stops.py
+++ b/tests/processes/test_crowd_around_stops.py
@@ -16,16 +16,16 @@
 
 from tests.processes import crowd
 from tests.processes.calm_store import CalmStore
+from tests.processes.crowd_meeting import BODY_BYTES
+from tests.processes.crowd_meeting import CROWD
+from tests.processes.crowd_meeting import LIMITS
+from tests.processes.crowd_meeting import MEMORY_MB
+from tests.processes.crowd_meeting import PLATFORM_PORTS
 from tests.processes.process_memory import watch_memory
 from tests.processes.test_odd_platform import CONTROL_PORT
 from tests.processes.test_odd_platform import FRONT_PORT
 from tests.processes.test_odd_platform import METRICS_PORT
 from tests.processes.test_uncontrolled_clients import LimitedProgram
-from tests.processes.test_unread_bytes import BODY_BYTES
-from tests.processes.test_unread_bytes import CROWD
-from tests.processes.test_unread_bytes import LIMITS
-from tests.processes.test_unread_bytes import MEMORY_MB
-from tests.processes.test_unread_bytes import PLATFORM_PORTS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/processes/test_http2_crowd.py
+++ b/tests/processes/test_http2_crowd.py
@@ -9,21 +9,22 @@
 from typing import Final
 
 import pytest
-import trio
 
-from tests.processes import crowd
+from tests.processes import crowd_frames
+from tests.processes.crowd_meeting import meet_at_product
 from tests.processes.test_uncontrolled_clients import run_product
-from tests.processes.test_unread_bytes import meet_crowd
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from tests.processes import crowd
+
 MEMORY_MB: Final = 128
 REQUEST_MEMORY_MB: Final = 32
 
 PLANS: Final = (
-    ('head_without_end', crowd.http2_head_without_end()),
-    ('pings', crowd.http2_pings()),
+    ('head_without_end', crowd_frames.http2_head_without_end()),
+    ('pings', crowd_frames.http2_pings()),
 )
 
 
@@ -40,11 +41,4 @@
         tmp_path,
         request_memory_mb=REQUEST_MEMORY_MB,
     ) as target:
-        trio.run(
-            meet_crowd,
-            target,
-            target.address,
-            frozenset((target.address.port,)),
-            plan,
-            MEMORY_MB,
-        )
+        meet_at_product(target, plan, MEMORY_MB)
--- a/tests/processes/test_largest_requests.py
+++ b/tests/processes/test_largest_requests.py
@@ -13,12 +13,12 @@
 
 from tests.processes.calm_store import QUEUE_HOST
 from tests.processes.calm_store import QUEUE_PREFIX
+from tests.processes.crowd_meeting import BODY_BYTES
+from tests.processes.crowd_meeting import LIMITS
 from tests.processes.deployment import TIMEOUT_S
 from tests.processes.test_odd_platform import FRONT_PORT
 from tests.processes.test_uncontrolled_clients import run_platform
 from tests.processes.test_uncontrolled_clients import run_product
-from tests.processes.test_unread_bytes import BODY_BYTES
-from tests.processes.test_unread_bytes import LIMITS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/processes/test_links_port.py
+++ b/tests/processes/test_links_port.py
@@ -9,26 +9,23 @@
 from typing import Final
 
 import pytest
-import trio
 
 from tests.processes import crowd
+from tests.processes import crowd_frames
+from tests.processes.crowd_meeting import LIMITS
+from tests.processes.crowd_meeting import LINK_PORT
+from tests.processes.crowd_meeting import meet_at_platform
 from tests.processes.test_uncontrolled_clients import run_platform
-from tests.processes.test_unread_bytes import LIMITS
-from tests.processes.test_unread_bytes import MEMORY_MB
-from tests.processes.test_unread_bytes import PLATFORM_PORTS
-from tests.processes.test_unread_bytes import meet_crowd
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-LINK_PORT: Final = 7720
-
 PLANS: Final = (
     ('idle', crowd.idle()),
     ('no_greeting', crowd.empty_lines()),
-    ('greeting', crowd.link_greeting()),
-    ('odd_frames', crowd.link_odd_frames()),
-    ('frame_without_end', crowd.link_frame_without_end()),
+    ('greeting', crowd_frames.link_greeting()),
+    ('odd_frames', crowd_frames.link_odd_frames()),
+    ('frame_without_end', crowd_frames.link_frame_without_end()),
 )
 
 
@@ -43,11 +40,5 @@
 ) -> None:
     """Guard against an entry that ends for frames of strangers."""
     with run_platform(tmp_path, 'entry', loopback_host, LIMITS) as target:
-        trio.run(
-            meet_crowd,
-            target,
-            crowd.Address(loopback_host, LINK_PORT, b'', b''),
-            frozenset((*PLATFORM_PORTS, LINK_PORT)),
-            plan,
-            MEMORY_MB,
-        )
+        address = crowd.Address(loopback_host, LINK_PORT, b'', b'')
+        meet_at_platform(target, plan, address)
--- a/tests/processes/test_unread_bytes.py
+++ b/tests/processes/test_unread_bytes.py
@@ -13,31 +13,23 @@
 from typing import NamedTuple
 
 import pytest
-import trio
 
 from tests.processes import crowd
-from tests.processes.process_memory import watch_memory
+from tests.processes.crowd_meeting import BODY_BYTES
+from tests.processes.crowd_meeting import LIMITS
+from tests.processes.crowd_meeting import meet_at_platform
+from tests.processes.crowd_meeting import meet_at_product
 from tests.processes.test_odd_platform import CONTROL_PORT
 from tests.processes.test_odd_platform import FRONT_PORT
 from tests.processes.test_odd_platform import METRICS_PORT
 from tests.processes.test_odd_platform import READY_PORT
-from tests.processes.test_uncontrolled_clients import Target
-from tests.processes.test_uncontrolled_clients import ask_until_answered
 from tests.processes.test_uncontrolled_clients import run_platform
 from tests.processes.test_uncontrolled_clients import run_product
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-MEMORY_MB: Final = 96
-PRODUCT_MEMORY_MB: Final = 400
-LIMITS: Final = f'limits.memory_mb={MEMORY_MB}\nlimits.max_fds=4096'
-CROWD: Final = 300
-BODY_BYTES: Final = 262_144
 LONG_BYTES: Final = 1_000_000
-PLATFORM_PORTS: Final = frozenset(
-    (CONTROL_PORT, FRONT_PORT, READY_PORT, METRICS_PORT),
-)
 
 PLANS: Final = (
     ('head_without_end', crowd.head_without_end()),
@@ -72,27 +64,6 @@
 )
 
 
-async def meet_crowd(
-    target: Target,
-    address: crowd.Address,
-    ports: frozenset[int],
-    plan: crowd.Plan,
-    max_memory_mb: int,
-) -> None:
-    """Let a crowd send; then check the process while it stays connected."""
-    clients = crowd.Crowd(address, plan, CROWD)
-    with watch_memory(target.pid, address.host, ports) as peak:
-        await clients.send()
-        answered = await trio.to_thread.run_sync(ask_until_answered, target)
-        seen = f'{answered}, {peak}'
-        most_mb = peak.total_mb
-    is_alive = target.is_alive()
-    clients.close()
-    assert is_alive, seen
-    assert answered == 'served', seen
-    assert most_mb <= max_memory_mb, seen
-
-
 @pytest.mark.parametrize(
     'listener',
     [pytest.param(case[1], id=case[0]) for case in LISTENERS],
@@ -120,14 +91,7 @@
         loopback_host,
         LIMITS,
     ) as target:
-        trio.run(
-            meet_crowd,
-            target,
-            address,
-            PLATFORM_PORTS,
-            plan,
-            MEMORY_MB,
-        )
+        meet_at_platform(target, plan, address)
 
 
 @pytest.mark.parametrize(
@@ -140,11 +104,4 @@
 ) -> None:
     """Guard against an entry that ends for bytes it has not read."""
     with run_product(tmp_path) as target:
-        trio.run(
-            meet_crowd,
-            target,
-            target.address,
-            frozenset((target.address.port,)),
-            plan,
-            PRODUCT_MEMORY_MB,
-        )
+        meet_at_product(target, plan)
