--- a/src/savoryrudder/daemon/http_connection.py
+++ b/src/savoryrudder/daemon/http_connection.py
@@ -17,6 +17,7 @@
 from savoryrudder.daemon.http_requests import RequestParser
 from savoryrudder.daemon.logs import log_event
 from savoryrudder.daemon.loop import ReducerError
+from savoryrudder.daemon.paced_stream import READ_BYTES
 from savoryrudder.daemon.request_limits import Stage
 from savoryrudder.daemon.request_refusals import NO_MEMORY
 from savoryrudder.daemon.request_refusals import TOO_SLOW
@@ -32,7 +33,6 @@
     trio.ClosedResourceError,
 )
 
-_RECEIVE_BYTES: Final = 65_536
 # A client that still sends gets a refusal only if its bytes are read.
 _LINGER_S: Final = 1
 # Time for the answer to a client whose place another one has.
@@ -189,7 +189,7 @@
         """
         self._scope.deadline = self._receive_deadline()
         self._is_receiving = True
-        received = await self._stream.receive_some(_RECEIVE_BYTES)
+        received = await self._stream.receive_some(READ_BYTES)
         self._is_receiving = False
         if self._is_dropped or not received:
             return False
@@ -219,7 +219,7 @@
         unread_bytes = _LINGER_BYTES
         while unread_bytes > 0:
             received_bytes = len(
-                await self._stream.receive_some(_RECEIVE_BYTES),
+                await self._stream.receive_some(READ_BYTES),
             )
             if not received_bytes:
                 return
@@ -293,7 +293,7 @@
 
     async def _receive_piece(self) -> None:
         try:
-            received = await self._stream.receive_some(_RECEIVE_BYTES)
+            received = await self._stream.receive_some(READ_BYTES)
         except CONNECTION_ERRORS:
             received = b''
         if not received:
--- a/src/savoryrudder/daemon/intake_limits.py
+++ b/src/savoryrudder/daemon/intake_limits.py
@@ -45,7 +45,9 @@
 
 
 # Probes come one at a time, from few addresses.
-PROBE_LIMITS: Final = IntakeLimits(16, _MIN_POOL_BYTES, _MIN_POOL_BYTES, 16)
+PROBE_LIMITS: Final = IntakeLimits(
+    16, _MIN_POOL_BYTES, _MIN_POOL_BYTES, backlog=16
+)
 
 
 def derive_limits(memory_mb: int, max_sockets: int) -> IntakeLimits:
--- a/src/savoryrudder/daemon/paced_stream.py
+++ b/src/savoryrudder/daemon/paced_stream.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Read at once from a connection, and from one that shares a turn.
-_READ_BYTES: Final = 16_384
+# Received at most at once, and by a connection that shares a turn.
+READ_BYTES: Final = 16_384
 _PIECE_BYTES: Final = 4096
 
 
@@ -71,8 +71,8 @@
         """Return the socket of the connection."""
         return self._stream.socket
 
-    def notify(self, on_received: Callable[[int], None]) -> None:
-        """Call a function with the number of bytes of each piece received."""
+    def set_receive_callback(self, on_received: Callable[[int], None]) -> None:
+        """Set a function to call with the size of each piece received."""
         self._on_received = on_received
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
@@ -80,7 +80,7 @@
 
         Raises `trio.BrokenResourceError` and `trio.ClosedResourceError`.
         """
-        limit = min(max_bytes or _READ_BYTES, _READ_BYTES)
+        limit = min(max_bytes or READ_BYTES, READ_BYTES)
         if self._allowance.is_spent(trio.current_time()):
             received = await self._receive_in_turn(min(limit, _PIECE_BYTES))
         else:
--- a/src/savoryrudder/daemon/request_guard.py
+++ b/src/savoryrudder/daemon/request_guard.py
@@ -35,8 +35,8 @@
 _MAX_LENGTH_DIGITS: Final = 19
 _LINGER_S: Final = 1
 _LINGER_MESSAGES: Final = 64
-# Of heads without end and frames that are no request. hypercorn may be this far
-# ahead of an application that reads a body.
+# Bounds heads without end and frames that are no request. The pieces of a body
+# that hypercorn reads ahead of the guard stay below it.
 _MAX_UNCLAIMED_BYTES: Final = 131_072
 
 
@@ -56,7 +56,7 @@
         self._served = 0
         # Received since a request, or a part of a body, was complete.
         self._unclaimed_bytes = 0
-        stream.notify(self._note_received)
+        stream.set_receive_callback(self._note_received)
 
     def drop(self, refusal: RequestRefusal) -> None:
         """Close the connection; whoever waits for it is told."""
--- a/src/savoryrudder/dispatch/jobs.py
+++ b/src/savoryrudder/dispatch/jobs.py
@@ -177,8 +177,9 @@
 def remove_if_settled(state: DispatchState, job: Job) -> None:
     """Remove an ended job once none of its tasks can be running."""
     if job.ended and not job.outstanding:
-        if state.jobs.pop(job.request.job_id, None) is not None:
-            state.open_tasks -= len(job.tasks)
+        removed = state.jobs.pop(job.request.job_id, None)
+        if removed is not None:
+            state.open_tasks -= len(removed.tasks)
         state.record_release(job.request.job_id)
 
 
