Take closed connections for closed, not for one another

What callers saw: nothing but their connections' end; the log of an entry had a line `request-failed` with a trace for each further connection that it closed for a head over the limit (299 of 300 clients).

Cause, since the turns of connections: a closed socket has the descriptor -1. Waiting for it registers -1 with the event loop, which raises ValueError for the first connection and leaves it as the reader, so all others raise BusyResourceError in place of ClosedResourceError.

Change: a closed socket is looked for before the wait.

--- a/src/savoryrudder/daemon/paced_stream.py
+++ b/src/savoryrudder/daemon/paced_stream.py
@@ -108,16 +108,11 @@
 
     async def _receive_in_turn(self, limit: int) -> bytes:
         # A connection that has nothing to read takes no turn.
-        await _wait_readable(self._stream.socket)
+        if self._stream.socket.fileno() < 0:
+            # The event loop would take all closed sockets for the same one.
+            raise trio.ClosedResourceError
+        await trio.lowlevel.wait_readable(self._stream.socket)
         # The next one in turn is woken in the next round of the event loop,
         # after this one has parsed what it receives.
         async with self._turn:
             return bytes(await self._stream.receive_some(limit))
-
-
-async def _wait_readable(socket: trio.socket.SocketType) -> None:
-    try:
-        await trio.lowlevel.wait_readable(socket)
-    except ValueError as error:
-        # The connection was closed by a task that needed its place.
-        raise trio.ClosedResourceError from error
--- a/tests/daemon/test_paced_stream.py
+++ b/tests/daemon/test_paced_stream.py
@@ -7,6 +7,7 @@
 
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from savoryrudder.daemon.paced_stream import PacedStream
 from savoryrudder.daemon.paced_stream import SmallRequestAllowance
@@ -85,8 +86,7 @@
     trio.run(_read_small_ones, trio.Lock())
 
 
-async def _close_while_waiting() -> None:
-    turn = trio.Lock()
+async def _read_when_closed(turn: trio.Lock) -> None:
     served, client = _connect(turn)
     with trio.fail_after(LIMIT_S):
         await client.send_all(bytes(ALLOWED_BYTES))
@@ -97,9 +97,41 @@
     assert not turn.locked()
 
 
+async def _read_when_several_are_closed() -> None:
+    turn = trio.Lock()
+    await _read_when_closed(turn)
+    await _read_when_closed(turn)
+
+
 def test_a_closed_connection_takes_no_turn() -> None:
-    """Guard against a turn that a dropped connection never gives back."""
-    trio.run(_close_while_waiting)
+    """Guard against a turn that a dropped connection never gives back.
+
+    The second one must not be taken for the first, as both have no descriptor.
+    """
+    trio.run(_read_when_several_are_closed)
+
+
+async def _close_during_a_read() -> None:
+    turn = trio.Lock()
+    served, client = _connect(turn)
+    await client.send_all(bytes(ALLOWED_BYTES))
+    await served.receive_some()
+    with trio.fail_after(LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_expect_closed, served)
+            await wait_all_tasks_blocked()
+            served.socket.close()
+    assert not turn.locked()
+
+
+async def _expect_closed(served: PacedStream) -> None:
+    with pytest.raises(trio.ClosedResourceError):
+        await served.receive_some()
+
+
+def test_a_connection_may_be_closed_while_it_is_read() -> None:
+    """Guard against an unexpected error when the intake drops a connection."""
+    trio.run(_close_during_a_read)
 
 
 async def _cancel_while_reading() -> None:
