--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -374,6 +374,8 @@
     `check` gets the deployment and whether the disruption happens, and returns
     what broke the rule. The folder of the case is the working directory.
     """
+    # An early end, such as by `timeout`, ends the processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Path.cwd() / 'record.txt'
     with tempfile.TemporaryDirectory() as folder:
--- a/review/stand_ins_3/executor.py
+++ b/review/stand_ins_3/executor.py
@@ -121,7 +121,9 @@
         if number <= self._highest.get(task, 0) or present is not None:
             return self._refuse('old')
         step = int(task.split('.')[2])
-        works = body['spec'].removeprefix('work_ms=').split(',')
+        # What follows the times is of no interest.
+        times = body['spec'].removeprefix('work_ms=').partition(' ')[0]
+        works = times.split(',')
         work_s = int(works[min(step, len(works) - 1)]) / 1000
         self._runs[task] = _Run(number, time.monotonic(), work_s)
         self._record(
