Count an agent's calls to its executor by kind

A flood of new stops and a flood of repeated ones looked the same.

Change: each call counts as `call_StartRun`, `call_StopRun`, `call_RenewLease` or `call_ProbeInstance`, in the metrics and among the rates of `load` lines.

No decision changes.

--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -11,6 +11,7 @@
 import trio
 
 from savoryrudder.daemon.dialled_links import DialledLinks
+from savoryrudder.daemon.load import CALL_PREFIX
 from savoryrudder.daemon.stall import StallDetector
 from savoryrudder.daemon.task_pool import TaskPool
 from savoryrudder.daemon.ticking import TickingLoop
@@ -168,6 +169,13 @@
         return reduce(self.state, event)
 
     def _execute_role_effect(self, effect: effects.WorkerEffect) -> None:
+        if isinstance(effect, SetCarriesWork):
+            self._entries.set_carries_work(
+                effect.peer,
+                carries_work=effect.carries_work,
+            )
+            return
+        self.counters.count(f'{CALL_PREFIX}{type(effect).__name__}')
         match effect:
             case effects.StartRun():
                 self._starts.submit(partial(self._start, effect))
@@ -177,8 +185,6 @@
                 self._group.start_soon(self._stop, effect)
             case effects.RenewLease():
                 self._renewals.submit(partial(self._renew, effect))
-            case SetCarriesWork(peer, carries_work):
-                self._entries.set_carries_work(peer, carries_work=carries_work)
 
     async def _start(self, call: effects.StartRun) -> None:
         verdict, clock_ms = verdicts.UNKNOWN, 0
