Stop runs with a bounded number of calls under way

Cause: an agent sent the stops of all its runs without an owner at once, each as a task with a connection of its own, and sent each stop again 0.25 s after it was handed over, also while the call before was under way. With 2,500 runs the calls outlived their timeout of 0.3 s, failed and were sent anew. The new counters show it: some 1,200 answers a second for 20 s, at a busy share of 1.0, for 2,500 runs. Clients who leave or cancel have the same effect, so it takes no fault of a machine.

Ruled out: lost links as the cause (they are lost later, as the agent sends no heartbeats and takes itself for a process that stood still); the number of runs by itself (8 % of a core without a stop).

Change: `worker/stops.py` keeps the requested stops in a queue, sends eight at a time, and none again while the one before is under way; the retry follows 0.25 s after a call without an answer. Jobs take turns, so that a small job does not wait behind a large one. A stop that its run has outlived leaves the queue. While the executor is silent, one call asks whether it answers again. The same queue serves cancelled runs, lost owners, unanswered starts and runs of a former process.

Why it works: what an agent holds for a stop is its key, and the calls under way are bounded however late they are answered, so that neither memory nor time of the event loop depends on the number of runs.

`test_an_unconfirmed_stop_is_repeated_in_time` expected the fault: a stop sent again without the end of the call before. It now lets that call fail first; the bound on the time until the retry is unchanged.

--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -24,6 +24,7 @@
 from savoryrudder.worker.deadlines import next_tick_at
 from savoryrudder.worker.entry_choice import choose_entries
 from savoryrudder.worker.reducer import reduce
+from savoryrudder.worker.stops import MAX_CONCURRENT_STOPS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -79,6 +80,7 @@
         self._executor = executor
         self._starts = TaskPool(_MAX_CONCURRENT_STARTS)
         self._renewals = TaskPool(_MAX_CONCURRENT_RENEWALS)
+        self._stops = TaskPool(MAX_CONCURRENT_STOPS)
         self._entries = DialledLinks(self, _no_revision, self._outbox)
         self._stall = StallDetector()
 
@@ -98,6 +100,7 @@
             group.start_soon(self.load.run)
             group.start_soon(self._starts.run)
             group.start_soon(self._renewals.run)
+            group.start_soon(self._stops.run)
             task_status.started()
             await self.run_ticks()
 
@@ -182,7 +185,7 @@
             case effects.ProbeInstance():
                 self._group.start_soon(self._probe, effect)
             case effects.StopRun():
-                self._group.start_soon(self._stop, effect)
+                self._stops.submit(partial(self._stop, effect))
             case effects.RenewLease():
                 self._renewals.submit(partial(self._renew, effect))
 
--- a/src/savoryrudder/worker/deadlines.py
+++ b/src/savoryrudder/worker/deadlines.py
@@ -43,13 +43,13 @@
     if state.draining:
         yield now + TICK_S
     yield instances.next_probe_at(state)
+    yield state.stop_calls.next_retry_at
     if state.health.suspended:
         yield state.health.suspended_until
     if state.lease.silent_since is not None and state.runs:
         yield state.lease.expires_at
     yield from chain(
         _link_times(state),
-        _stop_times(state),
         departures.due_times(state),
         orphans.due_times(state),
         reports.due_times(state),
@@ -60,9 +60,3 @@
     for link in state.links.values():
         if link.retired_at is not None:
             yield link.retired_at + RETIREMENT_GRACE_S
-
-
-def _stop_times(state: WorkerState) -> Iterator[float]:
-    for run in state.stopping.values():
-        if run.stop_confirmed_at < 0:
-            yield run.stop_sent_at + state.timing.stop_retry_s
--- a/src/savoryrudder/worker/orphans.py
+++ b/src/savoryrudder/worker/orphans.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING
 
 from savoryrudder.protocol import work
-from savoryrudder.worker import runs
+from savoryrudder.worker import stops
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
@@ -78,7 +78,7 @@
     for run in state.runs.values():
         if run.owner == owner and run.phase is not Phase.stopping:
             turn.log('owner-lost', task=run.task, run=run.number)
-            runs.send_stop(state, turn, run)
+            stops.stop_run(state, run)
 
 
 def _jobs_of(state: WorkerState, owners: set[str]) -> Iterator[str]:
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -25,6 +25,7 @@
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
 from savoryrudder.worker import shares
+from savoryrudder.worker import stops
 from savoryrudder.worker import suspension
 from savoryrudder.worker.deadlines import RETIREMENT_GRACE_S
 from savoryrudder.worker.state import EntryLink
@@ -54,6 +55,7 @@
     departures.forget_if_ended(state, turn)
     orphans.tell_entries(state, turn)
     renewal.renew_if_due(state, turn)
+    stops.send_due(state, turn)
     reports.send_reports(state, turn)
     _update_links(state, turn)
     _exit_if_drained(state, turn)
@@ -142,7 +144,7 @@
             for start in message.each():
                 runs.start(state, turn, link, start)
         case work.StopTask():
-            runs.stop_on_request(state, turn, link, message)
+            stops.stop_on_request(state, link, message)
         case work.EndsAcknowledged():
             owner = state.links[link].incarnation
             renewal.discard_ends(state, owner, message.run_ids)
@@ -229,7 +231,7 @@
     turn: Turn,
     event: events.StopAnswered,
 ) -> None:
-    runs.apply_stop_answer(state, turn, event)
+    stops.apply_answer(state, turn, event)
 
 
 def _handle_renewal_answered(
@@ -257,7 +259,6 @@
     _close_retired_links(state, turn)
     instances.probe_if_due(state, turn)
     renewal.report_expired(state, turn)
-    renewal.retry_stops(state, turn)
     suspension.end_suspension(state, turn)
     cutoff = turn.now - state.timing.retention_s
     for key, end in tuple(state.ends.items()):
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -13,6 +13,7 @@
 from savoryrudder.worker import progress
 from savoryrudder.worker import reports
 from savoryrudder.worker import runs
+from savoryrudder.worker import stops
 from savoryrudder.worker import suspension
 from savoryrudder.worker.effects import RenewLease
 from savoryrudder.worker.state import EndKey
@@ -132,7 +133,7 @@
     for run in state.runs.values():
         if not run.end_reported and turn.now >= _ends_by(state, run):
             runs.report_end(state, turn, run, outcomes.LOST, 'lease expired')
-            runs.send_stop(state, turn, run)
+            stops.stop_run(state, run)
 
 
 def _ends_by(state: WorkerState, run: Run) -> float:
@@ -146,14 +147,6 @@
     return run.start_unanswered_at + timing.late_call_s + timing.expiry_s
 
 
-def retry_stops(state: WorkerState, turn: Turn) -> None:
-    """Repeat requests to stop a run that the executor has not confirmed."""
-    cutoff = turn.now - state.timing.stop_retry_s
-    for run in state.stopping.values():
-        if run.stop_confirmed_at < 0 and run.stop_sent_at <= cutoff:
-            runs.send_stop(state, turn, run)
-
-
 def discard_ends(
     state: WorkerState,
     owner: str,
@@ -255,4 +248,4 @@
     for key in untracked:
         if state.stray_runs.get(key, cutoff) <= cutoff:
             turn.log('stray-run', task=key[0], run=key[1])
-            runs.stop_stray_run(state, turn, key)
+            stops.stop_stray_run(state, turn, key)
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -10,10 +10,9 @@
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import speed
+from savoryrudder.worker import stops
 from savoryrudder.worker import verdicts
 from savoryrudder.worker.effects import StartRun
-from savoryrudder.worker.effects import StopRun
-from savoryrudder.worker.state import EndKey
 from savoryrudder.worker.state import Phase
 from savoryrudder.worker.state import Run
 from savoryrudder.worker.state import UnacknowledgedEnd
@@ -122,7 +121,7 @@
     if answer.verdict == verdicts.UNKNOWN:
         turn.log('start-unanswered', task=run.task, run=run.number)
         run.start_unanswered_at = turn.now
-        send_stop(state, turn, run)
+        stops.stop_run(state, run)
         return
     run.start_confirmed_at = turn.now
     if run.phase is Phase.starting:
@@ -149,49 +148,6 @@
     turn.log('fence-raised', fence=state.fence)
 
 
-def send_stop(state: WorkerState, turn: Turn, run: Run) -> None:
-    """Ask the executor to stop a run."""
-    run.phase = Phase.stopping
-    state.stopping[run.task] = run
-    run.stop_sent_at = turn.now
-    _call_stop(state, turn, run.key)
-
-
-def stop_stray_run(state: WorkerState, turn: Turn, key: work.RunKey) -> None:
-    """Stop a run that this process did not start."""
-    state.stray_runs[key] = turn.now
-    _call_stop(state, turn, key)
-
-
-def apply_stop_answer(
-    state: WorkerState,
-    turn: Turn,
-    answer: events.StopAnswered,
-) -> None:
-    """Record that a run has been stopped and can no longer start."""
-    if not answer.confirmed:
-        return
-    run = state.runs.get(answer.task)
-    if run is not None and run.number == answer.run:
-        run.stop_confirmed_at = turn.now
-        state.lease.renew_by(turn.now)
-
-
-def stop_on_request(
-    state: WorkerState,
-    turn: Turn,
-    link: str,
-    message: work.StopTask,
-) -> None:
-    """Stop a run at the request of its owner."""
-    run = state.runs.get(message.task)
-    requested = EndKey(state.links[link].incarnation, message.run_id)
-    if run is None or run.end_key != requested:
-        return
-    if run.phase is not Phase.stopping:
-        send_stop(state, turn, run)
-
-
 def finish(
     state: WorkerState,
     turn: Turn,
@@ -252,13 +208,6 @@
     state.stray_runs.clear()
 
 
-def _call_stop(state: WorkerState, turn: Turn, key: work.RunKey) -> None:
-    executor = state.executor
-    if executor is not None:
-        task, number = key
-        turn.effects.append(StopRun(executor, task, number, state.fence))
-
-
 def _refusal_reason(state: WorkerState, message: work.StartTask) -> str:
     if state.draining:
         return 'agent is leaving'
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -20,6 +20,7 @@
 from savoryrudder.worker.lease import Health
 from savoryrudder.worker.lease import Lease
 from savoryrudder.worker.shares import RecentWork
+from savoryrudder.worker.stop_calls import StopCalls
 
 if TYPE_CHECKING:
     from savoryrudder.worker.events import ExecutorHeartbeat
@@ -108,7 +109,6 @@
     phase: Phase = Phase.starting
     start_confirmed_at: float = _NEVER
     start_unanswered_at: float = _NEVER
-    stop_sent_at: float = _NEVER
     stop_confirmed_at: float = _NEVER
     end_reported: bool = False
     fence: int = 0
@@ -214,7 +214,7 @@
     health: Health = field(default_factory=Health)
     runs: dict[str, Run] = field(default_factory=dict)
     # Runs on the executor that this process did not start, with the time at
-    # which it last asked to stop them.
+    # which their stop was last requested or confirmed.
     stray_runs: dict[work.RunKey, float] = field(default_factory=dict)
     ends: dict[EndKey, UnacknowledgedEnd] = field(default_factory=dict)
     links: dict[str, EntryLink] = field(default_factory=dict)
@@ -232,6 +232,7 @@
     exited: bool = False
     # The runs that the executor was asked to stop.
     stopping: dict[str, Run] = field(default_factory=dict)
+    stop_calls: StopCalls = field(default_factory=StopCalls)
     _occupied: Resources = NO_RESOURCES
     _runs_by_owner: Counter[str] = field(default_factory=Counter)
 
--- a/tests/daemon/test_worker_calls.py
+++ b/tests/daemon/test_worker_calls.py
@@ -14,9 +14,31 @@
 
 if TYPE_CHECKING:
     from savoryrudder.daemon.worker import Worker
+    from savoryrudder.worker import effects
 
 SMALL_DEMAND = Resources(1, 1, 0)
 RUNS = 300
+CALL_TIMEOUT_S = 0.3
+# Some of the 64 connections that an executor takes.
+MAX_STOPS = 16
+
+
+class StoppedExecutor(CalmExecutor):
+    """Answer no stop, and count those that wait for an answer."""
+
+    def __init__(self) -> None:
+        """Begin without calls."""
+        super().__init__()
+        self.waiting = 0
+        self.most_waiting = 0
+
+    async def stop(self, call: effects.StopRun) -> bool:
+        """Let a stop time out."""
+        self.waiting += 1
+        self.most_waiting = max(self.most_waiting, self.waiting)
+        await anyio.sleep(CALL_TIMEOUT_S)
+        self.waiting -= 1
+        return False
 
 
 async def _lose_entry(worker: Worker) -> None:
@@ -28,6 +50,13 @@
     await anyio.sleep(5)
 
 
+def test_stops_that_stay_unanswered_do_not_add_up() -> None:
+    """Guard against calls whose tasks take the memory of the agent."""
+    executor = StoppedExecutor()
+    run_worker(executor, _lose_entry)
+    assert 0 < executor.most_waiting <= MAX_STOPS
+
+
 def test_calls_are_counted_by_kind() -> None:
     """Guard against a flood of calls that no metric tells apart."""
     worker = run_worker(CalmExecutor(), _lose_entry)
--- a/tests/processes/crowd_meeting.py
+++ b/tests/processes/crowd_meeting.py
@@ -8,11 +8,12 @@
 import trio
 
 from tests.processes import crowd
+from tests.processes.platform_program import CONTROL_PORT
+from tests.processes.platform_program import FRONT_PORT
+from tests.processes.platform_program import LINK_PORT
+from tests.processes.platform_program import METRICS_PORT
+from tests.processes.platform_program import READY_PORT
 from tests.processes.process_memory import watch_memory
-from tests.processes.test_odd_platform import CONTROL_PORT
-from tests.processes.test_odd_platform import FRONT_PORT
-from tests.processes.test_odd_platform import METRICS_PORT
-from tests.processes.test_odd_platform import READY_PORT
 from tests.processes.test_uncontrolled_clients import ask_until_answered
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
 LIMITS: Final = f'limits.memory_mb={MEMORY_MB}\nlimits.max_fds=4096'
 CROWD: Final = 300
 BODY_BYTES: Final = 262_144
-LINK_PORT: Final = 7720
 # The listeners of a role of the platform.
 PLATFORM_PORTS: Final = frozenset(
     (CONTROL_PORT, FRONT_PORT, READY_PORT, METRICS_PORT, LINK_PORT),
--- a/tests/processes/odd_store.py
+++ b/tests/processes/odd_store.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import random
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler
@@ -107,6 +108,11 @@
         self.shutdown()
         self.server_close()
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Pass over a connection that its process has closed."""
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
     def draw_answer(self, path: str) -> tuple[int, bytes] | None:
         """Return a status and a body; None closes the connection."""
         with self._lock:
--- a/tests/processes/test_crowd_around_stops.py
+++ b/tests/processes/test_crowd_around_stops.py
@@ -21,10 +21,10 @@
 from tests.processes.crowd_meeting import LIMITS
 from tests.processes.crowd_meeting import MEMORY_MB
 from tests.processes.crowd_meeting import PLATFORM_PORTS
+from tests.processes.platform_program import CONTROL_PORT
+from tests.processes.platform_program import FRONT_PORT
+from tests.processes.platform_program import METRICS_PORT
 from tests.processes.process_memory import watch_memory
-from tests.processes.test_odd_platform import CONTROL_PORT
-from tests.processes.test_odd_platform import FRONT_PORT
-from tests.processes.test_odd_platform import METRICS_PORT
 from tests.processes.test_uncontrolled_clients import LimitedProgram
 
 if TYPE_CHECKING:
--- a/tests/processes/test_largest_requests.py
+++ b/tests/processes/test_largest_requests.py
@@ -16,7 +16,7 @@
 from tests.processes.crowd_meeting import BODY_BYTES
 from tests.processes.crowd_meeting import LIMITS
 from tests.processes.deployment import TIMEOUT_S
-from tests.processes.test_odd_platform import FRONT_PORT
+from tests.processes.platform_program import FRONT_PORT
 from tests.processes.test_uncontrolled_clients import run_platform
 from tests.processes.test_uncontrolled_clients import run_product
 
--- a/tests/processes/test_links_port.py
+++ b/tests/processes/test_links_port.py
@@ -13,8 +13,8 @@
 from tests.processes import crowd
 from tests.processes import crowd_frames
 from tests.processes.crowd_meeting import LIMITS
-from tests.processes.crowd_meeting import LINK_PORT
 from tests.processes.crowd_meeting import meet_at_platform
+from tests.processes.platform_program import LINK_PORT
 from tests.processes.test_uncontrolled_clients import run_platform
 
 if TYPE_CHECKING:
--- a/tests/processes/test_odd_platform.py
+++ b/tests/processes/test_odd_platform.py
@@ -12,30 +12,24 @@
 import os
 import random
 import signal
-import subprocess
-import sys
-import time
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import quote
 
-import httpx
 import pytest
 
 from tests.processes.deployment import TIMEOUT_S
 from tests.processes.odd_store import ADDRESSES
 from tests.processes.odd_store import ODD_PARTS
 from tests.processes.odd_store import OddStore
+from tests.processes.platform_program import CONTROL_PORT
+from tests.processes.platform_program import FRONT_PORT
+from tests.processes.platform_program import Program
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from pathlib import Path
 
-CONTROL_PORT = 8166
-FRONT_PORT = 8161
-READY_PORT = 8167
-POLL_INTERVAL_S = 0.05
-METRICS_PORT = 9464
 ROUNDS = 120
 RELOAD_EVERY = 20
 SEEDS = (1, 2)
@@ -48,83 +42,6 @@
 )
 
 
-class Program:
-    """Run one role of the platform on a loopback address of its own."""
-
-    def __init__(self, folder: Path, role: str, store: str, host: str) -> None:
-        """Start the process."""
-        self.host = host
-        self._settings = folder / 'node.conf'
-        self._store = store
-        self.write_settings('')
-        environment = {
-            **os.environ,
-            'SAVORYRUDDER_BOOT': str(self._settings),
-        }
-        self.output = folder / 'output.log'
-        with self.output.open('wb') as output:
-            self.process = subprocess.Popen(
-                [sys.executable, '-m', 'savoryrudder.platform', role],
-                env=environment,
-                stdout=output,
-                stderr=output,
-            )
-
-    def write_settings(self, odd: str) -> None:
-        """Write the settings file with an odd line at its end."""
-        lines = (
-            'node_name=node-1',
-            'zone=z',
-            f'ip={self.host}',
-            'port_range=7720,7735',
-            f'platform.address={self._store}',
-            f'listen.control={self.host}:{CONTROL_PORT}',
-            f'listen.front={self.host}:{FRONT_PORT}',
-            f'listen.ready={self.host}:{READY_PORT}',
-            odd,
-        )
-        self._settings.write_text('\n'.join(lines), encoding='utf-8')
-
-    def wait_until_serving(self) -> None:
-        """Wait until the last of its servers, that of metrics, answers."""
-        deadline = time.monotonic() + TIMEOUT_S
-        while not self._is_serving():
-            assert self.process.poll() is None, self.output.read_text()
-            assert time.monotonic() < deadline
-            time.sleep(POLL_INTERVAL_S)
-
-    def read_metrics(self) -> str:
-        """Return the metrics of the process."""
-        return self.send(METRICS_PORT, 'GET', '/metrics', b'').text
-
-    def send(
-        self,
-        port: int,
-        method: str,
-        path: str,
-        content: bytes,
-    ) -> httpx.Response:
-        """Send a request on a new connection and return the response."""
-        with httpx.Client(timeout=TIMEOUT_S, trust_env=False) as client:
-            return client.request(
-                method,
-                f'http://{self.host}:{port}{path}',
-                content=content,
-                headers={'deadline-ms': '50'},
-            )
-
-    def kill(self) -> None:
-        """End the process, if it runs."""
-        self.process.kill()
-        self.process.wait()
-
-    def _is_serving(self) -> bool:
-        try:
-            return self.read_metrics() != ''
-        except httpx.TransportError:
-            return False
-
-
 @pytest.fixture
 def host() -> str:
     """Return a loopback address that no other process of the tests uses."""
--- a/tests/processes/test_uncontrolled_clients.py
+++ b/tests/processes/test_uncontrolled_clients.py
@@ -27,9 +27,9 @@
 from tests.processes.calm_store import QUEUE_PREFIX
 from tests.processes.calm_store import CalmStore
 from tests.processes.deployment import Deployment
-from tests.processes.test_odd_platform import CONTROL_PORT
-from tests.processes.test_odd_platform import FRONT_PORT
-from tests.processes.test_odd_platform import Program
+from tests.processes.platform_program import CONTROL_PORT
+from tests.processes.platform_program import FRONT_PORT
+from tests.processes.platform_program import Program
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/processes/test_unread_bytes.py
+++ b/tests/processes/test_unread_bytes.py
@@ -19,10 +19,10 @@
 from tests.processes.crowd_meeting import LIMITS
 from tests.processes.crowd_meeting import meet_at_platform
 from tests.processes.crowd_meeting import meet_at_product
-from tests.processes.test_odd_platform import CONTROL_PORT
-from tests.processes.test_odd_platform import FRONT_PORT
-from tests.processes.test_odd_platform import METRICS_PORT
-from tests.processes.test_odd_platform import READY_PORT
+from tests.processes.platform_program import CONTROL_PORT
+from tests.processes.platform_program import FRONT_PORT
+from tests.processes.platform_program import METRICS_PORT
+from tests.processes.platform_program import READY_PORT
 from tests.processes.test_uncontrolled_clients import run_platform
 from tests.processes.test_uncontrolled_clients import run_product
 
--- a/tests/worker/test_agent_ticks.py
+++ b/tests/worker/test_agent_ticks.py
@@ -86,6 +86,7 @@
     driver.receive(work.StopTask('j.0', 1))
     assert driver.effects_of(effects.StopRun)
     retry_s = driver.state.timing.stop_retry_s
+    driver.post(events.StopAnswered(driver.now, 'j.0', 1, confirmed=False))
     driver.tick(next_tick_at(driver.state, driver.now) - driver.now)
     while not driver.effects_of(effects.StopRun):
         driver.tick(next_tick_at(driver.state, driver.now) - driver.now)
