Keep the cost of an event apart from the number of runs being stopped

Cause: while an owner is lost, an agent built and sorted the list of all jobs without their owner at each event, and while runs are stopped, each confirmed stop requested the list of all runs at once. With 2,500 runs that end one by one these are some millions of steps, and stops come late behind them.

Change: runs whose end is not reported are counted by owner and job, and the list is built when that set changes. A renewal after a long list waits for 20 us for each run beyond the first 100, at most 0.2 s, so that lists take a bounded share of the time; lists of ordinary executors are not delayed. A renewal is answered at once only while a run may be missing that never started; the end of a running one is listed, and ends the wait.

--- a/src/savoryrudder/worker/instances.py
+++ b/src/savoryrudder/worker/instances.py
@@ -268,7 +268,7 @@
     )
     state.lease.record_clock(turn.now, clock_ms)
     state.health = Health()
-    state.stray_runs.clear()
+    state.remove_stray_runs(state.stray_runs)
     executor = state.executor
     if executor is not None:
         turn.log(
--- a/src/savoryrudder/worker/lease.py
+++ b/src/savoryrudder/worker/lease.py
@@ -25,8 +25,9 @@
     The clock showed `clock_ms` at `clock_read_at`. By `expires_at` the lease
     of every run has expired, unless a renewal reaches the executor.
     `silent_since` is the time of the first failed renewal since the last
-    answer, or None. `reconciled` is set once the executor has listed its runs
-    and they were compared with those of the agent.
+    answer, or None. No renewal is sent before `paused_until`. `reconciled` is
+    set once the executor has listed its runs and they were compared with those
+    of the agent.
 
     The lease belongs to the instance of the executor that started at
     `started_ms`. Calls with a fencing token below `first_fence` were meant for
@@ -41,6 +42,7 @@
     silent_since: float | None = None
     renewing: bool = False
     renew_at: float = _NEVER
+    paused_until: float = _NEVER
     reconciled: bool = False
     last_end_number: int = 0
     acknowledged_upto_sent: int = 0
@@ -49,7 +51,7 @@
     def renew_by(self, due_at: float) -> None:
         """Bring the next renewal forward to `due_at`.
 
-        It is sent once no other renewal is in flight.
+        It is sent once no other renewal is in flight, and after the pause.
         """
         self.renew_at = min(self.renew_at, due_at)
 
--- a/src/savoryrudder/worker/orphans.py
+++ b/src/savoryrudder/worker/orphans.py
@@ -12,10 +12,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from savoryrudder.protocol import work
 from savoryrudder.worker import stops
+from savoryrudder.worker.state import OrphanBasis
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
@@ -67,23 +69,31 @@
     owners = state.owners - state.linked_entries
     if not (owners or state.stray_runs or state.orphaned_jobs):
         return
-    state.orphaned_jobs = tuple(sorted(set(_jobs_of(state, owners))))
+    basis = OrphanBasis(frozenset(owners), state.job_changes)
+    if basis != state.orphan_basis:
+        state.orphan_basis = basis
+        jobs = tuple(sorted(set(_jobs_of(state, owners))))
+        if jobs != state.orphaned_jobs:
+            state.orphaned_jobs = jobs
     for name, link in state.links.items():
-        if link.incarnation and link.orphaned_jobs != state.orphaned_jobs:
+        # The list that was told is the same object, and may be long.
+        if link.incarnation and link.orphaned_jobs is not state.orphaned_jobs:
             link.orphaned_jobs = state.orphaned_jobs
             turn.send(name, work.OrphanedJobs(state.orphaned_jobs))
 
 
 def _stop_runs_of(state: WorkerState, turn: Turn, owner: str) -> None:
+    stopped: Counter[str] = Counter()
     for run in state.runs.values():
         if run.owner == owner and run.phase is not Phase.stopping:
-            turn.log('owner-lost', task=run.task, run=run.number)
+            stopped[run.job] += 1
             stops.stop_run(state, run)
+    for job, count in stopped.items():
+        turn.log('owner-lost', job=job, runs=count, entry=owner)
 
 
 def _jobs_of(state: WorkerState, owners: set[str]) -> Iterator[str]:
-    for run in state.runs.values():
-        if run.owner in owners and not run.end_reported:
-            yield work.job_of_task(run.task)
+    for owner in owners:
+        yield from state.jobs_of(owner)
     for task, _ in state.stray_runs:
         yield work.job_of_task(task)
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Final
 
+from savoryrudder.protocol import work
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import events
 from savoryrudder.worker import instances
@@ -20,8 +22,6 @@
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
-    from savoryrudder.protocol.work import RunId
-    from savoryrudder.protocol.work import RunKey
     from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
@@ -34,6 +34,13 @@
 # capacity that each end releases.
 _BATCHING_DELAY_S: Final = 0.02
 _RETRY_DELAY_S: Final = 0.05
+# Each answer lists all runs. Beyond some number of them the pause before the
+# next renewal grows with the list, so that lists take a bounded share of the
+# time, however many runs end or are stopped one by one.
+_MAX_UNPACED_RUNS: Final = 100
+_PAUSE_PER_RUN_S: Final = 2e-5
+# A part of the lease, which each renewal extends.
+_MAX_PAUSE_S: Final = 0.2
 # Renewals of an idle executor only acknowledge ends.
 _IDLE_DELAY_S: Final = 0.5
 
@@ -63,7 +70,9 @@
     lease = state.lease
     if state.executor is None or lease.renewing:
         return math.inf
-    return lease.renew_at if _is_renewal_needed(state) else math.inf
+    if not _is_renewal_needed(state):
+        return math.inf
+    return max(lease.renew_at, lease.paused_until)
 
 
 def apply_answer(
@@ -92,6 +101,12 @@
     signed_off_at = state.signed_off_at
     lease.reconciled = signed_off_at is None or answer.sent_at >= signed_off_at
     lease.renew_at = turn.now + _renewal_delay_s(state, answer)
+    lease.paused_until = turn.now + _pause_s(len(answer.running))
+
+
+def _pause_s(listed_runs: int) -> float:
+    paced_runs = max(listed_runs - _MAX_UNPACED_RUNS, 0)
+    return min(paced_runs * _PAUSE_PER_RUN_S, _MAX_PAUSE_S)
 
 
 def _renewal_delay_s(
@@ -150,7 +165,7 @@
 def discard_ends(
     state: WorkerState,
     owner: str,
-    run_ids: tuple[RunId, ...],
+    run_ids: tuple[work.RunId, ...],
 ) -> None:
     """Discard ends that their owner has acknowledged."""
     for acknowledged in run_ids:
@@ -187,11 +202,16 @@
 def _wait_ms(state: WorkerState) -> int:
     if not state.runs or state.stray_runs or not state.lease.reconciled:
         return 0
-    if any(run.stop_confirmed_at > 0 for run in state.stopping.values()):
+    if any(_may_be_missing(run) for run in state.stopping.values()):
         return 0
     return int(state.timing.renewal_wait_s * MS_PER_S)
 
 
+def _may_be_missing(run: Run) -> bool:
+    # No end is listed of a run that was stopped before it started.
+    return run.stop_confirmed_at > 0 and run.start_confirmed_at < 0
+
+
 def _process_ends(
     state: WorkerState,
     turn: Turn,
@@ -216,7 +236,7 @@
     state: WorkerState,
     turn: Turn,
     sent_at: float,
-    listed: set[RunKey],
+    listed: set[work.RunKey],
 ) -> None:
     for run in tuple(state.runs.values()):
         if run.key in listed:
@@ -237,15 +257,16 @@
 def _stop_stray_runs(
     state: WorkerState,
     turn: Turn,
-    listed: set[RunKey],
+    listed: set[work.RunKey],
 ) -> None:
     tracked = {run.key for run in state.runs.values()}
     untracked = listed - tracked
-    for key in tuple(state.stray_runs):
-        if key not in untracked:
-            state.stray_runs.pop(key)
+    state.remove_stray_runs(state.stray_runs.keys() - untracked)
     cutoff = turn.now - state.timing.stop_retry_s
+    stopped: Counter[str] = Counter()
     for key in untracked:
         if state.stray_runs.get(key, cutoff) <= cutoff:
-            turn.log('stray-run', task=key[0], run=key[1])
+            stopped[work.job_of_task(key[0])] += 1
             stops.stop_stray_run(state, turn, key)
+    for job, count in stopped.items():
+        turn.log('stray-runs', job=job, runs=count)
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -115,8 +115,7 @@
     if answer.verdict == verdicts.FENCED:
         raise_fence(state, turn, run.fence)
     if answer.verdict in _REFUSAL_VERDICTS:
-        state.remove_run(run)
-        report_end(state, turn, run, outcomes.NOT_STARTED, answer.verdict)
+        finish(state, turn, run, outcomes.NOT_STARTED, answer.verdict)
         return
     if answer.verdict == verdicts.UNKNOWN:
         turn.log('start-unanswered', task=run.task, run=run.number)
@@ -156,9 +155,9 @@
     reason: str,
 ) -> None:
     """Release the capacity of a run that has ended, and report its end."""
-    state.remove_run(run)
     if not run.end_reported:
         report_end(state, turn, run, outcome, reason)
+    state.remove_run(run)
 
 
 def report_end(
@@ -169,7 +168,7 @@
     reason: str,
 ) -> None:
     """Report an end to the run's owner and keep it until acknowledged."""
-    run.end_reported = True
+    state.mark_end_reported(run)
     duration_s = turn.now - run.started_at
     message = work.TaskEnded(
         run.task,
@@ -205,7 +204,7 @@
     """Report every run as lost and release its capacity."""
     for run in tuple(state.runs.values()):
         finish(state, turn, run, outcomes.LOST, reason)
-    state.stray_runs.clear()
+    state.remove_stray_runs(state.stray_runs)
 
 
 def _refusal_reason(state: WorkerState, message: work.StartTask) -> str:
--- a/src/savoryrudder/worker/state.py
+++ b/src/savoryrudder/worker/state.py
@@ -23,6 +23,8 @@
 from savoryrudder.worker.stop_calls import StopCalls
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from savoryrudder.worker.events import ExecutorHeartbeat
 
 # Allows for timer delays and the network delay to the executor.
@@ -118,6 +120,11 @@
         """Return how the executor identifies the run."""
         return (self.task, self.number)
 
+    @property
+    def job(self) -> str:
+        """Return the job of the run's task."""
+        return work.job_of_task(self.task)
+
     @property
     def run_id(self) -> work.RunId:
         """Return how the owner identifies the run."""
@@ -182,6 +189,16 @@
         return bool(self.incarnation) and self.retired_at is None
 
 
+class OrphanBasis(NamedTuple):
+    """Hold what the jobs without their owner depend on.
+
+    The `owners` are those that are not linked.
+    """
+
+    owners: frozenset[str]
+    job_changes: int
+
+
 @dataclass(slots=True)
 class Candidate:
     """Track an instance that has sent a heartbeat but answered no call yet.
@@ -221,8 +238,13 @@
     # Entries by incarnation, with the time of the loss of their links, whose
     # runs here have not ended yet.
     lost_owners: dict[str, float] = field(default_factory=dict)
-    # The jobs of runs here whose owners are not linked, as told to the entries.
+    # The jobs of runs here whose owners are not linked, as told to the entries,
+    # and what they were determined from.
     orphaned_jobs: tuple[str, ...] = ()
+    orphan_basis: OrphanBasis | None = None
+    # Increases when an owner has a run of another job, or the last one of a job
+    # has ended, and when stray runs change.
+    job_changes: int = 0
     # Set while the lease is not extended, for the sake of lost owners' runs.
     lease_withheld: bool = False
     # The newest set of evacuated zones that an entry has told.
@@ -235,6 +257,8 @@
     stop_calls: StopCalls = field(default_factory=StopCalls)
     _occupied: Resources = NO_RESOURCES
     _runs_by_owner: Counter[str] = field(default_factory=Counter)
+    # Runs whose end has not been reported, by owner and job.
+    _unreported: dict[str, Counter[str]] = field(default_factory=dict)
 
     @property
     def executor(self) -> ExecutorInstance | None:
@@ -277,16 +301,49 @@
         self.runs[run.task] = run
         self._occupied = self._occupied.plus(run.demand)
         self._runs_by_owner[run.owner] += 1
+        jobs = self._unreported.setdefault(run.owner, Counter())
+        jobs[run.job] += 1
+        if jobs[run.job] == 1:
+            self.job_changes += 1
 
     def remove_run(self, run: Run) -> None:
         """Stop tracking a run and release its capacity."""
         self.runs.pop(run.task)
         self.stopping.pop(run.task, None)
+        self.mark_end_reported(run)
         self._occupied = self._occupied.minus(run.demand)
         self._runs_by_owner[run.owner] -= 1
         if not self._runs_by_owner[run.owner]:
             self._runs_by_owner.pop(run.owner)
 
+    def add_stray_run(self, key: work.RunKey, now: float) -> None:
+        """Track a run that this process did not start."""
+        self.stray_runs[key] = now
+        self.job_changes += 1
+
+    def remove_stray_runs(self, keys: Iterable[work.RunKey]) -> None:
+        """Stop tracking runs that this process did not start."""
+        for key in tuple(keys):
+            self.stray_runs.pop(key)
+            self.job_changes += 1
+
+    def mark_end_reported(self, run: Run) -> None:
+        """Record that the end of a run was reported, or never will be."""
+        if run.end_reported:
+            return
+        run.end_reported = True
+        jobs = self._unreported[run.owner]
+        jobs[run.job] -= 1
+        if not jobs[run.job]:
+            jobs.pop(run.job)
+            self.job_changes += 1
+        if not jobs:
+            self._unreported.pop(run.owner)
+
+    def jobs_of(self, owner: str) -> Iterable[str]:
+        """Return the jobs of an owner's runs whose end is not reported."""
+        return self._unreported.get(owner, ())
+
     def has_runs_of(self, owner: str) -> bool:
         """Return whether an entry's incarnation has a run here."""
         return owner in self._runs_by_owner
--- a/src/savoryrudder/worker/stops.py
+++ b/src/savoryrudder/worker/stops.py
@@ -37,7 +37,7 @@
 
 def stop_stray_run(state: WorkerState, turn: Turn, key: work.RunKey) -> None:
     """Let the executor stop a run that this process did not start."""
-    state.stray_runs[key] = turn.now
+    state.add_stray_run(key, turn.now)
     state.stop_calls.request(key)
 
 
--- a/tests/worker/test_renewal.py
+++ b/tests/worker/test_renewal.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from savoryrudder.jobs.model import Resources
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import Send
 from savoryrudder.worker import effects
 from savoryrudder.worker import events
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
+from savoryrudder.worker.deadlines import next_tick_at
 from savoryrudder.worker.lease import MAX_CLOCK_DRIFT
 
 if TYPE_CHECKING:
@@ -200,3 +202,66 @@
     assert 'l2' not in _reported_links(driver)
     driver.tick(0.3)
     assert 'l2' in _reported_links(driver)
+
+
+def _list_runs(count: int) -> tuple[events.RunProgress, ...]:
+    return tuple(
+        events.RunProgress(f'j.0.0.{number}', 1, 10) for number in range(count)
+    )
+
+
+def test_long_lists_of_runs_are_not_requested_without_a_pause(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against an agent that does nothing but read lists of its runs.
+
+    Each end of one of thousands of runs let it request all of them again.
+    """
+    # The executor is nearly full, so that each end is told at once.
+    demand = Resources(7, 1, 0)
+    runs = _list_runs(1000)
+    for listed in runs:
+        driver.receive(
+            work.StartTask(1, listed.task, 1, 's', demand, 200, durable=False),
+        )
+        driver.answer_start(listed.task, verdicts.STARTED)
+    driver.now += 0.1
+    for number in range(1, 20):
+        ended = events.RunEnd(number, runs[number].task, 1, outcomes.DONE)
+        driver.answer_renewal(runs[number + 1 :], (ended,))
+        assert not driver.effects_of(effects.RenewLease)
+        due_at = next_tick_at(driver.state, driver.now)
+        assert due_at < driver.now + driver.state.timing.lease_s / 3
+        driver.tick(due_at - driver.now)
+        renewal = driver.effects_of(effects.RenewLease)[0]
+        assert renewal.lease_until_ms > 0
+
+
+def test_a_short_list_of_runs_is_requested_at_once_for_their_capacity(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against a full executor whose free capacity is told late."""
+    for number in range(4):
+        driver.start(f'j.0.0.{number}')
+        driver.answer_start(f'j.0.0.{number}', verdicts.STARTED)
+    driver.now += 0.1
+    ended = events.RunEnd(1, 'j.0.0.0', 1, outcomes.DONE)
+    driver.answer_renewal(_list_runs(4)[1:], (ended,))
+    driver.start('j.0.0.4')
+    driver.now += 0.01
+    driver.answer_renewal(_list_runs(5)[1:])
+    assert driver.effects_of(effects.RenewLease)
+
+
+def test_a_renewal_waits_for_the_end_of_a_run_that_is_stopped(
+    driver: WorkerDriver,
+) -> None:
+    """Guard against one renewal after another until a stop has taken effect."""
+    driver.start('j.0.0.0')
+    driver.answer_start('j.0.0.0', verdicts.STARTED)
+    driver.receive(work.StopTask('j.0.0.0', 1))
+    driver.post(events.StopAnswered(driver.now, 'j.0.0.0', 1, confirmed=True))
+    driver.now += 0.01
+    driver.answer_renewal(_list_runs(1))
+    renewal = driver.effects_of(effects.RenewLease)[0]
+    assert renewal.wait_ms > 0
