Write one log line for the runs of a job that end alike

Cause: lines of a process are bounded to 500 a second, and thousands of runs that end at one moment had a line each.

Change: `run-ended`, `owner-lost`, `stray-run` and `task-settled` name the tasks of a job together if there are several; a single task is named as before.

--- a/src/savoryrudder/dispatch/fleet.py
+++ b/src/savoryrudder/dispatch/fleet.py
@@ -19,6 +19,7 @@
 from savoryrudder.jobs.model import NO_RESOURCES
 from savoryrudder.protocol import work
 from savoryrudder.utils.effects import SetCarriesWork
+from savoryrudder.utils.task_names import describe_tasks
 from savoryrudder.worker import outcomes
 from savoryrudder.worker import verdicts
 
@@ -260,15 +261,17 @@
     """Requeue tasks of lost agents whose runs must have ended by now."""
     if not state.unsettled_agents:
         return
-    still_unsettled = set()
-    for job, task in _unsettled_tasks(state):
-        if task.settled_at > turn.now:
-            still_unsettled.add(task.agent)
-            continue
-        turn.log('task-settled', task=task.name, agent=task.agent)
+    unsettled = _unsettled_tasks(state)
+    state.unsettled_agents = {
+        task.agent for _, task in unsettled if task.settled_at > turn.now
+    }
+    settled = [
+        (job, task) for job, task in unsettled if task.settled_at <= turn.now
+    ]
+    _log_settled(turn, settled)
+    for job, task in settled:
         _requeue_task(state, job, task)
         jobs.remove_if_settled(state, job)
-    state.unsettled_agents = still_unsettled
 
 
 def _unsettled_tasks(state: DispatchState) -> list[tuple[Job, Task]]:
@@ -294,11 +297,25 @@
 
 
 def _requeue_unsettled(state: DispatchState, turn: Turn, agent: str) -> None:
-    for job, task in _tasks_of_agent(state, agent):
-        if task.state is TaskState.unsettled:
-            turn.log('task-settled', task=task.name, agent=agent)
-            _requeue_task(state, job, task)
-            jobs.remove_if_settled(state, job)
+    settled = [
+        (job, task)
+        for job, task in _tasks_of_agent(state, agent)
+        if task.state is TaskState.unsettled
+    ]
+    _log_settled(turn, settled)
+    for job, task in settled:
+        _requeue_task(state, job, task)
+        jobs.remove_if_settled(state, job)
+
+
+def _log_settled(turn: Turn, settled: list[tuple[Job, Task]]) -> None:
+    # Thousands of tasks may be settled at one moment.
+    tasks_by_group: dict[tuple[str, str], list[str]] = {}
+    for job, task in settled:
+        group = (job.request.job_id, task.agent)
+        tasks_by_group.setdefault(group, []).append(task.name)
+    for (_, agent), names in tasks_by_group.items():
+        turn.log('task-settled', agent=agent, **describe_tasks(names))
 
 
 def _tasks_of_agent(state: DispatchState, agent: str) -> list[tuple[Job, Task]]:
--- a/src/savoryrudder/worker/departures.py
+++ b/src/savoryrudder/worker/departures.py
@@ -20,10 +20,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.events import ExecutorHeartbeat
     from savoryrudder.worker.events import ExecutorLeft
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 
 def record_sign_off(
--- a/src/savoryrudder/worker/evacuation.py
+++ b/src/savoryrudder/worker/evacuation.py
@@ -10,8 +10,8 @@
 
 if TYPE_CHECKING:
     from savoryrudder.protocol.evacuation import EvacuatedZones
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 
 def apply(state: WorkerState, turn: Turn, told: EvacuatedZones) -> None:
--- a/src/savoryrudder/worker/instances.py
+++ b/src/savoryrudder/worker/instances.py
@@ -27,11 +27,11 @@
 from savoryrudder.worker.state import Candidate
 
 if TYPE_CHECKING:
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.events import ExecutorHeartbeat
     from savoryrudder.worker.events import InstanceProbed
     from savoryrudder.worker.events import RenewalAnswered
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 _PROBE_RETRY_S: Final = 0.1
 # An instance that lives has sent another heartbeat by then.
--- a/src/savoryrudder/worker/orphans.py
+++ b/src/savoryrudder/worker/orphans.py
@@ -12,10 +12,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from savoryrudder.protocol import work
+from savoryrudder.utils.task_names import describe_tasks
 from savoryrudder.worker import stops
 from savoryrudder.worker.state import OrphanBasis
 from savoryrudder.worker.state import Phase
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 
 def stop_runs(state: WorkerState, turn: Turn) -> None:
@@ -83,13 +83,13 @@
 
 
 def _stop_runs_of(state: WorkerState, turn: Turn, owner: str) -> None:
-    stopped: Counter[str] = Counter()
+    stopped: dict[str, list[str]] = {}
     for run in state.runs.values():
         if run.owner == owner and run.phase is not Phase.stopping:
-            stopped[run.job] += 1
+            stopped.setdefault(run.job, []).append(run.task)
             stops.stop_run(state, run)
-    for job, count in stopped.items():
-        turn.log('owner-lost', job=job, runs=count, entry=owner)
+    for tasks in stopped.values():
+        turn.log('owner-lost', entry=owner, **describe_tasks(tasks))
 
 
 def _jobs_of(state: WorkerState, owners: set[str]) -> Iterator[str]:
--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -13,10 +13,10 @@
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.events import RunProgress
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 _COMPLETE_PERCENT: Final = 100
 _NO_PROGRESS: Final = -1
--- a/src/savoryrudder/worker/reducer.py
+++ b/src/savoryrudder/worker/reducer.py
@@ -14,7 +14,6 @@
 from savoryrudder.utils.effects import CloseLink
 from savoryrudder.utils.effects import Exit
 from savoryrudder.utils.effects import SetCarriesWork
-from savoryrudder.utils.turn import Turn
 from savoryrudder.worker import departures
 from savoryrudder.worker import evacuation
 from savoryrudder.worker import events
@@ -29,6 +28,7 @@
 from savoryrudder.worker import suspension
 from savoryrudder.worker.deadlines import RETIREMENT_GRACE_S
 from savoryrudder.worker.state import EntryLink
+from savoryrudder.worker.turn import Turn
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,6 +59,7 @@
     reports.send_reports(state, turn)
     _update_links(state, turn)
     _exit_if_drained(state, turn)
+    turn.write_ends()
     return turn.effects
 
 
--- a/src/savoryrudder/worker/relays.py
+++ b/src/savoryrudder/worker/relays.py
@@ -12,8 +12,8 @@
 
 if TYPE_CHECKING:
     from savoryrudder.protocol import work
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 
 def answer_search(
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Final
 
 from savoryrudder.protocol import work
+from savoryrudder.utils.task_names import describe_tasks
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import events
 from savoryrudder.worker import instances
@@ -22,9 +22,9 @@
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 # The executor lists ends again with each renewal until they are acknowledged,
 # so renewals are spaced out while an owner has not confirmed an end.
@@ -263,10 +263,11 @@
     untracked = listed - tracked
     state.remove_stray_runs(state.stray_runs.keys() - untracked)
     cutoff = turn.now - state.timing.stop_retry_s
-    stopped: Counter[str] = Counter()
+    stopped: dict[str, list[str]] = {}
     for key in untracked:
         if state.stray_runs.get(key, cutoff) <= cutoff:
-            stopped[work.job_of_task(key[0])] += 1
+            task = key[0]
+            stopped.setdefault(work.job_of_task(task), []).append(task)
             stops.stop_stray_run(state, turn, key)
-    for job, count in stopped.items():
-        turn.log('stray-runs', job=job, runs=count)
+    for tasks in stopped.values():
+        turn.log('stray-run', **describe_tasks(tasks))
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -25,10 +25,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.events import ExecutorHeartbeat
     from savoryrudder.worker.state import EntryLink
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 # An executor is nearly full below this share of free processors.
 _NEARLY_FULL_SHARE: Final = 0.25
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -18,8 +18,8 @@
 from savoryrudder.worker.state import UnacknowledgedEnd
 
 if TYPE_CHECKING:
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 # Added to the fencing token when the executor has seen a higher one.
 _FENCE_STEP: Final = 60_000
@@ -183,13 +183,7 @@
         turn.observe('run', duration_s)
         speed.record_run(state, run, turn.now)
     else:
-        turn.log(
-            'run-ended',
-            task=run.task,
-            run=run.number,
-            outcome=outcome,
-            reason=reason,
-        )
+        turn.log_end(run, outcome, reason)
     state.ends[run.end_key] = UnacknowledgedEnd(run.owner, turn.now, message)
     link = state.find_link(run.owner)
     if not link:
--- a/src/savoryrudder/worker/stops.py
+++ b/src/savoryrudder/worker/stops.py
@@ -17,10 +17,10 @@
 
 if TYPE_CHECKING:
     from savoryrudder.protocol import work
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.events import StopAnswered
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 # An executor takes 64 connections, which starts and renewals use, too.
 MAX_CONCURRENT_STOPS: Final = 8
--- a/src/savoryrudder/worker/suspension.py
+++ b/src/savoryrudder/worker/suspension.py
@@ -13,9 +13,9 @@
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
-    from savoryrudder.utils.turn import Turn
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
+    from savoryrudder.worker.turn import Turn
 
 _SUSPENSION_S: Final = 1
 # The executor is suspended if no run makes progress for this long, or for this
