Drop a waiting start whose run is to be stopped

Cause: the tasks of a job wait at the agent for one of four calls. A stop used to overtake them, so that the executor refused the start. Now that stops wait for their turn, too, a start could be sent first, and run until the stop comes.

Change: a start that has waited is sent only if its run is still to start; without that it is refused like one whose zone was evacuated meanwhile, and needs no stop.

`test_a_start_that_waits_is_not_sent_once_its_run_is_stopped` fails without it.

--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -24,6 +24,7 @@
 from savoryrudder.worker.deadlines import next_tick_at
 from savoryrudder.worker.entry_choice import choose_entries
 from savoryrudder.worker.reducer import reduce
+from savoryrudder.worker.runs import is_start_wanted
 from savoryrudder.worker.stops import MAX_CONCURRENT_STOPS
 
 if TYPE_CHECKING:
@@ -191,12 +192,13 @@
 
     async def _start(self, call: effects.StartRun) -> None:
         verdict, clock_ms = verdicts.UNKNOWN, 0
-        if self.state.evacuated:
-            # The zone was evacuated while the call waited for its turn.
-            verdict = verdicts.REFUSED
-        else:
+        if is_start_wanted(self.state, call):
             with contain_errors(self.counters, 'start'):
                 verdict, clock_ms = await self._executor.start(call)
+        else:
+            verdict = verdicts.REFUSED
+            # Thousands of starts may be dropped one after the other.
+            await trio.lowlevel.checkpoint()
         self.handle(
             events.StartAnswered(
                 trio.current_time(),
--- a/src/savoryrudder/worker/runs.py
+++ b/src/savoryrudder/worker/runs.py
@@ -127,6 +127,19 @@
         run.phase = Phase.running
 
 
+def is_start_wanted(state: WorkerState, call: StartRun) -> bool:
+    """Return whether a start that has waited for its turn is to be sent.
+
+    Its run may have been stopped meanwhile, or the zone evacuated.
+    """
+    if state.evacuated:
+        return False
+    run = state.runs.get(call.task)
+    if run is None or run.number != call.run:
+        return False
+    return run.phase is Phase.starting
+
+
 def supersede_calls(state: WorkerState) -> None:
     """Let the next call that the executor receives void all earlier ones.
 
