Bound the probes of instances that others have named

Cause: a heartbeat of another instance makes an agent probe it, in a task with a connection of its own. Each further odd heartbeat did the same, so that a writer of many heartbeats decided how many calls are under way.

Change: probes pass a pool of two. One whose candidate has been replaced while it waited is dropped.

`test_probes_of_made_up_instances_do_not_add_up` fails without it: 300 calls at a time for 300 heartbeats.

--- a/src/savoryrudder/daemon/worker.py
+++ b/src/savoryrudder/daemon/worker.py
@@ -23,6 +23,7 @@
 from savoryrudder.worker import verdicts
 from savoryrudder.worker.deadlines import next_tick_at
 from savoryrudder.worker.entry_choice import choose_entries
+from savoryrudder.worker.instances import is_probe_wanted
 from savoryrudder.worker.reducer import reduce
 from savoryrudder.worker.runs import is_start_wanted
 from savoryrudder.worker.stops import MAX_CONCURRENT_STOPS
@@ -41,6 +42,8 @@
 _MAX_CONCURRENT_STARTS: Final = 4
 # One that waits for an executor that has gone does not delay its successor's.
 _MAX_CONCURRENT_RENEWALS: Final = 2
+# One to an instance that somebody made up does not delay that to the next one.
+_MAX_CONCURRENT_PROBES: Final = 2
 
 
 class ExecutorCalls(Protocol):
@@ -82,6 +85,7 @@
         self._starts = TaskPool(_MAX_CONCURRENT_STARTS)
         self._renewals = TaskPool(_MAX_CONCURRENT_RENEWALS)
         self._stops = TaskPool(MAX_CONCURRENT_STOPS)
+        self._probes = TaskPool(_MAX_CONCURRENT_PROBES)
         self._entries = DialledLinks(self, _no_revision, self._outbox)
         self._stall = StallDetector()
 
@@ -102,6 +106,7 @@
             group.start_soon(self._starts.run)
             group.start_soon(self._renewals.run)
             group.start_soon(self._stops.run)
+            group.start_soon(self._probes.run)
             task_status.started()
             await self.run_ticks()
 
@@ -184,7 +189,7 @@
             case effects.StartRun():
                 self._starts.submit(partial(self._start, effect))
             case effects.ProbeInstance():
-                self._group.start_soon(self._probe, effect)
+                self._probes.submit(partial(self._probe, effect))
             case effects.StopRun():
                 self._stops.submit(partial(self._stop, effect))
             case effects.RenewLease():
@@ -223,6 +228,8 @@
         )
 
     async def _probe(self, call: effects.ProbeInstance) -> None:
+        if not is_probe_wanted(self.state, call):
+            return
         probed: events.InstanceProbed | None = None
         with contain_errors(self.counters, 'probe'):
             probed = await self._executor.probe(call)
--- a/src/savoryrudder/worker/instances.py
+++ b/src/savoryrudder/worker/instances.py
@@ -83,6 +83,17 @@
         )
 
 
+def is_probe_wanted(state: WorkerState, call: ProbeInstance) -> bool:
+    """Return whether a probe that has waited for its turn is to be sent.
+
+    Another heartbeat may have named another candidate meanwhile.
+    """
+    candidate = state.candidate
+    return (
+        candidate is not None and candidate.heartbeat.instance == call.executor
+    )
+
+
 def next_probe_at(state: WorkerState) -> float:
     """Return when the next probe is due; infinity if none is needed."""
     candidate = state.candidate
