--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -1,4 +1,4 @@
-"""Renew the executor's lease and process its lists of runs and ends."""
+"""Renew the executor's lease when it is due."""
 
 from __future__ import annotations
 
@@ -7,19 +7,16 @@
 from typing import Final
 
 from savoryrudder.protocol import work
-from savoryrudder.utils.task_names import describe_tasks
 from savoryrudder.utils.units import MS_PER_S
 from savoryrudder.worker import events
 from savoryrudder.worker import instances
 from savoryrudder.worker import outcomes
-from savoryrudder.worker import progress
 from savoryrudder.worker import reports
+from savoryrudder.worker import run_lists
 from savoryrudder.worker import runs
 from savoryrudder.worker import stops
-from savoryrudder.worker import suspension
 from savoryrudder.worker.effects import RenewLease
 from savoryrudder.worker.state import EndKey
-from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
     from savoryrudder.worker.state import Run
@@ -91,13 +88,7 @@
     if lease.silent_since is not None:
         turn.log('executor-answers', silent_s=turn.now - lease.silent_since)
         lease.silent_since = None
-    _process_ends(state, turn, answer.ended)
-    progress.report_slow_runs(state, turn, answer.running)
-    listed = {
-        (listed_run.task, listed_run.run) for listed_run in answer.running
-    }
-    _finish_unlisted_runs(state, turn, answer.sent_at, listed)
-    _stop_stray_runs(state, turn, listed)
+    run_lists.reconcile(state, turn, answer)
     signed_off_at = state.signed_off_at
     lease.reconciled = signed_off_at is None or answer.sent_at >= signed_off_at
     lease.renew_at = turn.now + _renewal_delay_s(state, answer)
@@ -210,64 +201,3 @@
 def _may_be_missing(run: Run) -> bool:
     # No end is listed of a run that was stopped before it started.
     return run.stop_confirmed_at > 0 and run.start_confirmed_at < 0
-
-
-def _process_ends(
-    state: WorkerState,
-    turn: Turn,
-    ended: tuple[events.RunEnd, ...],
-) -> None:
-    lease = state.lease
-    for end in ended:
-        if end.number <= lease.last_end_number:
-            continue
-        lease.last_end_number = end.number
-        run = state.runs.get(end.task)
-        if run is None or run.number != end.run:
-            continue
-        if end.outcome == outcomes.DONE:
-            suspension.record_progress(state, turn)
-        runs.finish(state, turn, run, end.outcome, 'executor')
-        if run.durable:
-            lease.unacknowledged_ends[end.number] = run.end_key
-
-
-def _finish_unlisted_runs(
-    state: WorkerState,
-    turn: Turn,
-    sent_at: float,
-    listed: set[work.RunKey],
-) -> None:
-    for run in tuple(state.runs.values()):
-        if run.key in listed:
-            continue
-        outcome = _outcome_of_unlisted(run, sent_at)
-        if outcome:
-            runs.finish(state, turn, run, outcome, 'not listed')
-
-
-def _outcome_of_unlisted(run: Run, sent_at: float) -> str:
-    if run.phase is Phase.stopping:
-        is_stop_confirmed = 0 < run.stop_confirmed_at < sent_at
-        return outcomes.NOT_STARTED if is_stop_confirmed else ''
-    is_missing = run.phase is Phase.running and run.start_confirmed_at < sent_at
-    return outcomes.LOST if is_missing else ''
-
-
-def _stop_stray_runs(
-    state: WorkerState,
-    turn: Turn,
-    listed: set[work.RunKey],
-) -> None:
-    tracked = {run.key for run in state.runs.values()}
-    untracked = listed - tracked
-    state.remove_stray_runs(state.stray_runs.keys() - untracked)
-    cutoff = turn.now - state.timing.stop_retry_s
-    stopped: dict[str, list[str]] = {}
-    for key in untracked:
-        if state.stray_runs.get(key, cutoff) <= cutoff:
-            task = key[0]
-            stopped.setdefault(work.job_of_task(task), []).append(task)
-            stops.stop_stray_run(state, turn, key)
-    for tasks in stopped.values():
-        turn.log('stray-run', **describe_tasks(tasks))
