Wait for the ends that an executor lists later

What callers lose: a task that was done runs once more, and its job is late.

Cause: an executor lists 500 ends at a time. A run that is neither on the list of running ones nor among these 500 ends was taken for lost.

Change: the adapter tells that a full list may not hold all ends.

--- a/src/savoryrudder/platform/executor.py
+++ b/src/savoryrudder/platform/executor.py
@@ -55,6 +55,8 @@
     ),
 )
 
+# The executor lists the oldest ends, and the others once it may forget these.
+_MAX_LISTED_ENDS: Final = 500
 # A row of a list may be too short, or its parts of other types.
 _ROW_ERRORS: Final = (*DECODE_ERRORS, LookupError, TypeError, OverflowError)
 
@@ -272,6 +274,7 @@
         ended,
         fence,
         body.born,
+        more_ends=len(ended) >= _MAX_LISTED_ENDS,
     )
 
 
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -136,7 +136,9 @@
     """The executor answered a lease renewal that was sent at `sent_at`.
 
     `fence` is the fencing token of the renewal. `started_ms` is the UTC time at
-    which the instance that answered started, 0 if it did not tell.
+    which the instance that answered started, 0 if it did not tell. There may be
+    `more_ends` than the list holds; they follow once those in it have been
+    acknowledged.
     """
 
     now: float
@@ -146,6 +148,7 @@
     ended: tuple[RunEnd, ...]
     fence: int
     started_ms: int = 0
+    more_ends: bool = False
 
 
 class RenewalFailed(NamedTuple):
--- a/src/savoryrudder/worker/renewal.py
+++ b/src/savoryrudder/worker/renewal.py
@@ -106,6 +106,8 @@
 ) -> float:
     if state.lease.unacknowledged_ends:
         return _UNACKNOWLEDGED_DELAY_S
+    if answer.more_ends:
+        return 0
     if not state.runs and not state.stray_runs:
         return _IDLE_DELAY_S
     is_nearly_full = reports.is_nearly_full(state)
--- a/src/savoryrudder/worker/run_lists.py
+++ b/src/savoryrudder/worker/run_lists.py
@@ -31,7 +31,8 @@
     listed = {
         (listed_run.task, listed_run.run) for listed_run in answer.running
     }
-    _finish_unlisted_runs(state, turn, answer.sent_at, listed)
+    if not answer.more_ends:
+        _finish_unlisted_runs(state, turn, answer.sent_at, listed)
     _stop_stray_runs(state, turn, listed)
 
 
--- a/tests/platform/test_executor.py
+++ b/tests/platform/test_executor.py
@@ -177,3 +177,20 @@
     call = effects.RenewLease(EXECUTOR, 5000, 7, 2, 0)
     event = anyio.run(executor.renew, call, 1.0, backend='trio')
     assert isinstance(event, events.RenewalFailed)
+
+
+@pytest.mark.parametrize(('ends', 'more_ends'), [(499, False), (500, True)])
+def test_a_full_list_of_ends_may_not_hold_all(
+    executor: ExecutorClient,
+    executor_server: FakeExecutorServer,
+    ends: int,
+    more_ends: bool,
+) -> None:
+    """Guards against taking runs for lost whose ends follow later."""
+    rows = [[number, f'j.{number}', 1, 'done', ''] for number in range(ends)]
+    body = msgspec.json.encode({'clock_ms': 9, 'ended': rows})
+    executor_server.response = Response(200, body)
+    call = effects.RenewLease(EXECUTOR, 5000, 7, 2, 0)
+    event = anyio.run(executor.renew, call, 1.0, backend='trio')
+    assert isinstance(event, events.RenewalAnswered)
+    assert event.more_ends is more_ends
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -114,6 +114,8 @@
         ended: tuple[events.RunEnd, ...] = (),
         started_ms: int = 0,
         fence: int | None = None,
+        *,
+        more_ends: bool = False,
     ) -> None:
         """Let the executor answer a renewal that was sent at the same time."""
         self.post(
@@ -125,6 +127,7 @@
                 ended,
                 self.state.fence if fence is None else fence,
                 started_ms,
+                more_ends,
             ),
         )
 
