Judge runs by the time of the list that shows them

What callers saw: after all agents had stood still for 2.5 s, with 2,500 runs on each executor, no ordinary job was answered for 4.1 s.

Cause: the answer to a renewal that arrived during the standstill was compared with the time after it. No run had made progress for 2.5 s by that, and the agents suspended their executors (`executor-suspended`, 2,060 runs of 14 jobs, in the millisecond of `stalled`).

Change: an answer that took longer than the call may tells what was so when the call was sent; progress and slowness are judged for that time.

`test_an_agent_that_stood_still_does_not_take_its_executor_for_stuck` fails without it.

--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import NamedTuple
 from typing import TypeAlias
 
@@ -13,6 +14,10 @@
 from savoryrudder.worker.effects import ExecutorInstance
 
 
+# A renewal is given up before.
+_MAX_ANSWER_S: Final = 0.5
+
+
 class LinkUp(NamedTuple):
     """A link to an entry has opened."""
 
@@ -150,6 +155,16 @@
     started_ms: int = 0
     more_ends: bool = False
 
+    @property
+    def shown_at(self) -> float:
+        """Return the latest time at which the runs were as the lists show.
+
+        An answer that took longer than the call may was read late, by a process
+        that stood still, and says nothing of the time since.
+        """
+        is_late = self.now - self.sent_at > _MAX_ANSWER_S
+        return self.sent_at if is_late else self.now
+
 
 class RenewalFailed(NamedTuple):
     """A lease renewal was refused or got no usable answer.
--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -13,7 +13,7 @@
 from savoryrudder.worker.state import Phase
 
 if TYPE_CHECKING:
-    from savoryrudder.worker.events import RunProgress
+    from savoryrudder.worker.events import RenewalAnswered
     from savoryrudder.worker.state import Run
     from savoryrudder.worker.state import WorkerState
     from savoryrudder.worker.turn import Turn
@@ -45,11 +45,12 @@
 def report_slow_runs(
     state: WorkerState,
     turn: Turn,
-    listed: tuple[RunProgress, ...],
+    answer: RenewalAnswered,
 ) -> None:
     """Record the progress of runs, and report slow and stuck ones once."""
+    shown_at = answer.shown_at
     running: list[Run] = []
-    for progress in listed:
+    for progress in answer.running:
         run = state.runs.get(progress.task)
         if run is None or run.number != progress.run:
             continue
@@ -57,17 +58,17 @@
             suspension.record_progress(state, turn)
         if progress.percent > run.percent or run.progressed_at < 0:
             run.percent = progress.percent
-            run.progressed_at = turn.now
+            run.progressed_at = shown_at
         if run.phase is Phase.running:
             running.append(run)
-    suspension.suspend_if_stuck(state, turn)
+    suspension.suspend_if_stuck(state, turn, shown_at)
     projected = [
-        _ProjectedRun(run, _projected_slowness(run, turn.now))
+        _ProjectedRun(run, _projected_slowness(run, shown_at))
         for run in running
     ]
     threshold = _slowness_threshold(projected)
     for candidate in projected:
-        _report_if_slow(state, turn, candidate, projected, threshold)
+        _report_if_slow(state, turn, candidate, projected, threshold, shown_at)
 
 
 def _slowness_threshold(projected: list[_ProjectedRun]) -> float:
@@ -103,9 +104,10 @@
     candidate: _ProjectedRun,
     projected: list[_ProjectedRun],
     threshold: float,
+    shown_at: float,
 ) -> None:
     run, slowness = candidate
-    is_newly_stuck = not run.stuck_reported and _is_stuck(run, turn.now)
+    is_newly_stuck = not run.stuck_reported and _is_stuck(run, shown_at)
     is_newly_slow = not run.slow_reported and slowness >= threshold
     if not is_newly_stuck and not is_newly_slow:
         return
@@ -114,7 +116,7 @@
     remaining_ms = (
         _NO_PROGRESS
         if is_newly_stuck
-        else _projected_remaining_ms(run, turn.now)
+        else _projected_remaining_ms(run, shown_at)
     )
     message = work.SlowRun(
         run.task,
--- a/src/savoryrudder/worker/run_lists.py
+++ b/src/savoryrudder/worker/run_lists.py
@@ -27,7 +27,7 @@
 ) -> None:
     """Finish the runs that have ended, and stop those of former processes."""
     _process_ends(state, turn, answer.ended)
-    progress.report_slow_runs(state, turn, answer.running)
+    progress.report_slow_runs(state, turn, answer)
     listed = {
         (listed_run.task, listed_run.run) for listed_run in answer.running
     }
--- a/src/savoryrudder/worker/suspension.py
+++ b/src/savoryrudder/worker/suspension.py
@@ -42,13 +42,17 @@
         health.on_trial = True
 
 
-def suspend_if_stuck(state: WorkerState, turn: Turn) -> None:
-    """Suspend the executor if none of its runs makes progress."""
+def suspend_if_stuck(
+    state: WorkerState,
+    turn: Turn,
+    shown_at: float,
+) -> None:
+    """Suspend the executor if none of its runs made progress until then."""
     health = state.health
     if health.suspended:
         return
     stuck_runs = [
-        run for run in state.runs.values() if _is_stuck(run, turn.now)
+        run for run in state.runs.values() if _is_stuck(run, shown_at)
     ]
     jobs = {run.task.partition('.')[0] for run in stuck_runs}
     min_jobs = 1 if health.on_trial else _MIN_JOBS
@@ -58,7 +62,7 @@
         _STUCK_AFTER_S,
         _STUCK_AFTER_SHARE * min(run.estimate_s for run in stuck_runs),
     )
-    if turn.now - health.progressed_at < limit_s:
+    if shown_at - health.progressed_at < limit_s:
         return
     health.suspended = True
     health.suspended_until = turn.now + _SUSPENSION_S
--- a/tests/worker/test_suspension.py
+++ b/tests/worker/test_suspension.py
@@ -49,6 +49,22 @@
     assert not driver.effects_of(effects.StartRun)
 
 
+def test_an_agent_that_stood_still_does_not_take_its_executor_for_stuck(
+    driver: WorkerDriver,
+) -> None:
+    """Guards against judging runs by a list from before a standstill.
+
+    The agents of a whole fleet suspended their executors when they woke up, and
+    ordinary jobs were not answered for four seconds.
+    """
+    listed = _start_runs(driver, 'j.0', 'k.0')
+    sent_at = driver.now
+    driver.now += 3
+    driver.answer_renewal(running=listed, sent_at=sent_at)
+    assert driver.state.accepting
+    assert not driver.messages_of(work.SlowRun)
+
+
 def test_one_stuck_job_does_not_suspend_the_executor(
     driver: WorkerDriver,
 ) -> None:
--- a/tests/worker/worker_driver.py
+++ b/tests/worker/worker_driver.py
@@ -116,12 +116,13 @@
         fence: int | None = None,
         *,
         more_ends: bool = False,
+        sent_at: float | None = None,
     ) -> None:
-        """Let the executor answer a renewal that was sent at the same time."""
+        """Let the executor answer a renewal, by default one sent right now."""
         self.post(
             events.RenewalAnswered(
                 self.now,
-                self.now,
+                self.now if sent_at is None else sent_at,
                 0,
                 running,
                 ended,
