Send an executor on trial one task at a time

Cause: an agent refuses all but one task while its executor is on trial, but told entries that all of its capacity was free, and entries sent what fits.

Change: an executor on trial with a run has nothing free, in the report, and an entry starts a task there only if it has none.

--- a/src/savoryrudder/dispatch/eligibility.py
+++ b/src/savoryrudder/dispatch/eligibility.py
@@ -22,4 +22,7 @@
 
 def can_start(agent: AgentView, service: str, step: Step) -> bool:
     """Return whether a task of the step can start on an executor now."""
+    if agent.on_trial and agent.runs:
+        # It takes one task at a time.
+        return False
     return agent.free.covers(step.demand) and is_eligible(agent, service, step)
--- a/src/savoryrudder/worker/events.py
+++ b/src/savoryrudder/worker/events.py
@@ -13,7 +13,6 @@
 from savoryrudder.protocol.messages import Message
 from savoryrudder.worker.effects import ExecutorInstance
 
-
 # A renewal is given up before.
 _MAX_ANSWER_S: Final = 0.5
 
--- a/src/savoryrudder/worker/reports.py
+++ b/src/savoryrudder/worker/reports.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from savoryrudder.jobs.model import Resources
     from savoryrudder.worker.events import ExecutorHeartbeat
     from savoryrudder.worker.state import EntryLink
     from savoryrudder.worker.state import WorkerState
@@ -55,7 +56,7 @@
     """Yield when each report that waits to be batched is due."""
     if state.heartbeat is None:
         return
-    free = state.free
+    free = _free_for_tasks(state)
     nearly_full_cpu = _nearly_full_cpu(state.heartbeat)
     for link in state.links.values():
         previous = link.last_report
@@ -73,7 +74,7 @@
     if heartbeat is None:
         return
     current = SentReport(
-        state.free,
+        _free_for_tasks(state),
         state.accepting,
         state.health.on_trial,
         heartbeat.executor,
@@ -103,6 +104,13 @@
         turn.send(name, _describe(heartbeat, sent, link.starts_seen))
 
 
+def _free_for_tasks(state: WorkerState) -> Resources:
+    # An executor on trial takes one task at a time.
+    if state.health.on_trial and state.runs:
+        return NO_RESOURCES
+    return state.free
+
+
 def _shares(
     state: WorkerState,
     now: float,
--- a/tests/worker/test_suspension.py
+++ b/tests/worker/test_suspension.py
@@ -106,3 +106,26 @@
     driver.answer_renewal(running=(events.RunProgress('l.0', 1, 20),))
     driver.start('m.0', run=2)
     assert driver.effects_of(effects.StartRun)
+
+
+def test_an_executor_on_trial_with_a_run_has_nothing_free(
+    driver: WorkerDriver,
+) -> None:
+    """Guards against entries that send it one refused start after another."""
+    _let_runs_get_stuck(driver, 'j.0', 'k.0')
+    ends = tuple(
+        events.RunEnd(number, task, 1, outcomes.STOPPED)
+        for number, task in enumerate(('j.0', 'k.0'), 1)
+    )
+    driver.answer_renewal(ended=ends)
+    driver.tick(SUSPENSION_S)
+    driver.start('l.0')
+    driver.start('m.0')
+    report = driver.messages_of(work.ExecutorReport)[-1]
+    assert report.on_trial
+    assert not report.free.cpu
+    driver.answer_start('l.0', verdicts.STARTED)
+    driver.answer_renewal(running=(events.RunProgress('l.0', 1, 10),))
+    report = driver.messages_of(work.ExecutorReport)[-1]
+    assert not report.on_trial
+    assert report.free.cpu > 0
