Compare each slow run with the others without a copy of the list

Cause: for each run that turns out to be slow, the agent collected and sorted the slowness of all others. If an executor with 2,500 runs becomes slow, that is done 2,500 times for one list.

Change: the slowness of the runs of a list is sorted once, and the median without one of them is looked up.

`test_the_cost_of_slow_runs_grows_with_their_number_only` fails without it.

--- a/src/savoryrudder/worker/progress.py
+++ b/src/savoryrudder/worker/progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from statistics import median_low
 from typing import TYPE_CHECKING
 from typing import Final
@@ -42,6 +43,17 @@
     slowness: float
 
 
+class _Listing(NamedTuple):
+    """Hold what the runs of a list are compared with.
+
+    The `slownesses` of the runs are sorted, without those that are unknown.
+    """
+
+    shown_at: float
+    threshold: float
+    slownesses: list[float]
+
+
 def report_slow_runs(
     state: WorkerState,
     turn: Turn,
@@ -66,9 +78,10 @@
         _ProjectedRun(run, _projected_slowness(run, shown_at))
         for run in running
     ]
-    threshold = _slowness_threshold(projected)
+    known = sorted(run.slowness for run in projected if run.slowness)
+    listing = _Listing(shown_at, _slowness_threshold(projected), known)
     for candidate in projected:
-        _report_if_slow(state, turn, candidate, projected, threshold, shown_at)
+        _report_if_slow(state, turn, candidate, listing)
 
 
 def _slowness_threshold(projected: list[_ProjectedRun]) -> float:
@@ -84,31 +97,38 @@
 
 def _is_executor_sound(
     state: WorkerState,
-    slow_run: Run,
-    projected: list[_ProjectedRun],
+    slow_run: _ProjectedRun,
+    slownesses: list[float],
 ) -> bool:
     """Return whether other runs show that the executor is not slow."""
-    others = [
-        slowness
-        for run, slowness in projected
-        if slowness and run is not slow_run
-    ]
+    others = len(slownesses) - bool(slow_run.slowness)
     if others:
-        return median_low(others) < _SLOW_FACTOR
-    return state.health.normal_end_at > slow_run.started_at
+        median = _median_of_others(slownesses, slow_run.slowness)
+        return median < _SLOW_FACTOR
+    return state.health.normal_end_at > slow_run.run.started_at
+
+
+def _median_of_others(slownesses: list[float], slowness: float) -> float:
+    """Return the low median of sorted values without one, 0 for none."""
+    if not slowness:
+        return slownesses[(len(slownesses) - 1) // 2]
+    # All runs of a list may be slow, so that it is not copied for each of them.
+    middle = (len(slownesses) - 2) // 2
+    is_behind = middle >= bisect_left(slownesses, slowness)
+    return slownesses[middle + is_behind]
 
 
 def _report_if_slow(
     state: WorkerState,
     turn: Turn,
     candidate: _ProjectedRun,
-    projected: list[_ProjectedRun],
-    threshold: float,
-    shown_at: float,
+    listing: _Listing,
 ) -> None:
     run, slowness = candidate
+    shown_at = listing.shown_at
     is_newly_stuck = not run.stuck_reported and _is_stuck(run, shown_at)
-    is_newly_slow = not run.slow_reported and slowness >= threshold
+    is_slow = slowness >= listing.threshold
+    is_newly_slow = is_slow and not run.slow_reported
     if not is_newly_stuck and not is_newly_slow:
         return
     run.slow_reported = True
@@ -121,10 +141,10 @@
     message = work.SlowRun(
         run.task,
         run.number,
-        0 if state.health.suspended else max(slowness, threshold),
+        0 if state.health.suspended else max(slowness, listing.threshold),
         remaining_ms,
         run.job_number,
-        _is_executor_sound(state, run, projected),
+        _is_executor_sound(state, candidate, listing.slownesses),
     )
     turn.count('slow_runs')
     turn.log(
--- a/tests/worker/test_agent_cost.py
+++ b/tests/worker/test_agent_cost.py
@@ -111,3 +111,20 @@
     _lose_owner(many, 300)
     small = count_lines(partial(_refuse_start, few))
     assert count_lines(partial(_refuse_start, many)) <= MAX_GROWTH * small
+
+
+def _list_slow_runs(count: int) -> int:
+    """Return the cost of a list on which all runs turn out to be slow."""
+    driver = WorkerDriver()
+    _add_runs(driver, count)
+    tasks = tuple(driver.state.runs)
+    for started in tasks:
+        driver.answer_start(started, verdicts.STARTED)
+    driver.now += 10
+    listed = tuple(events.RunProgress(task, 1, 10) for task in tasks)
+    return count_lines(partial(driver.answer_renewal, listed))
+
+
+def test_the_cost_of_slow_runs_grows_with_their_number_only() -> None:
+    """Guard against a comparison of each slow run with all others."""
+    assert _list_slow_runs(300) <= MAX_GROWTH * 10 * _list_slow_runs(30)
