--- a/src/savoryrudder/daemon/liveness.py
+++ b/src/savoryrudder/daemon/liveness.py
@@ -41,6 +41,11 @@
         """Return how long the peer of a link with work may be silent."""
         return self.heartbeat_s * self.max_missed_heartbeats
 
+    @property
+    def quiet_timeout_s(self) -> float:
+        """Return how long the peer of a link without work may be silent."""
+        return self.quiet_heartbeat_s * self.max_missed_heartbeats
+
 
 FAST_TIMING: Final = LinkTiming(
     heartbeat_s=0.375,
--- a/src/savoryrudder/daemon/outgoing.py
+++ b/src/savoryrudder/daemon/outgoing.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from savoryrudder.daemon.metrics import Counters
     from savoryrudder.protocol.messages import Message
 
 
@@ -31,6 +32,11 @@
         self._bytes = 0
         self._messages: list[Message] = []
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no message waits."""
+        return not self._messages
+
     def put(self, message: Message, size: int) -> bool:
         """Append a message; return False if it does not fit."""
         if self._bytes + size > self._limit:
@@ -63,14 +69,20 @@
     turn without another pass of the event loop.
     """
 
-    def __init__(self) -> None:
-        """Initialize without sessions."""
+    def __init__(self, counters: Counters | None = None) -> None:
+        """Initialize without sessions; waits for peers are counted, if set."""
         self._sessions: dict[Sender, None] = {}
+        self._counters = counters
 
     def add(self, session: Sender) -> None:
         """Remember a session that has queued a message."""
         self._sessions[session] = None
 
+    def record_wait(self, seconds: float) -> None:
+        """Record how long messages waited for a peer to take frames."""
+        if self._counters is not None:
+            self._counters.observe('link_wait', seconds)
+
     def flush(self) -> None:
         """Send the queued messages of all sessions."""
         sessions = self._sessions
--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -16,6 +16,7 @@
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.liveness import Liveness
 from savoryrudder.daemon.outgoing import OutgoingQueue
+from savoryrudder.daemon.send_window import SendWindow
 from savoryrudder.protocol import codec
 from savoryrudder.protocol.messages import Heartbeat
 from savoryrudder.protocol.messages import Message
@@ -95,10 +96,12 @@
         revision: Callable[[], int],
         timing: LinkTiming,
         outbox: Outbox | None = None,
+        window: SendWindow | None = None,
     ) -> None:
         """Take ownership of a socket that listens or dials.
 
-        Without an outbox, queued messages are sent in the next turn.
+        Without an outbox, queued messages are sent in the next turn. A window
+        is needed if the socket does not tell when it has no room.
         """
         self._socket = socket
         self._ids = ids
@@ -113,7 +116,8 @@
         self._unsent = b''
         self._scope = trio.CancelScope()
         self._frames_received = 0
-        self._frames_sent = 0
+        self._window = window or SendWindow()
+        self._is_acknowledgement_due = False
         self._liveness = Liveness(timing)
         self._timer = DueTimer()
         self._is_up = False
@@ -161,14 +165,14 @@
         except pynng.NNGException as error:
             self.close(f'socket error: {error}')
         # A frame of this turn may have made a heartbeat needless.
-        self._timer.bring_forward(self._liveness.next_due_at)
+        self._timer.bring_forward(self._next_due_at)
 
     def set_carries_work(self, *, carries_work: bool) -> None:
         """Record whether the peer has work of this end, or the reverse."""
         now = trio.current_time()
         self._liveness.record_work(now, carries_work=carries_work)
         if self._outbox is None:
-            self._timer.bring_forward(self._liveness.next_due_at)
+            self._timer.bring_forward(self._next_due_at)
         else:
             self._outbox.add(self)
 
@@ -227,19 +231,36 @@
         if isinstance(frame, codec.FrameError):
             self.close(frame.detail)
             return
-        error = self._frame_error(frame)
+        now = trio.current_time()
+        closed_at = self._window.closed_at
+        error = self._frame_error(frame) or self._window.record_taken(
+            frame.taken,
+            now,
+        )
         if error:
             self.close(error)
             return
+        if closed_at < self._window.closed_at:
+            self._record_wait(now - closed_at)
+        self._accept_frame(frame, now)
+        if closed_at <= now or self._is_acknowledgement_due:
+            self.flush()
+        self._timer.bring_forward(self._next_due_at)
+
+    def _accept_frame(self, frame: codec.Frame, now: float) -> None:
         self._frames_received += 1
-        self._liveness.record_received(trio.current_time(), frame.silence_ms)
+        if frame.wants_acknowledgement:
+            self._is_acknowledgement_due = True
+        self._liveness.record_received(now, frame.silence_ms)
         if not self._is_up:
             self._is_up = True
             self._handler.on_link_up(*self._ids)
-        if self._reason:
-            return
-        self._handler.on_frame(*self._ids, frame.revision, frame.messages)
-        self._timer.bring_forward(self._liveness.next_due_at)
+        if not self._reason:
+            self._handler.on_frame(*self._ids, frame.revision, frame.messages)
+
+    def _record_wait(self, seconds: float) -> None:
+        if self._outbox is not None and not self._queue.is_empty:
+            self._outbox.record_wait(seconds)
 
     def _frame_error(self, frame: codec.Frame) -> str:
         if frame.session != self._ids.session:
@@ -266,24 +287,30 @@
                 await self._writer_wanted.wait()
 
     def _send_queued(self) -> None:
-        batch = self._queue.take(self._timing.frame_bytes)
-        while batch:
+        while self._window.is_open:
+            batch = self._queue.take(self._timing.frame_bytes)
+            if not batch and not self._is_acknowledgement_due:
+                return
             encoded = self._encode(batch)
             if not self._socket.try_send(encoded):
                 self._unsent = encoded
                 self._writer_wanted.set()
                 return
-            batch = self._queue.take(self._timing.frame_bytes)
 
     def _encode(self, batch: tuple[Message, ...]) -> bytes:
+        now = trio.current_time()
+        sequence = self._window.frames_sent
+        self._window.record_sent(now)
+        self._is_acknowledgement_due = False
         frame = codec.Frame(
             self._ids.session,
-            self._frames_sent,
+            sequence,
             self._revision(),
             batch,
-            self._liveness.record_sent(trio.current_time()),
+            self._liveness.record_sent(now),
+            self._frames_received,
+            wants_acknowledgement=not self._window.is_open,
         )
-        self._frames_sent += 1
         return codec.encode_frame(frame)
 
     async def _send_or_time_out(self, encoded: bytes) -> None:
@@ -302,11 +329,25 @@
         while not self._reason:
             now = trio.current_time()
             if liveness.heartbeat_due_at <= now:
-                self.send(Heartbeat())
+                if self._window.is_open or self._queue.is_empty:
+                    self.send(Heartbeat())
                 self.flush()
                 liveness.record_sent(now)
-            await self._timer.sleep_until(liveness.next_due_at)
+            await self._timer.sleep_until(self._next_due_at)
             # After a stall of this process, there may be frames left to read.
             await trio.lowlevel.checkpoint()
-            if liveness.lost_at <= trio.current_time():
-                self.close('heartbeat timeout')
+            self._close_if_overdue(trio.current_time())
+
+    def _close_if_overdue(self, now: float) -> None:
+        if self._liveness.lost_at <= now:
+            self.close('heartbeat timeout')
+        elif self._acknowledgement_due_by <= now:
+            self.close('send timeout: peer takes no frames')
+
+    @property
+    def _acknowledgement_due_by(self) -> float:
+        return self._window.closed_at + self._timing.quiet_timeout_s
+
+    @property
+    def _next_due_at(self) -> float:
+        return min(self._liveness.next_due_at, self._acknowledgement_due_by)
--- a/src/savoryrudder/daemon/shared_port.py
+++ b/src/savoryrudder/daemon/shared_port.py
@@ -16,6 +16,7 @@
 from savoryrudder.daemon.liveness import FAST_TIMING
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.outgoing import Outbox
+from savoryrudder.daemon.send_window import SendWindow
 from savoryrudder.daemon.session import LinkHandler
 from savoryrudder.daemon.session import Session
 from savoryrudder.daemon.session import SessionIds
@@ -27,8 +28,13 @@
     from savoryrudder.protocol.messages import Message
 
 _MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
-# Frames buffered by a connection whose peer does not read.
-_BUFFERED_FRAMES: Final = 64
+# Received frames that wait for this process, of all connections.
+_RECEIVE_BUFFER_FRAMES: Final = 64
+# Frames on their way to their connections.
+_SEND_BUFFER_FRAMES: Final = 512
+# What each connection holds beside the frame that it is sending. Further ones
+# are dropped.
+_MAX_UNTAKEN_FRAMES: Final = 2
 _RECEIVES_PER_CHECKPOINT: Final = 16
 # Pause before another attempt to send on a connection without room.
 _SEND_RETRY_S: Final = 0.01
@@ -142,8 +148,8 @@
         """
         socket = pynng.Pair1(polyamorous=True)
         socket.recv_max_size = _MAX_FRAME_BYTES
-        socket.recv_buffer_size = _BUFFERED_FRAMES
-        socket.send_buffer_size = _BUFFERED_FRAMES
+        socket.recv_buffer_size = _RECEIVE_BUFFER_FRAMES
+        socket.send_buffer_size = _SEND_BUFFER_FRAMES
         socket.tcp_nodelay = True
         socket.add_post_pipe_remove_cb(self._on_pipe_removed)
         with contextlib.closing(socket):
@@ -197,6 +203,7 @@
             self._revision,
             self._timing,
             self._outbox,
+            SendWindow(_MAX_UNTAKEN_FRAMES),
         )
         self._sessions[session_id] = session
         with contextlib.ExitStack() as cleanup:
--- a/src/savoryrudder/daemon/ticking.py
+++ b/src/savoryrudder/daemon/ticking.py
@@ -22,7 +22,7 @@
     def __init__(self, counters: Counters) -> None:
         """Initialize with an empty event queue."""
         super().__init__(counters)
-        self._outbox = Outbox()
+        self._outbox = Outbox(counters)
         self._timer = DueTimer()
 
     def handle(self, *events: EventT) -> None:
--- a/src/savoryrudder/protocol/codec.py
+++ b/src/savoryrudder/protocol/codec.py
@@ -87,6 +87,8 @@
     """Hold the messages that one event-loop turn sends on a session.
 
     The sender's next frame follows within `silence_ms`; 0 if it does not tell.
+    It has `taken` a number of frames in this session, -1 if it does not count
+    them, and may wait until its own frames have been taken, up to this one.
     """
 
     session: str
@@ -94,6 +96,8 @@
     revision: int
     messages: tuple[messages.Message, ...]
     silence_ms: int = 0
+    taken: int = -1
+    wants_acknowledgement: bool = False
 
 
 class FrameError(NamedTuple):
@@ -115,6 +119,8 @@
             frame.revision,
             body,
             frame.silence_ms,
+            frame.taken,
+            frame.wants_acknowledgement,
         ),
     )
 
@@ -163,7 +169,7 @@
         for tag, body_fields in body
         if tag in _TYPE_BY_TAG
     )
-    return Frame(session, sequence, revision, decoded, *fields[4:5])
+    return Frame(session, sequence, revision, decoded, *fields[4:7])
 
 
 def _decode_message(
