--- a/src/savoryrudder/daemon/session.py
+++ b/src/savoryrudder/daemon/session.py
@@ -13,10 +13,9 @@
 import trio
 
 from savoryrudder.daemon.due_timer import DueTimer
+from savoryrudder.daemon.frame_writer import FrameWriter
 from savoryrudder.daemon.liveness import LinkTiming
 from savoryrudder.daemon.liveness import Liveness
-from savoryrudder.daemon.outgoing import OutgoingQueue
-from savoryrudder.daemon.send_window import SendWindow
 from savoryrudder.protocol import codec
 from savoryrudder.protocol.messages import Heartbeat
 from savoryrudder.protocol.messages import Message
@@ -26,9 +25,7 @@
     from collections.abc import Callable
 
     from savoryrudder.daemon.outgoing import Outbox
-
-_MAX_MESSAGE_BYTES: Final = 48 * 1024 * 1024
-
+    from savoryrudder.daemon.send_window import SendWindow
 
 DEFAULT_TIMING: Final = LinkTiming()
 
@@ -106,19 +103,19 @@
         self._socket = socket
         self._ids = ids
         self._handler = handler
-        self._revision = revision
         self._timing = timing
         self._outbox = outbox
-        self._queue = OutgoingQueue(timing.queue_bytes)
-        self._writer_wanted = trio.Event()
         self._is_connected = False
-        # A frame that the send buffer did not take yet.
-        self._unsent = b''
         self._scope = trio.CancelScope()
-        self._frames_received = 0
-        self._window = window or SendWindow()
-        self._is_acknowledgement_due = False
         self._liveness = Liveness(timing)
+        self._writer = FrameWriter(
+            socket,
+            ids.session,
+            revision,
+            timing,
+            self._liveness,
+            window,
+        )
         self._timer = DueTimer()
         self._is_up = False
         self._is_down_reported = False
@@ -143,25 +140,22 @@
         """Queue a message; return False if the session is closed."""
         if self._reason:
             return False
-        size = codec.estimate_message_size(message)
-        if size > _MAX_MESSAGE_BYTES:
-            self.close('message exceeds the size limit of a frame')
-            return False
-        if not self._queue.put(message, size):
-            self.close('outgoing queue is full')
+        error = self._writer.put(message)
+        if error:
+            self.close(error)
             return False
         if self._outbox is None:
-            self._writer_wanted.set()
+            self._writer.wake()
         else:
             self._outbox.add(self)
         return True
 
     def flush(self) -> None:
         """Send the queued messages, as far as the send buffer takes them."""
-        if not self._is_connected or self._unsent or self._reason:
+        if not self._is_connected or self._reason:
             return
         try:
-            self._send_queued()
+            self._writer.flush()
         except pynng.NNGException as error:
             self.close(f'socket error: {error}')
         # A frame of this turn may have made a heartbeat needless.
@@ -232,25 +226,25 @@
             self.close(frame.detail)
             return
         now = trio.current_time()
-        closed_at = self._window.closed_at
-        error = self._frame_error(frame) or self._window.record_taken(
+        blocked_since = self._writer.blocked_since
+        error = self._frame_error(frame) or self._writer.record_taken(
             frame.taken,
             now,
         )
         if error:
             self.close(error)
             return
-        if closed_at < self._window.closed_at:
-            self._record_wait(now - closed_at)
+        if blocked_since < self._writer.blocked_since:
+            self._record_wait(now - blocked_since)
         self._accept_frame(frame, now)
-        if closed_at <= now or self._is_acknowledgement_due:
+        if blocked_since <= now or frame.wants_acknowledgement:
             self.flush()
         self._timer.bring_forward(self._next_due_at)
 
     def _accept_frame(self, frame: codec.Frame, now: float) -> None:
-        self._frames_received += 1
-        if frame.wants_acknowledgement:
-            self._is_acknowledgement_due = True
+        self._writer.record_received(
+            wants_acknowledgement=frame.wants_acknowledgement,
+        )
         self._liveness.record_received(now, frame.silence_ms)
         if not self._is_up:
             self._is_up = True
@@ -259,17 +253,15 @@
             self._handler.on_frame(*self._ids, frame.revision, frame.messages)
 
     def _record_wait(self, seconds: float) -> None:
-        if self._outbox is not None and not self._queue.is_empty:
+        if self._outbox is not None and self._writer.must_write:
             self._outbox.record_wait(seconds)
 
     def _frame_error(self, frame: codec.Frame) -> str:
         if frame.session != self._ids.session:
             return 'frame belongs to a foreign session'
-        if frame.sequence != self._frames_received:
-            return (
-                f'received frame {frame.sequence}, '
-                f'expected {self._frames_received}'
-            )
+        expected = self._writer.frames_taken
+        if frame.sequence != expected:
+            return f'received frame {frame.sequence}, expected {expected}'
         if not isinstance(frame.revision, int):
             return 'malformed frame: revision is not a number'
         if not isinstance(frame.silence_ms, int) or frame.silence_ms < 0:
@@ -277,46 +269,8 @@
         return ''
 
     async def _write(self) -> None:
-        while True:
-            self._writer_wanted = trio.Event()
-            if self._unsent:
-                await self._send_or_time_out(self._unsent)
-                self._unsent = b''
-            self._send_queued()
-            if not self._unsent:
-                await self._writer_wanted.wait()
-
-    def _send_queued(self) -> None:
-        while self._window.is_open:
-            batch = self._queue.take(self._timing.frame_bytes)
-            if not batch and not self._is_acknowledgement_due:
-                return
-            encoded = self._encode(batch)
-            if not self._socket.try_send(encoded):
-                self._unsent = encoded
-                self._writer_wanted.set()
-                return
-
-    def _encode(self, batch: tuple[Message, ...]) -> bytes:
-        now = trio.current_time()
-        sequence = self._window.frames_sent
-        self._window.record_sent(now)
-        self._is_acknowledgement_due = False
-        frame = codec.Frame(
-            self._ids.session,
-            sequence,
-            self._revision(),
-            batch,
-            self._liveness.record_sent(now),
-            self._frames_received,
-            wants_acknowledgement=not self._window.is_open,
-        )
-        return codec.encode_frame(frame)
-
-    async def _send_or_time_out(self, encoded: bytes) -> None:
         try:
-            with anyio.fail_after(self._timing.idle_timeout_s):
-                await self._socket.send(encoded)
+            await self._writer.run()
         except TimeoutError:
             self.close('send timeout: peer is not reading')
 
@@ -329,7 +283,7 @@
         while not self._reason:
             now = trio.current_time()
             if liveness.heartbeat_due_at <= now:
-                if self._window.is_open or self._queue.is_empty:
+                if not self._writer.must_write:
                     self.send(Heartbeat())
                 self.flush()
                 liveness.record_sent(now)
@@ -341,13 +295,9 @@
     def _close_if_overdue(self, now: float) -> None:
         if self._liveness.lost_at <= now:
             self.close('heartbeat timeout')
-        elif self._acknowledgement_due_by <= now:
+        elif self._writer.overdue_at <= now:
             self.close('send timeout: peer takes no frames')
 
-    @property
-    def _acknowledgement_due_by(self) -> float:
-        return self._window.closed_at + self._timing.quiet_timeout_s
-
     @property
     def _next_due_at(self) -> float:
-        return min(self._liveness.next_due_at, self._acknowledgement_due_by)
+        return min(self._liveness.next_due_at, self._writer.overdue_at)
